--- /dev/null
+++ b/packages/leadford-cli/src/leadford_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool."""
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/__init__.py
@@ -0,0 +1,1 @@
+"""The entry and agent processes: sockets, clocks and tasks around the decisions."""
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/agent/__init__.py
@@ -0,0 +1,17 @@
+"""The process beside an endpoint: its queue, its results, its orders."""
+
+from leadford_server.agent._adapters import (
+    AdapterOutcome,
+    EndpointAdapter,
+    endpoint_adapters,
+)
+from leadford_server.agent._process import AgentProcess
+from leadford_server.agent._service import AgentService
+
+__all__ = [
+    "AdapterOutcome",
+    "AgentProcess",
+    "AgentService",
+    "EndpointAdapter",
+    "endpoint_adapters",
+]
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/agent/_adapters.py
@@ -0,0 +1,289 @@
+"""Call each kind of endpoint through its published protocol."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from leadford.common import Registry
+from leadford.protocol import DoneStatus, Submit
+
+CONNECT_S = 1.0
+RESUMES_MAX = 2
+RESULT_BYTES_MAX = 4 * 1024 * 1024
+
+TokenSink = Callable[[list[str]], None]
+
+
+class AdapterOutcome(msgspec.Struct, frozen=True):
+    """Say how a call to an endpoint ended.
+
+    Units: accelerator_ms is endpoint time, 0 when the endpoint does not report it.
+    """
+
+    status: DoneStatus
+    result: bytes = b"null"
+    error: str = ""
+    prefill_tokens: int = 0
+    cached_tokens: int = 0
+    accelerator_ms: float = 0.0
+    model_version: str = ""
+    crossed: bool = False
+
+
+class EndpointAdapter(Protocol):
+    """Run attempts at an endpoint of one kind."""
+
+    @classmethod
+    def from_config(
+        cls, *, url: str, path: str, http: AsyncHTTPClient
+    ) -> "EndpointAdapter":
+        """Build an adapter for an endpoint."""
+
+    async def run(
+        self, submit: Submit, timeout_s: float, sink: TokenSink
+    ) -> AdapterOutcome:
+        """Run one attempt, handing tokens to the sink."""
+
+    async def cancel(self, submit: Submit) -> None:
+        """Stop an attempt, if the endpoint can."""
+
+
+endpoint_adapters: Registry[EndpointAdapter] = Registry("endpoint adapter")
+
+
+def attempt_key(request_id: str, stage: str, attempt: int) -> str:
+    """Return the name of an attempt."""
+    return f"{request_id}/{stage}/{attempt}"
+
+
+class _JsonAnswer(msgspec.Struct):
+    """Hold the answer of a service; `echo` names the attempt it belongs to."""
+
+    result: msgspec.Raw
+    echo: str = ""
+
+
+@endpoint_adapters.register("json")
+class JsonAdapter:
+    """Call services, encoders, retrievers and rerankers: JSON over HTTP."""
+
+    def __init__(self, *, url: str, path: str, http: AsyncHTTPClient) -> None:
+        self.url = url
+        self.path = path
+        self.http = http
+
+    @classmethod
+    def from_config(
+        cls, *, url: str, path: str, http: AsyncHTTPClient
+    ) -> "JsonAdapter":
+        """Build an adapter for an endpoint."""
+        return cls(url=url, path=path, http=http)
+
+    async def run(
+        self, submit: Submit, timeout_s: float, sink: TokenSink
+    ) -> AdapterOutcome:
+        """Post the call and check that the answer belongs to it."""
+        request = HTTPRequest(
+            self.url + self.path,
+            method="POST",
+            body=self._body(submit),
+            headers={"Content-Type": "application/json"},
+            connect_timeout=CONNECT_S,
+            request_timeout=timeout_s,
+        )
+        response = await self.http.fetch(request, raise_error=False)
+        if response.code == 599:
+            return AdapterOutcome(DoneStatus.FAILED, error=str(response.error))
+        if response.code != 200:
+            return AdapterOutcome(DoneStatus.FAILED, error=f"status {response.code}")
+        if len(response.body) > RESULT_BYTES_MAX:
+            return AdapterOutcome(DoneStatus.FAILED, error="answer is too large")
+        try:
+            answer = msgspec.json.decode(response.body, type=_JsonAnswer)
+        except msgspec.MsgspecError as error:
+            return AdapterOutcome(DoneStatus.FAILED, error=f"malformed answer: {error}")
+        key = attempt_key(submit.request_id, submit.stage, submit.attempt)
+        if answer.echo and answer.echo != key:
+            text = f"answer belongs to {answer.echo}"
+            return AdapterOutcome(DoneStatus.FAILED, error=text, crossed=True)
+        return AdapterOutcome(DoneStatus.OK, bytes(answer.result))
+
+    def _body(self, submit: Submit) -> bytes:
+        head = {
+            "request_id": submit.request_id,
+            "stage": submit.stage,
+            "attempt": submit.attempt,
+        }
+        # The caller's body is JSON already and goes out as it came in.
+        opening = json.dumps(head).encode()[:-1]
+        parts = (opening, b',"input":', submit.body, b',"previous":', submit.previous)
+        return b"".join((*parts, b"}"))
+
+    async def cancel(self, submit: Submit) -> None:
+        """Do nothing: a plain call cannot be stopped."""
+
+
+class _PromptBody(msgspec.Struct):
+    """Hold what a generation takes from the caller's body."""
+
+    prompt: str = ""
+    system: str = ""
+    max_tokens: int = 0
+
+
+class _SseReader:
+    """Gather the events of a token stream from chunks of bytes."""
+
+    def __init__(self, *, key: str, sink: TokenSink) -> None:
+        self.key = key
+        self.sink = sink
+        self.rest_ = b""
+        self.received_ = 0
+        self.usage_: dict[str, object] = {}
+        self.finish_reason_ = ""
+        self.model_version_ = ""
+        self.error_ = ""
+        self.crossed_ = False
+
+    def feed(self, chunk: bytes) -> None:
+        """Take in bytes."""
+        *events, self.rest_ = (self.rest_ + chunk).split(b"\n\n")
+        texts: list[str] = []
+        for event in events:
+            data = event.removeprefix(b"data: ")
+            if data == b"[DONE]" or self.error_:
+                continue
+            self._take(data, texts)
+        if texts:
+            self.received_ += len(texts)
+            self.sink(texts)
+
+    def _take(self, data: bytes, texts: list[str]) -> None:
+        try:
+            chunk = msgspec.json.decode(data)
+            choice = chunk["choices"][0]
+        except (msgspec.MsgspecError, LookupError, TypeError) as error:
+            self.error_ = f"malformed event: {error}"
+            return
+        if chunk.get("id", self.key) != self.key:
+            self.error_ = f"stream belongs to {chunk['id']}"
+            self.crossed_ = True
+            return
+        if choice.get("text"):
+            texts.append(choice["text"])
+        if choice.get("finish_reason"):
+            self.finish_reason_ = choice["finish_reason"]
+            self.usage_ = chunk.get("usage") or {}
+            self.model_version_ = chunk.get("model", "")
+
+
+@endpoint_adapters.register("engine")
+class EngineAdapter:
+    """Call a model engine: the OpenAI completion API with streaming and resume."""
+
+    def __init__(self, *, url: str, path: str, http: AsyncHTTPClient) -> None:
+        self.url = url
+        self.http = http
+
+    @classmethod
+    def from_config(
+        cls, *, url: str, path: str, http: AsyncHTTPClient
+    ) -> "EngineAdapter":
+        """Build an adapter for an endpoint."""
+        return cls(url=url, path=path, http=http)
+
+    async def run(
+        self, submit: Submit, timeout_s: float, sink: TokenSink
+    ) -> AdapterOutcome:
+        """Generate; a broken stream resumes at the engine where it stopped."""
+        key = attempt_key(submit.request_id, submit.stage, submit.attempt)
+        reader = _SseReader(key=key, sink=sink)
+        prompt = self._prompt(submit)
+        if prompt is None:
+            return AdapterOutcome(DoneStatus.FAILED, error="body has no prompt")
+        request = self._first_request(submit, prompt)
+        error = await self._stream(request, reader, timeout_s)
+        for _ in range(RESUMES_MAX):
+            if reader.finish_reason_ or reader.error_ or not reader.received_:
+                break
+            reader.rest_ = b""
+            await asyncio.sleep(0.05)
+            url = f"{self.url}/v1/completions/{key}?after={reader.received_}"
+            error = await self._stream(HTTPRequest(url), reader, timeout_s)
+        return self._outcome(reader, error)
+
+    def _prompt(self, submit: Submit) -> str | None:
+        try:
+            body = msgspec.json.decode(submit.body, type=_PromptBody)
+        except msgspec.MsgspecError:
+            return None
+        parts = [body.system, body.prompt]
+        if submit.previous != b"null":
+            parts.append(submit.previous.decode())
+        return "\n".join(part for part in parts if part)
+
+    def _first_request(self, submit: Submit, prompt: str) -> HTTPRequest:
+        call = {
+            "model": submit.model,
+            "prompt": prompt,
+            "max_tokens": submit.expected_tokens,
+            "stream": True,
+            "priority": submit.priority,
+            "request_id": submit.request_id,
+            "stage": submit.stage,
+            "attempt": submit.attempt,
+            "prefix": submit.prefix,
+        }
+        return HTTPRequest(
+            f"{self.url}/v1/completions",
+            method="POST",
+            body=json.dumps(call),
+            headers={"Content-Type": "application/json"},
+        )
+
+    async def _stream(
+        self, request: HTTPRequest, reader: _SseReader, timeout_s: float
+    ) -> str:
+        request.connect_timeout = CONNECT_S
+        request.request_timeout = timeout_s
+        request.streaming_callback = reader.feed
+        response = await self.http.fetch(request, raise_error=False)
+        if response.code == 200:
+            return ""
+        return str(response.error or response.code)
+
+    def _outcome(self, reader: _SseReader, error: str) -> AdapterOutcome:
+        details = reader.usage_.get("prompt_tokens_details") or {}
+        status = DoneStatus.OK
+        if reader.finish_reason_ == "cancelled":
+            status = DoneStatus.CANCELLED
+        elif not reader.finish_reason_ or reader.error_:
+            status = DoneStatus.FAILED
+        result = json.dumps(
+            {
+                "finish_reason": reader.finish_reason_,
+                "tokens": reader.received_,
+                "model_version": reader.model_version_,
+            }
+        )
+        return AdapterOutcome(
+            status=status,
+            result=result.encode(),
+            error=reader.error_ or (error if status is DoneStatus.FAILED else ""),
+            prefill_tokens=int(reader.usage_.get("prompt_tokens", 0)),
+            cached_tokens=int(details.get("cached_tokens", 0)),
+            accelerator_ms=float(reader.usage_.get("accelerator_ms", 0.0)),
+            model_version=reader.model_version_,
+            crossed=reader.crossed_,
+        )
+
+    async def cancel(self, submit: Submit) -> None:
+        """Ask the engine to stop the generation."""
+        key = attempt_key(submit.request_id, submit.stage, submit.attempt)
+        url = f"{self.url}/v1/completions/{key}"
+        request = HTTPRequest(url, method="DELETE", request_timeout=CONNECT_S)
+        await self.http.fetch(request, raise_error=False)
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/agent/_process.py
@@ -0,0 +1,177 @@
+"""Run the agent: its sockets, its configuration and its planned stop."""
+
+import asyncio
+import random
+import time
+
+from tornado import httpserver, web
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+from leadford.common import PoolKind
+from leadford.config import FleetConfig
+from leadford.events import Event
+from leadford.protocol import Message, Refused, Submit
+from leadford_server.agent._adapters import endpoint_adapters
+from leadford_server.agent._service import AgentService
+from leadford_server.config import ConfigFollower
+from leadford_server.logs import EventLog
+from leadford_server.metrics import MetricsHandler
+from leadford_server.peers import Identity, PeerConnection, PeerServer
+from leadford_server.settings import AgentSettings, SocketAddress
+from leadford_server.store import StoreClient
+
+DRAIN_POLL_S = 0.02
+DRAIN_MAX_S = 120.0
+HTTP_CLIENTS_MAX = 512
+
+
+class _HealthHandler(web.RequestHandler):
+    """Say that the process lives."""
+
+    def get(self) -> None:
+        self.finish("ok\n")
+
+
+class _ReadyHandler(web.RequestHandler):
+    """Say whether the agent takes work."""
+
+    def initialize(self, process: "AgentProcess") -> None:
+        self.process = process
+
+    def get(self) -> None:
+        service = self.process.service_
+        ready = service is not None and not service.draining_
+        self.set_status(200 if ready else 503)
+        self.finish({"ready": ready, "config": self.process.follower_.version})
+
+
+class AgentProcess:
+    """Hold everything that one agent process runs."""
+
+    def __init__(
+        self, *, settings: AgentSettings, rng: random.Random | None = None
+    ) -> None:
+        self.settings = settings
+        self.rng = rng if rng is not None else random.Random()
+        self.log_ = EventLog(process_id=settings.endpoint_id)
+        self.http_ = CurlAsyncHTTPClient(
+            force_instance=True, max_clients=HTTP_CLIENTS_MAX
+        )
+        self.store_ = StoreClient(url=settings.store, http=self.http_)
+        self.service_: AgentService | None = None
+        self.peers_: set[PeerConnection] = set()
+        self.stopping_ = False
+        self.follower_ = ConfigFollower(
+            store=self.store_,
+            log=self.log_,
+            random=self.rng,
+            is_relay=lambda: False,
+            on_change=self._apply,
+        )
+        self.server_ = PeerServer(
+            identity=Identity(
+                settings.endpoint_id, "agent", settings.hall, settings.secret
+            ),
+            handler=self,
+            log=self.log_,
+            random=self.rng,
+            config_version=lambda: self.follower_.version,
+            is_draining=lambda: self.stopping_,
+        )
+        self.web_: httpserver.HTTPServer | None = None
+
+    async def start(self) -> SocketAddress:
+        """Listen and begin to follow the configuration."""
+        address = await self.server_.start(self.settings.peer)
+        pages = web.Application(
+            [
+                (r"/healthz", _HealthHandler),
+                (r"/readyz", _ReadyHandler, {"process": self}),
+                (r"/metrics", MetricsHandler),
+            ],
+            log_function=lambda handler: None,
+        )
+        self.web_ = httpserver.HTTPServer(pages)
+        self.web_.listen(self.settings.metrics.port, self.settings.metrics.host)
+        self.follower_.start()
+        self.log_.report(Event.PROCESS_STARTED, role="agent", peer=str(address))
+        return address
+
+    def _apply(self, config: FleetConfig) -> None:
+        endpoint = config.endpoints.get(self.settings.endpoint_id)
+        if endpoint is None:
+            if self.service_ is not None:
+                self.service_.drain()
+            return
+        pool = config.pools[endpoint.pool]
+        if self.service_ is None:
+            kind = "engine" if pool.kind is PoolKind.ENGINE else "json"
+            adapter = endpoint_adapters.get(kind).from_config(
+                url=self.settings.endpoint_url, path=pool.path, http=self.http_
+            )
+            self.service_ = AgentService(
+                adapter=adapter,
+                pool=pool,
+                config=config,
+                log=self.log_,
+                clock=time.monotonic,
+            )
+            for peer in self.peers_:
+                self.service_.peer_connected(peer)
+        self.service_.apply_config(config, pool)
+        if endpoint.draining or self.stopping_:
+            self.service_.drain()
+        elif self.service_.draining_:
+            self.service_.restore()
+
+    def peer_connected(self, peer: PeerConnection) -> None:
+        """Take in a connection of an entry."""
+        self.peers_.add(peer)
+        self.follower_.peer_connected(peer)
+        if self.service_ is not None:
+            self.service_.peer_connected(peer)
+
+    def peer_lost(self, peer: PeerConnection) -> None:
+        """Take in that a connection ended."""
+        self.peers_.discard(peer)
+        self.follower_.peer_lost(peer)
+        if self.service_ is not None:
+            self.service_.peer_lost(peer)
+
+    def peer_version(self, peer: PeerConnection, version: int) -> None:
+        """Take in the configuration version of a peer."""
+        self.follower_.peer_version(peer, version)
+
+    def peer_message(self, peer: PeerConnection, message: Message) -> None:
+        """Take in a message."""
+        if self.follower_.peer_message(peer, message):
+            return
+        if self.service_ is not None:
+            self.service_.peer_message(peer, message)
+            return
+        if isinstance(message, Submit):
+            peer.send(
+                Refused(
+                    message.request_id,
+                    message.stage,
+                    message.attempt,
+                    "not-ready",
+                    begun=False,
+                )
+            )
+
+    async def drain(self) -> None:
+        """Announce the stop, let what runs end, and close."""
+        self.stopping_ = True
+        self.log_.report(Event.PROCESS_DRAINING)
+        if self.service_ is not None:
+            self.service_.drain()
+            limit = time.monotonic() + DRAIN_MAX_S
+            while not self.service_.is_idle and time.monotonic() < limit:
+                await asyncio.sleep(DRAIN_POLL_S)
+        for peer in list(self.peers_):
+            await peer.close()
+        self.follower_.stop()
+        await self.server_.stop()
+        self.web_.stop()
+        self.log_.report(Event.PROCESS_STOPPED)
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/agent/_service.py
@@ -0,0 +1,450 @@
+"""Serve entries: queue, run, feed and keep attempts."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from leadford.admission import EndpointAdmission
+from leadford.common import RefusalReason, WorkspaceId
+from leadford.config import FleetConfig, PoolConfig
+from leadford.events import Event
+from leadford.protocol import (
+    Ack,
+    Attach,
+    Cancel,
+    Credit,
+    Done,
+    DoneStatus,
+    Draining,
+    Load,
+    Message,
+    NotHeld,
+    Refused,
+    Submit,
+    TokenPart,
+    Tokens,
+)
+from leadford.queues import (
+    QueuedAttempt,
+    WorkspaceTerms,
+    queue_policies,
+)
+from leadford.results import KeptResult, ResultStore
+from leadford_server.agent._adapters import (
+    AdapterOutcome,
+    EndpointAdapter,
+    attempt_key,
+)
+from leadford_server.logs import EventLog
+from leadford_server.metrics import (
+    ATTEMPTS_TOTAL,
+    QUEUED_ATTEMPTS,
+    RUNNING_ATTEMPTS,
+)
+from leadford_server.peers import PeerConnection
+
+TICK_S = 0.02
+TIMEOUT_GRACE_S = 0.25
+EFFECT_TIMEOUT_S = 30.0
+REPORT_S = 0.2
+STAGES_BEGUN_KEPT = 20_000
+
+
+class RunningAttempt:
+    """Hold an attempt that waits or runs."""
+
+    def __init__(
+        self, *, submit: Submit, item: QueuedAttempt, kept: KeptResult
+    ) -> None:
+        self.submit = submit
+        self.item = item
+        self.kept = kept
+        self.task_: asyncio.Task[None] | None = None
+        self.cancelled_ = False
+        self.generated_texts_: list[str] = []
+
+
+class AgentService:
+    """Hold the queue, the running attempts and the kept results of one endpoint."""
+
+    def __init__(
+        self,
+        *,
+        adapter: EndpointAdapter,
+        pool: PoolConfig,
+        config: FleetConfig,
+        log: EventLog,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.adapter = adapter
+        self.log = log
+        self.clock = clock
+        self.config_ = config
+        self.pool_ = pool
+        self.queue_ = queue_policies.get(config.tuning.queue).from_config(
+            terms=self._terms
+        )
+        self.admission_ = EndpointAdmission(
+            queue=self.queue_,
+            concurrency=pool.concurrency,
+            queue_limit=pool.queue_limit,
+        )
+        self.results_ = ResultStore(retention_s=config.tuning.result_retention_s)
+        self.attempts_by_key_: dict[str, RunningAttempt] = {}
+        self.running_ = 0
+        self.tokens_in_flight_ = 0
+        self.draining_ = False
+        self.peers_by_id_: dict[str, PeerConnection] = {}
+        self.dirty_keys_: dict[str, None] = {}
+        self.tick_: asyncio.TimerHandle | None = None
+        self.effects_begun_: dict[str, None] = {}
+        self.reported_at_ = 0.0
+        self.reported_load_ = 0
+
+    def apply_config(self, config: FleetConfig, pool: PoolConfig) -> None:
+        """Take in a newer configuration; what is queued stays queued."""
+        self.config_ = config
+        self.pool_ = pool
+        self.admission_.concurrency = pool.concurrency
+        self.admission_.queue_limit = pool.queue_limit
+        self.results_.retention_s = config.tuning.result_retention_s
+        self._pump()
+
+    def _terms(self, workspace: WorkspaceId) -> WorkspaceTerms:
+        found = self.config_.workspaces.get(workspace)
+        if found is None:
+            return WorkspaceTerms()
+        return WorkspaceTerms(found.share, found.minimum)
+
+    def peer_connected(self, peer: PeerConnection) -> None:
+        """Take in a connection of an entry."""
+        self.peers_by_id_[peer.info.peer_id] = peer
+        peer.send(self.load())
+        if self.draining_:
+            peer.send(Draining("agent"))
+
+    def peer_lost(self, peer: PeerConnection) -> None:
+        """Stop feeding an entry; what it started runs on for a take-over."""
+        if self.peers_by_id_.get(peer.info.peer_id) is peer:
+            del self.peers_by_id_[peer.info.peer_id]
+            self.results_.detach_peer(peer.info.peer_id)
+
+    def peer_message(self, peer: PeerConnection, message: Message) -> None:
+        """Take in a message of an entry."""
+        match message:
+            case Submit():
+                self._submit(peer, message)
+            case Credit():
+                self._credit(peer, message)
+            case Ack():
+                self.results_.release(_key_of(message))
+            case Cancel():
+                self._cancel(_key_of(message))
+            case Attach():
+                self._attach(peer, message)
+            case _:
+                pass
+
+    def load(self) -> Load:
+        """Return the load of the endpoint."""
+        estimate = self.admission_.estimate_
+        return Load(
+            queued=len(self.queue_),
+            running=self.running_,
+            tokens_in_flight=self.tokens_in_flight_,
+            service_ms=round(estimate.overall_.value_, 2),
+            token_ms=round(estimate.per_token_.value_, 3)
+            if estimate.per_token_.count_
+            else 0.0,
+            concurrency=self.pool_.concurrency,
+            wait_ms=round(self.admission_.wait_ms(9, self.running_), 1),
+        )
+
+    def drain(self) -> None:
+        """Take no new work and say so to every entry."""
+        if self.draining_:
+            return
+        self.draining_ = True
+        for peer in self.peers_by_id_.values():
+            peer.send(Draining("agent"))
+
+    def restore(self) -> None:
+        """Take new work again."""
+        self.draining_ = False
+        self._report_load(force=True)
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits, runs or is still being fed."""
+        if self.attempts_by_key_:
+            return False
+        for kept in self.results_.results_by_key_.values():
+            for cursor in kept.cursors_by_peer_.values():
+                if not cursor.done_sent_:
+                    return False
+        return True
+
+    def _submit(self, peer: PeerConnection, submit: Submit) -> None:
+        now = self.clock()
+        key = _key_of(submit)
+        if self.results_.get(key) is not None:
+            return
+        if self.draining_:
+            self._refuse(peer, submit, RefusalReason.DRAINING)
+            return
+        if not submit.repeatable:
+            effect_key = f"{submit.request_id}/{submit.stage}"
+            if effect_key in self.effects_begun_:
+                self._refuse(peer, submit, RefusalReason.ALREADY_CLAIMED, begun=True)
+                return
+        item = QueuedAttempt(
+            key=key,
+            workspace=WorkspaceId(submit.workspace),
+            priority=submit.priority,
+            deadline_at=now + submit.remaining_ms / 1000.0,
+            cost_ms=self.admission_.estimate_.service_ms(
+                submit.stage, submit.expected_tokens
+            ),
+            enqueued_at=now,
+        )
+        reason = self.admission_.check_arrival(
+            item, tail_ms=submit.tail_ms, running=self.running_, now=now
+        )
+        if reason is not None:
+            self._refuse(peer, submit, reason)
+            return
+        kept = self.results_.open(key, submit.workspace, now)
+        kept.attach(peer.info.peer_id, 0, submit.credit)
+        self.attempts_by_key_[key] = RunningAttempt(submit=submit, item=item, kept=kept)
+        self.queue_.push(item)
+        self._pump()
+
+    def _refuse(
+        self,
+        peer: PeerConnection | None,
+        submit: Submit,
+        reason: RefusalReason,
+        begun: bool = False,
+    ) -> None:
+        ATTEMPTS_TOTAL.labels(stage=submit.stage, end=reason.value).inc()
+        if peer is None:
+            return
+        load = self.load()
+        peer.send(
+            Refused(
+                submit.request_id,
+                submit.stage,
+                submit.attempt,
+                reason.value,
+                begun,
+                load.wait_ms,
+                load,
+            )
+        )
+
+    def _pump(self) -> None:
+        """Start what may start; refuse what waited too long."""
+        while self.running_ < self.pool_.concurrency:
+            now = self.clock()
+            item = self.queue_.pop(now)
+            if item is None:
+                break
+            attempt = self.attempts_by_key_[item.key]
+            reason = self.admission_.check_start(
+                item, tail_ms=attempt.submit.tail_ms, now=now
+            )
+            if reason is not None:
+                self._drop_queued(attempt, reason)
+                continue
+            self.running_ += 1
+            self.tokens_in_flight_ += attempt.submit.expected_tokens
+            if not attempt.submit.repeatable:
+                self._note_effect(attempt.submit)
+            attempt.task_ = asyncio.create_task(self._run(attempt))
+        QUEUED_ATTEMPTS.set(len(self.queue_))
+        RUNNING_ATTEMPTS.set(self.running_)
+        self._report_load()
+
+    def _note_effect(self, submit: Submit) -> None:
+        self.effects_begun_[f"{submit.request_id}/{submit.stage}"] = None
+        if len(self.effects_begun_) > STAGES_BEGUN_KEPT:
+            del self.effects_begun_[next(iter(self.effects_begun_))]
+
+    def _drop_queued(self, attempt: RunningAttempt, reason: RefusalReason) -> None:
+        key = attempt.item.key
+        del self.attempts_by_key_[key]
+        for peer_id in list(attempt.kept.cursors_by_peer_):
+            self._refuse(self.peers_by_id_.get(peer_id), attempt.submit, reason)
+        self.results_.discard(key)
+
+    async def _run(self, attempt: RunningAttempt) -> None:
+        submit = attempt.submit
+        started_at = self.clock()
+        timeout_s = attempt.item.deadline_at - started_at + TIMEOUT_GRACE_S
+        if not submit.repeatable:
+            # The effect may come late; its result is worth waiting for.
+            timeout_s = max(timeout_s, EFFECT_TIMEOUT_S)
+        sink = self._sink(attempt)
+        outcome = await self.adapter.run(submit, timeout_s, sink)
+        ended_at = self.clock()
+        service_ms = (ended_at - started_at) * 1000.0
+        queue_ms = (started_at - attempt.item.enqueued_at) * 1000.0
+        if outcome.crossed:
+            self.log.report(
+                Event.ENDPOINT_ANSWER_CROSSED,
+                request=submit.request_id,
+                error=outcome.error,
+            )
+        if outcome.status is DoneStatus.OK:
+            tokens = len(attempt.generated_texts_)
+            self.admission_.estimate_.note(submit.stage, service_ms, tokens)
+        self._finish(attempt, outcome, service_ms, queue_ms)
+
+    def _sink(self, attempt: RunningAttempt) -> Callable[[list[str]], None]:
+        def take(texts: list[str]) -> None:
+            attempt.generated_texts_.extend(texts)
+            if not attempt.submit.stream:
+                return
+            first = not attempt.kept.texts_
+            attempt.kept.append(texts)
+            self.dirty_keys_[attempt.item.key] = None
+            if first:
+                self._flush()
+                return
+            self._schedule_flush()
+
+        return take
+
+    def _finish(
+        self,
+        attempt: RunningAttempt,
+        outcome: AdapterOutcome,
+        service_ms: float,
+        queue_ms: float,
+    ) -> None:
+        submit = attempt.submit
+        kept = attempt.kept
+        key = attempt.item.key
+        self.running_ -= 1
+        self.tokens_in_flight_ -= submit.expected_tokens
+        del self.attempts_by_key_[key]
+        result = outcome.result
+        if attempt.generated_texts_ and not submit.stream:
+            text = "".join(attempt.generated_texts_)
+            result = msgspec.json.encode({"text": text})
+        ATTEMPTS_TOTAL.labels(stage=submit.stage, end=outcome.status.name.lower()).inc()
+        done = Done(
+            request_id=submit.request_id,
+            stage=submit.stage,
+            attempt=submit.attempt,
+            status=outcome.status,
+            sequence=len(kept.texts_),
+            result=result,
+            service_ms=outcome.accelerator_ms or service_ms,
+            queue_ms=queue_ms,
+            prefill_tokens=outcome.prefill_tokens,
+            cached_tokens=outcome.cached_tokens,
+            error=outcome.error,
+            load=self.load(),
+            model_version=outcome.model_version,
+        )
+        self.results_.end(kept, done, self.clock())
+        self.dirty_keys_[key] = None
+        self._flush()
+        self._pump()
+
+    def _schedule_flush(self) -> None:
+        if self.tick_ is None:
+            loop = asyncio.get_running_loop()
+            self.tick_ = loop.call_later(TICK_S, self._flush)
+
+    def _flush(self) -> None:
+        """Send each entry, in one message, the new tokens of all its streams."""
+        if self.tick_ is not None:
+            self.tick_.cancel()
+            self.tick_ = None
+        keys = list(self.dirty_keys_)
+        self.dirty_keys_.clear()
+        parts_by_peer: dict[str, list[TokenPart]] = {}
+        ends_by_peer: dict[str, list[Done]] = {}
+        for key in keys:
+            kept = self.results_.get(key)
+            if kept is None:
+                continue
+            self._gather(kept, parts_by_peer, ends_by_peer)
+        for peer_id, parts in parts_by_peer.items():
+            self.peers_by_id_[peer_id].send(Tokens(parts))
+        for peer_id, ends in ends_by_peer.items():
+            for done in ends:
+                self.peers_by_id_[peer_id].send(done)
+
+    def _gather(
+        self,
+        kept: KeptResult,
+        parts_by_peer: dict[str, list[TokenPart]],
+        ends_by_peer: dict[str, list[Done]],
+    ) -> None:
+        request_id, stage, attempt = kept.key.rsplit("/", 2)
+        for peer_id in kept.cursors_by_peer_:
+            if peer_id not in self.peers_by_id_:
+                continue
+            sequence, texts = kept.take(peer_id)
+            if texts:
+                part = TokenPart(request_id, stage, int(attempt), sequence, texts)
+                parts_by_peer.setdefault(peer_id, []).append(part)
+            done = kept.take_done(peer_id)
+            if done is not None:
+                ends_by_peer.setdefault(peer_id, []).append(done)
+
+    def _credit(self, peer: PeerConnection, message: Credit) -> None:
+        kept = self.results_.get(_key_of(message))
+        if kept is None:
+            return
+        kept.add_credit(peer.info.peer_id, message.tokens)
+        self.dirty_keys_[kept.key] = None
+        self._schedule_flush()
+
+    def _attach(self, peer: PeerConnection, message: Attach) -> None:
+        kept = self.results_.get(_key_of(message))
+        held = kept is not None and kept.workspace == message.workspace
+        if not held or message.from_sequence > len(kept.texts_):
+            peer.send(NotHeld(message.request_id, message.stage, message.attempt))
+            return
+        kept.attach(peer.info.peer_id, message.from_sequence, message.credit)
+        self.dirty_keys_[kept.key] = None
+        self._flush()
+
+    def _cancel(self, key: str) -> None:
+        attempt = self.attempts_by_key_.get(key)
+        if attempt is None:
+            self.results_.release(key)
+            return
+        if self.queue_.remove(key) is not None:
+            self._drop_queued(attempt, RefusalReason.CANCELLED)
+            return
+        # What may not be repeated runs to its end, so that its result is known.
+        if attempt.cancelled_ or not attempt.submit.repeatable:
+            return
+        attempt.cancelled_ = True
+        asyncio.get_running_loop().create_task(self.adapter.cancel(attempt.submit))
+
+    def _report_load(self, force: bool = False) -> None:
+        """Report a load that changed much without an answer to ride on."""
+        now = self.clock()
+        load = len(self.queue_) + self.running_
+        changed = abs(load - self.reported_load_)
+        if not force and changed <= max(2, self.reported_load_ // 4):
+            return
+        if not force and now - self.reported_at_ < REPORT_S:
+            return
+        self.reported_at_ = now
+        self.reported_load_ = load
+        report = self.load()
+        for peer in self.peers_by_id_.values():
+            peer.send(report)
+
+
+def _key_of(message: Submit | Credit | Ack | Cancel | Attach) -> str:
+    return attempt_key(message.request_id, message.stage, message.attempt)
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/config/_source.py
@@ -0,0 +1,136 @@
+"""Read heads and chunks from the store or from a peer."""
+
+import asyncio
+from typing import Protocol
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from leadford.config import ConfigHead, decode_head, encode_head
+from leadford.protocol import (
+    ChunkAnswer,
+    ChunkRequest,
+    HeadAnswer,
+    HeadRequest,
+    Message,
+)
+from leadford_server.peers import PeerConnection
+from leadford_server.store import StoreClient, StoredValue
+
+HEAD_NAME = "config/head"
+CHUNK_PREFIX = "config/chunks/"
+PEER_ANSWER_S = 1.0
+CHUNKS_AT_ONCE = 8
+
+
+class StoredHead(msgspec.Struct, frozen=True):
+    """Hold a head and the store's version of the object it was read from."""
+
+    head: ConfigHead
+    object_version: int
+
+
+class ConfigSource(Protocol):
+    """Give the head and the chunks of a configuration."""
+
+    async def head(self) -> Result[StoredHead, str]:
+        """Return the newest head of the source."""
+
+    async def chunks(self, digests: list[str]) -> Result[dict[str, bytes], str]:
+        """Return chunks by digest."""
+
+
+def head_from_value(value: StoredValue) -> Result[StoredHead, str]:
+    """Return the head in a stored object."""
+    decoded = decode_head(value.data)
+    if isinstance(decoded, Failure):
+        return Failure(str(decoded.failure()))
+    return Success(StoredHead(decoded.unwrap(), value.version))
+
+
+class StoreSource:
+    """Read from the platform's store."""
+
+    def __init__(self, *, store: StoreClient) -> None:
+        self.store = store
+
+    async def head(self) -> Result[StoredHead, str]:
+        """Read the head object."""
+        read = await self.store.get(HEAD_NAME)
+        if isinstance(read, Failure):
+            return Failure(read.failure().kind.value)
+        return head_from_value(read.unwrap())
+
+    async def chunks(self, digests: list[str]) -> Result[dict[str, bytes], str]:
+        """Read chunk objects, a few at a time."""
+        data_by_digest: dict[str, bytes] = {}
+        for start in range(0, len(digests), CHUNKS_AT_ONCE):
+            group = digests[start : start + CHUNKS_AT_ONCE]
+            reads = [self.store.get(CHUNK_PREFIX + digest) for digest in group]
+            for digest, read in zip(group, await asyncio.gather(*reads), strict=True):
+                if isinstance(read, Failure):
+                    return Failure(f"chunk {digest}: {read.failure().kind.value}")
+                data_by_digest[digest] = read.unwrap().data
+        return Success(data_by_digest)
+
+
+class PeerSource:
+    """Read from a peer that runs a newer version."""
+
+    def __init__(self, *, peer: PeerConnection) -> None:
+        self.peer = peer
+        self.head_answer_: asyncio.Future[HeadAnswer] | None = None
+        self.wanted_: set[str] = set()
+        self.data_by_digest_: dict[str, bytes] = {}
+        self.all_here_ = asyncio.Event()
+
+    async def head(self) -> Result[StoredHead, str]:
+        """Ask the peer for its head."""
+        self.head_answer_ = asyncio.get_running_loop().create_future()
+        self.peer.send(HeadRequest(0))
+        try:
+            answer = await asyncio.wait_for(self.head_answer_, PEER_ANSWER_S)
+        except TimeoutError:
+            return Failure("peer is silent")
+        decoded = decode_head(answer.head)
+        if isinstance(decoded, Failure):
+            return Failure(str(decoded.failure()))
+        return Success(StoredHead(decoded.unwrap(), 0))
+
+    async def chunks(self, digests: list[str]) -> Result[dict[str, bytes], str]:
+        """Ask the peer for chunks."""
+        if not digests:
+            return Success({})
+        self.wanted_ = set(digests)
+        self.peer.send(ChunkRequest(digests))
+        try:
+            await asyncio.wait_for(self.all_here_.wait(), PEER_ANSWER_S * 3)
+        except TimeoutError:
+            return Failure("peer sent only part of the chunks")
+        return Success(self.data_by_digest_)
+
+    def take(self, message: Message) -> None:
+        """Take in an answer of the peer."""
+        if isinstance(message, HeadAnswer):
+            if self.head_answer_ is not None and not self.head_answer_.done():
+                self.head_answer_.set_result(message)
+            return
+        if isinstance(message, ChunkAnswer) and message.digest in self.wanted_:
+            self.data_by_digest_[message.digest] = message.chunk
+            if len(self.data_by_digest_) == len(self.wanted_):
+                self.all_here_.set()
+
+
+def answer_head(peer: PeerConnection, head: ConfigHead) -> None:
+    """Send a peer the head in force here."""
+    peer.send(HeadAnswer(head.version, encode_head(head)))
+
+
+def answer_chunks(
+    peer: PeerConnection, request: ChunkRequest, data_by_digest: dict[str, bytes]
+) -> None:
+    """Send a peer the chunks that are held here."""
+    for digest in request.digests:
+        data = data_by_digest.get(digest)
+        if data is not None:
+            peer.send(ChunkAnswer(digest, data))
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/entry/__init__.py
@@ -0,0 +1,5 @@
+"""The process that callers and operators reach."""
+
+from leadford_server.entry._process import EntryProcess
+
+__all__ = ["EntryProcess"]
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/entry/_directory.py
@@ -0,0 +1,292 @@
+"""Know the endpoints that this entry may use and hold the connections to them."""
+
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from leadford.common import EndpointId, HallId, HostId, PoolId
+from leadford.config import EndpointConfig, FleetConfig
+from leadford.ejection import EndpointState, OutlierEjector
+from leadford.events import Event
+from leadford.membership import HallMonitor, HostTable, choose_subset
+from leadford.protocol import Load
+from leadford.routing import EndpointView, LoadReport, RoutingPolicy, routing_policies
+from leadford_server.logs import EventLog
+from leadford_server.peers import Dialer, Identity, PeerConnection, PeerHandler
+
+OTHER_HALL_MS = 0.5
+
+_EVENT_BY_STATE = {
+    EndpointState.EJECTED: Event.ENDPOINT_EJECTED,
+    EndpointState.PROBING: Event.ENDPOINT_PROBING,
+    EndpointState.ACTIVE: Event.ENDPOINT_RESTORED,
+}
+
+
+class EndpointLink:
+    """Join the connection to an agent with what is known of its endpoint."""
+
+    def __init__(
+        self, *, config: EndpointConfig, view: EndpointView, dialer: Dialer
+    ) -> None:
+        self.config = config
+        self.view = view
+        self.dialer = dialer
+        self.announced_draining_ = False
+
+    @property
+    def peer(self) -> PeerConnection | None:
+        """Return the connection while it stands."""
+        return self.dialer.peer
+
+
+class _Pool:
+    """Hold the links, the policy and the ejector of one pool."""
+
+    def __init__(self, *, policy: RoutingPolicy, ejector: OutlierEjector) -> None:
+        self.policy = policy
+        self.ejector = ejector
+        self.links_by_id_: dict[EndpointId, EndpointLink] = {}
+
+
+class DialerFactory(msgspec.Struct, frozen=True):
+    """Hold what every outgoing connection of the process shares."""
+
+    identity: Identity
+    handler: PeerHandler
+    log: EventLog
+    random: Random
+    config_version: Callable[[], int]
+
+    def make(self, address: str, unreachable: Callable[[], None]) -> Dialer:
+        """Return a started dialer."""
+        dialer = Dialer(
+            address=address,
+            identity=self.identity,
+            handler=self.handler,
+            log=self.log,
+            random=self.random,
+            config_version=self.config_version,
+            unreachable=unreachable,
+        )
+        dialer.start()
+        return dialer
+
+
+class EndpointDirectory:
+    """Hold a bounded subset of each pool's endpoints, as the configuration says."""
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        hall: HallId,
+        dialers: DialerFactory,
+        log: EventLog,
+        random: Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self.node_id = node_id
+        self.hall = hall
+        self.dialers = dialers
+        self.log = log
+        self.random = random
+        self.clock = clock
+        self.config_ = FleetConfig()
+        self.pools_by_id_: dict[PoolId, _Pool] = {}
+        self.links_by_id_: dict[EndpointId, EndpointLink] = {}
+        self.extra_links_by_id_: dict[EndpointId, EndpointLink] = {}
+        self.hosts_ = HostTable()
+        self.halls_ = HallMonitor(own_hall=hall)
+        self.started_ = False
+
+    def apply_config(self, config: FleetConfig) -> None:
+        """Take in a configuration: change subsets, policies and connections."""
+        self.config_ = config
+        wanted: dict[EndpointId, EndpointConfig] = {}
+        for pool_id, pool_config in config.pools.items():
+            name = pool_config.routing or config.tuning.routing
+            policy_class = routing_policies.get(name)
+            pool = self.pools_by_id_.get(pool_id)
+            if pool is None:
+                pool = _Pool(
+                    policy=policy_class.from_config(random=self.random),
+                    ejector=OutlierEjector(random=self.random),
+                )
+                self.pools_by_id_[pool_id] = pool
+            if not isinstance(pool.policy, policy_class):
+                pool.policy = policy_class.from_config(random=self.random)
+            pool.ejector.cap = config.tuning.ejection_cap
+            wanted.update(self._subset(config, pool_id))
+        for pool_id in set(self.pools_by_id_) - set(config.pools):
+            del self.pools_by_id_[pool_id]
+        self._change_links(wanted)
+        self.halls_.set_members({i: HallId(c.hall) for i, c in wanted.items()})
+        self.started_ = True
+
+    def _subset(
+        self, config: FleetConfig, pool_id: PoolId
+    ) -> dict[EndpointId, EndpointConfig]:
+        halls: dict[EndpointId, HallId] = {}
+        for endpoint_id, endpoint in config.endpoints.items():
+            if endpoint.pool == pool_id:
+                halls[EndpointId(endpoint_id)] = HallId(endpoint.hall)
+        chosen = choose_subset(
+            self.node_id, halls, hall=self.hall, size=config.tuning.subset_size
+        )
+        return {endpoint_id: config.endpoints[endpoint_id] for endpoint_id in chosen}
+
+    def _change_links(self, wanted: dict[EndpointId, EndpointConfig]) -> None:
+        for endpoint_id, link in list(self.links_by_id_.items()):
+            config = wanted.get(endpoint_id)
+            if config is not None and config.agent == link.config.agent:
+                link.config = config
+                continue
+            del self.links_by_id_[endpoint_id]
+            self.extra_links_by_id_[endpoint_id] = link
+        for endpoint_id, config in wanted.items():
+            if endpoint_id not in self.links_by_id_:
+                extra = self.extra_links_by_id_.pop(endpoint_id, None)
+                same = extra is not None and extra.config.agent == config.agent
+                link = extra if same else self._make_link(endpoint_id, config)
+                self.links_by_id_[endpoint_id] = link
+        for pool_id, pool in self.pools_by_id_.items():
+            pool.links_by_id_ = {
+                endpoint_id: link
+                for endpoint_id, link in self.links_by_id_.items()
+                if link.config.pool == pool_id
+            }
+            pool.ejector.retain(set(pool.links_by_id_))
+
+    def _make_link(
+        self, endpoint_id: EndpointId, config: EndpointConfig
+    ) -> EndpointLink:
+        pool = self.config_.pools[config.pool]
+        near = config.hall == self.hall
+        view = EndpointView(
+            endpoint_id=endpoint_id,
+            hall=HallId(config.hall),
+            concurrency=pool.concurrency,
+            distance_ms=0.0 if near else OTHER_HALL_MS,
+            # Those that are there at start are taken as warm.
+            joined_at_s=self.clock() if self.started_ else float("-inf"),
+            models=config.models,
+        )
+        dialer = self.dialers.make(
+            config.agent, lambda: self.note_unreachable(endpoint_id)
+        )
+        return EndpointLink(config=config, view=view, dialer=dialer)
+
+    def link(self, endpoint_id: EndpointId) -> EndpointLink | None:
+        """Return the link to any configured endpoint, connecting if need be."""
+        link = self.links_by_id_.get(endpoint_id)
+        link = link or self.extra_links_by_id_.get(endpoint_id)
+        if link is not None:
+            return link
+        config = self.config_.endpoints.get(endpoint_id)
+        if config is None:
+            return None
+        link = self._make_link(endpoint_id, config)
+        self.extra_links_by_id_[endpoint_id] = link
+        return link
+
+    def pool(self, pool_id: str) -> _Pool | None:
+        """Return a pool."""
+        return self.pools_by_id_.get(PoolId(pool_id))
+
+    def candidates(
+        self, pool_id: str, exclude: set[EndpointId], model: str = ""
+    ) -> list[EndpointView]:
+        """Return the endpoints of a pool that may get new work now."""
+        pool = self.pools_by_id_.get(PoolId(pool_id))
+        if pool is None:
+            return []
+        now = self.clock()
+        admitted: list[EndpointView] = []
+        probing: list[EndpointView] = []
+        lost: list[EndpointView] = []
+        for endpoint_id, link in pool.links_by_id_.items():
+            if endpoint_id in exclude or not self._is_usable(link, model):
+                continue
+            if self.halls_.is_lost(link.view.hall, now):
+                lost.append(link.view)
+                continue
+            if not pool.ejector.admits(endpoint_id, now):
+                continue
+            if pool.ejector.state(endpoint_id) is EndpointState.PROBING:
+                probing.append(link.view)
+                continue
+            admitted.append(link.view)
+        # A probe rides on ordinary work, one at a time and only now and then.
+        if probing and (not admitted or self.random.random() < 0.2):
+            return probing
+        return admitted or lost
+
+    def _is_usable(self, link: EndpointLink, model: str) -> bool:
+        if link.peer is None or link.announced_draining_ or link.config.draining:
+            return False
+        if model and link.view.models and model not in link.view.models:
+            return False
+        return not self.hosts_.is_leaving(HostId(link.config.host))
+
+    def note_load(self, endpoint_id: EndpointId, load: Load) -> None:
+        """Take in a load report."""
+        link = self.links_by_id_.get(endpoint_id)
+        if link is None:
+            return
+        link.view.note_report(
+            LoadReport(
+                at_s=self.clock(),
+                queued=load.queued,
+                running=load.running,
+                tokens_in_flight=load.tokens_in_flight,
+                service_ms=load.service_ms,
+                token_ms=load.token_ms,
+                concurrency=load.concurrency,
+                wait_ms=load.wait_ms,
+            )
+        )
+
+    def note_draining(self, endpoint_id: EndpointId, draining: bool) -> None:
+        """Take in that an agent announced or withdrew a drain."""
+        link = self.links_by_id_.get(endpoint_id)
+        if link is None or link.announced_draining_ == draining:
+            return
+        link.announced_draining_ = draining
+        if draining:
+            self.log.report(Event.ENDPOINT_DRAINING, endpoint=endpoint_id)
+
+    def note_reached(self, endpoint_id: EndpointId) -> None:
+        """Take in that a connection stands."""
+        self.halls_.note_reached(endpoint_id)
+        link = self.links_by_id_.get(endpoint_id)
+        if link is None:
+            return
+        link.announced_draining_ = False
+        link.view.outstanding_ = 0
+        link.view.outstanding_tokens_ = 0
+        link.view.unreported_ = 0
+
+    def note_unreachable(self, endpoint_id: EndpointId) -> None:
+        """Take in that a connection was lost or could not be made."""
+        hall = self.halls_.note_unreachable(endpoint_id, self.clock())
+        if hall is not None:
+            self.log.report(Event.HALL_LOST, hall=hall)
+
+    def report_ejections(self, pool_id: str) -> None:
+        """Log what the ejector of a pool did."""
+        pool = self.pools_by_id_.get(PoolId(pool_id))
+        if pool is None:
+            return
+        for event in pool.ejector.take_events():
+            self.log.report(
+                _EVENT_BY_STATE[event.state],
+                endpoint=event.endpoint_id,
+                reason=event.reason,
+            )
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        for link in [*self.links_by_id_.values(), *self.extra_links_by_id_.values()]:
+            await link.dialer.stop()
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/entry/_entries.py
@@ -0,0 +1,192 @@
+"""Hold connections to other entries, and the notes kept for them."""
+
+import asyncio
+from collections import OrderedDict
+from functools import lru_cache
+
+from leadford.common import (
+    EntryId,
+    HallId,
+    RequestId,
+    rendezvous_order,
+    stable_hash,
+)
+from leadford.config import EntryConfig, FleetConfig
+from leadford.membership import choose_relays
+from leadford.protocol import Message, Note, NoteAnswer, NoteRequest
+from leadford_server.entry._directory import DialerFactory
+from leadford_server.peers import Dialer, PeerConnection
+
+NOTES_KEPT = 50_000
+NOTE_SHARDS = 64
+NOTE_KEEPERS = 2
+NOTE_ANSWER_S = 0.3
+
+
+@lru_cache(maxsize=4 * NOTE_SHARDS)
+def _keepers(shard: int, entry_ids: tuple[str, ...]) -> tuple[str, ...]:
+    order = rendezvous_order(f"note/{shard}", entry_ids)
+    return tuple(order[:NOTE_KEEPERS])
+
+
+class EntryPeers:
+    """Connect to the entries that this one has business with.
+
+    That is the relays of its hall, the owners of claim shards and the keepers of
+    notes: a bounded set, whatever the number of entries.
+    """
+
+    def __init__(self, *, entry_id: EntryId, hall: HallId, dialers: DialerFactory):
+        self.entry_id = entry_id
+        self.hall = hall
+        self.dialers = dialers
+        self.configs_by_id_: dict[EntryId, EntryConfig] = {}
+        self.ids_: tuple[str, ...] = ()
+        self.dialers_by_id_: dict[EntryId, Dialer] = {}
+        self.accepted_by_id_: dict[EntryId, PeerConnection] = {}
+        self.notes_by_request_: OrderedDict[str, Note] = OrderedDict()
+        self.waiting_by_request_: dict[str, list[asyncio.Future[Note | None]]] = {}
+
+    def apply_config(self, config: FleetConfig) -> None:
+        """Take in which entries there are."""
+        self.configs_by_id_ = {EntryId(i): c for i, c in config.entries.items()}
+        self.ids_ = tuple(sorted(config.entries))
+        for entry_id, dialer in list(self.dialers_by_id_.items()):
+            known = self.configs_by_id_.get(entry_id)
+            if known is None or known.peer != dialer.address:
+                del self.dialers_by_id_[entry_id]
+                asyncio.get_running_loop().create_task(dialer.stop())
+        for entry_id in self.relays():
+            self.peer(entry_id)
+
+    def relays(self) -> list[EntryId]:
+        """Return the entries that watch the store for this hall, the live first."""
+        halls = {
+            entry_id: HallId(config.hall)
+            for entry_id, config in self.configs_by_id_.items()
+            if entry_id == self.entry_id or not self._is_down(entry_id)
+        }
+        return choose_relays(halls, self.hall)
+
+    def _is_down(self, entry_id: EntryId) -> bool:
+        dialer = self.dialers_by_id_.get(entry_id)
+        return dialer is not None and dialer.failures_ > 1
+
+    def is_relay(self) -> bool:
+        """Tell whether this entry watches the store for its hall."""
+        relays = self.relays()
+        for entry_id in relays:
+            self.peer(entry_id)
+        return self.entry_id in relays
+
+    def peer(self, entry_id: EntryId) -> PeerConnection | None:
+        """Return a connection to an entry; begin to connect if there is none."""
+        if entry_id == self.entry_id:
+            return None
+        dialer = self.dialers_by_id_.get(entry_id)
+        if dialer is not None and dialer.peer is not None:
+            return dialer.peer
+        accepted = self.accepted_by_id_.get(entry_id)
+        if accepted is not None and accepted.is_open_:
+            return accepted
+        config = self.configs_by_id_.get(entry_id)
+        if dialer is None and config is not None:
+            made = self.dialers.make(config.peer, lambda: None)
+            self.dialers_by_id_[entry_id] = made
+        return None
+
+    def owner(self, shard: int) -> EntryId:
+        """Return the entry that batches the claims of a shard now."""
+        live = [EntryId(i) for i in self.ids_ if not self._is_down(EntryId(i))]
+        order = rendezvous_order(f"claims/{shard}", live or [self.entry_id])
+        return order[0]
+
+    def accepted(self, peer: PeerConnection) -> None:
+        """Take in a connection that another entry opened."""
+        self.accepted_by_id_[EntryId(peer.info.peer_id)] = peer
+
+    def lost(self, peer: PeerConnection) -> None:
+        """Forget a connection."""
+        entry_id = EntryId(peer.info.peer_id)
+        if self.accepted_by_id_.get(entry_id) is peer:
+            del self.accepted_by_id_[entry_id]
+
+    def keepers(self, request_id: RequestId) -> tuple[str, ...]:
+        """Return the entries that keep the note of a request."""
+        return _keepers(stable_hash(request_id) % NOTE_SHARDS, self.ids_)
+
+    def publish(self, note: Note) -> None:
+        """Give a note to its keepers."""
+        for entry_id in self.keepers(RequestId(note.request_id)):
+            if entry_id == self.entry_id:
+                self._keep(note)
+                continue
+            peer = self.peer(EntryId(entry_id))
+            if peer is not None:
+                peer.send(note)
+
+    def _keep(self, note: Note) -> None:
+        self.notes_by_request_[note.request_id] = note
+        self.notes_by_request_.move_to_end(note.request_id)
+        if len(self.notes_by_request_) > NOTES_KEPT:
+            self.notes_by_request_.popitem(last=False)
+
+    async def find_note(self, request_id: RequestId) -> Note | None:
+        """Return the note of a request from any of its keepers."""
+        held = self.notes_by_request_.get(request_id)
+        if held is not None:
+            return held
+        asked = [
+            self.peer(EntryId(entry_id))
+            for entry_id in self.keepers(request_id)
+            if entry_id != self.entry_id
+        ]
+        futures: list[asyncio.Future[Note | None]] = []
+        for peer in asked:
+            if peer is None or not peer.send(NoteRequest(request_id)):
+                continue
+            future = asyncio.get_running_loop().create_future()
+            futures.append(future)
+            self.waiting_by_request_.setdefault(request_id, []).append(future)
+        try:
+            return await self._first_note(futures)
+        finally:
+            waiting = self.waiting_by_request_.get(request_id, [])
+            left = [future for future in waiting if future not in futures]
+            self.waiting_by_request_[request_id] = left
+            if not left:
+                del self.waiting_by_request_[request_id]
+
+    async def _first_note(
+        self, futures: list[asyncio.Future[Note | None]]
+    ) -> Note | None:
+        for future in asyncio.as_completed(futures, timeout=NOTE_ANSWER_S):
+            try:
+                note = await future
+            except TimeoutError:
+                return None
+            if note is not None:
+                return note
+        return None
+
+    def peer_message(self, peer: PeerConnection, message: Message) -> bool:
+        """Take a message about notes; return whether it was one."""
+        if isinstance(message, Note):
+            self._keep(message)
+            return True
+        if isinstance(message, NoteRequest):
+            note = self.notes_by_request_.get(message.request_id)
+            peer.send(NoteAnswer(message.request_id, note))
+            return True
+        if isinstance(message, NoteAnswer):
+            for future in self.waiting_by_request_.get(message.request_id, []):
+                if not future.done():
+                    future.set_result(message.note)
+                    break
+            return True
+        return False
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        for dialer in self.dialers_by_id_.values():
+            await dialer.stop()
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/entry/_process.py
@@ -0,0 +1,184 @@
+"""Run the entry: its sockets, its configuration and its planned stop."""
+
+import asyncio
+import random
+import time
+
+from tornado import httpserver, web
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+from leadford.common import EndpointId, EntryId, HallId
+from leadford.config import FleetConfig
+from leadford.events import Event
+from leadford.protocol import Done, Draining, Load, Message, Refused
+from leadford_server.config import ConfigFollower
+from leadford_server.entry._claims import ClaimService
+from leadford_server.entry._directory import DialerFactory, EndpointDirectory
+from leadford_server.entry._entries import EntryPeers
+from leadford_server.entry._http import (
+    BODY_BYTES_MAX,
+    HealthHandler,
+    ReadyHandler,
+    RequestHandler,
+    RequestsHandler,
+)
+from leadford_server.entry._requests import RequestTable
+from leadford_server.entry._services import EntryServices
+from leadford_server.logs import EventLog
+from leadford_server.metrics import MetricsHandler
+from leadford_server.peers import Identity, PeerConnection, PeerServer
+from leadford_server.settings import EntrySettings, SocketAddress
+from leadford_server.store import StoreClient
+
+DRAIN_POLL_S = 0.02
+DRAIN_MAX_S = 120.0
+HEADER_BYTES_MAX = 16 * 1024
+
+
+class EntryProcess:
+    """Hold everything that one entry process runs."""
+
+    def __init__(
+        self, *, settings: EntrySettings, rng: random.Random | None = None
+    ) -> None:
+        self.settings = settings
+        self.rng = rng if rng is not None else random.Random()
+        self.log_ = EventLog(process_id=settings.entry_id)
+        self.http_ = CurlAsyncHTTPClient(force_instance=True, max_clients=64)
+        self.store_ = StoreClient(url=settings.store, http=self.http_)
+        identity = Identity(settings.entry_id, "entry", settings.hall, settings.secret)
+        dialers = DialerFactory(
+            identity=identity,
+            handler=self,
+            log=self.log_,
+            random=self.rng,
+            config_version=lambda: self.follower_.version,
+        )
+        entry_id = EntryId(settings.entry_id)
+        hall = HallId(settings.hall)
+        self.entries_ = EntryPeers(entry_id=entry_id, hall=hall, dialers=dialers)
+        self.directory_ = EndpointDirectory(
+            node_id=settings.entry_id,
+            hall=hall,
+            dialers=dialers,
+            log=self.log_,
+            random=self.rng,
+            clock=time.monotonic,
+        )
+        self.claims_ = ClaimService(
+            entry_id=entry_id,
+            store=self.store_,
+            entries=self.entries_,
+            events=self.log_,
+            random=self.rng,
+        )
+        self.services_ = EntryServices(
+            entry_id=entry_id,
+            hall=hall,
+            log=self.log_,
+            random=self.rng,
+            directory=self.directory_,
+            entries=self.entries_,
+            claims=self.claims_,
+        )
+        self.table_ = RequestTable(services=self.services_)
+        self.follower_ = ConfigFollower(
+            store=self.store_,
+            log=self.log_,
+            random=self.rng,
+            is_relay=self.entries_.is_relay,
+            on_change=self._apply,
+        )
+        self.server_ = PeerServer(
+            identity=identity,
+            handler=self,
+            log=self.log_,
+            random=self.rng,
+            config_version=lambda: self.follower_.version,
+            is_draining=lambda: self.table_.draining_,
+        )
+        self.seeds_ = [dialers.make(str(seed), lambda: None) for seed in settings.seeds]
+        self.web_: httpserver.HTTPServer | None = None
+
+    async def start(self) -> SocketAddress:
+        """Listen and begin to follow the configuration."""
+        await self.server_.start(self.settings.peer)
+        shared = {"services": self.services_, "table": self.table_}
+        pages = web.Application(
+            [
+                (r"/v1/pipelines/([^/]+)/requests", RequestsHandler, shared),
+                (r"/v1/requests/([^/]+)", RequestHandler, shared),
+                (r"/healthz", HealthHandler),
+                (r"/readyz", ReadyHandler, shared),
+                (r"/metrics", MetricsHandler),
+            ],
+            log_function=lambda handler: None,
+        )
+        self.web_ = httpserver.HTTPServer(
+            pages,
+            max_body_size=BODY_BYTES_MAX,
+            max_buffer_size=BODY_BYTES_MAX + HEADER_BYTES_MAX,
+            max_header_size=HEADER_BYTES_MAX,
+            idle_connection_timeout=120.0,
+        )
+        self.web_.listen(self.settings.http.port, self.settings.http.host)
+        self.follower_.start()
+        self.log_.report(
+            Event.PROCESS_STARTED, role="entry", http=str(self.settings.http)
+        )
+        return self.settings.http
+
+    def _apply(self, config: FleetConfig) -> None:
+        self.services_.apply_config(config)
+
+    def peer_connected(self, peer: PeerConnection) -> None:
+        """Take in that a connection stands."""
+        if peer.info.role == "entry":
+            self.entries_.accepted(peer)
+        self.follower_.peer_connected(peer)
+        self.directory_.note_reached(EndpointId(peer.info.peer_id))
+
+    def peer_lost(self, peer: PeerConnection) -> None:
+        """Take in that a connection ended."""
+        self.follower_.peer_lost(peer)
+        self.entries_.lost(peer)
+        self.table_.peer_lost(EndpointId(peer.info.peer_id))
+
+    def peer_version(self, peer: PeerConnection, version: int) -> None:
+        """Take in the configuration version of a peer."""
+        self.follower_.peer_version(peer, version)
+
+    def peer_message(self, peer: PeerConnection, message: Message) -> None:
+        """Take in a message."""
+        endpoint_id = EndpointId(peer.info.peer_id)
+        if isinstance(message, Done | Refused) and message.load is not None:
+            self.directory_.note_load(endpoint_id, message.load)
+        if self.table_.peer_message(message):
+            return
+        if isinstance(message, Load):
+            self.directory_.note_load(endpoint_id, message)
+            self.directory_.note_draining(endpoint_id, False)
+            return
+        if isinstance(message, Draining):
+            self.directory_.note_draining(endpoint_id, True)
+            return
+        if self.follower_.peer_message(peer, message):
+            return
+        if self.claims_.peer_message(peer, message):
+            return
+        self.entries_.peer_message(peer, message)
+
+    async def drain(self) -> None:
+        """Refuse new requests, let those under way end, and close."""
+        self.table_.draining_ = True
+        self.log_.report(Event.PROCESS_DRAINING)
+        limit = time.monotonic() + DRAIN_MAX_S
+        while self.table_.runs_by_id_ and time.monotonic() < limit:
+            await asyncio.sleep(DRAIN_POLL_S)
+        self.web_.stop()
+        await self.web_.close_all_connections()
+        self.follower_.stop()
+        await self.directory_.stop()
+        await self.entries_.stop()
+        await self.server_.stop()
+        self.log_.report(Event.PROCESS_STOPPED)
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/entry/_requests.py
@@ -0,0 +1,345 @@
+"""Hold the live requests of an entry: begin, join, resume and cancel them."""
+
+import asyncio
+import re
+from collections import OrderedDict
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from leadford.admission import StageNeed, forecast_pool
+from leadford.claims import request_id_for_key
+from leadford.common import (
+    EndpointId,
+    Outcome,
+    PipelineId,
+    RefusalReason,
+    RequestId,
+    WorkspaceId,
+)
+from leadford.config import PipelineConfig
+from leadford.events import Event
+from leadford.execution import RequestExecution
+from leadford.protocol import Done, Message, Note, NotHeld, Refused, Tokens
+from leadford_server.entry._answers import Answer, Problem
+from leadford_server.entry._run import (
+    PeerLost,
+    RequestBody,
+    RequestRun,
+    make_request_id,
+)
+from leadford_server.entry._services import EntryServices
+from leadford_server.metrics import (
+    FIRST_TOKEN_SECONDS,
+    LIVE_REQUESTS,
+    REQUEST_SECONDS,
+    REQUESTS_TOTAL,
+    STRAYS_TOTAL,
+)
+
+ENDED_KEPT = 500
+ENDED_KEPT_S = 10.0
+LOOKUP_STEP_S = 0.05
+LOOKUP_MAX_S = 1.0
+RESUME_S = 30.0
+LOCATOR = re.compile(r"^([a-z0-9][a-z0-9_.-]{0,62})/(\d{1,6}):(\d{1,9}|end)$")
+
+
+class NewRequest(msgspec.Struct, frozen=True):
+    """Hold a checked request of a caller.
+
+    Units: deadline_ms counts from now.
+    """
+
+    pipeline_id: PipelineId
+    workspace: WorkspaceId
+    body: RequestBody
+    deadline_ms: float
+    key: str = ""
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Say why a request was not begun here."""
+
+    request_id: RequestId
+    problem: Problem
+    outcome: Outcome = Outcome.NOT_RUN
+
+
+class Locator(msgspec.Struct, frozen=True):
+    """Say where a stream runs and how much of it the caller has."""
+
+    endpoint_id: EndpointId
+    attempt: int
+    sequence: int
+
+
+def parse_locator(text: str) -> Locator | None:
+    """Return the locator in a `Last-Event-ID`, or None."""
+    match = LOCATOR.match(text)
+    if match is None:
+        return None
+    sequence = 1 << 30 if match[3] == "end" else int(match[3])
+    return Locator(EndpointId(match[1]), int(match[2]), sequence)
+
+
+class RequestTable:
+    """Hold runs by request id, and route messages to them."""
+
+    def __init__(self, *, services: EntryServices) -> None:
+        self.services = services
+        self.runs_by_id_: dict[RequestId, RequestRun] = {}
+        self.ended_by_id_: OrderedDict[RequestId, RequestRun] = OrderedDict()
+        self.tasks_: set[asyncio.Task[None]] = set()
+        self.draining_ = False
+
+    def begin(self, new: NewRequest) -> Result[RequestRun, Refusal]:
+        """Begin a request, or join the one that its key names.
+
+        Errors: a refusal; nothing of the request has run.
+        """
+        services = self.services
+        pipeline = services.config_.pipelines[new.pipeline_id]
+        if new.key:
+            request_id = request_id_for_key(new.workspace, new.key)
+            known = self.find(request_id)
+            if known is not None:
+                return self._join(known, new)
+        else:
+            request_id = make_request_id(services.random)
+        refusal = self._refuse_early(request_id, pipeline, new)
+        if refusal is not None:
+            self._count(new.pipeline_id, Outcome.NOT_RUN, refusal.problem.reason)
+            services.log.report(
+                Event.REQUEST_REFUSED,
+                request=request_id,
+                pipeline=new.pipeline_id,
+                reason=refusal.problem.reason.value,
+            )
+            return Failure(refusal)
+        run = self._make_run(request_id, pipeline, new)
+        self._start(run, self._drive(run, new))
+        return Success(run)
+
+    def _join(self, run: RequestRun, new: NewRequest) -> Result[RequestRun, Refusal]:
+        same = run.body.digest in ("", new.body.digest)
+        if same and run.execution.pipeline_id == new.pipeline_id:
+            return Success(run)
+        text = "the key was used with another request"
+        problem = Problem(422, RefusalReason.BAD_REQUEST, text)
+        return Failure(Refusal(run.request_id, problem))
+
+    def _refuse_early(
+        self, request_id: RequestId, pipeline: PipelineConfig, new: NewRequest
+    ) -> Refusal | None:
+        if self.draining_:
+            return Refusal(
+                request_id, Problem(503, RefusalReason.DRAINING, retry_after_ms=1000.0)
+            )
+        if pipeline.paused:
+            return Refusal(
+                request_id, Problem(503, RefusalReason.PAUSED, retry_after_ms=30_000.0)
+            )
+        if not self.services.config_.tuning.admission:
+            return None
+        needs: list[StageNeed] = []
+        forecasts = {}
+        directory = self.services.directory
+        now = self.services.clock()
+        for stage in pipeline.stages:
+            needs.append(
+                StageNeed(stage.pool, stage.expected_ms, stage.expected_tokens)
+            )
+            if stage.pool not in forecasts:
+                candidates = directory.candidates(stage.pool, set(), stage.model)
+                forecasts[stage.pool] = forecast_pool(candidates, now)
+        verdict = self.services.admission_.decide(
+            needs,
+            forecasts,
+            remaining_ms=new.deadline_ms,
+            live=len(self.runs_by_id_),
+        )
+        if verdict.reason is None:
+            return None
+        text = f"predicted {verdict.predicted_ms:.0f} ms"
+        problem = Problem(503, verdict.reason, text, verdict.retry_after_ms)
+        return Refusal(request_id, problem)
+
+    def _make_run(
+        self, request_id: RequestId, pipeline: PipelineConfig, new: NewRequest
+    ) -> RequestRun:
+        services = self.services
+        workspace = services.config_.workspaces.get(new.workspace)
+        offset = workspace.priority_offset if workspace is not None else 0
+        execution = RequestExecution(
+            request_id=request_id,
+            pipeline_id=new.pipeline_id,
+            pipeline=pipeline,
+            workspace=new.workspace,
+            deadline_at=services.clock() + new.deadline_ms / 1000.0,
+        )
+        return RequestRun(
+            execution=execution,
+            body=new.body,
+            priority=min(9, max(0, pipeline.priority + offset)),
+            keyed=bool(new.key),
+            services=services,
+        )
+
+    def _start(self, run: RequestRun, work: object) -> None:
+        self.runs_by_id_[run.request_id] = run
+        LIVE_REQUESTS.set(len(self.runs_by_id_))
+        task = asyncio.create_task(work)
+        self.tasks_.add(task)
+        task.add_done_callback(self.tasks_.discard)
+
+    async def _drive(self, run: RequestRun, new: NewRequest) -> None:
+        answer = await run.run()
+        problem = answer.problem
+        claimed = RefusalReason.ALREADY_CLAIMED
+        if problem is not None and problem.reason is claimed and not run.claimed_:
+            answer = await self._follow_claim(run, new, problem)
+        run.answer_.end(answer)
+        self._end(run)
+
+    async def _follow_claim(
+        self, run: RequestRun, new: NewRequest, problem: Problem
+    ) -> Answer:
+        """Answer a repeated key from the record of its first run."""
+        # The first run may not have told its keepers yet.
+        tries = int(LOOKUP_MAX_S / LOOKUP_STEP_S)
+        note: Note | None = None
+        for _ in range(tries):
+            note = await self.services.entries.find_note(run.request_id)
+            if note is not None:
+                break
+            await asyncio.sleep(LOOKUP_STEP_S)
+        if note is None:
+            return Answer(Outcome.UNKNOWN, problem=problem)
+        if note.body_digest != new.body.digest:
+            text = "the key was used with another request"
+            return Answer(
+                Outcome.NOT_RUN,
+                problem=Problem(422, RefusalReason.BAD_REQUEST, text),
+            )
+        return await run.resume(note)
+
+    def _end(self, run: RequestRun) -> None:
+        self.runs_by_id_.pop(run.request_id, None)
+        self.ended_by_id_[run.request_id] = run
+        if len(self.ended_by_id_) > ENDED_KEPT:
+            self.ended_by_id_.popitem(last=False)
+        loop = asyncio.get_running_loop()
+        loop.call_later(ENDED_KEPT_S, self._forget, run)
+        LIVE_REQUESTS.set(len(self.runs_by_id_))
+        final = run.answer_.final_
+        pipeline_id = run.execution.pipeline_id
+        reason = final.problem.reason if final.problem is not None else None
+        self._count(pipeline_id, final.outcome, reason)
+        elapsed_s = self.services.clock() - run.started_at_
+        REQUEST_SECONDS.labels(pipeline=pipeline_id).observe(elapsed_s)
+        if run.first_token_at_ is not None:
+            first_s = run.first_token_at_ - run.started_at_
+            FIRST_TOKEN_SECONDS.labels(pipeline=pipeline_id).observe(first_s)
+
+    def _forget(self, run: RequestRun) -> None:
+        if self.ended_by_id_.get(run.request_id) is run:
+            del self.ended_by_id_[run.request_id]
+
+    def _count(
+        self, pipeline_id: PipelineId, outcome: Outcome, reason: RefusalReason | None
+    ) -> None:
+        REQUESTS_TOTAL.labels(
+            pipeline=pipeline_id,
+            outcome=outcome.value,
+            reason=reason.value if reason is not None else "",
+        ).inc()
+
+    def find(self, request_id: RequestId) -> RequestRun | None:
+        """Return a run that is live or ended a short while ago."""
+        return self.runs_by_id_.get(request_id) or self.ended_by_id_.get(request_id)
+
+    async def resume(
+        self, request_id: RequestId, workspace: WorkspaceId, locator: Locator | None
+    ) -> RequestRun | None:
+        """Return a run that serves on a request begun here or elsewhere."""
+        known = self.find(request_id)
+        if known is not None:
+            return known if known.execution.workspace == workspace else None
+        note = await self.services.entries.find_note(request_id)
+        known = self.find(request_id)
+        if known is not None:
+            return known if known.execution.workspace == workspace else None
+        if note is None and locator is not None:
+            note = self._note_from(request_id, workspace, locator)
+        if note is None or note.workspace != workspace:
+            return None
+        pipeline = self.services.config_.pipelines.get(note.pipeline)
+        if pipeline is None:
+            return None
+        new = NewRequest(
+            PipelineId(note.pipeline),
+            workspace,
+            RequestBody(b"null", ""),
+            RESUME_S * 1000.0,
+        )
+        run = self._make_run(request_id, pipeline, new)
+        self._start(run, self._serve_on(run, note))
+        return run
+
+    async def _serve_on(self, run: RequestRun, note: Note) -> None:
+        run.answer_.end(await run.resume(note))
+        self._end(run)
+
+    def _note_from(
+        self, request_id: RequestId, workspace: WorkspaceId, locator: Locator
+    ) -> Note | None:
+        """Build the note that the keepers lost from what the caller remembers."""
+        endpoint = self.services.config_.endpoints.get(locator.endpoint_id)
+        if endpoint is None:
+            return None
+        for pipeline_id, pipeline in self.services.config_.pipelines.items():
+            last = pipeline.stages[-1]
+            if last.pool != endpoint.pool or not last.expected_tokens:
+                continue
+            return Note(
+                request_id=request_id,
+                workspace=workspace,
+                pipeline=pipeline_id,
+                stage=last.name,
+                attempt=locator.attempt,
+                endpoint_id=locator.endpoint_id,
+                final=True,
+                stream=True,
+                entry_id="",
+                body_digest="",
+            )
+        return None
+
+    def peer_message(self, message: Message) -> bool:
+        """Hand a message to its request; return whether it was one for a request."""
+        if isinstance(message, Tokens):
+            for part in message.parts:
+                run = self.runs_by_id_.get(RequestId(part.request_id))
+                if run is None:
+                    STRAYS_TOTAL.labels(kind="no-request").inc()
+                    continue
+                run.deliver(Tokens([part]))
+            return True
+        if isinstance(message, Done | Refused | NotHeld):
+            run = self.runs_by_id_.get(RequestId(message.request_id))
+            if run is None:
+                STRAYS_TOTAL.labels(kind="no-request").inc()
+                return True
+            run.deliver(message)
+            return True
+        return False
+
+    def peer_lost(self, endpoint_id: EndpointId) -> None:
+        """Tell the requests with an attempt at an endpoint that its agent is gone."""
+        lost = PeerLost(endpoint_id)
+        for run in self.runs_by_id_.values():
+            for attempt in run.execution.live_by_number_.values():
+                if attempt.endpoint_id == endpoint_id:
+                    run.deliver(lost)
+                    break
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/entry/_services.py
@@ -0,0 +1,66 @@
+"""Hold what every request of an entry shares."""
+
+import time
+from collections.abc import Callable
+from random import Random
+
+from leadford.admission import EntryAdmission
+from leadford.common import EntryId, HallId, WorkspaceId
+from leadford.config import FleetConfig
+from leadford.costs import CostAccount
+from leadford.retries import Backoff, HedgePolicy, RetryBudget, RetryPolicy
+from leadford_server.entry._claims import ClaimService
+from leadford_server.entry._directory import EndpointDirectory
+from leadford_server.entry._entries import EntryPeers
+from leadford_server.logs import EventLog
+
+
+class EntryServices:
+    """Join the decision modules of one entry."""
+
+    def __init__(
+        self,
+        *,
+        entry_id: EntryId,
+        hall: HallId,
+        log: EventLog,
+        random: Random,
+        directory: EndpointDirectory,
+        entries: EntryPeers,
+        claims: ClaimService,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.entry_id = entry_id
+        self.hall = hall
+        self.log = log
+        self.random = random
+        self.directory = directory
+        self.entries = entries
+        self.claims = claims
+        self.clock = clock
+        self.config_: FleetConfig | None = None
+        self.workspace_by_key_hash_: dict[str, WorkspaceId] = {}
+        self.admission_ = EntryAdmission()
+        self.costs_ = CostAccount()
+        self.budget_ = RetryBudget()
+        self.retry_policy_ = RetryPolicy(
+            budget=self.budget_, backoff=Backoff(random=random)
+        )
+        self.hedges_by_stage_: dict[str, HedgePolicy] = {}
+
+    def apply_config(self, config: FleetConfig) -> None:
+        """Put a configuration in force."""
+        self.config_ = config
+        self.budget_.ratio = config.tuning.retry_ratio
+        self.workspace_by_key_hash_ = {
+            key_hash: WorkspaceId(name)
+            for name, workspace in config.workspaces.items()
+            for key_hash in workspace.key_hashes
+        }
+        self.entries.apply_config(config)
+        self.directory.apply_config(config)
+        self.claims.apply_config(config)
+
+    def hedge_policy(self, stage: str) -> HedgePolicy:
+        """Return the hedge policy of a stage."""
+        return self.hedges_by_stage_.setdefault(stage, HedgePolicy())
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/logs/_events.py
@@ -0,0 +1,36 @@
+"""Write events to the log, the journal and the metrics."""
+
+import json
+import time
+
+from absl import logging
+
+from leadford.events import Event, EventJournal, EventRecord, Severity
+from leadford_server.metrics import EVENTS_TOTAL
+
+_WRITE_BY_SEVERITY = {
+    Severity.INFO: logging.info,
+    Severity.WARNING: logging.warning,
+    Severity.ERROR: logging.error,
+}
+
+
+class EventLog:
+    """Report events of one process."""
+
+    def __init__(self, *, process_id: str) -> None:
+        self.process_id = process_id
+        self.journal_ = EventJournal()
+
+    def report(self, event: Event, **fields: str | int | float) -> EventRecord:
+        """Log one event with its number and fields."""
+        record = self.journal_.add(event, time.time(), fields)
+        EVENTS_TOTAL.labels(event=event.name.lower()).inc()
+        line = {
+            "event": event.number,
+            "name": event.name.lower(),
+            "process": self.process_id,
+            **fields,
+        }
+        _WRITE_BY_SEVERITY[event.severity]("%s", json.dumps(line))
+        return record
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -0,0 +1,49 @@
+"""Define the metrics and the page that shows them."""
+
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+from tornado import web
+
+_SECONDS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.0, 5.0, 15.0)
+
+EVENTS_TOTAL = Counter("leadford_events_total", "Events by name.", ["event"])
+REQUESTS_TOTAL = Counter(
+    "leadford_requests_total",
+    "Requests by pipeline, outcome and reason.",
+    ["pipeline", "outcome", "reason"],
+)
+REQUEST_SECONDS = Histogram(
+    "leadford_request_seconds", "Whole requests.", ["pipeline"], buckets=_SECONDS
+)
+FIRST_TOKEN_SECONDS = Histogram(
+    "leadford_first_token_seconds", "First tokens.", ["pipeline"], buckets=_SECONDS
+)
+TOKENS_TOTAL = Counter("leadford_tokens_total", "Tokens relayed to callers.")
+ATTEMPTS_TOTAL = Counter(
+    "leadford_attempts_total", "Attempts by stage and end.", ["stage", "end"]
+)
+RETRIES_TOTAL = Counter("leadford_retries_total", "Retries by stage.", ["stage"])
+STRAYS_TOTAL = Counter("leadford_strays_total", "Dropped answers by kind.", ["kind"])
+COST_MS_TOTAL = Counter(
+    "leadford_cost_ms_total", "Endpoint time by stage and use.", ["stage", "use"]
+)
+STORE_CALLS_TOTAL = Counter(
+    "leadford_store_calls_total", "Calls to the store.", ["kind", "end"]
+)
+LIVE_REQUESTS = Gauge("leadford_live_requests", "Requests under way.")
+QUEUED_ATTEMPTS = Gauge("leadford_queued_attempts", "Attempts that wait.")
+RUNNING_ATTEMPTS = Gauge("leadford_running_attempts", "Attempts that run.")
+
+
+class MetricsHandler(web.RequestHandler):
+    """Show the metrics."""
+
+    def get(self) -> None:
+        """Answer with the text format of Prometheus."""
+        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
+        self.finish(generate_latest())
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/peers/_connection.py
@@ -0,0 +1,160 @@
+"""Carry messages over one authenticated websocket."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+from returns.result import Failure
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import ConnectionClosed
+
+from leadford.events import Event
+from leadford.protocol import Message, decode, encode
+from leadford_server.logs import EventLog
+
+FRAME_BYTES_MAX = 8 * 1024 * 1024
+FRAME_MESSAGES_MAX = 64
+OUTBOX_MAX = 20_000
+HANDSHAKE_S = 5.0
+
+
+class PeerInfo(msgspec.Struct, frozen=True):
+    """Say who stands at the other end of a connection."""
+
+    peer_id: str
+    role: str
+    hall: str
+    protocol_version: int
+    draining: bool = False
+
+
+class PeerHandler(Protocol):
+    """Take what happens on connections."""
+
+    def peer_connected(self, peer: "PeerConnection") -> None:
+        """Take in that a connection stands."""
+
+    def peer_lost(self, peer: "PeerConnection") -> None:
+        """Take in that a connection ended."""
+
+    def peer_message(self, peer: "PeerConnection", message: Message) -> None:
+        """Take in one message."""
+
+    def peer_version(self, peer: "PeerConnection", version: int) -> None:
+        """Take in that a peer runs another configuration version than before."""
+
+
+class PeerConnection:
+    """Send and receive messages; what waits to be sent goes out as one frame."""
+
+    def __init__(
+        self,
+        *,
+        socket: Connection,
+        info: PeerInfo,
+        log: EventLog,
+        config_version: Callable[[], int],
+    ) -> None:
+        self.socket = socket
+        self.info = info
+        self.log = log
+        self.config_version = config_version
+        self.outbox_: deque[Message] = deque()
+        self.wake_ = asyncio.Event()
+        self.peer_config_version_ = 0
+        self.sent_config_version_ = 0
+        self.is_open_ = True
+        self.frames_sent_ = 0
+        self.bytes_sent_ = 0
+        self.bytes_received_ = 0
+        self.messages_received_ = 0
+
+    def send(self, message: Message) -> bool:
+        """Queue a message; return whether the connection still stands."""
+        if not self.is_open_:
+            return False
+        if len(self.outbox_) >= OUTBOX_MAX:
+            # A peer that does not read is cut off, so that memory stays bounded.
+            self.abort()
+            return False
+        self.outbox_.append(message)
+        self.wake_.set()
+        return True
+
+    def announce_version(self) -> None:
+        """Send an otherwise empty frame when the peer lags in configuration."""
+        if self.peer_config_version_ < self.config_version():
+            self.wake_.set()
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        self.is_open_ = False
+        self.wake_.set()
+        self.socket.transport.abort()
+
+    async def close(self) -> None:
+        """Send what waits and close."""
+        while self.outbox_ and self.is_open_:
+            await asyncio.sleep(0.01)
+        self.is_open_ = False
+        self.wake_.set()
+        await self.socket.close()
+
+    async def run(self, handler: PeerHandler) -> None:
+        """Serve the connection until it ends."""
+        writer = asyncio.create_task(self._write())
+        handler.peer_connected(self)
+        try:
+            await self._read(handler)
+        finally:
+            self.is_open_ = False
+            writer.cancel()
+            handler.peer_lost(self)
+
+    async def _read(self, handler: PeerHandler) -> None:
+        while True:
+            try:
+                data = await self.socket.recv()
+            except ConnectionClosed:
+                return
+            decoded = decode(data)
+            if isinstance(decoded, Failure):
+                self.log.report(
+                    Event.FRAME_REJECTED,
+                    peer=self.info.peer_id,
+                    error=str(decoded.failure())[:200],
+                )
+                self.abort()
+                return
+            frame = decoded.unwrap()
+            self.bytes_received_ += len(data)
+            self.messages_received_ += len(frame.messages)
+            if frame.config_version != self.peer_config_version_:
+                self.peer_config_version_ = frame.config_version
+                handler.peer_version(self, frame.config_version)
+            for message in frame.messages:
+                handler.peer_message(self, message)
+
+    async def _write(self) -> None:
+        while self.is_open_:
+            await self.wake_.wait()
+            self.wake_.clear()
+            while self.outbox_ or self._version_is_due():
+                version = self.config_version()
+                count = min(len(self.outbox_), FRAME_MESSAGES_MAX)
+                messages = [self.outbox_.popleft() for _ in range(count)]
+                data = encode(version, messages)
+                self.sent_config_version_ = version
+                try:
+                    await self.socket.send(data)
+                except ConnectionClosed:
+                    self.is_open_ = False
+                    return
+                self.frames_sent_ += 1
+                self.bytes_sent_ += len(data)
+
+    def _version_is_due(self) -> bool:
+        version = self.config_version()
+        return self.sent_config_version_ < version > self.peer_config_version_
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/store/__init__.py
@@ -0,0 +1,10 @@
+"""The client of the platform's object API."""
+
+from leadford_server.store._client import (
+    StoreClient,
+    StoredValue,
+    StoreError,
+    StoreErrorKind,
+)
+
+__all__ = ["StoreClient", "StoreError", "StoreErrorKind", "StoredValue"]
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/store/_client.py
@@ -0,0 +1,129 @@
+"""Call the platform's object API and sort its answers."""
+
+from enum import Enum
+from urllib.parse import quote
+
+import msgspec
+from returns.result import Failure, Result, Success
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+
+from leadford_server.metrics import STORE_CALLS_TOTAL
+
+TIMEOUT_S = 2.0
+WATCH_S = 30.0
+
+
+class StoreErrorKind(Enum):
+    """Say what is known after a failed call.
+
+    IN_DOUBT: a write may have taken effect or may yet do so.
+    """
+
+    NOT_FOUND = "not-found"
+    CONFLICT = "conflict"
+    UNCHANGED = "unchanged"
+    REFUSED = "refused"
+    UNAVAILABLE = "unavailable"
+    IN_DOUBT = "in-doubt"
+
+
+class StoreError(msgspec.Struct, frozen=True):
+    """Describe a failed call."""
+
+    kind: StoreErrorKind
+    detail: str = ""
+
+
+class StoredValue(msgspec.Struct, frozen=True):
+    """Hold an object and its version."""
+
+    version: int
+    data: bytes
+
+
+_KIND_BY_STATUS = {
+    304: StoreErrorKind.UNCHANGED,
+    404: StoreErrorKind.NOT_FOUND,
+    412: StoreErrorKind.CONFLICT,
+    413: StoreErrorKind.REFUSED,
+    429: StoreErrorKind.REFUSED,
+}
+
+
+class StoreClient:
+    """Read, write and watch objects over HTTP."""
+
+    def __init__(self, *, url: str, http: AsyncHTTPClient) -> None:
+        self.url = url
+        self.http = http
+
+    async def get(self, name: str) -> Result[StoredValue, StoreError]:
+        """Read an object."""
+        request = HTTPRequest(self._address(name), request_timeout=TIMEOUT_S)
+        return self._value(await self._call("read", request))
+
+    async def watch(
+        self, name: str, version: int, wait_s: float = WATCH_S
+    ) -> Result[StoredValue, StoreError]:
+        """Wait until an object moves past a version of the store."""
+        url = f"{self._address(name)}?watch={version}&timeout_s={wait_s}"
+        request = HTTPRequest(url, request_timeout=wait_s + TIMEOUT_S)
+        return self._value(await self._call("watch", request))
+
+    async def put(
+        self, name: str, data: bytes, expected: int | None
+    ) -> Result[int, StoreError]:
+        """Write an object if its version is the expected one; 0 means absent.
+
+        Errors: CONFLICT when it is not; IN_DOUBT when no answer came.
+        """
+        headers: dict[str, str] = {}
+        if expected == 0:
+            headers["If-None-Match"] = "*"
+        elif expected is not None:
+            headers["If-Match"] = f'"{expected}"'
+        request = HTTPRequest(
+            self._address(name),
+            method="PUT",
+            body=data,
+            headers=headers,
+            request_timeout=TIMEOUT_S,
+        )
+        response = await self._call("write", request)
+        if isinstance(response, Failure):
+            error = response.failure()
+            if error.kind is StoreErrorKind.UNAVAILABLE:
+                return Failure(StoreError(StoreErrorKind.IN_DOUBT, error.detail))
+            return response
+        return Success(int(response.unwrap().headers["Object-Version"]))
+
+    async def delete(self, name: str) -> Result[None, StoreError]:
+        """Remove an object."""
+        request = HTTPRequest(
+            self._address(name), method="DELETE", request_timeout=TIMEOUT_S
+        )
+        response = await self._call("write", request)
+        return response.map(lambda _: None)
+
+    def _address(self, name: str) -> str:
+        return f"{self.url}/objects/{quote(name)}"
+
+    async def _call(
+        self, kind: str, request: HTTPRequest
+    ) -> Result[HTTPResponse, StoreError]:
+        response = await self.http.fetch(request, raise_error=False)
+        if response.code in (200, 204):
+            STORE_CALLS_TOTAL.labels(kind=kind, end="ok").inc()
+            return Success(response)
+        fault = _KIND_BY_STATUS.get(response.code, StoreErrorKind.UNAVAILABLE)
+        STORE_CALLS_TOTAL.labels(kind=kind, end=fault.value).inc()
+        return Failure(StoreError(fault, str(response.error or response.code)))
+
+    def _value(
+        self, result: Result[HTTPResponse, StoreError]
+    ) -> Result[StoredValue, StoreError]:
+        if isinstance(result, Failure):
+            return result
+        response = result.unwrap()
+        version = int(response.headers["Object-Version"])
+        return Success(StoredValue(version, response.body))
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of what leadford meets outside: store, engines, services, hosts."""
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/endpoints/_engine.py
@@ -0,0 +1,376 @@
+"""Stand in for a model engine: continuous batching, prefix cache, fenced orders.
+
+It serves the OpenAI completion API with streaming, and beside it resume, cancel,
+load, cache events and orders.
+"""
+
+import asyncio
+import json
+import time
+from collections import OrderedDict, deque
+
+import msgspec
+from tornado import web
+from tornado.iostream import StreamClosedError
+
+from leadford_standins.endpoints._records import ExecutionRecord, ExecutionTable
+from leadford_standins.endpoints._texts import expected_tokens
+from leadford_standins.faults import ControlHandler, FaultState, FaultyHandler
+
+FINISHED_KEPT = 256
+CACHE_EVENT_GAP_EVERY = 7
+LOAD_LAG_S = 0.25
+
+
+class CompletionCall(msgspec.Struct):
+    """Hold an OpenAI-style completion call with the engine's own additions."""
+
+    model: str
+    prompt: str
+    max_tokens: int = 16
+    stream: bool = False
+    priority: int = 4
+    request_id: str = ""
+    stage: str = ""
+    attempt: int = 0
+    prefix: str = ""
+
+
+class EngineOrder(msgspec.Struct):
+    """Hold an order to load or unload a model or to change role."""
+
+    fence: int
+    action: str
+    model: str = ""
+    version: str = "1"
+    role: str = ""
+
+
+class Stream:
+    """Hold one generation."""
+
+    def __init__(self, call: CompletionCall, version: str) -> None:
+        self.call = call
+        self.texts = expected_tokens(version, call.prompt, call.max_tokens)
+        self.version = version
+        self.prompt_tokens = max(1, len(call.prompt.split()))
+        self.cached_tokens = 0
+        self.generated_ = 0
+        self.accelerator_ms_ = 0.0
+        self.cancelled_ = False
+        self.changed_ = asyncio.Event()
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether nothing more will be generated."""
+        return self.cancelled_ or self.generated_ >= len(self.texts)
+
+    def notify(self) -> None:
+        """Wake those that read the stream."""
+        self.changed_.set()
+        self.changed_ = asyncio.Event()
+
+
+class EngineModel:
+    """Batch streams step by step; a fuller batch is slower but cheaper for each.
+
+    Units: step_ms is one decoding step of a batch of one; slope is what each
+    further stream adds to it; prefill_ms is for one token that is not cached.
+    """
+
+    def __init__(
+        self,
+        *,
+        step_ms: float = 10.0,
+        slope: float = 0.04,
+        prefill_ms: float = 0.25,
+        batch_max: int = 16,
+        prefixes_max: int = 64,
+        checks_fences: bool = True,
+        load_s: float = 0.5,
+        models: tuple[str, ...] = (),
+    ) -> None:
+        self.step_ms = step_ms
+        self.slope = slope
+        self.prefill_ms = prefill_ms
+        self.batch_max = batch_max
+        self.prefixes_max = prefixes_max
+        self.checks_fences = checks_fences
+        self.load_s = load_s
+        self.state_ = FaultState()
+        self.waiting_: deque[Stream] = deque()
+        self.running_: list[Stream] = []
+        self.streams_by_id_: OrderedDict[str, Stream] = OrderedDict()
+        self.prefixes_: OrderedDict[str, None] = OrderedDict()
+        self.cache_events_: deque[tuple[int, str, str]] = deque(maxlen=512)
+        self.cache_event_number_ = 0
+        self.table_ = ExecutionTable()
+        self.versions_by_model_ = dict.fromkeys(models, "1")
+        self.fence_ = 0
+        self.role_ = "both"
+        self.orders_: list[EngineOrder] = []
+        self.load_history_: deque[tuple[float, int, int]] = deque(maxlen=64)
+        self.task_: asyncio.Task[None] | None = None
+
+    def submit(self, call: CompletionCall) -> Stream:
+        """Queue a generation."""
+        version = self.versions_by_model_.get(call.model, "1")
+        stream = Stream(call, version)
+        key = f"{call.request_id}/{call.stage}/{call.attempt}"
+        self.streams_by_id_[key] = stream
+        while len(self.streams_by_id_) > FINISHED_KEPT + self.batch_max * 4:
+            self.streams_by_id_.popitem(last=False)
+        self.waiting_.append(stream)
+        if self.task_ is None or self.task_.done():
+            self.task_ = asyncio.create_task(self._run())
+        return stream
+
+    async def _run(self) -> None:
+        while self.waiting_ or self.running_:
+            await self.state_.hold()
+            prefill_ms = self._admit()
+            self.running_ = [s for s in self.running_ if not s.is_over]
+            if not self.running_:
+                continue
+            batch = len(self.running_)
+            decode_ms = self.step_ms * (1.0 + self.slope * (batch - 1))
+            total_ms = (decode_ms + prefill_ms) / max(self.state_.faults.speed, 0.001)
+            await asyncio.sleep(total_ms / 1000.0)
+            self.table_.busy_ms_ += total_ms
+            for stream in self.running_:
+                stream.accelerator_ms_ += total_ms / batch
+                if not stream.cancelled_:
+                    stream.generated_ += 1
+                if stream.is_over:
+                    self._record(stream)
+                stream.notify()
+            self.load_history_.append(
+                (time.monotonic(), len(self.waiting_), len(self.running_))
+            )
+
+    def _admit(self) -> float:
+        prefill_ms = 0.0
+        while self.waiting_ and len(self.running_) < self.batch_max:
+            stream = self.waiting_.popleft()
+            if stream.cancelled_:
+                continue
+            hit = stream.call.prefix and stream.call.prefix in self.prefixes_
+            if hit:
+                self.prefixes_.move_to_end(stream.call.prefix)
+                stream.cached_tokens = int(stream.prompt_tokens * 0.9)
+            elif stream.call.prefix:
+                self._cache(stream.call.prefix)
+            prefill_ms += self.prefill_ms * (
+                stream.prompt_tokens - stream.cached_tokens
+            )
+            self.running_.append(stream)
+        return prefill_ms
+
+    def _cache(self, prefix: str) -> None:
+        self.prefixes_[prefix] = None
+        self._publish("stored", prefix)
+        if len(self.prefixes_) > self.prefixes_max:
+            evicted, _ = self.prefixes_.popitem(last=False)
+            self._publish("evicted", evicted)
+
+    def _publish(self, kind: str, prefix: str) -> None:
+        self.cache_event_number_ += 1
+        # Some events are never published, as with the engines stood in for.
+        if self.cache_event_number_ % CACHE_EVENT_GAP_EVERY == 0:
+            return
+        self.cache_events_.append((self.cache_event_number_, kind, prefix))
+
+    def _record(self, stream: Stream) -> None:
+        call = stream.call
+        self.table_.add(
+            ExecutionRecord(
+                call.request_id,
+                call.stage,
+                call.attempt,
+                time.time(),
+                not stream.cancelled_,
+                stream.accelerator_ms_,
+            )
+        )
+
+    def cancel(self, key: str) -> bool:
+        """Stop a generation."""
+        stream = self.streams_by_id_.get(key)
+        if stream is None or stream.is_over:
+            return False
+        stream.cancelled_ = True
+        self._record(stream)
+        stream.notify()
+        return True
+
+    def lagging_load(self) -> tuple[int, int]:
+        """Return what waited and ran a while ago."""
+        limit = time.monotonic() - LOAD_LAG_S
+        older = [entry for entry in self.load_history_ if entry[0] <= limit]
+        if not older:
+            return 0, 0
+        _, waiting, running = older[-1]
+        return waiting, running
+
+    async def order(self, order: EngineOrder) -> bool:
+        """Obey an order unless its fence is old; engines may not check."""
+        if self.checks_fences and order.fence < self.fence_:
+            return False
+        self.fence_ = max(self.fence_, order.fence)
+        self.orders_.append(order)
+        if order.action == "load":
+            await asyncio.sleep(self.load_s)
+            self.versions_by_model_[order.model] = order.version
+        elif order.action == "unload":
+            self.versions_by_model_.pop(order.model, None)
+        elif order.action == "role":
+            self.role_ = order.role
+        return True
+
+
+class _EngineHandler(FaultyHandler):
+    """Share the engine between handlers."""
+
+    def initialize(self, state: FaultState, engine: EngineModel) -> None:
+        super().initialize(state)
+        self.engine = engine
+
+
+class _CompletionsHandler(_EngineHandler):
+    """Start a generation and stream it."""
+
+    async def post(self) -> None:
+        try:
+            call = msgspec.json.decode(self.request.body, type=CompletionCall)
+        except msgspec.MsgspecError as error:
+            raise web.HTTPError(400, reason="malformed call") from error
+        faults = self.state.faults
+        failing = int(faults.error_rate * 100)
+        if failing and hash(call.request_id) % 100 < failing:
+            raise web.HTTPError(500, reason="injected failure")
+        known = self.engine.versions_by_model_
+        if known and call.model and call.model not in known:
+            raise web.HTTPError(404, reason="model is not loaded")
+        stream = self.engine.submit(call)
+        await _feed(self, stream, 0)
+
+
+class _StreamHandler(_EngineHandler):
+    """Resume or cancel a generation."""
+
+    async def get(self, key: str) -> None:
+        stream = self.engine.streams_by_id_.get(key)
+        if stream is None:
+            raise web.HTTPError(404)
+        await _feed(self, stream, int(self.get_query_argument("after", "0")))
+
+    def delete(self, key: str) -> None:
+        self.set_status(204 if self.engine.cancel(key) else 404)
+
+
+async def _feed(handler: FaultyHandler, stream: Stream, sent: int) -> None:
+    handler.set_header("Content-Type", "text/event-stream")
+    call = stream.call
+    echo = f"{call.request_id}/{call.stage}/{call.attempt}"
+    while True:
+        changed = stream.changed_
+        if handler.state.faults.down:
+            handler.drop()
+            return
+        if sent < stream.generated_:
+            lines = []
+            for text in stream.texts[sent : stream.generated_]:
+                choice = {"index": 0, "text": text, "finish_reason": None}
+                chunk = {"id": echo, "object": "text_completion", "choices": [choice]}
+                lines.append(f"data: {json.dumps(chunk)}\n\n")
+            sent = stream.generated_
+            handler.write("".join(lines))
+            try:
+                await handler.flush()
+            except StreamClosedError:
+                return
+        if stream.is_over:
+            break
+        await changed.wait()
+    usage = {
+        "prompt_tokens": stream.prompt_tokens,
+        "completion_tokens": stream.generated_,
+        "prompt_tokens_details": {"cached_tokens": stream.cached_tokens},
+        "accelerator_ms": stream.accelerator_ms_,
+    }
+    reason = "cancelled" if stream.cancelled_ else "length"
+    choice = {"index": 0, "text": "", "finish_reason": reason}
+    last = {"id": echo, "choices": [choice], "usage": usage, "model": stream.version}
+    handler.write(f"data: {json.dumps(last)}\n\ndata: [DONE]\n\n")
+    handler.finish()
+
+
+class _LoadHandler(_EngineHandler):
+    """Answer with the load of a while ago."""
+
+    def get(self) -> None:
+        waiting, running = self.engine.lagging_load()
+        self.finish({"waiting": waiting, "running": running})
+
+
+class _CacheEventsHandler(_EngineHandler):
+    """Answer with cache events after a number; some are missing."""
+
+    def get(self) -> None:
+        after = int(self.get_query_argument("after", "0"))
+        events = [event for event in self.engine.cache_events_ if event[0] > after]
+        self.finish(msgspec.json.encode(events))
+
+
+class _OrdersHandler(_EngineHandler):
+    """Take orders, and tell which were obeyed."""
+
+    async def post(self) -> None:
+        order = msgspec.json.decode(self.request.body, type=EngineOrder)
+        obeyed = await self.engine.order(order)
+        if self.state.take_lost_answer():
+            self.drop()
+            return
+        if not obeyed:
+            raise web.HTTPError(409, reason="an order with a newer fence was obeyed")
+        self.get()
+
+    def get(self) -> None:
+        body = {
+            "fence": self.engine.fence_,
+            "models": self.engine.versions_by_model_,
+            "role": self.engine.role_,
+            "orders": self.engine.orders_,
+        }
+        self.finish(msgspec.json.encode(body))
+
+
+class _RecordsHandler(web.RequestHandler):
+    """Answer with the executions."""
+
+    def initialize(self, engine: EngineModel) -> None:
+        self.engine = engine
+
+    def get(self) -> None:
+        table = self.engine.table_
+        body = {"records": table.records_, "busy_ms": table.busy_ms_}
+        self.finish(msgspec.json.encode(body))
+
+
+def make_engine_app(engine: EngineModel) -> web.Application:
+    """Return the application of one engine."""
+    shared = {"state": engine.state_, "engine": engine}
+    return web.Application(
+        [
+            (r"/v1/completions", _CompletionsHandler, shared),
+            (r"/v1/completions/(.+)", _StreamHandler, shared),
+            (r"/load", _LoadHandler, shared),
+            (r"/cache_events", _CacheEventsHandler, shared),
+            (r"/orders", _OrdersHandler, shared),
+            (r"/_control", ControlHandler, {"state": engine.state_}),
+            (r"/_records", _RecordsHandler, {"engine": engine}),
+        ],
+        log_function=lambda handler: None,
+        leadford_state=engine.state_,
+        leadford_engine=engine,
+    )
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -0,0 +1,72 @@
+"""Run stand-ins, a whole loopback fleet, or the demonstration."""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+import defopt
+import msgspec
+
+from leadford_standins.fleet import Fleet, FleetSpec, deployments, serve_spec
+
+
+def serve(*, spec: Path, part: str) -> int:
+    """Serve the stand-ins of a fleet.
+
+    :param spec: file that describes the fleet
+    :param part: store or endpoints
+    """
+    decoded = msgspec.json.decode(spec.read_bytes(), type=FleetSpec)
+    try:
+        asyncio.run(serve_spec(decoded, part))
+    except KeyboardInterrupt:
+        return 0
+    return 0
+
+
+def up(*, deployment: str = "damier", file: Path = Path("reports/fleet.json")) -> int:
+    """Start a fleet and keep it running until interrupted.
+
+    :param deployment: damier or association
+    :param file: where to describe the running fleet for `leadford replay`
+    """
+    with Fleet(spec=deployments[deployment](), verbosity="info") as fleet:
+        described = fleet.file()
+        file.parent.mkdir(parents=True, exist_ok=True)
+        file.write_bytes(msgspec.json.encode(described))
+        workspace, key = next(iter(described.api_keys.items()))
+        pipeline = next(iter(fleet.spec.document["pipelines"]))
+        print(f"{deployment} is up; {file} describes it. Try, as {workspace}:\n")
+        print(
+            f"curl -N -H 'Authorization: Bearer {key}' -H 'Accept: text/event-stream' "
+            f'-d \'{{"prompt": "Explain the opening"}}\' '
+            f"{described.entries[0]}/v1/pipelines/{pipeline}/requests\n"
+        )
+        print(
+            f"curl -H 'Authorization: Bearer {key}' "
+            f'-d \'{{"prompt": "Explain the opening"}}\' '
+            f"{described.entries[-1]}/v1/pipelines/{pipeline}/requests\n"
+        )
+        print("Ctrl-C stops it.", flush=True)
+        try:
+            while True:
+                time.sleep(3600)
+        except KeyboardInterrupt:
+            return 0
+
+
+def demo() -> int:
+    """Serve both deployments under a fault and check that nothing went wrong."""
+    from leadford_standins.demo import run_demo
+
+    return run_demo()
+
+
+def main() -> None:
+    """Parse the command line."""
+    sys.exit(defopt.run([serve, up, demo]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/leadford/src/leadford/admission/_endpoint.py
@@ -0,0 +1,82 @@
+"""Decide at an endpoint's queue whether an attempt can still finish in time."""
+
+from leadford.common import Ewma, RefusalReason
+from leadford.queues import QueuedAttempt, QueuePolicy
+
+ESTIMATE_WEIGHT = 0.05
+DEFAULT_SERVICE_MS = 20.0
+DEFAULT_TOKEN_MS = 20.0
+DEADLINE_SLACK = 0.95
+
+
+class ServiceEstimate:
+    """Learn how long an endpoint takes, by stage and per generated token.
+
+    Units: milliseconds.
+    """
+
+    def __init__(self) -> None:
+        self.by_stage_: dict[str, Ewma] = {}
+        self.overall_ = Ewma(initial=DEFAULT_SERVICE_MS, weight=ESTIMATE_WEIGHT)
+        self.per_token_ = Ewma(initial=DEFAULT_TOKEN_MS, weight=ESTIMATE_WEIGHT)
+
+    def note(self, stage: str, service_ms: float, tokens: int) -> None:
+        """Take in one finished attempt."""
+        if tokens:
+            self.per_token_.update(service_ms / tokens)
+        self.overall_.update(service_ms)
+        estimate = self.by_stage_.get(stage)
+        if estimate is None:
+            estimate = Ewma(initial=service_ms, weight=ESTIMATE_WEIGHT)
+            self.by_stage_[stage] = estimate
+        estimate.update(service_ms)
+
+    def service_ms(self, stage: str, expected_tokens: int) -> float:
+        """Return the expected service of an attempt."""
+        if expected_tokens:
+            return self.per_token_.value_ * expected_tokens
+        estimate = self.by_stage_.get(stage)
+        return estimate.value_ if estimate is not None else self.overall_.value_
+
+
+class EndpointAdmission:
+    """Refuse what the queue in front of an endpoint cannot serve in time."""
+
+    def __init__(
+        self, *, queue: QueuePolicy, concurrency: int, queue_limit: int
+    ) -> None:
+        self.queue = queue
+        self.concurrency = concurrency
+        self.queue_limit = queue_limit
+        self.estimate_ = ServiceEstimate()
+
+    def wait_ms(self, priority: int, running: int) -> float:
+        """Return the expected wait of a newcomer of a priority."""
+        if running < self.concurrency and not len(self.queue):
+            return 0.0
+        # The slots that run now free themselves, on average, half a service from now.
+        ahead = self.queue.ahead_ms(priority) + self.estimate_.overall_.value_ / 2
+        return ahead / self.concurrency
+
+    def check_arrival(
+        self, item: QueuedAttempt, *, tail_ms: float, running: int, now: float
+    ) -> RefusalReason | None:
+        """Return why an arriving attempt is refused, or None when it is taken."""
+        if len(self.queue) >= self.queue_limit:
+            return RefusalReason.QUEUE_FULL
+        wait_ms = self.wait_ms(item.priority, running)
+        if not self._fits(item, wait_ms + tail_ms, now):
+            return RefusalReason.DEADLINE
+        return None
+
+    def check_start(
+        self, item: QueuedAttempt, *, tail_ms: float, now: float
+    ) -> RefusalReason | None:
+        """Return why an attempt is not begun after its wait, or None."""
+        if not self._fits(item, tail_ms, now):
+            return RefusalReason.DEADLINE
+        return None
+
+    def _fits(self, item: QueuedAttempt, other_ms: float, now: float) -> bool:
+        remaining_ms = (item.deadline_at - now) * 1000.0
+        return other_ms + item.cost_ms * DEADLINE_SLACK <= remaining_ms
--- /dev/null
+++ b/packages/leadford/src/leadford/claims/__init__.py
@@ -0,0 +1,26 @@
+"""Claim keys in the platform's store, so that a marked request runs at most once."""
+
+from leadford.claims._keys import request_id_for_key, shard_of
+from leadford.claims._log import (
+    ClaimBatch,
+    ClaimLog,
+    ClaimsFullError,
+    ClaimSlot,
+    ClaimWrite,
+    SlotView,
+    decode_slot,
+)
+from leadford.claims._pace import WritePace
+
+__all__ = [
+    "ClaimBatch",
+    "ClaimLog",
+    "ClaimSlot",
+    "ClaimWrite",
+    "ClaimsFullError",
+    "SlotView",
+    "WritePace",
+    "decode_slot",
+    "request_id_for_key",
+    "shard_of",
+]
--- /dev/null
+++ b/packages/leadford/src/leadford/claims/_log.py
@@ -0,0 +1,227 @@
+"""Append claims to a ring of store objects by conditional update.
+
+A shard's log is a ring of slots. Only the tail slot is appended to, and a slot is
+closed by its content alone, so two writers always meet on the same object and the
+store lets one of them win. A slot is overwritten only once all in it is older than
+the retention.
+"""
+
+from collections import OrderedDict
+
+import cbor2
+import msgspec
+from returns.result import Failure, Result, Success
+
+from leadford.common import RequestId
+
+SLOT_CLAIMS_MAX = 400
+CLOCK_SKEW_S = 30.0
+
+
+class ClaimBatch(msgspec.Struct, frozen=True, array_like=True):
+    """Hold the claims of one write.
+
+    Units: at_s is seconds of Unix time at the writer.
+    """
+
+    batch_id: str
+    at_s: float
+    claim_ids_by_request: dict[str, str]
+
+
+class ClaimSlot(msgspec.Struct, frozen=True, array_like=True):
+    """Hold the content of one ring object."""
+
+    position: int
+    batches: tuple[ClaimBatch, ...]
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether the next claim goes to the next slot."""
+        count = sum(len(batch.claim_ids_by_request) for batch in self.batches)
+        return count >= SLOT_CLAIMS_MAX
+
+    @property
+    def newest_at_s(self) -> float:
+        """Return when the slot was last appended to."""
+        return max((batch.at_s for batch in self.batches), default=0.0)
+
+
+class SlotView(msgspec.Struct, frozen=True):
+    """Hold what the store answered for a slot; version 0 stands for no object."""
+
+    version: int
+    slot: ClaimSlot | None
+
+
+class ClaimWrite(msgspec.Struct, frozen=True):
+    """Describe a conditional update that appends one batch."""
+
+    name: str
+    expected_version: int
+    data: bytes
+    batch: ClaimBatch
+    slot: ClaimSlot
+
+
+class ClaimsFullError(Exception):
+    """Tell that the next slot still holds claims within the retention."""
+
+
+def decode_slot(data: bytes) -> ClaimSlot:
+    """Return the slot in an object; a corrupt one breaks an invariant."""
+    return msgspec.convert(cbor2.loads(data), ClaimSlot)
+
+
+class ClaimLog:
+    """Follow one shard's log and build the writes that append to it.
+
+    The driver reads the slots that `wanted_slot` names until it is None, then
+    writes; a conflict or a lost answer sends it back to reading.
+    """
+
+    def __init__(self, *, shard: int, ring: int, retention_s: float) -> None:
+        self.shard = shard
+        self.ring = ring
+        self.retention_s = retention_s
+        self.claim_ids_by_request_: OrderedDict[str, str] = OrderedDict()
+        self.claimed_at_: dict[str, float] = {}
+        self.batch_ids_: set[str] = set()
+        self.tail_position_ = 0
+        self.tail_: SlotView | None = None
+        self._search_low = 0
+        self._search_high = ring - 1
+        self._search_lap: int | None = None
+        self._backfill: int | None = None
+        self._found = False
+
+    def slot_name(self, position: int) -> str:
+        """Return the store object that holds a position."""
+        return f"claims/{self.shard}/{position % self.ring}"
+
+    def wanted_position(self) -> int | None:
+        """Return the position to read next, or None when all is known."""
+        if not self._found:
+            if self._search_lap is None:
+                return 0
+            return (self._search_low + self._search_high + 1) // 2
+        if self._backfill is not None:
+            return self._backfill
+        if self.tail_ is None:
+            return self.tail_position_
+        return None
+
+    def note_read(self, position: int, view: SlotView, now_s: float) -> None:
+        """Take in the slot that was read for a wanted position."""
+        if not self._found:
+            self._search(position, view)
+            return
+        if self._backfill is not None:
+            self._note_backfill(view, now_s)
+            return
+        self._note_tail(view)
+
+    def _search(self, position: int, view: SlotView) -> None:
+        # The slots of the newest lap form a prefix of the ring, so its end is found
+        # by bisection.
+        if self._search_lap is None:
+            if view.slot is None:
+                self._found = True
+                return
+            self._search_lap = view.slot.position // self.ring
+        else:
+            in_lap = view.slot is not None
+            in_lap = in_lap and view.slot.position // self.ring >= self._search_lap
+            if in_lap:
+                self._search_low = position
+            else:
+                self._search_high = position - 1
+        if self._search_low >= self._search_high:
+            self._found = True
+            self.tail_position_ = self._search_lap * self.ring + self._search_low
+            if self.tail_position_ > 0:
+                self._backfill = self.tail_position_ - 1
+
+    def _note_backfill(self, view: SlotView, now_s: float) -> None:
+        position = self._backfill
+        slot = view.slot
+        expired = slot is None or slot.position > position
+        if not expired:
+            self._merge(slot)
+            expired = now_s - slot.newest_at_s > self.retention_s + CLOCK_SKEW_S
+        # Going back further than a lap would meet the tail again.
+        at_end = position == 0 or self.tail_position_ - position >= self.ring - 1
+        self._backfill = None if expired or at_end else position - 1
+
+    def _note_tail(self, view: SlotView) -> None:
+        slot = view.slot
+        is_current = slot is not None and slot.position >= self.tail_position_
+        if not is_current:
+            self.tail_ = view
+            return
+        self.tail_position_ = slot.position
+        self._merge(slot)
+        if slot.is_closed:
+            self.tail_position_ += 1
+            self.tail_ = None
+            return
+        self.tail_ = view
+
+    def _merge(self, slot: ClaimSlot) -> None:
+        for batch in slot.batches:
+            if batch.batch_id in self.batch_ids_:
+                continue
+            self.batch_ids_.add(batch.batch_id)
+            for request_id, claim_id in batch.claim_ids_by_request.items():
+                # The first claim of a request stands.
+                self.claim_ids_by_request_.setdefault(request_id, claim_id)
+                self.claimed_at_.setdefault(request_id, batch.at_s)
+
+    def holder(self, request_id: RequestId) -> str | None:
+        """Return the claim id that holds a request, as far as the log is known."""
+        return self.claim_ids_by_request_.get(request_id)
+
+    def forget_expired(self, now_s: float) -> None:
+        """Drop claims that are older than the retention."""
+        limit = now_s - self.retention_s - 2 * CLOCK_SKEW_S
+        while self.claim_ids_by_request_:
+            request_id = next(iter(self.claim_ids_by_request_))
+            if self.claimed_at_[request_id] >= limit:
+                return
+            del self.claim_ids_by_request_[request_id]
+            del self.claimed_at_[request_id]
+
+    def next_write(
+        self, batch: ClaimBatch, now_s: float
+    ) -> Result[ClaimWrite, ClaimsFullError]:
+        """Return the update that appends a batch to the tail.
+
+        Errors: the ring is full of claims within the retention.
+        """
+        if self.wanted_position() is not None:
+            raise AssertionError("the log was written before it was read")
+        view = self.tail_
+        batches: tuple[ClaimBatch, ...] = ()
+        if view.slot is not None and view.slot.position == self.tail_position_:
+            batches = view.slot.batches
+        elif view.slot is not None:
+            age_s = now_s - view.slot.newest_at_s
+            if age_s <= self.retention_s + CLOCK_SKEW_S:
+                return Failure(ClaimsFullError(self.slot_name(self.tail_position_)))
+        slot = ClaimSlot(self.tail_position_, (*batches, batch))
+        data = cbor2.dumps(msgspec.to_builtins(slot))
+        name = self.slot_name(self.tail_position_)
+        return Success(ClaimWrite(name, view.version, data, batch, slot))
+
+    def note_written(self, write: ClaimWrite, version: int) -> None:
+        """Take in that a write took effect with a new version."""
+        self.tail_ = None
+        self._note_tail(SlotView(version, write.slot))
+
+    def note_in_doubt(self) -> None:
+        """Take in a conflict or a lost answer: the tail must be read again."""
+        self.tail_ = None
+
+    def has_batch(self, batch_id: str) -> bool:
+        """Tell whether a batch stands in the log."""
+        return batch_id in self.batch_ids_
--- /dev/null
+++ b/packages/leadford/src/leadford/claims/_pace.py
@@ -0,0 +1,36 @@
+"""Pace writes to the store, slower while it is slow or refusing."""
+
+from leadford.common import TokenBucket
+
+SLOW_ANSWER_S = 0.25
+PACE_FLOOR = 0.1
+RECOVERY = 1.1
+BACKOFF = 0.5
+
+
+class WritePace:
+    """Allow writes at a budgeted rate that shrinks with trouble and recovers.
+
+    Units: rate_per_s is writes a second.
+    """
+
+    def __init__(self, *, rate_per_s: float, burst: float = 2.0) -> None:
+        self.rate_per_s = rate_per_s
+        self.factor_ = 1.0
+        self.bucket_ = TokenBucket(rate_per_s=rate_per_s, burst=burst)
+
+    def wait_s(self, now: float) -> float:
+        """Return the seconds until the next write may start."""
+        return self.bucket_.wait_s(now)
+
+    def try_take(self, now: float) -> bool:
+        """Take the right to one write."""
+        return self.bucket_.try_take(now)
+
+    def note_answer(self, elapsed_s: float, ok: bool) -> None:
+        """Adapt to how the store answered."""
+        if not ok or elapsed_s > SLOW_ANSWER_S:
+            self.factor_ = max(PACE_FLOOR, self.factor_ * BACKOFF)
+        else:
+            self.factor_ = min(1.0, self.factor_ * RECOVERY)
+        self.bucket_.rate_per_s = self.rate_per_s * self.factor_
--- /dev/null
+++ b/packages/leadford/src/leadford/common/__init__.py
@@ -0,0 +1,49 @@
+"""Ids, states, registries and checks that every other subpackage builds on."""
+
+from leadford.common._checks import check_fraction, check_positive
+from leadford.common._estimates import Ewma, TokenBucket
+from leadford.common._hashing import rendezvous_order, rendezvous_weight, stable_hash
+from leadford.common._ids import (
+    AttemptNumber,
+    CommandId,
+    ConfigVersion,
+    EndpointId,
+    EntryId,
+    HallId,
+    HostId,
+    PipelineId,
+    PoolId,
+    RequestId,
+    StageId,
+    WorkspaceId,
+)
+from leadford.common._registry import Registry, UnknownVariantError
+from leadford.common._states import Objective, Outcome, PoolKind, RefusalReason
+
+__all__ = [
+    "AttemptNumber",
+    "CommandId",
+    "ConfigVersion",
+    "EndpointId",
+    "EntryId",
+    "Ewma",
+    "HallId",
+    "HostId",
+    "Objective",
+    "Outcome",
+    "PipelineId",
+    "PoolId",
+    "PoolKind",
+    "RefusalReason",
+    "Registry",
+    "RequestId",
+    "StageId",
+    "TokenBucket",
+    "UnknownVariantError",
+    "WorkspaceId",
+    "check_fraction",
+    "check_positive",
+    "rendezvous_order",
+    "rendezvous_weight",
+    "stable_hash",
+]
--- /dev/null
+++ b/packages/leadford/src/leadford/common/_estimates.py
@@ -0,0 +1,49 @@
+"""Keep running estimates: moving averages and token buckets."""
+
+
+class Ewma:
+    """Average observations with exponentially falling weight."""
+
+    def __init__(self, *, initial: float, weight: float = 0.1) -> None:
+        self.initial = initial
+        self.weight = weight
+        self.value_ = initial
+        self.count_ = 0
+
+    def update(self, observation: float) -> None:
+        """Take in one observation."""
+        self.count_ += 1
+        # The first observations count as a plain mean, so that a wrong initial
+        # value is forgotten quickly.
+        weight = max(self.weight, 1.0 / (self.count_ + 1))
+        self.value_ += weight * (observation - self.value_)
+
+
+class TokenBucket:
+    """Allow a rate of events with a bounded burst."""
+
+    def __init__(self, *, rate_per_s: float, burst: float) -> None:
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.tokens_ = burst
+        self.updated_at_: float | None = None
+
+    def refill(self, now: float) -> None:
+        """Add the tokens that have accrued since the last call."""
+        if self.updated_at_ is not None:
+            elapsed = max(0.0, now - self.updated_at_)
+            self.tokens_ = min(self.burst, self.tokens_ + elapsed * self.rate_per_s)
+        self.updated_at_ = now
+
+    def try_take(self, now: float, amount: float = 1.0) -> bool:
+        """Take tokens if there are enough."""
+        self.refill(now)
+        if self.tokens_ < amount:
+            return False
+        self.tokens_ -= amount
+        return True
+
+    def wait_s(self, now: float, amount: float = 1.0) -> float:
+        """Return the seconds until the amount can be taken."""
+        self.refill(now)
+        return max(0.0, (amount - self.tokens_) / self.rate_per_s)
--- /dev/null
+++ b/packages/leadford/src/leadford/config/__init__.py
@@ -0,0 +1,65 @@
+"""Configuration: its typed model, its checks, its stored form and its audit trail."""
+
+from leadford.config._change import (
+    ConfigChange,
+    apply_change,
+    make_head,
+    undo_to,
+    with_audit,
+)
+from leadford.config._check import ConfigFault, check_config, config_from_document
+from leadford.config._model import (
+    EndpointConfig,
+    EntryConfig,
+    FleetConfig,
+    ModelConfig,
+    OperatorConfig,
+    PipelineConfig,
+    PoolConfig,
+    StageConfig,
+    TuningConfig,
+    WorkspaceConfig,
+)
+from leadford.config._store_form import (
+    AuditRecord,
+    ChunkDelta,
+    ConfigChunk,
+    ConfigHead,
+    ConfigTracker,
+    assemble,
+    chunk_digest,
+    decode_head,
+    encode_head,
+    split,
+)
+
+__all__ = [
+    "AuditRecord",
+    "ChunkDelta",
+    "ConfigChange",
+    "ConfigChunk",
+    "ConfigFault",
+    "ConfigHead",
+    "ConfigTracker",
+    "EndpointConfig",
+    "EntryConfig",
+    "FleetConfig",
+    "ModelConfig",
+    "OperatorConfig",
+    "PipelineConfig",
+    "PoolConfig",
+    "StageConfig",
+    "TuningConfig",
+    "WorkspaceConfig",
+    "apply_change",
+    "assemble",
+    "check_config",
+    "chunk_digest",
+    "config_from_document",
+    "decode_head",
+    "encode_head",
+    "make_head",
+    "split",
+    "undo_to",
+    "with_audit",
+]
--- /dev/null
+++ b/packages/leadford/src/leadford/config/_store_form.py
@@ -0,0 +1,179 @@
+"""Keep a configuration in the store as a head and immutable chunks.
+
+The head names every chunk by digest and carries the last audit records, so one
+conditional update of it accepts a change and its record together. Workspaces are
+spread over many chunks by a hash of their id: a change of one rewrites one chunk.
+"""
+
+from hashlib import blake2b
+from typing import Any
+
+import cbor2
+import msgspec
+from returns.result import Failure, Result, Success
+
+from leadford.common import stable_hash
+from leadford.config._check import ConfigFault, check_config
+from leadford.config._model import FleetConfig, WorkspaceConfig
+
+WORKSPACE_CHUNKS = 64
+AUDIT_RECORDS_KEPT = 200
+BASE_CHUNK = "base"
+
+
+class ChunkDelta(msgspec.Struct, frozen=True, array_like=True):
+    """Say how one chunk changed; an empty digest stands for no chunk."""
+
+    name: str
+    before: str
+    after: str
+
+
+class AuditRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Record who changed the configuration, when and how.
+
+    Units: at_s is seconds of Unix time.
+    """
+
+    version: int
+    from_version: int
+    command_id: str
+    operator: str
+    at_s: float
+    command: str
+    deltas: tuple[ChunkDelta, ...]
+
+
+class ConfigHead(msgspec.Struct, frozen=True, array_like=True):
+    """Name the chunks of one configuration version."""
+
+    version: int
+    digests_by_chunk: dict[str, str]
+    audit: tuple[AuditRecord, ...] = ()
+
+
+class ConfigChunk(msgspec.Struct, frozen=True):
+    """Hold one encoded chunk and the name it goes by."""
+
+    name: str
+    digest: str
+    data: bytes
+
+
+def chunk_digest(data: bytes) -> str:
+    """Return the digest by which a chunk is stored."""
+    return blake2b(data, digest_size=16).hexdigest()
+
+
+def _chunk(name: str, value: Any) -> ConfigChunk:
+    data = cbor2.dumps(msgspec.to_builtins(value), canonical=True)
+    return ConfigChunk(name, chunk_digest(data), data)
+
+
+def split(config: FleetConfig) -> dict[str, ConfigChunk]:
+    """Return the chunks of a configuration by name."""
+    chunks_by_name: dict[str, ConfigChunk] = {}
+    base = msgspec.structs.replace(config, workspaces={})
+    chunks_by_name[BASE_CHUNK] = _chunk(BASE_CHUNK, base)
+    workspaces_by_chunk: dict[str, dict[str, WorkspaceConfig]] = {}
+    for name, workspace in config.workspaces.items():
+        chunk_name = f"workspaces-{stable_hash(name) % WORKSPACE_CHUNKS:02d}"
+        workspaces_by_chunk.setdefault(chunk_name, {})[name] = workspace
+    for chunk_name, workspaces in workspaces_by_chunk.items():
+        chunks_by_name[chunk_name] = _chunk(chunk_name, workspaces)
+    return chunks_by_name
+
+
+def assemble(
+    head: ConfigHead, data_by_digest: dict[str, bytes]
+) -> Result[FleetConfig, ConfigFault]:
+    """Build the configuration that a head names.
+
+    Errors: a chunk that is missing, corrupt or not understood by this process.
+    """
+    workspaces: dict[str, WorkspaceConfig] = {}
+    base: FleetConfig | None = None
+    for name, digest in sorted(head.digests_by_chunk.items()):
+        data = data_by_digest.get(digest)
+        if data is None:
+            return Failure(ConfigFault(f"chunk {name}", "missing"))
+        if chunk_digest(data) != digest:
+            return Failure(ConfigFault(f"chunk {name}", "digest does not match"))
+        kind = FleetConfig if name == BASE_CHUNK else dict[str, WorkspaceConfig]
+        try:
+            part = msgspec.convert(cbor2.loads(data), kind)
+        except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
+            return Failure(ConfigFault(f"chunk {name}", str(error)))
+        if name == BASE_CHUNK:
+            base = part
+            continue
+        workspaces.update(part)
+    if base is None:
+        return Failure(ConfigFault(f"chunk {BASE_CHUNK}", "missing"))
+    config = msgspec.structs.replace(base, workspaces=workspaces)
+    faults = check_config(config)
+    if faults:
+        return Failure(faults[0])
+    return Success(config)
+
+
+def encode_head(head: ConfigHead) -> bytes:
+    """Return a head in its stored form."""
+    return cbor2.dumps(msgspec.to_builtins(head))
+
+
+def decode_head(data: bytes) -> Result[ConfigHead, ConfigFault]:
+    """Return the head in a stored form."""
+    try:
+        return Success(msgspec.convert(cbor2.loads(data), ConfigHead))
+    except (cbor2.CBORDecodeError, ValueError, msgspec.ValidationError) as error:
+        return Failure(ConfigFault("head", str(error)))
+
+
+class ConfigTracker:
+    """Hold the newest configuration this process could read; only move forward."""
+
+    def __init__(self) -> None:
+        self.head_: ConfigHead | None = None
+        self.config_: FleetConfig | None = None
+        self.data_by_digest_: dict[str, bytes] = {}
+        self.unread_version_ = 0
+        self.unread_fault_: ConfigFault | None = None
+
+    @property
+    def version(self) -> int:
+        """Return the version in force here, 0 before the first."""
+        return self.head_.version if self.head_ is not None else 0
+
+    def is_newer(self, version: int) -> bool:
+        """Tell whether a version lies ahead of the one in force."""
+        return version > self.version
+
+    def missing_digests(self, head: ConfigHead) -> list[str]:
+        """Return the digests that must be fetched before a head can be taken."""
+        wanted = set(head.digests_by_chunk.values())
+        return sorted(wanted - set(self.data_by_digest_))
+
+    def offer(
+        self, head: ConfigHead, fetched_by_digest: dict[str, bytes]
+    ) -> Result[FleetConfig, ConfigFault]:
+        """Take a head and its chunks if it is newer and whole.
+
+        Errors: a version that is not newer, or one that cannot be read; what is in
+        force stays in force.
+        """
+        if not self.is_newer(head.version):
+            return Failure(ConfigFault("head", f"version {head.version} is not newer"))
+        data_by_digest = {**self.data_by_digest_, **fetched_by_digest}
+        result = assemble(head, data_by_digest)
+        if isinstance(result, Failure):
+            self.unread_version_ = head.version
+            self.unread_fault_ = result.failure()
+            return result
+        self.head_ = head
+        self.config_ = result.unwrap()
+        self.unread_version_ = 0
+        self.unread_fault_ = None
+        wanted = set(head.digests_by_chunk.values())
+        self.data_by_digest_ = {d: data_by_digest[d] for d in wanted}
+        return result
--- /dev/null
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -0,0 +1,70 @@
+"""Catalogue every event with its number, severity and meaning."""
+
+from enum import Enum
+
+import msgspec
+
+
+class Severity(Enum):
+    """Say how much an event matters to an operator."""
+
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class Event(Enum):
+    """Name each event: number, severity, what it says."""
+
+    PROCESS_STARTED = (100, Severity.INFO, "The process serves.")
+    PROCESS_DRAINING = (101, Severity.INFO, "A planned stop began; no new work.")
+    PROCESS_STOPPED = (102, Severity.INFO, "The planned stop ended.")
+    SETTINGS_INVALID = (103, Severity.ERROR, "The settings cannot be used.")
+    PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
+    PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
+    PEER_REJECTED = (202, Severity.WARNING, "A peer failed its proof or version.")
+    FRAME_REJECTED = (203, Severity.WARNING, "A frame was no message; peer dropped.")
+    HALL_LOST = (204, Severity.WARNING, "A data hall is held lost as a whole.")
+    ENDPOINT_EJECTED = (300, Severity.WARNING, "An endpoint gets no work for a while.")
+    ENDPOINT_PROBING = (301, Severity.INFO, "An ejected endpoint is probed.")
+    ENDPOINT_RESTORED = (302, Severity.INFO, "An endpoint passed its probes.")
+    ENDPOINT_DRAINING = (303, Severity.INFO, "An endpoint takes no new work.")
+    ANSWER_STRAY = (400, Severity.WARNING, "An answer matched nothing; dropped.")
+    REQUEST_REFUSED = (401, Severity.INFO, "A request was refused.")
+    REQUEST_UNKNOWN = (402, Severity.WARNING, "A request's outcome is not known.")
+    REQUEST_TAKEN_OVER = (403, Severity.INFO, "Another entry's request is served on.")
+    ATTEMPT_RETRIED = (404, Severity.INFO, "A stage is tried at another endpoint.")
+    ENDPOINT_ANSWER_CROSSED = (
+        405,
+        Severity.ERROR,
+        "An endpoint answered for another attempt; dropped.",
+    )
+    STORE_UNAVAILABLE = (500, Severity.WARNING, "The store did not answer.")
+    STORE_BACK = (501, Severity.INFO, "The store answers again.")
+    CLAIM_CONFLICT = (502, Severity.INFO, "Another writer appended claims first.")
+    CLAIM_ANSWER_LOST = (503, Severity.WARNING, "A claim write is settled by reading.")
+    CLAIMS_FULL = (504, Severity.ERROR, "A claim ring holds no free slot.")
+    CONFIG_IN_FORCE = (600, Severity.INFO, "A configuration version is in force.")
+    CONFIG_UNREADABLE = (601, Severity.ERROR, "A newer configuration cannot be read.")
+    CONFIG_ACCEPTED = (602, Severity.INFO, "A configuration change was accepted.")
+    CONFIG_CONFLICT = (603, Severity.INFO, "A change lost to another one.")
+    PLAN_CHANGED = (700, Severity.INFO, "The plan of a pool changed.")
+    ORDER_GIVEN = (701, Severity.INFO, "An engine was given an order.")
+    ORDER_IN_DOUBT = (702, Severity.WARNING, "An order's effect is not known yet.")
+    PLANNER_CHANGED = (703, Severity.INFO, "A planning lease changed hands.")
+
+    def __init__(self, number: int, severity: Severity, meaning: str) -> None:
+        self.number = number
+        self.severity = severity
+        self.meaning = meaning
+
+
+class EventRecord(msgspec.Struct, frozen=True):
+    """Hold one event that happened.
+
+    Units: at_s is seconds of Unix time.
+    """
+
+    event: Event
+    at_s: float
+    fields: dict[str, str | int | float]
--- /dev/null
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -0,0 +1,303 @@
+"""Define the typed messages between leadford's processes.
+
+Each message travels as a CBOR array: its type number, then its fields in order.
+New fields are only ever appended and carry a default, so a reader ignores what it
+does not know and fills in what an older writer leaves out.
+"""
+
+from enum import Enum
+
+import msgspec
+
+PROTOCOL_VERSION = 1
+PROTOCOL_VERSION_MIN = 1
+
+
+class _Base(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Mark a message as a frozen record that travels as an array."""
+
+
+class Challenge(_Base, tag=1):
+    """Open a connection from the accepting side with a nonce to be proved against."""
+
+    nonce: bytes
+    peer_id: str
+    version_min: int
+    version_max: int
+
+
+class Hello(_Base, tag=2):
+    """Answer a challenge: say who connects and prove knowledge of the secret."""
+
+    peer_id: str
+    role: str
+    hall: str
+    version_min: int
+    version_max: int
+    nonce: bytes
+    proof: bytes
+    config_version: int = 0
+
+
+class Welcome(_Base, tag=4):
+    """Accept a connection with the negotiated protocol version."""
+
+    version: int
+    proof: bytes
+    config_version: int = 0
+    draining: bool = False
+
+
+class Load(_Base, tag=5):
+    """Report the load of an agent's endpoint."""
+
+    queued: int
+    running: int
+    tokens_in_flight: int
+    service_ms: float
+    token_ms: float
+    concurrency: int
+    wait_ms: float = 0.0
+    fault: str = ""
+
+
+class Draining(_Base, tag=6):
+    """Announce that the sender takes no new work."""
+
+    reason: str
+
+
+class Submit(_Base, tag=7):
+    """Ask an agent to run one attempt of one stage.
+
+    Units: remaining_ms counts from receipt; credit counts tokens.
+    """
+
+    request_id: str
+    stage: str
+    attempt: int
+    pipeline: str
+    workspace: str
+    priority: int
+    remaining_ms: float
+    repeatable: bool
+    stream: bool
+    credit: int
+    body: bytes
+    previous: bytes = b"null"
+    expected_tokens: int = 0
+    prefix: str = ""
+    final: bool = False
+    tail_ms: float = 0.0
+    model: str = ""
+
+
+class Refused(_Base, tag=8):
+    """Refuse an attempt; `begun` is false only when the endpoint saw nothing."""
+
+    request_id: str
+    stage: str
+    attempt: int
+    reason: str
+    begun: bool
+    retry_after_ms: float = 0.0
+    load: Load | None = None
+
+
+class TokenPart(_Base):
+    """Carry the new tokens of one stream."""
+
+    request_id: str
+    stage: str
+    attempt: int
+    sequence: int
+    texts: list[str]
+
+
+class Tokens(_Base, tag=9):
+    """Carry the new tokens of many streams, gathered over one tick."""
+
+    parts: list[TokenPart]
+
+
+class DoneStatus(Enum):
+    """Say how an attempt ended at its endpoint."""
+
+    OK = 1
+    FAILED = 2
+    TIMED_OUT = 3
+    CANCELLED = 4
+
+
+class Done(_Base, tag=10):
+    """End an attempt; `sequence` is the count of tokens that precede it."""
+
+    request_id: str
+    stage: str
+    attempt: int
+    status: DoneStatus
+    sequence: int
+    result: bytes
+    service_ms: float
+    queue_ms: float
+    prefill_tokens: int = 0
+    cached_tokens: int = 0
+    error: str = ""
+    load: Load | None = None
+    model_version: str = ""
+
+
+class Ack(_Base, tag=11):
+    """Release a kept result."""
+
+    request_id: str
+    stage: str
+    attempt: int
+
+
+class Credit(_Base, tag=12):
+    """Allow a stream to send more tokens."""
+
+    request_id: str
+    stage: str
+    attempt: int
+    tokens: int
+
+
+class Cancel(_Base, tag=13):
+    """Give up an attempt that nobody waits for."""
+
+    request_id: str
+    stage: str
+    attempt: int
+
+
+class Attach(_Base, tag=14):
+    """Take over a kept or running attempt from a sequence on."""
+
+    request_id: str
+    stage: str
+    attempt: int
+    from_sequence: int
+    credit: int
+    workspace: str
+
+
+class NotHeld(_Base, tag=15):
+    """Answer an attach or lookup for work the agent does not hold."""
+
+    request_id: str
+    stage: str
+    attempt: int
+
+
+class Note(_Base, tag=16):
+    """Record at a keeper where an attempt of a request runs."""
+
+    request_id: str
+    workspace: str
+    pipeline: str
+    stage: str
+    attempt: int
+    endpoint_id: str
+    final: bool
+    stream: bool
+    entry_id: str
+    body_digest: str
+
+
+class NoteRequest(_Base, tag=17):
+    """Ask a keeper for the note of a request."""
+
+    request_id: str
+
+
+class NoteAnswer(_Base, tag=18):
+    """Answer with the latest note of a request, if the keeper has one."""
+
+    request_id: str
+    note: Note | None = None
+
+
+class ConfigHint(_Base, tag=19):
+    """Tell a peer which configuration version the sender runs."""
+
+    version: int
+
+
+class HeadRequest(_Base, tag=20):
+    """Ask a peer for the configuration head that it runs."""
+
+    version: int
+
+
+class HeadAnswer(_Base, tag=21):
+    """Answer with an encoded configuration head."""
+
+    version: int
+    head: bytes
+
+
+class ChunkRequest(_Base, tag=22):
+    """Ask a peer for configuration chunks by digest."""
+
+    digests: list[str]
+
+
+class ChunkAnswer(_Base, tag=23):
+    """Answer with one configuration chunk."""
+
+    digest: str
+    chunk: bytes
+
+
+class ClaimVerdict(Enum):
+    """Say what became of a claim."""
+
+    GRANTED = 1
+    ALREADY_CLAIMED = 2
+    STORE_UNAVAILABLE = 3
+    FULL = 4
+
+
+class ClaimRequest(_Base, tag=24):
+    """Ask the entry that owns a shard to place a claim in its next batch."""
+
+    claim_id: str
+    request_id: str
+    remaining_ms: float
+
+
+class ClaimAnswer(_Base, tag=25):
+    """Answer a claim request."""
+
+    claim_id: str
+    verdict: ClaimVerdict
+
+
+Message = (
+    Challenge
+    | Hello
+    | Welcome
+    | Load
+    | Draining
+    | Submit
+    | Refused
+    | Tokens
+    | Done
+    | Ack
+    | Credit
+    | Cancel
+    | Attach
+    | NotHeld
+    | Note
+    | NoteRequest
+    | NoteAnswer
+    | ConfigHint
+    | HeadRequest
+    | HeadAnswer
+    | ChunkRequest
+    | ChunkAnswer
+    | ClaimRequest
+    | ClaimAnswer
+)
--- /dev/null
+++ b/packages/leadford/src/leadford/queues/_elastic.py
@@ -0,0 +1,93 @@
+"""Share an endpoint by guaranteed minimums, with idle share borrowed.
+
+Source: "Elastic Resource Quota": a guaranteed `min` for each tenant, and borrowed
+capacity split in proportion to the minimums.
+"""
+
+from leadford.common import WorkspaceId
+from leadford.queues._base import QueuedAttempt, TermsLookup, queue_policies
+from leadford.queues._classes import ClassQueueMixin
+from leadford.queues._flows import Flow
+
+USAGE_HALF_LIFE_S = 2.0
+MINIMUM_FLOOR = 0.001
+USAGE_FORGOTTEN_MS = 0.01
+
+
+class _Usage:
+    """Hold the recent service of one workspace, decaying by half every 2 s."""
+
+    def __init__(self, now: float) -> None:
+        self.service_ms_ = 0.0
+        self.updated_at_ = now
+
+    def at(self, now: float) -> float:
+        age_s = max(0.0, now - self.updated_at_)
+        return self.service_ms_ * 0.5 ** (age_s / USAGE_HALF_LIFE_S)
+
+    def add(self, service_ms: float, now: float) -> None:
+        self.service_ms_ = self.at(now) + service_ms
+        self.updated_at_ = now
+
+
+class _ElasticClass:
+    """Serve those below their minimum first, then borrowers by usage over minimum."""
+
+    def __init__(self, *, terms: TermsLookup) -> None:
+        self.terms = terms
+        self.flows_by_workspace_: dict[WorkspaceId, Flow] = {}
+        self.usage_by_workspace_: dict[WorkspaceId, _Usage] = {}
+
+    def push(self, item: QueuedAttempt) -> None:
+        flow = self.flows_by_workspace_.setdefault(item.workspace, Flow())
+        flow.push(item)
+
+    def pop(self, now: float) -> str | None:
+        if not self.flows_by_workspace_:
+            return None
+        total = sum(usage.at(now) for usage in self.usage_by_workspace_.values())
+        chosen = min(self.flows_by_workspace_, key=lambda w: self._rank(w, total, now))
+        flow = self.flows_by_workspace_[chosen]
+        key, cost_ms = flow.pop()
+        usage = self.usage_by_workspace_.setdefault(chosen, _Usage(now))
+        usage.add(cost_ms, now)
+        if not len(flow):
+            del self.flows_by_workspace_[chosen]
+        self._prune(now)
+        return key
+
+    def _rank(
+        self, workspace: WorkspaceId, total: float, now: float
+    ) -> tuple[bool, float, str]:
+        minimum = max(self.terms(workspace).minimum, MINIMUM_FLOOR)
+        usage = self.usage_by_workspace_.get(workspace)
+        used = usage.at(now) / total if usage is not None and total > 0 else 0.0
+        return used >= minimum, used / minimum, workspace
+
+    def forget(self, item: QueuedAttempt) -> None:
+        flow = self.flows_by_workspace_[item.workspace]
+        flow.forget(item.key)
+        if not len(flow):
+            del self.flows_by_workspace_[item.workspace]
+
+    def _prune(self, now: float) -> None:
+        stale = [
+            workspace
+            for workspace, usage in self.usage_by_workspace_.items()
+            if usage.at(now) < USAGE_FORGOTTEN_MS
+        ]
+        for workspace in stale:
+            del self.usage_by_workspace_[workspace]
+
+
+@queue_policies.register("guaranteed_minimum")
+class GuaranteedMinimum(ClassQueueMixin):
+    """Serve by class, then workspaces by minimum and borrowing, then deadlines."""
+
+    @classmethod
+    def from_config(cls, *, terms: TermsLookup) -> "GuaranteedMinimum":
+        """Build an empty queue."""
+        return cls(terms=terms)
+
+    def _new_class(self) -> _ElasticClass:
+        return _ElasticClass(terms=self.terms)
--- /dev/null
+++ b/packages/leadford/src/leadford/queues/_fair.py
@@ -0,0 +1,81 @@
+"""Share an endpoint between workspaces by weighted fair queueing."""
+
+from heapq import heappop, heappush
+
+from leadford.common import WorkspaceId
+from leadford.queues._base import QueuedAttempt, TermsLookup, queue_policies
+from leadford.queues._classes import ClassQueueMixin
+from leadford.queues._flows import Flow
+
+TAGS_KEPT = 1024
+
+
+class _FairClass:
+    """Serve the flow with the lowest start tag (start-time fair queueing).
+
+    The cost of a decision follows the workspaces that wait, not those configured.
+    """
+
+    def __init__(self, *, terms: TermsLookup) -> None:
+        self.terms = terms
+        self.virtual_time_ = 0.0
+        self.flows_by_workspace_: dict[WorkspaceId, Flow] = {}
+        self.finish_tags_: dict[WorkspaceId, float] = {}
+        self.heap_: list[tuple[float, int, WorkspaceId]] = []
+        self.pushes_ = 0
+
+    def push(self, item: QueuedAttempt) -> None:
+        flow = self.flows_by_workspace_.get(item.workspace)
+        if flow is None:
+            flow = Flow()
+            self.flows_by_workspace_[item.workspace] = flow
+            self._schedule(item.workspace)
+        flow.push(item)
+
+    def _schedule(self, workspace: WorkspaceId) -> None:
+        finish = self.finish_tags_.get(workspace, 0.0)
+        start = max(self.virtual_time_, finish)
+        self.pushes_ += 1
+        heappush(self.heap_, (start, self.pushes_, workspace))
+
+    def pop(self, now: float) -> str | None:
+        while self.heap_:
+            start, _, workspace = heappop(self.heap_)
+            flow = self.flows_by_workspace_[workspace]
+            if not len(flow):
+                del self.flows_by_workspace_[workspace]
+                continue
+            key, cost_ms = flow.pop()
+            self.virtual_time_ = start
+            weight = self.terms(workspace).share
+            self.finish_tags_[workspace] = start + max(cost_ms, 0.001) / weight
+            if len(flow):
+                self._schedule(workspace)
+            else:
+                del self.flows_by_workspace_[workspace]
+            self._prune()
+            return key
+        return None
+
+    def forget(self, item: QueuedAttempt) -> None:
+        self.flows_by_workspace_[item.workspace].forget(item.key)
+
+    def _prune(self) -> None:
+        if len(self.finish_tags_) <= TAGS_KEPT:
+            return
+        # A tag in the past says nothing: its flow would start at virtual time.
+        tags = self.finish_tags_.items()
+        self.finish_tags_ = {w: t for w, t in tags if t > self.virtual_time_}
+
+
+@queue_policies.register("weighted_fair")
+class WeightedFair(ClassQueueMixin):
+    """Serve by class, then workspaces by weight, then deadlines."""
+
+    @classmethod
+    def from_config(cls, *, terms: TermsLookup) -> "WeightedFair":
+        """Build an empty queue."""
+        return cls(terms=terms)
+
+    def _new_class(self) -> _FairClass:
+        return _FairClass(terms=self.terms)
--- /dev/null
+++ b/packages/leadford/src/leadford/retries/__init__.py
@@ -0,0 +1,21 @@
+"""Decide whether and when a failed attempt is tried again."""
+
+from leadford.retries._backoff import Backoff
+from leadford.retries._budget import RetryBudget
+from leadford.retries._decision import (
+    AttemptFailure,
+    FailureKind,
+    RetryDecision,
+    RetryPolicy,
+)
+from leadford.retries._hedge import HedgePolicy
+
+__all__ = [
+    "AttemptFailure",
+    "Backoff",
+    "FailureKind",
+    "HedgePolicy",
+    "RetryBudget",
+    "RetryDecision",
+    "RetryPolicy",
+]
--- /dev/null
+++ b/packages/leadford/src/leadford/retries/_decision.py
@@ -0,0 +1,85 @@
+"""Decide what follows a failed attempt."""
+
+from enum import Enum
+
+import msgspec
+
+from leadford.common import EndpointId, RefusalReason
+from leadford.retries._backoff import Backoff
+from leadford.retries._budget import RetryBudget
+
+ATTEMPTS_MAX = 4
+
+
+class FailureKind(Enum):
+    """Say how much of an attempt may have happened."""
+
+    NOT_SENT = "not-sent"
+    REFUSED = "refused"
+    FAILED = "failed"
+    LOST = "lost"
+
+
+class AttemptFailure(msgspec.Struct, frozen=True):
+    """Describe a failed attempt.
+
+    Units: retry_after_ms is what the refusing side asked for.
+    """
+
+    kind: FailureKind
+    reason: RefusalReason
+    endpoint_id: EndpointId
+    retry_after_ms: float = 0.0
+    detail: str = ""
+
+    @property
+    def may_have_begun(self) -> bool:
+        """Tell whether the endpoint may have seen the attempt."""
+        return self.kind in (FailureKind.FAILED, FailureKind.LOST)
+
+
+class RetryDecision(msgspec.Struct, frozen=True):
+    """Say whether to try again, after which wait, or why not."""
+
+    retry: bool
+    wait_ms: float = 0.0
+    reason: RefusalReason | None = None
+
+
+class RetryPolicy:
+    """Allow a retry that is safe, affordable and in time."""
+
+    def __init__(
+        self,
+        *,
+        budget: RetryBudget,
+        backoff: Backoff,
+        attempts_max: int = ATTEMPTS_MAX,
+    ) -> None:
+        self.budget = budget
+        self.backoff = backoff
+        self.attempts_max = attempts_max
+
+    def decide(
+        self,
+        failure: AttemptFailure,
+        *,
+        repeatable: bool,
+        attempt: int,
+        others: int,
+        remaining_ms: float,
+        needed_ms: float,
+    ) -> RetryDecision:
+        """Return the decision; `others` counts candidates not tried yet."""
+        if failure.may_have_begun and not repeatable:
+            return RetryDecision(False, reason=failure.reason)
+        if attempt >= self.attempts_max or others == 0:
+            return RetryDecision(False, reason=failure.reason)
+        # A refusal proves that nothing ran, so another endpoint is asked at once.
+        immediate = failure.kind in (FailureKind.REFUSED, FailureKind.NOT_SENT)
+        wait_ms = 0.0 if immediate else self.backoff.wait_ms(attempt)
+        if wait_ms + needed_ms > remaining_ms:
+            return RetryDecision(False, reason=RefusalReason.DEADLINE)
+        if not self.budget.try_spend():
+            return RetryDecision(False, reason=RefusalReason.RETRY_BUDGET)
+        return RetryDecision(True, wait_ms)
--- /dev/null
+++ b/packages/leadford/src/leadford/routing/__init__.py
@@ -0,0 +1,25 @@
+"""Choose the endpoint on which an attempt runs."""
+
+from leadford.routing._base import (
+    EndpointView,
+    LoadReport,
+    RoutingPolicy,
+    RoutingRequest,
+    routing_policies,
+)
+from leadford.routing._baselines import LeastLoaded, PowerOfTwo, RoundRobin
+from leadford.routing._expected_finish import ExpectedFinish
+from leadford.routing._prefixes import PrefixIndex
+
+__all__ = [
+    "EndpointView",
+    "ExpectedFinish",
+    "LeastLoaded",
+    "LoadReport",
+    "PowerOfTwo",
+    "PrefixIndex",
+    "RoundRobin",
+    "RoutingPolicy",
+    "RoutingRequest",
+    "routing_policies",
+]
--- /dev/null
+++ b/packages/leadford/src/leadford/routing/_base.py
@@ -0,0 +1,105 @@
+"""Define what a routing policy sees and the contract it fulfils."""
+
+from random import Random
+from typing import Protocol
+
+import msgspec
+
+from leadford.common import EndpointId, HallId, Objective, Registry
+from leadford.routing._prefixes import PrefixIndex
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """Hold what an agent last said of its endpoint.
+
+    Units: service_ms per attempt, token_ms per generated token, at_s of the clock.
+    """
+
+    at_s: float = 0.0
+    queued: int = 0
+    running: int = 0
+    tokens_in_flight: int = 0
+    service_ms: float = 0.0
+    token_ms: float = 0.0
+    concurrency: int = 1
+    wait_ms: float = 0.0
+
+
+class EndpointView:
+    """Hold what this process knows of one endpoint.
+
+    Units: slow_start_s and times are seconds; unreported counts own attempts that
+    the last load report cannot have seen.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoint_id: EndpointId,
+        hall: HallId,
+        concurrency: int = 1,
+        distance_ms: float = 0.0,
+        joined_at_s: float = float("-inf"),
+        models: tuple[str, ...] = (),
+    ) -> None:
+        self.endpoint_id = endpoint_id
+        self.hall = hall
+        self.concurrency = concurrency
+        self.distance_ms = distance_ms
+        self.joined_at_s = joined_at_s
+        self.models = models
+        self.report_ = LoadReport(concurrency=concurrency)
+        self.unreported_ = 0
+        self.outstanding_ = 0
+        self.outstanding_tokens_ = 0
+        self.prefixes_ = PrefixIndex()
+
+    def note_sent(self, expected_tokens: int) -> None:
+        """Count an attempt that was sent."""
+        self.unreported_ += 1
+        self.outstanding_ += 1
+        self.outstanding_tokens_ += expected_tokens
+
+    def note_ended(self, expected_tokens: int) -> None:
+        """Count an attempt that ended."""
+        self.unreported_ = max(0, self.unreported_ - 1)
+        self.outstanding_ = max(0, self.outstanding_ - 1)
+        remaining = self.outstanding_tokens_ - expected_tokens
+        self.outstanding_tokens_ = max(0, remaining)
+
+    def note_report(self, report: LoadReport) -> None:
+        """Take in a newer load report."""
+        self.report_ = report
+        self.unreported_ = 0
+
+
+class RoutingRequest(msgspec.Struct, frozen=True):
+    """Describe the attempt to be placed.
+
+    Units: remaining_ms is what is left for this stage and those after it.
+    """
+
+    stage: str = ""
+    expected_ms: float = 20.0
+    expected_tokens: int = 0
+    remaining_ms: float = 1000.0
+    prefix: str = ""
+    prefill_tokens: int = 0
+    hall: HallId = HallId("")
+    objective: Objective = Objective.ATTAINMENT
+
+
+class RoutingPolicy(Protocol):
+    """Choose one of the endpoints that may take an attempt."""
+
+    @classmethod
+    def from_config(cls, *, random: Random) -> "RoutingPolicy":
+        """Build a policy that draws from a given generator."""
+
+    def choose(
+        self, request: RoutingRequest, candidates: list[EndpointView], now: float
+    ) -> EndpointView | None:
+        """Return the chosen candidate, or None when there is none."""
+
+
+routing_policies: Registry[RoutingPolicy] = Registry("routing policy")
--- /dev/null
+++ b/packages/leadford/src/leadford/routing/_baselines.py
@@ -0,0 +1,80 @@
+"""Provide the plain policies that ours is compared with."""
+
+from random import Random
+
+from leadford.routing._base import EndpointView, RoutingRequest, routing_policies
+
+
+def _load(view: EndpointView) -> int:
+    report = view.report_
+    return max(report.queued + report.running + view.unreported_, view.outstanding_)
+
+
+@routing_policies.register("round_robin")
+class RoundRobin:
+    """Take the candidates in turn."""
+
+    def __init__(self) -> None:
+        self.turn_ = 0
+
+    @classmethod
+    def from_config(cls, *, random: Random) -> "RoundRobin":
+        """Build a policy that starts at a random turn."""
+        policy = cls()
+        policy.turn_ = random.randrange(1 << 16)
+        return policy
+
+    def choose(
+        self, request: RoutingRequest, candidates: list[EndpointView], now: float
+    ) -> EndpointView | None:
+        """Return the candidate whose turn it is."""
+        if not candidates:
+            return None
+        self.turn_ += 1
+        return candidates[self.turn_ % len(candidates)]
+
+
+@routing_policies.register("least_loaded")
+class LeastLoaded:
+    """Take the candidate with the fewest attempts queued and running."""
+
+    def __init__(self, *, random: Random) -> None:
+        self.random = random
+
+    @classmethod
+    def from_config(cls, *, random: Random) -> "LeastLoaded":
+        """Build a policy that breaks ties by a given generator."""
+        return cls(random=random)
+
+    def choose(
+        self, request: RoutingRequest, candidates: list[EndpointView], now: float
+    ) -> EndpointView | None:
+        """Return a least loaded candidate."""
+        if not candidates:
+            return None
+        lowest = min(_load(view) for view in candidates)
+        ties = [view for view in candidates if _load(view) == lowest]
+        return self.random.choice(ties)
+
+
+@routing_policies.register("power_of_two")
+class PowerOfTwo:
+    """Take the less loaded of two candidates drawn at random."""
+
+    def __init__(self, *, random: Random) -> None:
+        self.random = random
+
+    @classmethod
+    def from_config(cls, *, random: Random) -> "PowerOfTwo":
+        """Build a policy that draws from a given generator."""
+        return cls(random=random)
+
+    def choose(
+        self, request: RoutingRequest, candidates: list[EndpointView], now: float
+    ) -> EndpointView | None:
+        """Return the less loaded of two."""
+        if not candidates:
+            return None
+        first = self.random.choice(candidates)
+        second = self.random.choice(candidates)
+        return first if _load(first) <= _load(second) else second
