--- a/packages/leadford-server/src/leadford_server/agent/_adapters.py
+++ b/packages/leadford-server/src/leadford_server/agent/_adapters.py
@@ -10,12 +10,13 @@
 
 from leadford.common import Registry
 from leadford.protocol import DoneStatus, Submit
+from leadford_server.web import NO_ANSWER, fetch
 
 CONNECT_S = 1.0
 RESUMES_MAX = 2
 RESULT_BYTES_MAX = 4 * 1024 * 1024
 
-TokenSink = Callable[[list[str]], None]
+TokenSink = Callable[[list[str], str], None]
 
 
 class AdapterOutcome(msgspec.Struct, frozen=True):
@@ -95,8 +96,8 @@
             connect_timeout=CONNECT_S,
             request_timeout=timeout_s,
         )
-        response = await self.http.fetch(request, raise_error=False)
-        if response.code == 599:
+        response = await fetch(self.http, request)
+        if response.code == NO_ANSWER:
             return AdapterOutcome(DoneStatus.FAILED, error=str(response.error))
         if response.code != 200:
             return AdapterOutcome(DoneStatus.FAILED, error=f"status {response.code}")
@@ -160,7 +161,7 @@
             self._take(data, texts)
         if texts:
             self.received_ += len(texts)
-            self.sink(texts)
+            self.sink(texts, self.model_version_)
 
     def _take(self, data: bytes, texts: list[str]) -> None:
         try:
@@ -173,12 +174,12 @@
             self.error_ = f"stream belongs to {chunk['id']}"
             self.crossed_ = True
             return
+        self.model_version_ = chunk.get("model", self.model_version_)
         if choice.get("text"):
             texts.append(choice["text"])
         if choice.get("finish_reason"):
             self.finish_reason_ = choice["finish_reason"]
             self.usage_ = chunk.get("usage") or {}
-            self.model_version_ = chunk.get("model", "")
 
 
 @endpoint_adapters.register("engine")
@@ -251,7 +252,7 @@
         request.connect_timeout = CONNECT_S
         request.request_timeout = timeout_s
         request.streaming_callback = reader.feed
-        response = await self.http.fetch(request, raise_error=False)
+        response = await fetch(self.http, request)
         if response.code == 200:
             return ""
         return str(response.error or response.code)
@@ -286,4 +287,4 @@
         key = attempt_key(submit.request_id, submit.stage, submit.attempt)
         url = f"{self.url}/v1/completions/{key}"
         request = HTTPRequest(url, method="DELETE", request_timeout=CONNECT_S)
-        await self.http.fetch(request, raise_error=False)
+        await fetch(self.http, request)
--- a/packages/leadford-server/src/leadford_server/agent/_service.py
+++ b/packages/leadford-server/src/leadford_server/agent/_service.py
@@ -35,6 +35,7 @@
 from leadford_server.agent._adapters import (
     AdapterOutcome,
     EndpointAdapter,
+    TokenSink,
     attempt_key,
 )
 from leadford_server.logs import EventLog
@@ -302,13 +303,13 @@
             self.admission_.estimate_.note(submit.stage, service_ms, tokens)
         self._finish(attempt, outcome, service_ms, queue_ms)
 
-    def _sink(self, attempt: RunningAttempt) -> Callable[[list[str]], None]:
-        def take(texts: list[str]) -> None:
+    def _sink(self, attempt: RunningAttempt) -> TokenSink:
+        def take(texts: list[str], model_version: str) -> None:
             attempt.generated_texts_.extend(texts)
             if not attempt.submit.stream:
                 return
             first = not attempt.kept.texts_
-            attempt.kept.append(texts)
+            attempt.kept.append(texts, model_version)
             self.dirty_keys_[attempt.item.key] = None
             if first:
                 self._flush()
@@ -392,7 +393,14 @@
                 continue
             sequence, texts = kept.take(peer_id)
             if texts:
-                part = TokenPart(request_id, stage, int(attempt), sequence, texts)
+                part = TokenPart(
+                    request_id,
+                    stage,
+                    int(attempt),
+                    sequence,
+                    texts,
+                    kept.model_version_,
+                )
                 parts_by_peer.setdefault(peer_id, []).append(part)
             done = kept.take_done(peer_id)
             if done is not None:
--- a/packages/leadford-server/src/leadford_server/entry/_answers.py
+++ b/packages/leadford-server/src/leadford_server/entry/_answers.py
@@ -64,18 +64,18 @@
 class AnswerBuffer:
     """Gather tokens and the end; tell the producer how far readers have come."""
 
-    def __init__(self, *, on_consumed: Callable[[int], None]) -> None:
+    def __init__(self, *, texts: list[str], on_consumed: Callable[[int], None]) -> None:
+        self.texts = texts
         self.on_consumed = on_consumed
-        self.texts_: list[str] = []
+        self.shown_ = 0
         self.final_: Answer | None = None
         self.locator_ = ""
         self.readers_ = 0
         self.changed_ = asyncio.Event()
         self.consumed_ = 0
 
-    def append(self, texts: list[str]) -> None:
-        """Add tokens."""
-        self.texts_.extend(texts)
+    def note_grown(self) -> None:
+        """Take in that tokens were added."""
         self._notify()
 
     def end(self, answer: Answer) -> None:
@@ -91,10 +91,6 @@
             self.consumed_ = sequence
             self.on_consumed(sequence)
 
-    async def wait(self) -> None:
-        """Wait for the next change."""
-        await self.changed_.wait()
-
     def _notify(self) -> None:
         self.changed_.set()
         self.changed_ = asyncio.Event()
--- a/packages/leadford-server/src/leadford_server/entry/_claims.py
+++ b/packages/leadford-server/src/leadford_server/entry/_claims.py
@@ -40,6 +40,13 @@
     future: asyncio.Future
 
 
+class ForwardedClaim(msgspec.Struct, frozen=True, eq=False):
+    """Hold a claim that another entry was asked to place."""
+
+    peer: PeerConnection
+    future: asyncio.Future
+
+
 class ShardWriter:
     """Write the claims of one shard in batches, one write in flight.
 
@@ -223,7 +230,7 @@
         self.random = random
         self.writers_by_shard_: dict[int, ShardWriter] = {}
         self.config_ = FleetConfig()
-        self.forwarded_by_id_: dict[str, asyncio.Future] = {}
+        self.forwarded_by_id_: dict[str, ForwardedClaim] = {}
         self.abandoned_by_request_: OrderedDict[str, str] = OrderedDict()
 
     def apply_config(self, config: FleetConfig) -> None:
@@ -265,7 +272,7 @@
         if peer is None or not peer.send(ClaimRequest(claim_id, request_id, 0.0)):
             return None
         future = asyncio.get_running_loop().create_future()
-        self.forwarded_by_id_[claim_id] = future
+        self.forwarded_by_id_[claim_id] = ForwardedClaim(peer, future)
         try:
             return await asyncio.wait_for(future, FORWARD_S)
         except TimeoutError:
@@ -297,15 +304,21 @@
     def peer_message(self, peer: PeerConnection, message: Message) -> bool:
         """Take a message about claims; return whether it was one."""
         if isinstance(message, ClaimAnswer):
-            future = self.forwarded_by_id_.get(message.claim_id)
-            if future is not None and not future.done():
-                future.set_result(message.verdict)
+            forwarded = self.forwarded_by_id_.get(message.claim_id)
+            if forwarded is not None and not forwarded.future.done():
+                forwarded.future.set_result(message.verdict)
             return True
         if isinstance(message, ClaimRequest):
             self._serve(peer, message)
             return True
         return False
 
+    def peer_lost(self, peer: PeerConnection) -> None:
+        """Stop waiting for an owner that is gone; its claims are placed from here."""
+        for forwarded in self.forwarded_by_id_.values():
+            if forwarded.peer is peer and not forwarded.future.done():
+                forwarded.future.set_result(None)
+
     def _serve(self, peer: PeerConnection, request: ClaimRequest) -> None:
         request_id = RequestId(request.request_id)
         shard = shard_of(request_id, self.config_.tuning.claim_shards)
--- a/packages/leadford-server/src/leadford_server/entry/_entries.py
+++ b/packages/leadford-server/src/leadford_server/entry/_entries.py
@@ -70,7 +70,7 @@
 
     def _is_down(self, entry_id: EntryId) -> bool:
         dialer = self.dialers_by_id_.get(entry_id)
-        return dialer is not None and dialer.failures_ > 1
+        return dialer is not None and dialer.failures_ > 0
 
     def is_relay(self) -> bool:
         """Tell whether this entry watches the store for its hall."""
--- a/packages/leadford-server/src/leadford_server/entry/_http.py
+++ b/packages/leadford-server/src/leadford_server/entry/_http.py
@@ -106,7 +106,7 @@
         while buffer.final_ is None:
             if not await self.wait_for_change(buffer):
                 return
-            buffer.note_consumed(len(buffer.texts_))
+            buffer.note_consumed(len(buffer.texts))
         final = buffer.final_
         if final.problem is not None:
             self.refuse(final.problem, final.outcome, run.request_id)
@@ -115,8 +115,8 @@
         self.set_header("Leadford-Outcome", final.outcome.value)
         self.set_header("Leadford-Request-Id", run.request_id)
         head = {"request_id": run.request_id, "retries": run.retries_}
-        if buffer.texts_:
-            head["text"] = "".join(buffer.texts_)
+        if buffer.texts:
+            head["text"] = "".join(buffer.texts)
         opening = json.dumps(head).encode()[:-1]
         self.finish(b"".join((opening, b',"result":', final.result, b"}")))
 
@@ -124,7 +124,8 @@
         """Wait until the answer grew; return False when the caller is gone."""
         if self.gone_.is_set():
             return False
-        grown = asyncio.ensure_future(buffer.wait())
+        # The event is taken before any other task runs: a change from here on sets it.
+        grown = asyncio.ensure_future(buffer.changed_.wait())
         gone = asyncio.ensure_future(self.gone_.wait())
         try:
             await asyncio.wait((grown, gone), return_when=asyncio.FIRST_COMPLETED)
@@ -164,10 +165,11 @@
         buffer = self.run.answer_
         handler = self.handler
         while True:
-            texts = buffer.texts_[self.sent :]
+            texts = buffer.texts[self.sent :]
             if texts:
                 self._start()
                 self.sent += len(texts)
+                buffer.shown_ = max(buffer.shown_, self.sent)
                 handler.write(self._event("token", {"text": "".join(texts)}))
             elif buffer.final_ is not None:
                 break
@@ -214,7 +216,7 @@
             data = {
                 "outcome": final.outcome.value,
                 "request_id": self.run.request_id,
-                "tokens": len(self.run.answer_.texts_),
+                "tokens": len(self.run.answer_.texts),
                 "result": msgspec.Raw(final.result),
             }
             handler.write(self._event("result", data, last=True))
--- a/packages/leadford-server/src/leadford_server/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/entry/_process.py
@@ -142,6 +142,7 @@
         """Take in that a connection ended."""
         self.follower_.peer_lost(peer)
         self.entries_.lost(peer)
+        self.claims_.peer_lost(peer)
         self.table_.peer_lost(EndpointId(peer.info.peer_id))
 
     def peer_version(self, peer: PeerConnection, version: int) -> None:
--- a/packages/leadford-server/src/leadford_server/entry/_run.py
+++ b/packages/leadford-server/src/leadford_server/entry/_run.py
@@ -28,9 +28,10 @@
     NotHeld,
     Refused,
     Submit,
+    TokenPart,
     Tokens,
 )
-from leadford.retries import AttemptFailure, FailureKind
+from leadford.retries import AttemptFailure, FailureKind, RetryDecision
 from leadford.routing import EndpointView, RoutingRequest
 from leadford_server.entry._answers import Answer, AnswerBuffer, Problem
 from leadford_server.entry._directory import EndpointLink
@@ -115,7 +116,7 @@
         self.keyed = keyed
         self.services = services
         self.inbox_: asyncio.Queue[Message | PeerLost] = asyncio.Queue()
-        self.answer_ = AnswerBuffer(on_consumed=self._grant)
+        self.answer_ = AnswerBuffer(texts=execution.delivered_, on_consumed=self._grant)
         self.links_by_number_: dict[int, EndpointLink] = {}
         self.claimed_ = False
         self.cancel_asked_ = False
@@ -147,7 +148,7 @@
         self._abandon_live()
         if failure is None:
             return Answer(Outcome.COMPLETE, execution.previous_)
-        outcome = execution.failure_outcome()
+        outcome = execution.failure_outcome(shown=bool(self.answer_.shown_))
         self._report_failure(failure, outcome)
         return Answer(outcome, problem=self._problem(failure, outcome))
 
@@ -205,6 +206,8 @@
             if not decision.retry:
                 reason = decision.reason or failure.reason
                 return msgspec.structs.replace(failure, reason=reason)
+            if not self.answer_.shown_:
+                self.execution.restart_answer()
             self.retries_ += 1
             RETRIES_TOTAL.labels(stage=self.execution.stage.name).inc()
             self.services.log.report(
@@ -217,16 +220,15 @@
             if decision.wait_ms > 0:
                 await asyncio.sleep(decision.wait_ms / 1000.0)
 
-    def _decide_retry(self, failure: AttemptFailure):
+    def _decide_retry(self, failure: AttemptFailure) -> RetryDecision:
         execution = self.execution
         stage = execution.stage
         others = self._candidates()
         budget = execution.budget(self.services.clock())
         return self.services.retry_policy_.decide(
             failure,
-            # Tokens that were delivered tie the answer to its first endpoint.
-            repeatable=stage.repeatable and execution.sequence_ == 0,
-            attempt=execution.attempts_made_,
+            repeatable=stage.repeatable and not execution.diverged_,
+            attempt=execution.stage_attempts_,
             others=len(others) if not self.cancel_asked_ else 0,
             remaining_ms=budget.own_ms,
             needed_ms=0.0,
@@ -388,7 +390,7 @@
                 return failure
 
     def _hedge(self) -> None:
-        if self.execution.sequence_ or not self.services.budget_.try_spend():
+        if self.execution.delivered_ or not self.services.budget_.try_spend():
             return
         link = self._choose()
         if link is not None:
@@ -435,16 +437,40 @@
     def _take_tokens(self, message: Tokens) -> tuple[bool, AttemptFailure | None]:
         for part in message.parts:
             accepted = self.execution.accept_tokens(part)
-            fresh = accepted.value_or(None)
-            if fresh is None:
+            added = accepted.value_or(None)
+            if added is None:
                 self._stray(accepted.failure(), part.stage, part.attempt)
+                if accepted.failure() is StrayKind.DIVERGED:
+                    return self._diverged(part)
                 continue
-            if self.first_token_at_ is None:
+            if added and self.first_token_at_ is None:
                 self.first_token_at_ = self.services.clock()
-            TOKENS_TOTAL.inc(len(fresh))
-            self.answer_.append(fresh)
+            TOKENS_TOTAL.inc(added)
+            if added:
+                self.answer_.note_grown()
+            else:
+                self._grant_replayed(part)
         return False, None
 
+    def _diverged(self, part: TokenPart) -> tuple[bool, AttemptFailure | None]:
+        """Give up an answer whose second half would not fit its first."""
+        attempt = self.execution.match(part.stage, part.attempt).unwrap()
+        self._cancel_attempt(attempt)
+        failure = self._failure(
+            FailureKind.FAILED,
+            RefusalReason.ENDPOINT_LOST,
+            attempt.endpoint_id,
+            "another endpoint gave another text",
+        )
+        return True, failure
+
+    def _grant_replayed(self, part: TokenPart) -> None:
+        """Allow as many tokens as were only compared with what is known."""
+        peer = self.links_by_number_[part.attempt].peer
+        if peer is not None:
+            count = len(part.texts)
+            peer.send(Credit(self.request_id, part.stage, part.attempt, count))
+
     def _take_done(self, done: Done) -> tuple[bool, AttemptFailure | None]:
         accepted = self.execution.accept_done(done)
         attempt = accepted.value_or(None)
@@ -470,7 +496,7 @@
         if pool is not None:
             latency_ms = done.service_ms
             if self.execution.stage.expected_tokens:
-                latency_ms /= max(1, done.sequence or self.execution.sequence_)
+                latency_ms /= max(1, done.sequence)
             pool.ejector.note_success(attempt.endpoint_id, latency_ms, now)
             self.services.directory.report_ejections(self.execution.stage.pool)
         if self.body.prefix and done.prefill_tokens and not done.cached_tokens:
--- a/packages/leadford-server/src/leadford_server/store/_client.py
+++ b/packages/leadford-server/src/leadford_server/store/_client.py
@@ -8,6 +8,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
 from leadford_server.metrics import STORE_CALLS_TOTAL
+from leadford_server.web import fetch
 
 TIMEOUT_S = 2.0
 WATCH_S = 30.0
@@ -111,7 +112,7 @@
     async def _call(
         self, kind: str, request: HTTPRequest
     ) -> Result[HTTPResponse, StoreError]:
-        response = await self.http.fetch(request, raise_error=False)
+        response = await fetch(self.http, request)
         if response.code in (200, 204):
             STORE_CALLS_TOTAL.labels(kind=kind, end="ok").inc()
             return Success(response)
--- a/packages/leadford-standins/src/leadford_standins/endpoints/_engine.py
+++ b/packages/leadford-standins/src/leadford_standins/endpoints/_engine.py
@@ -281,7 +281,7 @@
             lines = []
             for text in stream.texts[sent : stream.generated_]:
                 choice = {"index": 0, "text": text, "finish_reason": None}
-                chunk = {"id": echo, "object": "text_completion", "choices": [choice]}
+                chunk = {"id": echo, "model": stream.version, "choices": [choice]}
                 lines.append(f"data: {json.dumps(chunk)}\n\n")
             sent = stream.generated_
             handler.write("".join(lines))
--- a/packages/leadford-standins/src/leadford_standins/fleet/_presets.py
+++ b/packages/leadford-standins/src/leadford_standins/fleet/_presets.py
@@ -63,7 +63,7 @@
     """Return Damier Fleet's deployment: game rooms, attainment first."""
     halls = ["dakar-1", "dakar-2", "dakar-3", "dakar-4"]
     builder = _Builder(halls)
-    builder.add("engines", "engine", engines, concurrency=8, step_ms=8.0)
+    builder.add("engines", "engine", engines, concurrency=8, step_ms=20.0)
     builder.add("encoders", "encoder", 2, concurrency=4, service_ms=6.0)
     builder.add("retrievers", "retriever", 2, concurrency=4, service_ms=8.0)
     builder.add("rerankers", "reranker", 2, concurrency=4, service_ms=10.0)
@@ -90,7 +90,7 @@
                 "stages": [
                     encode,
                     retrieve,
-                    _stage("generate", "engines", 150, expected_tokens=12),
+                    _stage("generate", "engines", 280, expected_tokens=12),
                 ],
             },
             "review": {
@@ -100,7 +100,7 @@
                     encode,
                     retrieve,
                     rerank,
-                    _stage("generate", "engines", 500, expected_tokens=48),
+                    _stage("generate", "engines", 1150, expected_tokens=48),
                 ],
             },
             "move": {
@@ -131,7 +131,7 @@
     """Return the Association's deployment: school admissions, cost first."""
     halls = ["bogota-1", "bogota-2", "bogota-3", "bogota-4"]
     builder = _Builder(halls)
-    builder.add("engines", "engine", engines, concurrency=8, step_ms=8.0)
+    builder.add("engines", "engine", engines, concurrency=8, step_ms=20.0)
     builder.add("encoders", "encoder", 3, concurrency=4, service_ms=30.0)
     builder.add("retrievers", "retriever", 2, concurrency=4, service_ms=8.0)
     builder.add("rerankers", "reranker", 2, concurrency=4, service_ms=12.0)
@@ -160,7 +160,7 @@
                     encode,
                     retrieve,
                     rerank,
-                    _stage("generate", "engines", 500, expected_tokens=48),
+                    _stage("generate", "engines", 1150, expected_tokens=48),
                 ],
             },
             "question": {
@@ -170,7 +170,7 @@
                     encode,
                     retrieve,
                     rerank,
-                    _stage("generate", "engines", 250, expected_tokens=24),
+                    _stage("generate", "engines", 580, expected_tokens=24),
                 ],
             },
             "decision": {
@@ -178,7 +178,7 @@
                 "deadline_ms": 1500,
                 "weight": 3.0,
                 "stages": [
-                    _stage("draft", "engines", 100, expected_tokens=8),
+                    _stage("draft", "engines", 190, expected_tokens=8),
                     _stage("notify", "notices", 10, repeatable=False, effect=True),
                 ],
             },
--- a/packages/leadford/src/leadford/execution/_request.py
+++ b/packages/leadford/src/leadford/execution/_request.py
@@ -25,6 +25,7 @@
     REPEATED = "repeated"
     GAP = "gap"
     AFTER_END = "after-end"
+    DIVERGED = "diverged"
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -75,10 +76,14 @@
         self.stage_index_ = 0
         self.previous_ = b"null"
         self.attempts_made_ = 0
+        self.stage_attempts_ = 0
         self.live_by_number_: dict[AttemptNumber, Attempt] = {}
         self.ended_numbers_: set[AttemptNumber] = set()
         self.tried_endpoints_: set[EndpointId] = set()
-        self.sequence_ = 0
+        self.delivered_: list[str] = []
+        self.sequences_by_number_: dict[AttemptNumber, int] = {}
+        self.model_version_ = ""
+        self.diverged_ = False
         self.effect_may_have_left_ = False
         self.anything_may_have_left_ = False
 
@@ -107,6 +112,7 @@
     def begin(self, endpoint_id: EndpointId, now: float) -> Attempt:
         """Begin an attempt of the stage that runs now; call before a byte leaves."""
         self.attempts_made_ += 1
+        self.stage_attempts_ += 1
         number = AttemptNumber(self.attempts_made_)
         attempt = Attempt(StageId(self.stage.name), number, endpoint_id, now)
         self.live_by_number_[number] = attempt
@@ -151,22 +157,41 @@
             return Failure(StrayKind.AFTER_END)
         return Failure(StrayKind.NO_ATTEMPT)
 
-    def accept_tokens(self, part: TokenPart) -> Result[list[str], StrayKind]:
-        """Return the tokens that are new, in order.
+    def accept_tokens(self, part: TokenPart) -> Result[int, StrayKind]:
+        """Take the tokens that are new; return how many were added to the answer.
 
-        Errors: a part of another attempt, one seen before, or one past a gap.
+        A later attempt begins at 0 again. What was delivered already is compared with
+        it, so that the answer goes on only with the same text of the same model.
+
+        Errors: a part of another attempt, one seen before, one past a gap, or one
+        that differs from what was delivered.
         """
         matched = self.match(part.stage, part.attempt)
         if isinstance(matched, Failure):
             return Failure(matched.failure())
-        if part.sequence > self.sequence_:
+        number = matched.unwrap().number
+        position = self.sequences_by_number_.get(number, 0)
+        if part.sequence > position:
             return Failure(StrayKind.GAP)
-        seen = self.sequence_ - part.sequence
+        seen = position - part.sequence
         if seen >= len(part.texts):
             return Failure(StrayKind.REPEATED)
         fresh = part.texts[seen:]
-        self.sequence_ += len(fresh)
-        return Success(fresh)
+        known = self.delivered_[position : position + len(fresh)]
+        same_model = self.model_version_ in ("", part.model_version)
+        if known != fresh[: len(known)] or (known and not same_model):
+            self.diverged_ = True
+            return Failure(StrayKind.DIVERGED)
+        self.model_version_ = part.model_version
+        self.sequences_by_number_[number] = position + len(fresh)
+        added = fresh[len(known) :]
+        self.delivered_.extend(added)
+        return Success(len(added))
+
+    def restart_answer(self) -> None:
+        """Forget tokens that no caller was shown, so that an attempt begins anew."""
+        self.delivered_.clear()
+        self.model_version_ = ""
 
     def accept_done(self, done: Done) -> Result[Attempt, StrayKind]:
         """Return the attempt that ended, once every token before its end arrived.
@@ -176,7 +201,8 @@
         matched = self.match(done.stage, done.attempt)
         if isinstance(matched, Failure):
             return matched
-        if self.is_final_stage and done.sequence > self.sequence_:
+        position = self.sequences_by_number_.get(AttemptNumber(done.attempt), 0)
+        if self.is_final_stage and done.sequence > position:
             return Failure(StrayKind.GAP)
         self.end_attempt(matched.unwrap())
         return matched
@@ -185,12 +211,16 @@
         """Take the stage's result and move to the next stage."""
         self.previous_ = result
         self.stage_index_ += 1
+        self.stage_attempts_ = 0
         self.tried_endpoints_.clear()
         for attempt in list(self.live_by_number_.values()):
             self.end_attempt(attempt)
 
-    def failure_outcome(self) -> Outcome:
-        """Return what may truly be said of a request that is given up now."""
-        if self.effect_may_have_left_ or self.sequence_ > 0:
+    def failure_outcome(self, *, shown: bool) -> Outcome:
+        """Return what may truly be said of a request that is given up now.
+
+        `shown` tells that the caller has read a part of the answer.
+        """
+        if self.effect_may_have_left_ or shown:
             return Outcome.UNKNOWN
         return Outcome.NOT_RUN
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -112,6 +112,7 @@
     attempt: int
     sequence: int
     texts: list[str]
+    model_version: str = ""
 
 
 class Tokens(_Base, tag=9):
--- a/packages/leadford/src/leadford/results/_kept.py
+++ b/packages/leadford/src/leadford/results/_kept.py
@@ -29,6 +29,7 @@
         self.ended_at_: float | None = None
         self.cursors_by_peer_: dict[str, StreamCursor] = {}
         self.bytes_ = 0
+        self.model_version_ = ""
 
     def attach(self, peer_id: str, sequence: int, credit: int) -> None:
         """Start feeding a connection from a sequence on."""
@@ -44,8 +45,9 @@
         if cursor is not None:
             cursor.credit_ += tokens
 
-    def append(self, texts: list[str]) -> None:
+    def append(self, texts: list[str], model_version: str) -> None:
         """Add tokens from the endpoint."""
+        self.model_version_ = model_version
         self.texts_.extend(texts)
         self.bytes_ += sum(len(text) for text in texts)
 
