Test the decisions, and mend three faults the tests found

Cause: under weighted fair queueing finish tags were kept for ever when the queue ran empty between arrivals; a chunk dropped by one operator's change could be removed after another's change had stored the same content again; a fault of the objective was listed under a wrong path. Change: tags are forgotten when nobody waits; chunk keys carry the version that stored them; the path is right.

--- a/packages/leadford-server/src/leadford_server/config/_follower.py
+++ b/packages/leadford-server/src/leadford_server/config/_follower.py
@@ -102,7 +102,7 @@
                 answer_head(peer, self.tracker_.head_)
             return True
         if isinstance(message, ChunkRequest):
-            answer_chunks(peer, message, self.tracker_.data_by_digest_)
+            answer_chunks(peer, message, self.tracker_.data_by_key_)
             return True
         if isinstance(message, HeadAnswer | ChunkAnswer):
             source = self.sources_by_peer_.get(peer)
@@ -186,7 +186,7 @@
         head = stored.head
         if not self.tracker_.is_newer(head.version):
             return False
-        fetched = await source.chunks(self.tracker_.missing_digests(head))
+        fetched = await source.chunks(self.tracker_.missing_keys(head))
         if isinstance(fetched, Failure):
             self.log.report(
                 Event.CONFIG_UNREADABLE, version=head.version, error=fetched.failure()
--- a/packages/leadford-server/src/leadford_server/config/_source.py
+++ b/packages/leadford-server/src/leadford_server/config/_source.py
@@ -36,8 +36,8 @@
     async def head(self) -> Result[StoredHead, str]:
         """Return the newest head of the source."""
 
-    async def chunks(self, digests: list[str]) -> Result[dict[str, bytes], str]:
-        """Return chunks by digest."""
+    async def chunks(self, keys: list[str]) -> Result[dict[str, bytes], str]:
+        """Return chunks by key."""
 
 
 def head_from_value(value: StoredValue) -> Result[StoredHead, str]:
@@ -61,17 +61,17 @@
             return Failure(read.failure().kind.value)
         return head_from_value(read.unwrap())
 
-    async def chunks(self, digests: list[str]) -> Result[dict[str, bytes], str]:
+    async def chunks(self, keys: list[str]) -> Result[dict[str, bytes], str]:
         """Read chunk objects, a few at a time."""
-        data_by_digest: dict[str, bytes] = {}
-        for start in range(0, len(digests), CHUNKS_AT_ONCE):
-            group = digests[start : start + CHUNKS_AT_ONCE]
-            reads = [self.store.get(CHUNK_PREFIX + digest) for digest in group]
-            for digest, read in zip(group, await asyncio.gather(*reads), strict=True):
+        data_by_key: dict[str, bytes] = {}
+        for start in range(0, len(keys), CHUNKS_AT_ONCE):
+            group = keys[start : start + CHUNKS_AT_ONCE]
+            reads = [self.store.get(CHUNK_PREFIX + key) for key in group]
+            for key, read in zip(group, await asyncio.gather(*reads), strict=True):
                 if isinstance(read, Failure):
-                    return Failure(f"chunk {digest}: {read.failure().kind.value}")
-                data_by_digest[digest] = read.unwrap().data
-        return Success(data_by_digest)
+                    return Failure(f"chunk {key}: {read.failure().kind.value}")
+                data_by_key[key] = read.unwrap().data
+        return Success(data_by_key)
 
 
 class PeerSource:
@@ -81,7 +81,7 @@
         self.peer = peer
         self.head_answer_: asyncio.Future[HeadAnswer] | None = None
         self.wanted_: set[str] = set()
-        self.data_by_digest_: dict[str, bytes] = {}
+        self.data_by_key_: dict[str, bytes] = {}
         self.all_here_ = asyncio.Event()
 
     async def head(self) -> Result[StoredHead, str]:
@@ -97,17 +97,17 @@
             return Failure(str(decoded.failure()))
         return Success(StoredHead(decoded.unwrap(), 0))
 
-    async def chunks(self, digests: list[str]) -> Result[dict[str, bytes], str]:
+    async def chunks(self, keys: list[str]) -> Result[dict[str, bytes], str]:
         """Ask the peer for chunks."""
-        if not digests:
+        if not keys:
             return Success({})
-        self.wanted_ = set(digests)
-        self.peer.send(ChunkRequest(digests))
+        self.wanted_ = set(keys)
+        self.peer.send(ChunkRequest(keys))
         try:
             await asyncio.wait_for(self.all_here_.wait(), PEER_ANSWER_S * 3)
         except TimeoutError:
             return Failure("peer sent only part of the chunks")
-        return Success(self.data_by_digest_)
+        return Success(self.data_by_key_)
 
     def take(self, message: Message) -> None:
         """Take in an answer of the peer."""
@@ -115,9 +115,9 @@
             if self.head_answer_ is not None and not self.head_answer_.done():
                 self.head_answer_.set_result(message)
             return
-        if isinstance(message, ChunkAnswer) and message.digest in self.wanted_:
-            self.data_by_digest_[message.digest] = message.chunk
-            if len(self.data_by_digest_) == len(self.wanted_):
+        if isinstance(message, ChunkAnswer) and message.key in self.wanted_:
+            self.data_by_key_[message.key] = message.chunk
+            if len(self.data_by_key_) == len(self.wanted_):
                 self.all_here_.set()
 
 
@@ -127,10 +127,10 @@
 
 
 def answer_chunks(
-    peer: PeerConnection, request: ChunkRequest, data_by_digest: dict[str, bytes]
+    peer: PeerConnection, request: ChunkRequest, data_by_key: dict[str, bytes]
 ) -> None:
     """Send a peer the chunks that are held here."""
-    for digest in request.digests:
-        data = data_by_digest.get(digest)
+    for key in request.keys:
+        data = data_by_key.get(key)
         if data is not None:
-            peer.send(ChunkAnswer(digest, data))
+            peer.send(ChunkAnswer(key, data))
--- a/packages/leadford-standins/src/leadford_standins/fleet/_processes.py
+++ b/packages/leadford-standins/src/leadford_standins/fleet/_processes.py
@@ -114,7 +114,7 @@
         """Write the first configuration into the empty store."""
         config = config_from_document(self.spec.config_document()).unwrap()
         for chunk in split(config).values():
-            url = f"{self.store_url}/objects/config/chunks/{chunk.digest}"
+            url = f"{self.store_url}/objects/config/chunks/{chunk.key}"
             _call("PUT", url, chunk.data)
         head = encode_head(make_head(config))
         _call("PUT", f"{self.store_url}/objects/config/head", head)
--- /dev/null
+++ b/packages/leadford/src/leadford/admission/tests/test_admission.py
@@ -0,0 +1,97 @@
+"""Work that cannot make its deadline is refused before it costs anything."""
+
+import pytest
+
+from leadford.admission import (
+    EndpointAdmission,
+    EntryAdmission,
+    PoolForecast,
+    StageNeed,
+    forecast_pool,
+)
+from leadford.common import RefusalReason
+from leadford.queues import QueuedAttempt, WorkspaceTerms, queue_policies
+from leadford.routing import EndpointView, LoadReport
+
+
+def make_admission(queue_limit=100):
+    queue = queue_policies.get("weighted_fair").from_config(
+        terms=lambda workspace: WorkspaceTerms()
+    )
+    admission = EndpointAdmission(queue=queue, concurrency=2, queue_limit=queue_limit)
+    for _ in range(50):
+        admission.estimate_.note("s", 100.0, 0)
+    return admission
+
+
+def item(key="k", priority=4, deadline_at=1.0):
+    return QueuedAttempt(key, "w", priority, deadline_at, 100.0, 0.0)
+
+
+def arrival(admission, queued, running=2, tail_ms=0.0):
+    return admission.check_arrival(queued, tail_ms=tail_ms, running=running, now=0.0)
+
+
+def test_an_idle_endpoint_takes_what_fits():
+    admission = make_admission()
+    assert arrival(admission, item(), running=0) is None
+    late = item(deadline_at=0.05)
+    assert arrival(admission, late, running=0) is RefusalReason.DEADLINE
+
+
+def test_the_queue_ahead_and_later_stages_count():
+    admission = make_admission()
+    assert arrival(admission, item()) is None
+    assert arrival(admission, item(), tail_ms=900.0) is RefusalReason.DEADLINE
+    for number in range(20):
+        admission.queue.push(item(f"q{number}"))
+    assert arrival(admission, item()) is RefusalReason.DEADLINE
+    assert arrival(admission, item(priority=0)) is None
+
+
+def test_a_full_queue_refuses():
+    admission = make_admission(queue_limit=1)
+    admission.queue.push(item("q"))
+    assert arrival(admission, item(priority=0)) is RefusalReason.QUEUE_FULL
+
+
+def test_what_waited_too_long_is_not_begun():
+    admission = make_admission()
+    start = admission.check_start(item(deadline_at=1.0), tail_ms=0.0, now=0.95)
+    assert start is RefusalReason.DEADLINE
+
+
+def decide(wait_ms, remaining_ms=500.0, live=0):
+    needs = [StageNeed("a", 20.0), StageNeed("b", 100.0, expected_tokens=10)]
+    forecasts = {
+        "a": PoolForecast(wait_ms, 10.0, 0.0),
+        "b": PoolForecast(0.0, 100.0, 20.0),
+    }
+    return EntryAdmission().decide(
+        needs, forecasts, remaining_ms=remaining_ms, live=live
+    )
+
+
+def test_an_entry_predicts_the_whole_pipeline():
+    assert decide(0.0).reason is None
+    assert decide(0.0).predicted_ms == pytest.approx(210.0)
+    refused = decide(1000.0)
+    assert refused.reason is RefusalReason.DEADLINE
+    assert 100.0 <= refused.retry_after_ms <= 1000.0
+    assert decide(0.0, live=10_000).reason is RefusalReason.QUEUE_FULL
+
+
+def test_a_pool_without_endpoints_refuses_at_once():
+    verdict = EntryAdmission().decide(
+        [StageNeed("a", 1.0)], {"a": None}, remaining_ms=1000.0, live=0
+    )
+    assert verdict.reason is RefusalReason.NO_ENDPOINT
+
+
+def test_an_old_report_fades_so_that_a_pool_is_tried_again():
+    view = EndpointView(endpoint_id="e", hall="h")
+    view.note_report(LoadReport(at_s=0.0, service_ms=10.0, wait_ms=800.0))
+    assert forecast_pool([view], 0.0).wait_ms == pytest.approx(800.0)
+    assert forecast_pool([view], 1.0).wait_ms == pytest.approx(400.0)
+    assert forecast_pool([view], 5.0).wait_ms == 0.0
+    assert forecast_pool([], 0.0) is None
--- a/packages/leadford/src/leadford/config/_change.py
+++ b/packages/leadford/src/leadford/config/_change.py
@@ -11,6 +11,7 @@
     ChunkDelta,
     ConfigChunk,
     ConfigHead,
+    digest_of_key,
     split,
 )
 
@@ -20,13 +21,13 @@
 
     head: ConfigHead
     new_chunks: tuple[ConfigChunk, ...]
-    dropped_digests: tuple[str, ...]
+    dropped_keys: tuple[str, ...]
 
 
 def make_head(config: FleetConfig) -> ConfigHead:
     """Return the head of a first version without audit records."""
-    digests = {name: chunk.digest for name, chunk in split(config).items()}
-    return ConfigHead(1, digests)
+    keys = {name: chunk.key for name, chunk in split(config).items()}
+    return ConfigHead(1, keys)
 
 
 def with_audit(head: ConfigHead, record: AuditRecord) -> ConfigHead:
@@ -48,13 +49,17 @@
     faults = check_config(config)
     if faults:
         return Failure(tuple(faults))
-    chunks_by_name = split(config)
-    digests = {name: chunk.digest for name, chunk in chunks_by_name.items()}
-    return Success(
-        _next_change(
-            head, digests, chunks_by_name, (command_id, operator, command, at_s)
-        )
-    )
+    keys: dict[str, str] = {}
+    new: list[ConfigChunk] = []
+    for name, chunk in split(config, head.version + 1).items():
+        known = head.keys_by_chunk.get(name, "")
+        if digest_of_key(known) == digest_of_key(chunk.key):
+            keys[name] = known
+            continue
+        keys[name] = chunk.key
+        new.append(chunk)
+    origin = (command_id, operator, command, at_s)
+    return Success(_next_change(head, keys, new, origin))
 
 
 def undo_to(
@@ -65,30 +70,30 @@
     if not oldest <= version < head.version:
         text = f"expected a version from {oldest} to {head.version - 1}"
         return Failure((ConfigFault("undo", text),))
-    digests = dict(head.digests_by_chunk)
+    keys = dict(head.keys_by_chunk)
     for record in reversed(head.audit):
         if record.version <= version:
             break
         for delta in record.deltas:
             if delta.before:
-                digests[delta.name] = delta.before
+                keys[delta.name] = delta.before
                 continue
-            digests.pop(delta.name, None)
+            keys.pop(delta.name, None)
     origin = (command_id, operator, f"undo {version}", at_s)
-    return Success(_next_change(head, digests, {}, origin))
+    return Success(_next_change(head, keys, [], origin))
 
 
 def _next_change(
     head: ConfigHead,
-    digests: dict[str, str],
-    chunks_by_name: dict[str, ConfigChunk],
+    keys: dict[str, str],
+    new: list[ConfigChunk],
     origin: tuple[str, str, str, float],
 ) -> ConfigChange:
     command_id, operator, command, at_s = origin
     deltas: list[ChunkDelta] = []
-    for name in sorted({*head.digests_by_chunk, *digests}):
-        before = head.digests_by_chunk.get(name, "")
-        after = digests.get(name, "")
+    for name in sorted({*head.keys_by_chunk, *keys}):
+        before = head.keys_by_chunk.get(name, "")
+        after = keys.get(name, "")
         if before != after:
             deltas.append(ChunkDelta(name, before, after))
     record = AuditRecord(
@@ -100,18 +105,16 @@
         command=command,
         deltas=tuple(deltas),
     )
-    bare = ConfigHead(head.version + 1, digests, head.audit)
+    bare = ConfigHead(head.version + 1, keys, head.audit)
     next_head = with_audit(bare, record)
-    stored = _reachable(head)
-    new = [chunk for chunk in chunks_by_name.values() if chunk.digest not in stored]
-    dropped = stored - _reachable(next_head)
+    dropped = _reachable(head) - _reachable(next_head)
     return ConfigChange(next_head, tuple(new), tuple(sorted(dropped)))
 
 
 def _reachable(head: ConfigHead) -> set[str]:
-    digests = set(head.digests_by_chunk.values())
+    keys = set(head.keys_by_chunk.values())
     for record in head.audit:
-        digests.update(delta.before for delta in record.deltas)
-        digests.update(delta.after for delta in record.deltas)
-    digests.discard("")
-    return digests
+        keys.update(delta.before for delta in record.deltas)
+        keys.update(delta.after for delta in record.deltas)
+    keys.discard("")
+    return keys
--- a/packages/leadford/src/leadford/config/_check.py
+++ b/packages/leadford/src/leadford/config/_check.py
@@ -57,7 +57,7 @@
         parts_by_table[table] = _convert_table(document, table, kind, faults)
     tuning = _convert(document.get("tuning", {}), TuningConfig, "tuning", faults)
     head = {"objective": document.get("objective", "attainment")}
-    shell = _convert(head, FleetConfig, "objective", faults)
+    shell = _convert(head, FleetConfig, "", faults)
     if faults:
         return Failure(tuple(faults))
     config = msgspec.structs.replace(shell, tuning=tuning, **parts_by_table)
@@ -92,7 +92,7 @@
         return msgspec.convert(value, kind)
     except msgspec.ValidationError as error:
         text, _, where = str(error).partition(" - at `$")
-        faults.append(ConfigFault(path + where.rstrip("`"), text))
+        faults.append(ConfigFault((path + where.rstrip("`")).lstrip("."), text))
         return None
 
 
--- a/packages/leadford/src/leadford/config/_store_form.py
+++ b/packages/leadford/src/leadford/config/_store_form.py
@@ -1,6 +1,6 @@
 """Keep a configuration in the store as a head and immutable chunks.
 
-The head names every chunk by digest and carries the last audit records, so one
+The head names every chunk by key and carries the last audit records, so one
 conditional update of it accepts a change and its record together. Workspaces are
 spread over many chunks by a hash of their id: a change of one rewrites one chunk.
 """
@@ -22,7 +22,7 @@
 
 
 class ChunkDelta(msgspec.Struct, frozen=True, array_like=True):
-    """Say how one chunk changed; an empty digest stands for no chunk."""
+    """Say how one chunk changed, by key; an empty key stands for no chunk."""
 
     name: str
     before: str
@@ -45,47 +45,54 @@
 
 
 class ConfigHead(msgspec.Struct, frozen=True, array_like=True):
-    """Name the chunks of one configuration version."""
+    """Name the chunks of one configuration version by their keys."""
 
     version: int
-    digests_by_chunk: dict[str, str]
+    keys_by_chunk: dict[str, str]
     audit: tuple[AuditRecord, ...] = ()
 
 
 class ConfigChunk(msgspec.Struct, frozen=True):
-    """Hold one encoded chunk and the name it goes by."""
+    """Hold one encoded chunk, the name it goes by and the key it is stored under."""
 
     name: str
-    digest: str
+    key: str
     data: bytes
 
 
 def chunk_digest(data: bytes) -> str:
-    """Return the digest by which a chunk is stored."""
+    """Return the digest that a chunk's key ends with."""
     return blake2b(data, digest_size=16).hexdigest()
 
 
-def _chunk(name: str, value: Any) -> ConfigChunk:
+def digest_of_key(key: str) -> str:
+    """Return the digest in a chunk's key."""
+    return key.rpartition("-")[2]
+
+
+def _chunk(name: str, value: Any, version: int) -> ConfigChunk:
     data = cbor2.dumps(msgspec.to_builtins(value), canonical=True)
-    return ConfigChunk(name, chunk_digest(data), data)
+    # The version in the key keeps a late removal of an old chunk from hitting a new
+    # one of the same content.
+    return ConfigChunk(name, f"{version}-{chunk_digest(data)}", data)
 
 
-def split(config: FleetConfig) -> dict[str, ConfigChunk]:
-    """Return the chunks of a configuration by name."""
+def split(config: FleetConfig, version: int = 1) -> dict[str, ConfigChunk]:
+    """Return the chunks of a configuration by name, with keys of a version."""
     chunks_by_name: dict[str, ConfigChunk] = {}
     base = msgspec.structs.replace(config, workspaces={})
-    chunks_by_name[BASE_CHUNK] = _chunk(BASE_CHUNK, base)
+    chunks_by_name[BASE_CHUNK] = _chunk(BASE_CHUNK, base, version)
     workspaces_by_chunk: dict[str, dict[str, WorkspaceConfig]] = {}
     for name, workspace in config.workspaces.items():
         chunk_name = f"workspaces-{stable_hash(name) % WORKSPACE_CHUNKS:02d}"
         workspaces_by_chunk.setdefault(chunk_name, {})[name] = workspace
     for chunk_name, workspaces in workspaces_by_chunk.items():
-        chunks_by_name[chunk_name] = _chunk(chunk_name, workspaces)
+        chunks_by_name[chunk_name] = _chunk(chunk_name, workspaces, version)
     return chunks_by_name
 
 
 def assemble(
-    head: ConfigHead, data_by_digest: dict[str, bytes]
+    head: ConfigHead, data_by_key: dict[str, bytes]
 ) -> Result[FleetConfig, ConfigFault]:
     """Build the configuration that a head names.
 
@@ -93,11 +100,11 @@
     """
     workspaces: dict[str, WorkspaceConfig] = {}
     base: FleetConfig | None = None
-    for name, digest in sorted(head.digests_by_chunk.items()):
-        data = data_by_digest.get(digest)
+    for name, key in sorted(head.keys_by_chunk.items()):
+        data = data_by_key.get(key)
         if data is None:
             return Failure(ConfigFault(f"chunk {name}", "missing"))
-        if chunk_digest(data) != digest:
+        if chunk_digest(data) != digest_of_key(key):
             return Failure(ConfigFault(f"chunk {name}", "digest does not match"))
         kind = FleetConfig if name == BASE_CHUNK else dict[str, WorkspaceConfig]
         try:
@@ -136,7 +143,7 @@
     def __init__(self) -> None:
         self.head_: ConfigHead | None = None
         self.config_: FleetConfig | None = None
-        self.data_by_digest_: dict[str, bytes] = {}
+        self.data_by_key_: dict[str, bytes] = {}
         self.unread_version_ = 0
         self.unread_fault_: ConfigFault | None = None
 
@@ -149,13 +156,13 @@
         """Tell whether a version lies ahead of the one in force."""
         return version > self.version
 
-    def missing_digests(self, head: ConfigHead) -> list[str]:
-        """Return the digests that must be fetched before a head can be taken."""
-        wanted = set(head.digests_by_chunk.values())
-        return sorted(wanted - set(self.data_by_digest_))
+    def missing_keys(self, head: ConfigHead) -> list[str]:
+        """Return the keys that must be fetched before a head can be taken."""
+        wanted = set(head.keys_by_chunk.values())
+        return sorted(wanted - set(self.data_by_key_))
 
     def offer(
-        self, head: ConfigHead, fetched_by_digest: dict[str, bytes]
+        self, head: ConfigHead, fetched_by_key: dict[str, bytes]
     ) -> Result[FleetConfig, ConfigFault]:
         """Take a head and its chunks if it is newer and whole.
 
@@ -164,8 +171,8 @@
         """
         if not self.is_newer(head.version):
             return Failure(ConfigFault("head", f"version {head.version} is not newer"))
-        data_by_digest = {**self.data_by_digest_, **fetched_by_digest}
-        result = assemble(head, data_by_digest)
+        data_by_key = {**self.data_by_key_, **fetched_by_key}
+        result = assemble(head, data_by_key)
         if isinstance(result, Failure):
             self.unread_version_ = head.version
             self.unread_fault_ = result.failure()
@@ -174,6 +181,6 @@
         self.config_ = result.unwrap()
         self.unread_version_ = 0
         self.unread_fault_ = None
-        wanted = set(head.digests_by_chunk.values())
-        self.data_by_digest_ = {d: data_by_digest[d] for d in wanted}
+        wanted = set(head.keys_by_chunk.values())
+        self.data_by_key_ = {key: data_by_key[key] for key in wanted}
         return result
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -240,15 +240,15 @@
 
 
 class ChunkRequest(_Base, tag=22):
-    """Ask a peer for configuration chunks by digest."""
+    """Ask a peer for configuration chunks by key."""
 
-    digests: list[str]
+    keys: list[str]
 
 
 class ChunkAnswer(_Base, tag=23):
     """Answer with one configuration chunk."""
 
-    digest: str
+    key: str
     chunk: bytes
 
 
--- /dev/null
+++ b/packages/leadford/src/leadford/protocol/tests/test_codec.py
@@ -0,0 +1,74 @@
+"""Frames survive the trip; anything else is an error, never an exception."""
+
+from random import Random
+
+import cbor2
+import msgspec
+import pytest
+from hypothesis import given, strategies as st
+from returns.result import Failure
+
+from leadford.protocol import (
+    Done,
+    DoneStatus,
+    Load,
+    Submit,
+    TokenPart,
+    Tokens,
+    decode,
+    encode,
+    make_nonce,
+    make_proof,
+    proof_matches,
+)
+
+LOAD = Load(1, 2, 3, 4.0, 5.0, 6)
+MESSAGES = [
+    Submit("r", "s", 1, "p", "w", 0, 1.5, True, False, 64, b'{"a":1}'),
+    Tokens([TokenPart("r", "s", 1, 0, ["é", "x"])]),
+    Done("r", "s", 1, DoneStatus.OK, 3, b"null", 1.0, 2.0, load=LOAD),
+    LOAD,
+]
+
+
+def test_frames_survive_the_trip():
+    frame = decode(encode(7, MESSAGES)).unwrap()
+    assert frame.config_version == 7
+    assert frame.messages == MESSAGES
+
+
+def test_later_fields_are_ignored_and_missing_ones_filled_in():
+    newer = cbor2.dumps([1, [[5, 1, 2, 3, 4.0, 5.0, 6, 0.0, "", "newer"]]])
+    older = cbor2.dumps([1, [[5, 1, 2, 3, 4.0, 5.0, 6]]])
+    assert decode(newer).unwrap().messages == [LOAD]
+    assert decode(older).unwrap().messages == [LOAD]
+
+
+@given(st.binary(max_size=200))
+def test_noise_is_an_error(data):
+    result = decode(data)
+    if not isinstance(result, Failure):
+        assert msgspec.to_builtins(result.unwrap().messages) == []
+
+
+@given(st.integers(0, 200))
+def test_a_truncated_frame_is_an_error(length):
+    whole = encode(1, MESSAGES)
+    assert isinstance(decode(whole[: min(length, len(whole) - 1)]), Failure)
+
+
+@pytest.mark.parametrize(
+    "data",
+    ["text", cbor2.dumps([1, [[999]]]), cbor2.dumps([1, [[5, "x"]]]), b"\x9f" * 2000],
+)
+def test_wrong_shapes_are_errors(data):
+    assert isinstance(decode(data), Failure)
+
+
+def test_a_proof_holds_for_its_peers_and_nonce_only():
+    nonce = make_nonce(Random(1))
+    proof = make_proof(b"secret", nonce, "a", "b")
+    assert proof_matches(proof, b"secret", nonce, "a", "b")
+    assert not proof_matches(proof, b"secret", nonce, "b", "a")
+    assert not proof_matches(proof, b"other", nonce, "a", "b")
+    assert not proof_matches(proof, b"secret", make_nonce(Random(2)), "a", "b")
--- a/packages/leadford/src/leadford/queues/_fair.py
+++ b/packages/leadford/src/leadford/queues/_fair.py
@@ -53,6 +53,9 @@
                 self._schedule(workspace)
             else:
                 del self.flows_by_workspace_[workspace]
+            if not self.flows_by_workspace_:
+                # With nobody waiting, nobody is owed anything.
+                self.finish_tags_.clear()
             self._prune()
             return key
         return None
