--- a/packages/leadford-server/src/leadford_server/entry/_answers.py
+++ b/packages/leadford-server/src/leadford_server/entry/_answers.py
@@ -61,6 +61,26 @@
     return msgspec.json.encode(document)
 
 
+class AnswerReader:
+    """Wake one reader when the answer grew or its caller is gone."""
+
+    def __init__(self) -> None:
+        self.wake_ = asyncio.Event()
+        self.gone_ = False
+
+    async def wait(self) -> bool:
+        """Wait for the next change; return False when the caller is gone."""
+        if not self.gone_:
+            await self.wake_.wait()
+        self.wake_.clear()
+        return not self.gone_
+
+    def leave(self) -> None:
+        """Take in that the caller is gone."""
+        self.gone_ = True
+        self.wake_.set()
+
+
 class AnswerBuffer:
     """Gather tokens and the end; tell the producer how far readers have come."""
 
@@ -70,27 +90,23 @@
         self.shown_ = 0
         self.final_: Answer | None = None
         self.locator_ = ""
-        self.readers_ = 0
-        self.changed_ = asyncio.Event()
+        self.readers_: set[AnswerReader] = set()
         self.consumed_ = 0
 
     def note_grown(self) -> None:
-        """Take in that tokens were added."""
-        self._notify()
+        """Wake the readers: tokens were added."""
+        for reader in self.readers_:
+            reader.wake_.set()
 
     def end(self, answer: Answer) -> None:
         """Set the end, once."""
         if self.final_ is not None:
             raise AssertionError("a request was answered twice")
         self.final_ = answer
-        self._notify()
+        self.note_grown()
 
     def note_consumed(self, sequence: int) -> None:
         """Take in that a reader was sent tokens up to a sequence."""
         if sequence > self.consumed_:
             self.consumed_ = sequence
             self.on_consumed(sequence)
-
-    def _notify(self) -> None:
-        self.changed_.set()
-        self.changed_ = asyncio.Event()
--- a/packages/leadford-server/src/leadford_server/entry/_claims.py
+++ b/packages/leadford-server/src/leadford_server/entry/_claims.py
@@ -86,9 +86,9 @@
 
     async def _run(self) -> None:
         while self.pending_:
-            wait_s = self.pace.wait_s(self.clock())
-            if wait_s > 0:
-                await asyncio.sleep(wait_s)
+            # A timer may fire early, so the right to write is taken, not assumed.
+            while not self.pace.try_take(self.clock()):
+                await asyncio.sleep(self.pace.wait_s(self.clock()))
             if not await self._catch_up():
                 self._answer(self.pending_, ClaimVerdict.STORE_UNAVAILABLE)
                 self.pending_ = []
@@ -172,7 +172,6 @@
             self.events.report(Event.CLAIMS_FULL, slot=str(built.failure()))
             return ClaimVerdict.FULL
         write = built.unwrap()
-        self.pace.try_take(self.clock())
         started_at = self.clock()
         put = await self.store.put(write.name, write.data, write.expected_version)
         elapsed_s = self.clock() - started_at
--- a/packages/leadford-server/src/leadford_server/entry/_http.py
+++ b/packages/leadford-server/src/leadford_server/entry/_http.py
@@ -16,7 +16,7 @@
     RequestId,
     WorkspaceId,
 )
-from leadford_server.entry._answers import AnswerBuffer, Problem, problem_document
+from leadford_server.entry._answers import AnswerReader, Problem, problem_document
 from leadford_server.entry._requests import (
     Locator,
     NewRequest,
@@ -39,7 +39,7 @@
         """Store what the handler works on."""
         self.services = services
         self.table = table
-        self.gone_ = asyncio.Event()
+        self.reader_ = AnswerReader()
 
     def set_default_headers(self) -> None:
         """Leave out the server's name."""
@@ -47,7 +47,7 @@
 
     def on_connection_close(self) -> None:
         """Note that the caller is gone."""
-        self.gone_.set()
+        self.reader_.leave()
 
     def workspace(self) -> WorkspaceId | None:
         """Return the workspace of the API key, or answer 401."""
@@ -91,20 +91,20 @@
 
     async def answer(self, run: RequestRun, after: int) -> None:
         """Send the answer of a run, as events or whole."""
-        run.answer_.readers_ += 1
+        run.answer_.readers_.add(self.reader_)
         try:
             if self.wants_stream():
                 await _EventWriter(self, run, after).write()
             else:
                 await self._answer_whole(run)
         finally:
-            run.answer_.readers_ -= 1
+            run.answer_.readers_.discard(self.reader_)
             self._cancel_if_unread(run)
 
     async def _answer_whole(self, run: RequestRun) -> None:
         buffer = run.answer_
         while buffer.final_ is None:
-            if not await self.wait_for_change(buffer):
+            if not await self.reader_.wait():
                 return
             buffer.note_consumed(len(buffer.texts))
         final = buffer.final_
@@ -120,20 +120,6 @@
         opening = json.dumps(head).encode()[:-1]
         self.finish(b"".join((opening, b',"result":', final.result, b"}")))
 
-    async def wait_for_change(self, buffer: AnswerBuffer) -> bool:
-        """Wait until the answer grew; return False when the caller is gone."""
-        if self.gone_.is_set():
-            return False
-        # The event is taken before any other task runs: a change from here on sets it.
-        grown = asyncio.ensure_future(buffer.changed_.wait())
-        gone = asyncio.ensure_future(self.gone_.wait())
-        try:
-            await asyncio.wait((grown, gone), return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            grown.cancel()
-            gone.cancel()
-        return not self.gone_.is_set()
-
     def _cancel_if_unread(self, run: RequestRun) -> None:
         """Give up a run that nobody reads; a stream's caller gets time to return."""
         if run.answer_.final_ is not None or run.answer_.readers_:
@@ -173,7 +159,7 @@
                 handler.write(self._event("token", {"text": "".join(texts)}))
             elif buffer.final_ is not None:
                 break
-            elif not await handler.wait_for_change(buffer):
+            elif not await handler.reader_.wait():
                 return
             if texts:
                 try:
--- a/packages/leadford-server/src/leadford_server/entry/_run.py
+++ b/packages/leadford-server/src/leadford_server/entry/_run.py
@@ -66,6 +66,13 @@
     endpoint_id: EndpointId
 
 
+class AnswerDiverged(msgspec.Struct, frozen=True):
+    """Tell a run that a later attempt gives another text than was shown."""
+
+    stage: str
+    attempt: int
+
+
 class RequestBody(msgspec.Struct, frozen=True):
     """Hold what a caller sent.
 
@@ -115,7 +122,9 @@
         self.priority = priority
         self.keyed = keyed
         self.services = services
-        self.inbox_: asyncio.Queue[Message | PeerLost] = asyncio.Queue()
+        self.inbox_: asyncio.Queue[Message | PeerLost | AnswerDiverged] = (
+            asyncio.Queue()
+        )
         self.answer_ = AnswerBuffer(texts=execution.delivered_, on_consumed=self._grant)
         self.links_by_number_: dict[int, EndpointLink] = {}
         self.claimed_ = False
@@ -138,6 +147,10 @@
 
     def deliver(self, message: Message | PeerLost) -> None:
         """Take in a message for this request."""
+        if isinstance(message, Tokens):
+            # Tokens are the bulk of all messages and need no decision.
+            self._take_tokens(message)
+            return
         self.inbox_.put_nowait(message)
 
     def cancel(self) -> None:
@@ -425,11 +438,11 @@
         )
 
     def _take(
-        self, message: Message | PeerLost, effect_before: bool
+        self, message: Message | PeerLost | AnswerDiverged, effect_before: bool
     ) -> tuple[bool, AttemptFailure | None]:
         match message:
-            case Tokens():
-                return self._take_tokens(message)
+            case AnswerDiverged():
+                return self._take_diverged(message)
             case Done():
                 return self._take_done(message)
             case Refused():
@@ -440,14 +453,14 @@
                 return self._take_not_held(message)
         return False, None
 
-    def _take_tokens(self, message: Tokens) -> tuple[bool, AttemptFailure | None]:
+    def _take_tokens(self, message: Tokens) -> None:
         for part in message.parts:
             accepted = self.execution.accept_tokens(part)
             added = accepted.value_or(None)
             if added is None:
                 self._stray(accepted.failure(), part.stage, part.attempt)
                 if accepted.failure() is StrayKind.DIVERGED:
-                    return self._diverged(part)
+                    self.inbox_.put_nowait(AnswerDiverged(part.stage, part.attempt))
                 continue
             if added and self.first_token_at_ is None:
                 self.first_token_at_ = self.services.clock()
@@ -456,11 +469,15 @@
                 self.answer_.note_grown()
             else:
                 self._grant_replayed(part)
-        return False, None
 
-    def _diverged(self, part: TokenPart) -> tuple[bool, AttemptFailure | None]:
+    def _take_diverged(
+        self, diverged: AnswerDiverged
+    ) -> tuple[bool, AttemptFailure | None]:
         """Give up an answer whose second half would not fit its first."""
-        attempt = self.execution.match(part.stage, part.attempt).unwrap()
+        matched = self.execution.match(diverged.stage, diverged.attempt)
+        attempt = matched.value_or(None)
+        if attempt is None:
+            return False, None
         self._cancel_attempt(attempt)
         failure = self._failure(
             FailureKind.FAILED,
--- a/packages/leadford-server/src/leadford_server/main.py
+++ b/packages/leadford-server/src/leadford_server/main.py
@@ -7,6 +7,7 @@
 import sys
 
 import defopt
+import uvloop
 from absl import logging
 from returns.result import Failure, Result
 
@@ -111,7 +112,8 @@
             log.report(Event.SETTINGS_INVALID, fault=str(fault))
             print(f"leadfordd: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
-    return asyncio.run(_run(process_class, settings.unwrap()))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(_run(process_class, settings.unwrap()))
 
 
 async def _run(process_class: type, settings: object) -> int:
