Ship two traces and the replay command

Cause: a replay could only be run from code. Change: leadford replay reads a trace, disturbs a running fleet, checks the stated outcomes and writes a report; make-trace writes the shipped traces from their seeds; up stops its processes on SIGTERM too.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,4 @@
 
 bench: $(STAMP)
 	$(BIN)/python bench/path.py
+	$(BIN)/python bench/claims.py
--- a/packages/leadford-cli/src/leadford_cli/main.py
+++ b/packages/leadford-cli/src/leadford_cli/main.py
@@ -5,13 +5,21 @@
 from pathlib import Path
 
 import defopt
+import msgspec
 from returns.result import Failure
 
 from leadford.config import config_from_document
 
+EXIT_MISSED = 1
 EXIT_FAULTS = 2
 
 
+def _fail(faults: list[str]) -> int:
+    for fault in faults:
+        print(f"leadford: {fault}", file=sys.stderr)
+    return EXIT_FAULTS
+
+
 def check_config(file: Path) -> int:
     """Check a configuration file whole and list every fault.
 
@@ -19,21 +27,78 @@
     """
     try:
         document = tomllib.loads(file.read_text())
-    except (OSError, tomllib.TOMLDecodeError) as error:
-        print(f"{file}: {error}", file=sys.stderr)
-        return EXIT_FAULTS
+    except (OSError, ValueError) as error:
+        return _fail([f"{file}: {error}"])
     checked = config_from_document(document)
     if isinstance(checked, Failure):
-        for fault in checked.failure():
-            print(f"{file}: {fault}", file=sys.stderr)
-        return EXIT_FAULTS
-    print(f"{file}: {len(checked.unwrap().pipelines)} pipelines, no faults")
+        return _fail([f"{file}: {fault}" for fault in checked.failure()])
+    config = checked.unwrap()
+    print(f"{file}: no faults in {len(config.pipelines)} pipelines")
+    return 0
+
+
+def replay(
+    trace: Path,
+    *,
+    fleet: Path = Path("reports/fleet.json"),
+    outcomes: Path | None = None,
+    report: Path = Path("reports/replay.json"),
+) -> int:
+    """Replay a recorded trace against a running fleet and check the outcomes.
+
+    :param trace: trace file, one JSON object a line
+    :param fleet: file that describes the running fleet
+    :param outcomes: file that states what must be reached
+    :param report: where to write the report
+    """
+    from leadford_cli.replay import OutcomeBounds, Replay, check_outcomes, read_trace
+    from leadford_standins.fleet import FleetFile
+
+    read = read_trace(trace)
+    if isinstance(read, Failure):
+        return _fail(list(read.failure()))
+    bounds = OutcomeBounds()
+    try:
+        described = msgspec.json.decode(fleet.read_bytes(), type=FleetFile)
+        if outcomes is not None:
+            bounds = msgspec.json.decode(outcomes.read_bytes(), type=OutcomeBounds)
+    except (OSError, msgspec.MsgspecError) as error:
+        return _fail([str(error)])
+    result = Replay(trace=read.unwrap(), fleet=described).run()
+    report.parent.mkdir(parents=True, exist_ok=True)
+    report.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
+    share = result.attainment.share
+    print(f"{len(read.unwrap().requests)} requests, attainment {share:.3f}")
+    print(f"violations: {result.violations.count}; report in {report}")
+    missed = check_outcomes(result, bounds)
+    for text in missed:
+        print(f"missed: {text}")
+    return EXIT_MISSED if missed else 0
+
+
+def make_trace(
+    name: str, file: Path, *, seed: int = 1, duration_s: float = 20.0, scale: float = 1
+) -> int:
+    """Write a trace of the kinds that are shipped.
+
+    :param name: damier_club_night or admissions_offer_deadline
+    :param file: where to write it
+    :param seed: seed of the generator
+    :param duration_s: length of the trace in seconds
+    :param scale: factor on the arrival rates
+    """
+    from leadford_cli.replay import trace_generators, write_trace
+
+    generator = trace_generators.get(name)
+    if generator is None:
+        return _fail([f"no trace {name!r}; known: {', '.join(trace_generators)}"])
+    write_trace(generator(seed=seed, duration_s=duration_s, scale=scale), file)
     return 0
 
 
 def main() -> None:
     """Run a subcommand."""
-    sys.exit(defopt.run({"check-config": check_config}))
+    sys.exit(defopt.run([check_config, replay, make_trace]))
 
 
 if __name__ == "__main__":
--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -1,6 +1,7 @@
 """Run stand-ins, a whole loopback fleet, or the demonstration."""
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
@@ -31,6 +32,8 @@
     :param deployment: damier or association
     :param file: where to describe the running fleet for `leadford replay`
     """
+    # A planned stop ends the fleet too, as an interrupt does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     with Fleet(spec=deployments[deployment](), verbosity="info") as fleet:
         described = fleet.file()
         file.parent.mkdir(parents=True, exist_ok=True)
