Keep urgent work in time under overload

Cause: at twice the nominal load hints (priority 1) were refused as if they waited behind reviews (priority 5): one wait was reported for all classes; refusals used up the retry budget; and eight long reviews could hold every slot of an engine for 1.2 s, longer than a hint has. Ruled out: the queue's order (hints were always popped first). Change: load is reported by class of priority and waits are predicted for the class; a first refusal moves an attempt for free, and only where another endpoint would be in time; an endpoint keeps the slots free that more urgent classes use on average and do not use now (Headroom).

--- a/packages/leadford-cli/src/leadford_cli/replay/_report.py
+++ b/packages/leadford-cli/src/leadford_cli/replay/_report.py
@@ -21,6 +21,7 @@
     late: int = 0
     not_run: int = 0
     unknown: int = 0
+    reasons: dict[str, int] = {}
 
     @property
     def share(self) -> float:
@@ -34,6 +35,9 @@
         self.late += record.outcome == "complete" and not record.in_time
         self.not_run += record.outcome == "not-run"
         self.unknown += record.outcome in ("unknown", "unanswered", "missing")
+        if record.outcome != "complete":
+            reason = record.reason or record.outcome
+            self.reasons[reason] = self.reasons.get(reason, 0) + 1
 
 
 class StageCostLine(msgspec.Struct):
@@ -61,6 +65,7 @@
     first_token_ms: dict[str, float]
     token_gap_ms: dict[str, float]
     cost_by_stage: dict[str, StageCostLine]
+    tokens_in_time: int
     weighted_completed: float
     cost_per_weighted: float
     refusals_by_reason: dict[str, int]
@@ -123,6 +128,7 @@
     latencies: dict[str, list[float]] = defaultdict(list)
     refusals: Counter[str] = Counter()
     weighted = 0.0
+    tokens_in_time = 0
     for record in records:
         kind = record.request.pipeline
         for attainment in (
@@ -136,7 +142,11 @@
         else:
             refusals[record.reason or record.outcome] += 1
         if record.in_time:
-            weighted += document["pipelines"][kind].get("weight", 1.0)
+            pipeline = document["pipelines"][kind]
+            weighted += pipeline.get("weight", 1.0)
+            tokens_in_time += sum(
+                s.get("expected_tokens", 0) for s in pipeline["stages"]
+            )
     costs = _costs(executions, document)
     cost = sum(line.cost for line in costs.values())
     streamed = [record for record in records if record.first_token_s]
@@ -154,6 +164,7 @@
         first_token_ms=_quantiles(first),
         token_gap_ms=_quantiles(gaps),
         cost_by_stage=costs,
+        tokens_in_time=tokens_in_time,
         weighted_completed=weighted,
         cost_per_weighted=cost / weighted if weighted else 0.0,
         refusals_by_reason=dict(refusals),
--- a/packages/leadford-server/src/leadford_server/agent/_service.py
+++ b/packages/leadford-server/src/leadford_server/agent/_service.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from leadford.admission import EndpointAdmission
+from leadford.admission import EndpointAdmission, Headroom
 from leadford.common import RefusalReason, WorkspaceId
 from leadford.config import FleetConfig, PoolConfig
 from leadford.events import Event
@@ -14,6 +14,7 @@
     Ack,
     Attach,
     Cancel,
+    ClassLoad,
     Credit,
     Done,
     DoneStatus,
@@ -50,6 +51,7 @@
 TIMEOUT_GRACE_S = 0.25
 EFFECT_TIMEOUT_S = 30.0
 REPORT_S = 0.2
+HEADROOM_POLL_S = 0.03
 STAGES_BEGUN_KEPT = 20_000
 
 
@@ -91,7 +93,9 @@
             queue=self.queue_,
             concurrency=pool.concurrency,
             queue_limit=pool.queue_limit,
+            by_deadline=config.tuning.admission,
         )
+        self.headroom_ = Headroom()
         self.results_ = ResultStore(retention_s=config.tuning.result_retention_s)
         self.attempts_by_key_: dict[str, RunningAttempt] = {}
         self.running_ = 0
@@ -100,6 +104,7 @@
         self.peers_by_id_: dict[str, PeerConnection] = {}
         self.dirty_keys_: dict[str, None] = {}
         self.tick_: asyncio.TimerHandle | None = None
+        self.pump_timer_: asyncio.TimerHandle | None = None
         self.effects_begun_: dict[str, None] = {}
         self.reported_at_ = 0.0
         self.reported_load_ = 0
@@ -110,6 +115,7 @@
         self.pool_ = pool
         self.admission_.concurrency = pool.concurrency
         self.admission_.queue_limit = pool.queue_limit
+        self.admission_.by_deadline = config.tuning.admission
         self.results_.retention_s = config.tuning.result_retention_s
         self._pump()
 
@@ -160,7 +166,10 @@
             if estimate.per_token_.count_
             else 0.0,
             concurrency=self.pool_.concurrency,
-            wait_ms=round(self.admission_.wait_ms(9, self.running_), 1),
+            classes=[
+                ClassLoad(priority, round(ahead_ms, 1))
+                for priority, ahead_ms in self.queue_.cost_ms_by_priority_.items()
+            ],
         )
 
     def drain(self) -> None:
@@ -219,6 +228,7 @@
         kept = self.results_.open(key, submit.workspace, now)
         kept.attach(peer.info.peer_id, 0, submit.credit)
         self.attempts_by_key_[key] = RunningAttempt(submit=submit, item=item, kept=kept)
+        self.headroom_.note_arrived(item.priority, now)
         self.queue_.push(item)
         self._pump()
 
@@ -232,7 +242,7 @@
         ATTEMPTS_TOTAL.labels(stage=submit.stage, end=reason.value).inc()
         if peer is None:
             return
-        load = self.load()
+        wait_ms = self.admission_.wait_ms(submit.priority, self.running_)
         peer.send(
             Refused(
                 submit.request_id,
@@ -240,14 +250,14 @@
                 submit.attempt,
                 reason.value,
                 begun,
-                load.wait_ms,
-                load,
+                wait_ms,
+                self.load(),
             )
         )
 
     def _pump(self) -> None:
         """Start what may start; refuse what waited too long."""
-        while self.running_ < self.pool_.concurrency:
+        while self._may_start():
             now = self.clock()
             item = self.queue_.pop(now)
             if item is None:
@@ -262,6 +272,7 @@
             if reason is not None:
                 self._drop_queued(attempt, reason)
                 continue
+            self.headroom_.note_started(item.priority)
             self.running_ += 1
             self.tokens_in_flight_ += attempt.submit.expected_tokens
             if not attempt.submit.repeatable:
@@ -271,6 +282,27 @@
         RUNNING_ATTEMPTS.set(self.running_)
         self._report_load()
 
+    def _may_start(self) -> bool:
+        """Tell whether the next attempt may take a slot; look again soon if not."""
+        if not len(self.queue_) or self.running_ >= self.pool_.concurrency:
+            return False
+        if not self.config_.tuning.admission:
+            return True
+        admitted = self.headroom_.admits(
+            min(self.queue_.count_by_priority_),
+            running=self.running_,
+            concurrency=self.pool_.concurrency,
+            now=self.clock(),
+        )
+        if not admitted and self.pump_timer_ is None:
+            loop = asyncio.get_running_loop()
+            self.pump_timer_ = loop.call_later(HEADROOM_POLL_S, self._pump_again)
+        return admitted
+
+    def _pump_again(self) -> None:
+        self.pump_timer_ = None
+        self._pump()
+
     def _note_effect(self, submit: Submit) -> None:
         self.effects_begun_[f"{submit.request_id}/{submit.stage}"] = None
         if len(self.effects_begun_) > STAGES_BEGUN_KEPT:
@@ -279,6 +311,7 @@
     def _drop_queued(self, attempt: RunningAttempt, reason: RefusalReason) -> None:
         key = attempt.item.key
         del self.attempts_by_key_[key]
+        self.headroom_.note_left(attempt.item.priority, self.clock(), ran=False)
         for peer_id in list(attempt.kept.cursors_by_peer_):
             self._refuse(self.peers_by_id_.get(peer_id), attempt.submit, reason)
         self.results_.discard(key)
@@ -331,6 +364,7 @@
         submit = attempt.submit
         kept = attempt.kept
         key = attempt.item.key
+        self.headroom_.note_left(attempt.item.priority, self.clock(), ran=True)
         self.running_ -= 1
         self.tokens_in_flight_ -= submit.expected_tokens
         del self.attempts_by_key_[key]
--- a/packages/leadford-server/src/leadford_server/entry/_directory.py
+++ b/packages/leadford-server/src/leadford_server/entry/_directory.py
@@ -11,7 +11,13 @@
 from leadford.events import Event
 from leadford.membership import HallMonitor, HostTable, choose_subset
 from leadford.protocol import Load
-from leadford.routing import EndpointView, LoadReport, RoutingPolicy, routing_policies
+from leadford.routing import (
+    ClassWait,
+    EndpointView,
+    LoadReport,
+    RoutingPolicy,
+    routing_policies,
+)
 from leadford_server.logs import EventLog
 from leadford_server.peers import Dialer, Identity, PeerConnection, PeerHandler
 
@@ -244,7 +250,10 @@
                 service_ms=load.service_ms,
                 token_ms=load.token_ms,
                 concurrency=load.concurrency,
-                wait_ms=load.wait_ms,
+                classes=tuple(
+                    ClassWait(waiting.priority, waiting.ahead_ms)
+                    for waiting in load.classes
+                ),
             )
         )
 
--- a/packages/leadford-server/src/leadford_server/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/entry/_requests.py
@@ -42,6 +42,7 @@
 LOOKUP_STEP_S = 0.05
 LOOKUP_MAX_S = 1.0
 RESUME_S = 30.0
+PRIORITY_LAST = 9
 LOCATOR = re.compile(r"^([a-z0-9][a-z0-9_.-]{0,62})/(\d{1,6}):(\d{1,9}|end)$")
 
 
@@ -152,7 +153,8 @@
             )
             if stage.pool not in forecasts:
                 candidates = directory.candidates(stage.pool, set(), stage.model)
-                forecasts[stage.pool] = forecast_pool(candidates, now)
+                priority = self._priority(pipeline, new.workspace)
+                forecasts[stage.pool] = forecast_pool(candidates, priority, now)
         verdict = self.services.admission_.decide(
             needs,
             forecasts,
@@ -169,8 +171,6 @@
         self, request_id: RequestId, pipeline: PipelineConfig, new: NewRequest
     ) -> RequestRun:
         services = self.services
-        workspace = services.config_.workspaces.get(new.workspace)
-        offset = workspace.priority_offset if workspace is not None else 0
         execution = RequestExecution(
             request_id=request_id,
             pipeline_id=new.pipeline_id,
@@ -181,11 +181,16 @@
         return RequestRun(
             execution=execution,
             body=new.body,
-            priority=min(9, max(0, pipeline.priority + offset)),
+            priority=self._priority(pipeline, new.workspace),
             keyed=bool(new.key),
             services=services,
         )
 
+    def _priority(self, pipeline: PipelineConfig, workspace_id: WorkspaceId) -> int:
+        workspace = self.services.config_.workspaces.get(workspace_id)
+        offset = workspace.priority_offset if workspace is not None else 0
+        return min(PRIORITY_LAST, max(0, pipeline.priority + offset))
+
     def _start(self, run: RequestRun, work: object) -> None:
         self.runs_by_id_[run.request_id] = run
         LIVE_REQUESTS.set(len(self.runs_by_id_))
--- a/packages/leadford-server/src/leadford_server/entry/_run.py
+++ b/packages/leadford-server/src/leadford_server/entry/_run.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from leadford.admission import StageNeed, forecast_pool
 from leadford.common import (
     EndpointId,
     Outcome,
@@ -242,15 +243,22 @@
     def _decide_retry(self, failure: AttemptFailure) -> RetryDecision:
         execution = self.execution
         stage = execution.stage
+        services = self.services
+        now = services.clock()
         others = self._candidates()
-        budget = execution.budget(self.services.clock())
-        return self.services.retry_policy_.decide(
+        needed_ms = 0.0
+        forecast = forecast_pool(others, self.priority, now)
+        if forecast is not None and failure.kind is FailureKind.REFUSED:
+            need = StageNeed(stage.pool, stage.expected_ms, stage.expected_tokens)
+            service_ms = services.admission_.service_ms(need, forecast)
+            needed_ms = forecast.wait_ms + service_ms
+        return services.retry_policy_.decide(
             failure,
             repeatable=stage.repeatable and not execution.diverged_,
             attempt=execution.stage_attempts_,
             others=len(others) if not self.cancel_asked_ else 0,
-            remaining_ms=budget.own_ms,
-            needed_ms=0.0,
+            remaining_ms=execution.budget(now).own_ms,
+            needed_ms=needed_ms,
         )
 
     async def _claim_if_needed(self) -> AttemptFailure | None:
@@ -282,6 +290,7 @@
         now = services.clock()
         request = RoutingRequest(
             stage=stage.name,
+            priority=self.priority,
             expected_ms=stage.expected_ms,
             expected_tokens=stage.expected_tokens,
             remaining_ms=self.execution.budget(now).own_ms,
--- a/packages/leadford-standins/src/leadford_standins/fleet/_processes.py
+++ b/packages/leadford-standins/src/leadford_standins/fleet/_processes.py
@@ -20,6 +20,7 @@
 
 from leadford.config import config_from_document, encode_head, make_head, split
 from leadford_standins.fleet._layout import LOOPBACK, FleetSpec, api_key
+from leadford_standins.fleet._serve import ENDPOINT_PARTS
 
 PORTS_FROM = 20_000
 PORTS_TO = 32_000
@@ -79,7 +80,8 @@
         self.spec.assign_ports(free_ports(self.spec.ports_needed, Random()))
         spec_path = self.folder_ / "spec.json"
         spec_path.write_bytes(msgspec.json.encode(self.spec))
-        for part in ("store", "endpoints"):
+        parts = [f"endpoints-{number}" for number in range(ENDPOINT_PARTS)]
+        for part in ("store", *parts):
             module = [sys.executable, "-m", "leadford_standins.main", "serve"]
             self._start(part, [*module, "--spec", str(spec_path), "--part", part])
         self._wait_for(f"{self.store_url}/objects?prefix=x")
--- a/packages/leadford-standins/src/leadford_standins/fleet/_serve.py
+++ b/packages/leadford-standins/src/leadford_standins/fleet/_serve.py
@@ -14,6 +14,9 @@
 from leadford_standins.hosts import HostList, make_hosts_app
 from leadford_standins.store import make_store_app
 
+# Several processes serve the endpoints, so that one does not slow all of them.
+ENDPOINT_PARTS = 2
+
 
 def _endpoint_app(endpoint: EndpointSpec, random: Random) -> web.Application:
     if endpoint.kind == "engine":
@@ -38,12 +41,15 @@
 
 
 async def serve_spec(spec: FleetSpec, part: str) -> None:
-    """Serve the `store` or the `endpoints` of a fleet until cancelled."""
+    """Serve the `store`, or one part of the `endpoints`, until cancelled."""
     if part == "store":
         listen(make_store_app(), spec.store_port)
         listen(make_hosts_app(HostList()), spec.hosts_port)
     else:
+        number = int(part.rpartition("-")[2])
         for index, endpoint in enumerate(spec.endpoints):
+            if index % ENDPOINT_PARTS != number:
+                continue
             random = Random(spec.seed * 1000 + index)
             listen(_endpoint_app(endpoint, random), endpoint.port)
     await asyncio.Event().wait()
--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -16,7 +16,7 @@
     """Serve the stand-ins of a fleet.
 
     :param spec: file that describes the fleet
-    :param part: store or endpoints
+    :param part: store, or endpoints-N
     """
     decoded = msgspec.json.decode(spec.read_bytes(), type=FleetSpec)
     try:
--- a/packages/leadford/src/leadford/admission/__init__.py
+++ b/packages/leadford/src/leadford/admission/__init__.py
@@ -8,11 +8,13 @@
     StageNeed,
     forecast_pool,
 )
+from leadford.admission._headroom import Headroom
 
 __all__ = [
     "AdmissionVerdict",
     "EndpointAdmission",
     "EntryAdmission",
+    "Headroom",
     "PoolForecast",
     "ServiceEstimate",
     "StageNeed",
--- a/packages/leadford/src/leadford/admission/_endpoint.py
+++ b/packages/leadford/src/leadford/admission/_endpoint.py
@@ -40,14 +40,23 @@
 
 
 class EndpointAdmission:
-    """Refuse what the queue in front of an endpoint cannot serve in time."""
+    """Refuse what the queue in front of an endpoint cannot serve in time.
+
+    Without `by_deadline` only the queue's limit refuses.
+    """
 
     def __init__(
-        self, *, queue: QueuePolicy, concurrency: int, queue_limit: int
+        self,
+        *,
+        queue: QueuePolicy,
+        concurrency: int,
+        queue_limit: int,
+        by_deadline: bool = True,
     ) -> None:
         self.queue = queue
         self.concurrency = concurrency
         self.queue_limit = queue_limit
+        self.by_deadline = by_deadline
         self.estimate_ = ServiceEstimate()
 
     def wait_ms(self, priority: int, running: int) -> float:
@@ -83,5 +92,7 @@
         return None
 
     def _fits(self, item: QueuedAttempt, other_ms: float, now: float) -> bool:
+        if not self.by_deadline:
+            return True
         remaining_ms = (item.deadline_at - now) * 1000.0
         return other_ms + item.cost_ms * DEADLINE_SLACK <= remaining_ms
--- a/packages/leadford/src/leadford/admission/_entry.py
+++ b/packages/leadford/src/leadford/admission/_entry.py
@@ -37,18 +37,17 @@
     retry_after_ms: float = 0.0
 
 
-def forecast_pool(candidates: list[EndpointView], now: float) -> PoolForecast | None:
+def forecast_pool(
+    candidates: list[EndpointView], priority: int, now: float
+) -> PoolForecast | None:
     """Return the forecast of the least waiting candidate, or None without any."""
     best: PoolForecast | None = None
     for view in candidates:
         report = view.report_
-        age_s = now - report.at_s
-        # A report that is not renewed fades, so that a refused pool is tried again.
-        trust = max(0.0, 1.0 - age_s / REPORT_TRUSTED_S)
-        own = max(0, view.unreported_) / max(1, report.concurrency)
-        wait_ms = report.wait_ms * trust + own * report.service_ms * trust
+        wait_ms = view.wait_ms(priority, report.service_ms, now)
         if best is not None and best.wait_ms <= wait_ms:
             continue
+        trust = max(0.0, 1.0 - (now - report.at_s) / REPORT_TRUSTED_S)
         best = PoolForecast(wait_ms, report.service_ms, report.token_ms, trust)
     return best
 
@@ -84,7 +83,7 @@
                 reason = RefusalReason.NO_ENDPOINT
                 return AdmissionVerdict(reason, retry_after_ms=1000.0)
             wait_ms += forecast.wait_ms
-            predicted_ms += forecast.wait_ms + self._service_ms(need, forecast)
+            predicted_ms += forecast.wait_ms + self.service_ms(need, forecast)
         if predicted_ms * self.confidence > remaining_ms:
             excess_ms = predicted_ms * self.confidence - remaining_ms
             retry_after_ms = max(100.0, min(wait_ms, excess_ms))
@@ -93,7 +92,8 @@
             )
         return AdmissionVerdict(None, predicted_ms)
 
-    def _service_ms(self, need: StageNeed, forecast: PoolForecast) -> float:
+    def service_ms(self, need: StageNeed, forecast: PoolForecast) -> float:
+        """Return how long a stage would probably run."""
         reported_ms = forecast.service_ms
         if need.expected_tokens:
             reported_ms = forecast.token_ms * need.expected_tokens
--- a/packages/leadford/src/leadford/admission/tests/test_admission.py
+++ b/packages/leadford/src/leadford/admission/tests/test_admission.py
@@ -5,13 +5,14 @@
 from leadford.admission import (
     EndpointAdmission,
     EntryAdmission,
+    Headroom,
     PoolForecast,
     StageNeed,
     forecast_pool,
 )
 from leadford.common import RefusalReason
 from leadford.queues import QueuedAttempt, WorkspaceTerms, queue_policies
-from leadford.routing import EndpointView, LoadReport
+from leadford.routing import ClassWait, EndpointView, LoadReport
 
 
 def make_admission(queue_limit=100):
@@ -99,13 +100,33 @@
 
 def test_an_old_report_fades_so_that_a_pool_is_tried_again():
     view = EndpointView(endpoint_id="e", hall="h")
-    view.note_report(LoadReport(at_s=0.0, service_ms=10.0, wait_ms=800.0))
-    assert forecast_pool([view], 0.0).wait_ms == pytest.approx(800.0)
-    assert forecast_pool([view], 1.0).wait_ms == pytest.approx(400.0)
-    assert forecast_pool([view], 5.0).wait_ms == 0.0
+    waiting = (ClassWait(0, 100.0), ClassWait(5, 700.0))
+    view.note_report(LoadReport(queued=9, running=1, classes=waiting))
+    assert forecast_pool([view], 5, 0.0).wait_ms == pytest.approx(800.0)
+    assert forecast_pool([view], 1, 0.0).wait_ms == pytest.approx(100.0)
+    assert forecast_pool([view], 5, 1.0).wait_ms == pytest.approx(400.0)
+    assert forecast_pool([view], 5, 20.0).wait_ms == 0.0
+    assert forecast_pool([], 5, 0.0) is None
     slow = PoolForecast(0.0, 5000.0, 0.0, trust=0.0)
     verdict = EntryAdmission().decide(
         [StageNeed("a", 20.0)], {"a": slow}, remaining_ms=100.0, live=0
     )
     assert verdict.reason is None
-    assert forecast_pool([], 0.0) is None
+
+
+def test_room_is_kept_for_the_urgent_work_that_is_usually_there():
+    headroom = Headroom(average_over_s=1.0)
+    now = 0.0
+    for _ in range(200):
+        for _ in range(2):
+            headroom.note_arrived(1, now)
+            headroom.note_started(1)
+        now += 0.1
+        for _ in range(2):
+            headroom.note_left(1, now, ran=True)
+    assert headroom.reserved(5, now) == 2
+    assert not headroom.admits(5, running=6, concurrency=8, now=now)
+    assert headroom.admits(1, running=7, concurrency=8, now=now)
+    assert headroom.admits(5, running=5, concurrency=8, now=now)
+    assert headroom.admits(5, running=0, concurrency=1, now=now)
+    assert headroom.admits(5, running=7, concurrency=8, now=now + 10.0)
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -48,8 +48,19 @@
     draining: bool = False
 
 
+class ClassLoad(_Base):
+    """Say how much expected service waits in one class of priority."""
+
+    priority: int
+    ahead_ms: float
+
+
 class Load(_Base, tag=5):
-    """Report the load of an agent's endpoint."""
+    """Report the load of an agent's endpoint.
+
+    Units: service_ms per attempt, token_ms per token; ahead_ms is what each class of
+    priority has waiting.
+    """
 
     queued: int
     running: int
@@ -57,8 +68,7 @@
     service_ms: float
     token_ms: float
     concurrency: int
-    wait_ms: float = 0.0
-    fault: str = ""
+    classes: list[ClassLoad] = []
 
 
 class Draining(_Base, tag=6):
--- a/packages/leadford/src/leadford/retries/_decision.py
+++ b/packages/leadford/src/leadford/retries/_decision.py
@@ -80,6 +80,8 @@
         wait_ms = 0.0 if immediate else self.backoff.wait_ms(attempt)
         if wait_ms + needed_ms > remaining_ms:
             return RetryDecision(False, reason=RefusalReason.DEADLINE)
-        if not self.budget.try_spend():
+        # A first refusal only moves the attempt; what follows is paid for.
+        free = failure.kind is FailureKind.REFUSED and attempt == 1
+        if not free and not self.budget.try_spend():
             return RetryDecision(False, reason=RefusalReason.RETRY_BUDGET)
         return RetryDecision(True, wait_ms)
--- a/packages/leadford/src/leadford/retries/tests/test_retries.py
+++ b/packages/leadford/src/leadford/retries/tests/test_retries.py
@@ -81,6 +81,9 @@
     policy = make_policy(ratio=0.0, burst=0.0)
     decision = decide(policy, FailureKind.FAILED)
     assert decision.reason is RefusalReason.RETRY_BUDGET
+    assert decide(policy, FailureKind.REFUSED).retry
+    second = decide(policy, FailureKind.REFUSED, attempt=2)
+    assert second.reason is RefusalReason.RETRY_BUDGET
 
 
 @given(st.integers(1, 5000), st.randoms(use_true_random=False))
--- a/packages/leadford/src/leadford/routing/__init__.py
+++ b/packages/leadford/src/leadford/routing/__init__.py
@@ -1,6 +1,7 @@
 """Choose the endpoint on which an attempt runs."""
 
 from leadford.routing._base import (
+    ClassWait,
     EndpointView,
     LoadReport,
     RoutingPolicy,
@@ -12,6 +13,7 @@
 from leadford.routing._prefixes import PrefixIndex
 
 __all__ = [
+    "ClassWait",
     "EndpointView",
     "ExpectedFinish",
     "LeastLoaded",
--- a/packages/leadford/src/leadford/routing/_base.py
+++ b/packages/leadford/src/leadford/routing/_base.py
@@ -8,6 +8,15 @@
 from leadford.common import EndpointId, HallId, Objective, Registry
 from leadford.routing._prefixes import PrefixIndex
 
+REPORT_HALF_LIFE_S = 1.0
+
+
+class ClassWait(msgspec.Struct, frozen=True):
+    """Say how much expected service waits in one class of priority."""
+
+    priority: int
+    ahead_ms: float
+
 
 class LoadReport(msgspec.Struct, frozen=True):
     """Hold what an agent last said of its endpoint.
@@ -22,7 +31,7 @@
     service_ms: float = 0.0
     token_ms: float = 0.0
     concurrency: int = 1
-    wait_ms: float = 0.0
+    classes: tuple[ClassWait, ...] = ()
 
 
 class EndpointView:
@@ -54,6 +63,37 @@
         self.outstanding_tokens_ = 0
         self.prefixes_ = PrefixIndex()
 
+    def trust(self, now: float) -> float:
+        """Return how far the last report still holds: 1 at once, a half after 1 s."""
+        age_s = now - self.report_.at_s
+        return REPORT_HALF_LIFE_S / (REPORT_HALF_LIFE_S + max(0.0, age_s))
+
+    def ahead(self, now: float) -> float:
+        """Return how many attempts are probably there already."""
+        report = self.report_
+        reported = (report.queued + report.running) * self.trust(now)
+        return max(reported + self.unreported_, self.outstanding_)
+
+    def wait_ms(self, priority: int, service_ms: float, now: float) -> float:
+        """Return how long an attempt of a priority would probably wait.
+
+        Units: service_ms is what one attempt there takes.
+        """
+        report = self.report_
+        concurrency = report.concurrency
+        ahead = self.ahead(now)
+        if ahead < concurrency:
+            return 0.0
+        # Until the next of the running attempts ends, half a service on average.
+        ahead_ms = service_ms / 2.0
+        trust = self.trust(now)
+        for waiting in report.classes:
+            if waiting.priority <= priority:
+                ahead_ms += waiting.ahead_ms * trust
+        reported = report.queued + report.running
+        beyond = max(0.0, ahead - max(concurrency, reported))
+        return (ahead_ms + beyond * service_ms) / concurrency
+
     def note_sent(self, expected_tokens: int) -> None:
         """Count an attempt that was sent."""
         self.unreported_ += 1
@@ -80,6 +120,7 @@
     """
 
     stage: str = ""
+    priority: int = 4
     expected_ms: float = 20.0
     expected_tokens: int = 0
     remaining_ms: float = 1000.0
--- a/packages/leadford/src/leadford/routing/_expected_finish.py
+++ b/packages/leadford/src/leadford/routing/_expected_finish.py
@@ -5,7 +5,6 @@
 from leadford.common import Objective
 from leadford.routing._base import EndpointView, RoutingRequest, routing_policies
 
-REPORT_HALF_LIFE_S = 1.0
 SLOW_START_S = 5.0
 SLOW_START_FLOOR = 0.2
 PREFILL_MS_PER_TOKEN = 0.25
@@ -46,22 +45,17 @@
     def score(self, request: RoutingRequest, view: EndpointView, now: float) -> float:
         """Return the expected finish of an attempt at a candidate."""
         report = view.report_
-        age_s = now - report.at_s
-        # An old queue has probably drained; what this process sent itself has not.
-        trust = REPORT_HALF_LIFE_S / (REPORT_HALF_LIFE_S + age_s) if age_s > 0 else 1.0
-        others = (report.queued + report.running) * trust
-        ahead = max(others + view.unreported_, view.outstanding_)
+        ahead = view.ahead(now)
         service_ms = report.service_ms or request.expected_ms
+        wait_ms = view.wait_ms(request.priority, service_ms, now)
         if request.expected_tokens:
             service_ms = self._generation_ms(request, view, ahead, service_ms, now)
-        concurrency = report.concurrency or view.concurrency
-        waiting = ahead - concurrency + 1.0
-        wait_ms = waiting / concurrency * service_ms if waiting > 0 else 0.0
+        concurrency = report.concurrency
         finish_ms = view.distance_ms * 2.0 + wait_ms + service_ms
         warm_s = now - view.joined_at_s
         if warm_s < SLOW_START_S:
             finish_ms /= max(SLOW_START_FLOOR, warm_s / SLOW_START_S)
-        if request.objective is Objective.COST and waiting <= 0:
+        if request.objective is Objective.COST and ahead < concurrency:
             # A fuller batch costs less per request while it still fits.
             finish_ms -= COST_BATCH_CREDIT * service_ms * ahead / concurrency
         return finish_ms
