--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -11,8 +11,7 @@
 BASELINE = {"routing": "round_robin", "queue": "fifo", "admission": False}
 ENGINES = 4
 DAMIER_WORKSPACES = ("club-a", "club-b", "club-c", "coaches", "juniors")
-# What four engines complete in time at most, by `overload.py capacity`.
-CAPACITY_SCALE = 1.0
+SEEDS = (1,)
 
 
 def damier_mix(
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -1,27 +1,34 @@
-"""Measure goodput and attainment from half to twice capacity, ours and baseline."""
+"""Measure goodput and attainment at one, one and a half and two times capacity."""
 
 import sys
 
-from experiment import BASELINE, damier_mix, run, shares
+from experiment import BASELINE, SEEDS, damier_mix, run, shares, spread
 
-SEEDS = (1,)
+CAPACITY_SCALE = 1.4
+DURATION_S = 12.0
 
 
 def main() -> None:
-    scales = [float(text) for text in sys.argv[1:]] or [1.0, 1.5, 2.0]
+    factors = [float(text) for text in sys.argv[1:]] or [1.0, 1.5, 2.0]
     variants = {"baseline": BASELINE, "leadford": {}}
-    for scale in scales:
-        for seed in SEEDS:
-            for name, tuning in variants.items():
-                trace = damier_mix(scale, seed)
+    capacity = 0.0
+    for factor in factors:
+        for name, tuning in variants.items():
+            rates, hints, moves = [], [], []
+            for seed in SEEDS:
+                trace = damier_mix(factor * CAPACITY_SCALE, seed, DURATION_S)
                 report = run(trace, tuning)
-                rate = report.tokens_in_time / 12.0
-                print(
-                    f"scale {scale} seed {seed} {name}: attainment "
-                    f"{report.attainment.share:.3f}, tokens in time {rate:.0f}/s, "
-                    f"{shares(report)}, retries {report.retries}",
-                    flush=True,
-                )
+                rates.append(report.tokens_in_time / DURATION_S)
+                hints.append(report.by_kind["hint"].share)
+                moves.append(report.by_kind["move"].share)
+                print(f"  {factor} {name} {seed}: {shares(report)}", flush=True)
+            capacity = max(capacity, sorted(rates)[len(rates) // 2])
+            print(
+                f"{factor}x {name}: tokens in time/s {spread(rates)}, of the most seen "
+                f"{sorted(rates)[len(rates) // 2] / capacity:.3f}, hints "
+                f"{spread(hints)}, moves {spread(moves)}",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/packages/leadford-cli/src/leadford_cli/replay/_report.py
+++ b/packages/leadford-cli/src/leadford_cli/replay/_report.py
@@ -70,6 +70,8 @@
     cost_per_weighted: float
     refusals_by_reason: dict[str, int]
     retries: int
+    prefill_tokens: int
+    cached_tokens: int
     violations: Violations
     store_calls: dict
     timeline: list[dict]
@@ -119,6 +121,8 @@
     document: dict,
     store_calls: dict,
     retries: int,
+    prefill_tokens: int,
+    cached_tokens: int,
     faults: list[dict],
 ) -> Report:
     """Return the report of a replay."""
@@ -169,6 +173,8 @@
         cost_per_weighted=cost / weighted if weighted else 0.0,
         refusals_by_reason=dict(refusals),
         retries=retries,
+        prefill_tokens=prefill_tokens,
+        cached_tokens=cached_tokens,
         violations=find_violations(records, executions, document),
         store_calls=store_calls,
         timeline=_timeline(records),
--- a/packages/leadford-cli/src/leadford_cli/replay/_runner.py
+++ b/packages/leadford-cli/src/leadford_cli/replay/_runner.py
@@ -13,7 +13,7 @@
 from leadford_cli.replay._caller import Caller, CallRecord
 from leadford_cli.replay._report import Report, make_report
 from leadford_cli.replay._trace import Trace, TraceFault
-from leadford_server.web import fetch
+from leadford_server.web import NO_ANSWER, fetch
 from leadford_standins.endpoints import ExecutionRecord
 from leadford_standins.fleet import FleetFile
 
@@ -33,6 +33,8 @@
 class _EndpointRecords(msgspec.Struct):
     records: list[ExecutionRecord]
     busy_ms: float
+    prefill_tokens: int = 0
+    cached_tokens: int = 0
 
 
 class Replay:
@@ -76,7 +78,13 @@
         self.records_ = list(await asyncio.gather(*calls))
         faults.cancel()
         await asyncio.sleep(SETTLE_S)
-        executions = await self._executions(wall_start)
+        tables = await self._tables()
+        executions = [
+            record
+            for table in tables
+            for record in table.records
+            if record.at_s >= wall_start
+        ]
         calls_after = await self._store_calls()
         return make_report(
             trace=self.trace.name,
@@ -87,6 +95,8 @@
             document=self.fleet.document,
             store_calls=_difference(calls_after, calls_before),
             retries=max(0, await self._retries() - retries_before),
+            prefill_tokens=sum(table.prefill_tokens for table in tables),
+            cached_tokens=sum(table.cached_tokens for table in tables),
             faults=[msgspec.to_builtins(fault) for fault in self.trace.faults],
         )
 
@@ -107,17 +117,16 @@
         number = _SIGNAL_BY_ACTION[fault.action]
         os.kill(self.fleet.pids_by_name[fault.target], number)
 
-    async def _executions(self, since: float) -> list[ExecutionRecord]:
-        executions: list[ExecutionRecord] = []
+    async def _tables(self) -> list[_EndpointRecords]:
+        tables: list[_EndpointRecords] = []
         for name, url in self.fleet.controls_by_endpoint.items():
             if name == "store":
                 continue
             response = await fetch(self.http_, f"{url}/_records")
-            if response.code != 200:
+            if response.code == NO_ANSWER:
                 continue
-            found = msgspec.json.decode(response.body, type=_EndpointRecords)
-            executions += [r for r in found.records if r.at_s >= since]
-        return executions
+            tables.append(msgspec.json.decode(response.body, type=_EndpointRecords))
+        return tables
 
     async def _store_calls(self) -> dict:
         url = f"{self.fleet.store}/_stats"
--- a/packages/leadford-server/src/leadford_server/agent/_service.py
+++ b/packages/leadford-server/src/leadford_server/agent/_service.py
@@ -65,6 +65,7 @@
         self.item = item
         self.kept = kept
         self.task_: asyncio.Task[None] | None = None
+        self.started_at_: float | None = None
         self.cancelled_ = False
         self.generated_texts_: list[str] = []
 
@@ -108,6 +109,7 @@
         self.effects_begun_: dict[str, None] = {}
         self.reported_at_ = 0.0
         self.reported_load_ = 0
+        self.reported_token_ms_ = 0.0
 
     def apply_config(self, config: FleetConfig, pool: PoolConfig) -> None:
         """Take in a newer configuration; what is queued stays queued."""
@@ -162,9 +164,7 @@
             running=self.running_,
             tokens_in_flight=self.tokens_in_flight_,
             service_ms=round(estimate.overall_.value_, 2),
-            token_ms=round(estimate.per_token_.value_, 3)
-            if estimate.per_token_.count_
-            else 0.0,
+            token_ms=round(self._token_ms(), 3),
             concurrency=self.pool_.concurrency,
             classes=[
                 ClassLoad(priority, round(ahead_ms, 1))
@@ -172,6 +172,23 @@
             ],
         )
 
+    def _token_ms(self) -> float:
+        """Return the time a token takes, seen also from streams that still run."""
+        estimate = self.admission_.estimate_.per_token_
+        now = self.clock()
+        total_ms = 0.0
+        streams = 0
+        for attempt in self.attempts_by_key_.values():
+            if attempt.started_at_ is None or not attempt.submit.expected_tokens:
+                continue
+            streams += 1
+            elapsed_ms = (now - attempt.started_at_) * 1000.0
+            total_ms += elapsed_ms / (len(attempt.generated_texts_) + 1)
+        live_ms = total_ms / streams if streams else 0.0
+        if not estimate.count_:
+            return live_ms
+        return max(estimate.value_, live_ms)
+
     def drain(self) -> None:
         """Take no new work and say so to every entry."""
         if self.draining_:
@@ -319,6 +336,7 @@
     async def _run(self, attempt: RunningAttempt) -> None:
         submit = attempt.submit
         started_at = self.clock()
+        attempt.started_at_ = started_at
         timeout_s = attempt.item.deadline_at - started_at + TIMEOUT_GRACE_S
         if not submit.repeatable:
             # The effect may come late; its result is worth waiting for.
@@ -334,9 +352,11 @@
                 request=submit.request_id,
                 error=outcome.error,
             )
+        tokens = len(attempt.generated_texts_)
         if outcome.status is DoneStatus.OK:
-            tokens = len(attempt.generated_texts_)
             self.admission_.estimate_.note(submit.stage, service_ms, tokens)
+        elif submit.expected_tokens:
+            self.admission_.estimate_.note_partial(service_ms, tokens)
         self._finish(attempt, outcome, service_ms, queue_ms)
 
     def _sink(self, attempt: RunningAttempt) -> TokenSink:
@@ -414,6 +434,8 @@
             self._gather(kept, parts_by_peer, ends_by_peer)
         for peer_id, parts in parts_by_peer.items():
             self.peers_by_id_[peer_id].send(Tokens(parts))
+        if parts_by_peer:
+            self._report_load()
         for peer_id, ends in ends_by_peer.items():
             for done in ends:
                 self.peers_by_id_[peer_id].send(done)
@@ -479,13 +501,16 @@
         """Report a load that changed much without an answer to ride on."""
         now = self.clock()
         load = len(self.queue_) + self.running_
-        changed = abs(load - self.reported_load_)
-        if not force and changed <= max(2, self.reported_load_ // 4):
+        token_ms = self._token_ms()
+        changed = abs(load - self.reported_load_) > max(2, self.reported_load_ // 4)
+        slower = token_ms > 1.5 * self.reported_token_ms_ + 1.0
+        if not force and not changed and not slower:
             return
         if not force and now - self.reported_at_ < REPORT_S:
             return
         self.reported_at_ = now
         self.reported_load_ = load
+        self.reported_token_ms_ = token_ms
         report = self.load()
         for peer in self.peers_by_id_.values():
             peer.send(report)
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/entry/_body.py
@@ -0,0 +1,37 @@
+"""Read what routing can use from a caller's body."""
+
+import msgspec
+
+from leadford.common import stable_hash
+
+
+class RequestBody(msgspec.Struct, frozen=True):
+    """Hold what a caller sent.
+
+    Units: prefill_tokens is a rough count of the prompt's words.
+    """
+
+    data: bytes
+    digest: str
+    prefix: str = ""
+    prefill_tokens: int = 0
+
+
+class _PromptHints(msgspec.Struct):
+    """Read the parts of a prompt."""
+
+    system: str = ""
+    prompt: str = ""
+
+
+def read_body(data: bytes) -> RequestBody:
+    """Return a body with its digest and prompt hints; raise on malformed JSON."""
+    msgspec.json.decode(data)
+    digest = f"{stable_hash(data.decode()):016x}"
+    try:
+        hints = msgspec.json.decode(data, type=_PromptHints)
+    except msgspec.ValidationError:
+        return RequestBody(data, digest)
+    prefix = f"{stable_hash(hints.system):016x}" if hints.system else ""
+    words = hints.system.count(" ") + hints.prompt.count(" ") + 2
+    return RequestBody(data, digest, prefix, words)
--- a/packages/leadford-server/src/leadford_server/entry/_http.py
+++ b/packages/leadford-server/src/leadford_server/entry/_http.py
@@ -17,13 +17,14 @@
     WorkspaceId,
 )
 from leadford_server.entry._answers import AnswerReader, Problem, problem_document
+from leadford_server.entry._body import read_body
 from leadford_server.entry._requests import (
     Locator,
     NewRequest,
     RequestTable,
     parse_locator,
 )
-from leadford_server.entry._run import RequestRun, read_body
+from leadford_server.entry._run import RequestRun
 from leadford_server.entry._services import EntryServices
 
 BODY_BYTES_MAX = 1024 * 1024
--- a/packages/leadford-server/src/leadford_server/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/entry/_requests.py
@@ -22,12 +22,9 @@
 from leadford.execution import RequestExecution
 from leadford.protocol import Done, Message, Note, NotHeld, Refused, Tokens
 from leadford_server.entry._answers import Answer, Problem
-from leadford_server.entry._run import (
-    PeerLost,
-    RequestBody,
-    RequestRun,
-    make_request_id,
-)
+from leadford_server.entry._attempts import PeerLost
+from leadford_server.entry._body import RequestBody
+from leadford_server.entry._run import RequestRun, make_request_id
 from leadford_server.entry._services import EntryServices
 from leadford_server.metrics import (
     FIRST_TOKEN_SECONDS,
@@ -243,8 +240,8 @@
         self._count(pipeline_id, final.outcome, reason)
         elapsed_s = self.services.clock() - run.started_at_
         REQUEST_SECONDS.labels(pipeline=pipeline_id).observe(elapsed_s)
-        if run.first_token_at_ is not None:
-            first_s = run.first_token_at_ - run.started_at_
+        if run.attempts_.first_token_at_ is not None:
+            first_s = run.attempts_.first_token_at_ - run.started_at_
             FIRST_TOKEN_SECONDS.labels(pipeline=pipeline_id).observe(first_s)
 
     def _forget(self, run: RequestRun) -> None:
--- a/packages/leadford-standins/src/leadford_standins/endpoints/_engine.py
+++ b/packages/leadford-standins/src/leadford_standins/endpoints/_engine.py
@@ -163,6 +163,8 @@
             prefill_ms += self.prefill_ms * (
                 stream.prompt_tokens - stream.cached_tokens
             )
+            self.table_.prefill_tokens_ += stream.prompt_tokens
+            self.table_.cached_tokens_ += stream.cached_tokens
             self.running_.append(stream)
         return prefill_ms
 
@@ -352,9 +354,7 @@
         self.engine = engine
 
     def get(self) -> None:
-        table = self.engine.table_
-        body = {"records": table.records_, "busy_ms": table.busy_ms_}
-        self.finish(msgspec.json.encode(body))
+        self.finish(self.engine.table_.to_json())
 
 
 def make_engine_app(engine: EngineModel) -> web.Application:
--- a/packages/leadford-standins/src/leadford_standins/endpoints/_records.py
+++ b/packages/leadford-standins/src/leadford_standins/endpoints/_records.py
@@ -25,8 +25,21 @@
     def __init__(self) -> None:
         self.records_: list[ExecutionRecord] = []
         self.busy_ms_ = 0.0
+        self.prefill_tokens_ = 0
+        self.cached_tokens_ = 0
 
     def add(self, record: ExecutionRecord) -> None:
         """Add one execution."""
         if len(self.records_) < RECORDS_MAX:
             self.records_.append(record)
+
+    def to_json(self) -> bytes:
+        """Return the records and sums as a page."""
+        return msgspec.json.encode(
+            {
+                "records": self.records_,
+                "busy_ms": self.busy_ms_,
+                "prefill_tokens": self.prefill_tokens_,
+                "cached_tokens": self.cached_tokens_,
+            }
+        )
--- a/packages/leadford-standins/src/leadford_standins/endpoints/_service.py
+++ b/packages/leadford-standins/src/leadford_standins/endpoints/_service.py
@@ -107,8 +107,7 @@
         self.table = table
 
     def get(self) -> None:
-        body = {"records": self.table.records_, "busy_ms": self.table.busy_ms_}
-        self.finish(msgspec.json.encode(body))
+        self.finish(self.table.to_json())
 
 
 def make_service_app(
--- a/packages/leadford-standins/src/leadford_standins/fleet/_presets.py
+++ b/packages/leadford-standins/src/leadford_standins/fleet/_presets.py
@@ -90,7 +90,7 @@
                 "stages": [
                     encode,
                     retrieve,
-                    _stage("generate", "engines", 280, expected_tokens=12),
+                    _stage("generate", "engines", 280, expected_tokens=12, hedge=True),
                 ],
             },
             "review": {
--- a/packages/leadford/src/leadford/admission/_endpoint.py
+++ b/packages/leadford/src/leadford/admission/_endpoint.py
@@ -31,6 +31,13 @@
             self.by_stage_[stage] = estimate
         estimate.update(service_ms)
 
+    def note_partial(self, elapsed_ms: float, tokens: int) -> None:
+        """Take in an attempt that was cancelled, as far as it came."""
+        # That it took at least so long is worth more than no observation.
+        at_least_ms = elapsed_ms / (tokens + 1)
+        if at_least_ms > self.per_token_.value_:
+            self.per_token_.update(at_least_ms)
+
     def service_ms(self, stage: str, expected_tokens: int) -> float:
         """Return the expected service of an attempt."""
         if expected_tokens:
--- a/packages/leadford/src/leadford/ejection/_outliers.py
+++ b/packages/leadford/src/leadford/ejection/_outliers.py
@@ -12,6 +12,7 @@
 FAILURE_RATE = 0.5
 OUTCOMES_NEEDED = 10
 LATENCY_RATIO = 3.0
+LATENCIES_NEEDED = 4
 LATENCY_FLOOR_MS = 20.0
 EJECTION_BASE_S = 1.0
 EJECTION_MAX_S = 30.0
@@ -117,8 +118,34 @@
             return
         if record.state_ is not EndpointState.ACTIVE:
             return
+        self._judge_latency(endpoint_id, record, now)
+
+    def note_late(
+        self, endpoint_id: EndpointId, at_least_ms: float, now: float
+    ) -> None:
+        """Take in an attempt given up for time; it took at least so long.
+
+        Beside endpoints that are as slow it says nothing, as in an overload.
+        """
+        record = self.records_by_id_.get(endpoint_id)
+        if record is None:
+            return
+        record.probe_out_ = False
+        record.outcomes_ += 1
+        if at_least_ms > record.latency_ms_.value_:
+            record.latency_ms_.update(at_least_ms)
+        if record.state_ is EndpointState.PROBING:
+            if at_least_ms > self._latency_limit_ms(endpoint_id):
+                self._eject(endpoint_id, record, "probe was slow", now)
+            return
+        if record.state_ is EndpointState.ACTIVE:
+            self._judge_latency(endpoint_id, record, now)
+
+    def _judge_latency(
+        self, endpoint_id: EndpointId, record: _Record, now: float
+    ) -> None:
         limit_ms = self._latency_limit_ms(endpoint_id)
-        enough = record.outcomes_ >= OUTCOMES_NEEDED
+        enough = record.latency_ms_.count_ >= LATENCIES_NEEDED
         if enough and record.latency_ms_.value_ > limit_ms:
             self._eject(endpoint_id, record, "latency", now)
 
@@ -165,7 +192,7 @@
         latencies = [
             record.latency_ms_.value_
             for other_id, record in self.records_by_id_.items()
-            if other_id != endpoint_id and record.outcomes_ >= OUTCOMES_NEEDED
+            if other_id != endpoint_id and record.latency_ms_.count_ >= LATENCIES_NEEDED
         ]
         if len(latencies) < 2:
             return float("inf")
--- a/packages/leadford/src/leadford/ejection/tests/test_outliers.py
+++ b/packages/leadford/src/leadford/ejection/tests/test_outliers.py
@@ -111,3 +111,17 @@
             ejector.note_failure(endpoint_id, "x", now)
         out = sum(ejector.state(i) is not EndpointState.ACTIVE for i in IDS)
         assert out <= max(1, int(cap * len(IDS)))
+
+
+def test_attempts_given_up_for_time_eject_a_slow_endpoint_only():
+    ejector = make_ejector()
+    for _ in range(6):
+        for endpoint_id in IDS[1:]:
+            ejector.note_success(endpoint_id, 30.0, 0.0)
+        ejector.note_late("e0", 250.0, 0.0)
+    assert not ejector.admits("e0", 0.1)
+    overloaded = make_ejector()
+    for _ in range(6):
+        for endpoint_id in IDS:
+            overloaded.note_late(endpoint_id, 250.0, 0.0)
+    assert all(overloaded.admits(endpoint_id, 0.1) for endpoint_id in IDS)
