Let operators ask, change, undo and apply, with an audit trail in the head

Cause: a fleet could be configured only by writing its store. Found by its tests and mended: a refusal made before a request began could not be explained; an endpoint seen differently by two entries was shown as one of them saw it.

--- a/packages/leadford-cli/src/leadford_cli/main.py
+++ b/packages/leadford-cli/src/leadford_cli/main.py
@@ -1,5 +1,6 @@
 """Parse the command line of the operators' tool."""
 
+import os
 import sys
 import tomllib
 from pathlib import Path
@@ -37,6 +38,109 @@
     return 0
 
 
+def ask(
+    statement: str = "",
+    *,
+    entry: list[str] | None = None,
+    token: str = "",
+    wait: bool = False,
+    if_version: int = 0,
+    json: bool = False,
+) -> int:
+    """Run a statement of the operators' language, or open a prompt.
+
+    :param statement: the statement; a prompt opens without one
+    :param entry: addresses of entries, tried in turn (LEADFORD_ENTRIES)
+    :param token: operator token (LEADFORD_TOKEN)
+    :param wait: wait until a change is in force everywhere
+    :param if_version: refuse a change unless this version is in force
+    :param json: print JSON instead of a table
+    """
+    from leadford_cli.operators import format_answer, run_prompt
+
+    client = _client(entry, token)
+
+    def run(text: str) -> str:
+        answer = client.run(text, wait=wait, if_version=if_version)
+        if isinstance(answer, Failure):
+            return _explain(answer.failure(), text)
+        return format_answer(answer.unwrap(), as_json=json)
+
+    if not statement:
+        return run_prompt(run)
+    answer = client.run(statement, wait=wait, if_version=if_version)
+    if isinstance(answer, Failure):
+        return _fail([_explain(answer.failure(), statement)])
+    print(format_answer(answer.unwrap(), as_json=json))
+    return 0
+
+
+def _explain(error: object, statement: str) -> str:
+    if not error.column:
+        return "\n".join([error.message, *error.faults])
+    return f"{error.message}\n  {statement}\n  {' ' * (error.column - 1)}^"
+
+
+def _client(entries: list[str] | None, token: str) -> object:
+    from leadford_cli.operators import OperatorClient
+
+    known = entries or os.environ.get("LEADFORD_ENTRIES", "").split(",")
+    return OperatorClient(
+        entries=[address for address in known if address],
+        token=token or os.environ.get("LEADFORD_TOKEN", ""),
+    )
+
+
+def apply(
+    file: Path,
+    *,
+    entry: list[str] | None = None,
+    token: str = "",
+    wait: bool = False,
+    if_version: int = 0,
+) -> int:
+    """Put a configuration file in force.
+
+    :param file: configuration in TOML
+    :param entry: addresses of entries, tried in turn (LEADFORD_ENTRIES)
+    :param token: operator token (LEADFORD_TOKEN)
+    :param wait: wait until it is in force everywhere
+    :param if_version: refuse unless this version is in force
+    """
+    from leadford_cli.operators import format_answer
+
+    try:
+        document = tomllib.loads(file.read_text())
+    except (OSError, ValueError) as error:
+        return _fail([f"{file}: {error}"])
+    checked = config_from_document(document)
+    if isinstance(checked, Failure):
+        return _fail([f"{file}: {fault}" for fault in checked.failure()])
+    client = _client(entry, token)
+    answer = client.apply(document, wait=wait, if_version=if_version)
+    if isinstance(answer, Failure):
+        return _fail([_explain(answer.failure(), "")])
+    print(format_answer(answer.unwrap(), as_json=False))
+    return 0
+
+
+def plot(report: Path, *, file: Path = Path("reports/replay.png")) -> int:
+    """Draw a replay report as a PNG picture.
+
+    :param report: report of `leadford replay`
+    :param file: where to write the picture
+    """
+    from leadford_cli.plots import draw_report
+
+    try:
+        document = msgspec.json.decode(report.read_bytes())
+    except (OSError, msgspec.MsgspecError) as error:
+        return _fail([f"{report}: {error}"])
+    draw_report(document, file)
+    print(file)
+    return 0
+
+
 def replay(
     trace: Path,
     *,
@@ -98,7 +202,7 @@
 
 def main() -> None:
     """Run a subcommand."""
-    sys.exit(defopt.run([check_config, replay, make_trace]))
+    sys.exit(defopt.run([ask, apply, check_config, replay, make_trace, plot]))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/leadford-cli/src/leadford_cli/operators/_client.py
@@ -0,0 +1,93 @@
+"""Call the operators' pages of the entries."""
+
+import json
+import secrets
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+from tornado.ioloop import IOLoop
+
+from leadford_server.web import NO_ANSWER, fetch
+
+TIMEOUT_S = 30.0
+UNSETTLED = (502, 503, 504, NO_ANSWER)
+
+
+class OperatorError(msgspec.Struct, frozen=True):
+    """Say what a call was answered instead of a result.
+
+    Units: column counts from 1, and is 0 where it does not apply.
+    """
+
+    message: str
+    column: int = 0
+    faults: tuple[str, ...] = ()
+
+
+class OperatorClient:
+    """Send statements to one of several entries.
+
+    The same command id goes to the next entry when an answer is lost, so a command
+    takes effect once.
+    """
+
+    def __init__(self, *, entries: list[str], token: str) -> None:
+        self.entries = entries
+        self.token = token
+
+    def run(
+        self, statement: str, *, wait: bool, if_version: int
+    ) -> Result[dict[str, Any], OperatorError]:
+        """Run a statement and return its answer."""
+        call = {"statement": statement, "wait": wait, "if_version": if_version}
+        return self._post("/v1/operator/statements", call)
+
+    def apply(
+        self, document: dict[str, Any], *, wait: bool, if_version: int
+    ) -> Result[dict[str, Any], OperatorError]:
+        """Put a whole configuration in force."""
+        call = {"document": document, "wait": wait, "if_version": if_version}
+        return self._post("/v1/operator/config", call)
+
+    def _post(
+        self, path: str, call: dict[str, Any]
+    ) -> Result[dict[str, Any], OperatorError]:
+        call["command_id"] = f"cli-{secrets.token_hex(8)}"
+        return IOLoop.current().run_sync(lambda: self._try_entries(path, call))
+
+    async def _try_entries(
+        self, path: str, call: dict[str, Any]
+    ) -> Result[dict[str, Any], OperatorError]:
+        http = CurlAsyncHTTPClient()
+        error = OperatorError("no entry was given")
+        for entry in self.entries:
+            request = HTTPRequest(
+                entry.rstrip("/") + path,
+                method="POST",
+                body=json.dumps(call),
+                headers={"Authorization": f"Bearer {self.token}"},
+                connect_timeout=2.0,
+                request_timeout=TIMEOUT_S,
+            )
+            response = await fetch(http, request)
+            if response.code == 200:
+                return Success(msgspec.json.decode(response.body))
+            error = _error_of(response.body or b"", str(response.error))
+            if response.code not in UNSETTLED:
+                break
+        return Failure(error)
+
+
+def _error_of(body: bytes, fallback: str) -> OperatorError:
+    try:
+        document = msgspec.json.decode(body)
+        return OperatorError(
+            document["detail"],
+            document.get("column", 0),
+            tuple(document.get("faults", ())),
+        )
+    except (msgspec.MsgspecError, LookupError, TypeError):
+        return OperatorError(fallback)
--- a/packages/leadford-server/src/leadford_server/agent/_process.py
+++ b/packages/leadford-server/src/leadford_server/agent/_process.py
@@ -110,6 +110,7 @@
                 url=self.settings.endpoint_url, path=pool.path, http=self.http_
             )
             self.service_ = AgentService(
+                endpoint_id=self.settings.endpoint_id,
                 adapter=adapter,
                 pool=pool,
                 config=config,
--- a/packages/leadford-server/src/leadford_server/agent/_service.py
+++ b/packages/leadford-server/src/leadford_server/agent/_service.py
@@ -22,6 +22,8 @@
     Load,
     Message,
     NotHeld,
+    Query,
+    QueryAnswer,
     Refused,
     Submit,
     TokenPart,
@@ -76,12 +78,14 @@
     def __init__(
         self,
         *,
+        endpoint_id: str,
         adapter: EndpointAdapter,
         pool: PoolConfig,
         config: FleetConfig,
         log: EventLog,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self.endpoint_id = endpoint_id
         self.adapter = adapter
         self.log = log
         self.clock = clock
@@ -153,9 +157,41 @@
                 self._cancel(_key_of(message))
             case Attach():
                 self._attach(peer, message)
+            case Query():
+                rows = msgspec.json.encode(self.queue_rows())
+                peer.send(QueryAnswer(message.query_id, rows))
             case _:
                 pass
 
+    def queue_rows(self) -> list[list]:
+        """Return what waits and runs here, and why what waits does."""
+        now = self.clock()
+        rows: list[list] = []
+        for attempt in self.attempts_by_key_.values():
+            submit = attempt.submit
+            running = attempt.started_at_ is not None
+            rows.append(
+                [
+                    self.endpoint_id,
+                    submit.request_id,
+                    submit.stage,
+                    submit.workspace,
+                    submit.priority,
+                    "running" if running else "waiting",
+                    round((now - attempt.item.enqueued_at) * 1000.0),
+                    round((attempt.item.deadline_at - now) * 1000.0),
+                    "" if running else self._why_waiting(submit.priority),
+                ]
+            )
+        return rows
+
+    def _why_waiting(self, priority: int) -> str:
+        slots = self.pool_.concurrency
+        if self.running_ >= slots:
+            return f"all {slots} slots run"
+        kept = self.headroom_.reserved(priority, self.clock())
+        return f"{kept} slots are kept for more urgent work"
+
     def load(self) -> Load:
         """Return the load of the endpoint."""
         estimate = self.admission_.estimate_
@@ -163,7 +199,10 @@
             queued=len(self.queue_),
             running=self.running_,
             tokens_in_flight=self.tokens_in_flight_,
-            service_ms=round(estimate.overall_.value_, 2),
+            # Before the first observation the entries use what is configured.
+            service_ms=round(estimate.overall_.value_, 2)
+            if estimate.overall_.count_
+            else 0.0,
             token_ms=round(self._token_ms(), 3),
             concurrency=self.pool_.concurrency,
             classes=[
--- a/packages/leadford-server/src/leadford_server/config/__init__.py
+++ b/packages/leadford-server/src/leadford_server/config/__init__.py
@@ -1,6 +1,19 @@
 """Follow the configuration: from the store, from relays and from any peer ahead."""
 
 from leadford_server.config._follower import ConfigFollower
-from leadford_server.config._source import CHUNK_PREFIX, HEAD_NAME, ConfigSource
+from leadford_server.config._source import (
+    CHUNK_PREFIX,
+    HEAD_NAME,
+    ConfigSource,
+    StoredHead,
+    StoreSource,
+)
 
-__all__ = ["CHUNK_PREFIX", "HEAD_NAME", "ConfigFollower", "ConfigSource"]
+__all__ = [
+    "CHUNK_PREFIX",
+    "HEAD_NAME",
+    "ConfigFollower",
+    "ConfigSource",
+    "StoreSource",
+    "StoredHead",
+]
--- a/packages/leadford-server/src/leadford_server/entry/_directory.py
+++ b/packages/leadford-server/src/leadford_server/entry/_directory.py
@@ -236,6 +236,19 @@
             return False
         return not self.hosts_.is_leaving(HostId(link.config.host))
 
+    def state_text(self, link: EndpointLink) -> str:
+        """Return the state of an endpoint as operators read it."""
+        if link.peer is None:
+            return "unreachable"
+        if link.announced_draining_ or link.config.draining:
+            return "draining"
+        if self.hosts_.is_leaving(HostId(link.config.host)):
+            return "leaving"
+        if self.halls_.is_lost(link.view.hall, self.clock()):
+            return "hall lost"
+        pool = self.pools_by_id_[PoolId(link.config.pool)]
+        return pool.ejector.state(link.view.endpoint_id).value
+
     def note_load(self, endpoint_id: EndpointId, load: Load) -> None:
         """Take in a load report."""
         link = self.links_by_id_.get(endpoint_id)
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/entry/_hosts.py
@@ -0,0 +1,50 @@
+"""Poll the platform's lagging host list."""
+
+import asyncio
+from random import Random
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient
+
+from leadford.common import HostId
+from leadford.membership import HostState, HostTable
+from leadford_server.web import fetch
+
+POLL_S = 2.0
+
+
+class HostPoller:
+    """Read the host list now and then; while it is silent, the last one stands."""
+
+    def __init__(
+        self, *, url: str, hosts: HostTable, http: AsyncHTTPClient, random: Random
+    ) -> None:
+        self.url = url
+        self.hosts = hosts
+        self.http = http
+        self.random = random
+        self.task_: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to poll."""
+        if self.url:
+            self.task_ = asyncio.create_task(self._run())
+
+    def stop(self) -> None:
+        """Stop polling."""
+        if self.task_ is not None:
+            self.task_.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            response = await fetch(self.http, f"{self.url}/hosts")
+            if response.code == 200:
+                self._take(response.body)
+            await asyncio.sleep(POLL_S * self.random.uniform(0.75, 1.25))
+
+    def _take(self, body: bytes) -> None:
+        try:
+            listed = msgspec.json.decode(body, type=dict[str, HostState])
+        except msgspec.MsgspecError:
+            return
+        self.hosts.note_list({HostId(host): state for host, state in listed.items()})
--- a/packages/leadford-server/src/leadford_server/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/entry/_process.py
@@ -12,9 +12,12 @@
 from leadford.events import Event
 from leadford.protocol import Done, Draining, Load, Message, Refused
 from leadford_server.config import ConfigFollower
+from leadford_server.entry._changes import ChangeService
 from leadford_server.entry._claims import ClaimService
 from leadford_server.entry._directory import DialerFactory, EndpointDirectory
 from leadford_server.entry._entries import EntryPeers
+from leadford_server.entry._fanout import FanOut
+from leadford_server.entry._hosts import HostPoller
 from leadford_server.entry._http import (
     BODY_BYTES_MAX,
     HealthHandler,
@@ -22,8 +25,14 @@
     RequestHandler,
     RequestsHandler,
 )
+from leadford_server.entry._operators import (
+    ConfigHandler,
+    OperatorDesk,
+    StatementsHandler,
+)
 from leadford_server.entry._requests import RequestTable
 from leadford_server.entry._services import EntryServices
+from leadford_server.entry._tables import LocalTables
 from leadford_server.logs import EventLog
 from leadford_server.metrics import MetricsHandler
 from leadford_server.peers import Identity, PeerConnection, PeerServer
@@ -89,6 +98,29 @@
             is_relay=self.entries_.is_relay,
             on_change=self._apply,
         )
+        self.tables_ = LocalTables(
+            services=self.services_, requests=self.table_, follower=self.follower_
+        )
+        self.fanout_ = FanOut(
+            entry_id=entry_id,
+            entries=self.entries_,
+            directory=self.directory_,
+            tables=self.tables_,
+            random=self.rng,
+        )
+        self.desk_ = OperatorDesk(
+            follower=self.follower_,
+            changes=ChangeService(
+                store=self.store_, follower=self.follower_, log=self.log_
+            ),
+            fanout=self.fanout_,
+        )
+        self.hosts_ = HostPoller(
+            url=settings.hosts_url,
+            hosts=self.directory_.hosts_,
+            http=self.http_,
+            random=self.rng,
+        )
         self.server_ = PeerServer(
             identity=identity,
             handler=self,
@@ -108,6 +140,8 @@
             [
                 (r"/v1/pipelines/([^/]+)/requests", RequestsHandler, shared),
                 (r"/v1/requests/([^/]+)", RequestHandler, shared),
+                (r"/v1/operator/statements", StatementsHandler, {"desk": self.desk_}),
+                (r"/v1/operator/config", ConfigHandler, {"desk": self.desk_}),
                 (r"/healthz", HealthHandler),
                 (r"/readyz", ReadyHandler, shared),
                 (r"/metrics", MetricsHandler),
@@ -123,6 +157,7 @@
         )
         self.web_.listen(self.settings.http.port, self.settings.http.host)
         self.follower_.start()
+        self.hosts_.start()
         self.log_.report(
             Event.PROCESS_STARTED, role="entry", http=str(self.settings.http)
         )
@@ -167,6 +202,8 @@
             return
         if self.claims_.peer_message(peer, message):
             return
+        if self.fanout_.peer_message(peer, message):
+            return
         self.entries_.peer_message(peer, message)
 
     async def drain(self) -> None:
@@ -179,6 +216,7 @@
         self.web_.stop()
         await self.web_.close_all_connections()
         self.follower_.stop()
+        self.hosts_.stop()
         await self.directory_.stop()
         await self.entries_.stop()
         await self.server_.stop()
--- a/packages/leadford-server/src/leadford_server/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/entry/_requests.py
@@ -26,6 +26,7 @@
 from leadford_server.entry._body import RequestBody
 from leadford_server.entry._run import RequestRun, make_request_id
 from leadford_server.entry._services import EntryServices
+from leadford_server.entry._trail import Trail, TrailStep
 from leadford_server.metrics import (
     FIRST_TOKEN_SECONDS,
     LIVE_REQUESTS,
@@ -35,6 +36,7 @@
 )
 
 ENDED_KEPT = 500
+REFUSED_KEPT = 1000
 ENDED_KEPT_S = 10.0
 LOOKUP_STEP_S = 0.05
 LOOKUP_MAX_S = 1.0
@@ -88,6 +90,7 @@
         self.services = services
         self.runs_by_id_: dict[RequestId, RequestRun] = {}
         self.ended_by_id_: OrderedDict[RequestId, RequestRun] = OrderedDict()
+        self.refused_by_id_: OrderedDict[RequestId, Trail] = OrderedDict()
         self.tasks_: set[asyncio.Task[None]] = set()
         self.draining_ = False
 
@@ -108,6 +111,7 @@
         refusal = self._refuse_early(request_id, pipeline, new)
         if refusal is not None:
             self._count(new.pipeline_id, Outcome.NOT_RUN, refusal.problem.reason)
+            self._remember_refusal(refusal)
             services.log.report(
                 Event.REQUEST_REFUSED,
                 request=request_id,
@@ -119,6 +123,23 @@
         self._start(run, self._drive(run, new))
         return Success(run)
 
+    def _remember_refusal(self, refusal: Refusal) -> None:
+        now = self.services.clock()
+        trail = Trail(started_at=now)
+        problem = refusal.problem
+        trail.add(now, f"refused: {problem.reason.value}, {problem.detail}")
+        self.refused_by_id_[refusal.request_id] = trail
+        if len(self.refused_by_id_) > REFUSED_KEPT:
+            self.refused_by_id_.popitem(last=False)
+
+    def trail(self, request_id: RequestId) -> list[TrailStep]:
+        """Return what was decided here for a request, as far as it is remembered."""
+        run = self.find(request_id)
+        if run is not None:
+            return run.trail_.steps_
+        refused = self.refused_by_id_.get(request_id)
+        return refused.steps_ if refused is not None else []
+
     def _join(self, run: RequestRun, new: NewRequest) -> Result[RequestRun, Refusal]:
         same = run.body.digest in ("", new.body.digest)
         if same and run.execution.pipeline_id == new.pipeline_id:
@@ -153,7 +174,15 @@
         )
         if verdict.reason is None:
             return None
-        text = f"predicted {verdict.predicted_ms:.0f} ms"
+        stages = ", ".join(
+            f"{stage.name} {forecast.wait_ms:.0f}+{forecast.service_ms:.0f}"
+            for stage, forecast in zip(pipeline.stages, forecasts, strict=True)
+            if forecast is not None
+        )
+        text = (
+            f"predicted {verdict.predicted_ms:.0f} ms of {new.deadline_ms:.0f} "
+            f"(wait+service: {stages})"
+        )
         problem = Problem(503, verdict.reason, text, verdict.retry_after_ms)
         return Refusal(request_id, problem)
 
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/entry/_tables.py
@@ -0,0 +1,296 @@
+"""Build the rows that this entry has for each table of the language."""
+
+from collections import Counter
+
+import msgspec
+
+from leadford.common import RequestId
+from leadford.config import FleetConfig
+from leadford.costs import CostLine, StageCost
+from leadford.language import Table
+from leadford_server.config import ConfigFollower
+from leadford_server.entry._requests import RequestTable
+from leadford_server.entry._run import RequestRun
+from leadford_server.entry._services import EntryServices
+
+COLUMNS_BY_TABLE = {
+    "requests": [
+        "request",
+        "entry",
+        "pipeline",
+        "workspace",
+        "state",
+        "stage",
+        "endpoint",
+        "elapsed_ms",
+        "remaining_ms",
+        "attempts",
+    ],
+    "queue": [
+        "endpoint",
+        "request",
+        "stage",
+        "workspace",
+        "priority",
+        "state",
+        "waited_ms",
+        "remaining_ms",
+        "why",
+    ],
+    "endpoints": [
+        "endpoint",
+        "pool",
+        "host",
+        "hall",
+        "state",
+        "queued",
+        "running",
+        "service_ms",
+        "token_ms",
+        "version",
+    ],
+    "halls": ["hall", "endpoints", "usable", "entries"],
+    "entries": ["entry", "host", "hall", "version", "live_requests"],
+    "workspaces": ["workspace", "share", "minimum", "priority_offset", "keys"],
+    "pipelines": ["pipeline", "stages", "priority", "deadline_ms", "paused"],
+    "pools": ["pool", "kind", "endpoints", "concurrency", "queue_limit"],
+    "models": ["model", "pool", "version", "copies", "pinned"],
+    "versions": ["process", "hall", "version", "unread"],
+    "audit": ["version", "from_version", "at_s", "operator", "command"],
+    "events": ["at_s", "process", "number", "event", "fields"],
+    "cost": ["name", "attempts", "completed", "useful_ms", "retried_ms", "wasted_ms"],
+    "explain": ["entry", "at_ms", "step"],
+}
+
+CONFIGURED_TABLES = ("workspaces", "pipelines", "pools", "models", "audit")
+
+
+def configured_table(name: str, follower: ConfigFollower) -> Table:
+    """Return a table that every process reads from the configuration."""
+    config = follower.tracker_.config_ or FleetConfig()
+    rows: list[list] = []
+    if name == "workspaces":
+        for key, part in config.workspaces.items():
+            keys = len(part.key_hashes)
+            rows.append([key, part.share, part.minimum, part.priority_offset, keys])
+    elif name == "pipelines":
+        for key, part in config.pipelines.items():
+            stages = " > ".join(stage.name for stage in part.stages)
+            rows.append([key, stages, part.priority, part.deadline_ms, part.paused])
+    elif name == "pools":
+        for key, part in config.pools.items():
+            count = sum(e.pool == key for e in config.endpoints.values())
+            kind = part.kind.value
+            rows.append([key, kind, count, part.concurrency, part.queue_limit])
+    elif name == "models":
+        for key, part in config.models.items():
+            pinned = " ".join(part.pinned)
+            rows.append([key, part.pool, part.version, part.copies, pinned])
+    elif name == "audit" and follower.tracker_.head_ is not None:
+        for r in reversed(follower.tracker_.head_.audit):
+            rows.append([r.version, r.from_version, r.at_s, r.operator, r.command])
+    return Table(COLUMNS_BY_TABLE[name], rows)
+
+
+class LocalTables:
+    """Answer queries from what this entry knows."""
+
+    def __init__(
+        self,
+        *,
+        services: EntryServices,
+        requests: RequestTable,
+        follower: ConfigFollower,
+    ) -> None:
+        self.services = services
+        self.requests = requests
+        self.follower = follower
+
+    def rows(self, name: str, argument: str) -> list[list]:
+        """Return the local rows of a table that is spread over the fleet."""
+        builders = {
+            "requests": self._requests,
+            "endpoints": self._endpoints,
+            "entries": self._entries,
+            "versions": self._versions,
+            "events": self._events,
+            "cost": lambda: self._cost(argument),
+            "explain": lambda: self._explain(argument),
+        }
+        builder = builders.get(name)
+        return builder() if builder is not None else []
+
+    def _requests(self) -> list[list]:
+        now = self.services.clock()
+        return [
+            self._request_row(run, now) for run in self.requests.runs_by_id_.values()
+        ]
+
+    def _request_row(self, run: RequestRun, now: float) -> list:
+        execution = run.execution
+        attempts = list(execution.live_by_number_.values())
+        state = "streaming" if execution.delivered_ else "sent"
+        if not attempts:
+            state = "between"
+        return [
+            run.request_id,
+            self.services.entry_id,
+            execution.pipeline_id,
+            execution.workspace,
+            state,
+            execution.stage.name if not execution.is_finished else "",
+            " ".join(attempt.endpoint_id for attempt in attempts),
+            round((now - run.started_at_) * 1000.0),
+            round((execution.deadline_at - now) * 1000.0),
+            execution.attempts_made_,
+        ]
+
+    def _endpoints(self) -> list[list]:
+        rows: list[list] = []
+        directory = self.services.directory
+        for endpoint_id, link in directory.links_by_id_.items():
+            report = link.view.report_
+            peer = link.peer
+            rows.append(
+                [
+                    endpoint_id,
+                    link.config.pool,
+                    link.config.host,
+                    link.config.hall,
+                    directory.state_text(link),
+                    report.queued,
+                    report.running,
+                    report.service_ms,
+                    report.token_ms,
+                    peer.peer_config_version_ if peer is not None else 0,
+                ]
+            )
+        return rows
+
+    def _entries(self) -> list[list]:
+        live = len(self.requests.runs_by_id_)
+        config = self.follower.tracker_.config_
+        entry = config.entries.get(self.services.entry_id) if config else None
+        host = entry.host if entry is not None else ""
+        entry_id = self.services.entry_id
+        return [[entry_id, host, self.services.hall, self.follower.version, live]]
+
+    def _versions(self) -> list[list]:
+        unread = self.follower.tracker_.unread_version_
+        own = [
+            self.services.entry_id,
+            self.services.hall,
+            self.follower.version,
+            unread,
+        ]
+        rows = [own]
+        for endpoint_id, link in self.services.directory.links_by_id_.items():
+            if link.peer is None:
+                continue
+            version = link.peer.peer_config_version_
+            rows.append([endpoint_id, link.config.hall, version, 0])
+        return rows
+
+    def _events(self) -> list[list]:
+        log = self.services.log
+        rows: list[list] = []
+        for record in log.journal_.records_:
+            fields = " ".join(f"{k}={v}" for k, v in record.fields.items())
+            event = record.event
+            name = event.name.lower()
+            at_s = round(record.at_s, 3)
+            rows.append([at_s, log.process_id, event.number, name, fields])
+        return rows
+
+    def _cost(self, by: str) -> list[list]:
+        account = self.services.costs_
+        totals = {
+            "stage": account.totals_by_stage,
+            "pipeline": account.totals_by_pipeline,
+            "workspace": account.totals_by_workspace,
+        }[by]()
+        return [_cost_row(name, line) for name, line in totals.items()]
+
+    def _explain(self, request_id: str) -> list[list]:
+        trail = self.requests.trail(RequestId(request_id))
+        entry_id = self.services.entry_id
+        return [[entry_id, step.at_ms, step.text] for step in trail]
+
+
+def _cost_row(name: str, line: CostLine) -> list:
+    uses = line.service_ms_by_use_
+    return [
+        name,
+        line.attempts_,
+        line.completed_,
+        round(uses[StageCost.USEFUL], 1),
+        round(uses[StageCost.RETRIED], 1),
+        round(uses[StageCost.WASTED], 1),
+    ]
+
+
+def merge_rows(name: str, answers: list[list[list]]) -> Table:
+    """Return one table from the rows of several processes."""
+    rows = [row for answer in answers for row in answer]
+    if name == "cost":
+        rows = _sum_rows(rows)
+    elif name == "endpoints":
+        rows = _merge_endpoints(rows)
+    elif name == "versions":
+        rows = _newest_versions(rows)
+    elif name == "queue":
+        rows = list({tuple(row[:3]): row for row in rows}.values())
+    rows.sort(key=lambda row: [str(cell) for cell in row[:2]])
+    if name == "events":
+        rows.sort(key=lambda row: -row[0])
+    elif name == "explain":
+        rows.sort(key=lambda row: row[1])
+    return Table(COLUMNS_BY_TABLE[name], rows)
+
+
+def _merge_endpoints(rows: list[list]) -> list[list]:
+    """Return a row for each endpoint; where entries differ, say how many see what."""
+    rows_by_id: dict[str, list[list]] = {}
+    for row in rows:
+        rows_by_id.setdefault(row[0], []).append(row)
+    merged: list[list] = []
+    for views in rows_by_id.values():
+        row = list(views[0])
+        counts = Counter(view[4] for view in views)
+        if len(counts) > 1:
+            parts = [f"{state} {n}/{len(views)}" for state, n in counts.most_common()]
+            row[4] = ", ".join(parts)
+        row[-1] = max(view[-1] for view in views)
+        merged.append(row)
+    return merged
+
+
+def _newest_versions(rows: list[list]) -> list[list]:
+    newest: dict[str, list] = {}
+    for row in rows:
+        known = newest.get(row[0])
+        if known is None or row[2] > known[2]:
+            newest[row[0]] = row
+    return list(newest.values())
+
+
+def _sum_rows(rows: list[list]) -> list[list]:
+    sums: dict[str, list] = {}
+    for row in rows:
+        known = sums.get(row[0])
+        if known is None:
+            sums[row[0]] = list(row)
+            continue
+        for index in range(1, len(row)):
+            known[index] = round(known[index] + row[index], 1)
+    return list(sums.values())
+
+
+def encode_rows(rows: list[list]) -> bytes:
+    """Return rows as they travel between processes."""
+    return msgspec.json.encode(rows)
+
+
+def decode_rows(data: bytes) -> list[list]:
+    """Return rows that travelled between processes."""
+    return msgspec.json.decode(data, type=list[list])
--- a/packages/leadford-server/src/leadford_server/peers/_connection.py
+++ b/packages/leadford-server/src/leadford_server/peers/_connection.py
@@ -84,9 +84,8 @@
         return True
 
     def announce_version(self) -> None:
-        """Send an otherwise empty frame when the peer lags in configuration."""
-        if self.peer_config_version_ < self.config_version():
-            self.wake_.set()
+        """Tell the peer once which configuration version runs here."""
+        self.wake_.set()
 
     def abort(self) -> None:
         """Drop the connection at once."""
@@ -156,5 +155,4 @@
                 self.bytes_sent_ += len(data)
 
     def _version_is_due(self) -> bool:
-        version = self.config_version()
-        return self.sent_config_version_ < version > self.peer_config_version_
+        return self.sent_config_version_ < self.config_version()
--- a/packages/leadford/src/leadford/language/_grammar.py
+++ b/packages/leadford/src/leadford/language/_grammar.py
@@ -48,8 +48,8 @@
 number: INTEGER | DECIMAL
 text: NAME | QUOTED
 
-SUBJECT: "requests" | "endpoints" | "halls" | "entries" | "workspaces" | "pipelines"
-       | "pools" | "models" | "versions" | "audit" | "events"
+SUBJECT: "requests" | "queue" | "endpoints" | "halls" | "entries" | "workspaces"
+       | "pipelines" | "pools" | "models" | "versions" | "audit" | "events"
 DIMENSION: "stage" | "pipeline" | "workspace"
 SCOPE: "endpoint" | "host" | "hall"
 OBJECTIVE: "attainment" | "cost"
--- a/packages/leadford/src/leadford/language/_statements.py
+++ b/packages/leadford/src/leadford/language/_statements.py
@@ -9,6 +9,7 @@
     """Name what a query shows."""
 
     REQUESTS = "requests"
+    QUEUE = "queue"
     ENDPOINTS = "endpoints"
     HALLS = "halls"
     ENTRIES = "entries"
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -286,6 +286,21 @@
     verdict: ClaimVerdict
 
 
+class Query(_Base, tag=26):
+    """Ask a peer for the rows that it has for a table."""
+
+    query_id: str
+    table: str
+    argument: str = ""
+
+
+class QueryAnswer(_Base, tag=27):
+    """Answer a query with rows as JSON."""
+
+    query_id: str
+    rows: bytes
+
+
 Message = (
     Challenge
     | Hello
@@ -311,4 +326,6 @@
     | ChunkAnswer
     | ClaimRequest
     | ClaimAnswer
+    | Query
+    | QueryAnswer
 )
