--- a/packages/leadford-server/src/leadford_server/entry/_http.py
+++ b/packages/leadford-server/src/leadford_server/entry/_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import json
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Failure
@@ -323,10 +324,16 @@
 class ReadyHandler(web.RequestHandler):
     """Tell the balancer whether to send callers here."""
 
-    def initialize(self, services: EntryServices, table: RequestTable) -> None:
+    def initialize(
+        self,
+        services: EntryServices,
+        table: RequestTable,
+        version: Callable[[], int],
+    ) -> None:
         """Store what the handler works on."""
         self.services = services
         self.table = table
+        self.version = version
 
     def get(self) -> None:
         """Answer 200 with a configuration in force and no stop under way."""
@@ -336,6 +343,7 @@
         self.finish(
             {
                 "ready": ready,
+                "config": self.version(),
                 "endpoints": len(links),
                 "connected": sum(link.peer is not None for link in links),
             }
--- a/packages/leadford-server/src/leadford_server/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/entry/_process.py
@@ -61,7 +61,7 @@
             handler=self,
             log=self.log_,
             random=self.rng,
-            config_version=lambda: self.follower_.version,
+            config_version=self._version,
         )
         entry_id = EntryId(settings.entry_id)
         hall = HallId(settings.hall)
@@ -126,7 +126,7 @@
             handler=self,
             log=self.log_,
             random=self.rng,
-            config_version=lambda: self.follower_.version,
+            config_version=self._version,
             is_draining=lambda: self.table_.draining_,
         )
         self.seeds_ = [dialers.make(str(seed), lambda: None) for seed in settings.seeds]
@@ -143,7 +143,7 @@
                 (r"/v1/operator/statements", StatementsHandler, {"desk": self.desk_}),
                 (r"/v1/operator/config", ConfigHandler, {"desk": self.desk_}),
                 (r"/healthz", HealthHandler),
-                (r"/readyz", ReadyHandler, shared),
+                (r"/readyz", ReadyHandler, {**shared, "version": self._version}),
                 (r"/metrics", MetricsHandler),
             ],
             log_function=lambda handler: None,
@@ -163,6 +163,9 @@
         )
         return self.settings.http
 
+    def _version(self) -> int:
+        return self.follower_.version
+
     def _apply(self, config: FleetConfig) -> None:
         self.services_.apply_config(config)
 
