Plan models per pool under a lease, with paced loads and fenced orders

Cause: which model versions an engine holds was set by hand. Change: the plan of a pool is one store object; whichever of two candidate entries holds its lease replaces it by conditional update, and the object's version is the fence that agents obey; loads are paced by the weight store's rate and a third of the pool at once; an old version goes only when the new one serves in full; an order in doubt is waited out where an engine does not check fences. Roles (prefill and decode) are not planned yet.

--- a/packages/leadford-server/src/leadford_server/agent/_process.py
+++ b/packages/leadford-server/src/leadford_server/agent/_process.py
@@ -8,10 +8,12 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from leadford.common import PoolKind
-from leadford.config import FleetConfig
+from leadford.config import FleetConfig, PoolConfig
 from leadford.events import Event
-from leadford.protocol import Message, Refused, Submit
+from leadford.placement import OrderDesk
+from leadford.protocol import Message, PlanOrder, Refused, Submit
 from leadford_server.agent._adapters import endpoint_adapters
+from leadford_server.agent._models import ModelKeeper
 from leadford_server.agent._service import AgentService
 from leadford_server.config import ConfigFollower
 from leadford_server.logs import EventLog
@@ -59,6 +61,7 @@
         )
         self.store_ = StoreClient(url=settings.store, http=self.http_)
         self.service_: AgentService | None = None
+        self.keeper_: ModelKeeper | None = None
         self.peers_: set[PeerConnection] = set()
         self.stopping_ = False
         self.follower_ = ConfigFollower(
@@ -119,12 +122,27 @@
             )
             for peer in self.peers_:
                 self.service_.peer_connected(peer)
+            self._keep_models(pool)
         self.service_.apply_config(config, pool)
         if endpoint.draining or self.stopping_:
             self.service_.drain()
         elif self.service_.draining_:
             self.service_.restore()
 
+    def _keep_models(self, pool: PoolConfig) -> None:
+        """Follow plans, where the endpoint is an engine."""
+        if pool.kind is not PoolKind.ENGINE:
+            return
+        self.keeper_ = ModelKeeper(
+            url=self.settings.endpoint_url,
+            http=self.http_,
+            desk=OrderDesk(checks_fences=pool.checks_fences),
+            log=self.log_,
+            on_change=self.service_.report_models,
+        )
+        self.service_.keeper_ = self.keeper_
+        self.keeper_.start()
+
     def peer_connected(self, peer: PeerConnection) -> None:
         """Take in a connection of an entry."""
         self.peers_.add(peer)
@@ -147,6 +165,10 @@
         """Take in a message."""
         if self.follower_.peer_message(peer, message):
             return
+        if isinstance(message, PlanOrder):
+            if self.keeper_ is not None:
+                self.keeper_.take(message)
+            return
         if self.service_ is not None:
             self.service_.peer_message(peer, message)
             return
@@ -172,6 +194,8 @@
                 await asyncio.sleep(DRAIN_POLL_S)
         for peer in list(self.peers_):
             await peer.close()
+        if self.keeper_ is not None:
+            self.keeper_.stop()
         self.follower_.stop()
         await self.server_.stop()
         self.web_.stop()
--- a/packages/leadford-server/src/leadford_server/agent/_service.py
+++ b/packages/leadford-server/src/leadford_server/agent/_service.py
@@ -41,6 +41,7 @@
     TokenSink,
     attempt_key,
 )
+from leadford_server.agent._models import ModelKeeper
 from leadford_server.logs import EventLog
 from leadford_server.metrics import (
     ATTEMPTS_TOTAL,
@@ -106,6 +107,7 @@
         self.running_ = 0
         self.tokens_in_flight_ = 0
         self.draining_ = False
+        self.keeper_: ModelKeeper | None = None
         self.peers_by_id_: dict[str, PeerConnection] = {}
         self.dirty_keys_: dict[str, None] = {}
         self.tick_: asyncio.TimerHandle | None = None
@@ -209,6 +211,7 @@
                 ClassLoad(priority, round(ahead_ms, 1))
                 for priority, ahead_ms in self.queue_.cost_ms_by_priority_.items()
             ],
+            models=self.keeper_.held() if self.keeper_ is not None else [],
         )
 
     def _token_ms(self) -> float:
@@ -236,6 +239,10 @@
         for peer in self.peers_by_id_.values():
             peer.send(Draining("agent"))
 
+    def report_models(self) -> None:
+        """Tell the entries at once what the engine holds now."""
+        self._report_load(force=True)
+
     def restore(self) -> None:
         """Take new work again."""
         self.draining_ = False
--- a/packages/leadford-server/src/leadford_server/entry/_directory.py
+++ b/packages/leadford-server/src/leadford_server/entry/_directory.py
@@ -232,7 +232,7 @@
     def _is_usable(self, link: EndpointLink, model: str) -> bool:
         if link.peer is None or link.announced_draining_ or link.config.draining:
             return False
-        if model and link.view.models and model not in link.view.models:
+        if model and not link.view.serves(model):
             return False
         return not self.hosts_.is_leaving(HostId(link.config.host))
 
@@ -252,8 +252,10 @@
     def note_load(self, endpoint_id: EndpointId, load: Load) -> None:
         """Take in a load report."""
         link = self.links_by_id_.get(endpoint_id)
+        link = link or self.extra_links_by_id_.get(endpoint_id)
         if link is None:
             return
+        link.view.held_models_ = tuple((m.model, m.version) for m in load.models)
         link.view.note_report(
             LoadReport(
                 at_s=self.clock(),
--- a/packages/leadford-server/src/leadford_server/entry/_entries.py
+++ b/packages/leadford-server/src/leadford_server/entry/_entries.py
@@ -65,11 +65,12 @@
         halls = {
             entry_id: HallId(config.hall)
             for entry_id, config in self.configs_by_id_.items()
-            if entry_id == self.entry_id or not self._is_down(entry_id)
+            if entry_id == self.entry_id or not self.is_down(entry_id)
         }
         return choose_relays(halls, self.hall)
 
-    def _is_down(self, entry_id: EntryId) -> bool:
+    def is_down(self, entry_id: EntryId) -> bool:
+        """Tell whether an entry cannot be reached just now."""
         dialer = self.dialers_by_id_.get(entry_id)
         return dialer is not None and dialer.failures_ > 0
 
@@ -98,7 +99,7 @@
 
     def owner(self, shard: int) -> EntryId:
         """Return the entry that batches the claims of a shard now."""
-        live = [EntryId(i) for i in self.ids_ if not self._is_down(EntryId(i))]
+        live = [EntryId(i) for i in self.ids_ if not self.is_down(EntryId(i))]
         order = rendezvous_order(f"claims/{shard}", live or [self.entry_id])
         return order[0]
 
--- a/packages/leadford-server/src/leadford_server/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/entry/_process.py
@@ -30,6 +30,7 @@
     OperatorDesk,
     StatementsHandler,
 )
+from leadford_server.entry._planner import PlannerService
 from leadford_server.entry._requests import RequestTable
 from leadford_server.entry._services import EntryServices
 from leadford_server.entry._tables import LocalTables
@@ -115,6 +116,14 @@
             ),
             fanout=self.fanout_,
         )
+        self.planner_ = PlannerService(
+            entry_id=entry_id,
+            store=self.store_,
+            directory=self.directory_,
+            entries=self.entries_,
+            log=self.log_,
+            random=self.rng,
+        )
         self.hosts_ = HostPoller(
             url=settings.hosts_url,
             hosts=self.directory_.hosts_,
@@ -158,6 +167,7 @@
         self.web_.listen(self.settings.http.port, self.settings.http.host)
         self.follower_.start()
         self.hosts_.start()
+        self.planner_.start()
         self.log_.report(
             Event.PROCESS_STARTED, role="entry", http=str(self.settings.http)
         )
@@ -168,6 +178,7 @@
 
     def _apply(self, config: FleetConfig) -> None:
         self.services_.apply_config(config)
+        self.planner_.apply_config(config)
 
     def peer_connected(self, peer: PeerConnection) -> None:
         """Take in that a connection stands."""
@@ -220,6 +231,7 @@
         await self.web_.close_all_connections()
         self.follower_.stop()
         self.hosts_.stop()
+        self.planner_.stop()
         await self.directory_.stop()
         await self.entries_.stop()
         await self.server_.stop()
--- a/packages/leadford-standins/src/leadford_standins/tests/test_operators.py
+++ b/packages/leadford-standins/src/leadford_standins/tests/test_operators.py
@@ -246,3 +246,31 @@
         "POST", "/v1/operator/config", {"document": document, "wait": True}, **TOKEN
     )
     assert json.load(answer)["behind"] == []
+
+
+def orders(fleet, name):
+    url = f"{fleet.endpoint_url(name)}/orders"
+    return json.load(urllib.request.urlopen(url, timeout=5))
+
+
+def holders(fleet, model, version):
+    names = ("engines-1", "engines-2")
+    return [n for n in names if orders(fleet, n)["models"].get(model) == version]
+
+
+def test_models_follow_the_plan_through_a_planner_that_dies(fleet, client):
+    ask(client, "load model go version 1 in pool engines copies 1", wait=True)
+    wait_until(lambda: len(holders(fleet, "go", "1")) == 1)
+    planners = [
+        row["process"]
+        for row in rows_of(client, "show events where event = planner_changed")
+    ]
+    fleet.kill(planners[0])
+    alive = (fleet.entry_names.index(planners[0]) + 1) % 3
+    ask(client, "load model go version 2 in pool engines copies 2", alive)
+    wait_until(lambda: len(holders(fleet, "go", "2")) == 2)
+    assert not holders(fleet, "go", "1")
+    given = orders(fleet, "engines-1")["orders"] + orders(fleet, "engines-2")["orders"]
+    assert all(order["fence"] > 0 for order in given)
+    ask(client, "unload model go", alive)
+    wait_until(lambda: not holders(fleet, "go", "2"))
--- /dev/null
+++ b/packages/leadford/src/leadford/placement/_lease.py
@@ -0,0 +1,61 @@
+"""Hold the right to plan a pool by conditional updates of the plan's own object."""
+
+import cbor2
+import msgspec
+
+from leadford.common import EntryId
+from leadford.placement._planner import Plan
+
+LEASE_S = 15.0
+RENEW_S = 5.0
+
+
+class PlanRecord(msgspec.Struct, frozen=True):
+    """Hold a plan, who may change it, and until when.
+
+    Units: until_s is seconds of Unix time at the holder.
+    """
+
+    holder: str
+    until_s: float
+    plan: Plan
+
+    def encode(self) -> bytes:
+        """Return the record in its stored form."""
+        return cbor2.dumps(msgspec.to_builtins(self))
+
+
+def decode_plan(data: bytes) -> PlanRecord:
+    """Return the record in a stored form; a corrupt one breaks an invariant."""
+    return msgspec.convert(cbor2.loads(data), PlanRecord)
+
+
+class PlanningLease:
+    """Decide from the stored record whether this entry may write the next one.
+
+    The lease only keeps two planners from working against each other. Safety comes
+    from the update being conditional: one made from an older record fails, and agents
+    obey the store's version of the object as a fence.
+    """
+
+    def __init__(self, *, entry_id: EntryId, lease_s: float = LEASE_S) -> None:
+        self.entry_id = entry_id
+        self.lease_s = lease_s
+
+    def may_write(self, record: PlanRecord | None, now_s: float) -> bool:
+        """Tell whether the record is this entry's to replace."""
+        if record is None or record.holder == self.entry_id:
+            return True
+        return now_s > record.until_s
+
+    def must_write(self, record: PlanRecord | None, plan: Plan, now_s: float) -> bool:
+        """Tell whether a plan or the lease needs a write now."""
+        if record is None or record.holder != self.entry_id:
+            return True
+        if plan != record.plan:
+            return True
+        return record.until_s - now_s < self.lease_s - RENEW_S
+
+    def next_record(self, plan: Plan, now_s: float) -> PlanRecord:
+        """Return the record to write."""
+        return PlanRecord(self.entry_id, now_s + self.lease_s, plan)
--- /dev/null
+++ b/packages/leadford/src/leadford/placement/tests/test_placement.py
@@ -0,0 +1,160 @@
+"""Plans move in safe steps; leases and fences keep late planners harmless."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from leadford.config import ModelConfig
+from leadford.placement import (
+    EngineView,
+    ModelCopy,
+    OrderDesk,
+    OrderKind,
+    PlacementPlanner,
+    Plan,
+    PlanningLease,
+    PlanRecord,
+    decode_plan,
+)
+
+
+def make_engines(holds=None, count=6):
+    holds = holds or {}
+    return [
+        EngineView(f"e{n}", f"h{n % 3}", frozenset(holds.get(f"e{n}", ())))
+        for n in range(count)
+    ]
+
+
+def model(version="1", copies=2, **terms):
+    return ModelConfig(pool="p", version=version, copies=copies, **terms)
+
+
+def obey(plan, engines):
+    """Return engines that did what a plan says."""
+    return [
+        EngineView(e.endpoint_id, e.hall, plan.wanted(e.endpoint_id)) for e in engines
+    ]
+
+
+def settle(models, engines, plan=None, rounds=40):
+    planner = PlacementPlanner(weight_store_mb_s=1e9)
+    plan = plan or Plan()
+    for step in range(rounds):
+        plan = planner.next_plan(plan, models, engines, float(step))
+        engines = obey(plan, engines)
+    return plan, engines
+
+
+def holders(engines, name, version="1"):
+    return [e.endpoint_id for e in engines if ModelCopy(name, version) in e.holds]
+
+
+def test_copies_spread_over_halls_and_stay():
+    plan, engines = settle({"m": model(copies=3)}, make_engines())
+    held = holders(engines, "m")
+    assert len({e.hall for e in engines if e.endpoint_id in held}) == 3
+    again, _ = settle({"m": model(copies=3)}, engines, plan)
+    assert again == plan
+
+
+def test_pins_are_kept():
+    _, engines = settle({"m": model(pinned=("e4",))}, make_engines())
+    assert "e4" in holders(engines, "m")
+
+
+def test_loads_are_paced_by_the_weight_store():
+    planner = PlacementPlanner(weight_store_mb_s=100.0, burst_s=10.0)
+    models = {"m": model(copies=6, load_mb=1000.0)}
+    plan = Plan()
+    engines = make_engines()
+    started = []
+    for second in range(40):
+        plan = planner.next_plan(plan, models, engines, float(second))
+        engines = obey(plan, engines)
+        started.append(len(holders(engines, "m")))
+    assert started[0] == 1
+    assert started[9] == 1
+    assert started[-1] == 4
+
+
+def test_few_engines_load_at_once():
+    planner = PlacementPlanner(weight_store_mb_s=1e9)
+    models = {"m": model(copies=6)}
+    plan = planner.next_plan(Plan(), models, make_engines(), 0.0)
+    assert len(plan.copies_by_endpoint) == 2
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 3), st.integers(1, 4), st.integers(0, 5)), max_size=20
+    )
+)
+def test_the_last_serving_copy_is_never_unloaded(changes):
+    planner = PlacementPlanner(weight_store_mb_s=1e9)
+    plan, engines = settle({"m": model()}, make_engines())
+    now = 100.0
+    for version, copies, down in changes:
+        models = {"m": model(str(version), copies)}
+        for _ in range(6):
+            now += 1.0
+            seen = [
+                EngineView(e.endpoint_id, e.hall, e.holds, n != down)
+                for n, e in enumerate(engines)
+            ]
+            plan = planner.next_plan(plan, models, seen, now)
+            engines = obey(plan, engines)
+            assert any(c.model == "m" for e in engines for c in e.holds)
+
+
+def test_a_new_version_replaces_the_old_in_full_first():
+    plan, engines = settle({"m": model("1", 2)}, make_engines())
+    old = holders(engines, "m")
+    plan, engines = settle({"m": model("2", 2)}, engines, plan)
+    assert len(holders(engines, "m", "2")) == 2
+    assert old
+    assert not holders(engines, "m", "1")
+
+
+def test_a_lease_is_taken_over_only_after_it_lapses():
+    lease = PlanningLease(entry_id="b", lease_s=15.0)
+    record = PlanRecord("a", 100.0, Plan())
+    assert not lease.may_write(record, 99.0)
+    assert lease.may_write(record, 100.1)
+    own = lease.next_record(Plan(), 100.1)
+    assert decode_plan(own.encode()) == own
+    assert not lease.must_write(own, Plan(), 101.0)
+    assert lease.must_write(own, Plan(), 107.0)
+    assert lease.must_write(own, Plan({"e": (ModelCopy("m", "1"),)}), 101.0)
+
+
+COPY = ModelCopy("m", "1")
+OTHER = ModelCopy("n", "1")
+
+
+def test_an_older_plan_is_not_obeyed():
+    desk = OrderDesk(checks_fences=True)
+    assert desk.next_step(frozenset(), 0.0) is None
+    assert desk.offer(5, frozenset({COPY}))
+    assert not desk.offer(4, frozenset())
+    step = desk.next_step(frozenset(), 0.0)
+    assert (step.kind, step.copy, step.fence) == (OrderKind.LOAD, COPY, 5)
+
+
+def test_loads_go_before_unloads():
+    desk = OrderDesk(checks_fences=True)
+    desk.offer(1, frozenset({COPY}))
+    assert desk.next_step(frozenset({OTHER}), 0.0).kind is OrderKind.LOAD
+    assert desk.next_step(frozenset({OTHER, COPY}), 0.0).kind is OrderKind.UNLOAD
+
+
+@pytest.mark.parametrize(("checks", "held_back"), [(True, False), (False, True)])
+def test_an_order_in_doubt_is_waited_out_where_fences_are_not_checked(
+    checks, held_back
+):
+    desk = OrderDesk(checks_fences=checks, doubt_s=5.0)
+    desk.offer(1, frozenset({COPY}))
+    desk.note_lost(desk.next_step(frozenset(), 0.0), 0.0)
+    desk.offer(2, frozenset())
+    contrary = desk.next_step(frozenset({COPY}), 1.0)
+    assert (contrary is None) is held_back
+    assert desk.next_step(frozenset({COPY}), 6.0).kind is OrderKind.UNLOAD
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -55,6 +55,13 @@
     ahead_ms: float
 
 
+class HeldModel(_Base):
+    """Name a model version that an engine holds."""
+
+    model: str
+    version: str
+
+
 class Load(_Base, tag=5):
     """Report the load of an agent's endpoint.
 
@@ -69,6 +76,7 @@
     token_ms: float
     concurrency: int
     classes: list[ClassLoad] = []
+    models: list[HeldModel] = []
 
 
 class Draining(_Base, tag=6):
@@ -301,6 +309,14 @@
     rows: bytes
 
 
+class PlanOrder(_Base, tag=28):
+    """Tell an agent what its engine is to hold; older fences are ignored."""
+
+    pool: str
+    fence: int
+    models: list[HeldModel]
+
+
 Message = (
     Challenge
     | Hello
@@ -328,4 +344,5 @@
     | ClaimAnswer
     | Query
     | QueryAnswer
+    | PlanOrder
 )
--- a/packages/leadford/src/leadford/routing/_base.py
+++ b/packages/leadford/src/leadford/routing/_base.py
@@ -62,6 +62,13 @@
         self.outstanding_ = 0
         self.outstanding_tokens_ = 0
         self.prefixes_ = PrefixIndex()
+        self.held_models_: tuple[tuple[str, str], ...] = ()
+
+    def serves(self, model: str) -> bool:
+        """Tell whether a model is there; an engine that names none serves all."""
+        if self.held_models_:
+            return any(name == model for name, _ in self.held_models_)
+        return not self.models or model in self.models
 
     def trust(self, now: float) -> float:
         """Return how far the last report still holds: 1 at once, a half after 1 s."""
