--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -14,6 +14,7 @@
 
 from leadford.claims import ClaimBatch, ClaimLog, SlotView
 from leadford.claims._log import ClaimSlot
+from leadford.common import rendezvous_order
 from leadford.config import (
     ConfigTracker,
     WorkspaceConfig,
@@ -23,7 +24,6 @@
     make_head,
     split,
 )
-from leadford.execution import choose_keepers
 from leadford.membership import choose_subset
 from leadford.protocol import ClassLoad, Load, Submit, TokenPart, Tokens, decode, encode
 from leadford.queues import QueuedAttempt, WorkspaceTerms, queue_policies
@@ -219,7 +219,7 @@
         )
     print(f"subset, us by endpoints of a pool: {fit(sizes, times)}")
     ids = [f"e{n}" for n in range(350)]
-    plain_us = time_us(lambda: choose_keepers("r", ids), 20)
+    plain_us = time_us(lambda: rendezvous_order("r", ids), 20)
     print(f"keepers by plain rendezvous over 350 entries: {plain_us:.0f} us")
 
 
--- a/packages/leadford/src/leadford/execution/__init__.py
+++ b/packages/leadford/src/leadford/execution/__init__.py
@@ -1,6 +1,5 @@
 """Run one request through its stages: attempts, matching, budgets, true outcomes."""
 
-from leadford.execution._keepers import NOTE_KEEPERS, choose_keepers
 from leadford.execution._request import (
     Attempt,
     RequestExecution,
@@ -9,10 +8,8 @@
 )
 
 __all__ = [
-    "NOTE_KEEPERS",
     "Attempt",
     "RequestExecution",
     "StageBudget",
     "StrayKind",
-    "choose_keepers",
 ]
