Fill batches when the deployment optimises cost

Cause: under cost the score gave a credit of 0.3 of a service for a full batch, too weak to bring streams together: a decoding step of the stand-in costs 20 ms for one stream and 3.2 ms a stream for eight. Change: an engine stage goes to the fullest engine that stays below 85 % of its slots and finishes with half again of time to spare; everything else is scored as before.

--- a/packages/leadford/src/leadford/routing/_expected_finish.py
+++ b/packages/leadford/src/leadford/routing/_expected_finish.py
@@ -1,6 +1,6 @@
 """Choose by expected finish: queue, batch, prefix, distance and age of the report."""
 
-from heapq import nsmallest
+from heapq import nlargest, nsmallest
 from operator import attrgetter
 from random import Random
 
@@ -17,7 +17,9 @@
 PREFILL_MS_PER_TOKEN = 0.25
 PREFIX_HIT_FRACTION = 0.9
 TIE_MS = 1.0
-COST_BATCH_CREDIT = 0.3
+COST_FILL_MAX = 0.85
+COST_SLACK = 1.5
+COST_RANK_MS = 1e6
 BATCH_SLOPE = 0.05
 SHORTLIST = 8
 
@@ -47,7 +49,7 @@
         best_score = float("inf")
         draw = self.random.random
         priority = request.priority
-        prefers_cost = request.objective is Objective.COST
+        packs = request.objective is Objective.COST and request.expected_tokens > 0
         # One plain loop over a shortlist: this runs for every attempt.
         for view in self._shortlist(request, candidates):
             report = view.report_
@@ -69,9 +71,12 @@
             warm_s = now - view.joined_at_s
             if warm_s < SLOW_START_S:
                 score /= max(SLOW_START_FLOOR, warm_s / SLOW_START_S)
-            if prefers_cost and ahead < concurrency:
-                # A fuller batch costs less per request while it still fits.
-                score -= COST_BATCH_CREDIT * service_ms * ahead / concurrency
+            fill = (ahead + 1.0) / concurrency
+            in_time = score * COST_SLACK < request.remaining_ms
+            if packs and fill <= COST_FILL_MAX and in_time:
+                # A step of a fuller batch costs little more, shared by more streams:
+                # the fullest engine that is still in time goes first.
+                score -= COST_RANK_MS * fill
             if score < best_score:
                 best_score = score
                 best = view
@@ -87,6 +92,9 @@
         start = int(self.random.random() * len(candidates))
         rotated = candidates[start:] + candidates[:start]
         chosen = nsmallest(SHORTLIST, rotated, key=_LOAD)
+        if request.objective is Objective.COST:
+            fitting = [view for view in rotated if view.load_ < COST_FILL_MAX]
+            chosen += nlargest(SHORTLIST, fitting, key=_LOAD)
         if request.prefix:
             holders = [
                 view
