Move slow generations, hold patient work back, and split the agent

Change: RescuePolicy gives up a generation that would be late here and in time elsewhere, where the caller was shown nothing yet; Deferral holds can_wait pipelines at the entry while the pool is full and time is ample, under the cost objective; feeding of tokens is a module of its own; a load report is weighed at most each 200 ms.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -96,7 +96,9 @@
         for size in sizes:
             views = make_views(size)
             count = max(20, 20_000 // size)
-            times.append(time_us(lambda v=views: policy.choose(request, v, 1.0), count))
+            times.append(
+                time_us(lambda v=views, p=policy: p.choose(request, v, 1.0), count)
+            )
         print(f"routing {name}, us by candidates: {fit(sizes, times)}")
     print(
         "endpoint view, bytes by endpoints: "
--- a/packages/leadford-server/src/leadford_server/agent/_service.py
+++ b/packages/leadford-server/src/leadford_server/agent/_service.py
@@ -21,13 +21,10 @@
     Draining,
     Load,
     Message,
-    NotHeld,
     Query,
     QueryAnswer,
     Refused,
     Submit,
-    TokenPart,
-    Tokens,
 )
 from leadford.queues import (
     QueuedAttempt,
@@ -41,6 +38,7 @@
     TokenSink,
     attempt_key,
 )
+from leadford_server.agent._feeder import TokenFeeder
 from leadford_server.agent._models import ModelKeeper
 from leadford_server.logs import EventLog
 from leadford_server.metrics import (
@@ -50,7 +48,6 @@
 )
 from leadford_server.peers import PeerConnection
 
-TICK_S = 0.02
 TIMEOUT_GRACE_S = 0.25
 EFFECT_TIMEOUT_S = 30.0
 REPORT_S = 0.2
@@ -109,8 +106,7 @@
         self.draining_ = False
         self.keeper_: ModelKeeper | None = None
         self.peers_by_id_: dict[str, PeerConnection] = {}
-        self.dirty_keys_: dict[str, None] = {}
-        self.tick_: asyncio.TimerHandle | None = None
+        self.feeder_ = TokenFeeder(results=self.results_, peers_by_id=self.peers_by_id_)
         self.pump_timer_: asyncio.TimerHandle | None = None
         self.effects_begun_: dict[str, None] = {}
         self.reported_at_ = 0.0
@@ -152,13 +148,13 @@
             case Submit():
                 self._submit(peer, message)
             case Credit():
-                self._credit(peer, message)
+                self.feeder_.credit(peer, message)
             case Ack():
                 self.results_.release(_key_of(message))
             case Cancel():
                 self._cancel(_key_of(message))
             case Attach():
-                self._attach(peer, message)
+                self.feeder_.attach(peer, message)
             case Query():
                 rows = msgspec.json.encode(self.queue_rows())
                 peer.send(QueryAnswer(message.query_id, rows))
@@ -251,13 +247,7 @@
     @property
     def is_idle(self) -> bool:
         """Tell whether nothing waits, runs or is still being fed."""
-        if self.attempts_by_key_:
-            return False
-        for kept in self.results_.results_by_key_.values():
-            for cursor in kept.cursors_by_peer_.values():
-                if not cursor.done_sent_:
-                    return False
-        return True
+        return not self.attempts_by_key_ and self.feeder_.is_idle
 
     def _submit(self, peer: PeerConnection, submit: Submit) -> None:
         now = self.clock()
@@ -412,11 +402,8 @@
                 return
             first = not attempt.kept.texts_
             attempt.kept.append(texts, model_version)
-            self.dirty_keys_[attempt.item.key] = None
-            if first:
-                self._flush()
-                return
-            self._schedule_flush()
+            self.feeder_.note_tokens(attempt.kept, first=first)
+            self._report_load()
 
         return take
 
@@ -455,80 +442,9 @@
             model_version=outcome.model_version,
         )
         self.results_.end(kept, done, self.clock())
-        self.dirty_keys_[key] = None
-        self._flush()
+        self.feeder_.note_end(kept)
         self._pump()
 
-    def _schedule_flush(self) -> None:
-        if self.tick_ is None:
-            loop = asyncio.get_running_loop()
-            self.tick_ = loop.call_later(TICK_S, self._flush)
-
-    def _flush(self) -> None:
-        """Send each entry, in one message, the new tokens of all its streams."""
-        if self.tick_ is not None:
-            self.tick_.cancel()
-            self.tick_ = None
-        keys = list(self.dirty_keys_)
-        self.dirty_keys_.clear()
-        parts_by_peer: dict[str, list[TokenPart]] = {}
-        ends_by_peer: dict[str, list[Done]] = {}
-        for key in keys:
-            kept = self.results_.get(key)
-            if kept is None:
-                continue
-            self._gather(kept, parts_by_peer, ends_by_peer)
-        for peer_id, parts in parts_by_peer.items():
-            self.peers_by_id_[peer_id].send(Tokens(parts))
-        if parts_by_peer:
-            self._report_load()
-        for peer_id, ends in ends_by_peer.items():
-            for done in ends:
-                self.peers_by_id_[peer_id].send(done)
-
-    def _gather(
-        self,
-        kept: KeptResult,
-        parts_by_peer: dict[str, list[TokenPart]],
-        ends_by_peer: dict[str, list[Done]],
-    ) -> None:
-        request_id, stage, attempt = kept.key.rsplit("/", 2)
-        for peer_id in kept.cursors_by_peer_:
-            if peer_id not in self.peers_by_id_:
-                continue
-            sequence, texts = kept.take(peer_id)
-            if texts:
-                part = TokenPart(
-                    request_id,
-                    stage,
-                    int(attempt),
-                    sequence,
-                    texts,
-                    kept.model_version_,
-                )
-                parts_by_peer.setdefault(peer_id, []).append(part)
-            done = kept.take_done(peer_id)
-            if done is not None:
-                ends_by_peer.setdefault(peer_id, []).append(done)
-
-    def _credit(self, peer: PeerConnection, message: Credit) -> None:
-        kept = self.results_.get(_key_of(message))
-        if kept is None:
-            return
-        kept.add_credit(peer.info.peer_id, message.tokens)
-        self.dirty_keys_[kept.key] = None
-        self._schedule_flush()
-
-    def _attach(self, peer: PeerConnection, message: Attach) -> None:
-        kept = self.results_.get(_key_of(message))
-        held = kept is not None and kept.workspace == message.workspace
-        if not held or message.from_sequence > len(kept.texts_):
-            peer.send(NotHeld(message.request_id, message.stage, message.attempt))
-            return
-        kept.attach(peer.info.peer_id, message.from_sequence, message.credit)
-        self.dirty_keys_[kept.key] = None
-        self._flush()
-
     def _cancel(self, key: str) -> None:
         attempt = self.attempts_by_key_.get(key)
         if attempt is None:
@@ -546,14 +462,14 @@
     def _report_load(self, force: bool = False) -> None:
         """Report a load that changed much without an answer to ride on."""
         now = self.clock()
+        if not force and now - self.reported_at_ < REPORT_S:
+            return
         load = len(self.queue_) + self.running_
         token_ms = self._token_ms()
         changed = abs(load - self.reported_load_) > max(2, self.reported_load_ // 4)
         slower = token_ms > 1.5 * self.reported_token_ms_ + 1.0
         if not force and not changed and not slower:
             return
-        if not force and now - self.reported_at_ < REPORT_S:
-            return
         self.reported_at_ = now
         self.reported_load_ = load
         self.reported_token_ms_ = token_ms
--- a/packages/leadford-server/src/leadford_server/entry/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/entry/_attempts.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from leadford.admission import StageNeed, forecast_pool
 from leadford.common import EndpointId, RefusalReason, RequestId
 from leadford.costs import StageCost
 from leadford.ejection import EndpointState
@@ -36,6 +37,7 @@
 CREDIT_TOKENS = 64
 PROBE_HEDGE_FRACTION = 0.25
 PROBE_HEDGE_MIN_MS = 20.0
+LOOK_S = 0.25
 NOWHERE = EndpointId("")
 
 
@@ -288,18 +290,25 @@
         """Wait until one attempt succeeds, all have failed, or time is up."""
         clock = self.services.clock
         hedge_at = clock() + hedge_ms / 1000.0 if hedge_ms is not None else None
+        look_at = clock() + LOOK_S
         while True:
-            limit = self.execution.deadline_at
+            limit = min(self.execution.deadline_at, look_at)
             if hedge_at is not None:
                 limit = min(limit, hedge_at)
             try:
                 async with asyncio.timeout(max(0.0, limit - clock())):
                     message = await self.inbox_.get()
             except TimeoutError:
-                if hedge_at is None or clock() >= self.execution.deadline_at:
+                if clock() >= self.execution.deadline_at:
                     return self._time_is_up()
-                hedge_at = None
-                self._hedge()
+                if hedge_at is not None and clock() >= hedge_at:
+                    hedge_at = None
+                    self._hedge()
+                if clock() >= look_at:
+                    look_at = clock() + LOOK_S
+                    slow = self._give_up_slow()
+                    if slow is not None:
+                        return slow
                 continue
             if self.cancel_asked_ and self.execution.stage.repeatable:
                 return make_failure(FailureKind.FAILED, RefusalReason.CANCELLED)
@@ -318,6 +327,37 @@
             self.hedges_ += 1
             self._send(link)
 
+    def _give_up_slow(self) -> AttemptFailure | None:
+        """Give up a generation that would be late here and in time elsewhere."""
+        execution = self.execution
+        stage = execution.stage
+        movable = stage.repeatable and stage.expected_tokens and not self.answer_.shown_
+        if not movable or len(execution.live_by_number_) != 1:
+            return None
+        now = self.services.clock()
+        need = StageNeed(stage.pool, stage.expected_ms, stage.expected_tokens)
+        forecast = forecast_pool(self.candidates(), need, self.priority, now)
+        if forecast is None:
+            return None
+        attempt = next(iter(execution.live_by_number_.values()))
+        moves = self.services.rescue_.moves(
+            received=execution.sequences_by_number_.get(attempt.number, 0),
+            expected=stage.expected_tokens,
+            elapsed_ms=(now - attempt.sent_at) * 1000.0,
+            remaining_ms=execution.budget(now).own_ms,
+            elsewhere_ms=forecast.finish_ms,
+        )
+        if not moves:
+            return None
+        self.trail.add(now, f"{stage.name}: {attempt.endpoint_id} is too slow")
+        self._lose_race(attempt)
+        return make_failure(
+            FailureKind.LOST,
+            RefusalReason.DEADLINE,
+            attempt.endpoint_id,
+            "too slow there",
+        )
+
     def _time_is_up(self) -> AttemptFailure:
         endpoint_id = EndpointId("")
         now = self.services.clock()
--- a/packages/leadford-server/src/leadford_server/entry/_run.py
+++ b/packages/leadford-server/src/leadford_server/entry/_run.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from leadford.admission import StageNeed, forecast_pool
-from leadford.common import Outcome, RefusalReason, RequestId
+from leadford.common import Objective, Outcome, RefusalReason, RequestId
 from leadford.events import Event
 from leadford.execution import RequestExecution
 from leadford.protocol import ClaimVerdict, Note
@@ -18,6 +18,8 @@
 from leadford_server.entry._trail import Trail
 from leadford_server.metrics import RETRIES_TOTAL
 
+ROOM_POLL_S = 0.05
+
 _REASON_BY_VERDICT = {
     ClaimVerdict.ALREADY_CLAIMED: RefusalReason.ALREADY_CLAIMED,
     ClaimVerdict.STORE_UNAVAILABLE: RefusalReason.STORE_UNAVAILABLE,
@@ -115,6 +117,7 @@
         return Answer(Outcome.UNKNOWN, problem=problem)
 
     async def _run_stage(self) -> AttemptFailure | None:
+        await self._wait_for_room()
         refusal = await self._claim_if_needed()
         if refusal is not None:
             return refusal
@@ -166,6 +169,26 @@
             needed_ms=needed_ms,
         )
 
+    async def _wait_for_room(self) -> None:
+        """Hold a patient request back while cost matters and the pool is full."""
+        services = self.services
+        stage = self.execution.stage
+        patient = self.execution.pipeline.can_wait and stage.expected_tokens
+        if not patient or services.config_.objective is not Objective.COST:
+            return
+        held = False
+        while not self.attempts_.cancel_asked_:
+            loads = [view.load_ for view in self.attempts_.candidates()]
+            budget = self.execution.budget(services.clock())
+            if not services.deferral_.holds_back(
+                loads, remaining_ms=budget.own_ms, needed_ms=stage.expected_ms
+            ):
+                return
+            if not held:
+                held = True
+                self.trail_.add(services.clock(), f"{stage.name}: held back, pool full")
+            await asyncio.sleep(ROOM_POLL_S)
+
     async def _claim_if_needed(self) -> AttemptFailure | None:
         stage = self.execution.stage
         if stage.repeatable or not self.keyed or self.claimed_:
--- a/packages/leadford-server/src/leadford_server/entry/_services.py
+++ b/packages/leadford-server/src/leadford_server/entry/_services.py
@@ -4,11 +4,17 @@
 from collections.abc import Callable
 from random import Random
 
-from leadford.admission import EntryAdmission
+from leadford.admission import Deferral, EntryAdmission
 from leadford.common import EntryId, HallId, WorkspaceId
 from leadford.config import FleetConfig
 from leadford.costs import CostAccount
-from leadford.retries import Backoff, HedgePolicy, RetryBudget, RetryPolicy
+from leadford.retries import (
+    Backoff,
+    HedgePolicy,
+    RescuePolicy,
+    RetryBudget,
+    RetryPolicy,
+)
 from leadford_server.entry._claims import ClaimService
 from leadford_server.entry._directory import EndpointDirectory
 from leadford_server.entry._entries import EntryPeers
@@ -46,6 +52,8 @@
         self.retry_policy_ = RetryPolicy(
             budget=self.budget_, backoff=Backoff(random=random)
         )
+        self.rescue_ = RescuePolicy()
+        self.deferral_ = Deferral()
         self.hedges_by_stage_: dict[str, HedgePolicy] = {}
 
     def apply_config(self, config: FleetConfig) -> None:
--- a/packages/leadford/src/leadford/admission/__init__.py
+++ b/packages/leadford/src/leadford/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admit work only while its deadline can still be met."""
 
+from leadford.admission._deferral import Deferral
 from leadford.admission._endpoint import EndpointAdmission, ServiceEstimate
 from leadford.admission._entry import (
     AdmissionVerdict,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "AdmissionVerdict",
+    "Deferral",
     "EndpointAdmission",
     "EntryAdmission",
     "Headroom",
--- a/packages/leadford/src/leadford/admission/tests/test_admission.py
+++ b/packages/leadford/src/leadford/admission/tests/test_admission.py
@@ -3,6 +3,7 @@
 import pytest
 
 from leadford.admission import (
+    Deferral,
     EndpointAdmission,
     EntryAdmission,
     Headroom,
@@ -138,3 +139,21 @@
     assert headroom.admits(5, running=5, concurrency=8, now=now)
     assert headroom.admits(5, running=0, concurrency=1, now=now)
     assert headroom.admits(5, running=7, concurrency=8, now=now + 10.0)
+
+
+@pytest.mark.parametrize(
+    ("loads", "remaining_ms", "held"),
+    [
+        ([1.0, 0.9], 5000.0, True),
+        ([1.0, 0.2], 5000.0, False),
+        ([1.0, 0.9], 2000.0, False),
+        ([], 5000.0, False),
+    ],
+)
+def test_patient_work_waits_only_for_a_full_pool_and_while_it_can(
+    loads, remaining_ms, held
+):
+    deferral = Deferral()
+    assert (
+        deferral.holds_back(loads, remaining_ms=remaining_ms, needed_ms=1000.0) is held
+    )
--- a/packages/leadford/src/leadford/protocol/tests/test_codec.py
+++ b/packages/leadford/src/leadford/protocol/tests/test_codec.py
@@ -38,7 +38,7 @@
 
 
 def test_later_fields_are_ignored_and_missing_ones_filled_in():
-    newer = cbor2.dumps([1, [[5, 1, 2, 3, 4.0, 5.0, 6, [], "newer"]]])
+    newer = cbor2.dumps([1, [[5, 1, 2, 3, 4.0, 5.0, 6, [], [], "newer"]]])
     older = cbor2.dumps([1, [[5, 1, 2, 3, 4.0, 5.0, 6]]])
     assert decode(newer).unwrap().messages == [LOAD]
     assert decode(older).unwrap().messages == [LOAD]
--- a/packages/leadford/src/leadford/retries/__init__.py
+++ b/packages/leadford/src/leadford/retries/__init__.py
@@ -9,12 +9,14 @@
     RetryPolicy,
 )
 from leadford.retries._hedge import HedgePolicy
+from leadford.retries._rescue import RescuePolicy
 
 __all__ = [
     "AttemptFailure",
     "Backoff",
     "FailureKind",
     "HedgePolicy",
+    "RescuePolicy",
     "RetryBudget",
     "RetryDecision",
     "RetryPolicy",
--- a/packages/leadford/src/leadford/retries/tests/test_retries.py
+++ b/packages/leadford/src/leadford/retries/tests/test_retries.py
@@ -11,6 +11,7 @@
     Backoff,
     FailureKind,
     HedgePolicy,
+    RescuePolicy,
     RetryBudget,
     RetryPolicy,
 )
@@ -98,3 +99,25 @@
     for number in range(300):
         policy.note(10.0 + number % 100)
     assert 150.0 < policy.delay_ms() < 170.0
+
+
+@pytest.mark.parametrize(
+    ("changes", "moves"),
+    [
+        ({}, True),
+        ({"elapsed_ms": 100.0}, False),
+        ({"elsewhere_ms": 900.0}, False),
+        ({"remaining_ms": 9000.0}, False),
+        ({"received": 0, "elapsed_ms": 400.0}, True),
+        ({"received": 0, "elapsed_ms": 20.0}, False),
+    ],
+)
+def test_a_generation_moves_when_late_here_and_in_time_there(changes, moves):
+    terms = {
+        "received": 4,
+        "expected": 48,
+        "elapsed_ms": 800.0,
+        "remaining_ms": 1000.0,
+        "elsewhere_ms": 500.0,
+    }
+    assert RescuePolicy().moves(**{**terms, **changes}) is moves
