Judge slowness against what is expected, and move generations only when it pays

Change: slowness is time over what the stage expects, without the queue; an attempt that may only have waited says nothing; a generation moves when its own pace is too slow, or at the last chance, and only after the budget is paid.

--- a/packages/leadford-server/src/leadford_server/entry/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/entry/_attempts.py
@@ -101,6 +101,7 @@
         self.granted_ = CREDIT_TOKENS
         self.hedges_ = 0
         self.first_token_at_: float | None = None
+        self.first_at_by_number_: dict[int, float] = {}
 
     @property
     def request_id(self) -> RequestId:
@@ -340,19 +341,20 @@
         if forecast is None:
             return None
         attempt = next(iter(execution.live_by_number_.values()))
+        first_at = self.first_at_by_number_.get(attempt.number, now)
         moves = self.services.rescue_.moves(
             received=execution.sequences_by_number_.get(attempt.number, 0),
             expected=stage.expected_tokens,
-            elapsed_ms=(now - attempt.sent_at) * 1000.0,
+            generating_ms=(now - first_at) * 1000.0,
             remaining_ms=execution.budget(now).own_ms,
             elsewhere_ms=forecast.finish_ms,
         )
-        if not moves:
+        if not moves or not self.services.budget_.try_spend():
             return None
         self.trail.add(now, f"{stage.name}: {attempt.endpoint_id} is too slow")
         self._lose_race(attempt)
         return make_failure(
-            FailureKind.LOST,
+            FailureKind.MOVED,
             RefusalReason.DEADLINE,
             attempt.endpoint_id,
             "too slow there",
@@ -362,22 +364,39 @@
         endpoint_id = EndpointId("")
         now = self.services.clock()
         stage = self.execution.stage
-        pool = self.services.directory.pool(stage.pool)
         for attempt in self.execution.live_by_number_.values():
             endpoint_id = attempt.endpoint_id
-            if pool is not None:
-                at_least_ms = self._at_least_ms(attempt, now)
-                pool.ejector.note_late(endpoint_id, at_least_ms, now)
+            self._note_unfinished(attempt, now)
         self.services.directory.report_ejections(stage.pool)
         return make_failure(FailureKind.LOST, RefusalReason.DEADLINE, endpoint_id)
 
-    def _at_least_ms(self, attempt: Attempt, now: float) -> float:
-        """Return how slow an unfinished attempt is known to be, a token or whole."""
-        at_least_ms = (now - attempt.sent_at) * 1000.0
-        if not self.execution.stage.expected_tokens:
-            return at_least_ms
+    def _note_unfinished(self, attempt: Attempt, now: float) -> None:
+        """Tell the ejector how slow an attempt that is given up was at least."""
+        pool = self.services.directory.pool(self.execution.stage.pool)
+        if pool is None:
+            return
+        slowness = self._slowness_at_least(attempt, now)
+        if slowness is None:
+            pool.ejector.note_abandoned(attempt.endpoint_id)
+            return
+        pool.ejector.note_late(attempt.endpoint_id, slowness, now)
+
+    def _slowness_at_least(self, attempt: Attempt, now: float) -> float | None:
+        """Return the least time an attempt takes, against what is expected of it.
+
+        None while it may only have waited: a queue speaks of load, not of speed.
+        """
+        stage = self.execution.stage
+        elapsed_ms = (now - attempt.sent_at) * 1000.0
         received = self.execution.sequences_by_number_.get(attempt.number, 0)
-        return at_least_ms / (received + 1)
+        report = self.links_by_number_[attempt.number].view.report_
+        waits = report.queued > 0 or report.running >= report.concurrency
+        if waits and not received:
+            return None
+        if not stage.expected_tokens:
+            return elapsed_ms / stage.expected_ms
+        whole_ms = elapsed_ms / (received + 1) * stage.expected_tokens
+        return whole_ms / stage.expected_ms
 
     def _take(self, message: Delivery, effect_before: bool) -> Settled | None:
         match message:
@@ -402,6 +421,8 @@
                 if accepted.failure() is StrayKind.DIVERGED:
                     self.inbox_.put_nowait(AnswerDiverged(part.stage, part.attempt))
                 continue
+            if part.sequence == 0:
+                self.first_at_by_number_[part.attempt] = self.services.clock()
             if added and self.first_token_at_ is None:
                 self.first_token_at_ = self.services.clock()
                 self._end_race(part)
@@ -421,12 +442,8 @@
 
     def _lose_race(self, attempt: Attempt) -> None:
         now = self.services.clock()
-        stage = self.execution.stage
-        pool = self.services.directory.pool(stage.pool)
-        if pool is not None:
-            at_least_ms = self._at_least_ms(attempt, now)
-            pool.ejector.note_late(attempt.endpoint_id, at_least_ms, now)
-            self.services.directory.report_ejections(stage.pool)
+        self._note_unfinished(attempt, now)
+        self.services.directory.report_ejections(self.execution.stage.pool)
         self._cancel_attempt(attempt)
 
     def _take_diverged(self, diverged: AnswerDiverged) -> Settled | None:
@@ -475,11 +492,11 @@
             )
             return Settled(failure)
         if pool is not None:
-            # What the endpoint bills shrinks with its batch; the clock does not.
-            latency_ms = (now - attempt.sent_at) * 1000.0 - done.queue_ms
-            if self.execution.stage.expected_tokens:
-                latency_ms /= max(1, done.sequence)
-            pool.ejector.note_success(attempt.endpoint_id, latency_ms, now)
+            # What the endpoint bills shrinks with its batch; the clock does not. Taken
+            # against what is expected, stages of all lengths compare.
+            elapsed_ms = (now - attempt.sent_at) * 1000.0 - done.queue_ms
+            slowness = elapsed_ms / self.execution.stage.expected_ms
+            pool.ejector.note_success(attempt.endpoint_id, slowness, now)
             self.services.directory.report_ejections(self.execution.stage.pool)
         if self.body.prefix and done.prefill_tokens and not done.cached_tokens:
             link.view.prefixes_.note_cached(self.body.prefix, now)
--- a/packages/leadford/src/leadford/ejection/_outliers.py
+++ b/packages/leadford/src/leadford/ejection/_outliers.py
@@ -1,4 +1,4 @@
-"""Eject outliers of a pool by errors and by latency, within a cap."""
+"""Eject outliers of a pool by errors and by slowness, within a cap."""
 
 from enum import Enum
 from random import Random
@@ -11,9 +11,9 @@
 FAILURES_IN_A_ROW = 5
 FAILURE_RATE = 0.5
 OUTCOMES_NEEDED = 10
-LATENCY_RATIO = 3.0
-LATENCIES_NEEDED = 4
-LATENCY_FLOOR_MS = 20.0
+SLOWNESS_RATIO = 3.0
+SLOWNESS_NEEDED = 4
+SLOWNESS_FLOOR = 2.0
 EJECTION_BASE_S = 1.0
 EJECTION_MAX_S = 30.0
 PROBES_TO_RESTORE = 3
@@ -50,7 +50,7 @@
         self.failures_in_a_row_ = 0
         self.outcomes_ = 0
         self.failure_rate_ = Ewma(initial=0.0, weight=0.1)
-        self.latency_ms_ = Ewma(initial=0.0, weight=0.2)
+        self.slowness_ = Ewma(initial=0.0, weight=0.2)
 
 
 class OutlierEjector:
@@ -103,27 +103,25 @@
             record.probe_out_ = False
 
     def note_success(
-        self, endpoint_id: EndpointId, latency_ms: float, now: float
+        self, endpoint_id: EndpointId, slowness: float, now: float
     ) -> None:
-        """Take in a success and the latency relative to what was expected."""
+        """Take in a success and its time against what was expected of it."""
         record = self.records_by_id_.get(endpoint_id)
         if record is None:
             return
         record.failures_in_a_row_ = 0
         record.outcomes_ += 1
         record.failure_rate_.update(0.0)
-        record.latency_ms_.update(latency_ms)
+        record.slowness_.update(slowness)
         if record.state_ is EndpointState.PROBING:
-            self._pass_probe(endpoint_id, record, latency_ms, now)
+            self._pass_probe(endpoint_id, record, slowness, now)
             return
         if record.state_ is not EndpointState.ACTIVE:
             return
-        self._judge_latency(endpoint_id, record, now)
+        self._judge_slowness(endpoint_id, record, now)
 
-    def note_late(
-        self, endpoint_id: EndpointId, at_least_ms: float, now: float
-    ) -> None:
-        """Take in an attempt given up for time; it took at least so long.
+    def note_late(self, endpoint_id: EndpointId, at_least: float, now: float) -> None:
+        """Take in an attempt given up for time; it was at least so slow.
 
         Beside endpoints that are as slow it says nothing, as in an overload.
         """
@@ -132,22 +130,22 @@
             return
         record.probe_out_ = False
         record.outcomes_ += 1
-        if at_least_ms > record.latency_ms_.value_:
-            record.latency_ms_.update(at_least_ms)
+        if at_least > record.slowness_.value_:
+            record.slowness_.update(at_least)
         if record.state_ is EndpointState.PROBING:
-            if at_least_ms > self._latency_limit_ms(endpoint_id):
+            if at_least > self._slowness_limit(endpoint_id):
                 self._eject(endpoint_id, record, "probe was slow", now)
             return
         if record.state_ is EndpointState.ACTIVE:
-            self._judge_latency(endpoint_id, record, now)
+            self._judge_slowness(endpoint_id, record, now)
 
-    def _judge_latency(
+    def _judge_slowness(
         self, endpoint_id: EndpointId, record: _Record, now: float
     ) -> None:
-        limit_ms = self._latency_limit_ms(endpoint_id)
-        enough = record.latency_ms_.count_ >= LATENCIES_NEEDED
-        if enough and record.latency_ms_.value_ > limit_ms:
-            self._eject(endpoint_id, record, "latency", now)
+        limit = self._slowness_limit(endpoint_id)
+        enough = record.slowness_.count_ >= SLOWNESS_NEEDED
+        if enough and record.slowness_.value_ > limit:
+            self._eject(endpoint_id, record, "slower than others", now)
 
     def note_failure(self, endpoint_id: EndpointId, reason: str, now: float) -> None:
         """Take in a failure."""
@@ -175,10 +173,10 @@
         return events
 
     def _pass_probe(
-        self, endpoint_id: EndpointId, record: _Record, latency_ms: float, now: float
+        self, endpoint_id: EndpointId, record: _Record, slowness: float, now: float
     ) -> None:
         record.probe_out_ = False
-        if latency_ms > self._latency_limit_ms(endpoint_id):
+        if slowness > self._slowness_limit(endpoint_id):
             self._eject(endpoint_id, record, "probe was slow", now)
             return
         record.probes_passed_ += 1
@@ -188,15 +186,15 @@
         record.ejections_ = 0
         self._set_state(endpoint_id, EndpointState.ACTIVE, "probes passed")
 
-    def _latency_limit_ms(self, endpoint_id: EndpointId) -> float:
-        latencies = [
-            record.latency_ms_.value_
+    def _slowness_limit(self, endpoint_id: EndpointId) -> float:
+        others = [
+            record.slowness_.value_
             for other_id, record in self.records_by_id_.items()
-            if other_id != endpoint_id and record.latency_ms_.count_ >= LATENCIES_NEEDED
+            if other_id != endpoint_id and record.slowness_.count_ >= SLOWNESS_NEEDED
         ]
-        if len(latencies) < 2:
+        if len(others) < 2:
             return float("inf")
-        return max(LATENCY_FLOOR_MS, LATENCY_RATIO * median_low(latencies))
+        return max(SLOWNESS_FLOOR, SLOWNESS_RATIO * median_low(others))
 
     def _eject(
         self, endpoint_id: EndpointId, record: _Record, reason: str, now: float
--- a/packages/leadford/src/leadford/retries/_decision.py
+++ b/packages/leadford/src/leadford/retries/_decision.py
@@ -18,6 +18,7 @@
     REFUSED = "refused"
     FAILED = "failed"
     LOST = "lost"
+    MOVED = "moved"
 
 
 class AttemptFailure(msgspec.Struct, frozen=True):
@@ -35,7 +36,7 @@
     @property
     def may_have_begun(self) -> bool:
         """Tell whether the endpoint may have seen the attempt."""
-        return self.kind in (FailureKind.FAILED, FailureKind.LOST)
+        return self.kind not in (FailureKind.NOT_SENT, FailureKind.REFUSED)
 
 
 class RetryDecision(msgspec.Struct, frozen=True):
@@ -76,12 +77,13 @@
         if attempt >= self.attempts_max or others == 0:
             return RetryDecision(False, reason=failure.reason)
         # A refusal proves that nothing ran, so another endpoint is asked at once.
-        immediate = failure.kind in (FailureKind.REFUSED, FailureKind.NOT_SENT)
-        wait_ms = 0.0 if immediate else self.backoff.wait_ms(attempt)
+        unhurried = failure.kind in (FailureKind.FAILED, FailureKind.LOST)
+        wait_ms = 0.0 if not unhurried else self.backoff.wait_ms(attempt)
         if wait_ms + needed_ms > remaining_ms:
             return RetryDecision(False, reason=RefusalReason.DEADLINE)
-        # A first refusal only moves the attempt; what follows is paid for.
+        # A first refusal only moves the attempt; a slow one was paid for when moved.
         free = failure.kind is FailureKind.REFUSED and attempt == 1
+        free = free or failure.kind is FailureKind.MOVED
         if not free and not self.budget.try_spend():
             return RetryDecision(False, reason=RefusalReason.RETRY_BUDGET)
         return RetryDecision(True, wait_ms)
--- a/packages/leadford/src/leadford/retries/_rescue.py
+++ b/packages/leadford/src/leadford/retries/_rescue.py
@@ -1,7 +1,8 @@
 """Decide whether a slow generation is moved before its deadline passes."""
 
-TOKENS_NEEDED = 2
+TOKENS_NEEDED = 3
 MARGIN = 1.2
+LAST_CHANCE_MS = 300.0
 
 
 class RescuePolicy:
@@ -18,16 +19,18 @@
         *,
         received: int,
         expected: int,
-        elapsed_ms: float,
+        generating_ms: float,
         remaining_ms: float,
         elsewhere_ms: float,
     ) -> bool:
-        """Tell whether to give the attempt up for one that takes `elsewhere_ms`."""
-        if received < TOKENS_NEEDED:
-            # Before its first tokens the time that passed is all that is known.
-            needed_ms = elapsed_ms / TOKENS_NEEDED * expected
-        else:
-            needed_ms = elapsed_ms / received * (expected - received)
-        if needed_ms <= remaining_ms * self.margin:
+        """Tell whether to give the attempt up for one that takes `elsewhere_ms`.
+
+        `generating_ms` runs from the first token.
+        """
+        if elsewhere_ms * self.margin > remaining_ms:
             return False
-        return elsewhere_ms * self.margin <= remaining_ms
+        if received < TOKENS_NEEDED:
+            # A queue or a long prompt may explain it, until the last chance to move.
+            return remaining_ms - elsewhere_ms * self.margin < LAST_CHANCE_MS
+        needed_ms = generating_ms / (received - 1) * (expected - received)
+        return needed_ms > remaining_ms * self.margin
--- a/packages/leadford/src/leadford/retries/tests/test_retries.py
+++ b/packages/leadford/src/leadford/retries/tests/test_retries.py
@@ -105,19 +105,25 @@
     ("changes", "moves"),
     [
         ({}, True),
-        ({"elapsed_ms": 100.0}, False),
+        ({"generating_ms": 60.0}, False),
         ({"elsewhere_ms": 900.0}, False),
         ({"remaining_ms": 9000.0}, False),
-        ({"received": 0, "elapsed_ms": 400.0}, True),
-        ({"received": 0, "elapsed_ms": 20.0}, False),
+        ({"received": 1, "remaining_ms": 1500.0}, False),
+        ({"received": 1, "remaining_ms": 800.0}, True),
     ],
 )
 def test_a_generation_moves_when_late_here_and_in_time_there(changes, moves):
     terms = {
         "received": 4,
         "expected": 48,
-        "elapsed_ms": 800.0,
+        "generating_ms": 600.0,
         "remaining_ms": 1000.0,
         "elsewhere_ms": 500.0,
     }
     assert RescuePolicy().moves(**{**terms, **changes}) is moves
+
+
+def test_a_move_is_paid_for_before_it_is_made():
+    policy = make_policy(ratio=0.0, burst=0.0)
+    assert decide(policy, FailureKind.MOVED).retry
+    assert not decide(policy, FailureKind.MOVED, repeatable=False).retry
