Read the entry as a newcomer: parts by concern, ids that cannot be guessed

Cause: the constructor of the entry was 92 lines; request ids and nonces came from a generator whose output can be predicted from earlier output; load reports were bounded for each connection only, so 47 entries on an agent could draw 235 a second; nothing tested a run against late, doubled, swapped and diverging answers without processes.

--- a/bench/config.py
+++ b/bench/config.py
@@ -129,23 +129,42 @@
     pids = {name: fleet.processes_by_name_[name].pid for name in names}
     await asyncio.sleep(3.0)
     cpu = {name: cpu_s(pid) for name, pid in pids.items()}
+    sent = {name: await peer_bytes(fleet, http, name) for name in names}
     before = await stats(fleet, http)
     await asyncio.sleep(seconds)
     after = await stats(fleet, http)
-    used = {name: (cpu_s(pid) - cpu[name]) / seconds for name, pid in pids.items()}
-    entries = [used[name] for name in fleet.entry_names]
-    agents = [used[name] for name in fleet.agent_names]
+    cpu = {name: (cpu_s(pid) - cpu[name]) / seconds for name, pid in pids.items()}
+    sent = {
+        name: (await peer_bytes(fleet, http, name) - sent[name]) / seconds
+        for name in names
+    }
     minutes = seconds / 60.0
     print(
-        f"idle, {len(entries)} entries and {len(agents)} agents: store reads a minute "
-        f"{(after['reads'] - before['reads']) / minutes:.1f}, writes "
-        f"{(after['writes'] - before['writes']) / minutes:.1f}, waiting "
-        f"{after['waiting']}; core of an entry {statistics.mean(entries):.4f}, of an "
-        f"agent {statistics.mean(agents):.4f}; MiB of an entry "
-        f"{statistics.mean(rss_mib(pids[n]) for n in fleet.entry_names):.1f}, of an "
-        f"agent {statistics.mean(rss_mib(pids[n]) for n in fleet.agent_names):.1f}",
+        f"idle, {len(fleet.entry_names)} entries and {len(fleet.agent_names)} agents: "
+        f"store reads a minute {(after['reads'] - before['reads']) / minutes:.1f}, "
+        f"writes {(after['writes'] - before['writes']) / minutes:.1f}, waiting "
+        f"{after['waiting']}",
         flush=True,
     )
+    for role, members in (("entry", fleet.entry_names), ("agent", fleet.agent_names)):
+        memory = statistics.mean(rss_mib(pids[name]) for name in members)
+        cores = statistics.mean(cpu[name] for name in members)
+        rate = statistics.mean(sent[name] for name in members)
+        print(
+            f"  {role}: {cores:.4f} of a core, {memory:.1f} MiB, "
+            f"{rate:.0f} bytes/s of frames both ways",
+            flush=True,
+        )
+
+
+async def peer_bytes(fleet: Fleet, http: CurlAsyncHTTPClient, name: str) -> float:
+    """Return the bytes of frames that a process sent and received."""
+    response = await fetch(http, f"{fleet.health_url(name)}/metrics")
+    total = 0.0
+    for line in response.body.decode().splitlines():
+        if line.startswith("leadford_peer_bytes_total{"):
+            total += float(line.rpartition(" ")[2])
+    return total
 
 
 def main() -> None:
--- a/packages/leadford-server/src/leadford_server/agent/_process.py
+++ b/packages/leadford-server/src/leadford_server/agent/_process.py
@@ -77,7 +77,8 @@
             ),
             handler=self,
             log=self.log_,
-            random=self.rng,
+            # Nonces must not be guessable.
+            random=rng if rng is not None else random.SystemRandom(),
             config_version=lambda: self.follower_.version,
             is_draining=lambda: self.stopping_,
         )
--- a/packages/leadford-server/src/leadford_server/agent/_service.py
+++ b/packages/leadford-server/src/leadford_server/agent/_service.py
@@ -51,6 +51,7 @@
 TIMEOUT_GRACE_S = 0.25
 EFFECT_TIMEOUT_S = 30.0
 REPORT_S = 0.2
+REPORTS_PER_S_MAX = 15.0
 HEADROOM_POLL_S = 0.03
 STAGES_BEGUN_KEPT = 20_000
 
@@ -462,7 +463,9 @@
     def _report_load(self, force: bool = False) -> None:
         """Report a load that changed much without an answer to ride on."""
         now = self.clock()
-        if not force and now - self.reported_at_ < REPORT_S:
+        # Many entries share one bound, so that control stays small in a large fleet.
+        interval_s = max(REPORT_S, len(self.peers_by_id_) / REPORTS_PER_S_MAX)
+        if not force and now - self.reported_at_ < interval_s:
             return
         load = len(self.queue_) + self.running_
         token_ms = self._token_ms()
--- a/packages/leadford-server/src/leadford_server/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/entry/_process.py
@@ -53,45 +53,80 @@
     ) -> None:
         self.settings = settings
         self.rng = rng if rng is not None else random.Random()
+        # Request ids and nonces must not be guessable.
+        self.secure_rng = rng if rng is not None else random.SystemRandom()
+        self.entry_id = EntryId(settings.entry_id)
+        self.hall = HallId(settings.hall)
         self.log_ = EventLog(process_id=settings.entry_id)
         self.http_ = CurlAsyncHTTPClient(force_instance=True, max_clients=64)
         self.store_ = StoreClient(url=settings.store, http=self.http_)
+        self.web_: httpserver.HTTPServer | None = None
+        self._build_peers()
+        self._build_requests()
+        self._build_configuration()
+        self._build_operators()
+
+    def _build_peers(self) -> None:
+        """Make what knows and connects other processes."""
+        settings = self.settings
         identity = Identity(settings.entry_id, "entry", settings.hall, settings.secret)
         dialers = DialerFactory(
             identity=identity,
             handler=self,
             log=self.log_,
-            random=self.rng,
+            random=self.secure_rng,
             config_version=self._version,
         )
-        entry_id = EntryId(settings.entry_id)
-        hall = HallId(settings.hall)
-        self.entries_ = EntryPeers(entry_id=entry_id, hall=hall, dialers=dialers)
+        self.entries_ = EntryPeers(
+            entry_id=self.entry_id, hall=self.hall, dialers=dialers
+        )
         self.directory_ = EndpointDirectory(
             node_id=settings.entry_id,
-            hall=hall,
+            hall=self.hall,
             dialers=dialers,
             log=self.log_,
             random=self.rng,
             clock=time.monotonic,
         )
+        self.hosts_ = HostPoller(
+            url=settings.hosts_url,
+            hosts=self.directory_.hosts_,
+            http=self.http_,
+            random=self.rng,
+        )
+        self.server_ = PeerServer(
+            identity=identity,
+            handler=self,
+            log=self.log_,
+            random=self.secure_rng,
+            config_version=self._version,
+            is_draining=lambda: self.table_.draining_,
+        )
+        self.seeds_ = [dialers.make(str(seed), lambda: None) for seed in settings.seeds]
+
+    def _build_requests(self) -> None:
+        """Make what runs requests."""
         self.claims_ = ClaimService(
-            entry_id=entry_id,
+            entry_id=self.entry_id,
             store=self.store_,
             entries=self.entries_,
             events=self.log_,
-            random=self.rng,
+            random=self.secure_rng,
         )
         self.services_ = EntryServices(
-            entry_id=entry_id,
-            hall=hall,
+            entry_id=self.entry_id,
+            hall=self.hall,
             log=self.log_,
             random=self.rng,
+            secure_random=self.secure_rng,
             directory=self.directory_,
             entries=self.entries_,
             claims=self.claims_,
         )
         self.table_ = RequestTable(services=self.services_)
+
+    def _build_configuration(self) -> None:
+        """Make what follows the configuration and plans models."""
         self.follower_ = ConfigFollower(
             store=self.store_,
             log=self.log_,
@@ -99,47 +134,33 @@
             is_relay=self.entries_.is_relay,
             on_change=self._apply,
         )
-        self.tables_ = LocalTables(
-            services=self.services_, requests=self.table_, follower=self.follower_
-        )
-        self.fanout_ = FanOut(
-            entry_id=entry_id,
-            entries=self.entries_,
-            directory=self.directory_,
-            tables=self.tables_,
-            random=self.rng,
-        )
-        self.desk_ = OperatorDesk(
-            follower=self.follower_,
-            changes=ChangeService(
-                store=self.store_, follower=self.follower_, log=self.log_
-            ),
-            fanout=self.fanout_,
-        )
         self.planner_ = PlannerService(
-            entry_id=entry_id,
+            entry_id=self.entry_id,
             store=self.store_,
             directory=self.directory_,
             entries=self.entries_,
             log=self.log_,
             random=self.rng,
         )
-        self.hosts_ = HostPoller(
-            url=settings.hosts_url,
-            hosts=self.directory_.hosts_,
-            http=self.http_,
-            random=self.rng,
+
+    def _build_operators(self) -> None:
+        """Make what answers operators."""
+        tables = LocalTables(
+            services=self.services_, requests=self.table_, follower=self.follower_
         )
-        self.server_ = PeerServer(
-            identity=identity,
-            handler=self,
-            log=self.log_,
+        self.fanout_ = FanOut(
+            entry_id=self.entry_id,
+            entries=self.entries_,
+            directory=self.directory_,
+            tables=tables,
             random=self.rng,
-            config_version=self._version,
-            is_draining=lambda: self.table_.draining_,
         )
-        self.seeds_ = [dialers.make(str(seed), lambda: None) for seed in settings.seeds]
-        self.web_: httpserver.HTTPServer | None = None
+        changes = ChangeService(
+            store=self.store_, follower=self.follower_, log=self.log_
+        )
+        self.desk_ = OperatorDesk(
+            follower=self.follower_, changes=changes, fanout=self.fanout_
+        )
 
     async def start(self) -> SocketAddress:
         """Listen and begin to follow the configuration."""
--- a/packages/leadford-server/src/leadford_server/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/entry/_requests.py
@@ -107,7 +107,7 @@
             if known is not None and not known.ended_not_run:
                 return self._join(known, new)
         else:
-            request_id = make_request_id(services.random)
+            request_id = make_request_id(services.secure_random)
         refusal = self._refuse_early(request_id, pipeline, new)
         if refusal is not None:
             self._count(new.pipeline_id, Outcome.NOT_RUN, refusal.problem.reason)
--- a/packages/leadford-server/src/leadford_server/entry/_services.py
+++ b/packages/leadford-server/src/leadford_server/entry/_services.py
@@ -31,6 +31,7 @@
         hall: HallId,
         log: EventLog,
         random: Random,
+        secure_random: Random,
         directory: EndpointDirectory,
         entries: EntryPeers,
         claims: ClaimService,
@@ -40,6 +41,7 @@
         self.hall = hall
         self.log = log
         self.random = random
+        self.secure_random = secure_random
         self.directory = directory
         self.entries = entries
         self.claims = claims
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -35,6 +35,12 @@
 STORE_CALLS_TOTAL = Counter(
     "leadford_store_calls_total", "Calls to the store.", ["kind", "end"]
 )
+PEER_BYTES_TOTAL = Counter(
+    "leadford_peer_bytes_total", "Bytes of frames between processes.", ["direction"]
+)
+PEER_FRAMES_TOTAL = Counter(
+    "leadford_peer_frames_total", "Frames between processes.", ["direction"]
+)
 LIVE_REQUESTS = Gauge("leadford_live_requests", "Requests under way.")
 QUEUED_ATTEMPTS = Gauge("leadford_queued_attempts", "Attempts that wait.")
 RUNNING_ATTEMPTS = Gauge("leadford_running_attempts", "Attempts that run.")
--- a/packages/leadford-server/src/leadford_server/peers/_connection.py
+++ b/packages/leadford-server/src/leadford_server/peers/_connection.py
@@ -13,12 +13,18 @@
 from leadford.events import Event
 from leadford.protocol import Message, decode, encode
 from leadford_server.logs import EventLog
+from leadford_server.metrics import PEER_BYTES_TOTAL, PEER_FRAMES_TOTAL
 
 FRAME_BYTES_MAX = 8 * 1024 * 1024
 FRAME_MESSAGES_MAX = 64
 OUTBOX_MAX = 20_000
 HANDSHAKE_S = 5.0
 
+_FRAMES_SENT = PEER_FRAMES_TOTAL.labels(direction="sent")
+_BYTES_SENT = PEER_BYTES_TOTAL.labels(direction="sent")
+_FRAMES_RECEIVED = PEER_FRAMES_TOTAL.labels(direction="received")
+_BYTES_RECEIVED = PEER_BYTES_TOTAL.labels(direction="received")
+
 
 class PeerInfo(msgspec.Struct, frozen=True):
     """Say who stands at the other end of a connection."""
@@ -66,10 +72,6 @@
         self.peer_config_version_ = 0
         self.sent_config_version_ = 0
         self.is_open_ = True
-        self.frames_sent_ = 0
-        self.bytes_sent_ = 0
-        self.bytes_received_ = 0
-        self.messages_received_ = 0
 
     def send(self, message: Message) -> bool:
         """Queue a message; return whether the connection still stands."""
@@ -128,8 +130,8 @@
                 self.abort()
                 return
             frame = decoded.unwrap()
-            self.bytes_received_ += len(data)
-            self.messages_received_ += len(frame.messages)
+            _FRAMES_RECEIVED.inc()
+            _BYTES_RECEIVED.inc(len(data))
             if frame.config_version != self.peer_config_version_:
                 self.peer_config_version_ = frame.config_version
                 handler.peer_version(self, frame.config_version)
@@ -151,8 +153,8 @@
                 except ConnectionClosed:
                     self.is_open_ = False
                     return
-                self.frames_sent_ += 1
-                self.bytes_sent_ += len(data)
+                _FRAMES_SENT.inc()
+                _BYTES_SENT.inc(len(data))
 
     def _version_is_due(self) -> bool:
         return self.sent_config_version_ < self.config_version()
