Let a workspace within its share wait for its turn, not for another's backlog

Ruled out: the queue's own order, which gave each backlogged workspace its share. Change: a queue says what stands before a newcomer of a workspace; an entry leaves the backlog of its class out of the forecast for a workspace within its share of what is live.

--- a/packages/leadford-server/src/leadford_server/agent/_service.py
+++ b/packages/leadford-server/src/leadford_server/agent/_service.py
@@ -296,7 +296,9 @@
         ATTEMPTS_TOTAL.labels(stage=submit.stage, end=reason.value).inc()
         if peer is None:
             return
-        wait_ms = self.admission_.wait_ms(submit.priority, self.running_)
+        wait_ms = self.admission_.wait_ms(
+            submit.priority, WorkspaceId(submit.workspace), self.running_
+        )
         peer.send(
             Refused(
                 submit.request_id,
--- a/packages/leadford-server/src/leadford_server/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/entry/_requests.py
@@ -164,6 +164,9 @@
         forecasts: list[PoolForecast | None] = []
         directory = self.services.directory
         priority = self._priority(pipeline, new.workspace)
+        if self.services.ledger_.is_entitled(new.workspace):
+            # Its turn comes before the backlog of others in its class.
+            priority = max(0, priority - 1)
         now = self.services.clock()
         for stage in pipeline.stages:
             need = StageNeed(stage.pool, stage.expected_ms, stage.expected_tokens)
@@ -212,6 +215,7 @@
 
     def _start(self, run: RequestRun, work: object) -> None:
         self.runs_by_id_[run.request_id] = run
+        self.services.ledger_.note_began(run.execution.workspace)
         LIVE_REQUESTS.set(len(self.runs_by_id_))
         task = asyncio.create_task(work)
         self.tasks_.add(task)
@@ -250,6 +254,7 @@
 
     def _end(self, run: RequestRun) -> None:
         self.runs_by_id_.pop(run.request_id, None)
+        self.services.ledger_.note_ended(run.execution.workspace)
         self.ended_by_id_[run.request_id] = run
         if len(self.ended_by_id_) > ENDED_KEPT:
             self.ended_by_id_.popitem(last=False)
--- a/packages/leadford-server/src/leadford_server/entry/_services.py
+++ b/packages/leadford-server/src/leadford_server/entry/_services.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 from random import Random
 
-from leadford.admission import Deferral, EntryAdmission
+from leadford.admission import Deferral, EntitlementLedger, EntryAdmission
 from leadford.common import EntryId, HallId, WorkspaceId
 from leadford.config import FleetConfig
 from leadford.costs import CostAccount
+from leadford.queues import WorkspaceTerms
 from leadford.retries import (
     Backoff,
     HedgePolicy,
@@ -49,6 +50,7 @@
         self.config_: FleetConfig | None = None
         self.workspace_by_key_hash_: dict[str, WorkspaceId] = {}
         self.admission_ = EntryAdmission()
+        self.ledger_ = EntitlementLedger(terms=self._terms)
         self.costs_ = CostAccount()
         self.budget_ = RetryBudget()
         self.retry_policy_ = RetryPolicy(
@@ -71,6 +73,12 @@
         self.directory.apply_config(config)
         self.claims.apply_config(config)
 
+    def _terms(self, workspace: WorkspaceId) -> WorkspaceTerms:
+        found = self.config_.workspaces.get(workspace) if self.config_ else None
+        if found is None:
+            return WorkspaceTerms()
+        return WorkspaceTerms(found.share, found.minimum)
+
     def hedge_policy(self, stage: str) -> HedgePolicy:
         """Return the hedge policy of a stage."""
         return self.hedges_by_stage_.setdefault(stage, HedgePolicy())
--- a/packages/leadford/src/leadford/admission/__init__.py
+++ b/packages/leadford/src/leadford/admission/__init__.py
@@ -2,6 +2,7 @@
 
 from leadford.admission._deferral import Deferral
 from leadford.admission._endpoint import EndpointAdmission, ServiceEstimate
+from leadford.admission._entitlement import EntitlementLedger
 from leadford.admission._entry import (
     AdmissionVerdict,
     EntryAdmission,
@@ -15,6 +16,7 @@
     "AdmissionVerdict",
     "Deferral",
     "EndpointAdmission",
+    "EntitlementLedger",
     "EntryAdmission",
     "Headroom",
     "PoolForecast",
--- a/packages/leadford/src/leadford/admission/_endpoint.py
+++ b/packages/leadford/src/leadford/admission/_endpoint.py
@@ -1,6 +1,6 @@
 """Decide at an endpoint's queue whether an attempt can still finish in time."""
 
-from leadford.common import Ewma, RefusalReason
+from leadford.common import Ewma, RefusalReason, WorkspaceId
 from leadford.queues import QueuedAttempt, QueuePolicy
 
 ESTIMATE_WEIGHT = 0.05
@@ -66,12 +66,15 @@
         self.by_deadline = by_deadline
         self.estimate_ = ServiceEstimate()
 
-    def wait_ms(self, priority: int, running: int) -> float:
-        """Return the expected wait of a newcomer of a priority."""
+    def wait_ms(self, priority: int, workspace: WorkspaceId, running: int) -> float:
+        """Return the expected wait of a newcomer."""
         if running < self.concurrency and not len(self.queue):
             return 0.0
         # The slots that run now free themselves, on average, half a service from now.
-        ahead = self.queue.ahead_ms(priority) + self.estimate_.overall_.value_ / 2
+        ahead = (
+            self.queue.ahead_ms(priority, workspace)
+            + self.estimate_.overall_.value_ / 2
+        )
         return ahead / self.concurrency
 
     def check_arrival(
@@ -83,7 +86,7 @@
         if running == 0 and not len(self.queue):
             # An idle endpoint loses nothing by trying, and learns its present speed.
             return None if item.deadline_at > now else RefusalReason.DEADLINE
-        wait_ms = self.wait_ms(item.priority, running)
+        wait_ms = self.wait_ms(item.priority, item.workspace, running)
         if not self._fits(item, wait_ms + tail_ms, now):
             return RefusalReason.DEADLINE
         return None
--- a/packages/leadford/src/leadford/admission/tests/test_admission.py
+++ b/packages/leadford/src/leadford/admission/tests/test_admission.py
@@ -5,6 +5,7 @@
 from leadford.admission import (
     Deferral,
     EndpointAdmission,
+    EntitlementLedger,
     EntryAdmission,
     Headroom,
     PoolForecast,
@@ -157,3 +158,22 @@
     assert (
         deferral.holds_back(loads, remaining_ms=remaining_ms, needed_ms=1000.0) is held
     )
+
+
+def test_a_workspace_is_entitled_within_its_share_of_what_is_live():
+    terms = {"small": WorkspaceTerms(1.0, 0.0), "kept": WorkspaceTerms(1.0, 0.6)}
+    ledger = EntitlementLedger(terms=lambda w: terms.get(w, WorkspaceTerms()))
+    for _ in range(30):
+        ledger.note_began("greedy")
+    assert not ledger.is_entitled("greedy")
+    assert ledger.is_entitled("small")
+    for _ in range(31):
+        ledger.note_began("small")
+    assert not ledger.is_entitled("small")
+    assert ledger.is_entitled("greedy")
+    for _ in range(31):
+        ledger.note_ended("small")
+    for _ in range(40):
+        ledger.note_began("kept")
+    assert ledger.is_entitled("kept")
+    assert len(ledger.live_by_workspace_) == 2
--- a/packages/leadford/src/leadford/queues/_base.py
+++ b/packages/leadford/src/leadford/queues/_base.py
@@ -48,7 +48,7 @@
     def remove(self, key: str) -> QueuedAttempt | None:
         """Take out one attempt, or return None when it is not queued."""
 
-    def ahead_ms(self, priority: int) -> float:
+    def ahead_ms(self, priority: int, workspace: WorkspaceId) -> float:
         """Return the expected service of what would be served before a newcomer."""
 
     def __len__(self) -> int: ...
@@ -89,7 +89,7 @@
             del self.cost_ms_by_priority_[priority]
         return item
 
-    def ahead_ms(self, priority: int) -> float:
+    def ahead_ms(self, priority: int, workspace: WorkspaceId) -> float:
         """Return the expected service queued at this priority or before it."""
         total = 0.0
         for other, cost_ms in self.cost_ms_by_priority_.items():
--- a/packages/leadford/src/leadford/queues/_classes.py
+++ b/packages/leadford/src/leadford/queues/_classes.py
@@ -1,5 +1,6 @@
 """Serve classes of priority in order, with a small part left to the lowest."""
 
+from leadford.common import WorkspaceId
 from leadford.queues._base import ItemIndexMixin, QueuedAttempt, TermsLookup
 
 LOWEST_CLASS_TURN = 20
@@ -49,3 +50,16 @@
         if item is not None:
             self.classes_by_priority_[item.priority].forget(item)
         return item
+
+    def ahead_ms(self, priority: int, workspace: WorkspaceId) -> float:
+        """Return what more urgent classes have, and the newcomer's part of its own."""
+        total_ms = 0.0
+        for other, cost_ms in self.cost_ms_by_priority_.items():
+            if other < priority:
+                total_ms += cost_ms
+        own = self.classes_by_priority_.get(priority)
+        if own is None:
+            return total_ms
+        class_ms = self.cost_ms_by_priority_.get(priority, 0.0)
+        count = self.count_by_priority_.get(priority, 0)
+        return total_ms + own.ahead_ms(workspace, class_ms, count)
--- a/packages/leadford/src/leadford/queues/_elastic.py
+++ b/packages/leadford/src/leadford/queues/_elastic.py
@@ -7,7 +7,7 @@
 from leadford.common import WorkspaceId
 from leadford.queues._base import QueuedAttempt, TermsLookup, queue_policies
 from leadford.queues._classes import ClassQueueMixin
-from leadford.queues._flows import Flow
+from leadford.queues._flows import FlowTable
 
 USAGE_HALF_LIFE_S = 2.0
 MINIMUM_FLOOR = 0.001
@@ -35,40 +35,50 @@
 
     def __init__(self, *, terms: TermsLookup) -> None:
         self.terms = terms
-        self.flows_by_workspace_: dict[WorkspaceId, Flow] = {}
+        self.table_ = FlowTable()
         self.usage_by_workspace_: dict[WorkspaceId, _Usage] = {}
 
     def push(self, item: QueuedAttempt) -> None:
-        flow = self.flows_by_workspace_.setdefault(item.workspace, Flow())
+        flow = self.table_.flows_by_workspace_.get(item.workspace)
+        if flow is None:
+            flow = self.table_.open(item.workspace, self._minimum(item.workspace))
         flow.push(item)
 
+    def _minimum(self, workspace: WorkspaceId) -> float:
+        return max(self.terms(workspace).minimum, MINIMUM_FLOOR)
+
     def pop(self, now: float) -> str | None:
-        if not self.flows_by_workspace_:
+        flows = self.table_.flows_by_workspace_
+        if not flows:
             return None
         total = sum(usage.at(now) for usage in self.usage_by_workspace_.values())
-        chosen = min(self.flows_by_workspace_, key=lambda w: self._rank(w, total, now))
-        flow = self.flows_by_workspace_[chosen]
+        chosen = min(flows, key=lambda w: self._rank(w, total, now))
+        flow = flows[chosen]
         key, cost_ms = flow.pop()
         usage = self.usage_by_workspace_.setdefault(chosen, _Usage(now))
         usage.add(cost_ms, now)
         if not len(flow):
-            del self.flows_by_workspace_[chosen]
+            self.table_.close(chosen)
         self._prune(now)
         return key
 
     def _rank(
         self, workspace: WorkspaceId, total: float, now: float
     ) -> tuple[bool, float, str]:
-        minimum = max(self.terms(workspace).minimum, MINIMUM_FLOOR)
+        minimum = self._minimum(workspace)
         usage = self.usage_by_workspace_.get(workspace)
         used = usage.at(now) / total if usage is not None and total > 0 else 0.0
         return used >= minimum, used / minimum, workspace
 
     def forget(self, item: QueuedAttempt) -> None:
-        flow = self.flows_by_workspace_[item.workspace]
-        flow.forget(item.key)
+        flow = self.table_.flows_by_workspace_[item.workspace]
+        flow.forget(item)
         if not len(flow):
-            del self.flows_by_workspace_[item.workspace]
+            self.table_.close(item.workspace)
+
+    def ahead_ms(self, workspace: WorkspaceId, class_ms: float, count: int) -> float:
+        minimum = self._minimum(workspace)
+        return self.table_.ahead_ms(workspace, minimum, class_ms, count)
 
     def _prune(self, now: float) -> None:
         stale = [
--- a/packages/leadford/src/leadford/queues/_fair.py
+++ b/packages/leadford/src/leadford/queues/_fair.py
@@ -5,7 +5,7 @@
 from leadford.common import WorkspaceId
 from leadford.queues._base import QueuedAttempt, TermsLookup, queue_policies
 from leadford.queues._classes import ClassQueueMixin
-from leadford.queues._flows import Flow
+from leadford.queues._flows import FlowTable
 
 TAGS_KEPT = 1024
 
@@ -19,16 +19,16 @@
     def __init__(self, *, terms: TermsLookup) -> None:
         self.terms = terms
         self.virtual_time_ = 0.0
-        self.flows_by_workspace_: dict[WorkspaceId, Flow] = {}
+        self.table_ = FlowTable()
         self.finish_tags_: dict[WorkspaceId, float] = {}
         self.heap_: list[tuple[float, int, WorkspaceId]] = []
         self.pushes_ = 0
 
     def push(self, item: QueuedAttempt) -> None:
-        flow = self.flows_by_workspace_.get(item.workspace)
+        flow = self.table_.flows_by_workspace_.get(item.workspace)
         if flow is None:
-            flow = Flow()
-            self.flows_by_workspace_[item.workspace] = flow
+            share = self.terms(item.workspace).share
+            flow = self.table_.open(item.workspace, share)
             self._schedule(item.workspace)
         flow.push(item)
 
@@ -41,19 +41,19 @@
     def pop(self, now: float) -> str | None:
         while self.heap_:
             start, _, workspace = heappop(self.heap_)
-            flow = self.flows_by_workspace_[workspace]
+            flow = self.table_.flows_by_workspace_[workspace]
             if not len(flow):
-                del self.flows_by_workspace_[workspace]
+                self.table_.close(workspace)
                 continue
             key, cost_ms = flow.pop()
             self.virtual_time_ = start
-            weight = self.terms(workspace).share
-            self.finish_tags_[workspace] = start + max(cost_ms, 0.001) / weight
+            finish = start + max(cost_ms, 0.001) / flow.weight
+            self.finish_tags_[workspace] = finish
             if len(flow):
                 self._schedule(workspace)
             else:
-                del self.flows_by_workspace_[workspace]
-            if not self.flows_by_workspace_:
+                self.table_.close(workspace)
+            if not self.table_.flows_by_workspace_:
                 # With nobody waiting, nobody is owed anything.
                 self.finish_tags_.clear()
             self._prune()
@@ -61,7 +61,11 @@
         return None
 
     def forget(self, item: QueuedAttempt) -> None:
-        self.flows_by_workspace_[item.workspace].forget(item.key)
+        self.table_.flows_by_workspace_[item.workspace].forget(item)
+
+    def ahead_ms(self, workspace: WorkspaceId, class_ms: float, count: int) -> float:
+        share = self.terms(workspace).share
+        return self.table_.ahead_ms(workspace, share, class_ms, count)
 
     def _prune(self) -> None:
         if len(self.finish_tags_) <= TAGS_KEPT:
--- a/packages/leadford/src/leadford/queues/_fifo.py
+++ b/packages/leadford/src/leadford/queues/_fifo.py
@@ -3,6 +3,7 @@
 from collections import deque
 from heapq import heappop, heappush
 
+from leadford.common import WorkspaceId
 from leadford.queues._base import (
     ItemIndexMixin,
     QueuedAttempt,
@@ -41,7 +42,7 @@
         """Take out one attempt."""
         return self._discard(key)
 
-    def ahead_ms(self, priority: int) -> float:
+    def ahead_ms(self, priority: int, workspace: WorkspaceId) -> float:
         """Return the expected service of everything queued."""
         return sum(self.cost_ms_by_priority_.values())
 
--- a/packages/leadford/src/leadford/queues/tests/test_policies.py
+++ b/packages/leadford/src/leadford/queues/tests/test_policies.py
@@ -55,7 +55,7 @@
     while (item := queue.pop(100.0)) is not None:
         held.remove(item.key)
     assert not held
-    assert queue.ahead_ms(9) == 0
+    assert queue.ahead_ms(9, "w") == 0
 
 
 @pytest.mark.parametrize("name", list(queue_policies))
@@ -119,5 +119,18 @@
         queue.push(attempt(f"k{index}", f"w{index}"))
         queue.pop(0.0)
     fair = queue.classes_by_priority_[4]
-    assert not fair.flows_by_workspace_
+    assert not fair.table_.flows_by_workspace_
     assert len(fair.finish_tags_) <= 1025
+
+
+@pytest.mark.parametrize("name", FAIR)
+def test_a_newcomer_waits_for_its_turn_not_for_anothers_backlog(name):
+    queue = make_queue(name, {w: WorkspaceTerms(1.0, 0.4) for w in "ab"})
+    for index in range(100):
+        queue.push(attempt(f"a{index}", "a"))
+    assert queue.ahead_ms(4, "a") == pytest.approx(1000.0)
+    assert queue.ahead_ms(4, "b") == pytest.approx(5.0)
+    queue.push(attempt("b0", "b"))
+    assert queue.ahead_ms(4, "b") == pytest.approx(25.0)
+    assert queue.ahead_ms(9, "b") == pytest.approx(1010.0)
+    assert queue.ahead_ms(0, "b") == 0.0
