--- a/packages/leadford-server/src/leadford_server/agent/_process.py
+++ b/packages/leadford-server/src/leadford_server/agent/_process.py
@@ -59,7 +59,7 @@
         self.http_ = CurlAsyncHTTPClient(
             force_instance=True, max_clients=HTTP_CLIENTS_MAX
         )
-        self.store_ = StoreClient(url=settings.store, http=self.http_)
+        self.store_ = StoreClient(url=settings.store, http=self.http_, log=self.log_)
         self.service_: AgentService | None = None
         self.keeper_: ModelKeeper | None = None
         self.peers_: set[PeerConnection] = set()
--- a/packages/leadford-server/src/leadford_server/config/_source.py
+++ b/packages/leadford-server/src/leadford_server/config/_source.py
@@ -122,8 +122,12 @@
 
 
 def answer_head(peer: PeerConnection, head: ConfigHead) -> None:
-    """Send a peer the head in force here."""
-    peer.send(HeadAnswer(head.version, encode_head(head)))
+    """Send a peer the head in force here, without the audit records.
+
+    They would be most of the bytes, and whoever shows them reads the store.
+    """
+    bare = msgspec.structs.replace(head, audit=())
+    peer.send(HeadAnswer(head.version, encode_head(bare)))
 
 
 def answer_chunks(
--- a/packages/leadford-server/src/leadford_server/entry/_changes.py
+++ b/packages/leadford-server/src/leadford_server/entry/_changes.py
@@ -12,6 +12,7 @@
     ConfigHead,
     FleetConfig,
     apply_change,
+    check_transition,
     encode_head,
     undo_to,
 )
@@ -81,7 +82,7 @@
         planned = plan_command(config, command)
         if isinstance(planned, Failure):
             return Failure(str(planned.failure()))
-        return _apply(head, planned.unwrap(), origin, now)
+        return _apply(head, config, planned.unwrap(), origin, now)
 
     return plan
 
@@ -90,14 +91,21 @@
     """Return the plan that puts a whole configuration in force."""
 
     def plan(head: ConfigHead, config: FleetConfig) -> Result[ConfigChange, str]:
-        return _apply(head, wanted, origin, time.time())
+        return _apply(head, config, wanted, origin, time.time())
 
     return plan
 
 
 def _apply(
-    head: ConfigHead, wanted: FleetConfig, origin: Origin, now: float
+    head: ConfigHead,
+    config: FleetConfig,
+    wanted: FleetConfig,
+    origin: Origin,
+    now: float,
 ) -> Result[ConfigChange, str]:
+    faults = check_transition(config, wanted)
+    if faults:
+        return Failure(_join_faults(tuple(faults)))
     applied = apply_change(
         head,
         wanted,
@@ -133,7 +141,7 @@
         """
         in_doubt = False
         for _ in range(TRIES_MAX):
-            read = await self._read_head()
+            read = await self.read_head()
             if isinstance(read, Failure):
                 status = 504 if in_doubt else 503
                 return Failure(ChangeRefusal(status, f"store: {read.failure()}"))
@@ -163,7 +171,8 @@
         status = 504 if in_doubt else 503
         return Failure(ChangeRefusal(status, "the change could not be settled"))
 
-    async def _read_head(self) -> Result[StoredHead, str]:
+    async def read_head(self) -> Result[StoredHead, str]:
+        """Return the head in the store, once it is in force here too."""
         read = await StoreSource(store=self.store).head()
         if isinstance(read, Failure):
             return read
--- a/packages/leadford-server/src/leadford_server/entry/_operators.py
+++ b/packages/leadford-server/src/leadford_server/entry/_operators.py
@@ -30,6 +30,7 @@
 from leadford_server.entry._fanout import FanOut
 from leadford_server.entry._tables import (
     CONFIGURED_TABLES,
+    audit_table,
     configured_table,
     merge_rows,
 )
@@ -74,6 +75,8 @@
         name = statement.subject.value
         if name in CONFIGURED_TABLES:
             return configured_table(name, self.follower), ""
+        if statement.subject is Subject.AUDIT:
+            return await self._audit()
         if statement.subject is Subject.HALLS:
             return await self._halls()
         argument = statement.by if statement.subject is Subject.COST else ""
@@ -88,6 +91,15 @@
         coverage = f"{found.answered} of {found.asked} entries answered"
         return merge_rows(name, found.answers), coverage
 
+    async def _audit(self) -> tuple[Table, str]:
+        """Return the audit records from the store, or those known here."""
+        read = await self.changes.read_head()
+        if not isinstance(read, Failure):
+            return audit_table(read.unwrap().head), ""
+        head = self.follower.tracker_.head_
+        records = audit_table(head) if head is not None else Table([], [])
+        return records, "the store is silent; records known to this entry only"
+
     async def _halls(self) -> tuple[Table, str]:
         endpoints, coverage = await self._ask("endpoints", "")
         counts: dict[str, list[int]] = {}
--- a/packages/leadford-server/src/leadford_server/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/entry/_process.py
@@ -59,7 +59,7 @@
         self.hall = HallId(settings.hall)
         self.log_ = EventLog(process_id=settings.entry_id)
         self.http_ = CurlAsyncHTTPClient(force_instance=True, max_clients=64)
-        self.store_ = StoreClient(url=settings.store, http=self.http_)
+        self.store_ = StoreClient(url=settings.store, http=self.http_, log=self.log_)
         self.web_: httpserver.HTTPServer | None = None
         self._build_peers()
         self._build_requests()
@@ -203,6 +203,7 @@
 
     def peer_connected(self, peer: PeerConnection) -> None:
         """Take in that a connection stands."""
+        self.log_.report(Event.PEER_CONNECTED, peer=peer.info.peer_id)
         if peer.info.role == "entry":
             self.entries_.accepted(peer)
         self.follower_.peer_connected(peer)
@@ -210,6 +211,7 @@
 
     def peer_lost(self, peer: PeerConnection) -> None:
         """Take in that a connection ended."""
+        self.log_.report(Event.PEER_LOST, peer=peer.info.peer_id)
         self.follower_.peer_lost(peer)
         self.entries_.lost(peer)
         self.claims_.peer_lost(peer)
--- a/packages/leadford-server/src/leadford_server/entry/_tables.py
+++ b/packages/leadford-server/src/leadford_server/entry/_tables.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from leadford.common import RequestId
-from leadford.config import FleetConfig
+from leadford.config import ConfigHead, FleetConfig
 from leadford.costs import CostLine, StageCost
 from leadford.language import Table
 from leadford_server.config import ConfigFollower
@@ -62,7 +62,7 @@
     "explain": ["entry", "at_ms", "step"],
 }
 
-CONFIGURED_TABLES = ("workspaces", "pipelines", "pools", "models", "audit")
+CONFIGURED_TABLES = ("workspaces", "pipelines", "pools", "models")
 
 
 def configured_table(name: str, follower: ConfigFollower) -> Table:
@@ -86,12 +86,17 @@
         for key, part in config.models.items():
             pinned = " ".join(part.pinned)
             rows.append([key, part.pool, part.version, part.copies, pinned])
-    elif name == "audit" and follower.tracker_.head_ is not None:
-        for r in reversed(follower.tracker_.head_.audit):
-            rows.append([r.version, r.from_version, r.at_s, r.operator, r.command])
     return Table(COLUMNS_BY_TABLE[name], rows)
 
 
+def audit_table(head: ConfigHead) -> Table:
+    """Return the audit records in a head, the newest first."""
+    rows: list[list] = []
+    for r in reversed(head.audit):
+        rows.append([r.version, r.from_version, r.at_s, r.operator, r.command])
+    return Table(COLUMNS_BY_TABLE["audit"], rows)
+
+
 class LocalTables:
     """Answer queries from what this entry knows."""
 
--- a/packages/leadford-server/src/leadford_server/store/_client.py
+++ b/packages/leadford-server/src/leadford_server/store/_client.py
@@ -7,6 +7,8 @@
 from returns.result import Failure, Result, Success
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
+from leadford.events import Event
+from leadford_server.logs import EventLog
 from leadford_server.metrics import STORE_CALLS_TOTAL
 from leadford_server.web import fetch
 
@@ -54,9 +56,11 @@
 class StoreClient:
     """Read, write and watch objects over HTTP."""
 
-    def __init__(self, *, url: str, http: AsyncHTTPClient) -> None:
+    def __init__(self, *, url: str, http: AsyncHTTPClient, log: EventLog) -> None:
         self.url = url
         self.http = http
+        self.log = log
+        self.available_ = True
 
     async def get(self, name: str) -> Result[StoredValue, StoreError]:
         """Read an object."""
@@ -114,12 +118,22 @@
     ) -> Result[HTTPResponse, StoreError]:
         response = await fetch(self.http, request)
         if response.code in (200, 204):
+            self._note_available(True)
             STORE_CALLS_TOTAL.labels(kind=kind, end="ok").inc()
             return Success(response)
+        self._note_available(response.code in _KIND_BY_STATUS)
         fault = _KIND_BY_STATUS.get(response.code, StoreErrorKind.UNAVAILABLE)
         STORE_CALLS_TOTAL.labels(kind=kind, end=fault.value).inc()
         return Failure(StoreError(fault, str(response.error or response.code)))
 
+    def _note_available(self, available: bool) -> None:
+        """Report when the store falls silent and when it answers again."""
+        if available == self.available_:
+            return
+        self.available_ = available
+        event = Event.STORE_BACK if available else Event.STORE_UNAVAILABLE
+        self.log.report(event, store=self.url)
+
     def _value(
         self, result: Result[HTTPResponse, StoreError]
     ) -> Result[StoredValue, StoreError]:
--- a/packages/leadford-standins/src/leadford_standins/tests/test_operators.py
+++ b/packages/leadford-standins/src/leadford_standins/tests/test_operators.py
@@ -148,6 +148,10 @@
     assert status == 503
     assert "store" in answer["detail"]
     assert rows_of(client, "show endpoints")
+    fleet.set_faults(fleet.store_url)
+    assert ask(client, "set objective to cost")[0] == 200
+    names = [row["event"] for row in rows_of(client, "show events")]
+    assert names.index("store_back") < names.index("store_unavailable")
 
 
 def test_an_entry_that_starts_in_an_outage_takes_its_peers_version(fleet, client):
@@ -220,6 +224,7 @@
         ("show endpoints where colour = red", 400, "no column 'colour'"),
         ("drain endpoint nothing", 422, "no endpoint"),
         ("undo 999999", 422, "expected a version"),
+        ("set tuning claim_shards to 4", 422, "must stay 1"),
         ("explain request r404", 404, "remembers"),
     ],
 )
--- a/packages/leadford/src/leadford/config/__init__.py
+++ b/packages/leadford/src/leadford/config/__init__.py
@@ -7,7 +7,12 @@
     undo_to,
     with_audit,
 )
-from leadford.config._check import ConfigFault, check_config, config_from_document
+from leadford.config._check import (
+    ConfigFault,
+    check_config,
+    check_transition,
+    config_from_document,
+)
 from leadford.config._model import (
     EndpointConfig,
     EntryConfig,
@@ -53,6 +58,7 @@
     "apply_change",
     "assemble",
     "check_config",
+    "check_transition",
     "config_from_document",
     "decode_head",
     "encode_head",
--- a/packages/leadford/src/leadford/config/_check.py
+++ b/packages/leadford/src/leadford/config/_check.py
@@ -162,3 +162,19 @@
                 continue
             text = f"an API key of workspace {owner!r} stands here too"
             faults.append(ConfigFault(f"workspaces.{name}.key_hashes", text))
+
+
+FIXED_TUNING = ("claim_shards", "claim_ring")
+
+
+def check_transition(before: FleetConfig, after: FleetConfig) -> list[ConfigFault]:
+    """Return the faults of putting one configuration in force after another."""
+    faults: list[ConfigFault] = []
+    for name in FIXED_TUNING:
+        known = getattr(before.tuning, name)
+        if getattr(after.tuning, name) == known:
+            continue
+        # Processes that follow at different moments would claim a key in two places.
+        text = f"must stay {known} while the fleet runs: claims are found by it"
+        faults.append(ConfigFault(f"tuning.{name}", text))
+    return faults
--- a/packages/leadford/src/leadford/config/tests/test_config.py
+++ b/packages/leadford/src/leadford/config/tests/test_config.py
@@ -10,6 +10,7 @@
     WorkspaceConfig,
     apply_change,
     assemble,
+    check_transition,
     config_from_document,
     decode_head,
     encode_head,
@@ -161,3 +162,13 @@
     assert tracker.version == 1
     assert tracker.unread_version_ == 2
     assert tracker.config_ == config
+
+
+def test_where_claims_are_found_does_not_change_under_way():
+    config = make_config()
+    tuning = msgspec.structs.replace(config.tuning, claim_shards=4, retry_ratio=0.2)
+    changed = msgspec.structs.replace(config, tuning=tuning)
+    assert [f.path for f in check_transition(config, changed)] == [
+        "tuning.claim_shards"
+    ]
+    assert check_transition(config, config) == []
