--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/__init__.py
@@ -0,0 +1,34 @@
+"""Forward requests to endpoints without an agent, with their stages before them."""
+
+from leadford_server.forward._contract import (
+    AnswerHead,
+    ForwardCall,
+    HeaderList,
+    InboundRequest,
+    ObjectEvent,
+    ObjectEvents,
+    ObjectList,
+    ObjectWire,
+    OutboundRequest,
+    PieceOutcome,
+    RequestWire,
+)
+from leadford_server.forward._process import ForwardProcess, ForwardSettings
+from leadford_server.forward._state import ForwardBounds
+
+__all__ = [
+    "AnswerHead",
+    "ForwardBounds",
+    "ForwardCall",
+    "ForwardProcess",
+    "ForwardSettings",
+    "HeaderList",
+    "InboundRequest",
+    "ObjectEvent",
+    "ObjectEvents",
+    "ObjectList",
+    "ObjectWire",
+    "OutboundRequest",
+    "PieceOutcome",
+    "RequestWire",
+]
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/_connection.py
@@ -0,0 +1,289 @@
+"""Exchange requests and answers with one endpoint over one kept connection."""
+
+import asyncio
+import socket
+from enum import Enum
+
+import msgspec
+from tornado import http1connection, httputil, iostream
+from tornado.iostream import IOStream
+
+from leadford.common import RequestId
+from leadford_server.forward._contract import AnswerHead, OutboundRequest, RequestWire
+
+ANSWER_BYTES_MAX = 64 * 1024 * 1024
+HEADER_BYTES_MAX = 64 * 1024
+STRAY_ANSWERS_MAX = 2
+SILENCE_MS = 2_500
+
+
+class BreakKind(Enum):
+    """Say how much of an exchange may have happened."""
+
+    NOT_SENT = "not-sent"
+    LOST = "lost"
+    SPOILED = "spoiled"
+
+
+class ExchangeBroken(Exception):
+    """Tell that an exchange ended without a whole answer."""
+
+    def __init__(self, kind: BreakKind, detail: str) -> None:
+        super().__init__(f"{kind.value}: {detail}")
+        self.kind = kind
+        self.detail = detail
+
+
+class CountingStream(IOStream):
+    """Notice bytes that arrive while no answer is due."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(sock, max_buffer_size=ANSWER_BYTES_MAX)
+        self.is_idle_ = False
+        self.is_dirty_ = False
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read, and remember whether anybody asked for it."""
+        count = super().read_from_fd(buf)
+        if count and self.is_idle_:
+            self.is_dirty_ = True
+        return count
+
+    def has_leftover(self) -> bool:
+        """Tell whether bytes were read that belong to no answer."""
+        return self._read_buffer_size > 0
+
+
+class AnswerReader(httputil.HTTPMessageDelegate):
+    """Collect one answer as it arrives."""
+
+    def __init__(self, *, wire: RequestWire) -> None:
+        self.wire = wire
+        self.head_: AnswerHead | None = None
+        self.chunks_: list[bytes] = []
+        self.is_complete_ = False
+        self.is_broken_ = False
+        self.is_framed_ = True
+        self.changed_ = asyncio.Event()
+
+    def headers_received(
+        self, start_line: httputil.ResponseStartLine, headers: httputil.HTTPHeaders
+    ) -> None:
+        """Take in the head; interim answers are skipped."""
+        if start_line.code < 200:
+            return
+        self.is_framed_ = "Content-Length" in headers or "Transfer-Encoding" in headers
+        self.head_ = self.wire.read_answer(
+            start_line.code, start_line.reason, list(headers.get_all())
+        )
+        self.changed_.set()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take in a part of the body."""
+        self.chunks_.append(chunk)
+        self.changed_.set()
+
+    def finish(self) -> None:
+        """Take in that the answer is whole as far as its framing tells."""
+        self.is_complete_ = True
+        self.changed_.set()
+
+    def on_connection_close(self) -> None:
+        """Take in that the connection ended inside the answer."""
+        self.is_broken_ = True
+        self.changed_.set()
+
+    def take(self) -> bytes:
+        """Return and forget the body received so far."""
+        data = b"".join(self.chunks_)
+        self.chunks_.clear()
+        return data
+
+
+class LiveAnswer(msgspec.Struct):
+    """Hold an answer whose head has arrived and whose body may still come."""
+
+    head: AnswerHead
+    reader: AnswerReader
+    reading: asyncio.Task
+
+    async def wait_whole(self) -> None:
+        """Wait for the end of the body; raises ExchangeBroken with LOST."""
+        reader = self.reader
+        while not reader.is_complete_ and not reader.is_broken_:
+            reader.changed_.clear()
+            await reader.changed_.wait()
+        if reader.is_broken_:
+            raise ExchangeBroken(BreakKind.LOST, "broken off inside the answer")
+
+    async def wait_more(self) -> bytes:
+        """Return the next part of the body; empty at its end."""
+        reader = self.reader
+        while True:
+            data = reader.take()
+            if data or reader.is_complete_ or reader.is_broken_:
+                return data
+            reader.changed_.clear()
+            await reader.changed_.wait()
+
+
+class EndpointConnection:
+    """Hold one connection to an endpoint; it carries one exchange at a time."""
+
+    def __init__(self, *, stream: CountingStream, wire: RequestWire) -> None:
+        self.stream = stream
+        self.wire = wire
+        self.rest_s_: float | None = None
+        self.idle_since_ = 0.0
+        self.exchanges_ = 0
+        self.answer_: LiveAnswer | None = None
+
+    @classmethod
+    async def open(
+        cls, host: str, port: int, wire: RequestWire, timeout_s: float
+    ) -> "EndpointConnection":
+        """Connect within a time; raises ExchangeBroken with NOT_SENT."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # A peer without power says nothing; the kernel gives it up for us.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+        stream = CountingStream(sock)
+        try:
+            await asyncio.wait_for(stream.connect((host, port)), timeout_s)
+        except (TimeoutError, iostream.StreamClosedError, OSError) as error:
+            stream.close()
+            raise ExchangeBroken(
+                BreakKind.NOT_SENT, f"connect: {type(error).__name__}"
+            ) from error
+        except BaseException:
+            stream.close()
+            raise
+        return cls(stream=stream, wire=wire)
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether another exchange may begin."""
+        if self.stream.closed() or self.stream.is_dirty_:
+            return False
+        return not self.stream.has_leftover()
+
+    async def begin(
+        self, request: OutboundRequest, request_id: RequestId | None
+    ) -> LiveAnswer:
+        """Send a request and return its answer once the head is there.
+
+        Errors: raises ExchangeBroken with LOST when the request may have run.
+        """
+        self.stream.is_idle_ = False
+        self.exchanges_ += 1
+        exchange = self._send(request)
+        for _ in range(STRAY_ANSWERS_MAX + 1):
+            answer = await self._read_head(exchange)
+            found = answer.head.request_id
+            strange = found is not None and request_id is not None
+            if not strange or found == request_id:
+                self.answer_ = answer
+                return answer
+            # An answer of an earlier request stands where ours is due.
+            await answer.reading
+            if not answer.reader.is_complete_ or not answer.reader.is_framed_:
+                break
+        raise ExchangeBroken(BreakKind.SPOILED, "answers of other requests only")
+
+    async def fetch(
+        self, request: OutboundRequest, request_id: RequestId | None = None
+    ) -> tuple[bytes, AnswerHead]:
+        """Return the whole body and the head of an answer."""
+        answer = await self.begin(request, request_id)
+        await answer.wait_whole()
+        return answer.reader.take(), answer.head
+
+    def _send(self, request: OutboundRequest) -> http1connection.HTTP1Connection:
+        headers = httputil.HTTPHeaders()
+        for name, value in request.headers:
+            headers.add(name, value)
+        parameters = http1connection.HTTP1ConnectionParameters(
+            max_header_size=HEADER_BYTES_MAX, max_body_size=ANSWER_BYTES_MAX
+        )
+        exchange = http1connection.HTTP1Connection(self.stream, True, parameters)
+        start_line = httputil.RequestStartLine(request.method, request.target, "")
+        try:
+            exchange.write_headers(start_line, headers, request.body or None)
+            exchange.finish()
+        except iostream.StreamClosedError as error:
+            raise ExchangeBroken(BreakKind.LOST, "closed while sending") from error
+        return exchange
+
+    async def _read_head(self, exchange: http1connection.HTTP1Connection) -> LiveAnswer:
+        reader = AnswerReader(wire=self.wire)
+        reading = asyncio.ensure_future(self._read(exchange, reader))
+        try:
+            while reader.head_ is None and not reading.done():
+                await reader.changed_.wait()
+                reader.changed_.clear()
+        except BaseException:
+            reading.cancel()
+            self.close()
+            raise
+        if reader.head_ is None:
+            raise ExchangeBroken(BreakKind.LOST, "no answer")
+        reader.changed_.set()
+        return LiveAnswer(reader.head_, reader, reading)
+
+    async def _read(
+        self, exchange: http1connection.HTTP1Connection, reader: AnswerReader
+    ) -> None:
+        try:
+            await exchange.read_response(reader)
+        except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
+            reader.is_broken_ = True
+        except asyncio.CancelledError:
+            reader.is_broken_ = True
+            self.stream.close()
+            raise
+        finally:
+            if not reader.is_complete_:
+                reader.is_broken_ = True
+            # Without a length only an orderly close tells that nothing is missing.
+            if not reader.is_framed_ and self.stream.error is not None:
+                reader.is_complete_ = False
+                reader.is_broken_ = True
+            reader.changed_.set()
+
+    def settle(self) -> bool:
+        """Tell whether the connection may carry another exchange; drop it if not."""
+        answer = self.answer_
+        self.answer_ = None
+        kept = answer is not None and self._is_left_clean(answer)
+        if not kept:
+            if answer is not None:
+                answer.reading.cancel()
+            self.close()
+            return False
+        if answer.head.rest_s is not None:
+            self.rest_s_ = answer.head.rest_s
+        return True
+
+    def _is_left_clean(self, answer: LiveAnswer) -> bool:
+        """Tell whether the answer ended whole and the request was read whole."""
+        reader = answer.reader
+        if not reader.is_complete_ or not reader.is_framed_ or answer.head.closes:
+            return False
+        # An endpoint may answer a long body early and go on reading it.
+        if not answer.reading.done() or not self.is_usable:
+            return False
+        return not self.stream.writing()
+
+    def rest(self, now: float) -> None:
+        """Wait for the next exchange, watching for a close or stray bytes."""
+        self.idle_since_ = now
+        self.stream.is_idle_ = True
+        self.stream.set_close_callback(lambda: None)
+
+    def close(self) -> None:
+        """Drop the connection at once."""
+        self.stream.close()
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/_contract.py
@@ -0,0 +1,199 @@
+"""Say what forwarding needs from an adapter to a platform's wire.
+
+An adapter turns names and formats into these messages and back. It decides nothing.
+"""
+
+from typing import Protocol
+
+import msgspec
+from returns.result import Result
+
+from leadford.common import EndpointId, RequestId
+from leadford.endpoints import ListedEndpoint, ReportedLoad
+from leadford.forwarding import ForwardConfig
+from leadford.pieces import PieceTask
+from leadford.pieces._graph import ResultHandle
+
+HeaderList = list[tuple[str, str]]
+
+
+class InboundRequest(msgspec.Struct):
+    """Hold a request as the caller sent it, and what its headers say.
+
+    Units: deadline_ms counts from the caller's sending; received_at is in seconds of
+    the monotonic clock, when the head was read.
+    """
+
+    method: str
+    target: str
+    host: str
+    headers: HeaderList
+    received_at: float
+    request_id: RequestId
+    key: str | None = None
+    deadline_ms: float | None = None
+    last_event_id: int | None = None
+    piece_counts: tuple[int, ...] | None = None
+    piece_key: str = ""
+    prefix_parts: tuple[tuple[str, int], ...] = ()
+    tokens_in: int = 0
+    tokens_out: int = 0
+    body: bytes = b""
+    fault: str = ""
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.target.split("?", 1)[0]
+
+
+class ForwardCall(msgspec.Struct, frozen=True):
+    """Hold what is set on a request when it goes to an endpoint.
+
+    Units: remaining_ms is what is left of the caller's time.
+    """
+
+    expected_instance: EndpointId
+    remaining_ms: float | None
+    workspace: str | None
+    priority: int | None = None
+    inputs: tuple[ResultHandle, ...] = ()
+    last_event_id: int | None = None
+    model_version: int | None = None
+
+
+class OutboundRequest(msgspec.Struct, frozen=True):
+    """Hold a request as it goes to an endpoint."""
+
+    method: str
+    target: str
+    headers: HeaderList
+    body: bytes = b""
+
+
+class AnswerHead(msgspec.Struct, frozen=True):
+    """Hold the head of an endpoint's answer and what its headers say.
+
+    Units: rest_s is how long the endpoint keeps the idle connection.
+    """
+
+    status: int
+    reason: str
+    headers: HeaderList
+    request_id: RequestId | None
+    is_not_run: bool
+    is_encoded: bool
+    is_signed: bool
+    closes: bool
+    rest_s: float | None
+    load: ReportedLoad | None
+    model_version: int | None
+    retry_after_s: float | None
+
+
+class PieceOutcome(msgspec.Struct, frozen=True):
+    """Hold what became of one piece: a result, or why there is none."""
+
+    handle: ResultHandle | None
+    reason: str = ""
+
+
+class ObjectList(msgspec.Struct, frozen=True):
+    """Hold one page of objects and the revision of the store it was made at."""
+
+    items: list[dict]
+    next_name: str | None
+    revision: int
+
+
+class ObjectEvent(msgspec.Struct, frozen=True):
+    """Hold one change of an object."""
+
+    item: dict
+    is_gone: bool
+
+
+class ObjectEvents(msgspec.Struct, frozen=True):
+    """Hold what a watch saw, and from where to go on."""
+
+    events: list[ObjectEvent]
+    revision: int
+
+
+class RequestWire(Protocol):
+    """Read and write the messages between callers, entries and endpoints."""
+
+    ready_path: str
+    trace_header: str
+
+    def read_request(
+        self, method: str, target: str, headers: HeaderList, now: float
+    ) -> InboundRequest:
+        """Return a caller's request; `fault` says what is wrong with its head."""
+
+    def forward(self, request: InboundRequest, call: ForwardCall) -> OutboundRequest:
+        """Return the request for an endpoint."""
+
+    def read_answer(self, status: int, reason: str, headers: HeaderList) -> AnswerHead:
+        """Return the head of an endpoint's answer."""
+
+    def refusal(self, retry_after_s: float | None) -> HeaderList:
+        """Return the headers of an own answer that refuses."""
+
+    def piece_call(
+        self, tasks: list[PieceTask], instance: EndpointId, now: float
+    ) -> OutboundRequest:
+        """Return the call that makes pieces at an endpoint."""
+
+    def read_pieces(self, body: bytes) -> Result[list[PieceOutcome], str]:
+        """Return what became of the pieces of a call, in order."""
+
+    def free_call(
+        self, handles: list[ResultHandle], instance: EndpointId
+    ) -> OutboundRequest:
+        """Return the call that gives results up."""
+
+
+class ObjectWire(Protocol):
+    """Name and read the objects of the platform's store."""
+
+    config_kind: str
+    config_name: str
+    endpoints_kind: str
+    entries_kind: str
+
+    def list_path(self, kind: str, after: str | None) -> str:
+        """Return the path of a page of objects."""
+
+    def watch_path(self, kind: str, revision: int, wait_ms: int) -> str:
+        """Return the path of a watch."""
+
+    def object_path(self, kind: str, name: str) -> str:
+        """Return the path of one object."""
+
+    def read_list(self, body: bytes) -> Result[ObjectList, str]:
+        """Return a page of objects."""
+
+    def read_events(self, body: bytes) -> Result[ObjectEvents, str]:
+        """Return what a watch saw."""
+
+    def read_object(self, body: bytes) -> Result[dict, str]:
+        """Return one object."""
+
+    def read_config(self, item: dict) -> Result[ForwardConfig, str]:
+        """Return the configuration in an object."""
+
+    def read_endpoint(self, item: dict) -> Result[ListedEndpoint, str]:
+        """Return the endpoint in an object."""
+
+    def read_entry(self, item: dict) -> Result[tuple[str, str], str]:
+        """Return the id and the peer address of an entry in an object."""
+
+    def entry_object(self, entry_id: str, address: str) -> bytes:
+        """Return the object that announces an entry."""
+
+    def object_name(self, item: dict) -> str:
+        """Return the name of an object."""
+
+    def object_revision(self, item: dict) -> int:
+        """Return the revision of an object's last change."""
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/_door.py
@@ -0,0 +1,216 @@
+"""Take requests from callers and write answers back, byte for byte."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from http import HTTPStatus
+
+from tornado import httpserver, httputil, iostream
+from tornado.http1connection import HTTP1Connection
+
+from leadford.forwarding import TrafficLimits
+from leadford_server.forward._contract import HeaderList, InboundRequest, RequestWire
+
+REST_GRACE_S = 2.0
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class CallerGone(Exception):
+    """Tell that the caller closed its connection."""
+
+
+class Exchange(httputil.HTTPMessageDelegate):
+    """Hold one request of a caller and its answer."""
+
+    def __init__(self, *, connection: HTTP1Connection, door: "Door") -> None:
+        self.connection = connection
+        self.door = door
+        self.request_: InboundRequest | None = None
+        self.chunks_: list[bytes] = []
+        self.task_: asyncio.Task[None] | None = None
+        self.has_begun_ = False
+        self.is_over_ = False
+        self.is_caller_gone_ = False
+
+    def headers_received(
+        self, start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+    ) -> None:
+        """Take in the head of the request."""
+        now = asyncio.get_running_loop().time()
+        self.request_ = self.door.wire.read_request(
+            start_line.method, start_line.path, list(headers.get_all()), now
+        )
+        self.door.exchanges_.add(self)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take in a part of the body."""
+        self.chunks_.append(chunk)
+
+    def finish(self) -> None:
+        """Take in that the request is whole, and serve it."""
+        self.request_.body = b"".join(self.chunks_)
+        self.chunks_.clear()
+        self.connection.set_close_callback(self._caller_left)
+        self.task_ = asyncio.ensure_future(self.door.serve(self))
+        self.task_.add_done_callback(self._served)
+
+    def on_connection_close(self) -> None:
+        """Take in that the caller left before the request was whole."""
+        self.is_over_ = True
+        self.door.exchanges_.discard(self)
+
+    def _caller_left(self) -> None:
+        self.is_caller_gone_ = True
+        if self.task_ is not None and not self.is_over_:
+            self.task_.cancel()
+
+    def _served(self, task: asyncio.Task[None]) -> None:
+        self.door.exchanges_.discard(self)
+        if not self.is_over_:
+            self.abort()
+        if not task.cancelled() and task.exception() is not None:
+            self.door.report_fault(self, task.exception())
+
+    def answer(
+        self, status: int, headers: HeaderList, body: bytes = b"", reason: str = ""
+    ) -> None:
+        """Write a whole answer."""
+        if self.is_over_:
+            return
+        lines = self._headers(headers)
+        if status not in (204, 304):
+            lines["Content-Length"] = str(len(body))
+        self._write_head(status, reason, lines, body)
+        self._end()
+
+    def begin(self, status: int, headers: HeaderList, reason: str = "") -> None:
+        """Write the head of an answer whose length is not known."""
+        self.has_begun_ = True
+        self._write_head(status, reason, self._headers(headers), b"")
+
+    async def write(self, data: bytes) -> None:
+        """Write a part of the body and wait until the caller takes it."""
+        try:
+            await self.connection.write(data)
+        except iostream.StreamClosedError as error:
+            raise CallerGone from error
+
+    def end(self) -> None:
+        """End an answer whose length was not known."""
+        self._end()
+
+    def abort(self) -> None:
+        """Break the connection off, so that nothing looks complete."""
+        self.is_over_ = True
+        self.connection.close()
+
+    def _headers(self, headers: HeaderList) -> httputil.HTTPHeaders:
+        lines = httputil.HTTPHeaders()
+        for name, value in headers:
+            lower = name.lower()
+            if lower in CONNECTION_HEADERS or lower == "content-length":
+                continue
+            lines.add(name, value)
+        if self.door.is_draining():
+            lines["Connection"] = "close"
+            self.connection.no_keep_alive = True
+        return lines
+
+    def _write_head(
+        self, status: int, reason: str, lines: httputil.HTTPHeaders, body: bytes
+    ) -> None:
+        if not reason:
+            reason = _reason(status)
+        start_line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        self.connection.write_headers(start_line, lines, body or None)
+
+    def _end(self) -> None:
+        self.is_over_ = True
+        closes = self.door.is_draining()
+        self.connection.finish()
+        if closes:
+            # What has been written is still sent before the close.
+            self.door.close_soon(self.connection)
+
+
+def _reason(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
+class Door(httputil.HTTPServerConnectionDelegate):
+    """Listen for callers."""
+
+    def __init__(
+        self,
+        *,
+        wire: RequestWire,
+        serve: Callable[[Exchange], Coroutine[None, None, None]],
+        is_draining: Callable[[], bool],
+        report_fault: Callable[[Exchange, BaseException], None],
+    ) -> None:
+        self.wire = wire
+        self.serve = serve
+        self.is_draining = is_draining
+        self.report_fault = report_fault
+        self.exchanges_: set[Exchange] = set()
+        self.server_: httpserver.HTTPServer | None = None
+
+    def start(self, host: str, port: int) -> None:
+        """Listen."""
+        limits = TrafficLimits()
+        self.server_ = httpserver.HTTPServer(
+            self,
+            idle_connection_timeout=limits.idle_ms / 1_000.0 + REST_GRACE_S,
+            max_header_size=limits.header_bytes,
+            max_body_size=limits.body_bytes,
+        )
+        self.server_.listen(port, address=host)
+
+    def apply_limits(self, limits: TrafficLimits) -> None:
+        """Use other limits for requests that begin from now on."""
+        parameters = self.server_.conn_params
+        parameters.header_timeout = limits.idle_ms / 1_000.0 + REST_GRACE_S
+        parameters.max_header_size = limits.header_bytes
+        parameters.max_body_size = limits.body_bytes
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTP1Connection
+    ) -> Exchange:
+        """Return what takes the next request of a connection."""
+        return Exchange(connection=request_conn, door=self)
+
+    def on_close(self, server_conn: object) -> None:
+        """Take in that a connection ended."""
+
+    def close_soon(self, connection: HTTP1Connection) -> None:
+        """Close a connection once what was written is on its way."""
+        stream = connection.stream
+        if stream is None or stream.closed():
+            return
+        loop = asyncio.get_running_loop()
+
+        def close() -> None:
+            if stream.closed():
+                return
+            if stream.writing():
+                loop.call_later(0.02, close)
+                return
+            stream.close()
+
+        loop.call_later(0.02, close)
+
+    def stop_listening(self) -> None:
+        """Accept no new connections."""
+        self.server_.stop()
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/_follow.py
@@ -0,0 +1,154 @@
+"""Follow the objects of a kind in the platform's store: list once, then watch."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+from returns.result import Failure, Result, Success
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from leadford.events import Event
+from leadford_server.forward._contract import ObjectEvent, ObjectWire
+from leadford_server.logs import EventLog
+from leadford_server.metrics import STORE_CALLS_TOTAL
+from leadford_server.web import fetch
+
+WATCH_MS = 3_000
+CALL_S = 1.5
+CONNECT_S = 0.6
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 0.8
+STATUS_GONE = 410
+STATUS_CONFLICT = 409
+
+
+class ObjectsClient:
+    """Call the platform's store and tell when it stops and starts to answer."""
+
+    def __init__(
+        self, *, url: str, http: AsyncHTTPClient, wire: ObjectWire, log: EventLog
+    ) -> None:
+        self.url = url
+        self.http = http
+        self.wire = wire
+        self.log = log
+        self.is_available_ = True
+
+    async def call(
+        self, path: str, *, method: str = "GET", body: bytes | None = None, wait_s=0.0
+    ) -> Result[bytes, int]:
+        """Return the body of a good answer, or the status; 599 without an answer."""
+        request = HTTPRequest(
+            self.url + path,
+            method=method,
+            body=body,
+            headers={"Content-Type": "application/json"} if body else None,
+            connect_timeout=CONNECT_S,
+            request_timeout=wait_s + CALL_S,
+            allow_nonstandard_methods=True,
+            decompress_response=False,
+        )
+        response = await fetch(self.http, request)
+        good = 200 <= response.code < 300
+        end = "ok" if good else str(response.code)
+        kind = "watch" if wait_s else "read" if method == "GET" else "write"
+        STORE_CALLS_TOTAL.labels(kind=kind, end=end).inc()
+        answered = good or response.code in (404, STATUS_CONFLICT, STATUS_GONE)
+        self._note(answered, response.code)
+        return Success(response.body) if good else Failure(response.code)
+
+    def _note(self, answered: bool, status: int) -> None:
+        if answered == self.is_available_:
+            return
+        self.is_available_ = answered
+        event = Event.STORE_BACK if answered else Event.STORE_UNAVAILABLE
+        self.log.report(event, store=self.url, status=status)
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """Hold every object of a kind at a revision."""
+
+    items: list[dict]
+    revision: int
+
+
+class KindFollower:
+    """Keep what is known of one kind up to date.
+
+    `take_list` gets a whole listing, `take_event` each change after it, and
+    `confirm` is called whenever the store has said that nothing is missing.
+    """
+
+    def __init__(
+        self,
+        *,
+        kind: str,
+        client: ObjectsClient,
+        random: Random,
+        take_list: Callable[[Listing], None],
+        take_event: Callable[[ObjectEvent], None],
+        confirm: Callable[[int], None],
+    ) -> None:
+        self.kind = kind
+        self.client = client
+        self.random = random
+        self.take_list = take_list
+        self.take_event = take_event
+        self.confirm = confirm
+        self.revision_: int | None = None
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        wait_s = RETRY_MIN_S
+        while True:
+            good = await self._list() if self.revision_ is None else await self._watch()
+            if good:
+                wait_s = RETRY_MIN_S
+                continue
+            await asyncio.sleep(wait_s * self.random.uniform(0.6, 1.2))
+            wait_s = min(RETRY_MAX_S, wait_s * 2.0)
+
+    async def _list(self) -> bool:
+        wire = self.client.wire
+        items: list[dict] = []
+        after: str | None = None
+        revision: int | None = None
+        while True:
+            read = await self.client.call(wire.list_path(self.kind, after))
+            if isinstance(read, Failure):
+                return False
+            page = wire.read_list(read.unwrap())
+            if isinstance(page, Failure):
+                return False
+            page = page.unwrap()
+            items += page.items
+            # A change between two pages is seen again by a watch from the first.
+            revision = page.revision if revision is None else revision
+            after = page.next_name
+            if after is None:
+                break
+        self.take_list(Listing(items, revision))
+        self.revision_ = revision
+        self.confirm(revision)
+        return True
+
+    async def _watch(self) -> bool:
+        wire = self.client.wire
+        path = wire.watch_path(self.kind, self.revision_, WATCH_MS)
+        read = await self.client.call(path, wait_s=WATCH_MS / 1_000.0)
+        if isinstance(read, Failure):
+            if read.failure() == STATUS_GONE:
+                self.revision_ = None
+                return True
+            return False
+        seen = wire.read_events(read.unwrap())
+        if isinstance(seen, Failure):
+            self.revision_ = None
+            return False
+        seen = seen.unwrap()
+        for event in seen.events:
+            self.take_event(event)
+        self.revision_ = max(self.revision_, seen.revision)
+        self.confirm(self.revision_)
+        return True
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/_process.py
@@ -0,0 +1,324 @@
+"""Run an entry that forwards: its sockets, what it follows, and its planned stop."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random, SystemRandom
+
+import msgspec
+from returns.result import Failure, Result
+from tornado import httpserver, web
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+from leadford.common import EntryId, HallId
+from leadford.events import Event
+from leadford.forwarding import RouteTable
+from leadford_server.forward._contract import ObjectEvent, ObjectWire, RequestWire
+from leadford_server.forward._door import Door, Exchange
+from leadford_server.forward._follow import (
+    STATUS_CONFLICT,
+    KindFollower,
+    Listing,
+    ObjectsClient,
+)
+from leadford_server.forward._run import ForwardRun
+from leadford_server.forward._stages import StageRunner
+from leadford_server.forward._state import ForwardBounds, ForwardState
+from leadford_server.logs import EventLog
+from leadford_server.metrics import MetricsHandler
+from leadford_server.settings import SocketAddress
+
+DRAIN_MIN_S = 3.2
+DRAIN_POLL_S = 0.05
+DRAIN_MARGIN_S = 0.6
+SWEEP_S = 0.5
+ANNOUNCE_WAIT_S = 0.5
+STORE_CLIENTS = 12
+
+
+class ForwardSettings(msgspec.Struct, frozen=True):
+    """Hold the settings of an entry that forwards."""
+
+    entry_id: EntryId
+    hall: HallId
+    callers: SocketAddress
+    ready: SocketAddress
+    peers: SocketAddress
+    store_url: str
+    bounds: ForwardBounds
+    metrics: SocketAddress | None = None
+
+
+class _ReadyHandler(web.RequestHandler):
+    """Say whether this entry takes new callers."""
+
+    def initialize(self, process: "ForwardProcess") -> None:
+        self.process = process
+
+    def get(self) -> None:
+        self.set_status(200 if self.process.is_ready else 503)
+        self.finish()
+
+
+class ForwardProcess:
+    """Hold everything that one forwarding entry runs."""
+
+    def __init__(
+        self,
+        *,
+        settings: ForwardSettings,
+        wire: RequestWire,
+        objects: ObjectWire,
+        reload: Callable[[], Result[ForwardSettings, str]],
+        random: Random | None = None,
+    ) -> None:
+        self.settings = settings
+        self.wire = wire
+        self.objects = objects
+        self.reload = reload
+        self.random = random or SystemRandom()
+        self.log_ = EventLog(process_id=settings.entry_id)
+        self.is_draining_ = False
+        self.tasks_: list[asyncio.Task[None]] = []
+        self.entries_by_id_: dict[str, str] = {}
+
+    async def start(self) -> None:
+        """Listen and begin to follow the store."""
+        settings = self.settings
+        self.state_ = ForwardState(
+            wire=self.wire,
+            hall=settings.hall,
+            bounds=settings.bounds,
+            random=self.random,
+            loop=asyncio.get_running_loop(),
+            log=self.log_,
+        )
+        self.stages_ = StageRunner(state=self.state_)
+        self.door_ = Door(
+            wire=self.wire,
+            serve=self._serve,
+            is_draining=lambda: self.is_draining_,
+            report_fault=self._report_fault,
+        )
+        self.door_.start(settings.callers.host, settings.callers.port)
+        self._listen_ready()
+        http = CurlAsyncHTTPClient(force_instance=True, max_clients=STORE_CLIENTS)
+        self.client_ = ObjectsClient(
+            url=settings.store_url, http=http, wire=self.objects, log=self.log_
+        )
+        self._follow()
+        self.log_.report(
+            Event.PROCESS_STARTED, role="entry", callers=str(settings.callers)
+        )
+
+    def _listen_ready(self) -> None:
+        application = web.Application(
+            [
+                (self.wire.ready_path, _ReadyHandler, {"process": self}),
+                ("/metrics", MetricsHandler),
+            ],
+            log_function=lambda handler: None,
+        )
+        address = self.settings.ready
+        self.ready_server_ = httpserver.HTTPServer(application)
+        self.ready_server_.listen(address.port, address=address.host)
+        metrics = self.settings.metrics
+        if metrics is not None:
+            self.ready_server_.listen(metrics.port, address=metrics.host)
+
+    def _follow(self) -> None:
+        handlers = {
+            self.objects.config_kind: (
+                self._take_configs,
+                self._take_config_event,
+                self._confirm_config,
+            ),
+            self.objects.endpoints_kind: (
+                self._take_endpoints,
+                self._take_endpoint_event,
+                lambda revision: None,
+            ),
+            self.objects.entries_kind: (
+                self._take_entries,
+                self._take_entry_event,
+                lambda revision: None,
+            ),
+        }
+        for kind, (take_list, take_event, confirm) in handlers.items():
+            follower = KindFollower(
+                kind=kind,
+                client=self.client_,
+                random=self.random,
+                take_list=take_list,
+                take_event=take_event,
+                confirm=confirm,
+            )
+            self.tasks_.append(asyncio.create_task(follower.run()))
+        self.tasks_.append(asyncio.create_task(self._announce()))
+        self.tasks_.append(asyncio.create_task(self._sweep()))
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether new callers may come."""
+        has_config = self.state_.table_ is not None
+        return has_config and not self.is_draining_
+
+    async def _serve(self, exchange: Exchange) -> None:
+        run = ForwardRun(exchange=exchange, state=self.state_, stages=self.stages_)
+        await run.serve()
+
+    def _report_fault(self, exchange: Exchange, error: BaseException) -> None:
+        request = exchange.request_
+        self.log_.report(
+            Event.REQUEST_UNKNOWN,
+            request=request.request_id if request else "",
+            error=f"{type(error).__name__}: {error}"[:300],
+        )
+
+    def _take_configs(self, listing: Listing) -> None:
+        for item in listing.items:
+            self._take_config(item)
+
+    def _take_config_event(self, event: ObjectEvent) -> None:
+        if not event.is_gone:
+            self._take_config(event.item)
+
+    def _take_config(self, item: dict) -> None:
+        if self.objects.object_name(item) != self.objects.config_name:
+            return
+        read = self.objects.read_config(item)
+        if isinstance(read, Failure):
+            self.log_.report(Event.CONFIG_UNREADABLE, error=str(read.failure())[:300])
+            return
+        config = read.unwrap()
+        table = self.state_.table_
+        if table is not None and config.version <= table.config.version:
+            return
+        self.state_.table_ = RouteTable.from_config(config)
+        self.door_.apply_limits(config.limits)
+        self.log_.report(
+            Event.CONFIG_IN_FORCE,
+            version=config.version,
+            before=table.config.version if table else 0,
+            routes=len(config.routes),
+        )
+        self.stages_.wake()
+
+    def _confirm_config(self, revision: int) -> None:
+        if self.state_.table_ is not None:
+            self.state_.config_seen_at_ = self.state_.now()
+
+    def _take_endpoints(self, listing: Listing) -> None:
+        endpoints = []
+        for item in listing.items:
+            read = self.objects.read_endpoint(item)
+            if isinstance(read, Failure):
+                self.log_.report(Event.CONFIG_UNREADABLE, error=read.failure()[:300])
+                continue
+            endpoints.append(read.unwrap())
+        changes = self.state_.roster_.replace(endpoints, listing.revision)
+        self._note_changes(changes)
+
+    def _take_endpoint_event(self, event: ObjectEvent) -> None:
+        roster = self.state_.roster_
+        if event.is_gone:
+            name = self.objects.object_name(event.item)
+            revision = self.objects.object_revision(event.item)
+            self._note_changes(roster.remove(name, revision))
+            return
+        read = self.objects.read_endpoint(event.item)
+        if isinstance(read, Failure):
+            self.log_.report(Event.CONFIG_UNREADABLE, error=read.failure()[:300])
+            return
+        self._note_changes(roster.put(read.unwrap()))
+
+    def _note_changes(self, changes: list) -> None:
+        for change in changes:
+            self.log_.report(
+                Event.ENDPOINT_LISTED,
+                endpoint=change.endpoint_id,
+                service=change.service_id,
+                before=change.before,
+                after=change.after,
+                revision=self.state_.roster_.revision_,
+            )
+        if changes:
+            self.stages_.wake()
+
+    def _take_entries(self, listing: Listing) -> None:
+        self.entries_by_id_.clear()
+        for item in listing.items:
+            self._take_entry(item)
+        self._count_entries()
+
+    def _take_entry_event(self, event: ObjectEvent) -> None:
+        if event.is_gone:
+            self.entries_by_id_.pop(self.objects.object_name(event.item), None)
+        else:
+            self._take_entry(event.item)
+        self._count_entries()
+
+    def _take_entry(self, item: dict) -> None:
+        read = self.objects.read_entry(item)
+        if isinstance(read, Failure):
+            return
+        entry_id, address = read.unwrap()
+        self.entries_by_id_[entry_id] = address
+
+    def _count_entries(self) -> None:
+        known = set(self.entries_by_id_) | {self.settings.entry_id}
+        self.state_.set_sharers(len(known))
+
+    async def _announce(self) -> None:
+        """Write down in the store that this entry exists."""
+        settings = self.settings
+        kind = self.objects.entries_kind
+        body = self.objects.entry_object(settings.entry_id, str(settings.peers))
+        while True:
+            path = self.objects.object_path(kind, "")
+            made = await self.client_.call(path, method="POST", body=body)
+            if not isinstance(made, Failure) or made.failure() == STATUS_CONFLICT:
+                return
+            await asyncio.sleep(ANNOUNCE_WAIT_S * self.random.uniform(0.8, 1.6))
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.state_.pool_.sweep(set(self.state_.roster_.records_by_id_))
+
+    def settings_changed(self) -> None:
+        """Read the settings again; what cannot be read changes nothing."""
+        read = self.reload()
+        if isinstance(read, Failure):
+            self.log_.report(Event.SETTINGS_INVALID, fault=str(read.failure())[:300])
+            return
+        self.settings = read.unwrap()
+        self.state_.bounds = self.settings.bounds
+        self.log_.report(Event.SETTINGS_RELOADED, entry=self.settings.entry_id)
+
+    async def drain(self) -> None:
+        """Take no new callers, end what runs, and stop within the grace period."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        self.is_draining_ = True
+        self.log_.report(Event.PROCESS_DRAINING, live=len(self.door_.exchanges_))
+        ends_at = began_at + self.settings.bounds.grace_s - DRAIN_MARGIN_S
+        while loop.time() < ends_at:
+            await asyncio.sleep(DRAIN_POLL_S)
+            waited = loop.time() - began_at >= DRAIN_MIN_S
+            if waited and not self.door_.exchanges_:
+                break
+        self.door_.stop_listening()
+        for task in self.tasks_:
+            task.cancel()
+        await self._withdraw()
+        self.log_.report(Event.PROCESS_STOPPED, live=len(self.door_.exchanges_))
+
+    async def _withdraw(self) -> None:
+        path = self.objects.object_path(
+            self.objects.entries_kind, self.settings.entry_id
+        )
+        try:
+            async with asyncio.timeout(0.3):
+                await self.client_.call(path, method="DELETE")
+        except TimeoutError:
+            return
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -0,0 +1,538 @@
+"""Carry one request of a caller from its lookup to its final answer."""
+
+import asyncio
+from enum import Enum
+
+import msgspec
+from returns.result import Failure
+
+from leadford.common import EndpointId, HallId
+from leadford.endpoints import EndpointRecord
+from leadford.events import Event
+from leadford.forwarding import Admitted, LookupFault, RouteKind
+from leadford.pieces import PieceGraph
+from leadford_server.forward._connection import (
+    BreakKind,
+    EndpointConnection,
+    ExchangeBroken,
+    LiveAnswer,
+)
+from leadford_server.forward._contract import ForwardCall, InboundRequest
+from leadford_server.forward._door import CallerGone, Exchange
+from leadford_server.forward._events import EventCutter
+from leadford_server.forward._stages import StageFailure, StageJob, StageRunner
+from leadford_server.forward._state import ForwardState
+from leadford_server.metrics import FORWARD_SECONDS, FORWARDED_TOTAL, STAGE_SECONDS
+
+ANSWER_MARGIN_S = 0.03
+RETRY_AFTER_S = 1.0
+REMAKES_MAX = 2
+SAFE_PATIENCE = 0.45
+BUSY_STATUSES = (429, 503)
+PROMISING_STATUSES = (408, 421, 429, 503)
+
+
+class End(Enum):
+    """Say how a request ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    DENIED = "denied"
+    FAILED = "failed"
+    LATE = "late"
+    BROKEN_OFF = "broken-off"
+    CALLER_GONE = "caller-gone"
+
+
+class NotRun(Exception):
+    """Tell that an attempt proved not to have run."""
+
+    def __init__(self, detail: str, *, inputs_gone: bool = False) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.inputs_gone = inputs_gone
+
+
+class Attempt(msgspec.Struct, eq=False):
+    """Hold one attempt at an endpoint."""
+
+    record: EndpointRecord
+    connection: EndpointConnection
+    answer: LiveAnswer
+    began_at: float
+
+
+class ForwardRun:
+    """Serve one request."""
+
+    def __init__(
+        self, *, exchange: Exchange, state: ForwardState, stages: StageRunner
+    ) -> None:
+        self.exchange = exchange
+        self.state = state
+        self.stages = stages
+        self.request: InboundRequest = exchange.request_
+        self.admitted_: Admitted | None = None
+        self.deadline_ = 0.0
+        self.job_: StageJob | None = None
+        self.tried_: list[EndpointId] = []
+        self.end_ = End.FAILED
+        self.detail_ = ""
+        self.status_ = 0
+        self.may_have_run_ = False
+        self.last_event_id_: int | None = None
+        self.model_version_: int | None = None
+        self.first_byte_at_: float | None = None
+        self.stages_done_at_: float | None = None
+
+    async def serve(self) -> None:
+        """Serve the request and write down how it ended."""
+        try:
+            if self._look_up():
+                await self._serve_in_time()
+        except asyncio.CancelledError:
+            self.end_ = End.CALLER_GONE
+            self.exchange.abort()
+        except CallerGone:
+            self.end_ = End.CALLER_GONE
+            self.exchange.abort()
+        finally:
+            if self.job_ is not None:
+                self.stages.close(self.job_)
+            self._write_down()
+
+    def _look_up(self) -> bool:
+        request = self.request
+        if request.fault:
+            self._finish(End.DENIED, 400, request.fault)
+            return False
+        table = self.state.table_
+        if table is None:
+            self._refuse("no configuration yet")
+            return False
+        found = table.lookup(request.host, request.path, request.key, self.state.random)
+        if isinstance(found, Failure):
+            fault = found.failure().fault
+            status = 404 if fault is LookupFault.NO_ROUTE else 401
+            if not self.state.config_is_fresh():
+                self._refuse(f"{fault.value} in a configuration that may be old")
+                return False
+            self._finish(End.DENIED, status, fault.value)
+            return False
+        self.admitted_ = found.unwrap()
+        return True
+
+    async def _serve_in_time(self) -> None:
+        route = self.admitted_.route
+        request = self.request
+        allowed_ms = route.timeout_ms
+        if request.deadline_ms is not None:
+            allowed_ms = min(allowed_ms, request.deadline_ms)
+        self.deadline_ = request.received_at + allowed_ms / 1_000.0
+        service_id = self.admitted_.service.service_id
+        self.state.budget(service_id).note_request(self.state.now())
+        try:
+            async with asyncio.timeout_at(self.deadline_ - ANSWER_MARGIN_S):
+                if route.stages and not await self._make_inputs():
+                    return
+                if route.kind is RouteKind.STREAM:
+                    await self._stream()
+                else:
+                    await self._plain()
+        except TimeoutError:
+            self._finish(End.LATE, 504, "out of time")
+
+    async def _make_inputs(self) -> bool:
+        """Run the stages; return whether the request itself can go on."""
+        request = self.request
+        stages = self.admitted_.route.stages
+        if self.job_ is None:
+            graph = PieceGraph.from_counts(stages, request.piece_counts or ())
+            if isinstance(graph, Failure):
+                self._finish(End.DENIED, 400, graph.failure())
+                return False
+            self.job_ = self.stages.open(
+                request_id=request.request_id,
+                graph=graph.unwrap(),
+                private_key=request.piece_key,
+                priority=self.admitted_.priority,
+                deadline=self.deadline_,
+            )
+        try:
+            await self.stages.complete(self.job_)
+        except StageFailure as failure:
+            self._give_up(f"stages: {failure.detail}")
+            return False
+        if self.stages_done_at_ is None:
+            self.stages_done_at_ = self.state.now()
+            STAGE_SECONDS.observe(self.stages_done_at_ - request.received_at)
+        return True
+
+    async def _plain(self) -> None:
+        """Serve a request whose answer is passed on once it is whole."""
+        route = self.admitted_.route
+        while True:
+            try:
+                attempt = await self._begin_attempt(self._patience_s())
+                try:
+                    async with asyncio.timeout(self._patience_s()):
+                        await attempt.answer.wait_whole()
+                except TimeoutError as error:
+                    self._note_failure(attempt.record, heavy=False)
+                    raise ExchangeBroken(BreakKind.LOST, "slow") from error
+                finally:
+                    self._release(attempt)
+            except NotRun as failure:
+                if not self._may_try_again(failure.detail):
+                    self._give_up(failure.detail)
+                    return
+                continue
+            except ExchangeBroken as failure:
+                self.may_have_run_ |= failure.kind is not BreakKind.NOT_SENT
+                if self.may_have_run_ and not route.is_repeatable:
+                    self._finish(End.FAILED, 502, str(failure))
+                    return
+                if not self._may_try_again(str(failure)):
+                    self._give_up(str(failure))
+                    return
+                continue
+            self._note_answer(attempt)
+            failed = attempt.answer.head.status >= 500
+            if failed and route.is_repeatable and self._may_try_again("failed"):
+                continue
+            self._pass_on(attempt)
+            return
+
+    def _patience_s(self) -> float:
+        """Return how long an attempt may take before another one is better."""
+        route = self.admitted_.route
+        left_s = self.deadline_ - self.state.now()
+        last = len(self.tried_) >= route.attempts_max
+        if not route.is_repeatable or last or route.kind is RouteKind.STREAM:
+            return left_s
+        return left_s * SAFE_PATIENCE
+
+    async def _stream(self) -> None:
+        """Serve a stream: pass whole events, go on elsewhere where that is allowed."""
+        remakes = 0
+        while True:
+            try:
+                attempt = await self._begin_attempt(None)
+            except NotRun as failure:
+                if failure.inputs_gone and remakes < REMAKES_MAX:
+                    remakes += 1
+                    self.tried_.pop()
+                    self.stages.restart(self.job_)
+                    if not await self._make_inputs():
+                        return
+                    continue
+                if not self._may_try_again(failure.detail):
+                    self._give_up(failure.detail)
+                    return
+                continue
+            except ExchangeBroken as failure:
+                self.may_have_run_ |= failure.kind is not BreakKind.NOT_SENT
+                if not await self._can_go_on(str(failure)):
+                    return
+                continue
+            try:
+                whole = await self._pass_events(attempt)
+            finally:
+                self._release(attempt)
+            if whole:
+                return
+            self.may_have_run_ = True
+            self._note_failure(attempt.record, heavy=True)
+            if not await self._can_go_on("stream broke off"):
+                return
+
+    async def _can_go_on(self, detail: str) -> bool:
+        """Prepare another attempt of a stream, or end it."""
+        route = self.admitted_.route
+        if self.may_have_run_ and not route.is_repeatable:
+            self._finish(End.FAILED, 502, detail)
+            return False
+        if not self._may_try_again(detail):
+            self._give_up(detail)
+            return False
+        if route.stages:
+            return await self._make_inputs()
+        return True
+
+    async def _begin_attempt(self, patience_s: float | None) -> Attempt:
+        """Send the request to an endpoint and return once the answer's head is there.
+
+        Errors: raises NotRun when the attempt proved not to run, ExchangeBroken when
+        it may have run.
+        """
+        state = self.state
+        admitted = self.admitted_
+        record = self._choose()
+        if record is None:
+            raise NotRun("no endpoint")
+        self.tried_.append(record.listed.endpoint_id)
+        began_at = state.now()
+        record.in_flight_ += 1
+        connection = None
+        try:
+            connection = await state.pool_.acquire(
+                record, admitted.service.connections_max
+            )
+            outbound = state.wire.forward(self.request, self._call(record))
+            async with asyncio.timeout(patience_s):
+                answer = await connection.begin(outbound, self.request.request_id)
+        except ExchangeBroken as failure:
+            self._abandon(record, connection)
+            self._note_failure(record, heavy=failure.kind is not BreakKind.SPOILED)
+            if failure.kind is BreakKind.NOT_SENT:
+                raise NotRun(str(failure)) from failure
+            raise
+        except TimeoutError as error:
+            self._abandon(record, connection)
+            if state.now() >= self.deadline_ - ANSWER_MARGIN_S:
+                raise
+            self._note_failure(record, heavy=False)
+            raise ExchangeBroken(BreakKind.LOST, "slow") from error
+        except BaseException:
+            self._abandon(record, connection)
+            raise
+        attempt = Attempt(record, connection, answer, began_at)
+        await self._check_head(attempt)
+        return attempt
+
+    async def _check_head(self, attempt: Attempt) -> None:
+        """Raise what the head of an answer says against the attempt."""
+        head = attempt.answer.head
+        record = attempt.record
+        if head.load is not None:
+            record.note_load(head.load, self.state.now())
+        if head.is_encoded:
+            self._release(attempt)
+            raise ExchangeBroken(BreakKind.SPOILED, "encoded body")
+        if not head.is_not_run:
+            return
+        try:
+            await attempt.answer.wait_whole()
+        except ExchangeBroken:
+            pass
+        finally:
+            self._release(attempt)
+        if head.status == 421:
+            record.note_replaced()
+        gone = head.status in (400, 409) and self.job_ is not None
+        raise NotRun(f"not run: {head.status}", inputs_gone=gone)
+
+    def _choose(self) -> EndpointRecord | None:
+        state = self.state
+        records = state.roster_.usable(self.admitted_.service.service_id)
+        return state.chooser_.choose(
+            records,
+            excluded=self.tried_,
+            preferred_hall=self._inputs_hall(),
+            now=state.now(),
+        )
+
+    def _inputs_hall(self) -> HallId | None:
+        """Return the hall that holds most bytes of the inputs."""
+        if self.job_ is None:
+            return None
+        bytes_by_hall: dict[HallId, int] = {}
+        for handle in self.job_.graph.final_inputs():
+            maker = self.stages.maker_by_handle_.get(handle)
+            if maker is None:
+                continue
+            hall = maker.listed.hall
+            bytes_by_hall[hall] = bytes_by_hall.get(hall, 0) + 1
+        return max(bytes_by_hall, key=bytes_by_hall.get) if bytes_by_hall else None
+
+    def _call(self, record: EndpointRecord) -> ForwardCall:
+        admitted = self.admitted_
+        inputs = ()
+        if self.job_ is not None:
+            inputs = self.job_.graph.final_inputs()
+        priority = None
+        if admitted.service.engine is not None:
+            priority = min(9, max(0, admitted.priority))
+        return ForwardCall(
+            expected_instance=record.listed.endpoint_id,
+            remaining_ms=max(1.0, (self.deadline_ - self.state.now()) * 1_000.0),
+            workspace=admitted.workspace_id,
+            priority=priority,
+            inputs=inputs,
+            last_event_id=self.last_event_id_,
+            model_version=self.model_version_,
+        )
+
+    async def _pass_events(self, attempt: Attempt) -> bool:
+        """Pass events on; return whether the answer is whole."""
+        answer = attempt.answer
+        if answer.head.status != 200:
+            try:
+                await answer.wait_whole()
+            except ExchangeBroken:
+                return False
+            self._note_answer(attempt)
+            if self.exchange.has_begun_:
+                return False
+            self._pass_on(attempt)
+            return True
+        cutter = EventCutter()
+        while True:
+            data = await answer.wait_more()
+            for event in cutter.feed(data):
+                await self._pass_event(attempt, event.data, event.event_id)
+            if data and not cutter.is_overfull:
+                continue
+            if not answer.reader.is_complete_ or cutter.is_torn:
+                return False
+            break
+        self._note_answer(attempt)
+        if not self.exchange.has_begun_:
+            self._begin_answer(attempt)
+        self.exchange.end()
+        self._set_end(End.ANSWERED, 200, "")
+        return True
+
+    async def _pass_event(
+        self, attempt: Attempt, data: bytes, event_id: int | None
+    ) -> None:
+        last = self.last_event_id_
+        if event_id is not None and last is not None and event_id <= last:
+            # A run that goes on elsewhere repeats nothing to the caller.
+            return
+        if not self.exchange.has_begun_:
+            self._begin_answer(attempt)
+        if event_id is not None:
+            self.last_event_id_ = event_id
+        await self.exchange.write(data)
+
+    def _begin_answer(self, attempt: Attempt) -> None:
+        head = attempt.answer.head
+        self.first_byte_at_ = self.state.now()
+        self.model_version_ = head.model_version
+        self.exchange.begin(head.status, head.headers, head.reason)
+        if self.job_ is not None:
+            # The engine has read its inputs by now; they can be made again.
+            self.stages.release(self.job_)
+
+    def _may_try_again(self, detail: str) -> bool:
+        """Spend a repeat if route, time and budget allow another endpoint."""
+        route = self.admitted_.route
+        now = self.state.now()
+        if len(self.tried_) >= route.attempts_max or now >= self.deadline_:
+            return False
+        if self._choose() is None:
+            return False
+        if not self.state.budget(self.admitted_.service.service_id).try_spend(now):
+            return False
+        self.state.log.report(
+            Event.ATTEMPT_RETRIED,
+            request=self.request.request_id,
+            attempt=len(self.tried_),
+            reason=detail[:120],
+        )
+        return True
+
+    def _note_answer(self, attempt: Attempt) -> None:
+        head = attempt.answer.head
+        now = self.state.now()
+        if head.status >= 500:
+            self._note_failure(attempt.record, heavy=False)
+            return
+        attempt.record.note_success((now - attempt.began_at) * 1_000.0)
+
+    def _note_failure(self, record: EndpointRecord, *, heavy: bool) -> None:
+        now = self.state.now()
+        was = record.is_suspect(now)
+        record.note_failure(now, heavy=heavy)
+        if record.is_suspect(now) and not was:
+            self.state.log.report(
+                Event.ENDPOINT_EJECTED,
+                endpoint=record.listed.endpoint_id,
+                service=record.listed.service_id,
+                failures=record.failures_in_a_row_,
+                request=self.request.request_id,
+            )
+
+    def _release(self, attempt: Attempt) -> None:
+        attempt.record.in_flight_ -= 1
+        self.state.pool_.release(attempt.record, attempt.connection)
+
+    def _abandon(
+        self, record: EndpointRecord, connection: EndpointConnection | None
+    ) -> None:
+        record.in_flight_ -= 1
+        if connection is not None:
+            connection.close()
+            self.state.pool_.release(record, connection)
+
+    def _pass_on(self, attempt: Attempt) -> None:
+        """Pass a whole answer on as it came."""
+        head = attempt.answer.head
+        body = attempt.answer.reader.take()
+        if self.first_byte_at_ is None:
+            self.first_byte_at_ = self.state.now()
+        if head.status in PROMISING_STATUSES:
+            # To the caller these promise that nothing ran, which was not said.
+            self._finish(End.FAILED, 502, f"endpoint answered {head.status}")
+            return
+        self.exchange.answer(head.status, head.headers, body, head.reason)
+        self._set_end(End.ANSWERED, head.status, "")
+
+    def _give_up(self, detail: str) -> None:
+        """End a request that no endpoint has answered."""
+        if self.may_have_run_:
+            self._finish(End.FAILED, 502, detail)
+        else:
+            self._refuse(detail)
+
+    def _refuse(self, detail: str, retry_after_s: float = RETRY_AFTER_S) -> None:
+        if self.exchange.has_begun_:
+            self._finish(End.BROKEN_OFF, 0, detail)
+            return
+        headers = self.state.wire.refusal(retry_after_s)
+        self.exchange.answer(503, headers)
+        self._set_end(End.REFUSED, 503, detail)
+
+    def _finish(self, end: End, status: int, detail: str) -> None:
+        """Write an own answer, or break off what has begun."""
+        if self.exchange.has_begun_:
+            self.exchange.abort()
+            self._set_end(End.BROKEN_OFF, 0, detail)
+            return
+        self.exchange.answer(status, self.state.wire.refusal(None))
+        self._set_end(end, status, detail)
+
+    def _set_end(self, end: End, status: int, detail: str) -> None:
+        self.end_ = end
+        self.status_ = status
+        self.detail_ = detail
+
+    def _write_down(self) -> None:
+        now = self.state.now()
+        request = self.request
+        admitted = self.admitted_
+        kind = admitted.route.kind.value if admitted else "none"
+        FORWARDED_TOTAL.labels(kind=kind, end=self.end_.value).inc()
+        first = self.first_byte_at_
+        if first is not None:
+            FORWARD_SECONDS.labels(kind=kind).observe(first - request.received_at)
+        stages = self.stages_done_at_
+        self.state.log.report(
+            Event.FORWARD_ENDED,
+            request=request.request_id,
+            route=admitted.route.route_id if admitted else "",
+            version=admitted.version if admitted else 0,
+            workspace=(admitted.workspace_id or "") if admitted else "",
+            endpoints=",".join(self.tried_),
+            status=self.status_,
+            outcome=self.end_.value,
+            detail=self.detail_[:160],
+            stages_ms=_ms(stages, request.received_at),
+            first_ms=_ms(first, request.received_at),
+            took_ms=_ms(now, request.received_at),
+        )
+
+
+def _ms(moment: float | None, since: float) -> int:
+    return -1 if moment is None else round((moment - since) * 1_000.0)
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/_state.py
@@ -0,0 +1,90 @@
+"""Hold what one entry knows for forwarding: configuration, endpoints, budgets."""
+
+import asyncio
+from random import Random
+
+import msgspec
+
+from leadford.common import HallId
+from leadford.endpoints import EndpointChooser, EndpointRoster
+from leadford.forwarding import RouteTable, ServiceId
+from leadford.retries import WindowedRetryBudget
+from leadford_server.forward._contract import RequestWire
+from leadford_server.forward._pool import ConnectionPool
+from leadford_server.logs import EventLog
+
+CONFIG_FRESH_S = 6.0
+
+
+class ForwardBounds(msgspec.Struct, frozen=True):
+    """Hold the bounds that the deployment sets.
+
+    Units: seconds, except that the ratio and the slack count requests.
+    """
+
+    retry_ratio: float = 0.2
+    retry_slack: float = 10.0
+    retry_window_s: float = 10.0
+    drain_s: float = 2.0
+    grace_s: float = 8.0
+    config_s: float = 2.0
+
+
+class ForwardState:
+    """Hold the state that requests share."""
+
+    def __init__(
+        self,
+        *,
+        wire: RequestWire,
+        hall: HallId,
+        bounds: ForwardBounds,
+        random: Random,
+        loop: asyncio.AbstractEventLoop,
+        log: EventLog,
+    ) -> None:
+        self.wire = wire
+        self.hall = hall
+        self.bounds = bounds
+        self.random = random
+        self.loop = loop
+        self.log = log
+        self.table_: RouteTable | None = None
+        self.roster_ = EndpointRoster()
+        self.chooser_ = EndpointChooser(hall=hall, random=random)
+        self.pool_ = ConnectionPool(wire=wire, loop=loop)
+        self.budgets_by_service_: dict[ServiceId, WindowedRetryBudget] = {}
+        self.sharers_ = 1
+        self.config_seen_at_: float | None = None
+
+    def now(self) -> float:
+        """Return the monotonic clock.
+
+        Units: seconds.
+        """
+        return self.loop.time()
+
+    def budget(self, service_id: ServiceId) -> WindowedRetryBudget:
+        """Return the budget for repeats to a service."""
+        budget = self.budgets_by_service_.get(service_id)
+        if budget is None:
+            budget = WindowedRetryBudget(
+                ratio=self.bounds.retry_ratio,
+                slack=self.bounds.retry_slack,
+                window_s=self.bounds.retry_window_s,
+            )
+            budget.sharers_ = self.sharers_
+            self.budgets_by_service_[service_id] = budget
+        return budget
+
+    def config_is_fresh(self) -> bool:
+        """Tell whether the configuration was confirmed a short while ago."""
+        seen_at = self.config_seen_at_
+        return seen_at is not None and self.now() - seen_at < CONFIG_FRESH_S
+
+    def set_sharers(self, count: int) -> None:
+        """Split the fleet's bounds over so many entries."""
+        self.sharers_ = max(1, count)
+        self.pool_.sharers_ = self.sharers_
+        for budget in self.budgets_by_service_.values():
+            budget.sharers_ = self.sharers_
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -41,6 +41,25 @@
 PEER_FRAMES_TOTAL = Counter(
     "leadford_peer_frames_total", "Frames between processes.", ["direction"]
 )
+CONNECTIONS_OPENED_TOTAL = Counter(
+    "leadford_connections_opened_total", "Connections opened to endpoints."
+)
+FORWARDED_TOTAL = Counter(
+    "leadford_forwarded_total", "Forwarded requests by kind and end.", ["kind", "end"]
+)
+FORWARD_SECONDS = Histogram(
+    "leadford_forward_seconds",
+    "Forwarded requests until the first byte of the answer.",
+    ["kind"],
+    buckets=_SECONDS,
+)
+STAGE_SECONDS = Histogram(
+    "leadford_stage_seconds", "Stages before a request.", buckets=_SECONDS
+)
+PIECE_CALLS_TOTAL = Counter(
+    "leadford_piece_calls_total", "Calls of batched stages by end.", ["end"]
+)
+PIECES_TOTAL = Counter("leadford_pieces_total", "Pieces by end.", ["end"])
 LIVE_REQUESTS = Gauge("leadford_live_requests", "Requests under way.")
 QUEUED_ATTEMPTS = Gauge("leadford_queued_attempts", "Attempts that wait.")
 RUNNING_ATTEMPTS = Gauge("leadford_running_attempts", "Attempts that run.")
--- /dev/null
+++ b/packages/leadford/src/leadford/endpoints/_roster.py
@@ -0,0 +1,106 @@
+"""Keep the endpoints of every service, in the order in which listings were made."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from leadford.common import EndpointId
+from leadford.endpoints._model import ListedEndpoint, ListedState
+from leadford.endpoints._record import EndpointRecord
+from leadford.forwarding import ServiceId
+
+GONE_KEPT = 2_000
+
+
+class RosterChange(msgspec.Struct, frozen=True):
+    """Tell what a listing changed for one endpoint."""
+
+    endpoint_id: EndpointId
+    service_id: ServiceId
+    before: str
+    after: str
+
+
+class EndpointRoster:
+    """Join listings from several sources; an endpoint that left never comes back.
+
+    Ids are drawn anew at each start of an endpoint. A removal that was a mistake of
+    the listing is undone by a listing with a higher revision.
+    """
+
+    def __init__(self) -> None:
+        self.records_by_id_: dict[EndpointId, EndpointRecord] = {}
+        self.ids_by_service_: dict[ServiceId, set[EndpointId]] = {}
+        self.gone_revision_by_id_: dict[EndpointId, int] = {}
+        self.revision_ = 0
+
+    def replace(
+        self, endpoints: Iterable[ListedEndpoint], revision: int
+    ) -> list[RosterChange]:
+        """Take in a whole listing made at a revision of the store."""
+        if revision < self.revision_:
+            return []
+        changes = []
+        seen = set()
+        for endpoint in endpoints:
+            seen.add(endpoint.endpoint_id)
+            changes += self.put(endpoint)
+        for endpoint_id in set(self.records_by_id_) - seen:
+            changes += self.remove(endpoint_id, revision)
+        self.revision_ = revision
+        return changes
+
+    def put(self, endpoint: ListedEndpoint) -> list[RosterChange]:
+        """Take in one listed endpoint unless something newer is known of it."""
+        endpoint_id = endpoint.endpoint_id
+        if endpoint.revision <= self.gone_revision_by_id_.get(endpoint_id, -1):
+            return []
+        record = self.records_by_id_.get(endpoint_id)
+        if record is None:
+            self.records_by_id_[endpoint_id] = EndpointRecord(listed=endpoint)
+            self.ids_by_service_.setdefault(endpoint.service_id, set()).add(endpoint_id)
+            return [self._change(endpoint, "unknown", endpoint.state.value)]
+        if endpoint.revision <= record.listed.revision:
+            return []
+        before = record.listed
+        record.listed = endpoint
+        if before.state is endpoint.state:
+            return []
+        return [self._change(endpoint, before.state.value, endpoint.state.value)]
+
+    def remove(self, endpoint_id: EndpointId, revision: int) -> list[RosterChange]:
+        """Take in that an endpoint is listed no more."""
+        known = self.gone_revision_by_id_.get(endpoint_id, -1)
+        record = self.records_by_id_.get(endpoint_id)
+        if record is not None and revision < record.listed.revision:
+            return []
+        self.gone_revision_by_id_[endpoint_id] = max(known, revision)
+        while len(self.gone_revision_by_id_) > GONE_KEPT:
+            self.gone_revision_by_id_.pop(next(iter(self.gone_revision_by_id_)))
+        if record is None:
+            return []
+        del self.records_by_id_[endpoint_id]
+        self.ids_by_service_[record.listed.service_id].discard(endpoint_id)
+        return [self._change(record.listed, record.listed.state.value, "gone")]
+
+    def record(self, endpoint_id: EndpointId) -> EndpointRecord | None:
+        """Return what is believed of an endpoint that is listed."""
+        return self.records_by_id_.get(endpoint_id)
+
+    def usable(self, service_id: ServiceId) -> list[EndpointRecord]:
+        """Return the endpoints of a service that take new work."""
+        records = []
+        for endpoint_id in self.ids_by_service_.get(service_id, ()):
+            record = self.records_by_id_[endpoint_id]
+            if record.listed.state is not ListedState.READY or record.is_replaced_:
+                continue
+            records.append(record)
+        return records
+
+    def listed(self) -> list[ListedEndpoint]:
+        """Return every listed endpoint."""
+        return [record.listed for record in self.records_by_id_.values()]
+
+    @staticmethod
+    def _change(endpoint: ListedEndpoint, before: str, after: str) -> RosterChange:
+        return RosterChange(endpoint.endpoint_id, endpoint.service_id, before, after)
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -20,6 +20,7 @@
     PROCESS_DRAINING = (101, Severity.INFO, "A planned stop began; no new work.")
     PROCESS_STOPPED = (102, Severity.INFO, "The planned stop ended.")
     SETTINGS_INVALID = (103, Severity.ERROR, "The settings cannot be used.")
+    SETTINGS_RELOADED = (104, Severity.INFO, "The settings were read again.")
     PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
     PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
     PEER_REJECTED = (202, Severity.WARNING, "A peer failed its proof or version.")
@@ -29,6 +30,7 @@
     ENDPOINT_PROBING = (301, Severity.INFO, "An ejected endpoint is probed.")
     ENDPOINT_RESTORED = (302, Severity.INFO, "An endpoint passed its probes.")
     ENDPOINT_DRAINING = (303, Severity.INFO, "An endpoint takes no new work.")
+    ENDPOINT_LISTED = (304, Severity.INFO, "The listing of an endpoint changed.")
     ANSWER_STRAY = (400, Severity.WARNING, "An answer matched nothing; dropped.")
     REQUEST_REFUSED = (401, Severity.INFO, "A request was refused.")
     REQUEST_UNKNOWN = (402, Severity.WARNING, "A request's outcome is not known.")
@@ -39,6 +41,8 @@
         Severity.ERROR,
         "An endpoint answered for another attempt; dropped.",
     )
+    FORWARD_ENDED = (406, Severity.INFO, "A forwarded request has its final answer.")
+    PIECES_CALLED = (407, Severity.INFO, "A call for pieces of stages ended.")
     STORE_UNAVAILABLE = (500, Severity.WARNING, "The store did not answer.")
     STORE_BACK = (501, Severity.INFO, "The store answers again.")
     CLAIM_CONFLICT = (502, Severity.INFO, "Another writer appended claims first.")
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/_model.py
@@ -0,0 +1,131 @@
+"""Hold the configuration of forwarded routes."""
+
+from enum import Enum
+from typing import NewType
+
+import msgspec
+
+from leadford.common import ConfigVersion, WorkspaceId
+
+RouteId = NewType("RouteId", str)
+ServiceId = NewType("ServiceId", str)
+
+PRIORITY_LOWEST = 9
+
+
+class RouteKind(Enum):
+    """Say what a route carries and whether it may be repeated."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+class StageSpec(msgspec.Struct, frozen=True):
+    """Name a stage that runs before a request, and the stages whose results it reads.
+
+    Units: result_bytes is the approximate size of one result.
+    """
+
+    service_id: ServiceId
+    after: tuple[int, ...] = ()
+    result_bytes: int = 0
+
+
+class WeightedService(msgspec.Struct, frozen=True):
+    """Give a service its share of a route."""
+
+    service_id: ServiceId
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Describe one route.
+
+    Units: times in milliseconds; priority 0 is the most urgent.
+    """
+
+    route_id: RouteId
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    services: tuple[WeightedService, ...]
+    timeout_ms: float
+    aim_ms: float
+    attempts_max: int = 1
+    priority: int = PRIORITY_LOWEST
+    stages: tuple[StageSpec, ...] = ()
+    is_public: bool = False
+    is_resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether a request that may have run may be sent again."""
+        if self.kind is RouteKind.STREAM:
+            return self.is_resumable
+        return self.kind is RouteKind.SAFE
+
+
+class PieceLimits(msgspec.Struct, frozen=True):
+    """Bound what an endpoint of a batched stage takes.
+
+    Units: call_ms and piece_ms are the time of a call and of each piece in it;
+    room_bytes holds results, each for at most retention_s.
+    """
+
+    slots: int
+    queue: int
+    batch: int
+    call_ms: float
+    piece_ms: float
+    room_bytes: int
+    retention_s: float
+
+    def duration_ms(self, pieces: int) -> float:
+        """Return the expected time of a call with so many pieces."""
+        return self.call_ms + pieces * self.piece_ms
+
+
+class EngineLimits(msgspec.Struct, frozen=True):
+    """Bound what a model engine takes."""
+
+    slots: int
+    memory_tokens: int
+
+
+class Service(msgspec.Struct, frozen=True):
+    """Describe a service; `connections_max` holds for each endpoint over all entries."""
+
+    service_id: ServiceId
+    connections_max: int
+    health_path: str = ""
+    pieces: PieceLimits | None = None
+    engine: EngineLimits | None = None
+
+
+class TrafficLimits(msgspec.Struct, frozen=True):
+    """Bound what a caller may send and how long a connection may rest."""
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    header_ms: float = 3_000.0
+    idle_ms: float = 15_000.0
+
+
+class Workspace(msgspec.Struct, frozen=True):
+    """Hold a workspace and its keys; its priority goes before that of a route."""
+
+    workspace_id: WorkspaceId
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
+class ForwardConfig(msgspec.Struct, frozen=True):
+    """Hold one version of everything that forwarding is configured by."""
+
+    version: ConfigVersion
+    routes: tuple[Route, ...]
+    services_by_id: dict[ServiceId, Service]
+    limits: TrafficLimits
+    workspaces: tuple[Workspace, ...] = ()
--- /dev/null
+++ b/packages/leadford/src/leadford/pieces/_lanes.py
@@ -0,0 +1,131 @@
+"""Follow the calls that this process has at each endpoint of a batched stage."""
+
+import msgspec
+
+from leadford.common import EndpointId, HallId
+from leadford.endpoints import EndpointRecord
+from leadford.forwarding import PieceLimits
+from leadford.pieces._graph import ResultHandle
+
+PAUSE_FULL_S = 0.06
+PAUSE_ROOM_S = 0.12
+OTHER_HALL_S = 0.15
+
+
+class HeldResult(msgspec.Struct, frozen=True):
+    """Hold the size of a result and when it ends by itself."""
+
+    result_bytes: int
+    expires_at: float
+
+
+class Lane:
+    """Say whether an endpoint takes another call, and how much room is left there."""
+
+    def __init__(self, *, endpoint_id: EndpointId, limits: PieceLimits) -> None:
+        self.endpoint_id = endpoint_id
+        self.limits = limits
+        self.calls_ = 0
+        self.busy_until_ = 0.0
+        self.paused_until_ = 0.0
+        self.calling_bytes_ = 0
+        self.held_by_handle_: dict[ResultHandle, HeldResult] = {}
+
+    def room_bytes(self, now: float) -> int:
+        """Return the room that results of this process leave."""
+        for handle in [
+            handle
+            for handle, held in self.held_by_handle_.items()
+            if held.expires_at <= now
+        ]:
+            del self.held_by_handle_[handle]
+        held_bytes = sum(held.result_bytes for held in self.held_by_handle_.values())
+        return self.limits.room_bytes - held_bytes - self.calling_bytes_
+
+    def is_free(self, now: float) -> bool:
+        """Tell whether the endpoint may get a call now."""
+        return self.calls_ < self.limits.slots and now >= self.paused_until_
+
+    def begin(self, pieces: int, result_bytes: int, now: float) -> None:
+        """Count a call that leaves now."""
+        self.calls_ += 1
+        self.calling_bytes_ += result_bytes
+        self.busy_until_ = now + self.limits.duration_ms(pieces) / 1_000.0
+
+    def end(self, result_bytes: int) -> None:
+        """Count a call that came back or was lost."""
+        self.calls_ -= 1
+        self.calling_bytes_ -= result_bytes
+
+    def hold(self, handle: ResultHandle, result_bytes: int, now: float) -> None:
+        """Count a result that occupies room until it is freed."""
+        expires_at = now + self.limits.retention_s
+        self.held_by_handle_[handle] = HeldResult(result_bytes, expires_at)
+
+    def free(self, handle: ResultHandle) -> None:
+        """Count a result that was freed."""
+        self.held_by_handle_.pop(handle, None)
+
+    def pause(self, seconds: float, now: float) -> None:
+        """Send nothing for a while."""
+        self.paused_until_ = max(self.paused_until_, now + seconds)
+
+
+class LaneTable:
+    """Choose where the next batch of a service goes."""
+
+    def __init__(self, *, hall: HallId) -> None:
+        self.hall = hall
+        self.lanes_by_id_: dict[EndpointId, Lane] = {}
+
+    def lane(self, endpoint_id: EndpointId, limits: PieceLimits) -> Lane:
+        """Return the lane of an endpoint."""
+        lane = self.lanes_by_id_.get(endpoint_id)
+        if lane is None:
+            lane = Lane(endpoint_id=endpoint_id, limits=limits)
+            self.lanes_by_id_[endpoint_id] = lane
+        lane.limits = limits
+        return lane
+
+    def ranked(
+        self,
+        records: list[EndpointRecord],
+        limits: PieceLimits,
+        *,
+        waiting: int,
+        now: float,
+    ) -> list[EndpointRecord]:
+        """Return the free endpoints that should get a call now, the best first.
+
+        Endpoints are ordered by when they are expected to finish another call. The
+        best of them take what waits; one that is busy is waited for if it is among
+        them.
+        """
+        trusted = [record for record in records if not record.is_suspect(now)]
+        pieces = max(1, min(limits.batch, waiting))
+        scored = [
+            (self._finish_s(record, limits, pieces, now), number, record)
+            for number, record in enumerate(trusted or records)
+        ]
+        found = []
+        carried = 0
+        for _, _, record in sorted(scored, key=lambda item: item[:2]):
+            if carried >= waiting:
+                break
+            carried += limits.batch
+            if self.lane(record.listed.endpoint_id, limits).is_free(now):
+                found.append(record)
+        return found
+
+    def _finish_s(
+        self, record: EndpointRecord, limits: PieceLimits, pieces: int, now: float
+    ) -> float:
+        lane = self.lane(record.listed.endpoint_id, limits)
+        duration_s = limits.duration_ms(pieces) / 1_000.0
+        duration_s *= max(1.0, record.slowness_.value_)
+        wait_s = max(0.0, lane.busy_until_ - now) if lane.calls_ else 0.0
+        wait_s += record.waiting_elsewhere(now) * duration_s
+        wait_s = max(wait_s, lane.paused_until_ - now)
+        if record.listed.hall != self.hall:
+            wait_s += OTHER_HALL_S
+        return wait_s + duration_s
--- a/packages/leadford/src/leadford/retries/__init__.py
+++ b/packages/leadford/src/leadford/retries/__init__.py
@@ -10,6 +10,7 @@
 )
 from leadford.retries._hedge import HedgePolicy
 from leadford.retries._rescue import RescuePolicy
+from leadford.retries._window import WindowedRetryBudget
 
 __all__ = [
     "AttemptFailure",
@@ -20,4 +21,5 @@
     "RetryBudget",
     "RetryDecision",
     "RetryPolicy",
+    "WindowedRetryBudget",
 ]
--- /dev/null
+++ b/packages/leadford/src/leadford/retries/_window.py
@@ -0,0 +1,48 @@
+"""Bound repeats over a sliding window, as one share of a fleet's common budget."""
+
+from collections import deque
+
+EDGE = 0.85
+
+
+class WindowedRetryBudget:
+    """Allow a share of the fleet's repeats in each window.
+
+    The fleet may repeat `ratio` of its requests and `slack` more in any window. Each
+    of `sharers` entries counts its own requests and takes an equal part of the slack,
+    so no message is needed. A part is left unspent for clocks that disagree.
+
+    Units: window_s in seconds.
+    """
+
+    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+        self.sharers_ = 1
+        self.requests_: deque[float] = deque()
+        self.repeats_: deque[float] = deque()
+
+    def note_request(self, now: float) -> None:
+        """Count one request of a caller."""
+        self.requests_.append(now)
+
+    def note_repeat(self, now: float) -> None:
+        """Count one repeat that was sent."""
+        self.repeats_.append(now)
+
+    def allows(self, now: float) -> bool:
+        """Tell whether another repeat fits in the window that ends now."""
+        horizon = now - self.window_s
+        for times in (self.requests_, self.repeats_):
+            while times and times[0] < horizon:
+                times.popleft()
+        allowed = self.ratio * len(self.requests_) + self.slack / max(1, self.sharers_)
+        return len(self.repeats_) + 1 <= allowed * EDGE
+
+    def try_spend(self, now: float) -> bool:
+        """Spend one repeat if the budget allows it."""
+        if not self.allows(now):
+            return False
+        self.note_repeat(now)
+        return True
