--- a/packages/leadford-server/src/leadford_server/forward/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forward/_contract.py
@@ -8,11 +8,10 @@
 import msgspec
 from returns.result import Result
 
-from leadford.common import EndpointId, RequestId
+from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.endpoints import ListedEndpoint, ReportedLoad
-from leadford.forwarding import ForwardConfig
+from leadford.forwarding import ForwardConfig, ResultHandle
 from leadford.pieces import PieceTask
-from leadford.pieces._graph import ResultHandle
 
 HeaderList = list[tuple[str, str]]
 
@@ -41,6 +40,12 @@
     body: bytes = b""
     fault: str = ""
 
+    @property
+    def fingerprint(self) -> str:
+        """Return what tells that two requests are the same one sent again."""
+        last = self.prefix_parts[-1][0] if self.prefix_parts else ""
+        return f"{self.piece_key}/{last}"
+
     @property
     def path(self) -> str:
         """Return the path without the query."""
@@ -106,11 +111,20 @@
     revision: int
 
 
+class KnownEntry(msgspec.Struct, frozen=True):
+    """Hold where an entry listens for its peers, and its hall."""
+
+    entry_id: EntryId
+    address: str
+    hall: HallId
+
+
 class ObjectEvent(msgspec.Struct, frozen=True):
-    """Hold one change of an object."""
+    """Hold one change of an object, seen at a revision of the store."""
 
     item: dict
     is_gone: bool
+    seen_revision: int
 
 
 class ObjectEvents(msgspec.Struct, frozen=True):
@@ -186,10 +200,10 @@
     def read_endpoint(self, item: dict) -> Result[ListedEndpoint, str]:
         """Return the endpoint in an object."""
 
-    def read_entry(self, item: dict) -> Result[tuple[str, str], str]:
-        """Return the id and the peer address of an entry in an object."""
+    def read_entry(self, item: dict) -> Result[KnownEntry, str]:
+        """Return the entry in an object."""
 
-    def entry_object(self, entry_id: str, address: str) -> bytes:
+    def entry_object(self, entry: KnownEntry) -> bytes:
         """Return the object that announces an entry."""
 
     def object_name(self, item: dict) -> str:
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/_keeper.py
@@ -0,0 +1,351 @@
+"""Keep the queues of groups: fill calls from the pieces of all entries."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure
+
+from leadford.common import EndpointId, EntryId, HallId
+from leadford.endpoints import EndpointRecord
+from leadford.events import Event
+from leadford.forwarding import PieceLimits, ResultHandle, Service
+from leadford.pieces import (
+    PAUSE_FULL_S,
+    PAUSE_ROOM_S,
+    GroupId,
+    LaneTable,
+    PieceQueue,
+    PieceTask,
+)
+from leadford_server.forward._connection import ExchangeBroken
+from leadford_server.forward._contract import PieceOutcome
+from leadford_server.forward._state import ForwardState
+from leadford_server.metrics import PIECE_CALLS_TOTAL, PIECES_TOTAL
+
+CALL_PATIENCE = 2.5
+CALL_SLACK_S = 0.4
+FREE_DELAY_S = 0.01
+FREE_TIMEOUT_S = 1.0
+LOOK_S = 0.06
+
+REASON_LATE = "late"
+REASON_GONE = "gone"
+REASON_ROOM = "room"
+REASON_NO_ENDPOINT = "no endpoint"
+
+
+class KeptAnswer(msgspec.Struct, frozen=True):
+    """Hold what became of a piece, and at which endpoint."""
+
+    handle: ResultHandle | None
+    reason: str
+    endpoint_id: EndpointId | None
+
+
+Reply = Callable[[PieceTask, KeptAnswer], None]
+
+
+class _Call(msgspec.Struct, eq=False):
+    """Hold one call that is under way."""
+
+    group: GroupId
+    service: Service
+    record: EndpointRecord
+    tasks: list[PieceTask]
+    began_at: float
+
+    @property
+    def limits(self) -> PieceLimits:
+        return self.service.pieces
+
+    @property
+    def result_bytes(self) -> int:
+        return sum(task.result_bytes for task in self.tasks)
+
+
+class PieceKeeper:
+    """Queue pieces by group, call endpoints, and account for the room of results."""
+
+    def __init__(self, *, state: ForwardState, reply: Reply) -> None:
+        self.state = state
+        self.reply = reply
+        self.lanes_ = LaneTable()
+        self.queues_by_group_: dict[GroupId, PieceQueue] = {}
+        self.unread_by_id_: dict[EndpointId, list[ResultHandle]] = {}
+        self.tasks_: set[asyncio.Task[None]] = set()
+        self.pump_due_: set[GroupId] = set()
+        self.look_due_: set[GroupId] = set()
+
+    def submit(self, group: GroupId, task: PieceTask) -> None:
+        """Queue a piece."""
+        self.queues_by_group_.setdefault(group, PieceQueue()).push(task)
+        if group in self.pump_due_:
+            return
+        # Calls are filled after everything of this moment has been queued.
+        self.pump_due_.add(group)
+        self.state.loop.call_soon(self._pump, group)
+
+    def cancel(self, home: EntryId, tickets: set[int]) -> None:
+        """Drop waiting pieces of an entry."""
+        for queue in self.queues_by_group_.values():
+            queue.discard(
+                lambda task: not (task.home == home and task.ticket in tickets)
+            )
+
+    def forget(self, home: EntryId) -> None:
+        """Drop every waiting piece of an entry that is gone."""
+        for queue in self.queues_by_group_.values():
+            queue.discard(lambda task: task.home != home)
+
+    def release(self, endpoint_id: EndpointId, handles: list[ResultHandle]) -> None:
+        """Give results up: nobody reads them any more."""
+        lane = self.lanes_.lanes_by_id_.get(endpoint_id)
+        if lane is not None:
+            for handle in handles:
+                lane.free(handle)
+        due = self.unread_by_id_.setdefault(endpoint_id, [])
+        if not due:
+            self.state.loop.call_later(FREE_DELAY_S, self._send_free, endpoint_id)
+        due += handles
+
+    def wake(self) -> None:
+        """Look again whether calls can leave, after the listing has changed."""
+        self.lanes_.retain(set(self.state.roster_.records_by_id_))
+        for group in list(self.queues_by_group_):
+            self._pump(group)
+
+    def wait_s(self, group: GroupId) -> float:
+        """Return how long a piece that joins a group now waits for its call."""
+        service = self.state.service(group.service_id)
+        if service is None or service.pieces is None:
+            return float("inf")
+        return self.lanes_.wait_s(
+            self._records(group),
+            service.pieces,
+            waiting=len(self.queues_by_group_.get(group, ())),
+            now=self.state.now(),
+        )
+
+    def room_bytes(self, group: GroupId) -> int:
+        """Return the room that results and waiting pieces leave in a group."""
+        service = self.state.service(group.service_id)
+        if service is None or service.pieces is None:
+            return 0
+        room = self.lanes_.room_bytes(
+            self._records(group), service.pieces, self.state.now()
+        )
+        queue = self.queues_by_group_.get(group)
+        return room - (queue.waiting_bytes() if queue is not None else 0)
+
+    def _records(self, group: GroupId) -> list[EndpointRecord]:
+        return [
+            record
+            for record in self.state.roster_.usable(group.service_id)
+            if record.listed.hall == group.hall
+        ]
+
+    def _pump(self, group: GroupId) -> None:
+        self.pump_due_.discard(group)
+        queue = self.queues_by_group_[group]
+        while len(queue) > 0:
+            now = self.state.now()
+            self._drop_late(queue, now)
+            service = self.state.service(group.service_id)
+            records = self._records(group)
+            if service is None or service.pieces is None or not records:
+                for task in queue.discard(lambda task: False):
+                    self._answer(task, KeptAnswer(None, REASON_NO_ENDPOINT, None))
+                return
+            if not self._send_next(group, service, records, queue, now):
+                return
+
+    def _drop_late(self, queue: PieceQueue, now: float) -> None:
+        for task in queue.discard(lambda task: task.deadline > now):
+            self._answer(task, KeptAnswer(None, REASON_LATE, None))
+
+    def _send_next(
+        self,
+        group: GroupId,
+        service: Service,
+        records: list[EndpointRecord],
+        queue: PieceQueue,
+        now: float,
+    ) -> bool:
+        """Send one call if an endpoint takes it; return whether to go on."""
+        limits = service.pieces
+        free = self.lanes_.ranked(records, limits, waiting=len(queue), now=now)
+        for record in free:
+            endpoint_id = record.listed.endpoint_id
+            lane = self.lanes_.lane(endpoint_id, limits)
+            tasks = queue.take(
+                batch=limits.batch,
+                room_bytes=lane.room_bytes(now),
+                endpoint_id=endpoint_id,
+            )
+            if tasks:
+                self._begin(_Call(group, service, record, tasks, now))
+                return True
+        for task in queue.discard(lambda task: not _excludes_all(task, records)):
+            self._answer(task, KeptAnswer(None, REASON_NO_ENDPOINT, None))
+        self._look_again(group)
+        return False
+
+    def _look_again(self, group: GroupId) -> None:
+        """Look again later: a pause or a retention ends without any other event."""
+        if group in self.look_due_:
+            return
+        self.look_due_.add(group)
+        self.state.loop.call_later(LOOK_S, self._look, group)
+
+    def _look(self, group: GroupId) -> None:
+        self.look_due_.discard(group)
+        self._pump(group)
+
+    def _begin(self, call: _Call) -> None:
+        lane = self.lanes_.lane(call.record.listed.endpoint_id, call.limits)
+        lane.begin(len(call.tasks), call.result_bytes, call.began_at)
+        call.record.in_flight_ += 1
+        self._spawn(self._run_call(call))
+
+    def _spawn(self, coroutine) -> None:
+        running = asyncio.ensure_future(coroutine)
+        self.tasks_.add(running)
+        running.add_done_callback(self.tasks_.discard)
+
+    async def _run_call(self, call: _Call) -> None:
+        record = call.record
+        outcomes: list[PieceOutcome] | None = None
+        detail = "lost"
+        ahead = 1 + record.waiting_elsewhere(call.began_at)
+        expected_s = call.limits.duration_ms(len(call.tasks)) / 1_000.0 * ahead
+        try:
+            async with asyncio.timeout(expected_s * CALL_PATIENCE + CALL_SLACK_S):
+                outcomes, detail = await self._exchange(call)
+        except ExchangeBroken as error:
+            detail = str(error)
+            record.note_failure(self.state.now(), heavy=True)
+        except TimeoutError:
+            detail = "silent"
+            record.note_failure(self.state.now(), heavy=True)
+        finally:
+            lane = self.lanes_.lane(record.listed.endpoint_id, call.limits)
+            lane.end(call.result_bytes)
+            record.in_flight_ -= 1
+        PIECE_CALLS_TOTAL.labels(end=detail.split(":")[0]).inc()
+        self._log(call, detail)
+        self._settle(call, outcomes, detail)
+        self._pump(call.group)
+
+    async def _exchange(self, call: _Call) -> tuple[list[PieceOutcome] | None, str]:
+        """Return the outcomes, or None with the reason."""
+        state = self.state
+        record = call.record
+        connection = await state.pool_.acquire(record, call.service.connections_max)
+        try:
+            outbound = state.wire.piece_call(
+                call.tasks, record.listed.endpoint_id, state.now()
+            )
+            body, head = await connection.fetch(outbound)
+        finally:
+            state.pool_.release(record, connection)
+        now = state.now()
+        if head.load is not None:
+            record.note_load(head.load, now)
+        if head.status == 421:
+            record.note_replaced()
+            return None, "replaced"
+        if head.is_not_run:
+            self._pause(call, PAUSE_FULL_S)
+            return None, "full"
+        if head.status != 200:
+            record.note_failure(now, heavy=False)
+            return None, f"status {head.status}"
+        read = state.wire.read_pieces(body)
+        if isinstance(read, Failure) or len(read.unwrap()) != len(call.tasks):
+            record.note_failure(now, heavy=False)
+            return None, "spoiled"
+        elapsed_ms = (now - call.began_at) * 1_000.0
+        expected_ms = call.limits.duration_ms(len(call.tasks))
+        record.note_success(elapsed_ms, elapsed_ms / expected_ms)
+        return read.unwrap(), "done"
+
+    def _pause(self, call: _Call, seconds: float) -> None:
+        lane = self.lanes_.lane(call.record.listed.endpoint_id, call.limits)
+        lane.pause(seconds, self.state.now())
+
+    def _settle(
+        self, call: _Call, outcomes: list[PieceOutcome] | None, detail: str
+    ) -> None:
+        endpoint_id = call.record.listed.endpoint_id
+        queue = self.queues_by_group_[call.group]
+        if outcomes is None:
+            for task in call.tasks:
+                if detail == "full":
+                    queue.push(task)
+                    continue
+                self._answer(task, KeptAnswer(None, detail, endpoint_id))
+            return
+        lane = self.lanes_.lane(endpoint_id, call.limits)
+        now = self.state.now()
+        for task, outcome in zip(call.tasks, outcomes, strict=True):
+            PIECES_TOTAL.labels(end=outcome.reason or "done").inc()
+            if outcome.reason == REASON_ROOM:
+                # Results that this process does not know take room there.
+                lane.pause(PAUSE_ROOM_S, now)
+                queue.push(task)
+                continue
+            if outcome.handle is not None:
+                lane.hold(outcome.handle, task.result_bytes, now)
+            answer = KeptAnswer(outcome.handle, outcome.reason, endpoint_id)
+            self._answer(task, answer)
+
+    def _answer(self, task: PieceTask, answer: KeptAnswer) -> None:
+        self.reply(task, answer)
+
+    def _send_free(self, endpoint_id: EndpointId) -> None:
+        handles = self.unread_by_id_.pop(endpoint_id, [])
+        record = self.state.roster_.record(endpoint_id)
+        if not handles or record is None:
+            return
+        service = self.state.service(record.listed.service_id)
+        if service is not None:
+            self._spawn(self._free(service, record, handles))
+
+    async def _free(
+        self, service: Service, record: EndpointRecord, handles: list[ResultHandle]
+    ) -> None:
+        """Free results; what is lost here ends by its retention."""
+        state = self.state
+        outbound = state.wire.free_call(handles, record.listed.endpoint_id)
+        try:
+            async with asyncio.timeout(FREE_TIMEOUT_S):
+                connection = await state.pool_.acquire(record, service.connections_max)
+                try:
+                    await connection.fetch(outbound)
+                finally:
+                    state.pool_.release(record, connection)
+        except (ExchangeBroken, TimeoutError):
+            return
+        group = GroupId(service.service_id, HallId(record.listed.hall))
+        if group in self.queues_by_group_:
+            self._pump(group)
+
+    def _log(self, call: _Call, detail: str) -> None:
+        queued_at = min(task.queued_at for task in call.tasks)
+        now = self.state.now()
+        self.state.log.report(
+            Event.PIECES_CALLED,
+            service=call.service.service_id,
+            endpoint=call.record.listed.endpoint_id,
+            pieces=len(call.tasks),
+            requests=",".join(sorted({task.request_id for task in call.tasks})),
+            waited_ms=round((call.began_at - queued_at) * 1_000.0),
+            took_ms=round((now - call.began_at) * 1_000.0),
+            waiting=len(self.queues_by_group_[call.group]),
+            outcome=detail,
+        )
+
+
+def _excludes_all(task: PieceTask, records: list[EndpointRecord]) -> bool:
+    return all(record.listed.endpoint_id in task.excluded for record in records)
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/_links.py
@@ -0,0 +1,375 @@
+"""Connect entries: heartbeats, pieces for keepers, and what a peer knows better."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from leadford.common import EndpointId, EntryId, HallId, RequestId
+from leadford.endpoints import ListedEndpoint
+from leadford.events import Event
+from leadford.forwarding import ForwardConfig, ResultHandle, ServiceId
+from leadford.pieces import GroupId, GroupLoad, PieceKey, PieceTask, keepers_in_order
+from leadford.protocol import (
+    EntryHeartbeat,
+    ForwardConfigAnswer,
+    ForwardConfigRequest,
+    GroupReport,
+    ListingAnswer,
+    ListingRequest,
+    Message,
+    PieceAnswer,
+    PieceCancel,
+    PieceRelease,
+    PieceSubmit,
+)
+from leadford_server.forward._contract import KnownEntry
+from leadford_server.forward._keeper import KeptAnswer
+from leadford_server.forward._stages import StageRunner
+from leadford_server.forward._state import ForwardState
+from leadford_server.peers import Dialer, Identity, PeerConnection, PeerServer
+from leadford_server.settings import SocketAddress
+
+HEARTBEAT_S = 0.2
+LIVE_S = 0.9
+BEHIND_S = 0.3
+RELAYS = 2
+CANDIDATES = 2
+
+
+class EntryLinks:
+    """Hold links to the entries that this one works with.
+
+    These are the first candidates for keeping each group, and the next entries in
+    the order of ids, so that news spread over all of them. Their number does not
+    grow with the fleet.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry_id: EntryId,
+        secret: bytes,
+        state: ForwardState,
+        stages: StageRunner,
+        random: Random,
+        take_config: Callable[[ForwardConfig], None],
+        take_listing: Callable[[list[ListedEndpoint], int], None],
+    ) -> None:
+        self.entry_id = entry_id
+        self.state = state
+        self.stages = stages
+        self.random = random
+        self.take_config = take_config
+        self.take_listing = take_listing
+        self.identity = Identity(entry_id, "entry", state.hall, secret)
+        self.entries_by_id_: dict[EntryId, KnownEntry] = {}
+        self.dialers_by_id_: dict[EntryId, Dialer] = {}
+        self.peers_by_id_: dict[EntryId, PeerConnection] = {}
+        self.heard_at_by_id_: dict[EntryId, float] = {}
+        self.draining_ids_: set[EntryId] = set()
+        self.behind_since_: float | None = None
+        self.listing_behind_since_: float | None = None
+        self.server_: PeerServer | None = None
+        self.is_draining_ = False
+
+    async def start(self, address: SocketAddress) -> None:
+        """Listen for peers."""
+        self.server_ = PeerServer(
+            identity=self.identity,
+            handler=self,
+            log=self.state.log,
+            random=self.random,
+            config_version=self._version,
+            is_draining=lambda: self.is_draining_,
+        )
+        await self.server_.start(address)
+
+    async def run(self) -> None:
+        """Send heartbeats and keep links up until cancelled."""
+        while True:
+            self._dial()
+            self._beat()
+            self.stages.check()
+            await asyncio.sleep(HEARTBEAT_S * self.random.uniform(0.9, 1.1))
+
+    def know(self, entries: dict[EntryId, KnownEntry]) -> None:
+        """Take in which entries exist."""
+        self.entries_by_id_ = dict(entries)
+        self.entries_by_id_.pop(self.entry_id, None)
+
+    def _version(self) -> int:
+        table = self.state.table_
+        return table.config.version if table is not None else 0
+
+    def _wanted(self) -> set[EntryId]:
+        """Return the entries to hold links to."""
+        halls = {entry.entry_id: entry.hall for entry in self.entries_by_id_.values()}
+        halls[self.entry_id] = self.state.hall
+        wanted: set[EntryId] = set()
+        for group in self._groups():
+            wanted.update(keepers_in_order(group, halls)[:CANDIDATES])
+        ring = sorted(halls)
+        here = ring.index(self.entry_id)
+        wanted.update(ring[(here + step) % len(ring)] for step in range(1, RELAYS + 1))
+        wanted.discard(self.entry_id)
+        return wanted
+
+    def _groups(self) -> set[GroupId]:
+        table = self.state.table_
+        if table is None:
+            return set()
+        found = set()
+        for service in table.config.services_by_id.values():
+            if service.pieces is None:
+                continue
+            for hall in self.state.roster_.usable_by_hall(service.service_id):
+                found.add(GroupId(service.service_id, hall))
+        return found
+
+    def _dial(self) -> None:
+        wanted = self._wanted()
+        for entry_id in set(self.dialers_by_id_) - wanted:
+            dialer = self.dialers_by_id_.pop(entry_id)
+            asyncio.ensure_future(dialer.stop())
+        now = self.state.now()
+        for entry_id in wanted - set(self.dialers_by_id_):
+            if self.is_live(entry_id, now):
+                continue
+            dialer = Dialer(
+                address=self.entries_by_id_[entry_id].address,
+                identity=self.identity,
+                handler=self,
+                log=self.state.log,
+                random=self.random,
+                config_version=self._version,
+                unreachable=lambda: None,
+            )
+            dialer.start()
+            self.dialers_by_id_[entry_id] = dialer
+
+    def _beat(self) -> None:
+        now = self.state.now()
+        groups = [
+            GroupReport(
+                group.service_id,
+                group.hall,
+                round(self.stages.keeper_.wait_s(group) * 1_000.0, 1),
+                self.stages.keeper_.room_bytes(group),
+            )
+            for group in self._groups()
+            if self.stages.keeper_of(group) == self.entry_id
+        ]
+        message = EntryHeartbeat(
+            self.state.roster_.changed_revision_, groups, self.is_draining_
+        )
+        for entry_id, peer in list(self.peers_by_id_.items()):
+            if now - self.heard_at_by_id_.get(entry_id, now) > 3 * LIVE_S:
+                # Nothing has come for long: the other side is gone without a word.
+                peer.abort()
+                continue
+            peer.send(message)
+
+    def is_live(self, entry_id: EntryId, now: float) -> bool:
+        """Tell whether an entry was heard a short while ago."""
+        if entry_id not in self.peers_by_id_:
+            return False
+        return now - self.heard_at_by_id_.get(entry_id, -LIVE_S) < LIVE_S
+
+    def halls_by_live_entry(self) -> dict[EntryId, HallId]:
+        """Return the entries that are known to be alive, without this one."""
+        now = self.state.now()
+        return {
+            entry_id: entry.hall
+            for entry_id, entry in self.entries_by_id_.items()
+            if self.is_live(entry_id, now) and entry_id not in self.draining_ids_
+        }
+
+    def submit(self, entry_id: EntryId, group: GroupId, task: PieceTask) -> bool:
+        """Send a piece to a keeper; return whether a connection stands."""
+        peer = self.peers_by_id_.get(entry_id)
+        if peer is None:
+            return False
+        now = self.state.now()
+        return peer.send(
+            PieceSubmit(
+                task.ticket,
+                group.service_id,
+                group.hall,
+                task.request_id,
+                task.key.stage,
+                task.key.piece,
+                task.private_key,
+                list(task.inputs),
+                task.result_bytes,
+                task.priority,
+                (task.deadline - now) * 1_000.0,
+                (now - task.admitted_at) * 1_000.0,
+                list(task.excluded),
+            )
+        )
+
+    def cancel(self, entry_id: EntryId, tickets: list[int]) -> None:
+        """Tell a keeper that pieces are wanted no more."""
+        peer = self.peers_by_id_.get(entry_id)
+        if peer is not None:
+            peer.send(PieceCancel(tickets))
+
+    def release(
+        self, entry_id: EntryId, endpoint_id: EndpointId, handles: list[ResultHandle]
+    ) -> bool:
+        """Tell a keeper that results have no reader any more."""
+        peer = self.peers_by_id_.get(entry_id)
+        if peer is None:
+            return False
+        return peer.send(PieceRelease(endpoint_id, list(handles)))
+
+    def reply(self, task: PieceTask, answer: KeptAnswer) -> None:
+        """Send the answer for a piece to the entry that asked."""
+        peer = self.peers_by_id_.get(task.home)
+        message = PieceAnswer(
+            task.ticket, answer.handle or "", answer.reason, answer.endpoint_id or ""
+        )
+        if peer is not None and peer.send(message):
+            return
+        if answer.handle is not None:
+            self.stages.keeper_.release(answer.endpoint_id, [answer.handle])
+
+    def peer_connected(self, peer: PeerConnection) -> None:
+        """Take in that a connection stands."""
+        entry_id = EntryId(peer.info.peer_id)
+        self.peers_by_id_[entry_id] = peer
+        self.heard_at_by_id_[entry_id] = self.state.now()
+        self.state.log.report(Event.PEER_CONNECTED, peer=entry_id)
+        peer.announce_version()
+
+    def peer_lost(self, peer: PeerConnection) -> None:
+        """Take in that a connection ended."""
+        entry_id = EntryId(peer.info.peer_id)
+        if self.peers_by_id_.get(entry_id) is not peer:
+            return
+        del self.peers_by_id_[entry_id]
+        self.state.log.report(Event.PEER_LOST, peer=entry_id)
+        self.stages.keeper_.forget(entry_id)
+        self.stages.keeper_lost(entry_id)
+
+    def peer_version(self, peer: PeerConnection, version: int) -> None:
+        """Take in which configuration runs at a peer."""
+
+    def peer_message(self, peer: PeerConnection, message: Message) -> None:
+        """Take in one message."""
+        entry_id = EntryId(peer.info.peer_id)
+        self.heard_at_by_id_[entry_id] = self.state.now()
+        if self.peers_by_id_.get(entry_id) is None:
+            self.peers_by_id_[entry_id] = peer
+        handler = _HANDLERS.get(type(message))
+        if handler is not None:
+            handler(self, peer, message)
+
+    def _take_heartbeat(self, peer: PeerConnection, message: EntryHeartbeat) -> None:
+        now = self.state.now()
+        entry_id = EntryId(peer.info.peer_id)
+        if message.is_draining:
+            self.draining_ids_.add(entry_id)
+        else:
+            self.draining_ids_.discard(entry_id)
+        for report in message.groups:
+            group = GroupId(ServiceId(report.service_id), HallId(report.hall))
+            load = GroupLoad(report.wait_ms / 1_000.0, report.room_bytes, now)
+            self.stages.groups_.note_load(group, load)
+        self._compare(peer, message, now)
+
+    def _compare(
+        self, peer: PeerConnection, message: EntryHeartbeat, now: float
+    ) -> None:
+        """Ask a peer that has known better for a while."""
+        if peer.peer_config_version_ > self._version():
+            self.behind_since_ = self.behind_since_ or now
+            if now - self.behind_since_ >= BEHIND_S or self._version() == 0:
+                peer.send(ForwardConfigRequest(self._version()))
+                self.behind_since_ = None
+        revision = self.state.roster_.changed_revision_
+        if message.listing_revision > revision:
+            self.listing_behind_since_ = self.listing_behind_since_ or now
+            if now - self.listing_behind_since_ >= BEHIND_S or revision == 0:
+                peer.send(ListingRequest(revision))
+                self.listing_behind_since_ = None
+
+    def _take_submit(self, peer: PeerConnection, message: PieceSubmit) -> None:
+        now = self.state.now()
+        task = PieceTask(
+            ticket=message.ticket,
+            home=EntryId(peer.info.peer_id),
+            request_id=RequestId(message.request_id),
+            key=PieceKey(message.stage, message.piece),
+            private_key=message.private_key,
+            inputs=tuple(ResultHandle(handle) for handle in message.inputs),
+            result_bytes=message.result_bytes,
+            priority=message.priority,
+            deadline=now + message.remaining_ms / 1_000.0,
+            admitted_at=now - message.age_ms / 1_000.0,
+            queued_at=now,
+            excluded=frozenset(EndpointId(text) for text in message.excluded),
+        )
+        group = GroupId(ServiceId(message.service_id), HallId(message.hall))
+        self.stages.keeper_.submit(group, task)
+
+    def _take_answer(self, peer: PeerConnection, message: PieceAnswer) -> None:
+        answer = KeptAnswer(
+            ResultHandle(message.handle) if message.handle else None,
+            message.reason,
+            EndpointId(message.endpoint_id) if message.endpoint_id else None,
+        )
+        self.stages.take_answer(EntryId(peer.info.peer_id), message.ticket, answer)
+
+    def _take_cancel(self, peer: PeerConnection, message: PieceCancel) -> None:
+        home = EntryId(peer.info.peer_id)
+        self.stages.keeper_.cancel(home, set(message.tickets))
+
+    def _take_release(self, peer: PeerConnection, message: PieceRelease) -> None:
+        handles = [ResultHandle(handle) for handle in message.handles]
+        self.stages.keeper_.release(EndpointId(message.endpoint_id), handles)
+
+    def _give_config(self, peer: PeerConnection, message: ForwardConfigRequest) -> None:
+        table = self.state.table_
+        if table is not None and table.config.version > message.known_version:
+            data = msgspec.msgpack.encode(table.config)
+            peer.send(ForwardConfigAnswer(table.config.version, data))
+
+    def _take_config(self, peer: PeerConnection, message: ForwardConfigAnswer) -> None:
+        try:
+            config = msgspec.msgpack.decode(message.config, type=ForwardConfig)
+        except msgspec.DecodeError as error:
+            self.state.log.report(Event.CONFIG_UNREADABLE, error=str(error)[:200])
+            return
+        self.take_config(config)
+
+    def _give_listing(self, peer: PeerConnection, message: ListingRequest) -> None:
+        roster = self.state.roster_
+        if roster.changed_revision_ > message.known_revision:
+            data = msgspec.msgpack.encode(roster.listed())
+            peer.send(ListingAnswer(roster.changed_revision_, data))
+
+    def _take_listing(self, peer: PeerConnection, message: ListingAnswer) -> None:
+        try:
+            listed = msgspec.msgpack.decode(
+                message.endpoints, type=list[ListedEndpoint]
+            )
+        except msgspec.DecodeError as error:
+            self.state.log.report(Event.CONFIG_UNREADABLE, error=str(error)[:200])
+            return
+        self.take_listing(listed, message.revision)
+
+
+_HANDLERS = {
+    EntryHeartbeat: EntryLinks._take_heartbeat,
+    PieceSubmit: EntryLinks._take_submit,
+    PieceAnswer: EntryLinks._take_answer,
+    PieceCancel: EntryLinks._take_cancel,
+    PieceRelease: EntryLinks._take_release,
+    ForwardConfigRequest: EntryLinks._give_config,
+    ForwardConfigAnswer: EntryLinks._take_config,
+    ListingRequest: EntryLinks._give_listing,
+    ListingAnswer: EntryLinks._take_listing,
+}
--- a/packages/leadford-server/src/leadford_server/forward/_process.py
+++ b/packages/leadford-server/src/leadford_server/forward/_process.py
@@ -10,9 +10,15 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from leadford.common import EntryId, HallId
+from leadford.endpoints import ListedEndpoint
 from leadford.events import Event
-from leadford.forwarding import RouteTable
-from leadford_server.forward._contract import ObjectEvent, ObjectWire, RequestWire
+from leadford.forwarding import ForwardConfig, RouteTable
+from leadford_server.forward._contract import (
+    KnownEntry,
+    ObjectEvent,
+    ObjectWire,
+    RequestWire,
+)
 from leadford_server.forward._door import Door, Exchange
 from leadford_server.forward._follow import (
     STATUS_CONFLICT,
@@ -20,6 +26,7 @@
     Listing,
     ObjectsClient,
 )
+from leadford_server.forward._links import EntryLinks
 from leadford_server.forward._run import ForwardRun
 from leadford_server.forward._stages import StageRunner
 from leadford_server.forward._state import ForwardBounds, ForwardState
@@ -44,6 +51,7 @@
     ready: SocketAddress
     peers: SocketAddress
     store_url: str
+    secret: bytes
     bounds: ForwardBounds
     metrics: SocketAddress | None = None
 
@@ -79,7 +87,7 @@
         self.log_ = EventLog(process_id=settings.entry_id)
         self.is_draining_ = False
         self.tasks_: list[asyncio.Task[None]] = []
-        self.entries_by_id_: dict[str, str] = {}
+        self.entries_by_id_: dict[EntryId, KnownEntry] = {}
 
     async def start(self) -> None:
         """Listen and begin to follow the store."""
@@ -92,7 +100,18 @@
             loop=asyncio.get_running_loop(),
             log=self.log_,
         )
-        self.stages_ = StageRunner(state=self.state_)
+        self.stages_ = StageRunner(state=self.state_, entry_id=settings.entry_id)
+        self.links_ = EntryLinks(
+            entry_id=settings.entry_id,
+            secret=settings.secret,
+            state=self.state_,
+            stages=self.stages_,
+            random=self.random,
+            take_config=self._apply_config,
+            take_listing=self._apply_listing,
+        )
+        self.stages_.links = self.links_
+        self.stages_.reply_elsewhere = self.links_.reply
         self.door_ = Door(
             wire=self.wire,
             serve=self._serve,
@@ -101,6 +120,7 @@
         )
         self.door_.start(settings.callers.host, settings.callers.port)
         self._listen_ready()
+        await self.links_.start(settings.peers)
         http = CurlAsyncHTTPClient(force_instance=True, max_clients=STORE_CLIENTS)
         self.client_ = ObjectsClient(
             url=settings.store_url, http=http, wire=self.objects, log=self.log_
@@ -153,6 +173,7 @@
                 confirm=confirm,
             )
             self.tasks_.append(asyncio.create_task(follower.run()))
+        self.tasks_.append(asyncio.create_task(self.links_.run()))
         self.tasks_.append(asyncio.create_task(self._announce()))
         self.tasks_.append(asyncio.create_task(self._sweep()))
 
@@ -189,7 +210,10 @@
         if isinstance(read, Failure):
             self.log_.report(Event.CONFIG_UNREADABLE, error=str(read.failure())[:300])
             return
-        config = read.unwrap()
+        self._apply_config(read.unwrap())
+
+    def _apply_config(self, config: ForwardConfig) -> None:
+        """Put a configuration in force unless it is older than the one in force."""
         table = self.state_.table_
         if table is not None and config.version <= table.config.version:
             return
@@ -201,7 +225,7 @@
             before=table.config.version if table else 0,
             routes=len(config.routes),
         )
-        self.stages_.wake()
+        self.stages_.keeper_.wake()
 
     def _confirm_config(self, revision: int) -> None:
         if self.state_.table_ is not None:
@@ -215,15 +239,16 @@
                 self.log_.report(Event.CONFIG_UNREADABLE, error=read.failure()[:300])
                 continue
             endpoints.append(read.unwrap())
-        changes = self.state_.roster_.replace(endpoints, listing.revision)
-        self._note_changes(changes)
+        self._apply_listing(endpoints, listing.revision)
+
+    def _apply_listing(self, endpoints: list[ListedEndpoint], revision: int) -> None:
+        self._note_changes(self.state_.roster_.replace(endpoints, revision))
 
     def _take_endpoint_event(self, event: ObjectEvent) -> None:
         roster = self.state_.roster_
         if event.is_gone:
             name = self.objects.object_name(event.item)
-            revision = self.objects.object_revision(event.item)
-            self._note_changes(roster.remove(name, revision))
+            self._note_changes(roster.remove(name, event.seen_revision))
             return
         read = self.objects.read_endpoint(event.item)
         if isinstance(read, Failure):
@@ -239,10 +264,10 @@
                 service=change.service_id,
                 before=change.before,
                 after=change.after,
-                revision=self.state_.roster_.revision_,
+                revision=self.state_.roster_.changed_revision_,
             )
         if changes:
-            self.stages_.wake()
+            self.stages_.keeper_.wake()
 
     def _take_entries(self, listing: Listing) -> None:
         self.entries_by_id_.clear()
@@ -261,18 +286,21 @@
         read = self.objects.read_entry(item)
         if isinstance(read, Failure):
             return
-        entry_id, address = read.unwrap()
-        self.entries_by_id_[entry_id] = address
+        entry = read.unwrap()
+        self.entries_by_id_[entry.entry_id] = entry
 
     def _count_entries(self) -> None:
         known = set(self.entries_by_id_) | {self.settings.entry_id}
         self.state_.set_sharers(len(known))
+        self.links_.know(self.entries_by_id_)
 
     async def _announce(self) -> None:
         """Write down in the store that this entry exists."""
         settings = self.settings
         kind = self.objects.entries_kind
-        body = self.objects.entry_object(settings.entry_id, str(settings.peers))
+        body = self.objects.entry_object(
+            KnownEntry(settings.entry_id, str(settings.peers), settings.hall)
+        )
         while True:
             path = self.objects.object_path(kind, "")
             made = await self.client_.call(path, method="POST", body=body)
@@ -300,6 +328,7 @@
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         self.is_draining_ = True
+        self.links_.is_draining_ = True
         self.log_.report(Event.PROCESS_DRAINING, live=len(self.door_.exchanges_))
         ends_at = began_at + self.settings.bounds.grace_s - DRAIN_MARGIN_S
         while loop.time() < ends_at:
--- a/packages/leadford-server/src/leadford_server/forward/_run.py
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -157,6 +157,7 @@
                 private_key=request.piece_key,
                 priority=self.admitted_.priority,
                 deadline=self.deadline_,
+                admitted_at=request.received_at,
             )
         try:
             await self.stages.complete(self.job_)
@@ -172,16 +173,10 @@
         """Serve a request whose answer is passed on once it is whole."""
         route = self.admitted_.route
         while True:
+            limit = self._attempt_limit()
             try:
-                attempt = await self._begin_attempt(self._patience_s())
-                try:
-                    async with asyncio.timeout(self._patience_s()):
-                        await attempt.answer.wait_whole()
-                except TimeoutError as error:
-                    self._note_failure(attempt.record, heavy=False)
-                    raise ExchangeBroken(BreakKind.LOST, "slow") from error
-                finally:
-                    self._release(attempt)
+                attempt = await self._begin_attempt(limit)
+                await self._wait_whole(attempt, limit)
             except NotRun as failure:
                 if not self._may_try_again(failure.detail):
                     self._give_up(failure.detail)
@@ -203,21 +198,32 @@
             self._pass_on(attempt)
             return
 
-    def _patience_s(self) -> float:
-        """Return how long an attempt may take before another one is better."""
+    async def _wait_whole(self, attempt: Attempt, limit: float) -> None:
+        """Wait for the end of an answer and give the connection back."""
+        try:
+            async with asyncio.timeout_at(limit):
+                await attempt.answer.wait_whole()
+        except TimeoutError as error:
+            self._note_failure(attempt.record, heavy=False)
+            raise ExchangeBroken(BreakKind.LOST, "slow") from error
+        finally:
+            self._release(attempt)
+
+    def _attempt_limit(self) -> float:
+        """Return until when an attempt is waited for before another one is better."""
         route = self.admitted_.route
-        left_s = self.deadline_ - self.state.now()
-        last = len(self.tried_) >= route.attempts_max
-        if not route.is_repeatable or last or route.kind is RouteKind.STREAM:
-            return left_s
-        return left_s * SAFE_PATIENCE
+        now = self.state.now()
+        is_last = len(self.tried_) + 1 >= route.attempts_max
+        if not route.is_repeatable or is_last:
+            return self.deadline_
+        return now + (self.deadline_ - now) * SAFE_PATIENCE
 
     async def _stream(self) -> None:
         """Serve a stream: pass whole events, go on elsewhere where that is allowed."""
         remakes = 0
         while True:
             try:
-                attempt = await self._begin_attempt(None)
+                attempt = await self._begin_attempt(self.deadline_)
             except NotRun as failure:
                 if failure.inputs_gone and remakes < REMAKES_MAX:
                     remakes += 1
@@ -259,7 +265,7 @@
             return await self._make_inputs()
         return True
 
-    async def _begin_attempt(self, patience_s: float | None) -> Attempt:
+    async def _begin_attempt(self, limit: float) -> Attempt:
         """Send the request to an endpoint and return once the answer's head is there.
 
         Errors: raises NotRun when the attempt proved not to run, ExchangeBroken when
@@ -279,7 +285,7 @@
                 record, admitted.service.connections_max
             )
             outbound = state.wire.forward(self.request, self._call(record))
-            async with asyncio.timeout(patience_s):
+            async with asyncio.timeout_at(limit):
                 answer = await connection.begin(outbound, self.request.request_id)
         except ExchangeBroken as failure:
             self._abandon(record, connection)
@@ -336,13 +342,7 @@
         """Return the hall that holds most bytes of the inputs."""
         if self.job_ is None:
             return None
-        bytes_by_hall: dict[HallId, int] = {}
-        for handle in self.job_.graph.final_inputs():
-            maker = self.stages.maker_by_handle_.get(handle)
-            if maker is None:
-                continue
-            hall = maker.listed.hall
-            bytes_by_hall[hall] = bytes_by_hall.get(hall, 0) + 1
+        bytes_by_hall = self.stages.bytes_by_hall(self.job_)
         return max(bytes_by_hall, key=bytes_by_hall.get) if bytes_by_hall else None
 
     def _call(self, record: EndpointRecord) -> ForwardCall:
@@ -524,6 +524,7 @@
             route=admitted.route.route_id if admitted else "",
             version=admitted.version if admitted else 0,
             workspace=(admitted.workspace_id or "") if admitted else "",
+            fingerprint=request.fingerprint,
             endpoints=",".join(self.tried_),
             status=self.status_,
             outcome=self.end_.value,
--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -1,28 +1,36 @@
-"""Run the pieces of many requests in shared batches."""
+"""Carry the stages of requests: send their pieces to keepers and follow them home."""
 
 import asyncio
+from typing import Protocol
 
 import msgspec
-from returns.result import Failure
 
-from leadford.common import EndpointId, RequestId
-from leadford.endpoints import EndpointRecord
+from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.events import Event
-from leadford.forwarding import PieceLimits, Service, ServiceId, StageSpec
-from leadford.pieces import LaneTable, PieceGraph, PieceKey, PieceQueue, PieceTask
-from leadford.pieces._graph import ResultHandle
-from leadford.pieces._lanes import PAUSE_FULL_S, PAUSE_ROOM_S
-from leadford_server.forward._connection import ExchangeBroken
-from leadford_server.forward._contract import PieceOutcome
+from leadford.forwarding import PieceLimits, ResultHandle, ServiceId, StageSpec
+from leadford.pieces import (
+    GroupId,
+    GroupLoad,
+    GroupTable,
+    PieceGraph,
+    PieceKey,
+    PieceTask,
+    keepers_in_order,
+)
+from leadford_server.forward._keeper import (
+    REASON_GONE,
+    REASON_LATE,
+    REASON_NO_ENDPOINT,
+    KeptAnswer,
+    PieceKeeper,
+)
 from leadford_server.forward._state import ForwardState
-from leadford_server.metrics import PIECE_CALLS_TOTAL, PIECES_TOTAL
 
-PIECE_TRIES_MAX = 5
-CALL_PATIENCE = 3.0
-CALL_SLACK_S = 0.4
-FREE_DELAY_S = 0.02
-FREE_TIMEOUT_S = 1.0
-LOOK_S = 0.06
+PIECE_TRIES_MAX = 6
+KEEPER_SLACK_S = 1.0
+KEEPER_PATIENCE = 3.0
+CHECK_S = 0.2
+NO_ENDPOINT_WAIT_S = 0.15
 
 
 class StageFailure(Exception):
@@ -33,6 +41,24 @@
         self.detail = detail
 
 
+class KeeperLinks(Protocol):
+    """Reach the keepers at other entries."""
+
+    def halls_by_live_entry(self) -> dict[EntryId, HallId]:
+        """Return the entries that are known to be alive, without this one."""
+
+    def submit(self, entry_id: EntryId, group: GroupId, task: PieceTask) -> bool:
+        """Send a piece to a keeper; return whether a connection stands."""
+
+    def cancel(self, entry_id: EntryId, tickets: list[int]) -> None:
+        """Tell a keeper that pieces are wanted no more."""
+
+    def release(
+        self, entry_id: EntryId, endpoint_id: EndpointId, handles: list[ResultHandle]
+    ) -> bool:
+        """Tell a keeper that results have no reader any more."""
+
+
 class StageJob:
     """Hold the stages of one request while they run."""
 
@@ -44,6 +70,7 @@
         private_key: str,
         priority: int,
         deadline: float,
+        admitted_at: float,
         done: asyncio.Future[None],
     ) -> None:
         self.request_id = request_id
@@ -51,39 +78,54 @@
         self.private_key = private_key
         self.priority = priority
         self.deadline = deadline
+        self.admitted_at = admitted_at
         self.done_ = done
         self.is_over_ = False
         self.tries_by_key_: dict[PieceKey, int] = {}
         self.excluded_by_key_: dict[PieceKey, frozenset[EndpointId]] = {}
+        self.tickets_: set[int] = set()
 
     def fail(self, detail: str) -> None:
         """End the job without its results."""
         if not self.done_.done():
             self.done_.set_exception(StageFailure(detail))
+            # The request may have ended by itself and look no more.
+            self.done_.exception()
+
+
+class _Sent(msgspec.Struct, eq=False):
+    """Hold a piece that a keeper has."""
 
+    task: PieceTask
+    job: StageJob
+    group: GroupId
+    keeper: EntryId
+    overdue_at: float
 
-class _Call(msgspec.Struct, eq=False):
-    """Hold one call that is under way."""
 
-    record: EndpointRecord
-    tasks: list[PieceTask]
-    limits: PieceLimits
-    began_at: float
+class _Maker(msgspec.Struct, frozen=True):
+    """Say where a result lies and who accounts for it."""
+
+    endpoint_id: EndpointId
+    hall: HallId
+    keeper: EntryId
+    result_bytes: int
 
 
 class StageRunner:
-    """Queue pieces by service, fill calls, and give results up once they are read."""
+    """Advance the graphs of requests; a piece that is lost is made again."""
 
-    def __init__(self, *, state: ForwardState) -> None:
+    def __init__(self, *, state: ForwardState, entry_id: EntryId) -> None:
         self.state = state
-        self.lanes_ = LaneTable(hall=state.hall)
-        self.queues_by_service_: dict[ServiceId, PieceQueue] = {}
-        self.jobs_by_id_: dict[RequestId, StageJob] = {}
-        self.maker_by_handle_: dict[ResultHandle, EndpointRecord] = {}
-        self.unread_by_id_: dict[EndpointId, list[ResultHandle]] = {}
-        self.tasks_: set[asyncio.Task[None]] = set()
-        self.pump_due_: set[ServiceId] = set()
-        self.look_due_: set[ServiceId] = set()
+        self.entry_id = entry_id
+        self.keeper_ = PieceKeeper(state=state, reply=self._kept)
+        self.groups_ = GroupTable(hall=state.hall)
+        self.links: KeeperLinks | None = None
+        self.sent_by_ticket_: dict[int, _Sent] = {}
+        self.maker_by_handle_: dict[ResultHandle, _Maker] = {}
+        # Another process of this entry must never draw the same tickets.
+        self.next_ticket_ = state.random.getrandbits(40) << 20
+        self.reply_elsewhere = None
 
     def open(
         self,
@@ -93,36 +135,34 @@
         private_key: str,
         priority: int,
         deadline: float,
+        admitted_at: float,
     ) -> StageJob:
         """Return a job for the stages of a request."""
-        job = StageJob(
+        return StageJob(
             request_id=request_id,
             graph=graph,
             private_key=private_key,
             priority=priority,
             deadline=deadline,
+            admitted_at=admitted_at,
             done=self.state.loop.create_future(),
         )
-        self.jobs_by_id_[request_id] = job
-        return job
 
-    async def complete(self, job: StageJob) -> tuple[ResultHandle, ...]:
+    async def complete(self, job: StageJob) -> None:
         """Make what is missing; raises StageFailure."""
-        if not job.graph.is_done:
-            if job.done_.done():
-                job.done_ = self.state.loop.create_future()
-            self._advance(job)
-            await job.done_
-        return job.graph.final_inputs()
+        if job.graph.is_done:
+            return
+        if job.done_.done():
+            job.done_ = self.state.loop.create_future()
+        self._advance(job)
+        await job.done_
 
     def close(self, job: StageJob) -> None:
         """End a job: drop what waits and give all its results up."""
         if job.is_over_:
             return
         job.is_over_ = True
-        self.jobs_by_id_.pop(job.request_id, None)
-        for queue in self.queues_by_service_.values():
-            queue.discard(lambda task: task.request_id != job.request_id)
+        self._cancel(job)
         self.release(job)
 
     def release(self, job: StageJob) -> None:
@@ -133,35 +173,110 @@
         """Forget the results that the request itself reads: one of them is gone."""
         self._give_up(job.graph.drop_stage(job.graph.sinks_))
 
-    def waiting(self, service_id: ServiceId) -> int:
-        """Return how many pieces of a service wait here."""
-        queue = self.queues_by_service_.get(service_id)
-        return len(queue) if queue is not None else 0
-
-    def wake(self) -> None:
-        """Look again whether calls can leave."""
-        for service_id in list(self.queues_by_service_):
-            self._pump(service_id)
+    def bytes_by_hall(self, job: StageJob) -> dict[HallId, int]:
+        """Return where the results lie that the request itself reads."""
+        found: dict[HallId, int] = {}
+        for handle in job.graph.final_inputs():
+            maker = self.maker_by_handle_.get(handle)
+            if maker is not None:
+                found[maker.hall] = found.get(maker.hall, 0) + maker.result_bytes
+        return found
+
+    def keeper_of(self, group: GroupId) -> EntryId:
+        """Return the live entry that keeps a group."""
+        halls = {self.entry_id: self.state.hall}
+        if self.links is not None:
+            halls.update(self.links.halls_by_live_entry())
+        return keepers_in_order(group, halls)[0]
 
     def _advance(self, job: StageJob) -> None:
-        """Queue the pieces that can be made now."""
+        """Send the pieces that are due."""
         if job.is_over_ or job.done_.done():
             return
         self._give_up(job.graph.take_unread())
         if job.graph.is_done:
             job.done_.set_result(None)
             return
-        now = self.state.now()
         for key in job.graph.ready():
-            stage = job.graph.stages[key.stage]
             job.graph.note_queued(key)
-            self._queue(stage.service_id).push(self._task(job, key, stage, now))
-            self._pump_soon(stage.service_id)
+            self._send(job, key)
+            if job.done_.done():
+                return
+
+    def _send(self, job: StageJob, key: PieceKey) -> None:
+        stage = job.graph.stages[key.stage]
+        service = self.state.service(stage.service_id)
+        if service is None or service.pieces is None:
+            job.fail(f"{stage.service_id} takes no pieces")
+            return
+        now = self.state.now()
+        excluded = job.excluded_by_key_.get(key, frozenset())
+        group = self._choose_group(stage, service.pieces, excluded, now)
+        if group is None:
+            self.state.loop.call_later(NO_ENDPOINT_WAIT_S, self._send_later, job, key)
+            return
+        task = self._task(job, key, stage, excluded, now)
+        keeper = self.keeper_of(group)
+        self._hand_over(_Sent(task, job, group, keeper, 0.0), service.pieces, now)
+
+    def _send_later(self, job: StageJob, key: PieceKey) -> None:
+        if job.is_over_ or job.done_.done():
+            return
+        if self.state.now() >= job.deadline:
+            job.fail(REASON_LATE)
+            return
+        self._send(job, key)
+
+    def _choose_group(
+        self,
+        stage: StageSpec,
+        limits: PieceLimits,
+        excluded: frozenset[EndpointId],
+        now: float,
+    ) -> GroupId | None:
+        roster = self.state.roster_
+        counts: dict[HallId, int] = {}
+        for record in roster.usable(stage.service_id):
+            if record.listed.endpoint_id in excluded:
+                continue
+            counts[record.listed.hall] = counts.get(record.listed.hall, 0) + 1
+        if not counts:
+            counts = roster.usable_by_hall(stage.service_id)
+        self._note_own_loads(stage.service_id, counts, now)
+        return self.groups_.choose(
+            stage.service_id,
+            counts,
+            limits,
+            result_bytes=stage.result_bytes,
+            now=now,
+        )
+
+    def _note_own_loads(
+        self, service_id: ServiceId, halls: dict[HallId, int], now: float
+    ) -> None:
+        """Look at the groups that are kept here rather than wait for a report."""
+        for hall in halls:
+            group = GroupId(service_id, hall)
+            if self.keeper_of(group) != self.entry_id:
+                continue
+            load = GroupLoad(
+                self.keeper_.wait_s(group), self.keeper_.room_bytes(group), now
+            )
+            self.groups_.note_load(group, load)
 
     def _task(
-        self, job: StageJob, key: PieceKey, stage: StageSpec, now: float
+        self,
+        job: StageJob,
+        key: PieceKey,
+        stage: StageSpec,
+        excluded: frozenset[EndpointId],
+        now: float,
     ) -> PieceTask:
+        ticket = self.next_ticket_
+        self.next_ticket_ += 1
         return PieceTask(
+            ticket=ticket,
+            home=self.entry_id,
             request_id=job.request_id,
             key=key,
             private_key="" if stage.after else job.private_key,
@@ -169,289 +284,145 @@
             result_bytes=stage.result_bytes,
             priority=job.priority,
             deadline=job.deadline,
+            admitted_at=job.admitted_at,
             queued_at=now,
-            excluded=job.excluded_by_key_.get(key, frozenset()),
+            excluded=excluded,
         )
 
-    def _queue(self, service_id: ServiceId) -> PieceQueue:
-        return self.queues_by_service_.setdefault(service_id, PieceQueue())
-
-    def _pump_soon(self, service_id: ServiceId) -> None:
-        """Fill calls after everything of this moment has been queued."""
-        if service_id in self.pump_due_:
-            return
-        self.pump_due_.add(service_id)
-        self.state.loop.call_soon(self._pump, service_id)
-
-    def _pump(self, service_id: ServiceId) -> None:
-        self.pump_due_.discard(service_id)
-        queue = self._queue(service_id)
-        service = self._service(service_id)
-        while len(queue) > 0:
-            if service is None or service.pieces is None:
-                self._fail_all(queue, f"{service_id} takes no pieces")
-                return
-            now = self.state.now()
-            for task in queue.discard(lambda task: task.deadline > now):
-                self._fail_task(task, "no time left")
-            if not self._send_next(service, queue, now):
+    def _hand_over(self, sent: _Sent, limits: PieceLimits, now: float) -> None:
+        """Give a piece to its keeper; this entry keeps it when no link stands."""
+        endpoints = self.state.roster_.usable_by_hall(sent.group.service_id)
+        wait_s = self.groups_.wait_s(
+            sent.group, limits, endpoints.get(sent.group.hall, 1), now
+        )
+        expected_s = wait_s + limits.duration_ms(limits.batch) / 1_000.0
+        sent.overdue_at = now + expected_s * KEEPER_PATIENCE + KEEPER_SLACK_S
+        self.sent_by_ticket_[sent.task.ticket] = sent
+        sent.job.tickets_.add(sent.task.ticket)
+        self.groups_.note_sent(sent.group)
+        if sent.keeper != self.entry_id:
+            if self.links.submit(sent.keeper, sent.group, sent.task):
                 return
+            sent.keeper = self.entry_id
+        self.keeper_.submit(sent.group, sent.task)
 
-    def _service(self, service_id: ServiceId) -> Service | None:
-        table = self.state.table_
-        return table.config.services_by_id.get(service_id) if table else None
-
-    def _send_next(self, service: Service, queue: PieceQueue, now: float) -> bool:
-        """Send one call if an endpoint takes it; return whether to go on."""
-        records = self.state.roster_.usable(service.service_id)
-        limits = service.pieces
-        free = self.lanes_.ranked(records, limits, waiting=len(queue), now=now)
-        for record in free or self._others(records, limits, queue, now):
-            lane = self.lanes_.lane(record.listed.endpoint_id, limits)
-            tasks = queue.take(
-                batch=limits.batch,
-                room_bytes=lane.room_bytes(now),
-                endpoint_id=record.listed.endpoint_id,
-            )
-            if tasks:
-                self._begin(service, record, tasks, now)
-                return True
-            # No room there, or every piece has failed there: look again soon.
-            lane.pause(PAUSE_ROOM_S, now)
-        self._look_again(service.service_id)
-        return False
-
-    def _others(
-        self,
-        records: list[EndpointRecord],
-        limits: PieceLimits,
-        queue: PieceQueue,
-        now: float,
-    ) -> list[EndpointRecord]:
-        """Return every free endpoint when some piece may not go to the best ones."""
-        if not any(task.excluded for task in queue.tasks_):
-            return []
-        return [
-            record
-            for record in records
-            if self.lanes_.lane(record.listed.endpoint_id, limits).is_free(now)
-        ]
-
-    def _look_again(self, service_id: ServiceId) -> None:
-        """Look again later: a pause ends without any other event."""
-        if service_id in self.look_due_:
+    def _kept(self, task: PieceTask, answer: KeptAnswer) -> None:
+        """Take an answer of the keeper here, for this entry or for another."""
+        if task.home != self.entry_id:
+            self.reply_elsewhere(task, answer)
             return
-        self.look_due_.add(service_id)
-        self.state.loop.call_later(LOOK_S, self._look, service_id)
-
-    def _look(self, service_id: ServiceId) -> None:
-        self.look_due_.discard(service_id)
-        self._pump(service_id)
-
-    def _begin(
-        self,
-        service: Service,
-        record: EndpointRecord,
-        tasks: list[PieceTask],
-        now: float,
-    ) -> None:
-        lane = self.lanes_.lane(record.listed.endpoint_id, service.pieces)
-        lane.begin(len(tasks), _bytes(tasks), now)
-        record.in_flight_ += 1
-        call = _Call(record, tasks, service.pieces, now)
-        running = asyncio.ensure_future(self._call(service, call))
-        self.tasks_.add(running)
-        running.add_done_callback(self.tasks_.discard)
-
-    async def _call(self, service: Service, call: _Call) -> None:
-        record = call.record
-        lane = self.lanes_.lane(record.listed.endpoint_id, call.limits)
-        outcomes: list[PieceOutcome] | None = None
-        detail = "lost"
-        ahead = 1 + record.waiting_elsewhere(call.began_at)
-        expected_s = call.limits.duration_ms(len(call.tasks)) / 1_000.0 * ahead
-        try:
-            async with asyncio.timeout(expected_s * CALL_PATIENCE + CALL_SLACK_S):
-                outcomes, detail = await self._exchange(service, call)
-        except ExchangeBroken as error:
-            detail = str(error)
-            record.note_failure(self.state.now(), heavy=True)
-        except TimeoutError:
-            detail = "silent"
-            record.note_failure(self.state.now(), heavy=True)
-        finally:
-            lane.end(_bytes(call.tasks))
-            record.in_flight_ -= 1
-        PIECE_CALLS_TOTAL.labels(end=detail.split(":")[0]).inc()
-        self._log_call(service, call, detail)
-        self._settle(call, outcomes, detail)
-        self._pump(service.service_id)
-
-    async def _exchange(
-        self, service: Service, call: _Call
-    ) -> tuple[list[PieceOutcome] | None, str]:
-        """Return the outcomes, or None with the reason."""
-        state = self.state
-        record = call.record
-        connection = await state.pool_.acquire(record, service.connections_max)
-        try:
-            outbound = state.wire.piece_call(
-                call.tasks, record.listed.endpoint_id, state.now()
-            )
-            body, head = await connection.fetch(outbound)
-        finally:
-            state.pool_.release(record, connection)
-        now = state.now()
-        if head.load is not None:
-            record.note_load(head.load, now)
-        if head.status == 421:
-            record.note_replaced()
-            return None, "replaced"
-        if head.is_not_run:
-            self.lanes_.lane(record.listed.endpoint_id, call.limits).pause(
-                PAUSE_FULL_S, now
-            )
-            return None, "full"
-        if head.status != 200:
-            record.note_failure(now, heavy=False)
-            return None, f"status {head.status}"
-        read = state.wire.read_pieces(body)
-        if isinstance(read, Failure) or len(read.unwrap()) != len(call.tasks):
-            record.note_failure(now, heavy=False)
-            return None, "spoiled"
-        elapsed_ms = (now - call.began_at) * 1_000.0
-        expected_ms = call.limits.duration_ms(len(call.tasks))
-        record.note_success(elapsed_ms, elapsed_ms / expected_ms)
-        return read.unwrap(), "done"
-
-    def _settle(
-        self, call: _Call, outcomes: list[PieceOutcome] | None, detail: str
-    ) -> None:
-        now = self.state.now()
-        endpoint_id = call.record.listed.endpoint_id
-        if outcomes is None:
-            counted = detail != "full"
-            for task in call.tasks:
-                self._again(task, endpoint_id, detail, counted=counted)
+        self.take_answer(self.entry_id, task.ticket, answer)
+
+    def take_answer(self, keeper: EntryId, ticket: int, answer: KeptAnswer) -> None:
+        """Take in what became of a piece."""
+        sent = self.sent_by_ticket_.get(ticket)
+        if sent is None or sent.keeper != keeper:
+            # Made for nobody: cancelled, overdue, or of an earlier process.
+            if answer.handle is not None and answer.endpoint_id is not None:
+                self._release_at(keeper, answer.endpoint_id, [answer.handle])
             return
-        lane = self.lanes_.lane(endpoint_id, call.limits)
-        for task, outcome in zip(call.tasks, outcomes, strict=True):
-            PIECES_TOTAL.labels(end=outcome.reason or "done").inc()
-            if outcome.handle is None:
-                self._not_made(task, endpoint_id, outcome.reason, now)
-                continue
-            lane.hold(outcome.handle, task.result_bytes, now)
-            self.maker_by_handle_[outcome.handle] = call.record
-            job = self.jobs_by_id_.get(task.request_id)
-            if job is None or job.is_over_:
-                self._give_up([outcome.handle])
-                continue
-            job.graph.note_done(task.key, outcome.handle)
-            self._advance(job)
+        del self.sent_by_ticket_[ticket]
+        job = sent.job
+        job.tickets_.discard(ticket)
+        key = sent.task.key
+        if answer.handle is None:
+            self._not_made(job, key, sent, answer)
+            return
+        record = self.state.roster_.record(answer.endpoint_id)
+        hall = record.listed.hall if record is not None else sent.group.hall
+        self.maker_by_handle_[answer.handle] = _Maker(
+            answer.endpoint_id, hall, keeper, sent.task.result_bytes
+        )
+        if job.is_over_:
+            self._give_up([answer.handle])
+            return
+        job.graph.note_done(key, answer.handle)
+        self._advance(job)
 
     def _not_made(
-        self, task: PieceTask, endpoint_id: EndpointId, reason: str, now: float
+        self, job: StageJob, key: PieceKey, sent: _Sent, answer: KeptAnswer
     ) -> None:
-        if reason == "late":
-            self._fail_task(task, "late")
-            return
-        if reason == "room":
-            lane = self.lanes_.lanes_by_id_[endpoint_id]
-            lane.pause(PAUSE_ROOM_S, now)
-            self._again(task, endpoint_id, reason, counted=False)
+        if job.is_over_ or job.done_.done():
             return
-        if reason == "gone":
-            job = self.jobs_by_id_.get(task.request_id)
-            if job is not None and not job.is_over_:
-                before = job.graph.stages[task.key.stage].after
-                self._give_up(job.graph.drop_stage(before))
-        self._again(task, endpoint_id, reason, counted=True)
-
-    def _again(
-        self, task: PieceTask, endpoint_id: EndpointId, detail: str, *, counted: bool
-    ) -> None:
-        """Make a piece again, elsewhere if it failed here."""
-        job = self.jobs_by_id_.get(task.request_id)
-        if job is None or job.is_over_:
+        if answer.reason == REASON_LATE:
+            job.fail(REASON_LATE)
             return
-        if counted:
-            tries = job.tries_by_key_.get(task.key, 0) + 1
-            job.tries_by_key_[task.key] = tries
+        if answer.reason == REASON_GONE:
+            before = job.graph.stages[key.stage].after
+            self._give_up(job.graph.drop_stage(before))
+        if answer.reason != REASON_NO_ENDPOINT:
+            tries = job.tries_by_key_.get(key, 0) + 1
+            job.tries_by_key_[key] = tries
             if tries >= PIECE_TRIES_MAX:
-                job.fail(f"piece failed {tries} times: {detail}")
+                job.fail(f"piece failed {tries} times: {answer.reason}")
                 return
+        if answer.endpoint_id is not None and answer.reason != REASON_GONE:
             # Only the last failure excludes, or a small pool would be used up.
-            service_id = job.graph.stages[task.key.stage].service_id
-            if len(self.state.roster_.usable(service_id)) > 1:
-                job.excluded_by_key_[task.key] = frozenset({endpoint_id})
-        job.graph.note_failed(task.key)
+            job.excluded_by_key_[key] = frozenset({answer.endpoint_id})
+        self.state.log.report(
+            Event.PIECE_REMADE,
+            request=job.request_id,
+            stage=key.stage,
+            piece=key.piece,
+            endpoint=answer.endpoint_id or "",
+            keeper=sent.keeper,
+            reason=answer.reason[:120],
+        )
+        job.graph.note_failed(key)
         self._advance(job)
 
-    def _fail_task(self, task: PieceTask, detail: str) -> None:
-        job = self.jobs_by_id_.get(task.request_id)
-        if job is not None and not job.is_over_:
-            job.fail(detail)
+    def keeper_lost(self, entry_id: EntryId) -> None:
+        """Make elsewhere what a lost keeper had."""
+        lost = [s for s in self.sent_by_ticket_.values() if s.keeper == entry_id]
+        for sent in lost:
+            self._send_again(sent, "keeper lost")
 
-    def _fail_all(self, queue: PieceQueue, detail: str) -> None:
-        for task in queue.discard(lambda task: False):
-            self._fail_task(task, detail)
+    def check(self) -> None:
+        """Make elsewhere what is overdue at its keeper."""
+        now = self.state.now()
+        overdue = [s for s in self.sent_by_ticket_.values() if s.overdue_at <= now]
+        for sent in overdue:
+            self._send_again(sent, "keeper silent")
 
-    def _give_up(self, handles: list[ResultHandle]) -> None:
-        """Tell the makers of results that nobody reads them any more."""
-        for handle in handles:
-            record = self.maker_by_handle_.pop(handle, None)
-            if record is None:
-                continue
-            endpoint_id = record.listed.endpoint_id
-            lane = self.lanes_.lanes_by_id_.get(endpoint_id)
-            if lane is not None:
-                lane.free(handle)
-            due = self.unread_by_id_.setdefault(endpoint_id, [])
-            due.append(handle)
-            if len(due) == 1:
-                self.state.loop.call_later(FREE_DELAY_S, self._send_free, record)
-
-    def _send_free(self, record: EndpointRecord) -> None:
-        handles = self.unread_by_id_.pop(record.listed.endpoint_id, [])
-        service = self._service(record.listed.service_id)
-        if not handles or service is None:
+    def _send_again(self, sent: _Sent, reason: str) -> None:
+        if self.sent_by_ticket_.pop(sent.task.ticket, None) is None:
             return
-        freeing = asyncio.ensure_future(self._free(service, record, handles))
-        self.tasks_.add(freeing)
-        freeing.add_done_callback(self.tasks_.discard)
+        sent.job.tickets_.discard(sent.task.ticket)
+        if sent.keeper != self.entry_id:
+            self.links.cancel(sent.keeper, [sent.task.ticket])
+        else:
+            self.keeper_.cancel(self.entry_id, {sent.task.ticket})
+        answer = KeptAnswer(None, reason, None)
+        self._not_made(sent.job, sent.task.key, sent, answer)
+
+    def _cancel(self, job: StageJob) -> None:
+        tickets_by_keeper: dict[EntryId, list[int]] = {}
+        for ticket in job.tickets_:
+            sent = self.sent_by_ticket_.pop(ticket, None)
+            if sent is not None:
+                tickets_by_keeper.setdefault(sent.keeper, []).append(ticket)
+        job.tickets_.clear()
+        for keeper, tickets in tickets_by_keeper.items():
+            if keeper == self.entry_id:
+                self.keeper_.cancel(self.entry_id, set(tickets))
+            else:
+                self.links.cancel(keeper, tickets)
 
-    async def _free(
-        self, service: Service, record: EndpointRecord, handles: list[ResultHandle]
+    def _give_up(self, handles: list[ResultHandle]) -> None:
+        """Tell whoever accounts for results that nobody reads them any more."""
+        by_place: dict[tuple[EntryId, EndpointId], list[ResultHandle]] = {}
+        for handle in handles:
+            maker = self.maker_by_handle_.pop(handle, None)
+            if maker is not None:
+                place = (maker.keeper, maker.endpoint_id)
+                by_place.setdefault(place, []).append(handle)
+        for (keeper, endpoint_id), group in by_place.items():
+            self._release_at(keeper, endpoint_id, group)
+
+    def _release_at(
+        self, keeper: EntryId, endpoint_id: EndpointId, handles: list[ResultHandle]
     ) -> None:
-        """Free results; what is lost here ends by its retention."""
-        state = self.state
-        outbound = state.wire.free_call(handles, record.listed.endpoint_id)
-        try:
-            async with asyncio.timeout(FREE_TIMEOUT_S):
-                connection = await state.pool_.acquire(record, service.connections_max)
-                try:
-                    await connection.fetch(outbound)
-                finally:
-                    state.pool_.release(record, connection)
-        except (ExchangeBroken, TimeoutError):
+        is_elsewhere = keeper != self.entry_id
+        if is_elsewhere and self.links.release(keeper, endpoint_id, handles):
             return
-        self._pump(service.service_id)
-
-    def _log_call(self, service: Service, call: _Call, detail: str) -> None:
-        self.state.log.report(
-            Event.PIECES_CALLED,
-            service=service.service_id,
-            endpoint=call.record.listed.endpoint_id,
-            pieces=len(call.tasks),
-            requests=",".join(sorted({task.request_id for task in call.tasks})),
-            waited_ms=round(
-                (call.began_at - min(task.queued_at for task in call.tasks)) * 1_000.0
-            ),
-            took_ms=round((self.state.now() - call.began_at) * 1_000.0),
-            waiting=self.waiting(service.service_id),
-            outcome=detail,
-        )
-
-
-def _bytes(tasks: list[PieceTask]) -> int:
-    return sum(task.result_bytes for task in tasks)
+        self.keeper_.release(endpoint_id, handles)
--- a/packages/leadford-server/src/leadford_server/forward/_state.py
+++ b/packages/leadford-server/src/leadford_server/forward/_state.py
@@ -7,7 +7,7 @@
 
 from leadford.common import HallId
 from leadford.endpoints import EndpointChooser, EndpointRoster
-from leadford.forwarding import RouteTable, ServiceId
+from leadford.forwarding import RouteTable, Service, ServiceId
 from leadford.retries import WindowedRetryBudget
 from leadford_server.forward._contract import RequestWire
 from leadford_server.forward._pool import ConnectionPool
@@ -64,6 +64,11 @@
         """
         return self.loop.time()
 
+    def service(self, service_id: ServiceId) -> Service | None:
+        """Return what the configuration in force says of a service."""
+        table = self.table_
+        return table.config.services_by_id.get(service_id) if table else None
+
     def budget(self, service_id: ServiceId) -> WindowedRetryBudget:
         """Return the budget for repeats to a service."""
         budget = self.budgets_by_service_.get(service_id)
--- a/packages/leadford/src/leadford/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/endpoints/_roster.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from leadford.common import EndpointId
+from leadford.common import EndpointId, HallId
 from leadford.endpoints._model import ListedEndpoint, ListedState
 from leadford.endpoints._record import EndpointRecord
 from leadford.forwarding import ServiceId
@@ -32,14 +32,12 @@
         self.records_by_id_: dict[EndpointId, EndpointRecord] = {}
         self.ids_by_service_: dict[ServiceId, set[EndpointId]] = {}
         self.gone_revision_by_id_: dict[EndpointId, int] = {}
-        self.revision_ = 0
+        self.changed_revision_ = 0
 
     def replace(
         self, endpoints: Iterable[ListedEndpoint], revision: int
     ) -> list[RosterChange]:
-        """Take in a whole listing made at a revision of the store."""
-        if revision < self.revision_:
-            return []
+        """Take in a whole listing; what is known from a later revision stays."""
         changes = []
         seen = set()
         for endpoint in endpoints:
@@ -47,7 +45,7 @@
             changes += self.put(endpoint)
         for endpoint_id in set(self.records_by_id_) - seen:
             changes += self.remove(endpoint_id, revision)
-        self.revision_ = revision
+        self.changed_revision_ = max(self.changed_revision_, revision)
         return changes
 
     def put(self, endpoint: ListedEndpoint) -> list[RosterChange]:
@@ -56,6 +54,7 @@
         if endpoint.revision <= self.gone_revision_by_id_.get(endpoint_id, -1):
             return []
         record = self.records_by_id_.get(endpoint_id)
+        self.changed_revision_ = max(self.changed_revision_, endpoint.revision)
         if record is None:
             self.records_by_id_[endpoint_id] = EndpointRecord(listed=endpoint)
             self.ids_by_service_.setdefault(endpoint.service_id, set()).add(endpoint_id)
@@ -79,6 +78,7 @@
             self.gone_revision_by_id_.pop(next(iter(self.gone_revision_by_id_)))
         if record is None:
             return []
+        self.changed_revision_ = max(self.changed_revision_, revision)
         del self.records_by_id_[endpoint_id]
         self.ids_by_service_[record.listed.service_id].discard(endpoint_id)
         return [self._change(record.listed, record.listed.state.value, "gone")]
@@ -87,6 +87,14 @@
         """Return what is believed of an endpoint that is listed."""
         return self.records_by_id_.get(endpoint_id)
 
+    def usable_by_hall(self, service_id: ServiceId) -> dict[HallId, int]:
+        """Return how many endpoints of a service take new work in each hall."""
+        counts: dict[HallId, int] = {}
+        for record in self.usable(service_id):
+            hall = record.listed.hall
+            counts[hall] = counts.get(hall, 0) + 1
+        return counts
+
     def usable(self, service_id: ServiceId) -> list[EndpointRecord]:
         """Return the endpoints of a service that take new work."""
         records = []
--- a/packages/leadford/src/leadford/forwarding/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/__init__.py
@@ -1,9 +1,10 @@
-"""Forward requests unaltered: declared routes, services, workspaces and their lookup."""
+"""Forward requests unaltered: routes, services, workspaces and their lookup."""
 
 from leadford.forwarding._model import (
     EngineLimits,
     ForwardConfig,
     PieceLimits,
+    ResultHandle,
     Route,
     RouteId,
     RouteKind,
@@ -23,6 +24,7 @@
     "LookupError",
     "LookupFault",
     "PieceLimits",
+    "ResultHandle",
     "Route",
     "RouteId",
     "RouteKind",
--- a/packages/leadford/src/leadford/forwarding/_model.py
+++ b/packages/leadford/src/leadford/forwarding/_model.py
@@ -9,6 +9,7 @@
 
 RouteId = NewType("RouteId", str)
 ServiceId = NewType("ServiceId", str)
+ResultHandle = NewType("ResultHandle", str)
 
 PRIORITY_LOWEST = 9
 
@@ -95,7 +96,7 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """Describe a service; `connections_max` holds for each endpoint over all entries."""
+    """Describe a service; `connections_max` of an endpoint holds for all entries."""
 
     service_id: ServiceId
     connections_max: int
--- a/packages/leadford/src/leadford/pieces/__init__.py
+++ b/packages/leadford/src/leadford/pieces/__init__.py
@@ -1,10 +1,16 @@
 """Run the stages before a request: its graph of pieces, and batches over requests."""
 
-from leadford.pieces._graph import PieceGraph, PieceKey, PieceState, StageCounts
-from leadford.pieces._lanes import Lane, LaneTable
+from leadford.pieces._graph import PieceGraph, PieceKey, PieceState
+from leadford.pieces._groups import GroupId, GroupLoad, GroupTable, keepers_in_order
+from leadford.pieces._lanes import PAUSE_FULL_S, PAUSE_ROOM_S, Lane, LaneTable
 from leadford.pieces._queue import PieceQueue, PieceTask
 
 __all__ = [
+    "PAUSE_FULL_S",
+    "PAUSE_ROOM_S",
+    "GroupId",
+    "GroupLoad",
+    "GroupTable",
     "Lane",
     "LaneTable",
     "PieceGraph",
@@ -12,5 +18,5 @@
     "PieceQueue",
     "PieceState",
     "PieceTask",
-    "StageCounts",
+    "keepers_in_order",
 ]
--- a/packages/leadford/src/leadford/pieces/_graph.py
+++ b/packages/leadford/src/leadford/pieces/_graph.py
@@ -1,15 +1,17 @@
-"""Follow the pieces of one request from pending to done."""
+"""Follow the pieces of one request from pending to done.
+
+A stage begins when it is due: results take room until the request reads them, so a
+short branch waits until the longest branch has as many stages left.
+"""
 
 from collections.abc import Sequence
 from enum import Enum
-from typing import NewType
 
 import msgspec
 from returns.result import Failure, Result, Success
 
-from leadford.forwarding import StageSpec
+from leadford.forwarding import ResultHandle, StageSpec
 
-ResultHandle = NewType("ResultHandle", str)
 PIECES_MAX = 10_000
 
 
@@ -28,12 +30,6 @@
     piece: int
 
 
-class StageCounts(msgspec.Struct, frozen=True):
-    """Hold how many pieces each stage of a request has; 0 leaves a stage out."""
-
-    counts: tuple[int, ...]
-
-
 class _Piece:
     """Hold the state of one piece."""
 
@@ -43,7 +39,7 @@
 
 
 class PieceGraph:
-    """Say which pieces can be made now, and hold the results that still have readers."""
+    """Say which pieces can be made now, and hold results while they have readers."""
 
     def __init__(self, *, stages: Sequence[StageSpec], counts: Sequence[int]) -> None:
         self.stages = tuple(stages)
@@ -55,6 +51,7 @@
         }
         read = {before for stage in self._kept() for before in self.stages[stage].after}
         self.sinks_ = [stage for stage in self._kept() if stage not in read]
+        self.chains_ = self._chains()
 
     @classmethod
     def from_counts(
@@ -82,13 +79,26 @@
             if key.stage in self.sinks_
         )
 
+    def _chains(self) -> dict[int, int]:
+        """Return how many stages follow each stage to the end, itself included."""
+        chains: dict[int, int] = {}
+        for stage in reversed(self._kept()):
+            readers = [
+                chains[later] for later in chains if stage in self.stages[later].after
+            ]
+            chains[stage] = 1 + max(readers, default=0)
+        return chains
+
     def ready(self) -> list[PieceKey]:
-        """Return the pieces that can be made now and are wanted."""
+        """Return the pieces that are wanted, can be made now and are due."""
         wanted = self._wanted_stages()
+        longest = max((self.chains_[stage] for stage in wanted), default=0)
         keys = []
         for key, piece in self.pieces_by_key_.items():
             if key.stage not in wanted or piece.state_ is not PieceState.PENDING:
                 continue
+            if self.chains_[key.stage] < longest:
+                continue
             if self._stage_is_ready(key.stage):
                 keys.append(key)
         return keys
--- a/packages/leadford/src/leadford/pieces/_lanes.py
+++ b/packages/leadford/src/leadford/pieces/_lanes.py
@@ -2,14 +2,12 @@
 
 import msgspec
 
-from leadford.common import EndpointId, HallId
+from leadford.common import EndpointId
 from leadford.endpoints import EndpointRecord
-from leadford.forwarding import PieceLimits
-from leadford.pieces._graph import ResultHandle
+from leadford.forwarding import PieceLimits, ResultHandle
 
 PAUSE_FULL_S = 0.06
 PAUSE_ROOM_S = 0.12
-OTHER_HALL_S = 0.15
 
 
 class HeldResult(msgspec.Struct, frozen=True):
@@ -74,8 +72,7 @@
 class LaneTable:
     """Choose where the next batch of a service goes."""
 
-    def __init__(self, *, hall: HallId) -> None:
-        self.hall = hall
+    def __init__(self) -> None:
         self.lanes_by_id_: dict[EndpointId, Lane] = {}
 
     def lane(self, endpoint_id: EndpointId, limits: PieceLimits) -> Lane:
@@ -126,6 +123,40 @@
         wait_s = max(0.0, lane.busy_until_ - now) if lane.calls_ else 0.0
         wait_s += record.waiting_elsewhere(now) * duration_s
         wait_s = max(wait_s, lane.paused_until_ - now)
-        if record.listed.hall != self.hall:
-            wait_s += OTHER_HALL_S
         return wait_s + duration_s
+
+    def wait_s(
+        self,
+        records: list[EndpointRecord],
+        limits: PieceLimits,
+        *,
+        waiting: int,
+        now: float,
+    ) -> float:
+        """Return when a piece that joins behind the waiting ones is in its call.
+
+        Units: seconds; infinite without an endpoint.
+        """
+        lanes = [self.lane(record.listed.endpoint_id, limits) for record in records]
+        if not lanes:
+            return float("inf")
+        lefts = [
+            max(lane.busy_until_ - now if lane.calls_ else 0.0, 0.0) for lane in lanes
+        ]
+        rounds = waiting // (limits.batch * len(lanes))
+        return min(lefts) + rounds * limits.duration_ms(limits.batch) / 1_000.0
+
+    def room_bytes(
+        self, records: list[EndpointRecord], limits: PieceLimits, now: float
+    ) -> int:
+        """Return the room that is left at all of the endpoints together."""
+        return sum(
+            max(0, self.lane(record.listed.endpoint_id, limits).room_bytes(now))
+            for record in records
+        )
+
+    def retain(self, known: set[EndpointId]) -> None:
+        """Forget the lanes of endpoints that left, once their calls have ended."""
+        for endpoint_id, lane in list(self.lanes_by_id_.items()):
+            if endpoint_id not in known and lane.calls_ == 0:
+                del self.lanes_by_id_[endpoint_id]
--- a/packages/leadford/src/leadford/pieces/_queue.py
+++ b/packages/leadford/src/leadford/pieces/_queue.py
@@ -1,20 +1,25 @@
-"""Queue the pieces that wait for a batch of one service."""
+"""Queue the pieces that wait for a batch."""
 
 from collections.abc import Callable
 
 import msgspec
 
-from leadford.common import EndpointId, RequestId
-from leadford.pieces._graph import PieceKey, ResultHandle
+from leadford.common import EndpointId, EntryId, RequestId
+from leadford.forwarding import ResultHandle
+from leadford.pieces._graph import PieceKey
 
 
 class PieceTask(msgspec.Struct, frozen=True, eq=False):
-    """Ask for one piece.
+    """Ask for one piece on behalf of the entry that holds its request.
 
-    Units: deadline is in seconds of the monotonic clock; a piece has a key of its
-    request's own or the results that it reads, never both.
+    A piece has a key of its request's own or the results that it reads, never both.
+    The ticket tells the answers to one entry apart.
+
+    Units: admitted_at, queued_at and deadline are seconds of the monotonic clock.
     """
 
+    ticket: int
+    home: EntryId
     request_id: RequestId
     key: PieceKey
     private_key: str
@@ -22,12 +27,13 @@
     result_bytes: int
     priority: int
     deadline: float
+    admitted_at: float
     queued_at: float
     excluded: frozenset[EndpointId] = frozenset()
 
 
 class PieceQueue:
-    """Hold waiting pieces; the most urgent request goes first, as a whole."""
+    """Hold waiting pieces; the most urgent and then the oldest request goes first."""
 
     def __init__(self) -> None:
         self.tasks_: list[PieceTask] = []
@@ -46,18 +52,22 @@
             self.tasks_ = [task for task in self.tasks_ if wanted(task)]
         return dropped
 
-    def ahead(self, priority: int) -> int:
-        """Return how many waiting pieces are as urgent or more so."""
-        return sum(task.priority <= priority for task in self.tasks_)
+    def waiting_bytes(self) -> int:
+        """Return the room that the waiting pieces will take."""
+        return sum(task.result_bytes for task in self.tasks_)
 
     def take(
         self, *, batch: int, room_bytes: int, endpoint_id: EndpointId
     ) -> list[PieceTask]:
-        """Remove and return the pieces of the next call to an endpoint."""
+        """Remove and return the pieces of the next call to an endpoint.
+
+        A piece that does not fit holds back no smaller one: room that is short for
+        the one may be plenty for the other.
+        """
         taken: list[PieceTask] = []
         left: list[PieceTask] = []
         ordered = sorted(
-            self.tasks_, key=lambda task: (task.priority, task.deadline, task.queued_at)
+            self.tasks_, key=lambda task: (task.priority, task.admitted_at)
         )
         for task in ordered:
             fits = task.result_bytes <= room_bytes and len(taken) < batch
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -317,6 +317,96 @@
     models: list[HeldModel]
 
 
+class PieceSubmit(_Base, tag=29):
+    """Ask the keeper of a group for one piece; the ticket comes back in the answer.
+
+    Units: remaining_ms is what is left of the request's time, age_ms how long ago it
+    was admitted.
+    """
+
+    ticket: int
+    service_id: str
+    hall: str
+    request_id: str
+    stage: int
+    piece: int
+    private_key: str
+    inputs: list[str]
+    result_bytes: int
+    priority: int
+    remaining_ms: float
+    age_ms: float
+    excluded: list[str] = []
+
+
+class PieceAnswer(_Base, tag=30):
+    """Give the result of a piece, or why there is none, and the endpoint asked."""
+
+    ticket: int
+    handle: str
+    reason: str
+    endpoint_id: str
+
+
+class PieceCancel(_Base, tag=31):
+    """Tell a keeper that pieces are wanted no more."""
+
+    tickets: list[int]
+
+
+class PieceRelease(_Base, tag=32):
+    """Tell a keeper that results of an endpoint have no reader any more."""
+
+    endpoint_id: str
+    handles: list[str]
+
+
+class GroupReport(_Base):
+    """Say how long a group makes a piece wait, and how much room it has.
+
+    Units: wait_ms in milliseconds.
+    """
+
+    service_id: str
+    hall: str
+    wait_ms: float
+    room_bytes: int
+
+
+class EntryHeartbeat(_Base, tag=33):
+    """Tell that an entry is alive, which listing it has seen, and its groups."""
+
+    listing_revision: int
+    groups: list[GroupReport] = []
+    is_draining: bool = False
+
+
+class ForwardConfigRequest(_Base, tag=34):
+    """Ask for the forwarding configuration that is in force at the peer."""
+
+    known_version: int
+
+
+class ForwardConfigAnswer(_Base, tag=35):
+    """Give a forwarding configuration in the product's own form."""
+
+    version: int
+    config: bytes
+
+
+class ListingRequest(_Base, tag=36):
+    """Ask for the endpoints that the peer has listed."""
+
+    known_revision: int
+
+
+class ListingAnswer(_Base, tag=37):
+    """Give the endpoints that are listed at a revision of the store."""
+
+    revision: int
+    endpoints: bytes
+
+
 Message = (
     Challenge
     | Hello
@@ -345,4 +435,13 @@
     | Query
     | QueryAnswer
     | PlanOrder
+    | PieceSubmit
+    | PieceAnswer
+    | PieceCancel
+    | PieceRelease
+    | EntryHeartbeat
+    | ForwardConfigRequest
+    | ForwardConfigAnswer
+    | ListingRequest
+    | ListingAnswer
 )
