--- a/packages/leadford-server/src/leadford_server/forward/_keeper.py
+++ b/packages/leadford-server/src/leadford_server/forward/_keeper.py
@@ -25,9 +25,10 @@
 
 CALL_PATIENCE = 2.5
 CALL_SLACK_S = 0.4
-FREE_DELAY_S = 0.01
+FREE_DELAY_S = 0.004
 FREE_TIMEOUT_S = 1.0
-LOOK_S = 0.06
+LOOK_S = 0.04
+RIPE_MARGIN_S = 0.001
 
 REASON_LATE = "late"
 REASON_GONE = "gone"
@@ -100,10 +101,6 @@
 
     def release(self, endpoint_id: EndpointId, handles: list[ResultHandle]) -> None:
         """Give results up: nobody reads them any more."""
-        lane = self.lanes_.lanes_by_id_.get(endpoint_id)
-        if lane is not None:
-            for handle in handles:
-                lane.free(handle)
         due = self.unread_by_id_.setdefault(endpoint_id, [])
         if not due:
             self.state.loop.call_later(FREE_DELAY_S, self._send_free, endpoint_id)
@@ -174,10 +171,16 @@
     ) -> bool:
         """Send one call if an endpoint takes it; return whether to go on."""
         limits = service.pieces
+        ripe_s = queue.ripe_at(limits) - now
+        if ripe_s > 0.0:
+            self.state.loop.call_later(ripe_s + RIPE_MARGIN_S, self._pump, group)
+            return False
         free = self.lanes_.ranked(records, limits, waiting=len(queue), now=now)
         for record in free:
             endpoint_id = record.listed.endpoint_id
             lane = self.lanes_.lane(endpoint_id, limits)
+            if lane.awaits_room(queue.first_bytes(limits.batch), now):
+                continue
             tasks = queue.take(
                 batch=limits.batch,
                 room_bytes=lane.room_bytes(now),
@@ -327,6 +330,11 @@
                     state.pool_.release(record, connection)
         except (ExchangeBroken, TimeoutError):
             return
+        # Only now is the room free; another call must not come before.
+        lane = self.lanes_.lanes_by_id_.get(record.listed.endpoint_id)
+        if lane is not None:
+            for handle in handles:
+                lane.free(handle)
         group = GroupId(service.service_id, HallId(record.listed.hall))
         if group in self.queues_by_group_:
             self._pump(group)
--- a/packages/leadford-server/src/leadford_server/forward/_links.py
+++ b/packages/leadford-server/src/leadford_server/forward/_links.py
@@ -6,12 +6,21 @@
 
 import msgspec
 
+from leadford.admission import Promise
 from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.endpoints import ListedEndpoint
 from leadford.events import Event
 from leadford.forwarding import ForwardConfig, ResultHandle, ServiceId
-from leadford.pieces import GroupId, GroupLoad, PieceKey, PieceTask, keepers_in_order
+from leadford.pieces import (
+    CommitmentKey,
+    GroupId,
+    GroupLoad,
+    PieceKey,
+    PieceTask,
+    keepers_in_order,
+)
 from leadford.protocol import (
+    CommitmentReport,
     EntryHeartbeat,
     ForwardConfigAnswer,
     ForwardConfigRequest,
@@ -23,6 +32,7 @@
     PieceCancel,
     PieceRelease,
     PieceSubmit,
+    RefusalReport,
 )
 from leadford_server.forward._contract import KnownEntry
 from leadford_server.forward._keeper import KeptAnswer
@@ -162,7 +172,22 @@
             if self.stages.keeper_of(group) == self.entry_id
         ]
         message = EntryHeartbeat(
-            self.state.roster_.changed_revision_, groups, self.is_draining_
+            self.state.roster_.changed_revision_,
+            groups,
+            self.is_draining_,
+            [
+                CommitmentReport(key.service_id, key.aim_ms, pieces)
+                for key, pieces in self.stages.commitments_.own_by_key_.items()
+            ],
+            [
+                RefusalReport(
+                    promise.fingerprint,
+                    (promise.return_at - now) * 1_000.0,
+                    promise.aim_ms,
+                    dict(promise.pieces_by_service),
+                )
+                for promise in self.state.refused_.take_unsent()
+            ],
         )
         for entry_id, peer in list(self.peers_by_id_.items()):
             if now - self.heard_at_by_id_.get(entry_id, now) > 3 * LIVE_S:
@@ -205,7 +230,7 @@
                 task.result_bytes,
                 task.priority,
                 (task.deadline - now) * 1_000.0,
-                (now - task.admitted_at) * 1_000.0,
+                (task.due_at - now) * 1_000.0,
                 list(task.excluded),
             )
         )
@@ -253,6 +278,7 @@
         self.state.log.report(Event.PEER_LOST, peer=entry_id)
         self.stages.keeper_.forget(entry_id)
         self.stages.keeper_lost(entry_id)
+        self.stages.commitments_.forget(entry_id)
 
     def peer_version(self, peer: PeerConnection, version: int) -> None:
         """Take in which configuration runs at a peer."""
@@ -278,6 +304,19 @@
             group = GroupId(ServiceId(report.service_id), HallId(report.hall))
             load = GroupLoad(report.wait_ms / 1_000.0, report.room_bytes, now)
             self.stages.groups_.note_load(group, load)
+        counts = {
+            CommitmentKey(ServiceId(report.service_id), report.aim_ms): report.pieces
+            for report in message.commitments
+        }
+        self.stages.commitments_.note_heard(entry_id, counts, now)
+        for report in message.refused:
+            promise = Promise(
+                report.fingerprint,
+                now + report.return_ms / 1_000.0,
+                report.aim_ms,
+                {ServiceId(name): count for name, count in report.pieces.items()},
+            )
+            self.state.refused_.note(promise, is_own=False)
         self._compare(peer, message, now)
 
     def _compare(
@@ -308,7 +347,7 @@
             result_bytes=message.result_bytes,
             priority=message.priority,
             deadline=now + message.remaining_ms / 1_000.0,
-            admitted_at=now - message.age_ms / 1_000.0,
+            due_at=now + message.due_ms / 1_000.0,
             queued_at=now,
             excluded=frozenset(EndpointId(text) for text in message.excluded),
         )
--- a/packages/leadford-server/src/leadford_server/forward/_process.py
+++ b/packages/leadford-server/src/leadford_server/forward/_process.py
@@ -9,6 +9,7 @@
 from tornado import httpserver, web
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
+from leadford.admission import ForwardAdmission
 from leadford.common import EntryId, HallId
 from leadford.endpoints import ListedEndpoint
 from leadford.events import Event
@@ -101,6 +102,11 @@
             log=self.log_,
         )
         self.stages_ = StageRunner(state=self.state_, entry_id=settings.entry_id)
+        self.admission_ = ForwardAdmission(
+            commitments=self.stages_.commitments_,
+            memory=self.state_.refused_,
+            random=self.random,
+        )
         self.links_ = EntryLinks(
             entry_id=settings.entry_id,
             secret=settings.secret,
@@ -184,7 +190,12 @@
         return has_config and not self.is_draining_
 
     async def _serve(self, exchange: Exchange) -> None:
-        run = ForwardRun(exchange=exchange, state=self.state_, stages=self.stages_)
+        run = ForwardRun(
+            exchange=exchange,
+            state=self.state_,
+            stages=self.stages_,
+            admission=self.admission_,
+        )
         await run.serve()
 
     def _report_fault(self, exchange: Exchange, error: BaseException) -> None:
--- a/packages/leadford-server/src/leadford_server/forward/_run.py
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -6,10 +6,11 @@
 import msgspec
 from returns.result import Failure
 
+from leadford.admission import ForwardAdmission, StageCapacity, Verdict
 from leadford.common import EndpointId, HallId
 from leadford.endpoints import EndpointRecord
 from leadford.events import Event
-from leadford.forwarding import Admitted, LookupFault, RouteKind
+from leadford.forwarding import Admitted, LookupFault, RouteKind, ServiceId
 from leadford.pieces import PieceGraph
 from leadford_server.forward._connection import (
     BreakKind,
@@ -66,9 +67,15 @@
     """Serve one request."""
 
     def __init__(
-        self, *, exchange: Exchange, state: ForwardState, stages: StageRunner
+        self,
+        *,
+        exchange: Exchange,
+        state: ForwardState,
+        stages: StageRunner,
+        admission: ForwardAdmission,
     ) -> None:
         self.exchange = exchange
+        self.admission = admission
         self.state = state
         self.stages = stages
         self.request: InboundRequest = exchange.request_
@@ -84,6 +91,7 @@
         self.model_version_: int | None = None
         self.first_byte_at_: float | None = None
         self.stages_done_at_: float | None = None
+        self.expected_s_ = 0.0
 
     async def serve(self) -> None:
         """Serve the request and write down how it ended."""
@@ -131,6 +139,8 @@
         self.deadline_ = request.received_at + allowed_ms / 1_000.0
         service_id = self.admitted_.service.service_id
         self.state.budget(service_id).note_request(self.state.now())
+        if route.stages and not self._is_let_in():
+            return
         try:
             async with asyncio.timeout_at(self.deadline_ - ANSWER_MARGIN_S):
                 if route.stages and not await self._make_inputs():
@@ -142,6 +152,45 @@
         except TimeoutError:
             self._finish(End.LATE, 504, "out of time")
 
+    def _is_let_in(self) -> bool:
+        """Decide whether a request with stages begins."""
+        request = self.request
+        route = self.admitted_.route
+        now = self.state.now()
+        counts = request.piece_counts or ()
+        if len(counts) != len(route.stages):
+            self._finish(End.DENIED, 400, "counts of pieces do not fit the stages")
+            return False
+        decision = self.admission.decide(
+            route,
+            counts,
+            self._capacities(),
+            fingerprint=request.fingerprint,
+            engine_s=self.state.engine_s(self.admitted_.service.service_id).value_,
+            elapsed_s=now - request.received_at,
+            allowed_s=self.deadline_ - request.received_at,
+            now=now,
+        )
+        self.expected_s_ = decision.expected_s
+        if decision.verdict is Verdict.ADMIT:
+            return True
+        detail = f"expected in {decision.expected_s:.2f} s"
+        self._refuse(detail + ", returned" * decision.is_return, decision.retry_after_s)
+        return False
+
+    def _capacities(self) -> dict[ServiceId, StageCapacity]:
+        """Return what the stages of the route can use now."""
+        found: dict[ServiceId, StageCapacity] = {}
+        for stage in self.admitted_.route.stages:
+            service = self.state.service(stage.service_id)
+            if service is None or service.pieces is None:
+                continue
+            now = self.state.now()
+            usable = self.state.roster_.usable(stage.service_id)
+            trusted = [record for record in usable if not record.is_suspect(now)]
+            found[stage.service_id] = StageCapacity(service.pieces, len(trusted))
+        return found
+
     async def _make_inputs(self) -> bool:
         """Run the stages; return whether the request itself can go on."""
         request = self.request
@@ -157,7 +206,8 @@
                 private_key=request.piece_key,
                 priority=self.admitted_.priority,
                 deadline=self.deadline_,
-                admitted_at=request.received_at,
+                due_at=request.received_at + self.admitted_.route.aim_ms / 1_000.0,
+                aim_ms=self.admitted_.route.aim_ms,
             )
         try:
             await self.stages.complete(self.job_)
@@ -409,6 +459,13 @@
     def _begin_answer(self, attempt: Attempt) -> None:
         head = attempt.answer.head
         self.first_byte_at_ = self.state.now()
+        service_id = self.admitted_.service.service_id
+        self.state.engine_s(service_id).update(self.first_byte_at_ - attempt.began_at)
+        if self.expected_s_ > 0.0:
+            actual_s = self.first_byte_at_ - self.request.received_at
+            self.admission.note_answered(
+                self.admitted_.route, self.expected_s_, actual_s
+            )
         self.model_version_ = head.model_version
         self.exchange.begin(head.status, head.headers, head.reason)
         if self.job_ is not None:
@@ -529,6 +586,7 @@
             status=self.status_,
             outcome=self.end_.value,
             detail=self.detail_[:160],
+            expected_ms=round(min(self.expected_s_, 1e6) * 1_000.0),
             stages_ms=_ms(stages, request.received_at),
             first_ms=_ms(first, request.received_at),
             took_ms=_ms(now, request.received_at),
--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -9,6 +9,8 @@
 from leadford.events import Event
 from leadford.forwarding import PieceLimits, ResultHandle, ServiceId, StageSpec
 from leadford.pieces import (
+    CommitmentKey,
+    CommitmentTable,
     GroupId,
     GroupLoad,
     GroupTable,
@@ -70,7 +72,8 @@
         private_key: str,
         priority: int,
         deadline: float,
-        admitted_at: float,
+        due_at: float,
+        aim_ms: float,
         done: asyncio.Future[None],
     ) -> None:
         self.request_id = request_id
@@ -78,12 +81,14 @@
         self.private_key = private_key
         self.priority = priority
         self.deadline = deadline
-        self.admitted_at = admitted_at
+        self.due_at = due_at
+        self.aim_ms = aim_ms
         self.done_ = done
         self.is_over_ = False
         self.tries_by_key_: dict[PieceKey, int] = {}
         self.excluded_by_key_: dict[PieceKey, frozenset[EndpointId]] = {}
         self.tickets_: set[int] = set()
+        self.committed_: set[PieceKey] = set()
 
     def fail(self, detail: str) -> None:
         """End the job without its results."""
@@ -120,6 +125,7 @@
         self.entry_id = entry_id
         self.keeper_ = PieceKeeper(state=state, reply=self._kept)
         self.groups_ = GroupTable(hall=state.hall)
+        self.commitments_ = CommitmentTable()
         self.links: KeeperLinks | None = None
         self.sent_by_ticket_: dict[int, _Sent] = {}
         self.maker_by_handle_: dict[ResultHandle, _Maker] = {}
@@ -135,18 +141,24 @@
         private_key: str,
         priority: int,
         deadline: float,
-        admitted_at: float,
+        due_at: float,
+        aim_ms: float,
     ) -> StageJob:
-        """Return a job for the stages of a request."""
-        return StageJob(
+        """Return a job for the stages of a request, and count its pieces."""
+        job = StageJob(
             request_id=request_id,
             graph=graph,
             private_key=private_key,
             priority=priority,
             deadline=deadline,
-            admitted_at=admitted_at,
+            due_at=due_at,
+            aim_ms=aim_ms,
             done=self.state.loop.create_future(),
         )
+        for key in job.graph.pieces_by_key_:
+            job.committed_.add(key)
+            self.commitments_.add(self._commitment(job, key), 1)
+        return job
 
     async def complete(self, job: StageJob) -> None:
         """Make what is missing; raises StageFailure."""
@@ -162,6 +174,8 @@
         if job.is_over_:
             return
         job.is_over_ = True
+        for key in list(job.committed_):
+            self._discharge(job, key)
         self._cancel(job)
         self.release(job)
 
@@ -189,6 +203,16 @@
             halls.update(self.links.halls_by_live_entry())
         return keepers_in_order(group, halls)[0]
 
+    def _commitment(self, job: StageJob, key: PieceKey) -> CommitmentKey:
+        return CommitmentKey(job.graph.stages[key.stage].service_id, job.aim_ms)
+
+    def _discharge(self, job: StageJob, key: PieceKey) -> None:
+        """Count a piece as made, or as wanted no more."""
+        if key not in job.committed_:
+            return
+        job.committed_.discard(key)
+        self.commitments_.add(self._commitment(job, key), -1)
+
     def _advance(self, job: StageJob) -> None:
         """Send the pieces that are due."""
         if job.is_over_ or job.done_.done():
@@ -197,35 +221,61 @@
         if job.graph.is_done:
             job.done_.set_result(None)
             return
+        keys_by_stage: dict[int, list[PieceKey]] = {}
         for key in job.graph.ready():
             job.graph.note_queued(key)
-            self._send(job, key)
+            keys_by_stage.setdefault(key.stage, []).append(key)
+        for stage, keys in keys_by_stage.items():
+            self._send_stage(job, stage, keys)
             if job.done_.done():
                 return
 
-    def _send(self, job: StageJob, key: PieceKey) -> None:
-        stage = job.graph.stages[key.stage]
+    def _send_stage(self, job: StageJob, number: int, keys: list[PieceKey]) -> None:
+        """Send pieces of one stage, those that fit in one call to one group."""
+        stage = job.graph.stages[number]
         service = self.state.service(stage.service_id)
         if service is None or service.pieces is None:
             job.fail(f"{stage.service_id} takes no pieces")
             return
+        batch = service.pieces.batch
+        for start in range(0, len(keys), batch):
+            self._send(job, stage, service.pieces, keys[start : start + batch])
+
+    def _send(
+        self,
+        job: StageJob,
+        stage: StageSpec,
+        limits: PieceLimits,
+        keys: list[PieceKey],
+    ) -> None:
         now = self.state.now()
-        excluded = job.excluded_by_key_.get(key, frozenset())
-        group = self._choose_group(stage, service.pieces, excluded, now)
+        excluded = frozenset().union(
+            *(job.excluded_by_key_.get(key, frozenset()) for key in keys)
+        )
+        group = self._choose_group(stage, limits, excluded, now)
         if group is None:
-            self.state.loop.call_later(NO_ENDPOINT_WAIT_S, self._send_later, job, key)
+            self.state.loop.call_later(
+                NO_ENDPOINT_WAIT_S, self._send_later, job, stage, limits, keys
+            )
             return
-        task = self._task(job, key, stage, excluded, now)
         keeper = self.keeper_of(group)
-        self._hand_over(_Sent(task, job, group, keeper, 0.0), service.pieces, now)
+        for key in keys:
+            task = self._task(job, key, stage, excluded, now)
+            self._hand_over(_Sent(task, job, group, keeper, 0.0), limits, now)
 
-    def _send_later(self, job: StageJob, key: PieceKey) -> None:
+    def _send_later(
+        self,
+        job: StageJob,
+        stage: StageSpec,
+        limits: PieceLimits,
+        keys: list[PieceKey],
+    ) -> None:
         if job.is_over_ or job.done_.done():
             return
         if self.state.now() >= job.deadline:
             job.fail(REASON_LATE)
             return
-        self._send(job, key)
+        self._send(job, stage, limits, keys)
 
     def _choose_group(
         self,
@@ -284,7 +334,7 @@
             result_bytes=stage.result_bytes,
             priority=job.priority,
             deadline=job.deadline,
-            admitted_at=job.admitted_at,
+            due_at=job.due_at,
             queued_at=now,
             excluded=excluded,
         )
@@ -336,6 +386,7 @@
         if job.is_over_:
             self._give_up([answer.handle])
             return
+        self._discharge(job, key)
         job.graph.note_done(key, answer.handle)
         self._advance(job)
 
--- a/packages/leadford-server/src/leadford_server/forward/_state.py
+++ b/packages/leadford-server/src/leadford_server/forward/_state.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from leadford.common import HallId
+from leadford.admission import RefusedMemory
+from leadford.common import Ewma, HallId
 from leadford.endpoints import EndpointChooser, EndpointRoster
 from leadford.forwarding import RouteTable, Service, ServiceId
 from leadford.retries import WindowedRetryBudget
@@ -14,6 +15,7 @@
 from leadford_server.logs import EventLog
 
 CONFIG_FRESH_S = 6.0
+ENGINE_S = 0.15
 
 
 class ForwardBounds(msgspec.Struct, frozen=True):
@@ -55,6 +57,8 @@
         self.pool_ = ConnectionPool(wire=wire, loop=loop)
         self.budgets_by_service_: dict[ServiceId, WindowedRetryBudget] = {}
         self.sharers_ = 1
+        self.refused_ = RefusedMemory()
+        self.engine_s_by_service_: dict[ServiceId, Ewma] = {}
         self.config_seen_at_: float | None = None
 
     def now(self) -> float:
@@ -82,6 +86,17 @@
             self.budgets_by_service_[service_id] = budget
         return budget
 
+    def engine_s(self, service_id: ServiceId) -> Ewma:
+        """Return how long a service takes to the first byte of an answer.
+
+        Units: seconds.
+        """
+        estimate = self.engine_s_by_service_.get(service_id)
+        if estimate is None:
+            estimate = Ewma(initial=ENGINE_S)
+            self.engine_s_by_service_[service_id] = estimate
+        return estimate
+
     def config_is_fresh(self) -> bool:
         """Tell whether the configuration was confirmed a short while ago."""
         seen_at = self.config_seen_at_
--- a/packages/leadford/src/leadford/admission/__init__.py
+++ b/packages/leadford/src/leadford/admission/__init__.py
@@ -10,17 +10,31 @@
     StageNeed,
     forecast_pool,
 )
+from leadford.admission._forward import (
+    AdmissionDecision,
+    ForwardAdmission,
+    Promise,
+    RefusedMemory,
+    StageCapacity,
+    Verdict,
+)
 from leadford.admission._headroom import Headroom
 
 __all__ = [
+    "AdmissionDecision",
     "AdmissionVerdict",
     "Deferral",
     "EndpointAdmission",
     "EntitlementLedger",
     "EntryAdmission",
+    "ForwardAdmission",
     "Headroom",
     "PoolForecast",
+    "Promise",
+    "RefusedMemory",
     "ServiceEstimate",
+    "StageCapacity",
     "StageNeed",
+    "Verdict",
     "forecast_pool",
 ]
--- a/packages/leadford/src/leadford/pieces/__init__.py
+++ b/packages/leadford/src/leadford/pieces/__init__.py
@@ -1,5 +1,6 @@
 """Run the stages before a request: its graph of pieces, and batches over requests."""
 
+from leadford.pieces._commitments import CommitmentKey, CommitmentTable
 from leadford.pieces._graph import PieceGraph, PieceKey, PieceState
 from leadford.pieces._groups import GroupId, GroupLoad, GroupTable, keepers_in_order
 from leadford.pieces._lanes import PAUSE_FULL_S, PAUSE_ROOM_S, Lane, LaneTable
@@ -8,6 +9,8 @@
 __all__ = [
     "PAUSE_FULL_S",
     "PAUSE_ROOM_S",
+    "CommitmentKey",
+    "CommitmentTable",
     "GroupId",
     "GroupLoad",
     "GroupTable",
--- /dev/null
+++ b/packages/leadford/src/leadford/pieces/_commitments.py
@@ -0,0 +1,78 @@
+"""Count the pieces that are admitted and not yet made, here and at other entries."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from leadford.common import EntryId
+from leadford.forwarding import ServiceId
+
+FRESH_S = 1.5
+
+
+class CommitmentKey(msgspec.Struct, frozen=True):
+    """Name pieces of one service whose requests have the same aim.
+
+    Units: aim_ms in milliseconds.
+    """
+
+    service_id: ServiceId
+    aim_ms: float
+
+
+class _Heard(msgspec.Struct, frozen=True):
+    """Hold what another entry said, and when."""
+
+    counts_by_key: dict[CommitmentKey, int]
+    heard_at: float
+
+
+class CommitmentTable:
+    """Add up the commitments of all entries; what was said long ago expires."""
+
+    def __init__(self) -> None:
+        self.own_by_key_: dict[CommitmentKey, int] = {}
+        self.heard_by_entry_: dict[EntryId, _Heard] = {}
+
+    def add(self, key: CommitmentKey, pieces: int) -> None:
+        """Count pieces that this entry admitted, or with a minus that are made."""
+        left = self.own_by_key_.get(key, 0) + pieces
+        if left > 0:
+            self.own_by_key_[key] = left
+        else:
+            self.own_by_key_.pop(key, None)
+
+    def note_heard(
+        self,
+        entry_id: EntryId,
+        counts_by_key: dict[CommitmentKey, int],
+        now: float,
+    ) -> None:
+        """Take in what another entry has admitted."""
+        self.heard_by_entry_[entry_id] = _Heard(counts_by_key, now)
+
+    def forget(self, entry_id: EntryId) -> None:
+        """Drop what an entry said that is gone."""
+        self.heard_by_entry_.pop(entry_id, None)
+
+    def pieces_before(
+        self, service_id: ServiceId, aim_ms: float, *, later_part: float, now: float
+    ) -> float:
+        """Return how many pieces go before those of a request with an aim.
+
+        Pieces of requests with a longer aim count in part: the older ones are due
+        earlier.
+        """
+        total = 0.0
+        for counts in self._all(now):
+            for key, pieces in counts.items():
+                if key.service_id != service_id:
+                    continue
+                total += pieces if key.aim_ms <= aim_ms else pieces * later_part
+        return total
+
+    def _all(self, now: float) -> Iterable[dict[CommitmentKey, int]]:
+        yield self.own_by_key_
+        for heard in self.heard_by_entry_.values():
+            if now - heard.heard_at < FRESH_S:
+                yield heard.counts_by_key
--- a/packages/leadford/src/leadford/pieces/_lanes.py
+++ b/packages/leadford/src/leadford/pieces/_lanes.py
@@ -8,6 +8,7 @@
 
 PAUSE_FULL_S = 0.06
 PAUSE_ROOM_S = 0.12
+ROOM_PATIENCE = 0.6
 
 
 class HeldResult(msgspec.Struct, frozen=True):
@@ -27,6 +28,7 @@
         self.busy_until_ = 0.0
         self.paused_until_ = 0.0
         self.calling_bytes_ = 0
+        self.short_since_: float | None = None
         self.held_by_handle_: dict[ResultHandle, HeldResult] = {}
 
     def room_bytes(self, now: float) -> int:
@@ -40,6 +42,20 @@
         held_bytes = sum(held.result_bytes for held in self.held_by_handle_.values())
         return self.limits.room_bytes - held_bytes - self.calling_bytes_
 
+    def awaits_room(self, wanted_bytes: int, now: float) -> bool:
+        """Tell whether a call that is short of room should wait a little for more.
+
+        A call costs much more than a piece in it, so a short wait pays when readers
+        are about to give results up. The wait is bounded.
+        """
+        if wanted_bytes <= self.room_bytes(now):
+            self.short_since_ = None
+            return False
+        if self.short_since_ is None:
+            self.short_since_ = now
+        patience_s = ROOM_PATIENCE * self.limits.call_ms / 1_000.0
+        return bool(self.held_by_handle_) and now - self.short_since_ < patience_s
+
     def is_free(self, now: float) -> bool:
         """Tell whether the endpoint may get a call now."""
         return self.calls_ < self.limits.slots and now >= self.paused_until_
@@ -47,6 +63,7 @@
     def begin(self, pieces: int, result_bytes: int, now: float) -> None:
         """Count a call that leaves now."""
         self.calls_ += 1
+        self.short_since_ = None
         self.calling_bytes_ += result_bytes
         self.busy_until_ = now + self.limits.duration_ms(pieces) / 1_000.0
 
--- a/packages/leadford/src/leadford/pieces/_queue.py
+++ b/packages/leadford/src/leadford/pieces/_queue.py
@@ -5,9 +5,13 @@
 import msgspec
 
 from leadford.common import EndpointId, EntryId, RequestId
-from leadford.forwarding import ResultHandle
+from leadford.forwarding import PieceLimits, ResultHandle
 from leadford.pieces._graph import PieceKey
 
+URGENT_CALLS = 4.0
+COMPANY_PART = 0.08
+COMPANY_MOST = 0.9
+
 
 class PieceTask(msgspec.Struct, frozen=True, eq=False):
     """Ask for one piece on behalf of the entry that holds its request.
@@ -15,7 +19,8 @@
     A piece has a key of its request's own or the results that it reads, never both.
     The ticket tells the answers to one entry apart.
 
-    Units: admitted_at, queued_at and deadline are seconds of the monotonic clock.
+    Units: due_at, queued_at and deadline are seconds of the monotonic clock; due_at
+    is when the whole request should have been answered.
     """
 
     ticket: int
@@ -27,13 +32,13 @@
     result_bytes: int
     priority: int
     deadline: float
-    admitted_at: float
+    due_at: float
     queued_at: float
     excluded: frozenset[EndpointId] = frozenset()
 
 
 class PieceQueue:
-    """Hold waiting pieces; the most urgent and then the oldest request goes first."""
+    """Hold waiting pieces; the request that is due first goes first."""
 
     def __init__(self) -> None:
         self.tasks_: list[PieceTask] = []
@@ -56,25 +61,61 @@
         """Return the room that the waiting pieces will take."""
         return sum(task.result_bytes for task in self.tasks_)
 
+    def ripe_at(self, limits: PieceLimits) -> float:
+        """Return from when a call that is not full should leave all the same.
+
+        A piece whose request has time to spare waits a little for company: a call
+        costs much more than a piece in it.
+        """
+        if len(self.tasks_) >= limits.batch:
+            return 0.0
+        urgent_s = URGENT_CALLS * limits.duration_ms(limits.batch) / 1_000.0
+        most_s = COMPANY_MOST * limits.call_ms / 1_000.0
+        ripe_at = float("inf")
+        for task in self.tasks_:
+            spare_s = task.due_at - task.queued_at - urgent_s
+            wait_s = min(most_s, max(0.0, COMPANY_PART * spare_s))
+            ripe_at = min(ripe_at, task.queued_at + wait_s)
+        return ripe_at
+
+    def first_bytes(self, batch: int) -> int:
+        """Return the room that a full call of the first pieces takes."""
+        ordered = sorted(self.tasks_, key=lambda task: (task.due_at, task.priority))
+        return sum(task.result_bytes for task in ordered[:batch])
+
     def take(
         self, *, batch: int, room_bytes: int, endpoint_id: EndpointId
     ) -> list[PieceTask]:
         """Remove and return the pieces of the next call to an endpoint.
 
-        A piece that does not fit holds back no smaller one: room that is short for
-        the one may be plenty for the other.
+        The pieces of one stage of a request go together, as far as they fit in a
+        call: a part of them would take room until the rest is made. Pieces that do
+        not fit hold back no smaller ones.
         """
         taken: list[PieceTask] = []
         left: list[PieceTask] = []
-        ordered = sorted(
-            self.tasks_, key=lambda task: (task.priority, task.admitted_at)
-        )
-        for task in ordered:
-            fits = task.result_bytes <= room_bytes and len(taken) < batch
-            if not fits or endpoint_id in task.excluded:
-                left.append(task)
+        for number, chunk in enumerate(self._chunks()):
+            allowed = [task for task in chunk if endpoint_id not in task.excluded]
+            places = batch - len(taken)
+            if number > 0 and len(allowed) > places and len(allowed) <= batch:
+                left += chunk
                 continue
-            room_bytes -= task.result_bytes
-            taken.append(task)
+            fitting: list[PieceTask] = []
+            for task in allowed[:places]:
+                if task.result_bytes > room_bytes:
+                    break
+                room_bytes -= task.result_bytes
+                fitting.append(task)
+            taken += fitting
+            left += [task for task in chunk if task not in fitting]
         self.tasks_ = left
         return taken
+
+    def _chunks(self) -> list[list[PieceTask]]:
+        """Return the waiting pieces by stage of their request, the first due first."""
+        chunks: dict[tuple[RequestId, int], list[PieceTask]] = {}
+        for task in self.tasks_:
+            chunks.setdefault((task.request_id, task.key.stage), []).append(task)
+        return sorted(
+            chunks.values(), key=lambda chunk: (chunk[0].due_at, chunk[0].priority)
+        )
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -320,8 +320,8 @@
 class PieceSubmit(_Base, tag=29):
     """Ask the keeper of a group for one piece; the ticket comes back in the answer.
 
-    Units: remaining_ms is what is left of the request's time, age_ms how long ago it
-    was admitted.
+    Units: remaining_ms is what is left of the request's time, due_ms what is left
+    until it should have been answered.
     """
 
     ticket: int
@@ -335,7 +335,7 @@
     result_bytes: int
     priority: int
     remaining_ms: float
-    age_ms: float
+    due_ms: float
     excluded: list[str] = []
 
 
@@ -373,12 +373,37 @@
     room_bytes: int
 
 
+class CommitmentReport(_Base):
+    """Say how many pieces of a service this entry has admitted and not yet had made.
+
+    Units: aim_ms is the aim of the requests that they belong to.
+    """
+
+    service_id: str
+    aim_ms: float
+    pieces: int
+
+
+class RefusalReport(_Base):
+    """Say which request was told to come back, when, and what it will need.
+
+    Units: return_ms from now, aim_ms in milliseconds.
+    """
+
+    fingerprint: str
+    return_ms: float
+    aim_ms: float
+    pieces: dict[str, int]
+
+
 class EntryHeartbeat(_Base, tag=33):
     """Tell that an entry is alive, which listing it has seen, and its groups."""
 
     listing_revision: int
     groups: list[GroupReport] = []
     is_draining: bool = False
+    commitments: list[CommitmentReport] = []
+    refused: list[RefusalReport] = []
 
 
 class ForwardConfigRequest(_Base, tag=34):
