--- a/packages/leadford-server/src/leadford_server/forward/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forward/_contract.py
@@ -9,7 +9,7 @@
 from returns.result import Result
 
 from leadford.common import EndpointId, EntryId, HallId, RequestId
-from leadford.endpoints import ListedEndpoint, ReportedLoad
+from leadford.endpoints import ListedEndpoint, PromptShape, ReportedLoad
 from leadford.forwarding import ForwardConfig, ResultHandle
 from leadford.pieces import PieceTask
 
@@ -34,8 +34,7 @@
     last_event_id: int | None = None
     piece_counts: tuple[int, ...] | None = None
     piece_key: str = ""
-    prefix_parts: tuple[tuple[str, int], ...] = ()
-    tokens_in: int = 0
+    prompt: PromptShape = PromptShape((), 0)
     tokens_out: int = 0
     body: bytes = b""
     fault: str = ""
@@ -43,8 +42,7 @@
     @property
     def fingerprint(self) -> str:
         """Return what tells that two requests are the same one sent again."""
-        last = self.prefix_parts[-1][0] if self.prefix_parts else ""
-        return f"{self.piece_key}/{last}"
+        return f"{self.piece_key}/{self.prompt.session}"
 
     @property
     def path(self) -> str:
--- a/packages/leadford-server/src/leadford_server/forward/_process.py
+++ b/packages/leadford-server/src/leadford_server/forward/_process.py
@@ -322,7 +322,9 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
-            self.state_.pool_.sweep(set(self.state_.roster_.records_by_id_))
+            known = set(self.state_.roster_.records_by_id_)
+            self.state_.pool_.sweep(known)
+            self.state_.engines_.retain(known)
 
     def settings_changed(self) -> None:
         """Read the settings again; what cannot be read changes nothing."""
--- a/packages/leadford-server/src/leadford_server/forward/_run.py
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -8,7 +8,7 @@
 
 from leadford.admission import ForwardAdmission, StageCapacity, Verdict
 from leadford.common import EndpointId, HallId
-from leadford.endpoints import EndpointRecord
+from leadford.endpoints import EndpointRecord, EngineTicket
 from leadford.events import Event
 from leadford.forwarding import Admitted, LookupFault, RouteKind, ServiceId
 from leadford.pieces import PieceGraph
@@ -92,6 +92,7 @@
         self.first_byte_at_: float | None = None
         self.stages_done_at_: float | None = None
         self.expected_s_ = 0.0
+        self.engine_ticket_: EngineTicket | None = None
 
     async def serve(self) -> None:
         """Serve the request and write down how it ended."""
@@ -208,6 +209,7 @@
                 deadline=self.deadline_,
                 due_at=request.received_at + self.admitted_.route.aim_ms / 1_000.0,
                 aim_ms=self.admitted_.route.aim_ms,
+                hall=self._planned_hall(),
             )
         try:
             await self.stages.complete(self.job_)
@@ -329,6 +331,7 @@
         self.tried_.append(record.listed.endpoint_id)
         began_at = state.now()
         record.in_flight_ += 1
+        self._note_prompt_sent(record)
         connection = None
         try:
             connection = await state.pool_.acquire(
@@ -356,6 +359,20 @@
         await self._check_head(attempt)
         return attempt
 
+    def _note_prompt_sent(self, record: EndpointRecord) -> None:
+        engine = self.admitted_.service.engine
+        if engine is not None:
+            self.engine_ticket_ = self.state.engines_.note_sent(
+                record, self.request.prompt, engine.memory_tokens
+            )
+
+    def _note_prompt_read(self) -> None:
+        """Count that the engine has read the prompt, or that the attempt is over."""
+        ticket = self.engine_ticket_
+        if ticket is not None:
+            self.state.engines_.note_started(ticket)
+            self.engine_ticket_ = None
+
     async def _check_head(self, attempt: Attempt) -> None:
         """Raise what the head of an answer says against the attempt."""
         head = attempt.answer.head
@@ -380,20 +397,36 @@
 
     def _choose(self) -> EndpointRecord | None:
         state = self.state
-        records = state.roster_.usable(self.admitted_.service.service_id)
-        return state.chooser_.choose(
-            records,
-            excluded=self.tried_,
-            preferred_hall=self._inputs_hall(),
-            now=state.now(),
-        )
+        service = self.admitted_.service
+        records = state.roster_.usable(service.service_id)
+        if service.engine is not None:
+            return state.engines_.choose(
+                records,
+                self.request.prompt,
+                excluded=self.tried_,
+                bytes_by_hall=self._input_bytes(),
+                now=state.now(),
+            )
+        return state.chooser_.choose(records, excluded=self.tried_, now=state.now())
 
-    def _inputs_hall(self) -> HallId | None:
-        """Return the hall that holds most bytes of the inputs."""
+    def _input_bytes(self) -> dict[HallId, int]:
+        """Return how many bytes of the inputs lie in each hall."""
         if self.job_ is None:
-            return None
-        bytes_by_hall = self.stages.bytes_by_hall(self.job_)
-        return max(bytes_by_hall, key=bytes_by_hall.get) if bytes_by_hall else None
+            return {}
+        return self.stages.bytes_by_hall(self.job_)
+
+    def _planned_hall(self) -> HallId:
+        """Return the hall of the engine that would be chosen now."""
+        state = self.state
+        record = state.engines_.choose(
+            state.roster_.usable(self.admitted_.service.service_id),
+            self.request.prompt,
+            extra_ms_by_hall=self.stages.wait_ms_by_hall(
+                self.admitted_.route.stages, self.request.piece_counts
+            ),
+            now=state.now(),
+        )
+        return record.listed.hall if record is not None else state.hall
 
     def _call(self, record: EndpointRecord) -> ForwardCall:
         admitted = self.admitted_
@@ -460,7 +493,13 @@
         head = attempt.answer.head
         self.first_byte_at_ = self.state.now()
         service_id = self.admitted_.service.service_id
-        self.state.engine_s(service_id).update(self.first_byte_at_ - attempt.began_at)
+        engine_s = self.first_byte_at_ - attempt.began_at
+        self.state.engine_s(service_id).update(engine_s)
+        if self.engine_ticket_ is not None:
+            self.state.engines_.note_first_token(
+                self.engine_ticket_, engine_s * 1_000.0
+            )
+            self._note_prompt_read()
         if self.expected_s_ > 0.0:
             actual_s = self.first_byte_at_ - self.request.received_at
             self.admission.note_answered(
@@ -512,12 +551,14 @@
             )
 
     def _release(self, attempt: Attempt) -> None:
+        self._note_prompt_read()
         attempt.record.in_flight_ -= 1
         self.state.pool_.release(attempt.record, attempt.connection)
 
     def _abandon(
         self, record: EndpointRecord, connection: EndpointConnection | None
     ) -> None:
+        self._note_prompt_read()
         record.in_flight_ -= 1
         if connection is not None:
             connection.close()
--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -1,6 +1,7 @@
 """Carry the stages of requests: send their pieces to keepers and follow them home."""
 
 import asyncio
+from collections.abc import Iterable, Sequence
 from typing import Protocol
 
 import msgspec
@@ -74,6 +75,7 @@
         deadline: float,
         due_at: float,
         aim_ms: float,
+        hall: HallId,
         done: asyncio.Future[None],
     ) -> None:
         self.request_id = request_id
@@ -83,6 +85,7 @@
         self.deadline = deadline
         self.due_at = due_at
         self.aim_ms = aim_ms
+        self.hall = hall
         self.done_ = done
         self.is_over_ = False
         self.tries_by_key_: dict[PieceKey, int] = {}
@@ -124,7 +127,7 @@
         self.state = state
         self.entry_id = entry_id
         self.keeper_ = PieceKeeper(state=state, reply=self._kept)
-        self.groups_ = GroupTable(hall=state.hall)
+        self.groups_ = GroupTable()
         self.commitments_ = CommitmentTable()
         self.links: KeeperLinks | None = None
         self.sent_by_ticket_: dict[int, _Sent] = {}
@@ -143,6 +146,7 @@
         deadline: float,
         due_at: float,
         aim_ms: float,
+        hall: HallId,
     ) -> StageJob:
         """Return a job for the stages of a request, and count its pieces."""
         job = StageJob(
@@ -153,6 +157,7 @@
             deadline=deadline,
             due_at=due_at,
             aim_ms=aim_ms,
+            hall=hall,
             done=self.state.loop.create_future(),
         )
         for key in job.graph.pieces_by_key_:
@@ -196,6 +201,32 @@
                 found[maker.hall] = found.get(maker.hall, 0) + maker.result_bytes
         return found
 
+    def wait_ms_by_hall(
+        self, stages: Sequence[StageSpec], counts: Sequence[int]
+    ) -> dict[HallId, float]:
+        """Return how long the largest results of a request wait to be made in a hall.
+
+        They should be made where the request itself will run.
+        """
+        sizes = [
+            stage.result_bytes * count
+            for stage, count in zip(stages, counts, strict=True)
+        ]
+        stage = stages[sizes.index(max(sizes))]
+        service = self.state.service(stage.service_id)
+        if service is None or service.pieces is None:
+            return {}
+        now = self.state.now()
+        counts_by_hall = self.state.roster_.usable_by_hall(stage.service_id)
+        self._note_own_loads(stage.service_id, counts_by_hall, now)
+        wait_s_by_hall = {
+            hall: self.groups_.wait_s(
+                GroupId(stage.service_id, hall), service.pieces, endpoints, now
+            )
+            for hall, endpoints in counts_by_hall.items()
+        }
+        return {hall: wait_s * 1_000.0 for hall, wait_s in wait_s_by_hall.items()}
+
     def keeper_of(self, group: GroupId) -> EntryId:
         """Return the live entry that keeps a group."""
         halls = {self.entry_id: self.state.hall}
@@ -252,7 +283,7 @@
         excluded = frozenset().union(
             *(job.excluded_by_key_.get(key, frozenset()) for key in keys)
         )
-        group = self._choose_group(stage, limits, excluded, now)
+        group = self._choose_group(job, keys, limits, excluded, now)
         if group is None:
             self.state.loop.call_later(
                 NO_ENDPOINT_WAIT_S, self._send_later, job, stage, limits, keys
@@ -279,12 +310,14 @@
 
     def _choose_group(
         self,
-        stage: StageSpec,
+        job: StageJob,
+        keys: list[PieceKey],
         limits: PieceLimits,
         excluded: frozenset[EndpointId],
         now: float,
     ) -> GroupId | None:
         roster = self.state.roster_
+        stage = job.graph.stages[keys[0].stage]
         counts: dict[HallId, int] = {}
         for record in roster.usable(stage.service_id):
             if record.listed.endpoint_id in excluded:
@@ -298,9 +331,32 @@
             counts,
             limits,
             result_bytes=stage.result_bytes,
+            moved_bytes_by_hall=self._moved_bytes(job, keys, counts),
             now=now,
         )
 
+    def _moved_bytes(
+        self, job: StageJob, keys: list[PieceKey], halls: Iterable[HallId]
+    ) -> dict[HallId, int]:
+        """Return how many bytes leave their hall if pieces are made in each hall."""
+        number = keys[0].stage
+        bytes_by_hall: dict[HallId, int] = {}
+        for handle in job.graph.inputs(number):
+            maker = self.maker_by_handle_.get(handle)
+            if maker is not None:
+                before = bytes_by_hall.get(maker.hall, 0)
+                bytes_by_hall[maker.hall] = before + maker.result_bytes
+        total = sum(bytes_by_hall.values())
+        # Each piece reads every input.
+        moved = {
+            hall: (total - bytes_by_hall.get(hall, 0)) * len(keys) for hall in halls
+        }
+        result_bytes = job.graph.stages[number].result_bytes * len(keys)
+        for hall in moved:
+            if hall != job.hall and (number in job.graph.sinks_ or total == 0):
+                moved[hall] += result_bytes
+        return moved
+
     def _note_own_loads(
         self, service_id: ServiceId, halls: dict[HallId, int], now: float
     ) -> None:
--- a/packages/leadford-server/src/leadford_server/forward/_state.py
+++ b/packages/leadford-server/src/leadford_server/forward/_state.py
@@ -7,7 +7,7 @@
 
 from leadford.admission import RefusedMemory
 from leadford.common import Ewma, HallId
-from leadford.endpoints import EndpointChooser, EndpointRoster
+from leadford.endpoints import EndpointChooser, EndpointRoster, EngineChooser
 from leadford.forwarding import RouteTable, Service, ServiceId
 from leadford.retries import WindowedRetryBudget
 from leadford_server.forward._contract import RequestWire
@@ -54,6 +54,7 @@
         self.table_: RouteTable | None = None
         self.roster_ = EndpointRoster()
         self.chooser_ = EndpointChooser(hall=hall, random=random)
+        self.engines_ = EngineChooser(hall=hall)
         self.pool_ = ConnectionPool(wire=wire, loop=loop)
         self.budgets_by_service_: dict[ServiceId, WindowedRetryBudget] = {}
         self.sharers_ = 1
--- a/packages/leadford/src/leadford/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/endpoints/__init__.py
@@ -1,6 +1,12 @@
 """Know the endpoints of each service: what is listed, what is observed, whom to ask."""
 
 from leadford.endpoints._choice import ChoicePolicy, EndpointChooser
+from leadford.endpoints._engines import (
+    EngineChooser,
+    EngineTicket,
+    PromptPart,
+    PromptShape,
+)
 from leadford.endpoints._model import (
     EndpointAddress,
     ListedEndpoint,
@@ -16,8 +22,12 @@
     "EndpointChooser",
     "EndpointRecord",
     "EndpointRoster",
+    "EngineChooser",
+    "EngineTicket",
     "ListedEndpoint",
     "ListedState",
+    "PromptPart",
+    "PromptShape",
     "ReportedLoad",
     "RosterChange",
 ]
--- /dev/null
+++ b/packages/leadford/src/leadford/endpoints/_engines.py
@@ -0,0 +1,227 @@
+"""Choose the model engine that is expected to give the first token first.
+
+What counts is the prompt: tokens that are kept at an engine need not be read again,
+and every prompt that waits there is read first. What an engine keeps is learned from
+own sends. For what other entries sent all of them agree on a preferred engine of each
+prompt by its last shared part.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection, Sequence
+
+import msgspec
+
+from leadford.common import EndpointId, Ewma, HallId, rendezvous_weight
+from leadford.endpoints._record import EndpointRecord
+
+TOKENS_PER_MS = 20.0
+RATE_WEIGHT = 0.05
+GUESS_KEPT = 0.6
+OTHER_HALL_MS = 12.0
+MOVED_MS_PER_BYTE = 6e-5
+RUNNING_MS = 0.4
+FAILURE_MS = 400.0
+MEAN_PROMPT_TOKENS = 2_000.0
+TOKENS_LEARNED_MIN = 500.0
+MEMORY_PART = 0.6
+PREFERRED_BONUS_MS = 10.0
+
+
+class PromptPart(msgspec.Struct, frozen=True):
+    """Hold one part of a prompt.
+
+    Units: tokens.
+    """
+
+    part_id: str
+    tokens: int
+
+
+class PromptShape(msgspec.Struct, frozen=True):
+    """Hold the parts of a prompt in order, and its length.
+
+    Units: tokens_in is the whole prompt, the parts included.
+    """
+
+    parts: tuple[PromptPart, ...]
+    tokens_in: int
+
+    @property
+    def session(self) -> str:
+        """Return the part by which entries agree on an engine."""
+        return self.parts[-1].part_id if self.parts else ""
+
+
+class _KeptParts:
+    """Remember the parts that an engine read last, up to its memory."""
+
+    def __init__(self) -> None:
+        self.tokens_by_part_: OrderedDict[str, int] = OrderedDict()
+        self.total_ = 0
+
+    def touch(self, part: PromptPart, limit: float) -> None:
+        known = self.tokens_by_part_.pop(part.part_id, 0)
+        self.tokens_by_part_[part.part_id] = part.tokens
+        self.total_ += part.tokens - known
+        while self.total_ > limit and len(self.tokens_by_part_) > 1:
+            _, tokens = self.tokens_by_part_.popitem(last=False)
+            self.total_ -= tokens
+
+    def kept_tokens(self, shape: PromptShape) -> int:
+        """Return how many tokens at the start of a prompt are kept."""
+        total = 0
+        for part in shape.parts:
+            if part.part_id not in self.tokens_by_part_:
+                break
+            total += part.tokens
+        return total
+
+
+class EngineTicket(msgspec.Struct, frozen=True, eq=False):
+    """Hold what was expected of a prompt that was sent to an engine.
+
+    Units: read_tokens is what it is expected to read, expected_ms until its first
+    token.
+    """
+
+    endpoint_id: EndpointId
+    read_tokens: float
+    expected_ms: float
+
+
+class EngineChooser:
+    """Score engines by prompts that wait, kept parts, running requests and hall."""
+
+    def __init__(self, *, hall: HallId) -> None:
+        self.hall = hall
+        self.kept_by_id_: dict[EndpointId, _KeptParts] = {}
+        self.pending_by_id_: dict[EndpointId, float] = {}
+        self.tokens_per_ms_ = Ewma(initial=TOKENS_PER_MS, weight=RATE_WEIGHT)
+
+    def choose(
+        self,
+        records: Collection[EndpointRecord],
+        shape: PromptShape,
+        *,
+        excluded: Collection[EndpointId] = (),
+        bytes_by_hall: dict[HallId, int] | None = None,
+        extra_ms_by_hall: dict[HallId, float] | None = None,
+        now: float,
+    ) -> EndpointRecord | None:
+        """Return the best engine; suspects only when nobody else is left.
+
+        Units: extra_ms_by_hall is what a hall costs for other reasons.
+        """
+        extra_ms = extra_ms_by_hall or {}
+        candidates = [
+            record for record in records if record.listed.endpoint_id not in excluded
+        ]
+        trusted = [record for record in candidates if not record.is_suspect(now)]
+        candidates = trusted or candidates
+        if not candidates:
+            return None
+        preferred_id = self._preferred(candidates, shape)
+        return min(
+            candidates,
+            key=lambda record: (
+                self.expected_ms(
+                    record,
+                    shape,
+                    is_preferred=record.listed.endpoint_id == preferred_id,
+                    now=now,
+                )
+                + self._moving_ms(record, bytes_by_hall)
+                + extra_ms.get(record.listed.hall, 0.0)
+            ),
+        )
+
+    def _moving_ms(
+        self, record: EndpointRecord, bytes_by_hall: dict[HallId, int] | None
+    ) -> float:
+        """Return what inputs from other halls cost; without any, the own hall leads."""
+        hall = record.listed.hall
+        if not bytes_by_hall:
+            return 0.0 if hall == self.hall else OTHER_HALL_MS
+        moved = sum(bytes_by_hall.values()) - bytes_by_hall.get(hall, 0)
+        return OTHER_HALL_MS * (moved > 0) + moved * MOVED_MS_PER_BYTE
+
+    def _preferred(
+        self, candidates: Sequence[EndpointRecord], shape: PromptShape
+    ) -> EndpointId | None:
+        if not shape.session:
+            return None
+        best = max(
+            candidates,
+            key=lambda record: rendezvous_weight(
+                shape.session, record.listed.endpoint_id
+            ),
+        )
+        return best.listed.endpoint_id
+
+    def expected_ms(
+        self,
+        record: EndpointRecord,
+        shape: PromptShape,
+        *,
+        is_preferred: bool,
+        now: float,
+    ) -> float:
+        """Return the time to the first token, with what speaks against an engine."""
+        tokens = self._read_tokens(record, shape, is_preferred=is_preferred)
+        tokens += self.pending_by_id_.get(record.listed.endpoint_id, 0.0)
+        if record.load_ is not None:
+            elsewhere = min(record.load_.waiting, record.waiting_elsewhere(now))
+            tokens += elsewhere * MEAN_PROMPT_TOKENS
+        slowness = min(4.0, max(0.5, record.slowness_.value_))
+        expected = tokens / self.tokens_per_ms_.value_ * slowness
+        running = record.in_flight_ + record.waiting_elsewhere(now)
+        expected += running * RUNNING_MS
+        expected += record.failure_rate_.value_ * FAILURE_MS
+        if not is_preferred:
+            expected += PREFERRED_BONUS_MS
+        return expected
+
+    def _read_tokens(
+        self, record: EndpointRecord, shape: PromptShape, *, is_preferred: bool
+    ) -> float:
+        kept = self.kept_by_id_.get(record.listed.endpoint_id)
+        known = kept.kept_tokens(shape) if kept is not None else 0
+        shared = sum(part.tokens for part in shape.parts)
+        if is_preferred:
+            known = max(known, GUESS_KEPT * shared)
+        return max(0.0, shape.tokens_in - known)
+
+    def note_sent(
+        self, record: EndpointRecord, shape: PromptShape, memory_tokens: int
+    ) -> EngineTicket:
+        """Count a prompt that goes to an engine; hand the ticket back at its end."""
+        endpoint_id = record.listed.endpoint_id
+        kept = self.kept_by_id_.setdefault(endpoint_id, _KeptParts())
+        tokens = float(max(0, shape.tokens_in - kept.kept_tokens(shape)))
+        pending = self.pending_by_id_.get(endpoint_id, 0.0)
+        for part in shape.parts:
+            kept.touch(part, memory_tokens * MEMORY_PART)
+        self.pending_by_id_[endpoint_id] = pending + tokens
+        expected = (tokens + pending) / self.tokens_per_ms_.value_
+        return EngineTicket(endpoint_id, tokens, expected)
+
+    def note_started(self, ticket: EngineTicket) -> None:
+        """Count that the prompt has been read, or that its attempt is over."""
+        left = self.pending_by_id_.get(ticket.endpoint_id, 0.0) - ticket.read_tokens
+        if left > 0.0:
+            self.pending_by_id_[ticket.endpoint_id] = left
+        else:
+            self.pending_by_id_.pop(ticket.endpoint_id, None)
+
+    def note_first_token(self, ticket: EngineTicket, elapsed_ms: float) -> None:
+        """Learn how fast prompts are read."""
+        if ticket.read_tokens >= TOKENS_LEARNED_MIN and elapsed_ms > 0.0:
+            self.tokens_per_ms_.update(
+                min(100.0, max(2.0, ticket.read_tokens / elapsed_ms))
+            )
+
+    def retain(self, known: set[EndpointId]) -> None:
+        """Forget engines that left."""
+        for table in (self.kept_by_id_, self.pending_by_id_):
+            for endpoint_id in set(table) - known:
+                del table[endpoint_id]
--- a/packages/leadford/src/leadford/pieces/_groups.py
+++ b/packages/leadford/src/leadford/pieces/_groups.py
@@ -5,8 +5,6 @@
 alive; two keepers at once only make batches smaller.
 """
 
-from collections.abc import Iterable
-
 import msgspec
 
 from leadford.common import EntryId, HallId, rendezvous_order
@@ -14,7 +12,8 @@
 
 LOAD_FRESH_S = 1.5
 OTHER_HALL_S = 0.12
-OTHER_HALL_S_PER_BYTE = 0.2e-6
+MOVED_S_PER_BYTE = 0.15e-6
+MOVED_MOST_S = 0.45
 ROOM_SHORT_S = 0.4
 
 
@@ -54,8 +53,7 @@
 class GroupTable:
     """Choose the group for each piece by what keepers said and what was sent since."""
 
-    def __init__(self, *, hall: HallId) -> None:
-        self.hall = hall
+    def __init__(self) -> None:
         self.loads_by_group_: dict[GroupId, GroupLoad] = {}
         self.sent_by_group_: dict[GroupId, int] = {}
 
@@ -87,22 +85,25 @@
         limits: PieceLimits,
         *,
         result_bytes: int,
-        excluded: Iterable[HallId] = (),
+        moved_bytes_by_hall: dict[HallId, int],
         now: float,
     ) -> GroupId | None:
-        """Return the group that is expected to take a piece first, near ones first."""
+        """Return the group that takes a piece first; moved bytes speak against it."""
         best = None
         best_score = float("inf")
         for hall, endpoints in sorted(endpoints_by_hall.items()):
-            if hall in excluded or endpoints == 0:
+            if endpoints == 0:
                 continue
             group = GroupId(service_id, hall)
             score = self.wait_s(group, limits, endpoints, now)
             load = self.loads_by_group_.get(group)
             if load is not None and load.room_bytes < result_bytes:
                 score += ROOM_SHORT_S
-            if hall != self.hall:
-                score += OTHER_HALL_S + result_bytes * OTHER_HALL_S_PER_BYTE
+            moved_bytes = moved_bytes_by_hall.get(hall, 0)
+            if moved_bytes > 0:
+                score += min(
+                    MOVED_MOST_S, OTHER_HALL_S + moved_bytes * MOVED_S_PER_BYTE
+                )
             if score < best_score:
                 best, best_score = group, score
         return best
