Admit fewer at once: half of the aim

Cause: at high load the expected time was too short and requests finished late. Change: a request is let in if it is expected within half of its aim.

--- a/packages/leadford-server/src/leadford_server/forward/_run.py
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -28,6 +28,8 @@
 ANSWER_MARGIN_S = 0.03
 RETRY_AFTER_S = 1.0
 REMAKES_MAX = 2
+CHECK_PART = 0.42
+HOPE_PART = 1.0
 SAFE_PATIENCE = 0.45
 BUSY_STATUSES = (429, 503)
 PROMISING_STATUSES = (408, 421, 429, 503)
@@ -166,6 +168,7 @@
             route,
             counts,
             self._capacities(),
+            priority=self.admitted_.priority,
             fingerprint=request.fingerprint,
             engine_s=self.state.engine_s(self.admitted_.service.service_id).value_,
             elapsed_s=now - request.received_at,
@@ -212,7 +215,7 @@
                 hall=self._planned_hall(),
             )
         try:
-            await self.stages.complete(self.job_)
+            await self._complete_stages()
         except StageFailure as failure:
             self._give_up(f"stages: {failure.detail}")
             return False
@@ -221,6 +224,26 @@
             STAGE_SECONDS.observe(self.stages_done_at_ - request.received_at)
         return True
 
+    async def _complete_stages(self) -> None:
+        """Wait for the stages, but not for long when they will not be in time.
+
+        Errors: raises StageFailure.
+        """
+        allowed_s = self.deadline_ - self.request.received_at
+        check_at = self.request.received_at + CHECK_PART * allowed_s
+        if self.state.now() < check_at:
+            try:
+                async with asyncio.timeout_at(check_at):
+                    await self.stages.complete(self.job_)
+                    return
+            except TimeoutError:
+                pass
+        left_s = self.deadline_ - self.state.now()
+        needed_s = self.stages.remaining_s(self.job_)
+        if needed_s > left_s * HOPE_PART:
+            raise StageFailure(f"need {needed_s:.2f} s of {left_s:.2f} s")
+        await self.stages.complete(self.job_)
+
     async def _plain(self) -> None:
         """Serve a request whose answer is passed on once it is whole."""
         route = self.admitted_.route
--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -30,10 +30,11 @@
 from leadford_server.forward._state import ForwardState
 
 PIECE_TRIES_MAX = 6
-KEEPER_SLACK_S = 1.0
+KEEPER_SLACK_S = 2.5
 KEEPER_PATIENCE = 3.0
 CHECK_S = 0.2
 NO_ENDPOINT_WAIT_S = 0.15
+REASONS_LOST = ("lost", "not-sent", "silent", "replaced")
 
 
 class StageFailure(Exception):
@@ -320,7 +321,7 @@
         stage = job.graph.stages[keys[0].stage]
         counts: dict[HallId, int] = {}
         for record in roster.usable(stage.service_id):
-            if record.listed.endpoint_id in excluded:
+            if record.listed.endpoint_id in excluded or record.is_suspect(now):
                 continue
             counts[record.listed.hall] = counts.get(record.listed.hall, 0) + 1
         if not counts:
@@ -463,6 +464,7 @@
             if tries >= PIECE_TRIES_MAX:
                 job.fail(f"piece failed {tries} times: {answer.reason}")
                 return
+        self._note_failed(sent, answer)
         if answer.endpoint_id is not None and answer.reason != REASON_GONE:
             # Only the last failure excludes, or a small pool would be used up.
             job.excluded_by_key_[key] = frozenset({answer.endpoint_id})
@@ -478,6 +480,35 @@
         job.graph.note_failed(key)
         self._advance(job)
 
+    def _note_failed(self, sent: _Sent, answer: KeptAnswer) -> None:
+        """Believe a keeper elsewhere that an endpoint of its group did not answer."""
+        is_lost = answer.reason.startswith(REASONS_LOST)
+        if sent.keeper == self.entry_id or answer.endpoint_id is None or not is_lost:
+            return
+        record = self.state.roster_.record(answer.endpoint_id)
+        now = self.state.now()
+        if record is not None and not record.is_suspect(now):
+            record.note_failure(now, heavy=True)
+
+    def remaining_s(self, job: StageJob) -> float:
+        """Return how long the stages that are left are expected to take."""
+        now = self.state.now()
+        total_s = 0.0
+        for number in job.graph.longest_chain():
+            service = self.state.service(job.graph.stages[number].service_id)
+            if service is None or service.pieces is None:
+                continue
+            halls = self.state.roster_.usable_by_hall(service.service_id)
+            waits = [
+                self.groups_.wait_s(
+                    GroupId(service.service_id, hall), service.pieces, count, now
+                )
+                for hall, count in halls.items()
+            ]
+            call_s = service.pieces.duration_ms(service.pieces.batch) / 1_000.0
+            total_s += min(waits, default=0.0) + call_s
+        return total_s
+
     def keeper_lost(self, entry_id: EntryId) -> None:
         """Make elsewhere what a lost keeper had."""
         lost = [s for s in self.sent_by_ticket_.values() if s.keeper == entry_id]
--- a/packages/leadford/src/leadford/admission/_forward.py
+++ b/packages/leadford/src/leadford/admission/_forward.py
@@ -11,7 +11,9 @@
 from leadford.pieces import CommitmentTable
 
 LATER_PART = 0.2
-AIM_PART = 0.9
+AIM_PART = 0.5
+AIM_PART_URGENT = 0.5
+AIM_PART_STEP = 0.15
 RETURN_PART = 0.55
 RETRY_MIN_S = 0.25
 JITTER = 0.15
@@ -147,6 +149,7 @@
         counts: tuple[int, ...],
         capacity_by_service: dict[ServiceId, StageCapacity],
         *,
+        priority: int,
         fingerprint: str,
         engine_s: float,
         elapsed_s: float,
@@ -168,7 +171,8 @@
             limit_s = DEADLINE_PART * allowed_s
         else:
             expected_s += promised_s * PROMISED_PART
-            limit_s = min(AIM_PART * aim_s, DEADLINE_PART * allowed_s)
+            part = max(AIM_PART, AIM_PART_URGENT - AIM_PART_STEP * priority)
+            limit_s = min(part * aim_s, DEADLINE_PART * allowed_s)
         if expected_s <= limit_s:
             return AdmissionDecision(Verdict.ADMIT, expected_s, is_return=is_return)
         wait_s = backlog_s + promised_s - RETURN_PART * (aim_s - path_s - engine_s)
--- a/packages/leadford/src/leadford/pieces/_graph.py
+++ b/packages/leadford/src/leadford/pieces/_graph.py
@@ -103,6 +103,14 @@
                 keys.append(key)
         return keys
 
+    def longest_chain(self) -> list[int]:
+        """Return the stages that are left on the longest way to the end."""
+        wanted = self._wanted_stages()
+        chain: list[int] = []
+        for length in range(max((self.chains_[s] for s in wanted), default=0), 0, -1):
+            chain += [s for s in sorted(wanted) if self.chains_[s] == length][:1]
+        return chain
+
     def _wanted_stages(self) -> set[int]:
         """Return the stages with a result missing that somebody still reads."""
         wanted: set[int] = set()
