Test forwarding, its decisions and the adapter; let returns in within 1.2 aims

Cause: returned requests were let in up to 0.85 of their deadline and finished late, behind newcomers; the new code had no tests.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := packages/leadford packages/leadford-server packages/leadford-cli packages/leadford-standins
+PACKAGES := packages/leadford packages/leadford-server packages/leadford-cli packages/leadford-standins platform
 PROJECTS := $(addsuffix /pyproject.toml,$(PACKAGES))
 
 .PHONY: install demo up test lint format bench
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/tests/test_connection.py
@@ -0,0 +1,235 @@
+"""A connection to an endpoint says truly what came of an exchange."""
+
+import asyncio
+import socket
+
+import pytest
+
+from leadford.common import EndpointId, HallId, RequestId
+from leadford.endpoints import (
+    EndpointAddress,
+    EndpointRecord,
+    ListedEndpoint,
+    ListedState,
+)
+from leadford.forwarding import ServiceId
+from leadford_platform import PlatformRequests
+from leadford_server.forward import OutboundRequest
+from leadford_server.forward._connection import (
+    BreakKind,
+    EndpointConnection,
+    ExchangeBroken,
+)
+from leadford_server.forward._pool import ConnectionPool
+
+ID = RequestId("r1")
+REQUEST = OutboundRequest("GET", "/x", [("Host", "a"), ("X-Attempt-Id", ID)])
+
+
+class Endpoint:
+    """Answer each request with the next prepared bytes, and do what they end with."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+        self.connections = 0
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *error):
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while self.answers:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head)
+                answer = self.answers.pop(0)
+                if answer == "reset":
+                    sock = writer.get_extra_info("socket")
+                    linger = (1).to_bytes(4, "little") + bytes(4)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    writer.transport.abort()
+                    return
+                if answer == "hang":
+                    await asyncio.sleep(30)
+                writer.write(answer)
+                await writer.drain()
+                if b"Connection: close" in answer or b"Length" not in answer:
+                    break
+            writer.close()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+
+    async def connect(self):
+        return await EndpointConnection.open(
+            "127.0.0.1", self.port, PlatformRequests(), 1.0
+        )
+
+
+def answer(body=b"ok", request_id=ID, extra=""):
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
+    head += f"X-Attempt-Id: {request_id}\r\n{extra}\r\n"
+    return head.encode() + body
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, 10))
+
+
+def test_a_connection_carries_one_exchange_after_the_other():
+    async def scenario():
+        async with Endpoint(answer(b"one"), answer(b"two")) as endpoint:
+            connection = await endpoint.connect()
+            assert (await connection.fetch(REQUEST, ID))[0] == b"one"
+            assert connection.settle()
+            assert (await connection.fetch(REQUEST, ID))[0] == b"two"
+            assert endpoint.connections == 1
+
+    run(scenario())
+
+
+def test_a_late_answer_of_another_request_is_skipped():
+    async def scenario():
+        stray = answer(b"stray", "other") + answer(b"mine")
+        async with Endpoint(stray) as endpoint:
+            connection = await endpoint.connect()
+            body, head = await connection.fetch(REQUEST, ID)
+            assert (body, head.request_id) == (b"mine", ID)
+
+    run(scenario())
+
+
+def test_answers_of_others_only_are_no_answer():
+    async def scenario():
+        async with Endpoint(answer(b"x", "a") * 3) as endpoint:
+            connection = await endpoint.connect()
+            with pytest.raises(ExchangeBroken) as broken:
+                await connection.fetch(REQUEST, ID)
+            assert broken.value.kind is BreakKind.SPOILED
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        "reset",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nshort",
+        b"this is no answer\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nx",
+    ],
+)
+def test_after_sending_a_broken_answer_may_have_run(bad):
+    async def scenario():
+        async with Endpoint(bad) as endpoint:
+            connection = await endpoint.connect()
+            with pytest.raises(ExchangeBroken) as broken:
+                await connection.fetch(REQUEST, ID)
+            assert broken.value.kind is BreakKind.LOST
+            assert not connection.settle()
+
+    run(scenario())
+
+
+def test_bytes_after_an_answer_spoil_the_connection():
+    async def scenario():
+        async with Endpoint(answer() + b"HTTP/1.1 200 OK\r\n") as endpoint:
+            connection = await endpoint.connect()
+            await connection.fetch(REQUEST, ID)
+            assert not connection.settle()
+
+    run(scenario())
+
+
+def test_bytes_while_idle_spoil_the_connection():
+    async def scenario():
+        async with Endpoint(answer()) as endpoint:
+            connection = await endpoint.connect()
+            await connection.fetch(REQUEST, ID)
+            assert connection.settle()
+            connection.rest(0.0)
+            await asyncio.sleep(0.05)
+            # The endpoint closed after its last answer.
+            assert not connection.is_usable
+
+    run(scenario())
+
+
+def test_an_answer_without_length_ends_with_an_orderly_close():
+    async def scenario():
+        unframed = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n\r\nall of it"
+        async with Endpoint(unframed) as endpoint:
+            connection = await endpoint.connect()
+            body, _ = await connection.fetch(REQUEST, ID)
+            assert body == b"all of it"
+            assert not connection.settle()
+
+    run(scenario())
+
+
+def test_nobody_listening_is_not_sent():
+    async def scenario():
+        async with Endpoint() as endpoint:
+            port = endpoint.port
+        with pytest.raises(ExchangeBroken) as broken:
+            await EndpointConnection.open("127.0.0.1", port, PlatformRequests(), 1.0)
+        assert broken.value.kind is BreakKind.NOT_SENT
+
+    run(scenario())
+
+
+def record_at(port):
+    return EndpointRecord(
+        listed=ListedEndpoint(
+            endpoint_id=EndpointId("e"),
+            service_id=ServiceId("s"),
+            address=EndpointAddress(f"127.0.0.1:{port}"),
+            hall=HallId("h"),
+            state=ListedState.READY,
+            slots=1,
+        )
+    )
+
+
+def test_the_pool_keeps_to_its_share_of_connections():
+    async def scenario():
+        async with Endpoint(*[answer()] * 8) as endpoint:
+            loop = asyncio.get_running_loop()
+            pool = ConnectionPool(wire=PlatformRequests(), loop=loop)
+            pool.sharers_ = 3
+            record = record_at(endpoint.port)
+            first = await pool.acquire(record, 7)
+            second = await pool.acquire(record, 7)
+            third = asyncio.ensure_future(pool.acquire(record, 7))
+            await asyncio.sleep(0.05)
+            assert not third.done()
+            await first.fetch(REQUEST, ID)
+            pool.release(record, first)
+            assert await third is first
+            pool.release(record, second)
+            assert endpoint.connections == 2
+            pool.sweep(set())
+            assert pool.lines_by_id_["e"].open_ == 1
+
+    run(scenario())
+
+
+def test_a_connection_that_rested_too_long_is_not_used():
+    async def scenario():
+        rests = answer(extra="Keep-Alive: timeout=1\r\n")
+        async with Endpoint(rests, answer(), answer()) as endpoint:
+            loop = asyncio.get_running_loop()
+            pool = ConnectionPool(wire=PlatformRequests(), loop=loop)
+            record = record_at(endpoint.port)
+            first = await pool.acquire(record, 9)
+            await first.fetch(REQUEST, ID)
+            pool.release(record, first)
+            first.idle_since_ -= 0.5
+            assert await pool.acquire(record, 9) is not first
+
+    run(scenario())
--- a/packages/leadford/src/leadford/admission/_forward.py
+++ b/packages/leadford/src/leadford/admission/_forward.py
@@ -20,6 +20,7 @@
 REFUSED_KEPT = 400
 REFUSED_FRESH_S = 12.0
 DEADLINE_PART = 0.85
+RETURN_AIMS = 1.2
 ENGINE_READ_S = 0.2
 READ_CALLS = 1.5
 RETURN_GRACE_S = 0.6
@@ -168,7 +169,7 @@
         aim_s = route.aim_ms / 1_000.0 if route.aim_ms > 0 else allowed_s
         if is_return:
             # It already waited as it was told; only hopeless ones are sent away.
-            limit_s = DEADLINE_PART * allowed_s
+            limit_s = min(DEADLINE_PART * allowed_s, RETURN_AIMS * aim_s)
         else:
             expected_s += promised_s * PROMISED_PART
             part = max(AIM_PART, AIM_PART_URGENT - AIM_PART_STEP * priority)
--- /dev/null
+++ b/packages/leadford/src/leadford/admission/tests/test_forward.py
@@ -0,0 +1,127 @@
+"""Requests with stages are let in while they can be answered in time."""
+
+from random import Random
+
+import pytest
+
+from leadford.admission import (
+    ForwardAdmission,
+    Promise,
+    RefusedMemory,
+    StageCapacity,
+    Verdict,
+)
+from leadford.forwarding import (
+    PieceLimits,
+    Route,
+    RouteId,
+    RouteKind,
+    ServiceId,
+    StageSpec,
+    WeightedService,
+)
+from leadford.pieces import CommitmentKey, CommitmentTable
+
+SERVICE = ServiceId("stage")
+LIMITS = PieceLimits(
+    slots=1,
+    queue=2,
+    batch=10,
+    call_ms=200.0,
+    piece_ms=10.0,
+    room_bytes=1_000_000,
+    retention_s=4.0,
+)
+ROUTE = Route(
+    route_id=RouteId("r"),
+    host="h",
+    path_prefix="/",
+    kind=RouteKind.STREAM,
+    services=(WeightedService(ServiceId("engine"), 1.0),),
+    timeout_ms=8_000.0,
+    aim_ms=2_000.0,
+    stages=(StageSpec(SERVICE, (), 1_000),),
+)
+
+
+class Fixture:
+    def __init__(self):
+        self.commitments = CommitmentTable()
+        self.memory = RefusedMemory()
+        self.admission = ForwardAdmission(
+            commitments=self.commitments, memory=self.memory, random=Random(1)
+        )
+
+    def decide(self, *, endpoints=1, fingerprint="f", now=0.0, elapsed_s=0.0):
+        return self.admission.decide(
+            ROUTE,
+            (4,),
+            {SERVICE: StageCapacity(LIMITS, endpoints)},
+            priority=0,
+            fingerprint=fingerprint,
+            engine_s=0.1,
+            elapsed_s=elapsed_s,
+            allowed_s=8.0,
+            now=now,
+        )
+
+    def commit(self, pieces):
+        self.commitments.add(CommitmentKey(SERVICE, ROUTE.aim_ms), pieces)
+
+
+def test_an_idle_fleet_lets_in():
+    decision = Fixture().decide()
+    assert decision.verdict is Verdict.ADMIT
+    assert decision.expected_s == pytest.approx(0.34)
+
+
+def test_a_backlog_refuses_with_a_time_that_grows_with_it():
+    fixture = Fixture()
+    fixture.commit(100)
+    first = fixture.decide(fingerprint="a")
+    assert first.verdict is Verdict.REFUSE
+    assert 0.25 <= first.retry_after_s <= 8.0 / 3.0
+    fixture.commit(40)
+    assert fixture.decide(fingerprint="b").expected_s > first.expected_s
+
+
+def test_who_was_told_to_come_back_is_let_in():
+    fixture = Fixture()
+    fixture.commit(100)
+    assert fixture.decide().verdict is Verdict.REFUSE
+    assert fixture.decide(now=2.0).verdict is Verdict.ADMIT
+    assert fixture.decide(fingerprint="other", now=2.0).verdict is Verdict.REFUSE
+
+
+def test_hopeless_requests_are_refused_even_when_they_return():
+    fixture = Fixture()
+    fixture.commit(1_000)
+    assert fixture.decide().verdict is Verdict.REFUSE
+    assert fixture.decide(now=2.0).verdict is Verdict.REFUSE
+    assert Fixture().decide(endpoints=0).verdict is Verdict.REFUSE
+
+
+def test_promised_returns_stand_before_newcomers():
+    fixture = Fixture()
+    promise = Promise("p", 1.0, ROUTE.aim_ms, {SERVICE: 100})
+    fixture.memory.note(promise, is_own=False)
+    assert fixture.decide().verdict is Verdict.REFUSE
+    # Once they should have come, they are counted no more.
+    assert fixture.decide(fingerprint="g", now=4.0).verdict is Verdict.ADMIT
+    assert [item.fingerprint for item in fixture.memory.take_unsent()] == ["f"]
+    assert fixture.memory.take_unsent() == []
+
+
+def test_room_binds_as_well_as_time():
+    capacity = StageCapacity(LIMITS, 2)
+    by_time = capacity.backlog_s(100, 0, 1.0)
+    by_room = capacity.backlog_s(100, 100_000, 1.0)
+    assert by_time == pytest.approx(1.5)
+    assert by_room == pytest.approx(5.0)
+
+
+def test_the_bias_is_learned_and_bounded():
+    fixture = Fixture()
+    for _ in range(50):
+        fixture.admission.note_answered(ROUTE, 0.5, 60.0)
+    assert fixture.decide().expected_s <= 0.34 + 0.6 * 2.0 + 0.01
--- /dev/null
+++ b/packages/leadford/src/leadford/endpoints/tests/test_choice.py
@@ -0,0 +1,98 @@
+"""Endpoints and engines are chosen by load, evidence, kept parts and hall."""
+
+from random import Random
+
+from leadford.common import EndpointId, HallId
+from leadford.endpoints import (
+    EndpointAddress,
+    EndpointChooser,
+    EndpointRecord,
+    EngineChooser,
+    ListedEndpoint,
+    ListedState,
+    PromptPart,
+    PromptShape,
+)
+from leadford.forwarding import ServiceId
+
+HALL = HallId("near")
+
+
+def record(name, hall="near", slots=4):
+    return EndpointRecord(
+        listed=ListedEndpoint(
+            endpoint_id=EndpointId(name),
+            service_id=ServiceId("s"),
+            address=EndpointAddress("10.0.0.1:80"),
+            hall=HallId(hall),
+            state=ListedState.READY,
+            slots=slots,
+        )
+    )
+
+
+def test_the_near_idle_endpoint_is_chosen():
+    chooser = EndpointChooser(hall=HALL, random=Random(1))
+    near, far = record("a"), record("b", "far")
+    assert chooser.choose([far, near], now=0.0) is near
+    near.in_flight_ = 4
+    assert chooser.choose([far, near], now=0.0) is far
+
+
+def test_suspects_and_excluded_ones_come_last():
+    chooser = EndpointChooser(hall=HALL, random=Random(1))
+    good, bad = record("a", "far"), record("b")
+    bad.note_failure(0.0, heavy=True)
+    assert chooser.choose([good, bad], now=0.1) is good
+    assert chooser.choose([good, bad], excluded=["a"], now=0.1) is bad
+    assert chooser.choose([good, bad], excluded=["a", "b"], now=0.1) is None
+
+
+def shape(session, tokens=2_000):
+    return PromptShape((PromptPart(session, tokens - 100),), tokens)
+
+
+def test_entries_agree_on_the_engine_of_a_session():
+    engines = [record(f"e{number}") for number in range(6)]
+    first = EngineChooser(hall=HALL)
+    second = EngineChooser(hall=HALL)
+    for number in range(50):
+        prompt = shape(f"session-{number}")
+        chosen = first.choose(engines, prompt, now=0.0)
+        assert second.choose(list(reversed(engines)), prompt, now=0.0) is chosen
+
+
+def test_a_long_prompt_that_waits_sends_the_next_elsewhere():
+    engines = [record("e1"), record("e2")]
+    chooser = EngineChooser(hall=HALL)
+    prompt = shape("one", 20_000)
+    chosen = chooser.choose(engines, prompt, now=0.0)
+    ticket = chooser.note_sent(chosen, prompt, 100_000)
+    other = shape("one", 3_000)
+    assert chooser.choose(engines, other, now=0.0) is not chosen
+    chooser.note_started(ticket)
+    assert chooser.pending_by_id_ == {}
+    # The parts are kept there now, so the session goes back.
+    assert chooser.choose(engines, prompt, now=0.0) is chosen
+
+
+def test_memory_of_kept_parts_is_bounded():
+    chooser = EngineChooser(hall=HALL)
+    engine = record("e1")
+    for number in range(200):
+        prompt = shape(f"s{number}", 1_000)
+        chooser.note_started(chooser.note_sent(engine, prompt, 10_000))
+    assert chooser.kept_by_id_["e1"].total_ <= 6_000
+    chooser.retain(set())
+    assert chooser.kept_by_id_ == {}
+
+
+def test_speed_is_learned_from_long_prompts_only():
+    chooser = EngineChooser(hall=HALL)
+    before = chooser.tokens_per_ms_.value_
+    short = chooser.note_sent(record("e1"), shape("s", 200), 10_000)
+    chooser.note_first_token(short, 100.0)
+    assert chooser.tokens_per_ms_.value_ == before
+    long = chooser.note_sent(record("e1"), shape("l", 4_000), 10_000)
+    chooser.note_first_token(long, 100.0)
+    assert chooser.tokens_per_ms_.value_ > before
--- /dev/null
+++ b/packages/leadford/src/leadford/pieces/tests/test_batches.py
@@ -0,0 +1,222 @@
+"""Calls fill with whole requests, within room and time."""
+
+import pytest
+
+from leadford.common import EndpointId, EntryId, HallId, RequestId
+from leadford.endpoints import (
+    EndpointAddress,
+    EndpointRecord,
+    ListedEndpoint,
+    ListedState,
+)
+from leadford.forwarding import PieceLimits, ResultHandle, ServiceId
+from leadford.pieces import (
+    CommitmentKey,
+    CommitmentTable,
+    GroupId,
+    GroupLoad,
+    GroupTable,
+    LaneTable,
+    PieceKey,
+    PieceQueue,
+    PieceTask,
+    keepers_in_order,
+)
+
+LIMITS = PieceLimits(
+    slots=1,
+    queue=2,
+    batch=4,
+    call_ms=200.0,
+    piece_ms=50.0,
+    room_bytes=100,
+    retention_s=4.0,
+)
+SERVICE = ServiceId("s")
+ENDPOINT = EndpointId("e")
+
+
+def task(request, piece=0, *, due=10.0, size=10, excluded=(), queued=0.0):
+    return PieceTask(
+        ticket=1,
+        home=EntryId("home"),
+        request_id=RequestId(request),
+        key=PieceKey(0, piece),
+        private_key="k",
+        inputs=(),
+        result_bytes=size,
+        priority=0,
+        deadline=100.0,
+        due_at=due,
+        queued_at=queued,
+        excluded=frozenset(EndpointId(name) for name in excluded),
+    )
+
+
+def fill(*tasks):
+    queue = PieceQueue()
+    for item in tasks:
+        queue.push(item)
+    return queue
+
+
+def ids(tasks):
+    return [(item.request_id, item.key.piece) for item in tasks]
+
+
+def test_the_request_that_is_due_first_goes_first():
+    queue = fill(task("late", due=9.0), task("soon", due=2.0))
+    taken = queue.take(batch=1, room_bytes=100, endpoint_id=ENDPOINT)
+    assert ids(taken) == [("soon", 0)]
+    assert len(queue) == 1
+
+
+def test_pieces_of_a_request_are_not_split_over_calls():
+    tasks = [task("a", n, due=1.0) for n in range(3)]
+    tasks += [task("b", n, due=2.0) for n in range(2)] + [task("c", due=3.0)]
+    queue = fill(*tasks)
+    taken = queue.take(batch=4, room_bytes=100, endpoint_id=ENDPOINT)
+    assert {item.request_id for item in taken} == {"a", "c"}
+    assert ids(queue.tasks_) == [("b", 0), ("b", 1)]
+
+
+def test_a_request_larger_than_a_call_is_split():
+    queue = fill(*[task("a", n) for n in range(6)])
+    assert len(queue.take(batch=4, room_bytes=100, endpoint_id=ENDPOINT)) == 4
+    assert len(queue.take(batch=4, room_bytes=100, endpoint_id=ENDPOINT)) == 2
+
+
+def test_room_bounds_a_call_and_smaller_pieces_go_by():
+    queue = fill(task("big", due=1.0, size=60), task("small", due=2.0, size=10))
+    taken = queue.take(batch=4, room_bytes=20, endpoint_id=ENDPOINT)
+    assert ids(taken) == [("small", 0)]
+
+
+def test_a_piece_does_not_go_where_it_failed():
+    queue = fill(task("a", excluded=["e"]))
+    assert queue.take(batch=4, room_bytes=100, endpoint_id=ENDPOINT) == []
+    assert queue.take(batch=4, room_bytes=100, endpoint_id=EndpointId("f"))
+
+
+def test_time_to_spare_waits_for_company_and_urgency_does_not():
+    assert fill(task("a", due=1.0)).ripe_at(LIMITS) == 0.0
+    ripe_at = fill(task("a", due=4.0)).ripe_at(LIMITS)
+    assert 0.0 < ripe_at <= 0.18
+    full = fill(*[task("a", n, due=9.0) for n in range(4)])
+    assert full.ripe_at(LIMITS) == 0.0
+
+
+def record(name, hall="h"):
+    return EndpointRecord(
+        listed=ListedEndpoint(
+            endpoint_id=EndpointId(name),
+            service_id=SERVICE,
+            address=EndpointAddress("10.0.0.1:80"),
+            hall=HallId(hall),
+            state=ListedState.READY,
+            slots=1,
+        )
+    )
+
+
+def test_a_lane_takes_one_call_and_counts_results_as_room():
+    lanes = LaneTable()
+    lane = lanes.lane(ENDPOINT, LIMITS)
+    lane.begin(2, 40, 0.0)
+    assert not lane.is_free(0.1)
+    assert lane.room_bytes(0.1) == 60
+    lane.end(40)
+    lane.hold(ResultHandle("r"), 40, 1.0)
+    assert lane.is_free(1.0) and lane.room_bytes(1.0) == 60
+    lane.free(ResultHandle("r"))
+    assert lane.room_bytes(1.0) == 100
+    lane.hold(ResultHandle("r2"), 40, 1.0)
+    assert lane.room_bytes(5.1) == 100
+
+
+def test_a_short_call_waits_for_room_within_a_bound():
+    lane = LaneTable().lane(ENDPOINT, LIMITS)
+    lane.hold(ResultHandle("r"), 90, 0.0)
+    assert not lane.awaits_room(10, 0.0)
+    assert lane.awaits_room(40, 0.0)
+    assert lane.awaits_room(40, 0.1)
+    assert not lane.awaits_room(40, 0.2)
+
+
+def test_an_endpoint_that_frees_soon_is_waited_for():
+    lanes = LaneTable()
+    first, second = record("e1"), record("e2")
+    lanes.lane(EndpointId("e1"), LIMITS).begin(4, 0, 0.0)
+    second.slowness_.value_ = 4.0
+    assert lanes.ranked([first, second], LIMITS, waiting=2, now=0.35) == []
+    assert lanes.ranked([first, second], LIMITS, waiting=8, now=0.35) == [second]
+
+
+def test_suspects_get_calls_only_when_alone():
+    lanes = LaneTable()
+    bad, good = record("e1"), record("e2")
+    bad.note_failure(0.0, heavy=True)
+    assert lanes.ranked([bad, good], LIMITS, waiting=9, now=0.1) == [good]
+    assert lanes.ranked([bad], LIMITS, waiting=1, now=0.1) == [bad]
+
+
+def test_wait_of_a_group_counts_rounds():
+    lanes = LaneTable()
+    records = [record("e1"), record("e2")]
+    assert lanes.wait_s(records, LIMITS, waiting=0, now=0.0) == 0.0
+    assert lanes.wait_s(records, LIMITS, waiting=8, now=0.0) == pytest.approx(0.4)
+    assert lanes.wait_s([], LIMITS, waiting=0, now=0.0) == float("inf")
+
+
+def test_keepers_are_near_and_the_same_for_everybody():
+    halls = {EntryId(f"n{n}"): HallId("h" if n < 2 else "g") for n in range(5)}
+    group = GroupId(SERVICE, HallId("h"))
+    order = keepers_in_order(group, halls)
+    assert set(order[:2]) == {"n0", "n1"}
+    assert order == keepers_in_order(group, dict(reversed(halls.items())))
+    del halls[order[0]]
+    assert keepers_in_order(group, halls)[0] == order[1]
+
+
+def test_the_group_with_the_least_wait_is_chosen_and_moved_bytes_count():
+    table = GroupTable()
+    near, far = HallId("h"), HallId("g")
+    halls = {near: 1, far: 1}
+
+    def choose(moved):
+        found = table.choose(
+            SERVICE,
+            halls,
+            LIMITS,
+            result_bytes=1,
+            moved_bytes_by_hall=moved,
+            now=0.0,
+        )
+        return found.hall
+
+    moved = {far: 1_000_000}
+    assert choose(moved) == near
+    table.note_load(GroupId(SERVICE, near), GroupLoad(0.2, 100, 0.0))
+    assert choose(moved) == near
+    table.note_load(GroupId(SERVICE, near), GroupLoad(2.0, 100, 0.0))
+    assert choose(moved) == far
+    for _ in range(40):
+        table.note_sent(GroupId(SERVICE, far))
+    assert choose(moved) == near
+
+
+def test_commitments_of_other_entries_expire():
+    table = CommitmentTable()
+    key = CommitmentKey(SERVICE, 1_000.0)
+    later = CommitmentKey(SERVICE, 3_000.0)
+    table.add(key, 4)
+    table.note_heard(EntryId("n1"), {key: 2, later: 10}, 0.0)
+
+    def before(aim, now):
+        return table.pieces_before(SERVICE, aim, later_part=0.5, now=now)
+
+    assert before(1_000.0, 0.1) == 4 + 2 + 5
+    assert before(3_000.0, 0.1) == 16
+    assert before(1_000.0, 9.0) == 4
+    table.add(key, -4)
+    assert before(1_000.0, 9.0) == 0
--- /dev/null
+++ b/packages/leadford/src/leadford/retries/tests/test_window.py
@@ -0,0 +1,49 @@
+"""Repeats of all entries together stay within the common budget of each window."""
+
+from hypothesis import given, strategies as st
+
+from leadford.retries import WindowedRetryBudget
+
+
+def test_slack_is_shared_and_ratio_is_earned():
+    budget = WindowedRetryBudget(ratio=0.2, slack=40.0, window_s=10.0)
+    budget.sharers_ = 4
+    spent = sum(budget.try_spend(0.0) for _ in range(50))
+    assert spent == 8
+    for _ in range(100):
+        budget.note_request(1.0)
+    assert sum(budget.try_spend(1.0) for _ in range(50)) == 17
+
+
+def test_old_repeats_leave_the_window():
+    budget = WindowedRetryBudget(ratio=0.0, slack=10.0, window_s=10.0)
+    assert sum(budget.try_spend(0.0) for _ in range(20)) == 8
+    assert not budget.allows(9.9)
+    assert budget.allows(10.1)
+
+
+@given(
+    events=st.lists(
+        st.tuples(st.integers(0, 3), st.booleans(), st.floats(0.0, 0.3)), max_size=300
+    )
+)
+def test_no_window_holds_more_than_the_fleet_may_repeat(events):
+    ratio, slack, window_s = 0.2, 20.0, 10.0
+    budgets = [
+        WindowedRetryBudget(ratio=ratio, slack=slack, window_s=window_s)
+        for _ in range(4)
+    ]
+    for budget in budgets:
+        budget.sharers_ = 4
+    now = 0.0
+    requests, repeats = [], []
+    for entry, is_repeat, gap in events:
+        now += gap
+        if not is_repeat:
+            budgets[entry].note_request(now)
+            requests.append(now)
+        elif budgets[entry].try_spend(now):
+            repeats.append(now)
+        recent = [at for at in repeats if at >= now - window_s]
+        fresh = [at for at in requests if at >= now - window_s]
+        assert len(recent) <= ratio * len(fresh) + slack
