Stand in for the platform's wire, and prove forwarding on it under failure

Ruled out: extending the older stand-ins: their endpoints speak leadford's own interface and have neither batches nor handles. Change: a store with objects, watches and faults; plain endpoints, batched stages and engines with a ledger; a deployment of them with entries on loopback; 30 tests of promises under lost answers, refusals, cuts, outages, lost keepers, planned stops. Before: no test of the whole path.

--- a/packages/leadford-server/src/leadford_server/forward/_links.py
+++ b/packages/leadford-server/src/leadford_server/forward/_links.py
@@ -96,6 +96,14 @@
         )
         await self.server_.start(address)
 
+    def stop(self) -> None:
+        """Drop every link and listen no more."""
+        for dialer in self.dialers_by_id_.values():
+            dialer.task_.cancel()
+        for peer in list(self.peers_by_id_.values()):
+            peer.abort()
+        self.server_.server_.close()
+
     async def run(self) -> None:
         """Send heartbeats and keep links up until cancelled."""
         while True:
--- a/packages/leadford-server/src/leadford_server/forward/_process.py
+++ b/packages/leadford-server/src/leadford_server/forward/_process.py
@@ -349,11 +349,17 @@
             waited = loop.time() - began_at >= DRAIN_MIN_S
             if waited and not self.door_.exchanges_:
                 break
+        await self._withdraw()
+        self.log_.report(Event.PROCESS_STOPPED, live=len(self.door_.exchanges_))
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop at once, whatever runs."""
         self.door_.stop_listening()
+        self.ready_server_.stop()
         for task in self.tasks_:
             task.cancel()
-        await self._withdraw()
-        self.log_.report(Event.PROCESS_STOPPED, live=len(self.door_.exchanges_))
+        self.links_.stop()
 
     async def _withdraw(self) -> None:
         path = self.objects.object_path(
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/__init__.py
@@ -0,0 +1,25 @@
+"""Small stand-ins of the users' platform: its store and its three kinds of endpoint.
+
+They speak the published wire, keep a ledger of what ran, and fail as they are told.
+"""
+
+from leadford_standins.wire._deployment import Deployment
+from leadford_standins.wire._endpoints import (
+    EngineStandIn,
+    Misbehaviour,
+    PlainStandIn,
+    Run,
+    StageStandIn,
+)
+from leadford_standins.wire._store import StoreFault, StoreStandIn
+
+__all__ = [
+    "Deployment",
+    "EngineStandIn",
+    "Misbehaviour",
+    "PlainStandIn",
+    "Run",
+    "StageStandIn",
+    "StoreFault",
+    "StoreStandIn",
+]
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -0,0 +1,198 @@
+"""Run a small deployment of the platform on loopback: store, endpoints, entries."""
+
+import asyncio
+import socket
+from random import Random
+
+from returns.result import Success
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+
+from leadford.common import EntryId, HallId
+from leadford_platform import PlatformObjects, PlatformRequests
+from leadford_server.forward import ForwardBounds, ForwardProcess, ForwardSettings
+from leadford_server.settings import SocketAddress
+from leadford_server.web import fetch
+from leadford_standins.wire._endpoints import (
+    EngineStandIn,
+    PlainStandIn,
+    StageStandIn,
+)
+from leadford_standins.wire._store import StoreStandIn
+
+HOST = "rooms.example"
+KEY = "key-1"
+READY_S = 5.0
+STEP_S = 0.02
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def default_config() -> dict:
+    """Return a configuration with one route of each kind."""
+
+    def route(name: str, kind: str, service: str, **fields: object) -> dict:
+        return {
+            "name": name,
+            "host": HOST,
+            "pathPrefix": f"/{name}/",
+            "routeKind": kind,
+            "service": service,
+            "timeoutMs": 4_000,
+            "goalMs": 1_000,
+            "maxAttempts": 2,
+            "priority": 1,
+            "public": False,
+            **fields,
+        }
+
+    stages = [
+        {"service": "stage", "afterRev": [], "sizeBytes": 1_000},
+        {"service": "stage", "afterRev": [0], "sizeBytes": 1_000},
+    ]
+    pieces = {
+        "slots": 1,
+        "queue": 2,
+        "batch": 4,
+        "callMs": 20.0,
+        "itemMs": 1.0,
+        "headroomMb": 1.0,
+        "kvHandleS": 4.0,
+    }
+    return {
+        "version": 1,
+        "routes": [
+            route("safe", "safe", "plain"),
+            route("unsafe", "unsafe", "plain", maxAttempts=1),
+            route("resumed", "stream", "engine", resumable=True, stages=stages),
+            route("once", "stream", "engine", maxAttempts=1, stages=stages),
+        ],
+        "services": [
+            {"name": "plain", "maxConns": 64},
+            {"name": "stage", "maxConns": 64, "pieces": pieces},
+            {
+                "name": "engine",
+                "maxConns": 64,
+                "engine": {"slots": 16, "kvCapacity": 100_000},
+            },
+        ],
+        "limits": {},
+        "tenants": [{"name": "workspace-1", "apiKeys": [KEY]}],
+    }
+
+
+class Deployment:
+    """Hold the parts; use it with `async with`."""
+
+    def __init__(self, *, entries: int = 1, endpoints: int = 2, seed: int = 1) -> None:
+        self.entries = entries
+        self.endpoints = endpoints
+        self.random = Random(seed)
+        self.config = default_config()
+        self.store = StoreStandIn()
+        self.entries_: list[ForwardProcess] = []
+
+    async def __aenter__(self) -> "Deployment":
+        self.store_address_ = self.store.start()
+        halls = [f"hall-{number}" for number in range(self.endpoints)]
+        self.plain = [PlainStandIn(service="plain", hall=hall) for hall in halls]
+        self.stage = [StageStandIn(service="stage", hall=hall) for hall in halls]
+        self.engines = [EngineStandIn(service="engine", hall=hall) for hall in halls]
+        for endpoint in self.all_endpoints():
+            endpoint.start()
+            self.store.put("servers", endpoint.endpoint_id, endpoint.spec())
+        self.put_config()
+        for number in range(self.entries):
+            await self.start_entry(number)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        for entry in self.entries_:
+            await entry.stop()
+        for endpoint in self.all_endpoints():
+            await endpoint.stop()
+        self.store.stop()
+
+    def all_endpoints(self) -> list[PlainStandIn]:
+        """Return every endpoint."""
+        return [*self.plain, *self.stage, *self.engines]
+
+    def put_config(self) -> None:
+        """Write the configuration to the store."""
+        self.store.put("config", "main", self.config)
+
+    async def start_entry(self, number: int, *, wait: bool = True) -> ForwardProcess:
+        """Start an entry, and wait until it serves."""
+        settings = ForwardSettings(
+            entry_id=EntryId(f"entry-{number}"),
+            hall=HallId(f"hall-{number % self.endpoints}"),
+            callers=SocketAddress("127.0.0.1", free_port()),
+            ready=SocketAddress("127.0.0.1", free_port()),
+            peers=SocketAddress("127.0.0.1", free_port()),
+            store_url=f"http://{self.store_address_}",
+            secret=b"0123456789abcdef",
+            bounds=ForwardBounds(grace_s=8.0),
+        )
+        entry = ForwardProcess(
+            settings=settings,
+            wire=PlatformRequests(),
+            objects=PlatformObjects(),
+            reload=lambda: Success(settings),
+            random=Random(self.random.random()),
+        )
+        await entry.start()
+        self.entries_.append(entry)
+        if wait:
+            await self.until(lambda: entry.is_ready and self.knows_all(entry))
+        return entry
+
+    def knows_all(self, entry: ForwardProcess) -> bool:
+        """Tell whether an entry has listed every endpoint."""
+        known = entry.state_.roster_.records_by_id_
+        return all(endpoint.endpoint_id in known for endpoint in self.all_endpoints())
+
+    async def until(self, condition, timeout_s: float = READY_S) -> None:
+        """Wait for a condition."""
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(STEP_S)
+
+    async def send(
+        self,
+        path: str,
+        *,
+        request_id: str,
+        entry: int = 0,
+        method: str = "POST",
+        key: str | None = KEY,
+        body: bytes = b"payload",
+        headers: dict[str, str] | None = None,
+        deadline_ms: int = 3_000,
+    ) -> HTTPResponse:
+        """Send a request as a caller; status 599 means no whole answer came."""
+        lines = {
+            "Host": HOST,
+            "X-Attempt-Id": request_id,
+            "X-Deadline-Ms": str(deadline_ms),
+            "X-Pieces": "2,1",
+            "X-Piece-Key": f"pk-{request_id}",
+            "X-Model": "m",
+            "X-Token-Counts": "100,10",
+            "X-Prefix-Hash": "aa:50,bb:20",
+            **(headers or {}),
+        }
+        if key is not None:
+            lines["Authorization"] = f"Token {key}"
+        address = self.entries_[entry].settings.callers
+        request = HTTPRequest(
+            f"http://{address}{path}",
+            method=method,
+            headers=lines,
+            body=body if method != "GET" else None,
+            request_timeout=deadline_ms / 1_000.0 + 1.0,
+        )
+        return await fetch(AsyncHTTPClient(), request)
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -0,0 +1,231 @@
+"""Stand in for plain endpoints, batched stages and model engines."""
+
+import asyncio
+import itertools
+import json
+from collections import deque
+from enum import Enum
+
+import msgspec
+from tornado import httpserver, web
+
+_ids = itertools.count(1)
+
+
+class Misbehaviour(Enum):
+    """Say what goes wrong with one request."""
+
+    NONE = "none"
+    LOSE_ANSWER = "lose-answer"
+    REFUSE = "refuse"
+    FAIL = "fail"
+    HANG = "hang"
+    CUT = "cut"
+    OTHER_ANSWER = "other-answer"
+    GONE = "gone"
+
+
+class Run(msgspec.Struct, frozen=True):
+    """Hold one request that ran."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class PlainStandIn:
+    """Answer requests after some work, and keep a ledger of what ran."""
+
+    def __init__(self, *, service: str, hall: str, work_s: float = 0.005) -> None:
+        self.service = service
+        self.hall = hall
+        self.work_s = work_s
+        self.endpoint_id = f"i-{next(_ids)}"
+        self.next_: deque[Misbehaviour] = deque()
+        self.runs_: list[Run] = []
+        self.arrivals_ = 0
+        self.left_early_ = 0
+
+    def start(self) -> str:
+        """Listen on loopback and return the address."""
+        application = web.Application(
+            [(r".*", _EndpointHandler, {"endpoint": self})],
+            log_function=lambda handler: None,
+        )
+        self.server_ = httpserver.HTTPServer(application)
+        self.server_.listen(0, address="127.0.0.1")
+        sockets = self.server_._sockets.values()
+        self.address_ = f"127.0.0.1:{next(iter(sockets)).getsockname()[1]}"
+        return self.address_
+
+    async def stop(self) -> None:
+        """Stop listening and drop every connection."""
+        self.server_.stop()
+        await self.server_.close_all_connections()
+
+    def take_misbehaviour(self) -> Misbehaviour:
+        """Return what goes wrong with the next request."""
+        return self.next_.popleft() if self.next_ else Misbehaviour.NONE
+
+    def spec(self, state: str = "ready") -> dict:
+        """Return how the endpoint is listed."""
+        return {
+            "service": self.service,
+            "address": self.address_,
+            "zone": self.hall,
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "coldLeftMs": 0,
+            "sequence": 1,
+        }
+
+    async def serve(self, handler: "_EndpointHandler") -> None:
+        """Run one request."""
+        handler.note_run()
+        await asyncio.sleep(self.work_s)
+        body = f"{self.endpoint_id} {handler.request.path}".encode()
+        handler.finish(body + b" " + handler.request.body)
+
+
+class EngineStandIn(PlainStandIn):
+    """Stream numbered events; go on after `Last-Event-Id`; want inputs."""
+
+    def __init__(self, *, events: int = 5, wants_inputs: bool = True, **fields) -> None:
+        super().__init__(**fields)
+        self.events = events
+        self.wants_inputs = wants_inputs
+        self.pause_s = 0.005
+
+    async def serve(self, handler: "_EndpointHandler") -> None:
+        """Run one stream."""
+        request = handler.request
+        if self.wants_inputs and not request.headers.get("X-Inputs"):
+            handler.refuse(400)
+            return
+        if handler.misbehaviour is Misbehaviour.GONE:
+            handler.refuse(409)
+            return
+        handler.note_run()
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        handler.set_header("Content-Type", "text/event-stream")
+        handler.set_header("X-Weight-Versions", "1")
+        for number in range(first, self.events + 1):
+            await asyncio.sleep(self.pause_s)
+            if handler.misbehaviour is Misbehaviour.CUT and number == first + 2:
+                handler.write(f"id: {number}\ndata: to".encode())
+                await handler.flush()
+                handler.drop()
+                return
+            text = f"id: {number}\ndata: token {number}\n\n"
+            handler.write(text.encode())
+            await handler.flush()
+        handler.finish()
+
+
+class StageStandIn(PlainStandIn):
+    """Make pieces in batches, one call at a time."""
+
+    def __init__(self, *, call_s: float = 0.02, **fields) -> None:
+        super().__init__(**fields)
+        self.call_s = call_s
+        self.lock_ = asyncio.Lock()
+        self.results_: set[str] = set()
+        self.items_: list[dict] = []
+        self.calls_: list[int] = []
+
+    async def serve(self, handler: "_EndpointHandler") -> None:
+        """Run one call or give results up."""
+        body = json.loads(handler.request.body)
+        if handler.request.path.endswith("stage-free"):
+            self.results_ -= set(body["kvHandles"])
+            handler.finish({})
+            return
+        async with self.lock_:
+            await asyncio.sleep(self.call_s)
+        items = []
+        self.calls_.append(len(body["items"]))
+        for item in body["items"]:
+            if handler.misbehaviour is Misbehaviour.GONE:
+                items.append({"reason": "gone"})
+                continue
+            self.items_.append(item)
+            handle = f"{self.address_}/{next(_ids):x}"
+            self.results_.add(handle)
+            items.append({"kvHandle": handle})
+        handler.finish({"items": items})
+
+
+class _EndpointHandler(web.RequestHandler):
+    """Serve one request as its endpoint does, or go wrong as told."""
+
+    def initialize(self, endpoint: PlainStandIn) -> None:
+        self.endpoint = endpoint
+        self.misbehaviour = Misbehaviour.NONE
+
+    def check_xsrf_cookie(self) -> None:
+        """Allow every call."""
+
+    async def _any(self) -> None:
+        endpoint = self.endpoint
+        endpoint.arrivals_ += 1
+        request_id = self.request.headers.get("X-Attempt-Id", "")
+        self.set_header("X-Attempt-Id", request_id)
+        self.set_header("X-Server-Load", "1,0,4")
+        expected = self.request.headers.get("X-Expect-Instance")
+        if expected not in (None, endpoint.endpoint_id):
+            self.refuse(421)
+            return
+        self.misbehaviour = endpoint.take_misbehaviour()
+        self.set_header("X-Server-Stamp", f"stamp.{endpoint.endpoint_id}")
+        if self.misbehaviour is Misbehaviour.REFUSE:
+            self.refuse(503)
+            return
+        if self.misbehaviour is Misbehaviour.FAIL:
+            self.note_run()
+            self.set_status(500)
+            self.finish(b"failed")
+            return
+        if self.misbehaviour is Misbehaviour.LOSE_ANSWER:
+            self.note_run()
+            self.drop()
+            return
+        if self.misbehaviour is Misbehaviour.HANG:
+            self.note_run()
+            await asyncio.sleep(3_600)
+        if self.misbehaviour is Misbehaviour.OTHER_ANSWER:
+            self.set_header("X-Attempt-Id", "somebody-else")
+        await endpoint.serve(self)
+
+    get = post = put = delete = _any
+
+    def note_run(self) -> None:
+        """Write down that the request ran."""
+        request = self.request
+        headers = dict(request.headers.get_all())
+        run = Run(
+            request.headers.get("X-Attempt-Id", ""),
+            request.method,
+            request.uri,
+            headers,
+            request.body,
+        )
+        self.endpoint.runs_.append(run)
+
+    def refuse(self, status: int) -> None:
+        """Answer that the request did not run."""
+        self.clear_header("X-Server-Stamp")
+        self.set_header("X-Not-Executed", "1")
+        self.set_status(status)
+        self.finish()
+
+    def drop(self) -> None:
+        """Close the connection without an answer."""
+        self._finished = True
+        self.request.connection.stream.close()
+
+    def on_connection_close(self) -> None:
+        """Count callers that left before the answer."""
+        self.endpoint.left_early_ += 1
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -0,0 +1,156 @@
+"""Stand in for the platform's metadata store: objects, lists, watches, faults."""
+
+import asyncio
+import json
+from collections import deque
+from enum import Enum
+
+from tornado import httpserver, web
+
+HISTORY_EVENTS = 200
+
+
+class StoreFault(Enum):
+    """Say how the store fails: not at all, by refusal, or without a word."""
+
+    NONE = "none"
+    BUSY = "busy"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+class StoreStandIn:
+    """Hold objects by kind and name; every change raises one revision."""
+
+    def __init__(self) -> None:
+        self.objects_by_kind_: dict[str, dict[str, dict]] = {}
+        self.history_: deque[tuple[int, str, bool, dict]] = deque(maxlen=HISTORY_EVENTS)
+        self.forgotten_revision_ = 0
+        self.revision_ = 0
+        self.changed_ = asyncio.Event()
+        self.fault = StoreFault.NONE
+        self.refused_clients: set[str] = set()
+        self.calls_ = 0
+
+    def start(self) -> str:
+        """Listen on loopback and return the address."""
+        application = web.Application(
+            [(r"/leadford/objects/([^/]+)(?:/(.+))?", _ObjectHandler, {"store": self})],
+            log_function=lambda handler: None,
+        )
+        self.server_ = httpserver.HTTPServer(application)
+        self.server_.listen(0, address="127.0.0.1")
+        sockets = self.server_._sockets.values()
+        return f"127.0.0.1:{next(iter(sockets)).getsockname()[1]}"
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self.server_.stop()
+
+    def put(self, kind: str, name: str, spec: dict) -> None:
+        """Write an object."""
+        self.revision_ += 1
+        item = {
+            "metadata": {"name": name, "revision": self.revision_, "finalizers": []},
+            "spec": spec,
+            "status": None,
+        }
+        self.objects_by_kind_.setdefault(kind, {})[name] = item
+        self._note(kind, item, gone=False)
+
+    def delete(self, kind: str, name: str) -> bool:
+        """Remove an object; return whether it was there."""
+        item = self.objects_by_kind_.get(kind, {}).pop(name, None)
+        if item is None:
+            return False
+        self.revision_ += 1
+        self._note(kind, item, gone=True)
+        return True
+
+    def forget_history(self) -> None:
+        """Drop what watches would go on from."""
+        self.history_.clear()
+        self.forgotten_revision_ = self.revision_
+        self._wake()
+
+    def _note(self, kind: str, item: dict, *, gone: bool) -> None:
+        self.history_.append((self.revision_, kind, gone, item))
+        self._wake()
+
+    def _wake(self) -> None:
+        self.changed_.set()
+        self.changed_ = asyncio.Event()
+
+    def events_after(self, kind: str, revision: int) -> list[dict] | None:
+        """Return the changes of a kind, or None when they are forgotten."""
+        if revision < self.forgotten_revision_:
+            return None
+        return [
+            {"gone": gone, "object": item}
+            for at, of_kind, gone, item in self.history_
+            if at > revision and of_kind == kind
+        ]
+
+
+class _ObjectHandler(web.RequestHandler):
+    """Serve the calls on objects."""
+
+    def initialize(self, store: StoreStandIn) -> None:
+        self.store = store
+
+    async def prepare(self) -> None:
+        self.store.calls_ += 1
+        fault = self.store.fault
+        if fault is StoreFault.BUSY:
+            raise web.HTTPError(503)
+        if fault is StoreFault.SILENT:
+            await asyncio.sleep(3_600)
+        if fault is StoreFault.RESET:
+            self._finished = True
+            self.request.connection.stream.close()
+
+    async def get(self, kind: str, name: str | None) -> None:
+        objects = self.store.objects_by_kind_.get(kind, {})
+        if name is not None:
+            if name not in objects:
+                raise web.HTTPError(404)
+            self.finish(objects[name])
+            return
+        watch = self.get_query_argument("watch", None)
+        if watch is None:
+            items = [objects[key] for key in sorted(objects)]
+            self.finish({"items": items, "more": False, "at": self.store.revision_})
+            return
+        await self._watch(kind, int(watch))
+
+    async def _watch(self, kind: str, revision: int) -> None:
+        wait_s = int(self.get_query_argument("waitMs", "1000")) / 1_000.0
+        until = asyncio.get_running_loop().time() + wait_s
+        while True:
+            changed = self.store.changed_
+            events = self.store.events_after(kind, revision)
+            if events is None:
+                raise web.HTTPError(410)
+            left_s = until - asyncio.get_running_loop().time()
+            if events or left_s <= 0.0 or self.store.fault is not StoreFault.NONE:
+                break
+            try:
+                await asyncio.wait_for(changed.wait(), left_s)
+            except TimeoutError:
+                continue
+        if self.store.fault is not StoreFault.NONE:
+            raise web.HTTPError(503)
+        self.finish({"events": events, "at": self.store.revision_})
+
+    def post(self, kind: str, name: str | None) -> None:
+        item = json.loads(self.request.body)
+        name = item["metadata"]["name"]
+        if name in self.store.objects_by_kind_.get(kind, {}):
+            raise web.HTTPError(409)
+        self.store.put(kind, name, item["spec"])
+        self.finish(self.store.objects_by_kind_[kind][name])
+
+    def delete(self, kind: str, name: str) -> None:
+        if not self.store.delete(kind, name):
+            raise web.HTTPError(404)
+        self.finish({})
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
@@ -0,0 +1,397 @@
+"""What callers and endpoints see of an entry while things go wrong."""
+
+import asyncio
+import copy
+import re
+
+import pytest
+
+from leadford_server.forward import _follow
+from leadford_standins.wire import Deployment, Misbehaviour, StoreFault
+
+IDS = re.compile(rb"id: (\d+)\ndata: token \1\n\n")
+
+
+def run(scenario, **fields):
+    async def main():
+        async with Deployment(**fields) as deployment:
+            await scenario(deployment)
+
+    asyncio.run(asyncio.wait_for(main(), 40))
+
+
+def runs_of(endpoints, request_id):
+    found = [run for endpoint in endpoints for run in endpoint.runs_]
+    return [run for run in found if run.request_id == request_id]
+
+
+def event_ids(body):
+    assert IDS.sub(b"", body) == b""
+    return [int(number) for number in IDS.findall(body)]
+
+
+def test_requests_of_each_kind_are_served():
+    async def scenario(deployment):
+        answer = await deployment.send("/unsafe/x?y=z", request_id="r1")
+        assert answer.code == 200 and answer.body.endswith(b" payload")
+        assert answer.headers["X-Server-Stamp"].startswith("stamp.")
+        sent = runs_of(deployment.plain, "r1")
+        assert len(sent) == 1
+        assert (sent[0].method, sent[0].target) == ("POST", "/unsafe/x?y=z")
+        assert sent[0].headers["X-Tenant"] == "workspace-1"
+        assert "Authorization" not in sent[0].headers
+        assert int(sent[0].headers["X-Deadline-Ms"]) <= 3_000
+        answer = await deployment.send("/safe/x", request_id="r2", method="GET")
+        assert answer.code == 200
+        for path in ("/resumed/x", "/once/x"):
+            answer = await deployment.send(path, request_id=path)
+            assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+
+    run(scenario)
+
+
+def test_pieces_get_their_own_inputs_and_results_are_given_up():
+    async def scenario(deployment):
+        names = [f"s{number}" for number in range(8)]
+        answers = await asyncio.gather(
+            *(deployment.send("/resumed/x", request_id=name) for name in names)
+        )
+        assert [answer.code for answer in answers] == [200] * 8
+        items = [item for stage in deployment.stage for item in stage.items_]
+        made = {(item["id"], item["stage"], item["piece"]): item for item in items}
+        assert len(made) == len(items) == 24
+        for name in names:
+            first = made[name, 0, 0]
+            assert first["privateKey"] == f"pk-{name}" and "inputs" not in first
+            second = made[name, 1, 0]
+            assert len(second["inputs"]) == 2 and "privateKey" not in second
+        # Calls carried pieces of several requests.
+        assert max(max(stage.calls_) for stage in deployment.stage) > 2
+        await deployment.until(
+            lambda: not any(stage.results_ for stage in deployment.stage)
+        )
+
+    run(scenario)
+
+
+def test_an_unsafe_request_whose_answer_is_lost_runs_once_and_is_not_refused():
+    async def scenario(deployment):
+        for endpoint in deployment.plain:
+            endpoint.next_.append(Misbehaviour.LOSE_ANSWER)
+        answer = await deployment.send("/unsafe/x", request_id="r1")
+        assert answer.code == 502
+        assert len(runs_of(deployment.plain, "r1")) == 1
+
+    run(scenario)
+
+
+def test_an_unsafe_request_on_a_connection_that_went_stale_is_not_repeated():
+    async def scenario(deployment):
+        await deployment.send("/unsafe/x", request_id="r0")
+        for endpoint in deployment.plain:
+            endpoint.next_ += [Misbehaviour.LOSE_ANSWER]
+        answer = await deployment.send("/unsafe/x", request_id="r1")
+        assert answer.code == 502
+        assert len(runs_of(deployment.plain, "r1")) == 1
+
+    run(scenario)
+
+
+def test_a_refusal_that_says_not_run_is_true_and_says_when_to_come_back():
+    async def scenario(deployment):
+        for endpoint in deployment.plain:
+            endpoint.next_.append(Misbehaviour.REFUSE)
+        answer = await deployment.send("/unsafe/x", request_id="r1")
+        assert answer.code == 503
+        assert float(answer.headers["Retry-After"]) > 0.0
+        assert runs_of(deployment.plain, "r1") == []
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "misbehaviour",
+    [
+        Misbehaviour.LOSE_ANSWER,
+        Misbehaviour.REFUSE,
+        Misbehaviour.FAIL,
+        Misbehaviour.OTHER_ANSWER,
+        Misbehaviour.HANG,
+    ],
+)
+def test_a_safe_request_is_tried_at_another_endpoint(misbehaviour):
+    async def scenario(deployment):
+        # The endpoint of the entry's own hall is asked first.
+        first, second = deployment.plain
+        first.next_.append(misbehaviour)
+        answer = await deployment.send("/safe/x", request_id="r1", method="GET")
+        assert answer.code == 200
+        assert answer.headers["X-Attempt-Id"] == "r1"
+        assert answer.headers["X-Server-Stamp"] == f"stamp.{second.endpoint_id}"
+        assert (first.arrivals_, second.arrivals_) == (1, 1)
+
+    run(scenario)
+
+
+def test_a_failure_of_an_endpoint_is_passed_on_with_its_signature():
+    async def scenario(deployment):
+        for endpoint in deployment.plain:
+            endpoint.next_.append(Misbehaviour.FAIL)
+        answer = await deployment.send("/unsafe/x", request_id="r1")
+        assert (answer.code, answer.body) == (500, b"failed")
+        assert "X-Server-Stamp" in answer.headers
+
+    run(scenario)
+
+
+def test_a_broken_stream_goes_on_elsewhere_without_gap_or_double():
+    async def scenario(deployment):
+        await deployment.send("/resumed/x", request_id="r0")
+        used, other = sorted(deployment.engines, key=lambda e: -len(e.runs_))
+        used.next_.append(Misbehaviour.CUT)
+        answer = await deployment.send("/resumed/x", request_id="r1")
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+        # The head stays that of the engine that began.
+        assert answer.headers["X-Server-Stamp"] == f"stamp.{used.endpoint_id}"
+        assert [run.headers.get("Last-Event-Id") for run in other.runs_] == ["2"]
+        assert other.runs_[0].headers["X-Expect-Version"] == "1"
+
+    run(scenario)
+
+
+def test_a_stream_that_breaks_at_every_engine_never_looks_complete():
+    async def scenario(deployment):
+        for engine in deployment.engines:
+            engine.next_.append(Misbehaviour.CUT)
+        answer = await deployment.send("/resumed/x", request_id="r1")
+        assert answer.code == 599
+
+    run(scenario)
+
+
+def test_a_stream_that_may_not_be_resumed_never_looks_complete():
+    async def scenario(deployment):
+        for engine in deployment.engines:
+            engine.next_.append(Misbehaviour.CUT)
+        answer = await deployment.send("/once/x", request_id="r1")
+        assert answer.code == 599
+        assert len(runs_of(deployment.engines, "r1")) == 1
+
+    run(scenario)
+
+
+def test_inputs_that_are_gone_are_made_again():
+    async def scenario(deployment):
+        for engine in deployment.engines:
+            engine.next_.append(Misbehaviour.GONE)
+        answer = await deployment.send("/once/x", request_id="r1")
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+        assert len(runs_of(deployment.engines, "r1")) == 1
+
+    run(scenario)
+
+
+def test_pieces_whose_inputs_are_gone_are_made_again():
+    async def scenario(deployment):
+        for stage in deployment.stage:
+            stage.next_ += [Misbehaviour.NONE, Misbehaviour.GONE]
+        answer = await deployment.send("/once/x", request_id="r1")
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+
+    run(scenario, endpoints=1)
+
+
+@pytest.mark.parametrize(
+    "misbehaviour", [Misbehaviour.LOSE_ANSWER, Misbehaviour.FAIL, Misbehaviour.REFUSE]
+)
+def test_a_call_for_pieces_that_fails_is_made_again(misbehaviour):
+    async def scenario(deployment):
+        deployment.stage[0].next_.append(misbehaviour)
+        for number in range(3):
+            answer = await deployment.send("/once/x", request_id=f"r{number}")
+            assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+
+    run(scenario)
+
+
+def test_unknown_routes_and_keys_are_denied_and_never_before_a_configuration():
+    async def scenario(deployment):
+        denied = [
+            await deployment.send("/none/x", request_id="a"),
+            await deployment.send("/safe/x", request_id="b", key=None),
+            await deployment.send("/safe/x", request_id="c", key="other"),
+        ]
+        assert [answer.code for answer in denied] == [404, 401, 401]
+        deployment.store.fault = StoreFault.BUSY
+        await deployment.start_entry(1, wait=False)
+        answer = await deployment.send("/none/x", request_id="d", entry=1)
+        assert answer.code == 503
+        assert deployment.entries_[1].is_ready is False
+
+    run(scenario)
+
+
+def test_a_configuration_comes_in_force_and_never_goes_back():
+    async def scenario(deployment):
+        old = copy.deepcopy(deployment.config)
+        deployment.config["version"] = 5
+        deployment.config["tenants"][0]["apiKeys"] = ["key-2"]
+        deployment.put_config()
+        entry = deployment.entries_[0]
+        await deployment.until(lambda: entry.state_.table_.config.version == 5)
+        assert (await deployment.send("/safe/x", request_id="a")).code == 401
+        answer = await deployment.send("/safe/x", request_id="b", key="key-2")
+        assert answer.code == 200
+        deployment.config = old
+        deployment.put_config()
+        deployment.store.forget_history()
+        await asyncio.sleep(0.3)
+        assert entry.state_.table_.config.version == 5
+
+    run(scenario)
+
+
+def test_a_draining_endpoint_gets_nothing_new():
+    async def scenario(deployment):
+        leaving = deployment.plain[0]
+        deployment.store.put("servers", leaving.endpoint_id, leaving.spec("draining"))
+        await asyncio.sleep(0.2)
+        before = leaving.arrivals_
+        for number in range(10):
+            await deployment.send("/safe/x", request_id=f"r{number}", method="GET")
+        assert leaving.arrivals_ == before
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.RESET])
+def test_an_outage_of_the_store_changes_nothing_for_requests(fault):
+    async def scenario(deployment):
+        deployment.store.fault = fault
+        await asyncio.sleep(0.2)
+        answer = await deployment.send("/resumed/x", request_id="r1")
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+        deployment.store.fault = StoreFault.NONE
+        deployment.config["version"] = 2
+        deployment.put_config()
+        entry = deployment.entries_[0]
+        await deployment.until(lambda: entry.state_.table_.config.version == 2)
+
+    run(scenario)
+
+
+def test_an_entry_that_the_store_turns_away_follows_its_peers(monkeypatch):
+    async def scenario(deployment):
+        first, second = deployment.entries_
+        await deployment.until(lambda: second.links_.peers_by_id_)
+        cut_off = second.client_
+
+        async def refuse(*args, **fields):
+            await asyncio.sleep(0.05)
+            return _follow.Failure(503)
+
+        monkeypatch.setattr(cut_off, "call", refuse)
+        leaving = deployment.plain[0]
+        deployment.config["version"] = 9
+        deployment.config["tenants"][0]["apiKeys"] = ["key-2"]
+        deployment.put_config()
+        deployment.store.put("servers", leaving.endpoint_id, leaving.spec("draining"))
+        await deployment.until(lambda: second.state_.table_.config.version == 9)
+        answer = await deployment.send("/safe/x", request_id="a", entry=1)
+        assert answer.code in (401, 503)
+        await deployment.until(lambda: len(second.state_.roster_.usable("plain")) == 1)
+
+    run(scenario, entries=2)
+
+
+def test_pieces_of_a_lost_keeper_are_made_elsewhere():
+    async def scenario(deployment):
+        first, second = deployment.entries_
+        await deployment.until(
+            lambda: (
+                first.links_.halls_by_live_entry()
+                and second.links_.halls_by_live_entry()
+            )
+        )
+        for stage in deployment.stage:
+            stage.call_s = 0.3
+        sent = [
+            asyncio.ensure_future(deployment.send("/once/x", request_id=f"r{number}"))
+            for number in range(6)
+        ]
+        await asyncio.sleep(0.15)
+        await second.stop()
+        answers = await asyncio.gather(*sent)
+        assert [answer.code for answer in answers] == [200] * 6
+        for answer in answers:
+            assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+        for number in range(6):
+            assert len(runs_of(deployment.engines, f"r{number}")) == 1
+
+    run(scenario, entries=2)
+
+
+def test_a_caller_that_leaves_ends_the_work_for_it():
+    async def scenario(deployment):
+        for engine in deployment.engines:
+            engine.pause_s = 0.3
+        sent = asyncio.ensure_future(
+            deployment.send("/resumed/x", request_id="r1", deadline_ms=20_000)
+        )
+        await deployment.until(lambda: any(e.runs_ for e in deployment.engines))
+        reader = deployment.entries_[0].door_.exchanges_
+        for exchange in list(reader):
+            exchange._caller_left()
+        await deployment.until(lambda: any(e.left_early_ for e in deployment.engines))
+        sent.cancel()
+        assert deployment.entries_[0].stages_.sent_by_ticket_ == {}
+
+    run(scenario)
+
+
+def test_a_planned_stop_ends_what_runs_and_announces_itself_at_once():
+    async def scenario(deployment):
+        entry = deployment.entries_[0]
+        for engine in deployment.engines:
+            engine.pause_s = 0.2
+        sent = asyncio.ensure_future(deployment.send("/once/x", request_id="r1"))
+        await deployment.until(lambda: any(e.runs_ for e in deployment.engines))
+        stopping = asyncio.ensure_future(entry.drain())
+        await asyncio.sleep(0.01)
+        assert entry.is_ready is False
+        late = await deployment.send("/unsafe/x", request_id="r2")
+        assert late.code == 200 and late.headers["Connection"] == "close"
+        assert event_ids((await sent).body) == [1, 2, 3, 4, 5]
+        await stopping
+        assert "entry-0" not in deployment.store.objects_by_kind_["leadford-entries"]
+
+    run(scenario)
+
+
+def test_a_request_gets_its_final_answer_by_the_timeout_of_its_route():
+    async def scenario(deployment):
+        deployment.config["version"] = 2
+        deployment.config["routes"][1]["timeoutMs"] = 300
+        deployment.put_config()
+        entry = deployment.entries_[0]
+        await deployment.until(lambda: entry.state_.table_.config.version == 2)
+        for endpoint in deployment.plain:
+            endpoint.next_.append(Misbehaviour.HANG)
+        answer = await deployment.send("/unsafe/x", request_id="r1")
+        assert answer.code == 504
+        assert answer.request_time < 1.0
+
+    run(scenario)
+
+
+def test_malformed_requests_get_a_clear_answer():
+    async def scenario(deployment):
+        bad = {"X-Pieces": "1"}
+        answer = await deployment.send("/once/x", request_id="r1", headers=bad)
+        assert answer.code == 400
+        bad = {"X-Deadline-Ms": "soon"}
+        answer = await deployment.send("/safe/x", request_id="r2", headers=bad)
+        assert answer.code == 400
+        assert (await deployment.send("/safe/x", request_id="r3")).code == 200
+
+    run(scenario)
