Give up a watch that hears nothing after two seconds

All entries were behind at once, so no peer knew better. Ruled out: relaying (no peer had it), parsing (the listing was taken at once). Change: a watch waits 1.8 s and is given up 0.35 s later; the margin doubles while the store is slow.

--- a/packages/leadford-server/src/leadford_server/forward/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forward/_follow.py
@@ -14,7 +14,9 @@
 from leadford_server.metrics import STORE_CALLS_TOTAL
 from leadford_server.web import fetch
 
-WATCH_MS = 3_000
+WATCH_MS = 1_800
+WATCH_MARGIN_S = 0.35
+WATCH_MARGIN_MOST_S = 2.0
 CALL_S = 1.5
 CONNECT_S = 0.6
 RETRY_MIN_S = 0.1
@@ -36,7 +38,13 @@
         self.is_available_ = True
 
     async def call(
-        self, path: str, *, method: str = "GET", body: bytes | None = None, wait_s=0.0
+        self,
+        path: str,
+        *,
+        method: str = "GET",
+        body: bytes | None = None,
+        wait_s: float = 0.0,
+        margin_s: float = CALL_S,
     ) -> Result[bytes, int]:
         """Return the body of a good answer, or the status; 599 without an answer."""
         request = HTTPRequest(
@@ -45,7 +53,7 @@
             body=body,
             headers={"Content-Type": "application/json"} if body else None,
             connect_timeout=CONNECT_S,
-            request_timeout=wait_s + CALL_S,
+            request_timeout=wait_s + margin_s,
             allow_nonstandard_methods=True,
             decompress_response=False,
         )
@@ -97,6 +105,7 @@
         self.take_event = take_event
         self.confirm = confirm
         self.revision_: int | None = None
+        self.margin_s_ = WATCH_MARGIN_S
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -136,12 +145,17 @@
     async def _watch(self) -> bool:
         wire = self.client.wire
         path = wire.watch_path(self.kind, self.revision_, WATCH_MS)
-        read = await self.client.call(path, wait_s=WATCH_MS / 1_000.0)
+        # A watch that hears nothing is given up soon; a slow store gets more time.
+        read = await self.client.call(
+            path, wait_s=WATCH_MS / 1_000.0, margin_s=self.margin_s_
+        )
         if isinstance(read, Failure):
+            self.margin_s_ = min(WATCH_MARGIN_MOST_S, self.margin_s_ * 2.0)
             if read.failure() == STATUS_GONE:
                 self.revision_ = None
                 return True
             return False
+        self.margin_s_ = WATCH_MARGIN_S
         seen = wire.read_events(read.unwrap())
         if isinstance(seen, Failure):
             self.revision_ = None
--- a/packages/leadford-standins/src/leadford_standins/wire/_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -8,6 +8,7 @@
 from tornado import httpserver, web
 
 HISTORY_EVENTS = 200
+DEAF_CHECK_S = 30.0
 
 
 class StoreFault(Enum):
@@ -29,7 +30,7 @@
         self.revision_ = 0
         self.changed_ = asyncio.Event()
         self.fault = StoreFault.NONE
-        self.refused_clients: set[str] = set()
+        self.has_deaf_watches = False
         self.calls_ = 0
 
     def start(self) -> str:
@@ -126,6 +127,8 @@
     async def _watch(self, kind: str, revision: int) -> None:
         wait_s = int(self.get_query_argument("waitMs", "1000")) / 1_000.0
         until = asyncio.get_running_loop().time() + wait_s
+        while self.store.has_deaf_watches:
+            await asyncio.sleep(DEAF_CHECK_S)
         while True:
             changed = self.store.changed_
             events = self.store.events_after(kind, revision)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
@@ -280,6 +280,23 @@
     run(scenario)
 
 
+def test_watches_that_hear_nothing_do_not_hold_up_a_configuration():
+    async def scenario(deployment):
+        entry = deployment.entries_[0]
+        # The watch that waits now is never answered; those after it are.
+        deployment.store.has_deaf_watches = True
+        await asyncio.sleep(_follow.WATCH_MS / 1_000.0 + 0.2)
+        deployment.store.has_deaf_watches = False
+        deployment.config["version"] = 2
+        deployment.put_config()
+        deployment.store.forget_history()
+        await deployment.until(
+            lambda: entry.state_.table_.config.version == 2, timeout_s=3.0
+        )
+
+    run(scenario)
+
+
 def test_an_entry_that_the_store_turns_away_follows_its_peers(monkeypatch):
     async def scenario(deployment):
         first, second = deployment.entries_
