Let a backlog take a part of the time that the path leaves

Cause: admission compared the whole expected time with half of the aim. Pieces of early stages were due as late as those of last ones. Change: the limit is the path and a part of what the aim leaves; a piece is due less what the stages after it take.

--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -391,11 +391,27 @@
             result_bytes=stage.result_bytes,
             priority=job.priority,
             deadline=job.deadline,
-            due_at=job.due_at,
+            due_at=job.due_at - self._after_s(job, key.stage),
             queued_at=now,
             excluded=excluded,
         )
 
+    def _after_s(self, job: StageJob, number: int) -> float:
+        """Return how long the stages after one of them take on their longest way."""
+        total_s = 0.0
+        readers = [
+            later
+            for later, stage in enumerate(job.graph.stages)
+            if number in stage.after and job.graph.counts[later] > 0
+        ]
+        for later in readers:
+            service = self.state.service(job.graph.stages[later].service_id)
+            if service is None or service.pieces is None:
+                continue
+            call_s = service.pieces.duration_ms(service.pieces.batch) / 1_000.0
+            total_s = max(total_s, call_s + self._after_s(job, later))
+        return total_s
+
     def _hand_over(self, sent: _Sent, limits: PieceLimits, now: float) -> None:
         """Give a piece to its keeper; this entry keeps it when no link stands."""
         endpoints = self.state.roster_.usable_by_hall(sent.group.service_id)
--- a/packages/leadford/src/leadford/admission/_forward.py
+++ b/packages/leadford/src/leadford/admission/_forward.py
@@ -11,9 +11,9 @@
 from leadford.pieces import CommitmentTable
 
 LATER_PART = 0.2
-AIM_PART = 0.5
-AIM_PART_URGENT = 0.5
-AIM_PART_STEP = 0.15
+SPARE_PART = 0.5
+SPARE_PART_URGENT = 0.7
+SPARE_PART_STEP = 0.1
 RETURN_PART = 0.55
 RETRY_MIN_S = 0.25
 JITTER = 0.15
@@ -172,8 +172,12 @@
             limit_s = min(DEADLINE_PART * allowed_s, RETURN_AIMS * aim_s)
         else:
             expected_s += promised_s * PROMISED_PART
-            part = max(AIM_PART, AIM_PART_URGENT - AIM_PART_STEP * priority)
-            limit_s = min(part * aim_s, DEADLINE_PART * allowed_s)
+            # What the path itself takes is not to spare; a backlog may take a part of
+            # the rest, the larger the more urgent the request.
+            least_s = elapsed_s + path_s + engine_s
+            part = max(SPARE_PART, SPARE_PART_URGENT - SPARE_PART_STEP * priority)
+            limit_s = least_s + part * max(0.0, aim_s - least_s)
+            limit_s = min(limit_s, DEADLINE_PART * allowed_s)
         if expected_s <= limit_s:
             return AdmissionDecision(Verdict.ADMIT, expected_s, is_return=is_return)
         wait_s = backlog_s + promised_s - RETURN_PART * (aim_s - path_s - engine_s)
