Use endpoints for a moment when the listing loses most of a service at once

Ruled out: crashed endpoints (direct evidence spoke for them). Change: when more of a service are just gone than are left, they are used for 0.55 of the time that a leaving endpoint must allow; those that announced their leave are not. What was learned of an endpoint survives its removal and return.

--- a/packages/leadford-server/src/leadford_server/forward/_keeper.py
+++ b/packages/leadford-server/src/leadford_server/forward/_keeper.py
@@ -108,7 +108,7 @@
 
     def wake(self) -> None:
         """Look again whether calls can leave, after the listing has changed."""
-        self.lanes_.retain(set(self.state.roster_.records_by_id_))
+        self.lanes_.retain(self.state.roster_.known_ids())
         for group in list(self.queues_by_group_):
             self._pump(group)
 
@@ -138,7 +138,7 @@
     def _records(self, group: GroupId) -> list[EndpointRecord]:
         return [
             record
-            for record in self.state.roster_.usable(group.service_id)
+            for record in self.state.usable(group.service_id)
             if record.listed.hall == group.hall
         ]
 
--- a/packages/leadford-server/src/leadford_server/forward/_links.py
+++ b/packages/leadford-server/src/leadford_server/forward/_links.py
@@ -142,7 +142,7 @@
         for service in table.config.services_by_id.values():
             if service.pieces is None:
                 continue
-            for hall in self.state.roster_.usable_by_hall(service.service_id):
+            for hall in self.state.usable_by_hall(service.service_id):
                 found.add(GroupId(service.service_id, hall))
         return found
 
--- a/packages/leadford-server/src/leadford_server/forward/_process.py
+++ b/packages/leadford-server/src/leadford_server/forward/_process.py
@@ -253,13 +253,17 @@
         self._apply_listing(endpoints, listing.revision)
 
     def _apply_listing(self, endpoints: list[ListedEndpoint], revision: int) -> None:
-        self._note_changes(self.state_.roster_.replace(endpoints, revision))
+        self._note_changes(
+            self.state_.roster_.replace(endpoints, revision, self.state_.now())
+        )
 
     def _take_endpoint_event(self, event: ObjectEvent) -> None:
         roster = self.state_.roster_
         if event.is_gone:
             name = self.objects.object_name(event.item)
-            self._note_changes(roster.remove(name, event.seen_revision))
+            self._note_changes(
+                roster.remove(name, event.seen_revision, self.state_.now())
+            )
             return
         read = self.objects.read_endpoint(event.item)
         if isinstance(read, Failure):
@@ -322,7 +326,7 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
-            known = set(self.state_.roster_.records_by_id_)
+            known = self.state_.roster_.known_ids()
             self.state_.pool_.sweep(known)
             self.state_.engines_.retain(known)
 
--- a/packages/leadford-server/src/leadford_server/forward/_run.py
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -198,7 +198,7 @@
             if service is None or service.pieces is None:
                 continue
             now = self.state.now()
-            usable = self.state.roster_.usable(stage.service_id)
+            usable = self.state.usable(stage.service_id)
             trusted = [record for record in usable if not record.is_suspect(now)]
             found[stage.service_id] = StageCapacity(service.pieces, len(trusted))
         return found
@@ -318,7 +318,7 @@
 
     def _usual_s(self) -> float | None:
         """Return how long endpoints of the service usually take, once it is known."""
-        records = self.state.roster_.usable(self.admitted_.service.service_id)
+        records = self.state.usable(self.admitted_.service.service_id)
         known = [
             record.latency_ms_.value_ / 1_000.0
             for record in records
@@ -454,7 +454,7 @@
     def _choose(self) -> EndpointRecord | None:
         state = self.state
         service = self.admitted_.service
-        records = state.roster_.usable(service.service_id)
+        records = state.usable(service.service_id)
         if service.engine is not None:
             return state.engines_.choose(
                 records,
@@ -475,7 +475,7 @@
         """Return the hall of the engine that would be chosen now."""
         state = self.state
         record = state.engines_.choose(
-            state.roster_.usable(self.admitted_.service.service_id),
+            state.usable(self.admitted_.service.service_id),
             self.request.prompt,
             extra_ms_by_hall=self.stages.wait_ms_by_hall(
                 self.admitted_.route.stages, self.request.piece_counts
--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -218,7 +218,7 @@
         if service is None or service.pieces is None:
             return {}
         now = self.state.now()
-        counts_by_hall = self.state.roster_.usable_by_hall(stage.service_id)
+        counts_by_hall = self.state.usable_by_hall(stage.service_id)
         self._note_own_loads(stage.service_id, counts_by_hall, now)
         wait_s_by_hall = {
             hall: self.groups_.wait_s(
@@ -317,15 +317,14 @@
         excluded: frozenset[EndpointId],
         now: float,
     ) -> GroupId | None:
-        roster = self.state.roster_
         stage = job.graph.stages[keys[0].stage]
         counts: dict[HallId, int] = {}
-        for record in roster.usable(stage.service_id):
+        for record in self.state.usable(stage.service_id):
             if record.listed.endpoint_id in excluded or record.is_suspect(now):
                 continue
             counts[record.listed.hall] = counts.get(record.listed.hall, 0) + 1
         if not counts:
-            counts = roster.usable_by_hall(stage.service_id)
+            counts = self.state.usable_by_hall(stage.service_id)
         self._note_own_loads(stage.service_id, counts, now)
         return self.groups_.choose(
             stage.service_id,
@@ -414,7 +413,7 @@
 
     def _hand_over(self, sent: _Sent, limits: PieceLimits, now: float) -> None:
         """Give a piece to its keeper; this entry keeps it when no link stands."""
-        endpoints = self.state.roster_.usable_by_hall(sent.group.service_id)
+        endpoints = self.state.usable_by_hall(sent.group.service_id)
         wait_s = self.groups_.wait_s(
             sent.group, limits, endpoints.get(sent.group.hall, 1), now
         )
@@ -514,7 +513,7 @@
             service = self.state.service(job.graph.stages[number].service_id)
             if service is None or service.pieces is None:
                 continue
-            halls = self.state.roster_.usable_by_hall(service.service_id)
+            halls = self.state.usable_by_hall(service.service_id)
             waits = [
                 self.groups_.wait_s(
                     GroupId(service.service_id, hall), service.pieces, count, now
--- a/packages/leadford-server/src/leadford_server/forward/_state.py
+++ b/packages/leadford-server/src/leadford_server/forward/_state.py
@@ -7,7 +7,12 @@
 
 from leadford.admission import RefusedMemory
 from leadford.common import Ewma, HallId
-from leadford.endpoints import EndpointChooser, EndpointRoster, EngineChooser
+from leadford.endpoints import (
+    EndpointChooser,
+    EndpointRecord,
+    EndpointRoster,
+    EngineChooser,
+)
 from leadford.forwarding import RouteTable, Service, ServiceId
 from leadford.retries import WindowedRetryBudget
 from leadford_server.forward._contract import RequestWire
@@ -16,6 +21,7 @@
 
 CONFIG_FRESH_S = 6.0
 ENGINE_S = 0.15
+GONE_TRUSTED_PART = 0.55
 
 
 class ForwardBounds(msgspec.Struct, frozen=True):
@@ -52,7 +58,7 @@
         self.loop = loop
         self.log = log
         self.table_: RouteTable | None = None
-        self.roster_ = EndpointRoster()
+        self.roster_ = EndpointRoster(trusted_s=GONE_TRUSTED_PART * bounds.drain_s)
         self.chooser_ = EndpointChooser(hall=hall, random=random)
         self.engines_ = EngineChooser(hall=hall)
         self.pool_ = ConnectionPool(wire=wire, loop=loop)
@@ -69,6 +75,14 @@
         """
         return self.loop.time()
 
+    def usable(self, service_id: ServiceId) -> list[EndpointRecord]:
+        """Return the endpoints of a service that take new work now."""
+        return self.roster_.usable(service_id, self.now())
+
+    def usable_by_hall(self, service_id: ServiceId) -> dict[HallId, int]:
+        """Return how many endpoints of a service take new work now in each hall."""
+        return self.roster_.usable_by_hall(service_id, self.now())
+
     def service(self, service_id: ServiceId) -> Service | None:
         """Return what the configuration in force says of a service."""
         table = self.table_
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
@@ -289,6 +289,22 @@
     run(scenario)
 
 
+def test_a_store_that_forgets_every_endpoint_does_not_stop_requests():
+    async def scenario(deployment):
+        for endpoint in deployment.all_endpoints():
+            deployment.store.delete("servers", endpoint.endpoint_id)
+        entry = deployment.entries_[0]
+        await deployment.until(lambda: not entry.state_.roster_.records_by_id_)
+        answer = await deployment.send("/resumed/x", request_id="r1")
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+        await asyncio.sleep(1.2)
+        answer = await deployment.send("/unsafe/x", request_id="r2")
+        assert answer.code == 503
+        assert runs_of(deployment.plain, "r2") == []
+
+    run(scenario)
+
+
 def test_a_draining_endpoint_gets_nothing_new():
     async def scenario(deployment):
         leaving = deployment.plain[0]
@@ -354,7 +370,7 @@
         await deployment.until(lambda: second.state_.table_.config.version == 9)
         answer = await deployment.send("/safe/x", request_id="a", entry=1)
         assert answer.code in (401, 503)
-        await deployment.until(lambda: len(second.state_.roster_.usable("plain")) == 1)
+        await deployment.until(lambda: len(second.state_.usable("plain")) == 1)
 
     run(scenario, entries=2)
 
--- a/packages/leadford/src/leadford/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/endpoints/_roster.py
@@ -10,6 +10,7 @@
 from leadford.forwarding import ServiceId
 
 GONE_KEPT = 2_000
+GONE_TRUSTED_S = 1.1
 
 
 class RosterChange(msgspec.Struct, frozen=True):
@@ -21,21 +22,37 @@
     after: str
 
 
+class _Gone(msgspec.Struct, frozen=True):
+    """Hold the record of an endpoint that was removed, and when.
+
+    Units: gone_at in seconds of the monotonic clock.
+    """
+
+    record: EndpointRecord
+    gone_at: float
+
+
 class EndpointRoster:
-    """Join listings from several sources; an endpoint that left never comes back.
+    """Join listings from several sources, by the revisions they were made at.
 
     Ids are drawn anew at each start of an endpoint. A removal that was a mistake of
-    the listing is undone by a listing with a higher revision.
+    the listing is undone by a listing with a higher revision. A store that was away
+    removes endpoints that kept working: when most of a service goes at once, they are
+    used for a short while, which must be less than what a leaving endpoint allows.
+
+    Units: trusted_s in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, trusted_s: float = GONE_TRUSTED_S) -> None:
+        self.trusted_s = trusted_s
+        self.gone_by_id_: dict[EndpointId, _Gone] = {}
         self.records_by_id_: dict[EndpointId, EndpointRecord] = {}
         self.ids_by_service_: dict[ServiceId, set[EndpointId]] = {}
         self.gone_revision_by_id_: dict[EndpointId, int] = {}
         self.changed_revision_ = 0
 
     def replace(
-        self, endpoints: Iterable[ListedEndpoint], revision: int
+        self, endpoints: Iterable[ListedEndpoint], revision: int, now: float
     ) -> list[RosterChange]:
         """Take in a whole listing; what is known from a later revision stays."""
         changes = []
@@ -44,7 +61,7 @@
             seen.add(endpoint.endpoint_id)
             changes += self.put(endpoint)
         for endpoint_id in set(self.records_by_id_) - seen:
-            changes += self.remove(endpoint_id, revision)
+            changes += self.remove(endpoint_id, revision, now)
         self.changed_revision_ = max(self.changed_revision_, revision)
         return changes
 
@@ -56,7 +73,7 @@
         record = self.records_by_id_.get(endpoint_id)
         self.changed_revision_ = max(self.changed_revision_, endpoint.revision)
         if record is None:
-            self.records_by_id_[endpoint_id] = EndpointRecord(listed=endpoint)
+            self.records_by_id_[endpoint_id] = self._new_record(endpoint)
             self.ids_by_service_.setdefault(endpoint.service_id, set()).add(endpoint_id)
             return [self._change(endpoint, "unknown", endpoint.state.value)]
         if endpoint.revision <= record.listed.revision:
@@ -67,7 +84,17 @@
             return []
         return [self._change(endpoint, before.state.value, endpoint.state.value)]
 
-    def remove(self, endpoint_id: EndpointId, revision: int) -> list[RosterChange]:
+    def _new_record(self, endpoint: ListedEndpoint) -> EndpointRecord:
+        """Return a record; one that was just removed keeps what was learned."""
+        gone = self.gone_by_id_.pop(endpoint.endpoint_id, None)
+        if gone is None:
+            return EndpointRecord(listed=endpoint)
+        gone.record.listed = endpoint
+        return gone.record
+
+    def remove(
+        self, endpoint_id: EndpointId, revision: int, now: float
+    ) -> list[RosterChange]:
         """Take in that an endpoint is listed no more."""
         known = self.gone_revision_by_id_.get(endpoint_id, -1)
         record = self.records_by_id_.get(endpoint_id)
@@ -81,29 +108,53 @@
         self.changed_revision_ = max(self.changed_revision_, revision)
         del self.records_by_id_[endpoint_id]
         self.ids_by_service_[record.listed.service_id].discard(endpoint_id)
+        if record.listed.state is ListedState.READY:
+            self.gone_by_id_[endpoint_id] = _Gone(record, now)
         return [self._change(record.listed, record.listed.state.value, "gone")]
 
     def record(self, endpoint_id: EndpointId) -> EndpointRecord | None:
-        """Return what is believed of an endpoint that is listed."""
-        return self.records_by_id_.get(endpoint_id)
+        """Return what is believed of an endpoint that is listed or was until now."""
+        record = self.records_by_id_.get(endpoint_id)
+        gone = self.gone_by_id_.get(endpoint_id)
+        return gone.record if record is None and gone is not None else record
 
-    def usable_by_hall(self, service_id: ServiceId) -> dict[HallId, int]:
+    def usable_by_hall(self, service_id: ServiceId, now: float) -> dict[HallId, int]:
         """Return how many endpoints of a service take new work in each hall."""
         counts: dict[HallId, int] = {}
-        for record in self.usable(service_id):
+        for record in self.usable(service_id, now):
             hall = record.listed.hall
             counts[hall] = counts.get(hall, 0) + 1
         return counts
 
-    def usable(self, service_id: ServiceId) -> list[EndpointRecord]:
+    def usable(self, service_id: ServiceId, now: float) -> list[EndpointRecord]:
         """Return the endpoints of a service that take new work."""
-        records = []
-        for endpoint_id in self.ids_by_service_.get(service_id, ()):
-            record = self.records_by_id_[endpoint_id]
-            if record.listed.state is not ListedState.READY or record.is_replaced_:
-                continue
-            records.append(record)
-        return records
+        listed = [
+            self.records_by_id_[endpoint_id]
+            for endpoint_id in self.ids_by_service_.get(service_id, ())
+        ]
+        usable = [
+            record
+            for record in listed
+            if record.listed.state is ListedState.READY and not record.is_replaced_
+        ]
+        gone = self._trusted_gone(service_id, now)
+        # One that goes alone has left; most at once are a fault of the listing.
+        return usable + gone if len(gone) > len(usable) else usable
+
+    def _trusted_gone(self, service_id: ServiceId, now: float) -> list[EndpointRecord]:
+        for endpoint_id, gone in list(self.gone_by_id_.items()):
+            if now - gone.gone_at >= self.trusted_s:
+                del self.gone_by_id_[endpoint_id]
+        return [
+            gone.record
+            for gone in self.gone_by_id_.values()
+            if gone.record.listed.service_id == service_id
+            and not gone.record.is_replaced_
+        ]
+
+    def known_ids(self) -> set[EndpointId]:
+        """Return the ids that are listed or were removed a short while ago."""
+        return set(self.records_by_id_) | set(self.gone_by_id_)
 
     def listed(self) -> list[ListedEndpoint]:
         """Return every listed endpoint."""
--- a/packages/leadford/src/leadford/endpoints/tests/test_roster.py
+++ b/packages/leadford/src/leadford/endpoints/tests/test_roster.py
@@ -28,7 +28,7 @@
 
 
 def names(roster):
-    return {record.listed.endpoint_id for record in roster.usable(SERVICE)}
+    return {record.listed.endpoint_id for record in roster.usable(SERVICE, 100.0)}
 
 
 def test_draining_and_gone_take_no_new_work():
@@ -39,7 +39,7 @@
     change = roster.put(listed("a", 3, ListedState.DRAINING))[0]
     assert (change.before, change.after) == ("ready", "draining")
     assert names(roster) == {"b"}
-    roster.remove(EndpointId("b"), 4)
+    roster.remove(EndpointId("b"), 4, 0.0)
     assert names(roster) == set()
 
 
@@ -48,8 +48,8 @@
     roster.put(listed("a", 5, ListedState.DRAINING))
     roster.put(listed("a", 4))
     assert names(roster) == set()
-    roster.remove(EndpointId("a"), 6)
-    roster.replace([listed("a", 5)], 5)
+    roster.remove(EndpointId("a"), 6, 0.0)
+    roster.replace([listed("a", 5)], 5, 0.0)
     assert names(roster) == set()
     roster.put(listed("a", 7))
     assert names(roster) == {"a"}
@@ -59,20 +59,56 @@
     roster = EndpointRoster()
     roster.put(listed("a", 1))
     roster.put(listed("b", 9))
-    roster.replace([], 5)
+    roster.replace([], 5, 0.0)
     # What was listed after this listing was made stays.
     assert names(roster) == {"b"}
     assert roster.changed_revision_ == 9
 
 
+def usable(roster, now):
+    return {record.listed.endpoint_id for record in roster.usable(SERVICE, now)}
+
+
+def test_most_of_a_service_that_goes_at_once_is_used_for_a_short_while():
+    roster = EndpointRoster(trusted_s=1.0)
+    for number, name in enumerate("abcd"):
+        roster.put(listed(name, number + 1))
+    roster.put(listed("d", 5, ListedState.DRAINING))
+    roster.replace([], 9, 10.0)
+    # The store was away; the one that had announced its leave is not used.
+    assert usable(roster, 10.5) == {"a", "b", "c"}
+    roster.put(listed("a", 10))
+    assert usable(roster, 10.5) == {"a", "b", "c"}
+    roster.put(listed("b", 11))
+    assert usable(roster, 10.5) == {"a", "b"}
+    assert usable(roster, 11.1) == {"a", "b"}
+
+
+def test_one_that_goes_alone_gets_nothing_more():
+    roster = EndpointRoster(trusted_s=1.0)
+    for number, name in enumerate("abc"):
+        roster.put(listed(name, number + 1))
+    roster.remove(EndpointId("a"), 4, 10.0)
+    assert usable(roster, 10.0) == {"b", "c"}
+
+
+def test_a_record_that_comes_back_keeps_what_was_learned():
+    roster = EndpointRoster()
+    roster.put(listed("a", 1))
+    roster.record(EndpointId("a")).note_success(20.0)
+    roster.remove(EndpointId("a"), 2, 10.0)
+    roster.put(listed("a", 3))
+    assert roster.record(EndpointId("a")).latency_ms_.count_ == 1
+
+
 @given(st.permutations(range(6)))
 def test_the_order_of_arrival_does_not_matter(order):
     events = [
         lambda r: r.put(listed("a", 1)),
         lambda r: r.put(listed("a", 2, ListedState.DRAINING)),
-        lambda r: r.remove(EndpointId("a"), 3),
+        lambda r: r.remove(EndpointId("a"), 3, 0.0),
         lambda r: r.put(listed("b", 4)),
-        lambda r: r.remove(EndpointId("b"), 5),
+        lambda r: r.remove(EndpointId("b"), 5, 0.0),
         lambda r: r.put(listed("b", 6)),
     ]
     roster = EndpointRoster()
