Give entries a moment to agree when a keeper knows no endpoint

Change: after such an answer the group counts as unavailable and the piece waits 0.15 s. A lane pauses 0.03 s after room was refused, instead of 0.12 s. The new test failed before the change.

--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -493,6 +493,13 @@
             reason=answer.reason[:120],
         )
         job.graph.note_failed(key)
+        if answer.reason == REASON_NO_ENDPOINT:
+            # The keeper's listing differs from ours: give both a moment to agree.
+            now = self.state.now()
+            self.groups_.note_load(sent.group, GroupLoad(float("inf"), 0, now))
+            loop = self.state.loop
+            loop.call_later(NO_ENDPOINT_WAIT_S, self._advance, job)
+            return
         self._advance(job)
 
     def _note_failed(self, sent: _Sent, answer: KeptAnswer) -> None:
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
@@ -402,6 +402,28 @@
     run(scenario, entries=2)
 
 
+def test_entries_that_list_different_endpoints_do_not_send_pieces_in_circles():
+    async def scenario(deployment):
+        first, second = deployment.entries_
+        await deployment.until(lambda: first.links_.halls_by_live_entry())
+        # Only the second hall has a stage left, and its keeper does not know it.
+        near, far = deployment.stage
+        deployment.store.delete("servers", near.endpoint_id)
+        known = second.state_.roster_.record(far.endpoint_id)
+        second.state_.roster_.remove(
+            far.endpoint_id, known.listed.revision, first.state_.now() - 10.0
+        )
+        await asyncio.sleep(1.2)
+        before = first.stages_.next_ticket_
+        sent = asyncio.ensure_future(deployment.send("/once/x", request_id="r1"))
+        await asyncio.sleep(0.5)
+        assert 0 < first.stages_.next_ticket_ - before < 20
+        deployment.store.put("servers", far.endpoint_id, far.spec())
+        assert event_ids((await sent).body) == [1, 2, 3, 4, 5]
+
+    run(scenario, entries=2)
+
+
 def test_a_caller_that_leaves_ends_the_work_for_it():
     async def scenario(deployment):
         for engine in deployment.engines:
--- a/packages/leadford/src/leadford/pieces/_lanes.py
+++ b/packages/leadford/src/leadford/pieces/_lanes.py
@@ -7,7 +7,7 @@
 from leadford.forwarding import PieceLimits, ResultHandle
 
 PAUSE_FULL_S = 0.06
-PAUSE_ROOM_S = 0.12
+PAUSE_ROOM_S = 0.03
 ROOM_PATIENCE = 0.6
 
 
