--- a/packages/leadford-server/src/leadford_server/forward/_keeper.py
+++ b/packages/leadford-server/src/leadford_server/forward/_keeper.py
@@ -55,6 +55,7 @@
     record: EndpointRecord
     tasks: list[PieceTask]
     began_at: float
+    room_bytes: int = 0
 
     @property
     def limits(self) -> PieceLimits:
@@ -187,7 +188,8 @@
                 endpoint_id=endpoint_id,
             )
             if tasks:
-                self._begin(_Call(group, service, record, tasks, now))
+                room_bytes = lane.room_bytes(now)
+                self._begin(_Call(group, service, record, tasks, now, room_bytes))
                 return True
         for task in queue.discard(lambda task: not _excludes_all(task, records)):
             self._answer(task, KeptAnswer(None, REASON_NO_ENDPOINT, None))
@@ -236,7 +238,7 @@
             lane.end(call.result_bytes)
             record.in_flight_ -= 1
         PIECE_CALLS_TOTAL.labels(end=detail.split(":")[0]).inc()
-        self._log(call, detail)
+        self._log(call, outcomes or [], detail)
         self._settle(call, outcomes, detail)
         self._pump(call.group)
 
@@ -291,7 +293,11 @@
             return
         lane = self.lanes_.lane(endpoint_id, call.limits)
         now = self.state.now()
-        for task, outcome in zip(call.tasks, outcomes, strict=True):
+        pairs = list(zip(call.tasks, outcomes, strict=True))
+        if any(outcome.reason == REASON_ROOM for outcome in outcomes):
+            fitted = sum(task.result_bytes for task, item in pairs if item.handle)
+            lane.note_refused(call.room_bytes, fitted, now)
+        for task, outcome in pairs:
             PIECES_TOTAL.labels(end=outcome.reason or "done").inc()
             if outcome.reason == REASON_ROOM:
                 # Results that this process does not know take room there.
@@ -339,7 +345,7 @@
         if group in self.queues_by_group_:
             self._pump(group)
 
-    def _log(self, call: _Call, detail: str) -> None:
+    def _log(self, call: _Call, outcomes: list[PieceOutcome], detail: str) -> None:
         queued_at = min(task.queued_at for task in call.tasks)
         now = self.state.now()
         self.state.log.report(
@@ -350,6 +356,9 @@
             requests=",".join(sorted({task.request_id for task in call.tasks})),
             waited_ms=round((call.began_at - queued_at) * 1_000.0),
             took_ms=round((now - call.began_at) * 1_000.0),
+            room_kb=call.room_bytes // 1_000,
+            needed_kb=call.result_bytes // 1_000,
+            without_room=sum(item.reason == REASON_ROOM for item in outcomes),
             waiting=len(self.queues_by_group_[call.group]),
             outcome=detail,
         )
--- a/packages/leadford-server/src/leadford_server/forward/_run.py
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -39,6 +39,7 @@
 USUAL_NEEDED = 3
 GAPS_MOST = 2.0
 GAP_LEAST_S = 1.0
+INPUTS_READ_S = 0.15
 BUSY_STATUSES = (429, 503)
 PROMISING_STATUSES = (408, 421, 429, 503)
 
@@ -394,6 +395,7 @@
                 record, admitted.service.connections_max
             )
             outbound = state.wire.forward(self.request, self._call(record))
+            self._release_inputs_soon(record)
             async with asyncio.timeout_at(limit):
                 answer = await connection.begin(outbound, self.request.request_id)
         except ExchangeBroken as failure:
@@ -415,6 +417,22 @@
         await self._check_head(attempt)
         return attempt
 
+    def _release_inputs_soon(self, record: EndpointRecord) -> None:
+        """Give the inputs up once an engine without a queue has surely fetched them."""
+        load = record.load_
+        if self.job_ is None or load is None or load.waiting > 0:
+            return
+        if record.waiting_elsewhere(self.state.now()) + record.in_flight_ > load.slots:
+            return
+        self.state.loop.call_later(
+            INPUTS_READ_S, self._release_inputs, len(self.tried_)
+        )
+
+    def _release_inputs(self, attempt: int) -> None:
+        """Give the inputs up unless another attempt needs them."""
+        if attempt == len(self.tried_) and not self.job_.is_over_:
+            self.stages.release(self.job_)
+
     def _note_prompt_sent(self, record: EndpointRecord) -> None:
         engine = self.admitted_.service.engine
         if engine is not None:
--- a/packages/leadford/src/leadford/pieces/_lanes.py
+++ b/packages/leadford/src/leadford/pieces/_lanes.py
@@ -9,6 +9,8 @@
 PAUSE_FULL_S = 0.06
 PAUSE_ROOM_S = 0.03
 ROOM_PATIENCE = 0.6
+REFUSED_TRUSTED_S = 0.3
+UNKNOWN = ResultHandle("")
 
 
 class HeldResult(msgspec.Struct, frozen=True):
@@ -77,6 +79,17 @@
         expires_at = now + self.limits.retention_s
         self.held_by_handle_[handle] = HeldResult(result_bytes, expires_at)
 
+    def note_refused(self, believed_bytes: int, fitted_bytes: int, now: float) -> None:
+        """Take in that room was refused: results that are not known here take it.
+
+        A keeper that was lost leaves such results; they end by themselves.
+        """
+        unknown_bytes = believed_bytes - fitted_bytes
+        if unknown_bytes <= 0:
+            return
+        expires_at = now + REFUSED_TRUSTED_S
+        self.held_by_handle_[UNKNOWN] = HeldResult(unknown_bytes, expires_at)
+
     def free(self, handle: ResultHandle) -> None:
         """Count a result that was freed."""
         self.held_by_handle_.pop(handle, None)
--- a/packages/leadford/src/leadford/pieces/tests/test_batches.py
+++ b/packages/leadford/src/leadford/pieces/tests/test_batches.py
@@ -143,6 +143,15 @@
     assert not lane.awaits_room(40, 0.2)
 
 
+def test_refused_room_is_believed_for_a_while():
+    lane = LaneTable().lane(ENDPOINT, LIMITS)
+    lane.note_refused(100, 30, 0.0)
+    assert lane.room_bytes(0.1) == 30
+    lane.note_refused(30, 30, 0.2)
+    assert lane.room_bytes(0.25) == 30
+    assert lane.room_bytes(0.4) == 100
+
+
 def test_an_endpoint_that_frees_soon_is_waited_for():
     lanes = LaneTable()
     first, second = record("e1"), record("e2")
