--- a/packages/leadford-server/src/leadford_server/forward/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forward/_contract.py
@@ -136,7 +136,6 @@
     """Read and write the messages between callers, entries and endpoints."""
 
     ready_path: str
-    trace_header: str
 
     def read_request(
         self, method: str, target: str, headers: HeaderList, now: float
--- a/packages/leadford-server/src/leadford_server/forward/_run.py
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -28,9 +28,6 @@
 ANSWER_MARGIN_S = 0.03
 RETRY_AFTER_S = 1.0
 REMAKES_MAX = 2
-DUE_PART = 1.0
-DUE_PART_STEP = 0.0
-DUE_RANK_MOST = 2
 CHECK_PART = 0.42
 HOPE_PART = 1.0
 SAFE_PATIENCE = 0.45
@@ -219,7 +216,7 @@
                 private_key=request.piece_key,
                 priority=self.admitted_.priority,
                 deadline=self.deadline_,
-                due_at=self._due_at(),
+                due_at=request.received_at + self.admitted_.route.aim_ms / 1_000.0,
                 aim_ms=self.admitted_.route.aim_ms,
                 hall=self._planned_hall(),
             )
@@ -233,16 +230,6 @@
             STAGE_SECONDS.observe(self.stages_done_at_ - request.received_at)
         return True
 
-    def _due_at(self) -> float:
-        """Return when the pieces of this request should be made.
-
-        An urgent request goes before one that is due somewhat earlier.
-        """
-        rank = min(self.admitted_.priority, DUE_RANK_MOST)
-        part = DUE_PART + DUE_PART_STEP * rank
-        aim_s = self.admitted_.route.aim_ms / 1_000.0
-        return self.request.received_at + part * aim_s
-
     async def _complete_stages(self) -> None:
         """Wait for the stages, but not for long when they will not be in time.
 
