Take endpoints back that go and return in one answer of the store

The removal was noted at the revision of the answer, which was later than that of the return, so the return was ignored. Ruled out: endpoints that stayed away (other entries listed them at once). Change: a removal is ordered by the object's own revision; that of the answer only tells peers that something changed.

--- a/packages/leadford-server/src/leadford_server/forward/_process.py
+++ b/packages/leadford-server/src/leadford_server/forward/_process.py
@@ -261,9 +261,14 @@
         roster = self.state_.roster_
         if event.is_gone:
             name = self.objects.object_name(event.item)
-            self._note_changes(
-                roster.remove(name, event.seen_revision, self.state_.now())
+            revision = self.objects.object_revision(event.item)
+            changes = roster.remove(
+                name,
+                revision,
+                self.state_.now(),
+                seen_revision=event.seen_revision,
             )
+            self._note_changes(changes)
             return
         read = self.objects.read_endpoint(event.item)
         if isinstance(read, Failure):
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
@@ -305,6 +305,22 @@
     run(scenario)
 
 
+def test_endpoints_that_go_and_come_back_in_one_answer_of_the_store_are_used():
+    async def scenario(deployment):
+        entry = deployment.entries_[0]
+        # Both changes of each endpoint reach the watch together.
+        for endpoint in deployment.all_endpoints():
+            deployment.store.delete("servers", endpoint.endpoint_id)
+        for endpoint in deployment.all_endpoints():
+            deployment.store.put("servers", endpoint.endpoint_id, endpoint.spec())
+        await asyncio.sleep(1.5)
+        assert deployment.knows_all(entry)
+        answer = await deployment.send("/resumed/x", request_id="r1")
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+
+    run(scenario)
+
+
 def test_a_draining_endpoint_gets_nothing_new():
     async def scenario(deployment):
         leaving = deployment.plain[0]
--- a/packages/leadford/src/leadford/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/endpoints/_roster.py
@@ -93,9 +93,18 @@
         return gone.record
 
     def remove(
-        self, endpoint_id: EndpointId, revision: int, now: float
+        self,
+        endpoint_id: EndpointId,
+        revision: int,
+        now: float,
+        *,
+        seen_revision: int = 0,
     ) -> list[RosterChange]:
-        """Take in that an endpoint is listed no more."""
+        """Take in that an endpoint is listed no more.
+
+        `revision` orders the removal against other listings of the endpoint;
+        `seen_revision` is that of the answer that told it, which may hold later ones.
+        """
         known = self.gone_revision_by_id_.get(endpoint_id, -1)
         record = self.records_by_id_.get(endpoint_id)
         if record is not None and revision < record.listed.revision:
@@ -105,7 +114,7 @@
             self.gone_revision_by_id_.pop(next(iter(self.gone_revision_by_id_)))
         if record is None:
             return []
-        self.changed_revision_ = max(self.changed_revision_, revision)
+        self.changed_revision_ = max(self.changed_revision_, revision, seen_revision)
         del self.records_by_id_[endpoint_id]
         self.ids_by_service_[record.listed.service_id].discard(endpoint_id)
         if record.listed.state is ListedState.READY:
--- a/packages/leadford/src/leadford/endpoints/tests/test_roster.py
+++ b/packages/leadford/src/leadford/endpoints/tests/test_roster.py
@@ -92,6 +92,17 @@
     assert usable(roster, 10.0) == {"b", "c"}
 
 
+def test_one_that_comes_back_in_the_same_answer_is_used():
+    roster = EndpointRoster()
+    roster.put(listed("a", 1))
+    roster.remove(EndpointId("a"), 1, 10.0, seen_revision=3)
+    roster.put(listed("a", 1))
+    assert names(roster) == set()
+    roster.put(listed("a", 3))
+    assert names(roster) == {"a"}
+    assert roster.changed_revision_ == 3
+
+
 def test_a_record_that_comes_back_keeps_what_was_learned():
     roster = EndpointRoster()
     roster.put(listed("a", 1))
