Begin no stream that a planned stop would cut

Ruled out: the time of the drain itself (the process kept to graceS). Change: 2.6 s after the stop began, requests for streams are refused at once as not run, with 0.1 s to come back; plain ones until 2 s before the grace time ends.

--- a/packages/leadford-server/src/leadford_server/forward/_process.py
+++ b/packages/leadford-server/src/leadford_server/forward/_process.py
@@ -351,6 +351,7 @@
         began_at = loop.time()
         self.is_draining_ = True
         self.links_.is_draining_ = True
+        self.state_.note_stop()
         self.log_.report(Event.PROCESS_DRAINING, live=len(self.door_.exchanges_))
         ends_at = began_at + self.settings.bounds.grace_s - DRAIN_MARGIN_S
         while loop.time() < ends_at:
--- a/packages/leadford-server/src/leadford_server/forward/_run.py
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -27,6 +27,7 @@
 
 ANSWER_MARGIN_S = 0.03
 RETRY_AFTER_S = 1.0
+STOPPING_RETRY_S = 0.1
 REMAKES_MAX = 2
 CHECK_PART = 0.42
 HOPE_PART = 1.0
@@ -137,6 +138,10 @@
             self._finish(End.DENIED, status, fault.value)
             return False
         self.admitted_ = found.unwrap()
+        is_stream = self.admitted_.route.kind is RouteKind.STREAM
+        if not self.state.stop_leaves_time(is_stream=is_stream):
+            self._refuse("this process is about to stop", STOPPING_RETRY_S)
+            return False
         return True
 
     async def _serve_in_time(self) -> None:
--- a/packages/leadford-server/src/leadford_server/forward/_state.py
+++ b/packages/leadford-server/src/leadford_server/forward/_state.py
@@ -21,6 +21,8 @@
 
 CONFIG_FRESH_S = 6.0
 ENGINE_S = 0.15
+STOP_TAKES_STREAMS_S = 2.6
+STOP_LEAST_S = 2.0
 GONE_TRUSTED_PART = 0.55
 
 
@@ -67,6 +69,7 @@
         self.refused_ = RefusedMemory()
         self.engine_s_by_service_: dict[ServiceId, Ewma] = {}
         self.config_seen_at_: float | None = None
+        self.stop_began_at_: float | None = None
 
     def now(self) -> float:
         """Return the monotonic clock.
@@ -112,6 +115,23 @@
             self.engine_s_by_service_[service_id] = estimate
         return estimate
 
+    def note_stop(self) -> None:
+        """Take in that a planned stop begins now."""
+        self.stop_began_at_ = self.now()
+
+    def stop_leaves_time(self, *, is_stream: bool) -> bool:
+        """Tell whether a request that comes now can end before a planned stop does.
+
+        The platform may send callers for as long as the process runs, when too few
+        others are ready.
+        """
+        if self.stop_began_at_ is None:
+            return True
+        elapsed_s = self.now() - self.stop_began_at_
+        if is_stream:
+            return elapsed_s < STOP_TAKES_STREAMS_S
+        return elapsed_s < self.bounds.grace_s - STOP_LEAST_S
+
     def config_is_fresh(self) -> bool:
         """Tell whether the configuration was confirmed a short while ago."""
         seen_at = self.config_seen_at_
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
@@ -477,6 +477,22 @@
     run(scenario)
 
 
+def test_a_process_about_to_stop_begins_no_stream_that_it_would_cut():
+    async def scenario(deployment):
+        entry = deployment.entries_[0]
+        stopping = asyncio.ensure_future(entry.drain())
+        await asyncio.sleep(2.8)
+        answer = await deployment.send("/once/x", request_id="r1")
+        assert answer.code == 503
+        assert float(answer.headers["Retry-After"]) < 0.5
+        assert runs_of(deployment.engines, "r1") == []
+        answer = await deployment.send("/unsafe/x", request_id="r2")
+        assert answer.code == 200
+        await stopping
+
+    run(scenario)
+
+
 def test_a_request_gets_its_final_answer_by_the_timeout_of_its_route():
     async def scenario(deployment):
         deployment.config["version"] = 2
