Keep one queue for the endpoints of a region, not one for each hall

Each stage endpoint had a queue and a keeper of its own (one endpoint a hall), and pieces stayed with the hall they were sent to: ratings pieces waited 1.0 s in the median while the service was busy for 0.78 of the time. Ruled out: the engines (p50 from stages to first event 0.2 s), full batches everywhere (fill 2.5 of 4, 10 of 14, 13 of 23), admission alone (refusals followed from the waits). Change: a group is the endpoints of a service in a region while they are few (24), else of a hall. The keeper sends the piece that is due first to the endpoint that is expected to finish first; bytes that would have to move between halls count as a short wait.

--- a/packages/leadford-server/src/leadford_server/forward/_keeper.py
+++ b/packages/leadford-server/src/leadford_server/forward/_keeper.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns.result import Failure
 
-from leadford.common import EndpointId, EntryId, HallId
+from leadford.common import EndpointId, EntryId
 from leadford.endpoints import EndpointRecord
 from leadford.events import Event
 from leadford.forwarding import PieceLimits, ResultHandle, Service
@@ -140,7 +140,7 @@
         return [
             record
             for record in self.state.usable(group.service_id)
-            if record.listed.hall == group.hall
+            if self.state.group(group.service_id, record.listed.hall) == group
         ]
 
     def _pump(self, group: GroupId) -> None:
@@ -176,7 +176,17 @@
         if ripe_s > 0.0:
             self.state.loop.call_later(ripe_s + RIPE_MARGIN_S, self._pump, group)
             return False
-        free = self.lanes_.ranked(records, limits, waiting=len(queue), now=now)
+        first = queue.first()
+        moving_s_by_hall = {
+            record.listed.hall: first.moving_s(record.listed.hall) for record in records
+        }
+        free = self.lanes_.ranked(
+            records,
+            limits,
+            waiting=len(queue),
+            now=now,
+            moving_s_by_hall=moving_s_by_hall,
+        )
         for record in free:
             endpoint_id = record.listed.endpoint_id
             lane = self.lanes_.lane(endpoint_id, limits)
@@ -186,6 +196,7 @@
                 batch=limits.batch,
                 room_bytes=lane.room_bytes(now),
                 endpoint_id=endpoint_id,
+                hall=record.listed.hall,
             )
             if tasks:
                 room_bytes = lane.room_bytes(now)
@@ -341,7 +352,7 @@
         if lane is not None:
             for handle in handles:
                 lane.free(handle)
-        group = GroupId(service.service_id, HallId(record.listed.hall))
+        group = state.group(service.service_id, record.listed.hall)
         if group in self.queues_by_group_:
             self._pump(group)
 
--- a/packages/leadford-server/src/leadford_server/forward/_links.py
+++ b/packages/leadford-server/src/leadford_server/forward/_links.py
@@ -17,6 +17,7 @@
     GroupLoad,
     PieceKey,
     PieceTask,
+    PlaceId,
     keepers_in_order,
 )
 from leadford.protocol import (
@@ -127,7 +128,8 @@
         halls[self.entry_id] = self.state.hall
         wanted: set[EntryId] = set()
         for group in self._groups():
-            wanted.update(keepers_in_order(group, halls)[:CANDIDATES])
+            order = keepers_in_order(group, halls, self.state.regions)
+            wanted.update(order[:CANDIDATES])
         ring = sorted(halls)
         here = ring.index(self.entry_id)
         wanted.update(ring[(here + step) % len(ring)] for step in range(1, RELAYS + 1))
@@ -142,8 +144,7 @@
         for service in table.config.services_by_id.values():
             if service.pieces is None:
                 continue
-            for hall in self.state.usable_by_hall(service.service_id):
-                found.add(GroupId(service.service_id, hall))
+            found.update(self.state.usable_by_group(service.service_id))
         return found
 
     def _dial(self) -> None:
@@ -172,7 +173,7 @@
         groups = [
             GroupReport(
                 group.service_id,
-                group.hall,
+                group.place,
                 round(self.stages.keeper_.wait_s(group) * 1_000.0, 1),
                 self.stages.keeper_.room_bytes(group),
             )
@@ -229,7 +230,7 @@
             PieceSubmit(
                 task.ticket,
                 group.service_id,
-                group.hall,
+                group.place,
                 task.request_id,
                 task.key.stage,
                 task.key.piece,
@@ -240,6 +241,7 @@
                 (task.deadline - now) * 1_000.0,
                 (task.due_at - now) * 1_000.0,
                 list(task.excluded),
+                dict(task.near_bytes_by_hall),
             )
         )
 
@@ -309,7 +311,7 @@
         else:
             self.draining_ids_.discard(entry_id)
         for report in message.groups:
-            group = GroupId(ServiceId(report.service_id), HallId(report.hall))
+            group = GroupId(ServiceId(report.service_id), PlaceId(report.place))
             load = GroupLoad(report.wait_ms / 1_000.0, report.room_bytes, now)
             self.stages.groups_.note_load(group, load)
         counts = {
@@ -358,8 +360,11 @@
             due_at=now + message.due_ms / 1_000.0,
             queued_at=now,
             excluded=frozenset(EndpointId(text) for text in message.excluded),
+            near_bytes_by_hall={
+                HallId(hall): count for hall, count in message.near_bytes.items()
+            },
         )
-        group = GroupId(ServiceId(message.service_id), HallId(message.hall))
+        group = GroupId(ServiceId(message.service_id), PlaceId(message.place))
         self.stages.keeper_.submit(group, task)
 
     def _take_answer(self, peer: PeerConnection, message: PieceAnswer) -> None:
--- a/packages/leadford-server/src/leadford_server/forward/_process.py
+++ b/packages/leadford-server/src/leadford_server/forward/_process.py
@@ -14,6 +14,7 @@
 from leadford.endpoints import ListedEndpoint
 from leadford.events import Event
 from leadford.forwarding import ForwardConfig, RouteTable
+from leadford.pieces import RegionMap
 from leadford_server.forward._contract import (
     KnownEntry,
     ObjectEvent,
@@ -55,6 +56,7 @@
     secret: bytes
     bounds: ForwardBounds
     metrics: SocketAddress | None = None
+    regions: RegionMap = RegionMap()
 
 
 class _ReadyHandler(web.RequestHandler):
@@ -100,6 +102,7 @@
             random=self.random,
             loop=asyncio.get_running_loop(),
             log=self.log_,
+            regions=settings.regions,
         )
         self.stages_ = StageRunner(state=self.state_, entry_id=settings.entry_id)
         self.admission_ = ForwardAdmission(
--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -8,7 +8,7 @@
 
 from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.events import Event
-from leadford.forwarding import PieceLimits, ResultHandle, ServiceId, StageSpec
+from leadford.forwarding import PieceLimits, ResultHandle, StageSpec
 from leadford.pieces import (
     CommitmentKey,
     CommitmentTable,
@@ -218,22 +218,25 @@
         if service is None or service.pieces is None:
             return {}
         now = self.state.now()
-        counts_by_hall = self.state.usable_by_hall(stage.service_id)
-        self._note_own_loads(stage.service_id, counts_by_hall, now)
-        wait_s_by_hall = {
-            hall: self.groups_.wait_s(
-                GroupId(stage.service_id, hall), service.pieces, endpoints, now
-            )
-            for hall, endpoints in counts_by_hall.items()
+        counts_by_group = self.state.usable_by_group(stage.service_id)
+        self._note_own_loads(counts_by_group, now)
+        wait_ms_by_group = {
+            group: self.groups_.wait_s(group, service.pieces, count, now) * 1_000.0
+            for group, count in counts_by_group.items()
+        }
+        groups = self.state.groups(stage.service_id)
+        return {
+            hall: wait_ms_by_group[group]
+            for hall, group in groups.items()
+            if group in wait_ms_by_group
         }
-        return {hall: wait_s * 1_000.0 for hall, wait_s in wait_s_by_hall.items()}
 
     def keeper_of(self, group: GroupId) -> EntryId:
         """Return the live entry that keeps a group."""
         halls = {self.entry_id: self.state.hall}
         if self.links is not None:
             halls.update(self.links.halls_by_live_entry())
-        return keepers_in_order(group, halls)[0]
+        return keepers_in_order(group, halls, self.state.regions)[0]
 
     def _commitment(self, job: StageJob, key: PieceKey) -> CommitmentKey:
         return CommitmentKey(job.graph.stages[key.stage].service_id, job.aim_ms)
@@ -318,51 +321,49 @@
         now: float,
     ) -> GroupId | None:
         stage = job.graph.stages[keys[0].stage]
-        counts: dict[HallId, int] = {}
+        counts: dict[GroupId, int] = {}
+        near: dict[GroupId, int] = {}
+        near_by_hall = self._near_bytes(job, keys[0].stage)
         for record in self.state.usable(stage.service_id):
             if record.listed.endpoint_id in excluded or record.is_suspect(now):
                 continue
-            counts[record.listed.hall] = counts.get(record.listed.hall, 0) + 1
+            group = self.state.group(stage.service_id, record.listed.hall)
+            counts[group] = counts.get(group, 0) + 1
+            near_bytes = near_by_hall.get(record.listed.hall, 0)
+            near[group] = max(near.get(group, 0), near_bytes)
         if not counts:
-            counts = self.state.usable_by_hall(stage.service_id)
-        self._note_own_loads(stage.service_id, counts, now)
+            counts = self.state.usable_by_group(stage.service_id)
+        self._note_own_loads(counts, now)
+        most = max(near_by_hall.values(), default=0)
         return self.groups_.choose(
-            stage.service_id,
             counts,
             limits,
             result_bytes=stage.result_bytes,
-            moved_bytes_by_hall=self._moved_bytes(job, keys, counts),
+            moved_bytes_by_group={
+                group: (most - near.get(group, 0)) * len(keys) for group in counts
+            },
             now=now,
         )
 
-    def _moved_bytes(
-        self, job: StageJob, keys: list[PieceKey], halls: Iterable[HallId]
-    ) -> dict[HallId, int]:
-        """Return how many bytes leave their hall if pieces are made in each hall."""
-        number = keys[0].stage
-        bytes_by_hall: dict[HallId, int] = {}
+    def _near_bytes(self, job: StageJob, number: int) -> dict[HallId, int]:
+        """Return what need not move between halls if a piece is made in one of them.
+
+        A piece reads every input; a result that the engine reads, or that reads
+        nothing itself, is best made where the engine will be.
+        """
+        near: dict[HallId, int] = {}
         for handle in job.graph.inputs(number):
             maker = self.maker_by_handle_.get(handle)
             if maker is not None:
-                before = bytes_by_hall.get(maker.hall, 0)
-                bytes_by_hall[maker.hall] = before + maker.result_bytes
-        total = sum(bytes_by_hall.values())
-        # Each piece reads every input.
-        moved = {
-            hall: (total - bytes_by_hall.get(hall, 0)) * len(keys) for hall in halls
-        }
-        result_bytes = job.graph.stages[number].result_bytes * len(keys)
-        for hall in moved:
-            if hall != job.hall and (number in job.graph.sinks_ or total == 0):
-                moved[hall] += result_bytes
-        return moved
-
-    def _note_own_loads(
-        self, service_id: ServiceId, halls: dict[HallId, int], now: float
-    ) -> None:
+                near[maker.hall] = near.get(maker.hall, 0) + maker.result_bytes
+        if number in job.graph.sinks_ or not near:
+            result_bytes = job.graph.stages[number].result_bytes
+            near[job.hall] = near.get(job.hall, 0) + result_bytes
+        return near
+
+    def _note_own_loads(self, groups: Iterable[GroupId], now: float) -> None:
         """Look at the groups that are kept here rather than wait for a report."""
-        for hall in halls:
-            group = GroupId(service_id, hall)
+        for group in groups:
             if self.keeper_of(group) != self.entry_id:
                 continue
             load = GroupLoad(
@@ -393,6 +394,7 @@
             due_at=job.due_at - self._after_s(job, key.stage),
             queued_at=now,
             excluded=excluded,
+            near_bytes_by_hall=self._near_bytes(job, key.stage),
         )
 
     def _after_s(self, job: StageJob, number: int) -> float:
@@ -413,9 +415,9 @@
 
     def _hand_over(self, sent: _Sent, limits: PieceLimits, now: float) -> None:
         """Give a piece to its keeper; this entry keeps it when no link stands."""
-        endpoints = self.state.usable_by_hall(sent.group.service_id)
+        endpoints = self.state.usable_by_group(sent.group.service_id)
         wait_s = self.groups_.wait_s(
-            sent.group, limits, endpoints.get(sent.group.hall, 1), now
+            sent.group, limits, endpoints.get(sent.group, 1), now
         )
         expected_s = wait_s + limits.duration_ms(limits.batch) / 1_000.0
         sent.overdue_at = now + expected_s * KEEPER_PATIENCE + KEEPER_SLACK_S
@@ -451,7 +453,7 @@
             self._not_made(job, key, sent, answer)
             return
         record = self.state.roster_.record(answer.endpoint_id)
-        hall = record.listed.hall if record is not None else sent.group.hall
+        hall = record.listed.hall if record is not None else self.state.hall
         self.maker_by_handle_[answer.handle] = _Maker(
             answer.endpoint_id, hall, keeper, sent.task.result_bytes
         )
@@ -520,12 +522,10 @@
             service = self.state.service(job.graph.stages[number].service_id)
             if service is None or service.pieces is None:
                 continue
-            halls = self.state.usable_by_hall(service.service_id)
+            counts_by_group = self.state.usable_by_group(service.service_id)
             waits = [
-                self.groups_.wait_s(
-                    GroupId(service.service_id, hall), service.pieces, count, now
-                )
-                for hall, count in halls.items()
+                self.groups_.wait_s(group, service.pieces, count, now)
+                for group, count in counts_by_group.items()
             ]
             call_s = service.pieces.duration_ms(service.pieces.batch) / 1_000.0
             total_s += min(waits, default=0.0) + call_s
--- a/packages/leadford-server/src/leadford_server/forward/_state.py
+++ b/packages/leadford-server/src/leadford_server/forward/_state.py
@@ -14,6 +14,7 @@
     EngineChooser,
 )
 from leadford.forwarding import RouteTable, Service, ServiceId
+from leadford.pieces import GroupId, PlaceId, RegionMap
 from leadford.retries import WindowedRetryBudget
 from leadford_server.forward._contract import RequestWire
 from leadford_server.forward._pool import ConnectionPool
@@ -52,8 +53,10 @@
         random: Random,
         loop: asyncio.AbstractEventLoop,
         log: EventLog,
+        regions: RegionMap | None = None,
     ) -> None:
         self.wire = wire
+        self.regions = regions or RegionMap()
         self.hall = hall
         self.bounds = bounds
         self.random = random
@@ -65,6 +68,7 @@
         self.engines_ = EngineChooser(hall=hall)
         self.pool_ = ConnectionPool(wire=wire, loop=loop)
         self.budgets_by_service_: dict[ServiceId, WindowedRetryBudget] = {}
+        self.groups_by_service_: dict[ServiceId, tuple[int, dict[HallId, GroupId]]] = {}
         self.sharers_ = 1
         self.refused_ = RefusedMemory()
         self.engine_s_by_service_: dict[ServiceId, Ewma] = {}
@@ -86,6 +90,29 @@
         """Return how many endpoints of a service take new work now in each hall."""
         return self.roster_.usable_by_hall(service_id, self.now())
 
+    def groups(self, service_id: ServiceId) -> dict[HallId, GroupId]:
+        """Return the group of each hall with listed endpoints of a batched service."""
+        version = self.roster_.membership_version_
+        known = self.groups_by_service_.get(service_id)
+        if known is None or known[0] != version:
+            listed_by_hall = self.roster_.listed_by_hall(service_id)
+            known = (version, self.regions.groups(service_id, listed_by_hall))
+            self.groups_by_service_[service_id] = known
+        return known[1]
+
+    def group(self, service_id: ServiceId, hall: HallId) -> GroupId:
+        """Return the group of a hall; one without a listing counts to its region."""
+        region = PlaceId(self.regions.region(hall))
+        return self.groups(service_id).get(hall, GroupId(service_id, region))
+
+    def usable_by_group(self, service_id: ServiceId) -> dict[GroupId, int]:
+        """Return how many endpoints of a service take new work now in each group."""
+        counts: dict[GroupId, int] = {}
+        for hall, count in self.usable_by_hall(service_id).items():
+            group = self.group(service_id, hall)
+            counts[group] = counts.get(group, 0) + count
+        return counts
+
     def service(self, service_id: ServiceId) -> Service | None:
         """Return what the configuration in force says of a service."""
         table = self.table_
--- a/packages/leadford/src/leadford/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/endpoints/_roster.py
@@ -50,6 +50,7 @@
         self.ids_by_service_: dict[ServiceId, set[EndpointId]] = {}
         self.gone_revision_by_id_: dict[EndpointId, int] = {}
         self.changed_revision_ = 0
+        self.membership_version_ = 0
 
     def replace(
         self, endpoints: Iterable[ListedEndpoint], revision: int, now: float
@@ -73,6 +74,7 @@
         record = self.records_by_id_.get(endpoint_id)
         self.changed_revision_ = max(self.changed_revision_, endpoint.revision)
         if record is None:
+            self.membership_version_ += 1
             self.records_by_id_[endpoint_id] = self._new_record(endpoint)
             self.ids_by_service_.setdefault(endpoint.service_id, set()).add(endpoint_id)
             return [self._change(endpoint, "unknown", endpoint.state.value)]
@@ -115,6 +117,7 @@
         if record is None:
             return []
         self.changed_revision_ = max(self.changed_revision_, revision, seen_revision)
+        self.membership_version_ += 1
         del self.records_by_id_[endpoint_id]
         self.ids_by_service_[record.listed.service_id].discard(endpoint_id)
         if record.listed.state is ListedState.READY:
@@ -127,6 +130,14 @@
         gone = self.gone_by_id_.get(endpoint_id)
         return gone.record if record is None and gone is not None else record
 
+    def listed_by_hall(self, service_id: ServiceId) -> dict[HallId, int]:
+        """Return how many endpoints of a service are listed in each hall."""
+        counts: dict[HallId, int] = {}
+        for endpoint_id in self.ids_by_service_.get(service_id, ()):
+            hall = self.records_by_id_[endpoint_id].listed.hall
+            counts[hall] = counts.get(hall, 0) + 1
+        return counts
+
     def usable_by_hall(self, service_id: ServiceId, now: float) -> dict[HallId, int]:
         """Return how many endpoints of a service take new work in each hall."""
         counts: dict[HallId, int] = {}
--- a/packages/leadford/src/leadford/pieces/__init__.py
+++ b/packages/leadford/src/leadford/pieces/__init__.py
@@ -2,7 +2,14 @@
 
 from leadford.pieces._commitments import CommitmentKey, CommitmentTable
 from leadford.pieces._graph import PieceGraph, PieceKey, PieceState
-from leadford.pieces._groups import GroupId, GroupLoad, GroupTable, keepers_in_order
+from leadford.pieces._groups import (
+    GroupId,
+    GroupLoad,
+    GroupTable,
+    PlaceId,
+    RegionMap,
+    keepers_in_order,
+)
 from leadford.pieces._lanes import PAUSE_FULL_S, PAUSE_ROOM_S, Lane, LaneTable
 from leadford.pieces._queue import PieceQueue, PieceTask
 
@@ -21,5 +28,7 @@
     "PieceQueue",
     "PieceState",
     "PieceTask",
+    "PlaceId",
+    "RegionMap",
     "keepers_in_order",
 ]
--- a/packages/leadford/src/leadford/pieces/_groups.py
+++ b/packages/leadford/src/leadford/pieces/_groups.py
@@ -1,10 +1,13 @@
 """Split the endpoints of a batched stage into groups, each with one keeper.
 
-A group is the endpoints of one service in one hall. One entry keeps its queue, so that
-calls fill from the pieces of all entries. Which one follows from the entries that are
-alive; two keepers at once only make batches smaller.
+A group is the endpoints of one service in one region, or in one hall where a region
+has many. One entry keeps its queue, so that calls fill from the pieces of all entries
+and no endpoint rests while pieces wait for another one. Which entry follows from those
+that are alive; two keepers at once only make batches smaller.
 """
 
+from typing import NewType
+
 import msgspec
 
 from leadford.common import EntryId, HallId, rendezvous_order
@@ -15,18 +18,52 @@
 MOVED_S_PER_BYTE = 0.15e-6
 MOVED_MOST_S = 0.45
 ROOM_SHORT_S = 0.4
+GROUP_MOST = 24
+
+PlaceId = NewType("PlaceId", str)
+"""The name of a region, or of a hall."""
 
 
 class GroupId(msgspec.Struct, frozen=True):
-    """Name a group."""
+    """Name a group; its place is a region or a hall."""
 
     service_id: ServiceId
-    hall: HallId
+    place: PlaceId
 
     @property
     def key(self) -> str:
         """Return the text that is hashed for the group."""
-        return f"{self.service_id}/{self.hall}"
+        return f"{self.service_id}/{self.place}"
+
+
+class RegionMap(msgspec.Struct, frozen=True):
+    """Say which halls lie in a region; a hall without one is a region by itself."""
+
+    regions_by_hall: dict[HallId, PlaceId] = {}
+
+    def region(self, hall: HallId) -> PlaceId:
+        """Return the region of a hall."""
+        return self.regions_by_hall.get(hall, PlaceId(hall))
+
+    def is_in(self, hall: HallId, place: PlaceId) -> bool:
+        """Tell whether a hall is a place or lies in it."""
+        return hall == place or self.region(hall) == place
+
+    def groups(
+        self, service_id: ServiceId, listed_by_hall: dict[HallId, int]
+    ) -> dict[HallId, GroupId]:
+        """Return the group of each hall, from how many endpoints are listed there."""
+        listed_by_region: dict[PlaceId, int] = {}
+        for hall, count in listed_by_hall.items():
+            region = self.region(hall)
+            listed_by_region[region] = listed_by_region.get(region, 0) + count
+        groups = {}
+        for hall in listed_by_hall:
+            region = self.region(hall)
+            is_small = listed_by_region[region] <= GROUP_MOST
+            place = region if is_small else PlaceId(hall)
+            groups[hall] = GroupId(service_id, place)
+        return groups
 
 
 class GroupLoad(msgspec.Struct, frozen=True):
@@ -42,14 +79,23 @@
 
 
 def keepers_in_order(
-    group: GroupId, halls_by_entry: dict[EntryId, HallId]
+    group: GroupId, halls_by_entry: dict[EntryId, HallId], regions: RegionMap
 ) -> list[EntryId]:
     """Return the entries in the order in which they keep a group, near ones first."""
-    near = [entry for entry, hall in halls_by_entry.items() if hall == group.hall]
-    far = [entry for entry, hall in halls_by_entry.items() if hall != group.hall]
+    near = []
+    far = []
+    for entry, hall in halls_by_entry.items():
+        (near if regions.is_in(hall, group.place) else far).append(entry)
     return rendezvous_order(group.key, near) + rendezvous_order(group.key, far)
 
 
+def moving_s(moved_bytes: int) -> float:
+    """Return the wait that is worth as much as not moving bytes between halls."""
+    if moved_bytes <= 0:
+        return 0.0
+    return min(MOVED_MOST_S, OTHER_HALL_S + moved_bytes * MOVED_S_PER_BYTE)
+
+
 class GroupTable:
     """Choose the group for each piece by what keepers said and what was sent since."""
 
@@ -80,30 +126,25 @@
 
     def choose(
         self,
-        service_id: ServiceId,
-        endpoints_by_hall: dict[HallId, int],
+        endpoints_by_group: dict[GroupId, int],
         limits: PieceLimits,
         *,
         result_bytes: int,
-        moved_bytes_by_hall: dict[HallId, int],
+        moved_bytes_by_group: dict[GroupId, int],
         now: float,
     ) -> GroupId | None:
         """Return the group that takes a piece first; moved bytes speak against it."""
         best = None
         best_score = float("inf")
-        for hall, endpoints in sorted(endpoints_by_hall.items()):
+        for group in sorted(endpoints_by_group, key=lambda group: group.key):
+            endpoints = endpoints_by_group[group]
             if endpoints == 0:
                 continue
-            group = GroupId(service_id, hall)
             score = self.wait_s(group, limits, endpoints, now)
             load = self.loads_by_group_.get(group)
             if load is not None and load.room_bytes < result_bytes:
                 score += ROOM_SHORT_S
-            moved_bytes = moved_bytes_by_hall.get(hall, 0)
-            if moved_bytes > 0:
-                score += min(
-                    MOVED_MOST_S, OTHER_HALL_S + moved_bytes * MOVED_S_PER_BYTE
-                )
+            score += moving_s(moved_bytes_by_group.get(group, 0))
             if score < best_score:
                 best, best_score = group, score
         return best
--- a/packages/leadford/src/leadford/pieces/_lanes.py
+++ b/packages/leadford/src/leadford/pieces/_lanes.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from leadford.common import EndpointId
+from leadford.common import EndpointId, HallId
 from leadford.endpoints import EndpointRecord
 from leadford.forwarding import PieceLimits, ResultHandle
 
@@ -121,17 +121,24 @@
         *,
         waiting: int,
         now: float,
+        moving_s_by_hall: dict[HallId, float] | None = None,
     ) -> list[EndpointRecord]:
         """Return the free endpoints that should get a call now, the best first.
 
-        Endpoints are ordered by when they are expected to finish another call. The
-        best of them take what waits; one that is busy is waited for if it is among
-        them.
+        Endpoints are ordered by when they are expected to finish another call, and
+        by what has to move to their hall. The best of them take what waits; one that
+        is busy is waited for if it is among them.
         """
+        moving_s = moving_s_by_hall or {}
         trusted = [record for record in records if not record.is_suspect(now)]
         pieces = max(1, min(limits.batch, waiting))
         scored = [
-            (self._finish_s(record, limits, pieces, now), number, record)
+            (
+                self._finish_s(record, limits, pieces, now)
+                + moving_s.get(record.listed.hall, 0.0),
+                number,
+                record,
+            )
             for number, record in enumerate(trusted or records)
         ]
         found = []
--- a/packages/leadford/src/leadford/pieces/_queue.py
+++ b/packages/leadford/src/leadford/pieces/_queue.py
@@ -4,9 +4,10 @@
 
 import msgspec
 
-from leadford.common import EndpointId, EntryId, RequestId
+from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.forwarding import PieceLimits, ResultHandle
 from leadford.pieces._graph import PieceKey
+from leadford.pieces._groups import moving_s
 
 URGENT_CALLS = 4.0
 COMPANY_PART = 0.08
@@ -20,7 +21,8 @@
     The ticket tells the answers to one entry apart.
 
     Units: due_at, queued_at and deadline are seconds of the monotonic clock; due_at
-    is when the whole request should have been answered.
+    is when the whole request should have been answered. near_bytes_by_hall is what
+    need not move between halls if the piece is made in one.
     """
 
     ticket: int
@@ -35,6 +37,12 @@
     due_at: float
     queued_at: float
     excluded: frozenset[EndpointId] = frozenset()
+    near_bytes_by_hall: dict[HallId, int] = {}
+
+    def moving_s(self, hall: HallId) -> float:
+        """Return what speaks against a hall, as a wait: bytes that have to move."""
+        most = max(self.near_bytes_by_hall.values(), default=0)
+        return moving_s(most - self.near_bytes_by_hall.get(hall, 0))
 
 
 class PieceQueue:
@@ -83,18 +91,30 @@
         ordered = sorted(self.tasks_, key=lambda task: (task.due_at, task.priority))
         return sum(task.result_bytes for task in ordered[:batch])
 
+    def first(self) -> PieceTask | None:
+        """Return the piece that is due first."""
+        return min(
+            self.tasks_, key=lambda task: (task.due_at, task.priority), default=None
+        )
+
     def take(
-        self, *, batch: int, room_bytes: int, endpoint_id: EndpointId
+        self,
+        *,
+        batch: int,
+        room_bytes: int,
+        endpoint_id: EndpointId,
+        hall: HallId | None = None,
     ) -> list[PieceTask]:
         """Remove and return the pieces of the next call to an endpoint.
 
         The pieces of one stage of a request go together, as far as they fit in a
         call: a part of them would take room until the rest is made. Pieces that do
-        not fit hold back no smaller ones.
+        not fit hold back no smaller ones. Where more waits than a call takes, pieces
+        that read results of the hall go a little earlier.
         """
         taken: list[PieceTask] = []
         left: list[PieceTask] = []
-        for number, chunk in enumerate(self._chunks()):
+        for number, chunk in enumerate(self._chunks(hall)):
             allowed = [task for task in chunk if endpoint_id not in task.excluded]
             places = batch - len(taken)
             if number > 0 and len(allowed) > places and len(allowed) <= batch:
@@ -111,11 +131,14 @@
         self.tasks_ = left
         return taken
 
-    def _chunks(self) -> list[list[PieceTask]]:
+    def _chunks(self, hall: HallId | None) -> list[list[PieceTask]]:
         """Return the waiting pieces by stage of their request, the first due first."""
         chunks: dict[tuple[RequestId, int], list[PieceTask]] = {}
         for task in self.tasks_:
             chunks.setdefault((task.request_id, task.key.stage), []).append(task)
-        return sorted(
-            chunks.values(), key=lambda chunk: (chunk[0].due_at, chunk[0].priority)
-        )
+
+        def order(chunk: list[PieceTask]) -> tuple[float, int]:
+            moving = chunk[0].moving_s(hall) if hall is not None else 0.0
+            return chunk[0].due_at + moving, chunk[0].priority
+
+        return sorted(chunks.values(), key=order)
--- a/packages/leadford/src/leadford/pieces/tests/test_batches.py
+++ b/packages/leadford/src/leadford/pieces/tests/test_batches.py
@@ -20,6 +20,8 @@
     PieceKey,
     PieceQueue,
     PieceTask,
+    PlaceId,
+    RegionMap,
     keepers_in_order,
 )
 
@@ -36,7 +38,7 @@
 ENDPOINT = EndpointId("e")
 
 
-def task(request, piece=0, *, due=10.0, size=10, excluded=(), queued=0.0):
+def task(request, piece=0, *, due=10.0, size=10, excluded=(), queued=0.0, near=()):
     return PieceTask(
         ticket=1,
         home=EntryId("home"),
@@ -50,6 +52,7 @@
         due_at=due,
         queued_at=queued,
         excluded=frozenset(EndpointId(name) for name in excluded),
+        near_bytes_by_hall={HallId(hall): count for hall, count in dict(near).items()},
     )
 
 
@@ -179,41 +182,93 @@
 
 def test_keepers_are_near_and_the_same_for_everybody():
     halls = {EntryId(f"n{n}"): HallId("h" if n < 2 else "g") for n in range(5)}
-    group = GroupId(SERVICE, HallId("h"))
-    order = keepers_in_order(group, halls)
+    group = GroupId(SERVICE, PlaceId("h"))
+    order = keepers_in_order(group, halls, RegionMap())
     assert set(order[:2]) == {"n0", "n1"}
-    assert order == keepers_in_order(group, dict(reversed(halls.items())))
+    assert order == keepers_in_order(group, dict(reversed(halls.items())), RegionMap())
     del halls[order[0]]
-    assert keepers_in_order(group, halls)[0] == order[1]
+    assert keepers_in_order(group, halls, RegionMap())[0] == order[1]
 
 
 def test_the_group_with_the_least_wait_is_chosen_and_moved_bytes_count():
     table = GroupTable()
-    near, far = HallId("h"), HallId("g")
-    halls = {near: 1, far: 1}
+    near, far = GroupId(SERVICE, PlaceId("h")), GroupId(SERVICE, PlaceId("g"))
 
     def choose(moved):
-        found = table.choose(
-            SERVICE,
-            halls,
+        return table.choose(
+            {near: 1, far: 1},
             LIMITS,
             result_bytes=1,
-            moved_bytes_by_hall=moved,
+            moved_bytes_by_group=moved,
             now=0.0,
         )
-        return found.hall
 
     moved = {far: 1_000_000}
     assert choose(moved) == near
-    table.note_load(GroupId(SERVICE, near), GroupLoad(0.2, 100, 0.0))
+    table.note_load(near, GroupLoad(0.2, 100, 0.0))
     assert choose(moved) == near
-    table.note_load(GroupId(SERVICE, near), GroupLoad(2.0, 100, 0.0))
+    table.note_load(near, GroupLoad(2.0, 100, 0.0))
     assert choose(moved) == far
     for _ in range(40):
-        table.note_sent(GroupId(SERVICE, far))
+        table.note_sent(far)
     assert choose(moved) == near
 
 
+def test_the_halls_of_a_region_are_one_group_unless_it_has_many_endpoints():
+    regions = RegionMap(
+        {
+            HallId("a"): PlaceId("r"),
+            HallId("b"): PlaceId("r"),
+            HallId("c"): PlaceId("q"),
+        }
+    )
+    few = regions.groups(SERVICE, {HallId("a"): 2, HallId("b"): 1, HallId("c"): 1})
+    assert few == {
+        "a": GroupId(SERVICE, PlaceId("r")),
+        "b": GroupId(SERVICE, PlaceId("r")),
+        "c": GroupId(SERVICE, PlaceId("q")),
+    }
+    many = regions.groups(SERVICE, {HallId("a"): 20, HallId("b"): 20})
+    assert many["a"].place == "a" and many["b"].place == "b"
+    unknown = regions.groups(SERVICE, {HallId("z"): 1})
+    assert unknown["z"].place == "z"
+
+
+def test_entries_of_a_region_keep_its_group():
+    regions = RegionMap({HallId("a"): PlaceId("r"), HallId("b"): PlaceId("r")})
+    halls = {EntryId("n1"): HallId("a"), EntryId("n2"): HallId("c")}
+    halls[EntryId("n3")] = HallId("b")
+    order = keepers_in_order(GroupId(SERVICE, PlaceId("r")), halls, regions)
+    assert set(order[:2]) == {"n1", "n3"}
+
+
+def test_pieces_that_read_results_of_a_hall_go_there_a_little_earlier():
+    away = task("away", due=2.0, near={"g": 500_000})
+    here = task("here", due=2.1, near={"h": 500_000})
+    queue = fill(away, here)
+    taken = queue.take(batch=1, room_bytes=100, endpoint_id=ENDPOINT, hall=HallId("h"))
+    assert ids(taken) == [("here", 0)]
+    urgent = task("urgent", due=1.0, near={"g": 500_000})
+    queue = fill(urgent, here)
+    taken = queue.take(batch=1, room_bytes=100, endpoint_id=ENDPOINT, hall=HallId("h"))
+    assert ids(taken) == [("urgent", 0)]
+
+
+def test_a_free_endpoint_of_another_hall_takes_what_waits_for_a_busy_one():
+    lanes = LaneTable()
+    near, far = record("e1", "h"), record("e2", "g")
+    moving = {HallId("h"): 0.0, HallId("g"): 0.2}
+    found = lanes.ranked(
+        [near, far], LIMITS, waiting=2, now=0.0, moving_s_by_hall=moving
+    )
+    assert found == [near]
+    lanes.lane(EndpointId("e1"), LIMITS).begin(4, 0, 0.0)
+    found = lanes.ranked(
+        [near, far], LIMITS, waiting=2, now=0.0, moving_s_by_hall=moving
+    )
+    assert found == [far]
+
+
 def test_commitments_of_other_entries_expire():
     table = CommitmentTable()
     key = CommitmentKey(SERVICE, 1_000.0)
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -321,12 +321,13 @@
     """Ask the keeper of a group for one piece; the ticket comes back in the answer.
 
     Units: remaining_ms is what is left of the request's time, due_ms what is left
-    until it should have been answered.
+    until it should have been answered; near_bytes is what need not move between
+    halls if the piece is made in one.
     """
 
     ticket: int
     service_id: str
-    hall: str
+    place: str
     request_id: str
     stage: int
     piece: int
@@ -337,6 +338,7 @@
     remaining_ms: float
     due_ms: float
     excluded: list[str] = []
+    near_bytes: dict[str, int] = {}
 
 
 class PieceAnswer(_Base, tag=30):
@@ -368,7 +370,7 @@
     """
 
     service_id: str
-    hall: str
+    place: str
     wait_ms: float
     room_bytes: int
 
