--- a/packages/leadford-server/src/leadford_server/forward/_links.py
+++ b/packages/leadford-server/src/leadford_server/forward/_links.py
@@ -185,14 +185,14 @@
             groups,
             self.is_draining_,
             [
-                CommitmentReport(key.service_id, key.aim_ms, pieces)
+                CommitmentReport(key.service_id, key.priority, pieces)
                 for key, pieces in self.stages.commitments_.own_by_key_.items()
             ],
             [
                 RefusalReport(
                     promise.fingerprint,
                     (promise.return_at - now) * 1_000.0,
-                    promise.aim_ms,
+                    promise.priority,
                     dict(promise.pieces_by_service),
                 )
                 for promise in self.state.refused_.take_unsent()
@@ -242,6 +242,7 @@
                 (task.due_at - now) * 1_000.0,
                 list(task.excluded),
                 dict(task.near_bytes_by_hall),
+                task.route_priority,
             )
         )
 
@@ -315,7 +316,7 @@
             load = GroupLoad(report.wait_ms / 1_000.0, report.room_bytes, now)
             self.stages.groups_.note_load(group, load)
         counts = {
-            CommitmentKey(ServiceId(report.service_id), report.aim_ms): report.pieces
+            CommitmentKey(ServiceId(report.service_id), report.priority): report.pieces
             for report in message.commitments
         }
         self.stages.commitments_.note_heard(entry_id, counts, now)
@@ -323,7 +324,7 @@
             promise = Promise(
                 report.fingerprint,
                 now + report.return_ms / 1_000.0,
-                report.aim_ms,
+                report.priority,
                 {ServiceId(name): count for name, count in report.pieces.items()},
             )
             self.state.refused_.note(promise, is_own=False)
@@ -363,6 +364,7 @@
             near_bytes_by_hall={
                 HallId(hall): count for hall, count in message.near_bytes.items()
             },
+            route_priority=message.route_priority,
         )
         group = GroupId(ServiceId(message.service_id), PlaceId(message.place))
         self.stages.keeper_.submit(group, task)
--- a/packages/leadford-server/src/leadford_server/forward/_run.py
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -220,9 +220,9 @@
                 graph=graph.unwrap(),
                 private_key=request.piece_key,
                 priority=self.admitted_.priority,
+                route_priority=self.admitted_.route.priority,
                 deadline=self.deadline_,
                 due_at=request.received_at + self.admitted_.route.aim_ms / 1_000.0,
-                aim_ms=self.admitted_.route.aim_ms,
                 hall=self._planned_hall(),
             )
         try:
--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -73,9 +73,9 @@
         graph: PieceGraph,
         private_key: str,
         priority: int,
+        route_priority: int,
         deadline: float,
         due_at: float,
-        aim_ms: float,
         hall: HallId,
         done: asyncio.Future[None],
     ) -> None:
@@ -83,9 +83,9 @@
         self.graph = graph
         self.private_key = private_key
         self.priority = priority
+        self.route_priority = route_priority
         self.deadline = deadline
         self.due_at = due_at
-        self.aim_ms = aim_ms
         self.hall = hall
         self.done_ = done
         self.is_over_ = False
@@ -144,9 +144,9 @@
         graph: PieceGraph,
         private_key: str,
         priority: int,
+        route_priority: int,
         deadline: float,
         due_at: float,
-        aim_ms: float,
         hall: HallId,
     ) -> StageJob:
         """Return a job for the stages of a request, and count its pieces."""
@@ -155,9 +155,9 @@
             graph=graph,
             private_key=private_key,
             priority=priority,
+            route_priority=route_priority,
             deadline=deadline,
             due_at=due_at,
-            aim_ms=aim_ms,
             hall=hall,
             done=self.state.loop.create_future(),
         )
@@ -239,7 +239,7 @@
         return keepers_in_order(group, halls, self.state.regions)[0]
 
     def _commitment(self, job: StageJob, key: PieceKey) -> CommitmentKey:
-        return CommitmentKey(job.graph.stages[key.stage].service_id, job.aim_ms)
+        return CommitmentKey(job.graph.stages[key.stage].service_id, job.route_priority)
 
     def _discharge(self, job: StageJob, key: PieceKey) -> None:
         """Count a piece as made, or as wanted no more."""
@@ -395,6 +395,7 @@
             queued_at=now,
             excluded=excluded,
             near_bytes_by_hall=self._near_bytes(job, key.stage),
+            route_priority=job.route_priority,
         )
 
     def _after_s(self, job: StageJob, number: int) -> float:
--- a/packages/leadford/src/leadford/admission/_forward.py
+++ b/packages/leadford/src/leadford/admission/_forward.py
@@ -10,7 +10,7 @@
 from leadford.forwarding import PieceLimits, Route, RouteId, ServiceId
 from leadford.pieces import CommitmentTable
 
-LATER_PART = 0.2
+LATER_PART = 0.1
 SPARE_PART = 0.5
 SPARE_PART_URGENT = 0.7
 SPARE_PART_STEP = 0.1
@@ -75,12 +75,12 @@
 class Promise(msgspec.Struct, frozen=True):
     """Hold a refused request that was told when to come back.
 
-    Units: return_at in seconds of the monotonic clock, aim_ms in milliseconds.
+    Units: return_at in seconds of the monotonic clock.
     """
 
     fingerprint: str
     return_at: float
-    aim_ms: float
+    priority: int
     pieces_by_service: dict[ServiceId, int]
 
 
@@ -115,12 +115,12 @@
         promise = self.promises_by_print_.get(fingerprint)
         return promise is not None and now - promise.return_at < REFUSED_FRESH_S
 
-    def pieces_promised(self, service_id: ServiceId, aim_ms: float, now: float) -> int:
-        """Return how many pieces will come back that go before those with an aim."""
+    def pieces_promised(self, service_id: ServiceId, priority: int, now: float) -> int:
+        """Return how many pieces will come back that go before those of a priority."""
         return sum(
             promise.pieces_by_service.get(service_id, 0)
             for promise in self.promises_by_print_.values()
-            if now - promise.return_at < RETURN_GRACE_S and promise.aim_ms <= aim_ms
+            if now - promise.return_at < RETURN_GRACE_S and promise.priority <= priority
         )
 
     def note_returned(self, fingerprint: str, now: float) -> None:
@@ -186,7 +186,7 @@
         promise = Promise(
             fingerprint,
             now + wait_s,
-            route.aim_ms,
+            route.priority,
             _pieces_by_service(route, counts),
         )
         memory.note(promise, is_own=True)
@@ -248,14 +248,16 @@
             if capacity is None:
                 return float("inf"), 0.0
             pieces = self.commitments.pieces_before(
-                stage.service_id, route.aim_ms, later_part=LATER_PART, now=now
+                stage.service_id, route.priority, later_part=LATER_PART, now=now
             )
             held_s = capacity.call_s + self._read_s(
                 number, route, counts, capacity_by_service
             )
             backlog_s = capacity.backlog_s(pieces, stage.result_bytes, held_s)
             worst_s = max(worst_s, backlog_s)
-            promised = self.memory.pieces_promised(stage.service_id, route.aim_ms, now)
+            promised = self.memory.pieces_promised(
+                stage.service_id, route.priority, now
+            )
             promised_s = max(
                 promised_s, capacity.backlog_s(promised, stage.result_bytes, held_s)
             )
--- a/packages/leadford/src/leadford/admission/tests/test_forward.py
+++ b/packages/leadford/src/leadford/admission/tests/test_forward.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import msgspec
 import pytest
 
 from leadford.admission import (
@@ -40,6 +41,7 @@
     services=(WeightedService(ServiceId("engine"), 1.0),),
     timeout_ms=8_000.0,
     aim_ms=2_000.0,
+    priority=0,
     stages=(StageSpec(SERVICE, (), 1_000),),
 )
 
@@ -53,10 +55,17 @@
         )
 
     def decide(
-        self, *, endpoints=1, fingerprint="f", now=0.0, elapsed_s=0.0, priority=0
+        self,
+        *,
+        endpoints=1,
+        fingerprint="f",
+        now=0.0,
+        elapsed_s=0.0,
+        priority=0,
+        route=ROUTE,
     ):
         return self.admission.decide(
-            ROUTE,
+            route,
             (4,),
             {SERVICE: StageCapacity(LIMITS, endpoints)},
             priority=priority,
@@ -67,8 +76,8 @@
             now=now,
         )
 
-    def commit(self, pieces):
-        self.commitments.add(CommitmentKey(SERVICE, ROUTE.aim_ms), pieces)
+    def commit(self, pieces, priority=0):
+        self.commitments.add(CommitmentKey(SERVICE, priority), pieces)
 
 
 def test_an_idle_fleet_lets_in():
@@ -95,6 +104,16 @@
     assert verdicts == [Verdict.ADMIT, Verdict.REFUSE]
 
 
+def test_work_of_less_urgent_requests_hardly_counts():
+    verdicts = []
+    for priority in (0, 1, 2):
+        fixture = Fixture()
+        fixture.commit(100, priority=1)
+        route = msgspec.structs.replace(ROUTE, priority=priority)
+        verdicts.append(fixture.decide(route=route).verdict)
+    assert verdicts == [Verdict.ADMIT, Verdict.REFUSE, Verdict.REFUSE]
+
+
 def test_a_backlog_refuses_with_a_time_that_grows_with_it():
     fixture = Fixture()
     fixture.commit(100)
@@ -123,7 +142,7 @@
 
 def test_promised_returns_stand_before_newcomers():
     fixture = Fixture()
-    promise = Promise("p", 1.0, ROUTE.aim_ms, {SERVICE: 100})
+    promise = Promise("p", 1.0, 0, {SERVICE: 100})
     fixture.memory.note(promise, is_own=False)
     assert fixture.decide().verdict is Verdict.REFUSE
     # Once they should have come, they are counted no more.
--- a/packages/leadford/src/leadford/pieces/_commitments.py
+++ b/packages/leadford/src/leadford/pieces/_commitments.py
@@ -11,13 +11,10 @@
 
 
 class CommitmentKey(msgspec.Struct, frozen=True):
-    """Name pieces of one service whose requests have the same aim.
-
-    Units: aim_ms in milliseconds.
-    """
+    """Name pieces of one service whose routes have the same priority."""
 
     service_id: ServiceId
-    aim_ms: float
+    priority: int
 
 
 class _Heard(msgspec.Struct, frozen=True):
@@ -56,19 +53,19 @@
         self.heard_by_entry_.pop(entry_id, None)
 
     def pieces_before(
-        self, service_id: ServiceId, aim_ms: float, *, later_part: float, now: float
+        self, service_id: ServiceId, priority: int, *, later_part: float, now: float
     ) -> float:
-        """Return how many pieces go before those of a request with an aim.
+        """Return how many pieces go before those of a route with a priority.
 
-        Pieces of requests with a longer aim count in part: the older ones are due
-        earlier.
+        Pieces of less urgent requests count in part: those that have waited long go
+        first, and calls under way are not stopped.
         """
         total = 0.0
         for counts in self._all(now):
             for key, pieces in counts.items():
                 if key.service_id != service_id:
                     continue
-                total += pieces if key.aim_ms <= aim_ms else pieces * later_part
+                total += pieces if key.priority <= priority else pieces * later_part
         return total
 
     def _all(self, now: float) -> Iterable[dict[CommitmentKey, int]]:
--- a/packages/leadford/src/leadford/pieces/_queue.py
+++ b/packages/leadford/src/leadford/pieces/_queue.py
@@ -12,6 +12,10 @@
 URGENT_CALLS = 4.0
 COMPANY_PART = 0.08
 COMPANY_MOST = 0.9
+# How much earlier a piece counts as due for each step of priority. Both are bounds:
+# without them less urgent pieces could wait for ever.
+ROUTE_STEP_S = 2.0
+WORKSPACE_STEP_S = 0.4
 
 
 class PieceTask(msgspec.Struct, frozen=True, eq=False):
@@ -21,7 +25,8 @@
     The ticket tells the answers to one entry apart.
 
     Units: due_at, queued_at and deadline are seconds of the monotonic clock; due_at
-    is when the whole request should have been answered. near_bytes_by_hall is what
+    is when the whole request should have been answered. The priority is that of the
+    workspace if it has one, else that of the route. near_bytes_by_hall is what
     need not move between halls if the piece is made in one.
     """
 
@@ -38,6 +43,16 @@
     queued_at: float
     excluded: frozenset[EndpointId] = frozenset()
     near_bytes_by_hall: dict[HallId, int] = {}
+    route_priority: int = 0
+
+    @property
+    def rank_s(self) -> float:
+        """Return the order of pieces: when they are due, the more urgent earlier.
+
+        Units: seconds of the monotonic clock.
+        """
+        route_s = ROUTE_STEP_S * self.route_priority
+        return self.due_at + route_s + WORKSPACE_STEP_S * self.priority
 
     def moving_s(self, hall: HallId) -> float:
         """Return what speaks against a hall, as a wait: bytes that have to move."""
@@ -46,7 +61,7 @@
 
 
 class PieceQueue:
-    """Hold waiting pieces; the request that is due first goes first."""
+    """Hold waiting pieces; urgent requests go first, among them the first due."""
 
     def __init__(self) -> None:
         self.tasks_: list[PieceTask] = []
@@ -88,14 +103,12 @@
 
     def first_bytes(self, batch: int) -> int:
         """Return the room that a full call of the first pieces takes."""
-        ordered = sorted(self.tasks_, key=lambda task: (task.due_at, task.priority))
+        ordered = sorted(self.tasks_, key=lambda task: task.rank_s)
         return sum(task.result_bytes for task in ordered[:batch])
 
     def first(self) -> PieceTask | None:
-        """Return the piece that is due first."""
-        return min(
-            self.tasks_, key=lambda task: (task.due_at, task.priority), default=None
-        )
+        """Return the piece that goes first."""
+        return min(self.tasks_, key=lambda task: task.rank_s, default=None)
 
     def take(
         self,
@@ -132,13 +145,13 @@
         return taken
 
     def _chunks(self, hall: HallId | None) -> list[list[PieceTask]]:
-        """Return the waiting pieces by stage of their request, the first due first."""
+        """Return the waiting pieces by stage of their request, in their order."""
         chunks: dict[tuple[RequestId, int], list[PieceTask]] = {}
         for task in self.tasks_:
             chunks.setdefault((task.request_id, task.key.stage), []).append(task)
 
-        def order(chunk: list[PieceTask]) -> tuple[float, int]:
-            moving = chunk[0].moving_s(hall) if hall is not None else 0.0
-            return chunk[0].due_at + moving, chunk[0].priority
+        def order(chunk: list[PieceTask]) -> float:
+            moving_s = chunk[0].moving_s(hall) if hall is not None else 0.0
+            return chunk[0].rank_s + moving_s
 
         return sorted(chunks.values(), key=order)
--- a/packages/leadford/src/leadford/pieces/tests/test_batches.py
+++ b/packages/leadford/src/leadford/pieces/tests/test_batches.py
@@ -38,7 +38,18 @@
 ENDPOINT = EndpointId("e")
 
 
-def task(request, piece=0, *, due=10.0, size=10, excluded=(), queued=0.0, near=()):
+def task(
+    request,
+    piece=0,
+    *,
+    due=10.0,
+    priority=0,
+    route=0,
+    size=10,
+    excluded=(),
+    queued=0.0,
+    near=(),
+):
     return PieceTask(
         ticket=1,
         home=EntryId("home"),
@@ -47,12 +58,13 @@
         private_key="k",
         inputs=(),
         result_bytes=size,
-        priority=0,
+        priority=priority,
         deadline=100.0,
         due_at=due,
         queued_at=queued,
         excluded=frozenset(EndpointId(name) for name in excluded),
         near_bytes_by_hall={HallId(hall): count for hall, count in dict(near).items()},
+        route_priority=route,
     )
 
 
@@ -74,6 +86,18 @@
     assert len(queue) == 1
 
 
+def test_urgent_pieces_go_before_those_that_are_due_a_little_earlier():
+    queue = fill(task("less", due=2.0, route=1), task("urgent", due=3.0))
+    taken = queue.take(batch=1, room_bytes=100, endpoint_id=ENDPOINT)
+    assert ids(taken) == [("urgent", 0)]
+    queue = fill(task("less", due=2.0, priority=1), task("urgent", due=2.1))
+    taken = queue.take(batch=1, room_bytes=100, endpoint_id=ENDPOINT)
+    assert ids(taken) == [("urgent", 0)]
+    queue = fill(task("waited", due=2.0, route=1), task("urgent", due=9.0))
+    taken = queue.take(batch=1, room_bytes=100, endpoint_id=ENDPOINT)
+    assert ids(taken) == [("waited", 0)]
+
+
 def test_pieces_of_a_request_are_not_split_over_calls():
     tasks = [task("a", n, due=1.0) for n in range(3)]
     tasks += [task("b", n, due=2.0) for n in range(2)] + [task("c", due=3.0)]
@@ -271,16 +295,16 @@
 
 def test_commitments_of_other_entries_expire():
     table = CommitmentTable()
-    key = CommitmentKey(SERVICE, 1_000.0)
-    later = CommitmentKey(SERVICE, 3_000.0)
+    key = CommitmentKey(SERVICE, 1)
+    later = CommitmentKey(SERVICE, 3)
     table.add(key, 4)
     table.note_heard(EntryId("n1"), {key: 2, later: 10}, 0.0)
 
-    def before(aim, now):
-        return table.pieces_before(SERVICE, aim, later_part=0.5, now=now)
+    def before(priority, now):
+        return table.pieces_before(SERVICE, priority, later_part=0.5, now=now)
 
-    assert before(1_000.0, 0.1) == 4 + 2 + 5
-    assert before(3_000.0, 0.1) == 16
-    assert before(1_000.0, 9.0) == 4
+    assert before(1, 0.1) == 4 + 2 + 5
+    assert before(3, 0.1) == 16
+    assert before(1, 9.0) == 4
     table.add(key, -4)
-    assert before(1_000.0, 9.0) == 0
+    assert before(1, 9.0) == 0
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -339,6 +339,7 @@
     due_ms: float
     excluded: list[str] = []
     near_bytes: dict[str, int] = {}
+    route_priority: int = 0
 
 
 class PieceAnswer(_Base, tag=30):
@@ -378,23 +379,23 @@
 class CommitmentReport(_Base):
     """Say how many pieces of a service this entry has admitted and not yet had made.
 
-    Units: aim_ms is the aim of the requests that they belong to.
+    The priority is that of the routes of the requests that they belong to.
     """
 
     service_id: str
-    aim_ms: float
+    priority: int
     pieces: int
 
 
 class RefusalReport(_Base):
     """Say which request was told to come back, when, and what it will need.
 
-    Units: return_ms from now, aim_ms in milliseconds.
+    Units: return_ms in milliseconds from now.
     """
 
     fingerprint: str
     return_ms: float
-    aim_ms: float
+    priority: int
     pieces: dict[str, int]
 
 
