Give routes of the highest priority a head start in the queues of stages

Cause: pieces went by what is due first, and admission counted the work of requests with the same or a shorter aim. Priority of a workspace, or of other routes, shifts a piece by 0.2 s a step. Admission counts urgent work for urgent requests, all work for the others.

--- a/packages/leadford-server/src/leadford_server/forward/_links.py
+++ b/packages/leadford-server/src/leadford_server/forward/_links.py
@@ -185,14 +185,14 @@
             groups,
             self.is_draining_,
             [
-                CommitmentReport(key.service_id, key.priority, pieces)
+                CommitmentReport(key.service_id, key.is_urgent, pieces)
                 for key, pieces in self.stages.commitments_.own_by_key_.items()
             ],
             [
                 RefusalReport(
                     promise.fingerprint,
                     (promise.return_at - now) * 1_000.0,
-                    promise.priority,
+                    promise.is_urgent,
                     dict(promise.pieces_by_service),
                 )
                 for promise in self.state.refused_.take_unsent()
@@ -237,12 +237,11 @@
                 task.private_key,
                 list(task.inputs),
                 task.result_bytes,
-                task.priority,
                 (task.deadline - now) * 1_000.0,
                 (task.due_at - now) * 1_000.0,
+                (task.rank_at - now) * 1_000.0,
                 list(task.excluded),
                 dict(task.near_bytes_by_hall),
-                task.route_priority,
             )
         )
 
@@ -316,7 +315,7 @@
             load = GroupLoad(report.wait_ms / 1_000.0, report.room_bytes, now)
             self.stages.groups_.note_load(group, load)
         counts = {
-            CommitmentKey(ServiceId(report.service_id), report.priority): report.pieces
+            CommitmentKey(ServiceId(report.service_id), report.is_urgent): report.pieces
             for report in message.commitments
         }
         self.stages.commitments_.note_heard(entry_id, counts, now)
@@ -324,7 +323,7 @@
             promise = Promise(
                 report.fingerprint,
                 now + report.return_ms / 1_000.0,
-                report.priority,
+                report.is_urgent,
                 {ServiceId(name): count for name, count in report.pieces.items()},
             )
             self.state.refused_.note(promise, is_own=False)
@@ -356,15 +355,14 @@
             private_key=message.private_key,
             inputs=tuple(ResultHandle(handle) for handle in message.inputs),
             result_bytes=message.result_bytes,
-            priority=message.priority,
             deadline=now + message.remaining_ms / 1_000.0,
             due_at=now + message.due_ms / 1_000.0,
+            rank_at=now + message.rank_ms / 1_000.0,
             queued_at=now,
             excluded=frozenset(EndpointId(text) for text in message.excluded),
             near_bytes_by_hall={
                 HallId(hall): count for hall, count in message.near_bytes.items()
             },
-            route_priority=message.route_priority,
         )
         group = GroupId(ServiceId(message.service_id), PlaceId(message.place))
         self.stages.keeper_.submit(group, task)
--- a/packages/leadford-server/src/leadford_server/forward/_run.py
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -11,7 +11,7 @@
 from leadford.endpoints import EndpointRecord, EngineTicket
 from leadford.events import Event
 from leadford.forwarding import Admitted, LookupFault, RouteKind, ServiceId
-from leadford.pieces import PieceGraph
+from leadford.pieces import PieceGraph, queue_delay_s
 from leadford_server.forward._connection import (
     BreakKind,
     EndpointConnection,
@@ -219,8 +219,8 @@
                 request_id=request.request_id,
                 graph=graph.unwrap(),
                 private_key=request.piece_key,
-                priority=self.admitted_.priority,
-                route_priority=self.admitted_.route.priority,
+                is_urgent=self.admitted_.route.is_urgent,
+                delay_s=queue_delay_s(self.admitted_.route, self.admitted_.priority),
                 deadline=self.deadline_,
                 due_at=request.received_at + self.admitted_.route.aim_ms / 1_000.0,
                 hall=self._planned_hall(),
--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -72,8 +72,8 @@
         request_id: RequestId,
         graph: PieceGraph,
         private_key: str,
-        priority: int,
-        route_priority: int,
+        is_urgent: bool,
+        delay_s: float,
         deadline: float,
         due_at: float,
         hall: HallId,
@@ -82,8 +82,8 @@
         self.request_id = request_id
         self.graph = graph
         self.private_key = private_key
-        self.priority = priority
-        self.route_priority = route_priority
+        self.is_urgent = is_urgent
+        self.delay_s = delay_s
         self.deadline = deadline
         self.due_at = due_at
         self.hall = hall
@@ -143,8 +143,8 @@
         request_id: RequestId,
         graph: PieceGraph,
         private_key: str,
-        priority: int,
-        route_priority: int,
+        is_urgent: bool,
+        delay_s: float,
         deadline: float,
         due_at: float,
         hall: HallId,
@@ -154,8 +154,8 @@
             request_id=request_id,
             graph=graph,
             private_key=private_key,
-            priority=priority,
-            route_priority=route_priority,
+            is_urgent=is_urgent,
+            delay_s=delay_s,
             deadline=deadline,
             due_at=due_at,
             hall=hall,
@@ -239,7 +239,7 @@
         return keepers_in_order(group, halls, self.state.regions)[0]
 
     def _commitment(self, job: StageJob, key: PieceKey) -> CommitmentKey:
-        return CommitmentKey(job.graph.stages[key.stage].service_id, job.route_priority)
+        return CommitmentKey(job.graph.stages[key.stage].service_id, job.is_urgent)
 
     def _discharge(self, job: StageJob, key: PieceKey) -> None:
         """Count a piece as made, or as wanted no more."""
@@ -381,6 +381,7 @@
     ) -> PieceTask:
         ticket = self.next_ticket_
         self.next_ticket_ += 1
+        due_at = job.due_at - self._after_s(job, key.stage)
         return PieceTask(
             ticket=ticket,
             home=self.entry_id,
@@ -389,13 +390,12 @@
             private_key="" if stage.after else job.private_key,
             inputs=job.graph.inputs(key.stage),
             result_bytes=stage.result_bytes,
-            priority=job.priority,
             deadline=job.deadline,
-            due_at=job.due_at - self._after_s(job, key.stage),
+            due_at=due_at,
+            rank_at=due_at + job.delay_s,
             queued_at=now,
             excluded=excluded,
             near_bytes_by_hall=self._near_bytes(job, key.stage),
-            route_priority=job.route_priority,
         )
 
     def _after_s(self, job: StageJob, number: int) -> float:
--- a/packages/leadford/src/leadford/admission/_forward.py
+++ b/packages/leadford/src/leadford/admission/_forward.py
@@ -80,7 +80,7 @@
 
     fingerprint: str
     return_at: float
-    priority: int
+    is_urgent: bool
     pieces_by_service: dict[ServiceId, int]
 
 
@@ -115,12 +115,15 @@
         promise = self.promises_by_print_.get(fingerprint)
         return promise is not None and now - promise.return_at < REFUSED_FRESH_S
 
-    def pieces_promised(self, service_id: ServiceId, priority: int, now: float) -> int:
-        """Return how many pieces will come back that go before those of a priority."""
+    def pieces_promised(
+        self, service_id: ServiceId, is_urgent: bool, now: float
+    ) -> int:
+        """Return how many pieces will come back that go before those of a request."""
         return sum(
             promise.pieces_by_service.get(service_id, 0)
             for promise in self.promises_by_print_.values()
-            if now - promise.return_at < RETURN_GRACE_S and promise.priority <= priority
+            if now - promise.return_at < RETURN_GRACE_S
+            and promise.is_urgent >= is_urgent
         )
 
     def note_returned(self, fingerprint: str, now: float) -> None:
@@ -186,7 +189,7 @@
         promise = Promise(
             fingerprint,
             now + wait_s,
-            route.priority,
+            route.is_urgent,
             _pieces_by_service(route, counts),
         )
         memory.note(promise, is_own=True)
@@ -248,7 +251,7 @@
             if capacity is None:
                 return float("inf"), 0.0
             pieces = self.commitments.pieces_before(
-                stage.service_id, route.priority, later_part=LATER_PART, now=now
+                stage.service_id, route.is_urgent, later_part=LATER_PART, now=now
             )
             held_s = capacity.call_s + self._read_s(
                 number, route, counts, capacity_by_service
@@ -256,7 +259,7 @@
             backlog_s = capacity.backlog_s(pieces, stage.result_bytes, held_s)
             worst_s = max(worst_s, backlog_s)
             promised = self.memory.pieces_promised(
-                stage.service_id, route.priority, now
+                stage.service_id, route.is_urgent, now
             )
             promised_s = max(
                 promised_s, capacity.backlog_s(promised, stage.result_bytes, held_s)
--- a/packages/leadford/src/leadford/forwarding/_model.py
+++ b/packages/leadford/src/leadford/forwarding/_model.py
@@ -11,6 +11,7 @@
 ServiceId = NewType("ServiceId", str)
 ResultHandle = NewType("ResultHandle", str)
 
+PRIORITY_HIGHEST = 0
 PRIORITY_LOWEST = 9
 
 
@@ -60,6 +61,11 @@
     is_resumable: bool = False
     gap_aim_ms: float = 0.0
 
+    @property
+    def is_urgent(self) -> bool:
+        """Tell whether the route has the highest priority."""
+        return self.priority == PRIORITY_HIGHEST
+
     @property
     def is_repeatable(self) -> bool:
         """Tell whether a request that may have run may be sent again."""
--- a/packages/leadford/src/leadford/pieces/__init__.py
+++ b/packages/leadford/src/leadford/pieces/__init__.py
@@ -11,7 +11,7 @@
     keepers_in_order,
 )
 from leadford.pieces._lanes import PAUSE_FULL_S, PAUSE_ROOM_S, Lane, LaneTable
-from leadford.pieces._queue import PieceQueue, PieceTask
+from leadford.pieces._queue import PieceQueue, PieceTask, queue_delay_s
 
 __all__ = [
     "PAUSE_FULL_S",
@@ -31,4 +31,5 @@
     "PlaceId",
     "RegionMap",
     "keepers_in_order",
+    "queue_delay_s",
 ]
--- a/packages/leadford/src/leadford/pieces/_commitments.py
+++ b/packages/leadford/src/leadford/pieces/_commitments.py
@@ -11,10 +11,10 @@
 
 
 class CommitmentKey(msgspec.Struct, frozen=True):
-    """Name pieces of one service whose routes have the same priority."""
+    """Name pieces of one service whose routes are urgent, or are not."""
 
     service_id: ServiceId
-    priority: int
+    is_urgent: bool
 
 
 class _Heard(msgspec.Struct, frozen=True):
@@ -53,11 +53,11 @@
         self.heard_by_entry_.pop(entry_id, None)
 
     def pieces_before(
-        self, service_id: ServiceId, priority: int, *, later_part: float, now: float
+        self, service_id: ServiceId, is_urgent: bool, *, later_part: float, now: float
     ) -> float:
-        """Return how many pieces go before those of a route with a priority.
+        """Return how many pieces go before those of a request.
 
-        Pieces of less urgent requests count in part: those that have waited long go
+        For an urgent one the others count in part: those that have waited long go
         first, and calls under way are not stopped.
         """
         total = 0.0
@@ -65,7 +65,7 @@
             for key, pieces in counts.items():
                 if key.service_id != service_id:
                     continue
-                total += pieces if key.priority <= priority else pieces * later_part
+                total += pieces if key.is_urgent >= is_urgent else pieces * later_part
         return total
 
     def _all(self, now: float) -> Iterable[dict[CommitmentKey, int]]:
--- a/packages/leadford/src/leadford/pieces/_queue.py
+++ b/packages/leadford/src/leadford/pieces/_queue.py
@@ -5,17 +5,17 @@
 import msgspec
 
 from leadford.common import EndpointId, EntryId, HallId, RequestId
-from leadford.forwarding import PieceLimits, ResultHandle
+from leadford.forwarding import PieceLimits, ResultHandle, Route
 from leadford.pieces._graph import PieceKey
 from leadford.pieces._groups import moving_s
 
 URGENT_CALLS = 4.0
 COMPANY_PART = 0.08
 COMPANY_MOST = 0.9
-# How much earlier a piece counts as due for each step of priority. Both are bounds:
-# without them less urgent pieces could wait for ever.
-ROUTE_STEP_S = 2.0
-WORKSPACE_STEP_S = 0.4
+# How much later a piece counts as due. Both are bounds: without them the less urgent
+# could wait for ever.
+LESS_URGENT_S = 2.0
+PRIORITY_STEP_S = 0.2
 
 
 class PieceTask(msgspec.Struct, frozen=True, eq=False):
@@ -25,8 +25,8 @@
     The ticket tells the answers to one entry apart.
 
     Units: due_at, queued_at and deadline are seconds of the monotonic clock; due_at
-    is when the whole request should have been answered. The priority is that of the
-    workspace if it has one, else that of the route. near_bytes_by_hall is what
+    is when the whole request should have been answered, and rank_at orders pieces:
+    it is due_at with a delay for the less urgent. near_bytes_by_hall is what
     need not move between halls if the piece is made in one.
     """
 
@@ -37,22 +37,12 @@
     private_key: str
     inputs: tuple[ResultHandle, ...]
     result_bytes: int
-    priority: int
     deadline: float
     due_at: float
+    rank_at: float
     queued_at: float
     excluded: frozenset[EndpointId] = frozenset()
     near_bytes_by_hall: dict[HallId, int] = {}
-    route_priority: int = 0
-
-    @property
-    def rank_s(self) -> float:
-        """Return the order of pieces: when they are due, the more urgent earlier.
-
-        Units: seconds of the monotonic clock.
-        """
-        route_s = ROUTE_STEP_S * self.route_priority
-        return self.due_at + route_s + WORKSPACE_STEP_S * self.priority
 
     def moving_s(self, hall: HallId) -> float:
         """Return what speaks against a hall, as a wait: bytes that have to move."""
@@ -60,6 +50,19 @@
         return moving_s(most - self.near_bytes_by_hall.get(hall, 0))
 
 
+def queue_delay_s(route: Route, priority: int) -> float:
+    """Return how much later than due the pieces of a request count in the queues.
+
+    Routes of the highest priority go first; among the others it is the time when they
+    are due that decides, or a kind of request could be starved. `priority` is that of
+    the workspace where it has one.
+
+    Units: seconds.
+    """
+    head_start_s = 0.0 if route.is_urgent else LESS_URGENT_S
+    return head_start_s + PRIORITY_STEP_S * priority
+
+
 class PieceQueue:
     """Hold waiting pieces; urgent requests go first, among them the first due."""
 
@@ -103,12 +106,12 @@
 
     def first_bytes(self, batch: int) -> int:
         """Return the room that a full call of the first pieces takes."""
-        ordered = sorted(self.tasks_, key=lambda task: task.rank_s)
+        ordered = sorted(self.tasks_, key=lambda task: task.rank_at)
         return sum(task.result_bytes for task in ordered[:batch])
 
     def first(self) -> PieceTask | None:
         """Return the piece that goes first."""
-        return min(self.tasks_, key=lambda task: task.rank_s, default=None)
+        return min(self.tasks_, key=lambda task: task.rank_at, default=None)
 
     def take(
         self,
@@ -152,6 +155,6 @@
 
         def order(chunk: list[PieceTask]) -> float:
             moving_s = chunk[0].moving_s(hall) if hall is not None else 0.0
-            return chunk[0].rank_s + moving_s
+            return chunk[0].rank_at + moving_s
 
         return sorted(chunks.values(), key=order)
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -321,8 +321,8 @@
     """Ask the keeper of a group for one piece; the ticket comes back in the answer.
 
     Units: remaining_ms is what is left of the request's time, due_ms what is left
-    until it should have been answered; near_bytes is what need not move between
-    halls if the piece is made in one.
+    until it should have been answered, and rank_ms orders pieces; near_bytes is
+    what need not move between halls if the piece is made in one.
     """
 
     ticket: int
@@ -334,12 +334,11 @@
     private_key: str
     inputs: list[str]
     result_bytes: int
-    priority: int
     remaining_ms: float
     due_ms: float
+    rank_ms: float
     excluded: list[str] = []
     near_bytes: dict[str, int] = {}
-    route_priority: int = 0
 
 
 class PieceAnswer(_Base, tag=30):
@@ -377,13 +376,10 @@
 
 
 class CommitmentReport(_Base):
-    """Say how many pieces of a service this entry has admitted and not yet had made.
-
-    The priority is that of the routes of the requests that they belong to.
-    """
+    """Say how many pieces of a service this entry has admitted and not yet had made."""
 
     service_id: str
-    priority: int
+    is_urgent: bool
     pieces: int
 
 
@@ -395,7 +391,7 @@
 
     fingerprint: str
     return_ms: float
-    priority: int
+    is_urgent: bool
     pieces: dict[str, int]
 
 
