Let pieces wait a little for the hall of their inputs

Each piece of a stage fetches every input, so that the pieces of one request move ten times the size of what they read; the queue weighed one piece, and pieces for other halls came along in calls that were not full. Ruled out: inputs of engines (large results lie where the engine is chosen). Change: bytes count for all pieces of a request in a stage; while no more waits than one call takes, pieces are left for the hall of their inputs if an endpoint there is free soon enough, at most a fifth of the time that the request can spare.

--- a/packages/leadford-server/src/leadford_server/forward/_keeper.py
+++ b/packages/leadford-server/src/leadford_server/forward/_keeper.py
@@ -2,17 +2,19 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 from returns.result import Failure
 
-from leadford.common import EndpointId, EntryId
+from leadford.common import EndpointId, EntryId, HallId
 from leadford.endpoints import EndpointRecord
 from leadford.events import Event
 from leadford.forwarding import PieceLimits, ResultHandle, Service
 from leadford.pieces import (
     PAUSE_FULL_S,
     PAUSE_ROOM_S,
+    Chunk,
     GroupId,
     LaneTable,
     PieceQueue,
@@ -178,8 +180,10 @@
             return False
         first = queue.first()
         moving_s_by_hall = {
-            record.listed.hall: first.moving_s(record.listed.hall) for record in records
+            record.listed.hall: first.patience_s(record.listed.hall, limits, now)
+            for record in records
         }
+        free_in_s_by_hall = self._free_in_s_by_hall(records, limits, now)
         free = self.lanes_.ranked(
             records,
             limits,
@@ -197,6 +201,13 @@
                 room_bytes=lane.room_bytes(now),
                 endpoint_id=endpoint_id,
                 hall=record.listed.hall,
+                stays_away=partial(
+                    Chunk.stays_away,
+                    hall=record.listed.hall,
+                    free_in_s_by_hall=free_in_s_by_hall,
+                    limits=limits,
+                    now=now,
+                ),
             )
             if tasks:
                 room_bytes = lane.room_bytes(now)
@@ -207,6 +218,20 @@
         self._look_again(group)
         return False
 
+    def _free_in_s_by_hall(
+        self, records: list[EndpointRecord], limits: PieceLimits, now: float
+    ) -> dict[HallId, float]:
+        """Return when the first endpoint of each hall is expected to be free."""
+        free_in_s: dict[HallId, float] = {}
+        for record in records:
+            if record.is_suspect(now):
+                continue
+            hall = record.listed.hall
+            lane = self.lanes_.lane(record.listed.endpoint_id, limits)
+            lane_s = lane.free_in_s(now)
+            free_in_s[hall] = min(lane_s, free_in_s.get(hall, lane_s))
+        return free_in_s
+
     def _look_again(self, group: GroupId) -> None:
         """Look again later: a pause or a retention ends without any other event."""
         if group in self.look_due_:
--- a/packages/leadford/src/leadford/pieces/__init__.py
+++ b/packages/leadford/src/leadford/pieces/__init__.py
@@ -11,11 +11,12 @@
     keepers_in_order,
 )
 from leadford.pieces._lanes import PAUSE_FULL_S, PAUSE_ROOM_S, Lane, LaneTable
-from leadford.pieces._queue import PieceQueue, PieceTask, queue_delay_s
+from leadford.pieces._queue import Chunk, PieceQueue, PieceTask, queue_delay_s
 
 __all__ = [
     "PAUSE_FULL_S",
     "PAUSE_ROOM_S",
+    "Chunk",
     "CommitmentKey",
     "CommitmentTable",
     "GroupId",
--- a/packages/leadford/src/leadford/pieces/_lanes.py
+++ b/packages/leadford/src/leadford/pieces/_lanes.py
@@ -62,6 +62,13 @@
         """Tell whether the endpoint may get a call now."""
         return self.calls_ < self.limits.slots and now >= self.paused_until_
 
+    def free_in_s(self, now: float) -> float:
+        """Return when the endpoint is expected to be free for another call."""
+        pause_s = max(0.0, self.paused_until_ - now)
+        if self.calls_ < self.limits.slots:
+            return pause_s
+        return max(pause_s, self.busy_until_ - now, 0.0)
+
     def begin(self, pieces: int, result_bytes: int, now: float) -> None:
         """Count a call that leaves now."""
         self.calls_ += 1
--- a/packages/leadford/src/leadford/pieces/_queue.py
+++ b/packages/leadford/src/leadford/pieces/_queue.py
@@ -12,6 +12,7 @@
 URGENT_CALLS = 4.0
 COMPANY_PART = 0.08
 COMPANY_MOST = 0.9
+PATIENCE_PART = 0.2
 # How much later a piece counts as due. Both are bounds: without them the less urgent
 # could wait for ever.
 LESS_URGENT_S = 2.0
@@ -44,10 +45,49 @@
     excluded: frozenset[EndpointId] = frozenset()
     near_bytes_by_hall: dict[HallId, int] = {}
 
+    def moved_bytes(self, hall: HallId) -> int:
+        """Return how many bytes move between halls if the piece is made in one."""
+        most = max(self.near_bytes_by_hall.values(), default=0)
+        return most - self.near_bytes_by_hall.get(hall, 0)
+
+
+class Chunk(msgspec.Struct, frozen=True):
+    """Hold waiting pieces of one stage of one request; they read the same inputs."""
+
+    tasks: tuple[PieceTask, ...]
+
+    @property
+    def rank_at(self) -> float:
+        """Return the order of the chunk."""
+        return self.tasks[0].rank_at
+
     def moving_s(self, hall: HallId) -> float:
         """Return what speaks against a hall, as a wait: bytes that have to move."""
-        most = max(self.near_bytes_by_hall.values(), default=0)
-        return moving_s(most - self.near_bytes_by_hall.get(hall, 0))
+        return moving_s(self.tasks[0].moved_bytes(hall) * len(self.tasks))
+
+    def patience_s(self, hall: HallId, limits: PieceLimits, now: float) -> float:
+        """Return how long to wait for an endpoint elsewhere rather than use a hall.
+
+        A request with little time to spare does not wait for the sake of bytes.
+        """
+        call_s = limits.duration_ms(limits.batch) / 1_000.0
+        spare_s = max(0.0, self.tasks[0].due_at - now - call_s)
+        return min(self.moving_s(hall), PATIENCE_PART * spare_s)
+
+    def stays_away(
+        self,
+        hall: HallId,
+        free_in_s_by_hall: dict[HallId, float],
+        limits: PieceLimits,
+        now: float,
+    ) -> bool:
+        """Tell whether another hall is better and has an endpoint free in time."""
+        patience_s = self.patience_s(hall, limits, now)
+        return any(
+            free_in_s < patience_s - self.patience_s(other, limits, now)
+            for other, free_in_s in free_in_s_by_hall.items()
+            if other != hall
+        )
 
 
 def queue_delay_s(route: Route, priority: int) -> float:
@@ -109,9 +149,9 @@
         ordered = sorted(self.tasks_, key=lambda task: task.rank_at)
         return sum(task.result_bytes for task in ordered[:batch])
 
-    def first(self) -> PieceTask | None:
-        """Return the piece that goes first."""
-        return min(self.tasks_, key=lambda task: task.rank_at, default=None)
+    def first(self) -> Chunk | None:
+        """Return the pieces that go first."""
+        return min(self.chunks(), key=lambda chunk: chunk.rank_at, default=None)
 
     def take(
         self,
@@ -120,21 +160,26 @@
         room_bytes: int,
         endpoint_id: EndpointId,
         hall: HallId | None = None,
+        stays_away: Callable[[Chunk], bool] = lambda chunk: False,
     ) -> list[PieceTask]:
         """Remove and return the pieces of the next call to an endpoint.
 
         The pieces of one stage of a request go together, as far as they fit in a
         call: a part of them would take room until the rest is made. Pieces that do
         not fit hold back no smaller ones. Where more waits than a call takes, pieces
-        that read results of the hall go a little earlier.
+        that read results of the hall go a little earlier; where less waits, those
+        that stay away are left for an endpoint elsewhere.
         """
+        is_short = len(self.tasks_) <= batch
         taken: list[PieceTask] = []
         left: list[PieceTask] = []
-        for number, chunk in enumerate(self._chunks(hall)):
-            allowed = [task for task in chunk if endpoint_id not in task.excluded]
+        for number, chunk in enumerate(self._ordered(hall)):
+            tasks = chunk.tasks
+            allowed = [task for task in tasks if endpoint_id not in task.excluded]
             places = batch - len(taken)
-            if number > 0 and len(allowed) > places and len(allowed) <= batch:
-                left += chunk
+            is_split = number > 0 and places < len(allowed) <= batch
+            if is_split or (is_short and stays_away(chunk)):
+                left += tasks
                 continue
             fitting: list[PieceTask] = []
             for task in allowed[:places]:
@@ -143,18 +188,22 @@
                 room_bytes -= task.result_bytes
                 fitting.append(task)
             taken += fitting
-            left += [task for task in chunk if task not in fitting]
+            left += [task for task in tasks if task not in fitting]
         self.tasks_ = left
         return taken
 
-    def _chunks(self, hall: HallId | None) -> list[list[PieceTask]]:
-        """Return the waiting pieces by stage of their request, in their order."""
-        chunks: dict[tuple[RequestId, int], list[PieceTask]] = {}
+    def chunks(self) -> list[Chunk]:
+        """Return the waiting pieces by stage of their request."""
+        tasks: dict[tuple[RequestId, int], list[PieceTask]] = {}
         for task in self.tasks_:
-            chunks.setdefault((task.request_id, task.key.stage), []).append(task)
+            tasks.setdefault((task.request_id, task.key.stage), []).append(task)
+        return [Chunk(tuple(group)) for group in tasks.values()]
+
+    def _ordered(self, hall: HallId | None) -> list[Chunk]:
+        """Return the chunks in the order in which a hall takes them."""
 
-        def order(chunk: list[PieceTask]) -> float:
-            moving_s = chunk[0].moving_s(hall) if hall is not None else 0.0
-            return chunk[0].rank_at + moving_s
+        def order(chunk: Chunk) -> float:
+            moving_s = chunk.moving_s(hall) if hall is not None else 0.0
+            return chunk.rank_at + moving_s
 
-        return sorted(chunks.values(), key=order)
+        return sorted(self.chunks(), key=order)
--- a/packages/leadford/src/leadford/pieces/tests/test_batches.py
+++ b/packages/leadford/src/leadford/pieces/tests/test_batches.py
@@ -18,6 +18,7 @@
     ServiceId,
 )
 from leadford.pieces import (
+    Chunk,
     CommitmentKey,
     CommitmentTable,
     GroupId,
@@ -302,6 +303,45 @@
     assert ids(taken) == [("urgent", 0)]
 
 
+def stays_away(task_to_check, hall, free_in_s_by_hall, pieces=1):
+    chunk = Chunk((task_to_check,) * pieces)
+    free_in_s = {HallId(name): value for name, value in free_in_s_by_hall.items()}
+    return chunk.stays_away(HallId(hall), free_in_s, LIMITS, 0.0)
+
+
+def test_pieces_wait_for_the_hall_of_their_inputs_if_it_is_soon_free():
+    reader = task("a", due=5.0, near={"g": 500_000})
+    assert stays_away(reader, "h", {"h": 0.0, "g": 0.0})
+    assert not stays_away(reader, "g", {"h": 0.0, "g": 0.0})
+    assert not stays_away(reader, "h", {"h": 0.0, "g": 2.0})
+    assert not stays_away(reader, "h", {"h": 0.0})
+    # More pieces that read the same inputs are worth a longer wait.
+    assert not stays_away(reader, "h", {"g": 0.3}, pieces=1)
+    assert stays_away(reader, "h", {"g": 0.3}, pieces=8)
+
+
+def test_pieces_without_time_to_spare_wait_for_no_hall():
+    urgent = task("a", due=0.5, near={"g": 500_000})
+    assert not stays_away(urgent, "h", {"h": 0.0, "g": 0.1}, pieces=8)
+
+
+def test_pieces_that_stay_away_are_left_unless_more_waits_than_a_call_takes():
+    away = task("away", due=1.0)
+    queue = fill(away, task("here", due=2.0))
+    taken = queue.take(
+        batch=4,
+        room_bytes=100,
+        endpoint_id=ENDPOINT,
+        stays_away=lambda chunk: chunk.tasks[0] is away,
+    )
+    assert ids(taken) == [("here", 0)]
+    queue = fill(*[task("away", n, due=1.0) for n in range(6)])
+    taken = queue.take(
+        batch=4, room_bytes=100, endpoint_id=ENDPOINT, stays_away=lambda chunk: True
+    )
+    assert len(taken) == 4
+
+
 def test_a_free_endpoint_of_another_hall_takes_what_waits_for_a_busy_one():
     lanes = LaneTable()
     near, far = record("e1", "h"), record("e2", "g")
