Answer 431 and 413 to requests beyond the limits

Cause: a head over its limit closed the connection without a word, a long body got 400. Change: heads up to four times the limit are read and answered 431; an announced or a chunked body over the limit is answered 413 before it is whole. Both are logged. A slow head still closes after the idle time without 408.

--- a/packages/leadford-server/src/leadford_server/forward/_door.py
+++ b/packages/leadford-server/src/leadford_server/forward/_door.py
@@ -11,6 +11,13 @@
 from leadford_server.forward._contract import HeaderList, InboundRequest, RequestWire
 
 REST_GRACE_S = 2.0
+# Heads up to this multiple of the limit are read, so that they get an answer.
+HEAD_READ_MOST = 4
+BODY_READ_MOST = 1 << 40
+# What a line of a head takes beside its name and value.
+LINE_BYTES = 4
+STATUS_BODY_TOO_LARGE = 413
+STATUS_HEAD_TOO_LARGE = 431
 CONNECTION_HEADERS = frozenset(
     {
         "connection",
@@ -36,6 +43,7 @@
         self.door = door
         self.request_: InboundRequest | None = None
         self.chunks_: list[bytes] = []
+        self.body_bytes_ = 0
         self.task_: asyncio.Task[None] | None = None
         self.has_begun_ = False
         self.is_over_ = False
@@ -49,12 +57,32 @@
         self.request_ = self.door.wire.read_request(
             start_line.method, start_line.path, list(headers.get_all()), now
         )
+        limits = self.door.limits_
+        if _head_bytes(start_line, headers) > limits.header_bytes:
+            self._deny(STATUS_HEAD_TOO_LARGE)
+            return
+        if _announced_bytes(headers) > limits.body_bytes:
+            self._deny(STATUS_BODY_TOO_LARGE)
+            return
         self.door.exchanges_.add(self)
 
     def data_received(self, chunk: bytes) -> None:
         """Take in a part of the body."""
+        self.body_bytes_ += len(chunk)
+        if self.is_over_:
+            return
+        if self.body_bytes_ > self.door.limits_.body_bytes:
+            self.chunks_.clear()
+            self.door.exchanges_.discard(self)
+            self._deny(STATUS_BODY_TOO_LARGE)
+            return
         self.chunks_.append(chunk)
 
+    def _deny(self, status: int) -> None:
+        """Answer a request that is beyond the limits before it is whole."""
+        self.answer(status, self.door.wire.refusal(None))
+        self.door.report_denied(self, status)
+
     def finish(self) -> None:
         """Take in that the request is whole, and serve it."""
         self.request_.body = b"".join(self.chunks_)
@@ -149,6 +177,21 @@
         return "Unknown"
 
 
+def _head_bytes(
+    start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+) -> int:
+    total = len(start_line.method) + len(start_line.path) + len(start_line.version)
+    for name, value in headers.get_all():
+        total += len(name) + len(value) + LINE_BYTES
+    return total
+
+
+def _announced_bytes(headers: httputil.HTTPHeaders) -> int:
+    """Return the length that a head gives; a spoiled one is left to the reader."""
+    text = headers.get("Content-Length", "0")
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 class Door(httputil.HTTPServerConnectionDelegate):
     """Listen for callers."""
 
@@ -159,22 +202,25 @@
         serve: Callable[[Exchange], Coroutine[None, None, None]],
         is_draining: Callable[[], bool],
         report_fault: Callable[[Exchange, BaseException], None],
+        report_denied: Callable[[Exchange, int], None],
     ) -> None:
         self.wire = wire
         self.serve = serve
         self.is_draining = is_draining
         self.report_fault = report_fault
+        self.report_denied = report_denied
+        self.limits_ = TrafficLimits()
         self.exchanges_: set[Exchange] = set()
         self.server_: httpserver.HTTPServer | None = None
 
     def start(self, host: str, port: int) -> None:
         """Listen."""
-        limits = TrafficLimits()
+        limits = self.limits_
         self.server_ = httpserver.HTTPServer(
             self,
             idle_connection_timeout=limits.idle_ms / 1_000.0 + REST_GRACE_S,
-            max_header_size=limits.header_bytes,
-            max_body_size=limits.body_bytes,
+            max_header_size=HEAD_READ_MOST * limits.header_bytes,
+            max_body_size=BODY_READ_MOST,
         )
         self.server_.listen(port, address=host)
 
@@ -182,8 +228,8 @@
         """Use other limits for requests that begin from now on."""
         parameters = self.server_.conn_params
         parameters.header_timeout = limits.idle_ms / 1_000.0 + REST_GRACE_S
-        parameters.max_header_size = limits.header_bytes
-        parameters.max_body_size = limits.body_bytes
+        parameters.max_header_size = HEAD_READ_MOST * limits.header_bytes
+        self.limits_ = limits
 
     def start_request(
         self, server_conn: object, request_conn: HTTP1Connection
--- a/packages/leadford-server/src/leadford_server/forward/_process.py
+++ b/packages/leadford-server/src/leadford_server/forward/_process.py
@@ -29,7 +29,7 @@
     ObjectsClient,
 )
 from leadford_server.forward._links import EntryLinks
-from leadford_server.forward._run import ForwardRun
+from leadford_server.forward._run import End, ForwardRun
 from leadford_server.forward._stages import StageRunner
 from leadford_server.forward._state import ForwardBounds, ForwardState
 from leadford_server.logs import EventLog
@@ -126,6 +126,7 @@
             serve=self._serve,
             is_draining=lambda: self.is_draining_,
             report_fault=self._report_fault,
+            report_denied=self._report_denied,
         )
         self.door_.start(settings.callers.host, settings.callers.port)
         self._listen_ready()
@@ -209,6 +210,15 @@
             error=f"{type(error).__name__}: {error}"[:300],
         )
 
+    def _report_denied(self, exchange: Exchange, status: int) -> None:
+        self.log_.report(
+            Event.FORWARD_ENDED,
+            request=exchange.request_.request_id,
+            status=status,
+            outcome=End.DENIED.value,
+            detail="beyond the limits of the configuration",
+        )
+
     def _take_configs(self, listing: Listing) -> None:
         for item in listing.items:
             self._take_config(item)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
@@ -522,5 +522,41 @@
     run(scenario)
 
 
+async def exchange_bytes(entry, request):
+    """Send bytes and return the first line of the answer, or nothing."""
+    callers = entry.settings.callers
+    reader, writer = await asyncio.open_connection(callers.host, callers.port)
+    writer.write(request)
+    await writer.drain()
+    try:
+        return await asyncio.wait_for(reader.readline(), 2.0)
+    finally:
+        writer.close()
+
+
+def test_requests_beyond_the_limits_get_their_own_statuses():
+    async def scenario(deployment):
+        deployment.config["version"] += 1
+        deployment.config["limits"] = {"maxHeaderBytes": 2_000, "maxBodyBytes": 1_000}
+        deployment.put_config()
+        entry = deployment.entries_[0]
+        await deployment.until(lambda: entry.door_.limits_.body_bytes == 1_000)
+        long_head = {"X-Filler": "f" * 2_500}
+        answer = await deployment.send("/safe/x", request_id="r1", headers=long_head)
+        assert answer.code == 431
+        head = b"POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r2\r\n"
+        announced = head + b"Content-Length: 1001\r\n\r\n"
+        assert b" 413 " in await exchange_bytes(entry, announced)
+        chunk = b"258\r\n" + b"b" * 600 + b"\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk * 2
+        assert b" 413 " in await exchange_bytes(entry, chunked)
+        assert runs_of(deployment.plain, "r2") == []
+        assert entry.door_.exchanges_ == set()
+        whole = await deployment.send("/unsafe/x", request_id="r3", body=b"b" * 1_000)
+        assert whole.code == 200
+
+    run(scenario)
+
+
 def test_a_calm_stretch_breaks_no_promise():
     assert run_calm(duration_s=1.0) == 0
