Tell a new keeper what its predecessor still has at endpoints

A stopping entry also kept its own groups while nobody else thought so. Ruled out: readers that give results up late (the refusals cluster at the restarts). Change: heartbeats carry the calls and bytes that an entry has in groups that others keep; keepers count them for 0.7 s. A stopping entry keeps no group while others live.

--- a/packages/leadford-server/src/leadford_server/forward/_keeper.py
+++ b/packages/leadford-server/src/leadford_server/forward/_keeper.py
@@ -17,6 +17,7 @@
     Chunk,
     GroupId,
     LaneTable,
+    LaneUse,
     PieceQueue,
     PieceTask,
 )
@@ -146,6 +147,18 @@
         queue = self.queues_by_group_.get(group)
         return room - (queue.waiting_bytes() if queue is not None else 0)
 
+    def lanes_left(self, kept_by_others: Callable[[GroupId], bool]) -> list[LaneUse]:
+        """Return what this entry still has in groups that others keep now."""
+        found = []
+        for use in self.lanes_.uses(self.state.now()):
+            record = self.state.roster_.record(use.endpoint_id)
+            if record is None:
+                continue
+            listed = record.listed
+            if kept_by_others(self.state.group(listed.service_id, listed.hall)):
+                found.append(use)
+        return found
+
     def _records(self, group: GroupId) -> list[EndpointRecord]:
         return [
             record
@@ -204,9 +217,10 @@
             lane = self.lanes_.lane(endpoint_id, limits)
             if lane.awaits_room(queue.first_bytes(limits.batch), now):
                 continue
+            room_bytes = self.lanes_.room_left(endpoint_id, limits, now)
             tasks = queue.take(
                 batch=limits.batch,
-                room_bytes=lane.room_bytes(now),
+                room_bytes=room_bytes,
                 endpoint_id=endpoint_id,
                 hall=record.listed.hall,
                 stays_away=partial(
@@ -218,7 +232,6 @@
                 ),
             )
             if tasks:
-                room_bytes = lane.room_bytes(now)
                 self._begin(_Call(group, service, record, tasks, now, room_bytes))
                 return True
         for task in queue.discard(lambda task: not _excludes_all(task, records)):
--- a/packages/leadford-server/src/leadford_server/forward/_links.py
+++ b/packages/leadford-server/src/leadford_server/forward/_links.py
@@ -15,6 +15,7 @@
     CommitmentKey,
     GroupId,
     GroupLoad,
+    LaneUse,
     PieceKey,
     PieceTask,
     PlaceId,
@@ -26,6 +27,7 @@
     ForwardConfigAnswer,
     ForwardConfigRequest,
     GroupReport,
+    LaneReport,
     ListingAnswer,
     ListingRequest,
     Message,
@@ -198,6 +200,12 @@
                 )
                 for promise in self.state.refused_.take_unsent()
             ],
+            [
+                LaneReport(use.endpoint_id, use.result_bytes, use.calls)
+                for use in self.stages.keeper_.lanes_left(
+                    lambda group: self.stages.keeper_of(group) != self.entry_id
+                )
+            ],
         )
         for entry_id, peer in list(self.peers_by_id_.items()):
             if now - self.heard_at_by_id_.get(entry_id, now) > 3 * LIVE_S:
@@ -334,6 +342,11 @@
                 {ServiceId(name): count for name, count in report.pieces.items()},
             )
             self.state.refused_.note(promise, is_own=False)
+        uses = [
+            LaneUse(EndpointId(lane.endpoint_id), lane.result_bytes, lane.calls)
+            for lane in message.lanes
+        ]
+        self.stages.keeper_.lanes_.note_foreign(entry_id, uses, now)
         self._compare(peer, message, now)
 
     def _compare(
--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -236,9 +236,11 @@
 
     def keeper_of(self, group: GroupId) -> EntryId:
         """Return the live entry that keeps a group."""
-        halls = {self.entry_id: self.state.hall}
+        halls = {}
         if self.links is not None:
-            halls.update(self.links.halls_by_live_entry())
+            halls = self.links.halls_by_live_entry()
+        if not halls or self.state.stop_began_at_ is None:
+            halls[self.entry_id] = self.state.hall
         return keepers_in_order(group, halls, self.state.regions)[0]
 
     def _commitment(self, job: StageJob, key: PieceKey) -> CommitmentKey:
--- a/packages/leadford/src/leadford/pieces/__init__.py
+++ b/packages/leadford/src/leadford/pieces/__init__.py
@@ -10,7 +10,7 @@
     RegionMap,
     keepers_in_order,
 )
-from leadford.pieces._lanes import PAUSE_FULL_S, PAUSE_ROOM_S, Lane, LaneTable
+from leadford.pieces._lanes import PAUSE_FULL_S, PAUSE_ROOM_S, Lane, LaneTable, LaneUse
 from leadford.pieces._queue import Chunk, PieceQueue, PieceTask, queue_delay_s
 
 __all__ = [
@@ -24,6 +24,7 @@
     "GroupTable",
     "Lane",
     "LaneTable",
+    "LaneUse",
     "PieceGraph",
     "PieceKey",
     "PieceQueue",
--- a/packages/leadford/src/leadford/pieces/_lanes.py
+++ b/packages/leadford/src/leadford/pieces/_lanes.py
@@ -1,8 +1,10 @@
 """Follow the calls that this process has at each endpoint of a batched stage."""
 
+from collections.abc import Iterable
+
 import msgspec
 
-from leadford.common import EndpointId, HallId
+from leadford.common import EndpointId, EntryId, HallId
 from leadford.endpoints import EndpointRecord
 from leadford.forwarding import PieceLimits, ResultHandle
 
@@ -10,6 +12,7 @@
 PAUSE_ROOM_S = 0.03
 ROOM_PATIENCE = 0.6
 REFUSED_TRUSTED_S = 0.3
+FOREIGN_FRESH_S = 0.7
 UNKNOWN = ResultHandle("")
 
 
@@ -20,6 +23,21 @@
     expires_at: float
 
 
+class LaneUse(msgspec.Struct, frozen=True):
+    """Say what an entry that does not keep a group any more still has there."""
+
+    endpoint_id: EndpointId
+    result_bytes: int
+    calls: int
+
+
+class _Foreign(msgspec.Struct, frozen=True):
+    """Hold what another entry said of its lanes, and when."""
+
+    uses_by_id: dict[EndpointId, LaneUse]
+    heard_at: float
+
+
 class Lane:
     """Say whether an endpoint takes another call, and how much room is left there."""
 
@@ -111,6 +129,47 @@
 
     def __init__(self) -> None:
         self.lanes_by_id_: dict[EndpointId, Lane] = {}
+        self.foreign_by_entry_: dict[EntryId, _Foreign] = {}
+
+    def uses(self, now: float) -> list[LaneUse]:
+        """Return what this process has at endpoints: calls, and results by size."""
+        found = []
+        for endpoint_id, lane in self.lanes_by_id_.items():
+            used_bytes = lane.limits.room_bytes - lane.room_bytes(now)
+            if lane.calls_ > 0 or used_bytes > 0:
+                found.append(LaneUse(endpoint_id, used_bytes, lane.calls_))
+        return found
+
+    def note_foreign(
+        self, entry_id: EntryId, uses: Iterable[LaneUse], now: float
+    ) -> None:
+        """Take in what another entry still has at endpoints of groups it left."""
+        uses_by_id = {use.endpoint_id: use for use in uses}
+        if uses_by_id:
+            self.foreign_by_entry_[entry_id] = _Foreign(uses_by_id, now)
+        else:
+            self.foreign_by_entry_.pop(entry_id, None)
+
+    def _foreign(self, endpoint_id: EndpointId, now: float) -> list[LaneUse]:
+        return [
+            foreign.uses_by_id[endpoint_id]
+            for foreign in self.foreign_by_entry_.values()
+            if endpoint_id in foreign.uses_by_id
+            and now - foreign.heard_at < FOREIGN_FRESH_S
+        ]
+
+    def room_left(
+        self, endpoint_id: EndpointId, limits: PieceLimits, now: float
+    ) -> int:
+        """Return the room that the results of all entries leave at an endpoint."""
+        foreign = sum(use.result_bytes for use in self._foreign(endpoint_id, now))
+        return self.lane(endpoint_id, limits).room_bytes(now) - foreign
+
+    def is_free(self, endpoint_id: EndpointId, limits: PieceLimits, now: float) -> bool:
+        """Tell whether an endpoint may get a call now, those of others counted."""
+        lane = self.lane(endpoint_id, limits)
+        foreign = sum(use.calls for use in self._foreign(endpoint_id, now))
+        return lane.is_free(now) and lane.calls_ + foreign < limits.slots
 
     def lane(self, endpoint_id: EndpointId, limits: PieceLimits) -> Lane:
         """Return the lane of an endpoint."""
@@ -154,7 +213,7 @@
             if carried >= waiting:
                 break
             carried += limits.batch
-            if self.lane(record.listed.endpoint_id, limits).is_free(now):
+            if self.is_free(record.listed.endpoint_id, limits, now):
                 found.append(record)
         return found
 
@@ -195,7 +254,7 @@
     ) -> int:
         """Return the room that is left at all of the endpoints together."""
         return sum(
-            max(0, self.lane(record.listed.endpoint_id, limits).room_bytes(now))
+            max(0, self.room_left(record.listed.endpoint_id, limits, now))
             for record in records
         )
 
--- a/packages/leadford/src/leadford/pieces/tests/test_batches.py
+++ b/packages/leadford/src/leadford/pieces/tests/test_batches.py
@@ -25,6 +25,7 @@
     GroupLoad,
     GroupTable,
     LaneTable,
+    LaneUse,
     PieceKey,
     PieceQueue,
     PieceTask,
@@ -186,6 +187,31 @@
     assert lane.room_bytes(5.1) == 100
 
 
+def test_a_keeper_counts_what_its_predecessor_still_has():
+    lanes = LaneTable()
+    before = EntryId("n1")
+    lanes.note_foreign(before, [LaneUse(ENDPOINT, 70, 1)], 0.0)
+    assert lanes.room_left(ENDPOINT, LIMITS, 0.1) == 30
+    assert not lanes.is_free(ENDPOINT, LIMITS, 0.1)
+    assert lanes.ranked([record("e")], LIMITS, waiting=1, now=0.1) == []
+    lanes.note_foreign(before, [LaneUse(ENDPOINT, 20, 0)], 0.2)
+    assert lanes.room_left(ENDPOINT, LIMITS, 0.3) == 80
+    assert lanes.is_free(ENDPOINT, LIMITS, 0.3)
+    # What was said long ago, by an entry that may be gone, counts no more.
+    assert lanes.room_left(ENDPOINT, LIMITS, 3.0) == 100
+    lanes.note_foreign(before, [], 3.0)
+    assert lanes.foreign_by_entry_ == {}
+
+
+def test_a_keeper_tells_what_it_still_has():
+    lanes = LaneTable()
+    lanes.lane(EndpointId("idle"), LIMITS)
+    lane = lanes.lane(ENDPOINT, LIMITS)
+    lane.begin(2, 40, 0.0)
+    lane.hold(ResultHandle("r"), 10, 0.0)
+    assert lanes.uses(0.1) == [LaneUse(ENDPOINT, 50, 1)]
+
+
 def test_a_short_call_waits_for_room_within_a_bound():
     lane = LaneTable().lane(ENDPOINT, LIMITS)
     lane.hold(ResultHandle("r"), 90, 0.0)
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -401,6 +401,14 @@
     pieces: dict[str, int]
 
 
+class LaneReport(_Base):
+    """Say what this entry still has at an endpoint whose group another one keeps."""
+
+    endpoint_id: str
+    result_bytes: int
+    calls: int
+
+
 class EntryHeartbeat(_Base, tag=33):
     """Tell that an entry is alive, which listing it has seen, and its groups."""
 
@@ -409,6 +417,7 @@
     is_draining: bool = False
     commitments: list[CommitmentReport] = []
     refused: list[RefusalReport] = []
+    lanes: list[LaneReport] = []
 
 
 class ForwardConfigRequest(_Base, tag=34):
