Let entries that restart learn of each other from their peers

Until then such an entry would also have taken the whole retry budget of the fleet for itself. Ruled out: the configuration's way from peers (0.05 to 0.7 s once a link stands). Change: an entry tells each new peer the entries that it knows, before its configuration; who has not heard the store's listing believes it. The new test fails without the change.

--- a/packages/leadford-server/src/leadford_server/forward/_links.py
+++ b/packages/leadford-server/src/leadford_server/forward/_links.py
@@ -23,7 +23,9 @@
 )
 from leadford.protocol import (
     CommitmentReport,
+    EntryAddress,
     EntryHeartbeat,
+    EntryListing,
     ForwardConfigAnswer,
     ForwardConfigRequest,
     GroupReport,
@@ -70,6 +72,7 @@
         random: Random,
         take_config: Callable[[ForwardConfig], None],
         take_listing: Callable[[list[ListedEndpoint], int], None],
+        take_entries: Callable[[list[KnownEntry]], None],
     ) -> None:
         self.entry_id = entry_id
         self.state = state
@@ -77,6 +80,7 @@
         self.random = random
         self.take_config = take_config
         self.take_listing = take_listing
+        self.take_entries = take_entries
         self.identity = Identity(entry_id, "entry", state.hall, secret)
         self.entries_by_id_: dict[EntryId, KnownEntry] = {}
         self.dialers_by_id_: dict[EntryId, Dialer] = {}
@@ -86,6 +90,7 @@
         self.behind_since_: float | None = None
         self.listing_behind_since_: float | None = None
         self.server_: PeerServer | None = None
+        self.address_ = ""
         self.is_draining_ = False
 
     async def start(self, address: SocketAddress) -> None:
@@ -98,6 +103,7 @@
             config_version=self._version,
             is_draining=lambda: self.is_draining_,
         )
+        self.address_ = str(address)
         await self.server_.start(address)
 
     def stop(self) -> None:
@@ -292,8 +298,26 @@
         self.peers_by_id_[entry_id] = peer
         self.heard_at_by_id_[entry_id] = self.state.now()
         self.state.log.report(Event.PEER_CONNECTED, peer=entry_id)
+        # Before the configuration: budgets are shared by the entries that are known.
+        self._give_entries(peer)
         peer.announce_version()
 
+    def _give_entries(self, peer: PeerConnection) -> None:
+        own = EntryAddress(self.entry_id, self.address_, self.state.hall)
+        known = [
+            EntryAddress(entry.entry_id, entry.address, entry.hall)
+            for entry in self.entries_by_id_.values()
+        ]
+        peer.send(EntryListing([own, *known]))
+
+    def _take_entries(self, peer: PeerConnection, message: EntryListing) -> None:
+        self.take_entries(
+            [
+                KnownEntry(EntryId(entry.entry_id), entry.address, HallId(entry.hall))
+                for entry in message.entries
+            ]
+        )
+
     def peer_lost(self, peer: PeerConnection) -> None:
         """Take in that a connection ended."""
         entry_id = EntryId(peer.info.peer_id)
@@ -441,6 +465,7 @@
     EntryHeartbeat: EntryLinks._take_heartbeat,
     PieceSubmit: EntryLinks._take_submit,
     PieceAnswer: EntryLinks._take_answer,
+    EntryListing: EntryLinks._take_entries,
     PieceWorking: EntryLinks._take_working,
     PieceCancel: EntryLinks._take_cancel,
     PieceRelease: EntryLinks._take_release,
--- a/packages/leadford-server/src/leadford_server/forward/_process.py
+++ b/packages/leadford-server/src/leadford_server/forward/_process.py
@@ -91,6 +91,7 @@
         self.is_draining_ = False
         self.tasks_: list[asyncio.Task[None]] = []
         self.entries_by_id_: dict[EntryId, KnownEntry] = {}
+        self.has_listed_entries_ = False
 
     async def start(self) -> None:
         """Listen and begin to follow the store."""
@@ -118,6 +119,7 @@
             random=self.random,
             take_config=self._apply_config,
             take_listing=self._apply_listing,
+            take_entries=self._learn_entries,
         )
         self.stages_.links = self.links_
         self.stages_.reply_elsewhere = self.links_.reply
@@ -303,6 +305,7 @@
             self.stages_.keeper_.wake()
 
     def _take_entries(self, listing: Listing) -> None:
+        self.has_listed_entries_ = True
         self.entries_by_id_.clear()
         for item in listing.items:
             self._take_entry(item)
@@ -322,6 +325,14 @@
         entry = read.unwrap()
         self.entries_by_id_[entry.entry_id] = entry
 
+    def _learn_entries(self, entries: list[KnownEntry]) -> None:
+        """Believe a peer until the store has told which entries exist."""
+        if self.has_listed_entries_:
+            return
+        for entry in entries:
+            self.entries_by_id_.setdefault(entry.entry_id, entry)
+        self._count_entries()
+
     def _count_entries(self) -> None:
         known = set(self.entries_by_id_) | {self.settings.entry_id}
         self.state_.set_sharers(len(known))
--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -137,6 +137,13 @@
             secret=b"0123456789abcdef",
             bounds=ForwardBounds(grace_s=8.0),
         )
+        entry = await self._start(settings)
+        self.entries_.append(entry)
+        if wait:
+            await self.until(lambda: entry.is_ready and self.knows_all(entry))
+        return entry
+
+    async def _start(self, settings: ForwardSettings) -> ForwardProcess:
         entry = ForwardProcess(
             settings=settings,
             wire=PlatformRequests(),
@@ -145,9 +152,14 @@
             random=Random(self.random.random()),
         )
         await entry.start()
-        self.entries_.append(entry)
-        if wait:
-            await self.until(lambda: entry.is_ready and self.knows_all(entry))
+        return entry
+
+    async def restart_entry(self, number: int) -> ForwardProcess:
+        """Stop an entry at once and start another process in its place."""
+        before = self.entries_[number]
+        await before.stop()
+        entry = await self._start(before.settings)
+        self.entries_[number] = entry
         return entry
 
     def knows_all(self, entry: ForwardProcess) -> bool:
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
@@ -391,6 +391,22 @@
     run(scenario, entries=2)
 
 
+def test_entries_that_restart_in_turn_find_each_other_without_the_store():
+    async def scenario(deployment):
+        for entry in deployment.entries_:
+            await deployment.until(lambda entry=entry: len(entry.entries_by_id_) == 3)
+        deployment.store.fault = StoreFault.SILENT
+        for number in (0, 1, 2, 0):
+            entry = await deployment.restart_entry(number)
+            assert not entry.is_ready
+            await deployment.until(lambda entry=entry: entry.is_ready)
+            assert entry.state_.sharers_ == 3
+            answer = await deployment.send("/safe/x", request_id="a", entry=number)
+            assert answer.code == 200
+
+    run(scenario, entries=3)
+
+
 def test_pieces_of_a_lost_keeper_are_made_elsewhere():
     async def scenario(deployment):
         first, second = deployment.entries_
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -420,6 +420,20 @@
     lanes: list[LaneReport] = []
 
 
+class EntryAddress(_Base):
+    """Say where an entry is."""
+
+    entry_id: str
+    address: str
+    hall: str
+
+
+class EntryListing(_Base, tag=39):
+    """Tell a new peer which entries are known, for when the store cannot."""
+
+    entries: list[EntryAddress]
+
+
 class ForwardConfigRequest(_Base, tag=34):
     """Ask for the forwarding configuration that is in force at the peer."""
 
@@ -477,6 +491,7 @@
     | PieceSubmit
     | PieceAnswer
     | PieceWorking
+    | EntryListing
     | PieceCancel
     | PieceRelease
     | EntryHeartbeat
