Use an only endpoint again, tell attempts apart by their order, split two modules

Cause: a piece that failed once at the only endpoint of a service excluded it and waited for another one until its deadline (the new test fails without the change). A timer that gives inputs up knew its attempt by a number that a remade attempt used again. Ruled out: none needed; both were seen in reading. Change: the exclusion holds while another endpoint is left; attempts are counted as they begin. Jobs of stages and the ends of attempts have modules of their own.

--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/_jobs.py
@@ -0,0 +1,97 @@
+"""Hold the stages of requests that run, and who has each of their pieces."""
+
+import asyncio
+from typing import Protocol
+
+import msgspec
+
+from leadford.common import EndpointId, EntryId, HallId, RequestId
+from leadford.forwarding import ResultHandle
+from leadford.pieces import GroupId, PieceGraph, PieceKey, PieceTask
+
+
+class StageFailure(Exception):
+    """Tell that the stages of a request cannot be completed."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail)
+        self.detail = detail
+
+
+class KeeperLinks(Protocol):
+    """Reach the keepers at other entries."""
+
+    def halls_by_live_entry(self) -> dict[EntryId, HallId]:
+        """Return the entries that are known to be alive, without this one."""
+
+    def submit(self, entry_id: EntryId, group: GroupId, task: PieceTask) -> bool:
+        """Send a piece to a keeper; return whether a connection stands."""
+
+    def cancel(self, entry_id: EntryId, tickets: list[int]) -> None:
+        """Tell a keeper that pieces are wanted no more."""
+
+    def release(
+        self, entry_id: EntryId, endpoint_id: EndpointId, handles: list[ResultHandle]
+    ) -> bool:
+        """Tell a keeper that results have no reader any more."""
+
+    def working(self, entry_id: EntryId, tickets: list[int]) -> None:
+        """Tell an entry that its pieces have fetched their inputs."""
+
+
+class StageJob:
+    """Hold the stages of one request while they run."""
+
+    def __init__(
+        self,
+        *,
+        request_id: RequestId,
+        graph: PieceGraph,
+        private_key: str,
+        is_urgent: bool,
+        delay_s: float,
+        deadline: float,
+        due_at: float,
+        hall: HallId,
+        done: asyncio.Future[None],
+    ) -> None:
+        self.request_id = request_id
+        self.graph = graph
+        self.private_key = private_key
+        self.is_urgent = is_urgent
+        self.delay_s = delay_s
+        self.deadline = deadline
+        self.due_at = due_at
+        self.hall = hall
+        self.done_ = done
+        self.is_over_ = False
+        self.tries_by_key_: dict[PieceKey, int] = {}
+        self.excluded_by_key_: dict[PieceKey, frozenset[EndpointId]] = {}
+        self.tickets_: set[int] = set()
+        self.committed_: set[PieceKey] = set()
+
+    def fail(self, detail: str) -> None:
+        """End the job without its results."""
+        if not self.done_.done():
+            self.done_.set_exception(StageFailure(detail))
+            # The request may have ended by itself and look no more.
+            self.done_.exception()
+
+
+class SentPiece(msgspec.Struct, eq=False):
+    """Hold a piece that a keeper has."""
+
+    task: PieceTask
+    job: StageJob
+    group: GroupId
+    keeper: EntryId
+    overdue_at: float
+
+
+class ResultMaker(msgspec.Struct, frozen=True):
+    """Say where a result lies and who accounts for it."""
+
+    endpoint_id: EndpointId
+    hall: HallId
+    keeper: EntryId
+    result_bytes: int
--- a/packages/leadford-server/src/leadford_server/forward/_process.py
+++ b/packages/leadford-server/src/leadford_server/forward/_process.py
@@ -15,6 +15,7 @@
 from leadford.events import Event
 from leadford.forwarding import ForwardConfig, RouteTable
 from leadford.pieces import RegionMap
+from leadford_server.forward._attempt import End
 from leadford_server.forward._contract import (
     KnownEntry,
     ObjectEvent,
@@ -29,7 +30,7 @@
     ObjectsClient,
 )
 from leadford_server.forward._links import EntryLinks
-from leadford_server.forward._run import End, ForwardRun
+from leadford_server.forward._run import ForwardRun
 from leadford_server.forward._stages import StageRunner
 from leadford_server.forward._state import ForwardBounds, ForwardState
 from leadford_server.logs import EventLog
--- a/packages/leadford-server/src/leadford_server/forward/_run.py
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -1,9 +1,7 @@
 """Carry one request of a caller from its lookup to its final answer."""
 
 import asyncio
-from enum import Enum
 
-import msgspec
 from returns.result import Failure
 
 from leadford.admission import ForwardAdmission, StageCapacity, Verdict
@@ -12,16 +10,17 @@
 from leadford.events import Event
 from leadford.forwarding import Admitted, LookupFault, RouteKind, ServiceId
 from leadford.pieces import PieceGraph, queue_delay_s
+from leadford_server.forward._attempt import Attempt, End, NotRun
 from leadford_server.forward._connection import (
     BreakKind,
     EndpointConnection,
     ExchangeBroken,
-    LiveAnswer,
 )
 from leadford_server.forward._contract import ForwardCall, InboundRequest
 from leadford_server.forward._door import CallerGone, Exchange
 from leadford_server.forward._events import EventCutter
-from leadford_server.forward._stages import StageFailure, StageJob, StageRunner
+from leadford_server.forward._jobs import StageFailure, StageJob
+from leadford_server.forward._stages import StageRunner
 from leadford_server.forward._state import ForwardState
 from leadford_server.metrics import FORWARD_SECONDS, FORWARDED_TOTAL, STAGE_SECONDS
 
@@ -42,36 +41,6 @@
 PROMISING_STATUSES = (408, 421, 429, 503)
 
 
-class End(Enum):
-    """Say how a request ended."""
-
-    ANSWERED = "answered"
-    REFUSED = "refused"
-    DENIED = "denied"
-    FAILED = "failed"
-    LATE = "late"
-    BROKEN_OFF = "broken-off"
-    CALLER_GONE = "caller-gone"
-
-
-class NotRun(Exception):
-    """Tell that an attempt proved not to have run."""
-
-    def __init__(self, detail: str, *, inputs_gone: bool = False) -> None:
-        super().__init__(detail)
-        self.detail = detail
-        self.inputs_gone = inputs_gone
-
-
-class Attempt(msgspec.Struct, eq=False):
-    """Hold one attempt at an endpoint."""
-
-    record: EndpointRecord
-    connection: EndpointConnection
-    answer: LiveAnswer
-    began_at: float
-
-
 class ForwardRun:
     """Serve one request."""
 
@@ -102,6 +71,7 @@
         self.stages_done_at_: float | None = None
         self.expected_s_ = 0.0
         self.engine_ticket_: EngineTicket | None = None
+        self.attempts_begun_ = 0
 
     async def serve(self) -> None:
         """Serve the request and write down how it ended."""
@@ -378,6 +348,7 @@
         if record is None:
             raise NotRun("no endpoint")
         self.tried_.append(record.listed.endpoint_id)
+        self.attempts_begun_ += 1
         began_at = state.now()
         record.in_flight_ += 1
         self._note_prompt_sent(record)
@@ -417,12 +388,15 @@
         if record.waiting_elsewhere(self.state.now()) + record.in_flight_ > load.slots:
             return
         self.state.loop.call_later(
-            INPUTS_READ_S, self._release_inputs, len(self.tried_)
+            INPUTS_READ_S, self._release_inputs, self.attempts_begun_
         )
 
     def _release_inputs(self, attempt: int) -> None:
-        """Give the inputs up unless another attempt needs them."""
-        if attempt == len(self.tried_) and not self.job_.is_over_:
+        """Give the inputs up unless another attempt needs them.
+
+        Attempts are counted as they begin: a remade one is another attempt.
+        """
+        if attempt == self.attempts_begun_ and not self.job_.is_over_:
             self.stages.release(self.job_)
 
     def _note_prompt_sent(self, record: EndpointRecord) -> None:
--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -1,10 +1,6 @@
 """Carry the stages of requests: send their pieces to keepers and follow them home."""
 
-import asyncio
 from collections.abc import Iterable, Sequence
-from typing import Protocol
-
-import msgspec
 
 from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.events import Event
@@ -20,6 +16,12 @@
     PieceTask,
     keepers_in_order,
 )
+from leadford_server.forward._jobs import (
+    KeeperLinks,
+    ResultMaker,
+    SentPiece,
+    StageJob,
+)
 from leadford_server.forward._keeper import (
     REASON_GONE,
     REASON_LATE,
@@ -37,93 +39,6 @@
 REASONS_LOST = ("lost", "not-sent", "silent", "replaced")
 
 
-class StageFailure(Exception):
-    """Tell that the stages of a request cannot be completed."""
-
-    def __init__(self, detail: str) -> None:
-        super().__init__(detail)
-        self.detail = detail
-
-
-class KeeperLinks(Protocol):
-    """Reach the keepers at other entries."""
-
-    def halls_by_live_entry(self) -> dict[EntryId, HallId]:
-        """Return the entries that are known to be alive, without this one."""
-
-    def submit(self, entry_id: EntryId, group: GroupId, task: PieceTask) -> bool:
-        """Send a piece to a keeper; return whether a connection stands."""
-
-    def cancel(self, entry_id: EntryId, tickets: list[int]) -> None:
-        """Tell a keeper that pieces are wanted no more."""
-
-    def release(
-        self, entry_id: EntryId, endpoint_id: EndpointId, handles: list[ResultHandle]
-    ) -> bool:
-        """Tell a keeper that results have no reader any more."""
-
-    def working(self, entry_id: EntryId, tickets: list[int]) -> None:
-        """Tell an entry that its pieces have fetched their inputs."""
-
-
-class StageJob:
-    """Hold the stages of one request while they run."""
-
-    def __init__(
-        self,
-        *,
-        request_id: RequestId,
-        graph: PieceGraph,
-        private_key: str,
-        is_urgent: bool,
-        delay_s: float,
-        deadline: float,
-        due_at: float,
-        hall: HallId,
-        done: asyncio.Future[None],
-    ) -> None:
-        self.request_id = request_id
-        self.graph = graph
-        self.private_key = private_key
-        self.is_urgent = is_urgent
-        self.delay_s = delay_s
-        self.deadline = deadline
-        self.due_at = due_at
-        self.hall = hall
-        self.done_ = done
-        self.is_over_ = False
-        self.tries_by_key_: dict[PieceKey, int] = {}
-        self.excluded_by_key_: dict[PieceKey, frozenset[EndpointId]] = {}
-        self.tickets_: set[int] = set()
-        self.committed_: set[PieceKey] = set()
-
-    def fail(self, detail: str) -> None:
-        """End the job without its results."""
-        if not self.done_.done():
-            self.done_.set_exception(StageFailure(detail))
-            # The request may have ended by itself and look no more.
-            self.done_.exception()
-
-
-class _Sent(msgspec.Struct, eq=False):
-    """Hold a piece that a keeper has."""
-
-    task: PieceTask
-    job: StageJob
-    group: GroupId
-    keeper: EntryId
-    overdue_at: float
-
-
-class _Maker(msgspec.Struct, frozen=True):
-    """Say where a result lies and who accounts for it."""
-
-    endpoint_id: EndpointId
-    hall: HallId
-    keeper: EntryId
-    result_bytes: int
-
-
 class StageRunner:
     """Advance the graphs of requests; a piece that is lost is made again."""
 
@@ -134,8 +49,8 @@
         self.groups_ = GroupTable()
         self.commitments_ = CommitmentTable()
         self.links: KeeperLinks | None = None
-        self.sent_by_ticket_: dict[int, _Sent] = {}
-        self.maker_by_handle_: dict[ResultHandle, _Maker] = {}
+        self.sent_by_ticket_: dict[int, SentPiece] = {}
+        self.maker_by_handle_: dict[ResultHandle, ResultMaker] = {}
         # Another process of this entry must never draw the same tickets.
         self.next_ticket_ = state.random.getrandbits(40) << 20
         self.reply_elsewhere = None
@@ -289,9 +204,7 @@
         keys: list[PieceKey],
     ) -> None:
         now = self.state.now()
-        excluded = frozenset().union(
-            *(job.excluded_by_key_.get(key, frozenset()) for key in keys)
-        )
+        excluded = self._excluded(job, stage, keys)
         group = self._choose_group(job, keys, limits, excluded, now)
         if group is None:
             self.state.loop.call_later(
@@ -301,7 +214,18 @@
         keeper = self.keeper_of(group)
         for key in keys:
             task = self._task(job, key, stage, excluded, now)
-            self._hand_over(_Sent(task, job, group, keeper, 0.0), limits, now)
+            self._hand_over(SentPiece(task, job, group, keeper, 0.0), limits, now)
+
+    def _excluded(
+        self, job: StageJob, stage: StageSpec, keys: list[PieceKey]
+    ) -> frozenset[EndpointId]:
+        """Return the endpoints where pieces failed, unless no others are left."""
+        excluded = frozenset().union(
+            *(job.excluded_by_key_.get(key, frozenset()) for key in keys)
+        )
+        usable = self.state.usable(stage.service_id)
+        others = [r for r in usable if r.listed.endpoint_id not in excluded]
+        return excluded if others else frozenset()
 
     def _send_later(
         self,
@@ -419,7 +343,7 @@
             total_s = max(total_s, call_s + self._after_s(job, later))
         return total_s
 
-    def _hand_over(self, sent: _Sent, limits: PieceLimits, now: float) -> None:
+    def _hand_over(self, sent: SentPiece, limits: PieceLimits, now: float) -> None:
         """Give a piece to its keeper; this entry keeps it when no link stands."""
         endpoints = self.state.usable_by_group(sent.group.service_id)
         wait_s = self.groups_.wait_s(
@@ -483,7 +407,7 @@
             return
         record = self.state.roster_.record(answer.endpoint_id)
         hall = record.listed.hall if record is not None else self.state.hall
-        self.maker_by_handle_[answer.handle] = _Maker(
+        self.maker_by_handle_[answer.handle] = ResultMaker(
             answer.endpoint_id, hall, keeper, sent.task.result_bytes
         )
         if job.is_over_:
@@ -494,7 +418,7 @@
         self._advance(job)
 
     def _not_made(
-        self, job: StageJob, key: PieceKey, sent: _Sent, answer: KeptAnswer
+        self, job: StageJob, key: PieceKey, sent: SentPiece, answer: KeptAnswer
     ) -> None:
         if job.is_over_ or job.done_.done():
             return
@@ -533,7 +457,7 @@
             return
         self._advance(job)
 
-    def _note_failed(self, sent: _Sent, answer: KeptAnswer) -> None:
+    def _note_failed(self, sent: SentPiece, answer: KeptAnswer) -> None:
         """Believe a keeper elsewhere that an endpoint of its group did not answer."""
         is_lost = answer.reason.startswith(REASONS_LOST)
         if sent.keeper == self.entry_id or answer.endpoint_id is None or not is_lost:
@@ -573,7 +497,7 @@
         for sent in overdue:
             self._send_again(sent, "keeper silent")
 
-    def _send_again(self, sent: _Sent, reason: str) -> None:
+    def _send_again(self, sent: SentPiece, reason: str) -> None:
         if self.sent_by_ticket_.pop(sent.task.ticket, None) is None:
             return
         sent.job.tickets_.discard(sent.task.ticket)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
@@ -252,6 +252,15 @@
     run(scenario)
 
 
+def test_a_piece_that_failed_at_the_only_endpoint_is_made_there_again():
+    async def scenario(deployment):
+        deployment.stage[0].next_.append(Misbehaviour.FAIL)
+        answer = await deployment.send("/once/x", request_id="r1")
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+
+    run(scenario, endpoints=1)
+
+
 def test_unknown_routes_and_keys_are_denied_and_never_before_a_configuration():
     async def scenario(deployment):
         denied = [
