Give the inputs of a request a module of their own

Cause: the run of a forwarded request had grown to 700 lines; a newcomer had to read the stages in it to follow the attempts. Ruled out: none needed; no behaviour changes. Change: RequestInputs opens the job of the stages, waits for it within the request's time, and gives the results up; the run keeps admission, attempts and the answer (603 lines).

--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forward/_inputs.py
@@ -0,0 +1,154 @@
+"""Have the stages of one request run, and keep what the request itself reads."""
+
+import asyncio
+
+from returns.result import Failure, Result, Success
+
+from leadford.admission import StageCapacity
+from leadford.common import HallId
+from leadford.endpoints import EndpointRecord
+from leadford.forwarding import Admitted, ResultHandle, ServiceId
+from leadford.pieces import PieceGraph, queue_delay_s
+from leadford_server.forward._contract import InboundRequest
+from leadford_server.forward._jobs import StageFailure, StageJob
+from leadford_server.forward._stages import StageRunner
+from leadford_server.forward._state import ForwardState
+from leadford_server.metrics import STAGE_SECONDS
+
+CHECK_PART = 0.42
+HOPE_PART = 1.0
+INPUTS_READ_S = 0.15
+
+
+class RequestInputs:
+    """Hold the job that makes the inputs of one request, if its route has stages."""
+
+    def __init__(
+        self, *, request: InboundRequest, state: ForwardState, stages: StageRunner
+    ) -> None:
+        self.request = request
+        self.state = state
+        self.stages = stages
+        self.job_: StageJob | None = None
+        self.done_at_: float | None = None
+        self.attempts_begun_ = 0
+
+    def capacities(self, admitted: Admitted) -> dict[ServiceId, StageCapacity]:
+        """Return what the stages of the route can use now."""
+        found: dict[ServiceId, StageCapacity] = {}
+        now = self.state.now()
+        for stage in admitted.route.stages:
+            service = self.state.service(stage.service_id)
+            if service is None or service.pieces is None:
+                continue
+            usable = self.state.usable(stage.service_id)
+            trusted = [record for record in usable if not record.is_suspect(now)]
+            found[stage.service_id] = StageCapacity(service.pieces, len(trusted))
+        return found
+
+    def open(self, admitted: Admitted, deadline: float) -> Result[None, str]:
+        """Begin a job for the stages of the route, unless there is one."""
+        if self.job_ is not None:
+            return Success(None)
+        request = self.request
+        route = admitted.route
+        graph = PieceGraph.from_counts(route.stages, request.piece_counts or ())
+        if isinstance(graph, Failure):
+            return graph
+        self.job_ = self.stages.open(
+            request_id=request.request_id,
+            graph=graph.unwrap(),
+            private_key=request.piece_key,
+            is_urgent=route.is_urgent,
+            delay_s=queue_delay_s(route, admitted.priority),
+            deadline=deadline,
+            due_at=request.received_at + route.aim_ms / 1_000.0,
+            hall=self._planned_hall(admitted),
+        )
+        return Success(None)
+
+    def _planned_hall(self, admitted: Admitted) -> HallId:
+        """Return the hall of the engine that would be chosen now."""
+        state = self.state
+        record = state.engines_.choose(
+            state.usable(admitted.service.service_id),
+            self.request.prompt,
+            extra_ms_by_hall=self.stages.wait_ms_by_hall(
+                admitted.route.stages, self.request.piece_counts
+            ),
+            now=state.now(),
+        )
+        return record.listed.hall if record is not None else state.hall
+
+    async def make(self) -> None:
+        """Wait for the stages, but not for long when they will not be in time.
+
+        Errors: raises StageFailure.
+        """
+        received_at = self.request.received_at
+        check_at = received_at + CHECK_PART * (self.job_.deadline - received_at)
+        if not await self._complete_by(check_at):
+            left_s = self.job_.deadline - self.state.now()
+            needed_s = self.stages.remaining_s(self.job_)
+            if needed_s > left_s * HOPE_PART:
+                raise StageFailure(f"need {needed_s:.2f} s of {left_s:.2f} s")
+            await self.stages.complete(self.job_)
+        if self.done_at_ is None:
+            self.done_at_ = self.state.now()
+            STAGE_SECONDS.observe(self.done_at_ - received_at)
+
+    async def _complete_by(self, moment: float) -> bool:
+        """Wait for the stages until a moment; return whether they are complete."""
+        if self.state.now() >= moment:
+            return False
+        try:
+            async with asyncio.timeout_at(moment):
+                await self.stages.complete(self.job_)
+        except TimeoutError:
+            return False
+        return True
+
+    def note_attempt(self) -> None:
+        """Count an attempt that begins; it may need the inputs."""
+        self.attempts_begun_ += 1
+
+    def handles(self) -> tuple[ResultHandle, ...]:
+        """Return the results that the request reads."""
+        return self.job_.graph.final_inputs() if self.job_ is not None else ()
+
+    def bytes_by_hall(self) -> dict[HallId, int]:
+        """Return how many bytes of the inputs lie in each hall."""
+        return self.stages.bytes_by_hall(self.job_) if self.job_ is not None else {}
+
+    def release_soon(self, record: EndpointRecord) -> None:
+        """Give the inputs up once an engine without a queue has surely fetched them."""
+        load = record.load_
+        if self.job_ is None or load is None or load.waiting > 0:
+            return
+        if record.waiting_elsewhere(self.state.now()) + record.in_flight_ > load.slots:
+            return
+        self.state.loop.call_later(
+            INPUTS_READ_S, self._release_unless_needed, self.attempts_begun_
+        )
+
+    def _release_unless_needed(self, attempt: int) -> None:
+        """Give the inputs up unless another attempt has begun since.
+
+        Attempts are counted as they begin: a remade one is another attempt.
+        """
+        if attempt == self.attempts_begun_ and not self.job_.is_over_:
+            self.stages.release(self.job_)
+
+    def release(self) -> None:
+        """Give the inputs up: they have been read, and can be made again."""
+        if self.job_ is not None:
+            self.stages.release(self.job_)
+
+    def restart(self) -> None:
+        """Forget the inputs, because one of them is gone."""
+        self.stages.restart(self.job_)
+
+    def close(self) -> None:
+        """Drop what waits and give every result up."""
+        if self.job_ is not None:
+            self.stages.close(self.job_)
--- a/packages/leadford-server/src/leadford_server/forward/_run.py
+++ b/packages/leadford-server/src/leadford_server/forward/_run.py
@@ -4,12 +4,11 @@
 
 from returns.result import Failure
 
-from leadford.admission import ForwardAdmission, StageCapacity, Verdict
-from leadford.common import EndpointId, HallId
+from leadford.admission import ForwardAdmission, Verdict
+from leadford.common import EndpointId
 from leadford.endpoints import EndpointRecord, EngineTicket
 from leadford.events import Event
-from leadford.forwarding import Admitted, LookupFault, RouteKind, ServiceId
-from leadford.pieces import PieceGraph, queue_delay_s
+from leadford.forwarding import Admitted, LookupFault, RouteKind
 from leadford_server.forward._attempt import Attempt, End, NotRun
 from leadford_server.forward._connection import (
     BreakKind,
@@ -19,24 +18,22 @@
 from leadford_server.forward._contract import ForwardCall, InboundRequest
 from leadford_server.forward._door import CallerGone, Exchange
 from leadford_server.forward._events import EventCutter
-from leadford_server.forward._jobs import StageFailure, StageJob
+from leadford_server.forward._inputs import RequestInputs
+from leadford_server.forward._jobs import StageFailure
 from leadford_server.forward._stages import StageRunner
 from leadford_server.forward._state import ForwardState
-from leadford_server.metrics import FORWARD_SECONDS, FORWARDED_TOTAL, STAGE_SECONDS
+from leadford_server.metrics import FORWARD_SECONDS, FORWARDED_TOTAL
 
 ANSWER_MARGIN_S = 0.03
 RETRY_AFTER_S = 1.0
 STOPPING_RETRY_S = 0.1
 REMAKES_MAX = 2
-CHECK_PART = 0.42
-HOPE_PART = 1.0
 SAFE_PATIENCE = 0.45
 PATIENCE_USUAL = 3.5
 PATIENCE_LEAST_S = 0.06
 USUAL_NEEDED = 3
 GAPS_MOST = 2.0
 GAP_LEAST_S = 1.0
-INPUTS_READ_S = 0.15
 BUSY_STATUSES = (429, 503)
 PROMISING_STATUSES = (408, 421, 429, 503)
 
@@ -55,11 +52,12 @@
         self.exchange = exchange
         self.admission = admission
         self.state = state
-        self.stages = stages
+        self.inputs = RequestInputs(
+            request=exchange.request_, state=state, stages=stages
+        )
         self.request: InboundRequest = exchange.request_
         self.admitted_: Admitted | None = None
         self.deadline_ = 0.0
-        self.job_: StageJob | None = None
         self.tried_: list[EndpointId] = []
         self.end_ = End.FAILED
         self.detail_ = ""
@@ -68,10 +66,8 @@
         self.last_event_id_: int | None = None
         self.model_version_: int | None = None
         self.first_byte_at_: float | None = None
-        self.stages_done_at_: float | None = None
         self.expected_s_ = 0.0
         self.engine_ticket_: EngineTicket | None = None
-        self.attempts_begun_ = 0
 
     async def serve(self) -> None:
         """Serve the request and write down how it ended."""
@@ -85,8 +81,7 @@
             self.end_ = End.CALLER_GONE
             self.exchange.abort()
         finally:
-            if self.job_ is not None:
-                self.stages.close(self.job_)
+            self.inputs.close()
             self._write_down()
 
     def _look_up(self) -> bool:
@@ -148,7 +143,7 @@
         decision = self.admission.decide(
             route,
             counts,
-            self._capacities(),
+            self.inputs.capacities(self.admitted_),
             priority=self.admitted_.priority,
             fingerprint=request.fingerprint,
             engine_s=self.state.engine_s(self.admitted_.service.service_id).value_,
@@ -163,68 +158,19 @@
         self._refuse(detail + ", returned" * decision.is_return, decision.retry_after_s)
         return False
 
-    def _capacities(self) -> dict[ServiceId, StageCapacity]:
-        """Return what the stages of the route can use now."""
-        found: dict[ServiceId, StageCapacity] = {}
-        for stage in self.admitted_.route.stages:
-            service = self.state.service(stage.service_id)
-            if service is None or service.pieces is None:
-                continue
-            now = self.state.now()
-            usable = self.state.usable(stage.service_id)
-            trusted = [record for record in usable if not record.is_suspect(now)]
-            found[stage.service_id] = StageCapacity(service.pieces, len(trusted))
-        return found
-
     async def _make_inputs(self) -> bool:
         """Run the stages; return whether the request itself can go on."""
-        request = self.request
-        stages = self.admitted_.route.stages
-        if self.job_ is None:
-            graph = PieceGraph.from_counts(stages, request.piece_counts or ())
-            if isinstance(graph, Failure):
-                self._finish(End.DENIED, 400, graph.failure())
-                return False
-            self.job_ = self.stages.open(
-                request_id=request.request_id,
-                graph=graph.unwrap(),
-                private_key=request.piece_key,
-                is_urgent=self.admitted_.route.is_urgent,
-                delay_s=queue_delay_s(self.admitted_.route, self.admitted_.priority),
-                deadline=self.deadline_,
-                due_at=request.received_at + self.admitted_.route.aim_ms / 1_000.0,
-                hall=self._planned_hall(),
-            )
+        opened = self.inputs.open(self.admitted_, self.deadline_)
+        if isinstance(opened, Failure):
+            self._finish(End.DENIED, 400, opened.failure())
+            return False
         try:
-            await self._complete_stages()
+            await self.inputs.make()
         except StageFailure as failure:
             self._give_up(f"stages: {failure.detail}")
             return False
-        if self.stages_done_at_ is None:
-            self.stages_done_at_ = self.state.now()
-            STAGE_SECONDS.observe(self.stages_done_at_ - request.received_at)
         return True
 
-    async def _complete_stages(self) -> None:
-        """Wait for the stages, but not for long when they will not be in time.
-
-        Errors: raises StageFailure.
-        """
-        allowed_s = self.deadline_ - self.request.received_at
-        check_at = self.request.received_at + CHECK_PART * allowed_s
-        if self.state.now() < check_at:
-            try:
-                async with asyncio.timeout_at(check_at):
-                    await self.stages.complete(self.job_)
-                    return
-            except TimeoutError:
-                pass
-        left_s = self.deadline_ - self.state.now()
-        needed_s = self.stages.remaining_s(self.job_)
-        if needed_s > left_s * HOPE_PART:
-            raise StageFailure(f"need {needed_s:.2f} s of {left_s:.2f} s")
-        await self.stages.complete(self.job_)
-
     async def _plain(self) -> None:
         """Serve a request whose answer is passed on once it is whole."""
         route = self.admitted_.route
@@ -299,7 +245,7 @@
                 if failure.inputs_gone and remakes < REMAKES_MAX:
                     remakes += 1
                     self.tried_.pop()
-                    self.stages.restart(self.job_)
+                    self.inputs.restart()
                     if not await self._make_inputs():
                         return
                     continue
@@ -348,7 +294,7 @@
         if record is None:
             raise NotRun("no endpoint")
         self.tried_.append(record.listed.endpoint_id)
-        self.attempts_begun_ += 1
+        self.inputs.note_attempt()
         began_at = state.now()
         record.in_flight_ += 1
         self._note_prompt_sent(record)
@@ -358,7 +304,7 @@
                 record, admitted.service.connections_max
             )
             outbound = state.wire.forward(self.request, self._call(record))
-            self._release_inputs_soon(record)
+            self.inputs.release_soon(record)
             async with asyncio.timeout_at(limit):
                 answer = await connection.begin(outbound, self.request.request_id)
         except ExchangeBroken as failure:
@@ -380,25 +326,6 @@
         await self._check_head(attempt)
         return attempt
 
-    def _release_inputs_soon(self, record: EndpointRecord) -> None:
-        """Give the inputs up once an engine without a queue has surely fetched them."""
-        load = record.load_
-        if self.job_ is None or load is None or load.waiting > 0:
-            return
-        if record.waiting_elsewhere(self.state.now()) + record.in_flight_ > load.slots:
-            return
-        self.state.loop.call_later(
-            INPUTS_READ_S, self._release_inputs, self.attempts_begun_
-        )
-
-    def _release_inputs(self, attempt: int) -> None:
-        """Give the inputs up unless another attempt needs them.
-
-        Attempts are counted as they begin: a remade one is another attempt.
-        """
-        if attempt == self.attempts_begun_ and not self.job_.is_over_:
-            self.stages.release(self.job_)
-
     def _note_prompt_sent(self, record: EndpointRecord) -> None:
         engine = self.admitted_.service.engine
         if engine is not None:
@@ -432,7 +359,7 @@
             self._release(attempt)
         if head.status == 421:
             record.note_replaced()
-        gone = head.status in (400, 409) and self.job_ is not None
+        gone = head.status in (400, 409) and bool(self.admitted_.route.stages)
         raise NotRun(f"not run: {head.status}", inputs_gone=gone)
 
     def _choose(self) -> EndpointRecord | None:
@@ -444,35 +371,13 @@
                 records,
                 self.request.prompt,
                 excluded=self.tried_,
-                bytes_by_hall=self._input_bytes(),
+                bytes_by_hall=self.inputs.bytes_by_hall(),
                 now=state.now(),
             )
         return state.chooser_.choose(records, excluded=self.tried_, now=state.now())
 
-    def _input_bytes(self) -> dict[HallId, int]:
-        """Return how many bytes of the inputs lie in each hall."""
-        if self.job_ is None:
-            return {}
-        return self.stages.bytes_by_hall(self.job_)
-
-    def _planned_hall(self) -> HallId:
-        """Return the hall of the engine that would be chosen now."""
-        state = self.state
-        record = state.engines_.choose(
-            state.usable(self.admitted_.service.service_id),
-            self.request.prompt,
-            extra_ms_by_hall=self.stages.wait_ms_by_hall(
-                self.admitted_.route.stages, self.request.piece_counts
-            ),
-            now=state.now(),
-        )
-        return record.listed.hall if record is not None else state.hall
-
     def _call(self, record: EndpointRecord) -> ForwardCall:
         admitted = self.admitted_
-        inputs = ()
-        if self.job_ is not None:
-            inputs = self.job_.graph.final_inputs()
         priority = None
         if admitted.service.engine is not None:
             priority = min(9, max(0, admitted.priority))
@@ -481,7 +386,7 @@
             remaining_ms=max(1.0, (self.deadline_ - self.state.now()) * 1_000.0),
             workspace=admitted.workspace_id,
             priority=priority,
-            inputs=inputs,
+            inputs=self.inputs.handles(),
             last_event_id=self.last_event_id_,
             model_version=self.model_version_,
         )
@@ -569,9 +474,7 @@
             )
         self.model_version_ = head.model_version
         self.exchange.begin(head.status, head.headers, head.reason)
-        if self.job_ is not None:
-            # The engine has read its inputs by now; they can be made again.
-            self.stages.release(self.job_)
+        self.inputs.release()
 
     def _may_try_again(self, detail: str) -> bool:
         """Spend a repeat if route, time and budget allow another endpoint."""
@@ -677,7 +580,7 @@
         first = self.first_byte_at_
         if first is not None:
             FORWARD_SECONDS.labels(kind=kind).observe(first - request.received_at)
-        stages = self.stages_done_at_
+        stages = self.inputs.done_at_
         self.state.log.report(
             Event.FORWARD_ENDED,
             request=request.request_id,
