Let the stand-ins fetch inputs, count room and keep parts of prompts

Cause: the stand-ins made any piece whatever it was to read, had room for everything and engines without memory, so that giving inputs up too early, or sending a template to every engine, passed all tests. Ruled out: none needed. Change: a call fetches its inputs from their makers when its turn comes, results take room, load is told as it is, engines keep the parts that they read last, callers can return when a refusal tells them to; the halls of a deployment are one region.

--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -8,6 +8,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
 from leadford.common import EntryId, HallId
+from leadford.pieces import PlaceId, RegionMap
 from leadford_platform import PlatformObjects, PlatformRequests
 from leadford_server.forward import ForwardBounds, ForwardProcess, ForwardSettings
 from leadford_server.settings import SocketAddress
@@ -24,6 +25,8 @@
 READY_S = 5.0
 STEP_S = 0.02
 
+REFUSALS = (429, 503)
+
 
 def free_port() -> int:
     """Return a port that nobody listens on now."""
@@ -100,8 +103,14 @@
         self.store_address_ = self.store.start()
         halls = [f"hall-{number}" for number in range(self.endpoints)]
         self.plain = [PlainStandIn(service="plain", hall=hall) for hall in halls]
-        self.stage = [StageStandIn(service="stage", hall=hall) for hall in halls]
-        self.engines = [EngineStandIn(service="engine", hall=hall) for hall in halls]
+        self.stage = []
+        for hall in halls:
+            stage = StageStandIn(service="stage", hall=hall, makers=self.stage)
+            self.stage.append(stage)
+        self.engines = [
+            EngineStandIn(service="engine", hall=hall, makers=self.stage)
+            for hall in halls
+        ]
         for endpoint in self.all_endpoints():
             endpoint.start()
             self.store.put("servers", endpoint.endpoint_id, endpoint.spec())
@@ -121,6 +130,11 @@
         """Return every endpoint."""
         return [*self.plain, *self.stage, *self.engines]
 
+    def regions(self) -> RegionMap:
+        """Return the one region that holds all halls."""
+        halls = [HallId(f"hall-{number}") for number in range(self.endpoints)]
+        return RegionMap(dict.fromkeys(halls, PlaceId("region")))
+
     def put_config(self) -> None:
         """Write the configuration to the store."""
         self.store.put("config", "main", self.config)
@@ -136,6 +150,7 @@
             store_url=f"http://{self.store_address_}",
             secret=b"0123456789abcdef",
             bounds=ForwardBounds(grace_s=8.0),
+            regions=self.regions(),
         )
         entry = await self._start(settings)
         self.entries_.append(entry)
@@ -173,6 +188,22 @@
             while not condition():
                 await asyncio.sleep(STEP_S)
 
+    async def send_with_retries(
+        self, path: str, *, request_id: str, tries: int = 3, **fields
+    ) -> HTTPResponse:
+        """Send a request as a caller that comes back when a refusal tells it to.
+
+        Each try has an id of its own.
+        """
+        for number in range(tries):
+            answer = await self.send(
+                path, request_id=f"{request_id}.{number}", **fields
+            )
+            if answer.code not in REFUSALS:
+                break
+            await asyncio.sleep(float(answer.headers.get("Retry-After", "0")))
+        return answer
+
     async def send(
         self,
         path: str,
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import json
-from collections import deque
+from collections import OrderedDict, deque
 from enum import Enum
 
 import msgspec
@@ -91,14 +91,57 @@
         handler.finish(body + b" " + handler.request.body)
 
 
-class EngineStandIn(PlainStandIn):
-    """Stream numbered events; go on after `Last-Event-Id`; want inputs."""
+class KeptParts:
+    """Keep the parts of prompts that were read last, up to a memory.
+
+    A part counts as kept if every part before it in the prompt is kept as well.
+    """
+
+    def __init__(self, *, memory_tokens: int) -> None:
+        self.memory_tokens = memory_tokens
+        self.tokens_by_part_: OrderedDict[str, int] = OrderedDict()
+        self.read_tokens_ = 0
+        self.read_again_tokens_ = 0
+        self.ever_read_: set[str] = set()
+
+    def read(self, parts: list[tuple[str, int]]) -> None:
+        """Read a prompt; what is kept is not read again."""
+        is_kept = True
+        for part, tokens in parts:
+            is_kept = is_kept and part in self.tokens_by_part_
+            if not is_kept:
+                self.read_tokens_ += tokens
+                self.read_again_tokens_ += tokens * (part in self.ever_read_)
+            self.ever_read_.add(part)
+            self.tokens_by_part_[part] = tokens
+            self.tokens_by_part_.move_to_end(part)
+        while sum(self.tokens_by_part_.values()) > self.memory_tokens:
+            self.tokens_by_part_.popitem(last=False)
+
+
+def _prompt_parts(text: str) -> list[tuple[str, int]]:
+    pairs = [part.split(":") for part in text.split(",") if part]
+    return [(name, int(tokens)) for name, tokens in pairs]
+
 
-    def __init__(self, *, events: int = 5, wants_inputs: bool = True, **fields) -> None:
+class EngineStandIn(PlainStandIn):
+    """Stream numbered events; go on after `Last-Event-Id`; fetch inputs first."""
+
+    def __init__(
+        self,
+        *,
+        events: int = 5,
+        wants_inputs: bool = True,
+        memory_tokens: int = 100_000,
+        makers: "list[StageStandIn] | None" = None,
+        **fields,
+    ) -> None:
         super().__init__(**fields)
         self.events = events
         self.wants_inputs = wants_inputs
         self.pause_s = 0.005
+        self.makers = makers or []
+        self.kept_ = KeptParts(memory_tokens=memory_tokens)
 
     async def serve(self, handler: "_EndpointHandler") -> None:
         """Run one stream."""
@@ -106,10 +149,13 @@
         if self.wants_inputs and not request.headers.get("X-Inputs"):
             handler.refuse(400)
             return
-        if handler.misbehaviour is Misbehaviour.GONE:
+        handles = [h for h in request.headers.get("X-Inputs", "").split(",") if h]
+        is_gone = handler.misbehaviour is Misbehaviour.GONE
+        if is_gone or not all(_is_held(handle, self.makers) for handle in handles):
             handler.refuse(409)
             return
         handler.note_run()
+        self.kept_.read(_prompt_parts(request.headers.get("X-Prefix-Hash", "")))
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         handler.set_header("Content-Type", "text/event-stream")
         handler.set_header("X-Weight-Versions", "1")
@@ -128,12 +174,35 @@
         handler.finish()
 
 
-class StageStandIn(PlainStandIn):
-    """Make pieces in batches, one call at a time."""
+def _is_held(handle: str, makers: "list[StageStandIn]") -> bool:
+    """Tell whether a result lies at the endpoint that made it; any, without makers."""
+    return not makers or any(handle in maker.results_ for maker in makers)
+
 
-    def __init__(self, *, call_s: float = 0.02, **fields) -> None:
+class StageStandIn(PlainStandIn):
+    """Make pieces in batches, one call at a time, within room for results.
+
+    A call fetches its inputs from their makers when its turn comes.
+    """
+
+    def __init__(
+        self,
+        *,
+        call_s: float = 0.02,
+        room: int = 1_000,
+        makers: "list[StageStandIn] | None" = None,
+        **fields,
+    ) -> None:
         super().__init__(**fields)
         self.call_s = call_s
+        self.room = room
+        self.makers = makers if makers is not None else []
+        self.gone_ = 0
+        self.without_room_ = 0
+        self.results_most_ = 0
+        self.results_read_ = 0
+        self.freed_in_call_ = 0
+        self.waiting_ = 0
         self.lock_ = asyncio.Lock()
         self.results_: set[str] = set()
         self.items_: list[dict] = []
@@ -143,23 +212,42 @@
         """Run one call or give results up."""
         body = json.loads(handler.request.body)
         if handler.request.path.endswith("stage-free"):
-            self.results_ -= set(body["kvHandles"])
+            given_up = self.results_ & set(body["kvHandles"])
+            self.results_ -= given_up
+            if any(maker.lock_.locked() for maker in self.makers):
+                self.freed_in_call_ += len(given_up)
             handler.finish({})
             return
+        self.waiting_ += 1
         async with self.lock_:
+            self.waiting_ -= 1
+            items = [
+                self._begin(item, is_gone=handler.misbehaviour is Misbehaviour.GONE)
+                for item in body["items"]
+            ]
             await asyncio.sleep(self.call_s)
-        items = []
-        self.calls_.append(len(body["items"]))
-        for item in body["items"]:
-            if handler.misbehaviour is Misbehaviour.GONE:
-                items.append({"reason": "gone"})
-                continue
-            self.items_.append(item)
-            handle = f"{self.address_}/{next(_ids):x}"
-            self.results_.add(handle)
-            items.append({"kvHandle": handle})
+        self.calls_.append(len(items))
+        handler.set_header(
+            "X-Server-Load", f"{int(self.lock_.locked())},{self.waiting_},1"
+        )
         handler.finish({"items": items})
 
+    def _begin(self, item: dict, *, is_gone: bool) -> dict:
+        """Fetch the inputs of a piece, take room for its result and make it."""
+        inputs = item.get("inputs", [])
+        if is_gone or not all(_is_held(handle, self.makers) for handle in inputs):
+            self.gone_ += 1
+            return {"reason": "gone"}
+        self.results_read_ += len(inputs)
+        if len(self.results_) >= self.room:
+            self.without_room_ += 1
+            return {"reason": "room"}
+        self.items_.append(item)
+        handle = f"{self.address_}/{next(_ids):x}"
+        self.results_.add(handle)
+        self.results_most_ = max(self.results_most_, len(self.results_))
+        return {"kvHandle": handle}
+
 
 class _EndpointHandler(web.RequestHandler):
     """Serve one request as its endpoint does, or go wrong as told."""
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_forward.py
@@ -74,6 +74,62 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("entry", [0, 1])
+def test_inputs_are_given_up_while_the_call_that_reads_them_runs(entry):
+    async def scenario(deployment):
+        for stage in deployment.stage:
+            stage.call_s = 0.25
+        # The first request leaves reports of load behind.
+        for name in ("r1", "r2"):
+            answer = await deployment.send("/once/x", request_id=name, entry=entry)
+            assert answer.code == 200
+        assert sum(stage.freed_in_call_ for stage in deployment.stage) > 0
+        # Nothing was given up before it had been fetched.
+        assert sum(stage.gone_ for stage in deployment.stage) == 0
+        assert sum(stage.results_read_ for stage in deployment.stage) == 4
+        await deployment.until(
+            lambda: not any(stage.results_ for stage in deployment.stage)
+        )
+
+    run(scenario, entries=2)
+
+
+def test_prompts_of_a_template_go_to_the_same_engines_from_all_entries():
+    async def scenario(deployment):
+        for number in range(24):
+            prompt = f"template:2000,session{number % 4}:800,own{number}:200"
+            answer = await deployment.send(
+                "/once/x",
+                request_id=f"r{number}",
+                entry=number % 2,
+                headers={"X-Prefix-Hash": prompt, "X-Token-Counts": "3000,10"},
+            )
+            assert answer.code == 200
+        kept = [engine.kept_ for engine in deployment.engines]
+        used = [parts for parts in kept if parts.read_tokens_ > 0]
+        assert len(used) <= 2
+        assert sum(parts.read_again_tokens_ for parts in kept) == 0
+        # The template once at each engine, each session at one, and the own parts.
+        assert sum(parts.read_tokens_ for parts in kept) <= 2 * 2_000 + 3_200 + 4_800
+
+    run(scenario, entries=2, endpoints=6)
+
+
+def test_a_caller_that_is_refused_and_returns_is_served():
+    async def scenario(deployment):
+        refused = await deployment.send("/unsafe/x", request_id="r0", deadline_ms=2_000)
+        assert refused.code == 200
+        for endpoint in deployment.plain:
+            endpoint.next_.append(Misbehaviour.REFUSE)
+            endpoint.next_.append(Misbehaviour.REFUSE)
+        answer = await deployment.send_with_retries("/unsafe/x", request_id="r1")
+        assert answer.code == 200
+        ran = [run for endpoint in deployment.plain for run in endpoint.runs_]
+        assert len(ran) == 2
+
+    run(scenario)
+
+
 def test_an_unsafe_request_whose_answer_is_lost_runs_once_and_is_not_refused():
     async def scenario(deployment):
         for endpoint in deployment.plain:
