Serve what crosses a planned stop of the older entry

Cause: test_a_planned_stop_cuts_nothing[entry-1] had failed once: an entry that stopped closed its listener and connections as soon as no request ran. A request that arrived at that moment was cut (the new test, which sends one 0.15 s after the signal on an open connection, gets a broken pipe on the code before), and so could be an answer that had left the table but not the process. Ruled out: the platform's entry, which serves for 3.2 s after the signal. Change: a stop is announced at once (readiness, peers), requests are refused 0.5 s later, and the process waits for handlers that still answer.

--- a/packages/leadford-server/src/leadford_server/entry/_http.py
+++ b/packages/leadford-server/src/leadford_server/entry/_http.py
@@ -47,6 +47,16 @@
         """Leave out the server's name."""
         self.clear_header("Server")
 
+    def prepare(self) -> None:
+        """Count a request that is to be answered before a planned stop ends."""
+        self.table.answering_ += 1
+        if self.table.is_leaving_:
+            self.set_header("Connection", "close")
+
+    def on_finish(self) -> None:
+        """Count that the answer was given to the connection."""
+        self.table.answering_ -= 1
+
     def on_connection_close(self) -> None:
         """Note that the caller is gone."""
         self.reader_.leave()
@@ -337,7 +347,7 @@
 
     def get(self) -> None:
         """Answer 200 with a configuration in force and no stop under way."""
-        ready = self.services.config_ is not None and not self.table.draining_
+        ready = self.services.config_ is not None and not self.table.is_leaving_
         self.set_status(200 if ready else 503)
         links = self.services.directory.links_by_id_.values()
         self.finish(
--- a/packages/leadford-server/src/leadford_server/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/entry/_process.py
@@ -40,6 +40,7 @@
 from leadford_server.settings import EntrySettings, SocketAddress
 from leadford_server.store import StoreClient
 
+ANNOUNCE_S = 0.5
 DRAIN_POLL_S = 0.02
 DRAIN_MAX_S = 120.0
 HEADER_BYTES_MAX = 16 * 1024
@@ -100,7 +101,7 @@
             log=self.log_,
             random=self.secure_rng,
             config_version=self._version,
-            is_draining=lambda: self.table_.draining_,
+            is_draining=lambda: self.table_.is_leaving_,
         )
         self.seeds_ = [dialers.make(str(seed), lambda: None) for seed in settings.seeds]
 
@@ -244,13 +245,20 @@
         self.entries_.peer_message(peer, message)
 
     async def drain(self) -> None:
-        """Refuse new requests, let those under way end, and close."""
-        self.table_.draining_ = True
+        """Serve what is on its way, refuse the rest, let all answers end, and close."""
+        table = self.table_
+        table.is_leaving_ = True
         self.log_.report(Event.PROCESS_DRAINING)
         limit = time.monotonic() + DRAIN_MAX_S
-        while self.table_.runs_by_id_ and time.monotonic() < limit:
+        await asyncio.sleep(ANNOUNCE_S)
+        table.draining_ = True
+        while table.runs_by_id_ or table.answering_ > 0:
+            if time.monotonic() >= limit:
+                break
             await asyncio.sleep(DRAIN_POLL_S)
         self.web_.stop()
+        # An answer that was just written is still in the hands of the loop.
+        await asyncio.sleep(DRAIN_POLL_S)
         await self.web_.close_all_connections()
         self.follower_.stop()
         self.hosts_.stop()
--- a/packages/leadford-server/src/leadford_server/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/entry/_requests.py
@@ -92,7 +92,11 @@
         self.ended_by_id_: OrderedDict[RequestId, RequestRun] = OrderedDict()
         self.refused_by_id_: OrderedDict[RequestId, Trail] = OrderedDict()
         self.tasks_: set[asyncio.Task[None]] = set()
+        # A planned stop is announced first; requests are refused a little later, so
+        # that those on their way are served.
+        self.is_leaving_ = False
         self.draining_ = False
+        self.answering_ = 0
 
     def begin(self, new: NewRequest) -> Result[RequestRun, Refusal]:
         """Begin a request, or join the one that its key names.
--- a/packages/leadford-standins/src/leadford_standins/tests/test_failures.py
+++ b/packages/leadford-standins/src/leadford_standins/tests/test_failures.py
@@ -1,5 +1,6 @@
 """Provoke the failures that the promises are made against."""
 
+import http.client
 import json
 import os
 import socket
@@ -7,10 +8,12 @@
 import sys
 import threading
 import time
+from urllib.parse import urlsplit
 
 import pytest
 
 from leadford_standins.endpoints import expected_result
+from leadford_standins.fleet import api_key
 from leadford_standins.tests.conftest import read_events, wait_until
 
 SSE = {"Accept": "text/event-stream"}
@@ -216,6 +219,27 @@
     assert [h["Leadford-Outcome"] for h, _ in answers] == ["complete"] * 6
 
 
+def test_a_request_that_crosses_a_planned_stop_is_answered(fleet, client):
+    set_engines(fleet, speed=0.4)
+    address = urlsplit(fleet.entry_urls()[0])
+    connection = http.client.HTTPConnection(address.hostname, address.port, timeout=20)
+    connection.connect()
+    statuses = []
+    stopper = threading.Thread(
+        target=lambda: statuses.append(fleet.terminate("entry-1"))
+    )
+    stopper.start()
+    time.sleep(0.15)
+    headers = {"Authorization": f"Bearer {api_key('club-a')}"}
+    path = "/v1/pipelines/hint/requests"
+    connection.request("POST", path, json.dumps(BODY).encode(), headers)
+    answer = connection.getresponse()
+    assert answer.headers["Leadford-Outcome"] == "complete"
+    assert json.load(answer)
+    stopper.join()
+    assert statuses == [0]
+
+
 def test_a_caller_that_leaves_frees_the_engine(fleet, client):
     set_engines(fleet, speed=0.1)
     before = sum(len(client.records(name)) for name in ENGINES)
