--- a/packages/leadford/src/leadford/pieces/_groups.py
+++ b/packages/leadford/src/leadford/pieces/_groups.py
@@ -16,7 +16,7 @@
 LOAD_FRESH_S = 1.5
 OTHER_HALL_S = 0.12
 MOVED_S_PER_BYTE = 0.1e-6
-MOVED_MOST_S = 0.45
+MOVED_MOST_S = 0.6
 ROOM_SHORT_S = 0.4
 GROUP_MOST = 24
 
--- a/packages/leadford/src/leadford/pieces/_queue.py
+++ b/packages/leadford/src/leadford/pieces/_queue.py
@@ -12,7 +12,11 @@
 URGENT_CALLS = 4.0
 COMPANY_PART = 0.08
 COMPANY_MOST = 0.9
-PATIENCE_PART = 0.2
+PATIENCE_PART = 0.35
+# The call itself, and as much again twice for what may go wrong.
+SPARE_CALLS = 3.0
+# While no more than these calls are full, pieces are left for the hall of their inputs.
+SHORT_CALLS = 2
 # How much later a piece counts as due. Both are bounds: without them the less urgent
 # could wait for ever.
 LESS_URGENT_S = 2.0
@@ -71,7 +75,7 @@
         A request with little time to spare does not wait for the sake of bytes.
         """
         call_s = limits.duration_ms(limits.batch) / 1_000.0
-        spare_s = max(0.0, self.tasks[0].due_at - now - call_s)
+        spare_s = max(0.0, self.tasks[0].due_at - now - SPARE_CALLS * call_s)
         return min(self.moving_s(hall), PATIENCE_PART * spare_s)
 
     def stays_away(
@@ -170,7 +174,7 @@
         that read results of the hall go a little earlier; where less waits, those
         that stay away are left for an endpoint elsewhere.
         """
-        is_short = len(self.tasks_) <= batch
+        is_short = len(self.tasks_) <= SHORT_CALLS * batch
         taken: list[PieceTask] = []
         left: list[PieceTask] = []
         for number, chunk in enumerate(self._ordered(hall)):
