Write once what forwarding had twice, and drop what nothing read

Cause: reading the whole change again: how long a connection may rest was worked out in two places of the pool, bytes of results by hall in two of the stages, the time of a full call in eight; the parameters of a job stood in its class and again in the method that opened it; two constants had no reader and one multiplied by one. Ruled out: changes of behaviour; every bound and order is as before, no test changed.

--- a/packages/leadford-server/src/leadford_server/forward/_inputs.py
+++ b/packages/leadford-server/src/leadford_server/forward/_inputs.py
@@ -16,7 +16,6 @@
 from leadford_server.metrics import STAGE_SECONDS
 
 CHECK_PART = 0.42
-HOPE_PART = 1.0
 INPUTS_READ_S = 0.15
 
 
@@ -55,7 +54,7 @@
         graph = PieceGraph.from_counts(route.stages, request.piece_counts or ())
         if isinstance(graph, Failure):
             return graph
-        self.job_ = self.stages.open(
+        self.job_ = StageJob(
             request_id=request.request_id,
             graph=graph.unwrap(),
             private_key=request.piece_key,
@@ -64,7 +63,9 @@
             deadline=deadline,
             due_at=request.received_at + route.aim_ms / 1_000.0,
             hall=self._planned_hall(admitted),
+            done=self.state.loop.create_future(),
         )
+        self.stages.open(self.job_)
         return Success(None)
 
     def _planned_hall(self, admitted: Admitted) -> HallId:
@@ -90,7 +91,7 @@
         if not await self._complete_by(check_at):
             left_s = self.job_.deadline - self.state.now()
             needed_s = self.stages.remaining_s(self.job_)
-            if needed_s > left_s * HOPE_PART:
+            if needed_s > left_s:
                 raise StageFailure(f"need {needed_s:.2f} s of {left_s:.2f} s")
             await self.stages.complete(self.job_)
         if self.done_at_ is None:
--- a/packages/leadford-server/src/leadford_server/forward/_pool.py
+++ b/packages/leadford-server/src/leadford_server/forward/_pool.py
@@ -64,10 +64,7 @@
         while line.idle_:
             # The one used last is the least likely to have been closed.
             connection = line.idle_.pop()
-            rest_s = connection.rest_s_
-            allowed_s = REST_DEFAULT_S if rest_s is None else rest_s - REST_MARGIN_S
-            fresh = now - connection.idle_since_ < allowed_s
-            if fresh and connection.is_usable:
+            if _is_fresh(connection, now) and connection.is_usable:
                 connection.stream.set_close_callback(None)
                 return connection
             self._drop(line, connection)
@@ -119,17 +116,22 @@
         for endpoint_id, line in list(self.lines_by_id_.items()):
             kept = []
             for connection in line.idle_:
-                rest_s = connection.rest_s_
-                allowed_s = REST_DEFAULT_S if rest_s is None else rest_s - REST_MARGIN_S
-                old = now - connection.idle_since_ >= allowed_s
-                if old or not connection.is_usable or endpoint_id not in known_ids:
-                    connection.close()
-                    line.open_ -= 1
+                is_good = _is_fresh(connection, now) and connection.is_usable
+                if is_good and endpoint_id in known_ids:
+                    kept.append(connection)
                     continue
-                kept.append(connection)
+                connection.close()
+                line.open_ -= 1
             line.idle_ = kept
             if endpoint_id not in known_ids and line.open_ <= 0 and not line.waiters_:
                 del self.lines_by_id_[endpoint_id]
 
 
+def _is_fresh(connection: EndpointConnection, now: float) -> bool:
+    """Tell whether a connection has rested for less than its endpoint allows."""
+    rest_s = connection.rest_s_
+    allowed_s = REST_DEFAULT_S if rest_s is None else rest_s - REST_MARGIN_S
+    return now - connection.idle_since_ < allowed_s
+
+
 __all__ = ["BreakKind", "ConnectionPool", "ExchangeBroken"]
--- a/packages/leadford-server/src/leadford_server/forward/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forward/_stages.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from leadford.common import EndpointId, EntryId, HallId, RequestId
+from leadford.common import EndpointId, EntryId, HallId
 from leadford.events import Event
 from leadford.forwarding import PieceLimits, ResultHandle, StageSpec
 from leadford.pieces import (
@@ -11,7 +11,6 @@
     GroupId,
     GroupLoad,
     GroupTable,
-    PieceGraph,
     PieceKey,
     PieceTask,
     keepers_in_order,
@@ -34,7 +33,6 @@
 PIECE_TRIES_MAX = 6
 KEEPER_SLACK_S = 2.5
 KEEPER_PATIENCE = 3.0
-CHECK_S = 0.2
 NO_ENDPOINT_WAIT_S = 0.15
 REASONS_LOST = ("lost", "not-sent", "silent", "replaced")
 
@@ -55,34 +53,11 @@
         self.next_ticket_ = state.random.getrandbits(40) << 20
         self.reply_elsewhere = None
 
-    def open(
-        self,
-        *,
-        request_id: RequestId,
-        graph: PieceGraph,
-        private_key: str,
-        is_urgent: bool,
-        delay_s: float,
-        deadline: float,
-        due_at: float,
-        hall: HallId,
-    ) -> StageJob:
-        """Return a job for the stages of a request, and count its pieces."""
-        job = StageJob(
-            request_id=request_id,
-            graph=graph,
-            private_key=private_key,
-            is_urgent=is_urgent,
-            delay_s=delay_s,
-            deadline=deadline,
-            due_at=due_at,
-            hall=hall,
-            done=self.state.loop.create_future(),
-        )
+    def open(self, job: StageJob) -> None:
+        """Count the pieces of a job that begins."""
         for key in job.graph.pieces_by_key_:
             job.committed_.add(key)
             self.commitments_.add(self._commitment(job, key), 1)
-        return job
 
     async def complete(self, job: StageJob) -> None:
         """Make what is missing; raises StageFailure."""
@@ -113,8 +88,11 @@
 
     def bytes_by_hall(self, job: StageJob) -> dict[HallId, int]:
         """Return where the results lie that the request itself reads."""
+        return self._bytes_by_hall(job.graph.final_inputs())
+
+    def _bytes_by_hall(self, handles: Iterable[ResultHandle]) -> dict[HallId, int]:
         found: dict[HallId, int] = {}
-        for handle in job.graph.final_inputs():
+        for handle in handles:
             maker = self.maker_by_handle_.get(handle)
             if maker is not None:
                 found[maker.hall] = found.get(maker.hall, 0) + maker.result_bytes
@@ -280,11 +258,7 @@
         A piece reads every input; a result that the engine reads, or that reads
         nothing itself, is best made where the engine will be.
         """
-        near: dict[HallId, int] = {}
-        for handle in job.graph.inputs(number):
-            maker = self.maker_by_handle_.get(handle)
-            if maker is not None:
-                near[maker.hall] = near.get(maker.hall, 0) + maker.result_bytes
+        near = self._bytes_by_hall(job.graph.inputs(number))
         if number in job.graph.sinks_ or not near:
             result_bytes = job.graph.stages[number].result_bytes
             near[job.hall] = near.get(job.hall, 0) + result_bytes
@@ -339,7 +313,7 @@
             service = self.state.service(job.graph.stages[later].service_id)
             if service is None or service.pieces is None:
                 continue
-            call_s = service.pieces.duration_ms(service.pieces.batch) / 1_000.0
+            call_s = service.pieces.full_call_s
             total_s = max(total_s, call_s + self._after_s(job, later))
         return total_s
 
@@ -349,7 +323,7 @@
         wait_s = self.groups_.wait_s(
             sent.group, limits, endpoints.get(sent.group, 1), now
         )
-        expected_s = wait_s + limits.duration_ms(limits.batch) / 1_000.0
+        expected_s = wait_s + limits.full_call_s
         sent.overdue_at = now + expected_s * KEEPER_PATIENCE + KEEPER_SLACK_S
         self.sent_by_ticket_[sent.task.ticket] = sent
         sent.job.tickets_.add(sent.task.ticket)
@@ -480,7 +454,7 @@
                 self.groups_.wait_s(group, service.pieces, count, now)
                 for group, count in counts_by_group.items()
             ]
-            call_s = service.pieces.duration_ms(service.pieces.batch) / 1_000.0
+            call_s = service.pieces.full_call_s
             total_s += min(waits, default=0.0) + call_s
         return total_s
 
--- a/packages/leadford/src/leadford/admission/_forward.py
+++ b/packages/leadford/src/leadford/admission/_forward.py
@@ -69,7 +69,7 @@
     @property
     def call_s(self) -> float:
         """Return the time of a full call."""
-        return self.limits.duration_ms(self.limits.batch) / 1_000.0
+        return self.limits.full_call_s
 
 
 class Promise(msgspec.Struct, frozen=True):
--- a/packages/leadford/src/leadford/forwarding/_model.py
+++ b/packages/leadford/src/leadford/forwarding/_model.py
@@ -93,6 +93,14 @@
         """Return the expected time of a call with so many pieces."""
         return self.call_ms + pieces * self.piece_ms
 
+    @property
+    def full_call_s(self) -> float:
+        """Return the expected time of a full call.
+
+        Units: seconds.
+        """
+        return self.duration_ms(self.batch) / 1_000.0
+
 
 class EngineLimits(msgspec.Struct, frozen=True):
     """Bound what a model engine takes."""
--- a/packages/leadford/src/leadford/pieces/_groups.py
+++ b/packages/leadford/src/leadford/pieces/_groups.py
@@ -121,7 +121,7 @@
         if load is not None and now - load.heard_at < LOAD_FRESH_S:
             wait_s = load.wait_s
         sent = self.sent_by_group_.get(group, 0)
-        per_batch_s = limits.duration_ms(limits.batch) / 1_000.0
+        per_batch_s = limits.full_call_s
         return wait_s + sent / (limits.batch * max(1, endpoints)) * per_batch_s
 
     def choose(
--- a/packages/leadford/src/leadford/pieces/_lanes.py
+++ b/packages/leadford/src/leadford/pieces/_lanes.py
@@ -247,7 +247,7 @@
             max(lane.busy_until_ - now if lane.calls_ else 0.0, 0.0) for lane in lanes
         ]
         rounds = waiting // (limits.batch * len(lanes))
-        return min(lefts) + rounds * limits.duration_ms(limits.batch) / 1_000.0
+        return min(lefts) + rounds * limits.full_call_s
 
     def room_bytes(
         self, records: list[EndpointRecord], limits: PieceLimits, now: float
--- a/packages/leadford/src/leadford/pieces/_queue.py
+++ b/packages/leadford/src/leadford/pieces/_queue.py
@@ -74,7 +74,7 @@
 
         A request with little time to spare does not wait for the sake of bytes.
         """
-        call_s = limits.duration_ms(limits.batch) / 1_000.0
+        call_s = limits.full_call_s
         spare_s = max(0.0, self.tasks[0].due_at - now - SPARE_CALLS * call_s)
         return min(self.moving_s(hall), PATIENCE_PART * spare_s)
 
@@ -139,7 +139,7 @@
         """
         if len(self.tasks_) >= limits.batch:
             return 0.0
-        urgent_s = URGENT_CALLS * limits.duration_ms(limits.batch) / 1_000.0
+        urgent_s = URGENT_CALLS * limits.full_call_s
         most_s = COMPANY_MOST * limits.call_ms / 1_000.0
         ripe_at = float("inf")
         for task in self.tasks_:
