Log what entries fetch from each other and from the store, and what is lost of it

Cause: a report from a deployment of 21 entries: an entry in touch still decided by a configuration 6.5 s older than the one in force, and a request taken 3.15 s after the signal to stop was given up. Logs could not tell whether the newer configuration was never asked for, was on its way, or arrived many times. Ruled out: nothing yet; three explanations stand: transfers begun again before they end (store or peers), links of entries that send, time to decode. Change: events 604 to 606 (asked, sent, received: kind, peer, version, bytes) and 505 (a call to the store without a whole answer: path, waited, bytes that had come); event 600 names the source; bytes from the store and of news are counted. Answers of the store are collected as they arrive, so that what was lost is known. No rule changed.

--- a/packages/leadford-server/src/leadford_server/forwarding/_config.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_config.py
@@ -14,6 +14,8 @@
 from leadford_server.forwarding._follow import Listing
 from leadford_server.forwarding._state import ForwardState
 
+# What the log names as the source of a configuration that came from the store.
+FROM_STORE = "store"
 # Characters of a fault that a log line holds.
 FAULT_LOGGED = 300
 
@@ -50,8 +52,11 @@
         if self.state.table_ is not None:
             self.state.config_seen_at_ = self.state.now()
 
-    def apply(self, config: ForwardConfig) -> None:
-        """Put a configuration in force unless it is older than the one in force."""
+    def apply(self, config: ForwardConfig, source: str) -> None:
+        """Put a configuration in force unless it is older than the one in force.
+
+        `source` is the peer it came from, or `FROM_STORE`.
+        """
         table = self.state.table_
         if table is not None and config.version <= table.config.version:
             return
@@ -61,6 +66,7 @@
             version=config.version,
             before=table.config.version if table else 0,
             routes=len(config.routes),
+            source=source,
         )
         self.on_change(config)
 
@@ -72,4 +78,4 @@
             fault = str(read.failure())[:FAULT_LOGGED]
             self.state.log.report(Event.CONFIG_UNREADABLE, error=fault)
             return
-        self.apply(read.unwrap())
+        self.apply(read.unwrap(), FROM_STORE)
--- a/packages/leadford-server/src/leadford_server/forwarding/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_follow.py
@@ -15,8 +15,8 @@
 from leadford.events import Event
 from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent, StoreFailure
 from leadford_server.logs import EventLog
-from leadford_server.metrics import STORE_CALLS_TOTAL
-from leadford_server.web import fetch
+from leadford_server.metrics import STORE_BYTES_TOTAL, STORE_CALLS_TOTAL
+from leadford_server.web import NO_ANSWER, fetch
 
 # Milliseconds that a watch waits in the store; a store that compacts its history may
 # never answer one, and every entry is then behind (commit 539c2e8, scale-2 --seed
@@ -58,6 +58,8 @@
         margin_s: float = CALL_S,
     ) -> Result[bytes, StoreFailure]:
         """Return the body of a good answer, or what the store says instead."""
+        began_at = asyncio.get_running_loop().time()
+        chunks: list[bytes] = []
         request = HTTPRequest(
             self.url + path,
             method=method,
@@ -67,19 +69,34 @@
             request_timeout=wait_s + margin_s,
             allow_nonstandard_methods=True,
             decompress_response=False,
+            streaming_callback=chunks.append,
         )
         response = await fetch(self.http, request)
+        body = b"".join(chunks)
         good = 200 <= response.code < 300
         end = "ok" if good else str(response.code)
         kind = "watch" if wait_s else "read" if method == "GET" else "write"
         STORE_CALLS_TOTAL.labels(kind=kind, end=end).inc()
+        STORE_BYTES_TOTAL.labels(end=end).inc(len(body))
         if good:
             self._record(True, response.code)
-            return Success(response.body)
+            return Success(body)
+        if response.code == NO_ANSWER:
+            waited_s = asyncio.get_running_loop().time() - began_at
+            self._log_lost(path, waited_s, len(body))
         failure = self.codec.read_failure(response.code)
         self._record(failure is not StoreFailure.UNAVAILABLE, response.code)
         return Failure(failure)
 
+    def _log_lost(self, path: str, waited_s: float, received: int) -> None:
+        """Log a call without a whole answer; the time of calls bounds the lines."""
+        self.log.report(
+            Event.STORE_ANSWER_LOST,
+            path=path,
+            waited_ms=round(waited_s * 1_000.0),
+            bytes=received,
+        )
+
     def _record(self, answered: bool, status: int) -> None:
         """Log when the store stops and starts to answer."""
         if answered == self.is_available_:
--- a/packages/leadford-server/src/leadford_server/forwarding/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_links.py
@@ -49,7 +49,7 @@
         state: ForwardState,
         stages: StageRunner,
         random: Random,
-        on_config: Callable[[ForwardConfig], None],
+        on_config: Callable[[ForwardConfig, str], None],
         on_listing: Callable[[list[ListedEndpoint], int], None],
         on_entries: Callable[[list[KnownEntry]], None],
     ) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_news.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Mapping
+from enum import Enum
 
 import msgspec
 
@@ -26,12 +27,20 @@
 from leadford_server.forwarding._contract import KnownEntry
 from leadford_server.forwarding._peers import MessageHandlers
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.metrics import NEWS_BYTES_TOTAL
 from leadford_server.peers import PeerConnection
 
 # Characters of a decoding error that a log line holds.
 ERROR_LOGGED = 200
 
 
+class NewsKind(Enum):
+    """Say what entries tell each other when they are asked."""
+
+    CONFIG = "config"
+    LISTING = "listing"
+
+
 class NewsExchange:
     """Ask peers that know better, and answer those that ask."""
 
@@ -41,7 +50,7 @@
         own: KnownEntry,
         state: ForwardState,
         entries_by_id: Mapping[EntryId, KnownEntry],
-        on_config: Callable[[ForwardConfig], None],
+        on_config: Callable[[ForwardConfig, str], None],
         on_listing: Callable[[list[ListedEndpoint], int], None],
         on_entries: Callable[[list[KnownEntry]], None],
     ) -> None:
@@ -75,9 +84,11 @@
         """Ask a peer that has known better for a while."""
         version = self.version()
         if self.config_staleness_.must_ask(version, peer.peer_config_version_, now):
+            self._log_request(peer, NewsKind.CONFIG, version)
             peer.send(ForwardConfigRequest(version))
         revision = self.state.roster_.changed_revision_
         if self.listing_staleness_.must_ask(revision, message.listing_revision, now):
+            self._log_request(peer, NewsKind.LISTING, revision)
             peer.send(ListingRequest(revision))
 
     def send_entries(self, peer: PeerConnection) -> None:
@@ -101,9 +112,11 @@
         table = self.state.table_
         if table is not None and table.config.version > message.known_version:
             data = msgspec.msgpack.encode(table.config)
+            self._log_sent(peer, NewsKind.CONFIG, table.config.version, len(data))
             peer.send(ForwardConfigAnswer(table.config.version, data))
 
     def _on_config(self, peer: PeerConnection, message: ForwardConfigAnswer) -> None:
+        self._log_received(peer, NewsKind.CONFIG, message.version, len(message.config))
         try:
             config = msgspec.msgpack.decode(message.config, type=ForwardConfig)
         except msgspec.DecodeError as error:
@@ -111,15 +124,18 @@
                 Event.CONFIG_UNREADABLE, error=str(error)[:ERROR_LOGGED]
             )
             return
-        self.on_config(config)
+        self.on_config(config, peer.info.peer_id)
 
     def _send_listing(self, peer: PeerConnection, message: ListingRequest) -> None:
         roster = self.state.roster_
         if roster.changed_revision_ > message.known_revision:
             data = msgspec.msgpack.encode(roster.listed())
+            self._log_sent(peer, NewsKind.LISTING, roster.changed_revision_, len(data))
             peer.send(ListingAnswer(roster.changed_revision_, data))
 
     def _on_listing(self, peer: PeerConnection, message: ListingAnswer) -> None:
+        size = len(message.endpoints)
+        self._log_received(peer, NewsKind.LISTING, message.revision, size)
         try:
             listed = msgspec.msgpack.decode(
                 message.endpoints, type=list[ListedEndpoint]
@@ -130,3 +146,35 @@
             )
             return
         self.on_listing(listed, message.revision)
+
+    def _log_request(self, peer: PeerConnection, kind: NewsKind, known: int) -> None:
+        self.state.log.report(
+            Event.NEWS_REQUESTED,
+            kind=kind.value,
+            peer=peer.info.peer_id,
+            known=known,
+        )
+
+    def _log_sent(
+        self, peer: PeerConnection, kind: NewsKind, version: int, size: int
+    ) -> None:
+        NEWS_BYTES_TOTAL.labels(kind=kind.value, direction="sent").inc(size)
+        self.state.log.report(
+            Event.NEWS_SENT,
+            kind=kind.value,
+            peer=peer.info.peer_id,
+            version=version,
+            bytes=size,
+        )
+
+    def _log_received(
+        self, peer: PeerConnection, kind: NewsKind, version: int, size: int
+    ) -> None:
+        NEWS_BYTES_TOTAL.labels(kind=kind.value, direction="received").inc(size)
+        self.state.log.report(
+            Event.NEWS_RECEIVED,
+            kind=kind.value,
+            peer=peer.info.peer_id,
+            version=version,
+            bytes=size,
+        )
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -39,6 +39,16 @@
 STORE_CALLS_TOTAL = Counter(
     "leadford_store_calls_total", "Calls to the store.", ["kind", "end"]
 )
+STORE_BYTES_TOTAL = Counter(
+    "leadford_store_bytes_total",
+    "Bytes of answers of the store; those of a lost answer are fetched again.",
+    ["end"],
+)
+NEWS_BYTES_TOTAL = Counter(
+    "leadford_news_bytes_total",
+    "Bytes of configurations and listings between entries.",
+    ["kind", "direction"],
+)
 PEER_BYTES_TOTAL = Counter(
     "leadford_peer_bytes_total", "Bytes of frames between processes.", ["direction"]
 )
