Say what the bytes in tests are for

Cause: the tests of stored forms and of the wire between entries named a version by its commit, not what fails when the bytes change.

Ruled out: nothing.

Change: heads and comments; what the tests expect is the same.

Conclusion: comments only.

--- a/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
+++ b/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
@@ -1,4 +1,4 @@
-"""What entries of version aa4d73f send each other is still read, and sent the same."""
+"""What running entries send each other is read, and sent the same."""
 
 import msgspec
 
@@ -12,8 +12,8 @@
     encode,
 )
 
-# Written by the code of commit aa4d73f. The configuration and the listing travel by
-# field name, the messages of a frame as arrays.
+# Kept as bytes: another form would part entries of two versions during an upgrade. The
+# configuration and the listing travel by field name, the messages of a frame as arrays.
 CONFIG = bytes.fromhex(
     "85a776657273696f6e24a6726f75746573918da8726f7574655f6964a27231a4686f7374ad72"
     "6f6f6d732e6578616d706c65ab706174685f707265666978a62f68696e742fa46b696e64a673"
--- a/packages/leadford/src/leadford/pipelines/claims/tests/test_stored_form.py
+++ b/packages/leadford/src/leadford/pipelines/claims/tests/test_stored_form.py
@@ -1,11 +1,11 @@
-"""Claims that version aa4d73f stored are still read."""
+"""Claims that stores hold are read, and written the same."""
 
 import cbor2
 import msgspec
 
 from leadford.pipelines.claims import decode_slot
 
-# Written by the code of commit aa4d73f.
+# Kept as bytes: another form would let a keyed request run twice during an upgrade.
 SLOT = bytes.fromhex(
     "820c828363622d31fb41d954fc40200000a26272316263316272326263328363622d32fb41d9"
     "54fc40400000a1627233626333"
