Say what methods of the queues and of the settings check do

Change: doc comments; the head of the server's main module; the exit status.

Conclusion: comments only.

--- a/packages/leadford-server/src/leadford_server/main.py
+++ b/packages/leadford-server/src/leadford_server/main.py
@@ -1,4 +1,9 @@
-"""Run `leadfordd entry` or `leadfordd agent`."""
+"""Run `leadfordd entry` or `leadfordd agent`.
+
+Each is one process of leadford's own interface. Settings come from arguments or the
+environment. A process serves until SIGTERM or SIGINT, and ends what runs before it
+exits.
+"""
 
 import asyncio
 import inspect
@@ -19,6 +24,7 @@
     with_environment,
 )
 
+# Exit status where settings are wrong; each fault is printed.
 EXIT_SETTINGS = 2
 
 
--- a/packages/leadford-server/src/leadford_server/settings/_model.py
+++ b/packages/leadford-server/src/leadford_server/settings/_model.py
@@ -85,12 +85,14 @@
         self.faults_: list[SettingFault] = []
 
     def name(self, name: str, value: str) -> str:
+        """Check the name of a process, host or hall."""
         if not NAME.match(value):
             text = f"expected lower-case letters, digits, _.- , got {value!r}"
             self.faults_.append(SettingFault(name, text))
         return value
 
     def address(self, name: str, value: str) -> SocketAddress:
+        """Parse an address; a faulty one stands as port 0 until `done` fails."""
         parsed = SocketAddress.parse(value)
         if isinstance(parsed, Failure):
             self.faults_.append(SettingFault(name, parsed.failure()))
@@ -98,18 +100,21 @@
         return parsed.unwrap()
 
     def url(self, name: str, value: str) -> str:
+        """Check a URL, and take a slash off its end."""
         if not STORE_URL.match(value.rstrip("/")):
             text = f"expected http://IP:PORT, got {value!r}"
             self.faults_.append(SettingFault(name, text))
         return value.rstrip("/")
 
     def secret(self, name: str, value: str) -> bytes:
+        """Check that a secret is long enough."""
         if len(value.encode()) < SECRET_BYTES_MIN:
             text = f"expected at least {SECRET_BYTES_MIN} bytes"
             self.faults_.append(SettingFault(name, text))
         return value.encode()
 
     def done(self, build: Callable[[], object]) -> Result:
+        """Return the settings, or every fault that was collected."""
         if self.faults_:
             return Failure(tuple(self.faults_))
         return Success(build())
--- a/packages/leadford-standins/src/leadford_standins/fleet/_presets.py
+++ b/packages/leadford-standins/src/leadford_standins/fleet/_presets.py
@@ -41,6 +41,7 @@
         self.endpoints: list[EndpointSpec] = []
 
     def add(self, pool: str, kind: str, count: int, **terms: object) -> None:
+        """Add endpoints to a pool, one hall after the other."""
         for index in range(count):
             self.endpoints.append(
                 EndpointSpec(
--- a/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
@@ -115,6 +115,7 @@
         self.total_ = 0
 
     def touch(self, part: PromptPart, limit: float) -> None:
+        """Remember a part as read last, and drop the oldest beyond `limit` tokens."""
         known = self.tokens_by_part_.pop(part.part_id, 0)
         self.tokens_by_part_[part.part_id] = part.tokens
         self.total_ += part.tokens - known
--- a/packages/leadford/src/leadford/pipelines/ejection/_outliers.py
+++ b/packages/leadford/src/leadford/pipelines/ejection/_outliers.py
@@ -64,6 +64,7 @@
         self.probes_passed_ = 0
 
     def reset(self) -> None:
+        """Forget the outcomes, as when an endpoint is restored."""
         self.failures_in_a_row_ = 0
         self.outcomes_ = 0
         self.failure_rate_ = Ewma(initial=0.0, weight=0.1)
--- a/packages/leadford/src/leadford/pipelines/queues/_elastic.py
+++ b/packages/leadford/src/leadford/pipelines/queues/_elastic.py
@@ -25,10 +25,12 @@
         self.updated_at_ = now
 
     def at(self, now: float) -> float:
+        """Return the service in milliseconds that still counts."""
         age_s = max(0.0, now - self.updated_at_)
         return self.service_ms_ * 0.5 ** (age_s / USAGE_HALF_LIFE_S)
 
     def add(self, service_ms: float, now: float) -> None:
+        """Count more service, after what counted before has decayed."""
         self.service_ms_ = self.at(now) + service_ms
         self.updated_at_ = now
 
@@ -42,6 +44,7 @@
         self.usage_by_workspace_: dict[WorkspaceId, _Usage] = {}
 
     def push(self, item: QueuedAttempt) -> None:
+        """Add an attempt to the flow of its workspace."""
         flow = self.table_.flows_by_workspace_.get(item.workspace)
         if flow is None:
             flow = self.table_.open(item.workspace, self._minimum(item.workspace))
@@ -51,6 +54,7 @@
         return max(self.terms(workspace).minimum, MINIMUM_FLOOR)
 
     def pop(self, now: float) -> str | None:
+        """Take the key of the next attempt, and charge its cost to its workspace."""
         flows = self.table_.flows_by_workspace_
         if not flows:
             return None
@@ -74,12 +78,14 @@
         return used >= minimum, used / minimum, workspace
 
     def forget(self, item: QueuedAttempt) -> None:
+        """Drop an attempt without a charge."""
         flow = self.table_.flows_by_workspace_[item.workspace]
         flow.forget(item)
         if not len(flow):
             self.table_.close(item.workspace)
 
     def ahead_ms(self, workspace: WorkspaceId, class_ms: float, count: int) -> float:
+        """Return the milliseconds of this class that go before a newcomer."""
         minimum = self._minimum(workspace)
         return self.table_.ahead_ms(workspace, minimum, class_ms, count)
 
--- a/packages/leadford/src/leadford/pipelines/queues/_fair.py
+++ b/packages/leadford/src/leadford/pipelines/queues/_fair.py
@@ -31,6 +31,7 @@
         self.pushes_ = 0
 
     def push(self, item: QueuedAttempt) -> None:
+        """Add an attempt; a workspace that did not wait starts at the virtual time."""
         flow = self.table_.flows_by_workspace_.get(item.workspace)
         if flow is None:
             share = self.terms(item.workspace).share
@@ -45,6 +46,7 @@
         heappush(self.heap_, (start, self.pushes_, workspace))
 
     def pop(self, now: float) -> str | None:
+        """Take the key of the next attempt, and move the virtual time to its start."""
         while self.heap_:
             start, _, workspace = heappop(self.heap_)
             flow = self.table_.flows_by_workspace_[workspace]
@@ -67,9 +69,11 @@
         return None
 
     def forget(self, item: QueuedAttempt) -> None:
+        """Drop an attempt; its workspace keeps its place in the order."""
         self.table_.flows_by_workspace_[item.workspace].forget(item)
 
     def ahead_ms(self, workspace: WorkspaceId, class_ms: float, count: int) -> float:
+        """Return the milliseconds of this class that go before a newcomer."""
         share = self.terms(workspace).share
         return self.table_.ahead_ms(workspace, share, class_ms, count)
 
