Hold three faults of configurations and stops in tests that fail now

Cause: shown by the tests, see their heads: an answer of the store that takes longer than a watch may wait is begun anew for ever; a peer is asked every 0.3 s while its answer is on its way; a planned stop ends on requests that it took while it waited for the store.

--- a/packages/leadford-standins/src/leadford_standins/wire/_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -9,12 +9,14 @@
 from collections import deque
 from enum import Enum
 
-from tornado import httpserver, web
+from tornado import httpserver, iostream, web
 
 # Changes that a watch can be caught up with; older revisions are gone.
 HISTORY_EVENTS = 200
 # Seconds between looks whether watches are still to say nothing.
 DEAF_CHECK_S = 30.0
+# Parts in which a slow answer leaves, so that some of it arrives all the time.
+SLOW_PARTS = 50
 
 
 class StoreFault(Enum):
@@ -37,7 +39,12 @@
         self.changed_ = asyncio.Event()
         self.fault = StoreFault.NONE
         self.has_deaf_watches = False
+        # Seconds that the body of an answer about a kind takes on its way.
+        self.body_s_by_kind: dict[str, float] = {}
+        # Seconds that the removal of an object takes.
+        self.delete_s = 0.0
         self.calls_ = 0
+        self.deletes_ = 0
 
     def start(self) -> str:
         """Listen on loopback and return the address."""
@@ -126,7 +133,8 @@
         watch = self.get_query_argument("watch", None)
         if watch is None:
             items = [objects[key] for key in sorted(objects)]
-            self.finish({"items": items, "more": False, "at": self.store.revision_})
+            page = {"items": items, "more": False, "at": self.store.revision_}
+            await self._finish_body(kind, page)
             return
         await self._watch(kind, int(watch))
 
@@ -149,7 +157,26 @@
                 continue
         if self.store.fault is not StoreFault.NONE:
             raise web.HTTPError(503)
-        self.finish({"events": events, "at": self.store.revision_})
+        await self._finish_body(kind, {"events": events, "at": self.store.revision_})
+
+    async def _finish_body(self, kind: str, page: dict) -> None:
+        """Answer, at the pace that is set for the kind."""
+        body_s = self.store.body_s_by_kind.get(kind, 0.0)
+        if not body_s:
+            self.finish(page)
+            return
+        body = json.dumps(page).encode()
+        self.set_header("Content-Length", str(len(body)))
+        size = len(body) // SLOW_PARTS + 1
+        for start in range(0, len(body), size):
+            self.write(body[start : start + size])
+            try:
+                await self.flush()
+            except iostream.StreamClosedError:
+                # The entry gave this answer up.
+                return
+            await asyncio.sleep(body_s / SLOW_PARTS)
+        self.finish()
 
     def post(self, kind: str, name: str | None) -> None:
         item = json.loads(self.request.body)
@@ -159,7 +186,9 @@
         self.store.put(kind, name, item["spec"])
         self.finish(self.store.objects_by_kind_[kind][name])
 
-    def delete(self, kind: str, name: str) -> None:
+    async def delete(self, kind: str, name: str) -> None:
+        self.store.deletes_ += 1
+        await asyncio.sleep(self.store.delete_s)
         if not self.store.delete(kind, name):
             raise web.HTTPError(404)
         self.finish({})
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
@@ -124,6 +124,41 @@
     play(scenario)
 
 
+def test_a_request_that_comes_while_a_stopping_entry_leaves_the_store_is_answered():
+    """A stop that found no request under way takes none that it would cut.
+
+    Symptom: a request taken 3.2 s after the signal to stop reached its endpoint and was
+    cut 1 ms later; its connection closed without an answer.
+    Sequence: the stop saw that nothing ran, then waited for the store to remove the
+    entry; a request on a kept connection was taken in that time; then the process
+    ended.
+    Cause: the check whether requests run and the end that relied on it stood on two
+    sides of a wait.
+    What settled it: the least length of a stop is 3.2 s; the request was cut 3.24 s
+    after the signal, with 4.2 s of the grace period left.
+    """
+
+    async def scenario(deployment):
+        entry = deployment.entries_[0]
+        for endpoint in deployment.plain:
+            endpoint.work_s = 0.4
+        callers = entry.settings.callers
+        reader, writer = await asyncio.open_connection(callers.host, callers.port)
+        deployment.store.delete_s = 0.2
+        stopping = asyncio.ensure_future(entry.drain())
+        await deployment.until(lambda: deployment.store.deletes_ == 1)
+        writer.write(request_bytes("/unsafe/x", "r1"))
+        await deployment.until(lambda: runs_of(deployment.plain, "r1"))
+        await stopping
+        # The process ends here; what is still under way is cut.
+        assert not entry.caller_server_.exchanges_
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b" 200 " in head
+        writer.close()
+
+    play(scenario)
+
+
 def test_a_request_on_a_connection_whose_stream_ended_in_a_planned_stop_is_answered():
     async def scenario(deployment):
         entry = deployment.entries_[0]
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_large_configurations.py
@@ -0,0 +1,78 @@
+"""A large configuration comes in force on entries with slow links.
+
+Symptom: an entry that answered its callers and was in touch with the store and with all
+other entries decided by a configuration that was 6.5 s older than the newest one.
+Sequence: 1,400 routes were added, and a small change followed 2 s later. Entries whose
+link carries 1.25 MB/s received both in 0.5 s each; some of them gave up the watch that
+was bringing the configuration, 0.35 s after its wait had ended, and began it anew.
+Meanwhile they asked a peer for the same configuration every 0.3 s, without regard to
+the answers on their way, until copies filled the link, heartbeats came too late, links
+to peers were dropped, and readiness checks failed.
+Cause: a transfer was begun again by the clock and not for want of progress, and nothing
+bounded how many were under way.
+What settled it: events 500 on three entries 0.35 s after the end of a wait, while the
+configuration was arriving; one of them had it 14 s after its neighbours, and lost 12
+links to peers that were well (events 201) in between.
+"""
+
+import asyncio
+
+import pytest
+
+from leadford.protocol import ForwardConfigAnswer
+from leadford_server.forwarding import _follow
+from leadford_standins.wire import play
+
+# Seconds on its way: longer than a watch may wait in all, with its largest margin.
+SLOW_BODY_S = 4.6
+# Seconds for which the answer of a peer is held, several times the pause after which a
+# peer is asked.
+HELD_S = 1.5
+
+
+@pytest.mark.parametrize("has_forgotten", [False, True])
+def test_a_configuration_that_arrives_slowly_comes_in_force(has_forgotten):
+    async def scenario(deployment):
+        entry = deployment.entries_[0]
+        deployment.store.body_s_by_kind["config"] = SLOW_BODY_S
+        deployment.config["version"] = 2
+        deployment.put_config()
+        if has_forgotten:
+            # The configuration comes with a listing instead of a watch.
+            deployment.store.forget_history()
+        await deployment.until(
+            lambda: entry.state_.table_.config.version == 2, timeout_s=20.0
+        )
+
+    play(scenario)
+
+
+def test_a_peer_is_asked_once_for_a_configuration_that_is_on_its_way(monkeypatch):
+    async def scenario(deployment):
+        first, second = deployment.entries_
+        await deployment.until(lambda: second.links_.peers_by_id_)
+
+        async def refuse(*args, **fields):
+            await asyncio.sleep(0.05)
+            return _follow.Failure(_follow.StoreFailure.UNAVAILABLE)
+
+        monkeypatch.setattr(second.client_, "call", refuse)
+        await deployment.until(lambda: first.links_.peers_by_id_)
+        peer = first.links_.peers_by_id_[second.settings.entry_id]
+        send = peer.send
+        held = []
+
+        def hold_configurations(message):
+            if not isinstance(message, ForwardConfigAnswer):
+                return send(message)
+            held.append(message)
+            asyncio.get_running_loop().call_later(HELD_S, send, message)
+            return True
+
+        monkeypatch.setattr(peer, "send", hold_configurations)
+        deployment.config["version"] = 9
+        deployment.put_config()
+        await deployment.until(lambda: second.state_.table_.config.version == 9)
+        assert len(held) == 1
+
+    play(scenario, entries=2)
