--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_store.py
@@ -74,6 +74,39 @@
     play(scenario)
 
 
+def test_a_request_that_waits_for_a_connection_does_not_follow_an_endpoint_that_left():
+    """Symptom: a request reached an endpoint long after it was listed as draining.
+
+    Sequence: all connections that this process may hold to the endpoint are in use, so
+    the request waits for one; the endpoint says that it leaves; a connection is given
+    back. Cause: what was chosen before the wait was not looked at after it.
+    """
+
+    async def scenario(deployment):
+        leaving, other = deployment.plain
+        deployment.config["version"] = 2
+        deployment.config["services"][0]["maxConns"] = 1
+        deployment.put_config()
+        entry = deployment.entries_[0]
+        await deployment.until(lambda: entry.state_.table_.config.version == 2)
+        deployment.store.delete("servers", other.endpoint_id)
+        roster = entry.state_.roster_
+        await deployment.until(lambda: other.endpoint_id not in roster.records_by_id_)
+        leaving.work_s = 0.5
+        first = asyncio.ensure_future(deployment.send("/unsafe/x", request_id="r1"))
+        await deployment.until(lambda: leaving.runs_)
+        second = asyncio.ensure_future(deployment.send("/unsafe/x", request_id="r2"))
+        await asyncio.sleep(0.1)
+        deployment.store.put("servers", other.endpoint_id, other.spec())
+        deployment.store.put("servers", leaving.endpoint_id, leaving.spec("draining"))
+        assert (await first).code == 200
+        assert (await second).code == 200
+        assert runs_of([leaving], "r2") == []
+        assert len(runs_of([other], "r2")) == 1
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.RESET])
 def test_an_outage_of_the_store_changes_nothing_for_requests(fault):
     async def scenario(deployment):
