Let an endpoint that said that it leaves stay so

Cause: the roster believed the state with the highest revision, and a store in trouble may take a write long after it was sent; and it passed over an older listing as a whole, also where that told that an endpoint which is trusted as gone had been draining.

Ruled out: the same across a removal. The last step of test_an_old_listing_brings_nothing_back asks that an endpoint which was draining, then gone, works again once it is listed as ready; both can't hold.

Change: of two listings of an endpoint the newer holds, but draining stays; draining in any listing ends the trust in one that is gone.

Conclusion: held while an endpoint is listed, and while it is trusted as gone.

--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -44,10 +44,12 @@
 class EndpointRoster:
     """Join listings from several sources, by the revisions they were made at.
 
-    Ids are drawn anew at each start of an endpoint. A removal that was a mistake of
-    the listing is undone by a listing with a higher revision. A store that was away
-    removes endpoints that kept working: when most of a service goes at once, they are
-    used for a short while, which must be less than what a leaving endpoint allows.
+    Ids are drawn anew at each start of an endpoint. So one that is listed as leaving
+    stays so, also where a store in trouble lists it as ready once more. A removal that
+    was a mistake of the listing is undone by a listing with a higher revision. A store
+    that was away removes endpoints that kept working: when most of a service goes at
+    once, they are used for a short while, which must be less than what a leaving
+    endpoint allows.
 
     Units: trusted_s in seconds.
     """
@@ -78,6 +80,9 @@
     def put(self, endpoint: ListedEndpoint) -> list[RosterChange]:
         """Handle one listed endpoint unless something newer is known of it."""
         endpoint_id = endpoint.endpoint_id
+        if endpoint.state is ListedState.DRAINING:
+            # What it said before it was removed binds as well.
+            self.gone_by_id_.pop(endpoint_id, None)
         if endpoint.revision <= self.gone_revision_by_id_.get(endpoint_id, -1):
             return []
         record = self.records_by_id_.get(endpoint_id)
@@ -87,13 +92,12 @@
             self.records_by_id_[endpoint_id] = self._new_record(endpoint)
             self.ids_by_service_.setdefault(endpoint.service_id, set()).add(endpoint_id)
             return [self._change(endpoint, "unknown", endpoint.state.value)]
-        if endpoint.revision <= record.listed.revision:
-            return []
         before = record.listed
-        record.listed = endpoint
-        if before.state is endpoint.state:
+        record.listed = _joined(before, endpoint)
+        if before.state is record.listed.state:
             return []
-        return [self._change(endpoint, before.state.value, endpoint.state.value)]
+        after = record.listed.state.value
+        return [self._change(record.listed, before.state.value, after)]
 
     def _new_record(self, endpoint: ListedEndpoint) -> EndpointRecord:
         """Return a record; one that was just removed keeps what was learned."""
@@ -192,3 +196,15 @@
     @staticmethod
     def _change(endpoint: ListedEndpoint, before: str, after: str) -> RosterChange:
         return RosterChange(endpoint.endpoint_id, endpoint.service_id, before, after)
+
+
+def _joined(known: ListedEndpoint, told: ListedEndpoint) -> ListedEndpoint:
+    """Return the newer of two listings of an endpoint; either may say that it leaves.
+
+    A store in trouble may take a write long after it was sent, so a later revision may
+    hold an earlier state.
+    """
+    newer = told if told.revision > known.revision else known
+    if ListedState.DRAINING not in (known.state, told.state):
+        return newer
+    return msgspec.structs.replace(newer, state=ListedState.DRAINING)
