Look again at an endpoint whose connection was waited for

Cause: a request chose its endpoint, then waited for one of the connections that this process may hold there; by the end of the wait the endpoint may have left for longer than it allows.

Ruled out: waking those who wait when the listing changes: each connection that is given back wakes the next one, who now goes elsewhere.

Change: `EndpointAttempts._borrow` chooses and waits, looks at the endpoint again (`EndpointRoster.is_usable`), and chooses another, without counting the first as tried.

Conclusion: what is chosen before a wait is bound by what was read during it.

--- a/packages/leadford-server/src/leadford_server/forwarding/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_attempts.py
@@ -55,6 +55,17 @@
         self.inputs_gone = inputs_gone
 
 
+class _Borrowed(msgspec.Struct, eq=False):
+    """Hold a connection that is lent to one attempt.
+
+    Units: began_at in seconds of the monotonic clock.
+    """
+
+    record: EndpointRecord
+    connection: EndpointConnection
+    began_at: float
+
+
 class Attempt(msgspec.Struct, eq=False):
     """Hold one attempt at an endpoint whose answer has begun.
 
@@ -105,15 +116,9 @@
         Errors: raises NotRun when the attempt proved not to run, ExchangeBroken when it
         may have run, TimeoutError when the time of the request is over.
         """
-        record = self.choose()
-        if record is None:
-            raise NotRun("no endpoint")
-        began_at = self._count_begin(record)
-        connection: EndpointConnection | None = None
+        borrowed = await self._borrow()
+        record, connection = borrowed.record, borrowed.connection
         try:
-            connection = await self.state.pool_.acquire(
-                record, self.progress.match_.service.connections_max
-            )
             answer = await self._send(record, connection, limit_at)
         except ExchangeBroken as failure:
             self._abandon(record, connection)
@@ -130,10 +135,39 @@
         except BaseException:
             self._abandon(record, connection)
             raise
-        attempt = Attempt(record, connection, answer, began_at)
+        attempt = Attempt(record, connection, answer, borrowed.began_at)
         await self._check_head(attempt)
         return attempt
 
+    async def _borrow(self) -> _Borrowed:
+        """Return a connection to an endpoint that takes new work once it is there.
+
+        One that says that it leaves while a connection is waited for may be long gone
+        by its end, so another is chosen, and the first does not count as tried.
+
+        Errors: raises NotRun when there is no endpoint or no connection.
+        """
+        while True:
+            record = self.choose()
+            if record is None:
+                raise NotRun("no endpoint")
+            began_at = self._count_begin(record)
+            try:
+                connection = await self.state.pool_.acquire(
+                    record, self.progress.match_.service.connections_max
+                )
+            except ExchangeBroken as failure:
+                self._abandon(record, None)
+                self.record_failure(record, _FAILURE_BY_BREAK[failure.kind])
+                raise NotRun(str(failure)) from failure
+            except BaseException:
+                self._abandon(record, None)
+                raise
+            if self.state.is_usable(record):
+                return _Borrowed(record, connection, began_at)
+            self._abandon(record, connection)
+            self.progress.tried_.pop()
+
     def is_out_of_time(self) -> bool:
         """Tell whether the request has to be ended now."""
         return self.state.now() >= answer_due_at(self.progress.deadline_)
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -90,6 +90,10 @@
         """Return the endpoints of a service that take new work now."""
         return self.roster_.usable(service_id, self.now())
 
+    def is_usable(self, record: EndpointRecord) -> bool:
+        """Tell whether an endpoint that was chosen before still takes new work."""
+        return self.roster_.is_usable(record, self.now())
+
     def service(self, service_id: ServiceId) -> Service | None:
         """Return what the configuration in force says of a service."""
         table = self.table_
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -174,6 +174,13 @@
         # One that goes alone has left; most at once are a fault of the listing.
         return usable + gone if len(gone) > len(usable) else usable
 
+    def is_usable(self, record: EndpointRecord, now: float) -> bool:
+        """Tell whether an endpoint that was chosen before still takes new work."""
+        listed = record.listed
+        if self.records_by_id_.get(listed.endpoint_id) is record:
+            return listed.state is ListedState.READY and not record.is_replaced_
+        return any(other is record for other in self.usable(listed.service_id, now))
+
     def _trusted_gone(self, service_id: ServiceId, now: float) -> list[EndpointRecord]:
         for endpoint_id, gone in list(self.gone_by_id_.items()):
             if now - gone.gone_at >= self.trusted_s:
