Show that a call for pieces follows an endpoint that left

Cause: a call chose its endpoint, then waited for a connection, as requests did.

Ruled out: pieces that wait in the queue of a group: their endpoint is chosen as their call leaves.

--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_stages.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_stages.py
@@ -92,3 +92,37 @@
         assert event_ids(answer.body) == [1, 2, 3, 4, 5]
 
     play(scenario, endpoints=1)
+
+
+def test_a_call_that_waits_for_a_connection_does_not_follow_an_endpoint_that_left():
+    """Symptom: pieces reached an endpoint long after it was listed as draining.
+
+    Sequence: the one connection that this process may hold to the endpoint carries a
+    call, so the next call waits for it; the endpoint says that it leaves; the first
+    call ends. Cause: what was chosen before the wait was not looked at after it.
+    """
+
+    async def scenario(deployment):
+        leaving, other = deployment.stage
+        deployment.config["version"] = 2
+        deployment.config["services"][1]["maxConns"] = 1
+        deployment.config["services"][1]["pieces"]["slots"] = 2
+        deployment.put_config()
+        entry = deployment.entries_[0]
+        await deployment.until(lambda: entry.state_.table_.config.version == 2)
+        deployment.store.delete("servers", other.endpoint_id)
+        roster = entry.state_.roster_
+        await deployment.until(lambda: other.endpoint_id not in roster.records_by_id_)
+        leaving.call_s = 0.5
+        first = asyncio.ensure_future(deployment.send("/once/x", request_id="r1"))
+        await deployment.until(lambda: leaving.items_)
+        second = asyncio.ensure_future(deployment.send("/once/x", request_id="r2"))
+        record = roster.record(leaving.endpoint_id)
+        await deployment.until(lambda: record.in_flight_ == 2)
+        deployment.store.put("servers", other.endpoint_id, other.spec())
+        deployment.store.put("servers", leaving.endpoint_id, leaving.spec("draining"))
+        assert event_ids((await first).body) == [1, 2, 3, 4, 5]
+        assert event_ids((await second).body) == [1, 2, 3, 4, 5]
+        assert [item for item in leaving.items_ if item["id"] == "r2"] == []
+
+    play(scenario)
