Send no call for pieces to an endpoint that left while a connection was waited for

Cause: a call chose its endpoint, then waited for a connection; by then the endpoint may have left for longer than it allows.

Ruled out: queuing the pieces again at this scheduler: their entry may know by then that the group has no endpoint left.

Change: the call ends as one without an endpoint; its pieces are made elsewhere, after the pause that stands for that, and it does not count as a failure of theirs.

Conclusion: pieces are bound as requests are.

--- a/packages/leadford-server/src/leadford_server/forwarding/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_calls.py
@@ -92,6 +92,10 @@
         state = self.state
         record = call.record
         connection = await state.pool_.acquire(record, call.service.connections_max)
+        if not state.is_usable(record):
+            # It left while the connection was waited for.
+            state.pool_.release(record, connection)
+            return CallEnd(None, PieceFailure.NO_ENDPOINT.value)
         try:
             outbound = state.codec.piece_call(
                 call.tasks, record.listed.endpoint_id, state.now()
