Show that a service forgotten by a store is given up too soon

Cause: endpoints that a store removed together are used for 0.55 of what a leaving one allows: 1.65 s of 3 s, while their entries are back within about 2 s; 2.2 s of 4 s, while one that is not back by then is gone.

Ruled out: where the time counts from: from when this process reads the removal, so after the store's return also where the entries lapsed during its outage.

--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/tests/test_state.py
@@ -0,0 +1,66 @@
+"""What an entry holds follows from the bounds of its deployment."""
+
+from random import Random
+
+import pytest
+
+from leadford.common import EndpointId, HallId
+from leadford.forwarding.endpoints import EndpointAddress, ListedEndpoint, ListedState
+from leadford.forwarding.routes import ServiceId
+from leadford_server.forwarding._state import ForwardBounds, ForwardState
+
+SERVICE = ServiceId("s")
+
+
+class Clock:
+    """Stand in for the event loop, of which only the clock is asked."""
+
+    def __init__(self, now):
+        self.now = now
+
+    def time(self):
+        return self.now
+
+
+def new_state(clock, bounds):
+    return ForwardState(
+        codec=None,
+        hall=HallId("h"),
+        bounds=bounds,
+        random=Random(1),
+        loop=clock,
+        log=None,
+    )
+
+
+@pytest.mark.parametrize(
+    ("drain_s", "used_s", "gone_s"),
+    [(2.0, 1.05, 1.15), (3.0, 1.95, 2.05), (4.0, 1.95, 2.05)],
+)
+def test_a_service_that_a_store_forgot_is_used_until_its_entries_are_back(
+    drain_s, used_s, gone_s
+):
+    """Symptom: a service had no endpoint though all of them worked.
+
+    Sequence: the store is away and removes a whole service; each endpoint has its
+    entry back within two seconds, the only one of its service after 1.9 s. Cause: with
+    an allowance of 3 s removed endpoints were used for 1.65 s; with 4 s for 2.2 s,
+    though one that is not back by then is gone.
+    """
+    clock = Clock(10.0)
+    state = new_state(clock, ForwardBounds(drain_s=drain_s))
+    endpoint = ListedEndpoint(
+        endpoint_id=EndpointId("a"),
+        service_id=SERVICE,
+        address=EndpointAddress("10.0.0.1:80"),
+        hall=HallId("h"),
+        state=ListedState.READY,
+        slots=4,
+        revision=1,
+    )
+    state.roster_.put(endpoint)
+    state.roster_.replace([], 9, clock.now)
+    clock.now = 10.0 + used_s
+    assert [record.listed for record in state.usable(SERVICE)] == [endpoint]
+    clock.now = 10.0 + gone_s
+    assert state.usable(SERVICE) == []
