Use a service that a store forgot for as long as its entries take to come back

Cause: 0.55 of a leaving endpoint's allowance has nothing to do with how long entries take to come back: too short for an allowance of 3 s, too long for 4 s.

Ruled out: a smaller margin than the 0.9 s that an allowance of 2 s had left: a watch that is never answered tells a removal some 2.2 s late, and nothing measured allows more.

Change: removed endpoints are used for 2 s, and no longer than the allowance less 0.9 s.

Figures: used for 1.1, 1.65 and 2.2 s before at allowances of 2, 3 and 4 s; 1.1, 2.0 and 2.0 s after.

Conclusion: held where the allowance is 3 s or more; at 2 s up to 0.9 s are missing.

--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -26,10 +26,6 @@
 from leadford_server.forwarding._pool import ConnectionPool
 from leadford_server.logs import EventLog
 
-# Part of the time that a leaving endpoint allows, for which endpoints are used that
-# were removed all at once; commit 9f2b41e, not varied.
-GONE_TRUSTED_PART = 0.55
-
 
 class ForwardBounds(msgspec.Struct, frozen=True):
     """Hold the bounds that the deployment sets.
@@ -68,7 +64,7 @@
         self.loop = loop
         self.log = log
         self.table_: RouteTable | None = None
-        self.roster_ = EndpointRoster(trusted_s=GONE_TRUSTED_PART * bounds.drain_s)
+        self.roster_ = EndpointRoster.from_drain(bounds.drain_s)
         self.chooser_ = EndpointChooser(hall=hall, random=random)
         self.engines_ = EngineChooser(hall=hall)
         self.pool_ = ConnectionPool(codec=codec, loop=loop)
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -17,9 +17,12 @@
 
 # Removed endpoints whose revision is remembered; not measured.
 GONE_KEPT = 2_000
-# Seconds that removed endpoints are used while most of their service is gone, unless
-# the deployment sets how long a leaving endpoint allows; commit 9f2b41e, not measured.
-GONE_TRUSTED_S = 1.1
+# Seconds within which an endpoint that works is listed again after a store that was
+# away removed it, as the platform promises; one that is missing for longer is gone.
+BACK_S = 2.0
+# Seconds before a leaving endpoint's allowance ends at which removed ones are not used
+# any more, so that what was chosen last still arrives in time; not measured.
+DRAIN_MARGIN_S = 0.9
 
 
 class RosterChange(msgspec.Struct, frozen=True):
@@ -54,7 +57,7 @@
     Units: trusted_s in seconds.
     """
 
-    def __init__(self, *, trusted_s: float = GONE_TRUSTED_S) -> None:
+    def __init__(self, *, trusted_s: float = BACK_S) -> None:
         self.trusted_s = trusted_s
         self.gone_by_id_: dict[EndpointId, _Gone] = {}
         self.records_by_id_: dict[EndpointId, EndpointRecord] = {}
@@ -63,6 +66,14 @@
         self.changed_revision_ = 0
         self.membership_version_ = 0
 
+    @classmethod
+    def from_drain(cls, drain_s: float) -> "EndpointRoster":
+        """Return a roster for endpoints that serve so long after they said they leave.
+
+        Units: seconds.
+        """
+        return cls(trusted_s=max(0.0, min(BACK_S, drain_s - DRAIN_MARGIN_S)))
+
     def replace(
         self, endpoints: Iterable[ListedEndpoint], revision: int, now: float
     ) -> list[RosterChange]:
