Show a request that is cut while a planned stop waits for the store

Cause: a planned stop that has nothing under way asks the store to forget the entry, for up to 0.3 s while the store is away, and then ends whatever came meanwhile.

Ruled out: the store's outage elsewhere: requests go on with what is known, a missing route is refused, a service without endpoints is refused; nothing else closes a connection without an answer.

--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
@@ -147,3 +147,35 @@
         await stopping
 
     play(scenario)
+
+
+def test_a_request_that_comes_while_a_planned_stop_waits_for_the_store_is_answered():
+    """Symptom: a request's connection was closed without an answer at a planned stop.
+
+    Sequence: the store is away; nothing is under way, so the stop ends, and waits for
+    the store to forget this entry; a request comes meanwhile. Cause: what came during
+    that wait was not waited for.
+    """
+
+    async def scenario(deployment):
+        entry = deployment.entries_[0]
+        for endpoint in deployment.plain:
+            endpoint.work_s = 0.6
+        deployment.store.fault = StoreFault.SILENT
+        stopping = asyncio.ensure_future(entry.drain())
+        retracting = asyncio.Event()
+        retract = entry.members_.retract
+
+        async def tell_and_retract():
+            retracting.set()
+            await retract()
+
+        entry.members_.retract = tell_and_retract
+        await retracting.wait()
+        sent = asyncio.ensure_future(deployment.send("/unsafe/x", request_id="r1"))
+        await stopping
+        # The process ends here, and with it every connection.
+        assert not entry.caller_server_.exchanges_
+        assert (await sent).code == 200
+
+    play(scenario)
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
@@ -1,5 +1,6 @@
 """Listings join in the order of their revisions, whatever order they arrive in."""
 
+import pytest
 from hypothesis import given, strategies as st
 
 from leadford.common import EndpointId, HallId
@@ -85,6 +86,21 @@
     assert usable(roster, 11.1) == {"a", "b"}
 
 
+@pytest.mark.parametrize("count", [1, 2, 3, 8])
+def test_a_service_that_goes_in_several_answers_keeps_at_least_half(count):
+    roster = EndpointRoster(trusted_s=2.0)
+    for number in range(count):
+        roster.put(listed(str(number), number + 1))
+    for number in range(count):
+        now = 10.0 + number * 0.2
+        roster.remove(EndpointId(str(number)), 100 + number, now)
+        assert len(usable(roster, now)) * 2 >= count
+    assert len(usable(roster, now)) == count
+    # One that is not back in time is gone, whatever the others do.
+    assert "0" not in usable(roster, 12.0)
+    assert usable(roster, now + 2.0) == set()
+
+
 def test_one_that_goes_alone_gets_nothing_more():
     roster = EndpointRoster(trusted_s=1.0)
     for number, name in enumerate("abc"):
