Let an endpoint that said that it leaves stay so after its entry was made again

Cause: an endpoint that was listed as draining, then removed, was used again when a later revision listed it as ready: a write that the store took long after it was sent. Class: an old belief that a later revision brings back. Ruled out: a restart under the same id (ids are drawn anew at each start). The last step of the test of old listings asked for the opposite, with an endpoint that drains: it now asks that it stays away, and a test of its own keeps the step for one that did not say that it leaves.

--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -63,6 +63,8 @@
         self.records_by_id_: dict[EndpointId, EndpointRecord] = {}
         self.ids_by_service_: dict[ServiceId, set[EndpointId]] = {}
         self.gone_revision_by_id_: dict[EndpointId, int] = {}
+        # In the order in which they were learned, so that the oldest is forgotten.
+        self.leaving_ids_: dict[EndpointId, None] = {}
         self.changed_revision_ = 0
         self.membership_version_ = 0
 
@@ -94,6 +96,11 @@
         if endpoint.state is ListedState.DRAINING:
             # What it said before it was removed binds as well.
             self.gone_by_id_.pop(endpoint_id, None)
+            self.leaving_ids_[endpoint_id] = None
+            while len(self.leaving_ids_) > GONE_KEPT:
+                self.leaving_ids_.pop(next(iter(self.leaving_ids_)))
+        if endpoint_id in self.leaving_ids_:
+            endpoint = msgspec.structs.replace(endpoint, state=ListedState.DRAINING)
         if endpoint.revision <= self.gone_revision_by_id_.get(endpoint_id, -1):
             return []
         record = self.records_by_id_.get(endpoint_id)
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
@@ -53,6 +53,17 @@
     roster.remove(EndpointId("a"), 6, 0.0)
     roster.replace([listed("a", 5)], 5, 0.0)
     assert names(roster) == set()
+    # An id is drawn anew at each start, so this one still leaves.
+    roster.put(listed("a", 7))
+    assert names(roster) == set()
+
+
+def test_one_that_was_removed_by_mistake_is_used_again():
+    roster = EndpointRoster()
+    roster.put(listed("a", 5))
+    roster.remove(EndpointId("a"), 6, 0.0)
+    roster.replace([listed("a", 5)], 5, 0.0)
+    assert names(roster) == set()
     roster.put(listed("a", 7))
     assert names(roster) == {"a"}
 
