--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_large_configurations.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_large_configurations.py
@@ -1,18 +1,21 @@
 """A large configuration comes in force on entries with slow links.
 
-Symptom: an entry that answered its callers and was in touch with the store and with all
-other entries decided by a configuration that was 6.5 s older than the newest one.
-Sequence: 1,400 routes were added, and a small change followed 2 s later. Entries whose
-link carries 1.25 MB/s received both in 0.5 s each; some of them gave up the watch that
-was bringing the configuration, 0.35 s after its wait had ended, and began it anew.
-Meanwhile they asked a peer for the same configuration every 0.3 s, without regard to
-the answers on their way, until copies filled the link, heartbeats came too late, links
-to peers were dropped, and readiness checks failed.
+Symptom: an entry that answered its callers, and was in touch with the store and with
+its peers, decided by a configuration that had not been the newest for 6.5 s.
+Sequence: 1,400 routes were added, and further changes followed. Entries whose link
+carries 1.25 MB/s receive such a configuration in 0.45 s. They gave up the call that was
+bringing it when its time was over, and began it anew. Meanwhile they asked a peer for
+it every 0.3 s, without regard to the answers on their way, until copies filled the
+link, heartbeats came too late, links to peers were dropped, and readiness checks
+failed. Each further change began all of it again.
 Cause: a transfer was begun again by the clock and not for want of progress, and nothing
-bounded how many were under way.
-What settled it: events 500 on three entries 0.35 s after the end of a wait, while the
-configuration was arriving; one of them had it 14 s after its neighbours, and lost 12
-links to peers that were well (events 201) in between.
+bounded how many were under way; and nothing kept an entry from deciding by a
+configuration that it knew to be old.
+What settled it: in a simulated run with 1,400 routes and 13 changes after it, 21
+entries lost 269 answers of the store (event 505), 36 of them while they were arriving,
+and received 199 copies from peers (606); the last entry was 8.5 s behind the first
+(600). A key that had been added 3.8 s before was denied, and 26 requests were cut at
+planned stops. Without the cause: none lost, no copy, 0.6 s behind at most.
 """
 
 import asyncio
