--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/tests/test_news.py
@@ -0,0 +1,120 @@
+"""What an entry asks its peers for comes in force, however slow their links are."""
+
+import zlib
+from random import Random
+from types import SimpleNamespace
+
+import msgspec
+
+from leadford.common import EntryId, HallId
+from leadford.forwarding.routes import ForwardConfig, TrafficLimits
+from leadford.protocol import ConfigPartAnswer, ConfigPartRequest, EntryHeartbeat
+from leadford_server.forwarding._contract import KnownEntry
+from leadford_server.forwarding._news import NewsExchange
+from leadford_server.forwarding._state import ForwardBounds, ForwardState
+from leadford_server.logs import EventLog
+
+HEARTBEAT = EntryHeartbeat(0, [], False, [], [], [])
+OWN_VERSION = 3
+NEWER_VERSION = 4
+NEWER = ForwardConfig(NEWER_VERSION, (), {}, TrafficLimits())
+
+
+class Clock:
+    """Stand in for the event loop, of which only the clock is asked."""
+
+    def __init__(self):
+        self.now = 10.0
+
+    def time(self):
+        return self.now
+
+
+class Peer:
+    """Run a newer version, and keep what is asked."""
+
+    def __init__(self, number):
+        self.info = SimpleNamespace(peer_id=f"entry-{number}", protocol_version=2)
+        self.peer_config_version_ = NEWER_VERSION
+        self.asked = []
+
+    def send(self, message):
+        if isinstance(message, ConfigPartRequest):
+            self.asked.append(message)
+        return True
+
+    def take_asked(self):
+        asked, self.asked = self.asked, []
+        return asked
+
+
+def new_exchange(clock):
+    state = ForwardState(
+        codec=None,
+        hall=HallId("h"),
+        bounds=ForwardBounds(),
+        random=Random(1),
+        loop=clock,
+        log=EventLog(process_id="e"),
+    )
+    state.config_version = lambda: OWN_VERSION
+    return NewsExchange(
+        own=KnownEntry(EntryId("own"), "127.0.0.1:1", HallId("h")),
+        state=state,
+        entries_by_id={},
+        on_config=lambda config, source: None,
+        on_listing=lambda listed, revision: None,
+        on_entries=lambda entries: None,
+    )
+
+
+def test_a_configuration_comes_though_each_answer_takes_longer_than_a_stall():
+    """A transfer is begun anew by the clock, and never ends.
+
+    Sequence: links are choked, so that each answer of a peer takes 1.2 s; after 1 s
+    without one another peer is asked, from the beginning; the answer of the first
+    comes 0.2 s later and is thrown away, and so is every one after it.
+    """
+    clock = Clock()
+    exchange = new_exchange(clock)
+    taken = []
+    exchange.on_config = lambda config, source: taken.append(config)
+    data = zlib.compress(msgspec.msgpack.encode(NEWER))
+    peers = [Peer(number) for number in range(7)]
+    due = []
+    for step in range(600):
+        clock.now = 10.0 + step * 0.01
+        if not taken:
+            peer = peers[step % len(peers)]
+            exchange.ask_if_behind(peer, HEARTBEAT, clock.now)
+        for peer in peers:
+            due += [(clock.now + 1.2, peer, asked) for asked in peer.take_asked()]
+        for item in [item for item in due if item[0] <= clock.now]:
+            due.remove(item)
+            _, peer, asked = item
+            part = data[asked.offset :]
+            answer = ConfigPartAnswer(NEWER_VERSION, len(data), asked.offset, part)
+            exchange._on_part(peer, answer)
+    assert taken
+
+
+def test_a_peer_is_asked_before_the_bound_though_the_store_sends_slowly():
+    """An entry refuses requests while its peers have what it lacks.
+
+    Sequence: the store's answer arrives, a little at a time (a slow store, a slow
+    link, an answer that holds several versions); no peer is asked meanwhile, for up
+    to 20 s, though what a peer sends is a twentieth of it; after 1.5 s the entry
+    refuses everything and is not ready.
+    """
+    clock = Clock()
+    exchange = new_exchange(clock)
+    peer = Peer(1)
+    state = exchange.state
+    for step in range(100):
+        clock.now = 10.0 + step * 0.1
+        state.config_arrived_at_ = clock.now
+        exchange.ask_if_behind(peer, HEARTBEAT, clock.now)
+        if state.age().is_stale:
+            break
+    assert state.age().is_stale
+    assert peer.asked
