Keep what peers have sent, ask each further one later, and stop only once all is out

A peer that answered after 1 s lost its answer, and the transfer began anew elsewhere: the cause of the incident once more, on links that are choked already. While the store sent anything, no peer was asked, though a peer's copy is a sixteenth of it. A planned stop ended while an answer still waited in the process to be written. Ruled out, by the review: wrong configurations from mixed parts; endless loops of attempts. Peers are asked beside a slow store. A stop counts answers that are not written out, of calls for pieces only the calls, and ends the announcement of the entry first. An attempt whose endpoint left gives its connection back. Late in a stop the caller's own time counts. The own interface, same cause: chunks that go on arriving from a peer are waited for.

--- a/packages/leadford-server/src/leadford_server/forwarding/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_attempts.py
@@ -165,7 +165,10 @@
                 raise
             if self.state.is_usable(record):
                 return _Borrowed(record, connection, began_at)
-            self._abandon(record, connection)
+            # Nothing was sent, so the connection is as good as it was.
+            self.record_prompt_read()
+            record.in_flight_ -= 1
+            self.state.pool_.release(record, connection)
             self.progress.tried_.pop()
 
     def is_out_of_time(self) -> bool:
--- a/packages/leadford-server/src/leadford_server/forwarding/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_callers.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from http import HTTPStatus
+from weakref import WeakSet
 
 from tornado import httpserver, httputil, iostream
 from tornado.http1connection import HTTP1Connection
@@ -223,6 +224,7 @@
         self.on_denied = on_denied
         self.limits_ = TrafficLimits()
         self.exchanges_: set[CallerExchange] = set()
+        self.streams_: WeakSet[iostream.IOStream] = WeakSet()
         self.server_: httpserver.HTTPServer | None = None
 
     def start(self, host: str, port: int) -> None:
@@ -247,6 +249,8 @@
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> CallerExchange:
         """Return what takes the next request of a connection."""
+        if request_conn.stream is not None:
+            self.streams_.add(request_conn.stream)
         return CallerExchange(connection=request_conn, server=self)
 
     def on_close(self, server_conn: object) -> None:
@@ -278,6 +282,12 @@
         """Tell whether a request that is not answered yet came on a connection."""
         return any(item.connection.stream is stream for item in self.exchanges_)
 
+    @property
+    def live(self) -> int:
+        """Return how many requests run, and answers that wait to be written out."""
+        leaving = sum(stream.writing() for stream in self.streams_)
+        return len(self.exchanges_) + leaving
+
     def stop_listening(self) -> None:
         """Accept no new connections."""
         self.server_.stop()
--- a/packages/leadford-server/src/leadford_server/forwarding/_config.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_config.py
@@ -52,10 +52,6 @@
         if self.state.table_ is not None:
             self.state.config_seen_at_ = self.state.now()
 
-    def on_part(self) -> None:
-        """Record that a configuration may be arriving."""
-        self.state.config_arrived_at_ = self.state.now()
-
     def apply(self, config: ForwardConfig, source: str) -> None:
         """Put a configuration in force unless it is older than the one in force.
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_follow.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from random import Random
 from typing import Protocol
 
@@ -66,23 +65,23 @@
         body: bytes | None = None,
         wait_s: float = 0.0,
         margin_s: float = CALL_S,
-        on_part: Callable[[], None] = lambda: None,
     ) -> Result[bytes, StoreFailure]:
-        """Return the body of a good answer, or what the store says instead.
-
-        `on_part` is called whenever a part of the answer arrives.
-        """
+        """Return the body of a good answer, or what the store says instead."""
         request = HTTPRequest(
             self.url + path,
             method=method,
             body=body,
             headers={"Content-Type": "application/json"} if body else None,
-            connect_timeout=CONNECT_S,
             allow_nonstandard_methods=True,
             decompress_response=False,
         )
-        patience = Patience(wait_s + margin_s, STALL_S, wait_s + ANSWER_MOST_S)
-        answer = await fetch_while_arriving(self.http, request, patience, on_part)
+        patience = Patience(
+            connect_s=CONNECT_S,
+            first_s=wait_s + margin_s,
+            stall_s=STALL_S,
+            whole_s=wait_s + ANSWER_MOST_S,
+        )
+        answer = await fetch_while_arriving(self.http, request, patience)
         kind = "watch" if wait_s else "read" if method == "GET" else "write"
         return self._sort(path, kind, answer)
 
@@ -138,9 +137,6 @@
     def on_confirmed(self, revision: int) -> None:
         """Record that the store has said that nothing is missing."""
 
-    def on_part(self) -> None:
-        """Record that a part of an answer has arrived."""
-
 
 class KindFollower:
     """Keep the owner of one kind up to date."""
@@ -179,9 +175,7 @@
         after: str | None = None
         revision: int | None = None
         while True:
-            read = await self.client.call(
-                codec.list_path(self.kind, after), on_part=self.owner.on_part
-            )
+            read = await self.client.call(codec.list_path(self.kind, after))
             if isinstance(read, Failure):
                 return False
             page = codec.read_list(read.unwrap())
@@ -208,7 +202,6 @@
             path,
             wait_s=self.watch_ms / 1_000.0,
             margin_s=self.margin_s_,
-            on_part=self.owner.on_part,
         )
         if isinstance(read, Failure):
             self.margin_s_ = min(WATCH_MARGIN_MOST_S, self.margin_s_ * 2.0)
--- a/packages/leadford-server/src/leadford_server/forwarding/_listing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_listing.py
@@ -60,9 +60,6 @@
     def on_confirmed(self, revision: int) -> None:
         """Do nothing: how old a listing is decides nothing."""
 
-    def on_part(self) -> None:
-        """Do nothing: a listing is small."""
-
     def apply(self, endpoints: list[ListedEndpoint], revision: int) -> None:
         """Join a whole listing that was made at a revision of the store."""
         roster = self.state.roster_
--- a/packages/leadford-server/src/leadford_server/forwarding/_members.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_members.py
@@ -72,9 +72,6 @@
     def on_confirmed(self, revision: int) -> None:
         """Do nothing: how old the list of entries is decides nothing."""
 
-    def on_part(self) -> None:
-        """Do nothing: a list of entries is small."""
-
     def learn(self, entries: list[KnownEntry]) -> None:
         """Believe a peer until the store has told which entries exist."""
         if self.has_listed_:
--- a/packages/leadford-server/src/leadford_server/forwarding/_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_news.py
@@ -97,8 +97,7 @@
         version = self.version()
         heard = peer.peer_config_version_
         self.state.heard_versions_.record(heard, version, now)
-        arrived_at = self.state.config_arrived_at_
-        if self.config_fetch_.must_ask(version, heard, now, arrived_at):
+        if self.config_fetch_.must_ask(version, heard, now):
             self._ask_config(peer, version, now)
         revision = self.state.roster_.changed_revision_
         if self.listing_fetch_.must_ask(revision, message.listing_revision, now):
@@ -112,14 +111,17 @@
         self.listing_fetch_.record_lost(entry_id)
 
     def _ask_config(self, peer: PeerConnection, version: int, now: float) -> None:
-        """Ask a peer for its configuration, in parts if it can."""
+        """Ask a peer for its configuration, or for what is missing of a version."""
         self._log_request(peer, NewsKind.CONFIG, version)
         self.config_fetch_.record_asked(EntryId(peer.info.peer_id), now)
-        self.download_ = ConfigDownload()
         if peer.info.protocol_version < PROTOCOL_CONFIG_PARTS:
             peer.send(ForwardConfigRequest(version))
             return
-        peer.send(ConfigPartRequest(version, version=0, offset=0))
+        download = self.download_
+        if download.version_ <= version:
+            # The store was faster.
+            download.clear()
+        peer.send(ConfigPartRequest(version, download.version_, download.offset))
 
     def _send_part(self, peer: PeerConnection, message: ConfigPartRequest) -> None:
         """Send the part that a peer asks for, unless it knows as much."""
@@ -134,20 +136,17 @@
     def _on_part(self, peer: PeerConnection, message: ConfigPartAnswer) -> None:
         """Add a part, and ask for the next one until the configuration is whole."""
         fetch = self.config_fetch_
-        if fetch.asked_id_ != peer.info.peer_id:
-            # Another peer has been asked since.
-            return
         version = self.version()
-        if message.version <= version:
-            # The store was faster.
-            fetch.record_end()
-            return
-        fetch.record_part(self.state.now())
         part = ConfigPart(message.version, message.total, message.offset, message.data)
+        if message.version <= version or not self.download_.fits(part):
+            # The store was faster, or the part has come from another peer.
+            return
+        now = self.state.now()
+        fetch.record_part(now)
         added = self.download_.add(part)
         if isinstance(added, Failure):
             self._log_unreadable(added.failure())
-            fetch.record_end()
+            fetch.record_unusable(now)
             return
         config = added.unwrap()
         if config is None:
@@ -189,6 +188,7 @@
             config = msgspec.msgpack.decode(message.config, type=ForwardConfig)
         except msgspec.DecodeError as error:
             self._log_unreadable(str(error))
+            self.config_fetch_.record_unusable(self.state.now())
             return
         self.on_config(config, peer.info.peer_id)
 
@@ -209,6 +209,7 @@
             )
         except msgspec.DecodeError as error:
             self._log_unreadable(str(error))
+            self.listing_fetch_.record_unusable(self.state.now())
             return
         self.on_listing(listed, message.revision)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -201,11 +201,13 @@
             )
             self._spawn(follower.run())
         self._spawn(self.links_.run())
-        self._spawn(self.members_.announce())
+        self.announcing_ = self._spawn(self.members_.announce())
         self._spawn(self._sweep())
 
-    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
-        self.tasks_.append(asyncio.create_task(coroutine))
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(coroutine)
+        self.tasks_.append(task)
+        return task
 
     def _on_config(self, config: ForwardConfig) -> None:
         """Follow another configuration in force."""
@@ -278,6 +280,8 @@
         self.log_.report(Event.PROCESS_DRAINING, live=self._live())
         ends_at = stop_ends_at(began_at, self.settings.bounds.grace_s)
         await self._idle(began_at, ends_at)
+        # It could write the entry anew after its removal.
+        self.announcing_.cancel()
         await self.members_.retract()
         # Requests were taken while the store answered. Between the last look at them
         # and the end nothing may wait, or one that reached an endpoint is cut.
@@ -294,9 +298,8 @@
             await asyncio.sleep(DRAIN_POLL_S)
 
     def _live(self) -> int:
-        """Return how many requests, and calls for pieces of any entry, run."""
-        calls = self.stages_.scheduler_.calls_under_way
-        return len(self.caller_server_.exchanges_) + calls
+        """Return how many requests, and calls for pieces of any entry, are not over."""
+        return self.caller_server_.live + self.stages_.scheduler_.calls_under_way
 
     def stop(self) -> None:
         """Stop at once, whatever runs."""
--- a/packages/leadford-server/src/leadford_server/forwarding/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_request.py
@@ -110,7 +110,7 @@
             )
         if isinstance(found, Success):
             self.progress.match_ = found.unwrap()
-        start = decide_start(found, self.state.age())
+        start = decide_start(found, self.state.age(), request.deadline_ms)
         if isinstance(start, Failure):
             self._deny_start(start.failure(), found)
             return False
--- a/packages/leadford-server/src/leadford_server/forwarding/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_scheduler.py
@@ -64,6 +64,7 @@
         )
         self.queues_by_group_: dict[GroupId, PieceQueue] = {}
         self.tasks_: set[asyncio.Task[None]] = set()
+        self.calls_under_way_ = 0
         self.dispatch_due_: set[GroupId] = set()
         self.look_due_: set[GroupId] = set()
 
@@ -78,8 +79,8 @@
 
     @property
     def calls_under_way(self) -> int:
-        """Return how many calls run, with those that free results."""
-        return len(self.tasks_)
+        """Return how many calls for pieces run."""
+        return self.calls_under_way_
 
     def cancel(self, origin: EntryId, correlation_ids: set[int]) -> None:
         """Drop waiting pieces of an entry."""
@@ -213,6 +214,7 @@
         is_idle = capacity.calls_ == 0 and call.record.is_surely_idle(call.began_at)
         capacity.begin(len(call.tasks), call.result_bytes, call.began_at)
         call.record.in_flight_ += 1
+        self.calls_under_way_ += 1
         self._spawn(self._run_call(call))
         if is_idle:
             self.state.loop.call_later(CALL_INPUTS_READ_S, self._tell_inputs_read, call)
@@ -242,6 +244,7 @@
             end = await self.calls.run(call)
         finally:
             call.is_over = True
+            self.calls_under_way_ -= 1
             capacity = self.capacities_.capacity(
                 call.record.listed.endpoint_id, call.limits
             )
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -74,7 +74,6 @@
         self.first_byte_ = FirstByteTimes()
         self.reservations_ = RetryReservations()
         self.config_seen_at_: float | None = None
-        self.config_arrived_at_: float | None = None
         self.heard_versions_ = HeardVersions()
         self.stop_began_at_: float | None = None
 
--- a/packages/leadford-server/src/leadford_server/pipelines/config/_source.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/config/_source.py
@@ -111,10 +111,14 @@
             return Success({})
         self.wanted_ = set(keys)
         self.peer.send(ChunkRequest(keys))
-        try:
-            await asyncio.wait_for(self.all_here_.wait(), PEER_CHUNKS_S)
-        except TimeoutError:
-            return Failure("peer sent only part of the chunks")
+        while not self.all_here_.is_set():
+            here = len(self.data_by_key_)
+            try:
+                await asyncio.wait_for(self.all_here_.wait(), PEER_CHUNKS_S)
+            except TimeoutError:
+                # On a slow link they go on arriving; to ask anew would add to its load.
+                if len(self.data_by_key_) == here:
+                    return Failure("peer sent only part of the chunks")
         return Success(self.data_by_key_)
 
     def take(self, message: Message) -> None:
--- a/packages/leadford-server/src/leadford_server/web/_transfer.py
+++ b/packages/leadford-server/src/leadford_server/web/_transfer.py
@@ -25,9 +25,12 @@
 class Patience(msgspec.Struct, frozen=True):
     """Say how long a call may take.
 
-    Units: seconds; until the first byte, between two parts after it, and in all.
+    Units: seconds; until the connection stands, until the first byte, between two
+    parts after it, and in all. A short `connect_s` also frees the handle of a call
+    that was given up before its connection stood.
     """
 
+    connect_s: float
     first_s: float
     stall_s: float
     whole_s: float
@@ -47,11 +50,8 @@
 class _Transfer:
     """Collect one answer, and end it when nothing arrives for too long."""
 
-    def __init__(
-        self, *, now: Callable[[], float], on_part: Callable[[], None]
-    ) -> None:
+    def __init__(self, *, now: Callable[[], float]) -> None:
         self.now = now
-        self.on_part = on_part
         self.chunks_: list[bytes] = []
         self.arrived_at_: float | None = None
         self.is_abandoned_ = False
@@ -60,7 +60,6 @@
         """Record a part of the body."""
         self.chunks_.append(chunk)
         self.arrived_at_ = self.now()
-        self.on_part()
 
     def attach(self, curl: pycurl.Curl) -> None:
         """Let curl ask once a second whether the transfer goes on."""
@@ -76,18 +75,16 @@
 
 
 async def fetch_while_arriving(
-    http: AsyncHTTPClient,
-    request: HTTPRequest,
-    patience: Patience,
-    on_part: Callable[[], None] = lambda: None,
+    http: AsyncHTTPClient, request: HTTPRequest, patience: Patience
 ) -> Transferred:
     """Return the answer, waiting for as long as parts of it arrive.
 
-    `on_part` is called for each. The timeouts of the request are set here.
+    The timeouts of the request are set here.
     """
     loop = asyncio.get_running_loop()
     began_at = loop.time()
-    transfer = _Transfer(now=loop.time, on_part=on_part)
+    transfer = _Transfer(now=loop.time)
+    request.connect_timeout = patience.connect_s
     request.request_timeout = patience.whole_s
     request.streaming_callback = transfer.take
     request.prepare_curl_callback = transfer.attach
@@ -97,7 +94,7 @@
         if await _wait(call, transfer, began_at + patience.first_s, patience.stall_s):
             status = call.result().code
     finally:
-        # Also when this call is cancelled: the connection is free within a second.
+        # Also when this call is cancelled.
         transfer.is_abandoned_ = True
     took_s = loop.time() - began_at
     return Transferred(status, b"".join(transfer.chunks_), took_s)
--- a/packages/leadford/src/leadford/forwarding/routes/_denial.py
+++ b/packages/leadford/src/leadford/forwarding/routes/_denial.py
@@ -75,11 +75,14 @@
 
 
 def decide_start(
-    found: Result[RouteMatch, LookupFailure] | None, age: ProcessAge
+    found: Result[RouteMatch, LookupFailure] | None,
+    age: ProcessAge,
+    deadline_ms: float | None = None,
 ) -> Result[RouteMatch, StartDenial]:
     """Return what the configuration says of a request that may begin, or why not.
 
-    `found` is None while this process has no configuration.
+    `found` is None while this process has no configuration, `deadline_ms` while the
+    caller gives no time of its own.
     """
     if found is None:
         return Failure(StartDenial.NO_CONFIG)
@@ -90,7 +93,7 @@
             return Failure(StartDenial.CONFIG_MAY_BE_OLD)
         return Failure(_DENIAL_BY_FAULT[found.failure().fault])
     match = found.unwrap()
-    if not _leaves_time(match.route, age):
+    if not _leaves_time(match.route, age, deadline_ms):
         return Failure(StartDenial.STOPPING)
     return Success(match)
 
@@ -99,7 +102,7 @@
     return age.config_age_s is not None and age.config_age_s < CONFIG_FRESH_S
 
 
-def _leaves_time(route: Route, age: ProcessAge) -> bool:
+def _leaves_time(route: Route, age: ProcessAge, deadline_ms: float | None) -> bool:
     """Tell whether a request that comes now can end before a planned stop does.
 
     The platform may send callers for as long as the process runs, when too few others
@@ -112,5 +115,8 @@
         return False
     if age.stopping_s >= age.grace_s - STOP_LEAST_S:
         return False
-    ends_s = age.stopping_s + route.timeout_ms / 1_000.0
+    time_ms = route.timeout_ms
+    if deadline_ms is not None:
+        time_ms = min(time_ms, deadline_ms)
+    ends_s = age.stopping_s + time_ms / 1_000.0
     return ends_s <= age.grace_s - STOP_ENDED_S
--- a/packages/leadford/src/leadford/forwarding/routes/_parts.py
+++ b/packages/leadford/src/leadford/forwarding/routes/_parts.py
@@ -45,7 +45,7 @@
 
     def part(self, config: ForwardConfig, version: int, offset: int) -> ConfigPart:
         """Return a part of a version that is kept, or else the first of the newest."""
-        if version not in self.data_by_version_:
+        if version != config.version and version not in self.data_by_version_:
             version = config.version
             offset = 0
         data = self._data(config, version)
@@ -64,26 +64,49 @@
 
 
 class ConfigDownload:
-    """Join the parts that come from one peer."""
+    """Join the parts of one version, whichever peers send them.
+
+    What has come stays until it is whole or can't be used, so that an answer that
+    comes late, after another peer was asked, is not lost.
+    """
 
     def __init__(self) -> None:
         self.version_ = 0
+        self.total_ = 0
         self.data_ = bytearray()
 
+    @property
+    def offset(self) -> int:
+        """Return how many bytes have come."""
+        return len(self.data_)
+
+    def fits(self, part: ConfigPart) -> bool:
+        """Tell whether a part is the next of this version, or begins a newer one."""
+        if (part.version, part.total) == (self.version_, self.total_):
+            return part.offset == len(self.data_) and bool(part.data)
+        return part.version >= self.version_ and part.offset == 0 and bool(part.data)
+
     def add(self, part: ConfigPart) -> Result[ForwardConfig | None, str]:
-        """Add the next part; return the configuration once it is whole.
+        """Add a part that fits; return the configuration once it is whole.
 
-        Errors: what is wrong with a part out of turn or a spoiled configuration.
+        Errors: what is wrong with a spoiled configuration; nothing of it is kept.
         """
-        if part.offset == 0:
+        if (part.version, part.total) != (self.version_, self.total_):
             self.version_ = part.version
+            self.total_ = part.total
             self.data_.clear()
-        if (part.version, part.offset) != (self.version_, len(self.data_)):
-            return Failure(f"part at {part.offset} of {part.version} is out of turn")
         self.data_ += part.data
-        if len(self.data_) < part.total:
-            return Success(None) if part.data else Failure("a part holds nothing")
-        return _decode(bytes(self.data_))
+        if len(self.data_) < self.total_:
+            return Success(None)
+        data = bytes(self.data_)
+        self.clear()
+        return _decode(data)
+
+    def clear(self) -> None:
+        """Forget what has come."""
+        self.version_ = 0
+        self.total_ = 0
+        self.data_.clear()
 
 
 def _decode(data: bytes) -> Result[ForwardConfig | None, str]:
--- a/packages/leadford/src/leadford/forwarding/routes/tests/test_denial.py
+++ b/packages/leadford/src/leadford/forwarding/routes/tests/test_denial.py
@@ -102,6 +102,13 @@
     assert denied == Failure(StartDenial.STOPPING)
 
 
+def test_a_plain_request_needs_no_more_time_than_its_caller_gives_it():
+    found = plain(4_000.0)
+    assert decide_start(found, age(stopping_s=5.0), deadline_ms=600.0) == found
+    denied = decide_start(found, age(stopping_s=5.0), deadline_ms=9_000.0)
+    assert denied == Failure(StartDenial.STOPPING)
+
+
 def test_early_in_a_stop_a_plain_request_begins_however_long_it_may_take():
     found = plain(30_000.0)
     assert decide_start(found, age(stopping_s=2.5)) == found
