--- a/packages/leadford-standins/src/leadford_standins/wire/_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -20,12 +20,21 @@
 
 
 class StoreFault(Enum):
-    """Say how the store fails: not at all, by refusal, or without a word."""
+    """Say how the store fails.
+
+    `SLOW` answers after `StoreStandIn.slow_s`; `LOST` does what a call asks and then
+    closes its connection without an answer.
+    """
 
     NONE = "none"
     BUSY = "busy"
     RESET = "reset"
     SILENT = "silent"
+    SLOW = "slow"
+    LOST = "lost"
+
+
+_ENDS_WATCHES = (StoreFault.BUSY, StoreFault.RESET, StoreFault.SILENT)
 
 
 class StoreStandIn:
@@ -38,6 +47,7 @@
         self.revision_ = 0
         self.changed_ = asyncio.Event()
         self.fault = StoreFault.NONE
+        self.slow_s = 1.0
         self.has_deaf_watches = False
         # Seconds that the body of an answer about a kind takes on its way.
         self.body_s_by_kind: dict[str, float] = {}
@@ -119,16 +129,29 @@
             raise web.HTTPError(503)
         if fault is StoreFault.SILENT:
             await asyncio.sleep(3_600)
+        if fault is StoreFault.SLOW:
+            await asyncio.sleep(self.store.slow_s)
         if fault is StoreFault.RESET:
-            self._finished = True
-            self.request.connection.stream.close()
+            self._drop()
+
+    def _drop(self) -> None:
+        """Close the connection without an answer."""
+        self._finished = True
+        self.request.connection.stream.close()
+
+    def _answer(self, body: dict) -> None:
+        """Answer, unless answers are being lost."""
+        if self.store.fault is StoreFault.LOST:
+            self._drop()
+            return
+        self.finish(body)
 
     async def get(self, kind: str, name: str | None) -> None:
         objects = self.store.objects_by_kind_.get(kind, {})
         if name is not None:
             if name not in objects:
                 raise web.HTTPError(404)
-            self.finish(objects[name])
+            self._answer(objects[name])
             return
         watch = self.get_query_argument("watch", None)
         if watch is None:
@@ -149,13 +172,13 @@
             if events is None:
                 raise web.HTTPError(410)
             left_s = until - asyncio.get_running_loop().time()
-            if events or left_s <= 0.0 or self.store.fault is not StoreFault.NONE:
+            if events or left_s <= 0.0 or self.store.fault in _ENDS_WATCHES:
                 break
             try:
                 await asyncio.wait_for(changed.wait(), left_s)
             except TimeoutError:
                 continue
-        if self.store.fault is not StoreFault.NONE:
+        if self.store.fault in _ENDS_WATCHES:
             raise web.HTTPError(503)
         await self._finish_body(kind, {"events": events, "at": self.store.revision_})
 
@@ -163,7 +186,7 @@
         """Answer, at the pace that is set for the kind."""
         body_s = self.store.body_s_by_kind.get(kind, 0.0)
         if not body_s:
-            self.finish(page)
+            self._answer(page)
             return
         body = json.dumps(page).encode()
         self.set_header("Content-Length", str(len(body)))
@@ -184,11 +207,11 @@
         if name in self.store.objects_by_kind_.get(kind, {}):
             raise web.HTTPError(409)
         self.store.put(kind, name, item["spec"])
-        self.finish(self.store.objects_by_kind_[kind][name])
+        self._answer(self.store.objects_by_kind_[kind][name])
 
     async def delete(self, kind: str, name: str) -> None:
         self.store.deletes_ += 1
         await asyncio.sleep(self.store.delete_s)
         if not self.store.delete(kind, name):
             raise web.HTTPError(404)
-        self.finish({})
+        self._answer({})
