Answer whether an entry is ready in a module of its own

Ruled out: nothing. Change: the handler moved, what decides is passed to it; behaviour is the same. Conclusion: none.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -36,6 +36,7 @@
 from leadford_server.forwarding._links import EntryLinks
 from leadford_server.forwarding._listing import ListingHolder
 from leadford_server.forwarding._members import EntryMembers
+from leadford_server.forwarding._ready import ReadyHandler
 from leadford_server.forwarding._request import RequestForwarder
 from leadford_server.forwarding._stages import StageRunner
 from leadford_server.forwarding._state import ForwardBounds, ForwardState
@@ -66,17 +67,6 @@
     regions: RegionMap = RegionMap()
 
 
-class _ReadyHandler(web.RequestHandler):
-    """Say whether this entry takes new callers."""
-
-    def initialize(self, process: "ForwardProcess") -> None:
-        self.process = process
-
-    def get(self) -> None:
-        self.set_status(200 if self.process.is_ready else 503)
-        self.finish()
-
-
 class ForwardProcess:
     """Hold everything that one forwarding entry runs."""
 
@@ -171,7 +161,11 @@
     def _listen_ready(self) -> None:
         application = web.Application(
             [
-                (self.codec.ready_path, _ReadyHandler, {"process": self}),
+                (
+                    self.codec.ready_path,
+                    ReadyHandler,
+                    {"is_ready": lambda: self.is_ready},
+                ),
                 ("/metrics", MetricsHandler),
             ],
             log_function=lambda handler: None,
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/_ready.py
@@ -0,0 +1,24 @@
+"""Answer the question whether an entry takes new callers.
+
+What decides it is passed in; the platform sends new callers elsewhere while the answer
+is no.
+"""
+
+from collections.abc import Callable
+
+from tornado import web
+
+STATUS_READY = 200
+STATUS_NOT_READY = 503
+
+
+class ReadyHandler(web.RequestHandler):
+    """Say whether this entry takes new callers."""
+
+    def initialize(self, is_ready: Callable[[], bool]) -> None:
+        self.is_ready = is_ready
+
+    def get(self) -> None:
+        """Answer by status; the body says nothing."""
+        self.set_status(STATUS_READY if self.is_ready() else STATUS_NOT_READY)
+        self.finish()
