Add a fault soak: entries as processes, faults from a seed, checks on what was seen

Cause: nothing ran the real programs as processes under random faults.

Ruled out: the fleet of the own interface, which speaks another protocol; a proxy of the store for each entry, since entries derive their secret from the address of the store: the owner of a connection is looked up instead; judging resets of the caller's link, as callers connect without a proxy.

Change: subpackage `leadford_standins.soak` and the verb `leadford-standins soak`; the stand-ins of the wire note when requests arrive and what went wrong with which; the option `program` for another checkout.

--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -69,9 +69,55 @@
     return run_demo()
 
 
+def soak(
+    *,
+    seed: int,
+    seconds: float = 20.0,
+    entries: int = 3,
+    endpoints: int = 3,
+    requests_per_s: float = 60.0,
+    faults_per_s: float = 0.8,
+    changes_per_s: float = 0.4,
+    only: list[str] | None = None,
+    untimed: bool = False,
+    program: str = "",
+    keep: Path = Path("reports/soak"),
+) -> int:
+    """Run entries as processes under random faults; 1 when a promise is broken.
+
+    :param seed: what everything is drawn from
+    :param seconds: how long callers send
+    :param entries: processes of the forwarding entry
+    :param endpoints: endpoints of each service
+    :param requests_per_s: requests of all callers together
+    :param faults_per_s: faults besides changes of the configuration
+    :param changes_per_s: changes of the configuration
+    :param only: kinds of fault and change to draw; all when left out
+    :param untimed: leave out the checks that hold to a bound on the clock
+    :param program: file that starts an entry; that of this checkout when left out
+    :param keep: folder in which each run keeps its logs
+    """
+    from leadford_standins.soak import SoakOptions, run_soak
+
+    options = SoakOptions(
+        seed=seed,
+        seconds=seconds,
+        entries=entries,
+        endpoints=endpoints,
+        requests_per_s=requests_per_s,
+        faults_per_s=faults_per_s,
+        changes_per_s=changes_per_s,
+        only=tuple(only or ()),
+        program=program,
+    )
+    report = run_soak(options, keep / f"seed-{seed}", timed=not untimed)
+    print(report.text())
+    return 0 if report.is_good else 1
+
+
 def main() -> None:
     """Parse the command line."""
-    sys.exit(defopt.run([serve, up, demo]))
+    sys.exit(defopt.run([serve, up, demo, soak]))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/_callers.py
@@ -0,0 +1,200 @@
+"""Send requests to the entries over kept and new connections.
+
+Owns the callers' connections. Requests come at random; when an entry is asked to stop,
+callers go on using the connections they hold to it until the process is gone.
+"""
+
+import asyncio
+from random import Random
+
+from leadford_standins.soak._base import SoakOptions
+from leadford_standins.soak._config import MOVED_ROUTE, ConfigWriter
+from leadford_standins.soak._connection import CallerConnection
+from leadford_standins.soak._endpoints import WORK_HEADER
+from leadford_standins.soak._ledger import Ledger, Outcome, Sent
+from leadford_standins.soak._processes import EntryProcess
+from leadford_standins.wire import HOST
+
+# Seconds of a route's time; as in the configuration of the stand-ins.
+ROUTE_TIMEOUT_S = 4.0
+# Seconds beyond its route's time after which a caller leaves.
+LEAVE_AFTER_S = 1.5
+DEADLINES_MS = (1_500, 3_500)
+# Parts of the requests that take a new connection, and that their caller gives up.
+NEW_PART = 0.15
+GIVE_UP_PART = 0.02
+GIVE_UP_S = (0.02, 0.6)
+WORK_MS = (2.0, 60.0)
+LONG_WORK_MS = (300.0, 1_200.0)
+LONG_PART = 0.15
+# Connections that are held to each entry for the end of a planned stop, and the seconds
+# after its signal around which half of them are used: a stop may end from there on.
+RESERVE = 24
+STOP_MAY_END_S = (2.8, 4.6)
+# Connections at rest that are kept to each entry besides.
+KEPT_MAX = 32
+ROUTES = ("safe", "unsafe", "resumed", "once", MOVED_ROUTE, "added", "gone", "never")
+ROUTE_WEIGHTS = (4, 4, 3, 3, 3, 3, 1, 0.3)
+ADDED_LATELY = 6
+
+
+class Callers:
+    """Hold all callers of a soak."""
+
+    def __init__(
+        self,
+        *,
+        options: SoakOptions,
+        random: Random,
+        ledger: Ledger,
+        entries: list[EntryProcess],
+        config: ConfigWriter,
+    ) -> None:
+        self.options = options
+        self.random = random
+        self.ledger = ledger
+        self.entries = entries
+        self.config = config
+        self.kept_: dict[str, list[CallerConnection]] = {e.name: [] for e in entries}
+        self.reserve_: dict[str, list[CallerConnection]] = {e.name: [] for e in entries}
+        self.tasks_: set[asyncio.Task[None]] = set()
+        self.count_ = 0
+
+    async def run(self, seconds: float) -> None:
+        """Send requests for a time, then wait for the last answers."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        filling = asyncio.create_task(self._fill_reserves())
+        while loop.time() < until:
+            await asyncio.sleep(self.random.expovariate(self.options.requests_per_s))
+            entry = self.random.choice(self.entries)
+            self._spawn(self._send(entry, self._draw(entry), None))
+        filling.cancel()
+        await self.finish()
+
+    async def finish(self) -> None:
+        """Wait until every request has ended for its caller."""
+        while self.tasks_:
+            await asyncio.wait(list(self.tasks_))
+
+    def press(self, entry: EntryProcess) -> None:
+        """Use the connections held to an entry that is asked to stop, until its end."""
+        held = self.reserve_[entry.name]
+        self.reserve_[entry.name] = []
+        for number, connection in enumerate(held):
+            span = STOP_MAY_END_S if number % 2 else (0.0, self.options.bounds.grace_s)
+            after_s = self.random.uniform(*span)
+            self._spawn(self._send_later(entry, connection, after_s))
+
+    async def _send_later(
+        self, entry: EntryProcess, connection: CallerConnection, after_s: float
+    ) -> None:
+        await asyncio.sleep(after_s)
+        if not connection.is_usable:
+            return
+        await self._send(entry, self._draw(entry), connection)
+
+    async def _fill_reserves(self) -> None:
+        while True:
+            for entry in self.entries:
+                held = [c for c in self.reserve_[entry.name] if c.is_usable]
+                self.reserve_[entry.name] = held
+                if len(held) >= RESERVE or entry.is_ending_:
+                    continue
+                opened = await self._open(entry)
+                if opened is not None:
+                    self.reserve_[entry.name].append(opened)
+            await asyncio.sleep(0.05)
+
+    async def _open(self, entry: EntryProcess) -> CallerConnection | None:
+        if not entry.is_running():
+            return None
+        return await CallerConnection.open(entry.callers, entry.number_)
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self.tasks_.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks_.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.ledger.errors_.append(f"caller: {task.exception()!r}")
+
+    def _draw(self, entry: EntryProcess) -> Sent:
+        """Return a request that was drawn."""
+        random = self.random
+        route = random.choices(ROUTES, ROUTE_WEIGHTS)[0]
+        segment = route
+        if route == "added":
+            lately = self.config.added_routes_[-ADDED_LATELY:]
+            segment = random.choice(lately or [MOVED_ROUTE])
+        if route == "gone":
+            lately = self.config.gone_routes_[-ADDED_LATELY:]
+            segment = random.choice(lately or ["gone"])
+        self.count_ += 1
+        return Sent(
+            request_id=f"r{self.count_:06d}",
+            route=route,
+            path=f"/{segment}/{random.randrange(1_000)}?q={random.randrange(10)}",
+            method="GET" if route == "safe" and random.random() < 0.5 else "POST",
+            key=self.config.draw_key(),
+            body=b"",
+            entry=entry.name,
+            incarnation=entry.number_,
+            sent_at=0.0,
+            timeout_s=ROUTE_TIMEOUT_S,
+        )
+
+    async def _send(
+        self, entry: EntryProcess, sent: Sent, connection: CallerConnection | None
+    ) -> None:
+        self.ledger.sent_by_id_[sent.request_id] = sent
+        headers = self._headers(sent)
+        connection = connection or await self._connect(entry)
+        if connection is None:
+            sent.sent_at = sent.ended_at = asyncio.get_running_loop().time()
+            sent.outcome = Outcome.UNSENT
+            return
+        sent.incarnation = connection.incarnation
+        leave_s = ROUTE_TIMEOUT_S + LEAVE_AFTER_S
+        if self.random.random() < GIVE_UP_PART:
+            leave_s = self.random.uniform(*GIVE_UP_S)
+            sent.detail = "gives up"
+        await connection.exchange(sent, headers, leave_s)
+        if not connection.is_usable:
+            return
+        if len(self.kept_[entry.name]) < KEPT_MAX:
+            self.kept_[entry.name].append(connection)
+        else:
+            connection.close()
+
+    async def _connect(self, entry: EntryProcess) -> CallerConnection | None:
+        kept = [c for c in self.kept_[entry.name] if c.is_usable]
+        self.kept_[entry.name] = kept
+        if kept and self.random.random() >= NEW_PART:
+            return kept.pop(self.random.randrange(len(kept)))
+        return await self._open(entry)
+
+    def _headers(self, sent: Sent) -> dict[str, str]:
+        random = self.random
+        if sent.method == "POST":
+            sent.body = f"payload of {sent.request_id}".encode()
+        span = LONG_WORK_MS if random.random() < LONG_PART else WORK_MS
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": sent.request_id,
+            "X-Deadline-Ms": str(random.randint(*DEADLINES_MS)),
+            "X-Pieces": "2,1",
+            "X-Piece-Key": f"pk-{sent.request_id}",
+            "X-Model": "m",
+            "X-Token-Counts": "100,10",
+            "X-Prefix-Hash": f"aa:50,{random.randrange(16):x}b:20",
+            WORK_HEADER: f"{random.uniform(*span):.0f}",
+        }
+        if sent.body:
+            headers["Content-Length"] = str(len(sent.body))
+        if sent.key is not None:
+            headers["Authorization"] = f"Token {sent.key}"
+        sent.asked = dict(headers)
+        return headers
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/_check_bounds.py
@@ -0,0 +1,185 @@
+"""Check bounds on time and on repeats, and that processes end as told."""
+
+from collections import defaultdict
+
+from leadford_standins.soak._base import STORE
+from leadford_standins.soak._checks import Broken, Evidence, broken, promises
+from leadford_standins.soak._ledger import Outcome, Ran, Sent
+
+# Seconds past a bound from which it counts as broken: half a second is the users', the
+# rest lets the soak's own loop be late without an accusation.
+LATE_S = 0.8
+ARRIVES_LATE_S = 0.25
+# Seconds for which a caller that left may not be noticed.
+LEFT_S = 0.8
+# Seconds by which the time handed to an endpoint may exceed what is left.
+DEADLINE_SLACK_S = 0.6
+
+
+@promises("a process ends only when it is told to")
+class EndsWhenTold:
+    """No process ends by itself, and a planned stop ends with status 0."""
+
+    def find(self, evidence: Evidence) -> list[Broken]:
+        """Return every process that ended otherwise."""
+        found: list[Broken] = []
+        for process in evidence.ledger.incarnations_:
+            if process.ended_at is None or process.was_killed:
+                continue
+            if process.term_at is not None and process.status == 0:
+                continue
+            told = "after SIGTERM" if process.term_at is not None else "by itself"
+            detail = f"start {process.number} ended {told} with {process.status}"
+            found.append(
+                Broken(self.promise, "", process.entry, process.ended_at, detail)
+            )
+        return found
+
+
+@promises("a request ends by its route's time", timed=True)
+class EndsInTime:
+    """At entries in touch a request has its final answer by its route's time."""
+
+    def find(self, evidence: Evidence) -> list[Broken]:
+        """Return every request that was held longer."""
+        found: list[Broken] = []
+        for sent in evidence.ledger.sent_by_id_.values():
+            if sent.outcome is Outcome.UNSENT:
+                continue
+            held_s = sent.ended_at - sent.sent_at
+            if held_s <= sent.timeout_s + LATE_S:
+                continue
+            if not evidence.in_touch(sent, sent.ended_at):
+                continue
+            found.append(broken(self, sent, f"{sent.route} held {held_s:.2f} s"))
+        return found
+
+
+@promises("nothing new goes to an endpoint that leaves", timed=True)
+class NothingToLeaving:
+    """In calm, nothing arrives later than the drain bound after the store's word."""
+
+    def find(self, evidence: Evidence) -> list[Broken]:
+        """Return every request that arrived later."""
+        left_at = {d.endpoint: d.at_s for d in evidence.ledger.departures_}
+        found: list[Broken] = []
+        for arrival in evidence.ledger.arrivals_:
+            if arrival.endpoint not in left_at or arrival.is_refused:
+                continue
+            late_s = arrival.at_s - left_at[arrival.endpoint] - evidence.bounds.drain_s
+            sent = evidence.ledger.sent_by_id_.get(arrival.request_id)
+            if late_s <= ARRIVES_LATE_S or sent is None:
+                continue
+            if not self._was_calm(sent, arrival, evidence):
+                continue
+            found.append(broken(self, sent, f"{arrival.endpoint}, {late_s:.2f} s late"))
+        return found
+
+    def _was_calm(self, sent: Sent, arrival: Ran, evidence: Evidence) -> bool:
+        scopes = (sent.entry, STORE, arrival.endpoint)
+        since = sent.sent_at - evidence.bounds.contact_s
+        return evidence.ledger.is_calm(scopes, since, arrival.at_s)
+
+
+@promises("repeats stay within their budget")
+class RetryBudget:
+    """In each window a service gets no more repeats than its share and the slack.
+
+    Each entry keeps its part in memory, so what processes that were started again had
+    spent is allowed once more for each start.
+    """
+
+    def find(self, evidence: Evidence) -> list[Broken]:
+        """Return every window with too many repeats, once for each service."""
+        firsts: dict[str, list[float]] = defaultdict(list)
+        repeats: dict[str, list[float]] = defaultdict(list)
+        seen: set[str] = set()
+        for arrival in sorted(evidence.ledger.arrivals_, key=lambda a: a.at_s):
+            is_first = arrival.request_id not in seen
+            seen.add(arrival.request_id)
+            (firsts if is_first else repeats)[arrival.service].append(arrival.at_s)
+        found: list[Broken] = []
+        for service, times in repeats.items():
+            found += self._find_at(service, times, firsts[service], evidence)
+        return found
+
+    def _find_at(
+        self, service: str, times: list[float], firsts: list[float], evidence: Evidence
+    ) -> list[Broken]:
+        bounds = evidence.bounds
+        for begin in times:
+            end = begin + bounds.retry_window_s
+            count = sum(begin <= at < end for at in times)
+            asked = max(
+                sum(begin - back <= at < end - back for at in firsts)
+                for back in (0.0, bounds.retry_window_s / 2, bounds.retry_window_s)
+            )
+            starts = sum(
+                begin - bounds.retry_window_s <= process.started_at < end
+                and process.number > 1
+                for process in evidence.ledger.incarnations_
+            )
+            allowed = (bounds.retry_ratio * asked + bounds.retry_slack) * (1 + starts)
+            if count > allowed:
+                detail = f"{count} repeats, {allowed:.0f} allowed, from {begin:.2f}"
+                return [Broken(self.promise, "", service, begin, detail)]
+        return []
+
+
+@promises("a request goes to no more endpoints than its route allows")
+class AttemptsMax:
+    """A request arrives at no more endpoints than the attempts of its route."""
+
+    ALLOWED = {"safe": 2, "resumed": 2}
+
+    def find(self, evidence: Evidence) -> list[Broken]:
+        """Return every request that ran at more endpoints."""
+        found: list[Broken] = []
+        for sent in evidence.ledger.sent_by_id_.values():
+            places = {r.endpoint for r in evidence.ledger.runs_of(sent.request_id)}
+            if len(places) > self.ALLOWED.get(sent.route, 1):
+                found.append(broken(self, sent, f"{sent.route}: {sorted(places)}"))
+        return found
+
+
+@promises("what a caller left is not begun", timed=True)
+class NotAfterLeaving:
+    """At entries in touch nothing arrives at an endpoint long after its caller left."""
+
+    def find(self, evidence: Evidence) -> list[Broken]:
+        """Return every request that arrived after its caller had left."""
+        found: list[Broken] = []
+        for arrival in evidence.ledger.arrivals_:
+            sent = evidence.ledger.sent_by_id_.get(arrival.request_id)
+            if sent is None or sent.outcome is not Outcome.LEFT:
+                continue
+            late_s = arrival.at_s - sent.ended_at
+            if late_s <= LEFT_S or not evidence.in_touch(sent, arrival.at_s):
+                continue
+            if not evidence.ledger.is_calm(
+                (arrival.endpoint,), sent.sent_at, arrival.at_s
+            ):
+                continue
+            found.append(broken(self, sent, f"{arrival.endpoint}, {late_s:.2f} s late"))
+        return found
+
+
+@promises("an endpoint is given no more time than is left", timed=True)
+class TimeHandedOn:
+    """At entries in touch the deadline that is passed on is that of the caller."""
+
+    def find(self, evidence: Evidence) -> list[Broken]:
+        """Return every run that was given more time."""
+        found: list[Broken] = []
+        for endpoint, run in evidence.ledger.run_records_:
+            sent = evidence.ledger.sent_by_id_.get(run.request_id)
+            if sent is None or not evidence.in_touch(sent, run.at_s):
+                continue
+            if not evidence.ledger.is_calm((endpoint,), sent.sent_at, run.at_s):
+                continue
+            given_s = float(run.headers.get("X-Deadline-Ms", "inf")) / 1_000.0
+            asked_s = float(sent.asked["X-Deadline-Ms"]) / 1_000.0
+            more_s = run.at_s + given_s - sent.sent_at - asked_s
+            if more_s > DEADLINE_SLACK_S:
+                found.append(broken(self, sent, f"{more_s:.2f} s more at {endpoint}"))
+        return found
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/_connection.py
@@ -0,0 +1,101 @@
+"""Send one request after another over a connection, as a caller does.
+
+Writes into the record of a request how it ended. Relies on tornado's HTTP/1 connection;
+unlike a client library it never repeats a request and shows answers that were cut.
+"""
+
+import asyncio
+import socket
+
+from tornado import http1connection, httputil, iostream
+
+from leadford_standins.soak._ledger import Outcome, Sent
+
+# Seconds for a new connection to come up; that of the platform's clients.
+CONNECT_S = 1.0
+ANSWER_BYTES_MAX = 8 * 1024 * 1024
+
+
+class _Answer(httputil.HTTPMessageDelegate):
+    """Write what comes into the record of a request."""
+
+    def __init__(self, sent: Sent) -> None:
+        self.sent = sent
+        self.is_complete_ = False
+        self.closes_ = False
+
+    def headers_received(
+        self, start_line: httputil.ResponseStartLine, headers: httputil.HTTPHeaders
+    ) -> None:
+        self.sent.status = start_line.code
+        self.sent.headers = dict(headers.get_all())
+        self.closes_ = headers.get("Connection", "").lower() == "close"
+
+    def data_received(self, chunk: bytes) -> None:
+        self.sent.answer += chunk
+
+    def finish(self) -> None:
+        self.is_complete_ = True
+
+
+class CallerConnection:
+    """Hold one connection to an entry."""
+
+    def __init__(self, *, stream: iostream.IOStream, incarnation: int) -> None:
+        self.stream = stream
+        self.incarnation = incarnation
+        self.uses_ = 0
+
+    @classmethod
+    async def open(
+        cls, address: tuple[str, int], incarnation: int
+    ) -> "CallerConnection | None":
+        """Connect; None when nobody listens."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = iostream.IOStream(sock, max_buffer_size=ANSWER_BYTES_MAX)
+        try:
+            await asyncio.wait_for(stream.connect(address), CONNECT_S)
+        except (TimeoutError, iostream.StreamClosedError, OSError):
+            # The caller records that nothing was sent.
+            stream.close()
+            return None
+        # Reading notices a close while the connection rests.
+        stream.set_close_callback(lambda: None)
+        return cls(stream=stream, incarnation=incarnation)
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether another request may be sent."""
+        return not self.stream.closed()
+
+    async def exchange(self, sent: Sent, headers: dict[str, str], leave_s: float):
+        """Send a request and read its answer; leave after a time."""
+        loop = asyncio.get_running_loop()
+        sent.is_kept = self.uses_ > 0
+        self.uses_ += 1
+        answer = _Answer(sent)
+        parameters = http1connection.HTTP1ConnectionParameters()
+        exchange = http1connection.HTTP1Connection(self.stream, True, parameters)
+        start_line = httputil.RequestStartLine(sent.method, sent.path, "")
+        sent.sent_at = loop.time()
+        try:
+            exchange.write_headers(
+                start_line, httputil.HTTPHeaders(headers), sent.body or None
+            )
+            exchange.finish()
+            async with asyncio.timeout(leave_s):
+                await exchange.read_response(answer)
+            sent.outcome = Outcome.WHOLE if answer.is_complete_ else Outcome.CUT
+        except TimeoutError:
+            sent.outcome = Outcome.LEFT
+        except (iostream.StreamClosedError, OSError) as error:
+            sent.outcome = Outcome.CUT
+            sent.detail = type(error).__name__
+        sent.ended_at = loop.time()
+        if sent.outcome is not Outcome.WHOLE or answer.closes_:
+            self.close()
+
+    def close(self) -> None:
+        """Drop the connection."""
+        self.stream.close()
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
@@ -0,0 +1,157 @@
+"""Keep what callers, the store and endpoints saw, and which faults were in force.
+
+Owns all records of a run; the checks read nothing else. Times are those of the event
+loop of the soak.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from leadford_standins.soak._base import EVERYTHING, FaultKind
+from leadford_standins.wire import Run
+
+
+class Outcome(Enum):
+    """Say how a request ended for its caller."""
+
+    OPEN = "open"
+    WHOLE = "whole"
+    CUT = "cut"
+    LEFT = "left"
+    UNSENT = "unsent"
+
+
+class Sent(msgspec.Struct):
+    """Hold one request as its caller saw it.
+
+    `incarnation` counts the starts of the entry. `spoiled` says what was read that is
+    no answer.
+    """
+
+    request_id: str
+    route: str
+    path: str
+    method: str
+    key: str | None
+    body: bytes
+    entry: str
+    incarnation: int
+    sent_at: float
+    timeout_s: float
+    asked: dict[str, str] = {}
+    is_kept: bool = False
+    outcome: Outcome = Outcome.OPEN
+    status: int = 0
+    headers: dict[str, str] = {}
+    answer: bytes = b""
+    ended_at: float = 0.0
+    detail: str = ""
+
+
+class Ran(msgspec.Struct, frozen=True):
+    """Hold one run or arrival of a request at an endpoint."""
+
+    request_id: str
+    endpoint: str
+    service: str
+    at_s: float
+    is_refused: bool = False
+
+
+class Disturbance(msgspec.Struct):
+    """Hold one fault in force at an entry, an endpoint, the store or everywhere."""
+
+    scope: str
+    kind: FaultKind | None
+    from_s: float
+    until_s: float
+    is_planned: bool = False
+
+
+class Incarnation(msgspec.Struct):
+    """Hold one run of an entry's process."""
+
+    entry: str
+    number: int
+    started_at: float
+    term_at: float | None = None
+    ended_at: float | None = None
+    status: int | None = None
+    was_killed: bool = False
+
+
+class Departure(msgspec.Struct, frozen=True):
+    """Hold that the store acknowledged an endpoint as draining or gone."""
+
+    endpoint: str
+    at_s: float
+
+
+class Ledger:
+    """Hold the records of one run."""
+
+    def __init__(self) -> None:
+        self.sent_by_id_: dict[str, Sent] = {}
+        self.runs_by_id_: dict[str, list[Ran]] = {}
+        self.arrivals_: list[Ran] = []
+        self.run_records_: list[tuple[str, Run]] = []
+        self.items_: list[tuple[str, dict]] = []
+        self.misbehaved_by_run_: dict[tuple[str, str], str] = {}
+        self.disturbances_: list[Disturbance] = []
+        self.incarnations_: list[Incarnation] = []
+        self.departures_: list[Departure] = []
+        self.injected_: list[tuple[float, str, str]] = []
+        self.endpoints_: set[str] = set()
+        self.errors_: list[str] = []
+        self.lag_most_s_ = 0.0
+
+    def disturb(
+        self,
+        scope: str,
+        kind: FaultKind | None,
+        from_s: float,
+        until_s: float,
+        *,
+        is_planned: bool = False,
+    ) -> Disturbance:
+        """Note a fault; its end may be corrected later in what is returned."""
+        noted = Disturbance(scope, kind, from_s, until_s, is_planned)
+        self.disturbances_.append(noted)
+        return noted
+
+    def is_calm(
+        self,
+        scopes: tuple[str, ...],
+        from_s: float,
+        until_s: float,
+        *,
+        planned: bool = True,
+        lag: bool = True,
+    ) -> bool:
+        """Tell whether no fault touched any of the scopes within a time.
+
+        `planned` says whether planned stops count as faults, and `lag` whether times
+        count in which the soak itself was late.
+        """
+        for fault in self.disturbances_:
+            if fault.scope not in scopes and fault.scope != EVERYTHING:
+                continue
+            if fault.kind is None and not lag:
+                continue
+            if fault.is_planned and not planned:
+                continue
+            if fault.from_s <= until_s and fault.until_s >= from_s:
+                return False
+        return True
+
+    def runs_of(self, request_id: str) -> list[Ran]:
+        """Return the runs of a request."""
+        return self.runs_by_id_.get(request_id, [])
+
+    def incarnation(self, entry: str, number: int) -> Incarnation | None:
+        """Return one run of an entry's process."""
+        for incarnation in self.incarnations_:
+            if incarnation.entry == entry and incarnation.number == number:
+                return incarnation
+        return None
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/_processes.py
@@ -0,0 +1,211 @@
+"""Run the forwarding entries as processes, and signal them.
+
+Owns the processes and their folder of settings and logs. The soak ends only what it
+started here, by its process id. Relies on `platform/run.py` of the checkout.
+"""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import leadford_platform
+from leadford_standins.soak._base import FaultKind, SoakBounds
+from leadford_standins.soak._ledger import Incarnation, Ledger
+
+PROGRAM = Path(leadford_platform.__file__).parents[2] / "run.py"
+CALLERS_PORT = 8625
+READY_PORT = 8621
+PEERS_PORT = 7740
+# Held for the whole run at the first address of the block, so that runs beside each
+# other use blocks of their own.
+CLAIM_PORT = 8599
+POLL_S = 0.02
+# Seconds past the grace period before a process that does not end is killed.
+GRACE_SLACK_S = 0.2
+SETTINGS = """\
+nodeName = "{name}"
+role = "entry"
+serves = ["front"]
+ip = "{ip}"
+zone = "{hall}"
+region = "region"
+internalPorts = [{peers}, {peers_last}]
+[zones]
+{zones}
+[listen]
+front = "{ip}:{callers}"
+ready = "{ip}:{ready}"
+[bounds]
+drainMs = {drain_ms:.0f}
+graceS = {grace_s:.0f}
+configMs = {config_ms:.0f}
+retryBudgetRatio = {retry_ratio}
+retryWindowS = {retry_window_s:.0f}
+retrySlack = {retry_slack:.0f}
+[platform]
+address = "{store}"
+"""
+
+
+class AddressBlock:
+    """Hold a block of loopback addresses that no other soak uses."""
+
+    def __enter__(self) -> "AddressBlock":
+        for number in range(os.getpid(), os.getpid() + 60_000):
+            self.prefix_ = f"127.{100 + number // 250 % 100}.{number % 250}"
+            self.claim_ = socket.socket()
+            try:
+                self.claim_.bind((f"{self.prefix_}.1", CLAIM_PORT))
+            except OSError:
+                # Another soak holds the block: the next one is tried.
+                self.claim_.close()
+                continue
+            return self
+        raise RuntimeError("no block of loopback addresses is free")
+
+    def __exit__(self, *error: object) -> None:
+        self.claim_.close()
+
+    def address(self, number: int) -> str:
+        """Return one address of the block."""
+        return f"{self.prefix_}.{number + 2}"
+
+
+class EntryProcess:
+    """Hold one entry: its settings, its process and how often it was started."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        ip: str,
+        hall: str,
+        halls: list[str],
+        store: str,
+        bounds: SoakBounds,
+        folder: Path,
+        ledger: Ledger,
+        program: str = "",
+    ) -> None:
+        self.program = program
+        self.name = name
+        self.ip = ip
+        self.hall = hall
+        self.halls = halls
+        self.store = store
+        self.bounds = bounds
+        self.folder = folder
+        self.ledger = ledger
+        self.process_: subprocess.Popen | None = None
+        self.number_ = 0
+        self.is_ending_ = False
+
+    @property
+    def callers(self) -> tuple[str, int]:
+        """Return the address that callers connect to."""
+        return self.ip, CALLERS_PORT
+
+    @property
+    def pid(self) -> int | None:
+        """Return the id of the process while it runs."""
+        return self.process_.pid if self.is_running() else None
+
+    def is_running(self) -> bool:
+        """Tell whether the process runs, and note its end once it does not."""
+        if self.process_ is None:
+            return False
+        status = self.process_.poll()
+        if status is None:
+            return True
+        incarnation = self.incarnation_
+        if incarnation.ended_at is None:
+            incarnation.ended_at = asyncio.get_running_loop().time()
+            incarnation.status = status
+        return False
+
+    def write_settings(self, bounds: SoakBounds | None = None) -> None:
+        """Write the settings file."""
+        bounds = bounds or self.bounds
+        text = SETTINGS.format(
+            name=self.name,
+            ip=self.ip,
+            hall=self.hall,
+            zones="\n".join(f'{hall} = "region"' for hall in self.halls),
+            callers=CALLERS_PORT,
+            ready=READY_PORT,
+            peers=PEERS_PORT,
+            peers_last=PEERS_PORT + 15,
+            drain_ms=bounds.drain_s * 1_000.0,
+            grace_s=bounds.grace_s,
+            config_ms=bounds.config_s * 1_000.0,
+            retry_ratio=bounds.retry_ratio,
+            retry_window_s=bounds.retry_window_s,
+            retry_slack=bounds.retry_slack,
+            store=self.store,
+        )
+        path = self.folder / f"{self.name}.toml"
+        changed = path.with_suffix(".new")
+        changed.write_text(text)
+        changed.replace(path)
+
+    def start(self) -> None:
+        """Start the process; its log goes on in the same file."""
+        environment = {
+            **os.environ,
+            "LEADFORD_SETTINGS": str(self.folder / f"{self.name}.toml"),
+        }
+        with (self.folder / f"{self.name}.log").open("ab") as log:
+            self.process_ = subprocess.Popen(
+                [sys.executable, self.program or str(PROGRAM)],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+        self.number_ += 1
+        now = asyncio.get_running_loop().time()
+        self.incarnation_ = Incarnation(self.name, self.number_, now)
+        self.ledger.incarnations_.append(self.incarnation_)
+
+    def signal(self, number: signal.Signals) -> bool:
+        """Send a signal to the process that was started here, if it still runs."""
+        if not self.is_running():
+            return False
+        self.process_.send_signal(number)
+        now = asyncio.get_running_loop().time()
+        if number is signal.SIGTERM and self.incarnation_.term_at is None:
+            self.incarnation_.term_at = now
+        if number is signal.SIGKILL:
+            self.incarnation_.was_killed = True
+        return True
+
+    async def wait_ended(self, timeout_s: float) -> bool:
+        """Wait for the end of the process; tell whether it came in time."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + timeout_s
+        while self.is_running():
+            if loop.time() >= until:
+                return False
+            await asyncio.sleep(POLL_S)
+        return True
+
+    async def stop(self) -> None:
+        """Ask the process to stop, and kill it once the grace period is over."""
+        self.signal(signal.SIGTERM)
+        if await self.wait_ended(self.bounds.grace_s + GRACE_SLACK_S):
+            return
+        now = asyncio.get_running_loop().time()
+        self.ledger.disturb(self.name, FaultKind.ENTRY_KILLED, now, now)
+        self.signal(signal.SIGKILL)
+        await self.wait_ended(self.bounds.grace_s)
+
+    def kill(self) -> None:
+        """End the process whatever it does; a paused one too."""
+        self.signal(signal.SIGKILL)
+        if self.process_ is not None:
+            self.process_.wait()
+            self.is_running()
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/_runner.py
@@ -0,0 +1,119 @@
+"""Run one soak: entries, callers and faults at once, then the checks.
+
+Owns the order of a run; its randomness comes from the seed of the options. Traffic,
+keys and the plan have a source each, so one does not shift another.
+"""
+
+import asyncio
+import os
+import shutil
+from pathlib import Path
+from random import Random
+
+import msgspec
+
+from leadford_standins.soak import (
+    _check_answers,  # noqa: F401
+    _check_bounds,  # noqa: F401
+    _check_config,  # noqa: F401
+    _check_cuts,  # noqa: F401
+    _inject_links,  # noqa: F401
+    _inject_platform,  # noqa: F401
+    _inject_processes,  # noqa: F401
+)
+from leadford_standins.soak._base import SoakOptions, SoakPlan
+from leadford_standins.soak._callers import Callers
+from leadford_standins.soak._checks import Evidence, run_checks
+from leadford_standins.soak._injectors import inject
+from leadford_standins.soak._ledger import Ledger
+from leadford_standins.soak._plan import draw_plan
+from leadford_standins.soak._report import SoakReport, make_report
+from leadford_standins.soak._scene import SoakScene
+
+# Seconds for the entries to answer for the first time.
+READY_S = 20.0
+STEP_S = 0.05
+
+
+def run_soak(options: SoakOptions, folder: Path, *, timed: bool = True) -> SoakReport:
+    """Run a soak in a folder, which keeps its logs, and return its report."""
+    folder.mkdir(parents=True, exist_ok=True)
+    random = Random(options.seed)
+    plan = draw_plan(options, Random(random.random()))
+    ledger = Ledger()
+    scene = SoakScene(
+        options=options, random=Random(random.random()), folder=folder, ledger=ledger
+    )
+    callers_random = Random(random.random())
+    asyncio.run(_run(scene, plan, callers_random))
+    evidence = Evidence(ledger, scene.config_.versions_, options.bounds)
+    found = run_checks(evidence, timed=timed)
+    report = make_report(plan, evidence, found, folder)
+    _keep(folder, plan, ledger, report)
+    return report
+
+
+async def _run(scene: SoakScene, plan: SoakPlan, random: Random) -> None:
+    async with scene:
+        await _wait_ready(scene)
+        callers = Callers(
+            options=scene.options,
+            random=random,
+            ledger=scene.ledger,
+            entries=scene.entries_,
+            config=scene.config_,
+        )
+        scene.on_stop_ = callers.press
+        injecting = asyncio.create_task(inject(scene, plan.faults))
+        await callers.run(scene.options.seconds)
+        await injecting
+        for entry in scene.entries_:
+            callers.press(entry)
+        await asyncio.gather(*[entry.stop() for entry in scene.entries_])
+        await callers.finish()
+
+
+async def _wait_ready(scene: SoakScene) -> None:
+    """Wait until every entry listens for callers."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + READY_S
+    for entry in scene.entries_:
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(*entry.callers)
+            except OSError:
+                if loop.time() > until:
+                    raise
+                await asyncio.sleep(STEP_S)
+                continue
+            writer.close()
+            break
+    now = loop.time()
+    for entry in scene.entries_:
+        scene.ledger.disturb(entry.name, None, now - READY_S, now)
+
+
+def _keep(folder: Path, plan: SoakPlan, ledger: Ledger, report: SoakReport) -> None:
+    """Write what a reader needs to trace a failure."""
+    (folder / "report.txt").write_text(report.text() + "\n")
+    (folder / "report.json").write_bytes(msgspec.json.encode(report))
+    (folder / "plan.json").write_bytes(msgspec.json.encode(plan))
+    records = {
+        "sent": list(ledger.sent_by_id_.values()),
+        "runs": ledger.runs_by_id_,
+        "arrivals": ledger.arrivals_,
+        "disturbances": [
+            {**msgspec.structs.asdict(fault), "until_s": min(fault.until_s, 1e12)}
+            for fault in ledger.disturbances_
+        ],
+        "incarnations": ledger.incarnations_,
+        "departures": ledger.departures_,
+    }
+    encoded = msgspec.json.encode(records, enc_hook=str)
+    (folder / "ledger.json").write_bytes(encoded)
+
+
+def remove(folder: Path) -> None:
+    """Remove the folder of a run that nobody wants to keep."""
+    if os.path.isdir(folder):
+        shutil.rmtree(folder)
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/_scene.py
@@ -0,0 +1,140 @@
+"""Hold the parts of a running soak: store, endpoints, entries, links, configuration.
+
+Owns their start and end. The injectors change them; the callers send to the entries.
+"""
+
+import asyncio
+import copy
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+from leadford_platform import PlatformObjects
+from leadford_standins.soak._base import EVERYTHING, SoakOptions
+from leadford_standins.soak._config import ConfigWriter
+from leadford_standins.soak._endpoints import EndpointPool
+from leadford_standins.soak._ledger import Ledger
+from leadford_standins.soak._owners import LinksByOwner
+from leadford_standins.soak._processes import PEERS_PORT, AddressBlock, EntryProcess
+from leadford_standins.soak._proxy import FaultProxy, LinkState
+from leadford_standins.wire import StoreStandIn
+
+# Seconds between looks whether the soak itself is late, and from which it counts.
+BEAT_S = 0.05
+LATE_S = 0.25
+
+
+class PeerStore(StoreStandIn):
+    """List entries at the addresses of the proxies before them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.peers_by_entry: dict[str, str] = {}
+
+    def put(self, kind: str, name: str, spec: dict) -> None:
+        """Write an object; an entry is found through its proxy."""
+        if kind == PlatformObjects.entries_kind and name in self.peers_by_entry:
+            spec = {**spec, "peers": self.peers_by_entry[name]}
+        super().put(kind, name, spec)
+
+
+class SoakScene:
+    """Hold the parts; use it with `async with`."""
+
+    def __init__(
+        self, *, options: SoakOptions, random: Random, folder: Path, ledger: Ledger
+    ) -> None:
+        self.options = options
+        self.random = random
+        self.folder = folder
+        self.ledger = ledger
+        self.entries_: list[EntryProcess] = []
+        self.peer_links_: dict[str, LinkState] = {}
+        self.proxies_: list[FaultProxy] = []
+        self.on_stop_: Callable[[EntryProcess], None] = lambda entry: None
+
+    async def __aenter__(self) -> "SoakScene":
+        self.block_ = AddressBlock()
+        self.block_.__enter__()
+        self.store_ = PeerStore()
+        halls = [f"hall-{number}" for number in range(self.options.endpoints)]
+        self.config_ = ConfigWriter(random=self.random)
+        self.endpoints_ = EndpointPool(
+            store=self.store_,
+            ledger=self.ledger,
+            halls=halls,
+            bounds=self.options.bounds,
+        )
+        self.store_links_ = LinksByOwner(pids_by_name=self._pids)
+        target = self.store_.start()
+        proxy = FaultProxy(target=target, link_of=self.store_links_.link_of)
+        store_address = await proxy.start()
+        self.proxies_.append(proxy)
+        await self.endpoints_.start()
+        self.write_config()
+        for number in range(self.options.entries):
+            await self._add_entry(number, halls, store_address)
+        self.beat_ = asyncio.create_task(self._watch_lag())
+        return self
+
+    async def _add_entry(self, number: int, halls: list[str], store: str) -> None:
+        name = f"entry-{number}"
+        entry = EntryProcess(
+            name=name,
+            ip=self.block_.address(number),
+            hall=halls[number % len(halls)],
+            halls=halls,
+            store=store,
+            bounds=self.options.bounds,
+            folder=self.folder,
+            ledger=self.ledger,
+            program=self.options.program,
+        )
+        link = LinkState()
+
+        async def link_of(port: int) -> LinkState:
+            return link
+
+        proxy = FaultProxy(target=f"{entry.ip}:{PEERS_PORT}", link_of=link_of)
+        self.store_.peers_by_entry[name] = await proxy.start()
+        self.peer_links_[name] = link
+        self.proxies_.append(proxy)
+        entry.write_settings()
+        entry.start()
+        self.entries_.append(entry)
+
+    async def __aexit__(self, *error: object) -> None:
+        self.beat_.cancel()
+        for entry in self.entries_:
+            entry.kill()
+        await self.endpoints_.stop()
+        for proxy in self.proxies_:
+            proxy.stop()
+        self.store_.stop()
+        self.block_.__exit__(*error)
+
+    def _pids(self) -> dict[str, int]:
+        return {e.name: e.pid for e in self.entries_ if e.pid is not None}
+
+    def entry(self, target: int) -> EntryProcess:
+        """Return an entry by a number that was drawn."""
+        return self.entries_[target % len(self.entries_)]
+
+    def write_config(self) -> None:
+        """Write the configuration to the store, whose answer acknowledges it."""
+        self.store_.put("config", "main", self._document())
+        self.config_.acknowledged(asyncio.get_running_loop().time())
+
+    def _document(self) -> dict:
+        return copy.deepcopy(self.config_.document_)
+
+    async def _watch_lag(self) -> None:
+        """Note when this process was late, as its callers and endpoints were then."""
+        loop = asyncio.get_running_loop()
+        while True:
+            began = loop.time()
+            await asyncio.sleep(BEAT_S)
+            late_s = loop.time() - began - BEAT_S
+            self.ledger.lag_most_s_ = max(self.ledger.lag_most_s_, late_s)
+            if late_s > LATE_S:
+                self.ledger.disturb(EVERYTHING, None, began, loop.time())
--- a/packages/leadford-standins/src/leadford_standins/wire/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/__init__.py
@@ -4,8 +4,9 @@
 """
 
 from leadford_standins.wire._calm import run_calm
-from leadford_standins.wire._deployment import Deployment
+from leadford_standins.wire._deployment import HOST, KEY, Deployment, default_config
 from leadford_standins.wire._endpoints import (
+    Arrival,
     Misbehaviour,
     PlainStandIn,
     Run,
@@ -16,6 +17,9 @@
 from leadford_standins.wire._store import StoreFault, StoreStandIn
 
 __all__ = [
+    "HOST",
+    "KEY",
+    "Arrival",
     "Deployment",
     "EngineStandIn",
     "Misbehaviour",
@@ -24,6 +28,7 @@
     "StageStandIn",
     "StoreFault",
     "StoreStandIn",
+    "default_config",
     "event_ids",
     "play",
     "run_calm",
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -38,6 +38,18 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    at_s: float = 0.0
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """Hold one request that arrived, and whether the endpoint runs it.
+
+    Units: at_s is the time of the event loop.
+    """
+
+    request_id: str
+    at_s: float
+    is_refused: bool
 
 
 class PlainStandIn:
@@ -51,6 +63,8 @@
         self.next_: deque[Misbehaviour] = deque()
         self.runs_: list[Run] = []
         self.arrivals_ = 0
+        self.arrived_: list[Arrival] = []
+        self.misbehaved_by_request_: dict[str, Misbehaviour] = {}
         self.left_early_ = 0
 
     def start(self) -> str:
@@ -188,9 +202,13 @@
         self.set_header("X-Server-Load", "1,0,4")
         expected = self.request.headers.get("X-Expect-Instance")
         if expected not in (None, endpoint.endpoint_id):
+            self._note_arrival(request_id, is_refused=True)
             self.refuse(421)
             return
+        self._note_arrival(request_id, is_refused=False)
         self.misbehaviour = endpoint.take_misbehaviour()
+        if self.misbehaviour is not Misbehaviour.NONE:
+            endpoint.misbehaved_by_request_[request_id] = self.misbehaviour
         self.set_header("X-Server-Stamp", f"stamp.{endpoint.endpoint_id}")
         if self.misbehaviour is Misbehaviour.REFUSE:
             self.refuse(503)
@@ -213,6 +231,10 @@
 
     get = post = put = delete = _any
 
+    def _note_arrival(self, request_id: str, *, is_refused: bool) -> None:
+        now = asyncio.get_running_loop().time()
+        self.endpoint.arrived_.append(Arrival(request_id, now, is_refused))
+
     def record_run(self) -> None:
         """Write down that the request ran."""
         request = self.request
@@ -223,6 +245,7 @@
             request.uri,
             headers,
             request.body,
+            asyncio.get_running_loop().time(),
         )
         self.endpoint.runs_.append(run)
 
--- a/packages/leadford-standins/src/leadford_standins/wire/_engines.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_engines.py
@@ -8,6 +8,8 @@
 import asyncio
 from collections import OrderedDict
 
+from tornado.httputil import HTTPServerRequest
+
 from leadford_standins.wire._endpoints import (
     EndpointHandler,
     Misbehaviour,
@@ -69,6 +71,10 @@
         self.makers = makers or []
         self.kept_ = KeptParts(memory_tokens=memory_tokens)
 
+    def event(self, number: int, request: HTTPServerRequest) -> str:
+        """Return one event of a stream."""
+        return f"id: {number}\ndata: token {number}\n\n"
+
     async def serve(self, handler: EndpointHandler) -> None:
         """Run one stream."""
         request = handler.request
@@ -94,7 +100,6 @@
                 return
             if handler.misbehaviour is Misbehaviour.STALL and number == first + 2:
                 await asyncio.sleep(3_600)
-            text = f"id: {number}\ndata: token {number}\n\n"
-            handler.write(text.encode())
+            handler.write(self.event(number, request).encode())
             await handler.flush()
         handler.finish()
--- a/packages/leadford-standins/src/leadford_standins/wire/_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -18,12 +18,21 @@
 
 
 class StoreFault(Enum):
-    """Say how the store fails: not at all, by refusal, or without a word."""
+    """Say how the store fails.
+
+    `SLOW` answers after `StoreStandIn.slow_s`; `LOST` does what a call asks and then
+    closes its connection without an answer.
+    """
 
     NONE = "none"
     BUSY = "busy"
     RESET = "reset"
     SILENT = "silent"
+    SLOW = "slow"
+    LOST = "lost"
+
+
+_ENDS_WATCHES = (StoreFault.BUSY, StoreFault.RESET, StoreFault.SILENT)
 
 
 class StoreStandIn:
@@ -36,6 +45,7 @@
         self.revision_ = 0
         self.changed_ = asyncio.Event()
         self.fault = StoreFault.NONE
+        self.slow_s = 1.0
         self.has_deaf_watches = False
         self.calls_ = 0
 
@@ -112,21 +122,34 @@
             raise web.HTTPError(503)
         if fault is StoreFault.SILENT:
             await asyncio.sleep(3_600)
+        if fault is StoreFault.SLOW:
+            await asyncio.sleep(self.store.slow_s)
         if fault is StoreFault.RESET:
-            self._finished = True
-            self.request.connection.stream.close()
+            self._drop()
+
+    def _drop(self) -> None:
+        """Close the connection without an answer."""
+        self._finished = True
+        self.request.connection.stream.close()
+
+    def _answer(self, body: dict) -> None:
+        """Answer, unless answers are being lost."""
+        if self.store.fault is StoreFault.LOST:
+            self._drop()
+            return
+        self.finish(body)
 
     async def get(self, kind: str, name: str | None) -> None:
         objects = self.store.objects_by_kind_.get(kind, {})
         if name is not None:
             if name not in objects:
                 raise web.HTTPError(404)
-            self.finish(objects[name])
+            self._answer(objects[name])
             return
         watch = self.get_query_argument("watch", None)
         if watch is None:
             items = [objects[key] for key in sorted(objects)]
-            self.finish({"items": items, "more": False, "at": self.store.revision_})
+            self._answer({"items": items, "more": False, "at": self.store.revision_})
             return
         await self._watch(kind, int(watch))
 
@@ -141,15 +164,15 @@
             if events is None:
                 raise web.HTTPError(410)
             left_s = until - asyncio.get_running_loop().time()
-            if events or left_s <= 0.0 or self.store.fault is not StoreFault.NONE:
+            if events or left_s <= 0.0 or self.store.fault in _ENDS_WATCHES:
                 break
             try:
                 await asyncio.wait_for(changed.wait(), left_s)
             except TimeoutError:
                 continue
-        if self.store.fault is not StoreFault.NONE:
+        if self.store.fault in _ENDS_WATCHES:
             raise web.HTTPError(503)
-        self.finish({"events": events, "at": self.store.revision_})
+        self._answer({"events": events, "at": self.store.revision_})
 
     def post(self, kind: str, name: str | None) -> None:
         item = json.loads(self.request.body)
@@ -157,9 +180,9 @@
         if name in self.store.objects_by_kind_.get(kind, {}):
             raise web.HTTPError(409)
         self.store.put(kind, name, item["spec"])
-        self.finish(self.store.objects_by_kind_[kind][name])
+        self._answer(self.store.objects_by_kind_[kind][name])
 
     def delete(self, kind: str, name: str) -> None:
         if not self.store.delete(kind, name):
             raise web.HTTPError(404)
-        self.finish({})
+        self._answer({})
