--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -115,9 +115,26 @@
     return 0 if report.is_good else 1
 
 
+def soak_cases(*, untimed: bool = False, keep: Path = Path("reports/soak")) -> int:
+    """Run every kept soak that once failed; 1 when a promise is broken.
+
+    :param untimed: leave out the checks that hold to a bound on the clock
+    :param keep: folder in which each run keeps its logs
+    """
+    from leadford_standins.soak import cases, run_soak
+
+    failed = 0
+    for case in cases:
+        folder = keep / f"case-{case.options.seed}"
+        report = run_soak(case.options, folder, timed=not untimed)
+        print(f"{report.text()}\nonce failed: {case.cause}\n", flush=True)
+        failed += not report.is_good
+    return 1 if failed else 0
+
+
 def main() -> None:
     """Parse the command line."""
-    sys.exit(defopt.run([serve, up, demo, soak]))
+    sys.exit(defopt.run([serve, up, demo, soak, soak_cases]))
 
 
 if __name__ == "__main__":
--- a/packages/leadford-standins/src/leadford_standins/soak/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/__init__.py
@@ -5,7 +5,8 @@
 """
 
 from leadford_standins.soak._base import SoakOptions
+from leadford_standins.soak._cases import SoakCase, cases
 from leadford_standins.soak._report import SoakReport
 from leadford_standins.soak._runner import run_soak
 
-__all__ = ["SoakOptions", "SoakReport", "run_soak"]
+__all__ = ["SoakCase", "SoakOptions", "SoakReport", "cases", "run_soak"]
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_checks.py
@@ -0,0 +1,254 @@
+"""Each check finds the promise that was broken, and accuses nobody else."""
+
+import pytest
+
+from leadford_standins.soak import _runner  # noqa: F401
+from leadford_standins.soak._base import STORE, FaultKind, SoakBounds
+from leadford_standins.soak._checks import Evidence, checks, run_checks
+from leadford_standins.soak._config import ConfigSeen
+from leadford_standins.soak._ledger import (
+    Departure,
+    Incarnation,
+    Ledger,
+    Outcome,
+    Ran,
+    Sent,
+)
+from leadford_standins.wire import Run
+
+KEY = "key-1"
+ENTRY = "entry-0"
+MOVED_BACK = [
+    ConfigSeen(1, 0.0, {"moved": "plain"}, {KEY: "workspace-1"}),
+    ConfigSeen(4, 20.0, {"moved": "other", "added-1": "plain"}, {KEY: "workspace-1"}),
+]
+
+
+def answered(route="unsafe", *, at=50.0, status=200, ran=True, **fields):
+    """Return the record of a request that ran at an endpoint and was answered."""
+    request_id = fields.pop("request_id", "r1")
+    path = fields.pop("path", f"/{route}/1")
+    sent = Sent(
+        request_id=request_id,
+        route=route,
+        path=path,
+        method="POST",
+        key=KEY,
+        body=b"payload",
+        entry=ENTRY,
+        incarnation=1,
+        sent_at=at,
+        timeout_s=4.0,
+        asked={"X-Deadline-Ms": "3000", "X-Model": "m", "X-Token-Counts": "1,1"}
+        | {"X-Prefix-Hash": "aa:1"},
+        outcome=Outcome.WHOLE,
+        status=status,
+        headers={"X-Attempt-Id": request_id},
+        answer=b"",
+        ended_at=at + 0.1,
+    )
+    if ran:
+        sent.headers["X-Server-Stamp"] = "stamp.i-1"
+        sent.answer = f"i-1 {path} payload".encode()
+    for name, value in fields.items():
+        setattr(sent, name, value)
+    return sent
+
+
+def ledger_of(*requests, services=("plain",), process=None):
+    """Return a ledger in which each request ran at endpoint i-1 of each service."""
+    ledger = Ledger()
+    ledger.incarnations_.append(process or Incarnation(ENTRY, 1, 0.0))
+    for sent in requests:
+        ledger.sent_by_id_[sent.request_id] = sent
+        runs = [Ran(sent.request_id, "i-1", s, sent.sent_at) for s in services]
+        ledger.runs_by_id_[sent.request_id] = runs
+        ledger.arrivals_ += runs
+    return ledger
+
+
+def evidence_of(ledger, versions=None):
+    names = ("safe", "unsafe", "resumed", "once", "moved")
+    everything = dict.fromkeys(names, "plain")
+    plain = [ConfigSeen(1, 0.0, everything, {KEY: "workspace-1"})]
+    return Evidence(ledger, versions or plain, SoakBounds())
+
+
+def found_in(ledger, versions=None):
+    found = run_checks(evidence_of(ledger, versions), timed=True)
+    return {item.promise for item in found}
+
+
+def run_of(sent, **fields):
+    headers = {
+        "X-Tenant": "workspace-1",
+        "X-Model": "m",
+        "X-Token-Counts": "1,1",
+        "X-Prefix-Hash": "aa:1",
+        "X-Deadline-Ms": "2900",
+        **fields,
+    }
+    return Run(
+        sent.request_id, sent.method, sent.path, headers, sent.body, sent.sent_at
+    )
+
+
+def ran_twice():
+    return ledger_of(answered(), services=("plain", "plain"))
+
+
+def refused_but_ran():
+    return ledger_of(answered(status=503, headers={}))
+
+
+def answered_to_another():
+    return ledger_of(answered(headers={"X-Attempt-Id": "r9", "X-Server-Stamp": "x"}))
+
+
+def stream_with_a_gap():
+    text = b"".join(b"id: %d\ndata: token %d of r1\n\n" % (n, n) for n in (1, 2, 4, 5))
+    return ledger_of(answered("resumed", answer=text))
+
+
+def workspace_changed():
+    sent = answered()
+    ledger = ledger_of(sent)
+    ledger.run_records_.append(("i-1", run_of(sent, **{"X-Tenant": "workspace-9"})))
+    return ledger
+
+
+def denied_falsely():
+    return ledger_of(answered(status=404, ran=False), services=())
+
+
+def late_version():
+    return ledger_of(answered("moved", at=30.0)), MOVED_BACK
+
+
+def went_back():
+    new = answered("added", path="/added-1/1", request_id="r1", at=21.0)
+    old = answered("moved", request_id="r2", at=21.5)
+    return ledger_of(new, old), MOVED_BACK
+
+
+def cut(at=50.0, **fields):
+    return answered(at=at, outcome=Outcome.CUT, status=0, headers={}, **fields)
+
+
+def cut_by_a_stop():
+    return ledger_of(cut(), process=Incarnation(ENTRY, 1, 0.0, term_at=48.0))
+
+
+def cut_in_calm():
+    return ledger_of(cut())
+
+
+def ended_by_itself():
+    process = Incarnation(ENTRY, 1, 0.0, ended_at=9.0, status=1)
+    return ledger_of(process=process)
+
+
+def held_too_long():
+    return ledger_of(answered(ended_at=56.0))
+
+
+def sent_to_who_left():
+    ledger = ledger_of(answered())
+    ledger.departures_.append(Departure("i-1", 40.0))
+    return ledger
+
+
+def repeated_too_often():
+    sent = answered("safe")
+    ledger = ledger_of(sent)
+    ledger.arrivals_ += [Ran("r1", "i-1", "plain", 50.0 + n / 9) for n in range(40)]
+    return ledger
+
+
+def ran_in_three_places():
+    ledger = ledger_of(answered("safe"))
+    ledger.runs_by_id_["r1"] = [Ran("r1", f"i-{n}", "plain", 50.0) for n in (1, 2, 3)]
+    return ledger
+
+
+def begun_after_leaving():
+    ledger = ledger_of(answered("safe", outcome=Outcome.LEFT, ended_at=50.1))
+    ledger.arrivals_.append(Ran("r1", "i-2", "plain", 52.0))
+    return ledger
+
+
+def given_more_time():
+    sent = answered()
+    ledger = ledger_of(sent)
+    ledger.run_records_.append(("i-1", run_of(sent, **{"X-Deadline-Ms": "9000"})))
+    return ledger
+
+
+# A ledger for each promise that breaks it.
+BREAKING = {
+    "runs at most once": ran_twice,
+    "refused means not run": refused_but_ran,
+    "an answer is whole, signed and of its request": answered_to_another,
+    "a stream is in order and whole": stream_with_a_gap,
+    "requests reach endpoints unaltered": workspace_changed,
+    "nothing is done that no configuration allows": denied_falsely,
+    "a configuration is in force in time": late_version,
+    "a process never goes back to an older configuration": went_back,
+    "a planned stop cuts nothing that was passed on": cut_by_a_stop,
+    "calm cuts nothing": cut_in_calm,
+    "a process ends only when it is told to": ended_by_itself,
+    "a request ends by its route's time": held_too_long,
+    "nothing new goes to an endpoint that leaves": sent_to_who_left,
+    "repeats stay within their budget": repeated_too_often,
+    "a request goes to no more endpoints than its route allows": ran_in_three_places,
+    "what a caller left is not begun": begun_after_leaving,
+    "an endpoint is given no more time than is left": given_more_time,
+}
+
+
+@pytest.mark.parametrize("check", checks, ids=lambda check: check.promise)
+def test_each_check_finds_a_broken_promise(check):
+    made = BREAKING[check.promise]()
+    ledger, versions = made if isinstance(made, tuple) else (made, None)
+    assert check.promise in found_in(ledger, versions)
+
+
+def test_a_request_that_went_well_breaks_nothing():
+    sent = answered()
+    ledger = ledger_of(sent)
+    ledger.run_records_.append(("i-1", run_of(sent)))
+    assert found_in(ledger) == set()
+
+
+@pytest.mark.parametrize(
+    "make", [late_version, held_too_long, cut_in_calm, sent_to_who_left]
+)
+@pytest.mark.parametrize("scope", [ENTRY, STORE])
+def test_nobody_out_of_touch_is_held_to_the_clock(make, scope):
+    made = make()
+    ledger, versions = made if isinstance(made, tuple) else (made, None)
+    ledger.disturb(scope, FaultKind.STORE_BUSY, 25.0, 60.0)
+    assert found_in(ledger, versions) == set()
+
+
+@pytest.mark.parametrize(
+    ("scope", "kind", "is_excused"),
+    [
+        (ENTRY, FaultKind.ENTRY_PAUSED, True),
+        ("i-1", FaultKind.ENDPOINT_CRASHED, True),
+        (ENTRY, FaultKind.STORE_LINK_SILENT, False),
+        (STORE, FaultKind.STORE_SILENT, False),
+    ],
+)
+def test_what_excuses_a_cut_in_a_planned_stop(scope, kind, is_excused):
+    ledger = cut_by_a_stop()
+    ledger.disturb(scope, kind, 49.0, 50.0)
+    assert (found_in(ledger) == set()) is is_excused
+
+
+def test_what_runs_on_past_the_grace_period_may_be_cut():
+    process = Incarnation(ENTRY, 1, 0.0, term_at=48.0)
+    sent = cut(at=50.0, ended_at=55.4)
+    sent.asked["X-Deadline-Ms"] = "9000"
+    sent.timeout_s = 9.0
+    assert found_in(ledger_of(sent, process=process)) == set()
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_plan.py
@@ -0,0 +1,54 @@
+"""The plan of a soak follows from its seed, and every kind can be carried out."""
+
+from random import Random
+
+import pytest
+
+from leadford_standins.soak import SoakOptions, _runner  # noqa: F401
+from leadford_standins.soak._base import FaultKind
+from leadford_standins.soak._injectors import injectors_by_kind
+from leadford_standins.soak._plan import (
+    CHANGE_SPANS,
+    FAULT_SPANS,
+    QUIET_START_S,
+    draw_plan,
+)
+
+
+def plan_of(seed, **fields):
+    options = SoakOptions(seed=seed, seconds=60.0, **fields)
+    return draw_plan(options, Random(seed))
+
+
+def test_a_seed_always_draws_the_same_plan():
+    assert plan_of(7) == plan_of(7)
+    assert plan_of(7).faults != plan_of(8).faults
+
+
+def test_faults_come_in_order_after_a_quiet_start():
+    times = [fault.at_s for fault in plan_of(3).faults]
+    assert times == sorted(times)
+    assert times[0] >= QUIET_START_S
+    assert times[-1] < 60.0
+
+
+def test_faults_overlap_and_come_in_series():
+    faults = plan_of(5, faults_per_s=1.5).faults
+    follows = [
+        later
+        for earlier, later in zip(faults, faults[1:], strict=False)
+        if later.at_s < earlier.at_s + earlier.duration_s
+    ]
+    assert len(follows) > 5
+
+
+def test_only_the_kinds_that_are_asked_for_are_drawn():
+    faults = plan_of(5, only=("entry-stopped", "route-added")).faults
+    kinds = {fault.kind for fault in faults}
+    assert kinds == {FaultKind.ENTRY_STOPPED, FaultKind.ROUTE_ADDED}
+
+
+@pytest.mark.parametrize("kind", FaultKind)
+def test_every_kind_is_drawn_and_has_an_injector(kind):
+    assert kind in FAULT_SPANS or kind in CHANGE_SPANS
+    assert kind in injectors_by_kind
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
@@ -0,0 +1,40 @@
+"""Short soaks of real processes break no promise that does not hang on the clock."""
+
+import asyncio
+import sys
+
+from leadford_standins.soak._cases import cases
+
+# Seconds that a soak may take, its start and the planned stop at its end included.
+SOAK_S = 150.0
+# The kept cases that are replayed each time; all are by `leadford-standins soak-cases`.
+REPLAYED = cases[:2]
+
+
+async def run_soak(options, folder):
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "leadford_standins.main",
+        "soak",
+        f"--seed={options.seed}",
+        f"--seconds={options.seconds}",
+        f"--entries={options.entries}",
+        "--untimed",
+        f"--keep={folder}",
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await asyncio.wait_for(process.communicate(), SOAK_S)
+    return process.returncode, output.decode()
+
+
+def test_short_soaks_break_no_promise(tmp_path):
+    async def main():
+        return await asyncio.gather(
+            *[run_soak(case.options, tmp_path) for case in REPLAYED]
+        )
+
+    for status, output in asyncio.run(main()):
+        assert status == 0, output
+        assert "promises broken: 0" in output
