--- a/packages/leadford-standins/src/leadford_standins/soak/_check_bounds.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_check_bounds.py
@@ -1,10 +1,11 @@
 """Check bounds on time and on repeats, and that processes end as told."""
 
+import signal
 from collections import defaultdict
 
 from leadford_standins.soak._base import STORE
 from leadford_standins.soak._checks import Broken, Evidence, broken, promises
-from leadford_standins.soak._ledger import Outcome, Ran, Sent
+from leadford_standins.soak._ledger import Incarnation, Outcome, Ran, Sent
 
 # Seconds past a bound from which it counts as broken: half a second is the users', the
 # rest lets the soak's own loop be late without an accusation.
@@ -16,9 +17,21 @@
 DEADLINE_SLACK_S = 0.6
 
 
+def _served(process: Incarnation, evidence: Evidence) -> bool:
+    return any(
+        sent.status != 0
+        and (sent.entry, sent.incarnation) == (process.entry, process.number)
+        for sent in evidence.ledger.sent_by_id_.values()
+    )
+
+
 @promises("a process ends only when it is told to")
 class EndsWhenTold:
-    """No process ends by itself, and a planned stop ends with status 0."""
+    """No process ends by itself, and a planned stop ends with status 0.
+
+    One that is told before it listens ends by the signal, which nobody can notice: it
+    is not counted unless a caller had an answer from it.
+    """
 
     def find(self, evidence: Evidence) -> list[Broken]:
         """Return every process that ended otherwise."""
@@ -28,6 +41,8 @@
                 continue
             if process.term_at is not None and process.status == 0:
                 continue
+            if process.status == -signal.SIGTERM and not _served(process, evidence):
+                continue
             told = "after SIGTERM" if process.term_at is not None else "by itself"
             detail = f"start {process.number} ended {told} with {process.status}"
             found.append(
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_checks.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_checks.py
@@ -246,6 +246,15 @@
     assert (found_in(ledger) == set()) is is_excused
 
 
+@pytest.mark.parametrize("has_served", [True, False])
+def test_a_signal_may_end_a_process_that_nobody_has_reached_yet(has_served):
+    told = {"term_at": 8.9, "ended_at": 9.0, "status": -15}
+    process = Incarnation(ENTRY, 1, 8.0, **told)
+    requests = [answered(at=8.5)] if has_served else []
+    found = found_in(ledger_of(*requests, process=process))
+    assert bool(found) is has_served
+
+
 def test_what_runs_on_past_the_grace_period_may_be_cut():
     process = Incarnation(ENTRY, 1, 0.0, term_at=48.0)
     sent = cut(at=50.0, ended_at=55.4)
