Check in the soak that entries are ready and serve in calm, and not once they stop

Cause: an entry that refuses everything breaks none of the promises checked so far.

Ruled out: counting requests near misbehaving endpoints, whose effect on others' times is no fault of the entry.

Change: a watcher of the ready pages, `_check_service` with two checks, their tests.

Conclusion: the new checks have not run on real processes yet.

--- a/packages/leadford-standins/src/leadford_standins/soak/_base.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_base.py
@@ -13,6 +13,8 @@
 
 STORE = "store"
 EVERYTHING = "everything"
+# Requests go wrong at some endpoint; the check of a single request knows which did.
+MISBEHAVIOUR = "misbehaviour"
 
 
 class FaultKind(Enum):
--- a/packages/leadford-standins/src/leadford_standins/soak/_inject_platform.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_inject_platform.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from leadford_standins.soak._base import STORE, Fault, FaultKind
+from leadford_standins.soak._base import MISBEHAVIOUR, STORE, Fault, FaultKind
 from leadford_standins.soak._config import ConfigWriter
 from leadford_standins.soak._endpoints import RunningEndpoint
 from leadford_standins.soak._injectors import injects
@@ -24,6 +24,8 @@
 }
 # Seconds after a crash until the store forgets an endpoint that says nothing.
 FORGOTTEN_S = 3.0
+# Seconds between looks whether all that was to go wrong at an endpoint has.
+LOOK_S = 0.1
 M = Misbehaviour
 PLAIN_MISBEHAVIOURS = (M.LOSE_ANSWER, M.REFUSE, M.FAIL, M.HANG, M.OTHER_ANSWER)
 ENGINE_MISBEHAVIOURS = (*PLAIN_MISBEHAVIOURS, M.CUT, M.GONE, M.STALL)
@@ -144,3 +146,9 @@
         allowed = STAGE_MISBEHAVIOURS
     for _ in range(max(1, int(fault.amount))):
         endpoint.next_.append(scene.random.choice(allowed))
+    loop = asyncio.get_running_loop()
+    noted = scene.ledger.disturb(MISBEHAVIOUR, fault.kind, loop.time(), float("inf"))
+    while endpoint.next_ and loop.time() < scene.ends_at_:
+        await asyncio.sleep(LOOK_S)
+    if not endpoint.next_:
+        noted.until_s = loop.time()
--- a/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
@@ -88,6 +88,16 @@
     at_s: float
 
 
+class ReadyAnswer(msgspec.Struct, frozen=True):
+    """Hold what an entry said when asked whether it takes new callers."""
+
+    entry: str
+    incarnation: int
+    asked_at: float
+    answered_at: float
+    status: int
+
+
 class Ledger:
     """Hold the records of one run."""
 
@@ -100,6 +110,7 @@
         self.misbehaved_by_run_: dict[tuple[str, str], str] = {}
         self.disturbances_: list[Disturbance] = []
         self.incarnations_: list[Incarnation] = []
+        self.ready_answers_: list[ReadyAnswer] = []
         self.departures_: list[Departure] = []
         self.injected_: list[tuple[float, str, str]] = []
         self.endpoints_: set[str] = set()
--- a/packages/leadford-standins/src/leadford_standins/soak/_runner.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_runner.py
@@ -17,6 +17,7 @@
     _check_bounds,  # noqa: F401
     _check_config,  # noqa: F401
     _check_cuts,  # noqa: F401
+    _check_service,  # noqa: F401
     _inject_links,  # noqa: F401
     _inject_platform,  # noqa: F401
     _inject_processes,  # noqa: F401
@@ -27,6 +28,7 @@
 from leadford_standins.soak._injectors import inject
 from leadford_standins.soak._ledger import Ledger
 from leadford_standins.soak._plan import draw_plan
+from leadford_standins.soak._ready import watch_ready
 from leadford_standins.soak._report import SoakReport, make_report
 from leadford_standins.soak._scene import SoakScene
 
@@ -64,6 +66,9 @@
             config=scene.config_,
         )
         scene.on_stop_ = callers.press
+        watching = asyncio.create_task(watch_ready(scene.entries_, scene.ledger))
+        loop = asyncio.get_running_loop()
+        scene.ends_at_ = loop.time() + scene.options.seconds
         injecting = asyncio.create_task(inject(scene, plan.faults))
         await callers.run(scene.options.seconds)
         await injecting
@@ -71,6 +76,7 @@
             callers.press(entry)
         await asyncio.gather(*[entry.stop() for entry in scene.entries_])
         await callers.finish()
+        watching.cancel()
 
 
 async def _wait_ready(scene: SoakScene) -> None:
@@ -108,6 +114,7 @@
         ],
         "incarnations": ledger.incarnations_,
         "departures": ledger.departures_,
+        "ready": ledger.ready_answers_,
     }
     encoded = msgspec.json.encode(records, enc_hook=str)
     (folder / "ledger.json").write_bytes(encoded)
--- a/packages/leadford-standins/src/leadford_standins/soak/_scene.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_scene.py
@@ -74,6 +74,7 @@
         self.write_config()
         for number in range(self.options.entries):
             await self._add_entry(number, halls, store_address)
+        self.ends_at_ = float("inf")
         self.beat_ = asyncio.create_task(self._watch_lag())
         return self
 
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_checks.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_checks.py
@@ -12,6 +12,7 @@
     Ledger,
     Outcome,
     Ran,
+    ReadyAnswer,
     Sent,
 )
 from leadford_standins.wire import Run
@@ -184,8 +185,20 @@
     return ledger
 
 
+def not_ready_in_calm():
+    ledger = ledger_of()
+    ledger.ready_answers_.append(ReadyAnswer(ENTRY, 1, 50.0, 50.1, 503))
+    return ledger
+
+
+def not_served_in_calm():
+    return ledger_of(answered(status=503, ran=False), services=())
+
+
 # A ledger for each promise that breaks it.
 BREAKING = {
+    "an entry is ready in calm and not once it stops": not_ready_in_calm,
+    "calm serves what every configuration allows": not_served_in_calm,
     "runs at most once": ran_twice,
     "refused means not run": refused_but_ran,
     "an answer is whole, signed and of its request": answered_to_another,
@@ -221,7 +234,15 @@
 
 
 @pytest.mark.parametrize(
-    "make", [late_version, held_too_long, cut_in_calm, sent_to_who_left]
+    "make",
+    [
+        late_version,
+        held_too_long,
+        cut_in_calm,
+        sent_to_who_left,
+        not_ready_in_calm,
+        not_served_in_calm,
+    ],
 )
 @pytest.mark.parametrize("scope", [ENTRY, STORE])
 def test_nobody_out_of_touch_is_held_to_the_clock(make, scope):
@@ -246,6 +267,14 @@
     assert (found_in(ledger) == set()) is is_excused
 
 
+@pytest.mark.parametrize(("status", "is_broken"), [(200, True), (503, False)])
+def test_an_entry_that_stops_is_not_ready(status, is_broken):
+    ledger = ledger_of(process=Incarnation(ENTRY, 1, 0.0, term_at=49.0))
+    ledger.disturb(ENTRY, FaultKind.ENTRY_STOPPED, 49.0, 60.0, is_planned=True)
+    ledger.ready_answers_.append(ReadyAnswer(ENTRY, 1, 50.0, 50.1, status))
+    assert bool(found_in(ledger)) is is_broken
+
+
 @pytest.mark.parametrize("has_served", [True, False])
 def test_a_signal_may_end_a_process_that_nobody_has_reached_yet(has_served):
     told = {"term_at": 8.9, "ended_at": 9.0, "status": -15}
