Give the soak subpackages, and tell connections apart by both of their addresses

Cause: the system gives one port of loopback to several connections with other targets, so a lookup by the port alone took a connection to the store for that of another process (seen by a test beside running soaks). 25 modules stood in one folder. SIGTERM of a soak left its entries running.

Ruled out: noise: the table of the system shows the doubled ports.

Change: `soak.parts`, `soak.faults`, `soak.checks`; lookup by both addresses; the report counts connections of no known entry; SIGTERM ends a soak as an interrupt does.

--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -99,6 +99,8 @@
     """
     from leadford_standins.soak import SoakOptions, run_soak
 
+    # A soak that is asked to stop ends its processes too, as an interrupt does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     options = SoakOptions(
         seed=seed,
         seconds=seconds,
@@ -123,6 +125,7 @@
     """
     from leadford_standins.soak import cases, run_soak
 
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     for case in cases:
         folder = keep / f"case-{case.options.seed}"
--- a/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
@@ -115,6 +115,7 @@
         self.injected_: list[tuple[float, str, str]] = []
         self.endpoints_: set[str] = set()
         self.errors_: list[str] = []
+        self.unowned_ = 0
         self.lag_most_s_ = 0.0
 
     def disturb(
--- a/packages/leadford-standins/src/leadford_standins/soak/_report.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_report.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from leadford_standins.soak._base import SoakPlan
-from leadford_standins.soak._checks import Broken, Evidence
+from leadford_standins.soak.checks import Broken, Evidence
 
 
 class SoakReport(msgspec.Struct, frozen=True):
@@ -20,6 +20,7 @@
     faults_by_kind: dict[str, int]
     in_touch: int
     versions: int
+    unowned: int
     lag_most_s: float
     broken: tuple[Broken, ...]
     errors: tuple[str, ...]
@@ -37,7 +38,8 @@
             f"{self.requests} requests, {self.in_touch} of them "
             f"in touch, {self.versions} versions, "
             f"{sum(self.faults_by_kind.values())} faults; "
-            f"the soak was late by {self.lag_most_s:.2f} s at most",
+            f"the soak was late by {self.lag_most_s:.2f} s at most; "
+            f"{self.unowned} connections to the store of no known entry",
             "faults: " + _counts(self.faults_by_kind),
             "requests: " + _counts(self.requests_by_outcome),
         ]
@@ -76,6 +78,7 @@
             for sent in ledger.sent_by_id_.values()
         ),
         versions=len(evidence.versions),
+        unowned=ledger.unowned_,
         lag_most_s=ledger.lag_most_s_,
         broken=tuple(broken),
         errors=tuple(ledger.errors_),
--- a/packages/leadford-standins/src/leadford_standins/soak/_runner.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_runner.py
@@ -12,25 +12,12 @@
 
 import msgspec
 
-from leadford_standins.soak import (
-    _check_answers,  # noqa: F401
-    _check_bounds,  # noqa: F401
-    _check_config,  # noqa: F401
-    _check_cuts,  # noqa: F401
-    _check_service,  # noqa: F401
-    _inject_links,  # noqa: F401
-    _inject_platform,  # noqa: F401
-    _inject_processes,  # noqa: F401
-)
 from leadford_standins.soak._base import SoakOptions, SoakPlan
-from leadford_standins.soak._callers import Callers
-from leadford_standins.soak._checks import Evidence, run_checks
-from leadford_standins.soak._injectors import inject
 from leadford_standins.soak._ledger import Ledger
-from leadford_standins.soak._plan import draw_plan
-from leadford_standins.soak._ready import watch_ready
 from leadford_standins.soak._report import SoakReport, make_report
-from leadford_standins.soak._scene import SoakScene
+from leadford_standins.soak.checks import Evidence, run_checks
+from leadford_standins.soak.faults import draw_plan, inject
+from leadford_standins.soak.parts import Callers, SoakScene, watch_ready
 
 # Seconds for the entries to answer for the first time.
 READY_S = 20.0
--- a/packages/leadford-standins/src/leadford_standins/soak/_check_answers.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_answers.py
@@ -2,8 +2,8 @@
 
 import re
 
-from leadford_standins.soak._checks import Broken, Evidence, broken, promises
 from leadford_standins.soak._ledger import Outcome, Ran, Sent
+from leadford_standins.soak.checks._base import Broken, Evidence, broken, promises
 
 UNREPEATABLE = ("unsafe", "once", "moved", "added", "gone", "never")
 STREAMS = ("resumed", "once")
--- a/packages/leadford-standins/src/leadford_standins/soak/_checks.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_base.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from leadford_standins.soak._base import STORE, SoakBounds
-from leadford_standins.soak._config import ConfigSeen
 from leadford_standins.soak._ledger import Ledger, Sent
+from leadford_standins.soak.parts import ConfigSeen
 
 
 class Broken(msgspec.Struct, frozen=True):
--- a/packages/leadford-standins/src/leadford_standins/soak/_check_bounds.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_bounds.py
@@ -4,8 +4,8 @@
 from collections import defaultdict
 
 from leadford_standins.soak._base import STORE
-from leadford_standins.soak._checks import Broken, Evidence, broken, promises
 from leadford_standins.soak._ledger import Incarnation, Outcome, Ran, Sent
+from leadford_standins.soak.checks._base import Broken, Evidence, broken, promises
 
 # Seconds past a bound from which it counts as broken: half a second is the users', the
 # rest lets the soak's own loop be late without an accusation.
--- a/packages/leadford-standins/src/leadford_standins/soak/_check_config.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_config.py
@@ -1,8 +1,8 @@
 """Check that entries follow the configuration: in time, forward only, truly."""
 
-from leadford_standins.soak._checks import Broken, Evidence, broken, promises
-from leadford_standins.soak._config import DENIED_KEY, DENIED_ROUTE, ConfigSeen
 from leadford_standins.soak._ledger import Outcome, Sent
+from leadford_standins.soak.checks._base import Broken, Evidence, broken, promises
+from leadford_standins.soak.parts import DENIED_KEY, DENIED_ROUTE, ConfigSeen
 
 DENIALS = {401: DENIED_KEY, 403: DENIED_KEY, 404: DENIED_ROUTE}
 STAMP = "X-Server-Stamp"
--- a/packages/leadford-standins/src/leadford_standins/soak/_check_cuts.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_cuts.py
@@ -1,8 +1,8 @@
 """Check that neither planned work nor calm cuts a request."""
 
 from leadford_standins.soak._base import STORE
-from leadford_standins.soak._checks import Broken, Evidence, broken, promises
 from leadford_standins.soak._ledger import Incarnation, Ledger, Outcome, Sent
+from leadford_standins.soak.checks._base import Broken, Evidence, broken, promises
 
 # Part of the grace period, its last, in which a run may be cut that was asked for
 # early, and how early that is in seconds.
--- a/packages/leadford-standins/src/leadford_standins/soak/_check_service.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_service.py
@@ -1,9 +1,9 @@
 """Check that entries are ready and serve when they should, and not when they stop."""
 
 from leadford_standins.soak._base import MISBEHAVIOUR, STORE
-from leadford_standins.soak._checks import Broken, Evidence, broken, promises
-from leadford_standins.soak._config import DENIED_KEY, DENIED_ROUTE
 from leadford_standins.soak._ledger import Outcome, ReadyAnswer, Sent
+from leadford_standins.soak.checks._base import Broken, Evidence, broken, promises
+from leadford_standins.soak.parts import DENIED_KEY, DENIED_ROUTE
 
 READY = 200
 # Seconds after SIGTERM until an entry must say that it takes no new callers.
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_checks.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
@@ -2,10 +2,7 @@
 
 import pytest
 
-from leadford_standins.soak import _runner  # noqa: F401
 from leadford_standins.soak._base import STORE, FaultKind, SoakBounds
-from leadford_standins.soak._checks import Evidence, checks, run_checks
-from leadford_standins.soak._config import ConfigSeen
 from leadford_standins.soak._ledger import (
     Departure,
     Incarnation,
@@ -15,6 +12,8 @@
     ReadyAnswer,
     Sent,
 )
+from leadford_standins.soak.checks._base import Evidence, checks, run_checks
+from leadford_standins.soak.parts import ConfigSeen
 from leadford_standins.wire import Run
 
 KEY = "key-1"
--- a/packages/leadford-standins/src/leadford_standins/soak/_injectors.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_base.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from leadford_standins.soak._base import Fault, FaultKind
-from leadford_standins.soak._scene import SoakScene
+from leadford_standins.soak.parts import SoakScene
 
 Injector = Callable[[SoakScene, Fault], Awaitable[None]]
 
--- a/packages/leadford-standins/src/leadford_standins/soak/_inject_links.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_links.py
@@ -3,9 +3,8 @@
 import asyncio
 
 from leadford_standins.soak._base import Fault, FaultKind
-from leadford_standins.soak._injectors import injects
-from leadford_standins.soak._proxy import LinkState, Way
-from leadford_standins.soak._scene import SoakScene
+from leadford_standins.soak.faults._base import injects
+from leadford_standins.soak.parts import LinkState, SoakScene, Way
 
 K = FaultKind
 BOTH_WAYS = (Way.TO, Way.FROM)
--- a/packages/leadford-standins/src/leadford_standins/soak/_inject_platform.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_platform.py
@@ -3,10 +3,8 @@
 import asyncio
 
 from leadford_standins.soak._base import MISBEHAVIOUR, STORE, Fault, FaultKind
-from leadford_standins.soak._config import ConfigWriter
-from leadford_standins.soak._endpoints import RunningEndpoint
-from leadford_standins.soak._injectors import injects
-from leadford_standins.soak._scene import SoakScene
+from leadford_standins.soak.faults._base import injects
+from leadford_standins.soak.parts import ConfigWriter, RunningEndpoint, SoakScene
 from leadford_standins.wire import (
     EngineStandIn,
     Misbehaviour,
--- a/packages/leadford-standins/src/leadford_standins/soak/_inject_processes.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_processes.py
@@ -9,9 +9,8 @@
 import msgspec
 
 from leadford_standins.soak._base import Fault, FaultKind
-from leadford_standins.soak._injectors import injects
-from leadford_standins.soak._processes import EntryProcess
-from leadford_standins.soak._scene import SoakScene
+from leadford_standins.soak.faults._base import injects
+from leadford_standins.soak.parts import EntryProcess, SoakScene
 
 K = FaultKind
 # The retry slack that a changed settings file gives; the checks keep to the larger one.
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from leadford_standins.soak import SoakOptions, _runner  # noqa: F401
+from leadford_standins.soak import SoakOptions
 from leadford_standins.soak._base import FaultKind
-from leadford_standins.soak._injectors import injectors_by_kind
-from leadford_standins.soak._plan import (
+from leadford_standins.soak.faults._base import injectors_by_kind
+from leadford_standins.soak.faults._plan import (
     CHANGE_SPANS,
     FAULT_SPANS,
     QUIET_START_S,
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/__init__.py
@@ -0,0 +1,28 @@
+"""Hold the parts of a running soak: entries, links, endpoints, operator, callers."""
+
+from leadford_standins.soak.parts._callers import Callers
+from leadford_standins.soak.parts._config import (
+    DENIED_KEY,
+    DENIED_ROUTE,
+    ConfigSeen,
+    ConfigWriter,
+)
+from leadford_standins.soak.parts._endpoints import RunningEndpoint
+from leadford_standins.soak.parts._processes import EntryProcess
+from leadford_standins.soak.parts._proxy import LinkState, Way
+from leadford_standins.soak.parts._ready import watch_ready
+from leadford_standins.soak.parts._scene import SoakScene
+
+__all__ = [
+    "DENIED_KEY",
+    "DENIED_ROUTE",
+    "Callers",
+    "ConfigSeen",
+    "ConfigWriter",
+    "EntryProcess",
+    "LinkState",
+    "RunningEndpoint",
+    "SoakScene",
+    "Way",
+    "watch_ready",
+]
--- a/packages/leadford-standins/src/leadford_standins/soak/_callers.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_callers.py
@@ -8,11 +8,11 @@
 from random import Random
 
 from leadford_standins.soak._base import SoakOptions
-from leadford_standins.soak._config import MOVED_ROUTE, ConfigWriter
-from leadford_standins.soak._connection import CallerConnection
-from leadford_standins.soak._endpoints import WORK_HEADER
 from leadford_standins.soak._ledger import Ledger, Outcome, Sent
-from leadford_standins.soak._processes import EntryProcess
+from leadford_standins.soak.parts._config import MOVED_ROUTE, ConfigWriter
+from leadford_standins.soak.parts._connection import CallerConnection
+from leadford_standins.soak.parts._endpoints import WORK_HEADER
+from leadford_standins.soak.parts._processes import EntryProcess
 from leadford_standins.wire import HOST
 
 # Seconds of a route's time; as in the configuration of the stand-ins.
--- a/packages/leadford-standins/src/leadford_standins/soak/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
@@ -11,7 +11,7 @@
 
 from leadford_standins.soak._base import FaultKind, SoakBounds
 from leadford_standins.soak._ledger import Departure, Ledger, Ran
-from leadford_standins.soak._proxy import FaultProxy, LinkState
+from leadford_standins.soak.parts._proxy import Address, FaultProxy, LinkState
 from leadford_standins.wire import (
     EngineStandIn,
     PlainStandIn,
@@ -69,7 +69,7 @@
         self.proxy_ = FaultProxy(target=self.target_, link_of=self._link)
         self.endpoint.address_ = await self.proxy_.start()
 
-    async def _link(self, port: int) -> LinkState:
+    async def _link(self, near: Address, far: Address) -> LinkState:
         return self.link_
 
 
--- a/packages/leadford-standins/src/leadford_standins/soak/_owners.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_owners.py
@@ -7,23 +7,38 @@
 
 import asyncio
 import os
+import socket
+import sys
 from collections.abc import Callable
 from pathlib import Path
 
-from leadford_standins.soak._proxy import LinkState
+from leadford_standins.soak.parts._proxy import Address, LinkState
 
 TCP_TABLE = Path("/proc/net/tcp")
 # Fields of a line of the table, counted from 0.
 LOCAL_FIELD = 1
+REMOTE_FIELD = 2
 INODE_FIELD = 9
 
 
-def socket_inode(port: int) -> str | None:
-    """Return the inode of the socket that connects from a port of loopback."""
-    wanted = f":{port:04X}"
+def _table_form(address: Address) -> str:
+    """Return an address as the table writes it."""
+    host, port = address
+    number = int.from_bytes(socket.inet_aton(host), sys.byteorder)
+    return f"{number:08X}:{port:04X}"
+
+
+def socket_inode(local: Address, remote: Address) -> str | None:
+    """Return the inode of the socket that connects two addresses.
+
+    Both count: the system gives one port to several connections with other targets.
+    """
+    wanted = (_table_form(local), _table_form(remote))
     for line in TCP_TABLE.read_text().splitlines()[1:]:
         fields = line.split()
-        if fields[LOCAL_FIELD].endswith(wanted) and fields[INODE_FIELD] != "0":
+        if (fields[LOCAL_FIELD], fields[REMOTE_FIELD]) != wanted:
+            continue
+        if fields[INODE_FIELD] != "0":
             return fields[INODE_FIELD]
     return None
 
@@ -60,16 +75,19 @@
         """Return the link of an entry."""
         return self.links_by_name_.setdefault(name, LinkState())
 
-    async def link_of(self, port: int) -> LinkState:
-        """Return the link of whoever connects from a port."""
-        name = await asyncio.to_thread(self._owner, port, self.pids_by_name())
+    async def link_of(self, near: Address, far: Address) -> LinkState:
+        """Return the link of whoever connects from one address to another."""
+        pids_by_name = self.pids_by_name()
+        name = await asyncio.to_thread(self._owner, near, far, pids_by_name)
         if name is None:
             self.unknown_ += 1
             return self.nobody_
         return self.link(name)
 
-    def _owner(self, port: int, pids_by_name: dict[str, int]) -> str | None:
-        inode = socket_inode(port)
+    def _owner(
+        self, near: Address, far: Address, pids_by_name: dict[str, int]
+    ) -> str | None:
+        inode = socket_inode(near, far)
         if inode is None:
             return None
         for name, pid in pids_by_name.items():
--- a/packages/leadford-standins/src/leadford_standins/soak/_proxy.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_proxy.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 from enum import Enum
 
+Address = tuple[str, int]
 CHUNK_BYTES = 65_536
 # Seconds between looks whether a link that holds bytes back lets them pass again.
 HELD_STEP_S = 0.02
@@ -64,15 +65,16 @@
     writer.transport.abort()
 
 
+LinkOf = Callable[[Address, Address], Awaitable[LinkState]]
+
+
 class FaultProxy:
     """Pass connections on to a target over a link that may be harmed.
 
-    `link_of` returns the link of a new connection, by the port it comes from.
+    `link_of` returns the link of a new connection, by its two addresses.
     """
 
-    def __init__(
-        self, *, target: str, link_of: Callable[[int], Awaitable[LinkState]]
-    ) -> None:
+    def __init__(self, *, target: str, link_of: LinkOf) -> None:
         self.target = target
         self.link_of = link_of
         self.tasks_: set[asyncio.Task[None]] = set()
@@ -107,7 +109,8 @@
     async def _pass(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        link = await self.link_of(writer.get_extra_info("peername")[1])
+        near, far = writer.get_extra_info("peername"), writer.get_extra_info("sockname")
+        link = await self.link_of(near, far)
         link.writers_.add(writer)
         try:
             host, _, port = self.target.rpartition(":")
--- a/packages/leadford-standins/src/leadford_standins/soak/_ready.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_ready.py
@@ -10,7 +10,7 @@
 from leadford_platform import PlatformRequests
 from leadford_server.web import fetch
 from leadford_standins.soak._ledger import Ledger, ReadyAnswer
-from leadford_standins.soak._processes import READY_PORT, EntryProcess
+from leadford_standins.soak.parts._processes import READY_PORT, EntryProcess
 
 # Seconds between questions, and for an answer; those of the platform.
 ASK_EVERY_S = 1.0
--- a/packages/leadford-standins/src/leadford_standins/soak/_scene.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
@@ -11,12 +11,16 @@
 
 from leadford_platform import PlatformObjects
 from leadford_standins.soak._base import EVERYTHING, SoakOptions
-from leadford_standins.soak._config import ConfigWriter
-from leadford_standins.soak._endpoints import EndpointPool
 from leadford_standins.soak._ledger import Ledger
-from leadford_standins.soak._owners import LinksByOwner
-from leadford_standins.soak._processes import PEERS_PORT, AddressBlock, EntryProcess
-from leadford_standins.soak._proxy import FaultProxy, LinkState
+from leadford_standins.soak.parts._config import ConfigWriter
+from leadford_standins.soak.parts._endpoints import EndpointPool
+from leadford_standins.soak.parts._owners import LinksByOwner
+from leadford_standins.soak.parts._processes import (
+    PEERS_PORT,
+    AddressBlock,
+    EntryProcess,
+)
+from leadford_standins.soak.parts._proxy import Address, FaultProxy, LinkState
 from leadford_standins.wire import StoreStandIn
 
 # Seconds between looks whether the soak itself is late, and from which it counts.
@@ -93,7 +97,7 @@
         )
         link = LinkState()
 
-        async def link_of(port: int) -> LinkState:
+        async def link_of(near: Address, far: Address) -> LinkState:
             return link
 
         proxy = FaultProxy(target=f"{entry.ip}:{PEERS_PORT}", link_of=link_of)
@@ -106,6 +110,7 @@
 
     async def __aexit__(self, *error: object) -> None:
         self.beat_.cancel()
+        self.ledger.unowned_ = self.store_links_.unknown_
         for entry in self.entries_:
             entry.kill()
         await self.endpoints_.stop()
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_config.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/tests/test_config.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from leadford_standins.soak._config import ConfigWriter
+from leadford_standins.soak.parts._config import ConfigWriter
 
 
 def writer_of(seed=1):
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_proxy.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/tests/test_proxy.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from leadford_standins.soak._proxy import FaultProxy, LinkState, Way
+from leadford_standins.soak.parts._proxy import FaultProxy, LinkState, Way
 
 
 async def echo(reader, writer):
@@ -18,7 +18,7 @@
     async def main():
         link = LinkState()
 
-        async def link_of(port):
+        async def link_of(near, far):
             return link
 
         server = await asyncio.start_server(echo, "127.0.0.1", 0)
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
@@ -25,7 +25,13 @@
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
     )
-    output, _ = await asyncio.wait_for(process.communicate(), SOAK_S)
+    try:
+        output, _ = await asyncio.wait_for(process.communicate(), SOAK_S)
+    except TimeoutError:
+        # The soak ends what it started.
+        process.terminate()
+        await process.wait()
+        raise
     return process.returncode, output.decode()
 
 
