Let requests of a soak work long, and keep what that showed

Cause: requests worked 1.2 s at most, so that plain ones taken late in a planned stop could end.

Conclusion: plain requests whose endpoint works longer than 1.4 s are cut by a planned stop when they come 4.6 s to 6 s after SIGTERM; not mended here.

--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -78,6 +78,8 @@
     requests_per_s: float = 60.0,
     faults_per_s: float = 0.8,
     changes_per_s: float = 0.4,
+    long_part: float = 0.15,
+    long_work_s: float = 1.2,
     only: list[str] | None = None,
     untimed: bool = False,
     program: str = "",
@@ -92,6 +94,8 @@
     :param requests_per_s: requests of all callers together
     :param faults_per_s: faults besides changes of the configuration
     :param changes_per_s: changes of the configuration
+    :param long_part: part of the requests that work long
+    :param long_work_s: how long at most these work
     :param only: kinds of fault and change to draw; all when left out
     :param untimed: leave out the checks that hold to a bound on the clock
     :param program: file that starts an entry; that of this checkout when left out
@@ -109,6 +113,8 @@
         requests_per_s=requests_per_s,
         faults_per_s=faults_per_s,
         changes_per_s=changes_per_s,
+        long_part=long_part,
+        long_work_s=long_work_s,
         only=tuple(only or ()),
         program=program,
     )
--- a/packages/leadford-standins/src/leadford_standins/soak/_cases.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_cases.py
@@ -20,9 +20,33 @@
     "A planned stop that found nothing under way waited for the store to remove the "
     "entry; requests that came meanwhile were cut when the process ended."
 )
+CUT_FOR_WANT_OF_TIME = (
+    "A planned stop takes plain requests until 6 s after SIGTERM and ends at 7.4 s: "
+    "those whose endpoint works longer are cut, also safe ones begun again as slow."
+)
+LOST_AS_SLOW = (
+    "A safe request was broken off as slow and begun again elsewhere, where its time "
+    "did not suffice; its first endpoint would have answered in time."
+)
+STOPS_ONLY = ("entry-stopped",)
 
 cases: tuple[SoakCase, ...] = (
     SoakCase(SoakOptions(seed=12), CUT_AT_THE_END),
     SoakCase(SoakOptions(seed=3), CUT_AT_THE_END),
     SoakCase(SoakOptions(seed=14), CUT_AT_THE_END),
+    SoakCase(SoakOptions(seed=303, faults_per_s=2.0), CUT_FOR_WANT_OF_TIME),
+    SoakCase(
+        SoakOptions(seed=802, faults_per_s=0.4, long_part=0.5, only=STOPS_ONLY),
+        CUT_FOR_WANT_OF_TIME,
+    ),
+    SoakCase(
+        SoakOptions(
+            seed=803, faults_per_s=0.4, long_part=0.5, long_work_s=2.8, only=STOPS_ONLY
+        ),
+        CUT_FOR_WANT_OF_TIME,
+    ),
+    SoakCase(
+        SoakOptions(seed=402, seconds=30.0, faults_per_s=0.15, changes_per_s=0.8),
+        LOST_AS_SLOW,
+    ),
 )
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
@@ -274,6 +274,13 @@
     assert bool(found_in(ledger)) is is_broken
 
 
+@pytest.mark.parametrize(("work_ms", "is_broken"), [("1000", True), ("2900", False)])
+def test_only_work_that_fits_into_its_time_must_be_served(work_ms, is_broken):
+    sent = answered(status=504, ran=False)
+    sent.asked["X-Work-Ms"] = work_ms
+    assert bool(found_in(ledger_of(sent, services=()))) is is_broken
+
+
 @pytest.mark.parametrize("has_served", [True, False])
 def test_a_signal_may_end_a_process_that_nobody_has_reached_yet(has_served):
     told = {"term_at": 8.9, "ended_at": 9.0, "status": -15}
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/__init__.py
@@ -7,7 +7,7 @@
     ConfigSeen,
     ConfigWriter,
 )
-from leadford_standins.soak.parts._endpoints import RunningEndpoint
+from leadford_standins.soak.parts._endpoints import WORK_HEADER, RunningEndpoint
 from leadford_standins.soak.parts._processes import EntryProcess
 from leadford_standins.soak.parts._proxy import LinkState, Way
 from leadford_standins.soak.parts._ready import watch_ready
@@ -16,6 +16,7 @@
 __all__ = [
     "DENIED_KEY",
     "DENIED_ROUTE",
+    "WORK_HEADER",
     "Callers",
     "ConfigSeen",
     "ConfigWriter",
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
@@ -20,6 +20,8 @@
         f"--seed={options.seed}",
         f"--seconds={options.seconds}",
         f"--entries={options.entries}",
+        f"--faults-per-s={options.faults_per_s}",
+        f"--changes-per-s={options.changes_per_s}",
         "--untimed",
         f"--keep={folder}",
         stdout=asyncio.subprocess.PIPE,
