Look up the owners of connections together, and start entries that ended again

Cause: a run with 40 entries never began: each connection to the store was looked up on its own, which took longer than the 1.5 s that entries wait, and they tried again. A process that ended by itself left 38 requests without a listener, each an accusation.

Ruled out: fewer entries; the users ask for runs with many.

Change: one look at the tables for all connections that wait; entries that ended by themselves are started again while the check of ends still names them; a case.

Conclusion: SIGHUP ends an entry that has not installed its handlers; not mended here.

--- a/packages/leadford-standins/src/leadford_standins/soak/_cases.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_cases.py
@@ -28,6 +28,10 @@
     "A safe request was broken off as slow and begun again elsewhere, where its time "
     "did not suffice; its first endpoint would have answered in time."
 )
+ENDED_BY_HUP = (
+    "SIGHUP within half a second of its start ended an entry, which had not yet said "
+    "what it does with that signal."
+)
 STOPS_ONLY = ("entry-stopped",)
 
 cases: tuple[SoakCase, ...] = (
@@ -45,6 +49,15 @@
         ),
         CUT_FOR_WANT_OF_TIME,
     ),
+    SoakCase(
+        SoakOptions(
+            seed=117,
+            seconds=12.0,
+            faults_per_s=4.0,
+            only=("entry-killed", "entry-reloaded"),
+        ),
+        ENDED_BY_HUP,
+    ),
     SoakCase(
         SoakOptions(seed=402, seconds=30.0, faults_per_s=0.15, changes_per_s=0.8),
         LOST_AS_SLOW,
--- a/packages/leadford-standins/src/leadford_standins/soak/_runner.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_runner.py
@@ -60,6 +60,7 @@
         await callers.run(scene.options.seconds)
         await injecting
         for entry in scene.entries_:
+            entry.is_ending_ = True
             callers.press(entry)
         await asyncio.gather(*[entry.stop() for entry in scene.entries_])
         await callers.finish()
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_owners.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_owners.py
@@ -2,7 +2,8 @@
 
 All entries name the store by one address, from which they derive their common secret,
 so a proxy of the store can tell them apart by the owner of the socket only. Relies on
-/proc of Linux.
+/proc of Linux. Connections that come together are looked up together: with 40 entries
+each on its own took longer than the entries wait for the store.
 """
 
 import asyncio
@@ -19,6 +20,9 @@
 LOCAL_FIELD = 1
 REMOTE_FIELD = 2
 INODE_FIELD = 9
+SOCKET_PREFIX = "socket:["
+
+Connection = tuple[Address, Address]
 
 
 def _table_form(address: Address) -> str:
@@ -28,38 +32,53 @@
     return f"{number:08X}:{port:04X}"
 
 
-def socket_inode(local: Address, remote: Address) -> str | None:
-    """Return the inode of the socket that connects two addresses.
+def read_inodes() -> dict[tuple[str, str], str]:
+    """Return the inodes of all sockets by their two addresses, as the table has them.
 
     Both count: the system gives one port to several connections with other targets.
     """
-    wanted = (_table_form(local), _table_form(remote))
+    inodes: dict[tuple[str, str], str] = {}
     for line in TCP_TABLE.read_text().splitlines()[1:]:
         fields = line.split()
-        if (fields[LOCAL_FIELD], fields[REMOTE_FIELD]) != wanted:
-            continue
         if fields[INODE_FIELD] != "0":
-            return fields[INODE_FIELD]
-    return None
+            inodes[fields[LOCAL_FIELD], fields[REMOTE_FIELD]] = fields[INODE_FIELD]
+    return inodes
 
 
-def holds_inode(pid: int, inode: str) -> bool:
-    """Tell whether a process has a socket open."""
-    wanted = f"socket:[{inode}]"
+def sockets_of(pid: int) -> set[str]:
+    """Return the inodes of the sockets that a process has open."""
     folder = f"/proc/{pid}/fd"
+    inodes: set[str] = set()
     try:
         numbers = os.listdir(folder)
     except OSError:
         # The process is gone.
-        return False
-    for number in reversed(numbers):
+        return inodes
+    for number in numbers:
         try:
-            if os.readlink(f"{folder}/{number}") == wanted:
-                return True
+            target = os.readlink(f"{folder}/{number}")
         except OSError:
             # The descriptor was closed meanwhile.
             continue
-    return False
+        if target.startswith(SOCKET_PREFIX):
+            inodes.add(target.removeprefix(SOCKET_PREFIX).rstrip("]"))
+    return inodes
+
+
+def find_owners(
+    wanted: set[Connection], pids_by_name: dict[str, int]
+) -> dict[Connection, str]:
+    """Return which process opened each connection, as far as that can be seen."""
+    inodes = read_inodes()
+    name_by_inode: dict[str, str] = {}
+    for name, pid in pids_by_name.items():
+        name_by_inode.update(dict.fromkeys(sockets_of(pid), name))
+    owners: dict[Connection, str] = {}
+    for near, far in wanted:
+        inode = inodes.get((_table_form(near), _table_form(far)))
+        if inode in name_by_inode:
+            owners[near, far] = name_by_inode[inode]
+    return owners
 
 
 class LinksByOwner:
@@ -70,6 +89,8 @@
         self.links_by_name_: dict[str, LinkState] = {}
         self.nobody_ = LinkState()
         self.unknown_ = 0
+        self.waiting_: dict[Connection, asyncio.Future[str | None]] = {}
+        self.lookup_: asyncio.Task[None] | None = None
 
     def link(self, name: str) -> LinkState:
         """Return the link of an entry."""
@@ -77,20 +98,23 @@
 
     async def link_of(self, near: Address, far: Address) -> LinkState:
         """Return the link of whoever connects from one address to another."""
-        pids_by_name = self.pids_by_name()
-        name = await asyncio.to_thread(self._owner, near, far, pids_by_name)
+        found = asyncio.get_running_loop().create_future()
+        self.waiting_[near, far] = found
+        if self.lookup_ is None or self.lookup_.done():
+            self.lookup_ = asyncio.create_task(self._look_up())
+        name = await found
         if name is None:
             self.unknown_ += 1
             return self.nobody_
         return self.link(name)
 
-    def _owner(
-        self, near: Address, far: Address, pids_by_name: dict[str, int]
-    ) -> str | None:
-        inode = socket_inode(near, far)
-        if inode is None:
-            return None
-        for name, pid in pids_by_name.items():
-            if holds_inode(pid, inode):
-                return name
-        return None
+    async def _look_up(self) -> None:
+        """Find the owners of all connections that wait, until none does."""
+        while self.waiting_:
+            waiting, self.waiting_ = self.waiting_, {}
+            owners = await asyncio.to_thread(
+                find_owners, set(waiting), self.pids_by_name()
+            )
+            for connection, found in waiting.items():
+                if not found.done():
+                    found.set_result(owners.get(connection))
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
@@ -26,6 +26,8 @@
 # Seconds between looks whether the soak itself is late, and from which it counts.
 BEAT_S = 0.05
 LATE_S = 0.25
+# Seconds between looks for entries that ended by themselves.
+START_AGAIN_S = 0.5
 
 
 class PeerStore(StoreStandIn):
@@ -79,7 +81,10 @@
         for number in range(self.options.entries):
             await self._add_entry(number, halls, store_address)
         self.ends_at_ = float("inf")
-        self.beat_ = asyncio.create_task(self._watch_lag())
+        self.watches_ = [
+            asyncio.create_task(self._watch_lag()),
+            asyncio.create_task(self._start_those_that_ended()),
+        ]
         return self
 
     async def _add_entry(self, number: int, halls: list[str], store: str) -> None:
@@ -109,7 +114,8 @@
         self.entries_.append(entry)
 
     async def __aexit__(self, *error: object) -> None:
-        self.beat_.cancel()
+        for watch in self.watches_:
+            watch.cancel()
         self.ledger.unowned_ = self.store_links_.unknown_
         for entry in self.entries_:
             entry.kill()
@@ -134,6 +140,14 @@
     def _document(self) -> dict:
         return copy.deepcopy(self.config_.document_)
 
+    async def _start_those_that_ended(self) -> None:
+        """Start entries again that ended by themselves; for the checks they ran on."""
+        while True:
+            await asyncio.sleep(START_AGAIN_S)
+            for entry in self.entries_:
+                if not entry.is_ending_ and not entry.is_running():
+                    entry.start()
+
     async def _watch_lag(self) -> None:
         """Note when this process was late, as its callers and endpoints were then."""
         loop = asyncio.get_running_loop()
