Gather connections for 30 ms before their owners are looked up

Cause: with 40 entries the lookups took the time of the soak's own loop.

Change: a pause before each lookup.

--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_owners.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_owners.py
@@ -20,6 +20,8 @@
 LOCAL_FIELD = 1
 REMOTE_FIELD = 2
 INODE_FIELD = 9
+# Seconds for which connections are gathered before they are looked up.
+GATHER_S = 0.03
 SOCKET_PREFIX = "socket:["
 
 Connection = tuple[Address, Address]
@@ -111,6 +113,7 @@
     async def _look_up(self) -> None:
         """Find the owners of all connections that wait, until none does."""
         while self.waiting_:
+            await asyncio.sleep(GATHER_S)
             waiting, self.waiting_ = self.waiting_, {}
             owners = await asyncio.to_thread(
                 find_owners, set(waiting), self.pids_by_name()
