Show that a stopped entry still reads requests

Cause: found by the fault soak: a request that came 2 ms before the last look of a stop was passed on and cut 52 ms later.

--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
@@ -241,3 +241,26 @@
         assert (code, len(runs_of(deployment.plain, "r1"))) in ((200, 1), (503, 0))
 
     play(scenario)
+
+
+def test_a_stopped_entry_reads_no_further_request():
+    """What comes after the last look of a planned stop is not passed on.
+
+    Symptom: a request that came 2 ms before a process ended its planned stop was passed
+    on, and cut 52 ms later.
+    Cause: the process read its callers' connections until it was gone.
+    """
+
+    async def scenario(deployment):
+        entry = deployment.entries_[0]
+        callers = entry.settings.callers
+        reader, writer = await asyncio.open_connection(callers.host, callers.port)
+        await asyncio.sleep(0.05)
+        # What the connection holds when the stop ends is not read either.
+        entry.stop()
+        writer.write(request_bytes("/unsafe/x", "r1"))
+        async with asyncio.timeout(2.0):
+            assert await reader.read() == b""
+        assert runs_of(deployment.plain, "r1") == []
+
+    play(scenario)
