Close callers' connections in the step that ends a planned stop

Cause: a stopped entry went on to read requests until the process was gone. Ruled out: refusing them, which needs as long. Change: connections are closed with the last look; what they hold unread was passed to nobody, so its caller may send it again.

--- a/packages/leadford-server/src/leadford_server/forwarding/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_callers.py
@@ -288,6 +288,11 @@
         leaving = sum(stream.writing() for stream in self.streams_)
         return len(self.exchanges_) + leaving
 
-    def stop_listening(self) -> None:
-        """Accept no new connections."""
+    def stop(self) -> None:
+        """Accept no new connections, and read none that stands.
+
+        The process still runs for a moment; a request that it began then would be cut.
+        """
         self.server_.stop()
+        for stream in list(self.streams_):
+            stream.close()
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -297,7 +297,7 @@
 
     def stop(self) -> None:
         """Stop at once, whatever runs."""
-        self.caller_server_.stop_listening()
+        self.caller_server_.stop()
         self.ready_server_.stop()
         for task in self.tasks_:
             task.cancel()
