Send nothing to halls that the operator evacuates, and little to cold endpoints

Cause: the operator's objects that ask for a hall to be emptied were not read, so its endpoints went on getting requests and pieces; and how long an endpoint stays cold was read once and bounded nothing. Ruled out: acknowledging the evacuation ourselves; on this platform the store's answer is the acknowledgement. A field in the heartbeat: entries of earlier versions would read other bytes; it is a message of its own, sent from protocol version 3 on. Change: owners follow the kind where the deployment sets a bound, the roster leaves such halls out, an entry uses nothing before it knows, peers tell each other, endpoints of a hall that is given back count as cold, and a few entries by rendezvous share what a cold endpoint bears.

--- a/packages/leadford-server/src/leadford_server/forwarding/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_attempts.py
@@ -98,7 +98,12 @@
         """Return the endpoint that another attempt would ask."""
         state = self.state
         service = self.progress.match_.service
-        records = state.usable(service.service_id)
+        now = state.now()
+        records = [
+            record
+            for record in state.usable(service.service_id)
+            if state.cold_.may_use(record, service.cold_limits, now)
+        ]
         tried = self.progress.tried_
         if service.engine is not None:
             return state.engines_.choose(
@@ -106,9 +111,9 @@
                 self.progress.request.prompt,
                 excluded=tried,
                 bytes_by_hall=self.inputs.bytes_by_hall(),
-                now=state.now(),
+                now=now,
             )
-        return state.chooser_.choose(records, excluded=tried, now=state.now())
+        return state.chooser_.choose(records, excluded=tried, now=now)
 
     async def begin(self, limit_at: float) -> Attempt:
         """Send the request to an endpoint and return once the answer's head is there.
@@ -256,7 +261,9 @@
         self.inputs.record_attempt()
         began_at = self.state.now()
         record.in_flight_ += 1
-        engine = self.progress.match_.service.engine
+        service = self.progress.match_.service
+        self.state.cold_.record_sent(record, service.cold_limits, began_at)
+        engine = service.engine
         if engine is not None:
             self.sent_prompt_ = self.state.engines_.record_sent(
                 record, self.progress.request.prompt, engine.memory_tokens
--- a/packages/leadford-server/src/leadford_server/forwarding/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_contract.py
@@ -11,7 +11,12 @@
 
 from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.forwarding.batching import PieceTask
-from leadford.forwarding.endpoints import ListedEndpoint, PromptShape, ReportedLoad
+from leadford.forwarding.endpoints import (
+    HallNotice,
+    ListedEndpoint,
+    PromptShape,
+    ReportedLoad,
+)
 from leadford.forwarding.routes import ForwardConfig, ResultHandle
 
 HeaderList = list[tuple[str, str]]
@@ -210,6 +215,7 @@
     config_name: str
     endpoints_kind: str
     entries_kind: str
+    evacuations_kind: str
 
     def list_path(self, kind: str, after: str | None) -> str:
         """Return the path of a page of objects."""
@@ -235,6 +241,9 @@
     def read_endpoint(self, item: dict) -> Result[ListedEndpoint, str]:
         """Return the endpoint in an object."""
 
+    def read_evacuation(self, item: dict) -> Result[HallNotice, str]:
+        """Return the evacuation of a hall in an object."""
+
     def read_entry(self, item: dict) -> Result[KnownEntry, str]:
         """Return the entry in an object."""
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_free.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_free.py
@@ -53,6 +53,9 @@
         record = self.state.roster_.record(endpoint_id)
         if not handles or record is None:
             return
+        if self.state.roster_.halls_.is_evacuated(record.listed.hall):
+            # The results end by themselves; an evacuated hall gets no call at all.
+            return
         service = self.state.service(record.listed.service_id)
         if service is not None:
             self.spawn(self._free(service, record, handles))
--- a/packages/leadford-server/src/leadford_server/forwarding/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_links.py
@@ -15,8 +15,14 @@
 from leadford.forwarding.endpoints import ListedEndpoint
 from leadford.forwarding.membership import is_live, is_silent, wanted_peers
 from leadford.forwarding.routes import ForwardConfig
-from leadford.protocol import EntryHeartbeat, Message
+from leadford.protocol import (
+    PROTOCOL_EVACUATIONS,
+    EntryHeartbeat,
+    EvacuationReport,
+    Message,
+)
 from leadford_server.forwarding._contract import KnownEntry
+from leadford_server.forwarding._halls import HallsHolder
 from leadford_server.forwarding._heartbeats import Heartbeats
 from leadford_server.forwarding._news import NewsExchange
 from leadford_server.forwarding._peers import MessageHandlers
@@ -52,12 +58,14 @@
         on_config: Callable[[ForwardConfig, str], None],
         on_listing: Callable[[list[ListedEndpoint], int], None],
         on_entries: Callable[[list[KnownEntry]], None],
+        halls: HallsHolder,
     ) -> None:
         self.entry_id = entry_id
         self.state = state
         self.stages = stages
         self.random = random
         self.address = address
+        self.halls = halls
         self.identity = Identity(entry_id, "entry", state.hall, secret)
         self.entries_by_id_: dict[EntryId, KnownEntry] = {}
         self.dialers_by_id_: dict[EntryId, Dialer] = {}
@@ -84,6 +92,7 @@
         """Return what handles each kind of message."""
         return {
             EntryHeartbeat: self._on_heartbeat,
+            EvacuationReport: self._on_evacuations,
             **self.pieces.handlers(),
             **self.news.handlers(),
         }
@@ -196,6 +205,7 @@
         self.state.log.report(Event.PEER_CONNECTED, peer=entry_id)
         # Before the configuration: budgets are shared by the entries that are known.
         self.news.send_entries(peer)
+        self._tell_evacuations(peer, self.halls.report())
         peer.announce_version()
 
     def peer_lost(self, peer: PeerConnection) -> None:
@@ -223,6 +233,23 @@
         if handler is not None:
             handler(peer, message)
 
+    def tell_all(self, report: EvacuationReport) -> None:
+        """Tell every peer which halls are evacuated."""
+        for peer in list(self.peers_by_id_.values()):
+            self._tell_evacuations(peer, report)
+
+    def _tell_evacuations(
+        self, peer: PeerConnection, report: EvacuationReport | None
+    ) -> None:
+        """Tell a peer which halls are evacuated, if it can read that."""
+        has_evacuations = self.state.bounds.evacuate_s is not None
+        can_read = peer.info.protocol_version >= PROTOCOL_EVACUATIONS
+        if has_evacuations and can_read and report is not None:
+            peer.send(report)
+
+    def _on_evacuations(self, peer: PeerConnection, message: EvacuationReport) -> None:
+        self.halls.learn(message, peer.info.peer_id)
+
     def _on_heartbeat(self, peer: PeerConnection, message: EntryHeartbeat) -> None:
         entry_id = EntryId(peer.info.peer_id)
         if message.is_draining:
--- a/packages/leadford-server/src/leadford_server/forwarding/_listing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_listing.py
@@ -56,6 +56,7 @@
         endpoint = self._read(event.item)
         if endpoint is not None:
             self._log(roster.put(endpoint))
+            self._record_cold(endpoint)
 
     def on_confirmed(self, revision: int) -> None:
         """Do nothing: how old a listing is decides nothing."""
@@ -64,6 +65,13 @@
         """Join a whole listing that was made at a revision of the store."""
         roster = self.state.roster_
         self._log(roster.replace(endpoints, revision, self.state.now()))
+        for endpoint in endpoints:
+            self._record_cold(endpoint)
+
+    def _record_cold(self, endpoint: ListedEndpoint) -> None:
+        record = self.state.roster_.record(endpoint.endpoint_id)
+        if record is not None:
+            record.record_listed_cold(endpoint, self.state.now())
 
     def _read(self, item: dict) -> ListedEndpoint | None:
         read = self.objects.read_endpoint(item)
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -31,8 +31,10 @@
     ENTRIES_WATCH_MS,
     WATCH_MS,
     KindFollower,
+    KindOwner,
     ObjectsClient,
 )
+from leadford_server.forwarding._halls import WATCH_PART, HallsHolder
 from leadford_server.forwarding._links import EntryLinks
 from leadford_server.forwarding._listing import ListingHolder
 from leadford_server.forwarding._members import EntryMembers
@@ -95,6 +97,7 @@
             codec=self.codec,
             hall=settings.hall,
             bounds=settings.bounds,
+            entry_id=settings.entry_id,
             random=self.random,
             loop=asyncio.get_running_loop(),
             log=self.log_,
@@ -138,6 +141,12 @@
             state=state,
             on_change=self.stages_.scheduler_.wake,
         )
+        self.halls_ = HallsHolder(
+            objects=self.objects,
+            state=state,
+            on_change=self.stages_.scheduler_.wake,
+            tell=lambda report: self.links_.tell_all(report),
+        )
         self.members_ = EntryMembers(
             own=KnownEntry(settings.entry_id, str(settings.peers), settings.hall),
             objects=self.objects,
@@ -154,6 +163,7 @@
             random=self.random,
             on_config=self.config_.apply,
             on_listing=self.listing_.apply,
+            halls=self.halls_,
             on_entries=self.members_.learn,
         )
         self.stages_.connect(self.links_, self.links_.pieces)
@@ -179,25 +189,28 @@
 
     def _follow(self) -> None:
         """Follow the store, and keep the links to other entries up."""
-        owners_by_kind = {
-            self.objects.config_kind: self.config_,
-            self.objects.endpoints_kind: self.listing_,
-            self.objects.entries_kind: self.members_,
-        }
-        for kind, owner in owners_by_kind.items():
-            is_members = owner is self.members_
-            follower = KindFollower(
-                kind=kind,
-                client=self.client_,
-                random=self.random,
-                owner=owner,
-                watch_ms=ENTRIES_WATCH_MS if is_members else WATCH_MS,
-            )
-            self._spawn(follower.run())
+        objects = self.objects
+        self._follow_kind(objects.config_kind, self.config_, WATCH_MS)
+        self._follow_kind(objects.endpoints_kind, self.listing_, WATCH_MS)
+        self._follow_kind(objects.entries_kind, self.members_, ENTRIES_WATCH_MS)
+        evacuate_s = self.settings.bounds.evacuate_s
+        if evacuate_s is not None:
+            watch_ms = round(WATCH_PART * evacuate_s * 1_000.0)
+            self._follow_kind(objects.evacuations_kind, self.halls_, watch_ms)
         self._spawn(self.links_.run())
         self.announcing_ = self._spawn(self.members_.announce())
         self._spawn(self._sweep())
 
+    def _follow_kind(self, kind: str, owner: KindOwner, watch_ms: int) -> None:
+        follower = KindFollower(
+            kind=kind,
+            client=self.client_,
+            random=self.random,
+            owner=owner,
+            watch_ms=watch_ms,
+        )
+        self._spawn(follower.run())
+
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(coroutine)
         self.tasks_.append(task)
@@ -210,8 +223,7 @@
 
     def _on_members(self, entries_by_id: dict[EntryId, KnownEntry]) -> None:
         """Share the bounds of the fleet over the entries that exist."""
-        known = set(entries_by_id) | {self.settings.entry_id}
-        self.state_.set_entry_count(len(known))
+        self.state_.set_entries(set(entries_by_id) | {self.settings.entry_id})
         self.links_.set_known_entries(entries_by_id)
 
     @property
@@ -219,6 +231,8 @@
         """Tell whether new callers may come."""
         if self.state_.table_ is None or self.is_draining_:
             return False
+        if not self.state_.roster_.halls_.is_known_:
+            return False
         return not self.state_.age().is_stale
 
     async def _serve(self, exchange: CallerExchange) -> None:
@@ -253,6 +267,7 @@
             known = self.state_.roster_.known_ids()
             self.state_.pool_.sweep(known)
             self.state_.engines_.retain(known)
+            self.state_.cold_.retain(known)
 
     def settings_changed(self) -> None:
         """Read the settings again; what cannot be read changes nothing."""
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -7,18 +7,21 @@
 """
 
 import asyncio
+from collections.abc import Collection
 from random import Random
 
 import msgspec
 
-from leadford.common import HallId
+from leadford.common import EntryId, HallId
 from leadford.forwarding.admission import RetryReservations
 from leadford.forwarding.batching import GroupMap, RegionMap
 from leadford.forwarding.endpoints import (
+    ColdEndpoints,
     EndpointChooser,
     EndpointRecord,
     EndpointRoster,
     EngineChooser,
+    EvacuatedHalls,
     FirstByteTimes,
 )
 from leadford.forwarding.membership import HeardVersions
@@ -32,6 +35,9 @@
 class ForwardBounds(msgspec.Struct, frozen=True):
     """Hold the bounds that the deployment sets.
 
+    `evacuate_s` is None where the operator evacuates no halls; then nothing asks for
+    evacuations.
+
     Units: seconds, except that the ratio and the slack count requests.
     """
 
@@ -41,6 +47,7 @@
     drain_s: float = 2.0
     grace_s: float = 8.0
     config_s: float = 2.0
+    evacuate_s: float | None = None
 
 
 class ForwardState:
@@ -52,6 +59,7 @@
         codec: RequestCodec,
         hall: HallId,
         bounds: ForwardBounds,
+        entry_id: EntryId,
         random: Random,
         loop: asyncio.AbstractEventLoop,
         log: EventLog,
@@ -65,7 +73,10 @@
         self.loop = loop
         self.log = log
         self.table_: RouteTable | None = None
-        self.roster_ = EndpointRoster.from_drain(bounds.drain_s)
+        self.entry_id = entry_id
+        halls = EvacuatedHalls(is_known=bounds.evacuate_s is None)
+        self.roster_ = EndpointRoster.from_drain(bounds.drain_s, halls)
+        self.cold_ = ColdEndpoints(entry_id=entry_id)
         self.chooser_ = EndpointChooser(hall=hall, random=random)
         self.engines_ = EngineChooser(hall=hall)
         self.pool_ = ConnectionPool(codec=codec, loop=loop)
@@ -118,10 +129,12 @@
             config_s=self.bounds.config_s,
         )
 
-    def set_entry_count(self, count: int) -> None:
-        """Split the bounds of the fleet over so many entries."""
-        self.pool_.entry_count_ = max(1, count)
-        self.budgets_.set_entry_count(max(1, count))
+    def set_entries(self, entry_ids: Collection[EntryId]) -> None:
+        """Split the bounds of the fleet over the entries that exist."""
+        count = max(1, len(entry_ids))
+        self.pool_.entry_count_ = count
+        self.budgets_.set_entry_count(count)
+        self.cold_.set_entries(entry_ids)
 
     def _new_budget(self) -> WindowedRetryBudget:
         return WindowedRetryBudget(
--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/tests/test_news.py
@@ -53,6 +53,7 @@
         codec=None,
         hall=HallId("h"),
         bounds=ForwardBounds(),
+        entry_id=EntryId("e"),
         random=Random(1),
         loop=clock,
         log=EventLog(process_id="e"),
--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/tests/test_state.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from leadford.common import EndpointId, HallId
+from leadford.common import EndpointId, EntryId, HallId
 from leadford.forwarding.endpoints import EndpointAddress, ListedEndpoint, ListedState
 from leadford.forwarding.routes import ServiceId
 from leadford_server.forwarding._state import ForwardBounds, ForwardState
@@ -27,6 +27,7 @@
         codec=None,
         hall=HallId("h"),
         bounds=bounds,
+        entry_id=EntryId("e"),
         random=Random(1),
         loop=clock,
         log=None,
--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -93,8 +93,16 @@
 class Deployment:
     """Hold the parts; use it with `async with`."""
 
-    def __init__(self, *, entries: int = 1, endpoints: int = 2, seed: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        entries: int = 1,
+        endpoints: int = 2,
+        seed: int = 1,
+        evacuate_s: float | None = None,
+    ) -> None:
         self.entries = entries
+        self.evacuate_s = evacuate_s
         self.endpoints = endpoints
         self.random = Random(seed)
         self.config = default_config()
@@ -151,7 +159,7 @@
             peers=SocketAddress("127.0.0.1", free_port()),
             store_url=f"http://{self.store_address_}",
             secret=b"0123456789abcdef",
-            bounds=ForwardBounds(grace_s=8.0),
+            bounds=ForwardBounds(grace_s=8.0, evacuate_s=self.evacuate_s),
             regions=self.regions(),
         )
         entry = await self._start(settings)
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_evacuations.py
@@ -0,0 +1,181 @@
+"""A hall that the operator evacuates gets nothing new, from any entry."""
+
+import asyncio
+
+from leadford_standins.wire import StoreFault, play
+
+HALL = "hall-0"
+EVACUATE_S = 5.0
+
+
+def in_hall(deployment, hall=HALL):
+    return [e for e in deployment.all_endpoints() if e.hall == hall]
+
+
+def arrived_after(deployment, moment):
+    """Return every call that endpoints of the hall got after a moment."""
+    return [
+        arrival.request_id
+        for endpoint in in_hall(deployment)
+        for arrival in endpoint.arrived_
+        if arrival.at_s > moment
+    ]
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+async def send_some(deployment, name, *, entries, paths=("/safe/x", "/once/x")):
+    """Send some requests to each entry, and return their statuses."""
+    answers = await asyncio.gather(
+        *(
+            deployment.send(path, request_id=f"{name}{entry}{number}", entry=entry)
+            for entry in entries
+            for number, path in enumerate(paths * 3)
+        )
+    )
+    return [answer.code for answer in answers]
+
+
+def evacuated_at(entry):
+    return entry.state_.roster_.halls_.is_evacuated(HALL)
+
+
+def test_an_evacuated_hall_gets_no_requests_and_no_pieces_until_it_is_given_back():
+    async def scenario(deployment):
+        entries = range(3)
+        assert set(await send_some(deployment, "a", entries=entries)) == {200}
+        assert arrived_after(deployment, 0.0)
+        deployment.store.put("evacuations", HALL, {})
+        await deployment.until(
+            lambda: all(evacuated_at(entry) for entry in deployment.entries_)
+        )
+        # What was sent before is on its way for a moment.
+        await asyncio.sleep(0.1)
+        began_at = now()
+        assert set(await send_some(deployment, "b", entries=entries)) == {200}
+        assert arrived_after(deployment, began_at) == []
+        deployment.store.delete("evacuations", HALL)
+        await deployment.until(
+            lambda: not any(evacuated_at(entry) for entry in deployment.entries_)
+        )
+        assert set(await send_some(deployment, "c", entries=entries)) == {200}
+        assert arrived_after(deployment, began_at)
+
+    play(scenario, entries=3, evacuate_s=EVACUATE_S)
+
+
+def test_work_that_runs_in_a_hall_when_it_is_evacuated_ends_well():
+    async def scenario(deployment):
+        for engine in deployment.engines:
+            engine.pause_s = 0.05
+        for stage in deployment.stage:
+            stage.call_s = 0.15
+        sent = asyncio.ensure_future(
+            send_some(deployment, "a", entries=[0], paths=("/once/x", "/resumed/x"))
+        )
+        await asyncio.sleep(0.2)
+        deployment.store.put("evacuations", HALL, {})
+        assert set(await sent) == {200}
+
+    play(scenario, evacuate_s=EVACUATE_S)
+
+
+def test_an_entry_that_starts_during_an_evacuation_sends_nothing_there():
+    async def scenario(deployment):
+        deployment.store.put("evacuations", HALL, {})
+        await deployment.until(lambda: evacuated_at(deployment.entries_[0]))
+        began_at = now()
+        entry = await deployment.restart_entry(0)
+        sent = []
+        while not entry.is_ready:
+            answer = deployment.send("/safe/x", request_id=f"r{len(sent)}")
+            sent.append(asyncio.ensure_future(answer))
+            await asyncio.sleep(0.01)
+        sent.append(asyncio.ensure_future(deployment.send("/safe/x", request_id="e")))
+        answers = await asyncio.gather(*sent)
+        assert answers[-1].code == 200
+        assert {answer.code for answer in answers} <= {200, 503}
+        assert arrived_after(deployment, began_at) == []
+
+    play(scenario, evacuate_s=EVACUATE_S)
+
+
+def test_an_entry_that_the_store_turns_away_learns_of_evacuations_from_a_peer():
+    async def scenario(deployment):
+        first, second = deployment.entries_
+        await deployment.until(lambda: first.links_.halls_by_live_entry())
+        # Only the first follows the store from now on.
+        second.client_.url = "http://127.0.0.1:9"
+        await asyncio.sleep(2.5)
+        deployment.store.put("evacuations", HALL, {})
+        await deployment.until(lambda: evacuated_at(second))
+        deployment.store.delete("evacuations", HALL)
+        await deployment.until(lambda: not evacuated_at(second))
+
+    play(scenario, entries=2, evacuate_s=EVACUATE_S)
+
+
+def test_an_entry_that_restarts_without_the_store_learns_of_evacuations_from_a_peer():
+    async def scenario(deployment):
+        first, second = deployment.entries_
+        await deployment.until(lambda: first.links_.halls_by_live_entry())
+        deployment.store.put("evacuations", HALL, {})
+        await deployment.until(lambda: evacuated_at(first) and evacuated_at(second))
+        deployment.store.fault = StoreFault.SILENT
+        restarted = await deployment.restart_entry(1)
+        assert not restarted.is_ready
+        await deployment.until(lambda: restarted.is_ready)
+        assert evacuated_at(restarted)
+
+    play(scenario, entries=2, evacuate_s=EVACUATE_S)
+
+
+def test_a_watch_that_hears_nothing_is_over_within_the_bound():
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        deployment.store.has_deaf_watches = True
+        began_at = now()
+        deployment.store.put("evacuations", HALL, {})
+        deployment.store.forget_history()
+        await deployment.until(lambda: evacuated_at(entry))
+        assert now() - began_at < EVACUATE_S
+
+    play(scenario, evacuate_s=EVACUATE_S)
+
+
+def test_endpoints_of_a_hall_that_is_given_back_count_as_cold():
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        for service in deployment.config["services"]:
+            service.update(coldPerS=2.0, coldS=1.0)
+        deployment.config["version"] = 2
+        deployment.put_config()
+        await deployment.until(lambda: entry.state_.config_version() == 2)
+        deployment.store.put("evacuations", HALL, {})
+        await deployment.until(lambda: evacuated_at(entry))
+        deployment.store.delete("evacuations", HALL)
+        await deployment.until(lambda: not evacuated_at(entry))
+        began_at = now()
+        statuses = await send_some(
+            deployment, "a", entries=[0], paths=("/safe/x",) * 10
+        )
+        assert set(statuses) == {200}
+        cold, warm = deployment.plain
+        assert len([a for a in cold.arrived_ if a.at_s > began_at]) <= 3
+        await asyncio.sleep(1.1)
+        assert not entry.state_.roster_.record(cold.endpoint_id).is_cold(now())
+
+    play(scenario, evacuate_s=EVACUATE_S)
+
+
+def test_a_deployment_without_evacuations_does_not_ask_for_them():
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        assert entry.is_ready
+        deployment.store.put("evacuations", HALL, {})
+        await asyncio.sleep(0.3)
+        assert not evacuated_at(entry)
+
+    play(scenario)
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -1,6 +1,7 @@
 """Know the endpoints of each service: what is listed, what is observed, whom to ask."""
 
 from leadford.forwarding.endpoints._choice import ChoicePolicy, EndpointChooser
+from leadford.forwarding.endpoints._cold import ColdEndpoints
 from leadford.forwarding.endpoints._connections import (
     connections_allowed,
     may_use_again,
@@ -11,6 +12,7 @@
     PromptShape,
     SentPrompt,
 )
+from leadford.forwarding.endpoints._halls import EvacuatedHalls, HallNotice
 from leadford.forwarding.endpoints._model import (
     EndpointAddress,
     ListedEndpoint,
@@ -23,13 +25,16 @@
 
 __all__ = [
     "ChoicePolicy",
+    "ColdEndpoints",
     "EndpointAddress",
     "EndpointChooser",
     "EndpointFailure",
     "EndpointRecord",
     "EndpointRoster",
     "EngineChooser",
+    "EvacuatedHalls",
     "FirstByteTimes",
+    "HallNotice",
     "SentPrompt",
     "ListedEndpoint",
     "ListedState",
--- a/packages/leadford/src/leadford/forwarding/endpoints/_choice.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_choice.py
@@ -86,6 +86,6 @@
         score += policy.failure * record.failure_rate_.value_
         if record.listed.hall != self.hall:
             score += policy.other_hall
-        if record.listed.cold_ms > 0.0:
+        if record.is_cold(now):
             score += policy.other_hall
         return score + self.random.uniform(0.0, policy.jitter)
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_halls.py
@@ -0,0 +1,86 @@
+"""Know which data halls the operator has evacuated.
+
+Written from the store and from peers, in any order of arrival; the revisions of the
+store decide what is newer. Owned by the roster, which gives endpoints of an evacuated
+hall no new work. Work that runs there is left alone, and results that lie there are
+read as long as they last.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from leadford.common import HallId
+
+# Halls whose evacuation is over and still remembered, so that an older notice does not
+# bring it back; far more than a fleet has, not measured.
+HALLS_KEPT = 2_000
+
+
+class HallNotice(msgspec.Struct, frozen=True):
+    """Say whether a hall was evacuated at a revision of the store."""
+
+    hall: HallId
+    revision: int
+    is_evacuated: bool
+
+    @property
+    def order(self) -> tuple[int, bool]:
+        """Return what orders notices; the end of one may bear its last revision."""
+        return (self.revision, not self.is_evacuated)
+
+
+class EvacuatedHalls:
+    """Join notices on halls by the revisions they were made at.
+
+    `is_known` is false where halls can be evacuated and neither the store nor a peer
+    has told yet which are: an entry that starts during an evacuation must send nothing
+    before it knows.
+    """
+
+    def __init__(self, *, is_known: bool = True) -> None:
+        self.is_known = is_known
+        self.is_known_ = is_known
+        self.by_hall_: dict[HallId, HallNotice] = {}
+
+    def record(self, notice: HallNotice) -> bool:
+        """Record one notice; return whether it changed what holds for its hall."""
+        known = self.by_hall_.get(notice.hall)
+        if known is not None and notice.order <= known.order:
+            return False
+        # Moved to the end, so that the oldest is forgotten first.
+        self.by_hall_.pop(notice.hall, None)
+        self.by_hall_[notice.hall] = notice
+        self._forget_oldest()
+        was_evacuated = known is not None and known.is_evacuated
+        return was_evacuated != notice.is_evacuated
+
+    def replace(
+        self, evacuated: Iterable[HallNotice], revision: int
+    ) -> list[HallNotice]:
+        """Record a whole listing made at a revision, and return what it changed."""
+        listed = list(evacuated)
+        seen = {notice.hall for notice in listed}
+        for hall, notice in self.by_hall_.items():
+            if notice.is_evacuated and hall not in seen:
+                listed.append(HallNotice(hall, revision, False))
+        self.is_known_ = True
+        return [notice for notice in listed if self.record(notice)]
+
+    def is_evacuated(self, hall: HallId) -> bool:
+        """Tell whether a hall gets no new work."""
+        if not self.is_known_:
+            return True
+        notice = self.by_hall_.get(hall)
+        return notice is not None and notice.is_evacuated
+
+    def notices(self) -> list[HallNotice]:
+        """Return what is known of every hall that was ever evacuated."""
+        return list(self.by_hall_.values())
+
+    def _forget_oldest(self) -> None:
+        for hall in list(self.by_hall_):
+            if len(self.by_hall_) <= HALLS_KEPT:
+                return
+            if not self.by_hall_[hall].is_evacuated:
+                del self.by_hall_[hall]
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -59,12 +59,33 @@
         self.failures_in_a_row_ = 0
         self.suspect_until_ = 0.0
         self.is_replaced_ = False
+        self.cold_until_ = 0.0
+        self.cold_revision_ = -1
         self.load_: ReportedLoad | None = None
         self.load_at_ = 0.0
         self.failure_rate_ = Ewma(initial=0.0, weight=FAILURE_WEIGHT)
         self.latency_ms_ = Ewma(initial=0.0, weight=LATENCY_WEIGHT)
         self.slowness_ = Ewma(initial=1.0, weight=SLOWNESS_WEIGHT)
 
+    def record_listed_cold(self, listed: ListedEndpoint, now: float) -> None:
+        """Record how long a listing says that the endpoint stays cold.
+
+        A listing that is told again says nothing new, and one that says nothing of it
+        may be older than the cold it would end.
+        """
+        if listed.cold_ms <= 0.0 or listed.revision <= self.cold_revision_:
+            return
+        self.cold_revision_ = listed.revision
+        self.record_cold(now + listed.cold_ms / 1_000.0)
+
+    def record_cold(self, until: float) -> None:
+        """Record that the endpoint stays cold until a moment."""
+        self.cold_until_ = max(self.cold_until_, until)
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the endpoint bears few requests yet."""
+        return now < self.cold_until_
+
     def record_load(self, load: ReportedLoad, now: float) -> None:
         """Record the load on an answer."""
         self.load_ = load
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -3,7 +3,8 @@
 Written from the store and from peers, in any order of arrival; revisions decide what is
 newer. It also decides which endpoints take new work: those listed as ready, and for a
 short while those that were removed together with most of their service, because a store
-that was away forgets endpoints that still work.
+that was away forgets endpoints that still work; none of them in a hall that the
+operator has evacuated.
 """
 
 from collections.abc import Iterable
@@ -11,6 +12,7 @@
 import msgspec
 
 from leadford.common import EndpointId, HallId
+from leadford.forwarding.endpoints._halls import EvacuatedHalls
 from leadford.forwarding.endpoints._model import ListedEndpoint, ListedState
 from leadford.forwarding.endpoints._record import EndpointRecord
 from leadford.forwarding.routes import ServiceId
@@ -57,8 +59,12 @@
     Units: trusted_s in seconds.
     """
 
-    def __init__(self, *, trusted_s: float = BACK_S) -> None:
+    def __init__(
+        self, *, trusted_s: float = BACK_S, halls: EvacuatedHalls | None = None
+    ) -> None:
         self.trusted_s = trusted_s
+        self.halls = halls
+        self.halls_ = halls or EvacuatedHalls()
         self.gone_by_id_: dict[EndpointId, _Gone] = {}
         self.records_by_id_: dict[EndpointId, EndpointRecord] = {}
         self.ids_by_service_: dict[ServiceId, set[EndpointId]] = {}
@@ -69,12 +75,15 @@
         self.membership_version_ = 0
 
     @classmethod
-    def from_drain(cls, drain_s: float) -> "EndpointRoster":
+    def from_drain(
+        cls, drain_s: float, halls: EvacuatedHalls | None = None
+    ) -> "EndpointRoster":
         """Return a roster for endpoints that serve so long after they said they leave.
 
         Units: seconds.
         """
-        return cls(trusted_s=max(0.0, min(BACK_S, drain_s - DRAIN_MARGIN_S)))
+        trusted_s = max(0.0, min(BACK_S, drain_s - DRAIN_MARGIN_S))
+        return cls(trusted_s=trusted_s, halls=halls)
 
     def replace(
         self, endpoints: Iterable[ListedEndpoint], revision: int, now: float
@@ -179,6 +188,14 @@
 
     def usable(self, service_id: ServiceId, now: float) -> list[EndpointRecord]:
         """Return the endpoints of a service that take new work."""
+        return [
+            record
+            for record in self._ready(service_id, now)
+            if not self.halls_.is_evacuated(record.listed.hall)
+        ]
+
+    def _ready(self, service_id: ServiceId, now: float) -> list[EndpointRecord]:
+        """Return the endpoints of a service that serve, also in evacuated halls."""
         listed = [
             self.records_by_id_[endpoint_id]
             for endpoint_id in self.ids_by_service_.get(service_id, ())
@@ -195,6 +212,8 @@
     def is_usable(self, record: EndpointRecord, now: float) -> bool:
         """Tell whether an endpoint that was chosen before still takes new work."""
         listed = record.listed
+        if self.halls_.is_evacuated(listed.hall):
+            return False
         if self.records_by_id_.get(listed.endpoint_id) is record:
             return listed.state is ListedState.READY and not record.is_replaced_
         return any(other is record for other in self.usable(listed.service_id, now))
@@ -210,6 +229,10 @@
             and not gone.record.is_replaced_
         ]
 
+    def in_hall(self, hall: HallId) -> list[EndpointRecord]:
+        """Return every listed endpoint of a hall."""
+        return [r for r in self.records_by_id_.values() if r.listed.hall == hall]
+
     def known_ids(self) -> set[EndpointId]:
         """Return the ids that are listed or were removed a short while ago."""
         return set(self.records_by_id_) | set(self.gone_by_id_)
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_halls.py
@@ -0,0 +1,107 @@
+"""Halls that the operator evacuated get no new work, in whatever order it is told."""
+
+from hypothesis import given, strategies as st
+
+from leadford.common import EndpointId, HallId
+from leadford.forwarding.endpoints import (
+    EndpointAddress,
+    EndpointRoster,
+    EvacuatedHalls,
+    HallNotice,
+    ListedEndpoint,
+    ListedState,
+)
+from leadford.forwarding.routes import ServiceId
+
+SERVICE = ServiceId("s")
+HALL = HallId("h")
+
+
+def notice(revision, is_evacuated=True, hall=HALL):
+    return HallNotice(HallId(hall), revision, is_evacuated)
+
+
+def roster_with_two_halls(halls=None):
+    roster = EndpointRoster(halls=halls)
+    for number, hall in enumerate(("h", "other")):
+        roster.put(
+            ListedEndpoint(
+                endpoint_id=EndpointId(hall),
+                service_id=SERVICE,
+                address=EndpointAddress("10.0.0.1:80"),
+                hall=HallId(hall),
+                state=ListedState.READY,
+                slots=4,
+                revision=number,
+            )
+        )
+    return roster
+
+
+def usable_ids(roster):
+    return {record.listed.endpoint_id for record in roster.usable(SERVICE, 100.0)}
+
+
+def test_an_evacuated_hall_gets_no_new_work_until_it_is_given_back():
+    roster = roster_with_two_halls()
+    chosen_before = roster.record(EndpointId("h"))
+    assert roster.halls_.record(notice(5))
+    assert usable_ids(roster) == {"other"}
+    assert roster.usable_by_hall(SERVICE, 0.0) == {"other": 1}
+    assert not roster.is_usable(chosen_before, 0.0)
+    assert roster.halls_.record(notice(6, False))
+    assert usable_ids(roster) == {"h", "other"}
+    assert roster.is_usable(chosen_before, 0.0)
+
+
+def test_endpoints_that_a_store_forgot_are_not_used_in_an_evacuated_hall():
+    roster = roster_with_two_halls()
+    roster.halls_.record(notice(5))
+    for endpoint_id in ("h", "other"):
+        roster.remove(EndpointId(endpoint_id), 6, 100.0)
+    assert usable_ids(roster) == {"other"}
+
+
+def test_nothing_is_used_before_it_is_known_which_halls_are_evacuated():
+    roster = roster_with_two_halls(EvacuatedHalls(is_known=False))
+    assert usable_ids(roster) == set()
+    assert not roster.is_usable(roster.record(EndpointId("other")), 0.0)
+    roster.halls_.replace([notice(5)], 7)
+    assert usable_ids(roster) == {"other"}
+
+
+def test_the_end_of_an_evacuation_may_bear_its_last_revision():
+    halls = EvacuatedHalls()
+    halls.record(notice(5))
+    assert halls.record(notice(5, False))
+    # A peer that has not heard of the end.
+    assert not halls.record(notice(5))
+    assert not halls.is_evacuated(HALL)
+    assert halls.record(notice(6))
+
+
+def test_a_listing_ends_evacuations_that_it_does_not_hold_unless_they_are_newer():
+    halls = EvacuatedHalls()
+    halls.record(notice(5))
+    halls.record(notice(9, hall="newer"))
+    changed = halls.replace([], 7)
+    assert changed == [notice(7, False)]
+    assert not halls.is_evacuated(HALL)
+    assert halls.is_evacuated(HallId("newer"))
+
+
+@given(st.permutations([notice(3), notice(3, False), notice(8), notice(8, False)]))
+def test_the_order_in_which_notices_arrive_decides_nothing(notices):
+    halls = EvacuatedHalls()
+    for told in notices:
+        halls.record(told)
+    assert halls.notices() == [notice(8, False)]
+
+
+def test_only_ended_evacuations_are_forgotten():
+    halls = EvacuatedHalls()
+    halls.record(notice(1, hall="kept"))
+    for number in range(2_100):
+        halls.record(notice(2, False, hall=f"hall-{number}"))
+    assert len(halls.notices()) == 2_000
+    assert halls.is_evacuated(HallId("kept"))
--- a/packages/leadford/src/leadford/forwarding/routes/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/routes/__init__.py
@@ -4,6 +4,7 @@
 from leadford.forwarding.routes._model import (
     PRIORITY_HIGHEST,
     PRIORITY_LOWEST,
+    ColdLimits,
     EngineLimits,
     ForwardConfig,
     PieceLimits,
@@ -33,6 +34,7 @@
 __all__ = [
     "PRIORITY_HIGHEST",
     "PRIORITY_LOWEST",
+    "ColdLimits",
     "ConfigDownload",
     "ConfigPart",
     "ConfigParts",
--- a/packages/leadford/src/leadford/forwarding/routes/_model.py
+++ b/packages/leadford/src/leadford/forwarding/routes/_model.py
@@ -113,11 +113,22 @@
     memory_tokens: int
 
 
+class ColdLimits(msgspec.Struct, frozen=True):
+    """Bound what an endpoint takes while it is cold, from all entries together.
+
+    Units: per_s in requests a second; lasts_s is how long it stays cold, in seconds.
+    """
+
+    per_s: float
+    lasts_s: float
+
+
 class Service(msgspec.Struct, frozen=True):
     """Describe a service; `connections_max` of an endpoint holds for all entries.
 
     Nothing asks `health_path`: outcomes of requests decide. It stays because entries
-    send this message to each other.
+    send this message to each other. `cold` is left out of that message where a service
+    has no such limits, so that entries of earlier versions send and read the same.
     """
 
     service_id: ServiceId
@@ -125,6 +136,12 @@
     health_path: str = ""
     pieces: PieceLimits | None = None
     engine: EngineLimits | None = None
+    cold: ColdLimits | msgspec.UnsetType = msgspec.UNSET
+
+    @property
+    def cold_limits(self) -> ColdLimits | None:
+        """Return what bounds a cold endpoint of the service, if anything does."""
+        return None if isinstance(self.cold, msgspec.UnsetType) else self.cold
 
 
 class TrafficLimits(msgspec.Struct, frozen=True):
--- a/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
+++ b/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
@@ -3,9 +3,17 @@
 import msgspec
 
 from leadford.forwarding.endpoints import ListedEndpoint, ListedState
-from leadford.forwarding.routes import ForwardConfig, RouteKind
+from leadford.forwarding.routes import (
+    ColdLimits,
+    ForwardConfig,
+    RouteKind,
+    Service,
+    ServiceId,
+)
 from leadford.protocol import (
     EntryHeartbeat,
+    EvacuationReport,
+    HallReport,
     PieceAnswer,
     PieceSubmit,
     decode,
@@ -74,3 +82,18 @@
     assert kinds[:3] == [EntryHeartbeat, PieceSubmit, PieceAnswer]
     assert len(kinds) == 12
     assert encode(36, list(frame.messages)) == FRAME
+
+
+def test_evacuations_travel_in_a_message_of_their_own():
+    report = EvacuationReport([HallReport("h1", 9, True)])
+    data = bytes.fromhex("820381" + "82182a81" + "836268" + "3109f5")
+    assert encode(3, [report]) == data
+    assert decode(data).unwrap().messages == [report]
+
+
+def test_limits_of_cold_endpoints_are_left_out_of_services_without_them():
+    bounded = Service(ServiceId("s"), 9, cold=ColdLimits(per_s=9.0, lasts_s=3.0))
+    read = msgspec.msgpack.decode(msgspec.msgpack.encode(bounded), type=Service)
+    assert read == bounded
+    plain = msgspec.msgpack.encode(Service(ServiceId("s"), 9))
+    assert b"cold" not in plain
--- a/packages/leadford/src/leadford/protocol/__init__.py
+++ b/packages/leadford/src/leadford/protocol/__init__.py
@@ -4,6 +4,7 @@
 from leadford.protocol._codec import Frame, ProtocolError, decode, encode
 from leadford.protocol._messages import (
     PROTOCOL_CONFIG_PARTS,
+    PROTOCOL_EVACUATIONS,
     PROTOCOL_VERSION,
     PROTOCOL_VERSION_MIN,
     Ack,
@@ -27,9 +28,11 @@
     EntryAddress,
     EntryHeartbeat,
     EntryListing,
+    EvacuationReport,
     ForwardConfigAnswer,
     ForwardConfigRequest,
     GroupReport,
+    HallReport,
     HeadAnswer,
     HeadRequest,
     HeldModel,
@@ -61,6 +64,7 @@
 
 __all__ = [
     "PROTOCOL_CONFIG_PARTS",
+    "PROTOCOL_EVACUATIONS",
     "PROTOCOL_VERSION",
     "PROTOCOL_VERSION_MIN",
     "GroupReport",
@@ -72,6 +76,8 @@
     "EntryAddress",
     "EntryHeartbeat",
     "EntryListing",
+    "EvacuationReport",
+    "HallReport",
     "PieceRelease",
     "PieceCancel",
     "PieceAnswer",
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -10,9 +10,11 @@
 import msgspec
 
 # Versions of the protocol that this process speaks.
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 # The first version in which configurations travel in parts.
 PROTOCOL_CONFIG_PARTS = 2
+# The first version in which entries tell each other which halls are evacuated.
+PROTOCOL_EVACUATIONS = 3
 PROTOCOL_VERSION_MIN = 1
 
 
@@ -486,6 +488,20 @@
     endpoints: bytes
 
 
+class HallReport(_Base):
+    """Say whether a hall was evacuated at a revision of the store."""
+
+    hall: str
+    revision: int
+    is_evacuated: bool
+
+
+class EvacuationReport(_Base, tag=42):
+    """Tell every hall that is evacuated, or was and is not any more."""
+
+    halls: list[HallReport]
+
+
 Message = (
     Challenge
     | Hello
@@ -527,4 +543,5 @@
     | ConfigPartAnswer
     | ListingRequest
     | ListingAnswer
+    | EvacuationReport
 )
