--- a/packages/leadford-server/src/leadford_server/forwarding/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_calls.py
@@ -135,6 +135,7 @@
             service=call.service.service_id,
             endpoint=call.record.listed.endpoint_id,
             pieces=len(call.tasks),
+            batch=call.limits.batch,
             requests=",".join(sorted({task.request_id for task in call.tasks})),
             waited_ms=round((call.began_at - queued_at) * 1_000.0),
             took_ms=round((now - call.began_at) * 1_000.0),
--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -4,13 +4,15 @@
 of the same request read and write the fields named for them. Nothing here decides.
 """
 
+from collections.abc import Sequence
+
 import msgspec
 
 from leadford.common import EndpointId
 from leadford.events import Event
 from leadford.forwarding.answers import EndReason, RequestOutcome
 from leadford.forwarding.retries import RetryReason
-from leadford.forwarding.routes import RouteMatch
+from leadford.forwarding.routes import Route, RouteMatch, ServiceId
 from leadford_server.forwarding._contract import InboundRequest
 from leadford_server.logs import EventLog
 from leadford_server.metrics import FORWARD_SECONDS, FORWARDED_TOTAL
@@ -55,6 +57,15 @@
         self.model_version_: int | None = None
         # Written by the event relay.
         self.last_event_id_: int | None = None
+        self.last_event_at_: float | None = None
+        self.longest_pause_s_ = 0.0
+
+    def record_event_passed_on(self, now: float) -> None:
+        """Record that the caller was sent an event; the longest pause is logged."""
+        if self.last_event_at_ is not None:
+            pause_s = now - self.last_event_at_
+            self.longest_pause_s_ = max(self.longest_pause_s_, pause_s)
+        self.last_event_at_ = now
 
     def end_without_caller(self) -> None:
         """Record that the caller left, whatever else had happened."""
@@ -97,6 +108,11 @@
         retry=retry_reason.value if retry_reason is not None else "",
         detail=end.detail[:DETAIL_LOGGED],
         expected_ms=round(expected_s * 1_000.0),
+        aim_ms=match.route.aim_ms if match else 0.0,
+        gap_aim_ms=match.route.gap_aim_ms if match else 0.0,
+        caller_ms=request.deadline_ms or 0.0,
+        pause_ms=round(progress.longest_pause_s_ * 1_000.0),
+        work=_work(match.route, request.piece_counts) if match else "",
         stages_ms=_ms(stages_done_at, request.received_at),
         first_ms=_ms(first, request.received_at),
         took_ms=_ms(now, request.received_at),
@@ -105,3 +121,12 @@
 
 def _ms(moment: float | None, since: float) -> int:
     return NEVER_MS if moment is None else round((moment - since) * 1_000.0)
+
+
+def _work(route: Route, counts: Sequence[int] | None) -> str:
+    """Return how many pieces the stages of a request ask of each service."""
+    pieces_by_service: dict[ServiceId, int] = {}
+    for stage, count in zip(route.stages, counts or (), strict=False):
+        known = pieces_by_service.get(stage.service_id, 0)
+        pieces_by_service[stage.service_id] = known + count
+    return " ".join(f"{name}:{count}" for name, count in pieces_by_service.items())
--- a/packages/leadford-server/src/leadford_server/forwarding/_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_relay.py
@@ -74,3 +74,4 @@
         if event.event_id is not None:
             self.progress.last_event_id_ = event.event_id
         await self.answer.write(event.data)
+        self.progress.record_event_passed_on(self.attempts.state.now())
