Make pieces that cannot be in time any more behind those that can

Cause: pieces went by when they were due, so under overload the late ones went first and made all others late too. Ruled out: a smaller head start alone; it does not change who is late first. Change: the queue orders by whether a call that leaves now still ends when the piece is due, then as before.

--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -77,12 +77,13 @@
         endpoint_id = record.listed.endpoint_id
         hall = record.listed.hall
         capacity = capacities.capacity(endpoint_id, limits)
-        if capacity.awaits_room(queue.first_bytes(limits.batch), now):
+        if capacity.awaits_room(queue.first_bytes(limits, now), now):
             continue
         room_bytes = capacities.room_left(endpoint_id, limits, now)
         waits_for_other_hall = _hall_rule(hall, free_in_s_by_hall, limits, now)
         tasks = queue.take(
-            batch=limits.batch,
+            limits=limits,
+            now=now,
             room_bytes=room_bytes,
             endpoint_id=endpoint_id,
             hall=hall,
@@ -102,7 +103,7 @@
     now: float,
 ) -> list[EndpointRecord]:
     """Return the free endpoints, the best first for the pieces that are due first."""
-    first = queue.first()
+    first = queue.first(limits, now)
     moving_s_by_hall = {
         record.listed.hall: first.hall_wait_s(record.listed.hall, limits, now)
         for record in records
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -84,6 +84,12 @@
         """Return the order of the chunk."""
         return self.tasks[0].rank_at
 
+    def is_late(self, limits: PieceLimits, now: float) -> bool:
+        """Tell whether a call that leaves now can no longer end when it is due."""
+        return (
+            now + limits.duration_ms(len(self.tasks)) / 1_000.0 > self.tasks[0].due_at
+        )
+
     def moving_s(self, hall: HallId) -> float:
         """Return the wait that moving bytes to a hall is worth."""
         return moving_s(self.tasks[0].moved_bytes(hall) * len(self.tasks))
@@ -167,19 +173,20 @@
             window_ends_at = min(window_ends_at, task.queued_at + wait_s)
         return window_ends_at
 
-    def first_bytes(self, batch: int) -> int:
+    def first_bytes(self, limits: PieceLimits, now: float) -> int:
         """Return the room that a full call of the first pieces takes."""
-        ordered = sorted(self.tasks_, key=lambda task: task.rank_at)
-        return sum(task.result_bytes for task in ordered[:batch])
+        ordered = [task for c in self._ordered(None, limits, now) for task in c.tasks]
+        return sum(task.result_bytes for task in ordered[: limits.batch])
 
-    def first(self) -> Chunk | None:
-        """Return the pieces that go first."""
-        return min(self.chunks(), key=lambda chunk: chunk.rank_at, default=None)
+    def first(self, limits: PieceLimits, now: float) -> Chunk:
+        """Return the pieces that go first; there must be some."""
+        return self._ordered(None, limits, now)[0]
 
     def take(
         self,
         *,
-        batch: int,
+        limits: PieceLimits,
+        now: float,
         room_bytes: int,
         endpoint_id: EndpointId,
         hall: HallId | None = None,
@@ -193,10 +200,11 @@
         that read results of the hall go a little earlier; where less waits, those
         that stay away are left for an endpoint elsewhere.
         """
+        batch = limits.batch
         is_short = len(self.tasks_) <= SHORT_CALLS * batch
         taken: list[PieceTask] = []
         left: list[PieceTask] = []
-        for number, chunk in enumerate(self._ordered(hall)):
+        for number, chunk in enumerate(self._ordered(hall, limits, now)):
             tasks = chunk.tasks
             allowed = [task for task in tasks if endpoint_id not in task.excluded]
             places = batch - len(taken)
@@ -222,11 +230,17 @@
             tasks.setdefault((task.request_id, task.key.stage), []).append(task)
         return [Chunk(tuple(group)) for group in tasks.values()]
 
-    def _ordered(self, hall: HallId | None) -> list[Chunk]:
-        """Return the chunks in the order in which a hall takes them."""
+    def _ordered(
+        self, hall: HallId | None, limits: PieceLimits, now: float
+    ) -> list[Chunk]:
+        """Return the chunks in the order in which a hall takes them.
+
+        Those that cannot be in time any more go behind those that can: taken by when
+        they were due, they would go first and make the others late too.
+        """
 
-        def order(chunk: Chunk) -> float:
+        def order(chunk: Chunk) -> tuple[bool, float]:
             moving_s = chunk.moving_s(hall) if hall is not None else 0.0
-            return chunk.rank_at + moving_s
+            return chunk.is_late(limits, now), chunk.rank_at + moving_s
 
         return sorted(self.chunks(), key=order)
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
@@ -1,5 +1,6 @@
 """Calls fill with whole requests, within room and time."""
 
+import msgspec
 import pytest
 
 from leadford.common import EndpointId, EntryId, HallId, RequestId
@@ -84,13 +85,21 @@
     return queue
 
 
+def take(queue, *, batch=4, now=0.0, **fields):
+    return queue.take(
+        limits=msgspec.structs.replace(LIMITS, batch=batch),
+        now=now,
+        **{"room_bytes": 100, "endpoint_id": ENDPOINT, **fields},
+    )
+
+
 def ids(tasks):
     return [(item.request_id, item.key.piece) for item in tasks]
 
 
 def test_the_request_that_is_due_first_goes_first():
     queue = fill(task("late", due=9.0), task("soon", due=2.0))
-    taken = queue.take(batch=1, room_bytes=100, endpoint_id=ENDPOINT)
+    taken = take(queue, batch=1)
     assert ids(taken) == [("soon", 0)]
     assert len(queue) == 1
 
@@ -118,38 +127,57 @@
 
 def test_urgent_pieces_go_before_those_that_are_due_a_little_earlier():
     queue = fill(task("less", due=2.0, delay=2.0), task("urgent", due=3.0))
-    taken = queue.take(batch=1, room_bytes=100, endpoint_id=ENDPOINT)
+    taken = take(queue, batch=1)
     assert ids(taken) == [("urgent", 0)]
     queue = fill(task("waited", due=2.0, delay=2.0), task("urgent", due=9.0))
-    taken = queue.take(batch=1, room_bytes=100, endpoint_id=ENDPOINT)
+    taken = take(queue, batch=1)
     assert ids(taken) == [("waited", 0)]
 
 
+def test_pieces_that_cannot_be_in_time_go_behind_those_that_can():
+    queue = fill(task("late", due=1.2), task("soon", due=1.5), task("hopeless", due=1))
+    # A call of one piece takes 0.25 s.
+    order = [ids(take(queue, batch=1, now=1.0))[0][0] for _ in range(3)]
+    assert order == ["soon", "hopeless", "late"]
+
+
+def test_late_pieces_of_urgent_routes_go_behind_what_can_be_in_time():
+    queue = fill(task("urgent", due=0.9), task("less", due=3.0, delay=2.0))
+    assert ids(take(queue, batch=1, now=1.0)) == [("less", 0)]
+    assert queue.first(LIMITS, 1.0).tasks[0].request_id == "urgent"
+
+
+def test_the_room_of_the_first_pieces_is_that_of_those_that_can_be_in_time():
+    queue = fill(task("late", due=1.0, size=90), task("soon", due=2.0, size=10))
+    one = msgspec.structs.replace(LIMITS, batch=1)
+    assert queue.first_bytes(one, 1.0) == 10
+
+
 def test_pieces_of_a_request_are_not_split_over_calls():
     tasks = [task("a", n, due=1.0) for n in range(3)]
     tasks += [task("b", n, due=2.0) for n in range(2)] + [task("c", due=3.0)]
     queue = fill(*tasks)
-    taken = queue.take(batch=4, room_bytes=100, endpoint_id=ENDPOINT)
+    taken = take(queue, batch=4)
     assert {item.request_id for item in taken} == {"a", "c"}
     assert ids(queue.tasks_) == [("b", 0), ("b", 1)]
 
 
 def test_a_request_larger_than_a_call_is_split():
     queue = fill(*[task("a", n) for n in range(6)])
-    assert len(queue.take(batch=4, room_bytes=100, endpoint_id=ENDPOINT)) == 4
-    assert len(queue.take(batch=4, room_bytes=100, endpoint_id=ENDPOINT)) == 2
+    assert len(take(queue, batch=4)) == 4
+    assert len(take(queue, batch=4)) == 2
 
 
 def test_room_bounds_a_call_and_smaller_pieces_go_by():
     queue = fill(task("big", due=1.0, size=60), task("small", due=2.0, size=10))
-    taken = queue.take(batch=4, room_bytes=20, endpoint_id=ENDPOINT)
+    taken = take(queue, room_bytes=20)
     assert ids(taken) == [("small", 0)]
 
 
 def test_a_piece_does_not_go_where_it_failed():
     queue = fill(task("a", excluded=["e"]))
-    assert queue.take(batch=4, room_bytes=100, endpoint_id=ENDPOINT) == []
-    assert queue.take(batch=4, room_bytes=100, endpoint_id=EndpointId("f"))
+    assert take(queue, batch=4) == []
+    assert take(queue, endpoint_id=EndpointId("f"))
 
 
 def test_time_to_spare_waits_for_more_pieces_and_urgency_does_not():
@@ -324,11 +352,11 @@
     away = task("away", due=2.0, near={"g": 500_000})
     here = task("here", due=2.1, near={"h": 500_000})
     queue = fill(away, here)
-    taken = queue.take(batch=1, room_bytes=100, endpoint_id=ENDPOINT, hall=HallId("h"))
+    taken = take(queue, batch=1, hall=HallId("h"))
     assert ids(taken) == [("here", 0)]
     urgent = task("urgent", due=1.0, near={"g": 500_000})
     queue = fill(urgent, here)
-    taken = queue.take(batch=1, room_bytes=100, endpoint_id=ENDPOINT, hall=HallId("h"))
+    taken = take(queue, batch=1, hall=HallId("h"))
     assert ids(taken) == [("urgent", 0)]
 
 
@@ -357,18 +385,14 @@
 def test_pieces_wait_for_another_hall_unless_more_waits_than_two_calls_take():
     away = task("away", due=1.0)
     queue = fill(away, task("here", due=2.0))
-    taken = queue.take(
-        batch=4,
-        room_bytes=100,
-        endpoint_id=ENDPOINT,
+    taken = take(
+        queue,
         waits_for_other_hall=lambda chunk: chunk.tasks[0] is away,
     )
     assert ids(taken) == [("here", 0)]
     queue = fill(*[task("away", n, due=1.0) for n in range(9)])
-    taken = queue.take(
-        batch=4,
-        room_bytes=100,
-        endpoint_id=ENDPOINT,
+    taken = take(
+        queue,
         waits_for_other_hall=lambda chunk: True,
     )
     assert len(taken) == 4
