Let newcomers in before requests that return late, and count lateness from first tries

Cause: a refused request that came back stood before newcomers: its work was reserved, its pieces were due an aim after the return. Change: callers say how much longer they wait, so the time since their first try is known; a return that cannot be in time goes behind, is no backlog to others, teaches the forecast nothing, and hurries no call. No work is reserved any more.

--- a/packages/leadford-server/src/leadford_server/forwarding/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_answer.py
@@ -56,7 +56,7 @@
         engine_s = progress.first_byte_at_ - attempt.began_at
         self.state.first_byte_.record(match.service.service_id, engine_s)
         self.attempts.record_first_token(engine_s)
-        if progress.expected_s_ > 0.0:
+        if progress.expected_s_ > 0.0 and not progress.is_late_:
             actual_s = progress.first_byte_at_ - progress.request.received_at
             self.admission.record_answered(match.route, progress.expected_s_, actual_s)
         progress.model_version_ = head.model_version
--- a/packages/leadford-server/src/leadford_server/forwarding/_inputs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_inputs.py
@@ -22,6 +22,7 @@
 from leadford.forwarding.routes import ResultHandle, RouteMatch, ServiceId
 from leadford_server.forwarding._contract import InboundRequest
 from leadford_server.forwarding._jobs import StageFailure, StageJob
+from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._stages import StageRunner
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.metrics import STAGE_SECONDS
@@ -53,11 +54,12 @@
             found[stage.service_id] = StageCapacity(service.pieces, len(trusted))
         return found
 
-    def open(self, match: RouteMatch, deadline: float) -> Result[None, str]:
+    def open(self, progress: RequestProgress) -> Result[None, str]:
         """Begin a job for the stages of the route, unless there is one."""
         if self.job_ is not None:
             return Success(None)
         request = self.request
+        match = progress.match_
         route = match.route
         graph = PieceGraph.from_counts(route.stages, request.piece_counts or ())
         if isinstance(graph, Failure):
@@ -68,8 +70,10 @@
             request_key=request.request_key,
             is_urgent=route.is_urgent,
             delay_s=queue_delay_s(route, match.priority),
-            deadline=deadline,
-            due_at=request.received_at + route.aim_ms / 1_000.0,
+            deadline=progress.deadline_,
+            # Worth counts from the first try.
+            due_at=request.received_at - progress.first_try_s_ + route.aim_ms / 1_000.0,
+            is_late=progress.is_late_,
             hall=self._planned_hall(match),
             done=self.state.loop.create_future(),
         )
--- a/packages/leadford-server/src/leadford_server/forwarding/_jobs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_jobs.py
@@ -86,6 +86,7 @@
         delay_s: float,
         deadline: float,
         due_at: float,
+        is_late: bool,
         hall: HallId,
         done: asyncio.Future[None],
     ) -> None:
@@ -96,6 +97,7 @@
         self.delay_s = delay_s
         self.deadline = deadline
         self.due_at = due_at
+        self.is_late = is_late
         self.hall = hall
         self.done_ = done
         self.is_over_ = False
--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -46,6 +46,8 @@
         self.match_: RouteMatch | None = None
         self.deadline_ = 0.0
         self.expected_s_ = 0.0
+        self.first_try_s_ = 0.0
+        self.is_late_ = False
         self.input_remakes_ = 0
         self.may_have_run_ = False
         self.retry_reason_: RetryReason | None = None
--- a/packages/leadford-server/src/leadford_server/forwarding/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_request.py
@@ -159,6 +159,7 @@
         route = match.route
         now = self.state.now()
         counts = request.piece_counts or ()
+        asked_ms = request.deadline_ms
         if len(counts) != len(route.stages):
             self.answer.end(
                 EndReason.MALFORMED, "counts of pieces do not fit the stages"
@@ -175,9 +176,12 @@
                 elapsed_s=now - request.received_at,
                 allowed_s=progress.deadline_ - request.received_at,
                 now=now,
+                asked_s=None if asked_ms is None else asked_ms / 1_000.0,
             )
         )
         progress.expected_s_ = decision.expected_s
+        progress.first_try_s_ = decision.first_try_s
+        progress.is_late_ = decision.is_late
         if decision.verdict is Verdict.ADMIT:
             return True
         detail = f"expected in {decision.expected_s:.2f} s"
@@ -188,7 +192,7 @@
 
     async def _make_inputs(self) -> bool:
         """Run the stages; return whether the request itself can go on."""
-        opened = self.inputs.open(self.progress.match_, self.progress.deadline_)
+        opened = self.inputs.open(self.progress)
         if isinstance(opened, Failure):
             self.answer.end(EndReason.MALFORMED, opened.failure())
             return False
--- a/packages/leadford-server/src/leadford_server/forwarding/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_stages.py
@@ -73,7 +73,9 @@
         self.results.links = links
 
     def open(self, job: StageJob) -> None:
-        """Count the pieces of a job that begins."""
+        """Count the pieces of a job that begins; those that are late give way."""
+        if job.is_late:
+            return
         for key in job.graph.pieces_by_key_:
             job.in_backlog_.add(key)
             self.backlog_.add(self._backlog_key(job, key), 1)
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -24,6 +24,7 @@
 import msgspec
 
 from leadford.common import Ewma
+from leadford.forwarding.admission._first_try import FirstTryTimes
 from leadford.forwarding.admission._forecast import StageCapacity, StageForecast
 from leadford.forwarding.admission._reservations import (
     RetryReservation,
@@ -49,7 +50,7 @@
 DEADLINE_PART = 0.85
 # Part of the work yet to return that counts before a newcomer; measured only together
 # with SPARE_PART.
-RESERVED_PART = 0.4
+RESERVED_PART = 0.0
 # Part of the time that path and engine leave of the aim, which the backlog may still
 # fill when a refused request comes back; not measured.
 RETURN_PART = 0.55
@@ -81,7 +82,8 @@
     again.
 
     Units: seconds. engine_s is what the service takes to the first byte; elapsed_s and
-    allowed_s count from the caller's sending; now is a moment of the monotonic clock.
+    allowed_s count from the caller's sending; asked_s is what the caller itself allows,
+    None where it does not say; now is a moment of the monotonic clock.
     """
 
     route: Route
@@ -93,6 +95,7 @@
     elapsed_s: float
     allowed_s: float
     now: float
+    asked_s: float | None = None
 
     @property
     def aim_s(self) -> float:
@@ -104,15 +107,19 @@
 class AdmissionDecision(msgspec.Struct, frozen=True):
     """Hold a verdict, the expected time of the answer, and when to come back.
 
-    `is_return` tells that the request was refused a short while ago.
+    `is_return` tells that the request was refused a short while ago, `is_late` that it
+    cannot be in time any more, counted from its first try.
 
-    Units: seconds; expected_s counts from the caller's sending.
+    Units: seconds; expected_s counts from the caller's sending, first_try_s is the time
+    between the first try and this one.
     """
 
     verdict: Verdict
     expected_s: float
     retry_after_s: float = 0.0
     is_return: bool = False
+    first_try_s: float = 0.0
+    is_late: bool = False
 
 
 class ForwardAdmission:
@@ -129,10 +136,12 @@
         self.reservations = reservations
         self.random = random
         self.error_by_route_: dict[RouteId, Ewma] = {}
+        self.first_tries_ = FirstTryTimes()
 
     def decide(self, request: AdmissionRequest) -> AdmissionDecision:
         """Return the verdict, and remember who is told to come back."""
         is_return = self.reservations.is_return(request.fingerprint, request.now)
+        first_try_s = self._first_try_s(request, is_return=is_return)
         if is_return:
             self.reservations.record_returned(request.fingerprint, request.now)
         forecast = StageForecast(
@@ -152,7 +161,13 @@
             expected_s += delay.returning_s * RESERVED_PART
             limit_s = _newcomer_limit_s(request, path_s)
         if expected_s <= limit_s:
-            return AdmissionDecision(Verdict.ADMIT, expected_s, is_return=is_return)
+            return AdmissionDecision(
+                Verdict.ADMIT,
+                expected_s,
+                is_return=is_return,
+                first_try_s=first_try_s,
+                is_late=is_return and first_try_s + expected_s > request.aim_s,
+            )
         behind_s = delay.now_s + delay.returning_s
         wait_s = self._retry_after_s(request, path_s, behind_s)
         reservation = RetryReservation(
@@ -164,6 +179,16 @@
         self.reservations.record(reservation, is_own=True)
         return AdmissionDecision(Verdict.REFUSE, expected_s, wait_s, is_return)
 
+    def _first_try_s(self, request: AdmissionRequest, *, is_return: bool) -> float:
+        """Return the time since the first try of a request that returns."""
+        if request.asked_s is None:
+            return 0.0
+        route_id = request.route.route_id
+        self.first_tries_.record(route_id, request.asked_s)
+        if not is_return:
+            return 0.0
+        return self.first_tries_.since_s(route_id, request.asked_s)
+
     def record_answered(self, route: Route, expected_s: float, actual_s: float) -> None:
         """Learn from the time that a request took against what was expected."""
         known = self._forecast_error(route)
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -170,6 +170,9 @@
         for task in self.tasks_:
             spare_s = task.due_at - task.queued_at - spare_least_s
             wait_s = min(most_s, max(0.0, WINDOW_PART * spare_s))
+            if task.due_at <= task.queued_at:
+                # It is late already, so its call may as well be full.
+                wait_s = most_s
             window_ends_at = min(window_ends_at, task.queued_at + wait_s)
         return window_ends_at
 
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
@@ -188,6 +188,13 @@
     assert full.window_ends_at(LIMITS) == 0.0
 
 
+def test_a_piece_that_was_late_when_it_came_makes_no_call_leave_early():
+    with_time = task("a", due=9.0)
+    alone = fill(with_time).window_ends_at(LIMITS)
+    beside = fill(with_time, task("late", due=-1.0)).window_ends_at(LIMITS)
+    assert beside == pytest.approx(min(alone, 0.18))
+
+
 def record(name, hall="h"):
     return EndpointRecord(
         listed=ListedEndpoint(
