Let late returns in only while queues are short, and send hopeless ones away longest

Ruled out: refusing all of them; they are served in time of their deadline once a burst is over. Change: their limit leaves 0.3 of the rest of the aim to the whole backlog, urgent or not; who cannot be in time whenever it returns is told the latest time it may come back. Reserved work is gone from the code.

--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -6,11 +6,12 @@
 all entries), the engine, and by how much such forecasts were too short lately.
 
 - For a newcomer the limit leaves what the path takes and a part of the rest of its aim,
-  the larger the more urgent it is; requests that were told to come back stand before
-  it.
-- A request that returns has waited as it was told: it is admitted while it can be
-  answered within its aim.
-- Neither goes beyond a part of the time that the caller gave.
+  the larger the more urgent it is.
+- A request that returns and can still be in time, counted from its first try, is
+  admitted while it can be answered within its aim: it has waited as it was told.
+- One that cannot be in time any more is admitted only while the queues are short: its
+  pieces go behind all others, and one that then starves was held for nothing.
+- None goes beyond a part of the time that the caller gave.
 
 What the caller is told stands in `leadford.forwarding.answers`; the order of match
 work in `leadford.forwarding.batching`. Admission of the own interface
@@ -41,6 +42,9 @@
 SPARE_PART_URGENT = 0.9
 SPARE_PART_STEP = 0.1
 SPARE_PART = 0.75
+# The same for a request that cannot be in time any more: it is let in only while the
+# queues are short, because its pieces go behind all others.
+SPARE_PART_LATE = 0.3
 # Aims within which the answer to a request that returns must be expected: with more,
 # under lasting load everybody returns and is late. In one run each under high load 153
 # of 743 requests of two routes were in time, against 99 with the values named above;
@@ -48,9 +52,6 @@
 RETURN_AIMS = 1.0
 # Part of the caller's time that no expected answer may exceed; not measured.
 DEADLINE_PART = 0.85
-# Part of the work yet to return that counts before a newcomer; measured only together
-# with SPARE_PART.
-RESERVED_PART = 0.0
 # Part of the time that path and engine leave of the aim, which the backlog may still
 # fill when a refused request comes back; not measured.
 RETURN_PART = 0.55
@@ -142,33 +143,21 @@
         """Return the verdict, and remember who is told to come back."""
         is_return = self.reservations.is_return(request.fingerprint, request.now)
         first_try_s = self._first_try_s(request, is_return=is_return)
-        if is_return:
-            self.reservations.record_returned(request.fingerprint, request.now)
         forecast = StageForecast(
             route=request.route,
             counts=request.counts,
             capacity_by_service=request.capacity_by_service,
         )
         path_s = forecast.path_s()
-        delay = forecast.delay(self.backlog, self.reservations, request.now)
+        least_s = request.elapsed_s + path_s + request.engine_s
+        is_late = is_return and first_try_s + least_s > request.aim_s
+        behind_s = forecast.delay_s(self.backlog, request.now, is_late=is_late)
         error_s = self._forecast_error(request.route).value_
-        expected_s = (
-            request.elapsed_s + path_s + delay.now_s + request.engine_s + error_s
-        )
-        if is_return:
-            limit_s = _return_limit_s(request)
-        else:
-            expected_s += delay.returning_s * RESERVED_PART
-            limit_s = _newcomer_limit_s(request, path_s)
-        if expected_s <= limit_s:
+        expected_s = least_s + behind_s + error_s
+        if expected_s <= _limit_s(request, path_s, is_return, is_late):
             return AdmissionDecision(
-                Verdict.ADMIT,
-                expected_s,
-                is_return=is_return,
-                first_try_s=first_try_s,
-                is_late=is_return and first_try_s + expected_s > request.aim_s,
+                Verdict.ADMIT, expected_s, 0.0, is_return, first_try_s, is_late
             )
-        behind_s = delay.now_s + delay.returning_s
         wait_s = self._retry_after_s(request, path_s, behind_s)
         reservation = RetryReservation(
             request.fingerprint,
@@ -207,26 +196,38 @@
     def _retry_after_s(
         self, request: AdmissionRequest, path_s: float, behind_s: float
     ) -> float:
-        """Return when a refused request should come back, a little spread at random."""
+        """Return when a refused request should come back, a little spread at random.
+
+        One that cannot be in time whenever it comes back is told to come as late as it
+        may: what is before it has the most time to be done.
+        """
+        left_s = request.allowed_s - request.elapsed_s
+        most_s = max(RETRY_MIN_S, left_s / RETRY_MOST_DIVISOR)
         spare_s = request.aim_s - path_s - request.engine_s
         wait_s = behind_s - RETURN_PART * spare_s
+        if wait_s > spare_s:
+            return most_s
         wait_s = max(RETRY_MIN_S, wait_s) * self.random.uniform(1.0, 1.0 + JITTER)
-        left_s = request.allowed_s - request.elapsed_s
-        return min(wait_s, max(RETRY_MIN_S, left_s / RETRY_MOST_DIVISOR))
+        return min(wait_s, most_s)
 
 
-def _return_limit_s(request: AdmissionRequest) -> float:
-    """Return until when the answer to a request that returns must be expected."""
-    return min(DEADLINE_PART * request.allowed_s, RETURN_AIMS * request.aim_s)
+def _limit_s(
+    request: AdmissionRequest, path_s: float, is_return: bool, is_late: bool
+) -> float:
+    """Return until when the answer must be expected."""
+    if is_late:
+        return _spare_limit_s(request, path_s, SPARE_PART_LATE)
+    if is_return:
+        return min(DEADLINE_PART * request.allowed_s, RETURN_AIMS * request.aim_s)
+    part = SPARE_PART_URGENT - SPARE_PART_STEP * request.priority
+    return _spare_limit_s(request, path_s, max(SPARE_PART, part))
 
 
-def _newcomer_limit_s(request: AdmissionRequest, path_s: float) -> float:
-    """Return until when the answer to a newcomer must be expected.
+def _spare_limit_s(request: AdmissionRequest, path_s: float, part: float) -> float:
+    """Return until when an answer must be expected whose backlog may take a part.
 
     What the path itself takes is not to spare; a backlog may take a part of the rest.
     """
     least_s = request.elapsed_s + path_s + request.engine_s
-    part = SPARE_PART_URGENT - SPARE_PART_STEP * request.priority
-    part = max(SPARE_PART, part)
     limit_s = least_s + part * max(0.0, request.aim_s - least_s)
     return min(limit_s, DEADLINE_PART * request.allowed_s)
--- a/packages/leadford/src/leadford/forwarding/admission/_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_forecast.py
@@ -1,15 +1,13 @@
 """Forecast how long the stages of a request take, with and without what is before it.
 
 Asked by admission. It decides nothing: times of calls come from the configuration, the
-pieces before a request from the admitted backlog of all entries and from refused
-requests that are yet to return.
+pieces before a request from the admitted backlog of all entries.
 """
 
 from collections.abc import Mapping
 
 import msgspec
 
-from leadford.forwarding.admission._reservations import RetryReservations
 from leadford.forwarding.batching import AdmittedBacklog
 from leadford.forwarding.routes import PieceLimits, Route, ServiceId
 
@@ -47,18 +45,6 @@
         return self.limits.full_call_s
 
 
-class StageDelay(msgspec.Struct, frozen=True):
-    """Hold how long the stage that is the furthest behind needs for what is before it.
-
-    Units: seconds. now_s is for pieces that are admitted, returning_s for those of
-    refused requests that are yet to return; now_s is infinite where a stage has no
-    endpoint.
-    """
-
-    now_s: float
-    returning_s: float
-
-
 class StageForecast:
     """Forecast the stages of one request by what their services can do now."""
 
@@ -91,29 +77,28 @@
             done_s.append(start_s + rounds * call_s)
         return max(done_s, default=0.0)
 
-    def delay(
-        self, backlog: AdmittedBacklog, reservations: RetryReservations, now: float
-    ) -> StageDelay:
-        """Return the backlog of the stage that is the furthest behind."""
-        is_urgent = self.route.is_urgent
-        now_s = 0.0
-        returning_s = 0.0
+    def delay_s(self, backlog: AdmittedBacklog, now: float, *, is_late: bool) -> float:
+        """Return the backlog of the stage that is the furthest behind.
+
+        Before a request that is late goes everything that is in time.
+
+        Units: seconds; infinite where a stage has no endpoint.
+        """
+        is_urgent = self.route.is_urgent and not is_late
+        delay_s = 0.0
         for number, stage in enumerate(self.route.stages):
             if self.counts[number] == 0:
                 continue
             capacity = self.capacity_by_service.get(stage.service_id)
             if capacity is None:
-                return StageDelay(float("inf"), 0.0)
+                return float("inf")
             held_s = capacity.call_s + self._read_s(number)
             pieces = backlog.pieces_before(
                 stage.service_id, is_urgent, later_part=LATER_PART, now=now
             )
             stage_s = capacity.backlog_s(pieces, stage.result_bytes, held_s)
-            now_s = max(now_s, stage_s)
-            returning = reservations.pieces_reserved(stage.service_id, is_urgent, now)
-            stage_s = capacity.backlog_s(returning, stage.result_bytes, held_s)
-            returning_s = max(returning_s, stage_s)
-        return StageDelay(now_s, returning_s)
+            delay_s = max(delay_s, stage_s)
+        return delay_s
 
     def pieces_by_service(self) -> dict[ServiceId, int]:
         """Return how many pieces the request wants of each service."""
--- a/packages/leadford/src/leadford/forwarding/admission/_reservations.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_reservations.py
@@ -1,8 +1,7 @@
 """Remember who was refused and told when to come back.
 
 Owned by an entry; other entries tell theirs by heartbeats (`take_unsent`). Admission
-asks whether a request is one that returns, and how much work is yet to return. Nothing
-here decides.
+asks whether a request is one that returns. Nothing here decides.
 """
 
 from collections import OrderedDict
@@ -16,14 +15,14 @@
 # Seconds after the time to come back for which a request that comes counts as returned;
 # not measured.
 RETURN_FRESH_S = 12.0
-# Seconds after the time to come back for which a request is still expected; not
-# measured.
-RETURN_GRACE_S = 0.6
 
 
 class RetryReservation(msgspec.Struct, frozen=True):
     """Hold a refused request that was told when to come back.
 
+    Entries of earlier versions count the pieces that it will ask for; nothing here
+    does.
+
     Units: return_at in seconds of the monotonic clock.
     """
 
@@ -36,8 +35,7 @@
 class RetryReservations:
     """Remember who was told to come back when, here and at other entries.
 
-    A request that returns is admitted if it can still be served at all, and the work
-    of those that are yet to return stands before that of newcomers.
+    A request that returns is told apart from newcomers by its fingerprint.
     """
 
     def __init__(self) -> None:
@@ -63,23 +61,3 @@
         """Tell whether a request was refused a short while ago."""
         reservation = self.by_fingerprint_.get(fingerprint)
         return reservation is not None and now - reservation.return_at < RETURN_FRESH_S
-
-    def pieces_reserved(
-        self, service_id: ServiceId, is_urgent: bool, now: float
-    ) -> int:
-        """Return how many pieces will come back that go before those of a request."""
-        return sum(
-            reservation.pieces_by_service.get(service_id, 0)
-            for reservation in self.by_fingerprint_.values()
-            if now - reservation.return_at < RETURN_GRACE_S
-            and reservation.is_urgent >= is_urgent
-        )
-
-    def record_returned(self, fingerprint: str, now: float) -> None:
-        """Record that a request has come back; it is remembered as one that did."""
-        reservation = self.by_fingerprint_.get(fingerprint)
-        if reservation is not None:
-            done = msgspec.structs.replace(
-                reservation, return_at=min(reservation.return_at, now - RETURN_GRACE_S)
-            )
-            self.by_fingerprint_[fingerprint] = done
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
@@ -180,6 +180,23 @@
     assert (newcomer.first_try_s, newcomer.is_late) == (0.0, False)
 
 
+def test_a_late_return_is_let_in_only_while_the_queues_are_short():
+    verdicts = []
+    for pieces in (5, 40):
+        fixture = Fixture()
+        fixture.admit_pieces(52)
+        assert fixture.decide(asked_s=8.0).verdict is Verdict.REFUSE
+        fixture.admit_pieces(pieces - 52)
+        verdicts.append(fixture.decide(now=1.9, asked_s=6.1).verdict)
+    assert verdicts == [Verdict.ADMIT, Verdict.REFUSE]
+
+
+def test_who_cannot_be_in_time_is_told_to_come_back_as_late_as_it_may():
+    fixture = Fixture()
+    fixture.admit_pieces(1_000)
+    assert fixture.decide().retry_after_s == pytest.approx(8.0 / 3.0)
+
+
 def test_room_binds_as_well_as_time():
     capacity = StageCapacity(LIMITS, 2)
     by_time = capacity.backlog_s(100, 0, 1.0)
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_forecast.py
@@ -4,8 +4,6 @@
 import pytest
 
 from leadford.forwarding.admission import (
-    RetryReservation,
-    RetryReservations,
     StageCapacity,
 )
 from leadford.forwarding.admission._forecast import StageForecast
@@ -62,22 +60,29 @@
     assert forecast((21, 0, 0)).path_s() == pytest.approx(0.6)
 
 
+def delay_s(counts, backlog, *, is_late=False):
+    return forecast(counts).delay_s(backlog, 0.0, is_late=is_late)
+
+
 def test_the_delay_is_that_of_the_stage_that_is_the_furthest_behind():
-    backlog, reservations = AdmittedBacklog(), RetryReservations()
+    backlog = AdmittedBacklog()
     backlog.add(BacklogKey(FAST, True), 20)
     backlog.add(BacklogKey(SLOW, True), 20)
-    reservations.record(RetryReservation("other", 0.0, True, {FAST: 40}), is_own=False)
-    delay = forecast((1, 1, 1)).delay(backlog, reservations, 0.0)
-    assert delay.now_s == pytest.approx(20 * 0.06)
-    assert delay.returning_s == pytest.approx(40 * 0.03 / 2)
+    assert delay_s((1, 1, 1), backlog) == pytest.approx(20 * 0.06)
     # A stage that the request leaves out does not hold it up.
-    delay = forecast((1, 0, 1)).delay(backlog, reservations, 0.0)
-    assert delay.now_s == pytest.approx(20 * 0.03 / 2)
+    assert delay_s((1, 0, 1), backlog) == pytest.approx(20 * 0.03 / 2)
+
+
+def test_before_a_late_request_goes_all_that_is_in_time():
+    backlog = AdmittedBacklog()
+    backlog.add(BacklogKey(FAST, False), 40)
+    in_time = delay_s((1, 1, 1), backlog)
+    assert delay_s((1, 1, 1), backlog, is_late=True) == pytest.approx(10.0 * in_time)
 
 
 def test_a_stage_without_a_known_service_is_behind_for_ever():
-    delay = forecast((1, 1, 1), {}).delay(AdmittedBacklog(), RetryReservations(), 0.0)
-    assert delay.now_s == float("inf")
+    found = forecast((1, 1, 1), {}).delay_s(AdmittedBacklog(), 0.0, is_late=False)
+    assert found == float("inf")
 
 
 def test_pieces_of_all_stages_of_a_service_are_counted_together():
