Learn slowness from silent calls too, and pass slow endpoints over while others suffice

Ruled out: suspicion alone; it ends after 0.4 s. Change: a call given up counts as having lasted as long as it did, slowness fades by half in 2 s without calls, and an endpoint gets a call only if the better ones would not make all that waits, in calls one by one, before it would have made one. Slowness of engines was never other than 1 and is gone.

--- a/packages/leadford-server/src/leadford_server/forwarding/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_calls.py
@@ -54,6 +54,11 @@
         """Return the room that all results of the call take."""
         return sum(task.result_bytes for task in self.tasks)
 
+    def times_expected(self, now: float) -> float:
+        """Return how many times its expected time the call has lasted."""
+        expected_s = self.limits.duration_ms(len(self.tasks)) / 1_000.0
+        return (now - self.began_at) / expected_s
+
 
 class CallEnd(msgspec.Struct, frozen=True):
     """Say how a call ended.
@@ -85,7 +90,9 @@
             record.record_failure(self.state.now(), EndpointFailure.LOST)
             return CallEnd(None, str(error))
         except TimeoutError:
-            record.record_failure(self.state.now(), EndpointFailure.SILENT)
+            now = self.state.now()
+            record.record_failure(now, EndpointFailure.SILENT)
+            record.record_slowness(call.times_expected(now), now)
             return CallEnd(None, PieceFailure.SILENT.value)
 
     async def _exchange(self, call: PieceCall) -> CallEnd:
@@ -118,9 +125,8 @@
         if isinstance(read, Failure) or len(read.unwrap()) != len(call.tasks):
             record.record_failure(now, EndpointFailure.SPOILED)
             return CallEnd(None, CALL_SPOILED)
-        elapsed_ms = (now - call.began_at) * 1_000.0
-        expected_ms = call.limits.duration_ms(len(call.tasks))
-        record.record_success(elapsed_ms, elapsed_ms / expected_ms)
+        record.record_success((now - call.began_at) * 1_000.0)
+        record.record_slowness(call.times_expected(now), now)
         return CallEnd(read.unwrap(), CALL_DONE)
 
     def log(self, call: PieceCall, end: CallEnd, *, waiting: int) -> None:
--- a/packages/leadford/src/leadford/forwarding/batching/_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_capacity.py
@@ -214,7 +214,9 @@
 
         Endpoints are ordered by when they are expected to finish another call, and
         by what has to move to their hall. The best of them take what waits; one that
-        is busy is waited for if it is among them.
+        is busy is waited for if it is among them. A slow endpoint gets nothing while
+        the others make all that waits in calls that follow each other before it would
+        have made one.
         """
         moving_s = moving_s_by_hall or {}
         trusted = [record for record in records if not record.is_suspect(now)]
@@ -229,11 +231,12 @@
             for number, record in enumerate(trusted or records)
         ]
         found = []
-        carried = 0
-        for _, _, record in sorted(scored, key=lambda item: item[:2]):
-            if carried >= waiting:
+        better: list[tuple[float, float]] = []
+        for finish_s, _, record in sorted(scored, key=lambda item: item[:2]):
+            if _carried(better, finish_s, limits.batch) >= waiting:
                 break
-            carried += limits.batch
+            duration_s = self._duration_s(record, limits, pieces, now)
+            better.append((finish_s, duration_s))
             if self.is_free(record.listed.endpoint_id, limits, now):
                 found.append(record)
         return found
@@ -242,13 +245,18 @@
         self, record: EndpointRecord, limits: PieceLimits, pieces: int, now: float
     ) -> float:
         capacity = self.capacity(record.listed.endpoint_id, limits)
-        duration_s = limits.duration_ms(pieces) / 1_000.0
-        duration_s *= max(1.0, record.slowness_.value_)
+        duration_s = self._duration_s(record, limits, pieces, now)
         wait_s = max(0.0, capacity.busy_until_ - now) if capacity.calls_ else 0.0
         wait_s += record.waiting_elsewhere(now) * duration_s
         wait_s = max(wait_s, capacity.paused_until_ - now)
         return wait_s + duration_s
 
+    def _duration_s(
+        self, record: EndpointRecord, limits: PieceLimits, pieces: int, now: float
+    ) -> float:
+        """Return how long a call takes at an endpoint."""
+        return limits.duration_ms(pieces) / 1_000.0 * max(1.0, record.slowness(now))
+
     def wait_s(
         self,
         records: list[EndpointRecord],
@@ -287,3 +295,14 @@
         for endpoint_id, capacity in list(self.capacity_by_id_.items()):
             if endpoint_id not in known and capacity.calls_ == 0:
                 del self.capacity_by_id_[endpoint_id]
+
+
+def _carried(better: list[tuple[float, float]], until_s: float, batch: int) -> int:
+    """Return how many pieces endpoints make until a moment, in calls one by one.
+
+    `better` holds when each would have made its next call, and how long one takes.
+    """
+    return sum(
+        batch * (1 + int((until_s - finish_s) / duration_s))
+        for finish_s, duration_s in better
+    )
--- a/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
@@ -58,10 +58,6 @@
 # Tokens per millisecond between which a measured rate is believed; not measured.
 RATE_LEAST = 2.0
 RATE_MOST = 100.0
-# Times of the expected time to read a prompt that an engine may take in a forecast; not
-# measured.
-SLOWNESS_LEAST = 0.5
-SLOWNESS_MOST = 4.0
 # Part of an engine's memory that is taken to hold parts of prompts; not measured.
 MEMORY_PART = 0.6
 # Milliseconds that the first engine of the affinity set is ahead; not measured.
@@ -227,8 +223,7 @@
         if record.load_ is not None:
             elsewhere = min(record.load_.waiting, record.waiting_elsewhere(now))
             tokens += elsewhere * MEAN_PROMPT_TOKENS
-        slowness = min(SLOWNESS_MOST, max(SLOWNESS_LEAST, record.slowness_.value_))
-        expected = tokens / self.tokens_per_ms_.value_ * slowness
+        expected = tokens / self.tokens_per_ms_.value_
         running = record.in_flight_ + record.waiting_elsewhere(now)
         expected += running * RUNNING_MS
         expected += record.failure_rate_.value_ * FAILURE_MS
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -29,6 +29,8 @@
 FAILURE_WEIGHT = 0.2
 LATENCY_WEIGHT = 0.2
 SLOWNESS_WEIGHT = 0.4
+# Seconds in which half of an observed slowness is forgotten; not varied.
+SLOWNESS_HALF_S = 2.0
 
 
 class EndpointFailure(Enum):
@@ -66,6 +68,7 @@
         self.failure_rate_ = Ewma(initial=0.0, weight=FAILURE_WEIGHT)
         self.latency_ms_ = Ewma(initial=0.0, weight=LATENCY_WEIGHT)
         self.slowness_ = Ewma(initial=1.0, weight=SLOWNESS_WEIGHT)
+        self.slowness_at_ = 0.0
 
     def record_listed_cold(self, listed: ListedEndpoint, now: float) -> None:
         """Record how long a listing says that the endpoint stays cold.
@@ -91,13 +94,28 @@
         self.load_ = load
         self.load_at_ = now
 
-    def record_success(self, elapsed_ms: float, slowness: float = 1.0) -> None:
-        """Record a good answer, and its time against what was expected of it."""
+    def record_slowness(self, ratio: float, now: float) -> None:
+        """Record how many times longer than expected a call took, or has lasted."""
+        self.slowness_.value_ = self.slowness(now)
+        self.slowness_.update(ratio)
+        self.slowness_at_ = now
+
+    def slowness(self, now: float) -> float:
+        """Return how many times longer than expected calls take.
+
+        What is beyond 1 fades: an endpoint that gets no calls shows no better.
+        """
+        beyond = self.slowness_.value_ - 1.0
+        if beyond <= 0.0:
+            return self.slowness_.value_
+        return 1.0 + beyond * 0.5 ** ((now - self.slowness_at_) / SLOWNESS_HALF_S)
+
+    def record_success(self, elapsed_ms: float) -> None:
+        """Record a good answer and its time."""
         self.failures_in_a_row_ = 0
         self.suspect_until_ = 0.0
         self.failure_rate_.update(0.0)
         self.latency_ms_.update(elapsed_ms)
-        self.slowness_.update(slowness)
 
     def record_failure(self, now: float, failure: EndpointFailure) -> None:
         """Record a failure, which may make the endpoint suspect."""
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_record.py
@@ -59,3 +59,15 @@
     assert not record.is_suspect(10.0)
     record.record_failure(10.0, EndpointFailure.ERROR_STATUS)
     assert not record.is_suspect(10.0)
+
+
+def test_slowness_is_learned_from_calls_and_fades_without_them(record):
+    record.record_slowness(5.0, 10.0)
+    slow = record.slowness(10.0)
+    assert slow > 2.0
+    assert 1.0 < record.slowness(14.0) < 1.0 + (slow - 1.0) / 3.0
+    record.record_slowness(5.0, 14.0)
+    assert record.slowness(14.0) > slow / 2.0
+    for _ in range(8):
+        record.record_slowness(0.9, 15.0)
+    assert record.slowness(15.0) < 1.2
