Give pieces back that wait at an entry which no longer schedules their group

Ruled out: waiting for links before anything is queued; a lone entry must serve at once. Change: at each heartbeat an entry answers "moved" for what waits in groups that another one schedules; the piece goes there at once and counts no failure. The new test fails without it.

--- a/packages/leadford-server/src/leadford_server/forwarding/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_links.py
@@ -123,6 +123,7 @@
             self._dial()
             self._send_heartbeats()
             self.stages.sent.check()
+            self.stages.give_back()
             spread = self.random.uniform(*HEARTBEAT_SPREAD)
             await asyncio.sleep(HEARTBEAT_S * spread)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_scheduler.py
@@ -96,6 +96,18 @@
         for queue in self.queues_by_group_.values():
             queue.discard(lambda task: task.origin != origin)
 
+    def give_back(self, is_scheduled_elsewhere: Callable[[GroupId], bool]) -> None:
+        """Give waiting pieces of groups back that another entry schedules now.
+
+        Two queues for the same endpoints get in each other's way: after all entries of
+        a fleet had restarted at once, pieces of the most urgent route waited for 3.4 s
+        at an entry whose calls met full endpoints (one simulated run).
+        """
+        for group, queue in self.queues_by_group_.items():
+            if len(queue) > 0 and is_scheduled_elsewhere(group):
+                for task in queue.discard(lambda task: False):
+                    self.reply(task, PieceResult(None, PieceFailure.MOVED.value, None))
+
     def release(self, endpoint_id: EndpointId, handles: list[ResultHandle]) -> None:
         """Free results: nobody reads them any more."""
         self.freeing.release(endpoint_id, handles)
--- a/packages/leadford-server/src/leadford_server/forwarding/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_stages.py
@@ -72,6 +72,12 @@
         self.sent.links = links
         self.results.links = links
 
+    def give_back(self) -> None:
+        """Leave waiting pieces to the entries that schedule their groups now."""
+        self.scheduler_.give_back(
+            lambda group: self.groups.scheduler_of(group) != self.entry_id
+        )
+
     def open(self, job: StageJob) -> None:
         """Count the pieces of a job that begins; those that are late give way."""
         if job.is_late:
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from leadford.forwarding.batching import GroupId, PlaceId
+from leadford.forwarding.routes import ServiceId
 from leadford_standins.wire import StoreFault, event_ids, play, runs_of
 
 
@@ -67,6 +69,44 @@
     play(scenario, entries=2)
 
 
+def test_pieces_queued_before_entries_found_each_other_go_to_the_scheduler():
+    """Symptom: after a restart of all entries urgent pieces waited for seconds.
+
+    Sequence: each entry scheduled for itself until links stood, and kept what it had
+    queued by then; its calls met endpoints that the scheduler of the group kept full.
+    """
+
+    async def scenario(deployment):
+        group = GroupId(ServiceId("stage"), PlaceId("region"))
+        for entry in deployment.entries_:
+            await deployment.until(entry.links_.halls_by_live_entry)
+        number, early = next(
+            (number, entry)
+            for number, entry in enumerate(deployment.entries_)
+            if entry.stages_.groups.scheduler_of(group) != entry.settings.entry_id
+        )
+        for stage in deployment.stage:
+            stage.call_s = 0.3
+        links = early.stages_.groups.live_entries
+        early.stages_.groups.live_entries = None
+        sent = [
+            asyncio.ensure_future(
+                deployment.send("/once/x", request_id=f"r{request}", entry=number)
+            )
+            for request in range(8)
+        ]
+        queues = early.stages_.scheduler_.queues_by_group_
+        await deployment.until(lambda: len(queues.get(group, ())) > 0)
+        early.stages_.groups.live_entries = links
+        await deployment.until(lambda: len(queues[group]) == 0, timeout_s=0.29)
+        answers = await asyncio.gather(*sent)
+        assert [answer.code for answer in answers] == [200] * 8
+        scheduler = deployment.entries_[1 - number]
+        assert group in scheduler.stages_.scheduler_.queues_by_group_
+
+    play(scenario, entries=2)
+
+
 def test_entries_that_list_different_endpoints_do_not_send_pieces_in_circles():
     async def scenario(deployment):
         first, second = deployment.entries_
--- a/packages/leadford/src/leadford/forwarding/batching/_remake.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_remake.py
@@ -24,8 +24,8 @@
 
     LATE, GONE and ROOM are said by endpoints: out of time, an input is gone, no room
     for the result. The others are said by schedulers: the endpoint's queue was full;
-    there was no endpoint; the call was lost, not sent or not answered; another process
-    has the endpoint's address.
+    there was no endpoint; another entry schedules the group now; the call was lost, not
+    sent or not answered; another process has the endpoint's address.
     """
 
     LATE = "late"
@@ -33,6 +33,7 @@
     ROOM = "room"
     FULL = "full"
     NO_ENDPOINT = "no endpoint"
+    MOVED = "moved"
     LOST = "lost"
     NOT_SENT = "not-sent"
     SILENT = "silent"
@@ -65,6 +66,7 @@
     PieceFailure.ROOM,
     PieceFailure.FULL,
     PieceFailure.NO_ENDPOINT,
+    PieceFailure.MOVED,
 )
 
 
@@ -100,6 +102,8 @@
         return RemakeDecision(
             RemakeAction.REMAKE_LATER, tries_before, excludes_endpoint=True
         )
+    if failure is PieceFailure.MOVED:
+        return RemakeDecision(RemakeAction.REMAKE, tries_before)
     tries = tries_before + 1
     is_gone = failure is PieceFailure.GONE
     action = RemakeAction.REMAKE
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_remake.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_remake.py
@@ -12,7 +12,7 @@
 COUNTED = [
     failure
     for failure in PieceFailure
-    if failure not in (PieceFailure.LATE, PieceFailure.NO_ENDPOINT)
+    if failure not in (PieceFailure.LATE, PieceFailure.NO_ENDPOINT, PieceFailure.MOVED)
 ]
 
 
@@ -29,6 +29,13 @@
         assert decision.tries == tries
 
 
+def test_a_piece_whose_group_is_scheduled_elsewhere_goes_there_at_once():
+    for tries in (0, 5):
+        decision = decide_remake(PieceFailure.MOVED, tries)
+        assert decision.action is RemakeAction.REMAKE
+        assert (decision.tries, decision.excludes_endpoint) == (tries, False)
+
+
 @pytest.mark.parametrize("failure", COUNTED)
 def test_a_piece_is_made_again_until_it_has_failed_six_times(failure):
     for tries in range(5):
@@ -57,6 +64,7 @@
         ("room", PieceFailure.ROOM),
         ("full", PieceFailure.FULL),
         ("no endpoint", PieceFailure.NO_ENDPOINT),
+        ("moved", PieceFailure.MOVED),
         ("lost: no answer", PieceFailure.LOST),
         ("lost", PieceFailure.LOST),
         ("not-sent: connect: TimeoutError", PieceFailure.NOT_SENT),
