Call the store less: longer watches where peers tell news, changes heard together

Ruled out: one entry that watches for all; it may be the one that is cut off. Change: the more peers live, the longer a watch waits, at most 2.6 times, drawn apart so that some entry's is always renewed soon; after a watch that brought changes the next one begins 0.25 s after the last at the soonest.

--- a/packages/leadford-server/src/leadford_server/forwarding/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_follow.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 from typing import Protocol
 
@@ -18,16 +19,19 @@
 from leadford_server.metrics import STORE_BYTES_TOTAL, STORE_CALLS_TOTAL
 from leadford_server.web import NO_ANSWER, Patience, Transferred, fetch_while_arriving
 
-# Milliseconds that a watch waits in the store; one that compacts its history may never
-# answer it, and every entry is then behind. With 3,000 (and 1.5 s of margin) this
-# lasted 4.1 s in one simulated run and broke the bound on stale configurations; two
-# runs with these values did not break it. Neither value was varied.
-WATCH_MS = 1_800
+# Seconds that a watch waits in the store where no peers tell news; one that compacts
+# its history may never answer it, and every entry is then behind. With 3 (and 1.5 s of
+# margin) this lasted 4.1 s in one simulated run and broke the bound on stale
+# configurations; two runs with these values did not break it. Neither value was varied.
+WATCH_S = 1.8
 # The same for the list of entries, which decides nothing in a hurry: peers say who
 # lives. A third of the watches then end 5.6 times less often; each is paid for.
-ENTRIES_WATCH_MS = 10_000
+ENTRIES_WATCH_S = 10.0
+# Seconds from the begin of a watch that brought changes to the next one. Changes that
+# follow each other are heard together: every entry pays for each end of a watch.
+CHANGES_PAUSE_S = 0.25
 # Seconds after which a watch that hears nothing is given up, and the most it grows to
-# while the store is slow; measured only together with WATCH_MS.
+# while the store is slow; measured only together with WATCH_S.
 WATCH_MARGIN_S = 0.35
 WATCH_MARGIN_MOST_S = 2.0
 # Seconds that a call may take until its first byte, and its connection; not measured.
@@ -139,7 +143,10 @@
 
 
 class KindFollower:
-    """Keep the owner of one kind up to date."""
+    """Keep the owner of one kind up to date.
+
+    `watch_s` is asked before each watch how many seconds it waits.
+    """
 
     def __init__(
         self,
@@ -148,9 +155,9 @@
         client: ObjectsClient,
         random: Random,
         owner: KindOwner,
-        watch_ms: int = WATCH_MS,
+        watch_s: Callable[[], float],
     ) -> None:
-        self.watch_ms = watch_ms
+        self.watch_s = watch_s
         self.kind = kind
         self.client = client
         self.random = random
@@ -196,11 +203,13 @@
 
     async def _watch(self) -> bool:
         codec = self.client.codec
-        path = codec.watch_path(self.kind, self.revision_, self.watch_ms)
+        wait_s = self.watch_s()
+        path = codec.watch_path(self.kind, self.revision_, round(wait_s * 1_000.0))
+        began_at = asyncio.get_running_loop().time()
         # A watch that hears nothing is given up soon; a slow store gets more time.
         read = await self.client.call(
             path,
-            wait_s=self.watch_ms / 1_000.0,
+            wait_s=wait_s,
             margin_s=self.margin_s_,
         )
         if isinstance(read, Failure):
@@ -220,6 +229,9 @@
             self.owner.on_event(event)
         self.revision_ = max(self.revision_, seen.revision)
         self.owner.on_confirmed(self.revision_)
+        if seen.events:
+            lasted_s = asyncio.get_running_loop().time() - began_at
+            await asyncio.sleep(max(0.0, CHANGES_PAUSE_S - lasted_s))
         return True
 
     def _log_unreadable(self, fault: str) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -18,7 +18,7 @@
 from leadford.forwarding.admission import ForwardAdmission
 from leadford.forwarding.answers import RequestOutcome
 from leadford.forwarding.batching import RegionMap
-from leadford.forwarding.membership import may_stop, stop_ends_at
+from leadford.forwarding.membership import may_stop, stop_ends_at, watch_s
 from leadford.forwarding.routes import ForwardConfig
 from leadford_server.forwarding._callers import CallerExchange, CallerServer
 from leadford_server.forwarding._config import ConfigHolder
@@ -28,8 +28,8 @@
     RequestCodec,
 )
 from leadford_server.forwarding._follow import (
-    ENTRIES_WATCH_MS,
-    WATCH_MS,
+    ENTRIES_WATCH_S,
+    WATCH_S,
     KindFollower,
     KindOwner,
     ObjectsClient,
@@ -190,24 +190,32 @@
     def _follow(self) -> None:
         """Follow the store, and keep the links to other entries up."""
         objects = self.objects
-        self._follow_kind(objects.config_kind, self.config_, WATCH_MS)
-        self._follow_kind(objects.endpoints_kind, self.listing_, WATCH_MS)
-        self._follow_kind(objects.entries_kind, self.members_, ENTRIES_WATCH_MS)
+        self._follow_kind(objects.config_kind, self.config_, self._shared(WATCH_S))
+        self._follow_kind(objects.endpoints_kind, self.listing_, self._shared(WATCH_S))
+        self._follow_kind(objects.entries_kind, self.members_, lambda: ENTRIES_WATCH_S)
         evacuate_s = self.settings.bounds.evacuate_s
         if evacuate_s is not None:
-            watch_ms = round(WATCH_PART * evacuate_s * 1_000.0)
-            self._follow_kind(objects.evacuations_kind, self.halls_, watch_ms)
+            watch = self._shared(WATCH_PART * evacuate_s)
+            self._follow_kind(objects.evacuations_kind, self.halls_, watch)
         self._spawn(self.links_.run())
         self.announcing_ = self._spawn(self.members_.announce())
         self._spawn(self._sweep())
 
-    def _follow_kind(self, kind: str, owner: KindOwner, watch_ms: int) -> None:
+    def _shared(self, least_s: float) -> Callable[[], float]:
+        """Return what says how long a watch waits whose news peers tell as well."""
+        return lambda: watch_s(
+            least_s, len(self.links_.halls_by_live_entry()), self.random.random()
+        )
+
+    def _follow_kind(
+        self, kind: str, owner: KindOwner, wait_s: Callable[[], float]
+    ) -> None:
         follower = KindFollower(
             kind=kind,
             client=self.client_,
             random=self.random,
             owner=owner,
-            watch_ms=watch_ms,
+            watch_s=wait_s,
         )
         self._spawn(follower.run())
 
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_large_configurations.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_large_configurations.py
@@ -61,7 +61,7 @@
 
         monkeypatch.setattr(second.client_, "call", refuse)
         # The watch that waits now still ends as the store says.
-        await asyncio.sleep(_follow.WATCH_MS / 1_000.0 + 0.2)
+        await asyncio.sleep(_follow.WATCH_S + 0.2)
         await deployment.until(lambda: first.links_.peers_by_id_)
         peer = first.links_.peers_by_id_[second.settings.entry_id]
         send = peer.send
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_store.py
@@ -128,7 +128,7 @@
         entry = deployment.entries_[0]
         # The watch that waits now is never answered; those after it are.
         deployment.store.has_deaf_watches = True
-        await asyncio.sleep(_follow.WATCH_MS / 1_000.0 + 0.2)
+        await asyncio.sleep(_follow.WATCH_S + 0.2)
         deployment.store.has_deaf_watches = False
         deployment.config["version"] = 2
         deployment.put_config()
@@ -162,3 +162,20 @@
         await deployment.until(lambda: len(second.state_.usable("plain")) == 1)
 
     play(scenario, entries=2)
+
+
+def test_changes_that_follow_each_other_end_few_watches():
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        spec = deployment.plain[0].spec()
+        before = deployment.store.calls_
+        for number in range(20):
+            deployment.store.put("servers", f"i-new-{number}", spec)
+            await asyncio.sleep(0.03)
+        roster = entry.state_.roster_
+        await deployment.until(
+            lambda: all(f"i-new-{n}" in roster.records_by_id_ for n in range(20))
+        )
+        assert deployment.store.calls_ - before < 10
+
+    play(scenario)
--- a/packages/leadford/src/leadford/forwarding/membership/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/membership/__init__.py
@@ -5,6 +5,7 @@
 from leadford.forwarding.membership._liveness import is_live, is_silent
 from leadford.forwarding.membership._peers import wanted_peers
 from leadford.forwarding.membership._stop import may_stop, stop_ends_at
+from leadford.forwarding.membership._watch import watch_s
 
 __all__ = [
     "HeardVersions",
@@ -14,4 +15,5 @@
     "may_stop",
     "stop_ends_at",
     "wanted_peers",
+    "watch_s",
 ]
--- a/packages/leadford/src/leadford/forwarding/membership/tests/test_membership.py
+++ b/packages/leadford/src/leadford/forwarding/membership/tests/test_membership.py
@@ -12,6 +12,7 @@
     may_stop,
     stop_ends_at,
     wanted_peers,
+    watch_s,
 )
 from leadford.forwarding.routes import ServiceId
 
@@ -154,3 +155,18 @@
 
 def test_a_stop_ends_before_the_grace_period_does():
     assert stop_ends_at(10.0, 8.0) == pytest.approx(17.4)
+
+
+def test_watches_wait_longer_the_more_entries_tell_each_other_news():
+    alone = [watch_s(1.8, peers, 1.0) for peers in (0, 2)]
+    assert alone == [1.8, 1.8]
+    shared = [watch_s(1.8, peers, 1.0) for peers in (3, 5, 20, 350)]
+    assert 1.8 < shared[0] < shared[1] < shared[2] == shared[3]
+    # With the margin of a watch a configuration is confirmed within 6 s.
+    assert shared[3] + 0.35 < 6.0
+
+
+def test_watches_of_entries_that_started_together_do_not_end_together():
+    waits = {watch_s(1.8, 20, drawn) for drawn in (0.0, 0.5, 1.0)}
+    assert len(waits) == 3
+    assert min(waits) >= 0.75 * max(waits)
