--- a/packages/leadford-server/src/leadford_server/forwarding/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/__init__.py
@@ -16,7 +16,8 @@
     RequestCodec,
     StoreFailure,
 )
-from leadford_server.forwarding._process import ForwardProcess, ForwardSettings
+from leadford_server.forwarding._process import ForwardProcess
+from leadford_server.forwarding._settings import ForwardSettings
 from leadford_server.forwarding._state import ForwardBounds
 
 __all__ = [
--- a/packages/leadford-server/src/leadford_server/forwarding/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_answer.py
@@ -13,7 +13,8 @@
     final_answer,
     may_pass_on,
 )
-from leadford_server.forwarding._attempts import Attempt, EndpointAttempts
+from leadford_server.forwarding._attempt import Attempt
+from leadford_server.forwarding._attempts import EndpointAttempts
 from leadford_server.forwarding._callers import CallerExchange
 from leadford_server.forwarding._inputs import RequestInputs
 from leadford_server.forwarding._progress import RequestEnd, RequestProgress
--- a/packages/leadford-server/src/leadford_server/forwarding/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_attempts.py
@@ -8,8 +8,6 @@
 
 import asyncio
 
-import msgspec
-
 from leadford.events import Event
 from leadford.forwarding.endpoints import (
     EndpointFailure,
@@ -25,6 +23,7 @@
     decide_retry,
 )
 from leadford.forwarding.routes import PRIORITY_HIGHEST, PRIORITY_LOWEST, RouteKind
+from leadford_server.forwarding._attempt import Attempt, BorrowedConnection, NotRun
 from leadford_server.forwarding._connection import EndpointConnection
 from leadford_server.forwarding._contract import ForwardCall, NotRunCause
 from leadford_server.forwarding._inputs import RequestInputs
@@ -36,8 +35,6 @@
 RETRY_DETAIL_LOGGED = 120
 # Milliseconds. An endpoint is never told that no time is left at all.
 REMAINING_LEAST_MS = 1.0
-# From this status on an answer counts as a failure of the endpoint.
-STATUS_ERRORS = 500
 
 _FAILURE_BY_BREAK = {
     BreakKind.NOT_SENT: EndpointFailure.LOST,
@@ -46,43 +43,6 @@
 }
 
 
-class NotRun(Exception):
-    """Tell that an attempt proved not to have run."""
-
-    def __init__(self, detail: str, *, inputs_gone: bool = False) -> None:
-        super().__init__(detail)
-        self.detail = detail
-        self.inputs_gone = inputs_gone
-
-
-class _Borrowed(msgspec.Struct, eq=False):
-    """Hold a connection that is lent to one attempt.
-
-    Units: began_at in seconds of the monotonic clock.
-    """
-
-    record: EndpointRecord
-    connection: EndpointConnection
-    began_at: float
-
-
-class Attempt(msgspec.Struct, eq=False):
-    """Hold one attempt at an endpoint whose answer has begun.
-
-    Units: began_at in seconds of the monotonic clock.
-    """
-
-    record: EndpointRecord
-    connection: EndpointConnection
-    answer: LiveAnswer
-    began_at: float
-
-    @property
-    def is_error(self) -> bool:
-        """Tell whether the endpoint answered that it failed."""
-        return self.answer.head.status >= STATUS_ERRORS
-
-
 class EndpointAttempts:
     """Begin and end the attempts of one request."""
 
@@ -144,7 +104,7 @@
         await self._check_head(attempt)
         return attempt
 
-    async def _borrow(self) -> _Borrowed:
+    async def _borrow(self) -> BorrowedConnection:
         """Return a connection to an endpoint that takes new work once it is there.
 
         One that says that it leaves while a connection is waited for may be long gone
@@ -169,7 +129,7 @@
                 self._abandon(record, None)
                 raise
             if self.state.is_usable(record):
-                return _Borrowed(record, connection, began_at)
+                return BorrowedConnection(record, connection, began_at)
             # Nothing was sent, so the connection is as good as it was.
             self.record_prompt_read()
             record.in_flight_ -= 1
--- a/packages/leadford-server/src/leadford_server/forwarding/_plain.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_plain.py
@@ -15,7 +15,8 @@
     usual_s,
 )
 from leadford_server.forwarding._answer import CallerAnswer
-from leadford_server.forwarding._attempts import Attempt, EndpointAttempts, NotRun
+from leadford_server.forwarding._attempt import Attempt, NotRun
+from leadford_server.forwarding._attempts import EndpointAttempts
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._reader import BreakKind, ExchangeBroken
 from leadford_server.forwarding._state import ForwardState
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -8,16 +8,14 @@
 from collections.abc import Callable, Coroutine
 from random import Random, SystemRandom
 
-import msgspec
 from returns.result import Failure, Result
-from tornado import httpserver, web
+from tornado import httpserver
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
-from leadford.common import EntryId, HallId
+from leadford.common import EntryId
 from leadford.events import Event
 from leadford.forwarding.admission import ForwardAdmission
 from leadford.forwarding.answers import RequestOutcome
-from leadford.forwarding.batching import RegionMap
 from leadford.forwarding.membership import may_stop, stop_ends_at, watch_s
 from leadford.forwarding.routes import ForwardConfig
 from leadford_server.forwarding._callers import CallerExchange, CallerServer
@@ -38,13 +36,12 @@
 from leadford_server.forwarding._links import EntryLinks
 from leadford_server.forwarding._listing import ListingHolder
 from leadford_server.forwarding._members import EntryMembers
-from leadford_server.forwarding._ready import ReadyHandler
+from leadford_server.forwarding._ready import ready_application
 from leadford_server.forwarding._request import RequestForwarder
+from leadford_server.forwarding._settings import ForwardSettings
 from leadford_server.forwarding._stages import StageRunner
-from leadford_server.forwarding._state import ForwardBounds, ForwardState
+from leadford_server.forwarding._state import ForwardState
 from leadford_server.logs import EventLog
-from leadford_server.metrics import MetricsHandler
-from leadford_server.settings import SocketAddress
 
 # Seconds between looks whether requests are left; not measured.
 DRAIN_POLL_S = 0.05
@@ -54,21 +51,6 @@
 STORE_CLIENTS = 12
 
 
-class ForwardSettings(msgspec.Struct, frozen=True):
-    """Hold the settings of an entry that forwards."""
-
-    entry_id: EntryId
-    hall: HallId
-    callers: SocketAddress
-    ready: SocketAddress
-    peers: SocketAddress
-    store_url: str
-    secret: bytes
-    bounds: ForwardBounds
-    metrics: SocketAddress | None = None
-    regions: RegionMap = RegionMap()
-
-
 class ForwardProcess:
     """Hold everything that one forwarding entry runs."""
 
@@ -169,19 +151,10 @@
         self.stages_.connect(self.links_, self.links_.pieces)
 
     def _listen_ready(self) -> None:
-        application = web.Application(
-            [
-                (
-                    self.codec.ready_path,
-                    ReadyHandler,
-                    {"is_ready": lambda: self.is_ready},
-                ),
-                ("/metrics", MetricsHandler),
-            ],
-            log_function=lambda handler: None,
-        )
         address = self.settings.ready
-        self.ready_server_ = httpserver.HTTPServer(application)
+        self.ready_server_ = httpserver.HTTPServer(
+            ready_application(self.codec.ready_path, lambda: self.is_ready)
+        )
         self.ready_server_.listen(address.port, address=address.host)
         metrics = self.settings.metrics
         if metrics is not None:
--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -90,18 +90,16 @@
     match = progress.match_
     end = progress.end_
     first = progress.first_byte_at_
-    retry_reason = progress.retry_reason_
     kind = match.route.kind.value if match else "none"
     FORWARDED_TOTAL.labels(kind=kind, end=end.outcome.value).inc()
     if first is not None:
         FORWARD_SECONDS.labels(kind=kind).observe(first - request.received_at)
     expected_s = min(progress.expected_s_, EXPECTED_LOGGED_MAX_S)
+    retry_reason = progress.retry_reason_
     log.report(
         Event.FORWARD_ENDED,
         request=request.request_id,
-        route=match.route.route_id if match else "",
-        version=match.version if match else 0,
-        workspace=(match.workspace_id or "") if match else "",
+        **_match_fields(match, request.piece_counts),
         fingerprint=request.fingerprint,
         endpoints=",".join(progress.tried_),
         status=end.status,
@@ -110,17 +108,31 @@
         retry=retry_reason.value if retry_reason is not None else "",
         detail=end.detail[:DETAIL_LOGGED],
         expected_ms=round(expected_s * 1_000.0),
-        aim_ms=match.route.aim_ms if match else 0.0,
-        gap_aim_ms=match.route.gap_aim_ms if match else 0.0,
         caller_ms=request.deadline_ms or 0.0,
         pause_ms=round(progress.longest_pause_s_ * 1_000.0),
-        work=_work(match.route, request.piece_counts) if match else "",
         stages_ms=_ms(stages_done_at, request.received_at),
         first_ms=_ms(first, request.received_at),
         took_ms=_ms(now, request.received_at),
     )
 
 
+def _match_fields(
+    match: RouteMatch | None, counts: Sequence[int] | None
+) -> dict[str, str | int | float]:
+    """Return what a log line says of the route that was found; the same names if none.
+
+    `work` tells how many pieces the stages ask of each service.
+    """
+    return {
+        "route": match.route.route_id if match else "",
+        "version": match.version if match else 0,
+        "workspace": (match.workspace_id or "") if match else "",
+        "aim_ms": match.route.aim_ms if match else 0.0,
+        "gap_aim_ms": match.route.gap_aim_ms if match else 0.0,
+        "work": _work(match.route, counts) if match else "",
+    }
+
+
 def _ms(moment: float | None, since: float) -> int:
     return NEVER_MS if moment is None else round((moment - since) * 1_000.0)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_ready.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_ready.py
@@ -8,6 +8,8 @@
 
 from tornado import web
 
+from leadford_server.metrics import MetricsHandler
+
 STATUS_READY = 200
 STATUS_NOT_READY = 503
 
@@ -22,3 +24,11 @@
         """Answer by status; the body says nothing."""
         self.set_status(STATUS_READY if self.is_ready() else STATUS_NOT_READY)
         self.finish()
+
+
+def ready_application(path: str, is_ready: Callable[[], bool]) -> web.Application:
+    """Return what answers that question at a path, and serves the metrics."""
+    return web.Application(
+        [(path, ReadyHandler, {"is_ready": is_ready}), ("/metrics", MetricsHandler)],
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/_settings.py
@@ -0,0 +1,23 @@
+"""Hold the settings of an entry that forwards, as the adapter reads them."""
+
+import msgspec
+
+from leadford.common import EntryId, HallId
+from leadford.forwarding.batching import RegionMap
+from leadford_server.forwarding._state import ForwardBounds
+from leadford_server.settings import SocketAddress
+
+
+class ForwardSettings(msgspec.Struct, frozen=True):
+    """Hold the settings of an entry that forwards."""
+
+    entry_id: EntryId
+    hall: HallId
+    callers: SocketAddress
+    ready: SocketAddress
+    peers: SocketAddress
+    store_url: str
+    secret: bytes
+    bounds: ForwardBounds
+    metrics: SocketAddress | None = None
+    regions: RegionMap = RegionMap()
--- a/packages/leadford-server/src/leadford_server/forwarding/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_stream.py
@@ -10,7 +10,8 @@
 from leadford.forwarding.endpoints import EndpointFailure
 from leadford.forwarding.retries import AttemptEnd
 from leadford_server.forwarding._answer import STATUS_OK, CallerAnswer
-from leadford_server.forwarding._attempts import Attempt, EndpointAttempts, NotRun
+from leadford_server.forwarding._attempt import Attempt, NotRun
+from leadford_server.forwarding._attempts import EndpointAttempts
 from leadford_server.forwarding._inputs import RequestInputs
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._reader import ExchangeBroken
--- a/packages/leadford/src/leadford/forwarding/batching/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/batching/__init__.py
@@ -2,10 +2,12 @@
 
 from leadford.forwarding.batching._backlog import AdmittedBacklog, BacklogKey
 from leadford.forwarding.batching._capacity import (
-    PAUSE_FULL_S,
-    PAUSE_ROOM_S,
     CapacityTable,
     CapacityUse,
+)
+from leadford.forwarding.batching._endpoint_capacity import (
+    PAUSE_FULL_S,
+    PAUSE_ROOM_S,
     EndpointCapacity,
 )
 from leadford.forwarding.batching._filling import FillAction, NextCall, next_call
