--- a/packages/leadford/src/leadford/forwarding/batching/_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_capacity.py
@@ -106,9 +106,7 @@
 
         Endpoints are ordered by when they are expected to finish another call, and
         by what has to move to their hall. The best of them take what waits; one that
-        is busy is waited for if it is among them. A slow endpoint gets nothing while
-        the others make all that waits in calls that follow each other before it would
-        have made one.
+        is busy is waited for if it is among them.
         """
         moving_s = moving_s_by_hall or {}
         trusted = [record for record in records if not record.is_suspect(now)]
@@ -123,12 +121,11 @@
             for number, record in enumerate(trusted or records)
         ]
         found = []
-        better: list[tuple[float, float]] = []
-        for finish_s, _, record in sorted(scored, key=lambda item: item[:2]):
-            if _carried(better, finish_s, limits.batch) >= waiting:
+        carried = 0
+        for _, _, record in sorted(scored, key=lambda item: item[:2]):
+            if carried >= waiting:
                 break
-            duration_s = self._duration_s(record, limits, pieces, now)
-            better.append((finish_s, duration_s))
+            carried += limits.batch
             if self.is_free(record.listed.endpoint_id, limits, now):
                 found.append(record)
         return found
@@ -187,14 +184,3 @@
         for endpoint_id, capacity in list(self.capacity_by_id_.items()):
             if endpoint_id not in known and capacity.calls_ == 0:
                 del self.capacity_by_id_[endpoint_id]
-
-
-def _carried(better: list[tuple[float, float]], until_s: float, batch: int) -> int:
-    """Return how many pieces endpoints make until a moment, in calls one by one.
-
-    `better` holds when each would have made its next call, and how long one takes.
-    """
-    return sum(
-        batch * (1 + int((until_s - finish_s) / duration_s))
-        for finish_s, duration_s in better
-    )
