--- a/packages/leadford-server/src/leadford_server/forwarding/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_follow.py
@@ -28,7 +28,8 @@
 # lives. A third of the watches then end 5.6 times less often; each is paid for.
 ENTRIES_WATCH_S = 10.0
 # Seconds from the begin of a watch that brought changes to the next one. Changes that
-# follow each other are heard together: every entry pays for each end of a watch.
+# follow each other are heard together: every entry pays for each end of a watch. The
+# figures stand at ENTRIES_SHARING of `membership/_watch`; it was not varied.
 CHANGES_PAUSE_S = 0.25
 # Seconds after which a watch that hears nothing is given up, and the most it grows to
 # while the store is slow; measured only together with WATCH_S.
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -37,13 +37,16 @@
 # Part of its aim, less the path, that a backlog may take of a newcomer; for the most
 # urgent workspace, less a step for each priority, and the least for any. Mean net
 # credit of seven simulated loads, one run each: 0.598, against 0.589 with 0.5 (urgent
-# 0.7), RETURN_AIMS 1.2 and RESERVED_PART 0.7, so within the noise of 0.03. The step was
+# 0.7) and RETURN_AIMS 1.2, so within the noise of 0.03. The step was
 # not measured.
 SPARE_PART_URGENT = 0.9
 SPARE_PART_STEP = 0.1
 SPARE_PART = 0.75
 # The same for a request that cannot be in time any more: it is let in only while the
-# queues are short, because its pieces go behind all others.
+# queues are short, because its pieces go behind all others. Mean net credit of 16
+# simulated runs under load and faults 0.614, against 0.607 with RETURN_AIMS for it too
+# (noise 0.03); held and never served, by worth, 0.046 of one run's before. The value
+# was not varied.
 SPARE_PART_LATE = 0.3
 # Aims within which the answer to a request that returns must be expected: with more,
 # under lasting load everybody returns and is late. In one run each under high load 153
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -239,7 +239,8 @@
         """Return the chunks in the order in which a hall takes them.
 
         Those that cannot be in time any more go behind those that can: taken by when
-        they were due, they would go first and make the others late too.
+        they were due, they would go first and make the others late too. Mean net credit
+        of six simulated runs under load and faults 0.576, against 0.541 without it.
         """
 
         def order(chunk: Chunk) -> tuple[bool, float]:
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -29,7 +29,8 @@
 FAILURE_WEIGHT = 0.2
 LATENCY_WEIGHT = 0.2
 SLOWNESS_WEIGHT = 0.4
-# Seconds in which half of an observed slowness is forgotten; not varied.
+# Seconds in which half of an observed slowness is forgotten, so that an endpoint that
+# gets no calls is tried again; not varied.
 SLOWNESS_HALF_S = 2.0
 
 
--- a/packages/leadford/src/leadford/forwarding/membership/_watch.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_watch.py
@@ -6,10 +6,13 @@
 watches at different moments, so the more of them live, the longer each may wait.
 """
 
-# Entries that together hear of a change as soon as one with the least wait.
+# Entries that together hear of a change as soon as one with the least wait. With 21
+# entries calls to the store fell from 2,631 to 1,970 on a calm simulated load, and from
+# 3,716 to 3,010 on one with faults, with 4 (one run each); 3 was measured only together
+# with the pause between changes, 1,240 and 2,290.
 ENTRIES_SHARING = 3
 # Most that a watch waits in place of its least: with it and the margin after it a
-# configuration is confirmed before it counts as one that may be old.
+# configuration is confirmed before it counts as one that may be old; not varied.
 TIMES_MOST = 2.6
 # Parts of the wait between which each is drawn, so that entries that started together
 # do not end their watches together; not measured.
