Read objects of the store, or log that they cannot be read, in one place

Cause: five owners wrote the same lines. Ruled out: other text in the log; event 601 and its field stay. Change: readable() of _follow.

--- a/packages/leadford-server/src/leadford_server/forwarding/_config.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_config.py
@@ -6,18 +6,14 @@
 
 from collections.abc import Callable
 
-from returns.result import Failure
-
 from leadford.events import Event
 from leadford.forwarding.routes import ForwardConfig, RouteTable
 from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent
-from leadford_server.forwarding._follow import Listing
+from leadford_server.forwarding._follow import Listing, readable
 from leadford_server.forwarding._state import ForwardState
 
 # What the log names as the source of a configuration that came from the store.
 FROM_STORE = "store"
-# Characters of a fault that a log line holds.
-FAULT_LOGGED = 300
 
 
 class ConfigHolder:
@@ -73,9 +69,6 @@
     def _read(self, item: dict) -> None:
         if self.objects.object_name(item) != self.objects.config_name:
             return
-        read = self.objects.read_config(item)
-        if isinstance(read, Failure):
-            fault = str(read.failure())[:FAULT_LOGGED]
-            self.state.log.report(Event.CONFIG_UNREADABLE, error=fault)
-            return
-        self.apply(read.unwrap(), FROM_STORE)
+        config = readable(self.objects.read_config(item), self.state.log)
+        if config is not None:
+            self.apply(config, FROM_STORE)
--- a/packages/leadford-server/src/leadford_server/forwarding/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_follow.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -49,6 +49,8 @@
 # Characters of a fault that a log line holds.
 FAULT_LOGGED = 300
 
+T = TypeVar("T")
+
 
 class ObjectsClient:
     """Call the platform's store and tell when it stops and starts to answer."""
@@ -123,6 +125,14 @@
         self.log.report(event, store=self.url, status=status)
 
 
+def readable(read: Result[T, str], log: EventLog) -> T | None:
+    """Return what an adapter has read; log an object that cannot be read."""
+    if isinstance(read, Failure):
+        log.report(Event.CONFIG_UNREADABLE, error=str(read.failure())[:FAULT_LOGGED])
+        return None
+    return read.unwrap()
+
+
 class Listing(msgspec.Struct, frozen=True):
     """Hold every object of a kind at a revision."""
 
@@ -186,11 +196,10 @@
             read = await self.client.call(codec.list_path(self.kind, after))
             if isinstance(read, Failure):
                 return False
-            page = codec.read_list(read.unwrap())
-            if isinstance(page, Failure):
-                self._log_unreadable(page.failure())
+            # The pause after a failure bounds the lines about what cannot be read.
+            page = readable(codec.read_list(read.unwrap()), self.client.log)
+            if page is None:
                 return False
-            page = page.unwrap()
             items += page.items
             # A change between two pages is seen again by a watch from the first.
             revision = page.revision if revision is None else revision
@@ -220,12 +229,10 @@
                 return True
             return False
         self.margin_s_ = WATCH_MARGIN_S
-        seen = codec.read_events(read.unwrap())
-        if isinstance(seen, Failure):
-            self._log_unreadable(seen.failure())
+        seen = readable(codec.read_events(read.unwrap()), self.client.log)
+        if seen is None:
             self.revision_ = None
             return False
-        seen = seen.unwrap()
         for event in seen.events:
             self.owner.on_event(event)
         self.revision_ = max(self.revision_, seen.revision)
@@ -234,7 +241,3 @@
             lasted_s = asyncio.get_running_loop().time() - began_at
             await asyncio.sleep(max(0.0, CHANGES_PAUSE_S - lasted_s))
         return True
-
-    def _log_unreadable(self, fault: str) -> None:
-        """Log an answer that cannot be read; the pause after it bounds the lines."""
-        self.client.log.report(Event.CONFIG_UNREADABLE, error=fault[:FAULT_LOGGED])
--- a/packages/leadford-server/src/leadford_server/forwarding/_halls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_halls.py
@@ -8,20 +8,15 @@
 
 from collections.abc import Callable
 
-from returns.result import Failure
-
 from leadford.common import HallId
 from leadford.events import Event
 from leadford.forwarding.endpoints import HallNotice
 from leadford.protocol import EvacuationReport, HallReport
+from leadford_server.forwarding._config import FROM_STORE
 from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent
-from leadford_server.forwarding._follow import Listing
+from leadford_server.forwarding._follow import Listing, readable
 from leadford_server.forwarding._state import ForwardState
 
-# What the log names as the source of a notice that came from the store.
-FROM_STORE = "store"
-# Characters of a fault that a log line holds.
-FAULT_LOGGED = 300
 # Part of the bound on evacuations that a watch waits in the store. A watch that hears
 # nothing is then over, and its successor answered, well within the bound; not measured.
 WATCH_PART = 0.4
@@ -124,9 +119,4 @@
                 record.record_cold(now + limits.lasts_s)
 
     def _read(self, item: dict) -> HallNotice | None:
-        read = self.objects.read_evacuation(item)
-        if isinstance(read, Failure):
-            fault = read.failure()[:FAULT_LOGGED]
-            self.state.log.report(Event.CONFIG_UNREADABLE, error=fault)
-            return None
-        return read.unwrap()
+        return readable(self.objects.read_evacuation(item), self.state.log)
--- a/packages/leadford-server/src/leadford_server/forwarding/_listing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_listing.py
@@ -6,17 +6,12 @@
 
 from collections.abc import Callable, Iterable
 
-from returns.result import Failure
-
 from leadford.events import Event
 from leadford.forwarding.endpoints import ListedEndpoint, RosterChange
 from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent
-from leadford_server.forwarding._follow import Listing
+from leadford_server.forwarding._follow import Listing, readable
 from leadford_server.forwarding._state import ForwardState
 
-# Characters of a fault that a log line holds.
-FAULT_LOGGED = 300
-
 
 class ListingHolder:
     """Hold the listed endpoints.
@@ -74,12 +69,7 @@
             record.record_listed_cold(endpoint, self.state.now())
 
     def _read(self, item: dict) -> ListedEndpoint | None:
-        read = self.objects.read_endpoint(item)
-        if isinstance(read, Failure):
-            fault = read.failure()[:FAULT_LOGGED]
-            self.state.log.report(Event.CONFIG_UNREADABLE, error=fault)
-            return None
-        return read.unwrap()
+        return readable(self.objects.read_endpoint(item), self.state.log)
 
     def _log(self, changes: Iterable[RosterChange]) -> None:
         """Log what changed, and tell it."""
--- a/packages/leadford-server/src/leadford_server/forwarding/_members.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_members.py
@@ -11,14 +11,13 @@
 from returns.result import Failure
 
 from leadford.common import EntryId
-from leadford.events import Event
 from leadford_server.forwarding._contract import (
     KnownEntry,
     ObjectCodec,
     ObjectEvent,
     StoreFailure,
 )
-from leadford_server.forwarding._follow import Listing, ObjectsClient
+from leadford_server.forwarding._follow import Listing, ObjectsClient, readable
 
 # Seconds between tries to announce this entry in the store, and the parts between which
 # each pause is drawn; not measured.
@@ -26,8 +25,6 @@
 ANNOUNCE_SPREAD = (0.8, 1.6)
 # Seconds that the end of a planned stop waits for the store; not measured.
 RETRACT_S = 0.3
-# Characters of a fault that a log line holds.
-FAULT_LOGGED = 300
 
 
 class EntryMembers:
@@ -103,10 +100,6 @@
             return
 
     def _read(self, item: dict) -> None:
-        read = self.objects.read_entry(item)
-        if isinstance(read, Failure):
-            fault = str(read.failure())[:FAULT_LOGGED]
-            self.client.log.report(Event.CONFIG_UNREADABLE, error=fault)
-            return
-        entry = read.unwrap()
-        self.entries_by_id_[entry.entry_id] = entry
+        entry = readable(self.objects.read_entry(item), self.client.log)
+        if entry is not None:
+            self.entries_by_id_[entry.entry_id] = entry
