Let pieces that are given back be queued here again

Cause: a piece that was given back may find no link to its scheduler and be queued here again, in a group that had no queue yet; the loop over the queues then failed, and with it the loop that sends heartbeats. Ruled out: answering later; the pieces would wait for nothing. Change: the loop goes over what was there before.

--- a/packages/leadford-server/src/leadford_server/forwarding/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_scheduler.py
@@ -103,7 +103,8 @@
         a fleet had restarted at once, pieces of the most urgent route waited for 3.4 s
         at an entry whose calls met full endpoints (one simulated run).
         """
-        for group, queue in self.queues_by_group_.items():
+        # What is given back may be queued here again, in another group.
+        for group, queue in list(self.queues_by_group_.items()):
             if len(queue) > 0 and is_scheduled_elsewhere(group):
                 for task in queue.discard(lambda task: False):
                     self.reply(task, PieceResult(None, PieceFailure.MOVED.value, None))
