Count for how long entries hear nothing from the store, and log how long it gave no answer

Cause: the hypotheses of the incident differ in who was deaf to the store and for how long; log lines of that time were gone, and no metric said it. Ruled out: a gauge of the age, which a scrape between two gaps misses.

--- a/packages/leadford-server/src/leadford_server/forwarding/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_follow.py
@@ -16,7 +16,11 @@
 from leadford.events import Event
 from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent, StoreFailure
 from leadford_server.logs import EventLog
-from leadford_server.metrics import STORE_BYTES_TOTAL, STORE_CALLS_TOTAL
+from leadford_server.metrics import (
+    STORE_BYTES_TOTAL,
+    STORE_CALLS_TOTAL,
+    STORE_CONFIRM_GAP_SECONDS,
+)
 from leadford_server.web import NO_ANSWER, Patience, Transferred, fetch_while_arriving
 
 # Seconds that a watch waits in the store where no peers tell news; one that compacts
@@ -63,6 +67,7 @@
         self.codec = codec
         self.log = log
         self.is_available_ = True
+        self.answered_at_: float | None = None
 
     async def call(
         self,
@@ -117,12 +122,21 @@
         return Failure(failure)
 
     def _record(self, answered: bool, status: int) -> None:
-        """Log when the store stops and starts to answer."""
+        """Log when the store stops and starts to answer, and how long it did not."""
+        now = asyncio.get_running_loop().time()
+        last_at = self.answered_at_
+        if answered:
+            self.answered_at_ = now
         if answered == self.is_available_:
             return
         self.is_available_ = answered
         event = Event.STORE_BACK if answered else Event.STORE_UNAVAILABLE
-        self.log.report(event, store=self.url, status=status)
+        self.log.report(
+            event,
+            store=self.url,
+            status=status,
+            unanswered_ms=None if last_at is None else round((now - last_at) * 1_000.0),
+        )
 
 
 def readable(read: Result[T, str], log: EventLog) -> T | None:
@@ -174,6 +188,7 @@
         self.random = random
         self.owner = owner
         self.revision_: int | None = None
+        self.confirmed_at_: float | None = None
         self.margin_s_ = WATCH_MARGIN_S
 
     async def run(self) -> None:
@@ -207,8 +222,7 @@
             if after is None:
                 break
         self.owner.on_list(Listing(items, revision))
-        self.revision_ = revision
-        self.owner.on_confirmed(revision)
+        self._confirm(revision)
         return True
 
     async def _watch(self) -> bool:
@@ -238,9 +252,18 @@
             return False
         for event in seen.events:
             self.owner.on_event(event)
-        self.revision_ = max(self.revision_, seen.revision)
-        self.owner.on_confirmed(self.revision_)
+        self._confirm(max(self.revision_, seen.revision))
         if seen.events:
             lasted_s = asyncio.get_running_loop().time() - began_at
             await asyncio.sleep(max(0.0, CHANGES_PAUSE_S - lasted_s))
         return True
+
+    def _confirm(self, revision: int) -> None:
+        """Record that nothing is missing up to a revision."""
+        now = asyncio.get_running_loop().time()
+        if self.confirmed_at_ is not None:
+            gap_s = now - self.confirmed_at_
+            STORE_CONFIRM_GAP_SECONDS.labels(kind=self.kind).observe(gap_s)
+        self.confirmed_at_ = now
+        self.revision_ = revision
+        self.owner.on_confirmed(revision)
--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/tests/test_follow.py
@@ -4,11 +4,13 @@
 from random import Random
 from types import SimpleNamespace
 
+from prometheus_client import REGISTRY
 from returns.result import Failure, Success
 
 from leadford_platform import PlatformObjects
 from leadford_server.forwarding._contract import StoreFailure
-from leadford_server.forwarding._follow import KindFollower
+from leadford_server.forwarding._follow import KindFollower, ObjectsClient
+from leadford_standins.simulated import run_simulated
 
 NO_NEWS = Success(b'{"events": [], "at": 7}')
 
@@ -59,3 +61,53 @@
 
 def test_a_short_watch_stays_as_it_is():
     assert waits_of([Failure(StoreFailure.UNAVAILABLE), NO_NEWS], 0.5) == [0.5, 0.5]
+
+
+def test_the_time_between_confirmations_is_counted_by_kind():
+    class SlowClient(Client):
+        async def call(self, path, *, wait_s, margin_s):
+            await asyncio.sleep(3.2)
+            return await super().call(path, wait_s=wait_s, margin_s=margin_s)
+
+    client = SlowClient([NO_NEWS, NO_NEWS])
+    follower = KindFollower(
+        kind="kind-of-gaps",
+        client=client,
+        random=Random(1),
+        owner=SimpleNamespace(on_confirmed=lambda revision: None),
+        watch_s=lambda: 3.0,
+    )
+    follower.revision_ = 5
+
+    async def watch_twice():
+        await follower._watch()
+        await follower._watch()
+
+    run_simulated(watch_twice())
+
+    def up_to(bound):
+        labels = {"kind": "kind-of-gaps", "le": bound}
+        name = "leadford_store_confirm_gap_seconds_bucket"
+        return REGISTRY.get_sample_value(name, labels)
+
+    assert (up_to("3.0"), up_to("3.5")) == (0.0, 1.0)
+
+
+def test_the_log_tells_for_how_long_the_store_gave_no_answer():
+    lines = []
+    client = ObjectsClient(
+        url="http://store",
+        http=None,
+        codec=PlatformObjects(),
+        log=SimpleNamespace(report=lambda event, **fields: lines.append(fields)),
+    )
+
+    async def lose_and_return():
+        client._record(True, 200)
+        await asyncio.sleep(2.0)
+        client._record(False, 599)
+        await asyncio.sleep(4.5)
+        client._record(True, 200)
+
+    run_simulated(lose_and_return())
+    assert [line["unanswered_ms"] for line in lines] == [2_000, 6_500]
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -15,6 +15,10 @@
 
 _SECONDS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.0, 5.0, 15.0)
 
+# Gaps of interest lie around the time that a deployment lets an entry be out of touch,
+# 3 to 5 s.
+_GAP_SECONDS = (0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 3.5, 4.0, 5.0, 7.0, 10.0, 15.0, 30.0)
+
 EVENTS_TOTAL = Counter("leadford_events_total", "Events by name.", ["event"])
 REQUESTS_TOTAL = Counter(
     "leadford_requests_total",
@@ -39,6 +43,12 @@
 STORE_CALLS_TOTAL = Counter(
     "leadford_store_calls_total", "Calls to the store.", ["kind", "end"]
 )
+STORE_CONFIRM_GAP_SECONDS = Histogram(
+    "leadford_store_confirm_gap_seconds",
+    "Time between two answers of the store that say what is newest of a kind.",
+    ["kind"],
+    buckets=_GAP_SECONDS,
+)
 STORE_BYTES_TOTAL = Counter(
     "leadford_store_bytes_total",
     "Bytes of answers of the store; those of a lost answer are fetched again.",
