Show that relays of the own interface stay deaf after a silent store, and lose changes

Ruled out: peers, which are told by relays only. Figures: simulated clock, up to 27 s late; never, where two chunks were not read at once.

--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/pipelines/config/tests/test_silent_store.py
@@ -0,0 +1,141 @@
+"""A relay hears of a change within the 12 s in which it is in force everywhere.
+
+Symptom: a change was accepted, and neither relay of a hall had it in force 12 s later;
+after a chunk that could not be read, none had it in force at all.
+Sequence: the store gives no answer for a while, and is changed once it is back; or it
+tells of a new head and fails while the chunks are read.
+Cause: a watch that begins in the silence is never answered, and was given up after
+32 s whatever the bound; the relays of a hall watch in step. A head counted as heard of
+before its chunks were read, so the next watch waited for a later one.
+What settled it: on a simulated clock, a change at the end of a silence of 0.1 to 30 s
+came in force up to 27 s later, and one whose first chunks were not read never.
+"""
+
+import asyncio
+from io import BytesIO
+from random import Random
+from types import SimpleNamespace
+from urllib.parse import parse_qs, urlsplit
+
+import pytest
+from tornado.httpclient import HTTPResponse
+from tornado.httputil import HTTPHeaders
+
+from leadford.pipelines.config import (
+    ConfigHead,
+    config_from_document,
+    encode_head,
+    split,
+)
+from leadford_server.pipelines.config import ConfigFollower
+from leadford_server.pipelines.store import StoreClient
+from leadford_server.web import NO_ANSWER
+from leadford_standins.simulated import run_simulated
+
+# Seconds within which a change is in force everywhere.
+BOUND_S = 12.0
+SILENT_AT_S = 40.0
+SILENT_FOR_S = [0.1, 1.0, 3.0, 6.0, 8.0, 9.5, 11.0, 15.0, 30.0]
+# Seconds that the store needs for an answer.
+ANSWER_S = 0.02
+DOCUMENT = {"pools": {"engines": {"kind": "engine"}}}
+
+
+class Store:
+    """Stand in for the HTTP client: silent once, and changed at the end of that.
+
+    A call that arrives in the silence, or waits when it begins, is never answered. The
+    first `lost_chunks` calls for chunks of the new version fail.
+    """
+
+    def __init__(self, *, silent_for_s, lost_chunks=0):
+        self.silent_until = SILENT_AT_S + silent_for_s
+        self.lost_chunks_left_ = lost_chunks
+        self.stored_ = {}
+        self._put(1)
+
+    def _put(self, version):
+        chunks = split(config_from_document(DOCUMENT).unwrap(), version)
+        keys = {name: chunk.key for name, chunk in chunks.items()}
+        head = ConfigHead(version, keys)
+        self.stored_["config/head"] = (version, encode_head(head))
+        for chunk in chunks.values():
+            self.stored_[f"config/chunks/{chunk.key}"] = (version, chunk.data)
+
+    async def fetch(self, request, raise_error):
+        parts = urlsplit(request.url)
+        fields = parse_qs(parts.query)
+        began_at = asyncio.get_running_loop().time()
+        waits_until = self._waits_until(began_at, fields)
+        if self._is_lost(began_at, waits_until + ANSWER_S):
+            await asyncio.sleep(request.request_timeout)
+            return HTTPResponse(request, NO_ANSWER)
+        await asyncio.sleep(waits_until + ANSWER_S - began_at)
+        return self._answer(request, parts.path.removeprefix("/objects/"), fields)
+
+    def _is_lost(self, began_at, ends_at):
+        """Tell whether any of the time of a call lies in the silence."""
+        if self.silent_until <= SILENT_AT_S:
+            return False
+        return began_at < self.silent_until and ends_at > SILENT_AT_S
+
+    def _waits_until(self, began_at, fields):
+        """Return when a watch ends; other calls wait for nothing."""
+        if "watch" not in fields:
+            return began_at
+        if int(fields["watch"][0]) < self._version(began_at):
+            return began_at
+        ends_at = began_at + float(fields["timeout_s"][0])
+        if began_at < self.silent_until < ends_at:
+            return self.silent_until
+        return ends_at
+
+    def _version(self, now):
+        if now >= self.silent_until and self.stored_["config/head"][0] == 1:
+            self._put(2)
+        return self.stored_["config/head"][0]
+
+    def _answer(self, request, name, fields):
+        self._version(asyncio.get_running_loop().time())
+        version, data = self.stored_[name]
+        if name != "config/head" and version == 2 and self.lost_chunks_left_:
+            self.lost_chunks_left_ -= 1
+            return HTTPResponse(request, 503)
+        if "watch" in fields and version <= int(fields["watch"][0]):
+            return HTTPResponse(request, 304)
+        headers = HTTPHeaders({"Object-Version": str(version)})
+        return HTTPResponse(request, 200, headers=headers, buffer=BytesIO(data))
+
+
+def late_s(store, *, seed=1):
+    """Return how long after the end of the silence the change was in force."""
+    log = SimpleNamespace(report=lambda event, **fields: None)
+    in_force_at = []
+    follower = ConfigFollower(
+        store=StoreClient(url="http://store", http=store, log=log),
+        log=log,
+        random=Random(seed),
+        is_relay=lambda: True,
+        on_change=lambda config: None,
+    )
+
+    async def follow():
+        now = asyncio.get_running_loop().time
+        follower.start()
+        while follower.version < 2 and now() < store.silent_until + 200.0:
+            await asyncio.sleep(0.1)
+        in_force_at.append(now())
+        follower.stop()
+
+    run_simulated(follow())
+    return in_force_at[0] - store.silent_until
+
+
+@pytest.mark.parametrize("silent_for_s", SILENT_FOR_S)
+def test_a_relay_hears_of_a_change_after_a_silence_in_time(silent_for_s):
+    late = [late_s(Store(silent_for_s=silent_for_s), seed=seed) for seed in range(5)]
+    assert max(late) <= BOUND_S
+
+
+def test_a_change_whose_chunks_were_not_read_at_once_comes_in_force():
+    assert late_s(Store(silent_for_s=0.0, lost_chunks=2)) <= BOUND_S
