Tell a silent store from one that turns calls away

Cause: in doubt after any failure, calls waited for no change also while the store turned calls away at once, where a watch that is accepted is answered; with many calls turned away this made up to three calls where one was made before (worked out). Ruled out: a store that turns calls away leaving an entry deaf: each such answer comes at once. Change: a call without an answer has a failure of its own.

--- a/packages/leadford-server/src/leadford_server/forwarding/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_contract.py
@@ -198,12 +198,14 @@
     """Say why a call to the store did nothing, or may have done nothing.
 
     CONFLICT: the object is there already. HISTORY_GONE: changes since the revision
-    asked for are not kept any more. NOT_FOUND: there is no such object. UNAVAILABLE:
-    the store did not answer, or turned the call away.
+    asked for are not kept any more. NO_ANSWER: none came in time, and what was asked
+    may have been done. NOT_FOUND: there is no such object. UNAVAILABLE: the store
+    turned the call away.
     """
 
     CONFLICT = "conflict"
     HISTORY_GONE = "history-gone"
+    NO_ANSWER = "no-answer"
     NOT_FOUND = "not-found"
     UNAVAILABLE = "unavailable"
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_follow.py
@@ -107,7 +107,7 @@
             read = await self.client.call(
                 codec.list_path(self.kind, after),
                 margin_s=self.call_s(),
-                is_fresh=not self.client.is_available_,
+                is_fresh=self.client.is_silent_,
             )
             if isinstance(read, Failure):
                 return False
@@ -130,7 +130,7 @@
         began_at = asyncio.get_running_loop().time()
         read = await self._call_watch()
         is_gone = read == Failure(StoreFailure.HISTORY_GONE)
-        self.is_unheard_ = isinstance(read, Failure) and not is_gone
+        self.is_unheard_ = read == Failure(StoreFailure.NO_ANSWER)
         if is_gone:
             self.revision_ = None
             return True
@@ -150,7 +150,7 @@
 
     async def _call_watch(self) -> Result[bytes, StoreFailure]:
         """Ask for changes; in doubt whether the store answers, wait for none."""
-        is_in_doubt = self.is_unheard_ or not self.client.is_available_
+        is_in_doubt = self.is_unheard_ or self.client.is_silent_
         wait_s = 0.0 if is_in_doubt else self.watch_s()
         # A store that is silent never answers a call, not even once it is back; so the
         # next one has to follow soon, also where a slow store is given more time.
--- a/packages/leadford-server/src/leadford_server/forwarding/_store.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_store.py
@@ -31,7 +31,10 @@
 
 
 class ObjectsClient:
-    """Call the platform's store and tell when it stops and starts to answer."""
+    """Call the platform's store and tell when it stops and starts to answer.
+
+    `is_silent_` is True while the last call that ended had no answer at all.
+    """
 
     def __init__(
         self, *, url: str, http: AsyncHTTPClient, codec: ObjectCodec, log: EventLog
@@ -41,6 +44,7 @@
         self.codec = codec
         self.log = log
         self.is_available_ = True
+        self.is_silent_ = False
         self.answered_at_: float | None = None
 
     async def call(
@@ -97,6 +101,8 @@
                 waited_ms=round(answer.took_s * 1_000.0),
                 bytes=len(answer.body),
             )
+            self._record(False, status)
+            return Failure(StoreFailure.NO_ANSWER)
         failure = self.codec.read_failure(status)
         self._record(failure is not StoreFailure.UNAVAILABLE, status)
         return Failure(failure)
@@ -105,6 +111,7 @@
         """Log when the store stops and starts to answer, and how long it did not."""
         now = asyncio.get_running_loop().time()
         last_at = self.answered_at_
+        self.is_silent_ = status == NO_ANSWER
         if answered:
             self.answered_at_ = now
         if answered == self.is_available_:
--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/tests/test_follow.py
@@ -13,6 +13,7 @@
 from leadford_server.forwarding._follow import FollowerFactory, KindFollower
 from leadford_server.forwarding._state import ForwardBounds
 from leadford_server.forwarding._store import ObjectsClient
+from leadford_server.web import Transferred
 from leadford_standins.simulated import run_simulated
 
 NO_NEWS = Success(b'{"events": [], "at": 7}')
@@ -24,7 +25,7 @@
     def __init__(self, answers):
         self.codec = PlatformObjects()
         self.log = None
-        self.is_available_ = True
+        self.is_silent_ = False
         self.answers = list(answers)
         self.waits_ = []
         self.fresh_ = []
@@ -61,7 +62,7 @@
 
 
 def test_a_call_after_one_that_heard_nothing_waits_for_no_change():
-    lost = Failure(StoreFailure.UNAVAILABLE)
+    lost = Failure(StoreFailure.NO_ANSWER)
     assert waits_of([NO_NEWS, lost, lost, NO_NEWS, NO_NEWS], 4.0) == [
         4.0,
         4.0,
@@ -73,12 +74,17 @@
 
 def test_a_call_waits_for_no_change_while_another_kind_hears_nothing():
     client = Client([NO_NEWS])
-    client.is_available_ = False
+    client.is_silent_ = True
     follower = new_follower(client, 4.0)
     asyncio.run(follower._watch())
     assert (client.waits_, client.fresh_) == ([0.0], [True])
 
 
+def test_a_watch_that_is_turned_away_is_followed_by_one_that_waits():
+    turned_away = Failure(StoreFailure.UNAVAILABLE)
+    assert waits_of([turned_away, NO_NEWS], 4.0) == [4.0, 4.0]
+
+
 def test_a_short_watch_stays_as_it_is():
     assert waits_of([NO_NEWS, NO_NEWS], 0.5) == [0.5, 0.5]
 
@@ -128,6 +134,24 @@
     assert [line["unanswered_ms"] for line in lines] == [2_000, 6_500]
 
 
+def test_the_client_tells_silence_from_being_turned_away():
+    client = ObjectsClient(
+        url="http://store",
+        http=None,
+        codec=PlatformObjects(),
+        log=SimpleNamespace(report=lambda event, **fields: None),
+    )
+
+    async def sort_each():
+        found = []
+        for status in (503, 599, 410, 599, 200):
+            client._sort("path", "watch", Transferred(status, b"", 1.0))
+            found.append(client.is_silent_)
+        return found
+
+    assert run_simulated(sort_each()) == [False, True, False, True, False]
+
+
 def test_bounds_that_are_read_again_hold_for_the_next_call():
     bounds = [ForwardBounds(resync_s=5.0)]
     factory = FollowerFactory(
--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_silent_store.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/tests/test_silent_store.py
@@ -63,7 +63,7 @@
     def __init__(self, *, silent_at, silent_for_s, waiting, answer_s=ANSWER_S):
         self.codec = PlatformObjects()
         self.log = None
-        self.is_available_ = True
+        self.is_silent_ = False
         self.silent_at = silent_at
         self.silent_until = silent_at + silent_for_s
         self.waiting = waiting
@@ -75,7 +75,7 @@
         answered_at = self._answered_at(path, now)
         if answered_at is None or answered_at > given_up_at:
             await asyncio.sleep(given_up_at - now)
-            return Failure(StoreFailure.UNAVAILABLE)
+            return Failure(StoreFailure.NO_ANSWER)
         await asyncio.sleep(answered_at - now)
         is_old_watch = f"watch={BEFORE}&" in path and answered_at > self.silent_until
         if is_old_watch and self.waiting is Waiting.HISTORY_GONE:
