Split long functions of the own interface and of replay reports, and say what soak checks rely on

Cause: settling and sending of attempts and the report of a replay were functions of 46 to 69 lines that did several jobs; seven modules of the soak had heads of one line. Ruled out: presets and the soak's command line, whose length is data.

--- a/packages/leadford-cli/src/leadford_cli/replay/_report.py
+++ b/packages/leadford-cli/src/leadford_cli/replay/_report.py
@@ -115,6 +115,35 @@
     }
 
 
+class _Totals:
+    """Add up what became of the calls of a replay."""
+
+    def __init__(self) -> None:
+        self.attainment = Attainment()
+        self.by_kind: dict[str, Attainment] = defaultdict(Attainment)
+        self.by_workspace: dict[str, Attainment] = defaultdict(Attainment)
+        self.latencies_ms: dict[str, list[float]] = defaultdict(list)
+        self.refusals: Counter[str] = Counter()
+        self.weighted = 0.0
+        self.tokens_in_time = 0
+
+    def add(self, record: CallRecord, pipeline: dict) -> None:
+        """Count a call, `pipeline` being what the configuration says of its kind."""
+        kind = record.request.pipeline
+        self.attainment.add(record)
+        self.by_kind[kind].add(record)
+        self.by_workspace[record.request.workspace].add(record)
+        if record.outcome == "complete":
+            self.latencies_ms[kind].append(record.elapsed_ms)
+        else:
+            self.refusals[record.reason or record.outcome] += 1
+        if record.in_time:
+            self.weighted += pipeline.get("weight", 1.0)
+            self.tokens_in_time += sum(
+                stage.get("expected_tokens", 0) for stage in pipeline["stages"]
+            )
+
+
 def make_report(
     *,
     trace: str,
@@ -130,31 +159,9 @@
     faults: list[dict],
 ) -> Report:
     """Return the report of a replay."""
-    total = Attainment()
-    by_kind: dict[str, Attainment] = defaultdict(Attainment)
-    by_workspace: dict[str, Attainment] = defaultdict(Attainment)
-    latencies: dict[str, list[float]] = defaultdict(list)
-    refusals: Counter[str] = Counter()
-    weighted = 0.0
-    tokens_in_time = 0
+    totals = _Totals()
     for record in records:
-        kind = record.request.pipeline
-        for attainment in (
-            total,
-            by_kind[kind],
-            by_workspace[record.request.workspace],
-        ):
-            attainment.add(record)
-        if record.outcome == "complete":
-            latencies[kind].append(record.elapsed_ms)
-        else:
-            refusals[record.reason or record.outcome] += 1
-        if record.in_time:
-            pipeline = document["pipelines"][kind]
-            weighted += pipeline.get("weight", 1.0)
-            tokens_in_time += sum(
-                s.get("expected_tokens", 0) for s in pipeline["stages"]
-            )
+        totals.add(record, document["pipelines"][record.request.pipeline])
     costs = _costs(executions, document)
     cost = sum(line.cost for line in costs.values())
     streamed = [record for record in records if record.first_token_s]
@@ -165,17 +172,19 @@
         deployment=deployment,
         seed=seed,
         duration_s=max((record.ended_s for record in records), default=0.0),
-        attainment=total,
-        by_kind=dict(by_kind),
-        by_workspace=dict(by_workspace),
-        latency_ms_by_kind={k: _quantiles(v) for k, v in latencies.items()},
+        attainment=totals.attainment,
+        by_kind=dict(totals.by_kind),
+        by_workspace=dict(totals.by_workspace),
+        latency_ms_by_kind={
+            kind: _quantiles(values) for kind, values in totals.latencies_ms.items()
+        },
         first_token_ms=_quantiles(first),
         token_gap_ms=_quantiles(gaps),
         cost_by_stage=costs,
-        tokens_in_time=tokens_in_time,
-        weighted_completed=weighted,
-        cost_per_weighted=cost / weighted if weighted else 0.0,
-        refusals_by_reason=dict(refusals),
+        tokens_in_time=totals.tokens_in_time,
+        weighted_completed=totals.weighted,
+        cost_per_weighted=cost / totals.weighted if totals.weighted else 0.0,
+        refusals_by_reason=dict(totals.refusals),
         retries=retries,
         prefill_tokens=prefill_tokens,
         cached_tokens=cached_tokens,
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_sending.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_sending.py
@@ -5,7 +5,7 @@
 """
 
 from leadford.pipelines.ejection import EndpointState
-from leadford.pipelines.execution import Attempt
+from leadford.pipelines.execution import Attempt, StageBudget
 from leadford.pipelines.routing import EndpointView, RoutingRequest
 from leadford.protocol import Note, Submit
 from leadford_server.pipelines.entry._directory import EndpointLink
@@ -95,28 +95,7 @@
         if execution.is_final_stage:
             self.tokens.answer_.locator_ = f"{endpoint_id}/{attempt.number}"
             self.live.services.entries.publish(self._note(attempt, streams))
-        budget = execution.budget(now)
-        sent = peer.send(
-            Submit(
-                request_id=self.live.request_id,
-                stage=stage.name,
-                attempt=attempt.number,
-                pipeline=execution.pipeline_id,
-                workspace=execution.workspace,
-                priority=self.live.priority,
-                remaining_ms=budget.remaining_ms,
-                repeatable=stage.repeatable,
-                stream=streams,
-                credit=CREDIT_TOKENS,
-                body=self.live.body.data,
-                previous=execution.previous_,
-                expected_tokens=stage.expected_tokens,
-                prefix=self.live.body.prefix if stage.expected_tokens else "",
-                final=execution.is_final_stage,
-                tail_ms=budget.tail_ms,
-                model=stage.model,
-            )
-        )
+        sent = peer.send(self._submission(attempt, streams, execution.budget(now)))
         if not sent:
             execution.end_attempt(attempt)
             return False
@@ -125,6 +104,32 @@
         self.live.services.directory.pool(stage.pool).ejector.record_sent(endpoint_id)
         return True
 
+    def _submission(
+        self, attempt: Attempt, streams: bool, budget: StageBudget
+    ) -> Submit:
+        """Return the message that asks an agent to run an attempt."""
+        execution = self.live.execution
+        stage = execution.stage
+        return Submit(
+            request_id=self.live.request_id,
+            stage=stage.name,
+            attempt=attempt.number,
+            pipeline=execution.pipeline_id,
+            workspace=execution.workspace,
+            priority=self.live.priority,
+            remaining_ms=budget.remaining_ms,
+            repeatable=stage.repeatable,
+            stream=streams,
+            credit=CREDIT_TOKENS,
+            body=self.live.body.data,
+            previous=execution.previous_,
+            expected_tokens=stage.expected_tokens,
+            prefix=self.live.body.prefix if stage.expected_tokens else "",
+            final=execution.is_final_stage,
+            tail_ms=budget.tail_ms,
+            model=stage.model,
+        )
+
     def _note(self, attempt: Attempt, streams: bool) -> Note:
         execution = self.live.execution
         return Note(
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
@@ -9,6 +9,7 @@
 
 from leadford.common import RefusalReason
 from leadford.pipelines.costs import StageCost
+from leadford.pipelines.execution import Attempt
 from leadford.pipelines.retries import AttemptFailure, FailureKind
 from leadford.protocol import Done, DoneStatus, NotHeld, Refused
 from leadford_server.pipelines.entry._deliveries import (
@@ -19,6 +20,7 @@
     make_failure,
     reason_of,
 )
+from leadford_server.pipelines.entry._directory import EndpointLink
 from leadford_server.pipelines.entry._live_attempts import LiveAttempts
 from leadford_server.pipelines.entry._tokens import TokenStream
 
@@ -70,48 +72,61 @@
             self.live.report_stray(accepted.failure(), done.stage, done.attempt)
             return None
         link = self.live.settle_link(attempt)
-        now = self.live.services.clock()
-        pool = self.live.services.directory.pool(self.live.execution.stage.pool)
         if done.status is not DoneStatus.OK:
-            if pool is not None:
-                pool.ejector.record_failure(
-                    attempt.endpoint_id, done.error[:ERROR_KEPT], now
-                )
-                self.live.services.directory.report_ejections(
-                    self.live.execution.stage.pool
-                )
-            self.live.account(done, StageCost.RETRIED)
-            if link.peer is not None:
-                link.peer.send(self.live.ack(attempt))
-            failure = make_failure(
-                FailureKind.FAILED,
-                RefusalReason.ENDPOINT_ERROR,
+            return self._settle_error(done, attempt, link)
+        self._record_times(done, attempt, link)
+        self.live.account(done, StageCost.USEFUL)
+        if not self.live.execution.is_final_stage and link.peer is not None:
+            link.peer.send(self.live.ack(attempt))
+        for slower in list(self.live.execution.live_by_number_.values()):
+            self.live.lose_race(slower)
+        self.live.execution.advance(done.result)
+        return Settled()
+
+    def _settle_error(
+        self, done: Done, attempt: Attempt, link: EndpointLink
+    ) -> Settled:
+        """Settle an attempt that the endpoint ended with an error."""
+        directory = self.live.services.directory
+        pool_id = self.live.execution.stage.pool
+        pool = directory.pool(pool_id)
+        if pool is not None:
+            pool.ejector.record_failure(
                 attempt.endpoint_id,
-                done.error,
+                done.error[:ERROR_KEPT],
+                self.live.services.clock(),
             )
-            return Settled(failure)
+            directory.report_ejections(pool_id)
+        self.live.account(done, StageCost.RETRIED)
+        if link.peer is not None:
+            link.peer.send(self.live.ack(attempt))
+        failure = make_failure(
+            FailureKind.FAILED,
+            RefusalReason.ENDPOINT_ERROR,
+            attempt.endpoint_id,
+            done.error,
+        )
+        return Settled(failure)
+
+    def _record_times(self, done: Done, attempt: Attempt, link: EndpointLink) -> None:
+        """Learn from an attempt that ended well: slowness, kept prefixes, hedging."""
+        now = self.live.services.clock()
+        stage = self.live.execution.stage
+        directory = self.live.services.directory
+        pool = directory.pool(stage.pool)
         if pool is not None:
             # What the endpoint bills shrinks with its batch; the clock does not. Taken
             # against what is expected, stages of all lengths compare.
             elapsed_ms = (now - attempt.sent_at) * 1000.0 - done.queue_ms
-            slowness = elapsed_ms / self.live.execution.stage.expected_ms
+            slowness = elapsed_ms / stage.expected_ms
             pool.ejector.record_success(attempt.endpoint_id, slowness, now)
-            self.live.services.directory.report_ejections(
-                self.live.execution.stage.pool
-            )
+            directory.report_ejections(stage.pool)
         if self.live.body.prefix and done.prefill_tokens and not done.cached_tokens:
             link.view.prefixes_.record_cached(self.live.body.prefix, now)
-        if self.live.execution.stage.hedge:
+        if stage.hedge:
             begun_at = self.tokens.first_token_at_ or now
             elapsed_ms = (begun_at - attempt.sent_at) * 1000.0
             self.live.services.hedge_policy(done.stage).record(elapsed_ms)
-        self.live.account(done, StageCost.USEFUL)
-        if not self.live.execution.is_final_stage and link.peer is not None:
-            link.peer.send(self.live.ack(attempt))
-        for slower in list(self.live.execution.live_by_number_.values()):
-            self.live.lose_race(slower)
-        self.live.execution.advance(done.result)
-        return Settled()
 
     def _on_refused(self, refused: Refused, effect_before: bool) -> Settled | None:
         matched = self.live.execution.match(refused.stage, refused.attempt)
--- a/packages/leadford-standins/src/leadford_standins/soak/_report.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_report.py
@@ -1,4 +1,8 @@
-"""Say what a soak did and found."""
+"""Say what a soak did and found: counts of its traffic and faults, and what broke.
+
+Made once a run is over, from the evidence that the checks have judged. The report is
+what is printed and kept beside the logs of a run.
+"""
 
 from collections import Counter
 from pathlib import Path
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_answers.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_answers.py
@@ -1,4 +1,8 @@
-"""Check what callers were answered: whole, their own, in order, and true."""
+"""Check what callers were answered: whole, their own, in order, and true.
+
+Judges by what callers and endpoints saw, without regard to when. Relies on the names of
+requests, which tell a run which one it belongs to.
+"""
 
 import re
 
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_bounds.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_bounds.py
@@ -1,4 +1,8 @@
-"""Check bounds on time and on repeats, and that processes end as told."""
+"""Check bounds on time and on repeats, and that processes end as told.
+
+Most hold only where the machine keeps up, so they are left out of untimed runs. Each
+bound has some slack, which covers the delays of the soak itself.
+"""
 
 import signal
 from collections import defaultdict
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_config.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_config.py
@@ -1,4 +1,8 @@
-"""Check that entries follow the configuration: in time, forward only, truly."""
+"""Check that entries follow the configuration: in time, forward only, truly.
+
+Compares what was done with each request with what each version allows. Only entries
+that were in touch with the store for the time of the bounds are judged by time.
+"""
 
 from leadford_standins.soak._ledger import Outcome, Sent
 from leadford_standins.soak.checks._base import Broken, Evidence, broken, promises
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_cuts.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_cuts.py
@@ -1,4 +1,8 @@
-"""Check that neither planned work nor calm cuts a request."""
+"""Check that neither planned work nor calm cuts a request.
+
+A request that was cut counts unless a fault near it, the end of its time, or the end of
+the grace period explains that. Faults of links that callers do not notice explain none.
+"""
 
 from leadford_standins.soak._base import STORE
 from leadford_standins.soak._ledger import Incarnation, Ledger, Outcome, Sent
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_service.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_service.py
@@ -1,4 +1,8 @@
-"""Check that entries are ready and serve when they should, and not when they stop."""
+"""Check that entries are ready and serve when they should, and not when they stop.
+
+Judges by the answers to readiness checks and by what callers got in calm. Relies on
+`_cuts` for the time that a request has.
+"""
 
 from leadford_standins.soak._base import MISBEHAVIOUR, STORE
 from leadford_standins.soak._ledger import Outcome, ReadyAnswer, Sent
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_links.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_links.py
@@ -1,4 +1,8 @@
-"""Harm the links between entries, the store, peers and endpoints."""
+"""Harm the links between entries, the store, peers and endpoints.
+
+Each kind of fault sets the state of links in the loopback proxy, and sets it back when
+the fault is over. Which links are struck was drawn with the plan.
+"""
 
 import asyncio
 
