--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_processes.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_processes.py
@@ -43,6 +43,7 @@
 drainMs = {drain_ms:.0f}
 graceS = {grace_s:.0f}
 configMs = {config_ms:.0f}
+contactMs = {contact_ms:.0f}
 retryBudgetRatio = {retry_ratio}
 retryWindowS = {retry_window_s:.0f}
 retrySlack = {retry_slack:.0f}
@@ -142,6 +143,7 @@
             drain_ms=bounds.drain_s * 1_000.0,
             grace_s=bounds.grace_s,
             config_ms=bounds.config_s * 1_000.0,
+            contact_ms=bounds.contact_s * 1_000.0,
             retry_ratio=bounds.retry_ratio,
             retry_window_s=bounds.retry_window_s,
             retry_slack=bounds.retry_slack,
