--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_silent_store.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/tests/test_silent_store.py
@@ -1,15 +1,14 @@
-"""Each entry hears from a store that was silent within the time it may be out of touch.
+"""Each entry catches up with a store that was silent within the time it has for that.
 
 Symptom: an entry sent a request to its endpoint by a configuration that had been
 replaced 2.70 s before, where 2 s are allowed. The request was served, and the entry
 refused nothing, so nobody it was linked to knew better either.
 Sequence: the store gave no answer for some 9 s. Once it was back, changes were accepted
 at once, and requests went on by what held before; 3.0 s after the store's return the
-entry counted as in touch again and still decided by it.
+time that the entry had to catch up was over, and it still decided by it.
 Cause: a call that reaches a silent store is not answered once the store is back. How
 long an entry waits for such a call grew with each one, up to 3.8 s and a pause of up to
-0.96 s, and did not depend on how long the deployment lets an entry be out of touch. A
-change ends the watches of all entries at the same moment, so they went through the same
+0.96 s, and did not depend on the time that the deployment gives to catch up. A change ends the watches of all entries at the same moment, so they went through the same
 waits in step, and no entry could tell another one.
 What settled it: a simulated run with five entries and a store that was silent for
 8.5 s; a change was accepted at its end. The last watches that were lost began on all
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -15,8 +15,8 @@
 
 _SECONDS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.0, 5.0, 15.0)
 
-# Gaps of interest lie around the time that a deployment lets an entry be out of touch,
-# 3 to 5 s.
+# Seconds; closest around the time that deployments give entries to catch up with the
+# store, 3 to 5 s.
 _GAP_SECONDS = (0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 3.5, 4.0, 5.0, 7.0, 10.0, 15.0, 30.0)
 
 EVENTS_TOTAL = Counter("leadford_events_total", "Events by name.", ["event"])
