--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_silent_store.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/tests/test_silent_store.py
@@ -8,8 +8,9 @@
 time that the entry had to catch up was over, and it still decided by it.
 Cause: a call that reaches a silent store is not answered once the store is back. How
 long an entry waits for such a call grew with each one, up to 3.8 s and a pause of up to
-0.96 s, and did not depend on the time that the deployment gives to catch up. A change ends the watches of all entries at the same moment, so they went through the same
-waits in step, and no entry could tell another one.
+0.96 s, and did not depend on the time that the deployment gives to catch up. A change
+ends the watches of all entries at the same moment, so they went through the same waits
+in step, and no entry could tell another one.
 What settled it: a simulated run with five entries and a store that was silent for
 8.5 s; a change was accepted at its end. The last watches that were lost began on all
 five 0.05 to 0.2 s before the end (event 505, waited_ms 3800), and they had the change
