Have three entries follow the store, and the others hear from them how old their news is

Ruled out: longer watches, since a change ends them however long they wait. Change: three first candidates to schedule groups (all hold links to them) follow; they pass each change on at once and say with each heartbeat when the store last confirmed that nothing is missing, by their own clock, which the receiver translates by the fastest message. An entry whose newest confirmation is older than the bound less 0.6 s, or that missed a change, asks the store by itself. Under 8 entries all follow as before. Figures: in simulated time an entry that rests knows a change within the bound of 3 s whether the followers work, are gone, deaf or late (56 replays).

--- a/packages/leadford-server/src/leadford_server/forwarding/_config.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_config.py
@@ -49,6 +49,12 @@
         if self.state.table_ is not None:
             self.state.config_seen_at_ = self.state.now()
 
+    def on_relayed(self, confirmed_at: float) -> None:
+        """Record when another entry was told that nothing is missing here."""
+        seen_at = self.state.config_seen_at_
+        if self.state.table_ is not None:
+            self.state.config_seen_at_ = max(confirmed_at, seen_at or confirmed_at)
+
     def apply(self, config: ForwardConfig, source: str) -> None:
         """Put a configuration in force unless it is older than the one in force.
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_follow.py
@@ -1,20 +1,33 @@
 """Follow the objects of a kind in the platform's store: list once, then watch.
 
-What is listed and watched goes to the owner of the kind. An entry alone catches up with
-a store that was away within the bound of the deployment: how long calls wait is decided
-in `leadford.forwarding.membership`. Relies on `_store` for the calls.
+What is listed and watched goes to the owner of the kind. Where other entries follow the
+store and say what they hear (`_relays`), this one rests for as long as their newest
+confirmation is young enough. An entry alone catches up with a store that was away
+within the bound of the deployment: how long calls wait, and confirmations last, is
+decided in `leadford.forwarding.membership`. Relies on `_store` for the calls.
 """
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 from typing import Protocol
 
 import msgspec
 from returns.result import Failure, Result
 
-from leadford.forwarding.membership import WATCH_MARGIN_S, longest_call_s, watch_s
-from leadford_server.forwarding._contract import ObjectEvent, StoreFailure
+from leadford.forwarding.membership import (
+    WATCH_MARGIN_S,
+    follower_watch_s,
+    longest_call_s,
+    rest_s,
+    watch_s,
+)
+from leadford_server.forwarding._contract import (
+    ObjectEvent,
+    ObjectEvents,
+    StoreFailure,
+)
 from leadford_server.forwarding._state import ForwardBounds
 from leadford_server.forwarding._store import ObjectsClient, readable
 from leadford_server.metrics import STORE_CONFIRM_GAP_SECONDS
@@ -26,6 +39,9 @@
 # The same for the list of entries, which decides nothing in a hurry: peers say who
 # lives. A third of the watches then end 5.6 times less often; each is paid for.
 ENTRIES_WATCH_S = 10.0
+# Seconds within which a change of that list is known to entries that hear of it from
+# others; as long as a watch and a little more. Not measured.
+ENTRIES_KNOWN_S = 12.0
 # Seconds from the begin of a watch that brought changes to the next one. Changes that
 # follow each other are heard together: every entry pays for each end of a watch. The
 # figures stand at ENTRIES_SHARING of `membership/_watch`; it was not varied.
@@ -55,11 +71,51 @@
         """Record that the store has said that nothing is missing."""
 
 
+class Relays(Protocol):
+    """Pass on what the store says, and know who follows it."""
+
+    follows: bool
+    others_rest: bool
+
+    def add(self, follower: "KindFollower") -> None:
+        """Pass on the news of a follower, and give it those of others."""
+
+    def tell(self, kind: str, after_revision: int, seen: ObjectEvents) -> None:
+        """Pass changes on that the store told this entry."""
+
+
+def _never_rests() -> float:
+    return 0.0
+
+
+class NoRelays:
+    """Pass nothing on: each entry follows the store by itself."""
+
+    follows = True
+    others_rest = False
+
+    def add(self, follower: "KindFollower") -> None:
+        """Leave a follower alone."""
+
+    def tell(self, kind: str, after_revision: int, seen: ObjectEvents) -> None:
+        """Tell nobody of changes."""
+
+
+NO_RELAYS = NoRelays()
+
+
+def _ignores(confirmed_at: float) -> None:
+    """Ignore when another entry was told that nothing is missing."""
+
+
 class KindFollower:
     """Keep the owner of one kind up to date.
 
     Before each call it asks how many seconds it waits: `watch_s` for a watch, `call_s`
-    until the first byte of a call that waits for no change.
+    until the first byte of a call that waits for no change. `rest_s` says for how many
+    seconds a confirmation lets this entry ask nothing, 0 where it follows by itself;
+    `tell` is given the changes that the store told this entry, `on_relayed` is told
+    when the store confirmed to another one that nothing is missing here.
     """
 
     def __init__(
@@ -71,9 +127,15 @@
         owner: KindOwner,
         watch_s: Callable[[], float],
         call_s: Callable[[], float],
+        rest_s: Callable[[], float] = _never_rests,
+        tell: Callable[[str, int, ObjectEvents], None] = NO_RELAYS.tell,
+        on_relayed: Callable[[float], None] = _ignores,
     ) -> None:
         self.watch_s = watch_s
         self.call_s = call_s
+        self.rest_s = rest_s
+        self.tell = tell
+        self.on_relayed = on_relayed
         self.kind = kind
         self.client = client
         self.random = random
@@ -81,12 +143,14 @@
         self.revision_: int | None = None
         self.confirmed_at_: float | None = None
         self.is_unheard_ = False
+        self.behind_ = asyncio.Event()
 
     async def run(self) -> None:
         """Follow until cancelled."""
         now = asyncio.get_running_loop().time
         wait_s = RETRY_MIN_S
         while True:
+            await self._rest()
             began_at = now()
             good = await self._list() if self.revision_ is None else await self._watch()
             if good:
@@ -98,6 +162,47 @@
             await asyncio.sleep(max(0.0, pause_s - (now() - began_at)))
             wait_s = min(RETRY_MAX_S, wait_s * 2.0)
 
+    async def _rest(self) -> None:
+        """Ask nothing while what was confirmed last is young enough."""
+        now = asyncio.get_running_loop().time
+        while self.revision_ is not None and self.confirmed_at_ is not None:
+            left_s = self.confirmed_at_ + self.rest_s() - now()
+            if left_s <= 0.0 or self.behind_.is_set():
+                break
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.behind_.wait(), left_s)
+        self.behind_.clear()
+
+    def hurry(self) -> None:
+        """Ask the store at once: another entry knows of changes that were missed."""
+        self.behind_.set()
+
+    def learn(
+        self, after_revision: int, seen: ObjectEvents, confirmed_at: float
+    ) -> bool:
+        """Take changes that another entry passes on; return whether they fit.
+
+        They do not fit where one before them is missing here.
+        """
+        if self.revision_ is None:
+            return False
+        if after_revision > self.revision_:
+            self.hurry()
+            return False
+        if seen.revision > self.revision_:
+            for event in seen.events:
+                self.owner.on_event(event)
+            self._record(seen.revision, confirmed_at)
+            self.on_relayed(confirmed_at)
+        return True
+
+    def learn_confirmed(self, revision: int, confirmed_at: float) -> None:
+        """Believe another entry that nothing is missing here up to a revision."""
+        if self.revision_ is None or confirmed_at <= self.confirmed_at_:
+            return
+        self._record(max(self.revision_, revision), confirmed_at)
+        self.on_relayed(confirmed_at)
+
     async def _list(self) -> bool:
         codec = self.client.codec
         items: list[dict] = []
@@ -128,6 +233,7 @@
     async def _watch(self) -> bool:
         codec = self.client.codec
         began_at = asyncio.get_running_loop().time()
+        asked_from = self.revision_
         read = await self._call_watch()
         is_gone = read == Failure(StoreFailure.HISTORY_GONE)
         self.is_unheard_ = read == Failure(StoreFailure.NO_ANSWER)
@@ -140,21 +246,25 @@
         if seen is None:
             self.revision_ = None
             return False
-        for event in seen.events:
-            self.owner.on_event(event)
+        is_news = seen.revision > self.revision_ or self.revision_ == asked_from
+        if is_news:
+            # Another entry may have told this one more than the store did meanwhile.
+            for event in seen.events:
+                self.owner.on_event(event)
         self._confirm(max(self.revision_, seen.revision))
         if seen.events:
+            self.tell(self.kind, asked_from, seen)
             lasted_s = asyncio.get_running_loop().time() - began_at
             await asyncio.sleep(max(0.0, CHANGES_PAUSE_S - lasted_s))
         return True
 
     async def _call_watch(self) -> Result[bytes, StoreFailure]:
-        """Ask for changes; in doubt whether the store answers, wait for none."""
+        """Ask for changes; wait for none in doubt, or where others follow the store."""
         is_in_doubt = self.is_unheard_ or self.client.is_silent_
-        wait_s = 0.0 if is_in_doubt else self.watch_s()
+        wait_s = 0.0 if is_in_doubt or self.rest_s() > 0.0 else self.watch_s()
         # A store that is silent never answers a call, not even once it is back; so the
         # next one has to follow soon, also where a slow store is given more time.
-        margin_s = self.call_s() if is_in_doubt else WATCH_MARGIN_S
+        margin_s = WATCH_MARGIN_S if wait_s > 0.0 else self.call_s()
         path = self.client.codec.watch_path(
             self.kind, self.revision_, round(wait_s * 1_000.0)
         )
@@ -163,20 +273,24 @@
         )
 
     def _confirm(self, revision: int) -> None:
-        """Record that nothing is missing up to a revision."""
-        now = asyncio.get_running_loop().time()
+        """Record that the store said just now that nothing is missing."""
+        self._record(revision, asyncio.get_running_loop().time())
+        self.owner.on_confirmed(revision)
+
+    def _record(self, revision: int, confirmed_at: float) -> None:
+        """Record when it was known that nothing is missing up to a revision."""
         if self.confirmed_at_ is not None:
-            gap_s = now - self.confirmed_at_
+            gap_s = max(0.0, confirmed_at - self.confirmed_at_)
             STORE_CONFIRM_GAP_SECONDS.labels(kind=self.kind).observe(gap_s)
-        self.confirmed_at_ = now
+        self.confirmed_at_ = max(confirmed_at, self.confirmed_at_ or confirmed_at)
         self.revision_ = revision
-        self.owner.on_confirmed(revision)
 
 
 class FollowerFactory:
     """Make followers whose calls wait by the bounds of the deployment.
 
-    The bounds and the count of live peers are asked for before each call.
+    The bounds, the count of live peers and whether this entry follows the store for
+    others are asked for before each call. `relays` passes on what the store says.
     """
 
     def __init__(
@@ -186,33 +300,66 @@
         random: Random,
         bounds: Callable[[], ForwardBounds],
         live_peers: Callable[[], int],
+        relays: Relays = NO_RELAYS,
     ) -> None:
         self.client = client
         self.random = random
         self.bounds = bounds
         self.live_peers = live_peers
+        self.relays = relays
+
+    def relayed(
+        self,
+        kind: str,
+        owner: KindOwner,
+        *,
+        bound_s: Callable[[], float],
+        watch_s: Callable[[], float],
+        on_relayed: Callable[[float], None] = _ignores,
+    ) -> KindFollower:
+        """Make a follower of a kind that a few entries follow for the others.
+
+        `bound_s` is the time within which a change has to be known; `watch_s` is how
+        long a watch waits where each entry follows by itself.
+        """
+        follower = KindFollower(
+            kind=kind,
+            client=self.client,
+            random=self.random,
+            owner=owner,
+            watch_s=lambda: self._relayed_watch_s(bound_s(), watch_s),
+            call_s=lambda: longest_call_s(self.bounds().resync_s),
+            rest_s=lambda: 0.0 if self.relays.follows else rest_s(bound_s()),
+            tell=self.relays.tell,
+            on_relayed=on_relayed,
+        )
+        self.relays.add(follower)
+        return follower
 
     def shared(self, kind: str, owner: KindOwner, least_s: float) -> KindFollower:
         """Make a follower of a kind whose news peers tell as well."""
-        return self.alone(kind, owner, lambda: self._shared_watch_s(least_s))
-
-    def alone(
-        self, kind: str, owner: KindOwner, watch_s: Callable[[], float]
-    ) -> KindFollower:
-        """Make a follower whose watches wait as told."""
         return KindFollower(
             kind=kind,
             client=self.client,
             random=self.random,
             owner=owner,
-            watch_s=watch_s,
+            watch_s=lambda: self.shared_watch_s(least_s),
             call_s=lambda: longest_call_s(self.bounds().resync_s),
         )
 
-    def _shared_watch_s(self, least_s: float) -> float:
+    def shared_watch_s(self, least_s: float) -> float:
+        """Return how long a watch waits where all entries follow and tell news."""
         return watch_s(
             least_s,
             self.live_peers(),
             self.random.random(),
             resync_s=self.bounds().resync_s,
         )
+
+    def _relayed_watch_s(
+        self, bound_s: float, alone_watch_s: Callable[[], float]
+    ) -> float:
+        if not self.relays.others_rest:
+            return alone_watch_s()
+        resync_s = self.bounds().resync_s
+        return follower_watch_s(bound_s, resync_s, self.random.random())
--- a/packages/leadford-server/src/leadford_server/forwarding/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_links.py
@@ -13,7 +13,12 @@
 from leadford.events import Event
 from leadford.forwarding.batching import GroupId
 from leadford.forwarding.endpoints import ListedEndpoint
-from leadford.forwarding.membership import is_live, is_silent, wanted_peers
+from leadford.forwarding.membership import (
+    is_live,
+    is_silent,
+    store_followers,
+    wanted_peers,
+)
 from leadford.forwarding.routes import ForwardConfig
 from leadford.protocol import (
     PROTOCOL_EVACUATIONS,
@@ -29,6 +34,7 @@
 from leadford_server.forwarding._news import NewsExchange
 from leadford_server.forwarding._peers import MessageHandlers
 from leadford_server.forwarding._pieces import PieceExchange
+from leadford_server.forwarding._relays import StoreRelays
 from leadford_server.forwarding._stages import StageRunner
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.peers import Dialer, Identity, PeerConnection, PeerServer
@@ -61,6 +67,7 @@
         on_listing: Callable[[list[ListedEndpoint], int], None],
         on_entries: Callable[[list[KnownEntry]], None],
         halls: HallsHolder,
+        config_kind: str,
     ) -> None:
         self.entry_id = entry_id
         self.state = state
@@ -88,6 +95,13 @@
             on_listing=on_listing,
             on_entries=on_entries,
         )
+        self.relays = StoreRelays(
+            state=state,
+            config_kind=config_kind,
+            peers_by_id=self.peers_by_id_,
+            followers=self._followers,
+            entry_count=lambda: 1 + len(self.entries_by_id_),
+        )
         self.handlers_ = self._handlers()
 
     def _handlers(self) -> MessageHandlers:
@@ -98,6 +112,7 @@
             FleetBacklog: self._on_backlog,
             **self.pieces.handlers(),
             **self.news.handlers(),
+            **self.relays.handlers(),
         }
 
     async def start(self) -> None:
@@ -138,9 +153,21 @@
 
     def _wanted_peers(self) -> set[EntryId]:
         """Return the entries to hold links to."""
+        return wanted_peers(
+            self.entry_id, self._halls_by_entry(), self._groups(), self.state.regions
+        )
+
+    def _followers(self) -> set[EntryId]:
+        """Return the entries that follow the store for all."""
+        return store_followers(
+            self._halls_by_entry(), self._groups(), self.state.regions
+        )
+
+    def _halls_by_entry(self) -> dict[EntryId, HallId]:
+        """Return the hall of each entry that exists, this one too."""
         halls = {entry.entry_id: entry.hall for entry in self.entries_by_id_.values()}
         halls[self.entry_id] = self.state.hall
-        return wanted_peers(self.entry_id, halls, self._groups(), self.state.regions)
+        return halls
 
     def _groups(self) -> set[GroupId]:
         table = self.state.table_
@@ -181,14 +208,18 @@
         groups = self._groups()
         backlog = self.heartbeats.make_backlog(groups)
         message = self.heartbeats.make(groups, is_draining=self.is_draining_)
+        told = [self.relays.confirmations(), backlog]
+        fleet = [part for part in told if part is not None]
         for entry_id, peer in list(self.peers_by_id_.items()):
             if is_silent(self.heard_at_by_id_.get(entry_id, now), now):
                 # The connection stands, but its peer no longer sends heartbeats.
                 peer.abort()
                 continue
             peer.send(message)
-            if backlog is not None and peer.info.protocol_version >= PROTOCOL_FLEET:
-                peer.send(backlog)
+            if peer.info.protocol_version < PROTOCOL_FLEET:
+                continue
+            for part in fleet:
+                peer.send(part)
 
     def is_live(self, entry_id: EntryId, now: float) -> bool:
         """Tell whether an entry was heard a short while ago."""
@@ -223,6 +254,7 @@
             return
         del self.peers_by_id_[entry_id]
         self.news.forget(entry_id)
+        self.relays.forget(entry_id)
         self.state.log.report(Event.PEER_LOST, peer=entry_id)
         self.stages.scheduler_.forget(entry_id)
         self.stages.sent.scheduler_lost(entry_id)
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -26,6 +26,7 @@
     RequestCodec,
 )
 from leadford_server.forwarding._follow import (
+    ENTRIES_KNOWN_S,
     ENTRIES_WATCH_S,
     WATCH_S,
     FollowerFactory,
@@ -146,6 +147,7 @@
             on_config=self.config_.apply,
             on_listing=self.listing_.apply,
             halls=self.halls_,
+            config_kind=self.objects.config_kind,
             on_entries=self.members_.learn,
         )
         self.stages_.connect(self.links_, self.links_.pieces)
@@ -176,11 +178,32 @@
             random=self.random,
             bounds=lambda: self.settings.bounds,
             live_peers=lambda: len(self.links_.halls_by_live_entry()),
+            relays=self.links_.relays,
         )
         followers = [
-            factory.shared(objects.config_kind, self.config_, WATCH_S),
-            factory.shared(objects.endpoints_kind, self.listing_, WATCH_S),
-            factory.alone(objects.entries_kind, self.members_, lambda: ENTRIES_WATCH_S),
+            factory.relayed(
+                objects.config_kind,
+                self.config_,
+                bound_s=lambda: self.settings.bounds.known_s(
+                    self.settings.bounds.config_s
+                ),
+                watch_s=lambda: factory.shared_watch_s(WATCH_S),
+                on_relayed=self.config_.on_relayed,
+            ),
+            factory.relayed(
+                objects.endpoints_kind,
+                self.listing_,
+                bound_s=lambda: self.settings.bounds.known_s(
+                    self.settings.bounds.drain_s
+                ),
+                watch_s=lambda: factory.shared_watch_s(WATCH_S),
+            ),
+            factory.relayed(
+                objects.entries_kind,
+                self.members_,
+                bound_s=lambda: ENTRIES_KNOWN_S,
+                watch_s=lambda: ENTRIES_WATCH_S,
+            ),
         ]
         evacuate_s = self.settings.bounds.evacuate_s
         if evacuate_s is not None:
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/_relays.py
@@ -0,0 +1,170 @@
+"""Pass on what the store says: a few entries follow it, the others hear from them.
+
+Those that follow send each change at once, and with each heartbeat when the store last
+confirmed that nothing is missing. Configurations are larger than other changes, so only
+their version is told and `_news` fetches them. Who follows, and for how long others
+rest, is decided in `leadford.forwarding.membership`; the followers of `_follow` take
+what comes here.
+"""
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from leadford.common import EntryId
+from leadford.events import Event
+from leadford.forwarding.membership import PeerClock
+from leadford.protocol import (
+    PROTOCOL_FLEET,
+    StoreChange,
+    StoreChanges,
+    StoreConfirmation,
+    StoreConfirmations,
+)
+from leadford_server.forwarding._contract import ObjectEvent, ObjectEvents
+from leadford_server.forwarding._follow import KindFollower
+from leadford_server.forwarding._peers import MessageHandlers
+from leadford_server.forwarding._state import ForwardState
+from leadford_server.metrics import RELAYED_NEWS_TOTAL
+from leadford_server.peers import PeerConnection
+
+# Characters of a decoding error that a log line holds.
+ERROR_LOGGED = 200
+
+
+class StoreRelays:
+    """Tell other entries what the store says, and take what they tell.
+
+    `config_kind` is the kind whose changes are not passed on; `followers` returns the
+    entries that follow the store, and how many entries there are.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: ForwardState,
+        config_kind: str,
+        peers_by_id: Mapping[EntryId, PeerConnection],
+        followers: Callable[[], set[EntryId]],
+        entry_count: Callable[[], int],
+    ) -> None:
+        self.state = state
+        self.config_kind = config_kind
+        self.peers_by_id = peers_by_id
+        self.followers = followers
+        self.entry_count = entry_count
+        self.follower_by_kind_: dict[str, KindFollower] = {}
+        self.clocks_by_peer_: dict[EntryId, PeerClock] = {}
+
+    def handlers(self) -> MessageHandlers:
+        """Return what handles each kind of message here."""
+        return {
+            StoreConfirmations: self._on_confirmations,
+            StoreChanges: self._on_changes,
+        }
+
+    def add(self, follower: KindFollower) -> None:
+        """Pass on the news of a follower, and give it those of others."""
+        self.follower_by_kind_[follower.kind] = follower
+
+    @property
+    def follows(self) -> bool:
+        """Tell whether this entry follows the store."""
+        return self.state.entry_id in self.followers()
+
+    @property
+    def others_rest(self) -> bool:
+        """Tell whether some entries hear of the store only from others."""
+        return len(self.followers()) < self.entry_count()
+
+    def tell(self, kind: str, after_revision: int, seen: ObjectEvents) -> None:
+        """Pass changes on that the store told this entry."""
+        if kind == self.config_kind or not (self.follows and self.others_rest):
+            return
+        changes = [
+            StoreChange(
+                msgspec.json.encode(event.item), event.is_gone, event.seen_revision
+            )
+            for event in seen.events
+        ]
+        sent_ms = self.state.now() * 1_000.0
+        message = StoreChanges(kind, after_revision, seen.revision, sent_ms, changes)
+        for peer in list(self.peers_by_id.values()):
+            if peer.info.protocol_version >= PROTOCOL_FLEET:
+                peer.send(message)
+
+    def confirmations(self) -> StoreConfirmations | None:
+        """Return what the store confirmed here, if this entry follows it for others."""
+        if not (self.follows and self.others_rest):
+            return None
+        kinds = []
+        for kind, follower in self.follower_by_kind_.items():
+            if follower.revision_ is None or follower.confirmed_at_ is None:
+                continue
+            version = 0
+            if kind == self.config_kind:
+                version = self.state.config_version()
+            confirmed_ms = follower.confirmed_at_ * 1_000.0
+            kinds.append(
+                StoreConfirmation(kind, follower.revision_, version, confirmed_ms)
+            )
+        return StoreConfirmations(self.state.now() * 1_000.0, kinds)
+
+    def forget(self, entry_id: EntryId) -> None:
+        """Forget a peer whose link ended: its next process has another clock."""
+        self.clocks_by_peer_.pop(entry_id, None)
+
+    def _clock(self, peer: PeerConnection, sent_ms: float) -> PeerClock:
+        """Return the clock of a peer, with a message of it recorded."""
+        entry_id = EntryId(peer.info.peer_id)
+        clock = self.clocks_by_peer_.setdefault(entry_id, PeerClock())
+        clock.record(sent_ms / 1_000.0, self.state.now())
+        return clock
+
+    def _on_confirmations(
+        self, peer: PeerConnection, message: StoreConfirmations
+    ) -> None:
+        clock = self._clock(peer, message.sent_ms)
+        for told in message.kinds:
+            follower = self.follower_by_kind_.get(told.kind)
+            if follower is None:
+                continue
+            if not self._knows(follower, told):
+                if told.kind != self.config_kind:
+                    # Changes travel before their confirmation, so one was missed.
+                    follower.hurry()
+                continue
+            moment = clock.own_moment(told.confirmed_ms / 1_000.0)
+            follower.learn_confirmed(told.revision, moment)
+
+    def _knows(self, follower: KindFollower, told: StoreConfirmation) -> bool:
+        """Tell whether this entry knows as much as a peer was confirmed to know."""
+        if told.kind == self.config_kind:
+            return self.state.config_version() >= told.version
+        return follower.revision_ is not None and follower.revision_ >= told.revision
+
+    def _on_changes(self, peer: PeerConnection, message: StoreChanges) -> None:
+        clock = self._clock(peer, message.sent_ms)
+        follower = self.follower_by_kind_.get(message.kind)
+        if follower is None:
+            return
+        try:
+            events = [
+                ObjectEvent(
+                    msgspec.json.decode(change.item, type=dict),
+                    change.is_gone,
+                    change.seen_revision,
+                )
+                for change in message.changes
+            ]
+        except msgspec.DecodeError as error:
+            self.state.log.report(
+                Event.CONFIG_UNREADABLE, error=str(error)[:ERROR_LOGGED]
+            )
+            return
+        moment = clock.own_moment(message.sent_ms / 1_000.0)
+        fits = follower.learn(
+            message.after_revision, ObjectEvents(events, message.revision), moment
+        )
+        end = "taken" if fits else "gap"
+        RELAYED_NEWS_TOTAL.labels(kind=message.kind, end=end).inc()
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -51,6 +51,13 @@
     resync_s: float = 3.0
     evacuate_s: float | None = None
 
+    def known_s(self, bound_s: float) -> float:
+        """Return within which time news are known whose effect has a bound.
+
+        Units: seconds.
+        """
+        return min(bound_s, self.resync_s)
+
 
 class ForwardState:
     """Hold the state that requests share."""
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/tests/test_relays.py
@@ -0,0 +1,234 @@
+"""Entries that hear of the store from others know each change within the bound.
+
+Replays a fleet in simulated time: three entries follow the store, one rests. The store
+is changed at each moment of the watches, while the followers work, are gone, are deaf
+to the store, or what they say is late.
+"""
+
+import asyncio
+import json
+from enum import Enum
+from random import Random
+from types import SimpleNamespace
+from urllib.parse import parse_qs, urlsplit
+
+import pytest
+from returns.result import Failure, Success
+
+from leadford.common import EntryId, HallId
+from leadford.protocol import PROTOCOL_FLEET
+from leadford_platform import PlatformObjects
+from leadford_server.forwarding._contract import StoreFailure
+from leadford_server.forwarding._follow import FollowerFactory
+from leadford_server.forwarding._relays import StoreRelays
+from leadford_server.forwarding._state import ForwardBounds
+from leadford_standins.simulated import run_simulated
+
+KIND = "servers"
+FOLLOWERS = 3
+BOUNDS = ForwardBounds(drain_s=3.0, config_s=3.0, resync_s=4.0)
+ANSWER_S = 0.01
+HEARTBEAT_S = 0.2
+CHANGED_AT_S = [20.0 + tenths / 10.0 for tenths in range(0, 40, 3)]
+
+
+class Failing(Enum):
+    """Say what the followers suffer, from 0.1 s before the change."""
+
+    NOTHING = "nothing"
+    GONE = "they are gone"
+    DEAF = "the store never answers them"
+    LATE = "what they say takes 2 s to arrive"
+
+
+class Store:
+    """Hold one object that changes once; watches of the deaf are never answered."""
+
+    def __init__(self, changed_at):
+        self.changed_at = changed_at
+        self.calls = 0
+
+    def revision(self, now):
+        return 6 if now >= self.changed_at else 5
+
+    async def call(self, path, wait_s, margin_s, deaf_from):
+        loop = asyncio.get_running_loop()
+        self.calls += 1
+        now = loop.time()
+        fields = parse_qs(urlsplit(path).query)
+        known = int(fields["watch"][0]) if "watch" in fields else 0
+        ends_at = now + (wait_s if known == self.revision(now) else 0.0)
+        if now < self.changed_at <= ends_at:
+            ends_at = self.changed_at
+        if ends_at + ANSWER_S >= deaf_from:
+            await asyncio.sleep(wait_s + margin_s)
+            return Failure(StoreFailure.NO_ANSWER)
+        await asyncio.sleep(ends_at + ANSWER_S - now)
+        revision = self.revision(ends_at)
+        item = {"metadata": {"name": "a", "revision": revision}, "spec": {}}
+        event = {"gone": False, "object": item}
+        page = {"items": [item], "events": [], "more": False, "at": revision}
+        if 0 < known < revision:
+            page["events"] = [event]
+        return Success(json.dumps(page).encode())
+
+
+class Client:
+    def __init__(self, store, deaf_from):
+        self.codec = PlatformObjects()
+        self.log = None
+        self.is_silent_ = False
+        self.store = store
+        self.deaf_from = deaf_from
+
+    async def call(self, path, *, wait_s=0.0, margin_s=1.5, is_fresh=False):
+        return await self.store.call(path, wait_s, margin_s, self.deaf_from)
+
+
+class Entry:
+    """Follow the store as an entry of a fleet, with links to all others."""
+
+    def __init__(self, number, store, *, deaf_from=float("inf")):
+        self.entry_id = EntryId(f"e{number}")
+        self.known_at_by_revision = {}
+        self.peers_by_id = {}
+        loop = asyncio.get_running_loop()
+        state = SimpleNamespace(
+            entry_id=self.entry_id,
+            now=loop.time,
+            hall=HallId("h"),
+            config_version=lambda: 0,
+        )
+        self.relays = StoreRelays(
+            state=state,
+            config_kind="config",
+            peers_by_id=self.peers_by_id,
+            followers=lambda: {EntryId(f"e{n}") for n in range(FOLLOWERS)},
+            entry_count=lambda: 9,
+        )
+        random = Random(number)
+        factory = FollowerFactory(
+            client=Client(store, deaf_from),
+            random=random,
+            bounds=lambda: BOUNDS,
+            live_peers=lambda: 8,
+            relays=self.relays,
+        )
+        self.follower = factory.relayed(
+            KIND, self, bound_s=lambda: BOUNDS.drain_s, watch_s=lambda: 1.8
+        )
+
+    def on_list(self, listing):
+        self._know(listing.revision)
+
+    def on_event(self, event):
+        self._know(event.item["metadata"]["revision"])
+
+    def on_confirmed(self, revision):
+        self._know(revision)
+
+    def _know(self, revision):
+        now = asyncio.get_running_loop().time()
+        self.known_at_by_revision.setdefault(revision, now)
+
+    async def beat(self):
+        while True:
+            told = self.relays.confirmations()
+            for peer in self.peers_by_id.values():
+                if told is not None:
+                    peer.send(told)
+            await asyncio.sleep(HEARTBEAT_S)
+
+
+class Link:
+    """Carry messages from one entry to another, late from a moment on."""
+
+    def __init__(self, sender, receiver, *, late_from=float("inf")):
+        self.info = SimpleNamespace(
+            peer_id=receiver.entry_id, protocol_version=PROTOCOL_FLEET
+        )
+        self.sender = sender
+        self.receiver = receiver
+        self.late_from = late_from
+
+    def send(self, message):
+        loop = asyncio.get_running_loop()
+        late_s = 2.0 if loop.time() >= self.late_from else 0.002
+        loop.call_later(late_s, self._arrive, message)
+        return True
+
+    def _arrive(self, message):
+        handler = self.receiver.relays.handlers()[type(message)]
+        sender = SimpleNamespace(info=SimpleNamespace(peer_id=self.sender.entry_id))
+        handler(sender, message)
+
+
+class Played:
+    """Hold what a replay showed of the entry that rests."""
+
+    def __init__(self, late_s, calls_of_followers, calls):
+        self.late_s = late_s
+        self.calls_of_followers = calls_of_followers
+        self.calls = calls
+
+
+def play(changed_at, failing):
+    """Return how late the entry that rests knew of the change."""
+    found = []
+
+    async def run():
+        store = Store(changed_at)
+        resting_store = Store(changed_at)
+        fails_at = changed_at - 0.1 if failing is not Failing.NOTHING else float("inf")
+        deaf_from = fails_at if failing is Failing.DEAF else float("inf")
+        late_from = fails_at if failing is Failing.LATE else float("inf")
+        entries = [Entry(n, store, deaf_from=deaf_from) for n in range(FOLLOWERS)]
+        resting = Entry(FOLLOWERS, resting_store)
+        for entry in entries:
+            entry.peers_by_id[resting.entry_id] = Link(
+                entry, resting, late_from=late_from
+            )
+        running = [
+            asyncio.ensure_future(work)
+            for entry in entries
+            for work in (entry.follower.run(), entry.beat())
+        ]
+        resting_work = asyncio.ensure_future(resting.follower.run())
+        if failing is Failing.GONE:
+            await asyncio.sleep(fails_at)
+            for work in running:
+                work.cancel()
+        loop = asyncio.get_running_loop()
+        while 6 not in resting.known_at_by_revision and loop.time() < 60.0:
+            await asyncio.sleep(0.05)
+        for work in [*running, resting_work]:
+            work.cancel()
+        known_at = resting.known_at_by_revision.get(6, float("inf"))
+        found.append(Played(known_at - changed_at, store.calls, resting_store.calls))
+
+    run_simulated(run())
+    return found[0]
+
+
+@pytest.mark.parametrize("failing", Failing)
+def test_a_change_is_known_within_the_bound_whatever_the_followers_suffer(failing):
+    late = {at: play(at, failing).late_s for at in CHANGED_AT_S}
+    assert {at: s for at, s in late.items() if s > BOUNDS.drain_s} == {}
+
+
+def test_an_entry_that_hears_from_followers_asks_the_store_once():
+    played = play(changed_at=20.0, failing=Failing.NOTHING)
+    assert played.calls == 1
+    assert played.late_s < 0.1
+
+
+def test_changes_that_do_not_fit_are_not_taken():
+    async def run():
+        entry = Entry(FOLLOWERS, Store(1_000.0))
+        assert await entry.follower._list()
+        assert not entry.follower.learn(7, SimpleNamespace(revision=9, events=[]), 0.0)
+        assert entry.follower.revision_ == 5
+        assert entry.follower.learn(4, SimpleNamespace(revision=9, events=[]), 0.0)
+        assert entry.follower.revision_ == 9
+
+    run_simulated(run())
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -49,6 +49,11 @@
     ["kind"],
     buckets=_GAP_SECONDS,
 )
+RELAYED_NEWS_TOTAL = Counter(
+    "leadford_relayed_news_total",
+    "Changes of the store heard from another entry, taken or not fitting.",
+    ["kind", "end"],
+)
 STORE_BYTES_TOTAL = Counter(
     "leadford_store_bytes_total",
     "Bytes of answers of the store; those of a lost answer are fetched again.",
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_relayed_store.py
@@ -0,0 +1,72 @@
+"""In a fleet a few entries follow the store, and the others know what it says."""
+
+import asyncio
+
+from leadford_standins.wire import play, turn_away
+
+ENTRIES = 9
+
+
+def resting(deployment):
+    return [e for e in deployment.entries_ if not e.links_.relays.follows]
+
+
+async def settle(deployment):
+    """Wait until all entries know each other, and so agree on who follows."""
+    await deployment.until(
+        lambda: all(
+            len(e.members_.entries_by_id_) == ENTRIES
+            and len(e.links_.relays.followers()) == 2
+            for e in deployment.entries_
+        )
+    )
+    await deployment.until(
+        lambda: all(
+            e.links_.relays.clocks_by_peer_.keys() >= e.links_.relays.followers()
+            for e in resting(deployment)
+        )
+    )
+
+
+def test_entries_that_rest_hear_of_every_change():
+    async def scenario(deployment):
+        await settle(deployment)
+        assert len(resting(deployment)) == ENTRIES - 2
+        for entry in resting(deployment):
+            turn_away(entry)
+        gone = deployment.plain[0].endpoint_id
+        deployment.store.delete("servers", gone)
+        await deployment.until(
+            lambda: all(
+                gone not in e.state_.roster_.known_ids() for e in deployment.entries_
+            )
+        )
+        deployment.config["version"] += 1
+        deployment.put_config()
+        version = deployment.config["version"]
+        await deployment.until(
+            lambda: all(
+                e.state_.config_version() == version for e in deployment.entries_
+            )
+        )
+
+    play(scenario, entries=ENTRIES)
+
+
+def test_entries_that_rest_ask_the_store_once_those_that_follow_are_deaf():
+    async def scenario(deployment):
+        await settle(deployment)
+        for entry in deployment.entries_:
+            if entry.links_.relays.follows:
+                turn_away(entry)
+        # Watches that wait already still end as the store says.
+        await asyncio.sleep(2.0)
+        gone = deployment.plain[0].endpoint_id
+        deployment.store.delete("servers", gone)
+        await deployment.until(
+            lambda: all(
+                gone not in e.state_.roster_.known_ids() for e in resting(deployment)
+            )
+        )
+
+    play(scenario, entries=ENTRIES)
--- a/packages/leadford/src/leadford/forwarding/membership/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/membership/__init__.py
@@ -3,7 +3,13 @@
 from leadford.forwarding.membership._fetch import NewsFetch
 from leadford.forwarding.membership._heard import HeardVersions
 from leadford.forwarding.membership._liveness import is_live, is_silent
+from leadford.forwarding.membership._peer_clock import PeerClock
 from leadford.forwarding.membership._peers import wanted_peers
+from leadford.forwarding.membership._relays import (
+    follower_watch_s,
+    rest_s,
+    store_followers,
+)
 from leadford.forwarding.membership._stop import may_stop, stop_ends_at
 from leadford.forwarding.membership._watch import (
     WATCH_MARGIN_S,
@@ -15,11 +21,15 @@
     "HeardVersions",
     "WATCH_MARGIN_S",
     "NewsFetch",
+    "PeerClock",
+    "follower_watch_s",
     "is_live",
     "is_silent",
     "longest_call_s",
     "may_stop",
+    "rest_s",
     "stop_ends_at",
+    "store_followers",
     "wanted_peers",
     "watch_s",
 ]
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/membership/_relays.py
@@ -0,0 +1,88 @@
+"""Decide which entries follow the store for all, and when another one asks it itself.
+
+The load pattern: each change of an endpoint ends the watches of all entries at once, so
+what a change costs grows with the fleet. Where many entries live, a few follow the
+store; the others hear from them what changed, and how long ago the store confirmed that
+nothing is missing. An entry whose newest confirmation is too old asks the store by
+itself, whatever the reason: the relays are lost, cut off, slow, stopped or deaf, or the
+store is. So what an entry knows is never older than `rest_s` and one call, with no
+message and no lease to agree on who follows.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from leadford.common import EntryId, HallId
+from leadford.forwarding.batching import GroupId, RegionMap, schedulers_in_order
+from leadford.forwarding.membership._watch import (
+    ANSWER_S,
+    LEAST_S,
+    SPREAD,
+    longest_watch_s,
+)
+
+# Entries that follow the store for the others: the loss of any two leaves one, and with
+# watches that end at different moments the newest confirmation is younger than one
+# watch. Not varied.
+FOLLOWERS = 3
+# Entries from which on the others rest. With fewer, each follows by itself: three of
+# six would save half of the calls, and news would come in two steps. Not varied.
+RELAYED_FROM = 8
+# Seconds from a confirmation at a follower until all others have heard it: a pause
+# between heartbeats, and as much again for a busy link. Not measured.
+TELL_S = 0.4
+
+
+def store_followers(
+    halls_by_entry: dict[EntryId, HallId],
+    groups: Iterable[GroupId],
+    regions: RegionMap,
+) -> set[EntryId]:
+    """Return the entries that follow the store.
+
+    They are first candidates to schedule groups, because every entry holds links to
+    these; the second ones come after the first. Without a group everybody follows.
+    """
+    if len(halls_by_entry) < RELAYED_FROM:
+        return set(halls_by_entry)
+    orders = [
+        schedulers_in_order(group, halls_by_entry, regions)
+        for group in sorted(groups, key=lambda group: group.key)
+    ]
+    found = _first_of_each(orders)
+    return set(found) or set(halls_by_entry)
+
+
+def _first_of_each(orders: Sequence[Sequence[EntryId]]) -> list[EntryId]:
+    """Return the first of each order, then the second ones, until there are enough."""
+    found: list[EntryId] = []
+    for rank in (0, 1):
+        for order in orders:
+            if len(found) >= FOLLOWERS:
+                return found
+            if rank < len(order) and order[rank] not in found:
+                found.append(order[rank])
+    return found
+
+
+def rest_s(bound_s: float) -> float:
+    """Return how old the newest confirmation may be while an entry asks nothing.
+
+    `bound_s` is the time within which a change has to be known here. What is left of it
+    is for the call that then follows.
+
+    Units: seconds.
+    """
+    return max(LEAST_S, bound_s - ANSWER_S)
+
+
+def follower_watch_s(bound_s: float, resync_s: float, drawn: float) -> float:
+    """Return how long the watch of a follower waits, so that the others may rest.
+
+    `drawn` is a number from 0 to 1 that was drawn at random: followers that started
+    together do not end their watches together.
+
+    Units: seconds.
+    """
+    low, high = SPREAD
+    most_s = min(longest_watch_s(resync_s), rest_s(bound_s) - TELL_S)
+    return max(LEAST_S, most_s * (low + drawn * (high - low)))
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/membership/tests/test_relays.py
@@ -0,0 +1,78 @@
+"""A few entries follow the store, and the others rest within the bound."""
+
+import pytest
+
+from leadford.common import EntryId, HallId
+from leadford.forwarding.batching import GroupId, PlaceId, RegionMap
+from leadford.forwarding.membership import (
+    PeerClock,
+    follower_watch_s,
+    rest_s,
+    store_followers,
+    wanted_peers,
+)
+from leadford.forwarding.routes import ServiceId
+
+REGIONS = RegionMap({HallId("h1"): PlaceId("r"), HallId("h2"): PlaceId("r")})
+GROUPS = [GroupId(ServiceId(name), PlaceId("r")) for name in ("s1", "s2", "s3")]
+
+
+def entries(count):
+    return {
+        EntryId(f"e{number:03}"): HallId(f"h{number % 2 + 1}")
+        for number in range(count)
+    }
+
+
+@pytest.mark.parametrize("count", [8, 30, 300])
+def test_three_entries_follow_however_many_there_are(count):
+    assert len(store_followers(entries(count), GROUPS, REGIONS)) == 3
+
+
+def test_in_a_small_fleet_everybody_follows():
+    halls = entries(7)
+    assert store_followers(halls, GROUPS, REGIONS) == set(halls)
+
+
+def test_without_batched_services_everybody_follows():
+    halls = entries(30)
+    assert store_followers(halls, [], REGIONS) == set(halls)
+
+
+def test_one_group_gives_two_followers():
+    assert len(store_followers(entries(30), GROUPS[:1], REGIONS)) == 2
+
+
+def test_every_entry_holds_links_to_all_that_follow():
+    halls = entries(60)
+    followers = store_followers(halls, GROUPS, REGIONS)
+    for entry in halls:
+        assert followers - {entry} <= wanted_peers(entry, halls, GROUPS, REGIONS)
+
+
+def test_who_follows_does_not_depend_on_the_order_of_groups():
+    halls = entries(60)
+    turned = store_followers(halls, GROUPS[::-1], REGIONS)
+    assert store_followers(halls, GROUPS, REGIONS) == turned
+
+
+@pytest.mark.parametrize("bound_s", [2.0, 3.0, 4.0])
+@pytest.mark.parametrize("drawn", [0.0, 1.0])
+def test_a_confirmation_comes_before_the_others_would_ask(bound_s, drawn):
+    watch_s = follower_watch_s(bound_s, bound_s + 1.0, drawn)
+    assert watch_s + 0.4 <= rest_s(bound_s)
+    assert rest_s(bound_s) <= bound_s - 0.6
+
+
+def test_what_stood_in_a_queue_counts_as_old_as_it_is():
+    clock = PeerClock()
+    clock.record(100.0, 7.002)
+    clock.record(103.0, 14.0)
+    assert clock.own_moment(103.0) == pytest.approx(10.002)
+
+
+def test_a_faster_message_shows_the_difference_better():
+    clock = PeerClock()
+    clock.record(100.0, 8.5)
+    clock.record(101.0, 8.003)
+    assert clock.own_moment(101.0) == pytest.approx(8.003)
--- a/packages/leadford/src/leadford/protocol/__init__.py
+++ b/packages/leadford/src/leadford/protocol/__init__.py
@@ -64,6 +64,10 @@
     PieceSubmit,
     PieceWorking,
     RefusalReport,
+    StoreChange,
+    StoreChanges,
+    StoreConfirmation,
+    StoreConfirmations,
 )
 from leadford.protocol._links import (
     Challenge,
@@ -133,6 +137,10 @@
     "Query",
     "QueryAnswer",
     "RefusalReport",
+    "StoreChange",
+    "StoreChanges",
+    "StoreConfirmation",
+    "StoreConfirmations",
     "Refused",
     "Submit",
     "TokenPart",
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -200,3 +200,49 @@
     """Tell the admitted backlog of services over all entries that the sender hears."""
 
     services: list[BacklogReport]
+
+
+class StoreConfirmation(MessageBase):
+    """Say up to which revision the store confirmed that nothing is missing, and when.
+
+    `version` is that of the configuration in force, which says whether the receiver
+    knows as much; 0 for other kinds, whose changes are passed on one by one.
+
+    Units: confirmed_ms in milliseconds of the sender's monotonic clock.
+    """
+
+    kind: str
+    revision: int
+    version: int
+    confirmed_ms: float
+
+
+class StoreConfirmations(MessageBase, tag=44):
+    """Tell what the store confirmed lately to an entry that follows it.
+
+    Units: sent_ms in milliseconds of the sender's monotonic clock.
+    """
+
+    sent_ms: float
+    kinds: list[StoreConfirmation]
+
+
+class StoreChange(MessageBase):
+    """Hold one change of an object of the store, as the store wrote it (JSON)."""
+
+    item: bytes
+    is_gone: bool
+    seen_revision: int
+
+
+class StoreChanges(MessageBase, tag=45):
+    """Pass on every change of a kind after one revision of the store up to another.
+
+    Units: sent_ms in milliseconds of the sender's monotonic clock.
+    """
+
+    kind: str
+    after_revision: int
+    revision: int
+    sent_ms: float
+    changes: list[StoreChange]
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -47,6 +47,8 @@
     PieceRelease,
     PieceSubmit,
     PieceWorking,
+    StoreChanges,
+    StoreConfirmations,
 )
 from leadford.protocol._links import (
     Challenge,
@@ -98,4 +100,6 @@
     | ListingAnswer
     | EvacuationReport
     | FleetBacklog
+    | StoreConfirmations
+    | StoreChanges
 )
