Fill the last places of a call with parts of a request whose rest leaves soon

Ruled out: room for results (1,380 kB, 720 needed) and empty queues. Change: while more waits than two calls take, a part of a request fills the last places if another endpoint is free within 0.15 of a full call. With few endpoints requests stay whole: the rest would take room until the next call.

--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -10,7 +10,8 @@
    (`EndpointCapacity.awaits_room`).
 3. The call takes the pieces that are due first, as far as they fit
    (`PieceQueue.take`); pieces may stay away for the hall of their inputs
-   (`Chunk.waits_for_other_hall`).
+   (`Chunk.waits_for_other_hall`). A part of a request fills the last places only where
+   the rest leaves soon.
 4. Pieces that every endpoint excludes are given back.
 
 Sending the call, and making lost pieces again (`_remake`), are left to others.
@@ -28,6 +29,11 @@
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.routes import PieceLimits
 
+# Part of a full call within which another endpoint must be free for the rest of a
+# request whose first pieces fill a call. Calls of 16 carried 12 pieces where each
+# request brought six: 36.1 pieces a second and endpoint in place of 42.5. Not varied.
+SPLIT_PART = 0.15
+
 
 class FillAction(Enum):
     """Say what the scheduler of a group does next."""
@@ -87,6 +93,7 @@
             room_bytes=room_bytes,
             endpoint_id=endpoint_id,
             hall=hall,
+            may_split=_rest_leaves_soon(capacities, record, records, limits, now),
             waits_for_other_hall=waits_for_other_hall,
         )
         if tasks:
@@ -95,6 +102,26 @@
     return NextCall(FillAction.LOOK_AGAIN, unserved=tuple(unserved))
 
 
+def _rest_leaves_soon(
+    capacities: CapacityTable,
+    record: EndpointRecord,
+    records: list[EndpointRecord],
+    limits: PieceLimits,
+    now: float,
+) -> bool:
+    """Tell whether pieces that do not fit at an endpoint leave soon for another one.
+
+    Answers a stage with many endpoints whose requests bring pieces that leave places of
+    each call empty, such as six pieces and calls of 16.
+    """
+    others = [
+        capacities.capacity(other.listed.endpoint_id, limits).free_in_s(now)
+        for other in records
+        if other is not record
+    ]
+    return min(others, default=float("inf")) <= SPLIT_PART * limits.full_call_s
+
+
 def _candidates(
     queue: PieceQueue,
     capacities: CapacityTable,
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -193,13 +193,16 @@
         room_bytes: int,
         endpoint_id: EndpointId,
         hall: HallId | None = None,
+        may_split: bool = False,
         waits_for_other_hall: Callable[[Chunk], bool] = lambda chunk: False,
     ) -> list[PieceTask]:
         """Remove and return the pieces of the next call to an endpoint.
 
         The pieces of one stage of a request go together, as far as they fit in a
-        call: a part of them would take room until the rest is made. Pieces that do
-        not fit hold back no smaller ones. Where more waits than a call takes, pieces
+        call: a part of them would take room until the rest is made. With `may_split`
+        they fill the last places of a call all the same, while more waits than a few
+        calls take: the rest leaves with the next one. Pieces that do not fit hold back
+        no smaller ones. Where more waits than a call takes, pieces
         that read results of the hall go a little earlier; where less waits, those
         that stay away are left for an endpoint elsewhere.
         """
@@ -212,6 +215,8 @@
             allowed = [task for task in tasks if endpoint_id not in task.excluded]
             places = batch - len(taken)
             is_split = number > 0 and places < len(allowed) <= batch
+            if is_split and may_split and not is_short and places > 0:
+                is_split = False
             if is_split or (is_short and waits_for_other_hall(chunk)):
                 left += tasks
                 continue
