Know a request that returns by what its caller announces, whoever refused it

Cause: refusals are told to the entries that one has links with. Ruled out: telling all entries of each refusal, whose cost grows with fleet and load. Change: most first tries of a route announce the same wait; who announces less by 0.1 s or more came before, by the difference. Where waits differ, only refusals that were heard of count, as before. Counted: leadford_returns_total.

--- a/packages/leadford-server/src/leadford_server/forwarding/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_request.py
@@ -37,6 +37,7 @@
 from leadford_server.forwarding._stages import StageRunner
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding._stream import StreamForwarder
+from leadford_server.metrics import RETURNS_TOTAL
 
 # What the log says of a request that does not begin; a missing route or key goes
 # before.
@@ -179,6 +180,9 @@
                 asked_s=None if asked_ms is None else asked_ms / 1_000.0,
             )
         )
+        if decision.is_return:
+            known_by = "refusal" if decision.is_heard else "announced wait"
+            RETURNS_TOTAL.labels(known_by=known_by).inc()
         progress.expected_s_ = decision.expected_s
         progress.first_try_s_ = decision.first_try_s
         progress.is_late_ = decision.is_late
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -49,6 +49,12 @@
     ["kind"],
     buckets=_GAP_SECONDS,
 )
+RETURNS_TOTAL = Counter(
+    "leadford_returns_total",
+    "Requests that came before, by what shows it: a refusal that was heard of, or only "
+    "what the caller announces.",
+    ["known_by"],
+)
 RELAYED_NEWS_TOTAL = Counter(
     "leadford_relayed_news_total",
     "Changes of the store heard from another entry, taken or not fitting.",
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -31,6 +31,7 @@
     RetryReservation,
     RetryReservations,
 )
+from leadford.forwarding.admission._usual_wait import UsualWaits
 from leadford.forwarding.batching import AdmittedBacklog
 from leadford.forwarding.routes import Route, RouteId, ServiceId
 
@@ -113,8 +114,9 @@
 class AdmissionDecision(msgspec.Struct, frozen=True):
     """Hold a verdict, the expected time of the answer, and when to come back.
 
-    `is_return` tells that the request was refused a short while ago, `is_late` that it
-    cannot be in time any more, counted from its first try.
+    `is_return` tells that the request came before a short while ago, `is_late` that it
+    cannot be in time any more, counted from its first try. `is_heard` tells that its
+    refusal is known here, and not only from what its caller announces.
 
     Units: seconds; expected_s counts from the caller's sending, first_try_s is the time
     between the first try and this one.
@@ -126,6 +128,7 @@
     is_return: bool = False
     first_try_s: float = 0.0
     is_late: bool = False
+    is_heard: bool = False
 
 
 class ForwardAdmission:
@@ -143,12 +146,16 @@
         self.random = random
         self.error_by_route_: dict[RouteId, Ewma] = {}
         self.first_tries_ = FirstTryTimes()
+        self.usual_waits_ = UsualWaits()
 
     def decide(self, request: AdmissionRequest) -> AdmissionDecision:
         """Return the verdict, and remember who is told to come back."""
         refused = self.reservations.refused(request.fingerprint, request.now)
-        is_return = refused is not None
+        announced_s = self._announced_s(request)
+        is_return = refused is not None or announced_s is not None
         first_try_s = self._first_try_s(request, refused)
+        if announced_s is not None:
+            first_try_s = announced_s
         forecast = StageForecast(
             route=request.route,
             counts=request.counts,
@@ -162,7 +169,13 @@
         expected_s = least_s + behind_s + error_s
         if expected_s <= _limit_s(request, path_s, is_return, is_late):
             return AdmissionDecision(
-                Verdict.ADMIT, expected_s, 0.0, is_return, first_try_s, is_late
+                Verdict.ADMIT,
+                expected_s,
+                0.0,
+                is_return,
+                first_try_s,
+                is_late,
+                refused is not None,
             )
         wait_s = self._retry_after_s(request, path_s, behind_s)
         reservation = RetryReservation(
@@ -173,7 +186,24 @@
             request.now,
         )
         self.reservations.record(reservation, is_own=True)
-        return AdmissionDecision(Verdict.REFUSE, expected_s, wait_s, is_return)
+        return AdmissionDecision(
+            Verdict.REFUSE,
+            expected_s,
+            wait_s,
+            is_return,
+            is_heard=refused is not None,
+        )
+
+    def _announced_s(self, request: AdmissionRequest) -> float | None:
+        """Return the time since the first try, by what callers of the route announce.
+
+        None for a first try, and where callers announce nothing usual.
+        """
+        if request.asked_s is None:
+            return None
+        route_id = request.route.route_id
+        self.usual_waits_.record(route_id, request.asked_s)
+        return self.usual_waits_.since_s(route_id, request.asked_s)
 
     def _first_try_s(
         self, request: AdmissionRequest, refused: RetryReservation | None
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_usual_wait.py
@@ -0,0 +1,113 @@
+"""A return is known by how long its caller still waits."""
+
+from random import Random
+
+import pytest
+
+from leadford.forwarding.admission import (
+    AdmissionRequest,
+    ForwardAdmission,
+    RetryReservations,
+    StageCapacity,
+)
+from leadford.forwarding.admission._usual_wait import UsualWaits
+from leadford.forwarding.batching import AdmittedBacklog
+from leadford.forwarding.routes import (
+    PieceLimits,
+    Route,
+    RouteId,
+    RouteKind,
+    ServiceId,
+    StageSpec,
+    WeightedService,
+)
+
+ROUTE_ID = RouteId("r")
+SERVICE = ServiceId("stage")
+
+
+def waits(first_tries, returns=()):
+    usual = UsualWaits()
+    for allowed_s in [*first_tries, *returns]:
+        usual.record(ROUTE_ID, allowed_s)
+    return usual
+
+
+def test_a_caller_that_waits_less_than_most_came_before():
+    usual = waits([6.0] * 10)
+    assert usual.since_s(ROUTE_ID, 4.5) == pytest.approx(1.5)
+    assert usual.since_s(ROUTE_ID, 6.0) is None
+
+
+def test_a_patient_caller_is_no_return_and_makes_nobody_one():
+    usual = waits([6.0] * 10 + [9.0])
+    assert usual.since_s(ROUTE_ID, 9.0) is None
+    assert usual.since_s(ROUTE_ID, 6.0) is None
+
+
+def test_many_returns_do_not_hide_what_first_tries_say():
+    random = Random(1)
+    usual = waits([6.0] * 60, [random.uniform(3.0, 5.8) for _ in range(120)])
+    assert usual.since_s(ROUTE_ID, 5.0) == pytest.approx(1.0)
+
+
+def test_where_callers_wait_differently_nothing_is_known():
+    random = Random(1)
+    usual = waits([random.uniform(2.0, 9.0) for _ in range(200)])
+    assert usual.since_s(ROUTE_ID, 2.5) is None
+    assert waits([6.0] * 5).since_s(ROUTE_ID, 4.0) is None
+
+
+def test_a_changed_wait_is_learned():
+    usual = waits([6.0] * 300, [4.0] * 900)
+    assert usual.since_s(ROUTE_ID, 4.0) is None
+    assert usual.since_s(ROUTE_ID, 3.0) == pytest.approx(1.0)
+
+
+def test_a_return_that_another_entry_refused_is_known_here():
+    limits = PieceLimits(
+        slots=1,
+        queue=2,
+        batch=10,
+        call_ms=200.0,
+        piece_ms=10.0,
+        room_bytes=1_000_000,
+        retention_s=4.0,
+    )
+    route = Route(
+        route_id=ROUTE_ID,
+        host="h",
+        path_prefix="/",
+        kind=RouteKind.STREAM,
+        services=(WeightedService(ServiceId("engine"), 1.0),),
+        timeout_ms=6_000.0,
+        aim_ms=2_000.0,
+        priority=0,
+        stages=(StageSpec(SERVICE, (), 1_000),),
+    )
+    admission = ForwardAdmission(
+        backlog=AdmittedBacklog(), reservations=RetryReservations(), random=Random(1)
+    )
+
+    def decide(asked_s):
+        return admission.decide(
+            AdmissionRequest(
+                route,
+                (4,),
+                {SERVICE: StageCapacity(limits, 1)},
+                priority=0,
+                fingerprint=f"f{asked_s}",
+                engine_s=0.1,
+                elapsed_s=0.0,
+                allowed_s=asked_s,
+                now=0.0,
+                asked_s=asked_s,
+            )
+        )
+
+    for _ in range(10):
+        assert not decide(6.0).is_return
+    back = decide(5.0)
+    assert (back.is_return, back.is_late) == (True, False)
+    assert back.first_try_s == pytest.approx(1.0)
+    assert decide(3.5).is_late
