Give the input and output of the forwarding entry the subpackages of its rules

37 modules in one folder are answers, retries, endpoints, batching, membership and store; what several of them share (state, contract, progress, settings) stays above. Imports between subpackages go over their short lists, within one to its modules. The relay of events is _event_relay, since entries relay news of the store too; the client of the store is store/_client. Tests stand beside their modules.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -18,30 +18,33 @@
 from leadford.forwarding.answers import RequestOutcome
 from leadford.forwarding.membership import may_stop, stop_ends_at
 from leadford.forwarding.routes import ForwardConfig
-from leadford_server.forwarding._callers import CallerExchange, CallerServer
-from leadford_server.forwarding._config import ConfigHolder
 from leadford_server.forwarding._contract import (
     KnownEntry,
     ObjectCodec,
     RequestCodec,
 )
-from leadford_server.forwarding._follow import (
+from leadford_server.forwarding._ready import ready_application
+from leadford_server.forwarding._settings import ForwardSettings
+from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.answers import (
+    CallerExchange,
+    CallerServer,
+    RequestForwarder,
+)
+from leadford_server.forwarding.batching import StageRunner
+from leadford_server.forwarding.membership import EntryLinks, EntryMembers
+from leadford_server.forwarding.store import (
     ENTRIES_KNOWN_S,
     ENTRIES_WATCH_S,
+    WATCH_PART,
     WATCH_S,
+    ConfigHolder,
     FollowerFactory,
+    HallsHolder,
     KindFollower,
+    ListingHolder,
+    ObjectsClient,
 )
-from leadford_server.forwarding._halls import WATCH_PART, HallsHolder
-from leadford_server.forwarding._links import EntryLinks
-from leadford_server.forwarding._listing import ListingHolder
-from leadford_server.forwarding._members import EntryMembers
-from leadford_server.forwarding._ready import ready_application
-from leadford_server.forwarding._request import RequestForwarder
-from leadford_server.forwarding._settings import ForwardSettings
-from leadford_server.forwarding._stages import StageRunner
-from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._store import ObjectsClient
 from leadford_server.logs import EventLog
 
 # Seconds between looks whether requests are left; not measured.
--- a/packages/leadford-server/src/leadford_server/forwarding/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
@@ -13,12 +13,11 @@
     final_answer,
     may_pass_on,
 )
-from leadford_server.forwarding._attempt import Attempt
-from leadford_server.forwarding._attempts import EndpointAttempts
-from leadford_server.forwarding._callers import CallerExchange
-from leadford_server.forwarding._inputs import RequestInputs
 from leadford_server.forwarding._progress import RequestEnd, RequestProgress
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.answers._callers import CallerExchange
+from leadford_server.forwarding.batching import RequestInputs
+from leadford_server.forwarding.retries import Attempt, EndpointAttempts
 
 STATUS_OK = 200
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -8,12 +8,11 @@
 import asyncio
 
 from leadford.forwarding.retries import AttemptTiming, silence_limit_at
-from leadford_server.forwarding._answer import CallerAnswer
-from leadford_server.forwarding._attempt import Attempt
-from leadford_server.forwarding._attempts import EndpointAttempts
-from leadford_server.forwarding._events import EventStreamSplitter, StreamEvent
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.answers._answer import CallerAnswer
+from leadford_server.forwarding.answers._events import EventStreamSplitter, StreamEvent
+from leadford_server.forwarding.retries import Attempt, EndpointAttempts
 
 
 class EventRelay:
--- a/packages/leadford-server/src/leadford_server/forwarding/_plain.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
@@ -14,12 +14,11 @@
     plain_limit_at,
     usual_s,
 )
-from leadford_server.forwarding._answer import CallerAnswer
-from leadford_server.forwarding._attempt import Attempt, NotRun
-from leadford_server.forwarding._attempts import EndpointAttempts
 from leadford_server.forwarding._progress import RequestProgress
-from leadford_server.forwarding._reader import BreakKind, ExchangeBroken
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.answers._answer import CallerAnswer
+from leadford_server.forwarding.endpoints import BreakKind, ExchangeBroken
+from leadford_server.forwarding.retries import Attempt, EndpointAttempts, NotRun
 
 
 class PlainForwarder:
--- a/packages/leadford-server/src/leadford_server/forwarding/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -27,16 +27,14 @@
     StartDenial,
     decide_start,
 )
-from leadford_server.forwarding._answer import CallerAnswer
-from leadford_server.forwarding._attempts import EndpointAttempts
-from leadford_server.forwarding._callers import CallerExchange, CallerGone
-from leadford_server.forwarding._inputs import RequestInputs
-from leadford_server.forwarding._jobs import StageFailure
-from leadford_server.forwarding._plain import PlainForwarder
 from leadford_server.forwarding._progress import RequestProgress, log_end
-from leadford_server.forwarding._stages import StageRunner
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._stream import StreamForwarder
+from leadford_server.forwarding.answers._answer import CallerAnswer
+from leadford_server.forwarding.answers._callers import CallerExchange, CallerGone
+from leadford_server.forwarding.answers._plain import PlainForwarder
+from leadford_server.forwarding.answers._stream import StreamForwarder
+from leadford_server.forwarding.batching import RequestInputs, StageFailure, StageRunner
+from leadford_server.forwarding.retries import EndpointAttempts
 from leadford_server.metrics import RETURNS_TOTAL
 
 # What the log says of a request that does not begin; a missing route or key goes
--- a/packages/leadford-server/src/leadford_server/forwarding/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -9,14 +9,13 @@
 from leadford.forwarding.answers import EndReason
 from leadford.forwarding.endpoints import EndpointFailure
 from leadford.forwarding.retries import AttemptEnd
-from leadford_server.forwarding._answer import STATUS_OK, CallerAnswer
-from leadford_server.forwarding._attempt import Attempt, NotRun
-from leadford_server.forwarding._attempts import EndpointAttempts
-from leadford_server.forwarding._inputs import RequestInputs
 from leadford_server.forwarding._progress import RequestProgress
-from leadford_server.forwarding._reader import ExchangeBroken
-from leadford_server.forwarding._relay import EventRelay
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.answers._answer import STATUS_OK, CallerAnswer
+from leadford_server.forwarding.answers._event_relay import EventRelay
+from leadford_server.forwarding.batching import RequestInputs
+from leadford_server.forwarding.endpoints import ExchangeBroken
+from leadford_server.forwarding.retries import Attempt, EndpointAttempts, NotRun
 
 
 class StreamForwarder:
--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_events.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/tests/test_events.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, strategies as st
 
-from leadford_server.forwarding._events import EventStreamSplitter
+from leadford_server.forwarding.answers._events import EventStreamSplitter
 
 EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\r\ndata: b\r\n\r\n", b"data: no id\n\n"]
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
@@ -19,8 +19,8 @@
 from leadford.forwarding.endpoints import EndpointFailure, EndpointRecord
 from leadford.forwarding.routes import PieceLimits, Service
 from leadford_server.forwarding._contract import NotRunCause, PieceOutcome
-from leadford_server.forwarding._reader import ExchangeBroken
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.endpoints import ExchangeBroken
 
 STATUS_OK = 200
 # Logged and counted for a call that brought an answer for each of its pieces.
--- a/packages/leadford-server/src/leadford_server/forwarding/_free.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_free.py
@@ -12,8 +12,8 @@
 from leadford.forwarding.batching import CapacityTable, GroupId
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.routes import ResultHandle, Service
-from leadford_server.forwarding._reader import ExchangeBroken
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.endpoints import ExchangeBroken
 
 # Seconds that results are collected before they are freed; not measured.
 FREE_DELAY_S = 0.004
--- a/packages/leadford-server/src/leadford_server/forwarding/_groups.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_groups.py
@@ -14,9 +14,9 @@
     schedulers_in_order,
 )
 from leadford.forwarding.routes import PieceLimits, ServiceId, StageSpec
-from leadford_server.forwarding._jobs import LiveEntries
-from leadford_server.forwarding._scheduler import BatchScheduler
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching._jobs import LiveEntries
+from leadford_server.forwarding.batching._scheduler import BatchScheduler
 
 
 class GroupChooser:
--- a/packages/leadford-server/src/leadford_server/forwarding/_pieces.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_pieces.py
@@ -17,10 +17,10 @@
     PieceSubmit,
     PieceWorking,
 )
-from leadford_server.forwarding._jobs import PieceResult
 from leadford_server.forwarding._peers import MessageHandlers
-from leadford_server.forwarding._stages import StageRunner
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching._jobs import PieceResult
+from leadford_server.forwarding.batching._stages import StageRunner
 from leadford_server.peers import PeerConnection
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_results.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_results.py
@@ -9,7 +9,7 @@
 
 from leadford.common import EndpointId, EntryId, HallId
 from leadford.forwarding.routes import ResultHandle
-from leadford_server.forwarding._jobs import ResultMaker, SchedulerLinks
+from leadford_server.forwarding.batching._jobs import ResultMaker, SchedulerLinks
 
 # Releases results of an endpoint from here.
 ReleaseHere = Callable[[EndpointId, list[ResultHandle]], None]
--- a/packages/leadford-server/src/leadford_server/forwarding/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
@@ -23,11 +23,11 @@
 )
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.routes import ResultHandle, Service
-from leadford_server.forwarding._calls import CallEnd, PieceCall, PieceCalls
-from leadford_server.forwarding._free import ResultFreeing
-from leadford_server.forwarding._jobs import PieceResult
-from leadford_server.forwarding._loads import GroupLoads
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching._calls import CallEnd, PieceCall, PieceCalls
+from leadford_server.forwarding.batching._free import ResultFreeing
+from leadford_server.forwarding.batching._jobs import PieceResult
+from leadford_server.forwarding.batching._loads import GroupLoads
 from leadford_server.metrics import PIECE_CALLS_TOTAL, PIECES_TOTAL
 
 # Seconds between looks at a group whose pieces no endpoint takes: a pause or a
--- a/packages/leadford-server/src/leadford_server/forwarding/_sent.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_sent.py
@@ -11,15 +11,15 @@
 from leadford.forwarding.batching import ENDPOINT_LOST, scheduler_limit_at
 from leadford.forwarding.endpoints import EndpointFailure
 from leadford.forwarding.routes import PieceLimits
-from leadford_server.forwarding._groups import GroupChooser
-from leadford_server.forwarding._jobs import (
+from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching._groups import GroupChooser
+from leadford_server.forwarding.batching._jobs import (
     PieceResult,
     SchedulerLinks,
     SentPiece,
     StageJob,
 )
-from leadford_server.forwarding._scheduler import BatchScheduler
-from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching._scheduler import BatchScheduler
 
 # What the log says of a piece that its scheduler did not answer.
 REASON_SCHEDULER_LOST = "keeper lost"
--- a/packages/leadford-server/src/leadford_server/forwarding/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
@@ -19,8 +19,9 @@
     decide_remake,
 )
 from leadford.forwarding.routes import PieceLimits, StageSpec
-from leadford_server.forwarding._groups import GroupChooser
-from leadford_server.forwarding._jobs import (
+from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching._groups import GroupChooser
+from leadford_server.forwarding.batching._jobs import (
     LiveEntries,
     PieceResult,
     ResultMaker,
@@ -28,11 +29,10 @@
     SentPiece,
     StageJob,
 )
-from leadford_server.forwarding._results import ResultLedger
-from leadford_server.forwarding._scheduler import BatchScheduler
-from leadford_server.forwarding._sent import SentPieces
-from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._tasks import TaskMaker
+from leadford_server.forwarding.batching._results import ResultLedger
+from leadford_server.forwarding.batching._scheduler import BatchScheduler
+from leadford_server.forwarding.batching._sent import SentPieces
+from leadford_server.forwarding.batching._tasks import TaskMaker
 
 # Characters of a failure that the log line of a piece made again holds.
 REASON_LOGGED = 120
--- a/packages/leadford-server/src/leadford_server/forwarding/_tasks.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_tasks.py
@@ -7,9 +7,9 @@
 from leadford.common import EndpointId, EntryId, HallId
 from leadford.forwarding.batching import PieceKey, PieceTask
 from leadford.forwarding.routes import StageSpec
-from leadford_server.forwarding._jobs import StageJob
-from leadford_server.forwarding._results import ResultLedger
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching._jobs import StageJob
+from leadford_server.forwarding.batching._results import ResultLedger
 
 
 class TaskMaker:
--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/tests/test_scheduler.py
@@ -5,7 +5,7 @@
 from leadford.common import EntryId, RequestId
 from leadford.forwarding.batching import GroupId, PieceKey, PieceTask, PlaceId
 from leadford.forwarding.routes import ServiceId
-from leadford_server.forwarding._scheduler import BatchScheduler
+from leadford_server.forwarding.batching._scheduler import BatchScheduler
 
 
 def group(name):
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/__init__.py
@@ -0,0 +1,20 @@
+"""Hold connections to endpoints, and exchange requests and answers over them.
+
+How many there may be is decided in `leadford.forwarding.endpoints`.
+"""
+
+from leadford_server.forwarding.endpoints._connection import EndpointConnection
+from leadford_server.forwarding.endpoints._pool import ConnectionPool
+from leadford_server.forwarding.endpoints._reader import (
+    BreakKind,
+    ExchangeBroken,
+    LiveAnswer,
+)
+
+__all__ = [
+    "BreakKind",
+    "ConnectionPool",
+    "EndpointConnection",
+    "ExchangeBroken",
+    "LiveAnswer",
+]
--- a/packages/leadford-server/src/leadford_server/forwarding/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -17,7 +17,7 @@
     OutboundRequest,
     RequestCodec,
 )
-from leadford_server.forwarding._reader import (
+from leadford_server.forwarding.endpoints._reader import (
     AnswerReader,
     BreakKind,
     ExchangeBroken,
--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
@@ -15,9 +15,9 @@
 from leadford.forwarding.routes import ServiceId
 from leadford_platform import PlatformRequests
 from leadford_server.forwarding import OutboundRequest
-from leadford_server.forwarding._connection import EndpointConnection
-from leadford_server.forwarding._pool import ConnectionPool
-from leadford_server.forwarding._reader import BreakKind, ExchangeBroken
+from leadford_server.forwarding.endpoints._connection import EndpointConnection
+from leadford_server.forwarding.endpoints._pool import ConnectionPool
+from leadford_server.forwarding.endpoints._reader import BreakKind, ExchangeBroken
 
 ID = RequestId("r1")
 REQUEST = OutboundRequest("GET", "/x", [("Host", "a"), ("X-Attempt-Id", ID)])
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/__init__.py
@@ -0,0 +1,12 @@
+"""Hold links to other entries, and exchange what each knows over them.
+
+Who is linked, who lives and whom to ask is decided in `leadford.forwarding.membership`.
+"""
+
+from leadford_server.forwarding.membership._links import EntryLinks
+from leadford_server.forwarding.membership._members import EntryMembers
+
+__all__ = [
+    "EntryLinks",
+    "EntryMembers",
+]
--- a/packages/leadford-server/src/leadford_server/forwarding/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -27,8 +27,8 @@
     LaneReport,
     RefusalReport,
 )
-from leadford_server.forwarding._stages import StageRunner
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching import StageRunner
 
 
 class Heartbeats:
--- a/packages/leadford-server/src/leadford_server/forwarding/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -29,14 +29,13 @@
     Message,
 )
 from leadford_server.forwarding._contract import KnownEntry
-from leadford_server.forwarding._halls import HallsHolder
-from leadford_server.forwarding._heartbeats import Heartbeats
-from leadford_server.forwarding._news import NewsExchange
 from leadford_server.forwarding._peers import MessageHandlers
-from leadford_server.forwarding._pieces import PieceExchange
-from leadford_server.forwarding._relays import StoreRelays
-from leadford_server.forwarding._stages import StageRunner
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching import PieceExchange, StageRunner
+from leadford_server.forwarding.membership._heartbeats import Heartbeats
+from leadford_server.forwarding.membership._news import NewsExchange
+from leadford_server.forwarding.membership._relays import StoreRelays
+from leadford_server.forwarding.store import HallsHolder
 from leadford_server.peers import Dialer, Identity, PeerConnection, PeerServer
 from leadford_server.settings import SocketAddress
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_members.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_members.py
@@ -17,8 +17,7 @@
     ObjectEvent,
     StoreFailure,
 )
-from leadford_server.forwarding._follow import Listing
-from leadford_server.forwarding._store import ObjectsClient, readable
+from leadford_server.forwarding.store import Listing, ObjectsClient, readable
 
 # Seconds between tries to announce this entry in the store, and the parts between which
 # each pause is drawn; not measured.
--- a/packages/leadford-server/src/leadford_server/forwarding/_relays.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_relays.py
@@ -22,9 +22,9 @@
     StoreConfirmations,
 )
 from leadford_server.forwarding._contract import ObjectEvent, ObjectEvents
-from leadford_server.forwarding._follow import KindFollower
 from leadford_server.forwarding._peers import MessageHandlers
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.store import KindFollower
 from leadford_server.metrics import RELAYED_NEWS_TOTAL
 from leadford_server.peers import PeerConnection
 
--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_news.py
@@ -10,8 +10,8 @@
 from leadford.forwarding.routes import ForwardConfig, TrafficLimits
 from leadford.protocol import ConfigPartAnswer, ConfigPartRequest, EntryHeartbeat
 from leadford_server.forwarding._contract import KnownEntry
-from leadford_server.forwarding._news import NewsExchange
 from leadford_server.forwarding._state import ForwardBounds, ForwardState
+from leadford_server.forwarding.membership._news import NewsExchange
 from leadford_server.logs import EventLog
 
 HEARTBEAT = EntryHeartbeat(0, [], False, [], [], [])
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/__init__.py
@@ -0,0 +1,16 @@
+"""Make the attempts of a request at endpoints, one after the other.
+
+Whether another one follows is decided in `leadford.forwarding.retries`.
+"""
+
+from leadford_server.forwarding.retries._attempt import (
+    Attempt,
+    NotRun,
+)
+from leadford_server.forwarding.retries._attempts import EndpointAttempts
+
+__all__ = [
+    "Attempt",
+    "EndpointAttempts",
+    "NotRun",
+]
--- a/packages/leadford-server/src/leadford_server/forwarding/_attempt.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempt.py
@@ -6,8 +6,7 @@
 import msgspec
 
 from leadford.forwarding.endpoints import EndpointRecord
-from leadford_server.forwarding._connection import EndpointConnection
-from leadford_server.forwarding._reader import LiveAnswer
+from leadford_server.forwarding.endpoints import EndpointConnection, LiveAnswer
 
 # From this status on an answer counts as a failure of the endpoint.
 STATUS_ERRORS = 500
--- a/packages/leadford-server/src/leadford_server/forwarding/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -23,13 +23,21 @@
     decide_retry,
 )
 from leadford.forwarding.routes import PRIORITY_HIGHEST, PRIORITY_LOWEST, RouteKind
-from leadford_server.forwarding._attempt import Attempt, BorrowedConnection, NotRun
-from leadford_server.forwarding._connection import EndpointConnection
 from leadford_server.forwarding._contract import ForwardCall, NotRunCause
-from leadford_server.forwarding._inputs import RequestInputs
 from leadford_server.forwarding._progress import RequestProgress
-from leadford_server.forwarding._reader import BreakKind, ExchangeBroken, LiveAnswer
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching import RequestInputs
+from leadford_server.forwarding.endpoints import (
+    BreakKind,
+    EndpointConnection,
+    ExchangeBroken,
+    LiveAnswer,
+)
+from leadford_server.forwarding.retries._attempt import (
+    Attempt,
+    BorrowedConnection,
+    NotRun,
+)
 
 # Characters of a failure that the log line of a further attempt holds.
 RETRY_DETAIL_LOGGED = 120
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
@@ -0,0 +1,38 @@
+"""Follow the store of the platform, and put in force what it says.
+
+How long calls wait is decided in `leadford.forwarding.membership`.
+"""
+
+from leadford_server.forwarding.store._client import (
+    ObjectsClient,
+    readable,
+)
+from leadford_server.forwarding.store._config import ConfigHolder
+from leadford_server.forwarding.store._follow import (
+    ENTRIES_KNOWN_S,
+    ENTRIES_WATCH_S,
+    WATCH_S,
+    FollowerFactory,
+    KindFollower,
+    Listing,
+)
+from leadford_server.forwarding.store._halls import (
+    WATCH_PART,
+    HallsHolder,
+)
+from leadford_server.forwarding.store._listing import ListingHolder
+
+__all__ = [
+    "ConfigHolder",
+    "ENTRIES_KNOWN_S",
+    "ENTRIES_WATCH_S",
+    "FollowerFactory",
+    "HallsHolder",
+    "KindFollower",
+    "Listing",
+    "ListingHolder",
+    "ObjectsClient",
+    "WATCH_PART",
+    "WATCH_S",
+    "readable",
+]
--- a/packages/leadford-server/src/leadford_server/forwarding/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -29,7 +29,7 @@
     StoreFailure,
 )
 from leadford_server.forwarding._state import ForwardBounds
-from leadford_server.forwarding._store import ObjectsClient, readable
+from leadford_server.forwarding.store._client import ObjectsClient, readable
 from leadford_server.metrics import STORE_CONFIRM_GAP_SECONDS
 
 # Seconds that a watch waits in the store where no peers tell news, at most. With 3 (and
--- a/packages/leadford-server/src/leadford_server/forwarding/_halls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_halls.py
@@ -12,11 +12,11 @@
 from leadford.events import Event
 from leadford.forwarding.endpoints import HallNotice
 from leadford.protocol import EvacuationReport, HallReport
-from leadford_server.forwarding._config import FROM_STORE
 from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent
-from leadford_server.forwarding._follow import Listing
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._store import readable
+from leadford_server.forwarding.store._client import readable
+from leadford_server.forwarding.store._config import FROM_STORE
+from leadford_server.forwarding.store._follow import Listing
 
 # Part of the bound on evacuations that a watch waits in the store. A watch that hears
 # nothing is then over, and its successor answered, well within the bound; not measured.
--- a/packages/leadford-server/src/leadford_server/forwarding/_listing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
@@ -9,9 +9,9 @@
 from leadford.events import Event
 from leadford.forwarding.endpoints import ListedEndpoint, RosterChange
 from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent
-from leadford_server.forwarding._follow import Listing
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._store import readable
+from leadford_server.forwarding.store._client import readable
+from leadford_server.forwarding.store._follow import Listing
 
 
 class ListingHolder:
