--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -1,6 +1,6 @@
 """Serve a stream, which may go on at another endpoint when one breaks off.
 
-Its events are passed on by `_relay`. Whether another attempt follows, and how long a
+Its events are passed on by `_event_relay`. Whether another attempt follows, and how long a
 silent one is waited for, is decided in `leadford.forwarding.retries`.
 """
 
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -4,7 +4,7 @@
 store and say what they hear (`_relays`), this one rests for as long as their newest
 confirmation is young enough. An entry alone catches up with a store that was away
 within the bound of the deployment: how long calls wait, and confirmations last, is
-decided in `leadford.forwarding.membership`. Relies on `_store` for the calls.
+decided in `leadford.forwarding.membership`. Relies on `_client` for the calls.
 """
 
 import asyncio
