--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -1,7 +1,7 @@
 """Serve a stream, which may go on at another endpoint when one breaks off.
 
-Its events are passed on by `_event_relay`. Whether another attempt follows, and how long a
-silent one is waited for, is decided in `leadford.forwarding.retries`.
+Its events are passed on by `_event_relay`. Whether another attempt follows, and how
+long a silent one is waited for, is decided in `leadford.forwarding.retries`.
 """
 
 from collections.abc import Awaitable, Callable
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_large_configurations.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_large_configurations.py
@@ -23,7 +23,7 @@
 import pytest
 
 from leadford.protocol import ConfigPartAnswer, ForwardConfigAnswer
-from leadford_server.forwarding import _follow
+from leadford_server.forwarding.store import _follow
 from leadford_standins.wire import play, turn_away
 
 # Seconds on its way: longer than a watch may wait in all, with its largest margin.
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_store.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from leadford_server.forwarding import _follow
+from leadford_server.forwarding.store import _follow
 from leadford_standins.wire import StoreFault, event_ids, play, runs_of, turn_away
 
 
