List what may be seconds old first, and let followers ask twice before all others ask

A start lists some seven pages; after a history that was forgotten the watches of all followers are lost, and each entry that rests asks once before they are answered again. Change: the first listing may be old, which costs a tenth, and a call for changes since its oldest page follows at once; a follower's watch waits half of the others' rest. Ruled out for now: listing from peers, which are not linked yet at a start.

--- a/packages/leadford-server/src/leadford_server/forwarding/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_contract.py
@@ -219,8 +219,10 @@
     entries_kind: str
     evacuations_kind: str
 
-    def list_path(self, kind: str, after: str | None) -> str:
-        """Return the path of a page of objects."""
+    def list_path(
+        self, kind: str, after: str | None, *, may_be_old: bool = False
+    ) -> str:
+        """Return the path of a page of objects, which may be seconds old."""
 
     def watch_path(self, kind: str, revision: int, wait_ms: int) -> str:
         """Return the path of a watch."""
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -143,6 +143,8 @@
         self.revision_: int | None = None
         self.confirmed_at_: float | None = None
         self.is_unheard_ = False
+        self.has_listed_ = False
+        self.may_be_old_ = False
         self.behind_ = asyncio.Event()
 
     async def run(self) -> None:
@@ -198,7 +200,9 @@
 
     def learn_confirmed(self, revision: int, confirmed_at: float) -> None:
         """Believe another entry that nothing is missing here up to a revision."""
-        if self.revision_ is None or confirmed_at <= self.confirmed_at_:
+        if self.revision_ is None:
+            return
+        if self.confirmed_at_ is not None and confirmed_at <= self.confirmed_at_:
             return
         self._record(max(self.revision_, revision), confirmed_at)
         self.on_relayed(confirmed_at)
@@ -208,9 +212,12 @@
         items: list[dict] = []
         after: str | None = None
         revision: int | None = None
+        # The first listing may be seconds old: it costs a tenth, and the call for
+        # changes that follows at once brings what is missing.
+        may_be_old = not self.has_listed_
         while True:
             read = await self.client.call(
-                codec.list_path(self.kind, after),
+                codec.list_path(self.kind, after, may_be_old=may_be_old),
                 margin_s=self.call_s(),
                 is_fresh=self.client.is_silent_,
             )
@@ -221,13 +228,17 @@
             if page is None:
                 return False
             items += page.items
-            # A change between two pages is seen again by a watch from the first.
-            revision = page.revision if revision is None else revision
+            # A change between two pages is seen again by a watch from the older one.
+            revision = min(page.revision, revision or page.revision)
             after = page.next_name
             if after is None:
                 break
+        self.has_listed_ = True
         self.owner.on_list(Listing(items, revision))
-        self._confirm(revision)
+        self.may_be_old_ = may_be_old
+        self.revision_ = revision
+        if not may_be_old:
+            self._confirm(revision)
         return True
 
     async def _watch(self) -> bool:
@@ -259,9 +270,13 @@
         return True
 
     async def _call_watch(self) -> Result[bytes, StoreFailure]:
-        """Ask for changes; wait for none in doubt, or where others follow the store."""
+        """Ask for changes; wait for none in doubt, or where others follow the store.
+
+        After a listing that may be old none is waited for either.
+        """
         is_in_doubt = self.is_unheard_ or self.client.is_silent_
-        wait_s = 0.0 if is_in_doubt or self.rest_s() > 0.0 else self.watch_s()
+        is_asked = is_in_doubt or self.may_be_old_ or self.rest_s() > 0.0
+        wait_s = 0.0 if is_asked else self.watch_s()
         # A store that is silent never answers a call, not even once it is back; so the
         # next one has to follow soon, also where a slow store is given more time.
         margin_s = WATCH_MARGIN_S if wait_s > 0.0 else self.call_s()
@@ -283,6 +298,7 @@
             gap_s = max(0.0, confirmed_at - self.confirmed_at_)
             STORE_CONFIRM_GAP_SECONDS.labels(kind=self.kind).observe(gap_s)
         self.confirmed_at_ = max(confirmed_at, self.confirmed_at_ or confirmed_at)
+        self.may_be_old_ = False
         self.revision_ = revision
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
@@ -162,3 +162,35 @@
     bounds[0] = ForwardBounds(resync_s=2.0)
     assert follower.watch_s() == pytest.approx(1.05)
     assert follower.call_s() == pytest.approx(1.4)
+
+
+def test_after_a_listing_that_may_be_old_the_store_is_asked_at_once():
+    class Paths(Client):
+        paths = []
+
+        async def call(self, path, *, wait_s=0.0, margin_s, is_fresh):
+            self.paths.append(path)
+            return await super().call(
+                path, wait_s=wait_s, margin_s=margin_s, is_fresh=is_fresh
+            )
+
+    def page(revision, more):
+        text = f'{{"items": [], "more": "{more}", "at": {revision}}}'
+        return Success(text.replace('""', "false").encode())
+
+    client = Paths([page(9, "m"), page(7, ""), NO_NEWS, NO_NEWS])
+    follower = new_follower(client, 4.0)
+    follower.revision_ = None
+    follower.owner.on_list = lambda listing: None
+
+    async def start():
+        await follower._list()
+        assert follower.confirmed_at_ is None
+        # Whatever changed after the older page is asked for.
+        assert follower.revision_ == 7
+        await follower._watch()
+        await follower._watch()
+
+    asyncio.run(start())
+    assert client.waits_ == [0.0, 0.0, 0.0, 4.0]
+    assert ["stale=1" in path for path in client.paths] == [True, True, False, False]
--- a/packages/leadford/src/leadford/forwarding/membership/_relays.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_relays.py
@@ -27,9 +27,10 @@
 # Entries from which on the others rest. With fewer, each follows by itself: three of
 # six would save half of the calls, and news would come in two steps. Not varied.
 RELAYED_FROM = 8
-# Seconds from a confirmation at a follower until all others have heard it: a pause
-# between heartbeats, and as much again for a busy link. Not measured.
-TELL_S = 0.4
+# Part of the rest of the others that the watch of a follower waits: where the watches
+# of all are lost at once, such as by a history that was forgotten, the next ones are
+# answered before everybody asks. Not varied.
+WATCH_PART = 0.5
 
 
 def store_followers(
@@ -84,5 +85,5 @@
     Units: seconds.
     """
     low, high = SPREAD
-    most_s = min(longest_watch_s(resync_s), rest_s(bound_s) - TELL_S)
+    most_s = min(longest_watch_s(resync_s), WATCH_PART * rest_s(bound_s))
     return max(LEAST_S, most_s * (low + drawn * (high - low)))
