Have one entry place the prompts of all at the engines

An event takes three steps of an engine, each slowed by a chunk of a long prompt read beside it; two long prompts in a row pass the bound. With 68 entries before 39 engines an entry hears of an engine's load every half minute, so prompts meet. Ruled out: telling loads by heartbeats; a prompt is read before they arrive. Change: where eight entries or more and all engines lie in one region, the first live candidate of the engines is asked at the moment of sending; it knows what waits where and what each engine has read. Without an answer in 40 ms an entry chooses by itself.

--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -7,12 +7,13 @@
 """
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from random import Random
+from typing import Protocol
 
 import msgspec
 
-from leadford.common import EntryId, HallId
+from leadford.common import EndpointId, EntryId, HallId
 from leadford.forwarding.admission import RetryReservations
 from leadford.forwarding.batching import GroupMap, RegionMap
 from leadford.forwarding.endpoints import (
@@ -23,6 +24,7 @@
     EngineChooser,
     EvacuatedHalls,
     FirstByteTimes,
+    PromptShape,
 )
 from leadford.forwarding.membership import HeardVersions
 from leadford.forwarding.retries import RetryBudgets, WindowedRetryBudget
@@ -59,6 +61,33 @@
         return min(bound_s, self.resync_s)
 
 
+class PlacedEngine(msgspec.Struct, frozen=True, eq=False):
+    """Hold an engine that another entry chose for a prompt.
+
+    `tell_read` tells that entry that the prompt does not wait there any more.
+    """
+
+    record: EndpointRecord
+    tell_read: Callable[[], None]
+
+
+class Placing(Protocol):
+    """Ask the entry that places the prompts of all."""
+
+    def knows_all(self, service_id: ServiceId) -> bool:
+        """Tell whether this entry places the prompts of all."""
+
+    async def place(
+        self,
+        service_id: ServiceId,
+        prompt: PromptShape,
+        *,
+        excluded: Collection[EndpointId],
+        bytes_by_hall: dict[HallId, int],
+    ) -> PlacedEngine | None:
+        """Return the engine that the placing entry chose; None if it said none."""
+
+
 class ForwardState:
     """Hold the state that requests share."""
 
@@ -96,6 +125,8 @@
         self.config_seen_at_: float | None = None
         self.heard_versions_ = HeardVersions()
         self.stop_began_at_: float | None = None
+        # Written by the links once they are made.
+        self.placing_: Placing | None = None
 
     def now(self) -> float:
         """Return the monotonic clock.
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -16,10 +16,11 @@
 from leadford.forwarding.membership import (
     is_live,
     is_silent,
+    placed_group,
     store_followers,
     wanted_peers,
 )
-from leadford.forwarding.routes import ForwardConfig
+from leadford.forwarding.routes import ForwardConfig, ServiceId
 from leadford.protocol import (
     PROTOCOL_EVACUATIONS,
     PROTOCOL_FLEET,
@@ -34,6 +35,7 @@
 from leadford_server.forwarding.batching import PieceExchange, StageRunner
 from leadford_server.forwarding.membership._heartbeats import Heartbeats
 from leadford_server.forwarding.membership._news import NewsExchange
+from leadford_server.forwarding.membership._placing import EnginePlacing
 from leadford_server.forwarding.membership._relays import StoreRelays
 from leadford_server.forwarding.store import HallsHolder
 from leadford_server.peers import Dialer, Identity, PeerConnection, PeerServer
@@ -101,6 +103,13 @@
             followers=self._followers,
             entry_count=lambda: 1 + len(self.entries_by_id_),
         )
+        self.placing = EnginePlacing(
+            state=state,
+            peers_by_id=self.peers_by_id_,
+            group_of=self._engine_group,
+            placer_of=stages.groups.scheduler_of,
+        )
+        state.placing_ = self.placing
         self.handlers_ = self._handlers()
 
     def _handlers(self) -> MessageHandlers:
@@ -112,6 +121,7 @@
             **self.pieces.handlers(),
             **self.news.handlers(),
             **self.relays.handlers(),
+            **self.placing.handlers(),
         }
 
     async def start(self) -> None:
@@ -152,8 +162,26 @@
 
     def _wanted_peers(self) -> set[EntryId]:
         """Return the entries to hold links to."""
+        groups = self._groups() | self._engine_groups()
         return wanted_peers(
-            self.entry_id, self._halls_by_entry(), self._groups(), self.state.regions
+            self.entry_id, self._halls_by_entry(), groups, self.state.regions
+        )
+
+    def _engine_groups(self) -> set[GroupId]:
+        """Return the groups of engines whose prompts one entry places."""
+        table = self.state.table_
+        services = table.config.services_by_id if table is not None else {}
+        found = {self._engine_group(service_id) for service_id in services}
+        return {group for group in found if group is not None}
+
+    def _engine_group(self, service_id: ServiceId) -> GroupId | None:
+        """Return the group of engines of a service, if one entry places for all."""
+        service = self.state.service(service_id)
+        if service is None or service.engine is None:
+            return None
+        halls = self.state.roster_.listed_by_hall(service_id)
+        return placed_group(
+            service_id, halls, self._halls_by_entry(), self.state.regions
         )
 
     def _followers(self) -> set[EntryId]:
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_placing.py
@@ -0,0 +1,164 @@
+"""Have one entry place the prompts of all at the engines, and ask it.
+
+Owns the questions that wait for an answer, and at the entry that places, the prompts
+that it has placed. Which engine is chosen, and for how long an answer is waited for, is
+decided in `leadford.forwarding.endpoints`; which entry places follows from those that
+live. Whoever gets no answer in time chooses by itself.
+"""
+
+import asyncio
+from collections.abc import Callable, Collection, Mapping
+
+from leadford.common import EndpointId, EntryId, HallId
+from leadford.forwarding.batching import GroupId
+from leadford.forwarding.endpoints import (
+    PLACED_IN_S,
+    EndpointRecord,
+    PlacedId,
+    PlacedPrompts,
+    PromptPart,
+    PromptShape,
+)
+from leadford.forwarding.routes import Service, ServiceId
+from leadford.protocol import (
+    PROTOCOL_FLEET,
+    PlaceAnswer,
+    PlaceRequest,
+    PromptPartReport,
+    PromptRead,
+)
+from leadford_server.forwarding._peers import MessageHandlers
+from leadford_server.forwarding._state import ForwardState, PlacedEngine
+from leadford_server.metrics import PLACED_TOTAL
+from leadford_server.peers import PeerConnection
+
+
+class EnginePlacing:
+    """Ask for the engines of own prompts, and place those of others.
+
+    `placer_of` returns the live entry that places for a group of engines.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: ForwardState,
+        peers_by_id: Mapping[EntryId, PeerConnection],
+        group_of: Callable[[ServiceId], GroupId | None],
+        placer_of: Callable[[GroupId], EntryId],
+    ) -> None:
+        self.state = state
+        self.peers_by_id = peers_by_id
+        self.group_of = group_of
+        self.placer_of = placer_of
+        self.placed = PlacedPrompts(engines=state.engines_)
+        self.answers_by_id_: dict[int, asyncio.Future[EndpointId]] = {}
+        self.next_id_ = 0
+
+    def handlers(self) -> MessageHandlers:
+        """Return what handles each kind of message here."""
+        return {
+            PlaceRequest: self._on_request,
+            PlaceAnswer: self._on_answer,
+            PromptRead: self._on_read,
+        }
+
+    def knows_all(self, service_id: ServiceId) -> bool:
+        """Tell whether this entry places the prompts of all."""
+        group = self.group_of(service_id)
+        return group is not None and self.placer_of(group) == self.state.entry_id
+
+    async def place(
+        self,
+        service_id: ServiceId,
+        prompt: PromptShape,
+        *,
+        excluded: Collection[EndpointId],
+        bytes_by_hall: dict[HallId, int],
+    ) -> PlacedEngine | None:
+        """Return the engine that the placing entry chose; None if it said none."""
+        group = self.group_of(service_id)
+        placer = self.placer_of(group) if group is not None else None
+        peer = self.peers_by_id.get(placer)
+        if peer is None or peer.info.protocol_version < PROTOCOL_FLEET:
+            return None
+        self.next_id_ += 1
+        ask_id = self.next_id_
+        answer = self.state.loop.create_future()
+        self.answers_by_id_[ask_id] = answer
+        peer.send(
+            PlaceRequest(
+                ask_id,
+                service_id,
+                prompt.tokens_in,
+                [PromptPartReport(part.part_id, part.tokens) for part in prompt.parts],
+                list(excluded),
+                dict(bytes_by_hall),
+            )
+        )
+        try:
+            endpoint_id = await asyncio.wait_for(answer, PLACED_IN_S)
+        except TimeoutError:
+            PLACED_TOTAL.labels(end="no answer").inc()
+            self._tell_read(placer, ask_id)
+            return None
+        except asyncio.CancelledError:
+            # The caller left meanwhile.
+            self._tell_read(placer, ask_id)
+            raise
+        finally:
+            self.answers_by_id_.pop(ask_id, None)
+        record = self.state.roster_.record(endpoint_id)
+        if record is None or not self.state.is_usable(record):
+            PLACED_TOTAL.labels(end="not usable").inc()
+            self._tell_read(placer, ask_id)
+            return None
+        PLACED_TOTAL.labels(end="placed").inc()
+        return PlacedEngine(record, lambda: self._tell_read(placer, ask_id))
+
+    def _tell_read(self, placer: EntryId, ask_id: int) -> None:
+        """Tell the placing entry that a prompt does not wait there any more."""
+        peer = self.peers_by_id.get(placer)
+        if peer is not None:
+            peer.send(PromptRead(ask_id))
+
+    def _on_request(self, peer: PeerConnection, message: PlaceRequest) -> None:
+        service = self.state.service(ServiceId(message.service_id))
+        endpoint_id = ""
+        if service is not None and service.engine is not None:
+            record = self._choose(service, message)
+            if record is not None:
+                placed_id = PlacedId(EntryId(peer.info.peer_id), message.ask_id)
+                sent = self.state.engines_.record_sent(
+                    record, _shape(message), service.engine.memory_tokens
+                )
+                self.placed.record_placed(placed_id, sent, self.state.now())
+                endpoint_id = record.listed.endpoint_id
+        peer.send(PlaceAnswer(message.ask_id, endpoint_id))
+
+    def _choose(self, service: Service, message: PlaceRequest) -> EndpointRecord | None:
+        return self.state.engines_.choose(
+            self.state.usable(service.service_id),
+            _shape(message),
+            excluded={EndpointId(text) for text in message.excluded},
+            bytes_by_hall={
+                HallId(hall): count for hall, count in message.bytes_by_hall.items()
+            },
+            knows_all=True,
+            now=self.state.now(),
+        )
+
+    def _on_answer(self, peer: PeerConnection, message: PlaceAnswer) -> None:
+        answer = self.answers_by_id_.get(message.ask_id)
+        if answer is not None and not answer.done():
+            answer.set_result(EndpointId(message.endpoint_id))
+
+    def _on_read(self, peer: PeerConnection, message: PromptRead) -> None:
+        placed_id = PlacedId(EntryId(peer.info.peer_id), message.ask_id)
+        self.placed.record_read(placed_id)
+
+
+def _shape(message: PlaceRequest) -> PromptShape:
+    """Return the prompt that a peer asks for."""
+    parts = tuple(PromptPart(part.part_id, part.tokens) for part in message.parts)
+    return PromptShape(parts, message.tokens_in)
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -55,6 +55,11 @@
     "what the caller announces.",
     ["known_by"],
 )
+PLACED_TOTAL = Counter(
+    "leadford_placed_total",
+    "Prompts whose engine another entry was asked for, by what it said.",
+    ["end"],
+)
 RELAYED_NEWS_TOTAL = Counter(
     "leadford_relayed_news_total",
     "Changes of the store heard from another entry, taken or not fitting.",
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -19,6 +19,11 @@
     ListedState,
     ReportedLoad,
 )
+from leadford.forwarding.endpoints._placement import (
+    PLACED_IN_S,
+    PlacedId,
+    PlacedPrompts,
+)
 from leadford.forwarding.endpoints._record import EndpointFailure, EndpointRecord
 from leadford.forwarding.endpoints._roster import EndpointRoster, RosterChange
 from leadford.forwarding.endpoints._times import FirstByteTimes
@@ -35,6 +40,9 @@
     "EvacuatedHalls",
     "FirstByteTimes",
     "HallNotice",
+    "PLACED_IN_S",
+    "PlacedId",
+    "PlacedPrompts",
     "SentPrompt",
     "ListedEndpoint",
     "ListedState",
--- a/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
@@ -156,10 +156,14 @@
         excluded: Collection[EndpointId] = (),
         bytes_by_hall: dict[HallId, int] | None = None,
         extra_ms_by_hall: dict[HallId, float] | None = None,
+        knows_all: bool = False,
         now: float,
     ) -> EndpointRecord | None:
         """Return the best engine; suspects only when nobody else is left.
 
+        With `knows_all` every prompt is sent by this entry or was placed by it, so what
+        it has not seen an engine read is not kept there.
+
         Units: extra_ms_by_hall is what a hall costs for other reasons.
         """
         extra_ms = extra_ms_by_hall or {}
@@ -178,6 +182,7 @@
                     record,
                     shape,
                     affinity=affinity,
+                    knows_all=knows_all,
                     now=now,
                 )
                 + self._moving_ms(record, bytes_by_hall)
@@ -213,11 +218,12 @@
         shape: PromptShape,
         *,
         affinity: Sequence[EndpointId],
+        knows_all: bool = False,
         now: float,
     ) -> float:
         """Return the time to the first token, with the costs of an engine added."""
         endpoint_id = record.listed.endpoint_id
-        kept = self._kept_tokens(record, shape, affinity)
+        kept = self._kept_tokens(record, shape, () if knows_all else affinity)
         tokens = shape.tokens_in - kept
         tokens += self.pending_by_id_.get(record.listed.endpoint_id, 0.0)
         if record.load_ is not None:
--- a/packages/leadford/src/leadford/forwarding/membership/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/membership/__init__.py
@@ -4,7 +4,7 @@
 from leadford.forwarding.membership._heard import HeardVersions
 from leadford.forwarding.membership._liveness import is_live, is_silent
 from leadford.forwarding.membership._peer_clock import PeerClock
-from leadford.forwarding.membership._peers import wanted_peers
+from leadford.forwarding.membership._peers import placed_group, wanted_peers
 from leadford.forwarding.membership._relays import (
     follower_watch_s,
     rest_s,
@@ -27,6 +27,7 @@
     "is_silent",
     "longest_call_s",
     "may_stop",
+    "placed_group",
     "rest_s",
     "stop_ends_at",
     "store_followers",
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -47,6 +47,9 @@
     PieceRelease,
     PieceSubmit,
     PieceWorking,
+    PlaceAnswer,
+    PlaceRequest,
+    PromptRead,
     StoreChanges,
     StoreConfirmations,
 )
@@ -102,4 +105,7 @@
     | FleetBacklog
     | StoreConfirmations
     | StoreChanges
+    | PlaceRequest
+    | PlaceAnswer
+    | PromptRead
 )
