--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -7,7 +7,7 @@
 1. A call that is not full waits a little for more pieces (`PieceQueue.window_ends_at`).
 2. Endpoints are tried in the order in which they would finish the call
    (`CapacityTable.ranked`); one that is short of room waits a little for it
-   (`EndpointCapacity.awaits_room`).
+   (`EndpointCapacity.awaits_room`), unless smaller pieces fill over half a call.
 3. The call takes the pieces that are due first, as far as they fit
    (`PieceQueue.take`); pieces may stay away for the hall of their inputs
    (`Chunk.waits_for_other_hall`). A part of a request fills the last places only where
@@ -33,6 +33,9 @@
 # request whose first pieces fill a call. Calls of 16 carried 12 pieces where each
 # request brought six: 36.1 pieces a second and endpoint in place of 42.5. Not varied.
 SPLIT_PART = 0.15
+# Part of a full call that pieces must pass which fit in the room that is left, for an
+# endpoint not to wait for more. Not varied.
+FITTING_PART = 0.5
 
 
 class FillAction(Enum):
@@ -83,9 +86,10 @@
         endpoint_id = record.listed.endpoint_id
         hall = record.listed.hall
         capacity = capacities.capacity(endpoint_id, limits)
-        if capacity.awaits_room(queue.first_bytes(limits, now), now):
-            continue
         room_bytes = capacities.room_left(endpoint_id, limits, now)
+        is_short = capacity.awaits_room(queue.first_bytes(limits, now), now)
+        if is_short and not _fills_a_call(queue, room_bytes, limits, now):
+            continue
         waits_for_other_hall = _hall_rule(hall, free_in_s_by_hall, limits, now)
         tasks = queue.take(
             limits=limits,
@@ -102,6 +106,17 @@
     return NextCall(FillAction.LOOK_AGAIN, unserved=tuple(unserved))
 
 
+def _fills_a_call(
+    queue: PieceQueue, room_bytes: int, limits: PieceLimits, now: float
+) -> bool:
+    """Tell whether pieces that fit now make a call that is worth its fixed time.
+
+    Answers a stage that makes both large and small results while room is short: its
+    endpoints rested for a quarter of the time beside small pieces that would have fit.
+    """
+    return queue.fitting(room_bytes, limits, now) > FITTING_PART * limits.batch
+
+
 def _rest_leaves_soon(
     capacities: CapacityTable,
     record: EndpointRecord,
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -181,6 +181,18 @@
         ordered = [task for c in self._ordered(None, limits, now) for task in c.tasks]
         return sum(task.result_bytes for task in ordered[: limits.batch])
 
+    def fitting(self, room_bytes: int, limits: PieceLimits, now: float) -> int:
+        """Return how many pieces a call could carry now with so much room."""
+        count = 0
+        for chunk in self._ordered(None, limits, now):
+            for task in chunk.tasks:
+                if count == limits.batch:
+                    return count
+                if task.result_bytes <= room_bytes:
+                    room_bytes -= task.result_bytes
+                    count += 1
+        return count
+
     def first(self, limits: PieceLimits, now: float) -> Chunk:
         """Return the pieces that go first; there must be some."""
         return self._ordered(None, limits, now)[0]
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
@@ -152,3 +152,21 @@
     hurried = tasks(4, due_at=0.5, near_bytes_by_hall=near_bytes)
     step = next_call(fill(hurried), capacities, [near, far], LIMITS, 0.0)
     assert step.record is far
+
+
+def test_small_pieces_do_not_wait_for_the_room_of_large_ones():
+    capacities = CapacityTable()
+    capacities.capacity(EndpointId("e"), LIMITS).hold(ResultHandle("a/1"), 80, 0.0)
+    large = tasks(2, result_bytes=40, rank_at=1.0)
+    small = tasks(3, request_id=RequestId("s"), result_bytes=5, rank_at=3.0)
+    step = next_call(fill(large + small), capacities, [record()], LIMITS, 0.0)
+    assert [task.request_id for task in step.tasks] == ["s", "s", "s"]
+
+
+def test_few_small_pieces_make_no_call_of_their_own():
+    capacities = CapacityTable()
+    capacities.capacity(EndpointId("e"), LIMITS).hold(ResultHandle("a/1"), 80, 0.0)
+    large = tasks(3, result_bytes=40, rank_at=1.0)
+    small = tasks(1, request_id=RequestId("s"), result_bytes=5, rank_at=3.0)
+    step = next_call(fill(large + small), capacities, [record()], LIMITS, 0.0)
+    assert step.tasks == ()
