--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_placing.py
@@ -0,0 +1,109 @@
+"""One entry of a fleet places the prompts of all; without it each chooses by itself."""
+
+import asyncio
+
+from leadford.forwarding.routes import ServiceId
+from leadford_standins.wire import event_ids, play
+
+ENTRIES = 9
+ENGINE = ServiceId("engine")
+
+
+def placer(deployment):
+    """Return the number of the entry that places."""
+    (number,) = [
+        number
+        for number, entry in enumerate(deployment.entries_)
+        if entry.links_.placing.knows_all(ENGINE)
+    ]
+    return number
+
+
+async def settle(deployment):
+    """Wait until all agree on who places, and are linked to it."""
+
+    def agree():
+        placers = [
+            number
+            for number, entry in enumerate(deployment.entries_)
+            if entry.links_.placing.knows_all(ENGINE)
+        ]
+        if len(placers) != 1:
+            return False
+        name = deployment.entries_[placers[0]].settings.entry_id
+        return all(
+            name in entry.links_.peers_by_id_
+            for number, entry in enumerate(deployment.entries_)
+            if number != placers[0]
+        )
+
+    await deployment.until(agree)
+
+
+def placed_by_id(deployment):
+    return deployment.entries_[placer(deployment)].links_.placing.placed.placed_by_id_
+
+
+def test_streams_are_served_by_engines_that_one_entry_chose():
+    async def scenario(deployment):
+        await settle(deployment)
+        chosen = []
+        placing = deployment.entries_[placer(deployment)].links_.placing
+        choose = placing._choose
+
+        def choose_and_note(service, message):
+            record = choose(service, message)
+            chosen.append(record.listed.endpoint_id)
+            return record
+
+        placing._choose = choose_and_note
+        others = [n for n in range(ENTRIES) if n != placer(deployment)]
+        for number in others:
+            answer = await deployment.send(
+                "/once/x", request_id=f"r{number}", entry=number
+            )
+            assert answer.code == 200
+            assert event_ids(answer.body)
+        assert len(chosen) == len(others)
+        # Each prompt was told to be read.
+        await deployment.until(lambda: not placed_by_id(deployment))
+
+    play(scenario, entries=ENTRIES)
+
+
+def test_an_entry_that_is_told_nothing_chooses_by_itself():
+    async def scenario(deployment):
+        await settle(deployment)
+        number = placer(deployment)
+        placing = deployment.entries_[number].links_.placing
+
+        def ignore(peer, message):
+            """Answer nothing."""
+
+        links = deployment.entries_[number].links_
+        for kind in placing.handlers():
+            links.handlers_[kind] = ignore
+        other = (number + 1) % ENTRIES
+        answer = await deployment.send("/once/x", request_id="r", entry=other)
+        assert answer.code == 200
+        waiting = deployment.entries_[other].links_.placing.answers_by_id_
+        assert waiting == {}
+
+    play(scenario, entries=ENTRIES)
+
+
+def test_streams_go_on_while_the_entry_that_places_is_lost():
+    async def scenario(deployment):
+        await settle(deployment)
+        number = placer(deployment)
+        deployment.entries_[number].stop()
+        others = [n for n in range(ENTRIES) if n != number]
+        answers = await asyncio.gather(
+            *(
+                deployment.send_with_retries("/once/x", request_id=f"r{n}", entry=n)
+                for n in others
+            )
+        )
+        assert [answer.code for answer in answers] == [200] * len(others)
+
+    play(scenario, entries=ENTRIES)
--- a/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
+++ b/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
@@ -1,6 +1,7 @@
 """What running entries send each other is read, and sent the same."""
 
 import msgspec
+import pytest
 
 from leadford.forwarding.endpoints import ListedEndpoint, ListedState
 from leadford.forwarding.routes import (
@@ -11,11 +12,21 @@
     ServiceId,
 )
 from leadford.protocol import (
+    BacklogReport,
     EntryHeartbeat,
     EvacuationReport,
+    FleetBacklog,
     HallReport,
     PieceAnswer,
     PieceSubmit,
+    PlaceAnswer,
+    PlaceRequest,
+    PromptPartReport,
+    PromptRead,
+    StoreChange,
+    StoreChanges,
+    StoreConfirmation,
+    StoreConfirmations,
     decode,
     encode,
 )
@@ -97,3 +108,26 @@
     assert read == bounded
     plain = msgspec.msgpack.encode(Service(ServiceId("s"), 9))
     assert b"cold" not in plain
+
+
+FLEET_MESSAGES = {
+    "82038182182b8184617318440a19012c": FleetBacklog([BacklogReport("s", 68, 10, 300)]),
+    "82038183182cfb4097700000000000818467736572766572730900fb40938a0000000000": (
+        StoreConfirmations(1500.0, [StoreConfirmation("servers", 9, 0, 1250.5)])
+    ),
+    "82038186182d67736572766572730709fb40977000000000008183427b7df509": StoreChanges(
+        "servers", 7, 9, 1500.0, [StoreChange(b"{}", True, 9)]
+    ),
+    "82038187182e03616d18648182626161183281626531a162683109": PlaceRequest(
+        3, "m", 100, [PromptPartReport("aa", 50)], ["e1"], {"h1": 9}
+    ),
+    "82038183182f03626531": PlaceAnswer(3, "e1"),
+    "82038182183003": PromptRead(3),
+}
+
+
+@pytest.mark.parametrize("data", FLEET_MESSAGES)
+def test_what_entries_know_of_the_fleet_travels_in_messages_of_its_own(data):
+    message = FLEET_MESSAGES[data]
+    assert encode(3, [message]).hex() == data
+    assert decode(bytes.fromhex(data)).unwrap().messages == [message]
