Let a few entries follow the store before a configuration names groups

Change: a group of no service names followers until then, and a list of entries that changes is asked for again after 1 s.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -35,6 +35,7 @@
 from leadford_server.forwarding.membership import EntryLinks, EntryMembers
 from leadford_server.forwarding.store import (
     ENTRIES_KNOWN_S,
+    ENTRIES_PAUSE_S,
     ENTRIES_WATCH_S,
     WATCH_PART,
     WATCH_S,
@@ -206,6 +207,7 @@
                 self.members_,
                 bound_s=lambda: ENTRIES_KNOWN_S,
                 watch_s=lambda: ENTRIES_WATCH_S,
+                changes_pause_s=ENTRIES_PAUSE_S,
             ),
         ]
         evacuate_s = self.settings.bounds.evacuate_s
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -162,11 +162,15 @@
 
     def _wanted_peers(self) -> set[EntryId]:
         """Return the entries to hold links to."""
-        groups = self._groups() | self._engine_groups()
+        groups = self._groups() | self._engine_groups() | {self._own_region()}
         return wanted_peers(
             self.entry_id, self._halls_by_entry(), groups, self.state.regions
         )
 
+    def _own_region(self) -> GroupId:
+        """Return a group of no service; all entries of a region link its candidates."""
+        return GroupId(ServiceId(""), self.state.regions.region(self.state.hall))
+
     def _engine_groups(self) -> set[GroupId]:
         """Return the groups of engines whose prompts one entry places."""
         table = self.state.table_
@@ -186,9 +190,8 @@
 
     def _followers(self) -> set[EntryId]:
         """Return the entries that follow the store for all."""
-        return store_followers(
-            self._halls_by_entry(), self._groups(), self.state.regions
-        )
+        groups = self._groups() or {self._own_region()}
+        return store_followers(self._halls_by_entry(), groups, self.state.regions)
 
     def _halls_by_entry(self) -> dict[EntryId, HallId]:
         """Return the hall of each entry that exists, this one too."""
--- a/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
@@ -10,6 +10,7 @@
 from leadford_server.forwarding.store._config import ConfigHolder
 from leadford_server.forwarding.store._follow import (
     ENTRIES_KNOWN_S,
+    ENTRIES_PAUSE_S,
     ENTRIES_WATCH_S,
     WATCH_S,
     FollowerFactory,
@@ -25,6 +26,7 @@
 __all__ = [
     "ConfigHolder",
     "ENTRIES_KNOWN_S",
+    "ENTRIES_PAUSE_S",
     "ENTRIES_WATCH_S",
     "FollowerFactory",
     "HallsHolder",
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -46,6 +46,9 @@
 # follow each other are heard together: every entry pays for each end of a watch. The
 # figures stand at ENTRIES_SHARING of `membership/_watch`; it was not varied.
 CHANGES_PAUSE_S = 0.25
+# The same for the list of entries: those of a fleet that starts announce themselves
+# within a second, and each one's watch would end several times. Not varied.
+ENTRIES_PAUSE_S = 1.0
 # Seconds between calls that fail, doubled up to the most; not measured.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
@@ -130,7 +133,9 @@
         rest_s: Callable[[], float] = _never_rests,
         tell: Callable[[str, int, ObjectEvents], None] = NO_RELAYS.tell,
         on_relayed: Callable[[float], None] = _ignores,
+        changes_pause_s: float = CHANGES_PAUSE_S,
     ) -> None:
+        self.changes_pause_s = changes_pause_s
         self.watch_s = watch_s
         self.call_s = call_s
         self.rest_s = rest_s
@@ -266,7 +271,7 @@
         if seen.events:
             self.tell(self.kind, asked_from, seen)
             lasted_s = asyncio.get_running_loop().time() - began_at
-            await asyncio.sleep(max(0.0, CHANGES_PAUSE_S - lasted_s))
+            await asyncio.sleep(max(0.0, self.changes_pause_s - lasted_s))
         return True
 
     async def _call_watch(self) -> Result[bytes, StoreFailure]:
@@ -332,6 +337,7 @@
         bound_s: Callable[[], float],
         watch_s: Callable[[], float],
         on_relayed: Callable[[float], None] = _ignores,
+        changes_pause_s: float = CHANGES_PAUSE_S,
     ) -> KindFollower:
         """Make a follower of a kind that a few entries follow for the others.
 
@@ -348,6 +354,7 @@
             rest_s=lambda: 0.0 if self.relays.follows else rest_s(bound_s()),
             tell=self.relays.tell,
             on_relayed=on_relayed,
+            changes_pause_s=changes_pause_s,
         )
         self.relays.add(follower)
         return follower
