Admit to a stage that is behind by what it makes, not by what it should

Admission went by the times of the configuration; explanations that were let in starved behind urgent pieces, 231 until their time was over, and others waited 1.3 s in the median for a stage that was behind for 10 s. Ruled out: the count of the backlog, which all entries now share. Change: while at least half a call of each endpoint waits, the scheduler tells how many pieces the stage made lately, in all and of the less urgent; what is before a request is taken to leave as fast. Only where a service is one group.

--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
@@ -16,9 +16,11 @@
     CapacityTable,
     FillAction,
     GroupId,
+    MadeRate,
     PieceFailure,
     PieceQueue,
     PieceTask,
+    Throughput,
     next_call,
 )
 from leadford.forwarding.endpoints import EndpointRecord
@@ -67,6 +69,7 @@
             capacities=self.capacities_,
             queues_by_group=self.queues_by_group_,
         )
+        self.throughput_by_group_: dict[GroupId, Throughput] = {}
         self.tasks_: set[asyncio.Task[None]] = set()
         self.calls_under_way_ = 0
         self.dispatch_due_: set[GroupId] = set()
@@ -86,6 +89,23 @@
         """Return how many calls for pieces run."""
         return self.calls_under_way_
 
+    def made_rate(self, group: GroupId) -> MadeRate | None:
+        """Sample what a group makes, and return it while the group is behind."""
+        service = self.state.service(group.service_id)
+        if service is None or service.pieces is None:
+            return None
+        now = self.state.now()
+        throughput = self._throughput(group)
+        throughput.sample(
+            waiting=len(self.queues_by_group_.get(group, ())),
+            full_round=service.pieces.batch * len(self.loads.records(group)),
+            now=now,
+        )
+        return throughput.rate(now)
+
+    def _throughput(self, group: GroupId) -> Throughput:
+        return self.throughput_by_group_.setdefault(group, Throughput())
+
     def cancel(self, origin: EntryId, correlation_ids: set[int]) -> None:
         """Drop waiting pieces of an entry."""
 
@@ -270,4 +290,5 @@
                 continue
             if outcome.handle is not None:
                 capacity.hold(outcome.handle, task.result_bytes, now)
+                self._throughput(call.group).record_made(is_urgent=task.is_urgent)
             self.reply(task, PieceResult(outcome.handle, outcome.reason, endpoint_id))
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -15,6 +15,7 @@
     CapacityUse,
     GroupId,
     GroupLoad,
+    MadeRate,
     PlaceId,
 )
 from leadford.forwarding.routes import ServiceId
@@ -84,21 +85,33 @@
     def make_backlog(self, groups: set[GroupId]) -> FleetBacklog | None:
         """Return the backlog of the services whose groups this entry schedules."""
         now = self.state.now()
-        service_ids = {
-            group.service_id
+        own = {
+            group
             for group in groups
             if self.stages.groups.scheduler_of(group) == self.entry_id
         }
         reports = []
-        for service_id in sorted(service_ids):
+        for service_id in sorted({group.service_id for group in own}):
             known = self.stages.backlog_.sum(service_id, now)
+            rate = self._made_rate(service_id, groups)
+            self.stages.backlog_.record_rate(service_id, rate, now)
+            rates = (rate.pieces, rate.less_urgent) if rate is not None else ()
             reports.append(
                 BacklogReport(
-                    service_id, known.entries, known.urgent, known.less_urgent
+                    service_id, known.entries, known.urgent, known.less_urgent, *rates
                 )
             )
         return FleetBacklog(reports) if reports else None
 
+    def _made_rate(
+        self, service_id: ServiceId, groups: set[GroupId]
+    ) -> MadeRate | None:
+        """Return what a service makes that is behind, if it is one group."""
+        of_service = [group for group in groups if group.service_id == service_id]
+        if len(of_service) != 1:
+            return None
+        return self.stages.scheduler_.made_rate(of_service[0])
+
     def record_backlog(self, message: FleetBacklog) -> None:
         """Record the backlog over all entries that another one hears."""
         now = self.state.now()
@@ -106,6 +119,10 @@
             told = BacklogSum(report.entries, report.urgent, report.less_urgent)
             service_id = ServiceId(report.service_id)
             self.stages.backlog_.record_sum(service_id, told, now)
+            rate = None
+            if report.pieces_per_s >= 0.0:
+                rate = MadeRate(report.pieces_per_s, report.less_urgent_per_s)
+            self.stages.backlog_.record_rate(service_id, rate, now)
 
     def _group_reports(self, groups: set[GroupId]) -> list[GroupReport]:
         """Return the load of the groups that this entry schedules."""
--- a/packages/leadford/src/leadford/forwarding/admission/_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_forecast.py
@@ -80,6 +80,7 @@
     def delay_s(self, backlog: AdmittedBacklog, now: float, *, is_late: bool) -> float:
         """Return the backlog of the stage that is the furthest behind.
 
+        By the times of the configuration, or by what a stage that is behind makes.
         Before a request that is late goes everything that is in time.
 
         Units: seconds; infinite where a stage has no endpoint.
@@ -97,7 +98,8 @@
                 stage.service_id, is_urgent, later_part=LATER_PART, now=now
             )
             stage_s = capacity.backlog_s(pieces, stage.result_bytes, held_s)
-            delay_s = max(delay_s, stage_s)
+            made_s = backlog.made_s(stage.service_id, is_urgent, now)
+            delay_s = max(delay_s, stage_s, made_s)
         return delay_s
 
     def pieces_by_service(self) -> dict[ServiceId, int]:
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_large_fleet.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_large_fleet.py
@@ -17,7 +17,7 @@
     StageCapacity,
     Verdict,
 )
-from leadford.forwarding.batching import AdmittedBacklog, BacklogKey
+from leadford.forwarding.batching import AdmittedBacklog, BacklogKey, Throughput
 from leadford.forwarding.routes import (
     PieceLimits,
     Route,
@@ -65,8 +65,11 @@
 class Fleet:
     """Hold the backlogs of all entries, and the one queue of the stage."""
 
-    def __init__(self, *, tells_sum):
+    def __init__(self, *, tells_sum, slowness=1.0, tells_rate=False):
         self.tells_sum = tells_sum
+        self.slowness = slowness
+        self.tells_rate = tells_rate
+        self.throughput = Throughput()
         self.backlogs = [AdmittedBacklog() for _ in range(ENTRIES)]
         self.admissions = [
             ForwardAdmission(
@@ -96,6 +99,8 @@
             if self.tells_sum and other < HUBS:
                 told = self.backlogs[other].sum(SERVICE, now)
                 backlog.record_sum(SERVICE, told, now)
+        if self.tells_rate:
+            backlog.record_rate(SERVICE, self.throughput.rate(now), now)
 
     def ask(self, number, now):
         """Have a request come to an entry."""
@@ -121,21 +126,28 @@
 
     def make(self, now):
         """Make what the endpoints can in one step."""
-        self.made = min(self.made + CAPACITY * STEP_S, len(self.queue) * PIECES)
+        made = CAPACITY / self.slowness * STEP_S
+        self.made = min(self.made + made, len(self.queue) * PIECES)
         while self.queue and self.made >= PIECES:
             self.made -= PIECES
             number, came_at = self.queue.pop(0)
             self.backlogs[number].add(KEY, -PIECES)
+            for _ in range(PIECES):
+                self.throughput.record_made(is_urgent=False)
             self.took_s.append(now - came_at + LIMITS.full_call_s + ENGINE_S)
 
 
-def replay(*, load, tells_sum):
+def replay(*, load, tells_sum, slowness=1.0, tells_rate=False):
     """Return the fleet after requests came at so many times the capacity."""
-    fleet = Fleet(tells_sum=tells_sum)
+    fleet = Fleet(tells_sum=tells_sum, slowness=slowness, tells_rate=tells_rate)
     random = Random(3)
     due = 0.0
     for step in range(round(LENGTH_S / STEP_S)):
         now = step * STEP_S
+        if step % HEARTBEAT_STEPS == 0:
+            waiting = len(fleet.queue) * PIECES
+            full_round = ENDPOINTS * LIMITS.batch
+            fleet.throughput.sample(waiting=waiting, full_round=full_round, now=now)
         for number in range(ENTRIES):
             if step % HEARTBEAT_STEPS == number % HEARTBEAT_STEPS:
                 fleet.beat(number, now)
@@ -165,5 +177,17 @@
     assert in_time_part(fleet) < 0.6
 
 
+def late_part(fleet):
+    """Return the part of the answers that came too late."""
+    late = [took_s for took_s in fleet.took_s if took_s > ROUTE.aim_ms / 1_000.0]
+    return len(late) / len(fleet.took_s)
+
+
+def test_a_stage_slower_than_configured_is_admitted_to_by_what_it_makes():
+    slow = {"load": 1.2, "tells_sum": True, "slowness": 2.0}
+    assert late_part(replay(**slow)) > 0.5
+    assert late_part(replay(**slow, tells_rate=True)) < 0.05
+
+
 def test_a_load_that_the_stage_bears_is_not_turned_away():
     assert replay(load=0.8, tells_sum=True).refused == 0
--- a/packages/leadford/src/leadford/forwarding/batching/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/batching/__init__.py
@@ -47,6 +47,7 @@
     RemakeAction,
     decide_remake,
 )
+from leadford.forwarding.batching._throughput import MadeRate, Throughput
 
 __all__ = [
     "CALL_INPUTS_READ_S",
@@ -67,6 +68,7 @@
     "GroupLoad",
     "GroupMap",
     "GroupTable",
+    "MadeRate",
     "NextCall",
     "PieceFailure",
     "PieceGraph",
@@ -77,6 +79,7 @@
     "PlaceId",
     "RegionMap",
     "RemakeAction",
+    "Throughput",
     "call_limit_s",
     "decide_remake",
     "engine_fetches_at_once",
--- a/packages/leadford/src/leadford/forwarding/batching/_backlog.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_backlog.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from leadford.common import EntryId
+from leadford.forwarding.batching._throughput import MadeRate
 from leadford.forwarding.routes import ServiceId
 
 # Seconds that what another entry said is believed; not measured.
@@ -46,6 +47,13 @@
     heard_at: float
 
 
+class _HeardRate(msgspec.Struct, frozen=True):
+    """Hold what a scheduler said of its stage, and when."""
+
+    rate: MadeRate
+    heard_at: float
+
+
 class AdmittedBacklog:
     """Add up the admitted backlog of all entries; what was said long ago expires."""
 
@@ -54,6 +62,7 @@
         self.said_by_key_: dict[BacklogKey, int] = {}
         self.heard_by_entry_: dict[EntryId, _Heard] = {}
         self.sums_by_service_: dict[ServiceId, _HeardSum] = {}
+        self.rates_by_service_: dict[ServiceId, _HeardRate] = {}
 
     def add(self, key: BacklogKey, pieces: int) -> None:
         """Count pieces that this entry admitted, or with a minus that are made."""
@@ -85,6 +94,34 @@
             return
         self.sums_by_service_[service_id] = _HeardSum(told, self.said_by_key_, now)
 
+    def record_rate(
+        self, service_id: ServiceId, rate: MadeRate | None, now: float
+    ) -> None:
+        """Record what a stage makes that is behind; None while it is not."""
+        if rate is None:
+            self.rates_by_service_.pop(service_id, None)
+        else:
+            self.rates_by_service_[service_id] = _HeardRate(rate, now)
+
+    def made_s(self, service_id: ServiceId, is_urgent: bool, now: float) -> float:
+        """Return how long a stage that is behind needs for what is before a request.
+
+        By what it made lately: 0 where it is not behind. Less urgent pieces leave as
+        fast as they did lately, whatever urgent ones go before them.
+
+        Units: seconds; infinite where nothing of the kind is made.
+        """
+        heard = self.rates_by_service_.get(service_id)
+        if heard is None or now - heard.heard_at >= FRESH_S:
+            return 0.0
+        total = self.widest(service_id, now)
+        pieces, rate = total.less_urgent, heard.rate.less_urgent
+        if is_urgent:
+            pieces, rate = total.urgent, heard.rate.pieces
+        if pieces == 0:
+            return 0.0
+        return pieces / rate if rate > 0.0 else float("inf")
+
     def forget(self, entry_id: EntryId) -> None:
         """Drop what an entry said that is gone."""
         self.heard_by_entry_.pop(entry_id, None)
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -68,6 +68,11 @@
     excluded: frozenset[EndpointId] = frozenset()
     near_bytes_by_hall: dict[HallId, int] = {}
 
+    @property
+    def is_urgent(self) -> bool:
+        """Tell whether the piece has no delay for the less urgent."""
+        return self.rank_at - self.due_at < LESS_URGENT_S / 2.0
+
     def moved_bytes(self, hall: HallId) -> int:
         """Return how many bytes move between halls if the piece is made in one."""
         most = max(self.near_bytes_by_hall.values(), default=0)
--- a/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
+++ b/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
@@ -111,7 +111,9 @@
 
 
 FLEET_MESSAGES = {
-    "82038182182b8184617318440a19012c": FleetBacklog([BacklogReport("s", 68, 10, 300)]),
+    "82038182182b8186617318440a19012cfb4046c00000000000fb4028000000000000": (
+        FleetBacklog([BacklogReport("s", 68, 10, 300, 45.5, 12.0)])
+    ),
     "82038183182cfb4097700000000000818467736572766572730900fb40938a0000000000": (
         StoreConfirmations(1500.0, [StoreConfirmation("servers", 9, 0, 1250.5)])
     ),
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -188,12 +188,18 @@
 
 
 class BacklogReport(MessageBase):
-    """Say how many pieces of a service are admitted over some entries."""
+    """Say how many pieces of a service are admitted over some entries, and made.
+
+    Units: pieces a second, in all and of the less urgent; negative where the service is
+    not behind, so that nothing can be said.
+    """
 
     service_id: str
     entries: int
     urgent: int
     less_urgent: int
+    pieces_per_s: float = -1.0
+    less_urgent_per_s: float = -1.0
 
 
 class FleetBacklog(MessageBase, tag=43):
