--- a/packages/leadford/src/leadford/forwarding/endpoints/_placement.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_placement.py
@@ -44,6 +44,8 @@
     def record_placed(self, placed_id: PlacedId, sent: SentPrompt, now: float) -> None:
         """Record a prompt that was placed now."""
         self._forget_old(now)
+        # An entry that was started again counts its questions anew.
+        self.record_read(placed_id)
         self.placed_by_id_[placed_id] = _Placed(sent, now)
 
     def record_read(self, placed_id: PlacedId) -> None:
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_placement.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_placement.py
@@ -139,6 +139,18 @@
     assert set(engines.pending_by_id_) == {EndpointId("e1")}
 
 
+def test_an_entry_that_was_started_again_leaves_nothing_waiting():
+    engines = EngineChooser(hall=HallId("h"))
+    ledger = PlacedPrompts(engines=engines)
+    placed_id = PlacedId(EntryId("n"), 1)
+    shape = prompt(Random(1))
+    for number in range(2):
+        sent = engines.record_sent(record(number), shape, MEMORY_TOKENS)
+        ledger.record_placed(placed_id, sent, 0.0)
+    ledger.record_read(placed_id)
+    assert not engines.pending_by_id_
+
+
 def test_who_knows_all_does_not_guess_what_is_kept():
     engines = EngineChooser(hall=HallId("h"))
     records = [record(0), record(1)]
