Tell resting entries the last revision of each kind, not that of the store

Cause: the store counts changes of all kinds together. Change: a confirmation says up to which revision the kind itself changed. Simulated, 20 s of changes of other kinds: an entry that rests asks for its listing and what is missing of it, nothing more.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_relays.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_relays.py
@@ -106,7 +106,13 @@
                 version = self.state.config_version()
             confirmed_ms = follower.confirmed_at_ * 1_000.0
             kinds.append(
-                StoreConfirmation(kind, follower.revision_, version, confirmed_ms)
+                StoreConfirmation(
+                    kind,
+                    follower.revision_,
+                    follower.changed_revision_,
+                    version,
+                    confirmed_ms,
+                )
             )
         return StoreConfirmations(self.state.now() * 1_000.0, kinds)
 
@@ -141,7 +147,8 @@
         """Tell whether this entry knows as much as a peer was confirmed to know."""
         if told.kind == self.config_kind:
             return self.state.config_version() >= told.version
-        return follower.revision_ is not None and follower.revision_ >= told.revision
+        known = follower.revision_
+        return known is not None and known >= told.changed_revision
 
     def _on_changes(self, peer: PeerConnection, message: StoreChanges) -> None:
         clock = self._clock(peer, message.sent_ms)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_relays.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_relays.py
@@ -242,6 +242,42 @@
     assert played.late_s < 0.1
 
 
+def test_changes_of_other_kinds_make_nobody_ask():
+    class Busy(Store):
+        """Change other kinds all the time: the revision rises without an event."""
+
+        def revision(self, now):
+            return super().revision(now) + int(now * 10.0)
+
+        async def call(self, path, wait_s, margin_s, deaf_from):
+            loop = asyncio.get_running_loop()
+            self.calls += 1
+            await asyncio.sleep(wait_s + ANSWER_S)
+            page = {"items": [], "events": [], "more": False}
+            page["at"] = self.revision(loop.time())
+            return Success(json.dumps(page).encode())
+
+    async def run():
+        store, resting_store = Busy(1_000.0), Busy(1_000.0)
+        follower = Entry(0, store)
+        resting = Entry(FOLLOWERS, resting_store)
+        follower.peers_by_id[resting.entry_id] = Link(follower, resting)
+        running = [
+            asyncio.ensure_future(work)
+            for work in (
+                follower.follower.run(),
+                follower.beat(),
+                resting.follower.run(),
+            )
+        ]
+        await asyncio.sleep(20.0)
+        for work in running:
+            work.cancel()
+        assert resting_store.calls <= 4
+
+    run_simulated(run())
+
+
 def test_changes_that_do_not_fit_are_not_taken():
     async def run():
         entry = Entry(FOLLOWERS, Store(1_000.0))
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -149,6 +149,8 @@
         self.random = random
         self.owner = owner
         self.revision_: int | None = None
+        # The store counts changes of all kinds together; this is the last of this kind.
+        self.changed_revision_ = 0
         self.confirmed_at_: float | None = None
         self.is_unheard_ = False
         self.has_listed_ = False
@@ -212,6 +214,7 @@
         if seen.revision > self.revision_:
             for event in seen.events:
                 self.owner.on_event(event)
+            self.changed_revision_ = seen.revision
             self._record(seen.revision, confirmed_at)
             self.on_relayed(confirmed_at)
         return True
@@ -255,6 +258,7 @@
         self.owner.on_list(Listing(items, revision))
         self.may_be_old_ = may_be_old
         self.revision_ = revision
+        self.changed_revision_ = revision
         if not may_be_old:
             self._confirm(revision)
         return True
@@ -282,6 +286,7 @@
                 self.owner.on_event(event)
         self._confirm(max(self.revision_, seen.revision))
         if seen.events:
+            self.changed_revision_ = max(self.changed_revision_, seen.revision)
             self.tell(self.kind, asked_from, seen)
             lasted_s = asyncio.get_running_loop().time() - began_at
             await asyncio.sleep(max(0.0, self.changes_pause_s - lasted_s))
--- a/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
+++ b/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
@@ -114,8 +114,8 @@
     "82038182182b8186617318440a19012cfb4046c00000000000fb4028000000000000": (
         FleetBacklog([BacklogReport("s", 68, 10, 300, 45.5, 12.0)])
     ),
-    "82038183182cfb4097700000000000818467736572766572730900fb40938a0000000000": (
-        StoreConfirmations(1500.0, [StoreConfirmation("servers", 9, 0, 1250.5)])
+    "82038183182cfb4097700000000000818567736572766572730c0900fb40938a0000000000": (
+        StoreConfirmations(1500.0, [StoreConfirmation("servers", 12, 9, 0, 1250.5)])
     ),
     "82038186182d67736572766572730709fb40977000000000008183427b7df509": StoreChanges(
         "servers", 7, 9, 1500.0, [StoreChange(b"{}", True, 9)]
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -211,14 +211,16 @@
 class StoreConfirmation(MessageBase):
     """Say up to which revision the store confirmed that nothing is missing, and when.
 
-    `version` is that of the configuration in force, which says whether the receiver
-    knows as much; 0 for other kinds, whose changes are passed on one by one.
+    Whoever knows the kind up to `changed_revision`, that of its last change, knows as
+    much as the sender; for the configuration, whoever runs its `version` (0 for other
+    kinds).
 
     Units: confirmed_ms in milliseconds of the sender's monotonic clock.
     """
 
     kind: str
     revision: int
+    changed_revision: int
     version: int
     confirmed_ms: float
 
