--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_relays.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_relays.py
@@ -21,7 +21,7 @@
 from leadford_server.forwarding._contract import StoreFailure
 from leadford_server.forwarding._state import ForwardBounds
 from leadford_server.forwarding.membership._relays import StoreRelays
-from leadford_server.forwarding.store._follow import FollowerFactory
+from leadford_server.forwarding.store._factory import FollowerFactory
 from leadford_standins.simulated import run_simulated
 
 KIND = "servers"
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -3,11 +3,10 @@
 An attempt chooses an endpoint, borrows a connection, sends the request and waits for
 the head of the answer. What it shows of the endpoint is recorded, and the connection
 goes back. Whether another attempt follows is decided in `leadford.forwarding.retries`;
-which endpoint is asked, in `leadford.forwarding.endpoints`.
+which endpoint is asked, in `leadford.forwarding.endpoints`, by way of `_choice`.
 """
 
 import asyncio
-from collections.abc import Callable
 
 from leadford.events import Event
 from leadford.forwarding.endpoints import (
@@ -39,6 +38,7 @@
     BorrowedConnection,
     NotRun,
 )
+from leadford_server.forwarding.retries._choice import EndpointChoice
 
 # Characters of a failure that the log line of a further attempt holds.
 RETRY_DETAIL_LOGGED = 120
@@ -61,62 +61,12 @@
         self.state = state
         self.inputs = inputs
         self.progress = progress
+        self.choice = EndpointChoice(state=state, inputs=inputs, progress=progress)
         self.sent_prompt_: SentPrompt | None = None
-        self.tell_read_: Callable[[], None] | None = None
 
     def choose(self) -> EndpointRecord | None:
         """Return the endpoint that another attempt would ask."""
-        state = self.state
-        service = self.progress.match_.service
-        now = state.now()
-        records = [
-            record
-            for record in state.usable(service.service_id)
-            if state.cold_.may_use(record, service.cold_limits, now)
-        ]
-        tried = self.progress.tried_
-        if service.engine is not None:
-            return state.engines_.choose(
-                records,
-                self.progress.request.prompt,
-                excluded=tried,
-                bytes_by_hall=self.inputs.bytes_by_hall(),
-                knows_all=self._knows_all(),
-                now=now,
-            )
-        return state.chooser_.choose(records, excluded=tried, now=now)
-
-    def _knows_all(self) -> bool:
-        """Tell whether this entry places the prompts of all at the service."""
-        placing = self.state.placing_
-        service_id = self.progress.match_.service.service_id
-        return placing is not None and placing.knows_all(service_id)
-
-    async def _choose_placed(self) -> EndpointRecord | None:
-        """Return the endpoint to ask, at engines the one that another entry chose."""
-        own = self.choose()
-        service = self.progress.match_.service
-        placing = self.state.placing_
-        if service.engine is None or placing is None or own is None:
-            return own
-        if service.cold_limits is not None or placing.knows_all(service.service_id):
-            # Who may use a cold endpoint is decided at each entry.
-            return own
-        now = self.state.now()
-        excluded = {*self.progress.tried_}
-        for record in self.state.usable(service.service_id):
-            if record.is_suspect(now):
-                excluded.add(record.listed.endpoint_id)
-        placed = await placing.place(
-            service.service_id,
-            self.progress.request.prompt,
-            excluded=excluded,
-            bytes_by_hall=self.inputs.bytes_by_hall(),
-        )
-        if placed is None:
-            return self.choose()
-        self.tell_read_ = placed.tell_read
-        return placed.record
+        return self.choice.choose()
 
     async def begin(self, limit_at: float) -> Attempt:
         """Send the request to an endpoint and return once the answer's head is there.
@@ -156,7 +106,7 @@
         Errors: raises NotRun when there is no endpoint or no connection.
         """
         while True:
-            record = await self._choose_placed()
+            record = await self.choice.choose_placed()
             if record is None:
                 raise NotRun("no endpoint")
             began_at = self._count_begin(record)
@@ -257,9 +207,7 @@
         if sent is not None:
             self.state.engines_.record_started(sent)
             self.sent_prompt_ = None
-        if self.tell_read_ is not None:
-            self.tell_read_()
-            self.tell_read_ = None
+        self.choice.tell_read()
 
     def _count_begin(self, record: EndpointRecord) -> float:
         """Count an attempt that begins now, and return the moment."""
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -0,0 +1,84 @@
+"""Choose the endpoint of an attempt: here, or by the entry that places for all.
+
+Puts what this entry knows to the rules of `leadford.forwarding.endpoints`. The prompts
+of a large fleet are placed by one entry, which is asked over `state.placing_`.
+"""
+
+from collections.abc import Callable
+
+from leadford.forwarding.endpoints import EndpointRecord
+from leadford_server.forwarding._progress import RequestProgress
+from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching import RequestInputs
+
+
+class EndpointChoice:
+    """Choose the endpoints of one request."""
+
+    def __init__(
+        self, *, state: ForwardState, inputs: RequestInputs, progress: RequestProgress
+    ) -> None:
+        self.state = state
+        self.inputs = inputs
+        self.progress = progress
+        self.tell_read_: Callable[[], None] | None = None
+
+    def choose(self) -> EndpointRecord | None:
+        """Return the endpoint that another attempt would ask."""
+        state = self.state
+        service = self.progress.match_.service
+        now = state.now()
+        records = [
+            record
+            for record in state.usable(service.service_id)
+            if state.cold_.may_use(record, service.cold_limits, now)
+        ]
+        tried = self.progress.tried_
+        if service.engine is not None:
+            return state.engines_.choose(
+                records,
+                self.progress.request.prompt,
+                excluded=tried,
+                bytes_by_hall=self.inputs.bytes_by_hall(),
+                knows_all=self._knows_all(),
+                now=now,
+            )
+        return state.chooser_.choose(records, excluded=tried, now=now)
+
+    def _knows_all(self) -> bool:
+        """Tell whether this entry places the prompts of all at the service."""
+        placing = self.state.placing_
+        service_id = self.progress.match_.service.service_id
+        return placing is not None and placing.knows_all(service_id)
+
+    async def choose_placed(self) -> EndpointRecord | None:
+        """Return the endpoint to ask, at engines the one that another entry chose."""
+        own = self.choose()
+        service = self.progress.match_.service
+        placing = self.state.placing_
+        if service.engine is None or placing is None or own is None:
+            return own
+        if service.cold_limits is not None or placing.knows_all(service.service_id):
+            # Who may use a cold endpoint is decided at each entry.
+            return own
+        now = self.state.now()
+        excluded = {*self.progress.tried_}
+        for record in self.state.usable(service.service_id):
+            if record.is_suspect(now):
+                excluded.add(record.listed.endpoint_id)
+        placed = await placing.place(
+            service.service_id,
+            self.progress.request.prompt,
+            excluded=excluded,
+            bytes_by_hall=self.inputs.bytes_by_hall(),
+        )
+        if placed is None:
+            return self.choose()
+        self.tell_read_ = placed.tell_read
+        return placed.record
+
+    def tell_read(self) -> None:
+        """Tell the entry that placed the prompt that it waits there no more."""
+        if self.tell_read_ is not None:
+            self.tell_read_()
+            self.tell_read_ = None
--- a/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
@@ -8,12 +8,12 @@
     readable,
 )
 from leadford_server.forwarding.store._config import ConfigHolder
+from leadford_server.forwarding.store._factory import FollowerFactory
 from leadford_server.forwarding.store._follow import (
     ENTRIES_KNOWN_S,
     ENTRIES_PAUSE_S,
     ENTRIES_WATCH_S,
     WATCH_S,
-    FollowerFactory,
     KindFollower,
     Listing,
 )
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -4,7 +4,8 @@
 store and say what they hear (`_relays`), this one rests for as long as their newest
 confirmation is young enough. An entry alone catches up with a store that was away
 within the bound of the deployment: how long calls wait, and confirmations last, is
-decided in `leadford.forwarding.membership`. Relies on `_client` for the calls.
+decided in `leadford.forwarding.membership`, and put to it by `_factory`. Relies on
+`_client` for the calls.
 """
 
 import asyncio
@@ -16,19 +17,12 @@
 import msgspec
 from returns.result import Failure, Result
 
-from leadford.forwarding.membership import (
-    WATCH_MARGIN_S,
-    follower_watch_s,
-    longest_call_s,
-    rest_s,
-    watch_s,
-)
+from leadford.forwarding.membership import WATCH_MARGIN_S
 from leadford_server.forwarding._contract import (
     ObjectEvent,
     ObjectEvents,
     StoreFailure,
 )
-from leadford_server.forwarding._state import ForwardBounds
 from leadford_server.forwarding.store._client import ObjectsClient, readable
 from leadford_server.metrics import STORE_CONFIRM_GAP_SECONDS
 
@@ -77,40 +71,15 @@
         """Record that the store has said that nothing is missing."""
 
 
-class Relays(Protocol):
-    """Pass on what the store says, and know who follows it."""
-
-    follows: bool
-    others_rest: bool
-
-    def add(self, follower: "KindFollower") -> None:
-        """Pass on the news of a follower, and give it those of others."""
-
-    def tell(self, kind: str, after_revision: int, seen: ObjectEvents) -> None:
-        """Pass changes on that the store told this entry."""
-
-
 def _never_rests() -> float:
     return 0.0
 
 
-class NoRelays:
-    """Pass nothing on: each entry follows the store by itself."""
-
-    follows = True
-    others_rest = False
-
-    def add(self, follower: "KindFollower") -> None:
-        """Leave a follower alone."""
-
-    def tell(self, kind: str, after_revision: int, seen: ObjectEvents) -> None:
-        """Tell nobody of changes."""
-
+def _tells_nobody(kind: str, after_revision: int, seen: ObjectEvents) -> None:
+    """Tell nobody of changes."""
 
-NO_RELAYS = NoRelays()
 
-
-def _ignores(confirmed_at: float) -> None:
+def ignore_relayed(confirmed_at: float) -> None:
     """Ignore when another entry was told that nothing is missing."""
 
 
@@ -134,8 +103,8 @@
         watch_s: Callable[[], float],
         call_s: Callable[[], float],
         rest_s: Callable[[], float] = _never_rests,
-        tell: Callable[[str, int, ObjectEvents], None] = NO_RELAYS.tell,
-        on_relayed: Callable[[float], None] = _ignores,
+        tell: Callable[[str, int, ObjectEvents], None] = _tells_nobody,
+        on_relayed: Callable[[float], None] = ignore_relayed,
         changes_pause_s: float = CHANGES_PAUSE_S,
     ) -> None:
         self.changes_pause_s = changes_pause_s
@@ -323,84 +292,3 @@
         self.confirmed_at_ = max(confirmed_at, self.confirmed_at_ or confirmed_at)
         self.may_be_old_ = False
         self.revision_ = revision
-
-
-class FollowerFactory:
-    """Make followers whose calls wait by the bounds of the deployment.
-
-    The bounds, the count of live peers and whether this entry follows the store for
-    others are asked for before each call. `relays` passes on what the store says.
-    """
-
-    def __init__(
-        self,
-        *,
-        client: ObjectsClient,
-        random: Random,
-        bounds: Callable[[], ForwardBounds],
-        live_peers: Callable[[], int],
-        relays: Relays = NO_RELAYS,
-    ) -> None:
-        self.client = client
-        self.random = random
-        self.bounds = bounds
-        self.live_peers = live_peers
-        self.relays = relays
-
-    def relayed(
-        self,
-        kind: str,
-        owner: KindOwner,
-        *,
-        bound_s: Callable[[], float],
-        watch_s: Callable[[], float],
-        on_relayed: Callable[[float], None] = _ignores,
-        changes_pause_s: float = CHANGES_PAUSE_S,
-    ) -> KindFollower:
-        """Make a follower of a kind that a few entries follow for the others.
-
-        `bound_s` is the time within which a change has to be known; `watch_s` is how
-        long a watch waits where each entry follows by itself.
-        """
-        follower = KindFollower(
-            kind=kind,
-            client=self.client,
-            random=self.random,
-            owner=owner,
-            watch_s=lambda: self._relayed_watch_s(bound_s(), watch_s),
-            call_s=lambda: longest_call_s(self.bounds().resync_s),
-            rest_s=lambda: 0.0 if self.relays.follows else rest_s(bound_s()),
-            tell=self.relays.tell,
-            on_relayed=on_relayed,
-            changes_pause_s=changes_pause_s,
-        )
-        self.relays.add(follower)
-        return follower
-
-    def shared(self, kind: str, owner: KindOwner, least_s: float) -> KindFollower:
-        """Make a follower of a kind whose news peers tell as well."""
-        return KindFollower(
-            kind=kind,
-            client=self.client,
-            random=self.random,
-            owner=owner,
-            watch_s=lambda: self.shared_watch_s(least_s),
-            call_s=lambda: longest_call_s(self.bounds().resync_s),
-        )
-
-    def shared_watch_s(self, least_s: float) -> float:
-        """Return how long a watch waits where all entries follow and tell news."""
-        return watch_s(
-            least_s,
-            self.live_peers(),
-            self.random.random(),
-            resync_s=self.bounds().resync_s,
-        )
-
-    def _relayed_watch_s(
-        self, bound_s: float, alone_watch_s: Callable[[], float]
-    ) -> float:
-        if not self.relays.others_rest:
-            return alone_watch_s()
-        resync_s = self.bounds().resync_s
-        return follower_watch_s(bound_s, resync_s, self.random.random())
