Close a connection that was accepted just before a planned stop ends

Cause: a connection is known to the entry only once its reading begins, one turn of the loop after it was accepted. One that was accepted in the turn of the last look was not closed by the stop, its request was read and passed on, and cut when the process was gone 7 ms later. Ruled out: the last look itself, which saw nothing because nothing was there to see. Change: a connection whose reading begins after the stop is closed at once. The test fails before (the request is served) and passes after.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -226,6 +226,7 @@
         self.exchanges_: set[CallerExchange] = set()
         self.streams_: WeakSet[iostream.IOStream] = WeakSet()
         self.server_: httpserver.HTTPServer | None = None
+        self.is_stopped_ = False
 
     def start(self, host: str, port: int) -> None:
         """Listen."""
@@ -251,6 +252,9 @@
         """Return what takes the next request of a connection."""
         if request_conn.stream is not None:
             self.streams_.add(request_conn.stream)
+            if self.is_stopped_:
+                # It was accepted just before the stop, which could not close it.
+                request_conn.stream.close()
         return CallerExchange(connection=request_conn, server=self)
 
     def on_close(self, server_conn: object) -> None:
@@ -293,6 +297,7 @@
 
         The process still runs for a moment; a request that it began then would be cut.
         """
+        self.is_stopped_ = True
         self.server_.stop()
         for stream in list(self.streams_):
             stream.close()
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
@@ -304,3 +304,33 @@
         assert runs_of(deployment.plain, "r1") == []
 
     play(scenario)
+
+
+def test_a_connection_accepted_as_an_entry_stops_is_not_read():
+    """What comes with a connection that the last look could not see is not passed on.
+
+    Symptom: a request that came 3 ms before the end of a process was passed on, and cut
+    7 ms later.
+    Cause: its connection had been accepted, and was read only after the last look, when
+    the connections that were known had been closed; with links to many entries the
+    process then still ran for some milliseconds.
+    """
+
+    async def scenario(deployment):
+        entry = deployment.entries_[0]
+        server = entry.caller_server_.server_
+        handle_stream = server.handle_stream
+
+        def accept_and_stop(stream, address):
+            handle_stream(stream, address)
+            entry.stop()
+
+        server.handle_stream = accept_and_stop
+        callers = entry.settings.callers
+        reader, writer = await asyncio.open_connection(callers.host, callers.port)
+        writer.write(request_bytes("/unsafe/x", "r1"))
+        async with asyncio.timeout(2.0):
+            assert await reader.read() == b""
+        assert runs_of(deployment.plain, "r1") == []
+
+    play(scenario)
