Keep the orders in which entries schedule groups

Cause: with each heartbeat an entry asks some forty times who schedules a group, and whom to link to, and each time every entry is hashed for it: with 300 entries and 27 groups one round of links takes 14.2 ms, five times a second, and so do the questions of the heartbeat. Change: rendezvous_order keeps the last 512 orders by key and members; halls are matched once, not once for each entry.

--- a/packages/leadford/src/leadford/common/_hashing.py
+++ b/packages/leadford/src/leadford/common/_hashing.py
@@ -1,11 +1,17 @@
 """Hash ids the same way in every process."""
 
 from collections.abc import Iterable
+from functools import lru_cache
 from hashlib import blake2b
 from typing import TypeVar
 
 K = TypeVar("K", bound=str)
 
+# Orders that are kept. Entries ask several times a heartbeat who comes first in each
+# group: with 300 entries and 27 groups one such round took 14 ms, and takes 2.6 ms with
+# the orders kept (by timing, one run). Not varied.
+ORDERS_KEPT = 512
+
 
 def stable_hash(*parts: str) -> int:
     """Return a 64-bit hash that every process agrees on."""
@@ -20,4 +26,11 @@
 
 def rendezvous_order(key: str, members: Iterable[K]) -> list[K]:
     """Return members in the order in which they own a key."""
-    return sorted(members, key=lambda member: (-stable_hash(key, member), member))
+    return list(_ordered(key, tuple(members)))
+
+
+@lru_cache(maxsize=ORDERS_KEPT)
+def _ordered(key: str, members: tuple[K, ...]) -> tuple[K, ...]:
+    return tuple(
+        sorted(members, key=lambda member: (-stable_hash(key, member), member))
+    )
--- a/packages/leadford/src/leadford/forwarding/batching/_groups.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_groups.py
@@ -99,10 +99,10 @@
     group: GroupId, halls_by_entry: dict[EntryId, HallId], regions: RegionMap
 ) -> list[EntryId]:
     """Return the entries in the order in which they schedule a group, near first."""
-    near = []
-    far = []
-    for entry, hall in halls_by_entry.items():
-        (near if regions.is_in(hall, group.place) else far).append(entry)
+    halls = set(halls_by_entry.values())
+    near_halls = {hall for hall in halls if regions.is_in(hall, group.place)}
+    near = [entry for entry, hall in halls_by_entry.items() if hall in near_halls]
+    far = [entry for entry, hall in halls_by_entry.items() if hall not in near_halls]
     return rendezvous_order(group.key, near) + rendezvous_order(group.key, far)
 
 
