--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -36,6 +36,9 @@
 # endpoints (21 endpoints, a simulated load with faults, one run each).
 SHORT_CALLS = 2
 SHORT_PART = 0.5
+# Bytes from which on moving pieces counts in a queue of more than SHORT_CALLS: those
+# that read little fill calls instead. Not varied.
+MUCH_BYTES = 250_000
 # Seconds by which a piece counts as due later, for routes below the highest priority
 # and for each step of priority. Both are bounds: without them the less urgent could
 # wait for ever. Mean net credit of seven simulated loads, one run each: 0.552 without
@@ -102,6 +105,10 @@
         """Return the wait that moving bytes to a hall is worth."""
         return moving_s(self.tasks[0].moved_bytes(hall) * len(self.tasks))
 
+    def moves_much(self, hall: HallId) -> bool:
+        """Tell whether many bytes move if the pieces are made in a hall."""
+        return self.tasks[0].moved_bytes(hall) * len(self.tasks) >= MUCH_BYTES
+
     def hall_wait_s(self, hall: HallId, limits: PieceLimits, now: float) -> float:
         """Return how long to wait for an endpoint elsewhere rather than use a hall.
 
@@ -229,6 +236,7 @@
         group.
         """
         batch = limits.batch
+        few_wait = len(self.tasks_) <= SHORT_CALLS * batch
         is_short = self._is_short(limits, endpoints)
         taken: list[PieceTask] = []
         left: list[PieceTask] = []
@@ -239,7 +247,8 @@
             is_split = number > 0 and places < len(allowed) <= batch
             if is_split and may_split and not is_short and places > 0:
                 is_split = False
-            if is_split or (is_short and waits_for_other_hall(chunk)):
+            may_stay = few_wait or (is_short and _moves_much(chunk, hall))
+            if is_split or (may_stay and waits_for_other_hall(chunk)):
                 left += tasks
                 continue
             fitting: list[PieceTask] = []
@@ -284,3 +293,7 @@
             return chunk.is_late(limits, now), chunk.rank_at + moving_s
 
         return sorted(self.chunks(), key=order)
+
+
+def _moves_much(chunk: Chunk, hall: HallId | None) -> bool:
+    return hall is not None and chunk.moves_much(hall)
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
@@ -22,11 +22,7 @@
     schedulers_in_order,
 )
 from leadford.forwarding.endpoints import (
-    EndpointAddress,
     EndpointFailure,
-    EndpointRecord,
-    ListedEndpoint,
-    ListedState,
 )
 from leadford.forwarding.routes import (
     PieceLimits,
@@ -36,6 +32,7 @@
     RouteKind,
     ServiceId,
 )
+from leadford_standins.records import endpoint_record
 
 LIMITS = PieceLimits(
     slots=1,
@@ -196,16 +193,7 @@
 
 
 def record(name, hall="h"):
-    return EndpointRecord(
-        listed=ListedEndpoint(
-            endpoint_id=EndpointId(name),
-            service_id=SERVICE,
-            address=EndpointAddress("10.0.0.1:80"),
-            hall=HallId(hall),
-            state=ListedState.READY,
-            slots=1,
-        )
-    )
+    return endpoint_record(name, hall=hall)
 
 
 def test_an_endpoint_takes_one_call_and_its_results_count_as_room():
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
@@ -13,13 +13,10 @@
     next_call,
 )
 from leadford.forwarding.endpoints import (
-    EndpointAddress,
     EndpointFailure,
-    EndpointRecord,
-    ListedEndpoint,
-    ListedState,
 )
-from leadford.forwarding.routes import PieceLimits, ResultHandle, ServiceId
+from leadford.forwarding.routes import PieceLimits, ResultHandle
+from leadford_standins.records import endpoint_record
 
 LIMITS = PieceLimits(
     slots=1,
@@ -60,16 +57,7 @@
 
 
 def record(name="e", hall="h"):
-    return EndpointRecord(
-        listed=ListedEndpoint(
-            endpoint_id=EndpointId(name),
-            service_id=ServiceId("s"),
-            address=EndpointAddress("10.0.0.1:80"),
-            hall=HallId(hall),
-            state=ListedState.READY,
-            slots=1,
-        )
-    )
+    return endpoint_record(name, hall=hall)
 
 
 def test_nothing_is_waited_for_while_no_piece_waits():
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_full_calls.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_full_calls.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from leadford.common import EndpointId, EntryId, HallId, RequestId
+from leadford.common import EntryId, RequestId
 from leadford.forwarding.batching import (
     CapacityTable,
     FillAction,
@@ -17,13 +17,8 @@
     PieceTask,
     next_call,
 )
-from leadford.forwarding.endpoints import (
-    EndpointAddress,
-    EndpointRecord,
-    ListedEndpoint,
-    ListedState,
-)
-from leadford.forwarding.routes import PieceLimits, ServiceId
+from leadford.forwarding.routes import PieceLimits
+from leadford_standins.records import endpoint_record
 
 LIMITS = PieceLimits(
     slots=1,
@@ -52,16 +47,7 @@
 
 
 def record(number):
-    return EndpointRecord(
-        listed=ListedEndpoint(
-            endpoint_id=EndpointId(f"e{number}"),
-            service_id=ServiceId("s"),
-            address=EndpointAddress(f"10.0.0.{number}:80"),
-            hall=HallId("h"),
-            state=ListedState.READY,
-            slots=1,
-        )
-    )
+    return endpoint_record(f"e{number}")
 
 
 def backlog(requests):
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_halls.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_halls.py
@@ -8,6 +8,7 @@
 import heapq
 from random import Random
 
+import msgspec
 import pytest
 
 from leadford.common import EndpointId, EntryId, HallId, RequestId
@@ -19,13 +20,8 @@
     PieceTask,
     next_call,
 )
-from leadford.forwarding.endpoints import (
-    EndpointAddress,
-    EndpointRecord,
-    ListedEndpoint,
-    ListedState,
-)
-from leadford.forwarding.routes import PieceLimits, ResultHandle, ServiceId
+from leadford.forwarding.routes import PieceLimits, ResultHandle
+from leadford_standins.records import endpoint_record
 
 LIMITS = PieceLimits(
     slots=1,
@@ -121,16 +117,7 @@
 
 
 def record(number):
-    return EndpointRecord(
-        listed=ListedEndpoint(
-            endpoint_id=EndpointId(f"e{number}"),
-            service_id=ServiceId("s"),
-            address=EndpointAddress(f"10.0.0.{number}:80"),
-            hall=HALLS[number % len(HALLS)],
-            state=ListedState.READY,
-            slots=1,
-        )
-    )
+    return endpoint_record(f"e{number}", hall=HALLS[number % len(HALLS)])
 
 
 def task(request, piece, hall, now):
@@ -168,3 +155,31 @@
     waits_s = sorted(replay(1.1).waits_s)
     # 1.43 s where pieces never wait for a hall, 1.48 s here.
     assert waits_s[int(len(waits_s) * 0.9)] < 1.6
+
+
+def take_elsewhere(input_bytes):
+    """Return what an endpoint takes of six requests whose inputs lie elsewhere."""
+    now = 0.15
+    queue = PieceQueue()
+    for number in range(6 * PIECES):
+        waiting = task(number // PIECES, number % PIECES, HALLS[0], now)
+        near_bytes_by_hall = {HALLS[0]: input_bytes}
+        queue.push(
+            msgspec.structs.replace(waiting, near_bytes_by_hall=near_bytes_by_hall)
+        )
+    return queue.take(
+        limits=LIMITS,
+        now=now,
+        room_bytes=LIMITS.room_bytes,
+        endpoint_id=EndpointId("e1"),
+        hall=HALLS[1],
+        endpoints=21,
+        waits_for_other_hall=lambda chunk: chunk.waits_for_other_hall(
+            HALLS[1], {HALLS[0]: 0.05}, LIMITS, now
+        ),
+    )
+
+
+def test_pieces_that_read_little_fill_calls_in_a_large_group():
+    assert len(take_elsewhere(4_000)) == 2 * PIECES
+    assert len(take_elsewhere(INPUT_BYTES)) == 0
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_limits.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_limits.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from leadford.common import EndpointId, HallId
 from leadford.forwarding.batching import (
     call_limit_s,
     engine_fetches_at_once,
@@ -11,13 +10,10 @@
     stages_end_in_time,
 )
 from leadford.forwarding.endpoints import (
-    EndpointAddress,
-    EndpointRecord,
-    ListedEndpoint,
-    ListedState,
     ReportedLoad,
 )
-from leadford.forwarding.routes import PieceLimits, ServiceId
+from leadford.forwarding.routes import PieceLimits
+from leadford_standins.records import endpoint_record
 
 LIMITS = PieceLimits(
     slots=1,
@@ -31,16 +27,7 @@
 
 
 def engine(running, waiting, slots, in_flight=0):
-    record = EndpointRecord(
-        listed=ListedEndpoint(
-            endpoint_id=EndpointId("e"),
-            service_id=ServiceId("s"),
-            address=EndpointAddress("10.0.0.1:80"),
-            hall=HallId("h"),
-            state=ListedState.READY,
-            slots=slots,
-        )
-    )
+    record = endpoint_record("e", slots=slots)
     record.in_flight_ = in_flight
     record.record_load(ReportedLoad(running, waiting, slots), 0.0)
     return record
