--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
@@ -5,19 +5,13 @@
 
 import pytest
 
-from leadford.common import EndpointId, HallId, RequestId
-from leadford.forwarding.endpoints import (
-    EndpointAddress,
-    EndpointRecord,
-    ListedEndpoint,
-    ListedState,
-)
-from leadford.forwarding.routes import ServiceId
+from leadford.common import RequestId
 from leadford_platform import PlatformRequests
 from leadford_server.forwarding import OutboundRequest
 from leadford_server.forwarding.endpoints._connection import EndpointConnection
 from leadford_server.forwarding.endpoints._pool import ConnectionPool
 from leadford_server.forwarding.endpoints._reader import BreakKind, ExchangeBroken
+from leadford_standins.records import endpoint_record
 
 ID = RequestId("r1")
 REQUEST = OutboundRequest("GET", "/x", [("Host", "a"), ("X-Attempt-Id", ID)])
@@ -181,16 +175,7 @@
 
 
 def record_at(port):
-    return EndpointRecord(
-        listed=ListedEndpoint(
-            endpoint_id=EndpointId("e"),
-            service_id=ServiceId("s"),
-            address=EndpointAddress(f"127.0.0.1:{port}"),
-            hall=HallId("h"),
-            state=ListedState.READY,
-            slots=1,
-        )
-    )
+    return endpoint_record("e", address=f"127.0.0.1:{port}")
 
 
 def test_the_pool_keeps_to_its_share_of_connections():
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_choice.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_choice.py
@@ -2,35 +2,22 @@
 
 from random import Random
 
-from leadford.common import EndpointId, HallId
+from leadford.common import HallId
 from leadford.forwarding.endpoints import (
-    EndpointAddress,
     EndpointChooser,
     EndpointFailure,
-    EndpointRecord,
     EngineChooser,
-    ListedEndpoint,
-    ListedState,
     PromptPart,
     PromptShape,
     ReportedLoad,
 )
-from leadford.forwarding.routes import ServiceId
+from leadford_standins.records import endpoint_record
 
 HALL = HallId("near")
 
 
 def record(name, hall="near", slots=4):
-    return EndpointRecord(
-        listed=ListedEndpoint(
-            endpoint_id=EndpointId(name),
-            service_id=ServiceId("s"),
-            address=EndpointAddress("10.0.0.1:80"),
-            hall=HallId(hall),
-            state=ListedState.READY,
-            slots=slots,
-        )
-    )
+    return endpoint_record(name, hall=hall, slots=slots)
 
 
 def test_the_near_idle_endpoint_is_chosen():
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_placement.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_placement.py
@@ -8,18 +8,14 @@
 
 from leadford.common import EndpointId, EntryId, HallId
 from leadford.forwarding.endpoints import (
-    EndpointAddress,
-    EndpointRecord,
     EngineChooser,
-    ListedEndpoint,
-    ListedState,
     PlacedId,
     PlacedPrompts,
     PromptPart,
     PromptShape,
 )
 from leadford.forwarding.endpoints._placement import FORGOTTEN_S
-from leadford.forwarding.routes import ServiceId
+from leadford_standins.records import endpoint_record
 
 ENGINES = 39
 ENTRIES = 60
@@ -33,16 +29,7 @@
 
 
 def record(number):
-    return EndpointRecord(
-        listed=ListedEndpoint(
-            endpoint_id=EndpointId(f"e{number}"),
-            service_id=ServiceId("engine"),
-            address=EndpointAddress(f"10.0.0.{number}:80"),
-            hall=HallId("h"),
-            state=ListedState.READY,
-            slots=48,
-        )
-    )
+    return endpoint_record(f"e{number}", slots=48)
 
 
 def prompt(random):
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_pools.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_pools.py
@@ -10,33 +10,20 @@
 
 from leadford.common import EndpointId, HallId
 from leadford.forwarding.endpoints import (
-    EndpointAddress,
-    EndpointRecord,
     EngineChooser,
-    ListedEndpoint,
-    ListedState,
     PromptPart,
     PromptShape,
     pool_count,
 )
 from leadford.forwarding.endpoints._pools import POOL_MOST, EnginePools
-from leadford.forwarding.routes import ServiceId
+from leadford_standins.records import endpoint_record
 
 ENGINES = 1_200
 MEMORY_TOKENS = 266_000
 
 
 def record(number):
-    return EndpointRecord(
-        listed=ListedEndpoint(
-            endpoint_id=EndpointId(f"e{number}"),
-            service_id=ServiceId("engine"),
-            address=EndpointAddress("10.0.0.1:80"),
-            hall=HallId(f"h{number % 6}"),
-            state=ListedState.READY,
-            slots=48,
-        )
-    )
+    return endpoint_record(f"e{number}", hall=f"h{number % 6}", slots=48)
 
 
 def prompt(subject):
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_record.py
@@ -2,15 +2,10 @@
 
 import pytest
 
-from leadford.common import EndpointId, HallId
 from leadford.forwarding.endpoints import (
-    EndpointAddress,
     EndpointFailure,
-    EndpointRecord,
-    ListedEndpoint,
-    ListedState,
 )
-from leadford.forwarding.routes import ServiceId
+from leadford_standins.records import endpoint_record
 
 AT_ONCE = [EndpointFailure.LOST, EndpointFailure.SILENT, EndpointFailure.BROKEN_OFF]
 WHEN_REPEATED = [kind for kind in EndpointFailure if kind not in AT_ONCE]
@@ -18,16 +13,7 @@
 
 @pytest.fixture
 def record():
-    return EndpointRecord(
-        listed=ListedEndpoint(
-            endpoint_id=EndpointId("a"),
-            service_id=ServiceId("s"),
-            address=EndpointAddress("10.0.0.1:80"),
-            hall=HallId("h"),
-            state=ListedState.READY,
-            slots=4,
-        )
-    )
+    return endpoint_record("a", slots=4)
 
 
 @pytest.mark.parametrize("failure", AT_ONCE)
--- a/packages/leadford/src/leadford/forwarding/retries/tests/test_limits.py
+++ b/packages/leadford/src/leadford/forwarding/retries/tests/test_limits.py
@@ -3,13 +3,6 @@
 import msgspec
 import pytest
 
-from leadford.common import EndpointId, HallId
-from leadford.forwarding.endpoints import (
-    EndpointAddress,
-    EndpointRecord,
-    ListedEndpoint,
-    ListedState,
-)
 from leadford.forwarding.retries import (
     AttemptTiming,
     answer_due_at,
@@ -25,6 +18,7 @@
     ServiceId,
     WeightedService,
 )
+from leadford_standins.records import endpoint_record
 
 SAFE = Route(
     route_id=RouteId("r"),
@@ -43,16 +37,7 @@
 
 
 def record(name, latencies_ms):
-    found = EndpointRecord(
-        listed=ListedEndpoint(
-            endpoint_id=EndpointId(name),
-            service_id=ServiceId("s"),
-            address=EndpointAddress("10.0.0.1:80"),
-            hall=HallId("h"),
-            state=ListedState.READY,
-            slots=4,
-        )
-    )
+    found = endpoint_record(name, slots=4)
     for latency_ms in latencies_ms:
         found.record_success(latency_ms)
     return found
