--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_relays.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_relays.py
@@ -13,9 +13,10 @@
 from urllib.parse import parse_qs, urlsplit
 
 import pytest
+from prometheus_client import REGISTRY
 from returns.result import Failure, Success
 
-from leadford.common import EntryId, HallId
+from leadford.common import EntryId, HallId, pack
 from leadford.events import Event
 from leadford.protocol import PROTOCOL_FLEET, PROTOCOL_PACKED, PackedChanges
 from leadford_platform import PlatformObjects
@@ -301,6 +302,28 @@
     assert len(sent[0].changes) < 40_000
 
 
+def test_changes_are_counted_by_whether_they_were_news():
+    def counted():
+        names = ("taken", "known", "gap")
+        labels = [{"kind": KIND, "end": name} for name in names]
+        return [
+            REGISTRY.get_sample_value("leadford_relayed_news_total", label) or 0.0
+            for label in labels
+        ]
+
+    async def run():
+        entry = Entry(FOLLOWERS, Store(1_000.0))
+        assert await entry.follower._list()
+        handle = entry.relays.handlers()[PackedChanges]
+        sender = SimpleNamespace(info=SimpleNamespace(peer_id="e0"))
+        for after, revision in [(5, 7), (5, 7), (9, 12)]:
+            handle(sender, PackedChanges(KIND, after, revision, 0.0, pack([])))
+
+    before = counted()
+    run_simulated(run())
+    assert [now - then for now, then in zip(counted(), before, strict=True)] == [1] * 3
+
+
 def test_changes_that_cannot_be_read_change_nothing():
     reported = []
 
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_placing.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_placing.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from prometheus_client import REGISTRY
+
 from leadford.forwarding.endpoints import PromptShape
 from leadford.forwarding.routes import ServiceId
 from leadford_standins.wire import event_ids, play
@@ -9,6 +11,7 @@
 ENTRIES = 9
 ENGINE = ServiceId("engine")
 PROMPT = PromptShape((), 100)
+ENDS = ("placed", "no answer", "not usable")
 
 
 def placer(deployment):
@@ -42,6 +45,11 @@
     await deployment.until(agree)
 
 
+def placed_total(end):
+    """Return how many prompts are counted with an end."""
+    return REGISTRY.get_sample_value("leadford_placed_total", {"end": end}) or 0.0
+
+
 def placed_by_id(deployment):
     return deployment.entries_[placer(deployment)].links_.placing.placed.placed_by_id_
 
@@ -60,6 +68,7 @@
 
         placing._choose = choose_and_note
         others = [n for n in range(ENTRIES) if n != placer(deployment)]
+        before = {end: placed_total(end) for end in ENDS}
         for number in others:
             answer = await deployment.send(
                 "/once/x", request_id=f"r{number}", entry=number
@@ -67,6 +76,10 @@
             assert answer.code == 200
             assert event_ids(answer.body)
         assert len(chosen) == len(others)
+        # Where the machine is busy an answer may come too late.
+        ended = {end: placed_total(end) - before[end] for end in ENDS}
+        assert sum(ended.values()) == len(others)
+        assert ended["placed"] > 0
         # Each prompt was told to be read.
         await deployment.until(lambda: not placed_by_id(deployment))
 
@@ -86,10 +99,12 @@
         for kind in placing.handlers():
             links.handlers_[kind] = ignore
         other = (number + 1) % ENTRIES
+        before = placed_total("no answer")
         answer = await deployment.send("/once/x", request_id="r", entry=other)
         assert answer.code == 200
         waiting = deployment.entries_[other].links_.placing.answers_by_id_
         assert waiting == {}
+        assert placed_total("no answer") == before + 1
 
     play(scenario, entries=ENTRIES)
 
