Keep what an entry knows of the fleet in a module of its own

No behaviour is changed. Now the watch that waits is never answered, those after it are, as the test of configurations has it; the change has to be known within the same bound. So the deaf watch is met each time, which is stricter.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -231,7 +231,7 @@
     def _on_members(self, entries_by_id: dict[EntryId, KnownEntry]) -> None:
         """Share the bounds of the fleet over the entries that exist."""
         self.state_.set_entries(set(entries_by_id) | {self.settings.entry_id})
-        self.links_.set_known_entries(entries_by_id)
+        self.links_.fleet.set_known_entries(entries_by_id)
 
     @property
     def is_ready(self) -> bool:
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
@@ -0,0 +1,99 @@
+"""Know which entries exist and which groups of endpoints they share.
+
+Owns the entries that the store or a peer named. Puts them, with the listing and the
+configuration, to the rules of `leadford.forwarding.membership`: whom to link to, who
+follows the store, who places prompts. Who of them lives is known to `_links`.
+"""
+
+from leadford.common import EntryId, HallId
+from leadford.forwarding.batching import GroupId
+from leadford.forwarding.membership import (
+    placed_group,
+    placed_groups,
+    store_followers,
+    wanted_peers,
+)
+from leadford.forwarding.routes import Service, ServiceId
+from leadford_server.forwarding._contract import KnownEntry
+from leadford_server.forwarding._state import ForwardState
+
+
+class FleetView:
+    """Say which entries work together, by what this entry knows of the fleet."""
+
+    def __init__(self, *, state: ForwardState) -> None:
+        self.state = state
+        self.entries_by_id_: dict[EntryId, KnownEntry] = {}
+
+    def set_known_entries(self, entries: dict[EntryId, KnownEntry]) -> None:
+        """Record which entries exist."""
+        self.entries_by_id_.clear()
+        self.entries_by_id_.update(entries)
+        self.entries_by_id_.pop(self.state.entry_id, None)
+
+    def entry_count(self) -> int:
+        """Return how many entries exist, this one too."""
+        return 1 + len(self.entries_by_id_)
+
+    def halls_by_entry(self) -> dict[EntryId, HallId]:
+        """Return the hall of each entry that exists, this one too."""
+        halls = {entry.entry_id: entry.hall for entry in self.entries_by_id_.values()}
+        halls[self.state.entry_id] = self.state.hall
+        return halls
+
+    def wanted_peers(self) -> set[EntryId]:
+        """Return the entries to hold links to."""
+        groups = self.stage_groups() | self.engine_groups() | {self._own_region()}
+        return wanted_peers(
+            self.state.entry_id, self.halls_by_entry(), groups, self.state.regions
+        )
+
+    def followers(self) -> set[EntryId]:
+        """Return the entries that follow the store for all."""
+        groups = self.stage_groups() or {self._own_region()}
+        return store_followers(self.halls_by_entry(), groups, self.state.regions)
+
+    def stage_groups(self) -> set[GroupId]:
+        """Return the groups of endpoints of stages."""
+        found = set()
+        now = self.state.now()
+        for service in self._services():
+            if service.pieces is None:
+                continue
+            found.update(self.state.groups_.usable_by_group(service.service_id, now))
+        return found
+
+    def engine_groups(self) -> set[GroupId]:
+        """Return the groups of engines whose prompts one entry places."""
+        found = set()
+        for service in self._services():
+            if service.engine is None:
+                continue
+            found |= placed_groups(
+                service.service_id,
+                self.state.roster_.listed_by_hall(service.service_id),
+                self.halls_by_entry(),
+                self.state.regions,
+            )
+        return found
+
+    def engine_group(self, service_id: ServiceId, pool_key: str) -> GroupId | None:
+        """Return the group of engines for a prompt, if one entry places for all."""
+        service = self.state.service(service_id)
+        if service is None or service.engine is None:
+            return None
+        return placed_group(
+            service_id,
+            self.state.roster_.listed_by_hall(service_id),
+            self.halls_by_entry(),
+            self.state.regions,
+            pool_key=pool_key,
+        )
+
+    def _services(self) -> list[Service]:
+        table = self.state.table_
+        return [] if table is None else list(table.config.services_by_id.values())
+
+    def _own_region(self) -> GroupId:
+        """Return a group of no service; all entries of a region link its candidates."""
+        return GroupId(ServiceId(""), self.state.regions.region(self.state.hall))
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -1,8 +1,8 @@
 """Hold the links to other entries: who is dialled, who lives, who handles a message.
 
 Owns the connections to peers and when each was last heard, which says who is alive; the
-store only says who exists. What travels over the links is left to `_heartbeats`,
-`_pieces` and `_news`.
+store only says who exists, which `_fleet` knows. What travels over the links is left to
+`_heartbeats`, `_pieces` and `_news`.
 """
 
 import asyncio
@@ -11,17 +11,9 @@
 
 from leadford.common import EntryId, HallId
 from leadford.events import Event
-from leadford.forwarding.batching import GroupId
 from leadford.forwarding.endpoints import ListedEndpoint
-from leadford.forwarding.membership import (
-    is_live,
-    is_silent,
-    placed_group,
-    placed_groups,
-    store_followers,
-    wanted_peers,
-)
-from leadford.forwarding.routes import ForwardConfig, ServiceId
+from leadford.forwarding.membership import is_live, is_silent
+from leadford.forwarding.routes import ForwardConfig
 from leadford.protocol import (
     PROTOCOL_EVACUATIONS,
     PROTOCOL_FLEET,
@@ -34,6 +26,7 @@
 from leadford_server.forwarding._peers import MessageHandlers
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching import PieceExchange, StageRunner
+from leadford_server.forwarding.membership._fleet import FleetView
 from leadford_server.forwarding.membership._heartbeats import Heartbeats
 from leadford_server.forwarding.membership._news import NewsExchange
 from leadford_server.forwarding.membership._placing import EnginePlacing
@@ -78,7 +71,7 @@
         self.address = address
         self.halls = halls
         self.identity = Identity(entry_id, "entry", state.hall, secret)
-        self.entries_by_id_: dict[EntryId, KnownEntry] = {}
+        self.fleet = FleetView(state=state)
         self.dialers_by_id_: dict[EntryId, Dialer] = {}
         self.peers_by_id_: dict[EntryId, PeerConnection] = {}
         self.heard_at_by_id_: dict[EntryId, float] = {}
@@ -92,7 +85,7 @@
         self.news = NewsExchange(
             own=KnownEntry(entry_id, str(address), state.hall),
             state=state,
-            entries_by_id=self.entries_by_id_,
+            entries_by_id=self.fleet.entries_by_id_,
             on_config=on_config,
             on_listing=on_listing,
             on_entries=on_entries,
@@ -101,13 +94,13 @@
             state=state,
             config_kind=config_kind,
             peers_by_id=self.peers_by_id_,
-            followers=self._followers,
-            entry_count=lambda: 1 + len(self.entries_by_id_),
+            followers=self.fleet.followers,
+            entry_count=self.fleet.entry_count,
         )
         self.placing = EnginePlacing(
             state=state,
             peers_by_id=self.peers_by_id_,
-            group_of=self._engine_group,
+            group_of=self.fleet.engine_group,
             placer_of=stages.groups.scheduler_of,
         )
         state.placing_ = self.placing
@@ -155,75 +148,8 @@
             spread = self.random.uniform(*HEARTBEAT_SPREAD)
             await asyncio.sleep(HEARTBEAT_S * spread)
 
-    def set_known_entries(self, entries: dict[EntryId, KnownEntry]) -> None:
-        """Record which entries exist."""
-        self.entries_by_id_.clear()
-        self.entries_by_id_.update(entries)
-        self.entries_by_id_.pop(self.entry_id, None)
-
-    def _wanted_peers(self) -> set[EntryId]:
-        """Return the entries to hold links to."""
-        groups = self._groups() | self._engine_groups() | {self._own_region()}
-        return wanted_peers(
-            self.entry_id, self._halls_by_entry(), groups, self.state.regions
-        )
-
-    def _own_region(self) -> GroupId:
-        """Return a group of no service; all entries of a region link its candidates."""
-        return GroupId(ServiceId(""), self.state.regions.region(self.state.hall))
-
-    def _engine_groups(self) -> set[GroupId]:
-        """Return the groups of engines whose prompts one entry places."""
-        table = self.state.table_
-        services = table.config.services_by_id if table is not None else {}
-        found = set()
-        for service_id, service in services.items():
-            if service.engine is None:
-                continue
-            halls = self.state.roster_.listed_by_hall(service_id)
-            found |= placed_groups(
-                service_id, halls, self._halls_by_entry(), self.state.regions
-            )
-        return found
-
-    def _engine_group(self, service_id: ServiceId, pool_key: str) -> GroupId | None:
-        """Return the group of engines for a prompt, if one entry places for all."""
-        service = self.state.service(service_id)
-        if service is None or service.engine is None:
-            return None
-        return placed_group(
-            service_id,
-            self.state.roster_.listed_by_hall(service_id),
-            self._halls_by_entry(),
-            self.state.regions,
-            pool_key=pool_key,
-        )
-
-    def _followers(self) -> set[EntryId]:
-        """Return the entries that follow the store for all."""
-        groups = self._groups() or {self._own_region()}
-        return store_followers(self._halls_by_entry(), groups, self.state.regions)
-
-    def _halls_by_entry(self) -> dict[EntryId, HallId]:
-        """Return the hall of each entry that exists, this one too."""
-        halls = {entry.entry_id: entry.hall for entry in self.entries_by_id_.values()}
-        halls[self.entry_id] = self.state.hall
-        return halls
-
-    def _groups(self) -> set[GroupId]:
-        table = self.state.table_
-        if table is None:
-            return set()
-        found = set()
-        now = self.state.now()
-        for service in table.config.services_by_id.values():
-            if service.pieces is None:
-                continue
-            found.update(self.state.groups_.usable_by_group(service.service_id, now))
-        return found
-
     def _dial(self) -> None:
-        wanted = self._wanted_peers()
+        wanted = self.fleet.wanted_peers()
         for entry_id in set(self.dialers_by_id_) - wanted:
             dialer = self.dialers_by_id_.pop(entry_id)
             asyncio.ensure_future(dialer.stop())
@@ -232,7 +158,7 @@
             if self.is_live(entry_id, now):
                 continue
             dialer = Dialer(
-                address=self.entries_by_id_[entry_id].address,
+                address=self.fleet.entries_by_id_[entry_id].address,
                 identity=self.identity,
                 handler=self,
                 log=self.state.log,
@@ -246,7 +172,7 @@
     def _send_heartbeats(self) -> None:
         """Send a heartbeat to each peer, and leave those that are silent for long."""
         now = self.state.now()
-        groups = self._groups()
+        groups = self.fleet.stage_groups()
         backlog = self.heartbeats.make_backlog(groups)
         message = self.heartbeats.make(groups, is_draining=self.is_draining_)
         told = [self.relays.confirmations(), backlog]
@@ -273,7 +199,7 @@
         now = self.state.now()
         return {
             entry_id: entry.hall
-            for entry_id, entry in self.entries_by_id_.items()
+            for entry_id, entry in self.fleet.entries_by_id_.items()
             if self.is_live(entry_id, now) and entry_id not in self.draining_ids_
         }
 
--- a/packages/leadford-standins/src/leadford_standins/wire/_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -164,9 +164,9 @@
     async def _watch(self, kind: str, revision: int) -> None:
         wait_s = int(self.get_query_argument("waitMs", "1000")) / 1_000.0
         until = asyncio.get_running_loop().time() + wait_s
-        while self.store.has_deaf_watches:
-            await asyncio.sleep(DEAF_CHECK_S)
         while True:
+            while self.store.has_deaf_watches:
+                await asyncio.sleep(DEAF_CHECK_S)
             changed = self.store.changed_
             events = self.store.events_after(kind, revision)
             if events is None:
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_evacuations.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_evacuations.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from leadford_server.forwarding.store import _follow
 from leadford_standins.wire import StoreFault, play
 
 HALL = "hall-0"
@@ -135,10 +136,13 @@
 def test_a_watch_that_hears_nothing_is_over_within_the_bound():
     async def scenario(deployment):
         (entry,) = deployment.entries_
+        # The watch that waits now is never answered; those after it are.
         deployment.store.has_deaf_watches = True
         began_at = now()
         deployment.store.put("evacuations", HALL, {})
         deployment.store.forget_history()
+        await asyncio.sleep(_follow.WATCH_S + 0.2)
+        deployment.store.has_deaf_watches = False
         await deployment.until(lambda: evacuated_at(entry))
         assert now() - began_at < EVACUATE_S
 
