Log which requests ran when a connection to an endpoint ended, and what work they are

Ruled out: raising the detail of event 406 alone, which names neither the endpoint that was lost nor how far the answer had come. Change: event 409 (request, digest, endpoint, cause, whether head and events had come, how long it ran), and the digest in event 406. No decision reads either.

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -11,6 +11,7 @@
 from leadford.common import EndpointId
 from leadford.events import Event
 from leadford.forwarding.answers import EndReason, RequestOutcome
+from leadford.forwarding.quarantine import RequestContent, RequestDigest
 from leadford.forwarding.retries import RetryReason
 from leadford.forwarding.routes import Route, RouteMatch, ServiceId
 from leadford_server.forwarding._contract import InboundRequest
@@ -44,6 +45,7 @@
     def __init__(self, *, request: InboundRequest) -> None:
         self.request = request
         self.match_: RouteMatch | None = None
+        self.digest_ = RequestDigest("")
         self.deadline_ = 0.0
         self.expected_s_ = 0.0
         self.first_try_s_ = 0.0
@@ -62,6 +64,19 @@
         self.last_event_at_: float | None = None
         self.longest_pause_s_ = 0.0
 
+    def record_match(self, match: RouteMatch) -> None:
+        """Record which route was found, and what work the request is."""
+        self.match_ = match
+        request = self.request
+        content = RequestContent(
+            request.method,
+            request.host,
+            request.target,
+            match.workspace_id or "",
+            request.body,
+        )
+        self.digest_ = content.digest()
+
     def record_event_passed_on(self, now: float) -> None:
         """Record that the caller was sent an event; the longest pause is logged."""
         if self.last_event_at_ is not None:
@@ -101,6 +116,7 @@
         request=request.request_id,
         **_match_fields(match, request.piece_counts),
         fingerprint=request.fingerprint,
+        digest=progress.digest_,
         endpoints=",".join(progress.tried_),
         status=end.status,
         outcome=end.outcome.value,
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
@@ -84,6 +84,9 @@
         try:
             async with asyncio.timeout_at(limit_at):
                 await attempt.answer.wait_whole()
+        except ExchangeBroken:
+            self.attempts.record_broken(attempt)
+            raise
         except TimeoutError as error:
             self.attempts.record_failure(attempt.record, EndpointFailure.SLOW)
             raise ExchangeBroken(BreakKind.LOST, "slow") from error
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -108,7 +108,7 @@
                 request.host, request.path, request.api_key, self.state.random
             )
         if isinstance(found, Success):
-            self.progress.match_ = found.unwrap()
+            self.progress.record_match(found.unwrap())
         start = decide_start(found, self.state.age(), request.deadline_ms)
         if isinstance(start, Failure):
             self._deny_start(start.failure(), found)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -60,6 +60,8 @@
                 continue
             try:
                 is_whole = await self._pass_stream(attempt)
+                if not is_whole:
+                    self.attempts.record_broken(attempt)
             finally:
                 self.attempts.release(attempt)
             if is_whole:
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -97,6 +97,14 @@
             return False
         return not self.stream.has_leftover()
 
+    @property
+    def end_cause(self) -> str:
+        """Return what the connection ended by, for the log: the name of an error."""
+        if not self.stream.closed():
+            return "open"
+        error = self.stream.error
+        return "closed" if error is None else type(error).__name__
+
     async def begin(
         self, request: OutboundRequest, request_id: RequestId | None
     ) -> LiveAnswer:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -79,6 +79,8 @@
         try:
             answer = await self._send(record, connection, limit_at)
         except ExchangeBroken as failure:
+            if failure.kind is BreakKind.LOST:
+                self._log_lost(borrowed, has_head=False)
             self._abandon(record, connection)
             self.record_failure(record, _FAILURE_BY_BREAK[failure.kind])
             if failure.kind is BreakKind.NOT_SENT:
@@ -193,6 +195,39 @@
                 request=self.progress.request.request_id,
             )
 
+    def record_broken(self, attempt: Attempt) -> None:
+        """Record that an answer broke off; call it before the connection is released.
+
+        An answer that merely stays silent has not broken off.
+        """
+        if not attempt.answer.reader.is_broken_:
+            return
+        self._log_lost(
+            BorrowedConnection(attempt.record, attempt.connection, attempt.began_at),
+            has_head=True,
+        )
+
+    def _log_lost(self, lost: BorrowedConnection, *, has_head: bool) -> None:
+        """Log that the connection of an attempt ended before its answer did.
+
+        Without this line it cannot be told afterwards which requests ran at an endpoint
+        that ended, nor how far each had come.
+        """
+        progress = self.progress
+        now = self.state.now()
+        last_event_at = progress.last_event_at_
+        self.state.log.report(
+            Event.ATTEMPT_LOST,
+            request=progress.request.request_id,
+            digest=progress.digest_,
+            endpoint=lost.record.listed.endpoint_id,
+            service=lost.record.listed.service_id,
+            cause=lost.connection.end_cause,
+            has_head=has_head,
+            has_events=last_event_at is not None and last_event_at >= lost.began_at,
+            ran_ms=round((now - lost.began_at) * 1_000.0),
+        )
+
     def record_first_token(self, elapsed_s: float) -> None:
         """Record that an engine has read the prompt, and how long it took."""
         if self.sent_prompt_ is not None:
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -49,6 +49,7 @@
     FORWARD_ENDED = (406, Severity.INFO, "A forwarded request has its final answer.")
     PIECES_CALLED = (407, Severity.INFO, "A call for pieces of stages ended.")
     PIECE_REMADE = (408, Severity.INFO, "A piece of a stage is made again.")
+    ATTEMPT_LOST = (409, Severity.INFO, "A connection ended under a request.")
     STORE_UNAVAILABLE = (500, Severity.WARNING, "The store did not answer.")
     STORE_BACK = (501, Severity.INFO, "The store answers again.")
     CLAIM_CONFLICT = (502, Severity.INFO, "Another writer appended claims first.")
