--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+from functools import partial
 from random import Random
 
 from returns.result import Success
@@ -108,6 +109,8 @@
         self.config = default_config()
         self.store = StoreStandIn()
         self.entries_: list[ForwardProcess] = []
+        # Every endpoint that ended under a request.
+        self.ended_: list[PlainStandIn] = []
 
     async def __aenter__(self) -> "Deployment":
         self.store_address_ = self.store.start()
@@ -136,6 +139,32 @@
             await endpoint.stop()
         self.store.stop()
 
+    def end_on(self, body: bytes, *, back_s: float) -> None:
+        """Let each endpoint end as soon as it runs a request with a body.
+
+        It is back after some seconds, as another start with another id.
+        """
+        for endpoint in [*self.plain, *self.engines]:
+            endpoint.ends_on_.add(body)
+            endpoint.on_end_ = partial(self._start_again, endpoint, back_s)
+
+    def _start_again(self, ended: PlainStandIn, back_s: float) -> None:
+        """Record that an endpoint ended, and start another in its place."""
+        self.ended_.append(ended)
+        loop = asyncio.get_running_loop()
+        loop.call_later(back_s, self._replace, ended, back_s)
+
+    def _replace(self, ended: PlainStandIn, back_s: float) -> None:
+        group = self.plain if ended in self.plain else self.engines
+        if ended not in group:
+            return
+        again = ended.another_start()
+        again.on_end_ = partial(self._start_again, again, back_s)
+        group[group.index(ended)] = again
+        again.start()
+        self.store.delete("servers", ended.endpoint_id)
+        self.store.put("servers", again.endpoint_id, again.spec())
+
     def all_endpoints(self) -> list[PlainStandIn]:
         """Return every endpoint."""
         return [*self.plain, *self.stage, *self.engines]
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -8,6 +8,7 @@
 import itertools
 import json
 from collections import deque
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -66,6 +67,9 @@
         self.arrived_: list[Arrival] = []
         self.misbehaved_by_request_: dict[str, Misbehaviour] = {}
         self.left_early_ = 0
+        # The process ends as soon as it runs a request with one of these bodies.
+        self.ends_on_: set[bytes] = set()
+        self.on_end_: Callable[[], None] | None = None
 
     def start(self) -> str:
         """Listen on loopback and return the address."""
@@ -84,6 +88,20 @@
         self.server_.stop()
         await self.server_.close_all_connections()
 
+    def another_start(self) -> "PlainStandIn":
+        """Return what comes in place of one that ended; it holds nothing of before."""
+        again = type(self)(service=self.service, hall=self.hall, work_s=self.work_s)
+        again.ends_on_ = self.ends_on_
+        return again
+
+    def end(self) -> None:
+        """End as a process does that crashes: every connection closes at once."""
+        self.server_.stop()
+        for connection in list(self.server_._connections):
+            connection.stream.close()
+        if self.on_end_ is not None:
+            self.on_end_()
+
     def take_misbehaviour(self) -> Misbehaviour:
         """Return what goes wrong with the next request."""
         return self.next_.popleft() if self.next_ else Misbehaviour.NONE
@@ -213,6 +231,11 @@
         if self.misbehaviour is Misbehaviour.REFUSE:
             self.refuse(503)
             return
+        if self.request.body in endpoint.ends_on_:
+            self.record_run()
+            self._finished = True
+            endpoint.end()
+            return
         if self.misbehaviour is Misbehaviour.FAIL:
             self.record_run()
             self.set_status(500)
--- a/packages/leadford-standins/src/leadford_standins/wire/_engines.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_engines.py
@@ -71,6 +71,19 @@
         self.makers = makers or []
         self.kept_ = KeptParts(memory_tokens=memory_tokens)
 
+    def another_start(self) -> "EngineStandIn":
+        """Return what comes in place of one that ended; it holds nothing of before."""
+        again = EngineStandIn(
+            events=self.events,
+            wants_inputs=self.wants_inputs,
+            makers=self.makers,
+            service=self.service,
+            hall=self.hall,
+        )
+        again.pause_s = self.pause_s
+        again.ends_on_ = self.ends_on_
+        return again
+
     def event(self, number: int, request: HTTPServerRequest) -> str:
         """Return one event of a stream."""
         return f"id: {number}\ndata: token {number}\n\n"
