Send a request to no endpoint once endpoints ended under it three times

Cause: nothing remembered, across copies of a caller and across entries, under which work endpoints ended (hypothesis 1; hypothesis 2 falls with one digest at each end, 40 to 90 ms after it began to run). Class: a bound that is counted for one request or one service, where the harm follows the work. Ruled out: a lower retry budget, which refuses innocents; refusing after two ends, which refuses more of them. Change: each entry keeps cases (endpoint closed a connection under a work), tells peers in the same turn, followers of the store pass them on, new peers are told; what is answered, or proves to live on, takes cases back; known work explains half of the cases of others; under suspicion a request runs apart, by chance; with three ends it is refused at once, before stages and before each attempt.

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -11,9 +11,9 @@
 from leadford.common import EndpointId
 from leadford.events import Event
 from leadford.forwarding.answers import EndReason, RequestOutcome
-from leadford.forwarding.quarantine import RequestContent, RequestDigest
 from leadford.forwarding.retries import RetryReason
 from leadford.forwarding.routes import Route, RouteMatch, ServiceId
+from leadford.quarantine import RequestContent, RequestDigest
 from leadford_server.forwarding._contract import InboundRequest
 from leadford_server.logs import EventLog
 from leadford_server.metrics import FORWARD_SECONDS, FORWARDED_TOTAL
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -32,6 +32,7 @@
 from leadford_server.forwarding._contract import RequestCodec
 from leadford_server.forwarding.endpoints import ConnectionPool
 from leadford_server.logs import EventLog
+from leadford_server.quarantine import RequestQuarantine
 
 
 class ForwardBounds(msgspec.Struct, frozen=True):
@@ -120,6 +121,7 @@
         self.pool_ = ConnectionPool(codec=codec, loop=loop)
         self.budgets_ = RetryBudgets(make=self._new_budget)
         self.groups_ = GroupMap(regions=self.regions, roster=self.roster_)
+        self.quarantine_ = RequestQuarantine(now=self.now, random=random, log=log)
         self.first_byte_ = FirstByteTimes()
         self.reservations_ = RetryReservations()
         self.config_seen_at_: float | None = None
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
@@ -12,7 +12,9 @@
     RequestOutcome,
     final_answer,
     may_pass_on,
+    quarantined_text,
 )
+from leadford.forwarding.retries import RetryReason
 from leadford_server.forwarding._progress import RequestEnd, RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.answers._callers import CallerExchange
@@ -20,6 +22,8 @@
 from leadford_server.forwarding.retries import Attempt, EndpointAttempts
 
 STATUS_OK = 200
+CONTENT_IS_TEXT = ("Content-Type", "text/plain; charset=utf-8")
+QUARANTINED_DETAIL = "endpoints ended under this request each time it ran"
 
 
 class CallerAnswer:
@@ -87,8 +91,31 @@
         self.exchange.answer(head.status, head.headers, body, head.reason)
         self._set_end(RequestOutcome.ANSWERED, EndReason.ANSWERED, head.status, "")
 
+    def end_failed(self, detail: str) -> None:
+        """End the request after an attempt that no other one follows."""
+        if self.progress.retry_reason_ is RetryReason.QUARANTINED:
+            self.end_quarantined()
+            return
+        self.end(EndReason.ATTEMPTS_FAILED, detail)
+
+    def end_quarantined(self) -> None:
+        """End a request under which too many endpoints ended."""
+        verdict = self.state.quarantine_.verdict(self.progress.digest_)
+        may_have_run = self.progress.may_have_run_
+        self.end(
+            EndReason.QUARANTINED,
+            QUARANTINED_DETAIL,
+            verdict.retry_after_s,
+            body=quarantined_text(verdict.retry_after_s, may_have_run=may_have_run),
+        )
+
     def end(
-        self, reason: EndReason, detail: str, retry_after_s: float = RETRY_AFTER_S
+        self,
+        reason: EndReason,
+        detail: str,
+        retry_after_s: float = RETRY_AFTER_S,
+        *,
+        body: str = "",
     ) -> None:
         """End the request with an answer of our own."""
         answer = final_answer(
@@ -101,7 +128,9 @@
             self.exchange.abort()
         else:
             headers = self.state.codec.refusal(answer.retry_after_s)
-            self.exchange.answer(answer.status, headers)
+            if body:
+                headers = [*headers, CONTENT_IS_TEXT]
+            self.exchange.answer(answer.status, headers, body.encode())
         self._set_end(answer.outcome, reason, answer.status, detail)
 
     def _set_end(
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
@@ -6,7 +6,6 @@
 
 import asyncio
 
-from leadford.forwarding.answers import EndReason
 from leadford.forwarding.endpoints import EndpointFailure
 from leadford.forwarding.retries import (
     AttemptEnd,
@@ -64,7 +63,7 @@
         """Ask for another attempt, and end the request if there is none."""
         if self.attempts.ask_retry(end, detail).retry:
             return True
-        self.answer.end(EndReason.ATTEMPTS_FAILED, detail)
+        self.answer.end_failed(detail)
         return False
 
     def _limit_at(self) -> float:
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Awaitable, Callable
 
-from leadford.forwarding.answers import EndReason
 from leadford.forwarding.endpoints import EndpointFailure
 from leadford.forwarding.retries import AttemptEnd
 from leadford_server.forwarding._progress import RequestProgress
@@ -76,7 +75,7 @@
         end = AttemptEnd.INPUTS_GONE if failure.inputs_gone else AttemptEnd.NOT_RUN
         decision = self.attempts.ask_retry(end, failure.detail)
         if not decision.retry:
-            self.answer.end(EndReason.ATTEMPTS_FAILED, failure.detail)
+            self.answer.end_failed(failure.detail)
             return False
         if not decision.keeps_endpoint:
             return True
@@ -88,7 +87,7 @@
     async def _go_on_elsewhere(self, detail: str) -> bool:
         """Prepare another attempt of a stream that may have run, or end it."""
         if not self.attempts.ask_retry(AttemptEnd.MAY_HAVE_RUN, detail).retry:
-            self.answer.end(EndReason.ATTEMPTS_FAILED, detail)
+            self.answer.end_failed(detail)
             return False
         if self.progress.match_.route.stages:
             return await self.make_inputs()
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/__init__.py
@@ -3,7 +3,10 @@
 How many there may be is decided in `leadford.forwarding.endpoints`.
 """
 
-from leadford_server.forwarding.endpoints._connection import EndpointConnection
+from leadford_server.forwarding.endpoints._connection import (
+    ConnectionEnd,
+    EndpointConnection,
+)
 from leadford_server.forwarding.endpoints._pool import ConnectionPool
 from leadford_server.forwarding.endpoints._reader import (
     BreakKind,
@@ -13,6 +16,7 @@
 
 __all__ = [
     "BreakKind",
+    "ConnectionEnd",
     "ConnectionPool",
     "EndpointConnection",
     "ExchangeBroken",
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+from enum import Enum
 
 from tornado import http1connection, httputil, iostream
 from tornado.iostream import IOStream
@@ -34,6 +35,19 @@
 SILENCE_MS = 2_500
 
 
+class ConnectionEnd(Enum):
+    """Say what a connection ended by; the values stand in logs.
+
+    CLOSED and RESET are what a process does that ends. SILENT: the peer acknowledged
+    nothing for too long, as one without power or behind a cut.
+    """
+
+    OPEN = "open"
+    CLOSED = "closed"
+    RESET = "reset"
+    SILENT = "silent"
+
+
 class WatchedStream(IOStream):
     """Notice bytes that arrive while no answer is due."""
 
@@ -98,12 +112,16 @@
         return not self.stream.has_leftover()
 
     @property
-    def end_cause(self) -> str:
-        """Return what the connection ended by, for the log: the name of an error."""
+    def end(self) -> ConnectionEnd:
+        """Return what the connection ended by."""
         if not self.stream.closed():
-            return "open"
+            return ConnectionEnd.OPEN
         error = self.stream.error
-        return "closed" if error is None else type(error).__name__
+        if error is None:
+            return ConnectionEnd.CLOSED
+        if isinstance(error, ConnectionError):
+            return ConnectionEnd.RESET
+        return ConnectionEnd.SILENT
 
     async def begin(
         self, request: OutboundRequest, request_id: RequestId | None
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -26,6 +26,7 @@
 from leadford_server.forwarding._peers import MessageHandlers
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching import PieceExchange, StageRunner
+from leadford_server.forwarding.membership._crashes import CrashExchange
 from leadford_server.forwarding.membership._fleet import FleetView
 from leadford_server.forwarding.membership._heartbeats import Heartbeats
 from leadford_server.forwarding.membership._news import NewsExchange
@@ -97,6 +98,12 @@
             followers=self.fleet.followers,
             entry_count=self.fleet.entry_count,
         )
+        self.crashes = CrashExchange(
+            state=state,
+            peers_by_id=self.peers_by_id_,
+            passes_on=lambda: self.relays.follows,
+        )
+        state.quarantine_.on_news = self.crashes.tell
         self.placing = EnginePlacing(
             state=state,
             peers_by_id=self.peers_by_id_,
@@ -116,6 +123,7 @@
             **self.news.handlers(),
             **self.relays.handlers(),
             **self.placing.handlers(),
+            **self.crashes.handlers(),
         }
 
     async def start(self) -> None:
@@ -212,6 +220,7 @@
         # Before the configuration: budgets are shared by the entries that are known.
         self.news.send_entries(peer)
         self._tell_evacuations(peer, self.halls.report())
+        self.crashes.send_known(peer)
         peer.announce_version()
 
     def peer_lost(self, peer: PeerConnection) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -29,6 +29,7 @@
 from leadford_server.forwarding.batching import RequestInputs
 from leadford_server.forwarding.endpoints import (
     BreakKind,
+    ConnectionEnd,
     EndpointConnection,
     ExchangeBroken,
     LiveAnswer,
@@ -45,6 +46,9 @@
 # Milliseconds. An endpoint is never told that no time is left at all.
 REMAINING_LEAST_MS = 1.0
 
+# What the connections of a process end by that ends itself.
+ENDS_OF_PROCESSES = frozenset({ConnectionEnd.CLOSED, ConnectionEnd.RESET})
+
 _FAILURE_BY_BREAK = {
     BreakKind.NOT_SENT: EndpointFailure.LOST,
     BreakKind.LOST: EndpointFailure.LOST,
@@ -63,6 +67,8 @@
         self.progress = progress
         self.choice = EndpointChoice(state=state, inputs=inputs, progress=progress)
         self.sent_prompt_: SentPrompt | None = None
+        # Whether the attempt under way counts among those under suspicion.
+        self.is_suspect_ = False
 
     def choose(self) -> EndpointRecord | None:
         """Return the endpoint that another attempt would ask."""
@@ -80,7 +86,7 @@
             answer = await self._send(record, connection, limit_at)
         except ExchangeBroken as failure:
             if failure.kind is BreakKind.LOST:
-                self._log_lost(borrowed, has_head=False)
+                self._record_lost(borrowed, has_head=False)
             self._abandon(record, connection)
             self.record_failure(record, _FAILURE_BY_BREAK[failure.kind])
             if failure.kind is BreakKind.NOT_SENT:
@@ -95,6 +101,9 @@
         except BaseException:
             self._abandon(record, connection)
             raise
+        self.state.quarantine_.record_alive(
+            record.listed.endpoint_id, borrowed.began_at
+        )
         attempt = Attempt(record, connection, answer, borrowed.began_at)
         await self._check_head(attempt)
         return attempt
@@ -105,8 +114,11 @@
         One that says that it leaves while a connection is waited for may be long gone
         by its end, so another is chosen, and the first does not count as tried.
 
-        Errors: raises NotRun when there is no endpoint or no connection.
+        Errors: raises NotRun when there is no endpoint or no connection, or when too
+        many endpoints have ended under the request.
         """
+        if self.is_quarantined:
+            raise NotRun("quarantined")
         while True:
             record = await self.choice.choose_placed()
             if record is None:
@@ -123,13 +135,20 @@
             except BaseException:
                 self._abandon(record, None)
                 raise
-            if self.state.is_usable(record):
+            is_refused = self.is_quarantined
+            if self.state.is_usable(record) and not is_refused:
                 return BorrowedConnection(record, connection, began_at)
             # Nothing was sent, so the connection is as good as it was.
-            self.record_prompt_read()
-            record.in_flight_ -= 1
+            self._count_end(record)
             self.state.pool_.release(record, connection)
             self.progress.tried_.pop()
+            if is_refused:
+                raise NotRun("quarantined")
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Tell whether too many endpoints have ended under the request."""
+        return self.state.quarantine_.verdict(self.progress.digest_).refuses
 
     def is_out_of_time(self) -> bool:
         """Tell whether the request has to be ended now."""
@@ -151,6 +170,7 @@
             input_remakes=progress.input_remakes_,
             now=self.state.now(),
             deadline=progress.deadline_,
+            is_quarantined=self.is_quarantined,
         )
         decision = decide_retry(
             failed,
@@ -169,8 +189,7 @@
 
     def release(self, attempt: Attempt) -> None:
         """Give the connection of an attempt back."""
-        self.record_prompt_read()
-        attempt.record.in_flight_ -= 1
+        self._count_end(attempt.record)
         self.state.pool_.release(attempt.record, attempt.connection)
 
     def record_answer(self, attempt: Attempt) -> None:
@@ -180,6 +199,7 @@
             return
         now = self.state.now()
         attempt.record.record_success((now - attempt.began_at) * 1_000.0)
+        self.state.quarantine_.record_answered(self.progress.digest_)
 
     def record_failure(self, record: EndpointRecord, failure: EndpointFailure) -> None:
         """Record a failure of an endpoint, and log when it becomes suspect."""
@@ -202,31 +222,38 @@
         """
         if not attempt.answer.reader.is_broken_:
             return
-        self._log_lost(
+        self._record_lost(
             BorrowedConnection(attempt.record, attempt.connection, attempt.began_at),
             has_head=True,
         )
 
-    def _log_lost(self, lost: BorrowedConnection, *, has_head: bool) -> None:
-        """Log that the connection of an attempt ended before its answer did.
+    def _record_lost(self, lost: BorrowedConnection, *, has_head: bool) -> None:
+        """Record and log that the connection of an attempt ended before its answer.
 
-        Without this line it cannot be told afterwards which requests ran at an endpoint
+        Without the line it cannot be told afterwards which requests ran at an endpoint
         that ended, nor how far each had come.
         """
         progress = self.progress
+        listed = lost.record.listed
         now = self.state.now()
         last_event_at = progress.last_event_at_
+        has_events = last_event_at is not None and last_event_at >= lost.began_at
+        end = lost.connection.end
         self.state.log.report(
             Event.ATTEMPT_LOST,
             request=progress.request.request_id,
             digest=progress.digest_,
-            endpoint=lost.record.listed.endpoint_id,
-            service=lost.record.listed.service_id,
-            cause=lost.connection.end_cause,
+            endpoint=listed.endpoint_id,
+            service=listed.service_id,
+            end=end.value,
             has_head=has_head,
-            has_events=last_event_at is not None and last_event_at >= lost.began_at,
+            has_events=has_events,
             ran_ms=round((now - lost.began_at) * 1_000.0),
         )
+        if end in ENDS_OF_PROCESSES:
+            self.state.quarantine_.record_lost(
+                progress.digest_, listed.endpoint_id, is_under_way=has_events
+            )
 
     def record_first_token(self, elapsed_s: float) -> None:
         """Record that an engine has read the prompt, and how long it took."""
@@ -250,6 +277,8 @@
         self.inputs.record_attempt()
         began_at = self.state.now()
         record.in_flight_ += 1
+        self.is_suspect_ = self.choice.runs_apart
+        record.suspects_in_flight_ += self.is_suspect_
         service = self.progress.match_.service
         self.state.cold_.record_sent(record, service.cold_limits, began_at)
         engine = service.engine
@@ -259,6 +288,12 @@
             )
         return began_at
 
+    def _count_end(self, record: EndpointRecord) -> None:
+        """Count an attempt that is over."""
+        self.record_prompt_read()
+        record.in_flight_ -= 1
+        record.suspects_in_flight_ -= self.is_suspect_
+
     async def _send(
         self, record: EndpointRecord, connection: EndpointConnection, limit_at: float
     ) -> LiveAnswer:
@@ -315,8 +350,7 @@
         self, record: EndpointRecord, connection: EndpointConnection | None
     ) -> None:
         """End an attempt whose answer did not begin."""
-        self.record_prompt_read()
-        record.in_flight_ -= 1
+        self._count_end(record)
         if connection is not None:
             connection.close()
             self.state.pool_.release(record, connection)
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -4,9 +4,10 @@
 of a large fleet are placed by one entry, which is asked over `state.placing_`.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from leadford.forwarding.endpoints import EndpointRecord
+from leadford.quarantine import QuarantineAction, choose_apart
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching import RequestInputs
@@ -34,6 +35,8 @@
             if state.cold_.may_use(record, service.cold_limits, now)
         ]
         tried = self.progress.tried_
+        if self.runs_apart:
+            return self._choose_apart(records, now)
         if service.engine is not None:
             return state.engines_.choose(
                 records,
@@ -45,6 +48,27 @@
             )
         return state.chooser_.choose(records, excluded=tried, now=now)
 
+    @property
+    def runs_apart(self) -> bool:
+        """Tell whether an endpoint has ended under the request before."""
+        verdict = self.state.quarantine_.verdict(self.progress.digest_)
+        return verdict.action is QuarantineAction.RUN_APART
+
+    def _choose_apart(
+        self, records: Sequence[EndpointRecord], now: float
+    ) -> EndpointRecord | None:
+        """Return an endpoint apart from other requests under suspicion."""
+        tried = self.progress.tried_
+        left = [r for r in records if r.listed.endpoint_id not in tried]
+        trusted = [record for record in left if not record.is_suspect(now)]
+        by_id = {record.listed.endpoint_id: record for record in trusted or left}
+        suspects_by_id = {
+            endpoint_id: record.suspects_in_flight_
+            for endpoint_id, record in by_id.items()
+        }
+        found = choose_apart(suspects_by_id, self.state.random)
+        return by_id[found] if found is not None else None
+
     def _knows_all(self) -> bool:
         """Tell whether this entry places the prompts of all at the service."""
         placing = self.state.placing_
@@ -55,11 +79,14 @@
     def _is_placed_elsewhere(self) -> bool:
         """Tell whether another entry chooses the endpoint.
 
-        Who may use a cold endpoint is decided at each entry.
+        Who may use a cold endpoint is decided at each entry, and where a request under
+        suspicion goes.
         """
         service = self.progress.match_.service
         if service.engine is None or service.cold_limits is not None:
             return False
+        if self.runs_apart:
+            return False
         return self.state.placing_ is not None and not self._knows_all()
 
     async def choose_placed(self) -> EndpointRecord | None:
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -81,6 +81,14 @@
 PEER_FRAMES_TOTAL = Counter(
     "leadford_peer_frames_total", "Frames between processes.", ["direction"]
 )
+CRASH_CASES_TOTAL = Counter(
+    "leadford_crash_cases_total",
+    "Connections that an endpoint closed under a request, by who saw it.",
+    ["seen"],
+)
+QUARANTINED_WORKS = Gauge(
+    "leadford_quarantined_works", "Requests that are sent to no endpoint."
+)
 CONNECTIONS_OPENED_TOTAL = Counter(
     "leadford_connections_opened_total", "Connections opened to endpoints."
 )
--- a/packages/leadford/src/leadford/common/tests/test_layers.py
+++ b/packages/leadford/src/leadford/common/tests/test_layers.py
@@ -5,7 +5,7 @@
 
 import leadford
 
-GROUND = ("common", "events", "protocol")
+GROUND = ("common", "events", "protocol", "quarantine")
 FORBIDDEN = {
     "asyncio",
     "absl",
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -50,6 +50,8 @@
     PIECES_CALLED = (407, Severity.INFO, "A call for pieces of stages ended.")
     PIECE_REMADE = (408, Severity.INFO, "A piece of a stage is made again.")
     ATTEMPT_LOST = (409, Severity.INFO, "A connection ended under a request.")
+    REQUEST_QUARANTINED = (410, Severity.WARNING, "A request is sent to no endpoint.")
+    QUARANTINE_ENDED = (411, Severity.INFO, "A request may be sent to endpoints again.")
     STORE_UNAVAILABLE = (500, Severity.WARNING, "The store did not answer.")
     STORE_BACK = (501, Severity.INFO, "The store answers again.")
     CLAIM_CONFLICT = (502, Severity.INFO, "Another writer appended claims first.")
--- a/packages/leadford/src/leadford/forwarding/answers/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/answers/__init__.py
@@ -8,6 +8,7 @@
     RequestOutcome,
     final_answer,
     may_pass_on,
+    quarantined_text,
 )
 
 __all__ = [
@@ -18,4 +19,5 @@
     "RequestOutcome",
     "final_answer",
     "may_pass_on",
+    "quarantined_text",
 ]
--- a/packages/leadford/src/leadford/forwarding/answers/_final.py
+++ b/packages/leadford/src/leadford/forwarding/answers/_final.py
@@ -54,6 +54,7 @@
     CONFIG_MAY_BE_OLD = "config-may-be-old"
     STOPPING = "stopping"
     NOT_ADMITTED = "not-admitted"
+    QUARANTINED = "quarantined"
     STAGES_FAILED = "stages-failed"
     ATTEMPTS_FAILED = "attempts-failed"
     MISLEADING_STATUS = "misleading-status"
@@ -113,6 +114,18 @@
     return FinalAnswer(RequestOutcome.REFUSED, STATUS_REFUSED, retry_after_s)
 
 
+def quarantined_text(retry_after_s: float, *, may_have_run: bool) -> str:
+    """Return what a caller is told of a request under which endpoints ended.
+
+    Units: seconds.
+    """
+    has_run = "It may have run." if may_have_run else "It has not run now."
+    return (
+        "Endpoints ended under this request each time it ran. "
+        f"{has_run} Do not send it again within {retry_after_s:.0f} s.\n"
+    )
+
+
 def may_pass_on(status: int, not_run_statuses: frozenset[int]) -> bool:
     """Tell whether an endpoint's status may be passed on to the caller.
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -59,6 +59,8 @@
     def __init__(self, *, listed: ListedEndpoint) -> None:
         self.listed = listed
         self.in_flight_ = 0
+        # Requests under which other endpoints ended.
+        self.suspects_in_flight_ = 0
         self.failures_in_a_row_ = 0
         self.suspect_until_ = 0.0
         self.is_replaced_ = False
--- a/packages/leadford/src/leadford/forwarding/retries/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_decision.py
@@ -32,6 +32,7 @@
     """Say which rule decided."""
 
     INPUTS_REMADE = "inputs-remade"
+    QUARANTINED = "quarantined"
     NOT_REPEATABLE = "not-repeatable"
     ATTEMPTS_USED = "attempts-used"
     OUT_OF_TIME = "out-of-time"
@@ -45,7 +46,7 @@
 
     `may_have_run` counts earlier attempts too. `attempts` counts those begun, the
     failed one included; `input_remakes` counts how often inputs were made again
-    already.
+    already. `is_quarantined` is true where too many endpoints ended under the request.
 
     Units: now and deadline in seconds of the monotonic clock.
     """
@@ -59,6 +60,7 @@
     input_remakes: int
     now: float
     deadline: float
+    is_quarantined: bool = False
 
 
 class RetryDecision(msgspec.Struct, frozen=True):
@@ -88,6 +90,8 @@
     `has_other_endpoint` is asked only once route and time allow an attempt: the choice
     of an endpoint draws at random.
     """
+    if failed.is_quarantined:
+        return RetryDecision(False, RetryReason.QUARANTINED)
     if failed.end is AttemptEnd.INPUTS_GONE and _may_remake_inputs(failed):
         return RetryDecision(True, RetryReason.INPUTS_REMADE)
     has_run = failed.may_have_run or failed.end is AttemptEnd.ERROR_STATUS
--- a/packages/leadford/src/leadford/protocol/__init__.py
+++ b/packages/leadford/src/leadford/protocol/__init__.py
@@ -21,6 +21,7 @@
 from leadford.protocol._auth import make_nonce, make_proof, proof_matches
 from leadford.protocol._base import (
     PROTOCOL_CONFIG_PARTS,
+    PROTOCOL_CRASHES,
     PROTOCOL_EVACUATIONS,
     PROTOCOL_FLEET,
     PROTOCOL_PACKED,
@@ -47,6 +48,8 @@
     CommitmentReport,
     ConfigPartAnswer,
     ConfigPartRequest,
+    CrashNews,
+    CrashReport,
     EntryAddress,
     EntryHeartbeat,
     EntryListing,
@@ -88,6 +91,7 @@
 
 __all__ = [
     "PROTOCOL_CONFIG_PARTS",
+    "PROTOCOL_CRASHES",
     "PROTOCOL_EVACUATIONS",
     "PROTOCOL_FLEET",
     "PROTOCOL_PACKED",
@@ -131,6 +135,8 @@
     "ConfigPartAnswer",
     "ConfigPartRequest",
     "CommitmentReport",
+    "CrashNews",
+    "CrashReport",
     "Credit",
     "Done",
     "DoneStatus",
--- a/packages/leadford/src/leadford/protocol/_base.py
+++ b/packages/leadford/src/leadford/protocol/_base.py
@@ -8,7 +8,7 @@
 import msgspec
 
 # Versions of the protocol that this process speaks.
-PROTOCOL_VERSION = 5
+PROTOCOL_VERSION = 6
 # The first version in which configurations travel in parts.
 PROTOCOL_CONFIG_PARTS = 2
 # The first version in which entries tell each other which halls are evacuated.
@@ -17,6 +17,8 @@
 PROTOCOL_FLEET = 4
 # The first version in which entries pack what they tell of endpoints.
 PROTOCOL_PACKED = 5
+# The first version in which entries tell each other under which work endpoints ended.
+PROTOCOL_CRASHES = 6
 PROTOCOL_VERSION_MIN = 1
 
 
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -305,3 +305,27 @@
 
     revision: int
     endpoints: bytes
+
+
+class CrashReport(MessageBase):
+    """Tell of one endpoint that closed a connection under a request.
+
+    Units: age_ms in milliseconds when it is told.
+    """
+
+    case_id: int
+    digest: str
+    endpoint_id: str
+    is_under_way: bool
+    age_ms: float = 0.0
+
+
+class CrashNews(MessageBase, tag=51):
+    """Tell under which work endpoints ended, and what is taken back of that.
+
+    `alive` are endpoints that proved to live on; `answered` is work that was answered.
+    """
+
+    cases: list[CrashReport] = []
+    alive: list[str] = []
+    answered: list[str] = []
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -34,6 +34,7 @@
 from leadford.protocol._forwarding import (
     ConfigPartAnswer,
     ConfigPartRequest,
+    CrashNews,
     EntryHeartbeat,
     EntryListing,
     EvacuationReport,
@@ -112,4 +113,5 @@
     | PlaceRequest
     | PlaceAnswer
     | PromptRead
+    | CrashNews
 )
--- a/packages/leadford/src/leadford/forwarding/quarantine/tests/test_digest.py
+++ b/packages/leadford/src/leadford/quarantine/tests/test_digest.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from leadford.forwarding.quarantine import RequestContent
+from leadford.quarantine import RequestContent
 
 CONTENT = RequestContent("POST", "rooms.example", "/reviews/x", "workspace-1", b"body")
 
