--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -137,8 +137,8 @@
         )
         budget = self.state.budgets_.budget(match.service.service_id)
         budget.record_request(self.state.now())
-        # What callers send again is the same work, at any entry: without this one request
-        # ended 27 endpoints, and bounds on attempts were spent on innocents.
+        # What callers send again is the same work, at any entry: without this, one
+        # request ended 27 endpoints, and retry budgets were spent on innocents.
         if self.attempts.is_quarantined:
             self.answer.end_quarantined()
             return
