Keep pieces of requests under suspicion in calls of their own

Ruled out: blaming the whole call alike without parting it, which gives each innocent in it as many ends. An endpoint that is silent for the kernel's time counts as silent, not lost, as in attempts. Conclusion: plain, once only, streams and pieces share one rule.

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -13,7 +13,7 @@
 from leadford.forwarding.answers import EndReason, RequestOutcome
 from leadford.forwarding.retries import RetryReason
 from leadford.forwarding.routes import Route, RouteMatch, ServiceId
-from leadford.quarantine import RequestContent, RequestDigest
+from leadford.quarantine import NO_DIGEST, RequestContent
 from leadford_server.forwarding._contract import InboundRequest
 from leadford_server.logs import EventLog
 from leadford_server.metrics import FORWARD_SECONDS, FORWARDED_TOTAL
@@ -45,7 +45,7 @@
     def __init__(self, *, request: InboundRequest) -> None:
         self.request = request
         self.match_: RouteMatch | None = None
-        self.digest_ = RequestDigest("")
+        self.digest_ = NO_DIGEST
         self.deadline_ = 0.0
         self.expected_s_ = 0.0
         self.first_try_s_ = 0.0
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -206,6 +206,9 @@
         try:
             await self.inputs.make()
         except StageFailure as failure:
+            if self.attempts.is_quarantined:
+                self.answer.end_quarantined()
+                return False
             self.answer.end(EndReason.STAGES_FAILED, f"stages: {failure.detail}")
             return False
         return True
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
@@ -20,7 +20,7 @@
 from leadford.forwarding.routes import PieceLimits, Service
 from leadford_server.forwarding._contract import NotRunCause, PieceOutcome
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding.endpoints import ExchangeBroken
+from leadford_server.forwarding.endpoints import ConnectionEnd, ExchangeBroken
 
 STATUS_OK = 200
 # Logged and counted for a call that brought an answer for each of its pieces.
@@ -111,9 +111,14 @@
                 call.tasks, record.listed.endpoint_id, state.now()
             )
             body, head = await connection.fetch(outbound)
+        except ExchangeBroken as error:
+            if connection.end is ConnectionEnd.SILENT:
+                raise TimeoutError from error
+            raise
         finally:
             state.pool_.release(record, connection)
         now = state.now()
+        state.quarantine_.record_alive(record.listed.endpoint_id, call.began_at)
         if head.load is not None:
             record.record_load(head.load, now)
         if head.not_run is NotRunCause.REPLACED:
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
@@ -76,6 +76,7 @@
             is_late=progress.is_late_,
             hall=self._planned_hall(match),
             done=self.state.loop.create_future(),
+            digest=progress.digest_,
         )
         self.stages.open(self.job_)
         return Success(None)
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
@@ -18,6 +18,7 @@
     PieceTask,
 )
 from leadford.forwarding.routes import ResultHandle
+from leadford.quarantine import NO_DIGEST, RequestDigest
 
 
 class StageFailure(Exception):
@@ -89,6 +90,7 @@
         is_late: bool,
         hall: HallId,
         done: asyncio.Future[None],
+        digest: RequestDigest = NO_DIGEST,
     ) -> None:
         self.request_id = request_id
         self.graph = graph
@@ -100,6 +102,7 @@
         self.is_late = is_late
         self.hall = hall
         self.done_ = done
+        self.digest = digest
         self.is_over_ = False
         self.tries_by_key_: dict[PieceKey, int] = {}
         self.excluded_by_key_: dict[PieceKey, frozenset[EndpointId]] = {}
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_pieces.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_pieces.py
@@ -11,11 +11,13 @@
 from leadford.forwarding.batching import GroupId, PieceKey, PieceTask, PlaceId
 from leadford.forwarding.routes import ResultHandle, ServiceId
 from leadford.protocol import (
+    PROTOCOL_CRASHES,
     PieceAnswer,
     PieceCancel,
     PieceRelease,
     PieceSubmit,
     PieceWorking,
+    SuspectPieceSubmit,
 )
 from leadford_server.forwarding._peers import MessageHandlers
 from leadford_server.forwarding._state import ForwardState
@@ -42,6 +44,7 @@
         """Return what handles each kind of message here."""
         return {
             PieceSubmit: self._on_submit,
+            SuspectPieceSubmit: self._on_submit,
             PieceAnswer: self._on_answer,
             PieceWorking: self._on_inputs_read,
             PieceCancel: self._on_cancel,
@@ -54,8 +57,11 @@
         if peer is None:
             return False
         now = self.state.now()
+        message_type = PieceSubmit
+        if task.is_suspect and peer.info.protocol_version >= PROTOCOL_CRASHES:
+            message_type = SuspectPieceSubmit
         return peer.send(
-            PieceSubmit(
+            message_type(
                 task.correlation_id,
                 group.service_id,
                 group.place,
@@ -126,6 +132,7 @@
             near_bytes_by_hall={
                 HallId(hall): count for hall, count in message.near_bytes.items()
             },
+            is_suspect=isinstance(message, SuspectPieceSubmit),
         )
         group = GroupId(ServiceId(message.service_id), PlaceId(message.place))
         self.stages.scheduler_.submit(group, task)
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
@@ -36,6 +36,8 @@
 
 # Characters of a failure that the log line of a piece made again holds.
 REASON_LOGGED = 120
+# What the log says of stages that are given up because endpoints ended under them.
+DETAIL_QUARANTINED = "quarantined"
 
 
 class StageRunner:
@@ -267,6 +269,14 @@
         key = sent.task.key
         if job.is_over_ or job.done_.done():
             return
+        if answer.failure is PieceFailure.LOST and answer.endpoint_id is not None:
+            # The call may have held pieces of others, which get a case as well.
+            self.state.quarantine_.record_lost(
+                job.digest, answer.endpoint_id, is_under_way=False
+            )
+        if self.state.quarantine_.verdict(job.digest).refuses:
+            job.fail(DETAIL_QUARANTINED)
+            return
         decision = decide_remake(answer.failure, job.tries_by_key_.get(key, 0))
         job.tries_by_key_[key] = decision.tries
         if decision.action is RemakeAction.FAIL_LATE:
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_tasks.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_tasks.py
@@ -48,6 +48,7 @@
             queued_at=now,
             excluded=excluded,
             near_bytes_by_hall=self.near_bytes_by_hall(job, key.stage),
+            is_suspect=self.state.quarantine_.is_suspect(job.digest),
         )
 
     def excluded(
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 
 from leadford.forwarding.endpoints import EndpointRecord
-from leadford.quarantine import QuarantineAction, choose_apart
+from leadford.quarantine import choose_apart
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching import RequestInputs
@@ -51,8 +51,7 @@
     @property
     def runs_apart(self) -> bool:
         """Tell whether an endpoint has ended under the request before."""
-        verdict = self.state.quarantine_.verdict(self.progress.digest_)
-        return verdict.action is QuarantineAction.RUN_APART
+        return self.state.quarantine_.is_suspect(self.progress.digest_)
 
     def _choose_apart(
         self, records: Sequence[EndpointRecord], now: float
--- a/packages/leadford-server/src/leadford_server/quarantine/_requests.py
+++ b/packages/leadford-server/src/leadford_server/quarantine/_requests.py
@@ -16,6 +16,7 @@
     CaseId,
     CrashCase,
     CrashLedger,
+    QuarantineAction,
     QuarantineVerdict,
     RequestDigest,
     decide_quarantine,
@@ -49,10 +50,16 @@
         """Return how a request may run."""
         return decide_quarantine(self.ledger_.suspicion(digest), self.now())
 
+    def is_suspect(self, digest: RequestDigest) -> bool:
+        """Tell whether a request runs apart from others under suspicion."""
+        return self.verdict(digest).action is QuarantineAction.RUN_APART
+
     def record_lost(
         self, digest: RequestDigest, endpoint_id: EndpointId, *, is_under_way: bool
     ) -> None:
         """Record that an endpoint closed a connection under a request."""
+        if self.ledger_.holds(digest, endpoint_id, is_under_way=is_under_way):
+            return
         case_id = CaseId(self.random.getrandbits(CASE_ID_BITS))
         case = CrashCase(case_id, digest, endpoint_id, is_under_way)
         self.ledger_.record(case, self.now())
--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -148,6 +148,12 @@
             endpoint.ends_on_.add(body)
             endpoint.on_end_ = partial(self._start_again, endpoint, back_s)
 
+    def end_stages_on(self, request_key: str, *, back_s: float) -> None:
+        """Let each endpoint of stages end as soon as it makes a piece with a key."""
+        for endpoint in self.stage:
+            endpoint.ends_on_keys_.add(request_key)
+            endpoint.on_end_ = partial(self._start_again, endpoint, back_s)
+
     def _start_again(self, ended: PlainStandIn, back_s: float) -> None:
         """Record that an endpoint ended, and start another in its place."""
         self.ended_.append(ended)
@@ -155,9 +161,8 @@
         loop.call_later(back_s, self._replace, ended, back_s)
 
     def _replace(self, ended: PlainStandIn, back_s: float) -> None:
-        group = self.plain if ended in self.plain else self.engines
-        if ended not in group:
-            return
+        groups = (self.plain, self.stage, self.engines)
+        group = next(group for group in groups if ended in group)
         again = ended.another_start()
         again.on_end_ = partial(self._start_again, again, back_s)
         group[group.index(ended)] = again
@@ -242,6 +247,13 @@
             while not condition():
                 await asyncio.sleep(STEP_S)
 
+    async def until_linked(self) -> None:
+        """Wait until each entry of a small fleet holds a link to every other one."""
+        others = len(self.entries_) - 1
+        await self.until(
+            lambda: all(len(e.links_.peers_by_id_) >= others for e in self.entries_)
+        )
+
     async def send_with_retries(
         self, path: str, *, request_id: str, tries: int = 3, **fields
     ) -> HTTPResponse:
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -160,6 +160,8 @@
         self.results_: set[str] = set()
         self.items_: list[dict] = []
         self.calls_: list[int] = []
+        # The process ends as soon as it makes a piece with one of these keys.
+        self.ends_on_keys_: set[str] = set()
 
     async def serve(self, handler: "EndpointHandler") -> None:
         """Run one call or release results."""
@@ -174,6 +176,12 @@
         self.waiting_ += 1
         async with self.lock_:
             self.waiting_ -= 1
+            keys = {item.get("privateKey", "") for item in body["items"]}
+            if keys & self.ends_on_keys_:
+                self.calls_.append(len(body["items"]))
+                handler.leave_unanswered()
+                self.end()
+                return
             items = [
                 self._begin(item, is_gone=handler.misbehaviour is Misbehaviour.GONE)
                 for item in body["items"]
@@ -201,6 +209,18 @@
         self.results_most_ = max(self.results_most_, len(self.results_))
         return {"kvHandle": handle}
 
+    def another_start(self) -> "StageStandIn":
+        """Return what comes in place of one that ended; it holds nothing of before."""
+        again = StageStandIn(
+            call_s=self.call_s,
+            room=self.room,
+            makers=self.makers,
+            service=self.service,
+            hall=self.hall,
+        )
+        again.ends_on_keys_ = self.ends_on_keys_
+        return again
+
 
 class EndpointHandler(web.RequestHandler):
     """Serve one request as its endpoint does, or go wrong as told."""
@@ -233,7 +253,7 @@
             return
         if self.request.body in endpoint.ends_on_:
             self.record_run()
-            self._finished = True
+            self.leave_unanswered()
             endpoint.end()
             return
         if self.misbehaviour is Misbehaviour.FAIL:
@@ -279,9 +299,13 @@
         self.set_status(status)
         self.finish()
 
+    def leave_unanswered(self) -> None:
+        """Write no answer, also not once the handler returns."""
+        self._finished = True
+
     def drop(self) -> None:
         """Close the connection without an answer."""
-        self._finished = True
+        self.leave_unanswered()
         self.request.connection.stream.close()
 
     def on_connection_close(self) -> None:
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_crashing_requests.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_crashing_requests.py
@@ -64,6 +64,34 @@
     play(scenario, entries=entries, endpoints=6)
 
 
+def test_a_request_whose_pieces_end_their_endpoints_is_soon_sent_to_none():
+    async def scenario(deployment):
+        await deployment.until_linked()
+        deployment.end_stages_on("pk-ending", back_s=BACK_S)
+
+        async def send(number):
+            await asyncio.sleep(number * 0.05)
+            for attempt in range(4):
+                answer = await deployment.send(
+                    "/resumed/x",
+                    request_id=f"innocent-{number}.{attempt}",
+                    entry=number % 3,
+                    body=f"innocent {number}".encode(),
+                )
+                if answer.code == 200:
+                    break
+            return answer
+
+        sending = [asyncio.ensure_future(send(number)) for number in range(60)]
+        answers = await send_copies(deployment, "/resumed/x")
+        assert 3 <= len(deployment.ended_) <= ENDS_MOST
+        assert answers[-1].code == 503
+        served = await asyncio.gather(*sending)
+        assert [answer.code for answer in served] == [200] * 60
+
+    play(scenario, entries=3, endpoints=6)
+
+
 def test_requests_that_ran_beside_one_that_ends_endpoints_are_served():
     async def scenario(deployment):
         for engine in deployment.engines:
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -5,7 +5,7 @@
 their inputs while little waits. When a call leaves is decided in `_filling`.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -73,6 +73,8 @@
     queued_at: float
     excluded: frozenset[EndpointId] = frozenset()
     near_bytes_by_hall: dict[HallId, int] = {}
+    # An endpoint ended under its request before.
+    is_suspect: bool = False
 
     @property
     def is_urgent(self) -> bool:
@@ -90,6 +92,21 @@
 
     tasks: tuple[PieceTask, ...]
 
+    @property
+    def is_suspect(self) -> bool:
+        """Tell whether an endpoint ended under the request before."""
+        return any(task.is_suspect for task in self.tasks)
+
+    def may_share(self, taken: Sequence[PieceTask]) -> bool:
+        """Tell whether the pieces may go in a call that holds others already.
+
+        Those of a request under suspicion go in calls of their own: an endpoint that
+        ends then says whose they were, and takes along no piece of another request.
+        """
+        if not taken or taken[0].request_id == self.tasks[0].request_id:
+            return True
+        return not (self.is_suspect or any(task.is_suspect for task in taken))
+
     @property
     def rank_at(self) -> float:
         """Return the order of the chunk."""
@@ -248,7 +265,8 @@
             if is_split and may_split and not is_short and places > 0:
                 is_split = False
             may_stay = few_wait or (is_short and _moves_much(chunk, hall))
-            if is_split or (may_stay and waits_for_other_hall(chunk)):
+            is_kept_out = is_split or not chunk.may_share(taken)
+            if is_kept_out or (may_stay and waits_for_other_hall(chunk)):
                 left += tasks
                 continue
             fitting: list[PieceTask] = []
--- a/packages/leadford/src/leadford/protocol/__init__.py
+++ b/packages/leadford/src/leadford/protocol/__init__.py
@@ -78,6 +78,7 @@
     StoreChanges,
     StoreConfirmation,
     StoreConfirmations,
+    SuspectPieceSubmit,
 )
 from leadford.protocol._links import (
     Challenge,
@@ -163,6 +164,7 @@
     "StoreConfirmations",
     "Refused",
     "Submit",
+    "SuspectPieceSubmit",
     "TokenPart",
     "Tokens",
     "Welcome",
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -31,6 +31,10 @@
     near_bytes: dict[str, int] = {}
 
 
+class SuspectPieceSubmit(PieceSubmit, tag=52):
+    """Ask for one piece of a request under which an endpoint ended before."""
+
+
 class PieceAnswer(MessageBase, tag=30):
     """Give the result of a piece, or why there is none, and the endpoint asked."""
 
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -55,6 +55,7 @@
     PromptRead,
     StoreChanges,
     StoreConfirmations,
+    SuspectPieceSubmit,
 )
 from leadford.protocol._links import (
     Challenge,
@@ -114,4 +115,5 @@
     | PlaceAnswer
     | PromptRead
     | CrashNews
+    | SuspectPieceSubmit
 )
--- a/packages/leadford/src/leadford/quarantine/__init__.py
+++ b/packages/leadford/src/leadford/quarantine/__init__.py
@@ -11,10 +11,11 @@
     QuarantineVerdict,
     decide_quarantine,
 )
-from leadford.quarantine._digest import RequestContent, RequestDigest
+from leadford.quarantine._digest import NO_DIGEST, RequestContent, RequestDigest
 from leadford.quarantine._ledger import CaseId, CrashCase, CrashLedger, Suspicion
 
 __all__ = [
+    "NO_DIGEST",
     "CaseId",
     "CrashCase",
     "CrashLedger",
--- a/packages/leadford/src/leadford/quarantine/_digest.py
+++ b/packages/leadford/src/leadford/quarantine/_digest.py
@@ -12,6 +12,9 @@
 
 RequestDigest = NewType("RequestDigest", str)
 
+# Of a request whose route is not known yet.
+NO_DIGEST = RequestDigest("")
+
 # Bytes of a digest: of 100,000 requests two different ones have the same digest with a
 # chance of 3e-10.
 DIGEST_BYTES = 8
--- a/packages/leadford/src/leadford/quarantine/_ledger.py
+++ b/packages/leadford/src/leadford/quarantine/_ledger.py
@@ -132,6 +132,14 @@
         self._forget_old(now)
         return True
 
+    def holds(
+        self, digest: RequestDigest, endpoint_id: EndpointId, *, is_under_way: bool
+    ) -> bool:
+        """Tell whether a case against a work would say nothing new of an endpoint."""
+        work = self.works_by_digest_.get(digest)
+        known = work.case_by_endpoint.get(endpoint_id) if work is not None else None
+        return known is not None and (is_under_way or not known.is_under_way)
+
     def record_alive(self, endpoint_id: EndpointId, sent_at: float) -> bool:
         """Record an answer to a request sent at a moment; return whether it is news.
 
