Send a request of the own interface to no endpoint that ends it three times

Ruled out: the agent as owner of the rule, which sees one endpoint only. Change: agents say where the endpoint closed the connection under an attempt (Done, appended field); entries share the quarantine of the forwarding entry, refuse with a problem of its own, and pass news on through the relays of halls.

--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_adapters.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_adapters.py
@@ -16,7 +16,7 @@
 
 from leadford.common import Registry
 from leadford.protocol import DoneStatus, Submit
-from leadford_server.web import NO_ANSWER, fetch
+from leadford_server.web import NO_ANSWER, fetch, was_closed
 
 # Seconds for a connection to the endpoint beside the agent; not measured.
 CONNECT_S = 1.0
@@ -43,6 +43,7 @@
     accelerator_ms: float = 0.0
     model_version: str = ""
     crossed: bool = False
+    endpoint_ended: bool = False
 
 
 class EndpointAdapter(Protocol):
@@ -108,7 +109,11 @@
         )
         response = await fetch(self.http, request)
         if response.code == NO_ANSWER:
-            return AdapterOutcome(DoneStatus.FAILED, error=str(response.error))
+            return AdapterOutcome(
+                DoneStatus.FAILED,
+                error=str(response.error),
+                endpoint_ended=was_closed(response),
+            )
         if response.code != 200:
             return AdapterOutcome(DoneStatus.FAILED, error=f"status {response.code}")
         if len(response.body) > RESULT_BYTES_MAX:
@@ -159,6 +164,7 @@
         self.model_version_ = ""
         self.error_ = ""
         self.crossed_ = False
+        self.endpoint_ended_ = False
 
     def feed(self, chunk: bytes) -> None:
         """Handle bytes as they come."""
@@ -265,6 +271,7 @@
         response = await fetch(self.http, request)
         if response.code == 200:
             return ""
+        reader.endpoint_ended_ |= was_closed(response)
         return str(response.error or response.code)
 
     def _outcome(self, reader: _SseReader, error: str) -> AdapterOutcome:
@@ -290,6 +297,7 @@
             accelerator_ms=float(reader.usage_.get("accelerator_ms", 0.0)),
             model_version=reader.model_version_,
             crossed=reader.crossed_,
+            endpoint_ended=reader.endpoint_ended_ and status is DoneStatus.FAILED,
         )
 
     async def cancel(self, submit: Submit) -> None:
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_runner.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_runner.py
@@ -191,6 +191,7 @@
             error=outcome.error,
             load=self.reports.load(),
             model_version=outcome.model_version,
+            endpoint_ended=outcome.endpoint_ended,
         )
         self.state.results_.end(kept, done, self.clock())
         self.feeder.on_end(kept)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_admitting.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_admitting.py
@@ -11,6 +11,7 @@
 from leadford.common import Outcome, PipelineId, RefusalReason, RequestId, WorkspaceId
 from leadford.pipelines.admission import PoolForecast, StageNeed, forecast_pool
 from leadford.pipelines.config import PipelineConfig
+from leadford.quarantine import RequestDigest
 from leadford_server.pipelines.entry._answers import Problem
 from leadford_server.pipelines.entry._body import RequestBody
 from leadford_server.pipelines.entry._services import EntryServices
@@ -34,6 +35,11 @@
     deadline_ms: float
     key: str = ""
 
+    @property
+    def content_digest(self) -> RequestDigest:
+        """Return what tells that two requests are the same work."""
+        return self.body.content_digest(self.pipeline_id, self.workspace)
+
 
 class Refusal(msgspec.Struct, frozen=True):
     """Say why a request was not begun here."""
@@ -72,6 +78,16 @@
                 503, RefusalReason.PAUSED, retry_after_ms=PAUSED_RETRY_AFTER_MS
             )
             return Refusal(request_id, problem)
+        quarantined = self.services.quarantine_.verdict(new.content_digest)
+        if quarantined.refuses:
+            # What a caller sends again is the same work: without this it ends one
+            # endpoint after the other.
+            problem = Problem(
+                503,
+                RefusalReason.QUARANTINED,
+                retry_after_ms=quarantined.retry_after_s * 1_000.0,
+            )
+            return Refusal(request_id, problem)
         if not self.services.config_.tuning.admission:
             return None
         forecasts = self._forecasts(pipeline, new.workspace)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_answers.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_answers.py
@@ -49,6 +49,7 @@
     RefusalReason.NOT_READY: "No configuration is in force yet",
     RefusalReason.NOT_FOUND: "Not found",
     RefusalReason.BAD_REQUEST: "The request is malformed",
+    RefusalReason.QUARANTINED: "Endpoints ended each time this request ran",
 }
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
@@ -106,6 +106,8 @@
             return make_failure(FailureKind.NOT_SENT, RefusalReason.CANCELLED)
         if budget.remaining_ms <= 0:
             return make_failure(FailureKind.NOT_SENT, RefusalReason.DEADLINE)
+        if self.live.is_quarantined:
+            return make_failure(FailureKind.NOT_SENT, RefusalReason.QUARANTINED)
         link = self.sender.choose()
         if link is None:
             return make_failure(FailureKind.NOT_SENT, RefusalReason.NO_ENDPOINT)
@@ -188,7 +190,9 @@
 
     def _hedge(self) -> None:
         """Start a second attempt, unless the answer has begun to arrive."""
-        if self.live.execution.delivered_ or not self.live.services.budget_.try_spend():
+        if self.live.is_quarantined or self.live.execution.delivered_:
+            return
+        if not self.live.services.budget_.try_spend():
             return
         link = self.sender.choose()
         if link is not None:
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_body.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_body.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from leadford.common import stable_hash
+from leadford.common import PipelineId, WorkspaceId, stable_hash
+from leadford.quarantine import RequestContent, RequestDigest
 
 
 class RequestBody(msgspec.Struct, frozen=True):
@@ -20,6 +21,13 @@
     prefix: str = ""
     prefill_tokens: int = 0
 
+    def content_digest(
+        self, pipeline_id: PipelineId, workspace: WorkspaceId
+    ) -> RequestDigest:
+        """Return what tells that two requests are the same work."""
+        content = RequestContent("POST", "", pipeline_id, workspace, self.data)
+        return content.digest()
+
 
 class _PromptHints(msgspec.Struct):
     """Read the parts of a prompt."""
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_entries.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_entries.py
@@ -80,12 +80,23 @@
 
     def relays(self) -> list[EntryId]:
         """Return the entries that watch the store for this hall, the live first."""
-        halls = {
+        return choose_relays(self._halls_by_entry(), self.hall)
+
+    def relays_of_all_halls(self) -> set[EntryId]:
+        """Return the entries that watch the store for any hall, the live ones."""
+        halls_by_entry = self._halls_by_entry()
+        found: set[EntryId] = set()
+        for hall in set(halls_by_entry.values()):
+            found.update(choose_relays(halls_by_entry, hall))
+        return found
+
+    def _halls_by_entry(self) -> dict[EntryId, HallId]:
+        """Return the hall of each entry that is not known to be down."""
+        return {
             entry_id: HallId(config.hall)
             for entry_id, config in self.configs_by_id_.items()
             if entry_id == self.entry_id or not self.is_down(entry_id)
         }
-        return choose_relays(halls, self.hall)
 
     def is_down(self, entry_id: EntryId) -> bool:
         """Tell whether an entry cannot be reached just now."""
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_live_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_live_attempts.py
@@ -4,7 +4,7 @@
 cost, and answers that match none of them. What follows is decided by the callers.
 """
 
-from leadford.common import RequestId
+from leadford.common import EndpointId, RequestId
 from leadford.events import Event
 from leadford.pipelines.costs import StageCost
 from leadford.pipelines.execution import Attempt, RequestExecution, StrayKind
@@ -34,6 +34,25 @@
         self.services = services
         self.trail = trail
         self.links_by_number_: dict[int, EndpointLink] = {}
+        self.content_digest = body.content_digest(
+            execution.pipeline_id, execution.workspace
+        )
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Tell whether too many endpoints have ended under the request."""
+        return self.services.quarantine_.verdict(self.content_digest).refuses
+
+    def record_endpoint_ended(self, attempt: Attempt, *, is_under_way: bool) -> None:
+        """Record that an endpoint closed its connection under an attempt.
+
+        An endpoint keeps its id when it starts again, so each attempt that is lost
+        counts as an end of its own, and no later answer takes it back.
+        """
+        start = EndpointId(f"{attempt.endpoint_id}/{self.request_id}/{attempt.number}")
+        self.services.quarantine_.record_lost(
+            self.content_digest, start, is_under_way=is_under_way
+        )
 
     @property
     def request_id(self) -> RequestId:
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
@@ -23,6 +23,7 @@
 from leadford_server.pipelines.config import ConfigFollower
 from leadford_server.pipelines.entry._changes import ChangeService
 from leadford_server.pipelines.entry._claims import ClaimService
+from leadford_server.pipelines.entry._crashes import CrashExchange
 from leadford_server.pipelines.entry._dialers import DialerFactory
 from leadford_server.pipelines.entry._directory import EndpointDirectory
 from leadford_server.pipelines.entry._entries import EntryPeers
@@ -140,6 +141,9 @@
             claims=self.claims_,
         )
         self.table_ = RequestTable(services=self.services_)
+        self.crashes_ = CrashExchange(
+            entries=self.entries_, quarantine=self.services_.quarantine_
+        )
 
     def _build_configuration(self) -> None:
         """Make what follows the configuration and plans models."""
@@ -226,6 +230,7 @@
         self.log_.report(Event.PEER_CONNECTED, peer=peer.info.peer_id)
         if peer.info.role == "entry":
             self.entries_.accepted(peer)
+            self.crashes_.send_known(peer)
         self.follower_.peer_connected(peer)
         self.directory_.record_reached(EndpointId(peer.info.peer_id))
 
@@ -261,6 +266,8 @@
             return
         if self.fanout_.peer_message(peer, message):
             return
+        if self.crashes_.peer_message(message):
+            return
         self.entries_.peer_message(peer, message)
 
     async def drain(self) -> None:
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
@@ -40,7 +40,10 @@
     RefusalReason.ENDPOINT_LOST: 502,
     RefusalReason.ALREADY_CLAIMED: 409,
     RefusalReason.CANCELLED: 499,
+    RefusalReason.QUARANTINED: 502,
 }
+# These say with their status whether anything ran: 503 where nothing did.
+_REFUSED_BEFORE_RUN = (RefusalReason.DEADLINE, RefusalReason.QUARANTINED)
 
 
 class RequestRun:
@@ -159,6 +162,8 @@
 
     def _decide_retry(self, failure: AttemptFailure) -> RetryDecision:
         execution = self.execution
+        if self.attempts_.live.is_quarantined:
+            return RetryDecision(False, reason=RefusalReason.QUARANTINED)
         stage = execution.stage
         services = self.services
         now = services.clock()
@@ -230,7 +235,7 @@
             retry_after_ms = max(100.0, failure.retry_after_ms)
         status = _STATUS_BY_REASON.get(failure.reason, 503)
         if outcome is Outcome.NOT_RUN and failure.may_have_begun is False:
-            status = 503 if failure.reason is RefusalReason.DEADLINE else status
+            status = 503 if failure.reason in _REFUSED_BEFORE_RUN else status
         return Problem(status, failure.reason, failure.detail[:200], retry_after_ms)
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_sending.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_sending.py
@@ -8,6 +8,7 @@
 from leadford.pipelines.execution import Attempt, StageBudget
 from leadford.pipelines.routing import EndpointView, RoutingRequest
 from leadford.protocol import Note, Submit
+from leadford.quarantine import choose_apart
 from leadford_server.pipelines.entry._directory import EndpointLink
 from leadford_server.pipelines.entry._live_attempts import LiveAttempts
 from leadford_server.pipelines.entry._tokens import CREDIT_TOKENS, TokenStream
@@ -54,7 +55,9 @@
             hall=services.hall,
             objective=services.config_.objective,
         )
-        view = pool.policy.choose(request, candidates, now)
+        view = self._choose_apart(candidates)
+        if view is None:
+            view = pool.policy.choose(request, candidates, now)
         if view is None:
             return None
         wait_ms = view.wait_ms(self.live.priority, view.report_.service_ms, now)
@@ -65,6 +68,16 @@
         )
         return pool.links_by_id_[view.endpoint_id]
 
+    def _choose_apart(self, candidates: list[EndpointView]) -> EndpointView | None:
+        """Return an endpoint by chance for a request under suspicion, else None."""
+        quarantine = self.live.services.quarantine_
+        if not quarantine.is_suspect(self.live.content_digest):
+            return None
+        views_by_id = {view.endpoint_id: view for view in candidates}
+        # What other entries run is not known, so only chance parts them.
+        found = choose_apart(dict.fromkeys(views_by_id, 0), self.live.services.random)
+        return views_by_id.get(found)
+
     def hedge_delay_ms(self, link: EndpointLink) -> float | None:
         """Return after which wait a second attempt starts beside the first."""
         stage = self.live.execution.stage
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_services.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_services.py
@@ -23,6 +23,7 @@
 from leadford_server.pipelines.entry._claims import ClaimService
 from leadford_server.pipelines.entry._directory import EndpointDirectory
 from leadford_server.pipelines.entry._entries import EntryPeers
+from leadford_server.quarantine import RequestQuarantine
 
 
 class EntryServices:
@@ -61,6 +62,7 @@
         )
         self.rescue_ = RescuePolicy()
         self.deferral_ = Deferral()
+        self.quarantine_ = RequestQuarantine(now=clock, random=secure_random, log=log)
         self.hedges_by_stage_: dict[str, HedgePolicy] = {}
 
     def apply_config(self, config: FleetConfig) -> None:
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
@@ -80,6 +80,8 @@
             link.peer.send(self.live.ack(attempt))
         for slower in list(self.live.execution.live_by_number_.values()):
             self.live.lose_race(slower)
+        if self.live.execution.is_final_stage:
+            self.live.services.quarantine_.record_answered(self.live.content_digest)
         self.live.execution.advance(done.result)
         return Settled()
 
@@ -97,6 +99,8 @@
                 self.live.services.clock(),
             )
             directory.report_ejections(pool_id)
+        if done.endpoint_ended:
+            self.live.record_endpoint_ended(attempt, is_under_way=done.sequence > 0)
         self.live.account(done, StageCost.RETRIED)
         if link.peer is not None:
             link.peer.send(self.live.ack(attempt))
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_attempts.py
@@ -36,6 +36,7 @@
 from leadford_server.pipelines.entry._body import RequestBody
 from leadford_server.pipelines.entry._deliveries import PeerLost
 from leadford_server.pipelines.entry._run import RequestRun
+from leadford_server.quarantine import RequestQuarantine
 
 CHECK = StageConfig(name="check", pool="p")
 CONFIRM = StageConfig(name="confirm", pool="p", repeatable=False, effect=True)
@@ -95,6 +96,12 @@
             rescue_=RescuePolicy(),
             config_=FleetConfig(),
             hedge_policy=lambda stage: HedgePolicy(),
+            random=Random(1),
+            quarantine_=RequestQuarantine(
+                now=lambda: 0.0,
+                random=Random(1),
+                log=SimpleNamespace(report=lambda event, **fields: None),
+            ),
         )
         execution = RequestExecution(
             request_id="r",
--- a/packages/leadford-standins/src/leadford_standins/endpoints/_service.py
+++ b/packages/leadford-standins/src/leadford_standins/endpoints/_service.py
@@ -76,6 +76,10 @@
                 call.request_id, call.stage, call.attempt, time.time(), True, service_ms
             )
         )
+        ends_on = self.state.faults.ends_on
+        if ends_on and ends_on in bytes(call.input).decode():
+            self.drop()
+            return
         await self._answer(call)
 
     async def _answer(self, call: ServiceCall) -> None:
--- a/packages/leadford-standins/src/leadford_standins/faults.py
+++ b/packages/leadford-standins/src/leadford_standins/faults.py
@@ -13,6 +13,8 @@
 class Faults(msgspec.Struct, kw_only=True):
     """Hold the faults in force at one stand-in.
 
+    An endpoint ends under each call whose input holds `ends_on`, if that is set.
+
     Units: delay_ms is added to each answer; speed multiplies service speed.
     """
 
@@ -23,6 +25,7 @@
     error_rate: float = 0.0
     lose_answers: int = 0
     swap_answers: int = 0
+    ends_on: str = ""
 
 
 class FaultState:
--- a/packages/leadford-standins/src/leadford_standins/tests/test_failures.py
+++ b/packages/leadford-standins/src/leadford_standins/tests/test_failures.py
@@ -56,6 +56,23 @@
     assert other.status == 404
 
 
+def test_a_request_that_ends_its_endpoints_is_soon_sent_to_none(fleet, client):
+    for name in LIVE:
+        fleet.set_faults(fleet.endpoint_url(name), ends_on="ends whoever runs it")
+    body = {"prompt": "ends whoever runs it"}
+    ran = 0
+    for number in range(12):
+        answer = client.post("move", body, entry=number % 3)
+        document = json.load(answer)
+        ran += client.executions(answer.headers["Leadford-Request-Id"], LIVE)
+        time.sleep(0.1)
+    assert 3 <= ran <= 4
+    assert answer.headers["Leadford-Outcome"] == "not-run"
+    assert document["type"] == "urn:leadford:problem:quarantined"
+    other = client.post("move", {"prompt": "another one"})
+    assert other.headers["Leadford-Outcome"] == "complete"
+
+
 @pytest.mark.parametrize("moment", ["dispatched", "streaming"])
 def test_a_killed_agent_costs_a_retry_not_an_answer(fleet, client, moment):
     whole = text_of(read_events(client.post("hint", BODY, **SSE)))
--- a/packages/leadford/src/leadford/common/_states.py
+++ b/packages/leadford/src/leadford/common/_states.py
@@ -52,3 +52,4 @@
     NOT_READY = "not-ready"
     NOT_FOUND = "not-found"
     BAD_REQUEST = "bad-request"
+    QUARANTINED = "quarantined"
--- a/packages/leadford/src/leadford/protocol/_agents.py
+++ b/packages/leadford/src/leadford/protocol/_agents.py
@@ -110,7 +110,10 @@
 
 
 class Done(MessageBase, tag=10):
-    """End an attempt; `sequence` is the count of tokens that precede it."""
+    """End an attempt; `sequence` is the count of tokens that precede it.
+
+    `endpoint_ended` is true where the endpoint closed the connection under it.
+    """
 
     request_id: str
     stage: str
@@ -125,6 +128,7 @@
     error: str = ""
     load: Load | None = None
     model_version: str = ""
+    endpoint_ended: bool = False
 
 
 class Ack(MessageBase, tag=11):
