Read records of the store one by one, and tell starts of an endpoint apart

Cause: records were read with hand-made conversions. A number without bounds raised an error that nobody caught, so the list was never whole; an address that is none raised one while connecting, which ended the request without an answer; an endpoint that came back under its id was held to leave for ever, because ids were taken to be drawn anew. Ruled out: refusing such addresses only where they are dialled, which leaves them listed. Replaced: the check that an unknown state counts as leaving, by one that it names no endpoint, and each field missing or of another type (23 cases).

--- a/packages/leadford-server/src/leadford_server/forwarding/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_contract.py
@@ -129,11 +129,15 @@
 
 
 class ObjectList(msgspec.Struct, frozen=True):
-    """Hold one page of objects and the revision of the store it was made at."""
+    """Hold one page of objects and the revision of the store it was made at.
+
+    `faults` say what was wrong with objects that are left out.
+    """
 
     items: list[dict]
     next_name: str | None
     revision: int
+    faults: tuple[str, ...] = ()
 
 
 class KnownEntry(msgspec.Struct, frozen=True):
@@ -153,10 +157,14 @@
 
 
 class ObjectEvents(msgspec.Struct, frozen=True):
-    """Hold what a watch saw, and from where to go on."""
+    """Hold what a watch saw, and from where to go on.
+
+    `faults` say what was wrong with changes that are left out.
+    """
 
     events: list[ObjectEvent]
     revision: int
+    faults: tuple[str, ...] = ()
 
 
 class RequestCodec(Protocol):
@@ -239,6 +247,9 @@
     def read_events(self, body: bytes) -> Result[ObjectEvents, str]:
         """Return what a watch saw."""
 
+    def read_object(self, item: object) -> Result[dict, str]:
+        """Return an object, or its bytes, of which name and revision can be read."""
+
     def read_config(self, item: dict) -> Result[ForwardConfig, str]:
         """Return the configuration in an object."""
 
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -86,6 +86,11 @@
             # The exchange cancels this task when its caller leaves.
             self.progress.end_without_caller()
             self.exchange.abort()
+        except Exception as error:
+            # Whatever went wrong here, the caller gets a final answer; the exchange
+            # logs the error.
+            self.answer.end(EndReason.FAULT, f"{type(error).__name__}: {error}")
+            raise
         finally:
             self.inputs.close()
             log_end(
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
@@ -97,6 +97,9 @@
             record.record_failure(now, EndpointFailure.SILENT)
             record.record_slowness(call.times_expected(now), now)
             return CallEnd(None, PieceFailure.SILENT.value)
+        except Exception as error:
+            # Its pieces are made elsewhere; without an end nobody would answer them.
+            return CallEnd(None, f"fault: {type(error).__name__}: {error}")
 
     async def _exchange(self, call: PieceCall) -> CallEnd:
         state = self.state
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_members.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_members.py
@@ -17,7 +17,7 @@
     ObjectEvent,
     StoreFailure,
 )
-from leadford_server.forwarding.store import Listing, ObjectsClient, readable
+from leadford_server.forwarding.store import Listing, ObjectsClient, readable_record
 
 # Seconds between tries to announce this entry in the store, and the parts between which
 # each pause is drawn; not measured.
@@ -60,9 +60,9 @@
 
     def on_event(self, event: ObjectEvent) -> None:
         """Read one change in the store."""
-        if event.is_gone:
-            self.entries_by_id_.pop(self.objects.object_name(event.item), None)
-        else:
+        # A record that cannot be read names no entry, as one that is gone.
+        self.entries_by_id_.pop(self.objects.object_name(event.item), None)
+        if not event.is_gone:
             self._read(event.item)
         self.on_change(self.entries_by_id_)
 
@@ -100,6 +100,10 @@
             return
 
     def _read(self, item: dict) -> None:
-        entry = readable(self.objects.read_entry(item), self.client.log)
+        entry = readable_record(
+            self.objects.read_entry(item),
+            self.objects.object_name(item),
+            self.client.log,
+        )
         if entry is not None:
             self.entries_by_id_[entry.entry_id] = entry
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_news.py
@@ -11,9 +11,9 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from leadford.common import EntryId, HallId, pack, unpack
+from leadford.common import EntryId, HallId, decode_as, pack, unpack
 from leadford.events import Event
-from leadford.forwarding.endpoints import ListedEndpoint
+from leadford.forwarding.endpoints import ListedEndpoint, is_dialable
 from leadford.forwarding.membership import NewsFetch
 from leadford.forwarding.routes import (
     ConfigDownload,
@@ -38,6 +38,7 @@
 from leadford_server.forwarding._contract import KnownEntry
 from leadford_server.forwarding._peers import MessageHandlers
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.store import report_unreadable
 from leadford_server.metrics import NEWS_BYTES_TOTAL
 from leadford_server.peers import PeerConnection
 
@@ -180,6 +181,7 @@
             [
                 KnownEntry(EntryId(entry.entry_id), entry.address, HallId(entry.hall))
                 for entry in message.entries
+                if is_dialable(entry.address)
             ]
         )
 
@@ -234,13 +236,36 @@
         self._log_transfer(
             Event.NEWS_RECEIVED, peer, NewsKind.LISTING, message.revision, size
         )
-        read = _read_listing(message)
+        read = self._read_listing(message)
         if isinstance(read, Failure):
             self._log_unreadable(read.failure())
             self.listing_fetch_.record_unusable(self.state.now())
             return
         self.on_listing(read.unwrap(), message.revision)
 
+    def _read_listing(
+        self, message: ListingAnswer | PackedListing
+    ) -> Result[list[ListedEndpoint], str]:
+        """Return the endpoints that a message holds; pass over what cannot be read."""
+        if isinstance(message, PackedListing):
+            read = unpack(message.endpoints, list[msgspec.Raw])
+        else:
+            read = decode_as(message.endpoints, list[msgspec.Raw])
+        if isinstance(read, Failure):
+            return read
+        found = []
+        for raw in read.unwrap():
+            endpoint = decode_as(raw, ListedEndpoint)
+            if isinstance(endpoint, Failure):
+                report_unreadable(endpoint.failure(), self.state.log)
+                continue
+            listed = endpoint.unwrap()
+            if not is_dialable(listed.address):
+                report_unreadable("no address", self.state.log, name=listed.name)
+                continue
+            found.append(listed)
+        return Success(found)
+
     def _log_unreadable(self, fault: str) -> None:
         self.state.log.report(Event.CONFIG_UNREADABLE, error=fault[:ERROR_LOGGED])
 
@@ -280,17 +305,3 @@
     if is_packed:
         return PackedListing(revision, pack(listed))
     return ListingAnswer(revision, msgspec.msgpack.encode(listed))
-
-
-def _read_listing(
-    message: ListingAnswer | PackedListing,
-) -> Result[list[ListedEndpoint], str]:
-    """Return the endpoints that a message holds."""
-    if isinstance(message, PackedListing):
-        return unpack(message.endpoints, list[ListedEndpoint])
-    try:
-        return Success(
-            msgspec.msgpack.decode(message.endpoints, type=list[ListedEndpoint])
-        )
-    except msgspec.DecodeError as error:
-        return Failure(str(error))
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_relays.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_relays.py
@@ -7,6 +7,7 @@
 what comes here.
 """
 
+import json
 from collections.abc import Callable, Mapping
 
 import msgspec
@@ -24,10 +25,14 @@
     StoreConfirmation,
     StoreConfirmations,
 )
-from leadford_server.forwarding._contract import ObjectEvent, ObjectEvents
+from leadford_server.forwarding._contract import (
+    ObjectCodec,
+    ObjectEvent,
+    ObjectEvents,
+)
 from leadford_server.forwarding._peers import MessageHandlers
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding.store import KindFollower
+from leadford_server.forwarding.store import KindFollower, report_unreadable
 from leadford_server.metrics import RELAYED_NEWS_TOTAL
 from leadford_server.peers import PeerConnection
 
@@ -90,9 +95,7 @@
         if kind == self.config_kind or not (self.follows and self.others_rest):
             return
         changes = [
-            StoreChange(
-                msgspec.json.encode(event.item), event.is_gone, event.seen_revision
-            )
+            StoreChange(_encoded(event.item), event.is_gone, event.seen_revision)
             for event in seen.events
         ]
         sent_ms = self.state.now() * 1_000.0
@@ -174,7 +177,7 @@
             # Another follower was faster.
             RELAYED_NEWS_TOTAL.labels(kind=message.kind, end="known").inc()
             return
-        read = _read_changes(message)
+        read = self._read_changes(message, follower.client.codec)
         if isinstance(read, Failure):
             self.state.log.report(
                 Event.CONFIG_UNREADABLE, error=read.failure()[:ERROR_LOGGED]
@@ -188,23 +191,29 @@
         end = "taken" if fits else "gap"
         RELAYED_NEWS_TOTAL.labels(kind=message.kind, end=end).inc()
 
-
-def _read_changes(
-    message: StoreChanges | PackedChanges,
-) -> Result[list[ObjectEvent], str]:
-    """Return the changes that a message holds."""
-    if isinstance(message, PackedChanges):
-        read = unpack(message.changes, list[StoreChange])
-    else:
-        read = Success(message.changes)
-    if isinstance(read, Failure):
-        return read
-    try:
-        return Success([_event(change) for change in read.unwrap()])
-    except msgspec.DecodeError as error:
-        return Failure(str(error))
+    def _read_changes(
+        self, message: StoreChanges | PackedChanges, codec: ObjectCodec
+    ) -> Result[list[ObjectEvent], str]:
+        """Return the changes that a message holds; pass over what cannot be read."""
+        read: Result[list[StoreChange], str] = Success(message.changes)
+        if isinstance(message, PackedChanges):
+            read = unpack(message.changes, list[StoreChange])
+        if isinstance(read, Failure):
+            return read
+        events = []
+        for change in read.unwrap():
+            item = codec.read_object(change.item)
+            if isinstance(item, Failure):
+                report_unreadable(item.failure(), self.state.log)
+                continue
+            event = ObjectEvent(item.unwrap(), change.is_gone, change.seen_revision)
+            events.append(event)
+        return Success(events)
 
 
-def _event(change: StoreChange) -> ObjectEvent:
-    item = msgspec.json.decode(change.item, type=dict)
-    return ObjectEvent(item, change.is_gone, change.seen_revision)
+def _encoded(item: dict) -> bytes:
+    """Return an object as JSON, whatever another writer put in it."""
+    try:
+        return msgspec.json.encode(item)
+    except (ArithmeticError, UnicodeError):
+        return json.dumps(item).encode()
--- a/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
@@ -6,6 +6,8 @@
 from leadford_server.forwarding.store._client import (
     ObjectsClient,
     readable,
+    readable_record,
+    report_unreadable,
 )
 from leadford_server.forwarding.store._config import ConfigHolder
 from leadford_server.forwarding.store._factory import FollowerFactory
@@ -37,4 +39,6 @@
     "WATCH_PART",
     "WATCH_S",
     "readable",
+    "readable_record",
+    "report_unreadable",
 ]
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
@@ -13,7 +13,11 @@
 from leadford.events import Event
 from leadford_server.forwarding._contract import ObjectCodec, StoreFailure
 from leadford_server.logs import EventLog
-from leadford_server.metrics import STORE_BYTES_TOTAL, STORE_CALLS_TOTAL
+from leadford_server.metrics import (
+    STORE_BYTES_TOTAL,
+    STORE_CALLS_TOTAL,
+    UNREADABLE_RECORDS_TOTAL,
+)
 from leadford_server.web import NO_ANSWER, Patience, Transferred, fetch_while_arriving
 
 # Seconds that a call may take until its first byte, and its connection; not measured.
@@ -132,3 +136,17 @@
         log.report(Event.CONFIG_UNREADABLE, error=str(read.failure())[:FAULT_LOGGED])
         return None
     return read.unwrap()
+
+
+def readable_record(read: Result[T, str], name: str, log: EventLog) -> T | None:
+    """Return a record that an adapter has read; log and count one that cannot be."""
+    if isinstance(read, Failure):
+        report_unreadable(read.failure(), log, name=name)
+        return None
+    return read.unwrap()
+
+
+def report_unreadable(fault: str, log: EventLog, *, name: str = "") -> None:
+    """Log and count a record that is passed over."""
+    UNREADABLE_RECORDS_TOTAL.inc()
+    log.report(Event.RECORD_UNREADABLE, record=name, error=fault[:FAULT_LOGGED])
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from random import Random
 from typing import Protocol
@@ -23,7 +23,11 @@
     ObjectEvents,
     StoreFailure,
 )
-from leadford_server.forwarding.store._client import ObjectsClient, readable
+from leadford_server.forwarding.store._client import (
+    ObjectsClient,
+    readable,
+    report_unreadable,
+)
 from leadford_server.metrics import STORE_CONFIRM_GAP_SECONDS
 
 # Seconds that a watch waits in the store where no peers tell news, at most. With 3 (and
@@ -217,6 +221,7 @@
             page = readable(codec.read_list(read.unwrap()), self.client.log)
             if page is None:
                 return False
+            self._report(page.faults)
             items += page.items
             # A change between two pages is seen again by a watch from the older one.
             revision = min(page.revision, revision or page.revision)
@@ -248,6 +253,7 @@
         if seen is None:
             self.revision_ = None
             return False
+        self._report(seen.faults)
         is_news = seen.revision > self.revision_ or self.revision_ == asked_from
         if is_news:
             # Another entry may have told this one more than the store did meanwhile.
@@ -279,6 +285,11 @@
             path, wait_s=wait_s, margin_s=margin_s, is_fresh=is_in_doubt
         )
 
+    def _report(self, faults: Sequence[str]) -> None:
+        """Log what was passed over because nothing of it could be read."""
+        for fault in faults:
+            report_unreadable(fault, self.client.log)
+
     def _confirm(self, revision: int) -> None:
         """Record that the store said just now that nothing is missing."""
         self._record(revision, asyncio.get_running_loop().time())
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_halls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_halls.py
@@ -14,7 +14,7 @@
 from leadford.protocol import EvacuationReport, HallReport
 from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding.store._client import readable
+from leadford_server.forwarding.store._client import readable_record
 from leadford_server.forwarding.store._config import FROM_STORE
 from leadford_server.forwarding.store._follow import Listing
 
@@ -120,4 +120,8 @@
                 record.record_cold(now + limits.lasts_s)
 
     def _read(self, item: dict) -> HallNotice | None:
-        return readable(self.objects.read_evacuation(item), self.state.log)
+        return readable_record(
+            self.objects.read_evacuation(item),
+            self.objects.object_name(item),
+            self.state.log,
+        )
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
@@ -10,7 +10,7 @@
 from leadford.forwarding.endpoints import ListedEndpoint, RosterChange
 from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding.store._client import readable
+from leadford_server.forwarding.store._client import readable_record
 from leadford_server.forwarding.store._follow import Listing
 
 
@@ -40,7 +40,9 @@
     def on_event(self, event: ObjectEvent) -> None:
         """Read one change in the store."""
         roster = self.state.roster_
-        if event.is_gone:
+        endpoint = None if event.is_gone else self._read(event.item)
+        if endpoint is None:
+            # A record that cannot be read names no endpoint, as one that is gone.
             changes = roster.remove(
                 self.objects.object_name(event.item),
                 self.objects.object_revision(event.item),
@@ -49,10 +51,8 @@
             )
             self._log(changes)
             return
-        endpoint = self._read(event.item)
-        if endpoint is not None:
-            self._log(roster.put(endpoint))
-            self._record_cold(endpoint)
+        self._log(roster.put(endpoint))
+        self._record_cold(endpoint)
 
     def on_confirmed(self, revision: int) -> None:
         """Do nothing: how old a listing is decides nothing."""
@@ -70,7 +70,11 @@
             record.record_listed_cold(endpoint, self.state.now())
 
     def _read(self, item: dict) -> ListedEndpoint | None:
-        return readable(self.objects.read_endpoint(item), self.state.log)
+        return readable_record(
+            self.objects.read_endpoint(item),
+            self.objects.object_name(item),
+            self.state.log,
+        )
 
     def _log(self, changes: Iterable[RosterChange]) -> None:
         """Log what changed, and tell it."""
--- a/packages/leadford-server/src/leadford_server/metrics/__init__.py
+++ b/packages/leadford-server/src/leadford_server/metrics/__init__.py
@@ -30,6 +30,7 @@
     STORE_CONFIRM_GAP_SECONDS,
     STRAYS_TOTAL,
     TOKENS_TOTAL,
+    UNREADABLE_RECORDS_TOTAL,
     MetricsHandler,
 )
 
@@ -63,5 +64,6 @@
     "STORE_CONFIRM_GAP_SECONDS",
     "STRAYS_TOTAL",
     "TOKENS_TOTAL",
+    "UNREADABLE_RECORDS_TOTAL",
     "MetricsHandler",
 ]
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -65,6 +65,10 @@
     "Changes of the store heard from another entry, taken or not fitting.",
     ["kind", "end"],
 )
+UNREADABLE_RECORDS_TOTAL = Counter(
+    "leadford_unreadable_records_total",
+    "Records of the store or a peer that could not be read and were passed over.",
+)
 STORE_BYTES_TOTAL = Counter(
     "leadford_store_bytes_total",
     "Bytes of answers of the store; those of a lost answer are fetched again.",
--- a/packages/leadford/src/leadford/common/__init__.py
+++ b/packages/leadford/src/leadford/common/__init__.py
@@ -17,7 +17,7 @@
     StageId,
     WorkspaceId,
 )
-from leadford.common._packing import pack, unpack
+from leadford.common._packing import decode_as, pack, unpack
 from leadford.common._registry import Registry, UnknownVariantError
 from leadford.common._states import Objective, Outcome, PoolKind, RefusalReason
 
@@ -44,6 +44,7 @@
     "WorkspaceId",
     "check_fraction",
     "check_positive",
+    "decode_as",
     "pack",
     "rendezvous_order",
     "rendezvous_weight",
--- a/packages/leadford/src/leadford/common/_packing.py
+++ b/packages/leadford/src/leadford/common/_packing.py
@@ -33,6 +33,17 @@
     unpacker = zlib.decompressobj()
     try:
         plain = unpacker.decompress(data, UNPACKED_BYTES_MOST)
-        return Success(msgspec.msgpack.decode(plain, type=kind))
-    except (zlib.error, msgspec.DecodeError) as error:
+    except zlib.error as error:
+        return Failure(f"{type(error).__name__}: {error}")
+    return decode_as(plain, kind)
+
+
+def decode_as(data: bytes | msgspec.Raw, kind: type[T]) -> Result[T, str]:
+    """Return the value of a kind that was encoded without being packed.
+
+    Errors: what is wrong with the bytes.
+    """
+    try:
+        return Success(msgspec.msgpack.decode(data, type=kind))
+    except msgspec.DecodeError as error:
         return Failure(f"{type(error).__name__}: {error}")
--- a/packages/leadford/src/leadford/forwarding/answers/_final.py
+++ b/packages/leadford/src/leadford/forwarding/answers/_final.py
@@ -107,7 +107,8 @@
         return FinalAnswer(RequestOutcome.DENIED, _DENIAL_STATUS_BY_REASON[reason])
     if reason is EndReason.OUT_OF_TIME:
         return FinalAnswer(RequestOutcome.LATE, STATUS_LATE)
-    if reason is EndReason.MISLEADING_STATUS:
+    if reason in (EndReason.MISLEADING_STATUS, EndReason.FAULT):
+        # After an error of this process it is not known what has run.
         return FinalAnswer(RequestOutcome.FAILED, STATUS_FAILED)
     if reason not in _REFUSALS and may_have_run:
         return FinalAnswer(RequestOutcome.FAILED, STATUS_FAILED)
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -1,5 +1,6 @@
 """Know the endpoints of each service: what is listed, what is observed, whom to ask."""
 
+from leadford.forwarding.endpoints._address import is_dialable
 from leadford.forwarding.endpoints._choice import ChoicePolicy, EndpointChooser
 from leadford.forwarding.endpoints._cold import ColdEndpoints
 from leadford.forwarding.endpoints._connections import (
@@ -54,5 +55,6 @@
     "connections_allowed",
     "may_use_again",
     "pool_count",
+    "is_dialable",
     "prompt_pool",
 ]
--- a/packages/leadford/src/leadford/forwarding/endpoints/_model.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_model.py
@@ -24,7 +24,11 @@
 class ListedEndpoint(msgspec.Struct, frozen=True):
     """Describe one start of an endpoint; another start has another id.
 
-    Units: cold_ms is how much longer it stays slow; revision orders the listings.
+    `listed_as` is the name it is listed under, which a later start may have too, and
+    `born` tells which start is later; both are left out where ids are drawn anew.
+
+    Units: cold_ms is how much longer it stays slow; revision orders the listings; born
+    in milliseconds since 1970.
     """
 
     endpoint_id: EndpointId
@@ -35,6 +39,26 @@
     slots: int
     cold_ms: float = 0.0
     revision: int = 0
+    listed_as: str | msgspec.UnsetType = msgspec.UNSET
+    born: int | msgspec.UnsetType = msgspec.UNSET
+
+    @property
+    def name(self) -> str:
+        """Return the name it is listed under."""
+        if self.listed_as is msgspec.UNSET:
+            return self.endpoint_id
+        return self.listed_as
+
+    def starts_after(self, other: "ListedEndpoint") -> bool:
+        """Tell whether this is a later start than another one of the same name.
+
+        Where none tells when it started, the listings decide.
+        """
+        return (self._born, self.revision) > (other._born, other.revision)
+
+    @property
+    def _born(self) -> int:
+        return 0 if self.born is msgspec.UNSET else self.born
 
 
 class ReportedLoad(msgspec.Struct, frozen=True):
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -49,8 +49,10 @@
 class EndpointRoster:
     """Join listings from several sources, by the revisions they were made at.
 
-    Ids are drawn anew at each start of an endpoint. So one that is listed as leaving
-    stays so, also where a store in trouble lists it as ready once more. A removal that
+    An id is that of one start of an endpoint. So one that is listed as leaving stays
+    so, also where a store in trouble lists it as ready once more. A later start under
+    the same name ends an earlier one, whatever is told of that afterwards, and holds
+    nothing of what was believed of it. A removal that
     was a mistake of the listing is undone by a listing with a higher revision. A store
     that was away removes endpoints that kept working: when most of a service goes at
     once, they are used for a short while, which must be less than what a leaving
@@ -68,7 +70,9 @@
         self.gone_by_id_: dict[EndpointId, _Gone] = {}
         self.records_by_id_: dict[EndpointId, EndpointRecord] = {}
         self.ids_by_service_: dict[ServiceId, set[EndpointId]] = {}
-        self.gone_revision_by_id_: dict[EndpointId, int] = {}
+        # The start that is listed under a name, or was until it was removed.
+        self.last_by_name_: dict[str, ListedEndpoint] = {}
+        self.gone_revision_by_name_: dict[str, int] = {}
         # In the order in which they were learned, so that the oldest is forgotten.
         self.leaving_ids_: dict[EndpointId, None] = {}
         self.changed_revision_ = 0
@@ -92,16 +96,21 @@
         changes = []
         seen = set()
         for endpoint in endpoints:
-            seen.add(endpoint.endpoint_id)
+            seen.add(endpoint.name)
             changes += self.put(endpoint)
-        for endpoint_id in set(self.records_by_id_) - seen:
-            changes += self.remove(endpoint_id, revision, now)
+        names = {record.listed.name for record in self.records_by_id_.values()}
+        for name in names - seen:
+            changes += self.remove(name, revision, now)
         self.changed_revision_ = max(self.changed_revision_, revision)
         return changes
 
     def put(self, endpoint: ListedEndpoint) -> list[RosterChange]:
         """Handle one listed endpoint unless something newer is known of it."""
         endpoint_id = endpoint.endpoint_id
+        last = self.last_by_name_.get(endpoint.name)
+        is_other_start = last is not None and last.endpoint_id != endpoint_id
+        if is_other_start and not endpoint.starts_after(last):
+            return []
         if endpoint.state is ListedState.DRAINING:
             # What it said before it was removed binds as well.
             self.gone_by_id_.pop(endpoint_id, None)
@@ -110,15 +119,17 @@
                 self.leaving_ids_.pop(next(iter(self.leaving_ids_)))
         if endpoint_id in self.leaving_ids_:
             endpoint = msgspec.structs.replace(endpoint, state=ListedState.DRAINING)
-        if endpoint.revision <= self.gone_revision_by_id_.get(endpoint_id, -1):
+        if endpoint.revision <= self.gone_revision_by_name_.get(endpoint.name, -1):
             return []
+        ended = self._end_start(last.endpoint_id) if is_other_start else []
+        self._remember(endpoint)
         record = self.records_by_id_.get(endpoint_id)
         self.changed_revision_ = max(self.changed_revision_, endpoint.revision)
         if record is None:
             self.membership_version_ += 1
             self.records_by_id_[endpoint_id] = self._new_record(endpoint)
             self.ids_by_service_.setdefault(endpoint.service_id, set()).add(endpoint_id)
-            return [self._change(endpoint, "unknown", endpoint.state.value)]
+            return [*ended, self._change(endpoint, "unknown", endpoint.state.value)]
         before = record.listed
         record.listed = _joined(before, endpoint)
         if before.state is record.listed.state:
@@ -126,6 +137,23 @@
         after = record.listed.state.value
         return [self._change(record.listed, before.state.value, after)]
 
+    def _remember(self, endpoint: ListedEndpoint) -> None:
+        """Record which start was listed last under a name."""
+        self.last_by_name_.pop(endpoint.name, None)
+        self.last_by_name_[endpoint.name] = endpoint
+        while len(self.last_by_name_) > len(self.records_by_id_) + GONE_KEPT:
+            self.last_by_name_.pop(next(iter(self.last_by_name_)))
+
+    def _end_start(self, endpoint_id: EndpointId) -> list[RosterChange]:
+        """Forget a start that a later one under its name has ended."""
+        self.gone_by_id_.pop(endpoint_id, None)
+        record = self.records_by_id_.pop(endpoint_id, None)
+        if record is None:
+            return []
+        self.membership_version_ += 1
+        self.ids_by_service_[record.listed.service_id].discard(endpoint_id)
+        return [self._change(record.listed, record.listed.state.value, "gone")]
+
     def _new_record(self, endpoint: ListedEndpoint) -> EndpointRecord:
         """Return a record; one that was just removed keeps what was learned."""
         gone = self.gone_by_id_.pop(endpoint.endpoint_id, None)
@@ -136,24 +164,26 @@
 
     def remove(
         self,
-        endpoint_id: EndpointId,
+        name: str,
         revision: int,
         now: float,
         *,
         seen_revision: int = 0,
     ) -> list[RosterChange]:
-        """Record that an endpoint is listed no more.
+        """Record that no endpoint is listed under a name any more.
 
         `revision` orders the removal against other listings of the endpoint;
         `seen_revision` is that of the answer that told it, which may hold later ones.
         """
-        known = self.gone_revision_by_id_.get(endpoint_id, -1)
+        known = self.gone_revision_by_name_.get(name, -1)
+        last = self.last_by_name_.get(name)
+        endpoint_id = last.endpoint_id if last is not None else EndpointId(name)
         record = self.records_by_id_.get(endpoint_id)
         if record is not None and revision < record.listed.revision:
             return []
-        self.gone_revision_by_id_[endpoint_id] = max(known, revision)
-        while len(self.gone_revision_by_id_) > GONE_KEPT:
-            self.gone_revision_by_id_.pop(next(iter(self.gone_revision_by_id_)))
+        self.gone_revision_by_name_[name] = max(known, revision)
+        while len(self.gone_revision_by_name_) > GONE_KEPT:
+            self.gone_revision_by_name_.pop(next(iter(self.gone_revision_by_name_)))
         if record is None:
             return []
         self.changed_revision_ = max(self.changed_revision_, revision, seen_revision)
