Tell the time since boot in both programs, and doubt what was known after a suspension

Cause: the steady clock stands still while a host is suspended, so ages and deadlines from before looked fresh. Ruled out: asyncio's own loop, whose timers would be right too but which costs more processor time; correcting each age on waking, which every new age would have to join. Change: a loop on the time since boot for both programs; a suspension is noticed by two clocks, event 105, deadlines of requests are set anew, the store is asked on new connections.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable, Coroutine
 from random import Random, SystemRandom
 
@@ -18,6 +19,7 @@
 from leadford.forwarding.answers import RequestOutcome
 from leadford.forwarding.membership import may_stop, stop_ends_at
 from leadford.forwarding.routes import ForwardConfig
+from leadford_server.clock import SuspensionWatch, boot_time
 from leadford_server.forwarding._contract import (
     KnownEntry,
     ObjectCodec,
@@ -52,6 +54,8 @@
 DRAIN_POLL_S = 0.05
 # Seconds between sweeps of connections and records; not measured.
 SWEEP_S = 0.5
+# Seconds between looks whether the host was suspended; not measured.
+SUSPENSION_LOOK_S = 0.25
 # Calls to the store at a time; not measured.
 STORE_CLIENTS = 12
 
@@ -74,6 +78,7 @@
         self.reload = reload
         self.random = random or SystemRandom()
         self.log_ = EventLog(process_id=settings.entry_id)
+        self.boot_clock = boot_time
         self.is_draining_ = False
         self.tasks_: list[asyncio.Task[None]] = []
 
@@ -168,11 +173,13 @@
 
     def _follow(self) -> None:
         """Follow the store, and keep the links to other entries up."""
-        for follower in self._followers():
+        self.followers_ = self._followers()
+        for follower in self.followers_:
             self._spawn(follower.run())
         self._spawn(self.links_.run())
         self.announcing_ = self._spawn(self.members_.announce())
         self._spawn(self._sweep())
+        self._spawn(self._watch_suspensions())
 
     def _followers(self) -> list[KindFollower]:
         """Return a follower for each kind of object that decides something here."""
@@ -276,6 +283,22 @@
             self.state_.engines_.retain(known)
             self.state_.cold_.retain(known)
 
+    async def _watch_suspensions(self) -> None:
+        """Doubt what was known before the host was suspended."""
+        watch = SuspensionWatch(boot=lambda: self.boot_clock(), steady=time.monotonic)
+        while True:
+            slept_s = watch.slept_s()
+            if slept_s > 0.0:
+                self._on_woken(slept_s)
+            await asyncio.sleep(SUSPENSION_LOOK_S)
+
+    def _on_woken(self, slept_s: float) -> None:
+        """End what is out of time, and ask the store what has changed."""
+        self.log_.report(Event.PROCESS_WOKEN, slept_ms=round(slept_s * 1_000.0))
+        self.state_.deadlines_.set_anew()
+        for follower in self.followers_:
+            follower.doubt()
+
     def settings_changed(self) -> None:
         """Read the settings again; what cannot be read changes nothing."""
         read = self.reload()
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -30,6 +30,7 @@
 from leadford.forwarding.retries import RetryBudgets, WindowedRetryBudget
 from leadford.forwarding.routes import ProcessAge, RouteTable, Service, ServiceId
 from leadford_server.forwarding._contract import RequestCodec
+from leadford_server.forwarding._deadlines import RequestDeadlines
 from leadford_server.forwarding.endpoints import ConnectionPool
 from leadford_server.logs import EventLog
 from leadford_server.quarantine import RequestQuarantine
@@ -119,6 +120,7 @@
         self.chooser_ = EndpointChooser(hall=hall, random=random)
         self.engines_ = EngineChooser(hall=hall)
         self.pool_ = ConnectionPool(codec=codec, loop=loop)
+        self.deadlines_ = RequestDeadlines()
         self.budgets_ = RetryBudgets(make=self._new_budget)
         self.groups_ = GroupMap(regions=self.regions, roster=self.roster_)
         self.quarantine_ = RequestQuarantine(now=self.now, random=random, log=log)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -150,7 +150,7 @@
         if route.stages and not self._admit():
             return
         try:
-            async with asyncio.timeout_at(answer_due_at(progress.deadline_)):
+            async with self.state.deadlines_.until(answer_due_at(progress.deadline_)):
                 if route.stages and not await self._make_inputs():
                     return
                 if route.kind is RouteKind.STREAM:
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -168,6 +168,14 @@
                 await asyncio.wait_for(self.behind_.wait(), left_s)
         self.behind_.clear()
 
+    def doubt(self) -> None:
+        """Ask at once, on a new connection: what is known may be old.
+
+        A call that waits already ends by the steady clock, within the time of a watch.
+        """
+        self.is_unheard_ = True
+        self.behind_.set()
+
     def hurry(self) -> None:
         """Ask the store at once: another entry knows of changes that were missed."""
         self.behind_.set()
--- a/packages/leadford-server/src/leadford_server/main.py
+++ b/packages/leadford-server/src/leadford_server/main.py
@@ -12,11 +12,11 @@
 import sys
 
 import defopt
-import uvloop
 from absl import logging
 from returns.result import Failure, Result
 
 from leadford.events import Event
+from leadford_server.clock import new_loop
 from leadford_server.logs import EventLog
 from leadford_server.settings import (
     check_agent_settings,
@@ -118,7 +118,7 @@
             log.report(Event.SETTINGS_INVALID, fault=str(fault))
             print(f"leadfordd: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_loop) as runner:
         return runner.run(_run(process_class, settings.unwrap()))
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_models.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_models.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import json
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -16,6 +15,7 @@
 from leadford.events import Event
 from leadford.pipelines.placement import ModelCopy, OrderSequence, OrderStep
 from leadford.protocol import HeldModel, PlanOrder
+from leadford_server.clock import boot_time
 from leadford_server.logs import EventLog
 from leadford_server.web import NO_ANSWER, fetch
 
@@ -74,7 +74,7 @@
     async def _run(self) -> None:
         await self._read()
         while True:
-            step = self.sequence.next_step(self.holds_, time.monotonic())
+            step = self.sequence.next_step(self.holds_, boot_time())
             if step is not None:
                 await self._give(step)
                 await self._read()
@@ -120,4 +120,4 @@
         response = await fetch(self.http, request)
         if response.code == NO_ANSWER:
             self.log.report(Event.ORDER_IN_DOUBT, **order)
-            self.sequence.record_lost(step, time.monotonic())
+            self.sequence.record_lost(step, boot_time())
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_process.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-import time
 
 from tornado import httpserver, web
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -16,6 +15,7 @@
 from leadford.pipelines.config import FleetConfig, PoolConfig
 from leadford.pipelines.placement import OrderSequence
 from leadford.protocol import Message, PlanOrder, Refused, Submit
+from leadford_server.clock import boot_time
 from leadford_server.logs import EventLog
 from leadford_server.metrics import MetricsHandler
 from leadford_server.peers import Identity, PeerConnection, PeerServer
@@ -126,7 +126,7 @@
                 pool=pool,
                 config=config,
                 log=self.log_,
-                clock=time.monotonic,
+                clock=boot_time,
             )
             for peer in self.peers_:
                 self.service_.peer_connected(peer)
@@ -197,8 +197,8 @@
         self.log_.report(Event.PROCESS_DRAINING)
         if self.service_ is not None:
             self.service_.drain()
-            limit = time.monotonic() + DRAIN_MAX_S
-            while not self.service_.is_idle and time.monotonic() < limit:
+            limit = boot_time() + DRAIN_MAX_S
+            while not self.service_.is_idle and boot_time() < limit:
                 await asyncio.sleep(DRAIN_POLL_S)
         for peer in list(self.peers_):
             await peer.close()
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_service.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_service.py
@@ -6,7 +6,6 @@
 and ends, `EndpointReports` the load and the refusals; they share one `EndpointState`.
 """
 
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -25,6 +24,7 @@
     QueryAnswer,
     Submit,
 )
+from leadford_server.clock import boot_time
 from leadford_server.logs import EventLog
 from leadford_server.peers import PeerConnection
 from leadford_server.pipelines.agent._adapters import EndpointAdapter
@@ -50,7 +50,7 @@
         pool: PoolConfig,
         config: FleetConfig,
         log: EventLog,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_time,
     ) -> None:
         self.clock = clock
         self.draining_ = False
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_operators.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_operators.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import hashlib
-import time
 from typing import Any
 
 import msgspec
@@ -23,6 +22,7 @@
     filter_table,
     parse,
 )
+from leadford_server.clock import boot_time
 from leadford_server.pipelines.config import ConfigFollower
 from leadford_server.pipelines.entry._changes import (
     Accepted,
@@ -130,10 +130,10 @@
 
     async def wait_in_force(self, version: int) -> list[str]:
         """Wait until every process runs a version; return those that do not."""
-        limit = time.monotonic() + WAIT_MAX_S
+        limit = boot_time() + WAIT_MAX_S
         while True:
             behind = await self.laggards(version)
-            if not behind or time.monotonic() >= limit:
+            if not behind or boot_time() >= limit:
                 return behind
             await asyncio.sleep(WAIT_STEP_S)
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_planner.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_planner.py
@@ -31,6 +31,7 @@
     decode_plan,
 )
 from leadford.protocol import HeldModel, PlanOrder
+from leadford_server.clock import boot_time
 from leadford_server.logs import EventLog
 from leadford_server.pipelines.entry._directory import EndpointDirectory
 from leadford_server.pipelines.entry._entries import EntryPeers
@@ -123,7 +124,7 @@
             return
         engines = self._engines(pool_id)
         plan = state.record_.plan if state.record_ is not None else Plan()
-        planned = state.planner.next_plan(plan, models, engines, time.monotonic())
+        planned = state.planner.next_plan(plan, models, engines, boot_time())
         if self.lease_.must_write(state.record_, planned, now_s):
             await self._write(pool_id, state, planned, now_s)
         self._order(pool_id, state, engines)
@@ -131,7 +132,7 @@
     async def _refresh(self, pool_id: PoolId, state: _PoolPlan) -> bool:
         """Read the plan object unless this entry wrote it last and lately."""
         holder = state.record_.holder if state.record_ is not None else ""
-        fresh = time.monotonic() - state.read_at_ < READ_S
+        fresh = boot_time() - state.read_at_ < READ_S
         if holder == self.entry_id or fresh:
             return state.version_ > 0 or fresh
         read = await self.store.get(f"plans/{pool_id}")
@@ -142,7 +143,7 @@
         else:
             value = read.unwrap()
             state.record_, state.version_ = decode_plan(value.data), value.version
-        state.read_at_ = time.monotonic()
+        state.read_at_ = boot_time()
         return True
 
     def _engines(self, pool_id: PoolId) -> list[EngineView]:
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import random
-import time
 
 from tornado import httpserver, web
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -17,6 +16,7 @@
 from leadford.events import Event
 from leadford.pipelines.config import FleetConfig
 from leadford.protocol import Done, Draining, Load, Message, Refused
+from leadford_server.clock import boot_time
 from leadford_server.logs import EventLog
 from leadford_server.metrics import MetricsHandler
 from leadford_server.peers import Identity, PeerConnection, PeerServer
@@ -102,7 +102,7 @@
             dialers=dialers,
             log=self.log_,
             random=self.rng,
-            clock=time.monotonic,
+            clock=boot_time,
         )
         self.hosts_ = HostPoller(
             url=settings.hosts_url,
@@ -275,11 +275,11 @@
         table = self.table_
         table.is_leaving_ = True
         self.log_.report(Event.PROCESS_DRAINING)
-        limit = time.monotonic() + DRAIN_MAX_S
+        limit = boot_time() + DRAIN_MAX_S
         await asyncio.sleep(ANNOUNCE_S)
         table.draining_ = True
         while table.runs_by_id_ or table.answering_ > 0:
-            if time.monotonic() >= limit:
+            if boot_time() >= limit:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         self.web_.stop()
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_services.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_services.py
@@ -3,7 +3,6 @@
 Built once by the process; `apply_config` is the one place that changes it.
 """
 
-import time
 from collections.abc import Callable
 from random import Random
 
@@ -19,6 +18,7 @@
     RetryBudget,
     RetryPolicy,
 )
+from leadford_server.clock import boot_time
 from leadford_server.logs import EventLog
 from leadford_server.pipelines.entry._claims import ClaimService
 from leadford_server.pipelines.entry._directory import EndpointDirectory
@@ -40,7 +40,7 @@
         directory: EndpointDirectory,
         entries: EntryPeers,
         claims: ClaimService,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_time,
     ) -> None:
         self.entry_id = entry_id
         self.hall = hall
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_shard_writer.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_shard_writer.py
@@ -23,6 +23,7 @@
     decode_slot,
 )
 from leadford.protocol import ClaimVerdict
+from leadford_server.clock import boot_time
 from leadford_server.logs import EventLog
 from leadford_server.pipelines.store import StoreClient, StoreErrorKind
 
@@ -55,7 +56,7 @@
         events: EventLog,
         random: Random,
         writer_id: str,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_time,
         wall: Callable[[], float] = time.time,
     ) -> None:
         self.log = log
--- a/packages/leadford-server/src/leadford_server/tests/test_layers.py
+++ b/packages/leadford-server/src/leadford_server/tests/test_layers.py
@@ -6,7 +6,7 @@
 import leadford_server
 
 ROOT = Path(leadford_server.__file__).parent
-GROUND = ("logs", "metrics", "peers", "quarantine", "settings", "web")
+GROUND = ("clock", "logs", "metrics", "peers", "quarantine", "settings", "web")
 
 
 def imported_modules(path):
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -25,6 +25,7 @@
     PROCESS_STOPPED = (102, Severity.INFO, "The planned stop ended.")
     SETTINGS_INVALID = (103, Severity.ERROR, "The settings cannot be used.")
     SETTINGS_RELOADED = (104, Severity.INFO, "The settings were read again.")
+    PROCESS_WOKEN = (105, Severity.WARNING, "The host was suspended for a while.")
     PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
     PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
     PEER_REJECTED = (202, Severity.WARNING, "A peer failed its proof or version.")
