--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
@@ -51,7 +51,7 @@
                 if self._may_go_on(AttemptEnd.MAY_HAVE_RUN, str(failure)):
                     continue
                 return
-            self.attempts.record_answer(attempt)
+            self.attempts.evidence.record_answer(attempt)
             if attempt.is_error:
                 decision = self.attempts.ask_retry(AttemptEnd.ERROR_STATUS, "failed")
                 if decision.retry:
@@ -84,10 +84,10 @@
             async with asyncio.timeout_at(limit_at):
                 await attempt.answer.wait_whole()
         except ExchangeBroken:
-            self.attempts.record_broken(attempt)
+            self.attempts.evidence.record_broken(attempt)
             raise
         except TimeoutError as error:
-            self.attempts.record_failure(attempt.record, EndpointFailure.SLOW)
+            self.attempts.evidence.record_failure(attempt.record, EndpointFailure.SLOW)
             raise ExchangeBroken(BreakKind.LOST, "slow") from error
         finally:
             self.attempts.release(attempt)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -60,13 +60,15 @@
             try:
                 is_whole = await self._pass_stream(attempt)
                 if not is_whole:
-                    self.attempts.record_broken(attempt)
+                    self.attempts.evidence.record_broken(attempt)
             finally:
                 self.attempts.release(attempt)
             if is_whole:
                 return
             self.progress.may_have_run_ = True
-            self.attempts.record_failure(attempt.record, EndpointFailure.BROKEN_OFF)
+            self.attempts.evidence.record_failure(
+                attempt.record, EndpointFailure.BROKEN_OFF
+            )
             if not await self._go_on_elsewhere("stream broke off"):
                 return
 
@@ -99,7 +101,7 @@
             return await self._pass_no_stream(attempt)
         if not await self.events.relay(attempt):
             return False
-        self.attempts.record_answer(attempt)
+        self.attempts.evidence.record_answer(attempt)
         self.answer.end_stream(attempt)
         return True
 
@@ -110,7 +112,7 @@
         except ExchangeBroken:
             # The caller of this method records the failure and goes on elsewhere.
             return False
-        self.attempts.record_answer(attempt)
+        self.attempts.evidence.record_answer(attempt)
         if self.answer.has_begun:
             return False
         self.answer.pass_on(attempt)
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -1,9 +1,10 @@
 """Make the attempts of one request at endpoints, one at a time.
 
 An attempt chooses an endpoint, borrows a connection, sends the request and waits for
-the head of the answer. What it shows of the endpoint is recorded, and the connection
-goes back. Whether another attempt follows is decided in `leadford.forwarding.retries`;
-which endpoint is asked, in `leadford.forwarding.endpoints`, by way of `_choice`.
+the head of the answer. What it shows of the endpoint is recorded by `_evidence`, and
+the connection goes back. Whether another attempt follows is decided in
+`leadford.forwarding.retries`; which endpoint is asked, in
+`leadford.forwarding.endpoints`, by way of `_choice`.
 """
 
 import asyncio
@@ -29,7 +30,6 @@
 from leadford_server.forwarding.batching import RequestInputs
 from leadford_server.forwarding.endpoints import (
     BreakKind,
-    ConnectionEnd,
     EndpointConnection,
     ExchangeBroken,
     LiveAnswer,
@@ -40,15 +40,13 @@
     NotRun,
 )
 from leadford_server.forwarding.retries._choice import EndpointChoice
+from leadford_server.forwarding.retries._evidence import EndpointEvidence
 
 # Characters of a failure that the log line of a further attempt holds.
 RETRY_DETAIL_LOGGED = 120
 # Milliseconds. An endpoint is never told that no time is left at all.
 REMAINING_LEAST_MS = 1.0
 
-# What the connections of a process end by that ends itself.
-ENDS_OF_PROCESSES = frozenset({ConnectionEnd.CLOSED, ConnectionEnd.RESET})
-
 _FAILURE_BY_BREAK = {
     BreakKind.NOT_SENT: EndpointFailure.LOST,
     BreakKind.LOST: EndpointFailure.LOST,
@@ -66,6 +64,7 @@
         self.inputs = inputs
         self.progress = progress
         self.choice = EndpointChoice(state=state, inputs=inputs, progress=progress)
+        self.evidence = EndpointEvidence(state=state, progress=progress)
         self.sent_prompt_: SentPrompt | None = None
         # Whether the attempt under way counts among those under suspicion.
         self.is_suspect_ = False
@@ -86,9 +85,9 @@
             answer = await self._send(record, connection, limit_at)
         except ExchangeBroken as failure:
             if failure.kind is BreakKind.LOST:
-                self._record_lost(borrowed, has_head=False)
+                self.evidence.record_lost(borrowed, has_head=False)
             self._abandon(record, connection)
-            self.record_failure(record, _FAILURE_BY_BREAK[failure.kind])
+            self.evidence.record_failure(record, _FAILURE_BY_BREAK[failure.kind])
             if failure.kind is BreakKind.NOT_SENT:
                 raise NotRun(str(failure)) from failure
             raise
@@ -96,14 +95,12 @@
             self._abandon(record, connection)
             if self.is_out_of_time():
                 raise
-            self.record_failure(record, EndpointFailure.SLOW)
+            self.evidence.record_failure(record, EndpointFailure.SLOW)
             raise ExchangeBroken(BreakKind.LOST, "slow") from error
         except BaseException:
             self._abandon(record, connection)
             raise
-        self.state.quarantine_.record_alive(
-            record.listed.endpoint_id, borrowed.began_at
-        )
+        self.evidence.record_alive(record, borrowed.began_at)
         attempt = Attempt(record, connection, answer, borrowed.began_at)
         await self._check_head(attempt)
         return attempt
@@ -130,7 +127,7 @@
                 )
             except ExchangeBroken as failure:
                 self._abandon(record, None)
-                self.record_failure(record, _FAILURE_BY_BREAK[failure.kind])
+                self.evidence.record_failure(record, _FAILURE_BY_BREAK[failure.kind])
                 raise NotRun(str(failure)) from failure
             except BaseException:
                 self._abandon(record, None)
@@ -192,69 +189,6 @@
         self._count_end(attempt.record)
         self.state.pool_.release(attempt.record, attempt.connection)
 
-    def record_answer(self, attempt: Attempt) -> None:
-        """Record what a whole answer shows of its endpoint."""
-        if attempt.is_error:
-            self.record_failure(attempt.record, EndpointFailure.ERROR_STATUS)
-            return
-        now = self.state.now()
-        attempt.record.record_success((now - attempt.began_at) * 1_000.0)
-        self.state.quarantine_.record_answered(self.progress.digest_)
-
-    def record_failure(self, record: EndpointRecord, failure: EndpointFailure) -> None:
-        """Record a failure of an endpoint, and log when it becomes suspect."""
-        now = self.state.now()
-        was_suspect = record.is_suspect(now)
-        record.record_failure(now, failure)
-        if record.is_suspect(now) and not was_suspect:
-            self.state.log.report(
-                Event.ENDPOINT_EJECTED,
-                endpoint=record.listed.endpoint_id,
-                service=record.listed.service_id,
-                failures=record.failures_in_a_row_,
-                request=self.progress.request.request_id,
-            )
-
-    def record_broken(self, attempt: Attempt) -> None:
-        """Record that an answer broke off; call it before the connection is released.
-
-        An answer that merely stays silent has not broken off.
-        """
-        if not attempt.answer.reader.is_broken_:
-            return
-        self._record_lost(
-            BorrowedConnection(attempt.record, attempt.connection, attempt.began_at),
-            has_head=True,
-        )
-
-    def _record_lost(self, lost: BorrowedConnection, *, has_head: bool) -> None:
-        """Record and log that the connection of an attempt ended before its answer.
-
-        Without the line it cannot be told afterwards which requests ran at an endpoint
-        that ended, nor how far each had come.
-        """
-        progress = self.progress
-        listed = lost.record.listed
-        now = self.state.now()
-        last_event_at = progress.last_event_at_
-        has_events = last_event_at is not None and last_event_at >= lost.began_at
-        end = lost.connection.end
-        self.state.log.report(
-            Event.ATTEMPT_LOST,
-            request=progress.request.request_id,
-            digest=progress.digest_,
-            endpoint=listed.endpoint_id,
-            service=listed.service_id,
-            end=end.value,
-            has_head=has_head,
-            has_events=has_events,
-            ran_ms=round((now - lost.began_at) * 1_000.0),
-        )
-        if end in ENDS_OF_PROCESSES:
-            self.state.quarantine_.record_lost(
-                progress.digest_, listed.endpoint_id, is_under_way=has_events
-            )
-
     def record_first_token(self, elapsed_s: float) -> None:
         """Record that an engine has read the prompt, and how long it took."""
         if self.sent_prompt_ is not None:
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
@@ -0,0 +1,91 @@
+"""Record what the attempts of one request show of their endpoints.
+
+Answers and failures go to the record of the endpoint, which may become suspect; a
+connection that the endpoint closed under the request is a case against the request too.
+What follows is decided in `leadford.forwarding.endpoints` and `leadford.quarantine`.
+"""
+
+from leadford.events import Event
+from leadford.forwarding.endpoints import EndpointFailure, EndpointRecord
+from leadford_server.forwarding._progress import RequestProgress
+from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.endpoints import ConnectionEnd
+from leadford_server.forwarding.retries._attempt import Attempt, BorrowedConnection
+
+# What the connections of a process end by that ends itself.
+ENDS_OF_PROCESSES = frozenset({ConnectionEnd.CLOSED, ConnectionEnd.RESET})
+
+
+class EndpointEvidence:
+    """Record what one request shows of endpoints."""
+
+    def __init__(self, *, state: ForwardState, progress: RequestProgress) -> None:
+        self.state = state
+        self.progress = progress
+
+    def record_answer(self, attempt: Attempt) -> None:
+        """Record what a whole answer shows of its endpoint."""
+        if attempt.is_error:
+            self.record_failure(attempt.record, EndpointFailure.ERROR_STATUS)
+            return
+        now = self.state.now()
+        attempt.record.record_success((now - attempt.began_at) * 1_000.0)
+        self.state.quarantine_.record_answered(self.progress.digest_)
+
+    def record_failure(self, record: EndpointRecord, failure: EndpointFailure) -> None:
+        """Record a failure of an endpoint, and log when it becomes suspect."""
+        now = self.state.now()
+        was_suspect = record.is_suspect(now)
+        record.record_failure(now, failure)
+        if record.is_suspect(now) and not was_suspect:
+            self.state.log.report(
+                Event.ENDPOINT_EJECTED,
+                endpoint=record.listed.endpoint_id,
+                service=record.listed.service_id,
+                failures=record.failures_in_a_row_,
+                request=self.progress.request.request_id,
+            )
+
+    def record_alive(self, record: EndpointRecord, sent_at: float) -> None:
+        """Record that an endpoint answered what was sent at a moment."""
+        self.state.quarantine_.record_alive(record.listed.endpoint_id, sent_at)
+
+    def record_broken(self, attempt: Attempt) -> None:
+        """Record that an answer broke off; call it before the connection is released.
+
+        An answer that merely stays silent has not broken off.
+        """
+        if not attempt.answer.reader.is_broken_:
+            return
+        self.record_lost(
+            BorrowedConnection(attempt.record, attempt.connection, attempt.began_at),
+            has_head=True,
+        )
+
+    def record_lost(self, lost: BorrowedConnection, *, has_head: bool) -> None:
+        """Record and log that the connection of an attempt ended before its answer.
+
+        Without the line it cannot be told afterwards which requests ran at an endpoint
+        that ended, nor how far each had come.
+        """
+        progress = self.progress
+        listed = lost.record.listed
+        now = self.state.now()
+        last_event_at = progress.last_event_at_
+        has_events = last_event_at is not None and last_event_at >= lost.began_at
+        end = lost.connection.end
+        self.state.log.report(
+            Event.ATTEMPT_LOST,
+            request=progress.request.request_id,
+            digest=progress.digest_,
+            endpoint=listed.endpoint_id,
+            service=listed.service_id,
+            end=end.value,
+            has_head=has_head,
+            has_events=has_events,
+            ran_ms=round((now - lost.began_at) * 1_000.0),
+        )
+        if end in ENDS_OF_PROCESSES:
+            self.state.quarantine_.record_lost(
+                progress.digest_, listed.endpoint_id, is_under_way=has_events
+            )
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_crashing_requests.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_crashing_requests.py
@@ -46,6 +46,21 @@
     return await asyncio.gather(*sending)
 
 
+async def send_innocent(deployment, number):
+    """Send a request beside others, and again at once while it is not served."""
+    await asyncio.sleep(number * 0.05)
+    for attempt in range(4):
+        answer = await deployment.send(
+            "/resumed/x",
+            request_id=f"innocent-{number}.{attempt}",
+            entry=number % 3,
+            body=f"innocent {number}".encode(),
+        )
+        if answer.code == 200:
+            break
+    return answer
+
+
 @pytest.mark.parametrize("path", ["/resumed/x", "/once/x", "/safe/x", "/unsafe/x"])
 @pytest.mark.parametrize("entries", [3, 9])
 def test_a_request_that_ends_its_endpoints_is_soon_sent_to_none(path, entries):
@@ -69,20 +84,10 @@
         await deployment.until_linked()
         deployment.end_stages_on("pk-ending", back_s=BACK_S)
 
-        async def send(number):
-            await asyncio.sleep(number * 0.05)
-            for attempt in range(4):
-                answer = await deployment.send(
-                    "/resumed/x",
-                    request_id=f"innocent-{number}.{attempt}",
-                    entry=number % 3,
-                    body=f"innocent {number}".encode(),
-                )
-                if answer.code == 200:
-                    break
-            return answer
-
-        sending = [asyncio.ensure_future(send(number)) for number in range(60)]
+        sending = [
+            asyncio.ensure_future(send_innocent(deployment, number))
+            for number in range(60)
+        ]
         answers = await send_copies(deployment, "/resumed/x")
         assert 3 <= len(deployment.ended_) <= ENDS_MOST
         assert answers[-1].code == 503
@@ -98,20 +103,10 @@
             engine.pause_s = 0.1
         deployment.end_on(ENDING, back_s=BACK_S)
 
-        async def send(number):
-            await asyncio.sleep(number * 0.05)
-            for attempt in range(4):
-                answer = await deployment.send(
-                    "/resumed/x",
-                    request_id=f"innocent-{number}.{attempt}",
-                    entry=number % 3,
-                    body=f"innocent {number}".encode(),
-                )
-                if answer.code == 200:
-                    break
-            return answer
-
-        sending = [asyncio.ensure_future(send(number)) for number in range(60)]
+        sending = [
+            asyncio.ensure_future(send_innocent(deployment, number))
+            for number in range(60)
+        ]
         await send_copies(deployment, "/resumed/x")
         answers = await asyncio.gather(*sending)
         assert [answer.code for answer in answers] == [200] * 60
