--- a/packages/leadford/src/leadford/quarantine/_ledger.py
+++ b/packages/leadford/src/leadford/quarantine/_ledger.py
@@ -36,14 +36,15 @@
 # they explain must still be found out: the slowest ends 6 endpoints, with 0.25 it ends
 # 9 and with 0.0 14 (the model of `test_innocents`, 6 and 18 endpoints, six seeds).
 EXPLAINED_PART = 0.5
-# Works that are remembered, some 300 bytes each; one endpoint that ends adds as many as
+# Works that are remembered, some 950 bytes each; one endpoint that ends adds as many as
 # it ran. Not varied.
 WORKS_KEPT = 4_000
 # Ids of cases that are remembered, so that what is told late counts once; not varied.
 CASE_IDS_KEPT = 20_000
 # Seconds without another case after which a work is forgotten; not measured.
 FORGOTTEN_S = 3_600.0
-# Works that a new peer is told, the ones with the most ends first: 25 kB at the most.
+# Works that a new peer is told, the ones with the most ends first; 64 bytes a case by
+# encoding. Not varied.
 TOLD_MOST = 300
 
 
