Let the soak send requests that end whoever runs them, and check that they soon reach nobody

Ruled out: drawing it with the other faults, which would change every kept seed; it has a rate of its own, drawn last.

--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -78,6 +78,7 @@
     requests_per_s: float = 60.0,
     faults_per_s: float = 0.8,
     changes_per_s: float = 0.4,
+    ending_per_s: float = 0.0,
     long_part: float = 0.15,
     long_work_s: float = 1.2,
     only: list[str] | None = None,
@@ -94,6 +95,7 @@
     :param requests_per_s: requests of all callers together
     :param faults_per_s: faults besides changes of the configuration
     :param changes_per_s: changes of the configuration
+    :param ending_per_s: new requests that end whoever runs them
     :param long_part: part of the requests that work long
     :param long_work_s: how long at most these work
     :param only: kinds of fault and change to draw; all when left out
@@ -113,6 +115,7 @@
         requests_per_s=requests_per_s,
         faults_per_s=faults_per_s,
         changes_per_s=changes_per_s,
+        ending_per_s=ending_per_s,
         long_part=long_part,
         long_work_s=long_work_s,
         only=tuple(only or ()),
--- a/packages/leadford-standins/src/leadford_standins/soak/_base.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_base.py
@@ -54,6 +54,7 @@
     ENDPOINT_CRASHED = "endpoint-crashed"
     ENDPOINT_REPLACED = "endpoint-replaced"
     ENDPOINT_MISBEHAVES = "endpoint-misbehaves"
+    REQUEST_ENDS_ENDPOINTS = "request-ends-endpoints"
 
 
 class SoakBounds(msgspec.Struct, frozen=True):
@@ -78,7 +79,7 @@
     A part of the requests, `long_part`, works for up to `long_work_s`. `only` names the
     kinds to draw, all when empty; `program` is the file that starts an entry, that of
     this checkout when empty. Units: requests_per_s counts all callers together,
-    faults_per_s injected faults.
+    faults_per_s injected faults, and ending_per_s requests that end whoever runs them.
     """
 
     seed: int
@@ -88,6 +89,7 @@
     requests_per_s: float = 60.0
     faults_per_s: float = 0.8
     changes_per_s: float = 0.4
+    ending_per_s: float = 0.0
     long_part: float = 0.15
     long_work_s: float = 1.2
     only: tuple[str, ...] = ()
@@ -108,6 +110,18 @@
     amount: float = 0.0
 
 
+class RepeatedRequest(msgspec.Struct, frozen=True):
+    """Hold one request that comes again and again, at any entry.
+
+    Units: seconds.
+    """
+
+    route: str
+    body: bytes
+    duration_s: float
+    gap_s: float
+
+
 class SoakPlan(msgspec.Struct, frozen=True):
     """Hold all that a soak will inject, in order of time."""
 
--- a/packages/leadford-standins/src/leadford_standins/soak/_cases.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_cases.py
@@ -34,6 +34,11 @@
 )
 STOPS_ONLY = ("entry-stopped",)
 
+ENDS_ENDPOINTS = (
+    "Nothing remembered under which request endpoints had ended, so each copy that a "
+    "caller sent again went to endpoints, at any entry."
+)
+
 cases: tuple[SoakCase, ...] = (
     SoakCase(SoakOptions(seed=12), CUT_AT_THE_END),
     SoakCase(SoakOptions(seed=3), CUT_AT_THE_END),
@@ -62,4 +67,14 @@
         SoakOptions(seed=402, seconds=30.0, faults_per_s=0.15, changes_per_s=0.8),
         LOST_AS_SLOW,
     ),
+    SoakCase(
+        SoakOptions(
+            seed=5002,
+            endpoints=4,
+            faults_per_s=1e-4,
+            changes_per_s=1e-4,
+            ending_per_s=0.15,
+        ),
+        ENDS_ENDPOINTS,
+    ),
 )
--- a/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
@@ -114,6 +114,8 @@
         self.departures_: list[Departure] = []
         self.injected_: list[tuple[float, str, str]] = []
         self.endpoints_: set[str] = set()
+        # Bodies of requests that end whoever runs them.
+        self.ending_bodies_: set[bytes] = set()
         self.errors_: list[str] = []
         self.unowned_ = 0
         self.lag_most_s_ = 0.0
--- a/packages/leadford-standins/src/leadford_standins/soak/_runner.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_runner.py
@@ -53,6 +53,7 @@
             config=scene.config_,
         )
         scene.on_stop_ = callers.press
+        scene.repeat_ = callers.repeat
         watching = asyncio.create_task(watch_ready(scene.entries_, scene.ledger))
         loop = asyncio.get_running_loop()
         scene.ends_at_ = loop.time() + scene.options.seconds
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/__init__.py
@@ -9,6 +9,7 @@
     _bounds,
     _config,
     _cuts,
+    _quarantine,
     _service,
 )
 from leadford_standins.soak.checks._base import (
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_service.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_service.py
@@ -71,6 +71,9 @@
                 continue
             if sent.detail == "gives up":
                 continue
+            if sent.body in evidence.ledger.ending_bodies_:
+                # It is refused once it is known; `_quarantine` judges by its runs.
+                continue
             if not _fits(sent) or not _is_allowed(sent, evidence):
                 continue
             if not _is_all_calm(sent, evidence):
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
@@ -195,7 +195,21 @@
 
 
 # A ledger for each promise that breaks it.
+def ended_endpoints(later=4):
+    """Return a ledger of a request that ran three times, and later again."""
+    moments = [50.0, 50.1, 50.2, *(60.0 + number for number in range(later))]
+    copies = [
+        answered(at=at, request_id=f"r{number}", body=b"ends")
+        for number, at in enumerate(moments)
+    ]
+    ledger = ledger_of(*copies)
+    ledger.ending_bodies_.add(b"ends")
+    ledger.run_records_ += [("i-1", run_of(sent)) for sent in copies]
+    return ledger
+
+
 BREAKING = {
+    "a request that ends its endpoints is soon sent to none": ended_endpoints,
     "an entry is ready in calm and not once it stops": not_ready_in_calm,
     "calm serves what every configuration allows": not_served_in_calm,
     "runs at most once": ran_twice,
@@ -296,3 +310,12 @@
     sent.asked["X-Deadline-Ms"] = "9000"
     sent.timeout_s = 9.0
     assert found_in(ledger_of(sent, process=process)) == set()
+
+
+@pytest.mark.parametrize(("later", "is_broken"), [(3, False), (4, True)])
+def test_a_request_that_ended_three_endpoints_may_run_three_times_more(
+    later, is_broken
+):
+    ledger = ended_endpoints(later)
+    promise = "a request that ends its endpoints is soon sent to none"
+    assert (promise in found_in(ledger)) is is_broken
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
@@ -73,6 +73,10 @@
     K.KEY_REVOKED: Span(1),
     K.MANY_ROUTES: Span(0.5, (0, 0), (100, 1_400)),
 }
+# The amount is the time between two copies of such a request.
+ENDING_SPANS: dict[FaultKind, Span] = {
+    K.REQUEST_ENDS_ENDPOINTS: Span(1, (9, 15), (0.15, 0.6)),
+}
 # A target is drawn below this, and taken modulo what there is.
 TARGETS = 10_000
 
@@ -82,6 +86,8 @@
     faults = [
         *_draw(FAULT_SPANS, options.faults_per_s, options, random),
         *_draw(CHANGE_SPANS, options.changes_per_s, options, random),
+        # Last, so that the seeds of runs without them mean what they did.
+        *_draw(ENDING_SPANS, options.ending_per_s, options, random),
     ]
     faults.sort(key=lambda fault: fault.at_s)
     return SoakPlan(options, tuple(faults))
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_platform.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_platform.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
-from leadford_standins.soak._base import MISBEHAVIOUR, STORE, Fault, FaultKind
+from leadford_standins.soak._base import (
+    MISBEHAVIOUR,
+    STORE,
+    Fault,
+    FaultKind,
+    RepeatedRequest,
+)
 from leadford_standins.soak.faults._base import injects
 from leadford_standins.soak.parts import ConfigWriter, RunningEndpoint, SoakScene
 from leadford_standins.wire import (
@@ -22,6 +28,7 @@
 }
 # Seconds after a crash until the store forgets an endpoint that says nothing.
 FORGOTTEN_S = 3.0
+ENDING_ROUTES = ("safe", "unsafe", "resumed", "once")
 # Seconds between looks whether all that was to go wrong at an endpoint has.
 LOOK_S = 0.1
 M = Misbehaviour
@@ -150,3 +157,13 @@
         await asyncio.sleep(LOOK_S)
     if not endpoint.next_:
         noted.until_s = loop.time()
+
+
+@injects(K.REQUEST_ENDS_ENDPOINTS)
+async def send_what_ends_endpoints(scene: SoakScene, fault: Fault) -> None:
+    """Send a request again and again that ends each endpoint which runs it."""
+    body = f"ends endpoints, {fault.target} at {fault.at_s}".encode()
+    scene.ledger.ending_bodies_.add(body)
+    route = ENDING_ROUTES[fault.target % len(ENDING_ROUTES)]
+    scene.repeat_(RepeatedRequest(route, body, fault.duration_s, fault.amount))
+    await asyncio.sleep(fault.duration_s)
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
@@ -9,6 +9,7 @@
 from leadford_standins.soak.faults._base import injectors_by_kind
 from leadford_standins.soak.faults._plan import (
     CHANGE_SPANS,
+    ENDING_SPANS,
     FAULT_SPANS,
     QUIET_START_S,
     draw_plan,
@@ -50,5 +51,14 @@
 
 @pytest.mark.parametrize("kind", FaultKind)
 def test_every_kind_is_drawn_and_has_an_injector(kind):
-    assert kind in FAULT_SPANS or kind in CHANGE_SPANS
+    assert kind in {**FAULT_SPANS, **CHANGE_SPANS, **ENDING_SPANS}
     assert kind in injectors_by_kind
+
+
+def test_requests_that_end_endpoints_leave_the_other_draws_as_they_were():
+    others = [
+        fault
+        for fault in plan_of(5, ending_per_s=0.5).faults
+        if fault.kind not in ENDING_SPANS
+    ]
+    assert tuple(others) == plan_of(5).faults
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_callers.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_callers.py
@@ -7,7 +7,7 @@
 import asyncio
 from random import Random
 
-from leadford_standins.soak._base import SoakOptions
+from leadford_standins.soak._base import RepeatedRequest, SoakOptions
 from leadford_standins.soak._ledger import Ledger, Outcome, Sent
 from leadford_standins.soak.parts._config import MOVED_ROUTE, ConfigWriter
 from leadford_standins.soak.parts._connection import CallerConnection
@@ -110,6 +110,23 @@
             return None
         return await CallerConnection.open(entry.callers, entry.number_)
 
+    def repeat(self, request: RepeatedRequest) -> None:
+        """Send a request again and again, each time through any entry."""
+        self._spawn(self._repeat(request))
+
+    async def _repeat(self, request: RepeatedRequest) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + request.duration_s
+        key = self.config.draw_key()
+        while loop.time() < until:
+            entry = self.random.choice(self.entries)
+            sent = self._draw(entry)
+            sent.route, sent.method = request.route, "POST"
+            sent.path, sent.key = f"/{request.route}/ending", key
+            sent.body = request.body
+            self._spawn(self._send(entry, sent, None))
+            await asyncio.sleep(request.gap_s)
+
     def _spawn(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
         self.tasks_.add(task)
@@ -177,7 +194,7 @@
 
     def _headers(self, sent: Sent) -> dict[str, str]:
         random = self.random
-        if sent.method == "POST":
+        if sent.method == "POST" and not sent.body:
             sent.body = f"payload of {sent.request_id}".encode()
         span = WORK_MS
         if random.random() < self.options.long_part:
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from functools import partial
 
 from tornado import iostream
 from tornado.httputil import HTTPServerRequest
@@ -24,6 +25,8 @@
 WORK_HEADER = "X-Work-Ms"
 SERVICES = ("plain", "other", "stage", "engine")
 ENDS_LATER = float("inf")
+# Seconds until an endpoint that ended under a request is back, as another start.
+BACK_S = 1.5
 
 
 class WorkingPlain(PlainStandIn):
@@ -88,6 +91,7 @@
         self.ledger = ledger
         self.halls = halls
         self.bounds = bounds
+        self.tasks_: set[asyncio.Task[None]] = set()
         self.live_: list[RunningEndpoint] = []
         self.all_: list[RunningEndpoint] = []
         self.makers_: list[StageStandIn] = []
@@ -112,6 +116,9 @@
     async def add(self, service: str, hall: str) -> RunningEndpoint:
         """Start an endpoint and list it."""
         running = RunningEndpoint(endpoint=self._make(service, hall))
+        # Shared, so that endpoints that start later end on the same requests.
+        running.endpoint.ends_on_ = self.ledger.ending_bodies_
+        running.endpoint.on_end_ = partial(self._on_end, running)
         await running.start()
         self.live_.append(running)
         self.all_.append(running)
@@ -120,6 +127,20 @@
         self.ledger.endpoints_.add(endpoint.endpoint_id)
         return running
 
+    def _on_end(self, running: RunningEndpoint) -> None:
+        """Follow an endpoint that ended under a request."""
+        task = asyncio.create_task(self._start_again(running))
+        self.tasks_.add(task)
+        task.add_done_callback(self.tasks_.discard)
+
+    async def _start_again(self, running: RunningEndpoint) -> None:
+        """Start another endpoint in place of one that ended by itself."""
+        endpoint = running.endpoint
+        await self.end(running, FaultKind.REQUEST_ENDS_ENDPOINTS)
+        await asyncio.sleep(BACK_S)
+        self.store.delete("servers", endpoint.endpoint_id)
+        await self.add(endpoint.service, endpoint.hall)
+
     def pick(self, target: int) -> RunningEndpoint | None:
         """Return an endpoint that is not leaving and is not the last of its service."""
         here = [e for e in self.live_ if not e.is_leaving_]
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
@@ -10,7 +10,7 @@
 from random import Random
 
 from leadford_platform import PlatformObjects
-from leadford_standins.soak._base import EVERYTHING, SoakOptions
+from leadford_standins.soak._base import EVERYTHING, RepeatedRequest, SoakOptions
 from leadford_standins.soak._ledger import Ledger
 from leadford_standins.soak.parts._config import ConfigWriter
 from leadford_standins.soak.parts._endpoints import EndpointPool
@@ -58,6 +58,7 @@
         self.peer_links_: dict[str, LinkState] = {}
         self.proxies_: list[FaultProxy] = []
         self.on_stop_: Callable[[EntryProcess], None] = lambda entry: None
+        self.repeat_: Callable[[RepeatedRequest], None] = lambda request: None
 
     async def __aenter__(self) -> "SoakScene":
         self.block_ = AddressBlock()
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
@@ -8,7 +8,7 @@
 # Seconds that a soak may take, its start and the planned stop at its end included.
 SOAK_S = 150.0
 # The kept cases that are replayed each time; all are by `leadford-standins soak-cases`.
-REPLAYED = cases[:2]
+REPLAYED = (*cases[:2], cases[-1])
 
 
 async def run_soak(options, folder):
@@ -21,7 +21,9 @@
         f"--seconds={options.seconds}",
         f"--entries={options.entries}",
         f"--faults-per-s={options.faults_per_s}",
+        f"--endpoints={options.endpoints}",
         f"--changes-per-s={options.changes_per_s}",
+        f"--ending-per-s={options.ending_per_s}",
         "--untimed",
         f"--keep={folder}",
         stdout=asyncio.subprocess.PIPE,
