End requests that begin during a planned stop before it ends as well

Ruled out: refusing such requests at once, most of which are served in time. Change: the bound holds for requests that begin later too. Conclusion: the class is closed for requests taken before and during a stop.

--- a/packages/leadford-server/src/leadford_server/forwarding/_deadlines.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_deadlines.py
@@ -14,6 +14,7 @@
 
     def __init__(self) -> None:
         self.timeouts_: set[asyncio.Timeout] = set()
+        self.ends_by_ = float("inf")
 
     @asynccontextmanager
     async def until(self, moment: float) -> AsyncIterator[None]:
@@ -21,7 +22,7 @@
 
         Errors: raises TimeoutError at the end of the block then.
         """
-        async with asyncio.timeout_at(moment) as timeout:
+        async with asyncio.timeout_at(min(moment, self.ends_by_)) as timeout:
             self.timeouts_.add(timeout)
             try:
                 yield
@@ -29,7 +30,8 @@
                 self.timeouts_.discard(timeout)
 
     def end_by(self, moment: float) -> None:
-        """Let every request under way end by a moment of the loop."""
+        """Let every request end by a moment of the loop, also those yet to begin."""
+        self.ends_by_ = moment
         for timeout in self.timeouts_:
             if not timeout.expired() and timeout.when() > moment:
                 timeout.reschedule(moment)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_stop_writes_out.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_stop_writes_out.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 
+import pytest
+
 from leadford_standins.wire import play
 
 # More than the kernel holds for a caller with a small window.
@@ -68,7 +70,15 @@
     play(scenario)
 
 
-def test_a_request_that_reached_no_endpoint_is_refused_before_a_stop_ends():
+async def stop_after(entry, wait_s):
+    await asyncio.sleep(wait_s)
+    await entry.drain()
+
+
+@pytest.mark.parametrize("taken_after_s", [-0.5, 0.3])
+def test_a_request_that_reached_no_endpoint_is_refused_before_a_stop_ends(
+    taken_after_s,
+):
     async def scenario(deployment):
         for route in deployment.config["routes"]:
             route["timeoutMs"] = 20_000
@@ -77,12 +87,10 @@
             # Its pieces wait for room, and nothing says that they will not be made.
             stage.room = 0
         (entry,) = deployment.entries_
-        sending = asyncio.ensure_future(
-            deployment.send("/resumed/x", request_id="r", deadline_ms=15_000)
-        )
-        await asyncio.sleep(0.5)
-        await entry.drain()
-        answer = await sending
+        stopping = asyncio.ensure_future(stop_after(entry, max(0.0, -taken_after_s)))
+        await asyncio.sleep(max(0.0, taken_after_s))
+        answer = await deployment.send("/resumed/x", request_id="r", deadline_ms=15_000)
+        await stopping
         assert answer.code == 503
         assert not any(engine.runs_ for engine in deployment.engines)
 
