--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -7,7 +7,7 @@
 import asyncio
 import socket
 from functools import partial
-from random import Random
+from random import Random, SystemRandom
 
 from returns.result import Success
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
@@ -29,13 +29,26 @@
 STEP_S = 0.02
 
 REFUSALS = (429, 503)
+# Below the ports from which the kernel lets connections leave.
+PORT_LEAST, PORT_MOST = 12_000, 32_000
+# Runs beside each other must not draw the same ports.
+_PORTS = SystemRandom()
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that nobody listens on now, and that no connection leaves from.
+
+    An entry that a test starts again binds its port once more. One in the range of the
+    kernel's own choices was taken by a connection of another process meanwhile.
+    """
+    while True:
+        port = _PORTS.randrange(PORT_LEAST, PORT_MOST)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def default_config() -> dict:
