--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -12,7 +12,7 @@
 from leadford.common import EntryId, HallId
 from leadford.events import Event
 from leadford.forwarding.endpoints import ListedEndpoint
-from leadford.forwarding.membership import is_live, is_silent
+from leadford.forwarding.membership import HeardPeers
 from leadford.forwarding.routes import ForwardConfig
 from leadford.protocol import (
     PROTOCOL_EVACUATIONS,
@@ -75,7 +75,7 @@
         self.fleet = FleetView(state=state)
         self.dialers_by_id_: dict[EntryId, Dialer] = {}
         self.peers_by_id_: dict[EntryId, PeerConnection] = {}
-        self.heard_at_by_id_: dict[EntryId, float] = {}
+        self.heard_ = HeardPeers()
         self.draining_ids_: set[EntryId] = set()
         self.server_: PeerServer | None = None
         self.is_draining_ = False
@@ -149,6 +149,7 @@
     async def run(self) -> None:
         """Send heartbeats and keep links up until cancelled."""
         while True:
+            self.heard_.look(self.state.now())
             self._dial()
             self._send_heartbeats()
             self.stages.sent.check()
@@ -186,7 +187,7 @@
         told = [self.relays.confirmations(), backlog]
         fleet = [part for part in told if part is not None]
         for entry_id, peer in list(self.peers_by_id_.items()):
-            if is_silent(self.heard_at_by_id_.get(entry_id, now), now):
+            if self.heard_.is_silent(entry_id, now):
                 # The connection stands, but its peer no longer sends heartbeats.
                 peer.abort()
                 continue
@@ -200,7 +201,7 @@
         """Tell whether an entry was heard a short while ago."""
         if entry_id not in self.peers_by_id_:
             return False
-        return is_live(self.heard_at_by_id_.get(entry_id), now)
+        return self.heard_.is_live(entry_id, now)
 
     def halls_by_live_entry(self) -> dict[EntryId, HallId]:
         """Return the entries that are known to be alive, without this one."""
@@ -215,7 +216,7 @@
         """Record that a connection stands."""
         entry_id = EntryId(peer.info.peer_id)
         self.peers_by_id_[entry_id] = peer
-        self.heard_at_by_id_[entry_id] = self.state.now()
+        self.heard_.record_heard(entry_id, self.state.now())
         self.state.log.report(Event.PEER_CONNECTED, peer=entry_id)
         # Before the configuration: budgets are shared by the entries that are known.
         self.news.send_entries(peer)
@@ -242,7 +243,7 @@
     def peer_message(self, peer: PeerConnection, message: Message) -> None:
         """Handle one message."""
         entry_id = EntryId(peer.info.peer_id)
-        self.heard_at_by_id_[entry_id] = self.state.now()
+        self.heard_.record_heard(entry_id, self.state.now())
         if self.peers_by_id_.get(entry_id) is None:
             self.peers_by_id_[entry_id] = peer
         handler = self.handlers_.get(type(message))
--- a/packages/leadford/src/leadford/forwarding/membership/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/membership/__init__.py
@@ -2,7 +2,7 @@
 
 from leadford.forwarding.membership._fetch import NewsFetch
 from leadford.forwarding.membership._heard import HeardVersions
-from leadford.forwarding.membership._liveness import is_live, is_silent
+from leadford.forwarding.membership._liveness import HeardPeers
 from leadford.forwarding.membership._peer_clock import PeerClock
 from leadford.forwarding.membership._peers import (
     placed_group,
@@ -22,13 +22,12 @@
 )
 
 __all__ = [
+    "HeardPeers",
     "HeardVersions",
     "WATCH_MARGIN_S",
     "NewsFetch",
     "PeerClock",
     "follower_watch_s",
-    "is_live",
-    "is_silent",
     "longest_call_s",
     "may_stop",
     "placed_group",
