Skip messages that only another build knows, and count them

Cause: a message, field or Enum value of a later build ended the link between two entries, and with it what both told each other, for as long as the upgrade lasted. Ruled out: a table of versions for each message at the reader: the writer already asks the version of the link, and the builds before 7 stay as they are. Change: a frame whose conversion fails is read message by message; what is not known is skipped, counted and logged once a link (event 205). Figures: none measured; the usual frame is converted in one step as before. Conclusion: unknown is not fatal from this build on.

--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -85,6 +85,10 @@
 PEER_FRAMES_TOTAL = Counter(
     "leadford_peer_frames_total", "Frames between processes.", ["direction"]
 )
+PEER_MESSAGES_SKIPPED_TOTAL = Counter(
+    "leadford_peer_messages_skipped_total",
+    "Messages of peers that this build does not know.",
+)
 CRASH_CASES_TOTAL = Counter(
     "leadford_crash_cases_total",
     "Connections that an endpoint closed under a request, by who saw it.",
--- a/packages/leadford-server/src/leadford_server/peers/_connection.py
+++ b/packages/leadford-server/src/leadford_server/peers/_connection.py
@@ -2,7 +2,8 @@
 
 Used by every program for its links to other processes. Each frame carries the version
 of the sender's configuration and the messages that waited; a peer that does not read,
-or that sends what is no message, is cut off. Handlers decide what messages mean.
+or that sends what is no frame, is cut off. A message that only another build knows is
+skipped. Handlers decide what messages mean.
 """
 
 import asyncio
@@ -16,9 +17,13 @@
 from websockets.exceptions import ConnectionClosed
 
 from leadford.events import Event
-from leadford.protocol import Message, decode, encode
+from leadford.protocol import Message, ReceivedFrame, decode, encode
 from leadford_server.logs import EventLog
-from leadford_server.metrics import PEER_BYTES_TOTAL, PEER_FRAMES_TOTAL
+from leadford_server.metrics import (
+    PEER_BYTES_TOTAL,
+    PEER_FRAMES_TOTAL,
+    PEER_MESSAGES_SKIPPED_TOTAL,
+)
 
 # Bytes and messages that a frame holds at most; not measured.
 FRAME_BYTES_MAX = 8 * 1024 * 1024
@@ -80,6 +85,7 @@
         self.peer_config_version_ = 0
         self.sent_config_version_ = 0
         self.is_open_ = True
+        self.has_skipped_ = False
 
     def send(self, message: Message) -> bool:
         """Queue a message; return whether the connection still stands."""
@@ -145,6 +151,22 @@
                 handler.peer_version(self, frame.config_version)
             for message in frame.messages:
                 handler.peer_message(self, message)
+            self._count_skipped(frame)
+
+    def _count_skipped(self, frame: ReceivedFrame) -> None:
+        """Count messages that this build does not know; log the first of a link."""
+        if not frame.skipped:
+            return
+        PEER_MESSAGES_SKIPPED_TOTAL.inc(len(frame.skipped))
+        if self.has_skipped_:
+            return
+        self.has_skipped_ = True
+        self.log.report(
+            Event.MESSAGE_SKIPPED,
+            peer=self.info.peer_id,
+            protocol_version=self.info.protocol_version,
+            error=frame.skipped[0],
+        )
 
     async def _write(self) -> None:
         while self.is_open_:
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -31,6 +31,7 @@
     PEER_REJECTED = (202, Severity.WARNING, "A peer failed its proof or version.")
     FRAME_REJECTED = (203, Severity.WARNING, "A frame was no message; peer dropped.")
     HALL_LOST = (204, Severity.WARNING, "A data hall is held lost as a whole.")
+    MESSAGE_SKIPPED = (205, Severity.WARNING, "A message of a peer is not known here.")
     ENDPOINT_EJECTED = (300, Severity.WARNING, "An endpoint gets no work for a while.")
     ENDPOINT_PROBING = (301, Severity.INFO, "An ejected endpoint is probed.")
     ENDPOINT_RESTORED = (302, Severity.INFO, "An endpoint passed its probes.")
--- a/packages/leadford/src/leadford/protocol/__init__.py
+++ b/packages/leadford/src/leadford/protocol/__init__.py
@@ -20,15 +20,23 @@
 )
 from leadford.protocol._auth import make_nonce, make_proof, proof_matches
 from leadford.protocol._base import (
+    PROTOCOL_COLD_PLACED,
     PROTOCOL_CONFIG_PARTS,
     PROTOCOL_CRASHES,
     PROTOCOL_EVACUATIONS,
     PROTOCOL_FLEET,
     PROTOCOL_PACKED,
+    PROTOCOL_UNTOLD,
     PROTOCOL_VERSION,
     PROTOCOL_VERSION_MIN,
 )
-from leadford.protocol._codec import Frame, ProtocolError, decode, encode
+from leadford.protocol._codec import (
+    Frame,
+    ProtocolError,
+    ReceivedFrame,
+    decode,
+    encode,
+)
 from leadford.protocol._entries import (
     ChunkAnswer,
     ChunkRequest,
@@ -91,6 +99,8 @@
 )
 
 __all__ = [
+    "PROTOCOL_COLD_PLACED",
+    "PROTOCOL_UNTOLD",
     "PROTOCOL_CONFIG_PARTS",
     "PROTOCOL_CRASHES",
     "PROTOCOL_EVACUATIONS",
@@ -155,6 +165,7 @@
     "NoteRequest",
     "PlanOrder",
     "ProtocolError",
+    "ReceivedFrame",
     "Query",
     "QueryAnswer",
     "RefusalReport",
--- a/packages/leadford/src/leadford/protocol/_base.py
+++ b/packages/leadford/src/leadford/protocol/_base.py
@@ -8,7 +8,7 @@
 import msgspec
 
 # Versions of the protocol that this process speaks.
-PROTOCOL_VERSION = 6
+PROTOCOL_VERSION = 7
 # The first version in which configurations travel in parts.
 PROTOCOL_CONFIG_PARTS = 2
 # The first version in which entries tell each other which halls are evacuated.
@@ -19,6 +19,10 @@
 PROTOCOL_PACKED = 5
 # The first version in which entries tell each other under which work endpoints ended.
 PROTOCOL_CRASHES = 6
+# The version of entries whose heartbeats do not tell the oldest one they are linked to.
+PROTOCOL_UNTOLD = 6
+# The first version in which one entry also places prompts at engines that may be cold.
+PROTOCOL_COLD_PLACED = 7
 PROTOCOL_VERSION_MIN = 1
 
 
--- a/packages/leadford/src/leadford/protocol/_codec.py
+++ b/packages/leadford/src/leadford/protocol/_codec.py
@@ -1,7 +1,9 @@
 """Turn frames of messages into CBOR and back.
 
 A frame carries the sender's configuration version and every message that was
-waiting to be sent, so the cost of a frame is shared by its messages.
+waiting to be sent, so the cost of a frame is shared by its messages. While a fleet is
+upgraded, processes of two builds talk to each other: a message that this build does not
+know, or cannot read any more, is skipped, and those beside it are read.
 """
 
 from collections.abc import Sequence
@@ -19,6 +21,10 @@
     """Tell that a frame is not made of messages of this protocol."""
 
 
+# Characters of what is wrong with a message that is skipped.
+SKIPPED_LOGGED = 200
+
+
 class Frame(msgspec.Struct, frozen=True, array_like=True):
     """Hold the messages sent together and the sender's configuration version."""
 
@@ -26,16 +32,31 @@
     messages: list[Message]
 
 
+class _RawFrame(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a frame whose messages are not read yet."""
+
+    config_version: int
+    messages: list[object]
+
+
+class ReceivedFrame(msgspec.Struct, frozen=True):
+    """Hold the messages that could be read, and why each other one could not."""
+
+    config_version: int
+    messages: list[Message]
+    skipped: tuple[str, ...] = ()
+
+
 def encode(config_version: int, messages: Sequence[Message]) -> bytes:
     """Return messages as one CBOR frame."""
     frame = Frame(config_version, list(messages))
     return cbor2.dumps(msgspec.to_builtins(frame, builtin_types=_CBOR_TYPES))
 
 
-def decode(data: bytes | str) -> Result[Frame, ProtocolError]:
-    """Return the frame in received data.
+def decode(data: bytes | str) -> Result[ReceivedFrame, ProtocolError]:
+    """Return the frame in received data, without messages that are not known here.
 
-    Errors: data that is text, truncated, of unknown type or of wrong shape.
+    Errors: data that is text, truncated, or no frame.
     """
     if isinstance(data, str):
         return Failure(ProtocolError("text where CBOR was expected"))
@@ -44,6 +65,26 @@
     except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
         return Failure(ProtocolError(f"not CBOR: {error}"))
     try:
-        return Success(msgspec.convert(value, Frame, builtin_types=_CBOR_TYPES))
+        frame = msgspec.convert(value, Frame, builtin_types=_CBOR_TYPES)
+    except msgspec.ValidationError:
+        # Rare, so the usual frame is converted in one step.
+        return _decode_one_by_one(value)
+    return Success(ReceivedFrame(frame.config_version, frame.messages))
+
+
+def _decode_one_by_one(value: object) -> Result[ReceivedFrame, ProtocolError]:
+    """Return the messages of a frame that can be read."""
+    try:
+        frame = msgspec.convert(value, _RawFrame, builtin_types=_CBOR_TYPES)
     except msgspec.ValidationError as error:
-        return Failure(ProtocolError(f"not a known message: {error}"))
+        return Failure(ProtocolError(f"not a frame: {error}"))
+    messages: list[Message] = []
+    skipped: list[str] = []
+    for raw in frame.messages:
+        try:
+            message = msgspec.convert(raw, Message, builtin_types=_CBOR_TYPES)
+        except msgspec.ValidationError as error:
+            skipped.append(str(error)[:SKIPPED_LOGGED])
+            continue
+        messages.append(message)
+    return Success(ReceivedFrame(frame.config_version, messages, tuple(skipped)))
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -4,7 +4,7 @@
 on what the store told one of them.
 """
 
-from leadford.protocol._base import MessageBase
+from leadford.protocol._base import PROTOCOL_UNTOLD, MessageBase
 
 
 class PieceSubmit(MessageBase, tag=29):
@@ -104,7 +104,11 @@
 
 
 class EntryHeartbeat(MessageBase, tag=33):
-    """Tell that an entry is alive, which listing it has seen, and its groups."""
+    """Tell that an entry is alive, which listing it has seen, and its groups.
+
+    `lowest_version` is that of the oldest build among the entry and those that it is
+    linked to.
+    """
 
     listing_revision: int
     groups: list[GroupReport] = []
@@ -112,6 +116,7 @@
     commitments: list[CommitmentReport] = []
     refused: list[RefusalReport] = []
     lanes: list[LaneReport] = []
+    lowest_version: int = PROTOCOL_UNTOLD
 
 
 class EntryAddress(MessageBase):
