Place prompts by one entry at engines that may be cold too, once every build knows it

Ruled out: pools, regions and late answers: placing was not asked at all. Change: the entry that asks leaves out the cold engines in which it has no share now, and looks again when the answer is there; the rest is placed as elsewhere. The rule begins once no older build lives (membership/_builds, heartbeats tell the oldest version among the links), and ends when one comes back. Tests replay it on nine entries: streams are placed, a cold engine gets no more than it bears, and each entry chooses by itself while an older build lives.

--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -76,6 +76,9 @@
 class Placing(Protocol):
     """Ask the entry that places the prompts of all."""
 
+    def takes(self, service: Service) -> bool:
+        """Tell whether one entry chooses the endpoints of a service for all."""
+
     def knows_all(self, service_id: ServiceId, prompt: PromptShape) -> bool:
         """Tell whether this entry places the prompts of all."""
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -42,7 +42,9 @@
         self.state = state
         self.stages = stages
 
-    def make(self, groups: set[GroupId], *, is_draining: bool) -> EntryHeartbeat:
+    def make(
+        self, groups: set[GroupId], *, is_draining: bool, lowest_version: int
+    ) -> EntryHeartbeat:
         """Return what is said now; refusals are said once."""
         return EntryHeartbeat(
             self.state.roster_.changed_revision_,
@@ -51,6 +53,7 @@
             self._backlog_reports(),
             self._refusal_reports(),
             self._capacity_reports(),
+            lowest_version,
         )
 
     def record(self, entry_id: EntryId, message: EntryHeartbeat) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -12,11 +12,12 @@
 from leadford.common import EntryId, HallId
 from leadford.events import Event
 from leadford.forwarding.endpoints import ListedEndpoint
-from leadford.forwarding.membership import HeardPeers
+from leadford.forwarding.membership import BuildVersions, HeardPeers, SharedRule
 from leadford.forwarding.routes import ForwardConfig
 from leadford.protocol import (
     PROTOCOL_EVACUATIONS,
     PROTOCOL_FLEET,
+    PROTOCOL_VERSION,
     EntryHeartbeat,
     EvacuationReport,
     FleetBacklog,
@@ -76,6 +77,8 @@
         self.dialers_by_id_: dict[EntryId, Dialer] = {}
         self.peers_by_id_: dict[EntryId, PeerConnection] = {}
         self.heard_ = HeardPeers()
+        self.builds_ = BuildVersions(own=PROTOCOL_VERSION)
+        self.shared_rules_: frozenset[SharedRule] = frozenset()
         self.draining_ids_: set[EntryId] = set()
         self.server_: PeerServer | None = None
         self.is_draining_ = False
@@ -109,6 +112,7 @@
             peers_by_id=self.peers_by_id_,
             group_of=self.fleet.engine_group,
             placer_of=stages.groups.scheduler_of,
+            all_know=self.all_know,
         )
         state.placing_ = self.placing
         self.handlers_ = self._handlers()
@@ -181,9 +185,15 @@
     def _send_heartbeats(self) -> None:
         """Send a heartbeat to each peer, and leave those that are silent for long."""
         now = self.state.now()
+        live = [name for name in self.peers_by_id_ if self.heard_.is_live(name, now)]
+        self.shared_rules_ = self.builds_.shared_rules(live)
         groups = self.fleet.stage_groups()
         backlog = self.heartbeats.make_backlog(groups)
-        message = self.heartbeats.make(groups, is_draining=self.is_draining_)
+        message = self.heartbeats.make(
+            groups,
+            is_draining=self.is_draining_,
+            lowest_version=self.builds_.lowest_linked(live),
+        )
         told = [self.relays.confirmations(), backlog]
         fleet = [part for part in told if part is not None]
         for entry_id, peer in list(self.peers_by_id_.items()):
@@ -197,6 +207,10 @@
             for part in fleet:
                 peer.send(part)
 
+    def all_know(self, rule: SharedRule) -> bool:
+        """Tell whether the build of every entry that lives knows a rule."""
+        return rule in self.shared_rules_
+
     def is_live(self, entry_id: EntryId, now: float) -> bool:
         """Tell whether an entry was heard a short while ago."""
         if entry_id not in self.peers_by_id_:
@@ -217,7 +231,10 @@
         entry_id = EntryId(peer.info.peer_id)
         self.peers_by_id_[entry_id] = peer
         self.heard_.record_heard(entry_id, self.state.now())
-        self.state.log.report(Event.PEER_CONNECTED, peer=entry_id)
+        self.builds_.record_linked(entry_id, peer.info.protocol_version)
+        self.state.log.report(
+            Event.PEER_CONNECTED, peer=entry_id, version=peer.info.protocol_version
+        )
         # Before the configuration: budgets are shared by the entries that are known.
         self.news.send_entries(peer)
         self._tell_evacuations(peer, self.halls.report())
@@ -230,6 +247,7 @@
         if self.peers_by_id_.get(entry_id) is not peer:
             return
         del self.peers_by_id_[entry_id]
+        self.builds_.forget(entry_id)
         self.news.forget(entry_id)
         self.relays.forget(entry_id)
         self.state.log.report(Event.PEER_LOST, peer=entry_id)
@@ -276,5 +294,6 @@
             self.draining_ids_.add(entry_id)
         else:
             self.draining_ids_.discard(entry_id)
+        self.builds_.record_told(entry_id, message.lowest_version)
         self.heartbeats.record(entry_id, message)
         self.news.ask_if_behind(peer, message, self.state.now())
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_placing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_placing.py
@@ -19,6 +19,7 @@
     PromptPart,
     PromptShape,
 )
+from leadford.forwarding.membership import SharedRule
 from leadford.forwarding.routes import Service, ServiceId
 from leadford.protocol import (
     PROTOCOL_FLEET,
@@ -38,7 +39,7 @@
 
     `group_of` returns the group of engines of a service that reads a prompt, found by
     the part that gives it to a pool; `placer_of` returns the live entry that places for
-    a group.
+    a group; `all_know` tells whether the build of every live entry knows a rule.
     """
 
     def __init__(
@@ -48,11 +49,13 @@
         peers_by_id: Mapping[EntryId, PeerConnection],
         group_of: Callable[[ServiceId, str], GroupId | None],
         placer_of: Callable[[GroupId], EntryId],
+        all_know: Callable[[SharedRule], bool],
     ) -> None:
         self.state = state
         self.peers_by_id = peers_by_id
         self.group_of = group_of
         self.placer_of = placer_of
+        self.all_know = all_know
         self.placed = PlacedPrompts(engines=state.engines_)
         self.answers_by_id_: dict[int, asyncio.Future[EndpointId]] = {}
         self.next_id_ = 0
@@ -65,6 +68,17 @@
             PromptRead: self._on_read,
         }
 
+    def takes(self, service: Service) -> bool:
+        """Tell whether one entry chooses the endpoints of a service for all.
+
+        Where endpoints may be cold, each entry still says which of them it may use.
+        """
+        if service.engine is None:
+            return False
+        if service.cold_limits is None:
+            return True
+        return self.all_know(SharedRule.COLD_ENGINES_PLACED)
+
     def knows_all(self, service_id: ServiceId, prompt: PromptShape) -> bool:
         """Tell whether this entry places the prompts of all that are like this one."""
         group = self.group_of(service_id, prompt.pool_key)
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Sequence
 
+from leadford.common import EndpointId
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.quarantine import choose_apart
 from leadford_server.forwarding._progress import RequestProgress
@@ -29,11 +30,7 @@
         state = self.state
         service = self.progress.match_.service
         now = state.now()
-        records = [
-            record
-            for record in state.usable(service.service_id)
-            if state.cold_.may_use(record, service.cold_limits, now)
-        ]
+        records = [r for r in state.usable(service.service_id) if self._may_use(r)]
         tried = self.progress.tried_
         if self.runs_apart:
             return self._choose_apart(records, now)
@@ -71,45 +68,54 @@
     def _knows_all(self) -> bool:
         """Tell whether this entry places the prompts of all at the service."""
         placing = self.state.placing_
-        return placing is not None and placing.knows_all(
-            self.progress.match_.service.service_id, self.progress.request.prompt
-        )
+        service = self.progress.match_.service
+        if placing is None or not placing.takes(service):
+            return False
+        return placing.knows_all(service.service_id, self.progress.request.prompt)
 
     def _is_placed_elsewhere(self) -> bool:
         """Tell whether another entry chooses the endpoint.
 
-        Who may use a cold endpoint is decided at each entry, and where a request under
-        suspicion goes.
+        Where a request under suspicion goes is decided at each entry.
         """
-        service = self.progress.match_.service
-        if service.engine is None or service.cold_limits is not None:
-            return False
-        if self.runs_apart:
+        placing = self.state.placing_
+        if placing is None or self.runs_apart:
             return False
-        return self.state.placing_ is not None and not self._knows_all()
+        return placing.takes(self.progress.match_.service) and not self._knows_all()
 
     async def choose_placed(self) -> EndpointRecord | None:
         """Return the endpoint to ask, at engines the one that another entry chose."""
         if not self._is_placed_elsewhere():
             return self.choose()
-        service = self.progress.match_.service
-        placing = self.state.placing_
-        now = self.state.now()
-        excluded = {*self.progress.tried_}
-        for record in self.state.usable(service.service_id):
-            if record.is_suspect(now):
-                excluded.add(record.listed.endpoint_id)
-        placed = await placing.place(
-            service.service_id,
+        placed = await self.state.placing_.place(
+            self.progress.match_.service.service_id,
             self.progress.request.prompt,
-            excluded=excluded,
+            excluded={*self.progress.tried_, *self._not_to_be_placed()},
             bytes_by_hall=self.inputs.bytes_by_hall(),
         )
         if placed is None:
             return self.choose()
+        if not self._may_use(placed.record):
+            # Another request took what the endpoint bears while the answer travelled.
+            placed.tell_read()
+            return self.choose()
         self.tell_read_ = placed.tell_read
         return placed.record
 
+    def _not_to_be_placed(self) -> set[EndpointId]:
+        """Return endpoints that this entry suspects, or has no cold share in now."""
+        now = self.state.now()
+        return {
+            record.listed.endpoint_id
+            for record in self.state.usable(self.progress.match_.service.service_id)
+            if record.is_suspect(now) or not self._may_use(record)
+        }
+
+    def _may_use(self, record: EndpointRecord) -> bool:
+        """Tell whether an endpoint is warm, or this entry has a share in it now."""
+        limits = self.progress.match_.service.cold_limits
+        return self.state.cold_.may_use(record, limits, self.state.now())
+
     def tell_read(self) -> None:
         """Tell the entry that placed the prompt that it waits there no more."""
         if self.tell_read_ is not None:
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_placing.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_placing.py
@@ -7,6 +7,7 @@
 
 from leadford.forwarding.endpoints import PromptShape
 from leadford.forwarding.routes import ServiceId
+from leadford.protocol import PROTOCOL_UNTOLD
 from leadford_standins.wire import event_ids, play
 
 ENTRIES = 9
@@ -113,6 +114,87 @@
     play(scenario, entries=ENTRIES)
 
 
+async def let_engines_be_cold(deployment, per_s):
+    """Say that engines may be cold, and how many requests a second they bear then."""
+    for service in deployment.config["services"]:
+        if service["name"] == ENGINE:
+            service.update(coldPerS=per_s, coldS=30.0)
+    await put_new_config(deployment)
+
+
+async def put_new_config(deployment):
+    deployment.config["version"] += 1
+    deployment.put_config()
+    version = deployment.config["version"]
+    await deployment.until(
+        lambda: all(e.state_.config_version() == version for e in deployment.entries_)
+    )
+
+
+def test_streams_are_placed_too_where_engines_may_be_cold():
+    async def scenario(deployment):
+        await settle(deployment)
+        await let_engines_be_cold(deployment, 9.0)
+        others = [n for n in range(ENTRIES) if n != placer(deployment)]
+        before = placed_total("placed")
+        for number in others:
+            answer = await deployment.send(
+                "/once/x", request_id=f"r{number}", entry=number
+            )
+            assert answer.code == 200
+        assert placed_total("placed") - before > len(others) / 2
+
+    play(scenario, entries=ENTRIES)
+
+
+def test_a_cold_engine_gets_no_more_than_it_bears_where_streams_are_placed():
+    async def scenario(deployment):
+        await settle(deployment)
+        await let_engines_be_cold(deployment, 2.0)
+        cold, warm = deployment.engines
+        for entry in deployment.entries_:
+            entry.state_.roster_.record(cold.endpoint_id).cold_until_ = float("inf")
+        answers = await asyncio.gather(
+            *(
+                deployment.send("/once/x", request_id=f"r{n}", entry=n % ENTRIES)
+                for n in range(4 * ENTRIES)
+            )
+        )
+        assert [answer.code for answer in answers] == [200] * len(answers)
+        # Two entries share it, and each may send one at once.
+        assert len(cold.runs_) <= 3
+        assert len(warm.runs_) >= len(answers) - 3
+
+    play(scenario, entries=ENTRIES)
+
+
+def test_each_entry_chooses_by_itself_while_one_of_an_older_build_lives():
+    async def scenario(deployment):
+        await settle(deployment)
+        await let_engines_be_cold(deployment, 9.0)
+        number = placer(deployment)
+        old, asking = [n for n in range(ENTRIES) if n != number][:2]
+        entry = deployment.entries_[asking]
+        service = entry.state_.service(ENGINE)
+        takes = entry.links_.placing.takes
+        await deployment.until(lambda: takes(service))
+        # What the placing entry hears on its link to an older build.
+        hub = deployment.entries_[number].links_.builds_
+        old_id = deployment.entries_[old].settings.entry_id
+        version = hub.linked_by_id_[old_id]
+        hub.linked_by_id_[old_id] = PROTOCOL_UNTOLD
+        await deployment.until(lambda: not takes(service))
+        before = placed_total("placed")
+        answer = await deployment.send("/once/x", request_id="r", entry=asking)
+        assert answer.code == 200
+        assert placed_total("placed") == before
+        # The old entry is replaced.
+        hub.linked_by_id_[old_id] = version
+        await deployment.until(lambda: takes(service))
+
+    play(scenario, entries=ENTRIES)
+
+
 def test_an_entry_that_is_told_nothing_chooses_by_itself():
     async def scenario(deployment):
         await settle(deployment)
--- a/packages/leadford/src/leadford/forwarding/membership/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/membership/__init__.py
@@ -1,5 +1,6 @@
 """Decide which entries live, to whom links are held, whom to ask, and when to stop."""
 
+from leadford.forwarding.membership._builds import BuildVersions, SharedRule
 from leadford.forwarding.membership._fetch import NewsFetch
 from leadford.forwarding.membership._heard import HeardVersions
 from leadford.forwarding.membership._liveness import HeardPeers
@@ -22,11 +23,13 @@
 )
 
 __all__ = [
+    "BuildVersions",
     "HeardPeers",
     "HeardVersions",
     "WATCH_MARGIN_S",
     "NewsFetch",
     "PeerClock",
+    "SharedRule",
     "follower_watch_s",
     "longest_call_s",
     "may_stop",
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/membership/tests/test_builds.py
@@ -0,0 +1,120 @@
+"""Entries of two builds follow the rule of the older one, and no longer than needed."""
+
+import pytest
+
+from leadford.common import EntryId
+from leadford.forwarding.membership import BuildVersions, SharedRule
+from leadford.protocol import PROTOCOL_VERSION
+
+RULE = SharedRule.COLD_ENGINES_PLACED
+OLD, NEW = RULE.value - 1, RULE.value
+HUB, LEAF, OTHER = EntryId("hub"), EntryId("leaf"), EntryId("other")
+
+
+class Fleet:
+    """Hold entries that are linked to two hubs each, and to nobody else."""
+
+    def __init__(self, versions_by_id):
+        self.versions_by_id = versions_by_id
+        self.hubs = sorted(versions_by_id)[:2]
+        self.builds_by_id = {}
+        for name, version in versions_by_id.items():
+            builds = BuildVersions(own=version)
+            for peer in self.peers(name):
+                builds.record_linked(peer, min(version, versions_by_id[peer]))
+            self.builds_by_id[name] = builds
+
+    def peers(self, name):
+        if name in self.hubs:
+            return [peer for peer in self.versions_by_id if peer != name]
+        return [hub for hub in self.hubs if hub != name]
+
+    def beat(self):
+        """Let each entry of a build that does so say what it is linked to."""
+        for name, version in self.versions_by_id.items():
+            if version < NEW:
+                continue
+            lowest = self.builds_by_id[name].lowest_linked(self.peers(name))
+            for peer in self.peers(name):
+                self.builds_by_id[peer].record_told(name, lowest)
+
+    def replace(self, name, version):
+        """Put another build in the place of an entry."""
+        versions = {**self.versions_by_id, name: version}
+        beside = self.builds_by_id
+        self.__init__(versions)
+        for other, builds in self.builds_by_id.items():
+            if other != name:
+                builds.told_by_id_.update(beside[other].told_by_id_)
+                builds.told_by_id_.pop(name, None)
+
+    def verdicts(self):
+        """Return what the entries that know the rule decide."""
+        return {
+            RULE in self.builds_by_id[name].shared_rules(self.peers(name))
+            for name, version in self.versions_by_id.items()
+            if version >= NEW
+        }
+
+
+def names(count):
+    return [EntryId(f"e{number:02}") for number in range(count)]
+
+
+@pytest.mark.parametrize("old", range(9))
+def test_one_old_entry_anywhere_keeps_the_old_rule_for_all(old):
+    versions = dict.fromkeys(names(9), NEW)
+    versions[names(9)[old]] = OLD
+    fleet = Fleet(versions)
+    fleet.beat()
+    assert fleet.verdicts() == {False}
+
+
+@pytest.mark.parametrize("last", range(9))
+def test_the_new_rule_begins_a_heartbeat_after_the_last_old_entry_is_gone(last):
+    versions = dict.fromkeys(names(9), NEW)
+    versions[names(9)[last]] = OLD
+    fleet = Fleet(versions)
+    fleet.beat()
+    fleet.replace(names(9)[last], NEW)
+    fleet.beat()
+    assert fleet.verdicts() == {True}
+    # An upgrade that is taken back.
+    fleet.replace(names(9)[last], OLD)
+    fleet.beat()
+    assert fleet.verdicts() == {False}
+
+
+def test_the_old_rule_holds_before_any_heartbeat():
+    builds = BuildVersions(own=NEW)
+    builds.record_linked(HUB, NEW)
+    assert RULE not in builds.shared_rules([HUB])
+
+
+def test_an_old_entry_that_does_not_live_counts_no_more():
+    builds = BuildVersions(own=NEW)
+    builds.record_linked(HUB, NEW)
+    builds.record_told(HUB, NEW)
+    builds.record_linked(LEAF, OLD)
+    assert RULE in builds.shared_rules([HUB])
+
+
+def test_what_a_lost_entry_told_counts_no_more():
+    builds = BuildVersions(own=NEW)
+    builds.record_linked(HUB, NEW)
+    builds.record_told(HUB, OLD)
+    assert RULE not in builds.shared_rules([HUB])
+    builds.forget(HUB)
+    builds.record_linked(HUB, NEW)
+    assert RULE not in builds.shared_rules([HUB])
+    builds.record_told(HUB, NEW)
+    assert RULE in builds.shared_rules([HUB])
+
+
+def test_an_entry_that_says_no_version_counts_as_old():
+    assert RULE not in BuildVersions(own=NEW).shared_rules([OTHER])
+
+
+def test_this_build_knows_every_rule_that_is_named():
+    alone = BuildVersions(own=PROTOCOL_VERSION)
+    assert alone.shared_rules([]) == set(SharedRule)
--- a/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
+++ b/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
@@ -1,7 +1,9 @@
 """What running entries send each other is read, and sent the same."""
 
+import cbor2
 import msgspec
 import pytest
+from hypothesis import given, strategies as st
 
 from leadford.forwarding.endpoints import ListedEndpoint, ListedState
 from leadford.forwarding.routes import (
@@ -12,6 +14,7 @@
     ServiceId,
 )
 from leadford.protocol import (
+    PROTOCOL_UNTOLD,
     BacklogReport,
     EntryHeartbeat,
     EvacuationReport,
@@ -88,13 +91,46 @@
     assert msgspec.msgpack.encode(listed) == LISTING
 
 
-def test_messages_travel_as_before():
+# The same, where heartbeats tell the oldest version among the links of an entry.
+VERSIONED_FRAME = bytes.fromhex(
+    FRAME.hex()
+    .replace("871821184d", "881821184d", 1)
+    .replace("8363692d31190bb801", "8363692d31190bb80106", 1)
+)
+
+
+def test_messages_of_older_builds_are_read():
     frame = decode(FRAME).unwrap()
     assert frame.config_version == 36
     kinds = [type(message) for message in frame.messages]
     assert kinds[:3] == [EntryHeartbeat, PieceSubmit, PieceAnswer]
     assert len(kinds) == 12
-    assert encode(36, list(frame.messages)) == FRAME
+    assert frame.messages[0].lowest_version == PROTOCOL_UNTOLD
+    assert frame.skipped == ()
+
+
+def test_messages_travel_as_before():
+    messages = decode(FRAME).unwrap().messages
+    assert encode(36, messages) == VERSIONED_FRAME
+    assert decode(VERSIONED_FRAME).unwrap().messages == messages
+
+
+LATER_FIELDS = st.lists(st.integers() | st.text(max_size=5) | st.none(), max_size=3)
+LATER_MESSAGE = st.tuples(st.integers(1_000, 2_000), st.text(max_size=5)).map(list)
+
+
+@given(st.data())
+def test_frames_of_a_later_build_are_read_as_far_as_they_are_known(data):
+    whole = [VERSIONED_FRAME, *map(bytes.fromhex, FLEET_MESSAGES)]
+    known = data.draw(st.sampled_from(whole))
+    version, messages = cbor2.loads(known)
+    later = [[*message, *data.draw(LATER_FIELDS)] for message in messages]
+    unknown = data.draw(st.lists(LATER_MESSAGE, max_size=3))
+    at = data.draw(st.integers(0, len(later)))
+    later[at:at] = unknown
+    frame = decode(cbor2.dumps([version, later])).unwrap()
+    assert len(frame.skipped) == len(unknown)
+    assert frame.messages == decode(known).unwrap().messages
 
 
 def test_evacuations_travel_in_a_message_of_their_own():
