Let the soak run two builds side by side

Cause: nobody had shown that entries of two builds keep every promise together under faults. Ruled out: a kind of fault drawn from the tables: it would change what every kept seed means. Conclusion: kept; test_every_kind_is_drawn names the kind that is planned and not drawn.

--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -84,6 +84,8 @@
     only: list[str] | None = None,
     untimed: bool = False,
     program: str = "",
+    older: str = "",
+    upgrade: str = "one-by-one",
     keep: Path = Path("reports/soak"),
 ) -> int:
     """Run entries as processes under random faults; 1 when a promise is broken.
@@ -101,9 +103,11 @@
     :param only: kinds of fault and change to draw; all when left out
     :param untimed: leave out the checks that hold to a bound on the clock
     :param program: file that starts an entry; that of this checkout when left out
+    :param older: commit whose build runs beside this one; none when left out
+    :param upgrade: how it gives way: one-by-one, half (of the entries stay) or and-back
     :param keep: folder in which each run keeps its logs
     """
-    from leadford_standins.soak import SoakOptions, run_soak
+    from leadford_standins.soak import SoakOptions, UpgradeWay, run_soak
 
     # A soak that is asked to stop ends its processes too, as an interrupt does.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -120,6 +124,8 @@
         long_work_s=long_work_s,
         only=tuple(only or ()),
         program=program,
+        older=older,
+        upgrade=UpgradeWay(upgrade),
     )
     report = run_soak(options, keep / f"seed-{seed}", timed=not untimed)
     print(report.text())
--- a/packages/leadford-standins/src/leadford_standins/soak/_base.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_base.py
@@ -37,6 +37,7 @@
     ENTRY_KILLED = "entry-killed"
     ENTRY_PAUSED = "entry-paused"
     ENTRY_RELOADED = "entry-reloaded"
+    ENTRY_UPGRADED = "entry-upgraded"
     STORE_BUSY = "store-busy"
     STORE_DOWN = "store-down"
     STORE_SILENT = "store-silent"
@@ -57,6 +58,18 @@
     REQUEST_ENDS_ENDPOINTS = "request-ends-endpoints"
 
 
+class UpgradeWay(Enum):
+    """Say how entries of an older build give way to this one.
+
+    ONE_BY_ONE: all start as the older build and are replaced in turn. HALF: half of
+    them stay the older one. AND_BACK: all are replaced, and then put back.
+    """
+
+    ONE_BY_ONE = "one-by-one"
+    HALF = "half"
+    AND_BACK = "and-back"
+
+
 class SoakBounds(msgspec.Struct, frozen=True):
     """Hold the bounds that the entries are given and the checks hold them to.
 
@@ -78,8 +91,10 @@
 
     A part of the requests, `long_part`, works for up to `long_work_s`. `only` names the
     kinds to draw, all when empty; `program` is the file that starts an entry, that of
-    this checkout when empty. Units: requests_per_s counts all callers together,
-    faults_per_s injected faults, and ending_per_s requests that end whoever runs them.
+    this checkout when empty. `older` is a commit whose build runs beside this one, none
+    when empty, and `upgrade` how it gives way. Units: requests_per_s counts all callers
+    together, faults_per_s injected faults, and ending_per_s requests that end whoever
+    runs them.
     """
 
     seed: int
@@ -94,6 +109,8 @@
     long_work_s: float = 1.2
     only: tuple[str, ...] = ()
     program: str = ""
+    older: str = ""
+    upgrade: UpgradeWay = UpgradeWay.ONE_BY_ONE
     bounds: SoakBounds = SoakBounds()
 
 
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/_builds.py
@@ -0,0 +1,65 @@
+"""Provide the programs of the two builds that a soak runs side by side.
+
+The older one is taken from the history of this checkout into a folder of its own.
+Relies on git, and on the libraries that are installed here.
+"""
+
+import subprocess
+import tarfile
+from pathlib import Path
+
+import msgspec
+
+from leadford_standins.soak._base import SoakOptions, UpgradeWay
+from leadford_standins.soak.parts import PROGRAM
+
+# The program that starts an entry, from the root of a checkout.
+RELATIVE_PROGRAM = PROGRAM.relative_to(PROGRAM.parents[1])
+ROOT = PROGRAM.parents[1]
+
+
+class SoakBuilds(msgspec.Struct, frozen=True):
+    """Hold the file that starts an entry of each build."""
+
+    newer: Path
+    older: Path
+
+    def program(self, *, is_newer: bool) -> Path:
+        """Return the program of a build."""
+        return self.newer if is_newer else self.older
+
+    def first_program(self, options: SoakOptions, number: int) -> Path:
+        """Return the program with which an entry starts."""
+        is_newer = not options.older
+        if options.upgrade is UpgradeWay.HALF:
+            is_newer |= number >= options.entries // 2
+        return self.program(is_newer=is_newer)
+
+
+def provide_builds(options: SoakOptions, folder: Path) -> SoakBuilds:
+    """Return the programs of a soak; the older one is put in a folder.
+
+    Errors: raises CalledProcessError when the history does not have the commit.
+    """
+    newer = Path(options.program) if options.program else PROGRAM
+    older = _check_out(options.older, folder) if options.older else newer
+    return SoakBuilds(newer, older)
+
+
+def _check_out(commit: str, folder: Path) -> Path:
+    """Write the sources of a commit, unless they are there, and return its program."""
+    checkout = folder.resolve() / f"build-{commit}"
+    program = checkout / RELATIVE_PROGRAM
+    if program.exists():
+        return program
+    checkout.mkdir(parents=True, exist_ok=True)
+    archive = checkout / "sources.tar"
+    paths = ["platform", "packages"]
+    subprocess.run(
+        ["git", "-C", str(ROOT), "archive", f"--output={archive}", commit, *paths],
+        check=True,
+    )
+    with tarfile.open(archive) as sources:
+        sources.extractall(checkout, filter="data")
+    archive.unlink()
+    return program
--- a/packages/leadford-standins/src/leadford_standins/soak/_runner.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_runner.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from leadford_standins.soak._base import SoakOptions, SoakPlan
+from leadford_standins.soak._builds import provide_builds
 from leadford_standins.soak._ledger import Ledger
 from leadford_standins.soak._report import SoakReport, make_report
 from leadford_standins.soak.checks import Evidence, run_checks
@@ -31,7 +32,11 @@
     plan = draw_plan(options, Random(random.random()))
     ledger = Ledger()
     scene = SoakScene(
-        options=options, random=Random(random.random()), folder=folder, ledger=ledger
+        options=options,
+        random=Random(random.random()),
+        folder=folder,
+        ledger=ledger,
+        builds=provide_builds(options, folder.parent),
     )
     callers_random = Random(random.random())
     asyncio.run(_run(scene, plan, callers_random))
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/__init__.py
@@ -7,6 +7,7 @@
     _links,
     _platform,
     _processes,
+    _upgrades,
 )
 from leadford_standins.soak.faults._base import inject, injectors_by_kind
 from leadford_standins.soak.faults._plan import draw_plan
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from leadford_standins.soak._base import Fault, FaultKind, SoakOptions, SoakPlan
+from leadford_standins.soak.faults._upgrades import upgrade_steps
 
 # Parts of the faults that begin a series, and how many follow in it; choices.
 SERIES_PART = 0.25
@@ -88,6 +89,7 @@
         *_draw(CHANGE_SPANS, options.changes_per_s, options, random),
         # Last, so that the seeds of runs without them mean what they did.
         *_draw(ENDING_SPANS, options.ending_per_s, options, random),
+        *upgrade_steps(options),
     ]
     faults.sort(key=lambda fault: fault.at_s)
     return SoakPlan(options, tuple(faults))
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from leadford_standins.soak import SoakOptions
+from leadford_standins.soak import SoakOptions, UpgradeWay
 from leadford_standins.soak._base import FaultKind
 from leadford_standins.soak.faults._base import injectors_by_kind
 from leadford_standins.soak.faults._plan import (
@@ -51,7 +51,8 @@
 
 @pytest.mark.parametrize("kind", FaultKind)
 def test_every_kind_is_drawn_and_has_an_injector(kind):
-    assert kind in {**FAULT_SPANS, **CHANGE_SPANS, **ENDING_SPANS}
+    planned = {FaultKind.ENTRY_UPGRADED}
+    assert kind in {*FAULT_SPANS, *CHANGE_SPANS, *ENDING_SPANS, *planned}
     assert kind in injectors_by_kind
 
 
@@ -62,3 +63,31 @@
         if fault.kind not in ENDING_SPANS
     ]
     assert tuple(others) == plan_of(5).faults
+
+
+def upgrades(**fields):
+    faults = plan_of(5, older="a commit", entries=4, **fields).faults
+    return [fault for fault in faults if fault.kind is FaultKind.ENTRY_UPGRADED]
+
+
+def test_each_entry_is_replaced_in_turn():
+    steps = upgrades()
+    assert [step.target for step in steps] == [0, 1, 2, 3]
+    assert {step.amount for step in steps} == {1.0}
+    assert [step.at_s for step in steps] == sorted(step.at_s for step in steps)
+
+
+def test_an_upgrade_that_is_taken_back_puts_every_entry_back():
+    steps = upgrades(upgrade=UpgradeWay.AND_BACK)
+    assert [step.target for step in steps] == [0, 1, 2, 3, 0, 1, 2, 3]
+    assert [step.amount for step in steps] == [1.0] * 4 + [0.0] * 4
+
+
+def test_two_builds_for_good_replace_nobody():
+    assert upgrades(upgrade=UpgradeWay.HALF) == []
+
+
+def test_an_older_build_leaves_the_other_draws_as_they_were():
+    faults = plan_of(5, older="a commit").faults
+    others = [fault for fault in faults if fault.kind is not FaultKind.ENTRY_UPGRADED]
+    assert tuple(others) == plan_of(5).faults
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/__init__.py
@@ -8,7 +8,7 @@
     ConfigWriter,
 )
 from leadford_standins.soak.parts._endpoints import WORK_HEADER, RunningEndpoint
-from leadford_standins.soak.parts._processes import EntryProcess
+from leadford_standins.soak.parts._processes import PROGRAM, EntryProcess
 from leadford_standins.soak.parts._proxy import LinkState, Way
 from leadford_standins.soak.parts._ready import watch_ready
 from leadford_standins.soak.parts._scene import SoakScene
@@ -16,6 +16,7 @@
 __all__ = [
     "DENIED_KEY",
     "DENIED_ROUTE",
+    "PROGRAM",
     "WORK_HEADER",
     "Callers",
     "ConfigSeen",
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_processes.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_processes.py
@@ -90,7 +90,7 @@
         bounds: SoakBounds,
         folder: Path,
         ledger: Ledger,
-        program: str = "",
+        program: Path = PROGRAM,
     ) -> None:
         self.program = program
         self.name = name
@@ -162,7 +162,7 @@
         }
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process_ = subprocess.Popen(
-                [sys.executable, self.program or str(PROGRAM)],
+                [sys.executable, str(self.program)],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
+from typing import Protocol
 
 from leadford_platform import PlatformObjects
 from leadford_standins.soak._base import EVERYTHING, RepeatedRequest, SoakOptions
@@ -30,6 +31,16 @@
 START_AGAIN_S = 0.5
 
 
+class Builds(Protocol):
+    """Say which program starts an entry."""
+
+    def program(self, *, is_newer: bool) -> Path:
+        """Return the program of a build."""
+
+    def first_program(self, options: SoakOptions, number: int) -> Path:
+        """Return the program with which an entry starts."""
+
+
 class PeerStore(StoreStandIn):
     """List entries at the addresses of the proxies before them."""
 
@@ -48,11 +59,18 @@
     """Hold the parts; use it with `async with`."""
 
     def __init__(
-        self, *, options: SoakOptions, random: Random, folder: Path, ledger: Ledger
+        self,
+        *,
+        options: SoakOptions,
+        random: Random,
+        folder: Path,
+        ledger: Ledger,
+        builds: Builds,
     ) -> None:
         self.options = options
         self.random = random
         self.folder = folder
+        self.builds = builds
         self.ledger = ledger
         self.entries_: list[EntryProcess] = []
         self.peer_links_: dict[str, LinkState] = {}
@@ -99,7 +117,7 @@
             bounds=self.options.bounds,
             folder=self.folder,
             ledger=self.ledger,
-            program=self.options.program,
+            program=self.builds.first_program(self.options, number),
         )
         link = LinkState()
 
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_builds.py
@@ -0,0 +1,47 @@
+"""A soak finds the program of each build."""
+
+import subprocess
+
+import pytest
+
+from leadford_standins.soak import SoakOptions, UpgradeWay
+from leadford_standins.soak._builds import ROOT, SoakBuilds, provide_builds
+
+OLDER, NEWER = "older", "newer"
+
+
+def first_programs(**fields):
+    options = SoakOptions(seed=1, entries=4, **fields)
+    builds = SoakBuilds(NEWER, OLDER)
+    return [builds.first_program(options, number) for number in range(4)]
+
+
+def test_entries_start_as_the_build_that_is_replaced():
+    assert first_programs() == [NEWER] * 4
+    assert first_programs(older="c") == [OLDER] * 4
+    assert first_programs(older="c", upgrade=UpgradeWay.AND_BACK) == [OLDER] * 4
+
+
+def test_half_of_the_entries_stay_the_older_build():
+    half = first_programs(older="c", upgrade=UpgradeWay.HALF)
+    assert half == [OLDER, OLDER, NEWER, NEWER]
+
+
+def test_the_older_build_comes_from_the_history(tmp_path):
+    found = subprocess.run(
+        ["git", "-C", str(ROOT), "rev-parse", "HEAD"], capture_output=True, text=True
+    )
+    if found.returncode != 0:
+        pytest.skip("the sources came without their history")
+    options = SoakOptions(seed=1, older=found.stdout.strip())
+    builds = provide_builds(options, tmp_path)
+    assert builds.older.is_relative_to(tmp_path)
+    assert builds.older.exists()
+    assert not builds.newer.is_relative_to(tmp_path)
+    # A second soak finds it there.
+    assert provide_builds(options, tmp_path) == builds
+
+
+def test_a_commit_that_is_not_in_the_history_is_an_error(tmp_path):
+    with pytest.raises(subprocess.CalledProcessError):
+        provide_builds(SoakOptions(seed=1, older="no-such-commit"), tmp_path)
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import sys
+import tomllib
 
+from leadford_standins.soak import SoakOptions, UpgradeWay
+from leadford_standins.soak._builds import ROOT
 from leadford_standins.soak._cases import cases
 
 # Seconds that a soak may take, its start and the planned stop at its end included.
@@ -24,6 +27,8 @@
         f"--endpoints={options.endpoints}",
         f"--changes-per-s={options.changes_per_s}",
         f"--ending-per-s={options.ending_per_s}",
+        f"--older={options.older}",
+        f"--upgrade={options.upgrade.value}",
         "--untimed",
         f"--keep={folder}",
         stdout=asyncio.subprocess.PIPE,
@@ -39,6 +44,25 @@
     return process.returncode, output.decode()
 
 
+def production():
+    """Return the commit that runs when an upgrade begins."""
+    return tomllib.loads((ROOT / "deploy/system.toml").read_text())["production"]
+
+
+def test_a_soak_of_two_builds_breaks_no_promise(tmp_path):
+    options = SoakOptions(
+        seed=7001,
+        seconds=24.0,
+        entries=4,
+        ending_per_s=0.1,
+        older=production(),
+        upgrade=UpgradeWay.AND_BACK,
+    )
+    status, output = asyncio.run(run_soak(options, tmp_path))
+    assert status == 0, output
+    assert "entry-upgraded 8" in output
+
+
 def test_short_soaks_break_no_promise(tmp_path):
     async def main():
         return await asyncio.gather(
