Share the older build between soaks that run beside each other

Change: sources are written to a folder of their own and get their name when they are whole. Figures: the new test runs four at once.

--- a/packages/leadford-standins/src/leadford_standins/soak/_builds.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_builds.py
@@ -6,6 +6,7 @@
 
 import subprocess
 import tarfile
+import tempfile
 from pathlib import Path
 
 import msgspec
@@ -49,17 +50,30 @@
 def _check_out(commit: str, folder: Path) -> Path:
     """Write the sources of a commit, unless they are there, and return its program."""
     checkout = folder.resolve() / f"build-{commit}"
-    program = checkout / RELATIVE_PROGRAM
-    if program.exists():
-        return program
-    checkout.mkdir(parents=True, exist_ok=True)
-    archive = checkout / "sources.tar"
+    if not checkout.exists():
+        folder.mkdir(parents=True, exist_ok=True)
+        with tempfile.TemporaryDirectory(dir=folder) as partial:
+            _extract(commit, Path(partial))
+            _publish(Path(partial) / "sources", checkout)
+    return checkout / RELATIVE_PROGRAM
+
+
+def _extract(commit: str, folder: Path) -> None:
+    """Write the sources of a commit to a folder of their own."""
+    archive = folder / "sources.tar"
     paths = ["platform", "packages"]
     subprocess.run(
         ["git", "-C", str(ROOT), "archive", f"--output={archive}", commit, *paths],
         check=True,
     )
     with tarfile.open(archive) as sources:
-        sources.extractall(checkout, filter="data")
-    archive.unlink()
-    return program
+        sources.extractall(folder / "sources", filter="data")
+
+
+def _publish(sources: Path, checkout: Path) -> None:
+    """Give whole sources their name; a soak beside this one may have been faster."""
+    try:
+        sources.rename(checkout)
+    except OSError:
+        if not checkout.exists():
+            raise
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_builds.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_builds.py
@@ -1,6 +1,7 @@
 """A soak finds the program of each build."""
 
 import subprocess
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -27,13 +28,18 @@
     assert half == [OLDER, OLDER, NEWER, NEWER]
 
 
-def test_the_older_build_comes_from_the_history(tmp_path):
+def head_commit():
+    """Return the present commit."""
     found = subprocess.run(
         ["git", "-C", str(ROOT), "rev-parse", "HEAD"], capture_output=True, text=True
     )
     if found.returncode != 0:
         pytest.skip("the sources came without their history")
-    options = SoakOptions(seed=1, older=found.stdout.strip())
+    return found.stdout.strip()
+
+
+def test_the_older_build_comes_from_the_history(tmp_path):
+    options = SoakOptions(seed=1, older=head_commit())
     builds = provide_builds(options, tmp_path)
     assert builds.older.is_relative_to(tmp_path)
     assert builds.older.exists()
@@ -42,6 +48,15 @@
     assert provide_builds(options, tmp_path) == builds
 
 
+def test_soaks_beside_each_other_share_the_older_build(tmp_path):
+    options = SoakOptions(seed=1, older=head_commit())
+    with ThreadPoolExecutor(4) as pool:
+        found = list(pool.map(lambda _: provide_builds(options, tmp_path), range(4)))
+    assert len(set(found)) == 1
+    assert found[0].older.exists()
+    assert [path.name for path in tmp_path.iterdir()] == [f"build-{options.older}"]
+
+
 def test_a_commit_that_is_not_in_the_history_is_an_error(tmp_path):
     with pytest.raises(subprocess.CalledProcessError):
         provide_builds(SoakOptions(seed=1, older="no-such-commit"), tmp_path)
