Leave heartbeats out where nothing is to be told, and links that serve no group

Cause: at 300 entries each holds a dozen links with five heartbeats a second both ways, most of them between entries that tell each other nothing but that they live; who lives was looked up over all entries for each piece. Change: a link on which neither side schedules a group gets every second heartbeat, unless it holds a stop, refusals, a backlog or confirmations (membership/_pace); builds before version 7 get all. Links for the own region are held only where no stage has a group. Live entries are looked up over the links.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
@@ -43,7 +43,11 @@
 
     def wanted_peers(self) -> set[EntryId]:
         """Return the entries to hold links to."""
-        groups = self.stage_groups() | self.engine_groups() | {self._own_region()}
+        stages = self.stage_groups()
+        groups = stages | self.engine_groups()
+        if not stages:
+            # Those who follow the store for all are found by it.
+            groups.add(self._own_region())
         return wanted_peers(
             self.state.entry_id, self.halls_by_entry(), groups, self.state.regions
         )
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -12,11 +12,18 @@
 from leadford.common import EntryId, HallId
 from leadford.events import Event
 from leadford.forwarding.endpoints import ListedEndpoint
-from leadford.forwarding.membership import BuildVersions, HeardPeers, SharedRule
+from leadford.forwarding.membership import (
+    BuildVersions,
+    HeardPeers,
+    HeartbeatNews,
+    SharedRule,
+    is_due,
+)
 from leadford.forwarding.routes import ForwardConfig
 from leadford.protocol import (
     PROTOCOL_EVACUATIONS,
     PROTOCOL_FLEET,
+    PROTOCOL_PACED,
     PROTOCOL_VERSION,
     EntryHeartbeat,
     EvacuationReport,
@@ -82,6 +89,7 @@
         self.draining_ids_: set[EntryId] = set()
         self.server_: PeerServer | None = None
         self.is_draining_ = False
+        self.beats_ = 0
         self.heartbeats = Heartbeats(entry_id=entry_id, state=state, stages=stages)
         self.pieces = PieceExchange(
             state=state, stages=stages, peers_by_id=self.peers_by_id_
@@ -196,13 +204,24 @@
         )
         told = [self.relays.confirmations(), backlog]
         fleet = [part for part in told if part is not None]
+        tells_all = bool(fleet or message.refused or message.is_draining)
+        news = HeartbeatNews(self.beats_, tells_all)
+        self.beats_ += 1
+        schedulers = {self.stages.groups.scheduler_of(group) for group in groups}
         for entry_id, peer in list(self.peers_by_id_.items()):
             if self.heard_.is_silent(entry_id, now):
                 # The connection stands, but its peer no longer sends heartbeats.
                 peer.abort()
                 continue
+            version = peer.info.protocol_version
+            if not is_due(
+                news,
+                is_scheduler=entry_id in schedulers,
+                knows_pace=version >= PROTOCOL_PACED,
+            ):
+                continue
             peer.send(message)
-            if peer.info.protocol_version < PROTOCOL_FLEET:
+            if version < PROTOCOL_FLEET:
                 continue
             for part in fleet:
                 peer.send(part)
@@ -220,11 +239,15 @@
     def halls_by_live_entry(self) -> dict[EntryId, HallId]:
         """Return the entries that are known to be alive, without this one."""
         now = self.state.now()
-        return {
-            entry_id: entry.hall
-            for entry_id, entry in self.fleet.entries_by_id_.items()
-            if self.is_live(entry_id, now) and entry_id not in self.draining_ids_
-        }
+        # Links are few, entries many: 300 were looked through for each piece.
+        halls: dict[EntryId, HallId] = {}
+        for entry_id in self.peers_by_id_:
+            entry = self.fleet.entries_by_id_.get(entry_id)
+            if entry is None or entry_id in self.draining_ids_:
+                continue
+            if self.heard_.is_live(entry_id, now):
+                halls[entry_id] = entry.hall
+        return halls
 
     def peer_connected(self, peer: PeerConnection) -> None:
         """Record that a connection stands."""
--- a/packages/leadford/src/leadford/forwarding/membership/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/membership/__init__.py
@@ -4,6 +4,7 @@
 from leadford.forwarding.membership._fetch import NewsFetch
 from leadford.forwarding.membership._heard import HeardVersions
 from leadford.forwarding.membership._liveness import HeardPeers
+from leadford.forwarding.membership._pace import HeartbeatNews, is_due
 from leadford.forwarding.membership._peer_clock import PeerClock
 from leadford.forwarding.membership._peers import (
     placed_group,
@@ -26,11 +27,13 @@
     "BuildVersions",
     "HeardPeers",
     "HeardVersions",
+    "HeartbeatNews",
     "WATCH_MARGIN_S",
     "NewsFetch",
     "PeerClock",
     "SharedRule",
     "follower_watch_s",
+    "is_due",
     "longest_call_s",
     "may_stop",
     "placed_group",
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/membership/tests/test_pace.py
@@ -0,0 +1,51 @@
+"""Links on which nothing is to be told get fewer heartbeats, and stay alive."""
+
+import pytest
+
+from leadford.common import EntryId
+from leadford.forwarding.membership import HeardPeers, HeartbeatNews, is_due
+
+BEAT_S = 0.2
+# The longest pause that the spread of heartbeats draws, and a late loop.
+LATE_S = 0.1
+
+
+def beats(*, tells_all=False, is_scheduler=False, knows_pace=True):
+    return [
+        is_due(
+            HeartbeatNews(number, tells_all),
+            is_scheduler=is_scheduler,
+            knows_pace=knows_pace,
+        )
+        for number in range(10)
+    ]
+
+
+def test_a_link_on_which_nothing_is_told_gets_every_second_heartbeat():
+    assert beats() == [True, False] * 5
+
+
+@pytest.mark.parametrize(
+    "case", [{"tells_all": True}, {"is_scheduler": True}, {"knows_pace": False}]
+)
+def test_whoever_has_to_hear_soon_gets_every_heartbeat(case):
+    assert all(beats(**case))
+
+
+def test_an_entry_that_is_heard_every_second_time_stays_alive():
+    peer = EntryId("peer")
+    heard = HeardPeers()
+    now = 0.0
+    for due in beats():
+        if due:
+            heard.record_heard(peer, now)
+        now += BEAT_S + LATE_S
+        heard.look(now)
+        assert heard.is_live(peer, now)
+
+
+def test_three_hundred_entries_send_less_than_two_thirds_of_the_heartbeats():
+    links, schedulers = 12, 3
+    sent = schedulers * sum(beats(is_scheduler=True))
+    sent += (links - schedulers) * sum(beats())
+    assert sent <= links * 10 * 2 / 3
--- a/packages/leadford/src/leadford/protocol/__init__.py
+++ b/packages/leadford/src/leadford/protocol/__init__.py
@@ -25,6 +25,7 @@
     PROTOCOL_CRASHES,
     PROTOCOL_EVACUATIONS,
     PROTOCOL_FLEET,
+    PROTOCOL_PACED,
     PROTOCOL_PACKED,
     PROTOCOL_UNTOLD,
     PROTOCOL_VERSION,
@@ -100,6 +101,7 @@
 
 __all__ = [
     "PROTOCOL_COLD_PLACED",
+    "PROTOCOL_PACED",
     "PROTOCOL_UNTOLD",
     "PROTOCOL_CONFIG_PARTS",
     "PROTOCOL_CRASHES",
--- a/packages/leadford/src/leadford/protocol/_base.py
+++ b/packages/leadford/src/leadford/protocol/_base.py
@@ -21,6 +21,8 @@
 PROTOCOL_CRASHES = 6
 # The version of entries whose heartbeats do not tell the oldest one they are linked to.
 PROTOCOL_UNTOLD = 6
+# The first version that leaves heartbeats out where nothing is to be told.
+PROTOCOL_PACED = 7
 # The first version in which one entry also places prompts at engines that may be cold.
 PROTOCOL_COLD_PLACED = 7
 PROTOCOL_VERSION_MIN = 1
