Know the build of an entry from the link that stands

Cause: entries that dial each other at once hold two links; when the first ends, the other one is taken up again with the next message, without its version. Change: versions are read from the links that stand, not kept beside them. Tests: the new one ends one of two links and failed first; those of BuildVersions hand over the links. Conclusion: a state that could be derived was kept twice.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -193,14 +193,18 @@
     def _send_heartbeats(self) -> None:
         """Send a heartbeat to each peer, and leave those that are silent for long."""
         now = self.state.now()
-        live = [name for name in self.peers_by_id_ if self.heard_.is_live(name, now)]
-        self.shared_rules_ = self.builds_.shared_rules(live)
+        linked = {
+            entry_id: peer.info.protocol_version
+            for entry_id, peer in self.peers_by_id_.items()
+            if self.heard_.is_live(entry_id, now)
+        }
+        self.shared_rules_ = self.builds_.shared_rules(linked)
         groups = self.fleet.stage_groups()
         backlog = self.heartbeats.make_backlog(groups)
         message = self.heartbeats.make(
             groups,
             is_draining=self.is_draining_,
-            lowest_version=self.builds_.lowest_linked(live),
+            lowest_version=self.builds_.lowest_linked(linked),
         )
         told = [self.relays.confirmations(), backlog]
         fleet = [part for part in told if part is not None]
@@ -254,7 +258,7 @@
         entry_id = EntryId(peer.info.peer_id)
         self.peers_by_id_[entry_id] = peer
         self.heard_.record_heard(entry_id, self.state.now())
-        self.builds_.record_linked(entry_id, peer.info.protocol_version)
+        self.builds_.forget(entry_id)
         self.state.log.report(
             Event.PEER_CONNECTED, peer=entry_id, version=peer.info.protocol_version
         )
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_heartbeats.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_heartbeats.py
@@ -6,7 +6,9 @@
 
 from collections import Counter
 
-from leadford.protocol import EntryHeartbeat
+import msgspec
+
+from leadford.protocol import PROTOCOL_UNTOLD, EntryHeartbeat
 from leadford_standins.wire import play
 
 ENTRIES = 9
@@ -97,8 +99,8 @@
         )
         sent = Counter()
         for peer in entry.links_.peers_by_id_.values():
-            peer.info = type(peer.info)(
-                peer.info.peer_id, peer.info.role, peer.info.hall, protocol_version=6
+            peer.info = msgspec.structs.replace(
+                peer.info, protocol_version=PROTOCOL_UNTOLD
             )
             send = peer.send
 
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_placing.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_placing.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import msgspec
 from prometheus_client import REGISTRY
 
 from leadford.forwarding.endpoints import PromptShape
@@ -179,17 +180,37 @@
         takes = entry.links_.placing.takes
         await deployment.until(lambda: takes(service))
         # What the placing entry hears on its link to an older build.
-        hub = deployment.entries_[number].links_.builds_
-        old_id = deployment.entries_[old].settings.entry_id
-        version = hub.linked_by_id_[old_id]
-        hub.linked_by_id_[old_id] = PROTOCOL_UNTOLD
+        hub = deployment.entries_[number].links_
+        peer = hub.peers_by_id_[deployment.entries_[old].settings.entry_id]
+        info = peer.info
+        peer.info = msgspec.structs.replace(info, protocol_version=PROTOCOL_UNTOLD)
         await deployment.until(lambda: not takes(service))
         before = placed_total("placed")
         answer = await deployment.send("/once/x", request_id="r", entry=asking)
         assert answer.code == 200
         assert placed_total("placed") == before
         # The old entry is replaced.
-        hub.linked_by_id_[old_id] = version
+        peer.info = info
+        await deployment.until(lambda: takes(service))
+
+    play(scenario, entries=ENTRIES)
+
+
+def test_the_rule_holds_on_where_one_of_two_links_to_an_entry_ends():
+    async def scenario(deployment):
+        await settle(deployment)
+        await let_engines_be_cold(deployment, 9.0)
+        entry = deployment.entries_[0]
+        service = entry.state_.service(ENGINE)
+        takes = entry.links_.placing.takes
+        await deployment.until(lambda: takes(service))
+        # Entries that dialled each other at once hold two links; the first one ends.
+        links = entry.links_
+        for peer in list(links.peers_by_id_.values()):
+            links.peer_lost(peer)
+        await deployment.until(
+            lambda: links.fleet.wanted_peers() <= set(links.peers_by_id_)
+        )
         await deployment.until(lambda: takes(service))
 
     play(scenario, entries=ENTRIES)
--- a/packages/leadford/src/leadford/forwarding/membership/_builds.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_builds.py
@@ -14,7 +14,7 @@
 record in the store that a killed entry would leave behind.
 """
 
-from collections.abc import Collection
+from collections.abc import Mapping
 from enum import Enum
 
 from leadford.common import EntryId
@@ -32,39 +32,33 @@
 
 
 class BuildVersions:
-    """Know the oldest version among the entries that live."""
+    """Know the oldest version among the entries that live.
+
+    `linked` are the versions of the links to entries that live.
+    """
 
     def __init__(self, *, own: int) -> None:
         self.own = own
-        self.linked_by_id_: dict[EntryId, int] = {}
         self.told_by_id_: dict[EntryId, int] = {}
 
-    def record_linked(self, entry_id: EntryId, version: int) -> None:
-        """Record the version that a link to an entry was agreed on."""
-        self.linked_by_id_[entry_id] = version
-        # Another build may stand there now; it says so with its first heartbeat.
-        self.told_by_id_.pop(entry_id, None)
-
     def record_told(self, entry_id: EntryId, lowest: int) -> None:
         """Record the oldest version that an entry is linked to."""
         self.told_by_id_[entry_id] = lowest
 
     def forget(self, entry_id: EntryId) -> None:
-        """Record that the link to an entry ended."""
-        self.linked_by_id_.pop(entry_id, None)
+        """Forget what an entry told: its link ended, or another process is there."""
         self.told_by_id_.pop(entry_id, None)
 
-    def lowest_linked(self, live: Collection[EntryId]) -> int:
+    def lowest_linked(self, linked: Mapping[EntryId, int]) -> int:
         """Return the oldest version of this entry and those linked, for heartbeats."""
-        linked = [self.linked_by_id_.get(name, PROTOCOL_UNTOLD) for name in live]
-        return min([self.own, *linked])
+        return min([self.own, *linked.values()])
 
-    def lowest(self, live: Collection[EntryId]) -> int:
+    def lowest(self, linked: Mapping[EntryId, int]) -> int:
         """Return the oldest version of all entries; who told none counts as old."""
-        told = [self.told_by_id_.get(name, PROTOCOL_UNTOLD) for name in live]
-        return min([self.lowest_linked(live), *told])
+        told = [self.told_by_id_.get(name, PROTOCOL_UNTOLD) for name in linked]
+        return min([self.lowest_linked(linked), *told])
 
-    def shared_rules(self, live: Collection[EntryId]) -> frozenset[SharedRule]:
+    def shared_rules(self, linked: Mapping[EntryId, int]) -> frozenset[SharedRule]:
         """Return the rules that every entry that lives knows."""
-        lowest = self.lowest(live)
+        lowest = self.lowest(linked)
         return frozenset(rule for rule in SharedRule if lowest >= rule.value)
--- a/packages/leadford/src/leadford/forwarding/membership/tests/test_builds.py
+++ b/packages/leadford/src/leadford/forwarding/membership/tests/test_builds.py
@@ -8,7 +8,7 @@
 
 RULE = SharedRule.COLD_ENGINES_PLACED
 OLD, NEW = RULE.value - 1, RULE.value
-HUB, LEAF, OTHER = EntryId("hub"), EntryId("leaf"), EntryId("other")
+HUB, LEAF = EntryId("hub"), EntryId("leaf")
 
 
 class Fleet:
@@ -19,22 +19,24 @@
         self.hubs = sorted(versions_by_id)[:2]
         self.builds_by_id = {}
         for name, version in versions_by_id.items():
-            builds = BuildVersions(own=version)
-            for peer in self.peers(name):
-                builds.record_linked(peer, min(version, versions_by_id[peer]))
-            self.builds_by_id[name] = builds
+            self.builds_by_id[name] = BuildVersions(own=version)
 
     def peers(self, name):
         if name in self.hubs:
             return [peer for peer in self.versions_by_id if peer != name]
         return [hub for hub in self.hubs if hub != name]
 
+    def linked(self, name):
+        """Return the versions of the links of an entry."""
+        own = self.versions_by_id[name]
+        return {peer: min(own, self.versions_by_id[peer]) for peer in self.peers(name)}
+
     def beat(self):
         """Let each entry of a build that does so say what it is linked to."""
         for name, version in self.versions_by_id.items():
             if version < NEW:
                 continue
-            lowest = self.builds_by_id[name].lowest_linked(self.peers(name))
+            lowest = self.builds_by_id[name].lowest_linked(self.linked(name))
             for peer in self.peers(name):
                 self.builds_by_id[peer].record_told(name, lowest)
 
@@ -51,7 +53,7 @@
     def verdicts(self):
         """Return what the entries that know the rule decide."""
         return {
-            RULE in self.builds_by_id[name].shared_rules(self.peers(name))
+            RULE in self.builds_by_id[name].shared_rules(self.linked(name))
             for name, version in self.versions_by_id.items()
             if version >= NEW
         }
@@ -87,34 +89,26 @@
 
 def test_the_old_rule_holds_before_any_heartbeat():
     builds = BuildVersions(own=NEW)
-    builds.record_linked(HUB, NEW)
-    assert RULE not in builds.shared_rules([HUB])
+    assert RULE not in builds.shared_rules({HUB: NEW})
 
 
 def test_an_old_entry_that_does_not_live_counts_no_more():
     builds = BuildVersions(own=NEW)
-    builds.record_linked(HUB, NEW)
     builds.record_told(HUB, NEW)
-    builds.record_linked(LEAF, OLD)
-    assert RULE in builds.shared_rules([HUB])
+    assert RULE not in builds.shared_rules({HUB: NEW, LEAF: OLD})
+    assert RULE in builds.shared_rules({HUB: NEW})
 
 
 def test_what_a_lost_entry_told_counts_no_more():
     builds = BuildVersions(own=NEW)
-    builds.record_linked(HUB, NEW)
     builds.record_told(HUB, OLD)
-    assert RULE not in builds.shared_rules([HUB])
+    assert RULE not in builds.shared_rules({HUB: NEW})
     builds.forget(HUB)
-    builds.record_linked(HUB, NEW)
-    assert RULE not in builds.shared_rules([HUB])
+    assert RULE not in builds.shared_rules({HUB: NEW})
     builds.record_told(HUB, NEW)
-    assert RULE in builds.shared_rules([HUB])
-
-
-def test_an_entry_that_says_no_version_counts_as_old():
-    assert RULE not in BuildVersions(own=NEW).shared_rules([OTHER])
+    assert RULE in builds.shared_rules({HUB: NEW})
 
 
 def test_this_build_knows_every_rule_that_is_named():
     alone = BuildVersions(own=PROTOCOL_VERSION)
-    assert alone.shared_rules([]) == set(SharedRule)
+    assert alone.shared_rules({}) == set(SharedRule)
