Split what is sent in a heartbeat from the links, and prompts from the choice of engines

Change: Heartbeats.next makes what is said now, Heartbeat.send says it to those that have to hear it; PromptShape and KeptParts stand in _prompts; waiting for the placing entry's answer is a method of its own. No behaviour is meant to change; the answer's future is made after the question is queued instead of before, in the same step of the loop. Tests of heartbeats and placing pass (11).

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -3,10 +3,12 @@
 A heartbeat carries the load of the groups that an entry schedules, the pieces it has
 admitted, the requests it has refused since, and what it still has at endpoints whose
 group another entry schedules now. Whoever schedules a group also tells the admitted
-backlog of all entries that it hears. Nothing here decides; each part is recorded by its
-owner.
+backlog of all entries that it hears. Which links get a heartbeat is decided in
+`leadford.forwarding.membership`; each part is recorded by its owner.
 """
 
+from collections.abc import Collection, Sequence
+
 from leadford.common import EndpointId, EntryId
 from leadford.forwarding.admission import RetryReservation
 from leadford.forwarding.batching import (
@@ -18,8 +20,11 @@
     MadeRate,
     PlaceId,
 )
+from leadford.forwarding.membership import HeartbeatNews, is_due
 from leadford.forwarding.routes import ServiceId
 from leadford.protocol import (
+    PROTOCOL_FLEET,
+    PROTOCOL_PACED,
     BacklogReport,
     CommitmentReport,
     EntryHeartbeat,
@@ -27,9 +32,44 @@
     GroupReport,
     LaneReport,
     RefusalReport,
+    StoreConfirmations,
 )
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching import StageRunner
+from leadford_server.peers import PeerConnection
+
+
+class Heartbeat:
+    """Hold what is said now, and say it to those that have to hear it."""
+
+    def __init__(
+        self,
+        *,
+        message: EntryHeartbeat,
+        fleet: Sequence[FleetBacklog | StoreConfirmations],
+        number: int,
+        scheduler_ids: Collection[EntryId],
+    ) -> None:
+        self.message = message
+        self.fleet = fleet
+        self.scheduler_ids = scheduler_ids
+        tells_all = bool(fleet or message.refused or message.is_draining)
+        self.news_ = HeartbeatNews(number, tells_all)
+
+    def send(self, peer: PeerConnection) -> None:
+        """Send to a peer what it has to hear now, if anything."""
+        version = peer.info.protocol_version
+        if not is_due(
+            self.news_,
+            is_scheduler=peer.info.peer_id in self.scheduler_ids,
+            knows_pace=version >= PROTOCOL_PACED,
+        ):
+            return
+        peer.send(self.message)
+        if version < PROTOCOL_FLEET:
+            return
+        for part in self.fleet:
+            peer.send(part)
 
 
 class Heartbeats:
@@ -41,11 +81,33 @@
         self.entry_id = entry_id
         self.state = state
         self.stages = stages
+        self.made_ = 0
+
+    def next(
+        self,
+        groups: set[GroupId],
+        *,
+        is_draining: bool,
+        lowest_version: int,
+        confirmations: StoreConfirmations | None,
+    ) -> Heartbeat:
+        """Return what is said now; refusals are said once."""
+        told = [confirmations, self.make_backlog(groups)]
+        message = self.make(
+            groups, is_draining=is_draining, lowest_version=lowest_version
+        )
+        self.made_ += 1
+        return Heartbeat(
+            message=message,
+            fleet=[part for part in told if part is not None],
+            number=self.made_,
+            scheduler_ids={self.stages.groups.scheduler_of(group) for group in groups},
+        )
 
     def make(
         self, groups: set[GroupId], *, is_draining: bool, lowest_version: int
     ) -> EntryHeartbeat:
-        """Return what is said now; refusals are said once."""
+        """Return the message that every peer can read."""
         return EntryHeartbeat(
             self.state.roster_.changed_revision_,
             self._group_reports(groups),
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -15,15 +15,11 @@
 from leadford.forwarding.membership import (
     BuildVersions,
     HeardPeers,
-    HeartbeatNews,
     SharedRule,
-    is_due,
 )
 from leadford.forwarding.routes import ForwardConfig
 from leadford.protocol import (
     PROTOCOL_EVACUATIONS,
-    PROTOCOL_FLEET,
-    PROTOCOL_PACED,
     PROTOCOL_VERSION,
     EntryHeartbeat,
     EvacuationReport,
@@ -89,7 +85,6 @@
         self.draining_ids_: set[EntryId] = set()
         self.server_: PeerServer | None = None
         self.is_draining_ = False
-        self.beats_ = 0
         self.heartbeats = Heartbeats(entry_id=entry_id, state=state, stages=stages)
         self.pieces = PieceExchange(
             state=state, stages=stages, peers_by_id=self.peers_by_id_
@@ -199,36 +194,18 @@
             if self.heard_.is_live(entry_id, now)
         }
         self.shared_rules_ = self.builds_.shared_rules(linked)
-        groups = self.fleet.stage_groups()
-        backlog = self.heartbeats.make_backlog(groups)
-        message = self.heartbeats.make(
-            groups,
+        beat = self.heartbeats.next(
+            self.fleet.stage_groups(),
             is_draining=self.is_draining_,
             lowest_version=self.builds_.lowest_linked(linked),
+            confirmations=self.relays.confirmations(),
         )
-        told = [self.relays.confirmations(), backlog]
-        fleet = [part for part in told if part is not None]
-        tells_all = bool(fleet or message.refused or message.is_draining)
-        news = HeartbeatNews(self.beats_, tells_all)
-        self.beats_ += 1
-        schedulers = {self.stages.groups.scheduler_of(group) for group in groups}
         for entry_id, peer in list(self.peers_by_id_.items()):
             if self.heard_.is_silent(entry_id, now):
                 # The connection stands, but its peer no longer sends heartbeats.
                 peer.abort()
                 continue
-            version = peer.info.protocol_version
-            if not is_due(
-                news,
-                is_scheduler=entry_id in schedulers,
-                knows_pace=version >= PROTOCOL_PACED,
-            ):
-                continue
-            peer.send(message)
-            if version < PROTOCOL_FLEET:
-                continue
-            for part in fleet:
-                peer.send(part)
+            beat.send(peer)
 
     def all_know(self, rule: SharedRule) -> bool:
         """Tell whether the build of every entry that lives knows a rule."""
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_placing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_placing.py
@@ -100,8 +100,6 @@
             return None
         self.next_id_ += 1
         ask_id = self.next_id_
-        answer = self.state.loop.create_future()
-        self.answers_by_id_[ask_id] = answer
         peer.send(
             PlaceRequest(
                 ask_id,
@@ -112,10 +110,28 @@
                 dict(bytes_by_hall),
             )
         )
+        endpoint_id = await self._wait_answer(ask_id, placer)
+        if endpoint_id is None:
+            PLACED_TOTAL.labels(end="no answer").inc()
+            return None
+        record = self.state.roster_.record(endpoint_id)
+        if record is None or not self.state.is_usable(record):
+            PLACED_TOTAL.labels(end="not usable").inc()
+            self._tell_read(placer, ask_id)
+            return None
+        PLACED_TOTAL.labels(end="placed").inc()
+        return PlacedEngine(record, lambda: self._tell_read(placer, ask_id))
+
+    async def _wait_answer(self, ask_id: int, placer: EntryId) -> EndpointId | None:
+        """Return the engine that the placing entry names; None if it names none soon.
+
+        It is told at once of a question whose answer is not waited for any more.
+        """
+        answer = self.state.loop.create_future()
+        self.answers_by_id_[ask_id] = answer
         try:
-            endpoint_id = await asyncio.wait_for(answer, PLACED_IN_S)
+            return await asyncio.wait_for(answer, PLACED_IN_S)
         except TimeoutError:
-            PLACED_TOTAL.labels(end="no answer").inc()
             self._tell_read(placer, ask_id)
             return None
         except asyncio.CancelledError:
@@ -124,13 +140,6 @@
             raise
         finally:
             self.answers_by_id_.pop(ask_id, None)
-        record = self.state.roster_.record(endpoint_id)
-        if record is None or not self.state.is_usable(record):
-            PLACED_TOTAL.labels(end="not usable").inc()
-            self._tell_read(placer, ask_id)
-            return None
-        PLACED_TOTAL.labels(end="placed").inc()
-        return PlacedEngine(record, lambda: self._tell_read(placer, ask_id))
 
     def _tell_read(self, placer: EntryId, ask_id: int) -> None:
         """Tell the placing entry that a prompt does not wait there any more."""
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_heartbeats.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_heartbeats.py
@@ -17,12 +17,16 @@
 AT_ENDS = 2
 
 
+def made_by_id(deployment):
+    """Return how many heartbeats each entry has made."""
+    entries = deployment.entries_
+    return {e.links_.entry_id: e.links_.heartbeats.made_ for e in entries}
+
+
 async def count_heartbeats(deployment):
     """Return which part of its heartbeats each entry sent to each other one."""
     heard = Counter()
-    began = {
-        entry.links_.entry_id: entry.links_.beats_ for entry in deployment.entries_
-    }
+    began = made_by_id(deployment)
     for entry in deployment.entries_:
         links = entry.links_
         handle = links.handlers_[EntryHeartbeat]
@@ -34,16 +38,15 @@
         links.handlers_[EntryHeartbeat] = count
     await deployment.until(
         lambda: all(
-            entry.links_.beats_ - began[entry.links_.entry_id] >= BEATS
-            for entry in deployment.entries_
+            made - began[entry_id] >= BEATS
+            for entry_id, made in made_by_id(deployment).items()
         ),
         timeout_s=20.0,
     )
-    made = {
-        entry.links_.entry_id: entry.links_.beats_ - began[entry.links_.entry_id]
-        for entry in deployment.entries_
+    made = made_by_id(deployment)
+    return {
+        pair: (count, made[pair[0]] - began[pair[0]]) for pair, count in heard.items()
     }
-    return {pair: (count, made[pair[0]]) for pair, count in heard.items()}
 
 
 def settled(deployment):
@@ -109,8 +112,8 @@
                 return send(message)
 
             peer.send = count
-        began = entry.links_.beats_
-        await deployment.until(lambda: entry.links_.beats_ >= began + BEATS)
+        began = entry.links_.heartbeats.made_
+        await deployment.until(lambda: entry.links_.heartbeats.made_ >= began + BEATS)
         assert min(sent.values()) >= BEATS
 
     play(scenario, entries=ENTRIES)
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -9,8 +9,6 @@
 )
 from leadford.forwarding.endpoints._engines import (
     EngineChooser,
-    PromptPart,
-    PromptShape,
     SentPrompt,
 )
 from leadford.forwarding.endpoints._halls import EvacuatedHalls, HallNotice
@@ -26,6 +24,7 @@
     PlacedPrompts,
 )
 from leadford.forwarding.endpoints._pools import pool_count, prompt_pool
+from leadford.forwarding.endpoints._prompts import PromptPart, PromptShape
 from leadford.forwarding.endpoints._record import EndpointFailure, EndpointRecord
 from leadford.forwarding.endpoints._roster import EndpointRoster, RosterChange
 from leadford.forwarding.endpoints._times import FirstByteTimes
--- a/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
@@ -11,7 +11,6 @@
 left. What an engine's cache holds is a guess: cache events are not read.
 """
 
-from collections import OrderedDict
 from collections.abc import Collection, Sequence
 
 import msgspec
@@ -24,6 +23,7 @@
     rendezvous_weight,
 )
 from leadford.forwarding.endpoints._pools import EnginePools
+from leadford.forwarding.endpoints._prompts import KeptParts, PromptShape
 from leadford.forwarding.endpoints._record import EndpointRecord
 
 # Prompt tokens that an engine is taken to read in a millisecond before any is measured;
@@ -71,76 +71,6 @@
 PREFERRED_BONUS_MS = 10.0
 
 
-class PromptPart(msgspec.Struct, frozen=True):
-    """Hold one part of a prompt.
-
-    Units: tokens.
-    """
-
-    part_id: str
-    tokens: int
-
-
-class PromptShape(msgspec.Struct, frozen=True):
-    """Hold the parts of a prompt in order, and its length.
-
-    Units: tokens_in is the whole prompt, the parts included.
-    """
-
-    parts: tuple[PromptPart, ...]
-    tokens_in: int
-
-    @property
-    def own_part(self) -> str:
-        """Return the id of the part that tells the prompt from others."""
-        return self.parts[-1].part_id if self.parts else ""
-
-    @property
-    def shared(self) -> tuple[PromptPart, ...]:
-        """Return the parts that other prompts have too: all but the last one.
-
-        The last part is of the request itself, or of its session; a prompt of one
-        part is taken to share it.
-        """
-        return self.parts[:-1] if len(self.parts) > 1 else self.parts
-
-    @property
-    def pool_key(self) -> str:
-        """Return the part by which prompts are split over pools; empty without any."""
-        return self.shared[-1].part_id if self.shared else ""
-
-    @property
-    def shared_tokens(self) -> int:
-        """Return the length of the shared parts."""
-        return sum(part.tokens for part in self.shared)
-
-
-class _KeptParts:
-    """Remember the parts that an engine read last, up to its memory."""
-
-    def __init__(self) -> None:
-        self.tokens_by_part_: OrderedDict[str, int] = OrderedDict()
-        self.total_ = 0
-
-    def touch(self, part: PromptPart, limit: float) -> None:
-        """Remember a part as read last, and drop the oldest beyond `limit` tokens."""
-        known = self.tokens_by_part_.pop(part.part_id, 0)
-        self.tokens_by_part_[part.part_id] = part.tokens
-        self.total_ += part.tokens - known
-        while self.total_ > limit and len(self.tokens_by_part_) > 1:
-            _, tokens = self.tokens_by_part_.popitem(last=False)
-            self.total_ -= tokens
-
-    def kept_tokens(self, shape: PromptShape) -> int:
-        """Return how many tokens at the start of a prompt are kept."""
-        total = 0
-        for part in shape.parts:
-            if part.part_id not in self.tokens_by_part_:
-                break
-            total += part.tokens
-        return total
-
-
 class SentPrompt(msgspec.Struct, frozen=True, eq=False):
     """Hold what was expected of a prompt that was sent to an engine.
 
@@ -157,7 +87,7 @@
     def __init__(self, *, hall: HallId) -> None:
         self.hall = hall
         self.pools = EnginePools()
-        self.kept_by_id_: dict[EndpointId, _KeptParts] = {}
+        self.kept_by_id_: dict[EndpointId, KeptParts] = {}
         self.pending_by_id_: dict[EndpointId, float] = {}
         self.tokens_per_ms_ = Ewma(initial=TOKENS_PER_MS, weight=RATE_WEIGHT)
 
@@ -285,7 +215,7 @@
     ) -> SentPrompt:
         """Count a prompt that goes to an engine; hand the result back at its end."""
         endpoint_id = record.listed.endpoint_id
-        kept = self.kept_by_id_.setdefault(endpoint_id, _KeptParts())
+        kept = self.kept_by_id_.setdefault(endpoint_id, KeptParts())
         tokens = float(max(0, shape.tokens_in - kept.kept_tokens(shape)))
         pending = self.pending_by_id_.get(endpoint_id, 0.0)
         for part in shape.parts:
