Count endpoints once a heartbeat, and by hall only when one joins or leaves

Ruled out: counts kept up by each change: an endpoint that was replaced, and one that went while the store forgot others, change what is usable without a change of the listing. Change: the count of a service may be 0.1 s old while the listing has not changed; endpoints listed by hall are counted anew when the membership changes. Which endpoint is used is asked of the roster as before.

--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_group_map.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_group_map.py
@@ -1,10 +1,14 @@
 """Groups follow from the listed endpoints, and are known anew when these change."""
 
+import msgspec
+
 from leadford.common import EndpointId, HallId
 from leadford.forwarding.batching import GroupId, GroupMap, PlaceId, RegionMap
 from leadford.forwarding.endpoints import (
     EndpointAddress,
     EndpointRoster,
+    EvacuatedHalls,
+    HallNotice,
     ListedEndpoint,
     ListedState,
 )
@@ -51,3 +55,64 @@
     roster.put(listed("c", "h2", ListedState.DRAINING))
     counts = groups.usable_by_group(SERVICE, 0.0)
     assert counts == {GroupId(SERVICE, PlaceId("r")): 2}
+
+
+REGION = GroupId(SERVICE, PlaceId("r"))
+
+
+class CountingRoster(EndpointRoster):
+    """Count how often all endpoints are walked over."""
+
+    walks_ = 0
+
+    def usable_by_hall(self, service_id, now):
+        self.walks_ += 1
+        return super().usable_by_hall(service_id, now)
+
+
+def test_questions_of_one_heartbeat_walk_over_the_endpoints_once():
+    roster = CountingRoster()
+    groups = GroupMap(regions=REGIONS, roster=roster)
+    roster.put(listed("a", "h1"))
+    for step in range(5):
+        assert groups.usable_by_group(SERVICE, 1.0 + step * 0.01) == {REGION: 1}
+    assert roster.walks_ == 1
+    groups.usable_by_group(SERVICE, 1.2)
+    assert roster.walks_ == 2
+
+
+def test_a_change_of_the_listing_is_counted_at_once():
+    roster = EndpointRoster()
+    groups = GroupMap(regions=REGIONS, roster=roster)
+    roster.put(listed("a", "h1"))
+    roster.put(listed("b", "h1"))
+    assert groups.usable_by_group(SERVICE, 1.0) == {REGION: 2}
+    leaving = listed("b", "h1", ListedState.DRAINING)
+    roster.put(msgspec.structs.replace(leaving, revision=2))
+    assert groups.usable_by_group(SERVICE, 1.0) == {REGION: 1}
+    roster.put(msgspec.structs.replace(listed("c", "h2"), revision=3))
+    assert groups.usable_by_group(SERVICE, 1.0) == {REGION: 2}
+    # One that leaves alone is gone; the store forgot nothing.
+    roster.remove("a", 4, 1.0)
+    assert groups.usable_by_group(SERVICE, 1.0) == {REGION: 1}
+
+
+def test_an_evacuation_is_counted_soon():
+    halls = EvacuatedHalls()
+    roster = EndpointRoster(halls=halls)
+    groups = GroupMap(regions=REGIONS, roster=roster)
+    roster.put(listed("a", "h1"))
+    roster.put(listed("b", "h2"))
+    assert groups.usable_by_group(SERVICE, 1.0) == {REGION: 2}
+    halls.record(HallNotice(HallId("h1"), 5, True))
+    assert groups.usable_by_group(SERVICE, 1.1) == {REGION: 1}
+
+
+def test_listed_endpoints_are_counted_by_hall_as_they_join_and_leave():
+    roster = EndpointRoster()
+    assert roster.listed_by_hall(SERVICE) == {}
+    roster.put(listed("a", "h1"))
+    roster.put(listed("b", "h2", ListedState.DRAINING))
+    assert roster.listed_by_hall(SERVICE) == {"h1": 1, "h2": 1}
+    roster.remove("a", 4, 1.0)
+    assert roster.listed_by_hall(SERVICE) == {"h2": 1}
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -7,7 +7,8 @@
 operator has evacuated.
 """
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -77,6 +78,9 @@
         self.leaving_ids_: dict[EndpointId, None] = {}
         self.changed_revision_ = 0
         self.membership_version_ = 0
+        # Listed endpoints by hall, as counted at a version of the membership.
+        self.listed_by_service_: dict[ServiceId, Mapping[HallId, int]] = {}
+        self.counted_at_version_ = -1
 
     @classmethod
     def from_drain(
@@ -200,12 +204,19 @@
         gone = self.gone_by_id_.get(endpoint_id)
         return gone.record if record is None and gone is not None else record
 
-    def listed_by_hall(self, service_id: ServiceId) -> dict[HallId, int]:
-        """Return how many endpoints of a service are listed in each hall."""
-        counts: dict[HallId, int] = {}
-        for endpoint_id in self.ids_by_service_.get(service_id, ()):
-            hall = self.records_by_id_[endpoint_id].listed.hall
-            counts[hall] = counts.get(hall, 0) + 1
+    def listed_by_hall(self, service_id: ServiceId) -> Mapping[HallId, int]:
+        """Return how many endpoints of a service are listed in each hall.
+
+        Counted anew only when one has joined or left: each prompt asks twice.
+        """
+        if self.counted_at_version_ != self.membership_version_:
+            self.listed_by_service_.clear()
+            self.counted_at_version_ = self.membership_version_
+        counts = self.listed_by_service_.get(service_id)
+        if counts is None:
+            ids = self.ids_by_service_.get(service_id, ())
+            counts = Counter(self.records_by_id_[name].listed.hall for name in ids)
+            self.listed_by_service_[service_id] = counts
         return counts
 
     def usable_by_hall(self, service_id: ServiceId, now: float) -> dict[HallId, int]:
