Let three entries follow evacuations for all, as the other kinds

Change: evacuations are relayed like endpoints: followers pass changes on at once and confirm with each heartbeat; the others ask by themselves once nobody has confirmed for the bound less 0.95 s. Notices of peers stay as they were. FollowerFactory.shared, which nothing else used, is gone; its test asks for the same follower by way of relayed. Tests: only followers ask; the others hear of an evacuation and of its end while the store turns them away, and ask by themselves within the bound once those that follow are deaf.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -224,7 +224,12 @@
         if evacuate_s is not None:
             least_s = WATCH_PART * evacuate_s
             followers.append(
-                factory.shared(objects.evacuations_kind, self.halls_, least_s)
+                factory.relayed(
+                    objects.evacuations_kind,
+                    self.halls_,
+                    bound_s=lambda: self.settings.bounds.known_s(evacuate_s),
+                    watch_s=lambda: factory.shared_watch_s(least_s),
+                )
             )
         return followers
 
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_factory.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_factory.py
@@ -107,17 +107,6 @@
         self.relays.add(follower)
         return follower
 
-    def shared(self, kind: str, owner: KindOwner, least_s: float) -> KindFollower:
-        """Make a follower of a kind whose news peers tell as well."""
-        return KindFollower(
-            kind=kind,
-            client=self.client,
-            random=self.random,
-            owner=owner,
-            watch_s=lambda: self.shared_watch_s(least_s),
-            call_s=lambda: longest_call_s(self.bounds().resync_s),
-        )
-
     def shared_watch_s(self, least_s: float) -> float:
         """Return how long a watch waits where all entries follow and tell news."""
         return watch_s(
--- a/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
@@ -158,7 +158,12 @@
     factory = FollowerFactory(
         client=None, random=Random(1), bounds=lambda: bounds[0], live_peers=lambda: 0
     )
-    follower = factory.shared("kind", None, 1.8)
+    follower = factory.relayed(
+        "kind",
+        None,
+        bound_s=lambda: 5.0,
+        watch_s=lambda: factory.shared_watch_s(1.8),
+    )
     assert (follower.watch_s(), follower.call_s()) == (1.8, 2.0)
     bounds[0] = ForwardBounds(resync_s=2.0)
     assert follower.watch_s() == pytest.approx(1.05)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_evacuations.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_evacuations.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from leadford_server.forwarding.store import _follow
-from leadford_standins.wire import StoreFault, play
+from leadford_server.forwarding.store._halls import WATCH_PART
+from leadford_standins.wire import StoreFault, play, turn_away
 
 HALL = "hall-0"
 EVACUATE_S = 5.0
@@ -183,3 +184,84 @@
         assert not evacuated_at(entry)
 
     play(scenario)
+
+
+FLEET = 9
+
+
+async def settle(deployment):
+    """Wait until a few entries follow the store for all."""
+    await deployment.until(
+        lambda: all(
+            len(e.members_.entries_by_id_) == FLEET and e.links_.relays.others_rest
+            for e in deployment.entries_
+        )
+    )
+    await deployment.until(
+        lambda: all(
+            e.links_.relays.clocks_by_peer_.keys() >= e.links_.relays.followers()
+            for e in resting(deployment)
+        )
+    )
+
+
+def resting(deployment):
+    return [e for e in deployment.entries_ if not e.links_.relays.follows]
+
+
+def evacuation_calls(deployment):
+    """Note which entries ask the store for evacuations from now on."""
+    asked = []
+    for entry in deployment.entries_:
+        call = entry.client_.call
+
+        async def note(path, *args, call=call, entry=entry, **fields):
+            if "/evacuations" in path:
+                asked.append(entry)
+            return await call(path, *args, **fields)
+
+        entry.client_.call = note
+    return asked
+
+
+def test_in_a_fleet_only_those_that_follow_the_store_ask_for_evacuations():
+    async def scenario(deployment):
+        await settle(deployment)
+        # Each entry asks once more after its first listing, which may be old, and ends
+        # the watch that it began before it knew of the others.
+        await asyncio.sleep(WATCH_PART * EVACUATE_S + 1.0)
+        asked = evacuation_calls(deployment)
+        followers = [e for e in deployment.entries_ if e.links_.relays.follows]
+        await deployment.until(lambda: len(asked) >= 3 * len(followers), timeout_s=20.0)
+        assert set(asked) <= set(followers)
+
+    play(scenario, entries=FLEET, evacuate_s=EVACUATE_S)
+
+
+def test_entries_that_rest_hear_of_an_evacuation_and_of_its_end():
+    async def scenario(deployment):
+        await settle(deployment)
+        for entry in resting(deployment):
+            turn_away(entry)
+        deployment.store.put("evacuations", HALL, {})
+        await deployment.until(lambda: all(map(evacuated_at, deployment.entries_)))
+        deployment.store.delete("evacuations", HALL)
+        await deployment.until(lambda: not any(map(evacuated_at, deployment.entries_)))
+
+    play(scenario, entries=FLEET, evacuate_s=EVACUATE_S)
+
+
+def test_entries_that_rest_ask_for_evacuations_once_those_that_follow_are_deaf():
+    async def scenario(deployment):
+        await settle(deployment)
+        followers = [e for e in deployment.entries_ if e.links_.relays.follows]
+        for entry in followers:
+            turn_away(entry)
+        # Watches that wait already still end as the store says.
+        await asyncio.sleep(WATCH_PART * EVACUATE_S + 0.2)
+        deployment.store.put("evacuations", HALL, {})
+        await deployment.until(
+            lambda: all(map(evacuated_at, resting(deployment))), timeout_s=EVACUATE_S
+        )
+
+    play(scenario, entries=FLEET, evacuate_s=EVACUATE_S)
