--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_chain_of_stages.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_chain_of_stages.py
@@ -11,49 +11,30 @@
 import pytest
 
 from leadford.forwarding.admission import (
-    AdmissionRequest,
     ForwardAdmission,
     RetryReservations,
     StageCapacity,
     Verdict,
 )
-from leadford.forwarding.batching import AdmittedBacklog, BacklogKey
-from leadford.forwarding.routes import (
-    PieceLimits,
-    Route,
-    RouteId,
-    RouteKind,
-    ServiceId,
-    StageSpec,
-    WeightedService,
+from leadford.forwarding.admission.tests.conftest import (
+    piece_limits,
+    request_for,
+    staged_route,
 )
+from leadford.forwarding.batching import AdmittedBacklog, BacklogKey
+from leadford.forwarding.routes import ServiceId, StageSpec
 
 FIRST, SECOND, LAST = ServiceId("first"), ServiceId("second"), ServiceId("last")
-LIMITS = PieceLimits(
-    slots=1,
-    queue=2,
-    batch=20,
-    call_ms=200.0,
-    piece_ms=6.0,
-    room_bytes=100_000_000,
-    retention_s=4.0,
-)
+LIMITS = piece_limits(batch=20, piece_ms=6.0, room_bytes=100_000_000)
 COUNTS = (1, 6, 8)
 ENDPOINTS_BY_SERVICE = {FIRST: 3, SECOND: 5, LAST: 4}
-ROUTE = Route(
-    route_id=RouteId("r"),
-    host="h",
-    path_prefix="/",
-    kind=RouteKind.STREAM,
-    services=(WeightedService(ServiceId("engine"), 1.0),),
+ROUTE = staged_route(
+    StageSpec(FIRST, (), 60_000),
+    StageSpec(SECOND, (0,), 20_000),
+    StageSpec(LAST, (1,), 5_000),
     timeout_ms=6_000.0,
     aim_ms=3_600.0,
     priority=1,
-    stages=(
-        StageSpec(FIRST, (), 60_000),
-        StageSpec(SECOND, (0,), 20_000),
-        StageSpec(LAST, (1,), 5_000),
-    ),
 )
 ENGINE_S = 0.15
 STEP_S = 0.01
@@ -84,15 +65,13 @@
             for service, endpoints in ENDPOINTS_BY_SERVICE.items()
         }
         decision = self.admission.decide(
-            AdmissionRequest(
+            request_for(
                 ROUTE,
                 COUNTS,
                 capacities,
                 priority=1,
                 fingerprint=f"{number}",
                 engine_s=ENGINE_S,
-                elapsed_s=0.0,
-                allowed_s=6.0,
                 now=now,
             )
         )
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
@@ -6,45 +6,26 @@
 import pytest
 
 from leadford.forwarding.admission import (
-    AdmissionRequest,
     ForwardAdmission,
     RetryReservation,
     RetryReservations,
     StageCapacity,
     Verdict,
 )
+from leadford.forwarding.admission.tests.conftest import (
+    piece_limits,
+    request_for,
+    staged_route,
+)
 from leadford.forwarding.batching import AdmittedBacklog, BacklogKey
 from leadford.forwarding.routes import (
-    PieceLimits,
-    Route,
-    RouteId,
-    RouteKind,
     ServiceId,
     StageSpec,
-    WeightedService,
 )
 
 SERVICE = ServiceId("stage")
-LIMITS = PieceLimits(
-    slots=1,
-    queue=2,
-    batch=10,
-    call_ms=200.0,
-    piece_ms=10.0,
-    room_bytes=1_000_000,
-    retention_s=4.0,
-)
-ROUTE = Route(
-    route_id=RouteId("r"),
-    host="h",
-    path_prefix="/",
-    kind=RouteKind.STREAM,
-    services=(WeightedService(ServiceId("engine"), 1.0),),
-    timeout_ms=8_000.0,
-    aim_ms=2_000.0,
-    priority=0,
-    stages=(StageSpec(SERVICE, (), 1_000),),
-)
+LIMITS = piece_limits()
+ROUTE = staged_route(StageSpec(SERVICE, (), 1_000))
 
 
 class Fixture:
@@ -67,13 +48,12 @@
         asked_s=None,
     ):
         return self.admission.decide(
-            AdmissionRequest(
+            request_for(
                 route,
                 (4,),
                 {SERVICE: StageCapacity(LIMITS, endpoints)},
                 priority=priority,
                 fingerprint=fingerprint,
-                engine_s=0.1,
                 elapsed_s=elapsed_s,
                 allowed_s=8.0,
                 now=now,
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_forecast.py
@@ -7,39 +7,18 @@
     StageCapacity,
 )
 from leadford.forwarding.admission._forecast import StageForecast
+from leadford.forwarding.admission.tests.conftest import piece_limits, staged_route
 from leadford.forwarding.batching import AdmittedBacklog, BacklogKey
 from leadford.forwarding.routes import (
-    PieceLimits,
-    Route,
-    RouteId,
-    RouteKind,
     ServiceId,
     StageSpec,
 )
 
 FAST, SLOW = ServiceId("fast"), ServiceId("slow")
-LIMITS = PieceLimits(
-    slots=1,
-    queue=2,
-    batch=10,
-    call_ms=200.0,
-    piece_ms=10.0,
-    room_bytes=0,
-    retention_s=4.0,
-)
+LIMITS = piece_limits(room_bytes=0)
 SLOW_LIMITS = msgspec.structs.replace(LIMITS, call_ms=500.0)
 # The slow stage and the first fast one run side by side, the last one reads both.
-ROUTE = Route(
-    route_id=RouteId("r"),
-    host="h",
-    path_prefix="/",
-    kind=RouteKind.STREAM,
-    services=(),
-    timeout_ms=8_000.0,
-    aim_ms=2_000.0,
-    priority=0,
-    stages=(StageSpec(FAST), StageSpec(SLOW), StageSpec(FAST, (0, 1))),
-)
+ROUTE = staged_route(StageSpec(FAST), StageSpec(SLOW), StageSpec(FAST, (0, 1)))
 CAPACITY = {FAST: StageCapacity(LIMITS, 2), SLOW: StageCapacity(SLOW_LIMITS, 1)}
 
 
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_large_fleet.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_large_fleet.py
@@ -11,44 +11,24 @@
 
 from leadford.common import EntryId
 from leadford.forwarding.admission import (
-    AdmissionRequest,
     ForwardAdmission,
     RetryReservations,
     StageCapacity,
     Verdict,
 )
-from leadford.forwarding.batching import AdmittedBacklog, BacklogKey, Throughput
-from leadford.forwarding.routes import (
-    PieceLimits,
-    Route,
-    RouteId,
-    RouteKind,
-    ServiceId,
-    StageSpec,
-    WeightedService,
+from leadford.forwarding.admission.tests.conftest import (
+    piece_limits,
+    request_for,
+    staged_route,
 )
+from leadford.forwarding.batching import AdmittedBacklog, BacklogKey, Throughput
+from leadford.forwarding.routes import ServiceId, StageSpec
 
 SERVICE = ServiceId("stage")
 KEY = BacklogKey(SERVICE, False)
-LIMITS = PieceLimits(
-    slots=1,
-    queue=2,
-    batch=16,
-    call_ms=200.0,
-    piece_ms=11.0,
-    room_bytes=100_000_000,
-    retention_s=4.0,
-)
-ROUTE = Route(
-    route_id=RouteId("r"),
-    host="h",
-    path_prefix="/",
-    kind=RouteKind.STREAM,
-    services=(WeightedService(ServiceId("engine"), 1.0),),
-    timeout_ms=6_000.0,
-    aim_ms=3_100.0,
-    priority=1,
-    stages=(StageSpec(SERVICE, (), 60_000),),
+LIMITS = piece_limits(batch=16, piece_ms=11.0, room_bytes=100_000_000)
+ROUTE = staged_route(
+    StageSpec(SERVICE, (), 60_000), timeout_ms=6_000.0, aim_ms=3_100.0, priority=1
 )
 ENTRIES = 60
 HUBS = 4
@@ -105,15 +85,13 @@
     def ask(self, number, now):
         """Have a request come to an entry."""
         decision = self.admissions[number].decide(
-            AdmissionRequest(
+            request_for(
                 ROUTE,
                 (PIECES,),
                 {SERVICE: StageCapacity(LIMITS, ENDPOINTS)},
                 priority=1,
                 fingerprint=f"{number} {now}",
                 engine_s=ENGINE_S,
-                elapsed_s=0.0,
-                allowed_s=6.0,
                 now=now,
             )
         )
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_usual_wait.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_usual_wait.py
@@ -5,21 +5,21 @@
 import pytest
 
 from leadford.forwarding.admission import (
-    AdmissionRequest,
     ForwardAdmission,
     RetryReservations,
     StageCapacity,
 )
 from leadford.forwarding.admission._usual_wait import UsualWaits
+from leadford.forwarding.admission.tests.conftest import (
+    piece_limits,
+    request_for,
+    staged_route,
+)
 from leadford.forwarding.batching import AdmittedBacklog
 from leadford.forwarding.routes import (
-    PieceLimits,
-    Route,
     RouteId,
-    RouteKind,
     ServiceId,
     StageSpec,
-    WeightedService,
 )
 
 ROUTE_ID = RouteId("r")
@@ -65,25 +65,8 @@
 
 
 def test_a_return_that_another_entry_refused_is_known_here():
-    limits = PieceLimits(
-        slots=1,
-        queue=2,
-        batch=10,
-        call_ms=200.0,
-        piece_ms=10.0,
-        room_bytes=1_000_000,
-        retention_s=4.0,
-    )
-    route = Route(
-        route_id=ROUTE_ID,
-        host="h",
-        path_prefix="/",
-        kind=RouteKind.STREAM,
-        services=(WeightedService(ServiceId("engine"), 1.0),),
-        timeout_ms=6_000.0,
-        aim_ms=2_000.0,
-        priority=0,
-        stages=(StageSpec(SERVICE, (), 1_000),),
+    route = staged_route(
+        StageSpec(SERVICE, (), 1_000), route_id=ROUTE_ID, timeout_ms=6_000.0
     )
     admission = ForwardAdmission(
         backlog=AdmittedBacklog(), reservations=RetryReservations(), random=Random(1)
@@ -91,16 +74,12 @@
 
     def decide(asked_s):
         return admission.decide(
-            AdmissionRequest(
+            request_for(
                 route,
                 (4,),
-                {SERVICE: StageCapacity(limits, 1)},
-                priority=0,
+                {SERVICE: StageCapacity(piece_limits(), 1)},
                 fingerprint=f"f{asked_s}",
-                engine_s=0.1,
-                elapsed_s=0.0,
                 allowed_s=asked_s,
-                now=0.0,
                 asked_s=asked_s,
             )
         )
