--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
@@ -15,17 +15,16 @@
     GroupTable,
     PieceKey,
     PieceQueue,
-    PieceTask,
     PlaceId,
     RegionMap,
     queue_delay_s,
     schedulers_in_order,
 )
+from leadford.forwarding.batching.tests.conftest import piece_limits, piece_task
 from leadford.forwarding.endpoints import (
     EndpointFailure,
 )
 from leadford.forwarding.routes import (
-    PieceLimits,
     ResultHandle,
     Route,
     RouteId,
@@ -34,15 +33,7 @@
 )
 from leadford_standins.records import endpoint_record
 
-LIMITS = PieceLimits(
-    slots=1,
-    queue=2,
-    batch=4,
-    call_ms=200.0,
-    piece_ms=50.0,
-    room_bytes=100,
-    retention_s=4.0,
-)
+LIMITS = piece_limits()
 SERVICE = ServiceId("s")
 ENDPOINT = EndpointId("e")
 
@@ -58,15 +49,10 @@
     queued=0.0,
     near=(),
 ):
-    return PieceTask(
-        correlation_id=1,
-        origin=EntryId("origin"),
+    return piece_task(
         request_id=RequestId(request),
         key=PieceKey(0, piece),
-        request_key="k",
-        inputs=(),
         result_bytes=size,
-        deadline=100.0,
         due_at=due,
         rank_at=due + delay,
         queued_at=queued,
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
@@ -3,43 +3,23 @@
 import msgspec
 import pytest
 
-from leadford.common import EndpointId, EntryId, HallId, RequestId
+from leadford.common import EndpointId, HallId, RequestId
 from leadford.forwarding.batching import (
     CapacityTable,
     FillAction,
     PieceKey,
     PieceQueue,
-    PieceTask,
     next_call,
 )
+from leadford.forwarding.batching.tests.conftest import piece_limits, piece_task
 from leadford.forwarding.endpoints import (
     EndpointFailure,
 )
-from leadford.forwarding.routes import PieceLimits, ResultHandle
+from leadford.forwarding.routes import ResultHandle
 from leadford_standins.records import endpoint_record
 
-LIMITS = PieceLimits(
-    slots=1,
-    queue=2,
-    batch=4,
-    call_ms=200.0,
-    piece_ms=50.0,
-    room_bytes=100,
-    retention_s=4.0,
-)
-TASK = PieceTask(
-    correlation_id=1,
-    origin=EntryId("origin"),
-    request_id=RequestId("r"),
-    key=PieceKey(0, 0),
-    request_key="k",
-    inputs=(),
-    result_bytes=10,
-    deadline=100.0,
-    due_at=1.0,
-    rank_at=1.0,
-    queued_at=0.0,
-)
+LIMITS = piece_limits()
+TASK = piece_task()
 
 
 def tasks(count, **changes):
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_full_calls.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_full_calls.py
@@ -8,42 +8,21 @@
 
 import msgspec
 
-from leadford.common import EntryId, RequestId
+from leadford.common import RequestId
 from leadford.forwarding.batching import (
     CapacityTable,
     FillAction,
     PieceKey,
     PieceQueue,
-    PieceTask,
     next_call,
 )
-from leadford.forwarding.routes import PieceLimits
+from leadford.forwarding.batching.tests.conftest import piece_limits, piece_task
 from leadford_standins.records import endpoint_record
 
-LIMITS = PieceLimits(
-    slots=1,
-    queue=2,
-    batch=16,
-    call_ms=200.0,
-    piece_ms=11.0,
-    room_bytes=10_000_000,
-    retention_s=4.0,
-)
+LIMITS = piece_limits(batch=16, piece_ms=11.0, room_bytes=10_000_000)
 PIECES = 6
 LENGTH_S = 10.0
-TASK = PieceTask(
-    correlation_id=1,
-    origin=EntryId("origin"),
-    request_id=RequestId("r"),
-    key=PieceKey(0, 0),
-    request_key="k",
-    inputs=(),
-    result_bytes=1,
-    deadline=100.0,
-    due_at=50.0,
-    rank_at=50.0,
-    queued_at=0.0,
-)
+TASK = piece_task(result_bytes=1, due_at=50.0, rank_at=50.0)
 
 
 def record(number):
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_halls.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_halls.py
@@ -11,27 +11,19 @@
 import msgspec
 import pytest
 
-from leadford.common import EndpointId, EntryId, HallId, RequestId
+from leadford.common import EndpointId, HallId, RequestId
 from leadford.forwarding.batching import (
     CapacityTable,
     FillAction,
     PieceKey,
     PieceQueue,
-    PieceTask,
     next_call,
 )
-from leadford.forwarding.routes import PieceLimits, ResultHandle
+from leadford.forwarding.batching.tests.conftest import piece_limits, piece_task
+from leadford.forwarding.routes import ResultHandle
 from leadford_standins.records import endpoint_record
 
-LIMITS = PieceLimits(
-    slots=1,
-    queue=2,
-    batch=22,
-    call_ms=200.0,
-    piece_ms=7.8,
-    room_bytes=10_000_000,
-    retention_s=4.0,
-)
+LIMITS = piece_limits(batch=22, piece_ms=7.8, room_bytes=10_000_000)
 HALLS = [HallId(f"h{number}") for number in range(6)]
 PIECES = 10
 INPUT_BYTES = 360_000
@@ -121,9 +113,7 @@
 
 
 def task(request, piece, hall, now):
-    return PieceTask(
-        correlation_id=1,
-        origin=EntryId("origin"),
+    return piece_task(
         request_id=RequestId(f"r{request}"),
         key=PieceKey(2, piece),
         request_key="",
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_limits.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_limits.py
@@ -9,21 +9,13 @@
     stages_check_at,
     stages_end_in_time,
 )
+from leadford.forwarding.batching.tests.conftest import piece_limits
 from leadford.forwarding.endpoints import (
     ReportedLoad,
 )
-from leadford.forwarding.routes import PieceLimits
 from leadford_standins.records import endpoint_record
 
-LIMITS = PieceLimits(
-    slots=1,
-    queue=2,
-    batch=4,
-    call_ms=200.0,
-    piece_ms=50.0,
-    room_bytes=100,
-    retention_s=4.0,
-)
+LIMITS = piece_limits()
 
 
 def engine(running, waiting, slots, in_flight=0):
