Read what endpoints ask of their senders, and log when that changes

Cause: not yet mended. Ruled out by reading: no module decoded the limit or the leaving header; the time to come back was decoded and read by no rule. Change: answers are decoded into Backpressure, recorded at one place for requests, calls for pieces and releases (which read no head until now), and event 307 tells each change. No decision reads it yet. Conclusion: an entry's log now tells from when on it knew.

--- a/packages/leadford-server/src/leadford_server/forwarding/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_contract.py
@@ -12,6 +12,7 @@
 from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.forwarding.batching import PieceTask
 from leadford.forwarding.endpoints import (
+    Backpressure,
     HallNotice,
     ListedEndpoint,
     PromptShape,
@@ -113,7 +114,7 @@
     rest_s: float | None
     load: ReportedLoad | None
     model_version: int | None
-    retry_after_s: float | None
+    backpressure: Backpressure = Backpressure()
 
     @property
     def is_not_run(self) -> bool:
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
@@ -19,6 +19,7 @@
 from leadford.forwarding.endpoints import EndpointFailure, EndpointRecord
 from leadford.forwarding.routes import PieceLimits, Service
 from leadford_server.forwarding._contract import NotRunCause, PieceOutcome
+from leadford_server.forwarding._heads import record_head
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.endpoints import ConnectionEnd, ExchangeBroken
 
@@ -122,10 +123,8 @@
             state.pool_.release(record, connection)
         now = state.now()
         state.quarantine_.record_alive(record.listed.endpoint_id, call.began_at)
-        if head.load is not None:
-            record.record_load(head.load, now)
+        record_head(state, record, head)
         if head.not_run is NotRunCause.REPLACED:
-            record.record_replaced()
             return CallEnd(None, PieceFailure.REPLACED.value)
         if head.is_not_run:
             return CallEnd(None, PieceFailure.FULL.value)
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_free.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_free.py
@@ -12,6 +12,7 @@
 from leadford.forwarding.batching import CapacityTable, GroupId
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.routes import ResultHandle, Service
+from leadford_server.forwarding._heads import record_head
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.endpoints import ExchangeBroken
 
@@ -70,11 +71,12 @@
             async with asyncio.timeout(FREE_TIMEOUT_S):
                 connection = await state.pool_.acquire(record, service.connections_max)
                 try:
-                    await connection.fetch(outbound)
+                    _, head = await connection.fetch(outbound)
                 finally:
                     state.pool_.release(record, connection)
         except (ExchangeBroken, TimeoutError):
             return
+        record_head(state, record, head)
         # Only now is the room free; another call must not come before.
         capacity = self.capacities.capacity_by_id_.get(endpoint_id)
         if capacity is not None:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -25,6 +25,7 @@
 )
 from leadford.forwarding.routes import PRIORITY_HIGHEST, PRIORITY_LOWEST, RouteKind
 from leadford_server.forwarding._contract import ForwardCall, NotRunCause
+from leadford_server.forwarding._heads import record_head
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching import RequestInputs
@@ -258,8 +259,7 @@
         """Raise what the head of an answer says against the attempt."""
         head = attempt.answer.head
         record = attempt.record
-        if head.load is not None:
-            record.record_load(head.load, self.state.now())
+        record_head(self.state, record, head)
         if head.is_encoded:
             self.release(attempt)
             raise ExchangeBroken(BreakKind.SPOILED, "encoded body")
@@ -272,8 +272,6 @@
             pass
         finally:
             self.release(attempt)
-        if head.not_run is NotRunCause.REPLACED:
-            record.record_replaced()
         has_stages = bool(self.progress.match_.route.stages)
         raise NotRun(
             f"not run: {head.status}",
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -70,6 +70,8 @@
         # The process ends as soon as it runs a request with one of these bodies.
         self.ends_on_: set[bytes] = set()
         self.on_end_: Callable[[], None] | None = None
+        # Headers that each answer carries besides.
+        self.says_: dict[str, str] = {}
 
     def start(self) -> str:
         """Listen on loopback and return the address."""
@@ -238,6 +240,8 @@
         request_id = self.request.headers.get("X-Attempt-Id", "")
         self.set_header("X-Attempt-Id", request_id)
         self.set_header("X-Server-Load", "1,0,4")
+        for name, value in endpoint.says_.items():
+            self.set_header(name, value)
         expected = self.request.headers.get("X-Expect-Instance")
         if expected not in (None, endpoint.endpoint_id):
             self._note_arrival(request_id, is_refused=True)
--- a/packages/leadford/src/leadford/common/__init__.py
+++ b/packages/leadford/src/leadford/common/__init__.py
@@ -17,6 +17,7 @@
     StageId,
     WorkspaceId,
 )
+from leadford.common._numbers import parse_amount, parse_count
 from leadford.common._packing import decode_as, pack, unpack
 from leadford.common._registry import Registry, UnknownVariantError
 from leadford.common._states import Objective, Outcome, PoolKind, RefusalReason
@@ -46,6 +47,8 @@
     "check_positive",
     "decode_as",
     "pack",
+    "parse_amount",
+    "parse_count",
     "rendezvous_order",
     "rendezvous_weight",
     "stable_hash",
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -39,6 +39,11 @@
     ENDPOINT_LISTED = (304, Severity.INFO, "The listing of an endpoint changed.")
     HALL_EVACUATED = (305, Severity.WARNING, "The evacuation of a hall began or ended.")
     RECORD_UNREADABLE = (306, Severity.WARNING, "A record is passed over.")
+    ENDPOINT_BACKPRESSURE = (
+        307,
+        Severity.INFO,
+        "What an endpoint asks of those that send to it has changed.",
+    )
     ANSWER_STRAY = (400, Severity.WARNING, "An answer matched nothing; dropped.")
     REQUEST_REFUSED = (401, Severity.INFO, "A request was refused.")
     REQUEST_UNKNOWN = (402, Severity.WARNING, "A request's outcome is not known.")
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -13,6 +13,7 @@
 )
 from leadford.forwarding.endpoints._halls import EvacuatedHalls, HallNotice
 from leadford.forwarding.endpoints._model import (
+    Backpressure,
     EndpointAddress,
     ListedEndpoint,
     ListedState,
@@ -30,6 +31,7 @@
 from leadford.forwarding.endpoints._times import FirstByteTimes
 
 __all__ = [
+    "Backpressure",
     "ChoicePolicy",
     "ColdEndpoints",
     "EndpointAddress",
--- a/packages/leadford/src/leadford/forwarding/endpoints/_model.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_model.py
@@ -61,6 +61,19 @@
         return 0 if self.born is msgspec.UNSET else self.born
 
 
+class Backpressure(msgspec.Struct, frozen=True):
+    """Hold what an endpoint asks in an answer of those that send to it.
+
+    Units: limit_per_s is the requests a second that it takes from all entries together,
+    None where it names no limit; rest_s is how long it wants nothing more from the
+    entry that it turned away, in seconds.
+    """
+
+    limit_per_s: float | None = None
+    rest_s: float | None = None
+    is_leaving: bool = False
+
+
 class ReportedLoad(msgspec.Struct, frozen=True):
     """Hold the load that an endpoint put on an answer."""
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -12,7 +12,11 @@
 from enum import Enum
 
 from leadford.common import Ewma
-from leadford.forwarding.endpoints._model import ListedEndpoint, ReportedLoad
+from leadford.forwarding.endpoints._model import (
+    Backpressure,
+    ListedEndpoint,
+    ReportedLoad,
+)
 
 # Seconds of the first suspicion; each further failure in a row doubles it up to the
 # most. Neither was measured.
@@ -66,6 +70,7 @@
         self.is_replaced_ = False
         self.cold_until_ = 0.0
         self.cold_revision_ = -1
+        self.backpressure_ = Backpressure()
         self.load_: ReportedLoad | None = None
         self.load_at_ = 0.0
         self.failure_rate_ = Ewma(initial=0.0, weight=FAILURE_WEIGHT)
@@ -92,6 +97,12 @@
         """Tell whether the endpoint bears few requests yet."""
         return now < self.cold_until_
 
+    def record_backpressure(self, asked: Backpressure) -> bool:
+        """Record what an answer asks; return whether that is news."""
+        is_news = asked != self.backpressure_
+        self.backpressure_ = asked
+        return is_news
+
     def record_load(self, load: ReportedLoad, now: float) -> None:
         """Record the load on an answer."""
         self.load_ = load
