--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_backpressure.py
@@ -0,0 +1,92 @@
+"""Endpoints get no more than they ask for in their answers.
+
+Two engines in need named limits of 1.4 and 1.0 requests a second in their answers, and
+entries that had passed such answers on sent them 14 and 12 requests within 4 s, where
+13 and 11 are allowed. The header was passed on to the caller, and no module read it: no
+log line of any entry told of a limit. Once it was read and recorded (event 307), all
+five entries had the limit in their records and chose the endpoint as before: the first
+test counted 78 plain requests and 81 prompts within 4 s, where 11 are allowed.
+"""
+
+import asyncio
+from itertools import count
+
+import pytest
+
+from leadford_standins.wire import play
+
+# Requests that an endpoint bears in any window beyond one and a half times its limit.
+WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+# Seconds after an endpoint first named its limit from which entries keep to it.
+KNOWN_S = 0.5
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+def most_in_a_window(endpoint, since):
+    """Return the most requests that an endpoint got in any window after a moment."""
+    times = sorted(a.at_s for a in endpoint.arrived_ if a.at_s > since)
+    return max((sum(t <= s < t + WINDOW_S for s in times) for t in times), default=0)
+
+
+def believed_limits(deployment, endpoint):
+    """Return the limits that entries have in their records of an endpoint."""
+    records = [
+        entry.state_.roster_.record(endpoint.endpoint_id)
+        for entry in deployment.entries_
+    ]
+    return {record.backpressure_.limit_per_s for record in records}
+
+
+def allowed(limit_per_s):
+    return LIMIT_FACTOR * limit_per_s * WINDOW_S + LIMIT_SLACK
+
+
+async def press(deployment, path, *, for_s, each_s=0.03):
+    """Send requests to all entries in turn; return the statuses."""
+    until = now() + for_s
+    sent = []
+    for number in count():
+        if now() >= until:
+            break
+        entry = number % len(deployment.entries_)
+        answer = deployment.send(path, request_id=f"p{now():.4f}{number}", entry=entry)
+        sent.append(asyncio.ensure_future(answer))
+        await asyncio.sleep(each_s)
+    return [answer.code for answer in await asyncio.gather(*sent)]
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
+def test_an_endpoint_gets_what_its_limit_allows_from_all_entries_together(path):
+    limit_per_s = 1.0
+
+    async def scenario(deployment):
+        group = deployment.plain if path.startswith("/safe") else deployment.engines
+        limited = group[0]
+        limited.says_["Server-Limit"] = str(limit_per_s)
+        began_at = now()
+        statuses = await press(deployment, path, for_s=KNOWN_S + WINDOW_S + 1.0)
+        assert set(statuses) == {200}
+        assert limit_per_s in believed_limits(deployment, limited)
+        most = most_in_a_window(limited, began_at + KNOWN_S)
+        assert 1 <= most <= allowed(limit_per_s)
+
+    play(scenario, entries=5)
+
+
+def test_calls_for_pieces_and_releases_keep_to_a_limit():
+    limit_per_s = 2.0
+
+    async def scenario(deployment):
+        limited = deployment.stage[0]
+        limited.says_["Server-Limit"] = str(limit_per_s)
+        began_at = now()
+        await press(deployment, "/once/x", for_s=KNOWN_S + WINDOW_S + 0.5, each_s=0.1)
+        most = most_in_a_window(limited, began_at + KNOWN_S)
+        assert 1 <= most <= allowed(limit_per_s)
+
+    play(scenario, entries=3)
