Keep what an endpoint gets from all entries within the limit that it names

What callers saw: nothing at first; engines in need got up to a third more than they had said they take, and answered late. Cause: no module read the limit in an answer. Class: what an endpoint says of itself is passed on to the caller, and no rule obeys it. Ruled out: keeping the limit at each entry alone (five entries would send five times as much), a share for each entry (350 that send one request at once are beyond any slack), and a date or a wall clock that all would have to agree on. Change: rendezvous names four entries that use a limited endpoint, each with a bucket of its part of the rate; a request is counted when it is sent, after its connection was waited for. Calls for pieces come from one entry, which has the whole rate; results there are left to end. Entries tell limits and their ends in a message of its own (protocol version 8), so those without a part hear of both.

--- a/packages/leadford-server/src/leadford_server/forwarding/_heads.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_heads.py
@@ -11,21 +11,32 @@
 from leadford_server.forwarding._state import ForwardState
 
 
-def record_head(state: ForwardState, record: EndpointRecord, head: AnswerHead) -> None:
-    """Record the load that an answer reports, and what it asks of this entry."""
+def record_head(
+    state: ForwardState, record: EndpointRecord, head: AnswerHead, *, sent_at: float
+) -> None:
+    """Record the load that an answer reports, and what it asks of this entry.
+
+    Units: sent_at in seconds of the monotonic clock, when it was asked for.
+    """
     if head.not_run is NotRunCause.REPLACED:
         # Another process answers; nothing it says is about this endpoint.
         record.record_replaced()
         return
     if head.load is not None:
         record.record_load(head.load, state.now())
-    _record_backpressure(state, record, head)
+    state.limits_.record_answer(
+        record.listed.endpoint_id,
+        head.backpressure.limit_per_s,
+        sent_at=sent_at,
+        now=state.now(),
+    )
+    _log_backpressure(state, record, head)
 
 
-def _record_backpressure(
+def _log_backpressure(
     state: ForwardState, record: EndpointRecord, head: AnswerHead
 ) -> None:
-    """Record what an answer asks of this entry, and log what is new of it."""
+    """Log what is new of what an endpoint asks."""
     asked = head.backpressure
     if not record.record_backpressure(asked):
         return
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -290,6 +290,7 @@
             self.state_.pool_.sweep(known)
             self.state_.engines_.retain(known)
             self.state_.cold_.retain(known)
+            self.state_.limits_.retain(known)
 
     async def _watch_suspensions(self) -> None:
         """Doubt what was known before the host was suspended."""
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -19,6 +19,7 @@
 from leadford.forwarding.endpoints import (
     ColdEndpoints,
     EndpointChooser,
+    EndpointLimits,
     EndpointRecord,
     EndpointRoster,
     EngineChooser,
@@ -120,6 +121,7 @@
         halls = EvacuatedHalls(is_known=bounds.evacuate_s is None)
         self.roster_ = EndpointRoster.from_drain(bounds.drain_s, halls)
         self.cold_ = ColdEndpoints(entry_id=entry_id)
+        self.limits_ = EndpointLimits(entry_id=entry_id)
         self.chooser_ = EndpointChooser(hall=hall, random=random)
         self.engines_ = EngineChooser(hall=hall)
         self.pool_ = ConnectionPool(codec=codec, loop=loop)
@@ -150,6 +152,32 @@
         """Tell whether an endpoint that was chosen before still takes new work."""
         return self.roster_.is_usable(record, self.now())
 
+    def hold_s(self, record: EndpointRecord) -> float:
+        """Return in how many seconds an endpoint wants another request of this entry.
+
+        0 where it may get one now. Call `record_sent` for each that is sent.
+        """
+        listed = record.listed
+        return self.limits_.wait_s(
+            listed.endpoint_id,
+            self.now(),
+            is_alone=self._is_called_by_one(listed.service_id),
+        )
+
+    def record_sent(self, record: EndpointRecord) -> None:
+        """Count a request or a call that goes to an endpoint now."""
+        listed = record.listed
+        self.limits_.record_sent(
+            listed.endpoint_id,
+            self.now(),
+            is_alone=self._is_called_by_one(listed.service_id),
+        )
+
+    def _is_called_by_one(self, service_id: ServiceId) -> bool:
+        """Tell whether one entry makes all calls of a service: a batched stage."""
+        service = self.service(service_id)
+        return service is not None and service.pieces is not None
+
     def service(self, service_id: ServiceId) -> Service | None:
         """Return what the configuration in force says of a service."""
         table = self.table_
@@ -182,6 +210,7 @@
         self.pool_.entry_count_ = count
         self.budgets_.set_entry_count(count)
         self.cold_.set_entries(entry_ids)
+        self.limits_.set_entries(entry_ids)
 
     def _new_budget(self) -> WindowedRetryBudget:
         return WindowedRetryBudget(
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
@@ -110,6 +110,10 @@
             # It left while the connection was waited for.
             state.pool_.release(record, connection)
             return CallEnd(None, PieceFailure.NO_ENDPOINT.value)
+        if state.hold_s(record) > 0.0:
+            state.pool_.release(record, connection)
+            return CallEnd(None, PieceFailure.FULL.value)
+        state.record_sent(record)
         try:
             outbound = state.codec.piece_call(
                 call.tasks, record.listed.endpoint_id, state.now()
@@ -123,7 +127,7 @@
             state.pool_.release(record, connection)
         now = state.now()
         state.quarantine_.record_alive(record.listed.endpoint_id, call.began_at)
-        record_head(state, record, head)
+        record_head(state, record, head, sent_at=call.began_at)
         if head.not_run is NotRunCause.REPLACED:
             return CallEnd(None, PieceFailure.REPLACED.value)
         if head.is_not_run:
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_free.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_free.py
@@ -54,19 +54,29 @@
         record = self.state.roster_.record(endpoint_id)
         if not handles or record is None:
             return
-        if self.state.roster_.halls_.is_evacuated(record.listed.hall):
-            # The results end by themselves; an evacuated hall gets no call at all.
+        if self._gets_calls_only(record):
             return
         service = self.state.service(record.listed.service_id)
         if service is not None:
             self.spawn(self._free(service, record, handles))
 
+    def _gets_calls_only(self, record: EndpointRecord) -> bool:
+        """Tell whether results at an endpoint are left to end by themselves.
+
+        An evacuated hall gets nothing at all, and what a limited endpoint takes is left
+        to calls that make something.
+        """
+        if self.state.roster_.halls_.is_evacuated(record.listed.hall):
+            return True
+        return self.state.limits_.is_limited(record.listed.endpoint_id)
+
     async def _free(
         self, service: Service, record: EndpointRecord, handles: list[ResultHandle]
     ) -> None:
         endpoint_id = record.listed.endpoint_id
         state = self.state
         outbound = state.codec.free_call(handles, endpoint_id)
+        sent_at = state.now()
         try:
             async with asyncio.timeout(FREE_TIMEOUT_S):
                 connection = await state.pool_.acquire(record, service.connections_max)
@@ -76,7 +86,7 @@
                     state.pool_.release(record, connection)
         except (ExchangeBroken, TimeoutError):
             return
-        record_head(state, record, head)
+        record_head(state, record, head, sent_at=sent_at)
         # Only now is the room free; another call must not come before.
         capacity = self.capacities.capacity_by_id_.get(endpoint_id)
         if capacity is not None:
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
@@ -24,7 +24,7 @@
     next_call,
 )
 from leadford.forwarding.endpoints import EndpointRecord
-from leadford.forwarding.routes import ResultHandle, Service
+from leadford.forwarding.routes import PieceLimits, ResultHandle, Service
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching._calls import CallEnd, PieceCall, PieceCalls
 from leadford_server.forwarding.batching._free import ResultFreeing
@@ -175,6 +175,7 @@
     ) -> bool:
         """Do what the rule says next; return whether to ask it again at once."""
         queue = self.queues_by_group_[group]
+        self._pause_held(records, service.pieces, now)
         step = next_call(queue, self.capacities_, records, service.pieces, now)
         if step.action is FillAction.NOTHING_WAITS:
             return False
@@ -192,6 +193,16 @@
         self._look_again(group)
         return False
 
+    def _pause_held(
+        self, records: Iterable[EndpointRecord], limits: PieceLimits, now: float
+    ) -> None:
+        """Send no calls to endpoints that ask for less, until they take one."""
+        for record in records:
+            hold_s = self.state.hold_s(record)
+            if hold_s > 0.0:
+                endpoint_id = record.listed.endpoint_id
+                self.capacities_.capacity(endpoint_id, limits).pause(hold_s, now)
+
     def _wake_group(self, group: GroupId) -> None:
         if group in self.queues_by_group_:
             self._dispatch(group)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -20,10 +20,12 @@
     MadeRate,
     PlaceId,
 )
+from leadford.forwarding.endpoints import KnownLimit
 from leadford.forwarding.membership import HeartbeatNews, is_due
 from leadford.forwarding.routes import ServiceId
 from leadford.protocol import (
     PROTOCOL_FLEET,
+    PROTOCOL_LIMITS,
     PROTOCOL_PACED,
     BacklogReport,
     CommitmentReport,
@@ -31,6 +33,8 @@
     FleetBacklog,
     GroupReport,
     LaneReport,
+    LimitNews,
+    LimitReport,
     RefusalReport,
     StoreConfirmations,
 )
@@ -38,6 +42,9 @@
 from leadford_server.forwarding.batching import StageRunner
 from leadford_server.peers import PeerConnection
 
+# The rate that tells of a limit that is over.
+LIMIT_OVER = -1.0
+
 
 class Heartbeat:
     """Hold what is said now, and say it to those that have to hear it."""
@@ -47,11 +54,13 @@
         *,
         message: EntryHeartbeat,
         fleet: Sequence[FleetBacklog | StoreConfirmations],
+        limits: LimitNews | None,
         number: int,
         scheduler_ids: Collection[EntryId],
     ) -> None:
         self.message = message
         self.fleet = fleet
+        self.limits = limits
         self.scheduler_ids = scheduler_ids
         tells_all = bool(fleet or message.refused or message.is_draining)
         self.news_ = HeartbeatNews(number, tells_all)
@@ -70,6 +79,8 @@
             return
         for part in self.fleet:
             peer.send(part)
+        if self.limits is not None and version >= PROTOCOL_LIMITS:
+            peer.send(self.limits)
 
 
 class Heartbeats:
@@ -100,6 +111,7 @@
         return Heartbeat(
             message=message,
             fleet=[part for part in told if part is not None],
+            limits=self.make_limits(),
             number=self.made_,
             scheduler_ids={self.stages.groups.scheduler_of(group) for group in groups},
         )
@@ -222,6 +234,31 @@
             for reservation in self.state.reservations_.take_unsent()
         ]
 
+    def make_limits(self) -> LimitNews | None:
+        """Return the limits that endpoints named; None where nothing is known."""
+        now = self.state.now()
+        reports = [
+            LimitReport(
+                limit.endpoint_id,
+                LIMIT_OVER if limit.per_s is None else limit.per_s,
+                round((now - limit.known_at) * 1_000.0, 1),
+            )
+            for limit in self.state.limits_.known(now)
+        ]
+        return LimitNews(reports) if reports else None
+
+    def record_limits(self, message: LimitNews) -> None:
+        """Record the limits that another entry knows."""
+        now = self.state.now()
+        for report in message.limits:
+            self.state.limits_.record_heard(
+                KnownLimit(
+                    EndpointId(report.endpoint_id),
+                    None if report.per_s < 0.0 else report.per_s,
+                    now - report.age_ms / 1_000.0,
+                )
+            )
+
     def _capacity_reports(self) -> list[LaneReport]:
         """Return what this entry still has where others schedule now."""
         groups = self.stages.groups
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -24,6 +24,7 @@
     EntryHeartbeat,
     EvacuationReport,
     FleetBacklog,
+    LimitNews,
     Message,
 )
 from leadford_server.forwarding._contract import KnownEntry
@@ -126,6 +127,7 @@
             EntryHeartbeat: self._on_heartbeat,
             EvacuationReport: self._on_evacuations,
             FleetBacklog: self._on_backlog,
+            LimitNews: self._on_limits,
             **self.pieces.handlers(),
             **self.news.handlers(),
             **self.relays.handlers(),
@@ -292,6 +294,9 @@
     def _on_backlog(self, peer: PeerConnection, message: FleetBacklog) -> None:
         self.heartbeats.record_backlog(message)
 
+    def _on_limits(self, peer: PeerConnection, message: LimitNews) -> None:
+        self.heartbeats.record_limits(message)
+
     def _on_heartbeat(self, peer: PeerConnection, message: EntryHeartbeat) -> None:
         entry_id = EntryId(peer.info.peer_id)
         if message.is_draining:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -110,7 +110,8 @@
         """Return a connection to an endpoint that takes new work once it is there.
 
         One that says that it leaves while a connection is waited for may be long gone
-        by its end, so another is chosen, and the first does not count as tried.
+        by its end, and one that names a limit may have had its fill, so another is
+        chosen, and the first does not count as tried.
 
         Errors: raises NotRun when there is no endpoint or no connection, or when too
         many endpoints have ended under the request.
@@ -134,7 +135,8 @@
                 self._abandon(record, None)
                 raise
             is_refused = self.is_quarantined
-            if self.state.is_usable(record) and not is_refused:
+            if self._may_send(record) and not is_refused:
+                self.state.record_sent(record)
                 return BorrowedConnection(record, connection, began_at)
             # Nothing was sent, so the connection is as good as it was.
             self._count_end(record)
@@ -143,6 +145,10 @@
             if is_refused:
                 raise NotRun("quarantined")
 
+    def _may_send(self, record: EndpointRecord) -> bool:
+        """Tell whether an endpoint that was chosen before still takes a request."""
+        return self.state.is_usable(record) and self.state.hold_s(record) <= 0.0
+
     @property
     def is_quarantined(self) -> bool:
         """Tell whether too many endpoints have ended under the request."""
@@ -259,7 +265,7 @@
         """Raise what the head of an answer says against the attempt."""
         head = attempt.answer.head
         record = attempt.record
-        record_head(self.state, record, head)
+        record_head(self.state, record, head, sent_at=attempt.began_at)
         if head.is_encoded:
             self.release(attempt)
             raise ExchangeBroken(BreakKind.SPOILED, "encoded body")
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -103,7 +103,7 @@
         return placed.record
 
     def _not_to_be_placed(self) -> set[EndpointId]:
-        """Return endpoints that this entry suspects, or has no cold share in now."""
+        """Return endpoints that this entry suspects, or may send nothing to now."""
         now = self.state.now()
         return {
             record.listed.endpoint_id
@@ -112,7 +112,13 @@
         }
 
     def _may_use(self, record: EndpointRecord) -> bool:
-        """Tell whether an endpoint is warm, or this entry has a share in it now."""
+        """Tell whether an endpoint takes a request of this entry now.
+
+        A cold or limited one takes it only where this entry has a part of what it bears
+        that is not used up.
+        """
+        if self.state.hold_s(record) > 0.0:
+            return False
         limits = self.progress.match_.service.cold_limits
         return self.state.cold_.may_use(record, limits, self.state.now())
 
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_backpressure.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_backpressure.py
@@ -90,3 +90,27 @@
         assert 1 <= most <= allowed(limit_per_s)
 
     play(scenario, entries=3)
+
+
+def test_entries_tell_each_other_of_a_limit_and_of_its_end():
+    async def scenario(deployment):
+        limited = deployment.plain[0]
+        await deployment.until_linked()
+        limited.says_["Server-Limit"] = "50"
+        while not limits_of(deployment.entries_[0], limited):
+            await deployment.send("/safe/x", request_id=f"a{now()}")
+        await deployment.until(
+            lambda: all(limits_of(entry, limited) for entry in deployment.entries_)
+        )
+        del limited.says_["Server-Limit"]
+        while limits_of(deployment.entries_[0], limited):
+            await deployment.send("/safe/x", request_id=f"b{now()}")
+        await deployment.until(
+            lambda: not any(limits_of(entry, limited) for entry in deployment.entries_)
+        )
+
+    play(scenario, entries=3)
+
+
+def limits_of(entry, endpoint):
+    return entry.state_.limits_.is_limited(endpoint.endpoint_id)
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -12,6 +12,7 @@
     SentPrompt,
 )
 from leadford.forwarding.endpoints._halls import EvacuatedHalls, HallNotice
+from leadford.forwarding.endpoints._limits import EndpointLimits, KnownLimit
 from leadford.forwarding.endpoints._model import (
     Backpressure,
     EndpointAddress,
@@ -37,12 +38,14 @@
     "EndpointAddress",
     "EndpointChooser",
     "EndpointFailure",
+    "EndpointLimits",
     "EndpointRecord",
     "EndpointRoster",
     "EngineChooser",
     "EvacuatedHalls",
     "FirstByteTimes",
     "HallNotice",
+    "KnownLimit",
     "PLACED_IN_S",
     "PlacedId",
     "PlacedPrompts",
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_limits.py
@@ -0,0 +1,132 @@
+"""All entries together keep to the limit that an endpoint names."""
+
+import pytest
+
+from leadford.common import EndpointId, EntryId
+from leadford.forwarding.endpoints import EndpointLimits, KnownLimit
+
+ID = EndpointId("e")
+# What an endpoint bears in any window of this length: one and a half times its limit,
+# and five more.
+WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+STEP_S = 0.02
+
+
+def fleet(count):
+    ids = {EntryId(f"entry-{number}") for number in range(count)}
+    entries = [EndpointLimits(entry_id=entry_id) for entry_id in sorted(ids)]
+    for entry in entries:
+        entry.set_entries(ids)
+    return entries
+
+
+def name_limit(entries, per_s, now):
+    for entry in entries:
+        entry.record_answer(ID, per_s, sent_at=now - 0.1, now=now)
+
+
+def sent_between(entries, began_at, ends_at, *, is_alone=False):
+    """Return when requests go to an endpoint if all entries send all they may."""
+    times = []
+    steps = round((ends_at - began_at) / STEP_S)
+    for step in range(steps):
+        now = began_at + step * STEP_S
+        for entry in entries:
+            while entry.wait_s(ID, now, is_alone=is_alone) <= 0.0:
+                entry.record_sent(ID, now, is_alone=is_alone)
+                times.append(now)
+    return times
+
+
+def most_in_a_window(times):
+    return max(sum(t <= s < t + WINDOW_S for s in times) for t in times)
+
+
+@pytest.mark.parametrize("count", [1, 2, 4, 5, 30, 350])
+@pytest.mark.parametrize("per_s", [0.4, 1.0, 1.4, 10.0])
+def test_all_entries_together_keep_to_a_limit(count, per_s):
+    entries = fleet(count)
+    name_limit(entries, per_s, 10.0)
+    times = sent_between(entries, 10.0, 26.0)
+    assert most_in_a_window(times) <= LIMIT_FACTOR * per_s * WINDOW_S + LIMIT_SLACK
+    assert len(times) >= 0.9 * per_s * 16.0
+
+
+def test_a_limit_is_kept_while_entries_come_and_go():
+    entries = fleet(5)
+    name_limit(entries, 1.0, 10.0)
+    times = []
+    for change in range(16):
+        began_at = 10.0 + change
+        for entry in entries:
+            entry.set_entries({e.entry_id for e in entries[: 4 + change % 2]})
+        times += sent_between(entries[: 4 + change % 2], began_at, began_at + 1.0)
+    assert most_in_a_window(times) <= LIMIT_FACTOR * WINDOW_S + LIMIT_SLACK
+
+
+def test_the_one_entry_that_calls_an_endpoint_has_the_whole_rate():
+    (entry, *_) = fleet(30)
+    name_limit([entry], 2.0, 10.0)
+    times = sent_between([entry], 10.0, 18.0, is_alone=True)
+    assert 16 <= len(times) <= 18
+
+
+def test_an_endpoint_that_takes_nothing_is_asked_now_and_then():
+    entries = fleet(5)
+    name_limit(entries, 0.0, 10.0)
+    times = sent_between(entries, 10.0, 50.0)
+    assert most_in_a_window(times) <= LIMIT_SLACK
+    assert len(times) >= 5
+
+
+def test_only_an_answer_to_a_later_request_ends_a_limit():
+    (entry,) = fleet(1)
+    name_limit([entry], 1.0, 10.0)
+    # Asked for before the limit was named, and answered out of order.
+    entry.record_answer(ID, None, sent_at=9.9, now=10.2)
+    assert entry.is_limited(ID)
+    entry.record_answer(ID, None, sent_at=10.5, now=10.6)
+    assert not entry.is_limited(ID)
+    assert entry.wait_s(ID, 10.6) == 0.0
+
+
+def test_a_limit_that_changes_does_not_allow_more_at_once():
+    (entry,) = fleet(1)
+    times = []
+    for number in range(40):
+        now = 10.0 + number / 10.0
+        name_limit([entry], 1.0 + number % 3 / 10.0, now)
+        times += sent_between([entry], now, now + 0.1)
+    assert len(times) <= 1 + 4 * 1.2
+
+
+def test_entries_without_a_part_hear_of_a_limit_and_of_its_end():
+    first, second = fleet(2)
+    first.record_answer(ID, 1.0, sent_at=9.9, now=10.0)
+    second.record_heard(*first.known(10.0))
+    assert second.is_limited(ID)
+    first.record_answer(ID, None, sent_at=11.0, now=11.1)
+    second.record_heard(*first.known(11.2))
+    assert not second.is_limited(ID)
+    # What is told of later than it happened ends nothing newer.
+    second.record_heard(KnownLimit(ID, 1.0, 10.5))
+    assert not second.is_limited(ID)
+    assert second.known(30.0) == []
+
+
+def test_an_entry_without_a_part_asks_by_itself_once_nobody_tells_of_the_limit():
+    entries = fleet(9)
+    name_limit(entries, 1.0, 10.0)
+    apart = [entry for entry in entries if entry.wait_s(ID, 10.0) > 5.0]
+    assert len(apart) == 5
+    assert all(entry.wait_s(ID, 41.0) == 0.0 for entry in apart)
+
+
+def test_endpoints_that_left_are_forgotten():
+    (entry,) = fleet(1)
+    name_limit([entry], 1.0, 10.0)
+    entry.retain([])
+    assert not entry.is_limited(ID)
+    assert entry.known(10.0) == []
--- a/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
+++ b/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
@@ -20,6 +20,8 @@
     EvacuationReport,
     FleetBacklog,
     HallReport,
+    LimitNews,
+    LimitReport,
     PackedChanges,
     PackedListing,
     PieceAnswer,
@@ -167,6 +169,9 @@
     "820381831832" + "0942789c": PackedListing(9, b"\x78\x9c"),
     "82038183182f03626531": PlaceAnswer(3, "e1"),
     "82038182183003": PromptRead(3),
+    "8203818218358183626531fb3ff8000000000000fb4059000000000000": LimitNews(
+        [LimitReport("e1", 1.5, 100.0)]
+    ),
 }
 
 
--- a/packages/leadford/src/leadford/protocol/_base.py
+++ b/packages/leadford/src/leadford/protocol/_base.py
@@ -8,7 +8,7 @@
 import msgspec
 
 # Versions of the protocol that this process speaks.
-PROTOCOL_VERSION = 7
+PROTOCOL_VERSION = 8
 # The first version in which configurations travel in parts.
 PROTOCOL_CONFIG_PARTS = 2
 # The first version in which entries tell each other which halls are evacuated.
@@ -25,6 +25,8 @@
 PROTOCOL_PACED = 7
 # The first version in which one entry also places prompts at engines that may be cold.
 PROTOCOL_COLD_PLACED = 7
+# The first version in which entries tell each other the limits of endpoints.
+PROTOCOL_LIMITS = 8
 PROTOCOL_VERSION_MIN = 1
 
 
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -338,3 +338,21 @@
     cases: list[CrashReport] = []
     alive: list[str] = []
     answered: list[str] = []
+
+
+class LimitReport(MessageBase):
+    """Say which limit an endpoint named, or that it names none any more.
+
+    Units: per_s in requests a second, negative where the limit is over; age_ms since
+    that was known.
+    """
+
+    endpoint_id: str
+    per_s: float
+    age_ms: float
+
+
+class LimitNews(MessageBase, tag=53):
+    """Tell the limits that endpoints named, and those that are just over."""
+
+    limits: list[LimitReport]
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -41,6 +41,7 @@
     FleetBacklog,
     ForwardConfigAnswer,
     ForwardConfigRequest,
+    LimitNews,
     ListingAnswer,
     ListingRequest,
     PackedChanges,
@@ -116,4 +117,5 @@
     | PromptRead
     | CrashNews
     | SuspectPieceSubmit
+    | LimitNews
 )
