Tell callers when endpoints at their limit take a request again

What callers saw: with every endpoint of a service at its limit, a request ended at once with 503 and a time to come back of 1 s, whatever the limits said; one with stages had them made first. Cause: the refusal knew only that there was no endpoint. Change: a request waits for at most a quarter of its aim for an endpoint that takes one again (its whole aim once its stages are made, which a refusal would waste); with no such endpoint in time it is refused at once, and told when the first one takes a request (reason held-back). Admission counts the pause of a service beside its stages. Ruled out: refusing without any wait (the next token of a limit of 10 a second is 0.1 s away).

--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -164,6 +164,13 @@
             is_alone=self._is_called_by_one(listed.service_id),
         )
 
+    def service_hold_s(self, service_id: ServiceId) -> float:
+        """Return in how many seconds any endpoint of a service wants a request.
+
+        0 where one may get a request now, and where none is usable.
+        """
+        return min(map(self.hold_s, self.usable(service_id)), default=0.0)
+
     def record_sent(self, record: EndpointRecord) -> None:
         """Count a request or a call that goes to an endpoint now."""
         listed = record.listed
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
@@ -19,7 +19,11 @@
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.answers._callers import CallerExchange
 from leadford_server.forwarding.batching import RequestInputs
-from leadford_server.forwarding.retries import Attempt, EndpointAttempts
+from leadford_server.forwarding.retries import (
+    NO_ENDPOINT,
+    Attempt,
+    EndpointAttempts,
+)
 
 STATUS_OK = 200
 CONTENT_IS_TEXT = ("Content-Type", "text/plain; charset=utf-8")
@@ -96,8 +100,18 @@
         if self.progress.retry_reason_ is RetryReason.QUARANTINED:
             self.end_quarantined()
             return
+        service_id = self.progress.match_.service.service_id
+        if detail == NO_ENDPOINT and self.state.service_hold_s(service_id) > 0.0:
+            self.end_held_back(detail)
+            return
         self.end(EndReason.ATTEMPTS_FAILED, detail)
 
+    def end_held_back(self, detail: str) -> None:
+        """End a request while each endpoint asks for a pause."""
+        service_id = self.progress.match_.service.service_id
+        hold_s = self.state.service_hold_s(service_id)
+        self.end(EndReason.HELD_BACK, detail, hold_s)
+
     def end_quarantined(self) -> None:
         """End a request under which too many endpoints ended."""
         verdict = self.state.quarantine_.verdict(self.progress.digest_)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
@@ -39,10 +39,9 @@
     async def serve(self) -> None:
         """Serve a request whose answer is passed on once it is whole."""
         while True:
-            limit_at = self._limit_at()
             try:
-                attempt = await self.attempts.begin(limit_at)
-                await self._wait_whole(attempt, limit_at)
+                attempt = await self.attempts.begin(self._limit_at())
+                await self._wait_whole(attempt)
             except NotRun as failure:
                 if self._may_go_on(AttemptEnd.NOT_RUN, failure.detail):
                     continue
@@ -75,13 +74,13 @@
         usual = usual_s(self.state.usable(match.service.service_id))
         return plain_limit_at(match.route, timing, usual)
 
-    async def _wait_whole(self, attempt: Attempt, limit_at: float) -> None:
+    async def _wait_whole(self, attempt: Attempt) -> None:
         """Wait for the end of an answer and give the connection back.
 
         Errors: raises ExchangeBroken when the rest does not come.
         """
         try:
-            async with asyncio.timeout_at(limit_at):
+            async with asyncio.timeout_at(attempt.limit_at):
                 await attempt.answer.wait_whole()
         except ExchangeBroken:
             self.attempts.evidence.record_broken(attempt)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -34,7 +34,7 @@
 from leadford_server.forwarding.answers._plain import PlainForwarder
 from leadford_server.forwarding.answers._stream import StreamForwarder
 from leadford_server.forwarding.batching import RequestInputs, StageFailure, StageRunner
-from leadford_server.forwarding.retries import EndpointAttempts
+from leadford_server.forwarding.retries import NO_ENDPOINT, EndpointAttempts
 from leadford_server.metrics import RETURNS_TOTAL
 
 # What the log says of a request that does not begin; a missing route or key goes
@@ -147,6 +147,9 @@
         if self.attempts.is_quarantined:
             self.answer.end_quarantined()
             return
+        if self._is_held_back():
+            self.answer.end_held_back(NO_ENDPOINT)
+            return
         if route.stages and not self._admit():
             return
         try:
@@ -160,6 +163,13 @@
         except TimeoutError:
             self._end_out_of_time()
 
+    def _is_held_back(self) -> bool:
+        """Tell whether no endpoint takes the request within its time."""
+        progress = self.progress
+        hold_s = self.state.service_hold_s(progress.match_.service.service_id)
+        due_at = answer_due_at(progress.deadline_)
+        return hold_s > 0.0 and self.state.now() + hold_s >= due_at
+
     def _end_out_of_time(self) -> None:
         """End a request whose time is over, or that a planned stop can't wait for."""
         is_late = self.attempts.is_out_of_time()
@@ -195,6 +205,7 @@
                 allowed_s=progress.deadline_ - request.received_at,
                 now=now,
                 asked_s=None if asked_ms is None else asked_ms / 1_000.0,
+                held_s=self.state.service_hold_s(match.service.service_id),
             )
         )
         if decision.is_return:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from leadford_server.forwarding.retries._attempt import (
+    NO_ENDPOINT,
     Attempt,
     NotRun,
 )
@@ -12,5 +13,6 @@
 __all__ = [
     "Attempt",
     "EndpointAttempts",
+    "NO_ENDPOINT",
     "NotRun",
 ]
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempt.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempt.py
@@ -11,6 +11,9 @@
 # From this status on an answer counts as a failure of the endpoint.
 STATUS_ERRORS = 500
 
+# What is told of an attempt for which there was no endpoint.
+NO_ENDPOINT = "no endpoint"
+
 
 class NotRun(Exception):
     """Tell that an attempt proved not to have run."""
@@ -35,13 +38,15 @@
 class Attempt(msgspec.Struct, eq=False):
     """Hold one attempt at an endpoint whose answer has begun.
 
-    Units: began_at in seconds of the monotonic clock.
+    Units: began_at, and limit_at until when the answer is waited for, in seconds of the
+    monotonic clock.
     """
 
     record: EndpointRecord
     connection: EndpointConnection
     answer: LiveAnswer
     began_at: float
+    limit_at: float
 
     @property
     def is_error(self) -> bool:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -22,6 +22,7 @@
     RetryReason,
     answer_due_at,
     decide_retry,
+    held_limit_s,
 )
 from leadford.forwarding.routes import PRIORITY_HIGHEST, PRIORITY_LOWEST, RouteKind
 from leadford_server.forwarding._contract import ForwardCall, NotRunCause
@@ -36,6 +37,7 @@
     LiveAnswer,
 )
 from leadford_server.forwarding.retries._attempt import (
+    NO_ENDPOINT,
     Attempt,
     BorrowedConnection,
     NotRun,
@@ -77,10 +79,15 @@
     async def begin(self, limit_at: float) -> Attempt:
         """Send the request to an endpoint and return once the answer's head is there.
 
+        The time until an endpoint was chosen comes on top of the limit: no endpoint was
+        slow in it.
+
         Errors: raises NotRun when the attempt proved not to run, ExchangeBroken when it
         may have run, TimeoutError when the time of the request is over.
         """
+        asked_at = self.state.now()
         borrowed = await self._borrow()
+        limit_at += borrowed.began_at - asked_at
         record, connection = borrowed.record, borrowed.connection
         try:
             answer = await self._send(record, connection, limit_at)
@@ -102,7 +109,7 @@
             self._abandon(record, connection)
             raise
         self.evidence.record_alive(record, borrowed.began_at)
-        attempt = Attempt(record, connection, answer, borrowed.began_at)
+        attempt = Attempt(record, connection, answer, borrowed.began_at, limit_at)
         await self._check_head(attempt)
         return attempt
 
@@ -118,10 +125,11 @@
         """
         if self.is_quarantined:
             raise NotRun("quarantined")
+        wait_until = self.state.now() + held_limit_s(self.progress.match_.route)
         while True:
-            record = await self.choice.choose_placed()
+            record = await self.choice.choose_by(wait_until)
             if record is None:
-                raise NotRun("no endpoint")
+                raise NotRun(NO_ENDPOINT)
             began_at = self._count_begin(record)
             try:
                 connection = await self.state.pool_.acquire(
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -4,6 +4,7 @@
 of a large fleet are placed by one entry, which is asked over `state.placing_`.
 """
 
+import asyncio
 from collections.abc import Callable, Sequence
 
 from leadford.common import EndpointId
@@ -13,6 +14,9 @@
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching import RequestInputs
 
+# Seconds between looks for an endpoint while all ask for a pause: others may join.
+HELD_LOOK_S = 0.1
+
 
 class EndpointChoice:
     """Choose the endpoints of one request."""
@@ -83,6 +87,18 @@
             return False
         return placing.takes(self.progress.match_.service) and not self._knows_all()
 
+    async def choose_by(self, wait_until: float) -> EndpointRecord | None:
+        """Return the endpoint to ask, waiting a little while all ask for a pause."""
+        service_id = self.progress.match_.service.service_id
+        while True:
+            record = await self.choose_placed()
+            if record is not None:
+                return record
+            hold_s = self.state.service_hold_s(service_id)
+            if hold_s <= 0.0 or self.state.now() + hold_s > wait_until:
+                return None
+            await asyncio.sleep(min(hold_s, HELD_LOOK_S))
+
     async def choose_placed(self) -> EndpointRecord | None:
         """Return the endpoint to ask, at engines the one that another entry chose."""
         if not self._is_placed_elsewhere():
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_backpressure.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_backpressure.py
@@ -114,3 +114,53 @@
 
 def limits_of(entry, endpoint):
     return entry.state_.limits_.is_limited(endpoint.endpoint_id)
+
+
+def test_callers_are_told_at_once_when_limited_endpoints_take_a_request_again():
+    async def scenario(deployment):
+        for endpoint in deployment.plain:
+            endpoint.says_["Server-Limit"] = "0.5"
+        answers = []
+        for number in range(6):
+            began_at = now()
+            answer = await deployment.send("/safe/x", request_id=f"a{number}")
+            answers.append((answer, now() - began_at))
+        refused = [(a, took_s) for a, took_s in answers if a.code == 503]
+        assert len(refused) >= 2
+        # Each endpoint takes the next request 2 s after the last one.
+        for answer, took_s in refused:
+            assert 1.0 < float(answer.headers["Retry-After"]) <= 2.0
+            assert took_s < 0.25
+        runs = sum(len(endpoint.runs_) for endpoint in deployment.plain)
+        assert runs == len(answers) - len(refused)
+        await asyncio.sleep(float(refused[-1][0].headers["Retry-After"]))
+        assert (await deployment.send("/safe/x", request_id="b")).code == 200
+
+    play(scenario)
+
+
+def test_a_request_waits_for_an_endpoint_that_takes_one_again_soon():
+    async def scenario(deployment):
+        for endpoint in deployment.plain:
+            endpoint.says_["Server-Limit"] = "10"
+        codes = []
+        for number in range(20):
+            answer = await deployment.send("/safe/x", request_id=f"a{number}")
+            codes.append(answer.code)
+        assert set(codes) == {200}
+
+    play(scenario)
+
+
+def test_stages_are_not_made_for_a_request_that_no_engine_takes_in_time():
+    async def scenario(deployment):
+        for engine in deployment.engines:
+            engine.says_["Server-Limit"] = "0.1"
+        for number in range(6):
+            await deployment.send("/once/x", request_id=f"a{number}")
+        calls = sum(len(stage.calls_) for stage in deployment.stage)
+        answer = await deployment.send("/once/x", request_id="b", deadline_ms=1_000)
+        assert answer.code == 503
+        assert sum(len(stage.calls_) for stage in deployment.stage) == calls
+
+    play(scenario)
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -94,9 +94,10 @@
     where it has one. `fingerprint` tells whether two requests are the same one sent
     again.
 
-    Units: seconds. engine_s is what the service takes to the first byte; elapsed_s and
-    allowed_s count from the caller's sending; asked_s is what the caller itself allows,
-    None where it does not say; now is a moment of the monotonic clock.
+    Units: seconds. engine_s is what the service takes to the first byte, held_s the
+    time until one of its endpoints takes another request; elapsed_s and allowed_s count
+    from the caller's sending; asked_s is what the caller itself allows, None where it
+    does not say; now is a moment of the monotonic clock.
     """
 
     route: Route
@@ -109,6 +110,7 @@
     allowed_s: float
     now: float
     asked_s: float | None = None
+    held_s: float = 0.0
 
     @property
     def aim_s(self) -> float:
@@ -171,6 +173,7 @@
         least_s = request.elapsed_s + path_s + request.engine_s
         is_late = is_return and first_try_s + least_s > request.aim_s
         behind_s = forecast.delay_s(self.backlog, request.now, is_late=is_late)
+        behind_s = max(behind_s, request.held_s - path_s)
         error_s = self._forecast_error(request.route).value_
         expected_s = least_s + behind_s + error_s
         if expected_s <= _limit_s(request, path_s, is_return, is_late):
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
@@ -46,6 +46,7 @@
         priority=0,
         route=ROUTE,
         asked_s=None,
+        held_s=0.0,
     ):
         return self.admission.decide(
             request_for(
@@ -58,6 +59,7 @@
                 allowed_s=8.0,
                 now=now,
                 asked_s=asked_s,
+                held_s=held_s,
             )
         )
 
@@ -210,3 +212,11 @@
     for _ in range(50):
         fixture.admission.record_answered(ROUTE, 0.5, 60.0)
     assert fixture.decide().expected_s <= 0.34 + 0.6 * 2.0 + 0.01
+
+
+def test_a_service_that_takes_nothing_for_long_is_waited_for_by_callers():
+    fixture = Fixture()
+    assert fixture.decide(held_s=0.05).verdict is Verdict.ADMIT
+    held = fixture.decide(fingerprint="g", held_s=6.0)
+    assert held.verdict is Verdict.REFUSE
+    assert held.retry_after_s > 0.5
--- a/packages/leadford/src/leadford/forwarding/answers/_final.py
+++ b/packages/leadford/src/leadford/forwarding/answers/_final.py
@@ -42,7 +42,8 @@
 class EndReason(Enum):
     """Say why a request ended as it did; the values stand in the log of its end.
 
-    Those of `routes.StartDenial` are among them. FAULT is an error of this process.
+    Those of `routes.StartDenial` are among them. HELD_BACK: each endpoint of the
+    service asked for less than callers want. FAULT is an error of this process.
     """
 
     ANSWERED = "answered"
@@ -57,6 +58,7 @@
     QUARANTINED = "quarantined"
     STAGES_FAILED = "stages-failed"
     ATTEMPTS_FAILED = "attempts-failed"
+    HELD_BACK = "held-back"
     MISLEADING_STATUS = "misleading-status"
     OUT_OF_TIME = "out-of-time"
     FAULT = "fault"
--- a/packages/leadford/src/leadford/forwarding/answers/tests/test_final.py
+++ b/packages/leadford/src/leadford/forwarding/answers/tests/test_final.py
@@ -33,6 +33,7 @@
         (EndReason.NOT_ADMITTED, REFUSED, 503),
         (EndReason.STAGES_FAILED, REFUSED, 503),
         (EndReason.ATTEMPTS_FAILED, REFUSED, 503),
+        (EndReason.HELD_BACK, REFUSED, 503),
         (EndReason.MISLEADING_STATUS, FAILED, 502),
         (EndReason.OUT_OF_TIME, RequestOutcome.LATE, 504),
     ],
@@ -47,7 +48,9 @@
         assert final_answer(reason, may_have_run=False, has_begun=False).status >= 400
 
 
-@pytest.mark.parametrize("reason", [EndReason.ATTEMPTS_FAILED, EndReason.STAGES_FAILED])
+@pytest.mark.parametrize(
+    "reason", [EndReason.ATTEMPTS_FAILED, EndReason.HELD_BACK, EndReason.STAGES_FAILED]
+)
 def test_what_may_have_run_is_never_refused(reason):
     answer = final_answer(reason, may_have_run=True, has_begun=False)
     assert answer == FinalAnswer(FAILED, 502)
--- a/packages/leadford/src/leadford/forwarding/retries/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/retries/__init__.py
@@ -15,6 +15,7 @@
 from leadford.forwarding.retries._limits import (
     AttemptTiming,
     answer_due_at,
+    held_limit_s,
     plain_limit_at,
     request_deadline,
     silence_limit_at,
@@ -31,6 +32,7 @@
     "WindowedRetryBudget",
     "answer_due_at",
     "decide_retry",
+    "held_limit_s",
     "plain_limit_at",
     "request_deadline",
     "silence_limit_at",
--- a/packages/leadford/src/leadford/forwarding/retries/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_limits.py
@@ -31,6 +31,10 @@
 STREAM_GAPS = 2.0
 # Seconds. No stream is given up earlier for silence; not measured.
 STREAM_LEAST_S = 1.0
+# Part of a route's aim for which a request waits until an endpoint takes one again. A
+# request whose stages are made waits for longer: a refusal would waste them.
+HELD_PART = 0.25
+HELD_PART_WITH_STAGES = 1.0
 
 
 class AttemptTiming(msgspec.Struct, frozen=True):
@@ -62,6 +66,15 @@
     return deadline - ANSWER_MARGIN_S
 
 
+def held_limit_s(route: Route) -> float:
+    """Return for how long a request waits while endpoints ask for a pause.
+
+    Units: seconds.
+    """
+    aim_s = (route.aim_ms or route.timeout_ms) / 1_000.0
+    return aim_s * (HELD_PART_WITH_STAGES if route.stages else HELD_PART)
+
+
 def plain_limit_at(route: Route, timing: AttemptTiming, usual: float | None) -> float:
     """Return until when an answer of a plain request is waited for.
 
--- a/packages/leadford/src/leadford/forwarding/retries/tests/test_limits.py
+++ b/packages/leadford/src/leadford/forwarding/retries/tests/test_limits.py
@@ -6,6 +6,7 @@
 from leadford.forwarding.retries import (
     AttemptTiming,
     answer_due_at,
+    held_limit_s,
     plain_limit_at,
     request_deadline,
     silence_limit_at,
@@ -16,6 +17,7 @@
     RouteId,
     RouteKind,
     ServiceId,
+    StageSpec,
     WeightedService,
 )
 from leadford_standins.records import endpoint_record
@@ -89,3 +91,11 @@
     expected_s = known.latency_ms_.value_ / 1_000.0
     assert usual_s([slower, known, new]) == pytest.approx(expected_s)
     assert usual_s([new]) is None
+
+
+def test_a_request_waits_longer_for_an_endpoint_once_its_stages_are_made():
+    staged = msgspec.structs.replace(SAFE, stages=(StageSpec(ServiceId("s")),))
+    assert held_limit_s(SAFE) < SAFE.aim_ms / 1_000.0
+    assert held_limit_s(staged) == SAFE.aim_ms / 1_000.0
+    without_aim = msgspec.structs.replace(SAFE, aim_ms=0.0)
+    assert 0.0 < held_limit_s(without_aim) < SAFE.timeout_ms / 1_000.0
