Send nothing more to an endpoint whose answer says that it leaves

What callers saw: nothing until the endpoint ended under their requests, up to seconds after it had said that it leaves. Cause: entries learned of leaving endpoints from the store alone; the header in answers was read by no rule. With the store in trouble the listing says ready for as long as it lasts. Ruled out: a listing that overrules the answer was not the cause, and would have been the next one: what is listed later does not bring the endpoint back, in the roster that already held so for listings.

--- a/packages/leadford-server/src/leadford_server/forwarding/_heads.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_heads.py
@@ -30,6 +30,9 @@
         sent_at=sent_at,
         now=state.now(),
     )
+    if head.backpressure.is_leaving:
+        # The listing may say so much later, or never.
+        state.roster_.record_leaving(record.listed.endpoint_id)
     _log_backpressure(state, record, head)
 
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -116,11 +116,7 @@
         if is_other_start and not endpoint.starts_after(last):
             return []
         if endpoint.state is ListedState.DRAINING:
-            # What it said before it was removed binds as well.
-            self.gone_by_id_.pop(endpoint_id, None)
-            self.leaving_ids_[endpoint_id] = None
-            while len(self.leaving_ids_) > GONE_KEPT:
-                self.leaving_ids_.pop(next(iter(self.leaving_ids_)))
+            self._remember_leaving(endpoint_id)
         if endpoint_id in self.leaving_ids_:
             endpoint = msgspec.structs.replace(endpoint, state=ListedState.DRAINING)
         if endpoint.revision <= self.gone_revision_by_name_.get(endpoint.name, -1):
@@ -141,6 +137,22 @@
         after = record.listed.state.value
         return [self._change(record.listed, before.state.value, after)]
 
+    def record_leaving(self, endpoint_id: EndpointId) -> None:
+        """Record that an endpoint itself says that it leaves, whatever is listed."""
+        self._remember_leaving(endpoint_id)
+        record = self.records_by_id_.get(endpoint_id)
+        if record is not None:
+            record.listed = msgspec.structs.replace(
+                record.listed, state=ListedState.DRAINING
+            )
+
+    def _remember_leaving(self, endpoint_id: EndpointId) -> None:
+        """Keep a leaving endpoint from being used, also one that was just removed."""
+        self.gone_by_id_.pop(endpoint_id, None)
+        self.leaving_ids_[endpoint_id] = None
+        while len(self.leaving_ids_) > GONE_KEPT:
+            self.leaving_ids_.pop(next(iter(self.leaving_ids_)))
+
     def _remember(self, endpoint: ListedEndpoint) -> None:
         """Record which start was listed last under a name."""
         self.last_by_name_.pop(endpoint.name, None)
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
@@ -225,3 +225,24 @@
     record.in_flight_ = 1
     assert record.waiting_elsewhere(10.5) == 4
     assert record.waiting_elsewhere(13.0) == 0
+
+
+def test_one_that_says_itself_that_it_leaves_takes_no_new_work_whatever_is_listed():
+    roster = EndpointRoster(trusted_s=1.0)
+    roster.put(listed("a", 1))
+    roster.record_leaving(EndpointId("a"))
+    assert usable(roster, 10.0) == set()
+    roster.put(listed("a", 2))
+    assert usable(roster, 10.0) == set()
+    roster.remove(EndpointId("a"), 3, 10.0)
+    roster.put(listed("a", 4))
+    assert usable(roster, 10.0) == set()
+
+
+def test_one_that_was_just_removed_and_says_that_it_leaves_is_not_used():
+    roster = EndpointRoster(trusted_s=1.0)
+    roster.put(listed("a", 1))
+    roster.remove(EndpointId("a"), 2, 10.0)
+    assert usable(roster, 10.1) == {"a"}
+    roster.record_leaving(EndpointId("a"))
+    assert usable(roster, 10.1) == set()
