Send nothing to an endpoint for as long as it asked this entry for rest

What callers saw: 503 after two endpoints in turn had refused, while others had room. Cause: the time to come back in an endpoint's 503 was read by no rule. A refusal is no failure, so the endpoint stayed a candidate, and an idle one. Ruled out: that only a request's own retry forgot it (each new request went there). Change: rests are kept by endpoint, apart from its listing; hold_s joins them with limits, so choice, placing, calls for pieces, releases, waits and refusals all obey both. A limit, too, outlives a listing that lapses for less than 30 s: a store that was away removes endpoints that go on.

--- a/packages/leadford-server/src/leadford_server/forwarding/_heads.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_heads.py
@@ -30,6 +30,9 @@
         sent_at=sent_at,
         now=state.now(),
     )
+    if head.backpressure.rest_s is not None:
+        until = state.now() + head.backpressure.rest_s
+        state.rests_.record_asked(record.listed.endpoint_id, until)
     if head.backpressure.is_leaving:
         # The listing may say so much later, or never.
         state.roster_.record_leaving(record.listed.endpoint_id)
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -290,7 +290,8 @@
             self.state_.pool_.sweep(known)
             self.state_.engines_.retain(known)
             self.state_.cold_.retain(known)
-            self.state_.limits_.retain(known)
+            self.state_.limits_.retain(known, self.state_.now())
+            self.state_.rests_.sweep(self.state_.now())
 
     async def _watch_suspensions(self) -> None:
         """Doubt what was known before the host was suspended."""
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -21,6 +21,7 @@
     EndpointChooser,
     EndpointLimits,
     EndpointRecord,
+    EndpointRests,
     EndpointRoster,
     EngineChooser,
     EvacuatedHalls,
@@ -121,6 +122,7 @@
         halls = EvacuatedHalls(is_known=bounds.evacuate_s is None)
         self.roster_ = EndpointRoster.from_drain(bounds.drain_s, halls)
         self.cold_ = ColdEndpoints(entry_id=entry_id)
+        self.rests_ = EndpointRests()
         self.limits_ = EndpointLimits(entry_id=entry_id)
         self.chooser_ = EndpointChooser(hall=hall, random=random)
         self.engines_ = EngineChooser(hall=hall)
@@ -158,11 +160,13 @@
         0 where it may get one now. Call `record_sent` for each that is sent.
         """
         listed = record.listed
-        return self.limits_.wait_s(
+        now = self.now()
+        limit_s = self.limits_.wait_s(
             listed.endpoint_id,
-            self.now(),
+            now,
             is_alone=self._is_called_by_one(listed.service_id),
         )
+        return max(limit_s, self.rests_.left_s(listed.endpoint_id, now))
 
     def service_hold_s(self, service_id: ServiceId) -> float:
         """Return in how many seconds any endpoint of a service wants a request.
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_free.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_free.py
@@ -54,20 +54,22 @@
         record = self.state.roster_.record(endpoint_id)
         if not handles or record is None:
             return
-        if self._gets_calls_only(record):
+        if self._gets_no_releases(record):
             return
         service = self.state.service(record.listed.service_id)
         if service is not None:
             self.spawn(self._free(service, record, handles))
 
-    def _gets_calls_only(self, record: EndpointRecord) -> bool:
+    def _gets_no_releases(self, record: EndpointRecord) -> bool:
         """Tell whether results at an endpoint are left to end by themselves.
 
-        An evacuated hall gets nothing at all, and what a limited endpoint takes is left
-        to calls that make something.
+        An evacuated hall and an endpoint at rest get nothing at all, and what a limited
+        one takes is left to calls that make something.
         """
         if self.state.roster_.halls_.is_evacuated(record.listed.hall):
             return True
+        if self.state.hold_s(record) > 0.0:
+            return True
         return self.state.limits_.is_limited(record.listed.endpoint_id)
 
     async def _free(
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -28,6 +28,7 @@
 from leadford.forwarding.endpoints._pools import pool_count, prompt_pool
 from leadford.forwarding.endpoints._prompts import PromptPart, PromptShape
 from leadford.forwarding.endpoints._record import EndpointFailure, EndpointRecord
+from leadford.forwarding.endpoints._rests import EndpointRests
 from leadford.forwarding.endpoints._roster import EndpointRoster, RosterChange
 from leadford.forwarding.endpoints._times import FirstByteTimes
 
@@ -40,6 +41,7 @@
     "EndpointFailure",
     "EndpointLimits",
     "EndpointRecord",
+    "EndpointRests",
     "EndpointRoster",
     "EngineChooser",
     "EvacuatedHalls",
--- a/packages/leadford/src/leadford/forwarding/endpoints/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_limits.py
@@ -129,11 +129,12 @@
         else:
             self.asked_at_by_id_[endpoint_id] = now
 
-    def retain(self, endpoint_ids: Collection[EndpointId]) -> None:
-        """Forget endpoints that left."""
+    def retain(self, endpoint_ids: Collection[EndpointId], now: float) -> None:
+        """Forget endpoints that left; one that a store forgot may be listed again."""
         kept = set(endpoint_ids)
         for endpoint_id in self.known_by_id_.keys() - kept:
-            self._forget(endpoint_id)
+            if now - self.known_by_id_[endpoint_id].known_at > UNHEARD_KEPT_S:
+                self._forget(endpoint_id)
 
     def _end(self, limit: KnownLimit) -> None:
         self._forget(limit.endpoint_id)
