Break no attempt off as slow where no other endpoint is left

Cause: an attempt of a safe request is given up after 3.5 times what is usual, and a resumable stream after a silence, so that another endpoint is tried; whether there is one was asked only afterwards. Evidence: two new tests with one endpoint fail on the code before (502 after 0.065 s; no event passed on) and pass now. Ruled out: a longer least time (any held-up process passes it).

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -7,7 +7,11 @@
 
 import asyncio
 
-from leadford.forwarding.retries import AttemptTiming, silence_limit_at
+from leadford.forwarding.retries import (
+    ENDPOINTS_FOR_ANOTHER,
+    AttemptTiming,
+    silence_limit_at,
+)
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.answers._answer import CallerAnswer
@@ -31,12 +35,18 @@
         self.answer = answer
         self.progress = progress
 
-    def limit_at(self, attempt: int) -> float:
-        """Return until when the attempt of that number is waited for to say something.
+    def next_limit_at(self) -> float:
+        """Return until when the next attempt is waited for to say something.
 
         Units: a moment of the monotonic clock in seconds.
         """
-        timing = AttemptTiming(attempt, self.state.now(), self.progress.deadline_)
+        attempt = len(self.progress.tried_) + 1
+        return self._limit_at(attempt, self.attempts.choice.endpoints_left())
+
+    def _limit_at(self, attempt: int, endpoints_left: int) -> float:
+        timing = AttemptTiming(
+            attempt, self.state.now(), self.progress.deadline_, endpoints_left
+        )
         return silence_limit_at(
             self.progress.match_.route,
             timing,
@@ -51,11 +61,17 @@
         splitter = EventStreamSplitter()
         while True:
             try:
-                async with asyncio.timeout_at(self.limit_at(len(self.progress.tried_))):
+                # Endpoints are looked for only after a silence: events are many.
+                limit_at = self._limit_at(
+                    len(self.progress.tried_), ENDPOINTS_FOR_ANOTHER
+                )
+                async with asyncio.timeout_at(limit_at):
                     data = await attempt.answer.wait_more()
             except TimeoutError:
                 if self.attempts.is_out_of_time():
                     raise
+                if self.attempts.choose() is None:
+                    continue
                 # Nobody waits for it here any more: the stream goes on elsewhere.
                 return False
             for event in splitter.feed(data):
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
@@ -69,7 +69,10 @@
         """Return until when the next attempt of a plain request is waited for."""
         match = self.progress.match_
         timing = AttemptTiming(
-            len(self.progress.tried_) + 1, self.state.now(), self.progress.deadline_
+            len(self.progress.tried_) + 1,
+            self.state.now(),
+            self.progress.deadline_,
+            self.attempts.choice.endpoints_left(),
         )
         usual = usual_s(self.state.usable(match.service.service_id))
         return plain_limit_at(match.route, timing, usual)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -46,9 +46,8 @@
     async def serve(self) -> None:
         """Serve a stream, which may go on at another endpoint."""
         while True:
-            limit_at = self.events.limit_at(len(self.progress.tried_) + 1)
             try:
-                attempt = await self.attempts.begin(limit_at)
+                attempt = await self.attempts.begin(self.events.next_limit_at())
             except NotRun as failure:
                 if not await self._follow_not_run(failure):
                     return
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -34,7 +34,7 @@
         state = self.state
         service = self.progress.match_.service
         now = state.now()
-        records = [r for r in state.usable(service.service_id) if self._may_use(r)]
+        records = self._records()
         tried = self.progress.tried_
         if self.runs_apart:
             return self._choose_apart(records, now)
@@ -49,6 +49,16 @@
             )
         return state.chooser_.choose(records, excluded=tried, now=now)
 
+    def _records(self) -> list[EndpointRecord]:
+        """Return the endpoints that take a request of this entry now."""
+        service_id = self.progress.match_.service.service_id
+        return [r for r in self.state.usable(service_id) if self._may_use(r)]
+
+    def endpoints_left(self) -> int:
+        """Return how many endpoints the next attempt may ask."""
+        tried = self.progress.tried_
+        return sum(r.listed.endpoint_id not in tried for r in self._records())
+
     @property
     def runs_apart(self) -> bool:
         """Tell whether an endpoint has ended under the request before."""
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_plain.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_plain.py
@@ -86,3 +86,23 @@
         assert len(runs_of(deployment.plain, "r1")) == 2
 
     play(scenario)
+
+
+def test_a_safe_request_is_not_broken_off_where_no_other_endpoint_is_left():
+    """A safe request ended with 502, reason "lost: slow", retry "no-other-endpoint".
+
+    Its hall had been evacuated, so one endpoint was left, and the process was held up
+    for a moment. The answer waited to be read when the attempt was broken off, after
+    3.5 times what is usual, so that another could follow; there was none.
+    """
+
+    async def scenario(deployment):
+        for number in range(4):
+            await deployment.send("/safe/x", request_id=f"w{number}", method="GET")
+        (endpoint,) = deployment.plain
+        endpoint.work_s = 0.5
+        answer = await deployment.send("/safe/x", request_id="r1", method="GET")
+        assert answer.code == 200
+        assert len(runs_of(deployment.plain, "r1")) == 1
+
+    play(scenario, endpoints=1)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_streams.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_streams.py
@@ -83,3 +83,16 @@
         assert sum(parts.read_tokens_ for parts in kept) <= 2 * 2_000 + 3_200 + 4_800
 
     play(scenario, entries=2, endpoints=6)
+
+
+def test_a_silent_stream_is_waited_for_where_no_other_engine_is_left():
+    async def scenario(deployment):
+        (engine,) = deployment.engines
+        # Longer than the silence after which a stream goes on elsewhere.
+        engine.pause_s = 1.2
+        engine.events = 2
+        answer = await deployment.send("/resumed/x", request_id="r1", deadline_ms=4_000)
+        assert event_ids(answer.body) == [1, 2]
+        assert len(engine.runs_) == 1
+
+    play(scenario, endpoints=1)
--- a/packages/leadford/src/leadford/forwarding/retries/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/retries/__init__.py
@@ -13,6 +13,7 @@
     decide_retry,
 )
 from leadford.forwarding.retries._limits import (
+    ENDPOINTS_FOR_ANOTHER,
     AttemptTiming,
     answer_due_at,
     held_limit_s,
@@ -25,6 +26,7 @@
 __all__ = [
     "AttemptEnd",
     "AttemptTiming",
+    "ENDPOINTS_FOR_ANOTHER",
     "FailedAttempt",
     "RetryBudgets",
     "RetryDecision",
--- a/packages/leadford/src/leadford/forwarding/retries/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_limits.py
@@ -31,6 +31,8 @@
 STREAM_GAPS = 2.0
 # Seconds. No stream is given up earlier for silence; not measured.
 STREAM_LEAST_S = 1.0
+# Endpoints that must be left for an attempt and another one after it.
+ENDPOINTS_FOR_ANOTHER = 2
 # Part of a route's aim for which a request waits until an endpoint takes one again. A
 # request whose stages are made waits for longer: a refusal would waste them.
 HELD_PART = 0.25
@@ -40,7 +42,8 @@
 class AttemptTiming(msgspec.Struct, frozen=True):
     """Hold what bounds the wait for one attempt.
 
-    `attempt` is the number of the attempt, counted from 1.
+    `attempt` is the number of the attempt, counted from 1; `endpoints_left` are those
+    that it and later ones may ask.
 
     Units: now and deadline in seconds of the monotonic clock.
     """
@@ -48,6 +51,7 @@
     attempt: int
     now: float
     deadline: float
+    endpoints_left: int
 
 
 def request_deadline(route: Route, asked_ms: float | None, received_at: float) -> float:
@@ -120,5 +124,7 @@
 
 
 def _may_follow(route: Route, timing: AttemptTiming) -> bool:
-    """Tell whether route and count leave another attempt."""
+    """Tell whether route, count and endpoints leave another attempt."""
+    if timing.endpoints_left < ENDPOINTS_FOR_ANOTHER:
+        return False
     return route.is_repeatable and timing.attempt < route.attempts_max
--- a/packages/leadford/src/leadford/forwarding/retries/tests/test_limits.py
+++ b/packages/leadford/src/leadford/forwarding/retries/tests/test_limits.py
@@ -35,7 +35,7 @@
 STREAM = msgspec.structs.replace(
     SAFE, kind=RouteKind.STREAM, is_resumable=True, gap_aim_ms=800.0
 )
-TIMING = AttemptTiming(attempt=1, now=10.0, deadline=14.0)
+TIMING = AttemptTiming(attempt=1, now=10.0, deadline=14.0, endpoints_left=3)
 
 
 def record(name, latencies_ms):
@@ -73,6 +73,12 @@
     assert silence_limit_at(one_only, TIMING, has_begun=True) == 14.0
 
 
+def test_with_one_endpoint_left_nothing_follows_and_the_attempt_waits():
+    alone = msgspec.structs.replace(TIMING, endpoints_left=1)
+    assert plain_limit_at(SAFE, alone, 0.1) == 14.0
+    assert silence_limit_at(STREAM, alone, has_begun=False) == 14.0
+
+
 def test_a_stream_may_be_silent_for_two_aimed_pauses_and_a_second_at_least():
     assert silence_limit_at(STREAM, TIMING, has_begun=True) == pytest.approx(11.6)
     brisk = msgspec.structs.replace(STREAM, gap_aim_ms=100.0)
