Pass no success on that its endpoint did not sign

What callers saw: a success that counts for nothing, as the answer of an endpoint. Cause: the signature was decoded and read by no rule; found by asking of each header who obeys it. Evidence: an unsigned 200 was passed on (the new test failed with 200 for 502). Change: it is a spoiled answer, as an encoded one is: a request that may be repeated is tried elsewhere, another one ends with 502, since it may have run. After: the test passes, with all tests of plain requests, streams and the adapter.

--- a/packages/leadford-server/src/leadford_server/forwarding/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_contract.py
@@ -20,6 +20,10 @@
 )
 from leadford.forwarding.routes import ForwardConfig, ResultHandle
 
+# Statuses from the first up to the second say that a request was served.
+STATUS_SUCCESS = 200
+STATUS_NO_SUCCESS = 300
+
 HeaderList = list[tuple[str, str]]
 
 
@@ -116,6 +120,15 @@
     model_version: int | None
     backpressure: Backpressure = Backpressure()
 
+    @property
+    def fault(self) -> str:
+        """Return why the answer may not be passed on; empty if it may."""
+        if self.is_encoded:
+            return "encoded body"
+        if STATUS_SUCCESS <= self.status < STATUS_NO_SUCCESS and not self.is_signed:
+            return "success without a signature"
+        return ""
+
     @property
     def is_not_run(self) -> bool:
         """Tell whether the endpoint said that it did not run the request."""
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -274,9 +274,9 @@
         head = attempt.answer.head
         record = attempt.record
         record_head(self.state, record, head, sent_at=attempt.began_at)
-        if head.is_encoded:
+        if head.fault:
             self.release(attempt)
-            raise ExchangeBroken(BreakKind.SPOILED, "encoded body")
+            raise ExchangeBroken(BreakKind.SPOILED, head.fault)
         if head.not_run is None:
             return
         try:
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -29,6 +29,7 @@
     OTHER_ANSWER = "other-answer"
     GONE = "gone"
     STALL = "stall"
+    UNSIGNED = "unsigned"
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -274,6 +275,8 @@
             await asyncio.sleep(3_600)
         if self.misbehaviour is Misbehaviour.OTHER_ANSWER:
             self.set_header("X-Attempt-Id", "somebody-else")
+        if self.misbehaviour is Misbehaviour.UNSIGNED:
+            self.clear_header("X-Server-Stamp")
         await endpoint.serve(self)
 
     get = post = put = delete = _any
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_plain.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_plain.py
@@ -75,6 +75,19 @@
     play(scenario)
 
 
+def test_a_success_that_its_endpoint_did_not_sign_is_not_passed_on():
+    async def scenario(deployment):
+        for endpoint in deployment.plain:
+            endpoint.next_.append(Misbehaviour.UNSIGNED)
+        answer = await deployment.send("/unsafe/x", request_id="r1")
+        assert answer.code == 502
+        answer = await deployment.send("/safe/x", request_id="r2", method="GET")
+        assert answer.code == 200
+        assert "X-Server-Stamp" in answer.headers
+
+    play(scenario)
+
+
 def test_a_safe_request_does_not_wait_long_for_a_slow_endpoint():
     async def scenario(deployment):
         for number in range(8):
