Split messages between entries by what they are about

Change: _pieces, _placing and _store_news beside _forwarding; no message changed, the frames that are kept as bytes in test_wire_between_entries are read and written as before.

--- a/packages/leadford/src/leadford/protocol/__init__.py
+++ b/packages/leadford/src/leadford/protocol/__init__.py
@@ -74,32 +74,38 @@
     LimitReport,
     ListingAnswer,
     ListingRequest,
-    PackedChanges,
-    PackedListing,
+    RefusalReport,
+)
+from leadford.protocol._links import (
+    Challenge,
+    ConfigHint,
+    Hello,
+    Welcome,
+)
+from leadford.protocol._messages import (
+    Message,
+)
+from leadford.protocol._pieces import (
     PieceAnswer,
     PieceCancel,
     PieceRelease,
     PieceSubmit,
     PieceWorking,
+    SuspectPieceSubmit,
+)
+from leadford.protocol._placing import (
     PlaceAnswer,
     PlaceRequest,
     PromptPartReport,
     PromptRead,
-    RefusalReport,
+)
+from leadford.protocol._store_news import (
+    PackedChanges,
+    PackedListing,
     StoreChange,
     StoreChanges,
     StoreConfirmation,
     StoreConfirmations,
-    SuspectPieceSubmit,
-)
-from leadford.protocol._links import (
-    Challenge,
-    ConfigHint,
-    Hello,
-    Welcome,
-)
-from leadford.protocol._messages import (
-    Message,
 )
 
 __all__ = [
--- a/packages/leadford/src/leadford/protocol/_auth.py
+++ b/packages/leadford/src/leadford/protocol/_auth.py
@@ -3,7 +3,7 @@
 import hmac
 from random import Random
 
-# Bytes of a nonce; not measured.
+# Bytes of a nonce.
 NONCE_BYTES = 16
 
 
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -1,68 +1,13 @@
 """Messages between entries that forward on the users' platform.
 
-They hand pieces of stages to schedulers, tell in heartbeats what they know, and pass
-on what the store told one of them.
+They tell in heartbeats what they know, ask each other for configurations and listings,
+and tell under which work endpoints ended. Those about pieces, placing and the store
+stand in modules of their own.
 """
 
 from leadford.protocol._base import PROTOCOL_UNTOLD, MessageBase
 
 
-class PieceSubmit(MessageBase, tag=29):
-    """Ask the scheduler of a group for one piece; its id comes back in the answer.
-
-    Units: remaining_ms is what is left of the request's time, due_ms what is left
-    until it should have been answered, and rank_ms orders pieces; near_bytes is
-    what need not move between halls if the piece is made in one.
-    """
-
-    correlation_id: int
-    service_id: str
-    place: str
-    request_id: str
-    stage: int
-    piece: int
-    request_key: str
-    inputs: list[str]
-    result_bytes: int
-    remaining_ms: float
-    due_ms: float
-    rank_ms: float
-    excluded: list[str] = []
-    near_bytes: dict[str, int] = {}
-
-
-class SuspectPieceSubmit(PieceSubmit, tag=52):
-    """Ask for one piece of a request under which an endpoint ended before."""
-
-
-class PieceAnswer(MessageBase, tag=30):
-    """Give the result of a piece, or why there is none, and the endpoint asked."""
-
-    correlation_id: int
-    handle: str
-    reason: str
-    endpoint_id: str
-
-
-class PieceWorking(MessageBase, tag=38):
-    """Tell an entry that its pieces are being made and have fetched their inputs."""
-
-    correlation_ids: list[int]
-
-
-class PieceCancel(MessageBase, tag=31):
-    """Tell a scheduler that pieces are wanted no more."""
-
-    correlation_ids: list[int]
-
-
-class PieceRelease(MessageBase, tag=32):
-    """Tell a scheduler that results of an endpoint have no reader any more."""
-
-    endpoint_id: str
-    handles: list[str]
-
-
 class GroupReport(MessageBase):
     """Say how long a group makes a piece wait, and how much room it has.
 
@@ -217,105 +162,6 @@
     services: list[BacklogReport]
 
 
-class StoreConfirmation(MessageBase):
-    """Say up to which revision the store confirmed that nothing is missing, and when.
-
-    Whoever knows the kind up to `changed_revision`, that of its last change, knows as
-    much as the sender; for the configuration, whoever runs its `version` (0 for other
-    kinds).
-
-    Units: confirmed_ms in milliseconds of the sender's monotonic clock.
-    """
-
-    kind: str
-    revision: int
-    changed_revision: int
-    version: int
-    confirmed_ms: float
-
-
-class StoreConfirmations(MessageBase, tag=44):
-    """Tell what the store confirmed lately to an entry that follows it.
-
-    Units: sent_ms in milliseconds of the sender's monotonic clock.
-    """
-
-    sent_ms: float
-    kinds: list[StoreConfirmation]
-
-
-class StoreChange(MessageBase):
-    """Hold one change of an object of the store, as the store wrote it (JSON)."""
-
-    item: bytes
-    is_gone: bool
-    seen_revision: int
-
-
-class StoreChanges(MessageBase, tag=45):
-    """Pass on every change of a kind after one revision of the store up to another.
-
-    Units: sent_ms in milliseconds of the sender's monotonic clock.
-    """
-
-    kind: str
-    after_revision: int
-    revision: int
-    sent_ms: float
-    changes: list[StoreChange]
-
-
-class PromptPartReport(MessageBase):
-    """Name one part of a prompt, and its tokens."""
-
-    part_id: str
-    tokens: int
-
-
-class PlaceRequest(MessageBase, tag=46):
-    """Ask for the engine of a prompt that is sent now."""
-
-    ask_id: int
-    service_id: str
-    tokens_in: int
-    parts: list[PromptPartReport]
-    excluded: list[str] = []
-    bytes_by_hall: dict[str, int] = {}
-
-
-class PlaceAnswer(MessageBase, tag=47):
-    """Say which engine a prompt goes to; empty if there is none."""
-
-    ask_id: int
-    endpoint_id: str
-
-
-class PromptRead(MessageBase, tag=48):
-    """Tell that a prompt has been read, or is not sent where it was placed."""
-
-    ask_id: int
-
-
-class PackedChanges(MessageBase, tag=49):
-    """Pass changes on as `StoreChanges` does, packed.
-
-    Units: sent_ms in milliseconds of the sender's monotonic clock.
-    """
-
-    kind: str
-    after_revision: int
-    revision: int
-    sent_ms: float
-    changes: bytes
-
-
-class PackedListing(MessageBase, tag=50):
-    """Give the endpoints that are listed at a revision of the store, packed."""
-
-    revision: int
-    endpoints: bytes
-
-
 class CrashReport(MessageBase):
     """Tell of one endpoint that closed a connection under a request.
 
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -44,25 +44,31 @@
     LimitNews,
     ListingAnswer,
     ListingRequest,
-    PackedChanges,
-    PackedListing,
+)
+from leadford.protocol._links import (
+    Challenge,
+    ConfigHint,
+    Hello,
+    Welcome,
+)
+from leadford.protocol._pieces import (
     PieceAnswer,
     PieceCancel,
     PieceRelease,
     PieceSubmit,
     PieceWorking,
+    SuspectPieceSubmit,
+)
+from leadford.protocol._placing import (
     PlaceAnswer,
     PlaceRequest,
     PromptRead,
+)
+from leadford.protocol._store_news import (
+    PackedChanges,
+    PackedListing,
     StoreChanges,
     StoreConfirmations,
-    SuspectPieceSubmit,
-)
-from leadford.protocol._links import (
-    Challenge,
-    ConfigHint,
-    Hello,
-    Welcome,
 )
 
 Message = (
