Tell callers when endpoints take requests again after any refusal, too

What callers saw: after an endpoint had refused and asked for rest, with all others at rest, a caller was told to come back after 1 s, whatever they had asked for. Cause: only an attempt without an endpoint asked for the pause of the service. Change: any request that has not run ends so while all its endpoints hold off. While no endpoint asks for less, nothing is looked up for each endpoint.

--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -159,6 +159,8 @@
 
         0 where it may get one now. Call `record_sent` for each that is sent.
         """
+        if not self._is_any_held:
+            return 0.0
         listed = record.listed
         now = self.now()
         limit_s = self.limits_.wait_s(
@@ -173,6 +175,8 @@
 
         0 where one may get a request now, and where none is usable.
         """
+        if not self._is_any_held:
+            return 0.0
         return min(map(self.hold_s, self.usable(service_id)), default=0.0)
 
     def record_sent(self, record: EndpointRecord) -> None:
@@ -184,6 +188,11 @@
             is_alone=self._is_called_by_one(listed.service_id),
         )
 
+    @property
+    def _is_any_held(self) -> bool:
+        """Tell whether any endpoint asked for less: each request asks that of many."""
+        return bool(self.limits_.known_by_id_ or self.rests_.until_by_id_)
+
     def _is_called_by_one(self, service_id: ServiceId) -> bool:
         """Tell whether one entry makes all calls of a service: a batched stage."""
         service = self.service(service_id)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
@@ -19,11 +19,7 @@
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.answers._callers import CallerExchange
 from leadford_server.forwarding.batching import RequestInputs
-from leadford_server.forwarding.retries import (
-    NO_ENDPOINT,
-    Attempt,
-    EndpointAttempts,
-)
+from leadford_server.forwarding.retries import Attempt, EndpointAttempts
 
 STATUS_OK = 200
 CONTENT_IS_TEXT = ("Content-Type", "text/plain; charset=utf-8")
@@ -101,7 +97,8 @@
             self.end_quarantined()
             return
         service_id = self.progress.match_.service.service_id
-        if detail == NO_ENDPOINT and self.state.service_hold_s(service_id) > 0.0:
+        is_held = self.state.service_hold_s(service_id) > 0.0
+        if is_held and not self.progress.may_have_run_:
             self.end_held_back(detail)
             return
         self.end(EndReason.ATTEMPTS_FAILED, detail)
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -9,6 +9,7 @@
 
 from leadford.common import EndpointId
 from leadford.forwarding.endpoints import EndpointRecord
+from leadford.forwarding.retries import ENDPOINTS_FOR_ANOTHER
 from leadford.quarantine import choose_apart
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
@@ -55,9 +56,17 @@
         return [r for r in self.state.usable(service_id) if self._may_use(r)]
 
     def endpoints_left(self) -> int:
-        """Return how many endpoints the next attempt may ask."""
+        """Return how many endpoints the next attempt may ask; no more than matter."""
         tried = self.progress.tried_
-        return sum(r.listed.endpoint_id not in tried for r in self._records())
+        service_id = self.progress.match_.service.service_id
+        left = 0
+        for record in self.state.usable(service_id):
+            if record.listed.endpoint_id in tried or not self._may_use(record):
+                continue
+            left += 1
+            if left >= ENDPOINTS_FOR_ANOTHER:
+                break
+        return left
 
     @property
     def runs_apart(self) -> bool:
