--- a/packages/leadford-cli/src/leadford_cli/operators/_client.py
+++ b/packages/leadford-cli/src/leadford_cli/operators/_client.py
@@ -16,7 +16,7 @@
 
 from leadford_server.web import NO_ANSWER, fetch
 
-# Seconds for a call, more than an entry awaits a change (12 s); not measured.
+# Seconds for a call, more than an entry awaits a change (12 s).
 TIMEOUT_S = 30.0
 # Statuses after which the next entry is asked.
 UNSETTLED = (502, 503, 504, NO_ANSWER)
--- a/packages/leadford-cli/src/leadford_cli/replay/_runner.py
+++ b/packages/leadford-cli/src/leadford_cli/replay/_runner.py
@@ -21,9 +21,9 @@
 from leadford_standins.endpoints import ExecutionRecord
 from leadford_standins.fleet import FleetFile
 
-# Seconds after the last answer in which stand-ins write their records; not measured.
+# Seconds after the last answer in which stand-ins write their records.
 SETTLE_S = 0.5
-# Calls at once; not measured.
+# Calls at once.
 CLIENTS_MAX = 2000
 
 _SIGNAL_BY_ACTION = {
--- a/packages/leadford-server/src/leadford_server/clock/_suspension.py
+++ b/packages/leadford-server/src/leadford_server/clock/_suspension.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 # Seconds by which the clocks must part to count as a suspension: more than reading them
-# one after the other takes while the process waits for a processor. Not measured.
+# one after the other takes while the process waits for a processor.
 SUSPENDED_LEAST_S = 0.2
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -50,16 +50,16 @@
 )
 from leadford_server.logs import EventLog
 
-# Seconds between looks whether requests are left; not measured.
+# Seconds between looks whether requests are left.
 DRAIN_POLL_S = 0.05
-# Seconds between sweeps of connections and records; not measured.
+# Seconds between sweeps of connections and records.
 SWEEP_S = 0.5
 # Seconds before the end of a planned stop at which requests are ended that are still
-# under way, so that their answers are written; not measured.
+# under way, so that their answers are written.
 LAST_ANSWERS_S = 0.4
-# Seconds between looks whether the host was suspended; not measured.
+# Seconds between looks whether the host was suspended.
 SUSPENSION_LOOK_S = 0.25
-# Calls to the store at a time; not measured.
+# Calls to the store at a time.
 STORE_CLIENTS = 12
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -20,14 +20,14 @@
     RequestCodec,
 )
 
-# Seconds beyond the configured idle time before a connection is closed; not measured.
+# Seconds beyond the configured idle time before a connection is closed.
 REST_GRACE_S = 2.0
 # Heads up to this multiple of the limit are read, so that they get an answer.
 HEAD_READ_MOST = 4
 # Bytes. Bodies are bounded by the configuration while they arrive, not by the library.
 BODY_READ_MOST = 1 << 40
 # Seconds between the end of an answer and the close of its connection, so that what was
-# written still goes out; not measured.
+# written still goes out.
 CLOSE_DELAY_S = 0.02
 # What a line of a head takes beside its name and value.
 LINE_BYTES = 4
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_events.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_events.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-# Bytes that one event may have; not measured.
+# Bytes that one event may have.
 EVENT_BYTES_MAX = 1024 * 1024
 # What ends an event.
 _ENDS = (b"\n\n", b"\r\n\r\n")
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_free.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_free.py
@@ -16,9 +16,9 @@
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.endpoints import ExchangeBroken
 
-# Seconds that results are collected before they are freed; not measured.
+# Seconds that results are collected before they are freed.
 FREE_DELAY_S = 0.004
-# Seconds that the answer is waited for; not measured.
+# Seconds that the answer is waited for.
 FREE_TIMEOUT_S = 1.0
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
@@ -33,7 +33,7 @@
 from leadford_server.metrics import PIECE_CALLS_TOTAL, PIECES_TOTAL
 
 # Seconds between looks at a group whose pieces no endpoint takes: a pause or a
-# retention ends without any other event. Not measured.
+# retention ends without any other event.
 LOOK_S = 0.04
 # Seconds added to the end of a batching window, so that it is over when it is looked
 # at.
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -25,13 +25,12 @@
     LiveAnswer,
 )
 
-# Bytes that an answer of an endpoint, and its head, may have; not measured.
+# Bytes that an answer of an endpoint, and its head, may have.
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
 HEADER_BYTES_MAX = 64 * 1024
-# Answers of earlier requests that are skipped on a connection; not measured.
+# Answers of earlier requests that are skipped on a connection.
 UNMATCHED_ANSWERS_MAX = 2
-# Milliseconds after which the kernel gives up a peer that acknowledges nothing; not
-# measured.
+# Milliseconds after which the kernel gives up a peer that acknowledges nothing.
 SILENCE_MS = 2_500
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
@@ -18,7 +18,7 @@
 from leadford_server.forwarding.endpoints._connection import EndpointConnection
 from leadford_server.metrics import CONNECTIONS_OPENED_TOTAL
 
-# Seconds that a connection may take; not measured.
+# Seconds that a connection may take.
 CONNECT_S = 0.35
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -41,8 +41,7 @@
 from leadford_server.peers import Dialer, Identity, PeerConnection, PeerServer
 from leadford_server.settings import SocketAddress
 
-# Seconds between heartbeats, and the parts between which each pause is drawn; not
-# measured.
+# Seconds between heartbeats, and the parts between which each pause is drawn.
 HEARTBEAT_S = 0.2
 HEARTBEAT_SPREAD = (0.9, 1.1)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_members.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_members.py
@@ -20,10 +20,10 @@
 from leadford_server.forwarding.store import Listing, ObjectsClient, readable_record
 
 # Seconds between tries to announce this entry in the store, and the parts between which
-# each pause is drawn; not measured.
+# each pause is drawn.
 ANNOUNCE_WAIT_S = 0.5
 ANNOUNCE_SPREAD = (0.8, 1.6)
-# Seconds that the end of a planned stop waits for the store; not measured.
+# Seconds that the end of a planned stop waits for the store.
 RETRACT_S = 0.3
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -38,20 +38,20 @@
 # lives. A third of the watches then end 5.6 times less often; each is paid for.
 ENTRIES_WATCH_S = 10.0
 # Seconds within which a change of that list is known to entries that hear of it from
-# others; as long as a watch and a little more. Not measured.
+# others; as long as a watch and a little more.
 ENTRIES_KNOWN_S = 12.0
 # Seconds from the begin of a watch that brought changes to the next one. Changes that
 # follow each other are heard together: every entry pays for each end of a watch. The
-# figures stand at ENTRIES_SHARING of `membership/_watch`; it was not varied.
+# figures stand at ENTRIES_SHARING of `membership/_watch`.
 CHANGES_PAUSE_S = 0.25
 # The same for the list of entries: those of a fleet that starts announce themselves
-# within a second, and each one's watch would end several times. Not varied.
+# within a second, and each one's watch would end several times.
 ENTRIES_PAUSE_S = 1.0
-# Seconds between calls that fail, doubled up to the most; not measured.
+# Seconds between calls that fail, doubled up to the most.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
 # The same as a part of its rest for an entry that rests while others follow: its next
-# call, spread by 1.2, is over within the bound that the rest leaves. Not varied.
+# call, spread by 1.2, is over within the bound that the rest leaves.
 RESTING_RETRY_PART = 0.5
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_halls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_halls.py
@@ -19,7 +19,7 @@
 from leadford_server.forwarding.store._follow import Listing
 
 # Part of the bound on evacuations that a watch waits in the store. A watch that hears
-# nothing is then over, and its successor answered, well within the bound; not measured.
+# nothing is then over, and its successor answered, well within the bound.
 WATCH_PART = 0.4
 
 
--- a/packages/leadford-server/src/leadford_server/peers/_connection.py
+++ b/packages/leadford-server/src/leadford_server/peers/_connection.py
@@ -25,12 +25,12 @@
     PEER_MESSAGES_SKIPPED_TOTAL,
 )
 
-# Bytes and messages that a frame holds at most; not measured.
+# Bytes and messages that a frame holds at most.
 FRAME_BYTES_MAX = 8 * 1024 * 1024
 FRAME_MESSAGES_MAX = 64
-# Messages that wait for a peer before it is cut off; not measured.
+# Messages that wait for a peer before it is cut off.
 OUTBOX_MAX = 20_000
-# Seconds that each step of the handshake may take; not measured.
+# Seconds that each step of the handshake may take.
 HANDSHAKE_S = 5.0
 
 _FRAMES_SENT = PEER_FRAMES_TOTAL.labels(direction="sent")
--- a/packages/leadford-server/src/leadford_server/peers/_dialer.py
+++ b/packages/leadford-server/src/leadford_server/peers/_dialer.py
@@ -22,9 +22,9 @@
 )
 from leadford_server.peers._handshake import Identity, connect
 
-# Seconds that a connection may take; not measured.
+# Seconds that a connection may take.
 OPEN_S = 2.0
-# Seconds between pings, and until an unanswered one ends the connection; not measured.
+# Seconds between pings, and until an unanswered one ends the connection.
 PING_S = 10.0
 # Seconds before connecting again, doubled with each failed try up to the most; neither
 # was measured.
--- a/packages/leadford-server/src/leadford_server/peers/_server.py
+++ b/packages/leadford-server/src/leadford_server/peers/_server.py
@@ -21,7 +21,7 @@
 from leadford_server.peers._handshake import Identity, accept
 from leadford_server.settings import SocketAddress
 
-# Seconds between pings, and until an unanswered one ends the connection; not measured.
+# Seconds between pings, and until an unanswered one ends the connection.
 PING_S = 10.0
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_adapters.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_adapters.py
@@ -18,12 +18,12 @@
 from leadford.protocol import DoneStatus, Submit
 from leadford_server.web import NO_ANSWER, fetch, was_closed
 
-# Seconds for a connection to the endpoint beside the agent; not measured.
+# Seconds for a connection to the endpoint beside the agent.
 CONNECT_S = 1.0
-# Times that a broken stream is resumed, and seconds before each; not measured.
+# Times that a broken stream is resumed, and seconds before each.
 RESUMES_MAX = 2
 RESUME_WAIT_S = 0.05
-# Bytes of a result that are accepted; not measured.
+# Bytes of a result that are accepted.
 RESULT_BYTES_MAX = 4 * 1024 * 1024
 
 TokenSink = Callable[[list[str], str], None]
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_feeder.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_feeder.py
@@ -12,7 +12,7 @@
 from leadford_server.peers import PeerConnection
 from leadford_server.pipelines.agent._adapters import attempt_key
 
-# Seconds for which tokens are gathered; not measured.
+# Seconds for which tokens are gathered.
 TICK_S = 0.02
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_models.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_models.py
@@ -20,7 +20,7 @@
 from leadford_server.web import NO_ANSWER, fetch
 
 # Seconds that an order and a reading may take, and between looks while an order is in
-# doubt; not measured.
+# doubt.
 ORDER_TIMEOUT_S = 30.0
 READ_TIMEOUT_S = 2.0
 POLL_S = 0.5
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_process.py
@@ -30,7 +30,7 @@
 # neither was measured.
 DRAIN_POLL_S = 0.02
 DRAIN_MAX_S = 120.0
-# Calls at once to the endpoint and the store; not measured.
+# Calls at once to the endpoint and the store.
 HTTP_CLIENTS_MAX = 512
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_reports.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_reports.py
@@ -13,13 +13,13 @@
 from leadford_server.pipelines.agent._models import ModelLoader
 from leadford_server.pipelines.agent._state import EndpointState
 
-# Seconds between load reports that ride on no answer; not measured.
+# Seconds between load reports that ride on no answer.
 REPORT_S = 0.2
 # Reports a second to all entries together, so that control stays small in a large
-# fleet; not measured.
+# fleet.
 REPORTS_PER_S_MAX = 15.0
 # What counts as much changed: more attempts than either, as a number and as a part of
-# the load last reported, or tokens slower by a factor and a millisecond; not measured.
+# the load last reported, or tokens slower by a factor and a millisecond.
 CHANGED_ATTEMPTS = 2
 CHANGED_LOAD_DIVISOR = 4
 SLOWER_TIMES = 1.5
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_runner.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_runner.py
@@ -30,11 +30,11 @@
 from leadford_server.pipelines.agent._state import AcceptedAttempt, EndpointState
 
 # Seconds that an endpoint may take beyond the deadline of its attempt, in which the
-# answer of one that is just late still comes; not measured.
+# answer of one that is just late still comes.
 TIMEOUT_GRACE_S = 0.25
-# Seconds for which a stage with an effect is awaited at least; not measured.
+# Seconds for which a stage with an effect is awaited at least.
 EFFECT_TIMEOUT_S = 30.0
-# Seconds after which a slot kept for more urgent work is looked at again; not measured.
+# Seconds after which a slot kept for more urgent work is looked at again.
 HEADROOM_POLL_S = 0.03
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_state.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_state.py
@@ -16,7 +16,7 @@
 from leadford_server.peers import PeerConnection
 from leadford_server.pipelines.agent._adapters import attempt_key
 
-# Stages with an effect that are remembered as begun; not measured.
+# Stages with an effect that are remembered as begun.
 STAGES_BEGUN_KEPT = 20_000
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/config/_follower.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/config/_follower.py
@@ -35,14 +35,14 @@
 )
 from leadford_server.pipelines.store import StoreClient, StoreErrorKind
 
-# Seconds between readings of the store by a process that is no relay; not measured.
+# Seconds between readings of the store by a process that is no relay.
 POLL_S = 60.0
 # Seconds between tries until the first configuration is read, doubled up to the most;
 # neither was measured.
 FIRST_WAIT_S = 0.2
 FIRST_WAIT_MAX_S = 5.0
 # Seconds within which a process reads the store itself when its peer could not give the
-# newer version, and after a watch that failed; not measured.
+# newer version, and after a watch that failed.
 CATCH_UP_WAIT_S = 1.0
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/config/_source.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/config/_source.py
@@ -24,10 +24,10 @@
 # Names of the stored objects.
 HEAD_NAME = "config/head"
 CHUNK_PREFIX = "config/chunks/"
-# Seconds for which a peer is awaited for a head, and for all chunks; not measured.
+# Seconds for which a peer is awaited for a head, and for all chunks.
 PEER_ANSWER_S = 1.0
 PEER_CHUNKS_S = 3.0
-# Chunks that are read from the store at once; not measured.
+# Chunks that are read from the store at once.
 CHUNKS_AT_ONCE = 8
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_admitting.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_admitting.py
@@ -18,7 +18,7 @@
 
 # The least urgent priority.
 PRIORITY_LAST = 9
-# Milliseconds after which a caller is asked to come back; not measured.
+# Milliseconds after which a caller is asked to come back.
 DRAINING_RETRY_AFTER_MS = 1000.0
 PAUSED_RETRY_AFTER_MS = 30_000.0
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
@@ -30,9 +30,9 @@
 from leadford_server.pipelines.entry._tokens import TokenStream
 from leadford_server.pipelines.entry._trail import Trail
 
-# Seconds between looks whether a generation is too slow here; not measured.
+# Seconds between looks whether a generation is too slow here.
 LOOK_S = 0.25
-# Seconds between looks whether a connection stands again; not measured.
+# Seconds between looks whether a connection stands again.
 REACH_S = 0.01
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_caller.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_caller.py
@@ -23,8 +23,7 @@
 from leadford_server.pipelines.entry._run import RequestRun
 from leadford_server.pipelines.entry._services import EntryServices
 
-# Seconds in which a caller that went may read on before its request is cancelled; not
-# measured.
+# Seconds in which a caller that went may read on before its request is cancelled.
 RESUME_GRACE_S = 2.0
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_claims.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_claims.py
@@ -25,11 +25,9 @@
 from leadford_server.pipelines.entry._shard_writer import ShardWriter
 from leadford_server.pipelines.store import StoreClient
 
-# Seconds for which the owner of a shard is awaited before the claim is written here;
-# not measured.
+# Seconds for which the owner of a shard is awaited before the claim is written here.
 FORWARD_S = 0.5
-# Claims remembered whose write is in doubt, so that a repetition takes them up; not
-# measured.
+# Claims remembered whose write is in doubt, so that a repetition takes them up.
 ABANDONED_KEPT = 10_000
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_directory.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_directory.py
@@ -25,10 +25,9 @@
 from leadford_server.peers import Dialer, PeerConnection
 from leadford_server.pipelines.entry._dialers import DialerFactory
 
-# Milliseconds one way to another data hall; not measured.
+# Milliseconds one way to another data hall.
 OTHER_HALL_MS = 0.5
-# Part of the choices that fall on an endpoint under probation while others are there;
-# not measured.
+# Part of the choices that fall on an endpoint under probation while others are there.
 PROBE_PART = 0.2
 
 _EVENT_BY_STATE = {
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_entries.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_entries.py
@@ -24,21 +24,19 @@
 from leadford_server.peers import Dialer, PeerConnection
 from leadford_server.pipelines.entry._dialers import DialerFactory
 
-# Notes kept for other entries; not measured.
+# Notes kept for other entries.
 NOTES_KEPT = 50_000
-# Shards over which notes are spread: few enough that the order of each is remembered;
-# not measured.
+# Shards over which notes are spread: few enough that the order of each is remembered.
 NOTE_SHARDS = 64
-# Orders of entries that are remembered; not measured.
+# Orders of entries that are remembered.
 ORDERS_KEPT = 256
-# Seconds between looks at connections that are awaited; not measured.
+# Seconds between looks at connections that are awaited.
 CONNECT_POLL_S = 0.02
 # Entries that keep a note, and those that may, in order: more, so that a note is kept
-# while the connection to one of them is made again. Not measured.
+# while the connection to one of them is made again.
 NOTE_REPLICAS = 2
 NOTE_CANDIDATES = 6
-# Seconds for which the entries that hold a note are connected, and then asked; not
-# measured.
+# Seconds for which the entries that hold a note are connected, and then asked.
 NOTE_ANSWER_S = 0.3
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_fanout.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_fanout.py
@@ -19,10 +19,10 @@
 from leadford_server.pipelines.entry._tables import LocalTables
 
 # Seconds for which entries are awaited; an entry awaits its agents for less, so that
-# its own answer is in time. Not measured.
+# its own answer is in time.
 ANSWER_S = 1.5
 AGENT_ANSWER_S = 0.8
-# Seconds for which connections to entries are awaited; not measured.
+# Seconds for which connections to entries are awaited.
 CONNECT_S = 1.0
 # Tables whose rows only agents have.
 AGENT_TABLES = ("queue",)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_hosts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_hosts.py
@@ -13,7 +13,7 @@
 from leadford.pipelines.membership import HostState, HostTable
 from leadford_server.web import fetch
 
-# Seconds between polls; not measured.
+# Seconds between polls.
 POLL_S = 2.0
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_http.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_http.py
@@ -26,10 +26,10 @@
 from leadford_server.pipelines.entry._requests import RequestTable
 from leadford_server.pipelines.entry._services import EntryServices
 
-# Bytes of a body and characters of a key that are accepted; not measured.
+# Bytes of a body and characters of a key that are accepted.
 BODY_BYTES_MAX = 1024 * 1024
 KEY_CHARS_MAX = 256
-# Milliseconds that a caller may ask for at most; not measured.
+# Milliseconds that a caller may ask for at most.
 DEADLINE_MAX_MS = 600_000.0
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_operators.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_operators.py
@@ -40,8 +40,7 @@
     configured_table,
 )
 
-# Seconds for which a change is awaited in every process, and between looks; not
-# measured.
+# Seconds for which a change is awaited in every process, and between looks.
 WAIT_MAX_S = 12.0
 WAIT_STEP_S = 0.1
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_planner.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_planner.py
@@ -37,11 +37,11 @@
 from leadford_server.pipelines.entry._entries import EntryPeers
 from leadford_server.pipelines.store import StoreClient, StoreErrorKind
 
-# Seconds between rounds of planning, more or less by a quarter; not measured.
+# Seconds between rounds of planning, more or less by a quarter.
 ROUND_S = 1.0
-# Seconds after which a plan that another entry wrote is read again; not measured.
+# Seconds after which a plan that another entry wrote is read again.
 READ_S = 5.0
-# Entries that may plan a pool, the first of its order; not measured.
+# Entries that may plan a pool, the first of its order.
 CANDIDATES = 2
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
@@ -50,14 +50,13 @@
 
 # Seconds between the announcement of a stop and the first refusal, in which requests
 # that are on their way are served: without them a request that was sent 0.15 s after
-# the signal had its connection closed (a test with processes). The value was not
-# varied.
+# the signal had its connection closed (a test with processes).
 ANNOUNCE_S = 0.5
 # Seconds between looks at what still runs, and most seconds for which it is awaited;
 # neither was measured.
 DRAIN_POLL_S = 0.02
 DRAIN_MAX_S = 120.0
-# Bytes of a head that are accepted; not measured.
+# Bytes of a head that are accepted.
 HEADER_BYTES_MAX = 16 * 1024
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
@@ -44,16 +44,15 @@
 from leadford_server.pipelines.entry._services import EntryServices
 from leadford_server.pipelines.entry._trail import Trail, TrailStep
 
-# Ended requests that are remembered, and trails of refused ones; not measured.
+# Ended requests that are remembered, and trails of refused ones.
 ENDED_KEPT = 500
 REFUSED_KEPT = 1000
-# Seconds for which an ended request can be read again here; not measured.
+# Seconds for which an ended request can be read again here.
 ENDED_KEPT_S = 10.0
-# Seconds between looks for the note of a key, and most seconds; not measured.
+# Seconds between looks for the note of a key, and most seconds.
 LOOKUP_STEP_S = 0.05
 LOOKUP_MAX_S = 1.0
-# Seconds that a request has which is taken over, since its note holds no deadline; not
-# measured.
+# Seconds that a request has which is taken over, since its note holds no deadline.
 RESUME_S = 30.0
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
@@ -25,7 +25,7 @@
 from leadford_server.pipelines.entry._services import EntryServices
 from leadford_server.pipelines.entry._trail import Trail
 
-# Seconds between looks for room while a request is held back; not measured.
+# Seconds between looks for room while a request is held back.
 ROOM_POLL_S = 0.05
 
 _REASON_BY_VERDICT = {
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_shard_writer.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_shard_writer.py
@@ -27,9 +27,9 @@
 from leadford_server.logs import EventLog
 from leadford_server.pipelines.store import StoreClient, StoreErrorKind
 
-# Claims of one write; not measured.
+# Claims of one write.
 BATCH_MAX = 2000
-# Writes and readings until a batch is settled; not measured.
+# Writes and readings until a batch is settled.
 SETTLE_TRIES = 5
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_tokens.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_tokens.py
@@ -12,7 +12,7 @@
 from leadford_server.pipelines.entry._answers import AnswerBuffer
 from leadford_server.pipelines.entry._live_attempts import LiveAttempts
 
-# Tokens that an agent may send before readers have taken them; not measured.
+# Tokens that an agent may send before readers have taken them.
 CREDIT_TOKENS = 64
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_trail.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_trail.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-# Steps of a request that are kept; the later ones are dropped. Not measured.
+# Steps of a request that are kept; the later ones are dropped.
 STEPS_KEPT = 40
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/store/_client.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/store/_client.py
@@ -17,7 +17,7 @@
 from leadford_server.metrics import STORE_CALLS_TOTAL
 from leadford_server.web import fetch
 
-# Seconds for a call; not measured.
+# Seconds for a call.
 TIMEOUT_S = 2.0
 # Seconds for which the store holds a watch. With the time of a call, and a pause of
 # 1.5 s, one that is never answered leaves 1.5 s of the 12 s within which a change is in
--- a/packages/leadford-server/src/leadford_server/settings/_model.py
+++ b/packages/leadford-server/src/leadford_server/settings/_model.py
@@ -11,7 +11,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-# Bytes that the secret of a fleet must have; not measured.
+# Bytes that the secret of a fleet must have.
 SECRET_BYTES_MIN = 16
 NAME = re.compile(r"^[a-z0-9][a-z0-9_.-]{0,62}$")
 STORE_URL = re.compile(r"^http://[0-9.\[\]:a-fA-F]+$")
--- a/packages/leadford-standins/src/leadford_standins/fleet/_processes.py
+++ b/packages/leadford-standins/src/leadford_standins/fleet/_processes.py
@@ -32,7 +32,7 @@
 PORTS_TO = 32_000
 # Ports of the block that one fleet claims; the largest preset needs 62.
 BLOCK_PORTS = 200
-# Seconds for a fleet to be ready, and for its processes to stop; not measured.
+# Seconds for a fleet to be ready, and for its processes to stop.
 READY_S = 30.0
 STOP_S = 20.0
 SECRET = "stand-in secret of a loopback fleet"
--- a/packages/leadford/src/leadford/common/_hashing.py
+++ b/packages/leadford/src/leadford/common/_hashing.py
@@ -9,7 +9,7 @@
 
 # Orders that are kept. Entries ask several times a heartbeat who comes first in each
 # group: with 300 entries and 27 groups one such round took 14 ms, and takes 2.6 ms with
-# the orders kept (by timing, one run). Not varied.
+# the orders kept (by timing, one run).
 ORDERS_KEPT = 512
 
 
--- a/packages/leadford/src/leadford/events/_journal.py
+++ b/packages/leadford/src/leadford/events/_journal.py
@@ -4,7 +4,7 @@
 
 from leadford.events._catalogue import Event, EventRecord
 
-# Events that are kept for operators' queries; not measured.
+# Events that are kept for operators' queries.
 RECORDS_KEPT = 500
 
 
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -38,7 +38,7 @@
 # Part of its aim, less the path, that a backlog may take of a newcomer; for the most
 # urgent workspace, less a step for each priority, and the least for any. Mean net
 # credit of seven simulated loads, one run each: 0.598, against 0.589 with 0.5 (urgent
-# 0.7) and RETURN_AIMS 1.2, so within the noise of 0.03. The step was not measured.
+# 0.7) and RETURN_AIMS 1.2, so within the noise of 0.03.
 SPARE_PART_URGENT = 0.9
 SPARE_PART_STEP = 0.1
 SPARE_PART = 0.75
@@ -51,31 +51,28 @@
 # The same for a request that cannot be in time any more: it is let in only while the
 # queues are short, because its pieces go behind all others. Mean net credit of 16
 # simulated runs under load and faults 0.614, against 0.607 with RETURN_AIMS for it too
-# (noise 0.03); held and never served, by worth, 0.046 of one run's before. The value
-# was not varied.
+# (noise 0.03); held and never served, by worth, 0.046 of one run's before.
 SPARE_PART_LATE = 0.3
 # Aims within which the answer to a request that returns must be expected: with more,
 # under lasting load everybody returns and is late. In one run each under high load 153
-# of 743 requests of two routes were in time, against 99 with the values named above;
-# not measured alone.
+# of 743 requests of two routes were in time, against 99 with the values named above.
 RETURN_AIMS = 1.0
 # Seconds by which an entry may hear of a refusal later than it was given, and by which
-# a first try lies before its refusal: a heartbeat and a little more; not measured.
+# a first try lies before its refusal: a heartbeat and a little more.
 HEARD_LATE_S = 0.5
-# Part of the caller's time that no expected answer may exceed; not measured.
+# Part of the caller's time that no expected answer may exceed.
 DEADLINE_PART = 0.85
 # Part of the time that path and engine leave of the aim, which the backlog may still
-# fill when a refused request comes back; not measured.
+# fill when a refused request comes back.
 RETURN_PART = 0.55
-# Seconds. Nobody is told to come back sooner; not measured.
+# Seconds. Nobody is told to come back sooner.
 RETRY_MIN_S = 0.25
-# Nobody is told to come back later than after the time left divided by this; not
-# measured.
+# Nobody is told to come back later than after the time left divided by this.
 RETRY_MOST_DIVISOR = 3.0
-# Part by which times to come back are spread at random; not measured.
+# Part by which times to come back are spread at random.
 JITTER = 0.15
 # Part of the aim that a forecast may be corrected by, and the weight of the newest
-# error; not measured.
+# error.
 ERROR_MOST_PART = 0.6
 ERROR_WEIGHT = 0.15
 
--- a/packages/leadford/src/leadford/forwarding/admission/_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_forecast.py
@@ -15,9 +15,9 @@
 # that have waited long go first, and calls under way are not stopped. Measured only
 # together with LESS_URGENT_S of `batching/_queue`.
 LATER_PART = 0.1
-# Seconds that an engine takes to read results; not measured.
+# Seconds that an engine takes to read results.
 ENGINE_READ_S = 0.2
-# Full calls of a reading stage that results wait for their readers; not measured.
+# Full calls of a reading stage that results wait for their readers.
 READ_CALLS = 1.5
 
 
--- a/packages/leadford/src/leadford/forwarding/admission/_reservations.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_reservations.py
@@ -10,10 +10,9 @@
 
 from leadford.forwarding.routes import ServiceId
 
-# Refused requests that are remembered; not measured.
+# Refused requests that are remembered.
 RESERVATIONS_KEPT = 400
-# Seconds after the time to come back for which a request that comes counts as returned;
-# not measured.
+# Seconds after the time to come back for which a request that comes counts as returned.
 RETURN_FRESH_S = 12.0
 
 
--- a/packages/leadford/src/leadford/forwarding/admission/_usual_wait.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_usual_wait.py
@@ -14,15 +14,15 @@
 
 # Part of the callers of a route that must announce the same wait before it counts as
 # that of first tries. Returns announce what is left, hardly ever the same twice; under
-# a burst half of the callers may be returns. Not varied.
+# a burst half of the callers may be returns.
 USUAL_PART = 0.25
-# Callers of a route that must have been seen before; not varied.
+# Callers of a route that must have been seen before.
 USUAL_LEAST = 8
 # Callers of a route whose waits are counted; then all counts are halved, so that a
-# changed wait is learned. Not varied.
+# changed wait is learned.
 CALLERS_COUNTED = 400
 # Seconds to which announced waits are rounded, and by which a return announces less at
-# least: nobody is told to come back sooner than after 0.25 s. Not varied.
+# least: nobody is told to come back sooner than after 0.25 s.
 STEP_S = 0.01
 LESS_S = 0.1
 # Routes that are remembered; the oldest is forgotten first. Far more than have stages.
--- a/packages/leadford/src/leadford/forwarding/answers/_final.py
+++ b/packages/leadford/src/leadford/forwarding/answers/_final.py
@@ -13,10 +13,10 @@
 
 import msgspec
 
-# Seconds. Told with a refusal that has no better estimate; not measured.
+# Seconds. Told with a refusal that has no better estimate.
 RETRY_AFTER_S = 1.0
 # Seconds. While this process stops others are ready, so the caller may come back at
-# once; not measured.
+# once.
 STOPPING_RETRY_AFTER_S = 0.1
 
 STATUS_MALFORMED = 400
--- a/packages/leadford/src/leadford/forwarding/batching/_backlog.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_backlog.py
@@ -13,7 +13,7 @@
 from leadford.forwarding.batching._throughput import MadeRate
 from leadford.forwarding.routes import ServiceId
 
-# Seconds that what another entry said is believed; not measured.
+# Seconds that what another entry said is believed.
 FRESH_S = 1.5
 
 
--- a/packages/leadford/src/leadford/forwarding/batching/_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_capacity.py
@@ -16,7 +16,7 @@
 
 # Seconds that what another entry still has at an endpoint is believed. Pieces refused
 # for room around planned restarts: 448, 151 and 177, against 526, 96 and 329 when it is
-# not counted (three simulated loads, one run each). The value was not varied.
+# not counted (three simulated loads, one run each).
 FOREIGN_FRESH_S = 0.7
 
 
--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -31,10 +31,10 @@
 
 # Part of a full call within which another endpoint must be free for the rest of a
 # request whose first pieces fill a call. Calls of 16 carried 12 pieces where each
-# request brought six: 36.1 pieces a second and endpoint in place of 42.5. Not varied.
+# request brought six: 36.1 pieces a second and endpoint in place of 42.5.
 SPLIT_PART = 0.15
 # Part of a full call that pieces must pass which fit in the room that is left, for an
-# endpoint not to wait for more. Not varied.
+# endpoint not to wait for more.
 FITTING_PART = 0.5
 
 
--- a/packages/leadford/src/leadford/forwarding/batching/_graph.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_graph.py
@@ -12,7 +12,7 @@
 
 from leadford.forwarding.routes import ResultHandle, StageSpec
 
-# Pieces that a request may have; not measured.
+# Pieces that a request may have.
 PIECES_MAX = 10_000
 
 
--- a/packages/leadford/src/leadford/forwarding/batching/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_limits.py
@@ -16,19 +16,19 @@
 CALL_TIMES = 1.6
 CALL_SLACK_S = 0.25
 # A scheduler is held silent after so many times the expected wait and call, and so many
-# seconds more; not measured.
+# seconds more.
 SCHEDULER_TIMES = 3.0
 SCHEDULER_SLACK_S = 2.5
 # Part of a request's time after which its stages are looked at: those that cannot end
-# in time are given up while the caller can still use the answer. Not measured alone.
+# in time are given up while the caller can still use the answer.
 CHECK_PART = 0.42
 # Seconds after which an endpoint that was idle has surely begun a call, which it does
 # by fetching the inputs. Giving these up then cut the median wait of one stage for room
 # from 667 to 182 ms, and pieces refused for room from 73 to 9 (a calm simulated load,
-# one run each). The value was not varied.
+# one run each).
 CALL_INPUTS_READ_S = 0.08
 # Seconds after sending to an engine without a queue, by which it has fetched the
-# inputs: none was found gone in three simulated runs. Its gain was not measured alone.
+# inputs: none was found gone in three simulated runs.
 ENGINE_INPUTS_READ_S = 0.15
 
 
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -14,11 +14,10 @@
 from leadford.forwarding.batching._groups import moving_s
 from leadford.forwarding.routes import PieceLimits, ResultHandle, Route
 
-# Full calls of time to spare below which a piece does not wait for others; not
-# measured.
+# Full calls of time to spare below which a piece does not wait for others.
 WINDOW_SPARE_CALLS = 4.0
 # Part of the time to spare beyond that which a piece waits for others, and the most, as
-# a part of a call's fixed time; not measured alone.
+# a part of a call's fixed time.
 WINDOW_PART = 0.08
 WINDOW_MOST_PART = 0.9
 # Part of the time to spare that a piece waits for the hall of its inputs. Mean net
@@ -37,13 +36,13 @@
 SHORT_CALLS = 2
 SHORT_PART = 0.5
 # Bytes from which on moving pieces counts in a queue of more than SHORT_CALLS: those
-# that read little fill calls instead. Not varied.
+# that read little fill calls instead.
 MUCH_BYTES = 250_000
 # Seconds by which a piece counts as due later, for routes below the highest priority
 # and for each step of priority. Both are bounds: without them the less urgent could
 # wait for ever. Mean net credit of seven simulated loads, one run each: 0.552 without
 # the head start and 0.589 with it; full steps of priority gave 0.593 (2 s) and 0.573
-# (0.8 s), but starve the least urgent kind. The step of 0.2 s was not varied alone.
+# (0.8 s), but starve the least urgent kind.
 LESS_URGENT_S = 2.0
 PRIORITY_STEP_S = 0.2
 
--- a/packages/leadford/src/leadford/forwarding/batching/_remake.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_remake.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-# Failures of one piece after which its request is given up; not measured.
+# Failures of one piece after which its request is given up.
 PIECE_TRIES_MAX = 6
 # Seconds before a piece is sent again whose scheduler knew no endpoint, so that the
 # listings of both entries can agree. Without a pause one simulated run sent pieces
--- a/packages/leadford/src/leadford/forwarding/batching/_throughput.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_throughput.py
@@ -12,11 +12,9 @@
 import msgspec
 
 # Seconds over which is measured, and that must be covered: some calls of each endpoint.
-# Not varied.
 SPAN_S = 1.2
 COVERED_S = 0.9
 # Part of what one call of each endpoint takes that must wait for a stage to be behind.
-# Not varied.
 BEHIND_PART = 0.5
 
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_choice.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_choice.py
@@ -13,7 +13,7 @@
 from leadford.common import EndpointId, HallId
 from leadford.forwarding.endpoints._record import EndpointRecord
 
-# Answers that an endpoint must have given before its slowness counts; not measured.
+# Answers that an endpoint must have given before its slowness counts.
 SLOWNESS_NEEDED = 3
 
 
@@ -23,16 +23,14 @@
     Units: one unit is one request that runs or waits there, per slot.
     """
 
-    # An endpoint in another hall, and one that is still cold; not measured.
+    # An endpoint in another hall, and one that is still cold.
     other_hall: float = 0.35
-    # An endpoint whose recent requests all failed; not measured.
+    # An endpoint whose recent requests all failed.
     failure: float = 2.0
-    # One that takes twice as long as the fastest, and the most times that count; not
-    # measured.
+    # One that takes twice as long as the fastest, and the most times that count.
     slowness: float = 0.3
     slowness_most: float = 3.0
-    # The most that chance adds, so that entries do not all choose the same; not
-    # measured.
+    # The most that chance adds, so that entries do not all choose the same.
     jitter: float = 0.05
 
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_connections.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_connections.py
@@ -5,12 +5,12 @@
 may be about to close is not used: a request on it would be lost, and might have run.
 """
 
-# Part of an endpoint's bound that all entries together hold at most; not measured.
+# Part of an endpoint's bound that all entries together hold at most.
 CONNECTIONS_PART = 0.95
-# Seconds that a connection rests where the endpoint says nothing; not measured.
+# Seconds that a connection rests where the endpoint says nothing.
 REST_DEFAULT_S = 8.0
 # Seconds before an endpoint closes a resting connection at which it is not used any
-# more; not measured.
+# more.
 REST_MARGIN_S = 0.6
 
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
@@ -26,10 +26,9 @@
 from leadford.forwarding.endpoints._prompts import KeptParts, PromptShape
 from leadford.forwarding.endpoints._record import EndpointRecord
 
-# Prompt tokens that an engine is taken to read in a millisecond before any is measured;
-# not measured.
+# Prompt tokens that an engine is taken to read in a millisecond before any is measured.
 TOKENS_PER_MS = 20.0
-# Weight of the newest prompt in that rate; not measured.
+# Weight of the newest prompt in that rate.
 RATE_WEIGHT = 0.05
 # Part of a shared part that an engine of its affinity set is guessed to keep; measured
 # only together with AFFINITY_PART.
@@ -37,7 +36,7 @@
 # Part of the engines that form the affinity set of a prompt, and how many they are at
 # least. Prompt tokens of shared parts read again: 82,000 and 49,000, against 303,000
 # and 138,000 when the last part alone picks the engine (two calm simulated loads, one
-# run each). The values were not varied.
+# run each).
 AFFINITY_PART = 1.0 / 3.0
 AFFINITY_LEAST = 2
 # Milliseconds for each token of a shared part that would be read again, beyond the time
@@ -51,23 +50,23 @@
 MEETING_MS = 400.0
 MEETING_TOKENS = 2_000.0
 # Milliseconds that another hall counts for, and that each byte moved between halls
-# does; not measured.
+# does.
 OTHER_HALL_MS = 12.0
 MOVED_MS_PER_BYTE = 6e-5
-# Milliseconds that a running request counts for; not measured.
+# Milliseconds that a running request counts for.
 RUNNING_MS = 0.4
-# Milliseconds that a failure rate of 1 counts for; not measured.
+# Milliseconds that a failure rate of 1 counts for.
 FAILURE_MS = 400.0
-# Tokens that a prompt is taken to have that another entry sent; not measured.
+# Tokens that a prompt is taken to have that another entry sent.
 MEAN_PROMPT_TOKENS = 2_000.0
-# Tokens below which a prompt says nothing of the rate; not measured.
+# Tokens below which a prompt says nothing of the rate.
 TOKENS_LEARNED_MIN = 500.0
-# Tokens per millisecond between which a measured rate is believed; not measured.
+# Tokens per millisecond between which a measured rate is believed.
 RATE_LEAST = 2.0
 RATE_MOST = 100.0
-# Part of an engine's memory that is taken to hold parts of prompts; not measured.
+# Part of an engine's memory that is taken to hold parts of prompts.
 MEMORY_PART = 0.6
-# Milliseconds that the first engine of the affinity set is ahead; not measured.
+# Milliseconds that the first engine of the affinity set is ahead.
 PREFERRED_BONUS_MS = 10.0
 
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_halls.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_halls.py
@@ -13,7 +13,7 @@
 from leadford.common import HallId
 
 # Halls whose evacuation is over and still remembered, so that an older notice does not
-# bring it back; far more than a fleet has, not measured.
+# bring it back; far more than a fleet has.
 HALLS_KEPT = 2_000
 
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_placement.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_placement.py
@@ -13,10 +13,10 @@
 from leadford.forwarding.endpoints._engines import EngineChooser, SentPrompt
 
 # Seconds that an entry waits to be told an engine before it chooses by itself: some ten
-# times what an answer takes in one region. Not varied.
+# times what an answer takes in one region.
 PLACED_IN_S = 0.04
 # Seconds after which a placed prompt counts as read though nobody said so: the entry
-# that asked may be gone. Longer than the longest prompt takes. Not varied.
+# that asked may be gone. Longer than the longest prompt takes.
 FORGOTTEN_S = 3.0
 
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_pools.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_pools.py
@@ -12,7 +12,7 @@
 from leadford.common import EndpointId, stable_hash
 from leadford.forwarding.endpoints._record import EndpointRecord
 
-# Engines that a pool has at most, on average: 1 ms for a prompt. Not varied.
+# Engines that a pool has at most, on average: 1 ms for a prompt.
 POOL_MOST = 200
 
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -19,22 +19,21 @@
 )
 
 # Seconds of the first suspicion; each further failure in a row doubles it up to the
-# most. Neither was measured.
+# most.
 SUSPECT_BASE_S = 0.4
 SUSPECT_MAX_S = 6.0
 # Doublings after which the time no longer grows, so that the power stays small.
 SUSPECT_DOUBLINGS_MAX = 6
-# Failures in a row from which any kind of failure makes an endpoint suspect; not
-# measured.
+# Failures in a row from which any kind of failure makes an endpoint suspect.
 FAILURES_FOR_SUSPICION = 2
-# Seconds that a load report is believed; not measured.
+# Seconds that a load report is believed.
 LOAD_FRESH_S = 1.0
-# Weights of the newest outcome in the averages, from 0 to 1; not measured.
+# Weights of the newest outcome in the averages, from 0 to 1.
 FAILURE_WEIGHT = 0.2
 LATENCY_WEIGHT = 0.2
 SLOWNESS_WEIGHT = 0.4
 # Seconds in which half of an observed slowness is forgotten, so that an endpoint that
-# gets no calls is tried again; not varied.
+# gets no calls is tried again.
 SLOWNESS_HALF_S = 2.0
 
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -18,13 +18,13 @@
 from leadford.forwarding.endpoints._record import EndpointRecord
 from leadford.forwarding.routes import ServiceId
 
-# Removed endpoints whose revision is remembered; not measured.
+# Removed endpoints whose revision is remembered.
 GONE_KEPT = 2_000
 # Seconds within which an endpoint that works is listed again after a store that was
 # away removed it, as the platform promises; one that is missing for longer is gone.
 BACK_S = 2.0
 # Seconds before a leaving endpoint's allowance ends at which removed ones are not used
-# any more, so that what was chosen last still arrives in time; not measured.
+# any more, so that what was chosen last still arrives in time.
 DRAIN_MARGIN_S = 0.9
 
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_times.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_times.py
@@ -7,7 +7,7 @@
 from leadford.common import Ewma
 from leadford.forwarding.routes import ServiceId
 
-# Seconds before any answer is known; not measured.
+# Seconds before any answer is known.
 FIRST_BYTE_S = 0.15
 
 
--- a/packages/leadford/src/leadford/forwarding/membership/_fetch.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_fetch.py
@@ -8,14 +8,14 @@
 
 from leadford.common import EntryId
 
-# Seconds for which a peer must know better before it is asked; not measured.
+# Seconds for which a peer must know better before it is asked.
 BEHIND_S = 0.3
 # Seconds without a part after which the next peer is asked, doubled for each further
-# one up to the most; not measured.
+# one up to the most.
 STALLED_S = 1.0
 STALLED_MOST_S = 8.0
 # Seconds before anybody is asked again after an answer that can't be used, doubled for
-# each up to the most; not measured.
+# each up to the most.
 UNUSABLE_S = 0.5
 UNUSABLE_MOST_S = 8.0
 
--- a/packages/leadford/src/leadford/forwarding/membership/_liveness.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_liveness.py
@@ -12,12 +12,12 @@
 
 from leadford.common import EntryId
 
-# Seconds after its last message for which an entry counts as alive; not measured.
+# Seconds after its last message for which an entry counts as alive.
 LIVE_S = 0.9
-# Times of that, after which a silent peer is disconnected; not measured.
+# Times of that, after which a silent peer is disconnected.
 SILENT_TIMES = 3
 # Seconds between two looks that count as time in which this entry ran: a heartbeat, its
-# spread and a third more. For the rest it was held up. Not varied.
+# spread and a third more. For the rest it was held up.
 LOOK_MOST_S = 0.3
 
 
--- a/packages/leadford/src/leadford/forwarding/membership/_peers.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_peers.py
@@ -17,12 +17,12 @@
 from leadford.forwarding.endpoints import pool_count, prompt_pool
 from leadford.forwarding.routes import ServiceId
 
-# Next entries in the order of ids that a link is held to; not measured.
+# Next entries in the order of ids that a link is held to.
 RELAYS = 2
-# First candidates for each group that a link is held to; not measured.
+# First candidates for each group that a link is held to.
 CANDIDATES = 2
 # Entries from which on one of them places the prompts of all. Fewer hear by themselves
-# what engines say of their load. Not varied.
+# what engines say of their load.
 PLACED_FROM = 8
 
 
--- a/packages/leadford/src/leadford/forwarding/membership/_relays.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_relays.py
@@ -22,14 +22,14 @@
 
 # Entries that follow the store for the others: the loss of any two leaves one, and with
 # watches that end at different moments the newest confirmation is younger than one
-# watch. Not varied.
+# watch.
 FOLLOWERS = 3
 # Entries from which on the others rest. With fewer, each follows by itself: three of
-# six would save half of the calls, and news would come in two steps. Not varied.
+# six would save half of the calls, and news would come in two steps.
 RELAYED_FROM = 8
 # Part of the rest of the others that the watch of a follower waits: where the watches
 # of all are lost at once, such as by a history that was forgotten, the next ones are
-# answered before everybody asks. Not varied.
+# answered before everybody asks.
 WATCH_PART = 0.5
 
 
--- a/packages/leadford/src/leadford/forwarding/membership/_stop.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_stop.py
@@ -6,9 +6,9 @@
 begin is decided in `leadford.forwarding.routes`.
 """
 
-# Seconds that a planned stop takes at least; not measured.
+# Seconds that a planned stop takes at least.
 STOP_MIN_S = 3.2
-# Seconds before the end of the grace period at which a stop ends; not measured.
+# Seconds before the end of the grace period at which a stop ends.
 STOP_MARGIN_S = 0.6
 
 
--- a/packages/leadford/src/leadford/forwarding/membership/_watch.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_watch.py
@@ -13,10 +13,10 @@
 # with the pause between changes, 1,240 and 2,290. All of them without the bound by the
 # time to catch up; with it the calm load makes 1,539.
 ENTRIES_SHARING = 3
-# Most that a watch waits in place of its least; not varied.
+# Most that a watch waits in place of its least.
 TIMES_MOST = 2.6
 # Parts of the wait between which each is drawn, so that entries that started together
-# do not end their watches together; not measured.
+# do not end their watches together.
 SPREAD = (0.75, 1.0)
 # Seconds beyond its wait after which a watch is given up; measured only together with
 # the least wait of a watch.
@@ -25,10 +25,10 @@
 # 1,450 routes needs 0.45 s on an idle link of 10 Mbit/s (one simulated run).
 ANSWER_S = 0.6
 # Least seconds that a watch waits where there is hardly any time to catch up, so that
-# watches do not follow each other without a pause; not measured.
+# watches do not follow each other without a pause.
 LEAST_S = 0.2
 # Most seconds until the first byte of a call that waits for no change. A store whose
-# answers take 1.5 s is followed with it; the value was not varied.
+# answers take 1.5 s is followed with it.
 CALL_MOST_S = 2.0
 
 
--- a/packages/leadford/src/leadford/forwarding/retries/_budget.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_budget.py
@@ -9,8 +9,7 @@
 
 from leadford.forwarding.routes import ServiceId
 
-# Part of the allowance that is spent at most, for clocks of entries that disagree; not
-# measured.
+# Part of the allowance that is spent at most, for clocks of entries that disagree.
 EDGE = 0.85
 
 
--- a/packages/leadford/src/leadford/forwarding/retries/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_decision.py
@@ -15,7 +15,7 @@
 from leadford.forwarding.retries._budget import WindowedRetryBudget
 
 # Times that the inputs of one request are made again because an endpoint says that they
-# are gone; not measured.
+# are gone.
 INPUT_REMAKES_MAX = 2
 
 
--- a/packages/leadford/src/leadford/forwarding/retries/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_limits.py
@@ -14,22 +14,20 @@
 from leadford.forwarding.routes import Route
 
 # Seconds before the deadline at which a request is ended, so that its answer still
-# reaches the caller in time; not measured.
+# reaches the caller in time.
 ANSWER_MARGIN_S = 0.03
-# Part of the time left that an attempt of a safe request gets while others may follow;
-# not measured.
+# Part of the time left that an attempt of a safe request gets while others may follow.
 PLAIN_PART = 0.45
 # Times of what endpoints of the service usually take, after which a safe request is
-# tried elsewhere; not measured.
+# tried elsewhere.
 PLAIN_USUALS = 3.5
-# Seconds. No attempt is given up earlier, however fast endpoints are; not measured.
+# Seconds. No attempt is given up earlier, however fast endpoints are.
 PLAIN_LEAST_S = 0.06
-# Answers that an endpoint must have given before its time counts as usual; not
-# measured.
+# Answers that an endpoint must have given before its time counts as usual.
 USUAL_ANSWERS = 3
-# Aimed pauses between events that a stream may stay silent; not measured.
+# Aimed pauses between events that a stream may stay silent.
 STREAM_GAPS = 2.0
-# Seconds. No stream is given up earlier for silence; not measured.
+# Seconds. No stream is given up earlier for silence.
 STREAM_LEAST_S = 1.0
 # Endpoints that must be left for an attempt and another one after it.
 ENDPOINTS_FOR_ANOTHER = 2
--- a/packages/leadford/src/leadford/forwarding/routes/_denial.py
+++ b/packages/leadford/src/leadford/forwarding/routes/_denial.py
@@ -18,18 +18,17 @@
 from leadford.forwarding.routes._table import LookupFailure, LookupFault, RouteMatch
 
 # Seconds since the store last confirmed the configuration, after which a missing route
-# or key may be news that this process has not heard. The value was not measured.
+# or key may be news that this process has not heard.
 CONFIG_FRESH_S = 6.0
 # Seconds before the deployment's bound on stale configurations from which nothing is
 # decided by one that is known to be stale: heartbeats tell of a newer one up to 0.2 s
-# after it came in force there. Not measured.
+# after it came in force there.
 BEHIND_MARGIN_S = 0.5
 # Seconds after a planned stop began from which no stream begins: without it 23 requests
-# of two simulated runs were cut at the end of the grace period, with it none. The value
-# was not varied.
+# of two simulated runs were cut at the end of the grace period, with it none.
 STOP_TAKES_STREAMS_S = 2.6
 # Seconds before the end of the grace period from which no plain request begins, and at
-# which all that began have had the time of their route; not measured.
+# which all that began have had the time of their route.
 STOP_LEAST_S = 2.0
 STOP_ENDED_S = 0.8
 
--- a/packages/leadford/src/leadford/forwarding/routes/_parts.py
+++ b/packages/leadford/src/leadford/forwarding/routes/_parts.py
@@ -12,7 +12,7 @@
 from leadford.common import pack, unpack
 from leadford.forwarding.routes._model import ForwardConfig
 
-# Bytes of a part: 26 ms on a link of 10 Mbit/s, worked out; not varied.
+# Bytes of a part: 26 ms on a link of 10 Mbit/s, worked out.
 PART_BYTES = 32 * 1024
 # Versions that are kept ready for peers that have begun to fetch them.
 VERSIONS_KEPT = 3
--- a/packages/leadford/src/leadford/pipelines/admission/_deferral.py
+++ b/packages/leadford/src/leadford/pipelines/admission/_deferral.py
@@ -4,9 +4,9 @@
 is held back takes no slot and no queue; it goes on in time in any case.
 """
 
-# Attempts per slot from which a pool counts as full; not measured.
+# Attempts per slot from which a pool counts as full.
 FULL_LOAD = 0.8
-# Times of what work needs that must be left for it to wait; not measured.
+# Times of what work needs that must be left for it to wait.
 SLACK = 2.5
 
 
--- a/packages/leadford/src/leadford/pipelines/admission/_endpoint.py
+++ b/packages/leadford/src/leadford/pipelines/admission/_endpoint.py
@@ -8,12 +8,12 @@
 from leadford.common import Ewma, RefusalReason, WorkspaceId
 from leadford.pipelines.queues import QueuedAttempt, QueuePolicy
 
-# Weight of the newest attempt in the estimates; not measured.
+# Weight of the newest attempt in the estimates.
 ESTIMATE_WEIGHT = 0.05
-# Milliseconds of an attempt, and of a token, before any is known; not measured.
+# Milliseconds of an attempt, and of a token, before any is known.
 DEFAULT_SERVICE_MS = 20.0
 DEFAULT_TOKEN_MS = 20.0
-# Part of an expected service that must fit before the deadline; not measured.
+# Part of an expected service that must fit before the deadline.
 DEADLINE_SLACK = 0.95
 
 
--- a/packages/leadford/src/leadford/pipelines/admission/_entry.py
+++ b/packages/leadford/src/leadford/pipelines/admission/_entry.py
@@ -15,9 +15,9 @@
 from leadford.pipelines.config import StageConfig
 from leadford.pipelines.routing import EndpointView
 
-# Requests that an entry holds at a time; not measured.
+# Requests that an entry holds at a time.
 LIVE_REQUESTS_MAX = 4096
-# Seconds in which a report of an endpoint fades to what is configured; not measured.
+# Seconds in which a report of an endpoint fades to what is configured.
 REPORT_TRUSTED_S = 2.0
 
 
--- a/packages/leadford/src/leadford/pipelines/admission/_headroom.py
+++ b/packages/leadford/src/leadford/pipelines/admission/_headroom.py
@@ -8,7 +8,7 @@
 
 # Seconds over which the presence of a class is averaged. With headroom 0.99 to 1.00 of
 # the most urgent class were in time at twice the nominal load, 0.92 to 0.96 without,
-# for 6 % of the tokens in time (four stand-in engines). The value was not varied.
+# for 6 % of the tokens in time (four stand-in engines).
 AVERAGE_OVER_S = 2.0
 
 
--- a/packages/leadford/src/leadford/pipelines/claims/_log.py
+++ b/packages/leadford/src/leadford/pipelines/claims/_log.py
@@ -15,10 +15,10 @@
 from leadford.common import RequestId
 
 # Claims after which a slot is closed, a part of the stored form: every writer must hold
-# the same; docs/design/at-most-once.md, not measured.
+# the same; docs/design/at-most-once.md.
 SLOT_CLAIMS_MAX = 400
 # Seconds by which clocks of entries may differ; a slot is overwritten only so much
-# after the retention. Not measured.
+# after the retention.
 CLOCK_SKEW_S = 30.0
 
 
--- a/packages/leadford/src/leadford/pipelines/claims/_pace.py
+++ b/packages/leadford/src/leadford/pipelines/claims/_pace.py
@@ -6,11 +6,11 @@
 
 from leadford.common import TokenBucket
 
-# Seconds after which an answer of the store counts as slow; not measured.
+# Seconds after which an answer of the store counts as slow.
 SLOW_ANSWER_S = 0.25
 # Least part of the budgeted rate, and the factors after a good and after a bad answer.
 # With a floor of 0.1 and a recovery of 1.1 the rate took 24 good answers to come back
-# (a test with processes); the factor after a bad answer was not measured.
+# (a test with processes).
 PACE_FLOOR = 0.25
 RECOVERY = 2.0
 BACKOFF = 0.5
--- a/packages/leadford/src/leadford/pipelines/config/_store_form.py
+++ b/packages/leadford/src/leadford/pipelines/config/_store_form.py
@@ -16,9 +16,9 @@
 from leadford.pipelines.config._check import ConfigFault, check_config
 from leadford.pipelines.config._model import FleetConfig, WorkspaceConfig
 
-# Chunks over which the workspaces are spread, a part of the stored form; not measured.
+# Chunks over which the workspaces are spread, a part of the stored form.
 WORKSPACE_CHUNKS = 64
-# Audit records in a head; the oldest are dropped. Not measured.
+# Audit records in a head; the oldest are dropped.
 AUDIT_RECORDS_KEPT = 200
 BASE_CHUNK = "base"
 
--- a/packages/leadford/src/leadford/pipelines/costs/_account.py
+++ b/packages/leadford/src/leadford/pipelines/costs/_account.py
@@ -9,8 +9,7 @@
 
 import msgspec
 
-# Lines of an account; further workspaces are summed under `OVERFLOW_WORKSPACE`; not
-# measured.
+# Lines of an account; further workspaces are summed under `OVERFLOW_WORKSPACE`.
 LINES_KEPT = 2000
 OVERFLOW_WORKSPACE = "(others)"
 
--- a/packages/leadford/src/leadford/pipelines/ejection/_outliers.py
+++ b/packages/leadford/src/leadford/pipelines/ejection/_outliers.py
@@ -16,23 +16,21 @@
 
 from leadford.common import EndpointId, Ewma
 
-# Failures in a row that eject; not measured.
+# Failures in a row that eject.
 FAILURES_IN_A_ROW = 5
 # Rate of failures that ejects, and the outcomes it needs; neither was measured.
 FAILURE_RATE = 0.5
 OUTCOMES_NEEDED = 10
 # Times of the median of the others that ejects for slowness, the answers it needs, and
 # the least such limit. Slowness as time over what a stage expects ejected no healthy
-# engine in a trace of 15 s, time per token did so 6 times (one run each). The values
-# were not varied.
+# engine in a trace of 15 s, time per token did so 6 times (one run each).
 SLOWNESS_RATIO = 3.0
 SLOWNESS_NEEDED = 4
 SLOWNESS_FLOOR = 2.0
-# Seconds of the first ejection, doubled with each further one up to the most; not
-# measured.
+# Seconds of the first ejection, doubled with each further one up to the most.
 EJECTION_BASE_S = 1.0
 EJECTION_MAX_S = 30.0
-# Probes in a row that restore an endpoint; not measured.
+# Probes in a row that restore an endpoint.
 PROBES_TO_RESTORE = 3
 
 
--- a/packages/leadford/src/leadford/pipelines/language/_parse.py
+++ b/packages/leadford/src/leadford/pipelines/language/_parse.py
@@ -13,7 +13,7 @@
 from leadford.pipelines.language import _statements as s
 from leadford.pipelines.language._grammar import GRAMMAR
 
-# Characters of a statement at most; not measured.
+# Characters of a statement at most.
 STATEMENT_CHARS_MAX = 2000
 # Expected words that a fault names at most.
 EXPECTED_SHOWN = 12
--- a/packages/leadford/src/leadford/pipelines/membership/_halls.py
+++ b/packages/leadford/src/leadford/pipelines/membership/_halls.py
@@ -7,13 +7,12 @@
 
 from leadford.common import EndpointId, HallId
 
-# Part of a hall's endpoints out of reach, and the least number, that make it lost; not
-# measured.
+# Part of a hall's endpoints out of reach, and the least number, that make it lost.
 LOST_FRACTION = 0.7
 LOST_ENDPOINTS_MIN = 3
-# Seconds within which they must be lost; not measured.
+# Seconds within which they must be lost.
 WINDOW_S = 3.0
-# Seconds that a hall is held lost; not measured.
+# Seconds that a hall is held lost.
 SUSPICION_S = 5.0
 
 
--- a/packages/leadford/src/leadford/pipelines/membership/_subset.py
+++ b/packages/leadford/src/leadford/pipelines/membership/_subset.py
@@ -6,9 +6,9 @@
 
 from leadford.common import EndpointId, EntryId, HallId, rendezvous_order
 
-# Entries of a hall that watch the store for it; not measured.
+# Entries of a hall that watch the store for it.
 RELAYS_PER_HALL = 2
-# Part of a subset that lies in other halls; not measured.
+# Part of a subset that lies in other halls.
 OTHER_HALL_PART = 0.25
 
 
--- a/packages/leadford/src/leadford/pipelines/placement/_lease.py
+++ b/packages/leadford/src/leadford/pipelines/placement/_lease.py
@@ -10,7 +10,7 @@
 from leadford.common import EntryId
 from leadford.pipelines.placement._planner import Plan
 
-# Seconds for which a lease holds, and after which its holder renews it; not measured.
+# Seconds for which a lease holds, and after which its holder renews it.
 LEASE_S = 15.0
 RENEW_S = 5.0
 
--- a/packages/leadford/src/leadford/pipelines/placement/_orders.py
+++ b/packages/leadford/src/leadford/pipelines/placement/_orders.py
@@ -11,7 +11,7 @@
 
 from leadford.pipelines.placement._planner import ModelCopy
 
-# Seconds after which an order without an answer can no longer arrive; not measured.
+# Seconds after which an order without an answer can no longer arrive.
 DOUBT_S = 5.0
 
 
--- a/packages/leadford/src/leadford/pipelines/placement/_planner.py
+++ b/packages/leadford/src/leadford/pipelines/placement/_planner.py
@@ -10,7 +10,7 @@
 from leadford.common import EndpointId, HallId, TokenBucket, rendezvous_weight
 from leadford.pipelines.config import ModelConfig
 
-# Part of a pool's engines that may load at once, one at least; not measured.
+# Part of a pool's engines that may load at once, one at least.
 LOADS_AT_ONCE_FRACTION = 0.34
 
 
--- a/packages/leadford/src/leadford/pipelines/queues/_classes.py
+++ b/packages/leadford/src/leadford/pipelines/queues/_classes.py
@@ -8,7 +8,7 @@
 from leadford.common import WorkspaceId
 from leadford.pipelines.queues._base import ItemIndexMixin, QueuedAttempt, TermsLookup
 
-# Turns of which one goes to the lowest class that waits; not measured.
+# Turns of which one goes to the lowest class that waits.
 LOWEST_CLASS_TURN = 20
 
 
--- a/packages/leadford/src/leadford/pipelines/queues/_elastic.py
+++ b/packages/leadford/src/leadford/pipelines/queues/_elastic.py
@@ -9,11 +9,11 @@
 from leadford.pipelines.queues._classes import ClassQueueMixin
 from leadford.pipelines.queues._flows import FlowTable
 
-# Seconds after which half of a workspace's service still counts as used; not measured.
+# Seconds after which half of a workspace's service still counts as used.
 USAGE_HALF_LIFE_S = 2.0
-# Least guaranteed part, so that a workspace without one can be ranked; not measured.
+# Least guaranteed part, so that a workspace without one can be ranked.
 MINIMUM_FLOOR = 0.001
-# Milliseconds of service below which a usage is dropped; not measured.
+# Milliseconds of service below which a usage is dropped.
 USAGE_FORGOTTEN_MS = 0.01
 
 
--- a/packages/leadford/src/leadford/pipelines/queues/_fair.py
+++ b/packages/leadford/src/leadford/pipelines/queues/_fair.py
@@ -12,7 +12,7 @@
 from leadford.pipelines.queues._classes import ClassQueueMixin
 from leadford.pipelines.queues._flows import FlowTable
 
-# Finish tags kept before those in the past are dropped; not measured.
+# Finish tags kept before those in the past are dropped.
 TAGS_KEPT = 1024
 
 
--- a/packages/leadford/src/leadford/pipelines/results/_kept.py
+++ b/packages/leadford/src/leadford/pipelines/results/_kept.py
@@ -9,7 +9,7 @@
 
 from leadford.protocol import Done
 
-# Ended attempts kept at most, and bytes of their tokens; not measured.
+# Ended attempts kept at most, and bytes of their tokens.
 RESULTS_KEPT = 4096
 BYTES_KEPT = 64 * 1024 * 1024
 
--- a/packages/leadford/src/leadford/pipelines/retries/_budget.py
+++ b/packages/leadford/src/leadford/pipelines/retries/_budget.py
@@ -7,7 +7,7 @@
 
 from leadford.common import check_fraction
 
-# Retries that can be saved up; not measured.
+# Retries that can be saved up.
 BURST = 10.0
 
 
--- a/packages/leadford/src/leadford/pipelines/retries/_decision.py
+++ b/packages/leadford/src/leadford/pipelines/retries/_decision.py
@@ -15,7 +15,7 @@
 from leadford.pipelines.retries._backoff import Backoff
 from leadford.pipelines.retries._budget import RetryBudget
 
-# Attempts of a stage in all; not measured.
+# Attempts of a stage in all.
 ATTEMPTS_MAX = 4
 
 
--- a/packages/leadford/src/leadford/pipelines/retries/_hedge.py
+++ b/packages/leadford/src/leadford/pipelines/retries/_hedge.py
@@ -6,10 +6,10 @@
 
 from sortedcontainers import SortedList
 
-# Winning attempts that are kept, and that are needed for a hedge; not measured.
+# Winning attempts that are kept, and that are needed for a hedge.
 SAMPLES_KEPT = 200
 SAMPLES_NEEDED = 20
-# Times of the quantile after which an attempt gets a second one; not measured.
+# Times of the quantile after which an attempt gets a second one.
 SLOWER_TIMES = 1.5
 
 
--- a/packages/leadford/src/leadford/pipelines/retries/_rescue.py
+++ b/packages/leadford/src/leadford/pipelines/retries/_rescue.py
@@ -5,12 +5,12 @@
 elsewhere.
 """
 
-# Tokens after which the speed of a generation counts; not measured.
+# Tokens after which the speed of a generation counts.
 TOKENS_NEEDED = 3
-# Factor by which another endpoint must be better; not measured.
+# Factor by which another endpoint must be better.
 MARGIN = 1.2
 # Milliseconds before the last moment to move, in which a generation that has said
-# little is moved too; not measured.
+# little is moved too.
 LAST_CHANCE_MS = 300.0
 
 
--- a/packages/leadford/src/leadford/pipelines/routing/_base.py
+++ b/packages/leadford/src/leadford/pipelines/routing/_base.py
@@ -13,7 +13,7 @@
 from leadford.common import EndpointId, HallId, Objective, Registry
 from leadford.pipelines.routing._prefixes import PrefixIndex
 
-# Seconds after which half of a load report still counts; not measured.
+# Seconds after which half of a load report still counts.
 REPORT_HALF_LIFE_S = 1.0
 # Priorities of a request are 0, which goes first, to 9.
 PRIORITIES = 10
--- a/packages/leadford/src/leadford/pipelines/routing/_expected_finish.py
+++ b/packages/leadford/src/leadford/pipelines/routing/_expected_finish.py
@@ -28,25 +28,23 @@
 )
 
 # Seconds in which an endpoint that joined is brought to its full share, and the part of
-# the share with which it begins; not measured.
+# the share with which it begins.
 SLOW_START_S = 5.0
 SLOW_START_FLOOR = 0.2
 # Milliseconds that a token of the prompt takes, and the part of them that a held prefix
-# saves; not measured. What the choice by prefix gains is in
-# docs/measurements/prefixes.md.
+# saves. What the choice by prefix gains is in docs/measurements/prefixes.md.
 PREFILL_MS_PER_TOKEN = 0.25
 PREFIX_HIT_FRACTION = 0.9
-# Milliseconds within which scores count as equal and a draw decides; not measured.
+# Milliseconds within which scores count as equal and a draw decides.
 TIE_MS = 1.0
 # With cost: the part of an engine's slots up to which it is filled, and how many times
 # the score must fit into what is left. The cost of a weighted request was 0.826, and
-# 1.199 with the objective of attainment (a trace on six engines, one run each). The two
-# values were not varied.
+# 1.199 with the objective of attainment (a trace on six engines, one run each).
 COST_FILL_MAX = 0.85
 COST_SLACK = 1.5
 # Milliseconds by which a full engine goes before an empty one: more than any score.
 COST_RANK_MS = 1e6
-# Part by which each other stream slows a stream; not measured.
+# Part by which each other stream slows a stream.
 BATCH_SLOPE = 0.05
 # Endpoints that are scored, and as many fullest and holders of the prefix. A choice
 # among 40 takes 39 us, 119 us when all are scored (one run each, on a busy machine).
--- a/packages/leadford/src/leadford/pipelines/routing/_prefixes.py
+++ b/packages/leadford/src/leadford/pipelines/routing/_prefixes.py
@@ -7,9 +7,9 @@
 
 from collections import OrderedDict
 
-# Prefixes kept for each endpoint; not measured.
+# Prefixes kept for each endpoint.
 PREFIXES_KEPT = 256
-# Seconds for which a prefix counts as cached; not measured.
+# Seconds for which a prefix counts as cached.
 HINT_LIFETIME_S = 120.0
 
 
--- a/packages/leadford/src/leadford/quarantine/_decision.py
+++ b/packages/leadford/src/leadford/quarantine/_decision.py
@@ -19,7 +19,7 @@
 # Ends from which a request runs apart from others under suspicion.
 ENDS_SUSPECT = 1.0
 # Seconds after the last end for which a request is not run. Then one attempt shows
-# whether it still ends its endpoint; not measured.
+# whether it still ends its endpoint.
 QUARANTINE_S = 600.0
 
 
--- a/packages/leadford/src/leadford/quarantine/_ledger.py
+++ b/packages/leadford/src/leadford/quarantine/_ledger.py
@@ -24,7 +24,7 @@
 
 # What a case weighs: a whole end where nothing of the answer had come yet, half of one
 # where it was on its way, because what has run for a while is less likely to be what
-# ended the endpoint just then. Not varied.
+# ended the endpoint just then.
 ENDS_UNANSWERED = 1.0
 ENDS_UNDER_WAY = 0.5
 # Ends of endpoints under a work that show that it ends them. As many as the users
@@ -37,14 +37,14 @@
 # 9 and with 0.0 14 (the model of `test_innocents`, 6 and 18 endpoints, six seeds).
 EXPLAINED_PART = 0.5
 # Works that are remembered, some 950 bytes each; one endpoint that ends adds as many as
-# it ran. Not varied.
+# it ran.
 WORKS_KEPT = 4_000
-# Ids of cases that are remembered, so that what is told late counts once; not varied.
+# Ids of cases that are remembered, so that what is told late counts once.
 CASE_IDS_KEPT = 20_000
-# Seconds without another case after which a work is forgotten; not measured.
+# Seconds without another case after which a work is forgotten.
 FORGOTTEN_S = 3_600.0
 # Works that a new peer is told, the ones with the most ends first; 64 bytes a case by
-# encoding. Not varied.
+# encoding.
 TOLD_MOST = 300
 
 
