Let no limit become newer by travelling between entries

Cause: entries tell the age of what they know. The way of a message is not in it, so each entry took the same limit for newer than it was, and told it back, newer again. Evidence: the new test moved a limit of 10.0 s to 11.0, 35.0 and 70.0 s within 20 s of heartbeats that take 0.01, 0.25 and 0.6 s, so that an answer asked for at 25 s no longer ended it. Ruled out: a tolerance of one way (1 s; 0.6 s to and fro is more, the last case still failed). Change: the same limit counts as newer only by more than the way to a peer that counts as alive and back; another value, or its end, counts at once, as before.

--- a/packages/leadford/src/leadford/forwarding/endpoints/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_limits.py
@@ -26,6 +26,9 @@
 # Seconds after which an entry without a part asks an endpoint by itself, if nobody has
 # told of the limit since.
 UNHEARD_KEPT_S = 30.0
+# Seconds that news may take to an entry and back: a little more than twice the silence
+# after which a peer no longer counts as alive.
+THERE_AND_BACK_S = 2.0
 # Seconds for which the end of a limit is told.
 ENDED_TOLD_S = 10.0
 
@@ -81,8 +84,11 @@
     def record_heard(self, heard: KnownLimit) -> None:
         """Record what another entry knows, unless this one knows something newer."""
         known = self.known_by_id_.get(heard.endpoint_id)
-        if known is not None and heard.known_at <= known.known_at:
-            return
+        if known is not None:
+            # Ages leave out the way of a message: what is told again is no news by it.
+            least_s = THERE_AND_BACK_S if heard.per_s == known.per_s else 0.0
+            if heard.known_at <= known.known_at + least_s:
+                return
         if heard.per_s is not None:
             self.known_by_id_[heard.endpoint_id] = heard
         elif known is not None:
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_limits.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_limits.py
@@ -134,3 +134,25 @@
     entry.retain([], 50.0)
     assert not entry.is_limited(ID)
     assert entry.known(10.0) == []
+
+
+@pytest.mark.parametrize("travel_s", [0.01, 0.25, 0.6])
+def test_news_do_not_become_newer_by_travelling_to_and_fro(travel_s):
+    """Entries tell the age of what they know, which leaves out the way of a message.
+
+    Each heartbeat made the same limit newer by that way at its receiver, and again at
+    the sender: with 0.25 s on the way a limit was as new as the answers that ended it.
+    """
+    entries = fleet(2)
+    name_limit(entries[:1], 1.0, 10.0)
+    for beat in range(100):
+        now = 10.0 + beat * 0.2
+        told = [entry.known(now) for entry in entries]
+        for entry, heard in zip(entries, reversed(told), strict=True):
+            for limit in heard:
+                late = KnownLimit(ID, limit.per_s, limit.known_at + travel_s)
+                entry.record_heard(late)
+    assert entries[0].known(30.0) == [KnownLimit(ID, 1.0, 10.0)]
+    # A request that took five seconds ends it.
+    entries[0].record_answer(ID, None, sent_at=25.0, now=30.0)
+    assert not entries[0].is_limited(ID)
