Log from which history of the store a kind is followed, and count changes held for known

Sight for a leaving endpoint that no entry heard of; no logic changes. The client reads the epoch that the store tells in each answer and logs when it rises (event 506); each new listing of a kind is logged with its revision and the one before (507); changes that a watch brings are counted by whether they were taken or held for known (leadford_store_changes_total).

--- a/packages/leadford-server/src/leadford_server/forwarding/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_contract.py
@@ -3,6 +3,7 @@
 An adapter turns names and formats into these messages and back. It decides nothing.
 """
 
+from collections.abc import Mapping
 from enum import Enum
 from typing import Protocol
 
@@ -18,6 +19,7 @@
     PromptShape,
     ReportedLoad,
 )
+from leadford.forwarding.history import StoreEpoch
 from leadford.forwarding.routes import ForwardConfig, ResultHandle
 
 # Statuses from the first up to the second say that a request was served.
@@ -255,6 +257,9 @@
     def read_failure(self, status: int) -> StoreFailure:
         """Return what the status of a failed call says."""
 
+    def read_epoch(self, headers: Mapping[str, str]) -> StoreEpoch | None:
+        """Return the epoch of an answer; None where it tells none."""
+
     def read_list(self, body: bytes) -> Result[ObjectList, str]:
         """Return a page of objects."""
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_relays.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_relays.py
@@ -18,6 +18,7 @@
 
 from leadford.common import EntryId, HallId, pack
 from leadford.events import Event
+from leadford.forwarding.history import StoreEpochs
 from leadford.protocol import PROTOCOL_FLEET, PROTOCOL_PACKED, PackedChanges
 from leadford_platform import PlatformObjects
 from leadford_server.forwarding._contract import (
@@ -89,7 +90,8 @@
 class Client:
     def __init__(self, store, deaf_from):
         self.codec = PlatformObjects()
-        self.log = None
+        self.log = SimpleNamespace(report=lambda event, **fields: None)
+        self.epochs_ = StoreEpochs()
         self.is_silent_ = False
         self.store = store
         self.deaf_from = deaf_from
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
@@ -11,6 +11,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from leadford.events import Event
+from leadford.forwarding.history import AnswerAge, StoreEpochs
 from leadford_server.forwarding._contract import ObjectCodec, StoreFailure
 from leadford_server.logs import EventLog
 from leadford_server.metrics import (
@@ -47,6 +48,7 @@
         self.http = http
         self.codec = codec
         self.log = log
+        self.epochs_ = StoreEpochs()
         self.is_available_ = True
         self.is_silent_ = False
         self.answered_at_: float | None = None
@@ -90,6 +92,7 @@
     ) -> Result[bytes, StoreFailure]:
         """Count an answer, and return what it says."""
         status = answer.status
+        self._record_epoch(answer)
         good = 200 <= status < 300
         end = "ok" if good else str(status)
         STORE_CALLS_TOTAL.labels(kind=kind, end=end).inc()
@@ -111,6 +114,13 @@
         self._record(failure is not StoreFailure.UNAVAILABLE, status)
         return Failure(failure)
 
+    def _record_epoch(self, answer: Transferred) -> None:
+        """Record in which epoch the store answered, and log that another one began."""
+        before = self.epochs_.current_
+        epoch = self.codec.read_epoch(answer.headers)
+        if self.epochs_.record_answer(epoch) is AnswerAge.RESTORED:
+            self.log.report(Event.STORE_RESTORED, before=before, after=epoch)
+
     def _record(self, answered: bool, status: int) -> None:
         """Log when the store stops and starts to answer, and how long it did not."""
         now = asyncio.get_running_loop().time()
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -17,6 +17,7 @@
 import msgspec
 from returns.result import Failure, Result
 
+from leadford.events import Event
 from leadford.forwarding.membership import WATCH_MARGIN_S
 from leadford_server.forwarding._contract import (
     ObjectEvent,
@@ -28,7 +29,7 @@
     readable,
     report_unreadable,
 )
-from leadford_server.metrics import STORE_CONFIRM_GAP_SECONDS
+from leadford_server.metrics import STORE_CHANGES_TOTAL, STORE_CONFIRM_GAP_SECONDS
 
 # Seconds that a watch waits in the store where no peers tell news, at most. With 3 (and
 # 1.5 s of margin) entries were 4.1 s behind a store that compacted its history in one
@@ -237,6 +238,14 @@
             if after is None:
                 break
         self.has_listed_ = True
+        self.client.log.report(
+            Event.STORE_LISTED,
+            kind=self.kind,
+            epoch=self.client.epochs_.current_,
+            before=self.changed_revision_,
+            revision=revision,
+            objects=len(items),
+        )
         self.owner.on_list(Listing(items, revision))
         self.may_be_old_ = may_be_old
         self.revision_ = revision
@@ -263,8 +272,10 @@
             return False
         self._report(seen.faults)
         is_news = seen.revision > self.revision_ or self.revision_ == asked_from
+        # Another entry may have told this one more than the store did meanwhile.
+        end = "taken" if is_news else "known"
+        STORE_CHANGES_TOTAL.labels(kind=self.kind, end=end).inc(len(seen.events))
         if is_news:
-            # Another entry may have told this one more than the store did meanwhile.
             for event in seen.events:
                 self.owner.on_event(event)
         self._confirm(max(self.revision_, seen.revision))
--- a/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
@@ -8,6 +8,7 @@
 from prometheus_client import REGISTRY
 from returns.result import Failure, Success
 
+from leadford.forwarding.history import StoreEpochs
 from leadford_platform import PlatformObjects
 from leadford_server.forwarding._contract import StoreFailure
 from leadford_server.forwarding._state import ForwardBounds
@@ -25,7 +26,8 @@
 
     def __init__(self, answers):
         self.codec = PlatformObjects()
-        self.log = None
+        self.log = SimpleNamespace(report=lambda event, **fields: None)
+        self.epochs_ = StoreEpochs()
         self.is_silent_ = False
         self.answers = list(answers)
         self.waits_ = []
--- a/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_silent_store.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_silent_store.py
@@ -29,6 +29,7 @@
 import pytest
 from returns.result import Failure, Success
 
+from leadford.forwarding.history import StoreEpochs
 from leadford.forwarding.membership import longest_call_s, watch_s
 from leadford_platform import PlatformObjects
 from leadford_server.forwarding._contract import StoreFailure
@@ -62,7 +63,8 @@
 
     def __init__(self, *, silent_at, silent_for_s, waiting, answer_s=ANSWER_S):
         self.codec = PlatformObjects()
-        self.log = None
+        self.log = SimpleNamespace(report=lambda event, **fields: None)
+        self.epochs_ = StoreEpochs()
         self.is_silent_ = False
         self.silent_at = silent_at
         self.silent_until = silent_at + silent_for_s
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -43,6 +43,11 @@
 STORE_CALLS_TOTAL = Counter(
     "leadford_store_calls_total", "Calls to the store.", ["kind", "end"]
 )
+STORE_CHANGES_TOTAL = Counter(
+    "leadford_store_changes_total",
+    "Changes that the store told, taken or held for known.",
+    ["kind", "end"],
+)
 STORE_CONFIRM_GAP_SECONDS = Histogram(
     "leadford_store_confirm_gap_seconds",
     "Time between two answers of the store that say what is newest of a kind.",
--- a/packages/leadford-server/src/leadford_server/web/_transfer.py
+++ b/packages/leadford-server/src/leadford_server/web/_transfer.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
 import msgspec
@@ -46,6 +46,7 @@
     status: int
     body: bytes
     took_s: float
+    headers: Mapping[str, str] = {}
 
 
 class _Transfer:
@@ -100,14 +101,16 @@
     request.prepare_curl_callback = partial(transfer.attach, is_fresh=is_fresh)
     call = asyncio.ensure_future(fetch(http, request))
     status = NO_ANSWER
+    headers: Mapping[str, str] = {}
     try:
         if await _wait(call, transfer, began_at + patience.first_s, patience.stall_s):
             status = call.result().code
+            headers = call.result().headers
     finally:
         # Also when this call is cancelled.
         transfer.is_abandoned_ = True
     took_s = loop.time() - began_at
-    return Transferred(status, b"".join(transfer.chunks_), took_s)
+    return Transferred(status, b"".join(transfer.chunks_), took_s, headers)
 
 
 async def _wait(
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -66,6 +66,8 @@
     CLAIM_ANSWER_LOST = (503, Severity.WARNING, "A claim write is settled by reading.")
     CLAIMS_FULL = (504, Severity.ERROR, "A claim ring holds no free slot.")
     STORE_ANSWER_LOST = (505, Severity.INFO, "A call got no whole answer in time.")
+    STORE_RESTORED = (506, Severity.WARNING, "The store began another history.")
+    STORE_LISTED = (507, Severity.INFO, "A kind is followed from a new listing.")
     CONFIG_IN_FORCE = (600, Severity.INFO, "A configuration version is in force.")
     CONFIG_UNREADABLE = (601, Severity.ERROR, "A newer configuration cannot be read.")
     CONFIG_ACCEPTED = (602, Severity.INFO, "A configuration change was accepted.")
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -30,9 +30,12 @@
 from leadford.forwarding.endpoints._record import EndpointFailure, EndpointRecord
 from leadford.forwarding.endpoints._rests import EndpointRests
 from leadford.forwarding.endpoints._roster import EndpointRoster, RosterChange
+from leadford.forwarding.endpoints._starts import instance_name, start_id
 from leadford.forwarding.endpoints._times import FirstByteTimes
 
 __all__ = [
+    "instance_name",
+    "start_id",
     "Backpressure",
     "ChoicePolicy",
     "ColdEndpoints",
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_starts.py
@@ -0,0 +1,22 @@
+"""Name the starts of an endpoint, which may keep its name over them."""
+
+import re
+
+from leadford.common import EndpointId
+
+_START = re.compile(r"@\d+$")
+
+
+def start_id(name: str, born: int | None) -> EndpointId:
+    """Return the id of one start of an endpoint, which may keep its name.
+
+    Errors: raises ValueError for a name that looks like the id of a start.
+    """
+    if _START.search(name):
+        raise ValueError(f"name {name!r} looks like a start")
+    return EndpointId(name if born is None else f"{name}@{born}")
+
+
+def instance_name(endpoint_id: EndpointId) -> str:
+    """Return the name by which an endpoint knows itself."""
+    return _START.sub("", endpoint_id)
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/history/__init__.py
@@ -0,0 +1,18 @@
+"""Order what the store says over the histories that it has had."""
+
+from leadford.forwarding.history._epochs import AnswerAge, StoreEpochs
+from leadford.forwarding.history._position import (
+    FIRST_EPOCH,
+    START,
+    StoreEpoch,
+    StorePosition,
+)
+
+__all__ = [
+    "AnswerAge",
+    "FIRST_EPOCH",
+    "START",
+    "StoreEpoch",
+    "StoreEpochs",
+    "StorePosition",
+]
