--- a/packages/leadford-server/src/leadford_server/forwarding/membership/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/__init__.py
@@ -5,8 +5,10 @@
 
 from leadford_server.forwarding.membership._links import EntryLinks
 from leadford_server.forwarding.membership._members import EntryMembers
+from leadford_server.forwarding.membership._relays import StoreRelays
 
 __all__ = [
     "EntryLinks",
     "EntryMembers",
+    "StoreRelays",
 ]
--- a/packages/leadford-standins/src/leadford_standins/wire/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/__init__.py
@@ -13,8 +13,9 @@
     StageStandIn,
 )
 from leadford_standins.wire._engines import EngineStandIn
+from leadford_standins.wire._fleet import SimulatedEntry, SimulatedFleet
 from leadford_standins.wire._scenarios import event_ids, play, runs_of, turn_away
-from leadford_standins.wire._store import StoreFault, StoreStandIn
+from leadford_standins.wire._store import StoreCopy, StoreFault, StoreStandIn
 
 __all__ = [
     "HOST",
@@ -25,7 +26,10 @@
     "Misbehaviour",
     "PlainStandIn",
     "Run",
+    "SimulatedEntry",
+    "SimulatedFleet",
     "StageStandIn",
+    "StoreCopy",
     "StoreFault",
     "StoreStandIn",
     "default_config",
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/_fleet.py
@@ -0,0 +1,226 @@
+"""Let entries of a fleet follow the stand-in of the store on a simulated clock.
+
+The entries run the real followers, relays and owners of the listing; calls to the store
+and messages between entries pass without sockets, after a time that is set here.
+"""
+
+import asyncio
+import json
+from random import Random
+from types import SimpleNamespace
+from urllib.parse import parse_qs, urlsplit
+
+from returns.result import Result
+
+from leadford.common import EntryId, HallId
+from leadford.forwarding.endpoints import EndpointRoster
+from leadford.protocol import PROTOCOL_VERSION, Message
+from leadford_platform import PlatformObjects
+from leadford_server.forwarding import ForwardBounds
+from leadford_server.forwarding.membership import StoreRelays
+from leadford_server.forwarding.store import (
+    FollowerFactory,
+    ListingHolder,
+    ObjectsClient,
+)
+from leadford_server.web import NO_ANSWER, Transferred
+from leadford_standins.wire._store import StoreCopy, StoreFault, StoreStandIn
+
+ENDPOINTS_KIND = "servers"
+# Seconds that an answer of the store, and a message, need.
+ANSWER_S = 0.01
+MESSAGE_S = 0.002
+HEARTBEAT_S = 0.2
+BOUNDS = ForwardBounds(drain_s=3.0, config_s=3.0, resync_s=4.0)
+
+
+class SimulatedClient(ObjectsClient):
+    """Call the stand-in of the store without a connection."""
+
+    def __init__(self, store: StoreStandIn, log: object) -> None:
+        super().__init__(url="", http=None, codec=PlatformObjects(), log=log)
+        self.store = store
+        self.calls_ = 0
+
+    async def call(
+        self, path: str, *, wait_s: float = 0.0, margin_s: float = 1.5, **fields: object
+    ) -> Result:
+        """Return what the store answers now, or once the watch is over."""
+        self.calls_ += 1
+        await asyncio.sleep(ANSWER_S)
+        status, page = await self._answer(path, wait_s)
+        headers = {} if status == NO_ANSWER else {"Store-Era": str(self.store.era_)}
+        body = json.dumps(page).encode()
+        return self._sort(path, "read", Transferred(status, body, 0.0, headers))
+
+    async def _answer(self, path: str, wait_s: float) -> tuple[int, dict]:
+        store = self.store
+        kind = urlsplit(path).path.rsplit("/", 1)[-1]
+        fields = parse_qs(urlsplit(path).query)
+        if "watch" not in fields:
+            if store.fault is StoreFault.RESET:
+                return NO_ANSWER, {}
+            items = list(store.objects_by_kind_.get(kind, {}).values())
+            return 200, {"items": items, "more": False, "at": store.revision_}
+        return await self._watch(kind, int(fields["watch"][0]), wait_s)
+
+    async def _watch(self, kind: str, revision: int, wait_s: float) -> tuple[int, dict]:
+        store = self.store
+        now = asyncio.get_running_loop().time
+        until = now() + wait_s
+        while True:
+            if store.fault is StoreFault.RESET:
+                return NO_ANSWER, {}
+            events = store.events_after(kind, revision)
+            if events is None:
+                return 410, {}
+            if events or now() >= until:
+                return 200, {"events": events, "at": store.revision_}
+            await asyncio.sleep(ANSWER_S)
+
+
+class SimulatedEntry:
+    """Follow the store, or hear of it from the entries that do."""
+
+    def __init__(
+        self, number: int, fleet: "SimulatedFleet", *, version: int = PROTOCOL_VERSION
+    ) -> None:
+        self.entry_id = EntryId(f"e{number}")
+        self.version = version
+        self.peers_by_id: dict[EntryId, SimulatedLink] = {}
+        self.is_cut_off_ = False
+        self.log_ = SimpleNamespace(report=lambda event, **fields: None)
+        state = SimpleNamespace(
+            entry_id=self.entry_id,
+            now=asyncio.get_running_loop().time,
+            hall=HallId("h"),
+            config_version=lambda: 0,
+            roster_=EndpointRoster(trusted_s=1.1),
+            log=self.log_,
+        )
+        self.roster_ = state.roster_
+        self.client_ = SimulatedClient(fleet.store, self.log_)
+        self.relays = StoreRelays(
+            state=state,
+            config_kind="config",
+            peers_by_id=self.peers_by_id,
+            followers=lambda: fleet.follower_ids,
+            entry_count=lambda: fleet.entry_count,
+        )
+        factory = FollowerFactory(
+            client=self.client_,
+            random=Random(fleet.random.random()),
+            bounds=lambda: BOUNDS,
+            live_peers=lambda: fleet.entry_count - 1,
+            relays=self.relays,
+        )
+        self.listing_ = ListingHolder(
+            objects=PlatformObjects(), state=state, on_change=lambda: None
+        )
+        self.follower = factory.relayed(
+            ENDPOINTS_KIND,
+            self.listing_,
+            bound_s=lambda: BOUNDS.drain_s,
+            watch_s=lambda: 1.8,
+        )
+
+    async def beat(self, random: Random) -> None:
+        """Tell all peers what the store confirmed, in heartbeats."""
+        while True:
+            told = self.relays.confirmations()
+            if told is not None:
+                for peer in self.peers_by_id.values():
+                    peer.send(told)
+            await asyncio.sleep(HEARTBEAT_S * random.uniform(0.9, 1.1))
+
+
+class SimulatedLink:
+    """Carry messages from one entry to another."""
+
+    def __init__(self, sender: SimulatedEntry, receiver: SimulatedEntry) -> None:
+        self.info = SimpleNamespace(
+            peer_id=receiver.entry_id, protocol_version=receiver.version
+        )
+        self.sender = sender
+        self.receiver = receiver
+
+    def send(self, message: Message) -> bool:
+        """Deliver a message a little later, unless either end is cut off."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(MESSAGE_S, self._arrive, message)
+        return True
+
+    def _arrive(self, message: Message) -> None:
+        if self.sender.is_cut_off_ or self.receiver.is_cut_off_:
+            return
+        info = SimpleNamespace(
+            peer_id=self.sender.entry_id, protocol_version=self.sender.version
+        )
+        handler = self.receiver.relays.handlers()[type(message)]
+        handler(SimpleNamespace(info=info), message)
+
+
+class SimulatedFleet:
+    """Hold a store and entries; the first ones follow the store for the others."""
+
+    def __init__(
+        self,
+        *,
+        followers: int = 3,
+        resting: int = 3,
+        seed: int = 1,
+        versions: dict[int, int] | None = None,
+    ) -> None:
+        self.store = StoreStandIn()
+        self.random = Random(seed)
+        self.entry_count = followers + resting
+        self.follower_ids = {EntryId(f"e{n}") for n in range(followers)}
+        known = versions or {}
+        self.entries = [
+            SimulatedEntry(n, self, version=known.get(n, PROTOCOL_VERSION))
+            for n in range(self.entry_count)
+        ]
+        for sender in self.entries:
+            for receiver in self.entries:
+                if sender is not receiver:
+                    link = SimulatedLink(sender, receiver)
+                    sender.peers_by_id[receiver.entry_id] = link
+        self.running_: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Let all entries follow the store and tell each other."""
+        for entry in self.entries:
+            random = Random(self.random.random())
+            self.running_.append(asyncio.ensure_future(entry.follower.run()))
+            self.running_.append(asyncio.ensure_future(entry.beat(random)))
+
+    def stop(self) -> None:
+        """End what runs."""
+        for task in self.running_:
+            task.cancel()
+
+    def put(self, name: str, state: str = "ready", **fields: object) -> None:
+        """Write the record of an endpoint."""
+        spec = {
+            "service": "s",
+            "address": "10.0.0.1:80",
+            "zone": "h",
+            "version": "1",
+            "slots": 4,
+            "state": state,
+            "coldLeftMs": 0,
+            "sequence": 1,
+            **fields,
+        }
+        self.store.put(ENDPOINTS_KIND, name, spec)
+
+    def change_other_kind(self) -> None:
+        """Raise the revision of the store without a change of endpoints."""
+        self.store.put("config", "main", {"version": self.store.revision_})
+
+    async def be_away(self, seconds: float, held: StoreCopy) -> None:
+        """Let the store be away, and come back from a copy."""
+        self.store.fault = StoreFault.RESET
+        await asyncio.sleep(seconds)
+        self.store.restore(held)
+        self.store.fault = StoreFault.NONE
--- a/packages/leadford-standins/src/leadford_standins/wire/_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import copy
 import json
 from collections import deque
+from dataclasses import dataclass
 from enum import Enum
 
 from tornado import httpserver, iostream, web
@@ -37,10 +39,22 @@
 _ENDS_WATCHES = (StoreFault.BUSY, StoreFault.RESET, StoreFault.SILENT)
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Hold what the store held at a moment."""
+
+    objects_by_kind: dict[str, dict[str, dict]]
+    revision: int
+
+
 class StoreStandIn:
-    """Hold objects by kind and name; every change raises one revision."""
+    """Hold objects by kind and name; every change raises one revision.
+
+    `era_` is told in every answer, and rises with each restoration from a copy.
+    """
 
     def __init__(self) -> None:
+        self.era_ = 1
         self.objects_by_kind_: dict[str, dict[str, dict]] = {}
         self.history_: deque[tuple[int, str, bool, dict]] = deque(maxlen=HISTORY_EVENTS)
         self.forgotten_revision_ = 0
@@ -97,6 +111,19 @@
         self.forgotten_revision_ = self.revision_
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return what the store may be restored from."""
+        return StoreCopy(copy.deepcopy(self.objects_by_kind_), self.revision_)
+
+    def restore(self, held: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone."""
+        self.objects_by_kind_ = copy.deepcopy(held.objects_by_kind)
+        self.revision_ = held.revision
+        self.era_ += 1
+        kept = [event for event in self.history_ if event[0] <= held.revision]
+        self.history_ = deque(kept, maxlen=HISTORY_EVENTS)
+        self._wake()
+
     def _note(self, kind: str, item: dict, *, gone: bool) -> None:
         self.history_.append((self.revision_, kind, gone, item))
         self._wake()
@@ -106,8 +133,8 @@
         self.changed_ = asyncio.Event()
 
     def events_after(self, kind: str, revision: int) -> list[dict] | None:
-        """Return the changes of a kind, or None when they are forgotten."""
-        if revision < self.forgotten_revision_:
+        """Return the changes of a kind, or None when they are not to be had."""
+        if not self.forgotten_revision_ <= revision <= self.revision_:
             return None
         return [
             {"gone": gone, "object": item}
@@ -122,6 +149,11 @@
     def initialize(self, store: StoreStandIn) -> None:
         self.store = store
 
+    def flush(self, include_footers: bool = False) -> asyncio.Future[None]:
+        # The store says in which era it answers, not in which it was asked.
+        self.set_header("Store-Era", str(self.store.era_))
+        return super().flush(include_footers)
+
     async def prepare(self) -> None:
         self.store.calls_ += 1
         fault = self.store.fault
