--- a/packages/leadford-server/src/leadford_server/forwarding/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_contract.py
@@ -19,7 +19,7 @@
     PromptShape,
     ReportedLoad,
 )
-from leadford.forwarding.history import StoreEpoch
+from leadford.forwarding.history import FIRST_EPOCH, StoreEpoch, StorePosition
 from leadford.forwarding.routes import ForwardConfig, ResultHandle
 
 # Statuses from the first up to the second say that a request was served.
@@ -165,11 +165,17 @@
 
 
 class ObjectEvent(msgspec.Struct, frozen=True):
-    """Hold one change of an object, seen at a revision of the store."""
+    """Hold one change of an object, seen at a revision of the store in an epoch."""
 
     item: dict
     is_gone: bool
     seen_revision: int
+    epoch: StoreEpoch = FIRST_EPOCH
+
+    @property
+    def seen_at(self) -> StorePosition:
+        """Return the position of the answer that told it."""
+        return StorePosition(self.epoch, self.seen_revision)
 
 
 class ObjectEvents(msgspec.Struct, frozen=True):
@@ -181,6 +187,25 @@
     events: list[ObjectEvent]
     revision: int
     faults: tuple[str, ...] = ()
+    epoch: StoreEpoch = FIRST_EPOCH
+
+    @property
+    def position(self) -> StorePosition:
+        """Return from where to go on."""
+        return StorePosition(self.epoch, self.revision)
+
+    def in_epoch(self, epoch: StoreEpoch) -> "ObjectEvents":
+        """Return the same, seen in an epoch of the store."""
+        replace = msgspec.structs.replace
+        events = [replace(event, epoch=epoch) for event in self.events]
+        return replace(self, events=events, epoch=epoch)
+
+
+class StoreAnswer(msgspec.Struct, frozen=True):
+    """Hold the body of a good answer of the store, and its epoch."""
+
+    body: bytes
+    epoch: StoreEpoch
 
 
 class RequestCodec(Protocol):
@@ -223,14 +248,16 @@
 
     CONFLICT: the object is there already. HISTORY_GONE: changes since the revision
     asked for are not kept any more. NO_ANSWER: none came in time, and what was asked
-    may have been done. NOT_FOUND: there is no such object. UNAVAILABLE: the store
-    turned the call away.
+    may have been done. NOT_FOUND: there is no such object. PAST_EPOCH: the answer
+    belongs to a history of the store that is over. UNAVAILABLE: the store turned the
+    call away.
     """
 
     CONFLICT = "conflict"
     HISTORY_GONE = "history-gone"
     NO_ANSWER = "no-answer"
     NOT_FOUND = "not-found"
+    PAST_EPOCH = "past-epoch"
     UNAVAILABLE = "unavailable"
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -126,7 +126,11 @@
         state = self.state_
         http = CurlAsyncHTTPClient(force_instance=True, max_clients=STORE_CLIENTS)
         self.client_ = ObjectsClient(
-            url=settings.store_url, http=http, codec=self.objects, log=self.log_
+            url=settings.store_url,
+            http=http,
+            codec=self.objects,
+            log=self.log_,
+            epochs=state.epochs_,
         )
         self.config_ = ConfigHolder(
             objects=self.objects, state=state, on_change=self._on_config
@@ -203,6 +207,7 @@
                 ),
                 watch_s=lambda: factory.shared_watch_s(WATCH_S),
                 on_relayed=self.config_.on_relayed,
+                is_told_by_version=True,
             ),
             factory.relayed(
                 objects.endpoints_kind,
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -28,6 +28,7 @@
     FirstByteTimes,
     PromptShape,
 )
+from leadford.forwarding.history import StoreEpochs
 from leadford.forwarding.membership import HeardVersions
 from leadford.forwarding.retries import RetryBudgets, WindowedRetryBudget
 from leadford.forwarding.routes import ProcessAge, RouteTable, Service, ServiceId
@@ -119,6 +120,7 @@
         self.log = log
         self.table_: RouteTable | None = None
         self.entry_id = entry_id
+        self.epochs_ = StoreEpochs()
         halls = EvacuatedHalls(is_known=bounds.evacuate_s is None)
         self.roster_ = EndpointRoster.from_drain(bounds.drain_s, halls)
         self.cold_ = ColdEndpoints(entry_id=entry_id)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -7,7 +7,7 @@
 `leadford.forwarding.membership`; each part is recorded by its owner.
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection
 
 from leadford.common import EndpointId, EntryId
 from leadford.forwarding.admission import RetryReservation
@@ -53,16 +53,24 @@
         self,
         *,
         message: EntryHeartbeat,
-        fleet: Sequence[FleetBacklog | StoreConfirmations],
+        backlog: FleetBacklog | None,
+        confirmations: StoreConfirmations | None,
+        confirmed_version: int,
         limits: LimitNews | None,
         number: int,
         scheduler_ids: Collection[EntryId],
     ) -> None:
         self.message = message
-        self.fleet = fleet
-        self.limits = limits
         self.scheduler_ids = scheduler_ids
-        tells_all = bool(fleet or message.refused or message.is_draining)
+        # Each part with the version from which on it is told.
+        self.parts_ = (
+            (confirmations, confirmed_version),
+            (backlog, PROTOCOL_FLEET),
+            (limits, PROTOCOL_LIMITS),
+        )
+        tells_all = bool(
+            backlog or confirmations or message.refused or message.is_draining
+        )
         self.news_ = HeartbeatNews(number, tells_all)
 
     def send(self, peer: PeerConnection) -> None:
@@ -75,12 +83,9 @@
         ):
             return
         peer.send(self.message)
-        if version < PROTOCOL_FLEET:
-            return
-        for part in self.fleet:
-            peer.send(part)
-        if self.limits is not None and version >= PROTOCOL_LIMITS:
-            peer.send(self.limits)
+        for part, least_version in self.parts_:
+            if part is not None and version >= least_version:
+                peer.send(part)
 
 
 class Heartbeats:
@@ -101,16 +106,21 @@
         is_draining: bool,
         lowest_version: int,
         confirmations: StoreConfirmations | None,
+        confirmed_version: int,
     ) -> Heartbeat:
-        """Return what is said now; refusals are said once."""
-        told = [confirmations, self.make_backlog(groups)]
+        """Return what is said now; refusals are said once.
+
+        Builds from `confirmed_version` on are told what the store confirmed.
+        """
         message = self.make(
             groups, is_draining=is_draining, lowest_version=lowest_version
         )
         self.made_ += 1
         return Heartbeat(
             message=message,
-            fleet=[part for part in told if part is not None],
+            backlog=self.make_backlog(groups),
+            confirmations=confirmations,
+            confirmed_version=confirmed_version,
             limits=self.make_limits(),
             number=self.made_,
             scheduler_ids={self.stages.groups.scheduler_of(group) for group in groups},
@@ -120,14 +130,16 @@
         self, groups: set[GroupId], *, is_draining: bool, lowest_version: int
     ) -> EntryHeartbeat:
         """Return the message that every peer can read."""
+        listed_at = self.state.roster_.changed_position_
         return EntryHeartbeat(
-            self.state.roster_.changed_revision_,
+            listed_at.revision,
             self._group_reports(groups),
             is_draining,
             self._backlog_reports(),
             self._refusal_reports(),
             self._capacity_reports(),
             lowest_version,
+            listed_at.epoch,
         )
 
     def record(self, entry_id: EntryId, message: EntryHeartbeat) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -12,6 +12,7 @@
 from leadford.common import EntryId, HallId
 from leadford.events import Event
 from leadford.forwarding.endpoints import ListedEndpoint
+from leadford.forwarding.history import StorePosition
 from leadford.forwarding.membership import (
     BuildVersions,
     HeardPeers,
@@ -19,6 +20,7 @@
 )
 from leadford.forwarding.routes import ForwardConfig
 from leadford.protocol import (
+    PROTOCOL_EPOCHS,
     PROTOCOL_EVACUATIONS,
     PROTOCOL_VERSION,
     EntryHeartbeat,
@@ -64,7 +66,7 @@
         stages: StageRunner,
         random: Random,
         on_config: Callable[[ForwardConfig, str], None],
-        on_listing: Callable[[list[ListedEndpoint], int], None],
+        on_listing: Callable[[list[ListedEndpoint], StorePosition], None],
         on_entries: Callable[[list[KnownEntry]], None],
         halls: HallsHolder,
         config_kind: str,
@@ -200,6 +202,7 @@
             is_draining=self.is_draining_,
             lowest_version=self.builds_.lowest_linked(linked),
             confirmations=self.relays.confirmations(),
+            confirmed_version=self.relays.least_version,
         )
         for entry_id, peer in list(self.peers_by_id_.items()):
             if self.heard_.is_silent(entry_id, now):
@@ -288,7 +291,10 @@
             peer.send(report)
 
     def _on_evacuations(self, peer: PeerConnection, message: EvacuationReport) -> None:
-        self.halls.learn(message, peer.info.peer_id)
+        version = peer.info.protocol_version
+        self.halls.learn(
+            message, peer.info.peer_id, tells_epochs=version >= PROTOCOL_EPOCHS
+        )
 
     def _on_backlog(self, peer: PeerConnection, message: FleetBacklog) -> None:
         self.heartbeats.record_backlog(message)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_members.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_members.py
@@ -66,7 +66,7 @@
             self._read(event.item)
         self.on_change(self.entries_by_id_)
 
-    def on_confirmed(self, revision: int) -> None:
+    def on_confirmed(self) -> None:
         """Do nothing: how old the list of entries is decides nothing."""
 
     def learn(self, entries: list[KnownEntry]) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_news.py
@@ -14,6 +14,7 @@
 from leadford.common import EntryId, HallId, decode_as, pack, unpack
 from leadford.events import Event
 from leadford.forwarding.endpoints import ListedEndpoint, is_dialable
+from leadford.forwarding.history import START, StoreEpoch, StorePosition
 from leadford.forwarding.membership import NewsFetch
 from leadford.forwarding.routes import (
     ConfigDownload,
@@ -23,6 +24,7 @@
 )
 from leadford.protocol import (
     PROTOCOL_CONFIG_PARTS,
+    PROTOCOL_EPOCHS,
     PROTOCOL_PACKED,
     ConfigPartAnswer,
     ConfigPartRequest,
@@ -65,7 +67,7 @@
         state: ForwardState,
         entries_by_id: Mapping[EntryId, KnownEntry],
         on_config: Callable[[ForwardConfig, str], None],
-        on_listing: Callable[[list[ListedEndpoint], int], None],
+        on_listing: Callable[[list[ListedEndpoint], StorePosition], None],
         on_entries: Callable[[list[KnownEntry]], None],
     ) -> None:
         self.own = own
@@ -74,8 +76,8 @@
         self.on_config = on_config
         self.on_listing = on_listing
         self.on_entries = on_entries
-        self.config_fetch_ = NewsFetch()
-        self.listing_fetch_ = NewsFetch()
+        self.config_fetch_ = NewsFetch(0)
+        self.listing_fetch_ = NewsFetch(START)
         self.download_ = ConfigDownload()
         self.parts_ = ConfigParts()
 
@@ -105,11 +107,20 @@
         self.state.heard_versions_.record(heard, version, now)
         if self.config_fetch_.must_ask(version, heard, now):
             self._ask_config(peer, version, now)
-        revision = self.state.roster_.changed_revision_
-        if self.listing_fetch_.must_ask(revision, message.listing_revision, now):
-            self._log_request(peer, NewsKind.LISTING, revision)
+        known = self.state.roster_.changed_position_
+        heard = self._position(peer, message.listing_epoch, message.listing_revision)
+        if self.listing_fetch_.must_ask(known, heard, now):
+            self._log_request(peer, NewsKind.LISTING, known.revision)
             self.listing_fetch_.record_asked(EntryId(peer.info.peer_id), now)
-            peer.send(ListingRequest(revision))
+            peer.send(ListingRequest(known.revision, known.epoch))
+
+    def _position(
+        self, peer: PeerConnection, epoch: int, revision: int
+    ) -> StorePosition:
+        """Return where in the history of the store a peer's news belong."""
+        if peer.info.protocol_version < PROTOCOL_EPOCHS:
+            epoch = self.state.epochs_.of_untold()
+        return StorePosition(StoreEpoch(epoch), revision)
 
     def forget(self, entry_id: EntryId) -> None:
         """Record that the link to a peer ended."""
@@ -213,10 +224,12 @@
 
     def _send_listing(self, peer: PeerConnection, message: ListingRequest) -> None:
         roster = self.state.roster_
-        if roster.changed_revision_ > message.known_revision:
+        listed_at = roster.changed_position_
+        known = self._position(peer, message.known_epoch, message.known_revision)
+        if listed_at > known:
             answer = _listing_answer(
                 roster.listed(),
-                roster.changed_revision_,
+                listed_at,
                 is_packed=peer.info.protocol_version >= PROTOCOL_PACKED,
             )
             self._log_transfer(
@@ -241,7 +254,11 @@
             self._log_unreadable(read.failure())
             self.listing_fetch_.record_unusable(self.state.now())
             return
-        self.on_listing(read.unwrap(), message.revision)
+        position = self._position(peer, message.epoch, message.revision)
+        endpoints = read.unwrap()
+        if peer.info.protocol_version < PROTOCOL_EPOCHS:
+            endpoints = [endpoint.in_epoch(position.epoch) for endpoint in endpoints]
+        self.on_listing(endpoints, position)
 
     def _read_listing(
         self, message: ListingAnswer | PackedListing
@@ -299,9 +316,10 @@
 
 
 def _listing_answer(
-    listed: list[ListedEndpoint], revision: int, *, is_packed: bool
+    listed: list[ListedEndpoint], position: StorePosition, *, is_packed: bool
 ) -> ListingAnswer | PackedListing:
     """Return listed endpoints as they travel."""
+    revision, epoch = position.revision, position.epoch
     if is_packed:
-        return PackedListing(revision, pack(listed))
-    return ListingAnswer(revision, msgspec.msgpack.encode(listed))
+        return PackedListing(revision, pack(listed), epoch)
+    return ListingAnswer(revision, msgspec.msgpack.encode(listed), epoch)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_relays.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_relays.py
@@ -15,8 +15,10 @@
 
 from leadford.common import EntryId, pack, unpack
 from leadford.events import Event
+from leadford.forwarding.history import START, StoreEpoch, StorePosition
 from leadford.forwarding.membership import PeerClock
 from leadford.protocol import (
+    PROTOCOL_EPOCHS,
     PROTOCOL_FLEET,
     PROTOCOL_PACKED,
     PackedChanges,
@@ -86,7 +88,16 @@
         """Tell whether some entries hear of the store only from others."""
         return len(self.followers()) < self.entry_count()
 
-    def tell(self, kind: str, after_revision: int, seen: ObjectEvents) -> None:
+    @property
+    def least_version(self) -> int:
+        """Return from which build on others can tell what belongs to which epoch.
+
+        An entry of an older build that rested on what it is told could not see that
+        revisions were given out again, nor say from which epoch its own come.
+        """
+        return PROTOCOL_EPOCHS if self.state.epochs_.is_told_ else PROTOCOL_FLEET
+
+    def tell(self, kind: str, after: StorePosition, seen: ObjectEvents) -> None:
         """Pass changes on that the store told this entry.
 
         Packed, because each of them goes to every entry: a thousand endpoints that
@@ -99,15 +110,14 @@
             for event in seen.events
         ]
         sent_ms = self.state.now() * 1_000.0
-        head = (kind, after_revision, seen.revision, sent_ms)
-        plain = StoreChanges(*head, changes)
-        packed = PackedChanges(*head, pack(changes))
+        head = (kind, after.revision, seen.revision, sent_ms)
+        plain = StoreChanges(*head, changes, seen.epoch)
+        packed = PackedChanges(*head, pack(changes), seen.epoch)
         for peer in list(self.peers_by_id.values()):
             version = peer.info.protocol_version
-            if version >= PROTOCOL_PACKED:
-                peer.send(packed)
-            elif version >= PROTOCOL_FLEET:
-                peer.send(plain)
+            if version < self.least_version:
+                continue
+            peer.send(packed if version >= PROTOCOL_PACKED else plain)
 
     def confirmations(self) -> StoreConfirmations | None:
         """Return what the store confirmed here, if this entry follows it for others."""
@@ -115,7 +125,8 @@
             return None
         kinds = []
         for kind, follower in self.follower_by_kind_.items():
-            if follower.revision_ is None or follower.confirmed_at_ is None:
+            position = follower.position_
+            if position is None or follower.confirmed_at_ is None:
                 continue
             version = 0
             if kind == self.config_kind:
@@ -124,14 +135,20 @@
             kinds.append(
                 StoreConfirmation(
                     kind,
-                    follower.revision_,
-                    follower.changed_revision_,
+                    position.revision,
+                    self._changed_revision(follower, position),
                     version,
                     confirmed_ms,
+                    position.epoch,
                 )
             )
         return StoreConfirmations(self.state.now() * 1_000.0, kinds)
 
+    def _changed_revision(self, follower: KindFollower, position: StorePosition) -> int:
+        """Return the last change of a kind within the epoch of a position."""
+        changed = follower.changed_position_
+        return changed.revision if changed.epoch == position.epoch else 0
+
     def forget(self, entry_id: EntryId) -> None:
         """Forget a peer whose link ended: its next process has another clock."""
         self.clocks_by_peer_.pop(entry_id, None)
@@ -147,33 +164,55 @@
         self, peer: PeerConnection, message: StoreConfirmations
     ) -> None:
         clock = self._clock(peer, message.sent_ms)
+        if not self._can_place(peer):
+            return
         for told in message.kinds:
             follower = self.follower_by_kind_.get(told.kind)
             if follower is None:
                 continue
+            self._learn_epoch(peer, told.epoch)
             if not self._knows(follower, told):
                 if told.kind != self.config_kind:
                     # Changes travel before their confirmation, so one was missed.
                     follower.hurry()
                 continue
             moment = clock.own_moment(told.confirmed_ms / 1_000.0)
-            follower.learn_confirmed(told.revision, moment)
+            position = StorePosition(StoreEpoch(told.epoch), told.revision)
+            follower.learn_confirmed(position, moment)
+
+    def _can_place(self, peer: PeerConnection) -> bool:
+        """Tell whether a peer's news can be placed in the history of the store."""
+        return peer.info.protocol_version >= self.least_version
+
+    def _learn_epoch(self, peer: PeerConnection, epoch: int) -> None:
+        """Record the epoch that a peer knows, and log that another one began."""
+        before = self.state.epochs_.current_
+        if self.state.epochs_.record_told(StoreEpoch(epoch)):
+            self.state.log.report(
+                Event.STORE_RESTORED,
+                before=before,
+                after=epoch,
+                source=peer.info.peer_id,
+            )
 
     def _knows(self, follower: KindFollower, told: StoreConfirmation) -> bool:
         """Tell whether this entry knows as much as a peer was confirmed to know."""
         if told.kind == self.config_kind:
             return self.state.config_version() >= told.version
-        known = follower.revision_
-        return known is not None and known >= told.changed_revision
+        known = follower.position_
+        changed_at = StorePosition(StoreEpoch(told.epoch), told.changed_revision)
+        return known is not None and known >= changed_at
 
     def _on_changes(
         self, peer: PeerConnection, message: StoreChanges | PackedChanges
     ) -> None:
         clock = self._clock(peer, message.sent_ms)
         follower = self.follower_by_kind_.get(message.kind)
-        if follower is None:
+        if follower is None or not self._can_place(peer):
             return
-        if message.revision <= (follower.revision_ or 0):
+        epoch = StoreEpoch(message.epoch)
+        self._learn_epoch(peer, epoch)
+        if StorePosition(epoch, message.revision) <= (follower.position_ or START):
             # Another follower was faster.
             RELAYED_NEWS_TOTAL.labels(kind=message.kind, end="known").inc()
             return
@@ -185,9 +224,8 @@
             return
         events = read.unwrap()
         moment = clock.own_moment(message.sent_ms / 1_000.0)
-        fits = follower.learn(
-            message.after_revision, ObjectEvents(events, message.revision), moment
-        )
+        seen = ObjectEvents(events, message.revision).in_epoch(epoch)
+        fits = follower.learn(message.after_revision, seen, moment)
         end = "taken" if fits else "gap"
         RELAYED_NEWS_TOTAL.labels(kind=message.kind, end=end).inc()
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_news.py
@@ -13,6 +13,7 @@
     ListedEndpoint,
     ListedState,
 )
+from leadford.forwarding.history import FIRST_EPOCH, StorePosition
 from leadford.forwarding.routes import ForwardConfig, ServiceId, TrafficLimits
 from leadford.protocol import (
     PROTOCOL_FLEET,
@@ -157,7 +158,7 @@
     peer.send = sent.append
     teller.handlers()[ListingRequest](peer, ListingRequest(0))
     hearer.handlers()[type(sent[0])](peer, sent[0])
-    assert learned == [([endpoint], 9)]
+    assert learned == [([endpoint], StorePosition(FIRST_EPOCH, 9))]
 
 
 def test_a_listing_that_cannot_be_read_changes_nothing():
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_relays.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_relays.py
@@ -18,12 +18,13 @@
 
 from leadford.common import EntryId, HallId, pack
 from leadford.events import Event
-from leadford.forwarding.history import StoreEpochs
+from leadford.forwarding.history import FIRST_EPOCH, StoreEpochs, StorePosition
 from leadford.protocol import PROTOCOL_FLEET, PROTOCOL_PACKED, PackedChanges
 from leadford_platform import PlatformObjects
 from leadford_server.forwarding._contract import (
     ObjectEvent,
     ObjectEvents,
+    StoreAnswer,
     StoreFailure,
 )
 from leadford_server.forwarding._state import ForwardBounds
@@ -84,14 +85,14 @@
         page = {"items": [item], "events": [], "more": False, "at": revision}
         if 0 < known < revision:
             page["events"] = [event]
-        return Success(json.dumps(page).encode())
+        return Success(StoreAnswer(json.dumps(page).encode(), FIRST_EPOCH))
 
 
 class Client:
     def __init__(self, store, deaf_from):
         self.codec = PlatformObjects()
         self.log = SimpleNamespace(report=lambda event, **fields: None)
-        self.epochs_ = StoreEpochs()
+        self.epochs = StoreEpochs()
         self.is_silent_ = False
         self.store = store
         self.deaf_from = deaf_from
@@ -113,6 +114,7 @@
             now=loop.time,
             hall=HallId("h"),
             config_version=lambda: 0,
+            epochs_=StoreEpochs(),
         )
         self.relays = StoreRelays(
             state=state,
@@ -134,13 +136,13 @@
         )
 
     def on_list(self, listing):
-        self._know(listing.revision)
+        self._know(listing.position.revision)
 
     def on_event(self, event):
         self._know(event.item["metadata"]["revision"])
 
-    def on_confirmed(self, revision):
-        self._know(revision)
+    def on_confirmed(self):
+        self._know(self.follower.position_.revision)
 
     def _know(self, revision):
         now = asyncio.get_running_loop().time()
@@ -174,7 +176,12 @@
 
     def _arrive(self, message):
         handler = self.receiver.relays.handlers()[type(message)]
-        sender = SimpleNamespace(info=SimpleNamespace(peer_id=self.sender.entry_id))
+        sender = SimpleNamespace(
+            info=SimpleNamespace(
+                peer_id=self.sender.entry_id,
+                protocol_version=self.info.protocol_version,
+            )
+        )
         handler(sender, message)
 
 
@@ -294,8 +301,12 @@
         assert await hearer.follower._list()
         teller.peers_by_id[EntryId("e9")] = peer
         events = [ObjectEvent(item, False, 1_000) for item in items]
-        teller.relays.tell(KIND, 5, ObjectEvents(events, 1_000))
-        sender = SimpleNamespace(info=SimpleNamespace(peer_id="e0"))
+        teller.relays.tell(
+            KIND, StorePosition(FIRST_EPOCH, 5), ObjectEvents(events, 1_000)
+        )
+        sender = SimpleNamespace(
+            info=SimpleNamespace(peer_id="e0", protocol_version=PROTOCOL_PACKED)
+        )
         hearer.relays.handlers()[PackedChanges](sender, sent[0])
 
     run_simulated(run())
@@ -317,7 +328,9 @@
         entry = Entry(FOLLOWERS, Store(1_000.0))
         assert await entry.follower._list()
         handle = entry.relays.handlers()[PackedChanges]
-        sender = SimpleNamespace(info=SimpleNamespace(peer_id="e0"))
+        sender = SimpleNamespace(
+            info=SimpleNamespace(peer_id="e0", protocol_version=PROTOCOL_PACKED)
+        )
         for after, revision in [(5, 7), (5, 7), (9, 12)]:
             handle(sender, PackedChanges(KIND, after, revision, 0.0, pack([])))
 
@@ -335,10 +348,12 @@
             report=lambda event, **fields: reported.append(event)
         )
         assert await entry.follower._list()
-        sender = SimpleNamespace(info=SimpleNamespace(peer_id="e0"))
+        sender = SimpleNamespace(
+            info=SimpleNamespace(peer_id="e0", protocol_version=PROTOCOL_PACKED)
+        )
         spoiled = PackedChanges(KIND, 5, 9, 0.0, b"spoiled")
         entry.relays.handlers()[PackedChanges](sender, spoiled)
-        assert entry.follower.revision_ == 5
+        assert entry.follower.position_.revision == 5
 
     run_simulated(run())
     assert reported == [Event.CONFIG_UNREADABLE]
@@ -357,7 +372,7 @@
             await asyncio.sleep(wait_s + ANSWER_S)
             page = {"items": [], "events": [], "more": False}
             page["at"] = self.revision(loop.time())
-            return Success(json.dumps(page).encode())
+            return Success(StoreAnswer(json.dumps(page).encode(), FIRST_EPOCH))
 
     async def run():
         store, resting_store = Busy(1_000.0), Busy(1_000.0)
@@ -384,9 +399,9 @@
     async def run():
         entry = Entry(FOLLOWERS, Store(1_000.0))
         assert await entry.follower._list()
-        assert not entry.follower.learn(7, SimpleNamespace(revision=9, events=[]), 0.0)
-        assert entry.follower.revision_ == 5
-        assert entry.follower.learn(4, SimpleNamespace(revision=9, events=[]), 0.0)
-        assert entry.follower.revision_ == 9
+        assert not entry.follower.learn(7, ObjectEvents([], 9), 0.0)
+        assert entry.follower.position_.revision == 5
+        assert entry.follower.learn(4, ObjectEvents([], 9), 0.0)
+        assert entry.follower.position_.revision == 9
 
     run_simulated(run())
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
@@ -12,7 +12,11 @@
 
 from leadford.events import Event
 from leadford.forwarding.history import AnswerAge, StoreEpochs
-from leadford_server.forwarding._contract import ObjectCodec, StoreFailure
+from leadford_server.forwarding._contract import (
+    ObjectCodec,
+    StoreAnswer,
+    StoreFailure,
+)
 from leadford_server.logs import EventLog
 from leadford_server.metrics import (
     STORE_BYTES_TOTAL,
@@ -31,6 +35,8 @@
 ANSWER_MOST_S = 20.0
 # Characters of a fault that a log line holds.
 FAULT_LOGGED = 300
+# What the log names as the source of what the store itself has said.
+FROM_STORE = "store"
 
 T = TypeVar("T")
 
@@ -42,13 +48,19 @@
     """
 
     def __init__(
-        self, *, url: str, http: AsyncHTTPClient, codec: ObjectCodec, log: EventLog
+        self,
+        *,
+        url: str,
+        http: AsyncHTTPClient,
+        codec: ObjectCodec,
+        log: EventLog,
+        epochs: StoreEpochs | None = None,
     ) -> None:
         self.url = url
         self.http = http
         self.codec = codec
         self.log = log
-        self.epochs_ = StoreEpochs()
+        self.epochs = epochs or StoreEpochs()
         self.is_available_ = True
         self.is_silent_ = False
         self.answered_at_: float | None = None
@@ -62,8 +74,8 @@
         wait_s: float = 0.0,
         margin_s: float = CALL_S,
         is_fresh: bool = False,
-    ) -> Result[bytes, StoreFailure]:
-        """Return the body of a good answer, or what the store says instead.
+    ) -> Result[StoreAnswer, StoreFailure]:
+        """Return a good answer, or what the store says instead.
 
         With `is_fresh` a connection is opened for the call.
         """
@@ -89,17 +101,19 @@
 
     def _sort(
         self, path: str, kind: str, answer: Transferred
-    ) -> Result[bytes, StoreFailure]:
+    ) -> Result[StoreAnswer, StoreFailure]:
         """Count an answer, and return what it says."""
         status = answer.status
-        self._record_epoch(answer)
+        if self._is_past(answer):
+            STORE_CALLS_TOTAL.labels(kind=kind, end="past").inc()
+            return Failure(StoreFailure.PAST_EPOCH)
         good = 200 <= status < 300
         end = "ok" if good else str(status)
         STORE_CALLS_TOTAL.labels(kind=kind, end=end).inc()
         STORE_BYTES_TOTAL.labels(end=end).inc(len(answer.body))
         if good:
             self._record(True, status)
-            return Success(answer.body)
+            return Success(StoreAnswer(answer.body, self.epochs.current_))
         if status == NO_ANSWER:
             # How often calls are made bounds the lines.
             self.log.report(
@@ -114,12 +128,16 @@
         self._record(failure is not StoreFailure.UNAVAILABLE, status)
         return Failure(failure)
 
-    def _record_epoch(self, answer: Transferred) -> None:
-        """Record in which epoch the store answered, and log that another one began."""
-        before = self.epochs_.current_
+    def _is_past(self, answer: Transferred) -> bool:
+        """Record the epoch of an answer; tell whether its history is over."""
+        before = self.epochs.current_
         epoch = self.codec.read_epoch(answer.headers)
-        if self.epochs_.record_answer(epoch) is AnswerAge.RESTORED:
-            self.log.report(Event.STORE_RESTORED, before=before, after=epoch)
+        age = self.epochs.record_answer(epoch)
+        if age is AnswerAge.RESTORED:
+            self.log.report(
+                Event.STORE_RESTORED, before=before, after=epoch, source=FROM_STORE
+            )
+        return age is AnswerAge.PAST
 
     def _record(self, answered: bool, status: int) -> None:
         """Log when the store stops and starts to answer, and how long it did not."""
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_config.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_config.py
@@ -10,12 +10,9 @@
 from leadford.forwarding.routes import ForwardConfig, RouteTable
 from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding.store._client import readable
+from leadford_server.forwarding.store._client import FROM_STORE, readable
 from leadford_server.forwarding.store._follow import Listing
 
-# What the log names as the source of a configuration that came from the store.
-FROM_STORE = "store"
-
 
 class ConfigHolder:
     """Hold the configuration in force.
@@ -44,7 +41,7 @@
         if not event.is_gone:
             self._read(event.item)
 
-    def on_confirmed(self, revision: int) -> None:
+    def on_confirmed(self) -> None:
         """Record that the store has said that nothing is missing."""
         if self.state.table_ is not None:
             self.state.config_seen_at_ = self.state.now()
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_factory.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_factory.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import Protocol
 
+from leadford.forwarding.history import StorePosition
 from leadford.forwarding.membership import (
     follower_watch_s,
     longest_call_s,
@@ -35,7 +36,7 @@
     def add(self, follower: KindFollower) -> None:
         """Pass on the news of a follower, and give it those of others."""
 
-    def tell(self, kind: str, after_revision: int, seen: ObjectEvents) -> None:
+    def tell(self, kind: str, after: StorePosition, seen: ObjectEvents) -> None:
         """Pass changes on that the store told this entry."""
 
 
@@ -48,7 +49,7 @@
     def add(self, follower: KindFollower) -> None:
         """Leave a follower alone."""
 
-    def tell(self, kind: str, after_revision: int, seen: ObjectEvents) -> None:
+    def tell(self, kind: str, after: StorePosition, seen: ObjectEvents) -> None:
         """Tell nobody of changes."""
 
 
@@ -86,6 +87,7 @@
         watch_s: Callable[[], float],
         on_relayed: Callable[[float], None] = ignore_relayed,
         changes_pause_s: float = CHANGES_PAUSE_S,
+        is_told_by_version: bool = False,
     ) -> KindFollower:
         """Make a follower of a kind that a few entries follow for the others.
 
@@ -103,6 +105,7 @@
             tell=self.relays.tell,
             on_relayed=on_relayed,
             changes_pause_s=changes_pause_s,
+            is_told_by_version=is_told_by_version,
         )
         self.relays.add(follower)
         return follower
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -18,10 +18,12 @@
 from returns.result import Failure, Result
 
 from leadford.events import Event
+from leadford.forwarding.history import START, StorePosition
 from leadford.forwarding.membership import WATCH_MARGIN_S
 from leadford_server.forwarding._contract import (
     ObjectEvent,
     ObjectEvents,
+    StoreAnswer,
     StoreFailure,
 )
 from leadford_server.forwarding.store._client import (
@@ -54,13 +56,15 @@
 # The same as a part of its rest for an entry that rests while others follow: its next
 # call, spread by 1.2, is over within the bound that the rest leaves.
 RESTING_RETRY_PART = 0.5
+# Seconds over which entries that rest list anew once the store began another history.
+RELIST_SPREAD_S = 0.5
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Hold every object of a kind at a revision."""
+    """Hold every object of a kind at a position in the history of the store."""
 
     items: list[dict]
-    revision: int
+    position: StorePosition
 
 
 class KindOwner(Protocol):
@@ -72,7 +76,7 @@
     def on_event(self, event: ObjectEvent) -> None:
         """Read one change after the listing."""
 
-    def on_confirmed(self, revision: int) -> None:
+    def on_confirmed(self) -> None:
         """Record that the store has said that nothing is missing."""
 
 
@@ -80,7 +84,7 @@
     return 0.0
 
 
-def _tells_nobody(kind: str, after_revision: int, seen: ObjectEvents) -> None:
+def _tells_nobody(kind: str, after: StorePosition, seen: ObjectEvents) -> None:
     """Tell nobody of changes."""
 
 
@@ -95,7 +99,9 @@
     until the first byte of a call that waits for no change. `rest_s` says for how many
     seconds a confirmation lets this entry ask nothing, 0 where it follows by itself;
     `tell` is given the changes that the store told this entry, `on_relayed` is told
-    when the store confirmed to another one that nothing is missing here.
+    when the store confirmed to another one that nothing is missing here. With
+    `is_told_by_version` others tell by a version of the object what they know, which
+    holds over all histories of the store.
     """
 
     def __init__(
@@ -108,11 +114,13 @@
         watch_s: Callable[[], float],
         call_s: Callable[[], float],
         rest_s: Callable[[], float] = _never_rests,
-        tell: Callable[[str, int, ObjectEvents], None] = _tells_nobody,
+        tell: Callable[[str, StorePosition, ObjectEvents], None] = _tells_nobody,
         on_relayed: Callable[[float], None] = ignore_relayed,
         changes_pause_s: float = CHANGES_PAUSE_S,
+        is_told_by_version: bool = False,
     ) -> None:
         self.changes_pause_s = changes_pause_s
+        self.is_told_by_version = is_told_by_version
         self.watch_s = watch_s
         self.call_s = call_s
         self.rest_s = rest_s
@@ -122,14 +130,15 @@
         self.client = client
         self.random = random
         self.owner = owner
-        self.revision_: int | None = None
+        self.position_: StorePosition | None = None
         # The store counts changes of all kinds together; this is the last of this kind.
-        self.changed_revision_ = 0
+        self.changed_position_ = START
         self.confirmed_at_: float | None = None
         self.is_unheard_ = False
         self.has_listed_ = False
         self.may_be_old_ = False
         self.behind_ = asyncio.Event()
+        client.epochs.listeners_.append(self._on_epoch)
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -138,7 +147,7 @@
         while True:
             await self._rest()
             began_at = now()
-            good = await self._list() if self.revision_ is None else await self._watch()
+            good = await self._list() if self._must_list() else await self._watch()
             if good:
                 wait_s = RETRY_MIN_S
                 continue
@@ -148,6 +157,18 @@
             await asyncio.sleep(max(0.0, pause_s - (now() - began_at)))
             wait_s = min(self._retry_max_s(), wait_s * 2.0)
 
+    def _must_list(self) -> bool:
+        """Tell whether what is known belongs to no history that can be followed."""
+        position = self.position_
+        return position is None or position.epoch < self.client.epochs.current_
+
+    def _on_epoch(self) -> None:
+        """List anew; entries that rest do so one after the other."""
+        if self.is_told_by_version or self.rest_s() <= 0.0:
+            return
+        pause_s = self.random.uniform(0.0, RELIST_SPREAD_S)
+        asyncio.get_running_loop().call_later(pause_s, self.behind_.set)
+
     def _retry_max_s(self) -> float:
         """Return how many seconds lie at most between calls that fail.
 
@@ -161,7 +182,7 @@
     async def _rest(self) -> None:
         """Ask nothing while what was confirmed last is young enough."""
         now = asyncio.get_running_loop().time
-        while self.revision_ is not None and self.confirmed_at_ is not None:
+        while self.position_ is not None and self.confirmed_at_ is not None:
             left_s = self.confirmed_at_ + self.rest_s() - now()
             if left_s <= 0.0 or self.behind_.is_set():
                 break
@@ -188,33 +209,33 @@
 
         They do not fit where one before them is missing here.
         """
-        if self.revision_ is None:
+        if self.position_ is None:
             return False
-        if after_revision > self.revision_:
+        if StorePosition(seen.epoch, after_revision) > self.position_:
             self.hurry()
             return False
-        if seen.revision > self.revision_:
+        if seen.position > self.position_:
             for event in seen.events:
                 self.owner.on_event(event)
-            self.changed_revision_ = seen.revision
-            self._record(seen.revision, confirmed_at)
+            self.changed_position_ = seen.position
+            self._record(seen.position, confirmed_at)
             self.on_relayed(confirmed_at)
         return True
 
-    def learn_confirmed(self, revision: int, confirmed_at: float) -> None:
-        """Believe another entry that nothing is missing here up to a revision."""
-        if self.revision_ is None:
+    def learn_confirmed(self, position: StorePosition, confirmed_at: float) -> None:
+        """Believe another entry that nothing is missing here up to a position."""
+        if self.position_ is None or position.epoch < self.position_.epoch:
             return
         if self.confirmed_at_ is not None and confirmed_at <= self.confirmed_at_:
             return
-        self._record(max(self.revision_, revision), confirmed_at)
+        self._record(max(self.position_, position), confirmed_at)
         self.on_relayed(confirmed_at)
 
     async def _list(self) -> bool:
         codec = self.client.codec
         items: list[dict] = []
         after: str | None = None
-        revision: int | None = None
+        position: StorePosition | None = None
         # The first listing may be seconds old: it costs a tenth, and the call for
         # changes that follows at once brings what is missing.
         may_be_old = not self.has_listed_
@@ -226,14 +247,19 @@
             )
             if isinstance(read, Failure):
                 return False
+            answer = read.unwrap()
             # The pause after a failure bounds the lines about what cannot be read.
-            page = readable(codec.read_list(read.unwrap()), self.client.log)
+            page = readable(codec.read_list(answer.body), self.client.log)
             if page is None:
                 return False
             self._report(page.faults)
             items += page.items
+            made_at = StorePosition(answer.epoch, page.revision)
+            if position is not None and made_at.epoch != position.epoch:
+                # The pages before this one belong to another history.
+                return False
             # A change between two pages is seen again by a watch from the older one.
-            revision = min(page.revision, revision or page.revision)
+            position = min(made_at, position or made_at)
             after = page.next_name
             if after is None:
                 break
@@ -241,52 +267,57 @@
         self.client.log.report(
             Event.STORE_LISTED,
             kind=self.kind,
-            epoch=self.client.epochs_.current_,
-            before=self.changed_revision_,
-            revision=revision,
+            epoch=position.epoch,
+            before=self.changed_position_.revision,
+            revision=position.revision,
             objects=len(items),
         )
-        self.owner.on_list(Listing(items, revision))
+        self.owner.on_list(Listing(items, position))
         self.may_be_old_ = may_be_old
-        self.revision_ = revision
-        self.changed_revision_ = revision
+        self.position_ = position
+        self.changed_position_ = position
         if not may_be_old:
-            self._confirm(revision)
+            self._confirm(position)
         return True
 
     async def _watch(self) -> bool:
         codec = self.client.codec
         began_at = asyncio.get_running_loop().time()
-        asked_from = self.revision_
+        asked_from = self.position_
         read = await self._call_watch()
         is_gone = read == Failure(StoreFailure.HISTORY_GONE)
         self.is_unheard_ = read == Failure(StoreFailure.NO_ANSWER)
         if is_gone:
-            self.revision_ = None
+            self.position_ = None
             return True
         if isinstance(read, Failure):
             return False
-        seen = readable(codec.read_events(read.unwrap()), self.client.log)
-        if seen is None:
-            self.revision_ = None
+        answer = read.unwrap()
+        if answer.epoch != asked_from.epoch:
+            # What changed in another history does not follow on what is known.
+            return True
+        read_events = readable(codec.read_events(answer.body), self.client.log)
+        if read_events is None:
+            self.position_ = None
             return False
+        seen = read_events.in_epoch(answer.epoch)
         self._report(seen.faults)
-        is_news = seen.revision > self.revision_ or self.revision_ == asked_from
+        is_news = seen.position > self.position_ or self.position_ == asked_from
         # Another entry may have told this one more than the store did meanwhile.
         end = "taken" if is_news else "known"
         STORE_CHANGES_TOTAL.labels(kind=self.kind, end=end).inc(len(seen.events))
         if is_news:
             for event in seen.events:
                 self.owner.on_event(event)
-        self._confirm(max(self.revision_, seen.revision))
+        self._confirm(max(self.position_, seen.position))
         if seen.events:
-            self.changed_revision_ = max(self.changed_revision_, seen.revision)
+            self.changed_position_ = max(self.changed_position_, seen.position)
             self.tell(self.kind, asked_from, seen)
             lasted_s = asyncio.get_running_loop().time() - began_at
             await asyncio.sleep(max(0.0, self.changes_pause_s - lasted_s))
         return True
 
-    async def _call_watch(self) -> Result[bytes, StoreFailure]:
+    async def _call_watch(self) -> Result[StoreAnswer, StoreFailure]:
         """Ask for changes; wait for none in doubt, or where others follow the store.
 
         After a listing that may be old none is waited for either.
@@ -298,7 +329,7 @@
         # next one has to follow soon, also where a slow store is given more time.
         margin_s = WATCH_MARGIN_S if wait_s > 0.0 else self.call_s()
         path = self.client.codec.watch_path(
-            self.kind, self.revision_, round(wait_s * 1_000.0)
+            self.kind, self.position_.revision, round(wait_s * 1_000.0)
         )
         return await self.client.call(
             path, wait_s=wait_s, margin_s=margin_s, is_fresh=is_in_doubt
@@ -309,16 +340,16 @@
         for fault in faults:
             report_unreadable(fault, self.client.log)
 
-    def _confirm(self, revision: int) -> None:
+    def _confirm(self, position: StorePosition) -> None:
         """Record that the store said just now that nothing is missing."""
-        self._record(revision, asyncio.get_running_loop().time())
-        self.owner.on_confirmed(revision)
+        self._record(position, asyncio.get_running_loop().time())
+        self.owner.on_confirmed()
 
-    def _record(self, revision: int, confirmed_at: float) -> None:
-        """Record when it was known that nothing is missing up to a revision."""
+    def _record(self, position: StorePosition, confirmed_at: float) -> None:
+        """Record when it was known that nothing is missing up to a position."""
         if self.confirmed_at_ is not None:
             gap_s = max(0.0, confirmed_at - self.confirmed_at_)
             STORE_CONFIRM_GAP_SECONDS.labels(kind=self.kind).observe(gap_s)
         self.confirmed_at_ = max(confirmed_at, self.confirmed_at_ or confirmed_at)
         self.may_be_old_ = False
-        self.revision_ = revision
+        self.position_ = position
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_halls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_halls.py
@@ -1,6 +1,6 @@
 """Follow which halls the operator has evacuated: from the store, or from a peer.
 
-Writes the evacuated halls of the roster, which orders notices by the revisions of the
+Writes the evacuated halls of the roster, which orders notices by the positions of the
 store, and tells peers what it learns, so that an entry which the store turns away
 follows its neighbours. Endpoints of a hall that is given back count as cold at once:
 their listings say so only a heartbeat later.
@@ -11,11 +11,11 @@
 from leadford.common import HallId
 from leadford.events import Event
 from leadford.forwarding.endpoints import HallNotice
+from leadford.forwarding.history import StoreEpoch
 from leadford.protocol import EvacuationReport, HallReport
 from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding.store._client import readable_record
-from leadford_server.forwarding.store._config import FROM_STORE
+from leadford_server.forwarding.store._client import FROM_STORE, readable_record
 from leadford_server.forwarding.store._follow import Listing
 
 # Part of the bound on evacuations that a watch waits in the store. A watch that hears
@@ -44,37 +44,46 @@
 
     def on_list(self, listing: Listing) -> None:
         """Read a whole listing of the store."""
-        read = [self._read(item) for item in listing.items]
+        epoch = listing.position.epoch
+        read = [self._read(item, epoch) for item in listing.items]
         notices = [notice for notice in read if notice is not None]
         halls = self.state.roster_.halls_
         was_known = halls.is_known_
-        changed = halls.replace(notices, listing.revision)
+        changed = halls.replace(notices, listing.position)
         self._settle(changed, FROM_STORE, is_first=not was_known)
 
     def on_event(self, event: ObjectEvent) -> None:
         """Read one change in the store."""
         if not event.is_gone:
-            notice = self._read(event.item)
+            notice = self._read(event.item, event.epoch)
         else:
             notice = HallNotice(
                 HallId(self.objects.object_name(event.item)),
                 self.objects.object_revision(event.item),
                 False,
+                event.epoch,
             )
         if notice is not None and self.state.roster_.halls_.record(notice):
             self._settle([notice], FROM_STORE)
 
-    def on_confirmed(self, revision: int) -> None:
+    def on_confirmed(self) -> None:
         """Do nothing: how old the list of evacuations is decides nothing."""
 
-    def learn(self, report: EvacuationReport, source: str) -> None:
+    def learn(
+        self, report: EvacuationReport, source: str, *, tells_epochs: bool = True
+    ) -> None:
         """Record what a peer knows; `source` names it."""
         halls = self.state.roster_.halls_
         was_known = halls.is_known_
         halls.is_known_ = True
         changed = []
         for told in report.halls:
-            notice = HallNotice(HallId(told.hall), told.revision, told.is_evacuated)
+            epoch = StoreEpoch(told.epoch)
+            if not tells_epochs:
+                epoch = self.state.epochs_.of_untold()
+            notice = HallNotice(
+                HallId(told.hall), told.revision, told.is_evacuated, epoch
+            )
             if halls.record(notice):
                 changed.append(notice)
         self._settle(changed, source, is_first=not was_known)
@@ -86,7 +95,9 @@
             return None
         return EvacuationReport(
             [
-                HallReport(notice.hall, notice.revision, notice.is_evacuated)
+                HallReport(
+                    notice.hall, notice.revision, notice.is_evacuated, notice.epoch
+                )
                 for notice in halls.notices()
             ]
         )
@@ -103,6 +114,7 @@
                 hall=notice.hall,
                 is_evacuated=notice.is_evacuated,
                 revision=notice.revision,
+                epoch=notice.epoch,
                 endpoints=len(self.state.roster_.in_hall(notice.hall)),
                 source=source,
             )
@@ -119,9 +131,10 @@
             if limits is not None:
                 record.record_cold(now + limits.lasts_s)
 
-    def _read(self, item: dict) -> HallNotice | None:
-        return readable_record(
+    def _read(self, item: dict, epoch: StoreEpoch) -> HallNotice | None:
+        notice = readable_record(
             self.objects.read_evacuation(item),
             self.objects.object_name(item),
             self.state.log,
         )
+        return None if notice is None else notice.in_epoch(epoch)
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
@@ -1,6 +1,6 @@
 """Join the listings of endpoints: from the store, or from a peer that knows better.
 
-Writes the roster, which orders what it is told by the revisions of the store. An
+Writes the roster, which orders what it is told by the positions of the store. An
 endpoint that cannot be read is left out, with a log line.
 """
 
@@ -8,6 +8,7 @@
 
 from leadford.events import Event
 from leadford.forwarding.endpoints import ListedEndpoint, RosterChange
+from leadford.forwarding.history import StoreEpoch, StorePosition
 from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.store._client import readable_record
@@ -33,34 +34,35 @@
 
     def on_list(self, listing: Listing) -> None:
         """Read a whole listing of the store."""
-        found = [self._read(item) for item in listing.items]
+        epoch = listing.position.epoch
+        found = [self._read(item, epoch) for item in listing.items]
         endpoints = [endpoint for endpoint in found if endpoint is not None]
-        self.apply(endpoints, listing.revision)
+        self.apply(endpoints, listing.position)
 
     def on_event(self, event: ObjectEvent) -> None:
         """Read one change in the store."""
         roster = self.state.roster_
-        endpoint = None if event.is_gone else self._read(event.item)
+        endpoint = None if event.is_gone else self._read(event.item, event.epoch)
         if endpoint is None:
             # A record that cannot be read names no endpoint, as one that is gone.
             changes = roster.remove(
                 self.objects.object_name(event.item),
-                self.objects.object_revision(event.item),
+                StorePosition(event.epoch, self.objects.object_revision(event.item)),
                 self.state.now(),
-                seen_revision=event.seen_revision,
+                seen_at=event.seen_at,
             )
             self._log(changes)
             return
         self._log(roster.put(endpoint))
         self._record_cold(endpoint)
 
-    def on_confirmed(self, revision: int) -> None:
+    def on_confirmed(self) -> None:
         """Do nothing: how old a listing is decides nothing."""
 
-    def apply(self, endpoints: list[ListedEndpoint], revision: int) -> None:
-        """Join a whole listing that was made at a revision of the store."""
+    def apply(self, endpoints: list[ListedEndpoint], position: StorePosition) -> None:
+        """Join a whole listing that was made at a position of the store."""
         roster = self.state.roster_
-        self._log(roster.replace(endpoints, revision, self.state.now()))
+        self._log(roster.replace(endpoints, position, self.state.now()))
         for endpoint in endpoints:
             self._record_cold(endpoint)
 
@@ -69,12 +71,13 @@
         if record is not None:
             record.record_listed_cold(endpoint, self.state.now())
 
-    def _read(self, item: dict) -> ListedEndpoint | None:
-        return readable_record(
+    def _read(self, item: dict, epoch: StoreEpoch) -> ListedEndpoint | None:
+        endpoint = readable_record(
             self.objects.read_endpoint(item),
             self.objects.object_name(item),
             self.state.log,
         )
+        return None if endpoint is None else endpoint.in_epoch(epoch)
 
     def _log(self, changes: Iterable[RosterChange]) -> None:
         """Log what changed, and tell it."""
@@ -86,7 +89,8 @@
                 service=change.service_id,
                 before=change.before,
                 after=change.after,
-                revision=self.state.roster_.changed_revision_,
+                revision=self.state.roster_.changed_position_.revision,
+                epoch=self.state.roster_.changed_position_.epoch,
             )
         if changes:
             self.on_change()
--- a/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
@@ -8,9 +8,9 @@
 from prometheus_client import REGISTRY
 from returns.result import Failure, Success
 
-from leadford.forwarding.history import StoreEpochs
+from leadford.forwarding.history import FIRST_EPOCH, StoreEpochs, StorePosition
 from leadford_platform import PlatformObjects
-from leadford_server.forwarding._contract import StoreFailure
+from leadford_server.forwarding._contract import StoreAnswer, StoreFailure
 from leadford_server.forwarding._state import ForwardBounds
 from leadford_server.forwarding.store._client import ObjectsClient
 from leadford_server.forwarding.store._factory import FollowerFactory
@@ -18,7 +18,7 @@
 from leadford_server.web import Transferred
 from leadford_standins.simulated import run_simulated
 
-NO_NEWS = Success(b'{"events": [], "at": 7}')
+NO_NEWS = Success(StoreAnswer(b'{"events": [], "at": 7}', FIRST_EPOCH))
 
 
 class Client:
@@ -27,7 +27,7 @@
     def __init__(self, answers):
         self.codec = PlatformObjects()
         self.log = SimpleNamespace(report=lambda event, **fields: None)
-        self.epochs_ = StoreEpochs()
+        self.epochs = StoreEpochs()
         self.is_silent_ = False
         self.answers = list(answers)
         self.waits_ = []
@@ -44,11 +44,11 @@
         kind=kind,
         client=client,
         random=Random(1),
-        owner=SimpleNamespace(on_confirmed=lambda revision: None),
+        owner=SimpleNamespace(on_confirmed=lambda: None),
         watch_s=lambda: watch_s,
         call_s=lambda: 2.0,
     )
-    follower.revision_ = 5
+    follower.position_ = StorePosition(FIRST_EPOCH, 5)
     return follower
 
 
@@ -157,8 +157,9 @@
 
 def test_bounds_that_are_read_again_hold_for_the_next_call():
     bounds = [ForwardBounds(resync_s=5.0)]
+    client = Client([])
     factory = FollowerFactory(
-        client=None, random=Random(1), bounds=lambda: bounds[0], live_peers=lambda: 0
+        client=client, random=Random(1), bounds=lambda: bounds[0], live_peers=lambda: 0
     )
     follower = factory.relayed(
         "kind",
@@ -184,18 +185,19 @@
 
     def page(revision, more):
         text = f'{{"items": [], "more": "{more}", "at": {revision}}}'
-        return Success(text.replace('""', "false").encode())
+        body = text.replace('""', "false").encode()
+        return Success(StoreAnswer(body, FIRST_EPOCH))
 
     client = Paths([page(9, "m"), page(7, ""), NO_NEWS, NO_NEWS])
     follower = new_follower(client, 4.0)
-    follower.revision_ = None
+    follower.position_ = None
     follower.owner.on_list = lambda listing: None
 
     async def start():
         await follower._list()
         assert follower.confirmed_at_ is None
         # Whatever changed after the older page is asked for.
-        assert follower.revision_ == 7
+        assert follower.position_.revision == 7
         await follower._watch()
         await follower._watch()
 
--- a/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_silent_store.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_silent_store.py
@@ -29,10 +29,10 @@
 import pytest
 from returns.result import Failure, Success
 
-from leadford.forwarding.history import StoreEpochs
+from leadford.forwarding.history import FIRST_EPOCH, StoreEpochs
 from leadford.forwarding.membership import longest_call_s, watch_s
 from leadford_platform import PlatformObjects
-from leadford_server.forwarding._contract import StoreFailure
+from leadford_server.forwarding._contract import StoreAnswer, StoreFailure
 from leadford_server.forwarding.store._client import CALL_S
 from leadford_server.forwarding.store._follow import WATCH_S, KindFollower
 from leadford_standins.simulated import run_simulated
@@ -64,7 +64,7 @@
     def __init__(self, *, silent_at, silent_for_s, waiting, answer_s=ANSWER_S):
         self.codec = PlatformObjects()
         self.log = SimpleNamespace(report=lambda event, **fields: None)
-        self.epochs_ = StoreEpochs()
+        self.epochs = StoreEpochs()
         self.is_silent_ = False
         self.silent_at = silent_at
         self.silent_until = silent_at + silent_for_s
@@ -82,7 +82,7 @@
         is_old_watch = f"watch={BEFORE}&" in path and answered_at > self.silent_until
         if is_old_watch and self.waiting is Waiting.HISTORY_GONE:
             return Failure(StoreFailure.HISTORY_GONE)
-        return Success(self._body(answered_at))
+        return Success(StoreAnswer(self._body(answered_at), FIRST_EPOCH))
 
     def _answered_at(self, path, now):
         """Return when a call is answered, None if never."""
@@ -113,8 +113,8 @@
     random = Random(live_peers)
     heard_at = []
 
-    def on_confirmed(revision):
-        if revision == AFTER:
+    def on_confirmed():
+        if follower.position_.revision == AFTER:
             heard_at.append(asyncio.get_running_loop().time())
 
     follower = KindFollower(
@@ -130,7 +130,7 @@
 
     async def follow():
         following = asyncio.ensure_future(follower.run())
-        while not heard_at:
+        while not heard_at and not following.done():
             await asyncio.sleep(0.1)
         following.cancel()
 
--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/tests/test_state.py
@@ -6,6 +6,7 @@
 
 from leadford.common import EndpointId, EntryId, HallId
 from leadford.forwarding.endpoints import EndpointAddress, ListedEndpoint, ListedState
+from leadford.forwarding.history import FIRST_EPOCH, StorePosition
 from leadford.forwarding.routes import ServiceId
 from leadford_server.forwarding._state import ForwardBounds, ForwardState
 
@@ -60,7 +61,7 @@
         revision=1,
     )
     state.roster_.put(endpoint)
-    state.roster_.replace([], 9, clock.now)
+    state.roster_.replace([], StorePosition(FIRST_EPOCH, 9), clock.now)
     clock.now = 10.0 + used_s
     assert [record.listed for record in state.usable(SERVICE)] == [endpoint]
     clock.now = 10.0 + gone_s
--- a/packages/leadford-standins/src/leadford_standins/wire/_fleet.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_fleet.py
@@ -14,6 +14,7 @@
 
 from leadford.common import EntryId, HallId
 from leadford.forwarding.endpoints import EndpointRoster
+from leadford.forwarding.history import StoreEpochs
 from leadford.protocol import PROTOCOL_VERSION, Message
 from leadford_platform import PlatformObjects
 from leadford_server.forwarding import ForwardBounds
@@ -37,8 +38,9 @@
 class SimulatedClient(ObjectsClient):
     """Call the stand-in of the store without a connection."""
 
-    def __init__(self, store: StoreStandIn, log: object) -> None:
-        super().__init__(url="", http=None, codec=PlatformObjects(), log=log)
+    def __init__(self, store: StoreStandIn, log: object, epochs: StoreEpochs) -> None:
+        codec = PlatformObjects()
+        super().__init__(url="", http=None, codec=codec, log=log, epochs=epochs)
         self.store = store
         self.calls_ = 0
 
@@ -96,10 +98,11 @@
             hall=HallId("h"),
             config_version=lambda: 0,
             roster_=EndpointRoster(trusted_s=1.1),
+            epochs_=StoreEpochs(),
             log=self.log_,
         )
         self.roster_ = state.roster_
-        self.client_ = SimulatedClient(fleet.store, self.log_)
+        self.client_ = SimulatedClient(fleet.store, self.log_, state.epochs_)
         self.relays = StoreRelays(
             state=state,
             config_kind="config",
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
@@ -116,7 +116,7 @@
         deployment.store.delete("servers", near.endpoint_id)
         known = second.state_.roster_.record(far.endpoint_id)
         second.state_.roster_.remove(
-            far.endpoint_id, known.listed.revision, first.state_.now() - 10.0
+            far.endpoint_id, known.listed.position, first.state_.now() - 10.0
         )
         await asyncio.sleep(1.2)
         before = first.stages_.sent.next_id_
--- a/packages/leadford/src/leadford/forwarding/batching/_group_map.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_group_map.py
@@ -13,6 +13,7 @@
 from leadford.common import HallId
 from leadford.forwarding.batching._groups import GroupId, PlaceId, RegionMap
 from leadford.forwarding.endpoints import EndpointRoster
+from leadford.forwarding.history import StorePosition
 from leadford.forwarding.routes import ServiceId
 
 # Seconds for which endpoints that take new work are not counted again unless the
@@ -35,7 +36,7 @@
     Units: seconds.
     """
 
-    listing_revision: int
+    listing_position: StorePosition
     membership_version: int
     counted_at: float
     counts_by_group: Mapping[GroupId, int]
@@ -75,7 +76,7 @@
         counted = self.counted_by_service_.get(service_id)
         if counted is None or not self._is_fresh(counted, now):
             counted = _Counted(
-                self.roster.changed_revision_,
+                self.roster.changed_position_,
                 self.roster.membership_version_,
                 now,
                 self._count(service_id, now),
@@ -85,7 +86,7 @@
 
     def _is_fresh(self, counted: _Counted, now: float) -> bool:
         roster = self.roster
-        if counted.listing_revision != roster.changed_revision_:
+        if counted.listing_position != roster.changed_position_:
             return False
         if counted.membership_version != roster.membership_version_:
             return False
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_group_map.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_group_map.py
@@ -12,8 +12,14 @@
     ListedEndpoint,
     ListedState,
 )
+from leadford.forwarding.history import FIRST_EPOCH, StorePosition
 from leadford.forwarding.routes import ServiceId
 
+
+def at(revision):
+    return StorePosition(FIRST_EPOCH, revision)
+
+
 SERVICE = ServiceId("s")
 REGIONS = RegionMap({HallId("h1"): PlaceId("r"), HallId("h2"): PlaceId("r")})
 
@@ -93,7 +99,7 @@
     roster.put(msgspec.structs.replace(listed("c", "h2"), revision=3))
     assert groups.usable_by_group(SERVICE, 1.0) == {REGION: 2}
     # One that leaves alone is gone; the store forgot nothing.
-    roster.remove("a", 4, 1.0)
+    roster.remove("a", at(4), 1.0)
     assert groups.usable_by_group(SERVICE, 1.0) == {REGION: 1}
 
 
@@ -114,5 +120,5 @@
     roster.put(listed("a", "h1"))
     roster.put(listed("b", "h2", ListedState.DRAINING))
     assert roster.listed_by_hall(SERVICE) == {"h1": 1, "h2": 1}
-    roster.remove("a", 4, 1.0)
+    roster.remove("a", at(4), 1.0)
     assert roster.listed_by_hall(SERVICE) == {"h2": 1}
--- a/packages/leadford/src/leadford/forwarding/endpoints/_halls.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_halls.py
@@ -1,9 +1,9 @@
 """Know which data halls the operator has evacuated.
 
-Written from the store and from peers, in any order of arrival; the revisions of the
-store decide what is newer. Owned by the roster, which gives endpoints of an evacuated
-hall no new work. Work that runs there is left alone, and results that lie there are
-read as long as they last.
+Written from the store and from peers, in any order of arrival; positions in the history
+of the store decide what is newer. Owned by the roster, which gives endpoints of an
+evacuated hall no new work. Work that runs there is left alone, and results that lie
+there are read as long as they last.
 """
 
 from collections.abc import Iterable
@@ -11,6 +11,7 @@
 import msgspec
 
 from leadford.common import HallId
+from leadford.forwarding.history import FIRST_EPOCH, StoreEpoch, StorePosition
 
 # Halls whose evacuation is over and still remembered, so that an older notice does not
 # bring it back; far more than a fleet has.
@@ -23,15 +24,20 @@
     hall: HallId
     revision: int
     is_evacuated: bool
+    epoch: StoreEpoch = FIRST_EPOCH
 
     @property
-    def order(self) -> tuple[int, bool]:
+    def order(self) -> tuple[StorePosition, bool]:
         """Return what orders notices; the end of one may bear its last revision."""
-        return (self.revision, not self.is_evacuated)
+        return (StorePosition(self.epoch, self.revision), not self.is_evacuated)
+
+    def in_epoch(self, epoch: StoreEpoch) -> "HallNotice":
+        """Return the same, told in an epoch of the store."""
+        return msgspec.structs.replace(self, epoch=epoch)
 
 
 class EvacuatedHalls:
-    """Join notices on halls by the revisions they were made at.
+    """Join notices on halls by the positions they were made at.
 
     `is_known` is false where halls can be evacuated and neither the store nor a peer
     has told yet which are: an entry that starts during an evacuation must send nothing
@@ -56,14 +62,16 @@
         return was_evacuated != notice.is_evacuated
 
     def replace(
-        self, evacuated: Iterable[HallNotice], revision: int
+        self, evacuated: Iterable[HallNotice], position: StorePosition
     ) -> list[HallNotice]:
-        """Record a whole listing made at a revision, and return what it changed."""
+        """Record a whole listing made at a position, and return what it changed."""
         listed = list(evacuated)
         seen = {notice.hall for notice in listed}
         for hall, notice in self.by_hall_.items():
             if notice.is_evacuated and hall not in seen:
-                listed.append(HallNotice(hall, revision, False))
+                listed.append(
+                    HallNotice(hall, position.revision, False, position.epoch)
+                )
         self.is_known_ = True
         return [notice for notice in listed if self.record(notice)]
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_model.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_model.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from leadford.common import EndpointId, HallId
+from leadford.forwarding.history import FIRST_EPOCH, StoreEpoch, StorePosition
 from leadford.forwarding.routes import ServiceId
 
 EndpointAddress = NewType("EndpointAddress", str)
@@ -25,10 +26,11 @@
     """Describe one start of an endpoint; another start has another id.
 
     `listed_as` is the name it is listed under, which a later start may have too, and
-    `born` tells which start is later; both are left out where ids are drawn anew.
+    `born` tells which start is later; both are left out where ids are drawn anew, and
+    `epoch` where the store tells none.
 
-    Units: cold_ms is how much longer it stays slow; revision orders the listings; born
-    in milliseconds since 1970.
+    Units: cold_ms is how much longer it stays slow; revision orders the listings of an
+    epoch of the store; born in milliseconds since 1970.
     """
 
     endpoint_id: EndpointId
@@ -41,6 +43,18 @@
     revision: int = 0
     listed_as: str | msgspec.UnsetType = msgspec.UNSET
     born: int | msgspec.UnsetType = msgspec.UNSET
+    epoch: StoreEpoch | msgspec.UnsetType = msgspec.UNSET
+
+    @property
+    def position(self) -> StorePosition:
+        """Return where in the history of the store it was listed so."""
+        epoch = FIRST_EPOCH if self.epoch is msgspec.UNSET else self.epoch
+        return StorePosition(epoch, self.revision)
+
+    def in_epoch(self, epoch: StoreEpoch) -> "ListedEndpoint":
+        """Return the same, listed in an epoch of the store."""
+        told = msgspec.UNSET if epoch == FIRST_EPOCH else epoch
+        return msgspec.structs.replace(self, epoch=told)
 
     @property
     def name(self) -> str:
@@ -54,7 +68,7 @@
 
         Where none tells when it started, the listings decide.
         """
-        return (self._born, self.revision) > (other._born, other.revision)
+        return (self._born, self.position) > (other._born, other.position)
 
     @property
     def _born(self) -> int:
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -1,10 +1,10 @@
 """Keep the endpoints of every service, in the order in which listings were made.
 
-Written from the store and from peers, in any order of arrival; revisions decide what is
-newer. It also decides which endpoints take new work: those listed as ready, and for a
-short while those that were removed together with most of their service, because a store
-that was away forgets endpoints that still work; none of them in a hall that the
-operator has evacuated.
+Written from the store and from peers, in any order of arrival; positions in the history
+of the store decide what is newer. It also decides which endpoints take new work: those
+listed as ready, and for a short while those that were removed together with most of
+their service, because a store that was away forgets endpoints that still work; none of
+them in a hall that the operator has evacuated.
 """
 
 from collections import Counter
@@ -16,6 +16,7 @@
 from leadford.forwarding.endpoints._halls import EvacuatedHalls
 from leadford.forwarding.endpoints._model import ListedEndpoint, ListedState
 from leadford.forwarding.endpoints._record import EndpointRecord
+from leadford.forwarding.history import START, StorePosition
 from leadford.forwarding.routes import ServiceId
 
 # Removed endpoints whose revision is remembered.
@@ -48,13 +49,13 @@
 
 
 class EndpointRoster:
-    """Join listings from several sources, by the revisions they were made at.
+    """Join listings from several sources, by the positions they were made at.
 
     An id is that of one start of an endpoint. So one that is listed as leaving stays
     so, also where a store in trouble lists it as ready once more. A later start under
     the same name ends an earlier one, whatever is told of that afterwards, and holds
     nothing of what was believed of it. A removal that
-    was a mistake of the listing is undone by a listing with a higher revision. A store
+    was a mistake of the listing is undone by a listing with a later position. A store
     that was away removes endpoints that kept working: when most of a service goes at
     once, they are used for a short while, which must be less than what a leaving
     endpoint allows.
@@ -73,10 +74,10 @@
         self.ids_by_service_: dict[ServiceId, set[EndpointId]] = {}
         # The start that is listed under a name, or was until it was removed.
         self.last_by_name_: dict[str, ListedEndpoint] = {}
-        self.gone_revision_by_name_: dict[str, int] = {}
+        self.gone_position_by_name_: dict[str, StorePosition] = {}
         # In the order in which they were learned, so that the oldest is forgotten.
         self.leaving_ids_: dict[EndpointId, None] = {}
-        self.changed_revision_ = 0
+        self.changed_position_ = START
         self.membership_version_ = 0
         # Listed endpoints by hall, as counted at a version of the membership.
         self.listed_by_service_: dict[ServiceId, Mapping[HallId, int]] = {}
@@ -94,9 +95,9 @@
         return cls(trusted_s=trusted_s, halls=halls)
 
     def replace(
-        self, endpoints: Iterable[ListedEndpoint], revision: int, now: float
+        self, endpoints: Iterable[ListedEndpoint], position: StorePosition, now: float
     ) -> list[RosterChange]:
-        """Record a whole listing; what is known from a later revision stays."""
+        """Record a whole listing; what is known from a later position stays."""
         changes = []
         seen = set()
         for endpoint in endpoints:
@@ -104,8 +105,8 @@
             changes += self.put(endpoint)
         names = {record.listed.name for record in self.records_by_id_.values()}
         for name in names - seen:
-            changes += self.remove(name, revision, now)
-        self.changed_revision_ = max(self.changed_revision_, revision)
+            changes += self.remove(name, position, now)
+        self.changed_position_ = max(self.changed_position_, position)
         return changes
 
     def put(self, endpoint: ListedEndpoint) -> list[RosterChange]:
@@ -119,12 +120,13 @@
             self._remember_leaving(endpoint_id)
         if endpoint_id in self.leaving_ids_:
             endpoint = msgspec.structs.replace(endpoint, state=ListedState.DRAINING)
-        if endpoint.revision <= self.gone_revision_by_name_.get(endpoint.name, -1):
+        gone_at = self.gone_position_by_name_.get(endpoint.name)
+        if gone_at is not None and endpoint.position <= gone_at:
             return []
         ended = self._end_start(last.endpoint_id) if is_other_start else []
         self._remember(endpoint)
         record = self.records_by_id_.get(endpoint_id)
-        self.changed_revision_ = max(self.changed_revision_, endpoint.revision)
+        self.changed_position_ = max(self.changed_position_, endpoint.position)
         if record is None:
             self.membership_version_ += 1
             self.records_by_id_[endpoint_id] = self._new_record(endpoint)
@@ -181,28 +183,28 @@
     def remove(
         self,
         name: str,
-        revision: int,
+        position: StorePosition,
         now: float,
         *,
-        seen_revision: int = 0,
+        seen_at: StorePosition = START,
     ) -> list[RosterChange]:
         """Record that no endpoint is listed under a name any more.
 
-        `revision` orders the removal against other listings of the endpoint;
-        `seen_revision` is that of the answer that told it, which may hold later ones.
+        `position` orders the removal against other listings of the endpoint; `seen_at`
+        is that of the answer that told it, which may hold later ones.
         """
-        known = self.gone_revision_by_name_.get(name, -1)
         last = self.last_by_name_.get(name)
         endpoint_id = last.endpoint_id if last is not None else EndpointId(name)
         record = self.records_by_id_.get(endpoint_id)
-        if record is not None and revision < record.listed.revision:
+        if record is not None and position < record.listed.position:
             return []
-        self.gone_revision_by_name_[name] = max(known, revision)
-        while len(self.gone_revision_by_name_) > GONE_KEPT:
-            self.gone_revision_by_name_.pop(next(iter(self.gone_revision_by_name_)))
+        gone_at = max(self.gone_position_by_name_.get(name, position), position)
+        self.gone_position_by_name_[name] = gone_at
+        while len(self.gone_position_by_name_) > GONE_KEPT:
+            self.gone_position_by_name_.pop(next(iter(self.gone_position_by_name_)))
         if record is None:
             return []
-        self.changed_revision_ = max(self.changed_revision_, revision, seen_revision)
+        self.changed_position_ = max(self.changed_position_, position, seen_at)
         self.membership_version_ += 1
         del self.records_by_id_[endpoint_id]
         self.ids_by_service_[record.listed.service_id].discard(endpoint_id)
@@ -305,7 +307,7 @@
     A store in trouble may take a write long after it was sent, so a later revision may
     hold an earlier state.
     """
-    newer = told if told.revision > known.revision else known
+    newer = told if told.position > known.position else known
     if ListedState.DRAINING not in (known.state, told.state):
         return newer
     return msgspec.structs.replace(newer, state=ListedState.DRAINING)
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_halls.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_halls.py
@@ -11,8 +11,14 @@
     ListedEndpoint,
     ListedState,
 )
+from leadford.forwarding.history import FIRST_EPOCH, StorePosition
 from leadford.forwarding.routes import ServiceId
 
+
+def at(revision):
+    return StorePosition(FIRST_EPOCH, revision)
+
+
 SERVICE = ServiceId("s")
 HALL = HallId("h")
 
@@ -58,7 +64,7 @@
     roster = roster_with_two_halls()
     roster.halls_.record(notice(5))
     for endpoint_id in ("h", "other"):
-        roster.remove(EndpointId(endpoint_id), 6, 100.0)
+        roster.remove(EndpointId(endpoint_id), at(6), 100.0)
     assert usable_ids(roster) == {"other"}
 
 
@@ -66,7 +72,7 @@
     roster = roster_with_two_halls(EvacuatedHalls(is_known=False))
     assert usable_ids(roster) == set()
     assert not roster.is_usable(roster.record(EndpointId("other")), 0.0)
-    roster.halls_.replace([notice(5)], 7)
+    roster.halls_.replace([notice(5)], at(7))
     assert usable_ids(roster) == {"other"}
 
 
@@ -84,7 +90,7 @@
     halls = EvacuatedHalls()
     halls.record(notice(5))
     halls.record(notice(9, hall="newer"))
-    changed = halls.replace([], 7)
+    changed = halls.replace([], at(7))
     assert changed == [notice(7, False)]
     assert not halls.is_evacuated(HALL)
     assert halls.is_evacuated(HallId("newer"))
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
@@ -12,8 +12,14 @@
     ListedState,
     ReportedLoad,
 )
+from leadford.forwarding.history import FIRST_EPOCH, StorePosition
 from leadford.forwarding.routes import ServiceId
 
+
+def at(revision):
+    return StorePosition(FIRST_EPOCH, revision)
+
+
 SERVICE = ServiceId("s")
 
 
@@ -41,7 +47,7 @@
     change = roster.put(listed("a", 3, ListedState.DRAINING))[0]
     assert (change.before, change.after) == ("ready", "draining")
     assert names(roster) == {"b"}
-    roster.remove(EndpointId("b"), 4, 0.0)
+    roster.remove(EndpointId("b"), at(4), 0.0)
     assert names(roster) == set()
 
 
@@ -50,8 +56,8 @@
     roster.put(listed("a", 5, ListedState.DRAINING))
     roster.put(listed("a", 4))
     assert names(roster) == set()
-    roster.remove(EndpointId("a"), 6, 0.0)
-    roster.replace([listed("a", 5)], 5, 0.0)
+    roster.remove(EndpointId("a"), at(6), 0.0)
+    roster.replace([listed("a", 5)], at(5), 0.0)
     assert names(roster) == set()
     # An id is drawn anew at each start, so this one still leaves.
     roster.put(listed("a", 7))
@@ -61,8 +67,8 @@
 def test_one_that_was_removed_by_mistake_is_used_again():
     roster = EndpointRoster()
     roster.put(listed("a", 5))
-    roster.remove(EndpointId("a"), 6, 0.0)
-    roster.replace([listed("a", 5)], 5, 0.0)
+    roster.remove(EndpointId("a"), at(6), 0.0)
+    roster.replace([listed("a", 5)], at(5), 0.0)
     assert names(roster) == set()
     roster.put(listed("a", 7))
     assert names(roster) == {"a"}
@@ -72,10 +78,10 @@
     roster = EndpointRoster()
     roster.put(listed("a", 1))
     roster.put(listed("b", 9))
-    roster.replace([], 5, 0.0)
+    roster.replace([], at(5), 0.0)
     # What was listed after this listing was made stays.
     assert names(roster) == {"b"}
-    assert roster.changed_revision_ == 9
+    assert roster.changed_position_ == at(9)
 
 
 def usable(roster, now):
@@ -87,7 +93,7 @@
     for number, name in enumerate("abcd"):
         roster.put(listed(name, number + 1))
     roster.put(listed("d", 5, ListedState.DRAINING))
-    roster.replace([], 9, 10.0)
+    roster.replace([], at(9), 10.0)
     # The store was away; the one that had announced its leave is not used.
     assert usable(roster, 10.5) == {"a", "b", "c"}
     roster.put(listed("a", 10))
@@ -104,7 +110,7 @@
         roster.put(listed(str(number), number + 1))
     for number in range(count):
         now = 10.0 + number * 0.2
-        roster.remove(EndpointId(str(number)), 100 + number, now)
+        roster.remove(EndpointId(str(number)), at(100 + number), now)
         assert len(usable(roster, now)) * 2 >= count
     assert len(usable(roster, now)) == count
     # One that is not back in time is gone, whatever the others do.
@@ -116,7 +122,7 @@
     roster = EndpointRoster(trusted_s=1.0)
     for number, name in enumerate("abc"):
         roster.put(listed(name, number + 1))
-    roster.remove(EndpointId("a"), 4, 10.0)
+    roster.remove(EndpointId("a"), at(4), 10.0)
     assert usable(roster, 10.0) == {"b", "c"}
 
 
@@ -133,7 +139,7 @@
     roster.put(listed("a", 3))
     assert usable(roster, 10.0) == set()
     assert [endpoint.state for endpoint in roster.listed()] == [ListedState.DRAINING]
-    roster.remove(EndpointId("a"), 4, 10.0)
+    roster.remove(EndpointId("a"), at(4), 10.0)
     assert usable(roster, 10.0) == set()
 
 
@@ -147,7 +153,7 @@
     roster = EndpointRoster(trusted_s=1.0)
     roster.put(listed("a", 1))
     roster.put(listed("a", 2, ListedState.DRAINING))
-    roster.remove(EndpointId("a"), 4, 10.0)
+    roster.remove(EndpointId("a"), at(4), 10.0)
     roster.put(listed("a", 5))
     assert usable(roster, 10.0) == set()
 
@@ -161,7 +167,7 @@
     """
     roster = EndpointRoster(trusted_s=1.0)
     roster.put(listed("a", 1))
-    roster.remove(EndpointId("a"), 9, 10.0)
+    roster.remove(EndpointId("a"), at(9), 10.0)
     assert usable(roster, 10.0) == {"a"}
     roster.put(listed("a", 2, ListedState.DRAINING))
     assert usable(roster, 10.0) == set()
@@ -170,19 +176,19 @@
 def test_one_that_comes_back_in_the_same_answer_is_used():
     roster = EndpointRoster()
     roster.put(listed("a", 1))
-    roster.remove(EndpointId("a"), 1, 10.0, seen_revision=3)
+    roster.remove(EndpointId("a"), at(1), 10.0, seen_at=at(3))
     roster.put(listed("a", 1))
     assert names(roster) == set()
     roster.put(listed("a", 3))
     assert names(roster) == {"a"}
-    assert roster.changed_revision_ == 3
+    assert roster.changed_position_ == at(3)
 
 
 def test_a_record_that_comes_back_keeps_what_was_learned():
     roster = EndpointRoster()
     roster.put(listed("a", 1))
     roster.record(EndpointId("a")).record_success(20.0)
-    roster.remove(EndpointId("a"), 2, 10.0)
+    roster.remove(EndpointId("a"), at(2), 10.0)
     roster.put(listed("a", 3))
     assert roster.record(EndpointId("a")).latency_ms_.count_ == 1
 
@@ -192,9 +198,9 @@
     events = [
         lambda r: r.put(listed("a", 1)),
         lambda r: r.put(listed("a", 2, ListedState.DRAINING)),
-        lambda r: r.remove(EndpointId("a"), 3, 0.0),
+        lambda r: r.remove(EndpointId("a"), at(3), 0.0),
         lambda r: r.put(listed("b", 4)),
-        lambda r: r.remove(EndpointId("b"), 5, 0.0),
+        lambda r: r.remove(EndpointId("b"), at(5), 0.0),
         lambda r: r.put(listed("b", 6)),
     ]
     roster = EndpointRoster()
@@ -234,7 +240,7 @@
     assert usable(roster, 10.0) == set()
     roster.put(listed("a", 2))
     assert usable(roster, 10.0) == set()
-    roster.remove(EndpointId("a"), 3, 10.0)
+    roster.remove(EndpointId("a"), at(3), 10.0)
     roster.put(listed("a", 4))
     assert usable(roster, 10.0) == set()
 
@@ -242,7 +248,7 @@
 def test_one_that_was_just_removed_and_says_that_it_leaves_is_not_used():
     roster = EndpointRoster(trusted_s=1.0)
     roster.put(listed("a", 1))
-    roster.remove(EndpointId("a"), 2, 10.0)
+    roster.remove(EndpointId("a"), at(2), 10.0)
     assert usable(roster, 10.1) == {"a"}
     roster.record_leaving(EndpointId("a"))
     assert usable(roster, 10.1) == set()
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_starts.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_starts.py
@@ -16,8 +16,14 @@
     ListedEndpoint,
     ListedState,
 )
+from leadford.forwarding.history import FIRST_EPOCH, StorePosition
 from leadford.forwarding.routes import ServiceId
 
+
+def at(revision):
+    return StorePosition(FIRST_EPOCH, revision)
+
+
 SERVICE = ServiceId("plain")
 NAMES = ("a", "b", "c")
 
@@ -88,7 +94,7 @@
         name, endpoint, revision = self.news[max(0, len(self.news) - 1 - back)]
         roster = self.rosters[which]
         if endpoint is None:
-            roster.remove(name, revision, self.now)
+            roster.remove(name, at(revision), self.now)
         else:
             roster.put(endpoint)
             self.hear_of(which, [endpoint])
@@ -102,7 +108,7 @@
     def hears_all(self, which):
         """Hear a whole listing: from now on what is used is what runs."""
         self.now += 1.0
-        self.rosters[which].replace(self.listed.values(), self.revision, self.now)
+        self.rosters[which].replace(self.listed.values(), at(self.revision), self.now)
         self.hear_of(which, self.listed.values())
         usable = {r.listed.endpoint_id for r in self.usable(which)}
         ready = {
@@ -116,8 +122,8 @@
     def tells(self, source):
         """Tell the other entry all that one knows."""
         teller, hearer = self.rosters[source], self.rosters[1 - source]
-        if teller.changed_revision_ > hearer.changed_revision_:
-            hearer.replace(teller.listed(), teller.changed_revision_, self.now)
+        if teller.changed_position_ > hearer.changed_position_:
+            hearer.replace(teller.listed(), teller.changed_position_, self.now)
             self.hear_of(1 - source, teller.listed())
 
     def usable(self, which):
--- a/packages/leadford/src/leadford/forwarding/history/_epochs.py
+++ b/packages/leadford/src/leadford/forwarding/history/_epochs.py
@@ -4,6 +4,7 @@
 only rises: an answer or a message from an earlier one tells of a history that is over.
 """
 
+from collections.abc import Callable
 from enum import Enum
 
 from leadford.forwarding.history._position import FIRST_EPOCH, StoreEpoch
@@ -21,26 +22,51 @@
 
 
 class StoreEpochs:
-    """Know the newest epoch that the store, or another entry, has told."""
+    """Know the newest epoch that the store, or another entry, has told.
+
+    Each of `listeners_` is called once the epoch has risen.
+    """
 
     def __init__(self) -> None:
         self.current_ = FIRST_EPOCH
         self.is_told_ = False
         self.has_risen_ = False
+        self.listeners_: list[Callable[[], None]] = []
 
     def record_answer(self, epoch: StoreEpoch | None) -> AnswerAge:
         """Record the epoch of an answer of the store, None where it tells none."""
         if epoch is None:
             return AnswerAge.PRESENT
-        was_told = self.is_told_
-        self.is_told_ = True
         if epoch < self.current_:
             return AnswerAge.PAST
-        if epoch == self.current_:
-            return AnswerAge.PRESENT
-        self.current_ = epoch
-        if not was_told:
+        was_known = self._is_known
+        self.is_told_ = True
+        if not self._raise_to(epoch) or not was_known:
             # The first answer tells which epoch it is, not that it has risen.
             return AnswerAge.PRESENT
-        self.has_risen_ = True
         return AnswerAge.RESTORED
+
+    def record_told(self, epoch: StoreEpoch) -> bool:
+        """Record the epoch that another entry knows; return whether it has risen."""
+        was_known = self._is_known
+        return self._raise_to(epoch) and was_known
+
+    def of_untold(self) -> StoreEpoch:
+        """Return the epoch of news from a build that tells none.
+
+        Once another epoch has begun, such news may come from before it.
+        """
+        return FIRST_EPOCH if self.has_risen_ else self.current_
+
+    @property
+    def _is_known(self) -> bool:
+        return self.is_told_ or self.current_ > FIRST_EPOCH
+
+    def _raise_to(self, epoch: StoreEpoch) -> bool:
+        if epoch <= self.current_:
+            return False
+        self.has_risen_ = self._is_known
+        self.current_ = epoch
+        for listener in self.listeners_:
+            listener()
+        return True
--- a/packages/leadford/src/leadford/forwarding/membership/_fetch.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_fetch.py
@@ -6,8 +6,12 @@
 with answers to the same question. An entry that knows nothing asks at once.
 """
 
+from typing import Generic, TypeVar
+
 from leadford.common import EntryId
 
+T = TypeVar("T")
+
 # Seconds for which a peer must know better before it is asked.
 BEHIND_S = 0.3
 # Seconds without a part after which the next peer is asked, doubled for each further
@@ -20,18 +24,22 @@
 UNUSABLE_MOST_S = 8.0
 
 
-class NewsFetch:
-    """Follow for how long peers have known better, and the question under way."""
+class NewsFetch(Generic[T]):
+    """Follow for how long peers have known better, and the question under way.
+
+    `nothing` is the version, or the position, of an entry that knows nothing.
+    """
 
-    def __init__(self) -> None:
-        self.known_ = 0
+    def __init__(self, nothing: T) -> None:
+        self.nothing = nothing
+        self.known_ = nothing
         self.behind_since_: float | None = None
         self.asked_id_: EntryId | None = None
         self.next_ask_at_ = float("-inf")
         self.asked_in_a_row_ = 0
         self.unusable_in_a_row_ = 0
 
-    def must_ask(self, known: int, heard: int, now: float) -> bool:
+    def must_ask(self, known: T, heard: T, now: float) -> bool:
         """Tell whether to ask a peer that says it knows a version."""
         if known != self.known_:
             self.known_ = known
@@ -42,7 +50,7 @@
             return False
         if self.behind_since_ is None:
             self.behind_since_ = now
-        if known != 0 and now - self.behind_since_ < BEHIND_S:
+        if known != self.nothing and now - self.behind_since_ < BEHIND_S:
             return False
         return now >= self.next_ask_at_
 
--- a/packages/leadford/src/leadford/forwarding/membership/tests/test_membership.py
+++ b/packages/leadford/src/leadford/forwarding/membership/tests/test_membership.py
@@ -112,7 +112,7 @@
 
 
 def test_a_peer_is_asked_once_it_has_known_better_for_a_while():
-    fetch = NewsFetch()
+    fetch = NewsFetch(0)
     assert not fetch.must_ask(3, 3, 10.0)
     assert not fetch.must_ask(3, 4, 10.0)
     assert not fetch.must_ask(3, 4, 10.2)
@@ -120,7 +120,7 @@
 
 
 def test_no_other_peer_is_asked_while_parts_of_an_answer_arrive():
-    fetch = NewsFetch()
+    fetch = NewsFetch(0)
     assert not fetch.must_ask(3, 4, 10.0)
     fetch.record_asked(EntryId("e1"), 10.3)
     for step in range(20):
@@ -132,7 +132,7 @@
 
 
 def test_each_further_peer_is_given_twice_as_long():
-    fetch = NewsFetch()
+    fetch = NewsFetch(0)
     assert not fetch.must_ask(3, 4, 10.0)
     now = 10.5
     for wait_s in (1.0, 2.0, 4.0, 8.0, 8.0):
@@ -143,7 +143,7 @@
 
 
 def test_nobody_is_asked_at_once_after_an_answer_that_cannot_be_used():
-    fetch = NewsFetch()
+    fetch = NewsFetch(0)
     assert not fetch.must_ask(3, 4, 10.0)
     now = 10.5
     for wait_s in (0.5, 1.0, 2.0, 4.0, 8.0, 8.0):
@@ -155,7 +155,7 @@
 
 
 def test_another_peer_is_asked_when_the_link_to_the_first_ends():
-    fetch = NewsFetch()
+    fetch = NewsFetch(0)
     assert not fetch.must_ask(3, 4, 10.0)
     fetch.record_asked(EntryId("e1"), 10.3)
     fetch.record_lost(EntryId("e2"))
@@ -165,14 +165,14 @@
 
 
 def test_a_version_that_comes_in_force_begins_the_wait_for_the_next():
-    fetch = NewsFetch()
+    fetch = NewsFetch(0)
     assert not fetch.must_ask(3, 4, 10.0)
     assert not fetch.must_ask(4, 5, 10.4)
     assert fetch.must_ask(4, 5, 10.75)
 
 
 def test_an_entry_that_knows_nothing_asks_at_once():
-    assert NewsFetch().must_ask(0, 1, 10.0)
+    assert NewsFetch(0).must_ask(0, 1, 10.0)
 
 
 def test_an_entry_is_behind_since_it_first_heard_of_a_version_it_has_not_got():
--- a/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
+++ b/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
@@ -6,6 +6,7 @@
 from hypothesis import given, strategies as st
 
 from leadford.forwarding.endpoints import ListedEndpoint, ListedState
+from leadford.forwarding.history import FIRST_EPOCH, StoreEpoch, StorePosition
 from leadford.forwarding.routes import (
     ColdLimits,
     ForwardConfig,
@@ -99,6 +100,13 @@
     .replace("871821184d", "881821184d", 1)
     .replace("8363692d31190bb801", "8363692d31190bb80106", 1)
 )
+# The same, where listings are told with the epoch of the store.
+EPOCH_FRAME = bytes.fromhex(
+    VERSIONED_FRAME.hex()
+    .replace("881821184d", "891821184d", 1)
+    .replace("8363692d31190bb80106", "8363692d31190bb8010600", 1)
+    .replace("821824184c831825184d4179", "831824184c00841825184d417900", 1)
+)
 
 
 def test_messages_of_older_builds_are_read():
@@ -113,7 +121,8 @@
 
 def test_messages_travel_as_before():
     messages = decode(FRAME).unwrap().messages
-    assert encode(36, messages) == VERSIONED_FRAME
+    assert encode(36, messages) == EPOCH_FRAME
+    assert decode(EPOCH_FRAME).unwrap().messages == messages
     assert decode(VERSIONED_FRAME).unwrap().messages == messages
 
 
@@ -123,7 +132,7 @@
 
 @given(st.data())
 def test_frames_of_a_later_build_are_read_as_far_as_they_are_known(data):
-    whole = [VERSIONED_FRAME, *map(bytes.fromhex, FLEET_MESSAGES)]
+    whole = [EPOCH_FRAME, *map(bytes.fromhex, FLEET_MESSAGES)]
     known = data.draw(st.sampled_from(whole))
     version, messages = cbor2.loads(known)
     later = [[*message, *data.draw(LATER_FIELDS)] for message in messages]
@@ -137,9 +146,11 @@
 
 def test_evacuations_travel_in_a_message_of_their_own():
     report = EvacuationReport([HallReport("h1", 9, True)])
-    data = bytes.fromhex("820381" + "82182a81" + "836268" + "3109f5")
+    data = bytes.fromhex("820381" + "82182a81" + "846268" + "3109f500")
     assert encode(3, [report]) == data
     assert decode(data).unwrap().messages == [report]
+    older = bytes.fromhex("820381" + "82182a81" + "836268" + "3109f5")
+    assert decode(older).unwrap().messages == [report]
 
 
 def test_limits_of_cold_endpoints_are_left_out_of_services_without_them():
@@ -154,19 +165,19 @@
     "82038182182b8186617318440a19012cfb4046c00000000000fb4028000000000000": (
         FleetBacklog([BacklogReport("s", 68, 10, 300, 45.5, 12.0)])
     ),
-    "82038183182cfb4097700000000000818567736572766572730c0900fb40938a0000000000": (
-        StoreConfirmations(1500.0, [StoreConfirmation("servers", 12, 9, 0, 1250.5)])
+    "82038183182cfb4097700000000000818667736572766572730c0900fb40938a000000000002": (
+        StoreConfirmations(1500.0, [StoreConfirmation("servers", 12, 9, 0, 1250.5, 2)])
     ),
-    "82038186182d67736572766572730709fb40977000000000008183427b7df509": StoreChanges(
-        "servers", 7, 9, 1500.0, [StoreChange(b"{}", True, 9)]
+    "82038187182d67736572766572730709fb40977000000000008183427b7df50902": StoreChanges(
+        "servers", 7, 9, 1500.0, [StoreChange(b"{}", True, 9)], 2
     ),
     "82038187182e03616d18648182626161183281626531a162683109": PlaceRequest(
         3, "m", 100, [PromptPartReport("aa", 50)], ["e1"], {"h1": 9}
     ),
-    "82038186183167736572766572730709fb409770000000000042789c": PackedChanges(
-        "servers", 7, 9, 1500.0, b"\x78\x9c"
+    "82038187183167736572766572730709fb409770000000000042789c02": PackedChanges(
+        "servers", 7, 9, 1500.0, b"\x78\x9c", 2
     ),
-    "820381831832" + "0942789c": PackedListing(9, b"\x78\x9c"),
+    "820381841832" + "0942789c02": PackedListing(9, b"\x78\x9c", 2),
     "82038183182f03626531": PlaceAnswer(3, "e1"),
     "82038182183003": PromptRead(3),
     "8203818218358183626531fb3ff8000000000000fb4059000000000000": LimitNews(
@@ -180,3 +191,33 @@
     message = FLEET_MESSAGES[data]
     assert encode(3, [message]).hex() == data
     assert decode(bytes.fromhex(data)).unwrap().messages == [message]
+
+
+# As builds write them that tell no epoch of the store.
+MESSAGES_WITHOUT_EPOCH = {
+    "82038183182cfb4097700000000000818567736572766572730c0900fb40938a0000000000": (
+        StoreConfirmations(1500.0, [StoreConfirmation("servers", 12, 9, 0, 1250.5, 0)])
+    ),
+    "82038186182d67736572766572730709fb40977000000000008183427b7df509": StoreChanges(
+        "servers", 7, 9, 1500.0, [StoreChange(b"{}", True, 9)], 0
+    ),
+    "82038186183167736572766572730709fb409770000000000042789c": PackedChanges(
+        "servers", 7, 9, 1500.0, b"\x78\x9c", 0
+    ),
+    "820381831832" + "0942789c": PackedListing(9, b"\x78\x9c", 0),
+}
+
+
+@pytest.mark.parametrize("data", MESSAGES_WITHOUT_EPOCH)
+def test_news_of_the_store_from_older_builds_are_read(data):
+    frame = decode(bytes.fromhex(data)).unwrap()
+    assert frame.messages == [MESSAGES_WITHOUT_EPOCH[data]]
+    assert frame.skipped == ()
+
+
+def test_a_listing_tells_its_epoch_where_the_store_tells_one():
+    (plain,) = msgspec.msgpack.decode(LISTING, type=list[ListedEndpoint])
+    restored = plain.in_epoch(StoreEpoch(2))
+    read = msgspec.msgpack.decode(msgspec.msgpack.encode(restored), type=ListedEndpoint)
+    assert read.position == StorePosition(StoreEpoch(2), 77)
+    assert plain.position == StorePosition(FIRST_EPOCH, 77)
--- a/packages/leadford/src/leadford/protocol/_base.py
+++ b/packages/leadford/src/leadford/protocol/_base.py
@@ -8,7 +8,7 @@
 import msgspec
 
 # Versions of the protocol that this process speaks.
-PROTOCOL_VERSION = 8
+PROTOCOL_VERSION = 9
 # The first version in which configurations travel in parts.
 PROTOCOL_CONFIG_PARTS = 2
 # The first version in which entries tell each other which halls are evacuated.
@@ -27,6 +27,8 @@
 PROTOCOL_COLD_PLACED = 7
 # The first version in which entries tell each other the limits of endpoints.
 PROTOCOL_LIMITS = 8
+# The first version in which entries tell each other the epoch of the store.
+PROTOCOL_EPOCHS = 9
 PROTOCOL_VERSION_MIN = 1
 
 
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -62,6 +62,7 @@
     refused: list[RefusalReport] = []
     lanes: list[LaneReport] = []
     lowest_version: int = PROTOCOL_UNTOLD
+    listing_epoch: int = 0
 
 
 class EntryAddress(MessageBase):
@@ -118,6 +119,7 @@
     """Ask for the endpoints that the peer has listed."""
 
     known_revision: int
+    known_epoch: int = 0
 
 
 class ListingAnswer(MessageBase, tag=37):
@@ -125,6 +127,7 @@
 
     revision: int
     endpoints: bytes
+    epoch: int = 0
 
 
 class HallReport(MessageBase):
@@ -133,6 +136,7 @@
     hall: str
     revision: int
     is_evacuated: bool
+    epoch: int = 0
 
 
 class EvacuationReport(MessageBase, tag=42):
--- a/packages/leadford/src/leadford/protocol/_store_news.py
+++ b/packages/leadford/src/leadford/protocol/_store_news.py
@@ -1,4 +1,7 @@
-"""Messages that pass on what the store told one entry."""
+"""Messages that pass on what the store told one entry.
+
+Revisions count within the epoch of the store that is told with them.
+"""
 
 from leadford.protocol._base import MessageBase
 
@@ -18,6 +21,7 @@
     changed_revision: int
     version: int
     confirmed_ms: float
+    epoch: int = 0
 
 
 class StoreConfirmations(MessageBase, tag=44):
@@ -49,6 +53,7 @@
     revision: int
     sent_ms: float
     changes: list[StoreChange]
+    epoch: int = 0
 
 
 class PackedChanges(MessageBase, tag=49):
@@ -62,6 +67,7 @@
     revision: int
     sent_ms: float
     changes: bytes
+    epoch: int = 0
 
 
 class PackedListing(MessageBase, tag=50):
@@ -69,3 +75,4 @@
 
     revision: int
     endpoints: bytes
+    epoch: int = 0
