Take the listing of a restored store for that of a copy

Callers would see 503 where endpoints that work have no record yet, and requests would go to endpoints that are gone.

Cause: a listing says what is there now, so what it lacked counted as removed and what it held as present. After the store came back from a copy some seconds old, it lacks what was listed since and holds what was removed since. A listing that another entry passes on from the history before would bring back what the present one does not have.

Change: an endpoint that a listing of a later epoch lacks is used for up to 2 s more, alone too; one that was removed and is listed again with the record that it had is used only in need, until the platform would have removed it (four heartbeats, which the settings tell); one that leaves stays leaving; a listing of an epoch that is over only tells who leaves.

--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -44,7 +44,8 @@
 
     `evacuate_s` is None where the operator evacuates no halls; then nothing asks for
     evacuations. `resync_s` is the time after trouble with the store within which an
-    entry has to know what the store accepted meanwhile.
+    entry has to know what the store accepted meanwhile, `heartbeat_s` the time between
+    two records of an endpoint.
 
     Units: seconds, except that the ratio and the slack count requests.
     """
@@ -57,6 +58,7 @@
     config_s: float = 2.0
     resync_s: float = 3.0
     evacuate_s: float | None = None
+    heartbeat_s: float = 1.2
 
     def known_s(self, bound_s: float) -> float:
         """Return within which time news are known whose effect has a bound.
@@ -122,7 +124,9 @@
         self.entry_id = entry_id
         self.epochs_ = StoreEpochs()
         halls = EvacuatedHalls(is_known=bounds.evacuate_s is None)
-        self.roster_ = EndpointRoster.from_drain(bounds.drain_s, halls)
+        self.roster_ = EndpointRoster.from_bounds(
+            bounds.drain_s, bounds.heartbeat_s, halls
+        )
         self.cold_ = ColdEndpoints(entry_id=entry_id)
         self.rests_ = EndpointRests()
         self.limits_ = EndpointLimits(entry_id=entry_id)
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -61,6 +61,8 @@
 
     def __init__(self, *, listed: ListedEndpoint) -> None:
         self.listed = listed
+        # Until then it is used in need only: its record may be that of a copy.
+        self.doubted_until_ = 0.0
         self.in_flight_ = 0
         # Requests under which other endpoints ended.
         self.suspects_in_flight_ = 0
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -27,6 +27,11 @@
 # Seconds before a leaving endpoint's allowance ends at which removed ones are not used
 # any more, so that what was chosen last still arrives in time.
 DRAIN_MARGIN_S = 0.9
+# Heartbeats without a word after which a record is surely removed; the platform removes
+# it after three.
+LAPSE_HEARTBEATS = 4
+# Seconds between two heartbeats of an endpoint where the deployment tells none.
+HEARTBEAT_S = 1.2
 
 
 class RosterChange(msgspec.Struct, frozen=True):
@@ -41,11 +46,15 @@
 class _Gone(msgspec.Struct, frozen=True):
     """Hold the record of an endpoint that was removed, and when.
 
+    `is_lost` where it is missing in a later epoch of the store than it was listed in:
+    the store has lost its record, and nothing says that it left.
+
     Units: gone_at in seconds of the monotonic clock.
     """
 
     record: EndpointRecord
     gone_at: float
+    is_lost: bool
 
 
 class EndpointRoster:
@@ -60,13 +69,22 @@
     once, they are used for a short while, which must be less than what a leaving
     endpoint allows.
 
-    Units: trusted_s in seconds.
+    A store that is restored from a copy lacks endpoints that were listed since, and
+    lists some that were removed since. The former are used for that short while, too;
+    the latter are doubted until the platform would have removed them.
+
+    Units: trusted_s and lapse_s in seconds.
     """
 
     def __init__(
-        self, *, trusted_s: float = BACK_S, halls: EvacuatedHalls | None = None
+        self,
+        *,
+        trusted_s: float = BACK_S,
+        lapse_s: float = LAPSE_HEARTBEATS * HEARTBEAT_S,
+        halls: EvacuatedHalls | None = None,
     ) -> None:
         self.trusted_s = trusted_s
+        self.lapse_s = lapse_s
         self.halls = halls
         self.halls_ = halls or EvacuatedHalls()
         self.gone_by_id_: dict[EndpointId, _Gone] = {}
@@ -84,15 +102,16 @@
         self.counted_at_version_ = -1
 
     @classmethod
-    def from_drain(
-        cls, drain_s: float, halls: EvacuatedHalls | None = None
+    def from_bounds(
+        cls, drain_s: float, heartbeat_s: float, halls: EvacuatedHalls | None = None
     ) -> "EndpointRoster":
         """Return a roster for endpoints that serve so long after they said they leave.
 
-        Units: seconds.
+        Units: seconds; heartbeat_s between two records of an endpoint.
         """
         trusted_s = max(0.0, min(BACK_S, drain_s - DRAIN_MARGIN_S))
-        return cls(trusted_s=trusted_s, halls=halls)
+        lapse_s = LAPSE_HEARTBEATS * heartbeat_s
+        return cls(trusted_s=trusted_s, lapse_s=lapse_s, halls=halls)
 
     def replace(
         self, endpoints: Iterable[ListedEndpoint], position: StorePosition, now: float
@@ -102,13 +121,33 @@
         seen = set()
         for endpoint in endpoints:
             seen.add(endpoint.name)
+            is_copied = self._is_copied(endpoint)
             changes += self.put(endpoint)
+            if is_copied:
+                self._doubt(endpoint.endpoint_id, now + self.lapse_s)
         names = {record.listed.name for record in self.records_by_id_.values()}
         for name in names - seen:
             changes += self.remove(name, position, now)
         self.changed_position_ = max(self.changed_position_, position)
         return changes
 
+    def _is_copied(self, endpoint: ListedEndpoint) -> bool:
+        """Tell whether a restored store lists what was removed after its copy."""
+        gone_at = self.gone_position_by_name_.get(endpoint.name)
+        last = self.last_by_name_.get(endpoint.name)
+        if gone_at is None or last is None or endpoint.position.epoch <= gone_at.epoch:
+            return False
+        if endpoint.endpoint_id in self.records_by_id_:
+            return False
+        is_same_start = endpoint.endpoint_id == last.endpoint_id
+        return is_same_start and endpoint.revision <= last.revision
+
+    def _doubt(self, endpoint_id: EndpointId, until: float) -> None:
+        """Use an endpoint only in need until the platform would have removed it."""
+        record = self.records_by_id_.get(endpoint_id)
+        if record is not None:
+            record.doubted_until_ = until
+
     def put(self, endpoint: ListedEndpoint) -> list[RosterChange]:
         """Handle one listed endpoint unless something newer is known of it."""
         endpoint_id = endpoint.endpoint_id
@@ -123,6 +162,10 @@
         gone_at = self.gone_position_by_name_.get(endpoint.name)
         if gone_at is not None and endpoint.position <= gone_at:
             return []
+        is_known = endpoint_id in self.records_by_id_
+        if not is_known and endpoint.position.epoch < self.changed_position_.epoch:
+            # The present history of the store does not have it.
+            return []
         ended = self._end_start(last.endpoint_id) if is_other_start else []
         self._remember(endpoint)
         record = self.records_by_id_.get(endpoint_id)
@@ -133,6 +176,8 @@
             self.ids_by_service_.setdefault(endpoint.service_id, set()).add(endpoint_id)
             return [*ended, self._change(endpoint, "unknown", endpoint.state.value)]
         before = record.listed
+        if endpoint.position > before.position:
+            record.doubted_until_ = 0.0
         record.listed = _joined(before, endpoint)
         if before.state is record.listed.state:
             return []
@@ -209,7 +254,8 @@
         del self.records_by_id_[endpoint_id]
         self.ids_by_service_[record.listed.service_id].discard(endpoint_id)
         if record.listed.state is ListedState.READY:
-            self.gone_by_id_[endpoint_id] = _Gone(record, now)
+            is_lost = position.epoch > record.listed.position.epoch
+            self.gone_by_id_[endpoint_id] = _Gone(record, now, is_lost)
         return [self._change(record.listed, record.listed.state.value, "gone")]
 
     def record(self, endpoint_id: EndpointId) -> EndpointRecord | None:
@@ -255,30 +301,32 @@
             self.records_by_id_[endpoint_id]
             for endpoint_id in self.ids_by_service_.get(service_id, ())
         ]
-        usable = [
-            record
-            for record in listed
-            if record.listed.state is ListedState.READY and not record.is_replaced_
-        ]
         gone = self._trusted_gone(service_id, now)
+        usable = [g.record for g in gone if g.is_lost]
+        doubted = [g.record for g in gone if not g.is_lost]
+        for record in listed:
+            if record.listed.state is not ListedState.READY or record.is_replaced_:
+                continue
+            (doubted if now < record.doubted_until_ else usable).append(record)
         # One that goes alone has left; most at once are a fault of the listing.
-        return usable + gone if len(gone) > len(usable) else usable
+        return usable + doubted if len(doubted) > len(usable) else usable
 
     def is_usable(self, record: EndpointRecord, now: float) -> bool:
         """Tell whether an endpoint that was chosen before still takes new work."""
         listed = record.listed
         if self.halls_.is_evacuated(listed.hall):
             return False
-        if self.records_by_id_.get(listed.endpoint_id) is record:
+        is_listed = self.records_by_id_.get(listed.endpoint_id) is record
+        if is_listed and now >= record.doubted_until_:
             return listed.state is ListedState.READY and not record.is_replaced_
         return any(other is record for other in self.usable(listed.service_id, now))
 
-    def _trusted_gone(self, service_id: ServiceId, now: float) -> list[EndpointRecord]:
+    def _trusted_gone(self, service_id: ServiceId, now: float) -> list[_Gone]:
         for endpoint_id, gone in list(self.gone_by_id_.items()):
             if now - gone.gone_at >= self.trusted_s:
                 del self.gone_by_id_[endpoint_id]
         return [
-            gone.record
+            gone
             for gone in self.gone_by_id_.values()
             if gone.record.listed.service_id == service_id
             and not gone.record.is_replaced_
--- a/packages/leadford/src/leadford/forwarding/history/_epochs.py
+++ b/packages/leadford/src/leadford/forwarding/history/_epochs.py
@@ -41,15 +41,12 @@
             return AnswerAge.PAST
         was_known = self._is_known
         self.is_told_ = True
-        if not self._raise_to(epoch) or not was_known:
-            # The first answer tells which epoch it is, not that it has risen.
-            return AnswerAge.PRESENT
-        return AnswerAge.RESTORED
+        has_risen = self._raise_to(epoch, was_known=was_known)
+        return AnswerAge.RESTORED if has_risen else AnswerAge.PRESENT
 
     def record_told(self, epoch: StoreEpoch) -> bool:
         """Record the epoch that another entry knows; return whether it has risen."""
-        was_known = self._is_known
-        return self._raise_to(epoch) and was_known
+        return self._raise_to(epoch, was_known=self._is_known)
 
     def of_untold(self) -> StoreEpoch:
         """Return the epoch of news from a build that tells none.
@@ -62,11 +59,14 @@
     def _is_known(self) -> bool:
         return self.is_told_ or self.current_ > FIRST_EPOCH
 
-    def _raise_to(self, epoch: StoreEpoch) -> bool:
+    def _raise_to(self, epoch: StoreEpoch, *, was_known: bool) -> bool:
+        """Return whether the epoch has risen; the first one that is told has not."""
         if epoch <= self.current_:
             return False
-        self.has_risen_ = self._is_known
         self.current_ = epoch
+        if not was_known:
+            return False
+        self.has_risen_ = True
         for listener in self.listeners_:
             listener()
         return True
