Keep a hall evacuated that the listing of a restored store lacks

Callers would see requests go to a hall that the operator has emptied: a copy that is some seconds old lacks the evacuation until the operator writes it again. A hall that a listing of a later epoch lacks now stays evacuated for 6 s more, unless it is told again or its end is. Four tests; the first, of a revision that is given out again, holds since positions order the notices, the second and third cannot pass before.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -297,6 +297,7 @@
             self.state_.cold_.retain(known)
             self.state_.limits_.retain(known, self.state_.now())
             self.state_.rests_.sweep(self.state_.now())
+            self.halls_.expire()
 
     async def _watch_suspensions(self) -> None:
         """Doubt what was known before the host was suspended."""
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_halls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_halls.py
@@ -49,7 +49,7 @@
         notices = [notice for notice in read if notice is not None]
         halls = self.state.roster_.halls_
         was_known = halls.is_known_
-        changed = halls.replace(notices, listing.position)
+        changed = halls.replace(notices, listing.position, self.state.now())
         self._settle(changed, FROM_STORE, is_first=not was_known)
 
     def on_event(self, event: ObjectEvent) -> None:
@@ -69,6 +69,10 @@
     def on_confirmed(self) -> None:
         """Do nothing: how old the list of evacuations is decides nothing."""
 
+    def expire(self) -> None:
+        """Give halls back whose evacuation a restored store has lost for good."""
+        self._settle(self.state.roster_.halls_.expire(self.state.now()), FROM_STORE)
+
     def learn(
         self, report: EvacuationReport, source: str, *, tells_epochs: bool = True
     ) -> None:
--- a/packages/leadford/src/leadford/forwarding/endpoints/_halls.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_halls.py
@@ -16,6 +16,8 @@
 # Halls whose evacuation is over and still remembered, so that an older notice does not
 # bring it back; far more than a fleet has.
 HALLS_KEPT = 2_000
+# Seconds for which a hall stays evacuated after a restored store lacks its evacuation.
+LOST_KEPT_S = 6.0
 
 
 class HallNotice(msgspec.Struct, frozen=True):
@@ -36,6 +38,16 @@
         return msgspec.structs.replace(self, epoch=epoch)
 
 
+class _Lost(msgspec.Struct, frozen=True):
+    """Hold which listing of a restored store lacked an evacuation.
+
+    Units: until in seconds of the monotonic clock.
+    """
+
+    position: StorePosition
+    until: float
+
+
 class EvacuatedHalls:
     """Join notices on halls by the positions they were made at.
 
@@ -48,12 +60,14 @@
         self.is_known = is_known
         self.is_known_ = is_known
         self.by_hall_: dict[HallId, HallNotice] = {}
+        self.lost_by_hall_: dict[HallId, _Lost] = {}
 
     def record(self, notice: HallNotice) -> bool:
         """Record one notice; return whether it changed what holds for its hall."""
         known = self.by_hall_.get(notice.hall)
         if known is not None and notice.order <= known.order:
             return False
+        self.lost_by_hall_.pop(notice.hall, None)
         # Moved to the end, so that the oldest is forgotten first.
         self.by_hall_.pop(notice.hall, None)
         self.by_hall_[notice.hall] = notice
@@ -62,19 +76,34 @@
         return was_evacuated != notice.is_evacuated
 
     def replace(
-        self, evacuated: Iterable[HallNotice], position: StorePosition
+        self, evacuated: Iterable[HallNotice], position: StorePosition, now: float
     ) -> list[HallNotice]:
-        """Record a whole listing made at a position, and return what it changed."""
+        """Record a whole listing made at a position, and return what it changed.
+
+        A hall that a later epoch of the store lacks stays evacuated for a while: the
+        operator writes again what a copy does not have.
+        """
         listed = list(evacuated)
         seen = {notice.hall for notice in listed}
         for hall, notice in self.by_hall_.items():
-            if notice.is_evacuated and hall not in seen:
-                listed.append(
-                    HallNotice(hall, position.revision, False, position.epoch)
-                )
+            if not notice.is_evacuated or hall in seen:
+                continue
+            if notice.epoch < position.epoch:
+                self.lost_by_hall_.setdefault(hall, _Lost(position, now + LOST_KEPT_S))
+                continue
+            listed.append(HallNotice(hall, position.revision, False, position.epoch))
         self.is_known_ = True
         return [notice for notice in listed if self.record(notice)]
 
+    def expire(self, now: float) -> list[HallNotice]:
+        """Give halls back whose evacuation was not written again; return which."""
+        over = [
+            HallNotice(hall, lost.position.revision, False, lost.position.epoch)
+            for hall, lost in self.lost_by_hall_.items()
+            if now >= lost.until
+        ]
+        return [notice for notice in over if self.record(notice)]
+
     def is_evacuated(self, hall: HallId) -> bool:
         """Tell whether a hall gets no new work."""
         if not self.is_known_:
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_halls.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_halls.py
@@ -11,7 +11,7 @@
     ListedEndpoint,
     ListedState,
 )
-from leadford.forwarding.history import FIRST_EPOCH, StorePosition
+from leadford.forwarding.history import FIRST_EPOCH, StoreEpoch, StorePosition
 from leadford.forwarding.routes import ServiceId
 
 
@@ -72,7 +72,7 @@
     roster = roster_with_two_halls(EvacuatedHalls(is_known=False))
     assert usable_ids(roster) == set()
     assert not roster.is_usable(roster.record(EndpointId("other")), 0.0)
-    roster.halls_.replace([notice(5)], at(7))
+    roster.halls_.replace([notice(5)], at(7), 0.0)
     assert usable_ids(roster) == {"other"}
 
 
@@ -90,7 +90,7 @@
     halls = EvacuatedHalls()
     halls.record(notice(5))
     halls.record(notice(9, hall="newer"))
-    changed = halls.replace([], at(7))
+    changed = halls.replace([], at(7), 0.0)
     assert changed == [notice(7, False)]
     assert not halls.is_evacuated(HALL)
     assert halls.is_evacuated(HallId("newer"))
@@ -111,3 +111,43 @@
         halls.record(notice(2, False, hall=f"hall-{number}"))
     assert len(halls.notices()) == 2_000
     assert halls.is_evacuated(HallId("kept"))
+
+
+def restored(revision):
+    return StorePosition(StoreEpoch(1), revision)
+
+
+def test_a_hall_that_is_evacuated_at_a_revision_given_out_again_gets_no_work():
+    halls = EvacuatedHalls()
+    halls.record(notice(95))
+    halls.record(notice(96, False))
+    assert halls.record(notice(95).in_epoch(StoreEpoch(1)))
+    assert halls.is_evacuated(HALL)
+
+
+def test_a_hall_whose_evacuation_the_copy_lacks_stays_evacuated_for_a_while():
+    halls = EvacuatedHalls()
+    halls.record(notice(95))
+    assert halls.replace([], restored(94), 10.0) == []
+    assert halls.replace([], restored(94), 12.0) == []
+    assert halls.expire(15.9) == []
+    assert halls.is_evacuated(HALL)
+    assert [n.is_evacuated for n in halls.expire(16.0)] == [False]
+    assert not halls.is_evacuated(HALL)
+
+
+def test_an_evacuation_that_the_operator_writes_again_holds_on():
+    halls = EvacuatedHalls()
+    halls.record(notice(95))
+    halls.replace([], restored(94), 10.0)
+    halls.record(notice(97).in_epoch(StoreEpoch(1)))
+    assert halls.expire(30.0) == []
+    assert halls.is_evacuated(HALL)
+
+
+def test_a_hall_that_is_given_back_after_the_restoration_gets_work():
+    halls = EvacuatedHalls()
+    halls.record(notice(95))
+    halls.replace([notice(50).in_epoch(StoreEpoch(1))], restored(94), 10.0)
+    assert [n.hall for n in halls.replace([], restored(99), 11.0)] == [HALL]
+    assert not halls.is_evacuated(HALL)
