--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -56,6 +56,8 @@
 # The same as a part of its rest for an entry that rests while others follow: its next
 # call, spread by 1.2, is over within the bound that the rest leaves.
 RESTING_RETRY_PART = 0.5
+# Seconds of a rest that are not waited for: rounding may leave no time to pass.
+LEAST_REST_S = 0.001
 # Seconds over which entries that rest list anew once the store began another history.
 RELIST_SPREAD_S = 0.5
 
@@ -167,7 +169,12 @@
         if self.is_told_by_version or self.rest_s() <= 0.0:
             return
         pause_s = self.random.uniform(0.0, RELIST_SPREAD_S)
-        asyncio.get_running_loop().call_later(pause_s, self.behind_.set)
+        asyncio.get_running_loop().call_later(pause_s, self._list_anew)
+
+    def _list_anew(self) -> None:
+        """End a rest, unless the store has been asked meanwhile."""
+        if self._must_list():
+            self.behind_.set()
 
     def _retry_max_s(self) -> float:
         """Return how many seconds lie at most between calls that fail.
@@ -184,7 +191,7 @@
         now = asyncio.get_running_loop().time
         while self.position_ is not None and self.confirmed_at_ is not None:
             left_s = self.confirmed_at_ + self.rest_s() - now()
-            if left_s <= 0.0 or self.behind_.is_set():
+            if left_s < LEAST_REST_S or self.behind_.is_set():
                 break
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.behind_.wait(), left_s)
@@ -199,8 +206,12 @@
         self.behind_.set()
 
     def hurry(self) -> None:
-        """Ask the store at once: another entry knows of changes that were missed."""
-        self.behind_.set()
+        """Ask the store at once: another entry knows of changes that were missed.
+
+        Where all entries have to list anew, each does so at a time of its own.
+        """
+        if not self._must_list():
+            self.behind_.set()
 
     def learn(
         self, after_revision: int, seen: ObjectEvents, confirmed_at: float
--- a/packages/leadford-standins/src/leadford_standins/wire/_fleet.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_fleet.py
@@ -51,7 +51,8 @@
         self.calls_ += 1
         await asyncio.sleep(ANSWER_S)
         status, page = await self._answer(path, wait_s)
-        headers = {} if status == NO_ANSWER else {"Store-Era": str(self.store.era_)}
+        has_era = status != NO_ANSWER and self.store.era_ is not None
+        headers = {"Store-Era": str(self.store.era_)} if has_era else {}
         body = json.dumps(page).encode()
         return self._sort(path, "read", Transferred(status, body, 0.0, headers))
 
--- a/packages/leadford-standins/src/leadford_standins/wire/_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -50,11 +50,12 @@
 class StoreStandIn:
     """Hold objects by kind and name; every change raises one revision.
 
-    `era_` is told in every answer, and rises with each restoration from a copy.
+    `era_` is told in every answer, and rises with each restoration from a copy; a store
+    of an older platform tells None.
     """
 
     def __init__(self) -> None:
-        self.era_ = 1
+        self.era_: int | None = 1
         self.objects_by_kind_: dict[str, dict[str, dict]] = {}
         self.history_: deque[tuple[int, str, bool, dict]] = deque(maxlen=HISTORY_EVENTS)
         self.forgotten_revision_ = 0
@@ -151,7 +152,8 @@
 
     def flush(self, include_footers: bool = False) -> asyncio.Future[None]:
         # The store says in which era it answers, not in which it was asked.
-        self.set_header("Store-Era", str(self.store.era_))
+        if self.store.era_ is not None:
+            self.set_header("Store-Era", str(self.store.era_))
         return super().flush(include_footers)
 
     async def prepare(self) -> None:
