Let the soak's store come back from copies

A new kind of fault, drawn last so that seeds without it mean what they did: the store is away for 0.1 to 3 s and comes back from a copy that is 0.5 to 6 s older; what the operator and the endpoints had written since is written again 0.4 s later, what entries had written is not.

--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -79,6 +79,7 @@
     faults_per_s: float = 0.8,
     changes_per_s: float = 0.4,
     ending_per_s: float = 0.0,
+    restores_per_s: float = 0.0,
     long_part: float = 0.15,
     long_work_s: float = 1.2,
     only: list[str] | None = None,
@@ -98,6 +99,7 @@
     :param faults_per_s: faults besides changes of the configuration
     :param changes_per_s: changes of the configuration
     :param ending_per_s: new requests that end whoever runs them
+    :param restores_per_s: times that the store comes back from a copy
     :param long_part: part of the requests that work long
     :param long_work_s: how long at most these work
     :param only: kinds of fault and change to draw; all when left out
@@ -120,6 +122,7 @@
         faults_per_s=faults_per_s,
         changes_per_s=changes_per_s,
         ending_per_s=ending_per_s,
+        restores_per_s=restores_per_s,
         long_part=long_part,
         long_work_s=long_work_s,
         only=tuple(only or ()),
--- a/packages/leadford-standins/src/leadford_standins/soak/_base.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_base.py
@@ -44,6 +44,7 @@
     STORE_SLOW = "store-slow"
     STORE_LOSES = "store-loses"
     STORE_FORGETS = "store-forgets"
+    STORE_RESTORED = "store-restored"
     ROUTE_MOVED = "route-moved"
     ROUTE_ADDED = "route-added"
     ROUTE_REMOVED = "route-removed"
@@ -93,8 +94,8 @@
     kinds to draw, all when empty; `program` is the file that starts an entry, that of
     this checkout when empty. `older` is a commit whose build runs beside this one, none
     when empty, and `upgrade` how it gives way. Units: requests_per_s counts all callers
-    together, faults_per_s injected faults, and ending_per_s requests that end whoever
-    runs them.
+    together, faults_per_s injected faults, ending_per_s requests that end whoever runs
+    them, and restores_per_s how often the store comes back from a copy.
     """
 
     seed: int
@@ -105,6 +106,7 @@
     faults_per_s: float = 0.8
     changes_per_s: float = 0.4
     ending_per_s: float = 0.0
+    restores_per_s: float = 0.0
     long_part: float = 0.15
     long_work_s: float = 1.2
     only: tuple[str, ...] = ()
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
@@ -78,6 +78,10 @@
 ENDING_SPANS: dict[FaultKind, Span] = {
     K.REQUEST_ENDS_ENDPOINTS: Span(1, (9, 15), (0.15, 0.6)),
 }
+# The amount is how old the copy is; the store is away for the duration.
+RESTORE_SPANS: dict[FaultKind, Span] = {
+    K.STORE_RESTORED: Span(1, (0.1, 3), (0.5, 6)),
+}
 # A target is drawn below this, and taken modulo what there is.
 TARGETS = 10_000
 
@@ -87,8 +91,9 @@
     faults = [
         *_draw(FAULT_SPANS, options.faults_per_s, options, random),
         *_draw(CHANGE_SPANS, options.changes_per_s, options, random),
-        # Last, so that the seeds of runs without them mean what they did.
+        # Last, so that the seeds of runs without these mean what they did.
         *_draw(ENDING_SPANS, options.ending_per_s, options, random),
+        *_draw(RESTORE_SPANS, options.restores_per_s, options, random),
         *upgrade_steps(options),
     ]
     faults.sort(key=lambda fault: fault.at_s)
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_platform.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_platform.py
@@ -31,6 +31,10 @@
 ENDING_ROUTES = ("safe", "unsafe", "resumed", "once")
 # Seconds between looks whether all that was to go wrong at an endpoint has.
 LOOK_S = 0.1
+# Seconds after which what a restored store has lost is written again, and the kinds
+# that the operator and the endpoints write.
+WRITTEN_AGAIN_S = 0.4
+WRITTEN_KINDS = ("config", "servers")
 M = Misbehaviour
 PLAIN_MISBEHAVIOURS = (M.LOSE_ANSWER, M.REFUSE, M.FAIL, M.HANG, M.OTHER_ANSWER)
 ENGINE_MISBEHAVIOURS = (*PLAIN_MISBEHAVIOURS, M.CUT, M.GONE, M.STALL)
@@ -60,6 +64,29 @@
     scene.store_.forget_history()
 
 
+@injects(K.STORE_RESTORED)
+async def restore_store(scene: SoakScene, fault: Fault) -> None:
+    """Let the store be away, and come back from a copy made some time before.
+
+    The operator and the endpoints write again what they had written since.
+    """
+    loop = asyncio.get_running_loop()
+    store = scene.store_
+    held = store.copy()
+    await asyncio.sleep(fault.amount)
+    noted = scene.ledger.disturb(
+        STORE, fault.kind, loop.time(), loop.time() + fault.duration_s + WRITTEN_AGAIN_S
+    )
+    store.fault = StoreFault.RESET
+    await asyncio.sleep(fault.duration_s)
+    before = store.restore(held)
+    if store.fault is StoreFault.RESET:
+        store.fault = StoreFault.NONE
+    await asyncio.sleep(WRITTEN_AGAIN_S)
+    store.write_again(before, held, WRITTEN_KINDS)
+    noted.until_s = loop.time()
+
+
 def _change(writer: ConfigWriter, fault: Fault) -> None:
     if fault.kind is K.ROUTE_MOVED:
         writer.move_route()
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
@@ -12,6 +12,7 @@
     ENDING_SPANS,
     FAULT_SPANS,
     QUIET_START_S,
+    RESTORE_SPANS,
     draw_plan,
 )
 
@@ -52,7 +53,13 @@
 @pytest.mark.parametrize("kind", FaultKind)
 def test_every_kind_is_drawn_and_has_an_injector(kind):
     planned = {FaultKind.ENTRY_UPGRADED}
-    assert kind in {*FAULT_SPANS, *CHANGE_SPANS, *ENDING_SPANS, *planned}
+    assert kind in {
+        *FAULT_SPANS,
+        *CHANGE_SPANS,
+        *ENDING_SPANS,
+        *RESTORE_SPANS,
+        *planned,
+    }
     assert kind in injectors_by_kind
 
 
@@ -65,6 +72,15 @@
     assert tuple(others) == plan_of(5).faults
 
 
+def test_restorations_of_the_store_leave_the_other_draws_as_they_were():
+    others = [
+        fault
+        for fault in plan_of(5, restores_per_s=0.5).faults
+        if fault.kind not in RESTORE_SPANS
+    ]
+    assert tuple(others) == plan_of(5).faults
+
+
 def upgrades(**fields):
     faults = plan_of(5, older="a commit", entries=4, **fields).faults
     return [fault for fault in faults if fault.kind is FaultKind.ENTRY_UPGRADED]
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
@@ -27,6 +27,7 @@
         f"--endpoints={options.endpoints}",
         f"--changes-per-s={options.changes_per_s}",
         f"--ending-per-s={options.ending_per_s}",
+        f"--restores-per-s={options.restores_per_s}",
         f"--older={options.older}",
         f"--upgrade={options.upgrade.value}",
         "--untimed",
@@ -63,6 +64,13 @@
     assert "entry-upgraded 8" in output
 
 
+def test_a_soak_over_a_store_that_comes_back_from_copies_breaks_no_promise(tmp_path):
+    options = SoakOptions(seed=7002, seconds=20.0, entries=8, restores_per_s=0.25)
+    status, output = asyncio.run(run_soak(options, tmp_path))
+    assert status == 0, output
+    assert "store-restored" in output
+
+
 def test_short_soaks_break_no_promise(tmp_path):
     async def main():
         return await asyncio.gather(
--- a/packages/leadford-standins/src/leadford_standins/wire/_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -8,6 +8,7 @@
 import copy
 import json
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -46,6 +47,14 @@
     objects_by_kind: dict[str, dict[str, dict]]
     revision: int
 
+    def items(self) -> list[tuple[str, str, dict]]:
+        """Return kind, name and object of each that the store held."""
+        return [
+            (kind, name, item)
+            for kind, objects in self.objects_by_kind.items()
+            for name, item in objects.items()
+        ]
+
 
 class StoreStandIn:
     """Hold objects by kind and name; every change raises one revision.
@@ -56,6 +65,8 @@
 
     def __init__(self) -> None:
         self.era_: int | None = 1
+        # Removed since the last restoration, by kind and name.
+        self.deleted_: set[tuple[str, str]] = set()
         self.objects_by_kind_: dict[str, dict[str, dict]] = {}
         self.history_: deque[tuple[int, str, bool, dict]] = deque(maxlen=HISTORY_EVENTS)
         self.forgotten_revision_ = 0
@@ -99,6 +110,7 @@
 
     def delete(self, kind: str, name: str) -> bool:
         """Remove an object; return whether it was there."""
+        self.deleted_.add((kind, name))
         item = self.objects_by_kind_.get(kind, {}).pop(name, None)
         if item is None:
             return False
@@ -116,14 +128,36 @@
         """Return what the store may be restored from."""
         return StoreCopy(copy.deepcopy(self.objects_by_kind_), self.revision_)
 
-    def restore(self, held: StoreCopy) -> None:
-        """Come back from a copy: what was written since is gone."""
+    def restore(self, held: StoreCopy) -> StoreCopy:
+        """Come back from a copy; return what the store held, which may be gone."""
+        before = self.copy()
+        self.deleted_.clear()
         self.objects_by_kind_ = copy.deepcopy(held.objects_by_kind)
         self.revision_ = held.revision
         self.era_ += 1
         kept = [event for event in self.history_ if event[0] <= held.revision]
         self.history_ = deque(kept, maxlen=HISTORY_EVENTS)
         self._wake()
+        return before
+
+    def write_again(
+        self, before: StoreCopy, held: StoreCopy, kinds: Iterable[str]
+    ) -> None:
+        """Write again what owners of kinds had written since a copy was made.
+
+        What they have written after the restoration stays.
+        """
+        for kind, name, item in before.items():
+            now = self.objects_by_kind_.get(kind, {}).get(name)
+            lost = held.objects_by_kind.get(kind, {}).get(name)
+            was_written = now != lost or (kind, name) in self.deleted_
+            if kind in kinds and item != lost and not was_written:
+                self.put(kind, name, item["spec"])
+        for kind, name, item in held.items():
+            now = self.objects_by_kind_.get(kind, {}).get(name)
+            was_removed = name not in before.objects_by_kind.get(kind, {})
+            if kind in kinds and was_removed and now == item:
+                self.delete(kind, name)
 
     def _note(self, kind: str, item: dict, *, gone: bool) -> None:
         self.history_.append((self.revision_, kind, gone, item))
