--- a/packages/leadford-server/src/leadford_server/forwarding/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/__init__.py
@@ -5,20 +5,22 @@
     ForwardCall,
     HeaderList,
     InboundRequest,
-    KnownEntry,
     NotRunCause,
-    ObjectCodec,
-    ObjectEvent,
-    ObjectEvents,
-    ObjectList,
     OutboundRequest,
     PieceOutcome,
     RequestCodec,
-    StoreFailure,
 )
 from leadford_server.forwarding._process import ForwardProcess
 from leadford_server.forwarding._settings import ForwardSettings
 from leadford_server.forwarding._state import ForwardBounds
+from leadford_server.forwarding._store_contract import (
+    KnownEntry,
+    ObjectCodec,
+    ObjectEvent,
+    ObjectEvents,
+    ObjectList,
+    StoreFailure,
+)
 
 __all__ = [
     "AnswerHead",
--- a/packages/leadford-server/src/leadford_server/forwarding/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_contract.py
@@ -3,24 +3,20 @@
 An adapter turns names and formats into these messages and back. It decides nothing.
 """
 
-from collections.abc import Mapping
 from enum import Enum
 from typing import Protocol
 
 import msgspec
 from returns.result import Result
 
-from leadford.common import EndpointId, EntryId, HallId, RequestId
+from leadford.common import EndpointId, RequestId
 from leadford.forwarding.batching import PieceTask
 from leadford.forwarding.endpoints import (
     Backpressure,
-    HallNotice,
-    ListedEndpoint,
     PromptShape,
     ReportedLoad,
 )
-from leadford.forwarding.history import FIRST_EPOCH, StoreEpoch, StorePosition
-from leadford.forwarding.routes import ForwardConfig, ResultHandle
+from leadford.forwarding.routes import ResultHandle
 
 # Statuses from the first up to the second say that a request was served.
 STATUS_SUCCESS = 200
@@ -144,70 +140,6 @@
     reason: str = ""
 
 
-class ObjectList(msgspec.Struct, frozen=True):
-    """Hold one page of objects and the revision of the store it was made at.
-
-    `faults` say what was wrong with objects that are left out.
-    """
-
-    items: list[dict]
-    next_name: str | None
-    revision: int
-    faults: tuple[str, ...] = ()
-
-
-class KnownEntry(msgspec.Struct, frozen=True):
-    """Hold where an entry listens for its peers, and its hall."""
-
-    entry_id: EntryId
-    address: str
-    hall: HallId
-
-
-class ObjectEvent(msgspec.Struct, frozen=True):
-    """Hold one change of an object, seen at a revision of the store in an epoch."""
-
-    item: dict
-    is_gone: bool
-    seen_revision: int
-    epoch: StoreEpoch = FIRST_EPOCH
-
-    @property
-    def seen_at(self) -> StorePosition:
-        """Return the position of the answer that told it."""
-        return StorePosition(self.epoch, self.seen_revision)
-
-
-class ObjectEvents(msgspec.Struct, frozen=True):
-    """Hold what a watch saw, and from where to go on.
-
-    `faults` say what was wrong with changes that are left out.
-    """
-
-    events: list[ObjectEvent]
-    revision: int
-    faults: tuple[str, ...] = ()
-    epoch: StoreEpoch = FIRST_EPOCH
-
-    @property
-    def position(self) -> StorePosition:
-        """Return from where to go on."""
-        return StorePosition(self.epoch, self.revision)
-
-    def in_epoch(self, epoch: StoreEpoch) -> "ObjectEvents":
-        """Return the same, seen in an epoch of the store."""
-        replace = msgspec.structs.replace
-        events = [replace(event, epoch=epoch) for event in self.events]
-        return replace(self, events=events, epoch=epoch)
-
-
-class StoreAnswer(msgspec.Struct, frozen=True):
-    """Hold the body of a good answer of the store, and its epoch."""
-
-    body: bytes
-    epoch: StoreEpoch
-
-
 class RequestCodec(Protocol):
     """Read and write the messages between callers, entries and endpoints."""
 
@@ -241,78 +173,3 @@
         self, handles: list[ResultHandle], instance: EndpointId
     ) -> OutboundRequest:
         """Return the call that release results."""
-
-
-class StoreFailure(Enum):
-    """Say why a call to the store did nothing, or may have done nothing.
-
-    CONFLICT: the object is there already. HISTORY_GONE: changes since the revision
-    asked for are not kept any more. NO_ANSWER: none came in time, and what was asked
-    may have been done. NOT_FOUND: there is no such object. PAST_EPOCH: the answer
-    belongs to a history of the store that is over. UNAVAILABLE: the store turned the
-    call away.
-    """
-
-    CONFLICT = "conflict"
-    HISTORY_GONE = "history-gone"
-    NO_ANSWER = "no-answer"
-    NOT_FOUND = "not-found"
-    PAST_EPOCH = "past-epoch"
-    UNAVAILABLE = "unavailable"
-
-
-class ObjectCodec(Protocol):
-    """Name and read the objects of the platform's store."""
-
-    config_kind: str
-    config_name: str
-    endpoints_kind: str
-    entries_kind: str
-    evacuations_kind: str
-
-    def list_path(
-        self, kind: str, after: str | None, *, may_be_old: bool = False
-    ) -> str:
-        """Return the path of a page of objects, which may be seconds old."""
-
-    def watch_path(self, kind: str, revision: int, wait_ms: int) -> str:
-        """Return the path of a watch."""
-
-    def object_path(self, kind: str, name: str) -> str:
-        """Return the path of one object."""
-
-    def read_failure(self, status: int) -> StoreFailure:
-        """Return what the status of a failed call says."""
-
-    def read_epoch(self, headers: Mapping[str, str]) -> StoreEpoch | None:
-        """Return the epoch of an answer; None where it tells none."""
-
-    def read_list(self, body: bytes) -> Result[ObjectList, str]:
-        """Return a page of objects."""
-
-    def read_events(self, body: bytes) -> Result[ObjectEvents, str]:
-        """Return what a watch saw."""
-
-    def read_object(self, item: object) -> Result[dict, str]:
-        """Return an object, or its bytes, of which name and revision can be read."""
-
-    def read_config(self, item: dict) -> Result[ForwardConfig, str]:
-        """Return the configuration in an object."""
-
-    def read_endpoint(self, item: dict) -> Result[ListedEndpoint, str]:
-        """Return the endpoint in an object."""
-
-    def read_evacuation(self, item: dict) -> Result[HallNotice, str]:
-        """Return the evacuation of a hall in an object."""
-
-    def read_entry(self, item: dict) -> Result[KnownEntry, str]:
-        """Return the entry in an object."""
-
-    def entry_object(self, entry: KnownEntry) -> bytes:
-        """Return the object that announces an entry."""
-
-    def object_name(self, item: dict) -> str:
-        """Return the name of an object."""
-
-    def object_revision(self, item: dict) -> int:
-        """Return the revision of an object's last change."""
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
@@ -14,8 +14,10 @@
     wanted_peers,
 )
 from leadford.forwarding.routes import Service, ServiceId
-from leadford_server.forwarding._contract import KnownEntry
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding._store_contract import (
+    KnownEntry,
+)
 
 
 class FleetView:
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_members.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_members.py
@@ -12,7 +12,7 @@
 
 from leadford.common import EntryId
 from leadford.forwarding.history import FIRST_EPOCH, StoreEpoch
-from leadford_server.forwarding._contract import (
+from leadford_server.forwarding._store_contract import (
     KnownEntry,
     ObjectCodec,
     ObjectEvent,
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_relays.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_relays.py
@@ -27,13 +27,13 @@
     StoreConfirmation,
     StoreConfirmations,
 )
-from leadford_server.forwarding._contract import (
+from leadford_server.forwarding._peers import MessageHandlers
+from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding._store_contract import (
     ObjectCodec,
     ObjectEvent,
     ObjectEvents,
 )
-from leadford_server.forwarding._peers import MessageHandlers
-from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.store import KindFollower, report_unreadable
 from leadford_server.metrics import RELAYED_NEWS_TOTAL
 from leadford_server.peers import PeerConnection
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_members.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_members.py
@@ -10,7 +10,7 @@
 from leadford.common import EntryId, HallId
 from leadford.forwarding.history import StoreEpoch, StoreEpochs, StorePosition
 from leadford_platform import PlatformObjects
-from leadford_server.forwarding._contract import (
+from leadford_server.forwarding._store_contract import (
     KnownEntry,
     ObjectEvent,
     StoreAnswer,
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_news.py
@@ -24,8 +24,10 @@
     ListingRequest,
     PackedListing,
 )
-from leadford_server.forwarding._contract import KnownEntry
 from leadford_server.forwarding._state import ForwardBounds, ForwardState
+from leadford_server.forwarding._store_contract import (
+    KnownEntry,
+)
 from leadford_server.forwarding.membership._news import NewsExchange
 from leadford_server.logs import EventLog
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_relays.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_relays.py
@@ -21,13 +21,13 @@
 from leadford.forwarding.history import FIRST_EPOCH, StoreEpochs, StorePosition
 from leadford.protocol import PROTOCOL_FLEET, PROTOCOL_PACKED, PackedChanges
 from leadford_platform import PlatformObjects
-from leadford_server.forwarding._contract import (
+from leadford_server.forwarding._state import ForwardBounds
+from leadford_server.forwarding._store_contract import (
     ObjectEvent,
     ObjectEvents,
     StoreAnswer,
     StoreFailure,
 )
-from leadford_server.forwarding._state import ForwardBounds
 from leadford_server.forwarding.membership._relays import StoreRelays
 from leadford_server.forwarding.store._factory import FollowerFactory
 from leadford_standins.simulated import run_simulated
--- a/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
@@ -3,6 +3,9 @@
 How long calls wait is decided in `leadford.forwarding.membership`.
 """
 
+from leadford_server.forwarding.store._base import (
+    Listing,
+)
 from leadford_server.forwarding.store._client import (
     ObjectsClient,
     readable,
@@ -17,7 +20,6 @@
     ENTRIES_WATCH_S,
     WATCH_S,
     KindFollower,
-    Listing,
 )
 from leadford_server.forwarding.store._halls import (
     WATCH_PART,
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
@@ -12,7 +12,7 @@
 
 from leadford.events import Event
 from leadford.forwarding.history import AnswerAge, StoreEpochs
-from leadford_server.forwarding._contract import (
+from leadford_server.forwarding._store_contract import (
     ObjectCodec,
     StoreAnswer,
     StoreFailure,
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_config.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_config.py
@@ -8,10 +8,15 @@
 
 from leadford.events import Event
 from leadford.forwarding.routes import ForwardConfig, RouteTable
-from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding._store_contract import (
+    ObjectCodec,
+    ObjectEvent,
+)
+from leadford_server.forwarding.store._base import (
+    Listing,
+)
 from leadford_server.forwarding.store._client import FROM_STORE, readable
-from leadford_server.forwarding.store._follow import Listing
 
 
 class ConfigHolder:
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -12,20 +12,24 @@
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from random import Random
-from typing import Protocol
 
-import msgspec
 from returns.result import Failure, Result
 
 from leadford.events import Event
 from leadford.forwarding.history import START, StorePosition
 from leadford.forwarding.membership import WATCH_MARGIN_S
-from leadford_server.forwarding._contract import (
-    ObjectEvent,
+from leadford_server.forwarding._store_contract import (
     ObjectEvents,
     StoreAnswer,
     StoreFailure,
 )
+from leadford_server.forwarding.store._base import (
+    KindOwner,
+    Listing,
+    ignore_relayed,
+    never_rests,
+    tell_nobody,
+)
 from leadford_server.forwarding.store._client import (
     ObjectsClient,
     readable,
@@ -62,38 +66,6 @@
 RELIST_SPREAD_S = 0.5
 
 
-class Listing(msgspec.Struct, frozen=True):
-    """Hold every object of a kind at a position in the history of the store."""
-
-    items: list[dict]
-    position: StorePosition
-
-
-class KindOwner(Protocol):
-    """Own what is known of one kind of object."""
-
-    def on_list(self, listing: Listing) -> None:
-        """Read a whole listing of the store."""
-
-    def on_event(self, event: ObjectEvent) -> None:
-        """Read one change after the listing."""
-
-    def on_confirmed(self) -> None:
-        """Record that the store has said that nothing is missing."""
-
-
-def _never_rests() -> float:
-    return 0.0
-
-
-def _tells_nobody(kind: str, after: StorePosition, seen: ObjectEvents) -> None:
-    """Tell nobody of changes."""
-
-
-def ignore_relayed(confirmed_at: float) -> None:
-    """Ignore when another entry was told that nothing is missing."""
-
-
 class KindFollower:
     """Keep the owner of one kind up to date.
 
@@ -115,8 +87,8 @@
         owner: KindOwner,
         watch_s: Callable[[], float],
         call_s: Callable[[], float],
-        rest_s: Callable[[], float] = _never_rests,
-        tell: Callable[[str, StorePosition, ObjectEvents], None] = _tells_nobody,
+        rest_s: Callable[[], float] = never_rests,
+        tell: Callable[[str, StorePosition, ObjectEvents], None] = tell_nobody,
         on_relayed: Callable[[float], None] = ignore_relayed,
         changes_pause_s: float = CHANGES_PAUSE_S,
         is_told_by_version: bool = False,
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
@@ -9,10 +9,15 @@
 from leadford.events import Event
 from leadford.forwarding.endpoints import ListedEndpoint, RosterChange
 from leadford.forwarding.history import StoreEpoch, StorePosition
-from leadford_server.forwarding._contract import ObjectCodec, ObjectEvent
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding._store_contract import (
+    ObjectCodec,
+    ObjectEvent,
+)
+from leadford_server.forwarding.store._base import (
+    Listing,
+)
 from leadford_server.forwarding.store._client import readable_record
-from leadford_server.forwarding.store._follow import Listing
 
 
 class ListingHolder:
--- a/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
@@ -10,11 +10,16 @@
 
 from leadford.forwarding.history import FIRST_EPOCH, StoreEpochs, StorePosition
 from leadford_platform import PlatformObjects
-from leadford_server.forwarding._contract import StoreAnswer, StoreFailure
 from leadford_server.forwarding._state import ForwardBounds
+from leadford_server.forwarding._store_contract import (
+    StoreAnswer,
+    StoreFailure,
+)
 from leadford_server.forwarding.store._client import ObjectsClient
 from leadford_server.forwarding.store._factory import FollowerFactory
-from leadford_server.forwarding.store._follow import KindFollower
+from leadford_server.forwarding.store._follow import (
+    KindFollower,
+)
 from leadford_server.web import Transferred
 from leadford_standins.simulated import run_simulated
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -16,6 +16,7 @@
 from leadford.forwarding.endpoints._halls import EvacuatedHalls
 from leadford.forwarding.endpoints._model import ListedEndpoint, ListedState
 from leadford.forwarding.endpoints._record import EndpointRecord
+from leadford.forwarding.endpoints._removed import RemovedEndpoints
 from leadford.forwarding.history import START, StorePosition
 from leadford.forwarding.routes import ServiceId
 
@@ -43,20 +44,6 @@
     after: str
 
 
-class _Gone(msgspec.Struct, frozen=True):
-    """Hold the record of an endpoint that was removed, and when.
-
-    `is_lost` where it is missing in a later epoch of the store than it was listed in:
-    the store has lost its record, and nothing says that it left.
-
-    Units: gone_at in seconds of the monotonic clock.
-    """
-
-    record: EndpointRecord
-    gone_at: float
-    is_lost: bool
-
-
 class EndpointRoster:
     """Join listings from several sources, by the positions they were made at.
 
@@ -83,11 +70,10 @@
         lapse_s: float = LAPSE_HEARTBEATS * HEARTBEAT_S,
         halls: EvacuatedHalls | None = None,
     ) -> None:
-        self.trusted_s = trusted_s
         self.lapse_s = lapse_s
         self.halls = halls
         self.halls_ = halls or EvacuatedHalls()
-        self.gone_by_id_: dict[EndpointId, _Gone] = {}
+        self.removed_ = RemovedEndpoints(trusted_s=trusted_s)
         self.records_by_id_: dict[EndpointId, EndpointRecord] = {}
         self.ids_by_service_: dict[ServiceId, set[EndpointId]] = {}
         # The start that is listed under a name, or was until it was removed.
@@ -195,7 +181,7 @@
 
     def _remember_leaving(self, endpoint_id: EndpointId) -> None:
         """Keep a leaving endpoint from being used, also one that was just removed."""
-        self.gone_by_id_.pop(endpoint_id, None)
+        self.removed_.forget(endpoint_id)
         self.leaving_ids_[endpoint_id] = None
         while len(self.leaving_ids_) > GONE_KEPT:
             self.leaving_ids_.pop(next(iter(self.leaving_ids_)))
@@ -209,7 +195,7 @@
 
     def _end_start(self, endpoint_id: EndpointId) -> list[RosterChange]:
         """Forget a start that a later one under its name has ended."""
-        self.gone_by_id_.pop(endpoint_id, None)
+        self.removed_.forget(endpoint_id)
         record = self.records_by_id_.pop(endpoint_id, None)
         if record is None:
             return []
@@ -219,11 +205,11 @@
 
     def _new_record(self, endpoint: ListedEndpoint) -> EndpointRecord:
         """Return a record; one that was just removed keeps what was learned."""
-        gone = self.gone_by_id_.pop(endpoint.endpoint_id, None)
-        if gone is None:
+        record = self.removed_.take(endpoint.endpoint_id)
+        if record is None:
             return EndpointRecord(listed=endpoint)
-        gone.record.listed = endpoint
-        return gone.record
+        record.listed = endpoint
+        return record
 
     def remove(
         self,
@@ -255,14 +241,13 @@
         self.ids_by_service_[record.listed.service_id].discard(endpoint_id)
         if record.listed.state is ListedState.READY:
             is_lost = position.epoch > record.listed.position.epoch
-            self.gone_by_id_[endpoint_id] = _Gone(record, now, is_lost)
+            self.removed_.add(record, now, is_lost=is_lost)
         return [self._change(record.listed, record.listed.state.value, "gone")]
 
     def record(self, endpoint_id: EndpointId) -> EndpointRecord | None:
         """Return what is believed of an endpoint that is listed or was until now."""
         record = self.records_by_id_.get(endpoint_id)
-        gone = self.gone_by_id_.get(endpoint_id)
-        return gone.record if record is None and gone is not None else record
+        return self.removed_.record(endpoint_id) if record is None else record
 
     def listed_by_hall(self, service_id: ServiceId) -> Mapping[HallId, int]:
         """Return how many endpoints of a service are listed in each hall.
@@ -301,7 +286,7 @@
             self.records_by_id_[endpoint_id]
             for endpoint_id in self.ids_by_service_.get(service_id, ())
         ]
-        gone = self._trusted_gone(service_id, now)
+        gone = self.removed_.trusted(service_id, now)
         usable = [g.record for g in gone if g.is_lost]
         doubted = [g.record for g in gone if not g.is_lost]
         for record in listed:
@@ -321,24 +306,13 @@
             return listed.state is ListedState.READY and not record.is_replaced_
         return any(other is record for other in self.usable(listed.service_id, now))
 
-    def _trusted_gone(self, service_id: ServiceId, now: float) -> list[_Gone]:
-        for endpoint_id, gone in list(self.gone_by_id_.items()):
-            if now - gone.gone_at >= self.trusted_s:
-                del self.gone_by_id_[endpoint_id]
-        return [
-            gone
-            for gone in self.gone_by_id_.values()
-            if gone.record.listed.service_id == service_id
-            and not gone.record.is_replaced_
-        ]
-
     def in_hall(self, hall: HallId) -> list[EndpointRecord]:
         """Return every listed endpoint of a hall."""
         return [r for r in self.records_by_id_.values() if r.listed.hall == hall]
 
     def known_ids(self) -> set[EndpointId]:
         """Return the ids that are listed or were removed a short while ago."""
-        return set(self.records_by_id_) | set(self.gone_by_id_)
+        return set(self.records_by_id_) | self.removed_.ids()
 
     def listed(self) -> list[ListedEndpoint]:
         """Return every listed endpoint."""
