List anew without asking for an old listing once one came from before a restoration

An entry that starts just after the store came back asks for a listing that may be seconds old; one from before the restoration is dropped, and the next one was asked for as old again, so the entry would have known no endpoint for as long as old listings lag. The next listing is asked for as it is now. Test in test_follow.

--- a/packages/leadford-server/src/leadford_server/forwarding/_heads.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_heads.py
@@ -7,10 +7,7 @@
 
 from leadford.events import Event
 from leadford.forwarding.endpoints import EndpointRecord
-from leadford_server.forwarding._contract import (
-    AnswerHead,
-    NotRunCause,
-)
+from leadford_server.forwarding._contract import AnswerHead, NotRunCause
 from leadford_server.forwarding._state import ForwardState
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -20,16 +20,11 @@
 from leadford.forwarding.membership import may_stop, stop_ends_at
 from leadford.forwarding.routes import ForwardConfig
 from leadford_server.clock import SuspensionWatch, boot_time
-from leadford_server.forwarding._contract import (
-    RequestCodec,
-)
+from leadford_server.forwarding._contract import RequestCodec
 from leadford_server.forwarding._ready import ready_application
 from leadford_server.forwarding._settings import ForwardSettings
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._store_contract import (
-    KnownEntry,
-    ObjectCodec,
-)
+from leadford_server.forwarding._store_contract import KnownEntry, ObjectCodec
 from leadford_server.forwarding.answers import (
     CallerExchange,
     CallerServer,
--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -14,9 +14,7 @@
 from leadford.forwarding.retries import RetryReason
 from leadford.forwarding.routes import Route, RouteMatch, ServiceId
 from leadford.quarantine import NO_DIGEST, RequestContent
-from leadford_server.forwarding._contract import (
-    InboundRequest,
-)
+from leadford_server.forwarding._contract import InboundRequest
 from leadford_server.logs import EventLog
 from leadford_server.metrics import FORWARD_SECONDS, FORWARDED_TOTAL
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -32,9 +32,7 @@
 from leadford.forwarding.membership import HeardVersions
 from leadford.forwarding.retries import RetryBudgets, WindowedRetryBudget
 from leadford.forwarding.routes import ProcessAge, RouteTable, Service, ServiceId
-from leadford_server.forwarding._contract import (
-    RequestCodec,
-)
+from leadford_server.forwarding._contract import RequestCodec
 from leadford_server.forwarding._deadlines import RequestDeadlines
 from leadford_server.forwarding.endpoints import ConnectionPool
 from leadford_server.logs import EventLog
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
@@ -18,10 +18,7 @@
 )
 from leadford.forwarding.endpoints import EndpointFailure, EndpointRecord
 from leadford.forwarding.routes import PieceLimits, Service
-from leadford_server.forwarding._contract import (
-    NotRunCause,
-    PieceOutcome,
-)
+from leadford_server.forwarding._contract import NotRunCause, PieceOutcome
 from leadford_server.forwarding._heads import record_head
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.endpoints import ConnectionEnd, ExchangeBroken
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
@@ -20,9 +20,7 @@
 )
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.routes import ResultHandle, RouteMatch, ServiceId
-from leadford_server.forwarding._contract import (
-    InboundRequest,
-)
+from leadford_server.forwarding._contract import InboundRequest
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching._jobs import StageFailure, StageJob
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
@@ -14,9 +14,7 @@
     connections_allowed,
     may_use_again,
 )
-from leadford_server.forwarding._contract import (
-    RequestCodec,
-)
+from leadford_server.forwarding._contract import RequestCodec
 from leadford_server.forwarding.endpoints._connection import EndpointConnection
 from leadford_server.metrics import CONNECTIONS_OPENED_TOTAL
 
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_reader.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_reader.py
@@ -10,10 +10,7 @@
 import msgspec
 from tornado import httputil
 
-from leadford_server.forwarding._contract import (
-    AnswerHead,
-    RequestCodec,
-)
+from leadford_server.forwarding._contract import AnswerHead, RequestCodec
 
 
 class BreakKind(Enum):
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
@@ -15,9 +15,7 @@
 )
 from leadford.forwarding.routes import Service, ServiceId
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._store_contract import (
-    KnownEntry,
-)
+from leadford_server.forwarding._store_contract import KnownEntry
 
 
 class FleetView:
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -31,9 +31,7 @@
 )
 from leadford_server.forwarding._peers import MessageHandlers
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._store_contract import (
-    KnownEntry,
-)
+from leadford_server.forwarding._store_contract import KnownEntry
 from leadford_server.forwarding.batching import PieceExchange, StageRunner
 from leadford_server.forwarding.membership._crashes import CrashExchange
 from leadford_server.forwarding.membership._fleet import FleetView
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_news.py
@@ -39,9 +39,7 @@
 )
 from leadford_server.forwarding._peers import MessageHandlers
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._store_contract import (
-    KnownEntry,
-)
+from leadford_server.forwarding._store_contract import KnownEntry
 from leadford_server.forwarding.store import report_unreadable
 from leadford_server.metrics import NEWS_BYTES_TOTAL
 from leadford_server.peers import PeerConnection
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_news.py
@@ -25,9 +25,7 @@
     PackedListing,
 )
 from leadford_server.forwarding._state import ForwardBounds, ForwardState
-from leadford_server.forwarding._store_contract import (
-    KnownEntry,
-)
+from leadford_server.forwarding._store_contract import KnownEntry
 from leadford_server.forwarding.membership._news import NewsExchange
 from leadford_server.logs import EventLog
 
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -25,10 +25,7 @@
     held_limit_s,
 )
 from leadford.forwarding.routes import PRIORITY_HIGHEST, PRIORITY_LOWEST, RouteKind
-from leadford_server.forwarding._contract import (
-    ForwardCall,
-    NotRunCause,
-)
+from leadford_server.forwarding._contract import ForwardCall, NotRunCause
 from leadford_server.forwarding._heads import record_head
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
--- a/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
@@ -3,9 +3,7 @@
 How long calls wait is decided in `leadford.forwarding.membership`.
 """
 
-from leadford_server.forwarding.store._base import (
-    Listing,
-)
+from leadford_server.forwarding.store._base import Listing
 from leadford_server.forwarding.store._client import (
     ObjectsClient,
     readable,
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_config.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_config.py
@@ -9,13 +9,8 @@
 from leadford.events import Event
 from leadford.forwarding.routes import ForwardConfig, RouteTable
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._store_contract import (
-    ObjectCodec,
-    ObjectEvent,
-)
-from leadford_server.forwarding.store._base import (
-    Listing,
-)
+from leadford_server.forwarding._store_contract import ObjectCodec, ObjectEvent
+from leadford_server.forwarding.store._base import Listing
 from leadford_server.forwarding.store._client import FROM_STORE, readable
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_factory.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_factory.py
@@ -17,18 +17,10 @@
     watch_s,
 )
 from leadford_server.forwarding._state import ForwardBounds
-from leadford_server.forwarding._store_contract import (
-    ObjectEvents,
-)
-from leadford_server.forwarding.store._base import (
-    KindOwner,
-    ignore_relayed,
-)
+from leadford_server.forwarding._store_contract import ObjectEvents
+from leadford_server.forwarding.store._base import KindOwner, ignore_relayed
 from leadford_server.forwarding.store._client import ObjectsClient
-from leadford_server.forwarding.store._follow import (
-    CHANGES_PAUSE_S,
-    KindFollower,
-)
+from leadford_server.forwarding.store._follow import CHANGES_PAUSE_S, KindFollower
 
 
 class Relays(Protocol):
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -109,7 +109,7 @@
         self.changed_position_ = START
         self.confirmed_at_: float | None = None
         self.is_unheard_ = False
-        self.has_listed_ = False
+        self.lists_fresh_ = False
         self.may_be_old_ = False
         self.behind_ = asyncio.Event()
         client.epochs.listeners_.append(self._on_epoch)
@@ -215,13 +215,36 @@
         self.on_relayed(confirmed_at)
 
     async def _list(self) -> bool:
+        # The first listing may be seconds old: it costs a tenth, and the call for
+        # changes that follows at once brings what is missing.
+        may_be_old = not self.lists_fresh_
+        listing = await self._read_pages(may_be_old=may_be_old)
+        if listing is None:
+            return False
+        position = listing.position
+        self.lists_fresh_ = True
+        self.client.log.report(
+            Event.STORE_LISTED,
+            kind=self.kind,
+            epoch=position.epoch,
+            before=self.changed_position_.revision,
+            revision=position.revision,
+            objects=len(listing.items),
+        )
+        self.owner.on_list(listing)
+        self.may_be_old_ = may_be_old
+        self.position_ = position
+        self.changed_position_ = position
+        if not may_be_old:
+            self._confirm(position)
+        return True
+
+    async def _read_pages(self, *, may_be_old: bool) -> Listing | None:
+        """Return every object of the kind; None where a page does not come."""
         codec = self.client.codec
         items: list[dict] = []
         after: str | None = None
         position: StorePosition | None = None
-        # The first listing may be seconds old: it costs a tenth, and the call for
-        # changes that follows at once brings what is missing.
-        may_be_old = not self.has_listed_
         while True:
             read = await self.client.call(
                 codec.list_path(self.kind, after, may_be_old=may_be_old),
@@ -229,39 +252,26 @@
                 is_fresh=self.client.is_silent_,
             )
             if isinstance(read, Failure):
-                return False
+                if read.failure() is StoreFailure.PAST_EPOCH:
+                    # An old listing may stay older than the restoration for seconds.
+                    self.lists_fresh_ = True
+                return None
             answer = read.unwrap()
             # The pause after a failure bounds the lines about what cannot be read.
             page = readable(codec.read_list(answer.body), self.client.log)
             if page is None:
-                return False
+                return None
             self._report(page.faults)
             items += page.items
             made_at = StorePosition(answer.epoch, page.revision)
             if position is not None and made_at.epoch != position.epoch:
                 # The pages before this one belong to another history.
-                return False
+                return None
             # A change between two pages is seen again by a watch from the older one.
             position = min(made_at, position or made_at)
             after = page.next_name
             if after is None:
-                break
-        self.has_listed_ = True
-        self.client.log.report(
-            Event.STORE_LISTED,
-            kind=self.kind,
-            epoch=position.epoch,
-            before=self.changed_position_.revision,
-            revision=position.revision,
-            objects=len(items),
-        )
-        self.owner.on_list(Listing(items, position))
-        self.may_be_old_ = may_be_old
-        self.position_ = position
-        self.changed_position_ = position
-        if not may_be_old:
-            self._confirm(position)
-        return True
+                return Listing(items, position)
 
     async def _watch(self) -> bool:
         codec = self.client.codec
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_halls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_halls.py
@@ -14,13 +14,8 @@
 from leadford.forwarding.history import StoreEpoch
 from leadford.protocol import EvacuationReport, HallReport
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._store_contract import (
-    ObjectCodec,
-    ObjectEvent,
-)
-from leadford_server.forwarding.store._base import (
-    Listing,
-)
+from leadford_server.forwarding._store_contract import ObjectCodec, ObjectEvent
+from leadford_server.forwarding.store._base import Listing
 from leadford_server.forwarding.store._client import FROM_STORE, readable_record
 
 # Part of the bound on evacuations that a watch waits in the store. A watch that hears
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
@@ -10,13 +10,8 @@
 from leadford.forwarding.endpoints import ListedEndpoint, RosterChange
 from leadford.forwarding.history import StoreEpoch, StorePosition
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._store_contract import (
-    ObjectCodec,
-    ObjectEvent,
-)
-from leadford_server.forwarding.store._base import (
-    Listing,
-)
+from leadford_server.forwarding._store_contract import ObjectCodec, ObjectEvent
+from leadford_server.forwarding.store._base import Listing
 from leadford_server.forwarding.store._client import readable_record
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
@@ -11,15 +11,10 @@
 from leadford.forwarding.history import FIRST_EPOCH, StoreEpochs, StorePosition
 from leadford_platform import PlatformObjects
 from leadford_server.forwarding._state import ForwardBounds
-from leadford_server.forwarding._store_contract import (
-    StoreAnswer,
-    StoreFailure,
-)
+from leadford_server.forwarding._store_contract import StoreAnswer, StoreFailure
 from leadford_server.forwarding.store._client import ObjectsClient
 from leadford_server.forwarding.store._factory import FollowerFactory
-from leadford_server.forwarding.store._follow import (
-    KindFollower,
-)
+from leadford_server.forwarding.store._follow import KindFollower
 from leadford_server.web import Transferred
 from leadford_standins.simulated import run_simulated
 
@@ -209,3 +204,24 @@
     asyncio.run(start())
     assert client.waits_ == [0.0, 0.0, 0.0, 4.0]
     assert ["stale=1" in path for path in client.paths] == [True, True, False, False]
+
+
+def test_a_listing_from_before_a_restoration_is_followed_by_one_that_is_not_old():
+    class Paths(Client):
+        paths = []
+
+        async def call(self, path, **fields):
+            self.paths.append(path)
+            return self.answers.pop(0)
+
+    page = Success(StoreAnswer(b'{"items": [], "more": false, "at": 9}', FIRST_EPOCH))
+    client = Paths([Failure(StoreFailure.PAST_EPOCH), page])
+    follower = new_follower(client, 4.0)
+    follower.position_ = None
+    follower.owner.on_list = lambda listing: None
+
+    async def start():
+        return [await follower._list(), await follower._list()]
+
+    assert asyncio.run(start()) == [False, True]
+    assert ["stale=1" in path for path in client.paths] == [True, False]
--- a/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_silent_store.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_silent_store.py
@@ -32,15 +32,9 @@
 from leadford.forwarding.history import FIRST_EPOCH, StoreEpochs
 from leadford.forwarding.membership import longest_call_s, watch_s
 from leadford_platform import PlatformObjects
-from leadford_server.forwarding._store_contract import (
-    StoreAnswer,
-    StoreFailure,
-)
+from leadford_server.forwarding._store_contract import StoreAnswer, StoreFailure
 from leadford_server.forwarding.store._client import CALL_S
-from leadford_server.forwarding.store._follow import (
-    WATCH_S,
-    KindFollower,
-)
+from leadford_server.forwarding.store._follow import WATCH_S, KindFollower
 from leadford_standins.simulated import run_simulated
 
 # Seconds that the store needs for an answer, also while it is slow.
