Let restorations of the soak's store not overlap

Traced: three restorations overlapped; versions written while the first was under way were lost with the second, and the stand-in's operator, which compares with the copy of the first, took them for written. The users' operator writes again whatever is lost, so the stand-in was wrong.

--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_platform.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_platform.py
@@ -68,8 +68,14 @@
 async def restore_store(scene: SoakScene, fault: Fault) -> None:
     """Let the store be away, and come back from a copy made some time before.
 
-    The operator and the endpoints write again what they had written since.
+    The operator and the endpoints write again what they had written since, before the
+    next copy is made: they know what the store has lost of one copy.
     """
+    async with scene.restoring_:
+        await _restore(scene, fault)
+
+
+async def _restore(scene: SoakScene, fault: Fault) -> None:
     loop = asyncio.get_running_loop()
     store = scene.store_
     held = store.copy()
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
@@ -82,6 +82,7 @@
         self.block_ = AddressBlock()
         self.block_.__enter__()
         self.store_ = PeerStore()
+        self.restoring_ = asyncio.Lock()
         halls = [f"hall-{number}" for number in range(self.options.endpoints)]
         self.config_ = ConfigWriter(random=self.random)
         self.endpoints_ = EndpointPool(
