Take figures of tuning out of the comments of forwarding rules

Comments and doc comments only: a constant keeps its unit and, where a reader would wonder, its reason.

--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
@@ -123,9 +123,8 @@
     def give_back(self, is_scheduled_elsewhere: Callable[[GroupId], bool]) -> None:
         """Give waiting pieces of groups back that another entry schedules now.
 
-        Two queues for the same endpoints get in each other's way: after all entries of
-        a fleet had restarted at once, pieces of the most urgent route waited for 3.4 s
-        at an entry whose calls met full endpoints (one simulated run).
+        Two queues for the same endpoints get in each other's way: pieces that wait at
+        the one meet endpoints that the calls of the other have filled.
         """
         # What is given back may be queued here again, in another group.
         for group, queue in list(self.queues_by_group_.items()):
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_base.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_base.py
@@ -29,6 +29,7 @@
 
 
 def never_rests() -> float:
+    """Return for how many seconds a follower asks nothing that follows by itself."""
     return 0.0
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
@@ -29,8 +29,7 @@
 CALL_S = 1.5
 CONNECT_S = 0.6
 # Seconds without a byte after which an answer that had begun to arrive is given up, and
-# the most that it may take in all. A configuration of 1,450 routes needs 0.45 s on an
-# idle link of 10 Mbit/s (one simulated run).
+# the most that it may take in all.
 STALL_S = 1.0
 ANSWER_MOST_S = 20.0
 # Characters of a fault that a log line holds.
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -37,9 +37,7 @@
 )
 from leadford_server.metrics import STORE_CHANGES_TOTAL, STORE_CONFIRM_GAP_SECONDS
 
-# Seconds that a watch waits in the store where no peers tell news, at most. With 3 (and
-# 1.5 s of margin) entries were 4.1 s behind a store that compacted its history in one
-# simulated run; two runs with these values kept the bound. Neither value was varied.
+# Seconds that a watch waits in the store where no peers tell news, at most.
 WATCH_S = 1.8
 # The same for the list of entries, which decides nothing in a hurry: peers say who
 # lives. A third of the watches then end 5.6 times less often; each is paid for.
@@ -48,8 +46,7 @@
 # others; as long as a watch and a little more.
 ENTRIES_KNOWN_S = 12.0
 # Seconds from the begin of a watch that brought changes to the next one. Changes that
-# follow each other are heard together: every entry pays for each end of a watch. The
-# figures stand at ENTRIES_SHARING of `membership/_watch`.
+# follow each other are heard together: every entry pays for each end of a watch.
 CHANGES_PAUSE_S = 0.25
 # The same for the list of entries: those of a fleet that starts announce themselves
 # within a second, and each one's watch would end several times.
--- a/packages/leadford-standins/src/leadford_standins/wire/_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -185,7 +185,7 @@
         self.store = store
 
     def flush(self, include_footers: bool = False) -> asyncio.Future[None]:
-        # The store says in which era it answers, not in which it was asked.
+        """Say in which era the store answers, not in which it was asked."""
         if self.store.era_ is not None:
             self.set_header("Store-Era", str(self.store.era_))
         return super().flush(include_footers)
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -36,26 +36,19 @@
 from leadford.forwarding.routes import Route, RouteId, ServiceId
 
 # Part of its aim, less the path, that a backlog may take of a newcomer; for the most
-# urgent workspace, less a step for each priority, and the least for any. Mean net
-# credit of seven simulated loads, one run each: 0.598, against 0.589 with 0.5 (urgent
-# 0.7) and RETURN_AIMS 1.2, so within the noise of 0.03.
+# urgent workspace, less a step for each priority, and the least for any.
 SPARE_PART_URGENT = 0.9
 SPARE_PART_STEP = 0.1
 SPARE_PART = 0.75
 # The same for routes below the highest priority. Their pieces wait behind urgent ones,
 # and who is refused has to come back, wait and be served within the same aim: a queue
-# of half of what the path leaves serves as many, and leaves that time. In a replay at
-# twice the capacity half of the answers take under 2.3 s, 2.5 s with 0.75. In whole
-# simulated loads it was measured only together with other changes.
+# of half of what the path leaves serves as many, and leaves that time.
 SPARE_PART_LESS_URGENT = 0.5
 # The same for a request that cannot be in time any more: it is let in only while the
-# queues are short, because its pieces go behind all others. Mean net credit of 16
-# simulated runs under load and faults 0.614, against 0.607 with RETURN_AIMS for it too
-# (noise 0.03); held and never served, by worth, 0.046 of one run's before.
+# queues are short, because its pieces go behind all others.
 SPARE_PART_LATE = 0.3
 # Aims within which the answer to a request that returns must be expected: with more,
-# under lasting load everybody returns and is late. In one run each under high load 153
-# of 743 requests of two routes were in time, against 99 with the values named above.
+# under lasting load everybody returns and is late.
 RETURN_AIMS = 1.0
 # Seconds by which an entry may hear of a refusal later than it was given, and by which
 # a first try lies before its refusal: a heartbeat and a little more.
--- a/packages/leadford/src/leadford/forwarding/batching/_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_capacity.py
@@ -14,9 +14,7 @@
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.routes import PieceLimits
 
-# Seconds that what another entry still has at an endpoint is believed. Pieces refused
-# for room around planned restarts: 448, 151 and 177, against 526, 96 and 329 when it is
-# not counted (three simulated loads, one run each).
+# Seconds that what another entry still has at an endpoint is believed.
 FOREIGN_FRESH_S = 0.7
 
 
--- a/packages/leadford/src/leadford/forwarding/batching/_endpoint_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_endpoint_capacity.py
@@ -11,14 +11,11 @@
 
 # Seconds without a call after an endpoint said that its queue is full.
 PAUSE_FULL_S = 0.06
-# Seconds without a call after an endpoint had no room for a result. Mean net credit of
-# 16 simulated runs under high load and faults: 0.407, against 0.394 with 0.12 s.
+# Seconds without a call after an endpoint had no room for a result.
 PAUSE_ROOM_S = 0.03
 # Part of a call's fixed time that it waits for room.
 ROOM_WAIT_PART = 0.6
-# Seconds that refused room is believed to be taken. With it and ENGINE_INPUTS_READ_S of
-# `_limits`, 266 pieces were refused for room, 714 without (one simulated run each under
-# high load).
+# Seconds that refused room is believed to be taken.
 REFUSED_TRUSTED_S = 0.3
 # Stands for the results that this process does not know.
 UNKNOWN = ResultHandle("")
--- a/packages/leadford/src/leadford/forwarding/batching/_groups.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_groups.py
@@ -17,18 +17,13 @@
 LOAD_FRESH_S = 1.5
 # Seconds of waiting that any move between halls is worth.
 OTHER_HALL_S = 0.12
-# Seconds of waiting that each moved byte is worth. With the wait for the hall of the
-# inputs, results moved between halls were 0.90 and 0.49 GB, against 1.18 and 0.62 GB
-# with 0.15e-6 and no wait (two calm simulated loads, one run each).
+# Seconds of waiting that each moved byte is worth.
 MOVED_S_PER_BYTE = 0.1e-6
-# Seconds of waiting that moved bytes are worth at most. Together with the constants of
-# the wait for a hall in `_queue`, results moved between halls were 0.63 and 0.26 GB,
-# against 0.83 and 0.56 GB with 0.45 s (two calm simulated loads, one run each).
+# Seconds of waiting that moved bytes are worth at most.
 MOVED_MOST_S = 0.6
 # Seconds of waiting that missing room is worth.
 ROOM_SHORT_S = 0.4
-# Endpoints up to which a region is one group. Mean net credit of seven simulated loads,
-# one run each: 0.552 with one queue for a region, 0.453 with one for each hall.
+# Endpoints up to which a region is one group: one queue fills calls better than many.
 GROUP_MOST = 24
 
 PlaceId = NewType("PlaceId", str)
--- a/packages/leadford/src/leadford/forwarding/batching/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_limits.py
@@ -9,10 +9,8 @@
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.routes import PieceLimits
 
-# A call is held lost after so many times its expected time, and so many seconds more.
-# Mean net credit of 16 simulated runs under load and faults 0.629, against 0.626 with
-# 2.5 and 0.4 s, and 0.564 against 0.535 for first tries only (5 runs): within the noise
-# of 0.03, but an aim of 1.1 s leaves no time to wait 1.3 s for a call of 0.37 s.
+# A call is held lost after so many times its expected time, and so many seconds more:
+# an aim of 1.1 s leaves no time to wait 1.3 s for a call of 0.37 s.
 CALL_TIMES = 1.6
 CALL_SLACK_S = 0.25
 # A scheduler is held silent after so many times the expected wait and call, and so many
@@ -23,12 +21,10 @@
 # in time are given up while the caller can still use the answer.
 CHECK_PART = 0.42
 # Seconds after which an endpoint that was idle has surely begun a call, which it does
-# by fetching the inputs. Giving these up then cut the median wait of one stage for room
-# from 667 to 182 ms, and pieces refused for room from 73 to 9 (a calm simulated load,
-# one run each).
+# by fetching the inputs, which then need no room any more.
 CALL_INPUTS_READ_S = 0.08
 # Seconds after sending to an engine without a queue, by which it has fetched the
-# inputs: none was found gone in three simulated runs.
+# inputs.
 ENGINE_INPUTS_READ_S = 0.15
 
 
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -20,19 +20,13 @@
 # a part of a call's fixed time.
 WINDOW_PART = 0.08
 WINDOW_MOST_PART = 0.9
-# Part of the time to spare that a piece waits for the hall of its inputs. Mean net
-# credit of seven simulated loads, one run each: 0.608, against 0.595 with 0.2,
-# SPARE_CALLS and SHORT_CALLS of 1 and MOVED_MOST_S 0.45, so within the noise of 0.03;
-# what moved between halls is at MOVED_MOST_S.
+# Part of the time to spare that a piece waits for the hall of its inputs.
 HALL_WAIT_PART = 0.35
 # Full calls that are kept of that time: the call itself, and as much again twice for
-# what may go wrong. Of 141 requests of the most urgent route 23 were late, 26 with one
-# call kept, which moved 0.49 instead of 0.63 GB (a calm simulated load, one run each).
+# what may go wrong.
 SPARE_CALLS = 3.0
 # While no more waits than so many full calls, and than so large a part of one full call
-# to each endpoint, pieces are left for the hall of their inputs. Results moved between
-# halls 2.9 GB, against 6.8 with SHORT_CALLS alone, which was chosen on groups of four
-# endpoints (21 endpoints, a simulated load with faults, one run each).
+# to each endpoint, pieces are left for the hall of their inputs.
 SHORT_CALLS = 2
 SHORT_PART = 0.5
 # Bytes from which on moving pieces counts in a queue of more than SHORT_CALLS: those
@@ -40,9 +34,7 @@
 MUCH_BYTES = 250_000
 # Seconds by which a piece counts as due later, for routes below the highest priority
 # and for each step of priority. Both are bounds: without them the less urgent could
-# wait for ever. Mean net credit of seven simulated loads, one run each: 0.552 without
-# the head start and 0.589 with it; full steps of priority gave 0.593 (2 s) and 0.573
-# (0.8 s), but starve the least urgent kind.
+# wait for ever.
 LESS_URGENT_S = 2.0
 PRIORITY_STEP_S = 0.2
 
@@ -301,8 +293,7 @@
         """Return the chunks in the order in which a hall takes them.
 
         Those that cannot be in time any more go behind those that can: taken by when
-        they were due, they would go first and make the others late too. Mean net credit
-        of six simulated runs under load and faults 0.576, against 0.541 without it.
+        they were due, they would go first and make the others late too.
         """
 
         def order(chunk: Chunk) -> tuple[bool, float]:
--- a/packages/leadford/src/leadford/forwarding/batching/_remake.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_remake.py
@@ -14,8 +14,7 @@
 # Failures of one piece after which its request is given up.
 PIECE_TRIES_MAX = 6
 # Seconds before a piece is sent again whose scheduler knew no endpoint, so that the
-# listings of both entries can agree. Without a pause one simulated run sent pieces
-# again 83,557 times, with it 192 times.
+# listings of both entries can agree.
 NO_ENDPOINT_WAIT_S = 0.15
 
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
@@ -30,13 +30,10 @@
 TOKENS_PER_MS = 20.0
 # Weight of the newest prompt in that rate.
 RATE_WEIGHT = 0.05
-# Part of a shared part that an engine of its affinity set is guessed to keep; measured
-# only together with AFFINITY_PART.
+# Part of a shared part that an engine of its affinity set is guessed to keep.
 GUESS_KEPT = 0.8
 # Part of the engines that form the affinity set of a prompt, and how many they are at
-# least. Prompt tokens of shared parts read again: 82,000 and 49,000, against 303,000
-# and 138,000 when the last part alone picks the engine (two calm simulated loads, one
-# run each).
+# least.
 AFFINITY_PART = 1.0 / 3.0
 AFFINITY_LEAST = 2
 # Milliseconds for each token of a shared part that would be read again, beyond the time
--- a/packages/leadford/src/leadford/forwarding/membership/_watch.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_watch.py
@@ -7,22 +7,17 @@
 leave the watches of all of them unanswered, so none waits longer than it may alone.
 """
 
-# Entries that together hear of a change as soon as one with the least wait. With 21
-# entries calls to the store fell from 2,631 to 1,970 on a calm simulated load, and from
-# 3,716 to 3,010 on one with faults, with 4 (one run each); 3 was measured only together
-# with the pause between changes, 1,240 and 2,290. All of them without the bound by the
-# time to catch up; with it the calm load makes 1,539.
+# Entries that together hear of a change as soon as one with the least wait.
 ENTRIES_SHARING = 3
 # Most that a watch waits in place of its least.
 TIMES_MOST = 2.6
 # Parts of the wait between which each is drawn, so that entries that started together
 # do not end their watches together.
 SPREAD = (0.75, 1.0)
-# Seconds beyond its wait after which a watch is given up; measured only together with
-# the least wait of a watch.
+# Seconds beyond its wait after which a watch is given up.
 WATCH_MARGIN_S = 0.35
-# Seconds kept of the time to catch up for the answer that ends it: a configuration of
-# 1,450 routes needs 0.45 s on an idle link of 10 Mbit/s (one simulated run).
+# Seconds kept of the time to catch up for the answer that ends it, which may be a large
+# configuration over a slow link.
 ANSWER_S = 0.6
 # Least seconds that a watch waits where there is hardly any time to catch up, so that
 # watches do not follow each other without a pause.
@@ -35,9 +30,8 @@
 def longest_watch_s(resync_s: float) -> float:
     """Return how long a watch may wait that is perhaps never answered.
 
-    `resync_s` is the time to catch up after trouble with the store. Without this bound
-    and that of `longest_call_s`, five entries were 4.3 to 4.7 s behind after a silence
-    of 8.5 s, where 3 s are allowed (one simulated run).
+    `resync_s` is the time to catch up after trouble with the store: entries that all
+    wait for answers which never come would hear nothing for longer.
 
     Units: seconds.
     """
--- a/packages/leadford/src/leadford/forwarding/routes/_denial.py
+++ b/packages/leadford/src/leadford/forwarding/routes/_denial.py
@@ -24,8 +24,8 @@
 # decided by one that is known to be stale: heartbeats tell of a newer one up to 0.2 s
 # after it came in force there.
 BEHIND_MARGIN_S = 0.5
-# Seconds after a planned stop began from which no stream begins: without it 23 requests
-# of two simulated runs were cut at the end of the grace period, with it none.
+# Seconds after a planned stop began from which no stream begins: it would be cut at the
+# end of the grace period.
 STOP_TAKES_STREAMS_S = 2.6
 # Seconds before the end of the grace period from which no plain request begins, and at
 # which all that began have had the time of their route.
