--- a/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/tests/test_follow.py
@@ -8,7 +8,12 @@
 from prometheus_client import REGISTRY
 from returns.result import Failure, Success
 
-from leadford.forwarding.history import FIRST_EPOCH, StoreEpochs, StorePosition
+from leadford.forwarding.history import (
+    FIRST_EPOCH,
+    StoreEpoch,
+    StoreEpochs,
+    StorePosition,
+)
 from leadford_platform import PlatformObjects
 from leadford_server.forwarding._state import ForwardBounds
 from leadford_server.forwarding._store_contract import StoreAnswer, StoreFailure
@@ -225,3 +230,15 @@
 
     assert asyncio.run(start()) == [False, True]
     assert ["stale=1" in path for path in client.paths] == [True, False]
+
+
+def test_a_confirmation_from_before_a_restoration_says_nothing():
+    follower = new_follower(Client([]), 4.0)
+    follower.position_ = StorePosition(StoreEpoch(2), 94)
+    follower.confirmed_at_ = 10.0
+    follower.learn_confirmed(StorePosition(StoreEpoch(1), 96), 12.0)
+    assert follower.position_ == StorePosition(StoreEpoch(2), 94)
+    assert follower.confirmed_at_ == 10.0
+    follower.learn_confirmed(StorePosition(StoreEpoch(2), 95), 12.0)
+    assert follower.position_ == StorePosition(StoreEpoch(2), 95)
+    assert follower.confirmed_at_ == 12.0
