--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -215,6 +215,11 @@
         table = self.table_
         return table.config.services_by_id.get(service_id) if table else None
 
+    def is_contended(self, service_id: ServiceId) -> bool:
+        """Tell whether routes of several priorities compete for a service."""
+        table = self.table_
+        return table is not None and service_id in table.contended_service_ids
+
     def config_version(self) -> int:
         """Return the version of the configuration in force, 0 without one."""
         return self.table_.config.version if self.table_ is not None else 0
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -107,6 +107,8 @@
     now: float
     caller_timeout_s: float | None = None
     endpoint_wait_s: float = 0.0
+    # Whether capacity was booked for the caller, and it has returned as told.
+    is_booked: bool = False
 
     @property
     def aim_s(self) -> float:
@@ -121,7 +123,8 @@
     `is_caller_retry` is true for a retry of a recently refused request, `is_late` for
     one that can no longer meet its target, counted from its first try.
     `is_refusal_known` is true if the refusal is recorded here, not only inferred from
-    the timeout that the caller states.
+    the timeout that the caller states. `short_service_id` is the service of the stage
+    that is delayed most, None if no stage is delayed.
 
     Units: seconds; expected_s counts from when the caller sent the request,
     since_first_try_s is the time between the first try and this one.
@@ -134,6 +137,7 @@
     since_first_try_s: float = 0.0
     is_late: bool = False
     is_refusal_known: bool = False
+    short_service_id: ServiceId | None = None
 
 
 class ForwardAdmission:
@@ -169,8 +173,8 @@
         critical_path_s = forecast.critical_path_s()
         min_answer_s = request.elapsed_s + critical_path_s + request.first_byte_s
         is_late = is_caller_retry and since_first_try_s + min_answer_s > request.aim_s
-        queue_delay_s = forecast.delay_s(self.backlog, request.now, is_late=is_late)
-        queue_delay_s = max(queue_delay_s, request.endpoint_wait_s - critical_path_s)
+        longest = forecast.longest_delay(self.backlog, request.now, is_late=is_late)
+        queue_delay_s = max(longest.delay_s, request.endpoint_wait_s - critical_path_s)
         error_s = self._forecast_error(request.route).value_
         expected_s = min_answer_s + queue_delay_s + error_s
         if expected_s <= _limit_s(request, critical_path_s, is_caller_retry, is_late):
@@ -198,6 +202,7 @@
             wait_s,
             is_caller_retry,
             is_refusal_known=refused is not None,
+            short_service_id=longest.service_id,
         )
 
     def _inferred_first_try_s(self, request: AdmissionRequest) -> float | None:
--- a/packages/leadford/src/leadford/forwarding/admission/_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_forecast.py
@@ -50,6 +50,16 @@
         return self.limits.full_call_s
 
 
+class StageDelay(msgspec.Struct, frozen=True):
+    """Hold the backlog of the most delayed stage, and the service of that stage.
+
+    Units: delay_s in seconds.
+    """
+
+    delay_s: float = 0.0
+    service_id: ServiceId | None = None
+
+
 class StageForecast:
     """Forecast the stages of one request from the present capacity of their services.
 
@@ -85,23 +95,25 @@
             done_s.append(start_s + rounds * call_s)
         return max(done_s, default=0.0)
 
-    def delay_s(self, backlog: AdmittedBacklog, now: float, *, is_late: bool) -> float:
+    def longest_delay(
+        self, backlog: AdmittedBacklog, now: float, *, is_late: bool
+    ) -> StageDelay:
         """Return the backlog of the most delayed stage.
 
         It follows from the configured call durations, or from the actual throughput of
         a stage that is behind. All pieces that are in time go before those of a late
         request.
 
-        Units: seconds; infinite where a stage has no endpoint.
+        The delay is infinite where a stage has no endpoint.
         """
         is_urgent = self.route.is_urgent and not is_late
-        delay_s = 0.0
+        longest = StageDelay()
         for number, stage in enumerate(self.route.stages):
             if self.counts[number] == 0:
                 continue
             capacity = self.capacity_by_service.get(stage.service_id)
             if capacity is None:
-                return float("inf")
+                return StageDelay(float("inf"), stage.service_id)
             held_s = capacity.call_s + self._read_s(number)
             pieces = backlog.pieces_before(
                 stage.service_id,
@@ -111,8 +123,10 @@
             )
             stage_s = capacity.backlog_s(pieces, stage.result_bytes, held_s)
             drain_time_s = backlog.drain_time_s(stage.service_id, is_urgent, now)
-            delay_s = max(delay_s, stage_s, drain_time_s)
-        return delay_s
+            delay_s = max(stage_s, drain_time_s)
+            if delay_s > longest.delay_s:
+                longest = StageDelay(delay_s, stage.service_id)
+        return longest
 
     def pieces_by_service(self) -> dict[ServiceId, int]:
         """Return the number of pieces that the request needs from each service."""
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_forecast.py
@@ -40,7 +40,7 @@
 
 
 def delay_s(counts, backlog, *, is_late=False):
-    return forecast(counts).delay_s(backlog, 0.0, is_late=is_late)
+    return forecast(counts).longest_delay(backlog, 0.0, is_late=is_late).delay_s
 
 
 def test_the_delay_is_that_of_the_stage_that_is_the_furthest_behind():
@@ -60,8 +60,8 @@
 
 
 def test_a_stage_without_a_known_service_is_behind_for_ever():
-    found = forecast((1, 1, 1), {}).delay_s(AdmittedBacklog(), 0.0, is_late=False)
-    assert found == float("inf")
+    found = forecast((1, 1, 1), {}).longest_delay(AdmittedBacklog(), 0.0, is_late=False)
+    assert found.delay_s == float("inf")
 
 
 def test_pieces_of_all_stages_of_a_service_are_counted_together():
--- a/packages/leadford/src/leadford/forwarding/membership/_builds.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_builds.py
@@ -18,7 +18,7 @@
 from enum import Enum
 
 from leadford.common import EntryId
-from leadford.protocol import PROTOCOL_COLD_PLACED, PROTOCOL_UNTOLD
+from leadford.protocol import PROTOCOL_COLD_PLACED, PROTOCOL_LOAD, PROTOCOL_UNTOLD
 
 
 class SharedRule(Enum):
@@ -26,9 +26,12 @@
 
     COLD_ENGINES_PLACED: one entry chooses the engines of all prompts also at services
     whose endpoints may be cold; without this rule, each entry chooses them on its own.
+    PRIORITY_LEVELS: pieces of contended services are admitted and queued by level of
+    priority, and refused callers get bookings; without this rule, two levels count.
     """
 
     COLD_ENGINES_PLACED = PROTOCOL_COLD_PLACED
+    PRIORITY_LEVELS = PROTOCOL_LOAD
 
 
 class BuildVersions:
--- a/packages/leadford/src/leadford/forwarding/routes/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/routes/__init__.py
@@ -1,5 +1,6 @@
 """Model routes, services and workspaces, look up routes, and decide who may start."""
 
+from leadford.forwarding.routes._contention import contended_services
 from leadford.forwarding.routes._denial import ProcessStatus, StartDenial, decide_start
 from leadford.forwarding.routes._model import (
     PRIORITY_HIGHEST,
@@ -57,5 +58,6 @@
     "TrafficLimits",
     "WeightedService",
     "Workspace",
+    "contended_services",
     "decide_start",
 ]
--- a/packages/leadford/src/leadford/forwarding/routes/_table.py
+++ b/packages/leadford/src/leadford/forwarding/routes/_table.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from leadford.common import WorkspaceId
+from leadford.forwarding.routes._contention import contended_services
 from leadford.forwarding.routes._model import (
     ForwardConfig,
     Route,
@@ -54,10 +55,12 @@
         config: ForwardConfig,
         routes_by_host: dict[str, list[Route]],
         workspaces_by_key: dict[str, Workspace],
+        contended_service_ids: frozenset[ServiceId] = frozenset(),
     ) -> None:
         self.config = config
         self.routes_by_host = routes_by_host
         self.workspaces_by_key = workspaces_by_key
+        self.contended_service_ids = contended_service_ids
 
     @classmethod
     def from_config(cls, config: ForwardConfig) -> "RouteTable":
@@ -75,6 +78,7 @@
             config=config,
             routes_by_host=routes_by_host,
             workspaces_by_key=workspaces_by_key,
+            contended_service_ids=contended_services(config.routes),
         )
 
     def match(self, host: str, path: str) -> Route | None:
--- a/packages/leadford/src/leadford/protocol/_base.py
+++ b/packages/leadford/src/leadford/protocol/_base.py
@@ -8,7 +8,7 @@
 import msgspec
 
 # The newest version of the protocol that this build supports.
-PROTOCOL_VERSION = 9
+PROTOCOL_VERSION = 10
 # The first version that transfers configurations in parts.
 PROTOCOL_CONFIG_PARTS = 2
 # The first version in which entries report evacuated halls to each other.
@@ -32,6 +32,9 @@
 PROTOCOL_LIMITS = 8
 # The first version in which entries report the epoch of the store to each other.
 PROTOCOL_EPOCHS = 9
+# The first version in which entries report pieces by level of priority, bookings and
+# the pace of endpoints.
+PROTOCOL_LOAD = 10
 # The oldest version that this build supports.
 PROTOCOL_VERSION_MIN = 1
 
--- /dev/null
+++ b/packages/leadford/src/leadford/protocol/_load.py
@@ -0,0 +1,105 @@
+"""Messages about demand by priority, bookings and the pace of endpoints.
+
+Sent with heartbeats, and only where the services of a configuration need them. An entry
+of an earlier build gets none of them.
+"""
+
+from leadford.protocol._base import MessageBase
+
+# The rate of a stage that is not behind, so that its throughput is unknown.
+UNKNOWN_PER_S = -1.0
+
+
+class LevelCount(MessageBase):
+    """Report the pieces of one level of priority.
+
+    Units: per_s in pieces per second, the throughput of the level while the stage is
+    behind, otherwise `UNKNOWN_PER_S`.
+    """
+
+    level: int
+    pieces: int
+    per_s: float = UNKNOWN_PER_S
+
+
+class ServiceLevels(MessageBase):
+    """Report the admitted pieces of a service by level, summed over some entries."""
+
+    service_id: str
+    entries: int
+    levels: list[LevelCount]
+
+
+class AdmittedLevels(MessageBase, tag=54):
+    """Report the pieces that the sender admitted and has not completed, by level."""
+
+    services: list[ServiceLevels]
+
+
+class FleetLevels(MessageBase, tag=55):
+    """Report the pieces by level over all entries that report to the sender.
+
+    Sent by the scheduler of the services.
+    """
+
+    services: list[ServiceLevels]
+
+
+class BookingRequest(MessageBase, tag=56):
+    """Ask the scheduler of a service to book capacity for a caller that was refused.
+
+    Units: earliest_ms and latest_ms in milliseconds from now, the limits of the time at
+    which the caller may be told to return; pieces counts pieces of the service.
+    """
+
+    ask_id: int
+    service_id: str
+    fingerprint: str
+    level: int
+    pieces: int
+    earliest_ms: float
+    latest_ms: float
+
+
+class BookingAnswer(MessageBase, tag=57):
+    """Answer when the caller may return, or that nothing could be booked.
+
+    Units: return_ms in milliseconds from now, negative if nothing was booked.
+    """
+
+    ask_id: int
+    return_ms: float
+
+
+class BookingClaim(MessageBase, tag=58):
+    """Ask whether capacity is booked for a caller that has returned, and end that."""
+
+    ask_id: int
+    service_id: str
+    fingerprint: str
+
+
+class BookingClaimAnswer(MessageBase, tag=59):
+    """Answer whether the caller has returned as told."""
+
+    ask_id: int
+    is_booked: bool
+
+
+class PaceReport(MessageBase):
+    """Report how fast an endpoint works.
+
+    Units: ratio of the duration of its work to the usual one; age_ms in milliseconds
+    since the newest measurement; samples counts measurements.
+    """
+
+    endpoint_id: str
+    ratio: float
+    samples: int
+    age_ms: float
+
+
+class PaceNews(MessageBase, tag=60):
+    """Report the pace of endpoints that differ from others."""
+
+    paces: list[PaceReport]
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -50,6 +50,15 @@
     Hello,
     Welcome,
 )
+from leadford.protocol._load import (
+    AdmittedLevels,
+    BookingAnswer,
+    BookingClaim,
+    BookingClaimAnswer,
+    BookingRequest,
+    FleetLevels,
+    PaceNews,
+)
 from leadford.protocol._pieces import (
     PieceAnswer,
     PieceCancel,
@@ -123,4 +132,11 @@
     | CrashNews
     | SuspectPieceSubmit
     | LimitNews
+    | AdmittedLevels
+    | FleetLevels
+    | BookingRequest
+    | BookingAnswer
+    | BookingClaim
+    | BookingClaimAnswer
+    | PaceNews
 )
