--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -22,6 +22,8 @@
 MAX_DETAIL_CHARACTERS = 160
 # Logged if the expected time is infinite, because there is no endpoint.
 EXPECTED_LOGGED_MAX_S = 1e6
+# Logged as the level of a request that was not judged by admission.
+NO_LEVEL = -1
 # Logged for a moment that did not occur.
 NEVER_MS = -1
 
@@ -50,6 +52,9 @@
         self.expected_s_ = 0.0
         self.since_first_try_s_ = 0.0
         self.is_late_ = False
+        # The level by which admission judged, and the service that was short.
+        self.level_: int | None = None
+        self.short_service_id_: ServiceId | None = None
         self.input_remakes_ = 0
         self.may_have_run_ = False
         self.retry_reason_: RetryReason | None = None
@@ -129,6 +134,8 @@
         stages_ms=_elapsed_ms(stages_done_at, request.received_at),
         first_ms=_elapsed_ms(first, request.received_at),
         took_ms=_elapsed_ms(now, request.received_at),
+        level=NO_LEVEL if progress.level_ is None else progress.level_,
+        short_of=progress.short_service_id_ or "",
     )
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -144,6 +144,8 @@
         self.stop_began_at_: float | None = None
         # Set by the links when they are created.
         self.placing_: PromptPlacement | None = None
+        # Set with each heartbeat: whether the build of every live entry knows levels.
+        self.has_priority_levels_ = False
 
     def now(self) -> float:
         """Return the monotonic clock.
@@ -220,6 +222,12 @@
         table = self.table_
         return table is not None and service_id in table.contended_service_ids
 
+    def level_service_ids(self) -> frozenset[ServiceId]:
+        """Return the contended services, none while an entry does not know levels."""
+        if self.table_ is None or not self.has_priority_levels_:
+            return frozenset()
+        return self.table_.contended_service_ids
+
     def config_version(self) -> int:
         """Return the version of the configuration in force, 0 without one."""
         return self.table_.config.version if self.table_ is not None else 0
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -39,7 +39,7 @@
 from leadford_server.forwarding.answers._stream import StreamForwarder
 from leadford_server.forwarding.batching import RequestInputs, StageFailure, StageRunner
 from leadford_server.forwarding.retries import NO_ENDPOINT, EndpointAttempts
-from leadford_server.metrics import RETURNS_TOTAL
+from leadford_server.metrics import ADMISSION_TOTAL, RETURNS_TOTAL
 
 # Log detail of a request that is not started. If the lookup failed, its fault comes
 # before this text.
@@ -224,8 +224,15 @@
                 endpoint_wait_s=self.state.service_send_delay_s(
                     match.service.service_id
                 ),
+                workspace_id=match.workspace_id,
+                contended_ids=self.state.level_service_ids(),
             )
         )
+        ADMISSION_TOTAL.labels(
+            level=str(decision.level), verdict=decision.verdict.value
+        ).inc()
+        progress.level_ = decision.level
+        progress.short_service_id_ = decision.short_service_id
         if decision.is_caller_retry:
             known_by = "refusal" if decision.is_refusal_known else "announced wait"
             RETURNS_TOTAL.labels(known_by=known_by).inc()
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
@@ -19,7 +19,12 @@
     stages_check_at,
 )
 from leadford.forwarding.endpoints import EndpointRecord
-from leadford.forwarding.routes import ResultHandle, RouteMatch, ServiceId
+from leadford.forwarding.routes import (
+    ResultHandle,
+    RouteLevels,
+    RouteMatch,
+    ServiceId,
+)
 from leadford_server.forwarding._contract import InboundRequest
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
@@ -68,7 +73,7 @@
             request_id=request.request_id,
             graph=graph.unwrap(),
             request_key=request.request_key,
-            is_urgent=route.is_urgent,
+            levels=RouteLevels.from_route(route, self.state.level_service_ids()),
             delay_s=queue_delay_s(route, match.priority),
             deadline=progress.deadline_,
             # The aim counts from the caller's first try.
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
@@ -17,7 +17,7 @@
     PieceKey,
     PieceTask,
 )
-from leadford.forwarding.routes import ResultHandle
+from leadford.forwarding.routes import ResultHandle, RouteLevels
 from leadford.quarantine import NO_DIGEST, RequestDigest
 
 
@@ -83,7 +83,7 @@
         request_id: RequestId,
         graph: PieceGraph,
         request_key: str,
-        is_urgent: bool,
+        levels: RouteLevels,
         delay_s: float,
         deadline: float,
         due_at: float,
@@ -95,7 +95,7 @@
         self.request_id = request_id
         self.graph = graph
         self.request_key = request_key
-        self.is_urgent = is_urgent
+        self.levels = levels
         self.delay_s = delay_s
         self.deadline = deadline
         self.due_at = due_at
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_pieces.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_pieces.py
@@ -9,8 +9,9 @@
 
 from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.forwarding.batching import GroupId, PieceKey, PieceTask, PlaceId
-from leadford.forwarding.routes import ResultHandle, ServiceId
+from leadford.forwarding.routes import LEVEL_HIGHEST, ResultHandle, ServiceId
 from leadford.protocol import (
+    LEVEL_UNTOLD,
     PROTOCOL_CRASHES,
     PieceAnswer,
     PieceCancel,
@@ -76,6 +77,7 @@
                 (task.rank_at - now) * 1_000.0,
                 list(task.excluded),
                 dict(task.local_bytes_by_hall),
+                LEVEL_UNTOLD if task.level is None else task.level,
             )
         )
 
@@ -133,6 +135,7 @@
                 HallId(hall): count for hall, count in message.near_bytes.items()
             },
             is_suspect=isinstance(message, SuspectPieceSubmit),
+            level=None if message.level < LEVEL_HIGHEST else message.level,
         )
         group = GroupId(ServiceId(message.service_id), PlaceId(message.place))
         self.stages.scheduler_.submit(group, task)
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
@@ -103,6 +103,13 @@
         )
         return throughput.rate(now)
 
+    def flow_by_level(self, group: GroupId) -> dict[int, float]:
+        """Return the recent throughput of each level; call it after sampling.
+
+        Units: pieces per second.
+        """
+        return self._throughput(group).flow_by_level(self.state.now())
+
     def _throughput(self, group: GroupId) -> Throughput:
         return self.throughput_by_group_.setdefault(group, Throughput())
 
@@ -304,5 +311,5 @@
                 continue
             if outcome.handle is not None:
                 capacity.hold(outcome.handle, task.result_bytes, now)
-                self._throughput(call.group).record_computed(is_urgent=task.is_urgent)
+                self._throughput(call.group).record_computed(level=task.known_level)
             self.reply(task, PieceResult(outcome.handle, outcome.reason, endpoint_id))
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
@@ -123,7 +123,8 @@
         return self.results.bytes_by_hall(job.graph.final_inputs())
 
     def _backlog_key(self, job: StageJob, key: PieceKey) -> BacklogKey:
-        return BacklogKey(job.graph.stages[key.stage].service_id, job.is_urgent)
+        service_id = job.graph.stages[key.stage].service_id
+        return BacklogKey(service_id, job.levels.level(service_id))
 
     def _remove_from_backlog(self, job: StageJob, key: PieceKey) -> None:
         """Remove a piece that was made, or is no longer needed, from the backlog."""
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_tasks.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_tasks.py
@@ -49,6 +49,7 @@
             excluded=excluded,
             local_bytes_by_hall=self.local_bytes_by_hall(job, key.stage),
             is_suspect=self.state.quarantine_.is_suspect(job.digest),
+            level=job.levels.contended_level(stage.service_id),
         )
 
     def excluded(
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -23,15 +23,22 @@
 )
 from leadford.forwarding.endpoints import LimitObservation
 from leadford.forwarding.membership import HeartbeatNews, is_due
-from leadford.forwarding.routes import ServiceId
+from leadford.forwarding.routes import (
+    LEVEL_HIGHEST,
+    LEVEL_LESS_URGENT,
+    ServiceId,
+)
 from leadford.protocol import (
     PROTOCOL_FLEET,
     PROTOCOL_LIMITS,
+    PROTOCOL_LOAD,
     PROTOCOL_PACED,
+    AdmittedLevels,
     BacklogReport,
     CommitmentReport,
     EntryHeartbeat,
     FleetBacklog,
+    FleetLevels,
     GroupReport,
     LaneReport,
     LimitNews,
@@ -41,6 +48,7 @@
 )
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching import StageRunner
+from leadford_server.forwarding.membership._levels import LevelExchange
 from leadford_server.peers import PeerConnection
 
 # The rate on the wire that says that an endpoint has no limit any more.
@@ -58,6 +66,8 @@
         confirmations: StoreConfirmations | None,
         confirmed_version: int,
         limits: LimitNews | None,
+        admitted_levels: AdmittedLevels | None,
+        fleet_levels: FleetLevels | None,
         number: int,
         scheduler_ids: Collection[EntryId],
     ) -> None:
@@ -68,6 +78,9 @@
             (confirmations, confirmed_version),
             (backlog, PROTOCOL_FLEET),
             (limits, PROTOCOL_LIMITS),
+            # After the reports of two levels, which they refine.
+            (admitted_levels, PROTOCOL_LOAD),
+            (fleet_levels, PROTOCOL_LOAD),
         )
         is_for_all_peers = bool(
             backlog or confirmations or message.refused or message.is_draining
@@ -98,6 +111,7 @@
         self.entry_id = entry_id
         self.state = state
         self.stages = stages
+        self.levels = LevelExchange(state=state, stages=stages)
         self.heartbeat_count_ = 0
 
     def next(
@@ -118,12 +132,20 @@
             groups, is_draining=is_draining, lowest_version=lowest_version
         )
         self.heartbeat_count_ += 1
+        backlog = self.make_backlog(groups)
+        scheduled_ids = (
+            [ServiceId(report.service_id) for report in backlog.services]
+            if backlog
+            else []
+        )
         return Heartbeat(
             message=message,
-            backlog=self.make_backlog(groups),
+            backlog=backlog,
             confirmations=confirmations,
             confirmed_version=confirmed_version,
             limits=self.make_limits(),
+            admitted_levels=self.levels.make_admitted(),
+            fleet_levels=self.levels.make_fleet(scheduled_ids, groups),
             number=self.heartbeat_count_,
             scheduler_ids={self.stages.groups.scheduler_of(group) for group in groups},
         )
@@ -152,7 +174,10 @@
             load = GroupLoad(report.wait_ms / 1_000.0, report.room_bytes, now)
             self.stages.groups.loads_.record_load(group, load)
         counts = {
-            BacklogKey(ServiceId(report.service_id), report.is_urgent): report.pieces
+            BacklogKey(
+                ServiceId(report.service_id),
+                LEVEL_HIGHEST if report.is_urgent else LEVEL_LESS_URGENT,
+            ): report.pieces
             for report in message.commitments
         }
         self.stages.backlog_.record_report(entry_id, counts, now)
@@ -207,7 +232,13 @@
         """Record the backlog that another entry has summed over all that it hears."""
         now = self.state.now()
         for report in message.services:
-            backlog_sum = BacklogSum(report.entries, report.urgent, report.less_urgent)
+            backlog_sum = BacklogSum(
+                report.entries,
+                {
+                    LEVEL_HIGHEST: report.urgent,
+                    LEVEL_LESS_URGENT: report.less_urgent,
+                },
+            )
             service_id = ServiceId(report.service_id)
             self.stages.backlog_.record_sum(service_id, backlog_sum, now)
             rate = None
@@ -229,10 +260,17 @@
         return reports
 
     def _backlog_reports(self) -> list[CommitmentReport]:
-        """Return the pieces that this entry has admitted and that are not yet done."""
+        """Return the pieces that this entry has admitted and that are not yet done.
+
+        All levels below the highest are one here.
+        """
+        counts: dict[tuple[ServiceId, bool], int] = {}
+        for key, pieces in self.stages.backlog_.own_report().items():
+            two_level_key = (key.service_id, key.level == LEVEL_HIGHEST)
+            counts[two_level_key] = counts.get(two_level_key, 0) + pieces
         return [
-            CommitmentReport(key.service_id, key.is_urgent, pieces)
-            for key, pieces in self.stages.backlog_.own_report().items()
+            CommitmentReport(service_id, is_urgent, pieces)
+            for (service_id, is_urgent), pieces in counts.items()
         ]
 
     def _refusal_reports(self) -> list[RefusalReport]:
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -129,6 +129,7 @@
             EvacuationReport: self._on_evacuations,
             FleetBacklog: self._on_backlog,
             LimitNews: self._on_limits,
+            **self.heartbeats.levels.handlers(),
             **self.pieces.handlers(),
             **self.news.handlers(),
             **self.relays.handlers(),
@@ -197,6 +198,7 @@
             if self.heard_.is_live(entry_id, now)
         }
         self.shared_rules_ = self.builds_.shared_rules(version_by_live_peer)
+        self.state.has_priority_levels_ = self.all_know(SharedRule.PRIORITY_LEVELS)
         heartbeat = self.heartbeats.next(
             self.fleet.stage_groups(),
             is_draining=self.is_draining_,
--- a/packages/leadford-server/src/leadford_server/metrics/__init__.py
+++ b/packages/leadford-server/src/leadford_server/metrics/__init__.py
@@ -1,6 +1,7 @@
 """The metrics that processes expose to Prometheus."""
 
 from leadford_server.metrics._metrics import (
+    ADMISSION_TOTAL,
     ATTEMPTS_TOTAL,
     CONNECTIONS_OPENED_TOTAL,
     COST_MS_TOTAL,
@@ -37,6 +38,7 @@
 )
 
 __all__ = [
+    "ADMISSION_TOTAL",
     "ATTEMPTS_TOTAL",
     "COST_MS_TOTAL",
     "CRASH_CASES_TOTAL",
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -54,6 +54,12 @@
     ["kind"],
     buckets=_GAP_SECONDS,
 )
+ADMISSION_TOTAL = Counter(
+    "leadford_admission_total",
+    "Requests with stages that admission judged, by level of priority (0 is the most "
+    "urgent) and verdict.",
+    ["level", "verdict"],
+)
 RETURNS_TOTAL = Counter(
     "leadford_returns_total",
     "Requests that came before, by what shows it: a refusal that was heard of, or only "
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -8,7 +8,8 @@
 
 - For a first try, the limit covers the critical path and a fraction of the slack, that
   is, of the rest of the route's latency target (`aim_ms`). The fraction grows with the
-  urgency of the request; all routes below the highest priority have the same one.
+  urgency of the request; all routes below the highest priority have the same one,
+  except at contended services (`_levels`).
 - A retry that can still meet the target, counted from its first try, is admitted if it
   can be answered within the target, because its caller waited as told.
 - A retry that can no longer meet the target is admitted only while the queues are
@@ -29,16 +30,22 @@
 
 import msgspec
 
-from leadford.common import Ewma
+from leadford.common import Ewma, WorkspaceId
 from leadford.forwarding.admission._first_try import FirstTryTimes
-from leadford.forwarding.admission._forecast import StageCapacity, StageForecast
+from leadford.forwarding.admission._forecast import (
+    StageCapacity,
+    StageDelay,
+    StageForecast,
+)
+from leadford.forwarding.admission._levels import LevelForecast, level_slack_fraction
 from leadford.forwarding.admission._reservations import (
     RetryReservation,
     RetryReservations,
 )
+from leadford.forwarding.admission._shares import AdmittedShares
 from leadford.forwarding.admission._usual_wait import CommonTimeouts
 from leadford.forwarding.batching import AdmittedBacklog
-from leadford.forwarding.routes import Route, RouteId, ServiceId
+from leadford.forwarding.routes import Route, RouteId, RouteLevels, ServiceId, two_level
 
 # Fraction of the slack that the backlog may take from a first try on a route of the
 # highest priority: for the most urgent workspace, the reduction for each further step
@@ -109,6 +116,14 @@
     endpoint_wait_s: float = 0.0
     # Whether capacity was booked for the caller, and it has returned as told.
     is_booked: bool = False
+    workspace_id: WorkspaceId | None = None
+    # The services at which the request is judged by level of priority.
+    contended_ids: frozenset[ServiceId] = frozenset()
+
+    @property
+    def levels(self) -> RouteLevels:
+        """Return the levels of the request."""
+        return RouteLevels.from_route(self.route, self.contended_ids)
 
     @property
     def aim_s(self) -> float:
@@ -124,7 +139,8 @@
     one that can no longer meet its target, counted from its first try.
     `is_refusal_known` is true if the refusal is recorded here, not only inferred from
     the timeout that the caller states. `short_service_id` is the service of the stage
-    that is delayed most, None if no stage is delayed.
+    that is delayed too long, None if no stage is. `level` is the level of the request
+    there, otherwise the lowest at its stages.
 
     Units: seconds; expected_s counts from when the caller sent the request,
     since_first_try_s is the time between the first try and this one.
@@ -138,6 +154,15 @@
     is_late: bool = False
     is_refusal_known: bool = False
     short_service_id: ServiceId | None = None
+    level: int = 0
+
+
+class _LimitTerms(msgspec.Struct, frozen=True):
+    """Hold what the limits of one request depend on at all of its services."""
+
+    critical_path_s: float
+    is_caller_retry: bool
+    is_late: bool
 
 
 class ForwardAdmission:
@@ -156,6 +181,7 @@
         self.error_by_route_: dict[RouteId, Ewma] = {}
         self.first_tries_ = FirstTryTimes()
         self.common_timeouts_ = CommonTimeouts()
+        self.shares_ = AdmittedShares()
 
     def decide(self, request: AdmissionRequest) -> AdmissionDecision:
         """Return the verdict, and record a refused request as a reservation."""
@@ -165,19 +191,26 @@
         since_first_try_s = self._first_try_s(request, refused)
         if inferred_s is not None:
             since_first_try_s = inferred_s
-        forecast = StageForecast(
-            route=request.route,
-            counts=request.counts,
-            capacity_by_service=request.capacity_by_service,
-        )
+        forecast = self._forecast(request)
         critical_path_s = forecast.critical_path_s()
         min_answer_s = request.elapsed_s + critical_path_s + request.first_byte_s
         is_late = is_caller_retry and since_first_try_s + min_answer_s > request.aim_s
-        longest = forecast.longest_delay(self.backlog, request.now, is_late=is_late)
-        queue_delay_s = max(longest.delay_s, request.endpoint_wait_s - critical_path_s)
+        engine_delay = StageDelay(
+            max(0.0, request.endpoint_wait_s - critical_path_s), None
+        )
+        delays = forecast.delays(self.backlog, request.now, is_late=is_late)
+        queue_delay_s = max(delay.delay_s for delay in (engine_delay, *delays))
         error_s = self._forecast_error(request.route).value_
         expected_s = min_answer_s + queue_delay_s + error_s
-        if expected_s <= _limit_s(request, critical_path_s, is_caller_retry, is_late):
+        limits = _LimitTerms(critical_path_s, is_caller_retry, is_late)
+        too_long = [
+            delay
+            for delay in (engine_delay, *delays)
+            if min_answer_s + delay.delay_s + error_s
+            > _limit_s(request, limits, delay.service_id)
+        ]
+        if not too_long or _is_kept_promise(request, min_answer_s, delays):
+            self._record_share(request)
             return AdmissionDecision(
                 Verdict.ADMIT,
                 expected_s,
@@ -186,7 +219,9 @@
                 since_first_try_s,
                 is_late,
                 refused is not None,
+                level=_level(request, None),
             )
+        short_id = max(too_long, key=lambda delay: delay.delay_s).service_id
         wait_s = self._retry_after_s(request, critical_path_s, queue_delay_s)
         reservation = RetryReservation(
             request.fingerprint,
@@ -202,9 +237,31 @@
             wait_s,
             is_caller_retry,
             is_refusal_known=refused is not None,
-            short_service_id=longest.service_id,
+            short_service_id=short_id,
+            level=_level(request, short_id),
         )
 
+    def _forecast(self, request: AdmissionRequest) -> StageForecast:
+        by_level = None
+        if request.contended_ids:
+            by_level = LevelForecast(request.levels, self.shares_, request.workspace_id)
+        return StageForecast(
+            route=request.route,
+            counts=request.counts,
+            capacity_by_service=request.capacity_by_service,
+            by_level=by_level,
+        )
+
+    def _record_share(self, request: AdmissionRequest) -> None:
+        """Count the pieces that a workspace is admitted to contended services."""
+        if request.workspace_id is None or not request.contended_ids:
+            return
+        for stage, count in zip(request.route.stages, request.counts, strict=True):
+            if count > 0 and stage.service_id in request.contended_ids:
+                self.shares_.record_admitted(
+                    stage.service_id, request.workspace_id, count, request.now
+                )
+
     def _inferred_first_try_s(self, request: AdmissionRequest) -> float | None:
         """Infer the time since the first try from the timeouts that callers state.
 
@@ -279,18 +336,24 @@
 
 
 def _limit_s(
-    request: AdmissionRequest,
-    critical_path_s: float,
-    is_caller_retry: bool,
-    is_late: bool,
+    request: AdmissionRequest, terms: _LimitTerms, service_id: ServiceId | None
 ) -> float:
-    """Return the longest expected response time with which a request is admitted."""
-    if is_late:
+    """Return the longest expected response time with which a request is admitted.
+
+    `service_id` is the service that delays it, None for its engine.
+    """
+    critical_path_s = terms.critical_path_s
+    if terms.is_late:
         return _slack_limit_s(request, critical_path_s, SLACK_FRACTION_LATE)
-    if is_caller_retry:
+    if terms.is_caller_retry:
         return min(
             DEADLINE_FRACTION * request.timeout_s, RETRY_AIM_FRACTION * request.aim_s
         )
+    if service_id is not None and service_id in request.contended_ids:
+        fraction = level_slack_fraction(
+            request.levels.level(service_id), request.priority
+        )
+        return _slack_limit_s(request, critical_path_s, fraction)
     if not request.route.is_urgent:
         return _slack_limit_s(request, critical_path_s, SLACK_FRACTION_LESS_URGENT)
     fraction = SLACK_FRACTION_URGENT - SLACK_FRACTION_STEP * request.priority
@@ -309,3 +372,30 @@
     min_answer_s = request.elapsed_s + critical_path_s + request.first_byte_s
     limit_s = min_answer_s + fraction * max(0.0, request.aim_s - min_answer_s)
     return min(limit_s, DEADLINE_FRACTION * request.timeout_s)
+
+
+def _is_kept_promise(
+    request: AdmissionRequest, min_answer_s: float, delays: list[StageDelay]
+) -> bool:
+    """Tell whether a request is admitted because capacity was booked for it.
+
+    It is refused if it could not be answered in time with nothing before it.
+    """
+    if not request.is_booked or min_answer_s > DEADLINE_FRACTION * request.timeout_s:
+        return False
+    return all(_has_endpoint(request, delay.service_id) for delay in delays)
+
+
+def _has_endpoint(request: AdmissionRequest, service_id: ServiceId | None) -> bool:
+    capacity = request.capacity_by_service.get(service_id)
+    return capacity is not None and capacity.endpoints > 0
+
+
+def _level(request: AdmissionRequest, short_id: ServiceId | None) -> int:
+    """Return the level at the short service, otherwise the lowest of the stages."""
+    if short_id is not None:
+        return request.levels.level(short_id)
+    return max(
+        (request.levels.level(stage.service_id) for stage in request.route.stages),
+        default=two_level(request.route.priority),
+    )
--- a/packages/leadford/src/leadford/forwarding/admission/_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_forecast.py
@@ -9,8 +9,15 @@
 
 import msgspec
 
+from leadford.forwarding.admission._levels import LevelForecast
 from leadford.forwarding.batching import AdmittedBacklog
-from leadford.forwarding.routes import PieceLimits, Route, ServiceId
+from leadford.forwarding.routes import (
+    LEVEL_HIGHEST,
+    LEVEL_LOWEST,
+    PieceLimits,
+    Route,
+    ServiceId,
+)
 
 # Fraction of the pieces of less urgent routes that counts as ahead of an urgent
 # request: pieces that have waited long go first, and running calls are not interrupted.
@@ -63,7 +70,8 @@
 class StageForecast:
     """Forecast the stages of one request from the present capacity of their services.
 
-    `counts` holds the number of pieces of each stage.
+    `counts` holds the number of pieces of each stage; `by_level` forecasts the delay at
+    contended services.
     """
 
     def __init__(
@@ -72,14 +80,23 @@
         route: Route,
         counts: tuple[int, ...],
         capacity_by_service: Mapping[ServiceId, StageCapacity],
+        by_level: LevelForecast | None = None,
     ) -> None:
         self.route = route
         self.counts = counts
         self.capacity_by_service = capacity_by_service
+        self.by_level = by_level
 
     def critical_path_s(self) -> float:
         """Return the duration of the critical path of the stages, without a backlog.
 
+        Units: seconds.
+        """
+        return max(self._done_s(), default=0.0)
+
+    def _done_s(self) -> list[float]:
+        """Return when each stage is done without a backlog, from the begin of all.
+
         Units: seconds.
         """
         done_s: list[float] = []
@@ -93,12 +110,31 @@
             rounds = -(-count // (limits.batch * max(1, capacity.endpoints)))
             call_s = limits.duration_ms(min(count, limits.batch)) / 1_000.0
             done_s.append(start_s + rounds * call_s)
-        return max(done_s, default=0.0)
+        return done_s
+
+    def _reached_s(self, number: int) -> float:
+        """Return when a stage is reached without a backlog, from the begin of all.
+
+        Units: seconds.
+        """
+        done_s = self._done_s()
+        before = self.route.stages[number].after
+        return max((done_s[earlier] for earlier in before), default=0.0)
 
     def longest_delay(
         self, backlog: AdmittedBacklog, now: float, *, is_late: bool
     ) -> StageDelay:
-        """Return the backlog of the most delayed stage.
+        """Return the backlog of the most delayed stage."""
+        longest = StageDelay()
+        for delay in self.delays(backlog, now, is_late=is_late):
+            if delay.delay_s > longest.delay_s:
+                longest = delay
+        return longest
+
+    def delays(
+        self, backlog: AdmittedBacklog, now: float, *, is_late: bool
+    ) -> list[StageDelay]:
+        """Return the backlog of each stage that the request needs.
 
         It follows from the configured call durations, or from the actual throughput of
         a stage that is behind. All pieces that are in time go before those of a late
@@ -106,27 +142,51 @@
 
         The delay is infinite where a stage has no endpoint.
         """
-        is_urgent = self.route.is_urgent and not is_late
-        longest = StageDelay()
+        found = []
         for number, stage in enumerate(self.route.stages):
             if self.counts[number] == 0:
                 continue
-            capacity = self.capacity_by_service.get(stage.service_id)
-            if capacity is None:
-                return StageDelay(float("inf"), stage.service_id)
-            held_s = capacity.call_s + self._read_s(number)
-            pieces = backlog.pieces_before(
+            delay_s = self._delay_s(number, backlog, now, is_late=is_late)
+            found.append(StageDelay(delay_s, stage.service_id))
+        return found
+
+    def _delay_s(
+        self, number: int, backlog: AdmittedBacklog, now: float, *, is_late: bool
+    ) -> float:
+        """Return the backlog of one stage.
+
+        Units: seconds.
+        """
+        stage = self.route.stages[number]
+        capacity = self.capacity_by_service.get(stage.service_id)
+        if capacity is None:
+            return float("inf")
+        held_s = capacity.call_s + self._read_s(number)
+
+        def capacity_s(pieces: float) -> float:
+            return capacity.backlog_s(pieces, stage.result_bytes, held_s)
+
+        by_level = self.by_level
+        if by_level and by_level.is_contended(stage.service_id) and not is_late:
+            return by_level.delay_s(
+                backlog,
                 stage.service_id,
-                is_urgent,
                 less_urgent_fraction=LESS_URGENT_FRACTION,
+                capacity_s=capacity_s,
+                reached_s=self._reached_s(number),
                 now=now,
             )
-            stage_s = capacity.backlog_s(pieces, stage.result_bytes, held_s)
-            drain_time_s = backlog.drain_time_s(stage.service_id, is_urgent, now)
-            delay_s = max(stage_s, drain_time_s)
-            if delay_s > longest.delay_s:
-                longest = StageDelay(delay_s, stage.service_id)
-        return longest
+        # All pieces go before a request of the lowest level.
+        is_urgent = self.route.is_urgent and not is_late
+        level = LEVEL_HIGHEST if is_urgent else LEVEL_LOWEST
+        pieces = backlog.pieces_before(
+            stage.service_id,
+            level,
+            less_urgent_fraction=LESS_URGENT_FRACTION,
+            now=now,
+        )
+        drain_time_s = backlog.drain_time_s(stage.service_id, level, now)
+        return max(capacity_s(pieces), drain_time_s)
 
     def pieces_by_service(self) -> dict[ServiceId, int]:
         """Return the number of pieces that the request needs from each service."""
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_chain_of_stages.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_chain_of_stages.py
@@ -82,7 +82,7 @@
             self.refused += 1
             return
         for stage, count in zip(ROUTE.stages, COUNTS, strict=True):
-            self.backlog.add(BacklogKey(stage.service_id, False), count)
+            self.backlog.add(BacklogKey(stage.service_id, 1), count)
         self.queues[0].append((now, now))
 
     def process(self, now):
@@ -96,7 +96,7 @@
             while queue and queue[0][1] <= now and self.credit[number] >= count:
                 self.credit[number] -= count
                 came_at, _ = queue.popleft()
-                self.backlog.add(BacklogKey(stage.service_id, False), -count)
+                self.backlog.add(BacklogKey(stage.service_id, 1), -count)
                 call_s = LIMITS.duration_ms(count) / 1_000.0
                 if number + 1 < len(COUNTS):
                     self.queues[number + 1].append((came_at, now + call_s))
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
@@ -63,8 +63,8 @@
             )
         )
 
-    def admit_pieces(self, pieces, is_urgent=True):
-        self.backlog.add(BacklogKey(SERVICE, is_urgent), pieces)
+    def admit_pieces(self, pieces, level=0):
+        self.backlog.add(BacklogKey(SERVICE, level), pieces)
 
 
 def test_an_idle_fleet_lets_in():
@@ -95,7 +95,7 @@
     verdicts = []
     for priority in (0, 1, 2):
         fixture = Fixture()
-        fixture.admit_pieces(100, is_urgent=False)
+        fixture.admit_pieces(100, level=1)
         route = msgspec.structs.replace(ROUTE, priority=priority)
         verdicts.append(fixture.decide(route=route).verdict)
     assert verdicts == [Verdict.ADMIT, Verdict.REFUSE, Verdict.REFUSE]
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_forecast.py
@@ -45,8 +45,8 @@
 
 def test_the_delay_is_that_of_the_stage_that_is_the_furthest_behind():
     backlog = AdmittedBacklog()
-    backlog.add(BacklogKey(FAST, True), 20)
-    backlog.add(BacklogKey(SLOW, True), 20)
+    backlog.add(BacklogKey(FAST, 0), 20)
+    backlog.add(BacklogKey(SLOW, 0), 20)
     assert delay_s((1, 1, 1), backlog) == pytest.approx(20 * 0.06)
     # A stage that the request does not use does not delay it.
     assert delay_s((1, 0, 1), backlog) == pytest.approx(20 * 0.03 / 2)
@@ -54,7 +54,7 @@
 
 def test_before_a_late_request_goes_all_that_is_in_time():
     backlog = AdmittedBacklog()
-    backlog.add(BacklogKey(FAST, False), 40)
+    backlog.add(BacklogKey(FAST, 1), 40)
     in_time = delay_s((1, 1, 1), backlog)
     assert delay_s((1, 1, 1), backlog, is_late=True) == pytest.approx(10.0 * in_time)
 
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_large_fleet.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_large_fleet.py
@@ -26,7 +26,7 @@
 from leadford.forwarding.routes import ServiceId, StageSpec
 
 SERVICE = ServiceId("stage")
-KEY = BacklogKey(SERVICE, False)
+KEY = BacklogKey(SERVICE, 1)
 LIMITS = piece_limits(batch=16, piece_ms=11.0, room_bytes=100_000_000)
 ROUTE = staged_route(
     StageSpec(SERVICE, (), 60_000), timeout_ms=6_000.0, aim_ms=3_100.0, priority=1
@@ -112,7 +112,7 @@
             number, came_at = self.queue.pop(0)
             self.backlogs[number].add(KEY, -PIECES)
             for _ in range(PIECES):
-                self.throughput.record_computed(is_urgent=False)
+                self.throughput.record_computed(level=1)
             self.response_s.append(now - came_at + LIMITS.full_call_s + ENGINE_S)
 
 
--- a/packages/leadford/src/leadford/forwarding/batching/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/batching/__init__.py
@@ -4,6 +4,7 @@
     AdmittedBacklog,
     BacklogKey,
     BacklogSum,
+    drain_s,
 )
 from leadford.forwarding.batching._capacity import (
     CapacityTable,
@@ -47,6 +48,7 @@
     RemakeAction,
     decide_remake,
 )
+from leadford.forwarding.batching._reserved import RESERVED_FRACTION
 from leadford.forwarding.batching._throughput import Throughput, ThroughputRate
 
 __all__ = [
@@ -55,6 +57,7 @@
     "ENGINE_INPUTS_READ_S",
     "NO_ENDPOINT_WAIT_S",
     "QUEUE_FULL_PAUSE_S",
+    "RESERVED_FRACTION",
     "NO_ROOM_PAUSE_S",
     "AdmittedBacklog",
     "BacklogKey",
@@ -82,6 +85,7 @@
     "Throughput",
     "call_limit_s",
     "decide_remake",
+    "drain_s",
     "engine_fetches_immediately",
     "next_call",
     "queue_delay_s",
--- a/packages/leadford/src/leadford/forwarding/batching/_backlog.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_backlog.py
@@ -7,35 +7,57 @@
 reports are left out, because the pieces that they count may be gone.
 """
 
+from collections.abc import Mapping
+
 import msgspec
 
 from leadford.common import EntryId
 from leadford.forwarding.batching._throughput import ThroughputRate
-from leadford.forwarding.routes import ServiceId
+from leadford.forwarding.routes import LEVEL_HIGHEST, LEVEL_LESS_URGENT, ServiceId
 
 # Reports of other entries expire after this age.
 REPORT_MAX_AGE_S = 1.5
 
 
 class BacklogKey(msgspec.Struct, frozen=True):
-    """Identify the pieces of one service on urgent routes, or on less urgent ones."""
+    """Identify the pieces of one service and one level; level 0 is the most urgent."""
 
     service_id: ServiceId
-    is_urgent: bool
+    level: int
 
 
 class BacklogSum(msgspec.Struct, frozen=True):
-    """Hold the admitted pieces of one service, summed over a number of entries."""
+    """Hold the admitted pieces of one service, summed over a number of entries.
+
+    `is_by_level` is true for the sum of a scheduler that reports each level. Without
+    it, a scheduler counts all pieces below the highest level as one level.
+    """
 
     entries: int
-    urgent: int
-    less_urgent: int
+    pieces_by_level: dict[int, int]
+    is_by_level: bool = False
+
+    @property
+    def urgent(self) -> int:
+        """Return the pieces of the highest level."""
+        return self.pieces_by_level.get(LEVEL_HIGHEST, 0)
+
+    @property
+    def less_urgent(self) -> int:
+        """Return the pieces below the highest level."""
+        return sum(self.pieces_by_level.values()) - self.urgent
+
+    def up_to(self, level: int) -> int:
+        """Return the pieces of a level and of all more urgent ones."""
+        return sum(
+            pieces for known, pieces in self.pieces_by_level.items() if known <= level
+        )
 
 
 class _EntryReport(msgspec.Struct, frozen=True):
     """Hold the backlog that another entry reported, and when it arrived."""
 
-    counts_by_key: dict[BacklogKey, int]
+    levels_by_service: dict[ServiceId, dict[int, int]]
     received_at: float
 
 
@@ -54,6 +76,13 @@
     received_at: float
 
 
+class _FlowReport(msgspec.Struct, frozen=True):
+    """Hold the throughput of each level of a stage, and when it arrived."""
+
+    per_s_by_level: dict[int, float]
+    received_at: float
+
+
 class AdmittedBacklog:
     """Add up the admitted backlog of all entries; old reports expire."""
 
@@ -63,6 +92,7 @@
         self.reports_by_entry_: dict[EntryId, _EntryReport] = {}
         self.sums_by_service_: dict[ServiceId, _SumReport] = {}
         self.rates_by_service_: dict[ServiceId, _RateReport] = {}
+        self.flows_by_service_: dict[ServiceId, _FlowReport] = {}
 
     def add(self, key: BacklogKey, pieces: int) -> None:
         """Count pieces that this entry admitted; a negative count removes pieces."""
@@ -80,11 +110,25 @@
     def record_report(
         self,
         entry_id: EntryId,
-        counts_by_key: dict[BacklogKey, int],
+        counts_by_key: Mapping[BacklogKey, int],
         now: float,
     ) -> None:
         """Record the backlog that another entry reported."""
-        self.reports_by_entry_[entry_id] = _EntryReport(counts_by_key, now)
+        levels_by_service: dict[ServiceId, dict[int, int]] = {}
+        for key, pieces in counts_by_key.items():
+            levels_by_service.setdefault(key.service_id, {})[key.level] = pieces
+        self.reports_by_entry_[entry_id] = _EntryReport(levels_by_service, now)
+
+    def record_levels(
+        self,
+        entry_id: EntryId,
+        service_id: ServiceId,
+        pieces_by_level: dict[int, int],
+    ) -> None:
+        """Replace the two levels of a service in the last report by all levels."""
+        report = self.reports_by_entry_.get(entry_id)
+        if report is not None:
+            report.levels_by_service[service_id] = pieces_by_level
 
     def record_sum(
         self, service_id: ServiceId, reported_sum: BacklogSum, now: float
@@ -109,25 +153,47 @@
         else:
             self.rates_by_service_[service_id] = _RateReport(rate, now)
 
-    def drain_time_s(self, service_id: ServiceId, is_urgent: bool, now: float) -> float:
+    def record_flow(
+        self, service_id: ServiceId, per_s_by_level: dict[int, float], now: float
+    ) -> None:
+        """Record the throughput of each level of a stage."""
+        self.flows_by_service_[service_id] = _FlowReport(per_s_by_level, now)
+
+    def flow_above_per_s(self, service_id: ServiceId, level: int, now: float) -> float:
+        """Return the throughput of the levels that are more urgent than one.
+
+        Units: pieces per second; 0 where it is not known.
+        """
+        report = self.flows_by_service_.get(service_id)
+        if report is None or now - report.received_at >= REPORT_MAX_AGE_S:
+            return 0.0
+        return sum(
+            per_s for known, per_s in report.per_s_by_level.items() if known < level
+        )
+
+    def drain_time_s(self, service_id: ServiceId, level: int, now: float) -> float:
         """Return how long a stage that is behind takes for the pieces before a request.
 
-        The estimate uses the recent rate of the stage; it is 0 where the stage is not
-        behind. Less urgent pieces are assumed to leave as fast as recently, whatever
-        urgent pieces go before them.
+        There are two levels here, 0 and any other. The estimate uses the recent rate of
+        the stage; it is 0 where the stage is not behind. Less urgent pieces are assumed
+        to leave as fast as recently, whatever urgent pieces go before them.
 
         Units: seconds; infinite where no piece of that urgency is computed.
         """
-        report = self.rates_by_service_.get(service_id)
-        if report is None or now - report.received_at >= REPORT_MAX_AGE_S:
+        rate = self.rate(service_id, now)
+        if rate is None:
             return 0.0
         total = self.widest_sum(service_id, now)
-        pieces, rate = total.less_urgent, report.rate.less_urgent
-        if is_urgent:
-            pieces, rate = total.urgent, report.rate.pieces
-        if pieces == 0:
-            return 0.0
-        return pieces / rate if rate > 0.0 else float("inf")
+        if level == LEVEL_HIGHEST:
+            return drain_s(total.urgent, rate.pieces)
+        return drain_s(total.less_urgent, rate.less_urgent)
+
+    def rate(self, service_id: ServiceId, now: float) -> ThroughputRate | None:
+        """Return the recent throughput of a stage that is behind, else None."""
+        report = self.rates_by_service_.get(service_id)
+        if report is None or now - report.received_at >= REPORT_MAX_AGE_S:
+            return None
+        return report.rate
 
     def forget(self, entry_id: EntryId) -> None:
         """Drop the report of an entry that is gone."""
@@ -136,15 +202,24 @@
     def sum(self, service_id: ServiceId, now: float) -> BacklogSum:
         """Return the backlog of this entry and of those that report to it directly."""
         reported = [
-            reported.counts_by_key
+            reported.levels_by_service
             for reported in self.reports_by_entry_.values()
             if now - reported.received_at < REPORT_MAX_AGE_S
         ]
-        urgent = less_urgent = 0
-        for counts_by_key in (self.own_by_key_, *reported):
-            urgent += counts_by_key.get(BacklogKey(service_id, True), 0)
-            less_urgent += counts_by_key.get(BacklogKey(service_id, False), 0)
-        return BacklogSum(1 + len(reported), urgent, less_urgent)
+        pieces_by_level = self._own_levels(self.own_by_key_, service_id)
+        for levels_by_service in reported:
+            for level, pieces in levels_by_service.get(service_id, {}).items():
+                pieces_by_level[level] = pieces_by_level.get(level, 0) + pieces
+        return BacklogSum(1 + len(reported), pieces_by_level)
+
+    def _own_levels(
+        self, counts_by_key: Mapping[BacklogKey, int], service_id: ServiceId
+    ) -> dict[int, int]:
+        return {
+            key.level: pieces
+            for key, pieces in counts_by_key.items()
+            if key.service_id == service_id
+        }
 
     def widest_sum(self, service_id: ServiceId, now: float) -> BacklogSum:
         """Return the sum over the most entries: this entry's own or a scheduler's.
@@ -157,40 +232,55 @@
         report = self.sums_by_service_.get(service_id)
         if report is None or now - report.received_at >= REPORT_MAX_AGE_S:
             return own
-        if report.reported_sum.entries <= own.entries:
+        known = report.reported_sum
+        if known.entries < own.entries:
+            return own
+        if known.entries == own.entries and not known.is_by_level:
             return own
+        return self._updated(report, service_id)
+
+    def _updated(self, report: _SumReport, service_id: ServiceId) -> BacklogSum:
+        """Return a reported sum plus the change of this entry's backlog since."""
+        known = report.reported_sum
+        pieces_by_level = dict(known.pieces_by_level)
+        own = self._own_levels(self.own_by_key_, service_id)
+        before = self._own_levels(report.reported_by_key, service_id)
+        for own_level in own.keys() | before.keys():
+            level = own_level
+            if not known.is_by_level:
+                level = min(own_level, LEVEL_LESS_URGENT)
+            change = own.get(own_level, 0) - before.get(own_level, 0)
+            pieces_by_level[level] = pieces_by_level.get(level, 0) + change
         return BacklogSum(
-            report.reported_sum.entries,
-            self._updated_count(
-                report, BacklogKey(service_id, True), report.reported_sum.urgent
-            ),
-            self._updated_count(
-                report, BacklogKey(service_id, False), report.reported_sum.less_urgent
-            ),
+            known.entries,
+            {level: max(0, pieces) for level, pieces in pieces_by_level.items()},
+            known.is_by_level,
         )
 
-    def _updated_count(
-        self, report: _SumReport, key: BacklogKey, reported_count: int
-    ) -> int:
-        """Return a reported count plus the change of this entry's backlog since."""
-        own_reported = report.reported_by_key.get(key, 0)
-        return max(0, reported_count + self.own_by_key_.get(key, 0) - own_reported)
-
     def pieces_before(
         self,
         service_id: ServiceId,
-        is_urgent: bool,
+        level: int,
         *,
         less_urgent_fraction: float,
         now: float,
     ) -> float:
-        """Return how many pieces go before those of a request.
+        """Return how many pieces go before those of a request of a level.
 
-        Before an urgent request, less urgent pieces count by the fraction
-        `less_urgent_fraction`: those that have waited long go first, and running calls
-        are not interrupted.
+        Less urgent pieces count by the fraction `less_urgent_fraction`: those that have
+        waited long go first, and running calls are not interrupted.
         """
         total = self.widest_sum(service_id, now)
-        if is_urgent:
-            return total.urgent + total.less_urgent * less_urgent_fraction
-        return float(total.urgent + total.less_urgent)
+        before = total.up_to(level)
+        less_urgent = sum(total.pieces_by_level.values()) - before
+        return before + less_urgent * less_urgent_fraction
+
+
+def drain_s(pieces: float, per_s: float) -> float:
+    """Return how long a rate takes for some pieces.
+
+    Units: seconds; infinite for pieces that are not computed at all.
+    """
+    if pieces == 0:
+        return 0.0
+    return pieces / per_s if per_s > 0.0 else float("inf")
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -1,19 +1,26 @@
 """Queue the pieces that wait for a batch, and select those of the next call.
 
 Owned by the scheduler of a group. Pieces are ordered by the due time of their requests,
-plus a delay for less urgent ones. A call takes whole requests where it can, and leaves
-pieces for the hall of their inputs while the queue is short. When a call is sent is
-decided in `_filling`.
+plus a delay for less urgent ones; at contended services by level first. A call takes
+whole requests where it can, and leaves pieces for the hall of their inputs while the
+queue is short. When a call is sent is decided in `_filling`.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
 from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.forwarding.batching._graph import PieceKey
 from leadford.forwarding.batching._groups import moving_cost_s
-from leadford.forwarding.routes import PieceLimits, ResultHandle, Route
+from leadford.forwarding.batching._reserved import ReservedPlaces
+from leadford.forwarding.routes import (
+    LEVEL_HIGHEST,
+    LEVEL_LESS_URGENT,
+    PieceLimits,
+    ResultHandle,
+    Route,
+)
 
 # Slack, in durations of a full call, below which a piece does not wait for others.
 WINDOW_MIN_SLACK_CALLS = 4.0
@@ -67,11 +74,16 @@
     local_bytes_by_hall: dict[HallId, int] = {}
     # True if an endpoint crashed while it ran the request of the piece.
     is_suspect: bool = False
+    # The level at a contended service, None elsewhere and if it is unknown.
+    level: int | None = None
 
     @property
-    def is_urgent(self) -> bool:
-        """Tell whether the piece has no delay for a less urgent route."""
-        return self.rank_at - self.due_at < LESS_URGENT_DELAY_S / 2.0
+    def known_level(self) -> int:
+        """Return the level; without one, that of two which the delay implies."""
+        if self.level is not None:
+            return self.level
+        is_urgent = self.rank_at - self.due_at < LESS_URGENT_DELAY_S / 2.0
+        return LEVEL_HIGHEST if is_urgent else LEVEL_LESS_URGENT
 
     def moved_bytes(self, hall: HallId) -> int:
         """Return how many bytes move between halls if the piece is computed in one."""
@@ -99,6 +111,11 @@
             return True
         return not (self.is_suspect or any(task.is_suspect for task in taken))
 
+    @property
+    def level(self) -> int:
+        """Return the level by which the chunk is ordered at a contended service."""
+        return self.tasks[0].known_level
+
     @property
     def rank_at(self) -> float:
         """Return the time by which the chunk is ordered in the queue."""
@@ -163,6 +180,7 @@
 
     def __init__(self) -> None:
         self.tasks_: list[PieceTask] = []
+        self.reserved_ = ReservedPlaces()
 
     def __len__(self) -> int:
         return len(self.tasks_)
@@ -273,6 +291,8 @@
             taken += fitting
             remaining += [task for task in tasks if task not in fitting]
         self.tasks_ = remaining
+        if self._has_levels([*taken, *remaining]):
+            self.reserved_.record_call(taken, remaining, limits)
         return taken
 
     def chunks(self) -> list[Chunk]:
@@ -297,14 +317,26 @@
         """Return the chunks in the order in which a hall takes them.
 
         Chunks that can no longer be in time go behind those that can. By due time alone
-        they would go first and make the others late too.
+        they would go first and make the others late too. At a contended service more
+        urgent levels go first, except for the reserved places.
         """
 
-        def sort_key(chunk: Chunk) -> tuple[bool, float]:
-            moving_cost_s = chunk.moving_cost_s(hall) if hall is not None else 0.0
-            return chunk.is_late(limits, now), chunk.rank_at + moving_cost_s
+        has_levels = self._has_levels(self.tasks_)
 
-        return sorted(self.chunks(), key=sort_key)
+        def sort_key(chunk: Chunk) -> tuple[bool, int, float]:
+            moving_cost_s = chunk.moving_cost_s(hall) if hall is not None else 0.0
+            level = chunk.level if has_levels else LEVEL_HIGHEST
+            return chunk.is_late(limits, now), level, chunk.rank_at + moving_cost_s
+
+        ordered = sorted(self.chunks(), key=sort_key)
+        if not has_levels:
+            return ordered
+        return self.reserved_.move_ahead(ordered, limits, now)
+
+    @staticmethod
+    def _has_levels(tasks: Iterable[PieceTask]) -> bool:
+        """Tell whether pieces are ordered by level: the service is contended."""
+        return any(task.level is not None for task in tasks)
 
 
 def _is_large_move(chunk: Chunk, hall: HallId | None) -> bool:
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/batching/_reserved.py
@@ -0,0 +1,78 @@
+"""Reserve a part of the places of calls for less urgent pieces at contended services.
+
+Ordered by level, less urgent pieces would wait for as long as more urgent ones fill the
+calls. Each call that passes less urgent pieces over, while more pieces wait than fit in
+one call, adds a few places to a credit.
+Once the credit covers the chunk that has waited longest, that chunk goes ahead. So
+chunks stay whole, and on average the reserved part of the places is used for them.
+Chunks that can no longer be in time go ahead only if no other less urgent ones wait:
+admission counts them as long as they are queued.
+"""
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from leadford.forwarding.routes import PieceLimits
+
+if TYPE_CHECKING:
+    from leadford.forwarding.batching._queue import Chunk, PieceTask
+
+# Part of the places of a call that less urgent pieces get at least. Admission
+# counts on it for the least urgent requests.
+RESERVED_FRACTION = 0.1
+MIN_RESERVED_PLACES = 1
+
+
+class ReservedPlaces:
+    """Hold the credit of one queue; it never exceeds one full call."""
+
+    def __init__(self) -> None:
+        self.credit_ = 0
+        self.ahead_: tuple[PieceTask, ...] = ()
+
+    def move_ahead(
+        self, ordered: list["Chunk"], limits: PieceLimits, now: float
+    ) -> list["Chunk"]:
+        """Return the chunks with the one first that the credit covers, if there is one.
+
+        `ordered` begins with the most urgent chunks that can be in time.
+        """
+        self.ahead_ = ()
+        if self.credit_ == 0 or not ordered or ordered[0].is_late(limits, now):
+            return ordered
+        passed_over = [chunk for chunk in ordered if chunk.level > ordered[0].level]
+        if not passed_over:
+            return ordered
+        longest = min(
+            passed_over,
+            key=lambda chunk: (chunk.is_late(limits, now), chunk.tasks[0].queued_at),
+        )
+        if self.credit_ < min(len(longest.tasks), limits.batch):
+            return ordered
+        self.ahead_ = longest.tasks
+        return [longest, *(chunk for chunk in ordered if chunk is not longest)]
+
+    def record_call(
+        self,
+        taken: Sequence["PieceTask"],
+        remaining: Sequence["PieceTask"],
+        limits: PieceLimits,
+    ) -> None:
+        """Update the credit after a call has been filled."""
+        if not taken:
+            return
+        used = sum(1 for task in taken if task in self.ahead_)
+        self.ahead_ = ()
+        earned = 0
+        fits_all = len(taken) + len(remaining) <= limits.batch
+        if not fits_all and _passes_over(taken, remaining):
+            earned = max(MIN_RESERVED_PLACES, round(RESERVED_FRACTION * limits.batch))
+        self.credit_ = min(limits.batch, max(0, self.credit_ + earned - used))
+
+
+def _passes_over(
+    taken: Sequence["PieceTask"], remaining: Sequence["PieceTask"]
+) -> bool:
+    """Tell whether less urgent pieces than the most urgent of a call are left."""
+    highest = min(task.known_level for task in taken)
+    return any(task.known_level > highest for task in remaining)
--- a/packages/leadford/src/leadford/forwarding/batching/_throughput.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_throughput.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from leadford.forwarding.routes import LEVEL_HIGHEST
+
 # Length of the sliding window, and the least span of samples in it: several calls of
 # each endpoint.
 RATE_WINDOW_S = 1.2
@@ -30,12 +32,16 @@
 
 
 class _Sample(msgspec.Struct, frozen=True):
-    """Hold the pieces computed up to a time, and whether the stage was behind then."""
+    """Hold the pieces computed up to a time, and whether the stage was behind then.
+
+    `less_urgent` counts those below the highest level.
+    """
 
     sampled_at: float
     made: int
     less_urgent: int
     is_behind: bool
+    made_by_level: dict[int, int]
 
 
 class Throughput:
@@ -44,13 +50,15 @@
     def __init__(self) -> None:
         self.made_ = 0
         self.less_urgent_ = 0
+        self.made_by_level_: dict[int, int] = {}
         self.samples_: deque[_Sample] = deque()
 
-    def record_computed(self, *, is_urgent: bool) -> None:
+    def record_computed(self, *, level: int) -> None:
         """Count a piece that was computed."""
         self.made_ += 1
-        if not is_urgent:
+        if level > LEVEL_HIGHEST:
             self.less_urgent_ += 1
+        self.made_by_level_[level] = self.made_by_level_.get(level, 0) + 1
 
     def sample(self, *, waiting: int, full_round_pieces: int, now: float) -> None:
         """Record a sample of the counts and of the queue.
@@ -61,7 +69,15 @@
         is_behind = (
             full_round_pieces > 0 and waiting >= BEHIND_MIN_FRACTION * full_round_pieces
         )
-        self.samples_.append(_Sample(now, self.made_, self.less_urgent_, is_behind))
+        self.samples_.append(
+            _Sample(
+                now,
+                self.made_,
+                self.less_urgent_,
+                is_behind,
+                dict(self.made_by_level_),
+            )
+        )
         while self.samples_[0].sampled_at < now - RATE_WINDOW_S:
             self.samples_.popleft()
 
@@ -82,3 +98,27 @@
             (last.made - first.made) / span_s,
             (last.less_urgent - first.less_urgent) / span_s,
         )
+
+    def flow_by_level(self, now: float) -> dict[int, float]:
+        """Return the recent throughput of each level, whether the group is behind.
+
+        For levels that do not wait it is what arrives. Empty where too little time was
+        observed.
+
+        Units: pieces per second.
+        """
+        samples = [
+            sample
+            for sample in self.samples_
+            if sample.sampled_at >= now - RATE_WINDOW_S
+        ]
+        if not samples:
+            return {}
+        first, last = samples[0], samples[-1]
+        span_s = last.sampled_at - first.sampled_at
+        if span_s < RATE_MIN_SPAN_S:
+            return {}
+        return {
+            level: (made - first.made_by_level.get(level, 0)) / span_s
+            for level, made in last.made_by_level.items()
+        }
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
@@ -400,18 +400,16 @@
 
 def test_the_backlog_of_other_entries_expires():
     table = AdmittedBacklog()
-    key = BacklogKey(SERVICE, True)
-    later = BacklogKey(SERVICE, False)
+    key = BacklogKey(SERVICE, 0)
+    later = BacklogKey(SERVICE, 1)
     table.add(key, 4)
     table.record_report(EntryId("n1"), {key: 2, later: 10}, 0.0)
 
-    def before(is_urgent, now):
-        return table.pieces_before(
-            SERVICE, is_urgent, less_urgent_fraction=0.5, now=now
-        )
+    def before(level, now):
+        return table.pieces_before(SERVICE, level, less_urgent_fraction=0.5, now=now)
 
-    assert before(True, 0.1) == 4 + 2 + 5
-    assert before(False, 0.1) == 16
-    assert before(True, 9.0) == 4
+    assert before(0, 0.1) == 4 + 2 + 5
+    assert before(1, 0.1) == 16
+    assert before(0, 9.0) == 4
     table.add(key, -4)
-    assert before(True, 9.0) == 0
+    assert before(0, 9.0) == 0
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_throughput.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_throughput.py
@@ -19,7 +19,7 @@
     for beat in range(beats):
         throughput.sample(waiting=waiting, full_round_pieces=FULL_ROUND, now=0.2 * beat)
         for number in range(urgent_each + less_urgent_each):
-            throughput.record_computed(is_urgent=number < urgent_each)
+            throughput.record_computed(level=0 if number < urgent_each else 1)
     return throughput.rate(0.2 * (beats - 1))
 
 
@@ -44,29 +44,28 @@
 
 def backlog(urgent, less_urgent, rate):
     table = AdmittedBacklog()
-    table.add(BacklogKey(SERVICE, True), urgent)
-    table.add(BacklogKey(SERVICE, False), less_urgent)
+    table.add(BacklogKey(SERVICE, 0), urgent)
+    table.add(BacklogKey(SERVICE, 1), less_urgent)
     table.record_rate(SERVICE, rate, 0.0)
     return table
 
 
 def test_what_is_before_a_request_leaves_as_fast_as_it_did_lately():
     table = backlog(40, 60, ThroughputRate(100.0, 20.0))
-    assert table.drain_time_s(SERVICE, True, 0.1) == pytest.approx(0.4)
-    assert table.drain_time_s(SERVICE, False, 0.1) == pytest.approx(3.0)
+    assert table.drain_time_s(SERVICE, 0, 0.1) == pytest.approx(0.4)
+    assert table.drain_time_s(SERVICE, 1, 0.1) == pytest.approx(3.0)
 
 
 def test_a_kind_of_which_nothing_is_made_is_behind_for_ever():
     table = backlog(40, 60, ThroughputRate(100.0, 0.0))
-    assert table.drain_time_s(SERVICE, False, 0.1) == float("inf")
+    assert table.drain_time_s(SERVICE, 1, 0.1) == float("inf")
     assert (
-        backlog(40, 0, ThroughputRate(100.0, 0.0)).drain_time_s(SERVICE, False, 0.1)
-        == 0.0
+        backlog(40, 0, ThroughputRate(100.0, 0.0)).drain_time_s(SERVICE, 1, 0.1) == 0.0
     )
 
 
 def test_an_old_rate_says_nothing():
     table = backlog(40, 60, ThroughputRate(100.0, 20.0))
-    assert table.drain_time_s(SERVICE, False, 1.6) == 0.0
+    assert table.drain_time_s(SERVICE, 1, 1.6) == 0.0
     table.record_rate(SERVICE, None, 0.2)
-    assert table.drain_time_s(SERVICE, False, 0.3) == 0.0
+    assert table.drain_time_s(SERVICE, 1, 0.3) == 0.0
--- a/packages/leadford/src/leadford/forwarding/routes/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/routes/__init__.py
@@ -2,6 +2,13 @@
 
 from leadford.forwarding.routes._contention import contended_services
 from leadford.forwarding.routes._denial import ProcessStatus, StartDenial, decide_start
+from leadford.forwarding.routes._levels import (
+    LEVEL_HIGHEST,
+    LEVEL_LESS_URGENT,
+    LEVEL_LOWEST,
+    RouteLevels,
+    two_level,
+)
 from leadford.forwarding.routes._model import (
     PRIORITY_HIGHEST,
     PRIORITY_LOWEST,
@@ -33,6 +40,9 @@
 )
 
 __all__ = [
+    "LEVEL_HIGHEST",
+    "LEVEL_LESS_URGENT",
+    "LEVEL_LOWEST",
     "PRIORITY_HIGHEST",
     "PRIORITY_LOWEST",
     "ColdLimits",
@@ -49,6 +59,7 @@
     "Route",
     "RouteId",
     "RouteKind",
+    "RouteLevels",
     "RouteMatch",
     "RouteTable",
     "Service",
@@ -60,4 +71,5 @@
     "Workspace",
     "contended_services",
     "decide_start",
+    "two_level",
 ]
--- a/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
+++ b/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
@@ -16,11 +16,14 @@
 )
 from leadford.protocol import (
     PROTOCOL_UNTOLD,
+    AdmittedLevels,
     BacklogReport,
     EntryHeartbeat,
     EvacuationReport,
     FleetBacklog,
+    FleetLevels,
     HallReport,
+    LevelCount,
     LimitNews,
     LimitReport,
     PackedChanges,
@@ -31,6 +34,7 @@
     PlaceRequest,
     PromptPartReport,
     PromptRead,
+    ServiceLevels,
     StoreChange,
     StoreChanges,
     StoreConfirmation,
@@ -108,6 +112,12 @@
     .replace("8363692d31190bb80106", "8363692d31190bb8010600", 1)
     .replace("821824184c831825184d4179", "831824184c00841825184d417900", 1)
 )
+# The same frame, with the level of a piece, which is untold here.
+LEVEL_FRAME = bytes.fromhex(
+    EPOCH_FRAME.hex()
+    .replace("8f181d07", "90181d07", 1)
+    .replace("a1626831190bb885181e", "a1626831190bb82085181e", 1)
+)
 
 
 def test_messages_of_older_builds_are_read():
@@ -122,7 +132,8 @@
 
 def test_messages_travel_as_before():
     messages = decode(FRAME).unwrap().messages
-    assert encode(36, messages) == EPOCH_FRAME
+    assert encode(36, messages) == LEVEL_FRAME
+    assert decode(LEVEL_FRAME).unwrap().messages == messages
     assert decode(EPOCH_FRAME).unwrap().messages == messages
     assert decode(VERSIONED_FRAME).unwrap().messages == messages
 
@@ -133,7 +144,7 @@
 
 @given(st.data())
 def test_frames_of_a_later_build_are_read_as_far_as_they_are_known(data):
-    known_frames = [EPOCH_FRAME, *map(bytes.fromhex, FLEET_MESSAGES)]
+    known_frames = [LEVEL_FRAME, *map(bytes.fromhex, FLEET_MESSAGES)]
     known = data.draw(st.sampled_from(known_frames))
     version, messages = cbor2.loads(known)
     later_messages = [[*message, *data.draw(LATER_FIELDS)] for message in messages]
@@ -184,6 +195,12 @@
     "8203818218358183626531fb3ff8000000000000fb4059000000000000": LimitNews(
         [LimitReport("e1", 1.5, 100.0)]
     ),
+    "820381821836818361730181830205fbbff0000000000000": AdmittedLevels(
+        [ServiceLevels("s", 1, [LevelCount(2, 5)])]
+    ),
+    "820381821837818361731844818300190100fb4046c00000000000": FleetLevels(
+        [ServiceLevels("s", 68, [LevelCount(0, 256, 45.5)])]
+    ),
 }
 
 
--- a/packages/leadford/src/leadford/protocol/__init__.py
+++ b/packages/leadford/src/leadford/protocol/__init__.py
@@ -101,6 +101,7 @@
     Message,
 )
 from leadford.protocol._pieces import (
+    LEVEL_UNTOLD,
     PieceAnswer,
     PieceCancel,
     PieceRelease,
@@ -124,6 +125,7 @@
 )
 
 __all__ = [
+    "LEVEL_UNTOLD",
     "PROTOCOL_COLD_PLACED",
     "PROTOCOL_PACED",
     "PROTOCOL_UNTOLD",
--- a/packages/leadford/src/leadford/protocol/_load.py
+++ b/packages/leadford/src/leadford/protocol/_load.py
@@ -6,15 +6,15 @@
 
 from leadford.protocol._base import MessageBase
 
-# The rate of a stage that is not behind, so that its throughput is unknown.
+# The throughput of a level that was not measured.
 UNKNOWN_PER_S = -1.0
 
 
 class LevelCount(MessageBase):
     """Report the pieces of one level of priority.
 
-    Units: per_s in pieces per second, the throughput of the level while the stage is
-    behind, otherwise `UNKNOWN_PER_S`.
+    Units: per_s in pieces per second, the recent throughput of the level, or
+    `UNKNOWN_PER_S`.
     """
 
     level: int
--- a/packages/leadford/src/leadford/protocol/_pieces.py
+++ b/packages/leadford/src/leadford/protocol/_pieces.py
@@ -2,13 +2,17 @@
 
 from leadford.protocol._base import MessageBase
 
+# The level of a piece whose service is not contended.
+LEVEL_UNTOLD = -1
+
 
 class PieceSubmit(MessageBase, tag=29):
     """Ask the scheduler of a group for one piece; the answer has its correlation id.
 
     Units: remaining_ms in milliseconds until the request's deadline, due_ms until it
     should have been answered, and rank_ms orders pieces; near_bytes is, for each hall,
-    the bytes that need not move between halls if the piece is executed in that hall.
+    the bytes that need not move between halls if the piece is executed in that hall;
+    level is 0 for the highest priority.
     """
 
     correlation_id: int
@@ -25,6 +29,7 @@
     rank_ms: float
     excluded: list[str] = []
     near_bytes: dict[str, int] = {}
+    level: int = LEVEL_UNTOLD
 
 
 class SuspectPieceSubmit(PieceSubmit, tag=52):
