--- a/packages/leadford/src/leadford/forwarding/batching/_reserved.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_reserved.py
@@ -73,6 +73,6 @@
 def _passes_over(
     taken: Sequence["PieceTask"], remaining: Sequence["PieceTask"]
 ) -> bool:
-    """Tell whether less urgent pieces than the most urgent of a call are left."""
-    highest = min(task.known_level for task in taken)
+    """Tell whether pieces are left that are less urgent than the most urgent one."""
+    highest = min(task.known_level for task in (*taken, *remaining))
     return any(task.known_level > highest for task in remaining)
