Keep what depends on levels out of the decision, and types of the queue apart

Cause: the decision knew how shares are recorded and which level an outcome has, and the reserved places named types of the queue only for checkers. Both are protocols and methods of their own now.

--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -45,7 +45,7 @@
 from leadford.forwarding.admission._shares import AdmittedShares
 from leadford.forwarding.admission._usual_wait import CommonTimeouts
 from leadford.forwarding.batching import AdmittedBacklog
-from leadford.forwarding.routes import Route, RouteId, RouteLevels, ServiceId, two_level
+from leadford.forwarding.routes import Route, RouteId, RouteLevels, ServiceId
 
 # Fraction of the slack that the backlog may take from a first try on a route of the
 # highest priority: for the most urgent workspace, the reduction for each further step
@@ -125,6 +125,13 @@
         """Return the levels of the request."""
         return RouteLevels.from_route(self.route, self.contended_ids)
 
+    def level_at(self, service_id: ServiceId | None) -> int:
+        """Return the level at a service, or without one the least urgent of all."""
+        levels = self.levels
+        if service_id is not None:
+            return levels.level(service_id)
+        return levels.lowest_level(stage.service_id for stage in self.route.stages)
+
     @property
     def aim_s(self) -> float:
         """Return the latency target of the route, or the allowed time without one."""
@@ -210,7 +217,13 @@
             > _limit_s(request, limits, delay.service_id)
         ]
         if not too_long or _is_kept_promise(request, min_answer_s, delays):
-            self._record_share(request)
+            if request.workspace_id is not None:
+                self.shares_.record_request(
+                    request.workspace_id,
+                    forecast.pieces_by_service(),
+                    request.contended_ids,
+                    request.now,
+                )
             return AdmissionDecision(
                 Verdict.ADMIT,
                 expected_s,
@@ -219,7 +232,7 @@
                 since_first_try_s,
                 is_late,
                 refused is not None,
-                level=_level(request, None),
+                level=request.level_at(None),
             )
         short_id = max(too_long, key=lambda delay: delay.delay_s).service_id
         wait_s = self._retry_after_s(request, critical_path_s, queue_delay_s)
@@ -238,7 +251,7 @@
             is_caller_retry,
             is_refusal_known=refused is not None,
             short_service_id=short_id,
-            level=_level(request, short_id),
+            level=request.level_at(short_id),
         )
 
     def _forecast(self, request: AdmissionRequest) -> StageForecast:
@@ -252,16 +265,6 @@
             by_level=by_level,
         )
 
-    def _record_share(self, request: AdmissionRequest) -> None:
-        """Count the pieces that a workspace is admitted to contended services."""
-        if request.workspace_id is None or not request.contended_ids:
-            return
-        for stage, count in zip(request.route.stages, request.counts, strict=True):
-            if count > 0 and stage.service_id in request.contended_ids:
-                self.shares_.record_admitted(
-                    stage.service_id, request.workspace_id, count, request.now
-                )
-
     def _inferred_first_try_s(self, request: AdmissionRequest) -> float | None:
         """Infer the time since the first try from the timeouts that callers state.
 
@@ -389,13 +392,3 @@
 def _has_endpoint(request: AdmissionRequest, service_id: ServiceId | None) -> bool:
     capacity = request.capacity_by_service.get(service_id)
     return capacity is not None and capacity.endpoints > 0
-
-
-def _level(request: AdmissionRequest, short_id: ServiceId | None) -> int:
-    """Return the level at the short service, otherwise the lowest of the stages."""
-    if short_id is not None:
-        return request.levels.level(short_id)
-    return max(
-        (request.levels.level(stage.service_id) for stage in request.route.stages),
-        default=two_level(request.route.priority),
-    )
--- a/packages/leadford/src/leadford/forwarding/admission/_shares.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_shares.py
@@ -4,6 +4,8 @@
 its equal share is judged without the pieces that others hold beyond theirs.
 """
 
+from collections.abc import Collection, Mapping
+
 import msgspec
 
 from leadford.common import WorkspaceId
@@ -40,10 +42,22 @@
     def __init__(self) -> None:
         self.weights_by_service_: dict[ServiceId, _Weights] = {}
 
+    def record_request(
+        self,
+        workspace_id: WorkspaceId,
+        pieces_by_service: Mapping[ServiceId, int],
+        contended_ids: Collection[ServiceId],
+        now: float,
+    ) -> None:
+        """Count the pieces of an admitted request for contended services."""
+        for service_id, pieces in pieces_by_service.items():
+            if pieces > 0 and service_id in contended_ids:
+                self.record_admitted(service_id, workspace_id, pieces, now)
+
     def record_admitted(
         self, service_id: ServiceId, workspace_id: WorkspaceId, pieces: int, now: float
     ) -> None:
-        """Count the pieces of an admitted request."""
+        """Count admitted pieces of one service."""
         weights = self.weights_by_service_.setdefault(service_id, _Weights({}, now))
         weights.fade(now)
         known = weights.pieces_by_workspace
--- a/packages/leadford/src/leadford/forwarding/batching/_reserved.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_reserved.py
@@ -2,37 +2,59 @@
 
 Ordered by level, less urgent pieces would wait for as long as more urgent ones fill the
 calls. Each call that passes less urgent pieces over, while more pieces wait than fit in
-one call, adds a few places to a credit.
-Once the credit covers the chunk that has waited longest, that chunk goes ahead. So
-chunks stay whole, and on average the reserved part of the places is used for them.
-Chunks that can no longer be in time go ahead only if no other less urgent ones wait:
-admission counts them as long as they are queued.
+one call, adds a few places to a credit. Once the credit covers the chunk that has
+waited longest, that chunk goes ahead. So chunks stay whole, and on average the reserved
+part of the places is used for them. Chunks that can no longer be in time go ahead only
+if no other less urgent ones wait: admission counts them as long as they are queued.
 """
 
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
+from typing import Protocol, TypeVar
 
 from leadford.forwarding.routes import PieceLimits
 
-if TYPE_CHECKING:
-    from leadford.forwarding.batching._queue import Chunk, PieceTask
-
-# Part of the places of a call that less urgent pieces get at least. Admission
-# counts on it for the least urgent requests.
+# Part of the places of a call that less urgent pieces get at least. Admission counts on
+# it for the least urgent requests.
 RESERVED_FRACTION = 0.1
 MIN_RESERVED_PLACES = 1
 
 
+class WaitingPiece(Protocol):
+    """Provide the level of a waiting piece, and since when it waits."""
+
+    queued_at: float
+
+    @property
+    def known_level(self) -> int:
+        """Return the level of the piece."""
+
+
+class WaitingChunk(Protocol):
+    """Provide the level of pieces that wait together, and whether they are late."""
+
+    tasks: tuple[WaitingPiece, ...]
+
+    @property
+    def level(self) -> int:
+        """Return the level of the pieces."""
+
+    def is_late(self, limits: PieceLimits, now: float) -> bool:
+        """Tell whether a call of the pieces sent now would end too late."""
+
+
+ChunkType = TypeVar("ChunkType", bound=WaitingChunk)
+
+
 class ReservedPlaces:
     """Hold the credit of one queue; it never exceeds one full call."""
 
     def __init__(self) -> None:
         self.credit_ = 0
-        self.ahead_: tuple[PieceTask, ...] = ()
+        self.ahead_: tuple[WaitingPiece, ...] = ()
 
     def move_ahead(
-        self, ordered: list["Chunk"], limits: PieceLimits, now: float
-    ) -> list["Chunk"]:
+        self, ordered: list[ChunkType], limits: PieceLimits, now: float
+    ) -> list[ChunkType]:
         """Return the chunks with the one first that the credit covers, if there is one.
 
         `ordered` begins with the most urgent chunks that can be in time.
@@ -54,8 +76,8 @@
 
     def record_call(
         self,
-        taken: Sequence["PieceTask"],
-        remaining: Sequence["PieceTask"],
+        taken: Sequence[WaitingPiece],
+        remaining: Sequence[WaitingPiece],
         limits: PieceLimits,
     ) -> None:
         """Update the credit after a call has been filled."""
@@ -71,7 +93,7 @@
 
 
 def _passes_over(
-    taken: Sequence["PieceTask"], remaining: Sequence["PieceTask"]
+    taken: Sequence[WaitingPiece], remaining: Sequence[WaitingPiece]
 ) -> bool:
     """Tell whether pieces are left that are less urgent than the most urgent one."""
     highest = min(task.known_level for task in (*taken, *remaining))
--- a/packages/leadford/src/leadford/forwarding/routes/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/routes/__init__.py
@@ -7,7 +7,6 @@
     LEVEL_LESS_URGENT,
     LEVEL_LOWEST,
     RouteLevels,
-    two_level,
 )
 from leadford.forwarding.routes._model import (
     PRIORITY_HIGHEST,
@@ -71,5 +70,4 @@
     "Workspace",
     "contended_services",
     "decide_start",
-    "two_level",
 ]
--- a/packages/leadford/src/leadford/forwarding/routes/_levels.py
+++ b/packages/leadford/src/leadford/forwarding/routes/_levels.py
@@ -5,7 +5,7 @@
 all others. The priority of a workspace ranks requests within a level only.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 import msgspec
 
@@ -45,6 +45,11 @@
             return min(max(self.priority, LEVEL_HIGHEST), LEVEL_LOWEST)
         return two_level(self.priority)
 
+    def lowest_level(self, service_ids: Iterable[ServiceId]) -> int:
+        """Return the least urgent level at some services, or without them elsewhere."""
+        levels = [self.level(service_id) for service_id in service_ids]
+        return max(levels, default=two_level(self.priority))
+
     def contended_level(self, service_id: ServiceId) -> int | None:
         """Return the level at a contended service, None elsewhere."""
         return self.level(service_id) if service_id in self.contended_ids else None
