--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -24,6 +24,8 @@
 EXPECTED_LOGGED_MAX_S = 1e6
 # Logged for a moment that did not occur.
 NEVER_MS = -1
+# Logged for whether a return was promised, and came as told.
+CLAIM_FIELDS = {None: "", True: "kept", False: "none"}
 
 
 class RequestEnd(msgspec.Struct, frozen=True):
@@ -50,6 +52,10 @@
         self.expected_s_ = 0.0
         self.since_first_try_s_ = 0.0
         self.is_late_ = False
+        # Whether capacity was booked for its return; None if that was not asked.
+        self.is_return_kept_: bool | None = None
+        # The delay that the caller was told, if capacity is booked for its return.
+        self.booked_s_: float | None = None
         self.input_remakes_ = 0
         self.may_have_run_ = False
         self.retry_reason_: RetryReason | None = None
@@ -125,6 +131,8 @@
         detail=end.detail[:MAX_DETAIL_CHARACTERS],
         expected_ms=round(expected_s * 1_000.0),
         caller_ms=request.deadline_ms or 0.0,
+        booked_ms=_elapsed_ms(progress.booked_s_, 0.0),
+        claim=CLAIM_FIELDS[progress.is_return_kept_],
         pause_ms=round(progress.longest_pause_s_ * 1_000.0),
         stages_ms=_elapsed_ms(stages_done_at, request.received_at),
         first_ms=_elapsed_ms(first, request.received_at),
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -7,14 +7,14 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from random import Random
 from typing import Protocol
 
 import msgspec
 
 from leadford.common import EndpointId, EntryId, HallId
-from leadford.forwarding.admission import RetryReservations
+from leadford.forwarding.admission import BookingQuery, RetryReservations
 from leadford.forwarding.batching import GroupMap, RegionMap
 from leadford.forwarding.endpoints import (
     ColdEndpoints,
@@ -98,6 +98,26 @@
         """Return the engine that the placing entry chose; None if it named none."""
 
 
+class ReturnBookings(Protocol):
+    """Ask the schedulers of services to keep capacity for callers that return.
+
+    Units: until in seconds of the monotonic clock; no answer is awaited after it.
+    """
+
+    def owner(self, service_id: ServiceId) -> EntryId | None:
+        """Return the entry that books for a service, None where nothing is booked."""
+
+    async def book(
+        self, service_id: ServiceId, query: BookingQuery, until: float
+    ) -> float | None:
+        """Return in how many seconds a caller may return; None without a booking."""
+
+    async def claim(
+        self, fingerprint: str, service_ids: Iterable[ServiceId], until: float
+    ) -> bool:
+        """Return whether a caller has returned as told, and end its booking."""
+
+
 class ForwardState:
     """Hold the state that requests share."""
 
@@ -144,6 +164,7 @@
         self.stop_began_at_: float | None = None
         # Set by the links when they are created.
         self.placing_: PromptPlacement | None = None
+        self.bookings_: ReturnBookings | None = None
 
     def now(self) -> float:
         """Return the monotonic clock.
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from leadford.forwarding.admission import (
+    AdmissionDecision,
     AdmissionRequest,
     ForwardAdmission,
     Verdict,
@@ -36,6 +37,7 @@
     CallerExchange,
 )
 from leadford_server.forwarding.answers._plain import PlainForwarder
+from leadford_server.forwarding.answers._returns import CallerReturn
 from leadford_server.forwarding.answers._stream import StreamForwarder
 from leadford_server.forwarding.batching import RequestInputs, StageFailure, StageRunner
 from leadford_server.forwarding.retries import NO_ENDPOINT, EndpointAttempts
@@ -72,6 +74,9 @@
         self.attempts = EndpointAttempts(
             state=state, inputs=self.inputs, progress=self.progress
         )
+        self.caller_return = CallerReturn(
+            state=state, admission=admission, progress=self.progress
+        )
         self.answer = CallerAnswer(
             exchange=exchange,
             state=state,
@@ -156,7 +161,7 @@
         if self._is_held_back():
             self.answer.end_held_back(NO_ENDPOINT)
             return
-        if route.stages and not self._admit():
+        if route.stages and not await self._admit():
             return
         try:
             async with self.state.deadlines_.until(answer_due_at(progress.deadline_)):
@@ -191,54 +196,58 @@
         detail = DETAIL_BY_DENIAL[StartDenial.STOPPING]
         self.answer.end(EndReason.STOPPING, detail, STOPPING_RETRY_AFTER_S)
 
-    def _admit(self) -> bool:
+    async def _admit(self) -> bool:
         """Ask admission about a request with stages; return whether it is admitted."""
+        counts = self.request.piece_counts or ()
+        if len(counts) != len(self.progress.match_.route.stages):
+            self.answer.end(
+                EndReason.MALFORMED, "counts of pieces do not fit the stages"
+            )
+            return False
+        request = await self.caller_return.claim(self._admission_request(counts))
+        decision = self.admission.decide(request)
+        self._record_decision(decision)
+        if decision.verdict is Verdict.ADMIT:
+            return True
+        detail = f"expected in {decision.expected_s:.2f} s"
+        if decision.is_caller_retry:
+            detail += ", returned"
+        retry_after_s = await self.caller_return.retry_after_s(request, decision)
+        self.answer.end(EndReason.NOT_ADMITTED, detail, retry_after_s)
+        return False
+
+    def _admission_request(self, counts: tuple[int, ...]) -> AdmissionRequest:
+        """Return what admission needs to know of the request."""
         request = self.request
         progress = self.progress
         match = progress.match_
-        route = match.route
         now = self.state.now()
-        counts = request.piece_counts or ()
         caller_timeout_ms = request.deadline_ms
-        if len(counts) != len(route.stages):
-            self.answer.end(
-                EndReason.MALFORMED, "counts of pieces do not fit the stages"
-            )
-            return False
-        decision = self.admission.decide(
-            AdmissionRequest(
-                route,
-                counts,
-                self.inputs.capacities(match),
-                priority=match.priority,
-                fingerprint=request.fingerprint,
-                first_byte_s=self.state.first_byte_.expected_s(
-                    match.service.service_id
-                ),
-                elapsed_s=now - request.received_at,
-                timeout_s=progress.deadline_ - request.received_at,
-                now=now,
-                caller_timeout_s=None
-                if caller_timeout_ms is None
-                else caller_timeout_ms / 1_000.0,
-                endpoint_wait_s=self.state.service_send_delay_s(
-                    match.service.service_id
-                ),
-            )
+        return AdmissionRequest(
+            match.route,
+            counts,
+            self.inputs.capacities(match),
+            priority=match.priority,
+            fingerprint=request.fingerprint,
+            first_byte_s=self.state.first_byte_.expected_s(match.service.service_id),
+            elapsed_s=now - request.received_at,
+            timeout_s=progress.deadline_ - request.received_at,
+            now=now,
+            caller_timeout_s=None
+            if caller_timeout_ms is None
+            else caller_timeout_ms / 1_000.0,
+            endpoint_wait_s=self.state.service_send_delay_s(match.service.service_id),
         )
+
+    def _record_decision(self, decision: AdmissionDecision) -> None:
+        """Count a caller that returned, and record what admission expects."""
         if decision.is_caller_retry:
             known_by = "refusal" if decision.is_refusal_known else "announced wait"
             RETURNS_TOTAL.labels(known_by=known_by).inc()
+        progress = self.progress
         progress.expected_s_ = decision.expected_s
         progress.since_first_try_s_ = decision.since_first_try_s
         progress.is_late_ = decision.is_late
-        if decision.verdict is Verdict.ADMIT:
-            return True
-        detail = f"expected in {decision.expected_s:.2f} s"
-        if decision.is_caller_retry:
-            detail += ", returned"
-        self.answer.end(EndReason.NOT_ADMITTED, detail, decision.retry_after_s)
-        return False
 
     async def _make_inputs(self) -> bool:
         """Run the stages; return whether the request can continue."""
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -33,9 +33,11 @@
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding._store_contract import KnownEntry
 from leadford_server.forwarding.batching import PieceExchange, StageRunner
+from leadford_server.forwarding.membership._bookings import BookingExchange
 from leadford_server.forwarding.membership._crashes import CrashExchange
 from leadford_server.forwarding.membership._fleet import FleetView
 from leadford_server.forwarding.membership._heartbeats import Heartbeats
+from leadford_server.forwarding.membership._ledgers import ServiceLedgers
 from leadford_server.forwarding.membership._news import NewsExchange
 from leadford_server.forwarding.membership._placing import EnginePlacing
 from leadford_server.forwarding.membership._relays import StoreRelays
@@ -120,6 +122,13 @@
             all_know=self.all_know,
         )
         state.placing_ = self.placing
+        self.ledgers = ServiceLedgers(
+            state=state, stages=stages, all_know=self.all_know
+        )
+        self.bookings = BookingExchange(
+            state=state, peers_by_id=self.peers_by_id_, ledgers=self.ledgers
+        )
+        state.bookings_ = self.bookings
         self.handlers_ = self._handlers()
 
     def _handlers(self) -> MessageHandlers:
@@ -133,6 +142,7 @@
             **self.news.handlers(),
             **self.relays.handlers(),
             **self.placing.handlers(),
+            **self.bookings.handlers(),
             **self.crashes.handlers(),
         }
 
@@ -197,6 +207,7 @@
             if self.heard_.is_live(entry_id, now)
         }
         self.shared_rules_ = self.builds_.shared_rules(version_by_live_peer)
+        self.ledgers.refresh()
         heartbeat = self.heartbeats.next(
             self.fleet.stage_groups(),
             is_draining=self.is_draining_,
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -60,6 +60,12 @@
     "what the caller announces.",
     ["known_by"],
 )
+BOOKINGS_TOTAL = Counter(
+    "leadford_bookings_total",
+    "Bookings for refused callers at the scheduler of a service, by what became of "
+    "them; elsewhere, queries that the scheduler did not answer in time.",
+    ["end"],
+)
 PLACED_TOTAL = Counter(
     "leadford_placed_total",
     "Prompts whose engine another entry was asked for, by what it said.",
--- a/packages/leadford/src/leadford/forwarding/admission/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/admission/__init__.py
@@ -1,5 +1,12 @@
 """Decide whether to admit a request with stages, before anything is sent for it."""
 
+from leadford.forwarding.admission._bookings import (
+    DUE_WITHIN_S,
+    BookingLedger,
+    BookingQuery,
+    ClaimEnd,
+    pieces_per_s,
+)
 from leadford.forwarding.admission._decision import (
     AdmissionDecision,
     AdmissionRequest,
@@ -11,13 +18,20 @@
     RetryReservation,
     RetryReservations,
 )
+from leadford.forwarding.admission._return_window import booking_query
 
 __all__ = [
+    "DUE_WITHIN_S",
     "AdmissionDecision",
     "AdmissionRequest",
+    "BookingLedger",
+    "BookingQuery",
+    "ClaimEnd",
     "ForwardAdmission",
     "RetryReservation",
     "RetryReservations",
     "StageCapacity",
     "Verdict",
+    "booking_query",
+    "pieces_per_s",
 ]
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -177,6 +177,8 @@
         queue_delay_s = max(longest.delay_s, request.endpoint_wait_s - critical_path_s)
         error_s = self._forecast_error(request.route).value_
         expected_s = min_answer_s + queue_delay_s + error_s
+        if _keeps_booking(request, min_answer_s):
+            return _admit_booked(expected_s, since_first_try_s, refused)
         if expected_s <= _limit_s(request, critical_path_s, is_caller_retry, is_late):
             return AdmissionDecision(
                 Verdict.ADMIT,
@@ -205,6 +207,17 @@
             short_service_id=longest.service_id,
         )
 
+    def is_return(self, request: AdmissionRequest) -> bool:
+        """Tell whether a request looks like a retry, without recording its caller."""
+        if self.reservations.find(request.fingerprint, request.now) is not None:
+            return True
+        if request.caller_timeout_s is None:
+            return False
+        since_first_try_s = self.common_timeouts_.since_first_try_s(
+            request.route.route_id, request.caller_timeout_s
+        )
+        return since_first_try_s is not None
+
     def _inferred_first_try_s(self, request: AdmissionRequest) -> float | None:
         """Infer the time since the first try from the timeouts that callers state.
 
@@ -278,6 +291,34 @@
         return min(wait_s, max_retry_after_s)
 
 
+def _keeps_booking(request: AdmissionRequest, min_answer_s: float) -> bool:
+    """Return whether a request is admitted because capacity was booked for it."""
+    if not request.is_booked:
+        return False
+    for stage, count in zip(request.route.stages, request.counts, strict=True):
+        capacity = request.capacity_by_service.get(stage.service_id)
+        if count > 0 and (capacity is None or capacity.endpoints == 0):
+            return False
+    return min_answer_s <= DEADLINE_FRACTION * request.timeout_s
+
+
+def _admit_booked(
+    expected_s: float, since_first_try_s: float, refused: RetryReservation | None
+) -> AdmissionDecision:
+    """Admit a request with a booking.
+
+    It is not late, whatever its target: its pieces are queued with those in time,
+    because the capacity for them is reserved.
+    """
+    return AdmissionDecision(
+        Verdict.ADMIT,
+        expected_s,
+        is_caller_retry=True,
+        since_first_try_s=since_first_try_s,
+        is_refusal_known=refused is not None,
+    )
+
+
 def _limit_s(
     request: AdmissionRequest,
     critical_path_s: float,
--- a/packages/leadford/src/leadford/forwarding/admission/_reservations.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_reservations.py
@@ -55,6 +55,20 @@
         if is_own:
             self.unsent_.append(reservation)
 
+    def record_return_time(self, fingerprint: str, return_at: float) -> None:
+        """Record that the caller of an own refusal was told another time."""
+        known = self.by_fingerprint_.get(fingerprint)
+        if known is None:
+            return
+        told = msgspec.structs.replace(known, return_at=return_at)
+        self.by_fingerprint_[fingerprint] = told
+        self.unsent_ = [
+            reservation
+            for reservation in self.unsent_
+            if reservation.fingerprint != fingerprint
+        ]
+        self.unsent_.append(told)
+
     def take_unsent(self) -> list[RetryReservation]:
         """Return and clear the own refusals that other entries have not been sent."""
         unsent = self.unsent_
--- a/packages/leadford/src/leadford/forwarding/batching/_backlog.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_backlog.py
@@ -109,6 +109,16 @@
         else:
             self.rates_by_service_[service_id] = _RateReport(rate, now)
 
+    def measured_per_s(self, service_id: ServiceId, now: float) -> float | None:
+        """Return the throughput of a stage that is behind, None of any other.
+
+        Units: pieces per second.
+        """
+        report = self.rates_by_service_.get(service_id)
+        if report is None or now - report.received_at >= REPORT_MAX_AGE_S:
+            return None
+        return report.rate.pieces
+
     def drain_time_s(self, service_id: ServiceId, is_urgent: bool, now: float) -> float:
         """Return how long a stage that is behind takes for the pieces before a request.
 
