Let in returns with a booking that their entry does not recognize

The query for a booking then named their own, due now.

An entry that is named a booking that is due claims it and admits the request, if it can still be answered; no message is sent more than before for others.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -206,14 +206,15 @@
             return False
         request = await self.caller_return.claim(self._admission_request(counts))
         decision = self.admission.decide(request)
+        if decision.verdict is Verdict.REFUSE:
+            decision = await self.caller_return.book(request, decision)
         self._record_decision(decision)
         if decision.verdict is Verdict.ADMIT:
             return True
         detail = f"expected in {decision.expected_s:.2f} s"
         if decision.is_caller_retry:
             detail += ", returned"
-        retry_after_s = await self.caller_return.retry_after_s(request, decision)
-        self.answer.end(EndReason.NOT_ADMITTED, detail, retry_after_s)
+        self.answer.end(EndReason.NOT_ADMITTED, detail, decision.retry_after_s)
         return False
 
     def _admission_request(self, counts: tuple[int, ...]) -> AdmissionRequest:
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_returns.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_returns.py
@@ -11,7 +11,9 @@
     AdmissionDecision,
     AdmissionRequest,
     ForwardAdmission,
+    admit_booked,
     booking_query,
+    is_due,
 )
 from leadford.forwarding.routes import ServiceId
 from leadford_server.forwarding._progress import RequestProgress
@@ -61,27 +63,34 @@
             is_booked=is_booked,
         )
 
-    async def retry_after_s(
+    async def book(
         self, request: AdmissionRequest, decision: AdmissionDecision
-    ) -> float:
-        """Return when the caller of a refused request is told to return.
+    ) -> AdmissionDecision:
+        """Return a refusal with the time that was booked, if there is one.
 
-        Units: seconds.
+        A return that was not recognized is admitted: its booking is due.
         """
         service_id = decision.short_service_id
         if service_id is None or not self._is_bookable(service_id):
-            return decision.retry_after_s
+            return decision
         query = booking_query(request, decision)
         if query is None:
-            return decision.retry_after_s
-        return_s = await self.state.bookings_.book(service_id, query, self._until())
+            return decision
+        bookings = self.state.bookings_
+        return_s = await bookings.book(service_id, query, self._until())
         if return_s is None:
-            return decision.retry_after_s
+            return decision
+        if is_due(return_s):
+            is_kept = await bookings.claim(
+                request.fingerprint, [service_id], self._until()
+            )
+            self.progress.is_return_kept_ = is_kept
+            return admit_booked(request, decision) if is_kept else decision
         self.progress.booked_s_ = return_s
         self.state.reservations_.record_return_time(
             request.fingerprint, self.state.now() + return_s
         )
-        return return_s
+        return msgspec.structs.replace(decision, retry_after_s=return_s)
 
     def _is_bookable(self, service_id: ServiceId) -> bool:
         bookings = self.state.bookings_
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_bookings.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_bookings.py
@@ -170,9 +170,10 @@
         )
         request = await caller_return.claim(request)
         decision = self.admission.decide(request)
-        if decision.verdict is Verdict.ADMIT:
-            return decision, None
-        return decision, await caller_return.retry_after_s(request, decision)
+        self.forecast_s = decision.retry_after_s
+        if decision.verdict is Verdict.REFUSE:
+            decision = await caller_return.book(request, decision)
+        return decision, decision.retry_after_s
 
     def hear_of(self, fingerprint, other):
         """Record a refusal that another entry told with its heartbeat."""
@@ -213,11 +214,12 @@
         runner.run(main())
 
 
-async def refused_then_return(fleet, *, at=1, back_at=2, between=None):
+async def refused_then_return(fleet, *, at=1, back_at=2, between=None, is_known=True):
     """Refuse a caller, and return the decision on its return through another entry."""
     refused, told_s = await fleet.entries[at].send("f")
     assert refused.verdict is Verdict.REFUSE
-    fleet.entries[back_at].hear_of("f", fleet.entries[at])
+    if is_known:
+        fleet.entries[back_at].hear_of("f", fleet.entries[at])
     if between is not None:
         between()
     await asyncio.sleep(told_s)
@@ -238,6 +240,37 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("back_at", [0, 2])
+def test_a_return_is_let_in_though_its_entry_does_not_recognize_it(back_at):
+    async def scenario(fleet):
+        kept, lapsed = total("kept"), total("lapsed")
+        decision = await refused_then_return(fleet, back_at=back_at, is_known=False)
+        assert decision.verdict is Verdict.ADMIT
+        assert total("kept") == kept + 1
+        await asyncio.sleep(2.0)
+        fleet.owner.ledgers.refresh()
+        assert total("lapsed") == lapsed
+
+    run(scenario)
+
+
+def test_a_claim_that_is_lost_leaves_the_booking_to_the_next_one():
+    async def scenario(fleet):
+        def lose_claims(peer, message):
+            """Answer no claim the first time."""
+            del fleet.owner.bookings.handlers
+
+        handlers = fleet.owner.bookings.handlers()
+        fleet.owner.bookings.handlers = lambda: {**handlers, BookingClaim: lose_claims}
+        decision = await refused_then_return(fleet)
+        # The limit is spent on the first claim, and the booking is still there.
+        assert decision.verdict is Verdict.REFUSE
+        again, _ = await fleet.entries[2].send("f", 1.9)
+        assert again.verdict is Verdict.ADMIT
+
+    run(scenario)
+
+
 def test_a_caller_that_comes_early_or_repeats_is_refused_and_keeps_its_booking():
     async def scenario(fleet):
         early = total("early")
@@ -283,7 +316,7 @@
             caller_timeout_s=3.0,
         )
         assert refused == plain.decide(request)
-        assert told_s == refused.retry_after_s
+        assert told_s == fleet.entries[1].forecast_s
         await entry.send("f")
         assert fleet.sent == []
         for entry in fleet.entries:
@@ -356,7 +389,7 @@
         decision, told_s = await fleet.entries[1].send("f")
         took_s = fleet.entries[1].state.now() - began_at
         assert took_s == pytest.approx(MAX_BOOKING_WAIT_S)
-        assert told_s == decision.retry_after_s
+        assert told_s == fleet.entries[1].forecast_s
         # A claim and a query for a booking share the limit.
         began_at = fleet.entries[1].state.now()
         await fleet.entries[1].send("f")
@@ -374,7 +407,7 @@
         for entry in fleet.entries[1:]:
             entry.peers[fleet.owner.entry_id].info.protocol_version = PROTOCOL_EPOCHS
         decision, told_s = await fleet.entries[1].send("f")
-        assert told_s == decision.retry_after_s
+        assert told_s == fleet.entries[1].forecast_s
         await fleet.entries[1].send("f")
         assert fleet.sent == []
 
@@ -409,7 +442,7 @@
         owner, entry = fleet.entries[:2]
         owner.ledgers.book = lambda service_id, query: return_ms / 1_000.0
         decision, told_s = await entry.send("f")
-        assert told_s == decision.retry_after_s
+        assert told_s == fleet.entries[1].forecast_s
 
     run(scenario)
 
@@ -482,7 +515,7 @@
     async def scenario(fleet):
         decision, told_s = await fleet.entries[1].send("f", 0.4)
         assert decision.verdict is Verdict.REFUSE
-        assert told_s == decision.retry_after_s
+        assert told_s == fleet.entries[1].forecast_s
         assert fleet.sent == []
 
     run(scenario)
--- a/packages/leadford/src/leadford/forwarding/admission/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/admission/__init__.py
@@ -18,7 +18,11 @@
     RetryReservation,
     RetryReservations,
 )
-from leadford.forwarding.admission._return_window import booking_query
+from leadford.forwarding.admission._return_window import (
+    admit_booked,
+    booking_query,
+    is_due,
+)
 
 __all__ = [
     "DUE_WITHIN_S",
@@ -32,6 +36,8 @@
     "RetryReservations",
     "StageCapacity",
     "Verdict",
+    "admit_booked",
     "booking_query",
+    "is_due",
     "pieces_per_s",
 ]
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -177,7 +177,7 @@
         queue_delay_s = max(longest.delay_s, request.endpoint_wait_s - critical_path_s)
         error_s = self._forecast_error(request.route).value_
         expected_s = min_answer_s + queue_delay_s + error_s
-        if _keeps_booking(request, min_answer_s):
+        if request.is_booked and can_keep_booking(request):
             return _admit_booked(expected_s, since_first_try_s, refused)
         if expected_s <= _limit_s(request, critical_path_s, is_caller_retry, is_late):
             return AdmissionDecision(
@@ -291,15 +291,19 @@
         return min(wait_s, max_retry_after_s)
 
 
-def _keeps_booking(request: AdmissionRequest, min_answer_s: float) -> bool:
-    """Return whether a request is admitted because capacity was booked for it."""
-    if not request.is_booked:
-        return False
+def can_keep_booking(request: AdmissionRequest) -> bool:
+    """Return whether a request can be answered in time with nothing before it."""
     for stage, count in zip(request.route.stages, request.counts, strict=True):
         capacity = request.capacity_by_service.get(stage.service_id)
         if count > 0 and (capacity is None or capacity.endpoints == 0):
             return False
-    return min_answer_s <= DEADLINE_FRACTION * request.timeout_s
+    forecast = StageForecast(
+        route=request.route,
+        counts=request.counts,
+        capacity_by_service=request.capacity_by_service,
+    )
+    answer_s = forecast.critical_path_s() + request.first_byte_s
+    return request.elapsed_s + answer_s <= DEADLINE_FRACTION * request.timeout_s
 
 
 def _admit_booked(
--- a/packages/leadford/src/leadford/forwarding/admission/_return_window.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_return_window.py
@@ -1,16 +1,21 @@
-"""Find the times at which a refused caller may usefully return.
+"""Find when a refused caller may usefully return, and admit it when it has.
 
-The basis of a booking: not before the backlog allows it according to the forecast, not
-later than callers wait, and early enough to be answered by the deadline.
+A booking is made not before the backlog allows it according to the forecast, not
+later than callers wait, and early enough to be answered by the deadline. An entry may
+not recognize a return; the scheduler then names the booking that is due.
 """
 
-from leadford.forwarding.admission._bookings import BookingQuery
+import msgspec
+
+from leadford.forwarding.admission._bookings import MAX_EARLY_CLAIM_S, BookingQuery
 from leadford.forwarding.admission._decision import (
     DEADLINE_FRACTION,
     MAX_RETRY_AFTER_DIVISOR,
     MIN_RETRY_AFTER_S,
     AdmissionDecision,
     AdmissionRequest,
+    Verdict,
+    can_keep_booking,
 )
 from leadford.forwarding.admission._forecast import StageForecast
 
@@ -38,3 +43,20 @@
         min(decision.retry_after_s, latest_s),
         latest_s,
     )
+
+
+def is_due(return_s: float) -> bool:
+    """Return whether a booking may be claimed now, by when its caller may return.
+
+    New bookings are made for later: the caller has returned for this one.
+    """
+    return return_s <= MAX_EARLY_CLAIM_S
+
+
+def admit_booked(
+    request: AdmissionRequest, decision: AdmissionDecision
+) -> AdmissionDecision:
+    """Admit a refused request whose booking was found only after the decision."""
+    if not can_keep_booking(request):
+        return decision
+    return msgspec.structs.replace(decision, verdict=Verdict.ADMIT, retry_after_s=0.0)
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_bookings.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_bookings.py
@@ -13,6 +13,7 @@
     RetryReservations,
     StageCapacity,
     Verdict,
+    admit_booked,
     booking_query,
     pieces_per_s,
 )
@@ -333,6 +334,23 @@
     assert new_admission(900).decide(asked).verdict is Verdict.REFUSE
 
 
+@pytest.mark.parametrize(
+    ("fields", "verdict"),
+    [
+        ({}, Verdict.ADMIT),
+        ({"timeout_s": 0.15}, Verdict.REFUSE),
+        ({"endpoints": 0}, Verdict.REFUSE),
+    ],
+)
+def test_a_booking_found_after_the_decision_admits_what_can_be_answered(
+    fields, verdict
+):
+    asked = admission_request(**fields)
+    decision = new_admission(900).decide(asked)
+    assert decision.verdict is Verdict.REFUSE
+    assert admit_booked(asked, decision).verdict is verdict
+
+
 def test_a_return_is_known_by_its_refusal_or_its_shorter_timeout():
     admission = new_admission(900)
     assert not admission.is_return(admission_request(fingerprint="f"))
