Book late returns as the lowest level, and don't let them go before others

A third of the rest lies seconds beyond the target, and a booked request that was late counted as in time with the time of its first try, so its pieces were due before urgent ones that had just come.

Times of return lie within the target where it can still be met; otherwise a request books as the lowest level (at most 0.2 of the capacity), and is due as one that has just come. A refusal now tells how long the first try is past. The test of the window asserted a third of the rest where the target is sooner; it now names each bound.

--- a/packages/leadford/src/leadford/forwarding/admission/_bookings.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_bookings.py
@@ -32,7 +32,7 @@
 # further level, and the minimum.
 MAX_BOOKED_FRACTION = 0.8
 BOOKED_FRACTION_STEP = 0.1
-MIN_BOOKED_FRACTION = 0.5
+MIN_BOOKED_FRACTION = 0.2
 # How much earlier than told a caller may return. Callers read the time in hundredths of
 # a second and wait by clocks of their own; it reaches them later than it was booked.
 MAX_EARLY_CLAIM_S = 0.1
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -178,6 +178,9 @@
         error_s = self._forecast_error(request.route).value_
         expected_s = min_answer_s + queue_delay_s + error_s
         if request.is_booked and can_keep_booking(request):
+            # One that is late is ordered by its return: its promise is kept, without
+            # going before requests that can still be in time.
+            since_first_try_s = 0.0 if is_late else since_first_try_s
             return _admit_booked(expected_s, since_first_try_s, refused)
         if expected_s <= _limit_s(request, critical_path_s, is_caller_retry, is_late):
             return AdmissionDecision(
@@ -203,7 +206,9 @@
             expected_s,
             wait_s,
             is_caller_retry,
-            is_refusal_known=refused is not None,
+            since_first_try_s,
+            is_late,
+            refused is not None,
             short_service_id=longest.service_id,
         )
 
@@ -309,11 +314,7 @@
 def _admit_booked(
     expected_s: float, since_first_try_s: float, refused: RetryReservation | None
 ) -> AdmissionDecision:
-    """Admit a request with a booking.
-
-    It is not late, whatever its target: its pieces are queued with those in time,
-    because the capacity for them is reserved.
-    """
+    """Admit a request with a booking; capacity for its pieces is reserved."""
     return AdmissionDecision(
         Verdict.ADMIT,
         expected_s,
--- a/packages/leadford/src/leadford/forwarding/admission/_return_window.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_return_window.py
@@ -1,7 +1,9 @@
 """Find when a refused caller may usefully return, and admit it when it has.
 
 A booking is made not before the backlog allows it according to the forecast, not
-later than callers wait, and early enough to be answered by the deadline. An entry may
+later than callers wait, and early enough to be answered by the deadline, and within the
+latency target if that is still possible. A request that cannot meet its target books
+what the lowest level may: requests that can be in time go first. An entry may
 not recognize a return; the scheduler then names the booking that is due.
 """
 
@@ -18,6 +20,7 @@
     can_keep_booking,
 )
 from leadford.forwarding.admission._forecast import StageForecast
+from leadford.forwarding.routes import PRIORITY_LOWEST
 
 
 def booking_query(
@@ -31,14 +34,24 @@
     )
     pieces = forecast.pieces_by_service().get(decision.short_service_id, 0)
     remaining_s = request.timeout_s - request.elapsed_s
+    answer_s = forecast.critical_path_s() + request.first_byte_s
     # After its return, the request is admitted within this part of the rest.
-    answer_s = (forecast.critical_path_s() + request.first_byte_s) / DEADLINE_FRACTION
-    latest_s = min(remaining_s / MAX_RETRY_AFTER_DIVISOR, remaining_s - answer_s)
+    latest_s = min(
+        remaining_s / MAX_RETRY_AFTER_DIVISOR,
+        remaining_s - answer_s / DEADLINE_FRACTION,
+    )
     if pieces == 0 or latest_s < MIN_RETRY_AFTER_S:
         return None
+    level = request.route.priority
+    tried_s = decision.since_first_try_s + request.elapsed_s
+    in_time_s = request.aim_s - tried_s - answer_s
+    if in_time_s >= MIN_RETRY_AFTER_S:
+        latest_s = min(latest_s, in_time_s)
+    else:
+        level = PRIORITY_LOWEST
     return BookingQuery(
         request.fingerprint,
-        request.route.priority,
+        level,
         pieces,
         min(decision.retry_after_s, latest_s),
         latest_s,
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_bookings.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_bookings.py
@@ -24,7 +24,7 @@
     staged_route,
 )
 from leadford.forwarding.batching import AdmittedBacklog, BacklogKey
-from leadford.forwarding.routes import ServiceId, StageSpec
+from leadford.forwarding.routes import PRIORITY_LOWEST, ServiceId, StageSpec
 
 SERVICE = ServiceId("stage")
 PER_S = 100.0
@@ -369,13 +369,62 @@
     assert admission.common_timeouts_.counts_by_route_[ROUTE.route_id] == counts
 
 
-def test_a_return_is_useful_after_the_forecast_and_within_a_third_of_the_rest():
-    asked = admission_request(timeout_s=6.0)
-    decision = new_admission(150).decide(asked)
+@pytest.mark.parametrize(
+    ("timeout_s", "tried_s", "latest_s", "level"),
+    [
+        # Within the target: 2 s less 0.17 s for the answer.
+        (9.0, 0.0, 1.83, 1),
+        (9.0, 1.0, 0.83, 1),
+        # Within a third of the rest.
+        (3.0, 0.0, 1.0, 1),
+        # Early enough for an answer by the deadline.
+        (0.46, 0.0, 0.46 / 3, None),
+        # The target cannot be met: less may be booked.
+        (9.0, 1.7, 3.0, PRIORITY_LOWEST),
+        (9.0, 5.0, 3.0, PRIORITY_LOWEST),
+    ],
+)
+def test_a_return_is_useful_after_the_forecast_and_within_target_and_deadline(
+    timeout_s, tried_s, latest_s, level
+):
+    asked = admission_request(timeout_s=timeout_s)
+    decision = msgspec.structs.replace(
+        new_admission(150).decide(asked), since_first_try_s=tried_s
+    )
     found = booking_query(asked, decision)
-    assert found.earliest_s == decision.retry_after_s
-    assert found.latest_s == pytest.approx(2.0)
-    assert (found.pieces, found.level) == (4, 1)
+    if level is None:
+        assert found is None
+        return
+    assert found.earliest_s == min(decision.retry_after_s, found.latest_s)
+    assert found.latest_s == pytest.approx(latest_s)
+    assert (found.pieces, found.level) == (4, level)
+
+
+def test_a_late_return_with_a_booking_goes_before_no_request_that_is_in_time():
+    """Guard against bookings that invert the order of priorities.
+
+    Pieces are ordered by when they are due. With the time of its first try, a request
+    that returned after seconds was due before any urgent one that had just come.
+    """
+    for timeout_s, is_in_time in ((7.0, True), (4.0, False)):
+        admission = new_admission(900)
+        for number in range(20):
+            admission.decide(
+                admission_request(
+                    fingerprint=f"f-{number}", timeout_s=8.0, caller_timeout_s=8.0
+                )
+            )
+        booked = admission_request(
+            fingerprint="f-3",
+            timeout_s=timeout_s,
+            caller_timeout_s=timeout_s,
+            now=8.0 - timeout_s,
+            is_booked=True,
+        )
+        decision = admission.decide(booked)
+        assert decision.verdict is Verdict.ADMIT
+        assert not decision.is_late
+        assert (decision.since_first_try_s > 0.0) == is_in_time
 
 
 @pytest.mark.parametrize("timeout_s", [0.2, 0.4])
