Order a late return alike where its booking is found after the decision

Cause: since refusals tell that they are late, a return admitted after its refusal kept that, and its pieces would have waited behind all others. Found by reading; a test holds it. The test of the exchange builds its requests in one place.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_bookings.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_bookings.py
@@ -89,6 +89,21 @@
     return loop
 
 
+def request_at(now, fingerprint, remaining_s=3.0):
+    return AdmissionRequest(
+        ROUTE,
+        (4,),
+        {SERVICE: StageCapacity(LIMITS, 1)},
+        priority=1,
+        fingerprint=fingerprint,
+        first_byte_s=0.01,
+        elapsed_s=0.0,
+        timeout_s=remaining_s,
+        now=now,
+        caller_timeout_s=remaining_s,
+    )
+
+
 class Fleet:
     """Connect entries; the first one schedules the stage."""
 
@@ -156,18 +171,7 @@
             admission=self.admission,
             progress=RequestProgress(request=None),
         )
-        request = AdmissionRequest(
-            ROUTE,
-            (4,),
-            {SERVICE: StageCapacity(LIMITS, 1)},
-            priority=1,
-            fingerprint=fingerprint,
-            first_byte_s=0.01,
-            elapsed_s=0.0,
-            timeout_s=remaining_s,
-            now=self.state.now(),
-            caller_timeout_s=remaining_s,
-        )
+        request = request_at(self.state.now(), fingerprint, remaining_s)
         request = await caller_return.claim(request)
         decision = self.admission.decide(request)
         self.forecast_s = decision.retry_after_s
@@ -303,18 +307,7 @@
         )
         entry = fleet.entries[1]
         refused, told_s = await entry.send("f")
-        request = AdmissionRequest(
-            ROUTE,
-            (4,),
-            {SERVICE: StageCapacity(LIMITS, 1)},
-            priority=1,
-            fingerprint="f",
-            first_byte_s=0.01,
-            elapsed_s=0.0,
-            timeout_s=3.0,
-            now=entry.state.now(),
-            caller_timeout_s=3.0,
-        )
+        request = request_at(entry.state.now(), "f")
         assert refused == plain.decide(request)
         assert told_s == fleet.entries[1].forecast_s
         await entry.send("f")
--- a/packages/leadford/src/leadford/forwarding/admission/_return_window.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_return_window.py
@@ -72,4 +72,10 @@
     """Admit a refused request whose booking was found only after the decision."""
     if not can_keep_booking(request):
         return decision
-    return msgspec.structs.replace(decision, verdict=Verdict.ADMIT, retry_after_s=0.0)
+    return msgspec.structs.replace(
+        decision,
+        verdict=Verdict.ADMIT,
+        retry_after_s=0.0,
+        since_first_try_s=0.0 if decision.is_late else decision.since_first_try_s,
+        is_late=False,
+    )
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_bookings.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_bookings.py
@@ -348,7 +348,11 @@
     asked = admission_request(**fields)
     decision = new_admission(900).decide(asked)
     assert decision.verdict is Verdict.REFUSE
-    assert admit_booked(asked, decision).verdict is verdict
+    late = msgspec.structs.replace(decision, is_late=True, since_first_try_s=3.0)
+    admitted = admit_booked(asked, late)
+    assert admitted.verdict is verdict
+    if verdict is Verdict.ADMIT:
+        assert (admitted.is_late, admitted.since_first_try_s) == (False, 0.0)
 
 
 def test_a_return_is_known_by_its_refusal_or_its_shorter_timeout():
