--- a/packages/leadford-server/src/leadford_server/metrics/__init__.py
+++ b/packages/leadford-server/src/leadford_server/metrics/__init__.py
@@ -3,6 +3,7 @@
 from leadford_server.metrics._metrics import (
     ADMISSION_TOTAL,
     ATTEMPTS_TOTAL,
+    BOOKINGS_TOTAL,
     CONNECTIONS_OPENED_TOTAL,
     COST_MS_TOTAL,
     CRASH_CASES_TOTAL,
@@ -39,6 +40,7 @@
 
 __all__ = [
     "ADMISSION_TOTAL",
+    "BOOKINGS_TOTAL",
     "ATTEMPTS_TOTAL",
     "COST_MS_TOTAL",
     "CRASH_CASES_TOTAL",
