Log why a call leaves places empty, and fill calls of contended stages

Cause: event 407 told what waits when a call ends. It now tells how many pieces a call leaves when it is sent, and why (full, room, split, other hall, suspect, excluded).

Histogram leadford_call_fill.

Tried and left out: a window of up to 60 ms, and splitting where another endpoint is free within half a call.

--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
@@ -12,6 +12,7 @@
 from leadford.events import Event
 from leadford.forwarding.batching import (
     GroupId,
+    LeftCause,
     PieceFailure,
     PieceTask,
     call_limit_s,
@@ -42,6 +43,7 @@
     tasks: list[PieceTask]
     began_at: float
     room_bytes: int = 0
+    left_by_cause: dict[LeftCause, int] = {}
     is_over: bool = False
     inputs_are_read: bool = False
 
@@ -50,6 +52,11 @@
         """Return the limits of a call of the service."""
         return self.service.pieces
 
+    @property
+    def left_waiting(self) -> int:
+        """Return how many pieces were left waiting when the call was sent."""
+        return sum(self.left_by_cause.values())
+
     @property
     def result_bytes(self) -> int:
         """Return the room that all results of the call take."""
@@ -162,6 +169,11 @@
             room_kb=call.room_bytes // 1_000,
             needed_kb=call.result_bytes // 1_000,
             without_room=without_room,
+            left_waiting=call.left_waiting,
+            left=",".join(
+                f"{cause.value}:{count}" for cause, count in call.left_by_cause.items()
+            ),
+            urgent=sum(task.is_urgent for task in call.tasks),
             waiting=waiting,
             outcome=end.detail,
         )
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_pieces.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_pieces.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Mapping
+from functools import partial
 
 from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.forwarding.batching import GroupId, PieceKey, PieceTask, PlaceId
@@ -59,7 +60,9 @@
         now = self.state.now()
         message_type = PieceSubmit
         if task.is_suspect and peer.info.protocol_version >= PROTOCOL_CRASHES:
-            message_type = SuspectPieceSubmit
+            message_type = partial(
+                SuspectPieceSubmit, is_suspect_once=task.is_suspect_once
+            )
         return peer.send(
             message_type(
                 task.correlation_id,
@@ -133,6 +136,7 @@
                 HallId(hall): count for hall, count in message.near_bytes.items()
             },
             is_suspect=isinstance(message, SuspectPieceSubmit),
+            is_suspect_once=getattr(message, "is_suspect_once", False),
         )
         group = GroupId(ServiceId(message.service_id), PlaceId(message.place))
         self.stages.scheduler_.submit(group, task)
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
@@ -12,10 +12,13 @@
 from leadford.common import EndpointId, EntryId
 from leadford.forwarding.batching import (
     CALL_INPUTS_READ_S,
+    CONTENDED_CALLS,
     NO_ROOM_PAUSE_S,
     QUEUE_FULL_PAUSE_S,
+    USUAL_CALLS,
     CapacityTable,
     FillAction,
+    FillPolicy,
     GroupId,
     PieceFailure,
     PieceQueue,
@@ -31,7 +34,7 @@
 from leadford_server.forwarding.batching._free import ResultReleaser
 from leadford_server.forwarding.batching._jobs import PieceResult
 from leadford_server.forwarding.batching._loads import GroupLoads
-from leadford_server.metrics import PIECE_CALLS_TOTAL, PIECES_TOTAL
+from leadford_server.metrics import CALL_FILL, PIECE_CALLS_TOTAL, PIECES_TOTAL
 
 # Time between checks of a group whose pieces no endpoint takes: no event marks the end
 # of a pause or a retention.
@@ -150,17 +153,23 @@
         queue = self.queues_by_group_[group]
         while len(queue) > 0:
             now = self.state.now()
-            self._answer_expired(queue, now)
             service = self.state.service(group.service_id)
+            limits = service.pieces if service is not None else None
+            self._answer_late(queue.take_hopeless(limits, self._policy(group), now))
             records = self.loads.records(group)
-            if service is None or service.pieces is None or not records:
+            if limits is None or not records:
                 self._answer_no_endpoint(queue.discard(lambda task: False))
                 return
             if not self._send_next(group, service, records, now):
                 return
 
-    def _answer_expired(self, queue: PieceQueue, now: float) -> None:
-        for task in queue.discard(lambda task: task.deadline > now):
+    def _policy(self, group: GroupId) -> FillPolicy:
+        """Return the rules for the calls of a group."""
+        is_contended = self.state.is_contended(group.service_id)
+        return CONTENDED_CALLS if is_contended else USUAL_CALLS
+
+    def _answer_late(self, tasks: Iterable[PieceTask]) -> None:
+        for task in tasks:
             self.reply(task, PieceResult(None, PieceFailure.LATE.value, None))
 
     def _answer_no_endpoint(self, tasks: Iterable[PieceTask]) -> None:
@@ -183,7 +192,15 @@
         if step.action is FillAction.SEND:
             tasks = list(step.tasks)
             self._start_call(
-                PieceCall(group, service, step.record, tasks, now, step.room_bytes)
+                PieceCall(
+                    group,
+                    service,
+                    step.record,
+                    tasks,
+                    now,
+                    step.room_bytes,
+                    step.left_by_cause,
+                )
             )
             return True
         if step.action is FillAction.WAIT_FOR_MORE:
@@ -264,6 +281,9 @@
             )
             capacity.end(call.result_bytes)
             call.record.in_flight_ -= 1
+        CALL_FILL.labels(service=call.service.service_id).observe(
+            len(call.tasks) / call.limits.batch
+        )
         PIECE_CALLS_TOTAL.labels(end=end.detail.split(":")[0]).inc()
         waiting = len(self.queues_by_group_[call.group])
         self.calls.log(call, end, waiting=waiting)
@@ -294,7 +314,10 @@
         pairs = list(zip(call.tasks, end.outcomes, strict=True))
         if any(outcome.reason == no_room for outcome in end.outcomes):
             fitted = sum(task.result_bytes for task, item in pairs if item.handle)
-            capacity.record_refused(call.room_bytes, fitted, now)
+            policy = self._policy(call.group)
+            capacity.record_refused(
+                call.room_bytes, fitted, now, sent_at=call.began_at, policy=policy
+            )
         for task, outcome in pairs:
             PIECES_TOTAL.labels(end=outcome.reason or PIECE_DONE).inc()
             if outcome.reason == no_room:
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_tasks.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_tasks.py
@@ -49,6 +49,8 @@
             excluded=excluded,
             local_bytes_by_hall=self.local_bytes_by_hall(job, key.stage),
             is_suspect=self.state.quarantine_.is_suspect(job.digest),
+            is_suspect_once=self.state.is_contended(stage.service_id)
+            and self.state.quarantine_.is_suspect_once(job.digest),
         )
 
     def excluded(
--- a/packages/leadford-server/src/leadford_server/metrics/__init__.py
+++ b/packages/leadford-server/src/leadford_server/metrics/__init__.py
@@ -2,6 +2,7 @@
 
 from leadford_server.metrics._metrics import (
     ATTEMPTS_TOTAL,
+    CALL_FILL,
     CONNECTIONS_OPENED_TOTAL,
     COST_MS_TOTAL,
     CRASH_CASES_TOTAL,
@@ -37,6 +38,7 @@
 )
 
 __all__ = [
+    "CALL_FILL",
     "ATTEMPTS_TOTAL",
     "COST_MS_TOTAL",
     "CRASH_CASES_TOTAL",
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -19,6 +19,8 @@
 # store.
 _GAP_SECONDS = (0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 3.5, 4.0, 5.0, 7.0, 10.0, 15.0, 30.0)
 
+_FILL_RATIOS = (0.1, 0.25, 0.5, 0.7, 0.85, 0.95, 1.0)
+
 EVENTS_TOTAL = Counter("leadford_events_total", "Events by name.", ["event"])
 REQUESTS_TOTAL = Counter(
     "leadford_requests_total",
@@ -120,6 +122,12 @@
 PIECE_CALLS_TOTAL = Counter(
     "leadford_piece_calls_total", "Calls of batched stages by end.", ["end"]
 )
+CALL_FILL = Histogram(
+    "leadford_call_fill",
+    "Pieces of a call of a batched stage per place, by service.",
+    ["service"],
+    buckets=_FILL_RATIOS,
+)
 PIECES_TOTAL = Counter("leadford_pieces_total", "Pieces by end.", ["end"])
 LIVE_REQUESTS = Gauge("leadford_live_requests", "Requests under way.")
 QUEUED_ATTEMPTS = Gauge("leadford_queued_attempts", "Attempts that wait.")
--- a/packages/leadford-server/src/leadford_server/quarantine/_requests.py
+++ b/packages/leadford-server/src/leadford_server/quarantine/_requests.py
@@ -13,6 +13,7 @@
 from leadford.events import Event
 from leadford.protocol import CrashNews, CrashReport
 from leadford.quarantine import (
+    MIN_REPEATED_ENDS,
     CaseId,
     CrashCase,
     CrashLedger,
@@ -54,6 +55,11 @@
         """Return whether a request runs apart from other suspected requests."""
         return self.verdict(digest).action is QuarantineAction.RUN_APART
 
+    def is_suspect_once(self, digest: RequestDigest) -> bool:
+        """Return whether a request is suspect because of a single crash."""
+        suspicion = self.ledger_.suspicion(digest)
+        return self.is_suspect(digest) and suspicion.ends < MIN_REPEATED_ENDS
+
     def record_connection_lost(
         self, digest: RequestDigest, endpoint_id: EndpointId, *, is_under_way: bool
     ) -> None:
--- a/packages/leadford/src/leadford/forwarding/batching/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/batching/__init__.py
@@ -34,8 +34,14 @@
     scheduler_limit_at,
     stages_check_at,
 )
+from leadford.forwarding.batching._policy import (
+    CONTENDED_CALLS,
+    USUAL_CALLS,
+    FillPolicy,
+)
 from leadford.forwarding.batching._queue import (
     Chunk,
+    LeftCause,
     PieceQueue,
     PieceTask,
     queue_delay_s,
@@ -51,8 +57,10 @@
 
 __all__ = [
     "CALL_INPUTS_READ_S",
+    "USUAL_CALLS",
     "ENDPOINT_LOST",
     "ENGINE_INPUTS_READ_S",
+    "CONTENDED_CALLS",
     "NO_ENDPOINT_WAIT_S",
     "QUEUE_FULL_PAUSE_S",
     "NO_ROOM_PAUSE_S",
@@ -64,10 +72,12 @@
     "Chunk",
     "EndpointCapacity",
     "FillAction",
+    "FillPolicy",
     "GroupId",
     "GroupLoad",
     "GroupMap",
     "GroupTable",
+    "LeftCause",
     "ThroughputRate",
     "NextCall",
     "PieceFailure",
--- a/packages/leadford/src/leadford/forwarding/batching/_endpoint_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_endpoint_capacity.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from leadford.common import EndpointId
+from leadford.forwarding.batching._policy import USUAL_CALLS, FillPolicy
 from leadford.forwarding.routes import PieceLimits, ResultHandle
 
 # No calls for this time after an endpoint reported that its queue is full.
@@ -17,6 +18,8 @@
 ROOM_WAIT_FRACTION = 0.6
 # Room that an endpoint refused counts as occupied for this time.
 REFUSED_ROOM_MAX_AGE_S = 0.3
+# Each further refusal within the retention of results counts this many times as long.
+REPEATED_REFUSAL_FACTOR = 4.0
 # Key of the room that is occupied by results unknown to this process.
 UNKNOWN_RESULTS = ResultHandle("")
 
@@ -28,6 +31,19 @@
     expires_at: float
 
 
+class RefusedRoom(msgspec.Struct, frozen=True):
+    """Hold the room that an endpoint refused, in a series of refusals.
+
+    Units: age_s is how long it counts as occupied, from the last refusal; expires_at
+    and since, the first refusal, are seconds of the monotonic clock.
+    """
+
+    result_bytes: int
+    age_s: float
+    expires_at: float
+    since: float
+
+
 class EndpointCapacity:
     """Track the calls at one endpoint and the room for results there."""
 
@@ -39,6 +55,7 @@
         self.paused_until_ = 0.0
         self.in_flight_bytes_ = 0
         self.room_short_since_: float | None = None
+        self.refused_: RefusedRoom | None = None
         self.held_by_handle_: dict[ResultHandle, HeldResult] = {}
 
     def room_bytes(self, now: float) -> int:
@@ -95,17 +112,55 @@
         self.held_by_handle_[handle] = HeldResult(result_bytes, expires_at)
 
     def record_refused(
-        self, believed_bytes: int, fitted_bytes: int, now: float
+        self,
+        believed_bytes: int,
+        fitted_bytes: int,
+        now: float,
+        *,
+        sent_at: float = 0.0,
+        policy: FillPolicy = USUAL_CALLS,
     ) -> None:
         """Record that results unknown to this process occupy room at the endpoint.
 
-        They are left behind by a scheduler that was lost, and expire by themselves.
+        They are left behind by a scheduler that was lost, and expire by themselves,
+        at the latest after their retention. `believed_bytes` was the room when the
+        call was sent.
         """
         unknown_bytes = believed_bytes - fitted_bytes
         if unknown_bytes <= 0:
             return
-        expires_at = now + REFUSED_ROOM_MAX_AGE_S
-        self.held_by_handle_[UNKNOWN_RESULTS] = HeldResult(unknown_bytes, expires_at)
+        refused = RefusedRoom(
+            unknown_bytes, REFUSED_ROOM_MAX_AGE_S, now + REFUSED_ROOM_MAX_AGE_S, now
+        )
+        if policy.keeps_refused_room:
+            refused = self._continue_series(refused, sent_at)
+        self.refused_ = refused
+        self.held_by_handle_[UNKNOWN_RESULTS] = HeldResult(
+            refused.result_bytes, refused.expires_at
+        )
+
+    def _continue_series(self, refused: RefusedRoom, sent_at: float) -> RefusedRoom:
+        """Return refused room with what earlier refusals show.
+
+        The unknown results existed at the first refusal, so they are gone after their
+        retention.
+        """
+        before = self.refused_
+        now = refused.since
+        if before is None or now >= before.since + self.limits.retention_s:
+            return refused
+        refused_bytes = refused.result_bytes
+        if sent_at < before.expires_at:
+            # The room that was believed did not include what was refused before.
+            refused_bytes += before.result_bytes
+        age_s = before.age_s * REPEATED_REFUSAL_FACTOR
+        gone_at = before.since + self.limits.retention_s
+        return RefusedRoom(
+            min(refused_bytes, self.limits.room_bytes),
+            age_s,
+            max(refused.expires_at, min(now + age_s, gone_at)),
+            before.since,
+        )
 
     def free(self, handle: ResultHandle) -> None:
         """Remove a result that was freed."""
--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -25,7 +25,12 @@
 
 from leadford.common import HallId
 from leadford.forwarding.batching._capacity import CapacityTable
-from leadford.forwarding.batching._queue import Chunk, PieceQueue, PieceTask
+from leadford.forwarding.batching._queue import (
+    Chunk,
+    LeftCause,
+    PieceQueue,
+    PieceTask,
+)
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.routes import PieceLimits
 
@@ -54,6 +59,8 @@
     to be free. With LOOK_AGAIN, no endpoint takes a call now, and `unserved` are pieces
     that every endpoint of the group excludes.
 
+    With SEND, `left_by_cause` tells how many waiting pieces the call leaves, and why.
+
     Units: wait_s in seconds, with WAIT_FOR_MORE.
     """
 
@@ -63,6 +70,7 @@
     room_bytes: int = 0
     wait_s: float = 0.0
     unserved: tuple[PieceTask, ...] = ()
+    left_by_cause: dict[LeftCause, int] = {}
 
 
 def next_call(
@@ -104,7 +112,13 @@
             waits_for_other_hall=waits_for_other_hall,
         )
         if tasks:
-            return NextCall(FillAction.SEND, record, tuple(tasks), room_bytes)
+            return NextCall(
+                FillAction.SEND,
+                record,
+                tuple(tasks),
+                room_bytes,
+                left_by_cause=dict(queue.left_by_cause_),
+            )
     unserved = queue.discard(lambda task: not _excludes_all(task, records))
     return NextCall(FillAction.LOOK_AGAIN, unserved=tuple(unserved))
 
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -6,13 +6,16 @@
 decided in `_filling`.
 """
 
+from collections import Counter
 from collections.abc import Callable, Sequence
+from enum import Enum
 
 import msgspec
 
 from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.forwarding.batching._graph import PieceKey
 from leadford.forwarding.batching._groups import moving_cost_s
+from leadford.forwarding.batching._policy import FillPolicy
 from leadford.forwarding.routes import PieceLimits, ResultHandle, Route
 
 # Slack, in durations of a full call, below which a piece does not wait for others.
@@ -40,6 +43,17 @@
 PRIORITY_STEP_S = 0.2
 
 
+class LeftCause(Enum):
+    """Name why a call left a waiting piece in the queue."""
+
+    FULL = "full"
+    ROOM = "room"
+    SPLIT = "split"
+    OTHER_HALL = "other-hall"
+    SUSPECT = "suspect"
+    EXCLUDED = "excluded"
+
+
 class PieceTask(msgspec.Struct, frozen=True, eq=False):
     """Request one piece on behalf of the entry that holds its request.
 
@@ -67,6 +81,9 @@
     local_bytes_by_hall: dict[HallId, int] = {}
     # True if an endpoint crashed while it ran the request of the piece.
     is_suspect: bool = False
+    # True if that was one endpoint only; then the piece may share a call with pieces
+    # of which the same holds.
+    is_suspect_once: bool = False
 
     @property
     def is_urgent(self) -> bool:
@@ -93,11 +110,16 @@
         """Tell whether the pieces may join the pieces already taken for a call.
 
         Pieces of a suspect request go in calls of their own: if the endpoint crashes
-        then, the request at fault is known, and no other request loses pieces.
+        then, the request at fault is known, and no other request loses pieces. Where
+        all requests are suspect because of one crash each, they may share a call:
+        after another crash they go alone.
         """
         if not taken or taken[0].request_id == self.tasks[0].request_id:
             return True
-        return not (self.is_suspect or any(task.is_suspect for task in taken))
+        joined = (*taken, *self.tasks)
+        if not any(task.is_suspect for task in joined):
+            return True
+        return all(task.is_suspect_once for task in joined)
 
     @property
     def rank_at(self) -> float:
@@ -163,6 +185,8 @@
 
     def __init__(self) -> None:
         self.tasks_: list[PieceTask] = []
+        # How many pieces the last call left in the queue, by cause.
+        self.left_by_cause_: Counter[LeftCause] = Counter()
 
     def __len__(self) -> int:
         return len(self.tasks_)
@@ -178,6 +202,18 @@
             self.tasks_ = [task for task in self.tasks_ if is_kept(task)]
         return dropped
 
+    def take_hopeless(
+        self, limits: PieceLimits | None, policy: FillPolicy, now: float
+    ) -> list[PieceTask]:
+        """Remove and return the pieces that no call can finish before the deadline.
+
+        Without limits, or where the policy says so, those whose deadline is over.
+        """
+        call_s = 0.0
+        if limits is not None and policy.drops_hopeless_pieces:
+            call_s = limits.duration_ms(1) / 1_000.0
+        return self.discard(lambda task: task.deadline > now + call_s)
+
     def waiting_bytes(self) -> int:
         """Return the room that the results of the waiting pieces will take."""
         return sum(task.result_bytes for task in self.tasks_)
@@ -252,6 +288,7 @@
         is_short = self._is_short(limits, endpoints)
         taken: list[PieceTask] = []
         remaining: list[PieceTask] = []
+        left: Counter[LeftCause] = Counter()
         for number, chunk in enumerate(self._ordered(hall, limits, now)):
             tasks = chunk.tasks
             allowed = [task for task in tasks if endpoint_id not in task.excluded]
@@ -260,19 +297,34 @@
             if is_split and may_split and not is_short and free_places > 0:
                 is_split = False
             may_wait = has_few_tasks or (is_short and _is_large_move(chunk, hall))
-            is_kept_out = is_split or not chunk.may_share_call(taken)
-            if is_kept_out or (may_wait and waits_for_other_hall(chunk)):
+            cause: LeftCause | None = None
+            if free_places == 0:
+                cause = LeftCause.FULL
+            elif is_split:
+                cause = LeftCause.SPLIT
+            elif not chunk.may_share_call(taken):
+                cause = LeftCause.SUSPECT
+            elif may_wait and waits_for_other_hall(chunk):
+                cause = LeftCause.OTHER_HALL
+            if cause is not None:
                 remaining += tasks
+                left[cause] += len(tasks)
                 continue
+            left[LeftCause.EXCLUDED] += len(tasks) - len(allowed)
             fitting: list[PieceTask] = []
             for task in allowed[:free_places]:
                 if task.result_bytes > room_bytes:
+                    left[LeftCause.ROOM] += min(len(allowed), free_places) - len(
+                        fitting
+                    )
                     break
                 room_bytes -= task.result_bytes
                 fitting.append(task)
+            left[LeftCause.FULL] += max(0, len(allowed) - free_places)
             taken += fitting
             remaining += [task for task in tasks if task not in fitting]
         self.tasks_ = remaining
+        self.left_by_cause_ = +left
         return taken
 
     def chunks(self) -> list[Chunk]:
--- a/packages/leadford/src/leadford/protocol/_pieces.py
+++ b/packages/leadford/src/leadford/protocol/_pieces.py
@@ -28,7 +28,13 @@
 
 
 class SuspectPieceSubmit(PieceSubmit, tag=52):
-    """Ask for one piece of a request under which an endpoint has ended before."""
+    """Ask for one piece of a request under which an endpoint has ended before.
+
+    `is_suspect_once` tells that it was one endpoint only, and that the piece may share
+    a call with others of which the same holds.
+    """
+
+    is_suspect_once: bool = False
 
 
 class PieceAnswer(MessageBase, tag=30):
--- a/packages/leadford/src/leadford/quarantine/__init__.py
+++ b/packages/leadford/src/leadford/quarantine/__init__.py
@@ -7,6 +7,7 @@
 
 from leadford.quarantine._apart import choose_apart
 from leadford.quarantine._decision import (
+    MIN_REPEATED_ENDS,
     QuarantineAction,
     QuarantineVerdict,
     decide_quarantine,
@@ -15,6 +16,7 @@
 from leadford.quarantine._ledger import CaseId, CrashCase, CrashLedger, Suspicion
 
 __all__ = [
+    "MIN_REPEATED_ENDS",
     "NO_DIGEST",
     "CaseId",
     "CrashCase",
--- a/packages/leadford/src/leadford/quarantine/_decision.py
+++ b/packages/leadford/src/leadford/quarantine/_decision.py
@@ -18,6 +18,8 @@
 
 # Weighted crashes from which a request runs apart from other suspected requests.
 MIN_SUSPECT_ENDS = 1.0
+# Weighted crashes from which its pieces share calls with no other request.
+MIN_REPEATED_ENDS = 2.0
 # Seconds after the last crash for which a request is refused. Then one attempt shows
 # whether it still crashes its endpoint.
 QUARANTINE_S = 600.0
