--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_results.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_results.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 
 from leadford.common import EndpointId, EntryId, HallId
+from leadford.forwarding.batching import CapacityUse, sum_uses
 from leadford.forwarding.routes import ResultHandle
 from leadford_server.forwarding.batching._jobs import ResultLocation, SchedulerLinks
 
@@ -28,6 +29,8 @@
         self.release_locally = release_locally
         self.links: SchedulerLinks | None = None
         self.location_by_handle_: dict[ResultHandle, ResultLocation] = {}
+        # Results whose scheduler was lost, and with it the account of their room.
+        self.unaccounted_: set[ResultHandle] = set()
 
     def record(self, handle: ResultHandle, location: ResultLocation) -> None:
         """Record where a result is stored and which entry accounts for it."""
@@ -44,6 +47,23 @@
                 )
         return found
 
+    def record_scheduler_lost(self, scheduler_id: EntryId) -> None:
+        """Record that nobody accounts any more for what a scheduler made."""
+        self.unaccounted_ |= {
+            handle
+            for handle, location in self.location_by_handle_.items()
+            if location.scheduler_id == scheduler_id
+        }
+
+    def unaccounted_uses(self, now: float) -> list[CapacityUse]:
+        """Return the room that results take whose scheduler was lost."""
+        locations = [self.location_by_handle_[handle] for handle in self.unaccounted_]
+        return sum_uses(
+            CapacityUse(location.endpoint_id, location.result_bytes, calls=0)
+            for location in locations
+            if now < location.counted_until
+        )
+
     def release(self, handles: list[ResultHandle]) -> None:
         """Release results that have no readers left."""
         handles_by_destination: dict[
@@ -51,6 +71,7 @@
         ] = {}
         for handle in handles:
             location = self.location_by_handle_.pop(handle, None)
+            self.unaccounted_.discard(handle)
             if location is not None:
                 destination = (location.scheduler_id, location.endpoint_id)
                 handles_by_destination.setdefault(destination, []).append(handle)
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
@@ -18,7 +18,7 @@
     RemakeAction,
     decide_remake,
 )
-from leadford.forwarding.routes import PieceLimits, StageSpec
+from leadford.forwarding.routes import PieceLimits, ServiceId, StageSpec
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching._groups import GroupChooser
 from leadford_server.forwarding.batching._jobs import (
@@ -258,7 +258,11 @@
         record = self.state.roster_.record(answer.endpoint_id)
         hall = record.listed.hall if record is not None else self.state.hall
         location = ResultLocation(
-            answer.endpoint_id, hall, scheduler_id, sent.task.result_bytes
+            answer.endpoint_id,
+            hall,
+            scheduler_id,
+            sent.task.result_bytes,
+            self._counted_until(sent.group.service_id),
         )
         self.results.record(answer.handle, location)
         if job.is_over_:
@@ -268,6 +272,18 @@
         job.graph.record_done(sent.task.key, answer.handle)
         self._advance(job)
 
+    def _counted_until(self, service_id: ServiceId) -> float:
+        """Return until when a result made now is reported if its scheduler is lost.
+
+        Only for contended services, where room that is not there costs other requests.
+        """
+        service = self.state.service(service_id)
+        if service is None or service.pieces is None:
+            return 0.0
+        if not self.state.is_contended(service_id):
+            return 0.0
+        return self.state.now() + service.pieces.retention_s
+
     def _on_piece_failed(self, sent: SentPiece, answer: PieceResult) -> None:
         """Apply `decide_remake` to a piece that was not made."""
         job = sent.job
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -20,6 +20,7 @@
     GroupLoad,
     PlaceId,
     ThroughputRate,
+    sum_uses,
 )
 from leadford.forwarding.endpoints import LimitObservation
 from leadford.forwarding.membership import HeartbeatNews, is_due
@@ -274,11 +275,20 @@
             )
 
     def _capacity_reports(self) -> list[LaneReport]:
-        """Return the capacity that this entry uses where others schedule now."""
+        """Return the capacity that this entry uses where others schedule now.
+
+        Includes results of its requests whose scheduler was lost. Where this entry
+        schedules itself, it counts those as other entries count its report.
+        """
+        scheduler = self.stages.scheduler_
+        now = self.state.now()
+        unaccounted = self.stages.results.unaccounted_uses(now)
+        scheduler.capacities_.record_foreign_use(self.entry_id, unaccounted, now)
         groups = self.stages.groups
-        uses = self.stages.scheduler_.loads.uses_in_foreign_groups(
+        uses = scheduler.loads.uses_in_foreign_groups(
             lambda group: groups.scheduler_of(group) != self.entry_id
         )
         return [
-            LaneReport(use.endpoint_id, use.result_bytes, use.calls) for use in uses
+            LaneReport(use.endpoint_id, use.result_bytes, use.calls)
+            for use in sum_uses([*uses, *unaccounted])
         ]
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -261,6 +261,7 @@
         self.relays.forget(entry_id)
         self.state.log.report(Event.PEER_LOST, peer=entry_id)
         self.stages.scheduler_.drop_pieces_of(entry_id)
+        self.stages.results.record_scheduler_lost(entry_id)
         self.stages.sent.on_scheduler_lost(entry_id)
         self.stages.backlog_.forget(entry_id)
 
--- a/packages/leadford/src/leadford/forwarding/batching/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/batching/__init__.py
@@ -8,6 +8,7 @@
 from leadford.forwarding.batching._capacity import (
     CapacityTable,
     CapacityUse,
+    sum_uses,
 )
 from leadford.forwarding.batching._endpoint_capacity import (
     NO_ROOM_PAUSE_S,
@@ -98,5 +99,6 @@
     "scheduler_limit_at",
     "schedulers_in_order",
     "stages_check_at",
+    "sum_uses",
     "can_stages_end_in_time",
 ]
--- a/packages/leadford/src/leadford/forwarding/batching/_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_capacity.py
@@ -26,6 +26,19 @@
     calls: int
 
 
+def sum_uses(uses: Iterable[CapacityUse]) -> list[CapacityUse]:
+    """Return one use for each endpoint, with all that is used there."""
+    sums: dict[EndpointId, CapacityUse] = {}
+    for use in uses:
+        known = sums.get(use.endpoint_id, CapacityUse(use.endpoint_id, 0, 0))
+        sums[use.endpoint_id] = CapacityUse(
+            use.endpoint_id,
+            known.result_bytes + use.result_bytes,
+            known.calls + use.calls,
+        )
+    return list(sums.values())
+
+
 class _ForeignReport(msgspec.Struct, frozen=True):
     """Hold what another entry reported to occupy, and when the report arrived."""
 
