--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
@@ -173,7 +173,6 @@
             left=",".join(
                 f"{cause.value}:{count}" for cause, count in call.left_by_cause.items()
             ),
-            urgent=sum(task.is_urgent for task in call.tasks),
             waiting=waiting,
             outcome=end.detail,
         )
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_crashing_requests.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_crashing_requests.py
@@ -75,9 +75,24 @@
     run_scenario(scenario, entries=entries, endpoints=6)
 
 
-def test_a_request_whose_pieces_end_their_endpoints_is_soon_sent_to_none():
+async def make_stages_contended(deployment):
+    """Give two routes that share stages priorities that contradict their targets."""
+    for route in deployment.config["routes"]:
+        if route["name"] == "once":
+            route |= {"priority": 2, "goalMs": 2_000}
+    deployment.config["version"] = 2
+    deployment.put_config()
+    await deployment.until(
+        lambda: all(e.state_.is_contended("stage") for e in deployment.entries_)
+    )
+
+
+@pytest.mark.parametrize("is_contended", [False, True])
+def test_a_request_whose_pieces_end_their_endpoints_is_soon_sent_to_none(is_contended):
     async def scenario(deployment):
         await deployment.until_linked()
+        if is_contended:
+            await make_stages_contended(deployment)
         deployment.crash_stages_on_key("pk-ending", restart_delay_s=RESTART_DELAY_S)
 
         tasks = [
