--- a/packages/leadford/src/leadford/forwarding/batching/_endpoint_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_endpoint_capacity.py
@@ -18,6 +18,8 @@
 ROOM_WAIT_FRACTION = 0.6
 # Room that an endpoint refused counts as occupied for this time.
 REFUSED_ROOM_MAX_AGE_S = 0.3
+# Room that is refused again counts as occupied this many times as long as before.
+REPEATED_REFUSAL_FACTOR = 2.0
 # Key of the room that is occupied by results unknown to this process.
 UNKNOWN_RESULTS = ResultHandle("")
 
@@ -32,11 +34,12 @@
 class RefusedRoom(msgspec.Struct, frozen=True):
     """Hold the room that an endpoint refused, in a series of refusals.
 
-    Units: expires_at, until when it counts as occupied, and since, the first refusal,
-    are seconds of the monotonic clock.
+    Units: age_s is how long it counts as occupied, from the last refusal; expires_at
+    and since, the first refusal, are seconds of the monotonic clock.
     """
 
     result_bytes: int
+    age_s: float
     expires_at: float
     since: float
 
@@ -126,7 +129,9 @@
         unknown_bytes = believed_bytes - fitted_bytes
         if unknown_bytes <= 0:
             return
-        refused = RefusedRoom(unknown_bytes, now + REFUSED_ROOM_MAX_AGE_S, now)
+        refused = RefusedRoom(
+            unknown_bytes, REFUSED_ROOM_MAX_AGE_S, now + REFUSED_ROOM_MAX_AGE_S, now
+        )
         if policy.keeps_refused_room:
             refused = self._continue_series(refused, sent_at)
         self.refused_ = refused
@@ -137,22 +142,25 @@
     def _continue_series(self, refused: RefusedRoom, sent_at: float) -> RefusedRoom:
         """Return refused room with what earlier refusals show.
 
-        Once room is refused again, the unknown results are not about to be released.
-        They existed at the first refusal, so they are gone after their retention.
+        The unknown results existed at the first refusal, so they are gone after their
+        retention.
         """
         before = self.refused_
         if before is None:
             return refused
+        now = refused.since
         gone_at = before.since + self.limits.retention_s
-        if refused.since >= gone_at:
+        if now >= gone_at:
             return refused
         refused_bytes = refused.result_bytes
         if sent_at < before.expires_at:
             # The room that was believed did not include what was refused before.
             refused_bytes += before.result_bytes
+        age_s = before.age_s * REPEATED_REFUSAL_FACTOR
         return RefusedRoom(
             min(refused_bytes, self.limits.room_bytes),
-            max(refused.expires_at, gone_at),
+            age_s,
+            max(refused.expires_at, min(now + age_s, gone_at)),
             before.since,
         )
 
