--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_levels.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_levels.py
@@ -63,6 +63,7 @@
         stages = SimpleNamespace(
             backlog_=self.backlog,
             scheduler_=scheduler,
+            results=SimpleNamespace(unaccounted_uses=lambda now: []),
             groups=SimpleNamespace(
                 scheduler_of=lambda group: SCHEDULER,
                 loads_=SimpleNamespace(record_load=lambda group, load: None),
--- a/packages/leadford-server/src/leadford_server/metrics/__init__.py
+++ b/packages/leadford-server/src/leadford_server/metrics/__init__.py
@@ -4,6 +4,7 @@
     ADMISSION_TOTAL,
     ATTEMPTS_TOTAL,
     BOOKINGS_TOTAL,
+    CALL_FILL,
     CONNECTIONS_OPENED_TOTAL,
     COST_MS_TOTAL,
     CRASH_CASES_TOTAL,
@@ -41,6 +42,7 @@
 __all__ = [
     "ADMISSION_TOTAL",
     "BOOKINGS_TOTAL",
+    "CALL_FILL",
     "ATTEMPTS_TOTAL",
     "COST_MS_TOTAL",
     "CRASH_CASES_TOTAL",
--- a/packages/leadford/src/leadford/forwarding/batching/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/batching/__init__.py
@@ -9,6 +9,7 @@
 from leadford.forwarding.batching._capacity import (
     CapacityTable,
     CapacityUse,
+    sum_uses,
 )
 from leadford.forwarding.batching._endpoint_capacity import (
     NO_ROOM_PAUSE_S,
@@ -35,8 +36,14 @@
     scheduler_limit_at,
     stages_check_at,
 )
+from leadford.forwarding.batching._policy import (
+    CONTENDED_CALLS,
+    USUAL_CALLS,
+    FillPolicy,
+)
 from leadford.forwarding.batching._queue import (
     Chunk,
+    LeftCause,
     PieceQueue,
     PieceTask,
     queue_delay_s,
@@ -53,8 +60,10 @@
 
 __all__ = [
     "CALL_INPUTS_READ_S",
+    "USUAL_CALLS",
     "ENDPOINT_LOST",
     "ENGINE_INPUTS_READ_S",
+    "CONTENDED_CALLS",
     "NO_ENDPOINT_WAIT_S",
     "QUEUE_FULL_PAUSE_S",
     "RESERVED_FRACTION",
@@ -67,10 +76,12 @@
     "Chunk",
     "EndpointCapacity",
     "FillAction",
+    "FillPolicy",
     "GroupId",
     "GroupLoad",
     "GroupMap",
     "GroupTable",
+    "LeftCause",
     "ThroughputRate",
     "NextCall",
     "PieceFailure",
@@ -92,5 +103,6 @@
     "scheduler_limit_at",
     "schedulers_in_order",
     "stages_check_at",
+    "sum_uses",
     "can_stages_end_in_time",
 ]
