Read reports of three, four and more figures

Cause: endpoints of some services report a fourth figure, how long work takes there now. The adapter accepted exactly three figures and dropped the whole report, so nothing was known of the load of these endpoints. A count of more than 4,300 digits raised an error.

The adapter returns an `EndpointReport`: the load, the pace as a ratio, and whether anything was malformed. Running, waiting and slots hold only together; a malformed pace leaves them valid, and further figures are ignored. `leadford_malformed_reports_total` counts malformed reports by service. Counts have at most 18 digits. A figure of more than a million requests, and a pace below 0.05 or above 100, count as malformed.

The test of a count of 5,000 digits fails without the bound. Nothing reads the pace yet.

--- a/packages/leadford-server/src/leadford_server/forwarding/_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_contract.py
@@ -14,8 +14,8 @@
 from leadford.forwarding.batching import PieceTask
 from leadford.forwarding.endpoints import (
     Backpressure,
+    EndpointReport,
     PromptShape,
-    ReportedLoad,
 )
 from leadford.forwarding.routes import ResultHandle
 
@@ -115,7 +115,7 @@
     is_signed: bool
     closes_connection: bool
     idle_timeout_s: float | None
-    load: ReportedLoad | None
+    report: EndpointReport | None
     model_version: int | None
     backpressure: Backpressure = Backpressure()
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_heads.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_heads.py
@@ -6,9 +6,10 @@
 """
 
 from leadford.events import Event
-from leadford.forwarding.endpoints import EndpointRecord
+from leadford.forwarding.endpoints import EndpointRecord, EndpointReport
 from leadford_server.forwarding._contract import AnswerHead, NotRunCause
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.metrics import MALFORMED_REPORTS_TOTAL
 
 
 def record_head(
@@ -22,8 +23,8 @@
         # Another process answered, so its answer says nothing about this endpoint.
         record.mark_replaced()
         return
-    if head.load is not None:
-        record.record_load(head.load, state.now())
+    if head.report is not None:
+        _record_report(state, record, head.report)
     state.endpoint_limits_.record_answer(
         record.listed.endpoint_id,
         head.backpressure.limit_per_s,
@@ -39,6 +40,16 @@
     _log_backpressure(state, record, head)
 
 
+def _record_report(
+    state: ForwardState, record: EndpointRecord, report: EndpointReport
+) -> None:
+    """Record what an endpoint reports of itself."""
+    if report.is_malformed:
+        MALFORMED_REPORTS_TOTAL.labels(record.listed.service_id).inc()
+    if report.load is not None:
+        record.record_load(report.load, state.now())
+
+
 def _log_backpressure(
     state: ForwardState, record: EndpointRecord, head: AnswerHead
 ) -> None:
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -74,6 +74,12 @@
     "leadford_unreadable_records_total",
     "Records of the store or a peer that could not be read and were passed over.",
 )
+MALFORMED_REPORTS_TOTAL = Counter(
+    "leadford_malformed_reports_total",
+    "Answers in which an endpoint's report of itself held a figure that is no valid "
+    "one; the other figures were used.",
+    ["service"],
+)
 STORE_BYTES_TOTAL = Counter(
     "leadford_store_bytes_total",
     "Bytes of answers of the store; those of a lost answer are fetched again.",
--- a/packages/leadford/src/leadford/common/_numbers.py
+++ b/packages/leadford/src/leadford/common/_numbers.py
@@ -2,10 +2,16 @@
 
 import math
 
+# Counts fit into 64 bits. Python refuses to convert very long texts with an error.
+MAX_COUNT_DIGITS = 18
+
 
 def parse_count(text: str | None) -> int | None:
     """Return a non-negative integer, or None for anything else."""
-    return int(text) if text is not None and text.strip().isdecimal() else None
+    digits = "" if text is None else text.strip()
+    if len(digits) > MAX_COUNT_DIGITS or not digits.isdecimal():
+        return None
+    return int(digits)
 
 
 def parse_amount(text: str | None) -> float | None:
--- a/packages/leadford/src/leadford/common/tests/test_numbers.py
+++ b/packages/leadford/src/leadford/common/tests/test_numbers.py
@@ -5,7 +5,9 @@
 from leadford.common import parse_amount, parse_count
 
 
-@pytest.mark.parametrize("text", [None, "", "x", "-1", "nan", "inf", "1e999"])
+@pytest.mark.parametrize(
+    "text", [None, "", "x", "-1", "nan", "inf", "1e999", "9" * 5000]
+)
 def test_what_is_no_number_from_zero_on_is_none(text):
     assert parse_amount(text) is None
     assert parse_count(text) is None
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -16,6 +16,7 @@
 from leadford.forwarding.endpoints._model import (
     Backpressure,
     EndpointAddress,
+    EndpointReport,
     ListedEndpoint,
     ListedState,
     ReportedLoad,
@@ -44,6 +45,7 @@
     "EndpointFailure",
     "EndpointLimits",
     "EndpointRecord",
+    "EndpointReport",
     "EndpointRetryAfter",
     "EndpointRoster",
     "EngineChooser",
--- a/packages/leadford/src/leadford/forwarding/endpoints/_model.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_model.py
@@ -4,6 +4,7 @@
 must not change.
 """
 
+from collections.abc import Sequence
 from enum import Enum
 from typing import NewType
 
@@ -97,3 +98,46 @@
     running: int
     waiting: int
     slots: int
+
+
+# More requests or slots at one endpoint are taken for a malformed report.
+MAX_REPORTED_REQUESTS = 1_000_000
+# Paces outside these bounds are taken for malformed reports.
+MIN_PACE = 0.05
+MAX_PACE = 100.0
+
+
+class EndpointReport(msgspec.Struct, frozen=True):
+    """Hold what an endpoint reported of itself in an answer.
+
+    `load` and `pace` are None where the answer reports none that can be used, and
+    `is_malformed` tells that it reported something else.
+
+    Units: pace is the ratio of the duration of work there now to the usual one.
+    """
+
+    load: ReportedLoad | None = None
+    pace: float | None = None
+    is_malformed: bool = False
+
+    @classmethod
+    def from_figures(
+        cls, counts: Sequence[int | None], paces: Sequence[float | None]
+    ) -> "EndpointReport":
+        """Return the report of three counts and at most one pace.
+
+        The counts hold only together; a malformed pace leaves them valid, and
+        malformed counts leave the pace valid.
+        """
+        load = None
+        if len(counts) == 3 and all(map(_is_request_count, counts)):
+            load = ReportedLoad(*counts)
+        pace = paces[0] if paces else None
+        if pace is not None and not MIN_PACE <= pace <= MAX_PACE:
+            pace = None
+        is_malformed = load is None or (bool(paces) and pace is None)
+        return cls(load, pace, is_malformed)
+
+
+def _is_request_count(count: int | None) -> bool:
+    return count is not None and count <= MAX_REPORTED_REQUESTS
