--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -22,7 +22,11 @@
     ThroughputRate,
 )
 from leadford.forwarding.endpoints import LimitObservation
-from leadford.forwarding.membership import HeartbeatNews, is_due
+from leadford.forwarding.membership import (
+    REDUCED_HEARTBEAT_DIVISOR,
+    HeartbeatNews,
+    is_due,
+)
 from leadford.forwarding.routes import ServiceId
 from leadford.protocol import (
     PROTOCOL_FLEET,
@@ -46,6 +50,9 @@
 
 # The rate on the wire that says that an endpoint has no limit any more.
 NO_LIMIT_PER_S = -1.0
+# One of so many heartbeats carries the paces of endpoints. Links that skip heartbeats
+# carry it too, since it is a multiple of their divisor.
+PACES_HEARTBEAT_DIVISOR = 2 * REDUCED_HEARTBEAT_DIVISOR
 
 
 class Heartbeat:
@@ -105,6 +112,11 @@
         self.stages = stages
         self.heartbeat_count_ = 0
 
+    @property
+    def next_carries_paces(self) -> bool:
+        """Return whether the next heartbeat carries the paces of endpoints."""
+        return (self.heartbeat_count_ + 1) % PACES_HEARTBEAT_DIVISOR == 0
+
     def next(
         self,
         groups: set[GroupId],
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -217,6 +217,8 @@
 
     def _pace_news(self) -> AddressedPaces | None:
         """Return the paces to report, and the entries that decide by them."""
+        if not self.heartbeats.next_carries_paces:
+            return None
         news = self.paces.make()
         if news is None:
             return None
--- a/packages/leadford/src/leadford/forwarding/endpoints/_paces.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_paces.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from leadford.common import EndpointId, Ewma
-from leadford.forwarding.endpoints._pace import PEER_PACE_MAX_AGE_S, MeasuredPace
+from leadford.forwarding.endpoints._pace import MeasuredPace
 from leadford.forwarding.endpoints._record import EndpointRecord
 from leadford.forwarding.routes import ServiceId
 
@@ -20,8 +20,10 @@
 USUAL_MIN_COUNT = 8
 # Entries report the paces that differ from the usual one by this fraction.
 REPORTED_DIFFERENCE = 0.2
-# Maximum number of paces in one heartbeat.
+# Maximum number of paces in one report, and how old a measurement in it may be: a
+# little more than the time between two reports.
 MAX_REPORTED_PACES = 64
+REPORTED_MAX_AGE_S = 1.0
 # Shorter prefills are not measured: their duration is mostly that of the first step.
 PREFILL_MIN_TOKENS = 500.0
 
@@ -79,14 +81,14 @@
 def reportable_paces(
     records: Iterable[EndpointRecord], now: float
 ) -> list[ReportablePace]:
-    """Return the paces to report with a heartbeat, the newest measurement first.
+    """Return the paces to report to other entries, the newest measurement first.
 
-    Only measurements that others can still use, and that differ from the usual pace.
+    Only paces that differ from the usual and were measured since the last report.
     """
     found = []
     for record in records:
         pace = record.pace_
-        if not pace.is_reported_ or now - pace.measured_at_ >= PEER_PACE_MAX_AGE_S:
+        if not pace.is_reported_ or now - pace.measured_at_ > REPORTED_MAX_AGE_S:
             continue
         measured = pace.measured(now)
         if measured is None or abs(measured.pace - 1.0) < REPORTED_DIFFERENCE:
--- a/packages/leadford/src/leadford/forwarding/membership/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/membership/__init__.py
@@ -4,7 +4,11 @@
 from leadford.forwarding.membership._fetch import PeerFetch
 from leadford.forwarding.membership._heard import PeerVersions
 from leadford.forwarding.membership._liveness import PeerLiveness
-from leadford.forwarding.membership._pace import HeartbeatNews, is_due
+from leadford.forwarding.membership._pace import (
+    REDUCED_HEARTBEAT_DIVISOR,
+    HeartbeatNews,
+    is_due,
+)
 from leadford.forwarding.membership._peer_clock import PeerClock
 from leadford.forwarding.membership._peers import (
     peers_to_link,
@@ -28,6 +32,7 @@
     "PeerLiveness",
     "PeerVersions",
     "HeartbeatNews",
+    "REDUCED_HEARTBEAT_DIVISOR",
     "WATCH_MARGIN_S",
     "PeerFetch",
     "PeerClock",
