--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -76,6 +76,8 @@
         self.on_crash_: Callable[[], None] | None = None
         # Additional headers of each answer.
         self.extra_headers_: dict[str, str] = {}
+        # Further figures of the load that a call of a stage reports.
+        self.load_suffix_ = ""
 
     def start(self) -> str:
         """Listen on loopback and return the address."""
@@ -204,9 +206,8 @@
             ]
             await asyncio.sleep(self.call_s)
         self.batch_sizes_.append(len(items))
-        handler.set_header(
-            "X-Server-Load", f"{int(self.call_lock_.locked())},{self.waiting_},1"
-        )
+        load = f"{int(self.call_lock_.locked())},{self.waiting_},1{self.load_suffix_}"
+        handler.set_header("X-Server-Load", load)
         handler.finish({"items": items})
 
     def _make_piece(self, item: dict, *, is_gone: bool) -> dict:
--- a/packages/leadford/src/leadford/forwarding/batching/_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_capacity.py
@@ -109,16 +109,16 @@
         moving_cost_s = moving_cost_s_by_hall or {}
         trusted = [record for record in records if not record.is_suspect(now)]
         pieces = max(1, min(limits.batch, waiting))
-        paces = estimate_paces(trusted or records, now)
-        scored = []
-        for number, record in enumerate(trusted or records):
-            if paces is None:
-                pace = max(1.0, record.slowness(now))
-            else:
-                pace = paces[record.listed.endpoint_id]
-            finish_s = self._finish_s(record, limits, pieces, pace, now)
-            moving_s = moving_cost_s.get(record.listed.hall, 0.0)
-            scored.append((finish_s + moving_s, number, record))
+        paces = _call_paces(trusted or records, now)
+        scored = [
+            (
+                self._finish_s(record, limits, pieces, pace, now)
+                + moving_cost_s.get(record.listed.hall, 0.0),
+                number,
+                record,
+            )
+            for number, (record, pace) in enumerate(paces)
+        ]
         found = []
         assigned = 0
         for _, _, record in sorted(scored, key=lambda item: item[:2]):
@@ -182,3 +182,16 @@
         for endpoint_id, capacity in list(self.capacity_by_id_.items()):
             if endpoint_id not in known and capacity.calls_ == 0:
                 del self.capacity_by_id_[endpoint_id]
+
+
+def _call_paces(
+    records: list[EndpointRecord], now: float
+) -> list[tuple[EndpointRecord, float]]:
+    """Return endpoints with the ratio of the duration of calls to the expected one.
+
+    Where no endpoint reports a pace, none counts as faster than expected.
+    """
+    paces = estimate_paces(records, now)
+    if paces is None:
+        return [(record, max(1.0, record.slowness(now))) for record in records]
+    return [(record, paces[record.listed.endpoint_id]) for record in records]
--- a/packages/leadford/src/leadford/forwarding/endpoints/_pace.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_pace.py
@@ -64,7 +64,7 @@
     def __init__(self) -> None:
         # Whether this start of the endpoint ever reported a pace, here or to others.
         self.is_reported_ = False
-        self.reported_pace_ = 1.0
+        self.log_reported_ = 0.0
         self.reported_at_ = -math.inf
         self.log_lasting_ = 0.0
         self.samples_ = 0
@@ -72,17 +72,22 @@
         self.log_recent_ = 0.0
         self.recent_at_ = -math.inf
         self.measured_by_peer_: dict[EntryId, MeasuredPace] = {}
+        # The sum over the reports of peers, kept because each choice needs it, and when
+        # the first of these reports expires.
+        self.peer_samples_ = 0
+        self.peer_log_sum_ = 0.0
+        self.peers_expire_at_ = math.inf
 
     def record_reported(self, pace: float, now: float) -> None:
         """Record the pace that an answer of the endpoint reports."""
         self.is_reported_ = True
-        self.reported_pace_ = pace
+        self.log_reported_ = math.log(pace)
         self.reported_at_ = now
 
     def record_measured(self, ratio: float, now: float) -> None:
         """Record the ratio of a measured duration to the usual duration."""
         log_ratio = math.log(_bounded(ratio / self.reported_pace(now)))
-        unexplained = log_ratio - self._log_lasting(now, log_unmeasured=0.0)
+        unexplained = log_ratio - self._log_lasting(now)
         self.log_recent_ = self._faded_recent(now)
         self.log_recent_ += RECENT_WEIGHT * (unexplained - self.log_recent_)
         self.recent_at_ = now
@@ -98,8 +103,7 @@
         The pace that the endpoint reported before no longer counts.
         """
         self.reported_at_ = -math.inf
-        unexplained = math.log(_bounded(ratio))
-        unexplained -= self._log_lasting(now, log_unmeasured=0.0)
+        unexplained = math.log(_bounded(ratio)) - self._log_lasting(now)
         self.log_recent_ = max(self._faded_recent(now), unexplained)
         self.recent_at_ = now
 
@@ -112,13 +116,14 @@
             return False
         self.is_reported_ = True
         self.measured_by_peer_[entry_id] = measured
+        self.peers_expire_at_ = -math.inf
         return True
 
-    def estimate(self, now: float, *, unmeasured: float = 1.0) -> float:
-        """Return the pace; an endpoint that was not measured begins at `unmeasured`."""
-        log_pace = self._log_lasting(now, log_unmeasured=math.log(unmeasured))
+    def estimate(self, now: float, *, log_unmeasured: float = 0.0) -> float:
+        """Return the pace, given the logarithm at which an unmeasured one begins."""
+        log_pace = self._log_lasting(now, log_unmeasured=log_unmeasured)
         if now - self.reported_at_ <= REPORTED_PACE_FRESH_S:
-            log_pace += math.log(self.reported_pace_)
+            log_pace += self.log_reported_
         else:
             log_pace += self._faded_recent(now)
         return _bounded(math.exp(log_pace))
@@ -126,49 +131,60 @@
     def reported_pace(self, now: float) -> float:
         """Return the pace that the endpoint reports now; 1 if that is unknown."""
         is_fresh = now - self.reported_at_ <= REPORTED_PACE_FRESH_S
-        return self.reported_pace_ if is_fresh else 1.0
+        return math.exp(self.log_reported_) if is_fresh else 1.0
 
     def measured(self, now: float) -> MeasuredPace | None:
         """Return what this entry measured itself, or None if it measured nothing."""
-        if self.samples_ == 0:
+        log_pace = self.log_measured(now)
+        if log_pace is None:
             return None
         samples = min(self.samples_, MAX_COUNTED_SAMPLES)
-        pace = _bounded(math.exp(self._faded_lasting(now)))
-        return MeasuredPace(pace, samples, self.measured_at_)
+        return MeasuredPace(_bounded(math.exp(log_pace)), samples, self.measured_at_)
+
+    def log_measured(self, now: float) -> float | None:
+        """Return the logarithm of the lasting part that this entry measured itself."""
+        return self._faded_lasting(now) if self.samples_ > 0 else None
 
     def is_tried(self, now: float) -> bool:
         """Tell whether the endpoint has shown that it answers."""
-        return self.is_reported_ or self.samples_ > 0 or bool(self._peers(now))
+        self._expire_peers(now)
+        return self.is_reported_ or self.samples_ > 0 or self.peer_samples_ > 0
 
     def age_s(self, now: float) -> float:
         """Return the time since the newest report or measurement of any kind.
 
         Units: seconds; infinite if there was none.
         """
+        self._expire_peers(now)
         times = [self.reported_at_, self.measured_at_]
-        times += [peer.measured_at for peer in self._peers(now)]
+        times += [peer.measured_at for peer in self.measured_by_peer_.values()]
         return now - max(times)
 
-    def _peers(self, now: float) -> list[MeasuredPace]:
-        """Return the reports of other entries, without those that have expired."""
+    def _expire_peers(self, now: float) -> None:
+        """Forget the reports of peers that are too old, and sum up the others."""
+        if now <= self.peers_expire_at_:
+            return
         oldest = now - PEER_PACE_MAX_AGE_S
+        self.peer_samples_ = 0
+        self.peer_log_sum_ = 0.0
+        self.peers_expire_at_ = math.inf
         for entry_id, peer in list(self.measured_by_peer_.items()):
             if peer.measured_at < oldest:
                 del self.measured_by_peer_[entry_id]
-        return list(self.measured_by_peer_.values())
-
-    def _log_lasting(self, now: float, *, log_unmeasured: float) -> float:
+                continue
+            samples = min(peer.samples, MAX_COUNTED_SAMPLES)
+            self.peer_samples_ += samples
+            self.peer_log_sum_ += samples * math.log(peer.pace)
+            expires_at = peer.measured_at + PEER_PACE_MAX_AGE_S
+            self.peers_expire_at_ = min(self.peers_expire_at_, expires_at)
+
+    def _log_lasting(self, now: float, *, log_unmeasured: float = 0.0) -> float:
         """Return the lasting part, joined from all entries by their measurements."""
-        total = USUAL_PACE_SAMPLES * log_unmeasured
-        samples = USUAL_PACE_SAMPLES
+        self._expire_peers(now)
         own = min(self.samples_, MAX_COUNTED_SAMPLES)
+        total = USUAL_PACE_SAMPLES * log_unmeasured + self.peer_log_sum_
         total += own * self._faded_lasting(now)
-        samples += own
-        for peer in self._peers(now):
-            count = min(peer.samples, MAX_COUNTED_SAMPLES)
-            total += count * math.log(peer.pace)
-            samples += count
-        return total / samples
+        return total / (USUAL_PACE_SAMPLES + own + self.peer_samples_)
 
     def _faded_lasting(self, now: float) -> float:
         return _faded(self.log_lasting_, now - self.measured_at_, LASTING_HALF_LIFE_S)
--- a/packages/leadford/src/leadford/forwarding/endpoints/_paces.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_paces.py
@@ -44,11 +44,11 @@
     """
     if not any(record.pace_.is_reported_ for record in records):
         return None
-    measured = [record.pace_.measured(now) for record in records]
-    known = sorted(item.pace for item in measured if item is not None)
-    median = known[len(known) // 2] if known else 1.0
+    measured = [record.pace_.log_measured(now) for record in records]
+    known = sorted(item for item in measured if item is not None)
+    median = known[len(known) // 2] if known else 0.0
     return {
-        record.listed.endpoint_id: record.pace_.estimate(now, unmeasured=median)
+        record.listed.endpoint_id: record.pace_.estimate(now, log_unmeasured=median)
         for record in records
     }
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_paces.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_paces.py
@@ -143,6 +143,35 @@
     assert 2.0 < fast / records[2].in_flight_ < 3.0
 
 
+def test_a_slow_plain_endpoint_that_recovers_is_used_again():
+    """One request at a time; the slow endpoint answers as usual from 1 s on."""
+    slow, other = record("a", 3.0, slots=1), record("b", 1.3, slots=1)
+    chooser = EndpointChooser(hall=HALL, random=Random(1))
+    assert chooser.choose([slow, other], now=0.1) is other
+    for step in range(20):
+        slow.pace_.record_reported(1.0, 1.0 + step / 20)
+        slow.pace_.record_measured(1.0, 1.0 + step / 20)
+    assert chooser.choose([slow, other], now=2.0) is slow
+
+
+def test_a_slow_plain_endpoint_that_got_no_work_is_tried_again():
+    unused, other = record("a", 3.0, slots=1), record("b", 1.3, slots=1, now=300.0)
+    chooser = EndpointChooser(hall=HALL, random=Random(1))
+    assert chooser.choose([unused, other], now=5.0) is other
+    assert chooser.choose([unused, other], now=300.1) is unused
+
+
+def test_a_call_at_a_slow_endpoint_is_expected_to_last_longer():
+    limits = piece_limits()
+    calls = CapacityTable()
+    capacity = calls.capacity(EndpointId("a"), limits)
+    capacity.begin(2, 0, 0.0, pace=2.0)
+    assert capacity.busy_until_ == pytest.approx(2.0 * limits.duration_ms(2) / 1_000.0)
+    slow, fast = record("b", 1.7), record("c", 0.7)
+    ranked = calls.rank_endpoints([slow, fast], limits, waiting=1, now=0.1)
+    assert ranked == [fast]
+
+
 def test_plain_choice_without_paces_is_as_before():
     """The same requests with and without the figure; only the figure makes a change."""
 
