Measure engines by the time between events

Most entries do not know what an engine has cached, so the rate of a prefill told more of the cache than of the engine.

Tests of endpoints, of the server and of streams and placing over the wire pass.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from leadford.forwarding.endpoints import EventGaps
 from leadford.forwarding.retries import (
     MIN_ENDPOINTS_FOR_RETRY,
     AttemptTiming,
@@ -59,7 +60,9 @@
         Errors: raises TimeoutError when the deadline of the request has passed.
         """
         splitter = EventStreamSplitter()
+        gaps = EventGaps()
         while True:
+            began_at = self.state.now()
             try:
                 # Events are frequent, so other endpoints are looked up only after a
                 # timeout.
@@ -75,12 +78,22 @@
                     continue
                 # Give up this attempt; the stream continues at another endpoint.
                 return False
+            gaps.record_read(began_at, self.state.now())
             for event in splitter.feed(data):
                 await self._pass_on(attempt, event)
             if data and not splitter.is_too_long:
                 continue
+            self._record_gaps(attempt, gaps)
             return attempt.answer.reader.is_complete_ and not splitter.has_partial_event
 
+    def _record_gaps(self, attempt: Attempt, gaps: EventGaps) -> None:
+        """Record the time between events as a measurement of the engine."""
+        gap_s = gaps.usual_s()
+        if gap_s is not None:
+            kind = ("gap", self.progress.match_.route.route_id)
+            now = self.state.now()
+            self.state.pace_meter_.record_answer(attempt.record, gap_s, kind, now)
+
     async def _pass_on(self, attempt: Attempt, event: StreamEvent) -> None:
         last = self.progress.last_event_id_
         if event.event_id is not None and last is not None and event.event_id <= last:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -47,7 +47,7 @@
                 self.progress.request.prompt,
                 excluded=tried,
                 bytes_by_hall=self.inputs.bytes_by_hall(),
-                places_for_all=self._places_for_all(),
+                places_for_all=self.places_for_all,
                 now=now,
             )
         return state.chooser_.choose(records, excluded=tried, now=now)
@@ -93,7 +93,8 @@
         chosen_id = choose_apart(suspects_by_id, self.state.random)
         return by_id[chosen_id] if chosen_id is not None else None
 
-    def _places_for_all(self) -> bool:
+    @property
+    def places_for_all(self) -> bool:
         """Return whether this entry places the prompts of all entries."""
         placing = self.state.placing_
         service = self.progress.match_.service
@@ -111,7 +112,7 @@
             return False
         return (
             placing.places_service(self.progress.match_.service)
-            and not self._places_for_all()
+            and not self.places_for_all
         )
 
     async def choose_by(self, wait_until: float) -> EndpointRecord | None:
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -11,6 +11,7 @@
     EngineChooser,
     SentPrompt,
 )
+from leadford.forwarding.endpoints._gaps import EventGaps
 from leadford.forwarding.endpoints._halls import EvacuatedHalls, HallNotice
 from leadford.forwarding.endpoints._limits import EndpointLimits, LimitObservation
 from leadford.forwarding.endpoints._model import (
@@ -61,6 +62,7 @@
     "EndpointRoster",
     "EngineChooser",
     "EvacuatedHalls",
+    "EventGaps",
     "FirstByteTimes",
     "HallNotice",
     "LimitObservation",
