Log the pace that was assumed of the endpoint of a request

Cause: why a request was slow, or went to an endpoint, could not be told from its log line. The age of an estimate stays finite after reports of peers have expired.

Tests of endpoints, of the server and of paces over the wire pass.

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -56,6 +56,9 @@
         self.end_ = RequestEnd()
         # Written by the attempts.
         self.tried_endpoint_ids_: list[EndpointId] = []
+        # The pace of the last one when it was sent the request, and the age of that.
+        self.pace_: float | None = None
+        self.pace_age_s_ = 0.0
         # Written when the answer begins.
         self.first_byte_at_: float | None = None
         self.model_version_: int | None = None
@@ -118,6 +121,7 @@
         fingerprint=request.fingerprint,
         digest=progress.digest_,
         endpoints=",".join(progress.tried_endpoint_ids_),
+        **_pace_fields(progress),
         status=end.status,
         outcome=end.outcome.value,
         reason=end.reason.value,
@@ -149,6 +153,14 @@
     }
 
 
+def _pace_fields(progress: RequestProgress) -> dict[str, float | int]:
+    """Return the log fields for the pace of the last endpoint, if it reports one."""
+    if progress.pace_ is None:
+        return {}
+    age_ms = round(progress.pace_age_s_ * 1_000.0)
+    return {"pace": round(progress.pace_, 2), "pace_age_ms": age_ms}
+
+
 def _elapsed_ms(moment: float | None, since: float) -> int:
     return NEVER_MS if moment is None else round((moment - since) * 1_000.0)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -236,6 +236,8 @@
         self.progress.tried_endpoint_ids_.append(record.listed.endpoint_id)
         self.inputs.record_attempt()
         began_at = self.state.now()
+        self.progress.pace_ = record.pace(began_at)
+        self.progress.pace_age_s_ = record.pace_.age_s(began_at)
         record.in_flight_ += 1
         self.is_suspect_ = self.choice.runs_apart
         record.suspect_requests_in_flight_ += self.is_suspect_
--- a/packages/leadford/src/leadford/forwarding/endpoints/_pace.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_pace.py
@@ -77,6 +77,7 @@
         self.peer_samples_ = 0
         self.peer_log_sum_ = 0.0
         self.peers_expire_at_ = math.inf
+        self.peers_measured_at_ = -math.inf
 
     def record_reported(self, pace: float, now: float) -> None:
         """Record the pace that an answer of the endpoint reports."""
@@ -117,6 +118,7 @@
         self.is_reported_ = True
         self.measured_by_peer_[entry_id] = measured
         self.peers_expire_at_ = -math.inf
+        self.peers_measured_at_ = max(self.peers_measured_at_, measured.measured_at)
         return True
 
     def estimate(self, now: float, *, log_unmeasured: float = 0.0) -> float:
@@ -153,12 +155,9 @@
     def age_s(self, now: float) -> float:
         """Return the time since the newest report or measurement of any kind.
 
-        Units: seconds; infinite if there was none.
+        Units: seconds; infinite if there was none, so finite where one is reported.
         """
-        self._expire_peers(now)
-        times = [self.reported_at_, self.measured_at_]
-        times += [peer.measured_at for peer in self.measured_by_peer_.values()]
-        return now - max(times)
+        return now - max(self.reported_at_, self.measured_at_, self.peers_measured_at_)
 
     def _expire_peers(self, now: float) -> None:
         """Forget the reports of peers that are too old, and sum up the others."""
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_pace.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_pace.py
@@ -79,6 +79,7 @@
     assert pace.age_s(11.0) == pytest.approx(0.8)
     assert pace.estimate(13.3) == 1.0
     assert pace.measured_by_peer_ == {}
+    assert pace.age_s(13.3) == pytest.approx(3.1)
 
 
 def test_an_older_entry_does_not_outweigh_what_all_others_measured():
