Keep the path of a request at whole endpoints

Cause: with a number of endpoints that is not whole, a request that fills one call at each would be forecast a second round. The path uses the nearest whole number; the backlog uses the exact one.

--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -78,8 +78,8 @@
 )
 MALFORMED_REPORTS_TOTAL = Counter(
     "leadford_malformed_reports_total",
-    "Answers in which an endpoint's report of itself held a figure that is no valid "
-    "one; the other figures were used.",
+    "Reports of endpoints on themselves, or of entries on endpoints, with an invalid "
+    "figure; the valid ones of an endpoint were used.",
     ["service"],
 )
 STORE_BYTES_TOTAL = Counter(
--- a/packages/leadford/src/leadford/forwarding/admission/_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_forecast.py
@@ -94,7 +94,7 @@
                 done_s.append(start_s)
                 continue
             limits = capacity.limits
-            rounds = -(-count // (limits.batch * max(1, capacity.endpoints)))
+            rounds = -(-count // (limits.batch * max(1, round(capacity.endpoints))))
             call_s = limits.duration_ms(min(count, limits.batch)) / 1_000.0
             done_s.append(start_s + rounds * call_s)
         return max(done_s, default=0.0)
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_forecast.py
@@ -39,6 +39,16 @@
     assert forecast((21, 0, 0)).critical_path_s() == pytest.approx(0.6)
 
 
+def test_slower_endpoints_count_as_fewer_but_their_calls_run_side_by_side():
+    """Two endpoints that together do the work of 1.6."""
+    slower = StageCapacity(LIMITS, 1.6)
+    assert slower.backlog_s(32, 0, 0.0) == StageCapacity(LIMITS, 1).backlog_s(
+        20, 0, 0.0
+    )
+    path_s = forecast((20, 0, 0), {FAST: slower}).critical_path_s()
+    assert path_s == pytest.approx(0.3)
+
+
 def delay_s(counts, backlog, *, is_late=False):
     return forecast(counts).longest_delay(backlog, 0.0, is_late=is_late).delay_s
 
