Keep the lasting pace when a report is too old

Two averages are kept, of the reported paces and of the rest, and the lasting pace is their product; entries report it. An unmeasured endpoint begins at the median only if half of the others are known, since one early report told what is usual.

Tests of endpoints, of the exchange and of paces over the wire pass.

--- a/packages/leadford/src/leadford/forwarding/endpoints/_pace.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_pace.py
@@ -1,11 +1,14 @@
 """Estimate the pace of one endpoint: how long its work takes, relative to the usual.
 
-Owned by `EndpointRecord`, so each start of an endpoint begins with a new estimate. The
-estimate is the product of two parts. The lasting part tells how fast the endpoint is in
-general. It is measured, here and by other entries, and each measurement is divided by
-the pace that the endpoint reported at that time. The momentary part is the pace that
-the endpoint reports, because endpoints share their hosts with others. Once that is too
-old, it is the part of the newest measurements that nothing else explains, which fades.
+Owned by `EndpointRecord`, so each start of an endpoint begins with a new estimate. An
+endpoint reports its momentary pace, which changes many times a second because it shares
+its host with others. The report may or may not hold how fast the endpoint is in
+general. Therefore two averages are kept: of the reported paces, and of the rest, which
+is what a measured duration shows beyond the pace that was reported then.
+
+- While the report is current, the estimate is the reported pace times the rest.
+- Afterwards it is the lasting pace: the product of both averages, joined with the
+  lasting paces that other entries measured, times a recent difference that fades.
 
 `_paces` compares the endpoints of a service. A pace of 2 means that work takes twice as
 long as usual. Averages are of logarithms, so that twice as fast and twice as slow
@@ -21,7 +24,7 @@
 
 # How long the pace that an endpoint reports of itself counts as current.
 REPORTED_PACE_FRESH_S = 0.6
-# Weights of the newest measurement in the two averages, from 0 to 1.
+# Weights of the newest value in the averages, from 0 to 1.
 LASTING_WEIGHT = 0.1
 RECENT_WEIGHT = 0.4
 # Half-lives of a measured difference from the usual pace, so that an endpoint that
@@ -66,8 +69,11 @@
         self.is_reported_ = False
         self.log_reported_ = 0.0
         self.reported_at_ = -math.inf
-        self.log_lasting_ = 0.0
-        self.samples_ = 0
+        self.is_refuted_ = False
+        self.log_reported_mean_ = 0.0
+        self.reports_ = 0
+        self.log_rest_ = 0.0
+        self.measurements_ = 0
         self.measured_at_ = -math.inf
         self.log_recent_ = 0.0
         self.recent_at_ = -math.inf
@@ -82,20 +88,26 @@
     def record_reported(self, pace: float, now: float) -> None:
         """Record the pace that an answer of the endpoint reports."""
         self.is_reported_ = True
+        self.is_refuted_ = False
         self.log_reported_ = math.log(pace)
+        self.log_reported_mean_ = self._faded_mean(now)
+        self.reports_ += 1
+        weight = max(LASTING_WEIGHT, 1.0 / self.reports_)
+        self.log_reported_mean_ += weight * (
+            self.log_reported_ - self.log_reported_mean_
+        )
         self.reported_at_ = now
 
     def record_measured(self, ratio: float, now: float) -> None:
         """Record the ratio of a measured duration to the usual duration."""
-        log_ratio = math.log(_bounded(ratio / self.reported_pace(now)))
-        unexplained = log_ratio - self._log_lasting(now)
+        rest = math.log(_bounded(ratio / self.reported_pace(now)))
         self.log_recent_ = self._faded_recent(now)
-        self.log_recent_ += RECENT_WEIGHT * (unexplained - self.log_recent_)
+        self.log_recent_ += RECENT_WEIGHT * (rest - self._rest(now) - self.log_recent_)
         self.recent_at_ = now
-        self.log_lasting_ = self._faded_lasting(now)
-        self.samples_ += 1
-        weight = max(LASTING_WEIGHT, 1.0 / self.samples_)
-        self.log_lasting_ += weight * (log_ratio - self.log_lasting_)
+        self.log_rest_ = self._faded_rest(now)
+        self.measurements_ += 1
+        weight = max(LASTING_WEIGHT, 1.0 / self.measurements_)
+        self.log_rest_ += weight * (rest - self.log_rest_)
         self.measured_at_ = now
 
     def record_overdue(self, ratio: float, now: float) -> None:
@@ -103,9 +115,9 @@
 
         The pace that the endpoint reported before no longer counts.
         """
-        self.reported_at_ = -math.inf
-        unexplained = math.log(_bounded(ratio)) - self._log_lasting(now)
-        self.log_recent_ = max(self._faded_recent(now), unexplained)
+        self.is_refuted_ = True
+        beyond = math.log(_bounded(ratio)) - self._log_lasting(now)
+        self.log_recent_ = max(self._faded_recent(now), beyond)
         self.recent_at_ = now
 
     def record_peer(self, entry_id: EntryId, measured: MeasuredPace) -> bool:
@@ -123,41 +135,47 @@
 
     def estimate(self, now: float, *, log_unmeasured: float = 0.0) -> float:
         """Return the pace, given the logarithm at which an unmeasured one begins."""
-        log_pace = self._log_lasting(now, log_unmeasured=log_unmeasured)
-        if now - self.reported_at_ <= REPORTED_PACE_FRESH_S:
-            log_pace += self.log_reported_
-        else:
-            log_pace += self._faded_recent(now)
-        return _bounded(math.exp(log_pace))
+        if self._is_report_fresh(now):
+            return _bounded(math.exp(self.log_reported_ + self._rest(now)))
+        log_lasting = self._log_lasting(now, log_unmeasured=log_unmeasured)
+        return _bounded(math.exp(log_lasting + self._faded_recent(now)))
 
     def reported_pace(self, now: float) -> float:
-        """Return the pace that the endpoint reports now; 1 if that is unknown."""
-        is_fresh = now - self.reported_at_ <= REPORTED_PACE_FRESH_S
-        return math.exp(self.log_reported_) if is_fresh else 1.0
+        """Return the pace that the endpoint reports now, or reported on average."""
+        is_fresh = self._is_report_fresh(now)
+        return math.exp(self.log_reported_ if is_fresh else self._faded_mean(now))
 
     def measured(self, now: float) -> MeasuredPace | None:
-        """Return what this entry measured itself, or None if it measured nothing."""
+        """Return the lasting pace that this entry knows itself, if any."""
         log_pace = self.log_measured(now)
         if log_pace is None:
             return None
-        samples = min(self.samples_, MAX_COUNTED_SAMPLES)
-        return MeasuredPace(_bounded(math.exp(log_pace)), samples, self.measured_at_)
+        return MeasuredPace(
+            _bounded(math.exp(log_pace)), self._own_samples, self.own_at
+        )
 
     def log_measured(self, now: float) -> float | None:
-        """Return the logarithm of the lasting part that this entry measured itself."""
-        return self._faded_lasting(now) if self.samples_ > 0 else None
+        """Return the logarithm of the lasting pace that this entry knows itself."""
+        if self._own_samples == 0:
+            return None
+        return self._faded_mean(now) + self._rest(now)
+
+    @property
+    def own_at(self) -> float:
+        """Return when this entry last heard from the endpoint or measured it."""
+        return max(self.reported_at_, self.measured_at_)
 
     def is_tried(self, now: float) -> bool:
         """Tell whether the endpoint has shown that it answers."""
         self._expire_peers(now)
-        return self.is_reported_ or self.samples_ > 0 or self.peer_samples_ > 0
+        return self.is_reported_ or self._own_samples > 0 or self.peer_samples_ > 0
 
     def age_s(self, now: float) -> float:
         """Return the time since the newest report or measurement of any kind.
 
         Units: seconds; infinite if there was none, so finite where one is reported.
         """
-        return now - max(self.reported_at_, self.measured_at_, self.peers_measured_at_)
+        return now - max(self.own_at, self.peers_measured_at_)
 
     def _expire_peers(self, now: float) -> None:
         """Forget the reports of peers that are too old, and sum up the others."""
@@ -178,15 +196,32 @@
             self.peers_expire_at_ = min(self.peers_expire_at_, expires_at)
 
     def _log_lasting(self, now: float, *, log_unmeasured: float = 0.0) -> float:
-        """Return the lasting part, joined from all entries by their measurements."""
+        """Return the lasting pace, joined from all entries by their measurements."""
         self._expire_peers(now)
-        own = min(self.samples_, MAX_COUNTED_SAMPLES)
+        own = self._own_samples
         total = USUAL_PACE_SAMPLES * log_unmeasured + self.peer_log_sum_
-        total += own * self._faded_lasting(now)
+        total += own * (self._faded_mean(now) + self._rest(now))
         return total / (USUAL_PACE_SAMPLES + own + self.peer_samples_)
 
-    def _faded_lasting(self, now: float) -> float:
-        return _faded(self.log_lasting_, now - self.measured_at_, LASTING_HALF_LIFE_S)
+    @property
+    def _own_samples(self) -> int:
+        return min(max(self.reports_, self.measurements_), MAX_COUNTED_SAMPLES)
+
+    def _is_report_fresh(self, now: float) -> bool:
+        is_recent = now - self.reported_at_ <= REPORTED_PACE_FRESH_S
+        return is_recent and not self.is_refuted_
+
+    def _rest(self, now: float) -> float:
+        """Return what durations show beyond the reported pace, with the usual pace."""
+        count = min(self.measurements_, MAX_COUNTED_SAMPLES)
+        return self._faded_rest(now) * count / (count + USUAL_PACE_SAMPLES)
+
+    def _faded_rest(self, now: float) -> float:
+        return _faded(self.log_rest_, now - self.measured_at_, LASTING_HALF_LIFE_S)
+
+    def _faded_mean(self, now: float) -> float:
+        age_s = now - self.reported_at_
+        return _faded(self.log_reported_mean_, age_s, LASTING_HALF_LIFE_S)
 
     def _faded_recent(self, now: float) -> float:
         return _faded(self.log_recent_, now - self.recent_at_, RECENT_HALF_LIFE_S)
--- a/packages/leadford/src/leadford/forwarding/endpoints/_paces.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_paces.py
@@ -40,13 +40,14 @@
 ) -> dict[EndpointId, float] | None:
     """Return the pace of each endpoint, or None if none of them reports a pace.
 
-    Endpoints that were not measured get the median lasting pace of those that were.
+    Endpoints that were not measured begin at the median of those that were, or at the
+    usual pace while these are fewer than half.
     """
     if not any(record.pace_.is_reported_ for record in records):
         return None
     measured = [record.pace_.log_measured(now) for record in records]
     known = sorted(item for item in measured if item is not None)
-    median = known[len(known) // 2] if known else 0.0
+    median = known[len(known) // 2] if 2 * len(known) >= len(records) else 0.0
     return {
         record.listed.endpoint_id: record.pace_.estimate(now, log_unmeasured=median)
         for record in records
@@ -88,7 +89,7 @@
     found = []
     for record in records:
         pace = record.pace_
-        if not pace.is_reported_ or now - pace.measured_at_ > REPORTED_MAX_AGE_S:
+        if not pace.is_reported_ or now - pace.own_at > REPORTED_MAX_AGE_S:
             continue
         measured = pace.measured(now)
         if measured is None or abs(measured.pace - 1.0) < REPORTED_DIFFERENCE:
