--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -210,11 +210,18 @@
 
         Units: elapsed_s in seconds.
         """
-        if self.sent_prompt_ is not None:
-            self.state.engines_.record_first_token(
-                self.sent_prompt_, elapsed_s * 1_000.0
+        sent = self.sent_prompt_
+        if sent is None:
+            return
+        elapsed_ms = elapsed_s * 1_000.0
+        self.state.engines_.record_first_token(sent, elapsed_ms)
+        record = self.state.roster_.record(sent.endpoint_id)
+        # Others do not know which parts of the prompt the engine had cached.
+        if record is not None and not sent.waits and self.choice.places_for_all:
+            self.state.pace_meter_.record_prefill(
+                record, sent.prefill_tokens, elapsed_ms, self.state.now()
             )
-            self.record_prompt_read()
+        self.record_prompt_read()
 
     def record_prompt_read(self) -> None:
         """Record that the engine has read the prompt, or that the attempt is over."""
@@ -229,6 +236,8 @@
         self.progress.tried_endpoint_ids_.append(record.listed.endpoint_id)
         self.inputs.record_attempt()
         began_at = self.state.now()
+        self.progress.pace_ = record.pace(began_at)
+        self.progress.pace_age_s_ = record.pace_.age_s(began_at)
         record.in_flight_ += 1
         self.is_suspect_ = self.choice.runs_apart
         record.suspect_requests_in_flight_ += self.is_suspect_
--- a/packages/leadford/src/leadford/forwarding/batching/_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_capacity.py
@@ -11,7 +11,7 @@
 
 from leadford.common import EndpointId, EntryId, HallId
 from leadford.forwarding.batching._endpoint_capacity import EndpointCapacity
-from leadford.forwarding.endpoints import EndpointRecord
+from leadford.forwarding.endpoints import EndpointRecord, estimate_paces
 from leadford.forwarding.routes import PieceLimits
 
 # Reports of what another entry occupies at endpoints expire after this age.
@@ -122,14 +122,15 @@
         moving_cost_s = moving_cost_s_by_hall or {}
         trusted = [record for record in records if not record.is_suspect(now)]
         pieces = max(1, min(limits.batch, waiting))
+        paces = _call_paces(trusted or records, now)
         scored = [
             (
-                self._finish_s(record, limits, pieces, now)
+                self._finish_s(record, limits, pieces, pace, now)
                 + moving_cost_s.get(record.listed.hall, 0.0),
                 number,
                 record,
             )
-            for number, record in enumerate(trusted or records)
+            for number, (record, pace) in enumerate(paces)
         ]
         found = []
         assigned = 0
@@ -142,21 +143,20 @@
         return found
 
     def _finish_s(
-        self, record: EndpointRecord, limits: PieceLimits, pieces: int, now: float
+        self,
+        record: EndpointRecord,
+        limits: PieceLimits,
+        pieces: int,
+        pace: float,
+        now: float,
     ) -> float:
         capacity = self.capacity(record.listed.endpoint_id, limits)
-        duration_s = self._duration_s(record, limits, pieces, now)
+        duration_s = limits.duration_ms(pieces) / 1_000.0 * pace
         wait_s = max(0.0, capacity.busy_until_ - now) if capacity.calls_ else 0.0
         wait_s += record.other_load(now) * duration_s
         wait_s = max(wait_s, capacity.paused_until_ - now)
         return wait_s + duration_s
 
-    def _duration_s(
-        self, record: EndpointRecord, limits: PieceLimits, pieces: int, now: float
-    ) -> float:
-        """Return the expected duration of a call at an endpoint."""
-        return limits.duration_ms(pieces) / 1_000.0 * max(1.0, record.slowness(now))
-
     def wait_s(
         self,
         records: list[EndpointRecord],
@@ -195,3 +195,16 @@
         for endpoint_id, capacity in list(self.capacity_by_id_.items()):
             if endpoint_id not in known and capacity.calls_ == 0:
                 del self.capacity_by_id_[endpoint_id]
+
+
+def _call_paces(
+    records: list[EndpointRecord], now: float
+) -> list[tuple[EndpointRecord, float]]:
+    """Return endpoints with the ratio of the duration of calls to the expected one.
+
+    Where no endpoint reports a pace, none counts as faster than expected.
+    """
+    paces = estimate_paces(records, now)
+    if paces is None:
+        return [(record, max(1.0, record.slowness(now))) for record in records]
+    return [(record, paces[record.listed.endpoint_id]) for record in records]
