--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -26,6 +26,8 @@
 NO_LEVEL = -1
 # Logged for a moment that did not occur.
 NEVER_MS = -1
+# Logged for whether a return was promised, and came as told.
+CLAIM_FIELDS = {None: "", True: "kept", False: "none"}
 
 
 class RequestEnd(msgspec.Struct, frozen=True):
@@ -55,12 +57,19 @@
         # The level by which admission judged, and the service that was short.
         self.level_: int | None = None
         self.short_service_id_: ServiceId | None = None
+        # Whether capacity was booked for its return; None if that was not asked.
+        self.is_return_kept_: bool | None = None
+        # The delay that the caller was told, if capacity is booked for its return.
+        self.booked_s_: float | None = None
         self.input_remakes_ = 0
         self.may_have_run_ = False
         self.retry_reason_: RetryReason | None = None
         self.end_ = RequestEnd()
         # Written by the attempts.
         self.tried_endpoint_ids_: list[EndpointId] = []
+        # The pace of the last one when it was sent the request, and the age of that.
+        self.pace_: float | None = None
+        self.pace_age_s_ = 0.0
         # Written when the answer begins.
         self.first_byte_at_: float | None = None
         self.model_version_: int | None = None
@@ -123,6 +132,7 @@
         fingerprint=request.fingerprint,
         digest=progress.digest_,
         endpoints=",".join(progress.tried_endpoint_ids_),
+        **_pace_fields(progress),
         status=end.status,
         outcome=end.outcome.value,
         reason=end.reason.value,
@@ -130,6 +140,8 @@
         detail=end.detail[:MAX_DETAIL_CHARACTERS],
         expected_ms=round(expected_s * 1_000.0),
         caller_ms=request.deadline_ms or 0.0,
+        booked_ms=_elapsed_ms(progress.booked_s_, 0.0),
+        claim=CLAIM_FIELDS[progress.is_return_kept_],
         pause_ms=round(progress.longest_pause_s_ * 1_000.0),
         stages_ms=_elapsed_ms(stages_done_at, request.received_at),
         first_ms=_elapsed_ms(first, request.received_at),
@@ -156,6 +168,14 @@
     }
 
 
+def _pace_fields(progress: RequestProgress) -> dict[str, float | int]:
+    """Return the log fields for the pace of the last endpoint, if it reports one."""
+    if progress.pace_ is None:
+        return {}
+    age_ms = round(progress.pace_age_s_ * 1_000.0)
+    return {"pace": round(progress.pace_, 2), "pace_age_ms": age_ms}
+
+
 def _elapsed_ms(moment: float | None, since: float) -> int:
     return NEVER_MS if moment is None else round((moment - since) * 1_000.0)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -20,9 +20,14 @@
     GroupLoad,
     PlaceId,
     ThroughputRate,
+    sum_uses,
 )
 from leadford.forwarding.endpoints import LimitObservation
-from leadford.forwarding.membership import HeartbeatNews, is_due
+from leadford.forwarding.membership import (
+    REDUCED_HEARTBEAT_DIVISOR,
+    HeartbeatNews,
+    is_due,
+)
 from leadford.forwarding.routes import (
     LEVEL_HIGHEST,
     LEVEL_LESS_URGENT,
@@ -49,10 +54,14 @@
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching import StageRunner
 from leadford_server.forwarding.membership._levels import LevelExchange
+from leadford_server.forwarding.membership._paces import AddressedPaces
 from leadford_server.peers import PeerConnection
 
 # The rate on the wire that says that an endpoint has no limit any more.
 NO_LIMIT_PER_S = -1.0
+# One of so many heartbeats carries the paces of endpoints. Links that skip heartbeats
+# carry it too, since it is a multiple of their divisor.
+PACES_HEARTBEAT_DIVISOR = 2 * REDUCED_HEARTBEAT_DIVISOR
 
 
 class Heartbeat:
@@ -70,9 +79,11 @@
         fleet_levels: FleetLevels | None,
         number: int,
         scheduler_ids: Collection[EntryId],
+        paces: AddressedPaces | None = None,
     ) -> None:
         self.message = message
         self.scheduler_ids = scheduler_ids
+        self.paces = paces
         # Each optional part with the lowest protocol version that can read it.
         self.parts_ = (
             (confirmations, confirmed_version),
@@ -100,6 +111,8 @@
         for part, min_version in self.parts_:
             if part is not None and version >= min_version:
                 peer.send(part)
+        if self.paces is not None:
+            self.paces.send(peer)
 
 
 class Heartbeats:
@@ -114,6 +127,11 @@
         self.levels = LevelExchange(state=state, stages=stages)
         self.heartbeat_count_ = 0
 
+    @property
+    def next_carries_paces(self) -> bool:
+        """Return whether the next heartbeat carries the paces of endpoints."""
+        return (self.heartbeat_count_ + 1) % PACES_HEARTBEAT_DIVISOR == 0
+
     def next(
         self,
         groups: set[GroupId],
@@ -122,6 +140,7 @@
         lowest_version: int,
         confirmations: StoreConfirmations | None,
         confirmed_version: int,
+        paces: AddressedPaces | None = None,
     ) -> Heartbeat:
         """Return the next heartbeat; each refusal is reported only once.
 
@@ -148,6 +167,7 @@
             fleet_levels=self.levels.make_fleet(scheduled_ids, groups),
             number=self.heartbeat_count_,
             scheduler_ids={self.stages.groups.scheduler_of(group) for group in groups},
+            paces=paces,
         )
 
     def make(
@@ -312,11 +332,20 @@
             )
 
     def _capacity_reports(self) -> list[LaneReport]:
-        """Return the capacity that this entry uses where others schedule now."""
+        """Return the capacity that this entry uses where others schedule now.
+
+        Includes results of its requests whose scheduler was lost. Where this entry
+        schedules itself, it counts those as other entries count its report.
+        """
+        scheduler = self.stages.scheduler_
+        now = self.state.now()
+        unaccounted = self.stages.results.unaccounted_uses(now)
+        scheduler.capacities_.record_foreign_use(self.entry_id, unaccounted, now)
         groups = self.stages.groups
-        uses = self.stages.scheduler_.loads.uses_in_foreign_groups(
+        uses = scheduler.loads.uses_in_foreign_groups(
             lambda group: groups.scheduler_of(group) != self.entry_id
         )
         return [
-            LaneReport(use.endpoint_id, use.result_bytes, use.calls) for use in uses
+            LaneReport(use.endpoint_id, use.result_bytes, use.calls)
+            for use in sum_uses([*uses, *unaccounted])
         ]
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -33,10 +33,13 @@
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding._store_contract import KnownEntry
 from leadford_server.forwarding.batching import PieceExchange, StageRunner
+from leadford_server.forwarding.membership._bookings import BookingExchange
 from leadford_server.forwarding.membership._crashes import CrashExchange
 from leadford_server.forwarding.membership._fleet import FleetView
 from leadford_server.forwarding.membership._heartbeats import Heartbeats
+from leadford_server.forwarding.membership._ledgers import ServiceLedgers
 from leadford_server.forwarding.membership._news import NewsExchange
+from leadford_server.forwarding.membership._paces import AddressedPaces, PaceExchange
 from leadford_server.forwarding.membership._placing import EnginePlacing
 from leadford_server.forwarding.membership._relays import StoreRelays
 from leadford_server.forwarding.store import HallsHolder
@@ -88,6 +91,7 @@
         self.server_: PeerServer | None = None
         self.is_draining_ = False
         self.heartbeats = Heartbeats(entry_id=entry_id, state=state, stages=stages)
+        self.paces = PaceExchange(state=state)
         self.pieces = PieceExchange(
             state=state, stages=stages, peers_by_id=self.peers_by_id_
         )
@@ -120,6 +124,13 @@
             all_know=self.all_know,
         )
         state.placing_ = self.placing
+        self.ledgers = ServiceLedgers(
+            state=state, stages=stages, all_know=self.all_know
+        )
+        self.bookings = BookingExchange(
+            state=state, peers_by_id=self.peers_by_id_, ledgers=self.ledgers
+        )
+        state.bookings_ = self.bookings
         self.handlers_ = self._handlers()
 
     def _handlers(self) -> MessageHandlers:
@@ -134,7 +145,9 @@
             **self.news.handlers(),
             **self.relays.handlers(),
             **self.placing.handlers(),
+            **self.bookings.handlers(),
             **self.crashes.handlers(),
+            **self.paces.handlers(),
         }
 
     async def start(self) -> None:
@@ -199,12 +212,14 @@
         }
         self.shared_rules_ = self.builds_.shared_rules(version_by_live_peer)
         self.state.has_priority_levels_ = self.all_know(SharedRule.PRIORITY_LEVELS)
+        self.ledgers.refresh()
         heartbeat = self.heartbeats.next(
             self.fleet.stage_groups(),
             is_draining=self.is_draining_,
             lowest_version=self.builds_.lowest_linked(version_by_live_peer),
             confirmations=self.relays.confirmations(),
             confirmed_version=self.relays.min_version,
+            paces=self._pace_news(),
         )
         for entry_id, peer in list(self.peers_by_id_.items()):
             if self.heard_.is_silent(entry_id, now):
@@ -213,6 +228,18 @@
                 continue
             heartbeat.send(peer)
 
+    def _pace_news(self) -> AddressedPaces | None:
+        """Return the paces to report, and the entries that decide by them."""
+        if not self.heartbeats.next_carries_paces:
+            return None
+        news = self.paces.make()
+        if news is None:
+            return None
+        groups = self.fleet.stage_groups() | self.fleet.engine_groups()
+        return self.paces.address(
+            news, {self.stages.groups.scheduler_of(group) for group in groups}
+        )
+
     def all_know(self, rule: SharedRule) -> bool:
         """Return whether the build of every live entry knows a rule."""
         return rule in self.shared_rules_
@@ -263,6 +290,7 @@
         self.relays.forget(entry_id)
         self.state.log.report(Event.PEER_LOST, peer=entry_id)
         self.stages.scheduler_.drop_pieces_of(entry_id)
+        self.stages.results.record_scheduler_lost(entry_id)
         self.stages.sent.on_scheduler_lost(entry_id)
         self.stages.backlog_.forget(entry_id)
 
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -19,6 +19,9 @@
 # store.
 _GAP_SECONDS = (0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 3.5, 4.0, 5.0, 7.0, 10.0, 15.0, 30.0)
 
+_FILL_RATIOS = (0.1, 0.25, 0.5, 0.7, 0.85, 0.95, 1.0)
+_PACE_BUCKETS = (0.3, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 3.0, 5.0, 10.0)
+
 EVENTS_TOTAL = Counter("leadford_events_total", "Events by name.", ["event"])
 REQUESTS_TOTAL = Counter(
     "leadford_requests_total",
@@ -66,6 +69,12 @@
     "what the caller announces.",
     ["known_by"],
 )
+BOOKINGS_TOTAL = Counter(
+    "leadford_bookings_total",
+    "Bookings for refused callers at the scheduler of a service, by what became of "
+    "them; elsewhere, queries that the scheduler did not answer in time.",
+    ["end"],
+)
 PLACED_TOTAL = Counter(
     "leadford_placed_total",
     "Prompts whose engine another entry was asked for, by what it said.",
@@ -80,6 +89,12 @@
     "leadford_unreadable_records_total",
     "Records of the store or a peer that could not be read and were passed over.",
 )
+MALFORMED_REPORTS_TOTAL = Counter(
+    "leadford_malformed_reports_total",
+    "Reports of endpoints on themselves, or of entries on endpoints, with an invalid "
+    "figure; the valid ones of an endpoint were used.",
+    ["service"],
+)
 STORE_BYTES_TOTAL = Counter(
     "leadford_store_bytes_total",
     "Bytes of answers of the store; those of a lost answer are fetched again.",
@@ -126,7 +141,26 @@
 PIECE_CALLS_TOTAL = Counter(
     "leadford_piece_calls_total", "Calls of batched stages by end.", ["end"]
 )
+CALL_FILL = Histogram(
+    "leadford_call_fill",
+    "Pieces of a call of a batched stage per place, by service.",
+    ["service"],
+    buckets=_FILL_RATIOS,
+)
 PIECES_TOTAL = Counter("leadford_pieces_total", "Pieces by end.", ["end"])
+ENDPOINT_PACE = Histogram(
+    "leadford_endpoint_pace",
+    "Pace of the endpoint at each answer that reports one: duration of its work "
+    "divided by the usual duration.",
+    ["service"],
+    buckets=_PACE_BUCKETS,
+)
+ENDPOINT_PACE_AGE_SECONDS = Gauge(
+    "leadford_endpoint_pace_age_seconds",
+    "Time since the newest report or measurement of the endpoint for which it is "
+    "longest.",
+    ["service"],
+)
 LIVE_REQUESTS = Gauge("leadford_live_requests", "Requests under way.")
 QUEUED_ATTEMPTS = Gauge("leadford_queued_attempts", "Attempts that wait.")
 RUNNING_ATTEMPTS = Gauge("leadford_running_attempts", "Attempts that run.")
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -209,6 +209,11 @@
         queue_delay_s = max(delay.delay_s for delay in (engine_delay, *delays))
         error_s = self._forecast_error(request.route).value_
         expected_s = min_answer_s + queue_delay_s + error_s
+        if request.is_booked and can_keep_booking(request):
+            self._record_admitted(request, forecast)
+            return _admit_booked(
+                request, expected_s, since_first_try_s, is_late, refused
+            )
         limits = _LimitTerms(critical_path_s, is_caller_retry, is_late)
         too_long = [
             delay
@@ -216,14 +221,8 @@
             if min_answer_s + delay.delay_s + error_s
             > _limit_s(request, limits, delay.service_id)
         ]
-        if not too_long or _is_kept_promise(request, min_answer_s, delays):
-            if request.workspace_id is not None:
-                self.shares_.record_request(
-                    request.workspace_id,
-                    forecast.pieces_by_service(),
-                    request.contended_ids,
-                    request.now,
-                )
+        if not too_long:
+            self._record_admitted(request, forecast)
             return AdmissionDecision(
                 Verdict.ADMIT,
                 expected_s,
@@ -249,11 +248,26 @@
             expected_s,
             wait_s,
             is_caller_retry,
-            is_refusal_known=refused is not None,
+            since_first_try_s,
+            is_late,
+            refused is not None,
             short_service_id=short_id,
             level=request.level_at(short_id),
         )
 
+    def _record_admitted(
+        self, request: AdmissionRequest, forecast: StageForecast
+    ) -> None:
+        """Count the pieces of an admitted request for the shares of workspaces."""
+        if request.workspace_id is None:
+            return
+        self.shares_.record_request(
+            request.workspace_id,
+            forecast.pieces_by_service(),
+            request.contended_ids,
+            request.now,
+        )
+
     def _forecast(self, request: AdmissionRequest) -> StageForecast:
         by_level = None
         if request.contended_ids:
@@ -265,6 +279,17 @@
             by_level=by_level,
         )
 
+    def is_return(self, request: AdmissionRequest) -> bool:
+        """Tell whether a request looks like a retry, without recording its caller."""
+        if self.reservations.find(request.fingerprint, request.now) is not None:
+            return True
+        if request.caller_timeout_s is None:
+            return False
+        since_first_try_s = self.common_timeouts_.since_first_try_s(
+            request.route.route_id, request.caller_timeout_s
+        )
+        return since_first_try_s is not None
+
     def _inferred_first_try_s(self, request: AdmissionRequest) -> float | None:
         """Infer the time since the first try from the timeouts that callers state.
 
@@ -338,6 +363,43 @@
         return min(wait_s, max_retry_after_s)
 
 
+def can_keep_booking(request: AdmissionRequest) -> bool:
+    """Return whether a request can be answered in time with nothing before it."""
+    for stage, count in zip(request.route.stages, request.counts, strict=True):
+        capacity = request.capacity_by_service.get(stage.service_id)
+        if count > 0 and (capacity is None or capacity.endpoints == 0):
+            return False
+    forecast = StageForecast(
+        route=request.route,
+        counts=request.counts,
+        capacity_by_service=request.capacity_by_service,
+    )
+    answer_s = forecast.critical_path_s() + request.first_byte_s
+    return request.elapsed_s + answer_s <= DEADLINE_FRACTION * request.timeout_s
+
+
+def _admit_booked(
+    request: AdmissionRequest,
+    expected_s: float,
+    since_first_try_s: float,
+    is_late: bool,
+    refused: RetryReservation | None,
+) -> AdmissionDecision:
+    """Admit a request with a booking; capacity for its pieces is reserved.
+
+    One that is late keeps its promise behind the requests that can still be in time.
+    """
+    return AdmissionDecision(
+        Verdict.ADMIT,
+        expected_s,
+        is_caller_retry=True,
+        since_first_try_s=since_first_try_s,
+        is_late=is_late,
+        is_refusal_known=refused is not None,
+        level=request.level_at(None),
+    )
+
+
 def _limit_s(
     request: AdmissionRequest, terms: _LimitTerms, service_id: ServiceId | None
 ) -> float:
@@ -375,20 +437,3 @@
     min_answer_s = request.elapsed_s + critical_path_s + request.first_byte_s
     limit_s = min_answer_s + fraction * max(0.0, request.aim_s - min_answer_s)
     return min(limit_s, DEADLINE_FRACTION * request.timeout_s)
-
-
-def _is_kept_promise(
-    request: AdmissionRequest, min_answer_s: float, delays: list[StageDelay]
-) -> bool:
-    """Tell whether a request is admitted because capacity was booked for it.
-
-    It is refused if it could not be answered in time with nothing before it.
-    """
-    if not request.is_booked or min_answer_s > DEADLINE_FRACTION * request.timeout_s:
-        return False
-    return all(_has_endpoint(request, delay.service_id) for delay in delays)
-
-
-def _has_endpoint(request: AdmissionRequest, service_id: ServiceId | None) -> bool:
-    capacity = request.capacity_by_service.get(service_id)
-    return capacity is not None and capacity.endpoints > 0
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/admission/_return_window.py
@@ -0,0 +1,75 @@
+"""Find when a refused caller may usefully return, and admit it when it has.
+
+A booking is made not before the backlog allows it according to the forecast, not
+later than callers wait, and early enough to be answered by the deadline, and within the
+latency target if that is still possible. A request that cannot meet its target books
+what the lowest level may, and waits behind those that can be in time. An entry may
+not recognize a return; the scheduler then names the booking that is due.
+"""
+
+import msgspec
+
+from leadford.forwarding.admission._bookings import MAX_EARLY_CLAIM_S, BookingQuery
+from leadford.forwarding.admission._decision import (
+    DEADLINE_FRACTION,
+    MAX_RETRY_AFTER_DIVISOR,
+    MIN_RETRY_AFTER_S,
+    AdmissionDecision,
+    AdmissionRequest,
+    Verdict,
+    can_keep_booking,
+)
+from leadford.forwarding.admission._forecast import StageForecast
+from leadford.forwarding.routes import PRIORITY_LOWEST
+
+
+def booking_query(
+    request: AdmissionRequest, decision: AdmissionDecision
+) -> BookingQuery | None:
+    """Return the booking that a refused request needs; None if no return is useful."""
+    forecast = StageForecast(
+        route=request.route,
+        counts=request.counts,
+        capacity_by_service=request.capacity_by_service,
+    )
+    pieces = forecast.pieces_by_service().get(decision.short_service_id, 0)
+    remaining_s = request.timeout_s - request.elapsed_s
+    answer_s = forecast.critical_path_s() + request.first_byte_s
+    # After its return, the request is admitted within this part of the rest.
+    latest_s = min(
+        remaining_s / MAX_RETRY_AFTER_DIVISOR,
+        remaining_s - answer_s / DEADLINE_FRACTION,
+    )
+    if pieces == 0 or latest_s < MIN_RETRY_AFTER_S:
+        return None
+    level = request.route.priority
+    tried_s = decision.since_first_try_s + request.elapsed_s
+    in_time_s = request.aim_s - tried_s - answer_s
+    if in_time_s >= MIN_RETRY_AFTER_S:
+        latest_s = min(latest_s, in_time_s)
+    else:
+        level = PRIORITY_LOWEST
+    return BookingQuery(
+        request.fingerprint,
+        level,
+        pieces,
+        min(decision.retry_after_s, latest_s),
+        latest_s,
+    )
+
+
+def is_due(return_s: float) -> bool:
+    """Return whether a booking may be claimed now, by when its caller may return.
+
+    New bookings are made for later: the caller has returned for this one.
+    """
+    return return_s <= MAX_EARLY_CLAIM_S
+
+
+def admit_booked(
+    request: AdmissionRequest, decision: AdmissionDecision
+) -> AdmissionDecision:
+    """Admit a refused request whose booking was found only after the decision."""
+    if not can_keep_booking(request):
+        return decision
+    return msgspec.structs.replace(decision, verdict=Verdict.ADMIT, retry_after_s=0.0)
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -11,15 +11,27 @@
     EngineChooser,
     SentPrompt,
 )
+from leadford.forwarding.endpoints._gaps import EventGaps
 from leadford.forwarding.endpoints._halls import EvacuatedHalls, HallNotice
 from leadford.forwarding.endpoints._limits import EndpointLimits, LimitObservation
 from leadford.forwarding.endpoints._model import (
     Backpressure,
     EndpointAddress,
+    EndpointReport,
     ListedEndpoint,
     ListedState,
     ReportedLoad,
 )
+from leadford.forwarding.endpoints._pace import EndpointPace, MeasuredPace
+from leadford.forwarding.endpoints._paces import (
+    MAX_REPORTED_PACES,
+    PaceMeter,
+    ReportablePace,
+    effective_count,
+    estimate_paces,
+    oldest_ages_s,
+    reportable_paces,
+)
 from leadford.forwarding.endpoints._placement import (
     PLACEMENT_TIMEOUT_S,
     PlacedId,
@@ -43,15 +55,21 @@
     "EndpointChooser",
     "EndpointFailure",
     "EndpointLimits",
+    "EndpointPace",
     "EndpointRecord",
+    "EndpointReport",
     "EndpointRetryAfter",
     "EndpointRoster",
     "EngineChooser",
     "EvacuatedHalls",
+    "EventGaps",
     "FirstByteTimes",
     "HallNotice",
     "LimitObservation",
+    "MAX_REPORTED_PACES",
+    "MeasuredPace",
     "PLACEMENT_TIMEOUT_S",
+    "PaceMeter",
     "PlacedId",
     "PlacedPrompts",
     "SentPrompt",
@@ -59,11 +77,16 @@
     "ListedState",
     "PromptPart",
     "PromptShape",
+    "ReportablePace",
     "ReportedLoad",
     "RosterChange",
+    "effective_count",
+    "estimate_paces",
     "max_connections",
     "may_use_again",
+    "oldest_ages_s",
     "pool_count",
     "is_dialable",
     "prompt_pool",
+    "reportable_paces",
 ]
