Bound and count the bytes held for slow callers and endpoints

Cause: the events of a stream were read ahead of a slow caller up to 64 MiB, plain answers and bodies were counted by nobody, and an answer that its caller never read stayed for ever. A process over its memory limit is killed.

Change: leadford.forwarding.memory derives a budget from the limit in the settings, counts by cause, refuses new work before its body is read (503, reason memory), stops reading from endpoints, and names the callers without progress that are cut off when the memory is needed. An endpoint that cuts off an answer which was left unread for its caller counts neither as failed nor as crashed.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -16,8 +16,9 @@
 from leadford.common import EntryId
 from leadford.events import Event
 from leadford.forwarding.admission import ForwardAdmission
-from leadford.forwarding.answers import RequestOutcome
+from leadford.forwarding.answers import EndReason, FinalAnswer, RequestOutcome
 from leadford.forwarding.membership import may_stop, stop_ends_at
+from leadford.forwarding.memory import MemoryRefusal
 from leadford.forwarding.routes import ForwardConfig
 from leadford_server.clock import SuspensionWatch, boot_time
 from leadford_server.forwarding._contract import RequestCodec
@@ -46,6 +47,7 @@
     ObjectsClient,
 )
 from leadford_server.logs import EventLog
+from leadford_server.metrics import FORWARDED_TOTAL
 
 # Time between checks for requests under way during a planned stop.
 DRAIN_POLL_INTERVAL_S = 0.05
@@ -108,6 +110,9 @@
             is_draining=lambda: self.is_draining_,
             on_fault=self._on_fault,
             on_rejected=self._on_denied,
+            on_refused=self._on_refused,
+            on_cut_off=self._on_cut_off,
+            memory=self.state_.memory_,
         )
         self.caller_server_.start(settings.callers.host, settings.callers.port)
         self._start_ready_server()
@@ -285,6 +290,32 @@
             detail="beyond the limits of the configuration",
         )
 
+    def _on_refused(
+        self, exchange: CallerExchange, refusal: MemoryRefusal, answer: FinalAnswer
+    ) -> None:
+        """Log a request that was refused before its body was read."""
+        FORWARDED_TOTAL.labels(kind="none", end=answer.outcome.value).inc()
+        self.log_.report(
+            Event.FORWARD_ENDED,
+            request=exchange.request_.request_id,
+            status=answer.status,
+            outcome=answer.outcome.value,
+            reason=EndReason.MEMORY.value,
+            detail=f"held {refusal.held_bytes} of {refusal.allowed_bytes} bytes",
+        )
+
+    def _on_cut_off(self, exchange: CallerExchange, unsent_bytes: int) -> None:
+        """Log a caller whose connection is closed because it does not send or read."""
+        memory = self.state_.memory_.account_
+        self.log_.report(
+            Event.CALLER_CUT_OFF,
+            request=exchange.request_.request_id,
+            unsent_bytes=unsent_bytes,
+            body_bytes=exchange.body_bytes_,
+            held_bytes=memory.held_bytes_,
+            is_refusing=memory.is_refusing_,
+        )
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
@@ -295,6 +326,8 @@
             self.state_.endpoint_limits_.retain(known, self.state_.now())
             self.state_.endpoint_retry_after_.sweep(self.state_.now())
             self.halls_.expire()
+            self.state_.memory_.cut_off_stalled()
+            self.state_.memory_.export()
 
     async def _watch_suspensions(self) -> None:
         """Check for suspensions of the host, and handle each when it is over."""
@@ -320,6 +353,7 @@
             return
         self.settings = read.unwrap()
         self.state_.bounds = self.settings.bounds
+        self.state_.memory_.set_limit(self.settings.bounds.memory_bytes)
         self.log_.report(Event.SETTINGS_RELOADED, entry=self.settings.entry_id)
 
     async def drain(self) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -34,6 +34,7 @@
 from leadford.forwarding.routes import ProcessStatus, RouteTable, Service, ServiceId
 from leadford_server.forwarding._contract import RequestCodec
 from leadford_server.forwarding._deadlines import RequestDeadlines
+from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.endpoints import ConnectionPool
 from leadford_server.logs import EventLog
 from leadford_server.quarantine import RequestQuarantine
@@ -45,7 +46,8 @@
     `evacuate_s` is None if the operator evacuates no halls; then evacuations are not
     followed. `resync_s` is the time after a failure of the store within which an entry
     must know what the store accepted meanwhile. `heartbeat_s` is the time between two
-    records of an endpoint.
+    records of an endpoint. `memory_bytes` is the limit of the process, None without
+    one; then nothing is refused for want of memory, and nobody is cut off.
 
     Units: seconds, except that the ratio and the slack count requests.
     """
@@ -59,6 +61,7 @@
     resync_s: float = 3.0
     evacuate_s: float | None = None
     heartbeat_s: float = 1.2
+    memory_bytes: int | None = None
 
     def update_limit_s(self, bound_s: float) -> float:
         """Return the time within which a change whose effect has a bound is known.
@@ -132,7 +135,10 @@
         self.endpoint_limits_ = EndpointLimits(entry_id=entry_id)
         self.chooser_ = EndpointChooser(hall=hall, random=random)
         self.engines_ = EngineChooser(hall=hall)
-        self.pool_ = ConnectionPool(codec=codec, loop=loop)
+        self.memory_ = HeldMemory(
+            limit_bytes=bounds.memory_bytes, now=self.now, log=log
+        )
+        self.pool_ = ConnectionPool(codec=codec, loop=loop, memory=self.memory_)
         self.deadlines_ = RequestDeadlines()
         self.retry_budgets_ = RetryBudgets(make=self._new_budget)
         self.group_map_ = GroupMap(regions=self.regions, roster=self.roster_)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -10,15 +10,20 @@
 from http import HTTPStatus
 from weakref import WeakSet
 
+from returns.result import Failure
 from tornado import httpserver, httputil, iostream
 from tornado.http1connection import HTTP1Connection
 
+from leadford.forwarding.answers import EndReason, FinalAnswer, final_answer
+from leadford.forwarding.memory import HeldCause, MemoryRefusal
 from leadford.forwarding.routes import TrafficLimits
 from leadford_server.forwarding._contract import (
     HeaderList,
     InboundRequest,
     RequestCodec,
 )
+from leadford_server.forwarding._memory import HeldBytes, HeldMemory
+from leadford_server.forwarding.answers._unsent import UnsentAnswer, unsent_bytes
 
 # Seconds beyond the configured idle time before a connection is closed.
 IDLE_GRACE_S = 2.0
@@ -30,6 +35,8 @@
 # Seconds between the end of an answer and the close of its connection, so that the
 # written bytes are still sent.
 CLOSE_DELAY_S = 0.02
+# Larger bodies are not joined with the head of their answer, which would copy them.
+MAX_JOINED_BODY_BYTES = 64 * 1024
 # Bytes of a header line besides its name and value: ": " and CRLF.
 HEADER_LINE_OVERHEAD_BYTES = 4
 STATUS_BODY_TOO_LARGE = 413
@@ -63,6 +70,11 @@
         self.task_: asyncio.Task[None] | None = None
         self.has_begun_ = False
         self.is_over_ = False
+        # Set where the body arrives after the final answer, and is not kept.
+        self.is_refused_ = False
+        # When the caller must have its answer; set when the request is served.
+        self.due_at_ = 0.0
+        self.held_body_: HeldBytes | None = None
 
     def headers_received(
         self, start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
@@ -76,23 +88,65 @@
         if _head_bytes(start_line, headers) > limits.header_bytes:
             self._deny(STATUS_HEAD_TOO_LARGE)
             return
-        if _announced_bytes(headers) > limits.body_bytes:
+        announced_bytes = _announced_bytes(headers)
+        if announced_bytes > limits.body_bytes:
             self._deny(STATUS_BODY_TOO_LARGE)
             return
+        memory = self.server.memory
+        admitted = memory.admit(announced_bytes)
+        if isinstance(admitted, Failure):
+            self._refuse(admitted.failure(), sends_body="Expect" not in headers)
+            return
         self.server.exchanges_.add(self)
+        self.held_body_ = memory.hold(HeldCause.REQUEST_BODY, self.cut_off)
+        self.held_body_.set(announced_bytes)
 
     def data_received(self, chunk: bytes) -> None:
         """Record a part of the body."""
         self.body_bytes_ += len(chunk)
-        if self.is_over_:
+        if self.is_over_ or self.is_refused_:
             return
         if self.body_bytes_ > self.server.limits_.body_bytes:
             self.chunks_.clear()
             self.server.exchanges_.discard(self)
             self._deny(STATUS_BODY_TOO_LARGE)
+            self._release()
             return
+        if self.body_bytes_ > self.held_body_.count:
+            # The body did not announce its length.
+            admitted = self.server.memory.admit(len(chunk))
+            if isinstance(admitted, Failure):
+                self.chunks_.clear()
+                self.server.exchanges_.discard(self)
+                self._refuse(admitted.failure(), sends_body=True)
+                self._release()
+                return
+            self.held_body_.set(self.body_bytes_)
+        self.held_body_.record_progress()
         self.chunks_.append(chunk)
 
+    def _refuse(self, refusal: MemoryRefusal, *, sends_body: bool) -> None:
+        """Answer a request that there is no memory for before its body is read.
+
+        A body that the caller sends at once is read and dropped: to close a connection
+        with unread bytes could destroy the answer on its way.
+        """
+        answer = final_answer(
+            EndReason.MEMORY,
+            may_have_run=False,
+            has_begun=False,
+            retry_after_s=refusal.retry_after_s,
+        )
+        headers = self.server.codec.refusal_headers(answer.retry_after_s)
+        if sends_body:
+            self.is_refused_ = True
+            lines = self._headers(headers)
+            lines["Content-Length"] = "0"
+            self._write_head(answer.status, "", lines, b"")
+        else:
+            self.answer(answer.status, headers)
+        self.server.on_refused(self, refusal, answer)
+
     def _deny(self, status: int) -> None:
         """Reject a request that exceeds the limits before it is complete."""
         self.answer(status, self.server.codec.refusal_headers(None))
@@ -107,6 +161,10 @@
         if self._is_closed():
             self.on_connection_close()
             return
+        if self.is_refused_:
+            self._end()
+            return
+        self.held_body_.keep()
         self.request_.body = b"".join(self.chunks_)
         self.chunks_.clear()
         self.connection.set_close_callback(self._on_caller_disconnected)
@@ -121,6 +179,7 @@
         """Record that the caller disconnected before the request was complete."""
         self.is_over_ = True
         self.server.exchanges_.discard(self)
+        self._release()
 
     def _on_caller_disconnected(self) -> None:
         if self.task_ is not None and not self.is_over_:
@@ -128,6 +187,7 @@
 
     def _on_served(self, task: asyncio.Task[None]) -> None:
         self.server.exchanges_.discard(self)
+        self._release()
         if not self.is_over_:
             self.abort()
         if not task.cancelled() and task.exception() is not None:
@@ -144,6 +204,7 @@
             lines["Content-Length"] = str(len(body))
         self._write_head(status, reason, lines, body)
         self._end()
+        self._hold_unsent(self.due_at_)
 
     def begin(self, status: int, headers: HeaderList, reason: str = "") -> None:
         """Write the head of an answer of unknown length."""
@@ -156,10 +217,38 @@
         Errors: raises CallerDisconnected when the connection is closed.
         """
         try:
-            await self.connection.write(data)
+            written = self.connection.write(data)
+            unsent = self._hold_unsent()
+            try:
+                await written
+            finally:
+                if unsent is not None:
+                    unsent.release()
         except iostream.StreamClosedError as error:
             raise CallerDisconnected from error
 
+    def _hold_unsent(self, due_at: float | None = None) -> UnsentAnswer | None:
+        """Report and follow what is written and not sent; None if all is sent."""
+        stream = self.connection.stream
+        if not unsent_bytes(stream):
+            return None
+        return UnsentAnswer(
+            memory=self.server.memory,
+            stream=stream,
+            cut_off=self.cut_off,
+            due_at=due_at,
+        )
+
+    def cut_off(self) -> None:
+        """Close the connection of a caller that does not send or read."""
+        self.server.on_cut_off(self, unsent_bytes(self.connection.stream))
+        self.abort()
+
+    def _release(self) -> None:
+        """Record that the request is no longer held."""
+        if self.held_body_ is not None:
+            self.held_body_.release()
+
     def end(self) -> None:
         """End an answer of unknown length."""
         self._end()
@@ -187,6 +276,10 @@
         if not reason:
             reason = _reason(status)
         start_line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        if len(body) > MAX_JOINED_BODY_BYTES:
+            self.connection.write_headers(start_line, lines)
+            self.connection.write(body)
+            return
         self.connection.write_headers(start_line, lines, body or None)
 
     def _end(self) -> None:
@@ -234,12 +327,18 @@
         is_draining: Callable[[], bool],
         on_fault: Callable[[CallerExchange, BaseException], None],
         on_rejected: Callable[[CallerExchange, int], None],
+        on_refused: Callable[[CallerExchange, MemoryRefusal, FinalAnswer], None],
+        on_cut_off: Callable[[CallerExchange, int], None],
+        memory: HeldMemory,
     ) -> None:
         self.codec = codec
         self.serve = serve
         self.is_draining = is_draining
         self.on_fault = on_fault
         self.on_rejected = on_rejected
+        self.on_refused = on_refused
+        self.on_cut_off = on_cut_off
+        self.memory = memory
         self.limits_ = TrafficLimits()
         self.exchanges_: set[CallerExchange] = set()
         self.streams_: WeakSet[iostream.IOStream] = WeakSet()
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from leadford.forwarding.memory import MAX_UNREAD_EVENT_BYTES
 from leadford.forwarding.retries import (
     MIN_ENDPOINTS_FOR_RETRY,
     AttemptTiming,
@@ -59,6 +60,7 @@
         Errors: raises TimeoutError when the deadline of the request has passed.
         """
         splitter = EventStreamSplitter()
+        attempt.answer.reader.read_as_stream(MAX_UNREAD_EVENT_BYTES)
         while True:
             try:
                 # Events are frequent, so other endpoints are looked up only after a
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -145,6 +145,7 @@
         progress.deadline_ = request_deadline(
             route, self.request.deadline_ms, self.request.received_at
         )
+        self.exchange.due_at_ = progress.deadline_
         budget = self.state.retry_budgets_.budget(match.service.service_id)
         budget.record_request(self.state.now())
         # A request that a caller repeats has the same digest at every entry. Without
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -65,9 +65,10 @@
             if is_complete:
                 return
             self.progress.may_have_run_ = True
-            self.attempts.evidence.record_failure(
-                attempt.record, EndpointFailure.BROKEN_OFF
-            )
+            if not attempt.was_left_unread:
+                self.attempts.evidence.record_failure(
+                    attempt.record, EndpointFailure.BROKEN_OFF
+                )
             if not await self._retry_elsewhere("stream broke off"):
                 return
 
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -13,12 +13,15 @@
 from tornado.iostream import IOStream
 
 from leadford.common import RequestId
+from leadford.forwarding.memory import HeldCause
 from leadford_server.forwarding._contract import (
     AnswerHead,
     OutboundRequest,
     RequestCodec,
 )
+from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.endpoints._reader import (
+    RECEIVE_BUFFER_BYTES,
     AnswerReader,
     BreakKind,
     ExchangeBroken,
@@ -27,6 +30,8 @@
 
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
 HEADER_BYTES_MAX = 64 * 1024
+# Larger bodies are not joined with the head of their request.
+MAX_JOINED_BODY_BYTES = 64 * 1024
 # Answers to earlier requests that are skipped before an exchange fails.
 UNMATCHED_ANSWERS_MAX = 2
 # Time after which the kernel closes a connection whose peer acknowledges nothing.
@@ -70,16 +75,29 @@
 class EndpointConnection:
     """Hold one connection to an endpoint; it carries one exchange at a time."""
 
-    def __init__(self, *, stream: WatchedStream, codec: RequestCodec) -> None:
+    def __init__(
+        self,
+        *,
+        stream: WatchedStream,
+        codec: RequestCodec,
+        memory: HeldMemory | None = None,
+    ) -> None:
         self.stream = stream
         self.codec = codec
+        self.memory = memory
+        self.reader_: AnswerReader | None = None
         self.idle_timeout_s_: float | None = None
         self.idle_since_ = 0.0
         self.answer_: LiveAnswer | None = None
 
     @classmethod
     async def open(
-        cls, host: str, port: int, codec: RequestCodec, timeout_s: float
+        cls,
+        host: str,
+        port: int,
+        codec: RequestCodec,
+        timeout_s: float,
+        memory: HeldMemory | None = None,
     ) -> "EndpointConnection":
         """Connect to an endpoint within a timeout.
 
@@ -97,6 +115,11 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+        if memory is not None and memory.is_limited:
+            # The kernel doubles the value for its own overhead.
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES // 2
+            )
         stream = WatchedStream(sock)
         try:
             await asyncio.wait_for(stream.connect((host, port)), timeout_s)
@@ -108,7 +131,7 @@
         except BaseException:
             stream.close()
             raise
-        return cls(stream=stream, codec=codec)
+        return cls(stream=stream, codec=codec, memory=memory)
 
     @property
     def is_usable(self) -> bool:
@@ -159,7 +182,15 @@
 
         Errors: raises ExchangeBroken.
         """
-        answer = await self.begin(request, request_id)
+        if self.memory is None:
+            answer = await self.begin(request, request_id)
+        else:
+            unsent = self.memory.hold(HeldCause.UNSENT_REQUEST)
+            unsent.set(len(request.body))
+            try:
+                answer = await self.begin(request, request_id)
+            finally:
+                unsent.release()
         await answer.wait_until_complete()
         return answer.reader.take(), answer.head
 
@@ -173,14 +204,21 @@
         exchange = http1connection.HTTP1Connection(self.stream, True, parameters)
         start_line = httputil.RequestStartLine(request.method, request.target, "")
         try:
-            exchange.write_headers(start_line, headers, request.body or None)
+            if len(request.body) > MAX_JOINED_BODY_BYTES:
+                # Written by itself, a large body is not copied.
+                exchange.write_headers(start_line, headers)
+                exchange.write(request.body)
+            else:
+                exchange.write_headers(start_line, headers, request.body or None)
             exchange.finish()
         except iostream.StreamClosedError as error:
             raise ExchangeBroken(BreakKind.LOST, "closed while sending") from error
         return exchange
 
     async def _read_head(self, exchange: http1connection.HTTP1Connection) -> LiveAnswer:
-        reader = AnswerReader(codec=self.codec)
+        reader = AnswerReader(codec=self.codec, memory=self.memory)
+        self._release_held()
+        self.reader_ = reader
         reading = asyncio.ensure_future(self._read(exchange, reader))
         try:
             while reader.head_ is None and not reading.done():
@@ -219,6 +257,7 @@
         """End the exchange; return whether another may follow, close it otherwise."""
         answer = self.answer_
         self.answer_ = None
+        self._release_held()
         is_reusable = answer is not None and self._is_reusable(answer)
         if not is_reusable:
             if answer is not None:
@@ -255,3 +294,10 @@
     def close(self) -> None:
         """Close the connection at once."""
         self.stream.close()
+        self._release_held()
+
+    def _release_held(self) -> None:
+        """Record that nothing is held for the last exchange any more."""
+        if self.reader_ is not None:
+            self.reader_.release()
+            self.reader_ = None
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
@@ -15,6 +15,7 @@
     may_use_again,
 )
 from leadford_server.forwarding._contract import RequestCodec
+from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.endpoints._connection import EndpointConnection
 from leadford_server.metrics import CONNECTIONS_OPENED_TOTAL
 
@@ -34,9 +35,16 @@
 class ConnectionPool:
     """Lend connections, within an equal share per entry of each endpoint's limit."""
 
-    def __init__(self, *, codec: RequestCodec, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        *,
+        codec: RequestCodec,
+        loop: asyncio.AbstractEventLoop,
+        memory: HeldMemory | None = None,
+    ) -> None:
         self.codec = codec
         self.loop = loop
+        self.memory = memory
         self.connections_by_id_: dict[EndpointId, _EndpointConnections] = {}
         self.entry_count_ = 1
 
@@ -81,7 +89,7 @@
         connections.open_count_ += 1
         try:
             connection = await EndpointConnection.open(
-                host, int(port), self.codec, CONNECT_TIMEOUT_S
+                host, int(port), self.codec, CONNECT_TIMEOUT_S, self.memory
             )
         except BaseException:
             connections.open_count_ -= 1
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_reader.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_reader.py
@@ -1,7 +1,8 @@
 """Collect the answer of an endpoint as it arrives.
 
 `BreakKind` says how far a failed exchange may have progressed; whether a request may be
-sent again depends on it. Relies on tornado's HTTP/1 connection for framing.
+sent again depends on it. Relies on tornado's HTTP/1 connection for framing, which reads
+no further while the future that `data_received` returns is open.
 """
 
 import asyncio
@@ -10,7 +11,12 @@
 import msgspec
 from tornado import httputil
 
+from leadford.forwarding.memory import HeldCause
 from leadford_server.forwarding._contract import AnswerHead, RequestCodec
+from leadford_server.forwarding._memory import HeldBytes, HeldMemory
+
+# Bound of what the kernel keeps for a connection that is not read.
+RECEIVE_BUFFER_BYTES = 256 * 1024
 
 
 class BreakKind(Enum):
@@ -36,10 +42,25 @@
 
 
 class AnswerReader(httputil.HTTPMessageDelegate):
-    """Collect one answer as it arrives."""
+    """Collect one answer as it arrives, and stop reading while its holder is full.
+
+    What `take` returned counts as held until `take` is called again, or the exchange
+    ends.
+    """
 
-    def __init__(self, *, codec: RequestCodec) -> None:
+    def __init__(
+        self,
+        *,
+        codec: RequestCodec,
+        memory: HeldMemory | None = None,
+    ) -> None:
         self.codec = codec
+        self.memory = memory
+        self.held_: HeldBytes | None = None
+        self.max_unread_bytes_: int | None = None
+        self.paused_: asyncio.Future[None] | None = None
+        self.paused_at_ = 0.0
+        self.longest_pause_s_ = 0.0
         self.head_: AnswerHead | None = None
         self.chunks_: list[bytes] = []
         self.is_complete_ = False
@@ -59,10 +80,72 @@
         )
         self.changed_.set()
 
-    def data_received(self, chunk: bytes) -> None:
-        """Record a part of the body."""
+    def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
+        """Record a part of the body; return a future while no more may be read."""
         self.chunks_.append(chunk)
         self.changed_.set()
+        if self.memory is None:
+            return None
+        if self.held_ is None:
+            self.held_ = self.memory.hold(HeldCause.ANSWER)
+        self.held_.add(len(chunk))
+        return None if self._may_read() else self._pause()
+
+    def read_as_stream(self, max_unread_bytes: int) -> None:
+        """Bound how far the events of a stream are read ahead of the caller."""
+        if self.memory is None:
+            return
+        self.max_unread_bytes_ = max_unread_bytes
+        held = self.memory.hold(HeldCause.UNREAD_EVENTS)
+        if self.held_ is not None:
+            held.set(self.held_.count)
+            self.held_.release()
+        self.held_ = held
+
+    def _may_read(self) -> bool:
+        return self.held_.may_read(self.max_unread_bytes_)
+
+    def _pause(self) -> asyncio.Future[None]:
+        loop = asyncio.get_running_loop()
+        self.paused_ = loop.create_future()
+        self.paused_at_ = loop.time()
+        self.memory.wait_for_room(self._resume)
+        return self.paused_
+
+    def _resume(self) -> bool:
+        """Read on if that is allowed now; return whether reading goes on."""
+        if self.paused_ is None or not self._may_read():
+            return False
+        self._end_pause()
+        return True
+
+    def _end_pause(self) -> None:
+        paused, self.paused_ = self.paused_, None
+        if paused is None:
+            return
+        self.longest_pause_s_ = max(self.longest_pause_s_, self._pause_s())
+        self.memory.end_wait(self._resume)
+        if not paused.done():
+            paused.set_result(None)
+
+    def _pause_s(self) -> float:
+        return asyncio.get_running_loop().time() - self.paused_at_
+
+    @property
+    def unread_s(self) -> float:
+        """Return the longest time for which the answer was not read.
+
+        Units: seconds.
+        """
+        if self.paused_ is None:
+            return self.longest_pause_s_
+        return max(self.longest_pause_s_, self._pause_s())
+
+    def release(self) -> None:
+        """Record that nothing of the answer is held any more."""
+        self._end_pause()
+        if self.held_ is not None:
+            self.held_.release()
 
     def finish(self) -> None:
         """Record that the answer is complete according to its framing."""
@@ -78,6 +161,9 @@
         """Return and remove the part of the body received so far."""
         data = b"".join(self.chunks_)
         self.chunks_.clear()
+        if self.held_ is not None:
+            self.held_.set(len(data))
+            self._resume()
         return data
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempt.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempt.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from leadford.forwarding.endpoints import EndpointRecord
+from leadford.forwarding.memory import was_left_unread
 from leadford_server.forwarding.endpoints import EndpointConnection, LiveAnswer
 
 # Answers with this status or a higher one count as failures of the endpoint.
@@ -55,3 +56,8 @@
     def is_error(self) -> bool:
         """Return whether the endpoint answered with an error status."""
         return self.answer.head.status >= MIN_ERROR_STATUS
+
+    @property
+    def was_left_unread(self) -> bool:
+        """Return whether the endpoint had reason to cut off its answer."""
+        return was_left_unread(self.answer.reader.unread_s)
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
@@ -7,6 +7,7 @@
 
 from leadford.events import Event
 from leadford.forwarding.endpoints import EndpointFailure, EndpointRecord
+from leadford.forwarding.memory import was_left_unread
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.endpoints import ConnectionEnd
@@ -61,13 +62,17 @@
         self.record_connection_lost(
             BorrowedConnection(attempt.record, attempt.connection, attempt.began_at),
             has_head=True,
+            unread_s=attempt.answer.reader.unread_s,
         )
 
     def record_connection_lost(
-        self, lost: BorrowedConnection, *, has_head: bool
+        self, lost: BorrowedConnection, *, has_head: bool, unread_s: float = 0.0
     ) -> None:
         """Record and log that the connection of an attempt ended before its answer did.
 
+        An endpoint that cut off an answer which this entry left unread, because its
+        caller is slow, has not crashed.
+
         The log line is the only record of which requests ran at an endpoint that
         crashed, and of how far each had progressed.
         """
@@ -87,8 +92,9 @@
             has_head=has_head,
             has_events=has_events,
             ran_ms=round((now - lost.began_at) * 1_000.0),
+            unread_ms=round(unread_s * 1_000.0),
         )
-        if end in PROCESS_EXIT_ENDS:
+        if end in PROCESS_EXIT_ENDS and not was_left_unread(unread_s):
             self.state.quarantine_.record_connection_lost(
                 progress.digest_, listed.endpoint_id, is_under_way=has_events
             )
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -105,6 +105,12 @@
 CONNECTIONS_OPENED_TOTAL = Counter(
     "leadford_connections_opened_total", "Connections opened to endpoints."
 )
+HELD_BYTES = Gauge(
+    "leadford_held_bytes", "Bytes held for callers and endpoints, by cause.", ["cause"]
+)
+MEMORY_REFUSALS_TOTAL = Counter(
+    "leadford_memory_refusals_total", "Requests refused for want of memory."
+)
 FORWARDED_TOTAL = Counter(
     "leadford_forwarded_total", "Forwarded requests by kind and end.", ["kind", "end"]
 )
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -26,6 +26,11 @@
     SETTINGS_INVALID = (103, Severity.ERROR, "The settings cannot be used.")
     SETTINGS_RELOADED = (104, Severity.INFO, "The settings were read again.")
     PROCESS_WOKEN = (105, Severity.WARNING, "The host was suspended for a while.")
+    MEMORY_SHORT = (
+        106,
+        Severity.WARNING,
+        "The process began or ended to refuse requests for want of memory.",
+    )
     PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
     PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
     PEER_REJECTED = (202, Severity.WARNING, "A peer failed its proof or version.")
@@ -60,6 +65,11 @@
     ATTEMPT_LOST = (409, Severity.INFO, "A connection ended under a request.")
     REQUEST_QUARANTINED = (410, Severity.WARNING, "A request is sent to no endpoint.")
     QUARANTINE_ENDED = (411, Severity.INFO, "A request may be sent to endpoints again.")
+    CALLER_CUT_OFF = (
+        412,
+        Severity.WARNING,
+        "A caller that did not send or read was cut off.",
+    )
     STORE_UNAVAILABLE = (500, Severity.WARNING, "The store did not answer.")
     STORE_BACK = (501, Severity.INFO, "The store answers again.")
     CLAIM_CONFLICT = (502, Severity.INFO, "Another writer appended claims first.")
--- a/packages/leadford/src/leadford/forwarding/answers/_final.py
+++ b/packages/leadford/src/leadford/forwarding/answers/_final.py
@@ -42,7 +42,8 @@
     """Enumerate why a request ended; the values appear in the log of its end.
 
     The values of `routes.StartDenial` are included. HELD_BACK: every endpoint of the
-    service asked for fewer requests than callers send. FAULT: an error of this process.
+    service asked for fewer requests than callers send. MEMORY: too many bytes are held
+    for callers and endpoints that read slowly. FAULT: an error of this process.
     """
 
     ANSWERED = "answered"
@@ -58,6 +59,7 @@
     STAGES_FAILED = "stages-failed"
     ATTEMPTS_FAILED = "attempts-failed"
     HELD_BACK = "held-back"
+    MEMORY = "memory"
     MISLEADING_STATUS = "misleading-status"
     OUT_OF_TIME = "out-of-time"
     FAULT = "fault"
@@ -86,6 +88,7 @@
         EndReason.CONFIG_MAY_BE_OLD,
         EndReason.STOPPING,
         EndReason.NOT_ADMITTED,
+        EndReason.MEMORY,
     }
 )
 
--- a/packages/leadford/src/leadford/forwarding/answers/tests/test_final.py
+++ b/packages/leadford/src/leadford/forwarding/answers/tests/test_final.py
@@ -34,6 +34,7 @@
         (EndReason.STAGES_FAILED, REFUSED, 503),
         (EndReason.ATTEMPTS_FAILED, REFUSED, 503),
         (EndReason.HELD_BACK, REFUSED, 503),
+        (EndReason.MEMORY, REFUSED, 503),
         (EndReason.MISLEADING_STATUS, FAILED, 502),
         (EndReason.OUT_OF_TIME, RequestOutcome.LATE, 504),
     ],
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/memory/_budget.py
@@ -0,0 +1,53 @@
+"""Derive the bytes that may be held for others from the memory limit of a process.
+
+The marks of the budget lie apart, so that a process near its budget does not begin and
+end to refuse with each request.
+"""
+
+import msgspec
+
+# What the process takes by itself: interpreter, libraries, configuration, connections.
+RESERVE_BYTES = 80_000_000
+# The part of the rest that is held; the other part is left for copies that are made
+# while bytes are joined and for memory that the allocator does not return.
+HELD_FRACTION = 0.6
+# Below this, a few bodies of the usual size would not fit.
+MIN_BUDGET_BYTES = 16_000_000
+# Parts of the budget. Answers to requests that were admitted below the mark for
+# refusals still have to fit above it.
+REFUSE_FRACTION = 0.75
+RESUME_FRACTION = 0.6
+PAUSE_FRACTION = 0.9
+
+
+class MemoryBudget(msgspec.Struct, frozen=True):
+    """Hold the bytes that may be held for callers and endpoints, and its marks.
+
+    New work is refused from `refuse_bytes` on, until no more than `resume_bytes` are
+    held. Holders of many bytes are not read further from `pause_bytes` on.
+    """
+
+    allowed_bytes: int
+
+    @classmethod
+    def from_limit(cls, limit_bytes: int | None) -> "MemoryBudget | None":
+        """Return the budget for the memory limit of the process; None without one."""
+        if limit_bytes is None:
+            return None
+        left_bytes = max(0, limit_bytes - RESERVE_BYTES)
+        return cls(max(MIN_BUDGET_BYTES, int(HELD_FRACTION * left_bytes)))
+
+    @property
+    def refuse_bytes(self) -> int:
+        """Return the held bytes from which new work is refused."""
+        return int(REFUSE_FRACTION * self.allowed_bytes)
+
+    @property
+    def resume_bytes(self) -> int:
+        """Return the held bytes at which new work is taken again."""
+        return int(RESUME_FRACTION * self.allowed_bytes)
+
+    @property
+    def pause_bytes(self) -> int:
+        """Return the held bytes from which holders of many bytes are not read."""
+        return int(PAUSE_FRACTION * self.allowed_bytes)
