--- a/packages/leadford-server/src/leadford_server/forwarding/_memory.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_memory.py
@@ -144,16 +144,16 @@
         Callers without progress are cut off before anybody is refused.
         """
         result = self.account_.admit(announced_bytes)
-        if isinstance(result, Failure) and self.cut_off_stalled():
+        if isinstance(result, Failure) and self.cut_off_stalled(announced_bytes):
             result = self.account_.admit(announced_bytes)
         if isinstance(result, Failure):
             MEMORY_REFUSALS_TOTAL.inc()
             self._log_change()
         return result
 
-    def cut_off_stalled(self) -> int:
+    def cut_off_stalled(self, needed_bytes: int = 0) -> int:
         """Cut off callers without progress if the memory is needed; return how many."""
-        stalled = self.account_.stalled_holders(self.now())
+        stalled = self.account_.stalled_holders(self.now(), needed_bytes)
         for holder in stalled:
             held = self.held_by_holder_.get(holder)
             if held is None:
--- a/packages/leadford/src/leadford/forwarding/memory/_account.py
+++ b/packages/leadford/src/leadford/forwarding/memory/_account.py
@@ -76,6 +76,9 @@
         self.bytes_by_cause_: Counter[HeldCause] = Counter()
         self.holders_: set[BytesHolder] = set()
         self.is_refusing_ = False
+        # The answer that is read on while others wait. It ends, and with it what its
+        # request holds; if all waited for each other, none would end.
+        self.leading_: BytesHolder | None = None
 
     def set_held(self, holder: BytesHolder, count: int) -> None:
         """Record how many bytes a holder holds now; 0 ends it.
@@ -90,6 +93,8 @@
             self.holders_.add(holder)
         else:
             self.holders_.discard(holder)
+            if self.leading_ is holder:
+                self.leading_ = None
         budget = self.budget
         if self.is_refusing_:
             is_near = budget is not None and self.held_bytes_ > budget.resume_bytes
@@ -121,9 +126,17 @@
             return True
         if max_bytes is not None and holder.held_bytes_ >= max_bytes:
             return False
-        if holder.held_bytes_ <= SMALL_HOLDER_BYTES:
-            return self.held_bytes_ < budget.allowed_bytes
-        return self.held_bytes_ < budget.pause_bytes
+        if self.held_bytes_ < budget.pause_bytes:
+            return True
+        if holder.held_bytes_ > SMALL_HOLDER_BYTES and not self._may_lead(holder):
+            return False
+        return self.held_bytes_ < budget.allowed_bytes
+
+    def _may_lead(self, holder: BytesHolder) -> bool:
+        """Tell whether a holder is the one that is read on while others wait."""
+        if self.leading_ is None and holder.cause is HeldCause.ANSWER:
+            self.leading_ = holder
+        return self.leading_ is holder
 
     @property
     def room_bytes(self) -> float:
@@ -132,18 +145,21 @@
             return float("inf")
         return self.budget.allowed_bytes - self.held_bytes_
 
-    def stalled_holders(self, now: float) -> list[BytesHolder]:
+    def stalled_holders(self, now: float, needed_bytes: int = 0) -> list[BytesHolder]:
         """Return the holders whose callers are to be cut off now.
 
         Empty below the mark for refusals. The largest go first, and no more than are
-        needed to take new work again.
+        needed to take new work again, or a request that announces `needed_bytes`.
 
         Units: now in seconds of the monotonic clock.
         """
         budget = self.budget
-        if budget is None or not self._is_short(budget):
+        if budget is None:
+            return []
+        excess_bytes = self.held_bytes_ + needed_bytes - budget.refuse_bytes
+        if excess_bytes < 0 and not self.is_refusing_:
             return []
-        excess_bytes = self.held_bytes_ - budget.resume_bytes
+        excess_bytes = max(excess_bytes, self.held_bytes_ - budget.resume_bytes)
         ended = []
         for holder in sorted(self.holders_, key=lambda held: -held.held_bytes_):
             if excess_bytes <= 0:
@@ -155,9 +171,6 @@
             excess_bytes -= holder.held_bytes_
         return ended
 
-    def _is_short(self, budget: MemoryBudget) -> bool:
-        return self.is_refusing_ or self.held_bytes_ >= budget.refuse_bytes
-
 
 def was_left_unread(unread_s: float) -> bool:
     """Tell whether an endpoint had reason to cut off an answer that was not read.
--- a/packages/leadford/src/leadford/forwarding/memory/_budget.py
+++ b/packages/leadford/src/leadford/forwarding/memory/_budget.py
@@ -14,17 +14,17 @@
 # Below this, a few bodies of the usual size would not fit.
 MIN_BUDGET_BYTES = 16_000_000
 # Parts of the budget. Answers to requests that were admitted below the mark for
-# refusals still have to fit above it.
-REFUSE_FRACTION = 0.75
-RESUME_FRACTION = 0.6
-PAUSE_FRACTION = 0.9
+# refusals still have to fit above it, at least one large one above the mark for pauses.
+REFUSE_FRACTION = 0.6
+RESUME_FRACTION = 0.5
+PAUSE_FRACTION = 0.7
 
 
 class MemoryBudget(msgspec.Struct, frozen=True):
     """Hold the bytes that may be held for callers and endpoints, and its marks.
 
     New work is refused from `refuse_bytes` on, until no more than `resume_bytes` are
-    held. Holders of many bytes are not read further from `pause_bytes` on.
+    held. From `pause_bytes` on, holders of many bytes are read one after the other.
     """
 
     allowed_bytes: int
@@ -49,5 +49,5 @@
 
     @property
     def pause_bytes(self) -> int:
-        """Return the held bytes from which holders of many bytes are not read."""
+        """Return the held bytes from which holders of many bytes wait."""
         return int(PAUSE_FRACTION * self.allowed_bytes)
