End a cut-off stream at its endpoint too

Cause: a close by this side does not wake a task that waits to write to the caller; a stream that was cut off for want of memory went on at its engine until the deadline (the new test failed so before).

Change: the task is cancelled with the close.

Measured: the wire tests of slow readers pass.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -112,6 +112,7 @@
             self._deny(STATUS_BODY_TOO_LARGE)
             self._release()
             return
+        self.held_body_.record_progress()
         if self.body_bytes_ > self.held_body_.count:
             # The body did not announce its length.
             admitted = self.server.memory.admit(len(chunk))
@@ -122,7 +123,6 @@
                 self._release()
                 return
             self.held_body_.set(self.body_bytes_)
-        self.held_body_.record_progress()
         self.chunks_.append(chunk)
 
     def _refuse(self, refusal: MemoryRefusal, *, sends_body: bool) -> None:
@@ -242,6 +242,8 @@
     def cut_off(self) -> None:
         """Close the connection of a caller that does not send or read."""
         self.server.on_cut_off(self, unsent_bytes(self.connection.stream))
+        # A close by this side does not wake a task that waits to write.
+        self._on_caller_disconnected()
         self.abort()
 
     def _release(self) -> None:
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_slow_readers.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_slow_readers.py
@@ -116,7 +116,7 @@
         entry = limit_memory(deployment)
         numbers = stream_large_events(deployment, "slow")
         caller = await SlowCaller.open(deployment)
-        caller.send_head("POST", "/once/x", request_id="slow")
+        caller.send_head("POST", "/once/x", request_id="slow", deadline_ms=4_000)
         assert "200" in await caller.read_head()
         await until_still(numbers)
         unread_bytes = held(entry, HeldCause.UNREAD_EVENTS)
@@ -140,7 +140,7 @@
         (engine,) = deployment.engines
         numbers = stream_large_events(deployment, "slow")
         caller = await SlowCaller.open(deployment)
-        caller.send_head("POST", "/once/x", request_id="slow")
+        caller.send_head("POST", "/once/x", request_id="slow", deadline_ms=4_000)
         if is_slow:
             await caller.read_head()
             await until_still(numbers)
@@ -314,3 +314,23 @@
         await deployment.until(lambda: account.held_bytes_ <= BODY_BYTES)
 
     run_scenario(scenario)
+
+
+def test_a_stream_whose_caller_stops_reading_ends_at_once_where_memory_is_needed():
+    async def scenario(deployment):
+        entry = limit_memory(deployment)
+        (engine,) = deployment.engines
+        numbers = stream_large_events(deployment, "slow")
+        caller = await SlowCaller.open(deployment)
+        caller.send_head("POST", "/once/x", request_id="slow", deadline_ms=20_000)
+        await caller.read_head()
+        await until_still(numbers)
+        other = entry.state_.memory_.hold(HeldCause.ANSWER)
+        other.set(entry.state_.memory_.account_.budget.refuse_bytes)
+        # Sooner than by the timeout of its route, 4 s, and at its engine too.
+        await deployment.until(lambda: engine.left_early_ == 1, timeout_s=1.5)
+        assert held(entry, HeldCause.UNREAD_EVENTS) == 0
+        assert held(entry, HeldCause.UNSENT_ANSWER) == 0
+        assert not entry.caller_server_.exchanges_
+
+    run_scenario(scenario, endpoints=1)
