Bound the kernel's buffer of an endpoint only when reading stops

Nothing should change below the budget. A bound on the receive buffer of each connection from its start is one thing that each answer meets; whether it is the cause is tried next.

Change: the bound is set when an answer is first left unread.

Measured: tests of endpoints, and wire tests of streams and slow readers pass.

--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -21,7 +21,6 @@
 )
 from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.endpoints._reader import (
-    RECEIVE_BUFFER_BYTES,
     AnswerReader,
     BreakKind,
     ExchangeBroken,
@@ -30,6 +29,8 @@
 
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
 HEADER_BYTES_MAX = 64 * 1024
+# Bound of what the kernel keeps for a connection that is not read.
+RECEIVE_BUFFER_BYTES = 256 * 1024
 # Larger bodies are not joined with the head of their request.
 MAX_JOINED_BODY_BYTES = 64 * 1024
 # Answers to earlier requests that are skipped before an exchange fails.
@@ -115,11 +116,6 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-        if memory is not None and memory.is_limited:
-            # The kernel doubles the value for its own overhead.
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES // 2
-            )
         stream = WatchedStream(sock)
         try:
             await asyncio.wait_for(stream.connect((host, port)), timeout_s)
@@ -216,7 +212,9 @@
         return exchange
 
     async def _read_head(self, exchange: http1connection.HTTP1Connection) -> LiveAnswer:
-        reader = AnswerReader(codec=self.codec, memory=self.memory)
+        reader = AnswerReader(
+            codec=self.codec, memory=self.memory, on_pause=self._bound_receive_buffer
+        )
         self._release_held()
         self.reader_ = reader
         reading = asyncio.ensure_future(self._read(exchange, reader))
@@ -296,6 +294,17 @@
         self.stream.close()
         self._release_held()
 
+    def _bound_receive_buffer(self) -> None:
+        """Bound what the kernel keeps while the answer is not read.
+
+        It keeps more on a connection from which much was read before.
+        """
+        if not self.stream.closed():
+            # The kernel doubles the value for its own overhead.
+            self.stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES // 2
+            )
+
     def _release_held(self) -> None:
         """Record that nothing is held for the last exchange any more."""
         if self.reader_ is not None:
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_reader.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_reader.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -15,9 +16,6 @@
 from leadford_server.forwarding._contract import AnswerHead, RequestCodec
 from leadford_server.forwarding._memory import HeldBytes, HeldMemory
 
-# Bound of what the kernel keeps for a connection that is not read.
-RECEIVE_BUFFER_BYTES = 256 * 1024
-
 
 class BreakKind(Enum):
     """List how far a failed exchange may have progressed.
@@ -53,9 +51,11 @@
         *,
         codec: RequestCodec,
         memory: HeldMemory | None = None,
+        on_pause: Callable[[], None] = lambda: None,
     ) -> None:
         self.codec = codec
         self.memory = memory
+        self.on_pause = on_pause
         self.held_: HeldBytes | None = None
         self.max_unread_bytes_: int | None = None
         self.paused_: asyncio.Future[None] | None = None
@@ -110,6 +110,7 @@
         self.paused_ = loop.create_future()
         self.paused_at_ = loop.time()
         self.memory.wait_for_room(self._resume)
+        self.on_pause()
         return self.paused_
 
     def _resume(self) -> bool:
