--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -232,12 +232,14 @@
         stream = self.connection.stream
         if not unsent_bytes(stream):
             return None
-        return UnsentAnswer(
+        unsent = UnsentAnswer(
             memory=self.server.memory,
             stream=stream,
             cut_off=self.cut_off,
             due_at=due_at,
         )
+        self.server.unsent_.append(unsent)
+        return unsent
 
     def cut_off(self) -> None:
         """Close the connection of a caller that does not send or read."""
@@ -343,6 +345,7 @@
         self.memory = memory
         self.limits_ = TrafficLimits()
         self.exchanges_: set[CallerExchange] = set()
+        self.unsent_: list[UnsentAnswer] = []
         self.streams_: WeakSet[iostream.IOStream] = WeakSet()
         self.server_: httpserver.HTTPServer | None = None
         self.is_stopped_ = False
@@ -365,6 +368,13 @@
         parameters.max_header_size = HEAD_READ_FACTOR * limits.header_bytes
         self.limits_ = limits
 
+    def check_unsent(self) -> None:
+        """Follow how much callers have read, and cut off those that never read."""
+        unsent, self.unsent_ = self.unsent_, []
+        for answer in unsent:
+            if answer.check():
+                self.unsent_.append(answer)
+
     def start_request(
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> CallerExchange:
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_unsent.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_unsent.py
@@ -3,7 +3,6 @@
 Reports the bytes that wait in the process until the caller reads.
 """
 
-import asyncio
 from collections.abc import Callable
 
 from tornado.iostream import IOStream
@@ -11,8 +10,6 @@
 from leadford.forwarding.memory import HeldCause
 from leadford_server.forwarding._memory import HeldMemory
 
-# Seconds between checks of how much a caller has read.
-UNSENT_POLL_S = 0.1
 # Seconds for which a caller may read an answer that came just before its deadline.
 MIN_READ_TIME_S = 5.0
 
@@ -51,28 +48,25 @@
             self.read_until = max(due_at, memory.now() + MIN_READ_TIME_S)
         self.held_ = memory.hold(HeldCause.UNSENT_ANSWER, cut_off)
         self.held_.set(unsent_bytes(stream))
-        self._check_later()
 
     def release(self) -> None:
         """Record that nothing waits any more."""
         self.held_.release()
 
-    def _check_later(self) -> None:
-        asyncio.get_running_loop().call_later(UNSENT_POLL_S, self._check)
-
-    def _check(self) -> None:
+    def check(self) -> bool:
+        """Follow how much was sent; return whether something still waits."""
         unsent = unsent_bytes(self.stream)
         if not unsent or self.held_.is_released_:
             self.held_.release()
-            return
+            return False
         if unsent < self.held_.count:
             self.held_.record_progress()
             self.held_.set(unsent)
         if self._is_overdue():
             self.cut_off()
             self.held_.release()
-            return
-        self._check_later()
+            return False
+        return True
 
     def _is_overdue(self) -> bool:
         if self.read_until is None or not self.memory.is_limited:
