--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from leadford.forwarding.endpoints import EventGaps
+from leadford.forwarding.memory import MAX_UNREAD_EVENT_BYTES
 from leadford.forwarding.retries import (
     MIN_ENDPOINTS_FOR_RETRY,
     AttemptTiming,
@@ -61,6 +62,7 @@
         """
         splitter = EventStreamSplitter()
         gaps = EventGaps()
+        attempt.answer.reader.read_as_stream(MAX_UNREAD_EVENT_BYTES)
         while True:
             began_at = self.state.now()
             try:
