Part the model and the limits of admission, and the pieces of a queue, from it

Moved as they are: AdmissionRequest, AdmissionDecision and Verdict to _request, the limits to _limits, PieceTask, Chunk and queue_delay_s to _tasks. Imports of two tests follow. Tests of admission and batching pass.

--- a/packages/leadford/src/leadford/forwarding/admission/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/admission/__init__.py
@@ -7,13 +7,13 @@
     ClaimEnd,
     pieces_per_s,
 )
-from leadford.forwarding.admission._decision import (
+from leadford.forwarding.admission._decision import ForwardAdmission
+from leadford.forwarding.admission._forecast import StageCapacity
+from leadford.forwarding.admission._request import (
     AdmissionDecision,
     AdmissionRequest,
-    ForwardAdmission,
     Verdict,
 )
-from leadford.forwarding.admission._forecast import StageCapacity
 from leadford.forwarding.admission._reservations import (
     RetryReservation,
     RetryReservations,
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -25,19 +25,25 @@
 completion on single endpoints with deadlines, without batches and caller retries.
 """
 
-from enum import Enum
 from random import Random
 
-import msgspec
-
-from leadford.common import Ewma, WorkspaceId
+from leadford.common import Ewma
 from leadford.forwarding.admission._first_try import FirstTryTimes
 from leadford.forwarding.admission._forecast import (
-    StageCapacity,
     StageDelay,
     StageForecast,
 )
-from leadford.forwarding.admission._levels import LevelForecast, level_slack_fraction
+from leadford.forwarding.admission._levels import LevelForecast
+from leadford.forwarding.admission._limits import (
+    DEADLINE_FRACTION,
+    LimitTerms,
+    limit_s,
+)
+from leadford.forwarding.admission._request import (
+    AdmissionDecision,
+    AdmissionRequest,
+    Verdict,
+)
 from leadford.forwarding.admission._reservations import (
     RetryReservation,
     RetryReservations,
@@ -45,29 +51,11 @@
 from leadford.forwarding.admission._shares import AdmittedShares
 from leadford.forwarding.admission._usual_wait import CommonTimeouts
 from leadford.forwarding.batching import AdmittedBacklog
-from leadford.forwarding.routes import Route, RouteId, RouteLevels, ServiceId
+from leadford.forwarding.routes import Route, RouteId
 
-# Fraction of the slack that the backlog may take from a first try on a route of the
-# highest priority: for the most urgent workspace, the reduction for each further step
-# of priority, and the minimum.
-SLACK_FRACTION_URGENT = 0.9
-SLACK_FRACTION_STEP = 0.1
-MIN_SLACK_FRACTION_URGENT = 0.75
-# The same for routes below the highest priority. Their pieces wait behind urgent ones,
-# and a refused request has to be retried, queued and served within the same target. A
-# queue of half the slack serves as many requests and leaves time for that.
-SLACK_FRACTION_LESS_URGENT = 0.5
-# The same for a retry that can no longer meet its target: it is admitted only while
-# the queues are short, because its pieces are queued behind all others.
-SLACK_FRACTION_LATE = 0.3
-# Multiple of the target within which the answer to a retry must be expected. With a
-# larger one, every request is retried and late under sustained load.
-RETRY_AIM_FRACTION = 1.0
 # Delay with which an entry may learn of a refusal, and time by which a first try
 # precedes its refusal: slightly more than a heartbeat interval.
 REFUSAL_NEWS_DELAY_S = 0.5
-# Fraction of the allowed time that no expected response time may exceed.
-DEADLINE_FRACTION = 0.85
 # Fraction of the slack that the backlog may still take when a refused request is
 # retried.
 RETRY_SLACK_FRACTION = 0.55
@@ -82,96 +70,6 @@
 ERROR_WEIGHT = 0.15
 
 
-class Verdict(Enum):
-    """Say whether a request is admitted."""
-
-    ADMIT = "admit"
-    REFUSE = "refuse"
-
-
-class AdmissionRequest(msgspec.Struct, frozen=True):
-    """Describe one request for the admission decision.
-
-    `counts` holds the number of pieces of each stage of the route. `priority` is the
-    priority of the workspace if it has one. A request that is sent again has the same
-    `fingerprint`.
-
-    Units: seconds. first_byte_s is the time of the service to the first byte;
-    endpoint_wait_s is the time until one of its endpoints accepts another request;
-    elapsed_s and timeout_s count from when the caller sent the request;
-    caller_timeout_s is the time that the caller itself allows, None if it states none;
-    now is a time of the monotonic clock.
-    """
-
-    route: Route
-    counts: tuple[int, ...]
-    capacity_by_service: dict[ServiceId, StageCapacity]
-    priority: int
-    fingerprint: str
-    first_byte_s: float
-    elapsed_s: float
-    timeout_s: float
-    now: float
-    caller_timeout_s: float | None = None
-    endpoint_wait_s: float = 0.0
-    # Whether capacity was booked for the caller, and it has returned as told.
-    is_booked: bool = False
-    workspace_id: WorkspaceId | None = None
-    # The services at which the request is judged by level of priority.
-    contended_ids: frozenset[ServiceId] = frozenset()
-
-    @property
-    def levels(self) -> RouteLevels:
-        """Return the levels of the request."""
-        return RouteLevels.from_route(self.route, self.contended_ids)
-
-    def level_at(self, service_id: ServiceId | None) -> int:
-        """Return the level at a service, or without one the least urgent of all."""
-        levels = self.levels
-        if service_id is not None:
-            return levels.level(service_id)
-        return levels.lowest_level(stage.service_id for stage in self.route.stages)
-
-    @property
-    def aim_s(self) -> float:
-        """Return the latency target of the route, or the allowed time without one."""
-        aim_ms = self.route.aim_ms
-        return aim_ms / 1_000.0 if aim_ms > 0 else self.timeout_s
-
-
-class AdmissionDecision(msgspec.Struct, frozen=True):
-    """Hold a verdict, the expected response time and the retry delay.
-
-    `is_caller_retry` is true for a retry of a recently refused request, `is_late` for
-    one that can no longer meet its target, counted from its first try.
-    `is_refusal_known` is true if the refusal is recorded here, not only inferred from
-    the timeout that the caller states. `short_service_id` is the service of the stage
-    that is delayed too long, None if no stage is. `level` is the level of the request
-    there, otherwise the lowest at its stages.
-
-    Units: seconds; expected_s counts from when the caller sent the request,
-    since_first_try_s is the time between the first try and this one.
-    """
-
-    verdict: Verdict
-    expected_s: float
-    retry_after_s: float = 0.0
-    is_caller_retry: bool = False
-    since_first_try_s: float = 0.0
-    is_late: bool = False
-    is_refusal_known: bool = False
-    short_service_id: ServiceId | None = None
-    level: int = 0
-
-
-class _LimitTerms(msgspec.Struct, frozen=True):
-    """Hold what the limits of one request depend on at all of its services."""
-
-    critical_path_s: float
-    is_caller_retry: bool
-    is_late: bool
-
-
 class ForwardAdmission:
     """Admit or refuse requests with stages by the delay of their most delayed stage."""
 
@@ -214,12 +112,12 @@
             return _admit_booked(
                 request, expected_s, since_first_try_s, is_late, refused
             )
-        limits = _LimitTerms(critical_path_s, is_caller_retry, is_late)
+        limits = LimitTerms(critical_path_s, is_caller_retry, is_late)
         too_long = [
             delay
             for delay in (engine_delay, *delays)
             if min_answer_s + delay.delay_s + error_s
-            > _limit_s(request, limits, delay.service_id)
+            > limit_s(request, limits, delay.service_id)
         ]
         if not too_long:
             self._record_admitted(request, forecast)
@@ -398,42 +296,3 @@
         is_refusal_known=refused is not None,
         level=request.level_at(None),
     )
-
-
-def _limit_s(
-    request: AdmissionRequest, terms: _LimitTerms, service_id: ServiceId | None
-) -> float:
-    """Return the longest expected response time with which a request is admitted.
-
-    `service_id` is the service that delays it, None for its engine.
-    """
-    critical_path_s = terms.critical_path_s
-    if terms.is_late:
-        return _slack_limit_s(request, critical_path_s, SLACK_FRACTION_LATE)
-    if terms.is_caller_retry:
-        return min(
-            DEADLINE_FRACTION * request.timeout_s, RETRY_AIM_FRACTION * request.aim_s
-        )
-    if service_id is not None and service_id in request.contended_ids:
-        fraction = level_slack_fraction(
-            request.levels.level(service_id), request.priority
-        )
-        return _slack_limit_s(request, critical_path_s, fraction)
-    if not request.route.is_urgent:
-        return _slack_limit_s(request, critical_path_s, SLACK_FRACTION_LESS_URGENT)
-    fraction = SLACK_FRACTION_URGENT - SLACK_FRACTION_STEP * request.priority
-    return _slack_limit_s(
-        request, critical_path_s, max(MIN_SLACK_FRACTION_URGENT, fraction)
-    )
-
-
-def _slack_limit_s(
-    request: AdmissionRequest, critical_path_s: float, fraction: float
-) -> float:
-    """Return the limit if the backlog may take a fraction of the slack.
-
-    The slack is the rest of the target after the minimum response time.
-    """
-    min_answer_s = request.elapsed_s + critical_path_s + request.first_byte_s
-    limit_s = min_answer_s + fraction * max(0.0, request.aim_s - min_answer_s)
-    return min(limit_s, DEADLINE_FRACTION * request.timeout_s)
--- a/packages/leadford/src/leadford/forwarding/admission/_return_window.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_return_window.py
@@ -11,15 +11,17 @@
 
 from leadford.forwarding.admission._bookings import MAX_EARLY_CLAIM_S, BookingQuery
 from leadford.forwarding.admission._decision import (
-    DEADLINE_FRACTION,
     MAX_RETRY_AFTER_DIVISOR,
     MIN_RETRY_AFTER_S,
+    can_keep_booking,
+)
+from leadford.forwarding.admission._forecast import StageForecast
+from leadford.forwarding.admission._limits import DEADLINE_FRACTION
+from leadford.forwarding.admission._request import (
     AdmissionDecision,
     AdmissionRequest,
     Verdict,
-    can_keep_booking,
 )
-from leadford.forwarding.admission._forecast import StageForecast
 from leadford.forwarding.routes import PRIORITY_LOWEST
 
 
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_levels.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_levels.py
@@ -11,11 +11,11 @@
     StageCapacity,
     Verdict,
 )
-from leadford.forwarding.admission._decision import DEADLINE_FRACTION
 from leadford.forwarding.admission._levels import (
     MIN_LEVEL_SLACK_FRACTION,
     level_slack_fraction,
 )
+from leadford.forwarding.admission._limits import DEADLINE_FRACTION
 from leadford.forwarding.admission.tests.conftest import (
     piece_limits,
     request_for,
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_two_levels.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_two_levels.py
@@ -14,14 +14,14 @@
     StageCapacity,
     Verdict,
 )
-from leadford.forwarding.admission._decision import (
+from leadford.forwarding.admission._forecast import LESS_URGENT_FRACTION
+from leadford.forwarding.admission._limits import (
     DEADLINE_FRACTION,
     MIN_SLACK_FRACTION_URGENT,
     SLACK_FRACTION_LESS_URGENT,
     SLACK_FRACTION_STEP,
     SLACK_FRACTION_URGENT,
 )
-from leadford.forwarding.admission._forecast import LESS_URGENT_FRACTION
 from leadford.forwarding.admission.tests.conftest import (
     piece_limits,
     request_for,
--- a/packages/leadford/src/leadford/forwarding/batching/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/batching/__init__.py
@@ -41,13 +41,7 @@
     USUAL_CALLS,
     FillPolicy,
 )
-from leadford.forwarding.batching._queue import (
-    Chunk,
-    LeftCause,
-    PieceQueue,
-    PieceTask,
-    queue_delay_s,
-)
+from leadford.forwarding.batching._queue import LeftCause, PieceQueue
 from leadford.forwarding.batching._remake import (
     ENDPOINT_LOST,
     NO_ENDPOINT_WAIT_S,
@@ -56,6 +50,7 @@
     decide_remake,
 )
 from leadford.forwarding.batching._reserved import RESERVED_FRACTION
+from leadford.forwarding.batching._tasks import Chunk, PieceTask, queue_delay_s
 from leadford.forwarding.batching._throughput import Throughput, ThroughputRate
 
 __all__ = [
--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -25,12 +25,8 @@
 
 from leadford.common import HallId
 from leadford.forwarding.batching._capacity import CapacityTable
-from leadford.forwarding.batching._queue import (
-    Chunk,
-    LeftCause,
-    PieceQueue,
-    PieceTask,
-)
+from leadford.forwarding.batching._queue import LeftCause, PieceQueue
+from leadford.forwarding.batching._tasks import Chunk, PieceTask
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.routes import PieceLimits
 
