--- a/packages/leadford/src/leadford/common/_numbers.py
+++ b/packages/leadford/src/leadford/common/_numbers.py
@@ -2,7 +2,7 @@
 
 import math
 
-# Counts fit into 64 bits. Python refuses to convert very long texts with an error.
+# Counts fit into 64 bits; `int` raises an error for very long texts.
 MAX_COUNT_DIGITS = 18
 
 
--- a/packages/leadford/src/leadford/forwarding/admission/_bookings.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_bookings.py
@@ -2,13 +2,13 @@
 
 Owned by the entry that schedules the service. A refused caller is told the time of its
 booking; when it returns through any entry, that entry claims the booking and admits the
-request. A booking that nobody claims lapses.
+request. A booking that is not claimed in time lapses.
 
-Times of return are multiples of a slot. Within any second, at most a part of the pieces
-that the service computes in a second is booked, so that first tries are still admitted;
-a more urgent level may book more of it. Booked capacity is never booked again, whether
-its booking was claimed or has lapsed. When the capacity falls, made bookings stay, and
-new ones are made later or not at all.
+Return times are multiples of a slot. Within any second, at most a fraction of the
+pieces that the service computes in a second is booked, so that first tries are still
+admitted; a more urgent level may book a larger fraction. Booked capacity is never
+booked again, whether its booking was claimed or has lapsed. When the capacity falls,
+existing bookings stay, and new ones are made later or not at all.
 """
 
 import math
@@ -20,28 +20,29 @@
 
 from leadford.forwarding.routes import PieceLimits
 
-# Callers of a slot return at the same moment.
+# Return times are multiples of this.
 SLOT_S = 0.1
 # Number of slots within which the sum of bookings is bounded: one second.
 WINDOW_SLOTS = 10
 WINDOW_S = WINDOW_SLOTS * SLOT_S
-# The same for a few slots, so that bookings are spread over the second. The last one
-# may exceed this bound.
+# The same for a shorter window, so that bookings are spread over the second. Only the
+# last booking in it may exceed the bound, because one may need more than the bound.
 SHORT_WINDOW_SLOTS = 2
 # Fraction of the capacity that the highest level may book, the reduction for each
 # further level, and the minimum.
 MAX_BOOKED_FRACTION = 0.8
 BOOKED_FRACTION_STEP = 0.1
 MIN_BOOKED_FRACTION = 0.2
-# How much earlier than told a caller may return. Callers read the time in hundredths of
-# a second and wait by clocks of their own; it reaches them later than it was booked.
+# How much earlier than its return time a caller may claim. Callers get that time in
+# hundredths of a second and measure it by clocks of their own.
 MAX_EARLY_CLAIM_S = 0.1
-# Time after the time of return at which a booking lapses.
+# Time after its return time at which a booking lapses.
 LAPSE_S = 1.0
-# No caller waits longer.
-MAX_AHEAD_S = 60.0
+# Maximum time from now until a return time.
+MAX_BOOKING_AHEAD_S = 60.0
+# Maximum number of bookings of one service.
 MAX_BOOKINGS = 4_000
-# Interval before their time of return in which bookings count as admitted pieces.
+# Interval before their return time in which bookings count as admitted pieces.
 DUE_WITHIN_S = 1.0
 
 
@@ -50,7 +51,7 @@
 
     `pieces` counts the pieces of the service; a lower `level` is more urgent.
 
-    Units: seconds from now, the limits of the time of return.
+    Units: earliest_s and latest_s bound the return time, in seconds from now.
     """
 
     fingerprint: str
@@ -67,7 +68,7 @@
 
 
 class ClaimEnd(Enum):
-    """Say what a claim found: a booking that is due, one that is not yet, or none."""
+    """Say what a claim found: a booking that is due, one due later, or none."""
 
     KEPT = "kept"
     EARLY = "early"
@@ -96,18 +97,18 @@
         self.bookings_by_fingerprint_: dict[str, Booking] = {}
         # The pieces booked for each slot, also those of bookings that were claimed.
         self.pieces_by_slot_: dict[int, int] = {}
-        # Bookings that were replaced after they had lapsed, and are not reported yet.
-        self.replaced_ = 0
+        # Lapsed bookings that were replaced since the last call of `drop_lapsed`.
+        self.replaced_lapsed_ = 0
 
     @property
     def is_empty(self) -> bool:
-        """Tell whether nothing is booked, and no booking counts any more."""
+        """Tell whether nothing is booked, and no earlier booking limits new ones."""
         return not self.bookings_by_fingerprint_ and not self.pieces_by_slot_
 
     def book(
         self, query: BookingQuery, *, capacity_per_s: float, now: float
     ) -> float | None:
-        """Return the time of return, or None if nothing can be booked.
+        """Return the return time, or None if nothing can be booked.
 
         A caller that has a booking gets the same time again.
 
@@ -124,7 +125,7 @@
         if slot is None:
             return None
         return_at = slot * SLOT_S
-        self.replaced_ += known is not None
+        self.replaced_lapsed_ += known is not None
         self.pieces_by_slot_[slot] = self.pieces_by_slot_.get(slot, 0) + query.pieces
         self.bookings_by_fingerprint_[query.fingerprint] = Booking(
             return_at, query.level, query.pieces
@@ -132,7 +133,7 @@
         return return_at
 
     def claim(self, fingerprint: str, now: float) -> ClaimEnd:
-        """Return whether a caller has returned as told, and end its booking if so."""
+        """Return whether the booking of a caller is due, and end it if so."""
         booking = self.bookings_by_fingerprint_.get(fingerprint)
         if booking is None or booking.has_lapsed(now):
             return ClaimEnd.UNKNOWN
@@ -163,8 +164,8 @@
         oldest_slot = math.floor(now / SLOT_S) - WINDOW_SLOTS
         for slot in [slot for slot in self.pieces_by_slot_ if slot < oldest_slot]:
             del self.pieces_by_slot_[slot]
-        count = len(lapsed) + self.replaced_
-        self.replaced_ = 0
+        count = len(lapsed) + self.replaced_lapsed_
+        self.replaced_lapsed_ = 0
         return count
 
     def _free_slot(
@@ -178,23 +179,23 @@
         # Rounded down, so that any interval contains a slot.
         first = math.floor((now + query.earliest_s) / SLOT_S)
         first = max(first, math.ceil(now / SLOT_S))
-        last = math.floor((now + min(query.latest_s, MAX_AHEAD_S)) / SLOT_S)
-        sums = self._sums(first, last)
+        last = math.floor((now + min(query.latest_s, MAX_BOOKING_AHEAD_S)) / SLOT_S)
+        sums = self._cumulative_pieces(first, last)
         for slot in range(first, last + 1):
             # The index in `sums` of the first slot of the first window with this slot.
             offset = slot - first
-            booked = _max_window(sums, offset + WINDOW_SLOTS, WINDOW_SLOTS)
+            booked = _max_window_sum(sums, offset + WINDOW_SLOTS, WINDOW_SLOTS)
             if booked + query.pieces > bound:
                 continue
-            nearby = _max_window(sums, offset + WINDOW_SLOTS, SHORT_WINDOW_SLOTS)
+            nearby = _max_window_sum(sums, offset + WINDOW_SLOTS, SHORT_WINDOW_SLOTS)
             if nearby < short_bound:
                 return slot
         return None
 
-    def _sums(self, first: int, last: int) -> Sequence[int]:
-        """Return the sums of pieces over all slots before each slot.
+    def _cumulative_pieces(self, first: int, last: int) -> Sequence[int]:
+        """Return the cumulative sums of booked pieces before each slot.
 
-        They begin and end a window outside of the slots.
+        The range extends by one window on both sides, for windows that overlap it.
         """
         slots = range(first - WINDOW_SLOTS, last + WINDOW_SLOTS)
         pieces = (self.pieces_by_slot_.get(slot, 0) for slot in slots)
@@ -202,18 +203,20 @@
 
 
 def pieces_per_s(
-    limits: PieceLimits, slowness: Iterable[float], measured_per_s: float | None
+    limits: PieceLimits, duration_ratios: Iterable[float], measured_per_s: float | None
 ) -> float:
     """Return the capacity of a service for bookings.
 
-    `slowness` holds, for each usable endpoint, the ratio of the duration of its calls
-    to the expected one. `measured_per_s` is the throughput while the service is behind,
-    None if it is not.
+    `duration_ratios` holds, for each usable endpoint, the ratio of the duration of its
+    calls to the expected one. `measured_per_s` is the throughput while the service is
+    behind, None if it is not.
 
     Units: pieces per second.
     """
     full_call_per_s = limits.batch / limits.full_call_s
-    configured_per_s = sum(full_call_per_s / max(1.0, ratio) for ratio in slowness)
+    configured_per_s = sum(
+        full_call_per_s / max(1.0, ratio) for ratio in duration_ratios
+    )
     if measured_per_s is None:
         return configured_per_s
     return min(configured_per_s, measured_per_s)
@@ -228,8 +231,8 @@
     return max(MIN_BOOKED_FRACTION, fraction) * capacity_per_s
 
 
-def _max_window(sums: Sequence[int], index: int, width: int) -> int:
-    """Return the largest sum over slots in a row that include the one at an index."""
+def _max_window_sum(sums: Sequence[int], index: int, width: int) -> int:
+    """Return the largest sum over windows that include the slot at an index."""
     return max(
         sums[start + width] - sums[start]
         for start in range(index - width + 1, index + 1)
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -27,6 +27,8 @@
 
 from random import Random
 
+import msgspec
+
 from leadford.common import Ewma
 from leadford.forwarding.admission._first_try import FirstTryTimes
 from leadford.forwarding.admission._forecast import (
@@ -107,11 +109,19 @@
         queue_delay_s = max(delay.delay_s for delay in (engine_delay, *delays))
         error_s = self._forecast_error(request.route).value_
         expected_s = min_answer_s + queue_delay_s + error_s
+        decision = AdmissionDecision(
+            Verdict.ADMIT,
+            expected_s,
+            is_caller_retry=is_caller_retry,
+            since_first_try_s=since_first_try_s,
+            is_late=is_late,
+            is_refusal_known=refused is not None,
+            level=request.level_at(None),
+        )
         if request.is_booked and can_keep_booking(request):
+            # If it is late, its pieces are queued behind all that are in time.
             self._record_admitted(request, forecast)
-            return _admit_booked(
-                request, expected_s, since_first_try_s, is_late, refused
-            )
+            return msgspec.structs.replace(decision, is_caller_retry=True)
         limits = LimitTerms(critical_path_s, is_caller_retry, is_late)
         too_long = [
             delay
@@ -121,18 +131,25 @@
         ]
         if not too_long:
             self._record_admitted(request, forecast)
-            return AdmissionDecision(
-                Verdict.ADMIT,
-                expected_s,
-                0.0,
-                is_caller_retry,
-                since_first_try_s,
-                is_late,
-                refused is not None,
-                level=request.level_at(None),
-            )
+            return decision
         short_id = max(too_long, key=lambda delay: delay.delay_s).service_id
         wait_s = self._retry_after_s(request, critical_path_s, queue_delay_s)
+        self._record_refused(request, forecast, wait_s)
+        return msgspec.structs.replace(
+            decision,
+            verdict=Verdict.REFUSE,
+            retry_after_s=wait_s,
+            short_service_id=short_id,
+            level=request.level_at(short_id),
+        )
+
+    def _record_refused(
+        self, request: AdmissionRequest, forecast: StageForecast, wait_s: float
+    ) -> None:
+        """Record a refused request as a reservation.
+
+        Units: wait_s is the retry delay in seconds.
+        """
         reservation = RetryReservation(
             request.fingerprint,
             request.now + wait_s,
@@ -141,17 +158,6 @@
             request.now,
         )
         self.reservations.record(reservation, is_own=True)
-        return AdmissionDecision(
-            Verdict.REFUSE,
-            expected_s,
-            wait_s,
-            is_caller_retry,
-            since_first_try_s,
-            is_late,
-            refused is not None,
-            short_service_id=short_id,
-            level=request.level_at(short_id),
-        )
 
     def _record_admitted(
         self, request: AdmissionRequest, forecast: StageForecast
@@ -167,14 +173,16 @@
         )
 
     def _forecast(self, request: AdmissionRequest) -> StageForecast:
-        by_level = None
+        level_forecast = None
         if request.contended_ids:
-            by_level = LevelForecast(request.levels, self.shares_, request.workspace_id)
+            level_forecast = LevelForecast(
+                request.levels, self.shares_, request.workspace_id
+            )
         return StageForecast(
             route=request.route,
             counts=request.counts,
             capacity_by_service=request.capacity_by_service,
-            by_level=by_level,
+            level_forecast=level_forecast,
         )
 
     def is_return(self, request: AdmissionRequest) -> bool:
@@ -262,7 +270,7 @@
 
 
 def can_keep_booking(request: AdmissionRequest) -> bool:
-    """Return whether a request can be answered in time with nothing before it."""
+    """Return whether a request can meet its deadline without any backlog."""
     for stage, count in zip(request.route.stages, request.counts, strict=True):
         capacity = request.capacity_by_service.get(stage.service_id)
         if count > 0 and (capacity is None or capacity.endpoints == 0):
@@ -274,25 +282,3 @@
     )
     answer_s = forecast.critical_path_s() + request.first_byte_s
     return request.elapsed_s + answer_s <= DEADLINE_FRACTION * request.timeout_s
-
-
-def _admit_booked(
-    request: AdmissionRequest,
-    expected_s: float,
-    since_first_try_s: float,
-    is_late: bool,
-    refused: RetryReservation | None,
-) -> AdmissionDecision:
-    """Admit a request with a booking; capacity for its pieces is reserved.
-
-    One that is late keeps its promise behind the requests that can still be in time.
-    """
-    return AdmissionDecision(
-        Verdict.ADMIT,
-        expected_s,
-        is_caller_retry=True,
-        since_first_try_s=since_first_try_s,
-        is_late=is_late,
-        is_refusal_known=refused is not None,
-        level=request.level_at(None),
-    )
--- a/packages/leadford/src/leadford/forwarding/admission/_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_forecast.py
@@ -33,8 +33,8 @@
 class StageCapacity(msgspec.Struct, frozen=True):
     """Hold the limits and the number of usable endpoints of a batched stage.
 
-    Where endpoints report a pace, `endpoints` is the number of endpoints of the usual
-    pace that do the same work, and need not be whole.
+    Where endpoints report a pace, `endpoints` is the equivalent number of endpoints of
+    the usual pace, which may be fractional.
     """
 
     limits: PieceLimits
@@ -62,7 +62,7 @@
 
 
 class StageDelay(msgspec.Struct, frozen=True):
-    """Hold the backlog of the most delayed stage, and the service of that stage.
+    """Hold the delay of one stage by its backlog, and the service of the stage.
 
     Units: delay_s in seconds.
     """
@@ -74,8 +74,8 @@
 class StageForecast:
     """Forecast the stages of one request from the present capacity of their services.
 
-    `counts` holds the number of pieces of each stage; `by_level` forecasts the delay at
-    contended services.
+    `counts` holds the number of pieces of each stage; `level_forecast` forecasts the
+    delay at contended services.
     """
 
     def __init__(
@@ -84,12 +84,12 @@
         route: Route,
         counts: tuple[int, ...],
         capacity_by_service: Mapping[ServiceId, StageCapacity],
-        by_level: LevelForecast | None = None,
+        level_forecast: LevelForecast | None = None,
     ) -> None:
         self.route = route
         self.counts = counts
         self.capacity_by_service = capacity_by_service
-        self.by_level = by_level
+        self.level_forecast = level_forecast
 
     def critical_path_s(self) -> float:
         """Return the duration of the critical path of the stages, without a backlog.
@@ -99,7 +99,7 @@
         return max(self._done_s(), default=0.0)
 
     def _done_s(self) -> list[float]:
-        """Return when each stage is done without a backlog, from the begin of all.
+        """Return when each stage ends without a backlog, from the start of the first.
 
         Units: seconds.
         """
@@ -117,7 +117,7 @@
         return done_s
 
     def _reached_s(self, number: int) -> float:
-        """Return when a stage is reached without a backlog, from the begin of all.
+        """Return when a stage starts without a backlog, from the start of the first.
 
         Units: seconds.
         """
@@ -128,7 +128,7 @@
     def longest_delay(
         self, backlog: AdmittedBacklog, now: float, *, is_late: bool
     ) -> StageDelay:
-        """Return the backlog of the most delayed stage."""
+        """Return the delay of the most delayed stage."""
         longest = StageDelay()
         for delay in self.delays(backlog, now, is_late=is_late):
             if delay.delay_s > longest.delay_s:
@@ -138,7 +138,7 @@
     def delays(
         self, backlog: AdmittedBacklog, now: float, *, is_late: bool
     ) -> list[StageDelay]:
-        """Return the backlog of each stage that the request needs.
+        """Return the delay by the backlog of each stage that the request needs.
 
         It follows from the configured call durations, or from the actual throughput of
         a stage that is behind. All pieces that are in time go before those of a late
@@ -157,7 +157,7 @@
     def _delay_s(
         self, number: int, backlog: AdmittedBacklog, now: float, *, is_late: bool
     ) -> float:
-        """Return the backlog of one stage.
+        """Return the delay by the backlog of one stage.
 
         Units: seconds.
         """
@@ -170,9 +170,13 @@
         def capacity_s(pieces: float) -> float:
             return capacity.backlog_s(pieces, stage.result_bytes, held_s)
 
-        by_level = self.by_level
-        if by_level and by_level.is_contended(stage.service_id) and not is_late:
-            return by_level.delay_s(
+        level_forecast = self.level_forecast
+        if (
+            level_forecast
+            and level_forecast.is_contended(stage.service_id)
+            and not is_late
+        ):
+            return level_forecast.delay_s(
                 backlog,
                 stage.service_id,
                 less_urgent_fraction=LESS_URGENT_FRACTION,
--- a/packages/leadford/src/leadford/forwarding/admission/_levels.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_levels.py
@@ -1,10 +1,10 @@
-"""Judge requests by level of priority at contended services.
+"""Forecast the delay and limit the backlog by priority level at contended services.
 
 Used by the forecast and the decision; all else about levels is in
 `leadford.forwarding.routes` (which level) and `leadford.forwarding.batching` (the
-backlog and the queue). Before a request go the pieces of its level and of more urgent
-ones. The queue reserves a part of the capacity for less urgent requests, so their
-delay is never expected to be longer than with that part alone.
+backlog and the queue). The pieces of its own level and of more urgent levels go before
+a request. The queue reserves a fraction of the capacity for less urgent pieces, which
+bounds the expected delay of requests below the highest level.
 """
 
 from collections.abc import Callable
@@ -26,7 +26,7 @@
 LEVEL_SLACK_FRACTION = 0.9
 LEVEL_SLACK_STEP = 0.2
 MIN_LEVEL_SLACK_FRACTION = 0.3
-# The reduction for each step of a workspace's priority within a level, and the most.
+# The reduction for each step of a workspace's priority within a level, and its maximum.
 WORKSPACE_SLACK_STEP = 0.1
 MAX_WORKSPACE_SLACK_REDUCTION = 0.15
 
@@ -51,7 +51,7 @@
     workspace_id: WorkspaceId | None
 
     def is_contended(self, service_id: ServiceId) -> bool:
-        """Tell whether a service is judged by level."""
+        """Tell whether the delay at a service is forecast by level."""
         return service_id in self.levels.contended_ids
 
     def delay_s(
@@ -67,8 +67,8 @@
         """Return the delay by the backlog before the request.
 
         `capacity_s` returns how long all endpoints need for a number of pieces. The
-        stage computes pieces until the request reaches it after `reached_s`, so that
-        the backlog of that time does not delay it.
+        request reaches the stage after `reached_s`; the backlog that is computed until
+        then does not delay it.
 
         Units: seconds.
         """
@@ -76,30 +76,34 @@
             return float("inf")
         level = self.levels.level(service_id)
         total = backlog.widest_sum(service_id, now)
-        own = float(total.pieces_by_level.get(level, 0))
-        own *= 1.0 - self.shares.excess_fraction(service_id, self.workspace_id, now)
+        own_level = float(total.pieces_by_level.get(level, 0))
+        own_level *= 1.0 - self.shares.excess_fraction(
+            service_id, self.workspace_id, now
+        )
         less_urgent = sum(total.pieces_by_level.values()) - total.up_to(level)
-        after_urgent = own + less_urgent * less_urgent_fraction
+        not_more_urgent = own_level + less_urgent * less_urgent_fraction
         flow_above_per_s = backlog.flow_above_per_s(service_id, level, now)
-        # More urgent pieces keep coming, and leave as fast as they come.
+        # More urgent pieces are assumed to arrive as fast as they are computed.
         left_fraction = _left_fraction(flow_above_per_s * capacity_s(1.0))
         delay_s = max(
-            capacity_s(total.up_to(level - 1) + after_urgent),
-            capacity_s(after_urgent) / left_fraction,
+            capacity_s(total.up_to(level - 1) + not_more_urgent),
+            capacity_s(not_more_urgent) / left_fraction,
         )
-        reserved_s = capacity_s(own) / RESERVED_FRACTION
+        reserved_s = capacity_s(own_level) / RESERVED_FRACTION
         rate = backlog.rate(service_id, now)
         if rate is not None:
             left_per_s = max(
                 RESERVED_FRACTION * rate.pieces, rate.pieces - flow_above_per_s
             )
-            delay_s = max(delay_s, drain_s(own, left_per_s))
-            reserved_s = max(reserved_s, drain_s(own, RESERVED_FRACTION * rate.pieces))
+            delay_s = max(delay_s, drain_s(own_level, left_per_s))
+            reserved_s = max(
+                reserved_s, drain_s(own_level, RESERVED_FRACTION * rate.pieces)
+            )
         if level > LEVEL_HIGHEST:
             delay_s = min(delay_s, reserved_s)
         return max(0.0, delay_s - reached_s)
 
 
 def _left_fraction(used_fraction: float) -> float:
-    """Return the part of the capacity that more urgent levels leave, or reserved."""
+    """Return the fraction of the capacity left by more urgent levels, or reserved."""
     return max(RESERVED_FRACTION, 1.0 - used_fraction)
--- a/packages/leadford/src/leadford/forwarding/admission/_request.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_request.py
@@ -41,7 +41,7 @@
     now: float
     caller_timeout_s: float | None = None
     endpoint_wait_s: float = 0.0
-    # Whether capacity was booked for the caller, and it has returned as told.
+    # Whether capacity is booked for the caller, and its booking is due.
     is_booked: bool = False
     workspace_id: WorkspaceId | None = None
     # The services at which the request is judged by level of priority.
@@ -53,7 +53,7 @@
         return RouteLevels.from_route(self.route, self.contended_ids)
 
     def level_at(self, service_id: ServiceId | None) -> int:
-        """Return the level at a service, or without one the least urgent of all."""
+        """Return the level at a service; for None, the least urgent at any stage."""
         levels = self.levels
         if service_id is not None:
             return levels.level(service_id)
--- a/packages/leadford/src/leadford/forwarding/admission/_reservations.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_reservations.py
@@ -56,18 +56,18 @@
             self.unsent_.append(reservation)
 
     def record_return_time(self, fingerprint: str, return_at: float) -> None:
-        """Record that the caller of an own refusal was told another time."""
+        """Replace the return time of a request that this entry refused."""
         known = self.by_fingerprint_.get(fingerprint)
         if known is None:
             return
-        told = msgspec.structs.replace(known, return_at=return_at)
-        self.by_fingerprint_[fingerprint] = told
+        updated = msgspec.structs.replace(known, return_at=return_at)
+        self.by_fingerprint_[fingerprint] = updated
         self.unsent_ = [
             reservation
             for reservation in self.unsent_
             if reservation.fingerprint != fingerprint
         ]
-        self.unsent_.append(told)
+        self.unsent_.append(updated)
 
     def take_unsent(self) -> list[RetryReservation]:
         """Return and clear the own refusals that other entries have not been sent."""
--- a/packages/leadford/src/leadford/forwarding/admission/_return_window.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_return_window.py
@@ -1,10 +1,11 @@
-"""Find when a refused caller may usefully return, and admit it when it has.
+"""Bound the return time of a refused caller, and admit it if its booking is due.
 
-A booking is made not before the backlog allows it according to the forecast, not
-later than callers wait, and early enough to be answered by the deadline, and within the
-latency target if that is still possible. A request that cannot meet its target books
-what the lowest level may, and waits behind those that can be in time. An entry may
-not recognize a return; the scheduler then names the booking that is due.
+The return time is not before the forecast expects the backlog to allow it, not beyond
+the maximum retry delay, and early enough to answer by the deadline, and within the
+latency target if that is still possible. A request that cannot meet its target books at
+the lowest level, and waits behind those that can be in time. An entry may not recognize
+a caller retry; the scheduler then answers a booking request with the booking that is
+due.
 """
 
 import msgspec
@@ -37,7 +38,7 @@
     pieces = forecast.pieces_by_service().get(decision.short_service_id, 0)
     remaining_s = request.timeout_s - request.elapsed_s
     answer_s = forecast.critical_path_s() + request.first_byte_s
-    # After its return, the request is admitted within this part of the rest.
+    # With the time that remains after the wait, `can_keep_booking` must still hold.
     latest_s = min(
         remaining_s / MAX_RETRY_AFTER_DIVISOR,
         remaining_s - answer_s / DEADLINE_FRACTION,
@@ -45,10 +46,10 @@
     if pieces == 0 or latest_s < MIN_RETRY_AFTER_S:
         return None
     level = request.route.priority
-    tried_s = decision.since_first_try_s + request.elapsed_s
-    in_time_s = request.aim_s - tried_s - answer_s
-    if in_time_s >= MIN_RETRY_AFTER_S:
-        latest_s = min(latest_s, in_time_s)
+    since_first_try_s = decision.since_first_try_s + request.elapsed_s
+    latest_in_target_s = request.aim_s - since_first_try_s - answer_s
+    if latest_in_target_s >= MIN_RETRY_AFTER_S:
+        latest_s = min(latest_s, latest_in_target_s)
     else:
         level = PRIORITY_LOWEST
     return BookingQuery(
@@ -61,9 +62,11 @@
 
 
 def is_due(return_s: float) -> bool:
-    """Return whether a booking may be claimed now, by when its caller may return.
+    """Return whether a booking can be claimed now, given its return time.
 
-    New bookings are made for later: the caller has returned for this one.
+    A new booking has a later return time, so a due one was made for an earlier try.
+
+    Units: return_s in seconds from now.
     """
     return return_s <= MAX_EARLY_CLAIM_S
 
--- a/packages/leadford/src/leadford/forwarding/admission/_shares.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_shares.py
@@ -1,7 +1,7 @@
-"""Measure which workspaces hold more than an equal share of what was admitted lately.
+"""Measure which workspaces exceed an equal share of the recently admitted pieces.
 
-Owned by the admission of one entry, for contended services. A workspace with less than
-its equal share is judged without the pieces that others hold beyond theirs.
+Owned by the admission of one entry, for contended services. For a workspace below its
+equal share, the delay is forecast without the pieces that others hold beyond theirs.
 """
 
 from collections.abc import Collection, Mapping
@@ -11,10 +11,11 @@
 from leadford.common import WorkspaceId
 from leadford.forwarding.routes import ServiceId
 
-# Time in which the weight of admitted pieces falls to a half: somewhat more than a
-# burst is admitted ahead of its service.
+# Half-life of the weight of admitted pieces: slightly longer than the pieces of a burst
+# wait for their service.
 SHARE_HALF_LIFE_S = 2.0
-# Weight below which a workspace is forgotten, and the most workspaces of one service.
+# Weight below which a workspace is dropped, and the maximum number of workspaces for
+# each service.
 MIN_SHARE_PIECES = 0.5
 MAX_SHARE_WORKSPACES = 64
 
@@ -25,8 +26,8 @@
     pieces_by_workspace: dict[WorkspaceId, float]
     updated_at: float
 
-    def fade(self, now: float) -> None:
-        """Reduce the weights by the time passed."""
+    def decay(self, now: float) -> None:
+        """Apply the exponential decay since the last update."""
         factor = 0.5 ** (max(0.0, now - self.updated_at) / SHARE_HALF_LIFE_S)
         self.updated_at = now
         self.pieces_by_workspace = {
@@ -59,7 +60,7 @@
     ) -> None:
         """Count admitted pieces of one service."""
         weights = self.weights_by_service_.setdefault(service_id, _Weights({}, now))
-        weights.fade(now)
+        weights.decay(now)
         known = weights.pieces_by_workspace
         known[workspace_id] = known.get(workspace_id, 0.0) + pieces
         if len(known) > MAX_SHARE_WORKSPACES:
@@ -75,12 +76,12 @@
         weights = self.weights_by_service_.get(service_id)
         if weights is None or workspace_id is None:
             return 0.0
-        weights.fade(now)
+        weights.decay(now)
         known = weights.pieces_by_workspace
         total = sum(known.values())
         if total == 0.0:
             return 0.0
-        equal = total / len(known.keys() | {workspace_id})
-        if known.get(workspace_id, 0.0) >= equal:
+        equal_share = total / len(known.keys() | {workspace_id})
+        if known.get(workspace_id, 0.0) >= equal_share:
             return 0.0
-        return sum(max(0.0, pieces - equal) for pieces in known.values()) / total
+        return sum(max(0.0, pieces - equal_share) for pieces in known.values()) / total
--- a/packages/leadford/src/leadford/forwarding/batching/_backlog.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_backlog.py
@@ -77,7 +77,7 @@
 
 
 class _FlowReport(msgspec.Struct, frozen=True):
-    """Hold the throughput of each level of a stage, and when it arrived."""
+    """Hold the throughput of each level (its flow) of a stage, and when it arrived."""
 
     per_s_by_level: dict[int, float]
     received_at: float
@@ -125,7 +125,7 @@
         service_id: ServiceId,
         pieces_by_level: dict[int, int],
     ) -> None:
-        """Replace the two levels of a service in the last report by all levels."""
+        """Replace the pieces of a service in the last report, which has two levels."""
         report = self.reports_by_entry_.get(entry_id)
         if report is not None:
             report.levels_by_service[service_id] = pieces_by_level
@@ -174,9 +174,10 @@
     def drain_time_s(self, service_id: ServiceId, level: int, now: float) -> float:
         """Return how long a stage that is behind takes for the pieces before a request.
 
-        There are two levels here, 0 and any other. The estimate uses the recent rate of
-        the stage; it is 0 where the stage is not behind. Less urgent pieces are assumed
-        to leave as fast as recently, whatever urgent pieces go before them.
+        Only the highest level and all others are distinguished here. The estimate uses
+        the recent rate of the stage; it is 0 where the stage is not behind. Less urgent
+        pieces are assumed to leave as fast as recently, whatever urgent pieces go
+        before them.
 
         Units: seconds; infinite where no piece of that urgency is computed.
         """
@@ -206,13 +207,13 @@
             for reported in self.reports_by_entry_.values()
             if now - reported.received_at < REPORT_MAX_AGE_S
         ]
-        pieces_by_level = self._own_levels(self.own_by_key_, service_id)
+        pieces_by_level = self._pieces_by_level(self.own_by_key_, service_id)
         for levels_by_service in reported:
             for level, pieces in levels_by_service.get(service_id, {}).items():
                 pieces_by_level[level] = pieces_by_level.get(level, 0) + pieces
         return BacklogSum(1 + len(reported), pieces_by_level)
 
-    def _own_levels(
+    def _pieces_by_level(
         self, counts_by_key: Mapping[BacklogKey, int], service_id: ServiceId
     ) -> dict[int, int]:
         return {
@@ -243,8 +244,8 @@
         """Return a reported sum plus the change of this entry's backlog since."""
         known = report.reported_sum
         pieces_by_level = dict(known.pieces_by_level)
-        own = self._own_levels(self.own_by_key_, service_id)
-        before = self._own_levels(report.reported_by_key, service_id)
+        own = self._pieces_by_level(self.own_by_key_, service_id)
+        before = self._pieces_by_level(report.reported_by_key, service_id)
         for own_level in own.keys() | before.keys():
             level = own_level
             if not known.is_by_level:
@@ -277,9 +278,9 @@
 
 
 def drain_s(pieces: float, per_s: float) -> float:
-    """Return how long a rate takes for some pieces.
+    """Return how long it takes to compute some pieces at a throughput.
 
-    Units: seconds; infinite for pieces that are not computed at all.
+    Units: seconds, per_s in pieces per second; infinite if the throughput is 0.
     """
     if pieces == 0:
         return 0.0
--- a/packages/leadford/src/leadford/forwarding/batching/_endpoint_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_endpoint_capacity.py
@@ -18,7 +18,7 @@
 ROOM_WAIT_FRACTION = 0.6
 # Room that an endpoint refused counts as occupied for this time.
 REFUSED_ROOM_MAX_AGE_S = 0.3
-# Room that is refused again counts as occupied this many times as long as before.
+# Factor by which each repeated refusal prolongs that time.
 REPEATED_REFUSAL_FACTOR = 2.0
 # Key of the room that is occupied by results unknown to this process.
 UNKNOWN_RESULTS = ResultHandle("")
@@ -34,14 +34,14 @@
 class RefusedRoom(msgspec.Struct, frozen=True):
     """Hold the room that an endpoint refused, in a series of refusals.
 
-    Units: age_s is how long it counts as occupied, from the last refusal; expires_at
-    and since, the first refusal, are seconds of the monotonic clock.
+    Units: lifetime_s in seconds, how long the room counts as occupied after the last
+    refusal; expires_at and first_refused_at in seconds of the monotonic clock.
     """
 
     result_bytes: int
-    age_s: float
+    lifetime_s: float
     expires_at: float
-    since: float
+    first_refused_at: float
 
 
 class EndpointCapacity:
@@ -142,28 +142,28 @@
         )
 
     def _continue_series(self, refused: RefusedRoom, sent_at: float) -> RefusedRoom:
-        """Return refused room with what earlier refusals show.
+        """Return refused room, combined with that of earlier refusals.
 
-        The unknown results existed at the first refusal, so they are gone after their
-        retention.
+        The unknown results existed at the first refusal of the series, so they have
+        expired once their retention has passed since.
         """
-        before = self.refused_
-        if before is None:
+        previous = self.refused_
+        if previous is None:
             return refused
-        now = refused.since
-        gone_at = before.since + self.limits.retention_s
-        if now >= gone_at:
+        now = refused.first_refused_at
+        expired_at = previous.first_refused_at + self.limits.retention_s
+        if now >= expired_at:
             return refused
         refused_bytes = refused.result_bytes
-        if sent_at < before.expires_at:
+        if sent_at < previous.expires_at:
             # The room that was believed did not include what was refused before.
-            refused_bytes += before.result_bytes
-        age_s = before.age_s * REPEATED_REFUSAL_FACTOR
+            refused_bytes += previous.result_bytes
+        lifetime_s = previous.lifetime_s * REPEATED_REFUSAL_FACTOR
         return RefusedRoom(
             min(refused_bytes, self.limits.room_bytes),
-            age_s,
-            max(refused.expires_at, min(now + age_s, gone_at)),
-            before.since,
+            lifetime_s,
+            max(refused.expires_at, min(now + lifetime_s, expired_at)),
+            previous.first_refused_at,
         )
 
     def free(self, handle: ResultHandle) -> None:
--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -55,7 +55,7 @@
     to be free. With LOOK_AGAIN, no endpoint takes a call now, and `unserved` are pieces
     that every endpoint of the group excludes.
 
-    With SEND, `left_by_cause` tells how many waiting pieces the call leaves, and why.
+    With SEND, `left_by_cause` counts the waiting pieces that the call leaves, by cause.
 
     Units: wait_s in seconds, with WAIT_FOR_MORE.
     """
--- a/packages/leadford/src/leadford/forwarding/batching/_policy.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_policy.py
@@ -1,9 +1,9 @@
 """Choose how the scheduler of a group treats pieces and room.
 
-Where routes of several priorities compete for a stage, more waits at times than can be
-served: a call for work that is lost anyway, or for results without room, takes the
-place of another. Other stages are scheduled without these rules. Read by `_queue` and
-`_endpoint_capacity`; owns no state.
+Where routes of several priorities compete for a stage, at times more pieces wait than
+can be computed. A call for pieces that miss their deadline, or for results without
+room, then takes the place of a useful one. Other stages are scheduled without these
+rules. Read by `_queue` and `_endpoint_capacity`; owns no state.
 """
 
 import msgspec
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -45,7 +45,7 @@
     def __init__(self) -> None:
         self.tasks_: list[PieceTask] = []
         self.reserved_ = ReservedPlaces()
-        # How many pieces the last call left in the queue, by cause.
+        # Number of pieces that the last call left in the queue, by cause.
         self.left_by_cause_: Counter[LeftCause] = Counter()
 
     def __len__(self) -> int:
@@ -67,7 +67,8 @@
     ) -> list[PieceTask]:
         """Remove and return the pieces that no call can finish before the deadline.
 
-        Without limits, or where the policy says so, those whose deadline is over.
+        Without limits, or unless the policy drops such pieces, only those whose
+        deadline has passed.
         """
         call_s = 0.0
         if limits is not None and policy.drops_hopeless_pieces:
--- a/packages/leadford/src/leadford/forwarding/batching/_reserved.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_reserved.py
@@ -1,11 +1,14 @@
-"""Reserve a part of the places of calls for less urgent pieces at contended services.
-
-Ordered by level, less urgent pieces would wait for as long as more urgent ones fill the
-calls. Each call that passes less urgent pieces over, while more pieces wait than fit in
-one call, adds a few places to a credit. Once the credit covers the chunk that has
-waited longest, that chunk goes ahead. So chunks stay whole, and on average the reserved
-part of the places is used for them. Chunks that can no longer be in time go ahead only
-if no other less urgent ones wait: admission counts them as long as they are queued.
+"""Reserve a fraction of the places of calls for less urgent pieces.
+
+Applies to contended services only.
+
+Ordered by level alone, less urgent pieces would starve while more urgent ones fill the
+calls. As in deficit round robin, each call that passes over less urgent pieces, while
+more pieces wait than fit in one call, adds a few places to a credit. Once the credit
+covers the chunk that has waited longest, that chunk goes first. So chunks stay whole,
+and on average the reserved fraction of the places is used for them. Chunks that can no
+longer be in time are moved only if no other less urgent ones wait; they are moved at
+all because they add to the admitted backlog as long as they are queued.
 """
 
 from collections.abc import Sequence
@@ -13,9 +16,10 @@
 
 from leadford.forwarding.routes import PieceLimits
 
-# Part of the places of a call that less urgent pieces get at least. Admission counts on
-# it for the least urgent requests.
+# Minimum fraction of the places of calls for less urgent pieces. Forecasts of admission
+# rely on it.
 RESERVED_FRACTION = 0.1
+# Minimum number of places that a call adds to the credit.
 MIN_RESERVED_PLACES = 1
 
 
@@ -46,33 +50,33 @@
 
 
 class ReservedPlaces:
-    """Hold the credit of one queue; it never exceeds one full call."""
+    """Hold the credit of one queue, in places; it never exceeds one full call."""
 
     def __init__(self) -> None:
         self.credit_ = 0
-        self.ahead_: tuple[WaitingPiece, ...] = ()
+        self.moved_: tuple[WaitingPiece, ...] = ()
 
     def move_ahead(
         self, ordered: list[ChunkType], limits: PieceLimits, now: float
     ) -> list[ChunkType]:
-        """Return the chunks with the one first that the credit covers, if there is one.
+        """Return the chunks, first the one that the credit covers if there is one.
 
         `ordered` begins with the most urgent chunks that can be in time.
         """
-        self.ahead_ = ()
+        self.moved_ = ()
         if self.credit_ == 0 or not ordered or ordered[0].is_late(limits, now):
             return ordered
         passed_over = [chunk for chunk in ordered if chunk.level > ordered[0].level]
         if not passed_over:
             return ordered
-        longest = min(
+        oldest = min(
             passed_over,
             key=lambda chunk: (chunk.is_late(limits, now), chunk.tasks[0].queued_at),
         )
-        if self.credit_ < min(len(longest.tasks), limits.batch):
+        if self.credit_ < min(len(oldest.tasks), limits.batch):
             return ordered
-        self.ahead_ = longest.tasks
-        return [longest, *(chunk for chunk in ordered if chunk is not longest)]
+        self.moved_ = oldest.tasks
+        return [oldest, *(chunk for chunk in ordered if chunk is not oldest)]
 
     def record_call(
         self,
@@ -83,8 +87,8 @@
         """Update the credit after a call has been filled."""
         if not taken:
             return
-        used = sum(1 for task in taken if task in self.ahead_)
-        self.ahead_ = ()
+        used = sum(1 for task in taken if task in self.moved_)
+        self.moved_ = ()
         earned = 0
         fits_all = len(taken) + len(remaining) <= limits.batch
         if not fits_all and _passes_over(taken, remaining):
--- a/packages/leadford/src/leadford/forwarding/batching/_tasks.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_tasks.py
@@ -59,13 +59,13 @@
     is_suspect: bool = False
     # The level at a contended service, None elsewhere and if it is unknown.
     level: int | None = None
-    # True if that was one endpoint only; then the piece may share a call with pieces
-    # of which the same holds.
+    # True if only one endpoint crashed while it ran the request of the piece; then the
+    # piece may share a call with others for which this is true.
     is_suspect_once: bool = False
 
     @property
     def known_level(self) -> int:
-        """Return the level; without one, that of two which the delay implies."""
+        """Return the level; if None, infer one of two from the delay of the rank."""
         if self.level is not None:
             return self.level
         is_urgent = self.rank_at - self.due_at < LESS_URGENT_DELAY_S / 2.0
@@ -92,8 +92,8 @@
 
         Pieces of a suspect request go in calls of their own: if the endpoint crashes
         then, the request at fault is known, and no other request loses pieces. Where
-        all requests are suspect because of one crash each, they may share a call:
-        after another crash they go alone.
+        all requests are suspect because of one crash each, they may share a call; after
+        another crash they go alone.
         """
         if not taken or taken[0].request_id == self.tasks[0].request_id:
             return True
--- a/packages/leadford/src/leadford/forwarding/batching/_throughput.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_throughput.py
@@ -100,10 +100,10 @@
         )
 
     def flow_by_level(self, now: float) -> dict[int, float]:
-        """Return the recent throughput of each level, whether the group is behind.
+        """Return the recent throughput of each level, also if the group is not behind.
 
-        For levels that do not wait it is what arrives. Empty where too little time was
-        observed.
+        For levels without a backlog it is the arrival rate. Empty where too little time
+        was observed.
 
         Units: pieces per second.
         """
--- a/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
@@ -71,7 +71,7 @@
 class SentPrompt(msgspec.Struct, frozen=True, eq=False):
     """Hold the expected prefill of a prompt that was sent to an engine.
 
-    `waits` is true if other prompts were known to wait there.
+    `waits` is true if other prefills were known to be pending there.
 
     Units: prefill_tokens counts the tokens that the engine is expected to prefill.
     """
@@ -89,7 +89,7 @@
         self.pools = EnginePools()
         self.cached_by_id_: dict[EndpointId, CachedParts] = {}
         self.pending_by_id_: dict[EndpointId, float] = {}
-        # Engines at which a prompt no longer waits, so that they are not untried.
+        # Engines at which at least one prefill, or its attempt, has ended.
         self.tried_ids_: set[EndpointId] = set()
         self.tokens_per_ms_ = Ewma(
             initial=INITIAL_TOKENS_PER_MS, weight=RATE_EWMA_WEIGHT
@@ -264,7 +264,7 @@
             self.pending_by_id_.pop(sent.endpoint_id, None)
 
     def _is_busy_untried(self, record: EndpointRecord) -> bool:
-        """Tell whether prompts wait at an engine that has not read one yet."""
+        """Tell whether prefills are pending at an engine that has not completed one."""
         endpoint_id = record.listed.endpoint_id
         is_untried = endpoint_id not in self.tried_ids_
         return is_untried and endpoint_id in self.pending_by_id_
--- a/packages/leadford/src/leadford/forwarding/endpoints/_gaps.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_gaps.py
@@ -6,11 +6,12 @@
 
 from statistics import median
 
-# Gaps that are kept of one stream, and the fewest that tell anything.
+# Maximum number of gaps that are kept of one stream, and the minimum number for a
+# median.
 MAX_GAPS = 64
 MIN_GAPS = 3
-# Fraction of a gap that must be spent waiting for the engine. Otherwise the caller may
-# have read slowly.
+# Minimum fraction of a gap that is spent waiting for the engine. Otherwise the gap may
+# be due to a caller that reads slowly.
 WAITED_FRACTION = 0.9
 
 
@@ -32,7 +33,9 @@
             self.gaps_s_.append(gap_s)
 
     def usual_s(self) -> float | None:
-        """Return the median gap, which single pauses do not change, or None.
+        """Return the median gap, or None if too few gaps are known.
+
+        Single pauses hardly change the median.
 
         Units: seconds.
         """
--- a/packages/leadford/src/leadford/forwarding/endpoints/_paces.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_paces.py
@@ -40,8 +40,8 @@
 ) -> dict[EndpointId, float] | None:
     """Return the pace of each endpoint, or None if none of them reports a pace.
 
-    Endpoints that were not measured begin at the median of those that were, or at the
-    usual pace while these are fewer than half.
+    The prior is the median of the endpoints that this entry observed, or the usual pace
+    if these are fewer than half.
     """
     if not any(record.pace_.is_reported_ for record in records):
         return None
@@ -49,15 +49,15 @@
     known = sorted(item for item in measured if item is not None)
     median = known[len(known) // 2] if 2 * len(known) >= len(records) else 0.0
     return {
-        record.listed.endpoint_id: record.pace_.estimate(now, log_unmeasured=median)
+        record.listed.endpoint_id: record.pace_.estimate(now, log_prior=median)
         for record in records
     }
 
 
 def effective_count(records: Collection[EndpointRecord], now: float) -> float:
-    """Return how many endpoints of the usual pace do the work of these.
+    """Return the equivalent number of endpoints of the usual pace.
 
-    The count is that of the endpoints if none of them reports a pace.
+    This is the number of endpoints if none of them reports a pace.
     """
     paces = estimate_paces(records, now)
     if paces is None:
@@ -70,10 +70,10 @@
     is_busy: Callable[[EndpointRecord], bool],
     now: float,
 ) -> list[EndpointRecord]:
-    """Return the endpoints without those that still have to answer for the first time.
+    """Return the endpoints without busy ones that have not answered yet.
 
-    An endpoint that never answered gets one request at a time, as long as most of the
-    others have answered.
+    So an endpoint that never answered gets one request at a time. All endpoints are
+    returned if fewer than half of them would remain.
     """
     kept = [r for r in records if r.pace_.is_tried(now) or not is_busy(r)]
     return kept if 2 * len(kept) >= len(records) else list(records)
@@ -84,12 +84,12 @@
 ) -> list[ReportablePace]:
     """Return the paces to report to other entries, the newest measurement first.
 
-    Only paces that differ from the usual and were measured since the last report.
+    Only paces that differ from the usual one and were observed since the last report.
     """
     found = []
     for record in records:
         pace = record.pace_
-        if not pace.is_reported_ or now - pace.own_at > REPORTED_MAX_AGE_S:
+        if not pace.is_reported_ or now - pace.own_sample_at > REPORTED_MAX_AGE_S:
             continue
         measured = pace.measured(now)
         if measured is None or abs(measured.pace - 1.0) < REPORTED_DIFFERENCE:
@@ -131,7 +131,7 @@
     def record_prefill(
         self, record: EndpointRecord, tokens: float, elapsed_ms: float, now: float
     ) -> None:
-        """Record the duration of a prefill that nothing was ahead of."""
+        """Record the duration of a prefill that did not wait for others."""
         if tokens >= PREFILL_MIN_TOKENS:
             self.record_answer(record, elapsed_ms / tokens, "prefill", now)
 
@@ -146,8 +146,8 @@
         usual = self.usual_by_kind_.get(key)
         if usual is None:
             # Starts at the first duration, since nothing else is known.
-            steady = duration / pace.reported_pace(now)
-            usual = Ewma(initial=steady, weight=USUAL_WEIGHT)
+            at_usual_pace = duration / pace.reported_pace(now)
+            usual = Ewma(initial=at_usual_pace, weight=USUAL_WEIGHT)
             self.usual_by_kind_[key] = usual
         if usual.count_ >= USUAL_MIN_COUNT:
             pace.record_measured(duration / usual.value_, now)
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -182,9 +182,9 @@
     def assumed_work(self, now: float, senders: int) -> int:
         """Return the requests of this process and of others that are assumed there.
 
-        Those of others are what the last report showed, unless it is too old, and as
-        many requests for each other sender as this process has sent since: all of them
-        may have seen the endpoint as idle.
+        The requests of others are those in the last report, unless it is too old, plus,
+        for each other sender, as many as this process has sent since: all senders may
+        have seen the endpoint as idle.
         """
         if self.load_ is None or now - self.load_at_ > LOAD_FRESH_S:
             return self.in_flight_
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_paces.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_paces.py
@@ -28,7 +28,7 @@
 
 
 def record(name, pace=None, *, reported=1.0, hall="near", slots=6, now=0.0):
-    """Return an endpoint whose lasting pace was measured, if one is given."""
+    """Return an endpoint whose long-term pace was measured, if one is given."""
     found = endpoint_record(name, hall=hall, slots=slots)
     if pace is not None:
         for _ in range(20):
--- a/packages/leadford/src/leadford/forwarding/memory/_account.py
+++ b/packages/leadford/src/leadford/forwarding/memory/_account.py
@@ -12,16 +12,16 @@
 
 from leadford.forwarding.memory._budget import MemoryBudget
 
-# Events of one stream that are read ahead of its caller.
+# Maximum size of the events of one stream that are read ahead of its caller.
 MAX_UNREAD_EVENT_BYTES = 256 * 1024
-# A holder of fewer bytes is read further up to the whole budget, so that small answers
-# go on while large ones wait.
+# Holders of at most this size are read further up to the whole budget, so that small
+# answers proceed while large ones wait.
 SMALL_HOLDER_BYTES = 64 * 1024
 # Near the budget, a caller without progress for this long is cut off.
 STALLED_S = 1.0
 # An endpoint may cut off an answer that was left unread for this long.
 LEFT_UNREAD_S = 1.0
-# By then, callers that stand still now are cut off.
+# Retry delay of a refusal. By then, callers that are stalled now are cut off.
 RETRY_AFTER_S = STALLED_S
 
 
@@ -42,7 +42,7 @@
 
 
 class MemoryRefusal(msgspec.Struct, frozen=True):
-    """Describe a refusal for want of memory.
+    """Describe a refusal for lack of memory.
 
     Units: retry_after_s in seconds.
     """
@@ -76,9 +76,9 @@
         self.bytes_by_cause_: Counter[HeldCause] = Counter()
         self.holders_: set[BytesHolder] = set()
         self.is_refusing_ = False
-        # The answer that is read on while others wait. It ends, and with it what its
-        # request holds; if all waited for each other, none would end.
-        self.leading_: BytesHolder | None = None
+        # The large answer that is exempt from the pause of reading, so that it ends and
+        # releases what its request holds; otherwise all could wait for each other.
+        self.exempt_: BytesHolder | None = None
 
     def set_held(self, holder: BytesHolder, count: int) -> None:
         """Record how many bytes a holder holds now; 0 ends it.
@@ -93,8 +93,8 @@
             self.holders_.add(holder)
         else:
             self.holders_.discard(holder)
-            if self.leading_ is holder:
-                self.leading_ = None
+            if self.exempt_ is holder:
+                self.exempt_ = None
         budget = self.budget
         if self.is_refusing_:
             is_near = budget is not None and self.held_bytes_ > budget.resume_bytes
@@ -128,15 +128,15 @@
             return False
         if self.held_bytes_ < budget.pause_bytes:
             return True
-        if holder.held_bytes_ > SMALL_HOLDER_BYTES and not self._may_lead(holder):
+        if holder.held_bytes_ > SMALL_HOLDER_BYTES and not self._take_exemption(holder):
             return False
         return self.held_bytes_ < budget.allowed_bytes
 
-    def _may_lead(self, holder: BytesHolder) -> bool:
-        """Tell whether a holder is the one that is read on while others wait."""
-        if self.leading_ is None and holder.cause is HeldCause.ANSWER:
-            self.leading_ = holder
-        return self.leading_ is holder
+    def _take_exemption(self, holder: BytesHolder) -> bool:
+        """Exempt an answer from the pause if none is; return whether this one is."""
+        if self.exempt_ is None and holder.cause is HeldCause.ANSWER:
+            self.exempt_ = holder
+        return self.exempt_ is holder
 
     @property
     def room_bytes(self) -> float:
@@ -148,8 +148,8 @@
     def stalled_holders(self, now: float, needed_bytes: int = 0) -> list[BytesHolder]:
         """Return the holders whose callers are to be cut off now.
 
-        Empty below the mark for refusals. The largest go first, and no more than are
-        needed to take new work again, or a request that announces `needed_bytes`.
+        Empty below the threshold for refusals. The largest go first, and no more than
+        are needed to take new work again, or a request that announces `needed_bytes`.
 
         Units: now in seconds of the monotonic clock.
         """
--- a/packages/leadford/src/leadford/forwarding/memory/_budget.py
+++ b/packages/leadford/src/leadford/forwarding/memory/_budget.py
@@ -1,30 +1,31 @@
 """Derive the bytes that may be held for others from the memory limit of a process.
 
-The marks of the budget lie apart, so that a process near its budget does not begin and
-end to refuse with each request.
+The thresholds differ (hysteresis), so that a process near its budget does not start and
+stop refusing with each request.
 """
 
 import msgspec
 
-# What the process takes by itself: interpreter, libraries, configuration, connections.
+# Memory of the process itself: interpreter, libraries, configuration, connections.
 RESERVE_BYTES = 80_000_000
-# The part of the rest that is held; the other part is left for copies that are made
-# while bytes are joined and for memory that the allocator does not return.
+# Fraction of the rest that may be held. The remainder is left for copies that are made
+# while bytes are joined, and for memory that the allocator does not return.
 HELD_FRACTION = 0.6
 # Below this, a few bodies of the usual size would not fit.
 MIN_BUDGET_BYTES = 16_000_000
-# Parts of the budget. Answers to requests that were admitted below the mark for
-# refusals still have to fit above it, at least one large one above the mark for pauses.
+# Fractions of the budget. Answers to requests that were admitted below the threshold
+# for refusals have to fit above it, and at least one large answer above the threshold
+# for pauses.
 REFUSE_FRACTION = 0.6
 RESUME_FRACTION = 0.5
 PAUSE_FRACTION = 0.7
 
 
 class MemoryBudget(msgspec.Struct, frozen=True):
-    """Hold the bytes that may be held for callers and endpoints, and its marks.
+    """Hold how many bytes may be held for callers and endpoints, and the thresholds.
 
     New work is refused from `refuse_bytes` on, until no more than `resume_bytes` are
-    held. From `pause_bytes` on, holders of many bytes are read one after the other.
+    held. From `pause_bytes` on, large holders are read one after the other.
     """
 
     allowed_bytes: int
--- a/packages/leadford/src/leadford/forwarding/retries/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_limits.py
@@ -122,7 +122,7 @@
 def usual_duration_s(records: Iterable[EndpointRecord]) -> float | None:
     """Return the usual duration at the fastest endpoint, or None if none is known.
 
-    Where endpoints report a pace, they are known to differ, and the median counts:
+    Where endpoints report a pace, this is the median instead, because endpoints differ:
     otherwise attempts at slow endpoints would be given up although they work.
 
     Units: seconds.
@@ -135,8 +135,8 @@
     known = sorted(record.latency_ms_.value_ / 1_000.0 for record in counted)
     if not known:
         return None
-    differ = any(record.pace_.is_reported_ for record in counted)
-    return known[len(known) // 2] if differ else known[0]
+    has_paces = any(record.pace_.is_reported_ for record in counted)
+    return known[len(known) // 2] if has_paces else known[0]
 
 
 def _allows_another_attempt(route: Route, timing: AttemptTiming) -> bool:
--- a/packages/leadford/src/leadford/forwarding/routes/_contention.py
+++ b/packages/leadford/src/leadford/forwarding/routes/_contention.py
@@ -1,9 +1,10 @@
-"""Find the services for which routes of several priorities compete.
+"""Find contended services, where priorities contradict latency targets.
 
 Where targets follow priorities, a queue ordered by due time serves the more urgent
-routes first, and nothing else is needed. Where a less urgent route has the looser or
-the tighter target, due times and priorities contradict each other: ordered by due time,
-requests of the less urgent route are admitted while more urgent ones are refused.
+routes first, and nothing else is needed. Ordered by due time, a less urgent route goes
+first if its target is tighter than that of a route of the highest priority. Below the
+highest priority, a less urgent route with a much looser target is admitted with a
+backlog for which a more urgent one is refused.
 
 Computed once for each configuration. Admission, bookings and the queues of batches
 treat these services by level of priority; all other services are served by due time.
@@ -35,10 +36,10 @@
 
 def _has_contradiction(routes: Sequence[Route]) -> bool:
     """Tell whether any two routes have priorities that contradict their targets."""
-    # Routes added by the hundred repeat few combinations.
-    kinds = {(route.priority, route.aim_ms) for route in routes}
-    for priority, aim_ms in kinds:
-        for other_priority, other_aim_ms in kinds:
+    # Many routes share few combinations, so that few pairs are compared.
+    combinations = {(route.priority, route.aim_ms) for route in routes}
+    for priority, aim_ms in combinations:
+        for other_priority, other_aim_ms in combinations:
             if priority >= other_priority:
                 continue
             if _contradicts(priority, aim_ms, other_aim_ms):
--- a/packages/leadford/src/leadford/forwarding/routes/_levels.py
+++ b/packages/leadford/src/leadford/forwarding/routes/_levels.py
@@ -46,7 +46,7 @@
         return two_level(self.priority)
 
     def lowest_level(self, service_ids: Iterable[ServiceId]) -> int:
-        """Return the least urgent level at some services, or without them elsewhere."""
+        """Return the least urgent level at some services; without services, of two."""
         levels = [self.level(service_id) for service_id in service_ids]
         return max(levels, default=two_level(self.priority))
 
--- a/packages/leadford/src/leadford/protocol/_load.py
+++ b/packages/leadford/src/leadford/protocol/_load.py
@@ -72,7 +72,7 @@
 
 
 class BookingClaim(MessageBase, tag=58):
-    """Ask whether capacity is booked for a caller that has returned, and end that."""
+    """Ask whether capacity is booked for a caller that has returned; claim it if so."""
 
     ask_id: int
     service_id: str
@@ -87,7 +87,7 @@
 
 
 class PaceReport(MessageBase):
-    """Report how fast an endpoint works.
+    """Report the pace of an endpoint, that is, the relative duration of its work.
 
     Units: ratio of the duration of its work to the usual one; age_ms in milliseconds
     since the newest measurement; samples counts measurements.
--- a/packages/leadford/src/leadford/protocol/_pieces.py
+++ b/packages/leadford/src/leadford/protocol/_pieces.py
@@ -2,7 +2,7 @@
 
 from leadford.protocol._base import MessageBase
 
-# The level of a piece whose service is not contended.
+# The level of a piece whose service is not contended, or whose level is not stated.
 LEVEL_UNTOLD = -1
 
 
