--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -25,19 +25,27 @@
 completion on single endpoints with deadlines, without batches and caller retries.
 """
 
-from enum import Enum
 from random import Random
 
 import msgspec
 
-from leadford.common import Ewma, WorkspaceId
+from leadford.common import Ewma
 from leadford.forwarding.admission._first_try import FirstTryTimes
 from leadford.forwarding.admission._forecast import (
-    StageCapacity,
     StageDelay,
     StageForecast,
 )
-from leadford.forwarding.admission._levels import LevelForecast, level_slack_fraction
+from leadford.forwarding.admission._levels import LevelForecast
+from leadford.forwarding.admission._limits import (
+    DEADLINE_FRACTION,
+    LimitTerms,
+    limit_s,
+)
+from leadford.forwarding.admission._request import (
+    AdmissionDecision,
+    AdmissionRequest,
+    Verdict,
+)
 from leadford.forwarding.admission._reservations import (
     RetryReservation,
     RetryReservations,
@@ -45,29 +53,11 @@
 from leadford.forwarding.admission._shares import AdmittedShares
 from leadford.forwarding.admission._usual_wait import CommonTimeouts
 from leadford.forwarding.batching import AdmittedBacklog
-from leadford.forwarding.routes import Route, RouteId, RouteLevels, ServiceId
+from leadford.forwarding.routes import Route, RouteId
 
-# Fraction of the slack that the backlog may take from a first try on a route of the
-# highest priority: for the most urgent workspace, the reduction for each further step
-# of priority, and the minimum.
-SLACK_FRACTION_URGENT = 0.9
-SLACK_FRACTION_STEP = 0.1
-MIN_SLACK_FRACTION_URGENT = 0.75
-# The same for routes below the highest priority. Their pieces wait behind urgent ones,
-# and a refused request has to be retried, queued and served within the same target. A
-# queue of half the slack serves as many requests and leaves time for that.
-SLACK_FRACTION_LESS_URGENT = 0.5
-# The same for a retry that can no longer meet its target: it is admitted only while
-# the queues are short, because its pieces are queued behind all others.
-SLACK_FRACTION_LATE = 0.3
-# Multiple of the target within which the answer to a retry must be expected. With a
-# larger one, every request is retried and late under sustained load.
-RETRY_AIM_FRACTION = 1.0
 # Delay with which an entry may learn of a refusal, and time by which a first try
 # precedes its refusal: slightly more than a heartbeat interval.
 REFUSAL_NEWS_DELAY_S = 0.5
-# Fraction of the allowed time that no expected response time may exceed.
-DEADLINE_FRACTION = 0.85
 # Fraction of the slack that the backlog may still take when a refused request is
 # retried.
 RETRY_SLACK_FRACTION = 0.55
@@ -82,96 +72,6 @@
 ERROR_WEIGHT = 0.15
 
 
-class Verdict(Enum):
-    """Say whether a request is admitted."""
-
-    ADMIT = "admit"
-    REFUSE = "refuse"
-
-
-class AdmissionRequest(msgspec.Struct, frozen=True):
-    """Describe one request for the admission decision.
-
-    `counts` holds the number of pieces of each stage of the route. `priority` is the
-    priority of the workspace if it has one. A request that is sent again has the same
-    `fingerprint`.
-
-    Units: seconds. first_byte_s is the time of the service to the first byte;
-    endpoint_wait_s is the time until one of its endpoints accepts another request;
-    elapsed_s and timeout_s count from when the caller sent the request;
-    caller_timeout_s is the time that the caller itself allows, None if it states none;
-    now is a time of the monotonic clock.
-    """
-
-    route: Route
-    counts: tuple[int, ...]
-    capacity_by_service: dict[ServiceId, StageCapacity]
-    priority: int
-    fingerprint: str
-    first_byte_s: float
-    elapsed_s: float
-    timeout_s: float
-    now: float
-    caller_timeout_s: float | None = None
-    endpoint_wait_s: float = 0.0
-    # Whether capacity was booked for the caller, and it has returned as told.
-    is_booked: bool = False
-    workspace_id: WorkspaceId | None = None
-    # The services at which the request is judged by level of priority.
-    contended_ids: frozenset[ServiceId] = frozenset()
-
-    @property
-    def levels(self) -> RouteLevels:
-        """Return the levels of the request."""
-        return RouteLevels.from_route(self.route, self.contended_ids)
-
-    def level_at(self, service_id: ServiceId | None) -> int:
-        """Return the level at a service, or without one the least urgent of all."""
-        levels = self.levels
-        if service_id is not None:
-            return levels.level(service_id)
-        return levels.lowest_level(stage.service_id for stage in self.route.stages)
-
-    @property
-    def aim_s(self) -> float:
-        """Return the latency target of the route, or the allowed time without one."""
-        aim_ms = self.route.aim_ms
-        return aim_ms / 1_000.0 if aim_ms > 0 else self.timeout_s
-
-
-class AdmissionDecision(msgspec.Struct, frozen=True):
-    """Hold a verdict, the expected response time and the retry delay.
-
-    `is_caller_retry` is true for a retry of a recently refused request, `is_late` for
-    one that can no longer meet its target, counted from its first try.
-    `is_refusal_known` is true if the refusal is recorded here, not only inferred from
-    the timeout that the caller states. `short_service_id` is the service of the stage
-    that is delayed too long, None if no stage is. `level` is the level of the request
-    there, otherwise the lowest at its stages.
-
-    Units: seconds; expected_s counts from when the caller sent the request,
-    since_first_try_s is the time between the first try and this one.
-    """
-
-    verdict: Verdict
-    expected_s: float
-    retry_after_s: float = 0.0
-    is_caller_retry: bool = False
-    since_first_try_s: float = 0.0
-    is_late: bool = False
-    is_refusal_known: bool = False
-    short_service_id: ServiceId | None = None
-    level: int = 0
-
-
-class _LimitTerms(msgspec.Struct, frozen=True):
-    """Hold what the limits of one request depend on at all of its services."""
-
-    critical_path_s: float
-    is_caller_retry: bool
-    is_late: bool
-
-
 class ForwardAdmission:
     """Admit or refuse requests with stages by the delay of their most delayed stage."""
 
@@ -209,32 +109,47 @@
         queue_delay_s = max(delay.delay_s for delay in (engine_delay, *delays))
         error_s = self._forecast_error(request.route).value_
         expected_s = min_answer_s + queue_delay_s + error_s
+        decision = AdmissionDecision(
+            Verdict.ADMIT,
+            expected_s,
+            is_caller_retry=is_caller_retry,
+            since_first_try_s=since_first_try_s,
+            is_late=is_late,
+            is_refusal_known=refused is not None,
+            level=request.level_at(None),
+        )
         if request.is_booked and can_keep_booking(request):
+            # If it is late, its pieces are queued behind all that are in time.
             self._record_admitted(request, forecast)
-            return _admit_booked(
-                request, expected_s, since_first_try_s, is_late, refused
-            )
-        limits = _LimitTerms(critical_path_s, is_caller_retry, is_late)
+            return msgspec.structs.replace(decision, is_caller_retry=True)
+        limits = LimitTerms(critical_path_s, is_caller_retry, is_late)
         too_long = [
             delay
             for delay in (engine_delay, *delays)
             if min_answer_s + delay.delay_s + error_s
-            > _limit_s(request, limits, delay.service_id)
+            > limit_s(request, limits, delay.service_id)
         ]
         if not too_long:
             self._record_admitted(request, forecast)
-            return AdmissionDecision(
-                Verdict.ADMIT,
-                expected_s,
-                0.0,
-                is_caller_retry,
-                since_first_try_s,
-                is_late,
-                refused is not None,
-                level=request.level_at(None),
-            )
+            return decision
         short_id = max(too_long, key=lambda delay: delay.delay_s).service_id
         wait_s = self._retry_after_s(request, critical_path_s, queue_delay_s)
+        self._record_refused(request, forecast, wait_s)
+        return msgspec.structs.replace(
+            decision,
+            verdict=Verdict.REFUSE,
+            retry_after_s=wait_s,
+            short_service_id=short_id,
+            level=request.level_at(short_id),
+        )
+
+    def _record_refused(
+        self, request: AdmissionRequest, forecast: StageForecast, wait_s: float
+    ) -> None:
+        """Record a refused request as a reservation.
+
+        Units: wait_s is the retry delay in seconds.
+        """
         reservation = RetryReservation(
             request.fingerprint,
             request.now + wait_s,
@@ -243,17 +158,6 @@
             request.now,
         )
         self.reservations.record(reservation, is_own=True)
-        return AdmissionDecision(
-            Verdict.REFUSE,
-            expected_s,
-            wait_s,
-            is_caller_retry,
-            since_first_try_s,
-            is_late,
-            refused is not None,
-            short_service_id=short_id,
-            level=request.level_at(short_id),
-        )
 
     def _record_admitted(
         self, request: AdmissionRequest, forecast: StageForecast
@@ -269,14 +173,16 @@
         )
 
     def _forecast(self, request: AdmissionRequest) -> StageForecast:
-        by_level = None
+        level_forecast = None
         if request.contended_ids:
-            by_level = LevelForecast(request.levels, self.shares_, request.workspace_id)
+            level_forecast = LevelForecast(
+                request.levels, self.shares_, request.workspace_id
+            )
         return StageForecast(
             route=request.route,
             counts=request.counts,
             capacity_by_service=request.capacity_by_service,
-            by_level=by_level,
+            level_forecast=level_forecast,
         )
 
     def is_return(self, request: AdmissionRequest) -> bool:
@@ -364,7 +270,7 @@
 
 
 def can_keep_booking(request: AdmissionRequest) -> bool:
-    """Return whether a request can be answered in time with nothing before it."""
+    """Return whether a request can meet its deadline without any backlog."""
     for stage, count in zip(request.route.stages, request.counts, strict=True):
         capacity = request.capacity_by_service.get(stage.service_id)
         if count > 0 and (capacity is None or capacity.endpoints == 0):
@@ -376,64 +282,3 @@
     )
     answer_s = forecast.critical_path_s() + request.first_byte_s
     return request.elapsed_s + answer_s <= DEADLINE_FRACTION * request.timeout_s
-
-
-def _admit_booked(
-    request: AdmissionRequest,
-    expected_s: float,
-    since_first_try_s: float,
-    is_late: bool,
-    refused: RetryReservation | None,
-) -> AdmissionDecision:
-    """Admit a request with a booking; capacity for its pieces is reserved.
-
-    One that is late keeps its promise behind the requests that can still be in time.
-    """
-    return AdmissionDecision(
-        Verdict.ADMIT,
-        expected_s,
-        is_caller_retry=True,
-        since_first_try_s=since_first_try_s,
-        is_late=is_late,
-        is_refusal_known=refused is not None,
-        level=request.level_at(None),
-    )
-
-
-def _limit_s(
-    request: AdmissionRequest, terms: _LimitTerms, service_id: ServiceId | None
-) -> float:
-    """Return the longest expected response time with which a request is admitted.
-
-    `service_id` is the service that delays it, None for its engine.
-    """
-    critical_path_s = terms.critical_path_s
-    if terms.is_late:
-        return _slack_limit_s(request, critical_path_s, SLACK_FRACTION_LATE)
-    if terms.is_caller_retry:
-        return min(
-            DEADLINE_FRACTION * request.timeout_s, RETRY_AIM_FRACTION * request.aim_s
-        )
-    if service_id is not None and service_id in request.contended_ids:
-        fraction = level_slack_fraction(
-            request.levels.level(service_id), request.priority
-        )
-        return _slack_limit_s(request, critical_path_s, fraction)
-    if not request.route.is_urgent:
-        return _slack_limit_s(request, critical_path_s, SLACK_FRACTION_LESS_URGENT)
-    fraction = SLACK_FRACTION_URGENT - SLACK_FRACTION_STEP * request.priority
-    return _slack_limit_s(
-        request, critical_path_s, max(MIN_SLACK_FRACTION_URGENT, fraction)
-    )
-
-
-def _slack_limit_s(
-    request: AdmissionRequest, critical_path_s: float, fraction: float
-) -> float:
-    """Return the limit if the backlog may take a fraction of the slack.
-
-    The slack is the rest of the target after the minimum response time.
-    """
-    min_answer_s = request.elapsed_s + critical_path_s + request.first_byte_s
-    limit_s = min_answer_s + fraction * max(0.0, request.aim_s - min_answer_s)
-    return min(limit_s, DEADLINE_FRACTION * request.timeout_s)
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_paces.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_paces.py
@@ -28,7 +28,7 @@
 
 
 def record(name, pace=None, *, reported=1.0, hall="near", slots=6, now=0.0):
-    """Return an endpoint whose lasting pace was measured, if one is given."""
+    """Return an endpoint whose long-term pace was measured, if one is given."""
     found = endpoint_record(name, hall=hall, slots=slots)
     if pace is not None:
         for _ in range(20):
@@ -244,8 +244,8 @@
     return PromptShape((PromptPart(name, tokens),), tokens)
 
 
-# What is chosen in `choices` below where no endpoint reports a pace: plain endpoint, engine, and endpoint of
-# the next call.
+# What is chosen in `choices` below where no endpoint reports a pace: plain endpoint,
+# engine, and endpoint of the next call.
 CHOICES_WITHOUT_PACES = (
     "323 242 232 202 020 013 303 020 444 430 222 424 "
     "013 000 414 140 334 123 202 213 343 214 042 034"
