Take out a hook that nothing sets, and a forecast that only tests call

Bookings count in the admitted backlog of the scheduler, so further pieces of a service are never set; its test goes with it, the sums at scheduler and entries are tested beside it. The tests of the forecast read the delays that admission reads.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_levels.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_levels.py
@@ -6,7 +6,7 @@
 backlog of the stages holds what was reported.
 """
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Collection
 
 from leadford.common import EntryId
 from leadford.forwarding.batching import BacklogSum, GroupId
@@ -23,24 +23,13 @@
 from leadford_server.forwarding.batching import StageRunner
 from leadford_server.peers import PeerConnection
 
-# Returns further pieces of a service by level that are to count in its sum.
-ExtraPieces = Callable[[ServiceId], Mapping[int, int]]
-
-
-def _no_pieces(service_id: ServiceId) -> Mapping[int, int]:
-    return {}
-
 
 class LevelExchange:
-    """Report pieces by level, and record the reports of other entries.
-
-    `extra_pieces` may be set to count pieces that no entry has admitted yet.
-    """
+    """Report pieces by level, and record the reports of other entries."""
 
     def __init__(self, *, state: ForwardState, stages: StageRunner) -> None:
         self.state = state
         self.stages = stages
-        self.extra_pieces: ExtraPieces = _no_pieces
 
     def handlers(self) -> MessageHandlers:
         """Return the handler of each type of message that this exchange receives."""
@@ -69,9 +58,8 @@
     ) -> FleetLevels | None:
         """Return the sums of the services that this entry schedules.
 
-        `groups` are all groups of all services.
-
-        The sum with the extra pieces counts in the admission of this entry too.
+        `groups` are all groups of all services. The sums count in the admission of
+        this entry too.
         """
         now = self.state.now()
         backlog = self.stages.backlog_
@@ -79,8 +67,6 @@
         for service_id in sorted(self.state.level_service_ids() & set(service_ids)):
             known = backlog.sum(service_id, now)
             pieces_by_level = dict(known.pieces_by_level)
-            for level, pieces in self.extra_pieces(service_id).items():
-                pieces_by_level[level] = pieces_by_level.get(level, 0) + pieces
             backlog.record_sum(
                 service_id,
                 BacklogSum(known.entries, pieces_by_level, is_by_level=True),
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_bookings.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_bookings.py
@@ -133,7 +133,9 @@
         self.fleet = fleet
         self.entry_id = EntryId(f"entry-{number}")
         loop = asyncio.get_running_loop()
-        record = SimpleNamespace(work_ratio=lambda now: 1.0, is_suspect=lambda now: False)
+        record = SimpleNamespace(
+            work_ratio=lambda now: 1.0, is_suspect=lambda now: False
+        )
         self.state = SimpleNamespace(
             entry_id=self.entry_id,
             loop=loop,
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_levels.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_levels.py
@@ -174,14 +174,6 @@
     assert entry.backlog.flow_above_per_s(CONTENDED, 9, entry.now) == 0.0
 
 
-def test_further_pieces_count_at_the_scheduler_and_at_all_entries(scheduler, entry):
-    scheduler.heartbeats.levels.extra_pieces = lambda service_id: {2: 5, 4: 1}
-    scheduler.hear(ENTRY, entry.messages_to(PROTOCOL_LOAD))
-    entry.hear(SCHEDULER, scheduler.messages_to(PROTOCOL_LOAD))
-    for node in (scheduler, entry):
-        assert node.levels_of() == {0: 5, 1: 6, 2: 15, 3: 7, 4: 1}
-
-
 def test_counts_that_make_no_sense_are_left_out():
     node = Node(ENTRY)
     counts = [
--- a/packages/leadford/src/leadford/forwarding/admission/_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_forecast.py
@@ -125,16 +125,6 @@
         before = self.route.stages[number].after
         return max((done_s[earlier] for earlier in before), default=0.0)
 
-    def longest_delay(
-        self, backlog: AdmittedBacklog, now: float, *, is_late: bool
-    ) -> StageDelay:
-        """Return the delay of the most delayed stage."""
-        longest = StageDelay()
-        for delay in self.delays(backlog, now, is_late=is_late):
-            if delay.delay_s > longest.delay_s:
-                longest = delay
-        return longest
-
     def delays(
         self, backlog: AdmittedBacklog, now: float, *, is_late: bool
     ) -> list[StageDelay]:
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_forecast.py
@@ -50,7 +50,8 @@
 
 
 def delay_s(counts, backlog, *, is_late=False):
-    return forecast(counts).longest_delay(backlog, 0.0, is_late=is_late).delay_s
+    delays = forecast(counts).delays(backlog, 0.0, is_late=is_late)
+    return max(delay.delay_s for delay in delays)
 
 
 def test_the_delay_is_that_of_the_stage_that_is_the_furthest_behind():
@@ -70,8 +71,8 @@
 
 
 def test_a_stage_without_a_known_service_is_behind_for_ever():
-    found = forecast((1, 1, 1), {}).longest_delay(AdmittedBacklog(), 0.0, is_late=False)
-    assert found.delay_s == float("inf")
+    found = forecast((1, 1, 1), {}).delays(AdmittedBacklog(), 0.0, is_late=False)
+    assert [delay.delay_s for delay in found] == [float("inf")] * 3
 
 
 def test_pieces_of_all_stages_of_a_service_are_counted_together():
