--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/_framing.py
@@ -0,0 +1,45 @@
+"""Write HTTP/1 messages, and measure the heads of those that arrive.
+
+Writing is shared by the connections to callers and to endpoints.
+"""
+
+from tornado import httputil
+from tornado.http1connection import HTTP1Connection
+
+# Larger bodies are not joined with their head, which would copy them.
+MAX_JOINED_BODY_BYTES = 64 * 1024
+# Bytes of a header line besides its name and value: ": " and CRLF.
+HEADER_LINE_OVERHEAD_BYTES = 4
+
+
+def write_head(
+    connection: HTTP1Connection,
+    start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+    headers: httputil.HTTPHeaders,
+    body: bytes,
+) -> None:
+    """Write a head and the body, if there is one, to a connection."""
+    if len(body) > MAX_JOINED_BODY_BYTES:
+        connection.write_headers(start_line, headers)
+        connection.write(body)
+        return
+    connection.write_headers(start_line, headers, body or None)
+
+
+def head_bytes(
+    start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+) -> int:
+    """Return the size of the head of a request."""
+    total = len(start_line.method) + len(start_line.path) + len(start_line.version)
+    for name, value in headers.get_all():
+        total += len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
+    return total
+
+
+def announced_bytes(headers: httputil.HTTPHeaders) -> int:
+    """Return the announced length of the body, 0 if it is missing or malformed.
+
+    The reader of the body handles a malformed length.
+    """
+    text = headers.get("Content-Length", "0")
+    return int(text) if text.isascii() and text.isdigit() else 0
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/_links_contract.py
@@ -0,0 +1,61 @@
+"""What a request asks of other entries, through the links of this one."""
+
+from collections.abc import Callable, Collection, Iterable
+from typing import Protocol
+
+import msgspec
+
+from leadford.common import EndpointId, EntryId, HallId
+from leadford.forwarding.admission import BookingQuery
+from leadford.forwarding.endpoints import EndpointRecord, PromptShape
+from leadford.forwarding.routes import Service, ServiceId
+
+
+class PlacedEngine(msgspec.Struct, frozen=True, eq=False):
+    """Hold an engine that another entry chose for a prompt.
+
+    `report_prefilled` tells that entry that the prompt no longer waits at the engine.
+    """
+
+    record: EndpointRecord
+    report_prefilled: Callable[[], None]
+
+
+class PromptPlacement(Protocol):
+    """Ask the entry that places the prompts of all entries."""
+
+    def places_service(self, service: Service) -> bool:
+        """Tell whether one entry chooses endpoints of a service for all entries."""
+
+    def places_for_all(self, service_id: ServiceId, prompt: PromptShape) -> bool:
+        """Tell whether this entry places the prompts of all entries."""
+
+    async def place(
+        self,
+        service_id: ServiceId,
+        prompt: PromptShape,
+        *,
+        excluded: Collection[EndpointId],
+        bytes_by_hall: dict[HallId, int],
+    ) -> PlacedEngine | None:
+        """Return the engine that the placing entry chose; None if it named none."""
+
+
+class ReturnBookings(Protocol):
+    """Ask the schedulers of services to keep capacity for callers that return.
+
+    Units: until in seconds of the monotonic clock; no answer is awaited after it.
+    """
+
+    def owner(self, service_id: ServiceId) -> EntryId | None:
+        """Return the entry that books for a service, None where nothing is booked."""
+
+    async def book(
+        self, service_id: ServiceId, query: BookingQuery, until: float
+    ) -> float | None:
+        """Return in how many seconds a caller may return; None without a booking."""
+
+    async def claim(
+        self, fingerprint: str, service_ids: Iterable[ServiceId], until: float
+    ) -> bool:
+        """Return whether a caller has returned as told, and end its booking."""
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -7,14 +7,13 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection
 from random import Random
-from typing import Protocol
 
 import msgspec
 
-from leadford.common import EndpointId, EntryId, HallId
-from leadford.forwarding.admission import BookingQuery, RetryReservations
+from leadford.common import EntryId, HallId
+from leadford.forwarding.admission import RetryReservations
 from leadford.forwarding.batching import GroupMap, RegionMap
 from leadford.forwarding.endpoints import (
     ColdEndpoints,
@@ -27,7 +26,6 @@
     EvacuatedHalls,
     FirstByteTimes,
     PaceMeter,
-    PromptShape,
 )
 from leadford.forwarding.history import StoreEpochs
 from leadford.forwarding.membership import PeerVersions
@@ -35,6 +33,7 @@
 from leadford.forwarding.routes import ProcessStatus, RouteTable, Service, ServiceId
 from leadford_server.forwarding._contract import RequestCodec
 from leadford_server.forwarding._deadlines import RequestDeadlines
+from leadford_server.forwarding._links_contract import PromptPlacement, ReturnBookings
 from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.endpoints import ConnectionPool
 from leadford_server.logs import EventLog
@@ -72,56 +71,6 @@
         return min(bound_s, self.resync_s)
 
 
-class PlacedEngine(msgspec.Struct, frozen=True, eq=False):
-    """Hold an engine that another entry chose for a prompt.
-
-    `report_prefilled` tells that entry that the prompt no longer waits at the engine.
-    """
-
-    record: EndpointRecord
-    report_prefilled: Callable[[], None]
-
-
-class PromptPlacement(Protocol):
-    """Ask the entry that places the prompts of all entries."""
-
-    def places_service(self, service: Service) -> bool:
-        """Tell whether one entry chooses endpoints of a service for all entries."""
-
-    def places_for_all(self, service_id: ServiceId, prompt: PromptShape) -> bool:
-        """Tell whether this entry places the prompts of all entries."""
-
-    async def place(
-        self,
-        service_id: ServiceId,
-        prompt: PromptShape,
-        *,
-        excluded: Collection[EndpointId],
-        bytes_by_hall: dict[HallId, int],
-    ) -> PlacedEngine | None:
-        """Return the engine that the placing entry chose; None if it named none."""
-
-
-class ReturnBookings(Protocol):
-    """Ask the schedulers of services to keep capacity for callers that return.
-
-    Units: until in seconds of the monotonic clock; no answer is awaited after it.
-    """
-
-    def owner(self, service_id: ServiceId) -> EntryId | None:
-        """Return the entry that books for a service, None where nothing is booked."""
-
-    async def book(
-        self, service_id: ServiceId, query: BookingQuery, until: float
-    ) -> float | None:
-        """Return in how many seconds a caller may return; None without a booking."""
-
-    async def claim(
-        self, fingerprint: str, service_ids: Iterable[ServiceId], until: float
-    ) -> bool:
-        """Return whether a caller has returned as told, and end its booking."""
-
-
 class ForwardState:
     """Hold the state that requests share."""
 
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/__init__.py
@@ -4,10 +4,8 @@
 final answer.
 """
 
-from leadford_server.forwarding.answers._callers import (
-    CallerExchange,
-    CallerServer,
-)
+from leadford_server.forwarding.answers._caller_server import CallerServer
+from leadford_server.forwarding.answers._callers import CallerExchange
 from leadford_server.forwarding.answers._request import RequestForwarder
 
 __all__ = [
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -1,44 +1,35 @@
-"""Receive requests from callers and write answers back, byte for byte.
+"""Receive one request of a caller and write its answer, byte for byte.
 
-`CallerServer` listens, `CallerExchange` holds one request and its answer. Requests that
-exceed the limits of the configuration are rejected here, before any decision is made;
-all others go to `serve`. Relies on tornado's HTTP/1 server for framing.
+A request that exceeds the limits of the configuration is rejected here, and one that
+the memory has no room for is refused, before any decision is made; all others go to
+`serve` of the server. Relies on tornado's HTTP/1 server for framing.
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
 from http import HTTPStatus
-from weakref import WeakSet
+from typing import TYPE_CHECKING
 
 from returns.result import Failure
-from tornado import httpserver, httputil, iostream
+from tornado import httputil, iostream
 from tornado.http1connection import HTTP1Connection
 
-from leadford.forwarding.answers import EndReason, FinalAnswer, final_answer
+from leadford.forwarding.answers import EndReason, final_answer
 from leadford.forwarding.memory import HeldCause, MemoryRefusal
-from leadford.forwarding.routes import TrafficLimits
 from leadford_server.forwarding._contract import (
     HeaderList,
     InboundRequest,
-    RequestCodec,
 )
-from leadford_server.forwarding._memory import HeldBytes, HeldMemory
+from leadford_server.forwarding._framing import (
+    announced_bytes,
+    head_bytes,
+    write_head,
+)
+from leadford_server.forwarding._memory import HeldBytes
 from leadford_server.forwarding.answers._unsent import UnsentAnswer, unsent_bytes
 
-# Seconds beyond the configured idle time before a connection is closed.
-IDLE_GRACE_S = 2.0
-# Heads up to this multiple of the limit are read, so that they can be answered.
-HEAD_READ_FACTOR = 4
-# Effectively unlimited: `CallerExchange` enforces the configured limit on bodies while
-# they arrive, instead of the library.
-MAX_BODY_READ_BYTES = 1 << 40
-# Seconds between the end of an answer and the close of its connection, so that the
-# written bytes are still sent.
-CLOSE_DELAY_S = 0.02
-# Larger bodies are not joined with the head of their answer, which would copy them.
-MAX_JOINED_BODY_BYTES = 64 * 1024
-# Bytes of a header line besides its name and value: ": " and CRLF.
-HEADER_LINE_OVERHEAD_BYTES = 4
+if TYPE_CHECKING:
+    from leadford_server.forwarding.answers._caller_server import CallerServer
+
 STATUS_BODY_TOO_LARGE = 413
 STATUS_HEAD_TOO_LARGE = 431
 CONNECTION_HEADERS = frozenset(
@@ -85,21 +76,21 @@
             start_line.method, start_line.path, list(headers.get_all()), now
         )
         limits = self.server.limits_
-        if _head_bytes(start_line, headers) > limits.header_bytes:
+        if head_bytes(start_line, headers) > limits.header_bytes:
             self._deny(STATUS_HEAD_TOO_LARGE)
             return
-        announced_bytes = _announced_bytes(headers)
-        if announced_bytes > limits.body_bytes:
+        body_bytes = announced_bytes(headers)
+        if body_bytes > limits.body_bytes:
             self._deny(STATUS_BODY_TOO_LARGE)
             return
         memory = self.server.memory
-        admitted = memory.admit(announced_bytes)
+        admitted = memory.admit(body_bytes)
         if isinstance(admitted, Failure):
             self._refuse(admitted.failure(), sends_body="Expect" not in headers)
             return
         self.server.exchanges_.add(self)
         self.held_body_ = memory.hold(HeldCause.REQUEST_BODY, self.cut_off)
-        self.held_body_.set(announced_bytes)
+        self.held_body_.set(body_bytes)
 
     def data_received(self, chunk: bytes) -> None:
         """Record a part of the body."""
@@ -280,11 +271,7 @@
         if not reason:
             reason = _reason(status)
         start_line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
-        if len(body) > MAX_JOINED_BODY_BYTES:
-            self.connection.write_headers(start_line, lines)
-            self.connection.write(body)
-            return
-        self.connection.write_headers(start_line, lines, body or None)
+        write_head(self.connection, start_line, lines, body)
 
     def _end(self) -> None:
         self.is_over_ = True
@@ -300,135 +287,3 @@
         return HTTPStatus(status).phrase
     except ValueError:
         return "Unknown"
-
-
-def _head_bytes(
-    start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
-) -> int:
-    total = len(start_line.method) + len(start_line.path) + len(start_line.version)
-    for name, value in headers.get_all():
-        total += len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
-    return total
-
-
-def _announced_bytes(headers: httputil.HTTPHeaders) -> int:
-    """Return the announced length of the body, 0 if it is missing or malformed.
-
-    The reader of the body handles a malformed length.
-    """
-    text = headers.get("Content-Length", "0")
-    return int(text) if text.isascii() and text.isdigit() else 0
-
-
-class CallerServer(httputil.HTTPServerConnectionDelegate):
-    """Listen for callers."""
-
-    def __init__(
-        self,
-        *,
-        codec: RequestCodec,
-        serve: Callable[[CallerExchange], Coroutine[None, None, None]],
-        is_draining: Callable[[], bool],
-        on_fault: Callable[[CallerExchange, BaseException], None],
-        on_rejected: Callable[[CallerExchange, int], None],
-        on_refused: Callable[[CallerExchange, MemoryRefusal, FinalAnswer], None],
-        on_cut_off: Callable[[CallerExchange, int], None],
-        memory: HeldMemory,
-    ) -> None:
-        self.codec = codec
-        self.serve = serve
-        self.is_draining = is_draining
-        self.on_fault = on_fault
-        self.on_rejected = on_rejected
-        self.on_refused = on_refused
-        self.on_cut_off = on_cut_off
-        self.memory = memory
-        self.limits_ = TrafficLimits()
-        self.exchanges_: set[CallerExchange] = set()
-        self.unsent_: list[UnsentAnswer] = []
-        self.streams_: WeakSet[iostream.IOStream] = WeakSet()
-        self.server_: httpserver.HTTPServer | None = None
-        self.is_stopped_ = False
-
-    def start(self, host: str, port: int) -> None:
-        """Start listening for callers."""
-        limits = self.limits_
-        self.server_ = httpserver.HTTPServer(
-            self,
-            idle_connection_timeout=limits.idle_ms / 1_000.0 + IDLE_GRACE_S,
-            max_header_size=HEAD_READ_FACTOR * limits.header_bytes,
-            max_body_size=MAX_BODY_READ_BYTES,
-        )
-        self.server_.listen(port, address=host)
-
-    def apply_limits(self, limits: TrafficLimits) -> None:
-        """Set the limits for requests that arrive from now on."""
-        parameters = self.server_.conn_params
-        parameters.header_timeout = limits.idle_ms / 1_000.0 + IDLE_GRACE_S
-        parameters.max_header_size = HEAD_READ_FACTOR * limits.header_bytes
-        self.limits_ = limits
-
-    def check_unsent(self) -> None:
-        """Follow how much callers have read, and cut off those that never read."""
-        unsent, self.unsent_ = self.unsent_, []
-        for answer in unsent:
-            if answer.check():
-                self.unsent_.append(answer)
-
-    def start_request(
-        self, server_conn: object, request_conn: HTTP1Connection
-    ) -> CallerExchange:
-        """Return the exchange for the next request of a connection."""
-        if request_conn.stream is not None:
-            self.streams_.add(request_conn.stream)
-            if self.is_stopped_:
-                # The connection was accepted just before the stop, which could not
-                # close it yet.
-                request_conn.stream.close()
-        return CallerExchange(connection=request_conn, server=self)
-
-    def on_close(self, server_conn: object) -> None:
-        """Record that a connection ended."""
-
-    def close_soon(self, connection: HTTP1Connection) -> None:
-        """Close a connection once its written bytes have been sent.
-
-        The head of the answer may have been written before the stop began, without
-        "Connection: close". The caller may then send another request at once; that
-        request is served, and the connection is closed after it.
-        """
-        stream = connection.stream
-        if stream is None or stream.closed():
-            return
-        loop = asyncio.get_running_loop()
-
-        def close() -> None:
-            if stream.closed() or self._has_pending_request(stream):
-                return
-            if stream.writing():
-                loop.call_later(CLOSE_DELAY_S, close)
-                return
-            stream.close()
-
-        loop.call_later(CLOSE_DELAY_S, close)
-
-    def _has_pending_request(self, stream: iostream.IOStream) -> bool:
-        """Return whether a connection has a request that is not answered yet."""
-        return any(item.connection.stream is stream for item in self.exchanges_)
-
-    @property
-    def pending_count(self) -> int:
-        """Return the number of running requests plus that of unsent answers."""
-        unsent_count = sum(stream.writing() for stream in self.streams_)
-        return len(self.exchanges_) + unsent_count
-
-    def stop(self) -> None:
-        """Accept no new connections and close the existing ones.
-
-        The process still runs for a moment; a request that started then would be
-        interrupted by its exit.
-        """
-        self.is_stopped_ = True
-        self.server_.stop()
-        for stream in list(self.streams_):
-            stream.close()
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -7,10 +7,8 @@
 
 import asyncio
 import socket
-from enum import Enum
 
 from tornado import http1connection, httputil, iostream
-from tornado.iostream import IOStream
 
 from leadford.common import RequestId
 from leadford.forwarding.memory import HeldCause
@@ -19,6 +17,7 @@
     OutboundRequest,
     RequestCodec,
 )
+from leadford_server.forwarding._framing import write_head
 from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.endpoints._reader import (
     AnswerReader,
@@ -26,53 +25,21 @@
     ExchangeBroken,
     LiveAnswer,
 )
+from leadford_server.forwarding.endpoints._watched import (
+    ANSWER_BYTES_MAX,
+    ConnectionEnd,
+    WatchedStream,
+)
 
-ANSWER_BYTES_MAX = 64 * 1024 * 1024
 HEADER_BYTES_MAX = 64 * 1024
 # Bound of what the kernel keeps for a connection that is not read.
 RECEIVE_BUFFER_BYTES = 256 * 1024
-# Larger bodies are not joined with the head of their request.
-MAX_JOINED_BODY_BYTES = 64 * 1024
 # Answers to earlier requests that are skipped before an exchange fails.
 UNMATCHED_ANSWERS_MAX = 2
 # Time after which the kernel closes a connection whose peer acknowledges nothing.
 UNACKNOWLEDGED_TIMEOUT_MS = 2_500
 
 
-class ConnectionEnd(Enum):
-    """List the ways in which a connection ends; the values appear in logs.
-
-    CLOSED and RESET occur when the process of the peer exits. SILENT: the peer
-    acknowledged nothing for too long, for example after a power failure or a network
-    partition.
-    """
-
-    OPEN = "open"
-    CLOSED = "closed"
-    RESET = "reset"
-    SILENT = "silent"
-
-
-class WatchedStream(IOStream):
-    """Detect bytes that arrive while no answer is expected."""
-
-    def __init__(self, sock: socket.socket) -> None:
-        super().__init__(sock, max_buffer_size=ANSWER_BYTES_MAX)
-        self.is_idle_ = False
-        self.has_unexpected_bytes_ = False
-
-    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        """Read, and record whether bytes arrived while the connection was idle."""
-        count = super().read_from_fd(buf)
-        if count and self.is_idle_:
-            self.has_unexpected_bytes_ = True
-        return count
-
-    def has_unread_bytes(self) -> bool:
-        """Return whether received bytes are left that no answer has consumed."""
-        return self._read_buffer_size > 0
-
-
 class EndpointConnection:
     """Hold one connection to an endpoint; it carries one exchange at a time."""
 
@@ -200,12 +167,7 @@
         exchange = http1connection.HTTP1Connection(self.stream, True, parameters)
         start_line = httputil.RequestStartLine(request.method, request.target, "")
         try:
-            if len(request.body) > MAX_JOINED_BODY_BYTES:
-                # Written by itself, a large body is not copied.
-                exchange.write_headers(start_line, headers)
-                exchange.write(request.body)
-            else:
-                exchange.write_headers(start_line, headers, request.body or None)
+            write_head(exchange, start_line, headers, request.body)
             exchange.finish()
         except iostream.StreamClosedError as error:
             raise ExchangeBroken(BreakKind.LOST, "closed while sending") from error
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_placing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_placing.py
@@ -28,8 +28,9 @@
     PromptPartReport,
     PromptRead,
 )
+from leadford_server.forwarding._links_contract import PlacedEngine
 from leadford_server.forwarding._peers import MessageHandlers
-from leadford_server.forwarding._state import ForwardState, PlacedEngine
+from leadford_server.forwarding._state import ForwardState
 from leadford_server.metrics import PLACED_TOTAL
 from leadford_server.peers import PeerConnection
 
