--- a/packages/leadford-server/src/leadford_server/forwarding/_links_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_links_contract.py
@@ -42,20 +42,20 @@
 
 
 class ReturnBookings(Protocol):
-    """Ask the schedulers of services to keep capacity for callers that return.
+    """Ask the schedulers of services to book capacity for refused callers that return.
 
-    Units: until in seconds of the monotonic clock; no answer is awaited after it.
+    Units: until, in seconds of the monotonic clock, ends the wait for an answer.
     """
 
     def owner(self, service_id: ServiceId) -> EntryId | None:
-        """Return the entry that books for a service, None where nothing is booked."""
+        """Return the entry that books for a service, None if nothing is booked."""
 
     async def book(
         self, service_id: ServiceId, query: BookingQuery, until: float
     ) -> float | None:
-        """Return in how many seconds a caller may return; None without a booking."""
+        """Return in how many seconds a caller is to return; None without a booking."""
 
     async def claim(
         self, fingerprint: str, service_ids: Iterable[ServiceId], until: float
     ) -> bool:
-        """Return whether a caller has returned as told, and end its booking."""
+        """Return whether a returned caller had a booking that is due, and end it."""
--- a/packages/leadford-server/src/leadford_server/forwarding/_memory.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_memory.py
@@ -1,8 +1,9 @@
-"""Report what is held for callers and endpoints, and wait until there is room.
+"""Account for the bytes held for callers and endpoints, and bound them.
 
-Owns the account of the process. `leadford.forwarding.memory` decides; this module
-passes on what the holders report, wakes readers that wait, logs when the process begins
-and ends to refuse, and exports the metrics.
+Owns the memory account of the process. `leadford.forwarding.memory` decides; this
+module passes on what the holders report, resumes readers that wait for room, cuts off
+callers without progress, logs when the process starts and stops refusing requests, and
+exports the metrics.
 """
 
 from collections.abc import Callable
@@ -21,23 +22,27 @@
 from leadford_server.metrics import HELD_BYTES, MEMORY_REFUSALS_TOTAL
 
 # The most that a reader reads at once.
-READ_BYTES = 64 * 1024
+MAX_READ_BYTES = 64 * 1024
 
 
 class HeldBytes:
-    """Report the bytes of one holder; `end` cuts off the caller that it waits for."""
+    """Report the bytes of one holder to the account of the process.
+
+    `cut_off` closes the connection of the caller that the holder waits for; it is None
+    if the holder waits for no caller.
+    """
 
     def __init__(
         self,
         *,
         memory: "HeldMemory",
         cause: HeldCause,
-        end: Callable[[], None] | None = None,
+        cut_off: Callable[[], None] | None = None,
     ) -> None:
         self.memory = memory
-        self.end = end
+        self.cut_off = cut_off
         self.holder = BytesHolder(
-            cause=cause, waits_for_caller=end is not None, now=memory.now()
+            cause=cause, waits_for_caller=cut_off is not None, now=memory.now()
         )
         # Units: seconds of the monotonic clock.
         self.opened_at = memory.now()
@@ -62,7 +67,7 @@
         """Record that the caller sent or read something."""
         self.holder.progress_at_ = self.memory.now()
 
-    def keep(self) -> None:
+    def end_wait_for_caller(self) -> None:
         """Record that the holder no longer waits for its caller."""
         self.holder.waits_for_caller = False
 
@@ -72,12 +77,12 @@
         self.is_released_ = True
 
     def may_read(self, max_bytes: int | None = None) -> bool:
-        """Tell whether the other side may be read further."""
+        """Return whether the holder may read more from its connection."""
         return self.memory.account_.may_read(self.holder, max_bytes)
 
 
 class HeldMemory:
-    """Hold the account of one process."""
+    """Hold the memory account of one process, and the readers that wait for room."""
 
     def __init__(
         self, *, limit_bytes: int | None, now: Callable[[], float], log: EventLog
@@ -87,12 +92,12 @@
         self.account_ = MemoryAccount(budget=MemoryBudget.from_limit(limit_bytes))
         self.held_by_holder_: dict[BytesHolder, HeldBytes] = {}
         self.is_logged_refusing_ = False
-        # In the order in which they began to wait.
+        # The `wake` of each reader that waits, in the order in which they began to.
         self.waiting_: dict[Callable[[], bool], None] = {}
 
     @property
     def is_limited(self) -> bool:
-        """Tell whether the settings limit the memory."""
+        """Return whether the settings limit the memory."""
         return self.account_.budget is not None
 
     def set_limit(self, limit_bytes: int | None) -> None:
@@ -101,7 +106,10 @@
         self._wake()
 
     def wait_for_room(self, wake: Callable[[], bool]) -> None:
-        """Call `wake` when there is room, until it is removed by `end_wait`."""
+        """Call `wake` each time there may be room, until `end_wait` removes it.
+
+        `wake` returns whether its reader reads on.
+        """
         self.waiting_[wake] = None
 
     def end_wait(self, wake: Callable[[], bool]) -> None:
@@ -109,7 +117,7 @@
         self.waiting_.pop(wake, None)
 
     def _wake(self) -> None:
-        """Let as many readers go on as there is room for what they read next."""
+        """Resume as many readers as there is room for what each reads next."""
         if not self.waiting_:
             return
         room_bytes = self.account_.room_bytes
@@ -117,20 +125,20 @@
             if room_bytes <= 0:
                 return
             if wake():
-                room_bytes -= READ_BYTES
+                room_bytes -= MAX_READ_BYTES
 
     def hold(
-        self, cause: HeldCause, end: Callable[[], None] | None = None
+        self, cause: HeldCause, cut_off: Callable[[], None] | None = None
     ) -> HeldBytes:
         """Return a new holder, which holds nothing yet."""
-        return HeldBytes(memory=self, cause=cause, end=end)
+        return HeldBytes(memory=self, cause=cause, cut_off=cut_off)
 
     def set_held(self, held: HeldBytes, count: int) -> None:
         """Record what a holder holds, and wake readers when something was released."""
         account = self.account_
         is_release = count < held.count
         account.set_held(held.holder, count)
-        if count > 0 and held.end is not None:
+        if count > 0 and held.cut_off is not None:
             self.held_by_holder_[held.holder] = held
         else:
             self.held_by_holder_.pop(held.holder, None)
@@ -139,9 +147,9 @@
             self._wake()
 
     def admit(self, announced_bytes: int) -> Result[None, MemoryRefusal]:
-        """Decide whether a request may be read; count and log refusals.
+        """Return whether a request may be read; count and log refusals.
 
-        Callers without progress are cut off before anybody is refused.
+        Callers without progress are cut off before a request is refused.
         """
         result = self.account_.admit(announced_bytes)
         if isinstance(result, Failure) and self.cut_off_stalled(announced_bytes):
@@ -157,9 +165,9 @@
         for holder in stalled:
             held = self.held_by_holder_.get(holder)
             if held is None:
-                # Released when another holder of the same connection ended.
+                # It was released when another holder of its connection was cut off.
                 continue
-            held.end()
+            held.cut_off()
             held.release()
         return len(stalled)
 
@@ -170,7 +178,7 @@
             HELD_BYTES.labels(cause=cause.value).set(count)
 
     def _log_change(self) -> None:
-        """Log when the process begins and ends to refuse."""
+        """Log when the process starts or stops refusing requests."""
         account = self.account_
         if account.is_refusing_ == self.is_logged_refusing_:
             return
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -293,7 +293,7 @@
     def _on_refused(
         self, exchange: CallerExchange, refusal: MemoryRefusal, answer: FinalAnswer
     ) -> None:
-        """Log a request that was refused before its body was read."""
+        """Log a request that was refused for lack of memory before it was complete."""
         FORWARDED_TOTAL.labels(kind="none", end=answer.outcome.value).inc()
         self.log_.report(
             Event.FORWARD_ENDED,
--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -22,12 +22,12 @@
 MAX_DETAIL_CHARACTERS = 160
 # Logged if the expected time is infinite, because there is no endpoint.
 EXPECTED_LOGGED_MAX_S = 1e6
-# Logged as the level of a request that was not judged by admission.
+# Logged as the level of a request that admission did not decide on.
 NO_LEVEL = -1
 # Logged for a moment that did not occur.
 NEVER_MS = -1
-# Logged for whether a return was promised, and came as told.
-CLAIM_FIELDS = {None: "", True: "kept", False: "none"}
+# What the log says in `claim`, by whether a booking was found; None if not asked.
+CLAIM_TEXTS = {None: "", True: "kept", False: "none"}
 
 
 class RequestEnd(msgspec.Struct, frozen=True):
@@ -54,12 +54,12 @@
         self.expected_s_ = 0.0
         self.since_first_try_s_ = 0.0
         self.is_late_ = False
-        # The level by which admission judged, and the service that was short.
+        # The priority level that admission used, and the service that lacked capacity.
         self.level_: int | None = None
         self.short_service_id_: ServiceId | None = None
-        # Whether capacity was booked for its return; None if that was not asked.
-        self.is_return_kept_: bool | None = None
-        # The delay that the caller was told, if capacity is booked for its return.
+        # Whether a booking was found for this return; None if none was asked for.
+        self.has_booking_: bool | None = None
+        # The delay reported to a refused caller whose return was booked, in seconds.
         self.booked_s_: float | None = None
         self.input_remakes_ = 0
         self.may_have_run_ = False
@@ -67,7 +67,8 @@
         self.end_ = RequestEnd()
         # Written by the attempts.
         self.tried_endpoint_ids_: list[EndpointId] = []
-        # The pace of the last one when it was sent the request, and the age of that.
+        # The pace of the last endpoint that was tried, as known when the request was
+        # sent to it, and the age of that estimate.
         self.pace_: float | None = None
         self.pace_age_s_ = 0.0
         # Written when the answer begins.
@@ -140,14 +141,12 @@
         detail=end.detail[:MAX_DETAIL_CHARACTERS],
         expected_ms=round(expected_s * 1_000.0),
         caller_ms=request.deadline_ms or 0.0,
-        booked_ms=_elapsed_ms(progress.booked_s_, 0.0),
-        claim=CLAIM_FIELDS[progress.is_return_kept_],
+        **_booking_fields(progress),
         pause_ms=round(progress.longest_pause_s_ * 1_000.0),
         stages_ms=_elapsed_ms(stages_done_at, request.received_at),
         first_ms=_elapsed_ms(first, request.received_at),
         took_ms=_elapsed_ms(now, request.received_at),
-        level=NO_LEVEL if progress.level_ is None else progress.level_,
-        short_of=progress.short_service_id_ or "",
+        **_admission_fields(progress),
     )
 
 
@@ -168,6 +167,22 @@
     }
 
 
+def _booking_fields(progress: RequestProgress) -> dict[str, int | str]:
+    """Return the log fields for what was booked or claimed for the request."""
+    return {
+        "booked_ms": _elapsed_ms(progress.booked_s_, 0.0),
+        "claim": CLAIM_TEXTS[progress.has_booking_],
+    }
+
+
+def _admission_fields(progress: RequestProgress) -> dict[str, int | str]:
+    """Return the log fields for the level and the short service of the decision."""
+    return {
+        "level": NO_LEVEL if progress.level_ is None else progress.level_,
+        "short_of": progress.short_service_id_ or "",
+    }
+
+
 def _pace_fields(progress: RequestProgress) -> dict[str, float | int]:
     """Return the log fields for the pace of the last endpoint, if it reports one."""
     if progress.pace_ is None:
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -46,10 +46,11 @@
     `evacuate_s` is None if the operator evacuates no halls; then evacuations are not
     followed. `resync_s` is the time after a failure of the store within which an entry
     must know what the store accepted meanwhile. `heartbeat_s` is the time between two
-    records of an endpoint. `memory_bytes` is the limit of the process, None without
-    one; then nothing is refused for want of memory, and nobody is cut off.
+    records of an endpoint. `memory_bytes` is the limit of the process. If it is None,
+    no request is refused for lack of memory, and no slow caller is cut off.
 
-    Units: seconds, except that the ratio and the slack count requests.
+    Units: seconds, except that the ratio and the slack count requests, and that
+    `memory_bytes` counts bytes.
     """
 
     retry_ratio: float = 0.2
@@ -121,7 +122,8 @@
         self.stop_began_at_: float | None = None
         # Set by the links when they are created.
         self.placing_: PromptPlacement | None = None
-        # Set with each heartbeat: whether the build of every live entry knows levels.
+        # Whether the build of every live entry knows priority levels; set with each
+        # heartbeat.
         self.has_priority_levels_ = False
         self.bookings_: ReturnBookings | None = None
 
@@ -202,7 +204,11 @@
         return table is not None and service_id in table.contended_service_ids
 
     def level_service_ids(self) -> frozenset[ServiceId]:
-        """Return the contended services, none while an entry does not know levels."""
+        """Return the services whose requests are admitted by priority level.
+
+        These are the contended services; there are none while the build of a live entry
+        does not know levels.
+        """
         if self.table_ is None or not self.has_priority_levels_:
             return frozenset()
         return self.table_.contended_service_ids
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
@@ -55,7 +55,7 @@
         self.memory = memory
         self.limits_ = TrafficLimits()
         self.exchanges_: set[CallerExchange] = set()
-        self.unsent_: list[UnsentAnswer] = []
+        self.unsent_answers_: list[UnsentAnswer] = []
         self.streams_: WeakSet[iostream.IOStream] = WeakSet()
         self.server_: httpserver.HTTPServer | None = None
         self.is_stopped_ = False
@@ -79,11 +79,11 @@
         self.limits_ = limits
 
     def check_unsent(self) -> None:
-        """Follow how much callers have read, and cut off those that never read."""
-        unsent, self.unsent_ = self.unsent_, []
-        for answer in unsent:
+        """Update how much callers have read, and cut off those that are overdue."""
+        answers, self.unsent_answers_ = self.unsent_answers_, []
+        for answer in answers:
             if answer.check():
-                self.unsent_.append(answer)
+                self.unsent_answers_.append(answer)
 
     def start_request(
         self, server_conn: object, request_conn: HTTP1Connection
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -61,9 +61,11 @@
         self.task_: asyncio.Task[None] | None = None
         self.has_begun_ = False
         self.is_over_ = False
-        # Set where the body arrives after the final answer, and is not kept.
+        # Set when the final answer is written before the body has arrived; the rest of
+        # the body is read and dropped.
         self.is_refused_ = False
-        # When the caller must have its answer; set when the request is served.
+        # When the caller must have its answer, in seconds of the monotonic clock; set
+        # when the request is served.
         self.due_at_ = 0.0
         self.held_body_: HeldBytes | None = None
 
@@ -101,26 +103,27 @@
             self.chunks_.clear()
             self.server.exchanges_.discard(self)
             self._deny(STATUS_BODY_TOO_LARGE)
-            self._release()
+            self._release_body()
             return
         self.held_body_.record_progress()
         if self.body_bytes_ > self.held_body_.count:
-            # The body did not announce its length.
+            # The head did not announce the length of the body.
             admitted = self.server.memory.admit(len(chunk))
             if isinstance(admitted, Failure):
                 self.chunks_.clear()
                 self.server.exchanges_.discard(self)
                 self._refuse(admitted.failure(), sends_body=True)
-                self._release()
+                self._release_body()
                 return
             self.held_body_.set(self.body_bytes_)
         self.chunks_.append(chunk)
 
     def _refuse(self, refusal: MemoryRefusal, *, sends_body: bool) -> None:
-        """Answer a request that there is no memory for before its body is read.
+        """Refuse a request that there is no memory for, before its body is read.
 
-        A body that the caller sends at once is read and dropped: to close a connection
-        with unread bytes could destroy the answer on its way.
+        `sends_body` is true if the caller sends the body without waiting for an answer.
+        Then the body is read and dropped: closing a connection with unread bytes resets
+        it, and the caller could lose the answer.
         """
         answer = final_answer(
             EndReason.MEMORY,
@@ -155,7 +158,7 @@
         if self.is_refused_:
             self._end()
             return
-        self.held_body_.keep()
+        self.held_body_.end_wait_for_caller()
         self.request_.body = b"".join(self.chunks_)
         self.chunks_.clear()
         self.connection.set_close_callback(self._on_caller_disconnected)
@@ -170,7 +173,7 @@
         """Record that the caller disconnected before the request was complete."""
         self.is_over_ = True
         self.server.exchanges_.discard(self)
-        self._release()
+        self._release_body()
 
     def _on_caller_disconnected(self) -> None:
         if self.task_ is not None and not self.is_over_:
@@ -178,7 +181,7 @@
 
     def _on_served(self, task: asyncio.Task[None]) -> None:
         self.server.exchanges_.discard(self)
-        self._release()
+        self._release_body()
         if not self.is_over_:
             self.abort()
         if not task.cancelled() and task.exception() is not None:
@@ -195,7 +198,7 @@
             lines["Content-Length"] = str(len(body))
         self._write_head(status, reason, lines, body)
         self._end()
-        self._hold_unsent(self.due_at_)
+        self._follow_unsent(self.due_at_)
 
     def begin(self, status: int, headers: HeaderList, reason: str = "") -> None:
         """Write the head of an answer of unknown length."""
@@ -209,7 +212,7 @@
         """
         try:
             written = self.connection.write(data)
-            unsent = self._hold_unsent()
+            unsent = self._follow_unsent()
             try:
                 await written
             finally:
@@ -218,8 +221,8 @@
         except iostream.StreamClosedError as error:
             raise CallerDisconnected from error
 
-    def _hold_unsent(self, due_at: float | None = None) -> UnsentAnswer | None:
-        """Report and follow what is written and not sent; None if all is sent."""
+    def _follow_unsent(self, due_at: float | None = None) -> UnsentAnswer | None:
+        """Account for bytes that are written but not sent; None if there are none."""
         stream = self.connection.stream
         if not unsent_bytes(stream):
             return None
@@ -229,18 +232,18 @@
             cut_off=self.cut_off,
             due_at=due_at,
         )
-        self.server.unsent_.append(unsent)
+        self.server.unsent_answers_.append(unsent)
         return unsent
 
     def cut_off(self) -> None:
         """Close the connection of a caller that does not send or read."""
         self.server.on_cut_off(self, unsent_bytes(self.connection.stream))
-        # A close by this side does not wake a task that waits to write.
+        # Closing the connection here does not end a task that waits to write to it.
         self._on_caller_disconnected()
         self.abort()
 
-    def _release(self) -> None:
-        """Record that the request is no longer held."""
+    def _release_body(self) -> None:
+        """Record that the body of the request is no longer held."""
         if self.held_body_ is not None:
             self.held_body_.release()
 
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -20,6 +20,9 @@
 from leadford_server.forwarding.answers._events import EventStreamSplitter, StreamEvent
 from leadford_server.forwarding.retries import Attempt, EndpointAttempts
 
+# Distinguishes the usual gap between events from the usual duration of answers.
+EVENT_GAP_KIND = "gap"
+
 
 class EventRelay:
     """Pass on the events of all attempts of one request."""
@@ -92,7 +95,7 @@
         """Record the time between events as a measurement of the engine."""
         gap_s = gaps.usual_s()
         if gap_s is not None:
-            kind = ("gap", self.progress.match_.route.route_id)
+            kind = (EVENT_GAP_KIND, self.progress.match_.route.route_id)
             now = self.state.now()
             self.state.pace_meter_.record_answer(attempt.record, gap_s, kind, now)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -244,7 +244,7 @@
         )
 
     def _record_decision(self, decision: AdmissionDecision) -> None:
-        """Count the verdict and a caller that returned, and record what is expected."""
+        """Count the decision, and record what the log says of it."""
         ADMISSION_TOTAL.labels(
             level=str(decision.level), verdict=decision.verdict.value
         ).inc()
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_returns.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_returns.py
@@ -1,8 +1,8 @@
-"""Book the return of one refused request, and claim its booking when it returns.
+"""Book the return of a refused request, and claim the booking when it returns.
 
-Called before and after the decision of admission. Where no service of the request is
-contended, nothing is asked, and nothing changes. `leadford.forwarding.admission`
-decides which times are useful.
+`claim` runs before the decision of admission, `book` after a refusal. Both send nothing
+if no service of the request is contended. `leadford.forwarding.admission` decides which
+times of return are useful.
 """
 
 import msgspec
@@ -24,7 +24,7 @@
 
 
 class CallerReturn:
-    """Claim and book for one request."""
+    """Claim a booking, or make one, for one request."""
 
     def __init__(
         self,
@@ -36,10 +36,13 @@
         self.state = state
         self.admission = admission
         self.progress = progress
-        self.until_: float | None = None
+        self.queries_end_at_: float | None = None
 
     async def claim(self, request: AdmissionRequest) -> AdmissionRequest:
-        """Return the request as of now, marked if capacity was booked for it."""
+        """Return the request, marked if a booking was found for it.
+
+        Its times are those after the query, which may have taken a while.
+        """
         if self.state.bookings_ is None or not self.admission.is_return(request):
             return request
         service_ids = [
@@ -52,9 +55,9 @@
         if not service_ids:
             return request
         is_booked = await self.state.bookings_.claim(
-            request.fingerprint, service_ids, self._until()
+            request.fingerprint, service_ids, self._queries_end_at()
         )
-        self.progress.is_return_kept_ = is_booked
+        self.progress.has_booking_ = is_booked
         now = self.state.now()
         return msgspec.structs.replace(
             request,
@@ -66,9 +69,10 @@
     async def book(
         self, request: AdmissionRequest, decision: AdmissionDecision
     ) -> AdmissionDecision:
-        """Return a refusal with the time that was booked, if there is one.
+        """Return the refusal with the booked time of return, if there is one.
 
-        A return that was not recognized is admitted: its booking is due.
+        If the booked time is now, the request is a return that this entry did not
+        recognize as one. It is admitted, unless its booking was claimed meanwhile.
         """
         service_id = decision.short_service_id
         if service_id is None or not self._is_bookable(service_id):
@@ -77,15 +81,15 @@
         if query is None:
             return decision
         bookings = self.state.bookings_
-        return_s = await bookings.book(service_id, query, self._until())
+        return_s = await bookings.book(service_id, query, self._queries_end_at())
         if return_s is None:
             return decision
         if is_due(return_s):
-            is_kept = await bookings.claim(
-                request.fingerprint, [service_id], self._until()
+            has_booking = await bookings.claim(
+                request.fingerprint, [service_id], self._queries_end_at()
             )
-            self.progress.is_return_kept_ = is_kept
-            return admit_booked(request, decision) if is_kept else decision
+            self.progress.has_booking_ = has_booking
+            return admit_booked(request, decision) if has_booking else decision
         self.progress.booked_s_ = return_s
         self.state.reservations_.record_return_time(
             request.fingerprint, self.state.now() + return_s
@@ -96,8 +100,8 @@
         bookings = self.state.bookings_
         return bookings is not None and bookings.owner(service_id) is not None
 
-    def _until(self) -> float:
-        """Return when the queries of this request end."""
-        if self.until_ is None:
-            self.until_ = self.state.now() + MAX_BOOKING_WAIT_S
-        return self.until_
+    def _queries_end_at(self) -> float:
+        """Return when the queries of this request end, counted from the first one."""
+        if self.queries_end_at_ is None:
+            self.queries_end_at_ = self.state.now() + MAX_BOOKING_WAIT_S
+        return self.queries_end_at_
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_unsent.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_unsent.py
@@ -1,6 +1,7 @@
-"""Follow how much of what is written to a caller is sent, and cut off one that stops.
+"""Account for answer bytes that wait until the caller reads, and bound that wait.
 
-Reports the bytes that wait in the process until the caller reads.
+The bytes are written to the connection, but tornado still holds them, because the
+buffers of the kernel are full.
 """
 
 from collections.abc import Callable
@@ -10,26 +11,27 @@
 from leadford.forwarding.memory import HeldCause
 from leadford_server.forwarding._memory import HeldMemory
 
-# Seconds for which a caller may read an answer that came just before its deadline.
+# The least time that a caller has to read a complete answer, also if the answer was
+# complete only just before its deadline.
 MIN_READ_TIME_S = 5.0
 
 
 def unsent_bytes(stream: IOStream | None) -> int:
-    """Return how many bytes are written to a connection and not sent."""
+    """Return how many bytes are written to a connection but not sent."""
     if stream is None or stream.closed() or not stream.writing():
         return 0
-    # tornado itself tells only whether its buffer is empty.
+    # The public interface of tornado tells only whether this buffer is empty.
     return len(stream._write_buffer)
 
 
 class UnsentAnswer:
-    """Hold what is written to one caller and not sent.
+    """Account for bytes that are written to one caller but not sent.
 
-    `cut_off` closes the connection: if the memory is needed, or if a complete answer is
-    not read by its time. While an answer is still being made, the deadline of its
-    request ends it.
+    `cut_off` closes the connection. It is called if the caller makes no progress while
+    the memory is needed, or if a complete answer is not read in time. An answer that is
+    not complete needs no such bound, because the deadline of its request ends it.
 
-    Units: due_at in seconds of the monotonic clock, None while the answer is made.
+    Units: due_at in seconds of the monotonic clock, None if the answer is incomplete.
     """
 
     def __init__(
@@ -43,18 +45,18 @@
         self.memory = memory
         self.stream = stream
         self.cut_off = cut_off
-        self.read_until: float | None = None
+        self.overdue_at_: float | None = None
         if due_at is not None:
-            self.read_until = max(due_at, memory.now() + MIN_READ_TIME_S)
+            self.overdue_at_ = max(due_at, memory.now() + MIN_READ_TIME_S)
         self.held_ = memory.hold(HeldCause.UNSENT_ANSWER, cut_off)
         self.held_.set(unsent_bytes(stream))
 
     def release(self) -> None:
-        """Record that nothing waits any more."""
+        """Record that all bytes were sent, or will not be."""
         self.held_.release()
 
     def check(self) -> bool:
-        """Follow how much was sent; return whether something still waits."""
+        """Record how much was sent; return whether there is more to check."""
         unsent = unsent_bytes(self.stream)
         if not unsent or self.held_.is_released_:
             self.held_.release()
@@ -69,6 +71,6 @@
         return True
 
     def _is_overdue(self) -> bool:
-        if self.read_until is None or not self.memory.is_limited:
+        if self.overdue_at_ is None or not self.memory.is_limited:
             return False
-        return self.memory.now() > self.read_until
+        return self.memory.now() > self.overdue_at_
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
@@ -19,7 +19,7 @@
 )
 from leadford.forwarding.endpoints import EndpointFailure, EndpointRecord
 from leadford.forwarding.routes import PieceLimits, Service
-from leadford_server.forwarding._contract import NotRunCause, PieceOutcome
+from leadford_server.forwarding._contract import AnswerHead, NotRunCause, PieceOutcome
 from leadford_server.forwarding._heads import record_head
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.endpoints import ConnectionEnd, ExchangeBroken
@@ -33,8 +33,9 @@
 class PieceCall(msgspec.Struct, eq=False):
     """Hold one call that is under way.
 
-    `waits` is true if other calls were known to be ahead when it began, and `pace` is
-    the ratio of actual to expected duration that was assumed.
+    `waits` is true if other calls were known to be ahead of it when it began. `pace` is
+    the assumed ratio of its actual to its expected duration. `left_by_cause` counts the
+    pieces that stayed in the queue when it was sent.
 
     Units: began_at in seconds of the monotonic clock; room_bytes is the room that was
     assumed to be free at the endpoint.
@@ -59,7 +60,7 @@
 
     @property
     def left_waiting(self) -> int:
-        """Return how many pieces were left waiting when the call was sent."""
+        """Return how many pieces stayed in the queue when the call was sent."""
         return sum(self.left_by_cause.values())
 
     @property
@@ -139,6 +140,12 @@
             raise
         finally:
             state.pool_.release(record, connection)
+        return self._read_answer(call, head, body)
+
+    def _read_answer(self, call: PieceCall, head: AnswerHead, body: bytes) -> CallEnd:
+        """Return how a call with a complete answer ended, and record the answer."""
+        state = self.state
+        record = call.record
         now = state.now()
         state.quarantine_.record_alive(record.listed.endpoint_id, call.began_at)
         record_head(state, record, head, sent_at=call.began_at)
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
@@ -130,12 +130,14 @@
 class ResultLocation(msgspec.Struct, frozen=True):
     """Describe where a result is stored and which entry accounts for it.
 
-    Units: counted_until, until when its room is reported if the scheduler is lost, in
-    seconds of the monotonic clock; 0 if it is not.
+    If the scheduler is lost, the entry of the request reports the room that the result
+    takes, until `reported_until`.
+
+    Units: reported_until in seconds of the monotonic clock; 0 if nothing is reported.
     """
 
     endpoint_id: EndpointId
     hall: HallId
     scheduler_id: EntryId
     result_bytes: int
-    counted_until: float = 0.0
+    reported_until: float = 0.0
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_results.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_results.py
@@ -29,7 +29,7 @@
         self.release_locally = release_locally
         self.links: SchedulerLinks | None = None
         self.location_by_handle_: dict[ResultHandle, ResultLocation] = {}
-        # Results whose scheduler was lost, and with it the account of their room.
+        # Results whose scheduler was lost; no scheduler counts the room they take.
         self.unaccounted_: set[ResultHandle] = set()
 
     def record(self, handle: ResultHandle, location: ResultLocation) -> None:
@@ -48,7 +48,7 @@
         return found
 
     def record_scheduler_lost(self, scheduler_id: EntryId) -> None:
-        """Record that nobody accounts any more for what a scheduler made."""
+        """Record that a lost scheduler no longer counts the room of its results."""
         self.unaccounted_ |= {
             handle
             for handle, location in self.location_by_handle_.items()
@@ -56,12 +56,12 @@
         }
 
     def unaccounted_uses(self, now: float) -> list[CapacityUse]:
-        """Return the room that results take whose scheduler was lost."""
+        """Return the room taken by results whose scheduler was lost."""
         locations = [self.location_by_handle_[handle] for handle in self.unaccounted_]
         return sum_uses(
             CapacityUse(location.endpoint_id, location.result_bytes, calls=0)
             for location in locations
-            if now < location.counted_until
+            if now < location.reported_until
         )
 
     def release(self, handles: list[ResultHandle]) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
@@ -107,7 +107,9 @@
         return throughput.rate(now)
 
     def flow_by_level(self, group: GroupId) -> dict[int, float]:
-        """Return the recent throughput of each level; call it after sampling.
+        """Return the recent throughput of each level.
+
+        Call it after `sample_throughput`, which updates it.
 
         Units: pieces per second.
         """
@@ -171,7 +173,7 @@
                 return
 
     def _policy(self, group: GroupId) -> FillPolicy:
-        """Return the rules for the calls of a group."""
+        """Return the rules by which the calls of a group are filled."""
         is_contended = self.state.is_contended(group.service_id)
         return CONTENDED_CALLS if is_contended else USUAL_CALLS
 
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
@@ -263,7 +263,7 @@
             hall,
             scheduler_id,
             sent.task.result_bytes,
-            self._counted_until(sent.group.service_id),
+            self._reported_until(sent.group.service_id),
         )
         self.results.record(answer.handle, location)
         if job.is_over_:
@@ -273,10 +273,11 @@
         job.graph.record_done(sent.task.key, answer.handle)
         self._advance(job)
 
-    def _counted_until(self, service_id: ServiceId) -> float:
+    def _reported_until(self, service_id: ServiceId) -> float:
         """Return until when a result made now is reported if its scheduler is lost.
 
-        Only for contended services, where room that is not there costs other requests.
+        Only contended services need it: there, a scheduler that assumes too much free
+        room sends calls that are refused, and delays other requests.
         """
         service = self.state.service(service_id)
         if service is None or service.pieces is None:
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/tests/test_results.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/tests/test_results.py
@@ -10,12 +10,12 @@
 ENDPOINT = EndpointId("e")
 
 
-def table(counted_until=4.0):
+def table(reported_until=4.0):
     """Return the results of a request: two made by a lost scheduler, one here."""
     results = ResultTable(entry_id=EntryId("here"), release_locally=lambda *args: None)
     for name, scheduler_id in (("a", LOST), ("b", LOST), ("c", EntryId("here"))):
         location = ResultLocation(
-            ENDPOINT, HallId("h"), scheduler_id, 10, counted_until
+            ENDPOINT, HallId("h"), scheduler_id, 10, reported_until
         )
         results.record(ResultHandle(name), location)
     return results
@@ -38,6 +38,6 @@
 
 
 def test_nothing_is_reported_of_services_that_are_not_contended():
-    results = table(counted_until=0.0)
+    results = table(reported_until=0.0)
     results.record_scheduler_lost(LOST)
     assert results.unaccounted_uses(0.1) == []
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -32,8 +32,8 @@
 )
 
 HEADER_BYTES_MAX = 64 * 1024
-# Bound of what the kernel keeps for a connection that is not read.
-RECEIVE_BUFFER_BYTES = 256 * 1024
+# What the kernel may buffer for a connection that is not read.
+MAX_RECEIVE_BUFFER_BYTES = 256 * 1024
 # Answers to earlier requests that are skipped before an exchange fails.
 UNMATCHED_ANSWERS_MAX = 2
 # Time after which the kernel closes a connection whose peer acknowledges nothing.
@@ -257,14 +257,14 @@
         self._release_held()
 
     def _bound_receive_buffer(self) -> None:
-        """Bound what the kernel keeps while the answer is not read.
+        """Bound what the kernel buffers while the answer is not read.
 
-        It keeps more on a connection from which much was read before.
+        Without a bound, the kernel enlarges the buffer of a fast connection.
         """
         if not self.stream.closed():
             # The kernel doubles the value for its own overhead.
             self.stream.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES // 2
+                socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_RECEIVE_BUFFER_BYTES // 2
             )
 
     def _release_held(self) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_reader.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_reader.py
@@ -40,10 +40,11 @@
 
 
 class AnswerReader(httputil.HTTPMessageDelegate):
-    """Collect one answer as it arrives, and stop reading while its holder is full.
+    """Collect one answer as it arrives, and pause while no more bytes may be held.
 
-    What `take` returned counts as held until `take` is called again, or the exchange
-    ends.
+    What `take` returned counts as held until `take` is called again or the exchange
+    ends, because the caller may not have read it yet. `on_pause` is called when a pause
+    begins.
     """
 
     def __init__(
@@ -58,7 +59,7 @@
         self.on_pause = on_pause
         self.held_: HeldBytes | None = None
         self.max_unread_bytes_: int | None = None
-        self.paused_: asyncio.Future[None] | None = None
+        self.pause_end_: asyncio.Future[None] | None = None
         self.paused_at_ = 0.0
         self.longest_pause_s_ = 0.0
         self.head_: AnswerHead | None = None
@@ -81,7 +82,7 @@
         self.changed_.set()
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
-        """Record a part of the body; return a future while no more may be read."""
+        """Record a part of the body; return the end of the pause, if one begins."""
         self.chunks_.append(chunk)
         self.changed_.set()
         if self.memory is None:
@@ -107,40 +108,40 @@
 
     def _pause(self) -> asyncio.Future[None]:
         loop = asyncio.get_running_loop()
-        self.paused_ = loop.create_future()
+        self.pause_end_ = loop.create_future()
         self.paused_at_ = loop.time()
         self.memory.wait_for_room(self._resume)
         self.on_pause()
-        return self.paused_
+        return self.pause_end_
 
     def _resume(self) -> bool:
         """Read on if that is allowed now; return whether reading goes on."""
-        if self.paused_ is None or not self._may_read():
+        if self.pause_end_ is None or not self._may_read():
             return False
         self._end_pause()
         return True
 
     def _end_pause(self) -> None:
-        paused, self.paused_ = self.paused_, None
-        if paused is None:
+        pause_end, self.pause_end_ = self.pause_end_, None
+        if pause_end is None:
             return
-        self.longest_pause_s_ = max(self.longest_pause_s_, self._pause_s())
+        self.longest_pause_s_ = max(self.longest_pause_s_, self._current_pause_s())
         self.memory.end_wait(self._resume)
-        if not paused.done():
-            paused.set_result(None)
+        if not pause_end.done():
+            pause_end.set_result(None)
 
-    def _pause_s(self) -> float:
+    def _current_pause_s(self) -> float:
         return asyncio.get_running_loop().time() - self.paused_at_
 
     @property
     def unread_s(self) -> float:
-        """Return the longest time for which the answer was not read.
+        """Return the duration of the longest pause, including one that lasts.
 
         Units: seconds.
         """
-        if self.paused_ is None:
+        if self.pause_end_ is None:
             return self.longest_pause_s_
-        return max(self.longest_pause_s_, self._pause_s())
+        return max(self.longest_pause_s_, self._current_pause_s())
 
     def release(self) -> None:
         """Record that nothing of the answer is held any more."""
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_bookings.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_bookings.py
@@ -1,7 +1,7 @@
-"""Book the return of refused callers at the schedulers of services, and claim it.
+"""Book the return of refused callers at the schedulers of services, and claim bookings.
 
 Owns the pending queries of this entry, and answers those of others from the ledgers
-that this entry holds (`_ledgers`). Without an answer in time, a request is judged as if
+that this entry holds (`_ledgers`). Without an answer in time, admission decides as if
 nothing was booked.
 """
 
@@ -26,10 +26,10 @@
 from leadford_server.metrics import BOOKINGS_TOTAL
 from leadford_server.peers import PeerConnection
 
-# The time on the wire that says that nothing was booked.
+# The time of return in messages that means that nothing was booked.
 NOT_BOOKED_MS = -1.0
-# A caller may be told to return this much later than asked for: times of return are
-# rounded, and one that was booked before is told again.
+# Booked times up to this much later than the latest useful one are accepted: they are
+# rounded, and a repeated query gets the time that was booked for the first one.
 RETURN_TOLERANCE_S = 0.1
 
 
@@ -63,7 +63,7 @@
         self.peers_by_id = peers_by_id
         self.ledgers = ledgers
         self.queries_by_ask_id_: dict[int, _Query] = {}
-        self.next_id_ = 0
+        self.last_ask_id_ = 0
 
     def handlers(self) -> MessageHandlers:
         """Return the handler of each type of message that this exchange receives."""
@@ -75,15 +75,15 @@
         }
 
     def owner(self, service_id: ServiceId) -> EntryId | None:
-        """Return the entry that books for a service, None where nothing is booked."""
+        """Return the entry that books for a service, None if nothing is booked."""
         return self.ledgers.owner(service_id)
 
     async def book(
         self, service_id: ServiceId, query: BookingQuery, until: float
     ) -> float | None:
-        """Return in how many seconds a caller may return, None without a booking.
+        """Return in how many seconds a caller is to return, None without a booking.
 
-        Units: until in seconds of the monotonic clock; no answer is awaited after it.
+        Units: until, in seconds of the monotonic clock, ends the wait for an answer.
         """
         owner = self.owner(service_id)
         if owner == self.state.entry_id:
@@ -91,9 +91,9 @@
         peer = self._peer(owner)
         if peer is None:
             return None
-        asked = self._new_query()
+        pending = self._new_query()
         self._send(
-            asked,
+            pending,
             peer,
             lambda ask_id: BookingRequest(
                 ask_id,
@@ -105,7 +105,7 @@
                 query.latest_s * 1_000.0,
             ),
         )
-        return_s = await self._wait(asked, until)
+        return_s = await self._wait(pending, until)
         if return_s is None or return_s > query.latest_s + RETURN_TOLERANCE_S:
             return None
         return return_s
@@ -113,30 +113,30 @@
     async def claim(
         self, fingerprint: str, service_ids: Iterable[ServiceId], until: float
     ) -> bool:
-        """Return whether a caller has returned as told, and end its booking.
+        """Return whether a returned caller had a booking that is due, and end it.
 
-        Units: until in seconds of the monotonic clock; no answer is awaited after it.
+        Units: until, in seconds of the monotonic clock, ends the wait for an answer.
         """
-        asked = self._new_query()
-        is_kept = False
+        pending = self._new_query()
+        has_booking = False
         for service_id in service_ids:
             owner = self.owner(service_id)
             if owner == self.state.entry_id:
-                is_kept = self.ledgers.claim(service_id, fingerprint) or is_kept
+                has_booking = self.ledgers.claim(service_id, fingerprint) or has_booking
                 continue
             peer = self._peer(owner)
             if peer is not None:
                 self._send(
-                    asked,
+                    pending,
                     peer,
-                    lambda ask_id, name=service_id: BookingClaim(
-                        ask_id, name, fingerprint
+                    lambda ask_id, claimed_id=service_id: BookingClaim(
+                        ask_id, claimed_id, fingerprint
                     ),
                 )
-        if is_kept or not asked.peers_by_ask_id_:
-            self._forget(asked)
-            return is_kept
-        return await self._wait(asked, until) is not None
+        if has_booking or not pending.peers_by_ask_id_:
+            self._forget(pending)
+            return has_booking
+        return await self._wait(pending, until) is not None
 
     def _peer(self, entry_id: EntryId | None) -> PeerConnection | None:
         """Return the link to the entry that books, if it can read the messages."""
@@ -149,17 +149,21 @@
         return _Query(answer=self.state.loop.create_future())
 
     def _send(
-        self, query: _Query, peer: PeerConnection, message: Callable[[int], Message]
+        self,
+        query: _Query,
+        peer: PeerConnection,
+        make_message: Callable[[int], Message],
     ) -> None:
-        self.next_id_ += 1
-        query.peers_by_ask_id_[self.next_id_] = EntryId(peer.info.peer_id)
-        self.queries_by_ask_id_[self.next_id_] = query
-        peer.send(message(self.next_id_))
+        """Send the message that `make_message` returns for a new query id."""
+        self.last_ask_id_ += 1
+        query.peers_by_ask_id_[self.last_ask_id_] = EntryId(peer.info.peer_id)
+        self.queries_by_ask_id_[self.last_ask_id_] = query
+        peer.send(make_message(self.last_ask_id_))
 
     async def _wait(self, query: _Query, until: float) -> float | None:
         """Return the answer to a query, None if it is negative or does not arrive.
 
-        If the caller leaves meanwhile, its booking lapses.
+        If the caller disconnects meanwhile, its booking is not claimed and lapses.
         """
         try:
             async with asyncio.timeout_at(until):
@@ -206,5 +210,7 @@
         peer.send(BookingAnswer(message.ask_id, return_ms))
 
     def _on_claim(self, peer: PeerConnection, message: BookingClaim) -> None:
-        is_kept = self.ledgers.claim(ServiceId(message.service_id), message.fingerprint)
-        peer.send(BookingClaimAnswer(message.ask_id, is_kept))
+        has_booking = self.ledgers.claim(
+            ServiceId(message.service_id), message.fingerprint
+        )
+        peer.send(BookingClaimAnswer(message.ask_id, has_booking))
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -47,8 +47,9 @@
 
 # The rate on the wire that says that an endpoint has no limit any more.
 NO_LIMIT_PER_S = -1.0
-# One of so many heartbeats carries the paces of endpoints. Links that skip heartbeats
-# carry it too, since it is a multiple of their divisor.
+# Every heartbeat whose number is a multiple of this carries the paces of endpoints. It
+# is itself a multiple of the divisor of links that skip heartbeats, so that they carry
+# the paces too.
 PACES_HEARTBEAT_DIVISOR = 2 * REDUCED_HEARTBEAT_DIVISOR
 
 
@@ -219,7 +220,7 @@
     def _backlog_reports(self) -> list[CommitmentReport]:
         """Return the pieces that this entry has admitted and that are not yet done.
 
-        All levels below the highest are one here.
+        Older builds know two levels: the highest, and all others together.
         """
         counts: dict[tuple[ServiceId, bool], int] = {}
         for key, pieces in self.stages.backlog_.own_report().items():
@@ -271,8 +272,8 @@
     def _capacity_reports(self) -> list[LaneReport]:
         """Return the capacity that this entry uses where others schedule now.
 
-        Includes results of its requests whose scheduler was lost. Where this entry
-        schedules itself, it counts those as other entries count its report.
+        Results of its requests whose scheduler was lost are included. This entry also
+        counts them in its own capacities, as other entries do with its report.
         """
         scheduler = self.stages.scheduler_
         now = self.state.now()
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_ledgers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_ledgers.py
@@ -1,8 +1,8 @@
 """Hold the bookings of the services that this entry schedules.
 
-One entry holds the ledger of a service: the scheduler of the first of its groups, to
-which all entries hold links. A successor begins with an empty ledger. What can be
-booked is decided in `leadford.forwarding.admission`.
+One entry holds the ledger of a service: the scheduler of the first group of the
+service, because all entries are linked to it. An entry that takes over starts with an
+empty ledger. `leadford.forwarding.admission` decides what can be booked.
 """
 
 from collections.abc import Callable
@@ -26,7 +26,7 @@
 class ServiceLedgers:
     """Book and claim at this entry, and count bookings in its admitted backlog.
 
-    `all_know` returns whether the build of every live entry knows a rule.
+    `all_know` returns whether the build of every live entry knows a shared rule.
     """
 
     def __init__(
@@ -39,12 +39,12 @@
         self.state = state
         self.stages = stages
         self.all_know = all_know
-        self.by_service_: dict[ServiceId, BookingLedger] = {}
+        self.ledgers_by_service_: dict[ServiceId, BookingLedger] = {}
         # Booked pieces that are counted in the admitted backlog of this entry.
         self.counted_by_key_: dict[BacklogKey, int] = {}
 
     def owner(self, service_id: ServiceId) -> EntryId | None:
-        """Return the entry that books for a service, None where nothing is booked."""
+        """Return the entry that books for a service, None if nothing is booked."""
         if not self.state.is_contended(service_id):
             return None
         if not self.all_know(SharedRule.PRIORITY_LEVELS):
@@ -56,12 +56,12 @@
         return self.stages.groups.scheduler_of(first)
 
     def book(self, service_id: ServiceId, query: BookingQuery) -> float | None:
-        """Return in how many seconds a caller may return, None without a booking."""
+        """Return in how many seconds a caller is to return, None without a booking."""
         now = self.state.now()
         return_at = None
-        # Two entries that book for one service at once would book it twice.
+        # Two entries that book for one service would book the same capacity twice.
         if self.owner(service_id) == self.state.entry_id:
-            ledger = self.by_service_.setdefault(service_id, BookingLedger())
+            ledger = self.ledgers_by_service_.setdefault(service_id, BookingLedger())
             capacity_per_s = self._capacity_per_s(service_id, now)
             return_at = ledger.book(query, capacity_per_s=capacity_per_s, now=now)
         end = "none" if return_at is None else "made"
@@ -69,8 +69,8 @@
         return None if return_at is None else max(0.0, return_at - now)
 
     def claim(self, service_id: ServiceId, fingerprint: str) -> bool:
-        """Return whether a caller has returned as told, and end its booking."""
-        ledger = self.by_service_.get(service_id)
+        """Return whether a returned caller had a booking that is due, and end it."""
+        ledger = self.ledgers_by_service_.get(service_id)
         if ledger is None:
             return False
         now = self.state.now()
@@ -108,19 +108,19 @@
         They are reported to the other entries as pieces that this entry has admitted.
         """
         now = self.state.now()
-        for service_id, ledger in list(self.by_service_.items()):
+        for service_id, ledger in list(self.ledgers_by_service_.items()):
             lapsed = ledger.drop_lapsed(now)
             BOOKINGS_TOTAL.labels(end="lapsed").inc(lapsed)
             if ledger.is_empty:
-                del self.by_service_[service_id]
+                del self.ledgers_by_service_[service_id]
         self._count_due(now)
 
     def _count_due(self, now: float) -> None:
         """Count the bookings due soon in the admitted backlog."""
         due_by_key: dict[BacklogKey, int] = {}
-        for service_id, ledger in self.by_service_.items():
+        for service_id, ledger in self.ledgers_by_service_.items():
             if self.owner(service_id) != self.state.entry_id:
-                # Claims go to another entry now.
+                # Another entry owns the service now, and receives the claims.
                 continue
             for level, pieces in ledger.due(DUE_WITHIN_S, now).items():
                 key = BacklogKey(service_id, level)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_levels.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_levels.py
@@ -1,9 +1,9 @@
-"""Exchange the admitted pieces of contended services by level of priority.
+"""Exchange the admitted pieces of contended services by priority level.
 
-Sent with heartbeats beside the reports of two levels, while every live entry knows the
-levels. Each entry reports its own pieces, and the scheduler of a service reports the
-sum over all entries that it hears, and the throughput of each level. Owns no state: the
-backlog of the stages holds what was reported.
+These reports follow those of two levels in heartbeats, while the build of every live
+entry knows priority levels. Each entry reports its own pieces. The scheduler of a
+service reports the sum over all entries that report to it, and the throughput of each
+level. Owns no state: the backlog of the stages holds what was reported.
 """
 
 from collections.abc import Callable, Collection, Mapping
@@ -23,7 +23,7 @@
 from leadford_server.forwarding.batching import StageRunner
 from leadford_server.peers import PeerConnection
 
-# Returns further pieces of a service by level that are to count in its sum.
+# Returns the pieces of a service by level that its sum counts besides admitted ones.
 ExtraPieces = Callable[[ServiceId], Mapping[int, int]]
 
 
@@ -49,7 +49,7 @@
     def make_admitted(self) -> AdmittedLevels | None:
         """Return the pieces that this entry reports now, or None if there are none.
 
-        Call it after the report of two levels, which it repeats.
+        Call it after the report of two levels: it gives the same pieces by level.
         """
         contended_ids = self.state.level_service_ids()
         counts: dict[ServiceId, list[LevelCount]] = {}
@@ -69,9 +69,8 @@
     ) -> FleetLevels | None:
         """Return the sums of the services that this entry schedules.
 
-        `groups` are all groups of all services.
-
-        The sum with the extra pieces counts in the admission of this entry too.
+        `groups` are all groups of all services. The sums include the extra pieces, and
+        are recorded here too, so that this entry admits by the same sums as others.
         """
         now = self.state.now()
         backlog = self.stages.backlog_
@@ -102,7 +101,10 @@
     def _flow(
         self, service_id: ServiceId, groups: Collection[GroupId]
     ) -> dict[int, float]:
-        """Return the throughput of each level of a service, if it is one group."""
+        """Return the throughput of each level, empty if the service has several groups.
+
+        Units: pieces per second.
+        """
         service_groups = [group for group in groups if group.service_id == service_id]
         if len(service_groups) != 1:
             return {}
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -219,7 +219,7 @@
             lowest_version=self.builds_.lowest_linked(version_by_live_peer),
             confirmations=self.relays.confirmations(),
             confirmed_version=self.relays.min_version,
-            paces=self._pace_news(),
+            paces=self._paces_to_report(),
         )
         for entry_id, peer in list(self.peers_by_id_.items()):
             if self.heard_.is_silent(entry_id, now):
@@ -228,8 +228,8 @@
                 continue
             heartbeat.send(peer)
 
-    def _pace_news(self) -> AddressedPaces | None:
-        """Return the paces to report, and the entries that decide by them."""
+    def _paces_to_report(self) -> AddressedPaces | None:
+        """Return the paces that the next heartbeat carries, and who gets them."""
         if not self.heartbeats.next_carries_paces:
             return None
         news = self.paces.make()
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_paces.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_paces.py
@@ -1,8 +1,9 @@
 """Report the pace of endpoints to other entries, and record what they report.
 
-Paces are sent with heartbeats, to the entries that schedule groups or place prompts and
-from these to all. `leadford.forwarding.endpoints` decides which ones are reported; the
-record of each endpoint keeps what others report of it.
+Heartbeats carry the paces. Entries that schedule groups or place prompts decide by
+them: all entries report to these, and these report to all.
+`leadford.forwarding.endpoints` decides which paces are reported. The record of each
+endpoint keeps what others report.
 """
 
 from collections.abc import Collection
@@ -22,22 +23,22 @@
 
 
 class AddressedPaces:
-    """Hold paces to report, and the entries to which they are of use.
+    """Hold paces to report, and the entries that get them.
 
-    `reader_ids` is None if every peer gets them.
+    `receiver_ids` is None if every peer gets them.
     """
 
     def __init__(
-        self, *, news: PaceNews, reader_ids: Collection[EntryId] | None
+        self, *, news: PaceNews, receiver_ids: Collection[EntryId] | None
     ) -> None:
         self.news = news
-        self.reader_ids = reader_ids
+        self.receiver_ids = receiver_ids
 
     def send(self, peer: PeerConnection) -> None:
-        """Send the paces to a peer that uses them and can read them."""
+        """Send the paces to a peer, if it is a receiver and can read them."""
         if peer.info.protocol_version < PROTOCOL_LOAD:
             return
-        if self.reader_ids is None or peer.info.peer_id in self.reader_ids:
+        if self.receiver_ids is None or peer.info.peer_id in self.receiver_ids:
             peer.send(self.news)
 
 
@@ -71,11 +72,13 @@
     def address(self, news: PaceNews, decider_ids: set[EntryId]) -> AddressedPaces:
         """Return paces with the entries that get them.
 
-        `decider_ids` are the entries that schedule groups or place prompts. They tell
-        all peers, the others tell only them.
+        `decider_ids` are the entries that schedule groups or place prompts. They report
+        to all peers, the others report only to them.
         """
         is_decider = self.state.entry_id in decider_ids
-        return AddressedPaces(news=news, reader_ids=None if is_decider else decider_ids)
+        return AddressedPaces(
+            news=news, receiver_ids=None if is_decider else decider_ids
+        )
 
     def _on_news(self, peer: PeerConnection, message: PaceNews) -> None:
         self.record(EntryId(peer.info.peer_id), message)
@@ -83,14 +86,14 @@
     def record(self, entry_id: EntryId, message: PaceNews) -> None:
         """Record the paces that another entry measured.
 
-        Endpoints that are not listed here, or not yet, are skipped.
+        Endpoints that this entry does not list are skipped.
         """
         now = self.state.now()
         for report in message.paces[:MAX_REPORTED_PACES]:
             record = self.state.roster_.record(EndpointId(report.endpoint_id))
             if record is None:
                 continue
-            # A negative age would keep a report from expiring.
+            # With a negative age, a report would expire too late.
             age_s = max(0.0, report.age_ms / 1_000.0)
             measured = MeasuredPace(report.ratio, report.samples, now - age_s)
             if not record.pace_.record_peer(entry_id, measured):
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_bookings.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_bookings.py
@@ -287,7 +287,7 @@
             for _, later_s in again
         )
         assert total("early") == early + 3
-        ledger = fleet.owner.ledgers.by_service_[SERVICE]
+        ledger = fleet.owner.ledgers.ledgers_by_service_[SERVICE]
         assert sum(ledger.pieces_by_slot_.values()) == 4
         await asyncio.sleep(at - fleet.entries[1].state.now())
         assert (await fleet.entries[1].send("f", 2.0))[0].verdict is Verdict.ADMIT
@@ -419,7 +419,7 @@
         assert not fleet.entries[1].bookings.queries_by_ask_id_
         await asyncio.sleep(SOON_S)
         # The scheduler booked for it; that lapses.
-        (booking,) = fleet.owner.ledgers.by_service_[
+        (booking,) = fleet.owner.ledgers.ledgers_by_service_[
             SERVICE
         ].bookings_by_fingerprint_.values()
         await asyncio.sleep(booking.return_at + 1.01 - fleet.owner.state.now())
@@ -455,7 +455,7 @@
         ):
             from_owner.send(message)
         decision, told_s = await asked
-        ledger = fleet.owner.ledgers.by_service_[SERVICE]
+        ledger = fleet.owner.ledgers.ledgers_by_service_[SERVICE]
         (booking,) = ledger.bookings_by_fingerprint_.values()
         assert told_s == pytest.approx(
             booking.return_at - entry.state.now(), abs=SOON_S
@@ -494,7 +494,7 @@
         assert owner.backlog.own_report() == {KEY: BACKLOG + 4}
         owner.ledgers.refresh()
         assert owner.backlog.own_report() == {KEY: BACKLOG + 4}
-        (booking,) = owner.ledgers.by_service_[
+        (booking,) = owner.ledgers.ledgers_by_service_[
             SERVICE
         ].bookings_by_fingerprint_.values()
         await asyncio.sleep(booking.return_at - owner.state.now())
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempt.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempt.py
@@ -59,5 +59,8 @@
 
     @property
     def was_left_unread(self) -> bool:
-        """Return whether the endpoint had reason to cut off its answer."""
+        """Return whether reading paused so long that the endpoint may have given up.
+
+        Then the end of its connection says nothing about the endpoint.
+        """
         return was_left_unread(self.answer.reader.unread_s)
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -216,7 +216,7 @@
         elapsed_ms = elapsed_s * 1_000.0
         self.state.engines_.record_first_token(sent, elapsed_ms)
         record = self.state.roster_.record(sent.endpoint_id)
-        # Others do not know which parts of the prompt the engine had cached.
+        # Only the placing entry knows which parts of the prompt the engine had cached.
         if record is not None and not sent.waits and self.choice.places_for_all:
             self.state.pace_meter_.record_prefill(
                 record, sent.prefill_tokens, elapsed_ms, self.state.now()
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
@@ -76,8 +76,8 @@
     ) -> None:
         """Record and log that the connection of an attempt ended before its answer did.
 
-        An endpoint that cut off an answer which this entry left unread, because its
-        caller is slow, has not crashed.
+        An endpoint that closed the connection while this entry left the answer unread,
+        because the caller is slow, is not taken to have crashed.
 
         The log line is the only record of which requests ran at an endpoint that
         crashed, and of how far each had progressed.
