--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -7,14 +7,13 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection
 from random import Random
-from typing import Protocol
 
 import msgspec
 
-from leadford.common import EndpointId, EntryId, HallId
-from leadford.forwarding.admission import BookingQuery, RetryReservations
+from leadford.common import EntryId, HallId
+from leadford.forwarding.admission import RetryReservations
 from leadford.forwarding.batching import GroupMap, RegionMap
 from leadford.forwarding.endpoints import (
     ColdEndpoints,
@@ -27,7 +26,6 @@
     EvacuatedHalls,
     FirstByteTimes,
     PaceMeter,
-    PromptShape,
 )
 from leadford.forwarding.history import StoreEpochs
 from leadford.forwarding.membership import PeerVersions
@@ -35,6 +33,7 @@
 from leadford.forwarding.routes import ProcessStatus, RouteTable, Service, ServiceId
 from leadford_server.forwarding._contract import RequestCodec
 from leadford_server.forwarding._deadlines import RequestDeadlines
+from leadford_server.forwarding._links_contract import PromptPlacement, ReturnBookings
 from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.endpoints import ConnectionPool
 from leadford_server.logs import EventLog
@@ -47,10 +46,11 @@
     `evacuate_s` is None if the operator evacuates no halls; then evacuations are not
     followed. `resync_s` is the time after a failure of the store within which an entry
     must know what the store accepted meanwhile. `heartbeat_s` is the time between two
-    records of an endpoint. `memory_bytes` is the limit of the process, None without
-    one; then nothing is refused for want of memory, and nobody is cut off.
+    records of an endpoint. `memory_bytes` is the limit of the process. If it is None,
+    no request is refused for lack of memory, and no slow caller is cut off.
 
-    Units: seconds, except that the ratio and the slack count requests.
+    Units: seconds, except that the ratio and the slack count requests, and that
+    `memory_bytes` counts bytes.
     """
 
     retry_ratio: float = 0.2
@@ -72,56 +72,6 @@
         return min(bound_s, self.resync_s)
 
 
-class PlacedEngine(msgspec.Struct, frozen=True, eq=False):
-    """Hold an engine that another entry chose for a prompt.
-
-    `report_prefilled` tells that entry that the prompt no longer waits at the engine.
-    """
-
-    record: EndpointRecord
-    report_prefilled: Callable[[], None]
-
-
-class PromptPlacement(Protocol):
-    """Ask the entry that places the prompts of all entries."""
-
-    def places_service(self, service: Service) -> bool:
-        """Tell whether one entry chooses endpoints of a service for all entries."""
-
-    def places_for_all(self, service_id: ServiceId, prompt: PromptShape) -> bool:
-        """Tell whether this entry places the prompts of all entries."""
-
-    async def place(
-        self,
-        service_id: ServiceId,
-        prompt: PromptShape,
-        *,
-        excluded: Collection[EndpointId],
-        bytes_by_hall: dict[HallId, int],
-    ) -> PlacedEngine | None:
-        """Return the engine that the placing entry chose; None if it named none."""
-
-
-class ReturnBookings(Protocol):
-    """Ask the schedulers of services to keep capacity for callers that return.
-
-    Units: until in seconds of the monotonic clock; no answer is awaited after it.
-    """
-
-    def owner(self, service_id: ServiceId) -> EntryId | None:
-        """Return the entry that books for a service, None where nothing is booked."""
-
-    async def book(
-        self, service_id: ServiceId, query: BookingQuery, until: float
-    ) -> float | None:
-        """Return in how many seconds a caller may return; None without a booking."""
-
-    async def claim(
-        self, fingerprint: str, service_ids: Iterable[ServiceId], until: float
-    ) -> bool:
-        """Return whether a caller has returned as told, and end its booking."""
-
-
 class ForwardState:
     """Hold the state that requests share."""
 
@@ -172,7 +122,8 @@
         self.stop_began_at_: float | None = None
         # Set by the links when they are created.
         self.placing_: PromptPlacement | None = None
-        # Set with each heartbeat: whether the build of every live entry knows levels.
+        # Whether the build of every live entry knows priority levels; set with each
+        # heartbeat.
         self.has_priority_levels_ = False
         self.bookings_: ReturnBookings | None = None
 
@@ -253,7 +204,11 @@
         return table is not None and service_id in table.contended_service_ids
 
     def level_service_ids(self) -> frozenset[ServiceId]:
-        """Return the contended services, none while an entry does not know levels."""
+        """Return the services whose requests are admitted by priority level.
+
+        These are the contended services; there are none while the build of a live entry
+        does not know levels.
+        """
         if self.table_ is None or not self.has_priority_levels_:
             return frozenset()
         return self.table_.contended_service_ids
