Log the software version of endpoints, and which stream a request takes up

What logs lacked: whether streams of two versions come about by the entry's own retry or by the caller's return. The listing is read with the version of the software now, event 304 and each try in event 406 name it, and 406 names the request whose stream is taken up, and its last event. No decision reads them yet.

A listing of an older peer has no such field: it is filled in from the same listing, not from an earlier one, since an endpoint may start again under its id. The field is left out where it is not known, so listings without it travel as before (test).

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -11,6 +11,7 @@
 from leadford.common import EndpointId
 from leadford.events import Event
 from leadford.forwarding.answers import EndReason, RequestOutcome
+from leadford.forwarding.endpoints import ListedEndpoint
 from leadford.forwarding.retries import RetryReason
 from leadford.forwarding.routes import Route, RouteMatch, ServiceId
 from leadford.quarantine import NO_DIGEST, RequestContent
@@ -24,6 +25,8 @@
 EXPECTED_LOGGED_MAX_S = 1e6
 # Logged as the level of a request that admission did not decide on.
 NO_LEVEL = -1
+# Logged as the last event of a request that takes no stream up again.
+NO_EVENT = -1
 # Logged for a moment that did not occur.
 NEVER_MS = -1
 # What the log says in `claim`, by whether a booking was found; None if not asked.
@@ -67,6 +70,8 @@
         self.end_ = RequestEnd()
         # Written by the attempts.
         self.tried_endpoint_ids_: list[EndpointId] = []
+        # The software version of each endpoint that was tried, empty if not known.
+        self.tried_software_: list[str] = []
         # The pace of the last endpoint that was tried, as known when the request was
         # sent to it, and the age of that estimate.
         self.pace_: float | None = None
@@ -92,6 +97,16 @@
         )
         self.digest_ = content.digest()
 
+    def record_tried(self, listed: ListedEndpoint) -> None:
+        """Record that the request is tried at an endpoint."""
+        self.tried_endpoint_ids_.append(listed.endpoint_id)
+        self.tried_software_.append(listed.known_software or "")
+
+    def forget_tried(self) -> None:
+        """Forget the last endpoint, since the request was not tried there after all."""
+        self.tried_endpoint_ids_.pop()
+        self.tried_software_.pop()
+
     def record_event_passed_on(self, now: float) -> None:
         """Record that an event was sent to the caller, for the longest pause."""
         if self.last_event_at_ is not None:
@@ -133,6 +148,7 @@
         fingerprint=request.fingerprint,
         digest=progress.digest_,
         endpoints=",".join(progress.tried_endpoint_ids_),
+        **_stream_fields(progress),
         **_pace_fields(progress),
         status=end.status,
         outcome=end.outcome.value,
@@ -167,6 +183,17 @@
     }
 
 
+def _stream_fields(progress: RequestProgress) -> dict[str, str | int]:
+    """Return the log fields of a stream: its software, and what it takes up again."""
+    request = progress.request
+    last_event_id = request.last_event_id
+    return {
+        "software": ",".join(progress.tried_software_),
+        "resumes": request.resumed_id or "",
+        "after_event": NO_EVENT if last_event_id is None else last_event_id,
+    }
+
+
 def _booking_fields(progress: RequestProgress) -> dict[str, int | str]:
     """Return the log fields for what was booked or claimed for the request."""
     return {
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -82,7 +82,7 @@
         if not decision.may_reuse_endpoint:
             return True
         self.progress.input_remakes_ += 1
-        self.progress.tried_endpoint_ids_.pop()
+        self.progress.forget_tried()
         self.inputs.drop_final_inputs()
         return await self.make_inputs()
 
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -150,7 +150,7 @@
             # Nothing was sent, so the connection can be used again.
             self._count_end(record)
             self.state.pool_.release(record, connection)
-            self.progress.tried_endpoint_ids_.pop()
+            self.progress.forget_tried()
             if is_refused:
                 raise NotRun("quarantined")
 
@@ -233,7 +233,7 @@
 
     def _count_begin(self, record: EndpointRecord) -> float:
         """Count an attempt that starts now, and return the current time."""
-        self.progress.tried_endpoint_ids_.append(record.listed.endpoint_id)
+        self.progress.record_tried(record.listed)
         self.inputs.record_attempt()
         began_at = self.state.now()
         self.progress.pace_ = record.pace(began_at)
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
@@ -87,6 +87,7 @@
                 Event.ENDPOINT_LISTED,
                 endpoint=change.endpoint_id,
                 service=change.service_id,
+                software=change.software or "",
                 before=change.before,
                 after=change.after,
                 revision=self.state.roster_.changed_position_.revision,
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -21,6 +21,7 @@
     ListedEndpoint,
     ListedState,
     ReportedLoad,
+    SoftwareVersion,
 )
 from leadford.forwarding.endpoints._pace import EndpointPace, MeasuredPace
 from leadford.forwarding.endpoints._paces import (
@@ -80,6 +81,7 @@
     "ReportablePace",
     "ReportedLoad",
     "RosterChange",
+    "SoftwareVersion",
     "effective_count",
     "estimate_paces",
     "max_connections",
--- a/packages/leadford/src/leadford/forwarding/endpoints/_model.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_model.py
@@ -15,6 +15,8 @@
 from leadford.forwarding.routes import ServiceId
 
 EndpointAddress = NewType("EndpointAddress", str)
+# Names the software of an endpoint, not the weights of its model.
+SoftwareVersion = NewType("SoftwareVersion", str)
 
 
 class ListedState(Enum):
@@ -29,7 +31,8 @@
 
     `listed_as` is the name under which the endpoint is listed, which later starts may
     share, and `born` tells which start is later. Both are unset where each start draws
-    a new id, and `epoch` is unset where the store reports none.
+    a new id, and `epoch` is unset where the store reports none. `software` is unset
+    where a peer of an older build sent the listing without it.
 
     Units: cold_ms is how much longer the endpoint stays cold; revision orders the
     listings of an epoch of the store; born in milliseconds since 1970.
@@ -46,6 +49,12 @@
     listed_as: str | msgspec.UnsetType = msgspec.UNSET
     born: int | msgspec.UnsetType = msgspec.UNSET
     epoch: StoreEpoch | msgspec.UnsetType = msgspec.UNSET
+    software: SoftwareVersion | msgspec.UnsetType = msgspec.UNSET
+
+    @property
+    def known_software(self) -> SoftwareVersion | None:
+        """Return the software version, None if it is not known."""
+        return None if self.software is msgspec.UNSET else self.software
 
     @property
     def position(self) -> StorePosition:
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -14,7 +14,11 @@
 
 from leadford.common import EndpointId, HallId
 from leadford.forwarding.endpoints._halls import EvacuatedHalls
-from leadford.forwarding.endpoints._model import ListedEndpoint, ListedState
+from leadford.forwarding.endpoints._model import (
+    ListedEndpoint,
+    ListedState,
+    SoftwareVersion,
+)
 from leadford.forwarding.endpoints._record import EndpointRecord
 from leadford.forwarding.endpoints._removed import RemovedEndpoints
 from leadford.forwarding.history import START_POSITION, StorePosition
@@ -43,6 +47,7 @@
     service_id: ServiceId
     before: str
     after: str
+    software: SoftwareVersion | None = None
 
 
 class EndpointRoster:
@@ -339,16 +344,25 @@
 
     @staticmethod
     def _change(endpoint: ListedEndpoint, before: str, after: str) -> RosterChange:
-        return RosterChange(endpoint.endpoint_id, endpoint.service_id, before, after)
+        return RosterChange(
+            endpoint.endpoint_id,
+            endpoint.service_id,
+            before,
+            after,
+            endpoint.known_software,
+        )
 
 
 def _merged(known: ListedEndpoint, reported: ListedEndpoint) -> ListedEndpoint:
     """Return the newer of two listings, as draining if either of them is.
 
     An impaired store may apply a write long after it was sent, so a later revision may
-    hold an earlier state.
+    hold an earlier state. A peer of an older build sends a listing without the software
+    version, which is filled in from the same listing, but not from an earlier one.
     """
     newer = reported if reported.position > known.position else known
+    if known.position == reported.position and newer.software is msgspec.UNSET:
+        newer = msgspec.structs.replace(newer, software=reported.software)
     if ListedState.DRAINING not in (known.state, reported.state):
         return newer
     return msgspec.structs.replace(newer, state=ListedState.DRAINING)
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
@@ -1,5 +1,6 @@
 """Listings are merged in the order of their revisions, whatever their arrival order."""
 
+import msgspec
 import pytest
 from hypothesis import given, strategies as st
 
@@ -11,6 +12,7 @@
     ListedEndpoint,
     ListedState,
     ReportedLoad,
+    SoftwareVersion,
 )
 from leadford.forwarding.history import FIRST_EPOCH, StorePosition
 from leadford.forwarding.routes import ServiceId
@@ -35,6 +37,14 @@
     )
 
 
+def built(endpoint, software):
+    return msgspec.structs.replace(endpoint, software=SoftwareVersion(software))
+
+
+def software(roster, name="a"):
+    return roster.record(EndpointId(name)).listed.known_software
+
+
 def names(roster):
     return {record.listed.endpoint_id for record in roster.usable(SERVICE, 100.0)}
 
@@ -253,3 +263,27 @@
     assert usable(roster, 10.1) == {"a"}
     roster.record_leaving(EndpointId("a"))
     assert usable(roster, 10.1) == set()
+
+
+def test_a_listing_without_software_does_not_hide_what_the_same_listing_said():
+    roster = EndpointRoster()
+    roster.record_listed(built(listed("a", 3), "v1"))
+    roster.record_listed(listed("a", 3))
+    assert software(roster) == "v1"
+
+
+def test_the_software_of_a_listing_that_came_without_it_is_filled_in():
+    roster = EndpointRoster()
+    roster.record_listed(listed("a", 3))
+    assert software(roster) is None
+    roster.record_listed(built(listed("a", 3), "v1"))
+    assert software(roster) == "v1"
+
+
+def test_software_is_not_taken_over_from_an_earlier_listing():
+    roster = EndpointRoster()
+    roster.record_listed(built(listed("a", 3), "v1"))
+    roster.record_listed(listed("a", 4))
+    assert software(roster) is None
+    roster.record_listed(built(listed("a", 4), "v2"))
+    assert software(roster) == "v2"
--- a/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
+++ b/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from leadford.forwarding.endpoints import ListedEndpoint, ListedState
+from leadford.forwarding.endpoints import ListedEndpoint, ListedState, SoftwareVersion
 from leadford.forwarding.history import FIRST_EPOCH, StoreEpoch, StorePosition
 from leadford.forwarding.routes import (
     ColdLimits,
@@ -239,3 +239,13 @@
     read = msgspec.msgpack.decode(msgspec.msgpack.encode(restored), type=ListedEndpoint)
     assert read.position == StorePosition(StoreEpoch(2), 77)
     assert plain.position == StorePosition(FIRST_EPOCH, 77)
+
+
+def test_a_listing_tells_the_software_of_an_endpoint_by_a_field_of_its_own():
+    (plain,) = msgspec.msgpack.decode(LISTING, type=list[ListedEndpoint])
+    built = msgspec.structs.replace(plain, software=SoftwareVersion("v2"))
+    data = msgspec.msgpack.encode(built)
+    assert msgspec.msgpack.decode(data, type=ListedEndpoint) == built
+    fields = msgspec.msgpack.decode(data)
+    assert fields.pop("software") == "v2"
+    assert [fields] == msgspec.msgpack.decode(LISTING)
