--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -264,6 +264,18 @@
         known = entry.state_.roster_.records_by_id_
         return all(endpoint.endpoint_id in known for endpoint in self.all_endpoints())
 
+    async def set_software(self, endpoint: PlainStandIn, software: str) -> None:
+        """List an endpoint with another software version, and wait for all entries."""
+        endpoint.software = software
+        self.store.put("servers", endpoint.endpoint_id, endpoint.spec())
+        await self.until(
+            lambda: all(
+                entry.state_.roster_.record(endpoint.endpoint_id).listed.software
+                == software
+                for entry in self.entries_
+            )
+        )
+
     async def until(self, condition, timeout_s: float = READY_TIMEOUT_S) -> None:
         """Wait until a condition holds."""
         async with asyncio.timeout(timeout_s):
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -65,6 +65,7 @@
         self.hall = hall
         self.work_s = work_s
         self.endpoint_id = f"i-{next(_ids)}"
+        self.software = "v1"
         self.planned_misbehaviours_: deque[Misbehaviour] = deque()
         self.runs_: list[Run] = []
         self.arrivals_ = 0
@@ -126,7 +127,7 @@
             "service": self.service,
             "address": self.address_,
             "zone": self.hall,
-            "version": "v1",
+            "version": self.software,
             "slots": 4,
             "state": state,
             "coldLeftMs": 0,
