--- a/packages/leadford-server/src/leadford_server/forwarding/_links_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_links_contract.py
@@ -1,14 +1,16 @@
 """What a request asks of other entries, through the links of this one."""
 
 from collections.abc import Callable, Collection, Iterable
+from enum import Enum
 from typing import Protocol
 
 import msgspec
 
-from leadford.common import EndpointId, EntryId, HallId
+from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.forwarding.admission import BookingQuery
 from leadford.forwarding.endpoints import EndpointRecord, PromptShape
 from leadford.forwarding.routes import Service, ServiceId
+from leadford.forwarding.streams import StreamOrigin
 
 
 class PlacedEngine(msgspec.Struct, frozen=True, eq=False):
@@ -59,3 +61,39 @@
         self, fingerprint: str, service_ids: Iterable[ServiceId], until: float
     ) -> bool:
         """Return whether a returned caller had a booking that is due, and end it."""
+
+
+class OriginSource(Enum):
+    """Tell who knew the software version that began a stream.
+
+    SOLE: nobody knows the stream, but only one version can have begun it.
+    """
+
+    OWN = "own"
+    KEEPER = "keeper"
+    SOLE = "sole"
+    NOBODY = "nobody"
+
+
+class FoundOrigin(msgspec.Struct, frozen=True):
+    """Hold the origin of a stream, None if nobody knows it, and who knew it."""
+
+    source: OriginSource
+    origin: StreamOrigin | None
+
+
+class StreamOrigins(Protocol):
+    """Tell other entries which software version began a stream, and ask them.
+
+    Units: wait_s is for how much longer the caller waits.
+    """
+
+    def record(
+        self, request_id: RequestId, origin: StreamOrigin, wait_s: float
+    ) -> None:
+        """Record the origin of a stream that this entry holds."""
+
+    async def find(
+        self, request_id: RequestId | None, service_id: ServiceId
+    ) -> FoundOrigin:
+        """Return the origin of the stream that a request began, if it is named."""
--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -17,6 +17,7 @@
 from leadford.forwarding.streams import StreamOrigin
 from leadford.quarantine import NO_DIGEST, RequestContent
 from leadford_server.forwarding._contract import InboundRequest
+from leadford_server.forwarding._links_contract import OriginSource
 from leadford_server.logs import EventLog
 from leadford_server.metrics import FORWARD_SECONDS, FORWARDED_TOTAL
 
@@ -82,11 +83,24 @@
         self.model_version_: int | None = None
         # Where the stream may go on; None until its first event was passed on.
         self.origin_: StreamOrigin | None = None
+        # Who knew the origin of the stream that the caller takes up, if it does so.
+        self.origin_source_: OriginSource | None = None
         # Written by the event relay.
         self.last_event_id_: int | None = None
         self.last_event_at_: float | None = None
         self.longest_pause_s_ = 0.0
 
+    @property
+    def caller_deadline(self) -> float:
+        """Return until when the caller may take its stream up again.
+
+        Units: seconds of the monotonic clock.
+        """
+        request = self.request
+        if request.deadline_ms is None:
+            return self.deadline_
+        return request.received_at + request.deadline_ms / 1_000.0
+
     def record_match(self, match: RouteMatch) -> None:
         """Record the route that was found, and the digest of the request."""
         self.match_ = match
@@ -190,9 +204,13 @@
     """Return the log fields of a stream: its software, and what it takes up again."""
     request = progress.request
     last_event_id = request.last_event_id
+    origin = progress.origin_
+    source = progress.origin_source_
     return {
         "software": ",".join(progress.tried_software_),
         "resumes": request.resumed_id or "",
+        "origin": (origin.software or "") if origin is not None else "",
+        "origin_from": source.value if source is not None else "",
         "after_event": NO_EVENT if last_event_id is None else last_event_id,
     }
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -31,9 +31,14 @@
 from leadford.forwarding.membership import PeerVersions
 from leadford.forwarding.retries import RetryBudgets, WindowedRetryBudget
 from leadford.forwarding.routes import ProcessStatus, RouteTable, Service, ServiceId
+from leadford.forwarding.streams import OriginLedger, SoftwareHistory, StreamOrigin
 from leadford_server.forwarding._contract import RequestCodec
 from leadford_server.forwarding._deadlines import RequestDeadlines
-from leadford_server.forwarding._links_contract import PromptPlacement, ReturnBookings
+from leadford_server.forwarding._links_contract import (
+    PromptPlacement,
+    ReturnBookings,
+    StreamOrigins,
+)
 from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.endpoints import ConnectionPool
 from leadford_server.logs import EventLog
@@ -117,6 +122,8 @@
         self.pace_meter_ = PaceMeter()
         self.first_byte_ = FirstByteTimes()
         self.reservations_ = RetryReservations()
+        self.origins_ = OriginLedger()
+        self.software_history_ = SoftwareHistory()
         self.config_seen_at_: float | None = None
         self.heard_versions_ = PeerVersions()
         self.stop_began_at_: float | None = None
@@ -126,6 +133,7 @@
         # heartbeat.
         self.has_priority_levels_ = False
         self.bookings_: ReturnBookings | None = None
+        self.stream_origins_: StreamOrigins | None = None
 
     def now(self) -> float:
         """Return the monotonic clock.
@@ -158,14 +166,20 @@
         )
         return max(limit_s, self.endpoint_retry_after_.wait_s(listed.endpoint_id, now))
 
-    def service_send_delay_s(self, service_id: ServiceId) -> float:
+    def service_send_delay_s(
+        self, service_id: ServiceId, origin: StreamOrigin | None = None
+    ) -> float:
         """Return in how many seconds any endpoint of a service may get a request.
 
-        0 if one may get a request now, or if none is usable.
+        0 if one may get a request now, or if none is usable. With an origin, only the
+        endpoints count at which its stream may go on.
         """
         if not self._is_any_throttled:
             return 0.0
-        return min(map(self.send_delay_s, self.usable(service_id)), default=0.0)
+        records = self.usable(service_id)
+        if origin is not None:
+            records = [record for record in records if origin.accepts(record.listed)]
+        return min(map(self.send_delay_s, records), default=0.0)
 
     def record_sent(self, record: EndpointRecord) -> None:
         """Count a request or a call that goes to an endpoint now."""
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
@@ -98,8 +98,7 @@
         if self.progress.retry_reason_ is RetryReason.QUARANTINED:
             self.end_quarantined()
             return
-        service_id = self.progress.match_.service.service_id
-        is_held = self.state.service_send_delay_s(service_id) > 0.0
+        is_held = self._send_delay_s() > 0.0
         if is_held and not self.progress.may_have_run_:
             self.end_held_back(detail)
             return
@@ -107,9 +106,14 @@
 
     def end_held_back(self, detail: str) -> None:
         """End a request because every endpoint asks for a pause."""
-        service_id = self.progress.match_.service.service_id
-        send_delay_s = self.state.service_send_delay_s(service_id)
-        self.end(EndReason.HELD_BACK, detail, send_delay_s)
+        self.end(EndReason.HELD_BACK, detail, self._send_delay_s())
+
+    def _send_delay_s(self) -> float:
+        """Return in how many seconds an endpoint may get the request."""
+        progress = self.progress
+        return self.state.service_send_delay_s(
+            progress.match_.service.service_id, progress.origin_
+        )
 
     def end_quarantined(self) -> None:
         """End a request that ran at too many endpoints that crashed."""
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -114,9 +114,17 @@
         self.progress.record_event_passed_on(self.attempts.state.now())
 
     def _record_origin(self, attempt: Attempt) -> None:
-        """Record which software version wrote the first event, unless it is known."""
+        """Record which software version wrote the first event, unless it is known.
+
+        Callers may take the stream up at other entries, so these are told as well.
+        """
         progress = self.progress
-        if progress.origin_ is None:
-            progress.origin_ = StreamOrigin(
-                progress.match_.service.service_id, attempt.borrowed.software
-            )
+        if progress.origin_ is not None:
+            return
+        match = progress.match_
+        origin = StreamOrigin(match.service.service_id, attempt.borrowed.software)
+        progress.origin_ = origin
+        origins = self.state.stream_origins_
+        if origins is not None and match.route.is_resumable:
+            wait_s = progress.caller_deadline - self.state.now()
+            origins.record(progress.request.request_id, origin, wait_s)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -37,6 +37,7 @@
     CallerExchange,
 )
 from leadford_server.forwarding.answers._plain import PlainForwarder
+from leadford_server.forwarding.answers._resumed import ResumedStream
 from leadford_server.forwarding.answers._returns import CallerReturn
 from leadford_server.forwarding.answers._stream import StreamForwarder
 from leadford_server.forwarding.batching import RequestInputs, StageFailure, StageRunner
@@ -52,6 +53,10 @@
     StartDenial.CONFIG_MAY_BE_OLD: "in a configuration that may be old",
     StartDenial.STOPPING: "this process is about to stop",
 }
+SOFTWARE_DETAIL_BY_REASON = {
+    EndReason.SOFTWARE_UNKNOWN: "nobody knows which version began the stream",
+    EndReason.SOFTWARE_GONE: "no endpoint of the version that began the stream",
+}
 
 
 class RequestForwarder:
@@ -77,6 +82,7 @@
         self.caller_return = CallerReturn(
             state=state, admission=admission, progress=self.progress
         )
+        self.resumed_stream = ResumedStream(state=state, progress=self.progress)
         self.answer = CallerAnswer(
             exchange=exchange,
             state=state,
@@ -151,6 +157,8 @@
             route, self.request.deadline_ms, self.request.received_at
         )
         self.exchange.due_at_ = progress.deadline_
+        failure = await self.resumed_stream.find_origin()
+        match = progress.match_
         budget = self.state.retry_budgets_.budget(match.service.service_id)
         budget.record_request(self.state.now())
         # A request that a caller repeats has the same digest at every entry. Without
@@ -159,6 +167,9 @@
         if self.attempts.is_quarantined:
             self.answer.end_quarantined()
             return
+        if failure is not None:
+            self.answer.end(failure, SOFTWARE_DETAIL_BY_REASON[failure])
+            return
         if self._is_held_back():
             self.answer.end_held_back(NO_ENDPOINT)
             return
@@ -179,7 +190,7 @@
         """Return whether all endpoints ask for a pause that outlasts the deadline."""
         progress = self.progress
         send_delay_s = self.state.service_send_delay_s(
-            progress.match_.service.service_id
+            progress.match_.service.service_id, progress.origin_
         )
         due_at = answer_due_at(progress.deadline_)
         return send_delay_s > 0.0 and self.state.now() + send_delay_s >= due_at
@@ -238,7 +249,9 @@
             caller_timeout_s=None
             if caller_timeout_ms is None
             else caller_timeout_ms / 1_000.0,
-            endpoint_wait_s=self.state.service_send_delay_s(match.service.service_id),
+            endpoint_wait_s=self.state.service_send_delay_s(
+                match.service.service_id, progress.origin_
+            ),
             workspace_id=match.workspace_id,
             contended_ids=self.state.level_service_ids(),
         )
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_resumed.py
@@ -0,0 +1,70 @@
+"""Find where a stream may go on that a caller takes up again.
+
+Runs before admission, so that a stream that cannot go on is refused before any of its
+stages runs. `leadford.forwarding.streams` decides what an origin allows, and
+`membership/_origins` finds it.
+"""
+
+import msgspec
+
+from leadford.forwarding.answers import EndReason
+from leadford.forwarding.routes import RouteKind
+from leadford.forwarding.streams import StreamOrigin
+from leadford_server.forwarding._links_contract import FoundOrigin
+from leadford_server.forwarding._progress import RequestProgress
+from leadford_server.forwarding._state import ForwardState
+
+
+class ResumedStream:
+    """Find the origin of the stream that one request takes up."""
+
+    def __init__(self, *, state: ForwardState, progress: RequestProgress) -> None:
+        self.state = state
+        self.progress = progress
+
+    async def find_origin(self) -> EndReason | None:
+        """Restrict the request to the origin; return why it cannot go on, if so."""
+        if not self._takes_stream_up or self.state.stream_origins_ is None:
+            return None
+        found = await self._find()
+        self.progress.origin_source_ = found.source
+        if found.origin is None:
+            return EndReason.SOFTWARE_UNKNOWN
+        self._use(found.origin)
+        if not self._has_endpoint(found.origin):
+            return EndReason.SOFTWARE_GONE
+        return None
+
+    @property
+    def _takes_stream_up(self) -> bool:
+        """Return whether the caller has events of the stream already."""
+        request = self.progress.request
+        if self.progress.match_.route.kind is not RouteKind.STREAM:
+            return False
+        return request.resumed_id is not None or request.last_event_id is not None
+
+    async def _find(self) -> FoundOrigin:
+        request = self.progress.request
+        service_id = self.progress.match_.service.service_id
+        origins = self.state.stream_origins_
+        return await origins.find(request.resumed_id, service_id)
+
+    def _use(self, origin: StreamOrigin) -> None:
+        """Send the request to the service that began the stream, if its route does."""
+        progress = self.progress
+        progress.origin_ = origin
+        match = progress.match_
+        service = self.state.service(origin.service_id)
+        route_service_ids = {part.service_id for part in match.route.services}
+        if service is not None and origin.service_id in route_service_ids:
+            progress.match_ = msgspec.structs.replace(match, service=service)
+        request = progress.request
+        if request.resumed_id is not None:
+            # The entry that began the stream may be gone, and with it its reports.
+            wait_s = progress.caller_deadline - self.state.now()
+            self.state.stream_origins_.record(request.resumed_id, origin, wait_s)
+
+    def _has_endpoint(self, origin: StreamOrigin) -> bool:
+        """Return whether an endpoint at which the stream may go on takes new work."""
+        usable = self.state.usable(self.progress.match_.service.service_id)
+        return any(origin.accepts(record.listed) for record in usable)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
@@ -9,6 +9,7 @@
 from leadford.common import EntryId, HallId
 from leadford.forwarding.batching import GroupId
 from leadford.forwarding.membership import (
+    first_candidates,
     peers_to_link,
     placement_group,
     placement_groups,
@@ -44,14 +45,27 @@
 
     def peers_to_link(self) -> set[EntryId]:
         """Return the entries to hold links to."""
+        return peers_to_link(
+            self.state.entry_id,
+            self.halls_by_entry(),
+            self._linked_groups(),
+            self.state.regions,
+        )
+
+    def first_candidates(self) -> set[EntryId]:
+        """Return the entries to which all entries of a region hold links."""
+        return first_candidates(
+            self.halls_by_entry(), self._linked_groups(), self.state.regions
+        )
+
+    def _linked_groups(self) -> set[GroupId]:
+        """Return the groups to whose first candidates entries hold links."""
         stages = self.stage_groups()
         groups = stages | self.engine_groups()
         if not stages:
             # The entries that follow the store for all others are found by this group.
             groups.add(self._own_region())
-        return peers_to_link(
-            self.state.entry_id, self.halls_by_entry(), groups, self.state.regions
-        )
+        return groups
 
     def followers(self) -> set[EntryId]:
         """Return the entries that follow the store for all others."""
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -39,6 +39,7 @@
 from leadford_server.forwarding.membership._heartbeats import Heartbeats
 from leadford_server.forwarding.membership._ledgers import ServiceLedgers
 from leadford_server.forwarding.membership._news import NewsExchange
+from leadford_server.forwarding.membership._origins import OriginExchange
 from leadford_server.forwarding.membership._paces import AddressedPaces, PaceExchange
 from leadford_server.forwarding.membership._placing import EnginePlacing
 from leadford_server.forwarding.membership._relays import StoreRelays
@@ -131,6 +132,13 @@
             state=state, peers_by_id=self.peers_by_id_, ledgers=self.ledgers
         )
         state.bookings_ = self.bookings
+        self.origins = OriginExchange(
+            state=state,
+            peers_by_id=self.peers_by_id_,
+            first_candidates=self.fleet.first_candidates,
+            entry_count=self.fleet.entry_count,
+        )
+        state.stream_origins_ = self.origins
         self.handlers_ = self._handlers()
 
     def _handlers(self) -> MessageHandlers:
@@ -147,6 +155,7 @@
             **self.placing.handlers(),
             **self.bookings.handlers(),
             **self.crashes.handlers(),
+            **self.origins.handlers(),
             **self.paces.handlers(),
         }
 
@@ -176,6 +185,7 @@
             self.heard_.record_running(self.state.now())
             self._dial()
             self._send_heartbeats()
+            self.origins.refresh()
             self.stages.sent.check()
             self.stages.return_waiting_pieces()
             spread = self.random.uniform(*HEARTBEAT_JITTER)
@@ -270,6 +280,7 @@
         self.peers_by_id_[entry_id] = peer
         self.heard_.record_heard(entry_id, self.state.now())
         self.builds_.forget(entry_id)
+        self.origins.forget(entry_id)
         self.state.log.report(
             Event.PEER_CONNECTED, peer=entry_id, version=peer.info.protocol_version
         )
@@ -288,6 +299,7 @@
         self.builds_.forget(entry_id)
         self.news.forget(entry_id)
         self.relays.forget(entry_id)
+        self.origins.forget(entry_id)
         self.state.log.report(Event.PEER_LOST, peer=entry_id)
         self.stages.scheduler_.drop_pieces_of(entry_id)
         self.stages.results.record_scheduler_lost(entry_id)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_bookings.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_bookings.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import selectors
 from random import Random
 from types import SimpleNamespace
 
@@ -45,6 +44,7 @@
 )
 from leadford_server.forwarding.membership._bookings import BookingExchange
 from leadford_server.forwarding.membership._ledgers import ServiceLedgers
+from leadford_server.forwarding.membership.tests.instant_loop import new_loop
 
 SERVICE = ServiceId("stage")
 GROUP = GroupId(SERVICE, PlaceId("hall"))
@@ -70,25 +70,6 @@
     return REGISTRY.get_sample_value("leadford_bookings_total", {"end": end}) or 0.0
 
 
-class InstantSelector(selectors.DefaultSelector):
-    """Advance the clock of a loop instead of waiting, so that no test is held up."""
-
-    def __init__(self):
-        super().__init__()
-        self.now = 100.0
-
-    def select(self, timeout=None):
-        self.now += timeout or 0.0
-        return super().select(0)
-
-
-def new_loop():
-    selector = InstantSelector()
-    loop = asyncio.SelectorEventLoop(selector)
-    loop.time = lambda: selector.now
-    return loop
-
-
 def request_at(now, fingerprint, remaining_s=3.0):
     return AdmissionRequest(
         ROUTE,
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
@@ -0,0 +1,332 @@
+"""Entries know which software version began a stream, whichever of them are lost."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from leadford.common import EntryId, RequestId
+from leadford.forwarding.endpoints import SoftwareVersion
+from leadford.forwarding.routes import ServiceId
+from leadford.forwarding.streams import (
+    KEEPERS_COUNT,
+    MIN_SOLE_S,
+    OriginLedger,
+    SoftwareHistory,
+    StreamOrigin,
+)
+from leadford.protocol import PROTOCOL_LOAD, PROTOCOL_ORIGINS, StreamOriginNews
+from leadford_server.forwarding._links_contract import FoundOrigin, OriginSource
+from leadford_server.forwarding.membership._origins import (
+    MAX_ORIGIN_WAIT_S,
+    OriginExchange,
+)
+from leadford_server.forwarding.membership.tests.instant_loop import new_loop
+
+SERVICE = ServiceId("engine")
+V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
+ORIGIN = StreamOrigin(SERVICE, V1)
+REQUEST = RequestId("r")
+# For how long the callers of these tests wait.
+WAIT_S = 15.0
+UNKNOWN = FoundOrigin(OriginSource.NOBODY, None)
+
+
+class Fleet:
+    """Connect entries; the first of them are candidates to keep origins."""
+
+    def __init__(self, *, entries=6, candidates=None, older=()):
+        self.delay_s = 0.001
+        self.sent = []
+        self.cut = set()
+        self.older = set(older)
+        self.listed = {V1, V2}
+        self.candidates = candidates or entries
+        self.entries = [Entry(self, number) for number in range(entries)]
+        for entry in self.entries:
+            entry.link_all()
+        for entry in self.entries:
+            entry.origins.refresh()
+
+    def keepers(self):
+        """Return the entries that know the origin by a message."""
+        return [e for e in self.entries[1:] if e.state.origins_.find(REQUEST)]
+
+    def kill(self, entry):
+        """End the links of an entry."""
+        self.cut.add(entry.entry_id)
+        for other in self.entries:
+            if other is not entry:
+                del other.peers[entry.entry_id]
+                other.origins.forget(entry.entry_id)
+
+    def start_again(self, entry):
+        """Put an entry without memory in the place of one that was killed."""
+        self.cut.discard(entry.entry_id)
+        new = Entry(self, entry.number)
+        self.entries[entry.number] = new
+        new.state.software_history_ = SoftwareHistory()
+        new.state.software_history_.begin(new.state.now())
+        new.link_all()
+        for other in self.entries:
+            if other is not new:
+                other.peers[new.entry_id] = Link(other, new)
+                other.origins.forget(new.entry_id)
+            other.origins.refresh()
+        return new
+
+
+class Entry:
+    """Hold the origins of one entry, with fakes of what they use."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.number = number
+        self.entry_id = EntryId(f"entry-{number}")
+        loop = asyncio.get_running_loop()
+        history = SoftwareHistory()
+        history.begin(0.0)
+        self.state = SimpleNamespace(
+            loop=loop,
+            now=loop.time,
+            origins_=OriginLedger(),
+            software_history_=history,
+            roster_=SimpleNamespace(listed_software=lambda service_id: fleet.listed),
+        )
+        self.peers = {}
+        self.origins = OriginExchange(
+            state=self.state,
+            peers_by_id=self.peers,
+            first_candidates=lambda: {
+                EntryId(f"entry-{n}") for n in range(fleet.candidates)
+            },
+            entry_count=lambda: len(fleet.entries),
+        )
+
+    def link_all(self):
+        for other in self.fleet.entries:
+            if other is not self and other.entry_id not in self.fleet.cut:
+                self.peers[other.entry_id] = Link(self, other)
+
+    async def find(self, request_id=REQUEST):
+        return await self.origins.find(request_id, SERVICE)
+
+
+class Link:
+    """Carry messages from one entry to another after a delay, unless it is cut."""
+
+    def __init__(self, sender, receiver):
+        self.sender, self.receiver = sender, receiver
+        is_older = receiver.number in sender.fleet.older
+        self.info = SimpleNamespace(
+            peer_id=receiver.entry_id,
+            protocol_version=PROTOCOL_LOAD if is_older else PROTOCOL_ORIGINS,
+        )
+
+    def send(self, message):
+        fleet = self.sender.fleet
+        assert self.receiver.number not in fleet.older
+        fleet.sent.append(message)
+        if {self.sender.entry_id, self.receiver.entry_id} & fleet.cut:
+            return
+        self.sender.state.loop.call_later(fleet.delay_s, self._deliver, message)
+
+    def _deliver(self, message):
+        handler = self.receiver.origins.handlers()[type(message)]
+        handler(self.receiver.peers[self.sender.entry_id], message)
+
+
+def run(scenario, **fields):
+    async def main():
+        fleet = Fleet(**fields)
+        await asyncio.wait_for(scenario(fleet), 60)
+        assert all(not e.origins.questions_by_id_ for e in fleet.entries)
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(main())
+
+
+async def begin(fleet):
+    """Begin a stream at the first entry, and wait until its keepers know."""
+    fleet.entries[0].origins.record(REQUEST, ORIGIN, WAIT_S)
+    await asyncio.sleep(0.01)
+
+
+def test_every_entry_knows_a_stream_after_the_one_that_began_it_was_killed():
+    async def scenario(fleet):
+        await begin(fleet)
+        assert len(fleet.keepers()) == KEEPERS_COUNT
+        fleet.kill(fleet.entries[0])
+        for entry in fleet.entries[1:]:
+            assert (await entry.find()).origin == ORIGIN
+
+    run(scenario)
+
+
+def test_a_stream_is_known_after_all_its_keepers_were_lost_one_by_one():
+    async def scenario(fleet):
+        await begin(fleet)
+        for keeper in fleet.keepers():
+            fleet.kill(keeper)
+            await asyncio.sleep(0.01)
+            fleet.start_again(keeper)
+            await asyncio.sleep(0.01)
+        fleet.kill(fleet.entries[0])
+        for entry in fleet.entries[1:]:
+            assert (await entry.find()).origin == ORIGIN
+
+    run(scenario)
+
+
+def test_a_stream_taken_up_is_known_after_all_that_knew_it_before_were_lost():
+    async def scenario(fleet):
+        await begin(fleet)
+        first, *keepers = [fleet.entries[0], *fleet.keepers()]
+        taker = next(e for e in fleet.entries[1:] if e not in keepers)
+        found = await taker.find()
+        taker.origins.record(REQUEST, found.origin, WAIT_S)
+        await asyncio.sleep(0.01)
+        for entry in (first, *keepers):
+            fleet.kill(entry)
+        await asyncio.sleep(0.01)
+        for entry in fleet.entries:
+            if entry not in (first, *keepers):
+                assert (await entry.find()).origin == ORIGIN
+
+    run(scenario, entries=8)
+
+
+def test_a_dead_keeper_does_not_hold_up_the_answer_of_another():
+    async def scenario(fleet):
+        await begin(fleet)
+        dead, *_ = fleet.keepers()
+        # Its links still seem to be open.
+        fleet.cut.add(dead.entry_id)
+        asked_at = fleet.entries[0].state.now()
+        for entry in fleet.entries[1:]:
+            if entry is not dead:
+                assert (await entry.find()).origin == ORIGIN
+        assert fleet.entries[0].state.now() - asked_at < MAX_ORIGIN_WAIT_S
+
+    run(scenario)
+
+
+def test_nobody_guesses_while_two_versions_serve():
+    async def scenario(fleet):
+        assert await fleet.entries[1].find() == UNKNOWN
+        assert await fleet.entries[1].find(None) == UNKNOWN
+
+    run(scenario)
+
+
+def test_a_stream_that_nobody_knows_goes_on_where_one_version_ever_served():
+    async def scenario(fleet):
+        fleet.listed = {V1}
+        found = await fleet.entries[1].find()
+        assert found == FoundOrigin(OriginSource.SOLE, ORIGIN)
+        # One entry has seen another version not long ago.
+        for entry in fleet.entries[2:]:
+            history = entry.state.software_history_
+            history.record_gone(SERVICE, V2, entry.state.now())
+        assert await fleet.entries[1].find() == UNKNOWN
+        await asyncio.sleep(MIN_SOLE_S + 1.0)
+        assert await fleet.entries[1].find() == found
+
+    run(scenario)
+
+
+def test_an_entry_that_just_started_believes_what_its_peers_have_listed():
+    async def scenario(fleet):
+        fleet.listed = {V1}
+        fleet.kill(fleet.entries[1])
+        new = fleet.start_again(fleet.entries[1])
+        assert (await new.find()).source is OriginSource.SOLE
+
+    run(scenario)
+
+
+def test_an_entry_without_answers_concludes_nothing_from_its_own_listing():
+    async def scenario(fleet):
+        fleet.listed = {V1}
+        fleet.cut.update(entry.entry_id for entry in fleet.entries[1:])
+        asked_at = fleet.entries[0].state.now()
+        assert await fleet.entries[0].find() == UNKNOWN
+        waited_s = fleet.entries[0].state.now() - asked_at
+        assert waited_s == pytest.approx(MAX_ORIGIN_WAIT_S, abs=0.01)
+
+    run(scenario)
+
+
+def test_an_entry_alone_knows_its_own_streams_and_what_it_has_listed():
+    async def scenario(fleet):
+        (entry,) = fleet.entries
+        assert await entry.find() == UNKNOWN
+        entry.origins.record(REQUEST, ORIGIN, WAIT_S)
+        assert await entry.find() == FoundOrigin(OriginSource.OWN, ORIGIN)
+        fleet.listed = {V2}
+        found = await entry.find(RequestId("other"))
+        assert found.origin == StreamOrigin(SERVICE, V2)
+
+    run(scenario, entries=1)
+
+
+def test_an_entry_that_starts_waits_for_its_links_before_it_refuses():
+    async def scenario(fleet):
+        await begin(fleet)
+        entry = fleet.entries[0]
+        newcomer = Entry(fleet, 5)
+        fleet.entries[5] = newcomer
+        entry.state.loop.call_later(0.1, newcomer.link_all)
+        entry.state.loop.call_later(0.15, newcomer.origins.refresh)
+        for other in fleet.entries[:5]:
+            other.peers[newcomer.entry_id] = Link(other, newcomer)
+        assert (await newcomer.find()).origin == ORIGIN
+
+    run(scenario)
+
+
+def test_entries_of_an_older_build_are_neither_told_nor_asked():
+    async def scenario(fleet):
+        await begin(fleet)
+        assert {keeper.number for keeper in fleet.keepers()} == {3, 4, 5}
+        for entry in fleet.entries[3:]:
+            assert (await entry.find()).origin == ORIGIN
+        # Streams that the older entries began are known to nobody.
+        assert await fleet.entries[3].find(RequestId("other")) == UNKNOWN
+
+    run(scenario, older=(1, 2))
+
+
+def test_origins_end_with_their_callers():
+    async def scenario(fleet):
+        await begin(fleet)
+        await asyncio.sleep(WAIT_S)
+        for entry in fleet.entries:
+            entry.origins.refresh()
+            assert len(entry.state.origins_) == 0
+            assert not entry.origins.told_by_id_
+        assert await fleet.entries[1].find() == UNKNOWN
+
+    run(scenario)
+
+
+def test_the_cost_of_a_stream_does_not_grow_with_the_fleet():
+    async def scenario(fleet):
+        await begin(fleet)
+        assert len(fleet.sent) == KEEPERS_COUNT
+        assert all(type(message) is StreamOriginNews for message in fleet.sent)
+        await fleet.entries[250].find()
+        # A question and an answer for each keeper.
+        assert len(fleet.sent) <= KEEPERS_COUNT + 2 * KEEPERS_COUNT
+
+    run(scenario, entries=300, candidates=8)
+
+
+def test_a_version_that_was_not_known_is_not_told():
+    async def scenario(fleet):
+        origin = StreamOrigin(SERVICE, None)
+        fleet.entries[0].origins.record(REQUEST, origin, WAIT_S)
+        assert fleet.sent == []
+        assert await fleet.entries[0].find() == UNKNOWN
+
+    run(scenario)
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -127,7 +127,9 @@
             record = await self.choose_placed()
             if record is not None:
                 return record
-            send_delay_s = self.state.service_send_delay_s(service_id)
+            send_delay_s = self.state.service_send_delay_s(
+                service_id, self.progress.origin_
+            )
             if send_delay_s <= 0.0 or self.state.now() + send_delay_s > wait_until:
                 return None
             await asyncio.sleep(min(send_delay_s, HELD_POLL_INTERVAL_S))
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
@@ -62,6 +62,7 @@
     def apply(self, endpoints: list[ListedEndpoint], position: StorePosition) -> None:
         """Merge a complete listing that was made at a position of the store."""
         roster = self.state.roster_
+        self.state.software_history_.begin(self.state.now())
         self._log(roster.replace(endpoints, position, self.state.now()))
         for endpoint in endpoints:
             self._record_cold(endpoint)
@@ -83,6 +84,10 @@
         """Log changes and call `on_change` if there are any."""
         changes = list(changes)
         for change in changes:
+            if change.is_gone:
+                self.state.software_history_.record_gone(
+                    change.service_id, change.software, self.state.now()
+                )
             self.state.log.report(
                 Event.ENDPOINT_LISTED,
                 endpoint=change.endpoint_id,
--- a/packages/leadford-server/src/leadford_server/metrics/__init__.py
+++ b/packages/leadford-server/src/leadford_server/metrics/__init__.py
@@ -39,12 +39,14 @@
     STORE_CHANGES_TOTAL,
     STORE_CONFIRM_GAP_SECONDS,
     STRAYS_TOTAL,
+    STREAM_ORIGINS_TOTAL,
     TOKENS_TOTAL,
     UNREADABLE_RECORDS_TOTAL,
     MetricsHandler,
 )
 
 __all__ = [
+    "STREAM_ORIGINS_TOTAL",
     "ADMISSION_TOTAL",
     "BOOKINGS_TOTAL",
     "CALL_FILL",
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -75,6 +75,11 @@
     "them; elsewhere, queries that the scheduler did not answer in time.",
     ["end"],
 )
+STREAM_ORIGINS_TOTAL = Counter(
+    "leadford_stream_origins_total",
+    "Streams that callers took up, by who knew the software version that began them.",
+    ["source"],
+)
 PLACED_TOTAL = Counter(
     "leadford_placed_total",
     "Prompts whose engine another entry was asked for, by what it said.",
--- a/packages/leadford-standins/src/leadford_standins/wire/_fleet.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_fleet.py
@@ -15,6 +15,7 @@
 from leadford.common import EntryId, HallId
 from leadford.forwarding.endpoints import EndpointRoster
 from leadford.forwarding.history import StoreEpochs
+from leadford.forwarding.streams import SoftwareHistory
 from leadford.protocol import PROTOCOL_VERSION, Message
 from leadford_platform import PlatformObjects
 from leadford_server.forwarding import ForwardBounds
@@ -106,6 +107,7 @@
             config_version=lambda: 0,
             roster_=EndpointRoster(removed_grace_s=1.1),
             epochs_=StoreEpochs(),
+            software_history_=SoftwareHistory(),
             log=self.log_,
         )
         self.roster_ = state.roster_
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
@@ -1,6 +1,12 @@
 """Continue a stream only at the software version that began it."""
 
-from leadford_standins.wire import Misbehaviour, event_ids, run_scenario
+from leadford_standins.wire import (
+    Misbehaviour,
+    event_ids,
+    refuse_store_calls,
+    run_scenario,
+    runs_of,
+)
 
 # Streams that one test breaks off, each with a prompt of its own.
 STREAMS_COUNT = 8
@@ -86,3 +92,134 @@
                 assert software_of_runs(deployment, f"r{number}.{attempt}") == [began]
 
     run_scenario(scenario, endpoints=6, entries=3)
+
+
+async def begin_streams(deployment, *, entry=0):
+    """Break streams off at an entry; return the version that began each."""
+    for number in range(STREAMS_COUNT):
+        await break_off(deployment, f"r{number}", number, entry=entry)
+    return [
+        software_of_runs(deployment, f"r{number}")[0] for number in range(STREAMS_COUNT)
+    ]
+
+
+async def take_all_up(deployment, *, entry):
+    """Take each stream up at an entry; return the versions it went on at."""
+    found = []
+    for number in range(STREAMS_COUNT):
+        request_id = f"r{number}.{entry}"
+        answer = await take_up(
+            deployment, request_id, number, resumes=f"r{number}", after=2, entry=entry
+        )
+        assert answer.code == 200
+        assert event_ids(answer.body) == [3, 4, 5]
+        found += software_of_runs(deployment, request_id)
+    return found
+
+
+def test_streams_go_on_after_the_entry_that_began_them_was_killed():
+    async def scenario(deployment):
+        await deployment.until_linked()
+        await list_two_versions(deployment)
+        began = await begin_streams(deployment)
+        deployment.entries_[0].stop()
+        assert set(began) == {"v1", "v2"}
+        assert await take_all_up(deployment, entry=1) == began
+        # The entry that took them up is killed as well.
+        deployment.entries_[1].stop()
+        assert await take_all_up(deployment, entry=2) == began
+
+    run_scenario(scenario, endpoints=6, entries=4)
+
+
+def test_streams_go_on_at_their_version_while_the_store_is_down():
+    async def scenario(deployment):
+        await deployment.until_linked()
+        await list_two_versions(deployment)
+        for entry in deployment.entries_:
+            refuse_store_calls(entry)
+        began = await begin_streams(deployment)
+        assert await take_all_up(deployment, entry=1) == began
+
+    run_scenario(scenario, endpoints=6, entries=3)
+
+
+def test_a_stream_does_not_go_on_at_its_endpoint_started_again_as_another_version():
+    async def scenario(deployment):
+        await deployment.until_linked()
+        await deployment.set_software(deployment.engines[2], "v2")
+        began = await begin_streams(deployment)
+        assert "v1" in began
+        changed, kept, _ = deployment.engines
+        await deployment.set_software(changed, "v2")
+        for number, software in enumerate(began):
+            if software != "v1":
+                continue
+            for entry in (0, 1):
+                answer = await take_up(
+                    deployment,
+                    f"r{number}.{entry}",
+                    number,
+                    resumes=f"r{number}",
+                    after=2,
+                    entry=entry,
+                )
+                assert event_ids(answer.body) == [3, 4, 5]
+                assert len(runs_of([kept], f"r{number}.{entry}")) == 1
+
+    run_scenario(scenario, endpoints=3, entries=2)
+
+
+def test_a_stream_whose_version_is_listed_no_longer_is_refused_at_once():
+    async def scenario(deployment):
+        await deployment.until_linked()
+        await list_two_versions(deployment, older=1)
+        began = await begin_streams(deployment)
+        old = deployment.engines[0]
+        deployment.store.put("servers", old.endpoint_id, old.spec("draining"))
+        await deployment.until(
+            lambda: all(
+                len(entry.state_.usable("engine")) == 2 for entry in deployment.entries_
+            )
+        )
+        number = began.index("v1")
+        pieces = sum(len(stage.items_) for stage in deployment.stage)
+        answer = await take_up(
+            deployment, "back", number, resumes=f"r{number}", after=2, entry=1
+        )
+        assert answer.code == 503
+        assert float(answer.headers["Retry-After"]) > 0.0
+        assert not runs_of(deployment.engines, "back")
+        assert sum(len(stage.items_) for stage in deployment.stage) == pieces
+
+    run_scenario(scenario, endpoints=3, entries=2)
+
+
+def test_a_stream_that_nobody_knows_is_refused_while_two_versions_serve():
+    async def scenario(deployment):
+        await list_two_versions(deployment)
+        await begin_streams(deployment)
+        await deployment.restart_entry(0)
+        entry = deployment.entries_[0]
+        await deployment.until(
+            lambda: entry.is_ready and deployment.knows_all_endpoints(entry)
+        )
+        answer = await take_up(deployment, "back", 0, resumes="r0", after=2)
+        assert answer.code == 503
+        assert not runs_of(deployment.engines, "back")
+
+    run_scenario(scenario, endpoints=6)
+
+
+def test_streams_that_one_entry_places_stay_at_their_version():
+    async def scenario(deployment):
+        await deployment.until(
+            lambda: all(
+                len(entry.links_.peers_by_id_) >= 2 for entry in deployment.entries_
+            )
+        )
+        await list_two_versions(deployment)
+        began = await begin_streams(deployment)
+        assert await take_all_up(deployment, entry=5) == began
+
+    run_scenario(scenario, endpoints=6, entries=9)
--- a/packages/leadford/src/leadford/forwarding/answers/_final.py
+++ b/packages/leadford/src/leadford/forwarding/answers/_final.py
@@ -43,7 +43,9 @@
 
     The values of `routes.StartDenial` are included. HELD_BACK: every endpoint of the
     service asked for fewer requests than callers send. MEMORY: too many bytes are held
-    for callers and endpoints that read slowly. FAULT: an error of this process.
+    for callers and endpoints that read slowly. SOFTWARE_UNKNOWN: nobody knows which
+    software version began the stream that the caller takes up. SOFTWARE_GONE: no
+    endpoint of that version takes new work. FAULT: an error of this process.
     """
 
     ANSWERED = "answered"
@@ -60,6 +62,8 @@
     ATTEMPTS_FAILED = "attempts-failed"
     HELD_BACK = "held-back"
     MEMORY = "memory"
+    SOFTWARE_UNKNOWN = "software-unknown"
+    SOFTWARE_GONE = "software-gone"
     MISLEADING_STATUS = "misleading-status"
     OUT_OF_TIME = "out-of-time"
     FAULT = "fault"
@@ -89,6 +93,8 @@
         EndReason.STOPPING,
         EndReason.NOT_ADMITTED,
         EndReason.MEMORY,
+        EndReason.SOFTWARE_UNKNOWN,
+        EndReason.SOFTWARE_GONE,
     }
 )
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -39,9 +39,16 @@
 # Heartbeat interval of an endpoint where the deployment sets none.
 DEFAULT_HEARTBEAT_S = 1.2
 
+# What a change tells of an endpoint that is not listed.
+UNKNOWN = "unknown"
+GONE = "gone"
+
 
 class RosterChange(msgspec.Struct, frozen=True):
-    """Describe the state of one endpoint before and after a change of the listing."""
+    """Describe the state of one endpoint before and after a change of the listing.
+
+    `software` is the version that was listed last, None if it is not known.
+    """
 
     endpoint_id: EndpointId
     service_id: ServiceId
@@ -49,6 +56,11 @@
     after: str
     software: SoftwareVersion | None = None
 
+    @property
+    def is_gone(self) -> bool:
+        """Return whether the endpoint is listed no longer."""
+        return self.after == GONE
+
 
 class EndpointRoster:
     """Merge listings from several sources by their positions in the store's history.
@@ -175,14 +187,20 @@
             self.membership_version_ += 1
             self.records_by_id_[endpoint_id] = self._new_record(endpoint)
             self.ids_by_service_.setdefault(endpoint.service_id, set()).add(endpoint_id)
-            return [*ended, self._change(endpoint, "unknown", endpoint.state.value)]
+            return [*ended, self._change(endpoint, UNKNOWN, endpoint.state.value)]
         before = record.listed
         if endpoint.position > before.position:
             record.doubted_until_ = 0.0
         record.listed = _merged(before, endpoint)
+        after = record.listed.state.value
+        if before.known_software not in (None, record.listed.known_software):
+            # Other software has started under the same id.
+            return [
+                self._change(before, before.state.value, GONE),
+                self._change(record.listed, UNKNOWN, after),
+            ]
         if before.state is record.listed.state:
             return []
-        after = record.listed.state.value
         return [self._change(record.listed, before.state.value, after)]
 
     def record_leaving(self, endpoint_id: EndpointId) -> None:
@@ -219,7 +237,7 @@
             return []
         self.membership_version_ += 1
         self.ids_by_service_[record.listed.service_id].discard(endpoint_id)
-        return [self._change(record.listed, record.listed.state.value, "gone")]
+        return [self._change(record.listed, record.listed.state.value, GONE)]
 
     def _new_record(self, endpoint: ListedEndpoint) -> EndpointRecord:
         """Return a record for an endpoint; a recently removed one is reused."""
@@ -264,7 +282,7 @@
         if record.listed.state is ListedState.READY:
             is_lost = position.epoch > record.listed.position.epoch
             self.removed_.add(record, now, is_lost=is_lost)
-        return [self._change(record.listed, record.listed.state.value, "gone")]
+        return [self._change(record.listed, record.listed.state.value, GONE)]
 
     def record(self, endpoint_id: EndpointId) -> EndpointRecord | None:
         """Return the record of an endpoint that is listed or was recently removed."""
@@ -287,6 +305,11 @@
             self.listed_by_service_[service_id] = counts
         return counts
 
+    def listed_software(self, service_id: ServiceId) -> set[SoftwareVersion | None]:
+        """Return the versions that endpoints of a service are listed with."""
+        ids = self.ids_by_service_.get(service_id, ())
+        return {self.records_by_id_[name].listed.known_software for name in ids}
+
     def usable_by_hall(self, service_id: ServiceId, now: float) -> dict[HallId, int]:
         """Return how many endpoints of a service take new work in each hall."""
         counts: dict[HallId, int] = {}
--- a/packages/leadford/src/leadford/forwarding/membership/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/membership/__init__.py
@@ -11,6 +11,7 @@
 )
 from leadford.forwarding.membership._peer_clock import PeerClock
 from leadford.forwarding.membership._peers import (
+    first_candidates,
     peers_to_link,
     placement_group,
     placement_groups,
@@ -37,6 +38,7 @@
     "PeerFetch",
     "PeerClock",
     "SharedRule",
+    "first_candidates",
     "follower_watch_s",
     "is_due",
     "max_call_s",
--- a/packages/leadford/src/leadford/forwarding/membership/_peers.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_peers.py
@@ -27,6 +27,19 @@
 PLACING_MIN_ENTRIES = 8
 
 
+def first_candidates(
+    halls_by_entry: dict[EntryId, HallId],
+    groups: Iterable[GroupId],
+    regions: RegionMap,
+) -> set[EntryId]:
+    """Return the first candidates to schedule groups, to which all entries link."""
+    found: set[EntryId] = set()
+    for group in groups:
+        order = schedulers_in_order(group, halls_by_entry, regions)
+        found.update(order[:CANDIDATES_COUNT])
+    return found
+
+
 def peers_to_link(
     own: EntryId,
     halls_by_entry: dict[EntryId, HallId],
@@ -34,10 +47,7 @@
     regions: RegionMap,
 ) -> set[EntryId]:
     """Return the peers to hold links to; `halls_by_entry` includes this entry."""
-    wanted: set[EntryId] = set()
-    for group in groups:
-        order = schedulers_in_order(group, halls_by_entry, regions)
-        wanted.update(order[:CANDIDATES_COUNT])
+    wanted = first_candidates(halls_by_entry, groups, regions)
     ring = sorted(halls_by_entry)
     own_index = ring.index(own)
     wanted.update(
--- a/packages/leadford/src/leadford/forwarding/streams/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/streams/__init__.py
@@ -1,5 +1,24 @@
-"""Decide where a stream that broke off may go on."""
+"""Decide where a stream that broke off may go on, and who knows that."""
 
+from leadford.forwarding.streams._keepers import KEEPERS_COUNT, origin_keepers
+from leadford.forwarding.streams._ledger import OriginLedger
 from leadford.forwarding.streams._origin import StreamOrigin
+from leadford.forwarding.streams._software import (
+    MIN_SOLE_S,
+    SoftwareHistory,
+    SoleSoftware,
+    agreed_software,
+    sole_horizon_s,
+)
 
-__all__ = ["StreamOrigin"]
+__all__ = [
+    "KEEPERS_COUNT",
+    "MIN_SOLE_S",
+    "OriginLedger",
+    "SoftwareHistory",
+    "SoleSoftware",
+    "StreamOrigin",
+    "agreed_software",
+    "origin_keepers",
+    "sole_horizon_s",
+]
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/streams/_ledger.py
@@ -0,0 +1,79 @@
+"""Hold the origins of streams until their callers stop waiting.
+
+The entry that passes on the first event of a stream records its origin, and so do the
+keepers that it tells. A caller that takes the stream up names the request that brought
+the first event, which is the key.
+"""
+
+import heapq
+
+from leadford.common import RequestId
+from leadford.forwarding.streams._origin import StreamOrigin
+
+# The oldest origins are dropped beyond this number.
+MAX_ORIGINS = 50_000
+# Callers that wait for longer are not told apart from those that wait this long.
+MAX_ORIGIN_AGE_S = 600.0
+
+
+class OriginLedger:
+    """Find the origin of a stream by the request that began it.
+
+    Units: times in seconds of the monotonic clock.
+    """
+
+    def __init__(self) -> None:
+        self.origins_by_id_: dict[RequestId, StreamOrigin] = {}
+        self.until_by_id_: dict[RequestId, float] = {}
+        self.ids_by_end_: list[tuple[float, RequestId]] = []
+        # The longest time for which a caller was known to wait.
+        self.longest_wait_s_ = 0.0
+
+    def __len__(self) -> int:
+        return len(self.origins_by_id_)
+
+    def record(
+        self, request_id: RequestId, origin: StreamOrigin, wait_s: float, now: float
+    ) -> None:
+        """Record an origin for as long as its caller waits.
+
+        The first origin that is recorded for a request stays.
+        """
+        if wait_s <= 0.0:
+            return
+        wait_s = min(wait_s, MAX_ORIGIN_AGE_S)
+        self.longest_wait_s_ = max(self.longest_wait_s_, wait_s)
+        until = now + wait_s
+        self.origins_by_id_.setdefault(request_id, origin)
+        if until > self.until_by_id_.get(request_id, now):
+            self.until_by_id_[request_id] = until
+            heapq.heappush(self.ids_by_end_, (until, request_id))
+        self._drop_beyond_limit()
+
+    def find(self, request_id: RequestId) -> StreamOrigin | None:
+        """Return the origin of the stream that a request began, None if not known."""
+        return self.origins_by_id_.get(request_id)
+
+    def remaining_s(self, request_id: RequestId, now: float) -> float:
+        """Return for how many more seconds an origin is held."""
+        return max(0.0, self.until_by_id_.get(request_id, now) - now)
+
+    def drop_ended(self, now: float) -> list[RequestId]:
+        """Forget the origins whose callers no longer wait, and return their ids."""
+        ended = []
+        while self.ids_by_end_ and self.ids_by_end_[0][0] <= now:
+            _, request_id = heapq.heappop(self.ids_by_end_)
+            if self.until_by_id_.get(request_id, now) > now:
+                # Recorded again since, for longer.
+                continue
+            self._forget(request_id)
+            ended.append(request_id)
+        return ended
+
+    def _drop_beyond_limit(self) -> None:
+        while len(self.origins_by_id_) > MAX_ORIGINS:
+            self._forget(next(iter(self.origins_by_id_)))
+
+    def _forget(self, request_id: RequestId) -> None:
+        self.origins_by_id_.pop(request_id, None)
+        self.until_by_id_.pop(request_id, None)
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/streams/_software.py
@@ -0,0 +1,92 @@
+"""Tell whether a single software version can have begun any stream of a service.
+
+Used where nobody knows the origin of a stream. An entry that has listed one version of
+a service for longer than any caller waits knows that no other version began a stream
+which a caller may still take up.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from leadford.forwarding.endpoints import SoftwareVersion
+from leadford.forwarding.routes import ServiceId
+
+# Minimum time for which a single version must have been listed.
+MIN_SOLE_S = 30.0
+
+
+class SoleSoftware(msgspec.Struct, frozen=True):
+    """Hold the only version of a service that an entry has listed lately.
+
+    Units: observed_s is for how long the entry has known the listing, in seconds.
+    """
+
+    software: SoftwareVersion
+    observed_s: float
+
+
+class SoftwareHistory:
+    """Remember when versions of a service were last listed.
+
+    Units: times in seconds of the monotonic clock.
+    """
+
+    def __init__(self) -> None:
+        self.began_at_: float | None = None
+        self.gone_at_by_version_: dict[tuple[ServiceId, SoftwareVersion], float] = {}
+
+    def begin(self, now: float) -> None:
+        """Record that the first complete listing is known."""
+        if self.began_at_ is None:
+            self.began_at_ = now
+
+    def record_gone(
+        self, service_id: ServiceId, software: SoftwareVersion | None, now: float
+    ) -> None:
+        """Record that an endpoint with a version is listed no longer."""
+        if software is not None:
+            self.gone_at_by_version_[service_id, software] = now
+
+    def sole(
+        self,
+        service_id: ServiceId,
+        listed: Iterable[SoftwareVersion | None],
+        *,
+        horizon_s: float,
+        now: float,
+    ) -> SoleSoftware | None:
+        """Return the only version within the last `horizon_s`, None if there is none.
+
+        `listed` holds the versions that are listed now, None for one that is not known.
+        """
+        if self.began_at_ is None:
+            return None
+        versions = set(listed)
+        for (gone_service_id, software), gone_at in self.gone_at_by_version_.items():
+            if gone_service_id == service_id and now - gone_at <= horizon_s:
+                versions.add(software)
+        if len(versions) != 1 or None in versions:
+            return None
+        return SoleSoftware(versions.pop(), now - self.began_at_)
+
+
+def sole_horizon_s(longest_wait_s: float) -> float:
+    """Return for how long a version must have been the only one, in seconds."""
+    return max(MIN_SOLE_S, longest_wait_s)
+
+
+def agreed_software(
+    views: Iterable[SoleSoftware | None], *, horizon_s: float
+) -> SoftwareVersion | None:
+    """Return the only version that any of some entries has listed, None if unsure.
+
+    At least one of them must have known the listing for `horizon_s`.
+    """
+    found = list(views)
+    if not found or None in found:
+        return None
+    versions = {view.software for view in found}
+    if len(versions) != 1 or max(view.observed_s for view in found) < horizon_s:
+        return None
+    return versions.pop()
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/streams/tests/test_software.py
@@ -0,0 +1,70 @@
+"""A stream that nobody knows goes on only where a single version can have begun it."""
+
+import pytest
+
+from leadford.forwarding.endpoints import SoftwareVersion
+from leadford.forwarding.routes import ServiceId
+from leadford.forwarding.streams import (
+    MIN_SOLE_S,
+    SoftwareHistory,
+    SoleSoftware,
+    agreed_software,
+    sole_horizon_s,
+)
+
+SERVICE, OTHER = ServiceId("s"), ServiceId("other")
+V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
+
+
+def sole(history, listed, now, horizon_s=30.0):
+    return history.sole(SERVICE, listed, horizon_s=horizon_s, now=now)
+
+
+def history_since(began_at):
+    history = SoftwareHistory()
+    history.begin(began_at)
+    return history
+
+
+def test_a_version_is_the_only_one_once_others_are_long_gone():
+    history = history_since(0.0)
+    assert sole(history, [V1, V2], 100.0) is None
+    history.record_gone(SERVICE, V2, 100.0)
+    assert sole(history, [V1], 130.0) is None
+    assert sole(history, [V1], 130.1) == SoleSoftware(V1, 130.1)
+
+
+@pytest.mark.parametrize("listed", [[], [None], [V1, None]])
+def test_a_version_that_is_not_known_may_be_any(listed):
+    assert sole(history_since(0.0), listed, 100.0) is None
+
+
+def test_nothing_is_known_before_the_first_listing():
+    assert sole(SoftwareHistory(), [V1], 100.0) is None
+
+
+def test_versions_of_other_services_do_not_count():
+    history = history_since(0.0)
+    history.record_gone(OTHER, V2, 99.0)
+    history.record_gone(SERVICE, None, 99.0)
+    assert sole(history, [V1], 100.0) == SoleSoftware(V1, 100.0)
+
+
+@pytest.mark.parametrize(
+    ("views", "agreed"),
+    [
+        ([SoleSoftware(V1, 30.0)], V1),
+        ([SoleSoftware(V1, 29.9)], None),
+        ([SoleSoftware(V1, 1.0), SoleSoftware(V1, 30.0)], V1),
+        ([SoleSoftware(V1, 99.0), SoleSoftware(V2, 99.0)], None),
+        ([SoleSoftware(V1, 99.0), None], None),
+        ([], None),
+    ],
+)
+def test_all_entries_must_have_listed_the_same_version_alone(views, agreed):
+    assert agreed_software(views, horizon_s=30.0) == agreed
+
+
+def test_a_version_must_be_alone_for_as_long_as_any_caller_waits():
+    assert sole_horizon_s(5.0) == MIN_SOLE_S
+    assert sole_horizon_s(300.0) == 300.0
--- a/packages/leadford/src/leadford/protocol/__init__.py
+++ b/packages/leadford/src/leadford/protocol/__init__.py
@@ -28,6 +28,7 @@
     PROTOCOL_FLEET,
     PROTOCOL_LIMITS,
     PROTOCOL_LOAD,
+    PROTOCOL_ORIGINS,
     PROTOCOL_PACED,
     PROTOCOL_PACKED,
     PROTOCOL_UNTOLD,
@@ -123,6 +124,12 @@
     StoreConfirmation,
     StoreConfirmations,
 )
+from leadford.protocol._streams import (
+    StreamOriginAnswer,
+    StreamOriginNews,
+    StreamOriginReport,
+    StreamOriginRequest,
+)
 
 __all__ = [
     "LEVEL_UNTOLD",
@@ -136,6 +143,7 @@
     "PROTOCOL_FLEET",
     "PROTOCOL_LIMITS",
     "PROTOCOL_LOAD",
+    "PROTOCOL_ORIGINS",
     "UNKNOWN_PER_S",
     "AdmittedLevels",
     "BookingAnswer",
@@ -228,4 +236,8 @@
     "make_nonce",
     "make_proof",
     "proof_matches",
+    "StreamOriginAnswer",
+    "StreamOriginNews",
+    "StreamOriginReport",
+    "StreamOriginRequest",
 ]
--- a/packages/leadford/src/leadford/protocol/_base.py
+++ b/packages/leadford/src/leadford/protocol/_base.py
@@ -8,7 +8,7 @@
 import msgspec
 
 # The newest version of the protocol that this build supports.
-PROTOCOL_VERSION = 10
+PROTOCOL_VERSION = 11
 # The first version that transfers configurations in parts.
 PROTOCOL_CONFIG_PARTS = 2
 # The first version in which entries report evacuated halls to each other.
@@ -35,6 +35,9 @@
 # The first version in which entries report pieces by level of priority, bookings and
 # the pace of endpoints.
 PROTOCOL_LOAD = 10
+# The first version in which entries tell each other which software version of a service
+# began a stream.
+PROTOCOL_ORIGINS = 11
 # The oldest version that this build supports.
 PROTOCOL_VERSION_MIN = 1
 
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -78,6 +78,11 @@
     StoreChanges,
     StoreConfirmations,
 )
+from leadford.protocol._streams import (
+    StreamOriginAnswer,
+    StreamOriginNews,
+    StreamOriginRequest,
+)
 
 Message = (
     Challenge
@@ -139,4 +144,7 @@
     | BookingClaim
     | BookingClaimAnswer
     | PaceNews
+    | StreamOriginNews
+    | StreamOriginRequest
+    | StreamOriginAnswer
 )
