Let the soak's callers take streams up, at engines of two software versions

Two checks: a stream stays at one version over all tries, and of streams taken up at entries in touch at least half of the share goes on with which new ones begin. Answers of the build that this one replaces are not judged for the first, and streams that it began are not for the second: it knows no versions.

Prompts share no part there, since a shared one kept all streams at the engine that had it cached, and hid the fault.

--- a/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
@@ -47,6 +47,9 @@
     answer: bytes = b""
     ended_at: float = 0.0
     detail: str = ""
+    # The request that began the stream which this one takes up, and the last event.
+    resumes: str = ""
+    after_event: int = 0
 
 
 class Ran(msgspec.Struct, frozen=True):
@@ -70,7 +73,10 @@
 
 
 class Incarnation(msgspec.Struct):
-    """Hold one process of an entry, from its start to its end."""
+    """Hold one process of an entry, from its start to its end.
+
+    `is_older` says that it runs the build that this one replaces.
+    """
 
     entry: str
     number: int
@@ -79,6 +85,15 @@
     ended_at: float | None = None
     status: int | None = None
     was_killed: bool = False
+    is_older: bool = False
+
+
+class ListedEngine(msgspec.Struct, frozen=True):
+    """Hold from when an engine was listed, and with which software version."""
+
+    endpoint: str
+    software: str
+    listed_at: float
 
 
 class Departure(msgspec.Struct, frozen=True):
@@ -112,6 +127,7 @@
         self.incarnations_: list[Incarnation] = []
         self.ready_answers_: list[ReadyAnswer] = []
         self.departures_: list[Departure] = []
+        self.engines_: list[ListedEngine] = []
         self.injected_: list[tuple[float, str, str]] = []
         self.endpoints_: set[str] = set()
         # Bodies of requests that end every endpoint which runs them.
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/__init__.py
@@ -11,6 +11,7 @@
     _cuts,
     _quarantine,
     _service,
+    _software,
 )
 from leadford_standins.soak.checks._base import (
     Broken,
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_answers.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_answers.py
@@ -4,8 +4,7 @@
 to match a run at an endpoint with the request of a caller.
 """
 
-import re
-
+from leadford_standins.soak._events import EVENTS_PER_STREAM, events_of, rest_of
 from leadford_standins.soak._ledger import Outcome, Ran, Sent
 from leadford_standins.soak.checks._base import (
     Broken,
@@ -17,11 +16,8 @@
 UNREPEATABLE_ROUTES = ("unsafe", "once", "moved", "added", "gone", "never")
 STREAM_ROUTES = ("resumed", "once")
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-# Number of events in each stream of an engine stand-in.
-EVENTS_PER_STREAM = 5
 SIGNATURE_HEADER = "X-Server-Stamp"
 STAMPED_STATUSES = (200, 500)
-_EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: token (\d+) of (\S+)\n\n")
 
 
 @promises("runs at most once")
@@ -117,16 +113,18 @@
 
 
 def _find_stream_defect(sent: Sent) -> str:
-    events = _EVENT_PATTERN.findall(sent.answer)
-    rest = _EVENT_PATTERN.sub(b"", sent.answer)
-    numbers = [int(number) for number, _, _ in events]
-    if any(int(token_number) != int(number) for number, token_number, _ in events):
+    events = events_of(sent)
+    rest = rest_of(sent)
+    numbers = [event.number for event in events]
+    if any(event.text_number != event.number for event in events):
         return "an event holds the text of another"
-    if any(owner != sent.request_id.encode() for _, _, owner in events):
+    if any(event.request_id != sent.request_id for event in events):
         return "an event of another request"
-    if numbers != list(range(1, len(numbers) + 1)):
+    first = sent.after_event + 1
+    if numbers != list(range(first, first + len(numbers))):
         return f"events {numbers}"
-    if sent.outcome is Outcome.WHOLE and (rest or len(numbers) != EVENTS_PER_STREAM):
+    last = sent.after_event + len(numbers)
+    if sent.outcome is Outcome.WHOLE and (rest or last != EVENTS_PER_STREAM):
         return f"ends as complete after {numbers} and {rest[:40]!r}"
     return ""
 
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
@@ -7,6 +7,7 @@
     Departure,
     Incarnation,
     Ledger,
+    ListedEngine,
     Outcome,
     Ran,
     ReadyAnswer,
@@ -106,8 +107,68 @@
 
 
 def stream_with_a_gap():
-    text = b"".join(b"id: %d\ndata: token %d of r1\n\n" % (n, n) for n in (1, 2, 4, 5))
-    return ledger_of(answered("resumed", answer=text))
+    return ledger_of(answered("resumed", answer=events(1, 2, 4, 5)))
+
+
+def events(*numbers, request_id="r1", software="v1"):
+    return b"".join(
+        b"id: %d\ndata: token %d of %s by %s\n\n"
+        % (number, number, request_id.encode(), software.encode())
+        for number in numbers
+    )
+
+
+def taken_up(at=50.0, *, software="v1", first_is_older=False, **fields):
+    """Return a ledger of a stream of version v1 that broke off and was taken up."""
+    first = answered("resumed", at=at, outcome=Outcome.LEFT, answer=events(1, 2))
+    rest = events(3, 4, 5, request_id="r2", software=software)
+    following = answered(
+        "resumed",
+        at=at + 1.0,
+        request_id="r2",
+        resumes="r1",
+        after_event=2,
+        answer=rest,
+        incarnation=2,
+        **fields,
+    )
+    ledger = ledger_of(first, following, services=("engine",))
+    ledger.incarnations_.append(Incarnation(ENTRY, 2, 0.0))
+    ledger.incarnations_[0].is_older = first_is_older
+    return ledger
+
+
+def taken_up_at_another_version():
+    return taken_up(software="v2")
+
+
+def refused_streams(engines=2, count=12):
+    """Return a ledger in which all streams begin, and none that is taken up goes on."""
+    requests = []
+    for number in range(count):
+        first_id = f"r{number}"
+        requests += [
+            answered(
+                "resumed",
+                request_id=first_id,
+                outcome=Outcome.LEFT,
+                answer=events(1, 2, request_id=first_id),
+            ),
+            answered(
+                "resumed",
+                at=51.0,
+                request_id=f"{first_id}+",
+                status=503,
+                ran=False,
+                resumes=first_id,
+                after_event=2,
+            ),
+        ]
+    ledger = ledger_of(*requests, services=())
+    ledger.engines_ += [
+        ListedEngine(f"i-{number}", "v1", 0.0) for number in range(engines)
+    ]
+    return ledger
 
 
 def workspace_changed():
@@ -216,6 +277,8 @@
     "refused means not run": refused_but_ran,
     "an answer is whole, signed and of its request": answered_to_another,
     "a stream is in order and whole": stream_with_a_gap,
+    "a stream stays at one software version": taken_up_at_another_version,
+    "streams that are taken up go on": refused_streams,
     "requests reach endpoints unaltered": workspace_changed,
     "nothing is done that no configuration allows": denied_falsely,
     "a configuration is in force in time": late_version,
@@ -246,9 +309,25 @@
     assert found_in(ledger) == set()
 
 
+def test_a_stream_that_goes_on_at_its_version_breaks_nothing():
+    promise = "a stream stays at one software version"
+    assert promise not in found_in(taken_up())
+    assert promise in found_in(taken_up(software="v2", first_is_older=True))
+
+
+def test_streams_that_cannot_go_on_are_not_expected_to():
+    promise = "streams that are taken up go on"
+    assert promise not in found_in(refused_streams(engines=1))
+    assert promise not in found_in(refused_streams(count=11))
+    left = refused_streams()
+    left.departures_.append(Departure("i-1", 50.0))
+    assert promise not in found_in(left)
+
+
 @pytest.mark.parametrize(
     "make",
     [
+        refused_streams,
         late_version,
         held_too_long,
         cut_in_calm,
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_platform.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_platform.py
@@ -125,7 +125,7 @@
 
 async def _add_replacement(scene: SoakScene, running: RunningEndpoint) -> None:
     endpoint = running.endpoint
-    await scene.endpoints_.add(endpoint.service, endpoint.hall)
+    await scene.endpoints_.add(endpoint.service, endpoint.hall, endpoint.software)
 
 
 @injects(K.ENDPOINT_DRAINED, K.ENDPOINT_UNLISTED)
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_callers.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_callers.py
@@ -13,6 +13,11 @@
 from leadford_standins.soak.parts._connection import CallerConnection
 from leadford_standins.soak.parts._endpoints import WORK_HEADER
 from leadford_standins.soak.parts._processes import EntryProcess
+from leadford_standins.soak.parts._take_ups import (
+    BREAK_OFF_S,
+    TAKE_UP_DELAY_S,
+    TakeUps,
+)
 from leadford_standins.wire import HOST
 
 # Timeout of every route in the configuration of the stand-ins.
@@ -60,6 +65,9 @@
         }
         self.tasks_: set[asyncio.Task[None]] = set()
         self.count_ = 0
+        self.take_ups = TakeUps(
+            part=options.take_up_part, random=random, sent_by_id=ledger.sent_by_id_
+        )
 
     async def run(self, seconds: float) -> None:
         """Send requests for a time in seconds, then wait for the last answers."""
@@ -170,7 +178,7 @@
         self, entry: EntryProcess, sent: Sent, connection: CallerConnection | None
     ) -> None:
         self.ledger.sent_by_id_[sent.request_id] = sent
-        headers = self._make_headers(sent)
+        headers = sent.asked or self._make_headers(sent)
         connection = connection or await self._take_connection(entry)
         if connection is None:
             sent.sent_at = sent.ended_at = asyncio.get_running_loop().time()
@@ -181,7 +189,25 @@
         if self.random.random() < GIVE_UP_FRACTION:
             leave_after_s = self.random.uniform(*GIVE_UP_S)
             sent.detail = "gives up"
+        if self.take_ups.breaks_off(sent):
+            leave_after_s = self.random.uniform(*BREAK_OFF_S)
+            sent.detail = "gives up"
         await connection.exchange(sent, headers, leave_after_s)
+        self._put_back(entry, connection)
+        following = self.take_ups.next_request(sent, f"{sent.request_id}+")
+        if following is not None:
+            await asyncio.sleep(self.random.uniform(*TAKE_UP_DELAY_S))
+            await self._take_up(following)
+
+    async def _take_up(self, sent: Sent) -> None:
+        """Take a stream up at a random entry, over a new connection."""
+        entry = self.random.choice(self.entries)
+        sent.entry, sent.incarnation = entry.name, entry.start_count_
+        connection = await self._open_connection(entry)
+        await self._send(entry, sent, connection)
+
+    def _put_back(self, entry: EntryProcess, connection: CallerConnection) -> None:
+        """Keep a connection for further requests, or close it."""
         if not connection.is_usable:
             return
         if len(self.idle_[entry.name]) < MAX_IDLE_CONNECTIONS:
@@ -214,6 +240,9 @@
             "X-Prefix-Hash": f"aa:50,{random.randrange(16):x}b:20",
             WORK_HEADER: f"{random.uniform(*span):.0f}",
         }
+        if self.take_ups.part > 0.0:
+            # A shared part would keep all streams at the engine that has it cached.
+            headers["X-Prefix-Hash"] = f"{sent.request_id}:50"
         if sent.body:
             headers["Content-Length"] = str(len(sent.body))
         if sent.key is not None:
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
@@ -11,7 +11,7 @@
 from tornado.httputil import HTTPServerRequest
 
 from leadford_standins.soak._base import FaultKind, SoakBounds
-from leadford_standins.soak._ledger import Departure, Ledger, Ran
+from leadford_standins.soak._ledger import Departure, Ledger, ListedEngine, Ran
 from leadford_standins.soak.parts._proxy import Address, FaultProxy, LinkState
 from leadford_standins.wire import (
     EngineStandIn,
@@ -24,6 +24,7 @@
 # Header with the time in milliseconds that the work on a request is to take.
 WORK_HEADER = "X-Work-Ms"
 SERVICES = ("plain", "other", "stage", "engine")
+OLDER_SOFTWARE, NEWER_SOFTWARE = "v1", "v2"
 NEVER_ENDS_S = float("inf")
 # Time after which an endpoint that a request ended is replaced by a new one.
 REPLACEMENT_DELAY_S = 1.5
@@ -42,7 +43,7 @@
 
 
 class RequestNamingEngine(EngineStandIn):
-    """Name the request in each event, so that mixed up streams are detected."""
+    """Name the request and the software in each event, to detect mixed up streams."""
 
     async def serve(self, handler: EndpointHandler) -> None:
         """Serve one stream until it ends or its caller leaves."""
@@ -55,7 +56,9 @@
     def event(self, number: int, request: HTTPServerRequest) -> str:
         """Return one event of a stream."""
         request_id = request.headers.get("X-Attempt-Id", "")
-        return f"id: {number}\ndata: token {number} of {request_id}\n\n"
+        return (
+            f"id: {number}\ndata: token {number} of {request_id} by {self.software}\n\n"
+        )
 
 
 class RunningEndpoint:
@@ -86,21 +89,25 @@
         ledger: Ledger,
         halls: list[str],
         bounds: SoakBounds,
+        has_two_versions: bool = False,
     ) -> None:
         self.store = store
         self.ledger = ledger
         self.halls = halls
         self.bounds = bounds
+        self.has_two_versions = has_two_versions
         self.tasks_: set[asyncio.Task[None]] = set()
         self.live_: list[RunningEndpoint] = []
         self.all_: list[RunningEndpoint] = []
         self.makers_: list[StageStandIn] = []
 
     async def start(self) -> None:
-        """Start one endpoint of each service in each hall."""
+        """Start endpoints of each service in each hall, one of each version."""
         for service in SERVICES:
             for hall in self.halls:
                 await self.add(service, hall)
+                if service == "engine" and self.has_two_versions:
+                    await self.add(service, hall, NEWER_SOFTWARE)
 
     def _make_endpoint(self, service: str, hall: str) -> PlainStandIn:
         if service == "stage":
@@ -117,9 +124,12 @@
             return engine
         return TimedPlainStandIn(service=service, hall=hall)
 
-    async def add(self, service: str, hall: str) -> RunningEndpoint:
+    async def add(
+        self, service: str, hall: str, software: str = OLDER_SOFTWARE
+    ) -> RunningEndpoint:
         """Start an endpoint and list it."""
         running = RunningEndpoint(endpoint=self._make_endpoint(service, hall))
+        running.endpoint.software = software
         # A shared set, so that endpoints started later end on the same requests.
         running.endpoint.crash_bodies_ = self.ledger.ending_bodies_
         running.endpoint.on_crash_ = partial(self._on_end, running)
@@ -129,6 +139,11 @@
         endpoint = running.endpoint
         self.store.put("servers", endpoint.endpoint_id, endpoint.spec())
         self.ledger.endpoints_.add(endpoint.endpoint_id)
+        if service == "engine":
+            now = asyncio.get_running_loop().time()
+            self.ledger.engines_.append(
+                ListedEngine(endpoint.endpoint_id, software, now)
+            )
         return running
 
     def _on_end(self, running: RunningEndpoint) -> None:
@@ -143,7 +158,7 @@
         await self.end(running, FaultKind.REQUEST_ENDS_ENDPOINTS)
         await asyncio.sleep(REPLACEMENT_DELAY_S)
         self.store.delete("servers", endpoint.endpoint_id)
-        await self.add(endpoint.service, endpoint.hall)
+        await self.add(endpoint.service, endpoint.hall, endpoint.software)
 
     def pick(self, target: int) -> RunningEndpoint | None:
         """Return an endpoint that is not leaving and is not the last of its service."""
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_processes.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_processes.py
@@ -91,8 +91,10 @@
         folder: Path,
         ledger: Ledger,
         program: Path = PROGRAM,
+        newer_program: Path = PROGRAM,
     ) -> None:
         self.program = program
+        self.newer_program = newer_program
         self.name = name
         self.ip = ip
         self.hall = hall
@@ -110,6 +112,11 @@
         """Return the address that callers connect to."""
         return self.ip, CALLERS_PORT
 
+    @property
+    def runs_older_build(self) -> bool:
+        """Return whether the process is of the build that this one replaces."""
+        return self.program != self.newer_program
+
     @property
     def pid(self) -> int | None:
         """Return the id of the process while it runs."""
@@ -170,7 +177,9 @@
             )
         self.start_count_ += 1
         now = asyncio.get_running_loop().time()
-        self.incarnation_ = Incarnation(self.name, self.start_count_, now)
+        self.incarnation_ = Incarnation(
+            self.name, self.start_count_, now, is_older=self.runs_older_build
+        )
         self.ledger.incarnations_.append(self.incarnation_)
 
     def signal(self, number: signal.Signals) -> bool:
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
@@ -90,6 +90,7 @@
             ledger=self.ledger,
             halls=halls,
             bounds=self.options.bounds,
+            has_two_versions=self.options.take_up_part > 0.0,
         )
         self.store_links_ = LinksByOwner(pids_by_name=self._pids)
         target = self.store_.start()
@@ -119,6 +120,7 @@
             folder=self.folder,
             ledger=self.ledger,
             program=self.builds.first_program(self.options, number),
+            newer_program=self.builds.program(is_newer=True),
         )
         link = LinkState()
 
