--- a/packages/leadford-server/src/leadford_server/forwarding/_links_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_links_contract.py
@@ -70,7 +70,7 @@
     """
 
     OWN = "own"
-    KEEPER = "keeper"
+    REPLICA = "replica"
     SOLE = "sole"
     NOBODY = "nobody"
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
@@ -1,6 +1,6 @@
-"""Tell keepers which software version began a stream, and ask them when it goes on.
+"""Tell replicas which software version began a stream, and ask them when it goes on.
 
-Owns the pending questions of this entry, and which keepers were told of the streams
+Owns the pending questions of this entry, and which replicas were told of the streams
 that it holds. `leadford.forwarding.streams` decides who keeps an origin and what
 follows from the answers.
 """
@@ -15,7 +15,7 @@
     SoleSoftware,
     StreamOrigin,
     agreed_software,
-    origin_keepers,
+    origin_replicas,
     sole_horizon_s,
 )
 from leadford.protocol import (
@@ -33,18 +33,18 @@
 
 # Maximum time that a question adds to a request.
 MAX_ORIGIN_WAIT_S = 0.3
-# Stands for the request that began a stream where its caller does not name it. Keepers
+# Stands for the request that began a stream where its caller does not name it. Replicas
 # are asked all the same: they tell whether several versions were listed.
 UNNAMED = RequestId("")
-# Time between checks for a link to a keeper while there is none.
+# Time between checks for a link to a replica while there is none.
 LINK_POLL_INTERVAL_S = 0.02
 
 
 class _Question:
-    """Hold a question to several keepers and what they have answered."""
+    """Hold a question to several replicas and what they have answered."""
 
     def __init__(self, *, end: asyncio.Future[StreamOrigin | None]) -> None:
-        # Ends with the origin, or with None once all keepers have answered.
+        # Ends with the origin, or with None once all replicas have answered.
         self.end = end
         self.waiting_for_: set[EntryId] = set()
         self.sole_: list[SoleSoftware | None] = []
@@ -55,12 +55,12 @@
         origin: StreamOrigin | None,
         sole: SoleSoftware | None,
     ) -> None:
-        """Record the answer of one keeper; the first that knows the origin counts."""
+        """Record the answer of one replica; the first that knows the origin counts."""
         self.sole_.append(sole)
         self._settle(entry_id, origin)
 
     def record_lost(self, entry_id: EntryId) -> None:
-        """Record that a keeper will not answer."""
+        """Record that a replica will not answer."""
         self._settle(entry_id, None)
 
     def _settle(self, entry_id: EntryId, origin: StreamOrigin | None) -> None:
@@ -92,7 +92,7 @@
         self.entry_count = entry_count
         # The entries that may keep origins, as of the last heartbeat or lost link.
         self.candidate_ids_: tuple[EntryId, ...] = ()
-        # The keepers that were told of each stream that this entry holds.
+        # The replicas that were told of each stream that this entry holds.
         self.told_by_id_: dict[RequestId, set[EntryId]] = {}
         self.questions_by_id_: dict[int, _Question] = {}
         self.last_ask_id_ = 0
@@ -108,7 +108,7 @@
     def record(
         self, request_id: RequestId, origin: StreamOrigin, wait_s: float
     ) -> None:
-        """Record the origin of a stream that this entry holds, and tell its keepers.
+        """Record the origin of a stream that this entry holds, and tell its replicas.
 
         Units: wait_s is for how much longer the caller waits.
         """
@@ -119,7 +119,7 @@
         self._tell([request_id])
 
     def refresh(self) -> None:
-        """Forget ended streams, and tell keepers that have taken the place of others.
+        """Forget ended streams, and tell replicas that have taken the place of others.
 
         Called with each heartbeat.
         """
@@ -137,7 +137,7 @@
         self._set_candidates(set(self.candidate_ids_) - {entry_id})
 
     def _set_candidates(self, entry_ids: Iterable[EntryId]) -> None:
-        """Keep those of some entries that can keep origins, and tell new keepers."""
+        """Keep those of some entries that can keep origins, and tell new replicas."""
         linked = (entry_id for entry_id in entry_ids if self._peer(entry_id))
         candidate_ids = tuple(sorted(linked))
         if candidate_ids != self.candidate_ids_:
@@ -152,19 +152,19 @@
         return peer
 
     def _tell(self, request_ids: Iterable[RequestId]) -> None:
-        """Tell the keepers of some streams what they were not told yet."""
-        reports_by_keeper: dict[EntryId, list[StreamOriginReport]] = {}
+        """Tell the replicas of some streams what they were not told yet."""
+        reports_by_replica: dict[EntryId, list[StreamOriginReport]] = {}
         for request_id in request_ids:
             told = self.told_by_id_[request_id]
-            for keeper in origin_keepers(request_id, self.candidate_ids_):
-                if keeper in told:
+            for replica in origin_replicas(request_id, self.candidate_ids_):
+                if replica in told:
                     continue
-                told.add(keeper)
+                told.add(replica)
                 report = self._report(request_id)
                 if report is not None:
-                    reports_by_keeper.setdefault(keeper, []).append(report)
-        for keeper, reports in reports_by_keeper.items():
-            peer = self._peer(keeper)
+                    reports_by_replica.setdefault(replica, []).append(report)
+        for replica, reports in reports_by_replica.items():
+            peer = self._peer(replica)
             if peer is not None:
                 peer.send(StreamOriginNews(reports))
 
@@ -205,26 +205,26 @@
         except TimeoutError:
             pass
         if origin is not None:
-            return FoundOrigin(OriginSource.KEEPER, origin)
+            return FoundOrigin(OriginSource.REPLICA, origin)
         return self._conclude(question, service_id)
 
     async def _ask(
         self, question: _Question, request_id: RequestId, service_id: ServiceId
     ) -> StreamOrigin | None:
-        """Return what the keepers know, once one knows it or all have answered."""
+        """Return what the replicas know, once one knows it or all have answered."""
         while not self.candidate_ids_ and self.entry_count() > 1:
             await asyncio.sleep(LINK_POLL_INTERVAL_S)
-        keepers = origin_keepers(request_id, self.candidate_ids_)
-        if not keepers:
+        replicas = origin_replicas(request_id, self.candidate_ids_)
+        if not replicas:
             return None
         self.last_ask_id_ += 1
         ask_id = self.last_ask_id_
         self.questions_by_id_[ask_id] = question
-        question.waiting_for_.update(keepers)
+        question.waiting_for_.update(replicas)
         try:
-            for keeper in keepers:
+            for replica in replicas:
                 message = StreamOriginRequest(ask_id, request_id, service_id)
-                self.peers_by_id[keeper].send(message)
+                self.peers_by_id[replica].send(message)
             return await question.end
         finally:
             del self.questions_by_id_[ask_id]
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
@@ -9,8 +9,8 @@
 from leadford.forwarding.endpoints import SoftwareVersion
 from leadford.forwarding.routes import ServiceId
 from leadford.forwarding.streams import (
-    KEEPERS_COUNT,
     MIN_SOLE_S,
+    REPLICA_COUNT,
     OriginLedger,
     SoftwareHistory,
     StreamOrigin,
@@ -48,7 +48,7 @@
         for entry in self.entries:
             entry.origins.refresh()
 
-    def keepers(self):
+    def replicas(self):
         """Return the entries that know the origin by a message."""
         return [e for e in self.entries[1:] if e.state.origins_.find(REQUEST)]
 
@@ -147,7 +147,7 @@
 
 
 async def begin(fleet):
-    """Begin a stream at the first entry, and wait until its keepers know."""
+    """Begin a stream at the first entry, and wait until its replicas know."""
     fleet.entries[0].origins.record(REQUEST, ORIGIN, WAIT_S)
     await asyncio.sleep(0.01)
 
@@ -155,7 +155,7 @@
 def test_every_entry_knows_a_stream_after_the_one_that_began_it_was_killed():
     async def scenario(fleet):
         await begin(fleet)
-        assert len(fleet.keepers()) == KEEPERS_COUNT
+        assert len(fleet.replicas()) == REPLICA_COUNT
         fleet.kill(fleet.entries[0])
         for entry in fleet.entries[1:]:
             assert (await entry.find()).origin == ORIGIN
@@ -163,13 +163,13 @@
     run(scenario)
 
 
-def test_a_stream_is_known_after_all_its_keepers_were_lost_one_by_one():
+def test_a_stream_is_known_after_all_its_replicas_were_lost_one_by_one():
     async def scenario(fleet):
         await begin(fleet)
-        for keeper in fleet.keepers():
-            fleet.kill(keeper)
+        for replica in fleet.replicas():
+            fleet.kill(replica)
             await asyncio.sleep(0.01)
-            fleet.start_again(keeper)
+            fleet.start_again(replica)
             await asyncio.sleep(0.01)
         fleet.kill(fleet.entries[0])
         for entry in fleet.entries[1:]:
@@ -181,25 +181,25 @@
 def test_a_stream_taken_up_is_known_after_all_that_knew_it_before_were_lost():
     async def scenario(fleet):
         await begin(fleet)
-        first, *keepers = [fleet.entries[0], *fleet.keepers()]
-        taker = next(e for e in fleet.entries[1:] if e not in keepers)
+        first, *replicas = [fleet.entries[0], *fleet.replicas()]
+        taker = next(e for e in fleet.entries[1:] if e not in replicas)
         found = await taker.find()
         taker.origins.record(REQUEST, found.origin, WAIT_S)
         await asyncio.sleep(0.01)
-        for entry in (first, *keepers):
+        for entry in (first, *replicas):
             fleet.kill(entry)
         await asyncio.sleep(0.01)
         for entry in fleet.entries:
-            if entry not in (first, *keepers):
+            if entry not in (first, *replicas):
                 assert (await entry.find()).origin == ORIGIN
 
     run(scenario, entries=8)
 
 
-def test_a_dead_keeper_does_not_hold_up_the_answer_of_another():
+def test_a_dead_replica_does_not_hold_up_the_answer_of_another():
     async def scenario(fleet):
         await begin(fleet)
-        dead, *_ = fleet.keepers()
+        dead, *_ = fleet.replicas()
         # Its links still seem to be open.
         fleet.cut.add(dead.entry_id)
         asked_at = fleet.entries[0].state.now()
@@ -288,7 +288,7 @@
 def test_entries_of_an_older_build_are_neither_told_nor_asked():
     async def scenario(fleet):
         await begin(fleet)
-        assert {keeper.number for keeper in fleet.keepers()} == {3, 4, 5}
+        assert {replica.number for replica in fleet.replicas()} == {3, 4, 5}
         for entry in fleet.entries[3:]:
             assert (await entry.find()).origin == ORIGIN
         # Streams that the older entries began are known to nobody.
@@ -313,11 +313,11 @@
 def test_the_cost_of_a_stream_does_not_grow_with_the_fleet():
     async def scenario(fleet):
         await begin(fleet)
-        assert len(fleet.sent) == KEEPERS_COUNT
+        assert len(fleet.sent) == REPLICA_COUNT
         assert all(type(message) is StreamOriginNews for message in fleet.sent)
         await fleet.entries[250].find()
-        # A question and an answer for each keeper.
-        assert len(fleet.sent) <= KEEPERS_COUNT + 2 * KEEPERS_COUNT
+        # A question and an answer for each replica.
+        assert len(fleet.sent) <= REPLICA_COUNT + 2 * REPLICA_COUNT
 
     run(scenario, entries=300, candidates=8)
 
--- a/packages/leadford-standins/src/leadford_standins/soak/_base.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_base.py
@@ -92,7 +92,7 @@
     """Hold the options of a soak.
 
     The fraction `long_part` of the requests works for up to `long_work_s`. The callers
-    of the fraction `take_up_part` of the streams break them off and take them up, as do
+    of the fraction `resume_part` of the streams break them off and resume them, as do
     those whose stream broke off; engines then serve in two software versions; nobody
     does if it is 0. `only` names
     the kinds to draw, all if empty; `program` is the file that starts an entry, that of
@@ -111,7 +111,7 @@
     changes_per_s: float = 0.4
     ending_per_s: float = 0.0
     restores_per_s: float = 0.0
-    take_up_part: float = 0.0
+    resume_part: float = 0.0
     long_part: float = 0.15
     long_work_s: float = 1.2
     only: tuple[str, ...] = ()
--- a/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
@@ -47,7 +47,7 @@
     answer: bytes = b""
     ended_at: float = 0.0
     detail: str = ""
-    # The request that began the stream which this one takes up, and the last event.
+    # The request that began the stream which this one resumes, and the last event.
     resumes: str = ""
     after_event: int = 0
 
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_software.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_software.py
@@ -1,7 +1,7 @@
 """Check that streams stay at the software version that began them, and that they go on.
 
 Relies on the events, which name the version of the engine that wrote them, and on the
-name of the request that began a stream, which callers give when they take it up.
+name of the request that began a stream, which callers give when they resume it.
 """
 
 from leadford_standins.soak._base import STORE
@@ -58,9 +58,9 @@
     return process is not None and process.is_older
 
 
-@promises("streams that are taken up go on", timed=True)
-class TakenUpGoesOn:
-    """Of streams taken up at entries in touch, not far fewer go on than new ones begin.
+@promises("resumed streams go on", timed=True)
+class ResumedGoesOn:
+    """Of streams resumed at entries in touch, not far fewer go on than new ones begin.
 
     Counts those of which engines of their version serve, undisturbed. Streams that an
     entry of the replaced build began are known to nobody and not judged.
@@ -75,15 +75,15 @@
             if sent.route == RESUMABLE_ROUTE and self._is_judged(sent, evidence)
         ]
         new = [sent for sent in streams if not sent.resumes]
-        taken_up = [sent for sent in streams if sent.resumes]
-        if len(taken_up) < MIN_STREAMS or not new:
+        resumed = [sent for sent in streams if sent.resumes]
+        if len(resumed) < MIN_STREAMS or not new:
             return []
         began = share_with_events(new)
-        went_on = share_with_events(taken_up)
+        went_on = share_with_events(resumed)
         if went_on >= MIN_RELATIVE_SHARE * began:
             return []
-        detail = f"{went_on:.2f} of {len(taken_up)} went on, {began:.2f} of new began"
-        return [broken_promise(self, taken_up[0], detail)]
+        detail = f"{went_on:.2f} of {len(resumed)} went on, {began:.2f} of new began"
+        return [broken_promise(self, resumed[0], detail)]
 
     def _is_judged(self, sent: Sent, evidence: Evidence) -> bool:
         ledger = evidence.ledger
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
@@ -118,8 +118,8 @@
     )
 
 
-def taken_up(at=50.0, *, software="v1", first_is_older=False, **fields):
-    """Return a ledger of a stream of version v1 that broke off and was taken up."""
+def resumed(at=50.0, *, software="v1", first_is_older=False, **fields):
+    """Return a ledger of a stream of version v1 that broke off and was resumed."""
     first = answered("resumed", at=at, outcome=Outcome.LEFT, answer=events(1, 2))
     rest = events(3, 4, 5, request_id="r2", software=software)
     following = answered(
@@ -138,12 +138,12 @@
     return ledger
 
 
-def taken_up_at_another_version():
-    return taken_up(software="v2")
+def resumed_at_another_version():
+    return resumed(software="v2")
 
 
 def refused_streams(engines=2, count=12):
-    """Return a ledger in which all streams begin, and none that is taken up goes on."""
+    """Return a ledger in which all streams begin, and none goes on that is resumed."""
     requests = []
     for number in range(count):
         first_id = f"r{number}"
@@ -277,8 +277,8 @@
     "refused means not run": refused_but_ran,
     "an answer is whole, signed and of its request": answered_to_another,
     "a stream is in order and whole": stream_with_a_gap,
-    "a stream stays at one software version": taken_up_at_another_version,
-    "streams that are taken up go on": refused_streams,
+    "a stream stays at one software version": resumed_at_another_version,
+    "resumed streams go on": refused_streams,
     "requests reach endpoints unaltered": workspace_changed,
     "nothing is done that no configuration allows": denied_falsely,
     "a configuration is in force in time": late_version,
@@ -311,12 +311,12 @@
 
 def test_a_stream_that_goes_on_at_its_version_breaks_nothing():
     promise = "a stream stays at one software version"
-    assert promise not in found_in(taken_up())
-    assert promise in found_in(taken_up(software="v2", first_is_older=True))
+    assert promise not in found_in(resumed())
+    assert promise in found_in(resumed(software="v2", first_is_older=True))
 
 
 def test_streams_that_cannot_go_on_are_not_expected_to():
-    promise = "streams that are taken up go on"
+    promise = "resumed streams go on"
     assert promise not in found_in(refused_streams(engines=1))
     assert promise not in found_in(refused_streams(count=11))
     left = refused_streams()
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_callers.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_callers.py
@@ -13,10 +13,10 @@
 from leadford_standins.soak.parts._connection import CallerConnection
 from leadford_standins.soak.parts._endpoints import WORK_HEADER
 from leadford_standins.soak.parts._processes import EntryProcess
-from leadford_standins.soak.parts._take_ups import (
+from leadford_standins.soak.parts._resumes import (
     BREAK_OFF_S,
-    TAKE_UP_DELAY_S,
-    TakeUps,
+    RESUME_DELAY_S,
+    StreamResumer,
 )
 from leadford_standins.wire import HOST
 
@@ -65,8 +65,8 @@
         }
         self.tasks_: set[asyncio.Task[None]] = set()
         self.count_ = 0
-        self.take_ups = TakeUps(
-            part=options.take_up_part, random=random, sent_by_id=ledger.sent_by_id_
+        self.resumer = StreamResumer(
+            part=options.resume_part, random=random, sent_by_id=ledger.sent_by_id_
         )
 
     async def run(self, seconds: float) -> None:
@@ -189,18 +189,18 @@
         if self.random.random() < GIVE_UP_FRACTION:
             leave_after_s = self.random.uniform(*GIVE_UP_S)
             sent.detail = "gives up"
-        if self.take_ups.breaks_off(sent):
+        if self.resumer.breaks_off(sent):
             leave_after_s = self.random.uniform(*BREAK_OFF_S)
             sent.detail = "gives up"
         await connection.exchange(sent, headers, leave_after_s)
         self._put_back(entry, connection)
-        following = self.take_ups.next_request(sent, f"{sent.request_id}+")
+        following = self.resumer.next_request(sent, f"{sent.request_id}+")
         if following is not None:
-            await asyncio.sleep(self.random.uniform(*TAKE_UP_DELAY_S))
-            await self._take_up(following)
+            await asyncio.sleep(self.random.uniform(*RESUME_DELAY_S))
+            await self._resume(following)
 
-    async def _take_up(self, sent: Sent) -> None:
-        """Take a stream up at a random entry, over a new connection."""
+    async def _resume(self, sent: Sent) -> None:
+        """Resume a stream at a random entry, over a new connection."""
         entry = self.random.choice(self.entries)
         sent.entry, sent.incarnation = entry.name, entry.start_count_
         connection = await self._open_connection(entry)
@@ -240,7 +240,7 @@
             "X-Prefix-Hash": f"aa:50,{random.randrange(16):x}b:20",
             WORK_HEADER: f"{random.uniform(*span):.0f}",
         }
-        if self.take_ups.part > 0.0:
+        if self.resumer.part > 0.0:
             # A shared part would keep all streams at the engine that has it cached.
             headers["X-Prefix-Hash"] = f"{sent.request_id}:50"
         if sent.body:
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_take_ups.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_resumes.py
@@ -1,4 +1,4 @@
-"""Draw which streams their callers break off, and how they take them up again.
+"""Draw which streams their callers break off, and how they resume them.
 
 A caller names the request that began its stream and the last event that it has. It
 comes back until it has all events, or until its time or its tries are over.
@@ -14,16 +14,16 @@
 
 RESUMABLE_ROUTE = "resumed"
 # How often a caller comes back, and the time left below which it does not.
-MAX_TAKE_UPS = 3
+MAX_RESUMES = 3
 MIN_LEFT_MS = 300.0
 # Time after which a caller breaks its stream off, and until it comes back.
 BREAK_OFF_S = (0.1, 0.45)
-TAKE_UP_DELAY_S = (0.0, 0.3)
+RESUME_DELAY_S = (0.0, 0.3)
 REFUSED_STATUS = 503
 
 
-class TakeUps:
-    """Make the requests that take streams up; none if `part` is 0."""
+class StreamResumer:
+    """Make the requests that resume streams; none if `part` is 0."""
 
     def __init__(
         self, *, part: float, random: Random, sent_by_id: Mapping[str, Sent]
@@ -40,7 +40,7 @@
         return self.random.random() < self.part
 
     def next_request(self, sent: Sent, request_id: str) -> Sent | None:
-        """Return the request by which a caller takes its stream up; None if it ends."""
+        """Return the request by which a caller resumes its stream; None if it ends."""
         if self.part <= 0.0 or sent.route != RESUMABLE_ROUTE:
             return None
         is_refused = sent.status == REFUSED_STATUS and bool(sent.resumes)
@@ -53,7 +53,7 @@
         count = self.count_by_id_.get(first.request_id, 0) + 1
         waited_ms = (sent.ended_at - first.sent_at) * 1_000.0
         left_ms = float(first.asked["X-Deadline-Ms"]) - waited_ms
-        if count > MAX_TAKE_UPS or left_ms < MIN_LEFT_MS:
+        if count > MAX_RESUMES or left_ms < MIN_LEFT_MS:
             return None
         self.count_by_id_[first.request_id] = count
         headers = {
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
@@ -90,7 +90,7 @@
             ledger=self.ledger,
             halls=halls,
             bounds=self.options.bounds,
-            has_two_versions=self.options.take_up_part > 0.0,
+            has_two_versions=self.options.resume_part > 0.0,
         )
         self.store_links_ = LinksByOwner(pids_by_name=self._pids)
         target = self.store_.start()
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/tests/test_take_ups.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/tests/test_resumes.py
@@ -1,11 +1,11 @@
-"""Callers take up the streams that broke off, until their time or tries are over."""
+"""Callers resume the streams that broke off, until their time or tries are over."""
 
 from random import Random
 
 import pytest
 
 from leadford_standins.soak._ledger import Outcome, Sent
-from leadford_standins.soak.parts._take_ups import MAX_TAKE_UPS, TakeUps
+from leadford_standins.soak.parts._resumes import MAX_RESUMES, StreamResumer
 
 
 def stream(request_id="r1", last=2, **fields):
@@ -34,14 +34,14 @@
     return sent
 
 
-def take_ups(*sent, part=0.5):
+def resumer(*sent, part=0.5):
     by_id = {request.request_id: request for request in sent}
-    return TakeUps(part=part, random=Random(1), sent_by_id=by_id)
+    return StreamResumer(part=part, random=Random(1), sent_by_id=by_id)
 
 
-def test_a_stream_that_broke_off_is_taken_up_after_its_last_event():
+def test_a_stream_that_broke_off_is_resumed_after_its_last_event():
     first = stream()
-    following = take_ups(first).next_request(first, "r2")
+    following = resumer(first).next_request(first, "r2")
     assert (following.resumes, following.after_event) == ("r1", 2)
     assert following.asked["Resumes"] == "r1"
     assert following.asked["Last-Event-Id"] == "2"
@@ -50,11 +50,11 @@
     assert following.answer == b""
 
 
-def test_a_stream_taken_up_again_names_the_request_that_began_it():
+def test_a_stream_resumed_again_names_the_request_that_began_it():
     first = stream()
     second = stream("r2", 0, resumes="r1", after_event=2, status=503)
     second.outcome = Outcome.WHOLE
-    following = take_ups(first, second).next_request(second, "r3")
+    following = resumer(first, second).next_request(second, "r3")
     assert (following.resumes, following.after_event) == ("r1", 2)
 
 
@@ -68,20 +68,20 @@
         {"ended_at": 52.9},
     ],
 )
-def test_a_stream_that_ended_otherwise_is_not_taken_up(fields):
+def test_a_stream_that_ended_otherwise_is_not_resumed(fields):
     first = stream(**fields)
-    assert take_ups(first).next_request(first, "r2") is None
+    assert resumer(first).next_request(first, "r2") is None
 
 
 def test_callers_give_up_after_some_tries():
     first = stream()
-    callers = take_ups(first)
+    callers = resumer(first)
     found = [callers.next_request(first, f"r{number}") for number in range(5)]
-    assert sum(sent is not None for sent in found) == MAX_TAKE_UPS
+    assert sum(sent is not None for sent in found) == MAX_RESUMES
 
 
-def test_no_stream_is_taken_up_where_none_is_broken_off():
+def test_no_stream_is_resumed_where_none_is_broken_off():
     first = stream()
-    callers = take_ups(first, part=0.0)
+    callers = resumer(first, part=0.0)
     assert not callers.breaks_off(first)
     assert callers.next_request(first, "r2") is None
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
@@ -28,7 +28,7 @@
         f"--changes-per-s={options.changes_per_s}",
         f"--ending-per-s={options.ending_per_s}",
         f"--restores-per-s={options.restores_per_s}",
-        f"--take-up-part={options.take_up_part}",
+        f"--resume-part={options.resume_part}",
         f"--older={options.older}",
         f"--upgrade={options.upgrade.value}",
         "--untimed",
@@ -59,7 +59,7 @@
         seconds=24.0,
         entries=4,
         ending_per_s=0.1,
-        take_up_part=0.4,
+        resume_part=0.4,
         older=production_commit(),
         upgrade=UpgradeWay.AND_BACK,
     )
@@ -69,7 +69,7 @@
 
 
 def test_a_soak_of_two_software_versions_breaks_no_promise(tmp_path):
-    options = SoakOptions(seed=7003, seconds=20.0, take_up_part=0.4)
+    options = SoakOptions(seed=7003, seconds=20.0, resume_part=0.4)
     status, output = asyncio.run(run_soak(options, tmp_path))
     assert status == 0, output
 
--- a/packages/leadford/src/leadford/forwarding/streams/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/streams/__init__.py
@@ -1,8 +1,8 @@
 """Decide where a stream that broke off may go on, and who knows that."""
 
-from leadford.forwarding.streams._keepers import KEEPERS_COUNT, origin_keepers
 from leadford.forwarding.streams._ledger import OriginLedger
 from leadford.forwarding.streams._origin import StreamOrigin
+from leadford.forwarding.streams._replicas import REPLICA_COUNT, origin_replicas
 from leadford.forwarding.streams._software import (
     MIN_SOLE_S,
     SoftwareHistory,
@@ -12,13 +12,13 @@
 )
 
 __all__ = [
-    "KEEPERS_COUNT",
+    "REPLICA_COUNT",
     "MIN_SOLE_S",
     "OriginLedger",
     "SoftwareHistory",
     "SoleSoftware",
     "StreamOrigin",
     "agreed_software",
-    "origin_keepers",
+    "origin_replicas",
     "sole_horizon_s",
 ]
--- a/packages/leadford/src/leadford/forwarding/streams/_ledger.py
+++ b/packages/leadford/src/leadford/forwarding/streams/_ledger.py
@@ -1,7 +1,7 @@
 """Hold the origins of streams until their callers stop waiting.
 
 The entry that passes on the first event of a stream records its origin, and so do the
-keepers that it tells. A caller that takes the stream up names the request that brought
+replicas that it tells. A caller that takes the stream up names the request that brought
 the first event, which is the key.
 """
 
--- a/packages/leadford/src/leadford/forwarding/streams/_keepers.py
+++ b/packages/leadford/src/leadford/forwarding/streams/_replicas.py
@@ -1,7 +1,7 @@
 """Choose the entries that keep the origin of a stream.
 
 All entries choose alike without a message, by rendezvous hashing over the entries that
-every entry is linked to. If a keeper is lost, the next one in order takes its place.
+every entry is linked to. If a replica is lost, the next one in order takes its place.
 """
 
 import heapq
@@ -10,16 +10,16 @@
 from leadford.common import EntryId, RequestId, rendezvous_weight
 
 # Number of entries that keep an origin beside the one that recorded it.
-KEEPERS_COUNT = 3
+REPLICA_COUNT = 3
 
 
-def origin_keepers(
+def origin_replicas(
     request_id: RequestId, candidates: Iterable[EntryId]
 ) -> list[EntryId]:
     """Return the entries that keep the origin of the stream that a request began."""
     # Not `rendezvous_order`: its cache would fill with keys that are used once.
     return heapq.nsmallest(
-        KEEPERS_COUNT,
+        REPLICA_COUNT,
         candidates,
         key=lambda entry_id: (-rendezvous_weight(request_id, entry_id), entry_id),
     )
