Keep resumed streams of a split route at the service that began them, by a rule

The choice stood in the server. As a rule it also leaves a service to which the route gives no weight. The ledger of origins and the exchange of the process have names that tell them apart.

--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -122,7 +122,7 @@
         self.pace_meter_ = PaceMeter()
         self.first_byte_ = FirstByteTimes()
         self.reservations_ = RetryReservations()
-        self.origins_ = OriginLedger()
+        self.origin_ledger_ = OriginLedger()
         self.software_history_ = SoftwareHistory()
         self.config_seen_at_: float | None = None
         self.heard_versions_ = PeerVersions()
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_resumed.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_resumed.py
@@ -49,14 +49,13 @@
         return await self.state.stream_origins_.find(key, service_id)
 
     def _use(self, origin: StreamOrigin) -> None:
-        """Send the request to the service that began the stream, if its route does."""
+        """Hold the request to an origin, and tell other entries of it again."""
         progress = self.progress
         progress.origin_ = origin
-        match = progress.match_
-        service = self.state.service(origin.service_id)
-        route_service_ids = {part.service_id for part in match.route.services}
-        if service is not None and origin.service_id in route_service_ids:
-            progress.match_ = msgspec.structs.replace(match, service=service)
+        service_id = origin.service_on(progress.match_.route)
+        service = None if service_id is None else self.state.service(service_id)
+        if service is not None:
+            progress.match_ = msgspec.structs.replace(progress.match_, service=service)
         request = progress.request
         # The entry that began the stream may be gone, and what it told with it.
         key = progress.stream_key(request.resumed_id or request.request_id)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
@@ -125,7 +125,7 @@
         return self._conclude(question, service_id)
 
     def _own_origins(self, key: StreamKey) -> list[StreamOrigin]:
-        origins = self.state.origins_
+        origins = self.state.origin_ledger_
         found = [origins.find(found_id) for found_id in origins.matching_ids(key)]
         return [origin for origin in found if origin is not None]
 
@@ -185,7 +185,7 @@
         )
 
     def _horizon_s(self) -> float:
-        return sole_horizon_s(self.state.origins_.longest_wait_s_)
+        return sole_horizon_s(self.state.origin_ledger_.longest_wait_s_)
 
     def _on_answer(self, peer: PeerConnection, message: StreamOriginAnswer) -> None:
         question = self.questions_by_id_.get(message.ask_id)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
@@ -82,7 +82,7 @@
         """
         if origin.software is None:
             return
-        self.state.origins_.record(key, origin, wait_s, self.state.now())
+        self.state.origin_ledger_.record(key, origin, wait_s, self.state.now())
         self.told_by_id_.setdefault(key.request_id, set())
         self._tell([key.request_id])
 
@@ -91,7 +91,7 @@
 
         Called with each heartbeat.
         """
-        for request_id in self.state.origins_.drop_ended(self.state.now()):
+        for request_id in self.state.origin_ledger_.drop_ended(self.state.now()):
             self.told_by_id_.pop(request_id, None)
         self._set_candidates(self.common_peers())
 
@@ -136,7 +136,7 @@
 
     def _report(self, request_id: RequestId) -> StreamOriginReport | None:
         """Return the report of an origin, None if it is not known."""
-        origins = self.state.origins_
+        origins = self.state.origin_ledger_
         origin = origins.find(request_id)
         if origin is None or origin.software is None:
             return None
@@ -163,12 +163,12 @@
         for report in message.origins:
             key = StreamKey(RequestId(report.request_id), StreamContent(report.content))
             wait_s = report.wait_ms / 1_000.0
-            self.state.origins_.record(key, origin_in(report), wait_s, now)
+            self.state.origin_ledger_.record(key, origin_in(report), wait_s, now)
 
     def _on_request(self, peer: PeerConnection, message: StreamOriginRequest) -> None:
         request_id = RequestId(message.request_id) if message.request_id else None
         key = StreamKey(request_id, StreamContent(message.content))
-        found_ids = self.state.origins_.matching_ids(key)[:MAX_ANSWERED_ORIGINS]
+        found_ids = self.state.origin_ledger_.matching_ids(key)[:MAX_ANSWERED_ORIGINS]
         reports = [self._report(found_id) for found_id in found_ids]
         view = self.search.own_view(ServiceId(message.service_id))
         answer = StreamOriginAnswer(
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
@@ -51,7 +51,7 @@
 
     def replicas(self):
         """Return the entries that know the origin by a message."""
-        return [e for e in self.entries[1:] if e.state.origins_.find(REQUEST)]
+        return [e for e in self.entries[1:] if e.state.origin_ledger_.find(REQUEST)]
 
     def kill(self, entry):
         """End the links of an entry."""
@@ -90,7 +90,7 @@
         self.state = SimpleNamespace(
             loop=loop,
             now=loop.time,
-            origins_=OriginLedger(),
+            origin_ledger_=OriginLedger(),
             software_history_=history,
             roster_=SimpleNamespace(listed_software=lambda service_id: fleet.listed),
         )
@@ -307,7 +307,7 @@
         await asyncio.sleep(WAIT_S)
         for entry in fleet.entries:
             entry.origins.refresh()
-            assert len(entry.state.origins_) == 0
+            assert len(entry.state.origin_ledger_) == 0
             assert not entry.origins.told_by_id_
         assert await fleet.entries[1].find() == UNKNOWN
 
--- a/packages/leadford/src/leadford/forwarding/streams/_origin.py
+++ b/packages/leadford/src/leadford/forwarding/streams/_origin.py
@@ -11,7 +11,7 @@
 
 from leadford.common import RequestId
 from leadford.forwarding.endpoints import ListedEndpoint, SoftwareVersion
-from leadford.forwarding.routes import ServiceId
+from leadford.forwarding.routes import Route, ServiceId
 
 # Is the same for all tries of one request, and for equal requests.
 StreamContent = NewType("StreamContent", str)
@@ -41,6 +41,13 @@
         """Return whether the stream may go on at an endpoint, by its listing now."""
         return self.software is not None and listed.known_software == self.software
 
+    def service_on(self, route: Route) -> ServiceId | None:
+        """Return the service that began the stream, None if its route left it."""
+        for part in route.services:
+            if part.service_id == self.service_id and part.weight > 0.0:
+                return self.service_id
+        return None
+
 
 def agreed_origin(origins: Iterable[StreamOrigin]) -> StreamOrigin | None:
     """Return the only origin among some, None if there is none or they differ."""
