Part the comparison of two listings from the roster

How two listings of one endpoint are merged, and how a change is told, stand in a module of their own. Tests of what a change of the software under one id tells, and of its trace in the history of versions.

--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
@@ -223,3 +223,17 @@
         assert await take_all_up(deployment, entry=5) == began
 
     run_scenario(scenario, endpoints=6, entries=9)
+
+
+def test_a_version_that_was_listed_lately_keeps_unknown_streams_from_a_guess():
+    # All engines change to another version one by one, so that one alone is listed.
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        view = entry.links_.origins.search.own_view
+        assert view("engine").software == "v1"
+        for engine in deployment.engines:
+            await deployment.set_software(engine, "v2")
+        assert entry.state_.roster_.listed_software("engine") == {"v2"}
+        assert view("engine") is None
+
+    run_scenario(scenario)
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -14,6 +14,7 @@
 from leadford.forwarding.endpoints._gaps import EventGaps
 from leadford.forwarding.endpoints._halls import EvacuatedHalls, HallNotice
 from leadford.forwarding.endpoints._limits import EndpointLimits, LimitObservation
+from leadford.forwarding.endpoints._listing import RosterChange
 from leadford.forwarding.endpoints._model import (
     Backpressure,
     EndpointAddress,
@@ -42,7 +43,7 @@
 from leadford.forwarding.endpoints._prompts import PromptPart, PromptShape
 from leadford.forwarding.endpoints._record import EndpointFailure, EndpointRecord
 from leadford.forwarding.endpoints._rests import EndpointRetryAfter
-from leadford.forwarding.endpoints._roster import EndpointRoster, RosterChange
+from leadford.forwarding.endpoints._roster import EndpointRoster
 from leadford.forwarding.endpoints._starts import endpoint_name, endpoint_start_id
 from leadford.forwarding.endpoints._times import FirstByteTimes
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -14,6 +14,12 @@
 
 from leadford.common import EndpointId, HallId
 from leadford.forwarding.endpoints._halls import EvacuatedHalls
+from leadford.forwarding.endpoints._listing import (
+    GONE,
+    UNKNOWN,
+    RosterChange,
+    merged_listing,
+)
 from leadford.forwarding.endpoints._model import (
     ListedEndpoint,
     ListedState,
@@ -39,28 +45,6 @@
 # Heartbeat interval of an endpoint where the deployment sets none.
 DEFAULT_HEARTBEAT_S = 1.2
 
-# What a change tells of an endpoint that is not listed.
-UNKNOWN = "unknown"
-GONE = "gone"
-
-
-class RosterChange(msgspec.Struct, frozen=True):
-    """Describe the state of one endpoint before and after a change of the listing.
-
-    `software` is the version that was listed last, None if it is not known.
-    """
-
-    endpoint_id: EndpointId
-    service_id: ServiceId
-    before: str
-    after: str
-    software: SoftwareVersion | None = None
-
-    @property
-    def is_gone(self) -> bool:
-        """Return whether the endpoint is listed no longer."""
-        return self.after == GONE
-
 
 class EndpointRoster:
     """Merge listings from several sources by their positions in the store's history.
@@ -187,21 +171,21 @@
             self.membership_version_ += 1
             self.records_by_id_[endpoint_id] = self._new_record(endpoint)
             self.ids_by_service_.setdefault(endpoint.service_id, set()).add(endpoint_id)
-            return [*ended, self._change(endpoint, UNKNOWN, endpoint.state.value)]
+            return [*ended, RosterChange.of(endpoint, UNKNOWN, endpoint.state.value)]
         before = record.listed
         if endpoint.position > before.position:
             record.doubted_until_ = 0.0
-        record.listed = _merged(before, endpoint)
+        record.listed = merged_listing(before, endpoint)
         after = record.listed.state.value
         if before.known_software not in (None, record.listed.known_software):
             # Other software has started under the same id.
             return [
-                self._change(before, before.state.value, GONE),
-                self._change(record.listed, UNKNOWN, after),
+                RosterChange.of(before, before.state.value, GONE),
+                RosterChange.of(record.listed, UNKNOWN, after),
             ]
         if before.state is record.listed.state:
             return []
-        return [self._change(record.listed, before.state.value, after)]
+        return [RosterChange.of(record.listed, before.state.value, after)]
 
     def record_leaving(self, endpoint_id: EndpointId) -> None:
         """Record that an endpoint itself says that it leaves, whatever its listing."""
@@ -237,7 +221,7 @@
             return []
         self.membership_version_ += 1
         self.ids_by_service_[record.listed.service_id].discard(endpoint_id)
-        return [self._change(record.listed, record.listed.state.value, GONE)]
+        return [RosterChange.of(record.listed, record.listed.state.value, GONE)]
 
     def _new_record(self, endpoint: ListedEndpoint) -> EndpointRecord:
         """Return a record for an endpoint; a recently removed one is reused."""
@@ -282,7 +266,7 @@
         if record.listed.state is ListedState.READY:
             is_lost = position.epoch > record.listed.position.epoch
             self.removed_.add(record, now, is_lost=is_lost)
-        return [self._change(record.listed, record.listed.state.value, GONE)]
+        return [RosterChange.of(record.listed, record.listed.state.value, GONE)]
 
     def record(self, endpoint_id: EndpointId) -> EndpointRecord | None:
         """Return the record of an endpoint that is listed or was recently removed."""
@@ -364,28 +348,3 @@
     def listed(self) -> list[ListedEndpoint]:
         """Return every listed endpoint."""
         return [record.listed for record in self.records_by_id_.values()]
-
-    @staticmethod
-    def _change(endpoint: ListedEndpoint, before: str, after: str) -> RosterChange:
-        return RosterChange(
-            endpoint.endpoint_id,
-            endpoint.service_id,
-            before,
-            after,
-            endpoint.known_software,
-        )
-
-
-def _merged(known: ListedEndpoint, reported: ListedEndpoint) -> ListedEndpoint:
-    """Return the newer of two listings, as draining if either of them is.
-
-    An impaired store may apply a write long after it was sent, so a later revision may
-    hold an earlier state. A peer of an older build sends a listing without the software
-    version, which is filled in from the same listing, but not from an earlier one.
-    """
-    newer = reported if reported.position > known.position else known
-    if known.position == reported.position and newer.software is msgspec.UNSET:
-        newer = msgspec.structs.replace(newer, software=reported.software)
-    if ListedState.DRAINING not in (known.state, reported.state):
-        return newer
-    return msgspec.structs.replace(newer, state=ListedState.DRAINING)
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
@@ -287,3 +287,13 @@
     assert software(roster) is None
     roster.record_listed(built(listed("a", 4), "v2"))
     assert software(roster) == "v2"
+
+
+def test_other_software_under_the_same_id_is_told_as_another_endpoint():
+    roster = EndpointRoster()
+    roster.record_listed(built(listed("a", 3), "v1"))
+    gone, started = roster.record_listed(built(listed("a", 4), "v2"))
+    assert (gone.is_gone, gone.software) == (True, "v1")
+    assert (started.is_gone, started.software) == (False, "v2")
+    assert roster.listed_software(SERVICE) == {"v2"}
+    assert roster.listed_software(ServiceId("other")) == set()
