--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
@@ -1,4 +1,4 @@
-"""Tell other entries which software version began a stream, and keep what they tell.
+"""Tell other entries which software version began a stream, and hold what they tell.
 
 Owns which replicas were told of the streams that this entry holds.
 `leadford.forwarding.streams` decides which entries hold replicas; `_origin_search` asks
@@ -37,7 +37,7 @@
 
 
 class OriginExchange:
-    """Record and find origins for the requests of this entry, and keep those of others.
+    """Record and find origins for the requests of this entry, and hold those of others.
 
     `common_peers` returns the entries to which every entry is linked, `entry_count`
     the number of all entries.
@@ -54,7 +54,7 @@
         self.state = state
         self.peers_by_id = peers_by_id
         self.common_peers = common_peers
-        # The entries that may keep origins, as of the last heartbeat or lost link.
+        # The entries that may hold replicas, as of the last heartbeat or lost link.
         self.candidate_ids_: tuple[EntryId, ...] = ()
         # The replicas that were told of each stream that this entry holds.
         self.told_by_id_: dict[RequestId, set[EntryId]] = {}
@@ -103,7 +103,7 @@
         self._set_candidates(set(self.candidate_ids_) - {entry_id})
 
     def _set_candidates(self, entry_ids: Iterable[EntryId]) -> None:
-        """Keep those of some entries that can keep origins, and tell new replicas."""
+        """Use those of some entries that can hold replicas, and tell new ones."""
         linked = (entry_id for entry_id in entry_ids if self._peer(entry_id))
         candidate_ids = tuple(sorted(linked))
         if candidate_ids != self.candidate_ids_:
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
@@ -182,7 +182,7 @@
     run(scenario)
 
 
-def test_a_stream_taken_up_is_known_after_all_that_knew_it_before_were_lost():
+def test_a_resumed_stream_is_known_after_all_that_knew_it_before_were_lost():
     async def scenario(fleet):
         await begin(fleet)
         first, *replicas = [fleet.entries[0], *fleet.replicas()]
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
@@ -25,7 +25,7 @@
 
 
 async def break_off(deployment, request_id, number, *, entry=0):
-    """Begin a stream that breaks off at each engine; return its events."""
+    """Begin a stream that breaks off at each engine that runs it."""
     for engine in deployment.engines:
         engine.planned_misbehaviours_.clear()
         engine.planned_misbehaviours_.extend([Misbehaviour.CUT] * 2)
@@ -51,7 +51,7 @@
     return [software for _, software in sorted(runs)]
 
 
-async def take_up(deployment, request_id, number, *, resumes, after, entry=0):
+async def resume(deployment, request_id, number, *, resumes, after, entry=0):
     fields = prompt(number)
     fields["headers"] |= {"Resumes": resumes, "Last-Event-Id": str(after)}
     return await deployment.send(
@@ -71,7 +71,7 @@
     run_scenario(scenario, endpoints=6)
 
 
-def test_a_stream_taken_up_at_another_entry_stays_at_its_software_version():
+def test_a_stream_resumed_at_another_entry_stays_at_its_software_version():
     # The caller returns twice, each time to another entry than before.
     async def scenario(deployment):
         await deployment.until_linked()
@@ -80,7 +80,7 @@
             await break_off(deployment, f"r{number}", number)
             began = software_of_runs(deployment, f"r{number}")[0]
             for attempt, after in ((1, 2), (2, 3)):
-                answer = await take_up(
+                answer = await resume(
                     deployment,
                     f"r{number}.{attempt}",
                     number,
@@ -103,12 +103,12 @@
     ]
 
 
-async def take_all_up(deployment, *, entry):
-    """Take each stream up at an entry; return the versions it went on at."""
+async def resume_all(deployment, *, entry):
+    """Resume each stream at an entry; return the versions they went on at."""
     found = []
     for number in range(STREAMS_COUNT):
         request_id = f"r{number}.{entry}"
-        answer = await take_up(
+        answer = await resume(
             deployment, request_id, number, resumes=f"r{number}", after=2, entry=entry
         )
         assert answer.code == 200
@@ -124,10 +124,10 @@
         began = await begin_streams(deployment)
         deployment.entries_[0].stop()
         assert set(began) == {"v1", "v2"}
-        assert await take_all_up(deployment, entry=1) == began
-        # The entry that took them up is killed as well.
+        assert await resume_all(deployment, entry=1) == began
+        # The entry at which they were resumed is killed as well.
         deployment.entries_[1].stop()
-        assert await take_all_up(deployment, entry=2) == began
+        assert await resume_all(deployment, entry=2) == began
 
     run_scenario(scenario, endpoints=6, entries=4)
 
@@ -139,7 +139,7 @@
         for entry in deployment.entries_:
             refuse_store_calls(entry)
         began = await begin_streams(deployment)
-        assert await take_all_up(deployment, entry=1) == began
+        assert await resume_all(deployment, entry=1) == began
 
     run_scenario(scenario, endpoints=6, entries=3)
 
@@ -156,7 +156,7 @@
             if software != "v1":
                 continue
             for entry in (0, 1):
-                answer = await take_up(
+                answer = await resume(
                     deployment,
                     f"r{number}.{entry}",
                     number,
@@ -184,7 +184,7 @@
         )
         number = began.index("v1")
         pieces = sum(len(stage.items_) for stage in deployment.stage)
-        answer = await take_up(
+        answer = await resume(
             deployment, "back", number, resumes=f"r{number}", after=2, entry=1
         )
         assert answer.code == 503
@@ -204,7 +204,7 @@
         await deployment.until(
             lambda: entry.is_ready and deployment.knows_all_endpoints(entry)
         )
-        answer = await take_up(deployment, "back", 0, resumes="r0", after=2)
+        answer = await resume(deployment, "back", 0, resumes="r0", after=2)
         assert answer.code == 503
         assert not runs_of(deployment.engines, "back")
 
@@ -220,7 +220,7 @@
         )
         await list_two_versions(deployment)
         began = await begin_streams(deployment)
-        assert await take_all_up(deployment, entry=5) == began
+        assert await resume_all(deployment, entry=5) == began
 
     run_scenario(scenario, endpoints=6, entries=9)
 
--- a/packages/leadford/src/leadford/forwarding/streams/_replicas.py
+++ b/packages/leadford/src/leadford/forwarding/streams/_replicas.py
@@ -1,4 +1,4 @@
-"""Choose the entries that keep the origin of a stream.
+"""Choose the entries that hold replicas of the origin of a stream.
 
 All entries choose alike without a message, by rendezvous hashing over the entries that
 every entry is linked to. If a replica is lost, the next one in order takes its place.
@@ -9,14 +9,14 @@
 
 from leadford.common import EntryId, RequestId, rendezvous_weight
 
-# Number of entries that keep an origin beside the one that recorded it.
+# Number of entries that hold an origin beside the one that recorded it.
 REPLICA_COUNT = 3
 
 
 def origin_replicas(
     request_id: RequestId, candidates: Iterable[EntryId]
 ) -> list[EntryId]:
-    """Return the entries that keep the origin of the stream that a request began."""
+    """Return the entries that hold the origin of the stream of a request."""
     # Not `rendezvous_order`: its cache would fill with keys that are used once.
     return heapq.nsmallest(
         REPLICA_COUNT,
--- a/packages/leadford/src/leadford/protocol/_streams.py
+++ b/packages/leadford/src/leadford/protocol/_streams.py
@@ -22,7 +22,7 @@
 
 
 class StreamOriginNews(MessageBase, tag=61):
-    """Report the origins of streams to an entry that keeps them."""
+    """Report the origins of streams to an entry that holds replicas."""
 
     origins: list[StreamOriginReport]
 
