Leave nothing behind of a stream whose caller waits no longer

A stream whose first event came after its caller's deadline was listed as told and never dropped, since the ledger does not hold it: memory that grows. Found by reading; the test failed before (one id left).

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
@@ -80,7 +80,7 @@
 
         Units: wait_s is for how much longer the caller waits.
         """
-        if origin.software is None:
+        if origin.software is None or wait_s <= 0.0:
             return
         self.state.origin_ledger_.record(key, origin, wait_s, self.state.now())
         self.told_by_id_.setdefault(key.request_id, set())
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
@@ -368,3 +368,13 @@
         assert fleet.entries[0].state.now() == asked_at
 
     run(scenario, entries=4, older=(1, 2, 3))
+
+
+def test_a_stream_whose_caller_waits_no_longer_leaves_nothing_behind():
+    async def scenario(fleet):
+        exchange = fleet.entries[0].origins
+        exchange.record(StreamKey(REQUEST, CONTENT), ORIGIN, 0.0)
+        assert not exchange.told_by_id_
+        assert fleet.sent == []
+
+    run(scenario)
