Answer with every version that began streams of one content

A caller that names no request could have been sent to another version: an answer named the first 16 streams of a content, and a version that began only a later one was left out, so that the rest agreed. Found by reading; the test failed before (the origin of v1 in place of none). Answers name each origin once, and none is left out.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
@@ -32,9 +32,6 @@
 from leadford_server.metrics import STREAM_ORIGINS_TOTAL
 from leadford_server.peers import PeerConnection
 
-# Maximum number of streams of one content that an answer names.
-MAX_ANSWERED_ORIGINS = 16
-
 
 class OriginExchange:
     """Record and find origins for the requests of this entry, and hold those of others.
@@ -168,13 +165,23 @@
     def _on_request(self, peer: PeerConnection, message: StreamOriginRequest) -> None:
         request_id = RequestId(message.request_id) if message.request_id else None
         key = StreamKey(request_id, StreamContent(message.content))
-        found_ids = self.state.origin_ledger_.matching_ids(key)[:MAX_ANSWERED_ORIGINS]
-        reports = [self._report(found_id) for found_id in found_ids]
         view = self.search.own_view(ServiceId(message.service_id))
         answer = StreamOriginAnswer(
             message.ask_id,
-            known=[report for report in reports if report is not None],
+            known=self._distinct_reports(key),
             sole=[] if view is None else [view.software],
             observed_ms=0.0 if view is None else view.observed_s * 1_000.0,
         )
         peer.send(answer)
+
+    def _distinct_reports(self, key: StreamKey) -> list[StreamOriginReport]:
+        """Return a report for each origin that a stream may have.
+
+        Many streams may have the same content, but there are few versions.
+        """
+        report_by_origin: dict[StreamOrigin, StreamOriginReport] = {}
+        for request_id in self.state.origin_ledger_.matching_ids(key):
+            report = self._report(request_id)
+            if report is not None:
+                report_by_origin.setdefault(origin_in(report), report)
+        return list(report_by_origin.values())
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
@@ -378,3 +378,14 @@
         assert fleet.sent == []
 
     run(scenario)
+
+
+def test_many_streams_of_one_content_do_not_hide_another_version():
+    async def scenario(fleet):
+        knowing, asking = fleet.entries
+        for number in range(40):
+            knowing.record(RequestId(f"r{number:02}"))
+        knowing.record(RequestId("r99"), StreamOrigin(SERVICE, V2))
+        assert await asking.find(None) == UNKNOWN
+
+    run(scenario, entries=2, candidates=1)
