Work out the first candidates once for each heartbeat

Finding the entries that may hold replicas repeated what the links work out in the same heartbeat: 1.4 ms for 300 entries and 27 groups, five times a second, 0.7 % of a core (one process, 200 times). The links' result is used. The rule takes the candidates; its tests pass what they worked out from the same groups before.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
@@ -10,6 +10,7 @@
 from leadford.forwarding.batching import GroupId
 from leadford.forwarding.membership import (
     common_peers,
+    first_candidates,
     peers_to_link,
     placement_group,
     placement_groups,
@@ -26,6 +27,7 @@
     def __init__(self, *, state: ForwardState) -> None:
         self.state = state
         self.entries_by_id_: dict[EntryId, KnownEntry] = {}
+        self.first_candidates_: set[EntryId] = set()
 
     def set_known_entries(self, entries: dict[EntryId, KnownEntry]) -> None:
         """Replace the entries that are known to exist."""
@@ -44,19 +46,20 @@
         return halls
 
     def peers_to_link(self) -> set[EntryId]:
-        """Return the entries to hold links to."""
-        return peers_to_link(
-            self.state.entry_id,
-            self.halls_by_entry(),
-            self._linked_groups(),
-            self.state.regions,
+        """Return the entries to hold links to, and update the first candidates."""
+        halls = self.halls_by_entry()
+        self.first_candidates_ = first_candidates(
+            halls, self._linked_groups(), self.state.regions
         )
+        return peers_to_link(self.state.entry_id, halls, self.first_candidates_)
 
     def common_peers(self) -> set[EntryId]:
-        """Return the entries to which all entries of a region hold links."""
-        return common_peers(
-            self.halls_by_entry(), self._linked_groups(), self.state.regions
-        )
+        """Return the entries to which all entries of a region hold links.
+
+        As of the last update of the first candidates, which takes some milliseconds in
+        a large fleet.
+        """
+        return common_peers(self.halls_by_entry(), self.first_candidates_)
 
     def _linked_groups(self) -> set[GroupId]:
         """Return the groups to whose first candidates entries hold links."""
--- a/packages/leadford/src/leadford/forwarding/membership/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/membership/__init__.py
@@ -12,6 +12,7 @@
 from leadford.forwarding.membership._peer_clock import PeerClock
 from leadford.forwarding.membership._peers import (
     common_peers,
+    first_candidates,
     peers_to_link,
     placement_group,
     placement_groups,
@@ -39,6 +40,7 @@
     "PeerClock",
     "SharedRule",
     "common_peers",
+    "first_candidates",
     "follower_watch_s",
     "is_due",
     "max_call_s",
--- a/packages/leadford/src/leadford/forwarding/membership/_peers.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_peers.py
@@ -6,7 +6,7 @@
 are established.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from leadford.common import EntryId, HallId
 from leadford.forwarding.batching import (
@@ -43,24 +43,27 @@
 
 
 def common_peers(
-    halls_by_entry: dict[EntryId, HallId],
-    groups: Iterable[GroupId],
-    regions: RegionMap,
+    halls_by_entry: Mapping[EntryId, HallId], candidates: Collection[EntryId]
 ) -> set[EntryId]:
-    """Return the entries to which all others hold links."""
+    """Return the entries to which all others hold links.
+
+    `candidates` holds the first candidates to schedule groups.
+    """
     if len(halls_by_entry) <= MAX_FULLY_LINKED_ENTRIES:
         return set(halls_by_entry)
-    return first_candidates(halls_by_entry, groups, regions)
+    return set(candidates)
 
 
 def peers_to_link(
     own: EntryId,
-    halls_by_entry: dict[EntryId, HallId],
-    groups: Iterable[GroupId],
-    regions: RegionMap,
+    halls_by_entry: Mapping[EntryId, HallId],
+    candidates: Collection[EntryId],
 ) -> set[EntryId]:
-    """Return the peers to hold links to; `halls_by_entry` includes this entry."""
-    wanted = first_candidates(halls_by_entry, groups, regions)
+    """Return the peers to hold links to; `halls_by_entry` includes this entry.
+
+    `candidates` holds the first candidates to schedule groups.
+    """
+    wanted = set(candidates)
     ring = sorted(halls_by_entry)
     own_index = ring.index(own)
     wanted.update(
--- a/packages/leadford/src/leadford/forwarding/membership/tests/test_membership.py
+++ b/packages/leadford/src/leadford/forwarding/membership/tests/test_membership.py
@@ -14,6 +14,7 @@
     PeerLiveness,
     PeerVersions,
     common_peers,
+    first_candidates,
     max_call_s,
     may_stop,
     peers_to_link,
@@ -86,17 +87,17 @@
     reached = {EntryId("e00")}
     for _ in range(6):
         for entry in set(reached):
-            reached |= peers_to_link(entry, halls, [], REGIONS)
+            reached |= peers_to_link(entry, halls, set())
     assert reached == set(halls)
-    assert peers_to_link(EntryId("e06"), halls, [], REGIONS) == {"e00", "e01"}
+    assert peers_to_link(EntryId("e06"), halls, set()) == {"e00", "e01"}
 
 
 def test_links_lead_to_the_first_candidates_of_each_group():
     halls = entries(40)
     group = GroupId(ServiceId("s"), PlaceId("r"))
     candidates = [
-        peers_to_link(entry, halls, [group], REGIONS)
-        - peers_to_link(entry, halls, [], REGIONS)
+        peers_to_link(entry, halls, first_candidates(halls, [group], REGIONS))
+        - peers_to_link(entry, halls, set())
         for entry in (EntryId("e05"), EntryId("e20"))
     ]
     assert candidates[0] | candidates[1]
@@ -106,11 +107,13 @@
 def test_the_number_of_links_does_not_grow_with_the_fleet():
     group = GroupId(ServiceId("s"), PlaceId("r"))
     for count in (5, 50, 500):
-        assert len(peers_to_link(EntryId("e00"), entries(count), [group], REGIONS)) <= 4
+        halls = entries(count)
+        candidates = first_candidates(halls, [group], REGIONS)
+        assert len(peers_to_link(EntryId("e00"), halls, candidates)) <= 4
 
 
 def test_an_entry_alone_links_to_nobody():
-    assert peers_to_link(EntryId("e00"), entries(1), [], REGIONS) == set()
+    assert peers_to_link(EntryId("e00"), entries(1), set()) == set()
 
 
 def test_a_peer_is_asked_once_it_has_known_better_for_a_while():
@@ -266,9 +269,12 @@
 def test_all_entries_are_linked_to_the_common_peers(count):
     halls = entries(count)
     group = GroupId(ServiceId("s"), PlaceId("h0"))
-    common = common_peers(halls, [group], REGIONS)
+    common = common_peers(halls, first_candidates(halls, [group], REGIONS))
     assert common == (set(halls) if count <= 5 else common)
-    links = {entry: peers_to_link(entry, halls, [group], REGIONS) for entry in halls}
+    links = {
+        entry: peers_to_link(entry, halls, first_candidates(halls, [group], REGIONS))
+        for entry in halls
+    }
     for entry in halls:
         inbound = {other for other in halls if entry in links[other]}
         assert common - {entry} <= links[entry] | inbound
--- a/packages/leadford/src/leadford/forwarding/membership/tests/test_relays.py
+++ b/packages/leadford/src/leadford/forwarding/membership/tests/test_relays.py
@@ -6,6 +6,7 @@
 from leadford.forwarding.batching import GroupId, PlaceId, RegionMap
 from leadford.forwarding.membership import (
     PeerClock,
+    first_candidates,
     follower_watch_s,
     max_confirmation_age_s,
     peers_to_link,
@@ -47,7 +48,9 @@
     halls = entries(60)
     followers = store_followers(halls, GROUPS, REGIONS)
     for entry in halls:
-        assert followers - {entry} <= peers_to_link(entry, halls, GROUPS, REGIONS)
+        assert followers - {entry} <= peers_to_link(
+            entry, halls, first_candidates(halls, GROUPS, REGIONS)
+        )
 
 
 def test_who_follows_does_not_depend_on_the_order_of_groups():
