Forget versions that no waiting caller can have seen

Each version that was ever listed stayed in the history of versions, which is read for each resumed stream: memory that grows with releases. Found by reading; the test failed before (100 versions kept).

--- a/packages/leadford/src/leadford/forwarding/streams/_software.py
+++ b/packages/leadford/src/leadford/forwarding/streams/_software.py
@@ -11,6 +11,7 @@
 
 from leadford.forwarding.endpoints import SoftwareVersion
 from leadford.forwarding.routes import ServiceId
+from leadford.forwarding.streams._ledger import MAX_ORIGIN_AGE_S
 
 # Minimum time for which a single version must have been listed.
 MIN_SOLE_S = 30.0
@@ -44,9 +45,18 @@
     def record_gone(
         self, service_id: ServiceId, software: SoftwareVersion | None, now: float
     ) -> None:
-        """Record that an endpoint with a version is listed no longer."""
-        if software is not None:
-            self.gone_at_by_version_[service_id, software] = now
+        """Record that an endpoint with a version is listed no longer.
+
+        Versions that went before any caller that still waits began are forgotten.
+        """
+        if software is None:
+            return
+        self.gone_at_by_version_[service_id, software] = now
+        self.gone_at_by_version_ = {
+            version: gone_at
+            for version, gone_at in self.gone_at_by_version_.items()
+            if now - gone_at <= MAX_ORIGIN_AGE_S
+        }
 
     def sole(
         self,
--- a/packages/leadford/src/leadford/forwarding/streams/tests/test_software.py
+++ b/packages/leadford/src/leadford/forwarding/streams/tests/test_software.py
@@ -11,6 +11,7 @@
     agreed_software,
     sole_horizon_s,
 )
+from leadford.forwarding.streams._ledger import MAX_ORIGIN_AGE_S
 
 SERVICE, OTHER = ServiceId("s"), ServiceId("other")
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
@@ -43,6 +44,15 @@
     assert sole(SoftwareHistory(), [V1], 100.0) is None
 
 
+def test_versions_that_no_caller_can_have_seen_are_forgotten():
+    history = history_since(0.0)
+    for number in range(100):
+        history.record_gone(SERVICE, SoftwareVersion(f"v{number}"), 10.0 * number)
+    kept_s = MAX_ORIGIN_AGE_S
+    assert len(history.gone_at_by_version_) <= kept_s / 10.0 + 1.0
+    assert sole(history, [SoftwareVersion("v99")], 990.0, horizon_s=kept_s) is None
+
+
 def test_versions_of_other_services_do_not_count():
     history = history_since(0.0)
     history.record_gone(OTHER, V2, 99.0)
