--- a/packages/leadford-standins/src/leadford_standins/soak/_events.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_events.py
@@ -9,6 +9,8 @@
 
 from leadford_standins.soak._ledger import Sent
 
+# The route whose streams callers may resume.
+RESUMABLE_ROUTE = "resumed"
 # Number of events in each stream of an engine.
 EVENTS_PER_STREAM = 5
 _EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: token (\d+) of (\S+) by (\S+)\n\n")
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_software.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_software.py
@@ -5,7 +5,7 @@
 """
 
 from leadford_standins.soak._base import STORE
-from leadford_standins.soak._events import events_of
+from leadford_standins.soak._events import RESUMABLE_ROUTE, events_of
 from leadford_standins.soak._ledger import Ledger, Sent
 from leadford_standins.soak.checks._base import (
     Broken,
@@ -14,7 +14,6 @@
     promises,
 )
 
-RESUMABLE_ROUTE = "resumed"
 # Fewer streams than this show nothing of the share that goes on.
 MIN_STREAMS = 12
 # Engines of its version that must serve for a stream to count.
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_resumes.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_resumes.py
@@ -9,10 +9,13 @@
 
 import msgspec
 
-from leadford_standins.soak._events import EVENTS_PER_STREAM, last_event_of
+from leadford_standins.soak._events import (
+    EVENTS_PER_STREAM,
+    RESUMABLE_ROUTE,
+    last_event_of,
+)
 from leadford_standins.soak._ledger import Outcome, Sent
 
-RESUMABLE_ROUTE = "resumed"
 # How often a caller comes back, and the time left below which it does not.
 MAX_RESUMES = 3
 MIN_LEFT_MS = 300.0
