--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_ports.py
@@ -0,0 +1,22 @@
+"""Entries of a deployment never share a port."""
+
+from random import SystemRandom
+from types import SimpleNamespace
+
+from leadford_standins.wire import _deployment
+
+
+def test_a_port_that_was_given_out_is_not_given_out_again(monkeypatch):
+    # Nothing binds the first ports before the third one is drawn.
+    given = [_deployment.free_port(), _deployment.free_port()]
+    drawn_again = list(given)
+
+    def randrange(start, end):
+        return (
+            drawn_again.pop() if drawn_again else SystemRandom().randrange(start, end)
+        )
+
+    random = SimpleNamespace(randrange=randrange)
+    monkeypatch.setattr(_deployment, "_PORT_RANDOM", random)
+    assert _deployment.free_port() not in given
+    assert drawn_again == []
