Log the parts of a prompt, and how long a lost run had been answering

The logs showed that requests differ, but not what those at each crash share (event 409 named the digest, 406 the last part only). Events 406 and 409 name the parts of the prompt now, and 409 for how long events had come in this attempt, which separates a run that crashed its engine as it began to answer from one beside it. has_events follows from the same moment as before.

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -23,6 +23,8 @@
 
 # Bounds the free text in a log line.
 MAX_DETAIL_CHARACTERS = 160
+# Bounds the ids of prompt parts in a log line.
+MAX_PROMPT_CHARACTERS = 400
 # Logged if the expected time is infinite, because there is no endpoint.
 EXPECTED_LOGGED_MAX_S = 1e6
 # Logged as the level of a request that admission did not decide on.
@@ -88,6 +90,8 @@
         # Written by the event relay.
         self.last_event_id_: int | None = None
         self.last_event_at_: float | None = None
+        # When the first event of the current attempt was passed on.
+        self.attempt_event_at_: float | None = None
         self.longest_pause_s_ = 0.0
 
     @property
@@ -119,8 +123,25 @@
         )
         self.digest_ = content.digest()
 
+    @property
+    def prompt_text(self) -> str:
+        """Return the ids of the parts of the prompt, for log lines."""
+        text = ",".join(part.part_id for part in self.request.prompt.parts)
+        return text[:MAX_PROMPT_CHARACTERS]
+
+    def answering_ms(self, now: float) -> int:
+        """Return for how long events of the current attempt have been passed on.
+
+        Units: now in seconds of the monotonic clock; the result in milliseconds, -1 if
+        no event was passed on.
+        """
+        if self.attempt_event_at_ is None:
+            return NEVER_MS
+        return _elapsed_ms(now, self.attempt_event_at_)
+
     def record_tried(self, listed: ListedEndpoint) -> None:
         """Record that the request is tried at an endpoint."""
+        self.attempt_event_at_ = None
         self.tried_endpoint_ids_.append(listed.endpoint_id)
         self.tried_software_.append(listed.known_software or "")
 
@@ -134,6 +155,8 @@
         if self.last_event_at_ is not None:
             pause_s = now - self.last_event_at_
             self.longest_pause_s_ = max(self.longest_pause_s_, pause_s)
+        if self.attempt_event_at_ is None:
+            self.attempt_event_at_ = now
         self.last_event_at_ = now
 
     def record_caller_gone(self) -> None:
@@ -169,6 +192,7 @@
         **_match_fields(match, request.piece_counts),
         fingerprint=request.fingerprint,
         digest=progress.digest_,
+        prompt=progress.prompt_text,
         endpoints=",".join(progress.tried_endpoint_ids_),
         **_stream_fields(progress),
         **_pace_fields(progress),
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
@@ -85,8 +85,7 @@
         progress = self.progress
         listed = lost.record.listed
         now = self.state.now()
-        last_event_at = progress.last_event_at_
-        has_events = last_event_at is not None and last_event_at >= lost.began_at
+        has_events = progress.attempt_event_at_ is not None
         end = lost.connection.end
         self.state.log.report(
             Event.ATTEMPT_LOST,
@@ -97,7 +96,9 @@
             end=end.value,
             has_head=has_head,
             has_events=has_events,
+            prompt=progress.prompt_text,
             ran_ms=round((now - lost.began_at) * 1_000.0),
+            answering_ms=progress.answering_ms(now),
             unread_ms=round(unread_s * 1_000.0),
         )
         if end in PROCESS_EXIT_ENDS and not was_left_unread(unread_s):
