--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -173,6 +173,27 @@
                 self._schedule_replacement, endpoint, restart_delay_s
             )
 
+    def crash_on_part(
+        self,
+        part: str,
+        *,
+        restart_delay_s: float,
+        events_before_crash: int = 0,
+        keeps_id: bool = False,
+    ) -> None:
+        """Make each engine crash as it answers a prompt with this part.
+
+        An engine replaces it after `restart_delay_s` seconds, with a new id unless
+        `keeps_id` is set.
+        """
+        for engine in self.engines:
+            engine.crash_parts_.add(part)
+            engine.events_before_crash = events_before_crash
+            engine.keeps_id = keeps_id
+            engine.on_crash_ = partial(
+                self._schedule_replacement, engine, restart_delay_s
+            )
+
     def crash_stages_on_key(self, request_key: str, *, restart_delay_s: float) -> None:
         """Make each stage endpoint crash as soon as it makes a piece with this key."""
         for endpoint in self.stage:
@@ -181,6 +202,11 @@
                 self._schedule_replacement, endpoint, restart_delay_s
             )
 
+    def crash_engine(self, engine: EngineStandIn, *, restart_delay_s: float) -> None:
+        """Crash an engine now; another one with a new id replaces it."""
+        engine.on_crash_ = partial(self._schedule_replacement, engine, restart_delay_s)
+        engine.crash()
+
     def _schedule_replacement(
         self, crashed: PlainStandIn, restart_delay_s: float
     ) -> None:
@@ -197,6 +223,10 @@
             self._schedule_replacement, replacement, restart_delay_s
         )
         group[group.index(crashed)] = replacement
+        if replacement.endpoint_id == crashed.endpoint_id:
+            # The platform does not notice the crash; the listing stays as it is.
+            replacement.start(int(crashed.address_.rpartition(":")[2]))
+            return
         replacement.start()
         self.store.delete("servers", crashed.endpoint_id)
         self.store.put("servers", replacement.endpoint_id, replacement.spec())
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -75,19 +75,21 @@
         # The endpoint crashes as soon as it runs a request with one of these bodies.
         self.crash_bodies_: set[bytes] = set()
         self.on_crash_: Callable[[], None] | None = None
+        # Time of the crash, in seconds of the event loop's clock.
+        self.crashed_at_: float | None = None
         # Additional headers of each answer.
         self.extra_headers_: dict[str, str] = {}
         # Further figures of the load that a call of a stage reports.
         self.load_suffix_ = ""
 
-    def start(self) -> str:
-        """Listen on loopback and return the address."""
+    def start(self, port: int = 0) -> str:
+        """Listen on loopback, at a free port by default; return the address."""
         application = web.Application(
             [(r".*", EndpointHandler, {"endpoint": self})],
             log_function=lambda handler: None,
         )
         self.server_ = httpserver.HTTPServer(application)
-        self.server_.listen(0, address="127.0.0.1")
+        self.server_.listen(port, address="127.0.0.1")
         sockets = self.server_._sockets.values()
         self.address_ = f"127.0.0.1:{next(iter(sockets)).getsockname()[1]}"
         return self.address_
@@ -107,6 +109,9 @@
 
     def crash(self) -> None:
         """Simulate a crash of the process: close every connection at once."""
+        if self.crashed_at_ is not None:
+            return
+        self.crashed_at_ = asyncio.get_running_loop().time()
         self.server_.stop()
         for connection in list(self.server_._connections):
             connection.stream.close()
--- a/packages/leadford-standins/src/leadford_standins/wire/_engines.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_engines.py
@@ -70,6 +70,12 @@
         self.pause_s = 0.005
         self.result_holders = result_holders or []
         self.kept_ = PromptCache(memory_tokens=memory_tokens)
+        # The engine crashes when it answers a prompt with one of these parts, after
+        # this number of events.
+        self.crash_parts_: set[str] = set()
+        self.events_before_crash = 0
+        # Whether the engine that replaces this one after a crash has the same id.
+        self.keeps_id = False
 
     def make_replacement(self) -> "EngineStandIn":
         """Return the endpoint that replaces this one, with none of its state."""
@@ -82,8 +88,17 @@
         )
         replacement.pause_s = self.pause_s
         replacement.crash_bodies_ = self.crash_bodies_
+        replacement.crash_parts_ = self.crash_parts_
+        replacement.events_before_crash = self.events_before_crash
+        replacement.keeps_id = self.keeps_id
+        if self.keeps_id:
+            replacement.endpoint_id = self.endpoint_id
         return replacement
 
+    def _crashes_on(self, parts: list[tuple[str, int]]) -> bool:
+        """Return whether a prompt crashes the engine; its last part never does."""
+        return any(part in self.crash_parts_ for part, _ in parts[:-1])
+
     def event(self, number: int, request: HTTPServerRequest) -> str:
         """Return one event of a stream."""
         return f"id: {number}\ndata: token {number}\n\n"
@@ -102,12 +117,18 @@
             handler.refuse(409)
             return
         handler.record_run()
-        self.kept_.read(_parse_prompt_parts(request.headers.get("X-Prefix-Hash", "")))
+        parts = _parse_prompt_parts(request.headers.get("X-Prefix-Hash", ""))
+        self.kept_.read(parts)
+        crashes = self._crashes_on(parts)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         handler.set_header("Content-Type", "text/event-stream")
         handler.set_header("X-Weight-Versions", "1")
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.pause_s)
+            if crashes and number == first + self.events_before_crash:
+                handler.suppress_answer()
+                self.crash()
+                return
             if handler.misbehaviour is Misbehaviour.CUT and number == first + 2:
                 handler.write(f"id: {number}\ndata: to".encode())
                 await handler.flush()
