Refuse requests by the part of their prompt that crashes engines

Cause: crashes were kept under the digest of the whole request, which the next request doesn't have; of the digests in the logs none came back after three crashes, and new ones went on. The class: a cause that is kept under a key that the next request lacks.

Ruled out (docs/incidents/crashing-prompt-parts.md): news that does not reach all entries (the digest was quarantined at all five within 3 ms); the half weight of an answer that has begun (at all crashes of a digest it was lost before its first event).

Change: a lost run is kept with the parts of its prompt but the last. A part with three crashes is refused together with its companions, which were at each crash too and are not cleared; a complete answer clears. Entries tell each other in a message of their own (protocol version 12); what they told before is unchanged.

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -15,7 +15,12 @@
 from leadford.forwarding.retries import RetryReason
 from leadford.forwarding.routes import Route, RouteMatch, ServiceId
 from leadford.forwarding.streams import StreamContent, StreamKey, StreamOrigin
-from leadford.quarantine import NO_DIGEST, RequestContent
+from leadford.quarantine import (
+    NO_DIGEST,
+    PromptKeys,
+    RequestContent,
+    blamable_parts,
+)
 from leadford_server.forwarding._contract import InboundRequest
 from leadford_server.forwarding._links_contract import OriginSource
 from leadford_server.logs import EventLog
@@ -57,6 +62,7 @@
         self.request = request
         self.match_: RouteMatch | None = None
         self.digest_ = NO_DIGEST
+        self.prompt_keys_ = PromptKeys(NO_DIGEST)
         self.deadline_ = 0.0
         self.expected_s_ = 0.0
         self.since_first_try_s_ = 0.0
@@ -122,6 +128,8 @@
             request.body,
         )
         self.digest_ = content.digest()
+        part_ids = blamable_parts(part.part_id for part in request.prompt.parts)
+        self.prompt_keys_ = PromptKeys(self.digest_, part_ids)
 
     @property
     def prompt_text(self) -> str:
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -32,6 +32,7 @@
 from leadford.forwarding.retries import RetryBudgets, WindowedRetryBudget
 from leadford.forwarding.routes import ProcessStatus, RouteTable, Service, ServiceId
 from leadford.forwarding.streams import OriginLedger, SoftwareHistory, StreamOrigin
+from leadford.quarantine import PromptKeys, QuarantineVerdict, strictest
 from leadford_server.forwarding._contract import RequestCodec
 from leadford_server.forwarding._deadlines import RequestDeadlines
 from leadford_server.forwarding._links_contract import (
@@ -42,7 +43,7 @@
 from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.endpoints import ConnectionPool
 from leadford_server.logs import EventLog
-from leadford_server.quarantine import RequestQuarantine
+from leadford_server.quarantine import PromptQuarantine, RequestQuarantine
 
 
 class ForwardBounds(msgspec.Struct, frozen=True):
@@ -119,6 +120,7 @@
         self.retry_budgets_ = RetryBudgets(make=self._new_budget)
         self.group_map_ = GroupMap(regions=self.regions, roster=self.roster_)
         self.quarantine_ = RequestQuarantine(now=self.now, random=random, log=log)
+        self.prompt_quarantine_ = PromptQuarantine(now=self.now, random=random, log=log)
         self.pace_meter_ = PaceMeter()
         self.first_byte_ = FirstByteTimes()
         self.reservations_ = RetryReservations()
@@ -142,6 +144,12 @@
         """
         return self.loop.time()
 
+    def quarantine_verdict(self, keys: PromptKeys) -> QuarantineVerdict:
+        """Return how a request may run, given the crashes under it and its prompt."""
+        return strictest(
+            self.quarantine_.verdict(keys.digest), self.prompt_quarantine_.verdict(keys)
+        )
+
     def usable(self, service_id: ServiceId) -> list[EndpointRecord]:
         """Return the endpoints of a service that take new work now."""
         return self.roster_.usable(service_id, self.now())
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
@@ -117,7 +117,7 @@
 
     def end_quarantined(self) -> None:
         """End a request that ran at too many endpoints that crashed."""
-        verdict = self.state.quarantine_.verdict(self.progress.digest_)
+        verdict = self.state.quarantine_verdict(self.progress.prompt_keys_)
         may_have_run = self.progress.may_have_run_
         self.end(
             EndReason.QUARANTINED,
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -34,7 +34,7 @@
 from leadford_server.forwarding._store_contract import KnownEntry
 from leadford_server.forwarding.batching import PieceExchange, StageRunner
 from leadford_server.forwarding.membership._bookings import BookingExchange
-from leadford_server.forwarding.membership._crashes import CrashExchange
+from leadford_server.forwarding.membership._crashes import CrashExchanges
 from leadford_server.forwarding.membership._fleet import FleetView
 from leadford_server.forwarding.membership._heartbeats import Heartbeats
 from leadford_server.forwarding.membership._ledgers import ServiceLedgers
@@ -111,12 +111,11 @@
             followers=self.fleet.followers,
             entry_count=self.fleet.entry_count,
         )
-        self.crashes = CrashExchange(
+        self.crashes = CrashExchanges(
             state=state,
             peers_by_id=self.peers_by_id_,
             forwards_news=lambda: self.relays.is_follower,
         )
-        state.quarantine_.publish_news = self.crashes.tell
         self.placing = EnginePlacing(
             state=state,
             peers_by_id=self.peers_by_id_,
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -164,8 +164,8 @@
 
     @property
     def is_quarantined(self) -> bool:
-        """Return whether the request crashed too many endpoints to run again now."""
-        return self.state.quarantine_.verdict(self.progress.digest_).refuses
+        """Return whether too many endpoints crashed under the request or its prompt."""
+        return self.state.quarantine_verdict(self.progress.prompt_keys_).refuses
 
     def is_out_of_time(self) -> bool:
         """Return whether the request must be ended now to be answered in time."""
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -11,7 +11,7 @@
 from leadford.common import EndpointId
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.retries import MIN_ENDPOINTS_FOR_RETRY
-from leadford.quarantine import choose_apart
+from leadford.quarantine import QuarantineAction, choose_apart
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching import RequestInputs
@@ -76,7 +76,8 @@
     @property
     def runs_apart(self) -> bool:
         """Return whether the request is suspected of crashing endpoints."""
-        return self.state.quarantine_.is_suspect(self.progress.digest_)
+        verdict = self.state.quarantine_verdict(self.progress.prompt_keys_)
+        return verdict.action is QuarantineAction.RUN_APART
 
     def _choose_apart(
         self, records: Sequence[EndpointRecord], now: float
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
@@ -38,6 +38,11 @@
                 attempt.record, elapsed_ms, match.route.route_id, now
             )
         self.state.quarantine_.record_answered(self.progress.digest_)
+        event_at = self.progress.attempt_event_at_
+        begun_at = attempt.began_at if event_at is None else event_at
+        self.state.prompt_quarantine_.record_answered(
+            self.progress.prompt_keys_, begun_at
+        )
 
     def record_failure(self, record: EndpointRecord, failure: EndpointFailure) -> None:
         """Record a failure of an endpoint, and log when it becomes suspect."""
@@ -105,3 +110,8 @@
             self.state.quarantine_.record_connection_lost(
                 progress.digest_, listed.endpoint_id, is_under_way=has_events
             )
+            self.state.prompt_quarantine_.record_connection_lost(
+                progress.prompt_keys_,
+                listed.endpoint_id,
+                answering_s=max(0, progress.answering_ms(now)) / 1_000.0,
+            )
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -128,6 +128,14 @@
 QUARANTINED_WORKS = Gauge(
     "leadford_quarantined_works", "Requests that are sent to no endpoint."
 )
+PROMPT_CASES_TOTAL = Counter(
+    "leadford_prompt_cases_total",
+    "Runs of prompts that ended with their endpoint, by who saw it.",
+    ["seen"],
+)
+QUARANTINED_PARTS = Gauge(
+    "leadford_quarantined_parts", "Prompt parts whose requests are sent to no endpoint."
+)
 CONNECTIONS_OPENED_TOTAL = Counter(
     "leadford_connections_opened_total", "Connections opened to endpoints."
 )
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -70,6 +70,16 @@
         Severity.WARNING,
         "A caller that did not send or read was cut off.",
     )
+    PROMPT_PART_QUARANTINED = (
+        413,
+        Severity.WARNING,
+        "Requests with a part of a prompt are sent to no endpoint.",
+    )
+    PROMPT_PART_CLEARED = (
+        414,
+        Severity.INFO,
+        "Requests with a part of a prompt may be sent to endpoints again.",
+    )
     STORE_UNAVAILABLE = (500, Severity.WARNING, "The store did not answer.")
     STORE_BACK = (501, Severity.INFO, "The store answers again.")
     CLAIM_CONFLICT = (502, Severity.INFO, "Another writer appended claims first.")
--- a/packages/leadford/src/leadford/protocol/__init__.py
+++ b/packages/leadford/src/leadford/protocol/__init__.py
@@ -31,6 +31,7 @@
     PROTOCOL_ORIGINS,
     PROTOCOL_PACED,
     PROTOCOL_PACKED,
+    PROTOCOL_PROMPTS,
     PROTOCOL_UNTOLD,
     PROTOCOL_VERSION,
     PROTOCOL_VERSION_MIN,
@@ -116,6 +117,11 @@
     PromptPartReport,
     PromptRead,
 )
+from leadford.protocol._prompts import (
+    LostRunReport,
+    PartsAnsweredReport,
+    PromptNews,
+)
 from leadford.protocol._store_news import (
     PackedChanges,
     PackedListing,
@@ -156,6 +162,7 @@
     "PaceReport",
     "ServiceLevels",
     "PROTOCOL_PACKED",
+    "PROTOCOL_PROMPTS",
     "BacklogReport",
     "FleetBacklog",
     "PROTOCOL_VERSION",
@@ -182,6 +189,9 @@
     "PieceWorking",
     "PlaceAnswer",
     "PlaceRequest",
+    "LostRunReport",
+    "PartsAnsweredReport",
+    "PromptNews",
     "PromptPartReport",
     "PromptRead",
     "Ack",
--- a/packages/leadford/src/leadford/protocol/_base.py
+++ b/packages/leadford/src/leadford/protocol/_base.py
@@ -8,7 +8,7 @@
 import msgspec
 
 # The newest version of the protocol that this build supports.
-PROTOCOL_VERSION = 11
+PROTOCOL_VERSION = 12
 # The first version that transfers configurations in parts.
 PROTOCOL_CONFIG_PARTS = 2
 # The first version in which entries report evacuated halls to each other.
@@ -38,6 +38,9 @@
 # The first version in which entries tell each other which software version of a service
 # began a stream.
 PROTOCOL_ORIGINS = 11
+# The first version in which entries report the prompt parts that were being served when
+# endpoints crashed.
+PROTOCOL_PROMPTS = 12
 # The oldest version that this build supports.
 PROTOCOL_VERSION_MIN = 1
 
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -72,6 +72,7 @@
     PlaceRequest,
     PromptRead,
 )
+from leadford.protocol._prompts import PromptNews
 from leadford.protocol._store_news import (
     PackedChanges,
     PackedListing,
@@ -147,4 +148,5 @@
     | StreamOriginNews
     | StreamOriginRequest
     | StreamOriginAnswer
+    | PromptNews
 )
--- /dev/null
+++ b/packages/leadford/src/leadford/quarantine/_part_blame.py
@@ -0,0 +1,179 @@
+"""Decide which prompt parts crash endpoints, given the crashes of `_part_cases`.
+
+A part has companions: the parts, and the request, that were present at every one of its
+crashes and have not been cleared. As long as it has any, the crashes may be theirs as
+well, so only a request that holds the companions too is refused. A first part that all
+requests of a caller share is then refused only together with the part that crashes.
+Companions are cleared by complete answers without the part, or drop out at the next
+crash without them.
+"""
+
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from leadford.quarantine._part_cases import Crash, PartCases, PartId, PromptKeys
+
+# Crashes from which a part is known to crash endpoints.
+MIN_PART_CRASHES = 3
+# Crashes from which requests with a part run apart from other suspected requests.
+MIN_SUSPECT_PART_CRASHES = 2
+# Crashes later than this after a part was known come from a request that was let run to
+# try it again; the others were under way.
+FAILED_TRIAL_S = 6.0
+# Time for which a part that was in complete answers before its first crash is not yet
+# refused. A harmless one is in another complete answer by then.
+PROVEN_PART_GRACE_S = 2.0
+
+
+class PartBlame(msgspec.Struct, frozen=True):
+    """Hold what speaks against one part.
+
+    `companions` are the parts and digests that were present at every crash too.
+    `is_proven` tells whether the part was in a complete answer shortly before the
+    first crash, `has_failed_trial` whether it crashed an endpoint when tried again.
+
+    Units: first_at and last_at, of its crashes, in seconds.
+    """
+
+    part_id: PartId
+    crashes: int
+    companions: frozenset[str]
+    first_at: float
+    last_at: float
+    is_proven: bool = False
+    has_failed_trial: bool = False
+
+    def matches(self, keys: PromptKeys) -> bool:
+        """Return whether a request holds the part and all its companions."""
+        return self.companions <= {keys.digest, *keys.part_ids}
+
+    def matches_parts(self, keys: PromptKeys, digests: frozenset[str]) -> bool:
+        """Return whether a prompt holds the part and the parts among its companions."""
+        return self.companions - digests <= set(keys.part_ids)
+
+    def is_known(self, now: float) -> bool:
+        """Return whether the part is known to crash endpoints.
+
+        Units: now in seconds.
+        """
+        if self.crashes < MIN_PART_CRASHES:
+            return False
+        return not self.is_proven or now - self.first_at >= PROVEN_PART_GRACE_S
+
+
+class PartSuspicion(msgspec.Struct, frozen=True):
+    """Hold the blame for which a request is refused, and whether it is suspected."""
+
+    known: PartBlame | None = None
+    is_suspect: bool = False
+
+
+_NO_SUSPICION = PartSuspicion()
+
+
+class PartBlames:
+    """Work out the blame of each part, once for each change of the cases."""
+
+    def __init__(self, cases: PartCases) -> None:
+        self.cases = cases
+        self.version_ = -1
+        self.blame_by_part_: Mapping[PartId, PartBlame] = {}
+        self.digests_: frozenset[str] = frozenset()
+
+    def suspicion(self, keys: PromptKeys, now: float) -> PartSuspicion:
+        """Return what speaks against a request because of its prompt.
+
+        Units: now in seconds.
+        """
+        if not self.cases.has_cases(keys):
+            return _NO_SUSPICION
+        self._update()
+        is_suspect = False
+        for part_id in keys.part_ids:
+            blame = self.blame_by_part_.get(part_id)
+            if blame is None:
+                continue
+            if blame.is_known(now) and blame.matches(keys):
+                return PartSuspicion(blame, True)
+            is_suspect |= blame.matches_parts(keys, self.digests_)
+        return PartSuspicion(None, is_suspect)
+
+    def known(self, now: float) -> list[PartBlame]:
+        """Return the parts that are known to crash endpoints.
+
+        Units: now in seconds.
+        """
+        self._update()
+        return [blame for blame in self.blame_by_part_.values() if blame.is_known(now)]
+
+    def _update(self) -> None:
+        if self.version_ == self.cases.version_:
+            return
+        self.version_ = self.cases.version_
+        self.digests_ = frozenset(run.keys.digest for _, run in self.cases.runs())
+        crashes_by_part = self.cases.crashes_by_part_
+        strength_by_culprit = {
+            part_id: _strength(part_id, crashes)
+            for part_id, crashes in crashes_by_part.items()
+            if len(crashes) >= MIN_PART_CRASHES
+            and part_id not in self.cases.proven_ids_
+        }
+        found = {}
+        for part_id, crashes in crashes_by_part.items():
+            if len(crashes) < MIN_SUSPECT_PART_CRASHES:
+                continue
+            own = _unexplained(part_id, crashes, strength_by_culprit)
+            if len(own) >= MIN_SUSPECT_PART_CRASHES:
+                is_proven = part_id in self.cases.proven_ids_
+                found[part_id] = _blame(part_id, own, is_proven=is_proven)
+        self.blame_by_part_ = found
+
+
+def _strength(part_id: PartId, crashes: Sequence[Crash]) -> float:
+    return sum(crash.strength(part_id) for crash in crashes)
+
+
+def _unexplained(
+    part_id: PartId,
+    crashes: Sequence[Crash],
+    strength_by_culprit: Mapping[PartId, float],
+) -> list[Crash]:
+    """Return the crashes of a part for which no part with more of them accounts."""
+    strength = _strength(part_id, crashes)
+    if part_id not in strength_by_culprit:
+        strength = 0.0
+    stronger = [
+        culprit for culprit, other in strength_by_culprit.items() if other > strength
+    ]
+    return [
+        crash
+        for crash in crashes
+        if not crash.is_beside(part_id)
+        and not any(crash.is_explained(part_id, culprit) for culprit in stronger)
+    ]
+
+
+def _blame(part_id: PartId, crashes: list[Crash], *, is_proven: bool) -> PartBlame:
+    companions = frozenset.intersection(*(_present(part_id, c) for c in crashes))
+    times = sorted(crash.at for crash in crashes)
+    known_at = times[min(MIN_PART_CRASHES, len(times)) - 1]
+    return PartBlame(
+        part_id,
+        len(times),
+        companions,
+        first_at=times[0],
+        last_at=times[-1],
+        is_proven=is_proven,
+        has_failed_trial=times[-1] - known_at > FAILED_TRIAL_S,
+    )
+
+
+def _present(part_id: PartId, crash: Crash) -> frozenset[str]:
+    """Return what the runs with a part that a crash ended held, and is not cleared."""
+    present: set[str] = set()
+    for run in crash.runs_:
+        if part_id in run.keys.part_ids:
+            present.add(run.keys.digest)
+            present.update(run.keys.part_ids)
+    return frozenset(present - crash.cleared_ids_)
