Blame no endpoint for a stream without a length that ends inside an event

What callers saw: nothing at once; but an endpoint whose answer had neither a length nor chunks, and ended with its connection inside an event, counted as failed and was avoided for up to 6 s.

Cause: every stream that was not complete was recorded as broken off by its endpoint, whatever had ended it. Such an end is allowed: the stream goes on elsewhere where it may, no crash was or is counted, and the connection was not reused before either.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -65,11 +65,11 @@
             if is_complete:
                 return
             self.progress.may_have_run_ = True
-            if not attempt.was_left_unread:
+            if not (attempt.was_left_unread or attempt.ended_with_connection):
                 self.attempts.evidence.record_failure(
                     attempt.record, EndpointFailure.BROKEN_OFF
                 )
-            if not await self._retry_elsewhere("stream broke off"):
+            if not await self._retry_elsewhere(_broken_detail(attempt)):
                 return
 
     async def _retry_not_run(self, failure: NotRun) -> bool:
@@ -117,3 +117,10 @@
             return False
         self.answer.pass_on(attempt)
         return True
+
+
+def _broken_detail(attempt: Attempt) -> str:
+    """Return how a stream ended that is not complete, for the log."""
+    if attempt.ended_with_connection:
+        return "stream ended inside an event"
+    return "stream broke off"
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempt.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempt.py
@@ -72,6 +72,15 @@
         """Return whether the endpoint answered with an error status."""
         return self.answer.head.status >= MIN_ERROR_STATUS
 
+    @property
+    def ended_with_connection(self) -> bool:
+        """Return whether an answer without a length ended cleanly with its connection.
+
+        Then an incomplete event at its end says nothing about the endpoint.
+        """
+        reader = self.answer.reader
+        return reader.is_complete_ and not reader.is_framed_
+
     @property
     def was_left_unread(self) -> bool:
         """Return whether reading paused so long that the endpoint may have given up.
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -12,7 +12,7 @@
 from enum import Enum
 
 import msgspec
-from tornado import httpserver, web
+from tornado import httpserver, iostream, web
 
 _ids = itertools.count(1)
 
@@ -30,6 +30,15 @@
     GONE = "gone"
     STALL = "stall"
     UNSIGNED = "unsigned"
+    UNFRAMED = "unframed"
+    UNFRAMED_CUT = "unframed-cut"
+    UNFRAMED_EMPTY = "unframed-empty"
+
+
+# Answers that have no length and end with their connection.
+UNFRAMED = frozenset(
+    {Misbehaviour.UNFRAMED, Misbehaviour.UNFRAMED_CUT, Misbehaviour.UNFRAMED_EMPTY}
+)
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -144,7 +153,13 @@
         handler.record_run()
         await asyncio.sleep(self.work_s)
         body = f"{self.endpoint_id} {handler.request.path}".encode()
-        handler.finish(body + b" " + handler.request.body)
+        body += b" " + handler.request.body
+        if handler.is_unframed:
+            stream = await handler.begin_unframed()
+            await stream.write(body)
+            stream.close()
+            return
+        handler.finish(body)
 
 
 def is_held(handle: str, result_holders: "list[StageStandIn]") -> bool:
@@ -321,6 +336,24 @@
         )
         self.endpoint.runs_.append(run)
 
+    @property
+    def is_unframed(self) -> bool:
+        """Return whether the answer has no length and ends with its connection."""
+        return self.misbehaviour in UNFRAMED
+
+    async def begin_unframed(self) -> iostream.IOStream:
+        """Write the head of an answer that ends with its connection; return the rest.
+
+        Nothing but the stream that is returned may be used for the answer from here on.
+        """
+        self.suppress_answer()
+        stream = self.request.connection.detach()
+        fields = "".join(
+            f"{name}: {value}\r\n" for name, value in self._headers.get_all()
+        )
+        await stream.write(f"HTTP/1.1 200 OK\r\n{fields}\r\n".encode())
+        return stream
+
     def refuse(self, status: int) -> None:
         """Answer that the request did not run."""
         self.clear_header("X-Server-Stamp")
--- a/packages/leadford-standins/src/leadford_standins/wire/_engines.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_engines.py
@@ -123,6 +123,9 @@
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         handler.set_header("Content-Type", "text/event-stream")
         handler.set_header("X-Weight-Versions", "1")
+        if handler.is_unframed:
+            await self._serve_unframed(handler, first)
+            return
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.pause_s)
             if crashes and number == first + self.events_before_crash:
@@ -139,3 +142,18 @@
             handler.write(self.event(number, request).encode())
             await handler.flush()
         handler.finish()
+
+    async def _serve_unframed(self, handler: EndpointHandler, first: int) -> None:
+        """Run a stream whose answer has no length; maybe end it inside an event."""
+        stream = await handler.begin_unframed()
+        is_cut = handler.misbehaviour is Misbehaviour.UNFRAMED_CUT
+        is_empty = handler.misbehaviour is Misbehaviour.UNFRAMED_EMPTY
+        last = 0 if is_empty else self.events
+        for number in range(first, last + 1):
+            await asyncio.sleep(self.pause_s)
+            event = self.event(number, handler.request).encode()
+            if is_cut and number == first + 2:
+                await stream.write(event[:-4])
+                break
+            await stream.write(event)
+        stream.close()
