Take a stream without a length that ends before any event for one that broke off

What callers saw: 200 with an empty stream that looked complete.

Cause: without a length only the end of the connection tells that an answer is complete, and an engine that ends before its first event closes the connection as well. A stream has one event at least, so one without any goes on elsewhere or ends as failed; one that a caller resumes may hold no further event.

Evidence: found by reading; test_a_stream_that_ends_with_its_connection_before_any_event_goes_on_ elsewhere got an empty answer before.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -90,7 +90,18 @@
             if data and not splitter.is_too_long:
                 continue
             self._record_gaps(attempt, gaps)
-            return attempt.answer.reader.is_complete_ and not splitter.has_partial_event
+            if splitter.has_partial_event or self._is_empty(attempt):
+                return False
+            return attempt.answer.reader.is_complete_
+
+    def _is_empty(self, attempt: Attempt) -> bool:
+        """Return whether an answer that ended with its connection held no event.
+
+        An endpoint that ends before the first event closes its connection, too.
+        """
+        is_resumed = self.progress.request.last_event_id is not None
+        has_events = self.answer.has_begun or is_resumed
+        return attempt.ended_with_connection and not has_events
 
     def _record_gaps(self, attempt: Attempt, gaps: EventGaps) -> None:
         """Record the time between events as a measurement of the engine."""
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_unframed_answers.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_unframed_answers.py
@@ -100,3 +100,15 @@
         assert answer.code == 200
 
     run_scenario(scenario)
+
+
+def test_a_stream_that_ends_with_its_connection_before_any_event_goes_on_elsewhere():
+    async def scenario(deployment):
+        first, second = deployment.engines
+        first.planned_misbehaviours_ = second.planned_misbehaviours_
+        plan([first], Misbehaviour.UNFRAMED_EMPTY)
+        answer = await deployment.send("/resumed/x", request_id="r")
+        assert answer.code == 200
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+
+    run_scenario(scenario)
