Let what is divided by entry follow callers that go to one entry

What callers saw: where most new connections of a hall or a region go to one entry, that entry had the same share of each endpoint's connections as all others (1 to 9 in large fleets), and none of the rate of a limited or cold endpoint unless rendezvous had chosen it; its callers waited for a connection until their time was over.

Cause: limits of the fleet were divided equally, or among a few entries, whatever came to each.

Change: entries report their rate of requests to three that all are linked to; these tell which entry is the busiest as long as its part is far above an equal one (protocol version 12).

--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -28,7 +28,7 @@
     PaceMeter,
 )
 from leadford.forwarding.history import StoreEpochs
-from leadford.forwarding.membership import PeerVersions
+from leadford.forwarding.membership import LoadShares, PeerVersions, RequestRate
 from leadford.forwarding.retries import RetryBudgets, WindowedRetryBudget
 from leadford.forwarding.routes import ProcessStatus, RouteTable, Service, ServiceId
 from leadford.forwarding.streams import OriginLedger, SoftwareHistory, StreamOrigin
@@ -115,7 +115,12 @@
         self.memory_ = HeldMemory(
             limit_bytes=bounds.memory_bytes, now=self.now, log=log
         )
-        self.pool_ = ConnectionPool(codec=codec, loop=loop, memory=self.memory_)
+        self.request_rate_ = RequestRate()
+        self.load_shares_ = LoadShares(entry_id=entry_id)
+        self.entry_count_ = 1
+        self.pool_ = ConnectionPool(
+            codec=codec, loop=loop, memory=self.memory_, share=self.share
+        )
         self.deadlines_ = RequestDeadlines()
         self.retry_budgets_ = RetryBudgets(make=self._new_budget)
         self.group_map_ = GroupMap(regions=self.regions, roster=self.roster_)
@@ -264,12 +269,23 @@
     def set_entries(self, entry_ids: Collection[EntryId]) -> None:
         """Divide the bounds of the fleet among the entries that exist."""
         count = max(1, len(entry_ids))
-        self.pool_.entry_count_ = count
+        self.entry_count_ = count
         self.chooser_.entry_count_ = count
         self.retry_budgets_.set_entry_count(count)
         self.cold_endpoints_.set_entries(entry_ids)
         self.endpoint_limits_.set_entries(entry_ids)
 
+    def share(self) -> float:
+        """Return the fraction of the fleet's limits that this entry may use now."""
+        return self.load_shares_.share(self.entry_count_, self.now())
+
+    def apply_shares(self) -> None:
+        """Apply which entry is the busiest to the limits that are divided by entry."""
+        busiest = self.load_shares_.busiest(self.now())
+        self.cold_endpoints_.set_busiest(busiest)
+        self.endpoint_limits_.set_busiest(busiest)
+        self.pool_.apply_share()
+
     def _new_budget(self) -> WindowedRetryBudget:
         return WindowedRetryBudget(
             ratio=self.bounds.retry_ratio,
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -117,6 +117,7 @@
     def _look_up(self) -> bool:
         """Look up the route of the request; return whether the request may start."""
         request = self.request
+        self.state.request_rate_.record_request(self.state.now())
         if request.fault:
             self.answer.end(EndReason.MALFORMED, request.fault)
             return False
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
@@ -1,11 +1,12 @@
 """Pool keep-alive connections to endpoints within the limit of each endpoint.
 
 Owns every connection to an endpoint. The limit applies to all entries together, so each
-entry takes an equal share of it.
+entry takes a share of it, and closes idle connections once that has become smaller.
 """
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 from leadford.common import EndpointId
 from leadford.forwarding.endpoints import (
@@ -25,15 +26,20 @@
 class _EndpointConnections:
     """Hold the connections of one endpoint."""
 
-    def __init__(self, address: EndpointAddress) -> None:
+    def __init__(self, address: EndpointAddress, limit: int) -> None:
         self.address = address
+        # The limit of the endpoint for all entries together.
+        self.limit = limit
         self.idle_: list[EndpointConnection] = []
         self.open_count_ = 0
         self.waiters_: deque[asyncio.Future[None]] = deque()
 
 
 class ConnectionPool:
-    """Lend connections, within an equal share per entry of each endpoint's limit."""
+    """Lend connections, within this entry's share of each endpoint's limit.
+
+    `share` returns the share that applies now, a fraction.
+    """
 
     def __init__(
         self,
@@ -41,12 +47,13 @@
         codec: RequestCodec,
         loop: asyncio.AbstractEventLoop,
         memory: HeldMemory | None = None,
+        share: Callable[[], float] = lambda: 1.0,
     ) -> None:
         self.codec = codec
         self.loop = loop
         self.memory = memory
+        self.share = share
         self.connections_by_id_: dict[EndpointId, _EndpointConnections] = {}
-        self.entry_count_ = 1
 
     async def acquire(
         self, record: EndpointRecord, connections_max: int
@@ -58,13 +65,14 @@
         listed = record.listed
         connections = self.connections_by_id_.get(listed.endpoint_id)
         if connections is None:
-            connections = _EndpointConnections(listed.address)
+            connections = _EndpointConnections(listed.address, connections_max)
             self.connections_by_id_[listed.endpoint_id] = connections
+        connections.limit = connections_max
         while True:
             kept = self._take_idle(connections)
             if kept is not None:
                 return kept
-            allowed = max_connections(connections_max, self.entry_count_)
+            allowed = max_connections(connections_max, self.share())
             if connections.open_count_ < allowed:
                 return await self._open(connections)
             waiter = self.loop.create_future()
@@ -126,6 +134,19 @@
                 waiter.set_result(None)
                 return
 
+    def apply_share(self) -> None:
+        """Close idle connections beyond the share, and let requests use a larger one.
+
+        Called when the share may have changed.
+        """
+        share = self.share()
+        for connections in self.connections_by_id_.values():
+            allowed = max_connections(connections.limit, share)
+            while connections.idle_ and connections.open_count_ > allowed:
+                self._close(connections, connections.idle_.pop(0))
+            for _ in range(allowed - connections.open_count_):
+                self._wake(connections)
+
     def close_idle(self, known_ids: set[EndpointId]) -> None:
         """Close connections that were idle for too long or whose endpoint has left."""
         now = self.loop.time()
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -43,6 +43,7 @@
 from leadford_server.forwarding.membership._paces import AddressedPaces, PaceExchange
 from leadford_server.forwarding.membership._placing import EnginePlacing
 from leadford_server.forwarding.membership._relays import StoreRelays
+from leadford_server.forwarding.membership._shares import ShareExchange
 from leadford_server.forwarding.store import HallsHolder
 from leadford_server.peers import Dialer, Identity, PeerConnection, PeerServer
 from leadford_server.settings import SocketAddress
@@ -138,6 +139,12 @@
             entry_count=self.fleet.entry_count,
         )
         state.stream_origins_ = self.origins
+        self.shares = ShareExchange(
+            state=state,
+            peers_by_id=self.peers_by_id_,
+            common_peers=self.fleet.common_peers,
+            entry_count=self.fleet.entry_count,
+        )
         self.handlers_ = self._handlers()
 
     def _handlers(self) -> MessageHandlers:
@@ -155,6 +162,7 @@
             **self.bookings.handlers(),
             **self.crashes.handlers(),
             **self.origins.handlers(),
+            **self.shares.handlers(),
             **self.paces.handlers(),
         }
 
@@ -185,6 +193,7 @@
             self._dial()
             self._send_heartbeats()
             self.origins.refresh()
+            self.shares.refresh()
             self.stages.sent.check()
             self.stages.return_waiting_pieces()
             spread = self.random.uniform(*HEARTBEAT_JITTER)
@@ -280,6 +289,7 @@
         self.heard_.record_heard(entry_id, self.state.now())
         self.builds_.forget(entry_id)
         self.origins.forget(entry_id)
+        self.shares.forget(entry_id)
         self.state.log.report(
             Event.PEER_CONNECTED, peer=entry_id, version=peer.info.protocol_version
         )
@@ -299,6 +309,7 @@
         self.news.forget(entry_id)
         self.relays.forget(entry_id)
         self.origins.forget(entry_id)
+        self.shares.forget(entry_id)
         self.state.log.report(Event.PEER_LOST, peer=entry_id)
         self.stages.scheduler_.drop_pieces_of(entry_id)
         self.stages.results.record_scheduler_lost(entry_id)
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -136,6 +136,10 @@
 QUARANTINED_PARTS = Gauge(
     "leadford_quarantined_parts", "Prompt parts whose requests are sent to no endpoint."
 )
+BUSIEST_FRACTION = Gauge(
+    "leadford_busiest_entry_fraction",
+    "Fraction of all requests that go to the busiest entry; 0 if they are spread.",
+)
 CONNECTIONS_OPENED_TOTAL = Counter(
     "leadford_connections_opened_total", "Connections opened to endpoints."
 )
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -86,6 +86,8 @@
         self.on_crash_: Callable[[], None] | None = None
         # Time of the crash, in seconds of the event loop's clock.
         self.crashed_at_: float | None = None
+        # The most connections that were open at once.
+        self.max_connections_ = 0
         # Additional headers of each answer.
         self.extra_headers_: dict[str, str] = {}
         # Further figures of the load that a call of a stage reports.
@@ -275,6 +277,8 @@
     async def _handle(self) -> None:
         endpoint = self.endpoint
         endpoint.arrivals_ += 1
+        open_count = len(endpoint.server_._connections)
+        endpoint.max_connections_ = max(endpoint.max_connections_, open_count)
         request_id = self.request.headers.get("X-Attempt-Id", "")
         self.set_header("X-Attempt-Id", request_id)
         self.set_header("X-Server-Load", "1,0,4")
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -44,6 +44,7 @@
 from leadford.forwarding.endpoints._record import EndpointFailure, EndpointRecord
 from leadford.forwarding.endpoints._rests import EndpointRetryAfter
 from leadford.forwarding.endpoints._roster import EndpointRoster
+from leadford.forwarding.endpoints._sharers import BusiestEntry
 from leadford.forwarding.endpoints._starts import endpoint_name, endpoint_start_id
 from leadford.forwarding.endpoints._times import FirstByteTimes
 
@@ -77,6 +78,7 @@
     "SentPrompt",
     "ListedEndpoint",
     "ListedState",
+    "BusiestEntry",
     "PromptPart",
     "PromptShape",
     "ReportablePace",
--- a/packages/leadford/src/leadford/forwarding/endpoints/_cold.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_cold.py
@@ -15,6 +15,7 @@
 
 from leadford.common import EndpointId, EntryId, TokenBucket, rendezvous_order
 from leadford.forwarding.endpoints._record import EndpointRecord
+from leadford.forwarding.endpoints._sharers import BusiestEntry, part_of_limit
 from leadford.forwarding.routes import ColdLimits
 
 # Number of entries that use a cold endpoint, per request per second that it can serve.
@@ -41,6 +42,7 @@
     def __init__(self, *, entry_id: EntryId) -> None:
         self.entry_id = entry_id
         self.entry_ids_: frozenset[EntryId] = frozenset()
+        self.busiest_: BusiestEntry | None = None
         self.share_by_id_: dict[EndpointId, _ColdShare] = {}
 
     def set_entries(self, entry_ids: Collection[EntryId]) -> None:
@@ -48,6 +50,13 @@
         self.entry_ids_ = frozenset(entry_ids)
         self.share_by_id_.clear()
 
+    def set_busiest(self, busiest: BusiestEntry | None) -> None:
+        """Set the entry that gets most of the callers, None if they are spread."""
+        if busiest == self.busiest_:
+            return
+        self.busiest_ = busiest
+        self.share_by_id_.clear()
+
     def may_use(
         self, record: EndpointRecord, limits: ColdLimits | None, now: float
     ) -> bool:
@@ -86,8 +95,9 @@
         entry_ids = self.entry_ids_ | {self.entry_id}
         count = max(1, int(limits.per_s * ENTRIES_PER_REQUEST_PER_S))
         chosen = rendezvous_order(endpoint_id, entry_ids)[:count]
+        part = part_of_limit(self.entry_id, chosen, self.busiest_)
         bucket = None
-        if self.entry_id in chosen:
-            rate_per_s = limits.per_s / len(chosen)
+        if part > 0.0:
+            rate_per_s = limits.per_s * part
             bucket = TokenBucket(rate_per_s=rate_per_s, burst=BURST_REQUESTS)
         return _ColdShare(limits, bucket)
--- a/packages/leadford/src/leadford/forwarding/endpoints/_connections.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_connections.py
@@ -1,23 +1,28 @@
 """Decide how many connections an entry holds to an endpoint, and which are reused.
 
 Called by the connection pool. The connection limit of an endpoint applies to all
-entries together, so each entry takes an equal share, without messages. A connection
-that the endpoint may be about to close is not reused: a request on it could be lost,
-and it would be unknown whether it ran.
+entries together. Each entry takes its share, which is equal unless most callers go to
+one entry. A connection that the endpoint may be about to close is not reused: a request
+on it could be lost, and it would be unknown whether it ran.
 """
 
 # Maximum fraction of an endpoint's connection limit that all entries together use.
 CONNECTIONS_FRACTION = 0.95
+# Keeps a share that is a whole number of connections from being rounded down.
+ROUNDING = 1e-9
 # Idle timeout of a connection where the endpoint names none.
 DEFAULT_IDLE_TIMEOUT_S = 8.0
 # Time before the endpoint closes an idle connection from which it is no longer reused.
 IDLE_TIMEOUT_MARGIN_S = 0.6
 
 
-def max_connections(connections_max: int, entry_count: int) -> int:
-    """Return the maximum number of connections of one entry to an endpoint."""
+def max_connections(connections_max: int, share: float) -> int:
+    """Return the maximum number of connections of one entry to an endpoint.
+
+    `share` is the fraction of the limit that this entry may use.
+    """
     bound = int(connections_max * CONNECTIONS_FRACTION)
-    return max(1, bound // max(1, entry_count))
+    return max(1, int(bound * share + ROUNDING))
 
 
 def may_use_again(idle_s: float, idle_timeout_s: float | None) -> bool:
--- a/packages/leadford/src/leadford/forwarding/endpoints/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_limits.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from leadford.common import EndpointId, EntryId, TokenBucket, rendezvous_order
+from leadford.forwarding.endpoints._sharers import BusiestEntry, part_of_limit
 
 # Entries that use a limited endpoint. Each may send one request beyond its share of the
 # rate, and an endpoint tolerates five at once beyond its limit.
@@ -51,8 +52,9 @@
     def __init__(self, *, entry_id: EntryId) -> None:
         self.entry_id = entry_id
         self.entry_ids_: tuple[EntryId, ...] = (entry_id,)
-        # How many entries share the limit, this one included; 0 if it has no share.
-        self.sharers_by_id_: dict[EndpointId, int] = {}
+        self.busiest_: BusiestEntry | None = None
+        # This entry's part of the limit; 0 if it has none.
+        self.part_by_id_: dict[EndpointId, float] = {}
         self.known_by_id_: dict[EndpointId, LimitObservation] = {}
         self.bucket_by_id_: dict[EndpointId, TokenBucket] = {}
         # When this entry last sent a request to an endpoint without having a share.
@@ -61,7 +63,13 @@
     def set_entries(self, entry_ids: Collection[EntryId]) -> None:
         """Set the existing entries; requests that were already sent stay counted."""
         self.entry_ids_ = tuple(sorted({*entry_ids, self.entry_id}))
-        self.sharers_by_id_.clear()
+        self.part_by_id_.clear()
+
+    def set_busiest(self, busiest: BusiestEntry | None) -> None:
+        """Set the entry that gets most of the callers, None if they are spread."""
+        if busiest != self.busiest_:
+            self.busiest_ = busiest
+            self.part_by_id_.clear()
 
     def record_answer(
         self,
@@ -154,17 +162,17 @@
     def _forget(self, endpoint_id: EndpointId) -> None:
         self.known_by_id_.pop(endpoint_id, None)
         self.bucket_by_id_.pop(endpoint_id, None)
-        self.sharers_by_id_.pop(endpoint_id, None)
+        self.part_by_id_.pop(endpoint_id, None)
         self.probed_at_by_id_.pop(endpoint_id, None)
 
     def _bucket(
         self, known: LimitObservation, now: float, *, is_sole_sender: bool
     ) -> TokenBucket | None:
         """Return the bucket of this entry's share of a limit, or None."""
-        sharers = 1 if is_sole_sender else self._sharers(known.endpoint_id)
-        if sharers == 0:
+        part = 1.0 if is_sole_sender else self._part(known.endpoint_id)
+        if part <= 0.0:
             return None
-        rate_per_s = max(MIN_RATE_PER_S, known.per_s) / sharers
+        rate_per_s = max(MIN_RATE_PER_S, known.per_s) * part
         bucket = self.bucket_by_id_.get(known.endpoint_id)
         if bucket is None:
             bucket = TokenBucket(rate_per_s=rate_per_s, burst=BURST_REQUESTS)
@@ -174,11 +182,11 @@
             bucket.rate_per_s = rate_per_s
         return bucket
 
-    def _sharers(self, endpoint_id: EndpointId) -> int:
-        """Return how many entries share a limit, or 0 if this entry has no share."""
-        count = self.sharers_by_id_.get(endpoint_id)
-        if count is None:
+    def _part(self, endpoint_id: EndpointId) -> float:
+        """Return this entry's part of a limit, 0 if it has none."""
+        part = self.part_by_id_.get(endpoint_id)
+        if part is None:
             sharers = rendezvous_order(endpoint_id, self.entry_ids_)[:MAX_SHARERS]
-            count = len(sharers) if self.entry_id in sharers else 0
-            self.sharers_by_id_[endpoint_id] = count
-        return count
+            part = part_of_limit(self.entry_id, sharers, self.busiest_)
+            self.part_by_id_[endpoint_id] = part
+        return part
--- a/packages/leadford/src/leadford/forwarding/membership/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/membership/__init__.py
@@ -4,6 +4,11 @@
 from leadford.forwarding.membership._fetch import PeerFetch
 from leadford.forwarding.membership._heard import PeerVersions
 from leadford.forwarding.membership._liveness import PeerLiveness
+from leadford.forwarding.membership._load import (
+    LoadShares,
+    ReportedRates,
+    RequestRate,
+)
 from leadford.forwarding.membership._pace import (
     REDUCED_HEARTBEAT_DIVISOR,
     HeartbeatNews,
@@ -31,6 +36,9 @@
 
 __all__ = [
     "BuildVersions",
+    "LoadShares",
+    "ReportedRates",
+    "RequestRate",
     "PeerLiveness",
     "PeerVersions",
     "HeartbeatNews",
--- a/packages/leadford/src/leadford/protocol/_base.py
+++ b/packages/leadford/src/leadford/protocol/_base.py
@@ -41,6 +41,8 @@
 # The first version in which entries report the prompt parts that were being served when
 # endpoints crashed.
 PROTOCOL_PROMPTS = 12
+# The first version in which entries tell each other which of them is the busiest.
+PROTOCOL_SHARES = 12
 # The oldest version that this build supports.
 PROTOCOL_VERSION_MIN = 1
 
--- a/packages/leadford/src/leadford/protocol/_load.py
+++ b/packages/leadford/src/leadford/protocol/_load.py
@@ -103,3 +103,19 @@
     """Report the pace of endpoints that differ from others."""
 
     paces: list[PaceReport]
+
+
+class RequestRateReport(MessageBase, tag=65):
+    """Report the rate of requests that callers send to the sender.
+
+    Units: requests per second.
+    """
+
+    per_s: float
+
+
+class BusiestEntryNews(MessageBase, tag=66):
+    """Tell which entry gets most of the callers, and its fraction of all requests."""
+
+    entry_id: str
+    fraction: float
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -56,8 +56,10 @@
     BookingClaim,
     BookingClaimAnswer,
     BookingRequest,
+    BusiestEntryNews,
     FleetLevels,
     PaceNews,
+    RequestRateReport,
 )
 from leadford.protocol._pieces import (
     PieceAnswer,
@@ -149,4 +151,6 @@
     | StreamOriginRequest
     | StreamOriginAnswer
     | PromptNews
+    | RequestRateReport
+    | BusiestEntryNews
 )
