Let more connections of callers wait to be accepted

What callers saw: of many connections opened to one entry at once, those beyond 128 got no answer to their first packet and came up a second later, when many callers have given up.

Cause: the listening socket had the library's default backlog.

Evidence: test_an_entry_takes_many_connections_that_come_at_once, 400 connections while the entry accepts none: timed out before, passes now.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
@@ -22,6 +22,9 @@
 IDLE_GRACE_S = 2.0
 # Heads up to this multiple of the limit are read, so that they can be answered.
 HEAD_READ_FACTOR = 4
+# Connections that may wait to be accepted. The platform may hand all new connections of
+# a region to one entry at once.
+MAX_PENDING_CONNECTIONS = 1_024
 # Effectively unlimited: `CallerExchange` enforces the configured limit on bodies while
 # they arrive, instead of the library.
 MAX_BODY_READ_BYTES = 1 << 40
@@ -69,7 +72,7 @@
             max_header_size=HEAD_READ_FACTOR * limits.header_bytes,
             max_body_size=MAX_BODY_READ_BYTES,
         )
-        self.server_.listen(port, address=host)
+        self.server_.listen(port, address=host, backlog=MAX_PENDING_CONNECTIONS)
 
     def apply_limits(self, limits: TrafficLimits) -> None:
         """Set the limits for requests that arrive from now on."""
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_uneven_connections.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_uneven_connections.py
@@ -1,6 +1,7 @@
 """Callers may open most of their connections to one entry, and later to another one."""
 
 import asyncio
+import socket
 
 from leadford_standins.wire import run_scenario
 
@@ -88,3 +89,18 @@
         assert traffic.served_fraction(began_at + CONTACT_S, now()) >= 0.9 * calm
 
     run_scenario(scenario, entries=9, endpoints=3)
+
+
+def test_an_entry_takes_many_connections_that_come_at_once():
+    # Beyond 128 that wait, the kernel drops a caller's first packet, and it waits 1 s.
+    async def scenario(deployment):
+        address = deployment.entries_[0].settings.callers
+        target = (address.host, address.port)
+        # The event loop does not run meanwhile, so the entry accepts none of them.
+        waiting = [socket.create_connection(target, timeout=0.9) for _ in range(400)]
+        answer = await deployment.send("/unsafe/x", request_id="r")
+        assert answer.code == 200
+        for sock in waiting:
+            sock.close()
+
+    run_scenario(scenario)
