--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -80,6 +80,7 @@
     changes_per_s: float = 0.4,
     ending_per_s: float = 0.0,
     restores_per_s: float = 0.0,
+    uneven_per_s: float = 0.0,
     resume_part: float = 0.0,
     long_part: float = 0.15,
     long_work_s: float = 1.2,
@@ -101,6 +102,8 @@
     :param changes_per_s: changes of the configuration
     :param ending_per_s: new requests that end whoever runs them
     :param restores_per_s: times that the store comes back from a copy
+    :param uneven_per_s: prompt parts that end engines, callers that go to one entry,
+        and answers without a length
     :param resume_part: part of the streams that callers break off and resume, at
         engines of two software versions
     :param long_part: part of the requests that work long
@@ -126,6 +129,7 @@
         changes_per_s=changes_per_s,
         ending_per_s=ending_per_s,
         restores_per_s=restores_per_s,
+        uneven_per_s=uneven_per_s,
         resume_part=resume_part,
         long_part=long_part,
         long_work_s=long_work_s,
--- a/packages/leadford-standins/src/leadford_standins/soak/_base.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_base.py
@@ -58,6 +58,9 @@
     ENDPOINT_REPLACED = "endpoint-replaced"
     ENDPOINT_MISBEHAVES = "endpoint-misbehaves"
     REQUEST_ENDS_ENDPOINTS = "request-ends-endpoints"
+    PART_ENDS_ENGINES = "part-ends-engines"
+    CALLERS_TO_ONE_ENTRY = "callers-to-one-entry"
+    ANSWERS_UNFRAMED = "answers-unframed"
 
 
 class UpgradeWay(Enum):
@@ -99,7 +102,9 @@
     this checkout if empty. `older` is a commit whose build runs beside this one, none
     if empty, and `upgrade` says how it is replaced. Units: requests_per_s counts the
     requests of all callers, faults_per_s injected faults, ending_per_s requests that
-    end every endpoint which runs them, and restores_per_s restores of the store.
+    end every endpoint which runs them, restores_per_s restores of the store, and
+    uneven_per_s prompt parts that end engines, callers that go to one entry, and
+    answers without a length.
     """
 
     seed: int
@@ -111,6 +116,7 @@
     changes_per_s: float = 0.4
     ending_per_s: float = 0.0
     restores_per_s: float = 0.0
+    uneven_per_s: float = 0.0
     resume_part: float = 0.0
     long_part: float = 0.15
     long_work_s: float = 1.2
@@ -147,6 +153,19 @@
     gap_s: float
 
 
+class CrashingPrompts(msgspec.Struct, frozen=True):
+    """Hold a part that ends engines, and how requests with it are sent.
+
+    Each has an id, a body and a last part of its own, and goes to a random entry.
+
+    Units: seconds.
+    """
+
+    part: str
+    duration_s: float
+    gap_s: float
+
+
 class SoakPlan(msgspec.Struct, frozen=True):
     """Hold the options of a soak and all its faults, in order of time."""
 
--- a/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
@@ -132,6 +132,8 @@
         self.endpoints_: set[str] = set()
         # Bodies of requests that end every endpoint which runs them.
         self.ending_bodies_: set[bytes] = set()
+        # Prompt parts that end every engine which answers them.
+        self.ending_parts_: set[str] = set()
         self.errors_: list[str] = []
         self.unowned_ = 0
         self.lag_most_s_ = 0.0
--- a/packages/leadford-standins/src/leadford_standins/soak/_runner.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_runner.py
@@ -60,6 +60,8 @@
         )
         scene.on_stop_ = callers.use_reserved_connections
         scene.repeat_ = callers.repeat
+        scene.send_prompts_ = callers.send_prompts
+        scene.favour_ = callers.favour
         ready_task = asyncio.create_task(watch_ready(scene.entries_, scene.ledger))
         loop = asyncio.get_running_loop()
         scene.ends_at_ = loop.time() + scene.options.seconds
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_service.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_service.py
@@ -13,6 +13,7 @@
     promises,
 )
 from leadford_standins.soak.checks._cuts import time_limit_s
+from leadford_standins.soak.checks._quarantine import ends_endpoints
 from leadford_standins.soak.checks._software import began_at_older_build
 from leadford_standins.soak.parts import DENIED_KEY, DENIED_ROUTE, WORK_HEADER
 
@@ -77,7 +78,7 @@
                 continue
             if sent.detail == "gives up":
                 continue
-            if sent.body in evidence.ledger.ending_bodies_:
+            if ends_endpoints(sent, evidence.ledger):
                 # Refused once it is known to end endpoints; see `_quarantine`.
                 continue
             if began_at_older_build(sent, evidence.ledger):
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
@@ -84,6 +84,13 @@
 RESTORE_SPANS: dict[FaultKind, Span] = {
     K.STORE_RESTORED: Span(1, (0.1, 3), (0.5, 6)),
 }
+# The amount is the time between two requests with the part, the fraction of the
+# requests that go to one entry, or the number of answers.
+UNEVEN_SPANS: dict[FaultKind, Span] = {
+    K.PART_ENDS_ENGINES: Span(1, (12, 18), (0.2, 0.6)),
+    K.CALLERS_TO_ONE_ENTRY: Span(1, (4, 10), (0.7, 0.95)),
+    K.ANSWERS_UNFRAMED: Span(1, (0, 0), (2, 8)),
+}
 # Targets are drawn below this; injectors take them modulo the number of candidates.
 TARGET_LIMIT = 10_000
 
@@ -96,6 +103,7 @@
         # Drawn last, so that a seed gives the same plan in runs without these.
         *_draw_faults(ENDING_SPANS, options.ending_per_s, options, random),
         *_draw_faults(RESTORE_SPANS, options.restores_per_s, options, random),
+        *_draw_faults(UNEVEN_SPANS, options.uneven_per_s, options, random),
         *upgrade_steps(options),
     ]
     faults.sort(key=lambda fault: fault.at_s)
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_platform.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_platform.py
@@ -1,10 +1,12 @@
 """Inject faults of the store and the endpoints, and change the configuration."""
 
 import asyncio
+from collections.abc import Sequence
 
 from leadford_standins.soak._base import (
     MISBEHAVIOUR,
     STORE,
+    CrashingPrompts,
     Fault,
     FaultKind,
     RepeatedRequest,
@@ -14,6 +16,7 @@
 from leadford_standins.wire import (
     EngineStandIn,
     Misbehaviour,
+    PlainStandIn,
     StageStandIn,
     StoreFault,
 )
@@ -38,6 +41,7 @@
 M = Misbehaviour
 PLAIN_MISBEHAVIOURS = (M.LOSE_ANSWER, M.REFUSE, M.FAIL, M.HANG, M.OTHER_ANSWER)
 ENGINE_MISBEHAVIOURS = (*PLAIN_MISBEHAVIOURS, M.CUT, M.GONE, M.STALL)
+UNFRAMED_MISBEHAVIOURS = (M.UNFRAMED, M.UNFRAMED, M.UNFRAMED_CUT, M.UNFRAMED_EMPTY)
 STAGE_MISBEHAVIOURS = (M.REFUSE, M.FAIL, M.GONE, M.LOSE_ANSWER)
 
 
@@ -182,6 +186,29 @@
         allowed = ENGINE_MISBEHAVIOURS
     if isinstance(endpoint, StageStandIn):
         allowed = STAGE_MISBEHAVIOURS
+    await _misbehave(scene, endpoint, fault, allowed)
+
+
+@injects(K.ANSWERS_UNFRAMED)
+async def inject_unframed_answers(scene: SoakScene, fault: Fault) -> None:
+    """Make an endpoint answer without a length, some streams inside an event."""
+    live = [
+        running.endpoint
+        for running in scene.endpoints_.live_
+        if not isinstance(running.endpoint, StageStandIn)
+    ]
+    if live:
+        endpoint = live[fault.target % len(live)]
+        await _misbehave(scene, endpoint, fault, UNFRAMED_MISBEHAVIOURS)
+
+
+async def _misbehave(
+    scene: SoakScene,
+    endpoint: PlainStandIn,
+    fault: Fault,
+    allowed: Sequence[Misbehaviour],
+) -> None:
+    """Plan misbehaviours of an endpoint, and wait until they are used up."""
     for _ in range(max(1, int(fault.amount))):
         endpoint.planned_misbehaviours_.append(scene.random.choice(allowed))
     loop = asyncio.get_running_loop()
@@ -202,3 +229,21 @@
     route = ENDING_ROUTES[fault.target % len(ENDING_ROUTES)]
     scene.repeat_(RepeatedRequest(route, body, fault.duration_s, fault.amount))
     await asyncio.sleep(fault.duration_s)
+
+
+@injects(K.PART_ENDS_ENGINES)
+async def send_crashing_prompts(scene: SoakScene, fault: Fault) -> None:
+    """Send requests that share a part which ends every engine that answers it."""
+    part = f"{fault.target:x}{int(fault.at_s * 1_000):x}"
+    scene.ledger.ending_parts_.add(part)
+    scene.send_prompts_(CrashingPrompts(part, fault.duration_s, fault.amount))
+    await asyncio.sleep(fault.duration_s)
+
+
+@injects(K.CALLERS_TO_ONE_ENTRY)
+async def send_callers_to_one_entry(scene: SoakScene, fault: Fault) -> None:
+    """Let callers open most connections to one entry, then to the next one."""
+    for target in (fault.target, fault.target + 1):
+        scene.favour_(scene.entry(target), fault.amount)
+        await asyncio.sleep(fault.duration_s / 2.0)
+    scene.favour_(None, 0.0)
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_callers.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_callers.py
@@ -5,9 +5,14 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 from random import Random
 
-from leadford_standins.soak._base import RepeatedRequest, SoakOptions
+from leadford_standins.soak._base import (
+    CrashingPrompts,
+    RepeatedRequest,
+    SoakOptions,
+)
 from leadford_standins.soak._ledger import Ledger, Outcome, Sent
 from leadford_standins.soak.parts._config import MOVED_ROUTE, ConfigWriter
 from leadford_standins.soak.parts._connection import CallerConnection
@@ -40,6 +45,7 @@
 ROUTES = ("safe", "unsafe", "resumed", "once", MOVED_ROUTE, "added", "gone", "never")
 ROUTE_WEIGHTS = (4, 4, 3, 3, 3, 3, 1, 0.3)
 RECENT_ROUTE_COUNT = 6
+PROMPT_ROUTES = ("resumed", "once")
 
 
 class Callers:
@@ -65,6 +71,9 @@
         }
         self.tasks_: set[asyncio.Task[None]] = set()
         self.count_ = 0
+        # The entry that most callers go to, and the fraction of the requests there.
+        self.favoured_: EntryProcess | None = None
+        self.favoured_fraction_ = 0.0
         self.resumer = StreamResumer(
             part=options.resume_part, random=random, sent_by_id=ledger.sent_by_id_
         )
@@ -76,11 +85,46 @@
         filling = asyncio.create_task(self._fill_reserved())
         while loop.time() < until:
             await asyncio.sleep(self.random.expovariate(self.options.requests_per_s))
-            entry = self.random.choice(self.entries)
-            self._spawn(self._send(entry, self._draw_request(entry), None))
+            self._spawn(self._next_request())
         filling.cancel()
         await self.finish()
 
+    def _next_request(self) -> Coroutine[None, None, None]:
+        """Return the sending of another request, drawn at random."""
+        favoured = self.favoured_
+        if favoured is None or self.random.random() >= self.favoured_fraction_:
+            entry = self.random.choice(self.entries)
+            return self._send(entry, self._draw_request(entry), None)
+        return self._send_anew(favoured, self._draw_request(favoured))
+
+    async def _send_anew(self, entry: EntryProcess, sent: Sent) -> None:
+        """Send a request over a new connection."""
+        await self._send(entry, sent, await self._open_connection(entry))
+
+    def favour(self, entry: EntryProcess | None, fraction: float) -> None:
+        """Let most callers go to one entry from now on; to all if it is None."""
+        self.favoured_ = entry
+        self.favoured_fraction_ = fraction
+
+    def send_prompts(self, prompts: CrashingPrompts) -> None:
+        """Send requests with a part of the prompt that ends engines."""
+        self._spawn(self._send_prompts(prompts))
+
+    async def _send_prompts(self, prompts: CrashingPrompts) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + prompts.duration_s
+        key = self.config.draw_key()
+        while loop.time() < until:
+            entry = self.random.choice(self.entries)
+            sent = self._draw_request(entry)
+            sent.route, sent.method = self.random.choice(PROMPT_ROUTES), "POST"
+            sent.path, sent.key = f"/{sent.route}/{sent.request_id}", key
+            headers = self._make_headers(sent)
+            parts = f"aa:50,{prompts.part}:30,{sent.request_id}:9"
+            sent.asked = {**headers, "X-Prefix-Hash": parts}
+            self._spawn(self._send(entry, sent, None))
+            await asyncio.sleep(prompts.gap_s)
+
     async def finish(self) -> None:
         """Wait until every request has ended for its caller."""
         while self.tasks_:
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
@@ -132,6 +132,8 @@
         running.endpoint.software = software
         # A shared set, so that endpoints started later end on the same requests.
         running.endpoint.crash_bodies_ = self.ledger.ending_bodies_
+        if isinstance(running.endpoint, EngineStandIn):
+            running.endpoint.crash_parts_ = self.ledger.ending_parts_
         running.endpoint.on_crash_ = partial(self._on_end, running)
         await running.start()
         self.live_.append(running)
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_scene.py
@@ -11,7 +11,12 @@
 from typing import Protocol
 
 from leadford_platform import PlatformObjects
-from leadford_standins.soak._base import EVERYTHING, RepeatedRequest, SoakOptions
+from leadford_standins.soak._base import (
+    EVERYTHING,
+    CrashingPrompts,
+    RepeatedRequest,
+    SoakOptions,
+)
 from leadford_standins.soak._ledger import Ledger
 from leadford_standins.soak.parts._config import ConfigWriter
 from leadford_standins.soak.parts._endpoints import EndpointPool
@@ -77,6 +82,10 @@
         self.proxies_: list[FaultProxy] = []
         self.on_stop_: Callable[[EntryProcess], None] = lambda entry: None
         self.repeat_: Callable[[RepeatedRequest], None] = lambda request: None
+        self.send_prompts_: Callable[[CrashingPrompts], None] = lambda prompts: None
+        self.favour_: Callable[[EntryProcess | None, float], None] = (
+            lambda entry, fraction: None
+        )
 
     async def __aenter__(self) -> "SoakScene":
         self.block_ = AddressBlock()
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
@@ -28,6 +28,7 @@
         f"--changes-per-s={options.changes_per_s}",
         f"--ending-per-s={options.ending_per_s}",
         f"--restores-per-s={options.restores_per_s}",
+        f"--uneven-per-s={options.uneven_per_s}",
         f"--resume-part={options.resume_part}",
         f"--older={options.older}",
         f"--upgrade={options.upgrade.value}",
@@ -59,6 +60,7 @@
         seconds=24.0,
         entries=4,
         ending_per_s=0.1,
+        uneven_per_s=0.1,
         resume_part=0.4,
         older=production_commit(),
         upgrade=UpgradeWay.AND_BACK,
@@ -74,6 +76,13 @@
     assert status == 0, output
 
 
+def test_a_soak_of_prompts_and_callers_that_are_uneven_breaks_no_promise(tmp_path):
+    options = SoakOptions(seed=7004, seconds=26.0, entries=4, uneven_per_s=0.25)
+    status, output = asyncio.run(run_soak(options, tmp_path))
+    assert status == 0, output
+    assert "part-ends-engines" in output
+
+
 def test_a_soak_over_a_store_that_comes_back_from_copies_breaks_no_promise(tmp_path):
     options = SoakOptions(seed=7002, seconds=20.0, entries=8, restores_per_s=0.25)
     status, output = asyncio.run(run_soak(options, tmp_path))
