Count a late report of a crash with its own endpoint, and look for empty crashes only after a change

Found by reading. A run that another entry reports late could join the crash of another endpoint that was nearer in time; and each complete answer looked through all crashes, though none had changed.

--- a/packages/leadford/src/leadford/quarantine/_part_cases.py
+++ b/packages/leadford/src/leadford/quarantine/_part_cases.py
@@ -174,8 +174,9 @@
                 self._retract(part_id, crash)
             if earlier:
                 cleared.append(part_id)
-        self._remove_empty()
-        self.version_ += bool(cleared)
+        if cleared:
+            self._remove_empty()
+            self.version_ += 1
         return cleared
 
     def has_cases(self, keys: PromptKeys) -> bool:
@@ -191,11 +192,12 @@
 
     def _crash_of(self, run: LostRun, at: float) -> Crash:
         """Return the crash to which a run belongs, a new one if there is none."""
-        for crash in reversed(self.crashes_):
-            distance_s = abs(crash.at - at)
-            if distance_s <= SIMULTANEOUS_S:
+        near = [c for c in self.crashes_ if abs(c.at - at) <= SAME_CRASH_S]
+        for crash in near:
+            if run.endpoint_id in crash.endpoint_ids_:
                 return crash
-            if run.endpoint_id in crash.endpoint_ids_ and distance_s <= SAME_CRASH_S:
+        for crash in near:
+            if abs(crash.at - at) <= SIMULTANEOUS_S:
                 return crash
         crash = Crash(at)
         self.crashes_.append(crash)
--- a/packages/leadford/src/leadford/quarantine/tests/test_part_blame.py
+++ b/packages/leadford/src/leadford/quarantine/tests/test_part_blame.py
@@ -102,6 +102,16 @@
     assert fixture.action(keys("bad"), 2.0) is QuarantineAction.RUN
 
 
+def test_a_late_report_belongs_to_the_crash_of_its_endpoint(fixture):
+    fixture.crash(1.0, keys("bad"), endpoint="one")
+    fixture.crash(1.3, keys("bad"), endpoint="two")
+    # Another entry sees the end of the first endpoint only now.
+    fixture.crash(1.35, keys("late"), endpoint="one")
+    assert len(fixture.cases.crashes_by_part_["bad"]) == 2
+    [crash] = fixture.cases.crashes_by_part_["late"]
+    assert crash.at == 1.0
+
+
 def test_a_crash_is_counted_anew_once_its_endpoint_is_back_under_its_id(fixture):
     for at in (1.0, 4.0, 7.0):
         fixture.crash(at, keys("bad"), endpoint="one")
