Give crashes and evacuation messages modules of their own

_part_cases kept cases and described crashes; _links, the largest file of its package, also told and heard which halls are evacuated. No behaviour changes.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -146,7 +146,7 @@
             objects=self.objects,
             state=state,
             on_change=self.stages_.scheduler_.dispatch_all,
-            tell=lambda report: self.links_.send_evacuations(report),
+            tell=lambda report: self.links_.evacuations.tell(report),
         )
         self.members_ = EntryMembers(
             own=KnownEntry(settings.entry_id, str(settings.peers), settings.hall),
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -20,11 +20,8 @@
 )
 from leadford.forwarding.routes import ForwardConfig
 from leadford.protocol import (
-    PROTOCOL_EPOCHS,
-    PROTOCOL_EVACUATIONS,
     PROTOCOL_VERSION,
     EntryHeartbeat,
-    EvacuationReport,
     FleetBacklog,
     LimitNews,
     Message,
@@ -35,6 +32,7 @@
 from leadford_server.forwarding.batching import PieceExchange, StageRunner
 from leadford_server.forwarding.membership._bookings import BookingExchange
 from leadford_server.forwarding.membership._crashes import CrashExchanges
+from leadford_server.forwarding.membership._evacuations import EvacuationExchange
 from leadford_server.forwarding.membership._fleet import FleetView
 from leadford_server.forwarding.membership._heartbeats import Heartbeats
 from leadford_server.forwarding.membership._ledgers import ServiceLedgers
@@ -81,7 +79,6 @@
         self.stages = stages
         self.random = random
         self.address = address
-        self.halls = halls
         self.identity = Identity(entry_id, "entry", state.hall, secret)
         self.fleet = FleetView(state=state)
         self.dialers_by_id_: dict[EntryId, Dialer] = {}
@@ -94,6 +91,9 @@
         self.is_draining_ = False
         self.heartbeats = Heartbeats(entry_id=entry_id, state=state, stages=stages)
         self.paces = PaceExchange(state=state)
+        self.evacuations = EvacuationExchange(
+            state=state, peers_by_id=self.peers_by_id_, halls=halls
+        )
         self.pieces = PieceExchange(
             state=state, stages=stages, peers_by_id=self.peers_by_id_
         )
@@ -151,10 +151,10 @@
         """Return the handler of each type of message."""
         return {
             EntryHeartbeat: self._on_heartbeat,
-            EvacuationReport: self._on_evacuations,
             FleetBacklog: self._on_backlog,
             LimitNews: self._on_limits,
             **self.heartbeats.levels.handlers(),
+            **self.evacuations.handlers(),
             **self.pieces.handlers(),
             **self.news.handlers(),
             **self.relays.handlers(),
@@ -295,7 +295,7 @@
         )
         # Before the configuration: budgets are divided among the known entries.
         self.news.send_entries(peer)
-        self._tell_evacuations(peer, self.halls.report())
+        self.evacuations.send_known(peer)
         self.crashes.send_known(peer)
         peer.announce_version()
 
@@ -329,26 +329,6 @@
         if handler is not None:
             handler(peer, message)
 
-    def send_evacuations(self, report: EvacuationReport) -> None:
-        """Send every peer the evacuated halls."""
-        for peer in list(self.peers_by_id_.values()):
-            self._tell_evacuations(peer, report)
-
-    def _tell_evacuations(
-        self, peer: PeerConnection, report: EvacuationReport | None
-    ) -> None:
-        """Send a peer the evacuated halls, if its build can read the message."""
-        has_evacuations = self.state.bounds.evacuate_s is not None
-        can_read = peer.info.protocol_version >= PROTOCOL_EVACUATIONS
-        if has_evacuations and can_read and report is not None:
-            peer.send(report)
-
-    def _on_evacuations(self, peer: PeerConnection, message: EvacuationReport) -> None:
-        version = peer.info.protocol_version
-        self.halls.learn(
-            message, peer.info.peer_id, has_epochs=version >= PROTOCOL_EPOCHS
-        )
-
     def _on_backlog(self, peer: PeerConnection, message: FleetBacklog) -> None:
         self.heartbeats.record_backlog(message)
 
--- a/packages/leadford/src/leadford/quarantine/__init__.py
+++ b/packages/leadford/src/leadford/quarantine/__init__.py
@@ -5,12 +5,13 @@
 run, and `_apart` chooses the endpoint for a suspected request. Shared by both programs.
 
 Requests that differ may share a part of their prompt that crashes endpoints:
-`_part_cases` records the parts that were being served, `_part_blame` decides which of
-them is at fault, `_part_trials` for how long it is refused, and `_proven` remembers
-which parts were answered lately.
+`_part_cases` records the parts that were being served at each `_crash`, `_part_blame`
+decides which of them is at fault, `_part_trials` for how long it is refused, and
+`_proven` remembers which parts were answered lately.
 """
 
 from leadford.quarantine._apart import choose_apart
+from leadford.quarantine._crash import UNDER_WAY_S, LostRun, PartId, PromptKeys
 from leadford.quarantine._decision import (
     MIN_REPEATED_ENDS,
     QuarantineAction,
@@ -20,14 +21,7 @@
 from leadford.quarantine._digest import NO_DIGEST, RequestContent, RequestDigest
 from leadford.quarantine._ledger import CaseId, CrashCase, CrashLedger, Suspicion
 from leadford.quarantine._part_blame import PartBlame, PartBlames, PartSuspicion
-from leadford.quarantine._part_cases import (
-    UNDER_WAY_S,
-    LostRun,
-    PartCases,
-    PartId,
-    PromptKeys,
-    blamable_parts,
-)
+from leadford.quarantine._part_cases import PartCases, blamable_parts
 from leadford.quarantine._part_trials import PartTrials, strictest
 from leadford.quarantine._proven import ProvenParts
 
--- a/packages/leadford/src/leadford/quarantine/_part_blame.py
+++ b/packages/leadford/src/leadford/quarantine/_part_blame.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from leadford.quarantine._part_cases import Crash, PartCases, PartId, PromptKeys
+from leadford.quarantine._crash import Crash, PartId, PromptKeys
+from leadford.quarantine._part_cases import PartCases
 
 # Crashes from which a part is known to crash endpoints.
 MIN_PART_CRASHES = 3
--- a/packages/leadford/src/leadford/quarantine/_part_trials.py
+++ b/packages/leadford/src/leadford/quarantine/_part_trials.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from leadford.quarantine._crash import PartId, PromptKeys
 from leadford.quarantine._decision import (
     QUARANTINE_S,
     QuarantineAction,
@@ -17,7 +18,6 @@
 )
 from leadford.quarantine._digest import RequestDigest
 from leadford.quarantine._part_blame import PartBlame, PartSuspicion
-from leadford.quarantine._part_cases import PartId, PromptKeys
 
 # Seconds after the last crash for which a part that had been in complete answers is
 # refused at first: it may be harmless after all.
--- a/packages/leadford/src/leadford/quarantine/_proven.py
+++ b/packages/leadford/src/leadford/quarantine/_proven.py
@@ -7,7 +7,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
-from leadford.quarantine._part_cases import PartId
+from leadford.quarantine._crash import PartId
 
 # Seconds for which a complete answer speaks for the parts of its prompt.
 PROVEN_S = 60.0
