Take a stream without a length for broken off where its last attempt brought no event

What callers saw: a stream that went on elsewhere, or that its caller resumed, ended as complete although events were missing.

Cause: the rule for answers that end with their connection before any event passed over streams of which events were known already. An endpoint that ends before its first event closes its connection there as well.

A caller that has all events and not the end, at an endpoint without a length, gets another attempt and then a failure: complete and broken off look alike there.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -66,6 +66,7 @@
         """
         splitter = EventStreamSplitter()
         gaps = EventGaps()
+        has_events = False
         attempt.answer.reader.read_as_stream(MAX_UNREAD_EVENT_BYTES)
         while True:
             began_at = self.state.now()
@@ -86,23 +87,19 @@
                 return False
             gaps.record_read(began_at, self.state.now())
             for event in splitter.feed(data):
+                has_events = True
                 await self._pass_on(attempt, event)
             if data and not splitter.is_too_long:
                 continue
             self._record_gaps(attempt, gaps)
-            if splitter.has_partial_event or self._is_empty(attempt):
+            if splitter.has_partial_event:
+                return False
+            if attempt.ended_with_connection and not has_events:
+                # An endpoint that ends before its first event closes its connection,
+                # too. The caller may lack events even if it has some already.
                 return False
             return attempt.answer.reader.is_complete_
 
-    def _is_empty(self, attempt: Attempt) -> bool:
-        """Return whether an answer that ended with its connection held no event.
-
-        An endpoint that ends before the first event closes its connection, too.
-        """
-        is_resumed = self.progress.request.last_event_id is not None
-        has_events = self.answer.has_begun or is_resumed
-        return attempt.ended_with_connection and not has_events
-
     def _record_gaps(self, attempt: Attempt, gaps: EventGaps) -> None:
         """Record the time between events as a measurement of the engine."""
         gap_s = gaps.usual_s()
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_unframed_answers.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_unframed_answers.py
@@ -112,3 +112,33 @@
         assert event_ids(answer.body) == [1, 2, 3, 4, 5]
 
     run_scenario(scenario)
+
+
+def test_a_stream_that_has_begun_does_not_end_complete_without_a_further_event():
+    # The second engine ends before it sends anything.
+    async def scenario(deployment):
+        for engine in deployment.engines:
+            engine.planned_misbehaviours_ = deployment.engines[0].planned_misbehaviours_
+        plan([deployment.engines[0]], Misbehaviour.CUT)
+        plan([deployment.engines[0]], Misbehaviour.UNFRAMED_EMPTY)
+        answer = await deployment.send("/resumed/x", request_id="r")
+        assert answer.code == 599
+
+    run_scenario(scenario)
+
+
+def test_a_resumed_stream_does_not_end_complete_without_a_further_event():
+    async def scenario(deployment):
+        first, second = deployment.engines
+        first.planned_misbehaviours_ = second.planned_misbehaviours_
+        await deployment.send("/resumed/x", request_id="begun")
+        plan([first], Misbehaviour.UNFRAMED_EMPTY)
+        answer = await deployment.send(
+            "/resumed/x",
+            request_id="r",
+            headers={"Resumes": "begun", "Last-Event-Id": "3"},
+        )
+        assert answer.code == 200
+        assert event_ids(answer.body) == [4, 5]
+
+    run_scenario(scenario)
