Keep shares steady where the entries that sum tell slightly different fractions

Found by reading, before it could be seen: three entries name the busiest one, each with its own sum, and every change of the fraction began the rates of limited and cold endpoints anew, with a request beyond them each time. A change below 0.15 is ignored now, the others always keep a tenth, and waiting requests are only looked for when the share has changed.

--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
@@ -54,6 +54,8 @@
         self.memory = memory
         self.share = share
         self.connections_by_id_: dict[EndpointId, _EndpointConnections] = {}
+        # The share that `apply_share` applied last; waiters are woken when it changes.
+        self.applied_share_ = 0.0
 
     async def acquire(
         self, record: EndpointRecord, connections_max: int
@@ -140,11 +142,15 @@
         Called when the share may have changed.
         """
         share = self.share()
+        if share == self.applied_share_:
+            return
+        self.applied_share_ = share
         for connections in self.connections_by_id_.values():
             allowed = max_connections(connections.limit, share)
             while connections.idle_ and connections.open_count_ > allowed:
                 self._close(connections, connections.idle_.pop(0))
-            for _ in range(allowed - connections.open_count_):
+            waiting = len(connections.waiters_)
+            for _ in range(min(waiting, allowed - connections.open_count_)):
                 self._wake(connections)
 
     def close_idle(self, known_ids: set[EndpointId]) -> None:
--- a/packages/leadford/src/leadford/forwarding/membership/_load.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_load.py
@@ -20,8 +20,11 @@
 # fraction of it in a small fleet.
 MIN_BUSIEST_MULTIPLE = 3.0
 MAX_MIN_BUSIEST_FRACTION = 0.6
-# Fractions are told in steps, so that shares do not change with every report.
-FRACTION_STEP = 0.1
+# The other entries always keep a part.
+MAX_BUSIEST_FRACTION = 0.9
+# A change of the fraction below this is ignored. The entries that sum tell slightly
+# different ones, and limits are divided anew with each change.
+MIN_FRACTION_CHANGE = 0.15
 # Age from which a report of a rate counts for nothing; rates that change are reported
 # at once, others every 5 s.
 MAX_REPORT_AGE_S = 12.0
@@ -113,7 +116,7 @@
         multiple = MIN_BUSIEST_MULTIPLE / max(1, entry_count)
         if fraction < min(MAX_MIN_BUSIEST_FRACTION, multiple):
             return None
-        return BusiestEntry(entry_id, round(fraction / FRACTION_STEP) * FRACTION_STEP)
+        return BusiestEntry(entry_id, min(MAX_BUSIEST_FRACTION, fraction))
 
 
 class LoadShares:
@@ -129,8 +132,10 @@
 
         Units: now in seconds.
         """
-        self.busiest_ = busiest
+        known = self.busiest(now)
         self.told_at_ = now
+        if known is None or not _is_nearly_equal(known, busiest):
+            self.busiest_ = busiest
 
     def busiest(self, now: float) -> BusiestEntry | None:
         """Return the busiest entry, or None if none is known now.
@@ -157,3 +162,9 @@
         else:
             by_load = (1.0 - busiest.fraction) / (entry_count - 1)
         return EQUAL_FRACTION * equal + (1.0 - EQUAL_FRACTION) * max(0.0, by_load)
+
+
+def _is_nearly_equal(known: BusiestEntry, told: BusiestEntry) -> bool:
+    """Return whether it makes no difference which of two is believed."""
+    change = abs(known.fraction - told.fraction)
+    return known.entry_id == told.entry_id and change < MIN_FRACTION_CHANGE
