--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -66,6 +66,7 @@
         """
         splitter = EventStreamSplitter()
         gaps = EventGaps()
+        has_events = False
         attempt.answer.reader.read_as_stream(MAX_UNREAD_EVENT_BYTES)
         while True:
             began_at = self.state.now()
@@ -86,11 +87,18 @@
                 return False
             gaps.record_read(began_at, self.state.now())
             for event in splitter.feed(data):
+                has_events = True
                 await self._pass_on(attempt, event)
             if data and not splitter.is_too_long:
                 continue
             self._record_gaps(attempt, gaps)
-            return attempt.answer.reader.is_complete_ and not splitter.has_partial_event
+            if splitter.has_partial_event:
+                return False
+            if attempt.ended_with_connection and not has_events:
+                # An endpoint that ends before its first event closes its connection,
+                # too. The caller may lack events even if it has some already.
+                return False
+            return attempt.answer.reader.is_complete_
 
     def _record_gaps(self, attempt: Attempt, gaps: EventGaps) -> None:
         """Record the time between events as a measurement of the engine."""
