Work out the blame of prompt parts at most once in 20 ms

Where a network fault cuts off an entry, each lost run changes the cases, and its retry asks for the blame of all parts anew.

Lost runs are looked up by part, and blame is worked out at most once in 20 ms.

--- a/packages/leadford-server/src/leadford_server/quarantine/_prompts.py
+++ b/packages/leadford-server/src/leadford_server/quarantine/_prompts.py
@@ -148,7 +148,7 @@
             Event.PROMPT_PART_QUARANTINED,
             part=blame.part_id,
             crashes=blame.crashes,
-            companions=_text(blame.companions),
+            companions=_text(blame.companion_parts),
             is_proven=blame.is_proven,
             since_first_ms=round((self.now() - blame.first_at) * 1_000.0),
         )
--- a/packages/leadford/src/leadford/quarantine/_crash.py
+++ b/packages/leadford/src/leadford/quarantine/_crash.py
@@ -59,6 +59,7 @@
         self.at = at
         self.endpoint_ids_: set[EndpointId] = set()
         self.endpoint_ids_by_part_: dict[PartId, set[EndpointId]] = {}
+        self.runs_by_part_: dict[PartId, list[LostRun]] = {}
         # Parts of runs whose answer had not begun, or had only just begun.
         self.fresh_ids_: set[PartId] = set()
         self.runs_: list[LostRun] = []
@@ -73,6 +74,17 @@
         for part_id in run.keys.part_ids:
             endpoint_ids = self.endpoint_ids_by_part_.setdefault(part_id, set())
             endpoint_ids.add(run.endpoint_id)
+            self.runs_by_part_.setdefault(part_id, []).append(run)
+
+    def parts_with(self, part_id: PartId) -> set[PartId]:
+        """Return the parts that came with a part in lost runs, and are not cleared."""
+        runs = self.runs_by_part_[part_id]
+        found = {name for run in runs for name in run.keys.part_ids}
+        return found - self.cleared_ids_
+
+    def digests_with(self, part_id: PartId) -> set[RequestDigest]:
+        """Return the requests that held a part in lost runs."""
+        return {run.keys.digest for run in self.runs_by_part_[part_id]}
 
     def strength(self, part_id: PartId) -> float:
         """Return how much the crash speaks against a part, compared with others."""
--- a/packages/leadford/src/leadford/quarantine/_part_blame.py
+++ b/packages/leadford/src/leadford/quarantine/_part_blame.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from leadford.quarantine._crash import Crash, PartId, PromptKeys
+from leadford.quarantine._digest import RequestDigest
 from leadford.quarantine._part_cases import PartCases
 
 # Crashes from which a part is known to crash endpoints.
@@ -22,6 +23,9 @@
 # Crashes later than this after a part was known come from a request that was let run to
 # try it again; the others were under way.
 FAILED_TRIAL_S = 6.0
+# Many runs may be lost at once, for example when a network fault cuts off this entry.
+# The blame of parts is not worked out anew for each of them.
+MIN_UPDATE_INTERVAL_S = 0.02
 # Time for which a part that was in complete answers before its first crash is not yet
 # refused. A harmless one is in another complete answer by then.
 PROVEN_PART_GRACE_S = 2.0
@@ -30,7 +34,7 @@
 class PartBlame(msgspec.Struct, frozen=True):
     """Hold what speaks against one part.
 
-    `companions` are the parts and digests that were present at every crash too.
+    The companions are the parts and requests that were present at every crash too.
     `is_proven` tells whether the part was in a complete answer shortly before the
     first crash, `has_failed_trial` whether it crashed an endpoint when tried again.
 
@@ -39,19 +43,20 @@
 
     part_id: PartId
     crashes: int
-    companions: frozenset[str]
+    companion_parts: frozenset[PartId]
+    companion_digests: frozenset[RequestDigest]
     first_at: float
     last_at: float
     is_proven: bool = False
     has_failed_trial: bool = False
 
+    def matches_prompt(self, keys: PromptKeys) -> bool:
+        """Return whether a prompt holds the part and all that came with it."""
+        return self.companion_parts <= set(keys.part_ids)
+
     def matches(self, keys: PromptKeys) -> bool:
         """Return whether a request holds the part and all its companions."""
-        return self.companions <= {keys.digest, *keys.part_ids}
-
-    def matches_parts(self, keys: PromptKeys, digests: frozenset[str]) -> bool:
-        """Return whether a prompt holds the part and the parts among its companions."""
-        return self.companions - digests <= set(keys.part_ids)
+        return self.companion_digests <= {keys.digest} and self.matches_prompt(keys)
 
     def is_known(self, now: float) -> bool:
         """Return whether the part is known to crash endpoints.
@@ -74,13 +79,13 @@
 
 
 class PartBlames:
-    """Work out the blame of each part, once for each change of the cases."""
+    """Work out the blame of each part after the cases have changed."""
 
     def __init__(self, cases: PartCases) -> None:
         self.cases = cases
         self.version_ = -1
+        self.updated_at_ = float("-inf")
         self.blame_by_part_: Mapping[PartId, PartBlame] = {}
-        self.digests_: frozenset[str] = frozenset()
 
     def suspicion(self, keys: PromptKeys, now: float) -> PartSuspicion:
         """Return what speaks against a request because of its prompt.
@@ -89,7 +94,7 @@
         """
         if not self.cases.has_cases(keys):
             return _NO_SUSPICION
-        self._update()
+        self._update(now)
         is_suspect = False
         for part_id in keys.part_ids:
             blame = self.blame_by_part_.get(part_id)
@@ -97,7 +102,7 @@
                 continue
             if blame.is_known(now) and blame.matches(keys):
                 return PartSuspicion(blame, True)
-            is_suspect |= blame.matches_parts(keys, self.digests_)
+            is_suspect |= blame.matches_prompt(keys)
         return PartSuspicion(None, is_suspect)
 
     def known(self, now: float) -> list[PartBlame]:
@@ -105,30 +110,38 @@
 
         Units: now in seconds.
         """
-        self._update()
+        self._update(now)
         return [blame for blame in self.blame_by_part_.values() if blame.is_known(now)]
 
-    def _update(self) -> None:
+    def _update(self, now: float) -> None:
         if self.version_ == self.cases.version_:
             return
+        if now - self.updated_at_ < MIN_UPDATE_INTERVAL_S:
+            return
         self.version_ = self.cases.version_
-        self.digests_ = frozenset(run.keys.digest for _, run in self.cases.runs())
-        crashes_by_part = self.cases.crashes_by_part_
-        strength_by_culprit = {
-            part_id: _strength(part_id, crashes)
-            for part_id, crashes in crashes_by_part.items()
-            if len(crashes) >= MIN_PART_CRASHES
-            and part_id not in self.cases.proven_ids_
-        }
-        found = {}
-        for part_id, crashes in crashes_by_part.items():
-            if len(crashes) < MIN_SUSPECT_PART_CRASHES:
-                continue
-            own = _unexplained(part_id, crashes, strength_by_culprit)
-            if len(own) >= MIN_SUSPECT_PART_CRASHES:
-                is_proven = part_id in self.cases.proven_ids_
-                found[part_id] = _blame(part_id, own, is_proven=is_proven)
-        self.blame_by_part_ = found
+        self.updated_at_ = now
+        self.blame_by_part_ = _blames(self.cases)
+
+
+def _blames(cases: PartCases) -> dict[PartId, PartBlame]:
+    """Return the blame of each part with enough crashes of its own."""
+    crashes_by_part = {
+        part_id: crashes
+        for part_id, crashes in cases.crashes_by_part_.items()
+        if len(crashes) >= MIN_SUSPECT_PART_CRASHES
+    }
+    strength_by_culprit = {
+        part_id: _strength(part_id, crashes)
+        for part_id, crashes in crashes_by_part.items()
+        if len(crashes) >= MIN_PART_CRASHES and part_id not in cases.proven_ids_
+    }
+    found = {}
+    for part_id, crashes in crashes_by_part.items():
+        own = _unexplained(part_id, crashes, strength_by_culprit)
+        if len(own) >= MIN_SUSPECT_PART_CRASHES:
+            is_proven = part_id in cases.proven_ids_
+            found[part_id] = _blame(part_id, own, is_proven=is_proven)
+    return found
 
 
 def _strength(part_id: PartId, crashes: Sequence[Crash]) -> float:
@@ -156,25 +169,17 @@
 
 
 def _blame(part_id: PartId, crashes: list[Crash], *, is_proven: bool) -> PartBlame:
-    companions = frozenset.intersection(*(_present(part_id, c) for c in crashes))
+    parts = set.intersection(*(crash.parts_with(part_id) for crash in crashes))
+    digests = set.intersection(*(crash.digests_with(part_id) for crash in crashes))
     times = sorted(crash.at for crash in crashes)
     known_at = times[min(MIN_PART_CRASHES, len(times)) - 1]
     return PartBlame(
         part_id,
         len(times),
-        companions,
+        frozenset(parts),
+        frozenset(digests),
         first_at=times[0],
         last_at=times[-1],
         is_proven=is_proven,
         has_failed_trial=times[-1] - known_at > FAILED_TRIAL_S,
     )
-
-
-def _present(part_id: PartId, crash: Crash) -> frozenset[str]:
-    """Return what the runs with a part that a crash ended held, and is not cleared."""
-    present: set[str] = set()
-    for run in crash.runs_:
-        if part_id in run.keys.part_ids:
-            present.add(run.keys.digest)
-            present.update(run.keys.part_ids)
-    return frozenset(present - crash.cleared_ids_)
