--- a/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
@@ -269,9 +269,61 @@
     return ledger
 
 
+def prompt_requests(at_s, part=None, **fields):
+    """Return streams sent at these times, with a part of the prompt if it is given."""
+    parts = f"aa:50,{part}:30" if part else "aa:50"
+    return [
+        answered(
+            "once",
+            at=at,
+            request_id=f"{part}-{number}-{at}",
+            asked={
+                "X-Deadline-Ms": "3000",
+                "X-Model": "m",
+                "X-Token-Counts": "1,1",
+                "X-Prefix-Hash": f"{parts},{number}:9",
+            },
+            answer=events(1, 2, 3, 4, 5),
+            **fields,
+        )
+        for number, at in enumerate(at_s)
+    ]
+
+
+def ended_engines(later=4):
+    """Return a ledger of six runs at once, and others after the contact time."""
+    at_s = [50.0 + number * 0.1 for number in range(6)]
+    at_s += [55.0 + number * 0.1 for number in range(later)]
+    requests = prompt_requests(at_s, "bad")
+    ledger = ledger_of(*requests, services=("engine",))
+    ledger.ending_parts_.add("bad")
+    ledger.run_records_ += [
+        ("i-1", run_of(sent, **{"X-Prefix-Hash": "aa:50,bad:30,1:9"}))
+        for sent in requests
+    ]
+    return ledger
+
+
+def lost_harmless_streams(served=9):
+    """Return a ledger in which some of 20 streams beside a crashing part are served."""
+    ledger = ended_engines(later=0)
+    last = prompt_requests([70.0], "bad", status=503, ran=False)
+    before = prompt_requests([20.0 + n * 0.1 for n in range(20)])
+    beside = prompt_requests([59.0 + n * 0.1 for n in range(20)])
+    for sent in beside[served:]:
+        sent.status = 503
+    for sent in (*last, *before, *beside):
+        ledger.sent_by_id_[sent.request_id] = sent
+    return ledger
+
+
 # For each promise, a function that makes a ledger that breaks it.
 BREAKING = {
     "a request that ends its endpoints is soon sent to none": ended_endpoints,
+    "a prompt part that ends its engines is soon sent to none": ended_engines,
+    "harmless streams are served beside a part that ends engines": (
+        lost_harmless_streams
+    ),
     "an entry is ready in calm and not once it stops": not_ready_in_calm,
     "calm serves what every configuration allows": not_served_in_calm,
     "runs at most once": ran_twice,
@@ -405,3 +457,15 @@
     ledger = ended_endpoints(later)
     promise = "a request that ends its endpoints is soon sent to none"
     assert (promise in found_in(ledger)) is is_broken
+
+
+@pytest.mark.parametrize(("later", "is_broken"), [(0, False), (3, False), (4, True)])
+def test_a_part_may_end_engines_three_times_after_it_must_be_known(later, is_broken):
+    promise = "a prompt part that ends its engines is soon sent to none"
+    assert (promise in found_in(ended_engines(later))) is is_broken
+
+
+@pytest.mark.parametrize(("served", "is_broken"), [(9, True), (10, False), (20, False)])
+def test_harmless_streams_must_be_served_half_as_often_as_before(served, is_broken):
+    promise = "harmless streams are served beside a part that ends engines"
+    assert (promise in found_in(lost_harmless_streams(served))) is is_broken
