--- a/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
@@ -13,6 +13,7 @@
     FAULT_SPANS,
     QUIET_START_S,
     RESTORE_SPANS,
+    UNEVEN_SPANS,
     draw_plan,
 )
 
@@ -58,6 +59,7 @@
         *CHANGE_SPANS,
         *ENDING_SPANS,
         *RESTORE_SPANS,
+        *UNEVEN_SPANS,
         *planned,
     }
     assert kind in injectors_by_kind
@@ -107,3 +109,11 @@
     faults = plan_of(5, older="a commit").faults
     others = [fault for fault in faults if fault.kind is not FaultKind.ENTRY_UPGRADED]
     assert tuple(others) == plan_of(5).faults
+
+
+def test_uneven_traffic_leaves_the_other_faults_of_a_seed_as_they_are():
+    uneven = plan_of(5, uneven_per_s=0.5).faults
+    drawn = [fault for fault in uneven if fault.kind in UNEVEN_SPANS]
+    assert {fault.kind for fault in drawn} == set(UNEVEN_SPANS)
+    others = [fault for fault in uneven if fault.kind not in UNEVEN_SPANS]
+    assert others == list(plan_of(5).faults)
