Leave an entry that is alone all of each limit

The only entry of the fleet was named the busiest, with nine tenths of each limit, and nobody had the rest. Nobody is named in a fleet of one now.

--- a/packages/leadford/src/leadford/forwarding/membership/_load.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_load.py
@@ -109,7 +109,7 @@
             if now - at <= MAX_REPORT_AGE_S
         }
         total_per_s = sum(rates.values())
-        if total_per_s < MIN_FLEET_PER_S:
+        if entry_count < 2 or total_per_s < MIN_FLEET_PER_S:
             return None
         entry_id = max(rates, key=lambda name: (rates[name], name))
         fraction = rates[entry_id] / total_per_s
--- a/packages/leadford/src/leadford/forwarding/membership/tests/test_load.py
+++ b/packages/leadford/src/leadford/forwarding/membership/tests/test_load.py
@@ -66,6 +66,11 @@
     assert found.fraction == pytest.approx(busiest[1])
 
 
+def test_an_entry_that_is_alone_has_all_of_each_limit():
+    assert rates(50.0).busiest(1, now=1.0) is None
+    assert rates(50.0).busiest(2, now=1.0) is not None
+
+
 def test_reports_that_are_old_or_of_a_lost_entry_count_for_nothing():
     found = rates(50.0, *(1.0,) * 9)
     assert found.busiest(10, now=11.0) is not None
