Tell a new peer only of the prompt parts that are not cleared

What callers saw: nothing yet; found by reading the whole change. An entry that starts was told each lost run with all parts of its prompt. A crash stays known while any of its parts is suspected, so the new entry took a first part that all others had seen in complete answers for one at every crash, and refused each request of its callers, for up to ten minutes.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_crashes.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_crashes.py
@@ -139,3 +139,21 @@
     ]
     quarantine.apply_news(PromptNews(lost=reports))
     assert not quarantine.cases_.has_cases(keys("new", "shared"))
+
+
+def test_a_new_peer_is_not_told_of_parts_that_were_cleared():
+    # It refused every request with a first part that all others knew to be harmless.
+    entry = Entry()
+    for number in range(4):
+        lose(
+            entry, f"endpoint-{number}", keys(f"d{number}", "shared", f"part-{number}")
+        )
+        entry.now += 1.0
+    quarantine = entry.state.prompt_quarantine_
+    quarantine.record_answered(keys("sound", "shared"), begun_at=entry.now)
+    other = Entry()
+    other.now = 1_000.0
+    other.state.prompt_quarantine_.apply_news(quarantine.news_for_new_peer())
+    for known in (quarantine, other.state.prompt_quarantine_):
+        verdict = known.verdict(keys("new", "shared", "other"))
+        assert verdict.action is QuarantineAction.RUN
--- a/packages/leadford-server/src/leadford_server/quarantine/_prompts.py
+++ b/packages/leadford-server/src/leadford_server/quarantine/_prompts.py
@@ -7,7 +7,7 @@
 at fault.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from random import Random
 
 from leadford.common import EndpointId
@@ -110,7 +110,10 @@
         for crash, run in self.cases_.runs():
             if len(lost) >= MAX_SHARED_RUNS:
                 break
-            lost.append(_report_from_run(run, age_s=max(0.0, now - crash.at)))
+            age_s = max(0.0, now - crash.at)
+            report = _report_from_run(run, age_s, cleared_ids=crash.cleared_ids_)
+            if report.parts:
+                lost.append(report)
         return PromptNews(lost=lost) if lost else None
 
     def _record(self, run: LostRun) -> bool:
@@ -162,12 +165,15 @@
     return ",".join(sorted(names))
 
 
-def _report_from_run(run: LostRun, age_s: float = 0.0) -> LostRunReport:
+def _report_from_run(
+    run: LostRun, age_s: float = 0.0, *, cleared_ids: Collection[PartId] = ()
+) -> LostRunReport:
+    """Return the report of a run, without the parts that were cleared of its crash."""
     return LostRunReport(
         run.case_id,
         run.keys.digest,
         run.endpoint_id,
-        list(run.keys.part_ids),
+        [name for name in run.keys.part_ids if name not in cleared_ids],
         list(run.proven_ids),
         run.is_under_way,
         age_s * 1_000.0,
