--- a/review/standins.py
+++ b/review/standins.py
@@ -203,6 +203,8 @@
         self.history: list[tuple[int, float, str, bool, dict]] = []
         self.revision = 100
         self.changed = asyncio.Event()
+        # Set when a call about a kind has been answered.
+        self.called: dict[str, asyncio.Event] = {}
         # The kind and the connection of each watch that waits.
         self.waiting: set[tuple[str, Connection]] = set()
 
@@ -243,6 +245,13 @@
         self._record(kind, True, item)
         return True
 
+    async def until_called(self, kind: str, timeout_s: float) -> None:
+        """Wait until a call about a kind has been answered, or for the timeout."""
+        called = self.called.setdefault(kind, asyncio.Event())
+        called.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(called.wait(), timeout_s)
+
     def waiting_ports(self, kind: str) -> set[int]:
         """Return the callers' ports of the watches of a kind that wait."""
         peers = [
@@ -272,6 +281,8 @@
                 status, answer = await self._call(request, kind, name, query)
             finally:
                 self.waiting.discard(waits)
+                if kind in self.called:
+                    self.called[kind].set()
         body = json.dumps(answer).encode()
         head = [("Content-Type", "application/json")]
         await connection.send(encode_answer(status, head, body))
@@ -500,11 +511,12 @@
     headers: Headers = (),
     body: bytes = b"",
     deadline_ms: int = 6_000,
+    key: str = KEY,
 ) -> Message | None:
     """Send a client's request; return a complete answer, or None."""
     lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}"]
     lines += [f"X-Attempt-Id: {request_id}", f"X-Deadline-Ms: {deadline_ms}"]
-    lines += [f"Authorization: Token {KEY}"]
+    lines += [f"Authorization: Token {key}"]
     lines += [f"{name}: {value}" for name, value in headers]
     lines += [f"Content-Length: {len(body)}", "", ""]
     data = "\r\n".join(lines).encode() + body
@@ -615,7 +627,7 @@
         if not (ROOT / "target/deps").is_dir():
             raise RuntimeError("the system is not built")
         status = asyncio.run(_limited(main, record, has_trouble))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.line(f"could not run: {type(error).__name__}: {error}")
     verdict = {HELD: "the rule held", BROKEN: "the rule was broken"}
     record.line(verdict.get(status, "the case could not run"))
@@ -626,5 +638,9 @@
 async def _limited(
     main: Callable[[Record, bool], Awaitable[int]], record: Record, has_trouble: bool
 ) -> int:
+    # A script that is told to end leaves no process behind.
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, asyncio.current_task().cancel)
     async with asyncio.timeout(SCRIPT_TIMEOUT_S):
         return await main(record, has_trouble)
