--- a/review/standins.py
+++ b/review/standins.py
@@ -35,7 +35,6 @@
 # A script runs for 120 seconds at most.
 SCRIPT_TIMEOUT_S = 110.0
 READY_TIMEOUT_S = 20.0
-HISTORY_S = 20.0
 
 Headers = list[tuple[str, str]]
 
