Log and count how late the event loop of an entry is, and what it holds meanwhile

Logs and metrics could not tell an entry that is short of processor time from one whose link is full, or from one that waits for connections to endpoints: event 406 counts from the reading of a head, and what the entry delays itself shows up as slowness of endpoints. Event 107 now says each second while the loop is late: the duration that the last turns had at least, the sum of the delay, the processor time used, requests, connections of callers and to endpoints, and unsent bytes. The same as metrics (leadford_loop_turn_seconds, leadford_loop_delay_seconds, leadford_caller_connections, leadford_unsent_bytes).

--- a/packages/leadford-server/src/leadford_server/forwarding/_framing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_framing.py
@@ -5,6 +5,7 @@
 
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection
+from tornado.iostream import IOStream
 
 # Larger bodies are not joined with their head, which would copy them.
 MAX_JOINED_BODY_BYTES = 64 * 1024
@@ -43,3 +44,11 @@
     """
     text = headers.get("Content-Length", "0")
     return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def unsent_bytes(stream: IOStream | None) -> int:
+    """Return how many bytes are written to a connection but not sent."""
+    if stream is None or stream.closed() or not stream.writing():
+        return 0
+    # The public interface of tornado tells only whether this buffer is empty.
+    return len(stream._write_buffer)
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -26,6 +26,7 @@
 from leadford_server.forwarding._settings import ForwardSettings
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding._store_contract import KnownEntry, ObjectCodec
+from leadford_server.forwarding._turn_probe import TurnProbe
 from leadford_server.forwarding.answers import (
     CallerExchange,
     CallerServer,
@@ -47,7 +48,11 @@
     ObjectsClient,
 )
 from leadford_server.logs import EventLog
-from leadford_server.metrics import FORWARDED_TOTAL
+from leadford_server.metrics import (
+    CALLER_CONNECTIONS,
+    FORWARDED_TOTAL,
+    UNSENT_BYTES,
+)
 
 # Time between checks for requests under way during a planned stop.
 DRAIN_POLL_INTERVAL_S = 0.05
@@ -104,6 +109,12 @@
             random=self.random,
         )
         self._build_holders()
+        self.turn_probe_ = TurnProbe(
+            turns=self.state_.loop_turns_,
+            loop=self.state_.loop,
+            log=self.log_,
+            load_fields=self._load_fields,
+        )
         self.caller_server_ = CallerServer(
             codec=self.codec,
             serve=self._serve,
@@ -118,6 +129,7 @@
         self._start_ready_server()
         await self.links_.start()
         self._follow()
+        self.turn_probe_.start()
         self.log_.report(
             Event.PROCESS_STARTED, role="entry", callers=str(settings.callers)
         )
@@ -330,6 +342,23 @@
             self.caller_server_.check_unsent()
             self.state_.memory_.cut_off_stalled()
             self.state_.memory_.export()
+            self.turn_probe_.export()
+            CALLER_CONNECTIONS.set(self.caller_server_.connection_count)
+            UNSENT_BYTES.set(self._unsent_bytes)
+
+    @property
+    def _unsent_bytes(self) -> int:
+        """Return how many bytes wait to be sent to callers and endpoints."""
+        return self.caller_server_.unsent_bytes + self.state_.pool_.unsent_bytes
+
+    def _load_fields(self) -> dict[str, int | float]:
+        """Return the log fields that tell what the entry holds."""
+        return {
+            "requests": len(self.caller_server_.exchanges_),
+            "connections": self.caller_server_.connection_count,
+            "endpoint_connections": self.state_.pool_.open_count,
+            "unsent_bytes": self._unsent_bytes,
+        }
 
     async def _watch_suspensions(self) -> None:
         """Check for suspensions of the host, and handle each when it is over."""
@@ -396,6 +425,7 @@
 
     def stop(self) -> None:
         """Stop at once, even if requests are under way."""
+        self.turn_probe_.stop()
         self.caller_server_.stop()
         self.ready_server_.stop()
         for task in self.tasks_:
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -29,6 +29,7 @@
 )
 from leadford.forwarding.history import StoreEpochs
 from leadford.forwarding.membership import LoadShares, PeerVersions, RequestRate
+from leadford.forwarding.overload import LoopTurns
 from leadford.forwarding.retries import RetryBudgets, WindowedRetryBudget
 from leadford.forwarding.routes import ProcessStatus, RouteTable, Service, ServiceId
 from leadford.forwarding.streams import OriginLedger, SoftwareHistory, StreamOrigin
@@ -115,6 +116,7 @@
         self.memory_ = HeldMemory(
             limit_bytes=bounds.memory_bytes, now=self.now, log=log
         )
+        self.loop_turns_ = LoopTurns()
         self.request_rate_ = RequestRate()
         self.load_shares_ = LoadShares(entry_id=entry_id)
         self.entry_count_ = 1
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
@@ -14,6 +14,7 @@
 from leadford.forwarding.memory import MemoryRefusal
 from leadford.forwarding.routes import TrafficLimits
 from leadford_server.forwarding._contract import RequestCodec
+from leadford_server.forwarding._framing import unsent_bytes
 from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.answers._callers import CallerExchange
 from leadford_server.forwarding.answers._unsent import UnsentAnswer
@@ -129,6 +130,16 @@
         """Return whether a connection has a request that is not answered yet."""
         return any(item.connection.stream is stream for item in self.exchanges_)
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections on which a request began."""
+        return sum(not stream.closed() for stream in self.streams_)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes wait to be sent to callers."""
+        return sum(map(unsent_bytes, self.streams_))
+
     @property
     def pending_count(self) -> int:
         """Return the number of running requests plus that of unsent answers."""
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -22,10 +22,11 @@
 from leadford_server.forwarding._framing import (
     announced_bytes,
     head_bytes,
+    unsent_bytes,
     write_head,
 )
 from leadford_server.forwarding._memory import HeldBytes
-from leadford_server.forwarding.answers._unsent import UnsentAnswer, unsent_bytes
+from leadford_server.forwarding.answers._unsent import UnsentAnswer
 
 if TYPE_CHECKING:
     from leadford_server.forwarding.answers._caller_server import CallerServer
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_unsent.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_unsent.py
@@ -9,6 +9,7 @@
 from tornado.iostream import IOStream
 
 from leadford.forwarding.memory import HeldCause
+from leadford_server.forwarding._framing import unsent_bytes
 from leadford_server.forwarding._memory import HeldMemory
 
 # The least time that a caller has to read a complete answer, also if the answer was
@@ -16,14 +17,6 @@
 MIN_READ_TIME_S = 5.0
 
 
-def unsent_bytes(stream: IOStream | None) -> int:
-    """Return how many bytes are written to a connection but not sent."""
-    if stream is None or stream.closed() or not stream.writing():
-        return 0
-    # The public interface of tornado tells only whether this buffer is empty.
-    return len(stream._write_buffer)
-
-
 class UnsentAnswer:
     """Account for bytes that are written to one caller but not sent.
 
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from weakref import WeakSet
 
 from leadford.common import EndpointId
 from leadford.forwarding.endpoints import (
@@ -16,8 +17,10 @@
     may_use_again,
 )
 from leadford_server.forwarding._contract import RequestCodec
+from leadford_server.forwarding._framing import unsent_bytes
 from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.endpoints._connection import EndpointConnection
+from leadford_server.forwarding.endpoints._watched import WatchedStream
 from leadford_server.metrics import CONNECTIONS_OPENED_TOTAL
 
 CONNECT_TIMEOUT_S = 0.35
@@ -54,6 +57,7 @@
         self.memory = memory
         self.share = share
         self.connections_by_id_: dict[EndpointId, _EndpointConnections] = {}
+        self.streams_: WeakSet[WatchedStream] = WeakSet()
         # The share that `apply_share` applied last; waiters are woken when it changes.
         self.applied_share_ = 0.0
 
@@ -106,6 +110,7 @@
             self._wake(connections)
             raise
         CONNECTIONS_OPENED_TOTAL.inc()
+        self.streams_.add(connection.stream)
         return connection
 
     def release(self, record: EndpointRecord, connection: EndpointConnection) -> None:
@@ -122,6 +127,16 @@
             return
         self._close(connections, connection)
 
+    @property
+    def open_count(self) -> int:
+        """Return the number of open connections, those in use included."""
+        return sum(c.open_count_ for c in self.connections_by_id_.values())
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes wait to be sent to endpoints."""
+        return sum(map(unsent_bytes, self.streams_))
+
     def _close(
         self, connections: _EndpointConnections, connection: EndpointConnection
     ) -> None:
--- a/packages/leadford-server/src/leadford_server/metrics/__init__.py
+++ b/packages/leadford-server/src/leadford_server/metrics/__init__.py
@@ -6,6 +6,7 @@
     BOOKINGS_TOTAL,
     BUSIEST_FRACTION,
     CALL_FILL,
+    CALLER_CONNECTIONS,
     CONNECTIONS_OPENED_TOTAL,
     COST_MS_TOTAL,
     CRASH_CASES_TOTAL,
@@ -17,6 +18,8 @@
     FORWARDED_TOTAL,
     HELD_BYTES,
     LIVE_REQUESTS,
+    LOOP_DELAY_SECONDS,
+    LOOP_TURN_SECONDS,
     MALFORMED_REPORTS_TOTAL,
     MEMORY_REFUSALS_TOTAL,
     NEWS_BYTES_TOTAL,
@@ -45,6 +48,7 @@
     STREAM_ORIGINS_TOTAL,
     TOKENS_TOTAL,
     UNREADABLE_RECORDS_TOTAL,
+    UNSENT_BYTES,
     MetricsHandler,
 )
 
@@ -53,6 +57,7 @@
     "ADMISSION_TOTAL",
     "BOOKINGS_TOTAL",
     "CALL_FILL",
+    "CALLER_CONNECTIONS",
     "ATTEMPTS_TOTAL",
     "COST_MS_TOTAL",
     "CRASH_CASES_TOTAL",
@@ -73,6 +78,8 @@
     "FIRST_TOKEN_SECONDS",
     "HELD_BYTES",
     "LIVE_REQUESTS",
+    "LOOP_DELAY_SECONDS",
+    "LOOP_TURN_SECONDS",
     "MALFORMED_REPORTS_TOTAL",
     "MEMORY_REFUSALS_TOTAL",
     "PEER_BYTES_TOTAL",
@@ -93,5 +100,6 @@
     "STRAYS_TOTAL",
     "TOKENS_TOTAL",
     "UNREADABLE_RECORDS_TOTAL",
+    "UNSENT_BYTES",
     "MetricsHandler",
 ]
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -140,6 +140,20 @@
     "leadford_busiest_entry_fraction",
     "Fraction of all requests that go to the busiest entry; 0 if they are spread.",
 )
+LOOP_TURN_SECONDS = Gauge(
+    "leadford_loop_turn_seconds",
+    "Duration that the last measured turns of the event loop had at least.",
+)
+LOOP_DELAY_SECONDS = Gauge(
+    "leadford_loop_delay_seconds",
+    "Time in which the event loop was late, since the start of the process.",
+)
+CALLER_CONNECTIONS = Gauge(
+    "leadford_caller_connections", "Open connections of callers."
+)
+UNSENT_BYTES = Gauge(
+    "leadford_unsent_bytes", "Bytes that wait to be sent to callers and endpoints."
+)
 CONNECTIONS_OPENED_TOTAL = Counter(
     "leadford_connections_opened_total", "Connections opened to endpoints."
 )
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/overload/_turns.py
@@ -0,0 +1,71 @@
+"""Tell from the turns of the event loop how late this entry is itself.
+
+In one turn the loop runs everything that is ready. While the processor keeps up, turns
+are short and a timer fires on time. Beyond that, turns grow with what waits, and each
+step of a request waits for a turn. A single long turn is no overload: something took
+long once, or the process was held up. What endpoints or the store delay leaves turns
+short, because the loop does not wait for them within a turn.
+
+Owns the last durations and the sum of the delay. The server measures one turn at a
+time, and schedules the next measurement.
+"""
+
+from collections import deque
+
+# A turn up to this duration is calm: a request passes through about ten of them.
+MAX_CALM_TURN_S = 0.010
+# Measured turns in a row that must be long.
+STANDING_TURN_COUNT = 3
+# Timers are late by this much at times although the loop is idle.
+MIN_DELAY_S = 0.004
+
+
+class LoopTurns:
+    """Hold the last turns of the event loop, and sum up for how long it was late."""
+
+    def __init__(self) -> None:
+        self.last_: deque[float] = deque(maxlen=STANDING_TURN_COUNT)
+        # When the measurement under way ends if the loop is on time.
+        self.due_at_ = float("inf")
+        self.delay_s_ = 0.0
+
+    def begin(self, due_at: float) -> None:
+        """Record until when a measurement lasts if the loop is on time.
+
+        Units: due_at in seconds.
+        """
+        self.due_at_ = due_at
+
+    def record(self, turn_s: float, now: float) -> None:
+        """Record the duration of a turn at the end of its measurement.
+
+        Units: seconds.
+        """
+        self.delay_s_ = self.total_delay_s(now)
+        self.due_at_ = float("inf")
+        self.last_.append(turn_s)
+
+    @property
+    def standing_s(self) -> float:
+        """Return the duration that each of the last turns had at least.
+
+        Units: seconds; 0 until enough turns are known.
+        """
+        if len(self.last_) < STANDING_TURN_COUNT:
+            return 0.0
+        return min(self.last_)
+
+    @property
+    def is_late(self) -> bool:
+        """Tell whether the loop lags behind what is ready to run."""
+        return self.standing_s > MAX_CALM_TURN_S
+
+    def total_delay_s(self, now: float) -> float:
+        """Return for how long the loop was late since the start of the process.
+
+        The difference of two values is what this entry itself delayed in between.
+
+        Units: seconds.
+        """
+        late_s = now - self.due_at_
+        return self.delay_s_ + (late_s if late_s > MIN_DELAY_S else 0.0)
