Show in failing tests that an entry which gets more than it bears serves nearly nothing

Real entries as processes, each stopped for 10 of 16 ms by signals. All fail on this code: most new connections at one entry (plain requests and streams with stages), all entries busy at once, and endpoints ejected for a delay of the entry's own.

--- a/packages/leadford-standins/src/leadford_standins/soak/parts/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/__init__.py
@@ -9,6 +9,7 @@
 )
 from leadford_standins.soak.parts._endpoints import WORK_HEADER, RunningEndpoint
 from leadford_standins.soak.parts._processes import PROGRAM, EntryProcess
+from leadford_standins.soak.parts._processor import ProcessorLimit
 from leadford_standins.soak.parts._proxy import Direction, LinkState
 from leadford_standins.soak.parts._ready import watch_ready
 from leadford_standins.soak.parts._scene import SoakScene
@@ -24,6 +25,7 @@
     "Direction",
     "EntryProcess",
     "LinkState",
+    "ProcessorLimit",
     "RunningEndpoint",
     "SoakScene",
     "watch_ready",
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_busy_entries.py
@@ -0,0 +1,328 @@
+"""An entry that gets more than its processor bears serves what it bears.
+
+The entries are processes that are stopped and continued by signals, so that each has
+about a third of a core.
+"""
+
+import asyncio
+from enum import Enum
+from random import Random
+
+import msgspec
+import pytest
+
+from leadford.events import Event
+from leadford_standins.soak._base import SoakBounds
+from leadford_standins.soak._ledger import Ledger
+from leadford_standins.soak.parts import EntryProcess, ProcessorLimit
+from leadford_standins.soak.parts._processes import AddressBlock
+from leadford_standins.wire import (
+    HOST,
+    KEY,
+    EngineStandIn,
+    PlainStandIn,
+    StageStandIn,
+    StoreStandIn,
+    default_config,
+)
+
+ENDPOINTS = 4
+WORK_S = 0.03
+DEADLINE_S = 1.5
+READY_TIMEOUT_S = 20.0
+# Requests are sent again at other entries this often while they were not read.
+MAX_TRIES = 3
+# Requests at the start, from which entries learn how long answers take.
+WARM_UP_S = 2.0
+WARM_UP_PER_S = 40
+CALM_S = 3.0
+# Time after which an entry that gets most callers must serve them.
+CONTACT_S = 1.0
+BUSY_S = 4.0
+# Fraction of the new connections that go to one entry.
+UNEVEN_FRACTION = 0.95
+# Aim: at the first attempt that was read, as often as before.
+MIN_SERVED_FRACTION = 0.75
+MIN_CALM_FRACTION = 0.95
+
+
+class End(Enum):
+    """Say how an attempt ended for its caller."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    LATE = "late"
+    UNREAD = "unread"
+
+
+class Try(msgspec.Struct):
+    """Hold one attempt: when it was sent, to which entry, and how it ended."""
+
+    sent_at: float
+    entry: int
+    number: int
+    end: End = End.LATE
+
+
+class BusyFleet:
+    """Run a store, endpoints and entries with little processor time."""
+
+    def __init__(self, folder, *, entries=4, route="unsafe", seed=1):
+        self.entry_count = entries
+        self.folder = folder
+        self.route = route
+        self.random = Random(seed)
+        self.tries_ = []
+        self.count_ = 0
+
+    async def __aenter__(self):
+        self.block_ = AddressBlock()
+        self.block_.__enter__()
+        self.store = StoreStandIn()
+        store_address = self.store.start()
+        halls = [f"hall-{number}" for number in range(ENDPOINTS)]
+        self.plain = [
+            PlainStandIn(service="plain", hall=hall, work_s=WORK_S) for hall in halls
+        ]
+        self.stages = []
+        for hall in halls:
+            self.stages.append(
+                StageStandIn(service="stage", hall=hall, result_holders=self.stages)
+            )
+        self.engines = [
+            EngineStandIn(service="engine", hall=hall, result_holders=self.stages)
+            for hall in halls
+        ]
+        for endpoint in [*self.plain, *self.stages, *self.engines]:
+            endpoint.start()
+            self.store.put("servers", endpoint.endpoint_id, endpoint.spec())
+        self.store.put("config", "main", self._config())
+        self.entries = [
+            EntryProcess(
+                name=f"entry-{number}",
+                ip=self.block_.address(number),
+                hall=halls[number % ENDPOINTS],
+                halls=halls,
+                store=store_address,
+                bounds=SoakBounds(),
+                folder=self.folder,
+                ledger=Ledger(),
+            )
+            for number in range(self.entry_count)
+        ]
+        for entry in self.entries:
+            entry.write_settings()
+            entry.start()
+        await self._wait_ready()
+        self.limits = [ProcessorLimit(process=e.process_) for e in self.entries]
+        for limit in self.limits:
+            limit.start()
+        await self.send_for(WARM_UP_S, WARM_UP_PER_S, self.evenly)
+        return self
+
+    async def __aexit__(self, *error):
+        for limit in self.limits:
+            limit.end()
+        for entry in self.entries:
+            entry.kill()
+        for endpoint in [*self.plain, *self.stages, *self.engines]:
+            await endpoint.stop()
+        self.store.stop()
+        self.block_.__exit__(*error)
+
+    def _config(self):
+        config = default_config()
+        config["limits"] = {"idleTimeoutMs": 60_000}
+        for service in config["services"]:
+            service["maxConns"] = 1_000
+            if "pieces" in service:
+                # Stages with room: only the entries are to be short.
+                service["pieces"].update(batch=40, headroomMb=100.0)
+        return config
+
+    async def _wait_ready(self):
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for number in range(self.entry_count):
+                while await self._try(number, 1) is not End.SERVED:
+                    await asyncio.sleep(0.1)
+        self.tries_.clear()
+
+    async def send_for(self, seconds, per_s, choose):
+        """Send requests at a rate for a time, each over a new connection."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        async with asyncio.TaskGroup() as group:
+            for number in range(int(seconds * per_s)):
+                await asyncio.sleep(began_at + number / per_s - loop.time())
+                group.create_task(self._send(choose()))
+        return began_at
+
+    async def _send(self, entry):
+        """Send a request, and again to other entries while it is not read."""
+        for number in range(1, MAX_TRIES + 1):
+            if await self._try(entry, number) is not End.UNREAD:
+                return
+            others = [e for e in self.running() if e != entry]
+            entry = self.random.choice(others)
+
+    def running(self):
+        return [n for n in range(self.entry_count) if self.entries[n].is_running()]
+
+    async def _try(self, entry, number):
+        loop = asyncio.get_running_loop()
+        attempt = Try(loop.time(), entry, number)
+        self.tries_.append(attempt)
+        try:
+            async with asyncio.timeout(DEADLINE_S):
+                attempt.end = await self._exchange(entry)
+        except TimeoutError:
+            attempt.end = End.LATE
+        except OSError:
+            # No byte of an answer came: the request was not read.
+            attempt.end = End.UNREAD
+        return attempt.end
+
+    async def _exchange(self, entry):
+        reader, writer = await asyncio.open_connection(*self.entries[entry].callers)
+        self.count_ += 1
+        head = {
+            "Host": HOST,
+            "Authorization": f"Token {KEY}",
+            "X-Attempt-Id": f"r{self.count_}",
+            "X-Deadline-Ms": str(round(DEADLINE_S * 1_000)),
+            "X-Pieces": "2,1",
+            "X-Piece-Key": f"pk-{self.count_}",
+            "X-Model": "m",
+            "X-Token-Counts": "100,10",
+            "X-Prefix-Hash": f"aa:50,p{self.count_ % 50}:20",
+            "Content-Length": "7",
+        }
+        lines = "".join(f"{name}: {value}\r\n" for name, value in head.items())
+        try:
+            request = f"POST /{self.route}/x HTTP/1.1\r\n{lines}\r\npayload"
+            writer.write(request.encode())
+            answer = await reader.readuntil(b"\r\n\r\n")
+            status = int(answer.split(b" ", 2)[1])
+            if status in (429, 503):
+                return End.REFUSED
+            if status != 200:
+                return End.FAILED
+            await self._read_body(reader, answer)
+            return End.SERVED
+        except asyncio.IncompleteReadError as error:
+            return End.FAILED if error.partial else End.UNREAD
+        finally:
+            writer.close()
+
+    async def _read_body(self, reader, answer):
+        for line in answer.decode().lower().splitlines():
+            name, _, value = line.partition(": ")
+            if name == "content-length":
+                await reader.readexactly(int(value))
+                return
+        await reader.readuntil(b"0\r\n\r\n")
+
+    def served_fraction(self, since, until=float("inf")):
+        """Return how many of the attempts that were read were served."""
+        ends = [
+            attempt.end
+            for attempt in self.tries_
+            if since <= attempt.sent_at < until and attempt.end is not End.UNREAD
+        ]
+        assert len(ends) >= 50
+        return ends.count(End.SERVED) / len(ends)
+
+    def served_count(self, since):
+        """Return how many requests that were sent since a moment were served."""
+        found = [a for a in self.tries_ if a.sent_at >= since]
+        return sum(attempt.end is End.SERVED for attempt in found)
+
+    def logged(self, entry, event):
+        """Return the lines that an entry logged for an event."""
+        text = (self.folder / f"{entry}.log").read_text()
+        mark = f'"event": {event.number},'
+        return [line for line in text.splitlines() if mark in line]
+
+    def describe(self, since):
+        """Return the ends of the attempts, by second since a moment."""
+        lines = []
+        for second in range(12):
+            found = [
+                (a.end.value, a.entry)
+                for a in self.tries_
+                if second <= a.sent_at - since < second + 1
+            ]
+            counts = {end.value: 0 for end in End}
+            for end, _ in found:
+                counts[end] += 1
+            lines.append(f"{second} {counts}")
+        return "\n".join(lines)
+
+    def evenly(self):
+        """Return the entry for the next request, any that runs."""
+        return self.random.choice(self.running())
+
+    def mostly(self, entry):
+        """Return a choice that gives one entry most of the requests."""
+
+        def choose():
+            if self.random.random() < UNEVEN_FRACTION:
+                return entry
+            return self.evenly()
+
+        return choose
+
+
+def run(scenario, folder, **fields):
+    async def main():
+        async with BusyFleet(folder, **fields) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(("route", "per_s"), [("unsafe", 450), ("once", 160)])
+def test_an_entry_that_gets_most_new_connections_serves_what_it_reads(
+    tmp_path, route, per_s
+):
+    # The entry worked on requests that were late already, and served nearly none.
+    async def scenario(fleet):
+        calm_at = await fleet.send_for(CALM_S, per_s, fleet.evenly)
+        calm = fleet.served_fraction(calm_at)
+        assert calm >= MIN_CALM_FRACTION, fleet.describe(calm_at)
+        for entry in (0, 2):
+            busy_at = await fleet.send_for(BUSY_S, per_s, fleet.mostly(entry))
+            served = fleet.served_fraction(busy_at + CONTACT_S)
+            assert served >= MIN_SERVED_FRACTION * calm, fleet.describe(busy_at)
+            # The callers move on to another entry as this one is lost.
+            fleet.entries[entry].kill()
+        spread_at = await fleet.send_for(CALM_S, per_s / 3, fleet.evenly)
+        served = fleet.served_fraction(spread_at + CONTACT_S)
+        assert served >= 0.95 * calm, fleet.describe(spread_at)
+
+    run(scenario, tmp_path, route=route)
+
+
+def test_no_endpoint_is_blamed_for_what_a_busy_entry_delays(tmp_path):
+    # Answers that the entry read late counted as slow, and their endpoints as failed.
+    async def scenario(fleet):
+        await fleet.send_for(BUSY_S, 450, fleet.mostly(0))
+        ejected = fleet.logged("entry-0", Event.ENDPOINT_EJECTED)
+        assert not ejected, ejected[:3]
+
+    run(scenario, tmp_path, route="safe")
+
+
+def test_entries_that_are_all_busy_serve_what_they_bear(tmp_path):
+    # Closing connections unread only moves them on, so it must cost little.
+    async def scenario(fleet):
+        bearable_per_s = 300
+        calm_at = await fleet.send_for(CALM_S, bearable_per_s, fleet.evenly)
+        assert fleet.served_fraction(calm_at) >= MIN_CALM_FRACTION
+        busy_at = await fleet.send_for(BUSY_S, 2.5 * bearable_per_s, fleet.evenly)
+        served = fleet.served_count(busy_at + CONTACT_S)
+        borne = bearable_per_s * (BUSY_S - CONTACT_S)
+        assert served >= MIN_SERVED_FRACTION * borne, fleet.describe(busy_at)
+
+    run(scenario, tmp_path, entries=2)
