Close new connections unread while the event loop of an entry is late

What callers saw: while most new connections went to one entry, nearly all requests there were late or failed. Cause: the entry had no notion of its own capacity. It read all that came; with each request more waits in a turn of the loop, every step of every request waits for a turn, and soon all work is on requests whose callers have left.

Now three turns in a row over 15 ms, or two over 40 ms, lower the rate of new connections that are read; the others are closed unread, so that their callers try another entry at once, and nothing has run. Until the loop is on time again only 5 a second are read, then the lowered rate, which rises fast up to 0.85 of that at which the loop became late, and slowly from there. A single long turn changes nothing, endpoints and the store cannot make turns long. At most 16 connections are read in one turn, so that a burst shows before it delays everything. While connections are closed, answers close theirs too, so that callers of kept ones may go elsewhere. Requests and streams that were read go on.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -19,6 +19,7 @@
 from leadford.forwarding.answers import EndReason, FinalAnswer, RequestOutcome
 from leadford.forwarding.membership import may_stop, stop_ends_at
 from leadford.forwarding.memory import MemoryRefusal
+from leadford.forwarding.overload import ConnectionAdmission
 from leadford.forwarding.routes import ForwardConfig
 from leadford_server.clock import SuspensionWatch, boot_time
 from leadford_server.forwarding._contract import RequestCodec
@@ -109,10 +110,12 @@
             random=self.random,
         )
         self._build_holders()
+        self.connections_ = ConnectionAdmission(turns=self.state_.loop_turns_)
         self.turn_probe_ = TurnProbe(
             turns=self.state_.loop_turns_,
             loop=self.state_.loop,
             log=self.log_,
+            on_turn=self.connections_.update,
             load_fields=self._load_fields,
         )
         self.caller_server_ = CallerServer(
@@ -124,6 +127,7 @@
             on_refused=self._on_refused,
             on_cut_off=self._on_cut_off,
             memory=self.state_.memory_,
+            admission=self.connections_,
         )
         self.caller_server_.start(settings.callers.host, settings.callers.port)
         self._start_ready_server()
@@ -354,6 +358,8 @@
     def _load_fields(self) -> dict[str, int | float]:
         """Return the log fields that tell what the entry holds."""
         return {
+            "shed": self.connections_.shed_count_,
+            "admitted_per_s": round(self.connections_.limit_per_s_ or 0.0),
             "requests": len(self.caller_server_.exchanges_),
             "connections": self.caller_server_.connection_count,
             "endpoint_connections": self.state_.pool_.open_count,
--- a/packages/leadford-server/src/leadford_server/forwarding/_turn_probe.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_turn_probe.py
@@ -23,7 +23,8 @@
 class TurnProbe:
     """Measure turns from `start` until `stop`.
 
-    `load_fields` returns the log fields that tell what the entry holds.
+    `on_turn` is called after each measured turn. `load_fields` returns the log fields
+    that tell what the entry holds.
     """
 
     def __init__(
@@ -32,11 +33,13 @@
         turns: LoopTurns,
         loop: asyncio.AbstractEventLoop,
         log: EventLog,
+        on_turn: Callable[[float], None],
         load_fields: Callable[[], dict[str, int | float]],
     ) -> None:
         self.turns = turns
         self.loop = loop
         self.log = log
+        self.on_turn = on_turn
         self.load_fields = load_fields
         self.timer_: asyncio.TimerHandle | None = None
         self.began_at_ = 0.0
@@ -74,6 +77,7 @@
             return
         now = self.loop.time()
         self.turns.record(now - self.began_at_, now)
+        self.on_turn(now)
         self._report(now)
         self.start()
 
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
@@ -4,20 +4,23 @@
 """
 
 import asyncio
+import socket
 from collections.abc import Callable, Coroutine
 from weakref import WeakSet
 
-from tornado import httpserver, httputil, iostream
+from tornado import httpserver, httputil, iostream, netutil
 from tornado.http1connection import HTTP1Connection
 
 from leadford.forwarding.answers import FinalAnswer
 from leadford.forwarding.memory import MemoryRefusal
+from leadford.forwarding.overload import ConnectionAdmission
 from leadford.forwarding.routes import TrafficLimits
 from leadford_server.forwarding._contract import RequestCodec
 from leadford_server.forwarding._framing import unsent_bytes
 from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.answers._callers import CallerExchange
 from leadford_server.forwarding.answers._unsent import UnsentAnswer
+from leadford_server.metrics import CONNECTIONS_SHED_TOTAL
 
 # Seconds beyond the configured idle time before a connection is closed.
 IDLE_GRACE_S = 2.0
@@ -26,6 +29,10 @@
 # Connections that may wait to be accepted. The platform may hand all new connections of
 # a region to one entry at once.
 MAX_PENDING_CONNECTIONS = 1_024
+# Connections that are accepted, and read, in one turn of the loop; the others wait for
+# the next. A turn that reads all of a burst would delay all that is under way.
+MAX_ACCEPTED_PER_TURN = 128
+MAX_READ_PER_TURN = 16
 # Effectively unlimited: `CallerExchange` enforces the configured limit on bodies while
 # they arrive, instead of the library.
 MAX_BODY_READ_BYTES = 1 << 40
@@ -48,6 +55,7 @@
         on_refused: Callable[[CallerExchange, MemoryRefusal, FinalAnswer], None],
         on_cut_off: Callable[[CallerExchange, int], None],
         memory: HeldMemory,
+        admission: ConnectionAdmission,
     ) -> None:
         self.codec = codec
         self.serve = serve
@@ -57,11 +65,13 @@
         self.on_refused = on_refused
         self.on_cut_off = on_cut_off
         self.memory = memory
+        self.admission = admission
         self.limits_ = TrafficLimits()
         self.exchanges_: set[CallerExchange] = set()
         self.unsent_answers_: list[UnsentAnswer] = []
         self.streams_: WeakSet[iostream.IOStream] = WeakSet()
         self.server_: httpserver.HTTPServer | None = None
+        self.sockets_: list[socket.socket] = []
         self.is_stopped_ = False
 
     def start(self, host: str, port: int) -> None:
@@ -73,7 +83,35 @@
             max_header_size=HEAD_READ_FACTOR * limits.header_bytes,
             max_body_size=MAX_BODY_READ_BYTES,
         )
-        self.server_.listen(port, address=host, backlog=MAX_PENDING_CONNECTIONS)
+        self.sockets_ = netutil.bind_sockets(
+            port, address=host, backlog=MAX_PENDING_CONNECTIONS
+        )
+        loop = asyncio.get_running_loop()
+        for sock in self.sockets_:
+            loop.add_reader(sock, self._accept, sock)
+
+    def _accept(self, sock: socket.socket) -> None:
+        """Read some of the new connections, and close others unread."""
+        now = asyncio.get_running_loop().time()
+        read_count = 0
+        for _ in range(MAX_ACCEPTED_PER_TURN):
+            try:
+                connection, address = sock.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            if not self.admission.admits(now):
+                CONNECTIONS_SHED_TOTAL.inc()
+                connection.close()
+                continue
+            self.server_.handle_stream(iostream.IOStream(connection), address)
+            read_count += 1
+            if read_count == MAX_READ_PER_TURN:
+                return
+
+    def closes_connections(self) -> bool:
+        """Return whether to close connections together with their answers."""
+        now = asyncio.get_running_loop().time()
+        return self.is_draining() or self.admission.closes_kept(now)
 
     def apply_limits(self, limits: TrafficLimits) -> None:
         """Set the limits for requests that arrive from now on."""
@@ -153,6 +191,9 @@
         interrupted by its exit.
         """
         self.is_stopped_ = True
-        self.server_.stop()
+        loop = asyncio.get_running_loop()
+        for sock in self.sockets_:
+            loop.remove_reader(sock)
+            sock.close()
         for stream in list(self.streams_):
             stream.close()
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -62,6 +62,8 @@
         self.task_: asyncio.Task[None] | None = None
         self.has_begun_ = False
         self.is_over_ = False
+        # Whether the head of the answer announced that the connection is closed.
+        self.closes_ = False
         # Set when the final answer is written before the body has arrived; the rest of
         # the body is read and dropped.
         self.is_refused_ = False
@@ -264,9 +266,10 @@
             if lower in CONNECTION_HEADERS or lower == "content-length":
                 continue
             lines.add(name, value)
-        if self.server.is_draining():
+        if self.server.closes_connections():
             lines["Connection"] = "close"
             self.connection.no_keep_alive = True
+            self.closes_ = True
         return lines
 
     def _write_head(
@@ -279,7 +282,7 @@
 
     def _end(self) -> None:
         self.is_over_ = True
-        closes = self.server.is_draining()
+        closes = self.closes_ or self.server.is_draining()
         self.connection.finish()
         if closes:
             # Bytes that are already written are sent before the close.
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -151,6 +151,10 @@
 CALLER_CONNECTIONS = Gauge(
     "leadford_caller_connections", "Open connections of callers."
 )
+CONNECTIONS_SHED_TOTAL = Counter(
+    "leadford_connections_shed_total",
+    "Connections of callers that were closed unread because the event loop was late.",
+)
 UNSENT_BYTES = Gauge(
     "leadford_unsent_bytes", "Bytes that wait to be sent to callers and endpoints."
 )
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_busy_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_busy_entries.py
@@ -63,6 +63,7 @@
     entry: int
     number: int
     end: End = End.LATE
+    took_s: float = DEADLINE_S
 
 
 class BusyFleet:
@@ -184,6 +185,7 @@
         except OSError:
             # No byte of an answer came: the request was not read.
             attempt.end = End.UNREAD
+        attempt.took_s = loop.time() - attempt.sent_at
         return attempt.end
 
     async def _exchange(self, entry):
--- a/packages/leadford/src/leadford/common/__init__.py
+++ b/packages/leadford/src/leadford/common/__init__.py
@@ -1,7 +1,7 @@
 """Ids, states, registries, checks and estimates that all other subpackages use."""
 
 from leadford.common._checks import check_fraction, check_positive
-from leadford.common._estimates import Ewma, TokenBucket
+from leadford.common._estimates import EventRate, Ewma, TokenBucket
 from leadford.common._hashing import rendezvous_order, rendezvous_weight, stable_hash
 from leadford.common._ids import (
     AttemptNumber,
@@ -28,6 +28,7 @@
     "ConfigVersion",
     "EndpointId",
     "EntryId",
+    "EventRate",
     "Ewma",
     "HallId",
     "HostId",
--- a/packages/leadford/src/leadford/common/_estimates.py
+++ b/packages/leadford/src/leadford/common/_estimates.py
@@ -1,8 +1,10 @@
-"""Provide moving averages and token buckets.
+"""Provide moving averages, rates and token buckets.
 
 Rules of both programs use them; callers pass in the time.
 """
 
+from math import exp
+
 
 class Ewma:
     """Average observations with exponentially decreasing weights."""
@@ -22,6 +24,28 @@
         self.value_ += weight * (observation - self.value_)
 
 
+class EventRate:
+    """Average the rate of events over about `time_constant_s`.
+
+    Units: seconds; events per second.
+    """
+
+    def __init__(self, *, time_constant_s: float) -> None:
+        self.time_constant_s = time_constant_s
+        self.per_s_ = 0.0
+        self.updated_at_ = 0.0
+
+    def record(self, now: float) -> None:
+        """Count one event."""
+        self.per_s_ = self.per_s(now) + 1.0 / self.time_constant_s
+        self.updated_at_ = now
+
+    def per_s(self, now: float) -> float:
+        """Return the rate."""
+        elapsed_s = max(0.0, now - self.updated_at_)
+        return self.per_s_ * exp(-elapsed_s / self.time_constant_s)
+
+
 class TokenBucket:
     """Allow a rate of events with a bounded burst."""
 
--- a/packages/leadford/src/leadford/forwarding/membership/_load.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_load.py
@@ -7,9 +7,7 @@
 old, shares are equal.
 """
 
-from math import exp
-
-from leadford.common import EntryId
+from leadford.common import EntryId, EventRate
 from leadford.forwarding.endpoints import BusiestEntry
 
 # Time constant of the measured rate of requests.
@@ -43,8 +41,7 @@
     """Measure the rate of requests that callers send to this entry."""
 
     def __init__(self) -> None:
-        self.per_s_ = 0.0
-        self.updated_at_ = 0.0
+        self.rate_ = EventRate(time_constant_s=RATE_TIME_CONSTANT_S)
         self.reported_per_s_ = 0.0
         self.reported_at_ = float("-inf")
 
@@ -53,16 +50,14 @@
 
         Units: now in seconds.
         """
-        self.per_s_ = self.per_s(now) + 1.0 / RATE_TIME_CONSTANT_S
-        self.updated_at_ = now
+        self.rate_.record(now)
 
     def per_s(self, now: float) -> float:
         """Return the rate of requests, averaged over about a second.
 
         Units: now in seconds; requests per second.
         """
-        elapsed_s = max(0.0, now - self.updated_at_)
-        return self.per_s_ * exp(-elapsed_s / RATE_TIME_CONSTANT_S)
+        return self.rate_.per_s(now)
 
     def take_report(self, now: float) -> float | None:
         """Return the rate if it is to be reported now, otherwise None.
--- a/packages/leadford/src/leadford/forwarding/overload/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/overload/__init__.py
@@ -1,8 +1,10 @@
-"""Tell how late this entry is itself, apart from what endpoints and the store delay.
+"""Notice that this entry is late itself, and take fewer new connections.
 
-`_turns` holds the durations of turns of the event loop and sums up its delay.
+`_turns` tells from the turns of the event loop how late the entry is, apart from what
+endpoints and the store delay. `_connections` decides which new connections are read.
 """
 
+from leadford.forwarding.overload._connections import ConnectionAdmission
 from leadford.forwarding.overload._turns import MAX_CALM_TURN_S, LoopTurns
 
-__all__ = ["MAX_CALM_TURN_S", "LoopTurns"]
+__all__ = ["MAX_CALM_TURN_S", "ConnectionAdmission", "LoopTurns"]
--- /dev/null
+++ b/packages/leadford/src/leadford/forwarding/overload/_connections.py
@@ -0,0 +1,129 @@
+"""Decide which new connections an entry reads, and which it closes unread.
+
+A caller whose connection is closed unread tries another entry at once, and nothing has
+run. What was read keeps its place: requests and streams under way go on. So new
+connections give way first, as soon as the event loop lags behind, and as many as it
+takes for the loop to keep up.
+
+The rate of connections that are read is lowered each time the loop becomes late, and
+raised slowly while it is on time. Until what waits has been worked off, only few are
+read. Some always are: an entry that says it is ready takes connections.
+
+Owns the rate. The server asks for each new connection, and calls `update` after each
+measured turn.
+"""
+
+from leadford.common import EventRate, TokenBucket
+from leadford.forwarding.overload._turns import MAX_CALM_TURN_S, LoopTurns
+
+# Time between two steps that raise the rate.
+RAISING_INTERVAL_S = 0.1
+# A loop that is still late after this time gets a lower rate again.
+MAX_BACKLOG_S = 1.0
+# Factors that lower the rate, by how late the loop is.
+MIN_LOWERING = 0.75
+MAX_LOWERING = 0.9
+# Factor that raises it, below this fraction of the rate at which the loop became late,
+# and above it.
+KNOWN_FRACTION = 0.85
+FAST_RAISING = 1.2
+SLOW_RAISING = 1.03
+RAISING_PER_S = 0.5
+# Connections that are read in any case.
+MIN_ADMITTED_PER_S = 5.0
+# The rate may be exceeded for this time.
+BURST_S = 0.05
+# Time without a closed connection after which all are read again.
+RECOVERY_S = 2.0
+# Time after a closed connection in which kept ones are closed with their answers.
+CLOSING_S = 1.0
+ADMITTED_TIME_CONSTANT_S = 0.3
+
+
+class ConnectionAdmission:
+    """Hold the rate of new connections that are read; None while all of them are."""
+
+    def __init__(self, *, turns: LoopTurns) -> None:
+        self.turns = turns
+        self.limit_per_s_: float | None = None
+        # The rate at which the loop became late last.
+        self.late_per_s_ = 0.0
+        self.admitted_ = EventRate(time_constant_s=ADMITTED_TIME_CONSTANT_S)
+        self.bucket_ = TokenBucket(rate_per_s=MIN_ADMITTED_PER_S, burst=1.0)
+        self.raised_at_ = float("-inf")
+        # When the rate was lowered, until the loop is on time again.
+        self.lowered_at_: float | None = None
+        self.shed_at_ = float("-inf")
+        self.shed_count_ = 0
+
+    def admits(self, now: float) -> bool:
+        """Return whether to read a new connection; otherwise it is to be closed.
+
+        Units: now in seconds.
+        """
+        if self.limit_per_s_ is not None and not self.bucket_.try_take(now):
+            self.shed_at_ = now
+            self.shed_count_ += 1
+            return False
+        self.admitted_.record(now)
+        return True
+
+    def closes_kept(self, now: float) -> bool:
+        """Return whether to close kept connections together with their answers.
+
+        Then callers open new ones, which this entry may leave to others.
+
+        Units: now in seconds.
+        """
+        return now - self.shed_at_ < CLOSING_S
+
+    def update(self, now: float) -> None:
+        """Change the rate by the last turns of the loop.
+
+        Units: now in seconds.
+        """
+        if self.turns.is_late:
+            self._lower(now)
+        elif self.lowered_at_ is not None:
+            self.lowered_at_ = None
+            self.raised_at_ = now
+        elif now - self.raised_at_ >= RAISING_INTERVAL_S:
+            self.raised_at_ = now
+            self._raise(now)
+        self._apply(now)
+
+    def _lower(self, now: float) -> None:
+        """Lower the rate, unless the loop still works off what came before."""
+        was_late = self.lowered_at_ is not None
+        if was_late and now - self.lowered_at_ < MAX_BACKLOG_S:
+            return
+        self.lowered_at_ = now
+        per_s = self.limit_per_s_
+        if not was_late:
+            admitted_per_s = self.admitted_.per_s(now)
+            per_s = min(admitted_per_s, self.limit_per_s_ or admitted_per_s)
+            self.late_per_s_ = per_s
+        by_lateness = MAX_CALM_TURN_S / self.turns.standing_s
+        factor = min(MAX_LOWERING, max(MIN_LOWERING, by_lateness))
+        self.limit_per_s_ = max(MIN_ADMITTED_PER_S, per_s * factor)
+
+    def _raise(self, now: float) -> None:
+        if self.limit_per_s_ is None:
+            return
+        if now - self.shed_at_ >= RECOVERY_S:
+            self.limit_per_s_ = None
+            return
+        is_known = self.limit_per_s_ < KNOWN_FRACTION * self.late_per_s_
+        raising = FAST_RAISING if is_known else SLOW_RAISING
+        self.limit_per_s_ = self.limit_per_s_ * raising + RAISING_PER_S
+
+    def _apply(self, now: float) -> None:
+        """Set the rate that is in force until the next update."""
+        if self.limit_per_s_ is None:
+            return
+        works_off_backlog = self.lowered_at_ is not None
+        rate_per_s = MIN_ADMITTED_PER_S if works_off_backlog else self.limit_per_s_
+        self.bucket_.refill(now)
+        self.bucket_.rate_per_s = rate_per_s
+        self.bucket_.burst = max(1.0, rate_per_s * BURST_S)
+        self.bucket_.tokens_ = min(self.bucket_.tokens_, self.bucket_.burst)
--- a/packages/leadford/src/leadford/forwarding/overload/_turns.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_turns.py
@@ -13,9 +13,13 @@
 from collections import deque
 
 # A turn up to this duration is calm: a request passes through about ten of them.
-MAX_CALM_TURN_S = 0.010
-# Measured turns in a row that must be long.
+MAX_CALM_TURN_S = 0.015
+# Measured turns in a row that must be longer.
 STANDING_TURN_COUNT = 3
+# Two turns in a row that are longer than this are enough: a queue that grows with each
+# turn would double in the third.
+MAX_GROWING_TURN_S = 0.040
+GROWING_TURN_COUNT = 2
 # Timers are late by this much at times although the loop is idle.
 MIN_DELAY_S = 0.004
 
@@ -51,9 +55,11 @@
 
         Units: seconds; 0 until enough turns are known.
         """
-        if len(self.last_) < STANDING_TURN_COUNT:
-            return 0.0
-        return min(self.last_)
+        turns = list(self.last_)
+        growing = turns[-GROWING_TURN_COUNT:]
+        if len(growing) == GROWING_TURN_COUNT and min(growing) > MAX_GROWING_TURN_S:
+            return min(growing)
+        return min(turns) if len(turns) == STANDING_TURN_COUNT else 0.0
 
     @property
     def is_late(self) -> bool:
--- a/packages/leadford/src/leadford/forwarding/overload/tests/test_turns.py
+++ b/packages/leadford/src/leadford/forwarding/overload/tests/test_turns.py
@@ -2,7 +2,7 @@
 
 from leadford.forwarding.overload import MAX_CALM_TURN_S, LoopTurns
 
-LONG_S = 5 * MAX_CALM_TURN_S
+LONG_S = 2 * MAX_CALM_TURN_S
 
 
 def turns_after(*durations_s):
@@ -26,6 +26,10 @@
     assert not turns_after(LONG_S, LONG_S, LONG_S, 0.001).is_late
 
 
+def test_two_very_long_turns_are_enough():
+    assert turns_after(10 * LONG_S, 10 * LONG_S).is_late
+
+
 def test_nothing_is_known_before_some_turns():
     assert turns_after(LONG_S, LONG_S).standing_s == 0.0
 
