Do not count what an entry itself delays against endpoints, stages and forecasts

What callers saw: at a busy entry, requests whose endpoints had answered in time were tried again elsewhere as slow or refused by admission; sound endpoints were ejected. Cause: each limit and each measurement of an endpoint was taken from the clock of the entry, whether its event loop ran on time or not. An answer that lay unread for 0.3 s counted as an endpoint that is slow by 0.3 s.

The deadline of the request itself stays as it is.

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -12,6 +12,7 @@
 from leadford.events import Event
 from leadford.forwarding.answers import EndReason, RequestOutcome
 from leadford.forwarding.endpoints import ListedEndpoint
+from leadford.forwarding.overload import NO_DELAY, DelayMark
 from leadford.forwarding.retries import RetryReason
 from leadford.forwarding.routes import Route, RouteMatch, ServiceId
 from leadford.forwarding.streams import StreamContent, StreamKey, StreamOrigin
@@ -58,8 +59,10 @@
     caller's sending.
     """
 
-    def __init__(self, *, request: InboundRequest) -> None:
+    def __init__(self, *, request: InboundRequest, mark: DelayMark = NO_DELAY) -> None:
         self.request = request
+        # When the request began to be served, with the delay of this entry until then.
+        self.mark = mark
         self.match_: RouteMatch | None = None
         self.digest_ = NO_DIGEST
         self.prompt_keys_ = PromptKeys(NO_DIGEST)
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -103,6 +103,7 @@
         self.log = log
         self.table_: RouteTable | None = None
         self.entry_id = entry_id
+        self.loop_turns_ = LoopTurns()
         self.epochs_ = StoreEpochs()
         halls = EvacuatedHalls(is_known=bounds.evacuate_s is None)
         self.roster_ = EndpointRoster.from_drain_period(
@@ -116,12 +117,15 @@
         self.memory_ = HeldMemory(
             limit_bytes=bounds.memory_bytes, now=self.now, log=log
         )
-        self.loop_turns_ = LoopTurns()
         self.request_rate_ = RequestRate()
         self.load_shares_ = LoadShares(entry_id=entry_id)
         self.entry_count_ = 1
         self.pool_ = ConnectionPool(
-            codec=codec, loop=loop, memory=self.memory_, share=self.share
+            codec=codec,
+            loop=loop,
+            memory=self.memory_,
+            share=self.share,
+            turns=self.loop_turns_,
         )
         self.deadlines_ = RequestDeadlines()
         self.retry_budgets_ = RetryBudgets(make=self._new_budget)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
@@ -56,12 +56,15 @@
         head = attempt.answer.head
         progress = self.progress
         match = progress.match_
-        progress.first_byte_at_ = self.state.now()
-        engine_s = progress.first_byte_at_ - attempt.began_at
+        now = self.state.now()
+        turns = self.state.loop_turns_
+        progress.first_byte_at_ = now
+        engine_s = turns.elapsed_s(attempt.mark, now)
         self.state.first_byte_.record(match.service.service_id, engine_s)
         self.attempts.record_first_token(engine_s)
         if progress.expected_s_ > 0.0 and not progress.is_late_:
-            actual_s = progress.first_byte_at_ - progress.request.received_at
+            own_delay_s = turns.delay_since_s(progress.mark, now)
+            actual_s = now - progress.request.received_at - own_delay_s
             self.admission.record_response_time(
                 match.route, progress.expected_s_, actual_s
             )
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -5,8 +5,6 @@
 `leadford.forwarding.retries` decides how long to wait for a silent stream.
 """
 
-import asyncio
-
 from leadford.forwarding.endpoints import EventGaps
 from leadford.forwarding.memory import MAX_UNREAD_EVENT_BYTES
 from leadford.forwarding.retries import (
@@ -15,6 +13,7 @@
     stream_silence_deadline,
 )
 from leadford.forwarding.streams import StreamOrigin
+from leadford_server.forwarding._endpoint_timeout import endpoint_timeout
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.answers._answer import CallerAnswer
@@ -69,14 +68,14 @@
         has_events = False
         attempt.answer.reader.read_as_stream(MAX_UNREAD_EVENT_BYTES)
         while True:
-            began_at = self.state.now()
+            began = self.state.loop_turns_.mark(self.state.now())
             try:
                 # Events are frequent, so other endpoints are looked up only after a
                 # timeout.
                 limit_at = self._limit_at(
                     len(self.progress.tried_endpoint_ids_), MIN_ENDPOINTS_FOR_RETRY
                 )
-                async with asyncio.timeout_at(limit_at):
+                async with endpoint_timeout(limit_at, self.state.loop_turns_, began):
                     data = await attempt.answer.read_more()
             except TimeoutError:
                 if self.attempts.is_out_of_time():
@@ -85,7 +84,9 @@
                     continue
                 # Give up this attempt; the stream continues at another endpoint.
                 return False
-            gaps.record_read(began_at, self.state.now())
+            now = self.state.now()
+            own_delay_s = self.state.loop_turns_.total_delay_s(now)
+            gaps.record_read(began.at - began.delay_s, now - own_delay_s)
             for event in splitter.feed(data):
                 has_events = True
                 await self._pass_on(attempt, event)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
@@ -4,8 +4,6 @@
 are in `leadford.forwarding.retries`.
 """
 
-import asyncio
-
 from leadford.forwarding.endpoints import EndpointFailure
 from leadford.forwarding.retries import (
     AttemptEnd,
@@ -13,6 +11,7 @@
     plain_attempt_deadline,
     usual_duration_s,
 )
+from leadford_server.forwarding._endpoint_timeout import endpoint_timeout
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.answers._answer import CallerAnswer
@@ -86,7 +85,8 @@
         Errors: raises ExchangeBroken when the rest of the answer does not arrive.
         """
         try:
-            async with asyncio.timeout_at(attempt.limit_at):
+            turns = self.state.loop_turns_
+            async with endpoint_timeout(attempt.limit_at, turns, attempt.mark):
                 await attempt.answer.wait_until_complete()
         except ExchangeBroken:
             self.attempts.evidence.record_broken(attempt)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -74,7 +74,9 @@
         self.state = state
         self.admission = admission
         self.request = exchange.request_
-        self.progress = RequestProgress(request=self.request)
+        self.progress = RequestProgress(
+            request=self.request, mark=state.loop_turns_.mark(state.now())
+        )
         self.inputs = RequestInputs(request=self.request, state=state, stages=stages)
         self.attempts = EndpointAttempts(
             state=state, inputs=self.inputs, progress=self.progress
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
@@ -4,8 +4,6 @@
 The scheduler of the group decides what follows for each piece.
 """
 
-import asyncio
-
 import msgspec
 from returns.result import Failure
 
@@ -18,8 +16,10 @@
     call_limit_s,
 )
 from leadford.forwarding.endpoints import EndpointFailure, EndpointRecord
+from leadford.forwarding.overload import DelayMark
 from leadford.forwarding.routes import PieceLimits, Service
 from leadford_server.forwarding._contract import AnswerHead, NotRunCause, PieceOutcome
+from leadford_server.forwarding._endpoint_timeout import endpoint_timeout
 from leadford_server.forwarding._heads import record_head
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.endpoints import ConnectionEnd, ExchangeBroken
@@ -37,15 +37,14 @@
     the assumed ratio of its actual to its expected duration. `left_by_cause` counts the
     pieces that stayed in the queue when it was sent.
 
-    Units: began_at in seconds of the monotonic clock; room_bytes is the room that was
-    assumed to be free at the endpoint.
+    Units: room_bytes is the room that was assumed to be free at the endpoint.
     """
 
     group: GroupId
     service: Service
     record: EndpointRecord
     tasks: list[PieceTask]
-    began_at: float
+    began: DelayMark
     room_bytes: int = 0
     left_by_cause: dict[LeftCause, int] = {}
     waits: bool = False
@@ -53,6 +52,11 @@
     is_over: bool = False
     inputs_are_read: bool = False
 
+    @property
+    def began_at(self) -> float:
+        """Return when the call began, in seconds of the monotonic clock."""
+        return self.began.at
+
     @property
     def limits(self) -> PieceLimits:
         """Return the limits of a call of the service."""
@@ -68,10 +72,10 @@
         """Return the room that all results of the call take."""
         return sum(task.result_bytes for task in self.tasks)
 
-    def duration_ratio(self, now: float) -> float:
-        """Return the ratio of the time the call has lasted to its expected time."""
+    def duration_ratio(self, elapsed_s: float) -> float:
+        """Return the ratio of a duration of the call to its expected duration."""
         expected_s = self.limits.duration_ms(len(self.tasks)) / 1_000.0
-        return (now - self.began_at) / expected_s
+        return elapsed_s / expected_s
 
 
 class CallEnd(msgspec.Struct, frozen=True):
@@ -102,7 +106,8 @@
             slowness=call.pace,
         )
         try:
-            async with asyncio.timeout(limit_s):
+            limit_at = self.state.now() + limit_s
+            async with endpoint_timeout(limit_at, self.state.loop_turns_, call.began):
                 return await self._exchange(call)
         except ExchangeBroken as error:
             record.record_failure(self.state.now(), EndpointFailure.LOST)
@@ -110,13 +115,18 @@
         except TimeoutError:
             now = self.state.now()
             record.record_failure(now, EndpointFailure.SILENT)
-            record.record_slowness(call.duration_ratio(now), now)
-            record.pace_.record_overdue(call.duration_ratio(now), now)
+            ratio = self._duration_ratio(call, now)
+            record.record_slowness(ratio, now)
+            record.pace_.record_overdue(ratio, now)
             return CallEnd(None, PieceFailure.SILENT.value)
         except Exception as error:
             # Without a CallEnd the pieces would get no answer. They are made elsewhere.
             return CallEnd(None, f"fault: {type(error).__name__}: {error}")
 
+    def _duration_ratio(self, call: PieceCall, now: float) -> float:
+        """Return the ratio of the time that a call has taken to its expected time."""
+        return call.duration_ratio(self.state.loop_turns_.elapsed_s(call.began, now))
+
     async def _exchange(self, call: PieceCall) -> CallEnd:
         state = self.state
         record = call.record
@@ -160,11 +170,11 @@
         if isinstance(read, Failure) or len(read.unwrap()) != len(call.tasks):
             record.record_failure(now, EndpointFailure.INVALID_ANSWER)
             return CallEnd(None, CALL_INVALID_ANSWER)
-        record.record_success((now - call.began_at) * 1_000.0)
-        record.record_slowness(call.duration_ratio(now), now)
-        state.pace_meter_.record_call(
-            record, call.duration_ratio(now), now, waited=call.waits
-        )
+        elapsed_s = state.loop_turns_.elapsed_s(call.began, now)
+        record.record_success(elapsed_s * 1_000.0)
+        ratio = call.duration_ratio(elapsed_s)
+        record.record_slowness(ratio, now)
+        state.pace_meter_.record_call(record, ratio, now, waited=call.waits)
         return CallEnd(read.unwrap(), CALL_DONE)
 
     def log(self, call: PieceCall, end: CallEnd, *, waiting: int) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
@@ -17,6 +17,7 @@
     PieceKey,
     PieceTask,
 )
+from leadford.forwarding.overload import DelayMark
 from leadford.forwarding.routes import ResultHandle, RouteLevels
 from leadford.quarantine import NO_DIGEST, RequestDigest
 
@@ -118,13 +119,18 @@
 
 
 class SentPiece(msgspec.Struct, eq=False):
-    """Hold a piece that was submitted to a scheduler."""
+    """Hold a piece that was submitted to a scheduler.
+
+    `submitted` is when, with the delay of this entry until then. Units: overdue_at in
+    seconds of the monotonic clock.
+    """
 
     task: PieceTask
     job: StageJob
     group: GroupId
     scheduler_id: EntryId
-    overdue_at: float
+    submitted: DelayMark
+    overdue_at: float = 0.0
 
 
 class ResultLocation(msgspec.Struct, frozen=True):
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
@@ -206,7 +206,7 @@
                     service,
                     step.record,
                     tasks,
-                    now,
+                    self.state.loop_turns_.mark(now),
                     step.room_bytes,
                     step.left_by_cause,
                 )
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_sent.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_sent.py
@@ -110,7 +110,13 @@
     def check(self) -> None:
         """Pass overdue pieces to `on_lost`, to be made elsewhere."""
         now = self.state.now()
-        overdue = [s for s in self.sent_by_id_.values() if s.overdue_at <= now]
+        turns = self.state.loop_turns_
+        # What this entry itself was late is no silence of a scheduler.
+        overdue = [
+            sent
+            for sent in self.sent_by_id_.values()
+            if sent.overdue_at + turns.delay_since_s(sent.submitted, now) <= now
+        ]
         for sent in overdue:
             self._report_lost(sent, REASON_SCHEDULER_SILENT)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
@@ -190,7 +190,11 @@
                 job, key, correlation_id=correlation_id, excluded=excluded, now=now
             )
             self.sent.submit_to_scheduler(
-                SentPiece(task, job, group, scheduler_id, 0.0), limits, now
+                SentPiece(
+                    task, job, group, scheduler_id, self.state.loop_turns_.mark(now)
+                ),
+                limits,
+                now,
             )
 
     def _retry_send(
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -12,11 +12,13 @@
 
 from leadford.common import RequestId
 from leadford.forwarding.memory import HeldCause
+from leadford.forwarding.overload import LoopTurns
 from leadford_server.forwarding._contract import (
     AnswerHead,
     OutboundRequest,
     RequestCodec,
 )
+from leadford_server.forwarding._endpoint_timeout import endpoint_timeout
 from leadford_server.forwarding._framing import write_head
 from leadford_server.forwarding._memory import HeldMemory
 from leadford_server.forwarding.endpoints._reader import (
@@ -66,8 +68,9 @@
         codec: RequestCodec,
         timeout_s: float,
         memory: HeldMemory | None = None,
+        turns: LoopTurns | None = None,
     ) -> "EndpointConnection":
-        """Connect to an endpoint within a timeout.
+        """Connect to an endpoint within a timeout, in which the loop was not late.
 
         Units: timeout_s in seconds.
         Errors: raises ExchangeBroken with NOT_SENT.
@@ -85,7 +88,9 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
         stream = WatchedStream(sock)
         try:
-            await asyncio.wait_for(stream.connect((host, port)), timeout_s)
+            limit_at = asyncio.get_running_loop().time() + timeout_s
+            async with endpoint_timeout(limit_at, turns or LoopTurns()):
+                await stream.connect((host, port))
         except (TimeoutError, iostream.StreamClosedError, OSError) as error:
             stream.close()
             raise ExchangeBroken(
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
@@ -16,6 +16,7 @@
     max_connections,
     may_use_again,
 )
+from leadford.forwarding.overload import LoopTurns
 from leadford_server.forwarding._contract import RequestCodec
 from leadford_server.forwarding._framing import unsent_bytes
 from leadford_server.forwarding._memory import HeldMemory
@@ -41,7 +42,8 @@
 class ConnectionPool:
     """Lend connections, within this entry's share of each endpoint's limit.
 
-    `share` returns the share that applies now, a fraction.
+    `share` returns the share that applies now, a fraction. `turns` holds for how long
+    the loop was late.
     """
 
     def __init__(
@@ -51,11 +53,13 @@
         loop: asyncio.AbstractEventLoop,
         memory: HeldMemory | None = None,
         share: Callable[[], float] = lambda: 1.0,
+        turns: LoopTurns | None = None,
     ) -> None:
         self.codec = codec
         self.loop = loop
         self.memory = memory
         self.share = share
+        self.turns = turns or LoopTurns()
         self.connections_by_id_: dict[EndpointId, _EndpointConnections] = {}
         self.streams_: WeakSet[WatchedStream] = WeakSet()
         # The share that `apply_share` applied last; waiters are woken when it changes.
@@ -103,7 +107,12 @@
         connections.open_count_ += 1
         try:
             connection = await EndpointConnection.open(
-                host, int(port), self.codec, CONNECT_TIMEOUT_S, self.memory
+                host,
+                int(port),
+                self.codec,
+                CONNECT_TIMEOUT_S,
+                self.memory,
+                self.turns,
             )
         except BaseException:
             connections.open_count_ -= 1
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempt.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempt.py
@@ -7,6 +7,7 @@
 
 from leadford.forwarding.endpoints import EndpointRecord, SoftwareVersion
 from leadford.forwarding.memory import was_left_unread
+from leadford.forwarding.overload import DelayMark
 from leadford_server.forwarding.endpoints import EndpointConnection, LiveAnswer
 
 # Answers with this status or a higher one count as failures of the endpoint.
@@ -33,14 +34,19 @@
 
     `software` is the version that was listed when the request was sent.
 
-    Units: began_at in seconds of the monotonic clock.
+    `mark` is when the attempt began, with the delay of this entry until then.
     """
 
     record: EndpointRecord
     connection: EndpointConnection
-    began_at: float
+    mark: DelayMark
     software: SoftwareVersion | None
 
+    @property
+    def began_at(self) -> float:
+        """Return when the attempt began, in seconds of the monotonic clock."""
+        return self.mark.at
+
 
 class Attempt(msgspec.Struct, eq=False):
     """Hold one attempt at an endpoint whose answer has begun.
@@ -67,6 +73,11 @@
         """Return when the attempt began, in seconds of the monotonic clock."""
         return self.borrowed.began_at
 
+    @property
+    def mark(self) -> DelayMark:
+        """Return when the attempt began, with the delay of this entry until then."""
+        return self.borrowed.mark
+
     @property
     def is_error(self) -> bool:
         """Return whether the endpoint answered with an error status."""
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -7,8 +7,6 @@
 decides which endpoint receives it.
 """
 
-import asyncio
-
 from leadford.events import Event
 from leadford.forwarding.endpoints import (
     EndpointFailure,
@@ -26,6 +24,7 @@
 )
 from leadford.forwarding.routes import PRIORITY_HIGHEST, PRIORITY_LOWEST, RouteKind
 from leadford_server.forwarding._contract import ForwardCall, NotRunCause
+from leadford_server.forwarding._endpoint_timeout import endpoint_timeout
 from leadford_server.forwarding._heads import record_head
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
@@ -91,7 +90,7 @@
         limit_at += borrowed.began_at - asked_at
         record, connection = borrowed.record, borrowed.connection
         try:
-            answer = await self._send(record, connection, limit_at)
+            answer = await self._send(borrowed, limit_at)
         except ExchangeBroken as failure:
             if failure.kind is BreakKind.LOST:
                 self.evidence.record_connection_lost(borrowed, has_head=False)
@@ -131,7 +130,7 @@
             record = await self.choice.choose_by(wait_until)
             if record is None:
                 raise NotRun(NO_ENDPOINT)
-            began_at = self._count_begin(record)
+            mark = self.state.loop_turns_.mark(self._count_begin(record))
             try:
                 connection = await self.state.pool_.acquire(
                     record, self.progress.match_.service.connections_max
@@ -147,7 +146,7 @@
             if self._may_send(record) and not is_refused:
                 self.state.record_sent(record)
                 software = record.listed.known_software
-                return BorrowedConnection(record, connection, began_at, software)
+                return BorrowedConnection(record, connection, mark, software)
             # Nothing was sent, so the connection can be used again.
             self._count_end(record)
             self.state.pool_.release(record, connection)
@@ -260,13 +259,13 @@
         record.in_flight_ -= 1
         record.suspect_requests_in_flight_ -= self.is_suspect_
 
-    async def _send(
-        self, record: EndpointRecord, connection: EndpointConnection, limit_at: float
-    ) -> LiveAnswer:
+    async def _send(self, borrowed: BorrowedConnection, limit_at: float) -> LiveAnswer:
         request = self.progress.request
+        record, connection = borrowed.record, borrowed.connection
         outbound = self.state.codec.forward(request, self._call(record))
         self.inputs.release_soon(record)
-        async with asyncio.timeout_at(limit_at):
+        turns = self.state.loop_turns_
+        async with endpoint_timeout(limit_at, turns, borrowed.mark):
             return await connection.begin(outbound, request.request_id)
 
     def _call(self, record: EndpointRecord) -> ForwardCall:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
@@ -30,7 +30,8 @@
             self.record_failure(attempt.record, EndpointFailure.ERROR_STATUS)
             return
         now = self.state.now()
-        elapsed_ms = (now - attempt.began_at) * 1_000.0
+        elapsed_s = self.state.loop_turns_.elapsed_s(attempt.mark, now)
+        elapsed_ms = elapsed_s * 1_000.0
         attempt.record.record_success(elapsed_ms)
         match = self.progress.match_
         if match.service.engine is None:
--- a/packages/leadford/src/leadford/forwarding/overload/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/overload/__init__.py
@@ -5,6 +5,17 @@
 """
 
 from leadford.forwarding.overload._connections import ConnectionAdmission
-from leadford.forwarding.overload._turns import MAX_CALM_TURN_S, LoopTurns
+from leadford.forwarding.overload._turns import (
+    MAX_CALM_TURN_S,
+    NO_DELAY,
+    DelayMark,
+    LoopTurns,
+)
 
-__all__ = ["MAX_CALM_TURN_S", "ConnectionAdmission", "LoopTurns"]
+__all__ = [
+    "MAX_CALM_TURN_S",
+    "NO_DELAY",
+    "ConnectionAdmission",
+    "DelayMark",
+    "LoopTurns",
+]
--- a/packages/leadford/src/leadford/forwarding/overload/_turns.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_turns.py
@@ -12,6 +12,8 @@
 
 from collections import deque
 
+import msgspec
+
 # A turn up to this duration is calm: a request passes through about ten of them.
 MAX_CALM_TURN_S = 0.015
 # Measured turns in a row that must be longer.
@@ -24,6 +26,19 @@
 MIN_DELAY_S = 0.004
 
 
+class DelayMark(msgspec.Struct, frozen=True):
+    """Hold a moment, and for how long the loop had been late until then.
+
+    Units: seconds.
+    """
+
+    at: float
+    delay_s: float
+
+
+NO_DELAY = DelayMark(0.0, 0.0)
+
+
 class LoopTurns:
     """Hold the last turns of the event loop, and sum up for how long it was late."""
 
@@ -75,3 +90,24 @@
         """
         late_s = now - self.due_at_
         return self.delay_s_ + (late_s if late_s > MIN_DELAY_S else 0.0)
+
+    def mark(self, now: float) -> DelayMark:
+        """Return the mark of a moment from which something is timed.
+
+        Units: now in seconds.
+        """
+        return DelayMark(now, self.total_delay_s(now))
+
+    def delay_since_s(self, mark: DelayMark, now: float) -> float:
+        """Return for how long the loop was late since a moment.
+
+        Units: seconds.
+        """
+        return min(now - mark.at, self.total_delay_s(now) - mark.delay_s)
+
+    def elapsed_s(self, mark: DelayMark, now: float) -> float:
+        """Return the time since a moment without what this entry itself delayed.
+
+        Units: seconds.
+        """
+        return now - mark.at - self.delay_since_s(mark, now)
--- a/packages/leadford/src/leadford/forwarding/overload/tests/test_turns.py
+++ b/packages/leadford/src/leadford/forwarding/overload/tests/test_turns.py
@@ -47,6 +47,17 @@
     assert round(turns.total_delay_s(9.0), 6) == 0.7
 
 
+def test_what_the_entry_delays_is_no_part_of_what_others_take():
+    turns = LoopTurns()
+    mark = turns.mark(0.0)
+    turns.begin(1.0)
+    turns.record(0.1, 1.4)
+    assert round(turns.delay_since_s(mark, 2.0), 6) == 0.4
+    assert round(turns.elapsed_s(mark, 2.0), 6) == 1.6
+    later = turns.mark(2.0)
+    assert turns.elapsed_s(later, 2.5) == 0.5
+
+
 def test_a_timer_that_is_a_little_late_is_no_delay():
     turns = LoopTurns()
     turns.begin(1.0)
