Try to notice a full link by round trips to peers, and to close connections for it

A first form, which does not hold yet: round trips by websocket pings to three peers, the fastest of which counts; over 30 ms connections are closed unread. It did not relieve the link either: a connection that is closed unread has sent its request already.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -34,7 +34,7 @@
     RequestForwarder,
 )
 from leadford_server.forwarding.batching import StageRunner
-from leadford_server.forwarding.membership import EntryLinks, EntryMembers
+from leadford_server.forwarding.membership import EntryLinks, EntryMembers, RoundTrips
 from leadford_server.forwarding.store import (
     ENTRIES_CHANGE_BOUND_S,
     ENTRIES_PAUSE_S,
@@ -110,12 +110,15 @@
             random=self.random,
         )
         self._build_holders()
-        self.connections_ = ConnectionAdmission(turns=self.state_.loop_turns_)
+        self.connections_ = ConnectionAdmission(
+            turns=self.state_.loop_turns_, link=self.state_.link_waits_
+        )
         self.turn_probe_ = TurnProbe(
             turns=self.state_.loop_turns_,
             loop=self.state_.loop,
             log=self.log_,
             on_turn=self.connections_.update,
+            is_late=self.connections_.is_late,
             load_fields=self._load_fields,
         )
         self.caller_server_ = CallerServer(
@@ -203,6 +206,12 @@
             self._spawn(follower.run())
         self._spawn(self.links_.run())
         self.announce_task_ = self._spawn(self.members_.announce())
+        round_trips = RoundTrips(
+            state=self.state_,
+            peers_by_id=self.links_.peers_by_id_,
+            is_busy=lambda: self.connections_.limit_per_s_ is not None,
+        )
+        self._spawn(round_trips.run())
         self._spawn(self._sweep())
         self._spawn(self._watch_suspensions())
 
@@ -357,7 +366,9 @@
 
     def _load_fields(self) -> dict[str, int | float]:
         """Return the log fields that tell what the entry holds."""
+        now = self.state_.now()
         return {
+            "link_wait_ms": round(self.state_.link_waits_.wait_s(now) * 1_000.0),
             "shed": self.connections_.shed_count_,
             "admitted_per_s": round(self.connections_.limit_per_s_ or 0.0),
             "requests": len(self.caller_server_.exchanges_),
--- a/packages/leadford-server/src/leadford_server/forwarding/_turn_probe.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_turn_probe.py
@@ -16,15 +16,15 @@
 # Time between two measurements, while turns are short and while they are long.
 CALM_INTERVAL_S = 0.025
 BUSY_INTERVAL_S = 0.005
-# Time between two log lines while the loop is late, and after which it is on time.
+# Time between two log lines while the entry is late, and after which it is on time.
 REPORT_INTERVAL_S = 1.0
 
 
 class TurnProbe:
     """Measure turns from `start` until `stop`.
 
-    `on_turn` is called after each measured turn. `load_fields` returns the log fields
-    that tell what the entry holds.
+    `on_turn` is called after each measured turn. `is_late` returns whether the entry is
+    late, and `load_fields` the log fields that tell what it holds.
     """
 
     def __init__(
@@ -34,12 +34,14 @@
         loop: asyncio.AbstractEventLoop,
         log: EventLog,
         on_turn: Callable[[float], None],
+        is_late: Callable[[float], bool],
         load_fields: Callable[[], dict[str, int | float]],
     ) -> None:
         self.turns = turns
         self.loop = loop
         self.log = log
         self.on_turn = on_turn
+        self.is_late = is_late
         self.load_fields = load_fields
         self.timer_: asyncio.TimerHandle | None = None
         self.began_at_ = 0.0
@@ -82,9 +84,9 @@
         self.start()
 
     def _report(self, now: float) -> None:
-        """Log that the loop is late, each second while it is, and once it is not."""
+        """Log that the entry is late, each second while it is, and once it is not."""
         turns = self.turns
-        if turns.is_late:
+        if self.is_late(now):
             self.late_at_ = now
         is_late = now - self.late_at_ < REPORT_INTERVAL_S
         is_due = is_late and now - self.reported_at_ >= REPORT_INTERVAL_S
@@ -93,7 +95,7 @@
         self.is_reported_late_ = is_late
         self.reported_at_ = now
         self.log.report(
-            Event.LOOP_LATE,
+            Event.ENTRY_LATE,
             is_late=is_late,
             turn_ms=round(turns.standing_s * 1_000.0, 1),
             delay_ms=round(turns.total_delay_s(now) * 1_000.0),
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -148,12 +148,16 @@
     "leadford_loop_delay_seconds",
     "Time in which the event loop was late, since the start of the process.",
 )
+LINK_WAIT_SECONDS = Gauge(
+    "leadford_link_wait_seconds",
+    "Time that packets wait at the link, by the fastest round trip to other entries.",
+)
 CALLER_CONNECTIONS = Gauge(
     "leadford_caller_connections", "Open connections of callers."
 )
 CONNECTIONS_SHED_TOTAL = Counter(
     "leadford_connections_shed_total",
-    "Connections of callers that were closed unread because the event loop was late.",
+    "Connections of callers that were closed unread because this entry was late.",
 )
 UNSENT_BYTES = Gauge(
     "leadford_unsent_bytes", "Bytes that wait to be sent to callers and endpoints."
--- a/packages/leadford-server/src/leadford_server/peers/_connection.py
+++ b/packages/leadford-server/src/leadford_server/peers/_connection.py
@@ -99,6 +99,15 @@
         self.wake_.set()
         return True
 
+    async def make_round_trip(self) -> bool:
+        """Wait for the answer to a ping; return False if the connection ended."""
+        try:
+            answered = await self.socket.ping()
+            await answered
+        except ConnectionClosed:
+            return False
+        return True
+
     def announce_version(self) -> None:
         """Send the configuration version of this process, unless already sent."""
         self.wake_.set()
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -31,10 +31,10 @@
         Severity.WARNING,
         "The process began or ended to refuse requests for want of memory.",
     )
-    LOOP_LATE = (
+    ENTRY_LATE = (
         107,
         Severity.WARNING,
-        "The event loop of the process is late, or is on time again.",
+        "An entry is late itself, by its event loop or its link, or is on time again.",
     )
     PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
     PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
--- a/packages/leadford/src/leadford/forwarding/overload/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/overload/__init__.py
@@ -1,10 +1,12 @@
 """Notice that this entry is late itself, and take fewer new connections.
 
 `_turns` tells from the turns of the event loop how late the entry is, apart from what
-endpoints and the store delay. `_connections` decides which new connections are read.
+endpoints and the store delay, and `_link` from round trips to peers how long packets
+wait at its link. `_connections` decides which new connections are read.
 """
 
 from leadford.forwarding.overload._connections import ConnectionAdmission
+from leadford.forwarding.overload._link import LinkWaits
 from leadford.forwarding.overload._turns import (
     MAX_CALM_TURN_S,
     NO_DELAY,
@@ -17,5 +19,6 @@
     "NO_DELAY",
     "ConnectionAdmission",
     "DelayMark",
+    "LinkWaits",
     "LoopTurns",
 ]
--- a/packages/leadford/src/leadford/forwarding/overload/_connections.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_connections.py
@@ -2,28 +2,31 @@
 
 A caller whose connection is closed unread tries another entry at once, and nothing has
 run. What was read keeps its place: requests and streams under way go on. So new
-connections give way first, as soon as the event loop lags behind, and as many as it
-takes for the loop to keep up.
+connections give way first, as soon as the event loop lags behind or packets wait at
+the link, and as many as it takes to keep up.
 
-The rate of connections that are read is lowered each time the loop becomes late, and
+The rate of connections that are read is lowered each time the entry becomes late, and
 raised slowly while it is on time. Until what waits has been worked off, only few are
-read. Some always are: an entry that says it is ready takes connections.
+read. Some always are: an entry that says it is ready takes connections. A link may also
+be full of other things, such as a configuration, for all entries at once. So its state
+never lowers the rate below the usual one.
 
 Owns the rate. The server asks for each new connection, and calls `update` after each
 measured turn.
 """
 
 from leadford.common import EventRate, TokenBucket
+from leadford.forwarding.overload._link import MAX_CALM_WAIT_S, LinkWaits
 from leadford.forwarding.overload._turns import MAX_CALM_TURN_S, LoopTurns
 
 # Time between two steps that raise the rate.
 RAISING_INTERVAL_S = 0.1
-# A loop that is still late after this time gets a lower rate again.
+# An entry that is still late after this time gets a lower rate again.
 MAX_BACKLOG_S = 1.0
-# Factors that lower the rate, by how late the loop is.
+# Factors that lower the rate, by how late the entry is.
 MIN_LOWERING = 0.75
 MAX_LOWERING = 0.9
-# Factor that raises it, below this fraction of the rate at which the loop became late,
+# Factor that raises it, below this fraction of the rate at which the entry became late,
 # and above it.
 KNOWN_FRACTION = 0.85
 FAST_RAISING = 1.2
@@ -38,15 +41,19 @@
 # Time after a closed connection in which kept ones are closed with their answers.
 CLOSING_S = 1.0
 ADMITTED_TIME_CONSTANT_S = 0.3
+# Time over which the usual rate is averaged, while the entry is on time.
+USUAL_TIME_CONSTANT_S = 20.0
 
 
 class ConnectionAdmission:
     """Hold the rate of new connections that are read; None while all of them are."""
 
-    def __init__(self, *, turns: LoopTurns) -> None:
+    def __init__(self, *, turns: LoopTurns, link: LinkWaits | None = None) -> None:
         self.turns = turns
+        self.link = link or LinkWaits()
         self.limit_per_s_: float | None = None
-        # The rate at which the loop became late last.
+        self.usual_ = EventRate(time_constant_s=USUAL_TIME_CONSTANT_S)
+        # The rate at which the entry became late last.
         self.late_per_s_ = 0.0
         self.admitted_ = EventRate(time_constant_s=ADMITTED_TIME_CONSTANT_S)
         self.bucket_ = TokenBucket(rate_per_s=MIN_ADMITTED_PER_S, burst=1.0)
@@ -66,6 +73,8 @@
             self.shed_count_ += 1
             return False
         self.admitted_.record(now)
+        if self.limit_per_s_ is None:
+            self.usual_.record(now)
         return True
 
     def closes_kept(self, now: float) -> bool:
@@ -77,13 +86,21 @@
         """
         return now - self.shed_at_ < CLOSING_S
 
+    def is_late(self, now: float) -> bool:
+        """Return whether the entry is late, or still recovers from that.
+
+        Units: now in seconds.
+        """
+        return self.limit_per_s_ is not None or self._lateness(now) > 1.0
+
     def update(self, now: float) -> None:
         """Change the rate by the last turns of the loop.
 
         Units: now in seconds.
         """
-        if self.turns.is_late:
-            self._lower(now)
+        lateness = self._lateness(now)
+        if lateness > 1.0:
+            self._lower(lateness, now)
         elif self.lowered_at_ is not None:
             self.lowered_at_ = None
             self.raised_at_ = now
@@ -92,8 +109,19 @@
             self._raise(now)
         self._apply(now)
 
-    def _lower(self, now: float) -> None:
-        """Lower the rate, unless the loop still works off what came before."""
+    def _lateness(self, now: float) -> float:
+        """Return by which factor the entry is later than it may be."""
+        loop_lateness = self.turns.standing_s / MAX_CALM_TURN_S
+        return max(loop_lateness, self.link.wait_s(now) / MAX_CALM_WAIT_S)
+
+    def _min_per_s(self, now: float) -> float:
+        """Return the rate of connections that are read however late the entry is."""
+        if self.turns.is_late:
+            return MIN_ADMITTED_PER_S
+        return max(MIN_ADMITTED_PER_S, self.usual_.per_s(now))
+
+    def _lower(self, lateness: float, now: float) -> None:
+        """Lower the rate, unless the entry still works off what came before."""
         was_late = self.lowered_at_ is not None
         if was_late and now - self.lowered_at_ < MAX_BACKLOG_S:
             return
@@ -103,9 +131,8 @@
             admitted_per_s = self.admitted_.per_s(now)
             per_s = min(admitted_per_s, self.limit_per_s_ or admitted_per_s)
             self.late_per_s_ = per_s
-        by_lateness = MAX_CALM_TURN_S / self.turns.standing_s
-        factor = min(MAX_LOWERING, max(MIN_LOWERING, by_lateness))
-        self.limit_per_s_ = max(MIN_ADMITTED_PER_S, per_s * factor)
+        factor = min(MAX_LOWERING, max(MIN_LOWERING, 1.0 / lateness))
+        self.limit_per_s_ = max(self._min_per_s(now), per_s * factor)
 
     def _raise(self, now: float) -> None:
         if self.limit_per_s_ is None:
@@ -122,7 +149,9 @@
         if self.limit_per_s_ is None:
             return
         works_off_backlog = self.lowered_at_ is not None
-        rate_per_s = MIN_ADMITTED_PER_S if works_off_backlog else self.limit_per_s_
+        rate_per_s = self.limit_per_s_
+        if works_off_backlog:
+            rate_per_s = min(rate_per_s, self._min_per_s(now))
         self.bucket_.refill(now)
         self.bucket_.rate_per_s = rate_per_s
         self.bucket_.burst = max(1.0, rate_per_s * BURST_S)
--- a/packages/leadford/src/leadford/forwarding/overload/tests/test_connections.py
+++ b/packages/leadford/src/leadford/forwarding/overload/tests/test_connections.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from leadford.common import EntryId
 from leadford.forwarding.overload import (
     MAX_CALM_TURN_S,
     ConnectionAdmission,
+    LinkWaits,
     LoopTurns,
 )
 from leadford.forwarding.overload._connections import MIN_ADMITTED_PER_S, RECOVERY_S
@@ -102,6 +104,26 @@
         assert admission.admits(float(number))
 
 
+def test_a_full_link_lowers_the_rate_as_well_but_not_below_the_usual_one():
+    link = LinkWaits()
+    admission = ConnectionAdmission(turns=LoopTurns(), link=link)
+    now = 0.0
+    # 20 a second for a minute, then 100 a second as the link is full.
+    for _ in range(1_200):
+        now += 0.05
+        assert admission.admits(now)
+    read = 0
+    for number in range(1_000):
+        now += 0.01
+        if number % 10 == 0:
+            for peer_id in (EntryId("a"), EntryId("b")):
+                link.begin(peer_id, now)
+                link.end(peer_id, 0.5 if number > 0 else 0.001, now)
+        admission.update(now)
+        read += admission.admits(now) and number >= 200
+    assert 15.0 <= read / 8.0 <= 25.0
+
+
 def test_kept_connections_are_closed_only_while_new_ones_are():
     turns = LoopTurns()
     admission = ConnectionAdmission(turns=turns)
