Refuse new connections while an entry is late, and tell a full link by several trips

Once connections are too many, the entry stops listening until the rate allows the next ones: a caller that is refused tries another entry at once, and sends nothing over the full link. Listening again takes a socket; if the port cannot be bound it is tried again (event 108).

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -129,6 +129,7 @@
             on_rejected=self._on_denied,
             on_refused=self._on_refused,
             on_cut_off=self._on_cut_off,
+            on_listen_failed=self._on_listen_failed,
             memory=self.state_.memory_,
             admission=self.connections_,
         )
@@ -341,6 +342,10 @@
             is_refusing=memory.is_refusing_,
         )
 
+    def _on_listen_failed(self, error: OSError) -> None:
+        """Log that the port of callers could not be bound after a pause."""
+        self.log_.report(Event.LISTEN_FAILED, error=str(error)[:200])
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
@@ -29,10 +29,11 @@
 # Connections that may wait to be accepted. The platform may hand all new connections of
 # a region to one entry at once.
 MAX_PENDING_CONNECTIONS = 1_024
-# Connections that are accepted, and read, in one turn of the loop; the others wait for
-# the next. A turn that reads all of a burst would delay all that is under way.
-MAX_ACCEPTED_PER_TURN = 128
+# Connections that are accepted in one turn of the loop; the others wait for the next. A
+# turn that reads all of a burst would delay all that is under way.
 MAX_READ_PER_TURN = 16
+# Time after which listening is tried again if the port cannot be bound.
+LISTEN_RETRY_S = 0.05
 # Effectively unlimited: `CallerExchange` enforces the configured limit on bodies while
 # they arrive, instead of the library.
 MAX_BODY_READ_BYTES = 1 << 40
@@ -54,6 +55,7 @@
         on_rejected: Callable[[CallerExchange, int], None],
         on_refused: Callable[[CallerExchange, MemoryRefusal, FinalAnswer], None],
         on_cut_off: Callable[[CallerExchange, int], None],
+        on_listen_failed: Callable[[OSError], None],
         memory: HeldMemory,
         admission: ConnectionAdmission,
     ) -> None:
@@ -64,6 +66,7 @@
         self.on_rejected = on_rejected
         self.on_refused = on_refused
         self.on_cut_off = on_cut_off
+        self.on_listen_failed = on_listen_failed
         self.memory = memory
         self.admission = admission
         self.limits_ = TrafficLimits()
@@ -71,7 +74,10 @@
         self.unsent_answers_: list[UnsentAnswer] = []
         self.streams_: WeakSet[iostream.IOStream] = WeakSet()
         self.server_: httpserver.HTTPServer | None = None
+        self.address_: tuple[str, int] | None = None
         self.sockets_: list[socket.socket] = []
+        # Runs while new connections are refused.
+        self.pause_timer_: asyncio.TimerHandle | None = None
         self.is_stopped_ = False
 
     def start(self, host: str, port: int) -> None:
@@ -83,6 +89,13 @@
             max_header_size=HEAD_READ_FACTOR * limits.header_bytes,
             max_body_size=MAX_BODY_READ_BYTES,
         )
+        self.address_ = (host, port)
+        self._listen()
+
+    def _listen(self) -> None:
+        """Accept new connections from now on."""
+        self.pause_timer_ = None
+        host, port = self.address_
         self.sockets_ = netutil.bind_sockets(
             port, address=host, backlog=MAX_PENDING_CONNECTIONS
         )
@@ -90,11 +103,32 @@
         for sock in self.sockets_:
             loop.add_reader(sock, self._accept, sock)
 
+    def _close_sockets(self) -> None:
+        """Refuse new connections, and close those that wait to be accepted."""
+        loop = asyncio.get_running_loop()
+        for sock in self.sockets_:
+            loop.remove_reader(sock)
+            sock.close()
+        self.sockets_ = []
+
+    def _pause(self, pause_s: float) -> None:
+        """Refuse new connections for a while."""
+        self._close_sockets()
+        loop = asyncio.get_running_loop()
+        self.pause_timer_ = loop.call_later(pause_s, self._resume)
+
+    def _resume(self) -> None:
+        try:
+            self._listen()
+        except OSError as error:
+            # Another socket may have taken the port for a moment.
+            self.on_listen_failed(error)
+            self._pause(LISTEN_RETRY_S)
+
     def _accept(self, sock: socket.socket) -> None:
-        """Read some of the new connections, and close others unread."""
+        """Read some of the new connections, and refuse those that are too many."""
         now = asyncio.get_running_loop().time()
-        read_count = 0
-        for _ in range(MAX_ACCEPTED_PER_TURN):
+        for _ in range(MAX_READ_PER_TURN):
             try:
                 connection, address = sock.accept()
             except (BlockingIOError, ConnectionAbortedError):
@@ -102,11 +136,9 @@
             if not self.admission.admits(now):
                 CONNECTIONS_SHED_TOTAL.inc()
                 connection.close()
-                continue
-            self.server_.handle_stream(iostream.IOStream(connection), address)
-            read_count += 1
-            if read_count == MAX_READ_PER_TURN:
+                self._pause(self.admission.pause_s(now))
                 return
+            self.server_.handle_stream(iostream.IOStream(connection), address)
 
     def closes_connections(self) -> bool:
         """Return whether to close connections together with their answers."""
@@ -191,9 +223,8 @@
         interrupted by its exit.
         """
         self.is_stopped_ = True
-        loop = asyncio.get_running_loop()
-        for sock in self.sockets_:
-            loop.remove_reader(sock)
-            sock.close()
+        if self.pause_timer_ is not None:
+            self.pause_timer_.cancel()
+        self._close_sockets()
         for stream in list(self.streams_):
             stream.close()
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_round_trips.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_round_trips.py
@@ -6,16 +6,17 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from itertools import count
 
 from leadford.common import EntryId
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.metrics import LINK_WAIT_SECONDS
 from leadford_server.peers import PeerConnection
 
-# Time between two rounds, while packets do not wait and while they do.
-CALM_INTERVAL_S = 0.5
-BUSY_INTERVAL_S = 0.1
-# Peers to which round trips are made.
+# Time between two trips, while packets do not wait and while they do.
+CALM_INTERVAL_S = 0.25
+BUSY_INTERVAL_S = 0.05
+# Peers to which round trips are made, in turn.
 PEER_COUNT = 3
 
 
@@ -41,15 +42,17 @@
     async def run(self) -> None:
         """Make round trips until cancelled."""
         waits = self.state.link_waits_
-        while True:
+        for number in count():
             now = self.state.now()
             LINK_WAIT_SECONDS.set(waits.wait_s(now))
-            is_busy = waits.is_full(now) or self.is_busy()
+            is_busy = waits.is_slow(now) or self.is_busy()
             await asyncio.sleep(BUSY_INTERVAL_S if is_busy else CALM_INTERVAL_S)
             self._choose()
-            for peer_id, peer in self.chosen_.items():
-                if waits.begin(peer_id, self.state.now()):
-                    self._spawn(peer_id, peer)
+            if not self.chosen_:
+                continue
+            peer_id, peer = list(self.chosen_.items())[number % len(self.chosen_)]
+            if waits.begin(peer_id, self.state.now()):
+                self._spawn(peer_id, peer)
 
     def _choose(self) -> None:
         """Replace peers that are gone by others."""
@@ -76,4 +79,4 @@
         now = self.state.now()
         if self.chosen_.get(peer_id) is peer:
             elapsed_s = turns.elapsed_s(began, now)
-            self.state.link_waits_.end(peer_id, elapsed_s, now)
+            self.state.link_waits_.end(peer_id, elapsed_s)
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -36,6 +36,11 @@
         Severity.WARNING,
         "An entry is late itself, by its event loop or its link, or is on time again.",
     )
+    LISTEN_FAILED = (
+        108,
+        Severity.ERROR,
+        "The port of callers could not be bound again after a pause.",
+    )
     PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
     PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
     PEER_REJECTED = (202, Severity.WARNING, "A peer failed its proof or version.")
--- a/packages/leadford/src/leadford/forwarding/overload/_connections.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_connections.py
@@ -1,9 +1,10 @@
-"""Decide which new connections an entry reads, and which it closes unread.
+"""Decide which new connections an entry reads, and which it refuses or closes unread.
 
-A caller whose connection is closed unread tries another entry at once, and nothing has
-run. What was read keeps its place: requests and streams under way go on. So new
-connections give way first, as soon as the event loop lags behind or packets wait at
-the link, and as many as it takes to keep up.
+A caller whose connection is refused or closed unread tries another entry at once, and
+nothing has run. A refused one also sends nothing over a link that is full. What was
+read keeps its place: requests and streams under way go on. So new connections give way
+first, as soon as the event loop lags behind or packets wait at the link, and as many as
+it takes to keep up.
 
 The rate of connections that are read is lowered each time the entry becomes late, and
 raised slowly while it is on time. Until what waits has been worked off, only few are
@@ -36,6 +37,8 @@
 MIN_ADMITTED_PER_S = 5.0
 # The rate may be exceeded for this time.
 BURST_S = 0.05
+# Fraction of these connections for which refusals end.
+RESUMED_FRACTION = 0.5
 # Time without a closed connection after which all are read again.
 RECOVERY_S = 2.0
 # Time after a closed connection in which kept ones are closed with their answers.
@@ -77,6 +80,13 @@
             self.usual_.record(now)
         return True
 
+    def pause_s(self, now: float) -> float:
+        """Return for how long to refuse connections, after one that was not admitted.
+
+        Units: seconds.
+        """
+        return self.bucket_.wait_s(now, max(1.0, RESUMED_FRACTION * self.bucket_.burst))
+
     def closes_kept(self, now: float) -> bool:
         """Return whether to close kept connections together with their answers.
 
