--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -81,6 +81,7 @@
     ending_per_s: float = 0.0,
     restores_per_s: float = 0.0,
     uneven_per_s: float = 0.0,
+    busy_per_s: float = 0.0,
     resume_part: float = 0.0,
     long_part: float = 0.15,
     long_work_s: float = 1.2,
@@ -104,6 +105,7 @@
     :param restores_per_s: times that the store comes back from a copy
     :param uneven_per_s: prompt parts that end engines, callers that go to one entry,
         and answers without a length
+    :param busy_per_s: entries with little processor time, to which most callers go
     :param resume_part: part of the streams that callers break off and resume, at
         engines of two software versions
     :param long_part: part of the requests that work long
@@ -130,6 +132,7 @@
         ending_per_s=ending_per_s,
         restores_per_s=restores_per_s,
         uneven_per_s=uneven_per_s,
+        busy_per_s=busy_per_s,
         resume_part=resume_part,
         long_part=long_part,
         long_work_s=long_work_s,
--- a/packages/leadford-standins/src/leadford_standins/soak/_base.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_base.py
@@ -60,6 +60,7 @@
     REQUEST_ENDS_ENDPOINTS = "request-ends-endpoints"
     PART_ENDS_ENGINES = "part-ends-engines"
     CALLERS_TO_ONE_ENTRY = "callers-to-one-entry"
+    ENTRY_SHORT_OF_PROCESSOR = "entry-short-of-processor"
     ANSWERS_UNFRAMED = "answers-unframed"
 
 
@@ -104,7 +105,8 @@
     requests of all callers, faults_per_s injected faults, ending_per_s requests that
     end every endpoint which runs them, restores_per_s restores of the store, and
     uneven_per_s prompt parts that end engines, callers that go to one entry, and
-    answers without a length.
+    answers without a length, and busy_per_s entries with little processor time to which
+    most callers go.
     """
 
     seed: int
@@ -117,6 +119,7 @@
     ending_per_s: float = 0.0
     restores_per_s: float = 0.0
     uneven_per_s: float = 0.0
+    busy_per_s: float = 0.0
     resume_part: float = 0.0
     long_part: float = 0.15
     long_work_s: float = 1.2
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
@@ -91,6 +91,10 @@
     K.CALLERS_TO_ONE_ENTRY: Span(1, (4, 10), (0.7, 0.95)),
     K.ANSWERS_UNFRAMED: Span(1, (0, 0), (2, 8)),
 }
+# The amount is the fraction of the requests that go to the entry.
+BUSY_SPANS: dict[FaultKind, Span] = {
+    K.ENTRY_SHORT_OF_PROCESSOR: Span(1, (3, 8), (0.0, 0.95)),
+}
 # Targets are drawn below this; injectors take them modulo the number of candidates.
 TARGET_LIMIT = 10_000
 
@@ -104,6 +108,7 @@
         *_draw_faults(ENDING_SPANS, options.ending_per_s, options, random),
         *_draw_faults(RESTORE_SPANS, options.restores_per_s, options, random),
         *_draw_faults(UNEVEN_SPANS, options.uneven_per_s, options, random),
+        *_draw_faults(BUSY_SPANS, options.busy_per_s, options, random),
         *upgrade_steps(options),
     ]
     faults.sort(key=lambda fault: fault.at_s)
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_processes.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_processes.py
@@ -10,7 +10,7 @@
 
 from leadford_standins.soak._base import Fault, FaultKind
 from leadford_standins.soak.faults._base import injects
-from leadford_standins.soak.parts import EntryProcess, SoakScene
+from leadford_standins.soak.parts import EntryProcess, ProcessorLimit, SoakScene
 
 K = FaultKind
 # Retry slack of the changed settings file; the checks use the larger, unchanged one.
@@ -80,6 +80,26 @@
     disturbance.until_s = asyncio.get_running_loop().time()
 
 
+@injects(K.ENTRY_SHORT_OF_PROCESSOR)
+async def limit_processor(scene: SoakScene, fault: Fault) -> None:
+    """Give an entry little processor time for a while, and send most callers to it."""
+    entry = scene.entry(fault.target)
+    if not entry.is_running():
+        return
+    now = asyncio.get_running_loop().time()
+    disturbance = scene.ledger.disturb(
+        entry.name, fault.kind, now, now + fault.duration_s
+    )
+    limit = ProcessorLimit(process=entry.process_)
+    limit.start()
+    if fault.amount > 0.0:
+        scene.favour_(entry, fault.amount)
+    await asyncio.sleep(fault.duration_s)
+    scene.favour_(None, 0.0)
+    limit.end()
+    disturbance.until_s = asyncio.get_running_loop().time()
+
+
 @injects(K.ENTRY_RELOADED)
 async def reload_entry(scene: SoakScene, fault: Fault) -> None:
     """Change the settings file of an entry and send it SIGHUP."""
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
@@ -8,6 +8,7 @@
 from leadford_standins.soak._base import FaultKind
 from leadford_standins.soak.faults._base import injectors_by_kind
 from leadford_standins.soak.faults._plan import (
+    BUSY_SPANS,
     CHANGE_SPANS,
     ENDING_SPANS,
     FAULT_SPANS,
@@ -60,6 +61,7 @@
         *ENDING_SPANS,
         *RESTORE_SPANS,
         *UNEVEN_SPANS,
+        *BUSY_SPANS,
         *planned,
     }
     assert kind in injectors_by_kind
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
@@ -29,6 +29,7 @@
         f"--ending-per-s={options.ending_per_s}",
         f"--restores-per-s={options.restores_per_s}",
         f"--uneven-per-s={options.uneven_per_s}",
+        f"--busy-per-s={options.busy_per_s}",
         f"--resume-part={options.resume_part}",
         f"--older={options.older}",
         f"--upgrade={options.upgrade.value}",
@@ -83,6 +84,13 @@
     assert "part-ends-engines" in output
 
 
+def test_a_soak_of_entries_short_of_processor_time_breaks_no_promise(tmp_path):
+    options = SoakOptions(seed=7005, seconds=20.0, entries=4, busy_per_s=0.25)
+    status, output = asyncio.run(run_soak(options, tmp_path))
+    assert status == 0, output
+    assert "entry-short-of-processor" in output
+
+
 def test_a_soak_over_a_store_that_comes_back_from_copies_breaks_no_promise(tmp_path):
     options = SoakOptions(seed=7002, seconds=20.0, entries=8, restores_per_s=0.25)
     status, output = asyncio.run(run_soak(options, tmp_path))
