Take no duration for an endpoint's while the entry itself is late

The delay of the loop was subtracted from what endpoints took. But an endpoint works while the loop is late: of 200 ms, 160 ms late, it may have taken 150, and 40 were recorded. Now a duration counts only if the loop was late for a quarter of it at most, and as it is; later limits stay as they were.

--- a/packages/leadford-server/src/leadford_server/forwarding/_turn_probe.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_turn_probe.py
@@ -14,7 +14,7 @@
 from leadford_server.metrics import LOOP_DELAY_SECONDS, LOOP_TURN_SECONDS
 
 # Time between two measurements, while turns are short and while they are long.
-CALM_INTERVAL_S = 0.025
+CALM_INTERVAL_S = 0.05
 BUSY_INTERVAL_S = 0.005
 # Time between two log lines while the entry is late, and after which it is on time.
 REPORT_INTERVAL_S = 1.0
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
@@ -59,19 +59,27 @@
         now = self.state.now()
         turns = self.state.loop_turns_
         progress.first_byte_at_ = now
-        engine_s = turns.elapsed_s(attempt.mark, now)
-        self.state.first_byte_.record(match.service.service_id, engine_s)
+        engine_s = turns.measured_s(attempt.mark, now)
+        if engine_s is not None:
+            self.state.first_byte_.record(match.service.service_id, engine_s)
         self.attempts.record_first_token(engine_s)
-        if progress.expected_s_ > 0.0 and not progress.is_late_:
-            own_delay_s = turns.delay_since_s(progress.mark, now)
-            actual_s = now - progress.request.received_at - own_delay_s
-            self.admission.record_response_time(
-                match.route, progress.expected_s_, actual_s
-            )
+        self._record_response_time(now)
         progress.model_version_ = head.model_version
         self.exchange.begin(head.status, head.headers, head.reason)
         self.inputs.release()
 
+    def _record_response_time(self, now: float) -> None:
+        """Record how the response time differs from what admission expected."""
+        progress = self.progress
+        if progress.expected_s_ <= 0.0 or progress.is_late_:
+            return
+        if self.state.loop_turns_.measured_s(progress.mark, now) is None:
+            return
+        actual_s = now - progress.request.received_at
+        self.admission.record_response_time(
+            progress.match_.route, progress.expected_s_, actual_s
+        )
+
     async def write(self, data: bytes) -> None:
         """Write a part of a stream and wait until the caller accepts it."""
         await self.exchange.write(data)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -7,6 +7,7 @@
 
 from leadford.forwarding.endpoints import EventGaps
 from leadford.forwarding.memory import MAX_UNREAD_EVENT_BYTES
+from leadford.forwarding.overload import DelayMark
 from leadford.forwarding.retries import (
     MIN_ENDPOINTS_FOR_RETRY,
     AttemptTiming,
@@ -84,9 +85,7 @@
                     continue
                 # Give up this attempt; the stream continues at another endpoint.
                 return False
-            now = self.state.now()
-            own_delay_s = self.state.loop_turns_.total_delay_s(now)
-            gaps.record_read(began.at - began.delay_s, now - own_delay_s)
+            self._record_gap(gaps, began)
             for event in splitter.feed(data):
                 has_events = True
                 await self._pass_on(attempt, event)
@@ -101,6 +100,12 @@
                 return False
             return attempt.answer.reader.is_complete_
 
+    def _record_gap(self, gaps: EventGaps, began: DelayMark) -> None:
+        """Record a read; it counts as no wait if this entry was late itself."""
+        now = self.state.now()
+        is_measured = self.state.loop_turns_.measured_s(began, now) is not None
+        gaps.record_read(began.at if is_measured else now, now)
+
     def _record_gaps(self, attempt: Attempt, gaps: EventGaps) -> None:
         """Record the time between events as a measurement of the engine."""
         gap_s = gaps.usual_s()
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
@@ -115,7 +115,8 @@
         except TimeoutError:
             now = self.state.now()
             record.record_failure(now, EndpointFailure.SILENT)
-            ratio = self._duration_ratio(call, now)
+            elapsed_s = self.state.loop_turns_.min_elapsed_s(call.began, now)
+            ratio = call.duration_ratio(elapsed_s)
             record.record_slowness(ratio, now)
             record.pace_.record_overdue(ratio, now)
             return CallEnd(None, PieceFailure.SILENT.value)
@@ -123,10 +124,6 @@
             # Without a CallEnd the pieces would get no answer. They are made elsewhere.
             return CallEnd(None, f"fault: {type(error).__name__}: {error}")
 
-    def _duration_ratio(self, call: PieceCall, now: float) -> float:
-        """Return the ratio of the time that a call has taken to its expected time."""
-        return call.duration_ratio(self.state.loop_turns_.elapsed_s(call.began, now))
-
     async def _exchange(self, call: PieceCall) -> CallEnd:
         state = self.state
         record = call.record
@@ -170,12 +167,20 @@
         if isinstance(read, Failure) or len(read.unwrap()) != len(call.tasks):
             record.record_failure(now, EndpointFailure.INVALID_ANSWER)
             return CallEnd(None, CALL_INVALID_ANSWER)
-        elapsed_s = state.loop_turns_.elapsed_s(call.began, now)
+        self._record_duration(call, now)
+        return CallEnd(read.unwrap(), CALL_DONE)
+
+    def _record_duration(self, call: PieceCall, now: float) -> None:
+        """Record how long a successful call took, if this entry was not late itself."""
+        record = call.record
+        elapsed_s = self.state.loop_turns_.measured_s(call.began, now)
+        if elapsed_s is None:
+            record.record_success(None)
+            return
         record.record_success(elapsed_s * 1_000.0)
         ratio = call.duration_ratio(elapsed_s)
         record.record_slowness(ratio, now)
-        state.pace_meter_.record_call(record, ratio, now, waited=call.waits)
-        return CallEnd(read.unwrap(), CALL_DONE)
+        self.state.pace_meter_.record_call(record, ratio, now, waited=call.waits)
 
     def log(self, call: PieceCall, end: CallEnd, *, waiting: int) -> None:
         """Log how a call ended; `waiting` pieces are left in the queue of its group."""
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_round_trips.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_round_trips.py
@@ -78,5 +78,5 @@
             return
         now = self.state.now()
         if self.chosen_.get(peer_id) is peer:
-            elapsed_s = turns.elapsed_s(began, now)
+            elapsed_s = turns.min_elapsed_s(began, now)
             self.state.link_waits_.end(peer_id, elapsed_s)
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -208,13 +208,14 @@
         self._count_end(attempt.record)
         self.state.pool_.release(attempt.record, attempt.connection)
 
-    def record_first_token(self, elapsed_s: float) -> None:
+    def record_first_token(self, elapsed_s: float | None) -> None:
         """Record that an engine has read the prompt, and how long it took.
 
-        Units: elapsed_s in seconds.
+        Units: elapsed_s in seconds, None if it is not known.
         """
         sent = self.sent_prompt_
-        if sent is None:
+        if sent is None or elapsed_s is None:
+            self.record_prompt_read()
             return
         elapsed_ms = elapsed_s * 1_000.0
         self.state.engines_.record_first_token(sent, elapsed_ms)
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
@@ -30,11 +30,11 @@
             self.record_failure(attempt.record, EndpointFailure.ERROR_STATUS)
             return
         now = self.state.now()
-        elapsed_s = self.state.loop_turns_.elapsed_s(attempt.mark, now)
-        elapsed_ms = elapsed_s * 1_000.0
+        elapsed_s = self.state.loop_turns_.measured_s(attempt.mark, now)
+        elapsed_ms = None if elapsed_s is None else elapsed_s * 1_000.0
         attempt.record.record_success(elapsed_ms)
         match = self.progress.match_
-        if match.service.engine is None:
+        if match.service.engine is None and elapsed_ms is not None:
             self.state.pace_meter_.record_answer(
                 attempt.record, elapsed_ms, match.route.route_id, now
             )
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -141,12 +141,13 @@
         pace = self.pace(now)
         return self.slowness(now) if pace is None else pace
 
-    def record_success(self, elapsed_ms: float) -> None:
-        """Record a successful answer and its latency."""
+    def record_success(self, elapsed_ms: float | None) -> None:
+        """Record a successful answer and its latency; None if that is not known."""
         self.consecutive_failures_ = 0
         self.suspect_until_ = 0.0
         self.failure_rate_.update(0.0)
-        self.latency_ms_.update(elapsed_ms)
+        if elapsed_ms is not None:
+            self.latency_ms_.update(elapsed_ms)
 
     def record_failure(self, now: float, failure: EndpointFailure) -> None:
         """Record a failure, which may make the endpoint suspect."""
--- a/packages/leadford/src/leadford/forwarding/overload/_turns.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_turns.py
@@ -22,6 +22,8 @@
 # turn would double in the third.
 MAX_GROWING_TURN_S = 0.040
 GROWING_TURN_COUNT = 2
+# Fraction of a duration for which the loop may be late while it is measured.
+MAX_DELAY_FRACTION = 0.25
 # Timers are late by this much at times although the loop is idle.
 MIN_DELAY_S = 0.004
 
@@ -105,9 +107,23 @@
         """
         return min(now - mark.at, self.total_delay_s(now) - mark.delay_s)
 
-    def elapsed_s(self, mark: DelayMark, now: float) -> float:
-        """Return the time since a moment without what this entry itself delayed.
+    def min_elapsed_s(self, mark: DelayMark, now: float) -> float:
+        """Return the time since a moment less all that the loop was late.
+
+        What others took is longer where they worked while the loop was late.
 
         Units: seconds.
         """
         return now - mark.at - self.delay_since_s(mark, now)
+
+    def measured_s(self, mark: DelayMark, now: float) -> float | None:
+        """Return the time since a moment, None if the loop was late for much of it.
+
+        Then it does not tell how long others took.
+
+        Units: seconds.
+        """
+        elapsed_s = now - mark.at
+        if self.delay_since_s(mark, now) > MAX_DELAY_FRACTION * elapsed_s:
+            return None
+        return elapsed_s
