Let the error of forecasts fade while no request is admitted

What callers saw: an entry that had been busy for a second went on refusing nearly all requests with stages after that, with nothing waiting (112 to 118 of 120 a second, and under 20 connections refused). Cause: admission adds to its forecasts by how much the last ones were too short, and learns that from requests that it admitted. Once the error alone passes the limit, none is, and it stays. The class: a belief that keeps the news away which would change it.

The test failed before.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
@@ -77,7 +77,7 @@
             return
         actual_s = now - progress.request.received_at
         self.admission.record_response_time(
-            progress.match_.route, progress.expected_s_, actual_s
+            progress.match_.route, progress.expected_s_, actual_s, now
         )
 
     async def write(self, data: bytes) -> None:
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -29,7 +29,7 @@
 
 import msgspec
 
-from leadford.common import Ewma
+from leadford.forwarding.admission._error import ForecastError
 from leadford.forwarding.admission._first_try import FirstTryTimes
 from leadford.forwarding.admission._forecast import (
     StageDelay,
@@ -66,10 +66,8 @@
 MAX_RETRY_AFTER_DIVISOR = 3.0
 # Maximum fraction by which a retry delay is lengthened at random.
 JITTER_FRACTION = 0.15
-# Maximum correction of a forecast as a fraction of the target, and the weight of the
-# newest error.
+# Maximum correction of a forecast as a fraction of the target.
 MAX_ERROR_FRACTION = 0.6
-ERROR_WEIGHT = 0.15
 
 
 class ForwardAdmission:
@@ -85,7 +83,7 @@
         self.backlog = backlog
         self.reservations = reservations
         self.random = random
-        self.error_by_route_: dict[RouteId, Ewma] = {}
+        self.error_by_route_: dict[RouteId, ForecastError] = {}
         self.first_tries_ = FirstTryTimes()
         self.common_timeouts_ = CommonTimeouts()
         self.shares_ = AdmittedShares()
@@ -107,7 +105,7 @@
         )
         delays = forecast.delays(self.backlog, request.now, is_late=is_late)
         queue_delay_s = max(delay.delay_s for delay in (engine_delay, *delays))
-        error_s = self._forecast_error(request.route).value_
+        error_s = self._forecast_error(request.route).value_s(request.now)
         expected_s = min_answer_s + queue_delay_s + error_s
         decision = AdmissionDecision(
             Verdict.ADMIT,
@@ -228,24 +226,17 @@
         )
 
     def record_response_time(
-        self, route: Route, expected_s: float, actual_s: float
+        self, route: Route, expected_s: float, actual_s: float, now: float
     ) -> None:
         """Update the forecast error of a route from an actual response time."""
         known = self._forecast_error(route)
-        error_s = actual_s - (expected_s - known.value_)
+        error_s = actual_s - (expected_s - known.value_s(now))
         aim_s = route.aim_ms / 1_000.0
-        known.update(min(max(error_s, 0.0), MAX_ERROR_FRACTION * aim_s))
+        known.update(min(max(error_s, 0.0), MAX_ERROR_FRACTION * aim_s), now)
 
-    def _forecast_error(self, route: Route) -> Ewma:
-        """Return the average by which recent forecasts for a route were too short.
-
-        Units: seconds.
-        """
-        error = self.error_by_route_.get(route.route_id)
-        if error is None:
-            error = Ewma(initial=0.0, weight=ERROR_WEIGHT)
-            self.error_by_route_[route.route_id] = error
-        return error
+    def _forecast_error(self, route: Route) -> ForecastError:
+        """Return the average by which recent forecasts for a route were too short."""
+        return self.error_by_route_.setdefault(route.route_id, ForecastError())
 
     def _retry_after_s(
         self, request: AdmissionRequest, critical_path_s: float, queue_delay_s: float
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
@@ -218,10 +218,22 @@
 def test_the_forecast_error_is_learned_and_bounded():
     fixture = Fixture()
     for _ in range(50):
-        fixture.admission.record_response_time(ROUTE, 0.5, 60.0)
+        fixture.admission.record_response_time(ROUTE, 0.5, 60.0, 0.0)
     assert fixture.decide().expected_s <= 0.34 + 0.6 * 2.0 + 0.01
 
 
+def test_a_forecast_error_that_refuses_all_requests_fades():
+    # Nothing is admitted meanwhile, so nothing would show that answers are fast again.
+    fixture = Fixture()
+    route = msgspec.structs.replace(ROUTE, priority=2)
+    for _ in range(50):
+        fixture.admission.record_response_time(route, 0.5, 60.0, 0.0)
+    assert fixture.decide(route=route, now=0.5).verdict is Verdict.REFUSE
+    assert (
+        fixture.decide(route=route, fingerprint="g", now=4.0).verdict is Verdict.ADMIT
+    )
+
+
 def test_a_service_that_takes_nothing_for_long_is_waited_for_by_callers():
     fixture = Fixture()
     assert fixture.decide(endpoint_wait_s=0.05).verdict is Verdict.ADMIT
