Refuse connections for a while if none can be accepted for want of descriptors

By reading: accept() then fails, the socket stays readable, and the loop calls it again in each turn, with an exception each time, as the library that accepted connections did before. Now it stops listening for 50 ms at a time and logs event 108. The test brings the failure of accept() about by a stand-in of the socket.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -343,7 +343,7 @@
         )
 
     def _on_listen_failed(self, error: OSError) -> None:
-        """Log that the port of callers could not be bound after a pause."""
+        """Log that no connection of a caller could be accepted."""
         self.log_.report(Event.LISTEN_FAILED, error=str(error)[:200])
 
     async def _sweep(self) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
@@ -32,7 +32,7 @@
 # Connections that are accepted in one turn of the loop; the others wait for the next. A
 # turn that reads all of a burst would delay all that is under way.
 MAX_READ_PER_TURN = 16
-# Time after which listening is tried again if the port cannot be bound.
+# Time after which listening is tried again if it failed.
 LISTEN_RETRY_S = 0.05
 # Effectively unlimited: `CallerExchange` enforces the configured limit on bodies while
 # they arrive, instead of the library.
@@ -133,6 +133,11 @@
                 connection, address = sock.accept()
             except (BlockingIOError, ConnectionAbortedError):
                 return
+            except OSError as error:
+                # Mostly for want of descriptors; the socket would stay readable.
+                self.on_listen_failed(error)
+                self._pause(LISTEN_RETRY_S)
+                return
             if not self.admission.admits(now):
                 CONNECTIONS_SHED_TOTAL.inc()
                 connection.close()
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_uneven_connections.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_uneven_connections.py
@@ -1,6 +1,7 @@
 """Callers may open most of their connections to one entry, and later to another one."""
 
 import asyncio
+import errno
 import socket
 
 from leadford_standins.wire import run_scenario
@@ -104,3 +105,23 @@
             sock.close()
 
     run_scenario(scenario)
+
+
+class SocketWithoutDescriptors:
+    """Accept nothing, as if the process had no descriptor left."""
+
+    def accept(self):
+        raise OSError(errno.EMFILE, "too many open files")
+
+
+def test_an_entry_without_descriptors_refuses_connections_for_a_while():
+    # The socket stays readable, so the loop would do nothing else.
+    async def scenario(deployment):
+        server = deployment.entries_[0].caller_server_
+        server._accept(SocketWithoutDescriptors())
+        assert server.sockets_ == []
+        await deployment.until(lambda: server.sockets_)
+        answer = await deployment.send("/unsafe/x", request_id="r")
+        assert answer.code == 200
+
+    run_scenario(scenario)
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -39,7 +39,7 @@
     LISTEN_FAILED = (
         108,
         Severity.ERROR,
-        "The port of callers could not be bound again after a pause.",
+        "No connection of a caller could be accepted; tried again soon.",
     )
     PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
     PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
