--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_busy_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_busy_entries.py
@@ -326,7 +326,7 @@
             assert served >= MIN_SERVED_FRACTION * calm, described
             # The callers move on to another entry as this one is lost.
             fleet.entries[entry].kill()
-        spread_at = await fleet.send_for(CALM_S, borne_per_s / 3, fleet.evenly)
+        spread_at = await fleet.send_for(2 * CALM_S, borne_per_s / 3, fleet.evenly)
         served = fleet.served_fraction(spread_at + CONTACT_S)
         assert served >= 0.95 * calm, fleet.describe(spread_at)
 
