Let entries of the stand-ins' deployment refuse no connections for the delay of the process

Callers, endpoints and all entries of these tests share one event loop, and the callers of a test do not try another entry. What a late entry does is tested with processes of their own.

--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -14,6 +14,7 @@
 
 from leadford.common import EntryId, HallId
 from leadford.forwarding.batching import PlaceId, RegionMap
+from leadford.forwarding.overload import LinkWaits, LoopTurns
 from leadford_platform import PlatformObjects, PlatformRequests
 from leadford_server.forwarding import ForwardBounds, ForwardProcess, ForwardSettings
 from leadford_server.settings import SocketAddress
@@ -287,6 +288,10 @@
             random=Random(self.random.random()),
         )
         await entry.start()
+        # All share one event loop with callers and endpoints, whose delay is not that
+        # of the entry. `leadford_standins.soak` runs entries as processes of their own.
+        entry.connections_.turns = LoopTurns()
+        entry.connections_.link = LinkWaits()
         return entry
 
     async def restart_entry(self, number: int) -> ForwardProcess:
