Log who closed a caller's connection, and what is open when a stop is decided

To tell the hypotheses apart. Event 406 has closed_by: the caller (an orderly end, or of its sending half), a reset, a failure, or this entry and why. Event 109 is logged where a planned stop decides to end: whether nothing was open or its time was over, and requests, unsent answers, calls for pieces and connections, which 101 and 102 have now too.

The connection of a caller has an object of its own that records its close. Which connections are closed, and when, is unchanged: server, platform and the wire tests of entries, slow readers and requests pass (1,462).

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -416,7 +416,9 @@
         self.is_draining_ = True
         self.links_.is_draining_ = True
         self.state_.record_stop()
-        self.log_.report(Event.PROCESS_DRAINING, live=self._live_count())
+        self.log_.report(
+            Event.PROCESS_DRAINING, live=self._live_count(), **self._open_fields()
+        )
         ends_at = stop_ends_at(began_at, self.settings.bounds.grace_s)
         # Otherwise the stop would cut off requests without an answer, including those
         # that were never sent to an endpoint.
@@ -427,17 +429,38 @@
         await self.members_.retract()
         # Requests may have arrived while the store answered. Nothing may wait between
         # the last check and the stop, or a request at an endpoint could be cut off.
-        await self._wait_until_idle(began_at, ends_at)
-        self.log_.report(Event.PROCESS_STOPPED, live=self._live_count())
+        is_idle = await self._wait_until_idle(began_at, ends_at)
+        self.log_.report(
+            Event.STOP_DECIDED,
+            is_idle=is_idle,
+            after_ms=round((loop.time() - began_at) * 1_000.0),
+            **self._open_fields(),
+        )
+        self.log_.report(
+            Event.PROCESS_STOPPED, live=self._live_count(), **self._open_fields()
+        )
         self.stop()
 
-    async def _wait_until_idle(self, began_at: float, ends_at: float) -> None:
-        """Wait until a stop would cut off no request, or until the stop must end."""
+    async def _wait_until_idle(self, began_at: float, ends_at: float) -> bool:
+        """Wait until a stop would cut off no request, or until the stop must end.
+
+        Returns whether it would cut off none.
+        """
         loop = asyncio.get_running_loop()
         while loop.time() < ends_at:
             if may_stop(loop.time() - began_at, self._live_count()):
-                return
+                return True
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        return False
+
+    def _open_fields(self) -> dict[str, int]:
+        """Return the log fields for what a stop at this moment would cut off."""
+        return {
+            "requests": len(self.caller_server_.exchanges_),
+            "unsent_answers": self.caller_server_.unsent_count,
+            "calls": self.stages_.scheduler_.calls_under_way,
+            "connections": self.caller_server_.connection_count,
+        }
 
     def _live_count(self) -> int:
         """Return how many requests and calls for pieces of any entry are under way."""
--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -183,10 +183,14 @@
     progress: RequestProgress,
     *,
     stages_done_at: float | None,
+    closed_by: str,
     now: float,
     log: EventLog,
 ) -> None:
-    """Count and log how a request ended."""
+    """Count and log how a request ended.
+
+    `closed_by` says who closed the connection of the caller, if it is closed.
+    """
     request = progress.request
     match = progress.match_
     end = progress.end_
@@ -212,6 +216,7 @@
         reason=end.reason.value,
         retry=retry_reason.value if retry_reason is not None else "",
         detail=end.detail[:MAX_DETAIL_CHARACTERS],
+        closed_by=closed_by,
         expected_ms=round(expected_s * 1_000.0),
         caller_ms=request.deadline_ms or 0.0,
         **_booking_fields(progress),
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
@@ -6,7 +6,6 @@
 import asyncio
 import socket
 from collections.abc import Callable, Coroutine
-from weakref import WeakSet
 
 from tornado import httpserver, httputil, iostream, netutil
 from tornado.http1connection import HTTP1Connection
@@ -18,6 +17,10 @@
 from leadford_server.forwarding._contract import RequestCodec
 from leadford_server.forwarding._framing import unsent_bytes
 from leadford_server.forwarding._memory import HeldMemory
+from leadford_server.forwarding.answers._caller_connection import (
+    CallerConnection,
+    CloseCause,
+)
 from leadford_server.forwarding.answers._callers import CallerExchange
 from leadford_server.forwarding.answers._unsent import UnsentAnswer
 from leadford_server.metrics import CONNECTIONS_SHED_TOTAL
@@ -72,7 +75,8 @@
         self.limits_ = TrafficLimits()
         self.exchanges_: set[CallerExchange] = set()
         self.unsent_answers_: list[UnsentAnswer] = []
-        self.streams_: WeakSet[iostream.IOStream] = WeakSet()
+        # The key is the library's object for a connection.
+        self.connections_by_server_: dict[object, CallerConnection] = {}
         self.server_: httpserver.HTTPServer | None = None
         self.address_: tuple[str, int] | None = None
         self.sockets_: list[socket.socket] = []
@@ -168,58 +172,70 @@
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> CallerExchange:
         """Return the exchange for the next request of a connection."""
-        if request_conn.stream is not None:
-            self.streams_.add(request_conn.stream)
-            if self.is_stopped_:
-                # The connection was accepted just before the stop, which could not
-                # close it yet.
-                request_conn.stream.close()
-        return CallerExchange(connection=request_conn, server=self)
+        caller = self.connections_by_server_.get(server_conn)
+        if caller is None:
+            caller = CallerConnection(stream=request_conn.stream)
+            self.connections_by_server_[server_conn] = caller
+        if self.is_stopped_:
+            # The connection was accepted just before the stop, which could not close it
+            # yet.
+            caller.close(CloseCause.STOPPED)
+        caller.exchange_ = CallerExchange(
+            connection=request_conn, caller=caller, server=self
+        )
+        return caller.exchange_
 
     def on_close(self, server_conn: object) -> None:
-        """Record that a connection ended."""
+        """Forget a connection that ended."""
+        self.connections_by_server_.pop(server_conn, None)
 
-    def close_soon(self, connection: HTTP1Connection) -> None:
+    def close_soon(self, caller: CallerConnection) -> None:
         """Close a connection once its written bytes have been sent.
 
         The head of the answer may have been written before the stop began, without
         "Connection: close". The caller may then send another request at once; that
         request is served, and the connection is closed after it.
         """
-        stream = connection.stream
-        if stream is None or stream.closed():
+        if caller.is_closed:
             return
         loop = asyncio.get_running_loop()
 
         def close() -> None:
-            if stream.closed() or self._has_pending_request(stream):
+            if caller.is_closed or self._has_pending_request(caller):
                 return
-            if stream.writing():
+            if caller.stream.writing():
                 loop.call_later(CLOSE_DELAY_S, close)
                 return
-            stream.close()
+            caller.close(CloseCause.ANSWERED)
 
         loop.call_later(CLOSE_DELAY_S, close)
 
-    def _has_pending_request(self, stream: iostream.IOStream) -> bool:
+    def _has_pending_request(self, caller: CallerConnection) -> bool:
         """Return whether a connection has a request that is not answered yet."""
-        return any(item.connection.stream is stream for item in self.exchanges_)
+        return caller.exchange_ in self.exchanges_
 
     @property
     def connection_count(self) -> int:
-        """Return the number of open connections on which a request began."""
-        return sum(not stream.closed() for stream in self.streams_)
+        """Return the number of open connections that are read."""
+        return sum(not caller.is_closed for caller in self._callers())
 
     @property
     def unsent_bytes(self) -> int:
         """Return how many bytes wait to be sent to callers."""
-        return sum(map(unsent_bytes, self.streams_))
+        return sum(unsent_bytes(caller.stream) for caller in self._callers())
+
+    @property
+    def unsent_count(self) -> int:
+        """Return how many connections have bytes that wait to be sent."""
+        return sum(caller.stream.writing() for caller in self._callers())
 
     @property
     def pending_count(self) -> int:
         """Return the number of running requests plus that of unsent answers."""
-        unsent_count = sum(stream.writing() for stream in self.streams_)
-        return len(self.exchanges_) + unsent_count
+        return len(self.exchanges_) + self.unsent_count
+
+    def _callers(self) -> list[CallerConnection]:
+        return list(self.connections_by_server_.values())
 
     def stop(self) -> None:
         """Accept no new connections and close the existing ones.
@@ -231,5 +247,5 @@
         if self.pause_timer_ is not None:
             self.pause_timer_.cancel()
         self._close_sockets()
-        for stream in list(self.streams_):
-            stream.close()
+        for caller in self._callers():
+            caller.close(CloseCause.STOPPED)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -26,6 +26,10 @@
     write_head,
 )
 from leadford_server.forwarding._memory import HeldBytes
+from leadford_server.forwarding.answers._caller_connection import (
+    CallerConnection,
+    CloseCause,
+)
 from leadford_server.forwarding.answers._unsent import UnsentAnswer
 
 if TYPE_CHECKING:
@@ -53,8 +57,15 @@
 class CallerExchange(httputil.HTTPMessageDelegate):
     """Hold one request of a caller and its answer."""
 
-    def __init__(self, *, connection: HTTP1Connection, server: "CallerServer") -> None:
+    def __init__(
+        self,
+        *,
+        connection: HTTP1Connection,
+        caller: CallerConnection,
+        server: "CallerServer",
+    ) -> None:
         self.connection = connection
+        self.caller = caller
         self.server = server
         self.request_: InboundRequest | None = None
         self.chunks_: list[bytes] = []
@@ -155,7 +166,7 @@
         A request that was read just before its connection closed is dropped, because
         its answer could not be delivered.
         """
-        if self._is_closed():
+        if self.caller.is_closed:
             self.on_connection_close()
             return
         if self.is_refused_:
@@ -168,10 +179,6 @@
         self.task_ = asyncio.ensure_future(self.server.serve(self))
         self.task_.add_done_callback(self._on_served)
 
-    def _is_closed(self) -> bool:
-        stream = self.connection.stream
-        return stream is None or stream.closed()
-
     def on_connection_close(self) -> None:
         """Record that the caller disconnected before the request was complete."""
         self.is_over_ = True
@@ -179,6 +186,7 @@
         self._release_body()
 
     def _on_caller_disconnected(self) -> None:
+        self.caller.record_lost()
         if self.task_ is not None and not self.is_over_:
             self.task_.cancel()
 
@@ -226,7 +234,7 @@
 
     def _follow_unsent(self, due_at: float | None = None) -> UnsentAnswer | None:
         """Account for bytes that are written but not sent; None if there are none."""
-        stream = self.connection.stream
+        stream = self.caller.stream
         if not unsent_bytes(stream):
             return None
         unsent = UnsentAnswer(
@@ -240,7 +248,8 @@
 
     def cut_off(self) -> None:
         """Close the connection of a caller that does not send or read."""
-        self.server.on_cut_off(self, unsent_bytes(self.connection.stream))
+        self.server.on_cut_off(self, unsent_bytes(self.caller.stream))
+        self.caller.close(CloseCause.STALLED)
         # Closing the connection here does not end a task that waits to write to it.
         self._on_caller_disconnected()
         self.abort()
@@ -257,6 +266,7 @@
     def abort(self) -> None:
         """Close the connection at once, so that the answer does not look complete."""
         self.is_over_ = True
+        self.caller.close(CloseCause.BROKEN_OFF)
         self.connection.close()
 
     def _headers(self, headers: HeaderList) -> httputil.HTTPHeaders:
@@ -286,7 +296,7 @@
         self.connection.finish()
         if closes:
             # Bytes that are already written are sent before the close.
-            self.server.close_soon(self.connection)
+            self.server.close_soon(self.caller)
 
 
 def _reason(status: int) -> str:
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -112,6 +112,7 @@
             log_end(
                 self.progress,
                 stages_done_at=self.inputs.done_at_,
+                closed_by=self.exchange.caller.closed_by_text,
                 now=self.state.now(),
                 log=self.state.log,
             )
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -41,6 +41,11 @@
         Severity.ERROR,
         "No connection of a caller could be accepted; tried again soon.",
     )
+    STOP_DECIDED = (
+        109,
+        Severity.INFO,
+        "A planned stop found nothing open, or has no time left.",
+    )
     PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
     PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
     PEER_REJECTED = (202, Severity.WARNING, "A peer failed its proof or version.")
