--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_processes.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_processes.py
@@ -47,6 +47,8 @@
 retryBudgetRatio = {retry_ratio}
 retryWindowS = {retry_window_s:.0f}
 retrySlack = {retry_slack:.0f}
+[limits]
+memoryMb = {memory_mb}
 [platform]
 address = "{store}"
 """
@@ -92,9 +94,12 @@
         ledger: Ledger,
         program: Path = PROGRAM,
         newer_program: Path = PROGRAM,
+        memory_mb: int = 0,
     ) -> None:
         self.program = program
         self.newer_program = newer_program
+        # In megabytes; 0 for no limit.
+        self.memory_mb = memory_mb
         self.name = name
         self.ip = ip
         self.hall = hall
@@ -154,6 +159,7 @@
             retry_ratio=bounds.retry_ratio,
             retry_window_s=bounds.retry_window_s,
             retry_slack=bounds.retry_slack,
+            memory_mb=self.memory_mb,
             store=self.store,
         )
         path = self.folder / f"{self.name}.toml"
