Judge a caller's reading of an answer by the bytes of that answer

Cause: the holder of an answer's unsent bytes asked how much its *connection* has unsent.

Why this works: the holder remembers up to which byte of the connection its answer goes, and is released once that byte was sent, whatever was written later.

--- a/packages/leadford-server/src/leadford_server/forwarding/_framing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_framing.py
@@ -52,3 +52,16 @@
         return 0
     # The public interface of tornado tells only whether this buffer is empty.
     return len(stream._write_buffer)
+
+
+def written_bytes(stream: IOStream) -> int:
+    """Return how many bytes were ever written to a connection, sent or not."""
+    # The public interface of tornado tells neither of these two counts.
+    return stream._total_write_index
+
+
+def unsent_bytes_until(stream: IOStream, written: int) -> int:
+    """Return how many of the first `written` bytes of a connection are not sent."""
+    if stream.closed():
+        return 0
+    return max(0, written - stream._total_write_done_index)
--- a/packages/leadford-server/src/leadford_server/forwarding/_memory.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_memory.py
@@ -29,7 +29,8 @@
     """Report the bytes of one holder to the account of the process.
 
     `cut_off` closes the connection of the caller that the holder waits for; it is None
-    if the holder waits for no caller.
+    if the holder waits for no caller. `refresh` reports the bytes held now, where that
+    changes without a report.
     """
 
     def __init__(
@@ -38,9 +39,11 @@
         memory: "HeldMemory",
         cause: HeldCause,
         cut_off: Callable[[], None] | None = None,
+        refresh: Callable[[], None] = lambda: None,
     ) -> None:
         self.memory = memory
         self.cut_off = cut_off
+        self.refresh = refresh
         self.holder = BytesHolder(
             cause=cause, waits_for_caller=cut_off is not None, now=memory.now()
         )
@@ -128,10 +131,13 @@
                 room_bytes -= MAX_READ_BYTES
 
     def hold(
-        self, cause: HeldCause, cut_off: Callable[[], None] | None = None
+        self,
+        cause: HeldCause,
+        cut_off: Callable[[], None] | None = None,
+        refresh: Callable[[], None] = lambda: None,
     ) -> HeldBytes:
         """Return a new holder, which holds nothing yet."""
-        return HeldBytes(memory=self, cause=cause, cut_off=cut_off)
+        return HeldBytes(memory=self, cause=cause, cut_off=cut_off, refresh=refresh)
 
     def set_held(self, held: HeldBytes, count: int) -> None:
         """Record what a holder holds, and wake readers when something was released."""
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_unsent.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_unsent.py
@@ -9,7 +9,7 @@
 from tornado.iostream import IOStream
 
 from leadford.forwarding.memory import HeldCause
-from leadford_server.forwarding._framing import unsent_bytes
+from leadford_server.forwarding._framing import unsent_bytes_until, written_bytes
 from leadford_server.forwarding._memory import HeldMemory
 
 # The least time that a caller has to read a complete answer, also if the answer was
@@ -18,7 +18,9 @@
 
 
 class UnsentAnswer:
-    """Account for bytes that are written to one caller but not sent.
+    """Account for the bytes of one answer that are written to a caller but not sent.
+
+    What was written to the connection afterwards belongs to other answers.
 
     `cut_off` closes the connection. It is called if the caller makes no progress while
     the memory is needed, or if a complete answer is not read in time. An answer that is
@@ -41,22 +43,33 @@
         self.overdue_at_: float | None = None
         if due_at is not None:
             self.overdue_at_ = max(due_at, memory.now() + MIN_READ_TIME_S)
-        self.held_ = memory.hold(HeldCause.UNSENT_ANSWER, cut_off)
-        self.held_.set(unsent_bytes(stream))
+        self.written = written_bytes(stream)
+        self.held_ = memory.hold(HeldCause.UNSENT_ANSWER, cut_off, self.refresh)
+        self.held_.set(self._unsent_bytes)
+
+    @property
+    def _unsent_bytes(self) -> int:
+        return unsent_bytes_until(self.stream, self.written)
 
     def release(self) -> None:
         """Record that all bytes were sent, or will not be."""
         self.held_.release()
 
-    def check(self) -> bool:
-        """Record how much was sent; return whether there is more to check."""
-        unsent = unsent_bytes(self.stream)
-        if not unsent or self.held_.is_released_:
+    def refresh(self) -> None:
+        """Record how much was sent."""
+        unsent = self._unsent_bytes
+        if not unsent:
             self.held_.release()
-            return False
+            return
         if unsent < self.held_.count:
             self.held_.record_progress()
             self.held_.set(unsent)
+
+    def check(self) -> bool:
+        """Record how much was sent; return whether there is more to check."""
+        self.refresh()
+        if self.held_.is_released_:
+            return False
         if self._is_overdue():
             self.cut_off()
             self.held_.release()
