Look at what callers have read before one is cut off for want of memory

What callers saw: a connection was closed while its next request was at an endpoint, for an answer that had been read.

In that time a caller may read all and send its next request on the connection.

Evidence: test_memory_that_was_released_since_the_last_sweep_cuts_off_no_request failed before (no answer) and passes now.

Why this works: the holders report what is unsent now before the decision is made, so an answer that was read no longer counts. Only where a caller would be cut off, so a request that is admitted costs nothing more.

--- a/packages/leadford-server/src/leadford_server/forwarding/_memory.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_memory.py
@@ -167,6 +167,10 @@
 
     def cut_off_stalled(self, needed_bytes: int = 0) -> int:
         """Cut off callers without progress if the memory is needed; return how many."""
+        if not self.account_.stalled_holders(self.now(), needed_bytes):
+            return 0
+        for held in list(self.held_by_holder_.values()):
+            held.refresh()
         stalled = self.account_.stalled_holders(self.now(), needed_bytes)
         for holder in stalled:
             held = self.held_by_holder_.get(holder)
