Answer requests that are cancelled though their caller waits

What callers saw: the connection of a request was closed with no answer, though the caller had not left; the log said that it had, or nothing if the task had not begun.

Cause: RequestForwarder.serve took each cancellation for a caller that left, whoever cancelled: an awaited task or future that another one cancelled, or the end of the loop.

Change: only a closed connection means that the caller left. Otherwise the request is answered: 503 if it was sent to no endpoint, else 502, since an attempt that is cancelled may have run. A task that is cancelled before its first step is answered and logged by the process.

No code of the entry is known to cancel a request so: whether the reported one was such a case is not shown.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -16,7 +16,12 @@
 from leadford.common import EntryId
 from leadford.events import Event
 from leadford.forwarding.admission import ForwardAdmission
-from leadford.forwarding.answers import EndReason, FinalAnswer, RequestOutcome
+from leadford.forwarding.answers import (
+    EndReason,
+    FinalAnswer,
+    RequestOutcome,
+    final_answer,
+)
 from leadford.forwarding.membership import may_stop, stop_ends_at
 from leadford.forwarding.memory import MemoryRefusal
 from leadford.forwarding.overload import ConnectionAdmission
@@ -52,6 +57,7 @@
 from leadford_server.metrics import (
     CALLER_CONNECTIONS,
     FORWARDED_TOTAL,
+    INTERRUPTED_TOTAL,
     UNSENT_BYTES,
 )
 
@@ -129,6 +135,7 @@
             on_rejected=self._on_denied,
             on_refused=self._on_refused,
             on_cut_off=self._on_cut_off,
+            on_unanswered=self._on_unanswered,
             on_listen_failed=self._on_listen_failed,
             memory=self.state_.memory_,
             admission=self.connections_,
@@ -291,6 +298,7 @@
         return not self.state_.age().is_stale
 
     async def _serve(self, exchange: CallerExchange) -> None:
+        exchange.is_served_ = True
         forwarder = RequestForwarder(
             exchange=exchange,
             state=self.state_,
@@ -330,6 +338,34 @@
             detail=f"held {refusal.held_bytes} of {refusal.allowed_bytes} bytes",
         )
 
+    def _on_unanswered(self, exchange: CallerExchange) -> None:
+        """Answer a request whose task ended without an answer, and log its end.
+
+        The task was cancelled before its first step.
+        """
+        reason = EndReason.CALLER_GONE
+        answer = FinalAnswer(RequestOutcome.CALLER_GONE, 0)
+        if exchange.caller.is_closed:
+            exchange.abort()
+        else:
+            INTERRUPTED_TOTAL.inc()
+            reason = EndReason.INTERRUPTED
+            answer = final_answer(
+                reason, may_have_run=exchange.is_served_, has_begun=exchange.has_begun_
+            )
+            headers = self.codec.refusal_headers(answer.retry_after_s)
+            exchange.answer(answer.status, headers)
+        FORWARDED_TOTAL.labels(kind="none", end=answer.outcome.value).inc()
+        self.log_.report(
+            Event.FORWARD_ENDED,
+            request=exchange.request_.request_id,
+            status=answer.status,
+            outcome=answer.outcome.value,
+            reason=reason.value,
+            closed_by=exchange.caller.closed_by_text,
+            detail="cancelled before its first step",
+        )
+
     def _on_cut_off(self, exchange: CallerExchange, unsent_bytes: int) -> None:
         """Log a caller whose connection is closed because it does not send or read."""
         memory = self.state_.memory_.account_
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
@@ -58,6 +58,7 @@
         on_rejected: Callable[[CallerExchange, int], None],
         on_refused: Callable[[CallerExchange, MemoryRefusal, FinalAnswer], None],
         on_cut_off: Callable[[CallerExchange, int], None],
+        on_unanswered: Callable[[CallerExchange], None],
         on_listen_failed: Callable[[OSError], None],
         memory: HeldMemory,
         admission: ConnectionAdmission,
@@ -69,6 +70,7 @@
         self.on_rejected = on_rejected
         self.on_refused = on_refused
         self.on_cut_off = on_cut_off
+        self.on_unanswered = on_unanswered
         self.on_listen_failed = on_listen_failed
         self.memory = memory
         self.admission = admission
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -71,6 +71,8 @@
         self.chunks_: list[bytes] = []
         self.body_bytes_ = 0
         self.task_: asyncio.Task[None] | None = None
+        # Whether the task took its first step, and whether the answer has begun.
+        self.is_served_ = False
         self.has_begun_ = False
         self.is_over_ = False
         # Whether the head of the answer announced that the connection is closed.
@@ -194,7 +196,7 @@
         self.server.exchanges_.discard(self)
         self._release_body()
         if not self.is_over_:
-            self.abort()
+            self.server.on_unanswered(self)
         if not task.cancelled() and task.exception() is not None:
             self.server.on_fault(self, task.exception())
 
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -42,7 +42,11 @@
 from leadford_server.forwarding.answers._stream import StreamForwarder
 from leadford_server.forwarding.batching import RequestInputs, StageFailure, StageRunner
 from leadford_server.forwarding.retries import NO_ENDPOINT, EndpointAttempts
-from leadford_server.metrics import ADMISSION_TOTAL, RETURNS_TOTAL
+from leadford_server.metrics import (
+    ADMISSION_TOTAL,
+    INTERRUPTED_TOTAL,
+    RETURNS_TOTAL,
+)
 
 # Log detail of a request that is not started. If the lookup failed, its fault comes
 # before this text.
@@ -99,10 +103,15 @@
         try:
             if self._look_up():
                 await self._serve_within_deadline()
-        except (asyncio.CancelledError, CallerDisconnected):
+        except CallerDisconnected:
+            self._end_caller_gone()
+        except asyncio.CancelledError:
             # The exchange cancels this task when its caller leaves.
-            self.progress.record_caller_gone()
-            self.exchange.abort()
+            if self.exchange.caller.is_closed:
+                self._end_caller_gone()
+            else:
+                self._end_interrupted()
+                raise
         except Exception as error:
             # The caller gets a final answer after any error; the exchange logs it.
             self.answer.end(EndReason.FAULT, f"{type(error).__name__}: {error}")
@@ -117,6 +126,20 @@
                 log=self.state.log,
             )
 
+    def _end_caller_gone(self) -> None:
+        """End a request whose caller left."""
+        self.progress.record_caller_gone()
+        self.exchange.abort()
+
+    def _end_interrupted(self) -> None:
+        """Answer a request that is cancelled though its caller waits."""
+        INTERRUPTED_TOTAL.inc()
+        if self.exchange.is_over_:
+            return
+        # The attempt that was cancelled may have reached its endpoint.
+        self.progress.may_have_run_ |= bool(self.progress.tried_endpoint_ids_)
+        self.answer.end(EndReason.INTERRUPTED, "cancelled")
+
     def _look_up(self) -> bool:
         """Look up the route of the request; return whether the request may start."""
         request = self.request
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -174,6 +174,10 @@
 FORWARDED_TOTAL = Counter(
     "leadford_forwarded_total", "Forwarded requests by kind and end.", ["kind", "end"]
 )
+INTERRUPTED_TOTAL = Counter(
+    "leadford_interrupted_total",
+    "Forwarded requests that were cancelled though their caller waited.",
+)
 FORWARD_SECONDS = Histogram(
     "leadford_forward_seconds",
     "Forwarded requests until the first byte of the answer.",
--- a/packages/leadford/src/leadford/forwarding/answers/_final.py
+++ b/packages/leadford/src/leadford/forwarding/answers/_final.py
@@ -45,7 +45,8 @@
     service asked for fewer requests than callers send. MEMORY: too many bytes are held
     for callers and endpoints that read slowly. SOFTWARE_UNKNOWN: nobody knows which
     software version began the stream that the caller resumes. SOFTWARE_GONE: no
-    endpoint of that version takes new work. FAULT: an error of this process.
+    endpoint of that version takes new work. INTERRUPTED: the request was cancelled
+    though its caller waited. FAULT: an error of this process.
     """
 
     ANSWERED = "answered"
@@ -66,6 +67,7 @@
     SOFTWARE_GONE = "software-gone"
     MISLEADING_STATUS = "misleading-status"
     OUT_OF_TIME = "out-of-time"
+    INTERRUPTED = "interrupted"
     FAULT = "fault"
 
 
