Go on with a planned stop if a step of it fails or is cancelled

What callers saw: nothing yet; found by faults put in on purpose. An error in the removal of the entry's record, or a cancellation of the stop, ended the program at once: its loop was closed, all tasks cancelled, and requests at endpoints lost their connections, 3.2 s after SIGTERM at the earliest.

Change: the stop has a module of its own; its steps are run to their end, and an error or a cancellation is logged as event 110. The steps themselves are unchanged.

--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/_planned_stop.py
@@ -0,0 +1,105 @@
+"""Stop an entry as planned, so that each request that it has read is answered.
+
+Owns the order of a stop: serve until callers go elsewhere, take the own record out of
+the store, serve what came meanwhile, end. An error in one of the steps, or a
+cancellation of the stop, is logged and does not end those that follow.
+`leadford.forwarding.membership` decides when a stop may and must end.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+
+from leadford.events import Event
+from leadford.forwarding.membership import may_stop, stop_ends_at
+from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.answers import CallerServer
+from leadford_server.forwarding.batching import StageRunner
+
+# Time between checks for what is open.
+POLL_INTERVAL_S = 0.05
+# Requests still under way are ended this long before the end of a planned stop, so that
+# their answers can be written.
+FINAL_ANSWER_MARGIN_S = 0.4
+
+
+class PlannedStop:
+    """Run one planned stop.
+
+    `leave` takes the record of this entry out of the store.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: ForwardState,
+        callers: CallerServer,
+        stages: StageRunner,
+        leave: Callable[[], Awaitable[None]],
+    ) -> None:
+        self.state = state
+        self.callers = callers
+        self.stages = stages
+        self.leave = leave
+
+    async def run(self) -> None:
+        """End requests, and return when the process may end."""
+        self.began_at_ = self.state.now()
+        self.ends_at_ = stop_ends_at(self.began_at_, self.state.bounds.grace_s)
+        self._report(Event.PROCESS_DRAINING, live=self._live_count())
+        # Otherwise the stop would cut off requests without an answer, including those
+        # that were never sent to an endpoint.
+        self.state.deadlines_.end_by(self.ends_at_ - FINAL_ANSWER_MARGIN_S)
+        await self._complete(self._wait_until_idle())
+        await self._complete(self.leave())
+        # Requests may have arrived while the store answered. Nothing may wait between
+        # the last check and the stop, or a request at an endpoint could be cut off.
+        await self._wait_until_idle()
+        self._report(Event.STOP_DECIDED, is_idle=self._live_count() == 0)
+        self._report(Event.PROCESS_STOPPED, live=self._live_count())
+
+    async def _complete(self, step: Coroutine[None, None, None]) -> None:
+        """Run a step to its end, also if this task is cancelled meanwhile."""
+        task = asyncio.ensure_future(step)
+        while not task.done():
+            try:
+                await asyncio.wait({task})
+            except asyncio.CancelledError:
+                self._report(Event.STOP_DISTURBED, error="cancelled")
+        if task.cancelled():
+            self._report(Event.STOP_DISTURBED, error="a step was cancelled")
+        elif task.exception() is not None:
+            error = task.exception()
+            text = f"{type(error).__name__}: {error}"
+            self._report(Event.STOP_DISTURBED, error=text[:300])
+
+    async def _wait_until_idle(self) -> None:
+        """Serve until nothing is under way and callers go elsewhere."""
+        while self.state.now() < self.ends_at_:
+            if may_stop(self._elapsed_s, self._live_count()):
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    @property
+    def _elapsed_s(self) -> float:
+        return self.state.now() - self.began_at_
+
+    @property
+    def _calls_count(self) -> int:
+        """Return how many calls for pieces of any entry are under way."""
+        return self.stages.scheduler_.calls_under_way
+
+    def _live_count(self) -> int:
+        """Return how many requests and calls for pieces of any entry are under way."""
+        return self.callers.pending_count + self._calls_count
+
+    def _report(self, event: Event, **fields: object) -> None:
+        """Log an event with what a stop at this moment would cut off."""
+        self.state.log.report(
+            event,
+            **fields,
+            after_ms=round(self._elapsed_s * 1_000.0),
+            requests=len(self.callers.exchanges_),
+            unsent_answers=self.callers.unsent_count,
+            calls=self._calls_count,
+            connections=self.callers.connection_count,
+        )
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -22,12 +22,12 @@
     RequestOutcome,
     final_answer,
 )
-from leadford.forwarding.membership import may_stop, stop_ends_at
 from leadford.forwarding.memory import MemoryRefusal
 from leadford.forwarding.overload import ConnectionAdmission
 from leadford.forwarding.routes import ForwardConfig
 from leadford_server.clock import SuspensionWatch, boot_time
 from leadford_server.forwarding._contract import RequestCodec
+from leadford_server.forwarding._planned_stop import PlannedStop
 from leadford_server.forwarding._ready import ready_application
 from leadford_server.forwarding._settings import ForwardSettings
 from leadford_server.forwarding._state import ForwardState
@@ -61,13 +61,8 @@
     UNSENT_BYTES,
 )
 
-# Time between checks for requests under way during a planned stop.
-DRAIN_POLL_INTERVAL_S = 0.05
 # Time between sweeps of connections and records.
 SWEEP_INTERVAL_S = 0.5
-# Requests still under way are ended this long before the end of a planned stop, so that
-# their answers can be written.
-FINAL_ANSWER_MARGIN_S = 0.4
 # Time between checks whether the host was suspended.
 SUSPENSION_POLL_S = 0.25
 # Concurrent calls to the store.
@@ -140,6 +135,12 @@
             memory=self.state_.memory_,
             admission=self.connections_,
         )
+        self.planned_stop_ = PlannedStop(
+            state=self.state_,
+            callers=self.caller_server_,
+            stages=self.stages_,
+            leave=self._leave,
+        )
         self.caller_server_.start(settings.callers.host, settings.callers.port)
         self._start_ready_server()
         await self.links_.start()
@@ -447,62 +448,17 @@
 
     async def drain(self) -> None:
         """Take no new callers, end requests, and stop within the grace period."""
-        loop = asyncio.get_running_loop()
-        began_at = loop.time()
         self.is_draining_ = True
         self.links_.is_draining_ = True
         self.state_.record_stop()
-        self.log_.report(
-            Event.PROCESS_DRAINING, live=self._live_count(), **self._open_fields()
-        )
-        ends_at = stop_ends_at(began_at, self.settings.bounds.grace_s)
-        # Otherwise the stop would cut off requests without an answer, including those
-        # that were never sent to an endpoint.
-        self.state_.deadlines_.end_by(ends_at - FINAL_ANSWER_MARGIN_S)
-        await self._wait_until_idle(began_at, ends_at)
+        await self.planned_stop_.run()
+        self.stop()
+
+    async def _leave(self) -> None:
+        """Take the record of this entry out of the store."""
         # The task could announce the entry again after its removal.
         self.announce_task_.cancel()
         await self.members_.retract()
-        # Requests may have arrived while the store answered. Nothing may wait between
-        # the last check and the stop, or a request at an endpoint could be cut off.
-        is_idle = await self._wait_until_idle(began_at, ends_at)
-        self.log_.report(
-            Event.STOP_DECIDED,
-            is_idle=is_idle,
-            after_ms=round((loop.time() - began_at) * 1_000.0),
-            **self._open_fields(),
-        )
-        self.log_.report(
-            Event.PROCESS_STOPPED, live=self._live_count(), **self._open_fields()
-        )
-        self.stop()
-
-    async def _wait_until_idle(self, began_at: float, ends_at: float) -> bool:
-        """Wait until a stop would cut off no request, or until the stop must end.
-
-        Returns whether it would cut off none.
-        """
-        loop = asyncio.get_running_loop()
-        while loop.time() < ends_at:
-            if may_stop(loop.time() - began_at, self._live_count()):
-                return True
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        return False
-
-    def _open_fields(self) -> dict[str, int]:
-        """Return the log fields for what a stop at this moment would cut off."""
-        return {
-            "requests": len(self.caller_server_.exchanges_),
-            "unsent_answers": self.caller_server_.unsent_count,
-            "calls": self.stages_.scheduler_.calls_under_way,
-            "connections": self.caller_server_.connection_count,
-        }
-
-    def _live_count(self) -> int:
-        """Return how many requests and calls for pieces of any entry are under way."""
-        return (
-            self.caller_server_.pending_count + self.stages_.scheduler_.calls_under_way
-        )
 
     def stop(self) -> None:
         """Stop at once, even if requests are under way."""
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -46,6 +46,11 @@
         Severity.INFO,
         "A planned stop found nothing open, or has no time left.",
     )
+    STOP_DISTURBED = (
+        110,
+        Severity.ERROR,
+        "A step of a planned stop failed or was cancelled; the stop goes on.",
+    )
     PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
     PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
     PEER_REJECTED = (202, Severity.WARNING, "A peer failed its proof or version.")
