End a planned stop in one order: read no more, answer what was read, exit

What callers saw: a whole request that had arrived as a planned stop was decided had its connection closed with no answer. The reported one reached an endpoint before.

Cause: where a stop ends was decided by a count of requests that is looked at now and then; what is read is decided elsewhere. What lies in the kernel, is received and not parsed yet, or waits in the queue of new connections was in no count, and the connection was closed by a decision that did not know of it.

Change: one order that nothing gets past. The entry accepts what has connected and listens no more; closes each connection on which nothing of a request has arrived, by asking the kernel and the parser; answers the others, which then close; and ends once no connection and no call for others is open, or its time is over. A part of a head has 1 s to become whole. The close after an answer looks at the same instead of a list of requests.

So that this is the reported request's cause is suspected, not shown.

--- a/packages/leadford-server/src/leadford_server/forwarding/_framing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_framing.py
@@ -3,6 +3,8 @@
 Writing is shared by the connections to callers and to endpoints.
 """
 
+import select
+
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection
 from tornado.iostream import IOStream
@@ -65,3 +67,15 @@
     if stream.closed():
         return 0
     return max(0, written - stream._total_write_done_index)
+
+
+def is_readable(stream: IOStream) -> bool:
+    """Return whether a connection has bytes, or its end, that were not received yet."""
+    poll = select.poll()
+    poll.register(stream.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def has_partial_message(stream: IOStream) -> bool:
+    """Return whether a part of a message was received that is not handled yet."""
+    return stream._read_buffer_size > 0
--- a/packages/leadford-server/src/leadford_server/forwarding/_planned_stop.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_planned_stop.py
@@ -1,8 +1,8 @@
 """Stop an entry as planned, so that each request that it has read is answered.
 
 Owns the order of a stop: serve until callers go elsewhere, take the own record out of
-the store, serve what came meanwhile, end. An error in one of the steps, or a
-cancellation of the stop, is logged and does not end those that follow.
+the store, read no further request, answer what was read, end. An error in one of the
+steps, or a cancellation of the stop, is logged and does not end those that follow.
 `leadford.forwarding.membership` decides when a stop may and must end.
 """
 
@@ -51,10 +51,7 @@
         self.state.deadlines_.end_by(self.ends_at_ - FINAL_ANSWER_MARGIN_S)
         await self._complete(self._wait_until_idle())
         await self._complete(self.leave())
-        # Requests may have arrived while the store answered. Nothing may wait between
-        # the last check and the stop, or a request at an endpoint could be cut off.
-        await self._wait_until_idle()
-        self._report(Event.STOP_DECIDED, is_idle=self._live_count() == 0)
+        await self._complete(self._answer_what_was_read())
         self._report(Event.PROCESS_STOPPED, live=self._live_count())
 
     async def _complete(self, step: Coroutine[None, None, None]) -> None:
@@ -79,6 +76,16 @@
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    async def _answer_what_was_read(self) -> None:
+        """Read no further request, and wait until what was read is answered."""
+        self.callers.end_reading()
+        self._report(Event.STOP_DECIDED, is_idle=self._live_count() == 0)
+        while self.state.now() < self.ends_at_:
+            self.callers.close_unused()
+            if not self.callers.open_count and not self._calls_count:
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
+
     @property
     def _elapsed_s(self) -> float:
         return self.state.now() - self.began_at_
@@ -101,5 +108,5 @@
             requests=len(self.callers.exchanges_),
             unsent_answers=self.callers.unsent_count,
             calls=self._calls_count,
-            connections=self.callers.connection_count,
+            connections=self.callers.open_count,
         )
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_connection.py
@@ -10,6 +10,8 @@
 
 from tornado.iostream import IOStream
 
+from leadford_server.forwarding._framing import has_partial_message, is_readable
+
 if TYPE_CHECKING:
     from leadford_server.forwarding.answers._callers import CallerExchange
 
@@ -20,7 +22,8 @@
     CALLER: the caller, or it ended the half on which it sends. RESET: the caller, by a
     reset. FAILED: an error of the connection. BROKEN_OFF: this entry, because the rest
     of an answer is missing. STALLED: this entry, because the caller did not send or
-    read. ANSWERED: this entry, after an answer. STOPPED: this entry, as it ended.
+    read. ANSWERED: this entry, after an answer.
+    STOPPED: this entry, as it ended.
     """
 
     CALLER = "caller"
@@ -39,6 +42,8 @@
         self.stream = stream
         self.exchange_: CallerExchange | None = None
         self.closed_by_: CloseCause | None = None
+        # Whether the connection is to be closed once what was written is sent.
+        self.closes_soon_ = False
 
     @property
     def is_closed(self) -> bool:
@@ -50,6 +55,28 @@
         """Return who closed the connection, for log lines; empty if it is open."""
         return self.closed_by_.value if self.closed_by_ is not None else ""
 
+    @property
+    def has_request(self) -> bool:
+        """Return whether the head of a request arrived that is not over."""
+        exchange = self.exchange_
+        return exchange.request_ is not None and not exchange.is_over_
+
+    @property
+    def waits_for_head(self) -> bool:
+        """Return whether the next request has not arrived, or not its whole head.
+
+        A request that lies in the kernel, or that was received and is not parsed yet,
+        has arrived.
+        """
+        if self.exchange_.request_ is not None or not self.stream.reading():
+            return False
+        return not is_readable(self.stream)
+
+    @property
+    def is_unused(self) -> bool:
+        """Return whether nothing of the next request has arrived."""
+        return self.waits_for_head and not has_partial_message(self.stream)
+
     def close(self, cause: CloseCause) -> None:
         """Close the connection at once."""
         if not self.stream.closed():
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
@@ -45,6 +45,10 @@
 CLOSE_DELAY_S = 0.02
 
 
+# Time for the rest of a head of which a part has arrived when reading ends.
+PARTIAL_HEAD_TIME_S = 1.0
+
+
 class CallerServer(httputil.HTTPServerConnectionDelegate):
     """Listen for callers."""
 
@@ -82,9 +86,14 @@
         self.server_: httpserver.HTTPServer | None = None
         self.address_: tuple[str, int] | None = None
         self.sockets_: list[socket.socket] = []
+        # Connections that were accepted and from which nothing is read yet.
+        self.accepted_: set[iostream.IOStream] = set()
         # Runs while new connections are refused.
         self.pause_timer_: asyncio.TimerHandle | None = None
         self.is_stopped_ = False
+        # When the process ceased to read new requests, in seconds of the monotonic
+        # clock.
+        self.reading_ended_at_ = 0.0
 
     def start(self, host: str, port: int) -> None:
         """Start listening for callers."""
@@ -149,7 +158,13 @@
                 connection.close()
                 self._pause(self.admission.pause_s(now))
                 return
-            self.server_.handle_stream(iostream.IOStream(connection), address)
+            self._read_requests(connection, address)
+
+    def _read_requests(self, connection: socket.socket, address: tuple) -> None:
+        """Begin to read requests from a connection that was accepted."""
+        stream = iostream.IOStream(connection)
+        self.accepted_.add(stream)
+        self.server_.handle_stream(stream, address)
 
     def closes_connections(self) -> bool:
         """Return whether to close connections together with their answers."""
@@ -174,6 +189,7 @@
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> CallerExchange:
         """Return the exchange for the next request of a connection."""
+        self.accepted_.discard(request_conn.stream)
         caller = self.connections_by_server_.get(server_conn)
         if caller is None:
             caller = CallerConnection(stream=request_conn.stream)
@@ -192,35 +208,70 @@
         self.connections_by_server_.pop(server_conn, None)
 
     def close_soon(self, caller: CallerConnection) -> None:
-        """Close a connection once its written bytes have been sent.
+        """Close a connection once its written bytes have been sent, unless it is used.
 
         The head of the answer may have been written before the stop began, without
         "Connection: close". The caller may then send another request at once; that
         request is served, and the connection is closed after it.
         """
-        if caller.is_closed:
+        if caller.is_closed or caller.closes_soon_:
             return
+        caller.closes_soon_ = True
         loop = asyncio.get_running_loop()
 
         def close() -> None:
-            if caller.is_closed or self._has_pending_request(caller):
+            if caller.is_closed:
                 return
-            if caller.stream.writing():
+            if caller.has_request:
+                caller.closes_soon_ = False
+                return
+            if caller.stream.writing() or not caller.is_unused:
                 loop.call_later(CLOSE_DELAY_S, close)
                 return
             caller.close(CloseCause.ANSWERED)
 
         loop.call_later(CLOSE_DELAY_S, close)
 
-    def _has_pending_request(self, caller: CallerConnection) -> bool:
-        """Return whether a connection has a request that is not answered yet."""
-        return caller.exchange_ in self.exchanges_
+    def end_reading(self) -> None:
+        """Accept what has connected, and no further connection."""
+        self.reading_ended_at_ = asyncio.get_running_loop().time()
+        if self.pause_timer_ is not None:
+            self.pause_timer_.cancel()
+        for sock in self.sockets_:
+            self._accept_all(sock)
+        self._close_sockets()
+
+    def _accept_all(self, sock: socket.socket) -> None:
+        """Accept every connection that waits, since it may bring a request."""
+        while True:
+            try:
+                connection, address = sock.accept()
+            except OSError:
+                # None waits, or there are no descriptors left.
+                return
+            self._read_requests(connection, address)
+
+    def close_unused(self) -> None:
+        """Close connections that bring no request, once no further ones are read."""
+        now = asyncio.get_running_loop().time()
+        waits_for_rest = now - self.reading_ended_at_ < PARTIAL_HEAD_TIME_S
+        for caller in self._callers():
+            if caller.is_closed or caller.closes_soon_:
+                continue
+            if caller.is_unused or (caller.waits_for_head and not waits_for_rest):
+                caller.close(CloseCause.STOPPED)
 
     @property
     def connection_count(self) -> int:
         """Return the number of open connections that are read."""
         return sum(not caller.is_closed for caller in self._callers())
 
+    @property
+    def open_count(self) -> int:
+        """Return the number of open connections, also of those not read yet."""
+        accepted_count = sum(not stream.closed() for stream in self.accepted_)
+        return self.connection_count + accepted_count
+
     @property
     def unsent_bytes(self) -> int:
         """Return how many bytes wait to be sent to callers."""
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -44,7 +44,7 @@
     STOP_DECIDED = (
         109,
         Severity.INFO,
-        "A planned stop found nothing open, or has no time left.",
+        "A planned stop reads no further request, and answers what was read.",
     )
     STOP_DISTURBED = (
         110,
