Close no idle connection whose next request has arrived

What callers saw: a request that had come before the idle timeout of its connection was closed unread if the loop was late.

Cause: the library's timeout of a head races with the head: it fires between the receipt and the parsing of a request, and on a late loop before the receipt.

Evidence: test_a_request_that_comes_as_its_connection_was_idle_for_too_long_is_answered failed before and passes now; test_a_connection_that_was_idle_for_too_long_is_closed passes before and after.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -394,6 +394,7 @@
             self.state_.retain_usual_durations()
             self.state_.endpoint_retry_after_.sweep(self.state_.now())
             self.halls_.expire()
+            self.caller_server_.close_idle()
             self.caller_server_.check_unsent()
             self.state_.memory_.cut_off_stalled()
             self.state_.memory_.export()
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_connection.py
@@ -22,7 +22,7 @@
     CALLER: the caller, or it ended the half on which it sends. RESET: the caller, by a
     reset. FAILED: an error of the connection. BROKEN_OFF: this entry, because the rest
     of an answer is missing. STALLED: this entry, because the caller did not send or
-    read. ANSWERED: this entry, after an answer.
+    read. ANSWERED: this entry, after an answer. IDLE: this entry, as no request came.
     STOPPED: this entry, as it ended.
     """
 
@@ -32,6 +32,7 @@
     BROKEN_OFF = "broken-off"
     STALLED = "stalled"
     ANSWERED = "answered"
+    IDLE = "idle"
     STOPPED = "stopped"
 
 
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
@@ -100,10 +100,12 @@
         limits = self.limits_
         self.server_ = httpserver.HTTPServer(
             self,
-            idle_connection_timeout=limits.idle_ms / 1_000.0 + IDLE_GRACE_S,
             max_header_size=HEAD_READ_FACTOR * limits.header_bytes,
             max_body_size=MAX_BODY_READ_BYTES,
         )
+        # The library's own timeout would close a connection whose request has arrived
+        # and is not parsed yet; `close_idle` does not.
+        self.server_.conn_params.header_timeout = None
         self.address_ = (host, port)
         self._listen()
 
@@ -174,7 +176,6 @@
     def apply_limits(self, limits: TrafficLimits) -> None:
         """Set the limits for requests that arrive from now on."""
         parameters = self.server_.conn_params
-        parameters.header_timeout = limits.idle_ms / 1_000.0 + IDLE_GRACE_S
         parameters.max_header_size = HEAD_READ_FACTOR * limits.header_bytes
         self.limits_ = limits
 
@@ -232,6 +233,16 @@
 
         loop.call_later(CLOSE_DELAY_S, close)
 
+    def close_idle(self) -> None:
+        """Close connections on which no request came for longer than the limit."""
+        now = asyncio.get_running_loop().time()
+        idle_s = self.limits_.idle_ms / 1_000.0 + IDLE_GRACE_S
+        for caller in self._callers():
+            if now - caller.exchange_.awaited_since < idle_s:
+                continue
+            if not caller.is_closed and caller.waits_for_head:
+                caller.close(CloseCause.IDLE)
+
     def end_reading(self) -> None:
         """Accept what has connected, and no further connection."""
         self.reading_ended_at_ = asyncio.get_running_loop().time()
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -67,6 +67,9 @@
         self.connection = connection
         self.caller = caller
         self.server = server
+        # Since when the connection waits for this request, in seconds of the monotonic
+        # clock.
+        self.awaited_since = asyncio.get_running_loop().time()
         self.request_: InboundRequest | None = None
         self.chunks_: list[bytes] = []
         self.body_bytes_ = 0
