Check in the soak that what an endpoint got is answered, and stop a process under signals

The check needs no timing and takes no fault as an excuse: a caller that waits and whose request arrived at an endpoint gets some answer. Only a kill, the end of the grace period and entries of the replaced build are not counted. The ledgers of the other checks of cuts hold requests whose head of an answer arrived now, which these checks treat alike; the new check has its own.

test_no_request_is_unanswered_as_an_entry_stops_and_is_disturbed runs an entry as a process: 200 kept connections with one request each from 2.9 to 3.7 s after SIGTERM, beside further SIGTERM and SIGHUP, pauses of up to 60 ms, and a new configuration each 50 ms.

--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_cuts.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_cuts.py
@@ -1,4 +1,4 @@
-"""Check that requests are cut neither in planned stops nor in calm.
+"""Check that requests are answered, and cut neither in planned stops nor in calm.
 
 A cut request counts unless a fault that affects it, the end of its time limit, or the
 end of the grace period explains the cut. In a planned stop, faults of links to the
@@ -148,3 +148,39 @@
             detail = f"{sent.route} cut after {elapsed_s:.2f} s, status {sent.status}"
             found.append(broken_promise(self, sent, detail))
         return found
+
+
+@promises("a request that an endpoint got is answered")
+class EndpointsAnswersArrive:
+    """A caller that waits gets an answer, if only that the request failed.
+
+    No fault of endpoints, links or the store excuses a connection that is closed with
+    no byte of an answer, and neither does a planned stop. Not counted: the process was
+    killed, its grace period was over, or it is of the build that this one replaces.
+    """
+
+    def find(self, evidence: Evidence) -> list[Broken]:
+        """Return every request that arrived at an endpoint and got no answer."""
+        ledger = evidence.ledger
+        arrived_ids = {arrival.request_id for arrival in ledger.arrivals_}
+        found: list[Broken] = []
+        for sent in ledger.sent_by_id_.values():
+            if sent.outcome is not Outcome.CUT or sent.status != 0:
+                continue
+            if sent.request_id not in arrived_ids:
+                continue
+            process = ledger.incarnation(sent.entry, sent.incarnation)
+            if process is None or process.was_killed or process.is_older:
+                continue
+            if self._is_grace_over(sent, process, evidence.bounds.grace_s):
+                continue
+            elapsed_s = sent.ended_at - sent.sent_at
+            detail = f"{sent.route} closed after {elapsed_s:.2f} s with no answer"
+            found.append(broken_promise(self, sent, detail))
+        return found
+
+    def _is_grace_over(self, sent: Sent, process: Incarnation, grace_s: float) -> bool:
+        if process.term_at is None:
+            return False
+        after_s = sent.ended_at - process.term_at
+        return after_s >= grace_s * (1.0 - GRACE_END_FRACTION)
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
@@ -194,7 +194,13 @@
 
 
 def cut(at=50.0, **fields):
-    return answered(at=at, outcome=Outcome.CUT, status=0, headers={}, **fields)
+    """Return the record of a request of whose answer only the head arrived."""
+    return answered(at=at, outcome=Outcome.CUT, headers={}, **fields)
+
+
+def closed(process=None, **fields):
+    """Return a ledger of a request that ran and got no byte of an answer."""
+    return ledger_of(cut(status=0, **fields), process=process)
 
 
 def cut_by_a_stop():
@@ -319,6 +325,7 @@
 
 # For each promise, a function that makes a ledger that breaks it.
 BREAKING = {
+    "a request that an endpoint got is answered": closed,
     "a request that ends its endpoints is soon sent to none": ended_endpoints,
     "a prompt part that ends its engines is soon sent to none": ended_engines,
     "harmless streams are served beside a part that ends engines": (
@@ -418,6 +425,41 @@
     assert (found_in(ledger) == set()) is is_excused
 
 
+@pytest.mark.parametrize(
+    ("process", "is_broken"),
+    [
+        (Incarnation(ENTRY, 1, 0.0), True),
+        (Incarnation(ENTRY, 1, 0.0, term_at=48.0), True),
+        # The last sixth of the grace period, a kill, and another build.
+        (Incarnation(ENTRY, 1, 0.0, term_at=43.4), False),
+        (Incarnation(ENTRY, 1, 0.0, was_killed=True), False),
+        (Incarnation(ENTRY, 1, 0.0, is_older=True), False),
+    ],
+)
+@pytest.mark.parametrize(
+    ("scope", "kind"),
+    [
+        (ENTRY, FaultKind.STORE_LINK_SILENT),
+        ("i-1", FaultKind.ENDPOINT_CRASHED),
+        (STORE, FaultKind.STORE_SILENT),
+    ],
+)
+def test_no_fault_excuses_that_a_request_gets_no_answer(
+    process, is_broken, scope, kind
+):
+    ledger = closed(process)
+    ledger.disturb(scope, kind, 49.0, 50.0)
+    promise = "a request that an endpoint got is answered"
+    assert (promise in found_in(ledger)) is is_broken
+
+
+def test_a_request_that_reached_no_endpoint_may_find_its_connection_closed():
+    ledger = closed(ended_at=50.01)
+    ledger.runs_by_id_.clear()
+    ledger.arrivals_.clear()
+    assert found_in(ledger) == set()
+
+
 @pytest.mark.parametrize(("status", "is_broken"), [(200, True), (503, False)])
 def test_an_entry_that_stops_is_not_ready(status, is_broken):
     ledger = ledger_of(process=Incarnation(ENTRY, 1, 0.0, term_at=49.0))
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_unanswered_requests.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_unanswered_requests.py
@@ -5,7 +5,11 @@
 
 import asyncio
 import re
+import signal
 import socket
+from random import Random
+
+import pytest
 
 from leadford_standins.soak._base import SoakBounds
 from leadford_standins.soak._ledger import Ledger
@@ -17,6 +21,7 @@
     PlainStandIn,
     StoreStandIn,
     default_config,
+    runs_of,
 )
 
 READY_TIMEOUT_S = 20.0
@@ -29,12 +34,18 @@
 # Longer than the least time that a caller has to read an answer.
 READING_S = 12.0
 DEADLINE_MS = 6_000
+REQUESTS = 200
+# When requests are sent, and from when the entry is disturbed, in seconds after the
+# signal to stop; a stop lasts 3.2 s at least.
+SENT_AFTER_S = (2.9, 3.7)
+DISTURBED_AFTER_S = 2.8
 
 
 class OneEntry:
     """Run a store, two plain endpoints and one entry as a process."""
 
-    def __init__(self, folder, *, memory_mb=0):
+    def __init__(self, folder, *, memory_mb=0, work_s=0.005):
+        self.work_s = work_s
         self.folder = folder
         self.memory_mb = memory_mb
 
@@ -43,7 +54,10 @@
         self.block_.__enter__()
         self.store = StoreStandIn()
         store_address = self.store.start()
-        self.plain = [PlainStandIn(service="plain", hall=HALL) for _ in range(2)]
+        self.plain = [
+            PlainStandIn(service="plain", hall=HALL, work_s=self.work_s)
+            for _ in range(2)
+        ]
         for endpoint in self.plain:
             endpoint.start()
             self.store.put("servers", endpoint.endpoint_id, endpoint.spec())
@@ -176,3 +190,88 @@
 
 async def finish_large(handler):
     handler.finish(b"x" * LARGE_BYTES)
+
+
+async def send_once(connection, request_id, method, path, after_s):
+    """Send a request on a kept connection; return the status, None if there is none."""
+    reader, writer = connection
+    await asyncio.sleep(after_s)
+    try:
+        writer.write(request_bytes(method, path, request_id))
+        head = await reader.readuntil(b"\r\n\r\n")
+        return int(head.split()[1])
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    finally:
+        writer.close()
+
+
+async def disturb(fleet, random):
+    """Signal an entry that stops, pause it, and change its configuration."""
+    entry = fleet.entry
+    config = default_config()
+    await asyncio.sleep(DISTURBED_AFTER_S)
+    for number in range(20):
+        if not entry.is_running():
+            return
+        entry.signal(random.choice((signal.SIGTERM, signal.SIGHUP)))
+        config["version"] += 1
+        config["routes"] += [
+            {
+                **config["routes"][0],
+                "name": f"added-{number}",
+                "pathPrefix": f"/{number}/",
+            }
+        ]
+        fleet.store.put("config", "main", config)
+        if entry.signal(signal.SIGSTOP):
+            await asyncio.sleep(random.uniform(0.0, 0.06))
+            entry.signal(signal.SIGCONT)
+        await asyncio.sleep(random.uniform(0.0, 0.05))
+
+
+@pytest.mark.parametrize(("seed", "work_s"), [(1, 0.0005), (2, 0.3)])
+def test_no_request_is_unanswered_as_an_entry_stops_and_is_disturbed(
+    tmp_path, seed, work_s
+):
+    """Guards against a stop that ends while a request is read or at its endpoint."""
+    random = Random(seed)
+
+    async def scenario():
+        async with OneEntry(tmp_path, work_s=work_s) as fleet:
+            connections = [
+                await asyncio.open_connection(*fleet.entry.callers)
+                for _ in range(REQUESTS)
+            ]
+            # Each is read once, as connections that are kept are.
+            for connection in connections:
+                connection[1].write(request_bytes("GET", "/safe/x", "first"))
+            for reader, _ in connections:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"(?i)content-length: (\d+)", head)[1]
+                await reader.readexactly(int(length))
+            fleet.entry.signal(signal.SIGTERM)
+            disturbing = asyncio.ensure_future(disturb(fleet, random))
+            statuses = await asyncio.gather(
+                *(
+                    send_once(
+                        connection,
+                        f"r{number}",
+                        *random.choice((("POST", "/unsafe/x"), ("GET", "/safe/x"))),
+                        random.uniform(*SENT_AFTER_S),
+                    )
+                    for number, connection in enumerate(connections)
+                )
+            )
+            await disturbing
+            assert await fleet.entry.wait_ended(fleet.entry.bounds.grace_s)
+            assert fleet.entry.incarnation_.status == 0
+            for number, status in enumerate(statuses):
+                if status is None:
+                    assert runs_of(fleet.plain, f"r{number}") == []
+                else:
+                    assert status in (200, 503)
+            # Others came too late, and found their connections closed.
+            assert statuses.count(200) > REQUESTS // 10
+
+    asyncio.run(scenario())
