--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_connection.py
@@ -54,6 +54,7 @@
     @property
     def closed_by_text(self) -> str:
         """Return who closed the connection, for log lines; empty if it is open."""
+        self.record_lost()
         return self.closed_by_.value if self.closed_by_ is not None else ""
 
     @property
