--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -16,13 +16,6 @@
 from leadford.common import EntryId
 from leadford.events import Event
 from leadford.forwarding.admission import ForwardAdmission
-from leadford.forwarding.answers import (
-    EndReason,
-    FinalAnswer,
-    RequestOutcome,
-    final_answer,
-)
-from leadford.forwarding.memory import MemoryRefusal
 from leadford.forwarding.overload import ConnectionAdmission
 from leadford.forwarding.routes import ForwardConfig
 from leadford_server.clock import SuspensionWatch, boot_time
@@ -35,6 +28,7 @@
 from leadford_server.forwarding._turn_probe import TurnProbe
 from leadford_server.forwarding.answers import (
     CallerExchange,
+    CallerReports,
     CallerServer,
     RequestForwarder,
 )
@@ -54,12 +48,7 @@
     ObjectsClient,
 )
 from leadford_server.logs import EventLog
-from leadford_server.metrics import (
-    CALLER_CONNECTIONS,
-    FORWARDED_TOTAL,
-    INTERRUPTED_TOTAL,
-    UNSENT_BYTES,
-)
+from leadford_server.metrics import CALLER_CONNECTIONS, UNSENT_BYTES
 
 # Time between sweeps of connections and records.
 SWEEP_INTERVAL_S = 0.5
@@ -126,12 +115,7 @@
             codec=self.codec,
             serve=self._serve,
             is_draining=lambda: self.is_draining_,
-            on_fault=self._on_fault,
-            on_rejected=self._on_denied,
-            on_refused=self._on_refused,
-            on_cut_off=self._on_cut_off,
-            on_unanswered=self._on_unanswered,
-            on_listen_failed=self._on_listen_failed,
+            reports=CallerReports(log=self.log_, memory=self.state_.memory_.account_),
             memory=self.state_.memory_,
             admission=self.connections_,
         )
@@ -308,81 +292,6 @@
         )
         await forwarder.serve()
 
-    def _on_fault(self, exchange: CallerExchange, error: BaseException) -> None:
-        request = exchange.request_
-        self.log_.report(
-            Event.REQUEST_UNKNOWN,
-            request=request.request_id if request else "",
-            error=f"{type(error).__name__}: {error}"[:300],
-        )
-
-    def _on_denied(self, exchange: CallerExchange, status: int) -> None:
-        self.log_.report(
-            Event.FORWARD_ENDED,
-            request=exchange.request_.request_id,
-            status=status,
-            outcome=RequestOutcome.DENIED.value,
-            detail="beyond the limits of the configuration",
-        )
-
-    def _on_refused(
-        self, exchange: CallerExchange, refusal: MemoryRefusal, answer: FinalAnswer
-    ) -> None:
-        """Log a request that was refused for lack of memory before it was complete."""
-        FORWARDED_TOTAL.labels(kind="none", end=answer.outcome.value).inc()
-        self.log_.report(
-            Event.FORWARD_ENDED,
-            request=exchange.request_.request_id,
-            status=answer.status,
-            outcome=answer.outcome.value,
-            reason=EndReason.MEMORY.value,
-            detail=f"held {refusal.held_bytes} of {refusal.allowed_bytes} bytes",
-        )
-
-    def _on_unanswered(self, exchange: CallerExchange) -> None:
-        """Answer a request whose task ended without an answer, and log its end.
-
-        The task was cancelled before its first step.
-        """
-        reason = EndReason.CALLER_GONE
-        answer = FinalAnswer(RequestOutcome.CALLER_GONE, 0)
-        if exchange.caller.is_closed:
-            exchange.abort()
-        else:
-            INTERRUPTED_TOTAL.inc()
-            reason = EndReason.INTERRUPTED
-            answer = final_answer(
-                reason, may_have_run=exchange.is_served_, has_begun=exchange.has_begun_
-            )
-            headers = self.codec.refusal_headers(answer.retry_after_s)
-            exchange.answer(answer.status, headers)
-        FORWARDED_TOTAL.labels(kind="none", end=answer.outcome.value).inc()
-        self.log_.report(
-            Event.FORWARD_ENDED,
-            request=exchange.request_.request_id,
-            status=answer.status,
-            outcome=answer.outcome.value,
-            reason=reason.value,
-            closed_by=exchange.caller.closed_by_text,
-            detail="cancelled before its first step",
-        )
-
-    def _on_cut_off(self, exchange: CallerExchange, unsent_bytes: int) -> None:
-        """Log a caller whose connection is closed because it does not send or read."""
-        memory = self.state_.memory_.account_
-        self.log_.report(
-            Event.CALLER_CUT_OFF,
-            request=exchange.request_.request_id,
-            unsent_bytes=unsent_bytes,
-            body_bytes=exchange.body_bytes_,
-            held_bytes=memory.held_bytes_,
-            is_refusing=memory.is_refusing_,
-        )
-
-    def _on_listen_failed(self, error: OSError) -> None:
-        """Log that no connection of a caller could be accepted."""
-        self.log_.report(Event.LISTEN_FAILED, error=str(error)[:200])
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
@@ -7,11 +7,9 @@
 import socket
 from collections.abc import Callable, Coroutine
 
-from tornado import httpserver, httputil, iostream, netutil
+from tornado import httpserver, httputil, iostream
 from tornado.http1connection import HTTP1Connection
 
-from leadford.forwarding.answers import FinalAnswer
-from leadford.forwarding.memory import MemoryRefusal
 from leadford.forwarding.overload import ConnectionAdmission
 from leadford.forwarding.routes import TrafficLimits
 from leadford_server.forwarding._contract import RequestCodec
@@ -22,21 +20,14 @@
     CloseCause,
 )
 from leadford_server.forwarding.answers._callers import CallerExchange
+from leadford_server.forwarding.answers._listener import CallerListener
+from leadford_server.forwarding.answers._reports import CallerReports
 from leadford_server.forwarding.answers._unsent import UnsentAnswer
-from leadford_server.metrics import CONNECTIONS_SHED_TOTAL
 
 # Seconds beyond the configured idle time before a connection is closed.
 IDLE_GRACE_S = 2.0
 # Heads up to this multiple of the limit are read, so that they can be answered.
 HEAD_READ_FACTOR = 4
-# Connections that may wait to be accepted. The platform may hand all new connections of
-# a region to one entry at once.
-MAX_PENDING_CONNECTIONS = 1_024
-# Connections that are accepted in one turn of the loop; the others wait for the next. A
-# turn that reads all of a burst would delay all that is under way.
-MAX_READ_PER_TURN = 16
-# Time after which listening is tried again if it failed.
-LISTEN_RETRY_S = 0.05
 # Effectively unlimited: `CallerExchange` enforces the configured limit on bodies while
 # they arrive, instead of the library.
 MAX_BODY_READ_BYTES = 1 << 40
@@ -58,24 +49,14 @@
         codec: RequestCodec,
         serve: Callable[[CallerExchange], Coroutine[None, None, None]],
         is_draining: Callable[[], bool],
-        on_fault: Callable[[CallerExchange, BaseException], None],
-        on_rejected: Callable[[CallerExchange, int], None],
-        on_refused: Callable[[CallerExchange, MemoryRefusal, FinalAnswer], None],
-        on_cut_off: Callable[[CallerExchange, int], None],
-        on_unanswered: Callable[[CallerExchange], None],
-        on_listen_failed: Callable[[OSError], None],
+        reports: CallerReports,
         memory: HeldMemory,
         admission: ConnectionAdmission,
     ) -> None:
         self.codec = codec
         self.serve = serve
         self.is_draining = is_draining
-        self.on_fault = on_fault
-        self.on_rejected = on_rejected
-        self.on_refused = on_refused
-        self.on_cut_off = on_cut_off
-        self.on_unanswered = on_unanswered
-        self.on_listen_failed = on_listen_failed
+        self.reports = reports
         self.memory = memory
         self.admission = admission
         self.limits_ = TrafficLimits()
@@ -84,12 +65,9 @@
         # The key is the library's object for a connection.
         self.connections_by_server_: dict[object, CallerConnection] = {}
         self.server_: httpserver.HTTPServer | None = None
-        self.address_: tuple[str, int] | None = None
-        self.sockets_: list[socket.socket] = []
+        self.listener_: CallerListener | None = None
         # Connections that were accepted and from which nothing is read yet.
         self.accepted_: set[iostream.IOStream] = set()
-        # Runs while new connections are refused.
-        self.pause_timer_: asyncio.TimerHandle | None = None
         self.is_stopped_ = False
         # When the process ceased to read new requests, in seconds of the monotonic
         # clock.
@@ -106,61 +84,14 @@
         # The library's own timeout would close a connection whose request has arrived
         # and is not parsed yet; `close_idle` does not.
         self.server_.conn_params.header_timeout = None
-        self.address_ = (host, port)
-        self._listen()
-
-    def _listen(self) -> None:
-        """Accept new connections from now on."""
-        self.pause_timer_ = None
-        host, port = self.address_
-        self.sockets_ = netutil.bind_sockets(
-            port, address=host, backlog=MAX_PENDING_CONNECTIONS
+        self.listener_ = CallerListener(
+            host=host,
+            port=port,
+            admission=self.admission,
+            reports=self.reports,
+            on_accepted=self._read_requests,
         )
-        loop = asyncio.get_running_loop()
-        for sock in self.sockets_:
-            loop.add_reader(sock, self._accept, sock)
-
-    def _close_sockets(self) -> None:
-        """Refuse new connections, and close those that wait to be accepted."""
-        loop = asyncio.get_running_loop()
-        for sock in self.sockets_:
-            loop.remove_reader(sock)
-            sock.close()
-        self.sockets_ = []
-
-    def _pause(self, pause_s: float) -> None:
-        """Refuse new connections for a while."""
-        self._close_sockets()
-        loop = asyncio.get_running_loop()
-        self.pause_timer_ = loop.call_later(pause_s, self._resume)
-
-    def _resume(self) -> None:
-        try:
-            self._listen()
-        except OSError as error:
-            # Another socket may have taken the port for a moment.
-            self.on_listen_failed(error)
-            self._pause(LISTEN_RETRY_S)
-
-    def _accept(self, sock: socket.socket) -> None:
-        """Read some of the new connections, and refuse those that are too many."""
-        now = asyncio.get_running_loop().time()
-        for _ in range(MAX_READ_PER_TURN):
-            try:
-                connection, address = sock.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                return
-            except OSError as error:
-                # Mostly for want of descriptors; the socket would stay readable.
-                self.on_listen_failed(error)
-                self._pause(LISTEN_RETRY_S)
-                return
-            if not self.admission.admits(now):
-                CONNECTIONS_SHED_TOTAL.inc()
-                connection.close()
-                self._pause(self.admission.pause_s(now))
-                return
-            self._read_requests(connection, address)
+        self.listener_.start()
 
     def _read_requests(self, connection: socket.socket, address: tuple) -> None:
         """Begin to read requests from a connection that was accepted."""
@@ -246,21 +177,8 @@
     def end_reading(self) -> None:
         """Accept what has connected, and no further connection."""
         self.reading_ended_at_ = asyncio.get_running_loop().time()
-        if self.pause_timer_ is not None:
-            self.pause_timer_.cancel()
-        for sock in self.sockets_:
-            self._accept_all(sock)
-        self._close_sockets()
-
-    def _accept_all(self, sock: socket.socket) -> None:
-        """Accept every connection that waits, since it may bring a request."""
-        while True:
-            try:
-                connection, address = sock.accept()
-            except OSError:
-                # None waits, or there are no descriptors left.
-                return
-            self._read_requests(connection, address)
+        self.listener_.accept_rest()
+        self.listener_.stop()
 
     def close_unused(self) -> None:
         """Close connections that bring no request, once no further ones are read."""
@@ -308,8 +226,6 @@
         interrupted by its exit.
         """
         self.is_stopped_ = True
-        if self.pause_timer_ is not None:
-            self.pause_timer_.cancel()
-        self._close_sockets()
+        self.listener_.stop()
         for caller in self._callers():
             caller.close(CloseCause.STOPPED)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -13,7 +13,13 @@
 from tornado import httputil, iostream
 from tornado.http1connection import HTTP1Connection
 
-from leadford.forwarding.answers import EndReason, final_answer
+from leadford.common import RequestId
+from leadford.forwarding.answers import (
+    EndReason,
+    FinalAnswer,
+    RequestOutcome,
+    final_answer,
+)
 from leadford.forwarding.memory import HeldCause, MemoryRefusal
 from leadford_server.forwarding._contract import (
     HeaderList,
@@ -88,6 +94,11 @@
         self.due_at_ = 0.0
         self.held_body_: HeldBytes | None = None
 
+    @property
+    def request_id(self) -> RequestId:
+        """Return the id of the request, whose head has arrived."""
+        return self.request_.request_id
+
     def headers_received(
         self, start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
     ) -> None:
@@ -158,12 +169,12 @@
             self._write_head(answer.status, "", lines, b"")
         else:
             self.answer(answer.status, headers)
-        self.server.on_refused(self, refusal, answer)
+        self.server.reports.refused(self, refusal, answer)
 
     def _deny(self, status: int) -> None:
         """Reject a request that exceeds the limits before it is complete."""
         self.answer(status, self.server.codec.refusal_headers(None))
-        self.server.on_rejected(self, status)
+        self.server.reports.denied(self, status)
 
     def finish(self) -> None:
         """Record that the request is complete, and serve it.
@@ -199,9 +210,24 @@
         self.server.exchanges_.discard(self)
         self._release_body()
         if not self.is_over_:
-            self.server.on_unanswered(self)
+            self._end_unserved()
         if not task.cancelled() and task.exception() is not None:
-            self.server.on_fault(self, task.exception())
+            self.server.reports.faulty(self, task.exception())
+
+    def _end_unserved(self) -> None:
+        """End a request whose task was cancelled before its first step."""
+        reason = EndReason.CALLER_GONE
+        answer = FinalAnswer(RequestOutcome.CALLER_GONE, 0)
+        if self.caller.is_closed:
+            self.abort()
+        else:
+            reason = EndReason.INTERRUPTED
+            answer = final_answer(
+                reason, may_have_run=self.is_served_, has_begun=self.has_begun_
+            )
+            headers = self.server.codec.refusal_headers(answer.retry_after_s)
+            self.answer(answer.status, headers)
+        self.server.reports.unserved(self, reason, answer)
 
     def answer(
         self, status: int, headers: HeaderList, body: bytes = b"", reason: str = ""
@@ -253,7 +279,7 @@
 
     def cut_off(self) -> None:
         """Close the connection of a caller that does not send or read."""
-        self.server.on_cut_off(self, unsent_bytes(self.caller.stream))
+        self.server.reports.cut_off(self, unsent_bytes(self.caller.stream))
         self.caller.close(CloseCause.STALLED)
         # Closing the connection here does not end a task that waits to write to it.
         self._on_caller_disconnected()
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_uneven_connections.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_uneven_connections.py
@@ -118,9 +118,9 @@
     # The socket stays readable, so the loop would do nothing else.
     async def scenario(deployment):
         server = deployment.entries_[0].caller_server_
-        server._accept(SocketWithoutDescriptors())
-        assert server.sockets_ == []
-        await deployment.until(lambda: server.sockets_)
+        server.listener_._accept(SocketWithoutDescriptors())
+        assert server.listener_.sockets_ == []
+        await deployment.until(lambda: server.listener_.sockets_)
         answer = await deployment.send("/unsafe/x", request_id="r")
         assert answer.code == 200
 
