Tell answers of one connection apart, or send on another

What callers saw: a stream that may not be resumed ran twice; a request that ran was answered with 503, which says that nothing ran.

Cause: an endpoint may send an answer once more where the next one is due, and only the id of the request tells them apart. That fails in three cases. A request whose inputs were made again was sent under the same id on the same connection, so that the repeated 409 was taken for the answer and the request sent a third time. A refusal without an id was taken for that of whatever request waited. After the answer of another request the connection was used on, though its answers may be out of step.

Now `AnswerMatcher` decides for each connection. A connection that has carried a request does not carry it again. After a refusal without an id it carries only requests that may run twice, to which a wrong "not run" does no harm. After any other answer without an id, or the answer of another request, it is closed at the end of the exchange; an answer without an id that comes after either is not believed ("may have run"). The pool passes over an idle connection that may not carry a request, and closes one only if the limit allows no other. Cost: nothing while answers bear ids; otherwise at most one connection for each refusal without an id that is followed by a request that may run once, for each request whose inputs are made again, and for each answer out of step.

Not covered: a refusal without an id that never came before on its connection and answers no request there is believed, since endpoints refuse without an id, too.

Tests: the one of a late answer of another request asserts in addition that its connection is not used again.

--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -1,8 +1,9 @@
 """Exchange requests and answers with one endpoint over one keep-alive connection.
 
-Matches answers to requests by their id; `_reader` collects them. A connection with
-received bytes that belong to no answer is not reused. Relies on tornado's HTTP/1
-connection, because curl retries requests on its own and hides such bytes.
+`leadford.forwarding.endpoints` matches answers to requests; `_reader` collects them. A
+connection with received bytes that belong to no answer is not reused. Relies on
+tornado's HTTP/1 connection, because curl retries requests on its own and hides such
+bytes.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 
 from leadford.common import RequestId
 from leadford.forwarding.batching import GivenHandles
+from leadford.forwarding.endpoints import AnswerMatch, AnswerMatcher
 from leadford.forwarding.memory import HeldCause
 from leadford.forwarding.overload import LoopTurns
 from leadford_server.forwarding._contract import (
@@ -61,6 +63,7 @@
         self.idle_since_ = 0.0
         self.answer_: LiveAnswer | None = None
         self.given_handles_ = GivenHandles()
+        self.matcher_ = AnswerMatcher()
 
     @classmethod
     async def open(
@@ -128,22 +131,27 @@
         """Send a request and return its answer once the head has arrived.
 
         Errors: raises ExchangeBroken when the request may have run, with INVALID_ANSWER
-        when only answers to other requests arrived, otherwise with LOST.
+        when no answer arrived that is certainly its own, otherwise with LOST.
         """
         self.stream.is_idle_ = False
+        self.matcher_.record_sent(request_id)
         exchange = self._send(request)
         for _ in range(UNMATCHED_ANSWERS_MAX + 1):
             answer = await self._read_head(exchange)
-            answered_id = answer.head.request_id
-            has_both_ids = answered_id is not None and request_id is not None
-            if not has_both_ids or answered_id == request_id:
+            head = answer.head
+            match = self.matcher_.match(
+                head.request_id, request_id, is_refusal=head.is_not_run
+            )
+            if match is AnswerMatch.OWN:
                 self.answer_ = answer
                 return answer
+            if match is AnswerMatch.UNKNOWN:
+                break
             # This is the answer to an earlier request; read and skip it.
             await answer.reading
             if not answer.reader.is_complete_ or not answer.reader.is_framed_:
                 break
-        raise ExchangeBroken(BreakKind.INVALID_ANSWER, "answers of other requests only")
+        raise ExchangeBroken(BreakKind.INVALID_ANSWER, "no answer of this request")
 
     async def fetch(
         self, request: OutboundRequest, request_id: RequestId | None = None
@@ -244,6 +252,8 @@
             or answer.head.closes_connection
         ):
             return False
+        if not self.matcher_.is_in_step_:
+            return False
         # An endpoint may answer before it has read a long request body.
         if not answer.reading.done() or not self.is_usable:
             return False
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from weakref import WeakSet
 
-from leadford.common import EndpointId
+from leadford.common import EndpointId, RequestId
 from leadford.forwarding.endpoints import (
     EndpointAddress,
     EndpointRecord,
@@ -66,10 +66,18 @@
         self.applied_share_ = 0.0
 
     async def acquire(
-        self, record: EndpointRecord, connections_max: int
+        self,
+        record: EndpointRecord,
+        connections_max: int,
+        *,
+        request_id: RequestId | None = None,
+        is_repeatable: bool = True,
     ) -> EndpointConnection:
         """Return an idle or a new connection, waiting until the limit allows one.
 
+        On an idle one that is returned, the answer to the request can be told from
+        those to earlier requests.
+
         Errors: raises ExchangeBroken with NOT_SENT when connecting fails.
         """
         listed = record.listed
@@ -79,10 +87,14 @@
             self.connections_by_id_[listed.endpoint_id] = connections
         connections.limit = connections_max
         while True:
-            kept = self._take_idle(connections)
+            kept = self._take_idle(connections, request_id, is_repeatable)
             if kept is not None:
                 return kept
             allowed = max_connections(connections_max, self.share())
+            while connections.idle_ and connections.open_count_ >= allowed:
+                # No idle connection may carry the request, so one gives way.
+                connections.idle_.pop(0).close()
+                connections.open_count_ -= 1
             if connections.open_count_ < allowed:
                 return await self._open(connections)
             waiter = self.loop.create_future()
@@ -90,17 +102,28 @@
             await waiter
 
     def _take_idle(
-        self, connections: _EndpointConnections
+        self,
+        connections: _EndpointConnections,
+        request_id: RequestId | None,
+        is_repeatable: bool,
     ) -> EndpointConnection | None:
         now = self.loop.time()
-        while connections.idle_:
+        taken = None
+        passed_over = []
+        while connections.idle_ and taken is None:
             # The most recently used connection is the least likely to be closed.
             connection = connections.idle_.pop()
-            if _is_fresh(connection, now) and connection.is_usable:
-                connection.stream.set_close_callback(None)
-                return connection
-            self._close(connections, connection)
-        return None
+            if not (_is_fresh(connection, now) and connection.is_usable):
+                self._close(connections, connection)
+                continue
+            matcher = connection.matcher_
+            if not matcher.may_carry(request_id, is_repeatable=is_repeatable):
+                passed_over.append(connection)
+                continue
+            connection.stream.set_close_callback(None)
+            taken = connection
+        connections.idle_.extend(reversed(passed_over))
+        return taken
 
     async def _open(self, connections: _EndpointConnections) -> EndpointConnection:
         host, _, port = connections.address.rpartition(":")
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
@@ -95,6 +95,22 @@
             connection = await endpoint.connect()
             body, head = await connection.fetch(REQUEST, ID)
             assert (body, head.request_id) == (b"mine", ID)
+            # Its answers may no longer come in the order of its requests.
+            assert not connection.finish_exchange()
+
+    run(scenario())
+
+
+def test_a_refusal_without_an_id_after_a_foreign_answer_is_not_believed():
+    """A request that ran could be refused by the answer to another one."""
+
+    async def scenario():
+        refusal = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n\r\n"
+        async with Endpoint(answer(b"stray", "other") + refusal) as endpoint:
+            connection = await endpoint.connect()
+            with pytest.raises(ExchangeBroken) as broken:
+                await connection.fetch(REQUEST, ID)
+            assert broken.value.kind is BreakKind.INVALID_ANSWER
 
     run(scenario())
 
@@ -240,6 +256,32 @@
     run(scenario())
 
 
+def test_a_connection_on_which_no_answer_could_be_told_gives_way_at_the_limit():
+    """A request that may run once waited for a connection that it may not use."""
+
+    async def scenario():
+        refusal = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n\r\n"
+        async with Endpoint(refusal, answer(request_id="r2"), answer()) as endpoint:
+            loop = asyncio.get_running_loop()
+            pool = ConnectionPool(codec=PlatformRequests(), loop=loop)
+            record = record_at(endpoint.port)
+            first = await pool.acquire(record, 1, request_id=ID)
+            await first.fetch(REQUEST, ID)
+            pool.release(record, first)
+            # Requests that may run twice go on using it.
+            next_id = RequestId("r2")
+            assert await pool.acquire(record, 1, request_id=next_id) is first
+            await first.fetch(REQUEST, next_id)
+            pool.release(record, first)
+            other = await pool.acquire(
+                record, 1, request_id=RequestId("r3"), is_repeatable=False
+            )
+            assert other is not first and first.stream.closed()
+            assert pool.open_count == 1
+
+    run(scenario())
+
+
 def test_a_connection_that_rested_too_long_is_not_used():
     async def scenario():
         rests = answer(extra="Keep-Alive: timeout=1\r\n")
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -131,9 +131,13 @@
             if record is None:
                 raise NotRun(NO_ENDPOINT)
             mark = self.state.loop_turns_.mark(self._count_begin(record))
+            match = self.progress.match_
             try:
                 connection = await self.state.pool_.acquire(
-                    record, self.progress.match_.service.connections_max
+                    record,
+                    match.service.connections_max,
+                    request_id=self.progress.request.request_id,
+                    is_repeatable=match.route.is_repeatable,
                 )
             except ExchangeBroken as failure:
                 self._abandon(record, None)
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -31,6 +31,8 @@
     STALL = "stall"
     UNSIGNED = "unsigned"
     REPEAT_ANSWER = "repeat-answer"
+    REPEAT_REFUSAL = "repeat-refusal"
+    REPEAT_GONE = "repeat-gone"
     UNFRAMED = "unframed"
     UNFRAMED_CUT = "unframed-cut"
     UNFRAMED_EMPTY = "unframed-empty"
@@ -91,6 +93,8 @@
         self.max_connections_ = 0
         # Additional headers of each answer.
         self.extra_headers_: dict[str, str] = {}
+        # Refusals that come once more where the next answer of their connection is due.
+        self.repeated_refusals_: dict[iostream.IOStream, bytes] = {}
         # Further figures of the load that a call of a stage reports.
         self.load_suffix_ = ""
 
@@ -295,6 +299,10 @@
 
     async def _handle(self) -> None:
         endpoint = self.endpoint
+        stream = self.request.connection.stream
+        repeated = endpoint.repeated_refusals_.pop(stream, b"")
+        if repeated:
+            await stream.write(repeated)
         endpoint.arrivals_ += 1
         open_count = len(endpoint.server_._connections)
         endpoint.max_connections_ = max(endpoint.max_connections_, open_count)
@@ -316,6 +324,14 @@
         if self.misbehaviour is Misbehaviour.REFUSE:
             self.refuse(503)
             return
+        if self.misbehaviour is Misbehaviour.REPEAT_REFUSAL:
+            # A refusal may bear no id.
+            self.clear_header("X-Attempt-Id")
+            self.refuse_twice(503)
+            return
+        if self.misbehaviour is Misbehaviour.REPEAT_GONE:
+            self.refuse_twice(409)
+            return
         if self.request.body in endpoint.crash_bodies_:
             self.record_run()
             self.suppress_answer()
@@ -384,6 +400,16 @@
         self.set_status(status)
         self.finish()
 
+    def refuse_twice(self, status: int) -> None:
+        """Answer that the request did not run, once more at the next request."""
+        request_id = self._headers.get("X-Attempt-Id")
+        head = f"HTTP/1.1 {status} Refused\r\nContent-Length: 0\r\nX-Not-Executed: 1"
+        if request_id is not None:
+            head += f"\r\nX-Attempt-Id: {request_id}"
+        stream = self.request.connection.stream
+        self.endpoint.repeated_refusals_[stream] = f"{head}\r\n\r\n".encode()
+        self.refuse(status)
+
     def suppress_answer(self) -> None:
         """Keep tornado from writing an answer when the handler returns."""
         self._finished = True
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_plain.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_plain.py
@@ -40,6 +40,22 @@
     run_scenario(scenario)
 
 
+def test_a_refusal_without_an_id_that_comes_once_more_refuses_no_other_request():
+    """Callers got 503, which says that nothing ran, for requests that ran."""
+
+    async def scenario(deployment):
+        for number in range(8):
+            if number % 2 == 0:
+                refusal = Misbehaviour.REPEAT_REFUSAL
+                deployment.plain[0].planned_misbehaviours_.append(refusal)
+            name = f"r{number}"
+            answer = await deployment.send("/unsafe/x", request_id=name)
+            assert answer.code == (503 if number % 2 == 0 else 200)
+            assert len(runs_of(deployment.plain, name)) == number % 2
+
+    run_scenario(scenario, endpoints=1)
+
+
 @pytest.mark.parametrize(
     "misbehaviour",
     [
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_stages.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_stages.py
@@ -95,6 +95,20 @@
     run_scenario(scenario)
 
 
+def test_a_refusal_that_comes_once_more_for_the_same_request_runs_no_stream_twice():
+    """A stream whose inputs were made again ran twice."""
+
+    async def scenario(deployment):
+        engine = deployment.engines[0]
+        for number in range(4):
+            engine.planned_misbehaviours_.append(Misbehaviour.REPEAT_GONE)
+            answer = await deployment.send("/once/x", request_id=f"r{number}")
+            assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+            assert len(runs_of(deployment.engines, f"r{number}")) == 1
+
+    run_scenario(scenario, endpoints=1)
+
+
 def test_pieces_whose_inputs_are_gone_are_made_again():
     async def scenario(deployment):
         for stage in deployment.stage:
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -15,6 +15,7 @@
 from leadford.forwarding.endpoints._halls import EvacuatedHalls, HallNotice
 from leadford.forwarding.endpoints._limits import EndpointLimits, LimitObservation
 from leadford.forwarding.endpoints._listing import RosterChange
+from leadford.forwarding.endpoints._matching import AnswerMatch, AnswerMatcher
 from leadford.forwarding.endpoints._model import (
     Backpressure,
     EndpointAddress,
@@ -51,6 +52,8 @@
 __all__ = [
     "endpoint_name",
     "endpoint_start_id",
+    "AnswerMatch",
+    "AnswerMatcher",
     "Backpressure",
     "ChoicePolicy",
     "ColdEndpoints",
