Forget requests before the window of retries as requests are counted

What callers saw: nothing yet. Cause: `WindowedRetryBudget` forgot the requests before its window only when a retry was asked for, so its memory grew for as long as a service had no failure. Now it forgets them with each request that is counted.

Evidence: the test fails without the change (10,000 of 10,000 requests kept for a window of 100) and passes with it, as do the other tests of retries.

--- a/packages/leadford/src/leadford/forwarding/retries/_budget.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_budget.py
@@ -34,6 +34,7 @@
 
     def record_request(self, now: float) -> None:
         """Count one request of a caller."""
+        self._forget_past(now)
         self.requests_.append(now)
 
     def record_retry(self, now: float) -> None:
@@ -42,15 +43,19 @@
 
     def allows(self, now: float) -> bool:
         """Tell whether another retry fits in the window that ends now."""
-        window_start = now - self.window_s
-        for times in (self.requests_, self.retries_):
-            while times and times[0] < window_start:
-                times.popleft()
+        self._forget_past(now)
         allowed = self.ratio * len(self.requests_) + self.slack / max(
             1, self.entry_count_
         )
         return len(self.retries_) + 1 <= allowed * USABLE_FRACTION
 
+    def _forget_past(self, now: float) -> None:
+        """Forget what was counted before the window that ends now."""
+        window_start = now - self.window_s
+        for times in (self.requests_, self.retries_):
+            while times and times[0] < window_start:
+                times.popleft()
+
     def try_spend(self, now: float) -> bool:
         """Spend one retry if the budget allows it."""
         if not self.allows(now):
--- a/packages/leadford/src/leadford/forwarding/retries/tests/test_budget.py
+++ b/packages/leadford/src/leadford/forwarding/retries/tests/test_budget.py
@@ -22,6 +22,14 @@
     assert budget.allows(10.1)
 
 
+def test_requests_before_the_window_are_forgotten_though_nothing_is_retried():
+    """The memory of an entry grew for as long as a service had no failure."""
+    budget = WindowedRetryBudget(ratio=0.2, slack=40.0, window_s=10.0)
+    for number in range(10_000):
+        budget.record_request(number * 0.1)
+    assert len(budget.requests_) <= 102
+
+
 @given(
     events=st.lists(
         st.tuples(st.integers(0, 3), st.booleans(), st.floats(0.0, 0.3)), max_size=300
