--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_stages.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_stages.py
@@ -31,6 +31,21 @@
     run_scenario(scenario)
 
 
+def test_a_stage_whose_inputs_are_all_left_out_is_sent_no_inputs_and_no_key():
+    """Its pieces were sent an empty key, as if it came after no other stage."""
+
+    async def scenario(deployment):
+        answer = await deployment.send(
+            "/once/x", request_id="r1", headers={"X-Pieces": "0,1"}
+        )
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+        (item,) = (item for stage in deployment.stage for item in stage.items_)
+        assert (item["stage"], item.get("inputs")) == (1, [])
+        assert "privateKey" not in item
+
+    run_scenario(scenario)
+
+
 def test_an_answer_that_comes_once_more_is_not_taken_for_that_to_the_next_call():
     # The next call's pieces were given the results of another request.
     async def scenario(deployment):
