Pass on the start line of a message with the bytes that were read

What callers saw: a byte over 127 in a path reached the endpoint as two, so that it ran a request that nobody sent. Cause: tornado reads a head as Latin-1 but writes the start line as UTF-8; the other lines of a head it writes as Latin-1. Now `write_head` writes a start line with such characters as it was read, whether or not its bytes are valid UTF-8. It is also used for the reason of an answer, for which there is no test.

Not looked at: prefixes of routes with such characters, which a configuration has in Unicode.

--- a/packages/leadford-server/src/leadford_server/forwarding/_framing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_framing.py
@@ -3,6 +3,8 @@
 Writing is shared by the connections to callers and to endpoints.
 """
 
+import asyncio
+
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection
 from tornado.iostream import IOStream
@@ -20,11 +22,36 @@
     body: bytes,
 ) -> None:
     """Write a head and the body, if there is one, to a connection."""
-    if len(body) > MAX_JOINED_BODY_BYTES:
-        connection.write_headers(start_line, headers)
+    is_joined = len(body) <= MAX_JOINED_BODY_BYTES
+    stream = connection.stream
+    if not all(str(part).isascii() for part in start_line):
+        connection.stream = _StartLineRestorer(stream)
+    try:
+        connection.write_headers(start_line, headers, body if is_joined else None)
+    finally:
+        connection.stream = stream
+    if not is_joined:
         connection.write(body)
-        return
-    connection.write_headers(start_line, headers, body or None)
+
+
+class _StartLineRestorer:
+    """Write a head with the bytes of its start line as they were read.
+
+    Tornado reads each byte of a head as one character, but writes the start line as
+    UTF-8.
+    """
+
+    def __init__(self, stream: IOStream) -> None:
+        self.stream = stream
+
+    def closed(self) -> bool:
+        """Return whether the connection is closed."""
+        return self.stream.closed()
+
+    def write(self, data: bytes) -> asyncio.Future[None]:
+        """Write a head, and maybe the body after it."""
+        line, end, rest = data.partition(b"\r\n")
+        return self.stream.write(line.decode("utf-8").encode("latin-1") + end + rest)
 
 
 def head_bytes(
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_requests.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from leadford_standins.wire import (
+    KEY,
     Misbehaviour,
     StoreFault,
     event_ids,
@@ -123,6 +124,24 @@
         writer.close()
 
 
+def test_a_path_with_bytes_beyond_ascii_reaches_the_endpoint_unaltered():
+    """Each byte over 127 of a path reached the endpoint as two."""
+
+    async def scenario(deployment):
+        # The second byte alone is not valid UTF-8.
+        for number, path in enumerate([b"/unsafe/\xc3\xa9?\xe9", b"/unsafe/\xff"]):
+            name = f"r{number}"
+            head = b"POST " + path + b" HTTP/1.1\r\nHost: rooms.example\r\n"
+            head += b"Authorization: Token " + KEY.encode() + b"\r\n"
+            head += b"X-Attempt-Id: " + name.encode() + b"\r\nContent-Length: 0\r\n\r\n"
+            first_line = await exchange_bytes(deployment.entries_[0], head)
+            assert b" 200 " in first_line
+            (run,) = runs_of(deployment.plain, name)
+            assert run.target.encode("latin-1") == path
+
+    run_scenario(scenario)
+
+
 def test_requests_beyond_the_limits_get_their_own_statuses():
     async def scenario(deployment):
         deployment.config["version"] += 1
