Use a connection again on which nothing was sent

What callers saw: nothing; a connection more for each request or call for pieces that was not sent after all, since its endpoint left, or reached its limit, while the connection was being made or waited for. Cause: `finish_exchange` took a connection without an answer for one whose exchange had failed, although its callers expect it to be kept. Now a connection knows whether something was sent since it was lent. One on which nothing was sent goes on resting: being lent does not lengthen the time for which its endpoint keeps it.

Evidence: the test fails without the change (another connection is opened) and passes with it, as do the other tests of connections and test_backpressure, test_leaving_endpoints and test_stages of the wire.

--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -60,7 +60,9 @@
         self.memory = memory
         self.reader_: AnswerReader | None = None
         self.idle_timeout_s_: float | None = None
-        self.idle_since_ = 0.0
+        # None while the connection carries an exchange, and before its first rest.
+        self.idle_since_: float | None = None
+        self.has_sent_ = False
         self.answer_: LiveAnswer | None = None
         self.given_handles_ = GivenHandles()
         self.matcher_ = AnswerMatcher()
@@ -134,6 +136,8 @@
         when no answer arrived that is certainly its own, otherwise with LOST.
         """
         self.stream.is_idle_ = False
+        self.idle_since_ = None
+        self.has_sent_ = True
         self.matcher_.record_sent(request_id)
         exchange = self._send(request)
         for _ in range(UNMATCHED_ANSWERS_MAX + 1):
@@ -229,10 +233,16 @@
             reader.changed_.set()
 
     def finish_exchange(self) -> bool:
-        """End the exchange; return whether another may follow, close it otherwise."""
+        """End the exchange, if one began; return whether another may follow.
+
+        The connection is closed if an exchange began after which none may follow.
+        """
         answer = self.answer_
         self.answer_ = None
         self._release_held()
+        if not self.has_sent_:
+            return self.is_usable
+        self.has_sent_ = False
         is_reusable = answer is not None and self._is_reusable(answer)
         if not is_reusable:
             if answer is not None:
@@ -262,9 +272,12 @@
     def mark_idle(self, now: float) -> None:
         """Mark the connection idle and detect a close or unexpected bytes.
 
+        One on which nothing was sent since it was idle before goes on resting.
+
         Units: now in seconds of the event loop's clock.
         """
-        self.idle_since_ = now
+        if self.idle_since_ is None:
+            self.idle_since_ = now
         self.stream.is_idle_ = True
         self.stream.set_close_callback(lambda: None)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
@@ -282,6 +282,29 @@
     run(scenario())
 
 
+def test_a_connection_on_which_nothing_was_sent_is_used_again():
+    """Each request that was not sent after all cost a connection."""
+
+    async def scenario():
+        async with Endpoint(answer(), answer()) as endpoint:
+            loop = asyncio.get_running_loop()
+            pool = ConnectionPool(codec=PlatformRequests(), loop=loop)
+            record = record_at(endpoint.port)
+            first = await pool.acquire(record, 9)
+            pool.release(record, first)
+            assert await pool.acquire(record, 9) is first
+            await first.fetch(REQUEST, ID)
+            pool.release(record, first)
+            assert await pool.acquire(record, 9) is first
+            first.idle_since_ -= 7.0
+            pool.release(record, first)
+            # Being lent does not lengthen how long it rests.
+            first.idle_since_ -= 7.0
+            assert await pool.acquire(record, 9) is not first
+
+    run(scenario())
+
+
 def test_a_connection_that_rested_too_long_is_not_used():
     async def scenario():
         rests = answer(extra="Keep-Alive: timeout=1\r\n")
