Ask whether a request may have run before its inputs are made again

What callers saw: nothing; no way to it was found, since a request that may run once is ended after an attempt that may have run. Cause: the rule that lets a request be sent again after its inputs were made anew came before the one that ends a request that may have run. Now it comes after.

Evidence: the test fails without the change and passes with it, as do the other tests of retries and test_stages of the wire.

--- a/packages/leadford/src/leadford/forwarding/retries/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_decision.py
@@ -93,11 +93,11 @@
     """
     if failed.is_quarantined:
         return RetryDecision(False, RetryReason.QUARANTINED)
-    if failed.end is AttemptEnd.INPUTS_GONE and _may_remake_inputs(failed):
-        return RetryDecision(True, RetryReason.INPUTS_REMADE)
     has_run = failed.may_have_run or failed.end is AttemptEnd.ERROR_STATUS
     if has_run and not failed.is_repeatable:
         return RetryDecision(False, RetryReason.NOT_REPEATABLE)
+    if failed.end is AttemptEnd.INPUTS_GONE and _may_remake_inputs(failed):
+        return RetryDecision(True, RetryReason.INPUTS_REMADE)
     if failed.attempts >= failed.attempts_max:
         return RetryDecision(False, RetryReason.ATTEMPTS_USED)
     if failed.now >= failed.deadline:
--- a/packages/leadford/src/leadford/forwarding/retries/tests/test_decision.py
+++ b/packages/leadford/src/leadford/forwarding/retries/tests/test_decision.py
@@ -53,6 +53,15 @@
     assert decision.reason is RetryReason.NOT_REPEATABLE
 
 
+def test_gone_inputs_do_not_permit_another_run_after_one_that_may_have_run():
+    """A request that may run once could be sent again with new inputs."""
+    decision, spent = decide(
+        end=AttemptEnd.INPUTS_GONE, may_have_run=True, is_repeatable=False
+    )
+    assert decision.reason is RetryReason.NOT_REPEATABLE
+    assert spent == 0
+
+
 def test_an_error_status_of_one_that_may_not_be_repeated_is_final():
     decision, _ = decide(end=AttemptEnd.ERROR_STATUS, is_repeatable=False)
     assert decision.reason is RetryReason.NOT_REPEATABLE
