--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -1,8 +1,9 @@
 """Exchange requests and answers with one endpoint over one keep-alive connection.
 
-Matches answers to requests by their id; `_reader` collects them. A connection with
-received bytes that belong to no answer is not reused. Relies on tornado's HTTP/1
-connection, because curl retries requests on its own and hides such bytes.
+`leadford.forwarding.endpoints` matches answers to requests; `_reader` collects them. A
+connection with received bytes that belong to no answer is not reused. Relies on
+tornado's HTTP/1 connection, because curl retries requests on its own and hides such
+bytes.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 
 from leadford.common import RequestId
 from leadford.forwarding.batching import GivenHandles
+from leadford.forwarding.endpoints import AnswerMatch, AnswerMatcher
 from leadford.forwarding.memory import HeldCause
 from leadford.forwarding.overload import LoopTurns
 from leadford_server.forwarding._contract import (
@@ -58,9 +60,12 @@
         self.memory = memory
         self.reader_: AnswerReader | None = None
         self.idle_timeout_s_: float | None = None
-        self.idle_since_ = 0.0
+        # None while the connection carries an exchange, and before its first rest.
+        self.idle_since_: float | None = None
+        self.has_sent_ = False
         self.answer_: LiveAnswer | None = None
         self.given_handles_ = GivenHandles()
+        self.matcher_ = AnswerMatcher()
 
     @classmethod
     async def open(
@@ -128,22 +133,29 @@
         """Send a request and return its answer once the head has arrived.
 
         Errors: raises ExchangeBroken when the request may have run, with INVALID_ANSWER
-        when only answers to other requests arrived, otherwise with LOST.
+        when no answer arrived that is certainly its own, otherwise with LOST.
         """
         self.stream.is_idle_ = False
+        self.idle_since_ = None
+        self.has_sent_ = True
+        self.matcher_.record_sent(request_id)
         exchange = self._send(request)
         for _ in range(UNMATCHED_ANSWERS_MAX + 1):
             answer = await self._read_head(exchange)
-            answered_id = answer.head.request_id
-            has_both_ids = answered_id is not None and request_id is not None
-            if not has_both_ids or answered_id == request_id:
+            head = answer.head
+            match = self.matcher_.match(
+                head.request_id, request_id, is_refusal=head.is_not_run
+            )
+            if match is AnswerMatch.OWN:
                 self.answer_ = answer
                 return answer
+            if match is AnswerMatch.UNKNOWN:
+                break
             # This is the answer to an earlier request; read and skip it.
             await answer.reading
             if not answer.reader.is_complete_ or not answer.reader.is_framed_:
                 break
-        raise ExchangeBroken(BreakKind.INVALID_ANSWER, "answers of other requests only")
+        raise ExchangeBroken(BreakKind.INVALID_ANSWER, "no answer of this request")
 
     async def fetch(
         self, request: OutboundRequest, request_id: RequestId | None = None
@@ -221,10 +233,16 @@
             reader.changed_.set()
 
     def finish_exchange(self) -> bool:
-        """End the exchange; return whether another may follow, close it otherwise."""
+        """End the exchange, if one began; return whether another may follow.
+
+        The connection is closed if an exchange began after which none may follow.
+        """
         answer = self.answer_
         self.answer_ = None
         self._release_held()
+        if not self.has_sent_:
+            return self.is_usable
+        self.has_sent_ = False
         is_reusable = answer is not None and self._is_reusable(answer)
         if not is_reusable:
             if answer is not None:
@@ -244,6 +262,8 @@
             or answer.head.closes_connection
         ):
             return False
+        if not self.matcher_.is_in_step_:
+            return False
         # An endpoint may answer before it has read a long request body.
         if not answer.reading.done() or not self.is_usable:
             return False
@@ -252,9 +272,12 @@
     def mark_idle(self, now: float) -> None:
         """Mark the connection idle and detect a close or unexpected bytes.
 
+        One on which nothing was sent since it was idle before goes on resting.
+
         Units: now in seconds of the event loop's clock.
         """
-        self.idle_since_ = now
+        if self.idle_since_ is None:
+            self.idle_since_ = now
         self.stream.is_idle_ = True
         self.stream.set_close_callback(lambda: None)
 
