Answer what was read before an entry of the own interface closes connections

What callers saw: around a planned stop of `leadfordd entry` the connection of a request that was read was closed with no answer, or in the middle of one.

Cause: the stop looked at requests that run and at a count of handlers, then closed every connection 20 ms later. The count had no operators' statements, lost one for each method that is refused (on_finish without prepare), ended as an answer was handed to the connection and not as it was written out, and had nothing of bodies that still arrive and of requests that came on kept connections in those 20 ms.

Change: the server of callers' connections knows which have a request, from its head until its answer is written out. A stop ends what runs, stops listening, and closes each connection once it has no request and no byte waits to be read on it. A body that arrives in part is awaited for 5 s at most, all else for 120 s as before.

A connection that the kernel has accepted and the entry has not may still be closed as listening ends; nothing of it was read.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_caller.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_caller.py
@@ -41,15 +41,10 @@
         self.clear_header("Server")
 
     def prepare(self) -> None:
-        """Count a request that is to be answered before a planned stop ends."""
-        self.table.answering_ += 1
+        """Ask the caller for another connection once a planned stop is announced."""
         if self.table.is_leaving_:
             self.set_header("Connection", "close")
 
-    def on_finish(self) -> None:
-        """Count that the answer was given to the connection."""
-        self.table.answering_ -= 1
-
     def on_connection_close(self) -> None:
         """Note that the caller is gone."""
         self.reader_.leave()
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
@@ -1,15 +1,16 @@
 """Run the entry of leadford's own interface: sockets, configuration, planned stop.
 
 Builds the parts and hands connections and messages to those that want them. A planned
-stop is announced, then requests are refused, then those that run are awaited. The entry
-that the users' platform runs is `leadford_server.forwarding`; its stop follows other
-rules (docs/ARCHITECTURE.md).
+stop is announced, then requests are refused, those that run are awaited, and each
+connection is closed once its answer is written out. The entry that the users' platform
+runs is `leadford_server.forwarding`; its stop follows other rules
+(docs/ARCHITECTURE.md).
 """
 
 import asyncio
 import random
 
-from tornado import httpserver, web
+from tornado import web
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from leadford.common import EndpointId, EntryId, HallId
@@ -21,6 +22,7 @@
 from leadford_server.metrics import MetricsHandler
 from leadford_server.peers import Identity, PeerConnection, PeerServer
 from leadford_server.pipelines.config import ConfigFollower
+from leadford_server.pipelines.entry._caller_server import CallerServer
 from leadford_server.pipelines.entry._changes import ChangeService
 from leadford_server.pipelines.entry._claims import ClaimService
 from leadford_server.pipelines.entry._crashes import CrashExchange
@@ -56,6 +58,8 @@
 # neither was measured.
 DRAIN_POLL_INTERVAL_S = 0.02
 DRAIN_MAX_S = 120.0
+# Most seconds for which a stop awaits the rest of a body.
+BODY_REST_MAX_S = 5.0
 # Bytes of a head that are accepted.
 HEADER_BYTES_MAX = 16 * 1024
 
@@ -75,7 +79,7 @@
         self.log_ = EventLog(process_id=settings.entry_id)
         self.http_ = CurlAsyncHTTPClient(force_instance=True, max_clients=64)
         self.store_ = StoreClient(url=settings.store, http=self.http_, log=self.log_)
-        self.web_: httpserver.HTTPServer | None = None
+        self.web_: CallerServer | None = None
         self._build_peers()
         self._build_requests()
         self._build_configuration()
@@ -201,7 +205,7 @@
             ],
             log_function=lambda handler: None,
         )
-        self.web_ = httpserver.HTTPServer(
+        self.web_ = CallerServer(
             pages,
             max_body_size=BODY_BYTES_MAX,
             max_buffer_size=BODY_BYTES_MAX + HEADER_BYTES_MAX,
@@ -277,13 +281,10 @@
         limit = boot_time() + DRAIN_MAX_S
         await asyncio.sleep(ANNOUNCE_S)
         table.draining_ = True
-        while table.runs_by_id_ or table.answering_ > 0:
-            if boot_time() >= limit:
-                break
+        while table.runs_by_id_ and boot_time() < limit:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         self.web_.stop()
-        # An answer that was just written is still in the hands of the loop.
-        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        await self._answer_open_requests(limit)
         await self.web_.close_all_connections()
         self.follower_.stop()
         self.hosts_.stop()
@@ -292,3 +293,18 @@
         await self.entries_.stop()
         await self.server_.stop()
         self.log_.report(Event.PROCESS_STOPPED)
+
+    async def _answer_open_requests(self, limit: float) -> None:
+        """Close each connection once nothing on it is left to answer.
+
+        Units: limit in seconds of the monotonic clock.
+        """
+        body_limit = boot_time() + BODY_REST_MAX_S
+        self.web_.close_idle()
+        while self.web_.connections_ or self.table_.runs_by_id_:
+            if boot_time() >= limit:
+                return
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+            self.web_.close_idle()
+            if boot_time() >= body_limit:
+                self.web_.close_partial()
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
@@ -70,7 +70,6 @@
         # that those on their way are served.
         self.is_leaving_ = False
         self.draining_ = False
-        self.answering_ = 0
 
     def begin(self, new: NewRequest) -> Result[RequestRun, Refusal]:
         """Begin a request, or join the one that its key names.
