Answer requests of the own interface whose run breaks off

What callers saw: a request got no answer for as long as its caller waited, and a planned stop of its entry waited 120 s for it and then closed the connection. Nothing was logged.

Cause: the task of a run set the answer in its last step. A run that ended by an error, or was cancelled though its caller waited, never took that step and stayed in the table.

Change: the answer is set as the task ends, whatever ended it: "not run" with 503 where nothing of an effect can have started, else "unknown" with 500. Attempts that were sent are cancelled.

Evidence: the four tests of test_broken_runs (an error, cancelled before and after an attempt, before the first step) timed out before and pass now; test_failures and the other tests of leadford_server.pipelines pass.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_answers.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_answers.py
@@ -50,6 +50,7 @@
     RefusalReason.NOT_FOUND: "Not found",
     RefusalReason.BAD_REQUEST: "The request is malformed",
     RefusalReason.QUARANTINED: "Endpoints ended each time this request ran",
+    RefusalReason.INTERRUPTED: "The entry could not finish the request",
 }
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_live_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_live_attempts.py
@@ -68,6 +68,10 @@
     def cancel_all(self) -> None:
         """Cancel attempts that nobody waits for any more."""
         for attempt in list(self.execution.live_by_number_.values()):
+            if attempt.number not in self.links_by_number_:
+                # It was not sent.
+                self.execution.end_attempt(attempt)
+                continue
             self.cancel(attempt)
 
     def cancel(self, attempt: Attempt) -> None:
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Coroutine
 
 from returns.result import Failure, Result, Success
 
@@ -52,6 +53,8 @@
 # Seconds between looks for the note of a key, and most seconds.
 LOOKUP_STEP_S = 0.05
 LOOKUP_MAX_S = 1.0
+# Characters of an error that are logged and told to callers.
+ERROR_CHARS_MAX = 300
 # Seconds that a request has which is taken over, since its note holds no deadline.
 RESUME_S = 30.0
 
@@ -65,7 +68,7 @@
         self.runs_by_id_: dict[RequestId, RequestRun] = {}
         self.ended_by_id_: OrderedDict[RequestId, RequestRun] = OrderedDict()
         self.refused_by_id_: OrderedDict[RequestId, Trail] = OrderedDict()
-        self.tasks_: set[asyncio.Task[None]] = set()
+        self.tasks_: set[asyncio.Task[Answer]] = set()
         # A planned stop is announced first; requests are refused a little later, so
         # that those on their way are served.
         self.is_leaving_ = False
@@ -150,27 +153,40 @@
             services=services,
         )
 
-    def _start(self, run: RequestRun, work: object) -> None:
+    def _start(self, run: RequestRun, work: Coroutine[object, object, Answer]) -> None:
         self.runs_by_id_[run.request_id] = run
         self.services.ledger_.record_began(run.execution.workspace)
         LIVE_REQUESTS.set(len(self.runs_by_id_))
         task = asyncio.create_task(work)
         self.tasks_.add(task)
-        task.add_done_callback(self.tasks_.discard)
+        # A task that is cancelled before its first step ends here only.
+        task.add_done_callback(lambda ended: self._finish(run, ended))
 
-    async def _drive(self, run: RequestRun, new: NewRequest) -> None:
+    def _finish(self, run: RequestRun, task: asyncio.Task[Answer]) -> None:
+        """Answer the callers of a run, whatever ended its task."""
+        self.tasks_.discard(task)
+        if task.cancelled():
+            run.interrupt("cancelled")
+        elif (error := task.exception()) is not None:
+            run.interrupt(f"{type(error).__name__}: {error}"[:ERROR_CHARS_MAX])
+        else:
+            run.answer_.end(task.result())
+        self._end(run)
+        run.abandon()
+
+    async def _drive(self, run: RequestRun, new: NewRequest) -> Answer:
         answer = await run.run()
         problem = answer.problem
         claimed = RefusalReason.ALREADY_CLAIMED
         if problem is not None and problem.reason is claimed and not run.claimed_:
-            answer = await self._follow_claim(run, new, problem)
-        run.answer_.end(answer)
-        self._end(run)
+            return await self._follow_claim(run, new, problem)
+        return answer
 
     async def _follow_claim(
         self, run: RequestRun, new: NewRequest, problem: Problem
     ) -> Answer:
         """Answer a repeated key from the record of its first run."""
+        run.record_begun_elsewhere()
         # The first run may not have told the holders of its note yet.
         tries = int(LOOKUP_MAX_S / LOOKUP_STEP_S)
         note: Note | None = None
@@ -252,13 +268,10 @@
             RESUME_S * 1000.0,
         )
         run = self._make_run(request_id, pipeline, new)
-        self._start(run, self._serve_on(run, note))
+        run.record_begun_elsewhere()
+        self._start(run, run.resume(note))
         return run
 
-    async def _serve_on(self, run: RequestRun, note: Note) -> None:
-        run.answer_.end(await run.resume(note))
-        self._end(run)
-
     def peer_message(self, message: Message) -> bool:
         """Hand a message to its request; return whether it was one for a request."""
         if isinstance(message, Tokens):
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
@@ -41,9 +41,14 @@
     RefusalReason.ALREADY_CLAIMED: 409,
     RefusalReason.CANCELLED: 499,
     RefusalReason.QUARANTINED: 502,
+    RefusalReason.INTERRUPTED: 500,
 }
 # These say with their status whether anything ran: 503 where nothing did.
-_REFUSED_BEFORE_RUN = (RefusalReason.DEADLINE, RefusalReason.QUARANTINED)
+_REFUSED_BEFORE_RUN = (
+    RefusalReason.DEADLINE,
+    RefusalReason.QUARANTINED,
+    RefusalReason.INTERRUPTED,
+)
 
 
 class RequestRun:
@@ -73,6 +78,8 @@
             trail=self.trail_,
         )
         self.claimed_ = False
+        # Whether another process may have begun the request.
+        self.is_begun_elsewhere_ = False
         self.repeats_ = 0
 
     @property
@@ -100,6 +107,27 @@
         """Handle a message for this request."""
         self.attempts_.deliver(message)
 
+    def record_begun_elsewhere(self) -> None:
+        """Record that another process may have begun the request."""
+        self.is_begun_elsewhere_ = True
+
+    def interrupt(self, error: str) -> None:
+        """Answer a run that ended without an answer."""
+        outcome = Outcome.UNKNOWN
+        if not self.is_begun_elsewhere_:
+            outcome = self.execution.failure_outcome(shown=bool(self.answer_.shown_))
+        kind = FailureKind.LOST
+        if outcome is Outcome.NOT_RUN:
+            kind = FailureKind.NOT_SENT
+        failure = make_failure(kind, RefusalReason.INTERRUPTED, detail=error)
+        self.answer_.end(Answer(outcome, problem=self._problem(failure, outcome)))
+        self._report_failure(failure, outcome, error=error)
+
+    def abandon(self) -> None:
+        """Cancel the attempts that this run began and nobody waits for."""
+        if not self.is_begun_elsewhere_:
+            self.attempts_.abandon()
+
     def cancel(self) -> None:
         """Give the request up, as far as that is still possible."""
         self.attempts_.cancel()
@@ -213,7 +241,9 @@
             return None
         return make_failure(FailureKind.REFUSED, _REASON_BY_VERDICT[verdict])
 
-    def _report_failure(self, failure: AttemptFailure, outcome: Outcome) -> None:
+    def _report_failure(
+        self, failure: AttemptFailure, outcome: Outcome, **more: str
+    ) -> None:
         self.trail_.add(
             self.services.clock(),
             f"ended {outcome.value}: {failure.reason.value} {failure.detail}".strip(),
@@ -227,6 +257,7 @@
             pipeline=self.execution.pipeline_id,
             reason=failure.reason.value,
             endpoint=failure.endpoint_id,
+            **more,
         )
 
     def _problem(self, failure: AttemptFailure, outcome: Outcome) -> Problem:
--- a/packages/leadford/src/leadford/common/_states.py
+++ b/packages/leadford/src/leadford/common/_states.py
@@ -53,3 +53,4 @@
     NOT_FOUND = "not-found"
     BAD_REQUEST = "bad-request"
     QUARANTINED = "quarantined"
+    INTERRUPTED = "interrupted"
