End a request as unknown when the configuration lost its stage

What callers saw: reading a request at another entry, or repeating its key there, got no answer if the configuration no longer had the stage that its note names.

Cause: the search for the stage raised in the task of the run.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
@@ -124,6 +124,13 @@
     async def take_over(self, note: Note) -> AttemptFailure | None:
         """Wait for an attempt that another process began."""
         endpoint_id = EndpointId(note.endpoint_id)
+        if not self.live.execution.has_stage(note.stage):
+            return make_failure(
+                FailureKind.LOST,
+                RefusalReason.ENDPOINT_LOST,
+                endpoint_id,
+                f"the pipeline has no stage {note.stage!r} any more",
+            )
         attempt = self.live.execution.register_attempt(
             note.stage, note.attempt, endpoint_id
         )
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_broken_runs.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_broken_runs.py
@@ -5,13 +5,14 @@
 
 import pytest
 
-from leadford.common import Outcome, PipelineId, PoolKind, WorkspaceId
+from leadford.common import Outcome, PipelineId, PoolKind, RequestId, WorkspaceId
 from leadford.pipelines.config import (
     FleetConfig,
     PipelineConfig,
     PoolConfig,
     StageConfig,
 )
+from leadford.protocol import Note
 from leadford_server.pipelines.entry import EntryProcess
 from leadford_server.pipelines.entry._admitting import NewRequest
 from leadford_server.pipelines.entry._answers import AnswerReader
@@ -20,6 +21,7 @@
 from leadford_server.settings import EntrySettings, SocketAddress
 
 TIMEOUT_S = 5.0
+ID = RequestId("r")
 LOCAL = SocketAddress("127.0.0.1", 0)
 CONFIRM = StageConfig(name="confirm", pool="p", repeatable=False, effect=True)
 CONFIG = FleetConfig(
@@ -133,3 +135,19 @@
         assert not table.runs_by_id_
 
     play(scenario)
+
+
+def test_a_request_of_a_stage_that_was_taken_away_ends_unknown():
+    """A read waits for ever if the configuration lost the stage of its request."""
+
+    async def scenario():
+        table = make_table()
+        note = Note(ID, "w", "line", "gone", 1, "endpoint", True, False, "f", "d")
+        table.services.entries.notes_by_request_[ID] = note
+        run = await table.resume(ID, WorkspaceId("w"), None)
+        answer = await answer_of(run)
+        assert answer.outcome is Outcome.UNKNOWN
+        assert answer.problem.reason.value == "endpoint-lost"
+        assert not table.runs_by_id_
+
+    play(scenario)
--- a/packages/leadford/src/leadford/pipelines/execution/_request.py
+++ b/packages/leadford/src/leadford/pipelines/execution/_request.py
@@ -124,6 +124,10 @@
         self.tried_endpoints_.add(endpoint_id)
         return attempt
 
+    def has_stage(self, name: str) -> bool:
+        """Return whether the pipeline has a stage of a name."""
+        return any(stage.name == name for stage in self.pipeline.stages)
+
     def register_attempt(
         self, stage: str, number: int, endpoint_id: EndpointId
     ) -> Attempt:
