Read the events of an engine's stream by their type

What callers saw: a generation whose engine sent a usage with null or another shape, or a choice that is no record, got no answer before its deadline; its agent kept a slot taken for good and waited 120 s for it at a planned stop.

Cause: the reader took parts of an event untyped, so that another shape raised an error in the task of the attempt, or in the callback of the stream, and not a failure.

Change: events are decoded into typed records; another shape is a malformed event, as text that is no JSON was before. Null counts as a number that was left out.

--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_adapters.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_adapters.py
@@ -154,6 +154,36 @@
     max_tokens: int = 0
 
 
+class _TokenDetails(msgspec.Struct):
+    """Hold what an engine says of the tokens of a prompt."""
+
+    cached_tokens: float | None = None
+
+
+class _Usage(msgspec.Struct):
+    """Hold what a generation cost; an engine may leave out or null each field."""
+
+    prompt_tokens: float | None = None
+    prompt_tokens_details: _TokenDetails | None = None
+    accelerator_ms: float | None = None
+
+
+class _Choice(msgspec.Struct):
+    """Hold the next text of a generation, or why it ended."""
+
+    text: str | None = None
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    """Hold one event of a token stream; `id` names the attempt it belongs to."""
+
+    choices: list[_Choice]
+    id: object = msgspec.UNSET
+    model: str | None = None
+    usage: _Usage | None = None
+
+
 class _SseReader:
     """Parse the events of a token stream from chunks of bytes."""
 
@@ -162,7 +192,7 @@
         self.sink = sink
         self.unparsed_bytes_ = b""
         self.received_ = 0
-        self.usage_: dict[str, object] = {}
+        self.usage_ = _Usage()
         self.finish_reason_ = ""
         self.model_version_ = ""
         self.error_ = ""
@@ -184,21 +214,24 @@
 
     def _read_event(self, data: bytes, texts: list[str]) -> None:
         try:
-            chunk = msgspec.json.decode(data)
-            choice = chunk["choices"][0]
-        except (msgspec.MsgspecError, LookupError, TypeError) as error:
+            chunk = msgspec.json.decode(data, type=_Chunk)
+        except msgspec.MsgspecError as error:
             self.error_ = f"malformed event: {error}"
             return
-        if chunk.get("id", self.key) != self.key:
-            self.error_ = f"stream belongs to {chunk['id']}"
+        if not chunk.choices:
+            self.error_ = "malformed event: no choice"
+            return
+        if chunk.id not in (msgspec.UNSET, self.key):
+            self.error_ = f"stream belongs to {chunk.id}"
             self.crossed_ = True
             return
-        self.model_version_ = chunk.get("model", self.model_version_)
-        if choice.get("text"):
-            texts.append(choice["text"])
-        if choice.get("finish_reason"):
-            self.finish_reason_ = choice["finish_reason"]
-            self.usage_ = chunk.get("usage") or {}
+        self.model_version_ = chunk.model or self.model_version_
+        choice = chunk.choices[0]
+        if choice.text:
+            texts.append(choice.text)
+        if choice.finish_reason:
+            self.finish_reason_ = choice.finish_reason
+            self.usage_ = chunk.usage or _Usage()
 
 
 @endpoint_adapters.register("engine")
@@ -278,7 +311,8 @@
         return str(response.error or response.code)
 
     def _outcome(self, reader: _SseReader, error: str) -> AdapterOutcome:
-        details = reader.usage_.get("prompt_tokens_details") or {}
+        usage = reader.usage_
+        details = usage.prompt_tokens_details or _TokenDetails()
         status = DoneStatus.OK
         if reader.finish_reason_ == "cancelled":
             status = DoneStatus.CANCELLED
@@ -295,9 +329,9 @@
             status=status,
             result=result.encode(),
             error=reader.error_ or (error if status is DoneStatus.FAILED else ""),
-            prefill_tokens=int(reader.usage_.get("prompt_tokens", 0)),
-            cached_tokens=int(details.get("cached_tokens", 0)),
-            accelerator_ms=float(reader.usage_.get("accelerator_ms", 0.0)),
+            prefill_tokens=int(usage.prompt_tokens or 0),
+            cached_tokens=int(details.cached_tokens or 0),
+            accelerator_ms=usage.accelerator_ms or 0.0,
             model_version=reader.model_version_,
             crossed=reader.crossed_,
             endpoint_ended=reader.endpoint_ended_ and status is DoneStatus.FAILED,
