End attempts of an agent whose call to the endpoint breaks off

What callers saw: a request waited until its deadline for an attempt that had ended by an error in the agent or whose task was cancelled. The agent counted it as running for good: one slot less, and each planned stop lasted 120 s.

Cause: the task of an attempt ended it in its last step, which an error or a cancellation skipped.

An attempt that waits is not started any more once a stop is over.

--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_process.py
@@ -201,6 +201,7 @@
             deadline_at = boot_time() + DRAIN_MAX_S
             while not self.service_.is_idle and boot_time() < deadline_at:
                 await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+            self.service_.stop()
         for peer in list(self.peers_):
             await peer.close()
         if self.model_loader_ is not None:
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_runner.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_runner.py
@@ -34,6 +34,8 @@
 TIMEOUT_GRACE_S = 0.25
 # Minimum timeout of a stage with a side effect.
 MIN_EFFECT_TIMEOUT_S = 30.0
+# Maximum length of an error that is logged and sent to the entry.
+ERROR_CHARS_MAX = 300
 # Interval between checks whether a slot is still reserved for more urgent attempts.
 HEADROOM_POLL_INTERVAL_S = 0.03
 
@@ -58,6 +60,7 @@
         self.log = log
         self.clock = clock
         self.dispatch_timer_: asyncio.TimerHandle | None = None
+        self.is_stopped_ = False
 
     def dispatch(self) -> None:
         """Start attempts while slots allow it; refuse those that waited too long."""
@@ -81,17 +84,21 @@
             self.state.tokens_in_flight_ += attempt.submit.expected_tokens
             if not attempt.submit.repeatable:
                 self.state.record_effect(attempt.submit)
-            attempt.task_ = asyncio.create_task(self._run(attempt))
+            self._start(attempt)
         QUEUED_ATTEMPTS.set(len(self.state.queue_))
         RUNNING_ATTEMPTS.set(self.state.running_)
         self.reports.send_load()
 
+    def stop(self) -> None:
+        """Start no further attempts."""
+        self.is_stopped_ = True
+
     def _may_start(self) -> bool:
         """Return whether the next attempt may start; check again soon if it may not.
 
         Only a slot that is reserved for more urgent attempts is checked again.
         """
-        if len(self.state.queue_) == 0:
+        if self.is_stopped_ or len(self.state.queue_) == 0:
             return False
         if self.state.running_ >= self.state.pool_.concurrency:
             return False
@@ -123,19 +130,28 @@
             self.reports.refuse(peer, attempt.submit, reason)
         self.state.results_.discard(key)
 
-    async def _run(self, attempt: AcceptedAttempt) -> None:
+    def _start(self, attempt: AcceptedAttempt) -> None:
+        attempt.started_at_ = self.clock()
+        attempt.task_ = asyncio.create_task(self._call(attempt))
+        # A task that is cancelled before its first step ends here only.
+        attempt.task_.add_done_callback(lambda task: self._end(attempt, task))
+
+    async def _call(self, attempt: AcceptedAttempt) -> AdapterOutcome:
         submit = attempt.submit
-        started_at = self.clock()
-        attempt.started_at_ = started_at
-        timeout_s = attempt.item.deadline_at - started_at + TIMEOUT_GRACE_S
+        timeout_s = attempt.item.deadline_at - self.clock() + TIMEOUT_GRACE_S
         if not submit.repeatable:
             # The side effect may happen after the deadline; its result is still needed.
             timeout_s = max(timeout_s, MIN_EFFECT_TIMEOUT_S)
-        sink = self._make_sink(attempt)
-        outcome = await self.adapter.run(submit, timeout_s, sink)
-        ended_at = self.clock()
-        service_ms = (ended_at - started_at) * 1000.0
-        queue_ms = (started_at - attempt.item.enqueued_at) * 1000.0
+        return await self.adapter.run(submit, timeout_s, self._make_sink(attempt))
+
+    def _end(
+        self, attempt: AcceptedAttempt, task: asyncio.Task[AdapterOutcome]
+    ) -> None:
+        """End an attempt, whatever ended its task."""
+        submit = attempt.submit
+        outcome = self._outcome_of(attempt, task)
+        service_ms = (self.clock() - attempt.started_at_) * 1000.0
+        queue_ms = (attempt.started_at_ - attempt.item.enqueued_at) * 1000.0
         if outcome.crossed:
             self.log.report(
                 Event.ENDPOINT_ANSWER_CROSSED,
@@ -149,6 +165,21 @@
             self.state.admission_.estimate_.record_partial(service_ms, tokens)
         self._finish(attempt, outcome, service_ms, queue_ms)
 
+    def _outcome_of(
+        self, attempt: AcceptedAttempt, task: asyncio.Task[AdapterOutcome]
+    ) -> AdapterOutcome:
+        """Return how a call ended; one that broke off has failed, and is logged."""
+        if task.cancelled():
+            text = "the call was cancelled"
+        elif (error := task.exception()) is not None:
+            text = f"{type(error).__name__}: {error}"[:ERROR_CHARS_MAX]
+        else:
+            return task.result()
+        self.log.report(
+            Event.REQUEST_UNKNOWN, request=attempt.submit.request_id, error=text
+        )
+        return AdapterOutcome(DoneStatus.FAILED, error=text)
+
     def _make_sink(self, attempt: AcceptedAttempt) -> TokenSink:
         def record_tokens(texts: list[str], model_version: str) -> None:
             attempt.generated_texts_.extend(texts)
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_service.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_service.py
@@ -121,6 +121,10 @@
         self.draining_ = False
         self.reports_.send_load(force=True)
 
+    def stop(self) -> None:
+        """Start no attempt that still waits."""
+        self.runner_.stop()
+
     def attach_models(self, loader: ModelLoader) -> None:
         """Include the models of an engine in load reports from now on."""
         self.reports_.model_loader_ = loader
