Refuse attempts that cross the announcement of an agent's stop

What callers saw: an effect that ran nowhere was answered as unknown as an idle agent was stopped, since its entry took the attempt for lost with the connection.

Cause: an agent without work closed its connections 10 to 20 ms after it had announced its stop. An attempt that was on its way then got neither an end nor a refusal.

Change: an agent keeps its connections for 0.5 s after the announcement, as an entry does, and refuses what arrives until then.

Evidence: test_an_attempt_that_crosses_a_stop_is_refused_and_not_lost failed before (the connection is lost) and passes now; the tests of leadford_server.pipelines pass three times, test_failures, test_path and test_operators once.

--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_process.py
@@ -27,6 +27,9 @@
 from leadford_server.pipelines.store import StoreClient
 from leadford_server.settings import AgentSettings, SocketAddress
 
+# Minimum time between the announcement of a stop and its end, in which attempts that
+# are on their way are refused: an entry takes one without a reply for lost.
+ANNOUNCE_S = 0.5
 # Interval between checks for attempts that still run while the agent drains, and the
 # maximum time that it waits for them.
 DRAIN_POLL_INTERVAL_S = 0.02
@@ -199,6 +202,7 @@
         if self.service_ is not None:
             self.service_.drain()
             deadline_at = boot_time() + DRAIN_MAX_S
+            await asyncio.sleep(ANNOUNCE_S)
             while not self.service_.is_idle and boot_time() < deadline_at:
                 await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
             self.service_.stop()
