Close idle connections of the own interface only if no request has come

What callers saw: a request on a kept connection had the connection closed with no answer, though it came before the idle time-out of 120 s.

Cause: the time-out of tornado is a timer. If the loop of the entry is late, it is due in the turn that reads the request, and closes the connection before the request is looked at.

Change: the server of callers' connections looks for idle ones itself, each 5 s, and closes those that have neither a request nor bytes that wait to be read. The bound stays 120 s.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_caller_server.py
@@ -1,9 +1,12 @@
 """Serve the connections of callers, and close those without a request.
 
 `EntryProcess` stops through it: a connection stays open while a request is read, waits
-for its answer, or has an answer that is not written out.
+for its answer, or has an answer that is not written out. A connection that was idle for
+too long is closed by the same look: a timer of its own may be due in the turn of the
+event loop that reads a request, and would close the connection under it.
 """
 
+import asyncio
 import socket
 from collections.abc import Callable
 
@@ -12,12 +15,27 @@
 
 
 class CallerServer(httpserver.HTTPServer):
-    """Serve HTTP and know which connections have a request."""
+    """Serve HTTP and know which connections have a request.
 
-    def initialize(self, *args: object, **kwargs: object) -> None:
-        """Store the parameters of `HTTPServer`."""
+    Units: clock, idle_max_s and idle_look_s in seconds.
+    """
+
+    def initialize(
+        self,
+        *args: object,
+        clock: Callable[[], float],
+        idle_max_s: float,
+        idle_look_s: float,
+        **kwargs: object,
+    ) -> None:
+        """Store the parameters of `HTTPServer` and those of idle connections."""
         super().initialize(*args, **kwargs)
-        self.connections_: set[HTTP1ServerConnection] = set()
+        self.clock = clock
+        self.idle_max_s = idle_max_s
+        self.idle_look_s = idle_look_s
+        self.idle_timer_: asyncio.TimerHandle | None = None
+        # When each connection began to wait for its present or its next request.
+        self.waiting_since_by_connection_: dict[HTTP1ServerConnection, float] = {}
         # Connections on which a head was read and the answer is not written out.
         self.busy_: set[HTTP1ServerConnection] = set()
         # Those of them on which the body has not arrived whole.
@@ -27,7 +45,7 @@
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Return what reads the next request of a connection."""
-        self.connections_.add(server_conn)
+        self.waiting_since_by_connection_[server_conn] = self.clock()
         self._forget_request(server_conn)
         return _RequestReader(
             super().start_request(server_conn, request_conn),
@@ -37,7 +55,7 @@
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection that ended."""
-        self.connections_.discard(server_conn)
+        self.waiting_since_by_connection_.pop(server_conn, None)
         self._forget_request(server_conn)
         super().on_close(server_conn)
 
@@ -49,9 +67,29 @@
         self.busy_.discard(connection)
         self.partial_.discard(connection)
 
-    def close_idle(self) -> None:
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no caller is connected."""
+        return not self.waiting_since_by_connection_
+
+    def watch_idle(self) -> None:
+        """Close the connections that were idle for too long, from now on."""
+        self.close_idle(self.idle_max_s)
+        loop = asyncio.get_running_loop()
+        self.idle_timer_ = loop.call_later(self.idle_look_s, self.watch_idle)
+
+    def stop(self) -> None:
+        """Stop listening and looking for idle connections."""
+        if self.idle_timer_ is not None:
+            self.idle_timer_.cancel()
+        super().stop()
+
+    def close_idle(self, idle_min_s: float = 0.0) -> None:
         """Close the connections that have no request and on which none arrives."""
-        for connection in self.connections_ - self.busy_:
+        idle_since = self.clock() - idle_min_s
+        for connection, since in list(self.waiting_since_by_connection_.items()):
+            if connection in self.busy_ or since > idle_since:
+                continue
             stream = connection.stream
             # A stream that does not read has a head that nobody has looked at yet.
             if not stream.reading() or _has_arrived(stream.socket):
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
@@ -60,6 +60,10 @@
 DRAIN_MAX_S = 120.0
 # Most seconds for which a stop awaits the rest of a body.
 BODY_REST_MAX_S = 5.0
+# Seconds for which a connection of a caller may wait for the head of a request, and
+# seconds between looks for those that wait longer.
+IDLE_MAX_S = 120.0
+IDLE_LOOK_S = 5.0
 # Bytes of a head that are accepted.
 HEADER_BYTES_MAX = 16 * 1024
 
@@ -210,9 +214,12 @@
             max_body_size=BODY_BYTES_MAX,
             max_buffer_size=BODY_BYTES_MAX + HEADER_BYTES_MAX,
             max_header_size=HEADER_BYTES_MAX,
-            idle_connection_timeout=120.0,
+            clock=boot_time,
+            idle_max_s=IDLE_MAX_S,
+            idle_look_s=IDLE_LOOK_S,
         )
         self.web_.listen(self.settings.http.port, self.settings.http.host)
+        self.web_.watch_idle()
         self.follower_.start()
         self.hosts_.start()
         self.planner_.start()
@@ -301,7 +308,7 @@
         """
         body_limit = boot_time() + BODY_REST_MAX_S
         self.web_.close_idle()
-        while self.web_.connections_ or self.table_.runs_by_id_:
+        while self.table_.runs_by_id_ or not self.web_.is_empty:
             if boot_time() >= limit:
                 return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
