Use removed endpoints on only where an outage of the store explains it

What callers saw: requests reached an endpoint that leaves, without saying so, later than its drain period after the store had removed its record (DRAIN); those that it was at work on as it ended got 502.

Cause: two allowances, each safe alone, add up. From eight entries on an entry that rests learns of a removal up to the bound less 0.6 s late where those that follow the store are lost. Where more of a service is gone than is left, removed endpoints were used for the drain period less 0.9 s more, counted from when the entry learned it, and also where the store had answered all the time.

Change: removed endpoints are used on only if a call for the listing failed while its latest confirmation was as old as the drain period, which it never is while the store answers; and only for removals that are learned within the time to catch up after that call was made (the store is not stable before). In all other cases the budget is how late the removal is learned and the time in flight, and nothing is used on. A test adds the constants up. An endpoint that is missing after a restoration is used as before.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -251,6 +251,7 @@
                     self.settings.bounds.drain_s
                 ),
                 watch_s=lambda: factory.shared_watch_timeout_s(WATCH_MAX_S),
+                on_failed_call=self.listing_.on_failed_call,
             ),
             factory.make_relayed_follower(
                 objects.entries_kind,
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -108,7 +108,10 @@
         self.epochs_ = StoreEpochs()
         halls = EvacuatedHalls(is_known=bounds.evacuate_s is None)
         self.roster_ = EndpointRoster.from_drain_period(
-            bounds.drain_s, bounds.heartbeat_s, halls
+            bounds.drain_s,
+            bounds.heartbeat_s,
+            halls,
+            outage_effect_s=bounds.resync_s,
         )
         self.cold_endpoints_ = ColdEndpoints(entry_id=entry_id)
         self.endpoint_retry_after_ = EndpointRetryAfter()
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_base.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_base.py
@@ -39,3 +39,7 @@
 
 def ignore_relayed(confirmed_at: float) -> None:
     """Ignore the time of a confirmation that another entry passed on."""
+
+
+def ignore_failed_call(called_at: float, confirmed_at: float | None) -> None:
+    """Ignore a failed call: nothing is decided by outages of the store."""
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_factory.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_factory.py
@@ -18,7 +18,11 @@
 )
 from leadford_server.forwarding._state import ForwardBounds
 from leadford_server.forwarding._store_contract import ObjectEvents
-from leadford_server.forwarding.store._base import KindOwner, ignore_relayed
+from leadford_server.forwarding.store._base import (
+    KindOwner,
+    ignore_failed_call,
+    ignore_relayed,
+)
 from leadford_server.forwarding.store._client import ObjectsClient
 from leadford_server.forwarding.store._follow import CHANGES_PAUSE_S, KindFollower
 
@@ -82,6 +86,7 @@
         bound_s: Callable[[], float],
         watch_s: Callable[[], float],
         on_relayed: Callable[[float], None] = ignore_relayed,
+        on_failed_call: Callable[[float, float | None], None] = ignore_failed_call,
         changes_pause_s: float = CHANGES_PAUSE_S,
         confirms_by_version: bool = False,
     ) -> KindFollower:
@@ -102,6 +107,7 @@
             ),
             tell=self.relays.tell,
             on_relayed=on_relayed,
+            on_failed_call=on_failed_call,
             changes_pause_s=changes_pause_s,
             confirms_by_version=confirms_by_version,
         )
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -27,6 +27,7 @@
     KindOwner,
     Listing,
     discard_changes,
+    ignore_failed_call,
     ignore_relayed,
     zero_rest_s,
 )
@@ -74,9 +75,10 @@
     returns for how many seconds after a confirmation this entry makes no calls, 0 where
     it follows the store itself. `tell` receives the changes that the store sent to this
     entry; `on_relayed` receives the time at which the store confirmed to another entry
-    that this one is current. With `confirms_by_version` other entries identify what
-    they know by a version of the object, which stays valid over all histories of the
-    store.
+    that this one is current; `on_failed_call` receives the time at which a failed call
+    was made, and that of the latest confirmation, None before the first one. With
+    `confirms_by_version` other entries identify what they know by a version of the
+    object, which stays valid over all histories of the store.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         max_confirmation_age_s: Callable[[], float] = zero_rest_s,
         tell: Callable[[str, StorePosition, ObjectEvents], None] = discard_changes,
         on_relayed: Callable[[float], None] = ignore_relayed,
+        on_failed_call: Callable[[float, float | None], None] = ignore_failed_call,
         changes_pause_s: float = CHANGES_PAUSE_S,
         confirms_by_version: bool = False,
     ) -> None:
@@ -101,6 +104,7 @@
         self.max_confirmation_age_s = max_confirmation_age_s
         self.tell = tell
         self.on_relayed = on_relayed
+        self.on_failed_call = on_failed_call
         self.kind = kind
         self.client = client
         self.random = random
@@ -127,6 +131,7 @@
             if succeeded:
                 wait_s = RETRY_MIN_S
                 continue
+            self.on_failed_call(began_at, self.confirmed_at_)
             # Time spent on the failed call counts towards the pause: a store that is
             # back is called as soon as the call that it never answers has timed out.
             pause_s = wait_s * self.random.uniform(0.6, 1.2)
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_listing.py
@@ -59,6 +59,12 @@
     def on_confirmed(self) -> None:
         """Do nothing: no decision depends on the age of a listing."""
 
+    def on_failed_call(self, called_at: float, confirmed_at: float | None) -> None:
+        """Record that a call for the listing failed now."""
+        self.state.roster_.outage_.record_failed_call(
+            called_at, confirmed_at, self.state.now()
+        )
+
     def apply(self, endpoints: list[ListedEndpoint], position: StorePosition) -> None:
         """Merge a complete listing that was made at a position of the store."""
         roster = self.state.roster_
--- a/packages/leadford-server/src/leadford_server/forwarding/tests/test_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/tests/test_state.py
@@ -61,6 +61,7 @@
         revision=1,
     )
     state.roster_.record_listed(endpoint)
+    state.roster_.outage_.record_failed_call(9.0, 1.0, clock.now)
     state.roster_.replace([], StorePosition(FIRST_EPOCH, 9), clock.now)
     clock.now = 10.0 + used_s
     assert [record.listed for record in state.usable(SERVICE)] == [endpoint]
--- a/packages/leadford-standins/src/leadford_standins/wire/_fleet.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_fleet.py
@@ -134,6 +134,7 @@
             self.listing_,
             bound_s=lambda: BOUNDS.drain_s,
             watch_s=lambda: 1.8,
+            on_failed_call=self.listing_.on_failed_call,
         )
 
     async def send_heartbeats(self, random: Random) -> None:
--- a/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/__init__.py
@@ -24,6 +24,7 @@
     ReportedLoad,
     SoftwareVersion,
 )
+from leadford.forwarding.endpoints._outage import StoreOutage
 from leadford.forwarding.endpoints._pace import EndpointPace, MeasuredPace
 from leadford.forwarding.endpoints._paces import (
     MAX_REPORTED_PACES,
@@ -76,6 +77,7 @@
     "PlacedId",
     "PlacedPrompts",
     "SentPrompt",
+    "StoreOutage",
     "ListedEndpoint",
     "ListedState",
     "BusiestEntry",
--- a/packages/leadford/src/leadford/forwarding/endpoints/_removed.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_removed.py
@@ -17,7 +17,8 @@
 
     `is_lost` is true where the endpoint is missing in a later epoch of the store than
     the one it was listed in: the store has lost its record, which does not mean that
-    the endpoint has left.
+    the endpoint has left. `may_work` is true there, and where an outage of the store
+    explains the removal.
 
     Units: removed_at in seconds of the monotonic clock.
     """
@@ -25,6 +26,7 @@
     record: EndpointRecord
     removed_at: float
     is_lost: bool
+    may_work: bool
 
 
 class RemovedEndpoints:
@@ -37,10 +39,17 @@
         self.removed_grace_s = removed_grace_s
         self.by_id_: dict[EndpointId, RemovedEndpoint] = {}
 
-    def add(self, record: EndpointRecord, now: float, *, is_lost: bool) -> None:
-        """Add an endpoint that is removed now."""
+    def add(
+        self, record: EndpointRecord, now: float, *, is_lost: bool, in_outage: bool
+    ) -> None:
+        """Add an endpoint that is removed now; it is held in any case.
+
+        `in_outage` tells that an outage of the store explains the removal.
+        """
         endpoint_id = record.listed.endpoint_id
-        self.by_id_[endpoint_id] = RemovedEndpoint(record, now, is_lost)
+        self.by_id_[endpoint_id] = RemovedEndpoint(
+            record, now, is_lost, may_work=is_lost or in_outage
+        )
 
     def forget(self, endpoint_id: EndpointId) -> None:
         """Drop an endpoint that is leaving, or that a later start has replaced."""
@@ -68,6 +77,7 @@
         return [
             removed
             for removed in self.by_id_.values()
-            if removed.record.listed.service_id == service_id
+            if removed.may_work
+            and removed.record.listed.service_id == service_id
             and not removed.record.is_replaced_
         ]
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -2,9 +2,9 @@
 
 Listings come from the store and from peers in any order; positions in the history of
 the store decide which one is newer. Endpoints that are listed as ready take new work.
-Those that were removed together with most of their service do so for a short time,
-because after an outage the store may have lost endpoints that still work. Endpoints in
-a hall that the operator has evacuated take no new work.
+Those that were removed together with most of their service after an outage do so for a
+short time, because the store may have lost endpoints that still work. Endpoints in a
+hall that the operator has evacuated take no new work.
 """
 
 from collections import Counter
@@ -25,6 +25,7 @@
     ListedState,
     SoftwareVersion,
 )
+from leadford.forwarding.endpoints._outage import StoreOutage
 from leadford.forwarding.endpoints._record import EndpointRecord
 from leadford.forwarding.endpoints._removed import RemovedEndpoints
 from leadford.forwarding.history import START_POSITION, StorePosition
@@ -44,6 +45,10 @@
 EXPIRY_HEARTBEATS = 4
 # Heartbeat interval of an endpoint where the deployment sets none.
 DEFAULT_HEARTBEAT_S = 1.2
+# Drain period of an endpoint, and time after an outage of the store in which it may
+# still remove records of working endpoints, where the deployment sets none.
+DEFAULT_DRAIN_S = 2.0
+DEFAULT_OUTAGE_EFFECT_S = 3.0
 
 
 class EndpointRoster:
@@ -57,7 +62,9 @@
 
     After an outage the store may remove endpoints that still work: when most of a
     service is removed at once, these endpoints are used for `removed_grace_s`, which
-    must be shorter than the drain period of an endpoint.
+    must be shorter than the drain period of an endpoint. Without an outage a removed
+    endpoint is not used: how late this entry learns of the removal may take up the
+    drain period.
 
     A store that was restored from a copy lacks endpoints that were listed after the
     copy was made, and lists some that were removed after it. The former are also used
@@ -73,10 +80,14 @@
         removed_grace_s: float = RELIST_TIMEOUT_S,
         expiry_s: float = EXPIRY_HEARTBEATS * DEFAULT_HEARTBEAT_S,
         halls: EvacuatedHalls | None = None,
+        outage: StoreOutage | None = None,
     ) -> None:
         self.expiry_s = expiry_s
         self.halls = halls
         self.halls_ = halls or EvacuatedHalls()
+        self.outage_ = outage or StoreOutage(
+            unconfirmed_min_s=DEFAULT_DRAIN_S, effect_s=DEFAULT_OUTAGE_EFFECT_S
+        )
         self.removed_ = RemovedEndpoints(removed_grace_s=removed_grace_s)
         self.records_by_id_: dict[EndpointId, EndpointRecord] = {}
         self.ids_by_service_: dict[ServiceId, set[EndpointId]] = {}
@@ -93,18 +104,30 @@
 
     @classmethod
     def from_drain_period(
-        cls, drain_s: float, heartbeat_s: float, halls: EvacuatedHalls | None = None
+        cls,
+        drain_s: float,
+        heartbeat_s: float,
+        halls: EvacuatedHalls | None = None,
+        *,
+        outage_effect_s: float = DEFAULT_OUTAGE_EFFECT_S,
     ) -> "EndpointRoster":
         """Return a roster for the drain period and heartbeat interval of a deployment.
 
         `drain_s` is how long an endpoint serves after it has said that it leaves,
-        `heartbeat_s` the time between two records of an endpoint.
+        `heartbeat_s` the time between two records of an endpoint, `outage_effect_s` how
+        long after an outage the store may still lack records because of it.
 
         Units: seconds.
         """
         removed_grace_s = max(0.0, min(RELIST_TIMEOUT_S, drain_s - DRAIN_MARGIN_S))
         expiry_s = EXPIRY_HEARTBEATS * heartbeat_s
-        return cls(removed_grace_s=removed_grace_s, expiry_s=expiry_s, halls=halls)
+        outage = StoreOutage(unconfirmed_min_s=drain_s, effect_s=outage_effect_s)
+        return cls(
+            removed_grace_s=removed_grace_s,
+            expiry_s=expiry_s,
+            halls=halls,
+            outage=outage,
+        )
 
     def replace(
         self, endpoints: Iterable[ListedEndpoint], position: StorePosition, now: float
@@ -265,7 +288,12 @@
         self.ids_by_service_[record.listed.service_id].discard(endpoint_id)
         if record.listed.state is ListedState.READY:
             is_lost = position.epoch > record.listed.position.epoch
-            self.removed_.add(record, now, is_lost=is_lost)
+            self.removed_.add(
+                record,
+                now,
+                is_lost=is_lost,
+                in_outage=self.outage_.explains_removal(now),
+            )
         return [RosterChange.of(record.listed, record.listed.state.value, GONE)]
 
     def record(self, endpoint_id: EndpointId) -> EndpointRecord | None:
@@ -323,8 +351,8 @@
             if record.listed.state is not ListedState.READY or record.is_replaced_:
                 continue
             (doubted if now < record.doubted_until_ else usable).append(record)
-        # A single endpoint that disappears has left. When most disappear at once, the
-        # listing is wrong.
+        # A single endpoint that disappears in an outage has left. When most disappear
+        # at once, the listing is wrong.
         return usable + doubted if len(doubted) > len(usable) else usable
 
     def is_usable(self, record: EndpointRecord, now: float) -> bool:
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_halls.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_halls.py
@@ -63,6 +63,7 @@
 def test_endpoints_that_a_store_forgot_are_not_used_in_an_evacuated_hall():
     roster = roster_with_two_halls()
     roster.halls_.record(notice(5))
+    roster.outage_.record_failed_call(99.0, 60.0, 99.0)
     for endpoint_id in ("h", "other"):
         roster.remove(EndpointId(endpoint_id), at(6), 100.0)
     assert usable_ids(roster) == {"other"}
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_roster.py
@@ -14,7 +14,10 @@
     ReportedLoad,
     SoftwareVersion,
 )
+from leadford.forwarding.endpoints._roster import DRAIN_MARGIN_S
 from leadford.forwarding.history import FIRST_EPOCH, StorePosition
+from leadford.forwarding.membership import max_confirmation_age_s
+from leadford.forwarding.membership._watch import ANSWER_RESERVE_S
 from leadford.forwarding.routes import ServiceId
 
 
@@ -94,6 +97,11 @@
     assert roster.changed_position_ == at(9)
 
 
+def lose_store(roster, now):
+    """Let a call for the listing fail now, long after the last confirmation."""
+    roster.outage_.record_failed_call(now, now - 60.0, now)
+
+
 def usable(roster, now):
     return {record.listed.endpoint_id for record in roster.usable(SERVICE, now)}
 
@@ -103,6 +111,7 @@
     for number, name in enumerate("abcd"):
         roster.record_listed(listed(name, number + 1))
     roster.record_listed(listed("d", 5, ListedState.DRAINING))
+    lose_store(roster, 9.0)
     roster.replace([], at(9), 10.0)
     # After a store outage; the endpoint that said it leaves is not used.
     assert usable(roster, 10.5) == {"a", "b", "c"}
@@ -118,6 +127,7 @@
     roster = EndpointRoster(removed_grace_s=2.0)
     for number in range(count):
         roster.record_listed(listed(str(number), number + 1))
+    lose_store(roster, 9.0)
     for number in range(count):
         now = 10.0 + number * 0.2
         roster.remove(EndpointId(str(number)), at(100 + number), now)
@@ -132,6 +142,7 @@
     roster = EndpointRoster(removed_grace_s=1.0)
     for number, name in enumerate("abc"):
         roster.record_listed(listed(name, number + 1))
+    lose_store(roster, 9.0)
     roster.remove(EndpointId("a"), at(4), 10.0)
     assert usable(roster, 10.0) == {"b", "c"}
 
@@ -146,6 +157,7 @@
     roster = EndpointRoster(removed_grace_s=1.0)
     roster.record_listed(listed("a", 1))
     roster.record_listed(listed("a", 2, ListedState.DRAINING))
+    lose_store(roster, 9.0)
     roster.record_listed(listed("a", 3))
     assert usable(roster, 10.0) == set()
     assert [endpoint.state for endpoint in roster.listed()] == [ListedState.DRAINING]
@@ -164,6 +176,7 @@
     roster = EndpointRoster(removed_grace_s=1.0)
     roster.record_listed(listed("a", 1))
     roster.record_listed(listed("a", 2, ListedState.DRAINING))
+    lose_store(roster, 9.0)
     roster.remove(EndpointId("a"), at(4), 10.0)
     roster.record_listed(listed("a", 5))
     assert usable(roster, 10.0) == set()
@@ -178,6 +191,7 @@
     """
     roster = EndpointRoster(removed_grace_s=1.0)
     roster.record_listed(listed("a", 1))
+    lose_store(roster, 9.0)
     roster.remove(EndpointId("a"), at(9), 10.0)
     assert usable(roster, 10.0) == {"a"}
     roster.record_listed(listed("a", 2, ListedState.DRAINING))
@@ -247,6 +261,7 @@
 def test_one_that_says_itself_that_it_leaves_takes_no_new_work_whatever_is_listed():
     roster = EndpointRoster(removed_grace_s=1.0)
     roster.record_listed(listed("a", 1))
+    lose_store(roster, 9.0)
     roster.record_leaving(EndpointId("a"))
     assert usable(roster, 10.0) == set()
     roster.record_listed(listed("a", 2))
@@ -259,6 +274,7 @@
 def test_one_that_was_just_removed_and_says_that_it_leaves_is_not_used():
     roster = EndpointRoster(removed_grace_s=1.0)
     roster.record_listed(listed("a", 1))
+    lose_store(roster, 9.0)
     roster.remove(EndpointId("a"), at(2), 10.0)
     assert usable(roster, 10.1) == {"a"}
     roster.record_leaving(EndpointId("a"))
@@ -297,3 +313,60 @@
     assert (started.is_gone, started.software) == (False, "v2")
     assert roster.listed_software(SERVICE) == {"v2"}
     assert roster.listed_software(ServiceId("other")) == set()
+
+
+@pytest.mark.parametrize("drain_s", [1.0, 2.0, 3.0, 5.0])
+def test_no_removed_endpoint_gets_requests_after_its_drain_period(drain_s):
+    """How late a removal is learned and how long it is ignored share one budget.
+
+    An entry that learns of a removal as late as it may, and then goes on to use the
+    endpoint, sends requests to an endpoint that has ended.
+    """
+    learned_s = max_confirmation_age_s(drain_s) + ANSWER_RESERVE_S
+    roster = EndpointRoster.from_drain_period(drain_s, 1.2)
+    for number, name in enumerate("abc"):
+        roster.record_listed(listed(name, number + 1))
+    for name in "ab":
+        roster.remove(EndpointId(name), at(9), 10.0 + learned_s)
+    assert learned_s <= drain_s
+    assert usable(roster, 10.0 + learned_s) == {"c"}
+
+
+@pytest.mark.parametrize("drain_s", [1.0, 2.0, 3.0, 5.0])
+def test_in_an_outage_removed_endpoints_are_used_for_less_than_a_drain_period(drain_s):
+    """The time in use after the removal was learned leaves time for the last requests.
+
+    An entry that itself has read that endpoints are gone would otherwise send them
+    requests until they end.
+    """
+    roster = EndpointRoster.from_drain_period(drain_s, 1.2)
+    for number, name in enumerate("abc"):
+        roster.record_listed(listed(name, number + 1))
+    lose_store(roster, 9.0)
+    for name in "ab":
+        roster.remove(EndpointId(name), at(9), 10.0)
+    used_s = roster.removed_.removed_grace_s
+    assert used_s + DRAIN_MARGIN_S <= drain_s
+    assert usable(roster, 10.0 + 0.9 * used_s) == {"a", "b", "c"}
+    assert usable(roster, 10.01 + used_s) == {"c"}
+
+
+@pytest.mark.parametrize("late_s", [0.0, 2.9, 3.1])
+def test_an_outage_explains_removals_until_the_store_has_answered_for_some_time(late_s):
+    """A removal long after an outage means that the endpoint leaves.
+
+    The outage may have ended as soon as the call that failed was made.
+    """
+    roster = EndpointRoster.from_drain_period(2.0, 1.2, outage_effect_s=3.0)
+    roster.record_listed(listed("a", 1))
+    roster.outage_.record_failed_call(8.0, 6.5, 10.0)
+    roster.remove(EndpointId("a"), at(2), 8.0 + late_s)
+    assert usable(roster, 8.0 + late_s) == ({"a"} if late_s < 3.0 else set())
+
+
+def test_one_failed_call_soon_after_a_confirmation_explains_no_removal():
+    roster = EndpointRoster.from_drain_period(2.0, 1.2)
+    roster.record_listed(listed("a", 1))
+    roster.outage_.record_failed_call(9.0, 8.5, 10.0)
+    roster.remove(EndpointId("a"), at(2), 10.0)
+    assert usable(roster, 10.0) == set()
