Dial entries that live in place of those that cannot be reached

What callers saw: a key that was taken away went on to be accepted by one entry, which said that it was ready, for as long as the store turned it away.

Cause: links were drawn from all recorded entries, and the records of entries that are lost for good stay in the store. Where the peers of an entry were lost, it dialed nobody who lives, and nobody dialed it.

Now an entry that dialed another one in vain for 2.5 s dials the next in the order of ids, or of candidates, as well: more at once the more were in vain, until two of each answer. It forgets nobody: its usual peers are dialed all the while and take their place again, so halves of a fleet that were cut off from each other are linked again. Without losses the links are the same as before (test_entries_without_losses_hold_no_further_links). No message and no record changes, so builds side by side agree as before.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
@@ -9,8 +9,12 @@
 from leadford.common import EntryId, HallId
 from leadford.forwarding.batching import GroupId
 from leadford.forwarding.membership import (
+    ALL_REACHABLE,
+    PeerReach,
+    candidate_orders,
+    candidates_to_link,
     common_peers,
-    first_candidates,
+    first_of_each,
     peers_to_link,
     placement_group,
     placement_groups,
@@ -45,13 +49,13 @@
         halls[self.state.entry_id] = self.state.hall
         return halls
 
-    def peers_to_link(self) -> set[EntryId]:
+    def peers_to_link(self, reach: PeerReach = ALL_REACHABLE) -> set[EntryId]:
         """Return the entries to hold links to, and update the first candidates."""
         halls = self.halls_by_entry()
-        self.first_candidates_ = first_candidates(
-            halls, self._linked_groups(), self.state.regions
-        )
-        return peers_to_link(self.state.entry_id, halls, self.first_candidates_)
+        orders = candidate_orders(halls, self._linked_groups(), self.state.regions)
+        self.first_candidates_ = first_of_each(orders)
+        candidates = candidates_to_link(orders, reach)
+        return peers_to_link(self.state.entry_id, halls, candidates, reach)
 
     def common_peers(self) -> set[EntryId]:
         """Return the entries to which all entries of a region hold links.
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -15,7 +15,9 @@
 from leadford.forwarding.history import StorePosition
 from leadford.forwarding.membership import (
     BuildVersions,
+    DialTimes,
     PeerLiveness,
+    PeerReach,
     SharedRule,
 )
 from leadford.forwarding.routes import ForwardConfig
@@ -55,8 +57,8 @@
     """Hold links to the entries that this one works with.
 
     These are the first candidates to schedule each group, and the next entries in
-    the order of ids, so that news reaches all entries. Their number does not grow
-    with the fleet.
+    the order of ids, so that news reaches all entries; others take the place of those
+    that cannot be reached. Their number does not grow with the fleet.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         self.dialers_by_id_: dict[EntryId, Dialer] = {}
         self.peers_by_id_: dict[EntryId, PeerConnection] = {}
         self.heard_ = PeerLiveness()
+        self.dial_times_ = DialTimes()
         self.builds_ = BuildVersions(own=PROTOCOL_VERSION)
         self.shared_rules_: frozenset[SharedRule] = frozenset()
         self.draining_ids_: set[EntryId] = set()
@@ -200,11 +203,11 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S * spread)
 
     def _dial(self) -> None:
-        wanted = self.fleet.peers_to_link()
+        now = self.state.now()
+        wanted = self.fleet.peers_to_link(self._reach(now))
         for entry_id in set(self.dialers_by_id_) - wanted:
             dialer = self.dialers_by_id_.pop(entry_id)
             asyncio.ensure_future(dialer.stop())
-        now = self.state.now()
         for entry_id in wanted - set(self.dialers_by_id_):
             if self.is_live(entry_id, now):
                 continue
@@ -220,6 +223,17 @@
             dialer.start()
             self.dialers_by_id_[entry_id] = dialer
 
+    def _reach(self, now: float) -> PeerReach:
+        """Return which entries are live, and which were dialed in vain for long."""
+        reached = {self.entry_id}
+        reached.update(name for name in self.peers_by_id_ if self.is_live(name, now))
+        for entry_id in reached:
+            self.dial_times_.record_reached(entry_id)
+        for entry_id in set(self.dialers_by_id_) - reached:
+            self.dial_times_.record_dialing(entry_id, now)
+        self.dial_times_.retain(self.fleet.entries_by_id_)
+        return self.dial_times_.reach(reached, now)
+
     def _send_heartbeats(self) -> None:
         """Send heartbeats, and abort connections to peers that are silent for long."""
         now = self.state.now()
--- a/packages/leadford/src/leadford/forwarding/membership/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/membership/__init__.py
@@ -16,12 +16,21 @@
 )
 from leadford.forwarding.membership._peer_clock import PeerClock
 from leadford.forwarding.membership._peers import (
+    ALL_REACHABLE,
+    candidate_orders,
+    candidates_to_link,
     common_peers,
     first_candidates,
+    first_of_each,
     peers_to_link,
     placement_group,
     placement_groups,
 )
+from leadford.forwarding.membership._reach import (
+    DialTimes,
+    PeerReach,
+    entries_to_dial,
+)
 from leadford.forwarding.membership._relays import (
     follower_watch_s,
     max_confirmation_age_s,
@@ -35,7 +44,9 @@
 )
 
 __all__ = [
+    "ALL_REACHABLE",
     "BuildVersions",
+    "DialTimes",
     "LoadShares",
     "ReportedRates",
     "RequestRate",
@@ -45,10 +56,15 @@
     "REDUCED_HEARTBEAT_DIVISOR",
     "WATCH_MARGIN_S",
     "PeerFetch",
+    "PeerReach",
     "PeerClock",
     "SharedRule",
+    "candidate_orders",
+    "candidates_to_link",
     "common_peers",
+    "entries_to_dial",
     "first_candidates",
+    "first_of_each",
     "follower_watch_s",
     "is_due",
     "max_call_s",
--- a/packages/leadford/src/leadford/forwarding/membership/_peers.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_peers.py
@@ -3,10 +3,10 @@
 An entry holds links to the first candidates to schedule each group, because pieces are
 sent to them, and to the next entries in the order of ids, so that news reaches every
 entry. The number of links does not grow with the fleet. The caller tracks which links
-are established.
+are established; others take the place of entries that cannot be reached (`_reach`).
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from leadford.common import EntryId, HallId
 from leadford.forwarding.batching import (
@@ -16,6 +16,7 @@
     schedulers_in_order,
 )
 from leadford.forwarding.endpoints import pool_count, prompt_pool
+from leadford.forwarding.membership._reach import PeerReach, entries_to_dial
 from leadford.forwarding.routes import ServiceId
 
 # Number of next entries in the order of ids to hold links to.
@@ -24,6 +25,8 @@
 MAX_FULLY_LINKED_ENTRIES = 2 * SUCCESSORS_COUNT + 1
 # Number of first candidates of each group to hold links to.
 CANDIDATES_COUNT = 2
+# The reach of an entry that has dialed nobody in vain.
+ALL_REACHABLE = PeerReach()
 # Minimum number of entries at which one of them places the prompts of all. In a smaller
 # fleet, each entry learns the load of engines from its own answers.
 PLACING_MIN_ENTRIES = 8
@@ -35,13 +38,36 @@
     regions: RegionMap,
 ) -> set[EntryId]:
     """Return the first candidates to schedule groups, to which all entries link."""
+    return first_of_each(candidate_orders(halls_by_entry, groups, regions))
+
+
+def candidate_orders(
+    halls_by_entry: dict[EntryId, HallId],
+    groups: Iterable[GroupId],
+    regions: RegionMap,
+) -> list[list[EntryId]]:
+    """Return for each group the candidates to schedule it, in order of preference."""
+    return [schedulers_in_order(group, halls_by_entry, regions) for group in groups]
+
+
+def first_of_each(orders: Iterable[Sequence[EntryId]]) -> set[EntryId]:
+    """Return the first candidates of each order."""
     found: set[EntryId] = set()
-    for group in groups:
-        order = schedulers_in_order(group, halls_by_entry, regions)
+    for order in orders:
         found.update(order[:CANDIDATES_COUNT])
     return found
 
 
+def candidates_to_link(
+    orders: Iterable[Sequence[EntryId]], reach: PeerReach
+) -> set[EntryId]:
+    """Return the first candidates, and the next ones for those that are unreached."""
+    found: set[EntryId] = set()
+    for order in orders:
+        found |= entries_to_dial(order, CANDIDATES_COUNT, reach)
+    return found
+
+
 def common_peers(
     halls_by_entry: Mapping[EntryId, HallId], candidates: Collection[EntryId]
 ) -> set[EntryId]:
@@ -58,17 +84,16 @@
     own: EntryId,
     halls_by_entry: Mapping[EntryId, HallId],
     candidates: Collection[EntryId],
+    reach: PeerReach = ALL_REACHABLE,
 ) -> set[EntryId]:
     """Return the peers to hold links to; `halls_by_entry` includes this entry.
 
-    `candidates` holds the first candidates to schedule groups.
+    `candidates` holds the candidates to schedule groups to which this entry links.
     """
-    wanted = set(candidates)
     ring = sorted(halls_by_entry)
     own_index = ring.index(own)
-    wanted.update(
-        ring[(own_index + step) % len(ring)] for step in range(1, SUCCESSORS_COUNT + 1)
-    )
+    successors = ring[own_index + 1 :] + ring[:own_index]
+    wanted = set(candidates) | entries_to_dial(successors, SUCCESSORS_COUNT, reach)
     wanted.discard(own)
     return wanted
 
