Let live entries follow the store in place of lost ones

What callers saw: from eight entries on, once those that follow the store were lost for good, all others learned of changes from their own calls only, up to the bound less 0.6 s late, for as long as the records of the lost ones lay in the store.

Cause: store_followers drew the followers from all recorded entries.

Change: an entry leaves out those that it dialed in vain for 2.5 s, the same ones in whose place it links to others, and draws the next ones. Nobody is forgotten and no record is removed: in a fleet that is cut in halves each half has followers of its own, and the usual ones follow again once they are linked.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
@@ -32,6 +32,7 @@
         self.state = state
         self.entries_by_id_: dict[EntryId, KnownEntry] = {}
         self.first_candidates_: set[EntryId] = set()
+        self.reach_ = ALL_REACHABLE
 
     def set_known_entries(self, entries: dict[EntryId, KnownEntry]) -> None:
         """Replace the entries that are known to exist."""
@@ -50,7 +51,11 @@
         return halls
 
     def peers_to_link(self, reach: PeerReach = ALL_REACHABLE) -> set[EntryId]:
-        """Return the entries to hold links to, and update the first candidates."""
+        """Return the entries to hold links to, and update the first candidates.
+
+        `reach` holds until the next call, also for the choice of followers.
+        """
+        self.reach_ = reach
         halls = self.halls_by_entry()
         orders = candidate_orders(halls, self._linked_groups(), self.state.regions)
         self.first_candidates_ = first_of_each(orders)
@@ -77,7 +82,12 @@
     def followers(self) -> set[EntryId]:
         """Return the entries that follow the store for all others."""
         groups = self.stage_groups() or {self._own_region()}
-        return store_followers(self.halls_by_entry(), groups, self.state.regions)
+        return store_followers(
+            self.halls_by_entry(),
+            groups,
+            self.state.regions,
+            self.reach_.unreached,
+        )
 
     def stage_groups(self) -> set[GroupId]:
         """Return the groups of usable endpoints of all stages."""
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_relayed_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_relayed_store.py
@@ -71,3 +71,36 @@
         )
 
     run_scenario(scenario, entries=ENTRIES)
+
+
+def test_live_entries_follow_the_store_in_place_of_those_that_are_lost_for_good():
+    """The others rest again, and hear of a change from the new followers."""
+
+    async def scenario(deployment):
+        await wait_until_followers_known(deployment)
+        lost = [e for e in deployment.entries_ if e.links_.relays.is_follower]
+        lost_ids = {entry.settings.entry_id for entry in lost}
+        for entry in lost:
+            entry.stop()
+        deployment.entries_ = non_followers(deployment)
+        await deployment.until(
+            lambda: all(
+                not e.links_.relays.followers() & lost_ids
+                and len(e.links_.relays.followers()) == 2
+                and e.links_.relays.clocks_by_peer_.keys()
+                >= e.links_.relays.followers() - {e.settings.entry_id}
+                for e in deployment.entries_
+            ),
+            timeout_s=15.0,
+        )
+        resting = non_followers(deployment)
+        assert len(resting) == ENTRIES - 4
+        for entry in resting:
+            refuse_store_calls(entry)
+        gone = deployment.plain[0].endpoint_id
+        deployment.store.delete("servers", gone)
+        await deployment.until(
+            lambda: all(gone not in e.state_.roster_.known_ids() for e in resting)
+        )
+
+    run_scenario(scenario, entries=ENTRIES)
--- a/packages/leadford/src/leadford/forwarding/membership/_relays.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_relays.py
@@ -7,9 +7,14 @@
 whatever the reason: the followers or the store may be lost, cut off, slow, stopped or
 unresponsive. So the data of an entry is never older than `max_confirmation_age_s` plus
 one call, and no message or lease is needed to agree on the followers.
+
+The records of lost entries may stay in the store. Therefore each entry leaves out those
+that it has dialed in vain (`_reach`), and draws the next ones. Entries that cannot
+reach each other draw different followers until they can: each half of a fleet has its
+own, and as nobody is forgotten, both halves agree again once they are linked.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from leadford.common import EntryId, HallId
 from leadford.forwarding.batching import GroupId, RegionMap, schedulers_in_order
@@ -38,16 +43,21 @@
     halls_by_entry: dict[EntryId, HallId],
     groups: Iterable[GroupId],
     regions: RegionMap,
+    unreached: Collection[EntryId] = (),
 ) -> set[EntryId]:
     """Return the entries that follow the store.
 
     These are the first candidates to schedule groups, because every entry holds links
-    to them, and then the second candidates. Without groups, every entry follows.
+    to them, and then the second candidates; the next ones follow in place of those that
+    are `unreached`. Without groups, every entry follows.
     """
     if len(halls_by_entry) < RELAY_MIN_ENTRIES:
         return set(halls_by_entry)
+    reachable = {
+        entry: hall for entry, hall in halls_by_entry.items() if entry not in unreached
+    }
     orders = [
-        schedulers_in_order(group, halls_by_entry, regions)
+        schedulers_in_order(group, reachable, regions)
         for group in sorted(groups, key=lambda group: group.key)
     ]
     followers = _first_of_each(orders)
--- a/packages/leadford/src/leadford/forwarding/membership/tests/test_relays.py
+++ b/packages/leadford/src/leadford/forwarding/membership/tests/test_relays.py
@@ -6,6 +6,9 @@
 from leadford.forwarding.batching import GroupId, PlaceId, RegionMap
 from leadford.forwarding.membership import (
     PeerClock,
+    PeerReach,
+    candidate_orders,
+    candidates_to_link,
     first_candidates,
     follower_watch_s,
     max_confirmation_age_s,
@@ -79,3 +82,54 @@
     clock.record(100.0, 8.5)
     clock.record(101.0, 8.003)
     assert clock.to_local_time(101.0) == pytest.approx(8.003)
+
+
+def test_live_entries_follow_in_place_of_lost_ones():
+    """Followers that are lost for good are replaced, however many there are.
+
+    Otherwise all entries learn of changes from their own calls only, late, until the
+    records of the lost ones are removed.
+    """
+    halls = entries(24)
+    lost = set()
+    for _ in range(5):
+        followers = store_followers(halls, GROUPS, REGIONS, lost)
+        assert len(followers) == 3
+        assert not followers & lost
+        lost |= followers
+
+
+def test_the_usual_followers_follow_again_once_they_are_reached():
+    halls = entries(24)
+    usual = store_followers(halls, GROUPS, REGIONS)
+    assert store_followers(halls, GROUPS, REGIONS, usual) != usual
+    assert store_followers(halls, GROUPS, REGIONS, set()) == usual
+
+
+@pytest.mark.parametrize("cut_at", [4, 12, 20])
+def test_each_part_of_a_fleet_that_is_cut_apart_has_followers(cut_at):
+    """No part counts on followers that it cannot reach, and none is erased."""
+    halls = entries(24)
+    parts = [set(sorted(halls)[:cut_at]), set(sorted(halls)[cut_at:])]
+    for part in parts:
+        followers = store_followers(halls, GROUPS, REGIONS, set(halls) - part)
+        assert len(followers) == 3
+        assert followers <= part
+
+
+def test_every_entry_links_to_those_that_follow_in_place_of_lost_ones():
+    halls = entries(60)
+    lost = store_followers(halls, GROUPS, REGIONS)
+    orders = candidate_orders(halls, GROUPS, REGIONS)
+    reach = PeerReach(set(halls) - lost, lost)
+    followers = store_followers(halls, GROUPS, REGIONS, lost)
+    for entry in sorted(set(halls) - lost):
+        candidates = candidates_to_link(orders, reach)
+        assert followers - {entry} <= peers_to_link(entry, halls, candidates, reach)
+
+
+def test_an_entry_that_reaches_nobody_follows_the_store_itself():
+    halls = entries(24)
+    own = sorted(halls)[7]
+    others = set(halls) - {own}
+    assert store_followers(halls, GROUPS, REGIONS, others) == {own}
