--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_fleet.py
@@ -9,8 +9,12 @@
 from leadford.common import EntryId, HallId
 from leadford.forwarding.batching import GroupId
 from leadford.forwarding.membership import (
+    ALL_REACHABLE,
+    PeerReach,
+    candidate_orders,
+    candidates_to_link,
     common_peers,
-    first_candidates,
+    first_of_each,
     peers_to_link,
     placement_group,
     placement_groups,
@@ -28,6 +32,7 @@
         self.state = state
         self.entries_by_id_: dict[EntryId, KnownEntry] = {}
         self.first_candidates_: set[EntryId] = set()
+        self.reach_ = ALL_REACHABLE
 
     def set_known_entries(self, entries: dict[EntryId, KnownEntry]) -> None:
         """Replace the entries that are known to exist."""
@@ -45,13 +50,17 @@
         halls[self.state.entry_id] = self.state.hall
         return halls
 
-    def peers_to_link(self) -> set[EntryId]:
-        """Return the entries to hold links to, and update the first candidates."""
+    def peers_to_link(self, reach: PeerReach = ALL_REACHABLE) -> set[EntryId]:
+        """Return the entries to hold links to, and update the first candidates.
+
+        `reach` holds until the next call, also for the choice of followers.
+        """
+        self.reach_ = reach
         halls = self.halls_by_entry()
-        self.first_candidates_ = first_candidates(
-            halls, self._linked_groups(), self.state.regions
-        )
-        return peers_to_link(self.state.entry_id, halls, self.first_candidates_)
+        orders = candidate_orders(halls, self._linked_groups(), self.state.regions)
+        self.first_candidates_ = first_of_each(orders)
+        candidates = candidates_to_link(orders, reach)
+        return peers_to_link(self.state.entry_id, halls, candidates, reach)
 
     def common_peers(self) -> set[EntryId]:
         """Return the entries to which all entries of a region hold links.
@@ -73,7 +82,12 @@
     def followers(self) -> set[EntryId]:
         """Return the entries that follow the store for all others."""
         groups = self.stage_groups() or {self._own_region()}
-        return store_followers(self.halls_by_entry(), groups, self.state.regions)
+        return store_followers(
+            self.halls_by_entry(),
+            groups,
+            self.state.regions,
+            self.reach_.unreached,
+        )
 
     def stage_groups(self) -> set[GroupId]:
         """Return the groups of usable endpoints of all stages."""
