Split the modules of the platform's stand-ins by what they do

wire/_endpoints held faults, the reading of requests, plain endpoints and stages; it keeps the plain endpoint, beside `_misbehaviours`, `_handler` and `_stages`. wire/_deployment held ports and the configuration too: `_ports`, `_default_config`. Nothing that the package exports changes; the default configuration is equal byte for byte. test_ports names the module of the ports; nothing else in it changed.

--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
@@ -19,7 +19,7 @@
     StageStandIn,
     StoreStandIn,
 )
-from leadford_standins.wire._endpoints import EndpointHandler
+from leadford_standins.wire._handler import EndpointHandler
 
 # Header with the time in milliseconds that the work on a request is to take.
 WORK_HEADER = "X-Work-Ms"
--- a/packages/leadford-standins/src/leadford_standins/wire/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/__init__.py
@@ -5,22 +5,20 @@
 """
 
 from leadford_standins.wire._calm import run_without_faults
-from leadford_standins.wire._deployment import HOST, KEY, Deployment, default_config
-from leadford_standins.wire._endpoints import (
-    Arrival,
-    Misbehaviour,
-    PlainStandIn,
-    Run,
-    StageStandIn,
-)
+from leadford_standins.wire._default_config import HOST, KEY, default_config
+from leadford_standins.wire._deployment import Deployment
+from leadford_standins.wire._endpoints import PlainStandIn
 from leadford_standins.wire._engines import EngineStandIn
 from leadford_standins.wire._fleet import SimulatedEntry, SimulatedFleet
+from leadford_standins.wire._handler import Arrival, Run
+from leadford_standins.wire._misbehaviours import Misbehaviour
 from leadford_standins.wire._scenarios import (
     event_ids,
     refuse_store_calls,
     run_scenario,
     runs_of,
 )
+from leadford_standins.wire._stages import StageStandIn
 from leadford_standins.wire._store import StoreCopy, StoreFault, StoreStandIn
 
 __all__ = [
--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -5,9 +5,8 @@
 """
 
 import asyncio
-import socket
 from functools import partial
-from random import Random, SystemRandom
+from random import Random
 
 from returns.result import Success
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
@@ -19,97 +18,17 @@
 from leadford_server.forwarding import ForwardBounds, ForwardProcess, ForwardSettings
 from leadford_server.settings import SocketAddress
 from leadford_server.web import fetch
-from leadford_standins.wire._endpoints import PlainStandIn, StageStandIn
+from leadford_standins.wire._default_config import HOST, KEY, default_config
+from leadford_standins.wire._endpoints import PlainStandIn
 from leadford_standins.wire._engines import EngineStandIn
+from leadford_standins.wire._ports import free_port
+from leadford_standins.wire._stages import StageStandIn
 from leadford_standins.wire._store import StoreStandIn
 
-HOST = "rooms.example"
-KEY = "key-1"
 READY_TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 0.02
 
 REFUSAL_STATUSES = (429, 503)
-# This range is below the kernel's range of ephemeral ports.
-PORT_RANGE_START, PORT_RANGE_END = 12_000, 32_000
-# Not seeded: test runs in parallel must not draw the same ports.
-_PORT_RANDOM = SystemRandom()
-# Ports that this process has given out; an entry binds its ports only later, and binds
-# them again when a test restarts it.
-_GIVEN_PORTS: set[int] = set()
-
-
-def free_port() -> int:
-    """Return a port that is free now, and that no other call has returned.
-
-    The port is outside of the kernel's ephemeral range.
-
-    An entry that a test restarts binds its port again. Between the two, the kernel may
-    give an ephemeral port to a connection of another process.
-    """
-    while True:
-        port = _PORT_RANDOM.randrange(PORT_RANGE_START, PORT_RANGE_END)
-        if port in _GIVEN_PORTS:
-            continue
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _GIVEN_PORTS.add(port)
-        return port
-
-
-def default_config() -> dict:
-    """Return a configuration with one route of each kind."""
-
-    def route(name: str, kind: str, service: str, **fields: object) -> dict:
-        return {
-            "name": name,
-            "host": HOST,
-            "pathPrefix": f"/{name}/",
-            "routeKind": kind,
-            "service": service,
-            "timeoutMs": 4_000,
-            "goalMs": 1_000,
-            "maxAttempts": 2,
-            "priority": 1,
-            "public": False,
-            **fields,
-        }
-
-    stages = [
-        {"service": "stage", "afterRev": [], "sizeBytes": 1_000},
-        {"service": "stage", "afterRev": [0], "sizeBytes": 1_000},
-    ]
-    pieces = {
-        "slots": 1,
-        "queue": 2,
-        "batch": 4,
-        "callMs": 20.0,
-        "itemMs": 1.0,
-        "headroomMb": 1.0,
-        "kvHandleS": 4.0,
-    }
-    return {
-        "version": 1,
-        "routes": [
-            route("safe", "safe", "plain"),
-            route("unsafe", "unsafe", "plain", maxAttempts=1),
-            route("resumed", "stream", "engine", resumable=True, stages=stages),
-            route("once", "stream", "engine", maxAttempts=1, stages=stages),
-        ],
-        "services": [
-            {"name": "plain", "maxConns": 64},
-            {"name": "stage", "maxConns": 64, "pieces": pieces},
-            {
-                "name": "engine",
-                "maxConns": 64,
-                "engine": {"slots": 16, "kvCapacity": 100_000},
-            },
-        ],
-        "limits": {},
-        "tenants": [{"name": "workspace-1", "apiKeys": [KEY]}],
-    }
 
 
 class Deployment:
--- a/packages/leadford-standins/src/leadford_standins/wire/_engines.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_engines.py
@@ -10,13 +10,10 @@
 
 from tornado.httputil import HTTPServerRequest
 
-from leadford_standins.wire._endpoints import (
-    EndpointHandler,
-    Misbehaviour,
-    PlainStandIn,
-    StageStandIn,
-    is_held,
-)
+from leadford_standins.wire._endpoints import PlainStandIn
+from leadford_standins.wire._handler import EndpointHandler
+from leadford_standins.wire._misbehaviours import Misbehaviour
+from leadford_standins.wire._stages import StageStandIn, is_held
 
 
 class PromptCache:
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/_misbehaviours.py
@@ -0,0 +1,31 @@
+"""Name the faults that a test injects into single requests at an endpoint.
+
+A test queues them at a `PlainStandIn`; `EndpointHandler` and the endpoints inject them.
+"""
+
+from enum import Enum
+
+
+class Misbehaviour(Enum):
+    """Enumerate the faults that can be injected into one request."""
+
+    NONE = "none"
+    LOSE_ANSWER = "lose-answer"
+    REFUSE = "refuse"
+    FAIL = "fail"
+    HANG = "hang"
+    CUT = "cut"
+    OTHER_ANSWER = "other-answer"
+    GONE = "gone"
+    STALL = "stall"
+    UNSIGNED = "unsigned"
+    REPEAT_ANSWER = "repeat-answer"
+    UNFRAMED = "unframed"
+    UNFRAMED_CUT = "unframed-cut"
+    UNFRAMED_EMPTY = "unframed-empty"
+
+
+# Answers that have no length and end with their connection.
+UNFRAMED = frozenset(
+    {Misbehaviour.UNFRAMED, Misbehaviour.UNFRAMED_CUT, Misbehaviour.UNFRAMED_EMPTY}
+)
--- a/packages/leadford-standins/src/leadford_standins/wire/_scenarios.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_scenarios.py
@@ -12,7 +12,7 @@
 
 from leadford_server.forwarding import ForwardProcess, StoreFailure
 from leadford_standins.wire._deployment import Deployment
-from leadford_standins.wire._endpoints import Run
+from leadford_standins.wire._handler import Run
 
 SCENARIO_TIMEOUT_S = 40
 REFUSAL_DELAY_S = 0.05
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_ports.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_ports.py
@@ -3,12 +3,12 @@
 from random import SystemRandom
 from types import SimpleNamespace
 
-from leadford_standins.wire import _deployment
+from leadford_standins.wire import _ports
 
 
 def test_a_port_that_was_given_out_is_not_given_out_again(monkeypatch):
     # Nothing binds the first ports before the third one is drawn.
-    given = [_deployment.free_port(), _deployment.free_port()]
+    given = [_ports.free_port(), _ports.free_port()]
     drawn_again = list(given)
 
     def randrange(start, end):
@@ -17,6 +17,6 @@
         )
 
     random = SimpleNamespace(randrange=randrange)
-    monkeypatch.setattr(_deployment, "_PORT_RANDOM", random)
-    assert _deployment.free_port() not in given
+    monkeypatch.setattr(_ports, "_PORT_RANDOM", random)
+    assert _ports.free_port() not in given
     assert drawn_again == []
