Split the adapters of an agent by the kind of their endpoint

`agent/adapters` holds the contract with its registry, the endpoints that speak JSON, and the engines with their streams.

--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_feeder.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_feeder.py
@@ -10,7 +10,7 @@
 from leadford.pipelines.results import AttemptResult, ResultStore
 from leadford.protocol import Attach, Credit, Done, NotHeld, TokenPart, Tokens
 from leadford_server.peers import PeerConnection
-from leadford_server.pipelines.agent._adapters import attempt_key
+from leadford_server.pipelines.agent.adapters import attempt_key
 
 # Time over which tokens are batched.
 FLUSH_INTERVAL_S = 0.02
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_process.py
@@ -20,9 +20,9 @@
 from leadford_server.logs import EventLog
 from leadford_server.metrics import MetricsHandler
 from leadford_server.peers import Identity, PeerConnection, PeerServer
-from leadford_server.pipelines.agent._adapters import endpoint_adapters
 from leadford_server.pipelines.agent._models import ModelLoader
 from leadford_server.pipelines.agent._service import AgentService
+from leadford_server.pipelines.agent.adapters import endpoint_adapters
 from leadford_server.pipelines.config import ConfigFollower
 from leadford_server.pipelines.store import StoreClient
 from leadford_server.settings import AgentSettings, SocketAddress
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_runner.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_runner.py
@@ -20,14 +20,14 @@
     QUEUED_ATTEMPTS,
     RUNNING_ATTEMPTS,
 )
-from leadford_server.pipelines.agent._adapters import (
+from leadford_server.pipelines.agent._feeder import TokenFeeder
+from leadford_server.pipelines.agent._reports import EndpointReports
+from leadford_server.pipelines.agent._state import AcceptedAttempt, EndpointState
+from leadford_server.pipelines.agent.adapters import (
     AdapterOutcome,
     EndpointAdapter,
     TokenSink,
 )
-from leadford_server.pipelines.agent._feeder import TokenFeeder
-from leadford_server.pipelines.agent._reports import EndpointReports
-from leadford_server.pipelines.agent._state import AcceptedAttempt, EndpointState
 
 # Time that a call may take beyond the deadline of its attempt, so that an answer that
 # is only slightly late still arrives.
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_service.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_service.py
@@ -27,7 +27,6 @@
 from leadford_server.clock import boot_time
 from leadford_server.logs import EventLog
 from leadford_server.peers import PeerConnection
-from leadford_server.pipelines.agent._adapters import EndpointAdapter
 from leadford_server.pipelines.agent._feeder import TokenFeeder
 from leadford_server.pipelines.agent._models import ModelLoader
 from leadford_server.pipelines.agent._reports import EndpointReports
@@ -37,6 +36,7 @@
     EndpointState,
     key_of,
 )
+from leadford_server.pipelines.agent.adapters import EndpointAdapter
 
 
 class AgentService:
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_state.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_state.py
@@ -14,7 +14,7 @@
 from leadford.pipelines.results import AttemptResult, ResultStore
 from leadford.protocol import Ack, Attach, Cancel, Credit, Submit
 from leadford_server.peers import PeerConnection
-from leadford_server.pipelines.agent._adapters import attempt_key
+from leadford_server.pipelines.agent.adapters import attempt_key
 
 # Maximum number of started stages with a side effect that are remembered.
 MAX_BEGUN_EFFECTS = 20_000
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_adapters.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/adapters/_engine.py
@@ -1,149 +1,28 @@
-"""Call each kind of endpoint through its published protocol.
+"""Call model engines, and read their streams of tokens.
 
-Used by `AttemptRunner`; the kind of the pool determines the adapter. An outcome states
-how the call ended and what it cost, not whether it is retried. An answer that belongs
-to another attempt is not used (`crossed`). When the stream of an engine breaks, it is
-resumed at the same engine.
+A stream that breaks is resumed at the same engine. A stream of another attempt is not
+used.
 """
 
 import asyncio
 import json
-from collections.abc import Callable
-from typing import Protocol
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from leadford.common import Registry
 from leadford.protocol import DoneStatus, Submit
-from leadford_server.web import NO_RESPONSE_STATUS, fetch, is_closed_by_peer
+from leadford_server.pipelines.agent.adapters._base import (
+    CONNECT_TIMEOUT_S,
+    AdapterOutcome,
+    TokenSink,
+    attempt_key,
+    endpoint_adapters,
+)
+from leadford_server.web import fetch, is_closed_by_peer
 
-# Timeout of a connection to the endpoint beside the agent, and of a cancellation.
-CONNECT_TIMEOUT_S = 1.0
 # Maximum number of times that a broken stream is resumed, and the pause before each.
 MAX_RESUMES = 2
 RESUME_PAUSE_S = 0.05
-# Maximum size of a response of a JSON endpoint.
-MAX_RESULT_BYTES = 4 * 1024 * 1024
-
-TokenSink = Callable[[list[str], str], None]
-
-
-class AdapterOutcome(msgspec.Struct, frozen=True):
-    """Describe how a call to an endpoint ended.
-
-    Units: accelerator_ms is endpoint time, 0 when the endpoint does not report it.
-    """
-
-    status: DoneStatus
-    result: bytes = b"null"
-    error: str = ""
-    prefill_tokens: int = 0
-    cached_tokens: int = 0
-    accelerator_ms: float = 0.0
-    model_version: str = ""
-    crossed: bool = False
-    endpoint_ended: bool = False
-
-
-class EndpointAdapter(Protocol):
-    """Run attempts at an endpoint of one kind."""
-
-    @classmethod
-    def from_config(
-        cls, *, url: str, path: str, http: AsyncHTTPClient
-    ) -> "EndpointAdapter":
-        """Build an adapter for an endpoint."""
-
-    async def run(
-        self, submit: Submit, timeout_s: float, sink: TokenSink
-    ) -> AdapterOutcome:
-        """Run one attempt and pass its tokens to the sink.
-
-        Units: timeout_s in seconds.
-        """
-
-    async def cancel(self, submit: Submit) -> None:
-        """Stop an attempt, if the endpoint supports it."""
-
-
-endpoint_adapters: Registry[EndpointAdapter] = Registry("endpoint adapter")
-
-
-def attempt_key(request_id: str, stage: str, attempt: int) -> str:
-    """Return the key that identifies an attempt."""
-    return f"{request_id}/{stage}/{attempt}"
-
-
-class _JsonAnswer(msgspec.Struct):
-    """Hold the answer of a service; `echo` names the attempt it belongs to."""
-
-    result: msgspec.Raw
-    echo: str = ""
-
-
-@endpoint_adapters.register("json")
-class JsonAdapter:
-    """Call services, encoders, retrievers and rerankers: JSON over HTTP."""
-
-    def __init__(self, *, url: str, path: str, http: AsyncHTTPClient) -> None:
-        self.url = url
-        self.path = path
-        self.http = http
-
-    @classmethod
-    def from_config(
-        cls, *, url: str, path: str, http: AsyncHTTPClient
-    ) -> "JsonAdapter":
-        """Build an adapter for an endpoint."""
-        return cls(url=url, path=path, http=http)
-
-    async def run(
-        self, submit: Submit, timeout_s: float, sink: TokenSink
-    ) -> AdapterOutcome:
-        """Post the attempt and check that the answer belongs to it."""
-        request = HTTPRequest(
-            self.url + self.path,
-            method="POST",
-            body=self._body(submit),
-            headers={"Content-Type": "application/json"},
-            connect_timeout=CONNECT_TIMEOUT_S,
-            request_timeout=timeout_s,
-        )
-        response = await fetch(self.http, request)
-        if response.code == NO_RESPONSE_STATUS:
-            return AdapterOutcome(
-                DoneStatus.FAILED,
-                error=str(response.error),
-                endpoint_ended=is_closed_by_peer(response),
-            )
-        if response.code != 200:
-            return AdapterOutcome(DoneStatus.FAILED, error=f"status {response.code}")
-        if len(response.body) > MAX_RESULT_BYTES:
-            return AdapterOutcome(DoneStatus.FAILED, error="answer is too large")
-        try:
-            answer = msgspec.json.decode(response.body, type=_JsonAnswer)
-        except msgspec.MsgspecError as error:
-            return AdapterOutcome(DoneStatus.FAILED, error=f"malformed answer: {error}")
-        key = attempt_key(submit.request_id, submit.stage, submit.attempt)
-        if answer.echo and answer.echo != key:
-            text = f"answer belongs to {answer.echo}"
-            return AdapterOutcome(DoneStatus.FAILED, error=text, crossed=True)
-        return AdapterOutcome(DoneStatus.OK, bytes(answer.result))
-
-    def _body(self, submit: Submit) -> bytes:
-        head = {
-            "request_id": submit.request_id,
-            "stage": submit.stage,
-            "attempt": submit.attempt,
-        }
-        # The caller's body is JSON already and is sent unchanged.
-        head_json = json.dumps(head).encode()[:-1]
-        parts = (head_json, b',"input":', submit.body, b',"previous":', submit.previous)
-        return b"".join((*parts, b"}"))
-
-    async def cancel(self, submit: Submit) -> None:
-        """Do nothing: a JSON endpoint cannot stop a call."""
 
 
 class _PromptBody(msgspec.Struct):
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_malformed_streams.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_malformed_streams.py
@@ -6,7 +6,7 @@
 import pytest
 
 from leadford.protocol import DoneStatus, Submit
-from leadford_server.pipelines.agent._adapters import EngineAdapter
+from leadford_server.pipelines.agent.adapters import EngineAdapter
 
 TIMEOUT_S = 5.0
 ENDED = b'{"choices": [{"text": "a", "finish_reason": "stop"}], "usage": %s}'
@@ -41,7 +41,7 @@
         request.streaming_callback(b"data: " + event + b"\n\n")
         return SimpleNamespace(code=200, error=None)
 
-    monkeypatch.setattr("leadford_server.pipelines.agent._adapters.fetch", fetch)
+    monkeypatch.setattr("leadford_server.pipelines.agent.adapters._engine.fetch", fetch)
     adapter = EngineAdapter(url="http://engine", path="", http=None)
     call = adapter.run(submit(1), TIMEOUT_S, lambda texts, model: None)
     return asyncio.run(call)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
@@ -51,11 +51,9 @@
 from leadford_server.settings import EntrySettings, SocketAddress
 
 # Seconds between the announcement of a stop and the first refusal, in which requests
-# that are on their way are served: without them a request that was sent 0.15 s after
-# the signal had its connection closed (a test with processes).
+# that are on their way are served.
 ANNOUNCE_S = 0.5
-# Seconds between looks at what still runs, and most seconds for which it is awaited;
-# neither was measured.
+# Seconds between looks at what still runs, and most seconds for which it is awaited.
 DRAIN_POLL_INTERVAL_S = 0.02
 DRAIN_MAX_S = 120.0
 # Most seconds for which a stop awaits the rest of a body.
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_sending.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_sending.py
@@ -14,7 +14,7 @@
 from leadford_server.pipelines.entry._tokens import CREDIT_TOKENS, TokenStream
 
 # Part of the expected time after which an attempt that probes an endpoint gets another
-# one beside it, and the least in milliseconds; neither was measured.
+# one beside it, and the least in milliseconds.
 PROBE_HEDGE_FRACTION = 0.25
 PROBE_HEDGE_MIN_MS = 20.0
 
