Take recent requests and the list of pages out of the entry's table and process

`RecentRequests` remembers what ended or was refused, `make_pages` lists the pages that an entry serves. No behaviour changes.

Evidence: the tests of leadford_server.pipelines, leadford_server.tests, test_path and test_operators pass.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
@@ -10,7 +10,6 @@
 import asyncio
 import random
 
-from tornado import web
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from leadford.common import EndpointId, EntryId, HallId
@@ -19,7 +18,6 @@
 from leadford.protocol import Done, Draining, Load, Message, Refused
 from leadford_server.clock import boot_time
 from leadford_server.logs import EventLog
-from leadford_server.metrics import MetricsHandler
 from leadford_server.peers import Identity, PeerConnection, PeerServer
 from leadford_server.pipelines.config import ConfigFollower
 from leadford_server.pipelines.entry._caller_server import CallerServer
@@ -31,18 +29,9 @@
 from leadford_server.pipelines.entry._entries import EntryPeers
 from leadford_server.pipelines.entry._fanout import FanOut
 from leadford_server.pipelines.entry._hosts import HostPoller
-from leadford_server.pipelines.entry._http import (
-    BODY_BYTES_MAX,
-    HealthHandler,
-    ReadyHandler,
-    RequestHandler,
-    RequestsHandler,
-)
-from leadford_server.pipelines.entry._operators import (
-    ConfigHandler,
-    OperatorService,
-    StatementsHandler,
-)
+from leadford_server.pipelines.entry._http import BODY_BYTES_MAX
+from leadford_server.pipelines.entry._operators import OperatorService
+from leadford_server.pipelines.entry._pages import make_pages
 from leadford_server.pipelines.entry._planner import PlannerService
 from leadford_server.pipelines.entry._requests import RequestTable
 from leadford_server.pipelines.entry._services import EntryServices
@@ -190,22 +179,11 @@
     async def start(self) -> SocketAddress:
         """Listen and begin to follow the configuration."""
         await self.server_.start(self.settings.peer)
-        shared = {"services": self.services_, "table": self.table_}
-        pages = web.Application(
-            [
-                (r"/v1/pipelines/([^/]+)/requests", RequestsHandler, shared),
-                (r"/v1/requests/([^/]+)", RequestHandler, shared),
-                (
-                    r"/v1/operator/statements",
-                    StatementsHandler,
-                    {"service": self.operators_},
-                ),
-                (r"/v1/operator/config", ConfigHandler, {"service": self.operators_}),
-                (r"/healthz", HealthHandler),
-                (r"/readyz", ReadyHandler, {**shared, "version": self._version}),
-                (r"/metrics", MetricsHandler),
-            ],
-            log_function=lambda handler: None,
+        pages = make_pages(
+            services=self.services_,
+            table=self.table_,
+            operators=self.operators_,
+            version=self._version,
         )
         self.web_ = CallerServer(
             pages,
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
@@ -2,12 +2,10 @@
 
 A request with a key that runs here is joined, one that another entry runs is taken over
 by its note (`_entries`). `RequestRun` drives each request; messages of agents are
-handed to the run that they name. Ended and refused requests are remembered for a while,
-for callers that repeat and operators who ask.
+handed to the run that they name. `_recent` remembers ended and refused requests.
 """
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Coroutine
 
 from returns.result import Failure, Result, Success
@@ -41,15 +39,11 @@
 from leadford_server.pipelines.entry._body import RequestBody
 from leadford_server.pipelines.entry._deliveries import PeerLost
 from leadford_server.pipelines.entry._locator import Locator, note_from_locator
+from leadford_server.pipelines.entry._recent import RecentRequests
 from leadford_server.pipelines.entry._run import RequestRun, make_request_id
 from leadford_server.pipelines.entry._services import EntryServices
-from leadford_server.pipelines.entry._trail import Trail, TrailStep
+from leadford_server.pipelines.entry._trail import TrailStep
 
-# Ended requests that are remembered, and trails of refused ones.
-ENDED_KEPT = 500
-REFUSED_KEPT = 1000
-# Seconds for which an ended request can be read again here.
-ENDED_KEPT_S = 10.0
 # Seconds between looks for the note of a key, and most seconds.
 LOOKUP_STEP_S = 0.05
 LOOKUP_MAX_S = 1.0
@@ -66,8 +60,7 @@
         self.services = services
         self.admission_ = RequestAdmission(services=services)
         self.runs_by_id_: dict[RequestId, RequestRun] = {}
-        self.ended_by_id_: OrderedDict[RequestId, RequestRun] = OrderedDict()
-        self.refused_by_id_: OrderedDict[RequestId, Trail] = OrderedDict()
+        self.recent_ = RecentRequests(clock=services.clock)
         self.tasks_: set[asyncio.Task[Answer]] = set()
         # A planned stop is announced first; requests are refused a little later, so
         # that those on their way are served.
@@ -97,7 +90,7 @@
         )
         if refusal is not None:
             self._count(new.pipeline_id, Outcome.NOT_RUN, refusal.problem.reason)
-            self._remember_refusal(refusal)
+            self.recent_.add_refused(refusal)
             services.log.report(
                 Event.REQUEST_REFUSED,
                 request=request_id,
@@ -109,22 +102,12 @@
         self._start(run, self._drive(run, new))
         return Success(run)
 
-    def _remember_refusal(self, refusal: Refusal) -> None:
-        now = self.services.clock()
-        trail = Trail(started_at=now)
-        problem = refusal.problem
-        trail.add(now, f"refused: {problem.reason.value}, {problem.detail}")
-        self.refused_by_id_[refusal.request_id] = trail
-        if len(self.refused_by_id_) > REFUSED_KEPT:
-            self.refused_by_id_.popitem(last=False)
-
     def trail(self, request_id: RequestId) -> list[TrailStep]:
         """Return what was decided here for a request, as far as it is remembered."""
         run = self.find(request_id)
         if run is not None:
             return run.trail_.steps_
-        refused = self.refused_by_id_.get(request_id)
-        return refused.steps_ if refused is not None else []
+        return self.recent_.refused_trail(request_id)
 
     def _join(self, run: RequestRun, new: NewRequest) -> Result[RequestRun, Refusal]:
         same = run.body.digest in ("", new.body.digest)
@@ -208,11 +191,7 @@
     def _end(self, run: RequestRun) -> None:
         self.runs_by_id_.pop(run.request_id, None)
         self.services.ledger_.record_ended(run.execution.workspace)
-        self.ended_by_id_[run.request_id] = run
-        if len(self.ended_by_id_) > ENDED_KEPT:
-            self.ended_by_id_.popitem(last=False)
-        loop = asyncio.get_running_loop()
-        loop.call_later(ENDED_KEPT_S, self._forget, run)
+        self.recent_.add_ended(run)
         LIVE_REQUESTS.set(len(self.runs_by_id_))
         final = run.answer_.final_
         pipeline_id = run.execution.pipeline_id
@@ -224,10 +203,6 @@
             first_s = run.attempts_.first_token_at_ - run.started_at_
             FIRST_TOKEN_SECONDS.labels(pipeline=pipeline_id).observe(first_s)
 
-    def _forget(self, run: RequestRun) -> None:
-        if self.ended_by_id_.get(run.request_id) is run:
-            del self.ended_by_id_[run.request_id]
-
     def _count(
         self, pipeline_id: PipelineId, outcome: Outcome, reason: RefusalReason | None
     ) -> None:
@@ -239,7 +214,7 @@
 
     def find(self, request_id: RequestId) -> RequestRun | None:
         """Return a run that is live or ended a short while ago."""
-        return self.runs_by_id_.get(request_id) or self.ended_by_id_.get(request_id)
+        return self.runs_by_id_.get(request_id) or self.recent_.find_ended(request_id)
 
     async def resume(
         self, request_id: RequestId, workspace: WorkspaceId, locator: Locator | None
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_planned_stops.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_planned_stops.py
@@ -103,7 +103,7 @@
             services=self.process.services_,
         )
         run.answer_.end(Answer(Outcome.COMPLETE, b'"' + b"x" * RESULT_BYTES + b'"'))
-        self.process.table_.ended_by_id_[request_id] = run
+        self.process.table_.recent_.add_ended(run)
 
 
 def play(scenario):
