Go on looking for idle connections after one that is broken

What callers saw: nothing yet. An entry of the own interface could end a planned stop with requests open, or keep idle connections for good, as a connection of a caller had timed out or lost its route.

Evidence: of the three cases of the test those with a time-out and with another error of the system failed before; all pass now, as do the tests of pipelines/entry.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_caller_server.py
@@ -145,6 +145,6 @@
         return bool(connection.recv(1, socket.MSG_PEEK))
     except BlockingIOError:
         return False
-    except ConnectionError:
-        # The caller has reset the connection.
+    except OSError:
+        # The connection is broken, so nothing arrives on it any more.
         return False
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_idle_connections.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_idle_connections.py
@@ -3,11 +3,14 @@
 import asyncio
 import socket
 import time
+from types import SimpleNamespace
 
+import pytest
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 from tornado.netutil import bind_sockets
 
 from leadford_server.clock import boot_time
+from leadford_server.pipelines.entry import _caller_server
 from leadford_server.pipelines.entry._caller_server import CallerServer
 
 TIMEOUT_S = 10.0
@@ -83,3 +86,22 @@
             assert (await receive(caller)).startswith(b"HTTP/1.1 200")
 
     play(scenario)
+
+
+@pytest.mark.parametrize("error", [TimeoutError, ConnectionResetError, OSError])
+def test_a_broken_connection_does_not_end_the_look_for_idle_ones(monkeypatch, error):
+    """An error of one connection keeps all idle ones open, and ends a planned stop."""
+    has_arrived = _caller_server._has_arrived
+
+    def recv(size, flags):
+        raise error("no route to the caller")
+
+    def has_arrived_on_broken(connection):
+        return has_arrived(SimpleNamespace(recv=recv))
+
+    monkeypatch.setattr(_caller_server, "_has_arrived", has_arrived_on_broken)
+
+    async def scenario(caller):
+        assert await receive(caller) == b""
+
+    play(scenario)
