Leave callers their idle connections while a stop waits for others

Change: idle connections are closed once none has a request. The listening socket is closed as before, when no request runs.

Evidence: test_an_idle_connection_may_be_used_while_a_stop_waits_for_another failed before and passes now; test_failures and the tests of leadford_server.pipelines pass.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
@@ -278,16 +278,17 @@
         self.log_.report(Event.PROCESS_STOPPED)
 
     async def _answer_open_requests(self, limit: float) -> None:
-        """Close each connection once nothing on it is left to answer.
+        """Wait for the answers that are left, and close the connections.
 
         Units: limit in seconds of the monotonic clock.
         """
         body_limit = boot_time() + BODY_REST_MAX_S
-        self.web_.close_idle()
         while self.table_.runs_by_id_ or not self.web_.is_empty:
             if boot_time() >= limit:
                 return
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-            self.web_.close_idle()
             if boot_time() >= body_limit:
                 self.web_.close_partial()
+            # Callers may use idle connections, and are refused, as long as others wait.
+            if not self.web_.busy_:
+                self.web_.close_idle()
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_planned_stops.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_planned_stops.py
@@ -248,3 +248,21 @@
         assert await read_all(caller) == b""
 
     play(scenario)
+
+
+def test_an_idle_connection_may_be_used_while_a_stop_waits_for_another():
+    """A stop closes connections under callers while it waits for others anyway."""
+
+    async def scenario(entry):
+        waiting, idle = entry.connect(), entry.connect()
+        await send(waiting, READ_UNKNOWN)
+        stop = asyncio.create_task(entry.process.drain())
+        await asyncio.sleep(PAST_ANNOUNCEMENT_S)
+        await send(idle, READ_UNKNOWN)
+        await asyncio.sleep(SHORT_WORK_S)
+        entry.released.set()
+        assert status_of(await read_all(idle)) == [b"404"]
+        assert status_of(await read_all(waiting)) == [b"404"]
+        await stop
+
+    play(scenario)
