Count the age of a configuration from its last confirmation, not from hearing of a newer

What callers saw: an entry that had been alone, and that the store turned away, went on with a configuration that was out of date for 1.5 s more after a peer had told it so, however old it was by then; and it did not know how old: in fleets below eight entries no peer tells when the store confirmed the configuration.

Cause: is_stale counted only from when a newer version was first heard of.

Once a newer version is known, an entry whose last confirmation is older than configMs and outerMs, less 0.5 s, is neither ready nor serves, and asks the peer at once instead of after 0.3 s. As long as nobody knows a newer version it serves, whatever the age: the store may be unavailable to all.

The stand-in state of test_levels has the new field, and the exchange of test_news its new argument.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -194,6 +194,7 @@
             halls=self.halls_,
             config_kind=self.objects.config_kind,
             on_entries=self.members_.learn,
+            on_confirmed=self.config_.on_relayed,
         )
         self.stages_.connect(self.links_, self.links_.pieces)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -51,7 +51,8 @@
     """Hold the bounds that the deployment sets.
 
     `evacuate_s` is None if the operator evacuates no halls; then evacuations are not
-    followed. `resync_s` is the time after a failure of the store within which an entry
+    followed. `outer_s` is added to `config_s` while the store serves only a part of the
+    entries. `resync_s` is the time after a failure of the store within which an entry
     must know what the store accepted meanwhile. `heartbeat_s` is the time between two
     records of an endpoint. `memory_bytes` is the limit of the process. If it is None,
     no request is refused for lack of memory, and no slow caller is cut off.
@@ -66,6 +67,7 @@
     drain_s: float = 2.0
     grace_s: float = 8.0
     config_s: float = 2.0
+    outer_s: float = 5.0
     resync_s: float = 3.0
     evacuate_s: float | None = None
     heartbeat_s: float = 1.2
@@ -138,7 +140,9 @@
         self.reservations_ = RetryReservations()
         self.origin_ledger_ = OriginLedger()
         self.software_history_ = SoftwareHistory()
+        # When the store last confirmed the configuration, to any entry and to this one.
         self.config_seen_at_: float | None = None
+        self.config_confirmed_at_: float | None = None
         self.heard_versions_ = PeerVersions()
         self.stop_began_at_: float | None = None
         # Set by the links when they are created.
@@ -271,6 +275,7 @@
             grace_s=self.bounds.grace_s,
             stale_s=self.heard_versions_.stale_s(self.config_version(), now),
             config_s=self.bounds.config_s,
+            outer_s=self.bounds.outer_s,
         )
 
     def set_entries(self, entry_ids: Collection[EntryId]) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -113,6 +113,7 @@
     ) -> EntryHeartbeat:
         """Return the part of the heartbeat that every peer can read."""
         listed_at = self.state.roster_.changed_position_
+        confirmed_at = self.state.config_confirmed_at_
         return EntryHeartbeat(
             listed_at.revision,
             self._group_reports(groups),
@@ -122,6 +123,8 @@
             self._capacity_reports(),
             lowest_version,
             listed_at.epoch,
+            self.state.now() * 1_000.0,
+            None if confirmed_at is None else confirmed_at * 1_000.0,
         )
 
     def record(self, entry_id: EntryId, message: EntryHeartbeat) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -73,6 +73,7 @@
         on_config: Callable[[ForwardConfig, str], None],
         on_listing: Callable[[list[ListedEndpoint], StorePosition], None],
         on_entries: Callable[[list[KnownEntry]], None],
+        on_confirmed: Callable[[float], None],
         halls: HallsHolder,
         config_kind: str,
     ) -> None:
@@ -107,6 +108,7 @@
             on_config=on_config,
             on_listing=on_listing,
             on_entries=on_entries,
+            on_confirmed=on_confirmed,
         )
         self.relays = StoreRelays(
             state=state,
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_news.py
@@ -3,7 +3,8 @@
 An entry whose calls the store rejects is thus kept up to date by its peers, and entries
 that restart during an outage of the store find each other. The owner of the data
 (`on_config`, `on_listing`, `on_entries`) applies what is received, unless what it has
-is newer.
+is newer. `on_confirmed` receives the time at which the store confirmed to a peer that
+this entry's configuration is the newest one.
 """
 
 from collections.abc import Callable, Mapping
@@ -16,7 +17,7 @@
 from leadford.events import Event
 from leadford.forwarding.endpoints import ListedEndpoint, is_dialable
 from leadford.forwarding.history import START_POSITION, StoreEpoch, StorePosition
-from leadford.forwarding.membership import PeerFetch
+from leadford.forwarding.membership import PeerClock, PeerFetch
 from leadford.forwarding.routes import (
     ConfigDownload,
     ConfigPart,
@@ -25,6 +26,7 @@
 )
 from leadford.protocol import (
     PROTOCOL_CONFIG_PARTS,
+    PROTOCOL_CONFIRMED,
     PROTOCOL_EPOCHS,
     PROTOCOL_PACKED,
     ConfigPartAnswer,
@@ -70,6 +72,7 @@
         on_config: Callable[[ForwardConfig, str], None],
         on_listing: Callable[[list[ListedEndpoint], StorePosition], None],
         on_entries: Callable[[list[KnownEntry]], None],
+        on_confirmed: Callable[[float], None],
     ) -> None:
         self.own = own
         self.state = state
@@ -77,6 +80,8 @@
         self.on_config = on_config
         self.on_listing = on_listing
         self.on_entries = on_entries
+        self.on_confirmed = on_confirmed
+        self.clocks_by_peer_: dict[EntryId, PeerClock] = {}
         self.config_fetch_ = PeerFetch(0)
         self.listing_fetch_ = PeerFetch(START_POSITION)
         self.download_ = ConfigDownload()
@@ -105,8 +110,11 @@
         """Request what a peer has had in a newer version for a while."""
         version = self.version()
         heard = peer.peer_config_version_
+        if heard <= version:
+            self._learn_confirmed(peer, message, now)
         self.state.heard_versions_.record(heard, version, now)
-        if self.config_fetch_.should_request(version, heard, now):
+        is_urgent = self.state.age().is_unconfirmed
+        if self.config_fetch_.should_request(version, heard, now, is_urgent=is_urgent):
             self._ask_config(peer, version, now)
         known = self.state.roster_.changed_position_
         heard = self._position(peer, message.listing_epoch, message.listing_revision)
@@ -115,6 +123,22 @@
             self.listing_fetch_.record_requested(EntryId(peer.info.peer_id), now)
             peer.send(ListingRequest(known.revision, known.epoch))
 
+    def _learn_confirmed(
+        self, peer: PeerConnection, message: EntryHeartbeat, now: float
+    ) -> None:
+        """Pass on when the store confirmed the configuration to a peer itself.
+
+        What the peer heard from others is not reported: with each step between entries
+        it would seem younger than it is.
+        """
+        if peer.info.protocol_version < PROTOCOL_CONFIRMED:
+            return
+        clock = self.clocks_by_peer_.setdefault(EntryId(peer.info.peer_id), PeerClock())
+        clock.record(message.sent_ms / 1_000.0, now)
+        if message.config_confirmed_ms is None:
+            return
+        self.on_confirmed(clock.to_local_time(message.config_confirmed_ms / 1_000.0))
+
     def _position(
         self, peer: PeerConnection, epoch: int, revision: int
     ) -> StorePosition:
@@ -124,7 +148,8 @@
         return StorePosition(StoreEpoch(epoch), revision)
 
     def forget(self, entry_id: EntryId) -> None:
-        """Record that the link to a peer ended."""
+        """Record that the link to a peer ended: its next process has another clock."""
+        self.clocks_by_peer_.pop(entry_id, None)
         self.config_fetch_.record_lost(entry_id)
         self.listing_fetch_.record_lost(entry_id)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_levels.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_levels.py
@@ -75,6 +75,7 @@
             reservations_=RetryReservations(),
             endpoint_limits_=EndpointLimits(entry_id=entry_id),
             level_service_ids=lambda: self.contended,
+            config_confirmed_at_=None,
         )
         self.heartbeats = Heartbeats(entry_id=entry_id, state=state, stages=stages)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_news.py
@@ -16,6 +16,7 @@
 from leadford.forwarding.history import FIRST_EPOCH, StorePosition
 from leadford.forwarding.routes import ForwardConfig, ServiceId, TrafficLimits
 from leadford.protocol import (
+    PROTOCOL_CONFIRMED,
     PROTOCOL_FLEET,
     PROTOCOL_PACKED,
     ConfigPartAnswer,
@@ -81,6 +82,7 @@
         on_config=lambda config, source: None,
         on_listing=lambda listed, revision: None,
         on_entries=lambda entries: None,
+        on_confirmed=lambda confirmed_at: None,
     )
 
 
@@ -167,3 +169,73 @@
     exchange.on_listing = lambda listed, revision: learned.append(listed)
     exchange.handlers()[PackedListing](Peer(1), PackedListing(9, b"spoiled"))
     assert learned == []
+
+
+def confirmed_heartbeat(sent_at, confirmed_at):
+    """Return a heartbeat with times of the clock of its sender."""
+    return msgspec.structs.replace(
+        HEARTBEAT,
+        sent_ms=sent_at * 1_000.0,
+        config_confirmed_ms=confirmed_at * 1_000.0,
+    )
+
+
+@pytest.mark.parametrize(
+    ("heard", "protocol_version", "is_learned"),
+    [
+        (OWN_VERSION, PROTOCOL_CONFIRMED, True),
+        (NEWER_VERSION, PROTOCOL_CONFIRMED, False),
+        (OWN_VERSION, PROTOCOL_CONFIRMED - 1, False),
+    ],
+)
+def test_a_confirmation_of_a_peer_holds_where_the_peer_knows_nothing_newer(
+    heard, protocol_version, is_learned
+):
+    """An entry that the store turns away must know how old its configuration is."""
+    clock = Clock()
+    exchange = new_exchange(clock)
+    learned = []
+    exchange.on_confirmed = learned.append
+    peer = Peer(1)
+    peer.info.protocol_version = protocol_version
+    peer.peer_config_version_ = heard
+    exchange.ask_if_behind(peer, confirmed_heartbeat(500.0, 499.0), clock.now)
+    assert learned == ([9.0] if is_learned else [])
+
+
+def test_a_heartbeat_that_waited_on_its_way_confirms_nothing_newer():
+    """A configuration must not seem as new as the message that arrived late."""
+    clock = Clock()
+    exchange = new_exchange(clock)
+    learned = []
+    exchange.on_confirmed = learned.append
+    peer = Peer(1)
+    peer.info.protocol_version = PROTOCOL_CONFIRMED
+    peer.peer_config_version_ = OWN_VERSION
+    exchange.ask_if_behind(peer, confirmed_heartbeat(500.0, 499.0), clock.now)
+    clock.now += 5.0
+    exchange.ask_if_behind(peer, confirmed_heartbeat(500.2, 499.0), clock.now)
+    assert learned == [9.0, 9.0]
+
+
+def test_an_entry_without_a_confirmation_for_long_asks_the_first_peer_that_is_ahead():
+    """It uses its configuration no longer, so it must not wait to be told again."""
+    clock = Clock()
+    exchange = new_exchange(clock)
+    exchange.state.config_seen_at_ = clock.now - 30.0
+    assert not exchange.state.age().is_stale
+    peer = Peer(1)
+    exchange.ask_if_behind(peer, HEARTBEAT, clock.now)
+    assert exchange.state.age().is_stale
+    assert peer.asked
+
+
+def test_an_entry_that_was_told_lately_serves_while_it_asks():
+    """A new configuration must not stop requests at the entries that hear of it."""
+    clock = Clock()
+    exchange = new_exchange(clock)
+    exchange.state.config_seen_at_ = clock.now - 3.0
+    peer = Peer(1)
+    exchange.ask_if_behind(peer, HEARTBEAT, clock.now)
+    assert not exchange.state.age().is_stale
+    assert not peer.asked
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_config.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_config.py
@@ -45,7 +45,9 @@
     def on_confirmed(self) -> None:
         """Record that the store has confirmed that no change is missing."""
         if self.state.table_ is not None:
-            self.state.config_seen_at_ = self.state.now()
+            now = self.state.now()
+            self.state.config_seen_at_ = now
+            self.state.config_confirmed_at_ = now
 
     def on_relayed(self, confirmed_at: float) -> None:
         """Record when the store confirmed to another entry that this one is current."""
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_entries.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
-from leadford_standins.wire import refuse_store_calls, run_scenario
+import pytest
+
+from leadford_standins.wire import StoreFault, refuse_store_calls, run_scenario
 
 ENTRIES = 8
 # Longer than any call to the store that began before all further ones are refused.
 OPEN_CALLS_S = 3.0
+# Longer than a configuration may be unconfirmed once a newer one is known.
+OUTAGE_S = 7.0
 OWN_ANSWERS = (401, 503)
 
 
@@ -55,3 +59,47 @@
         assert answer.code in OWN_ANSWERS
 
     run_scenario(scenario, entries=ENTRIES)
+
+
+def config_age_s(entry):
+    """Return the time since the store confirmed the configuration of an entry."""
+    return entry.state_.age().config_age_s
+
+
+def test_an_entry_that_the_store_turns_away_learns_of_confirmations_from_its_peers():
+    """It must tell a store that serves its peers from one that serves nobody."""
+
+    async def scenario(deployment):
+        await deployment.until_linked()
+        turned_away = deployment.entries_[0]
+        refuse_store_calls(turned_away)
+        await asyncio.sleep(2 * OPEN_CALLS_S)
+        # A peer has one with the end of each watch.
+        for _ in range(20):
+            assert config_age_s(turned_away) < OPEN_CALLS_S + 2.0
+            await asyncio.sleep(0.1)
+        assert turned_away.is_ready
+
+    run_scenario(scenario, entries=3)
+
+
+@pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.RESET])
+def test_entries_that_the_store_serves_no_more_know_for_how_long_and_serve(fault):
+    """What entries tell each other must not make a configuration seem confirmed."""
+
+    async def scenario(deployment):
+        await deployment.until_linked()
+        deployment.store.fault = fault
+        # Watches that were open may still end with a confirmation.
+        await asyncio.sleep(OPEN_CALLS_S)
+        before_s = [config_age_s(entry) for entry in deployment.entries_]
+        await asyncio.sleep(OUTAGE_S)
+        for entry, age_s in zip(deployment.entries_, before_s, strict=True):
+            assert config_age_s(entry) >= age_s + OUTAGE_S
+            assert entry.state_.age().is_unconfirmed
+            assert entry.is_ready
+        for number in range(3):
+            answer = await deployment.send("/safe/x", request_id="a", entry=number)
+            assert answer.code == 200
+
+    run_scenario(scenario, entries=3)
--- a/packages/leadford/src/leadford/forwarding/membership/_fetch.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_fetch.py
@@ -39,8 +39,13 @@
         self.consecutive_asked_ = 0
         self.consecutive_unusable_ = 0
 
-    def should_request(self, known: T, heard: T, now: float) -> bool:
-        """Tell whether to ask a peer that reports the version `heard`."""
+    def should_request(
+        self, known: T, heard: T, now: float, *, is_urgent: bool = False
+    ) -> bool:
+        """Tell whether to ask a peer that reports the version `heard`.
+
+        With `is_urgent` it need not have reported it for a while.
+        """
         if known != self.known_:
             self.known_ = known
             self.behind_since_ = None
@@ -50,7 +55,8 @@
             return False
         if self.behind_since_ is None:
             self.behind_since_ = now
-        if known != self.nothing and now - self.behind_since_ < MIN_BEHIND_S:
+        min_behind_s = 0.0 if is_urgent or known == self.nothing else MIN_BEHIND_S
+        if now - self.behind_since_ < min_behind_s:
             return False
         return now >= self.next_ask_at_
 
--- a/packages/leadford/src/leadford/forwarding/routes/_denial.py
+++ b/packages/leadford/src/leadford/forwarding/routes/_denial.py
@@ -5,8 +5,9 @@
 time since a planned stop began. A missing route or key is reported only from a recently
 confirmed configuration; otherwise the request is refused, because a newer configuration
 may allow it. A configuration that is known to be too old is not used at all: its routes
-may have moved and its keys may have been revoked. `admission` decides whether there is
-capacity for a request with stages.
+may have moved and its keys may have been revoked. While no newer one is known, its age
+alone refuses nothing: the store may be unavailable to all. `admission` decides whether
+there is capacity for a request with stages.
 """
 
 from enum import Enum
@@ -21,7 +22,7 @@
 # exist in a newer configuration that this process does not know.
 MAX_DENIAL_CONFIG_AGE_S = 6.0
 # A configuration known to be stale is no longer used from this long before the
-# deployment's bound on stale configurations: heartbeats report a newer one up to 0.2 s
+# deployment's bounds on stale configurations: heartbeats report a newer one up to 0.2 s
 # after it became active at the sender.
 STALE_CONFIG_MARGIN_S = 0.5
 # Time after the start of a planned stop during which all requests may start. No stream
@@ -47,11 +48,13 @@
 class ProcessStatus(msgspec.Struct, frozen=True):
     """Hold the age of the configuration and the progress of a planned stop.
 
-    Units: seconds. config_age_s counts from the last confirmation by the store, None
-    without one; stopping_s counts from the start of a planned stop, None without one;
-    grace_s is the maximum duration of a planned stop; stale_s is for how long another
-    entry has been known to use a newer configuration, None if none is known; config_s
-    is the maximum time from the acceptance of a configuration until it is active.
+    Units: seconds. config_age_s counts from the last confirmation by the store, to this
+    entry or to one that reported it, None without one; stopping_s counts from the start
+    of a planned stop, None without one; grace_s is the maximum duration of a planned
+    stop; stale_s is for how long another entry has been known to use a newer
+    configuration, None if none is known; config_s is the maximum time from the
+    acceptance of a configuration until it is active; outer_s is added to it while the
+    store serves only a part of the entries.
     """
 
     config_age_s: float | None
@@ -59,13 +62,28 @@
     grace_s: float
     stale_s: float | None = None
     config_s: float = 2.0
+    outer_s: float = 5.0
 
     @property
     def is_stale(self) -> bool:
-        """Return whether the configuration is known to be too old to be used."""
+        """Return whether the configuration is known to be too old to be used.
+
+        An entry without a confirmation for longer than the bounds allow may have heard
+        late that there is a newer one, for example because all its peers were lost.
+        """
         if self.stale_s is None:
             return False
-        return self.stale_s > self.config_s - STALE_CONFIG_MARGIN_S
+        if self.stale_s > self.config_s - STALE_CONFIG_MARGIN_S:
+            return True
+        return self.is_unconfirmed
+
+    @property
+    def is_unconfirmed(self) -> bool:
+        """Return whether the last confirmation is older than the bounds allow."""
+        if self.config_age_s is None:
+            return True
+        max_age_s = self.config_s + self.outer_s - STALE_CONFIG_MARGIN_S
+        return self.config_age_s > max_age_s
 
 
 _DENIAL_BY_FAULT = {
--- a/packages/leadford/src/leadford/forwarding/routes/tests/test_denial.py
+++ b/packages/leadford/src/leadford/forwarding/routes/tests/test_denial.py
@@ -74,6 +74,23 @@
     assert late == Failure(StartDenial.CONFIG_MAY_BE_OLD)
 
 
+@pytest.mark.parametrize("config_age_s", [6.6, 60.0, None])
+def test_a_newer_configuration_counts_from_the_last_confirmation(config_age_s):
+    """An entry that nobody told for long must not serve on once it hears of it."""
+    heard_now = {"stale_s": 0.0, "config_s": 2.0, "outer_s": 5.0}
+    denied = decide_start(Success(FOUND), age(config_age_s=config_age_s, **heard_now))
+    assert denied == Failure(StartDenial.CONFIG_MAY_BE_OLD)
+    begun = decide_start(Success(FOUND), age(config_age_s=6.4, **heard_now))
+    assert begun == Success(FOUND)
+
+
+@pytest.mark.parametrize("config_age_s", [6.6, 60.0, None])
+def test_a_store_that_confirms_nothing_to_anybody_stops_no_request(config_age_s):
+    """Requests must be served for as long as the store is unavailable to all."""
+    old = age(config_age_s=config_age_s, stale_s=None, config_s=2.0, outer_s=5.0)
+    assert decide_start(Success(FOUND), old) == Success(FOUND)
+
+
 def test_a_stream_begins_only_in_the_first_part_of_a_planned_stop():
     route = msgspec.structs.replace(ROUTE, kind=RouteKind.STREAM)
     found = Success(msgspec.structs.replace(FOUND, route=route))
--- a/packages/leadford/src/leadford/protocol/__init__.py
+++ b/packages/leadford/src/leadford/protocol/__init__.py
@@ -22,6 +22,7 @@
 from leadford.protocol._base import (
     PROTOCOL_COLD_PLACED,
     PROTOCOL_CONFIG_PARTS,
+    PROTOCOL_CONFIRMED,
     PROTOCOL_CRASHES,
     PROTOCOL_EPOCHS,
     PROTOCOL_EVACUATIONS,
@@ -146,6 +147,7 @@
     "PROTOCOL_PACED",
     "PROTOCOL_UNTOLD",
     "PROTOCOL_CONFIG_PARTS",
+    "PROTOCOL_CONFIRMED",
     "PROTOCOL_CRASHES",
     "PROTOCOL_EPOCHS",
     "PROTOCOL_EVACUATIONS",
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -52,6 +52,10 @@
     """Report that an entry is alive, which listing it has seen, and its groups.
 
     `lowest_version` is the oldest protocol version among the entry and its links.
+    `config_confirmed_ms` is when the store last confirmed to this entry itself that its
+    configuration is the newest one, None if it never did.
+
+    Units: milliseconds of the monotonic clock of the sender.
     """
 
     listing_revision: int
@@ -62,6 +66,8 @@
     lanes: list[LaneReport] = []
     lowest_version: int = PROTOCOL_UNTOLD
     listing_epoch: int = 0
+    sent_ms: float = 0.0
+    config_confirmed_ms: float | None = None
 
 
 class EntryAddress(MessageBase):
