Test that news reaches entries under new names beside the records of lost ones

The records of entries that are lost for good and replaced under other names stay in the store. With half of 8, 24 and 60 entries replaced so, news from one entry reaches all that live within six rounds of dialing.

--- a/packages/leadford/src/leadford/forwarding/membership/tests/test_reach.py
+++ b/packages/leadford/src/leadford/forwarding/membership/tests/test_reach.py
@@ -127,6 +127,17 @@
     )
 
 
+@pytest.mark.parametrize("count", [8, 24, 60])
+def test_news_reaches_entries_under_new_names_beside_the_records_of_lost_ones(count):
+    """Hosts that were replaced under new names must not be split by the old records."""
+    ids = entry_ids(count)
+    replaced = [EntryId(f"{entry}-new") for entry in ids[1::2]]
+    fleet = Fleet(sorted([*ids, *replaced]), lost=ids[1::2])
+    fleet.play(6 * ROUND_S)
+    assert fleet.component(ids[0]) == set(fleet.live)
+    assert len(fleet.live) == count
+
+
 def test_an_entry_that_is_back_takes_its_place_again():
     """The entries in place of a lost one must not stay linked once it is back."""
     ids = entry_ids(24)
