Count a call that a silent store leaves open as one that failed

Cause: a call that a silent store leaves open is known to have failed only as it times out, up to 2 s later, and the one before it may have been made too long ago to explain a removal that is learned now.

Change: before an entry applies changes from another one it reports its own open call, if it waits for no change, as unanswered. As elsewhere it counts only if the latest confirmation is too old; and no longer for an outage shorter than two heartbeats of an endpoint, in which no record lapses, so that a watch that is cut off is none.

The simulated fleet has that fault now.

--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -117,6 +117,8 @@
         self.is_unanswered_ = False
         self.needs_fresh_listing_ = False
         self.may_be_old_ = False
+        # Start of the open call, unless it waits for a change.
+        self.called_at_: float | None = None
         self.poll_requested_ = asyncio.Event()
         client.epochs.listeners_.append(self._on_epoch)
 
@@ -128,6 +130,7 @@
             await self._rest()
             began_at = now()
             succeeded = await self._list() if self._must_list() else await self._watch()
+            self.called_at_ = None
             if succeeded:
                 wait_s = RETRY_MIN_S
                 continue
@@ -207,6 +210,7 @@
             self.poll_now()
             return False
         if seen.position > self.position_:
+            self._report_open_call()
             for event in seen.events:
                 self.owner.on_event(event)
             self.changed_position_ = seen.position
@@ -223,6 +227,14 @@
         self._record_confirmation(max(self.position_, position), confirmed_at)
         self.on_relayed(confirmed_at)
 
+    def _report_open_call(self) -> None:
+        """Report an open call that waits for no change as one that failed.
+
+        A silent store never answers it, and others may hear from the store meanwhile.
+        """
+        if self.called_at_ is not None and self.confirmed_at_ is not None:
+            self.on_failed_call(self.called_at_, self.confirmed_at_)
+
     async def _list(self) -> bool:
         # The first listing may be seconds old: such a listing costs a tenth, and the
         # call for changes that follows at once returns what is missing.
@@ -254,6 +266,7 @@
         items: list[dict] = []
         after: str | None = None
         position: StorePosition | None = None
+        self.called_at_ = asyncio.get_running_loop().time()
         while True:
             read = await self.client.call(
                 codec.list_path(self.kind, after, may_be_stale=may_be_stale),
@@ -329,6 +342,8 @@
         returns_at_once = (
             reconnects or self.may_be_old_ or self.max_confirmation_age_s() > 0.0
         )
+        if returns_at_once:
+            self.called_at_ = asyncio.get_running_loop().time()
         wait_s = 0.0 if returns_at_once else self.watch_s()
         # A silent store never answers a pending call, not even once it is back; so the
         # next call has to follow soon, also where a slow store is given more time.
--- a/packages/leadford-standins/src/leadford_standins/wire/_fleet.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_fleet.py
@@ -55,6 +55,11 @@
         """Return the store's answer; a watch is answered on a change or on timeout."""
         self.calls_ += 1
         await asyncio.sleep(ANSWER_DELAY_S)
+        if self.store.fault is StoreFault.SILENT:
+            await asyncio.sleep(wait_s + first_byte_timeout_s)
+            return self._handle_response(
+                path, "read", FetchedResponse(NO_RESPONSE_STATUS, b"", 0.0, {})
+            )
         status, page = await self._answer(path, wait_s)
         has_era = status != NO_RESPONSE_STATUS and self.store.era_ is not None
         headers = {"Store-Era": str(self.store.era_)} if has_era else {}
--- a/packages/leadford/src/leadford/forwarding/endpoints/_outage.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_outage.py
@@ -7,8 +7,9 @@
 One budget covers the time from the removal to the arrival of the last request: how late
 an entry learns of it, how long it goes on to use the endpoint, and the time in flight.
 A removal that the store made while it answered leaves time for the first and the last
-only. An entry learns of such a removal before its latest confirmation is `drain_s` old,
-so a failed call with an older one shows an outage of the store, or of the way to it.
+only. An entry learns of such a removal before its latest confirmation is as old as the
+drain period, so a failed call with an older one shows an outage of the store, or of the
+way to it.
 """
 
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_roster.py
@@ -43,6 +43,8 @@
 # Number of missed heartbeats after which a record is certainly removed; the platform
 # removes it after three.
 EXPIRY_HEARTBEATS = 4
+# Minimum number of heartbeat intervals in an outage that lets a record lapse.
+MIN_LAPSE_HEARTBEATS = 2
 # Heartbeat interval of an endpoint where the deployment sets none.
 DEFAULT_HEARTBEAT_S = 1.2
 # Drain period of an endpoint, and time after an outage of the store in which it may
@@ -121,7 +123,10 @@
         """
         removed_grace_s = max(0.0, min(RELIST_TIMEOUT_S, drain_s - DRAIN_MARGIN_S))
         expiry_s = EXPIRY_HEARTBEATS * heartbeat_s
-        outage = StoreOutage(unconfirmed_min_s=drain_s, effect_s=outage_effect_s)
+        outage = StoreOutage(
+            unconfirmed_min_s=max(drain_s, MIN_LAPSE_HEARTBEATS * heartbeat_s),
+            effect_s=outage_effect_s,
+        )
         return cls(
             removed_grace_s=removed_grace_s,
             expiry_s=expiry_s,
