Hand the scheduling of groups over while an entry is late

Seen: an entry that is late keeps the scheduling of groups and delays the stages of all entries. Cause: only a planned stop takes an entry out of the candidates.

NOT shown: that more requests are served.

Existing tests: test_wire_between_entries compares with the frame that has the new field, still decodes all earlier frames, and appends later fields to the newest frame, as at each field before; test_levels passes the new argument.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_levels.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_levels.py
@@ -85,6 +85,7 @@
         heartbeat = self.heartbeats.next(
             GROUPS,
             is_draining=False,
+            is_late=False,
             lowest_version=PROTOCOL_LOAD,
             confirmations=None,
             confirmed_version=PROTOCOL_LOAD,
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -46,6 +46,11 @@
         Severity.INFO,
         "A planned stop found nothing open, or has no time left.",
     )
+    SCHEDULING_HANDED_OVER = (
+        110,
+        Severity.INFO,
+        "A late entry leaves the scheduling of groups to others, or takes it back.",
+    )
     PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
     PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
     PEER_REJECTED = (202, Severity.WARNING, "A peer failed its proof or version.")
--- a/packages/leadford/src/leadford/forwarding/batching/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/batching/__init__.py
@@ -26,6 +26,7 @@
     GroupTable,
     PlaceId,
     RegionMap,
+    choose_scheduler,
     schedulers_in_order,
 )
 from leadford.forwarding.batching._limits import (
@@ -99,6 +100,7 @@
     "next_call",
     "queue_delay_s",
     "scheduler_limit_at",
+    "choose_scheduler",
     "schedulers_in_order",
     "stages_check_at",
     "sum_uses",
--- a/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
+++ b/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
@@ -122,6 +122,12 @@
     .replace("8f181d07", "90181d07", 1)
     .replace("a1626831190bb885181e", "a1626831190bb82085181e", 1)
 )
+# The same frame, with whether the sender of a heartbeat is late.
+LATE_FRAME = bytes.fromhex(
+    LEVEL_FRAME.hex()
+    .replace("891821184d", "8a1821184d", 1)
+    .replace("8363692d31190bb8010600", "8363692d31190bb8010600f4", 1)
+)
 
 
 def test_messages_of_older_builds_are_read():
@@ -136,7 +142,8 @@
 
 def test_messages_travel_as_before():
     messages = decode(FRAME).unwrap().messages
-    assert encode(36, messages) == LEVEL_FRAME
+    assert encode(36, messages) == LATE_FRAME
+    assert decode(LATE_FRAME).unwrap().messages == messages
     assert decode(LEVEL_FRAME).unwrap().messages == messages
     assert decode(EPOCH_FRAME).unwrap().messages == messages
     assert decode(VERSIONED_FRAME).unwrap().messages == messages
@@ -148,7 +155,7 @@
 
 @given(st.data())
 def test_frames_of_a_later_build_are_read_as_far_as_they_are_known(data):
-    known_frames = [LEVEL_FRAME, *map(bytes.fromhex, FLEET_MESSAGES)]
+    known_frames = [LATE_FRAME, *map(bytes.fromhex, FLEET_MESSAGES)]
     known = data.draw(st.sampled_from(known_frames))
     version, messages = cbor2.loads(known)
     later_messages = [[*message, *data.draw(LATER_FIELDS)] for message in messages]
--- a/packages/leadford/src/leadford/protocol/_base.py
+++ b/packages/leadford/src/leadford/protocol/_base.py
@@ -8,7 +8,7 @@
 import msgspec
 
 # The newest version of the protocol that this build supports.
-PROTOCOL_VERSION = 12
+PROTOCOL_VERSION = 13
 # The first version that transfers configurations in parts.
 PROTOCOL_CONFIG_PARTS = 2
 # The first version in which entries report evacuated halls to each other.
@@ -43,6 +43,8 @@
 PROTOCOL_PROMPTS = 12
 # The first version in which entries tell each other which of them is the busiest.
 PROTOCOL_SHARES = 12
+# The first version in which late entries leave the scheduling of groups to others.
+PROTOCOL_LATE = 13
 # The oldest version that this build supports.
 PROTOCOL_VERSION_MIN = 1
 
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -52,6 +52,7 @@
     """Report that an entry is alive, which listing it has seen, and its groups.
 
     `lowest_version` is the oldest protocol version among the entry and its links.
+    `is_late` tells that the entry leaves the scheduling of groups to others.
     """
 
     listing_revision: int
@@ -62,6 +63,7 @@
     lanes: list[LaneReport] = []
     lowest_version: int = PROTOCOL_UNTOLD
     listing_epoch: int = 0
+    is_late: bool = False
 
 
 class EntryAddress(MessageBase):
