--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -107,7 +107,7 @@
             turns=self.state_.loop_turns_,
             loop=self.state_.loop,
             log=self.log_,
-            on_turn=self._on_turn,
+            on_turn=self.connections_.update,
             is_late=self.connections_.is_late,
             load_fields=self._load_fields,
         )
@@ -318,14 +318,6 @@
         """Return how many bytes wait to be sent to callers and endpoints."""
         return self.caller_server_.unsent_bytes + self.state_.pool_.unsent_bytes
 
-    def _on_turn(self, now: float) -> None:
-        """Update what follows from how late this entry is."""
-        connections = self.connections_
-        connections.update(now)
-        self.state_.handover_.update(
-            now, lags=connections.lags(now), recovers=connections.is_late(now)
-        )
-
     def _load_fields(self) -> dict[str, int | float]:
         """Return the log fields that tell what the entry holds."""
         now = self.state_.now()
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -29,7 +29,7 @@
 )
 from leadford.forwarding.history import StoreEpochs
 from leadford.forwarding.membership import LoadShares, PeerVersions, RequestRate
-from leadford.forwarding.overload import LinkWaits, LoopTurns, ScheduleHandover
+from leadford.forwarding.overload import LinkWaits, LoopTurns
 from leadford.forwarding.retries import RetryBudgets, WindowedRetryBudget
 from leadford.forwarding.routes import ProcessStatus, RouteTable, Service, ServiceId
 from leadford.forwarding.streams import OriginLedger, SoftwareHistory, StreamOrigin
@@ -107,7 +107,6 @@
         self.entry_id = entry_id
         self.loop_turns_ = LoopTurns()
         self.link_waits_ = LinkWaits()
-        self.handover_ = ScheduleHandover()
         self.epochs_ = StoreEpochs()
         halls = EvacuatedHalls(is_known=bounds.evacuate_s is None)
         self.roster_ = EndpointRoster.from_drain_period(
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_groups.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_groups.py
@@ -12,7 +12,7 @@
     GroupId,
     GroupTable,
     PieceGraph,
-    choose_scheduler,
+    schedulers_in_order,
 )
 from leadford.forwarding.routes import PieceLimits, ServiceId, StageSpec
 from leadford_server.forwarding._state import ForwardState
@@ -34,18 +34,12 @@
 
     def scheduler_of(self, group: GroupId) -> EntryId:
         """Return the live entry that schedules a group."""
-        if self.live_entries is None:
-            return self.entry_id
-        halls = self.live_entries.halls_by_live_entry()
+        halls = {}
+        if self.live_entries is not None:
+            halls = self.live_entries.halls_by_live_entry()
         if not halls or self.state.stop_began_at_ is None:
             halls[self.entry_id] = self.state.hall
-        return choose_scheduler(
-            group,
-            halls,
-            self.state.regions,
-            late_ids=self.live_entries.late_ids(),
-            common_ids=self.live_entries.common_ids(),
-        )
+        return schedulers_in_order(group, halls, self.state.regions)[0]
 
     def choose(
         self,
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Collection
 from typing import Protocol
 
 import msgspec
@@ -54,12 +53,6 @@
     def halls_by_live_entry(self) -> dict[EntryId, HallId]:
         """Return the hall of each entry known to be alive, without this one."""
 
-    def late_ids(self) -> Collection[EntryId]:
-        """Return the entries that leave scheduling to others, if known to all."""
-
-    def common_ids(self) -> Collection[EntryId]:
-        """Return the entries to which all others hold links."""
-
 
 class SchedulerLinks(Protocol):
     """Reach the schedulers at other entries, and the entries that submit pieces."""
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeat.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeat.py
@@ -36,7 +36,6 @@
         number: int,
         scheduler_ids: Collection[EntryId],
         paces: AddressedPaces | None = None,
-        tells_late: bool = False,
     ) -> None:
         self.message = message
         self.scheduler_ids = scheduler_ids
@@ -51,11 +50,7 @@
             (fleet_levels, PROTOCOL_LOAD),
         )
         is_for_all_peers = bool(
-            backlog
-            or confirmations
-            or message.refused
-            or message.is_draining
-            or tells_late
+            backlog or confirmations or message.refused or message.is_draining
         )
         self.news_ = HeartbeatNews(number, is_for_all_peers)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -64,8 +64,6 @@
         self.stages = stages
         self.levels = LevelExchange(state=state, stages=stages)
         self.heartbeat_count_ = 0
-        # Whether the last heartbeat told that this entry is late.
-        self.told_late_ = False
 
     @property
     def next_carries_paces(self) -> bool:
@@ -77,7 +75,6 @@
         groups: set[GroupId],
         *,
         is_draining: bool,
-        is_late: bool,
         lowest_version: int,
         confirmations: StoreConfirmations | None,
         confirmed_version: int,
@@ -89,13 +86,8 @@
         the store confirmed.
         """
         message = self.make(
-            groups,
-            is_draining=is_draining,
-            is_late=is_late,
-            lowest_version=lowest_version,
+            groups, is_draining=is_draining, lowest_version=lowest_version
         )
-        tells_late = is_late != self.told_late_
-        self.told_late_ = is_late
         self.heartbeat_count_ += 1
         backlog = self.make_backlog(groups)
         scheduled_ids = (
@@ -114,16 +106,10 @@
             number=self.heartbeat_count_,
             scheduler_ids={self.stages.groups.scheduler_of(group) for group in groups},
             paces=paces,
-            tells_late=tells_late,
         )
 
     def make(
-        self,
-        groups: set[GroupId],
-        *,
-        is_draining: bool,
-        is_late: bool,
-        lowest_version: int,
+        self, groups: set[GroupId], *, is_draining: bool, lowest_version: int
     ) -> EntryHeartbeat:
         """Return the part of the heartbeat that every peer can read."""
         listed_at = self.state.roster_.changed_position_
@@ -139,7 +125,6 @@
             listed_at.epoch,
             self.state.now() * 1_000.0,
             None if confirmed_at is None else confirmed_at * 1_000.0,
-            is_late,
         )
 
     def record(self, entry_id: EntryId, message: EntryHeartbeat) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from random import Random
 
 from leadford.common import EntryId, HallId
@@ -91,9 +91,6 @@
         self.builds_ = BuildVersions(own=PROTOCOL_VERSION)
         self.shared_rules_: frozenset[SharedRule] = frozenset()
         self.draining_ids_: set[EntryId] = set()
-        # The entries that told that they are late, with this one once it told so.
-        self.late_ids_: set[EntryId] = set()
-        self.common_ids_: set[EntryId] = set()
         self.server_: PeerServer | None = None
         self.is_draining_ = False
         self.heartbeats = Heartbeats(entry_id=entry_id, state=state, stages=stages)
@@ -210,7 +207,6 @@
     def _dial(self) -> None:
         now = self.state.now()
         wanted = self.fleet.peers_to_link(self._reach(now))
-        self.common_ids_ = self.fleet.common_peers()
         for entry_id in set(self.dialers_by_id_) - wanted:
             dialer = self.dialers_by_id_.pop(entry_id)
             asyncio.ensure_future(dialer.stop())
@@ -250,13 +246,10 @@
         }
         self.shared_rules_ = self.builds_.shared_rules(version_by_live_peer)
         self.state.has_priority_levels_ = self.all_know(SharedRule.PRIORITY_LEVELS)
-        # What is told, and what is decided here, change at the same time.
-        self._record_own_lateness()
         self.ledgers.refresh()
         heartbeat = self.heartbeats.next(
             self.fleet.stage_groups(),
             is_draining=self.is_draining_,
-            is_late=self.entry_id in self.late_ids_,
             lowest_version=self.builds_.lowest_linked(version_by_live_peer),
             confirmations=self.relays.confirmations(),
             confirmed_version=self.relays.min_version,
@@ -269,30 +262,6 @@
                 continue
             heartbeat.send(peer)
 
-    def _record_own_lateness(self) -> None:
-        """Record whether this entry leaves the scheduling of groups to others."""
-        is_late = self.state.handover_.is_yielding_
-        if is_late == (self.entry_id in self.late_ids_):
-            return
-        self._record_late(self.entry_id, is_late)
-        self.state.log.report(Event.SCHEDULING_HANDED_OVER, is_late=is_late)
-
-    def _record_late(self, entry_id: EntryId, is_late: bool) -> None:
-        if is_late:
-            self.late_ids_.add(entry_id)
-        else:
-            self.late_ids_.discard(entry_id)
-
-    def late_ids(self) -> Collection[EntryId]:
-        """Return the entries that leave the scheduling of groups to others."""
-        if not self.all_know(SharedRule.LATE_ENTRIES_YIELD):
-            return ()
-        return self.late_ids_
-
-    def common_ids(self) -> Collection[EntryId]:
-        """Return the entries to which all others hold links."""
-        return self.common_ids_
-
     def _paces_to_report(self) -> AddressedPaces | None:
         """Return the paces that the next heartbeat carries, and who gets them."""
         if not self.heartbeats.next_carries_paces:
@@ -352,7 +321,6 @@
         if self.peers_by_id_.get(entry_id) is not peer:
             return
         del self.peers_by_id_[entry_id]
-        self.late_ids_.discard(entry_id)
         self.builds_.forget(entry_id)
         self.news.forget(entry_id)
         self.relays.forget(entry_id)
@@ -389,7 +357,6 @@
             self.draining_ids_.add(entry_id)
         else:
             self.draining_ids_.discard(entry_id)
-        self._record_late(entry_id, message.is_late)
         self.builds_.record_reported(entry_id, message.lowest_version)
         self.heartbeats.record(entry_id, message)
         self.news.ask_if_behind(peer, message, self.state.now())
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -51,11 +51,6 @@
         Severity.ERROR,
         "A step of a planned stop failed or was cancelled; the stop goes on.",
     )
-    SCHEDULING_HANDED_OVER = (
-        111,
-        Severity.INFO,
-        "A late entry leaves the scheduling of groups to others, or takes it back.",
-    )
     PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
     PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
     PEER_REJECTED = (202, Severity.WARNING, "A peer failed its proof or version.")
--- a/packages/leadford/src/leadford/forwarding/batching/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/batching/__init__.py
@@ -26,7 +26,6 @@
     GroupTable,
     PlaceId,
     RegionMap,
-    choose_scheduler,
     schedulers_in_order,
 )
 from leadford.forwarding.batching._limits import (
@@ -100,7 +99,6 @@
     "next_call",
     "queue_delay_s",
     "scheduler_limit_at",
-    "choose_scheduler",
     "schedulers_in_order",
     "stages_check_at",
     "sum_uses",
--- a/packages/leadford/src/leadford/forwarding/batching/_groups.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_groups.py
@@ -7,7 +7,6 @@
 once only make batches smaller.
 """
 
-from collections.abc import Collection
 from typing import NewType
 
 import msgspec
@@ -105,29 +104,6 @@
     return rendezvous_order(group.key, near) + rendezvous_order(group.key, far)
 
 
-def choose_scheduler(
-    group: GroupId,
-    halls_by_entry: dict[EntryId, HallId],
-    regions: RegionMap,
-    *,
-    late_ids: Collection[EntryId],
-    common_ids: Collection[EntryId],
-) -> EntryId:
-    """Return the entry that schedules a group.
-
-    `late_ids` are the entries that leave it to others; the first one keeps it if no
-    other is on time. `common_ids` are the entries to which all others hold links: only
-    such an entry is found by all as the one that schedules instead.
-    """
-    order = schedulers_in_order(group, halls_by_entry, regions)
-    if order[0] not in late_ids:
-        return order[0]
-    for entry_id in order:
-        if entry_id in common_ids and entry_id not in late_ids:
-            return entry_id
-    return order[0]
-
-
 def moving_cost_s(moved_bytes: int) -> float:
     """Return the cost of moving bytes between halls, as an equivalent wait.
 
--- a/packages/leadford/src/leadford/forwarding/membership/_builds.py
+++ b/packages/leadford/src/leadford/forwarding/membership/_builds.py
@@ -18,12 +18,7 @@
 from enum import Enum
 
 from leadford.common import EntryId
-from leadford.protocol import (
-    PROTOCOL_COLD_PLACED,
-    PROTOCOL_LATE,
-    PROTOCOL_LOAD,
-    PROTOCOL_UNTOLD,
-)
+from leadford.protocol import PROTOCOL_COLD_PLACED, PROTOCOL_LOAD, PROTOCOL_UNTOLD
 
 
 class SharedRule(Enum):
@@ -33,13 +28,10 @@
     whose endpoints may be cold; without this rule, each entry chooses them on its own.
     PRIORITY_LEVELS: pieces of contended services are admitted and queued by level of
     priority, and refused callers get bookings; without this rule, two levels count.
-    LATE_ENTRIES_YIELD: entries that say that they are late schedule no groups; without
-    this rule, they keep the groups of which they are the first candidate.
     """
 
     COLD_ENGINES_PLACED = PROTOCOL_COLD_PLACED
     PRIORITY_LEVELS = PROTOCOL_LOAD
-    LATE_ENTRIES_YIELD = PROTOCOL_LATE
 
 
 class BuildVersions:
--- a/packages/leadford/src/leadford/forwarding/overload/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/overload/__init__.py
@@ -1,13 +1,11 @@
-"""Notice that this entry is late itself, and leave work to other entries.
+"""Notice that this entry is late itself, and take fewer new connections.
 
 `_turns` tells from the turns of the event loop how late the entry is, apart from what
 endpoints and the store delay, and `_link` from round trips to peers how long packets
-wait at its link. `_connections` decides which new connections are read, `_handover`
-whether other entries schedule groups instead.
+wait at its link. `_connections` decides which new connections are read.
 """
 
 from leadford.forwarding.overload._connections import ConnectionAdmission
-from leadford.forwarding.overload._handover import ScheduleHandover
 from leadford.forwarding.overload._link import LinkWaits
 from leadford.forwarding.overload._turns import (
     MAX_CALM_TURN_S,
@@ -23,5 +21,4 @@
     "DelayMark",
     "LinkWaits",
     "LoopTurns",
-    "ScheduleHandover",
 ]
--- a/packages/leadford/src/leadford/forwarding/overload/_connections.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_connections.py
@@ -103,14 +103,7 @@
 
         Units: now in seconds.
         """
-        return self.limit_per_s_ is not None or self.lags(now)
-
-    def lags(self, now: float) -> bool:
-        """Return whether the loop lags, or packets wait at the link, at this moment.
-
-        Units: now in seconds.
-        """
-        return self._lateness(now) > 1.0
+        return self.limit_per_s_ is not None or self._lateness(now) > 1.0
 
     def update(self, now: float) -> None:
         """Change the rate by the last turns of the loop.
--- a/packages/leadford/src/leadford/protocol/_base.py
+++ b/packages/leadford/src/leadford/protocol/_base.py
@@ -46,8 +46,6 @@
 # The first version in which each entry reports when the store confirmed its
 # configuration to it.
 PROTOCOL_CONFIRMED = 13
-# The first version in which late entries leave the scheduling of groups to others.
-PROTOCOL_LATE = 13
 # The oldest version that this build supports.
 PROTOCOL_VERSION_MIN = 1
 
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -56,7 +56,6 @@
     configuration is the newest one, None if it never did.
 
     Units: milliseconds of the monotonic clock of the sender.
-    `is_late` tells that the entry leaves the scheduling of groups to others.
     """
 
     listing_revision: int
@@ -69,7 +68,6 @@
     listing_epoch: int = 0
     sent_ms: float = 0.0
     config_confirmed_ms: float | None = None
-    is_late: bool = False
 
 
 class EntryAddress(MessageBase):
