--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -52,6 +52,7 @@
 
 # Time between sweeps of connections and records.
 SWEEP_INTERVAL_S = 0.5
+MAX_ERROR_CHARS = 300
 # Time between checks whether the host was suspended.
 SUSPENSION_POLL_S = 0.25
 # Concurrent calls to the store.
@@ -295,23 +296,32 @@
         await forwarder.serve()
 
     async def _sweep(self) -> None:
+        """Sweep connections and records until cancelled, also after an error."""
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            known = self.state_.roster_.known_ids()
-            self.state_.pool_.close_idle(known)
-            self.state_.engines_.retain(known)
-            self.state_.cold_endpoints_.retain(known)
-            self.state_.endpoint_limits_.retain(known, self.state_.now())
-            self.state_.retain_usual_durations()
-            self.state_.endpoint_retry_after_.sweep(self.state_.now())
-            self.halls_.expire()
-            self.caller_server_.close_idle()
-            self.caller_server_.check_unsent()
-            self.state_.memory_.cut_off_stalled()
-            self.state_.memory_.export()
-            self.turn_probe_.export()
-            CALLER_CONNECTIONS.set(self.caller_server_.connection_count)
-            UNSENT_BYTES.set(self._unsent_bytes)
+            try:
+                self._sweep_once()
+            except Exception as error:
+                text = f"{type(error).__name__}: {error}"
+                self.log_.report(Event.SWEEP_FAILED, error=text[:MAX_ERROR_CHARS])
+
+    def _sweep_once(self) -> None:
+        """Drop what is over, and close connections that are no longer used."""
+        known = self.state_.roster_.known_ids()
+        self.state_.pool_.close_idle(known)
+        self.state_.engines_.retain(known)
+        self.state_.cold_endpoints_.retain(known)
+        self.state_.endpoint_limits_.retain(known, self.state_.now())
+        self.state_.retain_usual_durations()
+        self.state_.endpoint_retry_after_.sweep(self.state_.now())
+        self.halls_.expire()
+        self.caller_server_.close_idle()
+        self.caller_server_.check_unsent()
+        self.state_.memory_.cut_off_stalled()
+        self.state_.memory_.export()
+        self.turn_probe_.export()
+        CALLER_CONNECTIONS.set(self.caller_server_.connection_count)
+        UNSENT_BYTES.set(self._unsent_bytes)
 
     @property
     def _unsent_bytes(self) -> int:
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -51,6 +51,11 @@
         Severity.ERROR,
         "A step of a planned stop failed or was cancelled; the stop goes on.",
     )
+    SWEEP_FAILED = (
+        111,
+        Severity.ERROR,
+        "A sweep of connections and records failed; the next one follows.",
+    )
     PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
     PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
     PEER_REJECTED = (202, Severity.WARNING, "A peer failed its proof or version.")
