Let nothing in the last step of a stop cut off what is open, or hold it up

An error while the entry ceased to listen skipped the wait for what was read, and the process ended with a request at its endpoint.

--- a/packages/leadford-server/src/leadford_server/forwarding/_planned_stop.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_planned_stop.py
@@ -17,6 +17,7 @@
 
 # Time between checks for what is open.
 POLL_INTERVAL_S = 0.05
+MAX_ERROR_CHARS = 300
 # Requests still under way are ended this long before the end of a planned stop, so that
 # their answers can be written.
 FINAL_ANSWER_MARGIN_S = 0.4
@@ -51,6 +52,7 @@
         self.state.deadlines_.end_by(self.ends_at_ - FINAL_ANSWER_MARGIN_S)
         await self._complete(self._wait_until_idle())
         await self._complete(self.leave())
+        await self._complete(self._end_reading())
         await self._complete(self._answer_what_was_read())
         self._report(Event.PROCESS_STOPPED, live=self._live_count())
 
@@ -65,9 +67,7 @@
         if task.cancelled():
             self._report(Event.STOP_DISTURBED, error="a step was cancelled")
         elif task.exception() is not None:
-            error = task.exception()
-            text = f"{type(error).__name__}: {error}"
-            self._report(Event.STOP_DISTURBED, error=text[:300])
+            self._report_error(task.exception())
 
     async def _wait_until_idle(self) -> None:
         """Serve until nothing is under way and callers go elsewhere."""
@@ -76,16 +76,26 @@
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def _answer_what_was_read(self) -> None:
-        """Read no further request, and wait until what was read is answered."""
+    async def _end_reading(self) -> None:
+        """Accept what has connected, and read no request of others."""
         self.callers.end_reading()
         self._report(Event.STOP_DECIDED, is_idle=self._live_count() == 0)
+
+    async def _answer_what_was_read(self) -> None:
+        """Wait until what was read is answered, and nothing else is open."""
         while self.state.now() < self.ends_at_:
-            self.callers.close_unused()
+            self._close_unused()
             if not self.callers.open_count and not self._calls_count:
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    def _close_unused(self) -> None:
+        try:
+            self.callers.close_unused()
+        except Exception as error:
+            # The requests that are open are awaited all the same.
+            self._report_error(error)
+
     @property
     def _elapsed_s(self) -> float:
         return self.state.now() - self.began_at_
@@ -99,6 +109,10 @@
         """Return how many requests and calls for pieces of any entry are under way."""
         return self.callers.pending_count + self._calls_count
 
+    def _report_error(self, error: BaseException) -> None:
+        text = f"{type(error).__name__}: {error}"
+        self._report(Event.STOP_DISTURBED, error=text[:MAX_ERROR_CHARS])
+
     def _report(self, event: Event, **fields: object) -> None:
         """Log an event with what a stop at this moment would cut off."""
         self.state.log.report(
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_caller_server.py
@@ -177,15 +177,19 @@
     def end_reading(self) -> None:
         """Accept what has connected, and no further connection."""
         self.reading_ended_at_ = asyncio.get_running_loop().time()
-        self.listener_.accept_rest()
-        self.listener_.stop()
+        try:
+            self.listener_.accept_rest()
+        finally:
+            self.listener_.stop()
 
     def close_unused(self) -> None:
         """Close connections that bring no request, once no further ones are read."""
         now = asyncio.get_running_loop().time()
         waits_for_rest = now - self.reading_ended_at_ < PARTIAL_HEAD_TIME_S
         for caller in self._callers():
-            if caller.is_closed or caller.closes_soon_:
+            if caller.is_closed:
+                continue
+            if caller.closes_soon_ and (waits_for_rest or caller.stream.writing()):
                 continue
             if caller.is_unused or (caller.waits_for_head and not waits_for_rest):
                 caller.close(CloseCause.STOPPED)
