Ask the kernel what a caller has sent and read before it is cut off

Cause: progress was what the entry had received or handed to the kernel.

Change: before a caller counts as standing still, the entry looks whether the kernel has bytes from it, has sent on some of what it holds, or takes more.

--- a/packages/leadford-server/src/leadford_server/forwarding/_framing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_framing.py
@@ -4,7 +4,10 @@
 """
 
 import asyncio
+import fcntl
 import select
+import struct
+import termios
 
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection
@@ -97,11 +100,33 @@
 
 def is_readable(stream: IOStream) -> bool:
     """Return whether a connection has bytes, or its end, that were not received yet."""
+    return _polls(stream, select.POLLIN)
+
+
+def is_writable(stream: IOStream) -> bool:
+    """Return whether the kernel accepts more bytes to be sent."""
+    return _polls(stream, select.POLLOUT)
+
+
+def _polls(stream: IOStream, events: int) -> bool:
     poll = select.poll()
-    poll.register(stream.fileno(), select.POLLIN)
+    poll.register(stream.fileno(), events)
     return bool(poll.poll(0))
 
 
+def queued_bytes(stream: IOStream) -> int:
+    """Return how many bytes the kernel holds that the other side did not receive.
+
+    0 if the kernel does not tell.
+    """
+    count = bytearray(struct.calcsize("i"))
+    try:
+        fcntl.ioctl(stream.fileno(), termios.TIOCOUTQ, count)
+    except OSError:
+        return 0
+    return struct.unpack("i", count)[0]
+
+
 def has_partial_message(stream: IOStream) -> bool:
     """Return whether a part of a message was received that is not handled yet."""
     return stream._read_buffer_size > 0
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_callers.py
@@ -28,6 +28,7 @@
 from leadford_server.forwarding._framing import (
     announced_bytes,
     head_bytes,
+    is_readable,
     unsent_bytes,
     write_head,
 )
@@ -121,7 +122,9 @@
             self._refuse(admitted.failure(), sends_body="Expect" not in headers)
             return
         self.server.exchanges_.add(self)
-        self.held_body_ = memory.hold(HeldCause.REQUEST_BODY, self.cut_off)
+        self.held_body_ = memory.hold(
+            HeldCause.REQUEST_BODY, self.cut_off, self._refresh_body
+        )
         self.held_body_.set(body_bytes)
 
     def data_received(self, chunk: bytes) -> None:
@@ -285,6 +288,11 @@
         self._on_caller_disconnected()
         self.abort()
 
+    def _refresh_body(self) -> None:
+        """Record that more of the body has arrived, if it waits to be read."""
+        if not self.caller.is_closed and is_readable(self.caller.stream):
+            self.held_body_.record_progress()
+
     def _release_body(self) -> None:
         """Record that the body of the request is no longer held."""
         if self.held_body_ is not None:
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_unsent.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_unsent.py
@@ -9,7 +9,12 @@
 from tornado.iostream import IOStream
 
 from leadford.forwarding.memory import HeldCause
-from leadford_server.forwarding._framing import unsent_bytes_until, written_bytes
+from leadford_server.forwarding._framing import (
+    is_writable,
+    queued_bytes,
+    unsent_bytes_until,
+    written_bytes,
+)
 from leadford_server.forwarding._memory import HeldMemory
 
 # The least time that a caller has to read a complete answer, also if the answer was
@@ -44,6 +49,8 @@
         if due_at is not None:
             self.overdue_at_ = max(due_at, memory.now() + MIN_READ_TIME_S)
         self.written = written_bytes(stream)
+        # What the kernel held at the last look.
+        self.queued_ = 0
         self.held_ = memory.hold(HeldCause.UNSENT_ANSWER, cut_off, self.refresh)
         self.held_.set(self._unsent_bytes)
 
@@ -61,9 +68,17 @@
         if not unsent:
             self.held_.release()
             return
-        if unsent < self.held_.count:
+        is_being_read = self._is_being_read()
+        if is_being_read or unsent < self.held_.count:
             self.held_.record_progress()
-            self.held_.set(unsent)
+        self.held_.set(min(unsent, self.held_.count))
+
+    def _is_being_read(self) -> bool:
+        """Return whether the caller has read on, though no more could be sent yet."""
+        queued = queued_bytes(self.stream)
+        has_read = queued < self.queued_
+        self.queued_ = queued
+        return has_read or is_writable(self.stream)
 
     def check(self) -> bool:
         """Record how much was sent; return whether there is more to check."""
