--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_cuts.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_cuts.py
@@ -183,4 +183,6 @@
         if process.term_at is None:
             return False
         after_s = sent.ended_at - process.term_at
-        return after_s >= grace_s * (1.0 - GRACE_END_FRACTION)
+        is_early = sent.sent_at - process.term_at <= EARLY_REQUEST_S
+        is_late = after_s >= grace_s * (1.0 - GRACE_END_FRACTION)
+        return after_s >= grace_s or (is_early and is_late)
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
@@ -430,8 +430,9 @@
     [
         (Incarnation(ENTRY, 1, 0.0), True),
         (Incarnation(ENTRY, 1, 0.0, term_at=48.0), True),
-        # The last sixth of the grace period, a kill, and another build.
-        (Incarnation(ENTRY, 1, 0.0, term_at=43.4), False),
+        # Sent late in the grace period; its end, a kill, and another build.
+        (Incarnation(ENTRY, 1, 0.0, term_at=43.4), True),
+        (Incarnation(ENTRY, 1, 0.0, term_at=42.0), False),
         (Incarnation(ENTRY, 1, 0.0, was_killed=True), False),
         (Incarnation(ENTRY, 1, 0.0, is_older=True), False),
     ],
