Keep a cancellation that comes together with the answer waited for

Callers: a request whose caller left while it waited to be placed could go on to an endpoint and run for nobody; a follower that was told to end could go on.

Cause: in Python 3.11 asyncio.wait_for returns the result, and drops the cancellation, if what it waits for is done when the cancellation is delivered. The class is that of lost decisions to close (docs/incidents/unanswered-request.md).

On all eight waits go on (placing, resting follower, head and chunks of a peer, follower and model loader of the own interface, claim at another entry, handshake). None was seen in a run: found by reading, in the review of the incident.

A claim with no time left now begins and is abandoned at its first wait, where it was not begun before; it is taken up again as any other abandoned one.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_placing.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_placing.py
@@ -131,7 +131,8 @@
         answer = self.state.loop.create_future()
         self.answers_by_id_[ask_id] = answer
         try:
-            return await asyncio.wait_for(answer, PLACEMENT_TIMEOUT_S)
+            async with asyncio.timeout(PLACEMENT_TIMEOUT_S):
+                return await answer
         except TimeoutError:
             self._send_read(placer, ask_id)
             return None
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -176,7 +176,8 @@
             if left_s < MIN_REST_S or self.poll_requested_.is_set():
                 break
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.poll_requested_.wait(), left_s)
+                async with asyncio.timeout(left_s):
+                    await self.poll_requested_.wait()
         self.poll_requested_.clear()
 
     def mark_unconfirmed(self) -> None:
--- a/packages/leadford-server/src/leadford_server/peers/_handshake.py
+++ b/packages/leadford-server/src/leadford_server/peers/_handshake.py
@@ -39,7 +39,8 @@
 
 async def _receive(socket: Connection, kind: type) -> Result[Message, str]:
     try:
-        data = await asyncio.wait_for(socket.recv(), HANDSHAKE_TIMEOUT_S)
+        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+            data = await socket.recv()
     except (ConnectionClosed, TimeoutError) as error:
         return Failure(f"no {kind.__name__}: {type(error).__name__}")
     decoded = decode(data)
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_models.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_models.py
@@ -90,9 +90,8 @@
             self.sequence.wanted_copies_ != self.held_copies_ and self.sequence.fence_
         )
         try:
-            await asyncio.wait_for(
-                self.wake_.wait(), POLL_INTERVAL_S if has_unmet_plan else None
-            )
+            async with asyncio.timeout(POLL_INTERVAL_S if has_unmet_plan else None):
+                await self.wake_.wait()
         except TimeoutError:
             # No plan arrived: the caller checks again which order comes next.
             return
--- a/packages/leadford-server/src/leadford_server/pipelines/config/_follower.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/config/_follower.py
@@ -154,7 +154,8 @@
         self.wake_.clear()
         try:
             wait_s *= self.random.uniform(0.75, 1.25)
-            await asyncio.wait_for(self.wake_.wait(), wait_s)
+            async with asyncio.timeout(wait_s):
+                await self.wake_.wait()
         except TimeoutError:
             # No peer was lost: the caller goes on after the full pause.
             return
--- a/packages/leadford-server/src/leadford_server/pipelines/config/_source.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/config/_source.py
@@ -97,7 +97,8 @@
         self.head_answer_ = asyncio.get_running_loop().create_future()
         self.peer.send(HeadRequest(0))
         try:
-            answer = await asyncio.wait_for(self.head_answer_, PEER_HEAD_TIMEOUT_S)
+            async with asyncio.timeout(PEER_HEAD_TIMEOUT_S):
+                answer = await self.head_answer_
         except TimeoutError:
             return Failure("peer is silent")
         decoded = decode_head(answer.head)
@@ -114,7 +115,8 @@
         while not self.all_received_.is_set():
             received_count = len(self.data_by_key_)
             try:
-                await asyncio.wait_for(self.all_received_.wait(), PEER_CHUNKS_TIMEOUT_S)
+                async with asyncio.timeout(PEER_CHUNKS_TIMEOUT_S):
+                    await self.all_received_.wait()
             except TimeoutError:
                 # On a slow link chunks keep arriving; another request would add to the
                 # load of the link.
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_claims.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_claims.py
@@ -71,9 +71,8 @@
         if claim_id is None:
             claim_id = f"{self.random.getrandbits(64):x}"
         try:
-            verdict = await asyncio.wait_for(
-                self._claim(request_id, claim_id), max(0.0, remaining_s)
-            )
+            async with asyncio.timeout(max(0.0, remaining_s)):
+                verdict = await self._claim(request_id, claim_id)
         except TimeoutError:
             verdict = ClaimVerdict.STORE_UNAVAILABLE
         if verdict is ClaimVerdict.STORE_UNAVAILABLE:
@@ -101,7 +100,8 @@
         future = asyncio.get_running_loop().create_future()
         self.forwarded_by_id_[claim_id] = ForwardedClaim(peer, future)
         try:
-            return await asyncio.wait_for(future, FORWARD_S)
+            async with asyncio.timeout(FORWARD_S):
+                return await future
         except TimeoutError:
             return None
         finally:
