Say "not run" only, and always, of requests that did not run

Callers: a safe request that one endpoint failed (500) and the next one refused got 503, which says that nothing ran. A request that was cancelled while it waited for a connection got 502, though nothing had been sent.

Cause: whether a request may have run was kept for lost attempts only, not for those that were answered by an error; and a cancelled request was judged by the endpoints chosen for it, not by what was sent.

Evidence: test_a_request_that_failed_at_an_endpoint_is_not_said_not_to_have_run and test_a_request_that_is_cancelled_without_a_connection_is_refused_as_not_run; both fail on (503 and 502) and pass now. Found by reading.

Change: the end of an attempt says itself whether it may have run, so no reader of it has a list of its own; an attempt counts as sent from when its bytes are handed to the connection until its end is known. What decides on retries is unchanged.

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -79,6 +79,8 @@
         self.booked_s_: float | None = None
         self.input_remakes_ = 0
         self.may_have_run_ = False
+        # Whether the current attempt was sent, and nothing says that it did not run.
+        self.was_sent_ = False
         self.retry_reason_: RetryReason | None = None
         self.end_ = RequestEnd()
         # Written by the attempts.
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -136,8 +136,7 @@
         INTERRUPTED_TOTAL.inc()
         if self.exchange.is_over_:
             return
-        # The attempt that was cancelled may have reached its endpoint.
-        self.progress.may_have_run_ |= bool(self.progress.tried_endpoint_ids_)
+        self.progress.may_have_run_ |= self.progress.was_sent_
         self.answer.end(EndReason.INTERRUPTED, "cancelled")
 
     def _look_up(self) -> bool:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -179,7 +179,8 @@
         progress = self.progress
         match = progress.match_
         route = match.route
-        progress.may_have_run_ |= end is AttemptEnd.MAY_HAVE_RUN
+        progress.may_have_run_ |= end.may_have_run
+        progress.was_sent_ = False
         failed = FailedAttempt(
             end=end,
             may_have_run=progress.may_have_run_,
@@ -270,6 +271,7 @@
         outbound = self.state.codec.forward(request, self._call(record))
         self.inputs.release_soon(record)
         turns = self.state.loop_turns_
+        self.progress.was_sent_ = True
         async with EndpointTimeout(limit_at, turns, borrowed.mark):
             return await connection.begin(outbound, request.request_id)
 
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_plain.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_plain.py
@@ -80,6 +80,19 @@
     run_scenario(scenario)
 
 
+def test_a_request_that_failed_at_an_endpoint_is_not_said_not_to_have_run():
+    # The next endpoint refused it, and its caller got 503.
+    async def scenario(deployment):
+        first, second = deployment.plain
+        first.planned_misbehaviours_.append(Misbehaviour.FAIL)
+        second.planned_misbehaviours_.append(Misbehaviour.REFUSE)
+        answer = await deployment.send("/safe/x", request_id="r1", method="GET")
+        assert (first.arrivals_, second.arrivals_) == (1, 1)
+        assert answer.code == 502
+
+    run_scenario(scenario)
+
+
 def test_a_failure_of_an_endpoint_is_passed_on_with_its_signature():
     async def scenario(deployment):
         for endpoint in deployment.plain:
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_unanswered_requests.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_unanswered_requests.py
@@ -91,6 +91,27 @@
     run_scenario(scenario)
 
 
+def test_a_request_that_is_cancelled_without_a_connection_is_refused_as_not_run():
+    # It was said that it may have run.
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        waiting = asyncio.Event()
+
+        async def acquire(*args, **fields):
+            waiting.set()
+            await asyncio.sleep(60.0)
+
+        entry.state_.pool_.acquire = acquire
+        sent = asyncio.ensure_future(deployment.send("/unsafe/x", request_id="r"))
+        await waiting.wait()
+        (exchange,) = entry.caller_server_.exchanges_
+        exchange.task_.cancel()
+        assert (await sent).code == 503
+        assert runs_of(deployment.plain, "r") == []
+
+    run_scenario(scenario)
+
+
 def test_a_request_that_is_cancelled_before_its_first_step_is_refused_as_not_run():
     async def scenario(deployment):
         (entry,) = deployment.entries_
--- a/packages/leadford/src/leadford/forwarding/retries/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_decision.py
@@ -27,6 +27,11 @@
     MAY_HAVE_RUN = "may-have-run"
     ERROR_STATUS = "error-status"
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the endpoint may have begun to work on the attempt."""
+        return self in (AttemptEnd.MAY_HAVE_RUN, AttemptEnd.ERROR_STATUS)
+
 
 class RetryReason(Enum):
     """Name the rule that decided."""
@@ -93,7 +98,7 @@
     """
     if failed.is_quarantined:
         return RetryDecision(False, RetryReason.QUARANTINED)
-    has_run = failed.may_have_run or failed.end is AttemptEnd.ERROR_STATUS
+    has_run = failed.may_have_run or failed.end.may_have_run
     if has_run and not failed.is_repeatable:
         return RetryDecision(False, RetryReason.NOT_REPEATABLE)
     if failed.end is AttemptEnd.INPUTS_GONE and _may_remake_inputs(failed):
