Measure the error of a forecast against that forecast itself

Callers: in the seconds after a short delay, entries refused up to two thirds of the requests with stages (503), while those that they served took 0.2 to 0.4 s of a target of 1 s.

Cause: admission adds the average error of recent forecasts to each forecast. When an answer came, its error was the time it took, less (what was expected less the error known *now*). What was expected contained the error of the moment of admission. So each answer of a burst that was admitted before the first of it came back counted its own delay plus all that the others had just added: 30 answers 0.2 s late gave an error of 1.04 s, growing with their number up to the cap of 0.6 of the target. The class: a correction that is taken off at another moment than it was put on.

Change: the decision says which error its forecast contains, and exactly that is taken off. Event 406 has it as error_ms; without it a refusal did not tell a backlog from a learned error.

Evidence: test_answers_that_are_late_together_do_not_raise_the_error_above_their_delay (1.04 s before with 0.2 s of delay, under 0.2 s now).

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -68,6 +68,8 @@
         self.prompt_keys_ = PromptKeys(NO_DIGEST)
         self.deadline_ = 0.0
         self.expected_s_ = 0.0
+        # The forecast error that the expected response time includes, in seconds.
+        self.error_s_ = 0.0
         self.since_first_try_s_ = 0.0
         self.is_late_ = False
         # The priority level that admission used, and the service that lacked capacity.
@@ -220,6 +222,7 @@
         detail=end.detail[:MAX_DETAIL_CHARACTERS],
         closed_by=closed_by,
         expected_ms=round(expected_s * 1_000.0),
+        error_ms=round(progress.error_s_ * 1_000.0),
         caller_ms=request.deadline_ms or 0.0,
         **_booking_fields(progress),
         pause_ms=round(progress.longest_pause_s_ * 1_000.0),
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
@@ -76,8 +76,9 @@
         if self.state.loop_turns_.measured_s(progress.mark, now) is None:
             return
         actual_s = now - progress.request.received_at
+        uncorrected_s = progress.expected_s_ - progress.error_s_
         self.admission.record_response_time(
-            progress.match_.route, progress.expected_s_, actual_s, now
+            progress.match_.route, uncorrected_s, actual_s, now
         )
 
     async def write(self, data: bytes) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -294,6 +294,7 @@
         progress.level_ = decision.level
         progress.short_service_id_ = decision.short_service_id
         progress.expected_s_ = decision.expected_s
+        progress.error_s_ = decision.error_s
         progress.since_first_try_s_ = decision.since_first_try_s
         progress.is_late_ = decision.is_late
 
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -110,6 +110,7 @@
         decision = AdmissionDecision(
             Verdict.ADMIT,
             expected_s,
+            error_s,
             is_caller_retry=is_caller_retry,
             since_first_try_s=since_first_try_s,
             is_late=is_late,
@@ -226,11 +227,15 @@
         )
 
     def record_response_time(
-        self, route: Route, expected_s: float, actual_s: float, now: float
+        self, route: Route, uncorrected_s: float, actual_s: float, now: float
     ) -> None:
-        """Update the forecast error of a route from an actual response time."""
+        """Update the forecast error of a route from an actual response time.
+
+        Units: uncorrected_s is the forecast in seconds, as it was without a correction;
+        the error known now may be another one.
+        """
         known = self._forecast_error(route)
-        error_s = actual_s - (expected_s - known.value_s(now))
+        error_s = actual_s - uncorrected_s
         aim_s = route.aim_ms / 1_000.0
         known.update(min(max(error_s, 0.0), MAX_ERROR_FRACTION * aim_s), now)
 
--- a/packages/leadford/src/leadford/forwarding/admission/_request.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_request.py
@@ -76,12 +76,14 @@
     that is delayed too long, None if no stage is. `level` is the level of the request
     there, otherwise the lowest at its stages.
 
-    Units: seconds; expected_s counts from when the caller sent the request,
-    since_first_try_s is the time between the first try and this one.
+    Units: seconds; expected_s counts from when the caller sent the request, and
+    includes error_s, the forecast error by which it was corrected. since_first_try_s is
+    the time between the first try and this one.
     """
 
     verdict: Verdict
     expected_s: float
+    error_s: float = 0.0
     retry_after_s: float = 0.0
     is_caller_retry: bool = False
     since_first_try_s: float = 0.0
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
@@ -222,6 +222,18 @@
     assert fixture.decide().expected_s <= 0.34 + 0.6 * 2.0 + 0.01
 
 
+def test_answers_that_are_late_together_do_not_raise_the_error_above_their_delay():
+    # Each answer was measured against an error that grew after its forecast was made.
+    fixture = Fixture()
+    decisions = [fixture.decide(fingerprint=f"f{number}") for number in range(30)]
+    for decision in decisions:
+        uncorrected_s = decision.expected_s - decision.error_s
+        fixture.admission.record_response_time(
+            ROUTE, uncorrected_s, decision.expected_s + 0.2, 0.0
+        )
+    assert fixture.decide(fingerprint="next").error_s <= 0.2
+
+
 def test_a_forecast_error_that_refuses_all_requests_fades():
     # Nothing is admitted meanwhile, so nothing would show that answers are fast again.
     fixture = Fixture()
