Claim nothing without time, and take up a cancelled claim again

Callers (own interface): a request that came with no time left was refused as not run, and yet claimed; sent again through another entry it was told that it may have run. The same after a run that was cancelled within its claim, though no code cancels one there.

Cause: let a claim run up to its first wait also where no time is left, as asyncio.timeout does and asyncio.wait_for does not. And only a claim that ran out of time was kept for taking up, not one that was cancelled.

Change: without time the store is said to be unavailable at once, as before; a claim that is cancelled is kept like one that ran out of time.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_claims.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_claims.py
@@ -66,21 +66,29 @@
 
     async def claim(self, request_id: RequestId, remaining_s: float) -> ClaimVerdict:
         """Return whether this call alone holds the request."""
+        if remaining_s <= 0.0:
+            return ClaimVerdict.STORE_UNAVAILABLE
         # A claim that was given up before any dispatch may be taken up again.
         claim_id = self.abandoned_by_request_.pop(request_id, None)
         if claim_id is None:
             claim_id = f"{self.random.getrandbits(64):x}"
         try:
-            async with asyncio.timeout(max(0.0, remaining_s)):
+            async with asyncio.timeout(remaining_s):
                 verdict = await self._claim(request_id, claim_id)
         except TimeoutError:
             verdict = ClaimVerdict.STORE_UNAVAILABLE
+        except asyncio.CancelledError:
+            self._record_abandoned(request_id, claim_id)
+            raise
         if verdict is ClaimVerdict.STORE_UNAVAILABLE:
-            self.abandoned_by_request_[request_id] = claim_id
-            if len(self.abandoned_by_request_) > ABANDONED_KEPT:
-                self.abandoned_by_request_.popitem(last=False)
+            self._record_abandoned(request_id, claim_id)
         return verdict
 
+    def _record_abandoned(self, request_id: RequestId, claim_id: str) -> None:
+        self.abandoned_by_request_[request_id] = claim_id
+        if len(self.abandoned_by_request_) > ABANDONED_KEPT:
+            self.abandoned_by_request_.popitem(last=False)
+
     async def _claim(self, request_id: RequestId, claim_id: str) -> ClaimVerdict:
         shard = shard_of(request_id, self.config_.tuning.claim_shards)
         owner = self.entries.owner(shard)
