Pass on the wake-up of a request that is cancelled as it is woken

Callers: a request that waited for a connection to an endpoint could go on waiting beside a free one, in the worst case until its deadline (504).

Cause: a connection that becomes free wakes one waiting request. If that one was cancelled in the same turn (its caller left, or its time was over), it took the wake-up with it. The class is that of: two things in one turn of the loop, and one of them is lost. Busy entries have longer turns.

Found by reading, in a review; not seen in a run.

Change: a woken request that is cancelled wakes the next.

--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
@@ -99,7 +99,13 @@
                 return await self._open(connections)
             waiter = self.loop.create_future()
             connections.waiters_.append(waiter)
-            await waiter
+            try:
+                await waiter
+            except asyncio.CancelledError:
+                if not waiter.cancelled():
+                    # It was woken in the same turn: the next one may go on instead.
+                    self._wake(connections)
+                raise
 
     def _take_idle(
         self,
