Refuse what a planned stop cuts off unsent as not run

Callers: a request that waited for a connection, or whose only endpoint had refused it, got 504 without Retry-After as the stop of its entry cut it off, though nothing ran.

Cause: what a stop cuts off was judged by the endpoints chosen for it, as cancelled requests were before.

Evidence: test_a_request_cut_by_a_stop_without_a_connection_is_refused_as_not_run, 504 on, 503 now. Found by reading, in a review.

Change: judged by what was sent and how that ended.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -226,7 +226,8 @@
         is_late = self.attempts.is_out_of_time()
         if (
             is_late
-            or self.progress.tried_endpoint_ids_
+            or self.progress.may_have_run_
+            or self.progress.was_sent_
             or self.state.stop_began_at_ is None
         ):
             self.answer.end(EndReason.OUT_OF_TIME, "out of time")
