Do not wait for the body of a refusal for longer than 0.25 s

Callers: a request that an endpoint refused by a head whose body stayed out waited until its deadline (504) though another endpoint stood by; cancelled meanwhile, it was said that it may have run.

Cause: the body of a refusal is read only to use the connection again, and nothing bounded that; nor did the head take back that the request was sent.

Evidence: test_a_refusal_whose_body_stays_out_is_tried_at_another_endpoint (504 after 3 s on, 200 now) and test_a_request_cancelled_within_a_refusal_is_refused_as_not_run (502, 503 now).

Change: after 0.25 s, longer by what the entry's own loop delays, the connection is closed and the next endpoint tried. A refusal whose body comes later costs a connection.

--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -46,6 +46,8 @@
 
 # Length to which the failure detail in the log line of a retry is cut.
 MAX_LOGGED_DETAIL_CHARS = 120
+# Time for the body of a refusal, after which its connection is closed.
+REFUSAL_BODY_MAX_S = 0.25
 # An endpoint is never sent a remaining time of 0 or less.
 MIN_REMAINING_MS = 1.0
 
@@ -306,9 +308,14 @@
             raise ExchangeBroken(BreakKind.INVALID_ANSWER, head.fault)
         if head.not_run is None:
             return
+        self.progress.was_sent_ = False
+        turns = self.state.loop_turns_
+        mark = turns.mark(self.state.now())
+        limit_at = self.state.now() + REFUSAL_BODY_MAX_S
         try:
-            await attempt.answer.wait_until_complete()
-        except ExchangeBroken:
+            async with EndpointTimeout(limit_at, turns, mark):
+                await attempt.answer.wait_until_complete()
+        except (ExchangeBroken, TimeoutError):
             # The head says that the request did not run; the body is not needed.
             pass
         finally:
