Learn no error of forecasts from the time of failed attempts

Callers: while an endpoint was silent, requests with stages could be refused for as long as admission added the time that its attempts had taken to the forecasts of others.

Cause: an answer that came after a failed attempt was counted as if its queues had taken all that time.

Evidence: test_the_time_lost_at_an_engine_that_fails_is_no_error_of_the_forecast: one request whose first engine hangs raises the error from 0 to 0.2 s on; it stays 0 now.

Change: only answers of first attempts count. An endpoint that is slow without failing still does.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_answer.py
@@ -73,6 +73,9 @@
         progress = self.progress
         if progress.expected_s_ <= 0.0 or progress.is_late_:
             return
+        if progress.retry_reason_ is not None:
+            # The time of a failed attempt says nothing of the queues.
+            return
         if self.state.loop_turns_.measured_s(progress.mark, now) is None:
             return
         actual_s = now - progress.request.received_at
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_streams.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_streams.py
@@ -43,6 +43,27 @@
     run_scenario(scenario)
 
 
+def test_the_time_lost_at_an_engine_that_fails_is_no_error_of_the_forecast():
+    # Requests were refused for as long as the failed engine had taken.
+    async def scenario(deployment):
+        await deployment.send("/resumed/x", request_id="r0")
+        admission = deployment.entries_[0].admission_
+
+        def errors_s():
+            errors = admission.error_by_route_.values()
+            return [error.average_s_.value_ for error in errors]
+
+        before_s = errors_s()
+        used, _ = sorted(deployment.engines, key=lambda e: -len(e.runs_))
+        used.planned_misbehaviours_.append(Misbehaviour.HANG)
+        answer = await deployment.send("/resumed/x", request_id="r1")
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+        assert len(before_s) == 1
+        assert errors_s() == before_s
+
+    run_scenario(scenario)
+
+
 def test_a_stream_that_breaks_at_every_engine_never_looks_complete():
     async def scenario(deployment):
         for engine in deployment.engines:
