Take back only what a refused attempt may have started, not its hedge's

Callers (own interface): of a stage with `effect`, `repeatable` and `hedge` one attempt was lost or failed, which may have begun, and the other one was refused. The answer was not-run with Retry-After, and the entry would run the same key again. So an effect that may have happened was repeated by whoever believed it.

Cause: whether an effect may have started was one flag of the whole request. A refusal put it back to what it was before the first of the two attempts was sent, and with that took back what the other attempt may have started, in either order. The class: a proof about one attempt that changes what is known of others.

Change: the execution keeps the numbers of the attempts that may have started an effect, and a refused attempt takes back its own. The same holds for an attempt that could not be sent, whose caller restored the flag itself, and for a hedge that could not be sent. No caller hands the earlier state along any more. What another process began stays unproved for good, as before.

Why this works: not-run is said only while no attempt is left in the set; one leaves it only by its own refusal, or as its message was not queued. An attempt that is cancelled, overtaken, lost or not held stays in it, over all stages.

Tests that call record_possible_send and record_not_started name the attempt; what they assert is unchanged.

Found by reading, in a review.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
@@ -111,15 +111,13 @@
         link = self.sender.choose()
         if link is None:
             return make_failure(FailureKind.NOT_SENT, RefusalReason.NO_ENDPOINT)
-        before = self.live.execution.effect_may_have_started_
         if not self.sender.send(link):
-            self.live.execution.effect_may_have_started_ = before
             return make_failure(
                 FailureKind.NOT_SENT,
                 RefusalReason.ENDPOINT_LOST,
                 link.view.endpoint_id,
             )
-        return await self._wait(self.sender.hedge_delay_ms(link), before)
+        return await self._wait(self.sender.hedge_delay_ms(link))
 
     async def take_over(self, note: Note) -> AttemptFailure | None:
         """Wait for an attempt that another process began."""
@@ -154,7 +152,7 @@
                 self.live.execution.workspace,
             )
         )
-        return await self._wait(None, effect_before=True)
+        return await self._wait(None)
 
     async def _reach(self, link: EndpointLink) -> bool:
         while link.peer is None:
@@ -163,9 +161,7 @@
             await asyncio.sleep(REACH_S)
         return True
 
-    async def _wait(
-        self, hedge_ms: float | None, effect_before: bool
-    ) -> AttemptFailure | None:
+    async def _wait(self, hedge_ms: float | None) -> AttemptFailure | None:
         """Wait until one attempt succeeds, all have failed, or time is up."""
         clock = self.live.services.clock
         hedge_at = clock() + hedge_ms / 1000.0 if hedge_ms is not None else None
@@ -191,7 +187,7 @@
                 continue
             if self.cancel_asked_ and self.live.execution.stage.repeatable:
                 return make_failure(FailureKind.FAILED, RefusalReason.CANCELLED)
-            settled = self.settler.take(message, effect_before)
+            settled = self.settler.take(message)
             if settled is None:
                 continue
             if settled.failure is None or not self.live.execution.live_by_number_:
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_sending.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_sending.py
@@ -103,14 +103,14 @@
             execution.end_attempt(attempt)
             return False
         self.live.links_by_number_[attempt.number] = link
-        execution.record_possible_send()
+        execution.record_possible_send(attempt)
         streams = bool(stage.expected_tokens) and execution.is_final_stage
         if execution.is_final_stage:
             self.tokens.answer_.locator_ = f"{endpoint_id}/{attempt.number}"
             self.live.services.entries.publish(self._note(attempt, streams))
         sent = peer.send(self._submission(attempt, streams, execution.budget(now)))
         if not sent:
-            execution.end_attempt(attempt)
+            execution.record_not_started(attempt)
             return False
         link.view.record_sent(stage.expected_tokens)
         link.view.prefixes_.record_cached(self.live.body.prefix, now)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
@@ -35,13 +35,13 @@
         self.live = live
         self.tokens = tokens
 
-    def take(self, message: Delivery, effect_before: bool) -> Settled | None:
+    def take(self, message: Delivery) -> Settled | None:
         """Return what a delivery means for its attempt; None where it ended none."""
         match message:
             case Done():
                 return self._on_done(message)
             case Refused():
-                return self._on_refused(message, effect_before)
+                return self._on_refused(message)
             case AnswerDiverged():
                 return self._on_diverged(message)
             case PeerLost():
@@ -132,7 +132,7 @@
             elapsed_ms = (begun_at - attempt.sent_at) * 1000.0
             self.live.services.hedge_policy(done.stage).record(elapsed_ms)
 
-    def _on_refused(self, refused: Refused, effect_before: bool) -> Settled | None:
+    def _on_refused(self, refused: Refused) -> Settled | None:
         matched = self.live.execution.match(refused.stage, refused.attempt)
         attempt = matched.value_or(None)
         if attempt is None:
@@ -146,7 +146,7 @@
             self.live.execution.end_attempt(attempt)
             kind = FailureKind.LOST
         else:
-            self.live.execution.record_not_started(attempt, effect_before)
+            self.live.execution.record_not_started(attempt)
             kind = FailureKind.REFUSED
         reason = reason_of(refused.reason)
         self.live.trail.add(
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_broken_runs.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_broken_runs.py
@@ -65,8 +65,8 @@
 
 
 def begin_attempt(attempts):
-    attempts.live.execution.begin("endpoint", 0.0)
-    attempts.live.execution.record_possible_send()
+    attempt = attempts.live.execution.begin("endpoint", 0.0)
+    attempts.live.execution.record_possible_send(attempt)
 
 
 def wait_in_attempts(monkeypatch, *, begins):
--- a/packages/leadford/src/leadford/pipelines/execution/_request.py
+++ b/packages/leadford/src/leadford/pipelines/execution/_request.py
@@ -90,7 +90,9 @@
         self.sequences_by_number_: dict[AttemptNumber, int] = {}
         self.model_version_ = ""
         self.diverged_ = False
-        self.effect_may_have_started_ = False
+        # Attempts that may have started an effect.
+        self.effect_numbers_: set[AttemptNumber] = set()
+        self.is_begun_elsewhere_ = False
 
     @property
     def stage(self) -> StageConfig:
@@ -137,18 +139,18 @@
         self.attempts_made_ = number
         attempt = Attempt(StageId(stage), AttemptNumber(number), endpoint_id, 0.0)
         self.live_by_number_[attempt.number] = attempt
-        self.record_possible_send()
+        self.is_begun_elsewhere_ = True
         return attempt
 
-    def record_possible_send(self) -> None:
-        """Record that a byte of the current stage may have been sent."""
+    def record_possible_send(self, attempt: Attempt) -> None:
+        """Record that a byte of an attempt of the current stage may have been sent."""
         if self.stage.effect or not self.stage.repeatable:
-            self.effect_may_have_started_ = True
+            self.effect_numbers_.add(attempt.number)
 
-    def record_not_started(self, attempt: Attempt, effect_before: bool) -> None:
-        """End a refused attempt and restore the earlier `effect_may_have_started_`."""
+    def record_not_started(self, attempt: Attempt) -> None:
+        """End an attempt that started nothing; what others may have started stays."""
         self.end_attempt(attempt)
-        self.effect_may_have_started_ = effect_before
+        self.effect_numbers_.discard(attempt.number)
 
     def end_attempt(self, attempt: Attempt) -> None:
         """Mark an attempt as ended, so that its answers are no longer accepted."""
@@ -232,6 +234,6 @@
 
         `shown` says that the caller has received a part of the answer.
         """
-        if self.effect_may_have_started_ or shown:
+        if self.effect_numbers_ or self.is_begun_elsewhere_ or shown:
             return Outcome.UNKNOWN
         return Outcome.NOT_RUN
--- a/packages/leadford/src/leadford/pipelines/execution/tests/test_request.py
+++ b/packages/leadford/src/leadford/pipelines/execution/tests/test_request.py
@@ -99,20 +99,39 @@
     execution = make_execution(stage)
     assert execution.failure_outcome(shown=False) is Outcome.NOT_RUN
     attempt = execution.begin(A, 0.0)
-    execution.record_possible_send()
+    execution.record_possible_send(attempt)
     assert execution.failure_outcome(shown=False) is outcome
-    execution.record_not_started(attempt, effect_before=False)
+    execution.record_not_started(attempt)
     assert execution.failure_outcome(shown=False) is Outcome.NOT_RUN
 
 
 def test_an_earlier_effect_is_not_forgotten_by_a_later_refusal():
     effect = StageConfig(name="one", pool="p", repeatable=False, effect=True)
     execution = make_execution(effect, StageConfig(name="two", pool="p"))
-    execution.begin(A, 0.0)
-    execution.record_possible_send()
+    execution.record_possible_send(execution.begin(A, 0.0))
     execution.advance(b"1")
-    attempt = execution.begin(B, 0.0)
-    execution.record_not_started(attempt, execution.effect_may_have_started_)
+    execution.record_not_started(execution.begin(B, 0.0))
+    assert execution.failure_outcome(shown=False) is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize("refused_number", [1, 2])
+def test_a_refusal_takes_back_only_what_its_own_attempt_may_have_started(
+    refused_number,
+):
+    execution = make_execution(StageConfig(name="s", pool="p", effect=True))
+    attempts = [execution.begin(A, 0.0), execution.begin(B, 0.0)]
+    for attempt in attempts:
+        execution.record_possible_send(attempt)
+    execution.record_not_started(attempts.pop(refused_number - 1))
+    assert execution.failure_outcome(shown=False) is Outcome.UNKNOWN
+    execution.record_not_started(attempts.pop())
+    assert execution.failure_outcome(shown=False) is Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize("effect", [True, False])
+def test_a_refusal_proves_nothing_of_what_another_process_began(effect):
+    execution = make_execution(StageConfig(name="s", pool="p", effect=effect))
+    execution.record_not_started(execution.register_attempt("s", 2, A))
     assert execution.failure_outcome(shown=False) is Outcome.UNKNOWN
 
 
