Make the attempts that agents are tested with in one place

Cause: three test modules of the agent each wrote out the whole message that asks for an attempt; two were the same to the letter, the third differed in its stage and in whether it may be repeated. Change: `attempt_submit.make_submit` takes the three fields that differ; fields that had their default value are left out. Evidence: the ids that pytest collects are the same (2016 under packages); the 13 tests of the folder pass.

--- a/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_broken_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_broken_attempts.py
@@ -7,8 +7,9 @@
 
 from leadford.common import PoolKind
 from leadford.pipelines.config import FleetConfig, PoolConfig
-from leadford.protocol import Done, DoneStatus, Submit
+from leadford.protocol import Done, DoneStatus
 from leadford_server.pipelines.agent._service import AgentService
+from leadford_server.pipelines.agent.tests.attempt_submit import make_submit
 
 TIMEOUT_S = 5.0
 POOL = PoolConfig(kind=PoolKind.ENGINE, concurrency=1)
@@ -41,28 +42,6 @@
     return service, peer
 
 
-def submit(attempt):
-    return Submit(
-        request_id="r",
-        stage="generate",
-        attempt=attempt,
-        pipeline="line",
-        workspace="w",
-        priority=4,
-        remaining_ms=9e3,
-        repeatable=True,
-        stream=False,
-        credit=64,
-        body=b"{}",
-        previous=b"null",
-        expected_tokens=0,
-        prefix="",
-        final=True,
-        tail_ms=0.0,
-        model="",
-    )
-
-
 class BrokenAdapter:
     """Raise an error in each call, or wait to be cancelled."""
 
@@ -87,7 +66,7 @@
     async def scenario():
         service, peer = make_service(BrokenAdapter(raises=moment == "raises"))
         for number in (1, 2):
-            service.peer_message(peer, submit(number))
+            service.peer_message(peer, make_submit(attempt=number))
             if moment == "cancelled":
                 await asyncio.sleep(0.01)
             if moment != "raises":
@@ -106,8 +85,8 @@
 
     async def scenario():
         service, peer = make_service(BrokenAdapter(raises=False))
-        service.peer_message(peer, submit(1))
-        service.peer_message(peer, submit(2))
+        service.peer_message(peer, make_submit(attempt=1))
+        service.peer_message(peer, make_submit(attempt=2))
         first, second = service.state_.attempts_by_key_.values()
         service.stop()
         first.task_.cancel()
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_malformed_streams.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_malformed_streams.py
@@ -5,35 +5,14 @@
 
 import pytest
 
-from leadford.protocol import DoneStatus, Submit
+from leadford.protocol import DoneStatus
 from leadford_server.pipelines.agent.adapters import EngineAdapter
+from leadford_server.pipelines.agent.tests.attempt_submit import make_submit
 
 TIMEOUT_S = 5.0
 ENDED = b'{"choices": [{"text": "a", "finish_reason": "stop"}], "usage": %s}'
 
 
-def submit(attempt):
-    return Submit(
-        request_id="r",
-        stage="generate",
-        attempt=attempt,
-        pipeline="line",
-        workspace="w",
-        priority=4,
-        remaining_ms=9e3,
-        repeatable=True,
-        stream=False,
-        credit=64,
-        body=b"{}",
-        previous=b"null",
-        expected_tokens=0,
-        prefix="",
-        final=True,
-        tail_ms=0.0,
-        model="",
-    )
-
-
 def outcome_of(monkeypatch, event):
     """Return how a call ends whose stream has one event."""
 
@@ -43,7 +22,7 @@
 
     monkeypatch.setattr("leadford_server.pipelines.agent.adapters._engine.fetch", fetch)
     adapter = EngineAdapter(url="http://engine", path="", http=None)
-    call = adapter.run(submit(1), TIMEOUT_S, lambda texts, model: None)
+    call = adapter.run(make_submit(), TIMEOUT_S, lambda texts, model: None)
     return asyncio.run(call)
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_planned_stops.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_planned_stops.py
@@ -5,10 +5,11 @@
 
 from leadford.common import PoolKind
 from leadford.pipelines.config import EndpointConfig, FleetConfig, PoolConfig
-from leadford.protocol import Draining, Refused, Submit
+from leadford.protocol import Draining, Refused
 from leadford_server.logs import EventLog
 from leadford_server.peers import Dialer, Identity
 from leadford_server.pipelines.agent import AgentProcess
+from leadford_server.pipelines.agent.tests.attempt_submit import make_submit
 from leadford_server.settings import AgentSettings, SocketAddress
 
 TIMEOUT_S = 10.0
@@ -46,31 +47,12 @@
     def peer_message(self, peer, message):
         if isinstance(message, Draining):
             loop = asyncio.get_running_loop()
-            loop.call_later(CROSSING_S, peer.send, submit())
+            submit = make_submit(stage="check", repeatable=False)
+            loop.call_later(CROSSING_S, peer.send, submit)
         if isinstance(message, Refused):
             self.refused.set_result(message)
 
 
-def submit():
-    return Submit(
-        request_id="r",
-        stage="check",
-        attempt=1,
-        pipeline="line",
-        workspace="w",
-        priority=4,
-        remaining_ms=9e3,
-        repeatable=False,
-        stream=False,
-        credit=64,
-        body=b"{}",
-        previous=b"null",
-        expected_tokens=0,
-        final=True,
-        tail_ms=0.0,
-    )
-
-
 def test_an_attempt_that_crosses_a_stop_is_refused_and_not_lost():
     """An attempt that may not be repeated counts as lost, though it never began."""
 
