Make the entry of the own interface that tests look into in one place

Cause: two test modules wrote out the same settings to construct an entry process. Change: `entry_process.make_entry_process`.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_broken_runs.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_broken_runs.py
@@ -1,7 +1,6 @@
 """Runs that end by an error or are cancelled though their caller waits."""
 
 import asyncio
-from random import Random
 
 import pytest
 
@@ -13,16 +12,14 @@
     StageConfig,
 )
 from leadford.protocol import Note
-from leadford_server.pipelines.entry import EntryProcess
 from leadford_server.pipelines.entry._admitting import NewRequest
 from leadford_server.pipelines.entry._answers import AnswerReader
 from leadford_server.pipelines.entry._attempts import StageAttempts
 from leadford_server.pipelines.entry._body import RequestBody
-from leadford_server.settings import EntrySettings, SocketAddress
+from leadford_server.pipelines.entry.tests.entry_process import make_entry_process
 
 TIMEOUT_S = 5.0
 ID = RequestId("r")
-LOCAL = SocketAddress("127.0.0.1", 0)
 CONFIRM = StageConfig(name="confirm", pool="p", repeatable=False, effect=True)
 CONFIG = FleetConfig(
     pools={"p": PoolConfig(kind=PoolKind.SERVICE)},
@@ -32,16 +29,7 @@
 
 
 def make_table():
-    settings = EntrySettings(
-        entry_id="e",
-        host_id="h",
-        hall="h",
-        http=LOCAL,
-        peer=LOCAL,
-        store="http://127.0.0.1:9",
-        secret=b"secret",
-    )
-    table = EntryProcess(settings=settings, rng=Random(1)).table_
+    table = make_entry_process().table_
     table.services.config_ = CONFIG
     table.services.admission_.decide = lambda *args, **terms: ADMITTED
     return table
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_planned_stops.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_planned_stops.py
@@ -3,7 +3,6 @@
 import asyncio
 import hashlib
 import socket
-from random import Random
 
 import pytest
 
@@ -16,11 +15,11 @@
     WorkspaceConfig,
 )
 from leadford.pipelines.execution import RequestExecution
-from leadford_server.pipelines.entry import EntryProcess, _process
+from leadford_server.pipelines.entry import _process
 from leadford_server.pipelines.entry._answers import Answer
 from leadford_server.pipelines.entry._body import RequestBody
 from leadford_server.pipelines.entry._run import RequestRun
-from leadford_server.settings import EntrySettings, SocketAddress
+from leadford_server.pipelines.entry.tests.entry_process import make_entry_process
 
 TIMEOUT_S = 20.0
 # Past the announcement of a stop, so that only open requests hold it.
@@ -31,7 +30,6 @@
 RECEIVE_BUFFER_BYTES = 4096
 KEY = "key"
 KEY_HASH = hashlib.sha256(KEY.encode()).hexdigest()
-LOCAL = SocketAddress("127.0.0.1", 0)
 PIPELINE = PipelineConfig(stages=(StageConfig(name="check", pool="p"),))
 CONFIG = FleetConfig(
     workspaces={"w": WorkspaceConfig(key_hashes=(KEY_HASH,))},
@@ -50,16 +48,7 @@
     """Hold an entry whose reads and statements wait until they are released."""
 
     def __init__(self):
-        settings = EntrySettings(
-            entry_id="e",
-            host_id="h",
-            hall="h",
-            http=LOCAL,
-            peer=LOCAL,
-            store="http://127.0.0.1:9",
-            secret=b"secret",
-        )
-        self.process = EntryProcess(settings=settings, rng=Random(1))
+        self.process = make_entry_process()
         self.released = asyncio.Event()
 
     async def start(self):
