Do not hand an engine's adapter a path that it does not use

Cause: the constructor of `EngineAdapter` took `path` only to look like that of `JsonAdapter`; constructors store what they are given, and this one dropped it. Change: only `from_config`, whose signature all adapters share, takes `path`, and says that an engine has no use for it, as queues do for terms that play no part. Ruled out: one shared `from_config`; the adapters have different constructors. Evidence: `make lint`; the 13 tests of pipelines/agent/tests pass. A test constructs the adapter without the path; its assertions are the same.

--- a/packages/leadford-server/src/leadford_server/pipelines/agent/adapters/_engine.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/adapters/_engine.py
@@ -117,7 +117,7 @@
 class EngineAdapter:
     """Call a model engine: the OpenAI completion API with streaming and resume."""
 
-    def __init__(self, *, url: str, path: str, http: AsyncHTTPClient) -> None:
+    def __init__(self, *, url: str, http: AsyncHTTPClient) -> None:
         self.url = url
         self.http = http
 
@@ -125,8 +125,8 @@
     def from_config(
         cls, *, url: str, path: str, http: AsyncHTTPClient
     ) -> "EngineAdapter":
-        """Build an adapter for an endpoint."""
-        return cls(url=url, path=path, http=http)
+        """Build an adapter; the API fixes its paths, so `path` plays no part."""
+        return cls(url=url, http=http)
 
     async def run(
         self, submit: Submit, timeout_s: float, sink: TokenSink
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_malformed_streams.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_malformed_streams.py
@@ -21,7 +21,7 @@
         return SimpleNamespace(code=200, error=None)
 
     monkeypatch.setattr("leadford_server.pipelines.agent.adapters._engine.fetch", fetch)
-    adapter = EngineAdapter(url="http://engine", path="", http=None)
+    adapter = EngineAdapter(url="http://engine", http=None)
     call = adapter.run(make_submit(), TIMEOUT_S, lambda texts, model: None)
     return asyncio.run(call)
 
