Say in the constructor of the peer of test_news what it knows

Cause: tests made a peer and then set its protocol version and its configuration version one by one, twice in the same four lines; a listed endpoint took nine lines of one test. Change: `Peer` takes both as keyword arguments with the defaults that it had; the endpoint is a constant beside the others.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_news.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_news.py
@@ -34,6 +34,15 @@
 OWN_VERSION = 3
 NEWER_VERSION = 4
 NEWER = ForwardConfig(NEWER_VERSION, (), {}, TrafficLimits())
+ENDPOINT = ListedEndpoint(
+    endpoint_id=EndpointId("e1"),
+    service_id=ServiceId("s"),
+    address=EndpointAddress("10.0.0.1:80"),
+    hall=HallId("h"),
+    state=ListedState.READY,
+    slots=4,
+    revision=9,
+)
 
 
 class Clock:
@@ -47,11 +56,13 @@
 
 
 class Peer:
-    """Stand in for a peer with a newer version, and record what it is asked."""
+    """Stand in for a peer, by default with a newer version; record what it is asked."""
 
-    def __init__(self, number):
-        self.info = SimpleNamespace(peer_id=f"entry-{number}", protocol_version=2)
-        self.peer_config_version_ = NEWER_VERSION
+    def __init__(self, number, *, protocol_version=2, config_version=NEWER_VERSION):
+        self.info = SimpleNamespace(
+            peer_id=f"entry-{number}", protocol_version=protocol_version
+        )
+        self.peer_config_version_ = config_version
         self.asked = []
 
     def send(self, message):
@@ -142,25 +153,15 @@
 def test_a_listing_reaches_entries_that_pack_and_those_that_do_not(version):
     clock = Clock()
     sender, receiver = new_exchange(clock), new_exchange(clock)
-    endpoint = ListedEndpoint(
-        endpoint_id=EndpointId("e1"),
-        service_id=ServiceId("s"),
-        address=EndpointAddress("10.0.0.1:80"),
-        hall=HallId("h"),
-        state=ListedState.READY,
-        slots=4,
-        revision=9,
-    )
-    sender.state.roster_.record_listed(endpoint)
+    sender.state.roster_.record_listed(ENDPOINT)
     learned = []
     receiver.on_listing = lambda listed, revision: learned.append((listed, revision))
     sent = []
-    peer = Peer(1)
-    peer.info.protocol_version = version
+    peer = Peer(1, protocol_version=version)
     peer.send = sent.append
     sender.handlers()[ListingRequest](peer, ListingRequest(0))
     receiver.handlers()[type(sent[0])](peer, sent[0])
-    assert learned == [([endpoint], StorePosition(FIRST_EPOCH, 9))]
+    assert learned == [([ENDPOINT], StorePosition(FIRST_EPOCH, 9))]
 
 
 def test_a_listing_that_cannot_be_read_changes_nothing():
@@ -196,9 +197,7 @@
     exchange = new_exchange(clock)
     learned = []
     exchange.on_confirmed = learned.append
-    peer = Peer(1)
-    peer.info.protocol_version = protocol_version
-    peer.peer_config_version_ = heard
+    peer = Peer(1, protocol_version=protocol_version, config_version=heard)
     exchange.ask_if_behind(peer, confirmed_heartbeat(500.0, 499.0), clock.now)
     assert learned == ([9.0] if is_learned else [])
 
@@ -209,9 +208,7 @@
     exchange = new_exchange(clock)
     learned = []
     exchange.on_confirmed = learned.append
-    peer = Peer(1)
-    peer.info.protocol_version = PROTOCOL_CONFIRMED
-    peer.peer_config_version_ = OWN_VERSION
+    peer = Peer(1, protocol_version=PROTOCOL_CONFIRMED, config_version=OWN_VERSION)
     exchange.ask_if_behind(peer, confirmed_heartbeat(500.0, 499.0), clock.now)
     clock.now += 5.0
     exchange.ask_if_behind(peer, confirmed_heartbeat(500.2, 499.0), clock.now)
