Judge in one place the runs after the ends that count

Cause: the checks of a request and of a prompt part that end their endpoints repeated the search for runs later than the contact time, once over (time, id) and once over (time, request). Change: `find_later_run` holds the rule; `body_runs` and `part_runs` return the records of the runs, sorted by time and id. Bounds, times and the runs that are judged stay. The text of a finding now takes the number of ends from the bound ("after 3 ends"). Evidence: `make lint`; the 81 tests of soak/checks/tests pass.

--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_quarantine.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_quarantine.py
@@ -5,14 +5,18 @@
 lists the bodies and the parts.
 """
 
+from operator import attrgetter
+
 from leadford_standins.soak._ledger import Ledger, Outcome, Sent
 from leadford_standins.soak.checks._base import (
     Broken,
+    Check,
     Evidence,
     broken_promise,
     promises,
 )
 from leadford_standins.soak.checks._software import is_at_older_build
+from leadford_standins.wire import Run
 
 # Ended endpoints before the bound applies, and runs allowed after the contact time.
 MAX_ENDS = 3
@@ -25,6 +29,7 @@
 MIN_SERVED_RATIO = 0.5
 STREAM_ROUTES = ("resumed", "once")
 PROMPT_HEADER = "X-Prefix-Hash"
+IN_ORDER = attrgetter("at_s", "request_id")
 
 
 def ends_endpoints(sent: Sent, ledger: Ledger) -> bool:
@@ -41,17 +46,46 @@
     return next(iter(names & ledger.ending_parts_), "")
 
 
-def part_runs(part: str, evidence: Evidence) -> list[tuple[float, Sent]]:
+def body_runs(body: bytes, ledger: Ledger) -> list[Run]:
+    """Return the runs of requests with a body, in order of time."""
+    runs = [run for _, run in ledger.run_records_ if run.body == body]
+    return sorted(runs, key=IN_ORDER)
+
+
+def part_runs(part: str, ledger: Ledger) -> list[Run]:
     """Return the runs of a part that entries of this build sent, in order of time."""
-    ledger = evidence.ledger
-    found = []
+    runs: list[Run] = []
     for _, run in ledger.run_records_:
         sent = ledger.sent_by_id_.get(run.request_id)
         if sent is None or ending_part(sent, ledger) != part:
             continue
         if not is_at_older_build(sent, ledger):
-            found.append((run.at_s, sent))
-    return sorted(found, key=lambda pair: pair[0])
+            runs.append(run)
+    return sorted(runs, key=IN_ORDER)
+
+
+def find_later_run(
+    check: Check, runs: list[Run], max_ends: int, evidence: Evidence
+) -> list[Broken]:
+    """Return the first run beyond those allowed after the last end that counts.
+
+    Judges the runs later than the contact time after that end, at entries in touch.
+    """
+    if len(runs) <= max_ends:
+        return []
+    known_at = runs[max_ends - 1].at_s + evidence.bounds.contact_s
+    later: list[Sent] = []
+    for run in runs:
+        if run.at_s <= known_at:
+            continue
+        sent = evidence.ledger.sent_by_id_[run.request_id]
+        if evidence.in_touch(sent, sent.ended_at):
+            later.append(sent)
+    if len(later) <= MAX_LATER_RUNS:
+        return []
+    sent = later[MAX_LATER_RUNS]
+    detail = f"{sent.route}: {len(later)} runs more after {max_ends} ends"
+    return [broken_promise(check, sent, detail)]
 
 
 @promises("a request that ends its endpoints is soon sent to none")
@@ -62,27 +96,10 @@
         """Return the first run beyond the bound of each such request."""
         found: list[Broken] = []
         for body in evidence.ledger.ending_bodies_:
-            later = self._find_later(body, evidence)
-            if len(later) > MAX_LATER_RUNS:
-                sent = later[MAX_LATER_RUNS]
-                detail = f"{sent.route}: {len(later)} runs more after three ends"
-                found.append(broken_promise(self, sent, detail))
+            runs = body_runs(body, evidence.ledger)
+            found += find_later_run(self, runs, MAX_ENDS, evidence)
         return found
 
-    def _find_later(self, body: bytes, evidence: Evidence) -> list[Sent]:
-        """Return the requests with the body that ran later than the contact time."""
-        ledger = evidence.ledger
-        runs = sorted(
-            (run.at_s, run.request_id)
-            for _, run in ledger.run_records_
-            if run.body == body
-        )
-        if len(runs) <= MAX_ENDS:
-            return []
-        known_at = runs[MAX_ENDS - 1][0] + evidence.bounds.contact_s
-        later = [ledger.sent_by_id_[name] for at_s, name in runs if at_s > known_at]
-        return [sent for sent in later if evidence.in_touch(sent, sent.ended_at)]
-
 
 @promises("a prompt part that ends its engines is soon sent to none")
 class CrashingPartContained:
@@ -92,22 +109,10 @@
         """Return the first run beyond the bound of each such part."""
         found: list[Broken] = []
         for part in evidence.ledger.ending_parts_:
-            later = self._find_later(part, evidence)
-            if len(later) > MAX_LATER_RUNS:
-                sent = later[MAX_LATER_RUNS]
-                detail = f"{sent.route}: {len(later)} runs more after five ends"
-                found.append(broken_promise(self, sent, detail))
+            runs = part_runs(part, evidence.ledger)
+            found += find_later_run(self, runs, MAX_PART_ENDS, evidence)
         return found
 
-    def _find_later(self, part: str, evidence: Evidence) -> list[Sent]:
-        """Return the requests with the part that ran later than the contact time."""
-        runs = part_runs(part, evidence)
-        if len(runs) <= MAX_PART_ENDS:
-            return []
-        known_at = runs[MAX_PART_ENDS - 1][0] + evidence.bounds.contact_s
-        later = [sent for at_s, sent in runs if at_s > known_at]
-        return [sent for sent in later if evidence.in_touch(sent, sent.ended_at)]
-
 
 @promises("harmless streams are served beside a part that ends engines", timed=True)
 class HarmlessPromptsServed:
@@ -134,7 +139,7 @@
 
     def _streams(self, part: str, evidence: Evidence) -> tuple[list[Sent], list[Sent]]:
         """Return the harmless streams beside a part, and those before it came."""
-        runs = part_runs(part, evidence)[:MAX_PART_ENDS]
+        runs = part_runs(part, evidence.ledger)[:MAX_PART_ENDS]
         if not runs:
             return [], []
         ledger = evidence.ledger
@@ -143,7 +148,7 @@
             for sent in ledger.sent_by_id_.values()
             if ending_part(sent, ledger) == part
         ]
-        since = runs[-1][0] + 2.0 * evidence.bounds.contact_s
+        since = runs[-1].at_s + 2.0 * evidence.bounds.contact_s
         beside, apart = [], []
         for sent in ledger.sent_by_id_.values():
             if not self._counts(sent, evidence):
