--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_connection.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_connection.py
@@ -69,7 +69,7 @@
         """Tell whether another request may be sent."""
         return not self.stream.closed()
 
-    async def exchange(self, sent: Sent, headers: dict[str, str], leave_after_s: float):
+    async def exchange(self, sent: Sent, leave_after_s: float) -> None:
         """Send a request and read its answer; give up after a time."""
         loop = asyncio.get_running_loop()
         sent.is_kept = self.use_count_ > 0
@@ -81,7 +81,7 @@
         sent.sent_at = loop.time()
         try:
             exchange.write_headers(
-                start_line, httputil.HTTPHeaders(headers), sent.body or None
+                start_line, httputil.HTTPHeaders(sent.asked), sent.body or None
             )
             exchange.finish()
             async with asyncio.timeout(leave_after_s):
