Put faults in force at several endpoints by one function, and test settings apart

Cause: tests of a fleet of processes repeated the loop over endpoints six times, constants stood in two modules, and the tests of bad settings, which need no fleet, stood at the end of test_failures. Ruled out: modules of their own for planned stops and for callers. They stay where they were, in their order.

--- a/packages/leadford-standins/src/leadford_standins/tests/conftest.py
+++ b/packages/leadford-standins/src/leadford_standins/tests/conftest.py
@@ -11,6 +11,11 @@
 from leadford_standins.fleet import Fleet, api_key, damier
 
 WAIT_S = 40.0
+BODY = {"prompt": "e4"}
+SSE = {"Accept": "text/event-stream"}
+# Endpoints that make moves, and those that generate text.
+LIVE = ("live-play-1", "live-play-2")
+ENGINES = ("engines-1", "engines-2")
 
 
 class Client:
@@ -31,7 +36,7 @@
         return connection.getresponse()
 
     def post(self, pipeline, body=None, **terms):
-        body = {"prompt": "e4"} if body is None else body
+        body = BODY if body is None else body
         return self.open("POST", f"/v1/pipelines/{pipeline}/requests", body, **terms)
 
     def together(self, calls):
@@ -64,6 +69,12 @@
         return json.load(connection.getresponse())["records"]
 
 
+def set_endpoint_faults(fleet, names, **faults):
+    """Put faults in force at some endpoints; those left out end."""
+    for name in names:
+        fleet.set_faults(fleet.endpoint_url(name), **faults)
+
+
 def wait_until(check):
     """Wait until a condition holds; fail when it never does."""
     limit = time.monotonic() + WAIT_S
@@ -101,8 +112,7 @@
 @pytest.fixture
 def client(fleet):
     yield Client(fleet)
-    for name in fleet.agent_names:
-        fleet.set_faults(fleet.endpoint_url(name))
+    set_endpoint_faults(fleet, fleet.agent_names)
     fleet.set_faults(fleet.store_url)
     for name, process in fleet.processes_by_name_.items():
         fleet.thaw(name)
--- a/packages/leadford-standins/src/leadford_standins/tests/test_failures.py
+++ b/packages/leadford-standins/src/leadford_standins/tests/test_failures.py
@@ -2,10 +2,7 @@
 
 import http.client
 import json
-import os
 import socket
-import subprocess
-import sys
 import threading
 import time
 from urllib.parse import urlsplit
@@ -14,24 +11,28 @@
 
 from leadford_standins.endpoints import expected_result
 from leadford_standins.fleet import api_key
-from leadford_standins.tests.conftest import read_events, wait_until
+from leadford_standins.tests.conftest import (
+    BODY,
+    ENGINES,
+    LIVE,
+    SSE,
+    read_events,
+    set_endpoint_faults,
+    wait_until,
+)
 
-SSE = {"Accept": "text/event-stream"}
-LIVE = ("live-play-1", "live-play-2")
-ENGINES = ("engines-1", "engines-2")
-BODY = {"prompt": "e4"}
 RESULT = expected_result("confirm", json.dumps(BODY))
 
 
-def set_engines(fleet, **faults):
-    for name in ENGINES:
-        fleet.set_faults(fleet.endpoint_url(name), **faults)
-
-
 def text_of(events):
     return "".join(data["text"] for name, _, data in events if name == "token")
 
 
+def engine_records(client):
+    """Return what the engines recorded of their executions."""
+    return [record for name in ENGINES for record in client.records(name)]
+
+
 @pytest.mark.parametrize("body", [BODY])
 def test_a_stream_resumes_at_another_entry_with_an_equal_answer(fleet, client, body):
     whole = text_of(read_events(client.post("review", body, entry=0, **SSE)))
@@ -57,8 +58,7 @@
 
 
 def test_a_request_that_ends_its_endpoints_is_soon_sent_to_none(fleet, client):
-    for name in LIVE:
-        fleet.set_faults(fleet.endpoint_url(name), ends_on="ends whoever runs it")
+    set_endpoint_faults(fleet, LIVE, ends_on="ends whoever runs it")
     body = {"prompt": "ends whoever runs it"}
     ran = 0
     for number in range(12):
@@ -76,7 +76,7 @@
 @pytest.mark.parametrize("moment", ["dispatched", "streaming"])
 def test_a_killed_agent_costs_a_retry_not_an_answer(fleet, client, moment):
     whole = text_of(read_events(client.post("hint", BODY, **SSE)))
-    set_engines(fleet, speed=0.3, frozen=moment == "dispatched")
+    set_endpoint_faults(fleet, ENGINES, speed=0.3, frozen=moment == "dispatched")
     answers = []
 
     def call():
@@ -89,7 +89,7 @@
         thread.start()
     time.sleep(0.5)
     fleet.kill("engines-1")
-    set_engines(fleet)
+    set_endpoint_faults(fleet, ENGINES)
     for thread in threads:
         thread.join()
     assert [text_of(events) for events in answers] == [whole] * 4
@@ -98,8 +98,7 @@
 
 @pytest.mark.parametrize("moment", ["queued", "dispatched"])
 def test_a_killed_agent_never_doubles_a_move(fleet, client, moment):
-    for name in LIVE:
-        fleet.set_faults(fleet.endpoint_url(name), delay_ms=400.0)
+    set_endpoint_faults(fleet, LIVE, delay_ms=400.0)
     count = 40 if moment == "queued" else 4
     calls = [
         lambda number=number: client.post(
@@ -197,8 +196,7 @@
 
 
 def test_swapped_answers_reach_nobody(fleet, client):
-    for name in LIVE:
-        fleet.set_faults(fleet.endpoint_url(name), swap_answers=100)
+    set_endpoint_faults(fleet, LIVE, swap_answers=100)
     calls = [
         lambda number=number: client.post("move", {"prompt": f"swap{number}"})
         for number in range(4)
@@ -211,17 +209,16 @@
 def test_a_failing_endpoint_is_passed_over_for_repeatable_work(fleet, client):
     fleet.set_faults(fleet.endpoint_url("lobby-1"), error_rate=1.0)
     outcomes = [
-        client.post("lobby", BODY, entry=n % 3).headers["Leadford-Outcome"]
-        for n in range(30)
+        client.post("lobby", BODY, entry=number % 3).headers["Leadford-Outcome"]
+        for number in range(30)
     ]
     assert outcomes == ["complete"] * 30
 
 
 @pytest.mark.parametrize("name", ["engines-1", "entry-1", "live-play-1"])
 def test_a_planned_stop_cuts_nothing(fleet, client, name):
-    set_engines(fleet, speed=0.4)
-    for live in LIVE:
-        fleet.set_faults(fleet.endpoint_url(live), delay_ms=300.0)
+    set_endpoint_faults(fleet, ENGINES, speed=0.4)
+    set_endpoint_faults(fleet, LIVE, delay_ms=300.0)
     pipeline = "move" if name == "live-play-1" else "hint"
     calls = [
         lambda entry=entry: client.post(
@@ -235,11 +232,11 @@
     answers = client.together(calls)
     stopper.join()
     assert statuses == [0]
-    assert [h["Leadford-Outcome"] for h, _ in answers] == ["complete"] * 6
+    assert [headers["Leadford-Outcome"] for headers, _ in answers] == ["complete"] * 6
 
 
 def test_a_request_that_crosses_a_planned_stop_is_answered(fleet, client):
-    set_engines(fleet, speed=0.4)
+    set_endpoint_faults(fleet, ENGINES, speed=0.4)
     address = urlsplit(fleet.entry_urls()[0])
     connection = http.client.HTTPConnection(address.hostname, address.port, timeout=20)
     connection.connect()
@@ -260,18 +257,18 @@
 
 
 def test_a_caller_that_leaves_frees_the_engine(fleet, client):
-    set_engines(fleet, speed=0.1)
-    before = sum(len(client.records(name)) for name in ENGINES)
+    set_endpoint_faults(fleet, ENGINES, speed=0.1)
+    before = len(engine_records(client))
     answer = client.post("review", BODY, Leadford_Deadline_Ms="60000", **SSE)
     read_events(answer, 1)
     answer.close()
-    wait_until(lambda: sum(len(client.records(n)) for n in ENGINES) > before)
-    last = max((r for n in ENGINES for r in client.records(n)), key=lambda r: r["at_s"])
+    wait_until(lambda: len(engine_records(client)) > before)
+    last = max(engine_records(client), key=lambda record: record["at_s"])
     assert not last["finished"]
 
 
 def test_delete_cancels(fleet, client):
-    set_engines(fleet, speed=0.1)
+    set_endpoint_faults(fleet, ENGINES, speed=0.1)
     answer = client.post("review", BODY, Leadford_Deadline_Ms="60000", **SSE)
     request_id = answer.headers["Leadford-Request-Id"]
     read_events(answer, 1)
@@ -333,26 +330,3 @@
     with socket.create_connection(("127.0.0.1", endpoint.agent_port)) as noise:
         noise.sendall(data)
     assert client.post("hint", BODY).status == 200
-
-
-@pytest.mark.parametrize(
-    ("role", "flags", "environment", "named"),
-    [
-        ("entry", ["--http=here"], {}, "LEADFORD_HTTP"),
-        ("agent", ["--peer=127.0.0.1:99999"], {}, "LEADFORD_PEER"),
-        ("agent", [], {"LEADFORD_HALL": "Big Hall"}, "LEADFORD_HALL"),
-        ("entry", [], {"LEADFORD_SECRET": "short"}, "LEADFORD_SECRET"),
-    ],
-)
-def test_bad_settings_are_listed(role, flags, environment, named):
-    result = subprocess.run(
-        [sys.executable, "-m", "leadford_server.main", role, *flags],
-        env={**os.environ, **environment},
-        capture_output=True,
-        text=True,
-        timeout=30,
-    )
-    assert result.returncode == 2
-    faults = [x for x in result.stderr.splitlines() if x.startswith("leadfordd: ")]
-    assert any(named in fault for fault in faults)
-    assert len(faults) >= 4
--- a/packages/leadford-standins/src/leadford_standins/tests/test_operators.py
+++ b/packages/leadford-standins/src/leadford_standins/tests/test_operators.py
@@ -8,10 +8,15 @@
 import pytest
 
 from leadford_standins.fleet import operator_token
-from leadford_standins.tests.conftest import read_events, wait_until
+from leadford_standins.tests.conftest import (
+    ENGINES,
+    SSE,
+    read_events,
+    set_endpoint_faults,
+    wait_until,
+)
 
 TOKEN = {"Authorization": f"Bearer {operator_token('ops')}"}
-SSE = {"Accept": "text/event-stream"}
 
 
 def ask(client, statement, entry=0, **more):
@@ -53,8 +58,7 @@
 
 
 def test_what_runs_and_waits_is_shown_and_explained(fleet, client):
-    for name in ("engines-1", "engines-2"):
-        fleet.set_faults(fleet.endpoint_url(name), speed=0.05)
+    set_endpoint_faults(fleet, ENGINES, speed=0.05)
     answer = client.post("review", Leadford_Deadline_Ms="60000", **SSE)
     request_id = answer.headers["Leadford-Request-Id"]
     running = rows_of(client, f"show requests where request = {request_id}", 2)
