Apply a changed configuration to a deployment in one place

Change: `Deployment.apply_config`, which waits for all entries within the same bound as before; `configure_call_ms` uses it too. Tests that wait for something else, or for one of several entries, stay as they are.

--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -164,6 +164,15 @@
         """Write the configuration to the store."""
         self.store.put("config", "main", self.config)
 
+    async def apply_config(self) -> None:
+        """Write the configuration as a new version; wait until all entries apply it."""
+        self.config["version"] += 1
+        self.put_config()
+        version = self.config["version"]
+        await self.until(
+            lambda: all(e.state_.config_version() == version for e in self.entries_)
+        )
+
     async def configure_call_ms(self, call_ms: float) -> None:
         """Apply a configuration with this duration of stage calls, on all entries.
 
@@ -172,12 +181,7 @@
         for service in self.config["services"]:
             if "pieces" in service:
                 service["pieces"]["callMs"] = call_ms
-        self.config["version"] += 1
-        self.put_config()
-        version = self.config["version"]
-        await self.until(
-            lambda: all(e.state_.config_version() == version for e in self.entries_)
-        )
+        await self.apply_config()
 
     async def start_entry(self, number: int, *, wait: bool = True) -> ForwardProcess:
         """Start an entry; by default wait until it is ready and knows all endpoints."""
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
@@ -182,9 +182,7 @@
         # The timeout of the route ends before the grace period does.
         for route in deployment.config["routes"]:
             route["timeoutMs"] = 1_000
-        deployment.config["version"] = 2
-        deployment.put_config()
-        await deployment.until(lambda: entry.state_.table_.config.version == 2)
+        await deployment.apply_config()
         callers = entry.settings.callers
         reader, writer = await asyncio.open_connection(callers.host, callers.port)
         deployment.store.delete_s = 0.2
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_evacuations.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_evacuations.py
@@ -157,9 +157,7 @@
         (entry,) = deployment.entries_
         for service in deployment.config["services"]:
             service.update(coldPerS=2.0, coldS=1.0)
-        deployment.config["version"] = 2
-        deployment.put_config()
-        await deployment.until(lambda: entry.state_.config_version() == 2)
+        await deployment.apply_config()
         deployment.store.put("evacuations", HALL, {})
         await deployment.until(lambda: knows_evacuation(entry))
         deployment.store.delete("evacuations", HALL)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_idle_connections.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_idle_connections.py
@@ -18,12 +18,9 @@
 
 
 async def configure_idle_timeout(deployment):
-    """Wait until the only entry closes connections after `IDLE_TIMEOUT_MS`."""
-    (entry,) = deployment.entries_
-    deployment.config["version"] = 2
+    """Let entries close connections that are idle for `IDLE_TIMEOUT_MS`."""
     deployment.config["limits"] = {"idleTimeoutMs": IDLE_TIMEOUT_MS}
-    deployment.put_config()
-    await deployment.until(lambda: entry.state_.table_.config.version == 2)
+    await deployment.apply_config()
 
 
 async def open_read(deployment):
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_placing.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_placing.py
@@ -126,16 +126,7 @@
     for service in deployment.config["services"]:
         if service["name"] == ENGINE:
             service.update(coldPerS=per_s, coldS=30.0)
-    await put_new_config(deployment)
-
-
-async def put_new_config(deployment):
-    deployment.config["version"] += 1
-    deployment.put_config()
-    version = deployment.config["version"]
-    await deployment.until(
-        lambda: all(e.state_.config_version() == version for e in deployment.entries_)
-    )
+    await deployment.apply_config()
 
 
 def test_streams_are_placed_too_where_engines_may_be_cold():
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_relayed_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_relayed_store.py
@@ -41,14 +41,7 @@
                 gone not in e.state_.roster_.known_ids() for e in deployment.entries_
             )
         )
-        deployment.config["version"] += 1
-        deployment.put_config()
-        version = deployment.config["version"]
-        await deployment.until(
-            lambda: all(
-                e.state_.config_version() == version for e in deployment.entries_
-            )
-        )
+        await deployment.apply_config()
 
     run_scenario(scenario, entries=ENTRIES)
 
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_requests.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_requests.py
@@ -67,11 +67,8 @@
 
 def test_a_request_gets_its_final_answer_by_the_timeout_of_its_route():
     async def scenario(deployment):
-        deployment.config["version"] = 2
         deployment.config["routes"][1]["timeoutMs"] = 300
-        deployment.put_config()
-        entry = deployment.entries_[0]
-        await deployment.until(lambda: entry.state_.table_.config.version == 2)
+        await deployment.apply_config()
         for endpoint in deployment.plain:
             endpoint.planned_misbehaviours_.append(Misbehaviour.HANG)
         answer = await deployment.send("/unsafe/x", request_id="r1")
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_restored_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_restored_store.py
@@ -23,16 +23,6 @@
     )
 
 
-async def change_config(deployment):
-    """Write a new configuration and wait until it is in force on every entry."""
-    deployment.config["version"] += 1
-    deployment.put_config()
-    version = deployment.config["version"]
-    await deployment.until(
-        lambda: all(e.state_.config_version() == version for e in deployment.entries_)
-    )
-
-
 async def restore_store(deployment, copy, *, outage_s):
     """Make the store unavailable for a time, then restore it from a copy."""
     deployment.store.fault = StoreFault.RESET
@@ -46,7 +36,7 @@
         await wait_until_followers_known(deployment)
         copy = deployment.store.copy()
         for _ in range(2):
-            await change_config(deployment)
+            await deployment.apply_config()
         await restore_store(deployment, copy, outage_s=1.0)
         # The second of three revisions that the store assigns again.
         leaving = deployment.plain[0]
@@ -83,7 +73,7 @@
     async def scenario(deployment):
         copy = deployment.store.copy()
         deployment.config["tenants"][0]["apiKeys"] = ["key-2"]
-        await change_config(deployment)
+        await deployment.apply_config()
         await restore_store(deployment, copy, outage_s=0.5)
         (entry,) = deployment.entries_
         await deployment.until(lambda: entry.state_.epochs_.current_ == 2)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_stages.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_stages.py
@@ -167,12 +167,10 @@
 
     async def scenario(deployment):
         leaving, other = deployment.stage
-        deployment.config["version"] = 2
         deployment.config["services"][1]["maxConns"] = 1
         deployment.config["services"][1]["pieces"]["slots"] = 2
-        deployment.put_config()
+        await deployment.apply_config()
         entry = deployment.entries_[0]
-        await deployment.until(lambda: entry.state_.table_.config.version == 2)
         deployment.store.delete("servers", other.endpoint_id)
         roster = entry.state_.roster_
         await deployment.until(lambda: other.endpoint_id not in roster.records_by_id_)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_stop_writes_out.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_stop_writes_out.py
@@ -24,10 +24,8 @@
 
     async def scenario(deployment):
         entry = deployment.entries_[0]
-        deployment.config["version"] = 2
         deployment.config["limits"] = {"maxBodyBytes": 2 * BODY_BYTES}
-        deployment.put_config()
-        await deployment.until(lambda: entry.state_.table_.config.version == 2)
+        await deployment.apply_config()
         for endpoint in deployment.plain:
             # The endpoint echoes the body, so the answer is as large.
             endpoint.work_s = 0.1
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_store.py
@@ -99,11 +99,9 @@
 
     async def scenario(deployment):
         leaving, other = deployment.plain
-        deployment.config["version"] = 2
         deployment.config["services"][0]["maxConns"] = 1
-        deployment.put_config()
+        await deployment.apply_config()
         entry = deployment.entries_[0]
-        await deployment.until(lambda: entry.state_.table_.config.version == 2)
         deployment.store.delete("servers", other.endpoint_id)
         roster = entry.state_.roster_
         await deployment.until(lambda: other.endpoint_id not in roster.records_by_id_)
@@ -130,10 +128,7 @@
         answer = await deployment.send("/resumed/x", request_id="r1")
         assert event_ids(answer.body) == [1, 2, 3, 4, 5]
         deployment.store.fault = StoreFault.NONE
-        deployment.config["version"] = 2
-        deployment.put_config()
-        entry = deployment.entries_[0]
-        await deployment.until(lambda: entry.state_.table_.config.version == 2)
+        await deployment.apply_config()
 
     run_scenario(scenario)
 
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_uneven_connections.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_uneven_connections.py
@@ -67,13 +67,9 @@
         for service in deployment.config["services"]:
             if service["name"] == "plain":
                 service["maxConns"] = MAX_CONNECTIONS
-        deployment.config["version"] = 2
-        deployment.put_config()
         for endpoint in deployment.plain:
             endpoint.work_s = WORK_S
-        await deployment.until(
-            lambda: all(e.state_.config_version() == 2 for e in deployment.entries_)
-        )
+        await deployment.apply_config()
         traffic = Traffic(deployment)
         now = asyncio.get_running_loop().time
         began_at = now()
