Plan the misbehaviours of stand-ins by one function

Cause: tests repeated the loop that queues a misbehaviour at each endpoint of a kind; one module had a function for it; three tests of streams began by the same two lines, and four of entries opened a connection by hand. Change: `plan_misbehaviour` in wire; `engines_by_use` in test_streams; test_entries uses `callers.open_connection`. Where single endpoints misbehave, the queue is used as before. Evidence: `make lint`; the 67 tests of the seven changed modules pass at load 25; the collected ids are the same.

--- a/packages/leadford-standins/src/leadford_standins/wire/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/__init__.py
@@ -14,6 +14,7 @@
 from leadford_standins.wire._misbehaviours import Misbehaviour
 from leadford_standins.wire._scenarios import (
     event_ids,
+    plan_misbehaviour,
     refuse_store_calls,
     run_scenario,
     runs_of,
@@ -38,6 +39,7 @@
     "StoreStandIn",
     "default_config",
     "event_ids",
+    "plan_misbehaviour",
     "refuse_store_calls",
     "run_scenario",
     "run_without_faults",
--- a/packages/leadford-standins/src/leadford_standins/wire/_scenarios.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_scenarios.py
@@ -12,7 +12,9 @@
 
 from leadford_server.forwarding import ForwardProcess, StoreFailure
 from leadford_standins.wire._deployment import Deployment
+from leadford_standins.wire._endpoints import PlainStandIn
 from leadford_standins.wire._handler import Run
+from leadford_standins.wire._misbehaviours import Misbehaviour
 
 SCENARIO_TIMEOUT_S = 40
 REFUSAL_DELAY_S = 0.05
@@ -44,6 +46,14 @@
     entry.client_.call = refuse
 
 
+def plan_misbehaviour(
+    endpoints: Iterable[PlainStandIn], misbehaviour: Misbehaviour, *, count: int = 1
+) -> None:
+    """Let each of these endpoints misbehave in as many of its next requests."""
+    for endpoint in endpoints:
+        endpoint.planned_misbehaviours_.extend([misbehaviour] * count)
+
+
 def runs_of(endpoints: Iterable[object], request_id: str) -> list[Run]:
     """Return each run of a request at stand-ins of endpoints."""
     runs = [run for endpoint in endpoints for run in endpoint.runs_]
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
@@ -5,6 +5,7 @@
 from leadford.forwarding.batching import GroupId, PlaceId
 from leadford.forwarding.routes import ServiceId
 from leadford_standins.wire import StoreFault, event_ids, run_scenario, runs_of
+from leadford_standins.wire.tests.callers import open_connection
 
 
 def request_bytes(path, request_id):
@@ -183,8 +184,7 @@
         for route in deployment.config["routes"]:
             route["timeoutMs"] = 1_000
         await deployment.apply_config()
-        callers = entry.settings.callers
-        reader, writer = await asyncio.open_connection(callers.host, callers.port)
+        reader, writer = await open_connection(deployment)
         deployment.store.delete_s = 0.2
         stopping = asyncio.ensure_future(entry.drain())
         await deployment.until(lambda: deployment.store.deletes_ == 1)
@@ -207,8 +207,7 @@
             engine.pause_s = 0.05
         for endpoint in deployment.plain:
             endpoint.work_s = 0.2
-        callers = entry.settings.callers
-        reader, writer = await asyncio.open_connection(callers.host, callers.port)
+        reader, writer = await open_connection(deployment)
         # The head is written before the stop, so it has no `Connection: close`.
         writer.write(request_bytes("/once/x", "r1"))
         head = await reader.readuntil(b"\r\n\r\n")
@@ -287,8 +286,7 @@
 
     async def scenario(deployment):
         entry = deployment.entries_[0]
-        callers = entry.settings.callers
-        reader, writer = await asyncio.open_connection(callers.host, callers.port)
+        reader, writer = await open_connection(deployment)
         await asyncio.sleep(0.05)
         # Data that the connection holds when the stop ends is not read either.
         entry.stop()
@@ -319,8 +317,7 @@
             entry.stop()
 
         server.handle_stream = accept_and_stop
-        callers = entry.settings.callers
-        reader, writer = await asyncio.open_connection(callers.host, callers.port)
+        reader, writer = await open_connection(deployment)
         writer.write(request_bytes("/unsafe/x", "r1"))
         async with asyncio.timeout(2.0):
             assert await reader.read() == b""
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_plain.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_plain.py
@@ -2,13 +2,17 @@
 
 import pytest
 
-from leadford_standins.wire import Misbehaviour, run_scenario, runs_of
+from leadford_standins.wire import (
+    Misbehaviour,
+    plan_misbehaviour,
+    run_scenario,
+    runs_of,
+)
 
 
 def test_an_unsafe_request_whose_answer_is_lost_runs_once_and_is_not_refused():
     async def scenario(deployment):
-        for endpoint in deployment.plain:
-            endpoint.planned_misbehaviours_.append(Misbehaviour.LOSE_ANSWER)
+        plan_misbehaviour(deployment.plain, Misbehaviour.LOSE_ANSWER)
         answer = await deployment.send("/unsafe/x", request_id="r1")
         assert answer.code == 502
         assert len(runs_of(deployment.plain, "r1")) == 1
@@ -19,8 +23,7 @@
 def test_an_unsafe_request_on_a_connection_that_went_stale_is_not_repeated():
     async def scenario(deployment):
         await deployment.send("/unsafe/x", request_id="r0")
-        for endpoint in deployment.plain:
-            endpoint.planned_misbehaviours_ += [Misbehaviour.LOSE_ANSWER]
+        plan_misbehaviour(deployment.plain, Misbehaviour.LOSE_ANSWER)
         answer = await deployment.send("/unsafe/x", request_id="r1")
         assert answer.code == 502
         assert len(runs_of(deployment.plain, "r1")) == 1
@@ -30,8 +33,7 @@
 
 def test_a_refusal_that_says_not_run_is_true_and_says_when_to_come_back():
     async def scenario(deployment):
-        for endpoint in deployment.plain:
-            endpoint.planned_misbehaviours_.append(Misbehaviour.REFUSE)
+        plan_misbehaviour(deployment.plain, Misbehaviour.REFUSE)
         answer = await deployment.send("/unsafe/x", request_id="r1")
         assert answer.code == 503
         assert float(answer.headers["Retry-After"]) > 0.0
@@ -95,8 +97,7 @@
 
 def test_a_failure_of_an_endpoint_is_passed_on_with_its_signature():
     async def scenario(deployment):
-        for endpoint in deployment.plain:
-            endpoint.planned_misbehaviours_.append(Misbehaviour.FAIL)
+        plan_misbehaviour(deployment.plain, Misbehaviour.FAIL)
         answer = await deployment.send("/unsafe/x", request_id="r1")
         assert (answer.code, answer.body) == (500, b"failed")
         assert "X-Server-Stamp" in answer.headers
@@ -106,8 +107,7 @@
 
 def test_a_success_that_its_endpoint_did_not_sign_is_not_passed_on():
     async def scenario(deployment):
-        for endpoint in deployment.plain:
-            endpoint.planned_misbehaviours_.append(Misbehaviour.UNSIGNED)
+        plan_misbehaviour(deployment.plain, Misbehaviour.UNSIGNED)
         answer = await deployment.send("/unsafe/x", request_id="r1")
         assert answer.code == 502
         answer = await deployment.send("/safe/x", request_id="r2", method="GET")
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_requests.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_requests.py
@@ -7,6 +7,7 @@
     Misbehaviour,
     StoreFault,
     event_ids,
+    plan_misbehaviour,
     run_scenario,
     run_without_faults,
     runs_of,
@@ -37,9 +38,7 @@
     async def scenario(deployment):
         refused = await deployment.send("/unsafe/x", request_id="r0", deadline_ms=2_000)
         assert refused.code == 200
-        for endpoint in deployment.plain:
-            endpoint.planned_misbehaviours_.append(Misbehaviour.REFUSE)
-            endpoint.planned_misbehaviours_.append(Misbehaviour.REFUSE)
+        plan_misbehaviour(deployment.plain, Misbehaviour.REFUSE, count=2)
         answer = await deployment.send_with_retries("/unsafe/x", request_id="r1")
         assert answer.code == 200
         runs = [run for endpoint in deployment.plain for run in endpoint.runs_]
@@ -69,8 +68,7 @@
     async def scenario(deployment):
         deployment.config["routes"][1]["timeoutMs"] = 300
         await deployment.apply_config()
-        for endpoint in deployment.plain:
-            endpoint.planned_misbehaviours_.append(Misbehaviour.HANG)
+        plan_misbehaviour(deployment.plain, Misbehaviour.HANG)
         answer = await deployment.send("/unsafe/x", request_id="r1")
         assert answer.code == 504
         assert answer.request_time < 1.0
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_stages.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_stages.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from leadford_standins.wire import Misbehaviour, event_ids, run_scenario, runs_of
+from leadford_standins.wire import (
+    Misbehaviour,
+    event_ids,
+    plan_misbehaviour,
+    run_scenario,
+    runs_of,
+)
 
 
 def test_pieces_get_their_own_inputs_and_results_are_released():
@@ -52,8 +58,7 @@
         answered = 0
         for number in range(24):
             if number % 3 == 0:
-                for stage in deployment.stage:
-                    stage.planned_misbehaviours_.append(Misbehaviour.REPEAT_ANSWER)
+                plan_misbehaviour(deployment.stage, Misbehaviour.REPEAT_ANSWER)
             answer = await deployment.send(
                 "/resumed/x", request_id=f"s{number}", headers={"X-Pieces": "1,1"}
             )
@@ -101,8 +106,7 @@
 
 def test_inputs_that_are_gone_are_made_again():
     async def scenario(deployment):
-        for engine in deployment.engines:
-            engine.planned_misbehaviours_.append(Misbehaviour.GONE)
+        plan_misbehaviour(deployment.engines, Misbehaviour.GONE)
         answer = await deployment.send("/once/x", request_id="r1")
         assert event_ids(answer.body) == [1, 2, 3, 4, 5]
         assert len(runs_of(deployment.engines, "r1")) == 1
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_streams.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_streams.py
@@ -1,12 +1,23 @@
 """Deliver streams complete, once and in order, or end them visibly incomplete."""
 
-from leadford_standins.wire import Misbehaviour, event_ids, run_scenario, runs_of
+from leadford_standins.wire import (
+    Misbehaviour,
+    event_ids,
+    plan_misbehaviour,
+    run_scenario,
+    runs_of,
+)
+
+
+async def engines_by_use(deployment):
+    """Return the engine that runs a first stream, and the other one."""
+    await deployment.send("/resumed/x", request_id="r0")
+    return sorted(deployment.engines, key=lambda engine: -len(engine.runs_))
 
 
 def test_a_broken_stream_goes_on_elsewhere_without_gap_or_double():
     async def scenario(deployment):
-        await deployment.send("/resumed/x", request_id="r0")
-        used, other = sorted(deployment.engines, key=lambda e: -len(e.runs_))
+        used, other = await engines_by_use(deployment)
         used.planned_misbehaviours_.append(Misbehaviour.CUT)
         answer = await deployment.send("/resumed/x", request_id="r1")
         assert event_ids(answer.body) == [1, 2, 3, 4, 5]
@@ -20,8 +31,7 @@
 
 def test_a_stream_that_falls_silent_goes_on_elsewhere_and_ends_where_it_was():
     async def scenario(deployment):
-        await deployment.send("/resumed/x", request_id="r0")
-        used, other = sorted(deployment.engines, key=lambda e: -len(e.runs_))
+        used, other = await engines_by_use(deployment)
         used.planned_misbehaviours_.append(Misbehaviour.STALL)
         answer = await deployment.send("/resumed/x", request_id="r1")
         assert event_ids(answer.body) == [1, 2, 3, 4, 5]
@@ -33,8 +43,7 @@
 
 def test_a_stream_that_never_begins_begins_elsewhere():
     async def scenario(deployment):
-        await deployment.send("/resumed/x", request_id="r0")
-        used, other = sorted(deployment.engines, key=lambda e: -len(e.runs_))
+        used, other = await engines_by_use(deployment)
         used.planned_misbehaviours_.append(Misbehaviour.HANG)
         answer = await deployment.send("/resumed/x", request_id="r1")
         assert event_ids(answer.body) == [1, 2, 3, 4, 5]
@@ -45,8 +54,7 @@
 
 def test_a_stream_that_breaks_at_every_engine_never_looks_complete():
     async def scenario(deployment):
-        for engine in deployment.engines:
-            engine.planned_misbehaviours_.append(Misbehaviour.CUT)
+        plan_misbehaviour(deployment.engines, Misbehaviour.CUT)
         answer = await deployment.send("/resumed/x", request_id="r1")
         assert answer.code == 599
 
@@ -55,8 +63,7 @@
 
 def test_a_stream_that_may_not_be_resumed_never_looks_complete():
     async def scenario(deployment):
-        for engine in deployment.engines:
-            engine.planned_misbehaviours_.append(Misbehaviour.CUT)
+        plan_misbehaviour(deployment.engines, Misbehaviour.CUT)
         answer = await deployment.send("/once/x", request_id="r1")
         assert answer.code == 599
         assert len(runs_of(deployment.engines, "r1")) == 1
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_suspended_hosts.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_suspended_hosts.py
@@ -8,7 +8,7 @@
 import time
 
 from leadford_server.clock import BootClockLoop
-from leadford_standins.wire import Deployment, Misbehaviour
+from leadford_standins.wire import Deployment, Misbehaviour, plan_misbehaviour
 
 SUSPENSION_S = 10.0
 
@@ -38,8 +38,7 @@
 
 def test_a_request_whose_time_passed_during_a_suspension_ends_at_once():
     async def scenario(deployment, clock):
-        for endpoint in deployment.plain:
-            endpoint.planned_misbehaviours_.extend([Misbehaviour.HANG] * 4)
+        plan_misbehaviour(deployment.plain, Misbehaviour.HANG, count=4)
         sending = asyncio.ensure_future(
             deployment.send("/unsafe/x", request_id="r", deadline_ms=9_000)
         )
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_unframed_answers.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_unframed_answers.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from leadford_standins.wire import Misbehaviour, event_ids, run_scenario, runs_of
+from leadford_standins.wire import (
+    Misbehaviour,
+    event_ids,
+    plan_misbehaviour,
+    run_scenario,
+    runs_of,
+)
 
 
 def records_of(deployment, endpoints):
@@ -28,15 +34,9 @@
         assert not entry.state_.prompt_quarantine_.cases_.crashes_by_part_
 
 
-def plan(endpoints, misbehaviour, count=1):
-    """Make the next requests at each endpoint be answered in this way."""
-    for endpoint in endpoints:
-        endpoint.planned_misbehaviours_.extend([misbehaviour] * count)
-
-
 def test_a_plain_answer_that_ends_with_its_connection_is_complete():
     async def scenario(deployment):
-        plan(deployment.plain, Misbehaviour.UNFRAMED, count=3)
+        plan_misbehaviour(deployment.plain, Misbehaviour.UNFRAMED, count=3)
         for number in range(6):
             request_id = f"r{number}"
             answer = await deployment.send("/unsafe/x", request_id=request_id)
@@ -51,7 +51,7 @@
 @pytest.mark.parametrize("path", ["/resumed/x", "/once/x"])
 def test_a_stream_that_ends_with_its_connection_is_complete(path):
     async def scenario(deployment):
-        plan(deployment.engines, Misbehaviour.UNFRAMED)
+        plan_misbehaviour(deployment.engines, Misbehaviour.UNFRAMED)
         answer = await deployment.send(path, request_id="r")
         assert answer.code == 200
         assert event_ids(answer.body) == [1, 2, 3, 4, 5]
@@ -66,7 +66,7 @@
     async def scenario(deployment):
         first, second = deployment.engines
         first.planned_misbehaviours_ = second.planned_misbehaviours_
-        plan([first], Misbehaviour.UNFRAMED_CUT)
+        plan_misbehaviour([first], Misbehaviour.UNFRAMED_CUT)
         answer = await deployment.send("/resumed/x", request_id="r")
         assert answer.code == 200
         assert event_ids(answer.body) == [1, 2, 3, 4, 5]
@@ -78,7 +78,7 @@
 
 def test_a_stream_that_ends_inside_an_event_and_may_not_go_on_is_broken_off():
     async def scenario(deployment):
-        plan(deployment.engines, Misbehaviour.UNFRAMED_CUT)
+        plan_misbehaviour(deployment.engines, Misbehaviour.UNFRAMED_CUT)
         answer = await deployment.send("/once/x", request_id="r")
         assert answer.code == 599
         assert len(runs_of(deployment.engines, "r")) == 1
@@ -90,7 +90,7 @@
 def test_callers_of_streams_that_end_inside_an_event_are_not_refused():
     # Three such ends of copies of one request must not quarantine it.
     async def scenario(deployment):
-        plan(deployment.engines, Misbehaviour.UNFRAMED_CUT, count=4)
+        plan_misbehaviour(deployment.engines, Misbehaviour.UNFRAMED_CUT, count=4)
         for number in range(4):
             await deployment.send("/once/x", request_id=f"r{number}")
         assert_not_blamed(deployment, deployment.engines)
@@ -106,7 +106,7 @@
     async def scenario(deployment):
         first, second = deployment.engines
         first.planned_misbehaviours_ = second.planned_misbehaviours_
-        plan([first], Misbehaviour.UNFRAMED_EMPTY)
+        plan_misbehaviour([first], Misbehaviour.UNFRAMED_EMPTY)
         answer = await deployment.send("/resumed/x", request_id="r")
         assert answer.code == 200
         assert event_ids(answer.body) == [1, 2, 3, 4, 5]
@@ -119,8 +119,8 @@
     async def scenario(deployment):
         for engine in deployment.engines:
             engine.planned_misbehaviours_ = deployment.engines[0].planned_misbehaviours_
-        plan([deployment.engines[0]], Misbehaviour.CUT)
-        plan([deployment.engines[0]], Misbehaviour.UNFRAMED_EMPTY)
+        plan_misbehaviour([deployment.engines[0]], Misbehaviour.CUT)
+        plan_misbehaviour([deployment.engines[0]], Misbehaviour.UNFRAMED_EMPTY)
         answer = await deployment.send("/resumed/x", request_id="r")
         assert answer.code == 599
 
@@ -132,7 +132,7 @@
         first, second = deployment.engines
         first.planned_misbehaviours_ = second.planned_misbehaviours_
         await deployment.send("/resumed/x", request_id="begun")
-        plan([first], Misbehaviour.UNFRAMED_EMPTY)
+        plan_misbehaviour([first], Misbehaviour.UNFRAMED_EMPTY)
         answer = await deployment.send(
             "/resumed/x",
             request_id="r",
