Let the caller of a test read only once its answer is waited for

test_a_caller_that_reads_is_not_cut_off_for_want_of_memory[None-1.3] failed once at load 20 (TimeoutError): its caller reads as fast as it can on another thread, so the entry's 24 MB could be read between two looks of the test for an answer that is not sent yet, and the test then waited for a state that was over. Traced to that wait by its log.

The caller now begins to read when the test has seen the state that it is about. What follows, the rates, the times and the assertion are unchanged. Three runs at load 25 pass.

--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_memory_shortage.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_memory_shortage.py
@@ -23,7 +23,10 @@
 
 
 class ReadingThread(threading.Thread):
-    """Read a large answer beside the event loop, at a rate if there is one."""
+    """Read a large answer beside the event loop, at a rate if there is one.
+
+    It begins to read when `may_read_` is set.
+    """
 
     def __init__(self, address, read_per_s):
         super().__init__(daemon=True)
@@ -32,10 +35,12 @@
         self.count_ = 0
         self.ended_ = False
         self.is_stopped_ = False
+        self.may_read_ = threading.Event()
 
     def run(self):
         sock = socket.create_connection((self.address.host, self.address.port))
         sock.sendall(request_bytes("r", "/safe/x", "GET"))
+        self.may_read_.wait()
         began_at = time.monotonic()
         while self.count_ < LARGE_BYTES and not self.is_stopped_:
             try:
@@ -53,6 +58,7 @@
 
     def stop(self):
         self.is_stopped_ = True
+        self.may_read_.set()
         self.join(timeout=2.0)
 
 
@@ -111,6 +117,7 @@
         caller = ReadingThread(entry.settings.callers, read_per_s)
         caller.start()
         await until_unsent(deployment, memory)
+        caller.may_read_.set()
         time.sleep(held_up_s)
         until = asyncio.get_running_loop().time() + READING_S
         while not caller.ended_ and asyncio.get_running_loop().time() < until:
