Give the planned stop of an own entry a module of its own

What and why: `_process` held the parts of an entry and the order of its stop. The order stands in `_planned_stop` now, as for the forwarding entry, and takes its clock; nothing else changes.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
@@ -1,13 +1,10 @@
-"""Run the entry of leadford's own interface: sockets, configuration, planned stop.
+"""Run the entry of leadford's own interface: its parts, sockets and configuration.
 
-Builds the parts and hands connections and messages to those that want them. A planned
-stop is announced, then requests are refused, those that run are awaited, and each
-connection is closed once its answer is written out. The entry that the users' platform
-runs is `leadford_server.forwarding`; its stop follows other rules
-(docs/ARCHITECTURE.md).
+Builds the parts and hands connections and messages to those that want them;
+`PlannedStop` ends them. The entry that the users' platform runs is
+`leadford_server.forwarding` (docs/ARCHITECTURE.md).
 """
 
-import asyncio
 import random
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -32,6 +29,7 @@
 from leadford_server.pipelines.entry._http import BODY_BYTES_MAX
 from leadford_server.pipelines.entry._operators import OperatorService
 from leadford_server.pipelines.entry._pages import make_pages
+from leadford_server.pipelines.entry._planned_stop import PlannedStop
 from leadford_server.pipelines.entry._planner import PlannerService
 from leadford_server.pipelines.entry._requests import RequestTable
 from leadford_server.pipelines.entry._services import EntryServices
@@ -39,14 +37,6 @@
 from leadford_server.pipelines.store import StoreClient
 from leadford_server.settings import EntrySettings, SocketAddress
 
-# Seconds between the announcement of a stop and the first refusal, in which requests
-# that are on their way are served.
-ANNOUNCE_S = 0.5
-# Seconds between looks at what still runs, and most seconds for which it is awaited.
-DRAIN_POLL_INTERVAL_S = 0.02
-DRAIN_MAX_S = 120.0
-# Most seconds for which a stop awaits the rest of a body.
-BODY_REST_MAX_S = 5.0
 # Seconds for which a connection of a caller may wait for the head of a request, and
 # seconds between looks for those that wait longer.
 IDLE_MAX_S = 120.0
@@ -257,38 +247,19 @@
         self.entries_.peer_message(peer, message)
 
     async def drain(self) -> None:
-        """Serve what is on its way, refuse the rest, let all answers end, and close."""
-        table = self.table_
-        table.is_leaving_ = True
-        self.log_.report(Event.PROCESS_DRAINING)
-        limit = boot_time() + DRAIN_MAX_S
-        await asyncio.sleep(ANNOUNCE_S)
-        table.draining_ = True
-        while table.runs_by_id_ and boot_time() < limit:
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        self.web_.stop()
-        await self._answer_open_requests(limit)
-        await self.web_.close_all_connections()
-        self.follower_.stop()
-        self.hosts_.stop()
-        self.planner_.stop()
-        await self.directory_.stop()
-        await self.entries_.stop()
-        await self.server_.stop()
-        self.log_.report(Event.PROCESS_STOPPED)
-
-    async def _answer_open_requests(self, limit: float) -> None:
-        """Wait for the answers that are left, and close the connections.
-
-        Units: limit in seconds of the monotonic clock.
-        """
-        body_limit = boot_time() + BODY_REST_MAX_S
-        while self.table_.runs_by_id_ or not self.web_.is_empty:
-            if boot_time() >= limit:
-                return
-            if boot_time() >= body_limit:
-                self.web_.close_partial()
-            # Callers may use idle connections, and are refused, as long as others wait.
-            if not self.web_.busy_:
-                self.web_.close_idle()
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        """Run a planned stop; the process may end afterwards."""
+        stop = PlannedStop(
+            table=self.table_,
+            callers=self.web_,
+            log=self.log_,
+            clock=boot_time,
+            last_steps=(
+                self.follower_.stop,
+                self.hosts_.stop,
+                self.planner_.stop,
+                self.directory_.stop,
+                self.entries_.stop,
+                self.server_.stop,
+            ),
+        )
+        await stop.run()
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_planned_stops.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_planned_stops.py
@@ -16,7 +16,7 @@
     WorkspaceConfig,
 )
 from leadford.pipelines.execution import RequestExecution
-from leadford_server.pipelines.entry import EntryProcess, _process
+from leadford_server.pipelines.entry import EntryProcess, _planned_stop
 from leadford_server.pipelines.entry._answers import Answer
 from leadford_server.pipelines.entry._body import RequestBody
 from leadford_server.pipelines.entry._run import RequestRun
@@ -227,7 +227,7 @@
 
 def test_a_stop_does_not_wait_for_a_body_that_never_arrives(monkeypatch):
     """A stop lasts as long as a caller keeps a request unfinished."""
-    monkeypatch.setattr(_process, "BODY_REST_MAX_S", SHORT_WORK_S)
+    monkeypatch.setattr(_planned_stop, "BODY_REST_MAX_S", SHORT_WORK_S)
 
     async def scenario(entry):
         caller = entry.connect()
