Go on with a planned stop of the own interface after an error in a step of it

What callers saw: with `CallerServer.stop` made to raise as the stop ceases to listen, an entry run by `leadford_server.main` answered an open read with 500 0.5 s after SIGTERM and exited with a traceback; with no error the same read got its answer 404 after 2.1 s. An attempt at an endpoint ends with its agent in the same way and counts as lost. No code was found that raises there by itself while requests are open: this closes the class, as for the forwarding entry.

Cause: `drain()` of both processes was one sequence. An error or a cancellation in it left the main coroutine, and the runner then cancels all tasks.

Ruled out: an error in a callback or in a task of its own does not reach the main coroutine. SIGINT does not cancel it: the handler of the loop replaces that of the runner before the process starts. A failed start has no requests.

Errors of the looks for unused connections are caught at each look, so that the wait goes on. `StopSteps` is in the shared ground, which test_layers covers.

--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_process.py
@@ -26,6 +26,7 @@
 from leadford_server.pipelines.config import ConfigFollower
 from leadford_server.pipelines.store import StoreClient
 from leadford_server.settings import AgentSettings, SocketAddress
+from leadford_server.stops import StopSteps
 
 # Minimum time between the announcement of a stop and its end, in which attempts that
 # are on their way are refused: an entry takes one without a reply for lost.
@@ -199,18 +200,23 @@
         """Announce the stop, wait for accepted attempts to end, and close."""
         self.stopping_ = True
         self.log_.report(Event.PROCESS_DRAINING)
+        steps = StopSteps(log=self.log_)
         if self.service_ is not None:
-            self.service_.drain()
-            deadline_at = boot_time() + DRAIN_MAX_S
-            await asyncio.sleep(ANNOUNCE_S)
-            while not self.service_.is_idle and boot_time() < deadline_at:
-                await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-            self.service_.stop()
+            await steps.complete(self.service_.drain)
+            await steps.complete(self._wait_for_attempts)
+            await steps.complete(self.service_.stop)
         for peer in list(self.peers_):
-            await peer.close()
+            await steps.complete(peer.close)
         if self.model_loader_ is not None:
-            self.model_loader_.stop()
-        self.follower_.stop()
-        await self.server_.stop()
-        self.web_.stop()
+            await steps.complete(self.model_loader_.stop)
+        await steps.complete(self.follower_.stop)
+        await steps.complete(self.server_.stop)
+        await steps.complete(self.web_.stop)
         self.log_.report(Event.PROCESS_STOPPED)
+
+    async def _wait_for_attempts(self) -> None:
+        """Refuse attempts that are on their way, and wait until none runs."""
+        deadline_at = boot_time() + DRAIN_MAX_S
+        await asyncio.sleep(ANNOUNCE_S)
+        while not self.service_.is_idle and boot_time() < deadline_at:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_planned_stop.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_planned_stop.py
@@ -1,18 +1,19 @@
 """Stop an entry of the own interface as planned, so that what it has read is answered.
 
 Owns the order of a stop: announce it, refuse requests, let those that run end, listen
-no more, close each connection once its answer is written out, and close the rest. The
-forwarding entry stops by other rules (`leadford_server.forwarding`).
+no more, close each connection once its answer is written out, and close the rest.
+`StopSteps` keeps an error in one of them from ending the others. The forwarding entry
+stops by other rules (`leadford_server.forwarding`).
 """
 
 import asyncio
-import inspect
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 
 from leadford.events import Event
 from leadford_server.logs import EventLog
 from leadford_server.pipelines.entry._caller_server import CallerServer
 from leadford_server.pipelines.entry._requests import RequestTable
+from leadford_server.stops import StopStep, StopSteps
 
 # Seconds between the announcement of a stop and the first refusal, in which requests
 # that are on their way are served.
@@ -39,28 +40,29 @@
         callers: CallerServer,
         log: EventLog,
         clock: Callable[[], float],
-        last_steps: Sequence[Callable[[], Awaitable[None] | None]],
+        last_steps: Sequence[StopStep],
     ) -> None:
         self.table = table
         self.callers = callers
         self.log = log
         self.clock = clock
         self.last_steps = last_steps
+        self.steps_ = StopSteps(log=log)
 
     async def run(self) -> None:
         """Serve what is on its way, refuse the rest, let all answers end, and close."""
         self.ends_at_ = self.clock() + DRAIN_MAX_S
         self.table.is_leaving_ = True
         self.log.report(Event.PROCESS_DRAINING)
-        await self._refuse_requests()
-        await self._wait_for_runs()
-        self.callers.stop()
-        await self._answer_open_requests()
-        await self.callers.close_all_connections()
-        for step in self.last_steps:
-            result = step()
-            if inspect.isawaitable(result):
-                await result
+        for step in (
+            self._refuse_requests,
+            self._wait_for_runs,
+            self.callers.stop,
+            self._answer_open_requests,
+            self.callers.close_all_connections,
+            *self.last_steps,
+        ):
+            await self.steps_.complete(step)
         self.log.report(Event.PROCESS_STOPPED)
 
     async def _refuse_requests(self) -> None:
@@ -80,8 +82,8 @@
             if self.clock() >= self.ends_at_:
                 return
             if self.clock() >= body_ends_at:
-                self.callers.close_partial()
+                self.steps_.attempt(self.callers.close_partial)
             # Callers may use idle connections, and are refused, as long as others wait.
             if not self.callers.busy_:
-                self.callers.close_idle()
+                self.steps_.attempt(self.callers.close_idle)
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_planned_stops.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_planned_stops.py
@@ -1,44 +1,24 @@
 """Requests that are open while an entry of the own interface stops as planned."""
 
 import asyncio
-import hashlib
-import socket
-from random import Random
 
 import pytest
 
-from leadford.common import Outcome, RequestId, WorkspaceId
-from leadford.pipelines.config import (
-    FleetConfig,
-    OperatorConfig,
-    PipelineConfig,
-    StageConfig,
-    WorkspaceConfig,
+from leadford.common import RequestId
+from leadford_server.pipelines.entry import _planned_stop
+from leadford_server.pipelines.entry.tests._entry import (
+    HEADERS,
+    READ_UNKNOWN,
+    RESULT_BYTES,
+    play,
+    read_all,
+    send,
+    status_of,
 )
-from leadford.pipelines.execution import RequestExecution
-from leadford_server.pipelines.entry import EntryProcess, _planned_stop
-from leadford_server.pipelines.entry._answers import Answer
-from leadford_server.pipelines.entry._body import RequestBody
-from leadford_server.pipelines.entry._run import RequestRun
-from leadford_server.settings import EntrySettings, SocketAddress
-
-TIMEOUT_S = 20.0
+
 # Past the announcement of a stop, so that only open requests hold it.
 PAST_ANNOUNCEMENT_S = 0.8
 SHORT_WORK_S = 0.2
-# More than what both kernels hold for a caller that does not read.
-RESULT_BYTES = 16 * 1024 * 1024
-RECEIVE_BUFFER_BYTES = 4096
-KEY = "key"
-KEY_HASH = hashlib.sha256(KEY.encode()).hexdigest()
-LOCAL = SocketAddress("127.0.0.1", 0)
-PIPELINE = PipelineConfig(stages=(StageConfig(name="check", pool="p"),))
-CONFIG = FleetConfig(
-    workspaces={"w": WorkspaceConfig(key_hashes=(KEY_HASH,))},
-    operators={"o": OperatorConfig(token_hash=KEY_HASH)},
-)
-HEADERS = f"Host: entry\r\nAuthorization: Bearer {KEY}\r\n"
-READ_UNKNOWN = f"GET /v1/requests/unknown HTTP/1.1\r\n{HEADERS}\r\n".encode()
 STATEMENT = b'{"statement": "show entries"}'
 ASK_STATEMENT = (
     f"POST /v1/operator/statements HTTP/1.1\r\n{HEADERS}"
@@ -46,94 +26,6 @@
 ).encode() + STATEMENT
 
 
-class Entry:
-    """Hold an entry whose reads and statements wait until they are released."""
-
-    def __init__(self):
-        settings = EntrySettings(
-            entry_id="e",
-            host_id="h",
-            hall="h",
-            http=LOCAL,
-            peer=LOCAL,
-            store="http://127.0.0.1:9",
-            secret=b"secret",
-        )
-        self.process = EntryProcess(settings=settings, rng=Random(1))
-        self.released = asyncio.Event()
-
-    async def start(self):
-        await self.process.start()
-        self.process.follower_.tracker_.config_ = CONFIG
-        self.process.services_.config_ = CONFIG
-        self.process.services_.workspace_by_key_hash_ = {KEY_HASH: WorkspaceId("w")}
-        self.process.entries_.find_note = self._find_note
-        ask = self.process.fanout_.ask
-
-        async def ask_later(table, argument=""):
-            await self.released.wait()
-            return await ask(table, argument)
-
-        self.process.fanout_.ask = ask_later
-
-    async def _find_note(self, request_id):
-        await self.released.wait()
-
-    def connect(self):
-        (listening,) = self.process.web_._sockets.values()
-        caller = socket.socket()
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        caller.connect(listening.getsockname())
-        caller.setblocking(False)
-        return caller
-
-    def add_ended_request(self, request_id):
-        execution = RequestExecution(
-            request_id=request_id,
-            pipeline_id="p",
-            pipeline=PIPELINE,
-            workspace=WorkspaceId("w"),
-            deadline_at=60.0,
-        )
-        run = RequestRun(
-            execution=execution,
-            body=RequestBody(b"{}", "digest"),
-            priority=4,
-            keyed=False,
-            services=self.process.services_,
-        )
-        run.answer_.end(Answer(Outcome.COMPLETE, b'"' + b"x" * RESULT_BYTES + b'"'))
-        self.process.table_.recent_.add_ended(run)
-
-
-def play(scenario):
-    """Run a scenario with an entry that has started."""
-
-    async def run():
-        entry = Entry()
-        await entry.start()
-        await asyncio.wait_for(scenario(entry), TIMEOUT_S)
-
-    asyncio.run(run())
-
-
-async def send(caller, data):
-    await asyncio.get_running_loop().sock_sendall(caller, data)
-
-
-async def read_all(caller):
-    """Return what arrives until the connection is closed."""
-    loop = asyncio.get_running_loop()
-    parts = []
-    while part := await loop.sock_recv(caller, 1024 * 1024):
-        parts.append(part)
-    return b"".join(parts)
-
-
-def status_of(answer):
-    return answer.split(b" ", 2)[1:2]
-
-
 @pytest.mark.parametrize(
     ("request_bytes", "status"),
     [(READ_UNKNOWN, b"404"), (ASK_STATEMENT, b"200")],
--- a/packages/leadford-server/src/leadford_server/tests/test_layers.py
+++ b/packages/leadford-server/src/leadford_server/tests/test_layers.py
@@ -10,7 +10,16 @@
 pytestmark = pytest.mark.usefixtures("no_garbage_collection")
 
 ROOT = Path(leadford_server.__file__).parent
-SHARED_FOLDERS = ("clock", "logs", "metrics", "peers", "quarantine", "settings", "web")
+SHARED_FOLDERS = (
+    "clock",
+    "logs",
+    "metrics",
+    "peers",
+    "quarantine",
+    "settings",
+    "stops",
+    "web",
+)
 
 
 def imported_modules(path):
