Close all connections to other entries, also as one more is made

What callers saw: nothing. In a stop of an entry of the own interface a message that needs a connection to another entry, while those that stand are closed, broke that step, so that the rest were cut off with what waits to be sent.

Cause: the step went over the dictionary itself, which `peer()` adds to.

Evidence: test_a_connection_to_an_entry_may_be_made_while_others_are_closed failed before (event 110 once: RuntimeError) and passes now. Tests of leadford_server.pipelines.entry disturbed stops and idle connections pass.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_entries.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_entries.py
@@ -240,5 +240,5 @@
 
     async def stop(self) -> None:
         """Close every connection."""
-        for dialer in self.dialers_by_id_.values():
+        for dialer in list(self.dialers_by_id_.values()):
             await dialer.stop()
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_disturbed_stops.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_disturbed_stops.py
@@ -1,6 +1,7 @@
 """Planned stops of an entry of the own interface in which something fails."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
@@ -68,3 +69,19 @@
         assert count(entry.process, Event.PROCESS_STOPPED) == 1
 
     play(scenario)
+
+
+def test_a_connection_to_an_entry_may_be_made_while_others_are_closed():
+    """A message in the last steps of a stop breaks the one that closes connections."""
+
+    async def scenario(entry):
+        dialers_by_id = entry.process.entries_.dialers_by_id_
+
+        async def make_another():
+            dialers_by_id["later"] = SimpleNamespace(stop=make_another)
+
+        dialers_by_id["first"] = SimpleNamespace(stop=make_another)
+        await entry.process.drain()
+        assert count(entry.process, Event.STOP_DISTURBED) == 0
+
+    play(scenario)
