Look for idle connections again after a look that failed

What callers saw: nothing. After one error in a look an entry of the own interface closed no idle connection any more, until it was out of descriptors.

Cause: the timer of the next look was set as the last thing of this one.

Evidence: test_an_error_in_a_look_for_idle_connections_is_followed_by_other_looks failed before (the connection stays open) and passes now. Tests of leadford_server.pipelines.entry disturbed stops and idle connections pass.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_caller_server.py
@@ -74,9 +74,10 @@
 
     def watch_idle(self) -> None:
         """Close the connections that were idle for too long, from now on."""
-        self.close_idle(self.idle_max_s)
         loop = asyncio.get_running_loop()
+        # Set first, so that an error in this look does not prevent the next one.
         self.idle_timer_ = loop.call_later(self.idle_look_s, self.watch_idle)
+        self.close_idle(self.idle_max_s)
 
     def stop(self) -> None:
         """Stop listening and looking for idle connections."""
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_idle_connections.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_idle_connections.py
@@ -105,3 +105,24 @@
         assert await receive(caller) == b""
 
     play(scenario)
+
+
+def test_an_error_in_a_look_for_idle_connections_is_followed_by_other_looks(
+    monkeypatch,
+):
+    """After an error in one look idle connections are never closed again."""
+    close_idle = CallerServer.close_idle
+    looks = []
+
+    def fail_at_second_look(server, idle_min_s):
+        looks.append(idle_min_s)
+        if len(looks) == 2:
+            raise RuntimeError("lost")
+        close_idle(server, idle_min_s)
+
+    monkeypatch.setattr(CallerServer, "close_idle", fail_at_second_look)
+
+    async def scenario(caller):
+        assert await receive(caller) == b""
+
+    play(scenario)
