Split the decision whether a request of the own interface begins

What and why: one function of 46 lines asked three standing reasons and the forecast, and wrapped each answer itself. Each part has a function now, in the same order.

Tests: leadford_server.pipelines.entry passes.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_admitting.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_admitting.py
@@ -68,28 +68,38 @@
 
         `live` requests run at this entry now.
         """
+        problem = self._standing_problem(pipeline, new, draining=draining)
+        if problem is None and self.services.config_.tuning.admission:
+            problem = self._forecast_problem(pipeline, new, live=live)
+        return Refusal(request_id, problem) if problem is not None else None
+
+    def _standing_problem(
+        self, pipeline: PipelineConfig, new: NewRequest, *, draining: bool
+    ) -> Problem | None:
+        """Return what keeps a request from beginning, whatever the load."""
         if draining:
-            problem = Problem(
+            return Problem(
                 503, RefusalReason.DRAINING, retry_after_ms=DRAINING_RETRY_AFTER_MS
             )
-            return Refusal(request_id, problem)
         if pipeline.paused:
-            problem = Problem(
+            return Problem(
                 503, RefusalReason.PAUSED, retry_after_ms=PAUSED_RETRY_AFTER_MS
             )
-            return Refusal(request_id, problem)
         quarantined = self.services.quarantine_.verdict(new.content_digest)
-        if quarantined.refuses:
-            # What a caller sends again is the same work: without this it ends one
-            # endpoint after the other.
-            problem = Problem(
-                503,
-                RefusalReason.QUARANTINED,
-                retry_after_ms=quarantined.retry_after_s * 1_000.0,
-            )
-            return Refusal(request_id, problem)
-        if not self.services.config_.tuning.admission:
+        if not quarantined.refuses:
             return None
+        # What a caller sends again is the same work: without this it ends one endpoint
+        # after the other.
+        return Problem(
+            503,
+            RefusalReason.QUARANTINED,
+            retry_after_ms=quarantined.retry_after_s * 1_000.0,
+        )
+
+    def _forecast_problem(
+        self, pipeline: PipelineConfig, new: NewRequest, *, live: int
+    ) -> Problem | None:
+        """Return why a request would probably not be in time, or None."""
         forecasts = self._forecasts(pipeline, new.workspace)
         verdict = self.services.admission_.decide(
             forecasts, remaining_ms=new.deadline_ms, live=live
@@ -99,8 +109,7 @@
         text = _forecast_text(
             pipeline, forecasts, verdict.predicted_ms, new.deadline_ms
         )
-        problem = Problem(503, verdict.reason, text, verdict.retry_after_ms)
-        return Refusal(request_id, problem)
+        return Problem(503, verdict.reason, text, verdict.retry_after_ms)
 
     def _forecasts(
         self, pipeline: PipelineConfig, workspace: WorkspaceId
