Use the view's own rule for the attempts ahead at an endpoint

What and why: the choice of an endpoint repeated `EndpointView.attempts_ahead`, so that the rule for old load reports stood twice, in a function of 44 lines. It is called now.

A request has one such choice an attempt.

Tests: leadford.pipelines.routing passes.

--- a/packages/leadford/src/leadford/pipelines/routing/_expected_finish.py
+++ b/packages/leadford/src/leadford/pipelines/routing/_expected_finish.py
@@ -20,7 +20,6 @@
 
 from leadford.common import Objective
 from leadford.pipelines.routing._base import (
-    REPORT_HALF_LIFE_S,
     EndpointView,
     RandomizedPolicy,
     RoutingRequest,
@@ -72,16 +71,10 @@
         fills_batches = (
             request.objective is Objective.COST and request.expected_tokens > 0
         )
-        # One inlined loop over a shortlist, as this runs for every attempt.
+        # A shortlist bounds the time, as this runs for every attempt.
         for view in self._shortlist(request, candidates):
             report = view.report_
-            age_s = now - report.at_s
-            report_weight = REPORT_HALF_LIFE_S / (REPORT_HALF_LIFE_S + age_s)
-            if age_s <= 0.0:
-                report_weight = 1.0
-            attempts_ahead = view.reported_attempts_ * report_weight + view.unreported_
-            if attempts_ahead < view.outstanding_:
-                attempts_ahead = view.outstanding_
+            attempts_ahead = view.attempts_ahead(now)
             concurrency = report.concurrency
             service_ms = report.service_ms or request.expected_ms
             score = draw() * TIE_MS + view.distance_ms * 2.0
