Divide a replay and its report into smaller steps

The report takes the trace instead of four of its fields, `_Totals` adds up the times of tokens too, and sending the requests is a step of its own. The report has the same fields. The test of reports gives a trace and checks the same.

Tests: packages/leadford-cli passes.

--- a/packages/leadford-cli/src/leadford_cli/replay/_report.py
+++ b/packages/leadford-cli/src/leadford_cli/replay/_report.py
@@ -11,6 +11,7 @@
 
 from leadford_cli.replay._caller import CallRecord
 from leadford_cli.replay._check import Violations, find_violations
+from leadford_cli.replay._trace import Trace
 from leadford_standins.endpoints import ExecutionRecord
 
 HISTOGRAM_MAX_US = 600_000_000
@@ -123,6 +124,8 @@
         self.by_kind: dict[str, Attainment] = defaultdict(Attainment)
         self.by_workspace: dict[str, Attainment] = defaultdict(Attainment)
         self.latencies_ms: dict[str, list[float]] = defaultdict(list)
+        self.first_tokens_ms: list[float] = []
+        self.token_gaps_ms: list[float] = []
         self.refusals: Counter[str] = Counter()
         self.weighted = 0.0
         self.tokens_in_time = 0
@@ -137,18 +140,24 @@
             self.latencies_ms[kind].append(record.elapsed_ms)
         else:
             self.refusals[record.reason or record.outcome] += 1
+        if record.first_token_s:
+            first_ms = (record.first_token_s - record.started_s) * 1000.0
+            self.first_tokens_ms.append(first_ms)
+            self.token_gaps_ms.extend(record.token_gaps_ms)
         if record.in_time:
             self.weighted += pipeline.get("weight", 1.0)
             self.tokens_in_time += sum(
                 stage.get("expected_tokens", 0) for stage in pipeline["stages"]
             )
 
+    def latency_ms_by_kind(self) -> dict[str, dict[str, float]]:
+        """Return the quantiles of complete requests of each kind."""
+        return {kind: _quantiles(values) for kind, values in self.latencies_ms.items()}
+
 
 def make_report(
     *,
-    trace: str,
-    deployment: str,
-    seed: int,
+    trace: Trace,
     records: list[CallRecord],
     executions: list[ExecutionRecord],
     document: dict,
@@ -156,7 +165,6 @@
     retries: int,
     prefill_tokens: int,
     cached_tokens: int,
-    faults: list[dict],
 ) -> Report:
     """Return the report of a replay."""
     totals = _Totals()
@@ -164,22 +172,17 @@
         totals.add(record, document["pipelines"][record.request.pipeline])
     costs = _costs(executions, document)
     cost = sum(line.cost for line in costs.values())
-    streamed = [record for record in records if record.first_token_s]
-    first = [(r.first_token_s - r.started_s) * 1000.0 for r in streamed]
-    gaps = [gap for record in streamed for gap in record.token_gaps_ms]
     return Report(
-        trace=trace,
-        deployment=deployment,
-        seed=seed,
+        trace=trace.name,
+        deployment=trace.deployment,
+        seed=trace.seed,
         duration_s=max((record.ended_s for record in records), default=0.0),
         attainment=totals.attainment,
         by_kind=dict(totals.by_kind),
         by_workspace=dict(totals.by_workspace),
-        latency_ms_by_kind={
-            kind: _quantiles(values) for kind, values in totals.latencies_ms.items()
-        },
-        first_token_ms=_quantiles(first),
-        token_gap_ms=_quantiles(gaps),
+        latency_ms_by_kind=totals.latency_ms_by_kind(),
+        first_token_ms=_quantiles(totals.first_tokens_ms),
+        token_gap_ms=_quantiles(totals.token_gaps_ms),
         cost_by_stage=costs,
         tokens_in_time=totals.tokens_in_time,
         weighted_completed=totals.weighted,
@@ -191,7 +194,7 @@
         violations=find_violations(records, executions, document),
         store_calls=store_calls,
         timeline=_timeline(records),
-        faults=faults,
+        faults=[msgspec.to_builtins(fault) for fault in trace.faults],
     )
 
 
--- a/packages/leadford-cli/src/leadford_cli/replay/_runner.py
+++ b/packages/leadford-cli/src/leadford_cli/replay/_runner.py
@@ -74,38 +74,34 @@
             http=self.http_,
             started_at=time.monotonic(),
         )
-        faults = asyncio.create_task(self._inject(caller.started_at))
-        calls: list[asyncio.Task[CallRecord]] = []
-        for request in self.trace.requests:
-            delay_s = caller.started_at + request.at_s - time.monotonic()
-            if delay_s > 0:
-                await asyncio.sleep(delay_s)
-            calls.append(asyncio.create_task(caller.call(request)))
-        self.records_ = list(await asyncio.gather(*calls))
-        faults.cancel()
+        self.records_ = await self._send_requests(caller)
         await asyncio.sleep(SETTLE_S)
         tables = await self._tables()
-        executions = [
-            record
-            for table in tables
-            for record in table.records
-            if record.at_s >= wall_start
-        ]
         calls_after = await self._store_calls()
         return make_report(
-            trace=self.trace.name,
-            deployment=self.trace.deployment,
-            seed=self.trace.seed,
+            trace=self.trace,
             records=self.records_,
-            executions=executions,
+            executions=_executions_since(wall_start, tables),
             document=self.fleet.document,
             store_calls=_difference(calls_after, calls_before),
             retries=max(0, await self._retries() - retries_before),
             prefill_tokens=sum(table.prefill_tokens for table in tables),
             cached_tokens=sum(table.cached_tokens for table in tables),
-            faults=[msgspec.to_builtins(fault) for fault in self.trace.faults],
         )
 
+    async def _send_requests(self, caller: Caller) -> list[CallRecord]:
+        """Send each request at its moment, beside the faults; return the records."""
+        faults = asyncio.create_task(self._inject(caller.started_at))
+        calls: list[asyncio.Task[CallRecord]] = []
+        for request in self.trace.requests:
+            delay_s = caller.started_at + request.at_s - time.monotonic()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            calls.append(asyncio.create_task(caller.call(request)))
+        records = list(await asyncio.gather(*calls))
+        faults.cancel()
+        return records
+
     async def _inject(self, started_at: float) -> None:
         for fault in sorted(self.trace.faults, key=lambda fault: fault.at_s):
             await asyncio.sleep(max(0.0, started_at + fault.at_s - time.monotonic()))
@@ -151,6 +147,18 @@
         return int(total)
 
 
+def _executions_since(
+    wall_start: float, tables: list[_EndpointRecords]
+) -> list[ExecutionRecord]:
+    """Return what stand-ins executed from a moment of Unix time on."""
+    return [
+        record
+        for table in tables
+        for record in table.records
+        if record.at_s >= wall_start
+    ]
+
+
 def _difference(after: dict, before: dict) -> dict:
     numbers = {}
     for name, value in after.items():
--- a/packages/leadford-cli/src/leadford_cli/tests/test_replay.py
+++ b/packages/leadford-cli/src/leadford_cli/tests/test_replay.py
@@ -9,6 +9,7 @@
 from leadford_cli.plots import draw_report
 from leadford_cli.replay import (
     OutcomeBounds,
+    Trace,
     TraceFault,
     check_outcomes,
     find_violations,
@@ -97,9 +98,13 @@
 def test_reports_are_held_to_their_outcomes_and_drawn(tmp_path):
     late = record("k2", ended_s=9.0)
     report = make_report(
-        trace="t",
-        deployment="damier",
-        seed=1,
+        trace=Trace(
+            name="t",
+            deployment="damier",
+            seed=1,
+            requests=[],
+            faults=[TraceFault(at_s=0.5, target="engines-1", action="kill")],
+        ),
         records=[record(), late],
         executions=[execution(), execution("k2")],
         document=DOCUMENT,
@@ -107,7 +112,6 @@
         retries=0,
         prefill_tokens=0,
         cached_tokens=0,
-        faults=[{"at_s": 0.5, "target": "engines-1", "action": "kill"}],
     )
     assert report.attainment.share == 0.5
     assert report.attainment.late == 1
