Take figures and their history out of comments of the own interface

What and why: comments beside five constants told what a run had shown, or what an earlier value did.

Tests: leadford.pipelines routing and ejection, leadford_server.pipelines.config pass.

--- a/packages/leadford-server/src/leadford_server/pipelines/store/_client.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/store/_client.py
@@ -20,9 +20,8 @@
 # Timeout of a call, except for the time that a watch waits in the store.
 CALL_TIMEOUT_S = 2.0
 # Time that a watch waits in the store for a change. A watch that is never answered ends
-# after this time and the timeout of a call; with a pause of 1.5 s, this leaves 1.5 s of
-# the 12 s within which a change must be in force everywhere. With 30 s, a change came
-# into force up to 27 s late.
+# after this time and the timeout of a call, and the store is read after one more pause:
+# in all sooner than a change must be in force everywhere.
 WATCH_WAIT_S = 7.0
 
 
--- a/packages/leadford/src/leadford/pipelines/ejection/_outliers.py
+++ b/packages/leadford/src/leadford/pipelines/ejection/_outliers.py
@@ -25,8 +25,8 @@
 MIN_OUTCOMES = 10
 # Multiple of the median of the others above which an endpoint is ejected for slowness,
 # the samples that it requires, and the minimum of this limit. Slowness is the time
-# divided by the expected time of the stage: in a trace of 15 s this ejects no healthy
-# engine, while time per token ejects healthy engines 6 times.
+# divided by the expected time of the stage, since the time per token depends on the
+# length of a generation.
 SLOWNESS_RATIO = 3.0
 MIN_SLOWNESS_SAMPLES = 4
 MIN_SLOWNESS_LIMIT = 2.0
--- a/packages/leadford/src/leadford/pipelines/routing/_expected_finish.py
+++ b/packages/leadford/src/leadford/pipelines/routing/_expected_finish.py
@@ -30,15 +30,13 @@
 # share with which it starts.
 SLOW_START_S = 5.0
 SLOW_START_MIN_FRACTION = 0.2
-# Prefill time of a prompt token, and the fraction of it that a cached prefix saves. The
-# gain of routing by prefix is in docs/measurements/prefixes.md.
+# Prefill time of a prompt token, and the fraction of it that a cached prefix saves.
 PREFILL_MS_PER_TOKEN = 0.25
 PREFIX_HIT_FRACTION = 0.9
 # Range of the random term that decides between nearly equal scores.
 TIE_MS = 1.0
 # With the cost objective: the fraction of its slots up to which an engine is filled,
-# and how many times the score must fit into the remaining time. In a trace on six
-# engines a weighted request costs 0.826 with this objective, 1.199 with attainment.
+# and how many times the score must fit into the remaining time.
 MAX_COST_FILL_FRACTION = 0.85
 COST_SLACK_FACTOR = 1.5
 # Bonus of a full engine over an empty one; larger than any score.
@@ -46,8 +44,8 @@
 # Fraction by which each other stream of the batch slows a stream.
 SLOWDOWN_PER_STREAM = 0.05
 # Number of least loaded endpoints that are scored, and the maximum number of fullest
-# ones and of holders of the prefix that are added. A choice among 40 endpoints takes
-# 39 us, and 119 us when all are scored (on a busy machine).
+# ones and of holders of the prefix that are added. To score all of a large pool would
+# take too long for every attempt.
 SHORTLIST_SIZE = 8
 
 _LOAD = attrgetter("load_")
