Say in names of constants of the own interface what they bound, and the unit

What and why: names such as `LOOK_S`, `NOTES_KEPT`, `PROBE_PART` or `READ_S` needed their comment. No value changes.

--- a/packages/leadford-cli/src/leadford_cli/days/_losses.py
+++ b/packages/leadford-cli/src/leadford_cli/days/_losses.py
@@ -13,7 +13,7 @@
 
 # Milliseconds of the engine beyond which it, not the stages, made an answer late: a
 # quarter of the aim is more than any prompt takes on an engine that is not busy.
-ENGINE_PART = 0.25
+ENGINE_AIM_FRACTION = 0.25
 
 
 class LossCause(Enum):
@@ -94,7 +94,7 @@
         if len(tries) > 1 and last.first_ms <= last.aim_ms:
             return LossCause.RETURNED_LATE
         engine_ms = last.first_ms - max(0, last.stages_ms)
-        is_engine = engine_ms > ENGINE_PART * last.aim_ms > 0.0
+        is_engine = engine_ms > ENGINE_AIM_FRACTION * last.aim_ms > 0.0
         return LossCause.ENGINE_LATE if is_engine else LossCause.STAGES_LATE
     if last.gap_aim_ms > 0.0 and last.pause_ms > last.gap_aim_ms:
         return LossCause.PAUSED
--- a/packages/leadford-cli/src/leadford_cli/operators/_client.py
+++ b/packages/leadford-cli/src/leadford_cli/operators/_client.py
@@ -19,7 +19,7 @@
 # Seconds for a call, more than an entry awaits a change (12 s).
 TIMEOUT_S = 30.0
 # Statuses after which the next entry is asked.
-UNSETTLED = (502, 503, 504, NO_RESPONSE_STATUS)
+UNSETTLED_STATUSES = (502, 503, 504, NO_RESPONSE_STATUS)
 
 
 class OperatorError(msgspec.Struct, frozen=True):
@@ -82,7 +82,7 @@
             if response.code == 200:
                 return Success(msgspec.json.decode(response.body))
             error = _error_of(response.body or b"", str(response.error))
-            if response.code not in UNSETTLED:
+            if response.code not in UNSETTLED_STATUSES:
                 break
         return Failure(error)
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
@@ -31,9 +31,9 @@
 from leadford_server.pipelines.entry._trail import Trail
 
 # Seconds between looks whether a generation is too slow here.
-LOOK_S = 0.25
+RESCUE_POLL_INTERVAL_S = 0.25
 # Seconds between looks whether a connection stands again.
-REACH_S = 0.01
+CONNECT_POLL_INTERVAL_S = 0.01
 
 
 class StageAttempts:
@@ -160,7 +160,7 @@
         while link.peer is None:
             if self.live.services.clock() >= self.live.execution.deadline_at:
                 return False
-            await asyncio.sleep(REACH_S)
+            await asyncio.sleep(CONNECT_POLL_INTERVAL_S)
         return True
 
     async def _wait(
@@ -169,7 +169,7 @@
         """Wait until one attempt succeeds, all have failed, or time is up."""
         clock = self.live.services.clock
         hedge_at = clock() + hedge_ms / 1000.0 if hedge_ms is not None else None
-        look_at = clock() + LOOK_S
+        look_at = clock() + RESCUE_POLL_INTERVAL_S
         while True:
             limit = min(self.live.execution.deadline_at, look_at)
             if hedge_at is not None:
@@ -184,7 +184,7 @@
                     hedge_at = None
                     self._hedge()
                 if clock() >= look_at:
-                    look_at = clock() + LOOK_S
+                    look_at = clock() + RESCUE_POLL_INTERVAL_S
                     slow = self._give_up_slow()
                     if slow is not None:
                         return slow
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_claims.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_claims.py
@@ -26,9 +26,9 @@
 from leadford_server.pipelines.store import StoreClient
 
 # Seconds for which the owner of a shard is awaited before the claim is written here.
-FORWARD_S = 0.5
+FORWARD_TIMEOUT_S = 0.5
 # Claims remembered whose write is in doubt, so that a repetition takes them up.
-ABANDONED_KEPT = 10_000
+ABANDONED_CLAIMS_MAX = 10_000
 
 
 class ForwardedClaim(msgspec.Struct, frozen=True, eq=False):
@@ -77,7 +77,7 @@
             verdict = ClaimVerdict.STORE_UNAVAILABLE
         if verdict is ClaimVerdict.STORE_UNAVAILABLE:
             self.abandoned_by_request_[request_id] = claim_id
-            if len(self.abandoned_by_request_) > ABANDONED_KEPT:
+            if len(self.abandoned_by_request_) > ABANDONED_CLAIMS_MAX:
                 self.abandoned_by_request_.popitem(last=False)
         return verdict
 
@@ -100,7 +100,7 @@
         future = asyncio.get_running_loop().create_future()
         self.forwarded_by_id_[claim_id] = ForwardedClaim(peer, future)
         try:
-            async with asyncio.timeout(FORWARD_S):
+            async with asyncio.timeout(FORWARD_TIMEOUT_S):
                 return await future
         except TimeoutError:
             return None
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_directory.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_directory.py
@@ -27,8 +27,9 @@
 
 # Milliseconds one way to another data hall.
 OTHER_HALL_MS = 0.5
-# Part of the choices that fall on an endpoint under probation while others are there.
-PROBE_PART = 0.2
+# Fraction of the choices that fall on an endpoint under probation while there are
+# others.
+PROBE_FRACTION = 0.2
 
 _EVENT_BY_STATE = {
     EndpointState.EJECTED: Event.ENDPOINT_EJECTED,
@@ -208,7 +209,7 @@
                 continue
             admitted.append(link.view)
         # A probe rides on ordinary work, one at a time and only now and then.
-        if probing and (not admitted or self.random.random() < PROBE_PART):
+        if probing and (not admitted or self.random.random() < PROBE_FRACTION):
             return probing
         return admitted or lost
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_entries.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_entries.py
@@ -25,22 +25,22 @@
 from leadford_server.pipelines.entry._dialers import DialerFactory
 
 # Notes kept for other entries.
-NOTES_KEPT = 50_000
+NOTES_MAX = 50_000
 # Shards over which notes are spread: few enough that the order of each is remembered.
-NOTE_SHARDS = 64
+NOTE_SHARD_COUNT = 64
 # Orders of entries that are remembered.
-ORDERS_KEPT = 256
+ORDERS_MAX = 256
 # Seconds between looks at connections that are awaited.
-CONNECT_POLL_S = 0.02
+CONNECT_POLL_INTERVAL_S = 0.02
 # Entries that keep a note, and those that may, in order: more, so that a note is kept
 # while the connection to one of them is made again.
-NOTE_REPLICAS = 2
-NOTE_CANDIDATES = 6
+NOTE_REPLICA_COUNT = 2
+NOTE_CANDIDATE_COUNT = 6
 # Seconds for which the entries that hold a note are connected, and then asked.
-NOTE_ANSWER_S = 0.3
+NOTE_ANSWER_TIMEOUT_S = 0.3
 
 
-@lru_cache(maxsize=ORDERS_KEPT)
+@lru_cache(maxsize=ORDERS_MAX)
 def _order(key: str, entry_ids: tuple[str, ...]) -> tuple[str, ...]:
     """Return the order of all entries for a key, worked out once a configuration."""
     return tuple(rendezvous_order(key, entry_ids))
@@ -138,7 +138,7 @@
             ]
             if not awaited or asyncio.get_running_loop().time() >= limit:
                 return [peer for peer in peers_by_id.values() if peer is not None]
-            await asyncio.sleep(CONNECT_POLL_S)
+            await asyncio.sleep(CONNECT_POLL_INTERVAL_S)
 
     def owner(self, shard: int) -> EntryId:
         """Return the entry that batches the claims of a shard now."""
@@ -162,8 +162,8 @@
 
     def note_holders(self, request_id: RequestId) -> tuple[str, ...]:
         """Return the entries that may keep the note of a request, in order."""
-        shard = stable_hash(request_id) % NOTE_SHARDS
-        return _order(f"note/{shard}", self.ids_)[:NOTE_CANDIDATES]
+        shard = stable_hash(request_id) % NOTE_SHARD_COUNT
+        return _order(f"note/{shard}", self.ids_)[:NOTE_CANDIDATE_COUNT]
 
     def publish(self, note: Note) -> None:
         """Give a note to the first of its holders that can be reached."""
@@ -175,13 +175,13 @@
             else:
                 peer = self.peer(EntryId(entry_id))
                 kept += peer is not None and peer.send(note)
-            if kept >= NOTE_REPLICAS:
+            if kept >= NOTE_REPLICA_COUNT:
                 return
 
     def _keep(self, note: Note) -> None:
         self.notes_by_request_[note.request_id] = note
         self.notes_by_request_.move_to_end(note.request_id)
-        if len(self.notes_by_request_) > NOTES_KEPT:
+        if len(self.notes_by_request_) > NOTES_MAX:
             self.notes_by_request_.popitem(last=False)
 
     async def find_note(self, request_id: RequestId) -> Note | None:
@@ -192,7 +192,9 @@
         note_holders = [
             EntryId(i) for i in self.note_holders(request_id) if i != self.entry_id
         ]
-        asked = await self.connect(note_holders, NOTE_ANSWER_S, wait_for_down=False)
+        asked = await self.connect(
+            note_holders, NOTE_ANSWER_TIMEOUT_S, wait_for_down=False
+        )
         futures: list[asyncio.Future[Note | None]] = []
         for peer in asked:
             if not peer.send(NoteRequest(request_id)):
@@ -212,7 +214,7 @@
     async def _first_note(
         self, futures: list[asyncio.Future[Note | None]]
     ) -> Note | None:
-        for future in asyncio.as_completed(futures, timeout=NOTE_ANSWER_S):
+        for future in asyncio.as_completed(futures, timeout=NOTE_ANSWER_TIMEOUT_S):
             try:
                 note = await future
             except TimeoutError:
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_fanout.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_fanout.py
@@ -20,10 +20,10 @@
 
 # Seconds for which entries are awaited; an entry awaits its agents for less, so that
 # its own answer is in time.
-ANSWER_S = 1.5
-AGENT_ANSWER_S = 0.8
+ANSWER_TIMEOUT_S = 1.5
+AGENT_ANSWER_TIMEOUT_S = 0.8
 # Seconds for which connections to entries are awaited.
-CONNECT_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
 # Tables whose rows only agents have.
 AGENT_TABLES = ("queue",)
 
@@ -59,9 +59,11 @@
     async def ask(self, table: str, argument: str = "") -> FleetRows:
         """Return the rows of the whole fleet, as far as it answers."""
         others = [EntryId(i) for i in self.entries.ids_ if i != self.entry_id]
-        peers = await self.entries.connect(others, CONNECT_S, wait_for_down=True)
+        peers = await self.entries.connect(
+            others, CONNECT_TIMEOUT_S, wait_for_down=True
+        )
         own = self._own_rows(table, argument)
-        theirs = self._gather(peers, table, argument, ANSWER_S)
+        theirs = self._gather(peers, table, argument, ANSWER_TIMEOUT_S)
         own_rows, answers = await asyncio.gather(own, theirs)
         answers.append(own_rows)
         return FleetRows(answers, len(others) + 1, len(answers))
@@ -71,7 +73,9 @@
         if table in AGENT_TABLES:
             links = self.directory.links_by_id_.values()
             agents = [link.peer for link in links if link.peer is not None]
-            answers = await self._gather(agents, table, argument, AGENT_ANSWER_S)
+            answers = await self._gather(
+                agents, table, argument, AGENT_ANSWER_TIMEOUT_S
+            )
             rows = [*rows, *(row for answer in answers for row in answer)]
         return rows
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_hosts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_hosts.py
@@ -14,7 +14,7 @@
 from leadford_server.web import fetch
 
 # Seconds between polls.
-POLL_S = 2.0
+POLL_INTERVAL_S = 2.0
 
 
 class HostPoller:
@@ -44,7 +44,7 @@
             response = await fetch(self.http, f"{self.url}/hosts")
             if response.code == 200:
                 self._take(response.body)
-            await asyncio.sleep(POLL_S * self.random.uniform(0.75, 1.25))
+            await asyncio.sleep(POLL_INTERVAL_S * self.random.uniform(0.75, 1.25))
 
     def _take(self, body: bytes) -> None:
         try:
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_operators.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_operators.py
@@ -42,7 +42,7 @@
 
 # Seconds for which a change is awaited in every process, and between looks.
 WAIT_MAX_S = 12.0
-WAIT_STEP_S = 0.1
+WAIT_POLL_INTERVAL_S = 0.1
 
 
 class StatementCall(msgspec.Struct):
@@ -134,7 +134,7 @@
             behind = await self.laggards(version)
             if not behind or boot_time() >= limit:
                 return behind
-            await asyncio.sleep(WAIT_STEP_S)
+            await asyncio.sleep(WAIT_POLL_INTERVAL_S)
 
 
 class _OperatorHandler(web.RequestHandler):
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_planner.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_planner.py
@@ -38,11 +38,11 @@
 from leadford_server.pipelines.store import StoreClient, StoreErrorKind
 
 # Seconds between rounds of planning, more or less by a quarter.
-ROUND_S = 1.0
+ROUND_INTERVAL_S = 1.0
 # Seconds after which a plan that another entry wrote is read again.
-READ_S = 5.0
+PLAN_MAX_AGE_S = 5.0
 # Entries that may plan a pool, the first of its order.
-CANDIDATES = 2
+PLANNER_CANDIDATE_COUNT = 2
 
 
 class _PoolPlan:
@@ -93,7 +93,7 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(ROUND_S * self.random.uniform(0.75, 1.25))
+            await asyncio.sleep(ROUND_INTERVAL_S * self.random.uniform(0.75, 1.25))
             for pool_id, models in self._models_by_pool().items():
                 if self._is_candidate(pool_id):
                     await self._round(pool_id, models)
@@ -109,7 +109,7 @@
 
     def _is_candidate(self, pool_id: PoolId) -> bool:
         order = self.entries.live_order(f"plan/{pool_id}")
-        return self.entry_id in islice(order, CANDIDATES)
+        return self.entry_id in islice(order, PLANNER_CANDIDATE_COUNT)
 
     async def _round(self, pool_id: PoolId, models: dict[str, ModelConfig]) -> None:
         state = self.plans_by_pool_.get(pool_id)
@@ -132,7 +132,7 @@
     async def _refresh(self, pool_id: PoolId, state: _PoolPlan) -> bool:
         """Read the plan object unless this entry wrote it last and lately."""
         holder = state.record_.holder if state.record_ is not None else ""
-        fresh = boot_time() - state.read_at_ < READ_S
+        fresh = boot_time() - state.read_at_ < PLAN_MAX_AGE_S
         if holder == self.entry_id or fresh:
             return state.version_ > 0 or fresh
         read = await self.store.get(f"plans/{pool_id}")
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
@@ -45,12 +45,12 @@
 from leadford_server.pipelines.entry._trail import TrailStep
 
 # Seconds between looks for the note of a key, and most seconds.
-LOOKUP_STEP_S = 0.05
+LOOKUP_POLL_INTERVAL_S = 0.05
 LOOKUP_MAX_S = 1.0
 # Characters of an error that are logged and told to callers.
 ERROR_CHARS_MAX = 300
 # Seconds that a request has which is taken over, since its note holds no deadline.
-RESUME_S = 30.0
+RESUMED_DEADLINE_S = 30.0
 
 
 class RequestTable:
@@ -171,13 +171,13 @@
         """Answer a repeated key from the record of its first run."""
         run.record_begun_elsewhere()
         # The first run may not have told the holders of its note yet.
-        tries = int(LOOKUP_MAX_S / LOOKUP_STEP_S)
+        tries = int(LOOKUP_MAX_S / LOOKUP_POLL_INTERVAL_S)
         note: Note | None = None
         for _ in range(tries):
             note = await self.services.entries.find_note(run.request_id)
             if note is not None:
                 break
-            await asyncio.sleep(LOOKUP_STEP_S)
+            await asyncio.sleep(LOOKUP_POLL_INTERVAL_S)
         if note is None:
             return Answer(Outcome.UNKNOWN, problem=problem)
         if note.body_digest != new.body.digest:
@@ -240,7 +240,7 @@
             PipelineId(note.pipeline),
             workspace,
             RequestBody(b"null", ""),
-            RESUME_S * 1000.0,
+            RESUMED_DEADLINE_S * 1000.0,
         )
         run = self._make_run(request_id, pipeline, new)
         run.record_begun_elsewhere()
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
@@ -26,7 +26,7 @@
 from leadford_server.pipelines.entry._trail import Trail
 
 # Seconds between looks for room while a request is held back.
-ROOM_POLL_S = 0.05
+ROOM_POLL_INTERVAL_S = 0.05
 
 _REASON_BY_VERDICT = {
     ClaimVerdict.ALREADY_CLAIMED: RefusalReason.ALREADY_CLAIMED,
@@ -227,7 +227,7 @@
             if not held:
                 held = True
                 self.trail_.add(services.clock(), f"{stage.name}: held back, pool full")
-            await asyncio.sleep(ROOM_POLL_S)
+            await asyncio.sleep(ROOM_POLL_INTERVAL_S)
 
     async def _claim_if_needed(self) -> AttemptFailure | None:
         stage = self.execution.stage
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
@@ -25,7 +25,7 @@
 from leadford_server.pipelines.entry._tokens import TokenStream
 
 # Characters of an endpoint's error that are kept with a failure.
-ERROR_KEPT = 80
+ERROR_CHARS_MAX = 80
 
 
 class AttemptSettler:
@@ -95,7 +95,7 @@
         if pool is not None:
             pool.ejector.record_failure(
                 attempt.endpoint_id,
-                done.error[:ERROR_KEPT],
+                done.error[:ERROR_CHARS_MAX],
                 self.live.services.clock(),
             )
             directory.report_ejections(pool_id)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_shard_writer.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_shard_writer.py
@@ -28,9 +28,9 @@
 from leadford_server.pipelines.store import StoreClient, StoreErrorKind
 
 # Claims of one write.
-BATCH_MAX = 2000
+BATCH_CLAIMS_MAX = 2000
 # Writes and readings until a batch is settled.
-SETTLE_TRIES = 5
+SETTLE_TRIES_MAX = 5
 
 
 class PendingClaim(msgspec.Struct, frozen=True, eq=False):
@@ -94,8 +94,8 @@
     def _take_batch(self) -> list[PendingClaim]:
         """Answer what the log decides already and return what must be written."""
         self.log.forget_expired(self.wall())
-        taken = self.pending_[:BATCH_MAX]
-        self.pending_ = self.pending_[BATCH_MAX:]
+        taken = self.pending_[:BATCH_CLAIMS_MAX]
+        self.pending_ = self.pending_[BATCH_CLAIMS_MAX:]
         batch: list[PendingClaim] = []
         claim_id_by_request: dict[str, str] = {}
         for claim in taken:
@@ -139,7 +139,7 @@
             at_s=self.wall(),
             claim_ids_by_request={c.request_id: c.claim_id for c in claims},
         )
-        for _ in range(SETTLE_TRIES):
+        for _ in range(SETTLE_TRIES_MAX):
             settled = await self._try_write(batch)
             if settled is not None:
                 self._settle(claims, settled)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_trail.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_trail.py
@@ -6,7 +6,7 @@
 import msgspec
 
 # Steps of a request that are kept; the later ones are dropped.
-STEPS_KEPT = 40
+STEPS_MAX = 40
 
 
 class TrailStep(msgspec.Struct, frozen=True):
@@ -28,6 +28,6 @@
 
     def add(self, now: float, text: str) -> None:
         """Add one decision."""
-        if len(self.steps_) < STEPS_KEPT:
+        if len(self.steps_) < STEPS_MAX:
             at_ms = round((now - self.started_at) * 1000.0, 1)
             self.steps_.append(TrailStep(at_ms, text))
--- a/packages/leadford/src/leadford/pipelines/admission/_deferral.py
+++ b/packages/leadford/src/leadford/pipelines/admission/_deferral.py
@@ -5,7 +5,7 @@
 """
 
 # Mean attempts per slot from which a pool counts as full.
-FULL_LOAD = 0.8
+FULL_LOAD_FRACTION = 0.8
 # Remaining time, as a multiple of the needed time, that a deferral requires.
 SLACK_FACTOR = 2.5
 
@@ -20,7 +20,10 @@
     """
 
     def __init__(
-        self, *, full_load: float = FULL_LOAD, slack_factor: float = SLACK_FACTOR
+        self,
+        *,
+        full_load: float = FULL_LOAD_FRACTION,
+        slack_factor: float = SLACK_FACTOR,
     ) -> None:
         self.full_load = full_load
         self.slack_factor = slack_factor
--- a/packages/leadford/src/leadford/pipelines/ejection/_outliers.py
+++ b/packages/leadford/src/leadford/pipelines/ejection/_outliers.py
@@ -20,8 +20,8 @@
 
 # Number of consecutive failures that ejects an endpoint.
 EJECTION_CONSECUTIVE_FAILURES = 5
-# Failure rate above which an endpoint is ejected, and the outcomes that it requires.
-EJECTION_FAILURE_RATE = 0.5
+# Fraction of failures above which an endpoint is ejected, and the outcomes required.
+EJECTION_FAILURE_FRACTION = 0.5
 MIN_OUTCOMES = 10
 # Multiple of the median of the others above which an endpoint is ejected for slowness,
 # the samples that it requires, and the minimum of this limit. Slowness is the time
@@ -186,7 +186,7 @@
         fails_repeatedly = record.consecutive_failures_ >= EJECTION_CONSECUTIVE_FAILURES
         fails_often = record.outcome_count_ >= MIN_OUTCOMES
         fails_often = (
-            fails_often and record.failure_rate_.value_ > EJECTION_FAILURE_RATE
+            fails_often and record.failure_rate_.value_ > EJECTION_FAILURE_FRACTION
         )
         if fails_repeatedly or fails_often:
             self._eject(endpoint_id, record, reason, now)
--- a/packages/leadford/src/leadford/pipelines/queues/_classes.py
+++ b/packages/leadford/src/leadford/pipelines/queues/_classes.py
@@ -9,7 +9,7 @@
 from leadford.pipelines.queues._base import ItemIndexMixin, QueuedAttempt, TermsLookup
 
 # Number of pops of which one serves the lowest class that waits.
-LOWEST_CLASS_INTERVAL = 20
+LOWEST_CLASS_INTERVAL_POPS = 20
 
 
 class ClassQueueMixin(ItemIndexMixin):
@@ -40,7 +40,7 @@
             return None
         self.pop_count_ += 1
         priority = min(waiting)
-        if self.pop_count_ % LOWEST_CLASS_INTERVAL == 0:
+        if self.pop_count_ % LOWEST_CLASS_INTERVAL_POPS == 0:
             priority = max(waiting)
         while True:
             key = self.classes_by_priority_[priority].pop(now)
--- a/packages/leadford/src/leadford/pipelines/routing/_expected_finish.py
+++ b/packages/leadford/src/leadford/pipelines/routing/_expected_finish.py
@@ -42,7 +42,7 @@
 # Bonus of a full engine over an empty one; larger than any score.
 COST_RANK_MS = 1e6
 # Fraction by which each other stream of the batch slows a stream.
-SLOWDOWN_PER_STREAM = 0.05
+SLOWDOWN_FRACTION_PER_STREAM = 0.05
 # Number of least loaded endpoints that are scored, and the maximum number of fullest
 # ones and of holders of the prefix that are added. To score all of a large pool would
 # take too long for every attempt.
@@ -135,4 +135,6 @@
     if request.prefix and view.prefixes_.holds(request.prefix, now):
         prefill_ms *= 1.0 - PREFIX_HIT_FRACTION
     # Each stream slows the others a little, even while slots are free.
-    return service_ms * (1.0 + SLOWDOWN_PER_STREAM * attempts_ahead) + prefill_ms
+    return (
+        service_ms * (1.0 + SLOWDOWN_FRACTION_PER_STREAM * attempts_ahead) + prefill_ms
+    )
