--- a/packages/leadford-cli/src/leadford_cli/replay/_report.py
+++ b/packages/leadford-cli/src/leadford_cli/replay/_report.py
@@ -5,6 +5,7 @@
 """
 
 from collections import Counter, defaultdict
+from typing import Self
 
 import msgspec
 from hdrh.histogram import HdrHistogram
@@ -130,6 +131,16 @@
         self.weighted = 0.0
         self.tokens_in_time = 0
 
+    @classmethod
+    def from_records(
+        cls, records: list[CallRecord], pipelines_by_id: dict[str, dict]
+    ) -> Self:
+        """Add up the calls of a replay."""
+        totals = cls()
+        for record in records:
+            totals.add(record, pipelines_by_id[record.request.pipeline])
+        return totals
+
     def add(self, record: CallRecord, pipeline: dict) -> None:
         """Count a call, `pipeline` being what the configuration says of its kind."""
         kind = record.request.pipeline
@@ -167,9 +178,7 @@
     cached_tokens: int,
 ) -> Report:
     """Return the report of a replay."""
-    totals = _Totals()
-    for record in records:
-        totals.add(record, document["pipelines"][record.request.pipeline])
+    totals = _Totals.from_records(records, document["pipelines"])
     costs = _costs(executions, document)
     cost = sum(line.cost for line in costs.values())
     return Report(
