List an unknown verbosity with the other faults of the settings

Cause: the verbosity went to the log past the check of the settings.

Change: it is one of the checked settings. Names that the log knows stay valid in any case.

Evidence: the new case of test_bad_settings_are_listed failed before (status 1) and passes now, with the four others.

--- a/packages/leadford-server/src/leadford_server/main.py
+++ b/packages/leadford-server/src/leadford_server/main.py
@@ -66,8 +66,9 @@
         secret=secret,
         seeds=seeds,
         hosts_url=hosts_url,
+        verbosity=verbosity,
     )
-    return _serve(settings, EntryProcess, verbosity)
+    return _serve(settings, EntryProcess)
 
 
 def agent(
@@ -105,19 +106,20 @@
         endpoint_url=endpoint_url,
         store=store,
         secret=secret,
+        verbosity=verbosity,
     )
-    return _serve(settings, AgentProcess, verbosity)
+    return _serve(settings, AgentProcess)
 
 
-def _serve(settings: Result, process_class: type, verbosity: str) -> int:
+def _serve(settings: Result, process_class: type) -> int:
     logging.use_absl_handler()
-    logging.set_verbosity(verbosity)
     if isinstance(settings, Failure):
         log = EventLog(process_id="leadfordd")
         for fault in settings.failure():
             log.report(Event.SETTINGS_INVALID, fault=str(fault))
             print(f"leadfordd: {fault}", file=sys.stderr)
         return EXIT_INVALID_SETTINGS
+    logging.set_verbosity(settings.unwrap().verbosity)
     with asyncio.Runner(loop_factory=new_loop) as runner:
         return runner.run(_run(process_class, settings.unwrap()))
 
--- a/packages/leadford-server/src/leadford_server/settings/_model.py
+++ b/packages/leadford-server/src/leadford_server/settings/_model.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 import msgspec
+from absl.logging import converter
 from returns.result import Failure, Result, Success
 
 # Minimum length of the secret of a fleet.
@@ -63,6 +64,7 @@
     secret: bytes
     seeds: tuple[SocketAddress, ...] = ()
     hosts_url: str = ""
+    verbosity: str = "info"
 
 
 class AgentSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,6 +78,7 @@
     endpoint_url: str
     store: str
     secret: bytes
+    verbosity: str = "info"
 
 
 class _Checker:
@@ -113,6 +116,13 @@
             self.faults_.append(SettingFault(name, message))
         return value.encode()
 
+    def verbosity(self, name: str, value: str) -> str:
+        """Check that a verbosity is known to the log."""
+        if value.upper() not in converter.ABSL_NAMES:
+            message = f"expected info, warning or error, got {value!r}"
+            self.faults_.append(SettingFault(name, message))
+        return value
+
     def done(self, build: Callable[[], object]) -> Result:
         """Return the settings, or the collected faults if there are any."""
         if self.faults_:
@@ -131,6 +141,7 @@
     secret: str,
     seeds: str,
     hosts_url: str,
+    verbosity: str,
 ) -> Result[EntrySettings, tuple[SettingFault, ...]]:
     """Return the checked settings of an entry, or all their faults."""
     checker = _Checker()
@@ -145,6 +156,7 @@
         secret=checker.secret("secret", secret),
         seeds=tuple(checker.address("seeds", text) for text in seed_texts),
         hosts_url=checker.url("hosts_url", hosts_url) if hosts_url else "",
+        verbosity=checker.verbosity("verbosity", verbosity),
     )
     return checker.done(lambda: settings)
 
@@ -159,6 +171,7 @@
     endpoint_url: str,
     store: str,
     secret: str,
+    verbosity: str,
 ) -> Result[AgentSettings, tuple[SettingFault, ...]]:
     """Return the checked settings of an agent, or all their faults."""
     checker = _Checker()
@@ -171,5 +184,6 @@
         endpoint_url=checker.url("endpoint_url", endpoint_url),
         store=checker.url("store", store),
         secret=checker.secret("secret", secret),
+        verbosity=checker.verbosity("verbosity", verbosity),
     )
     return checker.done(lambda: settings)
--- a/packages/leadford-standins/src/leadford_standins/tests/test_failures.py
+++ b/packages/leadford-standins/src/leadford_standins/tests/test_failures.py
@@ -342,6 +342,7 @@
         ("agent", ["--peer=127.0.0.1:99999"], {}, "LEADFORD_PEER"),
         ("agent", [], {"LEADFORD_HALL": "Big Hall"}, "LEADFORD_HALL"),
         ("entry", [], {"LEADFORD_SECRET": "short"}, "LEADFORD_SECRET"),
+        ("agent", ["--verbosity=loud"], {}, "LEADFORD_VERBOSITY"),
     ],
 )
 def test_bad_settings_are_listed(role, flags, environment, named):
