Say what a caller got as a request crosses a planned stop

What and why: test_a_request_that_crosses_a_planned_stop_is_answered failed once beside load (`not-run` for `complete`), did not tell the reason, and left the entry ending under the next test, which failed too. It checks the same, names the body, and joins the stop first.

--- a/packages/leadford-standins/src/leadford_standins/tests/test_failures.py
+++ b/packages/leadford-standins/src/leadford_standins/tests/test_failures.py
@@ -253,9 +253,11 @@
     path = "/v1/pipelines/hint/requests"
     connection.request("POST", path, json.dumps(BODY).encode(), headers)
     answer = connection.getresponse()
-    assert answer.headers["Leadford-Outcome"] == "complete"
-    assert json.load(answer)
+    body = answer.read()
+    # Joined first, so that a failure does not leave the entry ending under other tests.
     stopper.join()
+    assert answer.headers["Leadford-Outcome"] == "complete", body
+    assert json.loads(body)
     assert statuses == [0]
 
 
