--- a/packages/leadford-standins/src/leadford_standins/tests/test_settings.py
+++ b/packages/leadford-standins/src/leadford_standins/tests/test_settings.py
@@ -14,6 +14,7 @@
         ("agent", ["--peer=127.0.0.1:99999"], {}, "LEADFORD_PEER"),
         ("agent", [], {"LEADFORD_HALL": "Big Hall"}, "LEADFORD_HALL"),
         ("entry", [], {"LEADFORD_SECRET": "short"}, "LEADFORD_SECRET"),
+        ("agent", ["--verbosity=loud"], {}, "LEADFORD_VERBOSITY"),
     ],
 )
 def test_bad_settings_are_listed(role, flags, environment, named):
