Attach again while an attempt may not have reached its endpoint

Callers (own interface): some that repeated a key through another entry at the same moment got 502 endpoint-lost, unknown, with an empty detail, while the first got its result and the stage ran once.

Cause: the note of an attempt and its submission leave on two connections. An entry that followed the claim found the note, and the agent read its Attach before the submission. It replied NotHeld, which ended the follower as if the agent had lost the attempt. In the same way it ended a follower of an attempt that its agent refused and that ran elsewhere.

Ruled out, by runs: the agent's connection lost at the follower.

Change: a holder of a note tells its age (Note.age_ms, a field with a default). A run that is told NotHeld looks the note up and attaches to what it names now, every 0.05 s, while the note is younger than 1 s and within the caller's time. NotHeld is a kind of failure of its own and has a detail; what may be retried after it is unchanged.

Why this works: a submission that is late, or refused and sent elsewhere, is settled within that time at the agent or in the note. Attaching runs nothing, so an effect still runs at most once. An agent that restarted ends an older note at once, as before, also when it was away between the lookup and the attach. A note without an age, from an older build or from a locator, counts as old. Agents are unchanged. A lost connection ends at once as before.

test_broken_runs puts its note in by _keep, since notes are kept with the time they came; what it asserts is unchanged.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
@@ -137,11 +137,15 @@
             return make_failure(
                 FailureKind.LOST, RefusalReason.ENDPOINT_LOST, endpoint_id
             )
-        self.live.services.log.report(
-            Event.REQUEST_TAKEN_OVER, request=self.live.request_id, endpoint=endpoint_id
-        )
+        locator = f"{endpoint_id}/{attempt.number}"
+        if self.tokens.answer_.locator_ != locator:
+            self.live.services.log.report(
+                Event.REQUEST_TAKEN_OVER,
+                request=self.live.request_id,
+                endpoint=endpoint_id,
+            )
         self.live.links_by_number_[attempt.number] = link
-        self.tokens.answer_.locator_ = f"{endpoint_id}/{attempt.number}"
+        self.tokens.answer_.locator_ = locator
         link.peer.send(
             Attach(
                 self.live.request_id,
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_entries.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_entries.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterator
 from functools import lru_cache
 
+import msgspec
+
 from leadford.common import (
     EntryId,
     HallId,
@@ -46,6 +48,16 @@
     return tuple(rendezvous_order(key, entry_ids))
 
 
+class KeptNote(msgspec.Struct, frozen=True):
+    """Hold a note and when it came.
+
+    Units: kept_at is seconds of the event loop's clock.
+    """
+
+    note: Note
+    kept_at: float
+
+
 class EntryPeers:
     """Connect to the entries that this one has business with.
 
@@ -61,7 +73,7 @@
         self.ids_: tuple[str, ...] = ()
         self.dialers_by_id_: dict[EntryId, Dialer] = {}
         self.accepted_by_id_: dict[EntryId, PeerConnection] = {}
-        self.notes_by_request_: OrderedDict[str, Note] = OrderedDict()
+        self.notes_by_request_: OrderedDict[str, KeptNote] = OrderedDict()
         self.waiting_by_request_: dict[str, list[asyncio.Future[Note | None]]] = {}
 
     def apply_config(self, config: FleetConfig) -> None:
@@ -179,14 +191,23 @@
                 return
 
     def _keep(self, note: Note) -> None:
-        self.notes_by_request_[note.request_id] = note
+        kept = KeptNote(note, asyncio.get_running_loop().time())
+        self.notes_by_request_[note.request_id] = kept
         self.notes_by_request_.move_to_end(note.request_id)
         if len(self.notes_by_request_) > NOTES_KEPT:
             self.notes_by_request_.popitem(last=False)
 
+    def _held_note(self, request_id: str) -> Note | None:
+        """Return the note of a request that is kept here, with its age."""
+        kept = self.notes_by_request_.get(request_id)
+        if kept is None:
+            return None
+        age_s = asyncio.get_running_loop().time() - kept.kept_at
+        return msgspec.structs.replace(kept.note, age_ms=age_s * 1000.0)
+
     async def find_note(self, request_id: RequestId) -> Note | None:
         """Return the note of a request from any of its holders."""
-        held = self.notes_by_request_.get(request_id)
+        held = self._held_note(request_id)
         if held is not None:
             return held
         note_holders = [
@@ -227,7 +248,7 @@
             self._keep(message)
             return True
         if isinstance(message, NoteRequest):
-            note = self.notes_by_request_.get(message.request_id)
+            note = self._held_note(message.request_id)
             peer.send(NoteAnswer(message.request_id, note))
             return True
         if isinstance(message, NoteAnswer):
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
@@ -27,6 +27,10 @@
 
 # Seconds between looks for room while a request is held back.
 ROOM_POLL_S = 0.05
+# Milliseconds after its note in which an attempt may not have reached its endpoint yet,
+# and seconds after which it is asked for again.
+ARRIVAL_MAX_MS = 1000.0
+REATTACH_S = 0.05
 
 _REASON_BY_VERDICT = {
     ClaimVerdict.ALREADY_CLAIMED: RefusalReason.ALREADY_CLAIMED,
@@ -147,14 +151,34 @@
 
     async def resume(self, note: Note) -> Answer:
         """Serve on a request that another entry began, from the agent's record."""
-        self.trail_.add(self.services.clock(), f"taken over from {note.endpoint_id}")
-        failure = await self.attempts_.take_over(note)
+        failure = await self._take_over(note)
         if failure is None:
             return Answer(Outcome.COMPLETE, self.execution.previous_)
         # What another process began can no longer be proved not to have run.
         problem = self._problem(failure, Outcome.UNKNOWN)
         return Answer(Outcome.UNKNOWN, problem=problem)
 
+    async def _take_over(self, note: Note) -> AttemptFailure | None:
+        """Attach to the attempt of a note, again while it may not have arrived.
+
+        A note is sent beside its attempt, on another connection. The note is looked up
+        again since an attempt that was refused goes on elsewhere.
+        """
+        self.trail_.add(self.services.clock(), f"taken over from {note.endpoint_id}")
+        while True:
+            limit = self.services.clock() + (ARRIVAL_MAX_MS - note.age_ms) / 1000.0
+            failure = await self.attempts_.take_over(note)
+            if failure is None or failure.kind is not FailureKind.NOT_HELD:
+                return failure
+            if self.services.clock() >= limit:
+                return failure
+            self.trail_.add(self.services.clock(), f"not at {note.endpoint_id} yet")
+            await asyncio.sleep(REATTACH_S)
+            found = await self.services.entries.find_note(self.request_id)
+            if found is None:
+                return failure
+            note = found
+
     async def _run_stage(self) -> AttemptFailure | None:
         await self._wait_for_room()
         refusal = await self._claim_if_needed()
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
@@ -181,6 +181,9 @@
             return None
         self.live.execution.end_attempt(attempt)
         failure = make_failure(
-            FailureKind.LOST, RefusalReason.ENDPOINT_LOST, attempt.endpoint_id
+            FailureKind.NOT_HELD,
+            RefusalReason.ENDPOINT_LOST,
+            attempt.endpoint_id,
+            "the endpoint does not hold the attempt",
         )
         return Settled(failure)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_broken_runs.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_broken_runs.py
@@ -143,7 +143,7 @@
     async def scenario():
         table = make_table()
         note = Note(ID, "w", "line", "gone", 1, "endpoint", True, False, "f", "d")
-        table.services.entries.notes_by_request_[ID] = note
+        table.services.entries._keep(note)
         run = await table.resume(ID, WorkspaceId("w"), None)
         answer = await answer_of(run)
         assert answer.outcome is Outcome.UNKNOWN
--- a/packages/leadford/src/leadford/pipelines/retries/_decision.py
+++ b/packages/leadford/src/leadford/pipelines/retries/_decision.py
@@ -28,6 +28,7 @@
     REFUSED = "refused"
     FAILED = "failed"
     LOST = "lost"
+    NOT_HELD = "not-held"
     MOVED = "moved"
 
 
@@ -87,7 +88,7 @@
         if attempt >= self.attempts_max or others == 0:
             return RetryDecision(False, reason=failure.reason)
         # A refusal proves that nothing ran, so another endpoint is tried at once.
-        needs_backoff = failure.kind in (FailureKind.FAILED, FailureKind.LOST)
+        needs_backoff = failure.may_have_begun and failure.kind is not FailureKind.MOVED
         wait_ms = 0.0 if not needs_backoff else self.backoff.wait_ms(attempt)
         if wait_ms + needed_ms > remaining_ms:
             return RetryDecision(False, reason=RefusalReason.DEADLINE)
--- a/packages/leadford/src/leadford/protocol/_entries.py
+++ b/packages/leadford/src/leadford/protocol/_entries.py
@@ -4,13 +4,18 @@
 and answers to operators' queries.
 """
 
+import math
 from enum import Enum
 
 from leadford.protocol._base import MessageBase
 
 
 class Note(MessageBase, tag=16):
-    """Tell a scheduler where an attempt of a request runs."""
+    """Tell a scheduler where an attempt of a request runs.
+
+    Units: age_ms is the time since the answering scheduler got the note, inf if it
+    does not tell.
+    """
 
     request_id: str
     workspace: str
@@ -22,6 +27,7 @@
     stream: bool
     entry_id: str
     body_digest: str
+    age_ms: float = math.inf
 
 
 class NoteRequest(MessageBase, tag=17):
--- a/packages/leadford/src/leadford/protocol/tests/test_codec.py
+++ b/packages/leadford/src/leadford/protocol/tests/test_codec.py
@@ -1,5 +1,6 @@
 """Frames are decoded as they were encoded; other data is an error, never raised."""
 
+import math
 from random import Random
 from typing import get_args
 
@@ -14,6 +15,8 @@
     Done,
     DoneStatus,
     Load,
+    Note,
+    NoteAnswer,
     Submit,
     TokenPart,
     Tokens,
@@ -58,6 +61,14 @@
     assert tagged == set(get_args(protocol.Message))
 
 
+def test_the_age_of_a_note_that_an_older_build_tells_is_unbounded():
+    fields = ["r", "w", "line", "confirm", 1, "a", True, False, "entry", "digest"]
+    older = cbor2.dumps([1, [[18, "r", [16, *fields]]]])
+    (answer,) = decode(older).unwrap().messages
+    assert answer == NoteAnswer("r", Note(*fields, age_ms=math.inf))
+    assert decode(encode(1, [answer])).unwrap().messages == [answer]
+
+
 @given(st.binary(max_size=200))
 def test_noise_is_an_error(data):
     result = decode(data)
