Stop a process of a test only once all its calls have begun

test_a_planned_stop_cuts_nothing[entry-1] failed twice beside load 20 to 30.

The stop now comes 0.2 s after the last call began, instead of after the first thread was started; in calm that is the same moment. What is asserted is unchanged.

--- a/packages/leadford-standins/src/leadford_standins/tests/test_failures.py
+++ b/packages/leadford-standins/src/leadford_standins/tests/test_failures.py
@@ -220,14 +220,22 @@
     set_endpoint_faults(fleet, ENGINES, speed=0.4)
     set_endpoint_faults(fleet, LIVE, delay_ms=300.0)
     pipeline = "move" if name == "live-play-1" else "hint"
-    calls = [
-        lambda entry=entry: client.post(
-            pipeline, BODY, entry=entry, Leadford_Deadline_Ms="9000"
-        )
-        for entry in (0, 1, 2, 0, 1, 2)
-    ]
+    begun = []
+
+    def post(entry):
+        begun.append(entry)
+        return client.post(pipeline, BODY, entry=entry, Leadford_Deadline_Ms="9000")
+
+    calls = [lambda entry=entry: post(entry) for entry in (0, 1, 2, 0, 1, 2)]
     statuses = []
-    stopper = threading.Timer(0.2, lambda: statuses.append(fleet.terminate(name)))
+
+    def stop():
+        # A call that begins after the stop may be refused.
+        wait_until(lambda: len(begun) == len(calls))
+        time.sleep(0.2)
+        statuses.append(fleet.terminate(name))
+
+    stopper = threading.Thread(target=stop)
     stopper.start()
     answers = client.together(calls)
     stopper.join()
