Wait for another hall only if its endpoint finishes a call soon enough

Callers: after one slow call of an endpoint, requests with stages took 0.9 s instead of 0.2 s, and a quarter of them was refused (503), for two seconds, with all endpoints idle.

Cause: next_call offers a call to the endpoints that would finish it first, and for that counts how slow each has become (rank_endpoints). The pieces, though, wait for the hall of their inputs as long as an endpoint there is *free* soon. So an endpoint that is free but slowed was waited for and was offered nothing, and no other was used, until the slack of each request was used up. A sound endpoint that falls silent for a moment is enough. The class: two rules of one decision that judge by different measures.

Ruled out: a hung or failed call, an ejection, room, a lost wake-up (nothing of these in the log); load reports of others (too short-lived).

Change: a piece waits for another hall only if a call there would end soon enough, counted from the end of a call at the endpoint at hand. Where all are equally fast and have one slot that is the rule as before. The endpoint that is best for the first pieces is now never declined by them.

--- a/packages/leadford/src/leadford/forwarding/batching/_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_capacity.py
@@ -120,17 +120,16 @@
         assigned to the best endpoints; pieces assigned to a busy one wait for it.
         """
         moving_cost_s = moving_cost_s_by_hall or {}
-        trusted = [record for record in records if not record.is_suspect(now)]
-        pieces = max(1, min(limits.batch, waiting))
-        paces = _call_paces(trusted or records, now)
+        finish_s_by_id = self.finish_s_by_id(records, limits, waiting=waiting, now=now)
         scored = [
             (
-                self._finish_s(record, limits, pieces, pace, now)
+                finish_s_by_id[record.listed.endpoint_id]
                 + moving_cost_s.get(record.listed.hall, 0.0),
                 number,
                 record,
             )
-            for number, (record, pace) in enumerate(paces)
+            for number, record in enumerate(records)
+            if record.listed.endpoint_id in finish_s_by_id
         ]
         found = []
         assigned = 0
@@ -142,6 +141,27 @@
                 found.append(record)
         return found
 
+    def finish_s_by_id(
+        self,
+        records: list[EndpointRecord],
+        limits: PieceLimits,
+        *,
+        waiting: int,
+        now: float,
+    ) -> dict[EndpointId, float]:
+        """Return in how long each endpoint is expected to finish another call.
+
+        Suspect endpoints are left out unless all are suspect.
+
+        Units: seconds.
+        """
+        trusted = [record for record in records if not record.is_suspect(now)]
+        pieces = max(1, min(limits.batch, waiting))
+        return {
+            record.listed.endpoint_id: self._finish_s(record, limits, pieces, pace, now)
+            for record, pace in _call_paces(trusted or records, now)
+        }
+
     def _finish_s(
         self,
         record: EndpointRecord,
--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -23,7 +23,7 @@
 
 import msgspec
 
-from leadford.common import HallId
+from leadford.common import EndpointId, HallId
 from leadford.forwarding.batching._capacity import CapacityTable
 from leadford.forwarding.batching._queue import LeftCause, PieceQueue
 from leadford.forwarding.batching._tasks import Chunk, PieceTask
@@ -85,7 +85,9 @@
     wait_s = queue.window_ends_at(limits) - now
     if wait_s > 0.0:
         return NextCall(FillAction.WAIT_FOR_MORE, wait_s=wait_s)
-    free_in_s_by_hall = _free_in_s_by_hall(capacities, records, limits, now)
+    finish_s_by_id = capacities.finish_s_by_id(
+        records, limits, waiting=len(queue), now=now
+    )
     for record in _candidates(queue, capacities, records, limits, now):
         endpoint_id = record.listed.endpoint_id
         hall = record.listed.hall
@@ -94,9 +96,10 @@
         lacks_room = capacity.awaits_room(queue.first_call_bytes(limits, now), now)
         if lacks_room and not _fills_enough(queue, room_bytes, limits, now):
             continue
-        waits_for_other_hall = _hall_wait_predicate(
-            hall, free_in_s_by_hall, limits, now
+        later_s_by_hall = _later_s_by_hall(
+            capacities, record, records, finish_s_by_id, limits, now
         )
+        waits_for_other_hall = _hall_wait_predicate(hall, later_s_by_hall, limits, now)
         tasks = queue.take(
             limits=limits,
             now=now,
@@ -178,27 +181,35 @@
     )
 
 
-def _free_in_s_by_hall(
+def _later_s_by_hall(
     capacities: CapacityTable,
+    record: EndpointRecord,
     records: list[EndpointRecord],
+    finish_s_by_id: dict[EndpointId, float],
     limits: PieceLimits,
     now: float,
 ) -> dict[HallId, float]:
-    """Return how long until the first endpoint of each hall is expected to be free."""
-    free_in_s: dict[HallId, float] = {}
-    for record in records:
-        if record.is_suspect(now):
+    """Return how much later each hall takes and finishes a call than an endpoint.
+
+    An endpoint that is free but slow would otherwise be waited for, though
+    `rank_endpoints` offers it no call.
+    """
+    later_s: dict[HallId, float] = {}
+    finish_s = finish_s_by_id[record.listed.endpoint_id]
+    for other in records:
+        if other.is_suspect(now):
             continue
-        hall = record.listed.hall
-        capacity = capacities.capacity(record.listed.endpoint_id, limits)
-        free_s = capacity.free_in_s(now)
-        free_in_s[hall] = min(free_s, free_in_s.get(hall, free_s))
-    return free_in_s
+        hall = other.listed.hall
+        other_id = other.listed.endpoint_id
+        capacity = capacities.capacity(other_id, limits)
+        other_s = max(capacity.free_in_s(now), finish_s_by_id[other_id] - finish_s)
+        later_s[hall] = min(other_s, later_s.get(hall, other_s))
+    return later_s
 
 
 def _hall_wait_predicate(
     hall: HallId,
-    free_in_s_by_hall: dict[HallId, float],
+    later_s_by_hall: dict[HallId, float],
     limits: PieceLimits,
     now: float,
 ) -> Callable[[Chunk], bool]:
@@ -206,7 +217,7 @@
     return partial(
         Chunk.waits_for_other_hall,
         hall=hall,
-        free_in_s_by_hall=free_in_s_by_hall,
+        later_s_by_hall=later_s_by_hall,
         limits=limits,
         now=now,
     )
--- a/packages/leadford/src/leadford/forwarding/batching/_tasks.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_tasks.py
@@ -140,15 +140,15 @@
     def waits_for_other_hall(
         self,
         hall: HallId,
-        free_in_s_by_hall: dict[HallId, float],
+        later_s_by_hall: dict[HallId, float],
         limits: PieceLimits,
         now: float,
     ) -> bool:
-        """Tell whether another hall is better and has an endpoint free soon enough."""
+        """Tell whether another hall is better and finishes a call soon enough."""
         hall_wait_s = self.hall_wait_s(hall, limits, now)
         return any(
-            free_in_s < hall_wait_s - self.hall_wait_s(other, limits, now)
-            for other, free_in_s in free_in_s_by_hall.items()
+            later_s < hall_wait_s - self.hall_wait_s(other, limits, now)
+            for other, later_s in later_s_by_hall.items()
             if other != hall
         )
 
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
@@ -345,10 +345,10 @@
     assert ids(taken) == [("urgent", 0)]
 
 
-def waits_for_other_hall(task_to_check, hall, free_in_s_by_hall, pieces=1):
+def waits_for_other_hall(task_to_check, hall, later_s_by_hall, pieces=1):
     chunk = Chunk((task_to_check,) * pieces)
-    free_in_s = {HallId(name): value for name, value in free_in_s_by_hall.items()}
-    return chunk.waits_for_other_hall(HallId(hall), free_in_s, LIMITS, 0.0)
+    later_s = {HallId(name): value for name, value in later_s_by_hall.items()}
+    return chunk.waits_for_other_hall(HallId(hall), later_s, LIMITS, 0.0)
 
 
 def test_pieces_wait_for_the_hall_of_their_inputs_if_it_is_soon_free():
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
@@ -138,3 +138,16 @@
     small = tasks(1, request_id=RequestId("s"), result_bytes=5, rank_at=3.0)
     decision = next_call(make_queue(large + small), capacities, [record()], LIMITS, 0.0)
     assert decision.tasks == ()
+
+
+@pytest.mark.parametrize("ratio", [1.0, 3.0, 8.0, 20.0])
+@pytest.mark.parametrize("moved_bytes", [1_000, 300_000, 3_000_000])
+def test_pieces_wait_for_no_hall_whose_endpoint_is_free_but_slow(ratio, moved_bytes):
+    # After one slow call nothing was sent for seconds, though all endpoints were idle.
+    near, far = record("near", "h"), record("far", "g")
+    near.record_slowness(ratio, 0.0)
+    inputs = {HallId("h"): moved_bytes}
+    for step in range(30):
+        queue = make_queue(tasks(4, due_at=10.0, local_bytes_by_hall=inputs))
+        decision = next_call(queue, CapacityTable(), [near, far], LIMITS, 0.2 * step)
+        assert decision.action is FillAction.SEND
