--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -47,12 +47,11 @@
     ListingHolder,
     ObjectsClient,
 )
-from leadford_server.logs import EventLog
+from leadford_server.logs import EventLog, error_text
 from leadford_server.metrics import CALLER_CONNECTIONS, UNSENT_BYTES
 
 # Time between sweeps of connections and records.
 SWEEP_INTERVAL_S = 0.5
-MAX_ERROR_CHARS = 300
 # Time between checks whether the host was suspended.
 SUSPENSION_POLL_S = 0.25
 # Concurrent calls to the store.
@@ -302,8 +301,7 @@
             try:
                 self._sweep_once()
             except Exception as error:
-                text = f"{type(error).__name__}: {error}"
-                self.log_.report(Event.SWEEP_FAILED, error=text[:MAX_ERROR_CHARS])
+                self.log_.report(Event.SWEEP_FAILED, error=error_text(error))
 
     def _sweep_once(self) -> None:
         """Drop what is over, and close connections that are no longer used."""
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_reports.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_reports.py
@@ -8,13 +8,12 @@
 from leadford.events import Event
 from leadford.forwarding.answers import EndReason, FinalAnswer, RequestOutcome
 from leadford.forwarding.memory import MemoryAccount, MemoryRefusal
-from leadford_server.logs import EventLog
+from leadford_server.logs import EventLog, error_text
 from leadford_server.metrics import FORWARDED_TOTAL, INTERRUPTED_TOTAL
 
 if TYPE_CHECKING:
     from leadford_server.forwarding.answers._callers import CallerExchange
 
-MAX_ERROR_CHARS = 300
 MAX_LISTEN_ERROR_CHARS = 200
 
 
@@ -30,7 +29,7 @@
         self.log.report(
             Event.REQUEST_UNKNOWN,
             request=exchange.request_id,
-            error=f"{type(error).__name__}: {error}"[:MAX_ERROR_CHARS],
+            error=error_text(error),
         )
 
     def denied(self, exchange: "CallerExchange", status: int) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -309,11 +309,9 @@
         if head.not_run is None:
             return
         self.progress.was_sent_ = False
-        turns = self.state.loop_turns_
-        mark = turns.mark(self.state.now())
         limit_at = self.state.now() + REFUSAL_BODY_MAX_S
         try:
-            async with EndpointTimeout(limit_at, turns, mark):
+            async with EndpointTimeout(limit_at, self.state.loop_turns_):
                 await attempt.answer.wait_until_complete()
         except (ExchangeBroken, TimeoutError):
             # The head says that the request did not run; the body is not needed.
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_runner.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_runner.py
@@ -14,7 +14,7 @@
 from leadford.common import RefusalReason
 from leadford.events import Event
 from leadford.protocol import Done, DoneStatus
-from leadford_server.logs import EventLog
+from leadford_server.logs import EventLog, error_text
 from leadford_server.metrics import (
     ATTEMPTS_TOTAL,
     QUEUED_ATTEMPTS,
@@ -34,8 +34,6 @@
 TIMEOUT_GRACE_S = 0.25
 # Minimum timeout of a stage with a side effect.
 MIN_EFFECT_TIMEOUT_S = 30.0
-# Maximum length of an error that is logged and sent to the entry.
-ERROR_CHARS_MAX = 300
 # Interval between checks whether a slot is still reserved for more urgent attempts.
 HEADROOM_POLL_INTERVAL_S = 0.03
 
@@ -172,7 +170,7 @@
         if task.cancelled():
             text = "the call was cancelled"
         elif (error := task.exception()) is not None:
-            text = f"{type(error).__name__}: {error}"[:ERROR_CHARS_MAX]
+            text = error_text(error)
         else:
             return task.result()
         self.log.report(
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
@@ -23,6 +23,7 @@
 from leadford.pipelines.config import PipelineConfig
 from leadford.pipelines.execution import RequestExecution
 from leadford.protocol import Done, Message, Note, NotHeld, Refused, Tokens
+from leadford_server.logs import error_text
 from leadford_server.metrics import (
     FIRST_TOKEN_SECONDS,
     LIVE_REQUESTS,
@@ -47,8 +48,6 @@
 # Seconds between looks for the note of a key, and most seconds.
 LOOKUP_POLL_INTERVAL_S = 0.05
 LOOKUP_MAX_S = 1.0
-# Characters of an error that are logged and told to callers.
-ERROR_CHARS_MAX = 300
 # Seconds that a request has which is taken over, since its note holds no deadline.
 RESUMED_DEADLINE_S = 30.0
 
@@ -151,7 +150,7 @@
         if task.cancelled():
             run.interrupt("cancelled")
         elif (error := task.exception()) is not None:
-            run.interrupt(f"{type(error).__name__}: {error}"[:ERROR_CHARS_MAX])
+            run.interrupt(error_text(error))
         else:
             run.answer_.end(task.result())
         self._end(run)
--- a/packages/leadford-server/src/leadford_server/stops/_steps.py
+++ b/packages/leadford-server/src/leadford_server/stops/_steps.py
@@ -9,19 +9,23 @@
 from collections.abc import Awaitable, Callable
 
 from leadford.events import Event
-from leadford_server.logs import EventLog
+from leadford_server.logs import EventLog, error_text
 
 # A step that is a coroutine function is awaited.
 StopStep = Callable[[], Awaitable[None] | None]
 
-MAX_ERROR_CHARS = 300
-
 
 class StopSteps:
-    """Run steps of one planned stop, and log what disturbs them."""
+    """Run steps of one planned stop, and log what disturbs them.
+
+    `open_counts` returns what the stop would cut off now, for the log.
+    """
 
-    def __init__(self, *, log: EventLog) -> None:
+    def __init__(
+        self, *, log: EventLog, open_counts: Callable[[], dict[str, int]] = dict
+    ) -> None:
         self.log = log
+        self.open_counts = open_counts
         # An error that each repetition of a step meets is logged once.
         self.logged_errors_: set[str] = set()
 
@@ -46,13 +50,13 @@
             self._log_error(error)
 
     def _log_error(self, error: BaseException) -> None:
-        self._log(f"{type(error).__name__}: {error}"[:MAX_ERROR_CHARS])
+        self._log(error_text(error))
 
     def _log(self, error: str) -> None:
         if error in self.logged_errors_:
             return
         self.logged_errors_.add(error)
-        self.log.report(Event.STOP_DISTURBED, error=error)
+        self.log.report(Event.STOP_DISTURBED, error=error, **self.open_counts())
 
 
 async def _call(step: StopStep) -> None:
