Share what tests of agents' stops and of unsent requests wrote twice

The agent of the stop tests, its configuration and its attempt, and the request that waits for a connection.

--- a/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_disturbed_stops.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_disturbed_stops.py
@@ -1,32 +1,23 @@
 """Planned stops of an agent in which something fails."""
 
 import asyncio
-from random import Random
 from types import SimpleNamespace
 
 import pytest
 
-from leadford.common import PoolKind
 from leadford.events import Event
-from leadford.pipelines.config import EndpointConfig, FleetConfig, PoolConfig
-from leadford.protocol import Done, DoneStatus, Submit
-from leadford_server.pipelines.agent import AgentProcess
+from leadford.protocol import Done, DoneStatus
 from leadford_server.pipelines.agent.adapters import AdapterOutcome
-from leadford_server.settings import AgentSettings, SocketAddress
+from leadford_server.pipelines.agent.tests.agent_process import (
+    CONFIG,
+    make_agent_process,
+)
+from leadford_server.pipelines.agent.tests.attempt_submit import make_submit
 from leadford_server.stops.tests._faults import break_once, count
 
 TIMEOUT_S = 10.0
 # Past the announcement of a stop, so that only the running attempt holds it.
 PAST_ANNOUNCEMENT_S = 0.8
-LOCAL = SocketAddress("127.0.0.1", 0)
-CONFIG = FleetConfig(
-    pools={"p": PoolConfig(kind=PoolKind.ENCODER)},
-    endpoints={
-        "e": EndpointConfig(
-            pool="p", host="h", hall="h", agent="127.0.0.1:1", url="http://127.0.0.1:9"
-        )
-    },
-)
 STEPS = [
     "service_.drain",
     "service_.stop",
@@ -67,39 +58,9 @@
         return AdapterOutcome(DoneStatus.OK)
 
 
-def submit():
-    return Submit(
-        request_id="r",
-        stage="check",
-        attempt=1,
-        pipeline="line",
-        workspace="w",
-        priority=4,
-        remaining_ms=9e3,
-        repeatable=False,
-        stream=False,
-        credit=64,
-        body=b"{}",
-        previous=b"null",
-        expected_tokens=0,
-        final=True,
-        tail_ms=0.0,
-    )
-
-
 async def start_agent():
     """Return an agent that runs an attempt, its adapter and its peers."""
-    settings = AgentSettings(
-        endpoint_id="e",
-        host_id="h",
-        hall="h",
-        peer=LOCAL,
-        metrics=LOCAL,
-        endpoint_url="http://127.0.0.1:9",
-        store="http://127.0.0.1:9",
-        secret=b"secret",
-    )
-    process = AgentProcess(settings=settings, rng=Random(1))
+    process = make_agent_process()
     await process.start()
     process._apply(CONFIG)
     adapter = WaitingAdapter()
@@ -107,7 +68,7 @@
     peers = [FakePeer("a"), FakePeer("b")]
     for peer in peers:
         process.peer_connected(peer)
-    process.peer_message(peers[0], submit())
+    process.peer_message(peers[0], make_submit(stage="check", repeatable=False))
     return process, adapter, peers
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_planned_stops.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/tests/test_planned_stops.py
@@ -3,28 +3,19 @@
 import asyncio
 from random import Random
 
-from leadford.common import PoolKind
-from leadford.pipelines.config import EndpointConfig, FleetConfig, PoolConfig
 from leadford.protocol import Draining, Refused
 from leadford_server.logs import EventLog
 from leadford_server.peers import Dialer, Identity
-from leadford_server.pipelines.agent import AgentProcess
+from leadford_server.pipelines.agent.tests.agent_process import (
+    CONFIG,
+    SECRET,
+    make_agent_process,
+)
 from leadford_server.pipelines.agent.tests.attempt_submit import make_submit
-from leadford_server.settings import AgentSettings, SocketAddress
 
 TIMEOUT_S = 10.0
 # On its way for longer than the announcement, as between data halls.
 CROSSING_S = 0.1
-SECRET = b"secret"
-LOCAL = SocketAddress("127.0.0.1", 0)
-CONFIG = FleetConfig(
-    pools={"p": PoolConfig(kind=PoolKind.ENCODER)},
-    endpoints={
-        "e": EndpointConfig(
-            pool="p", host="h", hall="h", agent="127.0.0.1:1", url="http://127.0.0.1:9"
-        )
-    },
-)
 
 
 class Entry:
@@ -57,17 +48,7 @@
     """An attempt that may not be repeated counts as lost, though it never began."""
 
     async def scenario():
-        settings = AgentSettings(
-            endpoint_id="e",
-            host_id="h",
-            hall="h",
-            peer=LOCAL,
-            metrics=LOCAL,
-            endpoint_url="http://127.0.0.1:9",
-            store="http://127.0.0.1:9",
-            secret=SECRET,
-        )
-        process = AgentProcess(settings=settings, rng=Random(1))
+        process = make_agent_process()
         address = await process.start()
         process._apply(CONFIG)
         entry = Entry()
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/callers.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/callers.py
@@ -46,3 +46,18 @@
     except (asyncio.IncompleteReadError, ConnectionError):
         return None
     return int(head.split()[1])
+
+
+async def start_unconnected_request(deployment):
+    """Return the answer to come of request `r`, which waits for a connection."""
+    (entry,) = deployment.entries_
+    waiting = asyncio.Event()
+
+    async def acquire(*args, **fields):
+        waiting.set()
+        await asyncio.sleep(60.0)
+
+    entry.state_.pool_.acquire = acquire
+    sent = asyncio.ensure_future(deployment.send("/unsafe/x", request_id="r"))
+    await waiting.wait()
+    return sent
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_cancelled_requests.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_cancelled_requests.py
@@ -3,7 +3,10 @@
 import asyncio
 
 from leadford_standins.wire import run_scenario, runs_of
-from leadford_standins.wire.tests.callers import start_request
+from leadford_standins.wire.tests.callers import (
+    start_request,
+    start_unconnected_request,
+)
 
 
 def cancel_request(entry):
@@ -47,15 +50,7 @@
     # It was said that it may have run.
     async def scenario(deployment):
         (entry,) = deployment.entries_
-        waiting = asyncio.Event()
-
-        async def acquire(*args, **fields):
-            waiting.set()
-            await asyncio.sleep(60.0)
-
-        entry.state_.pool_.acquire = acquire
-        sent = asyncio.ensure_future(deployment.send("/unsafe/x", request_id="r"))
-        await waiting.wait()
+        sent = await start_unconnected_request(deployment)
         cancel_request(entry)
         assert (await sent).code == 503
         assert runs_of(deployment.plain, "r") == []
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_not_run.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_not_run.py
@@ -5,20 +5,13 @@
 from leadford_server.forwarding.endpoints._reader import LiveAnswer
 from leadford_standins.wire import run_scenario, runs_of
 from leadford_standins.wire._misbehaviours import Misbehaviour
+from leadford_standins.wire.tests.callers import start_unconnected_request
 
 
 def test_a_request_cut_by_a_stop_without_a_connection_is_refused_as_not_run():
     async def scenario(deployment):
         (entry,) = deployment.entries_
-        waiting = asyncio.Event()
-
-        async def acquire(*args, **fields):
-            waiting.set()
-            await asyncio.sleep(60.0)
-
-        entry.state_.pool_.acquire = acquire
-        sent = asyncio.ensure_future(deployment.send("/unsafe/x", request_id="r"))
-        await waiting.wait()
+        sent = await start_unconnected_request(deployment)
         entry.state_.record_stop()
         entry.state_.deadlines_.end_by(entry.state_.now() + 0.05)
         answer = await sent
