--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """Workers fall silent for a second; streams that they go on with are cut off."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -239,4 +240,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).resolve().parent, play))
+    # TROUBLE=0 plays the same without the disruption.
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    folder = Path(__file__).resolve().parent
+    sys.exit(run_case(folder, play, has_trouble=has_trouble))
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -506,11 +506,13 @@
 
 
 def run_case(
-    folder: Path, play: Callable[[Record, Path, bool], Awaitable[bool]]
+    folder: Path,
+    play: Callable[[Record, Path, bool], Awaitable[bool]],
+    *,
+    has_trouble: bool,
 ) -> int:
     """Play a case; return 1 if the rule was broken, 0 if it held, 2 if it can't run."""
     record = Record(folder / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {'yes' if has_trouble else 'no'}")
     with tempfile.TemporaryDirectory(prefix="review-") as scratch:
         try:
