Log that an attempt is silent beyond its limit, and that new connections are refused

Event 415 tells an attempt that the entry gives up for silence from one that its endpoint ends; event 112 tells when connections of callers are closed before anything was read of them, so that they can be told from requests that were read and got no answer. No decision is changed.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -84,6 +84,7 @@
                 if self.attempts.choose() is None:
                     continue
                 # Give up this attempt; the stream continues at another endpoint.
+                self.attempts.evidence.report_silent(attempt.record, attempt.began_at)
                 return False
             self._record_gap(gaps, began)
             for event in splitter.feed(data):
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_listener.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_listener.py
@@ -117,6 +117,8 @@
             if not self.admission.admits(now):
                 CONNECTIONS_SHED_TOTAL.inc()
                 connection.close()
-                self._pause(self.admission.pause_s(now))
+                pause_s = self.admission.pause_s(now)
+                self.reports.paused(pause_s, self.admission.shed_count_)
+                self._pause(pause_s)
                 return
             self.on_accepted(connection, address)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
@@ -92,6 +92,7 @@
             self.attempts.evidence.record_broken(attempt)
             raise
         except TimeoutError as error:
+            self.attempts.evidence.report_silent(attempt.record, attempt.began_at)
             self.attempts.evidence.record_failure(attempt.record, EndpointFailure.SLOW)
             raise ExchangeBroken(BreakKind.LOST, "slow") from error
         finally:
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_reports.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_reports.py
@@ -84,6 +84,16 @@
             is_refusing=self.memory.is_refusing_,
         )
 
+    def paused(self, pause_s: float, shed_count: int) -> None:
+        """Report that new connections are refused, those that wait included.
+
+        `shed_count` counts the connections closed unread since the start.
+
+        Units: pause_s in seconds.
+        """
+        pause_ms = round(pause_s * 1_000.0)
+        self.log.report(Event.CALLERS_PAUSED, pause_ms=pause_ms, shed=shed_count)
+
     def listen_failed(self, error: OSError) -> None:
         """Report that no connection of a caller could be accepted."""
         self.log.report(Event.LISTEN_FAILED, error=str(error)[:MAX_LISTEN_ERROR_CHARS])
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -105,6 +105,7 @@
             self._abandon(record, connection)
             if self.is_out_of_time():
                 raise
+            self.evidence.report_silent(record, borrowed.began_at)
             self.evidence.record_failure(record, EndpointFailure.SLOW)
             raise ExchangeBroken(BreakKind.LOST, "slow") from error
         except BaseException:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
@@ -59,6 +59,24 @@
                 request=self.progress.request.request_id,
             )
 
+    def report_silent(self, record: EndpointRecord, sent_at: float) -> None:
+        """Log that an endpoint is silent for longer than the limit of the attempt.
+
+        Units: sent_at in seconds of the monotonic clock.
+        """
+        progress = self.progress
+        now = self.state.now()
+        ran_ms = round((now - sent_at) * 1_000.0)
+        self.state.log.report(
+            Event.ATTEMPT_SILENT,
+            request=progress.request.request_id,
+            endpoint=record.listed.endpoint_id,
+            service=record.listed.service_id,
+            attempt=len(progress.tried_endpoint_ids_),
+            ran_ms=ran_ms,
+            answering_ms=progress.answering_ms(now),
+        )
+
     def record_alive(self, record: EndpointRecord, sent_at: float) -> None:
         """Record that an endpoint answered a request that was sent at `sent_at`."""
         self.state.quarantine_.record_alive(record.listed.endpoint_id, sent_at)
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -56,6 +56,11 @@
         Severity.ERROR,
         "A sweep of connections and records failed; the next one follows.",
     )
+    CALLERS_PAUSED = (
+        112,
+        Severity.INFO,
+        "New connections of callers are refused for a moment, as the entry is late.",
+    )
     PEER_CONNECTED = (200, Severity.INFO, "A connection to a peer stands.")
     PEER_LOST = (201, Severity.WARNING, "A connection to a peer ended.")
     PEER_REJECTED = (202, Severity.WARNING, "A peer failed its proof or version.")
@@ -105,6 +110,11 @@
         Severity.INFO,
         "Requests with a part of a prompt may be sent to endpoints again.",
     )
+    ATTEMPT_SILENT = (
+        415,
+        Severity.INFO,
+        "An endpoint is silent for longer than the limit of an attempt.",
+    )
     STORE_UNAVAILABLE = (500, Severity.WARNING, "The store did not answer.")
     STORE_BACK = (501, Severity.INFO, "The store answers again.")
     CLAIM_CONFLICT = (502, Severity.INFO, "Another writer appended claims first.")
