--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -48,6 +48,9 @@
         self.extra_headers_: dict[str, str] = {}
         # Refusals that come once more where the next answer of their connection is due.
         self.repeated_refusals_: dict[iostream.IOStream, bytes] = {}
+        # Set while the endpoint sends what it has to say.
+        self.speaks_ = asyncio.Event()
+        self.speaks_.set()
         # Further figures of the load that a call of a stage reports.
         self.load_suffix_ = ""
 
@@ -87,6 +90,14 @@
         if self.on_crash_ is not None:
             self.on_crash_()
 
+    def fall_silent(self, duration_s: float) -> None:
+        """Send nothing for a time, then go on with everything.
+
+        Units: duration_s in seconds.
+        """
+        self.speaks_.clear()
+        asyncio.get_running_loop().call_later(duration_s, self.speaks_.set)
+
     def pop_misbehaviour(self) -> Misbehaviour:
         """Remove and return the queued misbehaviour for the next request."""
         return (
@@ -112,6 +123,7 @@
         """Run one request."""
         handler.record_run()
         await asyncio.sleep(self.work_s)
+        await self.speaks_.wait()
         body = f"{self.endpoint_id} {handler.request.path}".encode()
         body += b" " + handler.request.body
         if handler.is_unframed:
--- a/packages/leadford-standins/src/leadford_standins/wire/_engines.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_engines.py
@@ -125,6 +125,7 @@
             return
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.pause_s)
+            await self.speaks_.wait()
             if crashes and number == first + self.events_before_crash:
                 handler.suppress_answer()
                 self.crash()
--- a/packages/leadford-standins/src/leadford_standins/wire/_stages.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_stages.py
@@ -86,6 +86,7 @@
                 for item in body["items"]
             ]
             await asyncio.sleep(self.call_s)
+            await self.speaks_.wait()
         self.batch_sizes_.append(len(items))
         load = f"{int(self.call_lock_.locked())},{self.waiting_},1{self.load_suffix_}"
         handler.set_header("X-Server-Load", load)
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
@@ -0,0 +1,123 @@
+"""Sound endpoints that fall silent and go on lose no request."""
+
+import asyncio
+
+import pytest
+
+from leadford.forwarding.retries import _limits
+from leadford_standins.wire import event_ids, run_scenario, runs_of
+
+SILENCE_S = 0.8
+STREAMS = 6
+DEADLINE_MS = 3_500
+
+
+@pytest.fixture(autouse=True)
+def short_limit(monkeypatch):
+    """Let streams wait for less than the silence."""
+    monkeypatch.setattr(_limits, "STREAM_SILENCE_MIN_S", 0.3)
+
+
+def spend_budget(deployment, service):
+    """Leave no retry to any entry; return the budget of the first one."""
+    budgets = [e.state_.retry_budgets_.budget(service) for e in deployment.entries_]
+    for budget in budgets:
+        budget.slack = -1_000.0
+    return budgets[0]
+
+
+def start_streams(deployment):
+    """Return the streams to come."""
+    return [
+        asyncio.ensure_future(
+            deployment.send(
+                "/resumed/x", request_id=f"r{number}", deadline_ms=DEADLINE_MS
+            )
+        )
+        for number in range(STREAMS)
+    ]
+
+
+def silence(endpoints, duration_s=SILENCE_S):
+    """Let endpoints fall silent at once."""
+    for endpoint in endpoints:
+        endpoint.fall_silent(duration_s)
+
+
+def test_streams_beyond_the_retry_budget_outlast_a_silence_of_their_engine():
+    async def scenario(deployment):
+        spend_budget(deployment, "engine")
+        for engine in deployment.engines:
+            engine.pause_s = 0.05
+        sent = start_streams(deployment)
+        await deployment.until(
+            lambda: sum(len(e.runs_) for e in deployment.engines) == STREAMS
+        )
+        await asyncio.sleep(0.1)
+        silence(deployment.engines)
+        for number, answer in enumerate(await asyncio.gather(*sent)):
+            assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+            assert len(runs_of(deployment.engines, f"r{number}")) == 1
+
+    run_scenario(scenario)
+
+
+def test_streams_beyond_the_retry_budget_outlast_a_silence_before_their_first_event():
+    async def scenario(deployment):
+        spend_budget(deployment, "engine")
+        # An engine may take as long as the target before the first event.
+        deployment.config["routes"][2]["goalMs"] = 300
+        deployment.config["version"] = 2
+        deployment.put_config()
+        (entry,) = deployment.entries_
+        await deployment.until(lambda: entry.state_.config_version() == 2)
+        silence(deployment.engines)
+        for number, sent in enumerate(start_streams(deployment)):
+            answer = await sent
+            assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+            assert len(runs_of(deployment.engines, f"r{number}")) == 1
+
+    run_scenario(scenario)
+
+
+async def teach_usual_duration(deployment):
+    """Let the entry learn how long answers of plain endpoints usually take."""
+    for number in range(12):
+        answer = await deployment.send("/safe/x", request_id=f"u{number}")
+        assert answer.code == 200
+
+
+async def send_safe(deployment, count):
+    """Return the answers to safe requests that are sent at once."""
+    return await asyncio.gather(
+        *(
+            deployment.send("/safe/x", request_id=f"s{number}", deadline_ms=DEADLINE_MS)
+            for number in range(count)
+        )
+    )
+
+
+def test_safe_requests_beyond_the_retry_budget_outlast_a_silence_of_all_endpoints():
+    async def scenario(deployment):
+        await teach_usual_duration(deployment)
+        spend_budget(deployment, "plain")
+        silence(deployment.plain)
+        answers = await send_safe(deployment, 20)
+        assert [answer.code for answer in answers] == [200] * 20
+        runs = [runs_of(deployment.plain, f"s{number}") for number in range(20)]
+        assert [len(run) for run in runs] == [1] * 20
+
+    run_scenario(scenario, endpoints=3)
+
+
+def test_safe_requests_are_not_run_again_at_endpoints_that_are_as_silent():
+    async def scenario(deployment):
+        await teach_usual_duration(deployment)
+        silence(deployment.plain)
+        answers = await send_safe(deployment, 20)
+        assert [answer.code for answer in answers] == [200] * 20
+        runs = [runs_of(deployment.plain, f"s{number}") for number in range(20)]
+        # Two attempts in vain show that an endpoint is silent.
+        assert sum(len(run) for run in runs) <= 20 + 2 * len(deployment.plain)
+
+    run_scenario(scenario, endpoints=3)
