Give an attempt up for silence only once another one is reserved

Callers lost streams inside their answer, and safe requests got 502, because an endpoint was silent for little longer than a limit, though it went on and they had time left.

Cause: the limit on silence ended the attempt; whether the retry budget allows another one was asked afterwards. What was beyond the budget ended. Class: something is given up before it is known that anything better is allowed. A second attempt also began at endpoints that were as silent.

Now the timer asks before it ends a wait: is there time for another attempt, an untried endpoint that is not suspect, and a retry in the budget, which is taken at once. The silence counts against the endpoint once an attempt, and is forgiven when it goes on.

Not done: a second attempt beside the first one (a hedge); streams may not run at two endpoints for more than 0.4 s, and plain requests gain little where a silence is short.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -5,7 +5,9 @@
 `leadford.forwarding.retries` decides how long to wait for a silent stream.
 """
 
-from leadford.forwarding.endpoints import EventGaps
+from enum import Enum
+
+from leadford.forwarding.endpoints import EndpointFailure, EventGaps
 from leadford.forwarding.memory import MAX_UNREAD_EVENT_BYTES
 from leadford.forwarding.overload import DelayMark
 from leadford.forwarding.retries import (
@@ -25,6 +27,17 @@
 EVENT_GAP_KIND = "gap"
 
 
+class StreamEnd(Enum):
+    """List how a stream ended at one endpoint.
+
+    GIVEN_UP: the endpoint was silent, and another attempt is reserved.
+    """
+
+    COMPLETE = "complete"
+    BROKEN_OFF = "broken-off"
+    GIVEN_UP = "given-up"
+
+
 class EventRelay:
     """Pass on the events of all attempts of one request."""
 
@@ -59,14 +72,17 @@
             has_begun=self.answer.has_begun,
         )
 
-    async def relay(self, attempt: Attempt) -> bool:
-        """Pass events on; return whether the stream ended complete.
+    async def relay(self, attempt: Attempt) -> StreamEnd:
+        """Pass events on; return how the stream ended at this endpoint.
 
         Errors: raises TimeoutError when the deadline of the request has passed.
         """
         splitter = EventStreamSplitter()
         gaps = EventGaps()
         has_events = False
+        may_give_up = self.attempts.may_give_up(
+            attempt.borrowed, EndpointFailure.SILENT
+        )
         attempt.answer.reader.read_as_stream(MAX_UNREAD_EVENT_BYTES)
         while True:
             began = self.state.loop_turns_.mark(self.state.now())
@@ -76,16 +92,16 @@
                 limit_at = self._limit_at(
                     len(self.progress.tried_endpoint_ids_), MIN_ENDPOINTS_FOR_RETRY
                 )
-                async with EndpointTimeout(limit_at, self.state.loop_turns_, began):
+                async with EndpointTimeout(
+                    limit_at, self.state.loop_turns_, began, may_end=may_give_up
+                ):
                     data = await attempt.answer.read_more()
             except TimeoutError:
-                if self.attempts.is_out_of_time():
+                if self.attempts.retries.is_out_of_time():
                     raise
-                if self.attempts.choose() is None:
-                    continue
-                # Give up this attempt; the stream continues at another endpoint.
-                self.attempts.evidence.report_silent(attempt.record, attempt.began_at)
-                return False
+                # The stream continues at another endpoint.
+                return StreamEnd.GIVEN_UP
+            self.attempts.retries.record_heard(attempt.record)
             self._record_gap(gaps, began)
             for event in splitter.feed(data):
                 has_events = True
@@ -94,12 +110,13 @@
                 continue
             self._record_gaps(attempt, gaps)
             if splitter.has_partial_event:
-                return False
+                return StreamEnd.BROKEN_OFF
             if attempt.ended_with_connection and not has_events:
                 # An endpoint that ends before its first event closes its connection,
                 # too. The caller may lack events even if it has some already.
-                return False
-            return attempt.answer.reader.is_complete_
+                return StreamEnd.BROKEN_OFF
+            is_complete = attempt.answer.reader.is_complete_
+            return StreamEnd.COMPLETE if is_complete else StreamEnd.BROKEN_OFF
 
     def _record_gap(self, gaps: EventGaps, began: DelayMark) -> None:
         """Record a read; it counts as no wait if this entry was late itself."""
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
@@ -4,7 +4,6 @@
 are in `leadford.forwarding.retries`.
 """
 
-from leadford.forwarding.endpoints import EndpointFailure
 from leadford.forwarding.retries import (
     AttemptEnd,
     AttemptTiming,
@@ -51,7 +50,7 @@
                 return
             self.attempts.evidence.record_answer(attempt)
             if attempt.is_error:
-                decision = self.attempts.ask_retry(AttemptEnd.ERROR_STATUS, "failed")
+                decision = self.attempts.retries.ask(AttemptEnd.ERROR_STATUS, "failed")
                 if decision.retry:
                     continue
             self.answer.pass_on(attempt)
@@ -59,7 +58,7 @@
 
     def _may_retry(self, end: AttemptEnd, detail: str) -> bool:
         """Return whether a retry follows; end the request if none does."""
-        if self.attempts.ask_retry(end, detail).retry:
+        if self.attempts.retries.ask(end, detail).retry:
             return True
         self.answer.end_failed(detail)
         return False
@@ -85,15 +84,17 @@
         Errors: raises ExchangeBroken when the rest of the answer does not arrive.
         """
         try:
-            turns = self.state.loop_turns_
-            async with EndpointTimeout(attempt.limit_at, turns, attempt.mark):
+            async with EndpointTimeout(
+                attempt.limit_at,
+                self.state.loop_turns_,
+                attempt.mark,
+                may_end=self.attempts.may_give_up(attempt.borrowed),
+            ):
                 await attempt.answer.wait_until_complete()
         except ExchangeBroken:
             self.attempts.evidence.record_broken(attempt)
             raise
         except TimeoutError as error:
-            self.attempts.evidence.report_silent(attempt.record, attempt.began_at)
-            self.attempts.evidence.record_failure(attempt.record, EndpointFailure.SLOW)
             raise ExchangeBroken(BreakKind.LOST, "slow") from error
         finally:
             self.attempts.release(attempt)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -190,7 +190,7 @@
         # A request that a caller repeats has the same digest at every entry. Without
         # this check, one request crashed 27 endpoints, and retry budgets were spent on
         # harmless requests.
-        if self.attempts.is_quarantined:
+        if self.attempts.retries.is_quarantined:
             self.answer.end_quarantined()
             return
         if failure is not None:
@@ -223,7 +223,7 @@
 
     def _end_out_of_time(self) -> None:
         """End a request that is past its deadline or that a planned stop cuts short."""
-        is_late = self.attempts.is_out_of_time()
+        is_late = self.attempts.retries.is_out_of_time()
         if (
             is_late
             or self.progress.may_have_run_
@@ -308,7 +308,7 @@
         try:
             await self.inputs.wait_for_stages()
         except StageFailure as failure:
-            if self.attempts.is_quarantined:
+            if self.attempts.retries.is_quarantined:
                 self.answer.end_quarantined()
                 return False
             self.answer.end(EndReason.STAGES_FAILED, f"stages: {failure.detail}")
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -11,7 +11,7 @@
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.answers._answer import STATUS_OK, CallerAnswer
-from leadford_server.forwarding.answers._event_relay import EventRelay
+from leadford_server.forwarding.answers._event_relay import EventRelay, StreamEnd
 from leadford_server.forwarding.batching import RequestInputs
 from leadford_server.forwarding.endpoints import ExchangeBroken
 from leadford_server.forwarding.retries import Attempt, EndpointAttempts, NotRun
@@ -57,25 +57,31 @@
                     return
                 continue
             try:
-                is_complete = await self._pass_on_stream(attempt)
-                if not is_complete:
+                end = await self._pass_on_stream(attempt)
+                if end is StreamEnd.BROKEN_OFF:
                     self.attempts.evidence.record_broken(attempt)
             finally:
                 self.attempts.release(attempt)
-            if is_complete:
+            if end is StreamEnd.COMPLETE:
                 return
             self.progress.may_have_run_ = True
-            if not (attempt.was_left_unread or attempt.ended_with_connection):
-                self.attempts.evidence.record_failure(
-                    attempt.record, EndpointFailure.BROKEN_OFF
-                )
-            if not await self._retry_elsewhere(_broken_detail(attempt)):
+            if end is StreamEnd.BROKEN_OFF:
+                self._record_broken_off(attempt)
+            if not await self._retry_elsewhere(_broken_detail(attempt, end)):
                 return
 
+    def _record_broken_off(self, attempt: Attempt) -> None:
+        """Record that an endpoint broke a stream off, if it was the endpoint."""
+        if attempt.was_left_unread or attempt.ended_with_connection:
+            return
+        self.attempts.evidence.record_failure(
+            attempt.record, EndpointFailure.BROKEN_OFF
+        )
+
     async def _retry_not_run(self, failure: NotRun) -> bool:
         """Prepare a retry after an attempt that did not run, or end the stream."""
         end = AttemptEnd.INPUTS_GONE if failure.inputs_gone else AttemptEnd.NOT_RUN
-        decision = self.attempts.ask_retry(end, failure.detail)
+        decision = self.attempts.retries.ask(end, failure.detail)
         if not decision.retry:
             self.answer.end_failed(failure.detail)
             return False
@@ -88,39 +94,41 @@
 
     async def _retry_elsewhere(self, detail: str) -> bool:
         """Prepare a retry after an attempt that may have run, or end the stream."""
-        if not self.attempts.ask_retry(AttemptEnd.MAY_HAVE_RUN, detail).retry:
+        if not self.attempts.retries.ask(AttemptEnd.MAY_HAVE_RUN, detail).retry:
             self.answer.end_failed(detail)
             return False
         if self.progress.match_.route.stages:
             return await self.make_inputs()
         return True
 
-    async def _pass_on_stream(self, attempt: Attempt) -> bool:
-        """Pass the stream on; return whether it ended complete."""
+    async def _pass_on_stream(self, attempt: Attempt) -> StreamEnd:
+        """Pass the stream on; return how it ended."""
         if attempt.answer.head.status != STATUS_OK:
             return await self._pass_on_plain_answer(attempt)
-        if not await self.events.relay(attempt):
-            return False
-        self.attempts.evidence.record_answer(attempt)
-        self.answer.end_stream(attempt)
-        return True
+        end = await self.events.relay(attempt)
+        if end is StreamEnd.COMPLETE:
+            self.attempts.evidence.record_answer(attempt)
+            self.answer.end_stream(attempt)
+        return end
 
-    async def _pass_on_plain_answer(self, attempt: Attempt) -> bool:
-        """Pass on an answer that is not a stream; return whether it was passed on."""
+    async def _pass_on_plain_answer(self, attempt: Attempt) -> StreamEnd:
+        """Pass on an answer that is not a stream; return how it ended."""
         try:
             await attempt.answer.wait_until_complete()
         except ExchangeBroken:
             # The caller of this method records the failure and tries another endpoint.
-            return False
+            return StreamEnd.BROKEN_OFF
         self.attempts.evidence.record_answer(attempt)
         if self.answer.has_begun:
-            return False
+            return StreamEnd.BROKEN_OFF
         self.answer.pass_on(attempt)
-        return True
+        return StreamEnd.COMPLETE
 
 
-def _broken_detail(attempt: Attempt) -> str:
+def _broken_detail(attempt: Attempt, end: StreamEnd) -> str:
     """Return how a stream ended that is not complete, for the log."""
+    if end is StreamEnd.GIVEN_UP:
+        return "silent"
     if attempt.ended_with_connection:
         return "stream ended inside an event"
     return "stream broke off"
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -7,22 +7,16 @@
 decides which endpoint receives it.
 """
 
-from leadford.events import Event
+from collections.abc import Callable
+from functools import partial
+
 from leadford.forwarding.endpoints import (
     EndpointFailure,
     EndpointRecord,
     SentPrompt,
 )
-from leadford.forwarding.retries import (
-    AttemptEnd,
-    FailedAttempt,
-    RetryDecision,
-    RetryReason,
-    answer_due_at,
-    decide_retry,
-    max_hold_s,
-)
-from leadford.forwarding.routes import PRIORITY_HIGHEST, PRIORITY_LOWEST, RouteKind
+from leadford.forwarding.retries import max_hold_s
+from leadford.forwarding.routes import PRIORITY_HIGHEST, PRIORITY_LOWEST
 from leadford_server.forwarding._contract import ForwardCall, NotRunCause
 from leadford_server.forwarding._endpoint_timeout import EndpointTimeout
 from leadford_server.forwarding._heads import record_head
@@ -43,9 +37,8 @@
 )
 from leadford_server.forwarding.retries._choice import EndpointChoice
 from leadford_server.forwarding.retries._evidence import EndpointEvidence
+from leadford_server.forwarding.retries._retries import RequestRetries
 
-# Length to which the failure detail in the log line of a retry is cut.
-MAX_LOGGED_DETAIL_CHARS = 120
 # Time for the body of a refusal, after which its connection is closed.
 REFUSAL_BODY_MAX_S = 0.25
 # An endpoint is never sent a remaining time of 0 or less.
@@ -69,6 +62,9 @@
         self.progress = progress
         self.choice = EndpointChoice(state=state, inputs=inputs, progress=progress)
         self.evidence = EndpointEvidence(state=state, progress=progress)
+        self.retries = RequestRetries(
+            state=state, progress=progress, choice=self.choice, evidence=self.evidence
+        )
         self.sent_prompt_: SentPrompt | None = None
         # Whether the current attempt is counted in `suspect_requests_in_flight_`.
         self.is_suspect_ = False
@@ -81,7 +77,7 @@
         """Send the request to an endpoint and wait for the head of the answer.
 
         The time until an endpoint is chosen extends the limit, because no endpoint was
-        slow during it.
+        slow during it. From the limit on, the attempt ends once another one is allowed.
 
         Units: limit_at in seconds of the monotonic clock.
         Errors: raises NotRun when the attempt has certainly not run, ExchangeBroken
@@ -103,15 +99,18 @@
             raise
         except TimeoutError as error:
             self._abandon(record, connection)
-            if self.is_out_of_time():
+            if self.retries.is_out_of_time():
                 raise
-            self.evidence.report_silent(record, borrowed.began_at)
-            self.evidence.record_failure(record, EndpointFailure.SLOW)
             raise ExchangeBroken(BreakKind.LOST, "slow") from error
         except BaseException:
             self._abandon(record, connection)
             raise
         self.evidence.record_alive(record, borrowed.began_at)
+        self.retries.record_heard(record)
+        now = self.state.now()
+        if now >= limit_at:
+            # The head came late; the rest gets as much time again.
+            limit_at = now + limit_at - borrowed.began_at
         attempt = Attempt(borrowed, answer, limit_at)
         await self._check_head(attempt)
         return attempt
@@ -126,7 +125,7 @@
         Errors: raises NotRun when there is no endpoint or no connection, or when the
         request is quarantined.
         """
-        if self.is_quarantined:
+        if self.retries.is_quarantined:
             raise NotRun("quarantined")
         wait_until = self.state.now() + max_hold_s(self.progress.match_.route)
         while True:
@@ -149,7 +148,7 @@
             except BaseException:
                 self._abandon(record, None)
                 raise
-            is_refused = self.is_quarantined
+            is_refused = self.retries.is_quarantined
             if self._may_send(record) and not is_refused:
                 self.state.record_sent(record)
                 software = record.listed.known_software
@@ -168,48 +167,15 @@
             return False
         return self.state.is_usable(record) and self.state.send_delay_s(record) <= 0.0
 
-    @property
-    def is_quarantined(self) -> bool:
-        """Return whether too many endpoints crashed under the request or its prompt."""
-        return self.state.quarantine_verdict(self.progress.prompt_keys_).refuses
-
-    def is_out_of_time(self) -> bool:
-        """Return whether the request must be ended now to be answered in time."""
-        return self.state.now() >= answer_due_at(self.progress.deadline_)
-
-    def ask_retry(self, end: AttemptEnd, detail: str) -> RetryDecision:
-        """Decide whether a retry follows a failed attempt, and log it if so."""
-        progress = self.progress
-        match = progress.match_
-        route = match.route
-        progress.may_have_run_ |= end.may_have_run
-        progress.was_sent_ = False
-        failed = FailedAttempt(
-            end=end,
-            may_have_run=progress.may_have_run_,
-            is_repeatable=route.is_repeatable,
-            can_remake_inputs=route.kind is RouteKind.STREAM and bool(route.stages),
-            attempts=len(progress.tried_endpoint_ids_),
-            attempts_max=route.attempts_max,
-            input_remakes=progress.input_remakes_,
-            now=self.state.now(),
-            deadline=progress.deadline_,
-            is_quarantined=self.is_quarantined,
+    def may_give_up(
+        self,
+        borrowed: BorrowedConnection,
+        failure: EndpointFailure = EndpointFailure.SLOW,
+    ) -> Callable[[], bool]:
+        """Return what tells whether to give up an attempt that waits in vain."""
+        return partial(
+            self.retries.may_give_up, borrowed.record, borrowed.began_at, failure
         )
-        decision = decide_retry(
-            failed,
-            has_other_endpoint=lambda: self.choose() is not None,
-            budget=self.state.retry_budgets_.budget(match.service.service_id),
-        )
-        progress.retry_reason_ = decision.reason
-        if decision.reason is RetryReason.ALLOWED:
-            self.state.log.report(
-                Event.ATTEMPT_RETRIED,
-                request=progress.request.request_id,
-                attempt=len(progress.tried_endpoint_ids_),
-                reason=detail[:MAX_LOGGED_DETAIL_CHARS],
-            )
-        return decision
 
     def release(self, attempt: Attempt) -> None:
         """End an attempt and return its connection to the pool."""
@@ -246,6 +212,7 @@
     def _count_begin(self, record: EndpointRecord) -> float:
         """Count an attempt that starts now, and return the current time."""
         self.progress.record_tried(record.listed)
+        self.retries.begin_attempt()
         self.inputs.record_attempt()
         began_at = self.state.now()
         self.progress.pace_ = record.pace(began_at)
@@ -275,7 +242,9 @@
         self.inputs.release_soon(record)
         turns = self.state.loop_turns_
         self.progress.was_sent_ = True
-        async with EndpointTimeout(limit_at, turns, borrowed.mark):
+        async with EndpointTimeout(
+            limit_at, turns, borrowed.mark, may_end=self.may_give_up(borrowed)
+        ):
             return await connection.begin(outbound, request.request_id)
 
     def _call(self, record: EndpointRecord) -> ForwardCall:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -73,6 +73,18 @@
                 break
         return count
 
+    def has_trusted(self) -> bool:
+        """Return whether there is an endpoint to try that is not suspect."""
+        now = self.state.now()
+        tried = self.progress.tried_endpoint_ids_
+        service_id = self.progress.match_.service.service_id
+        for record in self.state.usable(service_id):
+            if record.listed.endpoint_id in tried or record.is_suspect(now):
+                continue
+            if self._may_use(record):
+                return True
+        return False
+
     @property
     def runs_apart(self) -> bool:
         """Return whether the request is suspected of crashing endpoints."""
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
@@ -8,6 +8,7 @@
 from leadford.events import Event
 from leadford.forwarding.endpoints import EndpointFailure, EndpointRecord
 from leadford.forwarding.memory import was_left_unread
+from leadford.forwarding.retries import RetryDecision
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.endpoints import ConnectionEnd
@@ -59,8 +60,10 @@
                 request=self.progress.request.request_id,
             )
 
-    def report_silent(self, record: EndpointRecord, sent_at: float) -> None:
-        """Log that an endpoint is silent for longer than the limit of the attempt.
+    def report_silent(
+        self, record: EndpointRecord, sent_at: float, decision: RetryDecision
+    ) -> None:
+        """Log that an endpoint is silent beyond a limit, and whether that ends it.
 
         Units: sent_at in seconds of the monotonic clock.
         """
@@ -75,6 +78,8 @@
             attempt=len(progress.tried_endpoint_ids_),
             ran_ms=ran_ms,
             answering_ms=progress.answering_ms(now),
+            is_given_up=decision.retry,
+            retry=decision.reason.value,
         )
 
     def record_alive(self, record: EndpointRecord, sent_at: float) -> None:
--- /dev/null
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
@@ -0,0 +1,149 @@
+"""Ask for the retries of one request, and hold the one that is reserved.
+
+An attempt that failed asks whether another one follows. One whose endpoint is silent
+asks the same before it is given up, because the endpoint may go on while no other
+attempt is allowed. `leadford.forwarding.retries` decides both.
+"""
+
+from collections.abc import Callable
+
+from leadford.events import Event
+from leadford.forwarding.endpoints import EndpointFailure, EndpointRecord
+from leadford.forwarding.retries import (
+    AttemptEnd,
+    FailedAttempt,
+    RetryDecision,
+    RetryReason,
+    answer_due_at,
+    decide_retry,
+    usual_duration_s,
+)
+from leadford.forwarding.routes import RouteKind
+from leadford_server.forwarding._progress import RequestProgress
+from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.retries._choice import EndpointChoice
+from leadford_server.forwarding.retries._evidence import EndpointEvidence
+
+# Length to which the failure detail in the log line of a retry is cut.
+MAX_LOGGED_DETAIL_CHARS = 120
+
+
+class RequestRetries:
+    """Ask for the retries of one request."""
+
+    def __init__(
+        self,
+        *,
+        state: ForwardState,
+        progress: RequestProgress,
+        choice: EndpointChoice,
+        evidence: EndpointEvidence,
+    ) -> None:
+        self.state = state
+        self.progress = progress
+        self.choice = choice
+        self.evidence = evidence
+        # Whether the budget was spent on the next attempt already.
+        self.has_reserved_ = False
+        # Whether the endpoint of the current attempt is silent beyond its limit.
+        self.is_silent_ = False
+
+    def begin_attempt(self) -> None:
+        """Record that another attempt begins."""
+        self.is_silent_ = False
+
+    def ask(self, end: AttemptEnd, detail: str) -> RetryDecision:
+        """Decide whether a retry follows a failed attempt, and log it if so."""
+        progress = self.progress
+        progress.may_have_run_ |= end.may_have_run
+        progress.was_sent_ = False
+        decision = self._decide(
+            self._failed(end), lambda: self.choice.choose() is not None
+        )
+        progress.retry_reason_ = decision.reason
+        if decision.reason is RetryReason.ALLOWED:
+            self.has_reserved_ = False
+            self.state.log.report(
+                Event.ATTEMPT_RETRIED,
+                request=progress.request.request_id,
+                attempt=len(progress.tried_endpoint_ids_),
+                reason=detail[:MAX_LOGGED_DETAIL_CHARS],
+            )
+        return decision
+
+    def may_give_up(
+        self, record: EndpointRecord, sent_at: float, failure: EndpointFailure
+    ) -> bool:
+        """Return whether to give up an attempt because its endpoint is silent.
+
+        If so, the retry that follows it is reserved. An endpoint that is as silent is
+        not worth a retry.
+
+        Units: sent_at in seconds of the monotonic clock.
+        """
+        if self.is_out_of_time():
+            return True
+        is_first = not self.is_silent_
+        if is_first:
+            self.is_silent_ = True
+            self.evidence.record_failure(record, failure)
+        failed = self._failed(AttemptEnd.SILENT, needed_s=self._needed_s())
+        decision = self._decide(failed, self.choice.has_trusted)
+        self.has_reserved_ |= decision.retry
+        if is_first or decision.retry:
+            self.evidence.report_silent(record, sent_at, decision)
+        return decision.retry
+
+    def record_heard(self, record: EndpointRecord) -> None:
+        """Record that the endpoint of the current attempt goes on."""
+        if self.is_silent_:
+            self.is_silent_ = False
+            record.record_heard()
+
+    def is_out_of_time(self) -> bool:
+        """Return whether the request must be ended now to be answered in time."""
+        return self.state.now() >= answer_due_at(self.progress.deadline_)
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Return whether too many endpoints crashed under the request or its prompt."""
+        return self.state.quarantine_verdict(self.progress.prompt_keys_).refuses
+
+    def _needed_s(self) -> float:
+        """Return how long another attempt would take until it answers.
+
+        Units: seconds.
+        """
+        match = self.progress.match_
+        service_id = match.service.service_id
+        if match.route.kind is RouteKind.STREAM:
+            return self.state.first_byte_.expected_s(service_id)
+        return usual_duration_s(self.state.usable(service_id)) or 0.0
+
+    def _failed(self, end: AttemptEnd, needed_s: float = 0.0) -> FailedAttempt:
+        progress = self.progress
+        route = progress.match_.route
+        return FailedAttempt(
+            end=end,
+            may_have_run=progress.may_have_run_,
+            is_repeatable=route.is_repeatable,
+            can_remake_inputs=route.kind is RouteKind.STREAM and bool(route.stages),
+            attempts=len(progress.tried_endpoint_ids_),
+            attempts_max=route.attempts_max,
+            input_remakes=progress.input_remakes_,
+            now=self.state.now(),
+            deadline=progress.deadline_,
+            is_quarantined=self.is_quarantined,
+            has_reserved_retry=self.has_reserved_,
+            needed_s=needed_s,
+        )
+
+    def _decide(
+        self, failed: FailedAttempt, has_other_endpoint: Callable[[], bool]
+    ) -> RetryDecision:
+        service_id = self.progress.match_.service.service_id
+        return decide_retry(
+            failed,
+            has_other_endpoint=has_other_endpoint,
+            budget=self.state.retry_budgets_.budget(service_id),
+        )
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
@@ -80,6 +80,54 @@
     run_scenario(scenario)
 
 
+def test_a_silent_stream_goes_on_elsewhere_once_the_budget_allows_it():
+    async def scenario(deployment):
+        budget = spend_budget(deployment, "engine")
+        for engine in deployment.engines:
+            engine.pause_s = 0.05
+        sent = asyncio.ensure_future(
+            deployment.send("/resumed/x", request_id="r", deadline_ms=DEADLINE_MS)
+        )
+        await deployment.until(lambda: runs_of(deployment.engines, "r"))
+        (silent,) = (engine for engine in deployment.engines if engine.runs_)
+        silence([silent], 60.0)
+        await asyncio.sleep(0.8)
+        assert len(runs_of(deployment.engines, "r")) == 1
+        budget.slack = 10.0
+        answer = await sent
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+        assert len(runs_of(deployment.engines, "r")) == 2
+        assert len(budget.retries_) == 1
+        assert silent.left_early_ == 1
+
+    run_scenario(scenario)
+
+
+def test_an_engine_that_goes_on_after_a_silence_is_used_again():
+    async def scenario(deployment):
+        spend_budget(deployment, "engine")
+        (entry,) = deployment.entries_
+        for engine in deployment.engines:
+            engine.pause_s = 0.1
+        sent = start_streams(deployment)
+        await deployment.until(
+            lambda: sum(len(e.runs_) for e in deployment.engines) == STREAMS
+        )
+        used = [engine for engine in deployment.engines if engine.runs_]
+        records = [entry.state_.roster_.record(e.endpoint_id) for e in used]
+        await asyncio.sleep(0.15)
+        silence(used)
+        await deployment.until(
+            lambda: all(record.is_suspect(entry.state_.now()) for record in records)
+        )
+        await deployment.until(lambda: all(e.speaks_.is_set() for e in used))
+        await asyncio.sleep(0.05)
+        assert not any(record.is_suspect(entry.state_.now()) for record in records)
+        await asyncio.gather(*sent)
+
+    run_scenario(scenario)
+
+
 async def teach_usual_duration(deployment):
     """Let the entry learn how long answers of plain endpoints usually take."""
     for number in range(12):
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -160,6 +160,11 @@
         suspect_s = min(SUSPECT_MAX_S, SUSPECT_BASE_S * 2.0**doublings)
         self.suspect_until_ = max(self.suspect_until_, now + suspect_s)
 
+    def record_heard(self) -> None:
+        """Record that the endpoint goes on after a silence that counted as failure."""
+        self.consecutive_failures_ = 0
+        self.suspect_until_ = 0.0
+
     def mark_replaced(self) -> None:
         """Record that another process is known to have taken over the address."""
         self.is_replaced_ = True
--- a/packages/leadford/src/leadford/forwarding/retries/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_decision.py
@@ -5,6 +5,9 @@
 the remaining time, the endpoints not tried yet, and the retry budget of the service,
 from which each allowed attempt is spent. The answer to the caller when there is no
 other attempt is left to `answers`, and the time limit of the next one to `_limits`.
+
+An attempt whose endpoint is only silent has not failed: the endpoint may go on. It is
+given up only once another attempt is allowed, which is reserved by the same decision.
 """
 
 from collections.abc import Callable
@@ -26,11 +29,12 @@
     INPUTS_GONE = "inputs-gone"
     MAY_HAVE_RUN = "may-have-run"
     ERROR_STATUS = "error-status"
+    SILENT = "silent"
 
     @property
     def may_have_run(self) -> bool:
         """Return whether the endpoint may have begun to work on the attempt."""
-        return self in (AttemptEnd.MAY_HAVE_RUN, AttemptEnd.ERROR_STATUS)
+        return self not in (AttemptEnd.NOT_RUN, AttemptEnd.INPUTS_GONE)
 
 
 class RetryReason(Enum):
@@ -52,9 +56,10 @@
     `may_have_run` covers earlier attempts too. `attempts` counts the attempts started,
     including the failed one; `input_remakes` counts how often inputs were recomputed
     already. `is_quarantined` is true if too many endpoints crashed while they ran the
-    request.
+    request. `has_reserved_retry` is true if the budget was spent on the next attempt
+    already. `needed_s` is the time in which another attempt could serve the request.
 
-    Units: now and deadline in seconds of the monotonic clock.
+    Units: now and deadline in seconds of the monotonic clock; needed_s in seconds.
     """
 
     end: AttemptEnd
@@ -67,6 +72,8 @@
     now: float
     deadline: float
     is_quarantined: bool = False
+    has_reserved_retry: bool = False
+    needed_s: float = 0.0
 
 
 class RetryDecision(msgspec.Struct, frozen=True):
@@ -105,11 +112,11 @@
         return RetryDecision(True, RetryReason.INPUTS_REMADE)
     if failed.attempts >= failed.attempts_max:
         return RetryDecision(False, RetryReason.ATTEMPTS_USED)
-    if failed.now >= failed.deadline:
+    if failed.now + failed.needed_s >= failed.deadline:
         return RetryDecision(False, RetryReason.OUT_OF_TIME)
     if not has_other_endpoint():
         return RetryDecision(False, RetryReason.NO_OTHER_ENDPOINT)
-    if not budget.try_spend(failed.now):
+    if not failed.has_reserved_retry and not budget.try_spend(failed.now):
         return RetryDecision(False, RetryReason.BUDGET_SPENT)
     return RetryDecision(True, RetryReason.ALLOWED)
 
--- a/packages/leadford/src/leadford/forwarding/retries/tests/test_decision.py
+++ b/packages/leadford/src/leadford/forwarding/retries/tests/test_decision.py
@@ -112,3 +112,27 @@
 def test_a_request_without_inputs_to_remake_is_tried_elsewhere():
     decision, _ = decide(end=AttemptEnd.INPUTS_GONE, can_remake_inputs=False)
     assert decision.reason is RetryReason.ALLOWED
+
+
+def test_a_silent_attempt_is_given_up_only_for_one_that_is_allowed():
+    silent = {"end": AttemptEnd.SILENT}
+    decision, spent = decide(**silent)
+    assert decision.retry and spent == 1
+    decision, spent = decide(**silent, slack=0.0)
+    assert decision.reason is RetryReason.BUDGET_SPENT
+    decision, spent = decide(**silent, others=False)
+    assert decision.reason is RetryReason.NO_OTHER_ENDPOINT and spent == 0
+    decision, spent = decide(**silent, is_repeatable=False)
+    assert decision.reason is RetryReason.NOT_REPEATABLE and spent == 0
+
+
+def test_a_silent_attempt_is_not_given_up_when_another_one_would_be_late():
+    decision, spent = decide(end=AttemptEnd.SILENT, now=4.5, needed_s=0.6)
+    assert decision.reason is RetryReason.OUT_OF_TIME and spent == 0
+    decision, _ = decide(end=AttemptEnd.SILENT, now=4.5, needed_s=0.4)
+    assert decision.retry
+
+
+def test_a_reserved_retry_is_spent_once():
+    decision, spent = decide(end=AttemptEnd.SILENT, has_reserved_retry=True, slack=0.0)
+    assert decision.retry and spent == 0
