Close a connection after a refusal without an id

A stream went on at another engine while the first one worked on it, on a connection that stayed open, for 1.0 to 1.5 s; another was told 503, "not run", though it ran.

Cause: a refusal without an id may come once more where the next answer is due, and nothing tells the two apart. For requests that may run twice the connection was kept, the copy was taken for the answer to the next of them, and that request was sent elsewhere without telling the endpoint to stop.

Now a connection on which a refusal had no id carries nothing more, whatever the request, as was the rule for calls for pieces; and after an answer to a call that has no id, one without an id is not believed for a request. The first refusal on a connection is certainly that of its request, so "not run" is true again, and closing it can hurt nothing.

Evidence: test_a_refusal_without_an_id_that_comes_once_more_refuses_no_other_stream failed before (503 for a stream that ran) and passes. Weighed: to close only after a second refusal saves half the connections and turns each second 503 into a 502 (docs/design/answer-matching.md).

Two tests held that such a connection is used on for requests that may run twice. That is the fault. They are replaced by tests that nothing is sent on it, and the test that an idle connection gives way at the limit by one with a request that is sent again.

--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
@@ -71,7 +71,6 @@
         connections_max: int,
         *,
         request_id: RequestId | None = None,
-        is_repeatable: bool = True,
     ) -> EndpointConnection:
         """Return an idle or a new connection, waiting until the limit allows one.
 
@@ -87,7 +86,7 @@
             self.connections_by_id_[listed.endpoint_id] = connections
         connections.limit = connections_max
         while True:
-            kept = self._take_idle(connections, request_id, is_repeatable)
+            kept = self._take_idle(connections, request_id)
             if kept is not None:
                 return kept
             allowed = max_connections(connections_max, self.share())
@@ -108,10 +107,7 @@
                 raise
 
     def _take_idle(
-        self,
-        connections: _EndpointConnections,
-        request_id: RequestId | None,
-        is_repeatable: bool,
+        self, connections: _EndpointConnections, request_id: RequestId | None
     ) -> EndpointConnection | None:
         now = self.loop.time()
         taken = None
@@ -122,8 +118,7 @@
             if not (_is_fresh(connection, now) and connection.is_usable):
                 self._close(connections, connection)
                 continue
-            matcher = connection.matcher_
-            if not matcher.may_carry(request_id, is_repeatable=is_repeatable):
+            if not connection.matcher_.may_carry(request_id):
                 passed_over.append(connection)
                 continue
             connection.stream.set_close_callback(None)
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
@@ -256,26 +256,38 @@
     run(scenario())
 
 
-def test_a_connection_on_which_no_answer_could_be_told_gives_way_at_the_limit():
-    """A request that may run once waited for a connection that it may not use."""
+def test_a_connection_closes_with_a_refusal_without_an_id():
+    """The endpoint could send it once more and work on the next request meanwhile."""
 
     async def scenario():
         refusal = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n\r\n"
-        async with Endpoint(refusal, answer(request_id="r2"), answer()) as endpoint:
+        async with Endpoint(refusal, answer(request_id="r2")) as endpoint:
             loop = asyncio.get_running_loop()
             pool = ConnectionPool(codec=PlatformRequests(), loop=loop)
             record = record_at(endpoint.port)
             first = await pool.acquire(record, 1, request_id=ID)
             await first.fetch(REQUEST, ID)
             pool.release(record, first)
-            # Requests that may run twice go on using it.
-            next_id = RequestId("r2")
-            assert await pool.acquire(record, 1, request_id=next_id) is first
-            await first.fetch(REQUEST, next_id)
+            assert first.stream.closed()
+            other = await pool.acquire(record, 1, request_id=RequestId("r2"))
+            assert other is not first
+            assert pool.open_count == 1
+
+    run(scenario())
+
+
+def test_a_connection_that_may_not_carry_a_request_gives_way_at_the_limit():
+    """A request that is sent again waited for a connection that it may not use."""
+
+    async def scenario():
+        async with Endpoint(answer(), answer()) as endpoint:
+            loop = asyncio.get_running_loop()
+            pool = ConnectionPool(codec=PlatformRequests(), loop=loop)
+            record = record_at(endpoint.port)
+            first = await pool.acquire(record, 1, request_id=ID)
+            await first.fetch(REQUEST, ID)
             pool.release(record, first)
-            other = await pool.acquire(
-                record, 1, request_id=RequestId("r3"), is_repeatable=False
-            )
+            other = await pool.acquire(record, 1, request_id=ID)
             assert other is not first and first.stream.closed()
             assert pool.open_count == 1
 
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -139,7 +139,6 @@
                     record,
                     match.service.connections_max,
                     request_id=self.progress.request.request_id,
-                    is_repeatable=match.route.is_repeatable,
                 )
             except ExchangeBroken as failure:
                 self._abandon(record, None)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_streams.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_streams.py
@@ -124,3 +124,19 @@
         assert len(engine.runs_) == 1
 
     run_scenario(scenario, endpoints=1)
+
+
+def test_a_refusal_without_an_id_that_comes_once_more_refuses_no_other_stream():
+    # The engine ran on with a stream that was taken to be refused.
+    async def scenario(deployment):
+        (engine,) = deployment.engines
+        for number in range(8):
+            is_refused = number % 2 == 0
+            if is_refused:
+                engine.planned_misbehaviours_.append(Misbehaviour.REPEAT_REFUSAL)
+            name = f"r{number}"
+            answer = await deployment.send("/resumed/x", request_id=name)
+            assert answer.code == (503 if is_refused else 200)
+            assert len(runs_of(deployment.engines, name)) == (not is_refused)
+
+    run_scenario(scenario, endpoints=1)
--- a/packages/leadford/src/leadford/forwarding/endpoints/_matching.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_matching.py
@@ -31,25 +31,20 @@
 class AnswerMatcher:
     """Match the answers of one connection to its requests.
 
-    `is_in_step_` is False once answers may no longer come in the order of requests;
-    then the connection carries no further request. `may_repeat_refusal_` is True once a
-    refusal without an id came, which looks like a refusal of any later request.
+    `is_in_step_` is False once the next answer could be taken for that of another
+    request; then the connection carries no further request.
     """
 
     def __init__(self) -> None:
         self.sent_ids_: deque[RequestId] = deque(maxlen=KEPT_IDS)
         self.is_in_step_ = True
-        self.may_repeat_refusal_ = False
+        # Whether the last answer had no id, nor had its call.
+        self.may_repeat_ = False
 
-    def may_carry(self, request_id: RequestId | None, *, is_repeatable: bool) -> bool:
-        """Return whether the answer to a request could be told from earlier ones.
-
-        A repeated refusal does no harm to a request that may run twice.
-        """
+    def may_carry(self, request_id: RequestId | None) -> bool:
+        """Return whether the answer to a request could be told from earlier ones."""
         if not self.is_in_step_:
             return False
-        if self.may_repeat_refusal_ and not is_repeatable:
-            return False
         return request_id is None or request_id not in self.sent_ids_
 
     def record_sent(self, request_id: RequestId | None) -> None:
@@ -69,22 +64,24 @@
         `is_refusal` is true if the answer says that its request did not run.
         """
         if request_id is None:
-            self.may_repeat_refusal_ |= is_refusal and not answered_id
+            self.may_repeat_ |= not answered_id
+            # Repeated, it would look like a refusal of any later request.
+            self.is_in_step_ &= bool(answered_id) or not is_refusal
             return AnswerMatch.OWN
         if not answered_id:
-            return self._match_without_id(is_refusal=is_refusal)
+            return self._match_without_id()
         if answered_id == request_id:
+            self.may_repeat_ = False
             return AnswerMatch.OWN
         self.is_in_step_ = False
         return AnswerMatch.FOREIGN
 
-    def _match_without_id(self, *, is_refusal: bool) -> AnswerMatch:
-        """Return whose answer has come if it bears no id though its request did."""
-        if not self.is_in_step_:
-            return AnswerMatch.UNKNOWN
-        if is_refusal:
-            self.may_repeat_refusal_ = True
-            return AnswerMatch.OWN
+    def _match_without_id(self) -> AnswerMatch:
+        """Return whose answer has come if it bears no id though its request did.
+
+        The first on a connection is that of its request, because no earlier answer
+        could be repeated as it. Its own repetition could not be told from the next one.
+        """
+        is_first = self.is_in_step_ and not self.may_repeat_
         self.is_in_step_ = False
-        # A repeated refusal may have taken the place of another answer before.
-        return AnswerMatch.UNKNOWN if self.may_repeat_refusal_ else AnswerMatch.OWN
+        return AnswerMatch.OWN if is_first else AnswerMatch.UNKNOWN
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_matching.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_matching.py
@@ -9,31 +9,38 @@
     # A refusal without an id could now be that of the earlier request.
     assert matcher.match(None, "b", is_refusal=True) is AnswerMatch.UNKNOWN
     assert matcher.match("b", "b", is_refusal=False) is AnswerMatch.OWN
-    assert not matcher.may_carry("c", is_repeatable=True)
+    assert not matcher.may_carry("c")
 
 
 def test_a_request_is_not_sent_twice_on_one_connection():
     matcher = AnswerMatcher()
     matcher.record_sent("a")
     assert matcher.match("a", "a", is_refusal=True) is AnswerMatch.OWN
-    assert not matcher.may_carry("a", is_repeatable=False)
-    assert matcher.may_carry("b", is_repeatable=False)
+    assert not matcher.may_carry("a")
+    assert matcher.may_carry("b")
 
 
-def test_after_a_refusal_without_an_id_only_repeatable_requests_are_sent():
+def test_after_a_refusal_without_an_id_nothing_is_sent():
     for request_id in ("a", None):
         matcher = AnswerMatcher()
         assert matcher.match(None, request_id, is_refusal=True) is AnswerMatch.OWN
-        assert not matcher.may_carry("b", is_repeatable=False)
-        assert matcher.may_carry("b", is_repeatable=True)
-        assert matcher.match(None, "b", is_refusal=True) is AnswerMatch.OWN
-        assert matcher.match(None, "b", is_refusal=False) is AnswerMatch.UNKNOWN
+        assert not matcher.may_carry("b")
+        assert not matcher.may_carry(None)
+
+
+def test_an_answer_without_an_id_after_that_of_a_call_without_one_is_not_believed():
+    for is_refusal in (False, True):
+        matcher = AnswerMatcher()
+        assert matcher.match(None, None, is_refusal=False) is AnswerMatch.OWN
+        assert matcher.may_carry("b")
+        match = matcher.match(None, "b", is_refusal=is_refusal)
+        assert match is AnswerMatch.UNKNOWN
 
 
 def test_after_a_served_answer_without_an_id_nothing_is_sent():
     matcher = AnswerMatcher()
     assert matcher.match("", "a", is_refusal=False) is AnswerMatch.OWN
-    assert not matcher.may_carry("b", is_repeatable=True)
+    assert not matcher.may_carry("b")
 
 
 def test_few_ids_are_kept():
