Read what has connected as a full link lets new connections be refused

Callers sent a whole request beside changes of the configuration and got neither an answer nor a refusal: their connection was reset. They sent it again elsewhere.

Cause: an entry whose link is full refuses new connections by closing its listening socket. That resets every connection that waits to be accepted, and the one that shows that there are too many was closed as well. Their requests had passed the link; a reset saves nothing. While the event loop is late, reading is what costs, and that stays.

Ruled out: planned stops. No entry logs a request for them.

Now, unless the loop is late, what has connected is read before new ones are refused.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_listener.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_listener.py
@@ -1,7 +1,8 @@
 """Accept the connections of callers, fewer while this entry is late.
 
 Owns the listening sockets. `leadford.forwarding.overload` decides how many connections
-are accepted; those beyond it are refused, so that their callers try another entry.
+are accepted, and whether those that wait as others are refused are read or closed, so
+that their callers try another entry.
 """
 
 import asyncio
@@ -115,8 +116,12 @@
                 self._pause(LISTEN_RETRY_S)
                 return
             if not self.admission.admits(now):
-                CONNECTIONS_SHED_TOTAL.inc()
-                connection.close()
+                if self.admission.reads_waiting:
+                    self.on_accepted(connection, address)
+                    self._accept_all(sock)
+                else:
+                    CONNECTIONS_SHED_TOTAL.inc()
+                    connection.close()
                 pause_s = self.admission.pause_s(now)
                 self.reports.paused(pause_s, self.admission.shed_count_)
                 self._pause(pause_s)
--- a/packages/leadford/src/leadford/forwarding/overload/_connections.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_connections.py
@@ -1,10 +1,11 @@
 """Decide which new connections an entry reads, and which it refuses or closes unread.
 
 A caller whose connection is refused or closed unread tries another entry at once, and
-nothing has run. A refused one also sends nothing over a link that is full. What was
-read keeps its place: requests and streams under way go on. So new connections give way
-first, as soon as the event loop lags behind or packets wait at the link, and as many as
-it takes to keep up.
+nothing has run. A refused one also sends nothing over a link that is full; what has
+connected has sent its request already, so it is read unless the event loop is late
+itself. What was read keeps its place: requests and streams under way go on. So new
+connections give way first, as soon as the event loop lags behind or packets wait at the
+link, and as many as it takes to keep up.
 
 The rate of connections that are read is lowered each time the entry becomes late, and
 raised slowly while it is on time. Until what waits has been worked off, only few are
@@ -69,7 +70,7 @@
         self.shed_count_ = 0
 
     def admits(self, now: float) -> bool:
-        """Return whether to read a new connection; otherwise it is to be closed.
+        """Return whether to read a new connection, and go on accepting others.
 
         Units: now in seconds.
         """
@@ -82,6 +83,11 @@
             self.usual_.record(now)
         return True
 
+    @property
+    def reads_waiting(self) -> bool:
+        """Return whether to read what has connected before new ones are refused."""
+        return not self.turns.is_late
+
     def pause_s(self, now: float) -> float:
         """Return for how long to refuse connections, after one that was not admitted.
 
