Let sound endpoints of the soak fall silent, and check that they are not given up

The soak knew endpoints that fail, and links that are cut. A sound endpoint that is silent for 0.8 to 1.5 s and goes on was missing: one, several in turn, or all of a service (--silent-per-s). The ledger holds no disturbance for it, so that no check can excuse a failure by it; calm must serve what still fits beside the silence.

Two checks without an excuse: a stream whose engine is sound is not closed inside its answer, and a request that a sound endpoint runs is not answered with a failure before its time. Until now only requests without any byte of an answer were held to that, so streams broken off and safe requests given up (502) passed beside any trouble.

Each check has a ledger that breaks it. Silences of the stand-ins may overlap now; the second one ended with the first before.

--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -82,6 +82,7 @@
     restores_per_s: float = 0.0,
     uneven_per_s: float = 0.0,
     busy_per_s: float = 0.0,
+    silent_per_s: float = 0.0,
     resume_part: float = 0.0,
     long_part: float = 0.15,
     long_work_s: float = 1.2,
@@ -106,6 +107,8 @@
     :param uneven_per_s: prompt parts that end engines, callers that go to one entry,
         and answers without a length
     :param busy_per_s: entries with little processor time, to which most callers go
+    :param silent_per_s: sound endpoints that send nothing for 0.8 to 1.5 s: one,
+        several in turn, or all of a service
     :param resume_part: part of the streams that callers break off and resume, at
         engines of two software versions
     :param long_part: part of the requests that work long
@@ -133,6 +136,7 @@
         restores_per_s=restores_per_s,
         uneven_per_s=uneven_per_s,
         busy_per_s=busy_per_s,
+        silent_per_s=silent_per_s,
         resume_part=resume_part,
         long_part=long_part,
         long_work_s=long_work_s,
--- a/packages/leadford-standins/src/leadford_standins/soak/_base.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_base.py
@@ -62,6 +62,9 @@
     CALLERS_TO_ONE_ENTRY = "callers-to-one-entry"
     ENTRY_SHORT_OF_PROCESSOR = "entry-short-of-processor"
     ANSWERS_UNFRAMED = "answers-unframed"
+    ENDPOINT_SILENT = "endpoint-silent"
+    ENDPOINTS_SILENT_IN_TURN = "endpoints-silent-in-turn"
+    SERVICE_SILENT = "service-silent"
 
 
 class UpgradeWay(Enum):
@@ -105,8 +108,8 @@
     requests of all callers, faults_per_s injected faults, ending_per_s requests that
     end every endpoint which runs them, restores_per_s restores of the store, and
     uneven_per_s prompt parts that end engines, callers that go to one entry, and
-    answers without a length, and busy_per_s entries with little processor time to which
-    most callers go.
+    answers without a length, busy_per_s entries with little processor time to which
+    most callers go, and silent_per_s sound endpoints that send nothing for a while.
     """
 
     seed: int
@@ -120,6 +123,7 @@
     restores_per_s: float = 0.0
     uneven_per_s: float = 0.0
     busy_per_s: float = 0.0
+    silent_per_s: float = 0.0
     resume_part: float = 0.0
     long_part: float = 0.15
     long_work_s: float = 1.2
--- a/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_ledger.py
@@ -103,6 +103,15 @@
     at_s: float
 
 
+class Silence(msgspec.Struct, frozen=True):
+    """Hold when a sound endpoint of a service sent nothing."""
+
+    endpoint: str
+    service: str
+    from_s: float
+    until_s: float
+
+
 class ReadyAnswer(msgspec.Struct, frozen=True):
     """Hold the answer of an entry to a readiness check."""
 
@@ -128,6 +137,7 @@
         self.ready_answers_: list[ReadyAnswer] = []
         self.departures_: list[Departure] = []
         self.engines_: list[ListedEngine] = []
+        self.silences_: list[Silence] = []
         self.injected_: list[tuple[float, str, str]] = []
         self.endpoints_: set[str] = set()
         # Bodies of requests that end every endpoint which runs them.
--- a/packages/leadford-standins/src/leadford_standins/soak/_runner.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_runner.py
@@ -113,6 +113,7 @@
         ],
         "incarnations": ledger.incarnations_,
         "departures": ledger.departures_,
+        "silences": ledger.silences_,
         "ready": ledger.ready_answers_,
     }
     encoded = msgspec.json.encode(records, enc_hook=str)
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/tests/test_checks.py
@@ -12,6 +12,7 @@
     Ran,
     ReadyAnswer,
     Sent,
+    Silence,
 )
 from leadford_standins.soak.checks._base import Evidence, checks, run_checks
 from leadford_standins.soak.parts import ConfigSeen
@@ -203,6 +204,19 @@
     return ledger_of(cut(status=0, **fields), process=process)
 
 
+def closed_stream(**fields):
+    """Return a ledger of a stream that was closed after two events of its engine."""
+    sent = answered(
+        "resumed", outcome=Outcome.CUT, answer=events(1, 2), ended_at=51.2, **fields
+    )
+    return ledger_of(sent, services=("engine",))
+
+
+def given_up():
+    """Return a ledger of a request that failed though its endpoint worked on it."""
+    return ledger_of(answered("safe", status=502, headers={}, ended_at=50.9))
+
+
 def cut_by_a_stop():
     return ledger_of(cut(), process=Incarnation(ENTRY, 1, 0.0, term_at=48.0))
 
@@ -326,6 +340,8 @@
 # For each promise, a function that makes a ledger that breaks it.
 BREAKING = {
     "a request that an endpoint got is answered": closed,
+    "a stream is not closed while a sound engine sends it": closed_stream,
+    "a request is not given up while a sound endpoint runs it": given_up,
     "a request that ends its endpoints is soon sent to none": ended_endpoints,
     "a prompt part that ends its engines is soon sent to none": ended_engines,
     "harmless streams are served beside a part that ends engines": (
@@ -512,3 +528,87 @@
 def test_harmless_streams_must_be_served_half_as_often_as_before(served, is_broken):
     promise = "harmless streams are served beside a part that ends engines"
     assert (promise in found_in(lost_harmless_streams(served))) is is_broken
+
+
+SOUND_PROMISES = {
+    closed_stream: "a stream is not closed while a sound engine sends it",
+    given_up: "a request is not given up while a sound endpoint runs it",
+}
+# By its scope and its kind.
+TROUBLES = [
+    (ENTRY, FaultKind.STORE_LINK_SILENT),
+    (ENTRY, FaultKind.PEER_LINK_CUT),
+    (ENTRY, FaultKind.ENTRY_PAUSED),
+    (STORE, FaultKind.STORE_SILENT),
+    ("i-2", FaultKind.ENDPOINT_CRASHED),
+]
+
+
+@pytest.mark.parametrize("make", SOUND_PROMISES)
+@pytest.mark.parametrize(("scope", "kind"), TROUBLES)
+def test_no_trouble_elsewhere_excuses_that_a_sound_endpoint_is_given_up(
+    make, scope, kind
+):
+    ledger = make()
+    ledger.disturb(scope, kind, 49.0, 52.0)
+    assert SOUND_PROMISES[make] in found_in(ledger)
+
+
+@pytest.mark.parametrize("make", SOUND_PROMISES)
+def test_silence_of_a_sound_endpoint_excuses_nothing(make):
+    ledger = make()
+    ledger.silences_.append(Silence("i-1", "plain", 50.1, 51.3))
+    assert SOUND_PROMISES[make] in found_in(ledger)
+
+
+@pytest.mark.parametrize("make", SOUND_PROMISES)
+@pytest.mark.parametrize(("until", "is_broken"), [(49.4, True), (49.6, False)])
+def test_an_endpoint_is_not_sound_beside_its_own_trouble(make, until, is_broken):
+    ledger = make()
+    ledger.disturb("i-1", FaultKind.ENDPOINT_LINK_RESET, 49.0, until)
+    assert (SOUND_PROMISES[make] in found_in(ledger)) is is_broken
+
+
+@pytest.mark.parametrize("make", SOUND_PROMISES)
+def test_an_endpoint_that_misbehaves_is_not_sound(make):
+    ledger = make()
+    ledger.misbehaved_by_run_["r1", "i-1"] = "cut"
+    assert SOUND_PROMISES[make] not in found_in(ledger)
+
+
+@pytest.mark.parametrize("make", SOUND_PROMISES)
+def test_a_request_whose_time_is_over_may_be_given_up(make):
+    ledger = make()
+    ledger.sent_by_id_["r1"].ended_at = 52.9
+    assert SOUND_PROMISES[make] not in found_in(ledger)
+
+
+@pytest.mark.parametrize(
+    ("process", "is_broken"),
+    [
+        (Incarnation(ENTRY, 1, 0.0, term_at=48.0), True),
+        (Incarnation(ENTRY, 1, 0.0, term_at=42.0), False),
+        (Incarnation(ENTRY, 1, 0.0, was_killed=True), False),
+        (Incarnation(ENTRY, 1, 0.0, is_older=True), False),
+    ],
+)
+@pytest.mark.parametrize("make", SOUND_PROMISES)
+def test_only_the_end_of_a_process_ends_what_a_sound_endpoint_runs(
+    make, process, is_broken
+):
+    ledger = make()
+    ledger.incarnations_ = [process]
+    assert (SOUND_PROMISES[make] in found_in(ledger)) is is_broken
+
+
+@pytest.mark.parametrize(("silent_s", "is_broken"), [(1.0, True), (1.4, False)])
+def test_a_silence_counts_as_work_only_while_it_lasts(silent_s, is_broken):
+    sent = answered(status=504, ran=False)
+    sent.asked["X-Work-Ms"] = "1300"
+    ledger = ledger_of(sent, services=())
+    # Two at once count once.
+    for endpoint in ("i-1", "i-2"):
+        silence = Silence(endpoint, "plain", 50.2, 50.2 + silent_s)
+        ledger.silences_.append(silence)
+    promise = "calm serves what every configuration allows"
+    assert (promise in found_in(ledger)) is is_broken
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/__init__.py
@@ -7,6 +7,7 @@
     _links,
     _platform,
     _processes,
+    _silences,
     _upgrades,
 )
 from leadford_standins.soak.faults._base import inject, injectors_by_kind
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
@@ -95,6 +95,12 @@
 BUSY_SPANS: dict[FaultKind, Span] = {
     K.ENTRY_SHORT_OF_PROCESSOR: Span(1, (3, 8), (0.0, 0.95)),
 }
+# The amount is the number of endpoints that are silent one after the other.
+SILENT_SPANS: dict[FaultKind, Span] = {
+    K.ENDPOINT_SILENT: Span(2, (0.8, 1.5)),
+    K.ENDPOINTS_SILENT_IN_TURN: Span(1, (0.8, 1.5), (2, 4)),
+    K.SERVICE_SILENT: Span(1, (0.8, 1.5)),
+}
 # Targets are drawn below this; injectors take them modulo the number of candidates.
 TARGET_LIMIT = 10_000
 
@@ -109,6 +115,7 @@
         *_draw_faults(RESTORE_SPANS, options.restores_per_s, options, random),
         *_draw_faults(UNEVEN_SPANS, options.uneven_per_s, options, random),
         *_draw_faults(BUSY_SPANS, options.busy_per_s, options, random),
+        *_draw_faults(SILENT_SPANS, options.silent_per_s, options, random),
         *upgrade_steps(options),
     ]
     faults.sort(key=lambda fault: fault.at_s)
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
@@ -14,6 +14,7 @@
     FAULT_SPANS,
     QUIET_START_S,
     RESTORE_SPANS,
+    SILENT_SPANS,
     UNEVEN_SPANS,
     draw_plan,
 )
@@ -62,6 +63,7 @@
         *RESTORE_SPANS,
         *UNEVEN_SPANS,
         *BUSY_SPANS,
+        *SILENT_SPANS,
         *planned,
     }
     assert kind in injectors_by_kind
@@ -119,3 +121,12 @@
     assert {fault.kind for fault in drawn} == set(UNEVEN_SPANS)
     others = [fault for fault in uneven if fault.kind not in UNEVEN_SPANS]
     assert others == list(plan_of(5).faults)
+
+
+def test_silent_endpoints_leave_the_other_faults_of_a_seed_as_they_are():
+    silent = plan_of(5, silent_per_s=0.5).faults
+    drawn = [fault for fault in silent if fault.kind in SILENT_SPANS]
+    assert {fault.kind for fault in drawn} == set(SILENT_SPANS)
+    assert all(0.8 <= fault.duration_s <= 1.5 for fault in drawn)
+    others = [fault for fault in silent if fault.kind not in SILENT_SPANS]
+    assert others == list(plan_of(5).faults)
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
@@ -11,7 +11,7 @@
 from tornado.httputil import HTTPServerRequest
 
 from leadford_standins.soak._base import FaultKind, SoakBounds
-from leadford_standins.soak._ledger import Departure, Ledger, ListedEngine, Ran
+from leadford_standins.soak._ledger import Departure, Ledger, ListedEngine, Ran, Silence
 from leadford_standins.soak.parts._proxy import Address, FaultProxy, LinkState
 from leadford_standins.wire import (
     EngineStandIn,
@@ -38,6 +38,7 @@
         request = handler.request
         handler.record_run()
         await asyncio.sleep(float(request.headers.get(WORK_HEADER, "5")) / 1_000.0)
+        await self.speaks_.wait()
         body = f"{self.endpoint_id} {request.path}".encode()
         handler.finish(body + b" " + request.body)
 
@@ -172,6 +173,16 @@
         same_service = [e for e in candidates if e.endpoint.service == service]
         return chosen if len(same_service) > 1 else None
 
+    def silence(self, endpoints: list[RunningEndpoint], duration_s: float) -> None:
+        """Let sound endpoints send nothing for a time; this is no disturbance."""
+        now = asyncio.get_running_loop().time()
+        for running in endpoints:
+            endpoint = running.endpoint
+            endpoint.fall_silent(duration_s)
+            self.ledger.silences_.append(
+                Silence(endpoint.endpoint_id, endpoint.service, now, now + duration_s)
+            )
+
     def announce_leaving(self, running: RunningEndpoint, *, listed: bool) -> None:
         """Mark an endpoint as draining in the store, or remove it there."""
         running.is_leaving_ = True
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
@@ -30,6 +30,7 @@
         f"--restores-per-s={options.restores_per_s}",
         f"--uneven-per-s={options.uneven_per_s}",
         f"--busy-per-s={options.busy_per_s}",
+        f"--silent-per-s={options.silent_per_s}",
         f"--resume-part={options.resume_part}",
         f"--older={options.older}",
         f"--upgrade={options.upgrade.value}",
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -51,6 +51,7 @@
         # Set while the endpoint sends what it has to say.
         self.speaks_ = asyncio.Event()
         self.speaks_.set()
+        self.silence_count_ = 0
         # Further figures of the load that a call of a stage reports.
         self.load_suffix_ = ""
 
@@ -96,7 +97,14 @@
         Units: duration_s in seconds.
         """
         self.speaks_.clear()
-        asyncio.get_running_loop().call_later(duration_s, self.speaks_.set)
+        self.silence_count_ += 1
+        asyncio.get_running_loop().call_later(duration_s, self._go_on)
+
+    def _go_on(self) -> None:
+        """End one silence; another one may have begun meanwhile."""
+        self.silence_count_ -= 1
+        if self.silence_count_ == 0:
+            self.speaks_.set()
 
     def pop_misbehaviour(self) -> Misbehaviour:
         """Remove and return the queued misbehaviour for the next request."""
--- a/packages/leadford-standins/src/leadford_standins/wire/_engines.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_engines.py
@@ -149,6 +149,7 @@
         last = 0 if is_empty else self.events
         for number in range(first, last + 1):
             await asyncio.sleep(self.pause_s)
+            await self.speaks_.wait()
             event = self.event(number, handler.request).encode()
             if is_cut and number == first + 2:
                 await stream.write(event[:-4])
