--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_cuts.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_cuts.py
@@ -250,7 +250,7 @@
         return found
 
 
-@promises("a request is not given up while a sound endpoint runs it")
+@promises("a request is not given up while a sound endpoint runs it", timed=True)
 class SoundRunsAreAwaited:
     """A request whose last endpoint is sound does not fail before its time is over.
 
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/callers.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/callers.py
@@ -14,7 +14,7 @@
     return sent
 
 
-def request_bytes(request_id, path="/unsafe/x", method="POST"):
+def request_bytes(request_id, path="/unsafe/x", method="POST", headers=()):
     """Return a whole request without a body."""
     lines = [
         f"{method} {path} HTTP/1.1",
@@ -23,6 +23,7 @@
         "X-Deadline-Ms: 3000",
         f"Authorization: Token {KEY}",
         "Content-Length: 0",
+        *headers,
     ]
     return "\r\n".join([*lines, "", ""]).encode()
 
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_requests_during_stops.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_requests_during_stops.py
@@ -1,23 +1,22 @@
 """A stop leaves no request that an entry has read without an answer."""
 
 import asyncio
-import selectors
 import socket
 from random import Random
 
 import pytest
 
 from leadford.forwarding.membership import _stop
-from leadford_standins.wire import Deployment, run_scenario, runs_of
+from leadford_standins.wire import run_scenario, runs_of
 from leadford_standins.wire.tests.callers import (
     open_connection,
     read_status,
     request_bytes,
     start_request,
 )
+from leadford_standins.wire.tests.permuted_loops import run_permuted
 
 STOP_MIN_S = 0.25
-SCENARIO_TIMEOUT_S = 30.0
 REQUESTS = 24
 
 
@@ -26,31 +25,6 @@
     monkeypatch.setattr(_stop, "STOP_MIN_S", STOP_MIN_S)
 
 
-class DelayingLoop(asyncio.SelectorEventLoop):
-    """Put off each callback by a few turns, at random by a seed."""
-
-    def __init__(self, seed):
-        super().__init__(selectors.DefaultSelector())
-        self.random = Random(seed)
-
-    def call_soon(self, callback, *args, context=None):
-        turns = self.random.choice((0, 0, 0, 1, 2, 4))
-        return self._put_off(turns, callback, args, context)
-
-    def _put_off(self, turns, callback, args, context):
-        if turns == 0:
-            return super().call_soon(callback, *args, context=context)
-        handle = asyncio.Handle(callback, args, self, context)
-        self._count_down(turns, handle)
-        return handle
-
-    def _count_down(self, turns, handle):
-        if turns == 0:
-            self._ready.append(handle)
-            return
-        super().call_soon(self._count_down, turns - 1, handle)
-
-
 def test_a_stop_that_fails_answers_what_is_open_first(short_stop):
     async def scenario(deployment):
         (entry,) = deployment.entries_
@@ -173,38 +147,33 @@
     """Requests around the end of a stop are answered, or reach no endpoint."""
     random = Random(seed)
 
-    async def scenario():
-        async with Deployment(seed=seed) as deployment:
-            for endpoint in deployment.plain:
-                endpoint.work_s = random.choice((0.0, 0.002, 0.05))
-            (entry,) = deployment.entries_
-            open_at_end = []
-            stop = entry.stop
-
-            def count_and_stop():
-                open_at_end.append(entry.caller_server_.open_count)
-                stop()
-
-            entry.stop = count_and_stop
-            deployment.store.delete_s = random.choice((0.0, 0.005, 0.05))
-            connections = [await open_connection(deployment) for _ in range(REQUESTS)]
-            sending = []
-            for number, connection in enumerate(connections):
-                wait_s = random.uniform(0.15, 0.4)
-                request = request_bytes(f"r{number}", path)
-                answer = send_after(wait_s, connection, request)
-                sending.append(asyncio.ensure_future(answer))
-            await entry.drain()
-            # The process ends here.
-            assert not entry.caller_server_.exchanges_
-            assert open_at_end == [0]
-            statuses = await asyncio.gather(*sending)
-            for number, status in enumerate(statuses):
-                runs = runs_of(deployment.plain, f"r{number}")
-                assert status in (200, 503) or not runs, (number, status)
-
-    loop = DelayingLoop(seed)
-    try:
-        loop.run_until_complete(asyncio.wait_for(scenario(), SCENARIO_TIMEOUT_S))
-    finally:
-        loop.close()
+    async def scenario(deployment):
+        for endpoint in deployment.plain:
+            endpoint.work_s = random.choice((0.0, 0.002, 0.05))
+        (entry,) = deployment.entries_
+        open_at_end = []
+        stop = entry.stop
+
+        def count_and_stop():
+            open_at_end.append(entry.caller_server_.open_count)
+            stop()
+
+        entry.stop = count_and_stop
+        deployment.store.delete_s = random.choice((0.0, 0.005, 0.05))
+        connections = [await open_connection(deployment) for _ in range(REQUESTS)]
+        sending = []
+        for number, connection in enumerate(connections):
+            wait_s = random.uniform(0.15, 0.4)
+            request = request_bytes(f"r{number}", path)
+            answer = send_after(wait_s, connection, request)
+            sending.append(asyncio.ensure_future(answer))
+        await entry.drain()
+        # The process ends here.
+        assert not entry.caller_server_.exchanges_
+        assert open_at_end == [0]
+        statuses = await asyncio.gather(*sending)
+        for number, status in enumerate(statuses):
+            runs = runs_of(deployment.plain, f"r{number}")
+            assert status in (200, 503) or not runs, (number, status)
+
+    run_permuted(scenario, seed)
