--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
@@ -72,10 +72,12 @@
     assert "entry-upgraded 8" in output
 
 
-def test_a_soak_of_two_software_versions_breaks_no_promise(tmp_path):
-    options = SoakOptions(seed=7003, seconds=20.0, resume_part=0.4)
+def test_a_soak_of_silent_endpoints_of_two_versions_breaks_no_promise(tmp_path):
+    options = SoakOptions(seed=7003, seconds=20.0, resume_part=0.4, silent_per_s=0.6)
     status, output = asyncio.run(run_soak(options, tmp_path))
     assert status == 0, output
+    assert "service-silent" in output
+    assert "endpoints-silent-in-turn" in output
 
 
 def test_a_soak_of_prompts_and_callers_that_are_uneven_breaks_no_promise(tmp_path):
