--- a/packages/leadford-standins/src/leadford_standins/soak/checks/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/__init__.py
@@ -12,6 +12,7 @@
     _quarantine,
     _service,
     _software,
+    _sound,
 )
 from leadford_standins.soak.checks._base import (
     Broken,
