--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
@@ -30,6 +30,11 @@
 REPLACEMENT_DELAY_S = 1.5
 
 
+def work_s(request: HTTPServerRequest) -> float:
+    """Return how long the work on a request is to take, in seconds."""
+    return float(request.headers.get(WORK_HEADER, "5")) / 1_000.0
+
+
 class TimedPlainStandIn(PlainStandIn):
     """Work on each request for the time that its caller asks for."""
 
@@ -37,14 +42,17 @@
         """Run one request."""
         request = handler.request
         handler.record_run()
-        await asyncio.sleep(float(request.headers.get(WORK_HEADER, "5")) / 1_000.0)
+        await asyncio.sleep(work_s(request))
         await self.speaks_.wait()
         body = f"{self.endpoint_id} {request.path}".encode()
         handler.finish(body + b" " + request.body)
 
 
 class RequestNamingEngine(EngineStandIn):
-    """Name the request and the software in each event, to detect mixed up streams."""
+    """Name the request and the software in each event, to detect mixed up streams.
+
+    A stream takes as long as its caller asks for, if that is longer than its pauses.
+    """
 
     async def serve(self, handler: EndpointHandler) -> None:
         """Serve one stream until it ends or its caller leaves."""
@@ -54,6 +62,10 @@
             # The caller has left; the record of the run stays.
             return
 
+    def pause_before_event_s(self, request: HTTPServerRequest) -> float:
+        """Return the part of the work that one event takes, in seconds."""
+        return max(self.pause_s, work_s(request) / self.events)
+
     def event(self, number: int, request: HTTPServerRequest) -> str:
         """Return one event of a stream."""
         request_id = request.headers.get("X-Attempt-Id", "")
--- a/packages/leadford-standins/src/leadford_standins/wire/_engines.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_engines.py
@@ -100,6 +100,10 @@
         """Return one event of a stream."""
         return f"id: {number}\ndata: token {number}\n\n"
 
+    def pause_before_event_s(self, request: HTTPServerRequest) -> float:
+        """Return how long the engine works on each event of a stream, in seconds."""
+        return self.pause_s
+
     async def serve(self, handler: EndpointHandler) -> None:
         """Run one stream."""
         request = handler.request
@@ -124,7 +128,7 @@
             await self._serve_unframed(handler, first)
             return
         for number in range(first, self.events + 1):
-            await asyncio.sleep(self.pause_s)
+            await asyncio.sleep(self.pause_before_event_s(request))
             await self.speaks_.wait()
             if crashes and number == first + self.events_before_crash:
                 handler.suppress_answer()
@@ -148,7 +152,7 @@
         is_empty = handler.misbehaviour is Misbehaviour.UNFRAMED_EMPTY
         last = 0 if is_empty else self.events
         for number in range(first, last + 1):
-            await asyncio.sleep(self.pause_s)
+            await asyncio.sleep(self.pause_before_event_s(handler.request))
             await self.speaks_.wait()
             event = self.event(number, handler.request).encode()
             if is_cut and number == first + 2:
