--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_cuts.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_cuts.py
@@ -172,17 +172,19 @@
             process = ledger.incarnation(sent.entry, sent.incarnation)
             if process is None or process.was_killed or process.is_older:
                 continue
-            if self._is_grace_over(sent, process, evidence.bounds.grace_s):
+            if is_grace_over(sent, process, evidence.bounds.grace_s):
                 continue
             elapsed_s = sent.ended_at - sent.sent_at
             detail = f"{sent.route} closed after {elapsed_s:.2f} s with no answer"
             found.append(broken_promise(self, sent, detail))
         return found
 
-    def _is_grace_over(self, sent: Sent, process: Incarnation, grace_s: float) -> bool:
-        if process.term_at is None:
-            return False
-        after_s = sent.ended_at - process.term_at
-        is_early = sent.sent_at - process.term_at <= EARLY_REQUEST_S
-        is_late = after_s >= grace_s * (1.0 - GRACE_END_FRACTION)
-        return after_s >= grace_s or (is_early and is_late)
+
+def is_grace_over(sent: Sent, process: Incarnation, grace_s: float) -> bool:
+    """Tell whether a stop had to end what still ran when a request ended."""
+    if process.term_at is None:
+        return False
+    after_s = sent.ended_at - process.term_at
+    is_early = sent.sent_at - process.term_at <= EARLY_REQUEST_S
+    is_late = after_s >= grace_s * (1.0 - GRACE_END_FRACTION)
+    return after_s >= grace_s or (is_early and is_late)
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
@@ -11,7 +11,7 @@
 from tornado.httputil import HTTPServerRequest
 
 from leadford_standins.soak._base import FaultKind, SoakBounds
-from leadford_standins.soak._ledger import Departure, Ledger, ListedEngine, Ran
+from leadford_standins.soak._ledger import Departure, Ledger, ListedEngine, Ran, Silence
 from leadford_standins.soak.parts._proxy import Address, FaultProxy, LinkState
 from leadford_standins.wire import (
     EngineStandIn,
@@ -30,6 +30,11 @@
 REPLACEMENT_DELAY_S = 1.5
 
 
+def work_s(request: HTTPServerRequest) -> float:
+    """Return how long the work on a request is to take, in seconds."""
+    return float(request.headers.get(WORK_HEADER, "5")) / 1_000.0
+
+
 class TimedPlainStandIn(PlainStandIn):
     """Work on each request for the time that its caller asks for."""
 
@@ -37,13 +42,17 @@
         """Run one request."""
         request = handler.request
         handler.record_run()
-        await asyncio.sleep(float(request.headers.get(WORK_HEADER, "5")) / 1_000.0)
+        await asyncio.sleep(work_s(request))
+        await self.speaks_.wait()
         body = f"{self.endpoint_id} {request.path}".encode()
         handler.finish(body + b" " + request.body)
 
 
 class RequestNamingEngine(EngineStandIn):
-    """Name the request and the software in each event, to detect mixed up streams."""
+    """Name the request and the software in each event, to detect mixed up streams.
+
+    A stream takes as long as its caller asks for, if that is longer than its pauses.
+    """
 
     async def serve(self, handler: EndpointHandler) -> None:
         """Serve one stream until it ends or its caller leaves."""
@@ -53,6 +62,10 @@
             # The caller has left; the record of the run stays.
             return
 
+    def pause_before_event_s(self, request: HTTPServerRequest) -> float:
+        """Return the part of the work that one event takes, in seconds."""
+        return max(self.pause_s, work_s(request) / self.events)
+
     def event(self, number: int, request: HTTPServerRequest) -> str:
         """Return one event of a stream."""
         request_id = request.headers.get("X-Attempt-Id", "")
@@ -172,6 +185,16 @@
         same_service = [e for e in candidates if e.endpoint.service == service]
         return chosen if len(same_service) > 1 else None
 
+    def silence(self, endpoints: list[RunningEndpoint], duration_s: float) -> None:
+        """Let sound endpoints send nothing for a time; this is no disturbance."""
+        now = asyncio.get_running_loop().time()
+        for running in endpoints:
+            endpoint = running.endpoint
+            endpoint.fall_silent(duration_s)
+            self.ledger.silences_.append(
+                Silence(endpoint.endpoint_id, endpoint.service, now, now + duration_s)
+            )
+
     def announce_leaving(self, running: RunningEndpoint, *, listed: bool) -> None:
         """Mark an endpoint as draining in the store, or remove it there."""
         running.is_leaving_ = True
