Split how pieces are sent and made again from the stages of requests

Sending is now in _sending, what follows a piece that was not made in _remaking; the order of calls is the same.

Evidence: the tests of forwarding/batching, of layers, and wire tests of stages, requests, entries, lost entries and silent endpoints pass.

--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
@@ -2,23 +2,17 @@
 
 Owns the jobs of the requests that this entry holds, and the backlog of pieces that are
 admitted and not yet made. The graph of a request determines which pieces are ready;
-`leadford.forwarding.batching` decides what follows a piece that was not made.
+`_sending` sends them, and `_remaking` handles those that were not made.
 """
 
 from leadford.common import EntryId, HallId
-from leadford.events import Event
 from leadford.forwarding.batching import (
-    NO_ENDPOINT_WAIT_S,
     AdmittedBacklog,
     BacklogKey,
-    GroupLoad,
-    PieceFailure,
     PieceKey,
     PieceTask,
-    RemakeAction,
-    decide_remake,
 )
-from leadford.forwarding.routes import PieceLimits, ServiceId, StageSpec
+from leadford.forwarding.routes import ServiceId
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.batching._groups import GroupChooser
 from leadford_server.forwarding.batching._jobs import (
@@ -29,16 +23,13 @@
     SentPiece,
     StageJob,
 )
+from leadford_server.forwarding.batching._remaking import PieceRemaker
 from leadford_server.forwarding.batching._results import ResultTable
 from leadford_server.forwarding.batching._scheduler import BatchScheduler
+from leadford_server.forwarding.batching._sending import PieceSender
 from leadford_server.forwarding.batching._sent import SentPieces
 from leadford_server.forwarding.batching._tasks import TaskMaker
 
-# Bounds the reason in the log line of a piece that is made again.
-MAX_REASON_CHARACTERS = 120
-# Logged for stages that are given up because endpoints ended while running them.
-DETAIL_QUARANTINED = "quarantined"
-
 
 class StageRunner:
     """Advance the graphs of requests; a piece that is lost is made again."""
@@ -65,6 +56,16 @@
             groups=self.groups,
             on_lost=self._on_piece_failed,
         )
+        self.sender = PieceSender(
+            state=state, groups=self.groups, tasks=self.tasks, sent=self.sent
+        )
+        self.remaker = PieceRemaker(
+            state=state,
+            groups=self.groups,
+            results=self.results,
+            sent=self.sent,
+            advance=self._advance,
+        )
         self.links: SchedulerLinks | None = None
 
     def connect(self, live_entries: LiveEntries, links: SchedulerLinks) -> None:
@@ -141,75 +142,7 @@
         if job.graph.is_done:
             job.done_.set_result(None)
             return
-        keys_by_stage: dict[int, list[PieceKey]] = {}
-        for key in job.graph.ready():
-            job.graph.record_queued(key)
-            keys_by_stage.setdefault(key.stage, []).append(key)
-        for stage, keys in keys_by_stage.items():
-            self._send_stage(job, stage, keys)
-            if job.done_.done():
-                return
-
-    def _send_stage(self, job: StageJob, number: int, keys: list[PieceKey]) -> None:
-        """Send pieces of one stage; those that fit in one call go to one group."""
-        stage = job.graph.stages[number]
-        service = self.state.service(stage.service_id)
-        if service is None or service.pieces is None:
-            job.fail(f"{stage.service_id} takes no pieces")
-            return
-        batch = service.pieces.batch
-        for start in range(0, len(keys), batch):
-            self._send(job, stage, service.pieces, keys[start : start + batch])
-
-    def _send(
-        self,
-        job: StageJob,
-        stage: StageSpec,
-        limits: PieceLimits,
-        keys: list[PieceKey],
-    ) -> None:
-        now = self.state.now()
-        excluded = self.tasks.excluded(job, stage, keys)
-        group = self.groups.choose(
-            stage,
-            len(keys),
-            limits,
-            excluded=excluded,
-            local_bytes_by_hall=self.tasks.local_bytes_by_hall(job, keys[0].stage),
-            now=now,
-        )
-        if group is None:
-            self.state.loop.call_later(
-                NO_ENDPOINT_WAIT_S, self._retry_send, job, stage, limits, keys
-            )
-            return
-        scheduler_id = self.groups.scheduler_of(group)
-        for key in keys:
-            correlation_id = self.sent.new_correlation_id()
-            task = self.tasks.make(
-                job, key, correlation_id=correlation_id, excluded=excluded, now=now
-            )
-            self.sent.submit_to_scheduler(
-                SentPiece(
-                    task, job, group, scheduler_id, self.state.loop_turns_.mark(now)
-                ),
-                limits,
-                now,
-            )
-
-    def _retry_send(
-        self,
-        job: StageJob,
-        stage: StageSpec,
-        limits: PieceLimits,
-        keys: list[PieceKey],
-    ) -> None:
-        if job.is_over_ or job.done_.done():
-            return
-        if self.state.now() >= job.deadline:
-            job.fail(PieceFailure.LATE.value)
-            return
-        self._send(job, stage, limits, keys)
+        self.sender.send_ready(job)
 
     def _on_result(self, task: PieceTask, answer: PieceResult) -> None:
         """Handle an answer of the scheduler here, for this entry or for another."""
@@ -291,47 +224,5 @@
         return self.state.now() + service.pieces.retention_s
 
     def _on_piece_failed(self, sent: SentPiece, answer: PieceResult) -> None:
-        """Apply `decide_remake` to a piece that was not made."""
-        job = sent.job
-        key = sent.task.key
-        if job.is_over_ or job.done_.done():
-            return
-        if answer.failure is PieceFailure.LOST and answer.endpoint_id is not None:
-            # Other requests with pieces in the same call get a case as well.
-            self.state.quarantine_.record_connection_lost(
-                job.digest, answer.endpoint_id, is_under_way=False
-            )
-        if self.state.quarantine_.verdict(job.digest).refuses:
-            job.fail(DETAIL_QUARANTINED)
-            return
-        decision = decide_remake(answer.failure, job.tries_by_key_.get(key, 0))
-        job.tries_by_key_[key] = decision.tries
-        if decision.action is RemakeAction.FAIL_LATE:
-            job.fail(PieceFailure.LATE.value)
-            return
-        if decision.drops_inputs:
-            before = job.graph.stages[key.stage].after
-            self.results.release(job.graph.drop_results(before))
-        if decision.action is RemakeAction.FAIL_TRIES:
-            job.fail(f"piece failed {decision.tries} times: {answer.reason}")
-            return
-        self.sent.record_reported_loss(sent, answer)
-        if answer.endpoint_id is not None and decision.excludes_endpoint:
-            job.excluded_by_key_[key] = frozenset({answer.endpoint_id})
-        self.state.log.report(
-            Event.PIECE_REMADE,
-            request=job.request_id,
-            stage=key.stage,
-            piece=key.piece,
-            endpoint=answer.endpoint_id or "",
-            keeper=sent.scheduler_id,
-            reason=answer.reason[:MAX_REASON_CHARACTERS],
-        )
-        job.graph.record_failed(key)
-        if decision.action is RemakeAction.REMAKE_LATER:
-            # The scheduler's listing differs from this entry's: wait for both to agree.
-            load = GroupLoad.unavailable(self.state.now())
-            self.groups.loads_.record_load(sent.group, load)
-            self.state.loop.call_later(NO_ENDPOINT_WAIT_S, self._advance, job)
-            return
-        self._advance(job)
+        """Make a piece that was not made again, or end its job."""
+        self.remaker.handle(sent, answer)
