Split running the calls of groups from filling them

batching/_scheduler queued pieces, chose calls, ran them and settled their pieces in 346 lines.

Evidence: the tests of forwarding/batching, of layers, and wire tests of stages, entries, crashing requests and refusals pass.

--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -47,6 +48,10 @@
         return PieceFailure.from_text(self.reason)
 
 
+Reply = Callable[[PieceTask, PieceResult], None]
+InputsRead = Callable[[list[PieceTask]], None]
+
+
 class LiveEntries(Protocol):
     """Provide the other entries that are alive."""
 
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
@@ -2,8 +2,8 @@
 
 Owns the queue of each group that this entry schedules, and the account of its calls and
 results at each endpoint. `leadford.forwarding.batching` decides which call is sent
-next; `_calls` makes it, and `_free` frees results. `reply` sends the answers to the
-entries that submitted the pieces.
+next; `_call_runner` runs it, and `_free` frees results. `reply` sends the answers to
+the entries that submitted the pieces.
 """
 
 import asyncio
@@ -11,14 +11,8 @@
 
 from leadford.common import EndpointId, EntryId
 from leadford.forwarding.batching import (
-    CALL_INPUTS_READ_S,
-    CONTENDED_CALLS,
-    NO_ROOM_PAUSE_S,
-    QUEUE_FULL_PAUSE_S,
-    USUAL_CALLS,
     CapacityTable,
     FillAction,
-    FillPolicy,
     GroupId,
     PieceFailure,
     PieceQueue,
@@ -30,23 +24,18 @@
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.routes import PieceLimits, ResultHandle, Service
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding.batching._calls import CallEnd, PieceCall, PieceCalls
+from leadford_server.forwarding.batching._call_runner import CallRunner
+from leadford_server.forwarding.batching._calls import PieceCall
+from leadford_server.forwarding.batching._fill_policy import fill_policy
 from leadford_server.forwarding.batching._free import ResultReleaser
-from leadford_server.forwarding.batching._jobs import PieceResult
+from leadford_server.forwarding.batching._jobs import InputsRead, PieceResult, Reply
 from leadford_server.forwarding.batching._loads import GroupLoads
-from leadford_server.metrics import CALL_FILL, PIECE_CALLS_TOTAL, PIECES_TOTAL
 
 # Time between checks of a group whose pieces no endpoint takes: no event marks the end
 # of a pause or a retention.
 RECHECK_INTERVAL_S = 0.04
 # Added to the end of a batching window, so that it is over when it is checked.
 WINDOW_MARGIN_S = 0.001
-# Counted for a piece that was made.
-PIECE_DONE = "done"
-
-
-Reply = Callable[[PieceTask, PieceResult], None]
-InputsRead = Callable[[list[PieceTask]], None]
 
 
 class BatchScheduler:
@@ -59,7 +48,6 @@
         self.reply = reply
         self.on_inputs_read = on_inputs_read
         self.capacities_ = CapacityTable()
-        self.calls = PieceCalls(state=state)
         self.releaser = ResultReleaser(
             state=state,
             capacities=self.capacities_,
@@ -72,9 +60,18 @@
             capacities=self.capacities_,
             queues_by_group=self.queues_by_group_,
         )
+        self.runner = CallRunner(
+            state=state,
+            capacities=self.capacities_,
+            queues_by_group=self.queues_by_group_,
+            spawn=self._spawn,
+            reply=reply,
+            on_inputs_read=on_inputs_read,
+            on_computed=self._record_computed,
+            on_end=self._dispatch,
+        )
         self.throughput_by_group_: dict[GroupId, Throughput] = {}
         self.tasks_: set[asyncio.Task[None]] = set()
-        self.calls_under_way_ = 0
         self.dispatch_due_: set[GroupId] = set()
         self.recheck_due_: set[GroupId] = set()
 
@@ -90,7 +87,7 @@
     @property
     def calls_under_way(self) -> int:
         """Return how many calls for pieces are under way."""
-        return self.calls_under_way_
+        return self.runner.calls_under_way_
 
     def sample_throughput(self, group: GroupId) -> ThroughputRate | None:
         """Sample the throughput of a group, and return it while the group is behind."""
@@ -118,6 +115,9 @@
     def _throughput(self, group: GroupId) -> Throughput:
         return self.throughput_by_group_.setdefault(group, Throughput())
 
+    def _record_computed(self, group: GroupId, task: PieceTask) -> None:
+        self._throughput(group).record_computed(level=task.known_level)
+
     def cancel(self, origin: EntryId, correlation_ids: set[int]) -> None:
         """Drop waiting pieces of an entry."""
 
@@ -164,7 +164,9 @@
             now = self.state.now()
             service = self.state.service(group.service_id)
             limits = service.pieces if service is not None else None
-            self._answer_late(queue.take_hopeless(limits, self._policy(group), now))
+            self._answer_late(
+                queue.take_hopeless(limits, fill_policy(self.state, group), now)
+            )
             records = self.loads.records(group)
             if limits is None or not records:
                 self._answer_no_endpoint(queue.discard(lambda task: False))
@@ -172,11 +174,6 @@
             if not self._send_next(group, service, records, now):
                 return
 
-    def _policy(self, group: GroupId) -> FillPolicy:
-        """Return the rules by which the calls of a group are filled."""
-        is_contended = self.state.is_contended(group.service_id)
-        return CONTENDED_CALLS if is_contended else USUAL_CALLS
-
     def _answer_late(self, tasks: Iterable[PieceTask]) -> None:
         for task in tasks:
             self.reply(task, PieceResult(None, PieceFailure.LATE.value, None))
@@ -200,7 +197,7 @@
             return False
         if step.action is FillAction.SEND:
             tasks = list(step.tasks)
-            self._start_call(
+            self.runner.start(
                 PieceCall(
                     group,
                     service,
@@ -245,102 +242,7 @@
         self.recheck_due_.discard(group)
         self._dispatch(group)
 
-    def _start_call(self, call: PieceCall) -> None:
-        capacity = self.capacities_.capacity(
-            call.record.listed.endpoint_id, call.limits
-        )
-        is_idle = capacity.calls_ == 0 and call.record.is_reported_idle(call.began_at)
-        call.waits = capacity.calls_ > 0 or call.record.other_load(call.began_at) > 0
-        capacity.begin(
-            len(call.tasks),
-            call.result_bytes,
-            call.began_at,
-            pace=call.record.pace(call.began_at) or 1.0,
-        )
-        call.record.in_flight_ += 1
-        self.calls_under_way_ += 1
-        self._spawn(self._run_call(call))
-        if is_idle:
-            self.state.loop.call_later(
-                CALL_INPUTS_READ_S, self._report_inputs_read, call
-            )
-
-    def _report_inputs_read(self, call: PieceCall) -> None:
-        """Report that the inputs of a call were fetched, unless it is over."""
-        readers = [task for task in call.tasks if task.inputs]
-        if readers and not call.is_over:
-            call.inputs_are_read = True
-            self.on_inputs_read(readers)
-
-    def _queue_again(self, call: PieceCall, task: PieceTask, reason: str) -> None:
-        """Queue a piece again, or reply that it failed if its inputs were released."""
-        if call.inputs_are_read and task.inputs:
-            self.reply(task, PieceResult(None, reason, None))
-            return
-        self.queues_by_group_[call.group].push(task)
-
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         running = asyncio.ensure_future(coroutine)
         self.tasks_.add(running)
         running.add_done_callback(self.tasks_.discard)
-
-    async def _run_call(self, call: PieceCall) -> None:
-        """Make a call, and settle its pieces."""
-        try:
-            end = await self.calls.run(call)
-        finally:
-            call.is_over = True
-            self.calls_under_way_ -= 1
-            capacity = self.capacities_.capacity(
-                call.record.listed.endpoint_id, call.limits
-            )
-            capacity.end(call.result_bytes)
-            call.record.in_flight_ -= 1
-        CALL_FILL.labels(service=call.service.service_id).observe(
-            len(call.tasks) / call.limits.batch
-        )
-        PIECE_CALLS_TOTAL.labels(end=end.detail.split(":")[0]).inc()
-        waiting = len(self.queues_by_group_[call.group])
-        self.calls.log(call, end, waiting=waiting)
-        if end.outcomes is None:
-            self._settle_failed(call, end.detail)
-        else:
-            self._settle(call, end)
-        self._dispatch(call.group)
-
-    def _settle_failed(self, call: PieceCall, detail: str) -> None:
-        """Settle a call that failed as a whole."""
-        endpoint_id = call.record.listed.endpoint_id
-        if detail == PieceFailure.FULL.value:
-            capacity = self.capacities_.capacity(endpoint_id, call.limits)
-            capacity.pause(QUEUE_FULL_PAUSE_S, self.state.now())
-            for task in call.tasks:
-                self._queue_again(call, task, detail)
-            return
-        for task in call.tasks:
-            self.reply(task, PieceResult(None, detail, endpoint_id))
-
-    def _settle(self, call: PieceCall, end: CallEnd) -> None:
-        """Settle a call by the outcome of each of its pieces."""
-        endpoint_id = call.record.listed.endpoint_id
-        capacity = self.capacities_.capacity(endpoint_id, call.limits)
-        now = self.state.now()
-        no_room = PieceFailure.ROOM.value
-        pairs = list(zip(call.tasks, end.outcomes, strict=True))
-        if any(outcome.reason == no_room for outcome in end.outcomes):
-            fitted = sum(task.result_bytes for task, item in pairs if item.handle)
-            policy = self._policy(call.group)
-            capacity.record_refused(
-                call.room_bytes, fitted, now, sent_at=call.began_at, policy=policy
-            )
-        for task, outcome in pairs:
-            PIECES_TOTAL.labels(end=outcome.reason or PIECE_DONE).inc()
-            if outcome.reason == no_room:
-                # Results unknown to this process take room at the endpoint.
-                capacity.pause(NO_ROOM_PAUSE_S, now)
-                self._queue_again(call, task, no_room)
-                continue
-            if outcome.handle is not None:
-                capacity.hold(outcome.handle, task.result_bytes, now)
-                self._throughput(call.group).record_computed(level=task.known_level)
-            self.reply(task, PieceResult(outcome.handle, outcome.reason, endpoint_id))
