Split the claim of ports from the processes of a fleet

Ports are claimed in _ports; timeouts, polling intervals and the printed part of a log have names with units; the endpoint of a name is looked up in one place instead of three.

Evidence: the tests of ports and the operators' tests, which start a fleet, pass.

--- a/packages/leadford-standins/src/leadford_standins/fleet/_processes.py
+++ b/packages/leadford-standins/src/leadford_standins/fleet/_processes.py
@@ -6,7 +6,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -24,17 +23,25 @@
     make_head,
     split,
 )
-from leadford_standins.fleet._layout import LOOPBACK, FleetSpec, api_key
+from leadford_standins.fleet._layout import (
+    LOOPBACK,
+    EndpointSpec,
+    FleetSpec,
+    api_key,
+)
+from leadford_standins.fleet._ports import PortBlock
 from leadford_standins.fleet._serve import ENDPOINT_PARTS
 
-# Ports that are drawn from, below those that the system hands out by itself.
-PORTS_FROM = 20_000
-PORTS_TO = 32_000
-# Ports of the block that one fleet claims; the largest preset needs 62.
-BLOCK_PORTS = 200
-# Seconds for a fleet to be ready, and for its processes to stop.
-READY_S = 30.0
-STOP_S = 20.0
+# How long a fleet may take to be ready, and one of its processes to stop.
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+# How long a call to a process may take.
+CALL_TIMEOUT_S = 5.0
+# Time between checks whether a process answers, and whether an entry is connected.
+ANSWER_POLL_INTERVAL_S = 0.05
+CONNECTION_POLL_INTERVAL_S = 0.02
+# How much of the log of a process is printed if the fleet does not start.
+MAX_PRINTED_LOG_CHARACTERS = 2_000
 SECRET = "stand-in secret of a loopback fleet"
 
 
@@ -51,68 +58,9 @@
     document: dict
 
 
-class PortBlock:
-    """Hold ports that no other fleet on this machine draws.
-
-    Two fleets that start together each find the other's ports free: with 44 ports of
-    12,000 they share one in 15 of 100 cases (worked out), and an agent answers where an
-    entry of the other fleet is asked. So a fleet claims a block by its first port.
-    """
-
-    def __init__(self, *, random: Random) -> None:
-        self.random = random
-        self.claim_: socket.socket | None = None
-
-    def claim(self, count: int) -> list[int]:
-        """Return free ports of a block that is held until `release`.
-
-        Errors: raises RuntimeError when no block has so many.
-        """
-        starts = list(range(PORTS_FROM, PORTS_TO, BLOCK_PORTS))
-        self.random.shuffle(starts)
-        for start in starts:
-            self.claim_ = _bind(start)
-            if self.claim_ is None:
-                # Another fleet holds the block.
-                continue
-            ports = [p for p in range(start + 1, start + BLOCK_PORTS) if _is_free(p)]
-            if len(ports) >= count:
-                return ports[:count]
-            self.release()
-        raise RuntimeError(f"no block has {count} free ports")
-
-    def release(self) -> None:
-        """Let others have the block."""
-        if self.claim_ is not None:
-            self.claim_.close()
-            self.claim_ = None
-
-
-def _bind(port: int) -> socket.socket | None:
-    """Return a socket that holds a port; None where somebody else does."""
-    claim = socket.socket()
-    try:
-        claim.bind((LOOPBACK, port))
-    except OSError:
-        claim.close()
-        return None
-    return claim
-
-
-def _is_free(port: int) -> bool:
-    """Tell whether nobody listens on a port."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((LOOPBACK, port))
-        except OSError:
-            return False
-    return True
-
-
 def _call(method: str, url: str, body: bytes | None = None) -> bytes:
     request = urllib.request.Request(url, data=body, method=method)
-    with urllib.request.urlopen(request, timeout=5.0) as answer:
+    with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_S) as answer:
         return answer.read()
 
 
@@ -163,6 +111,9 @@
         """Return the names of the entries."""
         return [entry.name for entry in self.spec.entries]
 
+    def _endpoint(self, name: str) -> EndpointSpec:
+        return next(e for e in self.spec.endpoints if e.name == name)
+
     def store_config(self) -> None:
         """Write the first configuration into the empty store."""
         config = config_from_document(self.spec.config_document()).unwrap()
@@ -174,7 +125,7 @@
 
     def start_agent(self, name: str) -> None:
         """Start the agent of an endpoint."""
-        endpoint = next(e for e in self.spec.endpoints if e.name == name)
+        endpoint = self._endpoint(name)
         self._start_role(
             name,
             "agent",
@@ -220,13 +171,13 @@
         log.close()
 
     def _wait_for(self, url: str) -> None:
-        limit = time.monotonic() + READY_S
+        limit = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < limit:
             try:
                 _call("GET", url)
                 return
             except (urllib.error.URLError, OSError):
-                time.sleep(0.05)
+                time.sleep(ANSWER_POLL_INTERVAL_S)
         raise TimeoutError(f"{url} did not answer; logs are in {self.folder_}")
 
     def wait_ready(self, name: str) -> None:
@@ -235,20 +186,20 @@
 
     def wait_connected(self) -> None:
         """Wait until each entry is connected to every endpoint it may use."""
-        limit = time.monotonic() + READY_S
+        limit = time.monotonic() + READY_TIMEOUT_S
         for url in self.entry_urls():
             while time.monotonic() < limit:
                 state = msgspec.json.decode(_call("GET", f"{url}/readyz"))
                 if state["connected"] == state["endpoints"]:
                     break
-                time.sleep(0.02)
+                time.sleep(CONNECTION_POLL_INTERVAL_S)
 
     def health_url(self, name: str) -> str:
         """Return the address of a process's health pages."""
         for entry in self.spec.entries:
             if entry.name == name:
                 return f"http://{LOOPBACK}:{entry.http_port}"
-        endpoint = next(e for e in self.spec.endpoints if e.name == name)
+        endpoint = self._endpoint(name)
         return f"http://{LOOPBACK}:{endpoint.metrics_port}"
 
     def entry_urls(self) -> list[str]:
@@ -257,7 +208,7 @@
 
     def endpoint_url(self, name: str) -> str:
         """Return the address of a stand-in endpoint."""
-        endpoint = next(e for e in self.spec.endpoints if e.name == name)
+        endpoint = self._endpoint(name)
         return f"http://{LOOPBACK}:{endpoint.port}"
 
     def set_faults(self, url: str, **faults: object) -> None:
@@ -286,7 +237,7 @@
         """Ask a process to stop, and return its exit status."""
         process = self.processes_by_name_[name]
         process.send_signal(signal.SIGTERM)
-        return process.wait(STOP_S)
+        return process.wait(STOP_TIMEOUT_S)
 
     def file(self) -> FleetFile:
         """Return what a load tool needs to know."""
@@ -322,7 +273,8 @@
             self.start()
         except BaseException:
             for name in self.processes_by_name_:
-                text = (self.folder_ / f"{name}.log").read_text()[-2000:]
+                log = (self.folder_ / f"{name}.log").read_text()
+                text = log[-MAX_PRINTED_LOG_CHARACTERS:]
                 if text:
                     print(f"--- {name}\n{text}", file=sys.stderr)
             self.stop()
--- a/packages/leadford-standins/src/leadford_standins/tests/test_ports.py
+++ b/packages/leadford-standins/src/leadford_standins/tests/test_ports.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from leadford_standins.fleet._processes import BLOCK_PORTS, PortBlock
+from leadford_standins.fleet._ports import BLOCK_PORTS, PortBlock
 
 
 def test_blocks_that_are_held_together_share_no_port():
