Split links and pools of endpoints from the directory that follows the configuration

entry/_directory held the link, the pool and the directory in 300 lines, and its public pool() returned a private class. Links and pools (EndpointPool) stand in _endpoint_links; whether a link drains, the reset after a connection and the look-up of a link that is outside the subset each stand once instead of twice.

Evidence: the tests of leadford_server/pipelines, of layers, and the operators' tests pass.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
@@ -22,7 +22,7 @@
     Wake,
     make_failure,
 )
-from leadford_server.pipelines.entry._directory import EndpointLink
+from leadford_server.pipelines.entry._endpoint_links import EndpointLink
 from leadford_server.pipelines.entry._live_attempts import LiveAttempts
 from leadford_server.pipelines.entry._sending import AttemptSender
 from leadford_server.pipelines.entry._services import EntryServices
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_directory.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_directory.py
@@ -17,18 +17,16 @@
     ClassWait,
     EndpointView,
     LoadReport,
-    RoutingPolicy,
     routing_policies,
 )
 from leadford.protocol import Load
 from leadford_server.logs import EventLog
-from leadford_server.peers import Dialer, PeerConnection
 from leadford_server.pipelines.entry._dialers import DialerFactory
+from leadford_server.pipelines.entry._endpoint_links import EndpointLink, EndpointPool
 
-# Milliseconds one way to another data hall.
+# Latency to another data hall, one way.
 OTHER_HALL_MS = 0.5
-# Fraction of the choices that fall on an endpoint under probation while there are
-# others.
+# Fraction of choices that probe an endpoint under probation while others are available.
 PROBE_FRACTION = 0.2
 
 _EVENT_BY_STATE = {
@@ -38,32 +36,6 @@
 }
 
 
-class EndpointLink:
-    """Join the connection to an agent with what is known of its endpoint."""
-
-    def __init__(
-        self, *, config: EndpointConfig, view: EndpointView, dialer: Dialer
-    ) -> None:
-        self.config = config
-        self.view = view
-        self.dialer = dialer
-        self.announced_draining_ = False
-
-    @property
-    def peer(self) -> PeerConnection | None:
-        """Return the connection while it stands."""
-        return self.dialer.peer
-
-
-class _Pool:
-    """Hold the links, the policy and the ejector of one pool."""
-
-    def __init__(self, *, policy: RoutingPolicy, ejector: OutlierEjector) -> None:
-        self.policy = policy
-        self.ejector = ejector
-        self.links_by_id_: dict[EndpointId, EndpointLink] = {}
-
-
 class EndpointDirectory:
     """Hold a bounded subset of each pool's endpoints, as the configuration says."""
 
@@ -84,7 +56,7 @@
         self.random = random
         self.clock = clock
         self.config_ = FleetConfig()
-        self.pools_by_id_: dict[PoolId, _Pool] = {}
+        self.pools_by_id_: dict[PoolId, EndpointPool] = {}
         self.links_by_id_: dict[EndpointId, EndpointLink] = {}
         self.extra_links_by_id_: dict[EndpointId, EndpointLink] = {}
         self.hosts_ = HostTable()
@@ -100,7 +72,7 @@
             policy_class = routing_policies.get(name)
             pool = self.pools_by_id_.get(pool_id)
             if pool is None:
-                pool = _Pool(
+                pool = EndpointPool(
                     policy=policy_class.from_config(random=self.random),
                     ejector=OutlierEjector(random=self.random),
                 )
@@ -159,7 +131,7 @@
             hall=HallId(config.hall),
             concurrency=pool.concurrency,
             distance_ms=0.0 if near else OTHER_HALL_MS,
-            # Those that are there at start are taken as warm.
+            # Endpoints listed when the process starts count as warm.
             joined_at_s=self.clock() if self.started_ else float("-inf"),
             models=config.models,
         )
@@ -169,9 +141,8 @@
         return EndpointLink(config=config, view=view, dialer=dialer)
 
     def link(self, endpoint_id: EndpointId) -> EndpointLink | None:
-        """Return the link to any configured endpoint, connecting if need be."""
-        link = self.links_by_id_.get(endpoint_id)
-        link = link or self.extra_links_by_id_.get(endpoint_id)
+        """Return the link to a configured endpoint; connect to it if there is none."""
+        link = self._known_link(endpoint_id)
         if link is not None:
             return link
         config = self.config_.endpoints.get(endpoint_id)
@@ -181,7 +152,11 @@
         self.extra_links_by_id_[endpoint_id] = link
         return link
 
-    def pool(self, pool_id: str) -> _Pool | None:
+    def _known_link(self, endpoint_id: EndpointId) -> EndpointLink | None:
+        link = self.links_by_id_.get(endpoint_id)
+        return link or self.extra_links_by_id_.get(endpoint_id)
+
+    def pool(self, pool_id: str) -> EndpointPool | None:
         """Return a pool."""
         return self.pools_by_id_.get(PoolId(pool_id))
 
@@ -208,13 +183,13 @@
                 probing.append(link.view)
                 continue
             admitted.append(link.view)
-        # A probe rides on ordinary work, one at a time and only now and then.
+        # An ordinary request serves as the probe, and only a fraction of them do.
         if probing and (not admitted or self.random.random() < PROBE_FRACTION):
             return probing
         return admitted or lost
 
     def _is_usable(self, link: EndpointLink, model: str) -> bool:
-        if link.peer is None or link.announced_draining_ or link.config.draining:
+        if link.peer is None or link.is_draining:
             return False
         if model and not link.view.serves(model):
             return False
@@ -224,7 +199,7 @@
         """Return the state of an endpoint as operators read it."""
         if link.peer is None:
             return "unreachable"
-        if link.announced_draining_ or link.config.draining:
+        if link.is_draining:
             return "draining"
         if self.hosts_.is_leaving(HostId(link.config.host)):
             return "leaving"
@@ -235,8 +210,7 @@
 
     def record_load(self, endpoint_id: EndpointId, load: Load) -> None:
         """Record a load report."""
-        link = self.links_by_id_.get(endpoint_id)
-        link = link or self.extra_links_by_id_.get(endpoint_id)
+        link = self._known_link(endpoint_id)
         if link is None:
             return
         link.view.held_models_ = tuple((m.model, m.version) for m in load.models)
@@ -266,18 +240,15 @@
             self.log.report(Event.ENDPOINT_DRAINING, endpoint=endpoint_id)
 
     def record_reached(self, endpoint_id: EndpointId) -> None:
-        """Record that a connection stands."""
+        """Record that an endpoint was connected."""
         self.halls_.record_reached(endpoint_id)
         link = self.links_by_id_.get(endpoint_id)
         if link is None:
             return
-        link.announced_draining_ = False
-        link.view.outstanding_ = 0
-        link.view.outstanding_tokens_ = 0
-        link.view.unreported_ = 0
+        link.record_connected()
 
     def record_unreachable(self, endpoint_id: EndpointId) -> None:
-        """Record that a connection was lost or could not be made."""
+        """Record that a connection was lost or failed."""
         hall = self.halls_.record_unreachable(endpoint_id, self.clock())
         if hall is not None:
             self.log.report(Event.HALL_LOST, hall=hall)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_live_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_live_attempts.py
@@ -11,7 +11,7 @@
 from leadford.protocol import Ack, Cancel, Done
 from leadford_server.metrics import COST_MS_TOTAL, STRAYS_TOTAL
 from leadford_server.pipelines.entry._body import RequestBody
-from leadford_server.pipelines.entry._directory import EndpointLink
+from leadford_server.pipelines.entry._endpoint_links import EndpointLink
 from leadford_server.pipelines.entry._services import EntryServices
 from leadford_server.pipelines.entry._trail import Trail
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_sending.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_sending.py
@@ -9,7 +9,7 @@
 from leadford.pipelines.routing import EndpointView, RoutingRequest
 from leadford.protocol import Note, Submit
 from leadford.quarantine import choose_apart
-from leadford_server.pipelines.entry._directory import EndpointLink
+from leadford_server.pipelines.entry._endpoint_links import EndpointLink
 from leadford_server.pipelines.entry._live_attempts import LiveAttempts
 from leadford_server.pipelines.entry._tokens import CREDIT_TOKENS, TokenStream
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
@@ -20,7 +20,7 @@
     make_failure,
     reason_of,
 )
-from leadford_server.pipelines.entry._directory import EndpointLink
+from leadford_server.pipelines.entry._endpoint_links import EndpointLink
 from leadford_server.pipelines.entry._live_attempts import LiveAttempts
 from leadford_server.pipelines.entry._tokens import TokenStream
 
