--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
@@ -18,17 +18,18 @@
 from leadford.pipelines.retries import AttemptFailure, FailureKind, RetryDecision
 from leadford.protocol import ClaimVerdict, Note
 from leadford_server.metrics import RETRIES_TOTAL
-from leadford_server.pipelines.entry._answers import Answer, AnswerBuffer, Problem
+from leadford_server.pipelines.entry._answers import Answer, AnswerBuffer
 from leadford_server.pipelines.entry._attempts import StageAttempts
 from leadford_server.pipelines.entry._body import RequestBody
 from leadford_server.pipelines.entry._deliveries import Delivery, make_failure
+from leadford_server.pipelines.entry._problems import problem_of
 from leadford_server.pipelines.entry._services import EntryServices
 from leadford_server.pipelines.entry._trail import Trail
 
-# Seconds between looks for room while a request is held back.
+# Time between checks for free capacity while a request is deferred.
 ROOM_POLL_INTERVAL_S = 0.05
-# Age of its note up to which an attempt may not have reached its endpoint yet, in
-# milliseconds, and seconds after which the endpoint is asked for it again.
+# Age of its note up to which an attempt may not have reached its endpoint yet, and the
+# time after which the endpoint is asked for it again.
 ARRIVAL_MAX_MS = 1000.0
 REATTACH_INTERVAL_S = 0.05
 
@@ -38,22 +39,6 @@
     ClaimVerdict.FULL: RefusalReason.CLAIMS_FULL,
 }
 
-_STATUS_BY_REASON = {
-    RefusalReason.DEADLINE: 504,
-    RefusalReason.ENDPOINT_ERROR: 502,
-    RefusalReason.ENDPOINT_LOST: 502,
-    RefusalReason.ALREADY_CLAIMED: 409,
-    RefusalReason.CANCELLED: 499,
-    RefusalReason.QUARANTINED: 502,
-    RefusalReason.INTERRUPTED: 500,
-}
-# These say with their status whether anything ran: 503 where nothing did.
-_REFUSED_BEFORE_RUN = (
-    RefusalReason.DEADLINE,
-    RefusalReason.QUARANTINED,
-    RefusalReason.INTERRUPTED,
-)
-
 
 class RequestRun:
     """Drive one request to its answer; whoever reads the answer does not matter."""
@@ -124,7 +109,7 @@
         if outcome is Outcome.NOT_RUN:
             kind = FailureKind.NOT_SENT
         failure = make_failure(kind, RefusalReason.INTERRUPTED, detail=error)
-        self.answer_.end(Answer(outcome, problem=self._problem(failure, outcome)))
+        self.answer_.end(Answer(outcome, problem=problem_of(failure, outcome)))
         self._report_failure(failure, outcome, error=error)
 
     def abandon(self) -> None:
@@ -147,7 +132,7 @@
             return Answer(Outcome.COMPLETE, execution.previous_)
         outcome = execution.failure_outcome(shown=bool(self.answer_.shown_))
         self._report_failure(failure, outcome)
-        return Answer(outcome, problem=self._problem(failure, outcome))
+        return Answer(outcome, problem=problem_of(failure, outcome))
 
     async def resume(self, note: Note) -> Answer:
         """Serve on a request that another entry began, from the agent's record."""
@@ -155,7 +140,7 @@
         if failure is None:
             return Answer(Outcome.COMPLETE, self.execution.previous_)
         # What another process began can no longer be proved not to have run.
-        problem = self._problem(failure, Outcome.UNKNOWN)
+        problem = problem_of(failure, Outcome.UNKNOWN)
         return Answer(Outcome.UNKNOWN, problem=problem)
 
     async def _take_over(self, note: Note) -> AttemptFailure | None:
@@ -284,15 +269,6 @@
             **more,
         )
 
-    def _problem(self, failure: AttemptFailure, outcome: Outcome) -> Problem:
-        retry_after_ms = 0.0
-        if outcome is Outcome.NOT_RUN:
-            retry_after_ms = max(100.0, failure.retry_after_ms)
-        status = _STATUS_BY_REASON.get(failure.reason, 503)
-        if outcome is Outcome.NOT_RUN and failure.may_have_begun is False:
-            status = 503 if failure.reason in _REFUSED_BEFORE_RUN else status
-        return Problem(status, failure.reason, failure.detail[:200], retry_after_ms)
-
 
 def make_request_id(random: Random) -> RequestId:
     """Return a fresh id for a request without a key."""
