Split streams of events in time that grows with their bytes only

Callers of every service of an entry saw nothing for seconds to minutes while one endpoint sent line ends or comments at full speed: each pair of line ends was an event of its own, found from the start of the buffer and deleted from its front, in one turn of the event loop.

The splitter now remembers how far it has searched, deletes once for each part it is fed, drops empty lines between events, and returns events without an id that follow each other as one. So the caller sees complete events only, as before.

Ruled out: the deletion at the front alone (a bytearray moves its start); the two searches for both kinds of ends, each to the end of the buffer, were the larger part.

Both fail before the change, as does the count of events.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_events.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_events.py
@@ -1,61 +1,93 @@
 """Split a stream of server-sent events into complete events.
 
-Used by the event relay. It passes on complete events only, so that a stream which
+Used by the event reader. Complete events only are passed on, so that a stream which
 continues at another endpoint neither repeats nor truncates an event.
 """
 
+import re
+
 import msgspec
 
 EVENT_BYTES_MAX = 1024 * 1024
-# Byte sequences that end an event.
-_EVENT_SEPARATORS = (b"\n\n", b"\r\n\r\n")
+# An empty line ends an event.
+_EVENT_END = re.compile(rb"\n\r?\n")
+_LINE_ENDS = re.compile(rb"[\r\n]*")
+# Bytes of an end that may have arrived without its last byte.
+_MAX_PARTIAL_END_BYTES = 2
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
-    """Hold the bytes and the id of one complete event."""
+    """Hold the bytes and the id of one complete event, or of several without an id."""
 
     data: bytes
     event_id: int | None
 
 
 class EventStreamSplitter:
-    """Return events once they are complete; keep the bytes of an incomplete one."""
+    """Return events once they are complete; keep the bytes of an incomplete one.
+
+    Each byte is searched once, however the bytes arrive.
+    """
 
     def __init__(self) -> None:
         self.buffer_ = bytearray()
+        # How many bytes of the buffer were searched for the end of the event.
+        self.searched_bytes_ = 0
+
+    def feed(self, data: bytes | memoryview) -> list[StreamEvent]:
+        """Append bytes and return the events that they complete.
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
-        """Append bytes and return the events that they complete."""
+        Empty lines between events are dropped. Events without an id that follow each
+        other are returned as one, and comments count as such events.
+        """
         self.buffer_ += data
         events = []
+        unidentified = []
+        begin = self._skip_line_ends(0)
         while True:
-            end = self._event_end()
-            if end < 0:
-                return events
-            event_bytes = bytes(self.buffer_[:end])
-            del self.buffer_[:end]
-            events.append(StreamEvent(event_bytes, _event_id(event_bytes)))
+            end = self._event_end(begin)
+            if end is None:
+                break
+            event_bytes = bytes(self.buffer_[begin:end])
+            begin = self._skip_line_ends(end)
+            event_id = _event_id(event_bytes)
+            if event_id is None:
+                unidentified.append(event_bytes)
+                continue
+            _append_unidentified(events, unidentified)
+            events.append(StreamEvent(event_bytes, event_id))
+        _append_unidentified(events, unidentified)
+        del self.buffer_[:begin]
+        self.searched_bytes_ = max(0, len(self.buffer_) - _MAX_PARTIAL_END_BYTES)
+        return events
 
     @property
     def has_partial_event(self) -> bool:
-        """Return whether bytes of an incomplete or overlong event are left."""
-        return bool(self.buffer_.strip())
+        """Return whether bytes of an incomplete event are left."""
+        return bool(self.buffer_)
 
     @property
     def is_too_long(self) -> bool:
         """Return whether an incomplete event exceeds the maximum size."""
         return len(self.buffer_) > EVENT_BYTES_MAX
 
-    def _event_end(self) -> int:
-        end_at = -1
-        for mark in _EVENT_SEPARATORS:
-            at = self.buffer_.find(mark)
-            if at >= 0 and (end_at < 0 or at + len(mark) < end_at):
-                end_at = at + len(mark)
-        return end_at
+    def _skip_line_ends(self, begin: int) -> int:
+        return _LINE_ENDS.match(self.buffer_, begin).end()
+
+    def _event_end(self, begin: int) -> int | None:
+        found = _EVENT_END.search(self.buffer_, max(begin, self.searched_bytes_))
+        return None if found is None else found.end()
+
+
+def _append_unidentified(events: list[StreamEvent], unidentified: list[bytes]) -> None:
+    if unidentified:
+        events.append(StreamEvent(b"".join(unidentified), None))
+        unidentified.clear()
 
 
 def _event_id(event_bytes: bytes) -> int | None:
+    if b"id:" not in event_bytes:
+        return None
     for line in event_bytes.splitlines():
         if not line.startswith(b"id:"):
             continue
