Take a number of thousands of digits for no id of an event

An event with `id:` and more digits than the interpreter converts raised a ValueError in the relay, so its request ended with 502 as a fault of the entry, not as a broken answer of the endpoint that may be retried. Numbers of more than 18 digits are now no ids. The new test fails with that ValueError before.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_events.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_events.py
@@ -9,6 +9,8 @@
 import msgspec
 
 EVENT_BYTES_MAX = 1024 * 1024
+# Larger numbers are no ids.
+MAX_EVENT_ID_DIGITS = 18
 # An empty line ends an event.
 _EVENT_END = re.compile(rb"\n\r?\n")
 _LINE_ENDS = re.compile(rb"[\r\n]*")
@@ -92,5 +94,6 @@
         if not line.startswith(b"id:"):
             continue
         text = line[3:].strip()
-        return int(text) if text.isdigit() else None
+        is_id = text.isdigit() and len(text) <= MAX_EVENT_ID_DIGITS
+        return int(text) if is_id else None
     return None
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/tests/test_events.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/tests/test_events.py
@@ -64,3 +64,9 @@
     for at in range(0, len(data), size):
         splitter.feed(data[at : at + size])
     assert time.process_time() - began_at < 0.5
+
+
+def test_a_number_of_too_many_digits_is_no_id():
+    splitter = EventStreamSplitter()
+    (event,) = splitter.feed(b"id: " + b"9" * 5_000 + b"\n\n")
+    assert event.event_id is None
