Count events with new ids as the progress of a stream, not bytes

A stream lasted to its deadline, and ended with 504 or broken off, at an engine that sent a comment, two letters or an old event now and then; the engine was never blamed, so all streams with its prompts went to it again. At full speed such bytes held the event loop: each read was split in one turn, and nothing but a line of 1 MiB ended it.

Cause: any read put the limit on silence off and forgave the silence; each event without an id was passed on by itself.

Now `EventReader` waits for an event with an id that no earlier event of the stream had. The limit on silence runs over all reads until then, and what is silent beyond it is given up as before, once a retry is reserved. Events without an id are held until one with a new id follows or the answer is complete: they may be bytes that are no answer, so a caller gets them only with the rest of a sound one. That delays a comment, which is worth less than an answer that holds no foreign byte. An answer with more than 1 MiB since its last new event ends at once and counts as broken off. At most 16 KiB are split in a turn, new events that come together are one write, and at most 1 MiB is read ahead of that also where no memory limit is set.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -1,7 +1,7 @@
 """Pass the events of a stream on to the caller, each complete and only once.
 
-Several attempts may serve a stream in turn. The relay drops events that an earlier
-attempt has passed on, and does not pass on an incomplete event.
+Several attempts may serve a stream in turn. `_event_reader` drops events that an
+earlier attempt has passed on, and returns no incomplete event.
 `leadford.forwarding.retries` decides how long to wait for a silent stream.
 """
 
@@ -20,7 +20,7 @@
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.answers._answer import CallerAnswer
-from leadford_server.forwarding.answers._events import EventStreamSplitter, StreamEvent
+from leadford_server.forwarding.answers._event_reader import EventReader, NewEvents
 from leadford_server.forwarding.retries import Attempt, EndpointAttempts
 
 # Distinguishes the usual gap between events from the usual duration of answers.
@@ -30,12 +30,14 @@
 class StreamEnd(Enum):
     """List how a stream ended at one endpoint.
 
-    GIVEN_UP: the endpoint was silent, and another attempt is reserved.
+    GIVEN_UP: no new event came in time, and another attempt is reserved.
+    WITHOUT_EVENTS: the endpoint sent too much without a new event.
     """
 
     COMPLETE = "complete"
     BROKEN_OFF = "broken-off"
     GIVEN_UP = "given-up"
+    WITHOUT_EVENTS = "without-events"
 
 
 class EventRelay:
@@ -77,9 +79,10 @@
 
         Errors: raises TimeoutError when the deadline of the request has passed.
         """
-        splitter = EventStreamSplitter()
+        events = EventReader(
+            answer=attempt.answer, last_event_id=self.progress.last_event_id_
+        )
         gaps = EventGaps()
-        has_events = False
         may_give_up = self.attempts.may_give_up(
             attempt.borrowed, EndpointFailure.SILENT
         )
@@ -95,28 +98,32 @@
                 async with EndpointTimeout(
                     limit_at, self.state.loop_turns_, began, may_end=may_give_up
                 ):
-                    data = await attempt.answer.read_more()
+                    new = await events.read()
             except TimeoutError:
                 if self.attempts.retries.is_out_of_time():
                     raise
                 # The stream continues at another endpoint.
                 return StreamEnd.GIVEN_UP
-            self.attempts.retries.record_heard(attempt.record)
-            self._record_gap(gaps, began)
-            for event in splitter.feed(data):
-                has_events = True
-                await self._pass_on(attempt, event)
-            if data and not splitter.is_too_long:
+            if new.data:
+                self.attempts.retries.record_heard(attempt.record)
+                self._record_gap(gaps, began)
+                await self._pass_on(attempt, new)
                 continue
             self._record_gaps(attempt, gaps)
-            if splitter.has_partial_event:
-                return StreamEnd.BROKEN_OFF
-            if attempt.ended_with_connection and not has_events:
-                # An endpoint that ends before its first event closes its connection,
-                # too. The caller may lack events even if it has some already.
-                return StreamEnd.BROKEN_OFF
-            is_complete = attempt.answer.reader.is_complete_
-            return StreamEnd.COMPLETE if is_complete else StreamEnd.BROKEN_OFF
+            return self._end(attempt, events)
+
+    def _end(self, attempt: Attempt, events: EventReader) -> StreamEnd:
+        """Return how a stream ended from which no new event follows."""
+        if events.is_too_long:
+            return StreamEnd.WITHOUT_EVENTS
+        if events.has_partial_event:
+            return StreamEnd.BROKEN_OFF
+        if attempt.ended_with_connection and not events.has_events_:
+            # An endpoint that ends before its first event closes its connection, too.
+            # The caller may lack events even if it has some already.
+            return StreamEnd.BROKEN_OFF
+        is_complete = attempt.answer.reader.is_complete_
+        return StreamEnd.COMPLETE if is_complete else StreamEnd.BROKEN_OFF
 
     def _record_gap(self, gaps: EventGaps, began: DelayMark) -> None:
         """Record a read; it counts as no wait if this entry was late itself."""
@@ -132,17 +139,13 @@
             now = self.state.now()
             self.state.pace_meter_.record_answer(attempt.record, gap_s, kind, now)
 
-    async def _pass_on(self, attempt: Attempt, event: StreamEvent) -> None:
-        last = self.progress.last_event_id_
-        if event.event_id is not None and last is not None and event.event_id <= last:
-            # An earlier attempt has passed this event on to the caller.
-            return
+    async def _pass_on(self, attempt: Attempt, new: NewEvents) -> None:
         if not self.answer.has_begun:
             self.answer.begin(attempt)
             self._record_origin(attempt)
-        if event.event_id is not None:
-            self.progress.last_event_id_ = event.event_id
-        await self.answer.write(event.data)
+        if new.last_event_id is not None:
+            self.progress.last_event_id_ = new.last_event_id
+        await self.answer.write(new.data)
         self.progress.record_event_passed_on(self.attempts.state.now())
 
     def _record_origin(self, attempt: Attempt) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -67,6 +67,10 @@
             self.progress.may_have_run_ = True
             if end is StreamEnd.BROKEN_OFF:
                 self._record_broken_off(attempt)
+            if end is StreamEnd.WITHOUT_EVENTS:
+                self.attempts.evidence.record_failure(
+                    attempt.record, EndpointFailure.BROKEN_OFF
+                )
             if not await self._retry_elsewhere(_broken_detail(attempt, end)):
                 return
 
@@ -129,6 +133,8 @@
     """Return how a stream ended that is not complete, for the log."""
     if end is StreamEnd.GIVEN_UP:
         return "silent"
+    if end is StreamEnd.WITHOUT_EVENTS:
+        return "too much without an event"
     if attempt.ended_with_connection:
         return "stream ended inside an event"
     return "stream broke off"
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_reader.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_reader.py
@@ -16,6 +16,9 @@
 from leadford_server.forwarding._contract import AnswerHead, RequestCodec
 from leadford_server.forwarding._memory import HeldBytes, HeldMemory
 
+# Events that are read ahead of the relay, where the settings limit no memory.
+MAX_READ_AHEAD_BYTES = 1024 * 1024
+
 
 class BreakKind(Enum):
     """List how far a failed exchange may have progressed.
@@ -104,6 +107,9 @@
         self.held_ = held
 
     def _may_read(self) -> bool:
+        is_stream = self.max_unread_bytes_ is not None
+        if is_stream and self.held_.count >= MAX_READ_AHEAD_BYTES:
+            return False
         return self.held_.may_read(self.max_unread_bytes_)
 
     def _pause(self) -> asyncio.Future[None]:
--- a/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endpoints.py
@@ -32,6 +32,10 @@
         self.endpoint_id = f"i-{next_id()}"
         self.software = "v1"
         self.planned_misbehaviours_: deque[Misbehaviour] = deque()
+        # What happens to requests for which nothing is queued.
+        self.usual_misbehaviour = Misbehaviour.NONE
+        # Answers without end whose connection the entry closed.
+        self.closed_endless_ = 0
         self.runs_: list[Run] = []
         self.arrivals_ = 0
         self.arrived_: list[Arrival] = []
@@ -103,7 +107,7 @@
         return (
             self.planned_misbehaviours_.popleft()
             if self.planned_misbehaviours_
-            else Misbehaviour.NONE
+            else self.usual_misbehaviour
         )
 
     def spec(self, state: str = "ready") -> dict:
--- a/packages/leadford-standins/src/leadford_standins/wire/_handler.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_handler.py
@@ -10,6 +10,7 @@
 import msgspec
 from tornado import iostream, web
 
+from leadford_standins.wire._endless import ENDLESS_BY_MISBEHAVIOUR, EndlessBytes
 from leadford_standins.wire._misbehaviours import UNFRAMED, Misbehaviour
 
 if TYPE_CHECKING:
@@ -80,6 +81,9 @@
         self.set_header("X-Server-Stamp", f"stamp.{endpoint.endpoint_id}")
         if self._ends_unserved():
             return
+        if self.misbehaviour in ENDLESS_BY_MISBEHAVIOUR:
+            await self.send_endlessly(ENDLESS_BY_MISBEHAVIOUR[self.misbehaviour])
+            return
         if self.misbehaviour is Misbehaviour.HANG:
             self.record_run()
             await asyncio.sleep(HANG_S)
@@ -156,6 +160,27 @@
         await stream.write(f"HTTP/1.1 200 OK\r\n{fields}\r\n".encode())
         return stream
 
+    async def send_endlessly(self, endless: EndlessBytes) -> None:
+        """Send bytes until the entry closes the connection."""
+        if endless.is_refusal:
+            self.clear_header("X-Server-Stamp")
+            self.set_header("X-Not-Executed", "1")
+        else:
+            self.record_run()
+        self.clear_header("Content-Length")
+        self.suppress_answer()
+        stream = self.request.connection.detach()
+        fields = "".join(
+            f"{name}: {value}\r\n" for name, value in self._headers.get_all()
+        )
+        try:
+            await stream.write(endless.head(fields))
+            while True:
+                await stream.write(endless.piece)
+                await asyncio.sleep(endless.pause_s)
+        except iostream.StreamClosedError:
+            self.endpoint.closed_endless_ += 1
+
     def refuse(self, status: int) -> None:
         """Answer that the request did not run."""
         self.clear_header("X-Server-Stamp")
--- a/packages/leadford-standins/src/leadford_standins/wire/_misbehaviours.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_misbehaviours.py
@@ -25,6 +25,21 @@
     UNFRAMED = "unframed"
     UNFRAMED_CUT = "unframed-cut"
     UNFRAMED_EMPTY = "unframed-empty"
+    ENDLESS_LINE_ENDS = "endless-line-ends"
+    ENDLESS_COMMENTS = "endless-comments"
+    ENDLESS_OLD_EVENTS = "endless-old-events"
+    ENDLESS_LINE = "endless-line"
+    ENDLESS_TINY_CHUNKS = "endless-tiny-chunks"
+    ENDLESS_UNFRAMED = "endless-unframed"
+    ENDLESS_REFUSAL = "endless-refusal"
+    ENDLESS_HEAD = "endless-head"
+    ENDLESS_INTERIM_HEADS = "endless-interim-heads"
+    ENDLESS_CHUNK_EXTENSION = "endless-chunk-extension"
+    ENDLESS_TRAILERS = "endless-trailers"
+    TRICKLED_COMMENTS = "trickled-comments"
+    TRICKLED_LETTERS = "trickled-letters"
+    TRICKLED_OLD_EVENTS = "trickled-old-events"
+    TRICKLED_REFUSAL = "trickled-refusal"
 
 
 # Answers that have no length and end with their connection.
--- /dev/null
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_endless_answers.py
@@ -0,0 +1,81 @@
+"""Endpoints that send bytes without end which are no answer harm no other request."""
+
+import asyncio
+
+import pytest
+
+from leadford.forwarding.retries import _limits
+from leadford_standins.wire import Misbehaviour, event_ids, run_scenario
+
+STREAMS = 8
+DEADLINE_MS = 3_500
+# Time in which each stream must be whole, in spite of an attempt in vain.
+MAX_STREAM_S = 2.0
+
+FULL_SPEED = [
+    Misbehaviour.ENDLESS_LINE_ENDS,
+    Misbehaviour.ENDLESS_COMMENTS,
+    Misbehaviour.ENDLESS_OLD_EVENTS,
+    Misbehaviour.ENDLESS_LINE,
+    Misbehaviour.ENDLESS_TINY_CHUNKS,
+    Misbehaviour.ENDLESS_UNFRAMED,
+    Misbehaviour.ENDLESS_CHUNK_EXTENSION,
+    Misbehaviour.ENDLESS_TRAILERS,
+    Misbehaviour.ENDLESS_HEAD,
+    Misbehaviour.ENDLESS_INTERIM_HEADS,
+]
+TRICKLES = [
+    Misbehaviour.TRICKLED_COMMENTS,
+    Misbehaviour.TRICKLED_LETTERS,
+    Misbehaviour.TRICKLED_OLD_EVENTS,
+]
+
+
+@pytest.fixture(autouse=True)
+def short_limit(monkeypatch):
+    """Let streams wait for less than usual."""
+    monkeypatch.setattr(_limits, "STREAM_SILENCE_MIN_S", 0.3)
+
+
+async def configure(deployment):
+    """Let engines have little time for the first event."""
+    deployment.config["routes"][2]["goalMs"] = 400
+    deployment.config["version"] = 2
+    deployment.put_config()
+    (entry,) = deployment.entries_
+    await deployment.until(lambda: entry.state_.config_version() == 2)
+    return entry
+
+
+async def send_stream(deployment, number):
+    """Return the answer to a stream with a prompt of its own, and how long it took."""
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    answer = await deployment.send(
+        "/resumed/x",
+        request_id=f"r{number}",
+        deadline_ms=DEADLINE_MS,
+        headers={"X-Prefix-Hash": f"a{number}:50,b{number}:20"},
+    )
+    return answer, loop.time() - began_at
+
+
+@pytest.mark.parametrize("form", [*FULL_SPEED, *TRICKLES], ids=lambda form: form.value)
+def test_streams_go_on_elsewhere_when_an_engine_sends_bytes_without_end(form):
+    async def scenario(deployment):
+        entry = await configure(deployment)
+        bad = deployment.engines[0]
+        record = entry.state_.roster_.record(bad.endpoint_id)
+        bad.usual_misbehaviour = form
+        sent = [
+            asyncio.ensure_future(send_stream(deployment, number))
+            for number in range(STREAMS)
+        ]
+        await deployment.until(lambda: record.is_suspect(entry.state_.now()))
+        for answer, took_s in await asyncio.gather(*sent):
+            assert answer.code == 200, (answer.code, took_s)
+            assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+            assert took_s < MAX_STREAM_S
+        assert bad.closed_endless_ == len(bad.runs_) > 0
+
+    run_scenario(scenario, endpoints=3)
