Take no connection that the entry closed for an end of its endpoint

A sound request was refused at once with 503, as one under which endpoints end, after it had met endpoints that sent interim heads without end. So was any request that met bytes that are no answer often enough.

Cause: what is no answer, or is longer than it may be, makes the entry close the connection; that looked like a close by the endpoint, which is a case against the request and its prompt. A head that is too long looked like silence.

--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -44,6 +44,9 @@
 # Time after which the kernel closes a connection whose peer acknowledges nothing.
 UNACKNOWLEDGED_TIMEOUT_MS = 2_500
 
+# A head, or what was received and not read, is longer than it may be.
+_BOUND_ERRORS = (iostream.UnsatisfiableReadError, iostream.StreamBufferFullError)
+
 
 class EndpointConnection:
     """Hold one connection to an endpoint; it carries one exchange at a time."""
@@ -122,9 +125,12 @@
             return ConnectionEnd.OPEN
         error = self.stream.error
         if error is None:
-            return ConnectionEnd.CLOSED
+            is_ended_by_peer = self.stream.is_ended_by_peer_
+            return ConnectionEnd.CLOSED if is_ended_by_peer else ConnectionEnd.REJECTED
         if isinstance(error, ConnectionError):
             return ConnectionEnd.RESET
+        if isinstance(error, _BOUND_ERRORS):
+            return ConnectionEnd.REJECTED
         return ConnectionEnd.SILENT
 
     async def begin(
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
@@ -11,6 +11,7 @@
 from leadford_server.forwarding.endpoints._connection import EndpointConnection
 from leadford_server.forwarding.endpoints._pool import ConnectionPool
 from leadford_server.forwarding.endpoints._reader import BreakKind, ExchangeBroken
+from leadford_server.forwarding.endpoints._watched import ConnectionEnd
 from leadford_standins.records import endpoint_record
 
 ID = RequestId("r1")
@@ -331,3 +332,39 @@
             assert await pool.acquire(record, 9) is not first
 
     run(scenario())
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        pytest.param(b"no answer\r\n\r\n", id="head"),
+        pytest.param(b"HTTP/1.1 200 OK\r\n" + b"X-A: 1\r\n" * 10_000, id="long-head"),
+        pytest.param(b"HTTP/1.1 100 Continue\r\n\r\n" * 20, id="interim-heads"),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\nxx\r\n",
+            id="chunk",
+        ),
+    ],
+)
+def test_a_connection_closed_for_what_it_sent_did_not_end_with_its_endpoint(sent):
+    # An endpoint that had sent such bytes counted as crashed under the request.
+    async def scenario():
+        async with Endpoint(sent, "hang") as endpoint:
+            connection = await endpoint.connect()
+            with pytest.raises(ExchangeBroken):
+                await connection.fetch(REQUEST, ID)
+            assert connection.end is ConnectionEnd.REJECTED
+
+    run(scenario())
+
+
+def test_a_connection_that_its_endpoint_closed_says_so():
+    async def scenario():
+        async with Endpoint(b"HTTP/1.1 200 OK\r\nContent-") as endpoint:
+            connection = await endpoint.connect()
+            with pytest.raises(ExchangeBroken):
+                await connection.fetch(REQUEST, ID)
+            assert connection.end is ConnectionEnd.CLOSED
+
+    run(scenario())
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_endless_answers.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_endless_answers.py
@@ -79,3 +79,18 @@
         assert bad.closed_endless_ == len(bad.runs_) > 0
 
     run_scenario(scenario, endpoints=3)
+
+
+def test_a_request_that_got_bytes_without_end_is_served_once_endpoints_are_sound():
+    # It counted as one that crashes endpoints, and was refused for minutes.
+    async def scenario(deployment):
+        for endpoint in deployment.plain:
+            endpoint.usual_misbehaviour = Misbehaviour.ENDLESS_INTERIM_HEADS
+        for number in range(6):
+            await deployment.send("/safe/x", request_id=f"r{number}")
+        for endpoint in deployment.plain:
+            endpoint.usual_misbehaviour = Misbehaviour.NONE
+        answer = await deployment.send("/safe/x", request_id="sound")
+        assert answer.code == 200
+
+    run_scenario(scenario, endpoints=3)
