Blame an endpoint that breaks a plain answer off inside its body

Safe requests went again and again to an endpoint that breaks answers off, or whose bodies are longer than an answer may be: some ended with 502 though other endpoints were sound, since retries are few, and each took up to 64 MB.

Cause: an attempt that ended before its head was recorded as a failure, and a stream that broke off; a plain answer that broke off after its head was only logged. Now it counts as broken off, so the endpoint is suspect for 0.4 s and longer with each further one, unless the entry itself left the answer unread.

The bound of 64 MB itself stays: sound answers have 40 MB. What is longer ends there, and is tried elsewhere within the budget.

Evidence: test_an_endpoint_whose_bodies_never_end_gets_no_more_requests_for_a_while failed for a length without end in chunks, without a length and in a chunk's extension (not suspect), and passes.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_plain.py
@@ -4,6 +4,7 @@
 are in `leadford.forwarding.retries`.
 """
 
+from leadford.forwarding.endpoints import EndpointFailure
 from leadford.forwarding.retries import (
     AttemptEnd,
     AttemptTiming,
@@ -93,6 +94,10 @@
                 await attempt.answer.wait_until_complete()
         except ExchangeBroken:
             self.attempts.evidence.record_broken(attempt)
+            if not attempt.was_left_unread:
+                self.attempts.evidence.record_failure(
+                    attempt.record, EndpointFailure.BROKEN_OFF
+                )
             raise
         except TimeoutError as error:
             raise ExchangeBroken(BreakKind.LOST, "slow") from error
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_endless_answers.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_endless_answers.py
@@ -94,3 +94,49 @@
         assert answer.code == 200
 
     run_scenario(scenario, endpoints=3)
+
+
+BODIES = [
+    Misbehaviour.ENDLESS_LINE,
+    Misbehaviour.ENDLESS_UNFRAMED,
+    Misbehaviour.ENDLESS_CHUNK_EXTENSION,
+]
+
+
+async def send_safe(deployment, prefix, count):
+    """Return the answers to safe requests that are sent at once."""
+    return await asyncio.gather(
+        *(
+            deployment.send(
+                "/safe/x",
+                request_id=f"{prefix}{number}",
+                body=f"{prefix}{number}".encode(),
+                deadline_ms=DEADLINE_MS,
+            )
+            for number in range(count)
+        )
+    )
+
+
+@pytest.mark.parametrize("form", BODIES, ids=lambda form: form.value)
+def test_an_endpoint_whose_bodies_never_end_gets_no_more_requests_for_a_while(form):
+    # Nothing was recorded of it, so requests went to it again and again.
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        bad = deployment.plain[0]
+        record = entry.state_.roster_.record(bad.endpoint_id)
+        bad.usual_misbehaviour = form
+        answers = await send_safe(deployment, "a", 6)
+        assert [answer.code for answer in answers] == [200] * 6
+        assert record.is_suspect(entry.state_.now())
+        arrivals = bad.arrivals_
+        assert arrivals > 0
+        answers = await send_safe(deployment, "b", 6)
+        assert [answer.code for answer in answers] == [200] * 6
+        assert bad.arrivals_ == arrivals
+        bad.usual_misbehaviour = Misbehaviour.NONE
+        await deployment.until(
+            lambda: not record.is_suspect(entry.state_.now()), timeout_s=7.0
+        )
+
+    run_scenario(scenario, endpoints=3)
