Serve nothing by a configuration of which a store that refuses an entry alone tells nothing

A caller whose key had been taken away was served for as long as the store refused the one entry that was left, without an end: with its peers lost for good, nobody told the entry of the change. The time that users allow (configMs and outerMs) holds for such an entry: it has a way to the store, which is neither down nor slow and answers every call.

Cause: without a newer version known, the age of a configuration refused nothing, whatever the store did, since the store may be unavailable to all. What an entry can know is more than that: an answer of 429 or 503 shows that the store runs and is reached. A reset or silence shows nothing; the port of a process that has ended resets too.

Now an entry that is without a live peer for 1.5 s and without a confirmation for configMs and outerMs less 0.5 s, and whose calls the store has answered with refusals for as long, refuses what it gets (503) and is not ready until the configuration is confirmed. Peers that live, confirmed or not, change nothing either.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -145,6 +145,7 @@
             codec=self.objects,
             log=self.log_,
             epochs=state.epochs_,
+            refusals=state.store_refusals_,
         )
         self.config_ = ConfigHolder(
             objects=self.objects, state=state, on_change=self._on_config
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -2,7 +2,8 @@
 
 Shared by all requests of an entry. Each field owns its state, or is written by one
 module: the route table and its age by `_config`, the versions heard of by `_news`, the
-roster by `_listing`, the number of entries, the bounds and the start of a stop by
+refusals of the store by `_client`, the time without peers by `_links`, the roster by
+`_listing`, the number of entries, the bounds and the start of a stop by
 `_process`.
 """
 
@@ -28,7 +29,12 @@
     PaceMeter,
 )
 from leadford.forwarding.history import StoreEpochs
-from leadford.forwarding.membership import LoadShares, PeerVersions, RequestRate
+from leadford.forwarding.membership import (
+    LoadShares,
+    PeerVersions,
+    RequestRate,
+    StoreRefusals,
+)
 from leadford.forwarding.overload import LinkWaits, LoopTurns
 from leadford.forwarding.retries import RetryBudgets, WindowedRetryBudget
 from leadford.forwarding.routes import ProcessStatus, RouteTable, Service, ServiceId
@@ -147,6 +153,9 @@
         self.config_seen_at_: float | None = None
         self.config_confirmed_at_: float | None = None
         self.heard_versions_ = PeerVersions()
+        self.store_refusals_ = StoreRefusals()
+        # Since when no peer is alive; set by the links with each heartbeat.
+        self.alone_since_: float | None = None
         self.stop_began_at_: float | None = None
         # Set by the links when they are created.
         self.placing_: PromptPlacement | None = None
@@ -272,6 +281,7 @@
         now = self.now()
         seen_at = self.config_seen_at_
         stop_began_at = self.stop_began_at_
+        alone_since = self.alone_since_
         return ProcessStatus(
             config_age_s=None if seen_at is None else now - seen_at,
             stopping_s=None if stop_began_at is None else now - stop_began_at,
@@ -279,8 +289,17 @@
             stale_s=self.heard_versions_.stale_s(self.config_version(), now),
             config_s=self.bounds.config_s,
             outer_s=self.bounds.outer_s,
+            refused_s=self.store_refusals_.refused_s(now),
+            alone_s=None if alone_since is None else now - alone_since,
         )
 
+    def record_live_peers(self, count: int) -> None:
+        """Record how many peers are alive now."""
+        if count:
+            self.alone_since_ = None
+        elif self.alone_since_ is None:
+            self.alone_since_ = self.now()
+
     def set_entries(self, entry_ids: Collection[EntryId]) -> None:
         """Divide the bounds of the fleet among the entries that exist."""
         count = max(1, len(entry_ids))
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -244,6 +244,7 @@
             for entry_id, peer in self.peers_by_id_.items()
             if self.heard_.is_live(entry_id, now)
         }
+        self.state.record_live_peers(len(version_by_live_peer))
         self.shared_rules_ = self.builds_.shared_rules(version_by_live_peer)
         self.state.has_priority_levels_ = self.all_know(SharedRule.PRIORITY_LEVELS)
         self.ledgers.refresh()
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
@@ -12,6 +12,7 @@
 
 from leadford.events import Event
 from leadford.forwarding.history import AnswerAge, StoreEpochs
+from leadford.forwarding.membership import StoreRefusals
 from leadford_server.forwarding._store_contract import (
     ObjectCodec,
     StoreAnswer,
@@ -59,12 +60,14 @@
         codec: ObjectCodec,
         log: EventLog,
         epochs: StoreEpochs | None = None,
+        refusals: StoreRefusals | None = None,
     ) -> None:
         self.url = url
         self.http = http
         self.codec = codec
         self.log = log
         self.epochs = epochs or StoreEpochs()
+        self.refusals = refusals or StoreRefusals()
         self.is_available_ = True
         self.is_silent_ = False
         self.answered_at_: float | None = None
@@ -130,6 +133,8 @@
             return Failure(StoreFailure.NO_ANSWER)
         failure = self.codec.read_failure(status)
         self._record_availability(failure is not StoreFailure.UNAVAILABLE, status)
+        if failure is StoreFailure.UNAVAILABLE:
+            self.refusals.record_refused(asyncio.get_running_loop().time())
         return Failure(failure)
 
     def _is_past_epoch(self, answer: FetchedResponse) -> bool:
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_entries.py
@@ -103,3 +103,47 @@
             assert answer.code == 200
 
     run_scenario(scenario, entries=3)
+
+
+async def lose_all_peers_and_take_a_key_away(deployment, fault):
+    """Leave one entry, which the store turns away, and take its key away."""
+    await deployment.until_linked()
+    for lost in deployment.entries_[1:]:
+        lost.stop()
+    del deployment.entries_[1:]
+    deployment.store.fault = fault
+    await asyncio.sleep(0.5)
+    deployment.config["version"] += 1
+    deployment.config["tenants"][0]["apiKeys"] = ["key-2"]
+    deployment.put_config()
+    await asyncio.sleep(OUTAGE_S)
+
+
+def test_an_entry_alone_that_the_store_refuses_does_not_use_a_key_that_was_taken_away():
+    async def scenario(deployment):
+        await lose_all_peers_and_take_a_key_away(deployment, StoreFault.BUSY)
+        entry = deployment.entries_[0]
+        assert not entry.is_ready
+        answer = await deployment.send("/safe/x", request_id="a")
+        assert answer.code == 503
+        deployment.store.fault = StoreFault.NONE
+        await deployment.until(lambda: entry.is_ready)
+        answer = await deployment.send("/safe/x", request_id="b")
+        assert answer.code == 401
+        answer = await deployment.send("/safe/x", request_id="c", key="key-2")
+        assert answer.code == 200
+
+    run_scenario(scenario, entries=3)
+
+
+@pytest.mark.parametrize("fault", [StoreFault.RESET, StoreFault.SILENT])
+def test_an_entry_alone_serves_while_its_store_may_be_down_for_all(fault):
+    async def scenario(deployment):
+        await lose_all_peers_and_take_a_key_away(deployment, fault)
+        entry = deployment.entries_[0]
+        assert entry.state_.age().is_unconfirmed
+        assert entry.is_ready
+        answer = await deployment.send("/safe/x", request_id="a")
+        assert answer.code == 200
+
+    run_scenario(scenario, entries=3)
--- a/packages/leadford/src/leadford/forwarding/membership/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/membership/__init__.py
@@ -31,6 +31,7 @@
     PeerReach,
     entries_to_dial,
 )
+from leadford.forwarding.membership._refusals import StoreRefusals
 from leadford.forwarding.membership._relays import (
     follower_watch_s,
     max_confirmation_age_s,
@@ -59,6 +60,7 @@
     "PeerReach",
     "PeerClock",
     "SharedRule",
+    "StoreRefusals",
     "candidate_orders",
     "candidates_to_link",
     "common_peers",
--- a/packages/leadford/src/leadford/forwarding/routes/_denial.py
+++ b/packages/leadford/src/leadford/forwarding/routes/_denial.py
@@ -6,8 +6,10 @@
 confirmed configuration; otherwise the request is refused, because a newer configuration
 may allow it. A configuration that is known to be too old is not used at all: its routes
 may have moved and its keys may have been revoked. While no newer one is known, its age
-alone refuses nothing: the store may be unavailable to all. `admission` decides whether
-there is capacity for a request with stages.
+alone refuses nothing: the store may be unavailable to all. It is not used either where
+the store has been answering this entry with refusals for as long, and no peer can tell
+what it accepts from others. `admission` decides whether there is capacity for a
+request with stages.
 """
 
 from enum import Enum
@@ -54,7 +56,9 @@
     stop; stale_s is for how long another entry has been known to use a newer
     configuration, None if none is known; config_s is the maximum time from the
     acceptance of a configuration until it is active; outer_s is added to it while the
-    store serves only a part of the entries.
+    store serves only a part of the entries. refused_s is for how long the store has
+    been refusing calls, None if it has refused none lately; alone_s is for how long no
+    peer has been alive, None while one is.
     """
 
     config_age_s: float | None
@@ -63,17 +67,19 @@
     stale_s: float | None = None
     config_s: float = 2.0
     outer_s: float = 5.0
+    refused_s: float | None = None
+    alone_s: float | None = None
 
     @property
     def is_stale(self) -> bool:
-        """Return whether the configuration is known to be too old to be used.
+        """Return whether the configuration is too old to be used.
 
         An entry without a confirmation for longer than the bounds allow may have heard
         late that there is a newer one, for example because all its peers were lost.
         """
         if self.stale_s is None:
-            return False
-        if self.stale_s > self.config_s - STALE_CONFIG_MARGIN_S:
+            return self.is_unconfirmed and self._is_turned_away
+        if self.stale_s > self._max_stale_s:
             return True
         return self.is_unconfirmed
 
@@ -82,8 +88,28 @@
         """Return whether the last confirmation is older than the bounds allow."""
         if self.config_age_s is None:
             return True
-        max_age_s = self.config_s + self.outer_s - STALE_CONFIG_MARGIN_S
-        return self.config_age_s > max_age_s
+        return self.config_age_s > self._max_unconfirmed_s
+
+    @property
+    def _is_turned_away(self) -> bool:
+        """Return whether the store may serve others, and no peer can tell.
+
+        A store that gives no answer at all may be unavailable to all others, too.
+        """
+        if self.refused_s is None or self.alone_s is None:
+            return False
+        return (
+            self.refused_s > self._max_unconfirmed_s
+            and self.alone_s > self._max_stale_s
+        )
+
+    @property
+    def _max_stale_s(self) -> float:
+        return self.config_s - STALE_CONFIG_MARGIN_S
+
+    @property
+    def _max_unconfirmed_s(self) -> float:
+        return self.config_s + self.outer_s - STALE_CONFIG_MARGIN_S
 
 
 _DENIAL_BY_FAULT = {
--- a/packages/leadford/src/leadford/forwarding/routes/tests/test_denial.py
+++ b/packages/leadford/src/leadford/forwarding/routes/tests/test_denial.py
@@ -131,3 +131,26 @@
     assert decide_start(found, age(stopping_s=2.5)) == found
     denied = decide_start(found, age(stopping_s=2.6))
     assert denied == Failure(StartDenial.STOPPING)
+
+
+TURNED_AWAY = {"config_age_s": 7.0, "refused_s": 6.6, "alone_s": 1.6}
+
+
+def test_an_entry_alone_that_the_store_refuses_for_long_decides_nothing():
+    denied = decide_start(Success(FOUND), age(**TURNED_AWAY))
+    assert denied == Failure(StartDenial.CONFIG_MAY_BE_OLD)
+
+
+@pytest.mark.parametrize(
+    "difference",
+    [
+        {"config_age_s": 6.4},
+        {"refused_s": 6.4},
+        {"refused_s": None},
+        {"alone_s": 1.4},
+        {"alone_s": None},
+    ],
+)
+def test_an_entry_whose_store_may_be_down_for_all_serves_on(difference):
+    status = age(**{**TURNED_AWAY, **difference})
+    assert decide_start(Success(FOUND), status) == Success(FOUND)
