Remove the record of an entry by its revision, and write it again once it was removed

An entry could be in no list until its next start: others divided budgets and connections by too few entries, and did not link to it.

Cause: the store may do a call that it does not answer seconds later. The next process of the entry finds the old record, writes none, and loses it as the removal is done; and that removal held whatever had been written meanwhile.

Now the removal names the revision that the entry knows of its record, so it spares a record that the next process has written. That alone is not enough where the next process has written none: it has the same record, at the same revision. So an entry whose record goes while it runs (by an event, or by a listing after one that had it) writes it again, at once; only after a restored store is it spread over a second as before. For that second of a late removal others count one entry less.

Ruled out: that the next process changes the old record by a PUT. It costs each start after a crash a call, and the removal at its own stop would then have to know the revision of that PUT.

Not mended: a first record whose POST was not answered, was sent again, and is done late, after the entry has removed the other one (it needs a stop within seconds of a start).

Evidence: two of three new tests in test_entries fail before (a late removal of 1.5 s; a record written between call and removal) and pass; the third holds that a stop still removes the record.

--- a/packages/leadford-server/src/leadford_server/forwarding/_store_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_store_contract.py
@@ -84,10 +84,11 @@
 class StoreFailure(Enum):
     """Tell why a call to the store had no effect, or may have had none.
 
-    CONFLICT: the object exists already. HISTORY_GONE: changes since the requested
-    revision are no longer kept. NO_ANSWER: none arrived in time, and the call may have
-    taken effect. NOT_FOUND: there is no such object. PAST_EPOCH: the answer belongs to
-    a history of the store that has ended. UNAVAILABLE: the store refused the call.
+    CONFLICT: the object exists already, or has another revision. HISTORY_GONE: changes
+    since the requested revision are no longer kept. NO_ANSWER: none arrived in time,
+    and the call may have taken effect. NOT_FOUND: there is no such object. PAST_EPOCH:
+    the answer belongs to a history of the store that has ended. UNAVAILABLE: the store
+    refused the call.
     """
 
     CONFLICT = "conflict"
@@ -115,8 +116,8 @@
     def watch_path(self, kind: str, revision: int, wait_ms: int) -> str:
         """Return the path of a watch."""
 
-    def object_path(self, kind: str, name: str) -> str:
-        """Return the path of one object."""
+    def object_path(self, kind: str, name: str, revision: int | None = None) -> str:
+        """Return the path of one object, for a call that needs it at a revision."""
 
     def read_failure(self, status: int) -> StoreFailure:
         """Return the failure that the status of a failed call stands for."""
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_members.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_members.py
@@ -65,6 +65,8 @@
         # Entries whose records a restored store has lost, until they are rewritten.
         self.lost_by_id_: dict[EntryId, KnownEntry] = {}
         self.announced_epoch_: StoreEpoch | None = None
+        # Revision of the record of this entry, None while it is not known.
+        self.own_revision_: int | None = None
         self.reannounce_needed_ = asyncio.Event()
 
     def on_list(self, listing: Listing) -> None:
@@ -74,6 +76,8 @@
             self.lost_by_id_ = dict(self.entries_by_id_)
             loop = asyncio.get_running_loop()
             loop.call_later(LOST_ENTRY_RETENTION_S, self._forget_lost, epoch)
+        was_listed = self.own_revision_ is not None
+        self.own_revision_ = None
         self.has_listed_ = True
         self.listed_epoch_ = epoch
         self.entries_by_id_.clear()
@@ -82,12 +86,18 @@
             self._read(item)
         names = {self.objects.object_name(item) for item in listing.items}
         if self.own.entry_id not in names:
-            self._reannounce_if_lost(epoch)
+            self._reannounce_if_lost(epoch, was_listed=was_listed)
         self.on_change(self.entries_by_id_)
 
-    def _reannounce_if_lost(self, epoch: StoreEpoch) -> None:
-        """Request to write the record of this entry again if a new epoch lacks it."""
-        if self.announced_epoch_ is not None and self.announced_epoch_ < epoch:
+    def _reannounce_if_lost(self, epoch: StoreEpoch, *, was_listed: bool) -> None:
+        """Request to write the record of this entry again if the store has lost it.
+
+        A listing without it may be older than the record.
+        """
+        is_restored = (
+            self.announced_epoch_ is not None and self.announced_epoch_ < epoch
+        )
+        if is_restored or was_listed:
             self.reannounce_needed_.set()
 
     def _forget_lost(self, epoch: StoreEpoch) -> None:
@@ -107,8 +117,21 @@
         self.lost_by_id_.pop(name, None)
         if not event.is_gone:
             self._read(event.item)
+        if name == self.own.entry_id:
+            self._on_own_event(event)
         self.on_change(self.entries_by_id_)
 
+    def _on_own_event(self, event: ObjectEvent) -> None:
+        """Request to write the record of this entry again once it was removed.
+
+        The store may do a removal by an earlier process of this entry seconds later.
+        """
+        if not event.is_gone:
+            self.reannounce_needed_.clear()
+            return
+        self.own_revision_ = None
+        self.reannounce_needed_.set()
+
     def on_confirmed(self) -> None:
         """Do nothing: no decision depends on the age of the list of entries."""
 
@@ -127,6 +150,8 @@
             await self._write()
             self.announced_epoch_ = self.client.epochs.current_
             await self.reannounce_needed_.wait()
+            if self.client.epochs.current_ == self.announced_epoch_:
+                continue
             # All entries of a fleet detect the loss of their records at about the same
             # time.
             await asyncio.sleep(self.random.uniform(0.0, REANNOUNCE_SPREAD_S))
@@ -143,8 +168,14 @@
             await asyncio.sleep(ANNOUNCE_RETRY_S * spread)
 
     async def retract(self) -> None:
-        """Remove the record of this entry, if the store answers in time."""
-        path = self.objects.object_path(self.objects.entries_kind, self.own.entry_id)
+        """Remove the record of this entry, if the store answers in time.
+
+        The store may do the call later, when the next process of this entry has written
+        its record; that one has another revision.
+        """
+        path = self.objects.object_path(
+            self.objects.entries_kind, self.own.entry_id, self.own_revision_
+        )
         try:
             async with asyncio.timeout(RETRACT_TIMEOUT_S):
                 await self.client.call(path, method="DELETE")
@@ -154,6 +185,8 @@
             return
 
     def _read(self, item: dict) -> None:
+        if self.objects.object_name(item) == self.own.entry_id:
+            self.own_revision_ = self.objects.object_revision(item)
         entry = decoded_record_or_none(
             self.objects.read_entry(item),
             self.objects.object_name(item),
--- a/packages/leadford-standins/src/leadford_standins/wire/_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -288,6 +288,10 @@
     async def delete(self, kind: str, name: str) -> None:
         self.store.deletes_ += 1
         await asyncio.sleep(self.store.delete_s)
+        revision = self.get_query_argument("revision", None)
+        item = self.store.objects_by_kind_.get(kind, {}).get(name)
+        if revision and item and item["metadata"]["revision"] != int(revision):
+            raise web.HTTPError(409)
         if not self.store.delete(kind, name):
             raise web.HTTPError(404)
         self._answer({})
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_entries.py
@@ -324,3 +324,52 @@
         assert runs_of(deployment.plain, "r1") == []
 
     run_scenario(scenario)
+
+
+def listed_entries(deployment):
+    """Return the records of entries in the store, by name."""
+    return deployment.store.objects_by_kind_["leadford-entries"]
+
+
+def test_a_late_removal_of_a_record_does_not_hide_the_next_process_of_its_entry():
+    """The store may do a call that it has not answered seconds later."""
+
+    async def scenario(deployment):
+        await deployment.until(lambda: len(listed_entries(deployment)) == 2)
+        deployment.store.delete_s = 1.5
+        await deployment.entries_[0].drain()
+        await deployment.restart_entry(0)
+        before = listed_entries(deployment)["entry-0"]
+        await deployment.until(
+            lambda: listed_entries(deployment).get("entry-0") not in (None, before)
+        )
+        peer = deployment.entries_[1]
+        await deployment.until(lambda: "entry-0" in peer.members_.entries_by_id_)
+
+    run_scenario(scenario, entries=2)
+
+
+def test_an_entry_that_stops_removes_no_record_but_its_own():
+    async def scenario(deployment):
+        entry = deployment.entries_[0]
+        await deployment.until(lambda: len(listed_entries(deployment)) == 2)
+        deployment.store.delete_s = 0.2
+        stopping = asyncio.ensure_future(entry.drain())
+        await deployment.until(lambda: deployment.store.deletes_ == 1)
+        # As the next process of the entry writes it.
+        spec = listed_entries(deployment)["entry-0"]["spec"]
+        deployment.store.delete("leadford-entries", "entry-0")
+        deployment.store.put("leadford-entries", "entry-0", spec)
+        await stopping
+        assert "entry-0" in listed_entries(deployment)
+
+    run_scenario(scenario, entries=2)
+
+
+def test_an_entry_that_stops_takes_its_record_out_of_the_store():
+    async def scenario(deployment):
+        await deployment.until(lambda: len(listed_entries(deployment)) == 2)
+        await deployment.entries_[0].drain()
+        assert set(listed_entries(deployment)) == {"entry-1"}
+
+    run_scenario(scenario, entries=2)
