Take no answer with an id for that of a call without one

A request could be told "not run" though it ran, where one service has both routes and stages: the answer to a request, sent once more, was taken for that of the release after it, and the answer to the release for that of the next request.

Such an answer is foreign now: it is skipped, and the connection is closed after the exchange.

--- a/packages/leadford/src/leadford/forwarding/endpoints/_matching.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_matching.py
@@ -63,10 +63,10 @@
 
         `is_refusal` is true if the answer says that its request did not run.
         """
-        if request_id is None:
-            self.may_repeat_ |= not answered_id
+        if request_id is None and not answered_id:
+            self.may_repeat_ = True
             # Repeated, it would look like a refusal of any later request.
-            self.is_in_step_ &= bool(answered_id) or not is_refusal
+            self.is_in_step_ &= not is_refusal
             return AnswerMatch.OWN
         if not answered_id:
             return self._match_without_id()
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_matching.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_matching.py
@@ -48,3 +48,11 @@
     for number in range(1_000):
         matcher.record_sent(f"r{number}")
     assert len(matcher.sent_ids_) < 20
+
+
+def test_an_answer_with_an_id_is_not_that_of_a_call_without_one():
+    # The answer to the call then came where that of the next request was due.
+    matcher = AnswerMatcher()
+    matcher.record_sent("a")
+    assert matcher.match("a", None, is_refusal=False) is AnswerMatch.FOREIGN
+    assert not matcher.may_carry("b")
