Forgive an endpoint that goes on only its silences

Cause: a silence counted as one of the failures in a row, and the first head or bytes after it set all of them to zero.

Now silences are counted among the failures and forgiven alone, by a new event or a successful answer; an error status forgives nothing. While an attempt still waits, the suspicion does not run out.

That an endpoint which ends after a silence does not count as going on was mended with the count of events.

--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -106,7 +106,6 @@
             self._abandon(record, connection)
             raise
         self.evidence.record_alive(record, borrowed.began_at)
-        self.retries.record_heard(record)
         now = self.state.now()
         if now >= limit_at:
             # The head came late; the rest gets as much time again.
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
@@ -87,6 +87,8 @@
         if is_first:
             self.is_silent_ = True
             self.evidence.record_failure(record, failure)
+        else:
+            record.record_still_silent(self.state.now())
         failed = self._failed(AttemptEnd.SILENT, needed_s=self._needed_s())
         decision = self._decide(failed, self.choice.has_trusted)
         self.has_reserved_ |= decision.retry
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
@@ -169,3 +169,76 @@
         assert sum(len(run) for run in runs) <= 20 + 2 * len(deployment.plain)
 
     run_scenario(scenario, endpoints=3)
+
+
+def test_an_engine_that_ends_after_a_silence_is_not_taken_to_go_on():
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        spend_budget(deployment, "engine")
+        for engine in deployment.engines:
+            engine.pause_s = 0.1
+            engine.events = 30
+        sent = start_streams(deployment)
+        await deployment.until(
+            lambda: sum(len(e.runs_) for e in deployment.engines) == STREAMS
+        )
+        await asyncio.sleep(0.25)
+        used = max(deployment.engines, key=lambda e: len(e.runs_))
+        record = entry.state_.roster_.record(used.endpoint_id)
+        used.fall_silent(60.0)
+        await asyncio.sleep(0.6)
+        silences = record.consecutive_failures_
+        used.crash()
+        await asyncio.sleep(0.05)
+        assert silences > 1
+        assert record.consecutive_failures_ >= silences
+        for task in sent:
+            task.cancel()
+
+    run_scenario(scenario)
+
+
+def test_endpoints_that_are_slow_and_then_fail_become_suspect():
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        await teach_usual_duration(deployment)
+        spend_budget(deployment, "plain")
+
+        async def fail(handler):
+            handler.record_run()
+            await asyncio.sleep(0.3)
+            handler.set_status(500)
+            handler.finish(b"failed")
+
+        for endpoint in deployment.plain:
+            endpoint.serve = fail
+        records = [
+            entry.state_.roster_.record(endpoint.endpoint_id)
+            for endpoint in deployment.plain
+        ]
+        answers = await send_safe(deployment, 4)
+        assert {answer.code for answer in answers} == {500}
+        assert all(record.is_suspect(entry.state_.now()) for record in records)
+
+    run_scenario(scenario)
+
+
+def test_a_silence_counts_once_an_attempt():
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        spend_budget(deployment, "engine")
+        for engine in deployment.engines:
+            engine.pause_s = 0.1
+        sent = asyncio.ensure_future(
+            deployment.send("/resumed/x", request_id="r", deadline_ms=DEADLINE_MS)
+        )
+        await deployment.until(lambda: runs_of(deployment.engines, "r"))
+        (used,) = (engine for engine in deployment.engines if engine.runs_)
+        record = entry.state_.roster_.record(used.endpoint_id)
+        await asyncio.sleep(0.15)
+        used.fall_silent(0.9)
+        await asyncio.sleep(0.75)
+        assert record.consecutive_failures_ == 1
+        await sent
+
+    run_scenario(scenario)
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -54,6 +54,10 @@
 )
 
 
+# Failures after which an endpoint may go on as if nothing had been.
+SILENCES = frozenset({EndpointFailure.SILENT, EndpointFailure.SLOW})
+
+
 class EndpointRecord:
     """Hold the listing of an endpoint and the direct observations of it."""
 
@@ -66,7 +70,11 @@
         # Requests in flight that ran at other endpoints when those ended.
         self.suspect_requests_in_flight_ = 0
         self.consecutive_failures_ = 0
+        # How many of these were silences, from which the endpoint may go on.
+        self.silences_ = 0
         self.suspect_until_ = 0.0
+        # The part of the suspicion that is not because of silences.
+        self.broken_until_ = 0.0
         self.is_replaced_ = False
         self.cold_until_ = 0.0
         self.cold_revision_ = -1
@@ -144,7 +152,9 @@
     def record_success(self, elapsed_ms: float | None) -> None:
         """Record a successful answer and its latency; None if that is not known."""
         self.consecutive_failures_ = 0
+        self.silences_ = 0
         self.suspect_until_ = 0.0
+        self.broken_until_ = 0.0
         self.failure_rate_.update(0.0)
         if elapsed_ms is not None:
             self.latency_ms_.update(elapsed_ms)
@@ -153,17 +163,30 @@
         """Record a failure, which may make the endpoint suspect."""
         self.consecutive_failures_ += 1
         self.failure_rate_.update(1.0)
-        is_first = self.consecutive_failures_ < FAILURES_FOR_SUSPICION
-        if is_first and failure not in SUSPECT_AT_ONCE:
+        is_silence = failure in SILENCES
+        self.silences_ += is_silence
+        suspect_s = _suspect_s(self.consecutive_failures_, failure)
+        if suspect_s > 0.0:
+            self.suspect_until_ = max(self.suspect_until_, now + suspect_s)
+        if is_silence:
             return
-        doublings = min(self.consecutive_failures_ - 1, SUSPECT_DOUBLINGS_MAX)
-        suspect_s = min(SUSPECT_MAX_S, SUSPECT_BASE_S * 2.0**doublings)
-        self.suspect_until_ = max(self.suspect_until_, now + suspect_s)
+        broken_s = _suspect_s(self.consecutive_failures_ - self.silences_, failure)
+        if broken_s > 0.0:
+            self.broken_until_ = max(self.broken_until_, now + broken_s)
+
+    def record_still_silent(self, now: float) -> None:
+        """Record that an attempt that counts as failed for silence still waits."""
+        if self.silences_ and self.suspect_until_ > 0.0:
+            self.suspect_until_ = max(self.suspect_until_, now + SUSPECT_BASE_S)
 
     def record_heard(self) -> None:
-        """Record that the endpoint goes on after a silence that counted as failure."""
-        self.consecutive_failures_ = 0
-        self.suspect_until_ = 0.0
+        """Record that the endpoint goes on after silences that counted as failures.
+
+        Failures of other kinds still count.
+        """
+        self.consecutive_failures_ -= self.silences_
+        self.silences_ = 0
+        self.suspect_until_ = self.broken_until_
 
     def mark_replaced(self) -> None:
         """Record that another process is known to have taken over the address."""
@@ -204,3 +227,14 @@
         if self.load_ is None or now - self.load_at_ > LOAD_FRESH_S:
             return 0
         return max(0, self.load_.running + self.load_.waiting - self.in_flight_)
+
+
+def _suspect_s(failures: int, failure: EndpointFailure) -> float:
+    """Return for how long an endpoint is suspect after some failures in a row.
+
+    Units: seconds; 0 if it is not suspect.
+    """
+    if failures < FAILURES_FOR_SUSPICION and failure not in SUSPECT_AT_ONCE:
+        return 0.0
+    doublings = min(failures - 1, SUSPECT_DOUBLINGS_MAX)
+    return min(SUSPECT_MAX_S, SUSPECT_BASE_S * 2.0**doublings)
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_record.py
@@ -57,3 +57,30 @@
     for _ in range(8):
         record.record_slowness(0.9, 15.0)
     assert record.slowness(15.0) < 1.2
+
+
+def test_only_silences_are_forgiven_to_an_endpoint_that_goes_on(record):
+    for _ in range(3):
+        record.record_failure(0.0, EndpointFailure.LOST)
+    lost_until = record.suspect_until_
+    for _ in range(4):
+        record.record_failure(0.0, EndpointFailure.SILENT)
+    assert record.suspect_until_ > lost_until
+    record.record_heard()
+    assert record.suspect_until_ == lost_until
+    assert record.consecutive_failures_ == 3
+
+
+def test_an_endpoint_stays_suspect_while_an_attempt_waits_in_silence(record):
+    record.record_failure(0.0, EndpointFailure.SILENT)
+    for tenths in range(30):
+        record.record_still_silent(tenths / 10.0)
+    assert record.is_suspect(3.2)
+    record.record_heard()
+    assert not record.is_suspect(3.2)
+
+
+def test_one_slow_answer_does_not_make_an_endpoint_suspect(record):
+    record.record_failure(0.0, EndpointFailure.SLOW)
+    record.record_still_silent(0.1)
+    assert not record.is_suspect(0.1)
