Give a silent attempt up only for one that serves its request

Callers with a retry left fared worse than those without one. A stream at a silent engine was broken off, and a safe request got 502, because the other endpoint refused it, did not listen, had no connection free, or needed stages for which there was no time; where the budget was spent, the same requests waited and were served.

Cause: a reserved retry meant an untried endpoint that is not suspect and a retry in the budget, no more. Now an endpoint counts as better only if it reports nothing that waits and has a connection free; the time that another attempt needs counts the stages that are made again, and for an answer of unknown duration the time waited so far; a planned stop counts as the end of the time. If the next attempt is refused all the same, it does not count as one, and the endpoint that was given up may be used again. A retry whose endpoint went on in the same turn is returned to the budget, which is asked before all endpoints are looked at again.

Not mended: stages that fall silent after the attempt was given up.

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -87,6 +87,8 @@
         self.end_ = RequestEnd()
         # Written by the attempts.
         self.tried_endpoint_ids_: list[EndpointId] = []
+        # The endpoint that was given up for its silence and may be used again.
+        self.readmitted_id_: EndpointId | None = None
         # The software version of each endpoint that was tried, empty if not known.
         self.tried_software_: list[str] = []
         # The pace of the last endpoint that was tried, as known when the request was
@@ -160,6 +162,11 @@
         self.tried_endpoint_ids_.append(listed.endpoint_id)
         self.tried_software_.append(listed.known_software or "")
 
+    @property
+    def excluded_endpoint_ids(self) -> list[EndpointId]:
+        """Return the endpoints that may not be tried again."""
+        return [id_ for id_ in self.tried_endpoint_ids_ if id_ != self.readmitted_id_]
+
     def forget_tried(self) -> None:
         """Forget the last endpoint, since the request was not tried there after all."""
         self.tried_endpoint_ids_.pop()
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_pool.py
@@ -106,6 +106,13 @@
                     self._wake(connections)
                 raise
 
+    def has_room(self, record: EndpointRecord, connections_max: int) -> bool:
+        """Return whether a request would get a connection without waiting."""
+        connections = self.connections_by_id_.get(record.listed.endpoint_id)
+        if connections is None or connections.idle_:
+            return True
+        return connections.open_count_ < max_connections(connections_max, self.share())
+
     def _take_idle(
         self, connections: _EndpointConnections, request_id: RequestId | None
     ) -> EndpointConnection | None:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -105,6 +105,7 @@
         except BaseException:
             self._abandon(record, connection)
             raise
+        self.retries.return_reserved()
         self.evidence.record_alive(record, borrowed.began_at)
         now = self.state.now()
         if now >= limit_at:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -38,7 +38,7 @@
         service = self.progress.match_.service
         now = state.now()
         records = self._records()
-        tried = self.progress.tried_endpoint_ids_
+        tried = self.progress.excluded_endpoint_ids
         if self.runs_apart:
             return self._choose_apart(records, now)
         if service.engine is not None:
@@ -62,7 +62,7 @@
 
         The count stops at `MIN_ENDPOINTS_FOR_RETRY`; a larger one makes no difference.
         """
-        tried = self.progress.tried_endpoint_ids_
+        tried = self.progress.excluded_endpoint_ids
         service_id = self.progress.match_.service.service_id
         count = 0
         for record in self.state.usable(service_id):
@@ -73,15 +73,20 @@
                 break
         return count
 
-    def has_trusted(self) -> bool:
-        """Return whether there is an endpoint to try that is not suspect."""
+    def has_better(self) -> bool:
+        """Return whether there is an endpoint to try that promises to answer.
+
+        It is not suspect, reports no request that waits, and has a connection free.
+        """
         now = self.state.now()
-        tried = self.progress.tried_endpoint_ids_
-        service_id = self.progress.match_.service.service_id
-        for record in self.state.usable(service_id):
+        tried = self.progress.excluded_endpoint_ids
+        service = self.progress.match_.service
+        for record in self.state.usable(service.service_id):
             if record.listed.endpoint_id in tried or record.is_suspect(now):
                 continue
-            if self._may_use(record):
+            if record.reports_waiting(now) or not self._may_use(record):
+                continue
+            if self.state.pool_.has_room(record, service.connections_max):
                 return True
         return False
 
@@ -95,7 +100,7 @@
         self, records: Sequence[EndpointRecord], now: float
     ) -> EndpointRecord | None:
         """Return an endpoint with the fewest other suspected requests."""
-        tried = self.progress.tried_endpoint_ids_
+        tried = self.progress.excluded_endpoint_ids
         untried = [r for r in records if r.listed.endpoint_id not in tried]
         trusted = [record for record in untried if not record.is_suspect(now)]
         by_id = {record.listed.endpoint_id: record for record in trusted or untried}
@@ -155,7 +160,7 @@
             self.progress.match_.service.service_id,
             self.progress.request.prompt,
             excluded={
-                *self.progress.tried_endpoint_ids_,
+                *self.progress.excluded_endpoint_ids,
                 *self._excluded_from_placement(),
             },
             bytes_by_hall=self.inputs.bytes_by_hall(),
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 
+from leadford.common import EndpointId
 from leadford.events import Event
 from leadford.forwarding.endpoints import EndpointFailure, EndpointRecord
 from leadford.forwarding.retries import (
@@ -14,6 +15,7 @@
     FailedAttempt,
     RetryDecision,
     RetryReason,
+    WindowedRetryBudget,
     answer_due_at,
     decide_retry,
     usual_duration_s,
@@ -24,6 +26,8 @@
 from leadford_server.forwarding.retries._choice import EndpointChoice
 from leadford_server.forwarding.retries._evidence import EndpointEvidence
 
+# Stages may take this many times as long when they are made again.
+REMAKE_MARGIN = 1.25
 # Length to which the failure detail in the log line of a retry is cut.
 MAX_LOGGED_DETAIL_CHARS = 120
 
@@ -45,6 +49,10 @@
         self.evidence = evidence
         # Whether the budget was spent on the next attempt already.
         self.has_reserved_ = False
+        # The endpoint that was given up last, while nothing else may have run since.
+        self.given_up_id_: EndpointId | None = None
+        # Attempts since then that did not run.
+        self.refused_count_ = 0
         # Whether the endpoint of the current attempt is silent beyond its limit.
         self.is_silent_ = False
 
@@ -57,11 +65,14 @@
         progress = self.progress
         progress.may_have_run_ |= end.may_have_run
         progress.was_sent_ = False
+        self._readmit_given_up(end)
         decision = self._decide(
             self._failed(end), lambda: self.choice.choose() is not None
         )
         progress.retry_reason_ = decision.reason
-        if decision.reason is RetryReason.ALLOWED:
+        if decision.reason is not RetryReason.ALLOWED:
+            self.return_reserved()
+        else:
             self.has_reserved_ = False
             self.state.log.report(
                 Event.ATTEMPT_RETRIED,
@@ -71,6 +82,21 @@
             )
         return decision
 
+    def _readmit_given_up(self, end: AttemptEnd) -> None:
+        """Let the endpoint that was given up be used again if another one refuses.
+
+        It would have gone on with the request. An attempt that did not run does not
+        count in place of it.
+        """
+        if self.given_up_id_ is None or self.has_reserved_:
+            return
+        if end is AttemptEnd.NOT_RUN:
+            self.refused_count_ += 1
+            self.progress.readmitted_id_ = self.given_up_id_
+            return
+        self.given_up_id_ = None
+        self.refused_count_ = 0
+
     def may_give_up(
         self, record: EndpointRecord, sent_at: float, failure: EndpointFailure
     ) -> bool:
@@ -83,25 +109,37 @@
         """
         if self.is_out_of_time():
             return True
+        now = self.state.now()
         is_first = not self.is_silent_
         if is_first:
             self.is_silent_ = True
             self.evidence.record_failure(record, failure)
         else:
-            record.record_still_silent(self.state.now())
-        failed = self._failed(AttemptEnd.SILENT, needed_s=self._needed_s())
-        decision = self._decide(failed, self.choice.has_trusted)
-        self.has_reserved_ |= decision.retry
+            record.record_still_silent(now)
+            if not self._budget.allows(now):
+                return False
+        failed = self._failed(AttemptEnd.SILENT, needed_s=self._needed_s(now - sent_at))
+        decision = self._decide(failed, self.choice.has_better)
+        if decision.retry:
+            self.has_reserved_ = True
+            self.given_up_id_ = record.listed.endpoint_id
         if is_first or decision.retry:
             self.evidence.report_silent(record, sent_at, decision)
         return decision.retry
 
     def record_heard(self, record: EndpointRecord) -> None:
         """Record that the endpoint of the current attempt goes on."""
+        self.return_reserved()
         if self.is_silent_:
             self.is_silent_ = False
             record.record_heard()
 
+    def return_reserved(self) -> None:
+        """Return a retry that was reserved as the answer arrived in the same turn."""
+        if self.has_reserved_:
+            self.has_reserved_ = False
+            self._budget.return_retry()
+
     def is_out_of_time(self) -> bool:
         """Return whether the request must be ended now to be answered in time."""
         return self.state.now() >= answer_due_at(self.progress.deadline_)
@@ -111,16 +149,29 @@
         """Return whether too many endpoints crashed under the request or its prompt."""
         return self.state.quarantine_verdict(self.progress.prompt_keys_).refuses
 
-    def _needed_s(self) -> float:
+    def _needed_s(self, waited_s: float) -> float:
         """Return how long another attempt would take until it answers.
 
+        It makes its inputs again, since they were released with the first event. An
+        answer of unknown duration takes at least as long as it was waited for.
+
         Units: seconds.
         """
-        match = self.progress.match_
+        progress = self.progress
+        match = progress.match_
         service_id = match.service.service_id
-        if match.route.kind is RouteKind.STREAM:
-            return self.state.first_byte_.expected_s(service_id)
-        return usual_duration_s(self.state.usable(service_id)) or 0.0
+        if match.route.kind is not RouteKind.STREAM:
+            return usual_duration_s(self.state.usable(service_id)) or waited_s
+        first_byte_s = self.state.first_byte_.expected_s(service_id)
+        if not match.route.stages or progress.first_byte_at_ is None:
+            return first_byte_s
+        begun_s = progress.first_byte_at_ - progress.request.received_at
+        return max(first_byte_s, begun_s * REMAKE_MARGIN)
+
+    @property
+    def _budget(self) -> WindowedRetryBudget:
+        service_id = self.progress.match_.service.service_id
+        return self.state.retry_budgets_.budget(service_id)
 
     def _failed(self, end: AttemptEnd, needed_s: float = 0.0) -> FailedAttempt:
         progress = self.progress
@@ -130,11 +181,11 @@
             may_have_run=progress.may_have_run_,
             is_repeatable=route.is_repeatable,
             can_remake_inputs=route.kind is RouteKind.STREAM and bool(route.stages),
-            attempts=len(progress.tried_endpoint_ids_),
+            attempts=len(progress.tried_endpoint_ids_) - self.refused_count_,
             attempts_max=route.attempts_max,
             input_remakes=progress.input_remakes_,
             now=self.state.now(),
-            deadline=progress.deadline_,
+            deadline=min(progress.deadline_, self.state.deadlines_.ends_by_),
             is_quarantined=self.is_quarantined,
             has_reserved_retry=self.has_reserved_,
             needed_s=needed_s,
@@ -143,9 +194,6 @@
     def _decide(
         self, failed: FailedAttempt, has_other_endpoint: Callable[[], bool]
     ) -> RetryDecision:
-        service_id = self.progress.match_.service.service_id
         return decide_retry(
-            failed,
-            has_other_endpoint=has_other_endpoint,
-            budget=self.state.retry_budgets_.budget(service_id),
+            failed, has_other_endpoint=has_other_endpoint, budget=self._budget
         )
--- a/packages/leadford/src/leadford/forwarding/retries/_budget.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_budget.py
@@ -41,6 +41,11 @@
         """Count one retry that is sent."""
         self.retries_.append(now)
 
+    def return_retry(self) -> None:
+        """Count the last retry no more, since it was not sent."""
+        if self.retries_:
+            self.retries_.pop()
+
     def allows(self, now: float) -> bool:
         """Tell whether another retry fits in the window that ends now."""
         self._forget_past(now)
