End a safe request whose endpoint is lost while its caller has time

Cause: without an allowed retry a silent attempt waited without a bound. A plain answer that may be repeated now ends with 502 after 2 s in which its endpoint has answered nothing to anybody, if it is known how long answers usually take. A sound endpoint goes on within that time, and one that answers others is at work. Streams and requests that may run once wait on.

Evidence: test_a_safe_request_at_an_endpoint_that_is_lost_ends_while_its_caller_has_time failed before (504 after 2.97 s), and passes; a long request is awaited as before.

--- a/packages/leadford-server/src/leadford_server/forwarding/_heads.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_heads.py
@@ -23,6 +23,7 @@
         # Another process answered, so its answer says nothing about this endpoint.
         record.mark_replaced()
         return
+    record.answered_at_ = state.now()
     if head.report is not None:
         _record_report(state, record, head.report)
     state.endpoint_limits_.record_answer(
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
@@ -18,6 +18,7 @@
     WindowedRetryBudget,
     answer_due_at,
     decide_retry,
+    is_past_waiting,
     usual_duration_s,
 )
 from leadford.forwarding.routes import RouteKind
@@ -116,6 +117,8 @@
             self.evidence.record_failure(record, failure)
         else:
             record.record_still_silent(now)
+            if self._is_past_waiting(record, sent_at, now):
+                return True
             if not self._budget.allows(now):
                 return False
         failed = self._failed(AttemptEnd.SILENT, needed_s=self._needed_s(now - sent_at))
@@ -127,6 +130,19 @@
             self.evidence.report_silent(record, sent_at, decision)
         return decision.retry
 
+    def _is_past_waiting(
+        self, record: EndpointRecord, sent_at: float, now: float
+    ) -> bool:
+        """Return whether a plain request ends because its endpoint is probably lost."""
+        match = self.progress.match_
+        if match.route.kind is RouteKind.STREAM or not match.route.is_repeatable:
+            return False
+        if usual_duration_s(self.state.usable(match.service.service_id)) is None:
+            # Its work may take long.
+            return False
+        has_answered_since = record.answered_at_ >= sent_at
+        return is_past_waiting(now - sent_at, has_answered_since=has_answered_since)
+
     def record_heard(self, record: EndpointRecord) -> None:
         """Record that the endpoint of the current attempt goes on."""
         self.return_reserved()
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_given_up_attempts.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_given_up_attempts.py
@@ -163,3 +163,40 @@
         assert len(budget.retries_) == len(runs_of(deployment.engines, "r")) - 1
 
     run_scenario(scenario)
+
+
+def test_a_safe_request_at_an_endpoint_that_is_lost_ends_while_its_caller_has_time():
+    # It was held to its deadline, so its caller could not send it again.
+    async def scenario(deployment):
+        for number in range(12):
+            await deployment.send("/safe/x", request_id=f"u{number}")
+        budget = deployment.entries_[0].state_.retry_budgets_.budget("plain")
+        budget.slack = -1_000.0
+        for endpoint in deployment.plain:
+            endpoint.fall_silent(FOR_GOOD_S)
+        began_at = asyncio.get_running_loop().time()
+        answer = await deployment.send("/safe/x", request_id="r")
+        assert answer.code == 502
+        waited_s = asyncio.get_running_loop().time() - began_at
+        assert _limits.MAX_SILENCE_S <= waited_s < _limits.MAX_SILENCE_S + 0.5
+
+    run_scenario(scenario)
+
+
+def test_a_long_safe_request_is_awaited_while_its_endpoint_answers_others():
+    async def scenario(deployment):
+        for number in range(12):
+            await deployment.send("/safe/x", request_id=f"u{number}")
+        budget = deployment.entries_[0].state_.retry_budgets_.budget("plain")
+        budget.slack = -1_000.0
+        for endpoint in deployment.plain:
+            endpoint.work_s = 2.4
+        sent = asyncio.ensure_future(deployment.send("/safe/x", request_id="r"))
+        await deployment.until(lambda: runs_of(deployment.plain, "r"))
+        for endpoint in deployment.plain:
+            endpoint.work_s = 0.005
+        for number in range(12):
+            await deployment.send("/safe/x", request_id=f"v{number}")
+        assert (await sent).code == 200
+
+    run_scenario(scenario)
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -79,6 +79,8 @@
         self.cold_until_ = 0.0
         self.cold_revision_ = -1
         self.backpressure_ = Backpressure()
+        # When the head of its last answer came, to any request.
+        self.answered_at_ = float("-inf")
         self.load_: ReportedLoad | None = None
         self.load_at_ = 0.0
         # Requests of this process in flight when the load was reported, and sent since.
--- a/packages/leadford/src/leadford/forwarding/retries/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_limits.py
@@ -31,6 +31,8 @@
 # No stream is given up for a shorter silence: a sound endpoint may be silent for a
 # second or so.
 STREAM_SILENCE_MIN_S = 2.0
+# A sound endpoint that is silent goes on within this time.
+MAX_SILENCE_S = 2.0
 # Endpoints that must remain for an attempt and another one after it.
 MIN_ENDPOINTS_FOR_RETRY = 2
 # Fraction of a route's latency target for which a request waits until an endpoint takes
@@ -100,6 +102,17 @@
     return timing.now + limit_s
 
 
+def is_past_waiting(waited_s: float, *, has_answered_since: bool) -> bool:
+    """Return whether a safe request ends although no other attempt is allowed.
+
+    An endpoint that has answered nothing since then is probably lost. The caller may
+    send the request again itself while there is time, and this entry may not.
+
+    Units: seconds.
+    """
+    return waited_s >= MAX_SILENCE_S and not has_answered_since
+
+
 def stream_silence_deadline(
     route: Route, timing: AttemptTiming, *, has_begun: bool
 ) -> float:
