--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_orders_of_events.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_orders_of_events.py
@@ -1,6 +1,7 @@
 """In no order of events is a request that was read left unanswered."""
 
 import asyncio
+import logging
 from random import Random
 
 import pytest
@@ -44,6 +45,12 @@
 STAGE_BREAK_OFFS = (M.LOSE_ANSWER, M.REFUSE, M.FAIL, M.GONE, M.REPEAT_ANSWER)
 
 
+@pytest.fixture(autouse=True)
+def whole_log(caplog):
+    """Keep all events of a failure, which may not come again with its seed."""
+    caplog.set_level(logging.INFO, logger="absl")
+
+
 @pytest.fixture(autouse=True)
 def short_limit(monkeypatch):
     """Let streams go on elsewhere after a silence of this test."""
