Give a silent stream up only once the inputs of another attempt are there

A stream was broken off 1.35 s after it came, with 2.6 s left, though its engine was sound and only silent.

Cause: an attempt was given up as soon as a retry was reserved. The results of stages that the engine had read were released by then, so they had to be made again first; stages that failed meanwhile ended the stream. Class: something is given up before it is known that anything better is possible. Ruled out: the budget (a retry was allowed), the engines (a second one was trusted).

Now the inputs are made again while the request waits for its engine; the attempt is given up once they are there. If the engine goes on, they are released.

--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
@@ -45,6 +45,8 @@
         self.job_: StageJob | None = None
         self.done_at_: float | None = None
         self.attempts_begun_ = 0
+        # Whether the inputs of a next attempt were asked for during the current one.
+        self.is_preparing_ = False
 
     def capacities(self, match: RouteMatch) -> dict[ServiceId, StageCapacity]:
         """Return the capacity that each stage of the route can use now."""
@@ -134,6 +136,25 @@
     def record_attempt(self) -> None:
         """Count a new attempt, which may need the inputs."""
         self.attempts_begun_ += 1
+        self.is_preparing_ = False
+
+    def prepare(self) -> bool:
+        """Return whether another attempt has its inputs; begin to make missing ones."""
+        if self.job_ is None or self.job_.graph.is_done:
+            return True
+        if not self.is_preparing_:
+            self.is_preparing_ = True
+            self.stages.begin(self.job_)
+        return False
+
+    def end_preparation(self) -> None:
+        """Release inputs that were made for an attempt that is not needed.
+
+        Those that are still being made are released with the request.
+        """
+        if self.is_preparing_ and self.job_.graph.is_done:
+            self.release()
+        self.is_preparing_ = False
 
     def handles(self) -> tuple[ResultHandle, ...]:
         """Return the results that the request reads."""
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_stages.py
@@ -96,10 +96,14 @@
         """Make the missing results; raises StageFailure."""
         if job.graph.is_done:
             return
+        self.begin(job)
+        await job.done_
+
+    def begin(self, job: StageJob) -> None:
+        """Begin to make the missing results, unless they are being made."""
         if job.done_.done():
             job.done_ = self.state.loop.create_future()
         self._advance(job)
-        await job.done_
 
     def close(self, job: StageJob) -> None:
         """End a job: cancel its waiting pieces and release all its results."""
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -63,7 +63,11 @@
         self.choice = EndpointChoice(state=state, inputs=inputs, progress=progress)
         self.evidence = EndpointEvidence(state=state, progress=progress)
         self.retries = RequestRetries(
-            state=state, progress=progress, choice=self.choice, evidence=self.evidence
+            state=state,
+            progress=progress,
+            choice=self.choice,
+            evidence=self.evidence,
+            inputs=inputs,
         )
         self.sent_prompt_: SentPrompt | None = None
         # Whether the current attempt is counted in `suspect_requests_in_flight_`.
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_evidence.py
@@ -61,7 +61,12 @@
             )
 
     def report_silent(
-        self, record: EndpointRecord, sent_at: float, decision: RetryDecision
+        self,
+        record: EndpointRecord,
+        sent_at: float,
+        decision: RetryDecision,
+        *,
+        is_given_up: bool,
     ) -> None:
         """Log that an endpoint is silent beyond a limit, and whether that ends it.
 
@@ -78,7 +83,7 @@
             attempt=len(progress.tried_endpoint_ids_),
             ran_ms=ran_ms,
             answering_ms=progress.answering_ms(now),
-            is_given_up=decision.retry,
+            is_given_up=is_given_up,
             retry=decision.reason.value,
         )
 
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
@@ -21,6 +21,7 @@
 from leadford.forwarding.routes import RouteKind
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching import RequestInputs
 from leadford_server.forwarding.retries._choice import EndpointChoice
 from leadford_server.forwarding.retries._evidence import EndpointEvidence
 
@@ -38,9 +39,11 @@
         progress: RequestProgress,
         choice: EndpointChoice,
         evidence: EndpointEvidence,
+        inputs: RequestInputs,
     ) -> None:
         self.state = state
         self.progress = progress
+        self.inputs = inputs
         self.choice = choice
         self.evidence = evidence
         # Whether the budget was spent on the next attempt already.
@@ -76,8 +79,9 @@
     ) -> bool:
         """Return whether to give up an attempt because its endpoint is silent.
 
-        If so, the retry that follows it is reserved. An endpoint that is as silent is
-        not worth a retry.
+        If so, the retry that follows it is reserved, and its inputs are there: stages
+        that make them again may fail. An endpoint that is as silent is not worth a
+        retry.
 
         Units: sent_at in seconds of the monotonic clock.
         """
@@ -92,15 +96,19 @@
         failed = self._failed(AttemptEnd.SILENT, needed_s=self._needed_s())
         decision = self._decide(failed, self.choice.has_trusted)
         self.has_reserved_ |= decision.retry
-        if is_first or decision.retry:
-            self.evidence.report_silent(record, sent_at, decision)
-        return decision.retry
+        is_given_up = decision.retry and self.inputs.prepare()
+        if is_first or is_given_up:
+            self.evidence.report_silent(
+                record, sent_at, decision, is_given_up=is_given_up
+            )
+        return is_given_up
 
     def record_heard(self, record: EndpointRecord) -> None:
         """Record that the endpoint of the current attempt goes on."""
         if self.is_silent_:
             self.is_silent_ = False
             record.record_heard()
+            self.inputs.end_preparation()
 
     def is_out_of_time(self) -> bool:
         """Return whether the request must be ended now to be answered in time."""
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
@@ -5,7 +5,13 @@
 import pytest
 
 from leadford.forwarding.retries import _limits
-from leadford_standins.wire import event_ids, run_scenario, runs_of
+from leadford_standins.wire import (
+    Misbehaviour,
+    event_ids,
+    plan_misbehaviour,
+    run_scenario,
+    runs_of,
+)
 
 SILENCE_S = 0.8
 STREAMS = 6
@@ -242,3 +248,22 @@
         await sent
 
     run_scenario(scenario)
+
+
+def test_a_silent_stream_is_awaited_while_stages_cannot_make_its_inputs_again():
+    async def scenario(deployment):
+        for engine in deployment.engines:
+            engine.pause_s = 0.15
+        sent = asyncio.ensure_future(
+            deployment.send("/resumed/x", request_id="r", deadline_ms=DEADLINE_MS)
+        )
+        await deployment.until(lambda: runs_of(deployment.engines, "r"))
+        # By now the engine has read its inputs, and they were released.
+        await deployment.until(lambda: not any(e.results_ for e in deployment.stage))
+        plan_misbehaviour(deployment.stage, Misbehaviour.FAIL, count=100)
+        silence(deployment.engines)
+        answer = await sent
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+        assert len(runs_of(deployment.engines, "r")) == 1
+
+    run_scenario(scenario)
