--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
@@ -24,6 +24,7 @@
 from leadford.forwarding.routes import RouteKind
 from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
+from leadford_server.forwarding.batching import RequestInputs
 from leadford_server.forwarding.retries._choice import EndpointChoice
 from leadford_server.forwarding.retries._evidence import EndpointEvidence
 
@@ -43,9 +44,11 @@
         progress: RequestProgress,
         choice: EndpointChoice,
         evidence: EndpointEvidence,
+        inputs: RequestInputs,
     ) -> None:
         self.state = state
         self.progress = progress
+        self.inputs = inputs
         self.choice = choice
         self.evidence = evidence
         # Whether the budget was spent on the next attempt already.
@@ -103,8 +106,9 @@
     ) -> bool:
         """Return whether to give up an attempt because its endpoint is silent.
 
-        If so, the retry that follows it is reserved. An endpoint that is as silent is
-        not worth a retry.
+        If so, the retry that follows it is reserved, and its inputs are there: stages
+        that make them again may fail. An endpoint that is as silent is not worth a
+        retry.
 
         Units: sent_at in seconds of the monotonic clock.
         """
@@ -119,16 +123,19 @@
             record.record_still_silent(now)
             if self._is_past_waiting(record, sent_at, now):
                 return True
-            if not self._budget.allows(now):
+            if not self.has_reserved_ and not self._budget.allows(now):
                 return False
         failed = self._failed(AttemptEnd.SILENT, needed_s=self._needed_s(now - sent_at))
         decision = self._decide(failed, self.choice.has_better)
-        if decision.retry:
-            self.has_reserved_ = True
+        self.has_reserved_ |= decision.retry
+        is_given_up = decision.retry and self.inputs.prepare()
+        if is_given_up:
             self.given_up_id_ = record.listed.endpoint_id
-        if is_first or decision.retry:
-            self.evidence.report_silent(record, sent_at, decision)
-        return decision.retry
+        if is_first or is_given_up:
+            self.evidence.report_silent(
+                record, sent_at, decision, is_given_up=is_given_up
+            )
+        return is_given_up
 
     def _is_past_waiting(
         self, record: EndpointRecord, sent_at: float, now: float
@@ -149,6 +156,7 @@
         if self.is_silent_:
             self.is_silent_ = False
             record.record_heard()
+            self.inputs.end_preparation()
 
     def return_reserved(self) -> None:
         """Return a retry that was reserved as the answer arrived in the same turn."""
@@ -168,8 +176,8 @@
     def _needed_s(self, waited_s: float) -> float:
         """Return how long another attempt would take until it answers.
 
-        It makes its inputs again, since they were released with the first event. An
-        answer of unknown duration takes at least as long as it was waited for.
+        It makes its inputs again if they were released with the first event. An answer
+        of unknown duration takes at least as long as it was waited for.
 
         Units: seconds.
         """
@@ -179,7 +187,7 @@
         if match.route.kind is not RouteKind.STREAM:
             return usual_duration_s(self.state.usable(service_id)) or waited_s
         first_byte_s = self.state.first_byte_.expected_s(service_id)
-        if not match.route.stages or progress.first_byte_at_ is None:
+        if self.inputs.is_complete or progress.first_byte_at_ is None:
             return first_byte_s
         begun_s = progress.first_byte_at_ - progress.request.received_at
         return max(first_byte_s, begun_s * REMAKE_MARGIN)
