Give streams of a test of silence a target that admission can meet

Admission expects up to 0.24 s for the streams of this test, whose target was 0.3 s, so a machine that is a little late has one refused: suspected of the one failure of five runs, whose status is not kept. The target is 0.7 s now and the silence 1.4 s, longer than the limit as before; the status is asserted too.

--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
@@ -72,14 +72,15 @@
     async def scenario(deployment):
         spend_budget(deployment, "engine")
         # An engine may take as long as the target before the first event.
-        deployment.config["routes"][2]["goalMs"] = 300
+        deployment.config["routes"][2]["goalMs"] = 700
         deployment.config["version"] = 2
         deployment.put_config()
         (entry,) = deployment.entries_
         await deployment.until(lambda: entry.state_.config_version() == 2)
-        silence(deployment.engines)
+        silence(deployment.engines, 1.4)
         for number, sent in enumerate(start_streams(deployment)):
             answer = await sent
+            assert answer.code == 200
             assert event_ids(answer.body) == [1, 2, 3, 4, 5]
             assert len(runs_of(deployment.engines, f"r{number}")) == 1
 
