Let the failure rate of an endpoint fade, so that it comes back

An engine that had sent bytes without end got nothing more though it was sound again and no longer suspect, for as long as the other engines were not busy.

Cause: each failure adds to a failure rate, which costs an engine up to 400 ms in the choice and falls only with complete answers; an engine that gets no request gives none. The excess of its slowness already fades for that reason, with a half-life of 2 s. Now the failure rate does too. Suspicion, which is what keeps requests off an endpoint that fails, is as it was.

--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -37,6 +37,9 @@
 # again.
 SLOWNESS_HALF_LIFE_S = 2.0
 
+# Half-life of the failure rate, for the same reason.
+FAILURE_HALF_LIFE_S = 2.0
+
 
 class EndpointFailure(Enum):
     """State how an endpoint failed an attempt or a call."""
@@ -78,6 +81,7 @@
         self.sent_since_report_ = 0
         self.pace_ = EndpointPace()
         self.failure_rate_ = Ewma(initial=0.0, weight=FAILURE_WEIGHT)
+        self.failed_at_ = 0.0
         self.latency_ms_ = Ewma(initial=0.0, weight=LATENCY_WEIGHT)
         self.slowness_ = Ewma(initial=1.0, weight=SLOWNESS_WEIGHT)
         self.slowness_at_ = 0.0
@@ -152,7 +156,9 @@
     def record_failure(self, now: float, failure: EndpointFailure) -> None:
         """Record a failure, which may make the endpoint suspect."""
         self.consecutive_failures_ += 1
+        self.failure_rate_.value_ = self.failure_rate(now)
         self.failure_rate_.update(1.0)
+        self.failed_at_ = now
         is_first = self.consecutive_failures_ < FAILURES_FOR_SUSPICION
         if is_first and failure not in SUSPECT_AT_ONCE:
             return
@@ -160,6 +166,11 @@
         suspect_s = min(SUSPECT_MAX_S, SUSPECT_BASE_S * 2.0**doublings)
         self.suspect_until_ = max(self.suspect_until_, now + suspect_s)
 
+    def failure_rate(self, now: float) -> float:
+        """Return the fraction of failures lately, from 0 to 1; it decays with time."""
+        age_s = now - self.failed_at_
+        return self.failure_rate_.value_ * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
     def record_heard(self) -> None:
         """Record that the endpoint goes on after a silence that counted as failure."""
         self.consecutive_failures_ = 0
