--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_pages.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_pages.py
@@ -11,11 +11,11 @@
     RequestHandler,
     RequestsHandler,
 )
-from leadford_server.pipelines.entry._operators import (
+from leadford_server.pipelines.entry._operator_pages import (
     ConfigHandler,
-    OperatorService,
     StatementsHandler,
 )
+from leadford_server.pipelines.entry._operators import OperatorService
 from leadford_server.pipelines.entry._requests import RequestTable
 from leadford_server.pipelines.entry._services import EntryServices
 
