Split the retry delay of a refused request from the decision on it

The delay is a function in _retry_after. The bound on the routes that are kept stood in _first_try and _usual_wait; it is in _route_bound.

The comment in _usual_wait named the figures of one fleet, which were: with 68 entries, the entry that receives a retry knows of the refusal in one case of six.

Evidence: the tests of forwarding/admission and of layers pass.

--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -50,6 +50,7 @@
     RetryReservation,
     RetryReservations,
 )
+from leadford.forwarding.admission._retry_after import retry_after_s
 from leadford.forwarding.admission._shares import AdmittedShares
 from leadford.forwarding.admission._usual_wait import CommonTimeouts
 from leadford.forwarding.batching import AdmittedBacklog
@@ -58,14 +59,6 @@
 # Delay with which an entry may learn of a refusal, and time by which a first try
 # precedes its refusal: slightly more than a heartbeat interval.
 REFUSAL_NEWS_DELAY_S = 0.5
-# Fraction of the slack that the backlog may still take when a refused request is
-# retried.
-RETRY_SLACK_FRACTION = 0.55
-MIN_RETRY_AFTER_S = 0.25
-# The longest retry delay is the remaining time divided by this.
-MAX_RETRY_AFTER_DIVISOR = 3.0
-# Maximum fraction by which a retry delay is lengthened at random.
-JITTER_FRACTION = 0.15
 # Maximum correction of a forecast as a fraction of the target.
 MAX_ERROR_FRACTION = 0.6
 
@@ -132,7 +125,9 @@
             self._record_admitted(request, forecast)
             return decision
         short_id = max(too_long, key=lambda delay: delay.delay_s).service_id
-        wait_s = self._retry_after_s(request, critical_path_s, queue_delay_s)
+        wait_s = retry_after_s(
+            request, critical_path_s, queue_delay_s, random=self.random
+        )
         self._record_refused(request, forecast, wait_s)
         return msgspec.structs.replace(
             decision,
@@ -243,27 +238,6 @@
         """Return the average by which recent forecasts for a route were too short."""
         return self.error_by_route_.setdefault(route.route_id, ForecastError())
 
-    def _retry_after_s(
-        self, request: AdmissionRequest, critical_path_s: float, queue_delay_s: float
-    ) -> float:
-        """Return the retry delay of a refused request, with random jitter.
-
-        A request that cannot meet its target whenever it is retried gets the longest
-        delay, which leaves the most time to process the backlog.
-        """
-        remaining_s = request.timeout_s - request.elapsed_s
-        max_retry_after_s = max(
-            MIN_RETRY_AFTER_S, remaining_s / MAX_RETRY_AFTER_DIVISOR
-        )
-        slack_s = request.aim_s - critical_path_s - request.first_byte_s
-        wait_s = queue_delay_s - RETRY_SLACK_FRACTION * slack_s
-        if wait_s > slack_s:
-            return max_retry_after_s
-        wait_s = max(MIN_RETRY_AFTER_S, wait_s) * self.random.uniform(
-            1.0, 1.0 + JITTER_FRACTION
-        )
-        return min(wait_s, max_retry_after_s)
-
 
 def can_keep_booking(request: AdmissionRequest) -> bool:
     """Return whether a request can meet its deadline without any backlog."""
--- a/packages/leadford/src/leadford/forwarding/admission/_first_try.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_first_try.py
@@ -5,11 +5,9 @@
 time since then. Owned by admission; nothing is decided here.
 """
 
+from leadford.forwarding.admission._route_bound import drop_oldest_route
 from leadford.forwarding.routes import RouteId
 
-# Maximum number of routes, far more than have stages; the oldest is dropped first.
-MAX_ROUTES = 2_000
-
 
 class FirstTryTimes:
     """Keep the longest timeout that callers of each route have stated."""
@@ -21,8 +19,7 @@
         """Record how long a caller will still wait."""
         longest_s = self.longest_s_by_route_.get(route_id, 0.0)
         self.longest_s_by_route_[route_id] = max(longest_s, remaining_s)
-        if len(self.longest_s_by_route_) > MAX_ROUTES:
-            del self.longest_s_by_route_[next(iter(self.longest_s_by_route_))]
+        drop_oldest_route(self.longest_s_by_route_)
 
     def since_first_try_s(self, route_id: RouteId, remaining_s: float) -> float:
         """Return the time since the first try of a caller, by its remaining time.
--- a/packages/leadford/src/leadford/forwarding/admission/_return_window.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_return_window.py
@@ -11,11 +11,7 @@
 import msgspec
 
 from leadford.forwarding.admission._bookings import MAX_EARLY_CLAIM_S, BookingQuery
-from leadford.forwarding.admission._decision import (
-    MAX_RETRY_AFTER_DIVISOR,
-    MIN_RETRY_AFTER_S,
-    can_keep_booking,
-)
+from leadford.forwarding.admission._decision import can_keep_booking
 from leadford.forwarding.admission._forecast import StageForecast
 from leadford.forwarding.admission._limits import DEADLINE_FRACTION
 from leadford.forwarding.admission._request import (
@@ -23,6 +19,10 @@
     AdmissionRequest,
     Verdict,
 )
+from leadford.forwarding.admission._retry_after import (
+    MAX_RETRY_AFTER_DIVISOR,
+    MIN_RETRY_AFTER_S,
+)
 from leadford.forwarding.routes import PRIORITY_LOWEST
 
 
--- a/packages/leadford/src/leadford/forwarding/admission/_usual_wait.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_usual_wait.py
@@ -1,15 +1,16 @@
 """Recognize a caller retry by the timeout it states, whichever entry refused it before.
 
-During a burst many requests are refused and retried, each through any entry. With 68
-entries, the entry that receives a retry knows of the refusal in only one case of six.
-The others would take it for a first try and queue its pieces before those of requests
-that can still be in time. However, callers state how long they will still wait: most
-first tries of a route state the same timeout, and retries state various shorter ones.
+During a burst many requests are refused and retried, each through any entry. In a large
+fleet, most entries that receive a retry have not been told of the refusal. They would
+take it for a first try and queue its pieces before those of requests that can still be
+in time. However, callers state how long they will still wait: most first tries of a
+route state the same timeout, and retries state various shorter ones.
 Owned by admission, which decides what follows.
 """
 
 from collections import Counter
 
+from leadford.forwarding.admission._route_bound import drop_oldest_route
 from leadford.forwarding.routes import RouteId
 
 # Fraction of the callers of a route that must state the same timeout before it counts
@@ -25,8 +26,6 @@
 # timeout for a retry. No caller is told to retry sooner than after 0.25 s.
 RESOLUTION_S = 0.01
 MIN_REDUCTION_S = 0.1
-# Maximum number of routes, far more than have stages; the oldest is dropped first.
-MAX_ROUTES = 2_000
 
 
 class CommonTimeouts:
@@ -44,8 +43,7 @@
             self.counts_by_route_[route_id] = Counter(
                 {steps: count for steps, count in halved.items() if count > 0}
             )
-        if len(self.counts_by_route_) > MAX_ROUTES:
-            del self.counts_by_route_[next(iter(self.counts_by_route_))]
+        drop_oldest_route(self.counts_by_route_)
 
     def since_first_try_s(self, route_id: RouteId, remaining_s: float) -> float | None:
         """Return the time since the first try of a caller, by its remaining time.
