Split the reports of the backlog from the sum over them

Reports stand in _backlog_reports and tell that themselves; drain_s stands with the throughput that it divides by.

The comment on the widest sum named the figures of one fleet, which were: with 68 entries one entry receives reports from about ten others, so its own sum is a sixth of the backlog, and admission by it would accept several times what the stages can compute.

Evidence: the tests of forwarding/batching, forwarding/admission, of messages between entries, of layers, and of leadford_server/forwarding/membership pass.

--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_levels_under_load.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_levels_under_load.py
@@ -15,7 +15,7 @@
     replay,
     steady,
 )
-from leadford.forwarding.batching._backlog import REPORT_MAX_AGE_S
+from leadford.forwarding.batching._backlog_reports import REPORT_MAX_AGE_S
 
 DURATION_S = 12.0
 BURST_BEGINS_S, BURST_ENDS_S = 2.0, 7.0
--- a/packages/leadford/src/leadford/forwarding/batching/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/batching/__init__.py
@@ -1,11 +1,7 @@
 """Plan the stages that run before a request, batching their pieces over requests."""
 
-from leadford.forwarding.batching._backlog import (
-    AdmittedBacklog,
-    BacklogKey,
-    BacklogSum,
-    drain_s,
-)
+from leadford.forwarding.batching._backlog import AdmittedBacklog
+from leadford.forwarding.batching._backlog_reports import BacklogKey, BacklogSum
 from leadford.forwarding.batching._capacity import (
     CapacityTable,
     CapacityUse,
@@ -52,7 +48,11 @@
 )
 from leadford.forwarding.batching._reserved import RESERVED_FRACTION
 from leadford.forwarding.batching._tasks import Chunk, PieceTask, queue_delay_s
-from leadford.forwarding.batching._throughput import Throughput, ThroughputRate
+from leadford.forwarding.batching._throughput import (
+    Throughput,
+    ThroughputRate,
+    drain_s,
+)
 
 __all__ = [
     "CALL_INPUTS_READ_S",
--- a/packages/leadford/src/leadford/forwarding/batching/_backlog.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_backlog.py
@@ -9,79 +9,18 @@
 
 from collections.abc import Mapping
 
-import msgspec
-
 from leadford.common import EntryId
-from leadford.forwarding.batching._throughput import ThroughputRate
+from leadford.forwarding.batching._backlog_reports import (
+    BacklogKey,
+    BacklogSum,
+    EntryReport,
+    FlowReport,
+    RateReport,
+    SumReport,
+)
+from leadford.forwarding.batching._throughput import ThroughputRate, drain_s
 from leadford.forwarding.routes import LEVEL_HIGHEST, LEVEL_LESS_URGENT, ServiceId
 
-# Reports of other entries expire after this age.
-REPORT_MAX_AGE_S = 1.5
-
-
-class BacklogKey(msgspec.Struct, frozen=True):
-    """Identify the pieces of one service and one level; level 0 is the most urgent."""
-
-    service_id: ServiceId
-    level: int
-
-
-class BacklogSum(msgspec.Struct, frozen=True):
-    """Hold the admitted pieces of one service, summed over a number of entries.
-
-    `is_by_level` is true for the sum of a scheduler that reports each level. Without
-    it, a scheduler counts all pieces below the highest level as one level.
-    """
-
-    entries: int
-    pieces_by_level: dict[int, int]
-    is_by_level: bool = False
-
-    @property
-    def urgent(self) -> int:
-        """Return the pieces of the highest level."""
-        return self.pieces_by_level.get(LEVEL_HIGHEST, 0)
-
-    @property
-    def less_urgent(self) -> int:
-        """Return the pieces below the highest level."""
-        return sum(self.pieces_by_level.values()) - self.urgent
-
-    def up_to(self, level: int) -> int:
-        """Return the pieces of a level and of all more urgent ones."""
-        return sum(
-            pieces for known, pieces in self.pieces_by_level.items() if known <= level
-        )
-
-
-class _EntryReport(msgspec.Struct, frozen=True):
-    """Hold the backlog that another entry reported, and when it arrived."""
-
-    levels_by_service: dict[ServiceId, dict[int, int]]
-    received_at: float
-
-
-class _SumReport(msgspec.Struct, frozen=True):
-    """Hold a sum from a scheduler, and the last report of this entry before it."""
-
-    reported_sum: BacklogSum
-    reported_by_key: dict[BacklogKey, int]
-    received_at: float
-
-
-class _RateReport(msgspec.Struct, frozen=True):
-    """Hold the rate that a scheduler reported of its stage, and when it arrived."""
-
-    rate: ThroughputRate
-    received_at: float
-
-
-class _FlowReport(msgspec.Struct, frozen=True):
-    """Hold the throughput of each level (its flow) of a stage, and when it arrived."""
-
-    per_s_by_level: dict[int, float]
-    received_at: float
-
 
 class AdmittedBacklog:
     """Add up the admitted backlog of all entries; old reports expire."""
@@ -89,10 +28,10 @@
     def __init__(self) -> None:
         self.own_by_key_: dict[BacklogKey, int] = {}
         self.reported_by_key_: dict[BacklogKey, int] = {}
-        self.reports_by_entry_: dict[EntryId, _EntryReport] = {}
-        self.sums_by_service_: dict[ServiceId, _SumReport] = {}
-        self.rates_by_service_: dict[ServiceId, _RateReport] = {}
-        self.flows_by_service_: dict[ServiceId, _FlowReport] = {}
+        self.reports_by_entry_: dict[EntryId, EntryReport] = {}
+        self.sums_by_service_: dict[ServiceId, SumReport] = {}
+        self.rates_by_service_: dict[ServiceId, RateReport] = {}
+        self.flows_by_service_: dict[ServiceId, FlowReport] = {}
 
     def add(self, key: BacklogKey, pieces: int) -> None:
         """Count pieces that this entry admitted; a negative count removes pieces."""
@@ -117,7 +56,9 @@
         levels_by_service: dict[ServiceId, dict[int, int]] = {}
         for key, pieces in counts_by_key.items():
             levels_by_service.setdefault(key.service_id, {})[key.level] = pieces
-        self.reports_by_entry_[entry_id] = _EntryReport(levels_by_service, now)
+        self.reports_by_entry_[entry_id] = EntryReport(
+            levels_by_service, received_at=now
+        )
 
     def record_levels(
         self,
@@ -138,10 +79,10 @@
         is_wider = (
             known is not None and known.reported_sum.entries > reported_sum.entries
         )
-        if is_wider and now - known.received_at < REPORT_MAX_AGE_S:
+        if is_wider and known.is_fresh(now):
             return
-        self.sums_by_service_[service_id] = _SumReport(
-            reported_sum, self.reported_by_key_, now
+        self.sums_by_service_[service_id] = SumReport(
+            reported_sum, self.reported_by_key_, received_at=now
         )
 
     def record_rate(
@@ -151,13 +92,13 @@
         if rate is None:
             self.rates_by_service_.pop(service_id, None)
         else:
-            self.rates_by_service_[service_id] = _RateReport(rate, now)
+            self.rates_by_service_[service_id] = RateReport(rate, received_at=now)
 
     def record_flow(
         self, service_id: ServiceId, per_s_by_level: dict[int, float], now: float
     ) -> None:
         """Record the throughput of each level of a stage."""
-        self.flows_by_service_[service_id] = _FlowReport(per_s_by_level, now)
+        self.flows_by_service_[service_id] = FlowReport(per_s_by_level, received_at=now)
 
     def flow_above_per_s(self, service_id: ServiceId, level: int, now: float) -> float:
         """Return the throughput of the levels that are more urgent than one.
@@ -165,7 +106,7 @@
         Units: pieces per second; 0 where it is not known.
         """
         report = self.flows_by_service_.get(service_id)
-        if report is None or now - report.received_at >= REPORT_MAX_AGE_S:
+        if report is None or not report.is_fresh(now):
             return 0.0
         return sum(
             per_s for known, per_s in report.per_s_by_level.items() if known < level
@@ -192,7 +133,7 @@
     def rate(self, service_id: ServiceId, now: float) -> ThroughputRate | None:
         """Return the recent throughput of a stage that is behind, else None."""
         report = self.rates_by_service_.get(service_id)
-        if report is None or now - report.received_at >= REPORT_MAX_AGE_S:
+        if report is None or not report.is_fresh(now):
             return None
         return report.rate
 
@@ -205,7 +146,7 @@
         reported = [
             reported.levels_by_service
             for reported in self.reports_by_entry_.values()
-            if now - reported.received_at < REPORT_MAX_AGE_S
+            if reported.is_fresh(now)
         ]
         pieces_by_level = self._pieces_by_level(self.own_by_key_, service_id)
         for levels_by_service in reported:
@@ -225,13 +166,12 @@
     def widest_sum(self, service_id: ServiceId, now: float) -> BacklogSum:
         """Return the sum over the most entries: this entry's own or a scheduler's.
 
-        In a fleet of 68 entries, one entry receives reports from about ten others. Its
-        own sum is then a sixth of the backlog, and admission by it would accept several
-        times what the stages can compute.
+        In a large fleet an entry receives reports only from a part of the others.
+        Admission by its own sum would then accept more than the stages can compute.
         """
         own = self.sum(service_id, now)
         report = self.sums_by_service_.get(service_id)
-        if report is None or now - report.received_at >= REPORT_MAX_AGE_S:
+        if report is None or not report.is_fresh(now):
             return own
         known = report.reported_sum
         if known.entries < own.entries:
@@ -240,7 +180,7 @@
             return own
         return self._updated(report, service_id)
 
-    def _updated(self, report: _SumReport, service_id: ServiceId) -> BacklogSum:
+    def _updated(self, report: SumReport, service_id: ServiceId) -> BacklogSum:
         """Return a reported sum plus the change of this entry's backlog since."""
         known = report.reported_sum
         pieces_by_level = dict(known.pieces_by_level)
@@ -275,13 +215,3 @@
         before = total.up_to(level)
         less_urgent = sum(total.pieces_by_level.values()) - before
         return before + less_urgent * less_urgent_fraction
-
-
-def drain_s(pieces: float, per_s: float) -> float:
-    """Return how long it takes to compute some pieces at a throughput.
-
-    Units: seconds, per_s in pieces per second; infinite if the throughput is 0.
-    """
-    if pieces == 0:
-        return 0.0
-    return pieces / per_s if per_s > 0.0 else float("inf")
--- a/packages/leadford/src/leadford/forwarding/batching/_throughput.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_throughput.py
@@ -122,3 +122,13 @@
             level: (made - first.made_by_level.get(level, 0)) / span_s
             for level, made in last.made_by_level.items()
         }
+
+
+def drain_s(pieces: float, per_s: float) -> float:
+    """Return how long it takes to compute some pieces at a throughput.
+
+    Units: seconds, per_s in pieces per second; infinite if the throughput is 0.
+    """
+    if pieces == 0:
+        return 0.0
+    return pieces / per_s if per_s > 0.0 else float("inf")
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_backlog_levels.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_backlog_levels.py
@@ -2,7 +2,7 @@
 
 from leadford.common import EntryId
 from leadford.forwarding.batching import AdmittedBacklog, BacklogKey, BacklogSum
-from leadford.forwarding.batching._backlog import REPORT_MAX_AGE_S
+from leadford.forwarding.batching._backlog_reports import REPORT_MAX_AGE_S
 from leadford.forwarding.routes import ServiceId
 
 SERVICE = ServiceId("stage")
