Say in the own interface's entry what constants bound, and drop a figure from a comment

Comments of pipelines/entry named constants by 'seconds between looks' and the like; they say what is bound, in the field's terms. IDLE_LOOK_S is IDLE_CHECK_INTERVAL_S.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_admitting.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_admitting.py
@@ -18,7 +18,7 @@
 
 # The least urgent priority.
 PRIORITY_LAST = 9
-# Milliseconds after which a caller is asked to come back.
+# Retry delays of refused callers: during a planned stop, and of a paused pipeline.
 DRAINING_RETRY_AFTER_MS = 1000.0
 PAUSED_RETRY_AFTER_MS = 30_000.0
 
@@ -37,7 +37,7 @@
 
     @property
     def content_digest(self) -> RequestDigest:
-        """Return what tells that two requests are the same work."""
+        """Return the digest by which two requests are known to be the same work."""
         return self.body.content_digest(self.pipeline_id, self.workspace)
 
 
@@ -76,7 +76,7 @@
     def _standing_problem(
         self, pipeline: PipelineConfig, new: NewRequest, *, draining: bool
     ) -> Problem | None:
-        """Return what keeps a request from beginning, whatever the load."""
+        """Return why a request cannot begin, whatever the load."""
         if draining:
             return Problem(
                 503, RefusalReason.DRAINING, retry_after_ms=DRAINING_RETRY_AFTER_MS
@@ -88,8 +88,8 @@
         quarantined = self.services.quarantine_.verdict(new.content_digest)
         if not quarantined.refuses:
             return None
-        # What a caller sends again is the same work: without this it ends one endpoint
-        # after the other.
+        # A retry is the same work: without this it would crash one endpoint after the
+        # other.
         return Problem(
             503,
             RefusalReason.QUARANTINED,
@@ -99,7 +99,7 @@
     def _forecast_problem(
         self, pipeline: PipelineConfig, new: NewRequest, *, live: int
     ) -> Problem | None:
-        """Return why a request would probably not be in time, or None."""
+        """Return why a request is unlikely to meet its deadline, or None."""
         forecasts = self._forecasts(pipeline, new.workspace)
         verdict = self.services.admission_.decide(
             forecasts, remaining_ms=new.deadline_ms, live=live
@@ -119,7 +119,7 @@
         directory = self.services.directory
         priority = self.priority(pipeline, workspace)
         if self.services.ledger_.is_entitled(workspace):
-            # Its turn comes before the backlog of others in its class.
+            # It is queued before the backlog of others in its class.
             priority = max(0, priority - 1)
         now = self.services.clock()
         for stage in pipeline.stages:
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_attempts.py
@@ -30,9 +30,9 @@
 from leadford_server.pipelines.entry._tokens import TokenStream
 from leadford_server.pipelines.entry._trail import Trail
 
-# Seconds between looks whether a generation is too slow here.
+# Interval between checks whether a generation is too slow at its endpoint.
 RESCUE_POLL_INTERVAL_S = 0.25
-# Seconds between looks whether a connection stands again.
+# Interval between checks whether a connection is open again.
 CONNECT_POLL_INTERVAL_S = 0.01
 
 
@@ -76,9 +76,9 @@
         return self.tokens.first_token_at_
 
     def deliver(self, message: Delivery) -> None:
-        """Take what the request is told."""
+        """Handle a message for this request."""
         if isinstance(message, Tokens):
-            # Tokens are the bulk of all messages and need no decision.
+            # Most messages are tokens, and they need no decision.
             self.tokens.take(message)
             return
         self.inbox_.put_nowait(message)
@@ -87,12 +87,12 @@
         self.inbox_.put_nowait(AnswerDiverged(stage, attempt))
 
     def cancel(self) -> None:
-        """Give up what may still be given up."""
+        """Cancel the request, as far as that is still possible."""
         self.cancel_asked_ = True
         self.inbox_.put_nowait(Wake())
 
     def abandon(self) -> None:
-        """Cancel attempts that nobody waits for any more."""
+        """Cancel attempts whose answer is no longer needed."""
         self.live.cancel_all()
 
     def candidates(self) -> list[EndpointView]:
@@ -209,7 +209,7 @@
             self.sender.send(link)
 
     def _give_up_slow(self) -> AttemptFailure | None:
-        """Give up a generation that would be late here and in time elsewhere."""
+        """Cancel a generation that would be late here and in time elsewhere."""
         execution = self.live.execution
         stage = execution.stage
         movable = (
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_caller.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_caller.py
@@ -23,12 +23,12 @@
 from leadford_server.pipelines.entry._run import RequestRun
 from leadford_server.pipelines.entry._services import EntryServices
 
-# Seconds in which a caller that went may read on before its request is cancelled.
+# Time in which a disconnected caller may resume a stream before it is cancelled.
 RESUME_GRACE_S = 2.0
 
 
 class CallerHandler(web.RequestHandler):
-    """Share what serving callers needs."""
+    """Provide what all handlers of callers need."""
 
     def initialize(self, services: EntryServices, table: RequestTable) -> None:
         """Store what the handler works on."""
@@ -37,7 +37,7 @@
         self.reader_ = AnswerReader()
 
     def set_default_headers(self) -> None:
-        """Leave out the server's name."""
+        """Remove the header that names the server."""
         self.clear_header("Server")
 
     def prepare(self) -> None:
@@ -46,7 +46,7 @@
             self.set_header("Connection", "close")
 
     def on_connection_close(self) -> None:
-        """Note that the caller is gone."""
+        """Record that the caller has disconnected."""
         self.reader_.leave()
 
     def workspace(self) -> WorkspaceId | None:
@@ -121,7 +121,7 @@
         self.finish(b"".join((opening, b',"result":', final.result, b"}")))
 
     def _cancel_if_unread(self, run: RequestRun) -> None:
-        """Give up a run that nobody reads; a stream's caller gets time to return."""
+        """Cancel a run without readers; the caller of a stream gets time to resume."""
         if run.answer_.final_ is not None or run.answer_.readers_:
             return
         if run.keyed:
@@ -147,7 +147,7 @@
         self.started_ = False
 
     async def write(self) -> None:
-        """Write events until the end or until the caller is gone."""
+        """Write events until the end or until the caller disconnects."""
         buffer = self.run.answer_
         handler = self.handler
         while True:
@@ -177,7 +177,7 @@
         handler.set_header("Content-Type", "text/event-stream")
         handler.set_header("Cache-Control", "no-store")
         handler.set_header("Leadford-Request-Id", self.run.request_id)
-        # Until the last event says otherwise, how it ends is not known.
+        # The outcome is unknown until the last event reports it.
         handler.set_header("Leadford-Outcome", Outcome.UNKNOWN.value)
 
     def _event(self, name: str, data: object, last: bool = False) -> bytes:
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_caller_server.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_caller_server.py
@@ -17,7 +17,7 @@
 class CallerServer(httpserver.HTTPServer):
     """Serve HTTP and know which connections have a request.
 
-    Units: clock, idle_max_s and idle_look_s in seconds.
+    Units: clock, idle_max_s and idle_check_interval_s in seconds.
     """
 
     def initialize(
@@ -25,26 +25,26 @@
         *args: object,
         clock: Callable[[], float],
         idle_max_s: float,
-        idle_look_s: float,
+        idle_check_interval_s: float,
         **kwargs: object,
     ) -> None:
         """Store the parameters of `HTTPServer` and those of idle connections."""
         super().initialize(*args, **kwargs)
         self.clock = clock
         self.idle_max_s = idle_max_s
-        self.idle_look_s = idle_look_s
+        self.idle_check_interval_s = idle_check_interval_s
         self.idle_timer_: asyncio.TimerHandle | None = None
         # When each connection began to wait for its present or its next request.
         self.waiting_since_by_connection_: dict[HTTP1ServerConnection, float] = {}
-        # Connections on which a head was read and the answer is not written out.
+        # Connections on which a head was read and the answer is not fully written.
         self.busy_: set[HTTP1ServerConnection] = set()
-        # Those of them on which the body has not arrived whole.
+        # Those of them on which the body has not fully arrived.
         self.partial_: set[HTTP1ServerConnection] = set()
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
-        """Return what reads the next request of a connection."""
+        """Return the delegate that reads the next request of a connection."""
         self.waiting_since_by_connection_[server_conn] = self.clock()
         self._forget_request(server_conn)
         return _RequestReader(
@@ -75,8 +75,8 @@
     def watch_idle(self) -> None:
         """Close the connections that were idle for too long, from now on."""
         loop = asyncio.get_running_loop()
-        # Set first, so that an error in this look does not prevent the next one.
-        self.idle_timer_ = loop.call_later(self.idle_look_s, self.watch_idle)
+        # Set first, so that an error in this check does not prevent the next one.
+        self.idle_timer_ = loop.call_later(self.idle_check_interval_s, self.watch_idle)
         self.close_idle(self.idle_max_s)
 
     def stop(self) -> None:
@@ -92,7 +92,7 @@
             if connection in self.busy_ or since > idle_since:
                 continue
             stream = connection.stream
-            # A stream that does not read has a head that nobody has looked at yet.
+            # A stream that does not read holds a head that was not parsed yet.
             if not stream.reading() or _has_arrived(stream.socket):
                 continue
             stream.close()
@@ -147,5 +147,5 @@
     except BlockingIOError:
         return False
     except OSError:
-        # The connection is broken, so nothing arrives on it any more.
+        # The connection is broken: nothing more arrives on it.
         return False
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_changes.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_changes.py
@@ -34,9 +34,9 @@
 )
 from leadford_server.pipelines.store import StoreClient, StoreErrorKind
 
-# Times that a change is planned and written.
+# Maximum number of times that a change is planned and written.
 TRIES_MAX = 5
-# Newest audit records that the text of a conflict names.
+# Number of the newest audit records that the text of a conflict names.
 CONFLICT_RECORDS_SHOWN = 5
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_claims.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_claims.py
@@ -25,9 +25,9 @@
 from leadford_server.pipelines.entry._shard_writer import ShardWriter
 from leadford_server.pipelines.store import StoreClient
 
-# Seconds for which the owner of a shard is awaited before the claim is written here.
+# Timeout of the owner of a shard, after which the claim is written here.
 FORWARD_TIMEOUT_S = 0.5
-# Claims remembered whose write is in doubt, so that a repetition takes them up.
+# Maximum number of remembered claims whose write is in doubt; a retry reuses them.
 ABANDONED_CLAIMS_MAX = 10_000
 
 
@@ -68,7 +68,7 @@
         """Return whether this call alone holds the request."""
         if remaining_s <= 0.0:
             return ClaimVerdict.STORE_UNAVAILABLE
-        # A claim that was given up before any dispatch may be taken up again.
+        # A claim that was abandoned before any dispatch may be reused.
         claim_id = self.abandoned_by_request_.pop(request_id, None)
         if claim_id is None:
             claim_id = f"{self.random.getrandbits(64):x}"
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_deliveries.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_deliveries.py
@@ -10,7 +10,7 @@
 from leadford.pipelines.retries import AttemptFailure, FailureKind
 from leadford.protocol import Message
 
-# Stands for the endpoint of a failure that concerns none.
+# The endpoint of a failure that concerns no endpoint.
 NOWHERE = EndpointId("")
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_entries.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_entries.py
@@ -26,25 +26,25 @@
 from leadford_server.peers import Dialer, PeerConnection
 from leadford_server.pipelines.entry._dialers import DialerFactory
 
-# Notes kept for other entries.
+# Maximum number of notes kept for other entries.
 NOTES_MAX = 50_000
-# Shards over which notes are spread: few enough that the order of each is remembered.
+# Number of shards of notes: few enough that the order of each is cached.
 NOTE_SHARD_COUNT = 64
-# Orders of entries that are remembered.
+# Maximum number of cached orders of entries.
 ORDERS_MAX = 256
-# Seconds between looks at connections that are awaited.
+# Interval between checks of connections that are awaited.
 CONNECT_POLL_INTERVAL_S = 0.02
-# Entries that keep a note, and those that may, in order: more, so that a note is kept
-# while the connection to one of them is made again.
+# Number of entries that keep a note, and of the candidates in their order. There are
+# more candidates, so that a note is kept while one of them is being reconnected.
 NOTE_REPLICA_COUNT = 2
 NOTE_CANDIDATE_COUNT = 6
-# Seconds for which the entries that hold a note are connected, and then asked.
+# Timeout for connecting to the entries that keep a note, and for their answers.
 NOTE_ANSWER_TIMEOUT_S = 0.3
 
 
 @lru_cache(maxsize=ORDERS_MAX)
 def _order(key: str, entry_ids: tuple[str, ...]) -> tuple[str, ...]:
-    """Return the order of all entries for a key, worked out once a configuration."""
+    """Return the order of all entries for a key, cached for each configuration."""
     return tuple(rendezvous_order(key, entry_ids))
 
 
@@ -139,7 +139,7 @@
     async def connect(
         self, entry_ids: list[EntryId], within_s: float, *, wait_for_down: bool
     ) -> list[PeerConnection]:
-        """Return connections to entries, those that stand within a time."""
+        """Return the connections to entries that are open within a timeout."""
         limit = asyncio.get_running_loop().time() + within_s
         while True:
             peers_by_id = {entry_id: self.peer(entry_id) for entry_id in entry_ids}
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_fanout.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_fanout.py
@@ -18,13 +18,13 @@
 from leadford_server.pipelines.entry._merging import decode_rows, encode_rows
 from leadford_server.pipelines.entry._tables import LocalTables
 
-# Seconds for which entries are awaited; an entry awaits its agents for less, so that
-# its own answer is in time.
+# Timeout of other entries. An entry waits less long for its agents, so that its own
+# answer is in time.
 ANSWER_TIMEOUT_S = 1.5
 AGENT_ANSWER_TIMEOUT_S = 0.8
-# Seconds for which connections to entries are awaited.
+# Timeout for connecting to entries.
 CONNECT_TIMEOUT_S = 1.0
-# Tables whose rows only agents have.
+# Tables of which only agents hold rows.
 AGENT_TABLES = ("queue",)
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_hosts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_hosts.py
@@ -13,12 +13,12 @@
 from leadford.pipelines.membership import HostState, HostTable
 from leadford_server.web import fetch
 
-# Seconds between polls.
+# Interval between polls of the host list.
 POLL_INTERVAL_S = 2.0
 
 
 class HostPoller:
-    """Read the host list now and then; while it is silent, the last one stands."""
+    """Poll the host list; while it does not answer, the last one remains in force."""
 
     def __init__(
         self, *, url: str, hosts: HostTable, http: AsyncHTTPClient, random: Random
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_http.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_http.py
@@ -26,10 +26,10 @@
 from leadford_server.pipelines.entry._requests import RequestTable
 from leadford_server.pipelines.entry._services import EntryServices
 
-# Bytes of a body and characters of a key that are accepted.
+# Maximum sizes of a body and of an idempotency key.
 BODY_BYTES_MAX = 1024 * 1024
 KEY_CHARS_MAX = 256
-# Milliseconds that a caller may ask for at most.
+# Maximum deadline that a caller may ask for.
 DEADLINE_MAX_MS = 600_000.0
 
 
@@ -136,15 +136,15 @@
 
 
 class HealthHandler(web.RequestHandler):
-    """Say that the process lives."""
+    """Report that the process is alive."""
 
     def get(self) -> None:
-        """Answer at once."""
+        """Answer 200."""
         self.finish("ok\n")
 
 
 class ReadyHandler(web.RequestHandler):
-    """Tell the balancer whether to send callers here."""
+    """Report to load balancers whether to send callers here."""
 
     def initialize(
         self,
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_live_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_live_attempts.py
@@ -66,7 +66,7 @@
         return link
 
     def cancel_all(self) -> None:
-        """Cancel attempts that nobody waits for any more."""
+        """Cancel attempts whose answer is no longer needed."""
         for attempt in list(self.execution.live_by_number_.values()):
             if attempt.number not in self.links_by_number_:
                 # It was not sent.
@@ -75,7 +75,7 @@
             self.cancel(attempt)
 
     def cancel(self, attempt: Attempt) -> None:
-        """Cancel an attempt whose answer nobody waits for."""
+        """Cancel an attempt whose answer is no longer needed."""
         link = self.settle_link(attempt)
         if link.peer is not None:
             link.peer.send(Cancel(self.request_id, attempt.stage, attempt.number))
@@ -89,7 +89,7 @@
         self.cancel(attempt)
 
     def record_unfinished(self, attempt: Attempt, now: float) -> None:
-        """Tell the ejector how slow an attempt that is given up was at least."""
+        """Report to the ejector how slow an abandoned attempt was at least."""
         pool = self.services.directory.pool(self.execution.stage.pool)
         if pool is None:
             return
@@ -100,9 +100,9 @@
         pool.ejector.record_late(attempt.endpoint_id, slowness, now)
 
     def _slowness_at_least(self, attempt: Attempt, now: float) -> float | None:
-        """Return the least time an attempt takes, against what is expected of it.
+        """Return the least time an attempt takes, as a ratio to its expected time.
 
-        None while it may only have waited: a queue speaks of load, not of speed.
+        None while it may only have been queued, which shows load and not speed.
         """
         stage = self.execution.stage
         elapsed_ms = (now - attempt.sent_at) * 1000.0
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_locator.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_locator.py
@@ -12,9 +12,9 @@
 from leadford.pipelines.config import FleetConfig
 from leadford.protocol import Note
 
-# Stands for the end of a stream: beyond any sequence.
+# The end of a stream: greater than any sequence number.
 SEQUENCE_END = 1 << 30
-# An endpoint, an attempt there, and a sequence or the end.
+# The endpoint, the attempt there, and a sequence number or the end.
 LOCATOR = re.compile(r"^([a-z0-9][a-z0-9_.-]{0,62})/(\d{1,6}):(\d{1,9}|end)$")
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_planned_stop.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_planned_stop.py
@@ -15,13 +15,13 @@
 from leadford_server.pipelines.entry._requests import RequestTable
 from leadford_server.stops import StopStep, StopSteps
 
-# Seconds between the announcement of a stop and the first refusal, in which requests
-# that are on their way are served.
+# Time between the announcement of a stop and the first refusal, in which requests that
+# are on their way are served.
 ANNOUNCE_S = 0.5
-# Seconds between looks at what still runs, and most seconds for which it is awaited.
+# Interval between checks for running requests, and maximum time to wait for them.
 DRAIN_POLL_INTERVAL_S = 0.02
 DRAIN_MAX_S = 120.0
-# Most seconds for which a stop awaits the rest of a body.
+# Maximum time that a stop waits for the rest of a body.
 BODY_REST_MAX_S = 5.0
 
 
@@ -83,7 +83,7 @@
                 return
             if self.clock() >= body_ends_at:
                 self.steps_.attempt(self.callers.close_partial)
-            # Callers may use idle connections, and are refused, as long as others wait.
+            # While others wait, callers may use idle connections and are refused there.
             if not self.callers.busy_:
                 self.steps_.attempt(self.callers.close_idle)
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_planner.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_planner.py
@@ -37,11 +37,11 @@
 from leadford_server.pipelines.entry._entries import EntryPeers
 from leadford_server.pipelines.store import StoreClient, StoreErrorKind
 
-# Seconds between rounds of planning, more or less by a quarter.
+# Interval between rounds of planning, before a random change by up to a quarter.
 ROUND_INTERVAL_S = 1.0
-# Seconds after which a plan that another entry wrote is read again.
+# Age after which a plan that another entry wrote is read again.
 PLAN_MAX_AGE_S = 5.0
-# Entries that may plan a pool, the first of its order.
+# Number of entries that may plan a pool: the first ones in its order.
 PLANNER_CANDIDATE_COUNT = 2
 
 
@@ -102,7 +102,7 @@
         pools: dict[PoolId, dict[str, ModelConfig]] = {}
         for name, model in self.config_.models.items():
             pools.setdefault(PoolId(model.pool), {})[name] = model
-        # A pool whose last model went is planned until its engines hold none.
+        # A pool without models is planned until its engines hold none.
         for pool_id in self.plans_by_pool_:
             pools.setdefault(pool_id, {})
         return pools
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
@@ -37,11 +37,11 @@
 from leadford_server.pipelines.store import StoreClient
 from leadford_server.settings import EntrySettings, SocketAddress
 
-# Seconds for which a connection of a caller may wait for the head of a request, and
-# seconds between looks for those that wait longer.
+# Maximum time that a connection of a caller may wait for the head of a request, and the
+# interval between checks for those that wait longer.
 IDLE_MAX_S = 120.0
-IDLE_LOOK_S = 5.0
-# Bytes of a head that are accepted.
+IDLE_CHECK_INTERVAL_S = 5.0
+# Maximum size of the head of a request.
 HEADER_BYTES_MAX = 16 * 1024
 
 
@@ -182,7 +182,7 @@
             max_header_size=HEADER_BYTES_MAX,
             clock=boot_time,
             idle_max_s=IDLE_MAX_S,
-            idle_look_s=IDLE_LOOK_S,
+            idle_check_interval_s=IDLE_CHECK_INTERVAL_S,
         )
         self.web_.listen(self.settings.http.port, self.settings.http.host)
         self.web_.watch_idle()
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_recent.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_recent.py
@@ -12,10 +12,10 @@
 from leadford_server.pipelines.entry._run import RequestRun
 from leadford_server.pipelines.entry._trail import Trail, TrailStep
 
-# Ended requests that are remembered, and trails of refused ones.
+# Maximum number of remembered requests that ended, and of trails of refused ones.
 ENDED_COUNT_MAX = 500
 REFUSED_COUNT_MAX = 1000
-# Seconds for which an ended request can be read again here.
+# Time for which a request that ended can be read again here.
 ENDED_KEPT_S = 10.0
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_requests.py
@@ -45,10 +45,10 @@
 from leadford_server.pipelines.entry._services import EntryServices
 from leadford_server.pipelines.entry._trail import TrailStep
 
-# Seconds between looks for the note of a key, and most seconds.
+# Interval between look-ups of the note of a key, and maximum time for all of them.
 LOOKUP_POLL_INTERVAL_S = 0.05
 LOOKUP_MAX_S = 1.0
-# Seconds that a request has which is taken over, since its note holds no deadline.
+# Deadline of a request that is taken over, since its note holds none.
 RESUMED_DEADLINE_S = 30.0
 
 
@@ -218,7 +218,7 @@
     async def resume(
         self, request_id: RequestId, workspace: WorkspaceId, locator: Locator | None
     ) -> RequestRun | None:
-        """Return a run that serves on a request begun here or elsewhere."""
+        """Return a run that resumes a request begun here or elsewhere."""
         known = self.find(request_id)
         if known is not None:
             return known if known.execution.workspace == workspace else None
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_run.py
@@ -41,7 +41,7 @@
 
 
 class RequestRun:
-    """Drive one request to its answer; whoever reads the answer does not matter."""
+    """Run one request to its answer, whoever reads the answer."""
 
     def __init__(
         self,
@@ -78,7 +78,7 @@
 
     @property
     def answer_(self) -> AnswerBuffer:
-        """Return the answer as far as it has come."""
+        """Return the answer as far as it has arrived."""
         return self.attempts_.answer_
 
     @property
@@ -118,7 +118,7 @@
             self.attempts_.abandon()
 
     def cancel(self) -> None:
-        """Give the request up, as far as that is still possible."""
+        """Cancel the request, as far as that is still possible."""
         self.attempts_.cancel()
 
     async def run(self) -> Answer:
@@ -135,7 +135,7 @@
         return Answer(outcome, problem=problem_of(failure, outcome))
 
     async def resume(self, note: Note) -> Answer:
-        """Serve on a request that another entry began, from the agent's record."""
+        """Resume a request that another entry began, from the agent's record."""
         failure = await self._take_over(note)
         if failure is None:
             return Answer(Outcome.COMPLETE, self.execution.previous_)
@@ -219,7 +219,7 @@
         )
 
     async def _wait_for_room(self) -> None:
-        """Hold a patient request back while cost matters and the pool is full."""
+        """Defer a request that can wait while cost matters and the pool is full."""
         services = self.services
         stage = self.execution.stage
         patient = self.execution.pipeline.can_wait and stage.expected_tokens
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_sending.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_sending.py
@@ -13,8 +13,8 @@
 from leadford_server.pipelines.entry._live_attempts import LiveAttempts
 from leadford_server.pipelines.entry._tokens import CREDIT_TOKENS, TokenStream
 
-# Part of the expected time after which an attempt that probes an endpoint gets another
-# one beside it, and the least in milliseconds.
+# Delay after which an attempt that probes an endpoint gets a hedge: the fraction of its
+# expected time, and the minimum.
 PROBE_HEDGE_FRACTION = 0.25
 PROBE_HEDGE_MIN_MS = 20.0
 
@@ -69,23 +69,23 @@
         return pool.links_by_id_[view.endpoint_id]
 
     def _choose_apart(self, candidates: list[EndpointView]) -> EndpointView | None:
-        """Return an endpoint by chance for a request under suspicion, else None."""
+        """Return a random endpoint for a suspect request, else None."""
         quarantine = self.live.services.quarantine_
         if not quarantine.is_suspect(self.live.content_digest):
             return None
         views_by_id = {view.endpoint_id: view for view in candidates}
-        # What other entries run is not known, so only chance parts them.
+        # The requests of other entries are unknown: a random choice separates them.
         found = choose_apart(dict.fromkeys(views_by_id, 0), self.live.services.random)
         return views_by_id.get(found)
 
     def hedge_delay_ms(self, link: EndpointLink) -> float | None:
-        """Return after which wait a second attempt starts beside the first."""
+        """Return the delay after which a hedge starts, or None."""
         stage = self.live.execution.stage
         if not stage.repeatable:
             return None
         ejector = self.live.services.directory.pool(stage.pool).ejector
         if ejector.state(link.view.endpoint_id) is EndpointState.PROBING:
-            # Whoever serves as a probe must not pay for it.
+            # A request that serves as a probe must not be late for it.
             return max(PROBE_HEDGE_MIN_MS, PROBE_HEDGE_FRACTION * stage.expected_ms)
         if stage.hedge:
             return self.live.services.hedge_policy(stage.name).delay_ms()
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
@@ -24,7 +24,7 @@
 from leadford_server.pipelines.entry._live_attempts import LiveAttempts
 from leadford_server.pipelines.entry._tokens import TokenStream
 
-# Characters of an endpoint's error that are kept with a failure.
+# Maximum length of an endpoint's error that is kept with a failure.
 ERROR_CHARS_MAX = 80
 
 
@@ -51,7 +51,7 @@
         return None
 
     def _on_diverged(self, diverged: AnswerDiverged) -> Settled | None:
-        """Give up an answer whose second half would not fit its first."""
+        """Fail an attempt whose tokens differ from those already shown."""
         matched = self.live.execution.match(diverged.stage, diverged.attempt)
         attempt = matched.value_or(None)
         if attempt is None:
@@ -113,14 +113,14 @@
         return Settled(failure)
 
     def _record_times(self, done: Done, attempt: Attempt, link: EndpointLink) -> None:
-        """Learn from an attempt that ended well: slowness, kept prefixes, hedging."""
+        """Record what a successful attempt shows: slowness, cached prefix, latency."""
         now = self.live.services.clock()
         stage = self.live.execution.stage
         directory = self.live.services.directory
         pool = directory.pool(stage.pool)
         if pool is not None:
-            # What the endpoint bills shrinks with its batch; the clock does not. Taken
-            # against what is expected, stages of all lengths compare.
+            # The service time that an endpoint reports shrinks with its batch, the
+            # elapsed time does not. The ratio makes stages of all lengths comparable.
             elapsed_ms = (now - attempt.sent_at) * 1000.0 - done.queue_ms
             slowness = elapsed_ms / stage.expected_ms
             pool.ejector.record_success(attempt.endpoint_id, slowness, now)
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_shard_writer.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_shard_writer.py
@@ -27,9 +27,9 @@
 from leadford_server.logs import EventLog
 from leadford_server.pipelines.store import StoreClient, StoreErrorKind
 
-# Claims of one write.
+# Maximum number of claims in one write.
 BATCH_CLAIMS_MAX = 2000
-# Writes and readings until a batch is settled.
+# Maximum number of writes and reads until a batch is settled.
 SETTLE_TRIES_MAX = 5
 
 
@@ -80,7 +80,7 @@
 
     async def _run(self) -> None:
         while self.pending_:
-            # A timer may fire early, so the right to write is taken, not assumed.
+            # A timer may fire early, so the permission to write is checked again.
             while not self.pace.try_take(self.clock()):
                 await asyncio.sleep(self.pace.wait_s(self.clock()))
             if not await self._catch_up():
@@ -189,7 +189,7 @@
             self._answer(claims, verdict)
             return
         for claim in claims:
-            # The log decides: the first claim of a key in it stands.
+            # The log decides: the first claim of a key in it is valid.
             holder = self.log.claim_id_of(claim.request_id)
             self._answer([claim], self._verdict(holder or "", claim))
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_tokens.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_tokens.py
@@ -12,7 +12,7 @@
 from leadford_server.pipelines.entry._answers import AnswerBuffer
 from leadford_server.pipelines.entry._live_attempts import LiveAttempts
 
-# Tokens that an agent may send before readers have taken them.
+# Number of tokens that an agent may send before readers have read them.
 CREDIT_TOKENS = 64
 
 
@@ -57,7 +57,7 @@
                 self._grant_replayed(part)
 
     def _end_race(self, part: TokenPart) -> None:
-        """Give up the attempts that were slower to begin than this one."""
+        """Cancel the attempts that began to answer later than this one."""
         winner = self.live.links_by_number_[part.attempt].view.endpoint_id
         for attempt in list(self.live.execution.live_by_number_.values()):
             if attempt.number != part.attempt:
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_trail.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_trail.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-# Steps of a request that are kept; the later ones are dropped.
+# Maximum number of kept steps of a request; later ones are dropped.
 STEPS_MAX = 40
 
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_idle_connections.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/tests/test_idle_connections.py
@@ -15,7 +15,7 @@
 
 TIMEOUT_S = 10.0
 IDLE_MAX_S = 1.0
-IDLE_LOOK_S = 0.05
+IDLE_CHECK_INTERVAL_S = 0.05
 BEFORE_IDLE_S = 0.3
 # Past the time-out, so that it is due as the request is read.
 LATE_S = 0.9
@@ -34,7 +34,10 @@
 
     async def run():
         server = CallerServer(
-            answer, clock=boot_time, idle_max_s=IDLE_MAX_S, idle_look_s=IDLE_LOOK_S
+            answer,
+            clock=boot_time,
+            idle_max_s=IDLE_MAX_S,
+            idle_check_interval_s=IDLE_CHECK_INTERVAL_S,
         )
         (listening,) = bind_sockets(0, "127.0.0.1")
         server.add_sockets([listening])
--- a/packages/leadford/src/leadford/pipelines/admission/_headroom.py
+++ b/packages/leadford/src/leadford/pipelines/admission/_headroom.py
@@ -6,9 +6,7 @@
 
 from math import exp
 
-# Time constant of the average number of attempts of a class. At twice the nominal load
-# on four stand-in engines, headroom raises the fraction of the most urgent class that
-# is in time from 0.92-0.96 to 0.99-1.00, and costs 6 % of the tokens in time.
+# Time constant of the average number of attempts of a class.
 AVERAGE_TIME_CONSTANT_S = 2.0
 
 
