Name the timeouts, delays and weights that stood as numbers in the own interface and its tools

Comments that said of a value that it is a choice of the tool, or which deployments were met so far, say what it bounds. No value changes.

--- a/bench/explain_day.py
+++ b/bench/explain_day.py
@@ -23,7 +23,7 @@
     service_bounds,
 )
 
-# Seconds of one line of the tables by time.
+# Length of time of one line of the tables.
 STEP_S = 2.0
 COLOURS_BY_CAUSE = {
     LossCause.IN_TIME: "tab:green",
--- a/packages/leadford-cli/src/leadford_cli/days/_bound.py
+++ b/packages/leadford-cli/src/leadford_cli/days/_bound.py
@@ -14,7 +14,7 @@
 from leadford_cli.days._losses import CallerRequest
 from leadford_cli.days._records import CallEnded, DayLog
 
-# Seconds of one slice of the day: shorter than any aim of the deployments met so far.
+# Length of one slice of the day: shorter than the latency targets of routes.
 SLICE_S = 0.5
 
 
--- a/packages/leadford-cli/src/leadford_cli/days/_losses.py
+++ b/packages/leadford-cli/src/leadford_cli/days/_losses.py
@@ -11,8 +11,8 @@
 
 from leadford_cli.days._records import RequestEnded
 
-# Milliseconds of the engine beyond which it, not the stages, made an answer late: a
-# quarter of the aim is more than any prompt takes on an engine that is not busy.
+# Fraction of the latency target that the engine may take. Beyond it the engine, not the
+# stages, made an answer late: an idle engine takes less for any prompt.
 ENGINE_AIM_FRACTION = 0.25
 
 
--- a/packages/leadford-cli/src/leadford_cli/operators/_client.py
+++ b/packages/leadford-cli/src/leadford_cli/operators/_client.py
@@ -16,8 +16,10 @@
 
 from leadford_server.web import NO_RESPONSE_STATUS, fetch
 
-# Seconds for a call, more than an entry awaits a change (12 s).
+# Timeout of a call: longer than an entry waits until a change is in force.
 TIMEOUT_S = 30.0
+# Timeout for connecting to an entry.
+CONNECT_TIMEOUT_S = 2.0
 # Statuses after which the next entry is asked.
 UNSETTLED_STATUSES = (502, 503, 504, NO_RESPONSE_STATUS)
 
@@ -75,7 +77,7 @@
                 method="POST",
                 body=json.dumps(call),
                 headers={"Authorization": f"Bearer {self.token}"},
-                connect_timeout=2.0,
+                connect_timeout=CONNECT_TIMEOUT_S,
                 request_timeout=TIMEOUT_S,
             )
             response = await fetch(http, request)
--- a/packages/leadford-cli/src/leadford_cli/replay/_caller.py
+++ b/packages/leadford-cli/src/leadford_cli/replay/_caller.py
@@ -13,9 +13,12 @@
 from leadford_cli.replay._trace import TraceRequest
 from leadford_server.web import NO_RESPONSE_STATUS, fetch
 
-# Connections that a caller makes for a request; a choice of this tool.
+# Maximum number of connections that a caller opens for a request.
 TRIES_MAX = 4
-# Seconds after its deadline for which a caller still reads; a choice of this tool.
+# Timeout for connecting to an entry, and pause before another connection.
+CONNECT_TIMEOUT_S = 1.0
+RETRY_PAUSE_S = 0.02
+# Time after its deadline for which a caller still reads.
 OVERTIME_S = 10.0
 
 
@@ -135,7 +138,7 @@
                 record.outcome = "unknown"
                 record.reason = "connection lost"
                 break
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(RETRY_PAUSE_S)
         record.ended_s = self._now_s()
         if stream is not None:
             record.text = "".join(stream.texts_)
@@ -167,14 +170,17 @@
             method="POST",
             body=body,
             headers=headers,
-            connect_timeout=1.0,
+            connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=request.deadline_ms / 1000.0 + OVERTIME_S,
         )
         if stream is not None and stream.last_event_id_ and record.request_ids:
             headers["Last-Event-ID"] = stream.last_event_id_
             url = f"{entry}/v1/requests/{record.request_ids[-1]}"
             call = HTTPRequest(
-                url, headers=headers, connect_timeout=1.0, request_timeout=OVERTIME_S
+                url,
+                headers=headers,
+                connect_timeout=CONNECT_TIMEOUT_S,
+                request_timeout=OVERTIME_S,
             )
         if stream is not None:
             stream.reset_connection()
--- a/packages/leadford-cli/src/leadford_cli/replay/_generate.py
+++ b/packages/leadford-cli/src/leadford_cli/replay/_generate.py
@@ -1,6 +1,6 @@
 """Make the shipped traces from a seed.
 
-The same seed gives the same trace. docs/measurements says what each was used for.
+The same seed gives the same trace.
 """
 
 from collections.abc import Callable
--- a/packages/leadford-cli/src/leadford_cli/replay/_runner.py
+++ b/packages/leadford-cli/src/leadford_cli/replay/_runner.py
@@ -21,9 +21,9 @@
 from leadford_standins.endpoints import ExecutionRecord
 from leadford_standins.fleet import FleetFile
 
-# Seconds after the last answer in which stand-ins write their records.
+# Time after the last answer in which stand-ins write their records.
 SETTLE_S = 0.5
-# Calls at once.
+# Maximum number of concurrent calls.
 CLIENTS_MAX = 2000
 
 _SIGNAL_BY_ACTION = {
--- a/packages/leadford-cli/src/leadford_cli/replay/_trace.py
+++ b/packages/leadford-cli/src/leadford_cli/replay/_trace.py
@@ -10,7 +10,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-# Bytes of a line that are read.
+# Maximum size of a line.
 LINE_BYTES_MAX = 64 * 1024
 WORDS = ("rook", "file", "open", "plan", "king", "side", "pawn", "chain", "tempo")
 
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_http.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_http.py
@@ -29,6 +29,8 @@
 # Maximum sizes of a body and of an idempotency key.
 BODY_BYTES_MAX = 1024 * 1024
 KEY_CHARS_MAX = 256
+# Retry delay of callers while no configuration is in force.
+NOT_READY_RETRY_AFTER_MS = 1_000.0
 # Maximum deadline that a caller may ask for.
 DEADLINE_MAX_MS = 600_000.0
 
@@ -40,7 +42,12 @@
         """Run a pipeline."""
         if self.services.config_ is None:
             self.refuse(
-                Problem(503, RefusalReason.NOT_READY, "no configuration", 1000.0)
+                Problem(
+                    503,
+                    RefusalReason.NOT_READY,
+                    "no configuration",
+                    NOT_READY_RETRY_AFTER_MS,
+                )
             )
             return
         workspace = self.workspace()
--- a/packages/leadford/src/leadford/pipelines/admission/_entry.py
+++ b/packages/leadford/src/leadford/pipelines/admission/_entry.py
@@ -20,6 +20,8 @@
 
 # Maximum number of live requests of an entry.
 LIVE_REQUESTS_MAX = 4096
+# Retry delay of a request that is refused without a forecast.
+DEFAULT_RETRY_AFTER_MS = 1_000.0
 # Age at which a load report no longer counts and the configured value applies.
 REPORT_FADE_S = 2.0
 
@@ -107,13 +109,15 @@
     ) -> AdmissionVerdict:
         """Return the verdict on a request, from the forecasts of its stages."""
         if live >= self.live_max:
-            return AdmissionVerdict(RefusalReason.QUEUE_FULL, retry_after_ms=1000.0)
+            return AdmissionVerdict(
+                RefusalReason.QUEUE_FULL, retry_after_ms=DEFAULT_RETRY_AFTER_MS
+            )
         predicted_ms = 0.0
         wait_ms = 0.0
         for forecast in forecasts:
             if forecast is None:
                 reason = RefusalReason.NO_ENDPOINT
-                return AdmissionVerdict(reason, retry_after_ms=1000.0)
+                return AdmissionVerdict(reason, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
             wait_ms += forecast.wait_ms
             predicted_ms += forecast.finish_ms
         if predicted_ms * self.prediction_scale > remaining_ms:
--- a/packages/leadford/src/leadford/pipelines/ejection/_outliers.py
+++ b/packages/leadford/src/leadford/pipelines/ejection/_outliers.py
@@ -30,6 +30,11 @@
 SLOWNESS_RATIO = 3.0
 MIN_SLOWNESS_SAMPLES = 4
 MIN_SLOWNESS_LIMIT = 2.0
+# Weights of a new outcome in the averages of failures and of slowness.
+FAILURE_WEIGHT = 0.1
+SLOWNESS_WEIGHT = 0.2
+# Maximum fraction of a pool that is ejected, unless the configuration sets another.
+MAX_EJECTED_FRACTION = 0.34
 # Duration of the first ejection, doubled with each further one up to the maximum.
 EJECTION_BASE_S = 1.0
 EJECTION_MAX_S = 30.0
@@ -68,8 +73,8 @@
         """Clear the outcomes, as when an endpoint is restored."""
         self.consecutive_failures_ = 0
         self.outcome_count_ = 0
-        self.failure_rate_ = Ewma(initial=0.0, weight=0.1)
-        self.slowness_ = Ewma(initial=0.0, weight=0.2)
+        self.failure_rate_ = Ewma(initial=0.0, weight=FAILURE_WEIGHT)
+        self.slowness_ = Ewma(initial=0.0, weight=SLOWNESS_WEIGHT)
 
 
 class OutlierEjector:
@@ -79,7 +84,7 @@
     pool is ejected; in a pool of two or more, one endpoint always may be.
     """
 
-    def __init__(self, *, random: Random, cap: float = 0.34) -> None:
+    def __init__(self, *, random: Random, cap: float = MAX_EJECTED_FRACTION) -> None:
         self.random = random
         self.cap = cap
         self.records_by_id_: dict[EndpointId, _Record] = {}
--- a/packages/leadford/src/leadford/pipelines/queues/_fair.py
+++ b/packages/leadford/src/leadford/pipelines/queues/_fair.py
@@ -15,6 +15,8 @@
 
 # Number of finish tags above which those in the past are dropped.
 MAX_FINISH_TAGS = 1024
+# Minimum cost of an attempt, so that the virtual time always advances.
+MIN_COST_MS = 0.001
 
 
 class _FairClass:
@@ -56,7 +58,7 @@
                 continue
             key, cost_ms = flow.pop()
             self.virtual_time_ = start
-            finish = start + max(cost_ms, 0.001) / flow.weight
+            finish = start + max(cost_ms, MIN_COST_MS) / flow.weight
             self.finish_tags_[workspace] = finish
             if len(flow):
                 self._schedule(workspace)
