Report abandoned attempts to the ejector in one place

Three places of pipelines/entry looked the pool up and told its ejector that an attempt showed nothing of its endpoint.

Evidence: the tests of leadford_server/pipelines pass.

--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_live_attempts.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_live_attempts.py
@@ -88,16 +88,21 @@
         self.services.directory.report_ejections(self.execution.stage.pool)
         self.cancel(attempt)
 
+    def record_abandoned(self, attempt: Attempt) -> None:
+        """Report to the ejector that an attempt showed nothing of its endpoint."""
+        pool = self.services.directory.pool(self.execution.stage.pool)
+        if pool is not None:
+            pool.ejector.record_abandoned(attempt.endpoint_id)
+
     def record_unfinished(self, attempt: Attempt, now: float) -> None:
         """Report to the ejector how slow an abandoned attempt was at least."""
-        pool = self.services.directory.pool(self.execution.stage.pool)
-        if pool is None:
-            return
         slowness = self._slowness_at_least(attempt, now)
         if slowness is None:
-            pool.ejector.record_abandoned(attempt.endpoint_id)
+            self.record_abandoned(attempt)
             return
-        pool.ejector.record_late(attempt.endpoint_id, slowness, now)
+        pool = self.services.directory.pool(self.execution.stage.pool)
+        if pool is not None:
+            pool.ejector.record_late(attempt.endpoint_id, slowness, now)
 
     def _slowness_at_least(self, attempt: Attempt, now: float) -> float | None:
         """Return the least time an attempt takes, as a ratio to its expected time.
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_settling.py
@@ -139,9 +139,7 @@
             self.live.report_stray(matched.failure(), refused.stage, refused.attempt)
             return None
         self.live.settle_link(attempt)
-        pool = self.live.services.directory.pool(self.live.execution.stage.pool)
-        if pool is not None:
-            pool.ejector.record_abandoned(attempt.endpoint_id)
+        self.live.record_abandoned(attempt)
         if refused.begun:
             self.live.execution.end_attempt(attempt)
             kind = FailureKind.LOST
@@ -166,9 +164,7 @@
                 continue
             self.live.settle_link(attempt)
             self.live.execution.end_attempt(attempt)
-            pool = self.live.services.directory.pool(self.live.execution.stage.pool)
-            if pool is not None:
-                pool.ejector.record_abandoned(attempt.endpoint_id)
+            self.live.record_abandoned(attempt)
             failure = make_failure(
                 FailureKind.LOST, RefusalReason.ENDPOINT_LOST, attempt.endpoint_id
             )
