Name the action of the scheduler that checks a group again

FillAction.LOOK_AGAIN is RECHECK, as the scheduler calls it; it is neither logged nor sent. Tests name it so too and are otherwise unchanged.

Evidence: the tests of forwarding/batching, forwarding/admission and leadford_server/forwarding/batching pass.

--- a/packages/leadford/src/leadford/forwarding/admission/_usual_wait.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_usual_wait.py
@@ -23,7 +23,7 @@
 # changed timeout is learned.
 MAX_CALLERS = 400
 # Resolution to which stated timeouts are rounded, and minimum difference to the common
-# timeout for a retry. No caller is told to retry sooner than after 0.25 s.
+# timeout for a retry. No retry delay is shorter than 0.25 s.
 RESOLUTION_S = 0.01
 MIN_REDUCTION_S = 0.1
 
--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -45,14 +45,14 @@
     NOTHING_WAITS = "nothing-waits"
     SEND = "send"
     WAIT_FOR_MORE = "wait-for-more"
-    LOOK_AGAIN = "look-again"
+    RECHECK = "recheck"
 
 
 class NextCall(msgspec.Struct, frozen=True):
     """Hold what the scheduler of a group does next.
 
     With SEND, `tasks` go to the endpoint of `record`, where `room_bytes` are estimated
-    to be free. With LOOK_AGAIN, no endpoint takes a call now, and `unserved` are pieces
+    to be free. With RECHECK, no endpoint takes a call now, and `unserved` are pieces
     that every endpoint of the group excludes.
 
     With SEND, `left_by_cause` counts the waiting pieces that the call leaves, by cause.
@@ -118,7 +118,7 @@
                 left_by_cause=dict(queue.left_by_cause_),
             )
     unserved = queue.discard(lambda task: not _excludes_all(task, records))
-    return NextCall(FillAction.LOOK_AGAIN, unserved=tuple(unserved))
+    return NextCall(FillAction.RECHECK, unserved=tuple(unserved))
 
 
 def _fills_enough(
--- a/packages/leadford/src/leadford/forwarding/batching/tests/_replay.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/_replay.py
@@ -145,7 +145,7 @@
             )
             if step.action is FillAction.WAIT_FOR_MORE:
                 self.check(now + step.wait_s + 0.001, stage)
-            elif step.action is FillAction.LOOK_AGAIN:
+            elif step.action is FillAction.RECHECK:
                 self.check(now + RECHECK_S, stage)
             if step.action is not FillAction.SEND:
                 return
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
@@ -70,7 +70,7 @@
     capacities.capacity(EndpointId("busy"), LIMITS).begin(4, 40, 0.0)
     queue = make_queue(tasks(4))
     decision = next_call(queue, capacities, [busy], LIMITS, 0.0)
-    assert decision.action is FillAction.LOOK_AGAIN
+    assert decision.action is FillAction.RECHECK
     assert decision.unserved == ()
     assert len(queue) == 4
     free = record("free")
@@ -94,7 +94,7 @@
     excluded = frozenset({EndpointId("e")})
     queue = make_queue(tasks(2, excluded=excluded))
     decision = next_call(queue, CapacityTable(), [record()], LIMITS, 0.0)
-    assert decision.action is FillAction.LOOK_AGAIN
+    assert decision.action is FillAction.RECHECK
     assert len(decision.unserved) == 2
     assert len(queue) == 0
 
@@ -116,7 +116,7 @@
     near_bytes = {HallId("near"): 3_000_000}
     waiting = tasks(4, due_at=20.0, local_bytes_by_hall=near_bytes)
     decision = next_call(make_queue(waiting), capacities, [near, far], LIMITS, 0.0)
-    assert decision.action is FillAction.LOOK_AGAIN
+    assert decision.action is FillAction.RECHECK
     hurried = tasks(4, due_at=0.5, local_bytes_by_hall=near_bytes)
     decision = next_call(make_queue(hurried), capacities, [near, far], LIMITS, 0.0)
     assert decision.record is far
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_halls.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_halls.py
@@ -86,7 +86,7 @@
                 continue
             if decision.action is FillAction.WAIT_FOR_MORE:
                 self._schedule_dispatch(now + decision.wait_s + 0.001)
-            elif decision.action is FillAction.LOOK_AGAIN:
+            elif decision.action is FillAction.RECHECK:
                 self._schedule_dispatch(now + CHECK_INTERVAL_S)
             return
 
