--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_operators.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_operators.py
@@ -8,17 +8,10 @@
 
 from returns.result import Failure
 
-from leadford.pipelines.language import (
-    Explain,
-    Show,
-    Subject,
-    Table,
-)
+from leadford.pipelines.language import Explain, Show, Subject, Table
 from leadford_server.clock import boot_time
 from leadford_server.pipelines.config import ConfigFollower
-from leadford_server.pipelines.entry._changes import (
-    ChangeService,
-)
+from leadford_server.pipelines.entry._changes import ChangeService
 from leadford_server.pipelines.entry._fanout import FanOut
 from leadford_server.pipelines.entry._merging import merge_rows
 from leadford_server.pipelines.entry._tables import (
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_backlog.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_backlog.py
@@ -55,3 +55,20 @@
     backlog.add(LESS_URGENT, 3)
     backlog.record_sum(SERVICE, BacklogSum(68, {0: 0, 1: 300}), 0.0)
     assert pieces_before(backlog, 1.6) == 3
+
+
+def test_the_backlog_of_other_entries_expires():
+    table = AdmittedBacklog()
+    key = BacklogKey(SERVICE, 0)
+    later = BacklogKey(SERVICE, 1)
+    table.add(key, 4)
+    table.record_report(EntryId("n1"), {key: 2, later: 10}, 0.0)
+
+    def before(level, now):
+        return table.pieces_before(SERVICE, level, less_urgent_fraction=0.5, now=now)
+
+    assert before(0, 0.1) == 4 + 2 + 5
+    assert before(1, 0.1) == 16
+    assert before(0, 9.0) == 4
+    table.add(key, -4)
+    assert before(0, 9.0) == 0
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
@@ -3,38 +3,12 @@
 import msgspec
 import pytest
 
-from leadford.common import EndpointId, EntryId, HallId, RequestId
-from leadford.forwarding.batching import (
-    AdmittedBacklog,
-    BacklogKey,
-    CapacityTable,
-    CapacityUse,
-    Chunk,
-    GroupId,
-    GroupLoad,
-    GroupTable,
-    PieceKey,
-    PieceQueue,
-    PlaceId,
-    RegionMap,
-    queue_delay_s,
-    schedulers_in_order,
-)
+from leadford.common import EndpointId, HallId, RequestId
+from leadford.forwarding.batching import Chunk, PieceKey, PieceQueue, queue_delay_s
 from leadford.forwarding.batching.tests.conftest import piece_limits, piece_task
-from leadford.forwarding.endpoints import (
-    EndpointFailure,
-)
-from leadford.forwarding.routes import (
-    ResultHandle,
-    Route,
-    RouteId,
-    RouteKind,
-    ServiceId,
-)
-from leadford_standins.records import endpoint_record
+from leadford.forwarding.routes import Route, RouteId, RouteKind
 
 LIMITS = piece_limits()
-SERVICE = ServiceId("s")
 ENDPOINT = EndpointId("e")
 
 
@@ -180,159 +154,6 @@
     assert beside == pytest.approx(min(alone, 0.18))
 
 
-def record(name, hall="h"):
-    return endpoint_record(name, hall=hall)
-
-
-def test_an_endpoint_takes_one_call_and_its_results_count_as_room():
-    capacities = CapacityTable()
-    capacity = capacities.capacity(ENDPOINT, LIMITS)
-    capacity.begin(2, 40, 0.0)
-    assert not capacity.is_free(0.1)
-    assert capacity.room_bytes(0.1) == 60
-    capacity.end(40)
-    capacity.hold(ResultHandle("r"), 40, 1.0)
-    assert capacity.is_free(1.0) and capacity.room_bytes(1.0) == 60
-    capacity.free(ResultHandle("r"))
-    assert capacity.room_bytes(1.0) == 100
-    capacity.hold(ResultHandle("r2"), 40, 1.0)
-    assert capacity.room_bytes(5.1) == 100
-
-
-def test_a_scheduler_counts_what_its_predecessor_still_has():
-    capacities = CapacityTable()
-    before = EntryId("n1")
-    capacities.record_foreign_use(before, [CapacityUse(ENDPOINT, 70, 1)], 0.0)
-    assert capacities.room_left(ENDPOINT, LIMITS, 0.1) == 30
-    assert not capacities.is_free(ENDPOINT, LIMITS, 0.1)
-    assert capacities.rank_endpoints([record("e")], LIMITS, waiting=1, now=0.1) == []
-    capacities.record_foreign_use(before, [CapacityUse(ENDPOINT, 20, 0)], 0.2)
-    assert capacities.room_left(ENDPOINT, LIMITS, 0.3) == 80
-    assert capacities.is_free(ENDPOINT, LIMITS, 0.3)
-    # Old reports expire, because the entry may be gone.
-    assert capacities.room_left(ENDPOINT, LIMITS, 3.0) == 100
-    capacities.record_foreign_use(before, [], 3.0)
-    assert capacities.foreign_reports_by_entry_ == {}
-
-
-def test_a_scheduler_tells_what_it_still_has():
-    capacities = CapacityTable()
-    capacities.capacity(EndpointId("idle"), LIMITS)
-    capacity = capacities.capacity(ENDPOINT, LIMITS)
-    capacity.begin(2, 40, 0.0)
-    capacity.hold(ResultHandle("r"), 10, 0.0)
-    assert capacities.occupied_capacity(0.1) == [CapacityUse(ENDPOINT, 50, 1)]
-
-
-def test_a_short_call_waits_for_room_within_a_bound():
-    capacity = CapacityTable().capacity(ENDPOINT, LIMITS)
-    capacity.hold(ResultHandle("r"), 90, 0.0)
-    assert not capacity.awaits_room(10, 0.0)
-    assert capacity.awaits_room(40, 0.0)
-    assert capacity.awaits_room(40, 0.1)
-    assert not capacity.awaits_room(40, 0.2)
-
-
-def test_refused_room_is_believed_for_a_while():
-    capacity = CapacityTable().capacity(ENDPOINT, LIMITS)
-    capacity.record_refused(100, 30, 0.0)
-    assert capacity.room_bytes(0.1) == 30
-    capacity.record_refused(30, 30, 0.2)
-    assert capacity.room_bytes(0.25) == 30
-    assert capacity.room_bytes(0.4) == 100
-
-
-def test_an_endpoint_that_frees_soon_is_waited_for():
-    capacities = CapacityTable()
-    first, second = record("e1"), record("e2")
-    capacities.capacity(EndpointId("e1"), LIMITS).begin(4, 0, 0.0)
-    second.slowness_.value_ = 4.0
-    assert capacities.rank_endpoints([first, second], LIMITS, waiting=2, now=0.35) == []
-    assert capacities.rank_endpoints([first, second], LIMITS, waiting=8, now=0.35) == [
-        second
-    ]
-
-
-def test_suspects_get_calls_only_when_alone():
-    capacities = CapacityTable()
-    bad, good = record("e1"), record("e2")
-    bad.record_failure(0.0, EndpointFailure.LOST)
-    assert capacities.rank_endpoints([bad, good], LIMITS, waiting=9, now=0.1) == [good]
-    assert capacities.rank_endpoints([bad], LIMITS, waiting=1, now=0.1) == [bad]
-
-
-def test_wait_of_a_group_counts_rounds():
-    capacities = CapacityTable()
-    records = [record("e1"), record("e2")]
-    assert capacities.wait_s(records, LIMITS, waiting=0, now=0.0) == 0.0
-    assert capacities.wait_s(records, LIMITS, waiting=8, now=0.0) == pytest.approx(0.4)
-    assert capacities.wait_s([], LIMITS, waiting=0, now=0.0) == float("inf")
-
-
-def test_schedulers_are_near_and_the_same_for_everybody():
-    halls = {EntryId(f"n{n}"): HallId("h" if n < 2 else "g") for n in range(5)}
-    group = GroupId(SERVICE, PlaceId("h"))
-    order = schedulers_in_order(group, halls, RegionMap())
-    assert set(order[:2]) == {"n0", "n1"}
-    assert order == schedulers_in_order(
-        group, dict(reversed(halls.items())), RegionMap()
-    )
-    del halls[order[0]]
-    assert schedulers_in_order(group, halls, RegionMap())[0] == order[1]
-
-
-def test_the_group_with_the_least_wait_is_chosen_and_moved_bytes_count():
-    table = GroupTable()
-    near, far = GroupId(SERVICE, PlaceId("h")), GroupId(SERVICE, PlaceId("g"))
-
-    def choose(moved):
-        return table.choose(
-            {near: 1, far: 1},
-            LIMITS,
-            result_bytes=1,
-            moved_bytes_by_group=moved,
-            now=0.0,
-        )
-
-    moved = {far: 1_000_000}
-    assert choose(moved) == near
-    table.record_load(near, GroupLoad(0.2, 100, 0.0))
-    assert choose(moved) == near
-    table.record_load(near, GroupLoad(2.0, 100, 0.0))
-    assert choose(moved) == far
-    for _ in range(40):
-        table.record_sent(far)
-    assert choose(moved) == near
-
-
-def test_the_halls_of_a_region_are_one_group_unless_it_has_many_endpoints():
-    regions = RegionMap(
-        {
-            HallId("a"): PlaceId("r"),
-            HallId("b"): PlaceId("r"),
-            HallId("c"): PlaceId("q"),
-        }
-    )
-    few = regions.groups(SERVICE, {HallId("a"): 2, HallId("b"): 1, HallId("c"): 1})
-    assert few == {
-        "a": GroupId(SERVICE, PlaceId("r")),
-        "b": GroupId(SERVICE, PlaceId("r")),
-        "c": GroupId(SERVICE, PlaceId("q")),
-    }
-    many = regions.groups(SERVICE, {HallId("a"): 20, HallId("b"): 20})
-    assert many["a"].place == "a" and many["b"].place == "b"
-    unknown = regions.groups(SERVICE, {HallId("z"): 1})
-    assert unknown["z"].place == "z"
-
-
-def test_entries_of_a_region_keep_its_group():
-    regions = RegionMap({HallId("a"): PlaceId("r"), HallId("b"): PlaceId("r")})
-    halls = {EntryId("n1"): HallId("a"), EntryId("n2"): HallId("c")}
-    halls[EntryId("n3")] = HallId("b")
-    order = schedulers_in_order(GroupId(SERVICE, PlaceId("r")), halls, regions)
-    assert set(order[:2]) == {"n1", "n3"}
-
-
 def test_pieces_that_read_results_of_a_hall_go_there_a_little_earlier():
     away = task("away", due=2.0, near={"g": 500_000})
     here = task("here", due=2.1, near={"h": 500_000})
@@ -381,35 +202,3 @@
         waits_for_other_hall=lambda chunk: True,
     )
     assert len(taken) == 4
-
-
-def test_a_free_endpoint_of_another_hall_takes_what_waits_for_a_busy_one():
-    capacities = CapacityTable()
-    near, far = record("e1", "h"), record("e2", "g")
-    moving = {HallId("h"): 0.0, HallId("g"): 0.2}
-    found = capacities.rank_endpoints(
-        [near, far], LIMITS, waiting=2, now=0.0, moving_cost_s_by_hall=moving
-    )
-    assert found == [near]
-    capacities.capacity(EndpointId("e1"), LIMITS).begin(4, 0, 0.0)
-    found = capacities.rank_endpoints(
-        [near, far], LIMITS, waiting=2, now=0.0, moving_cost_s_by_hall=moving
-    )
-    assert found == [far]
-
-
-def test_the_backlog_of_other_entries_expires():
-    table = AdmittedBacklog()
-    key = BacklogKey(SERVICE, 0)
-    later = BacklogKey(SERVICE, 1)
-    table.add(key, 4)
-    table.record_report(EntryId("n1"), {key: 2, later: 10}, 0.0)
-
-    def before(level, now):
-        return table.pieces_before(SERVICE, level, less_urgent_fraction=0.5, now=now)
-
-    assert before(0, 0.1) == 4 + 2 + 5
-    assert before(1, 0.1) == 16
-    assert before(0, 9.0) == 4
-    table.add(key, -4)
-    assert before(0, 9.0) == 0
