--- a/packages/leadford-standins/src/leadford_standins/fleet/_presets.py
+++ b/packages/leadford-standins/src/leadford_standins/fleet/_presets.py
@@ -1,8 +1,7 @@
 """Describe the two users' deployments, scaled to one machine.
 
 Configurations of leadford's own interface, for the demonstration, its tests and the
-measurement pages that name them. Times and sizes are of the stand-ins, not measured at
-the users'.
+measurement pages that name them. Times and sizes are those of the stand-ins.
 """
 
 from collections.abc import Callable
--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -31,8 +31,8 @@
 from leadford.forwarding.routes import PieceLimits
 
 # A request is split over two calls only if another endpoint is free for the rest within
-# this fraction of a full call. Without splitting, calls of 16 places carry 12 pieces
-# where each request has six.
+# this fraction of a full call. Without splitting, whole requests leave places of calls
+# empty.
 SPLIT_MAX_WAIT_FRACTION = 0.15
 # An endpoint that is short of room gets a call at once if the pieces that fit exceed
 # this fraction of a full call.
@@ -145,7 +145,7 @@
     """Tell whether pieces that do not fit in a call can soon be sent elsewhere.
 
     This matters for a stage with many endpoints where whole requests leave places of
-    each call empty, such as requests of six pieces in calls of 16.
+    each call empty.
     """
     others_free_in_s = [
         capacities.capacity(other.listed.endpoint_id, limits).free_in_s(now)
--- a/packages/leadford/src/leadford/forwarding/batching/_group_map.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_group_map.py
@@ -18,9 +18,9 @@
 from leadford.forwarding.routes import ServiceId
 
 # A count of endpoints that take new work is reused for this time unless the listing
-# changes. Counting iterates over all endpoints of a service (0.29 ms for 1,000), and
-# each heartbeat needs four counts. Meanwhile an evacuation, or the replacement of an
-# endpoint, goes unnoticed.
+# changes, because counting iterates over all endpoints of a service, several times for
+# each heartbeat. Meanwhile an evacuation, or the replacement of an endpoint, goes
+# unnoticed.
 COUNT_MAX_AGE_S = 0.1
 
 
--- a/packages/leadford/src/leadford/forwarding/batching/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_limits.py
@@ -9,8 +9,8 @@
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.routes import PieceLimits
 
-# A call counts as lost after this multiple of its expected duration, plus the slack: a
-# latency target of 1.1 s leaves no time to wait 1.3 s for a call of 0.37 s.
+# A call counts as lost after this multiple of its expected duration, plus the slack. A
+# longer wait would leave a request no time to make the pieces again.
 CALL_DURATION_FACTOR = 1.6
 CALL_SLACK_S = 0.25
 # A scheduler counts as silent after this multiple of the expected wait and call
--- a/packages/leadford/src/leadford/pipelines/claims/_pace.py
+++ b/packages/leadford/src/leadford/pipelines/claims/_pace.py
@@ -9,8 +9,7 @@
 # An answer of the store that takes longer counts as slow.
 SLOW_ANSWER_S = 0.25
 # Smallest factor on the configured rate, and what a good answer and a slow or failed
-# one multiply the factor by. With a minimum of 0.1 and a recovery factor of 1.1, the
-# full rate returns only after 24 good answers.
+# one multiply the factor by. They let the full rate return after few good answers.
 RATE_FACTOR_MIN = 0.25
 RECOVERY_FACTOR = 2.0
 BACKOFF_FACTOR = 0.5
