Try a request that was answered lately again soon after endpoints ended under it

Cause: three ends make a work known, and only a complete answer clears it; but then no copy runs that could be answered, for 600 s.

A work that was answered whole within the minute before it was known is refused as soon as before, after three ends, but tried after 10 s already, each entry up to half as long later, as parts of prompts that were in complete answers are. If the trial is answered, all entries hear of it; if it ends its endpoint (a case over 6 s after the work was known), the 600 s begin. A work that was never answered is refused for 600 s as before.

Why not sooner, or not at all: a work can become harmful, as by a new version of the endpoints' software. Which works were answered is known to each entry for itself; no message is new.

--- a/packages/leadford-server/src/leadford_server/quarantine/_requests.py
+++ b/packages/leadford-server/src/leadford_server/quarantine/_requests.py
@@ -14,6 +14,8 @@
 from leadford.protocol import CrashNews, CrashReport
 from leadford.quarantine import (
     MIN_REPEATED_ENDS,
+    TRIAL_SPREAD_FRACTION,
+    AnsweredWorks,
     CaseId,
     CrashCase,
     CrashLedger,
@@ -45,11 +47,18 @@
         self.log = log
         self.publish_news: Callable[[CrashNews], None] = _discard_news
         self.ledger_ = CrashLedger()
+        self.answered_ = AnsweredWorks()
+        self.spread_ = random.uniform(0.0, TRIAL_SPREAD_FRACTION)
         self.quarantined_: set[RequestDigest] = set()
 
     def verdict(self, digest: RequestDigest) -> QuarantineVerdict:
         """Return how a request may run."""
-        return decide_quarantine(self.ledger_.suspicion(digest), self.now())
+        return decide_quarantine(
+            self.ledger_.suspicion(digest),
+            self.now(),
+            answered_at=self.answered_.answered_at(digest),
+            spread=self.spread_,
+        )
 
     def is_suspect(self, digest: RequestDigest) -> bool:
         """Return whether a request runs apart from other suspected requests."""
@@ -81,6 +90,7 @@
 
     def record_answered(self, digest: RequestDigest) -> None:
         """Record that a request was answered completely."""
+        self.answered_.record(digest, self.now())
         if self.ledger_.clear(digest):
             self._log_changes()
             self.publish_news(CrashNews(answered=[digest]))
--- a/packages/leadford/src/leadford/quarantine/__init__.py
+++ b/packages/leadford/src/leadford/quarantine/__init__.py
@@ -10,6 +10,7 @@
 `_proven` remembers which parts were answered lately.
 """
 
+from leadford.quarantine._answered import AnsweredWorks
 from leadford.quarantine._apart import choose_apart
 from leadford.quarantine._crash import UNDER_WAY_S, LostRun, PartId, PromptKeys
 from leadford.quarantine._decision import (
@@ -22,13 +23,19 @@
 from leadford.quarantine._ledger import CaseId, CrashCase, CrashLedger, Suspicion
 from leadford.quarantine._part_blame import PartBlame, PartBlames, PartSuspicion
 from leadford.quarantine._part_cases import PartCases, blamable_parts
-from leadford.quarantine._part_trials import PartTrials, strictest
+from leadford.quarantine._part_trials import (
+    TRIAL_SPREAD_FRACTION,
+    PartTrials,
+    strictest,
+)
 from leadford.quarantine._proven import ProvenParts
 
 __all__ = [
     "MIN_REPEATED_ENDS",
+    "TRIAL_SPREAD_FRACTION",
     "UNDER_WAY_S",
     "NO_DIGEST",
+    "AnsweredWorks",
     "CaseId",
     "CrashCase",
     "CrashLedger",
--- a/packages/leadford/src/leadford/quarantine/_decision.py
+++ b/packages/leadford/src/leadford/quarantine/_decision.py
@@ -23,6 +23,14 @@
 # Seconds after the last crash for which a request is refused. Then one attempt shows
 # whether it still crashes its endpoint.
 QUARANTINE_S = 600.0
+# The same for a request that had been answered completely shortly before, until a run
+# after that time crashes its endpoint: it may be harmless after all.
+PROVEN_QUARANTINE_S = 10.0
+# Seconds for which a complete answer speaks for a request, or for parts of its prompt.
+PROVEN_S = 60.0
+# Crashes later than this after a request or part was known come from a run that was let
+# through to try it again; the others were under way.
+FAILED_TRIAL_S = 6.0
 
 
 class QuarantineAction(Enum):
@@ -52,14 +60,34 @@
 _RUN_APART = QuarantineVerdict(QuarantineAction.RUN_APART)
 
 
-def decide_quarantine(suspicion: Suspicion | None, now: float) -> QuarantineVerdict:
+def decide_quarantine(
+    suspicion: Suspicion | None,
+    now: float,
+    *,
+    answered_at: float = float("-inf"),
+    spread: float = 0.0,
+) -> QuarantineVerdict:
     """Return how a request may run; None means that there is no suspicion.
 
-    Units: now in seconds, on the clock that timestamps the suspicion.
+    `answered_at` is when a run of it was last answered completely. `spread` is the
+    fraction by which this entry tries such a request later than at the earliest.
+
+    Units: now and answered_at in seconds, on the clock that timestamps the suspicion.
     """
     if suspicion is None or suspicion.ends < MIN_SUSPECT_ENDS:
         return _RUN
-    left_s = suspicion.last_at + QUARANTINE_S - now
+    refusal_s = QUARANTINE_S
+    if _is_proven(suspicion, answered_at):
+        refusal_s = PROVEN_QUARANTINE_S * (1.0 + spread)
+    left_s = suspicion.last_at + refusal_s - now
     if suspicion.ends < MIN_QUARANTINE_ENDS or left_s <= 0.0:
         return _RUN_APART
     return QuarantineVerdict(QuarantineAction.REFUSE, left_s)
+
+
+def _is_proven(suspicion: Suspicion, answered_at: float) -> bool:
+    """Return whether a request was answered lately, and has failed no trial since."""
+    known_at = suspicion.known_at
+    if known_at is None or known_at - answered_at > PROVEN_S:
+        return False
+    return suspicion.last_at - known_at <= FAILED_TRIAL_S
--- a/packages/leadford/src/leadford/quarantine/_ledger.py
+++ b/packages/leadford/src/leadford/quarantine/_ledger.py
@@ -74,12 +74,14 @@
 class Suspicion(msgspec.Struct, frozen=True):
     """Hold how many endpoints are assumed to have crashed while running a work.
 
-    Units: ends in weighted crashes; last_at, the time of the last one, in seconds.
+    Units: ends in weighted crashes; last_at, the time of the last one, and known_at,
+    the time from which there were enough to refuse the work, in seconds.
     """
 
     ends: float
     last_at: float
     endpoint_ids: tuple[EndpointId, ...]
+    known_at: float | None = None
 
 
 class _Work:
@@ -90,6 +92,7 @@
         # Endpoints that another work is known to have crashed.
         self.explained_endpoint_ids: set[EndpointId] = set()
         self.last_at = 0.0
+        self.known_at: float | None = None
 
     @property
     def ends(self) -> float:
@@ -104,7 +107,9 @@
         )
 
     def suspicion(self) -> Suspicion:
-        return Suspicion(self.ends, self.last_at, tuple(self.case_by_endpoint))
+        return Suspicion(
+            self.ends, self.last_at, tuple(self.case_by_endpoint), self.known_at
+        )
 
 
 class CrashLedger:
@@ -139,6 +144,8 @@
         self.known_at_by_endpoint_[case.endpoint_id] = now
         if work.ends >= MIN_QUARANTINE_ENDS:
             self.quarantined_.add(case.digest)
+            if work.known_at is None:
+                work.known_at = work.last_at
             self._mark_explained(work)
         self._expire_works(now)
         return True
@@ -217,6 +224,7 @@
         """Remove a work from the quarantined ones if its cases no longer suffice."""
         if work.ends < MIN_QUARANTINE_ENDS:
             self.quarantined_.discard(digest)
+            work.known_at = None
 
     def _expire_works(self, now: float) -> None:
         """Remove works that had no case for long, and the oldest beyond the maximum."""
--- a/packages/leadford/src/leadford/quarantine/_part_blame.py
+++ b/packages/leadford/src/leadford/quarantine/_part_blame.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from leadford.quarantine._crash import Crash, PartId, PromptKeys
+from leadford.quarantine._decision import FAILED_TRIAL_S
 from leadford.quarantine._digest import RequestDigest
 from leadford.quarantine._part_cases import PartCases
 
@@ -20,9 +21,6 @@
 MIN_PART_CRASHES = 3
 # Crashes from which requests with a part run apart from other suspected requests.
 MIN_SUSPECT_PART_CRASHES = 2
-# Crashes later than this after a part was known come from a request that was let run to
-# try it again; the others were under way.
-FAILED_TRIAL_S = 6.0
 # Many runs may be lost at once, for example when a network fault cuts off this entry.
 # The blame of parts is not worked out anew for each of them.
 MIN_UPDATE_INTERVAL_S = 0.02
--- a/packages/leadford/src/leadford/quarantine/_part_trials.py
+++ b/packages/leadford/src/leadford/quarantine/_part_trials.py
@@ -12,6 +12,7 @@
 
 from leadford.quarantine._crash import PartId, PromptKeys
 from leadford.quarantine._decision import (
+    PROVEN_QUARANTINE_S,
     QUARANTINE_S,
     QuarantineAction,
     QuarantineVerdict,
@@ -19,9 +20,6 @@
 from leadford.quarantine._digest import RequestDigest
 from leadford.quarantine._part_blame import PartBlame, PartSuspicion
 
-# Seconds after the last crash for which a part that had been in complete answers is
-# refused at first: it may be harmless after all.
-PROVEN_QUARANTINE_S = 10.0
 # Entries begin to try a part within this fraction of the refusal time after its end.
 TRIAL_SPREAD_FRACTION = 0.5
 # Seconds after which a trial without an outcome no longer prevents another one.
--- a/packages/leadford/src/leadford/quarantine/_proven.py
+++ b/packages/leadford/src/leadford/quarantine/_proven.py
@@ -8,9 +8,8 @@
 from collections.abc import Iterable
 
 from leadford.quarantine._crash import PartId
+from leadford.quarantine._decision import PROVEN_S
 
-# Seconds for which a complete answer speaks for the parts of its prompt.
-PROVEN_S = 60.0
 # A part takes about 200 bytes.
 MAX_PROVEN_PARTS = 10_000
 
