Send no piece that waited for an endpoint without its inputs

A piece that found no endpoint was sent again after a while whatever had happened meanwhile. If another piece had found an input of the same stage gone, the results of the stage before were dropped, and the piece was sent with "null" in the place of its inputs: a call for nothing, whose refusal counts as a further try.

Such a piece is now ready again once its inputs have been made again, as any other.

Ruled out: to return all pieces to the graph at each retry.

Found by reading; not seen in a deployment.

--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_sending.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_sending.py
@@ -93,9 +93,15 @@
         limits: PieceLimits,
         keys: list[PieceKey],
     ) -> None:
+        """Send pieces that waited, unless their inputs were dropped meanwhile."""
         if job.is_over_ or job.done_.done():
             return
         if self.state.now() >= job.deadline:
             job.fail(PieceFailure.LATE.value)
             return
+        if None in job.graph.inputs(keys[0].stage):
+            # They are ready again once their inputs have been made again.
+            for key in keys:
+                job.graph.record_failed(key)
+            return
         self._send(job, stage, limits, keys)
