Hold that an engine that refuses a weight version gets further streams, in a test that fails now

A stream that goes on elsewhere names the version of the weights that began it. An engine with another version answers 421, as does a process that has taken over an address, and the entry takes it for the latter: it sends the engine nothing more for as long as it is listed. During a change of weights each broken stream can cost an entry an engine.

The stand-in of an engine refuses another version, as the platform's engines do.

Not mended here, since the attempts have to tell which of the two a 421 can mean, and they are under change at the same time.

--- a/packages/leadford-standins/src/leadford_standins/wire/_engines.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_engines.py
@@ -65,6 +65,8 @@
         self.events = events
         self.requires_inputs = requires_inputs
         self.pause_s = 0.005
+        # The engine refuses requests that expect another version of its weights.
+        self.weight_version = 1
         self.result_holders = result_holders or []
         self.kept_ = PromptCache(memory_tokens=memory_tokens)
         # The engine crashes when it answers a prompt with one of these parts, after
@@ -84,6 +86,7 @@
             hall=self.hall,
         )
         replacement.pause_s = self.pause_s
+        replacement.weight_version = self.weight_version
         replacement.crash_bodies_ = self.crash_bodies_
         replacement.crash_parts_ = self.crash_parts_
         replacement.events_before_crash = self.events_before_crash
@@ -110,6 +113,10 @@
         if self.requires_inputs and not request.headers.get("X-Inputs"):
             handler.refuse(400)
             return
+        expected = request.headers.get("X-Expect-Version")
+        if expected not in (None, str(self.weight_version)):
+            handler.refuse(421)
+            return
         handles = [h for h in request.headers.get("X-Inputs", "").split(",") if h]
         is_gone = handler.misbehaviour is Misbehaviour.GONE
         if is_gone or not all(
@@ -123,7 +130,7 @@
         crashes = self._crashes_on(parts)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         handler.set_header("Content-Type", "text/event-stream")
-        handler.set_header("X-Weight-Versions", "1")
+        handler.set_header("X-Weight-Versions", str(self.weight_version))
         if handler.is_unframed:
             await self._serve_unframed(handler, first)
             return
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_streams.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_streams.py
@@ -140,3 +140,18 @@
             assert len(runs_of(deployment.engines, name)) == (not is_refused)
 
     run_scenario(scenario, endpoints=1)
+
+
+def test_an_engine_that_refuses_another_weight_version_gets_further_streams():
+    async def scenario(deployment):
+        used, other = await engines_by_use(deployment)
+        other.weight_version = 2
+        used.planned_misbehaviours_.append(Misbehaviour.CUT)
+        await deployment.send("/resumed/x", request_id="r1")
+        assert other.arrivals_ and not other.runs_
+        roster = deployment.entries_[0].state_.roster_
+        assert roster.record(other.endpoint_id) in roster.usable("engine", 0.0)
+        answer = await deployment.send("/resumed/x", request_id="r2")
+        assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+
+    run_scenario(scenario)
