--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -187,9 +187,8 @@
         match = progress.match_
         budget = self.state.retry_budgets_.budget(match.service.service_id)
         budget.record_request(self.state.now())
-        # A request that a caller repeats has the same digest at every entry. Without
-        # this check, one request crashed 27 endpoints, and retry budgets were spent on
-        # harmless requests.
+        # A request that a caller repeats has the same digest at every entry, so it
+        # would crash further endpoints and use up the retry budgets.
         if self.attempts.retries.is_quarantined:
             self.answer.end_quarantined()
             return
