Offer a call to endpoints that the waiting pieces do not exclude

A stream was answered 504 after 4 s, though its stages were free again after 1 s: its pieces lay in the queue of their group for 3 s, and nobody called for them.

Cause: as many endpoints are offered a call as the waiting pieces fill, the best first. Two pieces that excluded the best endpoint, because it had been silent under them, were offered to that one only, again every 0.04 s, until their scheduler counted as silent. The same where the one endpoint that is not suspect is excluded. Ruled out: a wake-up that is lost (a recheck is always due), a call that hangs (each logs its end), room.

Now endpoints that every waiting piece excludes are left out before endpoints are ranked.

Both new tests of test_filling.py failed before (no call) and pass; the 169 tests of batching pass.

--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -5,9 +5,10 @@
 and results at each endpoint, and the known state of the endpoints, in this order:
 
 1. A call that is not full waits briefly for more pieces (`PieceQueue.window_ends_at`).
-2. Endpoints are tried in the order in which they would finish the call
-   (`CapacityTable.rank_endpoints`). One that is short of room waits briefly for it
-   (`EndpointCapacity.awaits_room`), unless smaller pieces fill over half a call.
+2. Endpoints that some waiting piece allows are tried in the order in which they would
+   finish the call (`CapacityTable.rank_endpoints`). One that is short of room waits
+   briefly for it (`EndpointCapacity.awaits_room`), unless smaller pieces fill over half
+   a call.
 3. The call takes the pieces that are due first, as far as they fit
    (`PieceQueue.take`). Pieces may wait for an endpoint in the hall of their inputs
    (`Chunk.waits_for_other_hall`). A part of a request fills the last places only where
@@ -85,11 +86,12 @@
     wait_s = queue.window_ends_at(limits) - now
     if wait_s > 0.0:
         return NextCall(FillAction.WAIT_FOR_MORE, wait_s=wait_s)
+    allowed = [r for r in records if queue.allows(r.listed.endpoint_id)]
     finish_s_by_id = capacities.finish_s_by_id(
-        records, limits, waiting=len(queue), now=now
+        allowed, limits, waiting=len(queue), now=now
     )
-    calls = _expected_calls(capacities, records, finish_s_by_id, limits, now)
-    for record in _candidates(queue, capacities, records, finish_s_by_id, limits, now):
+    calls = _expected_calls(capacities, allowed, finish_s_by_id, limits, now)
+    for record in _candidates(queue, capacities, allowed, finish_s_by_id, limits, now):
         endpoint_id = record.listed.endpoint_id
         hall = record.listed.hall
         capacity = capacities.capacity(endpoint_id, limits)
--- a/packages/leadford/src/leadford/forwarding/batching/_queue.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_queue.py
@@ -75,6 +75,10 @@
             call_s = limits.duration_ms(1) / 1_000.0
         return self.discard(lambda task: task.deadline > now + call_s)
 
+    def allows(self, endpoint_id: EndpointId) -> bool:
+        """Tell whether any waiting piece may go to an endpoint."""
+        return any(endpoint_id not in task.excluded for task in self.tasks_)
+
     def waiting_bytes(self) -> int:
         """Return the room that the results of the waiting pieces will take."""
         return sum(task.result_bytes for task in self.tasks_)
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
@@ -99,6 +99,24 @@
     assert len(queue) == 0
 
 
+def test_pieces_do_not_wait_for_the_best_endpoint_if_they_exclude_it():
+    best, other = record("best"), record("other", "far")
+    excluded = frozenset({EndpointId("best")})
+    queue = make_queue(tasks(2, excluded=excluded))
+    decision = next_call(queue, CapacityTable(), [best, other], LIMITS, 0.0)
+    assert decision.record is other
+    assert len(decision.tasks) == 2
+
+
+def test_pieces_that_exclude_all_trusted_endpoints_go_to_a_suspect():
+    suspect, sound = record("suspect"), record("sound", "far")
+    suspect.record_failure(0.0, EndpointFailure.LOST)
+    excluded = frozenset({EndpointId("sound")})
+    queue = make_queue(tasks(2, excluded=excluded))
+    decision = next_call(queue, CapacityTable(), [suspect, sound], LIMITS, 0.1)
+    assert decision.record is suspect
+
+
 def test_a_suspect_gets_no_call_while_others_are_left():
     suspect, sound = record("suspect"), record("sound", "far")
     suspect.record_failure(0.0, EndpointFailure.LOST)
