Use the endpoint that was given up again if the next one is lost

Cause: as before, an attempt is given up for one that may not serve the request. The endpoint that was given up has run it already, so to use it again adds no endpoint. Now the attempt that failed in its place does not count, and the request is bound to the first endpoint; the retry comes out of the budget.

Evidence: test_a_safe_request_given_up_for_an_endpoint_that_is_lost_is_served failed before (502 after 0.07 s) and passes.

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -89,6 +89,8 @@
         self.tried_endpoint_ids_: list[EndpointId] = []
         # The endpoint that was given up for its silence and may be used again.
         self.readmitted_id_: EndpointId | None = None
+        # Whether no other endpoint may run the request any more.
+        self.is_bound_ = False
         # The software version of each endpoint that was tried, empty if not known.
         self.tried_software_: list[str] = []
         # The pace of the last endpoint that was tried, as known when the request was
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_choice.py
@@ -189,6 +189,10 @@
         A cold or rate-limited endpoint accepts it only while this entry has not used up
         its share of the limit.
         """
+        progress = self.progress
+        is_readmitted = record.listed.endpoint_id == progress.readmitted_id_
+        if progress.is_bound_ and not is_readmitted:
+            return False
         if not self.fits_stream(record):
             return False
         if self.state.send_delay_s(record) > 0.0:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
@@ -53,10 +53,10 @@
         self.evidence = evidence
         # Whether the budget was spent on the next attempt already.
         self.has_reserved_ = False
-        # The endpoint that was given up last, while nothing else may have run since.
+        # The endpoint that was given up last, until it is used again.
         self.given_up_id_: EndpointId | None = None
-        # Attempts since then that did not run.
-        self.refused_count_ = 0
+        # Attempts that failed after it was given up, which do not count.
+        self.uncounted_ = 0
         # Whether the endpoint of the current attempt is silent beyond its limit.
         self.is_silent_ = False
 
@@ -87,19 +87,29 @@
         return decision
 
     def _readmit_given_up(self, end: AttemptEnd) -> None:
-        """Let the endpoint that was given up be used again if another one refuses.
+        """Let the endpoint that was given up be used again if the next one fails.
 
-        It would have gone on with the request. An attempt that did not run does not
-        count in place of it.
+        It would have gone on with the request. If the other one may have run it, no
+        third one may do so where these two are all that the route allows.
         """
+        progress = self.progress
         if self.given_up_id_ is None or self.has_reserved_:
             return
-        if end is AttemptEnd.NOT_RUN:
-            self.refused_count_ += 1
-            self.progress.readmitted_id_ = self.given_up_id_
+        if end is AttemptEnd.INPUTS_GONE:
+            return
+        if end.may_have_run and self._attempts < progress.match_.route.attempts_max:
+            self.given_up_id_ = None
             return
-        self.given_up_id_ = None
-        self.refused_count_ = 0
+        progress.readmitted_id_ = self.given_up_id_
+        progress.is_bound_ = end.may_have_run
+        self.uncounted_ += 1
+        if end.may_have_run:
+            self.given_up_id_ = None
+
+    @property
+    def _attempts(self) -> int:
+        """Return how many attempts count against the maximum of the route."""
+        return len(self.progress.tried_endpoint_ids_) - self.uncounted_
 
     def may_give_up(
         self, record: EndpointRecord, sent_at: float, failure: EndpointFailure
@@ -205,7 +215,7 @@
             may_have_run=progress.may_have_run_,
             is_repeatable=route.is_repeatable,
             can_remake_inputs=route.kind is RouteKind.STREAM and bool(route.stages),
-            attempts=len(progress.tried_endpoint_ids_) - self.refused_count_,
+            attempts=self._attempts,
             attempts_max=route.attempts_max,
             input_remakes=progress.input_remakes_,
             now=self.state.now(),
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_given_up_attempts.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_given_up_attempts.py
@@ -73,6 +73,26 @@
     run_scenario(scenario)
 
 
+def test_a_safe_request_given_up_for_an_endpoint_that_is_lost_is_served():
+    # It got 502, though the first endpoint would have answered.
+    async def scenario(deployment):
+        for number in range(12):
+            await deployment.send("/safe/x", request_id=f"u{number}")
+        for endpoint in deployment.plain:
+            endpoint.work_s = 0.5
+        sent = asyncio.ensure_future(deployment.send("/safe/x", request_id="r"))
+        await deployment.until(lambda: runs_of(deployment.plain, "r"))
+        used, *others = sorted(deployment.plain, key=lambda e: not runs_of([e], "r"))
+        for other in others:
+            other.planned_misbehaviours_ += [Misbehaviour.LOSE_ANSWER] * 9
+        assert (await sent).code == 200
+        # The route allows two endpoints.
+        assert len([e for e in deployment.plain if runs_of([e], "r")]) == 2
+        assert len(runs_of([used], "r")) == 2
+
+    run_scenario(scenario, endpoints=3)
+
+
 def test_a_stream_is_not_given_up_for_an_engine_without_a_free_connection():
     async def scenario(deployment):
         deployment.config["services"][2]["maxConns"] = 1
