Bound the bodies of refusals and of answers to calls

A refusal whose body never ends was read and kept for 0.25 s at full speed, up to 64 MB, before its request went elsewhere, and its endpoint was never blamed, so that callers used their attempts up on it and got 503. An answer to a call for pieces that never ends was kept for as long as the call may take, then read in one turn.

Now the body of a refusal is dropped as it comes; beyond 64 KiB the attempt ends at once as not run, the connection is closed, and the endpoint counts as one that broke off. The answer to a call, which names a result for each piece, ends as broken off beyond 1 MiB. The rest of an answer to an earlier request, which is skipped, is dropped too.

Evidence: the form `endless-refusal` of the test of bodies that never end failed (endpoint not suspect), as did test_a_call_whose_answer_is_far_too_long_fails_before_its_end; both pass. test_pieces_are_made_elsewhere_when_a_stage_sends_a_body_without_end passed before as well, by the time limit of calls; it holds the behaviour.

--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -39,6 +39,8 @@
 HEADER_BYTES_MAX = 64 * 1024
 # What the kernel may buffer for a connection that is not read.
 MAX_RECEIVE_BUFFER_BYTES = 256 * 1024
+# The answer to a call names a result, or a reason, for each of its pieces.
+MAX_CALL_BODY_BYTES = 1024 * 1024
 # Answers to earlier requests that are skipped before an exchange fails.
 UNMATCHED_ANSWERS_MAX = 2
 # Time after which the kernel closes a connection whose peer acknowledges nothing.
@@ -158,6 +160,7 @@
             if match is AnswerMatch.UNKNOWN:
                 break
             # This is the answer to an earlier request; read and skip it.
+            answer.reader.limit_body(ANSWER_BYTES_MAX, is_kept=False)
             await answer.reading
             if not answer.reader.is_complete_ or not answer.reader.is_framed_:
                 break
@@ -166,7 +169,7 @@
     async def fetch(
         self, request: OutboundRequest, request_id: RequestId | None = None
     ) -> tuple[bytes, AnswerHead]:
-        """Send a request and return the complete body and the head of its answer.
+        """Send a call and return the complete body and the head of its answer.
 
         Errors: raises ExchangeBroken.
         """
@@ -179,6 +182,7 @@
                 answer = await self.begin(request, request_id)
             finally:
                 unsent.release()
+        answer.reader.limit_body(MAX_CALL_BODY_BYTES)
         await answer.wait_until_complete()
         return answer.reader.take(), answer.head
 
@@ -264,6 +268,7 @@
         reader = answer.reader
         if (
             not reader.is_complete_
+            or reader.is_too_long
             or not reader.is_framed_
             or answer.head.closes_connection
         ):
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_reader.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_reader.py
@@ -67,6 +67,9 @@
         self.longest_pause_s_ = 0.0
         self.head_: AnswerHead | None = None
         self.chunks_: list[bytes] = []
+        self.body_bytes_ = 0
+        self.max_body_bytes_: int | None = None
+        self.is_body_kept_ = True
         self.is_complete_ = False
         self.is_broken_ = False
         self.is_framed_ = True
@@ -86,6 +89,10 @@
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Record a part of the body; return the end of the pause, if one begins."""
+        self.body_bytes_ += len(chunk)
+        self._check_length()
+        if self.is_too_long or not self.is_body_kept_:
+            return None
         self.chunks_.append(chunk)
         self.changed_.set()
         if self.memory is None:
@@ -95,6 +102,26 @@
         self.held_.add(len(chunk))
         return None if self._may_read() else self._pause()
 
+    def limit_body(self, max_bytes: int, *, is_kept: bool = True) -> None:
+        """Break the answer off if its body is longer; drop a body that is not kept."""
+        self.max_body_bytes_ = max_bytes
+        self.is_body_kept_ = is_kept
+        if not is_kept:
+            self.chunks_.clear()
+            self.release()
+        self._check_length()
+
+    @property
+    def is_too_long(self) -> bool:
+        """Return whether the body is longer than it may be."""
+        limit = self.max_body_bytes_
+        return limit is not None and self.body_bytes_ > limit
+
+    def _check_length(self) -> None:
+        if self.is_too_long:
+            self.is_broken_ = True
+            self.changed_.set()
+
     def read_as_stream(self, max_unread_bytes: int) -> None:
         """Bound how far the events of a stream are read ahead of the caller."""
         if self.memory is None:
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
@@ -368,3 +368,19 @@
             assert connection.end is ConnectionEnd.CLOSED
 
     run(scenario())
+
+
+def test_a_call_whose_answer_is_far_too_long_fails_before_its_end():
+    # An endless answer to a call filled memory for as long as the call may take.
+    async def scenario():
+        head = f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {ID}\r\n"
+        head += "Content-Length: 50000000\r\n\r\n"
+        part = b"x" * (2 * 1024 * 1024)
+        async with Endpoint(head.encode() + part, "hang") as endpoint:
+            connection = await endpoint.connect()
+            async with asyncio.timeout(5.0):
+                with pytest.raises(ExchangeBroken):
+                    await connection.fetch(REQUEST, ID)
+            assert not connection.finish_exchange()
+
+    run(scenario())
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -41,6 +41,7 @@
 
 # Time for the body of a refusal, after which its connection is closed.
 REFUSAL_BODY_MAX_S = 0.25
+MAX_REFUSAL_BODY_BYTES = 64 * 1024
 # An endpoint is never sent a remaining time of 0 or less.
 MIN_REMAINING_MS = 1.0
 
@@ -283,12 +284,15 @@
             return
         self.progress.was_sent_ = False
         limit_at = self.state.now() + REFUSAL_BODY_MAX_S
+        reader = attempt.answer.reader
+        reader.limit_body(MAX_REFUSAL_BODY_BYTES, is_kept=False)
         try:
             async with EndpointTimeout(limit_at, self.state.loop_turns_):
                 await attempt.answer.wait_until_complete()
         except (ExchangeBroken, TimeoutError):
             # The head says that the request did not run; the body is not needed.
-            pass
+            if reader.is_too_long:
+                self.evidence.record_failure(record, EndpointFailure.BROKEN_OFF)
         finally:
             self.release(attempt)
         has_stages = bool(self.progress.match_.route.stages)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_endless_answers.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_endless_answers.py
@@ -100,6 +100,7 @@
     Misbehaviour.ENDLESS_LINE,
     Misbehaviour.ENDLESS_UNFRAMED,
     Misbehaviour.ENDLESS_CHUNK_EXTENSION,
+    Misbehaviour.ENDLESS_REFUSAL,
 ]
 
 
@@ -140,3 +141,21 @@
         )
 
     run_scenario(scenario, endpoints=3)
+
+
+def test_pieces_are_made_elsewhere_when_a_stage_sends_a_body_without_end():
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        bad = deployment.stage[0]
+        record = entry.state_.roster_.record(bad.endpoint_id)
+        bad.usual_misbehaviour = Misbehaviour.ENDLESS_LINE
+        sent = [
+            asyncio.ensure_future(send_stream(deployment, number))
+            for number in range(STREAMS)
+        ]
+        await deployment.until(lambda: record.is_suspect(entry.state_.now()))
+        for answer, _ in await asyncio.gather(*sent):
+            assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+        assert bad.closed_endless_ > 0
+
+    run_scenario(scenario, endpoints=3)
