Let the failure rate of an endpoint fade, so that it comes back

An engine that had sent bytes without end got nothing more though it was sound again and no longer suspect, for as long as the other engines were not busy.

Cause: each failure adds to a failure rate, which costs an engine up to 400 ms in the choice and falls only with complete answers; an engine that gets no request gives none. The excess of its slowness already fades for that reason, with a half-life of 2 s. Now the failure rate does too. Suspicion, which is what keeps requests off an endpoint that fails, is as it was.

--- a/packages/leadford/src/leadford/forwarding/endpoints/_choice.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_choice.py
@@ -117,7 +117,7 @@
         """Return the cost of an amount of work at an endpoint, and of its state."""
         policy = self.policy
         score = work / max(1, record.listed.slots)
-        score += policy.failure_cost * record.failure_rate_.value_
+        score += policy.failure_cost * record.failure_rate(now)
         if record.listed.hall != self.hall:
             score += policy.other_hall_cost
         if record.is_cold(now):
--- a/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_engines.py
@@ -214,7 +214,7 @@
         expected += running * RUNNING_REQUEST_MS
         if pace is not None:
             expected *= pace
-        expected += record.failure_rate_.value_ * FAILURE_RATE_MS
+        expected += record.failure_rate(now) * FAILURE_RATE_MS
         if affinity and endpoint_id != affinity[0]:
             expected += NOT_PREFERRED_MS
         if (
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -37,6 +37,9 @@
 # again.
 SLOWNESS_HALF_LIFE_S = 2.0
 
+# Half-life of the failure rate, for the same reason.
+FAILURE_HALF_LIFE_S = 2.0
+
 
 class EndpointFailure(Enum):
     """State how an endpoint failed an attempt or a call."""
@@ -88,6 +91,7 @@
         self.sent_since_report_ = 0
         self.pace_ = EndpointPace()
         self.failure_rate_ = Ewma(initial=0.0, weight=FAILURE_WEIGHT)
+        self.failed_at_ = 0.0
         self.latency_ms_ = Ewma(initial=0.0, weight=LATENCY_WEIGHT)
         self.slowness_ = Ewma(initial=1.0, weight=SLOWNESS_WEIGHT)
         self.slowness_at_ = 0.0
@@ -164,7 +168,9 @@
     def record_failure(self, now: float, failure: EndpointFailure) -> None:
         """Record a failure, which may make the endpoint suspect."""
         self.consecutive_failures_ += 1
+        self.failure_rate_.value_ = self.failure_rate(now)
         self.failure_rate_.update(1.0)
+        self.failed_at_ = now
         is_silence = failure in SILENCES
         self.silences_ += is_silence
         suspect_s = _suspect_s(self.consecutive_failures_, failure)
@@ -181,6 +187,11 @@
         if self.silences_ and self.suspect_until_ > 0.0:
             self.suspect_until_ = max(self.suspect_until_, now + SUSPECT_BASE_S)
 
+    def failure_rate(self, now: float) -> float:
+        """Return the fraction of failures lately, from 0 to 1; it decays with time."""
+        age_s = now - self.failed_at_
+        return self.failure_rate_.value_ * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
     def record_heard(self) -> None:
         """Record that the endpoint goes on after silences that counted as failures.
 
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_record.py
@@ -84,3 +84,15 @@
     record.record_failure(0.0, EndpointFailure.SLOW)
     record.record_still_silent(0.1)
     assert not record.is_suspect(0.1)
+
+
+def test_a_failure_counts_less_and_less_at_an_endpoint_that_gets_no_requests(record):
+    # An engine that had failed got nothing again while others were not busy.
+    for _ in range(3):
+        record.record_failure(10.0, EndpointFailure.BROKEN_OFF)
+    first = record.failure_rate(10.0)
+    assert first > 0.4
+    assert record.failure_rate(12.0) == pytest.approx(first / 2.0)
+    assert record.failure_rate(30.0) < 0.001
+    record.record_failure(30.0, EndpointFailure.BROKEN_OFF)
+    assert record.failure_rate(30.0) == pytest.approx(0.2, abs=0.001)
