Limit the wait for an answer to a stream that is none

A stream waited to its deadline, and ended with 504, at an engine that answered with an error status and a body that came byte by byte: only the events of a stream were waited for with a limit. An answer that is no stream now gets the same limit on silence, for its whole body, and is given up once a retry is reserved.

Evidence: the form `trickled-error` of test_streams_go_on_elsewhere_when_an_engine_sends_bytes_without_end fails before (the engine isn't suspect within 5 s) and passes.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -74,6 +74,29 @@
             has_begun=self.answer.has_begun,
         )
 
+    async def wait_for_plain_answer(self, attempt: Attempt) -> bool:
+        """Wait for the end of an answer that is no stream; return False if given up.
+
+        Errors: raises TimeoutError when the deadline of the request has passed,
+        ExchangeBroken when the rest of the answer does not arrive.
+        """
+        limit_at = self._limit_at(
+            len(self.progress.tried_endpoint_ids_), MIN_ENDPOINTS_FOR_RETRY
+        )
+        may_give_up = self.attempts.may_give_up(
+            attempt.borrowed, EndpointFailure.SILENT
+        )
+        try:
+            async with EndpointTimeout(
+                limit_at, self.state.loop_turns_, may_end=may_give_up
+            ):
+                await attempt.answer.wait_until_complete()
+        except TimeoutError:
+            if self.attempts.retries.is_out_of_time():
+                raise
+            return False
+        return True
+
     async def relay(self, attempt: Attempt) -> StreamEnd:
         """Pass events on; return how the stream ended at this endpoint.
 
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_stream.py
@@ -118,7 +118,8 @@
     async def _pass_on_plain_answer(self, attempt: Attempt) -> StreamEnd:
         """Pass on an answer that is not a stream; return how it ended."""
         try:
-            await attempt.answer.wait_until_complete()
+            if not await self.events.wait_for_plain_answer(attempt):
+                return StreamEnd.GIVEN_UP
         except ExchangeBroken:
             # The caller of this method records the failure and tries another endpoint.
             return StreamEnd.BROKEN_OFF
--- a/packages/leadford-standins/src/leadford_standins/wire/_endless.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_endless.py
@@ -67,6 +67,9 @@
     Misbehaviour.TRICKLED_REFUSAL: EndlessBytes(
         _chunk(b"x"), status="503 Full", pause_s=TRICKLE_S
     ),
+    Misbehaviour.TRICKLED_ERROR: EndlessBytes(
+        _chunk(b"x"), status="500 Failed", pause_s=TRICKLE_S
+    ),
     Misbehaviour.ENDLESS_HEAD: EndlessBytes(_repeated(b"X-More: 1\r\n"), end=None),
     Misbehaviour.ENDLESS_INTERIM_HEADS: EndlessBytes(
         _repeated(b"HTTP/1.1 100 Continue\r\n\r\n"), status="100 Continue", end="\r\n"
--- a/packages/leadford-standins/src/leadford_standins/wire/_misbehaviours.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_misbehaviours.py
@@ -40,6 +40,7 @@
     TRICKLED_LETTERS = "trickled-letters"
     TRICKLED_OLD_EVENTS = "trickled-old-events"
     TRICKLED_REFUSAL = "trickled-refusal"
+    TRICKLED_ERROR = "trickled-error"
 
 
 # Answers that have no length and end with their connection.
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_endless_answers.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_endless_answers.py
@@ -28,6 +28,7 @@
     Misbehaviour.TRICKLED_COMMENTS,
     Misbehaviour.TRICKLED_LETTERS,
     Misbehaviour.TRICKLED_OLD_EVENTS,
+    Misbehaviour.TRICKLED_ERROR,
 ]
 
 
