Close what waits unread until an entry that was late has recovered

Cause: whether what has connected is read before others are refused was decided by the last turns of the event loop. A busy entry is on time for single turns, and then read all that waited, hundreds at once, beyond the rate that was in force.

Now the entry must not have been late since all connections were read.

--- a/packages/leadford/src/leadford/forwarding/overload/_connections.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_connections.py
@@ -2,8 +2,8 @@
 
 A caller whose connection is refused or closed unread tries another entry at once, and
 nothing has run. A refused one also sends nothing over a link that is full; what has
-connected has sent its request already, so it is read unless the event loop is late
-itself. What was read keeps its place: requests and streams under way go on. So new
+connected has sent its request already, so it is read unless the event loop has been
+late itself. What was read keeps its place: requests and streams under way go on. So new
 connections give way first, as soon as the event loop lags behind or packets wait at the
 link, and as many as it takes to keep up.
 
@@ -68,6 +68,8 @@
         self.lowered_at_: float | None = None
         self.shed_at_ = float("-inf")
         self.shed_count_ = 0
+        # Whether the event loop has been late since all connections were read.
+        self.was_loop_late_ = False
 
     def admits(self, now: float) -> bool:
         """Return whether to read a new connection, and go on accepting others.
@@ -86,7 +88,7 @@
     @property
     def reads_waiting(self) -> bool:
         """Return whether to read what has connected before new ones are refused."""
-        return not self.turns.is_late
+        return not (self.turns.is_late or self.was_loop_late_)
 
     def pause_s(self, now: float) -> float:
         """Return for how long to refuse connections, after one that was not admitted.
@@ -117,6 +119,7 @@
         Units: now in seconds.
         """
         lateness = self._lateness(now)
+        self.was_loop_late_ |= self.turns.is_late
         if lateness > 1.0:
             self._lower(lateness, now)
         elif self.lowered_at_ is not None:
@@ -157,9 +160,11 @@
 
     def _raise(self, now: float) -> None:
         if self.limit_per_s_ is None:
+            self.was_loop_late_ = False
             return
         if now - self.shed_at_ >= RECOVERY_S:
             self.limit_per_s_ = None
+            self.was_loop_late_ = False
             self.usual_.set(self.usual_per_s_, now)
             return
         is_known = self.limit_per_s_ < KNOWN_FRACTION * self.late_per_s_
--- a/packages/leadford/src/leadford/forwarding/overload/tests/test_connections.py
+++ b/packages/leadford/src/leadford/forwarding/overload/tests/test_connections.py
@@ -135,3 +135,16 @@
         pass
     assert admission.closes_kept(0.2)
     assert not admission.closes_kept(2.0)
+
+
+def test_what_waits_is_closed_unread_until_an_entry_that_was_late_has_recovered():
+    # An entry that was on time for one turn read all that waited, and answered it late.
+    entry = SimulatedEntry()
+    entry.run(1.0, 0.5 * CAPACITY_PER_S)
+    assert entry.admission.reads_waiting
+    entry.run(2.0, 4.0 * CAPACITY_PER_S)
+    entry.turns.last_.clear()
+    assert not entry.turns.is_late
+    assert not entry.admission.reads_waiting
+    entry.run(2.0 * RECOVERY_S + 4.0, 0.2 * CAPACITY_PER_S)
+    assert entry.admission.reads_waiting
