Take no refusal of a weight version for that of another process at the address

An engine got nothing more from an entry, for as long as it was listed, after one resumed stream had named a version of the weights that it does not have.

Cause: 421 says that the one that was meant is not here: another process, or, for a request that names a version, this one with other weights. Both counted as replaced.

--- a/packages/leadford-server/src/leadford_server/forwarding/_heads.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_heads.py
@@ -13,15 +13,24 @@
 
 
 def record_head(
-    state: ForwardState, record: EndpointRecord, head: AnswerHead, *, sent_at: float
+    state: ForwardState,
+    record: EndpointRecord,
+    head: AnswerHead,
+    *,
+    sent_at: float,
+    expects_version: bool = False,
 ) -> None:
     """Record the load and the backpressure that an answer reports.
 
+    `expects_version` tells whether the request named a version of the weights, which
+    the endpoint itself may refuse.
+
     Units: sent_at in seconds of the monotonic clock, when the request was sent.
     """
     if head.not_run is NotRunCause.REPLACED:
-        # Another process answered, so its answer says nothing about this endpoint.
-        record.mark_replaced()
+        # Another process may have answered, which says nothing about this endpoint.
+        if not expects_version:
+            record.mark_replaced()
         return
     record.answered_at_ = state.now()
     if head.report is not None:
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -276,7 +276,13 @@
         """
         head = attempt.answer.head
         record = attempt.record
-        record_head(self.state, record, head, sent_at=attempt.began_at)
+        record_head(
+            self.state,
+            record,
+            head,
+            sent_at=attempt.began_at,
+            expects_version=self.progress.model_version_ is not None,
+        )
         if head.fault:
             self.release(attempt)
             raise ExchangeBroken(BreakKind.INVALID_ANSWER, head.fault)
