Use an endpoint that was given up again only once

A request whose first endpoint was given up for its silence was sent to it and to others again for as long as the retry budget lasted, if all refused it: 11 arrivals of one request, all at once.

Cause: each refusal made the first endpoint eligible once more and did not count. Now it is eligible until it was used, and its refusal counts. test_endpoints_that_all_refuse_a_request_are_not_asked_again_and_again failed before (11 arrivals, at most 3 allowed) and passes; so do the ten others of that file.

--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_attempts.py
@@ -216,7 +216,7 @@
     def _count_begin(self, record: EndpointRecord) -> float:
         """Count an attempt that starts now, and return the current time."""
         self.progress.record_tried(record.listed)
-        self.retries.begin_attempt()
+        self.retries.begin_attempt(record.listed.endpoint_id)
         self.inputs.record_attempt()
         began_at = self.state.now()
         self.progress.pace_ = record.pace(began_at)
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
@@ -60,9 +60,13 @@
         # Whether the endpoint of the current attempt is silent beyond its limit.
         self.is_silent_ = False
 
-    def begin_attempt(self) -> None:
+    def begin_attempt(self, endpoint_id: EndpointId) -> None:
         """Record that another attempt begins."""
         self.is_silent_ = False
+        if endpoint_id == self.progress.readmitted_id_:
+            # It is used again only once.
+            self.progress.readmitted_id_ = None
+            self.given_up_id_ = None
 
     def ask(self, end: AttemptEnd, detail: str) -> RetryDecision:
         """Decide whether a retry follows a failed attempt, and log it if so."""
@@ -102,7 +106,8 @@
             return
         progress.readmitted_id_ = self.given_up_id_
         progress.is_bound_ = end.may_have_run
-        self.uncounted_ += 1
+        if progress.tried_endpoint_ids_[-1] != self.given_up_id_:
+            self.uncounted_ += 1
         if end.may_have_run:
             self.given_up_id_ = None
 
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_given_up_attempts.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_given_up_attempts.py
@@ -93,6 +93,25 @@
     run_scenario(scenario, endpoints=3)
 
 
+def test_endpoints_that_all_refuse_a_request_are_not_asked_again_and_again():
+    async def scenario(deployment):
+        for number in range(12):
+            await deployment.send("/safe/x", request_id=f"u{number}")
+        arrivals = sum(endpoint.arrivals_ for endpoint in deployment.plain)
+        for endpoint in deployment.plain:
+            endpoint.fall_silent(SILENCE_S)
+        sent = asyncio.ensure_future(deployment.send("/safe/x", request_id="r"))
+        await deployment.until(lambda: runs_of(deployment.plain, "r"))
+        for endpoint in deployment.plain:
+            endpoint.planned_misbehaviours_ += [Misbehaviour.REFUSE] * 30
+        assert (await sent).code == 502
+        # The silent one, the other one, and the silent one again.
+        arrived = sum(endpoint.arrivals_ for endpoint in deployment.plain)
+        assert arrived - arrivals <= 3
+
+    run_scenario(scenario)
+
+
 def test_a_stream_is_not_given_up_for_an_engine_without_a_free_connection():
     async def scenario(deployment):
         deployment.config["services"][2]["maxConns"] = 1
