--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_events.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_events.py
@@ -13,6 +13,7 @@
 MAX_EVENT_ID_DIGITS = 18
 # An empty line ends an event.
 _EVENT_END = re.compile(rb"\n\r?\n")
+_EVENT_ENDS = (b"\n\n", b"\n\r\n")
 _LINE_ENDS = re.compile(rb"[\r\n]*")
 # Bytes of an end that may have arrived without its last byte.
 _MAX_PARTIAL_END_BYTES = 2
@@ -39,7 +40,7 @@
     def feed(self, data: bytes | memoryview) -> list[StreamEvent]:
         """Append bytes and return the events that they complete.
 
-        Empty lines between events are dropped. Events without an id that follow each
+        Empty lines before an event are dropped. Events without an id that follow each
         other are returned as one, and comments count as such events.
         """
         self.buffer_ += data
@@ -51,11 +52,14 @@
             if end is None:
                 break
             event_bytes = bytes(self.buffer_[begin:end])
-            begin = self._skip_line_ends(end)
             event_id = _event_id(event_bytes)
             if event_id is None:
-                unidentified.append(event_bytes)
+                # Those that follow without an id are taken at once.
+                run_end = self._unidentified_end(end)
+                unidentified.append(bytes(self.buffer_[begin:run_end]))
+                begin = self._skip_line_ends(run_end)
                 continue
+            begin = self._skip_line_ends(end)
             _append_unidentified(events, unidentified)
             events.append(StreamEvent(event_bytes, event_id))
         _append_unidentified(events, unidentified)
@@ -80,6 +84,17 @@
         found = _EVENT_END.search(self.buffer_, max(begin, self.searched_bytes_))
         return None if found is None else found.end()
 
+    def _unidentified_end(self, begin: int) -> int:
+        """Return where the complete events without an id that begin here end."""
+        id_at = self.buffer_.find(b"id:", begin)
+        until = len(self.buffer_) if id_at < 0 else id_at
+        ends = [begin]
+        for mark in _EVENT_ENDS:
+            at = self.buffer_.rfind(mark, begin, until)
+            if at >= 0:
+                ends.append(at + len(mark))
+        return max(ends)
+
 
 def _append_unidentified(events: list[StreamEvent], unidentified: list[bytes]) -> None:
     if unidentified:
