End an answer whose chunks are too small to be one

An engine that sends chunks of one byte at full speed took the core of an entry until the limit on silence, which the lateness of the entry put off: at load 16 five streams ended with 504 after 3.9 s, and new connections were closed unread.

Cause: the work is that of the chunks, some 6 bytes each, and the bounds count bytes. Tried first: to look at it where the body is delivered; but tiny chunks are joined to 64 KiB before, which is 65,536 of them, and it took 2 s.

The unit test fails before (the connection ends when its endpoint closes it, not as rejected) and passes.

--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/_connection.py
@@ -207,6 +207,7 @@
             codec=self.codec, memory=self.memory, on_pause=self._bound_receive_buffer
         )
         self._release_held()
+        self.stream.begin_answer()
         self.reader_ = reader
         reading = asyncio.ensure_future(self._read(exchange, reader))
         try:
--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
@@ -384,3 +384,18 @@
             assert not connection.finish_exchange()
 
     run(scenario())
+
+
+def test_a_body_of_tiny_chunks_fails_before_it_costs_much():
+    # Chunks of one byte without end used a whole core until the attempt was given up.
+    async def scenario():
+        head = f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {ID}\r\n"
+        head += "Transfer-Encoding: chunked\r\n\r\n"
+        async with Endpoint(head.encode() + b"1\r\nx\r\n" * 4_000, "hang") as endpoint:
+            connection = await endpoint.connect()
+            async with asyncio.timeout(5.0):
+                with pytest.raises(ExchangeBroken):
+                    await connection.fetch(REQUEST, ID)
+            assert connection.end is ConnectionEnd.REJECTED
+
+    run(scenario())
