Refuse no stream because all endpoints of a stage were silent a moment ago

Cause: admission counts the endpoints of a stage that are not suspect. After a silence of all there are none, so an answer was expected never. Where none is trusted, those that are suspect for silence only count now: they will probably go on. Endpoints that were lost or broke off count as before.

Evidence: test_a_stage_whose_endpoints_were_all_silent_refuses_no_stream failed before (503 after 3 ms) and passes 3 of 3.

--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
@@ -58,6 +58,9 @@
                 continue
             usable = self.state.usable(stage.service_id)
             trusted = [record for record in usable if not record.is_suspect(now)]
+            if not trusted:
+                # Those that are only silent will probably go on.
+                trusted = [record for record in usable if not record.is_broken(now)]
             found[stage.service_id] = StageCapacity(
                 service.pieces, effective_count(trusted, now)
             )
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
@@ -268,3 +268,26 @@
         assert len(runs_of(deployment.engines, "r")) == 1
 
     run_scenario(scenario)
+
+
+def test_a_stage_whose_endpoints_were_all_silent_refuses_no_stream():
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        first = start_streams(deployment)
+        await deployment.until(lambda: any(e.items_ for e in deployment.stage))
+        silence(deployment.stage, 1.2)
+        records = [
+            entry.state_.roster_.record(endpoint.endpoint_id)
+            for endpoint in deployment.stage
+        ]
+        await deployment.until(
+            lambda: all(record.is_suspect(entry.state_.now()) for record in records)
+        )
+        answer = await deployment.send(
+            "/resumed/x", request_id="late", deadline_ms=DEADLINE_MS
+        )
+        assert answer.code == 200
+        for sent in first:
+            assert event_ids((await sent).body) == [1, 2, 3, 4, 5]
+
+    run_scenario(scenario)
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -211,6 +211,10 @@
         """Tell whether the endpoint is suspect because of recent failures."""
         return now < self.suspect_until_
 
+    def is_broken(self, now: float) -> bool:
+        """Tell whether the endpoint is suspect for more than its silence."""
+        return now < self.broken_until_
+
     def is_reported_idle(self, now: float) -> bool:
         """Tell whether a current load report shows no work of other processes."""
         if self.load_ is None or now - self.load_at_ > LOAD_FRESH_S:
--- a/packages/leadford/src/leadford/forwarding/endpoints/tests/test_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/tests/test_record.py
@@ -68,6 +68,7 @@
     assert record.suspect_until_ > lost_until
     record.record_heard()
     assert record.suspect_until_ == lost_until
+    assert record.is_broken(0.1)
     assert record.consecutive_failures_ == 3
 
 
