Remove what this work wrote twice or left dead

A constant stood twice after a merge, the length bound of the splitter was used by its test only (the reader of events bounds what comes without one; the test asks it now, with the same bytes), and two tests' files taught and spent the same things, which stand with the callers of the tests now. The least silence of a stream is the time in which a sound endpoint goes on, by name. While a safe request waits at a silent endpoint, all endpoints are looked at only once it has waited that long. No decision changes.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_events.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_events.py
@@ -72,11 +72,6 @@
         """Return whether bytes of an incomplete event are left."""
         return bool(self.buffer_)
 
-    @property
-    def is_too_long(self) -> bool:
-        """Return whether an incomplete event exceeds the maximum size."""
-        return len(self.buffer_) > EVENT_BYTES_MAX
-
     def _skip_line_ends(self, begin: int) -> int:
         return _LINE_ENDS.match(self.buffer_, begin).end()
 
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/tests/test_event_reader.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/tests/test_event_reader.py
@@ -58,6 +58,12 @@
     assert reader.has_events_
 
 
+def test_an_endless_event_is_noticed():
+    found, reader = read_all([b"x" * (1024 * 1024 + 1)], is_complete=False)
+    assert found == []
+    assert reader.is_too_long
+
+
 @pytest.mark.parametrize("piece", [b"\n", COMMENT, EVENT, b"x"])
 def test_an_answer_without_new_events_is_too_long_at_a_bound(piece):
     part = piece * (65_536 // len(piece))
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/tests/test_events.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/tests/test_events.py
@@ -32,12 +32,6 @@
     assert not splitter.has_partial_event
 
 
-def test_an_endless_event_is_noticed():
-    splitter = EventStreamSplitter()
-    splitter.feed(b"x" * (1024 * 1024 + 1))
-    assert splitter.is_too_long
-
-
 def test_many_empty_lines_and_comments_become_few_events():
     splitter = EventStreamSplitter()
     assert splitter.feed(b"\n" * 65_536) == []
--- a/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/retries/_retries.py
@@ -159,11 +159,12 @@
         match = self.progress.match_
         if match.route.kind is RouteKind.STREAM or not match.route.is_repeatable:
             return False
-        if usual_duration_s(self.state.usable(match.service.service_id)) is None:
-            # Its work may take long.
-            return False
         has_answered_since = record.answered_at_ >= sent_at
-        return is_past_waiting(now - sent_at, has_answered_since=has_answered_since)
+        if not is_past_waiting(now - sent_at, has_answered_since=has_answered_since):
+            return False
+        # Where it is not known how long answers usually take, its work may take long.
+        usable = self.state.usable(match.service.service_id)
+        return usual_duration_s(usable) is not None
 
     def record_heard(self, record: EndpointRecord) -> None:
         """Record that the endpoint of the current attempt goes on."""
@@ -174,7 +175,7 @@
             self.inputs.end_preparation()
 
     def return_reserved(self) -> None:
-        """Return a retry that was reserved as the answer arrived in the same turn."""
+        """Return a reserved retry that will not be sent to the budget."""
         if self.has_reserved_:
             self.has_reserved_ = False
             self._budget.return_retry()
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/callers.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/callers.py
@@ -62,3 +62,18 @@
     sent = asyncio.ensure_future(deployment.send("/unsafe/x", request_id="r"))
     await waiting.wait()
     return sent
+
+
+async def teach_usual_duration(deployment):
+    """Let the first entry learn how long answers of plain endpoints usually take."""
+    for number in range(12):
+        answer = await deployment.send("/safe/x", request_id=f"u{number}")
+        assert answer.code == 200
+
+
+def spend_budget(deployment, service):
+    """Leave no retry to any entry; return the budget of the first one."""
+    budgets = [e.state_.retry_budgets_.budget(service) for e in deployment.entries_]
+    for budget in budgets:
+        budget.slack = -1_000.0
+    return budgets[0]
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_given_up_attempts.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_given_up_attempts.py
@@ -8,6 +8,7 @@
 from leadford_server.forwarding.endpoints import _connection
 from leadford_server.forwarding.retries import _retries
 from leadford_standins.wire import Misbehaviour, event_ids, run_scenario, runs_of
+from leadford_standins.wire.tests.callers import spend_budget, teach_usual_duration
 
 EVENTS = [1, 2, 3, 4, 5]
 EVENT_GAP_S = 0.1
@@ -59,8 +60,7 @@
 
 def test_a_safe_request_given_up_for_an_endpoint_that_refuses_it_is_served():
     async def scenario(deployment):
-        for number in range(12):
-            await deployment.send("/safe/x", request_id=f"u{number}")
+        await teach_usual_duration(deployment)
         first, second = deployment.plain
         for endpoint in deployment.plain:
             endpoint.fall_silent(SILENCE_S)
@@ -76,8 +76,7 @@
 def test_a_safe_request_given_up_for_an_endpoint_that_is_lost_is_served():
     # It got 502, though the first endpoint would have answered.
     async def scenario(deployment):
-        for number in range(12):
-            await deployment.send("/safe/x", request_id=f"u{number}")
+        await teach_usual_duration(deployment)
         for endpoint in deployment.plain:
             endpoint.work_s = 0.5
         sent = asyncio.ensure_future(deployment.send("/safe/x", request_id="r"))
@@ -95,8 +94,7 @@
 
 def test_endpoints_that_all_refuse_a_request_are_not_asked_again_and_again():
     async def scenario(deployment):
-        for number in range(12):
-            await deployment.send("/safe/x", request_id=f"u{number}")
+        await teach_usual_duration(deployment)
         arrivals = sum(endpoint.arrivals_ for endpoint in deployment.plain)
         for endpoint in deployment.plain:
             endpoint.fall_silent(SILENCE_S)
@@ -207,10 +205,8 @@
 def test_a_safe_request_at_an_endpoint_that_is_lost_ends_while_its_caller_has_time():
     # It was held to its deadline, so its caller could not send it again.
     async def scenario(deployment):
-        for number in range(12):
-            await deployment.send("/safe/x", request_id=f"u{number}")
-        budget = deployment.entries_[0].state_.retry_budgets_.budget("plain")
-        budget.slack = -1_000.0
+        await teach_usual_duration(deployment)
+        spend_budget(deployment, "plain")
         for endpoint in deployment.plain:
             endpoint.fall_silent(FOR_GOOD_S)
         began_at = asyncio.get_running_loop().time()
@@ -224,10 +220,8 @@
 
 def test_a_long_safe_request_is_awaited_while_its_endpoint_answers_others():
     async def scenario(deployment):
-        for number in range(12):
-            await deployment.send("/safe/x", request_id=f"u{number}")
-        budget = deployment.entries_[0].state_.retry_budgets_.budget("plain")
-        budget.slack = -1_000.0
+        await teach_usual_duration(deployment)
+        spend_budget(deployment, "plain")
         for endpoint in deployment.plain:
             endpoint.work_s = 2.4
         sent = asyncio.ensure_future(deployment.send("/safe/x", request_id="r"))
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_silent_endpoints.py
@@ -12,6 +12,7 @@
     run_scenario,
     runs_of,
 )
+from leadford_standins.wire.tests.callers import spend_budget, teach_usual_duration
 
 SILENCE_S = 0.8
 STREAMS = 6
@@ -24,14 +25,6 @@
     monkeypatch.setattr(_limits, "STREAM_SILENCE_MIN_S", 0.3)
 
 
-def spend_budget(deployment, service):
-    """Leave no retry to any entry; return the budget of the first one."""
-    budgets = [e.state_.retry_budgets_.budget(service) for e in deployment.entries_]
-    for budget in budgets:
-        budget.slack = -1_000.0
-    return budgets[0]
-
-
 def start_streams(deployment):
     """Return the streams to come."""
     return [
@@ -135,13 +128,6 @@
     run_scenario(scenario)
 
 
-async def teach_usual_duration(deployment):
-    """Let the entry learn how long answers of plain endpoints usually take."""
-    for number in range(12):
-        answer = await deployment.send("/safe/x", request_id=f"u{number}")
-        assert answer.code == 200
-
-
 async def send_safe(deployment, count):
     """Return the answers to safe requests that are sent at once."""
     return await asyncio.gather(
--- a/packages/leadford/src/leadford/forwarding/endpoints/_record.py
+++ b/packages/leadford/src/leadford/forwarding/endpoints/_record.py
@@ -39,9 +39,6 @@
 # Half-life of the failure rate, for the same reason.
 FAILURE_HALF_LIFE_S = 2.0
 
-# Half-life of the failure rate, for the same reason.
-FAILURE_HALF_LIFE_S = 2.0
-
 
 class EndpointFailure(Enum):
     """State how an endpoint failed an attempt or a call."""
--- a/packages/leadford/src/leadford/forwarding/retries/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/retries/_limits.py
@@ -28,11 +28,10 @@
 USUAL_MIN_ANSWER_COUNT = 3
 # A stream may be silent for this multiple of the target gap between events.
 STREAM_GAP_FACTOR = 2.0
-# No stream is given up for a shorter silence: a sound endpoint may be silent for a
-# second or so.
-STREAM_SILENCE_MIN_S = 2.0
-# A sound endpoint that is silent goes on within this time.
+# A sound endpoint may be silent for a second or so, and goes on within this time.
 MAX_SILENCE_S = 2.0
+# No stream is given up for a shorter silence.
+STREAM_SILENCE_MIN_S = MAX_SILENCE_S
 # Endpoints that must remain for an attempt and another one after it.
 MIN_ENDPOINTS_FOR_RETRY = 2
 # Fraction of a route's latency target for which a request waits until an endpoint takes
