Take no content for the name of a stream where streams of it may be lost

Callers: one that names no request and takes up a stream after all entries were lost got 200 with events of v2 after those of v1, if an equal request (same content, same key of its pieces) had begun at v2 since.

Cause: the content of a request was asked for at the entries that live, and what they knew was taken for all there is. Those that could have contradicted were gone.

Now each entry knows since when it has missed no stream: since its start (for ever where the deployment starts for the first time), since it was cut off from all others for 3 s, since its host was suspended, since three holders of replicas were lost within the time that callers wait, and since paths became resumable. Answers to questions tell it (complete_ms, appended; a build that does not tell it may have missed some). A content names a stream only where fewer entries than hold each stream are recent or silent. Elsewhere a stream that is not named goes on only where one version can have begun it.

Ruled out: asking all entries (the lost ones do not answer); taking the age of the oldest entry (its replicas are those of three entries in nine).

Before: with the new rule always true (as the code was) the two wire tests (1 and 3 entries) and four of the tests of origins fail; all pass with it. Callers that name their stream are not concerned.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import time
 from collections.abc import Callable, Coroutine
 from random import Random, SystemRandom
@@ -93,6 +94,8 @@
             log=self.log_,
             regions=settings.regions,
         )
+        if settings.is_first_start:
+            self.state_.origin_ledger_.record_gap(-math.inf)
         self.stages_ = StageRunner(state=self.state_, entry_id=settings.entry_id)
         self.admission_ = ForwardAdmission(
             backlog=self.stages_.backlog_,
@@ -353,6 +356,7 @@
         """End requests past their deadlines, and ask the store for changes."""
         self.log_.report(Event.PROCESS_WOKEN, slept_ms=round(slept_s * 1_000.0))
         self.state_.deadlines_.reschedule_all()
+        self.state_.origin_ledger_.record_gap(self.state_.now())
         for follower in self.followers_:
             follower.mark_unconfirmed()
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_settings.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_settings.py
@@ -9,7 +9,10 @@
 
 
 class ForwardSettings(msgspec.Struct, frozen=True):
-    """Hold the settings of an entry that forwards."""
+    """Hold the settings of an entry that forwards.
+
+    `is_first_start` is True while the whole deployment starts for the first time.
+    """
 
     entry_id: EntryId
     hall: HallId
@@ -21,3 +24,4 @@
     bounds: ForwardBounds
     metrics: SocketAddress | None = None
     regions: RegionMap = RegionMap()
+    is_first_start: bool = False
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
@@ -16,6 +16,7 @@
     StreamOrigin,
     agreed_origin,
     agreed_software,
+    knows_all_streams,
     origin_replicas,
     sole_horizon_s,
 )
@@ -50,16 +51,20 @@
         self.origins_: set[StreamOrigin] = set()
         # What each replica that answered says of the versions that it has listed.
         self.views_: list[SoleSoftware | None] = []
+        # For how many seconds each replica that answered has missed no stream.
+        self.complete_for_s_: list[float] = []
 
     def record_answer(
         self,
         entry_id: EntryId,
         origins: Sequence[StreamOrigin],
         view: SoleSoftware | None,
+        complete_s: float,
     ) -> None:
         """Record the answer of a replica."""
         self.origins_.update(origins)
         self.views_.append(view)
+        self.complete_for_s_.append(complete_s)
         self.record_lost(entry_id)
 
     def record_lost(self, entry_id: EntryId) -> None:
@@ -73,8 +78,8 @@
 class OriginSearch:
     """Find the origins of streams that callers resume at this entry.
 
-    `candidates` returns the linked entries that may hold replicas, `entry_count` the
-    number of all entries.
+    `candidates` returns the linked entries that may hold replicas, `replica_count` how
+    many may hold them, linked or not, and `entry_count` the number of all entries.
     """
 
     def __init__(
@@ -83,11 +88,13 @@
         state: ForwardState,
         peers_by_id: Mapping[EntryId, PeerConnection],
         candidates: Callable[[], Sequence[EntryId]],
+        replica_count: Callable[[], int],
         entry_count: Callable[[], int],
     ) -> None:
         self.state = state
         self.peers_by_id = peers_by_id
         self.candidates = candidates
+        self.replica_count = replica_count
         self.entry_count = entry_count
         self.questions_by_id_: dict[int, OriginQuestion] = {}
         self.last_ask_id_ = 0
@@ -118,12 +125,26 @@
         except TimeoutError:
             # The answers that came are used.
             pass
-        if question.origins_:
+        if question.origins_ and self._is_identified(question):
             origin = agreed_origin(question.origins_)
             source = OriginSource.NOBODY if origin is None else OriginSource.REPLICA
             return FoundOrigin(source, origin)
         return self._conclude(question, service_id)
 
+    def _is_identified(self, question: OriginQuestion) -> bool:
+        """Return whether what was found is the stream that the caller means.
+
+        A content identifies it only if no stream of that content is missing.
+        """
+        if question.key.request_id is not None:
+            return True
+        own_s = self.state.origin_ledger_.complete_for_s(self.state.now())
+        answered_s = question.complete_for_s_
+        unanswered = max(0, self.replica_count() - len(answered_s))
+        return knows_all_streams(
+            [own_s, *answered_s, *([0.0] * unanswered)], horizon_s=self.horizon_s()
+        )
+
     def _own_origins(self, key: StreamKey) -> list[StreamOrigin]:
         origins = self.state.origin_ledger_
         found = [origins.find(found_id) for found_id in origins.matching_ids(key)]
@@ -170,7 +191,7 @@
             # No peer answered, so what this entry knows may be old.
             return FoundOrigin(OriginSource.NOBODY, None)
         views = [self.own_view(service_id), *question.views_]
-        software = agreed_software(views, horizon_s=self._horizon_s())
+        software = agreed_software(views, horizon_s=self.horizon_s())
         if software is None:
             return FoundOrigin(OriginSource.NOBODY, None)
         return FoundOrigin(OriginSource.SOLE, StreamOrigin(service_id, software))
@@ -180,11 +201,12 @@
         return self.state.software_history_.sole(
             service_id,
             self.state.roster_.listed_software(service_id),
-            horizon_s=self._horizon_s(),
+            horizon_s=self.horizon_s(),
             now=self.state.now(),
         )
 
-    def _horizon_s(self) -> float:
+    def horizon_s(self) -> float:
+        """Return for how long any caller may wait, in seconds."""
         return sole_horizon_s(self.state.origin_ledger_.longest_wait_s_)
 
     def _on_answer(self, peer: PeerConnection, message: StreamOriginAnswer) -> None:
@@ -196,7 +218,9 @@
         if message.sole:
             software = SoftwareVersion(message.sole[0])
             view = SoleSoftware(software, message.observed_ms / 1_000.0)
-        question.record_answer(entry_id, [origin_in(r) for r in message.known], view)
+        origins = [origin_in(report) for report in message.known]
+        complete_s = message.complete_ms / 1_000.0
+        question.record_answer(entry_id, origins, view, complete_s)
 
 
 def origin_in(report: StreamOriginReport) -> StreamOrigin:
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
@@ -10,6 +10,7 @@
 from leadford.common import EntryId, RequestId
 from leadford.forwarding.routes import ServiceId
 from leadford.forwarding.streams import (
+    REPLICA_COUNT,
     StreamContent,
     StreamKey,
     StreamOrigin,
@@ -32,6 +33,10 @@
 from leadford_server.metrics import STREAM_ORIGINS_TOTAL
 from leadford_server.peers import PeerConnection
 
+# Time without a link after which what other entries tell counts as missed. Links of a
+# fleet that starts take less.
+CUT_OFF_S = 3.0
+
 
 class OriginExchange:
     """Record and find origins for the requests of this entry, and hold those of others.
@@ -51,14 +56,20 @@
         self.state = state
         self.peers_by_id = peers_by_id
         self.common_peers = common_peers
+        self.entry_count = entry_count
         # The entries that may hold replicas, as of the last heartbeat or lost link.
         self.candidate_ids_: tuple[EntryId, ...] = ()
+        # How many entries may hold replicas, linked or not, as of the last heartbeat.
+        self.replica_count_ = 0
+        # When links to entries that may hold replicas ended.
+        self.lost_at_by_id_: dict[EntryId, float] = {}
         # The replicas that were told of each stream that this entry holds.
         self.told_by_id_: dict[RequestId, set[EntryId]] = {}
         self.search = OriginSearch(
             state=state,
             peers_by_id=peers_by_id,
             candidates=lambda: self.candidate_ids_,
+            replica_count=lambda: self.replica_count_,
             entry_count=entry_count,
         )
 
@@ -90,15 +101,46 @@
         """
         for request_id in self.state.origin_ledger_.drop_ended(self.state.now()):
             self.told_by_id_.pop(request_id, None)
-        self._set_candidates(self.common_peers())
+        self._record_gap_if_alone()
+        common_ids = self.common_peers()
+        self.replica_count_ = len(common_ids)
+        self._set_candidates(common_ids)
+
+    def _record_gap_if_alone(self) -> None:
+        """Record that streams may be missed: without a link, others tell nothing."""
+        now = self.state.now()
+        origins = self.state.origin_ledger_
+        alone_since = self.state.alone_since_
+        is_cut_off = (
+            self.entry_count() > 1
+            and alone_since is not None
+            and now - alone_since >= CUT_OFF_S
+        )
+        if is_cut_off or origins.complete_since_ is None:
+            origins.record_gap(now)
 
     def forget(self, entry_id: EntryId) -> None:
         """Record that a link ended or began anew; the entry may know no origins now."""
         for told in self.told_by_id_.values():
             told.discard(entry_id)
         self.search.forget(entry_id)
+        if entry_id in self.candidate_ids_:
+            self._record_lost(entry_id)
         self._set_candidates(set(self.candidate_ids_) - {entry_id})
 
+    def _record_lost(self, entry_id: EntryId) -> None:
+        """Record that a replica was lost; with too many, streams are lost as well."""
+        now = self.state.now()
+        self.lost_at_by_id_[entry_id] = now
+        horizon_s = self.search.horizon_s()
+        self.lost_at_by_id_ = {
+            lost_id: lost_at
+            for lost_id, lost_at in self.lost_at_by_id_.items()
+            if now - lost_at <= horizon_s
+        }
+        if len(self.lost_at_by_id_) >= REPLICA_COUNT:
+            self.state.origin_ledger_.record_gap(now)
+
     def _set_candidates(self, entry_ids: Iterable[EntryId]) -> None:
         """Use those of some entries that can hold replicas, and tell new ones."""
         linked = (entry_id for entry_id in entry_ids if self._peer(entry_id))
@@ -171,6 +213,8 @@
             known=self._distinct_reports(key),
             sole=[] if view is None else [view.software],
             observed_ms=0.0 if view is None else view.observed_s * 1_000.0,
+            complete_ms=self.state.origin_ledger_.complete_for_s(self.state.now())
+            * 1_000.0,
         )
         peer.send(answer)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
@@ -20,7 +20,7 @@
 from leadford.protocol import PROTOCOL_LOAD, PROTOCOL_ORIGINS, StreamOriginNews
 from leadford_server.forwarding._links_contract import FoundOrigin, OriginSource
 from leadford_server.forwarding.membership._origin_search import MAX_ORIGIN_WAIT_S
-from leadford_server.forwarding.membership._origins import OriginExchange
+from leadford_server.forwarding.membership._origins import CUT_OFF_S, OriginExchange
 from leadford_server.forwarding.membership.tests.instant_loop import new_loop
 
 SERVICE = ServiceId("engine")
@@ -68,6 +68,7 @@
         self.entries[entry.number] = new
         new.state.software_history_ = SoftwareHistory()
         new.state.software_history_.begin(new.state.now())
+        new.state.origin_ledger_.record_gap(new.state.now())
         new.link_all()
         for other in self.entries:
             if other is not new:
@@ -93,7 +94,10 @@
             origin_ledger_=OriginLedger(),
             software_history_=history,
             roster_=SimpleNamespace(listed_software=lambda service_id: fleet.listed),
+            alone_since_=None,
         )
+        # It has run for long.
+        self.state.origin_ledger_.record_gap(0.0)
         self.peers = {}
         self.origins = OriginExchange(
             state=self.state,
@@ -389,3 +393,67 @@
         assert await asking.find(None) == UNKNOWN
 
     run(scenario, entries=2, candidates=1)
+
+
+async def lose_all(fleet):
+    """Start all entries again, without what they knew."""
+    for entry in list(fleet.entries):
+        fleet.kill(entry)
+    for entry in list(fleet.entries):
+        fleet.start_again(entry)
+
+
+def test_a_content_begun_anew_does_not_name_a_stream_that_all_entries_have_lost():
+    # The caller of the lost stream names no request; another one has begun since.
+    async def scenario(fleet):
+        await begin(fleet)
+        await lose_all(fleet)
+        fleet.entries[1].record(RequestId("other"), StreamOrigin(SERVICE, V2))
+        await asyncio.sleep(0.01)
+        for entry in fleet.entries:
+            assert await entry.find(None) == UNKNOWN
+            assert (await entry.find(RequestId("other"))).origin.software == V2
+        await asyncio.sleep(MIN_SOLE_S)
+        for entry in fleet.entries:
+            entry.record(RequestId("later"), ORIGIN, StreamContent("later"))
+        assert (await entry.find(None, StreamContent("later"))).origin == ORIGIN
+
+    run(scenario, entries=4)
+
+
+@pytest.mark.parametrize("lost", [3, 4])
+def test_a_content_names_no_stream_once_all_holders_of_one_may_be_lost(lost):
+    async def scenario(fleet):
+        fleet.entries[0].record(RequestId("other"), StreamOrigin(SERVICE, V2))
+        await asyncio.sleep(0.01)
+        for entry in fleet.entries[-lost:]:
+            fleet.kill(entry)
+        for entry in fleet.entries[-lost:]:
+            fleet.start_again(entry)
+        assert await fleet.entries[0].find(None) == UNKNOWN
+        assert await fleet.entries[-1].find(None) == UNKNOWN
+
+    run(scenario, entries=9, candidates=8)
+
+
+def test_a_content_names_no_stream_at_an_entry_that_was_cut_off():
+    async def scenario(fleet):
+        entry = fleet.entries[0]
+        entry.state.alone_since_ = entry.state.now() - CUT_OFF_S
+        entry.origins.refresh()
+        entry.state.alone_since_ = None
+        entry.record(RequestId("other"), StreamOrigin(SERVICE, V2))
+        assert entry.state.origin_ledger_.complete_for_s(entry.state.now()) == 0.0
+
+    run(scenario)
+
+
+def test_a_content_names_no_stream_where_too_few_entries_answer():
+    # The entries that do not answer may hold another stream of the content.
+    async def scenario(fleet):
+        entry = fleet.entries[0]
+        entry.record(RequestId("other"), StreamOrigin(SERVICE, V2))
+        fleet.cut.update(other.entry_id for other in fleet.entries[1:4])
+        assert await entry.find(None) == UNKNOWN
+
+    run(scenario, entries=6)
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_config.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_config.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from leadford.events import Event
-from leadford.forwarding.routes import ForwardConfig, RouteTable
+from leadford.forwarding.routes import ForwardConfig, RouteTable, makes_resumable
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding._store_contract import ObjectCodec, ObjectEvent
 from leadford_server.forwarding.store._base import Listing
@@ -63,7 +63,10 @@
         table = self.state.table_
         if table is not None and config.version <= table.config.version:
             return
-        self.state.table_ = RouteTable.from_config(config)
+        new_table = RouteTable.from_config(config)
+        if table is not None and makes_resumable(table, new_table):
+            self.state.origin_ledger_.record_gap(self.state.now())
+        self.state.table_ = new_table
         self.state.log.report(
             Event.CONFIG_IN_FORCE,
             version=config.version,
--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -8,6 +8,7 @@
 from functools import partial
 from random import Random
 
+import msgspec
 from returns.result import Success
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
@@ -195,6 +196,7 @@
             secret=b"0123456789abcdef",
             bounds=ForwardBounds(grace_s=8.0, evacuate_s=self.evacuate_s),
             regions=self.regions(),
+            is_first_start=len(self.entries_) < self.entries,
         )
         entry = await self._start(settings)
         self.entries_.append(entry)
@@ -221,10 +223,25 @@
         """Stop an entry without draining, and start another one in its place."""
         old_entry = self.entries_[number]
         old_entry.stop()
-        entry = await self._start(old_entry.settings)
+        settings = msgspec.structs.replace(old_entry.settings, is_first_start=False)
+        entry = await self._start(settings)
         self.entries_[number] = entry
         return entry
 
+    async def restart_all_entries(self) -> None:
+        """Stop all entries without draining, and start others in their places."""
+        for entry in self.entries_:
+            entry.stop()
+        for number in range(len(self.entries_)):
+            await self.restart_entry(number)
+        await self.until(
+            lambda: all(
+                entry.is_ready and self.knows_all_endpoints(entry)
+                for entry in self.entries_
+            )
+        )
+        await self.until_linked()
+
     def knows_all_endpoints(self, entry: ForwardProcess) -> bool:
         """Return whether an entry knows every endpoint."""
         known = entry.state_.roster_.records_by_id_
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
@@ -1,5 +1,7 @@
 """Continue a stream only at the software version that began it."""
 
+import pytest
+
 from leadford_standins.wire import (
     Misbehaviour,
     event_ids,
@@ -12,9 +14,11 @@
 STREAMS_COUNT = 8
 
 
-def prompt(number):
+def prompt(number, *, key=None):
     """Return what one stream and its returns have in common."""
     headers = {"X-Prefix-Hash": f"p{number}:50", "X-Token-Counts": "50,10"}
+    if key is not None:
+        headers["X-Piece-Key"] = key
     return {"headers": headers, "body": f"stream {number}".encode()}
 
 
@@ -24,7 +28,7 @@
         await deployment.set_software(engine, "v2")
 
 
-async def break_off(deployment, request_id, number, *, entry=0):
+async def break_off(deployment, request_id, number, *, entry=0, key=None):
     """Begin a stream that breaks off at each engine that runs it."""
     for engine in deployment.engines:
         engine.planned_misbehaviours_.clear()
@@ -33,7 +37,7 @@
         "/resumed/x",
         request_id=request_id,
         entry=entry,
-        **prompt(number),
+        **prompt(number, key=key),
     )
     assert answer.code == 599
     for engine in deployment.engines:
@@ -211,6 +215,26 @@
     run_scenario(scenario, endpoints=6)
 
 
+@pytest.mark.parametrize("entries", [1, 3])
+def test_a_stream_lost_with_all_entries_does_not_go_on_as_an_equal_one(entries):
+    # Its caller names no request; an equal one began at v2 after the loss.
+    async def scenario(deployment):
+        await deployment.until_linked()
+        await break_off(deployment, "lost", 0, key="same")
+        assert set(software_of_runs(deployment, "lost")) == {"v1"}
+        for engine in deployment.engines:
+            await deployment.set_software(engine, "v2")
+        await deployment.restart_all_entries()
+        await break_off(deployment, "equal", 0, key="same", entry=entries - 1)
+        fields = prompt(0, key="same")
+        fields["headers"]["Last-Event-Id"] = "2"
+        answer = await deployment.send("/resumed/x", request_id="back", **fields)
+        assert answer.code == 503
+        assert not runs_of(deployment.engines, "back")
+
+    run_scenario(scenario, endpoints=3, entries=entries)
+
+
 def test_streams_that_one_entry_places_stay_at_their_version():
     async def scenario(deployment):
         await deployment.until(
--- a/packages/leadford/src/leadford/forwarding/routes/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/routes/__init__.py
@@ -31,6 +31,7 @@
     ConfigPart,
     ConfigParts,
 )
+from leadford.forwarding.routes._resumable import is_resumable_stream, makes_resumable
 from leadford.forwarding.routes._table import (
     LookupFailure,
     LookupFault,
@@ -70,4 +71,6 @@
     "Workspace",
     "contended_services",
     "decide_start",
+    "is_resumable_stream",
+    "makes_resumable",
 ]
--- a/packages/leadford/src/leadford/forwarding/streams/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/streams/__init__.py
@@ -1,6 +1,7 @@
 """Decide where a stream that broke off may go on, and who knows that."""
 
-from leadford.forwarding.streams._ledger import OriginLedger
+from leadford.forwarding.streams._coverage import knows_all_streams
+from leadford.forwarding.streams._ledger import MAX_ORIGIN_AGE_S, OriginLedger
 from leadford.forwarding.streams._origin import (
     StreamContent,
     StreamKey,
@@ -17,6 +18,7 @@
 )
 
 __all__ = [
+    "MAX_ORIGIN_AGE_S",
     "REPLICA_COUNT",
     "MIN_SOLE_S",
     "OriginLedger",
@@ -27,6 +29,7 @@
     "StreamOrigin",
     "agreed_origin",
     "agreed_software",
+    "knows_all_streams",
     "origin_replicas",
     "sole_horizon_s",
 ]
--- a/packages/leadford/src/leadford/forwarding/streams/_ledger.py
+++ b/packages/leadford/src/leadford/forwarding/streams/_ledger.py
@@ -35,6 +35,8 @@
         self.ids_by_end_: list[tuple[float, RequestId]] = []
         # The longest time for which a caller was known to wait.
         self.longest_wait_s_ = 0.0
+        # Since when no stream that this entry should know was missed, None if unknown.
+        self.complete_since_: float | None = None
 
     def __len__(self) -> int:
         return len(self.origins_by_id_)
@@ -62,6 +64,14 @@
             heapq.heappush(self.ids_by_end_, (until, request_id))
         self._drop_beyond_limit()
 
+    def record_gap(self, now: float) -> None:
+        """Record that streams that began before now may be missing."""
+        self.complete_since_ = now
+
+    def complete_for_s(self, now: float) -> float:
+        """Return for how many seconds no stream was missed."""
+        return 0.0 if self.complete_since_ is None else now - self.complete_since_
+
     def find(self, request_id: RequestId) -> StreamOrigin | None:
         """Return the origin of the stream that a request began, None if not known."""
         return self.origins_by_id_.get(request_id)
--- a/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
+++ b/packages/leadford/src/leadford/forwarding/tests/test_wire_between_entries.py
@@ -217,11 +217,12 @@
         StreamOriginNews([StreamOriginReport("r1", "c1", "s", "v1", 1500.0)])
     ),
     "82038185183e076272316263316173": StreamOriginRequest(7, "r1", "c1", "s"),
-    "82038185183f0781856272316263316173627631fb409770000000000080fb0000000000000000": (
+    "82038186183f0781856272316263316173627631fb409770000000000080fb0000000000000000"
+    "fb0000000000000000": (
         StreamOriginAnswer(7, [StreamOriginReport("r1", "c1", "s", "v1", 1500.0)])
     ),
-    "82038185183f078081627631fb40a3880000000000": (
-        StreamOriginAnswer(7, [], ["v1"], 2500.0)
+    "82038186183f078081627631fb40a3880000000000fb40a7700000000000": (
+        StreamOriginAnswer(7, [], ["v1"], 2500.0, 3000.0)
     ),
 }
 
@@ -233,6 +234,23 @@
     assert decode(bytes.fromhex(data)).unwrap().messages == [message]
 
 
+# As encoded by builds that do not say for how long they have missed no stream.
+ANSWERS_WITHOUT_COMPLETENESS = {
+    "82038185183f0781856272316263316173627631fb409770000000000080fb0000000000000000": (
+        StreamOriginAnswer(7, [StreamOriginReport("r1", "c1", "s", "v1", 1500.0)])
+    ),
+    "82038185183f078081627631fb40a3880000000000": (
+        StreamOriginAnswer(7, [], ["v1"], 2500.0, 0.0)
+    ),
+}
+
+
+@pytest.mark.parametrize("data", ANSWERS_WITHOUT_COMPLETENESS)
+def test_answers_of_builds_that_may_have_missed_streams_say_so(data):
+    message = ANSWERS_WITHOUT_COMPLETENESS[data]
+    assert decode(bytes.fromhex(data)).unwrap().messages == [message]
+
+
 # As encoded by builds that send no epoch of the store.
 MESSAGES_WITHOUT_EPOCH = {
     "82038183182cfb4097700000000000818567736572766572730c0900fb40938a0000000000": (
--- a/packages/leadford/src/leadford/protocol/_streams.py
+++ b/packages/leadford/src/leadford/protocol/_streams.py
@@ -47,10 +47,12 @@
     `sole` holds the only software version of the service asked for that the sender has
     listed lately; it is empty if there were several.
 
-    Units: observed_ms is for how long the sender has known the listing.
+    Units: observed_ms is for how long the sender has known the listing, complete_ms for
+    how long it has missed no stream.
     """
 
     ask_id: int
     known: list[StreamOriginReport] = []
     sole: list[str] = []
     observed_ms: float = 0.0
+    complete_ms: float = 0.0
