Count a sole version only for the longest time that any caller may wait

Callers: one with a deadline of 100 s that names its stream took it up 31 s after all entries were lost and got 200 with events of v2 after those of v1, as v2 alone was listed by then.

Cause: a single version counted once an entry had listed it alone for the longest wait that this entry had seen, 30 s at least. An entry that starts has seen no wait, and those that had seen it were gone: what is not known was taken for what is not there.

Now 600 s count, the longest wait that origins are told apart by, as long as nothing tells how long lost callers may wait. Which streams this refuses: those that are unknown for the loss of all their holders, at most for as long as they could be taken up at all.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
@@ -207,7 +207,7 @@
 
     def horizon_s(self) -> float:
         """Return for how long any caller may wait, in seconds."""
-        return sole_horizon_s(self.state.origin_ledger_.longest_wait_s_)
+        return sole_horizon_s(None)
 
     def _on_answer(self, peer: PeerConnection, message: StreamOriginAnswer) -> None:
         question = self.questions_by_id_.get(message.ask_id)
--- a/packages/leadford/src/leadford/forwarding/streams/_ledger.py
+++ b/packages/leadford/src/leadford/forwarding/streams/_ledger.py
@@ -33,8 +33,6 @@
         self.content_by_id_: dict[RequestId, StreamContent] = {}
         self.ids_by_content_: dict[StreamContent, set[RequestId]] = {}
         self.ids_by_end_: list[tuple[float, RequestId]] = []
-        # The longest time for which a caller was known to wait.
-        self.longest_wait_s_ = 0.0
         # Since when no stream that this entry should know was missed, None if unknown.
         self.complete_since_: float | None = None
 
@@ -53,7 +51,6 @@
             # Also where a peer sent no number.
             return
         wait_s = min(wait_s, MAX_ORIGIN_AGE_S)
-        self.longest_wait_s_ = max(self.longest_wait_s_, wait_s)
         until = now + wait_s
         if request_id not in self.origins_by_id_:
             self.origins_by_id_[request_id] = origin
--- a/packages/leadford/src/leadford/forwarding/streams/_software.py
+++ b/packages/leadford/src/leadford/forwarding/streams/_software.py
@@ -81,8 +81,14 @@
         return SoleSoftware(versions.pop(), now - self.began_at_)
 
 
-def sole_horizon_s(longest_wait_s: float) -> float:
-    """Return for how long a version must have been the only one, in seconds."""
+def sole_horizon_s(longest_wait_s: float | None) -> float:
+    """Return for how long a version must have been the only one, in seconds.
+
+    `longest_wait_s` is the longest time that any caller waits, None if not known: the
+    entries that could tell may be lost.
+    """
+    if longest_wait_s is None:
+        return MAX_ORIGIN_AGE_S
     return max(MIN_SOLE_S, longest_wait_s)
 
 
--- a/packages/leadford/src/leadford/forwarding/streams/tests/test_software.py
+++ b/packages/leadford/src/leadford/forwarding/streams/tests/test_software.py
@@ -79,3 +79,7 @@
 def test_a_version_must_be_alone_for_as_long_as_any_caller_waits():
     assert sole_horizon_s(5.0) == MIN_SOLE_S
     assert sole_horizon_s(300.0) == 300.0
+
+
+def test_where_no_wait_is_known_a_version_must_be_alone_for_the_longest_of_all():
+    assert sole_horizon_s(None) == MAX_ORIGIN_AGE_S
