Record in the store which versions can have begun a stream

Cause: which versions a service had lately was known to entries only.

Now an object for each service whose streams may be resumed names every version at which a stream may have begun: those listed, and those that left less than the longest wait and 10 s ago. An entry adds a version before it passes on the first event of a stream there (at most 0.3 s; it goes on if the store does not answer). A version that leaves is marked after 5 s and removed by an entry that has seen it gone for long enough itself, so no clock has to agree; one that returns is marked first, which makes a removal under way fail its condition. An unknown stream goes on if the record, read at that moment, names one version, nothing seen contradicts, and the record is complete: it is not in a history of the store that ended, after routes came from other services, or if it was made by entries that did not begin with the deployment (the setting of the first start says so). It holds the longest wait in steps, with the timeouts of the configuration. All services of a split route are asked: one version each, the same.

In calm nothing is read or written; a start costs one or two calls an entry and service, a new version the same, one that leaves one or two.

--- a/packages/leadford-server/src/leadford_server/forwarding/_links_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_links_contract.py
@@ -1,6 +1,6 @@
 """What a request asks of other entries, through the links of this one."""
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 from enum import Enum
 from typing import Protocol
 
@@ -8,7 +8,7 @@
 
 from leadford.common import EndpointId, EntryId, HallId
 from leadford.forwarding.admission import BookingQuery
-from leadford.forwarding.endpoints import EndpointRecord, PromptShape
+from leadford.forwarding.endpoints import EndpointRecord, PromptShape, SoftwareVersion
 from leadford.forwarding.routes import Service, ServiceId
 from leadford.forwarding.streams import StreamKey, StreamOrigin
 
@@ -82,6 +82,27 @@
     origin: StreamOrigin | None
 
 
+class SoftwareKnowledge(Protocol):
+    """Record in the store at which versions of services streams may have begun.
+
+    Units: wait_s is for how long a caller waits, in seconds.
+    """
+
+    def record_wait(self, wait_s: float) -> None:
+        """Record for how long the caller of a stream may wait."""
+
+    def longest_wait_s(self, service_id: ServiceId) -> float | None:
+        """Return the longest time that a caller may wait, None if it is not known."""
+
+    async def until_recorded(
+        self, service_id: ServiceId, software: SoftwareVersion | None
+    ) -> None:
+        """Wait until a stream at a version may begin, or the store is too slow."""
+
+    async def sole(self, service_ids: Sequence[ServiceId]) -> SoftwareVersion | None:
+        """Return the only version of some services that can have begun a stream."""
+
+
 class StreamOrigins(Protocol):
     """Tell other entries which software version began a stream, and ask them.
 
@@ -91,5 +112,10 @@
     def record(self, key: StreamKey, origin: StreamOrigin, wait_s: float) -> None:
         """Record the origin of a stream that this entry holds."""
 
-    async def find(self, key: StreamKey, service_id: ServiceId) -> FoundOrigin:
-        """Return the origin of a stream, and who knew it."""
+    async def find(
+        self, key: StreamKey, service_ids: Sequence[ServiceId]
+    ) -> FoundOrigin:
+        """Return the origin of a stream, and who knew it.
+
+        `service_ids` are those of its route, the one that it would go to now first.
+        """
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -47,6 +47,7 @@
     KindFollower,
     ListingHolder,
     ObjectsClient,
+    SoftwareRecords,
 )
 from leadford_server.logs import EventLog, error_text
 from leadford_server.metrics import CALLER_CONNECTIONS, UNSENT_BYTES
@@ -171,6 +172,14 @@
             random=self.random,
             on_change=self._on_members,
         )
+        self.software_records_ = SoftwareRecords(
+            state=state,
+            client=self.client_,
+            objects=self.objects,
+            is_first_start=settings.is_first_start,
+            is_follower=lambda: self.links_.relays.is_follower,
+        )
+        state.software_records_ = self.software_records_
         self.links_ = EntryLinks(
             entry_id=settings.entry_id,
             address=settings.peers,
@@ -203,6 +212,7 @@
         for follower in self.followers_:
             self._spawn(follower.run())
         self._spawn(self.links_.run())
+        self._spawn(self.software_records_.run())
         self.announce_task_ = self._spawn(self.members_.announce())
         round_trips = RoundTrips(
             state=self.state_,
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -45,6 +45,7 @@
 from leadford_server.forwarding._links_contract import (
     PromptPlacement,
     ReturnBookings,
+    SoftwareKnowledge,
     StreamOrigins,
 )
 from leadford_server.forwarding._memory import HeldMemory
@@ -164,6 +165,8 @@
         self.has_priority_levels_ = False
         self.bookings_: ReturnBookings | None = None
         self.stream_origins_: StreamOrigins | None = None
+        # Set by the process when it begins to follow the store.
+        self.software_records_: SoftwareKnowledge | None = None
 
     def now(self) -> float:
         """Return the monotonic clock.
--- a/packages/leadford-server/src/leadford_server/forwarding/_store_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_store_contract.py
@@ -107,6 +107,7 @@
     endpoints_kind: str
     entries_kind: str
     evacuations_kind: str
+    software_kind: str
 
     def list_path(
         self, kind: str, after: str | None, *, may_be_stale: bool = False
@@ -149,6 +150,12 @@
     def entry_object(self, entry: KnownEntry) -> bytes:
         """Return the object that announces an entry."""
 
+    def own_object(self, name: str, spec: dict, revision: int | None) -> bytes:
+        """Return an object of leadford's own, to replace a revision if there is one."""
+
+    def object_spec(self, item: dict) -> object:
+        """Return what an object of leadford's own holds."""
+
     def object_name(self, item: dict) -> str:
         """Return the name of an object."""
 
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -164,6 +164,7 @@
 
     async def _pass_on(self, attempt: Attempt, new: NewEvents) -> None:
         if not self.answer.has_begun:
+            await self._record_software(attempt)
             self.answer.begin(attempt)
             self._record_origin(attempt)
         if new.last_event_id is not None:
@@ -171,6 +172,15 @@
         await self.answer.write(new.data)
         self.progress.record_event_passed_on(self.attempts.state.now())
 
+    async def _record_software(self, attempt: Attempt) -> None:
+        """Wait until the store holds the version that wrote the first event."""
+        records = self.state.software_records_
+        if records is None or self.progress.origin_ is not None:
+            return
+        records.record_wait(self.progress.caller_deadline - self.state.now())
+        service_id = self.progress.match_.service.service_id
+        await records.until_recorded(service_id, attempt.borrowed.software)
+
     def _record_origin(self, attempt: Attempt) -> None:
         """Record which software version wrote the first event, unless it is known.
 
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_resumed.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_resumed.py
@@ -45,8 +45,13 @@
 
     async def _find(self) -> FoundOrigin:
         key = self.progress.stream_key(self.progress.request.resumed_id)
-        service_id = self.progress.match_.service.service_id
-        return await self.state.stream_origins_.find(key, service_id)
+        match = self.progress.match_
+        service_ids = [match.service.service_id]
+        for part in match.route.services:
+            # Another service of a split route may have begun the stream.
+            if part.weight > 0.0 and part.service_id not in service_ids:
+                service_ids.append(part.service_id)
+        return await self.state.stream_origins_.find(key, service_ids)
 
     def _use(self, origin: StreamOrigin) -> None:
         """Hold the request to an origin, and tell other entries of it again."""
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
@@ -33,6 +33,8 @@
 
 # Maximum time that a question adds to a request.
 MAX_ORIGIN_WAIT_S = 0.3
+# Maximum time that reading the records of the store adds to a request.
+MAX_RECORD_READ_S = 0.3
 # Time between checks for a link to a replica while there is none.
 LINK_POLL_INTERVAL_S = 0.02
 
@@ -109,10 +111,12 @@
             if entry_id in question.waiting_for_:
                 question.record_lost(entry_id)
 
-    async def find(self, key: StreamKey, service_id: ServiceId) -> FoundOrigin:
+    async def find(
+        self, key: StreamKey, service_ids: Sequence[ServiceId]
+    ) -> FoundOrigin:
         """Return the origin of a stream, and who knew it.
 
-        `service_id` is the service that the stream would go to now.
+        `service_ids` are those of its route, the one that it would go to now first.
         """
         own = self._own_origins(key)
         if key.request_id is not None and own:
@@ -121,17 +125,17 @@
         question.origins_.update(own)
         try:
             async with asyncio.timeout(MAX_ORIGIN_WAIT_S):
-                await self._ask(question, service_id)
+                await self._ask(question, service_ids[0])
         except TimeoutError:
             # The answers that came are used.
             pass
-        if question.origins_ and self._is_identified(question):
+        if question.origins_ and self._is_identified(question, service_ids[0]):
             origin = agreed_origin(question.origins_)
             source = OriginSource.NOBODY if origin is None else OriginSource.REPLICA
             return FoundOrigin(source, origin)
-        return self._conclude(question, service_id)
+        return await self._conclude(question, service_ids)
 
-    def _is_identified(self, question: OriginQuestion) -> bool:
+    def _is_identified(self, question: OriginQuestion, service_id: ServiceId) -> bool:
         """Return whether what was found is the stream that the caller means.
 
         A content identifies it only if no stream of that content is missing.
@@ -142,7 +146,8 @@
         answered_s = question.complete_for_s_
         unanswered = max(0, self.replica_count() - len(answered_s))
         return knows_all_streams(
-            [own_s, *answered_s, *([0.0] * unanswered)], horizon_s=self.horizon_s()
+            [own_s, *answered_s, *([0.0] * unanswered)],
+            horizon_s=self._horizon_s(service_id),
         )
 
     def _own_origins(self, key: StreamKey) -> list[StreamOrigin]:
@@ -185,29 +190,65 @@
             return self.candidates()
         return origin_replicas(key.request_id, self.candidates())
 
-    def _conclude(self, question: OriginQuestion, service_id: ServiceId) -> FoundOrigin:
+    async def _conclude(
+        self, question: OriginQuestion, service_ids: Sequence[ServiceId]
+    ) -> FoundOrigin:
         """Return the only version that can have begun a stream, if there is one."""
-        if self.entry_count() > 1 and not question.views_:
-            # No peer answered, so what this entry knows may be old.
-            return FoundOrigin(OriginSource.NOBODY, None)
+        service_id = service_ids[0]
+        software = await self._recorded_sole(service_ids)
         views = [self.own_view(service_id), *question.views_]
-        software = agreed_software(views, horizon_s=self.horizon_s())
+        if software is None:
+            software = self._observed_sole(question, views, service_ids)
+        elif any(view is None or view.software != software for view in views):
+            # An entry has listed a version that the store does not hold yet.
+            software = None
         if software is None:
             return FoundOrigin(OriginSource.NOBODY, None)
         return FoundOrigin(OriginSource.SOLE, StreamOrigin(service_id, software))
 
+    async def _recorded_sole(
+        self, service_ids: Sequence[ServiceId]
+    ) -> SoftwareVersion | None:
+        """Return the only version by the records in the store, None if unsure."""
+        records = self.state.software_records_
+        if records is None:
+            return None
+        try:
+            async with asyncio.timeout(MAX_RECORD_READ_S):
+                return await records.sole(service_ids)
+        except TimeoutError:
+            return None
+
+    def _observed_sole(
+        self,
+        question: OriginQuestion,
+        views: Sequence[SoleSoftware | None],
+        service_ids: Sequence[ServiceId],
+    ) -> SoftwareVersion | None:
+        """Return the only version that entries have listed for long enough."""
+        if len(service_ids) > 1:
+            # The entries were asked for one service of a split route only.
+            return None
+        if self.entry_count() > 1 and not question.views_:
+            # No peer answered, so what this entry knows may be old.
+            return None
+        return agreed_software(views, horizon_s=self._horizon_s(service_ids[0]))
+
     def own_view(self, service_id: ServiceId) -> SoleSoftware | None:
         """Return the only version of a service that this entry has listed lately."""
         return self.state.software_history_.sole(
             service_id,
             self.state.roster_.listed_software(service_id),
-            horizon_s=self.horizon_s(),
+            horizon_s=self._horizon_s(service_id),
             now=self.state.now(),
         )
 
-    def horizon_s(self) -> float:
-        """Return for how long any caller may wait, in seconds."""
-        return sole_horizon_s(None)
+    def _horizon_s(self, service_id: ServiceId) -> float:
+        """Return for how long a caller of a service may wait."""
+        records = self.state.software_records_
+        return sole_horizon_s(
+            None if records is None else records.longest_wait_s(service_id)
+        )
 
     def _on_answer(self, peer: PeerConnection, message: StreamOriginAnswer) -> None:
         question = self.questions_by_id_.get(message.ask_id)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
@@ -5,11 +5,12 @@
 them.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from leadford.common import EntryId, RequestId
 from leadford.forwarding.routes import ServiceId
 from leadford.forwarding.streams import (
+    MAX_ORIGIN_AGE_S,
     REPLICA_COUNT,
     StreamContent,
     StreamKey,
@@ -132,7 +133,7 @@
         """Record that a replica was lost; with too many, streams are lost as well."""
         now = self.state.now()
         self.lost_at_by_id_[entry_id] = now
-        horizon_s = self.search.horizon_s()
+        horizon_s = MAX_ORIGIN_AGE_S
         self.lost_at_by_id_ = {
             lost_id: lost_at
             for lost_id, lost_at in self.lost_at_by_id_.items()
@@ -188,12 +189,14 @@
             wait_s * 1_000.0,
         )
 
-    async def find(self, key: StreamKey, service_id: ServiceId) -> FoundOrigin:
+    async def find(
+        self, key: StreamKey, service_ids: Sequence[ServiceId]
+    ) -> FoundOrigin:
         """Return the origin of a stream, and who knew it.
 
-        `service_id` is the service that the stream would go to now.
+        `service_ids` are those of its route, the one that it would go to now first.
         """
-        found = await self.search.find(key, service_id)
+        found = await self.search.find(key, service_ids)
         STREAM_ORIGINS_TOTAL.labels(source=found.source.value).inc()
         return found
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
@@ -95,6 +95,7 @@
             software_history_=history,
             roster_=SimpleNamespace(listed_software=lambda service_id: fleet.listed),
             alone_since_=None,
+            software_records_=None,
         )
         # It has run for long.
         self.state.origin_ledger_.record_gap(-MAX_ORIGIN_AGE_S)
@@ -117,7 +118,7 @@
         self.origins.record(StreamKey(request_id, content), origin, WAIT_S)
 
     async def find(self, request_id=REQUEST, content=CONTENT):
-        return await self.origins.find(StreamKey(request_id, content), SERVICE)
+        return await self.origins.find(StreamKey(request_id, content), [SERVICE])
 
 
 class Link:
--- a/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
@@ -24,6 +24,7 @@
     HallsHolder,
 )
 from leadford_server.forwarding.store._listing import ListingHolder
+from leadford_server.forwarding.store._software import SoftwareRecords
 
 __all__ = [
     "ConfigHolder",
@@ -36,6 +37,7 @@
     "Listing",
     "ListingHolder",
     "ObjectsClient",
+    "SoftwareRecords",
     "WATCH_FRACTION",
     "WATCH_MAX_S",
     "decoded_or_none",
--- a/packages/leadford-server/src/leadford_server/web/__init__.py
+++ b/packages/leadford-server/src/leadford_server/web/__init__.py
@@ -1,6 +1,7 @@
-"""HTTP client functions that the processes share."""
+"""Functions of HTTP that the processes share."""
 
 from leadford_server.web._fetch import NO_RESPONSE_STATUS, fetch, is_closed_by_peer
+from leadford_server.web._headers import keep_alive_timeout_s
 from leadford_server.web._transfer import (
     FetchedResponse,
     FetchTimeouts,
@@ -14,4 +15,5 @@
     "fetch",
     "fetch_while_arriving",
     "is_closed_by_peer",
+    "keep_alive_timeout_s",
 ]
--- a/packages/leadford-standins/src/leadford_standins/wire/_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -285,6 +285,18 @@
         self.store.put(kind, name, item["spec"])
         self._answer(self.store.objects_by_kind_[kind][name])
 
+    def put(self, kind: str, name: str) -> None:
+        item = json.loads(self.request.body)
+        found = self.store.objects_by_kind_.get(kind, {}).get(name)
+        if found is None:
+            raise web.HTTPError(404)
+        revision = item["metadata"].get("revision")
+        if revision not in (None, found["metadata"]["revision"]):
+            raise web.HTTPError(409)
+        if item["spec"] != found["spec"]:
+            self.store.put(kind, name, item["spec"])
+        self._answer(self.store.objects_by_kind_[kind][name])
+
     async def delete(self, kind: str, name: str) -> None:
         self.store.deletes_ += 1
         await asyncio.sleep(self.store.delete_s)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
@@ -3,76 +3,21 @@
 import pytest
 
 from leadford_standins.wire import (
-    Misbehaviour,
     event_ids,
     refuse_store_calls,
     run_scenario,
     runs_of,
 )
-
-# Streams that one test breaks off, each with a prompt of its own.
-STREAMS_COUNT = 8
-
-
-def prompt(number, *, key=None):
-    """Return what one stream and its returns have in common."""
-    headers = {"X-Prefix-Hash": f"p{number}:50", "X-Token-Counts": "50,10"}
-    if key is not None:
-        headers["X-Piece-Key"] = key
-    return {"headers": headers, "body": f"stream {number}".encode()}
-
-
-async def list_two_versions(deployment, *, older=2):
-    """List the first engines as v1, the others as v2."""
-    for engine in deployment.engines[older:]:
-        await deployment.set_software(engine, "v2")
-
-
-async def break_off(deployment, request_id, number, *, entry=0, key=None):
-    """Begin a stream that breaks off at each engine that runs it."""
-    for engine in deployment.engines:
-        engine.planned_misbehaviours_.clear()
-        engine.planned_misbehaviours_.extend([Misbehaviour.CUT] * 2)
-    answer = await deployment.send(
-        "/resumed/x",
-        request_id=request_id,
-        entry=entry,
-        **prompt(number, key=key),
-    )
-    assert answer.code == 599
-    for engine in deployment.engines:
-        engine.planned_misbehaviours_.clear()
-
-
-def software_of_runs(deployment, request_id):
-    """Return the version of each engine that ran a request, in order."""
-    runs = [
-        (run.at_s, engine.software)
-        for engine in deployment.engines
-        for run in engine.runs_
-        if run.request_id == request_id
-    ]
-    return [software for _, software in sorted(runs)]
-
-
-async def resume(deployment, request_id, number, *, resumes, after, entry=0):
-    fields = prompt(number)
-    fields["headers"] |= {"Resumes": resumes, "Last-Event-Id": str(after)}
-    return await deployment.send(
-        "/resumed/x", request_id=request_id, entry=entry, **fields
-    )
-
-
-def test_a_stream_retried_by_its_entry_stays_at_its_software_version():
-    # Each stream breaks off twice, beside engines of two versions.
-    async def scenario(deployment):
-        await list_two_versions(deployment)
-        for number in range(STREAMS_COUNT):
-            await break_off(deployment, f"r{number}", number)
-            first, second = software_of_runs(deployment, f"r{number}")
-            assert first == second
-
-    run_scenario(scenario, endpoints=6)
+from leadford_standins.wire.tests.broken_streams import (
+    STREAMS_COUNT,
+    begin_streams,
+    break_off,
+    list_two_versions,
+    prompt,
+    resume,
+    resume_all,
+    software_of_runs,
+)
 
 
 def test_a_stream_resumed_at_another_entry_stays_at_its_software_version():
@@ -98,29 +43,6 @@
     run_scenario(scenario, endpoints=6, entries=3)
 
 
-async def begin_streams(deployment, *, entry=0):
-    """Break streams off at an entry; return the version that began each."""
-    for number in range(STREAMS_COUNT):
-        await break_off(deployment, f"r{number}", number, entry=entry)
-    return [
-        software_of_runs(deployment, f"r{number}")[0] for number in range(STREAMS_COUNT)
-    ]
-
-
-async def resume_all(deployment, *, entry):
-    """Resume each stream at an entry; return the versions they went on at."""
-    found = []
-    for number in range(STREAMS_COUNT):
-        request_id = f"r{number}.{entry}"
-        answer = await resume(
-            deployment, request_id, number, resumes=f"r{number}", after=2, entry=entry
-        )
-        assert answer.code == 200
-        assert event_ids(answer.body) == [3, 4, 5]
-        found += software_of_runs(deployment, request_id)
-    return found
-
-
 def test_streams_go_on_after_the_entry_that_began_them_was_killed():
     async def scenario(deployment):
         await deployment.until_linked()
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -79,6 +79,11 @@
         Severity.INFO,
         "What an endpoint asks of those that send to it has changed.",
     )
+    SOFTWARE_RECORDED = (
+        308,
+        Severity.INFO,
+        "The versions at which streams may have begun are recorded in the store.",
+    )
     ANSWER_STRAY = (400, Severity.WARNING, "An answer matched nothing; dropped.")
     REQUEST_REFUSED = (401, Severity.INFO, "A request was refused.")
     REQUEST_UNKNOWN = (402, Severity.WARNING, "A request's outcome is not known.")
--- a/packages/leadford/src/leadford/forwarding/streams/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/streams/__init__.py
@@ -8,6 +8,15 @@
     StreamOrigin,
     agreed_origin,
 )
+from leadford.forwarding.streams._recorded import (
+    NO_VERSIONS,
+    RecordedSoftware,
+    SeenSoftware,
+    extended_record,
+    longest_timeout_s,
+    recorded_wait_s,
+    stream_routes_key,
+)
 from leadford.forwarding.streams._replicas import REPLICA_COUNT, origin_replicas
 from leadford.forwarding.streams._software import (
     MIN_SOLE_S,
@@ -19,9 +28,12 @@
 
 __all__ = [
     "MAX_ORIGIN_AGE_S",
+    "NO_VERSIONS",
     "REPLICA_COUNT",
     "MIN_SOLE_S",
     "OriginLedger",
+    "RecordedSoftware",
+    "SeenSoftware",
     "SoftwareHistory",
     "SoleSoftware",
     "StreamContent",
@@ -29,7 +41,11 @@
     "StreamOrigin",
     "agreed_origin",
     "agreed_software",
+    "extended_record",
     "knows_all_streams",
+    "longest_timeout_s",
     "origin_replicas",
+    "recorded_wait_s",
     "sole_horizon_s",
+    "stream_routes_key",
 ]
