Record the streams that entries hold in the store while versions overlap

Cause: at which version a stream began was known to its entry and three others only; all were lost.

Now each entry writes the ids of the streams that it holds, by service and version, in one object, while streams of the service may have begun at more than one version by the record of its versions: when one is missing there, four times a second at the most, and all entries together at most a tenth of the writes that the store serves (300 entries at 3,200 writes a second: one write in 0.94 s each). An entry that is asked for a named stream that nobody knows lists these objects, at most four times a second for all who wait. What was not written when it was lost is refused. The next process of an entry adopts the object and removes it once its callers wait no longer; one of an entry that is no longer recorded is removed by an entry that follows the store. Conditions on revisions keep a late write from undoing a newer one. At most 10,000 streams and ids of 64 characters an object (about 700 KB). A start costs one listing.

In calm with one version nothing is written or read (test_in_calm_nothing_of_streams_is_read_or_written).

--- a/packages/leadford-server/src/leadford_server/forwarding/_links_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_links_contract.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from leadford.common import EndpointId, EntryId, HallId
+from leadford.common import EndpointId, EntryId, HallId, RequestId
 from leadford.forwarding.admission import BookingQuery
 from leadford.forwarding.endpoints import EndpointRecord, PromptShape, SoftwareVersion
 from leadford.forwarding.routes import Service, ServiceId
@@ -66,11 +66,13 @@
 class OriginSource(Enum):
     """Tell who knew the software version that began a stream.
 
-    SOLE: nobody knows the stream, but only one version can have begun it.
+    STORE: it was recorded there. SOLE: nobody knows the stream, but only one version
+    can have begun it.
     """
 
     OWN = "own"
     REPLICA = "replica"
+    STORE = "store"
     SOLE = "sole"
     NOBODY = "nobody"
 
@@ -103,6 +105,13 @@
         """Return the only version of some services that can have begun a stream."""
 
 
+class StreamKnowledge(Protocol):
+    """Read from the store at which versions streams began."""
+
+    async def find(self, request_id: RequestId) -> StreamOrigin | None:
+        """Return the origin of a stream that any entry recorded, None if none did."""
+
+
 class StreamOrigins(Protocol):
     """Tell other entries which software version began a stream, and ask them.
 
--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -48,6 +48,7 @@
     ListingHolder,
     ObjectsClient,
     SoftwareRecords,
+    StreamRecords,
 )
 from leadford_server.logs import EventLog, error_text
 from leadford_server.metrics import CALLER_CONNECTIONS, UNSENT_BYTES
@@ -194,6 +195,16 @@
             on_entries=self.members_.learn,
             on_confirmed=self.config_.on_relayed,
         )
+        self.stream_records_ = StreamRecords(
+            state=state,
+            client=self.client_,
+            objects=self.objects,
+            held_ids=lambda: self.links_.origins.told_by_id_,
+            overlaps=self.software_records_.overlaps,
+            entry_ids=lambda: self.links_.fleet.entries_by_id_,
+            is_follower=lambda: self.links_.relays.is_follower,
+        )
+        state.stream_records_ = self.stream_records_
         self.stages_.connect(self.links_, self.links_.pieces)
 
     def _start_ready_server(self) -> None:
@@ -213,6 +224,7 @@
             self._spawn(follower.run())
         self._spawn(self.links_.run())
         self._spawn(self.software_records_.run())
+        self._spawn(self.stream_records_.run())
         self.announce_task_ = self._spawn(self.members_.announce())
         round_trips = RoundTrips(
             state=self.state_,
@@ -393,7 +405,7 @@
         """Take the record of this entry out of the store."""
         # The task could announce the entry again after its removal.
         self.announce_task_.cancel()
-        await self.members_.retract()
+        await asyncio.gather(self.members_.retract(), self.stream_records_.retract())
 
     def stop(self) -> None:
         """Stop at once, even if requests are under way."""
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -46,6 +46,7 @@
     PromptPlacement,
     ReturnBookings,
     SoftwareKnowledge,
+    StreamKnowledge,
     StreamOrigins,
 )
 from leadford_server.forwarding._memory import HeldMemory
@@ -64,7 +65,8 @@
     records of an endpoint. `memory_bytes` is the limit of the process. If it is None,
     no request is refused for lack of memory, and no slow caller is cut off.
 
-    Units: seconds, except that the ratio and the slack count requests, and that
+    Units: seconds, except that the ratio and the slack count requests, that
+    `store_writes_per_s` counts the writing calls of all entries in a second, and that
     `memory_bytes` counts bytes.
     """
 
@@ -78,6 +80,7 @@
     resync_s: float = 3.0
     evacuate_s: float | None = None
     heartbeat_s: float = 1.2
+    store_writes_per_s: float = 400.0
     memory_bytes: int | None = None
 
     def update_limit_s(self, bound_s: float) -> float:
@@ -167,6 +170,7 @@
         self.stream_origins_: StreamOrigins | None = None
         # Set by the process when it begins to follow the store.
         self.software_records_: SoftwareKnowledge | None = None
+        self.stream_records_: StreamKnowledge | None = None
 
     def now(self) -> float:
         """Return the monotonic clock.
--- a/packages/leadford-server/src/leadford_server/forwarding/_store_contract.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_store_contract.py
@@ -108,6 +108,7 @@
     entries_kind: str
     evacuations_kind: str
     software_kind: str
+    streams_kind: str
 
     def list_path(
         self, kind: str, after: str | None, *, may_be_stale: bool = False
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
@@ -193,31 +193,39 @@
     async def _conclude(
         self, question: OriginQuestion, service_ids: Sequence[ServiceId]
     ) -> FoundOrigin:
-        """Return the only version that can have begun a stream, if there is one."""
-        service_id = service_ids[0]
-        software = await self._recorded_sole(service_ids)
-        views = [self.own_view(service_id), *question.views_]
-        if software is None:
-            software = self._observed_sole(question, views, service_ids)
-        elif any(view is None or view.software != software for view in views):
-            # An entry has listed a version that the store does not hold yet.
-            software = None
+        """Return what the store knows of a stream, or the only possible version."""
+        views = [self.own_view(service_ids[0]), *question.views_]
+        try:
+            async with asyncio.timeout(MAX_RECORD_READ_S):
+                found = await self._find_in_store(question.key, views, service_ids)
+        except TimeoutError:
+            found = None
+        if found is not None:
+            return found
+        software = self._observed_sole(question, views, service_ids)
         if software is None:
             return FoundOrigin(OriginSource.NOBODY, None)
-        return FoundOrigin(OriginSource.SOLE, StreamOrigin(service_id, software))
+        return FoundOrigin(OriginSource.SOLE, StreamOrigin(service_ids[0], software))
 
-    async def _recorded_sole(
-        self, service_ids: Sequence[ServiceId]
-    ) -> SoftwareVersion | None:
-        """Return the only version by the records in the store, None if unsure."""
+    async def _find_in_store(
+        self,
+        key: StreamKey,
+        views: Sequence[SoleSoftware | None],
+        service_ids: Sequence[ServiceId],
+    ) -> FoundOrigin | None:
+        """Return the origin by the records in the store, None if they do not tell."""
         records = self.state.software_records_
-        if records is None:
-            return None
-        try:
-            async with asyncio.timeout(MAX_RECORD_READ_S):
-                return await records.sole(service_ids)
-        except TimeoutError:
+        software = None if records is None else await records.sole(service_ids)
+        # Otherwise an entry has listed a version that the store does not hold yet.
+        is_agreed = all(view and view.software == software for view in views)
+        if software is not None and is_agreed:
+            origin = StreamOrigin(service_ids[0], software)
+            return FoundOrigin(OriginSource.SOLE, origin)
+        streams = self.state.stream_records_
+        if streams is None or key.request_id is None:
             return None
+        origin = await streams.find(key.request_id)
+        return None if origin is None else FoundOrigin(OriginSource.STORE, origin)
 
     def _observed_sole(
         self,
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
@@ -96,6 +96,7 @@
             roster_=SimpleNamespace(listed_software=lambda service_id: fleet.listed),
             alone_since_=None,
             software_records_=None,
+            stream_records_=None,
         )
         # It has run for long.
         self.state.origin_ledger_.record_gap(-MAX_ORIGIN_AGE_S)
--- a/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
@@ -25,6 +25,7 @@
 )
 from leadford_server.forwarding.store._listing import ListingHolder
 from leadford_server.forwarding.store._software import SoftwareRecords
+from leadford_server.forwarding.store._streams import StreamRecords
 
 __all__ = [
     "ConfigHolder",
@@ -38,6 +39,7 @@
     "ListingHolder",
     "ObjectsClient",
     "SoftwareRecords",
+    "StreamRecords",
     "WATCH_FRACTION",
     "WATCH_MAX_S",
     "decoded_or_none",
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -84,6 +84,7 @@
         Severity.INFO,
         "The versions at which streams may have begun are recorded in the store.",
     )
+    STREAMS_READ = (309, Severity.INFO, "Origins of streams were read from the store.")
     ANSWER_STRAY = (400, Severity.WARNING, "An answer matched nothing; dropped.")
     REQUEST_REFUSED = (401, Severity.INFO, "A request was refused.")
     REQUEST_UNKNOWN = (402, Severity.WARNING, "A request's outcome is not known.")
--- a/packages/leadford/src/leadford/forwarding/streams/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/streams/__init__.py
@@ -8,6 +8,11 @@
     StreamOrigin,
     agreed_origin,
 )
+from leadford.forwarding.streams._overlap import (
+    RecordedStreams,
+    recordable_ids,
+    write_interval_s,
+)
 from leadford.forwarding.streams._recorded import (
     NO_VERSIONS,
     RecordedSoftware,
@@ -33,6 +38,7 @@
     "MIN_SOLE_S",
     "OriginLedger",
     "RecordedSoftware",
+    "RecordedStreams",
     "SeenSoftware",
     "SoftwareHistory",
     "SoleSoftware",
@@ -45,7 +51,9 @@
     "knows_all_streams",
     "longest_timeout_s",
     "origin_replicas",
+    "recordable_ids",
     "recorded_wait_s",
     "sole_horizon_s",
     "stream_routes_key",
+    "write_interval_s",
 ]
