Lose all entries at once in the soak, beside releases of new software

--losses-per-s kills all entries at the same moment, in series and overlapping with all other faults, and replaces the engines of the oldest version by engines of a new one; one caller in four then resumes its stream without naming it. The check of pieces compares with the key that the caller sent, as callers that repeat their request keep it. Entries are told by their settings only once that the deployment starts for the first time.

--- a/packages/leadford-standins/src/leadford_standins/main.py
+++ b/packages/leadford-standins/src/leadford_standins/main.py
@@ -83,6 +83,7 @@
     uneven_per_s: float = 0.0,
     busy_per_s: float = 0.0,
     silent_per_s: float = 0.0,
+    losses_per_s: float = 0.0,
     resume_part: float = 0.0,
     long_part: float = 0.15,
     long_work_s: float = 1.2,
@@ -109,6 +110,7 @@
     :param busy_per_s: entries with little processor time, to which most callers go
     :param silent_per_s: sound endpoints that send nothing for 0.8 to 1.5 s: one,
         several in turn, or all of a service
+    :param losses_per_s: losses of all entries at once, and releases of new software
     :param resume_part: part of the streams that callers break off and resume, at
         engines of two software versions
     :param long_part: part of the requests that work long
@@ -137,6 +139,7 @@
         uneven_per_s=uneven_per_s,
         busy_per_s=busy_per_s,
         silent_per_s=silent_per_s,
+        losses_per_s=losses_per_s,
         resume_part=resume_part,
         long_part=long_part,
         long_work_s=long_work_s,
--- a/packages/leadford-standins/src/leadford_standins/soak/_base.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/_base.py
@@ -65,6 +65,8 @@
     ENDPOINT_SILENT = "endpoint-silent"
     ENDPOINTS_SILENT_IN_TURN = "endpoints-silent-in-turn"
     SERVICE_SILENT = "service-silent"
+    ALL_ENTRIES_KILLED = "all-entries-killed"
+    SOFTWARE_RELEASED = "software-released"
 
 
 class UpgradeWay(Enum):
@@ -109,7 +111,9 @@
     end every endpoint which runs them, restores_per_s restores of the store, and
     uneven_per_s prompt parts that end engines, callers that go to one entry, and
     answers without a length, busy_per_s entries with little processor time to which
-    most callers go, and silent_per_s sound endpoints that send nothing for a while.
+    most callers go, silent_per_s sound endpoints that send nothing for a while, and
+    losses_per_s losses of all entries at once and releases of new software; then some
+    callers resume their streams without naming them.
     """
 
     seed: int
@@ -124,6 +128,7 @@
     uneven_per_s: float = 0.0
     busy_per_s: float = 0.0
     silent_per_s: float = 0.0
+    losses_per_s: float = 0.0
     resume_part: float = 0.0
     long_part: float = 0.15
     long_work_s: float = 1.2
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_answers.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_answers.py
@@ -151,7 +151,7 @@
         for endpoint, item in evidence.ledger.items_:
             sent = evidence.ledger.sent_by_id_.get(item["id"])
             key = item.get("privateKey")
-            if sent is None or key not in (None, f"pk-{item['id']}"):
+            if sent is None or key not in (None, sent.asked["X-Piece-Key"]):
                 found.append(Broken(self.promise, item["id"], endpoint, 0.0, str(item)))
         return found
 
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/__init__.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/__init__.py
@@ -5,6 +5,7 @@
 
 from leadford_standins.soak.faults import (  # noqa: F401  (register their injectors)
     _links,
+    _losses,
     _platform,
     _processes,
     _silences,
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_base.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_base.py
@@ -1,6 +1,6 @@
 """Keep the registry of injectors: one function for each kind of fault.
 
-`_links`, `_processes`, `_platform` and `_upgrades` register theirs by decorator.
+The other modules of this folder register theirs by decorator.
 """
 
 import asyncio
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_plan.py
@@ -101,6 +101,10 @@
     K.ENDPOINTS_SILENT_IN_TURN: Span(1, (0.8, 1.5), (2, 4)),
     K.SERVICE_SILENT: Span(1, (0.8, 1.5)),
 }
+LOSS_SPANS: dict[FaultKind, Span] = {
+    K.ALL_ENTRIES_KILLED: Span(2, (0.1, 1.5)),
+    K.SOFTWARE_RELEASED: Span(1, (0, 2)),
+}
 # Targets are drawn below this; injectors take them modulo the number of candidates.
 TARGET_LIMIT = 10_000
 
@@ -116,6 +120,7 @@
         *_draw_faults(UNEVEN_SPANS, options.uneven_per_s, options, random),
         *_draw_faults(BUSY_SPANS, options.busy_per_s, options, random),
         *_draw_faults(SILENT_SPANS, options.silent_per_s, options, random),
+        *_draw_faults(LOSS_SPANS, options.losses_per_s, options, random),
         *upgrade_steps(options),
     ]
     faults.sort(key=lambda fault: fault.at_s)
--- a/packages/leadford-standins/src/leadford_standins/soak/faults/_processes.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/_processes.py
@@ -34,7 +34,7 @@
     )
     scene.on_stop_(entry)
     await entry.stop()
-    await _restart(entry, fault.duration_s)
+    await restart_later(entry, fault.duration_s)
     disturbance.until_s = asyncio.get_running_loop().time()
 
 
@@ -53,11 +53,12 @@
         # The injector that stops it starts it again.
         return
     entry.is_ending_ = True
-    await _restart(entry, fault.duration_s)
+    await restart_later(entry, fault.duration_s)
     disturbance.until_s = asyncio.get_running_loop().time()
 
 
-async def _restart(entry: EntryProcess, after_s: float) -> None:
+async def restart_later(entry: EntryProcess, after_s: float) -> None:
+    """Start an entry again after some time."""
     await asyncio.sleep(after_s)
     entry.start()
     entry.is_ending_ = False
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_callers.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_callers.py
@@ -56,7 +56,10 @@
         self.requests = RequestSource(options=options, random=random, config=config)
         self.connections = ConnectionPool(random=random, entries=entries)
         self.resumer = StreamResumer(
-            part=options.resume_part, random=random, sent_by_id=ledger.sent_by_id_
+            part=options.resume_part,
+            random=random,
+            sent_by_id=ledger.sent_by_id_,
+            some_unnamed=options.losses_per_s > 0.0,
         )
         self.tasks_: set[asyncio.Task[None]] = set()
         # The entry that most callers go to, and the fraction of the requests there.
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_endpoints.py
@@ -175,6 +175,11 @@
         self.store.delete("servers", endpoint.endpoint_id)
         await self.add(endpoint.service, endpoint.hall, endpoint.software)
 
+    def next_software(self) -> str:
+        """Return the name of a version that no engine has had yet."""
+        versions = {engine.software for engine in self.ledger.engines_}
+        return f"v{len(versions) + 1}"
+
     def pick(self, target: int) -> RunningEndpoint | None:
         """Return an endpoint that is not leaving and is not the last of its service."""
         candidates = [e for e in self.live_ if not e.is_leaving_]
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_processes.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_processes.py
@@ -34,6 +34,7 @@
 zone = "{hall}"
 region = "region"
 internalPorts = [{peers}, {peers_last}]
+bootstrap = {is_first_start}
 [zones]
 {zones}
 [listen]
@@ -110,6 +111,8 @@
         self.ledger = ledger
         self.process_: subprocess.Popen | None = None
         self.start_count_ = 0
+        # The bounds in the settings file, None before it is written.
+        self.written_bounds_: SoakBounds | None = None
         self.is_ending_ = False
 
     @property
@@ -143,6 +146,7 @@
     def write_settings(self, bounds: SoakBounds | None = None) -> None:
         """Write the settings file."""
         bounds = bounds or self.bounds
+        self.written_bounds_ = bounds
         text = SETTINGS.format(
             name=self.name,
             ip=self.ip,
@@ -152,6 +156,7 @@
             ready=READY_PORT,
             peers=PEERS_PORT,
             peers_last=PEERS_PORT + 15,
+            is_first_start="true" if self.start_count_ == 0 else "false",
             drain_ms=bounds.drain_s * 1_000.0,
             grace_s=bounds.grace_s,
             config_ms=bounds.config_s * 1_000.0,
@@ -169,6 +174,9 @@
 
     def start(self) -> None:
         """Start the process, which appends to the log of earlier starts."""
+        if self.start_count_ == 1:
+            # The first start of the whole deployment is over.
+            self.write_settings(self.written_bounds_)
         environment = {
             **os.environ,
             "LEADFORD_SETTINGS": str(self.folder / f"{self.name}.toml"),
--- a/packages/leadford-standins/src/leadford_standins/soak/parts/_resumes.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/parts/_resumes.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from leadford.common import stable_hash
 from leadford_standins.soak._events import (
     EVENTS_PER_STREAM,
     RESUMABLE_ROUTE,
@@ -23,14 +24,26 @@
 BREAK_OFF_S = (0.1, 0.45)
 RESUME_DELAY_S = (0.0, 0.3)
 REFUSED_STATUS = 503
+# One caller in this many does not name its stream, where some do not.
+UNNAMED_EACH = 4
 
 
 class StreamResumer:
-    """Make the requests that resume streams; none if `part` is 0."""
+    """Make the requests that resume streams; none if `part` is 0.
+
+    With `some_unnamed`, a part of the callers does not name the request that began its
+    stream, and repeats that request otherwise.
+    """
 
     def __init__(
-        self, *, part: float, random: Random, sent_by_id: Mapping[str, Sent]
+        self,
+        *,
+        part: float,
+        random: Random,
+        sent_by_id: Mapping[str, Sent],
+        some_unnamed: bool = False,
     ) -> None:
+        self.some_unnamed = some_unnamed
         self.part = part
         self.random = random
         self.sent_by_id = sent_by_id
@@ -67,6 +80,9 @@
             "Resumes": first.request_id,
             "Last-Event-Id": str(last),
         }
+        if self.some_unnamed and stable_hash(first.request_id) % UNNAMED_EACH == 0:
+            del headers["Resumes"]
+            headers["X-Piece-Key"] = first.asked["X-Piece-Key"]
         return msgspec.structs.replace(
             first,
             request_id=request_id,
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_soak.py
@@ -31,6 +31,7 @@
         f"--uneven-per-s={options.uneven_per_s}",
         f"--busy-per-s={options.busy_per_s}",
         f"--silent-per-s={options.silent_per_s}",
+        f"--losses-per-s={options.losses_per_s}",
         f"--resume-part={options.resume_part}",
         f"--older={options.older}",
         f"--upgrade={options.upgrade.value}",
@@ -80,6 +81,21 @@
     assert "endpoints-silent-in-turn" in output
 
 
+def test_a_soak_in_which_all_entries_are_lost_joins_no_versions(tmp_path):
+    options = SoakOptions(
+        seed=7011,
+        seconds=24.0,
+        entries=4,
+        faults_per_s=0.3,
+        resume_part=0.5,
+        losses_per_s=0.35,
+    )
+    status, output = asyncio.run(run_soak(options, tmp_path))
+    assert status == 0, output
+    assert "all-entries-killed" in output
+    assert "software-released" in output
+
+
 def test_a_soak_of_prompts_and_callers_that_are_uneven_breaks_no_promise(tmp_path):
     options = SoakOptions(seed=7004, seconds=26.0, entries=4, uneven_per_s=0.25)
     status, output = asyncio.run(run_soak(options, tmp_path))
