Conclude nothing of unknown streams from what entries have listed

Callers: by a test, entries that are cut off together (from the store and the others) and have listed one version for 600 s took up a stream that began at another one, which came while they were cut off; with the timeout of the store's record the same.

Cause: where the store did not tell, the listings of all entries that answered counted. They may all be old for the same reason.

Now only the record in the store, read at that moment, lets an unknown stream go on; what entries have listed may contradict it. With the store away unknown streams are refused: they exist only where all holders of an origin were lost. A caller that resumes its stream with more time than before counts for the longest wait, too.

Tests of the rule that is gone went with it; those of origins that relied on it name the store's record.

--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_event_relay.py
@@ -175,9 +175,11 @@
     async def _record_software(self, attempt: Attempt) -> None:
         """Wait until the store holds the version that wrote the first event."""
         records = self.state.software_records_
-        if records is None or self.progress.origin_ is not None:
+        if records is None:
             return
         records.record_wait(self.progress.caller_deadline - self.state.now())
+        if self.progress.origin_ is not None:
+            return
         service_id = self.progress.match_.service.service_id
         await records.until_recorded(service_id, attempt.borrowed.software)
 
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
@@ -15,7 +15,7 @@
     StreamKey,
     StreamOrigin,
     agreed_origin,
-    agreed_software,
+    confirmed_software,
     knows_all_streams,
     origin_replicas,
     sole_horizon_s,
@@ -193,19 +193,18 @@
     async def _conclude(
         self, question: OriginQuestion, service_ids: Sequence[ServiceId]
     ) -> FoundOrigin:
-        """Return what the store knows of a stream, or the only possible version."""
+        """Return what the store knows of a stream that no entry knows.
+
+        Nothing is concluded from what the entries have listed: all that answer may be
+        cut off from the others.
+        """
         views = [self.own_view(service_ids[0]), *question.views_]
         try:
             async with asyncio.timeout(MAX_RECORD_READ_S):
                 found = await self._find_in_store(question.key, views, service_ids)
         except TimeoutError:
             found = None
-        if found is not None:
-            return found
-        software = self._observed_sole(question, views, service_ids)
-        if software is None:
-            return FoundOrigin(OriginSource.NOBODY, None)
-        return FoundOrigin(OriginSource.SOLE, StreamOrigin(service_ids[0], software))
+        return found or FoundOrigin(OriginSource.NOBODY, None)
 
     async def _find_in_store(
         self,
@@ -215,10 +214,9 @@
     ) -> FoundOrigin | None:
         """Return the origin by the records in the store, None if they do not tell."""
         records = self.state.software_records_
-        software = None if records is None else await records.sole(service_ids)
-        # Otherwise an entry has listed a version that the store does not hold yet.
-        is_agreed = all(view and view.software == software for view in views)
-        if software is not None and is_agreed:
+        recorded = None if records is None else await records.sole(service_ids)
+        software = confirmed_software(recorded, views)
+        if software is not None:
             origin = StreamOrigin(service_ids[0], software)
             return FoundOrigin(OriginSource.SOLE, origin)
         streams = self.state.stream_records_
@@ -227,21 +225,6 @@
         origin = await streams.find(key.request_id)
         return None if origin is None else FoundOrigin(OriginSource.STORE, origin)
 
-    def _observed_sole(
-        self,
-        question: OriginQuestion,
-        views: Sequence[SoleSoftware | None],
-        service_ids: Sequence[ServiceId],
-    ) -> SoftwareVersion | None:
-        """Return the only version that entries have listed for long enough."""
-        if len(service_ids) > 1:
-            # The entries were asked for one service of a split route only.
-            return None
-        if self.entry_count() > 1 and not question.views_:
-            # No peer answered, so what this entry knows may be old.
-            return None
-        return agreed_software(views, horizon_s=self._horizon_s(service_ids[0]))
-
     def own_view(self, service_id: ServiceId) -> SoleSoftware | None:
         """Return the only version of a service that this entry has listed lately."""
         return self.state.software_history_.sole(
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
@@ -42,6 +42,11 @@
         self.cut = set()
         self.older = set(older)
         self.listed = {V1, V2}
+        # The only version that the store names, and how long it takes to answer.
+        self.recorded = None
+        self.store_s = 0.0
+        # The longest time that a caller waits, by the store.
+        self.longest_wait_s = None
         self.candidates = candidates or entries
         self.entries = [Entry(self, number) for number in range(entries)]
         for entry in self.entries:
@@ -95,7 +100,7 @@
             software_history_=history,
             roster_=SimpleNamespace(listed_software=lambda service_id: fleet.listed),
             alone_since_=None,
-            software_records_=None,
+            software_records_=Records(fleet),
             stream_records_=None,
         )
         # It has run for long.
@@ -122,6 +127,20 @@
         return await self.origins.find(StreamKey(request_id, content), [SERVICE])
 
 
+class Records:
+    """Hold what the store names, for all entries."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+
+    def longest_wait_s(self, service_id):
+        return self.fleet.longest_wait_s
+
+    async def sole(self, service_ids):
+        await asyncio.sleep(self.fleet.store_s)
+        return self.fleet.recorded
+
+
 class Link:
     """Carry messages from one entry to another after a delay, unless it is cut."""
 
@@ -229,25 +248,43 @@
     run(scenario)
 
 
-def test_a_stream_that_nobody_knows_goes_on_where_one_version_ever_served():
+def test_a_stream_that_nobody_knows_goes_on_where_the_store_names_one_version():
     async def scenario(fleet):
         fleet.listed = {V1}
+        assert await fleet.entries[1].find() == UNKNOWN
+        fleet.recorded = V1
         found = await fleet.entries[1].find()
         assert found == FoundOrigin(OriginSource.SOLE, ORIGIN)
         # One entry has seen another version not long ago.
+        fleet.longest_wait_s = 30.0
         for entry in fleet.entries[2:]:
             history = entry.state.software_history_
             history.record_gone(SERVICE, V2, entry.state.now())
         assert await fleet.entries[1].find() == UNKNOWN
-        await asyncio.sleep(MAX_ORIGIN_AGE_S + 1.0)
+        await asyncio.sleep(31.0)
         assert await fleet.entries[1].find() == found
 
     run(scenario)
 
 
-def test_an_entry_that_just_started_believes_what_its_peers_have_listed():
+def test_entries_that_are_cut_off_together_conclude_nothing_from_their_listings():
+    # They have listed one version for long, and do not know that another one came.
     async def scenario(fleet):
         fleet.listed = {V1}
+        fleet.cut.update(entry.entry_id for entry in fleet.entries[2:])
+        for entry in fleet.entries[:2]:
+            assert await entry.find() == UNKNOWN
+        fleet.recorded = V1
+        fleet.store_s = 10.0
+        assert await fleet.entries[0].find() == UNKNOWN
+
+    run(scenario)
+
+
+def test_an_entry_that_just_started_believes_what_the_store_names():
+    async def scenario(fleet):
+        fleet.listed = {V1}
+        fleet.recorded = V1
         fleet.kill(fleet.entries[1])
         new = fleet.start_again(fleet.entries[1])
         assert (await new.find()).source is OriginSource.SOLE
@@ -274,6 +311,7 @@
         entry.record()
         assert await entry.find() == FoundOrigin(OriginSource.OWN, ORIGIN)
         fleet.listed = {V2}
+        fleet.recorded = V2
         found = await entry.find(RequestId("other"))
         assert found.origin == StreamOrigin(SERVICE, V2)
 
@@ -473,7 +511,5 @@
             await asyncio.sleep(wait_s)
             for entry in fleet.entries:
                 assert await entry.find() == UNKNOWN
-        await asyncio.sleep(MAX_ORIGIN_AGE_S)
-        assert (await entry.find()).source is OriginSource.SOLE
 
     run(scenario, entries=3)
--- a/packages/leadford/src/leadford/forwarding/streams/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/streams/__init__.py
@@ -27,7 +27,7 @@
     MIN_SOLE_S,
     SoftwareHistory,
     SoleSoftware,
-    agreed_software,
+    confirmed_software,
     sole_horizon_s,
 )
 
@@ -46,7 +46,7 @@
     "StreamKey",
     "StreamOrigin",
     "agreed_origin",
-    "agreed_software",
+    "confirmed_software",
     "extended_record",
     "knows_all_streams",
     "longest_timeout_s",
--- a/packages/leadford/src/leadford/forwarding/streams/_software.py
+++ b/packages/leadford/src/leadford/forwarding/streams/_software.py
@@ -1,8 +1,8 @@
 """Tell whether a single software version can have begun any stream of a service.
 
-Used where nobody knows the origin of a stream. An entry that has listed one version of
-a service for longer than any caller waits knows that no other version began a stream
-which a caller may still resume.
+Used where nobody knows the origin of a stream. The store names every version at which
+one may have begun (`_recorded`); what entries have listed lately may contradict it, but
+proves nothing by itself.
 """
 
 from collections.abc import Iterable
@@ -92,16 +92,13 @@
     return max(MIN_SOLE_S, longest_wait_s)
 
 
-def agreed_software(
-    views: Iterable[SoleSoftware | None], *, horizon_s: float
+def confirmed_software(
+    recorded: SoftwareVersion | None, views: Iterable[SoleSoftware | None]
 ) -> SoftwareVersion | None:
-    """Return the only version that any of some entries has listed, None if unsure.
+    """Return the version that the store names alone, None if an entry contradicts.
 
-    At least one of them must have known the listing for `horizon_s`.
+    An entry that answers may have listed a version that is not recorded yet.
     """
-    found = list(views)
-    if not found or None in found:
+    if any(view is None or view.software != recorded for view in views):
         return None
-    versions = {view.software for view in found}
-    is_observed = any(view.observed_s >= horizon_s for view in found)
-    return versions.pop() if len(versions) == 1 and is_observed else None
+    return recorded
--- a/packages/leadford/src/leadford/forwarding/streams/tests/test_software.py
+++ b/packages/leadford/src/leadford/forwarding/streams/tests/test_software.py
@@ -8,7 +8,7 @@
     MIN_SOLE_S,
     SoftwareHistory,
     SoleSoftware,
-    agreed_software,
+    confirmed_software,
     sole_horizon_s,
 )
 from leadford.forwarding.streams._ledger import MAX_ORIGIN_AGE_S
@@ -61,19 +61,21 @@
 
 
 @pytest.mark.parametrize(
-    ("views", "agreed"),
+    ("recorded", "views", "confirmed"),
     [
-        ([SoleSoftware(V1, 30.0)], V1),
-        ([SoleSoftware(V1, 29.9)], None),
-        ([SoleSoftware(V1, 1.0), SoleSoftware(V1, 30.0)], V1),
-        ([SoleSoftware(V1, 99.0), SoleSoftware(V2, 99.0)], None),
-        ([SoleSoftware(V1, 99.0), None], None),
-        ([], None),
-        ([SoleSoftware(V1, float("nan"))], None),
+        (V1, [SoleSoftware(V1, 0.0)], V1),
+        (V1, [SoleSoftware(V1, 0.0), SoleSoftware(V1, 99.0)], V1),
+        (V1, [SoleSoftware(V1, 99.0), SoleSoftware(V2, 0.0)], None),
+        (V1, [SoleSoftware(V1, 99.0), None], None),
+        # However long entries have listed one version alone.
+        (None, [SoleSoftware(V1, 1e9)], None),
+        (None, [None], None),
     ],
 )
-def test_all_entries_must_have_listed_the_same_version_alone(views, agreed):
-    assert agreed_software(views, horizon_s=30.0) == agreed
+def test_a_version_that_the_store_does_not_name_alone_is_not_guessed(
+    recorded, views, confirmed
+):
+    assert confirmed_software(recorded, views) == confirmed
 
 
 def test_a_version_must_be_alone_for_as_long_as_any_caller_waits():
