--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_service.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_service.py
@@ -14,7 +14,10 @@
 )
 from leadford_standins.soak.checks._cuts import time_limit_s
 from leadford_standins.soak.checks._quarantine import ends_endpoints
-from leadford_standins.soak.checks._software import began_at_older_build
+from leadford_standins.soak.checks._software import (
+    began_at_older_build,
+    is_unnamed,
+)
 from leadford_standins.soak.parts import DENIED_KEY, DENIED_ROUTE, WORK_HEADER
 
 READY_STATUS = 200
@@ -82,8 +85,8 @@
             if ends_endpoints(sent, evidence.ledger):
                 # Refused once it is known to end endpoints; see `_quarantine`.
                 continue
-            if began_at_older_build(sent, evidence.ledger):
-                # Nobody knows which software version began the stream.
+            if began_at_older_build(sent, evidence.ledger) or is_unnamed(sent):
+                # Nobody may know which software version began the stream.
                 continue
             if not _fits_time_limit(sent, evidence.ledger):
                 continue
--- a/packages/leadford-standins/src/leadford_standins/soak/checks/_software.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/checks/_software.py
@@ -58,6 +58,14 @@
     )
 
 
+def is_unnamed(sent: Sent) -> bool:
+    """Tell whether a caller resumes a stream without naming it.
+
+    Where entries may have lost a stream of the same content, it is refused.
+    """
+    return "Last-Event-Id" in sent.asked and "Resumes" not in sent.asked
+
+
 def is_at_older_build(sent: Sent, ledger: Ledger) -> bool:
     """Tell whether a request went to an entry of the build that this one replaces."""
     process = ledger.incarnation(sent.entry, sent.incarnation)
@@ -100,7 +108,7 @@
         if not sent.resumes:
             return True
         software = software_that_began(sent, ledger)
-        if software is None or began_at_older_build(sent, ledger):
+        if software is None or began_at_older_build(sent, ledger) or is_unnamed(sent):
             return False
         return count_serving(software, sent, evidence) >= MIN_ENGINES
 
