Split the records of versions by what they see, decide and call

When a version leaves a record is a rule without a clock now (streams/_shortening, with tests of its times); what an entry sees is store/_software_view, the calls for objects of leadford's own are store/_own_objects, which the records of streams use, too. No decision changes.

--- a/packages/leadford-server/src/leadford_server/forwarding/store/_software.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_software.py
@@ -5,25 +5,21 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 
 import msgspec
-from returns.result import Failure, Result
+from returns.result import Failure
 
 from leadford.events import Event
 from leadford.forwarding.endpoints import SoftwareVersion
-from leadford.forwarding.routes import RouteTable, ServiceId, is_resumable_stream
+from leadford.forwarding.routes import ServiceId
 from leadford.forwarding.streams import (
-    MAX_ORIGIN_AGE_S,
     NO_VERSIONS,
+    RecordAges,
     RecordedSoftware,
     SeenSoftware,
     extended_record,
-    longest_timeout_s,
-    recorded_wait_s,
-    sole_horizon_s,
-    stream_routes_key,
 )
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding._store_contract import ObjectCodec, StoreFailure
@@ -32,7 +28,9 @@
     decoded_record_or_none,
 )
 from leadford_server.forwarding.store._formats import read_software, software_spec
+from leadford_server.forwarding.store._own_objects import OwnObjects
 from leadford_server.forwarding.store._shared_read import SharedRead
+from leadford_server.forwarding.store._software_view import SoftwareView
 
 # Time between checks whether a record lacks something; they make no calls.
 CHECK_INTERVAL_S = 0.25
@@ -43,10 +41,6 @@
 # Pause after a failed call, doubled after each one up to the maximum.
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 3.0
-# Time for which a version must be listed no longer before it is recorded as gone.
-GONE_DELAY_S = 5.0
-# Time for which another entry may still use endpoints that this one no longer lists.
-STALE_LISTING_S = 10.0
 # Maximum time for which a first event waits until its version is recorded.
 MAX_RECORD_WAIT_S = 0.3
 # Minimum time between two reads of one record for streams that callers resume.
@@ -77,19 +71,14 @@
     ) -> None:
         self.state = state
         self.client = client
-        self.objects = objects
         self.is_first_start = is_first_start
         self.is_follower = is_follower
+        self.stored = OwnObjects(
+            kind=objects.software_kind, client=client, objects=objects
+        )
+        self.view = SoftwareView(state=state, epochs=client.epochs)
+        self.ages_ = RecordAges()
         self.stored_by_id_: dict[ServiceId, StoredSoftware] = {}
-        # The services of the first configuration that this process has had.
-        self.first_ids_: frozenset[ServiceId] | None = None
-        # Since when this entry has known a version as gone, or a record as incomplete.
-        self.gone_since_: dict[tuple[ServiceId, SoftwareVersion], float] = {}
-        self.incomplete_since_: dict[ServiceId, tuple[RecordedSoftware, float]] = {}
-        self.longest_wait_s_ = 0.0
-        self.table_: RouteTable | None = None
-        self.keys_by_id_: dict[ServiceId, str] = {}
-        self.timeout_s_ = 0.0
         self.due_at_by_id_: dict[ServiceId, float] = {}
         self.retry_s_ = RETRY_MIN_S
         self.failed_until_ = 0.0
@@ -108,24 +97,24 @@
             self.wanted_.clear()
             if self.state.now() < self.failed_until_:
                 continue
-            for service_id in self._service_ids():
+            for service_id in self.view.service_ids():
                 await self._check(service_id, at_once=is_wanted)
 
     def record_wait(self, wait_s: float) -> None:
         """Record for how long the caller of a stream may wait."""
-        self.longest_wait_s_ = max(self.longest_wait_s_, wait_s)
+        self.view.longest_wait_s_ = max(self.view.longest_wait_s_, wait_s)
 
     def longest_wait_s(self, service_id: ServiceId) -> float | None:
         """Return the longest time that a caller may wait, None if it is not known."""
         record = self._known(service_id)
         if record is None or record.epoch != self.client.epochs.current_:
             return None
-        return max(record.wait_s, self.longest_wait_s_)
+        return max(record.wait_s, self.view.longest_wait_s_)
 
     def overlaps(self, service_id: ServiceId) -> bool:
         """Return whether streams of a service may have begun at several versions."""
         record = self._known(service_id)
-        listed = self._listed(service_id)
+        listed = self.view.listed(service_id)
         versions = listed if record is None else record.versions | listed
         return len(versions) > 1
 
@@ -152,7 +141,7 @@
         found: set[SoftwareVersion | None] = set()
         for service_id in service_ids:
             stored = await self._shared_read(service_id).value()
-            seen = self._seen(service_id)
+            seen = self.view.seen(service_id)
             if stored is None or stored.record is None or seen is None:
                 return None
             found.add(stored.record.sole(seen))
@@ -162,62 +151,13 @@
         self, service_id: ServiceId, software: SoftwareVersion | None
     ) -> bool:
         """Return whether nothing is left to record before a stream begins."""
-        if software is None or service_id not in self._service_ids():
+        if software is None or service_id not in self.view.service_ids():
             return True
         record = self._known(service_id)
-        seen = self._seen(service_id)
-        return (
-            record is not None
-            and seen is not None
-            and software in record.listed
-            and record.covers(seen)
-        )
-
-    def _service_ids(self) -> Iterable[ServiceId]:
-        """Return the services whose streams callers may resume."""
-        table = self.state.table_
-        if table is None:
-            return ()
-        if table is not self.table_:
-            self._read_table(table)
-        return self.keys_by_id_
-
-    def _read_table(self, table: RouteTable) -> None:
-        self.table_ = table
-        config = table.config
-        service_ids = {
-            part.service_id
-            for route in config.routes
-            if is_resumable_stream(route)
-            for part in route.services
-            if part.weight > 0.0
-        }
-        self.keys_by_id_ = {
-            service_id: stream_routes_key(config, service_id)
-            for service_id in sorted(service_ids)
-        }
-        self.timeout_s_ = longest_timeout_s(config)
-        if self.first_ids_ is None:
-            self.first_ids_ = frozenset(service_ids)
-
-    def _listed(self, service_id: ServiceId) -> frozenset[SoftwareVersion]:
-        listed = self.state.roster_.listed_software(service_id)
-        return frozenset(software for software in listed if software is not None)
-
-    def _seen(self, service_id: ServiceId) -> SeenSoftware | None:
-        """Return what this entry sees of a service, None before it has a listing."""
-        if self.state.software_history_.began_at_ is None:
-            return None
-        if service_id not in self._service_ids():
-            return None
-        return SeenSoftware(
-            service_id,
-            self._listed(service_id),
-            recorded_wait_s(max(self.longest_wait_s_, self.timeout_s_)),
-            self.keys_by_id_[service_id],
-            self.state.config_version(),
-            self.client.epochs.current_,
-        )
+        seen = self.view.seen(service_id)
+        if record is None or seen is None:
+            return False
+        return software in record.listed and record.covers(seen)
 
     def _known(self, service_id: ServiceId) -> RecordedSoftware | None:
         stored = self.stored_by_id_.get(service_id)
@@ -225,7 +165,7 @@
 
     async def _check(self, service_id: ServiceId, *, at_once: bool) -> None:
         """Extend or shorten a record if it is due."""
-        seen = self._seen(service_id)
+        seen = self.view.seen(service_id)
         if seen is None:
             return
         record = self._known(service_id)
@@ -251,68 +191,26 @@
 
     async def _extend(self, seen: SeenSoftware) -> None:
         """Read a record, and add what it lacks."""
-        stored = await self._read(seen.service_id)
+        service_id = seen.service_id
+        stored = await self._read(service_id)
         if stored is None:
             self._record_failed()
             return
-        known = self._known(seen.service_id)
-        first_ids = self.first_ids_ or frozenset()
-        is_first = (
-            self.is_first_start and known is None and seen.service_id in first_ids
-        )
         if stored.record is not None and stored.record.covers(seen):
             self._learn(stored.record, stored.revision)
             return
+        known = self._known(service_id)
+        is_first = (
+            self.is_first_start and known is None and self.view.is_first(service_id)
+        )
         record = extended_record(stored.record, seen, known=known, is_first=is_first)
         await self._write(record, stored.revision)
 
     async def _shorten(self, record: RecordedSoftware, seen: SeenSoftware) -> None:
         """Record what is gone, and remove what has been gone for long."""
-        now = self.state.now()
-        service_id = record.service_id
-        for software in seen.versions:
-            self.gone_since_.pop((service_id, software), None)
-        left = frozenset(
-            software
-            for software in record.listed - seen.versions
-            if self._gone_for_s(service_id, software, now) >= GONE_DELAY_S
-        )
-        horizon_s = sole_horizon_s(record.wait_s) + STALE_LISTING_S
-        ended = frozenset(
-            software
-            for software in record.gone
-            if self._gone_for_s(service_id, software, now, GONE_DELAY_S) >= horizon_s
-        )
-        shorter = record.without_listed(left).without_gone(ended)
-        if self._is_long_observed(record, now):
-            shorter = msgspec.structs.replace(shorter, is_complete=True)
-        if shorter == record or not seen.versions:
-            return
-        await self._write(shorter, self.stored_by_id_[service_id].revision)
-        for software in ended:
-            self.gone_since_.pop((service_id, software), None)
-
-    def _gone_for_s(
-        self,
-        service_id: ServiceId,
-        software: SoftwareVersion,
-        now: float,
-        delay_s: float = 0.0,
-    ) -> float:
-        """Return for how long this entry has known that a version is gone."""
-        since = self.gone_since_.setdefault((service_id, software), now)
-        return now - since - delay_s
-
-    def _is_long_observed(self, record: RecordedSoftware, now: float) -> bool:
-        """Return whether all streams that a record does not know of have ended."""
-        if record.is_complete:
-            return False
-        routes = (record.routes_key, record.epoch)
-        known, since = self.incomplete_since_.get(record.service_id, (None, now))
-        if known is None or routes != (known.routes_key, known.epoch):
-            known, since = record, now
-        self.incomplete_since_[record.service_id] = known, since
-        return now - since >= MAX_ORIGIN_AGE_S + STALE_LISTING_S
+        shorter = self.ages_.shortened(record, seen, self.state.now())
+        if shorter != record:
+            await self._write(shorter, self.stored_by_id_[record.service_id].revision)
 
     def _shared_read(self, service_id: ServiceId) -> SharedRead[StoredSoftware | None]:
         if service_id not in self.reads_by_id_:
@@ -323,63 +221,39 @@
 
     async def _read(self, service_id: ServiceId) -> StoredSoftware | None:
         """Return what the store holds, None if that is not known."""
-        path = self.objects.object_path(self.objects.software_kind, service_id)
-        answer = await self.client.call(path)
+        answer = await self.stored.read(service_id)
         if isinstance(answer, Failure):
             is_absent = answer.failure() is StoreFailure.NOT_FOUND
             return StoredSoftware(None, None) if is_absent else None
-        return self._decoded(service_id, answer.unwrap().body)
-
-    def _decoded(self, service_id: ServiceId, body: bytes) -> StoredSoftware | None:
-        read = self.objects.read_object(body)
-        item = decoded_record_or_none(read, service_id, self.client.log)
-        if item is None:
-            return None
-        revision = self.objects.object_revision(item)
-        spec = self.objects.object_spec(item)
+        found = answer.unwrap()
         record = decoded_record_or_none(
-            read_software(service_id, spec), service_id, self.client.log
+            read_software(service_id, found.spec), service_id, self.client.log
         )
         if record is None:
             # Replaced by a record that can be read, which is not complete.
             record = RecordedSoftware(service_id, NO_VERSIONS)
-        return StoredSoftware(record, revision)
+        return StoredSoftware(record, found.revision)
 
     async def _write(self, record: RecordedSoftware, revision: int | None) -> None:
         """Write a record on the condition that the store holds a revision of it."""
-        answer = await self._call_write(record, revision)
-        if not isinstance(answer, Failure):
-            stored = self._decoded(record.service_id, answer.unwrap())
-            self._learn(record, None if stored is None else stored.revision)
+        service_id = record.service_id
+        written = await self.stored.write(service_id, software_spec(record), revision)
+        if not isinstance(written, Failure):
+            self._learn(record, written.unwrap())
             return
         # The record is read anew: another entry was first, or the call may be done.
-        self.stored_by_id_.pop(record.service_id, None)
-        if answer.failure() is StoreFailure.CONFLICT:
+        self.stored_by_id_.pop(service_id, None)
+        if written.failure() is StoreFailure.CONFLICT:
             self.wanted_.set()
             return
         self._record_failed()
 
-    async def _call_write(
-        self, record: RecordedSoftware, revision: int | None
-    ) -> Result[bytes, StoreFailure]:
-        kind = self.objects.software_kind
-        name = "" if revision is None else record.service_id
-        answer = await self.client.call(
-            self.objects.object_path(kind, name),
-            method="POST" if revision is None else "PUT",
-            body=self.objects.own_object(
-                record.service_id, software_spec(record), revision
-            ),
-        )
-        return answer.map(lambda found: found.body)
-
     def _learn(self, record: RecordedSoftware, revision: int | None) -> None:
         """Know a record as the store has it."""
         self.retry_s_ = RETRY_MIN_S
         self.is_failing_ = False
         self.stored_by_id_[record.service_id] = StoredSoftware(record, revision)
-        self.learned_.set()
-        self.learned_ = asyncio.Event()
+        self._wake()
         self.state.log.report(
             Event.SOFTWARE_RECORDED,
             service=record.service_id,
@@ -396,5 +270,9 @@
         pause_s = self.retry_s_ * self.state.random.uniform(0.6, 1.2)
         self.failed_until_ = self.state.now() + pause_s
         self.retry_s_ = min(RETRY_MAX_S, self.retry_s_ * 2.0)
+        self._wake()
+
+    def _wake(self) -> None:
+        """Wake the streams that wait for a record."""
         self.learned_.set()
         self.learned_ = asyncio.Event()
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_streams.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_streams.py
@@ -21,14 +21,13 @@
     write_interval_s,
 )
 from leadford_server.forwarding._state import ForwardState
-from leadford_server.forwarding._store_contract import ObjectCodec, StoreFailure
+from leadford_server.forwarding._store_contract import ObjectCodec
 from leadford_server.forwarding.store._client import (
     ObjectsClient,
-    decoded_or_none,
     decoded_record_or_none,
-    report_unreadable,
 )
 from leadford_server.forwarding.store._formats import read_streams, streams_spec
+from leadford_server.forwarding.store._own_objects import OwnObjects, StoredSpec
 from leadford_server.forwarding.store._shared_read import SharedRead
 
 # Minimum time between two listings for streams that callers resume.
@@ -76,7 +75,9 @@
     ) -> None:
         self.state = state
         self.client = client
-        self.objects = objects
+        self.stored = OwnObjects(
+            kind=objects.streams_kind, client=client, objects=objects
+        )
         self.held_ids = held_ids
         self.overlaps = overlaps
         self.entry_ids = entry_ids
@@ -118,7 +119,7 @@
             return
         try:
             async with asyncio.timeout(RETRACT_TIMEOUT_S):
-                await self._delete(self.state.entry_id, self.revision_)
+                await self.stored.delete(self.state.entry_id, self.revision_)
         except TimeoutError:
             # The next process of this entry, or another entry, removes it.
             return
@@ -137,7 +138,7 @@
         origins = self._origins_to_record()
         if not origins:
             if self.revision_ is not None:
-                await self._delete(self.state.entry_id, self.revision_)
+                await self.stored.delete(self.state.entry_id, self.revision_)
                 self.revision_ = None
                 self.written_ids_ = frozenset()
             return
@@ -148,22 +149,15 @@
     async def _write(self, origins: dict[RequestId, StreamOrigin]) -> None:
         entry_id = self.state.entry_id
         spec = streams_spec(RecordedStreams(origins, self._longest_wait_s(origins)))
-        is_new = self.revision_ is None
-        kind = self.objects.streams_kind
-        answer = await self.client.call(
-            self.objects.object_path(kind, "" if is_new else entry_id),
-            method="POST" if is_new else "PUT",
-            body=self.objects.own_object(entry_id, spec, self.revision_),
-        )
-        if isinstance(answer, Failure):
+        written = await self.stored.write(entry_id, spec, self.revision_)
+        if isinstance(written, Failure):
             # Whether the call is done, and at which revision, is read anew.
-            await self._read_revision()
+            self.written_ids_ = frozenset()
+            read = await self.stored.read(entry_id)
+            self.revision_ = read.map(lambda stored: stored.revision).value_or(None)
             return
-        read = self.objects.read_object(answer.unwrap().body)
-        item = decoded_record_or_none(read, entry_id, self.client.log)
-        if item is not None:
-            self.revision_ = self.objects.object_revision(item)
-            self.written_ids_ = frozenset(origins)
+        self.revision_ = written.unwrap()
+        self.written_ids_ = frozenset(origins)
 
     def _longest_wait_s(self, origins: Iterable[RequestId]) -> float:
         """Return for how long the last of some callers may wait."""
@@ -176,25 +170,6 @@
         ]
         return max(waits_s, default=0.0)
 
-    async def _read_revision(self) -> None:
-        """Read at which revision the object of this entry is, if there is one."""
-        self.revision_ = None
-        self.written_ids_ = frozenset()
-        path = self.objects.object_path(self.objects.streams_kind, self.state.entry_id)
-        answer = await self.client.call(path)
-        if isinstance(answer, Failure):
-            return
-        read = self.objects.read_object(answer.unwrap().body)
-        item = decoded_record_or_none(read, self.state.entry_id, self.client.log)
-        if item is not None:
-            self.revision_ = self.objects.object_revision(item)
-
-    async def _delete(self, name: str, revision: int) -> None:
-        path = self.objects.object_path(self.objects.streams_kind, name, revision)
-        answer = await self.client.call(path, method="DELETE")
-        if answer == Failure(StoreFailure.NOT_FOUND):
-            return
-
     def _drop_ended(self) -> None:
         """Forget what was read of streams whose callers wait no longer."""
         now = self.state.now()
@@ -211,61 +186,50 @@
                 continue
             del self.seen_by_name_[name]
             if self.is_follower() and name not in self.entry_ids():
-                await self._delete(name, seen.revision)
+                await self.stored.delete(name, seen.revision)
                 return
 
     async def _list(self) -> bool:
         """Read what all entries have recorded; return whether that succeeded."""
-        after: str | None = None
-        items: list[dict] = []
-        while True:
-            path = self.objects.list_path(self.objects.streams_kind, after)
-            answer = await self.client.call(path)
-            if isinstance(answer, Failure):
-                return False
-            read = self.objects.read_list(answer.unwrap().body)
-            page = decoded_or_none(read, self.client.log)
-            if page is None:
-                return False
-            for fault in page.faults:
-                report_unreadable(fault, self.client.log)
-            items += page.items
-            after = page.next_name
-            if after is None:
-                break
-        for item in items:
-            self._learn(item)
-        if items:
+        found = await self.stored.list_all()
+        if found is None:
+            return False
+        for stored in found:
+            self._learn(stored)
+        if found:
             self.state.log.report(
                 Event.STREAMS_READ,
-                objects=len(items),
+                objects=len(found),
                 streams=len(self.known_by_id_),
             )
         return True
 
-    def _learn(self, item: dict) -> None:
+    def _learn(self, stored: StoredSpec) -> None:
         """Know the streams in one object."""
-        name = self.objects.object_name(item)
-        read = read_streams(self.objects.object_spec(item))
-        recorded = decoded_record_or_none(read, name, self.client.log)
+        read = read_streams(stored.spec)
+        recorded = decoded_record_or_none(read, stored.name, self.client.log)
         if recorded is None:
             return
         until = self.state.now() + recorded.wait_s
-        revision = self.objects.object_revision(item)
         found = {
             request_id: KnownStream(origin, until)
             for request_id, origin in recorded.origins_by_id.items()
         }
         for request_id, known in found.items():
             self.known_by_id_.setdefault(request_id, known)
-        if name != self.state.entry_id:
-            seen = self.seen_by_name_.get(name)
-            if seen is None or seen.revision != revision:
-                removable_at = until + ORPHAN_DELAY_S
-                self.seen_by_name_[name] = SeenObject(revision, removable_at)
+        if stored.name != self.state.entry_id:
+            self._record_seen(stored, until)
             return
         if self.revision_ is None:
             # The process before this one wrote it.
             self.adopted_by_id_ = found
-            self.revision_ = revision
+            self.revision_ = stored.revision
             self.written_ids_ = frozenset(found)
+
+    def _record_seen(self, stored: StoredSpec, until: float) -> None:
+        """Record when the object of another entry may be removed, unless it changes."""
+        seen = self.seen_by_name_.get(stored.name)
+        if seen is None or seen.revision != stored.revision:
+            self.seen_by_name_[stored.name] = SeenObject(
+                stored.revision, until + ORPHAN_DELAY_S
+            )
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_origins.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_origins.py
@@ -271,8 +271,8 @@
             counting = SimpleNamespace(
                 epochs=client.epochs, call=lambda path, **fields: calls.append(path)
             )
-            entry.software_records_.client = counting
-            entry.stream_records_.client = counting
+            entry.software_records_.stored.client = counting
+            entry.stream_records_.stored.client = counting
         for number in range(4):
             answer = await deployment.send("/resumed/x", request_id=f"r{number}")
             assert answer.code == 200
--- a/packages/leadford/src/leadford/forwarding/streams/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/streams/__init__.py
@@ -23,6 +23,7 @@
     stream_routes_key,
 )
 from leadford.forwarding.streams._replicas import REPLICA_COUNT, origin_replicas
+from leadford.forwarding.streams._shortening import RecordAges
 from leadford.forwarding.streams._software import (
     MIN_SOLE_S,
     SoftwareHistory,
@@ -37,6 +38,7 @@
     "REPLICA_COUNT",
     "MIN_SOLE_S",
     "OriginLedger",
+    "RecordAges",
     "RecordedSoftware",
     "RecordedStreams",
     "SeenSoftware",
--- a/packages/leadford/src/leadford/forwarding/streams/_recorded.py
+++ b/packages/leadford/src/leadford/forwarding/streams/_recorded.py
@@ -76,6 +76,10 @@
             and has_routes
         )
 
+    def has_same_gaps(self, other: "RecordedSoftware") -> bool:
+        """Return whether another record lacks the same streams as this one."""
+        return self.routes_key == other.routes_key and self.epoch == other.epoch
+
     def sole(self, seen: SeenSoftware) -> SoftwareVersion | None:
         """Return the only version that can have begun a stream, None if unsure."""
         if not self.is_complete or self.epoch != seen.epoch:
