Keep what an entry recorded of streams over its planned stop

Callers: streams that broke off before all entries were stopped as planned and started again were refused where two versions served, though their entries had recorded them.

Cause: an entry removed its object at the end of its stop, while callers of its streams could still come back; replicas end with their processes, too.

Now the next process of the entry adopts the object and removes it once the callers wait no longer; if the entry is gone for good, another one does.

Before: test_streams_go_on_after_all_entries_were_stopped_as_planned gets 503.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -405,7 +405,7 @@
         """Take the record of this entry out of the store."""
         # The task could announce the entry again after its removal.
         self.announce_task_.cancel()
-        await asyncio.gather(self.members_.retract(), self.stream_records_.retract())
+        await self.members_.retract()
 
     def stop(self) -> None:
         """Stop at once, even if requests are under way."""
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_streams.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_streams.py
@@ -36,8 +36,6 @@
 START_RETRY_S = 1.0
 # Time after the end of all its streams before the object of another entry is removed.
 ORPHAN_DELAY_S = 10.0
-# Timeout for removing the object of this entry at the end of a planned stop.
-RETRACT_TIMEOUT_S = 0.3
 
 
 class KnownStream(msgspec.Struct, frozen=True):
@@ -113,17 +111,6 @@
             return None
         return known.origin
 
-    async def retract(self) -> None:
-        """Remove the object of this entry, if the store answers in time."""
-        if self.revision_ is None:
-            return
-        try:
-            async with asyncio.timeout(RETRACT_TIMEOUT_S):
-                await self.stored.delete(self.state.entry_id, self.revision_)
-        except TimeoutError:
-            # The next process of this entry, or another entry, removes it.
-            return
-
     def _origins_to_record(self) -> dict[RequestId, StreamOrigin]:
         """Return the origins that the object of this entry should hold."""
         origins = {id_: known.origin for id_, known in self.adopted_by_id_.items()}
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/broken_streams.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/broken_streams.py
@@ -20,7 +20,7 @@
         await deployment.set_software(engine, "v2")
 
 
-async def break_off(deployment, request_id, number, *, entry=0, key=None):
+async def break_off(deployment, request_id, number, *, entry=0, key=None, **fields):
     """Begin a stream that breaks off at each engine that runs it."""
     for engine in deployment.engines:
         engine.planned_misbehaviours_.clear()
@@ -30,6 +30,7 @@
         request_id=request_id,
         entry=entry,
         **prompt(number, key=key),
+        **fields,
     )
     assert answer.code == 599
     for engine in deployment.engines:
@@ -55,10 +56,10 @@
     )
 
 
-async def begin_streams(deployment, *, entry=0):
+async def begin_streams(deployment, *, entry=0, **fields):
     """Break streams off at an entry; return the version that began each."""
     for number in range(STREAMS_COUNT):
-        await break_off(deployment, f"r{number}", number, entry=entry)
+        await break_off(deployment, f"r{number}", number, entry=entry, **fields)
     return [
         software_of_runs(deployment, f"r{number}")[0] for number in range(STREAMS_COUNT)
     ]
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_origins.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_origins.py
@@ -88,6 +88,19 @@
     run_scenario(scenario, endpoints=6)
 
 
+def test_streams_go_on_after_all_entries_were_stopped_as_planned():
+    async def scenario(deployment):
+        await deployment.until_linked()
+        await list_two_versions(deployment)
+        began = await begin_streams(deployment, deadline_ms=20_000)
+        await deployment.until(lambda: len(recorded_ids(deployment)) == STREAMS_COUNT)
+        await asyncio.gather(*(entry.drain() for entry in deployment.entries_))
+        await deployment.restart_all_entries()
+        assert await resume_all(deployment, entry=1) == began
+
+    run_scenario(scenario, endpoints=6, entries=2)
+
+
 def test_a_stream_that_was_not_recorded_in_time_is_refused():
     async def scenario(deployment):
         await list_two_versions(deployment)
