Tell operators when an entry stops to serve by its configuration, and why

An entry that the store answers with refusals and that has no live peer serves nothing by a configuration that nobody confirmed for the bounds. Only the lines of refused requests told so. It serves again with the next confirmation, which the new test holds with one entry; it fails without the event.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -81,6 +81,8 @@
         self.log_ = EventLog(process_id=settings.entry_id)
         self.boot_clock = boot_time
         self.is_draining_ = False
+        # Whether the configuration was too old to be used, as of the last sweep.
+        self.was_stale_ = False
         self.tasks_: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -339,6 +341,7 @@
         self.state_.retain_usual_durations()
         self.state_.endpoint_retry_after_.sweep(self.state_.now())
         self.halls_.expire()
+        self._report_staleness()
         self.caller_server_.close_idle()
         self.caller_server_.check_unsent()
         self.state_.memory_.cut_off_stalled()
@@ -347,6 +350,24 @@
         CALLER_CONNECTIONS.set(self.caller_server_.connection_count)
         UNSENT_BYTES.set(self._unsent_bytes)
 
+    def _report_staleness(self) -> None:
+        """Log when the configuration becomes too old to be used, and when it is not."""
+        if self.state_.table_ is None:
+            return
+        age = self.state_.age()
+        if age.is_stale == self.was_stale_:
+            return
+        self.was_stale_ = age.is_stale
+        self.log_.report(
+            Event.CONFIG_STALE,
+            is_stale=age.is_stale,
+            version=self.state_.config_version(),
+            confirmed_ms=_milliseconds(age.config_age_s),
+            newer_ms=_milliseconds(age.stale_s),
+            refused_ms=_milliseconds(age.refused_s),
+            alone_ms=_milliseconds(age.alone_s),
+        )
+
     @property
     def _unsent_bytes(self) -> int:
         """Return how many bytes wait to be sent to callers and endpoints."""
@@ -415,3 +436,8 @@
         for task in self.tasks_:
             task.cancel()
         self.links_.stop()
+
+
+def _milliseconds(seconds: float | None) -> int:
+    """Return a time for the log, in whole milliseconds; -1 if there is none."""
+    return -1 if seconds is None else round(seconds * 1_000.0)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_entries.py
@@ -1,6 +1,8 @@
 """Entries go on together while the records of lost entries stay in the store."""
 
 import asyncio
+import json
+import logging
 
 import pytest
 
@@ -136,6 +138,38 @@
     run_scenario(scenario, entries=3)
 
 
+def test_operators_are_told_why_a_single_entry_serves_nothing(caplog):
+    caplog.set_level(logging.WARNING, logger="absl")
+
+    def told():
+        return [
+            json.loads(r.message) for r in caplog.records if '"event": 607' in r.message
+        ]
+
+    async def scenario(deployment):
+        (entry,) = deployment.entries_
+        deployment.store.fault = StoreFault.BUSY
+        await asyncio.sleep(OUTAGE_S)
+        assert not entry.is_ready
+        (begun,) = told()
+        assert begun["is_stale"]
+        assert begun["refused_ms"] > 0
+        assert begun["confirmed_ms"] >= begun["refused_ms"]
+        assert begun["newer_ms"] == -1
+        confirmed_at = entry.state_.config_confirmed_at_
+        deployment.store.fault = StoreFault.NONE
+        await deployment.until(
+            lambda: entry.state_.config_confirmed_at_ != confirmed_at
+        )
+        assert entry.is_ready
+        answer = await deployment.send("/safe/x", request_id="a")
+        assert answer.code == 200
+        await deployment.until(lambda: len(told()) == 2)
+        assert not told()[1]["is_stale"]
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("fault", [StoreFault.RESET, StoreFault.SILENT])
 def test_an_entry_alone_serves_while_its_store_may_be_down_for_all(fault):
     async def scenario(deployment):
--- a/packages/leadford/src/leadford/events/_catalogue.py
+++ b/packages/leadford/src/leadford/events/_catalogue.py
@@ -136,6 +136,11 @@
     NEWS_REQUESTED = (604, Severity.INFO, "A peer is asked for what it knows better.")
     NEWS_SENT = (605, Severity.INFO, "A peer was told what it asked for.")
     NEWS_RECEIVED = (606, Severity.INFO, "A peer told what it was asked for.")
+    CONFIG_STALE = (
+        607,
+        Severity.WARNING,
+        "An entry serves nothing by a configuration that may be old, or serves again.",
+    )
     PLAN_CHANGED = (700, Severity.INFO, "The plan of a pool changed.")
     ORDER_GIVEN = (701, Severity.INFO, "An engine was given an order.")
     ORDER_IN_DOUBT = (702, Severity.WARNING, "An order's effect is not known yet.")
