--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_orders_of_losses.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_orders_of_losses.py
@@ -12,11 +12,11 @@
 from leadford_standins.wire._store import StoreFault
 from leadford_standins.wire.tests.permuted_loops import run_permuted
 
-SEEDS = range(4)
-STEPS = 14
+SEEDS = (0, 1, 2, 21)
+STEPS = 18
 ENTRIES = 3
-# Some callers ask for the same as others, and some name no request.
-CONTENTS = 3
+# Callers ask for the same as others, and half of them name no request.
+CONTENTS = 2
 DEADLINE_MS = 20_000
 FAULT_S = (0.05, 0.6)
 PAUSE_S = (0.0, 0.3)
@@ -73,7 +73,7 @@
         self.count_ += 1
         back_id = f"{request_id}-{self.count_}"
         asked = {**self.asked_by_id_[request_id], "Last-Event-Id": "2"}
-        if self.random.random() < 0.7:
+        if self.random.random() < 0.5:
             asked["Resumes"] = request_id
         answer = await self._send(back_id, asked)
         versions = self._versions_of(back_id)
@@ -151,13 +151,13 @@
     troubles = []
     for _ in range(STEPS):
         step = random.random()
-        if step < 0.35:
+        if step < 0.3:
             await asyncio.gather(*(callers.begin() for _ in range(2)))
-        elif step < 0.65:
+        elif step < 0.62:
             await asyncio.gather(*(callers.resume() for _ in range(3)))
-        elif step < 0.77:
+        elif step < 0.78:
             callers.release()
-        elif step < 0.87:
+        elif step < 0.93:
             await lose_all(deployment)
         else:
             trouble = trouble_store(deployment, random)
