--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -22,7 +22,7 @@
 from leadford_standins.wire._default_config import HOST, KEY, default_config
 from leadford_standins.wire._endpoints import PlainStandIn
 from leadford_standins.wire._engines import EngineStandIn
-from leadford_standins.wire._ports import free_port
+from leadford_standins.wire._ports import free_port, is_free
 from leadford_standins.wire._stages import StageStandIn
 from leadford_standins.wire._store import StoreStandIn
 
@@ -224,6 +224,9 @@
         old_entry = self.entries_[number]
         old_entry.stop()
         settings = msgspec.structs.replace(old_entry.settings, is_first_start=False)
+        # The server for peers closes its socket some turns later.
+        ports = [settings.callers.port, settings.ready.port, settings.peers.port]
+        await self.until(lambda: all(is_free(port) for port in ports))
         entry = await self._start(settings)
         self.entries_[number] = entry
         return entry
--- a/packages/leadford-standins/src/leadford_standins/wire/_ports.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_ports.py
@@ -35,3 +35,16 @@
                 continue
         _GIVEN_PORTS.add(port)
         return port
+
+
+def is_free(port: int) -> bool:
+    """Return whether a server may listen on a port now."""
+    with socket.socket() as sock:
+        # As servers do: ended connections do not occupy the port.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(("127.0.0.1", port))
+            sock.listen()
+        except OSError:
+            return False
+        return True
