Count losses anew once streams are taken to be missing

Callers that name no request were refused for 30 s after each single loss of an entry for 600 s after three others, where two versions served. Once a gap is recorded the losses before it concern no stream that begins later. The new test has a gap at the fourth loss on the parent commit.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origins.py
@@ -133,14 +133,15 @@
         """Record that a replica was lost; with too many, streams are lost as well."""
         now = self.state.now()
         self.lost_at_by_id_[entry_id] = now
-        horizon_s = MAX_ORIGIN_AGE_S
         self.lost_at_by_id_ = {
             lost_id: lost_at
             for lost_id, lost_at in self.lost_at_by_id_.items()
-            if now - lost_at <= horizon_s
+            if now - lost_at <= MAX_ORIGIN_AGE_S
         }
         if len(self.lost_at_by_id_) >= REPLICA_COUNT:
             self.state.origin_ledger_.record_gap(now)
+            # The streams that begin from now on have other holders.
+            self.lost_at_by_id_.clear()
 
     def _set_candidates(self, entry_ids: Iterable[EntryId]) -> None:
         """Use those of some entries that can hold replicas, and tell new ones."""
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
@@ -513,3 +513,19 @@
                 assert await entry.find() == UNKNOWN
 
     run(scenario, entries=3)
+
+
+def test_a_loss_after_a_gap_alone_hides_no_stream():
+    # Three holders were lost some time ago; one more is no reason to doubt the others.
+    async def scenario(fleet):
+        entry = fleet.entries[0]
+        ledger = entry.state.origin_ledger_
+        for lost in fleet.entries[1:4]:
+            fleet.kill(lost)
+            fleet.start_again(lost)
+        assert ledger.complete_for_s(entry.state.now()) == 0.0
+        await asyncio.sleep(40.0)
+        fleet.kill(fleet.entries[4])
+        assert ledger.complete_for_s(entry.state.now()) >= 40.0
+
+    run(scenario, entries=9)
