--- a/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/faults/tests/test_plan.py
@@ -12,6 +12,7 @@
     CHANGE_SPANS,
     ENDING_SPANS,
     FAULT_SPANS,
+    LOSS_SPANS,
     QUIET_START_S,
     RESTORE_SPANS,
     SILENT_SPANS,
@@ -64,6 +65,7 @@
         *UNEVEN_SPANS,
         *BUSY_SPANS,
         *SILENT_SPANS,
+        *LOSS_SPANS,
         *planned,
     }
     assert kind in injectors_by_kind
@@ -130,3 +132,11 @@
     assert all(0.8 <= fault.duration_s <= 1.5 for fault in drawn)
     others = [fault for fault in silent if fault.kind not in SILENT_SPANS]
     assert others == list(plan_of(5).faults)
+
+
+def test_losses_leave_the_other_faults_of_a_seed_as_they_are():
+    losses = plan_of(5, losses_per_s=0.5).faults
+    drawn = [fault for fault in losses if fault.kind in LOSS_SPANS]
+    assert {fault.kind for fault in drawn} == set(LOSS_SPANS)
+    others = [fault for fault in losses if fault.kind not in LOSS_SPANS]
+    assert others == list(plan_of(5).faults)
