Remove records of streams again if the store refused it the first time

An entry forgot its object once it had asked the store to remove it, even if the call failed: the object stayed until the next process of the entry, and one that another entry left behind for good. Now it is asked again.

--- a/packages/leadford-server/src/leadford_server/forwarding/store/_own_objects.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_own_objects.py
@@ -80,11 +80,13 @@
             lambda stored: stored.revision
         )
 
-    async def delete(self, name: str, revision: int) -> None:
-        """Remove an object, unless it has another revision."""
+    async def delete(self, name: str, revision: int) -> bool:
+        """Remove an object; return whether the store holds that revision no longer."""
         path = self.objects.object_path(self.kind, name, revision)
-        # The client logs a failure; whoever reads the object next removes it.
-        await self.client.call(path, method="DELETE")
+        answer = await self.client.call(path, method="DELETE")
+        if not isinstance(answer, Failure):
+            return True
+        return answer.failure() in (StoreFailure.NOT_FOUND, StoreFailure.CONFLICT)
 
     def _decoded(self, name: str, body: bytes) -> Result[StoredSpec, StoreFailure]:
         read = self.objects.read_object(body)
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_streams.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_streams.py
@@ -124,15 +124,20 @@
         """Write the object of this entry if it lacks a stream, or is not needed."""
         origins = self._origins_to_record()
         if not origins:
-            if self.revision_ is not None:
-                await self.stored.delete(self.state.entry_id, self.revision_)
-                self.revision_ = None
-                self.written_ids_ = frozenset()
+            await self._delete()
             return
         if origins.keys() <= self.written_ids_:
             return
         await self._write(origins)
 
+    async def _delete(self) -> None:
+        """Remove the object of this entry; tried again later if that fails."""
+        if self.revision_ is None:
+            return
+        if await self.stored.delete(self.state.entry_id, self.revision_):
+            self.revision_ = None
+            self.written_ids_ = frozenset()
+
     async def _write(self, origins: dict[RequestId, StreamOrigin]) -> None:
         entry_id = self.state.entry_id
         spec = streams_spec(RecordedStreams(origins, self._longest_wait_s(origins)))
@@ -171,10 +176,10 @@
         for name, seen in list(self.seen_by_name_.items()):
             if now < seen.removable_at:
                 continue
-            del self.seen_by_name_[name]
-            if self.is_follower() and name not in self.entry_ids():
-                await self.stored.delete(name, seen.revision)
-                return
+            is_orphan = self.is_follower() and name not in self.entry_ids()
+            if not is_orphan or await self.stored.delete(name, seen.revision):
+                self.seen_by_name_.pop(name, None)
+            return
 
     async def _list(self) -> bool:
         """Read what all entries have recorded; return whether that succeeded."""
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_origins.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_origins.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from leadford_server.forwarding.store import _streams
 from leadford_server.forwarding.store._software import MAX_RECORD_WAIT_S
 from leadford_standins.wire import event_ids, run_scenario, runs_of
 from leadford_standins.wire._store import StoreFault
@@ -141,6 +142,37 @@
     run_scenario(scenario, endpoints=6)
 
 
+def test_records_of_streams_go_away_though_the_store_refuses_to_remove_them():
+    async def scenario(deployment):
+        await list_two_versions(deployment)
+        await begin_streams(deployment)
+        await deployment.until(lambda: len(recorded_ids(deployment)) == STREAMS_COUNT)
+        deployment.store.fault = StoreFault.BUSY
+        # Longer than the callers wait.
+        await asyncio.sleep(3.5)
+        deployment.store.fault = StoreFault.NONE
+        assert recorded_ids(deployment)
+        await deployment.until(
+            lambda: not deployment.store.objects_by_kind_[STREAMS_KIND]
+        )
+
+    run_scenario(scenario, endpoints=6)
+
+
+def test_records_of_an_entry_that_is_gone_are_removed_by_another(monkeypatch):
+    monkeypatch.setattr(_streams, "ORPHAN_DELAY_S", 0.2)
+
+    async def scenario(deployment):
+        spec = {"wait_ms": 500.0, "streams": {"engine": {"v1": ["lost"]}}}
+        deployment.store.put(STREAMS_KIND, "entry-9", spec)
+        await deployment.restart_all_entries()
+        await deployment.until(
+            lambda: not deployment.store.objects_by_kind_[STREAMS_KIND]
+        )
+
+    run_scenario(scenario, entries=2)
+
+
 @pytest.mark.parametrize("entries", [1, 3])
 def test_streams_go_on_at_once_after_all_entries_were_lost(entries):
     # One version serves all the time.
