Count origins that an entry drops for their number as missing

Callers: one that names no request, at an entry that held 50,000 origins and dropped its stream's, could go on as an equal one of another version. By reading; the ledger counted no gap as it dropped them. The new test fails on the parent commit.

--- a/packages/leadford/src/leadford/forwarding/streams/_ledger.py
+++ b/packages/leadford/src/leadford/forwarding/streams/_ledger.py
@@ -59,7 +59,7 @@
         if until > self.until_by_id_.get(request_id, now):
             self.until_by_id_[request_id] = until
             heapq.heappush(self.ids_by_end_, (until, request_id))
-        self._drop_beyond_limit()
+        self._drop_beyond_limit(now)
 
     def record_gap(self, now: float) -> None:
         """Record that streams that began before now may be missing."""
@@ -95,9 +95,10 @@
             ended.append(request_id)
         return ended
 
-    def _drop_beyond_limit(self) -> None:
+    def _drop_beyond_limit(self, now: float) -> None:
         while len(self.origins_by_id_) > MAX_ORIGINS:
             self._forget(next(iter(self.origins_by_id_)))
+            self.record_gap(now)
 
     def _forget(self, request_id: RequestId) -> None:
         if self.origins_by_id_.pop(request_id, None) is None:
--- a/packages/leadford/src/leadford/forwarding/streams/tests/test_ledger.py
+++ b/packages/leadford/src/leadford/forwarding/streams/tests/test_ledger.py
@@ -71,6 +71,16 @@
     assert not ledger.ids_by_content_
 
 
+def test_origins_that_give_way_are_missing():
+    ledger = OriginLedger()
+    ledger.record_gap(0.0)
+    for number in range(MAX_ORIGINS):
+        ledger.record(key(RequestId(str(number))), OLD, 10.0, 100.0)
+    assert ledger.complete_for_s(100.0) == 100.0
+    ledger.record(key(R1), OLD, 10.0, 101.0)
+    assert ledger.complete_for_s(101.0) == 0.0
+
+
 def test_a_stream_that_is_not_named_is_known_by_its_content():
     ledger = OriginLedger()
     ledger.record(key(R1), OLD, 10.0, 100.0)
