--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
@@ -20,6 +20,18 @@
 )
 
 
+def test_a_stream_retried_by_its_entry_stays_at_its_software_version():
+    # Each stream breaks off twice, beside engines of two versions.
+    async def scenario(deployment):
+        await list_two_versions(deployment)
+        for number in range(STREAMS_COUNT):
+            await break_off(deployment, f"r{number}", number)
+            first, second = software_of_runs(deployment, f"r{number}")
+            assert first == second
+
+    run_scenario(scenario, endpoints=6)
+
+
 def test_a_stream_resumed_at_another_entry_stays_at_its_software_version():
     # The caller returns twice, each time to another entry than before.
     async def scenario(deployment):
