Log the limit that admission compared the expected time with

Event 406 said what was expected and not what was allowed, so that a refusal by the target of a first event could not be told from one by the time that is left. No decision changes.

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -70,6 +70,8 @@
         self.expected_s_ = 0.0
         # The forecast error that the expected response time includes, in seconds.
         self.error_s_ = 0.0
+        # The limit of admission for the expected response time, in seconds.
+        self.limit_s_ = 0.0
         self.since_first_try_s_ = 0.0
         self.is_late_ = False
         # The priority level that admission used, and the service that lacked capacity.
@@ -232,6 +234,7 @@
         closed_by=closed_by,
         expected_ms=round(expected_s * 1_000.0),
         error_ms=round(progress.error_s_ * 1_000.0),
+        limit_ms=round(progress.limit_s_ * 1_000.0),
         caller_ms=request.deadline_ms or 0.0,
         **_booking_fields(progress),
         pause_ms=round(progress.longest_pause_s_ * 1_000.0),
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -295,6 +295,7 @@
         progress.short_service_id_ = decision.short_service_id
         progress.expected_s_ = decision.expected_s
         progress.error_s_ = decision.error_s
+        progress.limit_s_ = decision.limit_s
         progress.since_first_try_s_ = decision.since_first_try_s
         progress.is_late_ = decision.is_late
 
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -96,14 +96,20 @@
         engine_delay = StageDelay(
             max(0.0, request.endpoint_wait_s - critical_path_s), None
         )
-        delays = forecast.delays(self.backlog, request.now, is_late=is_late)
-        queue_delay_s = max(delay.delay_s for delay in (engine_delay, *delays))
+        delays = [
+            engine_delay,
+            *forecast.delays(self.backlog, request.now, is_late=is_late),
+        ]
+        longest = max(delays, key=lambda delay: delay.delay_s)
+        queue_delay_s = longest.delay_s
         error_s = self._forecast_error(request.route).value_s(request.now)
         expected_s = min_answer_s + queue_delay_s + error_s
+        limits = LimitTerms(critical_path_s, is_caller_retry, is_late)
         decision = AdmissionDecision(
             Verdict.ADMIT,
             expected_s,
             error_s,
+            limit_s=limit_s(request, limits, longest.service_id),
             is_caller_retry=is_caller_retry,
             since_first_try_s=since_first_try_s,
             is_late=is_late,
@@ -114,10 +120,9 @@
             # If it is late, its pieces are queued behind all that are in time.
             self._record_admitted(request, forecast)
             return msgspec.structs.replace(decision, is_caller_retry=True)
-        limits = LimitTerms(critical_path_s, is_caller_retry, is_late)
         too_long = [
             delay
-            for delay in (engine_delay, *delays)
+            for delay in delays
             if min_answer_s + delay.delay_s + error_s
             > limit_s(request, limits, delay.service_id)
         ]
@@ -125,6 +130,7 @@
             self._record_admitted(request, forecast)
             return decision
         short_id = max(too_long, key=lambda delay: delay.delay_s).service_id
+        short_limit_s = limit_s(request, limits, short_id)
         wait_s = retry_after_s(
             request, critical_path_s, queue_delay_s, random=self.random
         )
@@ -132,6 +138,7 @@
         return msgspec.structs.replace(
             decision,
             verdict=Verdict.REFUSE,
+            limit_s=short_limit_s,
             retry_after_s=wait_s,
             short_service_id=short_id,
             level=request.level_at(short_id),
--- a/packages/leadford/src/leadford/forwarding/admission/_request.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_request.py
@@ -77,13 +77,14 @@
     there, otherwise the lowest at its stages.
 
     Units: seconds; expected_s counts from when the caller sent the request, and
-    includes error_s, the forecast error by which it was corrected. since_first_try_s is
-    the time between the first try and this one.
+    includes error_s, the forecast error by which it was corrected. limit_s is what it
+    was compared with. since_first_try_s is the time between the first try and this one.
     """
 
     verdict: Verdict
     expected_s: float
     error_s: float = 0.0
+    limit_s: float = 0.0
     retry_after_s: float = 0.0
     is_caller_retry: bool = False
     since_first_try_s: float = 0.0
