Judge a stream that its caller resumes by the time that the caller has left

Callers whose streams broke off, as all entries were lost, took them up and got 503 not-admitted, with 2.3 to 10.8 s left and an expected time of 1.4 to 2.7 s, while new streams of the route began. A new caller that is refused comes back and has lost nothing; this one loses what it has received.

Cause: admission knew nothing of streams that go on. It compared the expected time with the target of a first event, which such a caller has long had (hypothesis 1), and took the shorter time that it states for that of a refused caller that returns, which is admitted only while queues are short (hypothesis 2). Ruled out: an unknown origin (it was found, by the store or a replica), a forecast that refuses too much (those let in began later than expected, not sooner).

Now the whole allowed time is the target of a resumed stream, at each place that asks for the target: the limit, the time until a refused one may come back, the level and the latest time of a booking. It counts as no return that admission infers, and its stated time is not taken for one of first tries. What cannot be answered in the time left is refused at once, as before.

Its pieces still queue by the target of a first event; that is the next fault.

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -14,7 +14,7 @@
 from leadford.forwarding.endpoints import ListedEndpoint
 from leadford.forwarding.overload import NO_DELAY, DelayMark
 from leadford.forwarding.retries import RetryReason
-from leadford.forwarding.routes import Route, RouteMatch, ServiceId
+from leadford.forwarding.routes import Route, RouteKind, RouteMatch, ServiceId
 from leadford.forwarding.streams import StreamContent, StreamKey, StreamOrigin
 from leadford.quarantine import (
     NO_DIGEST,
@@ -124,6 +124,14 @@
             return self.deadline_
         return request.received_at + request.deadline_ms / 1_000.0
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Return whether the caller has events of the stream already."""
+        request = self.request
+        if self.match_.route.kind is not RouteKind.STREAM:
+            return False
+        return request.resumed_id is not None or request.last_event_id is not None
+
     def stream_key(self, request_id: RequestId | None) -> StreamKey:
         """Return the key of the stream that a request began, by the content of this."""
         content = stable_hash(self.request.fingerprint, self.digest_)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -280,6 +280,7 @@
             ),
             workspace_id=match.workspace_id,
             contended_ids=self.state.level_service_ids(),
+            is_resumed=progress.resumes_stream,
         )
 
     def _record_decision(self, decision: AdmissionDecision) -> None:
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_resumed.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_resumed.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from leadford.forwarding.answers import EndReason
-from leadford.forwarding.routes import RouteKind
 from leadford.forwarding.streams import StreamOrigin
 from leadford_server.forwarding._links_contract import FoundOrigin
 from leadford_server.forwarding._progress import RequestProgress
@@ -24,7 +23,7 @@
 
     async def find_origin(self) -> EndReason | None:
         """Restrict the request to the origin; return why it cannot go on, if so."""
-        if not self._resumes_stream or self.state.stream_origins_ is None:
+        if not self.progress.resumes_stream or self.state.stream_origins_ is None:
             return None
         found = await self._find()
         self.progress.origin_source_ = found.source
@@ -35,14 +34,6 @@
             return EndReason.SOFTWARE_GONE
         return None
 
-    @property
-    def _resumes_stream(self) -> bool:
-        """Return whether the caller has events of the stream already."""
-        request = self.progress.request
-        if self.progress.match_.route.kind is not RouteKind.STREAM:
-            return False
-        return request.resumed_id is not None or request.last_event_id is not None
-
     async def _find(self) -> FoundOrigin:
         key = self.progress.stream_key(self.progress.request.resumed_id)
         match = self.progress.match_
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -15,6 +15,9 @@
 - A retry that can no longer meet the target is admitted only while the queues are
   short: its pieces are queued behind all others, and holding it is useless if it then
   starves.
+- A stream that its caller resumes is admitted if it can go on within the allowed time:
+  its first event has arrived, and a refusal loses what its caller has received. It is
+  not late, and says nothing of the time since a first try.
 - No limit exceeds a fixed fraction of the allowed time.
 
 Here, a retry is a request that its caller sends again after a refusal.
@@ -190,7 +193,7 @@
         """Tell whether a request looks like a retry, without recording its caller."""
         if self.reservations.find(request.fingerprint, request.now) is not None:
             return True
-        if request.caller_timeout_s is None:
+        if request.is_resumed or request.caller_timeout_s is None:
             return False
         since_first_try_s = self.common_timeouts_.since_first_try_s(
             request.route.route_id, request.caller_timeout_s
@@ -200,9 +203,10 @@
     def _inferred_first_try_s(self, request: AdmissionRequest) -> float | None:
         """Infer the time since the first try from the timeouts that callers state.
 
-        None for a first try, and if the callers of the route have no common timeout.
+        None for a first try, a resumed stream, and if the callers of the route have no
+        common timeout.
         """
-        if request.caller_timeout_s is None:
+        if request.is_resumed or request.caller_timeout_s is None:
             return None
         route_id = request.route.route_id
         self.common_timeouts_.record(route_id, request.caller_timeout_s)
@@ -214,7 +218,7 @@
         self, request: AdmissionRequest, refused: RetryReservation | None
     ) -> float:
         """Return the time since the first try of a retry, 0 where it is unknown."""
-        if request.caller_timeout_s is None:
+        if request.is_resumed or request.caller_timeout_s is None:
             return 0.0
         route_id = request.route.route_id
         self.first_tries_.record(route_id, request.caller_timeout_s)
--- a/packages/leadford/src/leadford/forwarding/admission/_limits.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_limits.py
@@ -47,7 +47,7 @@
     critical_path_s = terms.critical_path_s
     if terms.is_late:
         return _slack_limit_s(request, critical_path_s, SLACK_FRACTION_LATE)
-    if terms.is_caller_retry:
+    if terms.is_caller_retry or request.is_resumed:
         return min(
             DEADLINE_FRACTION * request.timeout_s, RETRY_AIM_FRACTION * request.aim_s
         )
--- a/packages/leadford/src/leadford/forwarding/admission/_request.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_request.py
@@ -46,6 +46,8 @@
     workspace_id: WorkspaceId | None = None
     # The services at which the request is judged by level of priority.
     contended_ids: frozenset[ServiceId] = frozenset()
+    # Whether the caller resumes a stream, of which it has events.
+    is_resumed: bool = False
 
     @property
     def levels(self) -> RouteLevels:
@@ -61,7 +63,13 @@
 
     @property
     def aim_s(self) -> float:
-        """Return the latency target of the route, or the allowed time without one."""
+        """Return the latency target of the route, or the allowed time without one.
+
+        The target of a stream is for its first event, which a caller that resumes it
+        has had.
+        """
+        if self.is_resumed:
+            return self.timeout_s
         aim_ms = self.route.aim_ms
         return aim_ms / 1_000.0 if aim_ms > 0 else self.timeout_s
 
