Queue the pieces of a stream that goes on as those of a request that begins now

Callers of streams that went on, by their own return or by a further attempt of their entry, could wait for the stages until nothing else waited: their pieces counted as late by the target of the first event, which had passed, and late pieces go behind all that can be in time. With admission by the time left, more of them are let in beyond that target, and would starve in the queue.

Cause: one moment (due_at) says both in which order pieces go and from when they are useless; it was the time by which the first event is due, also after that had come.

A piece of such a stream now says so: it is ordered by now and the target of the route, or by its deadline if that is sooner, and gives way only when its deadline can't be met. It waits for other halls and fuller calls as a new one does. Schedulers at other entries learn it by a message of its own from protocol version 14 on; those of the build before get the piece as before, and queue it as before. Tried by reading and dropped: a later due_at with an earlier rank (schedulers take the difference for the urgency of the piece, and count throughput by it).

--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -132,6 +132,11 @@
             return False
         return request.resumed_id is not None or request.last_event_id is not None
 
+    @property
+    def has_events(self) -> bool:
+        """Return whether the caller has events, of this try or of one before it."""
+        return self.last_event_at_ is not None or self.resumes_stream
+
     def stream_key(self, request_id: RequestId | None) -> StreamKey:
         """Return the key of the stream that a request began, by the content of this."""
         content = stable_hash(self.request.fingerprint, self.digest_)
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
@@ -16,6 +16,7 @@
     can_stages_end_in_time,
     engine_fetches_immediately,
     queue_delay_s,
+    request_due_at,
     stages_check_at,
 )
 from leadford.forwarding.endpoints import EndpointRecord, effective_count
@@ -67,8 +68,14 @@
         return found
 
     def open(self, progress: RequestProgress) -> Result[None, str]:
-        """Start a job for the stages of the route, unless there is one already."""
+        """Start a job for the stages of the route, unless there is one already.
+
+        One that runs again for a stream that goes on is due anew.
+        """
         if self.job_ is not None:
+            if progress.has_events:
+                self.job_.is_resumed = True
+                self.job_.due_at = self._due_at(progress)
             return Success(None)
         request = self.request
         match = progress.match_
@@ -83,18 +90,26 @@
             levels=RouteLevels.from_route(route, self.state.level_service_ids()),
             delay_s=queue_delay_s(route, match.priority),
             deadline=progress.deadline_,
-            # The aim counts from the caller's first try.
-            due_at=request.received_at
-            - progress.since_first_try_s_
-            + route.aim_ms / 1_000.0,
+            due_at=self._due_at(progress),
             is_late=progress.is_late_,
             hall=self._planned_hall(match),
             done=self.state.loop.create_future(),
             digest=progress.digest_,
+            is_resumed=progress.has_events,
         )
         self.stages.open(self.job_)
         return Success(None)
 
+    def _due_at(self, progress: RequestProgress) -> float:
+        """Return when the request should be answered, if its stages begin now."""
+        return request_due_at(
+            progress.match_.route,
+            first_try_at=self.request.received_at - progress.since_first_try_s_,
+            now=self.state.now(),
+            deadline=progress.deadline_,
+            is_resumed=progress.has_events,
+        )
+
     def _planned_hall(self, match: RouteMatch) -> HallId:
         """Return the hall of the engine that would be chosen now."""
         state = self.state
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_jobs.py
@@ -97,6 +97,7 @@
         hall: HallId,
         done: asyncio.Future[None],
         digest: RequestDigest = NO_DIGEST,
+        is_resumed: bool = False,
     ) -> None:
         self.request_id = request_id
         self.graph = graph
@@ -109,6 +110,7 @@
         self.hall = hall
         self.done_ = done
         self.digest = digest
+        self.is_resumed = is_resumed
         self.is_over_ = False
         self.tries_by_key_: dict[PieceKey, int] = {}
         self.excluded_by_key_: dict[PieceKey, frozenset[EndpointId]] = {}
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_pieces.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_pieces.py
@@ -5,7 +5,7 @@
 the clocks of two processes cannot be compared.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
 
 from leadford.common import EndpointId, EntryId, HallId, RequestId
@@ -14,11 +14,13 @@
 from leadford.protocol import (
     LEVEL_UNTOLD,
     PROTOCOL_CRASHES,
+    PROTOCOL_RESUMED,
     PieceAnswer,
     PieceCancel,
     PieceRelease,
     PieceSubmit,
     PieceWorking,
+    ResumedPieceSubmit,
     SuspectPieceSubmit,
 )
 from leadford_server.forwarding._peers import MessageHandlers
@@ -47,6 +49,7 @@
         return {
             PieceSubmit: self._on_submit,
             SuspectPieceSubmit: self._on_submit,
+            ResumedPieceSubmit: self._on_submit,
             PieceAnswer: self._on_answer,
             PieceWorking: self._on_inputs_read,
             PieceCancel: self._on_cancel,
@@ -59,13 +62,9 @@
         if peer is None:
             return False
         now = self.state.now()
-        message_type = PieceSubmit
-        if task.is_suspect and peer.info.protocol_version >= PROTOCOL_CRASHES:
-            message_type = partial(
-                SuspectPieceSubmit, is_suspect_once=task.is_suspect_once
-            )
+        make_message = _message_type(task, peer.info.protocol_version)
         return peer.send(
-            message_type(
+            make_message(
                 task.correlation_id,
                 group.service_id,
                 group.place,
@@ -137,9 +136,10 @@
             local_bytes_by_hall={
                 HallId(hall): count for hall, count in message.near_bytes.items()
             },
-            is_suspect=isinstance(message, SuspectPieceSubmit),
+            is_suspect=_is_suspect(message),
             level=None if message.level < LEVEL_HIGHEST else message.level,
             is_suspect_once=getattr(message, "is_suspect_once", False),
+            is_resumed=isinstance(message, ResumedPieceSubmit),
         )
         group = GroupId(ServiceId(message.service_id), PlaceId(message.place))
         self.stages.scheduler_.submit(group, task)
@@ -166,3 +166,23 @@
     def _on_release(self, peer: PeerConnection, message: PieceRelease) -> None:
         handles = [ResultHandle(handle) for handle in message.handles]
         self.stages.scheduler_.release(EndpointId(message.endpoint_id), handles)
+
+
+def _message_type(task: PieceTask, protocol_version: int) -> Callable[..., PieceSubmit]:
+    """Return what makes the message for a piece that a peer of a version reads."""
+    if task.is_resumed and protocol_version >= PROTOCOL_RESUMED:
+        return partial(
+            ResumedPieceSubmit,
+            is_suspect=task.is_suspect,
+            is_suspect_once=task.is_suspect_once,
+        )
+    if task.is_suspect and protocol_version >= PROTOCOL_CRASHES:
+        return partial(SuspectPieceSubmit, is_suspect_once=task.is_suspect_once)
+    return PieceSubmit
+
+
+def _is_suspect(message: PieceSubmit) -> bool:
+    """Return whether a message names a request under which an endpoint ended."""
+    if isinstance(message, ResumedPieceSubmit):
+        return message.is_suspect
+    return isinstance(message, SuspectPieceSubmit)
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_tasks.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_tasks.py
@@ -52,6 +52,7 @@
             level=job.levels.contended_level(stage.service_id),
             is_suspect_once=self.state.is_contended(stage.service_id)
             and self.state.quarantine_.is_suspect_once(job.digest),
+            is_resumed=job.is_resumed,
         )
 
     def excluded(
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/tests/test_tasks.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/tests/test_tasks.py
@@ -42,6 +42,7 @@
         due_at=9.0,
         delay_s=0.0,
         digest=DIGEST,
+        is_resumed=False,
         hall=HallId("h"),
         levels=RouteLevels(0),
     )
--- a/packages/leadford/src/leadford/forwarding/batching/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/batching/__init__.py
@@ -47,7 +47,12 @@
     decide_remake,
 )
 from leadford.forwarding.batching._reserved import RESERVED_FRACTION
-from leadford.forwarding.batching._tasks import Chunk, PieceTask, queue_delay_s
+from leadford.forwarding.batching._tasks import (
+    Chunk,
+    PieceTask,
+    queue_delay_s,
+    request_due_at,
+)
 from leadford.forwarding.batching._throughput import (
     Throughput,
     ThroughputRate,
@@ -98,6 +103,7 @@
     "engine_fetches_immediately",
     "next_call",
     "queue_delay_s",
+    "request_due_at",
     "scheduler_limit_at",
     "schedulers_in_order",
     "stages_check_at",
--- a/packages/leadford/src/leadford/forwarding/batching/_tasks.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_tasks.py
@@ -62,6 +62,14 @@
     # True if only one endpoint crashed while it ran the request of the piece; then the
     # piece may share a call with others for which this is true.
     is_suspect_once: bool = False
+    # True if the caller has events of the stream already, so that the piece is of use
+    # until the deadline.
+    is_resumed: bool = False
+
+    @property
+    def late_at(self) -> float:
+        """Return the time at which the piece gives way to those that can be in time."""
+        return self.deadline if self.is_resumed else self.due_at
 
     @property
     def known_level(self) -> int:
@@ -114,9 +122,8 @@
 
     def is_late(self, limits: PieceLimits, now: float) -> bool:
         """Tell whether a call of the chunk sent now would end too late."""
-        return (
-            now + limits.duration_ms(len(self.tasks)) / 1_000.0 > self.tasks[0].due_at
-        )
+        call_s = limits.duration_ms(len(self.tasks)) / 1_000.0
+        return now + call_s > self.tasks[0].late_at
 
     def moving_cost_s(self, hall: HallId) -> float:
         """Return the cost of moving the inputs to a hall, as an equivalent wait."""
@@ -153,6 +160,27 @@
         )
 
 
+def request_due_at(
+    route: Route,
+    *,
+    first_try_at: float,
+    now: float,
+    deadline: float,
+    is_resumed: bool,
+) -> float:
+    """Return when a request should be answered, by which its pieces are ordered.
+
+    The target of a stream is for its first event. One that goes on after that is
+    ordered as a request that begins now, or earlier if it has less time.
+
+    Units: moments in seconds of the monotonic clock.
+    """
+    aim_s = route.aim_ms / 1_000.0
+    if is_resumed:
+        return min(now + aim_s, deadline)
+    return first_try_at + aim_s
+
+
 def queue_delay_s(route: Route, priority: int) -> float:
     """Return the delay added to the due time of a request to rank its pieces.
 
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_batches.py
@@ -4,7 +4,13 @@
 import pytest
 
 from leadford.common import EndpointId, HallId, RequestId
-from leadford.forwarding.batching import Chunk, PieceKey, PieceQueue, queue_delay_s
+from leadford.forwarding.batching import (
+    Chunk,
+    PieceKey,
+    PieceQueue,
+    queue_delay_s,
+    request_due_at,
+)
 from leadford.forwarding.batching.tests.conftest import piece_limits, piece_task
 from leadford.forwarding.routes import Route, RouteId, RouteKind
 
@@ -100,6 +106,45 @@
     assert order == ["soon", "hopeless", "late"]
 
 
+# Where the target of its first event had passed, it was left behind all others.
+def test_pieces_of_a_resumed_stream_are_left_behind_although_there_is_time():
+    resumed = msgspec.structs.replace(
+        task("resumed", due=1.0), deadline=8.0, is_resumed=True
+    )
+    queue = make_queue(task("soon", due=2.0), resumed, task("later", due=3.0))
+    order = [ids(take(queue, batch=1, now=1.5))[0][0] for _ in range(3)]
+    assert order == ["resumed", "soon", "later"]
+
+
+def test_pieces_of_a_resumed_stream_without_time_give_way():
+    resumed = msgspec.structs.replace(
+        task("resumed", due=1.0), deadline=1.6, is_resumed=True
+    )
+    queue = make_queue(resumed, task("soon", due=2.0))
+    assert ids(take(queue, batch=1, now=1.5)) == [("soon", 0)]
+
+
+def test_a_resumed_stream_is_ordered_as_a_request_that_begins_now():
+    route = Route(
+        route_id=RouteId("r"),
+        host="h",
+        path_prefix="/",
+        kind=RouteKind.STREAM,
+        services=(),
+        timeout_ms=8_000.0,
+        aim_ms=500.0,
+    )
+
+    def due_at(deadline, *, is_resumed):
+        return request_due_at(
+            route, first_try_at=1.0, now=4.0, deadline=deadline, is_resumed=is_resumed
+        )
+
+    assert due_at(9.0, is_resumed=False) == 1.5
+    assert due_at(9.0, is_resumed=True) == 4.5
+    assert due_at(4.2, is_resumed=True) == 4.2
+
+
 def test_late_pieces_of_urgent_routes_go_behind_what_can_be_in_time():
     queue = make_queue(task("urgent", due=0.9), task("less", due=3.0, delay=2.0))
     assert ids(take(queue, batch=1, now=1.0)) == [("less", 0)]
--- a/packages/leadford/src/leadford/protocol/__init__.py
+++ b/packages/leadford/src/leadford/protocol/__init__.py
@@ -33,6 +33,7 @@
     PROTOCOL_PACED,
     PROTOCOL_PACKED,
     PROTOCOL_PROMPTS,
+    PROTOCOL_RESUMED,
     PROTOCOL_SHARES,
     PROTOCOL_UNTOLD,
     PROTOCOL_VERSION,
@@ -113,6 +114,7 @@
     PieceRelease,
     PieceSubmit,
     PieceWorking,
+    ResumedPieceSubmit,
     SuspectPieceSubmit,
 )
 from leadford.protocol._placing import (
@@ -170,6 +172,7 @@
     "ServiceLevels",
     "PROTOCOL_PACKED",
     "PROTOCOL_PROMPTS",
+    "PROTOCOL_RESUMED",
     "PROTOCOL_SHARES",
     "BacklogReport",
     "FleetBacklog",
@@ -246,6 +249,7 @@
     "Refused",
     "Submit",
     "SuspectPieceSubmit",
+    "ResumedPieceSubmit",
     "TokenPart",
     "Tokens",
     "Welcome",
--- a/packages/leadford/src/leadford/protocol/_base.py
+++ b/packages/leadford/src/leadford/protocol/_base.py
@@ -8,7 +8,7 @@
 import msgspec
 
 # The newest version of the protocol that this build supports.
-PROTOCOL_VERSION = 13
+PROTOCOL_VERSION = 14
 # The first version that transfers configurations in parts.
 PROTOCOL_CONFIG_PARTS = 2
 # The first version in which entries report evacuated halls to each other.
@@ -46,6 +46,8 @@
 # The first version in which each entry reports when the store confirmed its
 # configuration to it.
 PROTOCOL_CONFIRMED = 13
+# The first version in which entries tell that a piece is of a stream that goes on.
+PROTOCOL_RESUMED = 14
 # The oldest version that this build supports.
 PROTOCOL_VERSION_MIN = 1
 
--- a/packages/leadford/src/leadford/protocol/_messages.py
+++ b/packages/leadford/src/leadford/protocol/_messages.py
@@ -67,6 +67,7 @@
     PieceRelease,
     PieceSubmit,
     PieceWorking,
+    ResumedPieceSubmit,
     SuspectPieceSubmit,
 )
 from leadford.protocol._placing import (
@@ -153,4 +154,5 @@
     | PromptNews
     | RequestRateReport
     | BusiestEntryNews
+    | ResumedPieceSubmit
 )
--- a/packages/leadford/src/leadford/protocol/_pieces.py
+++ b/packages/leadford/src/leadford/protocol/_pieces.py
@@ -42,6 +42,17 @@
     is_suspect_once: bool = False
 
 
+class ResumedPieceSubmit(PieceSubmit, tag=67):
+    """Ask for one piece of a stream that goes on after its caller has had events.
+
+    The piece is of use until the request's deadline, also after it should have been
+    answered.
+    """
+
+    is_suspect: bool = False
+    is_suspect_once: bool = False
+
+
 class PieceAnswer(MessageBase, tag=30):
     """Answer with the result of a piece, or why it has none, and its endpoint."""
 
