Read the records beside one that is nested too deeply

One record of another writer, with lists or objects nested more than about 1,000 times in any field, ended the reading of its whole page of the store: entries that ran heard of no further change, and one that started served nothing for as long as the record was there. Likewise an endpoint's answer to a call for pieces raised an error that nothing handled, and a handle of a result was taken whatever it was, also with a line break.

Cause: the parser of JSON calls itself for each level and refuses the whole text at the interpreter's bound.

leadford.common.parse_json reads a value in more than 64 lists and objects as infinite, as it did long integers; a record that needs the value is unreadable, the others hold. The bound keeps far from what later walks the values.

--- a/packages/leadford-standins/src/leadford_standins/wire/_store.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_store.py
@@ -79,6 +79,9 @@
         self.leaves_watches_unanswered = False
         # Seconds over which the body of an answer about a kind is sent.
         self.body_s_by_kind: dict[str, float] = {}
+        # Texts of objects that are replaced in answers, by values that `json` does not
+        # write.
+        self.json_by_text: dict[str, str] = {}
         self.delete_s = 0.0
         self.calls_ = 0
         self.deletes_ = 0
@@ -109,6 +112,13 @@
         self.objects_by_kind_.setdefault(kind, {})[name] = item
         self._record_change(kind, item, gone=False)
 
+    def encode(self, page: dict) -> bytes:
+        """Return the body of an answer."""
+        text = json.dumps(page)
+        for replaced, value in self.json_by_text.items():
+            text = text.replace(json.dumps(replaced), value)
+        return text.encode()
+
     def delete(self, kind: str, name: str) -> bool:
         """Remove an object; return whether it existed."""
         self.deleted_since_restore_.add((kind, name))
@@ -216,7 +226,8 @@
         if self.store.fault is StoreFault.LOST:
             self._close_connection()
             return
-        self.finish(body)
+        self.set_header("Content-Type", "application/json")
+        self.finish(self.store.encode(body))
 
     async def get(self, kind: str, name: str | None) -> None:
         objects = self.store.objects_by_kind_.get(kind, {})
@@ -264,7 +275,7 @@
         if not body_s:
             self._answer(page)
             return
-        body = json.dumps(page).encode()
+        body = self.store.encode(page)
         self.set_header("Content-Length", str(len(body)))
         size = len(body) // SLOW_BODY_PART_COUNT + 1
         for start in range(0, len(body), size):
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_foreign_records.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_foreign_records.py
@@ -121,3 +121,83 @@
         assert len(first.runs_) > 0
 
     run_scenario(scenario)
+
+
+DEEP = "a value that is nested deeply"
+
+
+def nested_lists(depth):
+    return "[" * depth + "]" * depth
+
+
+def nested_objects(depth):
+    return '{"a":' * depth + "1" + "}" * depth
+
+
+async def serves(deployment, name):
+    answer = await deployment.send("/safe/x", request_id=name)
+    return answer.code == 200
+
+
+# One such record ended the reading of its page: an entry that started served nothing.
+@pytest.mark.parametrize(
+    ("kind", "nested", "depth"),
+    [
+        # Below and above what the parser of the interpreter reads.
+        ("servers", nested_objects, 900),
+        ("servers", nested_lists, 1_100),
+        ("servers", nested_objects, 100_000),
+        ("leadford-entries", nested_objects, 100_000),
+        ("leadford-software", nested_objects, 100_000),
+        ("leadford-streams", nested_objects, 100_000),
+        ("evacuations", nested_objects, 100_000),
+    ],
+)
+def test_a_deeply_nested_record_stops_entries_from_following_the_others(
+    kind, nested, depth
+):
+    async def scenario(deployment):
+        first, second = deployment.plain
+        deployment.store.json_by_text[DEEP] = nested(depth)
+        deployment.store.put(kind, "foreign", {**VALID_SPEC, "address": DEEP})
+        deployment.store.put(kind, "foreign-2", DEEP)
+        await deployment.set_software(first, "v2")
+        restarted = await deployment.restart_entry(0)
+        await deployment.until(
+            lambda: restarted.is_ready and deployment.knows_all_endpoints(restarted)
+        )
+        assert "foreign" not in restarted.state_.roster_.records_by_id_
+        assert await serves(deployment, "r0")
+        await deployment.set_software(second, "v2")
+
+    run_scenario(scenario)
+
+
+def test_a_deeply_nested_field_of_no_interest_hides_an_endpoint():
+    async def scenario(deployment):
+        (endpoint, *_) = deployment.plain
+        deployment.store.json_by_text[DEEP] = nested_objects(2_000)
+        spec = {**endpoint.spec(), "note": DEEP, "version": "v2"}
+        deployment.store.put("servers", endpoint.endpoint_id, spec)
+        records = deployment.entries_[0].state_.roster_.records_by_id_
+        await deployment.until(
+            lambda: records[endpoint.endpoint_id].listed.software == "v2"
+        )
+
+    run_scenario(scenario)
+
+
+def test_a_configuration_with_a_deeply_nested_value_replaces_the_one_in_force():
+    async def scenario(deployment):
+        deployment.store.json_by_text[DEEP] = nested_lists(2_000)
+        version = deployment.config["version"]
+        broken = {**deployment.config, "version": version + 1, "limits": DEEP}
+        deployment.store.put("config", "main", broken)
+        await asyncio.sleep(0.4)
+        (entry,) = deployment.entries_
+        assert entry.state_.config_version() == version
+        assert await serves(deployment, "r0")
+        deployment.config["version"] = version + 1
+        await deployment.apply_config()
+
+    run_scenario(scenario)
--- a/packages/leadford/src/leadford/common/__init__.py
+++ b/packages/leadford/src/leadford/common/__init__.py
@@ -17,6 +17,7 @@
     StageId,
     WorkspaceId,
 )
+from leadford.common._json import decode_json, parse_json
 from leadford.common._numbers import parse_amount, parse_count
 from leadford.common._packing import decode_as, pack, unpack
 from leadford.common._registry import Registry, UnknownVariantError
@@ -47,9 +48,11 @@
     "check_fraction",
     "check_positive",
     "decode_as",
+    "decode_json",
     "pack",
     "parse_amount",
     "parse_count",
+    "parse_json",
     "rendezvous_order",
     "rendezvous_weight",
     "stable_hash",
--- a/packages/leadford/src/leadford/forwarding/batching/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/batching/__init__.py
@@ -13,7 +13,7 @@
     EndpointCapacity,
 )
 from leadford.forwarding.batching._filling import FillAction, NextCall, next_call
-from leadford.forwarding.batching._given import GivenHandles
+from leadford.forwarding.batching._given import GivenHandles, read_handle
 from leadford.forwarding.batching._graph import PieceGraph, PieceKey, PieceState
 from leadford.forwarding.batching._group_map import GroupMap
 from leadford.forwarding.batching._groups import (
@@ -103,6 +103,7 @@
     "engine_fetches_immediately",
     "next_call",
     "queue_delay_s",
+    "read_handle",
     "request_due_at",
     "scheduler_limit_at",
     "schedulers_in_order",
--- a/packages/leadford/src/leadford/forwarding/batching/_given.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_given.py
@@ -28,3 +28,17 @@
         is_known = any(given & earlier for earlier in self.last_)
         self.last_.append(given)
         return is_known
+
+
+def read_handle(value: object) -> ResultHandle | None:
+    """Return the handle of a result in an answer, None if there is none.
+
+    Errors: raises TypeError or ValueError for what a header cannot carry.
+    """
+    if value is None:
+        return None
+    if not isinstance(value, str):
+        raise TypeError("the handle of a result is no text")
+    if not (value and value.isascii() and value.isprintable()):
+        raise ValueError("the handle of a result has characters that no header carries")
+    return ResultHandle(value)
