Read a host list by host, and take deeply nested answers for malformed ones

On the own interface one host with an unknown state hid the whole list of hosts, without a line in the log; one nested deeply ended the polling for good, an engine's list of models that was no such list ended the loading of models, and nested answers, events and bodies raised where only malformed ones were expected. An operator's statement that was answered with 200 and something else raised in the command.

Cause: typed decoding of a whole text that several writers wrote, and a parser that raises RecursionError, which is no error of decoding.

The list is parsed once, each state is read by itself, and an unreadable one keeps what was last listed, since what is not known is not absent. decode_json returns a failure for the rest. A malformed answer to an operator's statement leaves open whether it was done, so the next entry is asked with the same command id, as after other open ends.

--- a/packages/leadford-cli/src/leadford_cli/operators/_client.py
+++ b/packages/leadford-cli/src/leadford_cli/operators/_client.py
@@ -14,6 +14,7 @@
 from tornado.httpclient import HTTPRequest
 from tornado.ioloop import IOLoop
 
+from leadford.common import decode_json
 from leadford_server.web import NO_RESPONSE_STATUS, fetch
 
 # Timeout of a call: longer than an entry waits until a change is in force.
@@ -82,20 +83,29 @@
             )
             response = await fetch(http, request)
             if response.code == 200:
-                return Success(msgspec.json.decode(response.body))
+                answer = decode_json(response.body, dict[str, Any])
+                if isinstance(answer, Success):
+                    return answer
+                # Whether it was done is not known: the next entry knows it by its id.
+                error = OperatorError(f"malformed answer: {answer.failure()}")
+                continue
             error = _error_of(response.body or b"", str(response.error))
             if response.code not in UNSETTLED_STATUSES:
                 break
         return Failure(error)
 
 
+class _Problem(msgspec.Struct, frozen=True):
+    """Hold what a refusal says."""
+
+    detail: str
+    column: int = 0
+    faults: tuple[Any, ...] = ()
+
+
 def _error_of(body: bytes, fallback: str) -> OperatorError:
-    try:
-        document = msgspec.json.decode(body)
-        return OperatorError(
-            document["detail"],
-            document.get("column", 0),
-            tuple(document.get("faults", ())),
-        )
-    except (msgspec.MsgspecError, LookupError, TypeError):
+    read = decode_json(body, _Problem)
+    if isinstance(read, Failure):
         return OperatorError(fallback)
+    problem = read.unwrap()
+    return OperatorError(problem.detail, problem.column, problem.faults)
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/_models.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/_models.py
@@ -10,8 +10,10 @@
 from collections.abc import Callable
 
 import msgspec
+from returns.result import Failure
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
+from leadford.common import decode_json
 from leadford.events import Event
 from leadford.pipelines.placement import ModelCopy, OrderSequence, OrderStep
 from leadford.protocol import HeldModel, PlanOrder
@@ -102,8 +104,15 @@
         if response.code != 200:
             await asyncio.sleep(POLL_INTERVAL_S)
             return
-        state = msgspec.json.decode(response.body, type=_EngineState)
-        copies = frozenset(ModelCopy(*pair) for pair in state.models.items())
+        state = decode_json(response.body, _EngineState)
+        if isinstance(state, Failure):
+            self.log.report(
+                Event.RECORD_UNREADABLE, record=self.url, error=state.failure()
+            )
+            await asyncio.sleep(POLL_INTERVAL_S)
+            return
+        models = state.unwrap().models
+        copies = frozenset(ModelCopy(*pair) for pair in models.items())
         if copies != self.held_copies_:
             self.held_copies_ = copies
             self.on_change()
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/adapters/_engine.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/adapters/_engine.py
@@ -8,8 +8,10 @@
 import json
 
 import msgspec
+from returns.result import Failure
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
+from leadford.common import decode_json
 from leadford.protocol import DoneStatus, Submit
 from leadford_server.pipelines.agent.adapters._base import (
     CONNECT_TIMEOUT_S,
@@ -92,11 +94,11 @@
             self.sink(texts, self.model_version_)
 
     def _read_event(self, data: bytes, texts: list[str]) -> None:
-        try:
-            chunk = msgspec.json.decode(data, type=_Chunk)
-        except msgspec.MsgspecError as error:
-            self.error_ = f"malformed event: {error}"
+        read = decode_json(data, _Chunk)
+        if isinstance(read, Failure):
+            self.error_ = f"malformed event: {read.failure()}"
             return
+        chunk = read.unwrap()
         if not chunk.choices:
             self.error_ = "malformed event: no choice"
             return
@@ -149,10 +151,10 @@
         return self._outcome(reader, error)
 
     def _prompt(self, submit: Submit) -> str | None:
-        try:
-            body = msgspec.json.decode(submit.body, type=_PromptBody)
-        except msgspec.MsgspecError:
+        read = decode_json(submit.body, _PromptBody)
+        if isinstance(read, Failure):
             return None
+        body = read.unwrap()
         parts = [body.system, body.prompt]
         if submit.previous != b"null":
             parts.append(submit.previous.decode())
--- a/packages/leadford-server/src/leadford_server/pipelines/agent/adapters/_json.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/agent/adapters/_json.py
@@ -6,8 +6,10 @@
 import json
 
 import msgspec
+from returns.result import Failure
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
+from leadford.common import decode_json
 from leadford.protocol import DoneStatus, Submit
 from leadford_server.pipelines.agent.adapters._base import (
     CONNECT_TIMEOUT_S,
@@ -68,10 +70,11 @@
             return AdapterOutcome(DoneStatus.FAILED, error=f"status {response.code}")
         if len(response.body) > MAX_RESULT_BYTES:
             return AdapterOutcome(DoneStatus.FAILED, error="answer is too large")
-        try:
-            answer = msgspec.json.decode(response.body, type=_JsonAnswer)
-        except msgspec.MsgspecError as error:
-            return AdapterOutcome(DoneStatus.FAILED, error=f"malformed answer: {error}")
+        read = decode_json(response.body, _JsonAnswer)
+        if isinstance(read, Failure):
+            text = f"malformed answer: {read.failure()}"
+            return AdapterOutcome(DoneStatus.FAILED, error=text)
+        answer = read.unwrap()
         key = attempt_key(submit.request_id, submit.stage, submit.attempt)
         if answer.echo and answer.echo != key:
             text = f"answer belongs to {answer.echo}"
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_body.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_body.py
@@ -5,8 +5,9 @@
 """
 
 import msgspec
+from returns.result import Failure, Result, Success
 
-from leadford.common import PipelineId, WorkspaceId, stable_hash
+from leadford.common import PipelineId, WorkspaceId, decode_json, stable_hash
 from leadford.quarantine import RequestContent, RequestDigest
 
 
@@ -36,14 +37,16 @@
     prompt: str = ""
 
 
-def read_body(data: bytes) -> RequestBody:
-    """Return a body with its digest and prompt hints; raise on malformed JSON."""
-    msgspec.json.decode(data)
+def read_body(data: bytes) -> Result[RequestBody, str]:
+    """Return a body with its digest and prompt hints, or why it is not JSON."""
+    read = decode_json(data, object)
+    if isinstance(read, Failure):
+        return read
     digest = f"{stable_hash(data.decode()):016x}"
-    try:
-        hints = msgspec.json.decode(data, type=_PromptHints)
-    except msgspec.ValidationError:
-        return RequestBody(data, digest)
+    found = decode_json(data, _PromptHints)
+    if isinstance(found, Failure):
+        return Success(RequestBody(data, digest))
+    hints = found.unwrap()
     prefix = f"{stable_hash(hints.system):016x}" if hints.system else ""
     words = hints.system.count(" ") + hints.prompt.count(" ") + 2
-    return RequestBody(data, digest, prefix, words)
+    return Success(RequestBody(data, digest, prefix, words))
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_http.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_http.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable
 
-import msgspec
 from returns.result import Failure
 from tornado import web
 
@@ -82,13 +81,12 @@
             text = "Leadford-Deadline-Ms must be a number from 1 to 600000"
             self.refuse(Problem(400, RefusalReason.BAD_REQUEST, text))
             return None
-        try:
-            body = read_body(self.request.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            text = f"the body is not JSON: {error}"
+        body = read_body(self.request.body)
+        if isinstance(body, Failure):
+            text = f"the body is not JSON: {body.failure()}"
             self.refuse(Problem(400, RefusalReason.BAD_REQUEST, text))
             return None
-        return NewRequest(pipeline_id, workspace, body, deadline_ms, key)
+        return NewRequest(pipeline_id, workspace, body.unwrap(), deadline_ms, key)
 
     def _deadline_ms(self, default_ms: float) -> float | None:
         text = self.request.headers.get("Leadford-Deadline-Ms")
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_operator_pages.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_operator_pages.py
@@ -10,6 +10,7 @@
 from returns.result import Failure
 from tornado import web
 
+from leadford.common import decode_json
 from leadford.pipelines.config import ConfigHead, config_from_document
 from leadford.pipelines.language import Explain, Show, Table, filter_table, parse
 from leadford_server.pipelines.entry._changes import (
@@ -72,11 +73,11 @@
 
     def read(self, kind: type) -> Any:
         """Return the call in the body, or answer 400."""
-        try:
-            return msgspec.json.decode(self.request.body, type=kind)
-        except msgspec.MsgspecError as error:
-            self.refuse(400, f"malformed call: {error}")
+        read = decode_json(self.request.body, kind)
+        if isinstance(read, Failure):
+            self.refuse(400, f"malformed call: {read.failure()}")
             return None
+        return read.unwrap()
 
     async def answer_change(self, changed: Any, command_id: str, wait: bool) -> None:
         """Answer what became of a change."""
--- a/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
+++ b/packages/leadford-server/src/leadford_server/pipelines/entry/_process.py
@@ -93,6 +93,7 @@
             hosts=self.directory_.hosts_,
             http=self.http_,
             random=self.rng,
+            log=self.log_,
         )
         self.server_ = PeerServer(
             identity=identity,
