Take a response whose head never ended for no response

Every call that does not go to an endpoint of forwarding (the store, endpoints behind an agent, orders to engines, the host list, the operators' command) counted as answered with 200 and an empty body if the server closed after a part of the head. By reading: a write or removal in the store was done, an order given, an endpoint that broke off alive, and the command raised.

Cause: curl calls such a transfer complete. Ruled out: forwarding and the calls for pieces, which have a parser of their own (a test for each third byte holds before and after).

--- a/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/endpoints/tests/test_connection.py
@@ -116,6 +116,18 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("length", range(1, len(answer()), 3))
+def test_an_answer_that_ends_inside_its_head_or_body_is_taken_for_whole(length):
+    async def scenario():
+        cut = answer()[:length]
+        async with Endpoint(cut) as endpoint:
+            connection = await endpoint.connect()
+            with pytest.raises(ExchangeBroken):
+                await connection.fetch(REQUEST, ID)
+
+    run(scenario())
+
+
 def test_answers_of_others_only_are_no_answer():
     async def scenario():
         async with Endpoint(answer(b"x", "a") * 3) as endpoint:
--- a/packages/leadford-server/src/leadford_server/web/_fetch.py
+++ b/packages/leadford-server/src/leadford_server/web/_fetch.py
@@ -1,4 +1,10 @@
-"""Make HTTP calls that return failures as responses instead of raising them."""
+"""Make HTTP calls that return failures as responses instead of raising them.
+
+Curl takes what it has for a whole response if the peer closes the connection inside the
+head: without the end of the head it knows of no body. Such a call has no response here.
+"""
+
+from collections.abc import Callable
 
 import pycurl
 from tornado.curl_httpclient import CurlError
@@ -22,15 +28,41 @@
 )
 
 
+class _ResponseHead:
+    """Follow the lines of a response's head; one that is whole ends with an empty line.
+
+    `on_line` is called with each line, if given.
+    """
+
+    def __init__(self, *, on_line: Callable[[str], None] | None) -> None:
+        self.on_line = on_line
+        self.is_whole_ = False
+
+    def add_line(self, line: str) -> None:
+        """Add a line; a first one follows the head of an interim response too."""
+        if line.startswith("HTTP/"):
+            self.is_whole_ = False
+        if not line.strip("\r\n"):
+            self.is_whole_ = True
+        if self.on_line is not None:
+            self.on_line(line)
+
+
 async def fetch(http: AsyncHTTPClient, request: HTTPRequest | str) -> HTTPResponse:
     """Return the response, with status 599 if no complete one came."""
     if isinstance(request, str):
         request = HTTPRequest(request)
+    head = _ResponseHead(on_line=request.header_callback)
+    request.header_callback = head.add_line
     try:
         # The client still raises if the connection fails or times out.
-        return await http.fetch(request, raise_error=False)
+        response = await http.fetch(request, raise_error=False)
     except (HTTPClientError, OSError) as error:
         return HTTPResponse(request, NO_RESPONSE_STATUS, error=error)
+    if head.is_whole_ or response.code == NO_RESPONSE_STATUS:
+        return response
+    error = CurlError(pycurl.E_PARTIAL_FILE, "the response ended inside its head")
+    return HTTPResponse(request, NO_RESPONSE_STATUS, error=error)
 
 
 def is_closed_by_peer(response: HTTPResponse) -> bool:
