Send a full call ahead while the scheduler of its stage is late

Three entries that start together, then most new connections at each in turn: where the entry schedules the stages, a fifth of the streams with stages were refused by admission for as long as it lasted (161 and 140 of 720), none at the two others.

Cause: an endpoint of a stage got its next call only after the scheduler had read the answer to the one before, two turns of its event loop later. At an entry that gets 95 in 100 of the callers turns are long: calls of 24 ms took 58 to 81 ms there, 26 to 30 ms before, 52 instead of 86 calls a second were made, pieces waited, and forecasts followed. Ruled out: admission after a start (the first two entries refuse none), processor time alone (likewise), callers sent on (no connection closed in that run).

Where two turns take over a tenth of a full call and a full call waits, it is sent ahead and waits at the endpoint, one at most and within the configured queue. The limit of the call counts the one before, and its duration is no evidence of the endpoint's pace.

By unit: test_an_endpoint_is_left_idle_while_its_scheduler_is_late fails without the rule.

--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_call_runner.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_call_runner.py
@@ -60,6 +60,7 @@
         """Begin a call, and account for it until it ends."""
         capacity = self.capacities.capacity(call.record.listed.endpoint_id, call.limits)
         is_idle = capacity.calls_ == 0 and call.record.is_reported_idle(call.began_at)
+        call.is_ahead = capacity.calls_ >= call.limits.slots
         call.waits = capacity.calls_ > 0 or call.record.other_load(call.began_at) > 0
         capacity.begin(
             len(call.tasks),
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_calls.py
@@ -36,7 +36,8 @@
 class PieceCall(msgspec.Struct, eq=False):
     """Hold one call that is under way.
 
-    `waits` is true if other calls were known to be ahead of it when it began. `pace` is
+    `waits` is true if other calls were known to be ahead of it when it began, and
+    `is_ahead` if it had to wait for one of this entry, which was sent before. `pace` is
     the assumed ratio of its actual to its expected duration. `left_by_cause` counts the
     pieces that stayed in the queue when it was sent.
 
@@ -51,6 +52,7 @@
     room_bytes: int = 0
     left_by_cause: dict[LeftCause, int] = {}
     waits: bool = False
+    is_ahead: bool = False
     pace: float = 1.0
     is_over: bool = False
     inputs_are_read: bool = False
@@ -110,7 +112,7 @@
         limit_s = call_limit_s(
             call.limits,
             len(call.tasks),
-            calls_ahead=record.other_load(call.began_at),
+            calls_ahead=record.other_load(call.began_at) + call.is_ahead,
             slowness=call.pace,
         )
         try:
@@ -193,7 +195,7 @@
         """Record how long a successful call took, if this entry was not late itself."""
         record = call.record
         elapsed_s = self.state.loop_turns_.measured_s(call.began, now)
-        if elapsed_s is None:
+        if elapsed_s is None or call.is_ahead:
             record.record_success(None)
             return
         record.record_success(elapsed_s * 1_000.0)
@@ -220,6 +222,7 @@
             room_kb=call.room_bytes // 1_000,
             needed_kb=call.result_bytes // 1_000,
             pace=round(call.pace, 2),
+            ahead=call.is_ahead,
             without_room=without_room,
             left_waiting=call.left_waiting,
             left=",".join(
--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
@@ -192,7 +192,14 @@
         """Take the step of `next_call`; return whether to ask for another at once."""
         queue = self.queues_by_group_[group]
         self._pause_throttled(records, service.pieces, now)
-        step = next_call(queue, self.capacities_, records, service.pieces, now)
+        step = next_call(
+            queue,
+            self.capacities_,
+            records,
+            service.pieces,
+            now,
+            turn_s=self.state.loop_turns_.standing_s,
+        )
         if step.action is FillAction.NOTHING_WAITS:
             return False
         if step.action is FillAction.SEND:
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_busy_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_busy_entries.py
@@ -84,6 +84,9 @@
         # How late this process was at most, which endpoints and callers share.
         self.late_s_ = 0.0
         self.count_ = 0
+        # Whether callers resume streams, and the time that they state.
+        self.resumes_ = False
+        self.allowed_s_ = DEADLINE_S
 
     async def __aenter__(self):
         self.block_ = AddressBlock()
@@ -125,13 +128,27 @@
             entry.write_settings()
             entry.start()
         await self._wait_ready()
+        self._limit_processors()
+        await self.send_for(WARM_UP_S, WARM_UP_PER_S, self.evenly)
+        return self
+
+    def _limit_processors(self):
         self.limits = [
             ProcessorLimit(process=e.process_, stop_s=self.stop_s) for e in self.entries
         ]
         for limit in self.limits:
             limit.start()
-        await self.send_for(WARM_UP_S, WARM_UP_PER_S, self.evenly)
-        return self
+
+    async def restart_all(self, down_s):
+        """Kill all entries at once, and start them together after a time."""
+        for entry in self.entries:
+            entry.kill()
+        for limit in self.limits:
+            limit.end()
+        await asyncio.sleep(down_s)
+        for entry in self.entries:
+            entry.start()
+        self._limit_processors()
 
     async def __aexit__(self, *error):
         for limit in self.limits:
@@ -217,7 +234,7 @@
             "Host": HOST,
             "Authorization": f"Token {KEY}",
             "X-Attempt-Id": f"r{self.count_}",
-            "X-Deadline-Ms": str(round(DEADLINE_S * 1_000)),
+            "X-Deadline-Ms": str(round(self.allowed_s_ * 1_000)),
             "X-Pieces": "2,1",
             "X-Piece-Key": f"pk-{self.count_}",
             "X-Model": "m",
@@ -225,6 +242,8 @@
             "X-Prefix-Hash": f"aa:50,p{self.count_ % 50}:20",
             "Content-Length": "7",
         }
+        if self.resumes_:
+            head |= {"Resumes": f"before-{self.count_}", "Last-Event-Id": "1"}
         lines = "".join(f"{name}: {value}\r\n" for name, value in head.items())
         try:
             request = f"POST /{self.route}/x HTTP/1.1\r\n{lines}\r\npayload"
@@ -301,9 +320,9 @@
         return choose
 
 
-def run(scenario, folder, **fields):
+def run(scenario, folder, *, fleet_type=BusyFleet, **fields):
     async def main():
-        async with BusyFleet(folder, **fields) as fleet:
+        async with fleet_type(folder, **fields) as fleet:
             await scenario(fleet)
 
     asyncio.run(main())
--- a/packages/leadford/src/leadford/forwarding/batching/_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_capacity.py
@@ -87,11 +87,20 @@
         foreign = sum(use.result_bytes for use in self._foreign(endpoint_id, now))
         return self.capacity(endpoint_id, limits).room_bytes(now) - foreign
 
-    def is_free(self, endpoint_id: EndpointId, limits: PieceLimits, now: float) -> bool:
+    def is_free(
+        self,
+        endpoint_id: EndpointId,
+        limits: PieceLimits,
+        now: float,
+        *,
+        calls_ahead: int = 0,
+    ) -> bool:
         """Tell whether an endpoint may get a call now, with all entries' calls."""
         capacity = self.capacity(endpoint_id, limits)
+        if not capacity.is_free(now, calls_ahead=calls_ahead):
+            return False
         foreign = sum(use.calls for use in self._foreign(endpoint_id, now))
-        return capacity.is_free(now) and capacity.calls_ + foreign < limits.slots
+        return capacity.calls_ + foreign < limits.slots + calls_ahead
 
     def capacity(
         self, endpoint_id: EndpointId, limits: PieceLimits
@@ -113,13 +122,15 @@
         now: float,
         moving_cost_s_by_hall: dict[HallId, float] | None = None,
         finish_s_by_id: dict[EndpointId, float] | None = None,
+        calls_ahead: int = 0,
     ) -> list[EndpointRecord]:
         """Return the free endpoints that should get a call now, the best first.
 
         Endpoints are ordered by the time at which they are expected to finish another
         call, plus the cost of moving inputs to their hall. The waiting pieces are
         assigned to the best endpoints; pieces assigned to a busy one wait for it.
-        `finish_s_by_id` is what the method of that name returns, if it is known.
+        `finish_s_by_id` is what the method of that name returns, if it is known, and
+        `calls_ahead` the number of calls that may wait at an endpoint.
         """
         moving_cost_s = moving_cost_s_by_hall or {}
         if finish_s_by_id is None:
@@ -142,7 +153,9 @@
             if assigned >= waiting:
                 break
             assigned += limits.batch
-            if self.is_free(record.listed.endpoint_id, limits, now):
+            if self.is_free(
+                record.listed.endpoint_id, limits, now, calls_ahead=calls_ahead
+            ):
                 found.append(record)
         return found
 
--- a/packages/leadford/src/leadford/forwarding/batching/_endpoint_capacity.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_endpoint_capacity.py
@@ -83,9 +83,13 @@
         room_wait_s = ROOM_WAIT_FRACTION * self.limits.call_ms / 1_000.0
         return bool(self.held_by_handle_) and now - self.room_short_since_ < room_wait_s
 
-    def is_free(self, now: float) -> bool:
-        """Tell whether the endpoint may get a call now."""
-        return self.calls_ < self.limits.slots and now >= self.paused_until_
+    def is_free(self, now: float, *, calls_ahead: int = 0) -> bool:
+        """Tell whether the endpoint may get a call now.
+
+        `calls_ahead` is the number of calls that may wait there.
+        """
+        max_calls = self.limits.slots + calls_ahead
+        return self.calls_ < max_calls and now >= self.paused_until_
 
     def free_in_s(self, now: float) -> float:
         """Return how long until the endpoint is expected to take another call."""
@@ -101,7 +105,11 @@
         self.calls_ += 1
         self.room_short_since_ = None
         self.in_flight_bytes_ += result_bytes
-        self.busy_until_ = now + self.limits.duration_ms(pieces) / 1_000.0 * pace
+        begins_at = now
+        if self.calls_ > self.limits.slots:
+            # The call waits at the endpoint for one that was sent before.
+            begins_at = max(now, self.busy_until_)
+        self.busy_until_ = begins_at + self.limits.duration_ms(pieces) / 1_000.0 * pace
 
     def end(self, result_bytes: int) -> None:
         """Remove a call that was answered or lost."""
--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -9,6 +9,8 @@
    finish the call (`CapacityTable.rank_endpoints`). One that is short of room waits
    briefly for it (`EndpointCapacity.awaits_room`), unless smaller pieces fill over half
    a call.
+   While the scheduler is late itself, a full call may wait at an endpoint
+   (`calls_ahead`).
 3. The call takes the pieces that are due first, as far as they fit
    (`PieceQueue.take`). Pieces may wait for an endpoint in the hall of their inputs
    (`Chunk.waits_for_other_hall`). A part of a request fills the last places only where
@@ -38,6 +40,10 @@
 # An endpoint that is short of room gets a call at once if the pieces that fit exceed
 # this fraction of a full call.
 FITTING_MIN_FRACTION = 0.5
+# Turns of the event loop from the end of a call until the endpoint has the next one.
+TURNS_BETWEEN_CALLS = 2
+# Fraction of a full call for which an endpoint may be idle between two calls.
+MAX_IDLE_FRACTION = 0.1
 
 
 class FillAction(Enum):
@@ -76,10 +82,14 @@
     records: list[EndpointRecord],
     limits: PieceLimits,
     now: float,
+    *,
+    turn_s: float = 0.0,
 ) -> NextCall:
     """Return the next call of a group, and remove its pieces from the queue.
 
     `records` are the usable endpoints of the group; there must be at least one.
+
+    Units: turn_s is the duration of a turn of the scheduler's event loop, in seconds.
     """
     if len(queue) == 0:
         return NextCall(FillAction.NOTHING_WAITS)
@@ -91,7 +101,16 @@
         allowed, limits, waiting=len(queue), now=now
     )
     calls = _expected_calls(capacities, allowed, finish_s_by_id, limits, now)
-    for record in _candidates(queue, capacities, allowed, finish_s_by_id, limits, now):
+    ranked = _candidates(
+        queue,
+        capacities,
+        allowed,
+        finish_s_by_id,
+        limits,
+        now,
+        calls_ahead=calls_ahead(limits, waiting=len(queue), turn_s=turn_s),
+    )
+    for record in ranked:
         endpoint_id = record.listed.endpoint_id
         hall = record.listed.hall
         capacity = capacities.capacity(endpoint_id, limits)
@@ -123,6 +142,21 @@
     return NextCall(FillAction.RECHECK, unserved=tuple(unserved))
 
 
+def calls_ahead(limits: PieceLimits, *, waiting: int, turn_s: float) -> int:
+    """Return how many calls may wait at an endpoint, beside those that it works on.
+
+    Where the scheduler is late itself, an endpoint would be idle until it gets its next
+    call. A call that is sent ahead cannot take pieces that arrive later, so it has to
+    be full.
+
+    Units: turn_s in seconds.
+    """
+    idle_s = TURNS_BETWEEN_CALLS * turn_s
+    if waiting < limits.batch or idle_s <= MAX_IDLE_FRACTION * limits.full_call_s:
+        return 0
+    return min(1, limits.queue)
+
+
 def _fills_enough(
     queue: PieceQueue, room_bytes: int, limits: PieceLimits, now: float
 ) -> bool:
@@ -167,6 +201,8 @@
     finish_s_by_id: dict[EndpointId, float],
     limits: PieceLimits,
     now: float,
+    *,
+    calls_ahead: int,
 ) -> list[EndpointRecord]:
     """Return the free endpoints, best first for the pieces that go first."""
     first = queue.first_chunk(limits, now)
@@ -181,6 +217,7 @@
         now=now,
         moving_cost_s_by_hall=moving_cost_s_by_hall,
         finish_s_by_id=finish_s_by_id,
+        calls_ahead=calls_ahead,
     )
 
 
--- a/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/tests/test_filling.py
@@ -169,3 +169,47 @@
         queue = make_queue(tasks(4, due_at=10.0, local_bytes_by_hall=inputs))
         decision = next_call(queue, CapacityTable(), [near, far], LIMITS, 0.2 * step)
         assert decision.action is FillAction.SEND
+
+
+# Turns of the event loop, short and long beside a full call of 0.4 s.
+SHORT_TURN_S = 0.01
+LONG_TURN_S = 0.03
+
+
+def call_to_busy_endpoint(*, waiting, turn_s, calls=1, **limits):
+    """Return the next call where the only endpoint works on some already."""
+    limits = msgspec.structs.replace(LIMITS, room_bytes=1_000, **limits)
+    capacities = CapacityTable()
+    for _ in range(calls):
+        capacities.capacity(EndpointId("e"), limits).begin(4, 40, 0.0)
+    queue = make_queue(tasks(waiting, due_at=20.0))
+    return next_call(queue, capacities, [record()], limits, 0.3, turn_s=turn_s)
+
+
+# Endpoints were idle from the end of a call until its scheduler sent the next one.
+def test_an_endpoint_is_left_idle_while_its_scheduler_is_late():
+    decision = call_to_busy_endpoint(waiting=4, turn_s=LONG_TURN_S)
+    assert decision.action is FillAction.SEND
+    assert len(decision.tasks) == 4
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"waiting": 4, "turn_s": SHORT_TURN_S},
+        {"waiting": 3, "turn_s": LONG_TURN_S},
+        {"waiting": 4, "turn_s": LONG_TURN_S, "calls": 2},
+        {"waiting": 4, "turn_s": LONG_TURN_S, "queue": 0},
+        {"waiting": 4, "turn_s": LONG_TURN_S, "call_ms": 2_000.0},
+    ],
+)
+def test_a_call_that_would_not_be_full_or_would_save_little_is_not_sent_ahead(fields):
+    assert call_to_busy_endpoint(**fields).action is not FillAction.SEND
+
+
+def test_a_call_that_is_sent_ahead_begins_after_the_one_before():
+    capacity = CapacityTable().capacity(EndpointId("e"), LIMITS)
+    capacity.begin(4, 40, 0.0)
+    capacity.begin(4, 40, 0.1)
+    assert capacity.busy_until_ == pytest.approx(0.8)
+    assert capacity.free_in_s(0.1) == pytest.approx(0.7)
