Split the decision of admission, and the log line of a request's end

The line of event 406 has a module of its own, _end_log, and times in log lines are written in one place (two functions did the same). No change of behaviour; tests of forwarding pass.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -50,7 +50,7 @@
     SoftwareRecords,
     StreamRecords,
 )
-from leadford_server.logs import EventLog, error_text
+from leadford_server.logs import EventLog, error_text, milliseconds
 from leadford_server.metrics import CALLER_CONNECTIONS, UNSENT_BYTES
 
 # Time between sweeps of connections and records.
@@ -362,10 +362,10 @@
             Event.CONFIG_STALE,
             is_stale=age.is_stale,
             version=self.state_.config_version(),
-            confirmed_ms=_milliseconds(age.config_age_s),
-            newer_ms=_milliseconds(age.stale_s),
-            refused_ms=_milliseconds(age.refused_s),
-            alone_ms=_milliseconds(age.alone_s),
+            confirmed_ms=milliseconds(age.config_age_s),
+            newer_ms=milliseconds(age.stale_s),
+            refused_ms=milliseconds(age.refused_s),
+            alone_ms=milliseconds(age.alone_s),
         )
 
     @property
@@ -436,8 +436,3 @@
         for task in self.tasks_:
             task.cancel()
         self.links_.stop()
-
-
-def _milliseconds(seconds: float | None) -> int:
-    """Return a time for the log, in whole milliseconds; -1 if there is none."""
-    return -1 if seconds is None else round(seconds * 1_000.0)
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -29,7 +29,8 @@
     StartDenial,
     decide_start,
 )
-from leadford_server.forwarding._progress import RequestProgress, log_end
+from leadford_server.forwarding._end_log import log_end
+from leadford_server.forwarding._progress import RequestProgress
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding.answers._answer import CallerAnswer
 from leadford_server.forwarding.answers._callers import (
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -28,6 +28,7 @@
 completion on single endpoints with deadlines, without batches and caller retries.
 """
 
+from collections.abc import Iterable
 from random import Random
 
 import msgspec
@@ -57,7 +58,7 @@
 from leadford.forwarding.admission._shares import AdmittedShares
 from leadford.forwarding.admission._usual_wait import CommonTimeouts
 from leadford.forwarding.batching import AdmittedBacklog
-from leadford.forwarding.routes import Route, RouteId
+from leadford.forwarding.routes import Route, RouteId, ServiceId
 
 # Delay with which an entry may learn of a refusal, and time by which a first try
 # precedes its refusal: slightly more than a heartbeat interval.
@@ -66,6 +67,25 @@
 MAX_ERROR_FRACTION = 0.6
 
 
+class _Judged(msgspec.Struct, frozen=True):
+    """Hold what the verdict on a request follows from.
+
+    `admission` is the decision if it is admitted.
+
+    Units: min_answer_s is the response time without any backlog, in seconds.
+    """
+
+    forecast: StageForecast
+    limits: LimitTerms
+    delays: tuple[StageDelay, ...]
+    min_answer_s: float
+    admission: AdmissionDecision
+
+    def expected_s(self, delay: StageDelay) -> float:
+        """Return the expected response time by one of the delays, in seconds."""
+        return self.min_answer_s + delay.delay_s + self.admission.error_s
+
+
 class ForwardAdmission:
     """Admit or refuse requests with stages by the delay of their most delayed stage."""
 
@@ -86,6 +106,24 @@
 
     def decide(self, request: AdmissionRequest) -> AdmissionDecision:
         """Return the verdict, and record a refused request as a reservation."""
+        judged = self._judge(request)
+        if request.is_booked and can_keep_booking(request):
+            # If it is late, its pieces are queued behind all that are in time.
+            self._record_admitted(request, judged.forecast)
+            return msgspec.structs.replace(judged.admission, is_caller_retry=True)
+        too_long = [
+            delay
+            for delay in judged.delays
+            if judged.expected_s(delay)
+            > limit_s(request, judged.limits, delay.service_id)
+        ]
+        if not too_long:
+            self._record_admitted(request, judged.forecast)
+            return judged.admission
+        return self._refuse(request, judged, longest_delay(too_long).service_id)
+
+    def _judge(self, request: AdmissionRequest) -> _Judged:
+        """Return what the verdict on a request follows from, and learn from it."""
         refused = self.reservations.find(request.fingerprint, request.now)
         inferred_s = self._inferred_first_try_s(request)
         is_caller_retry = refused is not None or inferred_s is not None
@@ -96,21 +134,17 @@
         critical_path_s = forecast.critical_path_s()
         min_answer_s = request.elapsed_s + critical_path_s + request.first_byte_s
         is_late = is_caller_retry and since_first_try_s + min_answer_s > request.aim_s
-        engine_delay = StageDelay(
-            max(0.0, request.endpoint_wait_s - critical_path_s), None
-        )
-        delays = [
-            engine_delay,
+        limits = LimitTerms(critical_path_s, is_caller_retry, is_late)
+        engine_delay_s = max(0.0, request.endpoint_wait_s - critical_path_s)
+        delays = (
+            StageDelay(engine_delay_s, None),
             *forecast.delays(self.backlog, request.now, is_late=is_late),
-        ]
-        longest = max(delays, key=lambda delay: delay.delay_s)
-        queue_delay_s = longest.delay_s
+        )
         error_s = self._forecast_error(request.route).value_s(request.now)
-        expected_s = min_answer_s + queue_delay_s + error_s
-        limits = LimitTerms(critical_path_s, is_caller_retry, is_late)
-        decision = AdmissionDecision(
+        longest = longest_delay(delays)
+        admission = AdmissionDecision(
             Verdict.ADMIT,
-            expected_s,
+            min_answer_s + longest.delay_s + error_s,
             error_s,
             limit_s=limit_s(request, limits, longest.service_id),
             is_caller_retry=is_caller_retry,
@@ -119,29 +153,26 @@
             is_refusal_known=refused is not None,
             level=request.level_at(None),
         )
-        if request.is_booked and can_keep_booking(request):
-            # If it is late, its pieces are queued behind all that are in time.
-            self._record_admitted(request, forecast)
-            return msgspec.structs.replace(decision, is_caller_retry=True)
-        too_long = [
-            delay
-            for delay in delays
-            if min_answer_s + delay.delay_s + error_s
-            > limit_s(request, limits, delay.service_id)
-        ]
-        if not too_long:
-            self._record_admitted(request, forecast)
-            return decision
-        short_id = max(too_long, key=lambda delay: delay.delay_s).service_id
-        short_limit_s = limit_s(request, limits, short_id)
+        return _Judged(forecast, limits, delays, min_answer_s, admission)
+
+    def _refuse(
+        self,
+        request: AdmissionRequest,
+        judged: _Judged,
+        short_id: ServiceId | None,
+    ) -> AdmissionDecision:
+        """Return a refusal for the delay at a service, and record it."""
         wait_s = retry_after_s(
-            request, critical_path_s, queue_delay_s, random=self.random
+            request,
+            judged.limits.critical_path_s,
+            longest_delay(judged.delays).delay_s,
+            random=self.random,
         )
-        self._record_refused(request, forecast, wait_s)
+        self._record_refused(request, judged.forecast, wait_s)
         return msgspec.structs.replace(
-            decision,
+            judged.admission,
             verdict=Verdict.REFUSE,
-            limit_s=short_limit_s,
+            limit_s=limit_s(request, judged.limits, short_id),
             retry_after_s=wait_s,
             short_service_id=short_id,
             level=request.level_at(short_id),
@@ -250,6 +281,11 @@
         return self.error_by_route_.setdefault(route.route_id, ForecastError())
 
 
+def longest_delay(delays: Iterable[StageDelay]) -> StageDelay:
+    """Return the longest of some delays, the first of several."""
+    return max(delays, key=lambda delay: delay.delay_s)
+
+
 def can_keep_booking(request: AdmissionRequest) -> bool:
     """Return whether a request can meet its deadline without any backlog."""
     for stage, count in zip(request.route.stages, request.counts, strict=True):
