Renew the due time of stages that run again for a silent stream

A stream whose engine falls silent after its first events is given up once its stages have run again for another engine. Their pieces were due by the target of the first event, which had passed, so they queued behind all that could be in time, and the silent engine was waited for the longer. The case with a stalled engine fails before (no piece is of a resumed stream, 1.2 s late from the start), that with a cut one holds.

--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_inputs.py
@@ -44,6 +44,8 @@
         self.state = state
         self.stages = stages
         self.job_: StageJob | None = None
+        # The progress of the request, known once the job is there.
+        self.progress_: RequestProgress | None = None
         self.done_at_: float | None = None
         self.attempts_begun_ = 0
         # Whether the inputs of a next attempt were asked for during the current one.
@@ -68,14 +70,9 @@
         return found
 
     def open(self, progress: RequestProgress) -> Result[None, str]:
-        """Start a job for the stages of the route, unless there is one already.
-
-        One that runs again for a stream that goes on is due anew.
-        """
+        """Start a job for the stages of the route, unless there is one already."""
         if self.job_ is not None:
-            if progress.has_events:
-                self.job_.is_resumed = True
-                self.job_.due_at = self._due_at(progress)
+            self._renew_due()
             return Success(None)
         request = self.request
         match = progress.match_
@@ -83,6 +80,7 @@
         graph = PieceGraph.from_counts(route.stages, request.piece_counts or ())
         if isinstance(graph, Failure):
             return graph
+        self.progress_ = progress
         self.job_ = StageJob(
             request_id=request.request_id,
             graph=graph.unwrap(),
@@ -100,6 +98,12 @@
         self.stages.open(self.job_)
         return Success(None)
 
+    def _renew_due(self) -> None:
+        """Let the stages be due anew if they run again for a stream that goes on."""
+        if self.progress_.has_events:
+            self.job_.is_resumed = True
+            self.job_.due_at = self._due_at(self.progress_)
+
     def _due_at(self, progress: RequestProgress) -> float:
         """Return when the request should be answered, if its stages begin now."""
         return request_due_at(
@@ -167,6 +171,7 @@
             return True
         if not self.is_preparing_:
             self.is_preparing_ = True
+            self._renew_due()
             self.stages.begin(self.job_)
         return False
 
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_refused_streams.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_refused_streams.py
@@ -98,12 +98,18 @@
 
 
 # Made again for the entry's own retry, they were queued behind all that can be in time.
-def test_pieces_of_a_stream_that_its_entry_continues_are_late_from_the_start():
+@pytest.mark.parametrize(
+    ("misbehaviour", "pause_s"),
+    [(Misbehaviour.CUT, PAUSE_S), (Misbehaviour.STALL, 0.0)],
+)
+def test_pieces_of_a_stream_that_its_entry_continues_are_late_from_the_start(
+    misbehaviour, pause_s
+):
     async def scenario(deployment):
         submitted = watch_pieces(deployment)
-        planned = deque([Misbehaviour.CUT])
+        planned = deque([misbehaviour])
         for engine in deployment.engines:
-            engine.pause_s = PAUSE_S
+            engine.pause_s = pause_s
             engine.planned_misbehaviours_ = planned
         answer = await deployment.send(
             "/resumed/x", request_id="r0", deadline_ms=4_000, **prompt(0)
