--- a/packages/leadford-server/src/leadford_server/web/_fetch.py
+++ b/packages/leadford-server/src/leadford_server/web/_fetch.py
@@ -29,21 +29,22 @@
 
 
 class _ResponseHead:
-    """Follow the lines of a response's head; one that is whole ends with an empty line.
+    """Follow the lines of a response's head, which ends with an empty line.
 
     `on_line` is called with each line, if given.
     """
 
     def __init__(self, *, on_line: Callable[[str], None] | None) -> None:
         self.on_line = on_line
-        self.is_whole_ = False
+        # Whether the head has begun and not ended.
+        self.is_open_ = False
 
     def add_line(self, line: str) -> None:
         """Add a line; a first one follows the head of an interim response too."""
         if line.startswith("HTTP/"):
-            self.is_whole_ = False
+            self.is_open_ = True
         if not line.strip("\r\n"):
-            self.is_whole_ = True
+            self.is_open_ = False
         if self.on_line is not None:
             self.on_line(line)
 
@@ -59,7 +60,7 @@
         response = await http.fetch(request, raise_error=False)
     except (HTTPClientError, OSError) as error:
         return HTTPResponse(request, NO_RESPONSE_STATUS, error=error)
-    if head.is_whole_ or response.code == NO_RESPONSE_STATUS:
+    if not head.is_open_ or response.code == NO_RESPONSE_STATUS:
         return response
     error = CurlError(pycurl.E_PARTIAL_FILE, "the response ended inside its head")
     return HTTPResponse(request, NO_RESPONSE_STATUS, error=error)
