Wait until the store has confirmed the configuration before a test takes the store away

The store was made busy 25 ms after the entry had begun, when only the first listing was read, which may be old and confirms nothing; -1 is true then. A race of the test, which is about an entry that had a confirmation.

--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_entries.py
@@ -148,6 +148,8 @@
 
     async def scenario(deployment):
         (entry,) = deployment.entries_
+        # The first listing may be old, and confirms nothing.
+        await deployment.until(lambda: entry.state_.config_confirmed_at_ is not None)
         deployment.store.fault = StoreFault.BUSY
         await asyncio.sleep(OUTAGE_S)
         assert not entry.is_ready
