--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_restarted_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_restarted_entries.py
@@ -16,7 +16,7 @@
 # Time for which one entry after the other gets most new connections.
 TURN_S = 4.0
 PER_S = 110
-# Pieces of a call of a stage that makes more than callers need, and hardly more.
+# Pieces of a call of a stage that makes far more than callers need, and twice as much.
 AMPLE_BATCH = 40
 SCARCE_BATCH = 4
 # Time that callers state who resume a stream, shorter than that of first tries.
