Bring the listing up to date before a stream goes on by the store's record

Cause: an entry that knows nothing of a stream concludes from the store's record and its own listing. A first event waits for its version's record for 0.3 s at most, so the record may lack it, and the listing of an entry that was cut off is that of before. Ruled out: replicas that were not told (found or refused by the records), an address taken by another endpoint (it says so). Why this works: a stream can begin only at a version that was listed before, so the changes of the listing, read after the caller came, name it or its going. Tried and taken back: to begin streams at recorded versions while one has an endpoint: once those are suspect streams begin at the other all the same.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -41,6 +41,7 @@
     ENTRIES_WATCH_S,
     WATCH_FRACTION,
     WATCH_MAX_S,
+    CatchUp,
     ConfigHolder,
     FollowerFactory,
     HallsHolder,
@@ -179,6 +180,7 @@
             state=state,
             client=self.client_,
             objects=self.objects,
+            listing=CatchUp(client=self.client_, follower=self._listing_follower),
             is_first_start=settings.is_first_start,
             is_follower=lambda: self.links_.relays.is_follower,
         )
@@ -288,6 +290,11 @@
             )
         return followers
 
+    def _listing_follower(self) -> KindFollower | None:
+        """Return the follower of the listing, None before there is one."""
+        by_kind = self.links_.relays.follower_by_kind_
+        return by_kind.get(self.objects.endpoints_kind)
+
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(coroutine)
         self.tasks_.append(task)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
@@ -198,23 +198,22 @@
         Nothing is concluded from what the entries have listed: all that answer may be
         cut off from the others.
         """
-        views = [self.own_view(service_ids[0]), *question.views_]
         try:
             async with asyncio.timeout(MAX_RECORD_READ_S):
-                found = await self._find_in_store(question.key, views, service_ids)
+                found = await self._find_in_store(question, service_ids)
         except TimeoutError:
             found = None
         return found or FoundOrigin(OriginSource.NOBODY, None)
 
     async def _find_in_store(
-        self,
-        key: StreamKey,
-        views: Sequence[SoleSoftware | None],
-        service_ids: Sequence[ServiceId],
+        self, question: OriginQuestion, service_ids: Sequence[ServiceId]
     ) -> FoundOrigin | None:
         """Return the origin by the records in the store, None if they do not tell."""
+        key = question.key
         records = self.state.software_records_
         recorded = None if records is None else await records.sole(service_ids)
+        # After the listing was brought up to date.
+        views = [self.own_view(service_ids[0]), *question.views_]
         software = confirmed_software(recorded, views)
         if software is not None:
             origin = StreamOrigin(service_ids[0], software)
--- a/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from leadford_server.forwarding.store._base import Listing
+from leadford_server.forwarding.store._catch_up import CatchUp
 from leadford_server.forwarding.store._client import (
     ObjectsClient,
     decoded_or_none,
@@ -28,6 +29,7 @@
 from leadford_server.forwarding.store._streams import StreamRecords
 
 __all__ = [
+    "CatchUp",
     "ConfigHolder",
     "ENTRIES_CHANGE_BOUND_S",
     "ENTRIES_PAUSE_S",
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_software.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_software.py
@@ -23,6 +23,7 @@
 )
 from leadford_server.forwarding._state import ForwardState
 from leadford_server.forwarding._store_contract import ObjectCodec, StoreFailure
+from leadford_server.forwarding.store._catch_up import CatchUp
 from leadford_server.forwarding.store._client import (
     ObjectsClient,
     decoded_record_or_none,
@@ -57,7 +58,8 @@
 class SoftwareRecords:
     """Keep the records of all services whose streams callers may resume.
 
-    `is_follower` tells whether this entry is one of the few that remove from records.
+    `listing` brings what is known of the endpoints up to date, and `is_follower` tells
+    whether this entry is one of the few that remove from records.
     """
 
     def __init__(
@@ -66,11 +68,13 @@
         state: ForwardState,
         client: ObjectsClient,
         objects: ObjectCodec,
+        listing: CatchUp,
         is_first_start: bool,
         is_follower: Callable[[], bool],
     ) -> None:
         self.state = state
         self.client = client
+        self.listing = listing
         self.is_first_start = is_first_start
         self.is_follower = is_follower
         self.stored = OwnObjects(
@@ -136,16 +140,23 @@
     async def sole(self, service_ids: Sequence[ServiceId]) -> SoftwareVersion | None:
         """Return the only version of some services that can have begun a stream.
 
-        Reads the records anew: another entry may have extended them just now.
+        Reads the records anew: another entry may have extended them just now. Reads the
+        listing anew too: streams may have begun at a version that is not recorded yet,
+        which an entry that was cut off or suspended does not know.
         """
-        found: set[SoftwareVersion | None] = set()
-        for service_id in service_ids:
-            stored = await self._shared_read(service_id).value()
+        is_current, *found = await asyncio.gather(
+            self.listing.is_current(),
+            *(self._shared_read(service_id).value() for service_id in service_ids),
+        )
+        if not is_current:
+            return None
+        versions: set[SoftwareVersion | None] = set()
+        for service_id, stored in zip(service_ids, found, strict=True):
             seen = self.view.seen(service_id)
             if stored is None or stored.record is None or seen is None:
                 return None
-            found.add(stored.record.sole(seen))
-        return found.pop() if len(found) == 1 else None
+            versions.add(stored.record.sole(seen))
+        return versions.pop() if len(versions) == 1 else None
 
     def _is_recorded(
         self, service_id: ServiceId, software: SoftwareVersion | None
