Count an entry that no other answers as one that knows no streams of others

What callers saw: at an entry that is cut off for less than 3 s, a caller that names no request goes on at the version of another stream of the same content. Cause: without answers the entry's own memory counted as complete; the 3 s are those in which links of a fleet that starts are made. Why this works: nobody tells a cut-off entry of streams that begin elsewhere. Tried and taken back: to identify nothing while any entry does not answer; it ends what is promised after the loss of one entry (two tests of test_origins).

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_origins.py
@@ -476,6 +476,19 @@
     run(scenario, entries=9, candidates=8)
 
 
+def test_a_content_names_no_stream_at_an_entry_that_nobody_answers():
+    # The stream that is meant may have begun at one of the others meanwhile.
+    async def scenario(fleet):
+        entry = fleet.entries[0]
+        entry.record(RequestId("other"), StreamOrigin(SERVICE, V2))
+        for other in fleet.entries[1:]:
+            fleet.kill(other)
+        assert await entry.find(None) == UNKNOWN
+        assert (await entry.find(RequestId("other"))).origin.software == V2
+
+    run(scenario, entries=3)
+
+
 def test_a_content_names_no_stream_at_an_entry_that_was_cut_off():
     async def scenario(fleet):
         entry = fleet.entries[0]
