--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_origin_search.py
@@ -144,9 +144,6 @@
             return True
         own_s = self.state.origin_ledger_.complete_for_s(self.state.now())
         answered_s = question.complete_for_s_
-        if not answered_s and self.entry_count() > 1:
-            # Nobody tells a cut-off entry of the streams that begin elsewhere.
-            own_s = 0.0
         unanswered = max(0, self.replica_count() - len(answered_s))
         return knows_all_streams(
             [own_s, *answered_s, *([0.0] * unanswered)],
