--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -99,24 +99,42 @@
     ahead = calls_ahead(limits, waiting=len(queue), turn_s=turn_s)
     if not _is_any_free(capacities, records, limits, now, calls_ahead=ahead):
         return _recheck(queue, records)
+    call = _filled_call(queue, capacities, records, limits, now, calls_ahead=ahead)
+    return call or _recheck(queue, records)
+
+
+def _filled_call(
+    queue: PieceQueue,
+    capacities: CapacityTable,
+    records: list[EndpointRecord],
+    limits: PieceLimits,
+    now: float,
+    *,
+    calls_ahead: int,
+) -> NextCall | None:
+    """Return a call to the best endpoint that takes one, None if none does."""
     allowed = [r for r in records if queue.allows(r.listed.endpoint_id)]
     finish_s_by_id = capacities.finish_s_by_id(
         allowed, limits, waiting=len(queue), now=now
     )
     calls = _expected_calls(capacities, allowed, finish_s_by_id, limits, now)
     ranked = _candidates(
-        queue, capacities, allowed, finish_s_by_id, limits, now, calls_ahead=ahead
+        queue,
+        capacities,
+        allowed,
+        finish_s_by_id,
+        limits,
+        now,
+        calls_ahead=calls_ahead,
     )
     least_bytes = queue.least_bytes()
     for record in ranked:
         endpoint_id = record.listed.endpoint_id
         hall = record.listed.hall
-        capacity = capacities.capacity(endpoint_id, limits)
         room_bytes = capacities.room_left(endpoint_id, limits, now)
-        lacks_room = capacity.awaits_room(queue.first_call_bytes(limits, now), now)
-        if room_bytes < least_bytes:
+        if _awaits_room(queue, capacities, endpoint_id, room_bytes, limits, now):
             continue
-        if lacks_room and not _fills_enough(queue, room_bytes, limits, now):
+        if room_bytes < least_bytes:
             continue
         later_s_by_hall = _later_s_by_hall(calls, finish_s_by_id[endpoint_id])
         waits_for_other_hall = _hall_wait_predicate(hall, later_s_by_hall, limits, now)
@@ -138,7 +156,22 @@
                 room_bytes,
                 left_by_cause=dict(queue.left_by_cause_),
             )
-    return _recheck(queue, records)
+    return None
+
+
+def _awaits_room(
+    queue: PieceQueue,
+    capacities: CapacityTable,
+    endpoint_id: EndpointId,
+    room_bytes: int,
+    limits: PieceLimits,
+    now: float,
+) -> bool:
+    """Tell whether an endpoint gets its call only once it has more room."""
+    capacity = capacities.capacity(endpoint_id, limits)
+    if not capacity.awaits_room(queue.first_call_bytes(limits, now), now):
+        return False
+    return not _fills_enough(queue, room_bytes, limits, now)
 
 
 def _recheck(queue: PieceQueue, records: list[EndpointRecord]) -> NextCall:
