Measure how long the scheduler of a group takes to send its calls

A profile was needed to tell a late scheduler by its own decisions from one by its callers: event 407 tells how long a call took, not that its answer was read late. leadford_dispatch_seconds by service; operations leads to it.

--- a/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/batching/_scheduler.py
@@ -30,6 +30,7 @@
 from leadford_server.forwarding.batching._free import ResultReleaser
 from leadford_server.forwarding.batching._jobs import InputsRead, PieceResult, Reply
 from leadford_server.forwarding.batching._loads import GroupLoads
+from leadford_server.metrics import DISPATCH_SECONDS
 
 # Time between checks of a group whose pieces no endpoint takes: no event marks the end
 # of a pause or a retention.
@@ -157,8 +158,15 @@
             self._dispatch(group)
 
     def _dispatch(self, group: GroupId) -> None:
-        """Send the calls of a group that can be sent now."""
+        """Send the calls of a group that can be sent now, and time it."""
+        began_at = self.state.now()
         self.dispatch_due_.discard(group)
+        self._send_due(group)
+        duration_s = self.state.now() - began_at
+        DISPATCH_SECONDS.labels(service=group.service_id).observe(duration_s)
+
+    def _send_due(self, group: GroupId) -> None:
+        """Send the calls of a group until none can be sent now."""
         queue = self.queues_by_group_[group]
         while len(queue) > 0:
             now = self.state.now()
--- a/packages/leadford-server/src/leadford_server/metrics/_metrics.py
+++ b/packages/leadford-server/src/leadford_server/metrics/_metrics.py
@@ -19,6 +19,7 @@
 # store.
 _GAP_SECONDS = (0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 3.5, 4.0, 5.0, 7.0, 10.0, 15.0, 30.0)
 
+_DISPATCH_BUCKETS_S = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3)
 _FILL_BUCKETS = (0.1, 0.25, 0.5, 0.7, 0.85, 0.95, 1.0)
 _PACE_BUCKETS = (0.3, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 3.0, 5.0, 10.0)
 
@@ -196,6 +197,12 @@
     ["service"],
     buckets=_FILL_BUCKETS,
 )
+DISPATCH_SECONDS = Histogram(
+    "leadford_dispatch_seconds",
+    "Time that the scheduler of a group takes to send the calls due, by service.",
+    ["service"],
+    buckets=_DISPATCH_BUCKETS_S,
+)
 PIECES_TOTAL = Counter("leadford_pieces_total", "Pieces by end.", ["end"])
 ENDPOINT_PACE = Histogram(
     "leadford_endpoint_pace",
