Pass on and report what an entry reads of the listing before it judges a stream

Found by reading the change. Changes that are read out of turn move the follower's position, so its next watch does not return them: records that cannot be read were not logged, and the entries that follow the store did not pass the changes on. The others noticed from the next confirmation that one was missed and called the store, so nothing was lost, but each paid a call. No test shows it; those of cut entries, lost origins, the store and relays pass.

--- a/packages/leadford-server/src/leadford_server/forwarding/store/_catch_up.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_catch_up.py
@@ -9,7 +9,11 @@
 
 from returns.result import Failure
 
-from leadford_server.forwarding.store._client import ObjectsClient, decoded_or_none
+from leadford_server.forwarding.store._client import (
+    ObjectsClient,
+    decoded_or_none,
+    report_unreadable,
+)
 from leadford_server.forwarding.store._follow import KindFollower
 from leadford_server.forwarding.store._shared_read import SharedRead
 
@@ -53,4 +57,11 @@
         if events is None:
             return False
         seen = events.in_epoch(answer.epoch)
-        return follower.learn(asked_from.revision, seen, asked_at)
+        for fault in seen.faults:
+            report_unreadable(fault, self.client.log)
+        if not follower.learn(asked_from.revision, seen, asked_at):
+            return False
+        if seen.events:
+            # The next watch of the follower no longer returns these changes.
+            follower.tell(follower.kind, asked_from, seen)
+        return True
