Open connections again in a test's preparation if a late entry closes them unread

Cause: an entry whose event loop was late closes new connections that wait to be accepted, unread, so that their callers try another entry (leadford.forwarding.overload). The test opens 200 at once and took for granted that all are read.

What the test checks is unchanged: 200 connections, each read once and kept, when the stop begins.

--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_unanswered_requests.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_unanswered_requests.py
@@ -26,6 +26,8 @@
 
 READY_TIMEOUT_S = 20.0
 HALL = "hall-0"
+# Time after which an entry that was late reads all new connections again.
+CALM_AFTER_S = 2.5
 MEMORY_MB = 300
 LARGE_BYTES = 60_000_000
 READ_PER_S = 40_000_000
@@ -192,6 +194,51 @@
     handler.finish(b"x" * LARGE_BYTES)
 
 
+async def kept_connections(address, count):
+    """Return as many connections, each read once and left open by the entry."""
+    connections = []
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while len(connections) < count:
+            tried = [
+                await tried_connection(address) for _ in range(count - len(connections))
+            ]
+            connections += [
+                connection
+                for connection in tried
+                if connection is not None and await is_kept(connection)
+            ]
+            if len(connections) < count:
+                await asyncio.sleep(CALM_AFTER_S)
+    return connections
+
+
+async def tried_connection(address):
+    """Send a first request on a new connection; return None if it is refused."""
+    try:
+        connection = await asyncio.open_connection(*address)
+    except ConnectionError:
+        return None
+    connection[1].write(request_bytes("GET", "/safe/x", "first"))
+    return connection
+
+
+async def is_kept(connection):
+    """Read the first answer; return whether the connection stays open after it."""
+    reader, writer = connection
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        # Closed unread by an entry that was late.
+        writer.close()
+        return False
+    length = re.search(rb"(?i)content-length: (\d+)", head)[1]
+    await reader.readexactly(int(length))
+    if re.search(rb"(?i)connection: close", head):
+        writer.close()
+        return False
+    return True
+
+
 async def send_once(connection, request_id, method, path, after_s):
     """Send a request on a kept connection; return the status, None if there is none."""
     reader, writer = connection
@@ -239,17 +286,7 @@
 
     async def scenario():
         async with OneEntry(tmp_path, work_s=work_s) as fleet:
-            connections = [
-                await asyncio.open_connection(*fleet.entry.callers)
-                for _ in range(REQUESTS)
-            ]
-            # Each is read once, as connections that are kept are.
-            for connection in connections:
-                connection[1].write(request_bytes("GET", "/safe/x", "first"))
-            for reader, _ in connections:
-                head = await reader.readuntil(b"\r\n\r\n")
-                length = re.search(rb"(?i)content-length: (\d+)", head)[1]
-                await reader.readexactly(int(length))
+            connections = await kept_connections(fleet.entry.callers, REQUESTS)
             fleet.entry.signal(signal.SIGTERM)
             disturbing = asyncio.ensure_future(disturb(fleet, random))
             statuses = await asyncio.gather(
