--- a/packages/leadford-server/src/leadford_server/forwarding/store/_catch_up.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_catch_up.py
@@ -11,8 +11,7 @@
 
 from leadford_server.forwarding.store._client import (
     ObjectsClient,
-    decoded_or_none,
-    report_unreadable,
+    decoded_changes_or_none,
 )
 from leadford_server.forwarding.store._follow import KindFollower
 from leadford_server.forwarding.store._shared_read import SharedRead
@@ -53,12 +52,9 @@
         answer = read.unwrap()
         if answer.epoch != asked_from.epoch:
             return False
-        events = decoded_or_none(codec.read_events(answer.body), self.client.log)
-        if events is None:
+        seen = decoded_changes_or_none(answer, codec, self.client.log)
+        if seen is None:
             return False
-        seen = events.in_epoch(answer.epoch)
-        for fault in seen.faults:
-            report_unreadable(fault, self.client.log)
         if not follower.learn(asked_from.revision, seen, asked_at):
             return False
         if seen.events:
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_client.py
@@ -15,6 +15,7 @@
 from leadford.forwarding.membership import StoreRefusals
 from leadford_server.forwarding._store_contract import (
     ObjectCodec,
+    ObjectEvents,
     StoreAnswer,
     StoreFailure,
 )
@@ -177,6 +178,18 @@
     return read.unwrap()
 
 
+def decoded_changes_or_none(
+    answer: StoreAnswer, codec: ObjectCodec, log: EventLog
+) -> ObjectEvents | None:
+    """Return the changes in the answer to a watch; log those that are unreadable."""
+    events = decoded_or_none(codec.read_events(answer.body), log)
+    if events is None:
+        return None
+    for fault in events.faults:
+        report_unreadable(fault, log)
+    return events.in_epoch(answer.epoch)
+
+
 def decoded_record_or_none(read: Result[T, str], name: str, log: EventLog) -> T | None:
     """Return a record that a codec has decoded; log and count an unreadable one."""
     if isinstance(read, Failure):
--- a/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/store/_follow.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from contextlib import suppress
 from random import Random
 
@@ -33,6 +33,7 @@
 )
 from leadford_server.forwarding.store._client import (
     ObjectsClient,
+    decoded_changes_or_none,
     decoded_or_none,
     report_unreadable,
 )
@@ -284,7 +285,8 @@
             page = decoded_or_none(codec.read_list(answer.body), self.client.log)
             if page is None:
                 return None
-            self._report(page.faults)
+            for fault in page.faults:
+                report_unreadable(fault, self.client.log)
             items += page.items
             made_at = StorePosition(answer.epoch, page.revision)
             if position is not None and made_at.epoch != position.epoch:
@@ -297,7 +299,6 @@
                 return Listing(items, position)
 
     async def _watch(self) -> bool:
-        codec = self.client.codec
         began_at = asyncio.get_running_loop().time()
         asked_from = self.position_
         read = await self._call_watch()
@@ -312,12 +313,10 @@
         if answer.epoch != asked_from.epoch:
             # Changes in another history do not follow from the known state.
             return True
-        read_events = decoded_or_none(codec.read_events(answer.body), self.client.log)
-        if read_events is None:
+        seen = decoded_changes_or_none(answer, self.client.codec, self.client.log)
+        if seen is None:
             self.position_ = None
             return False
-        seen = read_events.in_epoch(answer.epoch)
-        self._report(seen.faults)
         is_news = seen.position > self.position_ or self.position_ == asked_from
         # Other entries may have passed on newer changes in the meantime.
         end = "taken" if is_news else "known"
@@ -359,11 +358,6 @@
             opens_connection=reconnects,
         )
 
-    def _report(self, faults: Sequence[str]) -> None:
-        """Log and count the objects that were skipped because they are unreadable."""
-        for fault in faults:
-            report_unreadable(fault, self.client.log)
-
     def _confirm(self, position: StorePosition) -> None:
         """Record that the store has just confirmed that no change is missing."""
         self._record_confirmation(position, asyncio.get_running_loop().time())
