--- a/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_deployment.py
@@ -250,6 +250,20 @@
         known = entry.state_.roster_.records_by_id_
         return all(endpoint.endpoint_id in known for endpoint in self.all_endpoints())
 
+    def new_engine(self, software: str, *, hall: str) -> EngineStandIn:
+        """Return an engine of a software version that listens; it isn't listed yet."""
+        engine = EngineStandIn(service="engine", hall=hall, result_holders=self.stage)
+        engine.software = software
+        engine.start()
+        return engine
+
+    def add_engine(self, software: str) -> EngineStandIn:
+        """List another engine of a software version, in the hall of the first one."""
+        engine = self.new_engine(software, hall=self.engines[0].hall)
+        self.engines.append(engine)
+        self.store.put("servers", engine.endpoint_id, engine.spec())
+        return engine
+
     async def set_software(self, endpoint: PlainStandIn, software: str) -> None:
         """List an endpoint with another software version, and wait for all entries."""
         endpoint.software = software
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/broken_streams.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/broken_streams.py
@@ -37,11 +37,11 @@
         engine.planned_misbehaviours_.clear()
 
 
-def software_of_runs(deployment, request_id):
+def software_of_runs(engines, request_id):
     """Return the version of each engine that ran a request, in order."""
     runs = [
         (run.at_s, engine.software)
-        for engine in deployment.engines
+        for engine in engines
         for run in engine.runs_
         if run.request_id == request_id
     ]
@@ -61,7 +61,8 @@
     for number in range(STREAMS_COUNT):
         await break_off(deployment, f"r{number}", number, entry=entry, **fields)
     return [
-        software_of_runs(deployment, f"r{number}")[0] for number in range(STREAMS_COUNT)
+        software_of_runs(deployment.engines, f"r{number}")[0]
+        for number in range(STREAMS_COUNT)
     ]
 
 
@@ -75,5 +76,5 @@
         )
         assert answer.code == 200
         assert event_ids(answer.body) == [3, 4, 5]
-        found += software_of_runs(deployment, request_id)
+        found += software_of_runs(deployment.engines, request_id)
     return found
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/drawn_callers.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/drawn_callers.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
-from leadford_standins.wire import EngineStandIn, Misbehaviour, event_ids
+from leadford_standins.wire import Misbehaviour, event_ids
 from leadford_standins.wire._store import StoreFault
+from leadford_standins.wire.tests.broken_streams import software_of_runs
 
 # Callers ask for the same as others.
 CONTENTS = 2
@@ -89,13 +90,7 @@
             self.joined_.append((request_id, began, versions))
 
     def _versions_of(self, request_id):
-        runs = [
-            (run.at_s, engine.software)
-            for engine in self.engines_
-            for run in engine.runs_
-            if run.request_id == request_id
-        ]
-        return [software for _, software in sorted(runs)]
+        return software_of_runs(self.engines_, request_id)
 
     def release(self):
         """Replace some engines by new ones of another version, which may be older."""
@@ -104,11 +99,7 @@
         count = self.random.randint(1, len(deployment.engines))
         for number in self.random.sample(range(len(deployment.engines)), count):
             old = deployment.engines[number]
-            engine = EngineStandIn(
-                service="engine", hall=old.hall, result_holders=deployment.stage
-            )
-            engine.software = software
-            engine.start()
+            engine = deployment.new_engine(software, hall=old.hall)
             deployment.engines[number] = engine
             self.engines_.append(engine)
             deployment.store.put("servers", engine.endpoint_id, engine.spec())
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_cut_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_cut_entries.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from leadford_standins.wire import EngineStandIn, run_scenario
+from leadford_standins.wire import run_scenario
 from leadford_standins.wire.tests.broken_streams import (
     STREAMS_COUNT,
     break_off,
@@ -22,15 +22,8 @@
 
 async def add_second_version(deployment, entry):
     """Add engines of v2, and wait until one entry knows them."""
-    hall = deployment.engines[0].hall
     for _ in range(ADDED_COUNT):
-        engine = EngineStandIn(
-            service="engine", hall=hall, result_holders=deployment.stage
-        )
-        engine.software = "v2"
-        engine.start()
-        deployment.engines.append(engine)
-        deployment.store.put(LISTING, engine.endpoint_id, engine.spec())
+        deployment.add_engine("v2")
     await deployment.until(lambda: deployment.knows_all_endpoints(entry))
 
 
@@ -60,10 +53,10 @@
         for number in range(STREAMS_COUNT):
             request_id, back_id = f"r{number}", f"back{number}"
             await break_off(deployment, request_id, number)
-            began = software_of_runs(deployment, request_id)[0]
+            began = software_of_runs(deployment.engines, request_id)[0]
             await resume(
                 deployment, back_id, number, resumes=request_id, after=2, entry=1
             )
-            assert set(software_of_runs(deployment, back_id)) <= {began}
+            assert set(software_of_runs(deployment.engines, back_id)) <= {began}
 
     run_scenario(scenario, endpoints=3, entries=2)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_origins.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_lost_origins.py
@@ -218,7 +218,7 @@
         deployment.store.slow_s = MAX_RECORD_WAIT_S / 3.0
         await list_all(deployment, "v2")
         await break_off(deployment, "lost", 0)
-        assert set(software_of_runs(deployment, "lost")) == {"v2"}
+        assert set(software_of_runs(deployment.engines, "lost")) == {"v2"}
         assert "v2" in recorded(deployment)["listed"]
 
     run_scenario(scenario)
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_orders_of_cuts.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_orders_of_cuts.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from leadford_standins.wire import EngineStandIn
 from leadford_standins.wire.tests.cut_entries import (
     cut_links,
     delay_calls,
@@ -76,13 +75,8 @@
     """Add an engine of a drawn version beside the others."""
     if len(deployment.engines) >= MAX_ENGINES:
         return
-    hall = deployment.engines[0].hall
-    engine = EngineStandIn(service="engine", hall=hall, result_holders=deployment.stage)
-    engine.software = random.choice(("v1", "v2", "v3"))
-    engine.start()
-    deployment.engines.append(engine)
+    engine = deployment.add_engine(random.choice(("v1", "v2", "v3")))
     callers.engines_.append(engine)
-    deployment.store.put(LISTING, engine.endpoint_id, engine.spec())
 
 
 def joined(seed, named_part):
--- a/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/tests/test_software_versions.py
@@ -26,7 +26,7 @@
         await list_two_versions(deployment)
         for number in range(STREAMS_COUNT):
             await break_off(deployment, f"r{number}", number)
-            first, second = software_of_runs(deployment, f"r{number}")
+            first, second = software_of_runs(deployment.engines, f"r{number}")
             assert first == second
 
     run_scenario(scenario, endpoints=6)
@@ -39,7 +39,7 @@
         await list_two_versions(deployment)
         for number in range(STREAMS_COUNT):
             await break_off(deployment, f"r{number}", number)
-            began = software_of_runs(deployment, f"r{number}")[0]
+            began = software_of_runs(deployment.engines, f"r{number}")[0]
             for attempt, after in ((1, 2), (2, 3)):
                 answer = await resume(
                     deployment,
@@ -50,7 +50,9 @@
                     entry=attempt,
                 )
                 assert event_ids(answer.body) == list(range(after + 1, 6))
-                assert software_of_runs(deployment, f"r{number}.{attempt}") == [began]
+                assert software_of_runs(deployment.engines, f"r{number}.{attempt}") == [
+                    began
+                ]
 
     run_scenario(scenario, endpoints=6, entries=3)
 
@@ -155,7 +157,7 @@
     async def scenario(deployment):
         await deployment.until_linked()
         await break_off(deployment, "lost", 0, key="same")
-        assert set(software_of_runs(deployment, "lost")) == {"v1"}
+        assert set(software_of_runs(deployment.engines, "lost")) == {"v1"}
         for engine in deployment.engines:
             await deployment.set_software(engine, "v2")
         await deployment.restart_all_entries()
