Prepare a test's connections in small groups, and send its requests earlier

At load 26 to 30 the test of an entry that stops and is disturbed still failed, for two reasons that its entry's log shows. (1) 200 connections that open at once make the entry late each time (six pauses of new connections in 20 s), so they were not all open in time: 20 at once now. (2) The requests came 0.85 s late (the first was read 3.75 s after the signal to stop, when new ones are refused as they should be), so that none of 200, and 17 once, got 200; more than 20 were asked for.

Requests now come from 2.2 s after the signal instead of 2.9 s. 375 instead of 200 keep as many in each second around the end of the stop, where the fault was that this test guards against, and more than 37 have to be served. The other checks are as they were.

--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_unanswered_requests.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_unanswered_requests.py
@@ -26,6 +26,9 @@
 
 READY_TIMEOUT_S = 20.0
 HALL = "hall-0"
+# An entry is late where many connections come at once, and closes others unread.
+OPENED_AT_ONCE = 20
+OPENED_TIMEOUT_S = 60.0
 # Time after which an entry that was late reads all new connections again.
 CALM_AFTER_S = 2.5
 MEMORY_MB = 300
@@ -36,10 +39,10 @@
 # Longer than the least time that a caller has to read an answer.
 READING_S = 12.0
 DEADLINE_MS = 6_000
-REQUESTS = 200
+REQUESTS = 375
 # When requests are sent, and from when the entry is disturbed, in seconds after the
 # signal to stop; a stop lasts 3.2 s at least.
-SENT_AFTER_S = (2.9, 3.7)
+SENT_AFTER_S = (2.2, 3.7)
 DISTURBED_AFTER_S = 2.8
 
 
@@ -197,22 +200,18 @@
 async def kept_connections(address, count):
     """Return as many connections, each read once and left open by the entry."""
     connections = []
-    async with asyncio.timeout(READY_TIMEOUT_S):
+    async with asyncio.timeout(OPENED_TIMEOUT_S):
         while len(connections) < count:
-            tried = [
-                await tried_connection(address) for _ in range(count - len(connections))
-            ]
-            connections += [
-                connection
-                for connection in tried
-                if connection is not None and await is_kept(connection)
-            ]
-            if len(connections) < count:
+            tried = min(OPENED_AT_ONCE, count - len(connections))
+            opened = [await opened_connection(address) for _ in range(tried)]
+            kept = [connection for connection in opened if await is_kept(connection)]
+            connections += kept
+            if len(kept) < tried:
                 await asyncio.sleep(CALM_AFTER_S)
     return connections
 
 
-async def tried_connection(address):
+async def opened_connection(address):
     """Send a first request on a new connection; return None if it is refused."""
     try:
         connection = await asyncio.open_connection(*address)
@@ -224,6 +223,8 @@
 
 async def is_kept(connection):
     """Read the first answer; return whether the connection stays open after it."""
+    if connection is None:
+        return False
     reader, writer = connection
     try:
         head = await reader.readuntil(b"\r\n\r\n")
