--- a/packages/leadford/src/leadford/forwarding/admission/_levels.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_levels.py
@@ -21,8 +21,8 @@
 from leadford.forwarding.routes import LEVEL_HIGHEST, RouteLevels, ServiceId
 
 # Fraction of the slack that the backlog may take from a first try: that of the highest
-# level, the reduction for each level below it, and the minimum. The queue ranks levels;
-# a request that can be in time is not refused for the sake of another level. The steps
+# level, the reduction for each level below it, and the minimum. They differ little: the
+# queue ranks levels already, and a refused first try is late when it returns. The steps
 # are larger than those between workspaces, so that these rank requests within a level
 # only.
 LEVEL_SLACK_FRACTION = 0.9
