Close no connection unread for a delay that all entries have alike

What callers saw: three entries that share their processors with other work closed most new connections unread, all at once, while each used 0.2 to 0.3 of a core.

Cause: an entry took each long turn of its event loop for more work than it bears. Where other processes hold the processor, reading fewer connections does not shorten turns, so it read 5 a second until a turn happened to be short. All entries did, so a caller found nobody better.

Change: a turn's processor time tells the entry's own work. Turns that something else fills count as late only while another entry tells (a field of heartbeats) that it is late for a third of the own part of the time or less. A rate that was lowered for it is lifted once the others are late alike. Event 107 has worked_ms, late_part, least_late_part and cause.

The fixed bytes of heartbeats have the new field, which is untold there; older frames are read as before.

Failed tries: comparing the own part with what peers told without regard to its age: each took the others for on time in the first 0.6 s of a common delay.

--- a/packages/leadford-server/src/leadford_server/forwarding/_process.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_process.py
@@ -60,6 +60,8 @@
 SUSPENSION_POLL_S = 0.25
 # Concurrent calls to the store.
 MAX_STORE_CALLS = 12
+# Logged where no peer tells for which part of the time it is late.
+UNTOLD = -1.0
 
 
 class ForwardProcess:
@@ -109,7 +111,9 @@
         )
         self._build_holders()
         self.connections_ = ConnectionAdmission(
-            turns=self.state_.loop_turns_, link=self.state_.link_waits_
+            turns=self.state_.loop_turns_,
+            link=self.state_.link_waits_,
+            peers=self.state_.peer_delays_,
         )
         self.turn_probe_ = TurnProbe(
             turns=self.state_.loop_turns_,
@@ -380,10 +384,13 @@
         """Return how many bytes wait to be sent to callers and endpoints."""
         return self.caller_server_.unsent_bytes + self.state_.pool_.unsent_bytes
 
-    def _load_fields(self) -> dict[str, int | float]:
+    def _load_fields(self) -> dict[str, int | float | str]:
         """Return the log fields that tell what the entry holds."""
         now = self.state_.now()
+        least = self.state_.peer_delays_.least(now)
         return {
+            "least_late_part": UNTOLD if least is None else round(least, 2),
+            "cause": self.connections_.cause_.value,
             "link_wait_ms": round(self.state_.link_waits_.wait_s(now) * 1_000.0),
             "shed": self.connections_.shed_count_,
             "admitted_per_s": round(self.connections_.limit_per_s_ or 0.0),
--- a/packages/leadford-server/src/leadford_server/forwarding/_state.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_state.py
@@ -35,7 +35,7 @@
     RequestRate,
     StoreRefusals,
 )
-from leadford.forwarding.overload import LinkWaits, LoopTurns
+from leadford.forwarding.overload import LinkWaits, LoopTurns, PeerDelays
 from leadford.forwarding.retries import RetryBudgets, WindowedRetryBudget
 from leadford.forwarding.routes import ProcessStatus, RouteTable, Service, ServiceId
 from leadford.forwarding.streams import OriginLedger, SoftwareHistory, StreamOrigin
@@ -117,6 +117,7 @@
         self.entry_id = entry_id
         self.loop_turns_ = LoopTurns()
         self.link_waits_ = LinkWaits()
+        self.peer_delays_ = PeerDelays()
         self.epochs_ = StoreEpochs()
         halls = EvacuatedHalls(is_known=bounds.evacuate_s is None)
         self.roster_ = EndpointRoster.from_drain_period(
--- a/packages/leadford-server/src/leadford_server/forwarding/_turn_probe.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_turn_probe.py
@@ -35,7 +35,7 @@
         log: EventLog,
         on_turn: Callable[[float], None],
         is_late: Callable[[float], bool],
-        load_fields: Callable[[], dict[str, int | float]],
+        load_fields: Callable[[], dict[str, int | float | str]],
     ) -> None:
         self.turns = turns
         self.loop = loop
@@ -45,6 +45,8 @@
         self.load_fields = load_fields
         self.timer_: asyncio.TimerHandle | None = None
         self.began_at_ = 0.0
+        # Processor time of the thread at the begin of the turn.
+        self.began_used_s_ = 0.0
         self.late_at_ = float("-inf")
         self.reported_at_ = float("-inf")
         self.is_reported_late_ = False
@@ -54,7 +56,9 @@
 
     def start(self) -> None:
         """Begin to measure."""
-        is_busy = bool(self.turns.last_) and self.turns.last_[-1] > MAX_CALM_TURN_S
+        is_busy = (
+            bool(self.turns.last_) and self.turns.last_[-1].turn_s > MAX_CALM_TURN_S
+        )
         interval_s = BUSY_INTERVAL_S if is_busy else CALM_INTERVAL_S
         due_at = self.loop.time() + interval_s
         self.turns.begin(due_at)
@@ -72,13 +76,15 @@
 
     def _mark_begin(self) -> None:
         self.began_at_ = self.loop.time()
+        self.began_used_s_ = time.thread_time()
         self.loop.call_soon(self._end_turn)
 
     def _end_turn(self) -> None:
         if self.timer_ is None:
             return
         now = self.loop.time()
-        self.turns.record(now - self.began_at_, now)
+        worked_s = time.thread_time() - self.began_used_s_
+        self.turns.record(now - self.began_at_, now, worked_s=worked_s)
         self.on_turn(now)
         self._report(now)
         self.start()
@@ -98,6 +104,8 @@
             Event.ENTRY_LATE,
             is_late=is_late,
             turn_ms=round(turns.standing_s * 1_000.0, 1),
+            worked_ms=round(turns.standing_worked_s * 1_000.0, 1),
+            late_part=round(turns.delay_fraction_, 2),
             delay_ms=round(turns.total_delay_s(now) * 1_000.0),
             processor=self._processor_fraction(now),
             **self.load_fields(),
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -22,6 +22,7 @@
 )
 from leadford.forwarding.endpoints import LimitObservation
 from leadford.forwarding.membership import REDUCED_HEARTBEAT_DIVISOR
+from leadford.forwarding.overload import TAKES_NO_CALLERS
 from leadford.forwarding.routes import (
     LEVEL_HIGHEST,
     LEVEL_LESS_URGENT,
@@ -125,11 +126,21 @@
             listed_at.epoch,
             self.state.now() * 1_000.0,
             None if confirmed_at is None else confirmed_at * 1_000.0,
+            self._late_part(is_draining),
         )
 
+    def _late_part(self, is_draining: bool) -> float:
+        """Return for which part of the time this entry is late for callers."""
+        late_part = round(self.state.loop_turns_.delay_fraction_, 2)
+        self.state.peer_delays_.record_own(late_part)
+        if is_draining or self.state.table_ is None:
+            return TAKES_NO_CALLERS
+        return late_part
+
     def record(self, entry_id: EntryId, message: EntryHeartbeat) -> None:
         """Record the heartbeat of another entry."""
         now = self.state.now()
+        self.state.peer_delays_.record(entry_id, message.late_part, now)
         for report in message.groups:
             group = GroupId(ServiceId(report.service_id), PlaceId(report.place))
             load = GroupLoad(report.wait_ms / 1_000.0, report.room_bytes, now)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_links.py
@@ -327,6 +327,7 @@
         self.relays.forget(entry_id)
         self.origins.forget(entry_id)
         self.shares.forget(entry_id)
+        self.state.peer_delays_.forget(entry_id)
         self.state.log.report(Event.PEER_LOST, peer=entry_id)
         self.stages.scheduler_.drop_pieces_of(entry_id)
         self.stages.results.record_scheduler_lost(entry_id)
--- a/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_levels.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/tests/test_levels.py
@@ -18,6 +18,7 @@
 )
 from leadford.forwarding.endpoints import EndpointLimits
 from leadford.forwarding.history import FIRST_EPOCH, StorePosition
+from leadford.forwarding.overload import LoopTurns, PeerDelays
 from leadford.forwarding.routes import ServiceId
 from leadford.protocol import (
     PROTOCOL_LOAD,
@@ -76,6 +77,9 @@
             endpoint_limits_=EndpointLimits(entry_id=entry_id),
             level_service_ids=lambda: self.contended,
             config_confirmed_at_=None,
+            table_=None,
+            loop_turns_=LoopTurns(),
+            peer_delays_=PeerDelays(),
         )
         self.heartbeats = Heartbeats(entry_id=entry_id, state=state, stages=stages)
 
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_busy_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_busy_entries.py
@@ -139,6 +139,16 @@
         for limit in self.limits:
             limit.start()
 
+    def replace_limits(self, **fields):
+        """Give all entries another part of a processor from now on."""
+        for limit in self.limits:
+            limit.end()
+        self.limits = [
+            ProcessorLimit(process=entry.process_, **fields) for entry in self.entries
+        ]
+        for limit in self.limits:
+            limit.start()
+
     async def restart_all(self, down_s):
         """Kill all entries at once, and start them together after a time."""
         for entry in self.entries:
--- a/packages/leadford/src/leadford/forwarding/overload/_connections.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_connections.py
@@ -13,12 +13,19 @@
 be full of other things, such as a configuration, for all entries at once. So its state
 never lowers the rate below the usual one.
 
+A loop whose turns are filled by the entry's own work has more to do than it bears. One
+that other processes hold up may bear all that comes, only later. Then connections are
+closed only while another entry is less late, where their callers are served sooner.
+
 Owns the rate. The server asks for each new connection, and calls `update` after each
 measured turn.
 """
 
+from enum import Enum
+
 from leadford.common import EventRate, TokenBucket
 from leadford.forwarding.overload._link import MAX_CALM_WAIT_S, LinkWaits
+from leadford.forwarding.overload._peers import PeerDelays
 from leadford.forwarding.overload._turns import MAX_CALM_TURN_S, LoopTurns
 
 # Time between two steps that raise the rate.
@@ -49,13 +56,31 @@
 USUAL_TIME_CONSTANT_S = 20.0
 
 
+class LateCause(Enum):
+    """Say why fewer new connections are read."""
+
+    NONE = ""
+    WORK = "work"
+    HELD_UP = "held-up"
+    LINK = "link"
+
+
 class ConnectionAdmission:
     """Hold the rate of new connections that are read; None while all of them are."""
 
-    def __init__(self, *, turns: LoopTurns, link: LinkWaits | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        turns: LoopTurns,
+        link: LinkWaits | None = None,
+        peers: PeerDelays | None = None,
+    ) -> None:
         self.turns = turns
         self.link = link or LinkWaits()
+        self.peers = peers or PeerDelays()
         self.limit_per_s_: float | None = None
+        # Why the rate was lowered last.
+        self.cause_ = LateCause.NONE
         self.usual_ = EventRate(time_constant_s=USUAL_TIME_CONSTANT_S)
         # The usual rate when the entry became late.
         self.usual_per_s_ = 0.0
@@ -68,7 +93,7 @@
         self.lowered_at_: float | None = None
         self.shed_at_ = float("-inf")
         self.shed_count_ = 0
-        # Whether the event loop has been late since all connections were read.
+        # Whether connections were closed for the event loop since all were read.
         self.was_loop_late_ = False
 
     def admits(self, now: float) -> bool:
@@ -88,7 +113,7 @@
     @property
     def reads_waiting(self) -> bool:
         """Return whether to read what has connected before new ones are refused."""
-        return not (self.turns.is_late or self.was_loop_late_)
+        return not self.was_loop_late_
 
     def pause_s(self, now: float) -> float:
         """Return for how long to refuse connections, after one that was not admitted.
@@ -111,17 +136,22 @@
 
         Units: now in seconds.
         """
-        return self.limit_per_s_ is not None or self._lateness(now) > 1.0
+        if self.limit_per_s_ is not None or self.turns.is_late:
+            return True
+        return self._link_lateness(now) > 1.0
 
     def update(self, now: float) -> None:
         """Change the rate by the last turns of the loop.
 
         Units: now in seconds.
         """
-        lateness = self._lateness(now)
-        self.was_loop_late_ |= self.turns.is_late
+        loop_lateness = self._loop_lateness(now)
+        lateness = max(loop_lateness, self._link_lateness(now))
+        self.was_loop_late_ |= loop_lateness > 1.0
         if lateness > 1.0:
             self._lower(lateness, now)
+        elif self._is_held_up_alike(now):
+            self._read_all(now)
         elif self.lowered_at_ is not None:
             self.lowered_at_ = None
             self.raised_at_ = now
@@ -130,20 +160,45 @@
             self._raise(now)
         self._apply(now)
 
-    def _lateness(self, now: float) -> float:
-        """Return by which factor the entry is later than it may be."""
-        loop_lateness = self.turns.standing_s / MAX_CALM_TURN_S
-        return max(loop_lateness, self.link.wait_s(now) / MAX_CALM_WAIT_S)
+    def _loop_lateness(self, now: float) -> float:
+        """Return by which factor turns are longer than they may be.
 
-    @property
-    def _min_per_s(self) -> float:
+        Turns that something else fills count while another entry is less late.
+        """
+        worked_s = self.turns.standing_worked_s
+        if worked_s > MAX_CALM_TURN_S or self._is_other_less_late(now):
+            return self.turns.standing_s / MAX_CALM_TURN_S
+        return worked_s / MAX_CALM_TURN_S
+
+    def _link_lateness(self, now: float) -> float:
+        """Return by which factor packets wait longer than they may."""
+        return self.link.wait_s(now) / MAX_CALM_WAIT_S
+
+    def _is_other_less_late(self, now: float) -> bool:
+        return self.peers.is_any_less_late(self.turns.delay_fraction_, now)
+
+    def _is_held_up_alike(self, now: float) -> bool:
+        """Return whether the limit helps nobody: all entries are held up alike."""
+        return self.cause_ is LateCause.HELD_UP and not self._is_other_less_late(now)
+
+    def _cause(self, now: float) -> LateCause:
+        """Return why the rate is lowered now."""
+        if self.turns.standing_worked_s > MAX_CALM_TURN_S:
+            return LateCause.WORK
+        if self._loop_lateness(now) > 1.0:
+            return LateCause.HELD_UP
+        return LateCause.LINK
+
+    def _min_per_s(self, now: float) -> float:
         """Return the rate of connections that are read however late the entry is."""
-        if self.turns.is_late:
+        if self._loop_lateness(now) > 1.0:
             return MIN_ADMITTED_PER_S
         return max(MIN_ADMITTED_PER_S, self.usual_per_s_)
 
     def _lower(self, lateness: float, now: float) -> None:
         """Lower the rate, unless the entry still works off what came before."""
+        if self.cause_ is not LateCause.WORK:
+            self.cause_ = self._cause(now)
         was_late = self.lowered_at_ is not None
         if was_late and now - self.lowered_at_ < MAX_BACKLOG_S:
             return
@@ -156,21 +211,25 @@
             per_s = min(admitted_per_s, self.limit_per_s_ or admitted_per_s)
             self.late_per_s_ = per_s
         factor = min(MAX_LOWERING, max(MIN_LOWERING, 1.0 / lateness))
-        self.limit_per_s_ = max(self._min_per_s, per_s * factor)
+        self.limit_per_s_ = max(self._min_per_s(now), per_s * factor)
 
     def _raise(self, now: float) -> None:
-        if self.limit_per_s_ is None:
-            self.was_loop_late_ = False
-            return
-        if now - self.shed_at_ >= RECOVERY_S:
-            self.limit_per_s_ = None
-            self.was_loop_late_ = False
-            self.usual_.set(self.usual_per_s_, now)
+        if self.limit_per_s_ is None or now - self.shed_at_ >= RECOVERY_S:
+            self._read_all(now)
             return
         is_known = self.limit_per_s_ < KNOWN_FRACTION * self.late_per_s_
         raising = FAST_RAISING if is_known else SLOW_RAISING
         self.limit_per_s_ = self.limit_per_s_ * raising + RAISING_PER_S
 
+    def _read_all(self, now: float) -> None:
+        """Read all connections from now on."""
+        if self.limit_per_s_ is not None:
+            self.usual_.set(self.usual_per_s_, now)
+        self.limit_per_s_ = None
+        self.lowered_at_ = None
+        self.cause_ = LateCause.NONE
+        self.was_loop_late_ = False
+
     def _apply(self, now: float) -> None:
         """Set the rate that is in force until the next update."""
         if self.limit_per_s_ is None:
@@ -178,7 +237,7 @@
         works_off_backlog = self.lowered_at_ is not None
         rate_per_s = self.limit_per_s_
         if works_off_backlog:
-            rate_per_s = min(rate_per_s, self._min_per_s)
+            rate_per_s = min(rate_per_s, self._min_per_s(now))
         self.bucket_.refill(now)
         self.bucket_.rate_per_s = rate_per_s
         self.bucket_.burst = max(1.0, rate_per_s * BURST_S)
--- a/packages/leadford/src/leadford/forwarding/overload/_turns.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_turns.py
@@ -6,11 +6,16 @@
 long once, or the process was held up. What endpoints or the store delay leaves turns
 short, because the loop does not wait for them within a turn.
 
-Owns the last durations and the sum of the delay. The server measures one turn at a
-time, and schedules the next measurement.
+Turns are also long where the entry has little to do, but other processes hold the
+processor. The processor time of a turn tells the two apart.
+
+Owns the last turns, the sum of the delay, and its fraction of the last second. The
+server measures one turn at a time, and schedules the next measurement.
 """
 
+import math
 from collections import deque
+from collections.abc import Iterable
 
 import msgspec
 
@@ -26,6 +31,18 @@
 MAX_DELAY_FRACTION = 0.25
 # Timers are late by this much at times although the loop is idle.
 MIN_DELAY_S = 0.004
+# Time over which the fraction of delay is averaged.
+DELAY_TIME_CONSTANT_S = 1.0
+
+
+class LoopTurn(msgspec.Struct, frozen=True):
+    """Hold the duration of a turn, and the processor time that it took.
+
+    Units: seconds.
+    """
+
+    turn_s: float
+    worked_s: float
 
 
 class DelayMark(msgspec.Struct, frozen=True):
@@ -45,10 +62,13 @@
     """Hold the last turns of the event loop, and sum up for how long it was late."""
 
     def __init__(self) -> None:
-        self.last_: deque[float] = deque(maxlen=STANDING_TURN_COUNT)
+        self.last_: deque[LoopTurn] = deque(maxlen=STANDING_TURN_COUNT)
         # When the measurement under way ends if the loop is on time.
         self.due_at_ = float("inf")
         self.delay_s_ = 0.0
+        # Fraction of the last time for which the loop was late.
+        self.delay_fraction_ = 0.0
+        self.recorded_at_: float | None = None
 
     def begin(self, due_at: float) -> None:
         """Record until when a measurement lasts if the loop is on time.
@@ -57,14 +77,31 @@
         """
         self.due_at_ = due_at
 
-    def record(self, turn_s: float, now: float) -> None:
-        """Record the duration of a turn at the end of its measurement.
+    def record(
+        self, turn_s: float, now: float, *, worked_s: float | None = None
+    ) -> None:
+        """Record a turn at the end of its measurement.
+
+        A turn whose processor time is not known counts as worked.
 
         Units: seconds.
         """
-        self.delay_s_ = self.total_delay_s(now)
+        total_s = self.total_delay_s(now)
+        self._average_delay(total_s - self.delay_s_, now)
+        self.delay_s_ = total_s
         self.due_at_ = float("inf")
-        self.last_.append(turn_s)
+        self.last_.append(LoopTurn(turn_s, turn_s if worked_s is None else worked_s))
+
+    def _average_delay(self, late_s: float, now: float) -> None:
+        """Count for how long the loop was late since the last turn."""
+        last_at = self.recorded_at_
+        self.recorded_at_ = now
+        if last_at is None or now <= last_at:
+            return
+        elapsed_s = now - last_at
+        weight = 1.0 - math.exp(-elapsed_s / DELAY_TIME_CONSTANT_S)
+        fraction = min(1.0, late_s / elapsed_s)
+        self.delay_fraction_ += weight * (fraction - self.delay_fraction_)
 
     @property
     def standing_s(self) -> float:
@@ -72,11 +109,15 @@
 
         Units: seconds; 0 until enough turns are known.
         """
-        turns = list(self.last_)
-        growing = turns[-GROWING_TURN_COUNT:]
-        if len(growing) == GROWING_TURN_COUNT and min(growing) > MAX_GROWING_TURN_S:
-            return min(growing)
-        return min(turns) if len(turns) == STANDING_TURN_COUNT else 0.0
+        return _standing_s(turn.turn_s for turn in self.last_)
+
+    @property
+    def standing_worked_s(self) -> float:
+        """Return the processor time that each of the last turns took at least.
+
+        Units: seconds; 0 until enough turns are known.
+        """
+        return _standing_s(turn.worked_s for turn in self.last_)
 
     @property
     def is_late(self) -> bool:
@@ -127,3 +168,12 @@
         if self.delay_since_s(mark, now) > MAX_DELAY_FRACTION * elapsed_s:
             return None
         return elapsed_s
+
+
+def _standing_s(last: Iterable[float]) -> float:
+    """Return the least of the last durations, or of two that grow."""
+    durations = list(last)
+    growing = durations[-GROWING_TURN_COUNT:]
+    if len(growing) == GROWING_TURN_COUNT and min(growing) > MAX_GROWING_TURN_S:
+        return min(growing)
+    return min(durations) if len(durations) == STANDING_TURN_COUNT else 0.0
--- a/packages/leadford/src/leadford/forwarding/overload/tests/test_connections.py
+++ b/packages/leadford/src/leadford/forwarding/overload/tests/test_connections.py
@@ -6,8 +6,10 @@
 from leadford.forwarding.overload import (
     MAX_CALM_TURN_S,
     ConnectionAdmission,
+    LateCause,
     LinkWaits,
     LoopTurns,
+    PeerDelays,
 )
 from leadford.forwarding.overload._connections import MIN_ADMITTED_PER_S, RECOVERY_S
 
@@ -148,3 +150,59 @@
     assert not entry.admission.reads_waiting
     entry.run(2.0 * RECOVERY_S + 4.0, 0.2 * CAPACITY_PER_S)
     assert entry.admission.reads_waiting
+
+
+PEER = EntryId("peer")
+# Turns that other processes fill: long, with little work of the entry's own.
+HELD_UP_TURN_S = 0.05
+WORKED_S = 0.004
+
+
+class HeldUpEntry:
+    """Have an entry whose loop is held up, and a peer that is late for some time."""
+
+    def __init__(self):
+        self.turns = LoopTurns()
+        self.peers = PeerDelays()
+        self.admission = ConnectionAdmission(turns=self.turns, peers=self.peers)
+        self.now = 0.0
+
+    def run(self, seconds, peer_fraction):
+        """Offer 50 connections a second; return how many were not admitted."""
+        shed = self.admission.shed_count_
+        for _ in range(round(seconds / HELD_UP_TURN_S)):
+            self.turns.begin(self.now)
+            self.now += HELD_UP_TURN_S
+            self.turns.record(HELD_UP_TURN_S, self.now, worked_s=WORKED_S)
+            self.peers.record_own(self.turns.delay_fraction_)
+            self.peers.record(PEER, peer_fraction, self.now)
+            self.admission.update(self.now)
+            for _ in range(round(50 * HELD_UP_TURN_S)):
+                self.admission.admits(self.now)
+        return self.admission.shed_count_ - shed
+
+
+def test_an_entry_that_others_hold_up_closes_connections_though_all_are_late():
+    # Its callers found nobody better, and were closed unread everywhere.
+    entry = HeldUpEntry()
+    assert entry.run(8.0, peer_fraction=0.8) == 0
+    assert entry.admission.is_late(entry.now)
+
+
+def test_an_entry_that_is_held_up_alone_leaves_callers_to_others():
+    entry = HeldUpEntry()
+    assert entry.run(8.0, peer_fraction=0.0) > 100
+    assert entry.admission.cause_ is LateCause.HELD_UP
+    # Once the others are late as well, it reads all again at once.
+    entry.run(0.1, peer_fraction=0.8)
+    assert entry.run(4.0, peer_fraction=0.8) == 0
+
+
+def test_an_entry_with_more_work_than_it_bears_closes_connections_beside_late_ones():
+    entry = HeldUpEntry()
+    for number in range(3):
+        entry.turns.record(0.08, number * 0.1, worked_s=2 * MAX_CALM_TURN_S)
+    entry.peers.record(PEER, 0.9, 0.3)
+    entry.admission.update(0.3)
+    assert entry.admission.cause_ is LateCause.WORK
+    assert entry.admission.limit_per_s_ is not None
--- a/packages/leadford/src/leadford/protocol/_forwarding.py
+++ b/packages/leadford/src/leadford/protocol/_forwarding.py
@@ -53,7 +53,9 @@
 
     `lowest_version` is the oldest protocol version among the entry and its links.
     `config_confirmed_ms` is when the store last confirmed to this entry itself that its
-    configuration is the newest one, None if it never did.
+    configuration is the newest one, None if it never did. `late_part` is the part of
+    the last second for which its event loop was late, 1 if it takes no callers, None if
+    the build does not tell.
 
     Units: milliseconds of the monotonic clock of the sender.
     """
@@ -68,6 +70,7 @@
     listing_epoch: int = 0
     sent_ms: float = 0.0
     config_confirmed_ms: float | None = None
+    late_part: float | None = None
 
 
 class EntryAddress(MessageBase):
