Lower the rate of an entry that is held up alone by steps, and bound how late all may be

Cause: turns there take up to 160 ms, with 5 ms of own work; neither the work nor a comparison with others tells that callers leave before ten of them are over.

Change: turns over 40 ms count in any case. Half of the own part (a third before) is less late. An entry that is held up alone reads at the lowered rate meanwhile instead of 5 a second, since it has no work of its own to work off.

--- a/packages/leadford/src/leadford/forwarding/overload/_connections.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_connections.py
@@ -15,7 +15,8 @@
 
 A loop whose turns are filled by the entry's own work has more to do than it bears. One
 that other processes hold up may bear all that comes, only later. Then connections are
-closed only while another entry is less late, where their callers are served sooner.
+closed only while another entry is less late, where their callers are served sooner, or
+where turns are so long that callers would no longer wait for the answers.
 
 Owns the rate. The server asks for each new connection, and calls `update` after each
 measured turn.
@@ -30,6 +31,9 @@
 
 # Time between two steps that raise the rate.
 RAISING_INTERVAL_S = 0.1
+# Turns up to this duration are borne while other processes hold up all entries alike:
+# about ten of them leave an answer in time for most callers.
+MAX_BORNE_TURN_S = 0.040
 # An entry that is still late after this time gets a lower rate again.
 MAX_BACKLOG_S = 1.0
 # Factors that lower the rate, by how late the entry is.
@@ -60,7 +64,7 @@
     """Say why fewer new connections are read."""
 
     NONE = ""
-    WORK = "work"
+    OVERLOAD = "overload"
     HELD_UP = "held-up"
     LINK = "link"
 
@@ -165,10 +169,16 @@
 
         Turns that something else fills count while another entry is less late.
         """
-        worked_s = self.turns.standing_worked_s
-        if worked_s > MAX_CALM_TURN_S or self._is_other_less_late(now):
+        if self._is_overloaded or self._is_other_less_late(now):
             return self.turns.standing_s / MAX_CALM_TURN_S
-        return worked_s / MAX_CALM_TURN_S
+        return 0.0
+
+    @property
+    def _is_overloaded(self) -> bool:
+        """Return whether the entry has more to do than it bears."""
+        if self.turns.standing_worked_s > MAX_CALM_TURN_S:
+            return True
+        return self.turns.standing_s > MAX_BORNE_TURN_S
 
     def _link_lateness(self, now: float) -> float:
         """Return by which factor packets wait longer than they may."""
@@ -183,8 +193,8 @@
 
     def _cause(self, now: float) -> LateCause:
         """Return why the rate is lowered now."""
-        if self.turns.standing_worked_s > MAX_CALM_TURN_S:
-            return LateCause.WORK
+        if self._is_overloaded:
+            return LateCause.OVERLOAD
         if self._loop_lateness(now) > 1.0:
             return LateCause.HELD_UP
         return LateCause.LINK
@@ -197,7 +207,7 @@
 
     def _lower(self, lateness: float, now: float) -> None:
         """Lower the rate, unless the entry still works off what came before."""
-        if self.cause_ is not LateCause.WORK:
+        if self.cause_ is not LateCause.OVERLOAD:
             self.cause_ = self._cause(now)
         was_late = self.lowered_at_ is not None
         if was_late and now - self.lowered_at_ < MAX_BACKLOG_S:
@@ -234,7 +244,8 @@
         """Set the rate that is in force until the next update."""
         if self.limit_per_s_ is None:
             return
-        works_off_backlog = self.lowered_at_ is not None
+        is_held_up = self.cause_ is LateCause.HELD_UP
+        works_off_backlog = self.lowered_at_ is not None and not is_held_up
         rate_per_s = self.limit_per_s_
         if works_off_backlog:
             rate_per_s = min(rate_per_s, self._min_per_s(now))
--- a/packages/leadford/src/leadford/forwarding/overload/_peers.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_peers.py
@@ -22,7 +22,7 @@
 # Time after which what a peer told no longer counts.
 FRESH_S = 1.0
 # A peer is less late if its fraction is at most this part of the own one.
-LESS_LATE_FACTOR = 1.0 / 3.0
+LESS_LATE_FACTOR = 0.5
 # Own fractions that are remembered, one each heartbeat.
 OWN_TOLD_COUNT = 3
 # What an entry tells that takes no callers.
