--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -31,7 +31,6 @@
 completion on single endpoints with deadlines, without batches and caller retries.
 """
 
-from collections.abc import Iterable
 from random import Random
 
 import msgspec
@@ -42,11 +41,15 @@
     StageDelay,
     StageForecast,
 )
+from leadford.forwarding.admission._judged import (
+    JudgedRequest,
+    is_too_long,
+    longest_delay,
+)
 from leadford.forwarding.admission._levels import LevelForecast
 from leadford.forwarding.admission._limits import (
     DEADLINE_FRACTION,
     LimitTerms,
-    in_time_s,
     limit_s,
 )
 from leadford.forwarding.admission._request import (
@@ -69,29 +72,6 @@
 REFUSAL_NEWS_DELAY_S = 0.5
 # Maximum correction of a forecast as a fraction of the target.
 MAX_ERROR_FRACTION = 0.6
-# Fraction of the delay that a limit allows, up to which hardly anything waits.
-MAX_SHORT_DELAY_FRACTION = 0.2
-
-
-class _Judged(msgspec.Struct, frozen=True):
-    """Hold what the verdict on a request follows from.
-
-    `admission` is the decision if it is admitted.
-
-    Units: seconds. min_answer_s is the response time without any backlog, whole_error_s
-    the error of forecasts without the bound of corrections.
-    """
-
-    forecast: StageForecast
-    limits: LimitTerms
-    delays: tuple[StageDelay, ...]
-    min_answer_s: float
-    whole_error_s: float
-    admission: AdmissionDecision
-
-    def expected_s(self, delay: StageDelay) -> float:
-        """Return the expected response time by one of the delays, in seconds."""
-        return self.min_answer_s + delay.delay_s + self.admission.error_s
 
 
 class ForwardAdmission:
@@ -123,14 +103,14 @@
             self._record_admitted(request, judged.forecast)
             return msgspec.structs.replace(judged.admission, is_caller_retry=True)
         too_long = [
-            delay for delay in judged.delays if _is_too_long(request, judged, delay)
+            delay for delay in judged.delays if is_too_long(request, judged, delay)
         ]
         if not too_long:
             self._record_admitted(request, judged.forecast)
             return judged.admission
         return self._refuse(request, judged, longest_delay(too_long).service_id)
 
-    def _judge(self, request: AdmissionRequest) -> _Judged:
+    def _judge(self, request: AdmissionRequest) -> JudgedRequest:
         """Return what the verdict on a request follows from, and learn from it."""
         refused = self.reservations.find(request.fingerprint, request.now)
         inferred_s = self._inferred_first_try_s(request)
@@ -162,12 +142,14 @@
             level=request.level_at(None),
         )
         whole_error_s = self._whole_error(request.route).value_s(request.now)
-        return _Judged(forecast, limits, delays, min_answer_s, whole_error_s, admission)
+        return JudgedRequest(
+            forecast, limits, delays, min_answer_s, whole_error_s, admission
+        )
 
     def _refuse(
         self,
         request: AdmissionRequest,
-        judged: _Judged,
+        judged: JudgedRequest,
         short_id: ServiceId | None,
     ) -> AdmissionDecision:
         """Return a refusal for the delay at a service, and record it."""
@@ -308,24 +290,6 @@
         return self.whole_error_by_route_.setdefault(route.route_id, ForecastError())
 
 
-def longest_delay(delays: Iterable[StageDelay]) -> StageDelay:
-    """Return the longest of some delays, the first of several."""
-    return max(delays, key=lambda delay: delay.delay_s)
-
-
-def _is_too_long(request: AdmissionRequest, judged: _Judged, delay: StageDelay) -> bool:
-    """Return whether a delay is a reason to refuse a request."""
-    max_s = limit_s(request, judged.limits, delay.service_id)
-    if judged.expected_s(delay) <= max_s:
-        return False
-    min_answer_s = judged.min_answer_s
-    short_delay_s = MAX_SHORT_DELAY_FRACTION * (max_s - min_answer_s)
-    if delay.delay_s > short_delay_s:
-        return True
-    answered_s = min_answer_s + delay.delay_s + judged.whole_error_s
-    return answered_s > in_time_s(request)
-
-
 def can_keep_booking(request: AdmissionRequest) -> bool:
     """Return whether a request can meet its deadline without any backlog."""
     for stage, count in zip(request.route.stages, request.counts, strict=True):
--- a/packages/leadford/src/leadford/forwarding/overload/_peers.py
+++ b/packages/leadford/src/leadford/forwarding/overload/_peers.py
@@ -21,7 +21,7 @@
 
 # Time after which what a peer told no longer counts.
 FRESH_S = 1.0
-# A peer is less late if its fraction is at most this part of the own one.
+# A peer is less late if its fraction is less than this part of the own one.
 LESS_LATE_FACTOR = 0.5
 # Own fractions that are remembered, one each heartbeat.
 OWN_TOLD_COUNT = 3
