Leave no callers to an entry of an older build that stops

Beside a build that does not tell how late it is, an entry counts as on time, also while it drains and takes no new callers: an entry that is held up would close connections for its sake. Heartbeats of every build tell that they drain.

--- a/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/membership/_heartbeats.py
@@ -140,7 +140,9 @@
     def record(self, entry_id: EntryId, message: EntryHeartbeat) -> None:
         """Record the heartbeat of another entry."""
         now = self.state.now()
-        self.state.peer_delays_.record(entry_id, message.late_part, now)
+        # A build that does not tell how late it is tells when it stops.
+        late_part = TAKES_NO_CALLERS if message.is_draining else message.late_part
+        self.state.peer_delays_.record(entry_id, late_part, now)
         for report in message.groups:
             group = GroupId(ServiceId(report.service_id), PlaceId(report.place))
             load = GroupLoad(report.wait_ms / 1_000.0, report.room_bytes, now)
