--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_busy_entries.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_busy_entries.py
@@ -64,6 +64,7 @@
     sent_at: float
     entry: int
     number: int
+    route: str
     end: End = End.LATE
     took_s: float = DEADLINE_S
 
@@ -71,6 +72,11 @@
 class BusyFleet:
     """Run a store, endpoints and entries with little processor time."""
 
+    # Time for which callers wait.
+    deadline_s = DEADLINE_S
+    # Whether each request has results of stages to be read by its engine.
+    requires_inputs = True
+
     def __init__(
         self, folder, *, entries=4, route="unsafe", stop_s=0.010, work_s=WORK_S, seed=1
     ):
@@ -98,13 +104,14 @@
             PlainStandIn(service="plain", hall=hall, work_s=self.work_s)
             for hall in halls
         ]
-        self.stages = []
-        for hall in halls:
-            self.stages.append(
-                StageStandIn(service="stage", hall=hall, result_holders=self.stages)
-            )
+        self.stages = self._make_stages(halls)
         self.engines = [
-            EngineStandIn(service="engine", hall=hall, result_holders=self.stages)
+            EngineStandIn(
+                service="engine",
+                hall=hall,
+                requires_inputs=self.requires_inputs,
+                result_holders=self.stages,
+            )
             for hall in halls
         ]
         for endpoint in [*self.plain, *self.stages, *self.engines]:
@@ -132,6 +139,14 @@
         await self.send_for(WARM_UP_S, WARM_UP_PER_S, self.evenly)
         return self
 
+    def _make_stages(self, halls):
+        stages = []
+        for hall in halls:
+            stages.append(
+                StageStandIn(service="stage", hall=hall, result_holders=stages)
+            )
+        return stages
+
     def _limit_processors(self):
         self.limits = [
             ProcessorLimit(process=e.process_, stop_s=self.stop_s) for e in self.entries
@@ -183,7 +198,9 @@
     async def _wait_ready(self):
         async with asyncio.timeout(READY_TIMEOUT_S):
             for number in range(self.entry_count):
-                while await self._try(number, 1) is not End.SERVED:
+                while (
+                    await self._try(number, 1, self._choose_route()) is not End.SERVED
+                ):
                     await asyncio.sleep(0.1)
         self.tries_.clear()
 
@@ -201,8 +218,9 @@
 
     async def _send(self, entry):
         """Send a request, and again to other entries while it is not read."""
+        route = self._choose_route()
         for number in range(1, MAX_TRIES + 1):
-            if await self._try(entry, number) is not End.UNREAD:
+            if await self._try(entry, number, route) is not End.UNREAD:
                 return
             others = [e for e in self.running() if e != entry]
             entry = self.random.choice(others)
@@ -222,13 +240,13 @@
     def running(self):
         return [n for n in range(self.entry_count) if self.entries[n].is_running()]
 
-    async def _try(self, entry, number):
+    async def _try(self, entry, number, route):
         loop = asyncio.get_running_loop()
-        attempt = Try(loop.time(), entry, number)
+        attempt = Try(loop.time(), entry, number, route)
         self.tries_.append(attempt)
         try:
-            async with asyncio.timeout(DEADLINE_S):
-                attempt.end = await self._exchange(entry)
+            async with asyncio.timeout(self.deadline_s):
+                attempt.end = await self._exchange(attempt)
         except TimeoutError:
             attempt.end = End.LATE
         except OSError:
@@ -237,26 +255,15 @@
         attempt.took_s = loop.time() - attempt.sent_at
         return attempt.end
 
-    async def _exchange(self, entry):
-        reader, writer = await asyncio.open_connection(*self.entries[entry].callers)
+    async def _exchange(self, attempt):
+        callers = self.entries[attempt.entry].callers
+        reader, writer = await asyncio.open_connection(*callers)
         self.count_ += 1
-        head = {
-            "Host": HOST,
-            "Authorization": f"Token {KEY}",
-            "X-Attempt-Id": f"r{self.count_}",
-            "X-Deadline-Ms": str(round(self.allowed_s_ * 1_000)),
-            "X-Pieces": "2,1",
-            "X-Piece-Key": f"pk-{self.count_}",
-            "X-Model": "m",
-            "X-Token-Counts": "100,10",
-            "X-Prefix-Hash": f"aa:50,p{self.count_ % 50}:20",
-            "Content-Length": "7",
-        }
-        if self.resumes_:
-            head |= {"Resumes": f"before-{self.count_}", "Last-Event-Id": "1"}
-        lines = "".join(f"{name}: {value}\r\n" for name, value in head.items())
+        lines = "".join(
+            f"{name}: {value}\r\n" for name, value in self._head(attempt).items()
+        )
         try:
-            request = f"POST /{self.route}/x HTTP/1.1\r\n{lines}\r\npayload"
+            request = f"POST /{attempt.route}/x HTTP/1.1\r\n{lines}\r\npayload"
             writer.write(request.encode())
             answer = await reader.readuntil(b"\r\n\r\n")
             status = int(answer.split(b" ", 2)[1])
@@ -271,6 +278,28 @@
         finally:
             writer.close()
 
+    def _head(self, attempt):
+        """Return the fields of the head of the newest request."""
+        head = {
+            "Host": HOST,
+            "Authorization": f"Token {KEY}",
+            "X-Attempt-Id": f"r{self.count_}",
+            "X-Deadline-Ms": str(round(self.allowed_s_ * 1_000)),
+            "X-Pieces": "2,1",
+            "X-Piece-Key": f"pk-{self.count_}",
+            "X-Model": "m",
+            "X-Token-Counts": "100,10",
+            "X-Prefix-Hash": f"aa:50,p{self.count_ % 50}:20",
+            "Content-Length": "7",
+        }
+        if self.resumes_:
+            head |= {"Resumes": f"before-{self.count_}", "Last-Event-Id": "1"}
+        return head
+
+    def _choose_route(self):
+        """Return the route of the next request."""
+        return self.route
+
     async def _read_body(self, reader, answer):
         for line in answer.decode().lower().splitlines():
             name, _, value = line.partition(": ")
--- a/packages/leadford-standins/src/leadford_standins/soak/tests/test_entries_short_alike.py
+++ b/packages/leadford-standins/src/leadford_standins/soak/tests/test_entries_short_alike.py
@@ -75,7 +75,7 @@
 
     async def wait_ready(self, entry):
         """Wait until an entry answers."""
-        while await self._try(entry, 1) is not End.SERVED:
+        while await self._try(entry, 1, self._choose_route()) is not End.SERVED:
             await asyncio.sleep(RETRY_S)
 
     async def try_often(self, entry, seconds):
@@ -83,5 +83,5 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         while loop.time() < until:
-            await self._try(entry, 1)
+            await self._try(entry, 1, self._choose_route())
             await asyncio.sleep(RETRY_S)
--- a/packages/leadford-standins/src/leadford_standins/wire/_stages.py
+++ b/packages/leadford-standins/src/leadford_standins/wire/_stages.py
@@ -24,19 +24,22 @@
 class StageStandIn(PlainStandIn):
     """Make pieces in batches, one call at a time, and hold at most `room` results.
 
-    A call reads its inputs from their holders when it starts to run.
+    A call reads its inputs from their holders when it starts to run. It takes `call_s`
+    seconds, and `item_s` more for each piece.
     """
 
     def __init__(
         self,
         *,
         call_s: float = 0.02,
+        item_s: float = 0.0,
         room: int = 1_000,
         result_holders: "list[StageStandIn] | None" = None,
         **fields,
     ) -> None:
         super().__init__(**fields)
         self.call_s = call_s
+        self.item_s = item_s
         self.room = room
         self.result_holders = result_holders if result_holders is not None else []
         self.gone_ = 0
@@ -85,7 +88,7 @@
                 )
                 for item in body["items"]
             ]
-            await asyncio.sleep(self.call_s)
+            await asyncio.sleep(self.call_s + len(items) * self.item_s)
             await self.speaks_.wait()
         self.batch_sizes_.append(len(items))
         load = f"{int(self.call_lock_.locked())},{self.waiting_},1{self.load_suffix_}"
@@ -117,6 +120,7 @@
         """Return the endpoint that replaces this one, with none of its state."""
         replacement = StageStandIn(
             call_s=self.call_s,
+            item_s=self.item_s,
             room=self.room,
             result_holders=self.result_holders,
             service=self.service,
