Log the delay that admission expects, and at which service

Event 406 had what was expected, the correction and the limit, and named a service for refused requests only. Whether the rest was the way through the stages or what waits, and at which stage, could not be told, which is what three of the four hypotheses of docs/incidents/refused-on-their-way.md differ in. delay_ms and delay_at say it, for admitted requests too.

--- a/packages/leadford-server/src/leadford_server/forwarding/_end_log.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_end_log.py
@@ -115,8 +115,11 @@
 
 
 def _admission_fields(progress: RequestProgress) -> dict[str, int | str]:
-    """Return the log fields for the level and the short service of the decision."""
+    """Return the log fields for the level, the delay and the short service."""
+    delay = progress.expected_delay_
     return {
+        "delay_ms": milliseconds(min(delay.delay_s, EXPECTED_LOGGED_MAX_S)),
+        "delay_at": delay.service_id or "",
         "level": NO_LEVEL if progress.level_ is None else progress.level_,
         "short_of": progress.short_service_id_ or "",
     }
--- a/packages/leadford-server/src/leadford_server/forwarding/_progress.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/_progress.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from leadford.common import EndpointId, RequestId, stable_hash
+from leadford.forwarding.admission import StageDelay
 from leadford.forwarding.answers import EndReason, RequestOutcome
 from leadford.forwarding.endpoints import ListedEndpoint
 from leadford.forwarding.overload import NO_DELAY, DelayMark
@@ -57,6 +58,7 @@
         self.error_s_ = 0.0
         # The limit of admission for the expected response time, in seconds.
         self.limit_s_ = 0.0
+        self.expected_delay_ = StageDelay()
         self.since_first_try_s_ = 0.0
         self.is_late_ = False
         # The priority level that admission used, and the service that lacked capacity.
--- a/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
+++ b/packages/leadford-server/src/leadford_server/forwarding/answers/_request.py
@@ -300,6 +300,7 @@
         progress.expected_s_ = decision.expected_s
         progress.error_s_ = decision.error_s
         progress.limit_s_ = decision.limit_s
+        progress.expected_delay_ = decision.delay
         progress.since_first_try_s_ = decision.since_first_try_s
         progress.is_late_ = decision.is_late
 
--- a/packages/leadford/src/leadford/forwarding/admission/__init__.py
+++ b/packages/leadford/src/leadford/forwarding/admission/__init__.py
@@ -8,7 +8,7 @@
     pieces_per_s,
 )
 from leadford.forwarding.admission._decision import ForwardAdmission
-from leadford.forwarding.admission._forecast import StageCapacity
+from leadford.forwarding.admission._forecast import StageCapacity, StageDelay
 from leadford.forwarding.admission._request import (
     AdmissionDecision,
     AdmissionRequest,
@@ -35,6 +35,7 @@
     "RetryReservation",
     "RetryReservations",
     "StageCapacity",
+    "StageDelay",
     "Verdict",
     "admit_booked",
     "booking_query",
--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -140,6 +140,7 @@
             is_late=is_late,
             is_refusal_known=refused is not None,
             level=request.level_at(None),
+            delay=longest,
         )
         whole_error_s = self._whole_error(request.route).value_s(request.now)
         return JudgedRequest(
--- a/packages/leadford/src/leadford/forwarding/admission/_request.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_request.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from leadford.common import WorkspaceId
-from leadford.forwarding.admission._forecast import StageCapacity
+from leadford.forwarding.admission._forecast import StageCapacity, StageDelay
 from leadford.forwarding.routes import Route, RouteLevels, ServiceId
 
 
@@ -82,7 +82,7 @@
     `is_refusal_known` is true if the refusal is recorded here, not only inferred from
     the timeout that the caller states. `short_service_id` is the service of the stage
     that is delayed too long, None if no stage is. `level` is the level of the request
-    there, otherwise the lowest at its stages.
+    there, otherwise the lowest at its stages. `delay` is the longest one expected.
 
     Units: seconds; expected_s counts from when the caller sent the request, and
     includes error_s, the forecast error by which it was corrected. limit_s is what it
@@ -100,3 +100,4 @@
     is_refusal_known: bool = False
     short_service_id: ServiceId | None = None
     level: int = 0
+    delay: StageDelay = StageDelay()
--- a/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/tests/test_decision.py
@@ -73,6 +73,17 @@
     assert decision.expected_s == pytest.approx(0.34)
 
 
+def test_a_decision_tells_the_longest_delay_apart_from_the_path():
+    fixture = Fixture()
+    fixture.admit_pieces(40)
+    decision = fixture.decide()
+    assert decision.verdict is Verdict.ADMIT
+    assert decision.delay.service_id == SERVICE
+    idle_s = Fixture().decide().expected_s
+    assert decision.delay.delay_s == pytest.approx(40 * 0.03 - 0.06)
+    assert decision.expected_s == pytest.approx(idle_s + 40 * 0.03)
+
+
 def test_a_long_path_is_not_refused_for_its_own_length():
     fixture = Fixture()
     # The critical path takes most of the target; a small backlog fits into the rest.
