Count no pieces as waiting that a stage has made by the time it is reached

What callers saw: first tries of streams with three slow stages in a row were refused (503, not-admitted) though they would have been answered in half of their target, evenly or at the one entry that gets most new connections.

Cause: the delay of a stage was the time for all pieces that are admitted and not made. A request reaches the last of three stages after 0.7 s here, and the stage makes its backlog meanwhile; most of it belongs to requests that are on their way as well. The forecast by level takes that time off for contended services; the rule of two levels did not. Class: a stock that a flow keeps up, taken for a queue.

Limits are as they were. Late returns are judged as before, as all that is admitted later goes before them.

--- a/packages/leadford/src/leadford/forwarding/admission/_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_forecast.py
@@ -177,8 +177,9 @@
         """Return the delay by the backlog of each stage, beyond the shared path.
 
         It follows from the configured call durations, or from the actual throughput of
-        a stage that is behind. All pieces that are in time go before those of a late
-        request.
+        a stage that is behind. A stage computes its backlog while a request is on its
+        way to it. All pieces that are in time go before those of a late request, also
+        those that are admitted meanwhile.
 
         The delay is infinite where a stage has no endpoint.
         """
@@ -240,7 +241,10 @@
             now=now,
         )
         drain_time_s = backlog.drain_time_s(stage.service_id, level, now)
-        return max(capacity_s(pieces), drain_time_s)
+        delay_s = max(capacity_s(pieces), drain_time_s)
+        if is_late:
+            return delay_s
+        return max(0.0, delay_s - start_s)
 
     def pieces_by_service(self) -> dict[ServiceId, int]:
         """Return the number of pieces that the request needs from each service."""
