Give what tells when pieces wait for another hall a module of its own

Nothing else changes: the names lost their underscores, and a local dict its name, which would hide the function. Tests of batching in both packages pass.

--- a/packages/leadford/src/leadford/forwarding/batching/_filling.py
+++ b/packages/leadford/src/leadford/forwarding/batching/_filling.py
@@ -20,16 +20,19 @@
 This module does not send the call, and does not recompute lost pieces (`_remake`).
 """
 
-from collections.abc import Callable
 from enum import Enum
-from functools import partial
 
 import msgspec
 
-from leadford.common import EndpointId, HallId
+from leadford.common import EndpointId
 from leadford.forwarding.batching._capacity import CapacityTable
+from leadford.forwarding.batching._hall_waits import (
+    expected_calls,
+    hall_wait_predicate,
+    later_s_by_hall,
+)
 from leadford.forwarding.batching._queue import LeftCause, PieceQueue
-from leadford.forwarding.batching._tasks import Chunk, PieceTask
+from leadford.forwarding.batching._tasks import PieceTask
 from leadford.forwarding.endpoints import EndpointRecord
 from leadford.forwarding.routes import PieceLimits
 
@@ -117,7 +120,7 @@
     finish_s_by_id = capacities.finish_s_by_id(
         allowed, limits, waiting=len(queue), now=now
     )
-    calls = _expected_calls(capacities, allowed, finish_s_by_id, limits, now)
+    calls = expected_calls(capacities, allowed, finish_s_by_id, limits, now)
     ranked = _candidates(
         queue,
         capacities,
@@ -136,8 +139,8 @@
             continue
         if room_bytes < least_bytes:
             continue
-        later_s_by_hall = _later_s_by_hall(calls, finish_s_by_id[endpoint_id])
-        waits_for_other_hall = _hall_wait_predicate(hall, later_s_by_hall, limits, now)
+        later_s = later_s_by_hall(calls, finish_s_by_id[endpoint_id])
+        waits_for_other_hall = hall_wait_predicate(hall, later_s, limits, now)
         tasks = queue.take(
             limits=limits,
             now=now,
@@ -276,68 +279,6 @@
     )
 
 
-class _ExpectedCall(msgspec.Struct, frozen=True):
-    """Hold in how long an endpoint of a hall takes another call, and finishes it.
-
-    Units: seconds.
-    """
-
-    hall: HallId
-    free_in_s: float
-    finish_s: float
-
-
-def _expected_calls(
-    capacities: CapacityTable,
-    records: list[EndpointRecord],
-    finish_s_by_id: dict[EndpointId, float],
-    limits: PieceLimits,
-    now: float,
-) -> list[_ExpectedCall]:
-    """Return when each endpoint that is not suspect takes and finishes a call."""
-    found = []
-    for record in records:
-        if record.is_suspect(now):
-            continue
-        endpoint_id = record.listed.endpoint_id
-        free_in_s = capacities.capacity(endpoint_id, limits).free_in_s(now)
-        finish_s = finish_s_by_id[endpoint_id]
-        found.append(_ExpectedCall(record.listed.hall, free_in_s, finish_s))
-    return found
-
-
-def _later_s_by_hall(
-    calls: list[_ExpectedCall], finish_s: float
-) -> dict[HallId, float]:
-    """Return how much later than `finish_s` each hall takes and finishes a call.
-
-    An endpoint that is free but slow would otherwise be waited for, though
-    `rank_endpoints` offers it no call.
-    """
-    later_s_by_hall: dict[HallId, float] = {}
-    for call in calls:
-        later_s = max(call.free_in_s, call.finish_s - finish_s)
-        known_s = later_s_by_hall.get(call.hall, later_s)
-        later_s_by_hall[call.hall] = min(later_s, known_s)
-    return later_s_by_hall
-
-
-def _hall_wait_predicate(
-    hall: HallId,
-    later_s_by_hall: dict[HallId, float],
-    limits: PieceLimits,
-    now: float,
-) -> Callable[[Chunk], bool]:
-    """Return the predicate of chunks that wait for another hall than `hall`."""
-    return partial(
-        Chunk.waits_for_other_hall,
-        hall=hall,
-        later_s_by_hall=later_s_by_hall,
-        limits=limits,
-        now=now,
-    )
-
-
 def _excludes_all(task: PieceTask, records: list[EndpointRecord]) -> bool:
     if len(task.excluded) < len(records):
         return False
