Split the delay by two levels from the choice between the two rules

_delay_s had both; nothing else changes. The module of decisions says what the delay is since pieces that a stage makes meanwhile are taken off. Tests of admission and of the forwarding entry pass.

--- a/packages/leadford/src/leadford/forwarding/admission/_decision.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_decision.py
@@ -2,9 +2,10 @@
 
 Called once for each such request, before anything is sent for it. A request is admitted
 if its expected response time is within a limit. The expected response time is the sum
-of the time already elapsed, the critical path of its stages, the backlog of the most
-delayed stage (over all entries), the engine's time to the first byte, and the recent
-forecast error of the route.
+of the time already elapsed, the critical path of its stages, the delay by the backlog
+of the most delayed stage (over all entries, less what it computes until the request
+reaches it), the engine's time to the first byte, and the recent forecast error of the
+route.
 
 - For a first try, the limit covers the critical path and a fraction of the slack, that
   is, of the rest of the route's latency target (`aim_ms`). The fraction grows with the
--- a/packages/leadford/src/leadford/forwarding/admission/_forecast.py
+++ b/packages/leadford/src/leadford/forwarding/admission/_forecast.py
@@ -5,7 +5,7 @@
 entries.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
@@ -234,17 +234,10 @@
         # All pieces go before a request of the lowest level.
         is_urgent = self.route.is_urgent and not is_late
         level = LEVEL_HIGHEST if is_urgent else LEVEL_LOWEST
-        pieces = backlog.pieces_before(
-            stage.service_id,
-            level,
-            less_urgent_fraction=LESS_URGENT_FRACTION,
-            now=now,
+        delay_s = _two_level_delay_s(
+            backlog, stage.service_id, level, capacity_s=capacity_s, now=now
         )
-        drain_time_s = backlog.drain_time_s(stage.service_id, level, now)
-        delay_s = max(capacity_s(pieces), drain_time_s)
-        if is_late:
-            return delay_s
-        return max(0.0, delay_s - start_s)
+        return delay_s if is_late else max(0.0, delay_s - start_s)
 
     def pieces_by_service(self) -> dict[ServiceId, int]:
         """Return the number of pieces that the request needs from each service."""
@@ -263,6 +256,27 @@
         return longest_s
 
 
+def _two_level_delay_s(
+    backlog: AdmittedBacklog,
+    service_id: ServiceId,
+    level: int,
+    *,
+    capacity_s: Callable[[float], float],
+    now: float,
+) -> float:
+    """Return how long a stage takes for the pieces before a request of a level.
+
+    `capacity_s` returns how long all endpoints need for a number of pieces.
+
+    Units: seconds.
+    """
+    pieces = backlog.pieces_before(
+        service_id, level, less_urgent_fraction=LESS_URGENT_FRACTION, now=now
+    )
+    drain_time_s = backlog.drain_time_s(service_id, level, now)
+    return max(capacity_s(pieces), drain_time_s)
+
+
 def _path_s(times: Iterable[_StageTimes]) -> float:
     """Return when the last stage ends, in seconds from the start of the first."""
     return max((stage.end_s for stage in times), default=0.0)
